Set up the workspace, the shared types and the checks

Cause: nothing stood yet; the packages, their import rules and the types between them have to be fixed before work goes on side by side. Ruled out: the key-value client inside the router, since the operators' tool needs it too; it gets a package of its own, platform.

--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,11 @@
+export * as cache from './cache/index.js';
+export * as ledger from './ledger/index.js';
+export * as limits from './limits/index.js';
+export * as manifest from './manifest/index.js';
+export * as members from './members/index.js';
+export * as model from './model/index.js';
+export * as orders from './orders/index.js';
+export * as placement from './placement/index.js';
+export * as request from './request/index.js';
+export * as timeline from './timeline/index.js';
+export * as util from './util/index.js';
--- /dev/null
+++ b/packages/core/src/util/index.ts
@@ -0,0 +1,2 @@
+export * from './invariant.js';
+export * from './step.js';
--- /dev/null
+++ b/packages/wire/src/http/index.ts
@@ -0,0 +1,2 @@
+export * from './header-name.js';
+export * from './media-type.js';
--- /dev/null
+++ b/scripts/check-imports.mjs
@@ -0,0 +1,64 @@
+// Checks the import rules between the packages, and that core imports no I/O module and reads no clock.
+import * as fs from 'node:fs';
+import process from 'node:process';
+import path from 'node:path';
+
+const scope = '@bluebellmast/';
+const allowed = {
+	core: [],
+	wire: ['core'],
+	config: ['core'],
+	platform: ['core', 'wire'],
+	router: ['core', 'wire', 'config', 'platform'],
+	ctl: ['core', 'wire', 'config', 'platform'],
+	'stand-ins': ['core', 'wire', 'config', 'platform'],
+};
+const coreLibraries = ['xstate', 'purify-ts', 'xxhash-wasm', 'pure-rand'];
+const coreForbidden = /Date\.now|new Date\(\)|Math\.random|setTimeout|setInterval|performance\.now|process\./;
+const importPattern = /(?:from|import)\s*\(?\s*'([^']+)'/g;
+
+function listSources(folder) {
+	return fs.readdirSync(folder, {recursive: true, withFileTypes: true})
+		.filter(entry => entry.isFile() && entry.name.endsWith('.ts'))
+		.map(entry => path.join(entry.parentPath ?? entry.path, entry.name));
+}
+
+function checkImport(pkg, file, target) {
+	if (target.startsWith('.')) {
+		return [];
+	}
+
+	if (target.startsWith(scope)) {
+		const other = target.slice(scope.length);
+		return allowed[pkg].includes(other) ? [] : [`${file}: ${pkg} may not import ${target}`];
+	}
+
+	if (pkg === 'core' && !coreLibraries.includes(target)) {
+		return [`${file}: core may import only ${coreLibraries.join(', ')}, not ${target}`];
+	}
+
+	return /^(node:)?child_process$/.test(target) && pkg !== 'stand-ins' ? [`${file}: no child processes in the system`] : [];
+}
+
+function checkFile(pkg, file) {
+	const text = fs.readFileSync(file, 'utf8');
+	const findings = [...text.matchAll(importPattern)].flatMap(match => checkImport(pkg, file, match[1]));
+	if (pkg === 'core') {
+		for (const [index, line] of text.split('\n').entries()) {
+			if (coreForbidden.test(line)) {
+				findings.push(`${file}:${index + 1}: core reads a clock, a timer, randomness or the environment`);
+			}
+		}
+	}
+
+	return findings;
+}
+
+const findings = Object.keys(allowed)
+	.flatMap(pkg => listSources(`packages/${pkg}/src`).flatMap(file => checkFile(pkg, file)));
+for (const finding of findings) {
+	console.error(finding);
+}
+
+console.log(`import rules: ${findings.length} findings`);
+process.exitCode = findings.length === 0 ? 0 : 1;
