Fix the interfaces between router, platform and peers

Cause: the parts are written side by side and need one set of seams. Change: key-value client, VM list client, peer network, controller, clock and metrics interfaces; CONTRIBUTING with layout and style. Ruled out: a key-value interface of our own shape on the wire; the stand-in speaks the etcd v3 JSON gateway protocol, which is published.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * as kv from './kv/index.js';
+export * as vms from './vms/index.js';
--- /dev/null
+++ b/packages/platform/src/kv/index.ts
@@ -0,0 +1,2 @@
+export * from './key-value-client.js';
+export * from './kv-error.js';
--- /dev/null
+++ b/packages/router/src/util/metrics.ts
@@ -0,0 +1,7 @@
+/** Counters, gauges and timings; carried out by hot-shots in the program and by a fake in tests. */
+export interface Metrics { // eslint-disable-line @typescript-eslint/consistent-type-definitions
+	increment(name: string, by?: number, tags?: Readonly<Record<string, string>>): void;
+	gauge(name: string, value: number, tags?: Readonly<Record<string, string>>): void;
+	/** Records a duration in milliseconds. */
+	timing(name: string, durationMs: number, tags?: Readonly<Record<string, string>>): void;
+}
--- a/packages/wire/src/peer/index.ts
+++ b/packages/wire/src/peer/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './peer-message-type.js';
