Add xxhash and rendezvous ranking to core.util

Cause: shards, watchers and neighbours are chosen alike on all routers without talking. Change: hash32, hash64Hex, rankByRendezvous, bestByRendezvous.

--- a/packages/core/src/util/index.ts
+++ b/packages/core/src/util/index.ts
@@ -1,2 +1,4 @@
+export * from './hash.js';
 export * from './invariant.js';
+export * from './rendezvous.js';
 export * from './step.js';
--- /dev/null
+++ b/packages/core/src/util/rendezvous.ts
@@ -0,0 +1,40 @@
+import * as hash from './hash.js';
+
+type Scored = {
+	readonly candidate: string;
+	readonly score: number;
+};
+
+function compareScored(a: Scored, b: Scored): number {
+	if (a.score !== b.score) {
+		return b.score - a.score;
+	}
+
+	return a.candidate < b.candidate ? -1 : 1;
+}
+
+/**
+ * Ranks candidates for a key by rendezvous hashing, best first. The order of the input has no influence, and the
+ * removal of a candidate leaves the order of the others as it was.
+ */
+export function rankByRendezvous(key: string, candidates: readonly string[]): string[] {
+	const seed = hash.hash32(key);
+	return candidates
+		.map(candidate => ({candidate, score: hash.hash32(candidate, seed)}))
+		.sort(compareScored)
+		.map(scored => scored.candidate);
+}
+
+/** Returns the best candidate for a key, or `undefined` when there is none; takes one pass. */
+export function bestByRendezvous(key: string, candidates: Iterable<string>): string | undefined {
+	const seed = hash.hash32(key);
+	let best: Scored | undefined;
+	for (const candidate of candidates) {
+		const scored = {candidate, score: hash.hash32(candidate, seed)};
+		if (best === undefined || compareScored(scored, best) < 0) {
+			best = scored;
+		}
+	}
+
+	return best?.candidate;
+}
