Add the membership: probes, suspicion, refutation, bounded spread

Cause: routers come and go; one mechanism has to serve 1 to 420 of them. Ruled out: probing random members, which would need a link per pair or a new link for each probe; neighbours on rings are known alike to all and each member is probed by as many others.

--- /dev/null
+++ b/packages/core/src/members/member-table.ts
@@ -0,0 +1,165 @@
+import type * as ids from '../model/ids.js';
+import * as hash from '../util/hash.js';
+import * as invariant from '../util/invariant.js';
+import * as memberRecord from './member-record.js';
+
+type Entry = {
+	record: memberRecord.MemberRecord;
+	hash: number;
+	changedAt: number;
+	/** How often the record may still be added to messages. */
+	sendsLeft: number;
+};
+
+function hashOf(record: memberRecord.MemberRecord): number {
+	if (!memberRecord.isPresent(record)) {
+		return 0;
+	}
+
+	return hash.hash32(`${record.vm}|${record.incarnation}|${record.status}|${record.leaving ? 1 : 0}`, record.version % 0x1_00_00_00_00);
+}
+
+/** Parts of the table that are compared one by one when two tables differ. */
+export const bucketCount = 16;
+
+type Bucket = {
+	digest: number;
+	readonly vms: ids.VmId[];
+	cursor: number;
+};
+
+function bucketOf(vm: ids.VmId): number {
+	return hash.hash32(vm) % bucketCount;
+}
+
+/** Records of all members that are known, with those that are still to be spread. */
+export class MemberTable {
+	private readonly entries = new Map<ids.VmId, Entry>();
+	/** Names of the records still to be spread: not sent so far, and sent at least once. */
+	private readonly unsent = new Set<ids.VmId>();
+	private readonly sent = new Set<ids.VmId>();
+	private readonly buckets: Bucket[] = Array.from({length: bucketCount}, () => ({digest: 0, vms: [], cursor: 0}));
+	private digestValue = 0;
+
+	/** Equal on two routers when they know the same present members. */
+	get digest(): number {
+		return this.digestValue;
+	}
+
+	/** Digest of each part of the table. */
+	get bucketDigests(): readonly number[] {
+		return this.buckets.map(bucket => bucket.digest);
+	}
+
+	/** Whether any record is still to be spread. */
+	get hasFresh(): boolean {
+		return this.unsent.size + this.sent.size > 0;
+	}
+
+	get size(): number {
+		return this.entries.size;
+	}
+
+	get(vm: ids.VmId): memberRecord.MemberRecord | undefined {
+		return this.entries.get(vm)?.record;
+	}
+
+	changedAt(vm: ids.VmId): number {
+		return this.entries.get(vm)?.changedAt ?? 0;
+	}
+
+	records(): memberRecord.MemberRecord[] {
+		return [...this.entries.values()].map(entry => entry.record);
+	}
+
+	/** Stores a record to be spread `sends` times. The caller has checked that it takes the place of the present one. */
+	put(record: memberRecord.MemberRecord, now: number, sends: number): void {
+		const before = this.entries.get(record.vm);
+		invariant.assertInvariant(
+			before === undefined || record.version >= before.record.version,
+			'members.version-forward',
+			() => `${record.vm} from ${before?.record.version} to ${record.version}`,
+		);
+		const next = {
+			record, hash: hashOf(record), changedAt: now, sendsLeft: sends,
+		};
+		this.entries.set(record.vm, next);
+		this.addToDigests(record.vm, (before?.hash ?? 0) ^ next.hash); // eslint-disable-line no-bitwise
+		if (before === undefined) {
+			this.buckets[bucketOf(record.vm)]!.vms.push(record.vm);
+		}
+
+		this.sent.delete(record.vm);
+		this.unsent.add(record.vm);
+	}
+
+	remove(vm: ids.VmId): void {
+		const entry = this.entries.get(vm);
+		if (entry === undefined) {
+			return;
+		}
+
+		this.entries.delete(vm);
+		this.addToDigests(vm, entry.hash);
+		const {vms} = this.buckets[bucketOf(vm)]!;
+		vms.splice(vms.indexOf(vm), 1);
+		this.unsent.delete(vm);
+		this.sent.delete(vm);
+	}
+
+	/** Takes up to `limit` records that are still to be spread, those not sent so far first. */
+	takeFresh(limit: number): memberRecord.MemberRecord[] {
+		const names = [...this.unsent].slice(0, limit);
+		if (names.length < limit) {
+			names.push(...[...this.sent].slice(0, limit - names.length));
+		}
+
+		return names.map(vm => this.takeOne(vm));
+	}
+
+	/** Takes up to `limit` records of the parts in a bit mask; repeated calls go over all of them in turn. */
+	takeFromBuckets(mask: number, limit: number): memberRecord.MemberRecord[] {
+		const chosen = this.buckets.filter((bucket, index) => (mask & (1 << index)) !== 0 && bucket.vms.length > 0); // eslint-disable-line no-bitwise
+		const result: memberRecord.MemberRecord[] = [];
+		for (const [index, bucket] of chosen.entries()) {
+			const share = Math.ceil((limit - result.length) / (chosen.length - index));
+			const count = Math.min(share, bucket.vms.length);
+			for (let i = 0; i < count; i++) {
+				bucket.cursor = (bucket.cursor + 1) % bucket.vms.length;
+				result.push(this.entries.get(bucket.vms[bucket.cursor]!)!.record);
+			}
+		}
+
+		return result;
+	}
+
+	private takeOne(vm: ids.VmId): memberRecord.MemberRecord {
+		const entry = this.entries.get(vm)!;
+		entry.sendsLeft -= 1;
+		this.unsent.delete(vm);
+		this.sent.delete(vm);
+		if (entry.sendsLeft > 0) {
+			this.sent.add(vm);
+		}
+
+		return entry.record;
+	}
+
+	private addToDigests(vm: ids.VmId, change: number): void {
+		const bucket = this.buckets[bucketOf(vm)]!;
+		bucket.digest = (bucket.digest ^ change) >>> 0; // eslint-disable-line no-bitwise
+		this.digestValue = (this.digestValue ^ change) >>> 0; // eslint-disable-line no-bitwise
+	}
+}
+
+/** Returns the bit mask of the parts whose digests differ. */
+export function differingBuckets(own: readonly number[], other: readonly number[]): number {
+	let mask = 0;
+	for (const [index, digest] of own.entries()) {
+		if (digest !== other[index]) {
+			mask |= 1 << index; // eslint-disable-line no-bitwise
+		}
+	}
+
+	return mask;
+}
--- /dev/null
+++ b/packages/core/src/members/membership.ts
@@ -0,0 +1,454 @@
+import type * as ids from '../model/ids.js';
+import * as invariant from '../util/invariant.js';
+import * as random from '../util/random.js';
+import * as incarnationHistory from './incarnation-history.js';
+import * as memberRecord from './member-record.js';
+import * as memberTable from './member-table.js';
+import * as types from './membership-types.js';
+import * as neighbours from './neighbours.js';
+import * as probeList from './probe-list.js';
+
+/** Suspects that are pinged again at each tick. */
+const maxSuspectPings = 3;
+/** Ticks without a call after which the process itself counts as paused. */
+const pauseTicks = 4;
+/** Periods for which tables may differ before whole parts are exchanged; fresh records mostly settle it sooner. */
+const syncAfterPeriods = 6;
+
+/** What is known of another router's table. */
+type PeerView = {
+	/** Digest in its last message. */
+	digest: number;
+	/** Since when the tables differ; absent while they are equal. */
+	differsSince: number | undefined;
+	/** Bit mask of the parts known to differ. */
+	mask: number;
+};
+
+/** Dead members that are removed from the table at one tick. */
+const maxRemovals = 64;
+
+/**
+ * Membership by probing and spreading: each period one neighbour is pinged; one that does not answer is pinged through
+ * others, then suspected, and judged dead when it does not refute the suspicion in time. Messages carry a bounded number
+ * of records. The same code serves one router and hundreds.
+ */
+export class Membership {
+	private readonly cfg: types.MembershipOptions & types.MembershipDefaults;
+	private readonly table = new memberTable.MemberTable();
+	private readonly history: incarnationHistory.IncarnationHistory;
+	private readonly generator: random.SeededRandom;
+	private readonly probes: probeList.ProbeList;
+	/** When each suspicion ends in death. */
+	private readonly suspicions = new Map<ids.VmId, number>();
+	private readonly peers = new Map<ids.VmId, PeerView>();
+	private followUps = 0;
+	/** Records that may still be sent in this period. */
+	private recordBudget: number;
+	private cachedNeighbours: ids.VmId[] | undefined;
+	private presentCount = 0;
+	private lastTickAt: number;
+	private effects: types.MembershipEffect[] = [];
+
+	constructor(options: types.MembershipOptions) {
+		this.cfg = {...types.membershipDefaults, ...options};
+		this.recordBudget = this.cfg.recordsPerPeriod;
+		this.history = new incarnationHistory.IncarnationHistory(this.cfg.settleMs);
+		this.generator = new random.SeededRandom(this.cfg.seed);
+		this.probes = new probeList.ProbeList(this.generator);
+		this.lastTickAt = this.cfg.startedAt;
+		this.store({
+			vm: this.cfg.vm,
+			incarnation: this.cfg.incarnation,
+			version: this.cfg.startedAt,
+			status: memberRecord.MemberStatus.Alive,
+			host: this.cfg.host,
+			port: this.cfg.port,
+			dataCentre: this.cfg.dataCentre,
+			leaving: false,
+		}, this.cfg.startedAt);
+		this.effects = [];
+	}
+
+	/** Takes an event and returns what is to be done, in order. */
+	step(event: types.MembershipEvent, now: number): readonly types.MembershipEffect[] {
+		this.effects = [];
+		this.handle(event, now);
+		const own = this.own();
+		invariant.assertInvariant(
+			own.incarnation === this.cfg.incarnation && own.status !== memberRecord.MemberStatus.Dead,
+			'members.own-record',
+			() => JSON.stringify(own),
+		);
+		return this.effects;
+	}
+
+	/** Returns all records, dead ones included. */
+	records(): memberRecord.MemberRecord[] {
+		return this.table.records();
+	}
+
+	/** Returns the members that take part, this one included. */
+	present(): memberRecord.MemberRecord[] {
+		return this.table.records().filter(record => memberRecord.isPresent(record));
+	}
+
+	get(vm: ids.VmId): memberRecord.MemberRecord | undefined {
+		return this.table.get(vm);
+	}
+
+	/** Returns the members that this router probes and keeps links to. */
+	neighbours(): readonly ids.VmId[] {
+		this.cachedNeighbours ??= neighbours.chooseNeighbours(
+			this.cfg.vm,
+			this.present().map(record => record.vm),
+			this.cfg.neighbourLimits,
+		);
+		return this.cachedNeighbours;
+	}
+
+	/** Returns whether an incarnation is over; see `IncarnationHistory.isGone`. */
+	isGone(vm: ids.VmId, incarnation: ids.Incarnation, now: number): boolean {
+		if (vm === this.cfg.vm) {
+			return incarnation !== this.cfg.incarnation;
+		}
+
+		return this.history.isGone(this.table.get(vm), vm, incarnation, now);
+	}
+
+	private handle(event: types.MembershipEvent, now: number): void {
+		switch (event.type) {
+			case types.MembershipEventType.Tick: {
+				this.tick(now);
+				break;
+			}
+
+			case types.MembershipEventType.Ping: {
+				this.take(event.from, event.spread, now);
+				this.send(types.MembershipEffectType.SendAck, event.from, event.spread.sequence);
+				break;
+			}
+
+			case types.MembershipEventType.PingRequest: {
+				this.take(event.from, event.spread, now);
+				this.beginRelay(event.from, event.spread.sequence, event.target);
+				break;
+			}
+
+			case types.MembershipEventType.Ack: {
+				this.takeAck(event.from, event.spread, now);
+				break;
+			}
+
+			case types.MembershipEventType.LinkUp: {
+				this.linkUp(event, now);
+				break;
+			}
+
+			case types.MembershipEventType.Learned: {
+				this.merge(event.records, now);
+				break;
+			}
+
+			case types.MembershipEventType.Leave: {
+				this.announce({leaving: true}, now);
+				break;
+			}
+
+			case types.MembershipEventType.Left: {
+				this.announce({status: memberRecord.MemberStatus.Left, leaving: true}, now);
+				break;
+			}
+		}
+	}
+
+	private own(): memberRecord.MemberRecord {
+		return this.table.get(this.cfg.vm)!;
+	}
+
+	/** Changes the own record and tells the neighbours at once. */
+	private announce(change: Partial<Pick<memberRecord.MemberRecord, 'status' | 'leaving'>>, now: number): void {
+		const own = this.own();
+		this.store({...own, ...change, version: own.version + 1}, now);
+		for (const vm of this.neighbours()) {
+			this.send(types.MembershipEffectType.SendPing, vm, this.probes.nextSequence());
+		}
+	}
+
+	private tick(now: number): void {
+		const pauseMs = now - this.lastTickAt;
+		this.lastTickAt = now;
+		this.followUps = 0;
+		this.recordBudget = this.cfg.recordsPerPeriod;
+		if (pauseMs > pauseTicks * this.cfg.periodMs) {
+			this.forgiveOwnPause(pauseMs);
+		}
+
+		const {probes, relays, silent} = this.probes.age();
+		for (const vm of silent) {
+			this.suspect(vm, now);
+		}
+
+		this.judgeSuspects(now);
+		for (const probe of probes) {
+			if (probe.age === probeList.indirectAfterTicks) {
+				this.probeThroughOthers(probe);
+			}
+		}
+
+		for (const relay of relays) {
+			this.send(types.MembershipEffectType.SendPing, relay.target, relay.sequence);
+		}
+
+		this.pingSuspects();
+		this.probeNext();
+		this.spreadFresh();
+		this.removeOld(now);
+	}
+
+	/** After a pause of this process, answers may be waiting unread, so nobody is judged by it. */
+	private forgiveOwnPause(pauseMs: number): void {
+		this.probes.clear();
+		for (const [vm, deadline] of this.suspicions) {
+			this.suspicions.set(vm, deadline + pauseMs);
+		}
+	}
+
+	private probeNext(): void {
+		const target = this.probes.nextTarget(this.neighbours());
+		const probe = target === undefined ? undefined : this.probes.begin(target);
+		if (probe !== undefined) {
+			this.send(types.MembershipEffectType.SendPing, probe.target, probe.sequence);
+		}
+	}
+
+	/** While there is news, tells some more neighbours that have shown another table. */
+	private spreadFresh(): void {
+		if (!this.table.hasFresh) {
+			return;
+		}
+
+		const behind = this.neighbours().filter(vm => this.peers.get(vm)?.digest !== this.table.digest);
+		for (const vm of this.generator.shuffle(behind).slice(0, this.cfg.spreadPings)) {
+			this.send(types.MembershipEffectType.SendPing, vm, this.probes.nextSequence());
+		}
+	}
+
+	private probeThroughOthers(probe: probeList.Probe): void {
+		this.send(types.MembershipEffectType.SendPing, probe.target, probe.sequence);
+		const others = this.neighbours().filter(vm => vm !== probe.target
+			&& this.table.get(vm)?.status === memberRecord.MemberStatus.Alive);
+		for (const helper of this.generator.shuffle(others).slice(0, this.cfg.helpers)) {
+			this.effects.push({
+				type: types.MembershipEffectType.SendPingRequest,
+				to: helper,
+				target: probe.target,
+				spread: this.spreadFor(helper, probe.sequence),
+			});
+		}
+	}
+
+	private pingSuspects(): void {
+		const near = this.neighbours().filter(vm => this.suspicions.has(vm));
+		for (const vm of near.slice(0, maxSuspectPings)) {
+			this.send(types.MembershipEffectType.SendPing, vm, this.probes.nextSequence());
+		}
+	}
+
+	private beginRelay(origin: ids.VmId, originSequence: number, target: ids.VmId): void {
+		const relay = this.probes.beginRelay(origin, originSequence, target);
+		if (relay !== undefined) {
+			this.send(types.MembershipEffectType.SendPing, target, relay.sequence);
+		}
+	}
+
+	private takeAck(from: ids.VmId, spread: types.Spread, now: number): void {
+		this.take(from, spread, now);
+		const relay = this.probes.finish(spread.sequence);
+		if (relay !== undefined) {
+			this.send(types.MembershipEffectType.SendAck, relay.origin, relay.originSequence);
+		}
+
+		if ((this.peers.get(from)?.mask ?? 0) !== 0 && this.followUps < this.cfg.followUps) {
+			this.followUps += 1;
+			this.send(types.MembershipEffectType.SendPing, from, this.probes.nextSequence());
+		}
+	}
+
+	private linkUp(
+		event: Extract<types.MembershipEvent, {readonly type: types.MembershipEventType.LinkUp}>,
+		now: number,
+	): void {
+		if (this.table.get(event.from) === undefined) {
+			this.store({
+				vm: event.from,
+				incarnation: event.incarnation,
+				version: 0,
+				status: memberRecord.MemberStatus.Alive,
+				host: event.host,
+				port: event.port,
+				dataCentre: event.dataCentre,
+				leaving: false,
+			}, now);
+		}
+
+		this.peers.set(event.from, {digest: 0, differsSince: 0, mask: 0});
+		this.send(types.MembershipEffectType.SendPing, event.from, this.probes.nextSequence());
+	}
+
+	private take(from: ids.VmId, spread: types.Spread, now: number): void {
+		this.merge(spread.records, now);
+		const before = this.peers.get(from);
+		if (spread.digest === this.table.digest) {
+			this.peers.set(from, {digest: spread.digest, differsSince: undefined, mask: 0});
+			return;
+		}
+
+		const mask = spread.buckets === undefined
+			? 0
+			: memberTable.differingBuckets(this.table.bucketDigests, spread.buckets);
+		this.peers.set(from, {digest: spread.digest, differsSince: before?.differsSince ?? now, mask});
+	}
+
+	private merge(records: readonly memberRecord.MemberRecord[], now: number): void {
+		for (const record of records) {
+			if (record.vm === this.cfg.vm) {
+				this.refute(record, now);
+				continue;
+			}
+
+			const current = this.table.get(record.vm);
+			if (current === undefined || memberRecord.supersedes(record, current)) {
+				this.store(record, now);
+			}
+		}
+	}
+
+	/** Takes the place of a record of the own VM that another incarnation or another's suspicion has left. */
+	private refute(record: memberRecord.MemberRecord, now: number): void {
+		const own = this.own();
+		const same = record.incarnation === own.incarnation
+			&& record.status === own.status
+			&& record.leaving === own.leaving;
+		if (!same && record.version >= own.version) {
+			this.store({...own, version: record.version + 1}, now);
+		}
+	}
+
+	private suspect(vm: ids.VmId, now: number): void {
+		const record = this.table.get(vm);
+		if (record?.status === memberRecord.MemberStatus.Alive) {
+			this.store({...record, status: memberRecord.MemberStatus.Suspect}, now);
+		}
+	}
+
+	private judgeSuspects(now: number): void {
+		for (const [vm, deadline] of this.suspicions) {
+			if (now >= deadline) {
+				this.store({...this.table.get(vm)!, status: memberRecord.MemberStatus.Dead}, now);
+			}
+		}
+	}
+
+	private removeOld(now: number): void {
+		if (this.table.size === this.presentCount) {
+			return;
+		}
+
+		const old = this.table.records().filter(record => !memberRecord.isPresent(record)
+			&& record.vm !== this.cfg.vm
+			&& now - this.table.changedAt(record.vm) > this.cfg.retentionMs);
+		for (const record of old.slice(0, maxRemovals)) {
+			this.history.replaced(record.vm, record.incarnation);
+			this.table.remove(record.vm);
+			this.peers.delete(record.vm);
+		}
+	}
+
+	private store(record: memberRecord.MemberRecord, now: number): void {
+		const before = this.table.get(record.vm);
+		if (before !== undefined && before.incarnation !== record.incarnation) {
+			this.history.replaced(before.vm, before.incarnation);
+		}
+
+		this.table.put(record, now, this.sendsPerRecord());
+		const isPresent = memberRecord.isPresent(record);
+		const wasPresent = before !== undefined && memberRecord.isPresent(before);
+		if (isPresent !== wasPresent) {
+			this.presentCount += isPresent ? 1 : -1;
+			this.cachedNeighbours = undefined;
+		}
+
+		if (record.status === memberRecord.MemberStatus.Suspect) {
+			this.suspicions.set(record.vm, now + this.suspicionMs());
+		} else {
+			this.suspicions.delete(record.vm);
+		}
+
+		this.effects.push({type: types.MembershipEffectType.Changed, record});
+	}
+
+	private suspicionMs(): number {
+		return this.cfg.suspicionMs * Math.max(1, Math.log10(this.presentCount));
+	}
+
+	private sendsPerRecord(): number {
+		return 1 + Math.ceil(Math.log2(this.presentCount + 2));
+	}
+
+	private send(
+		type: types.MembershipEffectType.SendPing | types.MembershipEffectType.SendAck,
+		to: ids.VmId,
+		sequence: number,
+	): void {
+		this.effects.push({type, to, spread: this.spreadFor(to, sequence)});
+	}
+
+	/** Takes up to `wanted` records out of the budget of the period. */
+	private withinBudget(wanted: number): number {
+		const granted = Math.min(wanted, this.recordBudget);
+		this.recordBudget -= granted;
+		return granted;
+	}
+
+	private shouldSync(peer: PeerView | undefined): boolean {
+		return peer?.differsSince !== undefined
+			&& this.lastTickAt - peer.differsSince >= syncAfterPeriods * this.cfg.periodMs;
+	}
+
+	private spreadFor(to: ids.VmId, sequence: number): types.Spread {
+		const records = new Map<ids.VmId, memberRecord.MemberRecord>();
+		const add = (list: readonly memberRecord.MemberRecord[]): void => {
+			for (const record of list) {
+				records.set(record.vm, record);
+			}
+		};
+
+		const receiver = this.table.get(to);
+		if (receiver !== undefined && receiver.status !== memberRecord.MemberStatus.Alive) {
+			add([receiver]);
+		}
+
+		const peer = this.peers.get(to);
+		if (peer?.digest !== this.table.digest) {
+			add(this.table.takeFresh(this.withinBudget(this.cfg.freshRecords)));
+		}
+
+		const syncs = this.shouldSync(peer);
+		if (syncs) {
+			add([this.own(), ...this.table.takeFromBuckets(peer!.mask, this.withinBudget(this.cfg.syncRecords))]);
+		}
+
+		invariant.assertInvariant(
+			records.size <= this.cfg.freshRecords + this.cfg.syncRecords + 2,
+			'members.bounded-message',
+			() => `${records.size} records`,
+		);
+		return {
+			sequence,
+			digest: this.table.digest,
+			records: [...records.values()],
+			...(syncs && {buckets: this.table.bucketDigests}),
+		};
+	}
+}
--- a/packages/core/src/util/index.ts
+++ b/packages/core/src/util/index.ts
@@ -1,4 +1,5 @@
 export * from './hash.js';
 export * from './invariant.js';
+export * from './random.js';
 export * from './rendezvous.js';
 export * from './step.js';
--- /dev/null
+++ b/packages/core/src/util/random.ts
@@ -0,0 +1,28 @@
+import * as uniformInt from 'pure-rand/distribution/uniformInt';
+import * as xoroshiro from 'pure-rand/generator/xoroshiro128plus';
+
+/** Random numbers that depend on the seed alone. */
+export class SeededRandom {
+	private readonly generator: ReturnType<typeof xoroshiro.xoroshiro128plus>;
+
+	/** @param seed - 32-bit integer. */
+	constructor(seed: number) {
+		this.generator = xoroshiro.xoroshiro128plus(seed);
+	}
+
+	/** Returns an integer from 0 to `limit - 1`. */
+	int(limit: number): number {
+		return uniformInt.uniformInt(this.generator, 0, limit - 1);
+	}
+
+	/** Returns the items in random order, as a new array. */
+	shuffle<Item>(items: readonly Item[]): Item[] {
+		const result = [...items];
+		for (let i = result.length - 1; i > 0; i--) {
+			const j = this.int(i + 1);
+			[result[i], result[j]] = [result[j]!, result[i]!];
+		}
+
+		return result;
+	}
+}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * as memberFleet from './bench/member-fleet.js';
