Parse settings and manifest with all findings and their places

Routers and the operators' tool need one reading of both files. zod states the schema and every default; the YAML positions give each finding its line and column. References are checked on every entry that fits its schema but for unknown keys, so both sorts of findings come together.

--- /dev/null
+++ b/packages/config/src/document/index.ts
@@ -0,0 +1,3 @@
+export * from './finding.js';
+export * from './schema-findings.js';
+export * from './yaml-source.js';
--- /dev/null
+++ b/packages/config/src/document/yaml-source.ts
@@ -0,0 +1,78 @@
+import * as yaml from 'yaml';
+import type * as finding from './finding.js';
+
+/** Path to a value: keys of maps and indices of lists. */
+export type YamlPath = ReadonlyArray<string | number>;
+
+/** A YAML text that knows the line and column of each of its values. */
+export class YamlSource {
+	/** What the YAML parser itself found wrong: syntax, duplicate keys, several documents. */
+	readonly syntaxFindings: readonly finding.FileFinding[];
+	readonly #document: yaml.Document.Parsed;
+	readonly #lineCounter = new yaml.LineCounter();
+
+	constructor(readonly file: string, text: string) {
+		this.#document = yaml.parseDocument(text, {lineCounter: this.#lineCounter, prettyErrors: false, stringKeys: true});
+		this.syntaxFindings = [...this.#document.errors, ...this.#document.warnings]
+			.map(({pos: [offset], message}) => this.#findingAtOffset(offset, message));
+	}
+
+	/** Returns the plain value of the document. */
+	toValue(): unknown {
+		return this.#document.toJS() as unknown;
+	}
+
+	/** Returns a finding at the value under a path, or at its nearest ancestor when there is none. */
+	findingAt(path: YamlPath, message: string): finding.FileFinding {
+		return this.#findingAtOffset(this.#offsetOf(path), message);
+	}
+
+	/** Returns a finding at a key of the map under a path. */
+	findingAtKey(path: YamlPath, key: string, message: string): finding.FileFinding {
+		return this.#findingAtOffset(this.#keyOffset(path, key) ?? this.#offsetOf(path), message);
+	}
+
+	/** Returns whether there is a value under a path. */
+	has(path: YamlPath): boolean {
+		return this.#document.hasIn(path);
+	}
+
+	#findingAtOffset(offset: number, message: string): finding.FileFinding {
+		const {line, col} = this.#lineCounter.linePos(offset);
+		return {
+			file: this.file, line: Math.max(line, 1), column: Math.max(col, 1), message,
+		};
+	}
+
+	#offsetOf(path: YamlPath): number {
+		for (let {length} = path; length > 0; length -= 1) {
+			const offset = this.#offsetOfExact(path.slice(0, length));
+			if (offset !== undefined) {
+				return offset;
+			}
+		}
+
+		return 0;
+	}
+
+	/** A scalar is found at its value; a map or list at its key, or at its first value inside a list. */
+	#offsetOfExact(path: YamlPath): number | undefined {
+		const node = this.#document.getIn(path, true);
+		const last = path.at(-1);
+		if (!yaml.isScalar(node) && typeof last === 'string') {
+			return this.#keyOffset(path.slice(0, -1), last);
+		}
+
+		return yaml.isNode(node) ? node.range?.[0] : undefined;
+	}
+
+	#keyOffset(path: YamlPath, key: string): number | undefined {
+		const node = path.length === 0 ? this.#document.contents : this.#document.getIn(path, true);
+		if (!yaml.isMap(node)) {
+			return undefined;
+		}
+
+		const pair = node.items.find(item => yaml.isScalar(item.key) && item.key.value === key);
+		return yaml.isScalar(pair?.key) ? pair.key.range?.[0] : undefined;
+	}
+}
--- /dev/null
+++ b/packages/config/src/manifest/cross-checks.ts
@@ -0,0 +1,166 @@
+import * as core from '@bluebellmast/core';
+import type * as finding from '../document/finding.js';
+import type * as yamlSource from '../document/yaml-source.js';
+import * as manifestContent from './manifest-content.js';
+import type * as manifestEntries from './manifest-entries.js';
+
+type Ids = Record<manifestContent.ListName, ReadonlySet<string>>;
+
+/** Gathers findings about references between the entries of one file. */
+class CrossChecker {
+	readonly findings: finding.FileFinding[] = [];
+	readonly #ids: Ids;
+
+	constructor(readonly source: yamlSource.YamlSource, readonly entries: manifestEntries.ManifestEntries) {
+		const {ids} = entries;
+		this.#ids = {
+			models: idSet(ids.models),
+			adapters: idSet(ids.adapters),
+			accounts: idSet(ids.accounts),
+			kinds: idSet(ids.kinds),
+			services: idSet(ids.services),
+			endpoints: idSet(ids.endpoints),
+		};
+	}
+
+	checkAll(): void {
+		for (const name of manifestContent.listNames) {
+			this.#checkUnique(this.entries.ids[name].map(({index, id}) => ({path: [name, index, 'id'], text: id})), 'id');
+		}
+
+		this.#checkModels();
+		this.#checkAdapters();
+		this.#checkAccounts();
+		this.#checkServices();
+		this.#checkEndpoints();
+	}
+
+	#checkModels(): void {
+		for (const {index, value} of this.entries.valid.models) {
+			const path = ['models', index];
+			this.#checkKnown('services', value.service, [...path, 'service']);
+			this.#checkKind(value.defaultKind, [...path, 'defaultKind']);
+			this.#checkVersions(value.versions, [...path, 'versions']);
+			this.#checkPool(value.id, value.service, [...path, 'service']);
+		}
+	}
+
+	/** The pool of a model must be one of engines that can load it. */
+	#checkPool(model: string, serviceId: string, path: yamlSource.YamlPath): void {
+		const service = this.entries.valid.services.find(({value}) => value.id === serviceId)?.value;
+		if (service === undefined) {
+			return;
+		}
+
+		if (service.type !== core.model.ServiceType.Engine) {
+			this.#add(path, `service '${serviceId}' is no pool of engines`);
+		} else if (!service.models.includes(model)) {
+			this.#add(path, `service '${serviceId}' does not list model '${model}'`);
+		}
+	}
+
+	#checkAdapters(): void {
+		for (const {index, value} of this.entries.valid.adapters) {
+			this.#checkKnown('models', value.model, ['adapters', index, 'model']);
+			this.#checkVersions(value.versions, ['adapters', index, 'versions']);
+		}
+	}
+
+	#checkAccounts(): void {
+		for (const {index, value} of this.entries.valid.accounts) {
+			for (const [place, allowed] of value.allowed.entries()) {
+				if (!this.#ids.models.has(allowed) && !this.#ids.services.has(allowed)) {
+					this.#add(['accounts', index, 'allowed', place], `unknown model or service '${allowed}'`);
+				}
+			}
+		}
+
+		const hashes = this.entries.valid.accounts.flatMap(({index, value}) =>
+			value.keyHashes.map((text, place) => ({path: ['accounts', index, 'keyHashes', place], text})));
+		this.#checkUnique(hashes, 'key hash');
+	}
+
+	#checkServices(): void {
+		for (const {index, value} of this.entries.valid.services) {
+			const path = ['services', index];
+			this.#checkKind(value.defaultKind, [...path, 'defaultKind']);
+			for (const [place, rule] of value.rules.entries()) {
+				this.#checkKind(rule.kind, [...path, 'rules', place, 'kind']);
+			}
+
+			for (const [place, model] of value.models.entries()) {
+				this.#checkKnown('models', model, [...path, 'models', place]);
+			}
+
+			this.#checkServiceType(value, path);
+		}
+	}
+
+	#checkServiceType(service: manifestEntries.Entry<'services'>['value'], path: yamlSource.YamlPath): void {
+		const {type} = service;
+		if (type !== core.model.ServiceType.Engine && service.models.length > 0) {
+			this.#add([...path, 'models'], `a service of type '${type}' loads no models`);
+		}
+
+		if (type !== core.model.ServiceType.Plain && service.rules.length > 0) {
+			this.#add([...path, 'rules'], `a service of type '${type}' has no rules`);
+		}
+
+		if (type !== core.model.ServiceType.CacheStore && service.defaultKind === undefined) {
+			this.#add([...path, 'id'], `service '${service.id}' needs a defaultKind`);
+		}
+	}
+
+	#checkEndpoints(): void {
+		for (const {index, value} of this.entries.valid.endpoints) {
+			this.#checkKnown('services', value.service, ['endpoints', index, 'service']);
+		}
+
+		const addresses = this.entries.valid.endpoints.map(({index, value}) => ({
+			path: ['endpoints', index, 'port'], text: `${value.host} port ${value.port}`,
+		}));
+		this.#checkUnique(addresses, 'address');
+	}
+
+	#checkVersions(versions: readonly string[], path: yamlSource.YamlPath): void {
+		this.#checkUnique(versions.map((text, index) => ({path: [...path, index], text})), 'version');
+	}
+
+	#checkKind(kind: string | undefined, path: yamlSource.YamlPath): void {
+		if (kind !== undefined) {
+			this.#checkKnown('kinds', kind, path);
+		}
+	}
+
+	#checkKnown(list: 'models' | 'services' | 'kinds', id: string, path: yamlSource.YamlPath): void {
+		if (!this.#ids[list].has(id)) {
+			this.#add(path, `unknown ${list.slice(0, -1)} '${id}'`);
+		}
+	}
+
+	#checkUnique(items: ReadonlyArray<{readonly path: yamlSource.YamlPath; readonly text: string}>, what: string): void {
+		const seen = new Set<string>();
+		for (const {path, text} of items) {
+			if (seen.has(text)) {
+				this.#add(path, `duplicate ${what} '${text}'`);
+			}
+
+			seen.add(text);
+		}
+	}
+
+	#add(path: yamlSource.YamlPath, message: string): void {
+		this.findings.push(this.source.findingAt(path, message));
+	}
+}
+
+/** Returns a finding for each reference that leads nowhere and each id, key hash, version or address that stands twice. */
+export function crossCheck(source: yamlSource.YamlSource, entries: manifestEntries.ManifestEntries): finding.FileFinding[] {
+	const checker = new CrossChecker(source, entries);
+	checker.checkAll();
+	return checker.findings;
+}
+
+function idSet(ids: readonly manifestEntries.EntryId[]): ReadonlySet<string> {
+	return new Set(ids.map(({id}) => id));
+}
--- /dev/null
+++ b/packages/config/src/manifest/index.ts
@@ -0,0 +1,5 @@
+export * from './head-codec.js';
+export * from './manifest-content.js';
+export * from './manifest-schema.js';
+export * from './parse-manifest.js';
+export * from './sections.js';
--- /dev/null
+++ b/packages/config/src/manifest/sections.ts
@@ -0,0 +1,80 @@
+import * as crypto from 'node:crypto';
+import type * as core from '@bluebellmast/core';
+import * as canonicalJson from './canonical-json.js';
+import * as manifestContent from './manifest-content.js';
+
+/** Largest size of a section; the key-value service holds values up to a megabyte. */
+export const maxSectionBytes = 256 * 1024;
+
+/** A part of a manifest's content as it is kept and sent. */
+export type Section = core.manifest.SectionReference & {
+	/** Canonical JSON of a list of entries. */
+	readonly bytes: Uint8Array;
+};
+
+/** Returns the SHA-256 of a section's bytes as lower-case hex. */
+export function hashSection(bytes: Uint8Array): string {
+	return crypto.createHash('sha256').update(bytes).digest('hex');
+}
+
+/** Encodes content as sections; equal content gives equal sections, and a list that is too large is split. */
+export function encodeSections(content: manifestContent.ManifestContent): Section[] {
+	return manifestContent.listNames.flatMap(name => splitList(content[name]).map((bytes, index) => ({
+		name: `${name}/${index}`,
+		hash: hashSection(bytes),
+		bytes,
+	})));
+}
+
+/** Splits a list into encoded parts; the brackets and commas count towards the size. */
+function splitList(list: readonly unknown[]): Uint8Array[] {
+	const parts: unknown[][] = [];
+	let size = 0;
+	for (const item of list) {
+		const itemSize = canonicalJson.encodeCanonicalJson(item).length + 1;
+		if (parts.length === 0 || size + itemSize > maxSectionBytes) {
+			parts.push([]);
+			size = 2;
+		}
+
+		parts.at(-1)!.push(item);
+		size += itemSize;
+	}
+
+	return parts.map(part => canonicalJson.encodeCanonicalJson(part));
+}
+
+/**
+ * Puts a manifest together from its head and sections.
+ *
+ * @returns The manifest, or `undefined` when a section is missing, altered or malformed.
+ */
+export function assembleManifest(
+	head: core.manifest.ManifestHead,
+	sections: ReadonlyMap<string, Uint8Array>,
+): core.model.Manifest | undefined {
+	const lists: Record<manifestContent.ListName, unknown[]> = {
+		models: [], adapters: [], accounts: [], kinds: [], services: [], endpoints: [],
+	};
+	for (const {name, hash} of head.sections) {
+		const list = decodeSection(hash, sections.get(hash));
+		const listName = manifestContent.listNames.find(known => name.startsWith(`${known}/`));
+		if (list === undefined || listName === undefined) {
+			return undefined;
+		}
+
+		lists[listName].push(...list);
+	}
+
+	const content = lists as unknown as manifestContent.ManifestContent;
+	return {generation: head.generation, ...content, recalled: head.recalled};
+}
+
+function decodeSection(hash: string, bytes: Uint8Array | undefined): readonly unknown[] | undefined {
+	if (bytes === undefined || hashSection(bytes) !== hash) {
+		return undefined;
+	}
+
+	const value: unknown = JSON.parse(new TextDecoder().decode(bytes));
+	return Array.isArray(value) ? value : undefined;
+}
--- /dev/null
+++ b/packages/config/src/settings/index.ts
@@ -0,0 +1,3 @@
+export * from './parse-settings.js';
+export * from './placement-policy.js';
+export * from './settings-schema.js';
--- a/packages/core/src/manifest/index.ts
+++ b/packages/core/src/manifest/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './manifest-head.js';
