Decide manifest generations, confirmation and changes

A recall rebases; an apply or reinstatement names its base and is refused when stale. The head remembers its latest 64 changes, so that a lost answer is resolved even after other changes.

--- /dev/null
+++ b/packages/config/src/manifest/changes.ts
@@ -0,0 +1,124 @@
+import type * as core from '@bluebellmast/core';
+import * as purify from 'purify-ts';
+import * as headCodec from './head-codec.js';
+import type * as manifestContent from './manifest-content.js';
+import * as sections from './sections.js';
+
+/** Accepted changes that the head remembers, so that a lost answer can be resolved after other changes. */
+export const maxRecentChanges = 64;
+
+/** Largest size of an encoded head; the key-value service holds values up to a megabyte. */
+export const maxHeadBytes = 900 * 1024;
+
+/** A change that is ready to be written: the new sections first, then the head by compare-and-swap. */
+export type Proposal = {
+	readonly head: core.manifest.ManifestHead;
+	/** Sections that the head before did not name. */
+	readonly newSections: readonly sections.Section[];
+};
+
+/** Why a change is refused. */
+export enum ChangeRefusalCode {
+	/** The change was made from another generation than the one in force. */
+	Stale = 'stale',
+	/** No manifest has been applied. */
+	NoManifest = 'no_manifest',
+	/** A batch to reinstate is not recalled. */
+	NotRecalled = 'not_recalled',
+	/** The head would exceed the size of a value. */
+	TooLarge = 'too_large',
+}
+
+/** A refused change. */
+export type ChangeRefusal = {
+	readonly code: ChangeRefusalCode;
+	readonly message: string;
+};
+
+type Head = core.manifest.ManifestHead;
+type Change = {readonly changeId: string; readonly madeFrom: core.model.Generation};
+type ProposalResult = purify.Either<ChangeRefusal, Proposal>;
+
+/** Proposes new content made from a generation (0 before the first); recalled batches stay recalled. */
+export function proposeApply(head: Head | undefined, content: manifestContent.ManifestContent, change: Change): ProposalResult {
+	const stale = findStale(head, change.madeFrom);
+	if (stale !== undefined) {
+		return purify.Left(stale);
+	}
+
+	const known = new Set(head?.sections.map(section => section.hash));
+	const encoded = sections.encodeSections(content);
+	const next = nextHead(head, change, {
+		sections: encoded.map(({name, hash}) => ({name, hash})),
+		recalled: head?.recalled ?? [],
+	});
+	return checkSize({head: next, newSections: encoded.filter(section => !known.has(section.hash))});
+}
+
+/**
+ * Proposes to recall batches on top of whatever is in force. It makes a new generation even where all are recalled
+ * already, so that a reinstatement that was made before this recall is stale.
+ */
+export function proposeRecall(head: Head | undefined, batches: readonly core.model.BatchKey[], changeId: string): ProposalResult {
+	if (head === undefined) {
+		return purify.Left(noManifest());
+	}
+
+	const recalled = [...new Set([...head.recalled, ...batches])].sort();
+	return checkSize({
+		head: nextHead(head, {changeId, madeFrom: head.generation}, {sections: head.sections, recalled}),
+		newSections: [],
+	});
+}
+
+/** Proposes to reinstate recalled batches; refused when another generation than the one it was made from is in force. */
+export function proposeReinstate(head: Head | undefined, batches: readonly core.model.BatchKey[], change: Change): ProposalResult {
+	const refusal = head === undefined ? noManifest() : findStale(head, change.madeFrom) ?? findNotRecalled(head, batches);
+	if (head === undefined || refusal !== undefined) {
+		return purify.Left(refusal ?? noManifest());
+	}
+
+	const reinstated = new Set(batches);
+	const recalled = head.recalled.filter(batch => !reinstated.has(batch));
+	return purify.Right({head: nextHead(head, change, {sections: head.sections, recalled}), newSections: []});
+}
+
+function nextHead(head: Head | undefined, change: Change, body: Pick<Head, 'sections' | 'recalled'>): Head {
+	const generation = (head?.generation ?? 0) + 1;
+	const recentChanges = [{generation, changeId: change.changeId}, ...head?.recentChanges ?? []].slice(0, maxRecentChanges);
+	return {
+		generation, ...change, ...body, recentChanges,
+	};
+}
+
+function findStale(head: Head | undefined, madeFrom: core.model.Generation): ChangeRefusal | undefined {
+	const inForce = head?.generation ?? 0;
+	if (inForce === madeFrom) {
+		return undefined;
+	}
+
+	const won = head === undefined ? 'no manifest has been applied' : `generation ${inForce} by change ${head.changeId} is in force`;
+	return {code: ChangeRefusalCode.Stale, message: `made from generation ${madeFrom}, but ${won}`};
+}
+
+function findNotRecalled(head: Head, batches: readonly core.model.BatchKey[]): ChangeRefusal | undefined {
+	const missing = batches.filter(batch => !head.recalled.includes(batch));
+	if (missing.length === 0) {
+		return undefined;
+	}
+
+	return {code: ChangeRefusalCode.NotRecalled, message: `not recalled at generation ${head.generation}: ${missing.join(', ')}`};
+}
+
+function checkSize(proposal: Proposal): ProposalResult {
+	const size = headCodec.encodeHead(proposal.head).length;
+	if (size <= maxHeadBytes) {
+		return purify.Right(proposal);
+	}
+
+	return purify.Left({code: ChangeRefusalCode.TooLarge, message: `the head would have ${size} bytes; the limit is ${maxHeadBytes}`});
+}
+
+function noManifest(): ChangeRefusal {
+	return {code: ChangeRefusalCode.NoManifest, message: 'no manifest has been applied'};
+}
--- a/packages/config/src/manifest/index.ts
+++ b/packages/config/src/manifest/index.ts
@@ -1,3 +1,6 @@
+export * from './change-outcome.js';
+export * from './changes.js';
+export * from './differences.js';
 export * from './head-codec.js';
 export * from './manifest-content.js';
 export * from './manifest-schema.js';
