--- /dev/null
+++ b/packages/platform/src/kv/etcd-client.ts
@@ -0,0 +1,195 @@
+/* eslint-disable new-cap -- Constructors of purify are functions. */
+/* eslint-disable @typescript-eslint/naming-convention -- Field names of the protocol. */
+import * as purify from 'purify-ts';
+import * as etcdProtocol from './etcd-protocol.js';
+import * as etcdTransport from './etcd-transport.js';
+import * as etcdWatch from './etcd-watch.js';
+import type * as client from './key-value-client.js';
+import * as kvCallType from './kv-call-type.js';
+import * as kvError from './kv-error.js';
+
+/** Options of the client. */
+export type EtcdClientOptions = {
+	/** Base URLs such as `http://10.0.0.1:2379`, in order of preference. */
+	readonly baseUrls: readonly string[];
+	/** Milliseconds that a call may take in all; default 1,000. */
+	readonly callTimeoutMs?: number;
+	/** Milliseconds that opening a connection may take; default 300. */
+	readonly connectTimeoutMs?: number;
+	/** Milliseconds without any line after which a watch counts as silent; default 5,000. The service must send progress notices more often. */
+	readonly watchProgressTimeoutMs?: number;
+	/** Called at each call that is sent; default none. */
+	readonly onCall?: (type: kvCallType.KvCallType) => void;
+};
+
+const defaultCallTimeoutMs = 1000;
+const defaultConnectTimeoutMs = 300;
+const defaultWatchProgressTimeoutMs = 5000;
+const millisecondsPerSecond = 1000;
+
+/** Speaks to the key-value service over the etcd v3 JSON gateway protocol. */
+export class EtcdClient implements client.KeyValueClient {
+	readonly #transport: etcdTransport.EtcdTransport;
+	readonly #watchProgressTimeoutMs: number;
+	readonly #watches = new Set<client.KvWatch>();
+	/** Largest revision that an answer named. */
+	#revision = 0;
+
+	constructor(options: EtcdClientOptions) {
+		this.#watchProgressTimeoutMs = options.watchProgressTimeoutMs ?? defaultWatchProgressTimeoutMs;
+		this.#transport = new etcdTransport.EtcdTransport({
+			baseUrls: options.baseUrls,
+			callTimeoutMs: options.callTimeoutMs ?? defaultCallTimeoutMs,
+			connectTimeoutMs: options.connectTimeoutMs ?? defaultConnectTimeoutMs,
+			onCall(type) {
+				options.onCall?.(type);
+			},
+		});
+	}
+
+	async get(key: string): client.KvResult<client.KvEntry | undefined> {
+		const answer = await this.#range({key: etcdProtocol.encode(key)});
+		return answer.map(range => range.kvs?.map(pair => etcdProtocol.toEntry(pair))[0]);
+	}
+
+	async getPrefix(prefix: string): client.KvResult<readonly client.KvEntry[]> {
+		const answer = await this.#range({key: etcdProtocol.encode(prefix), range_end: etcdProtocol.endOfPrefix(prefix)});
+		return answer.map(range => (range.kvs ?? []).map(pair => etcdProtocol.toEntry(pair)));
+	}
+
+	async compareAndSwap(
+		key: string,
+		expectedRevision: number,
+		value: Uint8Array,
+		leaseId?: string,
+	): client.KvResult<client.KvSwap> {
+		const put = {key: etcdProtocol.encode(key), value: etcdProtocol.encode(value), ...(leaseId && {lease: leaseId})};
+		return this.#txn(key, expectedRevision, {requestPut: put});
+	}
+
+	async compareAndDelete(key: string, expectedRevision: number): client.KvResult<client.KvSwap> {
+		return this.#txn(key, expectedRevision, {requestDeleteRange: {key: etcdProtocol.encode(key)}});
+	}
+
+	async grantLease(ttlMs: number): client.KvResult<client.KvLease> {
+		const answer = await this.#transport.call<etcdProtocol.EtcdLeaseAnswer>({
+			type: kvCallType.KvCallType.LeaseGrant,
+			path: '/v3/lease/grant',
+			body: {TTL: String(Math.ceil(ttlMs / millisecondsPerSecond)), ID: '0'},
+			writes: true,
+		});
+		return answer.chain(lease => toLease(lease));
+	}
+
+	async keepAlive(lease: client.KvLease): client.KvResult<client.KvLease> {
+		const answer = await this.#transport.call<{result?: etcdProtocol.EtcdLeaseAnswer}>({
+			type: kvCallType.KvCallType.LeaseKeepAlive,
+			path: '/v3/lease/keepalive',
+			body: {ID: lease.id},
+			writes: true,
+		});
+		return answer.chain(line => toLease(line.result ?? {}));
+	}
+
+	async revoke(lease: client.KvLease): client.KvResult<void> {
+		const answer = await this.#transport.call<unknown>({
+			type: kvCallType.KvCallType.LeaseRevoke,
+			path: '/v3/lease/revoke',
+			body: {ID: lease.id},
+			writes: true,
+		});
+		return answer.map(() => undefined);
+	}
+
+	/**
+	 * Watches from the largest revision that this client has seen, so that a read made after this call
+	 * leaves no gap. A client that has read nothing yet reads once to learn the revision.
+	 */
+	watch(key: string, prefix: boolean, listener: client.KvWatchListener): client.KvWatch {
+		const watch = new etcdWatch.EtcdWatch(this.#transport, {
+			onChange(change) {
+				listener.onChange(change);
+			},
+			onEnd: reason => {
+				this.#watches.delete(watch);
+				listener.onEnd(reason);
+			},
+		}, this.#watchProgressTimeoutMs, revision => {
+			this.#noteRevision(revision);
+		});
+		this.#watches.add(watch);
+		void watch.run(this.#watchTarget(key, prefix));
+		return watch;
+	}
+
+	/** Ends all watches without notice and closes all connections. */
+	async close(): Promise<void> {
+		for (const watch of this.#watches) {
+			watch.close();
+		}
+
+		this.#watches.clear();
+		await this.#transport.close();
+	}
+
+	async #watchTarget(key: string, prefix: boolean): Promise<etcdWatch.EtcdWatchTarget> {
+		if (this.#revision === 0) {
+			const answer = await this.get(key);
+			answer.ifLeft(err => {
+				throw new Error(err.message);
+			});
+		}
+
+		return {key, prefix, startRevision: this.#revision + 1};
+	}
+
+	async #range(body: {key: string; range_end?: string}): client.KvResult<etcdProtocol.EtcdRangeAnswer> {
+		const answer = await this.#transport.call<etcdProtocol.EtcdRangeAnswer>({
+			type: kvCallType.KvCallType.Range, path: '/v3/kv/range', body, writes: false,
+		});
+		answer.ifRight(range => {
+			this.#noteRevision(Number(range.header?.revision ?? 0));
+		});
+		return answer;
+	}
+
+	async #txn(key: string, expectedRevision: number, operation: unknown): client.KvResult<client.KvSwap> {
+		const encodedKey = etcdProtocol.encode(key);
+		const answer = await this.#transport.call<etcdProtocol.EtcdTxnAnswer>({
+			type: kvCallType.KvCallType.Txn,
+			path: '/v3/kv/txn',
+			body: {
+				compare: [{
+					key: encodedKey, target: 'MOD', result: 'EQUAL', modRevision: String(expectedRevision),
+				}],
+				success: [operation],
+				failure: [{requestRange: {key: encodedKey}}],
+			},
+			writes: true,
+		});
+		return answer.map(txn => {
+			const revision = Number(txn.header?.revision ?? 0);
+			this.#noteRevision(revision);
+			const pair = txn.responses?.[0]?.response_range?.kvs?.[0];
+			return {swapped: txn.succeeded ?? false, revision, ...(pair && {current: etcdProtocol.toEntry(pair)})};
+		});
+	}
+
+	#noteRevision(revision: number): void {
+		this.#revision = Math.max(this.#revision, revision);
+	}
+}
+
+/** Creates a client. */
+export function createEtcdClient(options: EtcdClientOptions): EtcdClient {
+	return new EtcdClient(options);
+}
+
+function toLease(answer: etcdProtocol.EtcdLeaseAnswer): purify.Either<kvError.KvError, client.KvLease> {
+	const ttlMs = Number(answer.TTL ?? 0) * millisecondsPerSecond;
+	if (ttlMs <= 0 || answer.ID === undefined) {
+		return purify.Left({code: kvError.KvErrorCode.LeaseLost, message: 'the lease is gone'});
+	}
+
+	return purify.Right({id: answer.ID, ttlMs});
+}
--- a/packages/platform/src/kv/index.ts
+++ b/packages/platform/src/kv/index.ts
@@ -1,2 +1,4 @@
+export * from './etcd-client.js';
 export * from './key-value-client.js';
+export * from './kv-call-type.js';
 export * from './kv-error.js';
--- a/packages/platform/src/vms/index.ts
+++ b/packages/platform/src/vms/index.ts
@@ -1,1 +1,2 @@
+export * from './http-vm-list-client.js';
 export * from './vm-list.js';
--- /dev/null
+++ b/packages/stand-ins/src/cache-store/index.ts
@@ -0,0 +1,1 @@
+export * from './cache-store-stand-in.js';
--- /dev/null
+++ b/packages/stand-ins/src/engine/cache-event-feed.ts
@@ -0,0 +1,77 @@
+import type * as http from 'node:http';
+import * as wire from '@bluebellmast/wire';
+import type * as fault from '../fault/index.js';
+import type * as util from '../util/index.js';
+import type * as engineOptions from './engine-options.js';
+import type * as prefixCache from './prefix-cache.js';
+
+/** Publishes cache events late and with gaps. */
+export class CacheEventFeed implements prefixCache.PrefixCacheListener {
+	readonly #readers = new Set<http.ServerResponse>();
+	readonly #timer: NodeJS.Timeout;
+	#sequence = 0;
+
+	constructor(
+		private readonly incarnation: string,
+		private readonly settings: engineOptions.EngineSettings,
+		private readonly faults: () => fault.FaultState,
+		private readonly random: util.Random,
+	) {
+		this.#timer = setInterval(() => {
+			this.#write(': heartbeat\n\n');
+		}, settings.heartbeatMs);
+		this.#timer.unref();
+	}
+
+	onStored(key: string): void {
+		this.#publish(wire.endpoint.CacheEventType.Stored, key);
+	}
+
+	onEvicted(key: string): void {
+		this.#publish(wire.endpoint.CacheEventType.Evicted, key);
+	}
+
+	onCleared(): void {
+		this.#publish(wire.endpoint.CacheEventType.Cleared, '');
+	}
+
+	/** Sends the events from now on. */
+	open(res: http.ServerResponse): void {
+		res.writeHead(200, {'content-type': wire.http.MediaType.EventStream});
+		res.flushHeaders();
+		this.#readers.add(res);
+		res.once('close', () => {
+			this.#readers.delete(res);
+		});
+	}
+
+	/** Ends the heartbeats. */
+	stop(): void {
+		clearInterval(this.#timer);
+	}
+
+	#publish(type: wire.endpoint.CacheEventType, key: string): void {
+		const event: wire.endpoint.CacheEvent = {
+			incarnation: this.incarnation, sequence: this.#sequence, type, key,
+		};
+		this.#sequence += 1;
+		const loss = Math.max(this.settings.cacheEventLoss, this.faults().dropEventsProbability);
+		if (this.random.chance(loss) || this.#readers.size === 0) {
+			return;
+		}
+
+		setTimeout(() => {
+			this.#write(`id: ${event.sequence}\ndata: ${JSON.stringify(event)}\n\n`);
+		}, this.settings.cacheEventDelayMs).unref();
+	}
+
+	#write(text: string): void {
+		if (this.faults().frozen) {
+			return;
+		}
+
+		for (const res of this.#readers) {
+			res.write(text);
+		}
+	}
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/cache-transfer.ts
@@ -0,0 +1,35 @@
+import type * as wire from '@bluebellmast/wire';
+import * as undici from 'undici';
+import type * as cacheStore from '../cache-store/index.js';
+import * as util from '../util/index.js';
+import type * as prefixCache from './prefix-cache.js';
+
+/** Moves cached pieces between an engine and the store of kept KV cache. */
+export class CacheTransfer {
+	constructor(private readonly cache: prefixCache.PrefixCache, private readonly pieceMs: number) {}
+
+	/** Sends the pieces that are cached to the store. */
+	async export(request: wire.endpoint.CacheTransferRequest): Promise<wire.endpoint.CacheTransferAnswer> {
+		const pieces: cacheStore.StoredPiece[] = request.keys.flatMap(key => this.cache.anyOf(key) ?? []);
+		await util.sleep(this.pieceMs * pieces.length);
+		await callStore('PUT', `http://${request.store}/v1/pieces`, pieces);
+		return {moved: pieces.map(piece => piece.key)};
+	}
+
+	/** Fetches the pieces that the store keeps. */
+	async import(request: wire.endpoint.CacheTransferRequest): Promise<wire.endpoint.CacheTransferAnswer> {
+		const answer = await callStore('POST', `http://${request.store}/v1/pieces/get`, {keys: request.keys});
+		const pieces = answer as cacheStore.StoredPiece[];
+		await util.sleep(this.pieceMs * pieces.length);
+		for (const piece of pieces) {
+			this.cache.store(piece);
+		}
+
+		return {moved: pieces.map(piece => piece.key)};
+	}
+}
+
+async function callStore(method: 'PUT' | 'POST', url: string, body: unknown): Promise<unknown> {
+	const res = await undici.request(url, {method, body: JSON.stringify(body)});
+	return res.body.json();
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/engine-stand-in.ts
@@ -0,0 +1,327 @@
+/* eslint-disable @typescript-eslint/naming-convention -- Field names of the protocol. */
+import * as crypto from 'node:crypto';
+import type * as http from 'node:http';
+import * as wire from '@bluebellmast/wire';
+import * as fault from '../fault/index.js';
+import * as util from '../util/index.js';
+import * as batchScheduler from './batch-scheduler.js';
+import * as cacheEventFeed from './cache-event-feed.js';
+import * as cacheTransfer from './cache-transfer.js';
+import * as engineOptions from './engine-options.js';
+import * as engineTask from './engine-task.js';
+import * as loadReporter from './load-reporter.js';
+import * as prefixCache from './prefix-cache.js';
+import * as streamWriter from './stream-writer.js';
+import * as taskTable from './task-table.js';
+import * as weightHolder from './weight-holder.js';
+
+/** A request that the engine began, for checkers. */
+export type EngineRecord = {
+	readonly engine: string;
+	readonly incarnation: string;
+	readonly at: number;
+	readonly requestId: string;
+	readonly attemptId: string;
+	readonly account: string;
+	readonly weights: string;
+	readonly salt: string;
+	readonly promptTokens: number;
+	/** Cached pieces that were used, with the account and weights that they were computed for. */
+	readonly hits: readonly prefixCache.CachedPiece[];
+};
+
+const streamPath = /^\/v1\/streams\/([^/]+)$/;
+
+/** A model engine. */
+export class EngineStandIn implements fault.StandIn {
+	readonly server: fault.StandInServer;
+	readonly incarnation = crypto.randomUUID();
+	readonly #settings: engineOptions.EngineSettings;
+	readonly #cache: prefixCache.PrefixCache;
+	readonly #events: cacheEventFeed.CacheEventFeed;
+	readonly #scheduler: batchScheduler.BatchScheduler;
+	readonly #tasks: taskTable.TaskTable;
+	readonly #holder: weightHolder.WeightHolder;
+	readonly #transfer: cacheTransfer.CacheTransfer;
+	readonly #load: loadReporter.LoadReporter;
+	readonly #recorder: util.Recorder<EngineRecord>;
+	#taskCount = 0;
+	#leaving = false;
+
+	constructor(options: engineOptions.EngineOptions) {
+		this.#settings = engineOptions.fillDefaults(options);
+		this.#recorder = new util.Recorder(options.recordFile);
+		this.server = new fault.StandInServer(options, async (req, res) => this.#handle(req, res), {
+			record: () => this.records(),
+		}, request => {
+			if (request.fault === fault.FaultName.Crash) {
+				this.#endWork();
+			}
+		});
+		this.#events = new cacheEventFeed.CacheEventFeed(
+			this.incarnation,
+			this.#settings,
+			() => this.server.faults,
+			new util.Random(this.#settings.seed),
+		);
+		this.#cache = new prefixCache.PrefixCache(this.#settings.cacheLimitTokens, this.#events);
+		this.#transfer = new cacheTransfer.CacheTransfer(this.#cache, this.#settings.transferPieceMs);
+		this.#tasks = new taskTable.TaskTable(this.#settings.resumeWindowMs);
+		this.#scheduler = new batchScheduler.BatchScheduler(this.#settings, this.#cache, this.server.faults, task => {
+			this.#record(task);
+		});
+		this.#holder = new weightHolder.WeightHolder({
+			weights: this.#settings.weights,
+			checksFencing: this.#settings.checksFencing,
+			loadMs: this.#settings.loadMs,
+			weightStore: options.weightStore,
+			onUnload: weights => {
+				this.#cache.dropWeights(weights);
+			},
+		});
+		this.#load = new loadReporter.LoadReporter(this.#settings.loadLagMs, sequence => this.#loadReport(sequence));
+	}
+
+	async start(): Promise<fault.StandInAddresses> {
+		this.#load.start();
+		return this.server.start();
+	}
+
+	async stop(): Promise<void> {
+		this.#endWork();
+		await this.server.stop();
+	}
+
+	/** Returns the requests that were begun. */
+	records(): readonly EngineRecord[] {
+		return this.#recorder.list();
+	}
+
+	/** Says in load reports whether the engine is going away. */
+	setLeaving(leaving: boolean): void {
+		this.#leaving = leaving;
+	}
+
+	#endWork(): void {
+		this.#load.stop();
+		this.#events.stop();
+		this.#scheduler.stop();
+		this.#tasks.stop();
+	}
+
+	async #handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		const path = util.pathOf(req);
+		const stream = streamPath.exec(path);
+		if (stream) {
+			this.#handleStream(req, res, decodeURIComponent(stream[1]!));
+			return;
+		}
+
+		switch (`${req.method} ${path}`) {
+			case 'POST /v1/chat/completions': {
+				await this.#complete(req, res);
+				break;
+			}
+
+			case 'GET /v1/cache-events': {
+				this.#events.open(res);
+				break;
+			}
+
+			default: {
+				await this.#handleControl(req, res, `${req.method} ${path}`);
+			}
+		}
+	}
+
+	async #handleControl(req: http.IncomingMessage, res: http.ServerResponse, name: string): Promise<void> {
+		const body = await util.readJson(req);
+		const answer = await this.#controlAnswer(name, body);
+		await this.server.faults.beforeAnswer();
+		util.sendJson(res, answer === undefined ? 404 : 200, answer ?? {code: 'not_found'});
+	}
+
+	async #controlAnswer(name: string, body: unknown): Promise<unknown> {
+		switch (name) {
+			case 'GET /v1/load': {
+				return this.#load.report(Date.now());
+			}
+
+			case 'GET /v1/holdings': {
+				return this.#holdings();
+			}
+
+			case 'POST /v1/orders': {
+				return this.#holder.take(body as wire.endpoint.EngineOrder);
+			}
+
+			case 'POST /v1/cache/export': {
+				return this.#transfer.export(body as wire.endpoint.CacheTransferRequest);
+			}
+
+			case 'POST /v1/cache/import': {
+				return this.#transfer.import(body as wire.endpoint.CacheTransferRequest);
+			}
+
+			default: {
+				return undefined;
+			}
+		}
+	}
+
+	async #complete(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		const request = await readTaskRequest(req);
+		if (!this.#holder.has(request.weights)) {
+			await this.server.faults.beforeAnswer();
+			util.sendJson(res, 409, {code: 'weights_not_loaded', message: request.weights}, this.#headers(request));
+			return;
+		}
+
+		if (this.#tasks.get(request.attemptId)) {
+			util.sendJson(res, 409, {code: 'attempt_exists', message: request.attemptId}, this.#headers(request));
+			return;
+		}
+
+		this.#taskCount += 1;
+		const task = new engineTask.EngineTask(request, this.#taskCount, this.#settings.charsPerToken);
+		this.#tasks.add(task);
+		this.#scheduler.add(task);
+		if (request.body.stream) {
+			this.#stream(task, res, 0);
+			return;
+		}
+
+		await this.#answerWhole(task, res);
+	}
+
+	#handleStream(req: http.IncomingMessage, res: http.ServerResponse, attemptId: string): void {
+		const task = this.#tasks.get(attemptId);
+		if (!task) {
+			util.sendJson(res, 404, {code: 'not_found', message: attemptId});
+			return;
+		}
+
+		if (req.method === 'DELETE') {
+			task.cancel();
+			res.writeHead(204).end();
+			return;
+		}
+
+		const lastEventId = util.headerOf(req, wire.http.HeaderName.LastEventId);
+		this.#stream(task, res, lastEventId === '' ? 0 : Number(lastEventId) + 1);
+	}
+
+	#stream(task: engineTask.EngineTask, res: http.ServerResponse, firstEvent: number): void {
+		res.writeHead(200, {'content-type': wire.http.MediaType.EventStream, ...this.#headers(task.request)});
+		res.flushHeaders();
+		this.#tasks.readerCame(task);
+		streamWriter.writeStream(task, res, this.server.faults, {
+			firstEvent,
+			heartbeatMs: this.#settings.heartbeatMs,
+			onClose: () => {
+				this.#tasks.readerLeft(task);
+			},
+		});
+	}
+
+	async #answerWhole(task: engineTask.EngineTask, res: http.ServerResponse): Promise<void> {
+		res.once('close', () => {
+			task.cancel();
+			this.#tasks.readerLeft(task);
+		});
+		await whenEnded(task);
+		await this.server.faults.beforeAnswer();
+		if (task.state === engineTask.TaskState.Cancelled) {
+			res.destroy();
+			return;
+		}
+
+		const completion: wire.endpoint.Completion = {
+			id: task.request.requestId,
+			object: 'chat.completion',
+			model: task.request.body.model,
+			choices: [{index: 0, message: {role: 'assistant', content: task.text}, finish_reason: task.finishReason}],
+			usage: task.usage,
+		};
+		util.sendJson(res, 200, completion, this.#headers(task.request));
+	}
+
+	#headers(request: engineTask.TaskRequest): Record<string, string> {
+		return {
+			[wire.http.HeaderName.RequestId]: request.requestId,
+			[wire.http.HeaderName.AttemptId]: request.attemptId,
+			[wire.http.HeaderName.EngineIncarnation]: this.incarnation,
+			[wire.http.HeaderName.Weights]: request.weights,
+		};
+	}
+
+	#record(task: engineTask.EngineTask): void {
+		const {requestId, attemptId, account, weights, body} = task.request;
+		this.#recorder.add({
+			engine: this.#settings.name,
+			incarnation: this.incarnation,
+			at: Date.now(),
+			requestId,
+			attemptId,
+			account,
+			weights,
+			salt: body.cache_salt,
+			promptTokens: task.promptTokens,
+			hits: task.hits,
+		});
+	}
+
+	#holdings(): wire.endpoint.EngineHoldings {
+		return {
+			incarnation: this.incarnation,
+			role: this.#holder.role,
+			weights: this.#holder.weights,
+			loading: this.#holder.loading,
+			fencing: this.#holder.fencing,
+		};
+	}
+
+	#loadReport(sequence: number): wire.endpoint.LoadReport {
+		return {
+			incarnation: this.incarnation,
+			sequence,
+			running: this.#scheduler.running,
+			queued: this.#scheduler.queued,
+			queuedTokens: this.#scheduler.queuedTokens,
+			cachedTokens: this.#cache.tokens,
+			cacheLimitTokens: this.#settings.cacheLimitTokens,
+			weights: this.#holder.weights,
+			leaving: this.#leaving,
+		};
+	}
+}
+
+/** Creates an engine. */
+export function createEngine(options: engineOptions.EngineOptions = {}): EngineStandIn {
+	return new EngineStandIn(options);
+}
+
+async function readTaskRequest(req: http.IncomingMessage): Promise<engineTask.TaskRequest> {
+	const body = await util.readJson(req) as wire.endpoint.EngineCompletionRequest;
+	return {
+		requestId: util.headerOf(req, wire.http.HeaderName.RequestId),
+		attemptId: util.headerOf(req, wire.http.HeaderName.AttemptId),
+		account: util.headerOf(req, wire.http.HeaderName.Account),
+		weights: util.headerOf(req, wire.http.HeaderName.Weights),
+		body,
+	};
+}
+
+async function whenEnded(task: engineTask.EngineTask): Promise<void> {
+	return new Promise(resolve => {
+		const check = () => {
+			if (task.ended) {
+				unlisten();
+				resolve();
+			}
+		};
+
+		const unlisten = task.listen(check);
+		check();
+	});
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/engine-task.ts
@@ -0,0 +1,141 @@
+/* eslint-disable @typescript-eslint/naming-convention -- Field names of the protocol. */
+import type * as wire from '@bluebellmast/wire';
+import * as expectedAnswer from './expected-answer.js';
+import type * as prefixCache from './prefix-cache.js';
+
+/** State of a task. */
+export enum TaskState {
+	Queued = 'queued',
+	Prefill = 'prefill',
+	Decode = 'decode',
+	Finished = 'finished',
+	Cancelled = 'cancelled',
+}
+
+/** What a completion request says in its headers and body. */
+export type TaskRequest = {
+	readonly requestId: string;
+	readonly attemptId: string;
+	readonly account: string;
+	readonly weights: string;
+	readonly body: wire.endpoint.EngineCompletionRequest;
+};
+
+/** One completion being worked on: its progress and the events of its stream. */
+export class EngineTask {
+	state = TaskState.Queued;
+	/** Prompt tokens that are still to be computed; set at the start of the prefill. */
+	missingTokens = 0;
+	hits: readonly prefixCache.CachedPiece[] = [];
+	readonly promptTokens: number;
+	readonly finishReason: string;
+	readonly #tokens: readonly string[];
+	readonly #firstToken: number;
+	#nextToken: number;
+	readonly #events: string[] = [];
+	readonly #listeners = new Set<() => void>();
+
+	constructor(readonly request: TaskRequest, readonly order: number, charsPerToken: number) {
+		const {body} = request;
+		const answer = expectedAnswer.expectedAnswer(request.account, body.messages, body.max_tokens);
+		this.#tokens = answer.tokens;
+		this.finishReason = answer.finishReason;
+		this.#firstToken = countTokens(answer.tokens, body.forced_prefix ?? '');
+		this.#nextToken = this.#firstToken;
+		const pieceTokens = body.prefix.reduce((sum, piece) => sum + piece.tokens, 0);
+		const chars = body.messages.reduce((sum, message) => sum + message.content.length, 0);
+		this.promptTokens = Math.max(pieceTokens, Math.ceil(chars / charsPerToken));
+	}
+
+	/** Whether nothing more will happen. */
+	get ended(): boolean {
+		return this.state === TaskState.Finished || this.state === TaskState.Cancelled;
+	}
+
+	/** Data of the events so far; the index is the event id. */
+	get events(): readonly string[] {
+		return this.#events;
+	}
+
+	/** Generated text so far, without the forced prefix. */
+	get text(): string {
+		return this.#tokens.slice(this.#firstToken, this.#nextToken).join('');
+	}
+
+	/** Token counts of the answer. */
+	get usage(): wire.endpoint.CompletionUsage {
+		return {
+			prompt_tokens: this.promptTokens,
+			completion_tokens: this.#nextToken - this.#firstToken,
+			prompt_tokens_details: {cached_tokens: this.hits.reduce((sum, piece) => sum + piece.tokens, 0)},
+		};
+	}
+
+	/** Generates one token; the last one ends the task. */
+	generate(): void {
+		const token = this.#tokens[this.#nextToken];
+		if (token !== undefined) {
+			this.#nextToken += 1;
+			this.#events.push(this.#chunk({content: token}));
+		}
+
+		if (this.#nextToken === this.#tokens.length) {
+			this.#events.push(this.#chunk({}, this.finishReason), '[DONE]');
+			this.state = TaskState.Finished;
+		}
+
+		this.#notify();
+	}
+
+	/** Ends the task without an answer. */
+	cancel(): void {
+		if (this.ended) {
+			return;
+		}
+
+		this.state = TaskState.Cancelled;
+		this.#notify();
+	}
+
+	/** Calls `listener` at each event and at the end; returns a function that ends that. */
+	listen(listener: () => void): () => void {
+		this.#listeners.add(listener);
+		return () => {
+			this.#listeners.delete(listener);
+		};
+	}
+
+	/** Number of listeners. */
+	get listenerCount(): number {
+		return this.#listeners.size;
+	}
+
+	#chunk(delta: {readonly content?: string}, finishReason?: string): string {
+		const chunk: wire.endpoint.CompletionChunk = {
+			id: this.request.requestId,
+			object: 'chat.completion.chunk',
+			model: this.request.body.model,
+			choices: [{index: 0, delta, finish_reason: finishReason ?? null}],
+			...(finishReason !== undefined && {usage: this.usage}),
+		};
+		return JSON.stringify(chunk);
+	}
+
+	#notify(): void {
+		for (const listener of this.#listeners) {
+			listener();
+		}
+	}
+}
+
+/** Returns how many tokens a text that was delivered already covers. */
+function countTokens(tokens: readonly string[], text: string): number {
+	let length = 0;
+	let count = 0;
+	while (count < tokens.length && length + tokens[count]!.length <= text.length) {
+		length += tokens[count]!.length;
+		count += 1;
+	}
+
+	return count;
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/task-table.ts
@@ -0,0 +1,55 @@
+import type * as engineTask from './engine-task.js';
+
+/** Tasks by attempt id, kept for a while after their end or after their last reader went away. */
+export class TaskTable {
+	readonly #tasks = new Map<string, engineTask.EngineTask>();
+	readonly #timers = new Map<string, NodeJS.Timeout>();
+
+	constructor(private readonly resumeWindowMs: number) {}
+
+	/** Returns the task of an attempt. */
+	get(attemptId: string): engineTask.EngineTask | undefined {
+		return this.#tasks.get(attemptId);
+	}
+
+	/** Adds a task. */
+	add(task: engineTask.EngineTask): void {
+		this.#tasks.set(task.request.attemptId, task);
+	}
+
+	/** Returns all tasks that have not ended. */
+	active(): engineTask.EngineTask[] {
+		return [...this.#tasks.values()].filter(task => !task.ended);
+	}
+
+	/** Cancels and forgets the task when no reader comes back in time. */
+	readerLeft(task: engineTask.EngineTask): void {
+		if (task.listenerCount > 0) {
+			return;
+		}
+
+		const {attemptId} = task.request;
+		this.readerCame(task);
+		const timer = setTimeout(() => {
+			task.cancel();
+			this.#tasks.delete(attemptId);
+			this.#timers.delete(attemptId);
+		}, this.resumeWindowMs);
+		timer.unref();
+		this.#timers.set(attemptId, timer);
+	}
+
+	/** Keeps the task. */
+	readerCame(task: engineTask.EngineTask): void {
+		clearTimeout(this.#timers.get(task.request.attemptId));
+		this.#timers.delete(task.request.attemptId);
+	}
+
+	/** Cancels all tasks. */
+	stop(): void {
+		for (const task of this.#tasks.values()) {
+			this.readerCame(task);
+			task.cancel();
+		}
+	}
+}
--- /dev/null
+++ b/packages/stand-ins/src/fault/gated-connection.ts
@@ -0,0 +1,99 @@
+import type * as net from 'node:net';
+import * as stream from 'node:stream';
+
+/** A TCP connection that can go silent: nothing passes either way any more, and neither end is told. */
+export class GatedConnection extends stream.Duplex {
+	#silent = false;
+
+	constructor(private readonly socket: net.Socket) {
+		super({allowHalfOpen: true});
+		socket.on('data', data => {
+			if (!this.#silent && !this.push(data)) {
+				socket.pause();
+			}
+		});
+		socket.on('end', () => {
+			if (!this.#silent) {
+				this.push(null);
+			}
+		});
+		socket.on('error', () => undefined);
+		socket.on('close', () => {
+			if (!this.#silent) {
+				this.destroy();
+			}
+		});
+	}
+
+	/** Lets nothing pass from now on. */
+	silence(): void {
+		this.#silent = true;
+		this.socket.resume();
+	}
+
+	/** Closes the connection without a farewell. */
+	abort(): void {
+		this.socket.resetAndDestroy();
+		this.destroy();
+	}
+
+	/** For the HTTP server, which sets options of sockets. */
+	setTimeout(): this {
+		return this;
+	}
+
+	/** For the HTTP server, which sets options of sockets. */
+	setNoDelay(): this {
+		return this;
+	}
+
+	/** For the HTTP server, which sets options of sockets. */
+	setKeepAlive(): this {
+		return this;
+	}
+
+	override _read(): void {
+		this.socket.resume();
+	}
+
+	override _write(data: Uint8Array, _encoding: string, done: (err?: Error) => void): void {
+		if (this.#silent || this.socket.destroyed) {
+			done();
+			return;
+		}
+
+		if (this.socket.write(data)) {
+			done();
+			return;
+		}
+
+		this.#whenWritable(done);
+	}
+
+	override _final(done: () => void): void {
+		if (!this.#silent) {
+			this.socket.end();
+		}
+
+		done();
+	}
+
+	override _destroy(err: Error | null, done: (err: Error | null) => void): void { // eslint-disable-line @typescript-eslint/no-restricted-types
+		if (!this.#silent) {
+			this.socket.destroy();
+		}
+
+		done(err);
+	}
+
+	#whenWritable(done: () => void): void {
+		const finish = () => {
+			this.socket.off('drain', finish);
+			this.socket.off('close', finish);
+			done();
+		};
+
+		this.socket.once('drain', finish);
+		this.socket.once('close', finish);
+	}
+}
--- /dev/null
+++ b/packages/stand-ins/src/fault/stand-in-server.ts
@@ -0,0 +1,232 @@
+import * as http from 'node:http';
+import type * as nodeNet from 'node:net';
+import * as net from 'node:net';
+import * as httpIo from '../util/http-io.js';
+import * as fault from './fault.js';
+import * as faultState from './fault-state.js';
+import * as gatedConnection from './gated-connection.js';
+
+/** Ports that a stand-in listens on. */
+export type StandInAddresses = {
+	readonly port: number;
+	readonly faultPort: number;
+};
+
+/** A stand-in that can be started and stopped. */
+export interface StandIn { // eslint-disable-line @typescript-eslint/consistent-type-definitions
+	start(): Promise<StandInAddresses>;
+	stop(): Promise<void>;
+}
+
+/** Options that all stand-ins share. */
+export type StandInOptions = {
+	/** IP number to listen on; default `127.0.0.1`. */
+	readonly host?: string;
+	/** Port; default 0, any free one. */
+	readonly port?: number;
+	/** Port for faults and records; default 0, any free one. */
+	readonly faultPort?: number;
+	/** Seed of all random choices; default 1. */
+	readonly seed?: number;
+	/** Called at the fault `crash` after all connections were closed; default nothing. */
+	readonly onCrash?: () => void;
+};
+
+/** Answers a request. */
+export type Handler = (req: http.IncomingMessage, res: http.ServerResponse) => Promise<void>;
+
+/** Reads what `GET /<name>` on the fault port answers. */
+export type RecordReader = () => unknown;
+
+/** HTTP server with a fault port. */
+export class StandInServer implements StandIn {
+	readonly faults = new faultState.FaultState();
+	readonly #http: http.Server;
+	readonly #faultHttp: http.Server;
+	readonly #connections = new Set<gatedConnection.GatedConnection>();
+	readonly #sockets = new Set<nodeNet.Socket>();
+	readonly #host: string;
+	#listener: net.Server;
+	#port: number;
+
+	/**
+	 * @param handler - Answers requests.
+	 * @param records - Readers of the fault port by name.
+	 * @param onFault - Told of each fault.
+	 */
+	constructor(
+		private readonly options: StandInOptions,
+		private readonly handler: Handler,
+		private readonly records: Readonly<Record<string, RecordReader>> = {},
+		private readonly onFault: (request: fault.FaultRequest) => void = () => undefined,
+	) {
+		this.#host = options.host ?? '127.0.0.1';
+		this.#port = options.port ?? 0;
+		this.#http = http.createServer({requestTimeout: 0, keepAliveTimeout: 60_000}, (req, res) => {
+			void this.#handle(req, res);
+		});
+		this.#listener = this.#createListener();
+		this.#faultHttp = http.createServer((req, res) => {
+			void this.#handleFault(req, res);
+		});
+	}
+
+	/** Port that requests are taken on, once started. */
+	get port(): number {
+		return this.#port;
+	}
+
+	async start(): Promise<StandInAddresses> {
+		this.#port = await listen(this.#listener, this.#port, this.#host);
+		const faultPort = await listen(this.#faultHttp, this.options.faultPort ?? 0, this.#host);
+		return {port: this.#port, faultPort};
+	}
+
+	async stop(): Promise<void> {
+		this.faults.clear();
+		this.closeAbruptly();
+		this.#faultHttp.close();
+		this.#faultHttp.closeAllConnections();
+	}
+
+	/** Closes the listener and all connections. */
+	closeAbruptly(): void {
+		this.#listener.close();
+		for (const connection of this.#connections) {
+			connection.abort();
+		}
+
+		for (const socket of this.#sockets) {
+			socket.destroy();
+		}
+	}
+
+	/** Applies a fault. */
+	async apply(request: fault.FaultRequest): Promise<void> {
+		this.onFault(request);
+		switch (request.fault) {
+			case fault.FaultName.Crash: {
+				await this.stop();
+				this.options.onCrash?.();
+				break;
+			}
+
+			case fault.FaultName.Freeze: {
+				this.faults.freeze();
+				break;
+			}
+
+			case fault.FaultName.Silent: {
+				this.#silenceAll();
+				break;
+			}
+
+			case fault.FaultName.Refuse: {
+				this.#listener.close();
+				break;
+			}
+
+			case fault.FaultName.Outage: {
+				this.closeAbruptly();
+				break;
+			}
+
+			case fault.FaultName.Delay: {
+				this.faults.delayMs = request.ms ?? 0;
+				break;
+			}
+
+			case fault.FaultName.LoseAnswers: {
+				this.faults.loseAnswersProbability = request.probability ?? 1;
+				break;
+			}
+
+			case fault.FaultName.DropEvents: {
+				this.faults.dropEventsProbability = request.probability ?? 1;
+				break;
+			}
+
+			case fault.FaultName.Clear: {
+				await this.#clear();
+				break;
+			}
+		}
+	}
+
+	async #clear(): Promise<void> {
+		this.faults.clear();
+		if (!this.#listener.listening) {
+			this.#listener = this.#createListener();
+			await listen(this.#listener, this.#port, this.#host);
+		}
+	}
+
+	#silenceAll(): void {
+		for (const connection of this.#connections) {
+			connection.silence();
+		}
+
+		this.#connections.clear();
+	}
+
+	#createListener(): net.Server {
+		return net.createServer({noDelay: true}, socket => {
+			const connection = new gatedConnection.GatedConnection(socket);
+			this.#sockets.add(socket);
+			this.#connections.add(connection);
+			socket.once('close', () => {
+				this.#sockets.delete(socket);
+				this.#connections.delete(connection);
+			});
+			this.#http.emit('connection', connection);
+		});
+	}
+
+	async #handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		res.on('error', () => undefined);
+		try {
+			await this.faults.whenThawed();
+			await this.handler(req, res);
+		} catch (err) {
+			if (!res.headersSent) {
+				httpIo.sendJson(res, 500, {message: String(err)});
+				return;
+			}
+
+			res.destroy();
+		}
+	}
+
+	async #handleFault(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		const path = httpIo.pathOf(req);
+		const reader = this.records[path.slice(1)];
+		if (req.method === 'GET' && reader) {
+			httpIo.sendJson(res, 200, reader());
+			return;
+		}
+
+		if (req.method !== 'POST' || path !== '/fault') {
+			httpIo.sendJson(res, 404, {message: 'unknown path'});
+			return;
+		}
+
+		try {
+			const request = await httpIo.readJson(req) as fault.FaultRequest;
+			await this.apply(request);
+			httpIo.sendJson(res, 200, {applied: request.fault});
+		} catch (err) {
+			httpIo.sendJson(res, 400, {message: String(err)});
+		}
+	}
+}
+
+async function listen(server: net.Server, port: number, host: string): Promise<number> {
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(port, host, () => {
+			server.off('error', reject);
+			resolve();
+		});
+	});
+	return (server.address() as net.AddressInfo).port;
+}
--- /dev/null
+++ b/packages/stand-ins/src/kv/index.ts
@@ -0,0 +1,1 @@
+export * from './kv-stand-in.js';
--- /dev/null
+++ b/packages/stand-ins/src/kv/main.ts
@@ -0,0 +1,16 @@
+import process from 'node:process';
+import * as util from '../util/index.js';
+import * as kv from './kv-stand-in.js';
+
+const args = util.parseArguments(process.argv.slice(2), [
+	'writes-per-second', 'reads-per-second', 'latency-ms', 'progress-ms', 'max-value-bytes',
+]);
+await util.runStandIn(kv.createKv({
+	...args,
+	writesPerSecond: util.numberOf(args, 'writes-per-second'),
+	readsPerSecond: util.numberOf(args, 'reads-per-second'),
+	latencyMs: util.numberOf(args, 'latency-ms'),
+	progressMs: util.numberOf(args, 'progress-ms'),
+	maxValueBytes: util.numberOf(args, 'max-value-bytes'),
+	onCrash: util.crashProcess,
+}));
--- /dev/null
+++ b/packages/stand-ins/src/kv/rate-limiter.ts
@@ -0,0 +1,25 @@
+const millisecondsPerSecond = 1000;
+
+/** Token bucket that holds one second's worth of calls. */
+export class RateLimiter {
+	#tokens: number;
+	#updatedAt: number;
+
+	constructor(private readonly callsPerSecond: number, now: number) {
+		this.#tokens = callsPerSecond;
+		this.#updatedAt = now;
+	}
+
+	/** Takes a token; returns false when the rate is used up. */
+	take(now: number): boolean {
+		const gained = (now - this.#updatedAt) * this.callsPerSecond / millisecondsPerSecond;
+		this.#tokens = Math.min(this.callsPerSecond, this.#tokens + gained);
+		this.#updatedAt = now;
+		if (this.#tokens < 1) {
+			return false;
+		}
+
+		this.#tokens -= 1;
+		return true;
+	}
+}
--- /dev/null
+++ b/packages/stand-ins/src/kv/revision-store.ts
@@ -0,0 +1,114 @@
+import {Buffer} from 'node:buffer';
+
+/** A stored pair; keys and values are base64. */
+export type StoredPair = {
+	readonly key: string;
+	readonly value: string;
+	readonly createRevision: number;
+	readonly modRevision: number;
+	readonly version: number;
+	/** Lease that the key ends with; 0 for none. */
+	readonly lease: string;
+};
+
+/** A change at one revision; `value` is absent for a deletion. */
+export type StoredChange = {
+	readonly revision: number;
+	readonly key: string;
+	readonly pair?: StoredPair;
+};
+
+/** A range of keys as base64; without `end` it is the one key. */
+export type KeyRange = {
+	readonly key: string;
+	readonly end?: string;
+};
+
+/** Number of changes that a watch can start back from. */
+const historyLimit = 10_000;
+
+/** Returns whether a key lies in a range. */
+export function isInRange(key: string, range: KeyRange): boolean {
+	if (range.end === undefined) {
+		return key === range.key;
+	}
+
+	const bytes = Buffer.from(key, 'base64');
+	const end = Buffer.from(range.end, 'base64');
+	const isOpenEnd = end.length === 1 && end[0] === 0;
+	return bytes.compare(Buffer.from(range.key, 'base64')) >= 0 && (isOpenEnd || bytes.compare(end) < 0);
+}
+
+/** Keys with revisions and a bounded history. */
+export class RevisionStore {
+	#revision = 1;
+	readonly #pairs = new Map<string, StoredPair>();
+	#history: StoredChange[] = [];
+
+	/** Revision of the last change. */
+	get revision(): number {
+		return this.#revision;
+	}
+
+	/** Smallest revision that a watch can start from. */
+	get oldestRevision(): number {
+		return this.#history.length < historyLimit ? 1 : this.#history[0]!.revision;
+	}
+
+	/** Returns the pair of a key. */
+	get(key: string): StoredPair | undefined {
+		return this.#pairs.get(key);
+	}
+
+	/** Returns the pairs in a range, in order of their keys. */
+	range(range: KeyRange): StoredPair[] {
+		return [...this.#pairs.values()]
+			.filter(pair => isInRange(pair.key, range))
+			.sort((a, b) => Buffer.from(a.key, 'base64').compare(Buffer.from(b.key, 'base64')));
+	}
+
+	/** Writes a pair. */
+	put(key: string, value: string, lease: string): StoredChange {
+		const before = this.#pairs.get(key);
+		this.#revision += 1;
+		const pair: StoredPair = {
+			key,
+			value,
+			lease,
+			createRevision: before?.createRevision ?? this.#revision,
+			modRevision: this.#revision,
+			version: (before?.version ?? 0) + 1,
+		};
+		this.#pairs.set(key, pair);
+		return this.#note({revision: this.#revision, key, pair});
+	}
+
+	/** Deletes a key; returns `undefined` when it is absent. */
+	delete(key: string): StoredChange | undefined {
+		if (!this.#pairs.delete(key)) {
+			return undefined;
+		}
+
+		this.#revision += 1;
+		return this.#note({revision: this.#revision, key});
+	}
+
+	/** Returns the keys that end with a lease. */
+	keysOfLease(lease: string): string[] {
+		return [...this.#pairs.values()].filter(pair => pair.lease === lease).map(pair => pair.key);
+	}
+
+	/** Returns the changes from a revision on. */
+	changesFrom(revision: number): StoredChange[] {
+		return this.#history.filter(change => change.revision >= revision);
+	}
+
+	#note(change: StoredChange): StoredChange {
+		this.#history.push(change);
+		if (this.#history.length > historyLimit) {
+			this.#history = this.#history.slice(historyLimit / 10);
+		}
+
+		return change;
+	}
+}
--- /dev/null
+++ b/packages/stand-ins/src/plain-service/index.ts
@@ -0,0 +1,1 @@
+export * from './plain-service-stand-in.js';
--- /dev/null
+++ b/packages/stand-ins/src/plain-service/plain-service-stand-in.ts
@@ -0,0 +1,171 @@
+import * as crypto from 'node:crypto';
+import type * as http from 'node:http';
+import * as wire from '@bluebellmast/wire';
+import * as fault from '../fault/index.js';
+import * as util from '../util/index.js';
+
+/** Options of a runner of a plain service. */
+export type PlainServiceOptions = fault.StandInOptions & {
+	/** Name in answers and records; default `runner`. */
+	readonly name?: string;
+	/** Mean milliseconds that a call takes; default 10. */
+	readonly latencyMs?: number;
+	/** File that gets one JSON line per execution; default none. */
+	readonly recordFile?: string;
+};
+
+/** One execution of a call. */
+export type Execution = {
+	readonly runner: string;
+	readonly at: number;
+	readonly method: string;
+	readonly path: string;
+	readonly requestId: string;
+	readonly attemptId: string;
+	readonly account: string;
+	readonly idempotencyKey: string;
+	/** Field `order` of the body, empty when absent. */
+	readonly order: string;
+};
+
+/** Answer to each call. */
+export type PlainServiceAnswer = {
+	readonly runner: string;
+	readonly order: string;
+	readonly requestId: string;
+	readonly account: string;
+};
+
+const defaultLatencyMs = 10;
+
+/** A runner of a plain service: carries out any call below any path and records each execution. */
+export class PlainServiceStandIn implements fault.StandIn {
+	readonly server: fault.StandInServer;
+	readonly #name: string;
+	readonly #latencyMs: number;
+	readonly #random: util.Random;
+	readonly #recorder: util.Recorder<Execution>;
+	readonly #incarnation = crypto.randomUUID();
+	#sequence = 0;
+	#running = 0;
+	#leaving = false;
+
+	constructor(options: PlainServiceOptions) {
+		this.#name = options.name ?? 'runner';
+		this.#latencyMs = options.latencyMs ?? defaultLatencyMs;
+		this.#random = new util.Random(options.seed ?? 1);
+		this.#recorder = new util.Recorder(options.recordFile);
+		this.server = new fault.StandInServer(options, async (req, res) => this.#handle(req, res), {
+			record: () => this.executions(),
+		});
+	}
+
+	async start(): Promise<fault.StandInAddresses> {
+		return this.server.start();
+	}
+
+	async stop(): Promise<void> {
+		await this.server.stop();
+	}
+
+	/** Returns all executions of this process. */
+	executions(): readonly Execution[] {
+		return this.#recorder.list();
+	}
+
+	/** Says in load reports whether the runner is going away. */
+	setLeaving(leaving: boolean): void {
+		this.#leaving = leaving;
+	}
+
+	async #handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		if (util.pathOf(req) === '/v1/load') {
+			await this.server.faults.beforeAnswer();
+			util.sendJson(res, 200, this.#loadReport());
+			return;
+		}
+
+		this.#running += 1;
+		try {
+			await this.#execute(req, res);
+		} finally {
+			this.#running -= 1;
+		}
+	}
+
+	async #execute(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		const text = await util.readText(req);
+		await util.sleep(this.#halfLatency());
+		await this.server.faults.whenThawed();
+		const execution = this.#record(req, text);
+		await util.sleep(this.#halfLatency());
+		await this.server.faults.beforeAnswer();
+		if (this.#random.chance(this.server.faults.loseAnswersProbability)) {
+			res.destroy();
+			return;
+		}
+
+		util.sendJson(res, 200, this.#answer(execution), {
+			[wire.http.HeaderName.RequestId]: execution.requestId,
+			[wire.http.HeaderName.AttemptId]: execution.attemptId,
+		});
+	}
+
+	#record(req: http.IncomingMessage, text: string): Execution {
+		const execution: Execution = {
+			runner: this.#name,
+			at: Date.now(),
+			method: req.method ?? '',
+			path: util.pathOf(req),
+			requestId: util.headerOf(req, wire.http.HeaderName.RequestId),
+			attemptId: util.headerOf(req, wire.http.HeaderName.AttemptId),
+			account: util.headerOf(req, wire.http.HeaderName.Account),
+			idempotencyKey: util.headerOf(req, wire.http.HeaderName.IdempotencyKey),
+			order: orderOf(text),
+		};
+		this.#recorder.add(execution);
+		return execution;
+	}
+
+	#answer(execution: Execution): PlainServiceAnswer {
+		return {
+			runner: execution.runner,
+			order: execution.order,
+			requestId: execution.requestId,
+			account: execution.account,
+		};
+	}
+
+	#halfLatency(): number {
+		return this.#random.exponential(this.#latencyMs / 2);
+	}
+
+	#loadReport(): wire.endpoint.LoadReport {
+		this.#sequence += 1;
+		return {
+			incarnation: this.#incarnation,
+			sequence: this.#sequence,
+			running: this.#running,
+			queued: 0,
+			queuedTokens: 0,
+			cachedTokens: 0,
+			cacheLimitTokens: 0,
+			weights: [],
+			leaving: this.#leaving,
+		};
+	}
+}
+
+/** Creates a runner of a plain service. */
+export function createPlainService(options: PlainServiceOptions = {}): PlainServiceStandIn {
+	return new PlainServiceStandIn(options);
+}
+
+function orderOf(text: string): string {
+	try {
+		const {order} = JSON.parse(text) as {order?: unknown};
+		return typeof order === 'string' || typeof order === 'number' ? String(order) : '';
+	} catch {
+		return '';
+	}
+}
--- /dev/null
+++ b/packages/stand-ins/src/util/arguments.ts
@@ -0,0 +1,39 @@
+import * as util from 'node:util';
+
+/** Options that every stand-in takes on its command line. */
+export type CommonArguments = {
+	readonly host: string;
+	readonly port: number;
+	readonly faultPort: number;
+	readonly seed: number;
+	/** The remaining options as text. */
+	readonly extra: Readonly<Record<string, string>>;
+};
+
+/** Reads the command line; options other than the common ones must be named in `extra`. */
+export function parseArguments(args: readonly string[], extra: readonly string[] = []): CommonArguments {
+	const {values} = util.parseArgs({
+		args: [...args],
+		options: {
+			host: {type: 'string', default: '127.0.0.1'},
+			port: {type: 'string', default: '0'},
+			'fault-port': {type: 'string', default: '0'},
+			seed: {type: 'string', default: '1'},
+			...Object.fromEntries(extra.map(name => [name, {type: 'string' as const}])),
+		},
+	});
+	const texts = values as Record<string, string>;
+	return {
+		host: texts.host!,
+		port: Number(texts.port),
+		faultPort: Number(texts['fault-port']),
+		seed: Number(texts.seed),
+		extra: Object.fromEntries(extra.filter(name => texts[name] !== undefined).map(name => [name, texts[name]!])),
+	};
+}
+
+/** Returns an extra option as a number, or `undefined` when it is absent. */
+export function numberOf(args: CommonArguments, name: string): number | undefined {
+	const text = args.extra[name];
+	return text === undefined ? undefined : Number(text);
+}
--- /dev/null
+++ b/packages/stand-ins/src/util/random.ts
@@ -0,0 +1,38 @@
+import * as uniformFloat64 from 'pure-rand/distribution/uniformFloat64';
+import * as uniformInt from 'pure-rand/distribution/uniformInt';
+import type * as generator from 'pure-rand/types/RandomGenerator';
+import * as xoroshiro from 'pure-rand/generator/xoroshiro128plus';
+
+/** Seeded source of random numbers. */
+export class Random {
+	readonly #generator: generator.RandomGenerator;
+
+	constructor(seed: number) {
+		this.#generator = xoroshiro.xoroshiro128plus(seed);
+	}
+
+	/** Returns an integer from `min` to `max`, both included. */
+	integer(min: number, max: number): number {
+		return uniformInt.uniformInt(this.#generator, min, max);
+	}
+
+	/** Returns a number from 0 up to but without 1. */
+	fraction(): number {
+		return uniformFloat64.uniformFloat64(this.#generator);
+	}
+
+	/** Returns true with the given probability. */
+	chance(probability: number): boolean {
+		return this.fraction() < probability;
+	}
+
+	/** Returns one of the items; there must be one. */
+	pick<Item>(items: readonly Item[]): Item {
+		return items[this.integer(0, items.length - 1)]!;
+	}
+
+	/** Returns a time between events of a Poisson process with the given mean. */
+	exponential(mean: number): number {
+		return -Math.log(1 - this.fraction()) * mean;
+	}
+}
--- /dev/null
+++ b/packages/stand-ins/src/vm-list/index.ts
@@ -0,0 +1,1 @@
+export * from './vm-list-stand-in.js';
--- /dev/null
+++ b/packages/stand-ins/src/weight-store/index.ts
@@ -0,0 +1,1 @@
+export * from './weight-store-stand-in.js';
--- /dev/null
+++ b/packages/stand-ins/src/weight-store/weight-store-stand-in.ts
@@ -0,0 +1,79 @@
+import * as fault from '../fault/index.js';
+import * as util from '../util/index.js';
+
+/** Options of the weight store stand-in. */
+export type WeightStoreOptions = fault.StandInOptions & {
+	/** Milliseconds that one load takes by itself; default 1,000. */
+	readonly loadMs?: number;
+	/** Loads at once beyond which all slow down; default 3. */
+	readonly maxConcurrentLoads?: number;
+};
+
+const defaultLoadMs = 1000;
+const defaultMaxConcurrentLoads = 3;
+const stepMs = 10;
+const loadPath = /^\/v1\/weights\/([^/]+)\/load$/;
+
+/** What the store saw, on `GET /counts` of the fault port. */
+export type WeightStoreCounts = {
+	readonly loads: number;
+	readonly mostConcurrentLoads: number;
+};
+
+/** The rate-limited weight store: `POST /v1/weights/<weights>/load` answers when the weights are loaded. */
+export class WeightStoreStandIn implements fault.StandIn {
+	readonly server: fault.StandInServer;
+	readonly #loadMs: number;
+	readonly #maxConcurrentLoads: number;
+	#running = 0;
+	#loads = 0;
+	#mostConcurrentLoads = 0;
+
+	constructor(options: WeightStoreOptions) {
+		this.#loadMs = options.loadMs ?? defaultLoadMs;
+		this.#maxConcurrentLoads = options.maxConcurrentLoads ?? defaultMaxConcurrentLoads;
+		this.server = new fault.StandInServer(options, async (req, res) => {
+			const match = loadPath.exec(util.pathOf(req));
+			if (req.method !== 'POST' || !match) {
+				util.sendJson(res, 404, {message: 'unknown path'});
+				return;
+			}
+
+			await this.#load();
+			await this.server.faults.beforeAnswer();
+			util.sendJson(res, 200, {weights: decodeURIComponent(match[1]!)});
+		}, {counts: () => this.counts()});
+	}
+
+	async start(): Promise<fault.StandInAddresses> {
+		return this.server.start();
+	}
+
+	async stop(): Promise<void> {
+		await this.server.stop();
+	}
+
+	/** Returns the loads so far. */
+	counts(): WeightStoreCounts {
+		return {loads: this.#loads, mostConcurrentLoads: this.#mostConcurrentLoads};
+	}
+
+	/** Advances one load in steps; beyond the limit all loads share its rate. */
+	async #load(): Promise<void> {
+		this.#running += 1;
+		this.#loads += 1;
+		this.#mostConcurrentLoads = Math.max(this.#mostConcurrentLoads, this.#running);
+		let doneMs = 0;
+		while (doneMs < this.#loadMs) {
+			await util.sleep(stepMs); // eslint-disable-line no-await-in-loop
+			doneMs += stepMs * Math.min(1, this.#maxConcurrentLoads / this.#running);
+		}
+
+		this.#running -= 1;
+	}
+}
+
+/** Creates a weight store stand-in. */
+export function createWeightStore(options: WeightStoreOptions = {}): WeightStoreStandIn {
+	return new WeightStoreStandIn(options);
+}
