Add prefix keys, the time line and the first placement policies

Change: chained prefix keys bound to account and weights, a hybrid logical clock with a bounded ring of events, and round robin, least load, rendezvous on the first level and rendezvous with bounded load behind one interface. Ruled out: a hash as cache salt, since a crafted collision would cross accounts; the salt is exact text.

--- a/packages/core/src/cache/index.ts
+++ b/packages/core/src/cache/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './hasher.js';
+export * from './prefix-keys.js';
--- /dev/null
+++ b/packages/core/src/placement/create-placement-policy.ts
@@ -0,0 +1,52 @@
+import type * as hasher from '../cache/hasher.js';
+import * as boundedRendezvous from './bounded-rendezvous.js';
+import * as homeRanker from './home-ranker.js';
+import * as leastLoad from './least-load.js';
+import type * as placementPolicy from './placement-policy.js';
+import * as rendezvousFirstLevel from './rendezvous-first-level.js';
+import * as roundRobin from './round-robin.js';
+
+/** Names of the policies, as settings give them. */
+export enum PlacementPolicyName {
+	RoundRobin = 'round_robin',
+	LeastLoad = 'least_load',
+	RendezvousFirstLevel = 'rendezvous_first_level',
+	BoundedRendezvous = 'bounded_rendezvous',
+}
+
+/** Options of all policies. */
+export type PlacementPolicyOptions = {
+	readonly hash: hasher.Hasher;
+	/** 32-bit seed that differs between routers. */
+	readonly seed: number;
+	/** Load per unit of capacity that counts as equal. Default 0.05. */
+	readonly loadTolerance?: number;
+	/** Multiple of the mean load up to which a home takes work. Default 1.5. */
+	readonly boundFactor?: number;
+};
+
+/** Creates the policy of a name. */
+export function createPlacementPolicy(
+	name: PlacementPolicyName,
+	options: PlacementPolicyOptions,
+): placementPolicy.PlacementPolicy {
+	const fallback = new leastLoad.LeastLoad(options.seed, options.loadTolerance ?? 0.05);
+	const ranker = new homeRanker.HomeRanker(options.hash);
+	switch (name) {
+		case PlacementPolicyName.RoundRobin: {
+			return new roundRobin.RoundRobin(options.seed);
+		}
+
+		case PlacementPolicyName.LeastLoad: {
+			return fallback;
+		}
+
+		case PlacementPolicyName.RendezvousFirstLevel: {
+			return new rendezvousFirstLevel.RendezvousFirstLevel(ranker, fallback);
+		}
+
+		case PlacementPolicyName.BoundedRendezvous: {
+			return new boundedRendezvous.BoundedRendezvous(ranker, fallback, options.boundFactor ?? 1.5);
+		}
+	}
+}
--- /dev/null
+++ b/packages/core/src/placement/eligibility.ts
@@ -0,0 +1,50 @@
+import * as invariant from '../util/invariant.js';
+import type * as placementRequest from './placement-request.js';
+import type * as placementView from './placement-view.js';
+
+/** Returns whether an endpoint may take a request at all. */
+export function isEligible(endpoint: placementView.EndpointView, request: placementRequest.PlacementRequest): boolean {
+	return endpoint.reachable
+		&& !endpoint.leaving
+		&& !endpoint.draining
+		&& endpoint.service === request.service
+		&& !request.excluded.has(endpoint.endpoint)
+		&& (request.weights === undefined || (endpoint.takesPrompts && endpoint.weights.has(request.weights)));
+}
+
+/** Returns the endpoints that may take a request, in the order of the view. */
+export function listEligible(
+	request: placementRequest.PlacementRequest,
+	view: placementView.PlacementView,
+): placementView.EndpointView[] {
+	return view.endpoints.filter(endpoint => isEligible(endpoint, request));
+}
+
+/** Returns the placement on an endpoint; asserts that the endpoint may take the request. */
+export function placeOn(
+	endpoint: placementView.EndpointView,
+	request: placementRequest.PlacementRequest,
+	expectedCachedTokens: number,
+	importKeys: readonly string[] = [],
+): placementRequest.Placement {
+	invariant.assertInvariant(
+		isEligible(endpoint, request),
+		'placement.eligible',
+		() => `${request.requestId} on ${endpoint.endpoint}`,
+	);
+	return {
+		endpoint: endpoint.endpoint,
+		...(endpoint.incarnation !== undefined && {incarnation: endpoint.incarnation}),
+		expectedCachedTokens,
+		importKeys,
+	};
+}
+
+/** Returns the tokens of the prompt that the picture claims for an endpoint in its present incarnation. */
+export function claimedTokens(
+	endpoint: placementView.EndpointView,
+	hits: readonly placementView.PrefixHit[],
+): number {
+	const hit = hits.find(candidate => candidate.endpoint === endpoint.endpoint);
+	return hit !== undefined && hit.incarnation === endpoint.incarnation ? hit.tokens : 0;
+}
--- /dev/null
+++ b/packages/core/src/placement/home-ranker.ts
@@ -0,0 +1,61 @@
+import type * as hasher from '../cache/hasher.js';
+import * as nearEqual from './near-equal.js';
+
+/**
+ * Ranks endpoints for a key by highest random weight, alike on all routers: when an endpoint goes, only its keys move.
+ * Hashes of endpoint names are kept, so that ranking costs a few arithmetic steps an endpoint.
+ */
+export class HomeRanker {
+	readonly #hash: hasher.Hasher;
+	readonly #nameHashes = new Map<string, number>();
+
+	constructor(hash: hasher.Hasher) {
+		this.#hash = hash;
+	}
+
+	/** Returns the `count` best endpoints for the key, best first. */
+	rank<T extends {readonly endpoint: string}>(key: string, endpoints: readonly T[], count: number): T[] {
+		const keyHash = this.#hash.h32(key);
+		const best: Array<{readonly endpoint: T; readonly weight: number}> = [];
+		for (const endpoint of endpoints) {
+			const weight = nearEqual.mix32(keyHash ^ this.#hashName(endpoint.endpoint)); // eslint-disable-line no-bitwise
+			insertRanked(best, {endpoint, weight}, count);
+		}
+
+		return best.map(entry => entry.endpoint);
+	}
+
+	#hashName(name: string): number {
+		const known = this.#nameHashes.get(name);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const value = this.#hash.h32(name);
+		this.#nameHashes.set(name, value);
+		return value;
+	}
+}
+
+type Ranked<T> = {readonly endpoint: T; readonly weight: number};
+
+function insertRanked<T extends {readonly endpoint: string}>(best: Array<Ranked<T>>, entry: Ranked<T>, count: number): void {
+	const last = best.at(-1);
+	if (best.length >= count && last !== undefined && !isBefore(entry, last)) {
+		return;
+	}
+
+	let index = best.length;
+	while (index > 0 && isBefore(entry, best[index - 1]!)) {
+		index -= 1;
+	}
+
+	best.splice(index, 0, entry);
+	if (best.length > count) {
+		best.pop();
+	}
+}
+
+function isBefore<T extends {readonly endpoint: string}>(left: Ranked<T>, right: Ranked<T>): boolean {
+	return left.weight > right.weight || (left.weight === right.weight && left.endpoint.endpoint < right.endpoint.endpoint);
+}
--- a/packages/core/src/placement/index.ts
+++ b/packages/core/src/placement/index.ts
@@ -1,1 +1,11 @@
-export {};
+export * from './bounded-rendezvous.js';
+export * from './create-placement-policy.js';
+export * from './eligibility.js';
+export * from './home-ranker.js';
+export * from './least-load.js';
+export * from './near-equal.js';
+export * from './placement-policy.js';
+export * from './placement-request.js';
+export * from './placement-view.js';
+export * from './rendezvous-first-level.js';
+export * from './round-robin.js';
--- /dev/null
+++ b/packages/core/src/placement/rendezvous-first-level.ts
@@ -0,0 +1,30 @@
+import * as eligibility from './eligibility.js';
+import type * as homeRanker from './home-ranker.js';
+import type * as leastLoad from './least-load.js';
+import type * as placementPolicy from './placement-policy.js';
+import type * as placementRequest from './placement-request.js';
+import type * as placementView from './placement-view.js';
+
+/** Takes the first home of the first level of the prefix, whatever its load; prompts without a whole piece go by least load. */
+export class RendezvousFirstLevel implements placementPolicy.PlacementPolicy {
+	readonly #ranker: homeRanker.HomeRanker;
+	readonly #fallback: leastLoad.LeastLoad;
+
+	constructor(ranker: homeRanker.HomeRanker, fallback: leastLoad.LeastLoad) {
+		this.#ranker = ranker;
+		this.#fallback = fallback;
+	}
+
+	place(
+		request: placementRequest.PlacementRequest,
+		view: placementView.PlacementView,
+	): placementRequest.Placement | undefined {
+		const firstKey = request.homeKeys[0];
+		if (firstKey === undefined) {
+			return this.#fallback.place(request, view);
+		}
+
+		const [home] = this.#ranker.rank(firstKey, eligibility.listEligible(request, view), 1);
+		return home && eligibility.placeOn(home, request, eligibility.claimedTokens(home, view.hits(request)));
+	}
+}
--- /dev/null
+++ b/packages/core/src/placement/round-robin.ts
@@ -0,0 +1,28 @@
+import * as eligibility from './eligibility.js';
+import type * as placementPolicy from './placement-policy.js';
+import type * as placementRequest from './placement-request.js';
+import type * as placementView from './placement-view.js';
+
+/** Takes the endpoints in turn. */
+export class RoundRobin implements placementPolicy.PlacementPolicy {
+	#next: number;
+
+	/** @param seed - First position, so that routers do not go in step. */
+	constructor(seed: number) {
+		this.#next = seed;
+	}
+
+	place(
+		request: placementRequest.PlacementRequest,
+		view: placementView.PlacementView,
+	): placementRequest.Placement | undefined {
+		const candidates = eligibility.listEligible(request, view);
+		if (candidates.length === 0) {
+			return undefined;
+		}
+
+		const chosen = candidates[this.#next % candidates.length]!;
+		this.#next += 1;
+		return eligibility.placeOn(chosen, request, eligibility.claimedTokens(chosen, view.hits(request)));
+	}
+}
--- a/packages/core/src/timeline/index.ts
+++ b/packages/core/src/timeline/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './hybrid-clock.js';
+export * from './timeline-event.js';
+export * from './timeline-ring.js';
--- /dev/null
+++ b/packages/core/src/timeline/timeline-event.ts
@@ -0,0 +1,91 @@
+import type * as ids from '../model/ids.js';
+import * as hybridClock from './hybrid-clock.js';
+
+/** What happened. */
+export enum TimelineEventType {
+	RouterStarted = 'router_started',
+	RouterReady = 'router_ready',
+	RouterStopping = 'router_stopping',
+	RequestReceived = 'request_received',
+	RequestPlaced = 'request_placed',
+	RequestDispatched = 'request_dispatched',
+	FirstToken = 'first_token',
+	RequestAnswered = 'request_answered',
+	RequestRefused = 'request_refused',
+	RequestRetried = 'request_retried',
+	StreamResumed = 'stream_resumed',
+	StreamRestarted = 'stream_restarted',
+	IntentRecorded = 'intent_recorded',
+	OutcomeRecorded = 'outcome_recorded',
+	ManifestAccepted = 'manifest_accepted',
+	ManifestUnconfirmed = 'manifest_unconfirmed',
+	BatchRecalled = 'batch_recalled',
+	BatchReinstated = 'batch_reinstated',
+	MemberJoined = 'member_joined',
+	MemberLost = 'member_lost',
+	EndpointLeaving = 'endpoint_leaving',
+	EndpointLost = 'endpoint_lost',
+	EndpointReturned = 'endpoint_returned',
+	EndpointSlow = 'endpoint_slow',
+	CacheGap = 'cache_gap',
+	CacheCleared = 'cache_cleared',
+	LeaseGained = 'lease_gained',
+	LeaseLost = 'lease_lost',
+	OrderSent = 'order_sent',
+	OrderFinished = 'order_finished',
+	KvLost = 'kv_lost',
+	KvReturned = 'kv_returned',
+	InvariantBroken = 'invariant_broken',
+}
+
+/** One event of the time line. */
+export type TimelineEvent = hybridClock.HybridStamp & {
+	readonly vm: ids.VmId;
+	readonly type: TimelineEventType;
+	readonly requestId?: ids.RequestId;
+	readonly endpoint?: ids.EndpointId;
+	readonly account?: ids.AccountId;
+	readonly generation?: ids.Generation;
+	/** Short text for a person. */
+	readonly detail?: string;
+};
+
+/** What a process says of an event; the recorder adds stamp and VM. */
+export type TimelineEntry = Omit<TimelineEvent, 'at' | 'counter' | 'vm'>;
+
+/** Selects events; an absent field selects all. */
+export type TimelineFilter = {
+	readonly requestId?: ids.RequestId;
+	readonly endpoint?: ids.EndpointId;
+	readonly account?: ids.AccountId;
+	readonly generation?: ids.Generation;
+	/** Milliseconds since the Unix epoch, inclusive. */
+	readonly from?: number;
+	/** Milliseconds since the Unix epoch, inclusive. */
+	readonly to?: number;
+};
+
+/** Returns whether a filter selects an event. */
+export function matchesFilter(event: TimelineEvent, filter: TimelineFilter): boolean {
+	return (filter.requestId === undefined || filter.requestId === event.requestId)
+		&& (filter.endpoint === undefined || filter.endpoint === event.endpoint)
+		&& (filter.account === undefined || filter.account === event.account)
+		&& (filter.generation === undefined || filter.generation === event.generation)
+		&& (filter.from === undefined || event.at >= filter.from)
+		&& (filter.to === undefined || event.at <= filter.to);
+}
+
+/** Orders events by stamp, then by VM. */
+export function compareEvents(left: TimelineEvent, right: TimelineEvent): number {
+	const order = hybridClock.compareStamps(left, right);
+	if (order !== 0) {
+		return order;
+	}
+
+	return left.vm < right.vm ? -1 : Number(left.vm > right.vm);
+}
+
+/** Merges the events of several processes into one order. */
+export function mergeEvents(parts: ReadonlyArray<readonly TimelineEvent[]>): TimelineEvent[] {
+	return parts.flat().sort(compareEvents);
+}
