Decide the execution state and the life of a request in core

Cause: one place has to say what is known of a request, and what follows a failed attempt. Change: core/request with attempt progress, decideExecution, the one builder of refusals, the request machine (pure transitions), the stream assembler and the retry budget; tables and fast-check properties with fixed seeds. PriorRun tells decideExecution about earlier requests with the same idempotency key.

--- a/packages/core/src/request/index.ts
+++ b/packages/core/src/request/index.ts
@@ -1,1 +1,8 @@
-export {};
+export * from './attempt.js';
+export * from './execution.js';
+export * from './next-move.js';
+export * from './refusal-factory.js';
+export * from './request-life.js';
+export * from './request-machine.js';
+export * from './retry-budget.js';
+export * from './stream-assembler.js';
