Add frames and the TCP links between routers

Cause: routers exchange members, manifest heads, intents and loads. Change: length-prefixed CBOR frames with a bounded size and one clear error per bad stream; one link per pair with hello, heartbeat, replacement of silent links, links on demand, bounded send buffers. purify-ts factories allowed by new-cap. Ruled out: a link per pair opened only by the smaller name, since hints carry no names and a one-way silence must be replaceable from either end.

--- /dev/null
+++ b/packages/router/src/peers/link-table.ts
@@ -0,0 +1,52 @@
+import type * as core from '@bluebellmast/core';
+import type * as peerLink from './peer-link.js';
+
+/** What to do when a second link to the same router is ready. */
+export enum DuplicateChoice {
+	KeepExisting = 'keep_existing',
+	TakeNew = 'take_new',
+}
+
+/** The facts about a link that the choice rests on. */
+export type LinkFacts = {
+	readonly incarnation: core.model.Incarnation;
+	readonly dialled: boolean;
+	/** Whether either end opened the link, just now, to replace a silent one. */
+	readonly replaces: boolean;
+};
+
+/**
+ * Chooses between two links to the same router so that both ends choose alike, in whichever order they see the links: a
+ * new incarnation, a replacement and a second call of the same end take the place of the earlier link; of two links
+ * that the ends opened towards each other, the one that the smaller VM name opened stays.
+ */
+export function chooseLink(
+	self: core.model.VmId,
+	peer: core.model.VmId,
+	existing: LinkFacts,
+	next: LinkFacts,
+): DuplicateChoice {
+	if (existing.incarnation !== next.incarnation || existing.dialled === next.dialled) {
+		return DuplicateChoice.TakeNew;
+	}
+
+	if (existing.replaces !== next.replaces) {
+		return next.replaces ? DuplicateChoice.TakeNew : DuplicateChoice.KeepExisting;
+	}
+
+	const dialledBySmaller = next.dialled === (self < peer);
+	return dialledBySmaller ? DuplicateChoice.TakeNew : DuplicateChoice.KeepExisting;
+}
+
+/**
+ * Returns the facts of a link whose hello has been received.
+ *
+ * @param recentMs - Age up to which a replacement counts as new.
+ */
+export function factsOf(link: peerLink.PeerLink, now: number, recentMs: number): LinkFacts {
+	return {
+		incarnation: link.hello!.incarnation,
+		dialled: link.dialled,
+		replaces: now - link.openedAt <= recentMs && (link.replaces || link.hello!.replaces),
+	};
+}
--- /dev/null
+++ b/packages/router/tests/peers/link-table.test.ts
@@ -0,0 +1,22 @@
+import * as chai from 'chai';
+import * as fc from 'fast-check';
+import * as router from '@bluebellmast/router';
+
+describe('chooseLink', () => {
+	it('leaves both ends with the same link of two that they opened towards each other', () => {
+		fc.assert(fc.property(fc.boolean(), fc.boolean(), fc.boolean(), fc.boolean(), (aReplaces, bReplaces, aFirst, bFirst) => {
+			const keptBy = (self: 'a' | 'b', byAFirst: boolean): string => {
+				const facts = {
+					byA: {incarnation: 'x', dialled: self === 'a', replaces: aReplaces},
+					byB: {incarnation: 'x', dialled: self === 'b', replaces: bReplaces},
+				};
+				const [existing, next] = byAFirst ? ['byA', 'byB'] as const : ['byB', 'byA'] as const;
+				const peer = self === 'a' ? 'b' : 'a';
+				const choice = router.peers.chooseLink(self, peer, facts[existing], facts[next]);
+				return choice === router.peers.DuplicateChoice.TakeNew ? next : existing;
+			};
+
+			chai.expect(keptBy('a', aFirst)).to.equal(keptBy('b', bFirst));
+		}), {seed: 21, numRuns: 64});
+	});
+});
--- /dev/null
+++ b/packages/router/tests/peers/tcp-peer-network.test.ts
@@ -0,0 +1,186 @@
+import {Buffer} from 'node:buffer';
+import * as net from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import * as chai from 'chai';
+import * as wire from '@bluebellmast/wire';
+import * as router from '@bluebellmast/router';
+
+const host = '127.0.0.1';
+const fast = {
+	heartbeatMs: 20, silentMs: 100, closeMs: 2000, helloTimeoutMs: 400, dialDelays: {firstMs: 10, maxMs: 50},
+};
+
+type Note = wire.frames.FrameMessage & {readonly text: string};
+
+async function until(condition: () => boolean): Promise<void> {
+	while (!condition()) {
+		await sleep(5); // eslint-disable-line no-await-in-loop
+	}
+}
+
+/** Forwards connections to a port until told to swallow what the open ones carry. */
+class Forwarder {
+	readonly pairs: Array<readonly [net.Socket, net.Socket]> = [];
+	readonly server: net.Server;
+
+	constructor(target: () => number) {
+		this.server = net.createServer(near => {
+			const far = net.connect(target(), host);
+			near.on('error', () => near.destroy());
+			far.on('error', () => far.destroy());
+			near.pipe(far);
+			far.pipe(near);
+			this.pairs.push([near, far]);
+		});
+	}
+
+	get port(): number {
+		return (this.server.address() as net.AddressInfo).port;
+	}
+
+	swallow(): void {
+		for (const [near, far] of this.pairs) {
+			near.unpipe(far);
+			far.unpipe(near);
+			near.resume();
+			far.resume();
+		}
+	}
+}
+
+describe('TcpPeerNetwork', () => {
+	let open: Array<() => Promise<void> | void> = [];
+
+	afterEach(async () => {
+		await Promise.all(open.map(async close => close()));
+		open = [];
+	});
+
+	async function startNetwork(vm: string, addresses: () => readonly router.peers.PeerAddress[], more = {}) {
+		const network = new router.peers.TcpPeerNetwork({
+			vm, incarnation: `${vm}-1`, dataCentre: 'dc', host, port: 0, addresses, clock: new router.clock.SystemClock(),
+			...fast, ...more,
+		});
+		open.push(async () => network.stop());
+		await network.start();
+		return network;
+	}
+
+	async function listenRaw(server: net.Server): Promise<void> {
+		const sockets = new Set<net.Socket>();
+		server.on('connection', socket => sockets.add(socket));
+		open.push(() => {
+			server.close();
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+		});
+		await new Promise<void>(resolve => {
+			server.listen(0, host, resolve);
+		});
+	}
+
+	it('links all pairs and carries messages both ways', async () => {
+		const addresses: router.peers.PeerAddress[] = [];
+		const networks = await Promise.all(['a', 'b', 'c'].map(async vm => startNetwork(vm, () => addresses)));
+		const received: string[] = [];
+		for (const [index, network] of networks.entries()) {
+			addresses.push({host, port: network.port});
+			network.on(wire.peer.PeerMessageType.Usage, (from, message) => {
+				received.push(`${from}>${'abc'[index]!}:${(message as Note).text}`);
+			});
+		}
+
+		await until(() => networks.every(network => network.connected().length === 2));
+		await sleep(4 * fast.heartbeatMs);
+		for (const network of networks) {
+			network.broadcast({type: wire.peer.PeerMessageType.Usage, text: 'x'} as Note);
+		}
+
+		await until(() => received.length >= 6);
+		chai.expect(received.sort()).to.deep.equal(['a>b:x', 'a>c:x', 'b>a:x', 'b>c:x', 'c>a:x', 'c>b:x']);
+	});
+
+	it('replaces a link that has gone silent by a new one', async () => {
+		const b = await startNetwork('b', () => []);
+		const forwarder = new Forwarder(() => b.port);
+		await listenRaw(forwarder.server);
+		const a = await startNetwork('a', () => [{host, port: forwarder.port, vm: 'b'}]);
+		await until(() => a.connected().length === 1 && b.connected().length === 1);
+		const received: string[] = [];
+		b.on(wire.peer.PeerMessageType.Usage, (_, message) => {
+			received.push((message as Note).text);
+		});
+		forwarder.swallow();
+		await until(() => a.connected().length === 0);
+		await until(() => a.send('b', {type: wire.peer.PeerMessageType.Usage, text: 'again'} as Note));
+		await until(() => received.length > 0);
+		chai.expect(received).to.include('again');
+	});
+
+	it('reports a restarted router by the hello of its new incarnation', async () => {
+		const hellos: string[] = [];
+		const addresses: router.peers.PeerAddress[] = [];
+		const a = await startNetwork('a', () => addresses);
+		a.on(wire.peer.PeerMessageType.Hello, (_, message) => {
+			hellos.push((message as wire.peer.Hello).incarnation);
+		});
+		const first = await startNetwork('b', () => [{host, port: a.port}], {incarnation: 'b-1'});
+		await until(() => hellos.length === 1);
+		await first.stop();
+		await startNetwork('b', () => [{host, port: a.port}], {incarnation: 'b-2'});
+		await until(() => hellos.length === 2);
+		chai.expect(hellos).to.deep.equal(['b-1', 'b-2']);
+	});
+
+	it('opens a link on demand and closes it when idle', async () => {
+		const b = await startNetwork('b', () => []);
+		const a = await startNetwork('a', () => [], {
+			idleMs: 100,
+			findAddress: (vm: string) => vm === 'b' ? {host, port: b.port, vm} : undefined,
+		});
+		chai.expect(a.send('b', {type: wire.peer.PeerMessageType.Usage})).to.equal(false);
+		await until(() => a.send('b', {type: wire.peer.PeerMessageType.Usage}));
+		await until(() => a.connected().length === 0 && b.connected().length === 0);
+	});
+
+	it('closes a connection with a bad frame and goes on with the others', async () => {
+		const a = await startNetwork('a', () => []);
+		await startNetwork('b', () => [{host, port: a.port}]);
+		await until(() => a.connected().length === 1);
+		for (const bytes of [Buffer.from([0xFF, 0xFF, 0xFF, 0xFF]), Buffer.from([0, 0, 0, 1, 0xF6])]) {
+			const socket = net.connect(a.port, host);
+			socket.resume();
+			socket.write(bytes);
+			// eslint-disable-next-line no-await-in-loop
+			await new Promise(resolve => {
+				socket.on('close', resolve);
+			});
+		}
+
+		chai.expect(a.connected()).to.deep.equal(['b']);
+	});
+
+	it('refuses sends to a router that does not read, without holding more than the bound', async () => {
+		const server = net.createServer(socket => {
+			const hello: wire.peer.Hello = {
+				type: wire.peer.PeerMessageType.Hello, protocol: wire.peer.peerProtocolVersion, vm: 'b', incarnation: 'b-1',
+				dataCentre: 'dc', host, port: 1, replaces: false,
+			};
+			socket.on('error', () => socket.destroy());
+			socket.write(wire.frames.encodeFrame(hello).unsafeCoerce());
+			socket.pause();
+		});
+		await listenRaw(server);
+		const {port} = server.address() as net.AddressInfo;
+		const a = await startNetwork('a', () => [{host, port}], {silentMs: 60_000, closeMs: 60_000, maxBufferedBytes: 100_000});
+		await until(() => a.connected().length === 1);
+		const message: Note = {type: wire.peer.PeerMessageType.Usage, text: 'x'.repeat(50_000)};
+		let sent = 0;
+		while (a.send('b', message)) {
+			sent += 1;
+			chai.expect(sent).to.be.lessThan(10_000);
+			await sleep(0); // eslint-disable-line no-await-in-loop
+		}
+	});
+});
--- /dev/null
+++ b/packages/wire/src/frames/frame-decoder.ts
@@ -0,0 +1,114 @@
+import {Buffer} from 'node:buffer';
+import * as purify from 'purify-ts';
+import * as peerMessageType from '../peer/peer-message-type.js';
+import * as codec from './codec.js';
+import type * as frameEncoder from './frame-encoder.js';
+import * as frameError from './frame-error.js';
+import * as frameLimits from './frame-limits.js';
+
+const knownTypes: ReadonlySet<unknown> = new Set(Object.values(peerMessageType.PeerMessageType));
+
+function isFrameMessage(value: unknown): value is frameEncoder.FrameMessage {
+	return typeof value === 'object' && value !== null && knownTypes.has((value as {type?: unknown}).type);
+}
+
+function decodeBody(body: Uint8Array): purify.Either<frameError.FrameError, frameEncoder.FrameMessage> {
+	let value: unknown;
+	try {
+		value = codec.decode(body);
+	} catch (err) {
+		return purify.Left({code: frameError.FrameErrorCode.Malformed, message: String(err)});
+	}
+
+	if (!isFrameMessage(value)) {
+		return purify.Left({code: frameError.FrameErrorCode.UnknownType, message: 'not a map with a known message type'});
+	}
+
+	return purify.Right(value);
+}
+
+/**
+ * Cuts a byte stream into frames. After an error the stream cannot be used any further, since the place of the next
+ * frame is not known.
+ */
+export class FrameDecoder {
+	private readonly chunks: Uint8Array[] = [];
+	private buffered = 0;
+	private failure: frameError.FrameError | undefined;
+
+	constructor(private readonly maxFrameBytes = frameLimits.defaultMaxFrameBytes) {}
+
+	/**
+	 * Takes the next bytes of the stream and passes each message that they complete to `onMessage`.
+	 *
+	 * @returns The first error of the stream, with the messages before it already passed on.
+	 */
+	push(chunk: Uint8Array, onMessage: (message: frameEncoder.FrameMessage) => void): frameError.FrameError | undefined {
+		if (this.failure !== undefined) {
+			return this.failure;
+		}
+
+		this.chunks.push(chunk);
+		this.buffered += chunk.length;
+		this.failure = this.drain(onMessage);
+		return this.failure;
+	}
+
+	private drain(onMessage: (message: frameEncoder.FrameMessage) => void): frameError.FrameError | undefined {
+		while (this.buffered >= frameLimits.lengthPrefixBytes) {
+			const length = this.peekLength();
+			if (length > this.maxFrameBytes) {
+				return {
+					code: frameError.FrameErrorCode.TooLarge,
+					message: `frame of ${length} bytes exceeds ${this.maxFrameBytes}`,
+				};
+			}
+
+			if (this.buffered < frameLimits.lengthPrefixBytes + length) {
+				return undefined;
+			}
+
+			const body = this.take(length);
+			const decoded = decodeBody(body);
+			if (decoded.isLeft()) {
+				return decoded.swap().unsafeCoerce();
+			}
+
+			decoded.ifRight(onMessage);
+		}
+
+		return undefined;
+	}
+
+	private peekLength(): number {
+		if (this.chunks[0]!.length < frameLimits.lengthPrefixBytes) {
+			this.merge();
+		}
+
+		const first = this.chunks[0]!;
+		return new DataView(first.buffer, first.byteOffset, first.byteLength).getUint32(0);
+	}
+
+	private take(length: number): Uint8Array {
+		const end = frameLimits.lengthPrefixBytes + length;
+		if (this.chunks[0]!.length < end) {
+			this.merge();
+		}
+
+		const first = this.chunks[0]!;
+		this.buffered -= end;
+		if (first.length === end) {
+			this.chunks.shift();
+		} else {
+			this.chunks[0] = first.subarray(end);
+		}
+
+		return first.subarray(frameLimits.lengthPrefixBytes, end);
+	}
+
+	private merge(): void {
+		const joined = Buffer.concat(this.chunks);
+		this.chunks.length = 0;
+		this.chunks.push(joined);
+	}
+}
--- a/packages/wire/src/peer/index.ts
+++ b/packages/wire/src/peer/index.ts
@@ -1,1 +1,2 @@
+export * from './hello.js';
 export * from './peer-message-type.js';
--- a/xo.config.js
+++ b/xo.config.js
@@ -11,6 +11,8 @@
 			// Namespace imports are house style.
 			'unicorn/import-style': 'off',
 			'capitalized-comments': 'off',
+			// The factories of purify-ts are named in upper case.
+			'new-cap': ['error', {capIsNewExceptions: ['purify.Left', 'purify.Right', 'purify.Just']}],
 		},
 	},
 	{
