Add the manifest controller of a router

At most three routers, picked by rendezvous, watch and poll the key-value service; the others probe these and hear of changes from peers at once. A probe carries the time when it was sent, so that a confirmation is never newer than the question.

--- a/packages/config/src/settings/settings-schema.ts
+++ b/packages/config/src/settings/settings-schema.ts
@@ -1,6 +1,6 @@
+import * as core from '@bluebellmast/core';
 import * as zod from 'zod';
 import * as fields from '../document/fields.js';
-import * as placementPolicy from './placement-policy.js';
 
 const secondMs = 1000;
 const minuteMs = 60 * secondMs;
@@ -30,7 +30,9 @@
 });
 
 const placementSchema = zod.strictObject({
-	policy: zod.enum(placementPolicy.PlacementPolicy).default(placementPolicy.PlacementPolicy.Cost).describe('How an engine is picked.'),
+	policy: zod.enum(core.placement.PlacementPolicyName)
+		.default(core.placement.PlacementPolicyName.BoundedRendezvous)
+		.describe('How an engine is picked.'),
 	weights: zod.record(zod.string(), zod.number()).default({}).describe('Weights of the policy by name; a name left out has the policy\'s own default.'),
 });
 
--- /dev/null
+++ b/packages/router/src/controllers/index.ts
@@ -0,0 +1,1 @@
+export * from './manifest-controller.js';
--- /dev/null
+++ b/packages/router/src/controllers/manifest-controller.ts
@@ -0,0 +1,355 @@
+import * as core from '@bluebellmast/core';
+import type * as platform from '@bluebellmast/platform';
+import * as wire from '@bluebellmast/wire';
+import createDebug from 'debug';
+import type * as peerNetwork from '../peers/peer-network.js';
+import type * as clock from '../util/clock.js';
+import type * as metrics from '../util/metrics.js';
+import type * as controller from './controller.js';
+import * as manifestKvSource from './manifest-kv-source.js';
+import * as manifestSections from './manifest-sections.js';
+
+const debug = createDebug('bluebellmast:manifest');
+const messageType = wire.peer.PeerMessageType;
+const tracker = core.manifest;
+
+/** Options of the manifest controller. */
+export type ManifestControllerOptions = {
+	readonly vm: core.model.VmId;
+	readonly kv: platform.kv.KeyValueClient;
+	readonly peers: peerNetwork.PeerNetwork;
+	readonly clock: clock.Clock;
+	/** Members that are alive as far as this router knows. */
+	readonly liveMembers: () => readonly core.model.VmId[];
+	/** The platform's latest list of VMs; it gives the majority. */
+	readonly listedVms: () => readonly core.model.VmId[];
+	readonly metrics?: metrics.Metrics;
+	/** Milliseconds without confirmation after which model requests are no longer placed. Default 3000. */
+	readonly confirmTimeoutMs?: number;
+	/** Milliseconds between ticks. Default 1000. */
+	readonly pollMs?: number;
+	/** Routers that watch and poll the key-value service, whatever the size of the fleet. Default 3. */
+	readonly maxWatchers?: number;
+	/** Smallest time between two reads of a router that is no watcher; it grows with the fleet. Default 10000. */
+	readonly backstopMs?: number;
+};
+
+/** Is told each manifest that comes into force. */
+export type ManifestListener = (manifest: core.model.Manifest) => void;
+
+/**
+ * Keeps the manifest that is in force on this router. A few routers, picked by rendezvous over the live members, watch
+ * and poll the key-value service and tell the others; the others ask these each tick how current they are. Every router
+ * also polls slowly by itself, so that together about one read a second is added whatever the size of the fleet.
+ */
+export class ManifestController implements controller.Controller {
+	readonly #options: Required<Omit<ManifestControllerOptions, 'metrics'>> & Pick<ManifestControllerOptions, 'metrics'>;
+	readonly #source: manifestKvSource.ManifestKvSource;
+	readonly #sections = new manifestSections.ManifestSections();
+	readonly #listeners: ManifestListener[] = [];
+	/** Generation in force on each router, as last heard. */
+	readonly #peerGenerations = new Map<core.model.VmId, core.model.Generation>();
+	#tracker: core.manifest.TrackerState = tracker.initialTrackerState;
+	#confirmations: core.manifest.ConfirmationState = tracker.initialConfirmationState;
+	#current: core.model.Manifest | undefined;
+	#timer: NodeJS.Timeout | undefined;
+	#lastReadAt = Number.NEGATIVE_INFINITY;
+	#reading = false;
+	#fetchRound = 0;
+	#basis = tracker.ConfirmationBasis.None;
+
+	constructor(options: ManifestControllerOptions) {
+		this.#options = {
+			confirmTimeoutMs: 3000, pollMs: 1000, maxWatchers: 3, backstopMs: 10_000, ...options,
+		};
+		this.#source = new manifestKvSource.ManifestKvSource(options.kv, head => {
+			this.#onHead(head, undefined);
+		});
+		this.#handleMessages();
+	}
+
+	/** Whether a watch of the key-value service is under way. */
+	get watching(): boolean {
+		return this.#source.watching;
+	}
+
+	/** Makes a first read and starts ticking; there may be no manifest yet when it returns. */
+	async start(): Promise<void> {
+		this.#timer = setInterval(() => {
+			void this.tick();
+		}, this.#options.pollMs);
+		await this.tick();
+	}
+
+	async stop(): Promise<void> {
+		clearInterval(this.#timer);
+		this.#source.closeWatch();
+	}
+
+	/** The manifest in force, absent until the first has come. */
+	current(): core.model.Manifest | undefined {
+		return this.#current;
+	}
+
+	/** The head in force, absent until the first has come. */
+	head(): core.manifest.ManifestHead | undefined {
+		return this.#tracker.inForce;
+	}
+
+	/** Whether model requests may be placed. */
+	confirmed(now: number): boolean {
+		return this.basis(now) !== tracker.ConfirmationBasis.None;
+	}
+
+	/** How the generation in force is confirmed. */
+	basis(now: number): core.manifest.ConfirmationBasis {
+		return tracker.confirmationBasis(this.#confirmations, {
+			self: this.#options.vm,
+			listedVms: this.#options.listedVms(),
+			generation: this.#tracker.inForce?.generation,
+			newerSince: this.#tracker.pending?.since,
+			confirmTimeoutMs: this.#options.confirmTimeoutMs,
+		}, now);
+	}
+
+	/** Adds a listener; it is told at once when a manifest is in force. */
+	onChange(listener: ManifestListener): void {
+		this.#listeners.push(listener);
+		if (this.#current !== undefined) {
+			listener(this.#current);
+		}
+	}
+
+	/** Carries out one round of watching, reading, asking and fetching; called by the timer. */
+	async tick(): Promise<void> {
+		const now = this.#options.clock.now();
+		const watchers = this.#watchers();
+		const watches = watchers.includes(this.#options.vm);
+		this.#confirmations = tracker.retainPeers(this.#confirmations, this.#options.listedVms());
+		this.#keepWatch(watches);
+		this.#probe(watchers, now);
+		this.#refetch();
+		if (this.#readIsDue(watches, now)) {
+			await this.#readKv(now);
+		}
+
+		this.#noteBasis(this.#options.clock.now());
+	}
+
+	/** The routers that watch the key-value service, as this router sees the members. */
+	#watchers(): readonly core.model.VmId[] {
+		const members = new Set([...this.#options.liveMembers(), this.#options.vm]);
+		return core.util.rankByRendezvous('manifest-watch', [...members]).slice(0, this.#options.maxWatchers);
+	}
+
+	#keepWatch(watches: boolean): void {
+		if (watches) {
+			this.#source.openWatch();
+		} else {
+			this.#source.closeWatch();
+		}
+	}
+
+	/** Watchers read each tick; others when their confirmation is about to lapse, and slowly as a backstop. */
+	#readIsDue(watches: boolean, now: number): boolean {
+		const {pollMs, backstopMs, liveMembers} = this.#options;
+		const slowMs = Math.max(backstopMs, pollMs * liveMembers().length);
+		const lapses = this.basis(now + (2 * pollMs)) === tracker.ConfirmationBasis.None;
+		return watches || lapses || now - this.#lastReadAt >= slowMs;
+	}
+
+	async #readKv(now: number): Promise<void> {
+		if (this.#reading) {
+			return;
+		}
+
+		this.#reading = true;
+		this.#lastReadAt = now;
+		const {failed, head} = await this.#source.readHead();
+		this.#reading = false;
+		this.#options.metrics?.increment(failed ? 'manifest.kv_read_failed' : 'manifest.kv_read');
+		if (failed) {
+			return;
+		}
+
+		this.#confirmations = tracker.recordKv(this.#confirmations, {generation: head?.generation ?? 0, at: now});
+		if (head !== undefined) {
+			this.#onHead(head, undefined);
+		}
+	}
+
+	/** Asks the watchers; all listed VMs while nobody tells of a fresh read. */
+	#probe(watchers: readonly core.model.VmId[], now: number): void {
+		const kvAge = now - (this.#confirmations.kv?.at ?? Number.NEGATIVE_INFINITY);
+		const stale = kvAge > 2 * this.#options.pollMs;
+		const others = stale ? [...this.#options.listedVms(), ...this.#options.peers.connected()] : [];
+		const targets = new Set([...watchers, ...others]);
+		targets.delete(this.#options.vm);
+		for (const target of targets) {
+			this.#sendProbe(target, now);
+		}
+	}
+
+	#sendProbe(target: core.model.VmId, now: number): void {
+		this.#send(target, {type: messageType.ManifestProbe, sentAt: now, generation: this.#generation()});
+	}
+
+	#handleMessages(): void {
+		const {peers} = this.#options;
+		peers.on(messageType.ManifestHead, (from, message) => {
+			const {head} = message as wire.peer.ManifestHeadMessage;
+			this.#peerGenerations.set(from, head.generation);
+			this.#onHead(head, from);
+		});
+		peers.on(messageType.ManifestProbe, (from, message) => {
+			this.#onProbe(from, message as wire.peer.ManifestProbe);
+		});
+		peers.on(messageType.ManifestProbeAnswer, (from, message) => {
+			this.#onProbeAnswer(from, message as wire.peer.ManifestProbeAnswer);
+		});
+		peers.on(messageType.SectionRequest, (from, message) => {
+			this.#onSectionRequest(from, message as wire.peer.SectionRequest);
+		});
+		peers.on(messageType.SectionAnswer, (_from, message) => {
+			const {hash, bytes} = message as wire.peer.SectionAnswer;
+			this.#onSection(hash, bytes);
+		});
+	}
+
+	#onProbe(from: core.model.VmId, probe: wire.peer.ManifestProbe): void {
+		const now = this.#options.clock.now();
+		const {kv} = this.#confirmations;
+		const {inForce} = this.#tracker;
+		this.#peerGenerations.set(from, probe.generation);
+		this.#send(from, {
+			type: messageType.ManifestProbeAnswer,
+			sentAt: probe.sentAt,
+			generation: this.#generation(),
+			...(kv && {kv: {generation: kv.generation, ageMs: now - kv.at}}),
+			...(inForce && inForce.generation > probe.generation && {head: inForce}),
+		});
+		if (probe.generation > this.#generation()) {
+			this.#sendProbe(from, now);
+		}
+	}
+
+	#onProbeAnswer(from: core.model.VmId, answer: wire.peer.ManifestProbeAnswer): void {
+		const {sentAt, generation, kv, head} = answer;
+		this.#peerGenerations.set(from, generation);
+		this.#confirmations = tracker.recordPeer(this.#confirmations, from, {generation, at: sentAt});
+		if (kv !== undefined) {
+			this.#confirmations = tracker.recordKv(this.#confirmations, {generation: kv.generation, at: sentAt - kv.ageMs});
+		}
+
+		if (head !== undefined) {
+			this.#onHead(head, from);
+		}
+	}
+
+	#onSectionRequest(from: core.model.VmId, request: wire.peer.SectionRequest): void {
+		for (const hash of request.hashes) {
+			const bytes = this.#sections.get(hash);
+			if (bytes !== undefined) {
+				this.#send(from, {type: messageType.SectionAnswer, hash, bytes});
+			}
+		}
+	}
+
+	#onHead(head: core.manifest.ManifestHead, source: core.manifest.HeadSource): void {
+		this.#step({
+			type: tracker.TrackerEventType.HeadSeen, head, source, held: this.#sections.held,
+		});
+	}
+
+	#onSection(hash: string, bytes: Uint8Array | undefined): void {
+		if (bytes !== undefined && this.#isWanted(hash) && this.#sections.add(hash, bytes) && this.#missing().length === 0) {
+			this.#step({type: tracker.TrackerEventType.SectionsArrived, held: this.#sections.held});
+		}
+	}
+
+	#step(event: core.manifest.TrackerEvent): void {
+		const {state, effects} = tracker.stepTracker(this.#tracker, event, this.#options.clock.now());
+		this.#tracker = state;
+		for (const effect of effects) {
+			if (effect.type === tracker.TrackerEffectType.Adopt) {
+				this.#adopt(effect.head);
+			} else {
+				this.#fetch(effect.hashes, effect.source);
+			}
+		}
+	}
+
+	#adopt(head: core.manifest.ManifestHead): void {
+		const manifest = this.#sections.assemble(head);
+		core.util.assertInvariant(manifest !== undefined, 'manifest.sections-well-formed', () => `generation ${head.generation}`);
+		this.#sections.retainOnly(head);
+		this.#current = manifest;
+		debug('generation %d by change %s is in force', head.generation, head.changeId);
+		this.#options.metrics?.gauge('manifest.generation', head.generation);
+		this.#tellPeers(head);
+		for (const listener of this.#listeners) {
+			listener(manifest);
+		}
+	}
+
+	#tellPeers(head: core.manifest.ManifestHead): void {
+		for (const vm of this.#options.peers.connected()) {
+			if ((this.#peerGenerations.get(vm) ?? 0) < head.generation) {
+				this.#send(vm, {type: messageType.ManifestHead, head});
+			}
+		}
+	}
+
+	#fetch(hashes: readonly string[], source: core.manifest.HeadSource): void {
+		const asked = source !== undefined && this.#send(source, {type: messageType.SectionRequest, hashes});
+		if (asked) {
+			return;
+		}
+
+		for (const hash of hashes) {
+			void this.#fetchFromKv(hash);
+		}
+	}
+
+	async #fetchFromKv(hash: string): Promise<void> {
+		const bytes = await this.#source.readSection(hash);
+		this.#onSection(hash, bytes);
+	}
+
+	/** Asks again for what is still missing: the key-value service and each connected router in turn. */
+	#refetch(): void {
+		const hashes = this.#missing();
+		if (hashes.length === 0) {
+			return;
+		}
+
+		const sources = [undefined, ...this.#options.peers.connected()];
+		this.#fetch(hashes, sources[this.#fetchRound % sources.length]);
+		this.#fetchRound += 1;
+	}
+
+	#missing(): readonly string[] {
+		const {pending} = this.#tracker;
+		return pending === undefined ? [] : tracker.missingSections(pending.head, this.#sections.held);
+	}
+
+	#isWanted(hash: string): boolean {
+		return this.#missing().includes(hash);
+	}
+
+	#generation(): core.model.Generation {
+		return this.#tracker.inForce?.generation ?? 0;
+	}
+
+	#send(to: core.model.VmId, message: wire.peer.ManifestMessage): boolean {
+		return this.#options.peers.send(to, message);
+	}
+
+	#noteBasis(now: number): void {
+		const basis = this.basis(now);
+		if (basis !== this.#basis) {
+			debug('confirmation by %s, before by %s', basis, this.#basis);
+			this.#basis = basis;
+		}
+	}
+}
--- /dev/null
+++ b/packages/router/src/controllers/manifest-kv-source.ts
@@ -0,0 +1,78 @@
+import * as config from '@bluebellmast/config';
+import type * as core from '@bluebellmast/core';
+import type * as platform from '@bluebellmast/platform';
+import createDebug from 'debug';
+
+const debug = createDebug('bluebellmast:manifest');
+
+/** A read of the head; `failed` when the service gave none. */
+export type HeadRead = {
+	readonly failed: boolean;
+	/** Absent before the first manifest. */
+	readonly head?: core.manifest.ManifestHead;
+};
+
+/** Reads and watches the manifest in the key-value service. */
+export class ManifestKvSource {
+	readonly #kv: platform.kv.KeyValueClient;
+	readonly #onHead: (head: core.manifest.ManifestHead) => void;
+	#watch: platform.kv.KvWatch | undefined;
+
+	constructor(kv: platform.kv.KeyValueClient, onHead: (head: core.manifest.ManifestHead) => void) {
+		this.#kv = kv;
+		this.#onHead = onHead;
+	}
+
+	/** Whether a watch is under way. */
+	get watching(): boolean {
+		return this.#watch !== undefined;
+	}
+
+	async readHead(): Promise<HeadRead> {
+		const answer = await this.#kv.get(config.manifest.headKey);
+		return answer
+			.map(entry => entry === undefined ? {failed: false} : toHeadRead(entry.value))
+			.orDefault({failed: true});
+	}
+
+	/** Reads one section; `undefined` when it can't be read. */
+	async readSection(hash: string): Promise<Uint8Array | undefined> {
+		const answer = await this.#kv.get(config.manifest.sectionKey(hash));
+		return answer.toMaybe().extract()?.value;
+	}
+
+	/** Opens a watch when none is under way. */
+	openWatch(): void {
+		if (this.#watch !== undefined) {
+			return;
+		}
+
+		const watch = this.#kv.watch(config.manifest.headKey, false, {
+			onChange: change => {
+				const read = change.entry === undefined ? undefined : toHeadRead(change.entry.value);
+				if (read?.head !== undefined) {
+					this.#onHead(read.head);
+				}
+			},
+			onEnd: reason => {
+				debug('the watch of the manifest ended: %s', reason);
+				this.#watch = undefined;
+			},
+		});
+		this.#watch = watch;
+	}
+
+	closeWatch(): void {
+		this.#watch?.close();
+		this.#watch = undefined;
+	}
+}
+
+function toHeadRead(bytes: Uint8Array): HeadRead {
+	return config.manifest.decodeHead(bytes)
+		.ifLeft(reason => {
+			debug('%s', reason);
+		})
+		.map((head): HeadRead => ({failed: false, head}))
+		.orDefault({failed: true});
+}
--- /dev/null
+++ b/packages/router/tests/controllers/fakes/memory-kv.ts
@@ -0,0 +1,97 @@
+import * as platform from '@bluebellmast/platform';
+import * as purify from 'purify-ts';
+
+/** Key-value service in memory that several clients share. */
+export class MemoryKv {
+	readonly entries = new Map<string, platform.kv.KvEntry>();
+	readonly watches = new Map<platform.kv.KvWatchListener, string>();
+	/** When set, watches are told nothing. */
+	losesNotices = false;
+	/** When set, the next write takes effect and its answer is lost. */
+	losesNextAnswer = false;
+	#revision = 0;
+
+	/** Puts a value without a client. */
+	put(key: string, value: Uint8Array): number {
+		this.#revision += 1;
+		const entry = {key, value, revision: this.#revision};
+		this.entries.set(key, entry);
+		for (const [listener, watched] of this.watches) {
+			if (watched === key && !this.losesNotices) {
+				listener.onChange({key, entry});
+			}
+		}
+
+		return this.#revision;
+	}
+
+	get revision(): number {
+		return this.#revision;
+	}
+}
+
+/** One client of the key-value service in memory; `down` cuts it off. */
+export class MemoryKvClient implements platform.kv.KeyValueClient {
+	down = false;
+	reads = 0;
+
+	constructor(readonly store: MemoryKv) {}
+
+	async get(key: string): platform.kv.KvResult<platform.kv.KvEntry | undefined> {
+		this.reads += 1;
+		return this.down ? notSent() : purify.Right(this.store.entries.get(key));
+	}
+
+	async getPrefix(prefix: string): platform.kv.KvResult<readonly platform.kv.KvEntry[]> {
+		return this.down ? notSent() : purify.Right([...this.store.entries.values()].filter(entry => entry.key.startsWith(prefix)));
+	}
+
+	async compareAndSwap(key: string, expectedRevision: number, value: Uint8Array): platform.kv.KvResult<platform.kv.KvSwap> {
+		if (this.down) {
+			return notSent();
+		}
+
+		const current = this.store.entries.get(key);
+		if ((current?.revision ?? 0) !== expectedRevision) {
+			return purify.Right({swapped: false, revision: this.store.revision, ...(current && {current})});
+		}
+
+		const revision = this.store.put(key, value);
+		if (this.store.losesNextAnswer) {
+			this.store.losesNextAnswer = false;
+			return purify.Left({code: platform.kv.KvErrorCode.OutcomeUnknown, message: 'answer lost'});
+		}
+
+		return purify.Right({swapped: true, revision});
+	}
+
+	async compareAndDelete(): platform.kv.KvResult<platform.kv.KvSwap> {
+		return notSent();
+	}
+
+	async grantLease(): platform.kv.KvResult<platform.kv.KvLease> {
+		return notSent();
+	}
+
+	async keepAlive(): platform.kv.KvResult<platform.kv.KvLease> {
+		return notSent();
+	}
+
+	async revoke(): platform.kv.KvResult<void> {
+		return notSent();
+	}
+
+	watch(key: string, _prefix: boolean, listener: platform.kv.KvWatchListener): platform.kv.KvWatch {
+		const {watches} = this.store;
+		watches.set(listener, key);
+		return {
+			close() {
+				watches.delete(listener);
+			},
+		};
+	}
+}
+
+function notSent<Value>(): purify.Either<platform.kv.KvError, Value> {
+	return purify.Left({code: platform.kv.KvErrorCode.NotSent, message: 'down'});
+}
--- /dev/null
+++ b/packages/router/tests/controllers/fakes/memory-peers.ts
@@ -0,0 +1,60 @@
+import type * as wire from '@bluebellmast/wire';
+import type * as router from '@bluebellmast/router';
+
+/** Links in memory between all routers of a test; messages arrive at once. */
+export class MemoryLinks {
+	readonly networks = new Map<string, MemoryPeerNetwork>();
+	/** Routers without links. */
+	readonly cut = new Set<string>();
+	/** Messages that are lost. */
+	loses: (to: string, message: router.peers.PeerMessage) => boolean = () => false;
+
+	create(vm: string): MemoryPeerNetwork {
+		const network = new MemoryPeerNetwork(vm, this);
+		this.networks.set(vm, network);
+		return network;
+	}
+}
+
+/** The links of one router. */
+export class MemoryPeerNetwork implements router.peers.PeerNetwork {
+	readonly #handlers = new Map<wire.peer.PeerMessageType, router.peers.PeerHandler>();
+	readonly #vm: string;
+	readonly #links: MemoryLinks;
+
+	constructor(vm: string, links: MemoryLinks) {
+		this.#vm = vm;
+		this.#links = links;
+	}
+
+	connected(): readonly string[] {
+		const {networks, cut} = this.#links;
+		return [...networks.keys()].filter(vm => vm !== this.#vm && !cut.has(vm) && !cut.has(this.#vm));
+	}
+
+	send(to: string, message: router.peers.PeerMessage): boolean {
+		if (!this.connected().includes(to)) {
+			return false;
+		}
+
+		if (!this.#links.loses(to, message)) {
+			this.#links.networks.get(to)?.receive(this.#vm, message);
+		}
+
+		return true;
+	}
+
+	broadcast(message: router.peers.PeerMessage): void {
+		for (const vm of this.connected()) {
+			this.send(vm, message);
+		}
+	}
+
+	on(type: wire.peer.PeerMessageType, handler: router.peers.PeerHandler): void {
+		this.#handlers.set(type, handler);
+	}
+
+	receive(from: string, message: router.peers.PeerMessage): void {
+		this.#handlers.get(message.type)?.(from, message);
+	}
+}
--- a/packages/wire/src/peer/index.ts
+++ b/packages/wire/src/peer/index.ts
@@ -1,2 +1,3 @@
 export * from './hello.js';
+export * from './manifest-messages.js';
 export * from './peer-message-type.js';
--- a/packages/wire/src/peer/peer-message-type.ts
+++ b/packages/wire/src/peer/peer-message-type.ts
@@ -9,6 +9,8 @@
 	Ack = 'ack',
 	/** Head of the manifest, and sections on request. */
 	ManifestHead = 'manifest_head',
+	ManifestProbe = 'manifest_probe',
+	ManifestProbeAnswer = 'manifest_probe_answer',
 	SectionRequest = 'section_request',
 	SectionAnswer = 'section_answer',
 	/** State for a starting router. */
