--- /dev/null
+++ b/packages/config/src/document/schema-fields.ts
@@ -0,0 +1,63 @@
+import * as zod from 'zod';
+
+/** Whether a field may be left out, and what stands for it then. */
+export enum FieldPresence {
+	Required = 'required',
+	/** May be left out; nothing stands for it. */
+	Optional = 'optional',
+	/** May be left out; the default stands for it. */
+	Defaulted = 'defaulted',
+}
+
+/** One field of a schema. */
+export type SchemaField = {
+	readonly key: string;
+	readonly description: string;
+	readonly presence: FieldPresence;
+	/** Default of a field that is no section. */
+	readonly defaultValue?: unknown;
+	/** Fields of a section, or of the entries of a list of sections. */
+	readonly fields: readonly SchemaField[];
+	/** Whether the fields are those of the entries of a list. */
+	readonly isList: boolean;
+};
+
+type Unwrapped = {
+	readonly schema: zod.ZodType;
+	readonly presence: FieldPresence;
+	readonly defaultValue?: unknown;
+};
+
+/** Returns the fields of an object schema in their order. */
+export function schemaFields(schema: zod.ZodObject): SchemaField[] {
+	return Object.entries(schema.shape).map(([key, field]) => toField(key, field as zod.ZodType));
+}
+
+function toField(key: string, field: zod.ZodType): SchemaField {
+	const {schema, presence, defaultValue} = unwrap(field);
+	const element = schema instanceof zod.ZodArray ? schema.element : schema;
+	return {
+		key,
+		description: field.description ?? '',
+		presence,
+		...(defaultValue !== undefined && {defaultValue}),
+		fields: element instanceof zod.ZodObject ? schemaFields(element) : [],
+		isList: schema instanceof zod.ZodArray,
+	};
+}
+
+function unwrap(field: zod.ZodType): Unwrapped {
+	if (field instanceof zod.ZodOptional) {
+		return {schema: field.unwrap() as zod.ZodType, presence: FieldPresence.Optional};
+	}
+
+	if (field instanceof zod.ZodPrefault) {
+		return {schema: field.unwrap() as zod.ZodType, presence: FieldPresence.Defaulted};
+	}
+
+	if (field instanceof zod.ZodDefault) {
+		return {schema: field.unwrap() as zod.ZodType, presence: FieldPresence.Defaulted, defaultValue: field.def.defaultValue};
+	}
+
+	return {schema: field, presence: FieldPresence.Required};
+}
