Add the cache picture, rates of prefixes, load view and cost-based placement

Change: CachePicture (bounded, by incarnation and epoch), HotPrefixes (decaying counters, homes by share), LoadView (reports plus own dispatches, measured slowness), CostBased and the facade PlacementState. Ruled out: letting answers or events establish an incarnation: a property test showed a dead one, never seen before, taken for new; only an engine's own report does that now.

--- /dev/null
+++ b/packages/core/src/cache/cache-picture.ts
@@ -0,0 +1,470 @@
+import type * as ids from '../model/ids.js';
+import * as invariant from '../util/invariant.js';
+import type * as prefixKeys from './prefix-keys.js';
+
+/** What happened to a cached piece of an engine. */
+export enum CacheChange {
+	Stored = 'stored',
+	Evicted = 'evicted',
+	/** Everything was dropped. */
+	Cleared = 'cleared',
+}
+
+/** One cache event of an engine, as it was received. */
+export type EngineCacheEvent = {
+	readonly incarnation: ids.Incarnation;
+	/** Grows by one with each event of an incarnation. */
+	readonly sequence: number;
+	readonly change: CacheChange;
+	/** Key of the piece; not used for `cleared`. */
+	readonly key: string;
+};
+
+/** What an answer of an engine shows about its cache. */
+export type AnswerCacheReport = {
+	readonly endpoint: ids.EndpointId;
+	readonly incarnation: ids.Incarnation;
+	/** Account and weights of the request, as `cacheSalt` gives them. */
+	readonly salt: string;
+	readonly pieces: readonly prefixKeys.PrefixPiece[];
+	/** Prompt tokens that the engine took from its cache. */
+	readonly cachedTokens: number;
+};
+
+/** How a cache event was taken. */
+export enum CacheEventOutcome {
+	Applied = 'applied',
+	/** Applied; events before it are missing, and what they may have changed is void. */
+	AppliedAfterGap = 'applied_after_gap',
+	/** Not of the present incarnation, or received before. */
+	Ignored = 'ignored',
+}
+
+/** Tokens of a prompt that an engine is believed to hold. */
+export type CacheHit = {
+	readonly endpoint: ids.EndpointId;
+	readonly incarnation: ids.Incarnation;
+	/** Leading tokens that are confirmed. */
+	readonly tokens: number;
+	/** Leading tokens when pieces that a gap made doubtful count too; at least `tokens`. */
+	readonly doubtfulTokens: number;
+};
+
+/** Options of the picture. */
+export type CachePictureOptions = {
+	/** Bound on memory, in bytes as estimated by `bytesPerPiece` and `bytesPerHolder`. Default 16 MiB. */
+	readonly maxBytes?: number;
+};
+
+/** Estimated bytes of one piece and of one engine that holds it. */
+export const bytesPerPiece = 200;
+export const bytesPerHolder = 8;
+
+/** A run of an engine's event stream without a gap; pieces refer to it by number, and dropping it voids them all. */
+type Epoch = {
+	readonly number: number;
+	readonly endpoint: ids.EndpointId;
+	readonly incarnation: ids.Incarnation;
+};
+
+type EngineState = {
+	incarnation: ids.Incarnation;
+	/** Last event sequence; absent until the first event. */
+	sequence: number | undefined;
+	current: Epoch;
+	/** The epoch before the latest gap. */
+	doubtful: Epoch | undefined;
+	/** Earlier incarnations, latest last. */
+	readonly dead: ids.Incarnation[];
+	/** Keys of the latest digest of another router. */
+	digest: ReadonlySet<string>;
+};
+
+type PieceState = {
+	/** Account and weights; absent until a request of this router names the piece. */
+	salt: string | undefined;
+	/** Numbers of the epochs that hold the piece. */
+	holders: number[];
+};
+
+const maxDeadIncarnations = 16;
+
+/**
+ * Which engine incarnation holds which pieces, as far as this router knows. Only a hint for placement: engines check
+ * account and weights on their own. Memory is bounded; the pieces that were not used for longest go first.
+ */
+export class CachePicture {
+	readonly #maxBytes: number;
+	readonly #engines = new Map<ids.EndpointId, EngineState>();
+	readonly #epochs = new Map<number, Epoch>();
+	readonly #pieces = new Map<string, PieceState>();
+	readonly #salts = new Map<string, string>();
+	#nextEpoch = 1;
+	#holders = 0;
+	#saltConflicts = 0;
+	#overclaimedTokens = 0;
+
+	constructor(options: CachePictureOptions = {}) {
+		this.#maxBytes = options.maxBytes ?? 16 * 1024 * 1024;
+	}
+
+	/** Estimated bytes in use. */
+	get bytes(): number {
+		return (this.#pieces.size * bytesPerPiece) + (this.#holders * bytesPerHolder);
+	}
+
+	/** Number of pieces known. */
+	get pieceCount(): number {
+		return this.#pieces.size;
+	}
+
+	/** Number of lookups that met a piece of another account or other weights under an equal key. */
+	get saltConflicts(): number {
+		return this.#saltConflicts;
+	}
+
+	/** Tokens that the picture claimed and answers then showed as not cached. */
+	get overclaimedTokens(): number {
+		return this.#overclaimedTokens;
+	}
+
+	/** Last event sequence of an engine's incarnation, for a reconnect. */
+	lastSequence(endpoint: ids.EndpointId, incarnation: ids.Incarnation): number | undefined {
+		const engine = this.#engines.get(endpoint);
+		return engine?.incarnation === incarnation ? engine.sequence : undefined;
+	}
+
+	/**
+	 * Takes the incarnation that an engine itself reports now; a new one voids all that was known. Events, answers and
+	 * digests of any other incarnation are ignored: they may be of a dead one that this router never saw.
+	 *
+	 * @returns False when the incarnation is known to be dead.
+	 */
+	observeIncarnation(endpoint: ids.EndpointId, incarnation: ids.Incarnation): boolean {
+		const engine = this.#engines.get(endpoint);
+		if (engine?.incarnation === incarnation) {
+			return true;
+		}
+
+		if (engine?.dead.includes(incarnation)) {
+			return false;
+		}
+
+		if (engine !== undefined) {
+			this.#dropEpochs(engine);
+		}
+
+		this.#engines.set(endpoint, {
+			incarnation,
+			sequence: undefined,
+			current: this.#openEpoch(endpoint, incarnation),
+			doubtful: undefined,
+			dead: engine === undefined ? [] : [...engine.dead, engine.incarnation].slice(-maxDeadIncarnations),
+			digest: new Set(),
+		});
+		return true;
+	}
+
+	/** Drops all that is known of an endpoint that went away. */
+	forget(endpoint: ids.EndpointId): void {
+		const engine = this.#engines.get(endpoint);
+		if (engine === undefined) {
+			return;
+		}
+
+		this.#dropEpochs(engine);
+		this.#engines.delete(endpoint);
+	}
+
+	/** Makes what is known of an engine doubtful, as after a gap of unknown size. */
+	markGap(endpoint: ids.EndpointId): void {
+		const engine = this.#engines.get(endpoint);
+		if (engine === undefined) {
+			return;
+		}
+
+		if (engine.doubtful !== undefined) {
+			this.#epochs.delete(engine.doubtful.number);
+		}
+
+		engine.doubtful = engine.current;
+		engine.current = this.#openEpoch(endpoint, engine.incarnation);
+	}
+
+	/** Applies a cache event. */
+	applyEvent(endpoint: ids.EndpointId, event: EngineCacheEvent): CacheEventOutcome {
+		const engine = this.#engineOf(endpoint, event.incarnation);
+		if (engine === undefined || (engine.sequence !== undefined && event.sequence <= engine.sequence)) {
+			return CacheEventOutcome.Ignored;
+		}
+
+		const hasGap = engine.sequence !== undefined && event.sequence > engine.sequence + 1;
+		if (hasGap) {
+			this.markGap(endpoint);
+		}
+
+		engine.sequence = event.sequence;
+		this.#applyChange(engine, event);
+		return hasGap ? CacheEventOutcome.AppliedAfterGap : CacheEventOutcome.Applied;
+	}
+
+	/** Corrects the picture by an answer: the engine has just used or computed all pieces of the prompt. */
+	applyAnswer(report: AnswerCacheReport): void {
+		const engine = this.#engineOf(report.endpoint, report.incarnation);
+		if (engine === undefined) {
+			return;
+		}
+
+		this.#overclaimedTokens += Math.max(0, this.#confirmedTokens(engine, report.pieces) - report.cachedTokens);
+		for (const piece of report.pieces) {
+			const state = this.#pieceOf(piece.key, report.salt);
+			if (state !== undefined) {
+				this.#addHolder(state, engine);
+			}
+		}
+
+		this.#evictPieces();
+	}
+
+	/** Applies another router's digest of the hot pieces that an engine holds; it replaces the digest before. */
+	applyDigest(endpoint: ids.EndpointId, incarnation: ids.Incarnation, keys: readonly string[]): void {
+		const engine = this.#engineOf(endpoint, incarnation);
+		if (engine === undefined) {
+			return;
+		}
+
+		const digest = new Set(keys);
+		for (const key of engine.digest) {
+			if (!digest.has(key)) {
+				this.#removeHolders(key, engine);
+			}
+		}
+
+		engine.digest = digest;
+		for (const key of digest) {
+			this.#addHolder(this.#pieceOf(key)!, engine);
+		}
+
+		this.#evictPieces();
+	}
+
+	/** Returns whether the present incarnation of an engine is confirmed to hold a piece. */
+	holds(endpoint: ids.EndpointId, key: string): boolean {
+		const engine = this.#engines.get(endpoint);
+		return engine !== undefined && (this.#pieces.get(key)?.holders.includes(engine.current.number) ?? false);
+	}
+
+	/**
+	 * Returns the engines that hold the beginning of a prompt, longest first.
+	 *
+	 * @param salt - Account and weights, as `cacheSalt` gives them; pieces of others are never matched.
+	 */
+	lookup(salt: string, pieces: readonly prefixKeys.PrefixPiece[]): CacheHit[] {
+		const runs = new Map<EngineState, {tokens: number; doubtfulTokens: number}>();
+		let before = 0;
+		for (const piece of pieces) {
+			const state = this.#pieces.get(piece.key);
+			if (state === undefined || !this.#bindSalt(state, salt)) {
+				break;
+			}
+
+			this.#touch(piece.key, state);
+			if (!this.#extendRuns(runs, state, before, piece.tokens)) {
+				break;
+			}
+
+			before += piece.tokens;
+		}
+
+		return [...runs]
+			.map(([engine, run]) => this.#toHit(engine, run))
+			.sort((left, right) => right.tokens - left.tokens || right.doubtfulTokens - left.doubtfulTokens);
+	}
+
+	/** Returns whether any run reached the piece. */
+	#extendRuns(
+		runs: Map<EngineState, {tokens: number; doubtfulTokens: number}>,
+		state: PieceState,
+		before: number,
+		tokens: number,
+	): boolean {
+		let isExtended = false;
+		for (const number of this.#liveHolders(state)) {
+			const epoch = this.#epochs.get(number)!;
+			const engine = this.#engines.get(epoch.endpoint)!;
+			const run = runs.get(engine) ?? {tokens: 0, doubtfulTokens: 0};
+			if (run.doubtfulTokens !== before) {
+				continue;
+			}
+
+			isExtended = true;
+			run.doubtfulTokens += tokens;
+			if (epoch === engine.current && run.tokens === before) {
+				run.tokens += tokens;
+			}
+
+			runs.set(engine, run);
+		}
+
+		return isExtended;
+	}
+
+	#toHit(engine: EngineState, run: {readonly tokens: number; readonly doubtfulTokens: number}): CacheHit {
+		const {endpoint, incarnation} = engine.current;
+		invariant.assertInvariant(
+			this.#engines.get(endpoint) === engine && engine.incarnation === incarnation && !engine.dead.includes(incarnation),
+			'cache.live-incarnation',
+			() => `${endpoint} ${incarnation}`,
+		);
+		return {
+			endpoint, incarnation, tokens: run.tokens, doubtfulTokens: run.doubtfulTokens,
+		};
+	}
+
+	/** Returns the state of an engine if the incarnation is its present one. */
+	#engineOf(endpoint: ids.EndpointId, incarnation: ids.Incarnation): EngineState | undefined {
+		const engine = this.#engines.get(endpoint);
+		return engine?.incarnation === incarnation ? engine : undefined;
+	}
+
+	#openEpoch(endpoint: ids.EndpointId, incarnation: ids.Incarnation): Epoch {
+		const epoch = {number: this.#nextEpoch, endpoint, incarnation};
+		this.#nextEpoch += 1;
+		this.#epochs.set(epoch.number, epoch);
+		return epoch;
+	}
+
+	#dropEpochs(engine: EngineState): void {
+		this.#epochs.delete(engine.current.number);
+		if (engine.doubtful !== undefined) {
+			this.#epochs.delete(engine.doubtful.number);
+		}
+	}
+
+	#applyChange(engine: EngineState, event: EngineCacheEvent): void {
+		switch (event.change) {
+			case CacheChange.Stored: {
+				this.#addHolder(this.#pieceOf(event.key)!, engine);
+				this.#evictPieces();
+				break;
+			}
+
+			case CacheChange.Evicted: {
+				this.#removeHolders(event.key, engine);
+				break;
+			}
+
+			case CacheChange.Cleared: {
+				this.#dropEpochs(engine);
+				engine.doubtful = undefined;
+				engine.current = this.#openEpoch(engine.current.endpoint, engine.incarnation);
+				break;
+			}
+		}
+	}
+
+	/** Returns the piece of a key, new if need be; `undefined` when it belongs to another account or other weights. */
+	#pieceOf(key: string, salt?: string): PieceState | undefined {
+		let state = this.#pieces.get(key);
+		if (state === undefined) {
+			state = {salt: undefined, holders: []};
+			this.#pieces.set(key, state);
+		}
+
+		if (salt !== undefined && !this.#bindSalt(state, salt)) {
+			return undefined;
+		}
+
+		return state;
+	}
+
+	#confirmedTokens(engine: EngineState, pieces: readonly prefixKeys.PrefixPiece[]): number {
+		let tokens = 0;
+		for (const piece of pieces) {
+			if (!this.holds(engine.current.endpoint, piece.key)) {
+				break;
+			}
+
+			tokens += piece.tokens;
+		}
+
+		return tokens;
+	}
+
+	#bindSalt(state: PieceState, salt: string): boolean {
+		state.salt ??= this.#internSalt(salt);
+		if (state.salt === salt) {
+			return true;
+		}
+
+		this.#saltConflicts += 1;
+		return false;
+	}
+
+	#internSalt(salt: string): string {
+		const known = this.#salts.get(salt);
+		if (known !== undefined) {
+			return known;
+		}
+
+		this.#salts.set(salt, salt);
+		return salt;
+	}
+
+	#addHolder(state: PieceState, engine: EngineState): void {
+		if (state.holders.includes(engine.current.number)) {
+			return;
+		}
+
+		this.#keepHolders(state, number => this.#epochs.has(number) && number !== engine.doubtful?.number);
+		state.holders.push(engine.current.number);
+		this.#holders += 1;
+	}
+
+	#removeHolders(key: string, engine: EngineState): void {
+		const state = this.#pieces.get(key);
+		if (state === undefined) {
+			return;
+		}
+
+		this.#keepHolders(state, number => number !== engine.current.number && number !== engine.doubtful?.number);
+		if (this.#liveHolders(state).length === 0) {
+			this.#pieces.delete(key);
+		}
+	}
+
+	/** Drops the numbers of epochs that ended and returns the rest. */
+	#liveHolders(state: PieceState): number[] {
+		if (state.holders.some(number => !this.#epochs.has(number))) {
+			this.#keepHolders(state, number => this.#epochs.has(number));
+		}
+
+		return state.holders;
+	}
+
+	#keepHolders(state: PieceState, keeps: (epoch: number) => boolean): void {
+		const kept = state.holders.filter(number => keeps(number));
+		this.#holders -= state.holders.length - kept.length;
+		state.holders = kept;
+	}
+
+	#touch(key: string, state: PieceState): void {
+		this.#pieces.delete(key);
+		this.#pieces.set(key, state);
+	}
+
+	#evictPieces(): void {
+		for (const [key, state] of this.#pieces) {
+			if (this.bytes <= this.#maxBytes) {
+				break;
+			}
+
+			this.#holders -= state.holders.length;
+			this.#pieces.delete(key);
+		}
+
+		if (this.#salts.size > this.#pieces.size + maxDeadIncarnations) {
+			this.#salts.clear();
+		}
+	}
+}
--- a/packages/core/src/cache/index.ts
+++ b/packages/core/src/cache/index.ts
@@ -1,2 +1,3 @@
-export * from './hasher.js';
+export * from './cache-picture.js';
+export * from './hot-prefixes.js';
 export * from './prefix-keys.js';
--- a/packages/core/src/cache/prefix-keys.ts
+++ b/packages/core/src/cache/prefix-keys.ts
@@ -1,6 +1,6 @@
 import type * as ids from '../model/ids.js';
 import * as weights from '../model/weights.js';
-import type * as hasher from './hasher.js';
+import * as hash from '../util/hash.js';
 
 /** One piece of a prompt's prefix. */
 export type PrefixPiece = {
@@ -50,7 +50,6 @@
  * Splits a prompt into whole pieces with chained hashes. The last incomplete piece has no key: engines cache whole pieces.
  */
 export function splitPrompt(
-	hash: hasher.Hasher,
 	scope: PrefixScope,
 	messages: readonly PromptMessage[],
 	options: PrefixOptions = {},
@@ -61,9 +60,9 @@
 	const pieceChars = Math.max(1, Math.round(pieceTokens * charsPerToken));
 	const count = Math.min(options.maxPieces ?? 512, Math.floor(text.length / pieceChars));
 	const homeKeys: string[] = [];
-	let chain = hash.h64(JSON.stringify([scope.account, scope.model, scope.adapter ?? '']));
+	let chain = hash.hash64(JSON.stringify([scope.account, scope.model, scope.adapter ?? '']));
 	for (let index = 0; index < count; index++) {
-		chain = hash.h64(text.slice(index * pieceChars, (index + 1) * pieceChars), chain);
+		chain = hash.hash64(text.slice(index * pieceChars, (index + 1) * pieceChars), chain);
 		homeKeys.push(formatHash(chain));
 	}
 
@@ -76,10 +75,10 @@
 }
 
 /** Binds a split prompt to weights: keys of other accounts or weights never equal these. */
-export function bindPrefix(hash: hasher.Hasher, prompt: SplitPrompt, chosen: weights.Weights): PrefixPiece[] {
-	const seed = hash.h64(cacheSalt(prompt.account, chosen));
+export function bindPrefix(prompt: SplitPrompt, chosen: weights.Weights): PrefixPiece[] {
+	const seed = hash.hash64(cacheSalt(prompt.account, chosen));
 	return prompt.homeKeys.map(homeKey => ({
-		key: formatHash(hash.h64(homeKey, seed)),
+		key: hash.hash64Hex(homeKey, seed),
 		tokens: prompt.pieceTokens,
 	}));
 }
@@ -89,7 +88,12 @@
  * It is no hash, so that a crafted collision of prompt texts stays within its account and weights.
  */
 export function cacheSalt(account: ids.AccountId, chosen: weights.Weights): string {
-	return JSON.stringify([account, weights.formatWeights(chosen)]);
+	return saltOfKey(account, weights.formatWeights(chosen));
+}
+
+/** Returns the same text for weights in text form. */
+export function saltOfKey(account: ids.AccountId, chosen: weights.WeightsKey): string {
+	return JSON.stringify([account, chosen]);
 }
 
 function formatHash(value: bigint): string {
--- a/packages/core/src/placement/bounded-rendezvous.ts
+++ b/packages/core/src/placement/bounded-rendezvous.ts
@@ -1,10 +1,21 @@
 import * as eligibility from './eligibility.js';
 import type * as homeRanker from './home-ranker.js';
 import * as leastLoad from './least-load.js';
+import * as nearEqual from './near-equal.js';
 import type * as placementPolicy from './placement-policy.js';
 import type * as placementRequest from './placement-request.js';
 import type * as placementView from './placement-view.js';
 
+/** Options of the policy. */
+export type BoundedRendezvousOptions = {
+	/** A home takes work up to this multiple of the mean load of the pool. */
+	readonly boundFactor: number;
+	/** Load per unit of capacity that counts as equal among several homes. */
+	readonly tolerance: number;
+	/** 32-bit seed that differs between routers. */
+	readonly seed: number;
+};
+
 /**
  * Takes homes by rendezvous, level by level: the homes of a deeper level are chosen among those of the level above,
  * so that prompts which share more go to fewer endpoints. A home above the load bound is passed over.
@@ -13,12 +24,16 @@
 	readonly #ranker: homeRanker.HomeRanker;
 	readonly #fallback: leastLoad.LeastLoad;
 	readonly #boundFactor: number;
+	readonly #tolerance: number;
+	readonly #seed: number;
+	#decisions = 0;
 
-	/** @param boundFactor - A home takes work up to this multiple of the mean load of the pool. */
-	constructor(ranker: homeRanker.HomeRanker, fallback: leastLoad.LeastLoad, boundFactor: number) {
+	constructor(ranker: homeRanker.HomeRanker, fallback: leastLoad.LeastLoad, options: BoundedRendezvousOptions) {
 		this.#ranker = ranker;
 		this.#fallback = fallback;
-		this.#boundFactor = boundFactor;
+		this.#boundFactor = options.boundFactor;
+		this.#tolerance = options.tolerance;
+		this.#seed = options.seed;
 	}
 
 	place(
@@ -27,16 +42,17 @@
 		now: number,
 	): placementRequest.Placement | undefined {
 		const eligible = eligibility.listEligible(request, view);
-		const firstKey = request.homeKeys[0];
-		if (firstKey === undefined || eligible.length === 0) {
+		if (request.homeKeys.length === 0 || eligible.length === 0) {
 			return this.#fallback.place(request, view);
 		}
 
 		const bound = loadBound(eligible, this.#boundFactor);
-		const homes = rankHomes(this.#ranker, eligible, homeLevels(request, view, now));
-		const chosen = homes.find(home => leastLoad.relativeLoad(home) <= bound)
-			?? this.#ranker.rank(firstKey, eligible, eligible.length).find(home => leastLoad.relativeLoad(home) <= bound)
-			?? homes[0]!;
+		const {homes, spill} = rankHomes(this.#ranker, eligible, homeLevels(request, view, now));
+		this.#decisions += 1;
+		const open = homes.filter(home => leastLoad.relativeLoad(home) <= bound);
+		const chosen = nearEqual.pickNearEqual(open, leastLoad.relativeLoad, this.#tolerance, this.#seed + this.#decisions)
+			?? spill.find(home => leastLoad.relativeLoad(home) <= bound)
+			?? this.#fallback.choose(eligible)!;
 		return eligibility.placeOn(chosen, request, eligibility.claimedTokens(chosen, view.hits(request)));
 	}
 }
@@ -59,18 +75,35 @@
 	});
 }
 
-/** Returns the homes of a prompt, best first: ranked by the deepest shared level within the homes of the levels above. */
+/** Endpoints of a prompt in order of preference. */
+export type RankedHomes = {
+	/** Homes of the deepest level, best first. */
+	readonly homes: readonly placementView.EndpointView[];
+	/** Where the prompt goes when its homes cannot take it: homes of the levels above first. */
+	readonly spill: readonly placementView.EndpointView[];
+};
+
+const spillLimit = 8;
+
+/**
+ * Ranks the endpoints of a prompt. Homes of a deeper level are chosen among those of the level above; what is left of
+ * the level above is where the prompt spills to first, in the order of the deeper level.
+ */
 export function rankHomes(
 	ranker: homeRanker.HomeRanker,
 	eligible: readonly placementView.EndpointView[],
 	levels: readonly HomeLevel[],
-): placementView.EndpointView[] {
-	let homes = [...eligible];
+): RankedHomes {
+	let homes = eligible;
+	let spill: readonly placementView.EndpointView[] = [];
 	for (const level of levels) {
-		homes = ranker.rank(level.key, homes, Math.min(homes.length, Math.max(1, level.homes)));
+		const count = Math.min(homes.length, Math.max(1, level.homes));
+		const ranked = ranker.rank(level.key, homes, Math.min(homes.length, count + spillLimit));
+		homes = ranked.slice(0, count);
+		spill = [...ranked.slice(count), ...spill].slice(0, spillLimit);
 	}
 
-	return homes;
+	return {homes, spill};
 }
 
 function loadBound(endpoints: readonly placementView.EndpointView[], factor: number): number {
--- a/packages/core/src/placement/create-placement-policy.ts
+++ b/packages/core/src/placement/create-placement-policy.ts
@@ -1,5 +1,5 @@
-import type * as hasher from '../cache/hasher.js';
 import * as boundedRendezvous from './bounded-rendezvous.js';
+import * as costBased from './cost-based.js';
 import * as homeRanker from './home-ranker.js';
 import * as leastLoad from './least-load.js';
 import type * as placementPolicy from './placement-policy.js';
@@ -12,17 +12,29 @@
 	LeastLoad = 'least_load',
 	RendezvousFirstLevel = 'rendezvous_first_level',
 	BoundedRendezvous = 'bounded_rendezvous',
+	CostBased = 'cost_based',
 }
 
 /** Options of all policies. */
 export type PlacementPolicyOptions = {
-	readonly hash: hasher.Hasher;
 	/** 32-bit seed that differs between routers. */
 	readonly seed: number;
 	/** Load per unit of capacity that counts as equal. Default 0.05. */
 	readonly loadTolerance?: number;
 	/** Multiple of the mean load up to which a home takes work. Default 1.5. */
 	readonly boundFactor?: number;
+	/** Weights of costs that differ from `defaultCostWeights`. */
+	readonly cost?: Partial<costBased.CostWeights>;
+};
+
+/** Weights of costs unless a deployment sets others. */
+export const defaultCostWeights: costBased.CostWeights = {
+	waste: 0.5,
+	stray: 1,
+	occupancyMs: 100,
+	doubt: 0.5,
+	importMsPerToken: 0,
+	toleranceMs: 5,
 };
 
 /** Creates the policy of a name. */
@@ -30,8 +42,9 @@
 	name: PlacementPolicyName,
 	options: PlacementPolicyOptions,
 ): placementPolicy.PlacementPolicy {
-	const fallback = new leastLoad.LeastLoad(options.seed, options.loadTolerance ?? 0.05);
-	const ranker = new homeRanker.HomeRanker(options.hash);
+	const tolerance = options.loadTolerance ?? 0.05;
+	const fallback = new leastLoad.LeastLoad(options.seed, tolerance);
+	const ranker = new homeRanker.HomeRanker();
 	switch (name) {
 		case PlacementPolicyName.RoundRobin: {
 			return new roundRobin.RoundRobin(options.seed);
@@ -46,7 +59,15 @@
 		}
 
 		case PlacementPolicyName.BoundedRendezvous: {
-			return new boundedRendezvous.BoundedRendezvous(ranker, fallback, options.boundFactor ?? 1.5);
+			return new boundedRendezvous.BoundedRendezvous(ranker, fallback, {
+				boundFactor: options.boundFactor ?? 1.5,
+				tolerance,
+				seed: options.seed,
+			});
+		}
+
+		case PlacementPolicyName.CostBased: {
+			return new costBased.CostBased(ranker, fallback, {...defaultCostWeights, ...options.cost}, options.seed);
 		}
 	}
 }
--- a/packages/core/src/placement/eligibility.ts
+++ b/packages/core/src/placement/eligibility.ts
@@ -44,7 +44,24 @@
 export function claimedTokens(
 	endpoint: placementView.EndpointView,
 	hits: readonly placementView.PrefixHit[],
+): number {
+	return likelyTokens(endpoint, hits, 0);
+}
+
+/**
+ * Returns the tokens of the prompt that an endpoint likely holds in its present incarnation.
+ *
+ * @param doubt - Part of the doubtful pieces that counts, 0 to 1.
+ */
+export function likelyTokens(
+	endpoint: placementView.EndpointView,
+	hits: readonly placementView.PrefixHit[],
+	doubt: number,
 ): number {
 	const hit = hits.find(candidate => candidate.endpoint === endpoint.endpoint);
-	return hit !== undefined && hit.incarnation === endpoint.incarnation ? hit.tokens : 0;
+	if (hit === undefined || hit.incarnation !== endpoint.incarnation) {
+		return 0;
+	}
+
+	return hit.tokens + ((hit.doubtfulTokens - hit.tokens) * doubt);
 }
--- a/packages/core/src/placement/home-ranker.ts
+++ b/packages/core/src/placement/home-ranker.ts
@@ -1,21 +1,18 @@
-import type * as hasher from '../cache/hasher.js';
+import * as hash from '../util/hash.js';
 import * as nearEqual from './near-equal.js';
 
+const maxNames = 16_384;
+
 /**
  * Ranks endpoints for a key by highest random weight, alike on all routers: when an endpoint goes, only its keys move.
  * Hashes of endpoint names are kept, so that ranking costs a few arithmetic steps an endpoint.
  */
 export class HomeRanker {
-	readonly #hash: hasher.Hasher;
 	readonly #nameHashes = new Map<string, number>();
 
-	constructor(hash: hasher.Hasher) {
-		this.#hash = hash;
-	}
-
 	/** Returns the `count` best endpoints for the key, best first. */
 	rank<T extends {readonly endpoint: string}>(key: string, endpoints: readonly T[], count: number): T[] {
-		const keyHash = this.#hash.h32(key);
+		const keyHash = hash.hash32(key);
 		const best: Array<{readonly endpoint: T; readonly weight: number}> = [];
 		for (const endpoint of endpoints) {
 			const weight = nearEqual.mix32(keyHash ^ this.#hashName(endpoint.endpoint)); // eslint-disable-line no-bitwise
@@ -31,7 +28,11 @@
 			return known;
 		}
 
-		const value = this.#hash.h32(name);
+		if (this.#nameHashes.size >= maxNames) {
+			this.#nameHashes.clear();
+		}
+
+		const value = hash.hash32(name);
 		this.#nameHashes.set(name, value);
 		return value;
 	}
--- a/packages/core/src/placement/least-load.ts
+++ b/packages/core/src/placement/least-load.ts
@@ -23,18 +23,22 @@
 		request: placementRequest.PlacementRequest,
 		view: placementView.PlacementView,
 	): placementRequest.Placement | undefined {
-		const candidates = eligibility.listEligible(request, view);
-		this.#decisions += 1;
-		const chosen = nearEqual.pickNearEqual(candidates, relativeLoad, this.#tolerance, this.#seed + this.#decisions);
+		const chosen = this.choose(eligibility.listEligible(request, view));
 		if (chosen === undefined) {
 			return undefined;
 		}
 
 		return eligibility.placeOn(chosen, request, eligibility.claimedTokens(chosen, view.hits(request)));
 	}
+
+	/** Returns the endpoint with the least load, or `undefined` when there are none. */
+	choose(candidates: readonly placementView.EndpointView[]): placementView.EndpointView | undefined {
+		this.#decisions += 1;
+		return nearEqual.pickNearEqual(candidates, relativeLoad, this.#tolerance, this.#seed + this.#decisions);
+	}
 }
 
 /** Returns the load of an endpoint for its capacity: 1 means that all slots are taken. */
 export function relativeLoad(endpoint: placementView.EndpointView): number {
-	return endpoint.load / Math.max(1, endpoint.capacity);
+	return endpoint.load / Math.max(0.1, endpoint.capacity);
 }
--- /dev/null
+++ b/packages/core/src/placement/load-view.ts
@@ -0,0 +1,177 @@
+import type * as endpointModel from '../model/endpoint.js';
+import type * as ids from '../model/ids.js';
+import * as endpointLoad from './endpoint-load.js';
+
+/** Options of the load view. */
+export type LoadViewOptions = Partial<endpointLoad.LoadOptions> & {
+	/** Prompt tokens a millisecond of an endpoint before any were measured. Default 10. */
+	readonly prefillTokensPerMs?: number;
+	/** Milliseconds that a request holds a slot before any were measured. Default 1000. */
+	readonly slotHoldMs?: number;
+};
+
+/** One own request in flight. */
+type Attempt = {
+	readonly endpoint: endpointLoad.EndpointLoad;
+	readonly at: number;
+	readonly missingTokens: number;
+	readonly queueMs: number;
+	firstTokenAt: number | undefined;
+};
+
+const smoothing = 0.05;
+const minMeasuredTokens = 1000;
+
+/** Loads of all endpoints as one router sees them: lagging reports, own dispatches since, and measured speeds. */
+export class LoadView {
+	readonly pool: endpointLoad.PoolEstimates;
+	readonly #endpoints = new Map<ids.EndpointId, endpointLoad.EndpointLoad>();
+	readonly #attempts = new Map<ids.AttemptId, Attempt>();
+	#byService = new Map<ids.ServiceId, readonly endpointLoad.EndpointLoad[]>();
+
+	constructor(options: LoadViewOptions = {}) {
+		this.pool = {
+			now: 0,
+			routers: 1,
+			prefillTokensPerMs: options.prefillTokensPerMs ?? 10,
+			slotHoldMs: options.slotHoldMs ?? 1000,
+			tokenMs: 0,
+			options: {
+				reportLagMs: options.reportLagMs ?? 300,
+				staleReportMs: options.staleReportMs ?? 3000,
+				peerFactor: options.peerFactor ?? 0.5,
+				slowRatio: options.slowRatio ?? 2.5,
+				slownessHalfLifeMs: options.slownessHalfLifeMs ?? 20_000,
+			},
+		};
+	}
+
+	/** Number of own requests in flight. */
+	get inFlight(): number {
+		return this.#attempts.size;
+	}
+
+	/** Moves the present time; estimates are made for it. */
+	advance(now: number): void {
+		this.pool.now = Math.max(now, this.pool.now);
+	}
+
+	/** Sets the number of live routers, this one included. */
+	setRouters(routers: number): void {
+		this.pool.routers = Math.max(1, routers);
+	}
+
+	/** Takes the endpoints of a manifest; what is known of those that stay is kept. */
+	setEndpoints(descriptions: readonly endpointModel.Endpoint[]): void {
+		const names = new Set(descriptions.map(description => description.id));
+		for (const name of this.#endpoints.keys()) {
+			if (!names.has(name)) {
+				this.#endpoints.delete(name);
+			}
+		}
+
+		for (const description of descriptions) {
+			this.#describe(description);
+		}
+
+		this.#byService = new Map();
+		for (const endpoint of this.#endpoints.values()) {
+			this.#byService.set(endpoint.service, [...(this.#byService.get(endpoint.service) ?? []), endpoint]);
+		}
+	}
+
+	/** Returns the endpoints of a service. */
+	endpointsOf(service: ids.ServiceId): readonly endpointLoad.EndpointLoad[] {
+		return this.#byService.get(service) ?? [];
+	}
+
+	/** Returns one endpoint. */
+	find(endpoint: ids.EndpointId): endpointLoad.EndpointLoad | undefined {
+		return this.#endpoints.get(endpoint);
+	}
+
+	/** Takes a load report. */
+	report(endpoint: ids.EndpointId, report: endpointLoad.ReceivedLoad, now: number): void {
+		this.advance(now);
+		this.#endpoints.get(endpoint)?.applyReport(report);
+	}
+
+	/**
+	 * Counts an own dispatch.
+	 *
+	 * @param missingTokens - Prompt tokens that the endpoint is expected to compute.
+	 */
+	dispatched(attempt: ids.AttemptId, endpointId: ids.EndpointId, missingTokens: number, now: number): void {
+		this.advance(now);
+		const endpoint = this.#endpoints.get(endpointId);
+		if (endpoint === undefined || this.#attempts.has(attempt)) {
+			return;
+		}
+
+		this.#attempts.set(attempt, {
+			endpoint, at: now, missingTokens, queueMs: endpoint.queueMs, firstTokenAt: undefined,
+		});
+		endpoint.change(1, missingTokens);
+	}
+
+	/** Counts the first token of an own request: its prompt is computed. */
+	firstToken(attemptId: ids.AttemptId, now: number): void {
+		this.advance(now);
+		const attempt = this.#attempts.get(attemptId);
+		if (attempt === undefined || attempt.firstTokenAt !== undefined) {
+			return;
+		}
+
+		attempt.firstTokenAt = now;
+		attempt.endpoint.change(0, -attempt.missingTokens);
+		this.#measurePrefill(attempt, now - attempt.at);
+	}
+
+	/**
+	 * Counts the end of an own request, whatever its outcome.
+	 *
+	 * @param tokens - Generated tokens; 0 when it failed or the endpoint is a plain service.
+	 */
+	finished(attemptId: ids.AttemptId, tokens: number, now: number): void {
+		this.advance(now);
+		const attempt = this.#attempts.get(attemptId);
+		if (attempt === undefined) {
+			return;
+		}
+
+		this.#attempts.delete(attemptId);
+		attempt.endpoint.change(-1, attempt.firstTokenAt === undefined ? -attempt.missingTokens : 0);
+		if (attempt.firstTokenAt !== undefined && tokens > 1) {
+			this.#measureDecode(attempt, tokens, now);
+		}
+	}
+
+	#describe(description: endpointModel.Endpoint): void {
+		const known = this.#endpoints.get(description.id);
+		if (known?.service === description.service && known.dataCentre === description.dataCentre) {
+			known.describe(description);
+			return;
+		}
+
+		this.#endpoints.set(description.id, new endpointLoad.EndpointLoad(description, this.pool));
+	}
+
+	#measurePrefill(attempt: Attempt, firstTokenMs: number): void {
+		const isMeasurable = attempt.missingTokens >= minMeasuredTokens && attempt.queueMs < firstTokenMs / 4;
+		if (isMeasurable && attempt.endpoint.slowness === 1) {
+			const rate = attempt.missingTokens / Math.max(1, firstTokenMs - attempt.queueMs);
+			this.pool.prefillTokensPerMs += (rate - this.pool.prefillTokensPerMs) * smoothing;
+		}
+	}
+
+	#measureDecode(attempt: Attempt, tokens: number, now: number): void {
+		attempt.endpoint.measureTokenMs((now - attempt.firstTokenAt!) / (tokens - 1));
+		const holdMs = Math.max(1, now - attempt.at - attempt.queueMs);
+		this.pool.slotHoldMs += (holdMs - this.pool.slotHoldMs) * smoothing;
+		const measured = this.endpointsOf(attempt.endpoint.service)
+			.map(endpoint => endpoint.tokenMs)
+			.filter(tokenMs => tokenMs !== undefined)
+			.sort((left, right) => left - right);
+		this.pool.tokenMs = measured[Math.floor(measured.length / 2)] ?? 0;
+	}
+}
--- /dev/null
+++ b/packages/core/src/placement/placement-state.ts
@@ -0,0 +1,89 @@
+import * as cachePicture from '../cache/cache-picture.js';
+import * as hotPrefixes from '../cache/hot-prefixes.js';
+import * as prefixKeys from '../cache/prefix-keys.js';
+import type * as weightsModel from '../model/weights.js';
+import type * as endpointLoad from './endpoint-load.js';
+import * as loadView from './load-view.js';
+import type * as placementPolicy from './placement-policy.js';
+import type * as placementRequest from './placement-request.js';
+import type * as placementView from './placement-view.js';
+
+/** Options of the placement facade. */
+export type PlacementStateOptions = {
+	readonly policy: placementPolicy.PlacementPolicy;
+	readonly load?: loadView.LoadViewOptions;
+	readonly picture?: cachePicture.CachePictureOptions;
+	readonly hot?: hotPrefixes.HotPrefixOptions;
+	/** Leading pieces of a prompt that the store of kept KV cache holds. Default: none. */
+	readonly countKept?: (pieces: readonly prefixKeys.PrefixPiece[]) => number;
+};
+
+/** What an answer shows of its engine's cache. */
+export type AnswerOutcome = {
+	readonly request: placementRequest.PlacementRequest;
+	readonly endpoint: string;
+	readonly incarnation: string;
+	readonly cachedTokens: number;
+};
+
+/** All that one router decides placements by: the policy, the loads, the picture of the caches and the rates of prefixes. */
+export class PlacementState {
+	readonly loads: loadView.LoadView;
+	readonly picture: cachePicture.CachePicture;
+	readonly hot: hotPrefixes.HotPrefixes;
+	readonly #policy: placementPolicy.PlacementPolicy;
+	readonly #countKept: (pieces: readonly prefixKeys.PrefixPiece[]) => number;
+
+	constructor(options: PlacementStateOptions) {
+		this.#policy = options.policy;
+		this.loads = new loadView.LoadView(options.load);
+		this.picture = new cachePicture.CachePicture(options.picture);
+		this.hot = new hotPrefixes.HotPrefixes(options.hot);
+		this.#countKept = options.countKept ?? (() => 0);
+	}
+
+	/** Counts a request of a caller for the rates of its prefix; called once a request, not once an attempt. */
+	arrived(request: placementRequest.PlacementRequest, now: number): void {
+		this.hot.record(request.homeKeys, now);
+	}
+
+	/** Takes the load report that an endpoint gives of itself. */
+	reported(endpoint: string, report: endpointLoad.ReceivedLoad, now: number): void {
+		if (this.picture.observeIncarnation(endpoint, report.incarnation)) {
+			this.loads.report(endpoint, report, now);
+		}
+	}
+
+	/** Chooses the endpoint of a request. */
+	place(request: placementRequest.PlacementRequest, now: number): placementRequest.Placement | undefined {
+		this.loads.advance(now);
+		return this.#policy.place(request, this.viewOf(request.service), now);
+	}
+
+	/** Corrects the picture by an answer. */
+	answered(outcome: AnswerOutcome): void {
+		this.picture.applyAnswer({
+			endpoint: outcome.endpoint,
+			incarnation: outcome.incarnation,
+			salt: saltOf(outcome.request),
+			pieces: outcome.request.pieces,
+			cachedTokens: outcome.cachedTokens,
+		});
+	}
+
+	/** Returns what a policy sees of a service. */
+	viewOf(service: string): placementView.PlacementView {
+		const endpoints = this.loads.endpointsOf(service);
+		return {
+			endpoints,
+			hits: request => this.picture.lookup(saltOf(request), request.pieces),
+			keptTokens: request => this.#countKept(request.pieces),
+			homeCount: (homeKey, at) => this.hot.homeCount(homeKey, endpoints.length, at),
+			levels: (homeKeys, at) => this.hot.levels(homeKeys, at),
+		};
+	}
+}
+
+function saltOf(request: placementRequest.PlacementRequest): weightsModel.WeightsKey {
+	return prefixKeys.saltOfKey(request.account, request.weights ?? '');
+}
--- a/packages/core/src/placement/placement-view.ts
+++ b/packages/core/src/placement/placement-view.ts
@@ -34,7 +34,10 @@
 export type PrefixHit = {
 	readonly endpoint: ids.EndpointId;
 	readonly incarnation: ids.Incarnation;
+	/** Leading tokens that are confirmed. */
 	readonly tokens: number;
+	/** Leading tokens when pieces that a gap of events made doubtful count too. */
+	readonly doubtfulTokens: number;
 };
 
 /** What a policy may know at the time of a decision. */
@@ -47,6 +50,6 @@
 	keptTokens(request: placementRequest.PlacementRequest): number;
 	/** Number of homes that a level of the prefix gets, at least 1. */
 	homeCount(homeKey: string, now: number): number;
-	/** Indexes into `homeKeys` that end a shared level, first level first; empty when there is no whole piece. */
+	/** Indexes into `homeKeys` that begin a level, first level first; empty when there is no whole piece. */
 	levels(homeKeys: readonly string[], now: number): readonly number[];
 };
--- a/packages/core/src/util/hash.ts
+++ b/packages/core/src/util/hash.ts
@@ -11,3 +11,8 @@
 export function hash64Hex(text: string, seed = 0n): string {
 	return xxhash.h64ToString(text, seed);
 }
+
+/** Returns the 64-bit xxhash of a text. */
+export function hash64(text: string, seed = 0n): bigint {
+	return xxhash.h64(text, seed);
+}
--- /dev/null
+++ b/packages/core/tests/cache/cache-picture.test.ts
@@ -0,0 +1,111 @@
+import * as chai from 'chai';
+import * as fc from 'fast-check';
+import * as core from '@bluebellmast/core';
+
+const {expect} = chai;
+const {cacheChange, outcome} = {cacheChange: core.cache.CacheChange, outcome: core.cache.CacheEventOutcome};
+const seed = 20_261_203;
+const salts = ['["a","m@1"]', '["b","m@1"]', '["a","m@2"]'];
+
+function pieces(...keys: string[]): core.cache.PrefixPiece[] {
+	return keys.map(key => ({key, tokens: 10}));
+}
+
+/** One thing that happens to an engine or its picture; events reach the picture late and some never. */
+const step = fc.record({
+	engine: fc.nat(2),
+	action: fc.constantFrom('store', 'evict', 'clear', 'crash', 'observe', 'answer', 'late_answer'),
+	salt: fc.nat(2),
+	key: fc.nat(5),
+	isLost: fc.boolean(),
+	delay: fc.nat(6),
+});
+
+describe('cache picture', () => {
+	it('never claims a hit of a dead incarnation, another account or other weights', () => {
+		fc.assert(fc.property(fc.array(step, {maxLength: 80}), steps => {
+			const picture = new core.cache.CachePicture({maxBytes: 4000});
+			const engines = [0, 1, 2].map(name => ({name: `e${name}`, incarnation: 0, sequence: 0}));
+			const late: Array<{due: number; deliver: () => void}> = [];
+			const seen = new Map<string, number>();
+			for (const [index, {engine: number, action, salt, key, isLost, delay}] of steps.entries()) {
+				const engine = engines[number]!;
+				const name = `k${key}`;
+				if (action === 'crash') {
+					engine.incarnation += 1;
+					engine.sequence = 0;
+				} else if (action === 'observe') {
+					picture.observeIncarnation(engine.name, `${engine.incarnation}`);
+					seen.set(engine.name, engine.incarnation);
+				} else if (action.endsWith('answer')) {
+					const incarnation = Math.max(0, engine.incarnation - (action === 'late_answer' ? 1 : 0));
+					picture.applyAnswer({
+						endpoint: engine.name, incarnation: `${incarnation}`, salt: salts[salt]!, pieces: pieces(name), cachedTokens: 0,
+					});
+				} else {
+					engine.sequence += 1;
+					const {incarnation, sequence} = engine;
+					const change = action === 'store' ? cacheChange.Stored : (action === 'evict' ? cacheChange.Evicted : cacheChange.Cleared);
+					if (!isLost) {
+						late.push({
+							due: index + delay, deliver() {
+								picture.applyEvent(engine.name, {
+									incarnation: `${incarnation}`, sequence, change, key: name,
+								});
+							},
+						});
+					}
+				}
+
+				for (const event of late.filter(entry => entry.due === index)) {
+					event.deliver();
+				}
+
+				for (const asked of salts) {
+					for (const hit of picture.lookup(asked, pieces(name))) {
+						expect(hit.incarnation).to.equal(`${seen.get(hit.endpoint)}`);
+						expect(hit.tokens).to.be.at.most(hit.doubtfulTokens);
+					}
+				}
+
+				const claims = salts.filter(asked => picture.lookup(asked, pieces(name)).length > 0);
+				expect(claims.length).to.be.at.most(1);
+				expect(picture.bytes).to.be.at.most(4000);
+			}
+		}), {seed, numRuns: 500});
+	});
+
+	it('follows events and makes what a gap covers doubtful until it is confirmed', () => {
+		const picture = new core.cache.CachePicture();
+		picture.observeIncarnation('e', 'i');
+		const event = {incarnation: 'i', change: cacheChange.Stored};
+		expect(picture.applyEvent('e', {...event, sequence: 1, key: 'k1'})).to.equal(outcome.Applied);
+		expect(picture.applyEvent('e', {...event, sequence: 2, key: 'k2'})).to.equal(outcome.Applied);
+		expect(picture.lookup('s', pieces('k1', 'k2', 'k3'))).to.deep.equal([{
+			endpoint: 'e', incarnation: 'i', tokens: 20, doubtfulTokens: 20,
+		}]);
+		expect(picture.applyEvent('e', {...event, sequence: 4, key: 'k3'})).to.equal(outcome.AppliedAfterGap);
+		expect(picture.lookup('s', pieces('k1', 'k2'))[0]).to.include({tokens: 0, doubtfulTokens: 20});
+		expect(picture.applyEvent('e', {...event, sequence: 4, key: 'k1'})).to.equal(outcome.Ignored);
+		picture.applyAnswer({
+			endpoint: 'e', incarnation: 'i', salt: 's', pieces: pieces('k1'), cachedTokens: 10,
+		});
+		expect(picture.lookup('s', pieces('k1', 'k2'))[0]).to.include({tokens: 10, doubtfulTokens: 20});
+		picture.applyEvent('e', {
+			incarnation: 'i', sequence: 5, change: cacheChange.Evicted, key: 'k1',
+		});
+		expect(picture.lookup('s', pieces('k1', 'k2'))).to.deep.equal([]);
+	});
+
+	it('replaces a digest by the next and never revives a dead incarnation', () => {
+		const picture = new core.cache.CachePicture();
+		picture.observeIncarnation('e', 'i');
+		picture.applyDigest('e', 'i', ['k1', 'k2']);
+		picture.applyDigest('e', 'i', ['k2']);
+		expect([picture.holds('e', 'k1'), picture.holds('e', 'k2')]).to.deep.equal([false, true]);
+		picture.observeIncarnation('e', 'j');
+		picture.applyDigest('e', 'i', ['k1']);
+		expect(picture.lookup('s', pieces('k1'))).to.deep.equal([]);
+		expect(picture.observeIncarnation('e', 'i')).to.equal(false);
+	});
+});
--- a/packages/core/tests/cache/prefix-keys.test.ts
+++ b/packages/core/tests/cache/prefix-keys.test.ts
@@ -10,12 +10,10 @@
 	return [{role: 'user', content: text}];
 }
 
-const hash = await core.cache.createHasher();
-
 describe('prefix keys', () => {
 	it('gives equal keys to the shared beginning only', () => {
-		const left = core.cache.splitPrompt(hash, scope, messages('a'.repeat(55) + 'x'.repeat(30)), options);
-		const right = core.cache.splitPrompt(hash, scope, messages('a'.repeat(55) + 'y'.repeat(30)), options);
+		const left = core.cache.splitPrompt(scope, messages('a'.repeat(55) + 'x'.repeat(30)), options);
+		const right = core.cache.splitPrompt(scope, messages('a'.repeat(55) + 'y'.repeat(30)), options);
 		expect(left.homeKeys).to.have.length(4);
 		expect(left.homeKeys.slice(0, 3)).to.deep.equal(right.homeKeys.slice(0, 3));
 		expect(left.homeKeys[3]).to.not.equal(right.homeKeys[3]);
@@ -30,8 +28,8 @@
 	for (const other of others) {
 		it(`gives other keys to another ${other.title}`, () => {
 			const text = messages('a'.repeat(90));
-			const mine = core.cache.bindPrefix(hash, core.cache.splitPrompt(hash, scope, text, options), weights);
-			const theirs = core.cache.bindPrefix(hash, core.cache.splitPrompt(hash, other.scope, text, options), other.weights);
+			const mine = core.cache.bindPrefix(core.cache.splitPrompt(scope, text, options), weights);
+			const theirs = core.cache.bindPrefix(core.cache.splitPrompt(other.scope, text, options), other.weights);
 			const keys = new Set([...mine, ...theirs].map(piece => piece.key));
 			expect(keys.size).to.equal(mine.length * 2);
 			expect(core.cache.cacheSalt(other.scope.account, other.weights)).to.not.equal(core.cache.cacheSalt('federation', weights));
@@ -39,8 +37,8 @@
 	}
 
 	it('keeps homes over versions', () => {
-		const prompt = core.cache.splitPrompt(hash, scope, messages('a'.repeat(90)), options);
-		const again = core.cache.splitPrompt(hash, scope, messages('a'.repeat(90)), options);
+		const prompt = core.cache.splitPrompt(scope, messages('a'.repeat(90)), options);
+		const again = core.cache.splitPrompt(scope, messages('a'.repeat(90)), options);
 		expect(prompt.homeKeys).to.deep.equal(again.homeKeys);
 	});
 });
