Decide the ledger of intents in core

Shards as plain data with a size bound, proposals and settlements as pure functions, one call in flight per shard with reading back after an unknown outcome, hand-over to the shard's writer with the router's own commit as fallback.

--- a/packages/core/src/ledger/index.ts
+++ b/packages/core/src/ledger/index.ts
@@ -1,1 +1,13 @@
-export {};
+export * from './ledger-entry.js';
+export * from './ledger-shard.js';
+export * from './ledger-terms.js';
+export * from './ledger-verdict.js';
+export * from './propose-intents.js';
+export * from './settle-intent.js';
+export * from './shard-of.js';
+export * from './intent-machine.js';
+export * from './ledger-event.js';
+export * from './ledger-node.js';
+export * from './ledger-step.js';
+export * from './shard-operation.js';
+export * from './shard-writer.js';
--- /dev/null
+++ b/packages/core/src/ledger/shard-operation.ts
@@ -0,0 +1,38 @@
+import type * as model from '../model/index.js';
+import type * as ledgerEntry from './ledger-entry.js';
+
+/** What an operation does to a shard. */
+export enum OperationType {
+	Propose = 'propose',
+	Settle = 'settle',
+}
+
+/** Records an intent. */
+export type ProposeOperation = {
+	readonly type: OperationType.Propose;
+	readonly intent: ledgerEntry.Intent;
+	/** Router that asked and gets the verdict. */
+	readonly origin: model.VmId;
+	/** When it was queued, by the clock of the deciding router. */
+	readonly queuedAt: number;
+	/** When it is dropped unanswered. */
+	readonly waitUntil: number;
+	/** Whether a write that contains it had an unknown outcome. */
+	readonly maybeWritten: boolean;
+};
+
+/** Records how an attempt came out. */
+export type SettleOperation = {
+	readonly type: OperationType.Settle;
+	readonly settlement: ledgerEntry.Settlement;
+	readonly origin: model.VmId;
+	readonly queuedAt: number;
+};
+
+/** A change that waits to be committed to a shard. */
+export type ShardOperation = ProposeOperation | SettleOperation;
+
+/** Returns the attempt that an operation is about. */
+export function attemptOf(operation: ShardOperation): model.AttemptId {
+	return operation.type === OperationType.Propose ? operation.intent.attempt : operation.settlement.intent.attempt;
+}
--- /dev/null
+++ b/packages/core/src/ledger/shard-writer.ts
@@ -0,0 +1,313 @@
+import type * as model from '../model/index.js';
+import * as util from '../util/index.js';
+import * as ledgerShard from './ledger-shard.js';
+import type * as ledgerTerms from './ledger-terms.js';
+import * as ledgerVerdict from './ledger-verdict.js';
+import * as proposeIntents from './propose-intents.js';
+import * as settleIntent from './settle-intent.js';
+import * as shardOf from './shard-of.js';
+import * as shardOperation from './shard-operation.js';
+
+/** A shard as it was read or written, with its revision. */
+export type KnownShard = {
+	readonly shard: ledgerShard.LedgerShard;
+	/** 0 when nothing stands under the key. */
+	readonly revision: number;
+	/** When the call that showed it began. */
+	readonly seenAt: number;
+};
+
+/** What a call to the key-value service does. */
+export enum ShardCallType {
+	Read = 'read',
+	Swap = 'swap',
+}
+
+/** A call that is under way; a shard has one at most. */
+export type ShardCall = {
+	readonly id: number;
+	readonly type: ShardCallType;
+	readonly beganAt: number;
+	/** Operations of a swap, with the proposal that it writes. */
+	readonly operations: readonly shardOperation.ShardOperation[];
+	readonly proposal?: proposeIntents.ShardProposal;
+};
+
+/** One router's work on one shard. */
+export type ShardWriter = {
+	readonly index: number;
+	readonly known?: KnownShard;
+	readonly queue: readonly shardOperation.ShardOperation[];
+	readonly call?: ShardCall;
+	/** Earliest time of the next commit. */
+	readonly commitAt: number;
+	/** Earliest time of the next call after failures. */
+	readonly retryAt: number;
+	/** Failed calls in a row. */
+	readonly failures: number;
+	readonly nextCallId: number;
+};
+
+/** Type of an effect of a shard's writer. */
+export enum ShardEffectType {
+	Read = 'read',
+	Swap = 'swap',
+	Answer = 'answer',
+}
+
+/** What the router carries out for a shard. */
+export type ShardEffect =
+	| {readonly type: ShardEffectType.Read; readonly shard: number; readonly callId: number}
+	| {
+		readonly type: ShardEffectType.Swap;
+		readonly shard: number;
+		readonly callId: number;
+		readonly expectedRevision: number;
+		readonly value: ledgerShard.LedgerShard;
+	}
+	| {
+		readonly type: ShardEffectType.Answer;
+		readonly operation: shardOperation.ShardOperation;
+		readonly verdict: ledgerVerdict.LedgerVerdict;
+	};
+
+/** Result of a call. */
+export enum ShardCallResult {
+	/** A read gave the shard, or a swap found another revision and gave what stands. */
+	Seen = 'seen',
+	/** A swap was written. */
+	Swapped = 'swapped',
+	/** The call had no effect. */
+	NoEffect = 'no_effect',
+	/** A swap may or may not have been written, now or later. */
+	Unknown = 'unknown',
+}
+
+/** The end of a call. */
+export type ShardCallEnd =
+	| {
+		readonly result: ShardCallResult.Seen;
+		readonly callId: number;
+		readonly shard: ledgerShard.LedgerShard;
+		readonly revision: number;
+	}
+	| {readonly result: ShardCallResult.Swapped; readonly callId: number; readonly revision: number}
+	| {readonly result: ShardCallResult.NoEffect | ShardCallResult.Unknown; readonly callId: number};
+
+type ShardStep = util.Step<ShardWriter, ShardEffect>;
+
+/** Operations with the proposal that carries them out. */
+type Batch = {
+	readonly operations: readonly shardOperation.ShardOperation[];
+	readonly proposal: proposeIntents.ShardProposal;
+};
+
+/** Creates the work on a shard that was not seen yet. */
+export function createShardWriter(index: number): ShardWriter {
+	return {
+		index, queue: [], commitAt: 0, retryAt: 0, failures: 0, nextCallId: 1,
+	};
+}
+
+/** Queues an operation; the caller has checked the queue's bound. */
+export function queueOperation(writer: ShardWriter, operation: shardOperation.ShardOperation): ShardWriter {
+	return {...writer, queue: [...writer.queue, operation]};
+}
+
+/** Takes an intent that is given up out of the queue. Returns whether it can still come to stand by a write of this router. */
+export function dropIntent(
+	writer: ShardWriter,
+	attempt: model.AttemptId,
+): {readonly writer: ShardWriter; readonly mayStand: boolean} {
+	const isIntent = (operation: shardOperation.ShardOperation) =>
+		operation.type === shardOperation.OperationType.Propose && operation.intent.attempt === attempt;
+	const dropped = writer.queue.filter(operation => isIntent(operation));
+	const mayStand = writer.call?.operations.some(operation => isIntent(operation)) === true
+		|| dropped.some(operation => operation.type === shardOperation.OperationType.Propose && operation.maybeWritten);
+	return {writer: {...writer, queue: writer.queue.filter(operation => !isIntent(operation))}, mayStand};
+}
+
+/** An intent that may stand is kept until it is withdrawn. */
+function isWaiting(operation: shardOperation.ShardOperation, now: number): boolean {
+	return operation.type === shardOperation.OperationType.Settle || operation.maybeWritten || operation.waitUntil > now;
+}
+
+/** Returns when the queue is to be worked on; `undefined` when it is empty or a call is under way. */
+export function wakeTimeOf(writer: ShardWriter, rules: proposeIntents.LedgerRules): number | undefined {
+	if (writer.call !== undefined || writer.queue.length === 0) {
+		return undefined;
+	}
+
+	const dueTimes = writer.queue.map(operation => operation.type === shardOperation.OperationType.Propose
+		? operation.queuedAt
+		: operation.queuedAt + rules.terms.settleDelayMs);
+	return Math.max(Math.min(...dueTimes), writer.commitAt, writer.retryAt);
+}
+
+function applyOperations(
+	known: KnownShard,
+	operations: readonly shardOperation.ShardOperation[],
+	now: number,
+	rules: proposeIntents.LedgerRules,
+): proposeIntents.ShardProposal {
+	const draft = ledgerShard.draftOf(known.shard);
+	ledgerShard.dropExpired(draft, now, rules.terms);
+	const verdicts = operations.map(operation => operation.type === shardOperation.OperationType.Propose
+		? proposeIntents.proposeIntent(draft, operation.intent, rules)
+		: settleIntent.settleIntent(draft, operation.settlement, now, rules.terms));
+	return {shard: ledgerShard.shardOfDraft(draft, rules.terms), changed: draft.changed, verdicts};
+}
+
+function answersOf(
+	operations: readonly shardOperation.ShardOperation[],
+	proposal: proposeIntents.ShardProposal,
+): ShardEffect[] {
+	return operations.map((operation, index) => ({
+		type: ShardEffectType.Answer, operation, verdict: proposal.verdicts[index]!,
+	}));
+}
+
+/** Returns whether a verdict that can change was made from a shard seen before its operation was queued. */
+function needsRead(
+	known: KnownShard,
+	operations: readonly shardOperation.ShardOperation[],
+	proposal: proposeIntents.ShardProposal,
+): boolean {
+	return operations.some((operation, index) =>
+		!ledgerVerdict.isFinal(proposal.verdicts[index]!.type) && known.seenAt < operation.queuedAt);
+}
+
+function beginRead(writer: ShardWriter, now: number): ShardStep {
+	const id = writer.nextCallId;
+	const call = {
+		id, type: ShardCallType.Read, beganAt: now, operations: [],
+	};
+	return {
+		state: {...writer, call, nextCallId: id + 1},
+		effects: [{type: ShardEffectType.Read, shard: writer.index, callId: id}],
+	};
+}
+
+function beginSwap(
+	writer: ShardWriter,
+	batch: Batch,
+	now: number,
+	terms: ledgerTerms.LedgerTerms,
+): ShardStep {
+	const {operations, proposal} = batch;
+	const id = writer.nextCallId;
+	const call = {
+		id, type: ShardCallType.Swap, beganAt: now, operations, proposal,
+	};
+	const state = {
+		...writer,
+		call,
+		nextCallId: id + 1,
+		queue: writer.queue.slice(operations.length),
+		commitAt: now + terms.commitIntervalMs,
+	};
+	return {
+		state,
+		effects: [{
+			type: ShardEffectType.Swap,
+			shard: writer.index,
+			callId: id,
+			expectedRevision: writer.known!.revision,
+			value: proposal.shard,
+		}],
+	};
+}
+
+/** Begins the next call where the queue is due and none is under way. */
+export function advanceShard(
+	idle: ShardWriter,
+	now: number,
+	rules: proposeIntents.LedgerRules,
+): ShardStep {
+	const writer = idle.call === undefined
+		? {...idle, queue: idle.queue.filter(operation => isWaiting(operation, now))}
+		: idle;
+	const wakeAt = wakeTimeOf(writer, rules);
+	if (wakeAt === undefined || wakeAt > now) {
+		return {state: writer, effects: []};
+	}
+
+	if (writer.known === undefined) {
+		return beginRead(writer, now);
+	}
+
+	const operations = writer.queue.slice(0, rules.terms.maxBatch);
+	const proposal = applyOperations(writer.known, operations, now, rules);
+	if (needsRead(writer.known, operations, proposal)) {
+		return beginRead(writer, now);
+	}
+
+	if (proposal.changed) {
+		return beginSwap(writer, {operations, proposal}, now, rules.terms);
+	}
+
+	const answered = advanceShard({...writer, queue: writer.queue.slice(operations.length)}, now, rules);
+	return {state: answered.state, effects: [...answersOf(operations, proposal), ...answered.effects]};
+}
+
+function markMaybeWritten(operation: shardOperation.ShardOperation): shardOperation.ShardOperation {
+	return operation.type === shardOperation.OperationType.Propose ? {...operation, maybeWritten: true} : operation;
+}
+
+function failCall(
+	writer: ShardWriter & {readonly call: ShardCall},
+	isUnknown: boolean,
+	now: number,
+	terms: ledgerTerms.LedgerTerms,
+): ShardWriter {
+	const {call} = writer;
+	const {retryDelayMs, maxRetryDelayMs} = terms;
+	const operations = isUnknown ? call.operations.map(operation => markMaybeWritten(operation)) : call.operations;
+	const delayMs = Math.min(maxRetryDelayMs, retryDelayMs * (2 ** Math.min(writer.failures, 16)));
+	const share = shardOf.shareOf(`${writer.index}/${call.id}/${now}`);
+	return {
+		...writer,
+		call: undefined,
+		// After an unknown outcome the shard is read again, and the next swap makes the earlier one impossible.
+		known: isUnknown ? undefined : writer.known,
+		queue: [...operations, ...writer.queue],
+		failures: writer.failures + 1,
+		retryAt: now + (delayMs * (0.5 + (share / 2))),
+	};
+}
+
+/** Takes the end of the call that is under way. */
+export function endShardCall(
+	writer: ShardWriter,
+	end: ShardCallEnd,
+	now: number,
+	rules: proposeIntents.LedgerRules,
+): ShardStep {
+	const {call} = writer;
+	util.assertInvariant(call?.id === end.callId, 'ledger.one-call', () => `call ${end.callId} ended while ${call?.id} is under way`);
+	switch (end.result) {
+		case ShardCallResult.Swapped: {
+			const {proposal} = call;
+			util.assertInvariant(proposal !== undefined, 'ledger.swap-has-proposal', () => `read ${call.id} ended as a swap`);
+			const known = {shard: proposal.shard, revision: end.revision, seenAt: call.beganAt};
+			const next = advanceShard({
+				...writer, call: undefined, known, failures: 0,
+			}, now, rules);
+			return {state: next.state, effects: [...answersOf(call.operations, proposal), ...next.effects]};
+		}
+
+		case ShardCallResult.Seen: {
+			const known = {shard: end.shard, revision: end.revision, seenAt: call.beganAt};
+			const queue = [...call.operations, ...writer.queue];
+			return advanceShard({
+				...writer, call: undefined, known, queue, failures: 0, commitAt: now,
+			}, now, rules);
+		}
+
+		case ShardCallResult.NoEffect:
+		case ShardCallResult.Unknown: {
+			const isUnknown = end.result === ShardCallResult.Unknown;
+			return advanceShard(failCall({...writer, call}, isUnknown, now, rules.terms), now, rules);
+		}
+	}
+}
