Add the load tool

Open-loop arrivals with nested prefixes and shifting hot spots; each answer is checked token by token, and the result accounts for every request.

--- a/packages/platform/src/kv/etcd-client.ts
+++ b/packages/platform/src/kv/etcd-client.ts
@@ -1,4 +1,4 @@
-/* eslint-disable new-cap -- Constructors of purify are functions. */
+
 /* eslint-disable @typescript-eslint/naming-convention -- Field names of the protocol. */
 import * as purify from 'purify-ts';
 import * as etcdProtocol from './etcd-protocol.js';
--- a/packages/platform/src/kv/etcd-transport.ts
+++ b/packages/platform/src/kv/etcd-transport.ts
@@ -1,4 +1,4 @@
-/* eslint-disable new-cap -- Constructors of purify are functions. */
+
 import * as purify from 'purify-ts';
 import * as undici from 'undici';
 import * as etcdProtocol from './etcd-protocol.js';
--- /dev/null
+++ b/packages/stand-ins/src/load/caller.ts
@@ -0,0 +1,138 @@
+import * as wire from '@bluebellmast/wire';
+import * as eventsourceParser from 'eventsource-parser';
+import * as undici from 'undici';
+import * as engine from '../engine/index.js';
+import type * as plainService from '../plain-service/index.js';
+import * as answerChecker from './answer-checker.js';
+import * as callOutcome from './call-outcome.js';
+import type * as loadOptions from './load-options.js';
+
+/** A question. */
+export type Question = {
+	readonly target: string;
+	readonly account: loadOptions.LoadAccount;
+	readonly messages: readonly wire.endpoint.ChatMessage[];
+	readonly stream: boolean;
+	/** Called at each token of a stream. */
+	readonly onToken: () => void;
+};
+
+/** A booking. */
+export type Booking = {
+	readonly target: string;
+	readonly account: loadOptions.LoadAccount;
+	readonly service: string;
+	readonly key: string;
+	readonly order: string;
+};
+
+/** Milliseconds beyond the deadline after which a caller gives up on an answer. */
+const graceMs = 5000;
+
+/** Sends requests to routers and checks the answers. */
+export class Caller {
+	constructor(private readonly settings: loadOptions.LoadSettings, private readonly agent: undici.Dispatcher) {}
+
+	/** Asks a question. */
+	async ask(question: Question): Promise<callOutcome.CallOutcome> {
+		const {messages, stream, account} = question;
+		const expected = engine.expectedAnswer(account.id, messages, this.settings.maxTokens);
+		const body = {
+			model: this.settings.model,
+			messages,
+			stream,
+			max_tokens: this.settings.maxTokens, // eslint-disable-line @typescript-eslint/naming-convention
+		};
+		try {
+			const res = await this.#post(`${question.target}/v1/chat/completions`, account, body);
+			if (res.statusCode !== 200) {
+				return callOutcome.outcomeOfRefusal(res.statusCode, await res.body.text());
+			}
+
+			return stream ? await readStream(res, expected, question.onToken) : await readWhole(res, expected);
+		} catch (err) {
+			return {outcome: callOutcome.Outcome.Lost, detail: String(err)};
+		}
+	}
+
+	/** Makes a booking. */
+	async book(booking: Booking): Promise<callOutcome.CallOutcome> {
+		try {
+			const url = `${booking.target}/v1/services/${booking.service}/bookings`;
+			const headers = {[wire.http.HeaderName.IdempotencyKey]: booking.key};
+			const res = await this.#post(url, booking.account, {order: booking.order}, headers);
+			const text = await res.body.text();
+			return res.statusCode === 200 ? checkBooking(booking, text) : callOutcome.outcomeOfRefusal(res.statusCode, text);
+		} catch (err) {
+			return {outcome: callOutcome.Outcome.Lost, detail: String(err)};
+		}
+	}
+
+	async #post(
+		url: string,
+		account: loadOptions.LoadAccount,
+		body: unknown,
+		headers: Readonly<Record<string, string>> = {},
+	): Promise<undici.Dispatcher.ResponseData> {
+		return undici.request(url, {
+			method: 'POST',
+			dispatcher: this.agent,
+			signal: AbortSignal.timeout(this.settings.deadlineMs + graceMs),
+			headers: {
+				'content-type': wire.http.MediaType.Json,
+				[wire.http.HeaderName.Authorization]: `Bearer ${account.key}`,
+				[wire.http.HeaderName.DeadlineMs]: String(this.settings.deadlineMs),
+				...headers,
+			},
+			body: JSON.stringify(body),
+		});
+	}
+}
+
+async function readStream(
+	res: undici.Dispatcher.ResponseData,
+	expected: engine.ExpectedAnswer,
+	onToken: () => void,
+): Promise<callOutcome.CallOutcome> {
+	const checker = new answerChecker.AnswerChecker(expected);
+	const parser = eventsourceParser.createParser({
+		onEvent(event) {
+			const before = checker.tokens;
+			checker.onEvent(event.event, event.data);
+			if (checker.tokens > before) {
+				onToken();
+			}
+		},
+	});
+	res.body.setEncoding('utf8');
+	for await (const text of res.body) {
+		parser.feed(text as string);
+	}
+
+	return checker.finish();
+}
+
+async function readWhole(
+	res: undici.Dispatcher.ResponseData,
+	expected: engine.ExpectedAnswer,
+): Promise<callOutcome.CallOutcome> {
+	const completion = await res.body.json() as wire.endpoint.Completion;
+	const text = completion.choices[0]?.message.content ?? '';
+	if (text !== expected.text) {
+		return {outcome: callOutcome.Outcome.Wrong, detail: answerChecker.describeDifference(expected.text, text)};
+	}
+
+	return {
+		outcome: callOutcome.Outcome.Answered,
+		promptTokens: completion.usage.prompt_tokens,
+		cachedTokens: completion.usage.prompt_tokens_details.cached_tokens,
+	};
+}
+
+function checkBooking(booking: Booking, text: string): callOutcome.CallOutcome {
+	const answer = JSON.parse(text) as plainService.PlainServiceAnswer;
+	const right = answer.order === booking.order && answer.account === booking.account.id;
+	return right
+		? {outcome: callOutcome.Outcome.Answered}
+		: {outcome: callOutcome.Outcome.Wrong, detail: `expected order ${booking.order}, got ${text.slice(0, 200)}`};
+}
--- /dev/null
+++ b/packages/stand-ins/src/load/prompt-maker.ts
@@ -0,0 +1,53 @@
+import type * as wire from '@bluebellmast/wire';
+import type * as util from '../util/index.js';
+import type * as loadOptions from './load-options.js';
+
+/** Exponent of the popularity of plans, sites and accounts by rank. */
+const popularityExponent = 1.1;
+/** Ranks by which the popular plans move at each shift. */
+const shiftStride = 3;
+
+/** Makes prompts of nested levels: plan, then site, then question. */
+export class PromptMaker {
+	readonly #texts = new Map<string, string>();
+	#questions = 0;
+
+	constructor(private readonly settings: loadOptions.LoadSettings, private readonly random: util.Random) {}
+
+	/** Returns the next prompt at `elapsedMs` since the start of the run. */
+	next(elapsedMs: number): wire.endpoint.ChatMessage[] {
+		const {plans, planPieces, sites, hotSpotShiftMs} = this.settings;
+		const shift = Math.floor(elapsedMs / hotSpotShiftMs) * shiftStride;
+		const plan = (pickByRank(this.random, plans) + shift) % plans;
+		const site = (pickByRank(this.random, sites) + shift) % sites;
+		this.#questions += 1;
+		return [
+			{role: 'system', content: this.#text(`plan ${plan}`, planPieces)},
+			{role: 'system', content: this.#text(`plan ${plan} site ${site}`, 1)},
+			{role: 'user', content: `question ${this.settings.seed}-${this.#questions}`},
+		];
+	}
+
+	#text(name: string, pieces: number): string {
+		const known = this.#texts.get(name);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const length = Math.round(pieces * this.settings.pieceTokens * this.settings.charsPerToken);
+		const text = `${name}, `.repeat(Math.ceil(length / name.length)).slice(0, length);
+		this.#texts.set(name, text);
+		return text;
+	}
+}
+
+/** Picks a rank from 0 up to but without `count`; smaller ranks are more likely. */
+export function pickByRank(random: util.Random, count: number): number {
+	const weights = Array.from({length: count}, (_, rank) => (rank + 1) ** -popularityExponent);
+	let left = random.fraction() * weights.reduce((sum, weight) => sum + weight, 0);
+	const rank = weights.findIndex(weight => {
+		left -= weight;
+		return left < 0;
+	});
+	return rank === -1 ? count - 1 : rank;
+}
--- /dev/null
+++ b/packages/stand-ins/src/load/target-pool.ts
@@ -0,0 +1,57 @@
+import * as undici from 'undici';
+
+const checkIntervalMs = 250;
+const checkTimeoutMs = 1000;
+
+/** Spreads requests over the routers in turn, and skips those whose readiness fails, as a balancer does. */
+export class TargetPool {
+	readonly #ready: Set<string>;
+	#next = 0;
+	#timer: NodeJS.Timeout | undefined;
+
+	constructor(private readonly targets: readonly string[], private readonly agent: undici.Dispatcher) {
+		this.#ready = new Set(targets);
+	}
+
+	/** Begins to check readiness. */
+	start(): void {
+		this.#timer = setInterval(() => {
+			for (const target of this.targets) {
+				void this.#check(target);
+			}
+		}, checkIntervalMs);
+	}
+
+	/** Ends the checks. */
+	stop(): void {
+		clearInterval(this.#timer);
+	}
+
+	/** Returns the next ready router; when none is ready, the next in turn. */
+	next(): string {
+		const inTurn = [...this.targets.slice(this.#next), ...this.targets.slice(0, this.#next)];
+		const target = inTurn.find(candidate => this.#ready.has(candidate)) ?? inTurn[0]!;
+		this.#next = (this.targets.indexOf(target) + 1) % this.targets.length;
+		return target;
+	}
+
+	async #check(target: string): Promise<void> {
+		try {
+			const res = await undici.request(`${target}/readyz`, {
+				dispatcher: this.agent, signal: AbortSignal.timeout(checkTimeoutMs),
+			});
+			await res.body.dump();
+			this.#note(target, res.statusCode === 200);
+		} catch {
+			this.#note(target, false);
+		}
+	}
+
+	#note(target: string, ready: boolean): void {
+		if (ready) {
+			this.#ready.add(target);
+		} else {
+			this.#ready.delete(target);
+		}
+	}
+}
