--- /dev/null
+++ b/packages/stand-ins/src/check/engine-check.ts
@@ -0,0 +1,30 @@
+import type * as engine from '../engine/index.js';
+
+/** A batch that was recalled, and when every router had to know of it. */
+export type RecallRecord = {
+	/** Text form of the weights. */
+	readonly weights: string;
+	/** Milliseconds since the Unix epoch after which no request may begin on them. */
+	readonly inForceAt: number;
+};
+
+/** Checks that no engine used cache entries across accounts or weights or began on recalled weights; returns the findings. */
+export function checkEngines(records: readonly engine.EngineRecord[], recalls: readonly RecallRecord[] = []): string[] {
+	return records.flatMap(record => [...checkHits(record), ...checkRecalls(record, recalls)]);
+}
+
+function checkHits(record: engine.EngineRecord): string[] {
+	return record.hits
+		.filter(hit => hit.account !== record.account || hit.weights !== record.weights)
+		.map(hit => `${nameOf(record)} used cache of ${hit.account} on ${hit.weights}, it is of ${record.account} on ${record.weights}`);
+}
+
+function checkRecalls(record: engine.EngineRecord, recalls: readonly RecallRecord[]): string[] {
+	return recalls
+		.filter(recall => recall.weights === record.weights && record.at > recall.inForceAt)
+		.map(recall => `${nameOf(record)} began on recalled ${recall.weights} ${record.at - recall.inForceAt} ms after the recall was in force`);
+}
+
+function nameOf(record: engine.EngineRecord): string {
+	return `request ${record.requestId} attempt ${record.attemptId} at ${record.engine}`;
+}
--- /dev/null
+++ b/packages/stand-ins/src/check/index.ts
@@ -0,0 +1,3 @@
+export * from './booking-check.js';
+export * from './engine-check.js';
+export * from './question-check.js';
--- /dev/null
+++ b/packages/stand-ins/src/check/question-check.ts
@@ -0,0 +1,25 @@
+import type * as load from '../load/index.js';
+
+/** Checks that each request was accounted for and none was answered wrongly; returns the findings. */
+export function checkCounts(name: string, counts: load.OutcomeCounts): string[] {
+	const refused = counts.refused_not_run + counts.refused_unknown + counts.refused_done;
+	const ended = counts.answered + refused + counts.interrupted + counts.lost + counts.wrong;
+	const findings: string[] = [];
+	if (ended !== counts.sent) {
+		findings.push(`${counts.sent} ${name} were sent but ${ended} ended`);
+	}
+
+	if (counts.wrong > 0) {
+		findings.push(`${counts.wrong} ${name} were answered wrongly`);
+	}
+
+	return findings;
+}
+
+/** Checks that each request was answered whole or refused: none was cut short or left without an answer. */
+export function checkNoneCut(name: string, counts: load.OutcomeCounts): string[] {
+	return [
+		...(counts.lost > 0 ? [`${counts.lost} ${name} were left without an answer`] : []),
+		...(counts.interrupted > 0 ? [`${counts.interrupted} ${name} were interrupted after their first token`] : []),
+	];
+}
--- /dev/null
+++ b/packages/stand-ins/src/deployment/local-deployment.ts
@@ -0,0 +1,309 @@
+import * as fs from 'node:fs';
+import * as path from 'node:path';
+import process from 'node:process';
+import * as url from 'node:url';
+import * as undici from 'undici';
+import * as yaml from 'yaml';
+import type * as engine from '../engine/index.js';
+import type * as fault from '../fault/index.js';
+import type * as load from '../load/index.js';
+import type * as plainService from '../plain-service/index.js';
+import * as util from '../util/index.js';
+import * as deploymentOptions from './deployment-options.js';
+import * as manifestFile from './manifest-file.js';
+import * as routerSettings from './router-settings.js';
+
+/** A stand-in that runs as a process. */
+export type RunningStandIn = fault.StandInAddresses & {
+	readonly name: string;
+	child: util.Child;
+};
+
+/** A router that runs as a process. */
+export type RunningRouter = routerSettings.RouterAddress & {
+	readonly url: string;
+	child: util.Child;
+};
+
+const host = '127.0.0.1';
+const dataCentres = ['nl-noord-1', 'nl-noord-2', 'nl-noord-3'];
+const packagesFolder = path.resolve(path.dirname(url.fileURLToPath(import.meta.url)), '../../..');
+const readyTimeoutMs = 20_000;
+const readyPollMs = 50;
+/** Weights that the engines hold from the start. */
+const firstVersion = '1';
+
+/** Routers and stand-ins as processes on this machine. */
+export class LocalDeployment {
+	readonly routers: RunningRouter[] = [];
+	readonly engines: RunningStandIn[] = [];
+	readonly runners: RunningStandIn[] = [];
+	readonly accounts: readonly load.LoadAccount[];
+	readonly #settings: deploymentOptions.DeploymentSettings;
+	readonly #children = new Set<util.Child>();
+	#kv: RunningStandIn | undefined;
+	#vmList: RunningStandIn | undefined;
+	#weightStore: RunningStandIn | undefined;
+	#cacheStore: RunningStandIn | undefined;
+
+	constructor(options: deploymentOptions.DeploymentOptions) {
+		this.#settings = deploymentOptions.fillDefaults(options);
+		this.accounts = Array.from({length: this.#settings.accounts}, (_, index) => ({
+			id: `account-${index + 1}`, key: `key-${this.#settings.seed}-${index + 1}`,
+		}));
+		process.once('exit', () => {
+			this.#killAll();
+		});
+		for (const signal of ['SIGINT', 'SIGTERM']) {
+			process.once(signal, () => {
+				this.#killAll();
+			});
+		}
+	}
+
+	/** The key-value service. */
+	get kv(): RunningStandIn {
+		return this.#kv!;
+	}
+
+	/** Base URL of the key-value service. */
+	get kvUrl(): string {
+		return `http://${host}:${this.kv.port}`;
+	}
+
+	/** Base URLs of the routers. */
+	get targets(): string[] {
+		return this.routers.map(router => router.url);
+	}
+
+	/** Starts all stand-ins, applies the manifest, and starts all routers. */
+	async start(): Promise<void> {
+		await this.#startStandIns();
+		const manifest = this.writeManifest('manifest.yaml', [firstVersion]);
+		await this.control('apply', '--kv', this.kvUrl, manifest);
+		await this.#startRouters();
+	}
+
+	/** Ends all processes at once. */
+	async stop(): Promise<void> {
+		this.#killAll();
+		await Promise.all([...this.#children].map(async child => child.exited));
+	}
+
+	/** Runs the operators' tool; throws when it fails. */
+	async control(...args: string[]): Promise<void> {
+		const code = await util.runChild(this.#childOptions('bluebellmastctl', path.join(packagesFolder, 'ctl/dist/main.js'), args));
+		if (code !== 0) {
+			throw new Error(`bluebellmastctl ${args.join(' ')} ended with code ${code}; see ${this.#settings.folder}`);
+		}
+	}
+
+	/** Writes a manifest file with the given versions of the model and returns its path. */
+	writeManifest(name: string, versions: readonly string[]): string {
+		return this.#writeYaml(name, manifestFile.createManifest({
+			host,
+			versions,
+			accounts: this.accounts,
+			engines: this.engines.map((standIn, index) => toAddress(standIn, index)),
+			runners: this.runners.map((standIn, index) => toAddress(standIn, index)),
+			cacheStore: toAddress(this.#cacheStore!, 0),
+		}));
+	}
+
+	/** Starts a router again on its old addresses and waits until it is ready. */
+	async restartRouter(router: RunningRouter): Promise<void> {
+		router.child = this.#startChild(router.vm, path.join(packagesFolder, 'router/dist/main.js'), [
+			'--settings', this.#path(`${router.vm}.yaml`),
+		]);
+		await this.#waitUntilReady(router);
+	}
+
+	/** Starts an engine again on its old addresses; it holds no weights and no cache. */
+	async restartEngine(standIn: RunningStandIn): Promise<void> {
+		standIn.child = await this.#restartStandIn('engine', standIn, this.#engineArgs(standIn.name, ''));
+	}
+
+	/** Starts a runner again on its old addresses. */
+	async restartRunner(standIn: RunningStandIn): Promise<void> {
+		standIn.child = await this.#restartStandIn('plain-service', standIn, this.#runnerArgs(standIn.name));
+	}
+
+	/** Gives a stand-in a fault. */
+	async fault(standIn: RunningStandIn, request: fault.FaultRequest): Promise<void> {
+		const res = await undici.request(`http://${host}:${standIn.faultPort}/fault`, {
+			method: 'POST', body: JSON.stringify(request),
+		});
+		await res.body.dump();
+	}
+
+	/** Returns what all runners carried out, also before a crash. */
+	executions(): plainService.Execution[] {
+		return this.runners.flatMap(standIn => this.#readRecords(standIn) as plainService.Execution[]);
+	}
+
+	/** Returns what all engines began, also before a crash. */
+	engineRecords(): engine.EngineRecord[] {
+		return this.engines.flatMap(standIn => this.#readRecords(standIn) as engine.EngineRecord[]);
+	}
+
+	/** Returns the calls that the key-value service counted, by type. */
+	async kvCounts(): Promise<Record<string, number>> {
+		const res = await undici.request(`http://${host}:${this.kv.faultPort}/counts`);
+		return await res.body.json() as Record<string, number>;
+	}
+
+	#killAll(): void {
+		for (const child of this.#children) {
+			if (child.running) {
+				child.kill();
+			}
+		}
+	}
+
+	async #startStandIns(): Promise<void> {
+		const {engines, runners, weightLoadMs, kvArgs} = this.#settings;
+		this.#kv = await this.#startStandIn('kv', 'kv', kvArgs);
+		this.#vmList = await this.#startStandIn('vm-list', 'vm-list', []);
+		this.#weightStore = await this.#startStandIn('weight-store', 'weight-store', ['--load-ms', String(weightLoadMs)]);
+		this.#cacheStore = await this.#startStandIn('cache-store', 'cache-store', []);
+		for (let index = 1; index <= engines; index++) {
+			const name = `engine-${index}`;
+			const args = this.#engineArgs(name, `${manifestFile.modelName}@${firstVersion}`);
+			this.engines.push(await this.#startStandIn('engine', name, args)); // eslint-disable-line no-await-in-loop
+		}
+
+		for (let index = 1; index <= runners; index++) {
+			const name = `runner-${index}`;
+			this.runners.push(await this.#startStandIn('plain-service', name, this.#runnerArgs(name))); // eslint-disable-line no-await-in-loop
+		}
+	}
+
+	async #startRouters(): Promise<void> {
+		const ports = await util.findFreePorts(this.#settings.routers * 2);
+		const addresses = Array.from({length: this.#settings.routers}, (_, index): routerSettings.RouterAddress => ({
+			vm: `router-${index + 1}`,
+			dataCentre: dataCentres[index % dataCentres.length]!,
+			port: ports[index * 2]!,
+			peerPort: ports[(index * 2) + 1]!,
+		}));
+		await this.#listVms(addresses);
+		for (const address of addresses) {
+			this.#writeYaml(`${address.vm}.yaml`, routerSettings.createRouterSettings(address, {
+				host,
+				kvUrl: this.kvUrl,
+				vmListUrl: `http://${host}:${this.#vmList!.port}`,
+				routers: addresses,
+				extra: this.#settings.routerSettings,
+			}));
+			const child = this.#startChild(address.vm, path.join(packagesFolder, 'router/dist/main.js'), [
+				'--settings', this.#path(`${address.vm}.yaml`),
+			]);
+			this.routers.push({...address, url: `http://${host}:${address.port}`, child});
+		}
+
+		await Promise.all(this.routers.map(async router => this.#waitUntilReady(router)));
+	}
+
+	async #listVms(routers: readonly routerSettings.RouterAddress[]): Promise<void> {
+		const vms = routers.map(({vm, peerPort, dataCentre}) => ({
+			vm, host, peerPort, dataCentre, leaving: false,
+		}));
+		const res = await undici.request(`http://${host}:${this.#vmList!.port}/v1/vms`, {
+			method: 'PUT', body: JSON.stringify(vms),
+		});
+		await res.body.dump();
+	}
+
+	async #waitUntilReady(router: RunningRouter): Promise<void> {
+		const deadline = Date.now() + readyTimeoutMs;
+		while (Date.now() < deadline && router.child.running) {
+			if (await isReady(router.url)) { // eslint-disable-line no-await-in-loop
+				return;
+			}
+
+			await util.sleep(readyPollMs); // eslint-disable-line no-await-in-loop
+		}
+
+		throw new Error(`${router.vm} did not become ready; see ${this.#settings.folder}`);
+	}
+
+	async #startStandIn(folder: string, name: string, args: readonly string[]): Promise<RunningStandIn> {
+		const script = path.join(packagesFolder, 'stand-ins/dist', folder, 'main.js');
+		const seed = String(this.#settings.seed);
+		const child = this.#startChild(name, script, ['--host', host, '--seed', seed, ...args]);
+		const addresses = JSON.parse(await child.firstLine()) as fault.StandInAddresses;
+		return {
+			name, child, port: addresses.port, faultPort: addresses.faultPort,
+		};
+	}
+
+	async #restartStandIn(folder: string, standIn: RunningStandIn, args: readonly string[]): Promise<util.Child> {
+		const ports = ['--port', String(standIn.port), '--fault-port', String(standIn.faultPort)];
+		const {child} = await this.#startStandIn(folder, standIn.name, [...ports, ...args]);
+		return child;
+	}
+
+	#engineArgs(name: string, weights: string): string[] {
+		return [
+			'--name',
+			name,
+			'--weights',
+			weights,
+			'--weight-store',
+			`http://${host}:${this.#weightStore!.port}`,
+			'--record-file',
+			this.#path(`${name}.records`),
+			...this.#settings.engineArgs,
+		];
+	}
+
+	#runnerArgs(name: string): string[] {
+		return ['--name', name, '--record-file', this.#path(`${name}.records`)];
+	}
+
+	#startChild(name: string, script: string, args: readonly string[]): util.Child {
+		const child = util.startChild(this.#childOptions(name, script, args));
+		this.#children.add(child);
+		return child;
+	}
+
+	#childOptions(name: string, script: string, args: readonly string[]): util.ChildOptions {
+		return {
+			name, script, args, logFile: this.#path(`${name}.log`),
+		};
+	}
+
+	#readRecords(standIn: RunningStandIn): unknown[] {
+		const file = this.#path(`${standIn.name}.records`);
+		if (!fs.existsSync(file)) {
+			return [];
+		}
+
+		const lines = fs.readFileSync(file, 'utf8').split('\n');
+		return lines.filter(line => line !== '').map(line => JSON.parse(line) as unknown);
+	}
+
+	#writeYaml(name: string, content: unknown): string {
+		const file = this.#path(name);
+		fs.writeFileSync(file, yaml.stringify(content));
+		return file;
+	}
+
+	#path(name: string): string {
+		return path.join(this.#settings.folder, name);
+	}
+}
+
+async function isReady(routerUrl: string): Promise<boolean> {
+	try {
+		const res = await undici.request(`${routerUrl}/readyz`, {signal: AbortSignal.timeout(readyPollMs * 10)});
+		await res.body.dump();
+		return res.statusCode === 200;
+	} catch {
+		return false;
+	}
+}
+
+function toAddress(standIn: RunningStandIn, index: number): manifestFile.EndpointAddress {
+	return {id: standIn.name, dataCentre: dataCentres[index % dataCentres.length]!, port: standIn.port};
+}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,4 +1,6 @@
 export * as cacheStore from './cache-store/index.js';
+export * as check from './check/index.js';
+export * as deployment from './deployment/index.js';
 export * as engine from './engine/index.js';
 export * as fault from './fault/index.js';
 export * as kv from './kv/index.js';
--- a/packages/stand-ins/src/util/index.ts
+++ b/packages/stand-ins/src/util/index.ts
@@ -1,4 +1,6 @@
 export * from './arguments.js';
+export * from './child-process.js';
+export * from './free-ports.js';
 export * from './http-io.js';
 export * from './random.js';
 export * from './recorder.js';
