Add the router: filter chain, dispatch, relay, admin and planned stop

Cause: the whole path has to stand thinly before each part is deepened. Change: HTTP server with bounded bodies, account, deadline, prefix, idempotency and dispatch filters; one driver that runs each request through the state machine of core; engine and service clients that tell whether a byte can have left; wire-up and the bluebellmast binary. Intents stand in memory and loads are polled until the ledger and the endpoint watch are merged. The expected finding for an unknown policy names cost_based too, since that policy exists now; it is as strict as before. Ruled out: undici's retry and error codes as evidence of what was sent; a dispatcher that sees the request go to a socket tells it for sure.

--- a/packages/config/tests/settings/parse-settings.test.ts
+++ b/packages/config/tests/settings/parse-settings.test.ts
@@ -59,7 +59,7 @@
 		{
 			name: 'unknown policy',
 			text: `${least}placement: {policy: best}\n`,
-			findings: ['s.yaml:9:21: placement.policy: Invalid option: expected one of "round_robin"|"least_load"|"rendezvous_first_level"|"bounded_rendezvous"'],
+			findings: ['s.yaml:9:21: placement.policy: Invalid option: expected one of "round_robin"|"least_load"|"rendezvous_first_level"|"bounded_rendezvous"|"cost_based"'],
 		},
 		{name: 'port out of range', text: `${least}metrics:\n  host: ::1\n  port: 0\n`, findings: ['s.yaml:11:9: metrics.port: Too small: expected number to be >=1']},
 	];
--- /dev/null
+++ b/packages/router/src/dispatch/chat-relay.ts
@@ -0,0 +1,213 @@
+import * as core from '@bluebellmast/core';
+import * as wire from '@bluebellmast/wire';
+import * as zod from 'zod';
+import type * as attemptFailure from '../endpoints/attempt-failure.js';
+import type * as engineClient from '../endpoints/engine-client.js';
+import * as eventStream from '../endpoints/event-stream.js';
+import type * as call from '../filters/call.js';
+import type * as requestContext from '../filters/request-context.js';
+import type * as requestDriver from './request-driver.js';
+
+const endOfStream = '[DONE]';
+
+/* eslint-disable @typescript-eslint/naming-convention */
+const usageSchema = zod.object({
+	prompt_tokens: zod.number(),
+	completion_tokens: zod.number(),
+	prompt_tokens_details: zod.object({cached_tokens: zod.number()}),
+});
+/* eslint-enable @typescript-eslint/naming-convention */
+
+const chunkSchema = zod.object({
+	choices: zod.array(zod.object({
+		delta: zod.object({content: zod.string().optional()}),
+		finish_reason: zod.string().nullable().optional(), // eslint-disable-line @typescript-eslint/naming-convention
+	})),
+	usage: usageSchema.nullish(),
+});
+
+/** Puts an answer together from the streams of its attempts, and passes it to the caller as it comes. */
+export class ChatRelay {
+	readonly #ctx: requestContext.RequestContext;
+	readonly #call: call.ChatCall;
+	readonly #driver: requestDriver.RequestDriver;
+	#stream: core.request.AssembledStream | undefined;
+	#isRestarting = false;
+	#finishReason = 'stop';
+	#usage: wire.endpoint.CompletionUsage | undefined;
+
+	constructor(ctx: requestContext.RequestContext, chatCall: call.ChatCall, driver: requestDriver.RequestDriver) {
+		this.#ctx = ctx;
+		this.#call = chatCall;
+		this.#driver = driver;
+	}
+
+	/** Text that the caller holds; only streaming callers hold text before the end. */
+	get text(): string {
+		return this.#call.stream ? this.#stream?.text ?? '' : '';
+	}
+
+	/** Last event of the present attempt; -1 before the first. */
+	get lastEventId(): number {
+		return this.#stream!.lastEventId;
+	}
+
+	/** Token counts of the present attempt, once they have come. */
+	get usage(): wire.endpoint.CompletionUsage | undefined {
+		return this.#usage;
+	}
+
+	/** Begins with another attempt. What the caller holds goes on; what it does not hold is dropped. */
+	beginAttempt(attemptId: core.model.AttemptId): void {
+		this.#usage = undefined;
+		if (this.#stream === undefined || !this.#call.stream) {
+			this.#stream = core.request.createStream(attemptId);
+			return;
+		}
+
+		this.#stream = this.#isRestarting
+			? core.request.restartStream(this.#stream, attemptId)
+			: core.request.continueStream(this.#stream, attemptId);
+		this.#isRestarting = false;
+	}
+
+	/** Returns whether an answer of this incarnation can go on with the present attempt. */
+	acceptsIncarnation(incarnation: core.model.Incarnation): boolean {
+		return core.request.matchesAnswer(this.#stream!, this.#stream!.attemptId, incarnation);
+	}
+
+	/** Tells the caller to drop the text that it holds. */
+	async restart(): Promise<void> {
+		this.#isRestarting = true;
+		await this.#ctx.answer.sendEvent(this.#stream!.nextCallerEventId, '{}', 'restart');
+	}
+
+	/**
+	 * Relays one answer until its end. Returns why it is not whole.
+	 *
+	 * @param onFirstToken - Called at the first event.
+	 */
+	async relay(
+		stream: engineClient.EngineStream,
+		signal: AbortSignal,
+		onFirstToken: () => void,
+	): Promise<attemptFailure.AttemptFailure | undefined> {
+		let isFirst = true;
+		for await (const event of eventStream.readEventStream(stream.body)) {
+			signal.throwIfAborted();
+			if (isFirst) {
+				isFirst = false;
+				onFirstToken();
+			}
+
+			if (event.data === endOfStream) {
+				return this.#end();
+			}
+
+			const failure = await this.#take(event, stream.incarnation);
+			if (failure !== undefined) {
+				return failure;
+			}
+		}
+
+		return {cause: core.request.FailureCause.ConnectionLost, message: 'the stream ended early'};
+	}
+
+	/** Gives the whole answer, or the end of the stream, to the caller. */
+	finish(): void {
+		if (this.#call.stream) {
+			this.#ctx.answer.endStream();
+			return;
+		}
+
+		this.#ctx.answer.sendJson(200, this.#createCompletion());
+	}
+
+	#end(): attemptFailure.AttemptFailure | undefined {
+		this.#stream = core.request.endStream(this.#stream!);
+		if (!this.#call.stream) {
+			return undefined;
+		}
+
+		this.#noteDelivered();
+		return undefined;
+	}
+
+	async #take(
+		event: eventStream.StreamEvent,
+		incarnation: core.model.Incarnation,
+	): Promise<attemptFailure.AttemptFailure | undefined> {
+		const chunk = parseChunk(event.data);
+		if (chunk === undefined || event.id === '') {
+			return {cause: core.request.FailureCause.EndpointError, message: 'the stream holds a malformed event'};
+		}
+
+		const accepted = core.request.acceptChunk(this.#stream!, {
+			attemptId: this.#stream!.attemptId,
+			incarnation,
+			eventId: Number(event.id),
+			text: chunk.choices[0]?.delta.content ?? '',
+		});
+		this.#stream = accepted.stream;
+		this.#usage = chunk.usage ?? this.#usage;
+		this.#finishReason = chunk.choices[0]?.finish_reason ?? this.#finishReason;
+		return this.#deliver(accepted.verdict, event.data);
+	}
+
+	async #deliver(
+		verdict: core.request.ChunkVerdict,
+		data: string,
+	): Promise<attemptFailure.AttemptFailure | undefined> {
+		if (verdict === core.request.ChunkVerdict.Duplicate) {
+			return undefined;
+		}
+
+		if (verdict !== core.request.ChunkVerdict.Deliver) {
+			return {cause: core.request.FailureCause.ConnectionLost, message: `the stream is out of order: ${verdict}`};
+		}
+
+		if (this.#call.stream) {
+			this.#noteDelivered();
+			await this.#ctx.answer.sendEvent(this.#stream!.nextCallerEventId - 1, data);
+		}
+
+		return undefined;
+	}
+
+	/** Opens the caller's stream with the first event. */
+	#noteDelivered(): void {
+		if (!this.#ctx.answer.started) {
+			this.#ctx.releaseDeadline!();
+			this.#ctx.answer.startStream({[wire.http.HeaderName.Generation]: String(this.#ctx.manifest.generation)});
+		}
+
+		if (this.#driver.wantsDelivered) {
+			this.#driver.note({type: core.request.RequestEventType.Delivered});
+		}
+	}
+
+	#createCompletion(): wire.endpoint.Completion {
+		/* eslint-disable @typescript-eslint/naming-convention */
+		return {
+			id: this.#ctx.id,
+			object: 'chat.completion',
+			model: this.#call.model,
+			choices: [{
+				index: 0,
+				message: {role: 'assistant', content: this.#stream!.text},
+				finish_reason: this.#finishReason,
+			}],
+			usage: this.#usage ?? {prompt_tokens: 0, completion_tokens: 0, prompt_tokens_details: {cached_tokens: 0}},
+		};
+		/* eslint-enable @typescript-eslint/naming-convention */
+	}
+}
+
+function parseChunk(data: string): zod.infer<typeof chunkSchema> | undefined {
+	try {
+		const result = chunkSchema.safeParse(JSON.parse(data));
+		return result.success ? result.data : undefined;
+	} catch {
+		return undefined;
+	}
+}
--- /dev/null
+++ b/packages/router/src/dispatch/request-driver.ts
@@ -0,0 +1,146 @@
+import * as core from '@bluebellmast/core';
+import type * as clock from '../util/clock.js';
+import type * as requestActions from './request-actions.js';
+import type * as retryLimiter from './retry-limiter.js';
+
+/** Milliseconds after which a caller may try again when endpoints failed. */
+const retryAfterFailureMs = 1000;
+
+/** What a driver works with. */
+export type RequestDriverOptions = {
+	readonly terms: core.request.RequestTerms;
+	readonly clock: clock.Clock;
+	readonly retries: retryLimiter.RetryLimiter;
+};
+
+/** Runs one request through its life: takes events, and has the effects carried out one after the other. */
+export class RequestDriver {
+	readonly #options: RequestDriverOptions;
+	#state: core.request.RequestSnapshot;
+	#effects: readonly core.request.RequestEffect[];
+	#message = '';
+	#retryAfterMs: number | undefined;
+
+	constructor(options: RequestDriverOptions) {
+		this.#options = options;
+		const first = core.request.beginRequest(options.terms);
+		this.#state = first.state;
+		this.#effects = first.effects;
+	}
+
+	/** All attempts so far; the last is the present one. */
+	get attempts(): readonly core.request.Attempt[] {
+		return this.#state.context.attempts;
+	}
+
+	/** Whether the next delivered event is to be noted: it is the first, or the first after a resume. */
+	get wantsDelivered(): boolean {
+		return !this.#state.context.delivered || this.#state.context.resumes > 0;
+	}
+
+	/** Notes an event that has no effects, while an effect is carried out. */
+	note(event: core.request.RequestEvent): void {
+		const step = core.request.stepRequest(this.#state, event, this.#options.clock.now());
+		core.util.assertInvariant(step.effects.length === 0, 'request.note-without-effect', () => event.type);
+		this.#state = step.state;
+	}
+
+	/** Sets what the caller is told when the request ends with a refusal. */
+	explain(message: string, retryAfterMs?: number): void {
+		this.#message = message;
+		this.#retryAfterMs = retryAfterMs;
+	}
+
+	/** Returns the event for a request that cannot be placed. */
+	refusal(code: core.model.ErrorCode, message: string, retryAfterMs?: number): core.request.RequestEvent {
+		this.explain(message, retryAfterMs);
+		return {type: core.request.RequestEventType.Refused, code};
+	}
+
+	/** Returns the event for a failed attempt. */
+	failure(cause: core.request.FailureCause, code: core.model.ErrorCode, message: string): core.request.RequestEvent {
+		this.explain(message, retryAfterFailureMs);
+		return {
+			type: core.request.RequestEventType.Failed, cause, code, retryAllowed: this.#options.retries.allows(),
+		};
+	}
+
+	/** Runs the request to its end. Returns what is known of whether it was carried out. */
+	async run(actions: requestActions.RequestActions): Promise<core.model.ExecutionState> {
+		this.#options.retries.countFirstTry();
+		for (;;) {
+			// eslint-disable-next-line no-await-in-loop
+			const event = await this.#carryOutAll(actions);
+			if (event === undefined) {
+				return core.request.decideExecution(this.attempts, false);
+			}
+
+			const step = core.request.stepRequest(this.#state, event, this.#options.clock.now());
+			this.#state = step.state;
+			this.#effects = step.effects;
+		}
+	}
+
+	async #carryOutAll(actions: requestActions.RequestActions): Promise<core.request.RequestEvent | undefined> {
+		let event: core.request.RequestEvent | undefined;
+		for (const effect of this.#effects) {
+			event = await this.#carryOut(effect, actions); // eslint-disable-line no-await-in-loop
+		}
+
+		return event;
+	}
+
+	async #carryOut(
+		effect: core.request.RequestEffect,
+		actions: requestActions.RequestActions,
+	): Promise<core.request.RequestEvent | undefined> {
+		switch (effect) {
+			case core.request.RequestEffect.Place:
+			case core.request.RequestEffect.Continue: {
+				return actions.place();
+			}
+
+			case core.request.RequestEffect.Dispatch: {
+				return actions.dispatch();
+			}
+
+			case core.request.RequestEffect.Resume: {
+				return actions.resume();
+			}
+
+			case core.request.RequestEffect.Restart: {
+				await actions.restart();
+				return actions.place();
+			}
+
+			case core.request.RequestEffect.Cancel: {
+				actions.cancel();
+				return undefined;
+			}
+
+			case core.request.RequestEffect.CountRetry: {
+				this.#options.retries.countRetry();
+				return undefined;
+			}
+
+			case core.request.RequestEffect.Finish: {
+				actions.finish();
+				return undefined;
+			}
+
+			case core.request.RequestEffect.Refuse:
+			case core.request.RequestEffect.EndWithError: {
+				actions.refuse(this.#createRefusal());
+				return undefined;
+			}
+		}
+	}
+
+	#createRefusal(): core.model.Refusal {
+		const code = this.#state.context.code ?? core.model.ErrorCode.Internal;
+		return core.request.createRefusal(code, this.attempts, {
+			message: this.#message === '' ? code : this.#message,
+			...(this.#retryAfterMs !== undefined && {retryAfterMs: this.#retryAfterMs}),
+		});
+	}
+}
--- /dev/null
+++ b/packages/router/src/dispatch/retry-limiter.ts
@@ -0,0 +1,25 @@
+import * as core from '@bluebellmast/core';
+
+/** The retry budget of one router: retries are a share of first tries. */
+export class RetryLimiter {
+	#budget: core.request.RetryBudget;
+
+	constructor(options: core.request.RetryBudgetOptions = {}) {
+		this.#budget = core.request.createRetryBudget(options);
+	}
+
+	/** Whether a retry may be made. */
+	allows(): boolean {
+		return core.request.allowsRetry(this.#budget);
+	}
+
+	/** Counts the first try of a request. */
+	countFirstTry(): void {
+		this.#budget = core.request.countFirstTry(this.#budget);
+	}
+
+	/** Counts a retry. */
+	countRetry(): void {
+		this.#budget = core.request.countRetry(this.#budget);
+	}
+}
--- /dev/null
+++ b/packages/router/src/endpoints/attempt-failure.ts
@@ -0,0 +1,22 @@
+import * as core from '@bluebellmast/core';
+
+/** A try at an endpoint that gave no whole answer. */
+export type AttemptFailure = {
+	readonly cause: core.request.FailureCause;
+	readonly message: string;
+};
+
+const codeByCause: Readonly<Record<core.request.FailureCause, core.model.ErrorCode>> = {
+	[core.request.FailureCause.ConnectFailed]: core.model.ErrorCode.NoEndpoint,
+	[core.request.FailureCause.Refused]: core.model.ErrorCode.Overloaded,
+	[core.request.FailureCause.ConnectionLost]: core.model.ErrorCode.EndpointFailed,
+	[core.request.FailureCause.EndpointGone]: core.model.ErrorCode.EndpointFailed,
+	[core.request.FailureCause.EndpointError]: core.model.ErrorCode.EndpointFailed,
+	[core.request.FailureCause.WrongAnswer]: core.model.ErrorCode.EndpointFailed,
+	[core.request.FailureCause.WeightsRecalled]: core.model.ErrorCode.WeightsRecalled,
+};
+
+/** Returns the code that the caller gets when a request ends with a failure of this cause. */
+export function codeOfCause(cause: core.request.FailureCause): core.model.ErrorCode {
+	return codeByCause[cause];
+}
--- /dev/null
+++ b/packages/router/src/endpoints/engine-attempt.ts
@@ -0,0 +1,61 @@
+import * as core from '@bluebellmast/core';
+import * as wire from '@bluebellmast/wire';
+import type * as undici from 'undici';
+import type * as attemptFailure from './attempt-failure.js';
+
+/** One try at an engine. */
+export type EngineAttempt = {
+	readonly endpoint: core.model.Endpoint;
+	readonly requestId: core.model.RequestId;
+	readonly attemptId: core.model.AttemptId;
+	readonly account: core.model.AccountId;
+	readonly weights: core.model.Weights;
+	readonly body: wire.endpoint.EngineCompletionRequest;
+};
+
+/** Returns the headers that name a try to an engine. */
+export function createAttemptHeaders(attempt: EngineAttempt): Record<string, string> {
+	return {
+		[wire.http.HeaderName.RequestId]: attempt.requestId,
+		[wire.http.HeaderName.AttemptId]: attempt.attemptId,
+		[wire.http.HeaderName.Account]: attempt.account,
+		[wire.http.HeaderName.Weights]: core.model.formatWeights(attempt.weights),
+	};
+}
+
+/** Returns one header of an answer; empty when it is absent. */
+export function headerOf(res: undici.Dispatcher.ResponseData, name: wire.http.HeaderName): string {
+	const value = res.headers[name];
+	return typeof value === 'string' ? value : '';
+}
+
+/** Statuses with which an engine refuses before it begins: weights not loaded, too many, overloaded. */
+const refusedStatuses: ReadonlySet<number> = new Set([409, 429, 503]);
+
+const goneStatuses: ReadonlySet<number> = new Set([404, 410]);
+
+/** Returns why an answer cannot be used: refused, failed, or not the answer to this try on these weights. */
+export function checkAnswerHead(
+	attempt: EngineAttempt,
+	res: undici.Dispatcher.ResponseData,
+): attemptFailure.AttemptFailure | undefined {
+	if (res.statusCode !== 200) {
+		return {cause: causeOfStatus(res.statusCode), message: `${attempt.endpoint.id} answered ${res.statusCode}`};
+	}
+
+	const matches = headerOf(res, wire.http.HeaderName.RequestId) === attempt.requestId
+		&& headerOf(res, wire.http.HeaderName.AttemptId) === attempt.attemptId
+		&& headerOf(res, wire.http.HeaderName.Weights) === core.model.formatWeights(attempt.weights)
+		&& headerOf(res, wire.http.HeaderName.EngineIncarnation) !== '';
+	return matches
+		? undefined
+		: {cause: core.request.FailureCause.WrongAnswer, message: `${attempt.endpoint.id} answered for another request or weights`};
+}
+
+function causeOfStatus(status: number): core.request.FailureCause {
+	if (refusedStatuses.has(status)) {
+		return core.request.FailureCause.Refused;
+	}
+
+	return goneStatuses.has(status) ? core.request.FailureCause.EndpointGone : core.request.FailureCause.EndpointError;
+}
--- /dev/null
+++ b/packages/router/src/endpoints/engine-client.ts
@@ -0,0 +1,146 @@
+import type * as stream from 'node:stream';
+import * as core from '@bluebellmast/core';
+import * as wire from '@bluebellmast/wire';
+import * as purify from 'purify-ts';
+import type * as undici from 'undici';
+import * as ignore from '../util/ignore.js';
+import type * as attemptFailure from './attempt-failure.js';
+import type * as connectionPools from './connection-pools.js';
+import * as endpointUrl from './endpoint-url.js';
+import * as engineAttempt from './engine-attempt.js';
+import * as progressTimer from './progress-timer.js';
+import * as sendTracker from './send-tracker.js';
+
+/** Time limits of a try at an engine. */
+export type EngineClientOptions = {
+	/** Milliseconds until the answer's head. */
+	readonly firstByteTimeoutMs: number;
+	/** Milliseconds between two pieces of the answer. */
+	readonly progressTimeoutMs: number;
+};
+
+/** The head of an engine's answer, and its body while it comes. */
+export type EngineStream = {
+	readonly incarnation: core.model.Incarnation;
+	readonly body: AsyncIterable<Uint8Array>;
+};
+
+/** An engine's stream or why there is none. */
+export type EngineResult = purify.Either<attemptFailure.AttemptFailure, EngineStream>;
+
+/** What a try is steered by. */
+export type EngineCallOptions = {
+	/** Ends the try. */
+	readonly signal: AbortSignal;
+	/** Called before the first byte is written. */
+	readonly onSend: () => void;
+};
+
+/** Speaks to engines. */
+export class EngineClient {
+	readonly #pools: connectionPools.ConnectionPools;
+	readonly #options: EngineClientOptions;
+
+	constructor(pools: connectionPools.ConnectionPools, options: EngineClientOptions) {
+		this.#pools = pools;
+		this.#options = options;
+	}
+
+	/** Starts a streamed completion. */
+	async open(attempt: engineAttempt.EngineAttempt, call: EngineCallOptions): Promise<EngineResult> {
+		const headers = {...engineAttempt.createAttemptHeaders(attempt), 'content-type': wire.http.MediaType.Json};
+		return this.#send(attempt, this.#pools.reused(), {
+			path: '/v1/chat/completions', method: 'POST', headers, body: JSON.stringify(attempt.body),
+		}, call);
+	}
+
+	/** Continues a stream of the same engine incarnation after an event, over a new connection. */
+	async resume(
+		attempt: engineAttempt.EngineAttempt,
+		lastEventId: number,
+		call: EngineCallOptions,
+	): Promise<EngineResult> {
+		const headers = {
+			...engineAttempt.createAttemptHeaders(attempt),
+			[wire.http.HeaderName.LastEventId]: String(lastEventId),
+		};
+		return this.#send(attempt, this.#pools.fresh(), {
+			path: `/v1/streams/${attempt.attemptId}`, method: 'GET', headers,
+		}, call);
+	}
+
+	/** Tells an engine to drop a stream. A failure does not matter: the engine ends it when its caller is gone. */
+	async cancel(attempt: engineAttempt.EngineAttempt): Promise<void> {
+		try {
+			const res = await this.#pools.fresh().request({
+				origin: endpointUrl.endpointOrigin(attempt.endpoint),
+				path: `/v1/streams/${attempt.attemptId}`,
+				method: 'DELETE',
+				signal: AbortSignal.timeout(this.#options.progressTimeoutMs),
+			});
+			await res.body.dump();
+		} catch {
+			// The engine is gone or silent; there is nothing left to cancel.
+		}
+	}
+
+	async #send(
+		attempt: engineAttempt.EngineAttempt,
+		dispatcher: undici.Dispatcher,
+		options: Omit<undici.Dispatcher.RequestOptions, 'origin'>,
+		call: EngineCallOptions,
+	): Promise<EngineResult> {
+		const tracker = new sendTracker.SendTracker(call.onSend);
+		const timer = new progressTimer.ProgressTimer(this.#options.firstByteTimeoutMs, this.#options.progressTimeoutMs);
+		try {
+			const res = await tracker.track(dispatcher).request({
+				...options,
+				origin: endpointUrl.endpointOrigin(attempt.endpoint),
+				signal: AbortSignal.any([call.signal, timer.signal]),
+			});
+			timer.touch();
+			return readHead(attempt, res, timer);
+		} catch (err) {
+			timer.stop();
+			const cause = tracker.isSent
+				? core.request.FailureCause.ConnectionLost
+				: core.request.FailureCause.ConnectFailed;
+			return purify.Left({cause, message: `${attempt.endpoint.id}: ${String(err)}`});
+		}
+	}
+}
+
+function readHead(
+	attempt: engineAttempt.EngineAttempt,
+	res: undici.Dispatcher.ResponseData,
+	timer: progressTimer.ProgressTimer,
+): EngineResult {
+	const failure = engineAttempt.checkAnswerHead(attempt, res);
+	if (failure !== undefined) {
+		timer.stop();
+		res.body.on('error', ignore.ignore).destroy();
+		return purify.Left(failure);
+	}
+
+	return purify.Right({
+		incarnation: engineAttempt.headerOf(res, wire.http.HeaderName.EngineIncarnation),
+		body: withProgress(res.body, timer),
+	});
+}
+
+/** Passes chunks on and notes each as progress; time that the reader takes does not count. */
+async function * withProgress(
+	body: stream.Readable,
+	timer: progressTimer.ProgressTimer,
+): AsyncGenerator<Uint8Array, void, undefined> {
+	try {
+		for await (const chunk of body) {
+			timer.stop();
+			yield chunk as Uint8Array;
+			timer.touch();
+		}
+	} finally {
+		timer.stop();
+		body.destroy();
+	}
+}
--- /dev/null
+++ b/packages/router/src/endpoints/service-client.ts
@@ -0,0 +1,132 @@
+import * as buffer from 'node:buffer';
+import * as core from '@bluebellmast/core';
+import * as wire from '@bluebellmast/wire';
+import * as purify from 'purify-ts';
+import type * as undici from 'undici';
+import type * as callerAnswer from '../http/caller-answer.js';
+import * as ignore from '../util/ignore.js';
+import type * as attemptFailure from './attempt-failure.js';
+import type * as connectionPools from './connection-pools.js';
+import * as endpointUrl from './endpoint-url.js';
+import * as sendTracker from './send-tracker.js';
+
+/** Bounds on a call of a plain service. */
+export type ServiceClientOptions = {
+	/** Bytes of an answer at most. */
+	readonly maxAnswerBytes: number;
+};
+
+/** One try at an endpoint of a plain service. */
+export type ServiceAttempt = {
+	readonly endpoint: core.model.Endpoint;
+	readonly requestId: core.model.RequestId;
+	readonly attemptId: core.model.AttemptId;
+	readonly account: core.model.AccountId;
+	readonly method: string;
+	/** Path and query below the service. */
+	readonly path: string;
+	readonly contentType: string;
+	readonly body: Uint8Array;
+	readonly idempotencyKey?: string;
+	/** Whether the call may be carried out more than once. */
+	readonly repeatable: boolean;
+};
+
+/** What a try is steered by. */
+export type ServiceCallOptions = {
+	readonly signal: AbortSignal;
+	/** Called before the first byte is written. */
+	readonly onSend: () => void;
+	/** Called when the answer's head has come and belongs to this try. */
+	readonly onAnswer: () => void;
+};
+
+/** Statuses with which a service says that it refused before it began. */
+const refusedStatuses: ReadonlySet<number> = new Set([429, 503]);
+
+/** Speaks to plain services. */
+export class ServiceClient {
+	readonly #pools: connectionPools.ConnectionPools;
+	readonly #options: ServiceClientOptions;
+
+	constructor(pools: connectionPools.ConnectionPools, options: ServiceClientOptions) {
+		this.#pools = pools;
+		this.#options = options;
+	}
+
+	/** Sends one call and reads its whole answer. */
+	async call(
+		attempt: ServiceAttempt,
+		call: ServiceCallOptions,
+	): Promise<purify.Either<attemptFailure.AttemptFailure, callerAnswer.WholeAnswer>> {
+		const tracker = new sendTracker.SendTracker(call.onSend);
+		const pool = attempt.repeatable ? this.#pools.reused() : this.#pools.fresh();
+		try {
+			const res = await tracker.track(pool).request({
+				origin: endpointUrl.endpointOrigin(attempt.endpoint),
+				path: attempt.path,
+				method: attempt.method,
+				headers: createHeaders(attempt),
+				body: attempt.body.length > 0 ? attempt.body : undefined,
+				signal: call.signal,
+			});
+			const failure = checkHead(attempt, res);
+			if (failure !== undefined) {
+				res.body.on('error', ignore.ignore).destroy();
+				return purify.Left(failure);
+			}
+
+			call.onAnswer();
+			return purify.Right(await this.#readAnswer(res));
+		} catch (err) {
+			const cause = tracker.isSent
+				? core.request.FailureCause.ConnectionLost
+				: core.request.FailureCause.ConnectFailed;
+			return purify.Left({cause, message: `${attempt.endpoint.id}: ${String(err)}`});
+		}
+	}
+
+	async #readAnswer(res: undici.Dispatcher.ResponseData): Promise<callerAnswer.WholeAnswer> {
+		const chunks: Uint8Array[] = [];
+		let size = 0;
+		for await (const chunk of res.body) {
+			chunks.push(chunk as Uint8Array);
+			size += (chunk as Uint8Array).length;
+			if (size > this.#options.maxAnswerBytes) {
+				throw new Error(`the answer exceeds ${this.#options.maxAnswerBytes} bytes`);
+			}
+		}
+
+		const type = res.headers['content-type'];
+		return {
+			status: res.statusCode,
+			contentType: typeof type === 'string' ? type : 'application/octet-stream',
+			body: buffer.Buffer.concat(chunks),
+		};
+	}
+}
+
+function createHeaders(attempt: ServiceAttempt): Record<string, string> {
+	return {
+		[wire.http.HeaderName.RequestId]: attempt.requestId,
+		[wire.http.HeaderName.AttemptId]: attempt.attemptId,
+		[wire.http.HeaderName.Account]: attempt.account,
+		...(attempt.contentType !== '' && {'content-type': attempt.contentType}),
+		...(attempt.idempotencyKey !== undefined && {[wire.http.HeaderName.IdempotencyKey]: attempt.idempotencyKey}),
+	};
+}
+
+function checkHead(
+	attempt: ServiceAttempt,
+	res: undici.Dispatcher.ResponseData,
+): attemptFailure.AttemptFailure | undefined {
+	if (refusedStatuses.has(res.statusCode)) {
+		return {cause: core.request.FailureCause.Refused, message: `${attempt.endpoint.id} answered ${res.statusCode}`};
+	}
+
+	// A service that names the request must name this one; a service that names none is taken at its connection.
+	const named = res.headers[wire.http.HeaderName.RequestId];
+	return named === undefined || named === attempt.requestId
+		? undefined
+		: {cause: core.request.FailureCause.WrongAnswer, message: `${attempt.endpoint.id} answered for another request`};
+}
--- /dev/null
+++ b/packages/router/src/filters/deadline-filter.ts
@@ -0,0 +1,47 @@
+import * as core from '@bluebellmast/core';
+import type * as filter from './filter.js';
+import type * as requestContext from './request-context.js';
+
+const maxDeadlineMs = 3_600_000;
+
+/** Gives the request its deadline, and a signal that ends its work when the deadline passes or the caller goes away. */
+export class DeadlineFilter implements filter.Filter {
+	async handle(ctx: requestContext.RequestContext, next: filter.Next): Promise<void> {
+		const limitMs = parseDeadline(ctx.headers.deadlineMs, ctx.kind!.deadlineMs);
+		if (limitMs === undefined) {
+			ctx.answer.sendRefusal(core.request.createRefusal(core.model.ErrorCode.InvalidRequest, [], {
+				message: 'the deadline is not a number of milliseconds',
+				findings: [{place: 'x-deadline-ms', message: `must be a whole number from 1 to ${maxDeadlineMs}`}],
+			}));
+			return;
+		}
+
+		const controller = new AbortController();
+		ctx.deadlineAt = ctx.arrivedAt + limitMs;
+		ctx.signal = controller.signal;
+		ctx.releaseDeadline = () => {
+			clearTimeout(timer);
+		};
+
+		const timer = setTimeout(() => {
+			controller.abort(core.model.ErrorCode.DeadlineExceeded);
+		}, limitMs);
+		ctx.answer.onCallerGone(() => {
+			controller.abort(core.model.ErrorCode.CallerGone);
+		});
+		try {
+			await next();
+		} finally {
+			clearTimeout(timer);
+		}
+	}
+}
+
+function parseDeadline(header: string | undefined, defaultMs: number): number | undefined {
+	if (header === undefined) {
+		return defaultMs;
+	}
+
+	const value = Number(header);
+	return Number.isInteger(value) && value >= 1 && value <= maxDeadlineMs ? value : undefined;
+}
--- /dev/null
+++ b/packages/router/src/filters/dispatch-filter.ts
@@ -0,0 +1,74 @@
+import type * as core from '@bluebellmast/core';
+import * as chatActions from '../dispatch/chat-actions.js';
+import * as requestDriver from '../dispatch/request-driver.js';
+import type * as requestActions from '../dispatch/request-actions.js';
+import type * as retryLimiter from '../dispatch/retry-limiter.js';
+import * as serviceActions from '../dispatch/service-actions.js';
+import type * as clock from '../util/clock.js';
+import * as callModule from './call.js';
+import type * as filter from './filter.js';
+import type * as requestContext from './request-context.js';
+
+/** What the dispatch filter works with. */
+export type DispatchFilterOptions = {
+	readonly chat: chatActions.ChatActionsOptions;
+	readonly service: serviceActions.ServiceActionsOptions;
+	readonly clock: clock.Clock;
+	readonly retries: retryLimiter.RetryLimiter;
+	/** Tries of one request at most. */
+	readonly maxAttempts: number;
+	/** Resumes in a row without a new event at most. */
+	readonly maxResumes: number;
+};
+
+/** Places the request, sends it, and relays the answer. The last filter of the chain. */
+export class DispatchFilter implements filter.Filter {
+	readonly #options: DispatchFilterOptions;
+
+	constructor(options: DispatchFilterOptions) {
+		this.#options = options;
+	}
+
+	async handle(ctx: requestContext.RequestContext, _next: filter.Next): Promise<void> {
+		const driver = new requestDriver.RequestDriver({
+			terms: this.#createTerms(ctx),
+			clock: this.#options.clock,
+			retries: this.#options.retries,
+		});
+		if (ctx.call.type === callModule.CallType.Chat) {
+			const actions = new chatActions.ChatActions(ctx, ctx.call, driver, this.#options.chat);
+			await this.#run(ctx, driver, actions);
+			return;
+		}
+
+		if (ctx.call.type === callModule.CallType.Service) {
+			const actions = new serviceActions.ServiceActions(ctx, ctx.call, driver, this.#options.service);
+			await this.#run(ctx, driver, actions);
+		}
+	}
+
+	async #run(
+		ctx: requestContext.RequestContext,
+		driver: requestDriver.RequestDriver,
+		actions: requestActions.RequestActions & {readonly answer?: requestContext.RequestOutcome['answer']},
+	): Promise<void> {
+		const execution = await driver.run(actions);
+		ctx.outcome = {execution, ...(actions.answer && {answer: actions.answer})};
+	}
+
+	#createTerms(ctx: requestContext.RequestContext): core.request.RequestTerms {
+		const isChat = ctx.call.type === callModule.CallType.Chat;
+		const model = isChat
+			? ctx.manifest.models.find(candidate => candidate.id === (ctx.call as callModule.ChatCall).model)
+			: undefined;
+		return {
+			requestId: ctx.id,
+			repeatable: isChat || ctx.kind!.repeatable,
+			deadlineAt: ctx.deadlineAt!,
+			maxAttempts: this.#options.maxAttempts,
+			maxResumes: this.#options.maxResumes,
+			resumable: isChat,
+			supportsForcedPrefix: model?.supportsForcedPrefix ?? false,
+		};
+	}
+}
--- /dev/null
+++ b/packages/router/src/filters/idempotency-filter.ts
@@ -0,0 +1,89 @@
+import * as crypto from 'node:crypto';
+import * as core from '@bluebellmast/core';
+import type * as clock from '../util/clock.js';
+import * as callModule from './call.js';
+import type * as filter from './filter.js';
+import type * as idempotencyStore from './idempotency-store.js';
+import type * as requestContext from './request-context.js';
+
+const maxKeyLength = 200;
+
+/** What the idempotency filter works with. */
+export type IdempotencyFilterOptions = {
+	readonly store: idempotencyStore.IdempotencyStore;
+	readonly clock: clock.Clock;
+};
+
+/** Lets each request that may not be repeated run at most once, by its idempotency key. */
+export class IdempotencyFilter implements filter.Filter {
+	readonly #options: IdempotencyFilterOptions;
+
+	constructor(options: IdempotencyFilterOptions) {
+		this.#options = options;
+	}
+
+	async handle(ctx: requestContext.RequestContext, next: filter.Next): Promise<void> {
+		if (ctx.kind!.repeatable || ctx.call.type !== callModule.CallType.Service) {
+			await next();
+			return;
+		}
+
+		const key = ctx.headers.idempotencyKey;
+		if (key === undefined || key.length > maxKeyLength) {
+			ctx.answer.sendRefusal(core.request.createRefusal(core.model.ErrorCode.IdempotencyKeyRequired, [], {
+				message: 'this call may not be repeated and needs an idempotency key',
+				findings: [{place: 'idempotency-key', message: `must hold 1 to ${maxKeyLength} characters`}],
+			}));
+			return;
+		}
+
+		await this.#handleKeyed(ctx, ctx.call, key, next);
+	}
+
+	async #handleKeyed(
+		ctx: requestContext.RequestContext,
+		call: callModule.ServiceCall,
+		key: string,
+		next: filter.Next,
+	): Promise<void> {
+		const intent = {
+			account: ctx.account!.id,
+			key,
+			digest: digestOf(call),
+			attempt: ctx.id,
+			deadlineAt: ctx.deadlineAt!,
+		};
+		const verdict = await this.#options.store.begin(intent);
+		if (verdict.isLeft()) {
+			ctx.answer.sendRefusal(verdict.extract());
+			return;
+		}
+
+		const recorded = verdict.unsafeCoerce();
+		if (recorded === undefined) {
+			await this.#run(ctx, intent, next);
+			return;
+		}
+
+		ctx.answer.sendWhole(recorded);
+	}
+
+	async #run(
+		ctx: requestContext.RequestContext,
+		intent: idempotencyStore.Intent,
+		next: filter.Next,
+	): Promise<void> {
+		try {
+			await next();
+		} finally {
+			this.#options.store.finish(intent, ctx.outcome ?? {execution: core.model.ExecutionState.Unknown});
+		}
+	}
+}
+
+function digestOf(call: callModule.ServiceCall): string {
+	return crypto.createHash('sha256')
+		.update(JSON.stringify([call.service, call.method, call.path, call.contentType]))
+		.update(call.body)
+		.digest('hex');
+}
--- /dev/null
+++ b/packages/router/src/filters/request-context.ts
@@ -0,0 +1,45 @@
+import type * as core from '@bluebellmast/core';
+import type * as callerAnswer from '../http/caller-answer.js';
+import type * as call from './call.js';
+
+/** Everything that the filters know of one request. Each filter fills in its own fields. */
+export type RequestContext = {
+	readonly id: core.model.RequestId;
+	/** Milliseconds since the Unix epoch. */
+	readonly arrivedAt: number;
+	readonly headers: RequestHeaders;
+	readonly call: call.Call;
+	readonly answer: callerAnswer.CallerAnswer;
+	/** Configuration that the request is decided by. */
+	readonly manifest: core.model.Manifest;
+	/** Set by the account filter. */
+	account?: core.model.ClientAccount;
+	/** Set by the account filter. */
+	kind?: core.model.RequestKind;
+	/** Milliseconds since the Unix epoch; set by the deadline filter. */
+	deadlineAt?: number;
+	/** Aborted when the caller goes away or the deadline passes; set by the deadline filter. */
+	signal?: AbortSignal;
+	/** Ends the deadline once the answer has begun; set by the deadline filter. */
+	releaseDeadline?: () => void;
+	/** Prompt in pieces; set by the prefix filter for chat calls. */
+	prompt?: core.cache.SplitPrompt;
+	/** How the request ended; set by the dispatch filter. */
+	outcome?: RequestOutcome;
+};
+
+/** How a request ended, for the ledger. */
+export type RequestOutcome = {
+	readonly execution: core.model.ExecutionState;
+	/** The whole answer of a plain service, when there is one. */
+	readonly answer?: callerAnswer.WholeAnswer;
+};
+
+/** The request headers that filters read. */
+export type RequestHeaders = {
+	readonly authorization?: string;
+	readonly idempotencyKey?: string;
+	readonly deadlineMs?: string;
+	readonly requestKind?: string;
+	readonly lastEventId?: string;
+};
--- /dev/null
+++ b/packages/router/src/http/caller-answer.ts
@@ -0,0 +1,129 @@
+import * as buffer from 'node:buffer';
+import type * as http from 'node:http';
+import * as core from '@bluebellmast/core';
+import * as wire from '@bluebellmast/wire';
+import * as status from './status-of.js';
+
+const millisecondsPerSecond = 1000;
+
+/** An answer of an endpoint that is passed on whole. */
+export type WholeAnswer = {
+	readonly status: number;
+	readonly contentType: string;
+	readonly body: Uint8Array;
+};
+
+/** The answer to one caller. Exactly one final answer is given. */
+export class CallerAnswer {
+	readonly #res: http.ServerResponse;
+	readonly #requestId: core.model.RequestId;
+	#finished = false;
+	#gone = false;
+
+	constructor(res: http.ServerResponse, requestId: core.model.RequestId) {
+		this.#res = res;
+		this.#requestId = requestId;
+		res.setHeader(wire.http.HeaderName.RequestId, requestId);
+		res.on('close', () => {
+			this.#gone = !res.writableFinished;
+		});
+	}
+
+	/** Whether the final answer was given. */
+	get finished(): boolean {
+		return this.#finished;
+	}
+
+	/** Whether the caller closed its connection before the whole answer was sent. */
+	get callerGone(): boolean {
+		return this.#gone;
+	}
+
+	/** Whether any byte was given to the caller. */
+	get started(): boolean {
+		return this.#res.headersSent;
+	}
+
+	/** Calls back when the caller goes away before the answer is whole. */
+	onCallerGone(listener: () => void): void {
+		this.#res.on('close', () => {
+			if (!this.#res.writableFinished) {
+				listener();
+			}
+		});
+	}
+
+	/** Closes the caller's connection after the answer. */
+	closeConnection(): void {
+		this.#res.setHeader('connection', 'close');
+	}
+
+	/** Gives a refusal as the final answer; within a stream it becomes a typed error event. */
+	sendRefusal(refusal: core.model.Refusal): void {
+		if (this.#res.headersSent) {
+			this.#endStreamWithError(refusal);
+			return;
+		}
+
+		if (refusal.retryAfterMs !== undefined) {
+			const seconds = Math.max(1, Math.ceil(refusal.retryAfterMs / millisecondsPerSecond));
+			this.#res.setHeader(wire.http.HeaderName.RetryAfter, String(seconds));
+		}
+
+		this.#res.setHeader(wire.http.HeaderName.Execution, refusal.execution);
+		this.sendJson(status.statusOf(refusal.code), {error: refusal});
+	}
+
+	/** Gives a JSON value as the final answer. */
+	sendJson(statusCode: number, value: unknown): void {
+		const body = buffer.Buffer.from(JSON.stringify(value));
+		this.sendWhole({status: statusCode, contentType: wire.http.MediaType.Json, body});
+	}
+
+	/** Gives an endpoint's whole answer as the final answer. */
+	sendWhole(answer: WholeAnswer): void {
+		this.#finish();
+		this.#res.statusCode = answer.status;
+		this.#res.setHeader('content-type', answer.contentType);
+		this.#res.setHeader('content-length', answer.body.length);
+		this.#res.end(answer.body);
+	}
+
+	/** Begins a stream of server-sent events. */
+	startStream(headers: Readonly<Partial<Record<wire.http.HeaderName, string>>>): void {
+		for (const [name, value] of Object.entries(headers)) {
+			this.#res.setHeader(name, value);
+		}
+
+		this.#res.writeHead(200, {'content-type': wire.http.MediaType.EventStream, 'cache-control': 'no-store'});
+	}
+
+	/** Sends one event, and waits while the caller's connection holds a full buffer. */
+	async sendEvent(id: number, data: string, eventName?: string): Promise<void> {
+		const name = eventName === undefined ? '' : `event: ${eventName}\n`;
+		if (this.#res.write(`${name}id: ${id}\ndata: ${data}\n\n`) || this.#gone) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			this.#res.once('drain', resolve);
+			this.#res.once('close', resolve);
+		});
+	}
+
+	/** Ends a stream that is whole. */
+	endStream(): void {
+		this.#finish();
+		this.#res.end('data: [DONE]\n\n');
+	}
+
+	#endStreamWithError(refusal: core.model.Refusal): void {
+		this.#finish();
+		this.#res.end(`event: error\ndata: ${JSON.stringify({error: refusal})}\n\n`);
+	}
+
+	#finish(): void {
+		core.util.assertInvariant(!this.#finished, 'answer.one-final', () => `request ${this.#requestId} was answered twice`);
+		this.#finished = true;
+	}
+}
--- /dev/null
+++ b/packages/router/src/http/router-server.ts
@@ -0,0 +1,77 @@
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import type * as adminHandler from './admin-handler.js';
+import type * as requestHandler from './request-handler.js';
+
+/** Options of the server for callers, operators and the balancer. */
+export type RouterServerOptions = {
+	/** IP number to listen on. */
+	readonly host: string;
+	/** Port; 0 takes a free one. */
+	readonly port: number;
+	/** Milliseconds in which a caller sends its headers. */
+	readonly headerTimeoutMs: number;
+	/** Bytes of headers at most. Default 32 KiB. */
+	readonly maxHeaderBytes?: number;
+	readonly requests: requestHandler.RequestHandler;
+	readonly admin: adminHandler.AdminHandler;
+};
+
+const defaultMaxHeaderBytes = 32 * 1024;
+const badRequest = 'HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-type: application/json\r\n\r\n'
+	+ '{"error":{"code":"invalid_request","execution":"not_run","message":"the request is not valid HTTP"}}';
+
+/** Listens for callers, operators and the balancer. */
+export class RouterServer {
+	readonly #options: RouterServerOptions;
+	readonly #server: http.Server;
+
+	constructor(options: RouterServerOptions) {
+		this.#options = options;
+		this.#server = http.createServer({
+			maxHeaderSize: options.maxHeaderBytes ?? defaultMaxHeaderBytes,
+			headersTimeout: options.headerTimeoutMs,
+			requestTimeout: 0,
+		}, (req, res) => {
+			this.#route(req, res);
+		});
+		this.#server.on('clientError', (_err, socket) => {
+			if (socket.writable) {
+				socket.end(badRequest);
+			}
+		});
+	}
+
+	/** Port that the server listens on. */
+	get port(): number {
+		return (this.#server.address() as net.AddressInfo).port;
+	}
+
+	/** Begins to listen. */
+	async start(): Promise<void> {
+		await new Promise<void>((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen(this.#options.port, this.#options.host, resolve);
+		});
+	}
+
+	/** Takes no new connections, and waits until each open one has ended its request. */
+	async stop(): Promise<void> {
+		const closed = new Promise<void>(resolve => {
+			this.#server.close(() => {
+				resolve();
+			});
+		});
+		this.#server.closeIdleConnections();
+		await closed;
+	}
+
+	#route(req: http.IncomingMessage, res: http.ServerResponse): void {
+		if (this.#options.admin.handles(req)) {
+			this.#options.admin.handle(req, res);
+			return;
+		}
+
+		void this.#options.requests.handle(req, res);
+	}
+}
--- /dev/null
+++ b/packages/router/src/main.ts
@@ -0,0 +1,106 @@
+#!/usr/bin/env node
+import * as fs from 'node:fs';
+import process from 'node:process';
+import * as config from '@bluebellmast/config';
+import * as exitCode from './cli/exit-code.js';
+import * as commandLine from './cli/parse-command-line.js';
+import type * as routerProgram from './router-program.js';
+import * as wireUp from './wire-up.js';
+import * as ignore from './util/ignore.js';
+
+const version = '0.1.0';
+
+function print(text: string): void {
+	process.stdout.write(`${text}\n`);
+}
+
+function printError(text: string): void {
+	process.stderr.write(`${text}\n`);
+}
+
+async function main(): Promise<exitCode.ExitCode> {
+	const command = commandLine.parseCommandLine(process.argv.slice(2));
+	if (command.isLeft()) {
+		printError(String(command.extract()));
+		return exitCode.ExitCode.Usage;
+	}
+
+	return runCommand(command.unsafeCoerce());
+}
+
+async function runCommand(command: commandLine.Command): Promise<exitCode.ExitCode> {
+	switch (command.type) {
+		case commandLine.CommandType.Help: {
+			print(commandLine.helpText);
+			return exitCode.ExitCode.Ok;
+		}
+
+		case commandLine.CommandType.Version: {
+			print(version);
+			return exitCode.ExitCode.Ok;
+		}
+
+		case commandLine.CommandType.PrintSettings: {
+			print(config.settings.renderDefaultSettings());
+			return exitCode.ExitCode.Ok;
+		}
+
+		case commandLine.CommandType.Check: {
+			return readSettings(command.settingsFile) === undefined ? exitCode.ExitCode.Findings : exitCode.ExitCode.Ok;
+		}
+
+		case commandLine.CommandType.Run: {
+			const settings = readSettings(command.settingsFile);
+			return settings === undefined ? exitCode.ExitCode.Findings : runRouter(settings);
+		}
+	}
+}
+
+/** Reads and checks a settings file; prints all findings when there are any. */
+function readSettings(file: string): config.settings.Settings | undefined {
+	let text: string;
+	try {
+		text = fs.readFileSync(file, 'utf8');
+	} catch (err) {
+		printError(`${file}: ${(err as Error).message}`);
+		return undefined;
+	}
+
+	const parsed = config.settings.parseSettings(file, text);
+	if (parsed.isRight()) {
+		return parsed.extract();
+	}
+
+	for (const finding of parsed.extract() as readonly config.document.FileFinding[]) {
+		printError(config.document.formatFinding(finding));
+	}
+
+	return undefined;
+}
+
+async function runRouter(settings: config.settings.Settings): Promise<exitCode.ExitCode> {
+	const program = wireUp.createRouterProgram(settings);
+	try {
+		await program.start();
+	} catch (err) {
+		printError(`cannot listen: ${(err as Error).message}`);
+		process.exit(exitCode.ExitCode.CannotListen);
+	}
+
+	print(JSON.stringify({ready: true, vm: settings.vm, port: program.port}));
+	await untilStopSignal(program);
+	return exitCode.ExitCode.Ok;
+}
+
+/** Waits for a stop signal and carries the planned stop out. A second signal changes nothing. */
+async function untilStopSignal(program: routerProgram.RouterProgram): Promise<void> {
+	await new Promise<void>(resolve => {
+		process.once('SIGTERM', resolve);
+		process.once('SIGINT', resolve);
+	});
+	process.on('SIGTERM', ignore.ignore);
+	process.on('SIGINT', ignore.ignore);
+	await program.stop();
+}
+
+process.exitCode = await main();
--- /dev/null
+++ b/packages/router/src/router-program.ts
@@ -0,0 +1,75 @@
+import * as timers from 'node:timers/promises';
+import * as core from '@bluebellmast/core';
+import type * as controller from './controllers/controller.js';
+import type * as requestTable from './http/request-table.js';
+import type * as routerServer from './http/router-server.js';
+import type * as recorder from './util/recorder.js';
+
+/** Whether the router offers itself to the balancer. */
+export class Lifecycle {
+	/** False before the start and from the beginning of a planned stop. */
+	isServing = false;
+}
+
+/** The parts that a router runs. */
+export type RouterProgramOptions = {
+	readonly lifecycle: Lifecycle;
+	/** Started in order, stopped in reverse. */
+	readonly controllers: readonly controller.Controller[];
+	readonly server: routerServer.RouterServer;
+	readonly requests: requestTable.RequestTable;
+	readonly recorder: recorder.Recorder;
+	/** Milliseconds between failing readiness and closing the listener. */
+	readonly readinessLeadMs: number;
+	/** Closes connections, last of all. */
+	readonly close: () => Promise<void>;
+};
+
+/** A router from start to planned stop. */
+export class RouterProgram {
+	readonly #options: RouterProgramOptions;
+	#stopping: Promise<void> | undefined;
+
+	constructor(options: RouterProgramOptions) {
+		this.#options = options;
+	}
+
+	/** Port that callers reach. */
+	get port(): number {
+		return this.#options.server.port;
+	}
+
+	/** Starts all parts. Rejects when an address cannot be listened on. */
+	async start(): Promise<void> {
+		await this.#options.server.start();
+		for (const part of this.#options.controllers) {
+			await part.start(); // eslint-disable-line no-await-in-loop
+		}
+
+		this.#options.lifecycle.isServing = true;
+		this.#options.recorder.record({type: core.timeline.TimelineEventType.RouterStarted});
+	}
+
+	/**
+	 * Stops without cutting a request: readiness fails first, the listener stays open until the balancer has had time to
+	 * see it, every request ends, duties are handed over. Further calls wait for the same stop.
+	 */
+	async stop(): Promise<void> {
+		this.#stopping ??= this.#stop();
+		await this.#stopping;
+	}
+
+	async #stop(): Promise<void> {
+		const {lifecycle, readinessLeadMs, server, requests, controllers} = this.#options;
+		lifecycle.isServing = false;
+		this.#options.recorder.record({type: core.timeline.TimelineEventType.RouterStopping});
+		await timers.setTimeout(readinessLeadMs);
+		await server.stop();
+		await requests.drained();
+		for (const part of [...controllers].reverse()) {
+			await part.stop(); // eslint-disable-line no-await-in-loop
+		}
+
+		await this.#options.close();
+	}
+}
--- /dev/null
+++ b/packages/router/src/util/counting-metrics.ts
@@ -0,0 +1,30 @@
+import type * as metrics from './metrics.js';
+
+/** Keeps counters in memory, for the status view, and passes all on to another sink. */
+export class CountingMetrics implements metrics.Metrics {
+	readonly #counters = new Map<string, number>();
+	readonly #next: metrics.Metrics | undefined;
+
+	constructor(next?: metrics.Metrics) {
+		this.#next = next;
+	}
+
+	increment(name: string, by = 1, tags: Readonly<Record<string, string>> = {}): void {
+		const key = [name, ...Object.values(tags)].join('.');
+		this.#counters.set(key, (this.#counters.get(key) ?? 0) + by);
+		this.#next?.increment(name, by, tags);
+	}
+
+	gauge(name: string, value: number, tags: Readonly<Record<string, string>> = {}): void {
+		this.#next?.gauge(name, value, tags);
+	}
+
+	timing(name: string, durationMs: number, tags: Readonly<Record<string, string>> = {}): void {
+		this.#next?.timing(name, durationMs, tags);
+	}
+
+	/** Returns all counters by name, tags joined with dots. */
+	counters(): Readonly<Record<string, number>> {
+		return Object.fromEntries(this.#counters);
+	}
+}
--- /dev/null
+++ b/packages/router/src/util/hot-shots-metrics.ts
@@ -0,0 +1,42 @@
+import * as hotShots from 'hot-shots';
+import type * as metrics from './metrics.js';
+import * as ignore from './ignore.js';
+
+/** Where metrics go. */
+export type HotShotsMetricsOptions = {
+	/** IP number of the StatsD server. */
+	readonly host: string;
+	readonly port: number;
+	/** Put before each name. */
+	readonly prefix: string;
+};
+
+/** Sends metrics to a StatsD server over UDP. */
+export class HotShotsMetrics implements metrics.Metrics {
+	readonly #client: hotShots.StatsD;
+
+	constructor(options: HotShotsMetricsOptions) {
+		this.#client = new hotShots.StatsD({...options, errorHandler: ignore.ignore});
+	}
+
+	increment(name: string, by = 1, tags: Readonly<Record<string, string>> = {}): void {
+		this.#client.increment(name, by, tags);
+	}
+
+	gauge(name: string, value: number, tags: Readonly<Record<string, string>> = {}): void {
+		this.#client.gauge(name, value, tags);
+	}
+
+	timing(name: string, durationMs: number, tags: Readonly<Record<string, string>> = {}): void {
+		this.#client.timing(name, durationMs, tags);
+	}
+
+	/** Flushes and closes the socket. */
+	async close(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#client.close(() => {
+				resolve();
+			});
+		});
+	}
+}
