Add the operators' tool bluebellmastctl

Checks files, applies, recalls and reinstates, shows status, endpoints and the time line. A change is a class that reads, proposes and swaps until it knows the outcome; a lost answer is resolved by its change id.

--- /dev/null
+++ b/packages/ctl/src/change/change-writer.ts
@@ -0,0 +1,216 @@
+import * as config from '@bluebellmast/config';
+import type * as core from '@bluebellmast/core';
+import * as platform from '@bluebellmast/platform';
+import * as purify from 'purify-ts';
+
+/** How the submission of a change ended. */
+export enum SubmitResultType {
+	Accepted = 'accepted',
+	/** Nothing was changed. */
+	Refused = 'refused',
+	/** The key-value service was not reached; the change was not accepted and will not be. */
+	NotAccepted = 'not_accepted',
+	/** The change may have been accepted, or may yet be. */
+	Unknown = 'unknown',
+}
+
+/** Result of a submission. */
+export type SubmitResult = {
+	readonly type: SubmitResultType;
+	readonly message: string;
+	/** Generation of an accepted change. */
+	readonly generation?: core.model.Generation;
+	readonly refusal?: config.manifest.ChangeRefusalCode;
+	/** Latest head that was read. */
+	readonly head?: core.manifest.ManifestHead;
+};
+
+/** A change to submit. */
+export type Change = {
+	readonly changeId: string;
+	/** Proposes the change on top of a head, under its change id. */
+	readonly propose: (
+		head: core.manifest.ManifestHead | undefined,
+		changeId: string,
+	) => purify.Either<config.manifest.ChangeRefusal, config.manifest.Proposal>;
+	/** Whether it is proposed anew when another change comes first. */
+	readonly rebases: boolean;
+};
+
+/** Options of the writer. */
+export type ChangeWriterOptions = {
+	readonly kv: platform.kv.KeyValueClient;
+	readonly sleep: (durationMs: number) => Promise<void>;
+	/** Default 8. */
+	readonly maxTries?: number;
+	/** Pause after the first failed try; it doubles. Default 50. */
+	readonly firstPauseMs?: number;
+};
+
+/** Result of one try; absent when another is to be made. */
+type TryResult = SubmitResult | undefined;
+
+type HeadEntry = {
+	readonly head: core.manifest.ManifestHead | undefined;
+	readonly revision: number;
+};
+
+/**
+ * Submits one change: writes its sections, then swaps the head. A lost answer is resolved by reading back the change id;
+ * the same write may be sent again, since it names the revision that it replaces.
+ */
+export class ChangeWriter {
+	readonly #options: Required<ChangeWriterOptions>;
+	readonly #change: Change;
+	/** Generation on which a write stands whose answer was lost. */
+	#lostBase: core.model.Generation | undefined;
+	#head: core.manifest.ManifestHead | undefined;
+	#lastError = '';
+
+	constructor(options: ChangeWriterOptions, change: Change) {
+		this.#options = {maxTries: 8, firstPauseMs: 50, ...options};
+		this.#change = change;
+	}
+
+	async submit(): Promise<SubmitResult> {
+		let pauseMs = this.#options.firstPauseMs;
+		for (let round = 0; round < this.#options.maxTries; round += 1) {
+			const result = await this.#tryOnce(); // eslint-disable-line no-await-in-loop -- Tries follow each other.
+			if (result !== undefined) {
+				return {...result, ...(this.#head && {head: this.#head})};
+			}
+
+			await this.#options.sleep(pauseMs); // eslint-disable-line no-await-in-loop
+			pauseMs *= 2;
+		}
+
+		return this.#giveUp();
+	}
+
+	async #tryOnce(): Promise<TryResult> {
+		const entry = await this.#readHead();
+		if (entry === undefined) {
+			return undefined;
+		}
+
+		this.#head = entry.head;
+		const resolved = this.#resolve(entry.head);
+		if (resolved !== undefined) {
+			return resolved;
+		}
+
+		const proposal = this.#change.propose(entry.head, this.#change.changeId);
+		if (proposal.isLeft()) {
+			const {code, message} = proposal.extract();
+			return {type: SubmitResultType.Refused, refusal: code, message};
+		}
+
+		return this.#write(proposal.unsafeCoerce(), entry);
+	}
+
+	async #write(proposal: config.manifest.Proposal, entry: HeadEntry): Promise<TryResult> {
+		for (const section of proposal.newSections) {
+			const written = await this.#writeSection(section); // eslint-disable-line no-await-in-loop -- Spares the service a burst.
+			if (!written) {
+				return undefined;
+			}
+		}
+
+		const bytes = config.manifest.encodeHead(proposal.head);
+		const answer = await this.#options.kv.compareAndSwap(config.manifest.headKey, entry.revision, bytes);
+		if (answer.isLeft()) {
+			return this.#onFailedSwap(answer.extract(), entry.head);
+		}
+
+		if (!answer.map(swap => swap.swapped).orDefault(false)) {
+			this.#lastError = 'other changes came first';
+			return undefined;
+		}
+
+		this.#head = proposal.head;
+		return this.#accepted(proposal.head.generation);
+	}
+
+	/** A section that is there already is the same, since its key is its hash. */
+	async #writeSection(section: config.manifest.Section): Promise<boolean> {
+		const answer = await this.#options.kv.compareAndSwap(config.manifest.sectionKey(section.hash), 0, section.bytes);
+		answer.ifLeft(err => {
+			this.#lastError = err.message;
+		});
+		return answer.isRight();
+	}
+
+	#onFailedSwap(err: platform.kv.KvError, base: core.manifest.ManifestHead | undefined): TryResult {
+		this.#lastError = err.message;
+		if (err.code === platform.kv.KvErrorCode.ValueTooLarge) {
+			return {type: SubmitResultType.Refused, refusal: config.manifest.ChangeRefusalCode.TooLarge, message: err.message};
+		}
+
+		if (err.code === platform.kv.KvErrorCode.OutcomeUnknown) {
+			this.#lostBase = base?.generation ?? 0;
+		}
+
+		return undefined;
+	}
+
+	/** Finds out whether this change stands already, or another took its place. */
+	#resolve(head: core.manifest.ManifestHead | undefined): TryResult {
+		const base = this.#lostBase ?? head?.generation ?? 0;
+		const outcome = config.manifest.resolveChange(head, this.#change.changeId, base);
+		switch (outcome.type) {
+			case config.manifest.ChangeOutcomeType.Accepted: {
+				return this.#accepted(outcome.generation ?? 0);
+			}
+
+			case config.manifest.ChangeOutcomeType.Superseded: {
+				this.#lostBase = undefined;
+				return this.#change.rebases ? undefined : this.#superseded(head);
+			}
+
+			case config.manifest.ChangeOutcomeType.Forgotten: {
+				return {type: SubmitResultType.Unknown, message: 'so many changes came since that the head no longer tells'};
+			}
+
+			case config.manifest.ChangeOutcomeType.Pending: {
+				return undefined;
+			}
+		}
+	}
+
+	async #readHead(): Promise<HeadEntry | undefined> {
+		const answer = await this.#options.kv.get(config.manifest.headKey);
+		return answer
+			.mapLeft(err => err.message)
+			.chain(entry => decodeEntry(entry))
+			.ifLeft(message => {
+				this.#lastError = message;
+			})
+			.toMaybe()
+			.extract();
+	}
+
+	#accepted(generation: core.model.Generation): SubmitResult {
+		return {type: SubmitResultType.Accepted, generation, message: `accepted as generation ${generation}`};
+	}
+
+	#superseded(head: core.manifest.ManifestHead | undefined): SubmitResult {
+		return {
+			type: SubmitResultType.Refused,
+			refusal: config.manifest.ChangeRefusalCode.Stale,
+			message: `another change won: generation ${head?.generation} by change ${head?.changeId} is in force`,
+		};
+	}
+
+	#giveUp(): SubmitResult {
+		const head = this.#head && {head: this.#head};
+		return this.#lostBase === undefined
+			? {type: SubmitResultType.NotAccepted, message: `NOT accepted: ${this.#lastError}`, ...head}
+			: {type: SubmitResultType.Unknown, message: `it is not known whether the change was accepted: ${this.#lastError}`, ...head};
+	}
+}
+
+function decodeEntry(entry: platform.kv.KvEntry | undefined): purify.Either<string, HeadEntry> {
+	return entry === undefined
+		? purify.Right({head: undefined, revision: 0})
+		: config.manifest.decodeHead(entry.value).map(head => ({head, revision: entry.revision}));
+}
--- /dev/null
+++ b/packages/ctl/src/change/index.ts
@@ -0,0 +1,2 @@
+export * from './change-writer.js';
+export * from './read-content.js';
--- /dev/null
+++ b/packages/ctl/src/cli/context.ts
@@ -0,0 +1,24 @@
+import type * as platform from '@bluebellmast/platform';
+import type * as routerClient from '../routers/router-client.js';
+
+/** Key-value client that is closed at the end of a command. */
+export type ClosableKv = platform.kv.KeyValueClient & {
+	close(): Promise<void>;
+};
+
+/** What commands work with; tests give their own. */
+export type Context = {
+	/** Writes a line to standard output. */
+	readonly print: (line: string) => void;
+	/** Writes a line to standard error. */
+	readonly warn: (line: string) => void;
+	readonly readFile: (file: string) => string;
+	readonly writeFile: (file: string, text: string) => void;
+	readonly createKv: (urls: readonly string[]) => ClosableKv;
+	readonly createRouterClient: (url: string, operatorKey: string | undefined) => routerClient.RouterClient;
+	readonly now: () => number;
+	readonly sleep: (durationMs: number) => Promise<void>;
+	/** Returns a text that no other change has. */
+	readonly createId: () => string;
+	readonly operator: string;
+};
--- /dev/null
+++ b/packages/ctl/src/cli/run-cli.ts
@@ -0,0 +1,81 @@
+import * as util from 'node:util';
+import * as commands from '../commands/index.js';
+import * as command from './command.js';
+import type * as context from './context.js';
+import * as exitCode from './exit-code.js';
+import * as version from './version.js';
+
+const exitTexts: Readonly<Record<exitCode.ExitCode, string>> = {
+	[exitCode.ExitCode.Ok]: 'done as asked',
+	[exitCode.ExitCode.Findings]: 'a file has findings',
+	[exitCode.ExitCode.Usage]: 'malformed command line, or a file can\'t be read',
+	[exitCode.ExitCode.Refused]: 'refused: stale, or another change won; nothing was changed',
+	[exitCode.ExitCode.Unreachable]: 'platform or router not reachable; a change was not accepted',
+	[exitCode.ExitCode.OutcomeUnknown]: 'not known whether the change was accepted',
+	[exitCode.ExitCode.NotConfirmed]: 'accepted, but not confirmed by all routers',
+};
+
+/** Runs the command that the arguments name. */
+export async function runCli(argv: readonly string[], ctx: context.Context): Promise<exitCode.ExitCode> {
+	const [name, ...rest] = argv;
+	if (name === '--version') {
+		ctx.print(version.toolVersion);
+		return exitCode.ExitCode.Ok;
+	}
+
+	if (name === '--help' || name === undefined) {
+		ctx.print(helpText());
+		return name === undefined ? exitCode.ExitCode.Usage : exitCode.ExitCode.Ok;
+	}
+
+	const chosen = commands.allCommands.find(known => known.name === name);
+	if (chosen === undefined) {
+		ctx.warn(`unknown command '${name}'; see --help`);
+		return exitCode.ExitCode.Usage;
+	}
+
+	return runCommand(chosen, rest, ctx);
+}
+
+async function runCommand(chosen: command.Command, args: readonly string[], ctx: context.Context): Promise<exitCode.ExitCode> {
+	if (args.includes('--help')) {
+		ctx.print(`bluebellmastctl ${chosen.name} ${chosen.usage}\n\n${chosen.summary}`);
+		return exitCode.ExitCode.Ok;
+	}
+
+	try {
+		const {values, positionals} = parseArguments(chosen, args);
+		return await chosen.run(values, positionals, ctx);
+	} catch (err) {
+		if (err instanceof command.UsageError) {
+			ctx.warn(`bluebellmastctl ${chosen.name}: ${err.message}`);
+			return exitCode.ExitCode.Usage;
+		}
+
+		throw err;
+	}
+}
+
+function parseArguments(chosen: command.Command, args: readonly string[]) {
+	try {
+		return util.parseArgs({args: [...args], options: chosen.options, allowPositionals: true});
+	} catch (err) {
+		throw new command.UsageError(err instanceof Error ? err.message : String(err));
+	}
+}
+
+function helpText(): string {
+	const lines = commands.allCommands.flatMap(known => [`  ${known.name} ${known.usage}`, `      ${known.summary}`]);
+	const statuses = Object.entries(exitTexts).map(([code, text]) => `  ${code} ${text}`);
+	return [
+		'bluebellmastctl: checks files, changes the manifest and shows the state of routers',
+		'',
+		'Commands:',
+		...lines,
+		'',
+		'  --help | --version',
+		'',
+		'Exit status:',
+		...statuses,
+	].join('\n');
+}
--- /dev/null
+++ b/packages/ctl/src/cli/version.ts
@@ -0,0 +1,6 @@
+import * as module from 'node:module';
+
+const requirePackage = module.createRequire(import.meta.url);
+
+/** Version of the tool, from its package. */
+export const toolVersion = (requirePackage('../../package.json') as {version: string}).version;
--- /dev/null
+++ b/packages/ctl/src/commands/apply-command.ts
@@ -0,0 +1,68 @@
+import * as config from '@bluebellmast/config';
+import type * as core from '@bluebellmast/core';
+import type * as changeWriter from '../change/change-writer.js';
+import * as readContent from '../change/read-content.js';
+import type * as command from '../cli/command.js';
+import type * as context from '../cli/context.js';
+import * as exitCode from '../cli/exit-code.js';
+import * as optionValues from '../cli/option-values.js';
+import * as changeCommand from './change-command.js';
+import * as checkCommands from './check-commands.js';
+
+/** Puts a manifest file in force. */
+export const applyCommand: command.Command = {
+	name: 'apply',
+	usage: `--kv URL... FILE [--made-from N] ${changeCommand.changeUsage}`,
+	summary: 'Puts a manifest file in force; refused when it was made from another generation than the one in force.',
+	options: {...changeCommand.changeOptions, 'made-from': {type: 'string'}},
+	async run(values: command.OptionValues, positionals: readonly string[], ctx: context.Context): Promise<exitCode.ExitCode> {
+		const file = optionValues.onlyPositional(positionals, 'FILE');
+		const parsed = config.manifest.parseManifest(file, optionValues.readText(file, ctx));
+		if (parsed.isLeft()) {
+			checkCommands.printFindings(parsed.extract(), ctx);
+			return exitCode.ExitCode.Findings;
+		}
+
+		const {content, madeFrom} = parsed.unsafeCoerce();
+		const base = optionValues.countOf(values, 'made-from') ?? madeFrom;
+		return changeCommand.submitChange(values, createChange(content, base), ctx, async (result, kv) => {
+			await showDifference(result, kv, content, ctx);
+		});
+	},
+};
+
+/** Without a stated base, the first head that is read is the base. */
+function createChange(content: config.manifest.ManifestContent, madeFrom: core.model.Generation | undefined) {
+	let base = madeFrom;
+	return {
+		verb: 'apply',
+		rebases: false,
+		propose(head: core.manifest.ManifestHead | undefined, changeId: string) {
+			base ??= head?.generation ?? 0;
+			return config.manifest.proposeApply(head, content, {changeId, madeFrom: base});
+		},
+	};
+}
+
+/** Shows how a stale file differs from what is in force. */
+async function showDifference(
+	result: changeWriter.SubmitResult,
+	kv: context.ClosableKv,
+	content: config.manifest.ManifestContent,
+	ctx: context.Context,
+): Promise<void> {
+	if (result.refusal !== config.manifest.ChangeRefusalCode.Stale || result.head === undefined) {
+		return;
+	}
+
+	const inForce = await readContent.readManifest(kv, result.head);
+	if (inForce === undefined) {
+		ctx.warn('the manifest in force can\'t be read, so the difference is not shown');
+		return;
+	}
+
+	ctx.warn(`what the file would change in generation ${inForce.generation}:`);
+	for (const line of config.manifest.describeDifferences(inForce, content)) {
+		ctx.warn(`  ${line}`);
+	}
+}
--- /dev/null
+++ b/packages/ctl/src/commands/change-command.ts
@@ -0,0 +1,95 @@
+import type * as core from '@bluebellmast/core';
+import * as changeWriter from '../change/change-writer.js';
+import type * as command from '../cli/command.js';
+import type * as context from '../cli/context.js';
+import * as exitCode from '../cli/exit-code.js';
+import * as optionValues from '../cli/option-values.js';
+import * as waitForGeneration from '../routers/wait-for-generation.js';
+
+const defaultWaitTimeoutMs = 10_000;
+const waitPollMs = 200;
+
+/** Options of all commands that change the manifest. */
+export const changeOptions = {
+	kv: {type: 'string', multiple: true},
+	wait: {type: 'boolean'},
+	router: {type: 'string', multiple: true},
+	'operator-key-file': {type: 'string'},
+	'wait-timeout-ms': {type: 'string'},
+	'change-id': {type: 'string'},
+} as const satisfies command.OptionTypes;
+
+/** Usage of the options of all commands that change the manifest. */
+export const changeUsage = '[--wait --router URL... [--operator-key-file FILE] [--wait-timeout-ms N]] [--change-id ID]';
+
+const exitCodes: Readonly<Record<changeWriter.SubmitResultType, exitCode.ExitCode>> = {
+	[changeWriter.SubmitResultType.Accepted]: exitCode.ExitCode.Ok,
+	[changeWriter.SubmitResultType.Refused]: exitCode.ExitCode.Refused,
+	[changeWriter.SubmitResultType.NotAccepted]: exitCode.ExitCode.Unreachable,
+	[changeWriter.SubmitResultType.Unknown]: exitCode.ExitCode.OutcomeUnknown,
+};
+
+/** Is told the result of a submission before the key-value client closes. */
+export type ResultListener = (result: changeWriter.SubmitResult, kv: context.ClosableKv) => Promise<void>;
+
+/** Submits a change, reports what became of it, and waits for the routers where that is asked for. */
+export async function submitChange(
+	values: command.OptionValues,
+	change: Omit<changeWriter.Change, 'changeId'> & {readonly verb: string},
+	ctx: context.Context,
+	onResult: ResultListener = async () => undefined,
+): Promise<exitCode.ExitCode> {
+	const kv = ctx.createKv(optionValues.urlsOf(values, 'kv'));
+	const routers = routersToWaitFor(values, ctx);
+	const changeId = optionValues.textOf(values, 'change-id') ?? `${change.verb}:${ctx.operator}:${ctx.createId()}`;
+	try {
+		const writer = new changeWriter.ChangeWriter({kv, sleep: ctx.sleep}, {...change, changeId});
+		const result = await writer.submit();
+		reportResult(result, changeId, change.verb, ctx);
+		await onResult(result, kv);
+		return result.generation === undefined || routers.length === 0
+			? exitCodes[result.type]
+			: await waitAndReport(values, routers, result.generation, ctx);
+	} finally {
+		await kv.close();
+	}
+}
+
+function reportResult(result: changeWriter.SubmitResult, changeId: string, verb: string, ctx: context.Context): void {
+	const line = `${verb} (change ${changeId}): ${result.message}`;
+	if (result.type === changeWriter.SubmitResultType.Accepted) {
+		ctx.print(line);
+		return;
+	}
+
+	ctx.warn(line);
+	if (result.type === changeWriter.SubmitResultType.Unknown) {
+		ctx.warn(`run it again with --change-id ${changeId} to find out; it is not accepted twice`);
+	}
+}
+
+function routersToWaitFor(values: command.OptionValues, ctx: context.Context) {
+	if (values.wait !== true) {
+		return [];
+	}
+
+	const key = optionValues.operatorKeyOf(values, ctx);
+	return optionValues.urlsOf(values, 'router').map(url => ctx.createRouterClient(url, key));
+}
+
+async function waitAndReport(
+	values: command.OptionValues,
+	routers: ReturnType<typeof routersToWaitFor>,
+	generation: core.model.Generation,
+	ctx: context.Context,
+): Promise<exitCode.ExitCode> {
+	const timeoutMs = optionValues.countOf(values, 'wait-timeout-ms') ?? defaultWaitTimeoutMs;
+	const progress = await waitForGeneration.waitForGeneration(routers, {generation, timeoutMs, pollMs: waitPollMs}, ctx);
+	const open = progress.filter(router => !router.confirmed);
+	for (const {url, confirmed, detail} of progress) {
+		ctx.print(`${confirmed ? 'confirmed' : 'NOT CONFIRMED'} ${url}: ${detail}`);
+	}
+
+	ctx.print(`${progress.length - open.length} of ${progress.length} routers have confirmed generation ${generation}`);
+	return open.length === 0 ? exitCode.ExitCode.Ok : exitCode.ExitCode.NotConfirmed;
+}
--- /dev/null
+++ b/packages/ctl/src/commands/recall-commands.ts
@@ -0,0 +1,81 @@
+import * as config from '@bluebellmast/config';
+import * as core from '@bluebellmast/core';
+import type * as changeWriter from '../change/change-writer.js';
+import * as readContent from '../change/read-content.js';
+import * as command from '../cli/command.js';
+import type * as context from '../cli/context.js';
+import type * as exitCode from '../cli/exit-code.js';
+import * as optionValues from '../cli/option-values.js';
+import * as changeCommand from './change-command.js';
+
+/** Recalls batches, on top of whatever is in force. */
+export const recallCommand: command.Command = {
+	name: 'recall',
+	usage: `--kv URL... BATCH... ${changeCommand.changeUsage}`,
+	summary: 'Recalls batches such as model:x@v or adapter:x@v; no later apply undoes it.',
+	options: changeCommand.changeOptions,
+	async run(values: command.OptionValues, positionals: readonly string[], ctx: context.Context): Promise<exitCode.ExitCode> {
+		const batches = parseBatches(positionals);
+		return changeCommand.submitChange(values, {
+			verb: 'recall',
+			rebases: true,
+			propose: (head, changeId) => config.manifest.proposeRecall(head, batches, changeId),
+		}, ctx, async (result, kv) => {
+			await warnOfUnlisted(result, kv, batches, ctx);
+		});
+	},
+};
+
+/** Reinstates recalled batches. */
+export const reinstateCommand: command.Command = {
+	name: 'reinstate',
+	usage: `--kv URL... BATCH... [--made-from N] ${changeCommand.changeUsage}`,
+	summary: 'Reinstates recalled batches; refused when another change comes first, so that it never undoes a recall made since.',
+	options: {...changeCommand.changeOptions, 'made-from': {type: 'string'}},
+	async run(values: command.OptionValues, positionals: readonly string[], ctx: context.Context): Promise<exitCode.ExitCode> {
+		const batches = parseBatches(positionals);
+		let madeFrom = optionValues.countOf(values, 'made-from');
+		return changeCommand.submitChange(values, {
+			verb: 'reinstate',
+			rebases: false,
+			propose(head, changeId) {
+				madeFrom ??= head?.generation ?? 0;
+				return config.manifest.proposeReinstate(head, batches, {changeId, madeFrom});
+			},
+		}, ctx);
+	},
+};
+
+function parseBatches(positionals: readonly string[]): readonly core.model.BatchKey[] {
+	if (positionals.length === 0) {
+		throw new command.UsageError('expected one BATCH or more');
+	}
+
+	const malformed = positionals.filter(text => core.model.parseBatch(text) === undefined);
+	if (malformed.length > 0) {
+		throw new command.UsageError(`expected model:ID@VERSION or adapter:ID@VERSION, not ${malformed.join(', ')}`);
+	}
+
+	return positionals;
+}
+
+/** A batch that the manifest does not list is recalled all the same, but may be a slip of the pen. */
+async function warnOfUnlisted(
+	result: changeWriter.SubmitResult,
+	kv: context.ClosableKv,
+	batches: readonly core.model.BatchKey[],
+	ctx: context.Context,
+): Promise<void> {
+	const manifest = result.generation === undefined || result.head === undefined ? undefined : await readContent.readManifest(kv, result.head);
+	if (manifest === undefined) {
+		return;
+	}
+
+	const listed = new Set([
+		...manifest.models.flatMap(({id, versions}) => versions.map(version => core.model.formatBatch({kind: core.model.BatchKind.Model, id, version}))),
+		...manifest.adapters.flatMap(({id, versions}) => versions.map(version => core.model.formatBatch({kind: core.model.BatchKind.Adapter, id, version}))),
+	]);
+	for (const batch of batches.filter(key => !listed.has(key))) {
+		ctx.warn(`note: ${batch} is recalled, but the manifest in force does not list it`);
+	}
+}
--- /dev/null
+++ b/packages/ctl/src/commands/router-commands.ts
@@ -0,0 +1,70 @@
+import type * as command from '../cli/command.js';
+import type * as context from '../cli/context.js';
+import * as exitCode from '../cli/exit-code.js';
+import * as optionValues from '../cli/option-values.js';
+import * as textTable from '../cli/text-table.js';
+import type * as routerClient from '../routers/router-client.js';
+
+/** Options of all commands that ask routers. */
+export const routerOptions = {
+	router: {type: 'string', multiple: true},
+	'operator-key-file': {type: 'string'},
+} as const satisfies command.OptionTypes;
+
+/** Usage of the options of all commands that ask routers. */
+export const routerUsage = '--router URL... [--operator-key-file FILE]';
+
+/** Returns a client of each router that the options name. */
+export function createRouters(values: command.OptionValues, ctx: context.Context): readonly routerClient.RouterClient[] {
+	const key = optionValues.operatorKeyOf(values, ctx);
+	return optionValues.urlsOf(values, 'router').map(url => ctx.createRouterClient(url, key));
+}
+
+/** Asks all routers for their status; warns of those that gave none. */
+async function askAll(routers: readonly routerClient.RouterClient[], ctx: context.Context): Promise<readonly routerClient.RouterStatus[]> {
+	const answers = await Promise.all(routers.map(async router => {
+		const answer = await router.status();
+		return answer.ifLeft(reason => {
+			ctx.warn(`no answer from ${router.url}: ${reason}`);
+		}).toMaybe().extract();
+	}));
+	return answers.filter(status => status !== undefined);
+}
+
+/** Shows one line for each router. */
+export const statusCommand: command.Command = {
+	name: 'status',
+	usage: routerUsage,
+	summary: 'Shows the state of each router.',
+	options: routerOptions,
+	async run(values: command.OptionValues, _positionals: readonly string[], ctx: context.Context): Promise<exitCode.ExitCode> {
+		const routers = createRouters(values, ctx);
+		const statuses = await askAll(routers, ctx);
+		ctx.print(textTable.formatTable(statuses.map(status => ({
+			vm: status.vm,
+			dataCentre: status.dataCentre,
+			generation: status.generation,
+			confirmed: status.confirmed,
+			ready: status.ready,
+			stopping: status.stopping,
+			requests: status.requestsUnderWay,
+			members: status.members.length,
+			incarnation: status.incarnation,
+		}))));
+		return statuses.length === routers.length ? exitCode.ExitCode.Ok : exitCode.ExitCode.Unreachable;
+	},
+};
+
+/** Shows the endpoints as each router sees them. */
+export const endpointsCommand: command.Command = {
+	name: 'endpoints',
+	usage: routerUsage,
+	summary: 'Shows the endpoints as each router sees them.',
+	options: routerOptions,
+	async run(values: command.OptionValues, _positionals: readonly string[], ctx: context.Context): Promise<exitCode.ExitCode> {
+		const routers = createRouters(values, ctx);
+		const statuses = await askAll(routers, ctx);
+		ctx.print(textTable.formatTable(statuses.flatMap(({vm, endpoints}) => endpoints.map(endpoint => ({seenBy: vm, ...endpoint})))));
+		return statuses.length === routers.length ? exitCode.ExitCode.Ok : exitCode.ExitCode.Unreachable;
+	},
+};
--- /dev/null
+++ b/packages/ctl/src/commands/timeline-command.ts
@@ -0,0 +1,60 @@
+import * as core from '@bluebellmast/core';
+import type * as command from '../cli/command.js';
+import type * as context from '../cli/context.js';
+import * as exitCode from '../cli/exit-code.js';
+import * as optionValues from '../cli/option-values.js';
+import type * as routerClient from '../routers/router-client.js';
+import * as renderHtml from '../timeline/render-html.js';
+import * as renderText from '../timeline/render-text.js';
+import * as routerCommands from './router-commands.js';
+
+/** Shows the events of all routers in one order. */
+export const timelineCommand: command.Command = {
+	name: 'timeline',
+	usage: `${routerCommands.routerUsage} [--request ID] [--endpoint ID] [--account ID] [--generation N] [--html FILE]`,
+	summary: 'Shows the events of all routers in one order, as text or as an HTML page.',
+	options: {
+		...routerCommands.routerOptions,
+		request: {type: 'string'},
+		endpoint: {type: 'string'},
+		account: {type: 'string'},
+		generation: {type: 'string'},
+		html: {type: 'string'},
+	},
+	async run(values: command.OptionValues, _positionals: readonly string[], ctx: context.Context): Promise<exitCode.ExitCode> {
+		const routers = routerCommands.createRouters(values, ctx);
+		const filter = readFilter(values);
+		const parts = await Promise.all(routers.map(async router => fetchEvents(router, filter, ctx)));
+		const answered = parts.filter(part => part !== undefined);
+		const events = core.timeline.mergeEvents(answered);
+		const file = optionValues.textOf(values, 'html');
+		if (file === undefined) {
+			ctx.print(renderText.renderText(events));
+		} else {
+			ctx.writeFile(file, renderHtml.renderHtml(events));
+			ctx.print(`${events.length} events in ${file}`);
+		}
+
+		return answered.length === routers.length ? exitCode.ExitCode.Ok : exitCode.ExitCode.Unreachable;
+	},
+};
+
+async function fetchEvents(router: routerClient.RouterClient, filter: core.timeline.TimelineFilter, ctx: context.Context) {
+	const answer = await router.timeline(filter);
+	return answer.ifLeft(reason => {
+		ctx.warn(`no answer from ${router.url}: ${reason}`);
+	}).toMaybe().extract();
+}
+
+function readFilter(values: command.OptionValues): core.timeline.TimelineFilter {
+	const requestId = optionValues.textOf(values, 'request');
+	const endpoint = optionValues.textOf(values, 'endpoint');
+	const account = optionValues.textOf(values, 'account');
+	const generation = optionValues.countOf(values, 'generation');
+	return {
+		...(requestId !== undefined && {requestId}),
+		...(endpoint !== undefined && {endpoint}),
+		...(account !== undefined && {account}),
+		...(generation !== undefined && {generation}),
+	};
+}
--- /dev/null
+++ b/packages/ctl/src/routers/index.ts
@@ -0,0 +1,2 @@
+export * from './router-client.js';
+export * from './wait-for-generation.js';
--- /dev/null
+++ b/packages/ctl/src/routers/router-client.ts
@@ -0,0 +1,117 @@
+import {Buffer} from 'node:buffer';
+import * as core from '@bluebellmast/core';
+import * as purify from 'purify-ts';
+import * as undici from 'undici';
+
+/** What the tool reads of a router's status; the router may tell more. */
+export type RouterStatus = {
+	readonly vm: core.model.VmId;
+	readonly incarnation: core.model.Incarnation;
+	readonly dataCentre: core.model.DataCentreId;
+	readonly ready: boolean;
+	readonly stopping: boolean;
+	readonly generation: core.model.Generation;
+	readonly confirmed: boolean;
+	readonly requestsUnderWay: number;
+	readonly members: readonly unknown[];
+	/** One record for each endpoint, with its id. */
+	readonly endpoints: ReadonlyArray<Readonly<Record<string, unknown>>>;
+};
+
+/** Result of a call; the reason of a failure is for a person. */
+export type RouterResult<Value> = Promise<purify.Either<string, Value>>;
+
+/** Asks one router. */
+export interface RouterClient { // eslint-disable-line @typescript-eslint/consistent-type-definitions
+	readonly url: string;
+	status(): RouterResult<RouterStatus>;
+	timeline(filter: core.timeline.TimelineFilter): RouterResult<readonly core.timeline.TimelineEvent[]>;
+}
+
+type JsonObject = Readonly<Record<string, unknown>>;
+
+const callTimeoutMs = 2000;
+const maxAnswerBytes = 64 * 1024 * 1024;
+
+/** Asks one router over HTTP. */
+export class HttpRouterClient implements RouterClient {
+	readonly url: string;
+	readonly #operatorKey: string | undefined;
+
+	constructor(url: string, operatorKey: string | undefined) {
+		this.url = url.replace(/\/$/, '');
+		this.#operatorKey = operatorKey;
+	}
+
+	async status(): RouterResult<RouterStatus> {
+		const answer = await this.#get('/admin/status');
+		return answer.chain(value => toStatus(value));
+	}
+
+	async timeline(filter: core.timeline.TimelineFilter): RouterResult<readonly core.timeline.TimelineEvent[]> {
+		const query = new URLSearchParams(Object.entries({
+			request: filter.requestId, endpoint: filter.endpoint, account: filter.account, generation: filter.generation,
+		}).flatMap(([key, value]) => value === undefined ? [] : [[key, String(value)] as [string, string]]));
+		const answer = await this.#get(`/admin/timeline?${query.toString()}`);
+		return answer.map(value => {
+			const events = (value as {events?: readonly core.timeline.TimelineEvent[]}).events ?? [];
+			return events.filter(event => core.timeline.matchesFilter(event, filter));
+		});
+	}
+
+	async #get(path: string): RouterResult<JsonObject> {
+		try {
+			const {statusCode, body} = await undici.request(this.url + path, {
+				headers: this.#operatorKey === undefined ? {} : {authorization: `Bearer ${this.#operatorKey}`},
+				signal: AbortSignal.timeout(callTimeoutMs),
+			});
+			const text = await readBounded(body);
+			if (statusCode !== 200) {
+				return purify.Left(`HTTP status ${statusCode}${statusCode === 401 ? '; is the operator key right?' : ''}`);
+			}
+
+			return toObject(JSON.parse(text));
+		} catch (err) {
+			return purify.Left(err instanceof Error ? err.message : String(err));
+		}
+	}
+}
+
+async function readBounded(body: AsyncIterable<Uint8Array>): Promise<string> {
+	const parts: Uint8Array[] = [];
+	let size = 0;
+	for await (const part of body) {
+		size += part.length;
+		if (size > maxAnswerBytes) {
+			throw new Error(`the answer exceeds ${maxAnswerBytes} bytes`);
+		}
+
+		parts.push(part);
+	}
+
+	return Buffer.concat(parts).toString();
+}
+
+function toObject(value: unknown): purify.Either<string, JsonObject> {
+	return typeof value === 'object' && value !== null ? purify.Right(value as JsonObject) : purify.Left('the answer is no object');
+}
+
+function toStatus(value: JsonObject): purify.Either<string, RouterStatus> {
+	const status = value as Partial<RouterStatus>;
+	if (typeof status.vm !== 'string' || typeof status.generation !== 'number' || typeof status.confirmed !== 'boolean') {
+		return purify.Left('the answer is no status of a router');
+	}
+
+	return purify.Right({
+		vm: status.vm,
+		incarnation: status.incarnation ?? '',
+		dataCentre: status.dataCentre ?? '',
+		ready: status.ready ?? false,
+		stopping: status.stopping ?? false,
+		generation: status.generation,
+		confirmed: status.confirmed,
+		requestsUnderWay: status.requestsUnderWay ?? 0,
+		members: status.members ?? [],
+		endpoints: status.endpoints ?? [],
+	});
+}
--- /dev/null
+++ b/packages/ctl/src/timeline/index.ts
@@ -0,0 +1,2 @@
+export * from './render-html.js';
+export * from './render-text.js';
--- /dev/null
+++ b/packages/ctl/src/timeline/render-html.ts
@@ -0,0 +1,54 @@
+import type * as core from '@bluebellmast/core';
+import * as describeEvent from './describe-event.js';
+
+const style = `body{font:13px sans-serif;margin:1em}
+table{border-collapse:collapse}
+th{position:sticky;top:0;background:#eee;text-align:left}
+td,th{padding:2px 6px;border-left:1px solid #ccc;vertical-align:top}
+td.time{white-space:nowrap;font-family:monospace;color:#555}
+td.event{background:#e8f0fe;border-top:1px solid #fff}
+td.fault{background:#fde2e0}
+td.state{background:#e3f4e1}`;
+
+const faultPattern = /lost|refused|unconfirmed|broken|gap|slow/;
+const statePattern = /^(router|manifest|batch|member|endpoint|lease|order|kv)_/;
+
+/** Returns one self-contained HTML page with a lane for each VM; events run downwards in their order. */
+export function renderHtml(events: readonly core.timeline.TimelineEvent[]): string {
+	const lanes = [...new Set(events.map(event => event.vm))].sort();
+	const head = lanes.map(vm => `<th>${escapeHtml(vm)}</th>`).join('');
+	return [
+		'<!DOCTYPE html>',
+		'<html lang="en"><head><meta charset="utf-8"><title>bluebellmast time line</title>',
+		`<style>${style}</style></head><body>`,
+		`<h1>Time line</h1><p>${events.length} events of ${lanes.length} VMs</p>`,
+		`<table><thead><tr><th>Time (UTC)</th>${head}</tr></thead><tbody>`,
+		...events.map(event => renderRow(event, lanes)),
+		'</tbody></table></body></html>',
+		'',
+	].join('\n');
+}
+
+function renderRow(event: core.timeline.TimelineEvent, lanes: readonly string[]): string {
+	const cells = lanes.map(vm => vm === event.vm
+		? `<td class="event ${classOf(event.type)}">${escapeHtml(describeEvent.describeEvent(event))}</td>`
+		: '<td></td>');
+	return `<tr><td class="time">${escapeHtml(describeEvent.formatTime(event))}</td>${cells.join('')}</tr>`;
+}
+
+function classOf(type: string): string {
+	if (faultPattern.test(type)) {
+		return 'fault';
+	}
+
+	return statePattern.test(type) ? 'state' : 'request';
+}
+
+function escapeHtml(text: string): string {
+	return text
+		.replaceAll('&', '&amp;')
+		.replaceAll('<', '&lt;')
+		.replaceAll('>', '&gt;')
+		.replaceAll('"', '&quot;')
+		.replaceAll('\'', '&#39;');
+}
