Test the ledger over generated interleavings

Several routers on a fake key-value service with lost answers, delayed writes, pauses between the recorded intent and the send, partial views of the members, lost messages and crashes. Two faults found and mended: a settlement judged by an old copy of the shard was taken as done, and a late commit of an attempt that was given up kept its key blocked.

--- a/packages/core/src/ledger/ledger-node.ts
+++ b/packages/core/src/ledger/ledger-node.ts
@@ -28,6 +28,12 @@
 	readonly fallbackAt: number;
 };
 
+/** An attempt that was given up unsent. */
+export type GivenUpAttempt = {
+	readonly intent: ledgerEntry.Intent;
+	readonly until: number;
+};
+
 /** One router's part of the ledger. */
 export type LedgerNode = {
 	readonly self: LedgerMember;
@@ -37,12 +43,14 @@
 	readonly shards: ReadonlyMap<number, shardWriter.ShardWriter>;
 	readonly attempts: ReadonlyMap<model.AttemptId, OwnAttempt>;
 	readonly handed: ReadonlyMap<model.AttemptId, HandedSettlement>;
+	/** Attempts that were given up, with the time until when a late commit of theirs is withdrawn. */
+	readonly givenUp: ReadonlyMap<model.AttemptId, GivenUpAttempt>;
 };
 
 /** Creates a router's part of the ledger. */
 export function createLedgerNode(self: LedgerMember, terms: ledgerTerms.LedgerTerms): LedgerNode {
 	return {
-		self, terms, members: [self], shards: new Map(), attempts: new Map(), handed: new Map(),
+		self, terms, members: [self], shards: new Map(), attempts: new Map(), handed: new Map(), givenUp: new Map(),
 	};
 }
 
--- a/packages/core/src/ledger/ledger-step.ts
+++ b/packages/core/src/ledger/ledger-step.ts
@@ -67,10 +67,17 @@
 
 /** Takes a verdict on an attempt of this router; one that is decided already is left as it is. */
 function takeVerdict(node: ledgerNode.LedgerNode, verdict: ledgerVerdict.LedgerVerdict, now: number): NodeStep {
-	if (verdict.type === ledgerVerdict.VerdictType.Settled) {
+	if (verdict.type === ledgerVerdict.VerdictType.Settled || verdict.type === ledgerVerdict.VerdictType.Missing) {
 		return {state: {...node, handed: ledgerNode.withEntry(node.handed, verdict.attempt, undefined)}, effects: []};
 	}
 
+	const givenUp = node.givenUp.get(verdict.attempt);
+	if (givenUp !== undefined) {
+		return verdict.type === ledgerVerdict.VerdictType.Proceed
+			? handSettlement(node, {intent: givenUp.intent, state: ledgerEntry.EntryState.Withdrawn}, now)
+			: {state: node, effects: []};
+	}
+
 	const own = node.attempts.get(verdict.attempt);
 	if (own === undefined || intentMachine.intentPhaseOf(own.life) !== intentMachine.IntentPhase.Proposed) {
 		return {state: node, effects: []};
@@ -113,7 +120,12 @@
 	intentMachine.stepIntent(own.life, intentMachine.IntentEventType.GiveUp);
 	const shard = shardWriterOf(node, shardOfIntent(node, intent));
 	const {writer, mayStand} = shardWriter.dropIntent(shard, intent.attempt);
-	const state = withShard({...node, attempts: ledgerNode.withEntry(node.attempts, intent.attempt, undefined)}, writer);
+	const givenUp = {intent, until: now + node.terms.withdrawnRetentionMs};
+	const state = withShard({
+		...node,
+		attempts: ledgerNode.withEntry(node.attempts, intent.attempt, undefined),
+		givenUp: ledgerNode.withEntry(node.givenUp, intent.attempt, givenUp),
+	}, writer);
 	const retryAfterMs = retryAfterOf(node, own, verdict.type, now);
 	const answer: ledgerEvent.LedgerEffect = {
 		type: ledgerEvent.LedgerEffectType.Verdict,
@@ -128,7 +140,7 @@
 		: {state, effects: [answer]};
 }
 
-function queueLocally(node: ledgerNode.LedgerNode, operation: shardOperation.ShardOperation, now: number): NodeStep {
+function queueLocally(node: ledgerNode.LedgerNode, operation: shardOperation.NewOperation, now: number): NodeStep {
 	const intent = operation.type === shardOperation.OperationType.Propose ? operation.intent : operation.settlement.intent;
 	const shard = shardWriter.queueOperation(shardWriterOf(node, shardOfIntent(node, intent)), operation);
 	return applyShardStep(node, shardWriter.advanceShard(shard, now, ledgerNode.rulesOf(node)), now);
@@ -257,7 +269,8 @@
 }
 
 function wake(node: ledgerNode.LedgerNode, now: number): NodeStep {
-	let step: NodeStep = {state: node, effects: []};
+	const givenUp = new Map([...node.givenUp].filter(([, {until}]) => until > now));
+	let step: NodeStep = {state: {...node, givenUp}, effects: []};
 	for (const own of node.attempts.values()) {
 		const isProposed = intentMachine.intentPhaseOf(own.life) === intentMachine.IntentPhase.Proposed;
 		if (isProposed && own.waitUntil <= now) {
--- a/packages/core/src/ledger/ledger-verdict.ts
+++ b/packages/core/src/ledger/ledger-verdict.ts
@@ -21,6 +21,8 @@
 	Unavailable = 'unavailable',
 	/** A settlement stands in the ledger. */
 	Settled = 'settled',
+	/** No entry of the attempt stands, so there is nothing to settle. */
+	Missing = 'missing',
 }
 
 /** Answer of the ledger to one attempt. */
--- a/packages/core/src/ledger/settle-intent.ts
+++ b/packages/core/src/ledger/settle-intent.ts
@@ -43,31 +43,33 @@
 	terms: ledgerTerms.LedgerTerms,
 ): ledgerVerdict.LedgerVerdict {
 	const {intent, state} = settlement;
-	const verdict = {type: ledgerVerdict.VerdictType.Settled, attempt: intent.attempt};
+	const {attempt} = intent;
+	const settled = {type: ledgerVerdict.VerdictType.Settled, attempt};
 	const standing = draft.entries.get(ledgerEntry.entryKey(intent.account, intent.key));
 	const isWithdrawal = state === ledgerEntry.EntryState.Withdrawn;
-	if (standing === undefined) {
-		if (isWithdrawal) {
-			withdraw(draft, settlement, now, terms);
-		}
+	if (standing === undefined && isWithdrawal) {
+		withdraw(draft, settlement, now, terms);
+		return settled;
+	}
 
-		return verdict;
+	if (standing?.attempt !== attempt) {
+		return {type: ledgerVerdict.VerdictType.Missing, attempt};
 	}
 
 	const isDone = standing.state === ledgerEntry.EntryState.Done;
-	if (standing.attempt !== intent.attempt || standing.state === state || (isDone && !isWithdrawal)) {
-		return verdict;
+	if (standing.state === state || (isDone && !isWithdrawal)) {
+		return settled;
 	}
 
 	const wasWithdrawn = standing.state === ledgerEntry.EntryState.Withdrawn;
-	util.assertInvariant(!wasWithdrawn, 'ledger.withdrawn-never-sent', () => `${intent.attempt} was withdrawn and is now ${state}`);
+	util.assertInvariant(!wasWithdrawn, 'ledger.withdrawn-never-sent', () => `${attempt} was withdrawn and is now ${state}`);
 	const wasSent = standing.state !== ledgerEntry.EntryState.Intent;
-	util.assertInvariant(!(isWithdrawal && wasSent), 'ledger.sent-never-withdrawn', () => `${intent.attempt} is ${standing.state}`);
+	util.assertInvariant(!(isWithdrawal && wasSent), 'ledger.sent-never-withdrawn', () => `${attempt} is ${standing.state}`);
 	if (isWithdrawal) {
 		withdraw(draft, settlement, now, terms);
 	} else {
 		recordOutcome(draft, standing, settlement, terms);
 	}
 
-	return verdict;
+	return settled;
 }
--- a/packages/core/src/ledger/shard-operation.ts
+++ b/packages/core/src/ledger/shard-operation.ts
@@ -15,6 +15,8 @@
 	readonly origin: model.VmId;
 	/** When it was queued, by the clock of the deciding router. */
 	readonly queuedAt: number;
+	/** Calls with this number or a later one began after the operation was queued. */
+	readonly queuedCall: number;
 	/** When it is dropped unanswered. */
 	readonly waitUntil: number;
 	/** Whether a write that contains it had an unknown outcome. */
@@ -27,12 +29,12 @@
 	readonly settlement: ledgerEntry.Settlement;
 	readonly origin: model.VmId;
 	readonly queuedAt: number;
+	/** Calls with this number or a later one began after the operation was queued. */
+	readonly queuedCall: number;
 };
 
 /** A change that waits to be committed to a shard. */
 export type ShardOperation = ProposeOperation | SettleOperation;
 
-/** Returns the attempt that an operation is about. */
-export function attemptOf(operation: ShardOperation): model.AttemptId {
-	return operation.type === OperationType.Propose ? operation.intent.attempt : operation.settlement.intent.attempt;
-}
+/** An operation that is not queued yet. */
+export type NewOperation = Omit<ProposeOperation, 'queuedCall'> | Omit<SettleOperation, 'queuedCall'>;
--- a/packages/core/src/ledger/shard-writer.ts
+++ b/packages/core/src/ledger/shard-writer.ts
@@ -13,8 +13,8 @@
 	readonly shard: ledgerShard.LedgerShard;
 	/** 0 when nothing stands under the key. */
 	readonly revision: number;
-	/** When the call that showed it began. */
-	readonly seenAt: number;
+	/** Number of the call that showed it. */
+	readonly seenCall: number;
 };
 
 /** What a call to the key-value service does. */
@@ -27,7 +27,6 @@
 export type ShardCall = {
 	readonly id: number;
 	readonly type: ShardCallType;
-	readonly beganAt: number;
 	/** Operations of a swap, with the proposal that it writes. */
 	readonly operations: readonly shardOperation.ShardOperation[];
 	readonly proposal?: proposeIntents.ShardProposal;
@@ -110,8 +109,8 @@
 }
 
 /** Queues an operation; the caller has checked the queue's bound. */
-export function queueOperation(writer: ShardWriter, operation: shardOperation.ShardOperation): ShardWriter {
-	return {...writer, queue: [...writer.queue, operation]};
+export function queueOperation(writer: ShardWriter, operation: shardOperation.NewOperation): ShardWriter {
+	return {...writer, queue: [...writer.queue, {...operation, queuedCall: writer.nextCallId}]};
 }
 
 /** Takes an intent that is given up out of the queue. Returns whether it can still come to stand by a write of this router. */
@@ -174,13 +173,13 @@
 	proposal: proposeIntents.ShardProposal,
 ): boolean {
 	return operations.some((operation, index) =>
-		!ledgerVerdict.isFinal(proposal.verdicts[index]!.type) && known.seenAt < operation.queuedAt);
+		!ledgerVerdict.isFinal(proposal.verdicts[index]!.type) && known.seenCall < operation.queuedCall);
 }
 
-function beginRead(writer: ShardWriter, now: number): ShardStep {
+function beginRead(writer: ShardWriter): ShardStep {
 	const id = writer.nextCallId;
 	const call = {
-		id, type: ShardCallType.Read, beganAt: now, operations: [],
+		id, type: ShardCallType.Read, operations: [],
 	};
 	return {
 		state: {...writer, call, nextCallId: id + 1},
@@ -197,7 +196,7 @@
 	const {operations, proposal} = batch;
 	const id = writer.nextCallId;
 	const call = {
-		id, type: ShardCallType.Swap, beganAt: now, operations, proposal,
+		id, type: ShardCallType.Swap, operations, proposal,
 	};
 	const state = {
 		...writer,
@@ -233,13 +232,13 @@
 	}
 
 	if (writer.known === undefined) {
-		return beginRead(writer, now);
+		return beginRead(writer);
 	}
 
 	const operations = writer.queue.slice(0, rules.terms.maxBatch);
 	const proposal = applyOperations(writer.known, operations, now, rules);
 	if (needsRead(writer.known, operations, proposal)) {
-		return beginRead(writer, now);
+		return beginRead(writer);
 	}
 
 	if (proposal.changed) {
@@ -289,7 +288,7 @@
 		case ShardCallResult.Swapped: {
 			const {proposal} = call;
 			util.assertInvariant(proposal !== undefined, 'ledger.swap-has-proposal', () => `read ${call.id} ended as a swap`);
-			const known = {shard: proposal.shard, revision: end.revision, seenAt: call.beganAt};
+			const known = {shard: proposal.shard, revision: end.revision, seenCall: call.id};
 			const next = advanceShard({
 				...writer, call: undefined, known, failures: 0,
 			}, now, rules);
@@ -297,7 +296,7 @@
 		}
 
 		case ShardCallResult.Seen: {
-			const known = {shard: end.shard, revision: end.revision, seenAt: call.beganAt};
+			const known = {shard: end.shard, revision: end.revision, seenCall: call.id};
 			const queue = [...call.operations, ...writer.queue];
 			return advanceShard({
 				...writer, call: undefined, known, queue, failures: 0, commitAt: now,
