--- a/packages/core/src/ledger/index.ts
+++ b/packages/core/src/ledger/index.ts
@@ -11,3 +11,6 @@
 export * from './ledger-step.js';
 export * from './shard-operation.js';
 export * from './shard-writer.js';
+export * from './issued-key.js';
+export * from './issued-key-memory.js';
+export * from './verdict-refusal.js';
--- a/packages/core/src/ledger/ledger-event.ts
+++ b/packages/core/src/ledger/ledger-event.ts
@@ -1,4 +1,5 @@
 import type * as model from '../model/index.js';
+import * as intentMachine from './intent-machine.js';
 import type * as ledgerEntry from './ledger-entry.js';
 import type * as ledgerVerdict from './ledger-verdict.js';
 import type * as shardWriter from './shard-writer.js';
@@ -54,6 +55,18 @@
 	RefusedBeforeBegin = 'refused_before_begin',
 }
 
+const eventByResult = {
+	[AttemptResult.Answered]: intentMachine.IntentEventType.Answer,
+	[AttemptResult.Lost]: intentMachine.IntentEventType.Lose,
+	[AttemptResult.NeverSent]: intentMachine.IntentEventType.GiveUp,
+	[AttemptResult.RefusedBeforeBegin]: intentMachine.IntentEventType.RefuseBeforeBegin,
+} as const;
+
+/** Returns the event in an intent's life for the result of its attempt. */
+export function eventOfResult(result: AttemptResult): intentMachine.IntentEventType {
+	return eventByResult[result];
+}
+
 /** Type of an effect of a router's ledger. */
 export enum LedgerEffectType {
 	ReadShard = 'read_shard',
--- a/packages/core/src/ledger/ledger-step.ts
+++ b/packages/core/src/ledger/ledger-step.ts
@@ -230,19 +230,12 @@
 		return refuse(node, own, {type: ledgerVerdict.VerdictType.Unavailable, attempt: intent.attempt}, now);
 	}
 
-	intentMachine.stepIntent(own.life, eventOfResult[event.result]);
+	intentMachine.stepIntent(own.life, ledgerEvent.eventOfResult(event.result));
 	const state = {...node, attempts: ledgerNode.withEntry(node.attempts, intent.attempt, undefined)};
 	const settlement = {intent, state: stateOfResult[event.result], ...(event.outcome && {outcome: event.outcome})};
 	return handSettlement(state, settlement, now);
 }
 
-const eventOfResult = {
-	[ledgerEvent.AttemptResult.Answered]: intentMachine.IntentEventType.Answer,
-	[ledgerEvent.AttemptResult.Lost]: intentMachine.IntentEventType.Lose,
-	[ledgerEvent.AttemptResult.NeverSent]: intentMachine.IntentEventType.GiveUp,
-	[ledgerEvent.AttemptResult.RefusedBeforeBegin]: intentMachine.IntentEventType.RefuseBeforeBegin,
-} as const;
-
 const stateOfResult = {
 	[ledgerEvent.AttemptResult.Answered]: ledgerEntry.EntryState.Done,
 	[ledgerEvent.AttemptResult.Lost]: ledgerEntry.EntryState.Unknown,
--- a/packages/core/src/ledger/ledger-verdict.ts
+++ b/packages/core/src/ledger/ledger-verdict.ts
@@ -19,6 +19,8 @@
 	Withdrawn = 'withdrawn',
 	/** The intent could not be recorded in time. */
 	Unavailable = 'unavailable',
+	/** An issued key is not valid any more, or not yet, and was never used. */
+	Expired = 'expired',
 	/** A settlement stands in the ledger. */
 	Settled = 'settled',
 	/** No entry of the attempt stands, so there is nothing to settle. */
--- /dev/null
+++ b/packages/core/tests/ledger/issued-key.test.ts
@@ -0,0 +1,119 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import * as core from '@bluebellmast/core';
+
+const {VerdictType: verdictType, AttemptResult: attemptResult, IssuedKeyRoute: route} = core.ledger;
+
+const key: core.ledger.IssuedKey = {
+	vm: 'vm1', incarnation: 'i1', issuedAt: 1000, account: 'club', nonce: 'n1',
+};
+const terms = core.ledger.createIssuedKeyTerms({lifetimeMs: 100, retentionMs: 1000, maxUses: 2});
+
+function memoryAt(now: number): core.ledger.IssuedKeyMemory {
+	return core.ledger.noteIssue(core.ledger.createIssuedKeyMemory(terms), now);
+}
+
+function begin(memory: core.ledger.IssuedKeyMemory, attempt: string, now = 1000, digest = 'd') {
+	return core.ledger.beginIssued(memory, key, {digest, attempt}, now);
+}
+
+describe('issued key', () => {
+	it('keeps its parts through the text form', () => {
+		const part = fc.string({minLength: 1, unit: 'grapheme'});
+		const keys = fc.record({
+			vm: part, incarnation: part, account: part, nonce: part, issuedAt: fc.nat(),
+		});
+		fc.assert(fc.property(keys, item => {
+			const text = core.ledger.formatIssuedKey(item);
+			expect(text).to.match(/^[!-~]+$/);
+			expect(core.ledger.parseIssuedKey(text)).to.deep.equal(item);
+		}), {seed: 4});
+	});
+
+	it('takes any other text for a key that a caller chose', () => {
+		for (const text of ['', 'booking-17', 'bbm1.a.b.c', 'bbm1.a.b.!.d.e', 'bbm1.a.b.c.%.e', 'bbm2.a.b.c.d.e']) {
+			expect(core.ledger.parseIssuedKey(text)).to.equal(undefined);
+		}
+	});
+
+	const isLive = (vm: string, incarnation: string) => `${vm}/${incarnation}` === 'vm1/i1';
+	const routes: Array<[core.ledger.IssuedKeyRoute, string, string, string]> = [
+		[route.Here, 'vm1', 'i1', 'club'],
+		[route.Gone, 'vm1', 'i2', 'club'],
+		[route.Forward, 'vm2', 'i9', 'club'],
+		[route.OtherAccount, 'vm1', 'i1', 'school'],
+	];
+	for (const [expected, vm, incarnation, account] of routes) {
+		it(`goes ${expected} at ${vm}/${incarnation} for ${account}`, () => {
+			expect(core.ledger.routeIssuedKey(key, {account, self: {vm, incarnation}, isLive})).to.equal(expected);
+		});
+	}
+
+	it('is gone once its incarnation is no member', () => {
+		const self = {vm: 'vm2', incarnation: 'i9'};
+		expect(core.ledger.routeIssuedKey(key, {account: 'club', self, isLive: () => false})).to.equal(route.Gone);
+	});
+});
+
+describe('issued key memory', () => {
+	it('sends one attempt and repeats its answer', () => {
+		const first = begin(memoryAt(1000), 'a1');
+		expect(first.verdict.type).to.equal(verdictType.Proceed);
+		expect(begin(first.memory, 'a2').verdict.type).to.equal(verdictType.InProgress);
+		const claim = core.ledger.claimIssued(first.memory, 'n1', 'a1');
+		expect(claim.allowed).to.equal(true);
+		expect(core.ledger.claimIssued(claim.memory, 'n1', 'a1').allowed).to.equal(false);
+		const outcome = {status: 201, body: 'pitch 4'};
+		const done = core.ledger.settleIssued(claim.memory, 'n1', {attempt: 'a1', result: attemptResult.Answered, outcome});
+		expect(begin(done, 'a3').verdict).to.deep.equal({type: verdictType.Replay, attempt: 'a3', outcome});
+		expect(begin(done, 'a4', 1000, 'other').verdict.type).to.equal(verdictType.KeyReused);
+	});
+
+	it('never runs a key whose outcome is unknown, and frees one that was never sent', () => {
+		const first = begin(memoryAt(1000), 'a1').memory;
+		const sent = core.ledger.claimIssued(first, 'n1', 'a1').memory;
+		const lost = core.ledger.settleIssued(sent, 'n1', {attempt: 'a1', result: attemptResult.Lost});
+		expect(begin(lost, 'a2').verdict.type).to.equal(verdictType.OutcomeUnknown);
+		const unsent = core.ledger.settleIssued(first, 'n1', {attempt: 'a1', result: attemptResult.NeverSent});
+		expect(begin(unsent, 'a2').verdict.type).to.equal(verdictType.Proceed);
+	});
+
+	const times: Array<[string, number, number, core.ledger.VerdictType]> = [
+		['before its issue', 900, 900, verdictType.Expired],
+		['within its lifetime', 1000, 1099, verdictType.Proceed],
+		['after its lifetime', 1000, 1100, verdictType.Expired],
+		['after its retention', 1000, 2100, verdictType.OutcomeUnknown],
+		['after its lifetime on a clock that went back', 1200, 1000, verdictType.Expired],
+	];
+	for (const [title, notedAt, now, expected] of times) {
+		it(`gives ${expected} ${title}`, () => {
+			expect(begin(memoryAt(notedAt), 'a1', now).verdict.type).to.equal(expected);
+		});
+	}
+
+	it('runs no key twice over generated uses, times and forgetting', () => {
+		const step = fc.tuple(fc.nat(3), fc.integer({min: -50, max: 400}), fc.constantFrom(...Object.values(attemptResult)));
+		fc.assert(fc.property(fc.array(step, {maxLength: 60}), steps => {
+			let memory = memoryAt(1000);
+			let now = 1000;
+			const runs = new Map<string, number>();
+			for (const [index, [nonceIndex, ms, result]] of steps.entries()) {
+				now += ms;
+				memory = core.ledger.forgetUses(memory, now);
+				const nonce = `n${nonceIndex}`;
+				const attempt = `a${index}`;
+				memory = core.ledger.beginIssued(memory, {...key, nonce}, {digest: 'd', attempt}, now).memory;
+				expect(memory.uses.size).to.be.at.most(terms.maxUses);
+				const claim = core.ledger.claimIssued(memory, nonce, attempt);
+				memory = claim.memory;
+				if (claim.allowed) {
+					const isRun = result !== attemptResult.RefusedBeforeBegin && result !== attemptResult.NeverSent;
+					runs.set(nonce, (runs.get(nonce) ?? 0) + (isRun ? 1 : 0));
+					memory = core.ledger.settleIssued(memory, nonce, {attempt, result: result === attemptResult.NeverSent ? attemptResult.RefusedBeforeBegin : result});
+				}
+
+				expect(runs.get(nonce) ?? 0).to.be.at.most(1);
+			}
+		}), {seed: 4, numRuns: 500});
+	});
+});
