--- a/packages/core/src/placement/load-view.ts
+++ b/packages/core/src/placement/load-view.ts
@@ -86,7 +86,7 @@
 	}
 
 	/** Returns one endpoint. */
-	find(endpoint: ids.EndpointId): endpointLoad.EndpointLoad | undefined {
+	endpointOf(endpoint: ids.EndpointId): endpointLoad.EndpointLoad | undefined {
 		return this.#endpoints.get(endpoint);
 	}
 
--- /dev/null
+++ b/packages/stand-ins/src/bench/engine-fleet.ts
@@ -0,0 +1,96 @@
+import * as childProcess from 'node:child_process';
+import process from 'node:process';
+import * as readline from 'node:readline';
+import * as url from 'node:url';
+import type * as fault from '../fault/index.js';
+import type * as engine from '../engine/index.js';
+import * as deploymentShape from './deployment.js';
+
+/** One engine process of a run. */
+export type FleetEngine = {
+	readonly name: string;
+	readonly options: engine.EngineOptions;
+	port: number;
+	child: childProcess.ChildProcess;
+};
+
+const mainFile = url.fileURLToPath(new URL('engine-main.js', import.meta.url));
+
+/** The engine processes of one run; ends only those that it started. */
+export class EngineFleet {
+	readonly engines: FleetEngine[] = [];
+
+	/** Starts all engines of a deployment; `slowEngine` runs at a fifth of the speed. */
+	async start(deployment: deploymentShape.Deployment, slowEngine?: number): Promise<void> {
+		const started = Array.from({length: deployment.engines}, async (_, index) => {
+			const options = toOptions(deployment, index, index === slowEngine ? 5 : 1);
+			const {child, port} = await startProcess(options);
+			return {
+				name: options.name!, options, port, child,
+			};
+		});
+		this.engines.push(...await Promise.all(started));
+	}
+
+	/** Ends an engine abruptly. */
+	async crash(index: number): Promise<void> {
+		await endProcess(this.engines[index]!.child, 'SIGKILL');
+	}
+
+	/** Starts a crashed engine again, empty, on its port. */
+	async restart(index: number): Promise<void> {
+		const crashed = this.engines[index]!;
+		const {child} = await startProcess({...crashed.options, port: crashed.port});
+		crashed.child = child;
+	}
+
+	/** Ends all engines. */
+	async stop(): Promise<void> {
+		await Promise.all(this.engines.map(async entry => endProcess(entry.child, 'SIGKILL')));
+	}
+}
+
+function toOptions(deployment: deploymentShape.Deployment, index: number, slowdown: number): engine.EngineOptions {
+	return {
+		name: `engine-${index}`,
+		seed: index + 1,
+		weights: [deploymentShape.weightsKey],
+		slots: deployment.slots,
+		prefillTokensPerSecond: deployment.prefillTokensPerSecond / slowdown,
+		prefillChunkTokens: deployment.prefillChunkTokens,
+		stepMs: deployment.stepMs * slowdown,
+		stepPerRequestMs: deployment.stepPerRequestMs * slowdown,
+		cacheLimitTokens: deployment.cacheLimitTokens,
+		// The bench delays and drops reports and events itself, for each router on its own; the oracle gets them at once.
+		loadLagMs: 0,
+		cacheEventDelayMs: 0,
+		cacheEventLoss: 0,
+	};
+}
+
+async function startProcess(options: engine.EngineOptions): Promise<{child: childProcess.ChildProcess; port: number}> {
+	const child = childProcess.spawn(process.execPath, [mainFile, JSON.stringify(options)], {stdio: ['ignore', 'pipe', 'inherit']});
+	const lines = readline.createInterface({input: child.stdout});
+	const line = await new Promise<string>((resolve, reject) => {
+		lines.once('line', resolve);
+		child.once('exit', () => {
+			reject(new Error('engine ended before it was ready'));
+		});
+	});
+	const addresses = JSON.parse(line) as fault.StandInAddresses;
+	return {child, port: addresses.port};
+}
+
+async function endProcess(child: childProcess.ChildProcess, signal: NodeJS.Signals): Promise<void> {
+	if (child.exitCode !== null || child.signalCode !== null) {
+		return;
+	}
+
+	const exited = new Promise<void>(resolve => {
+		child.once('exit', () => {
+			resolve();
+		});
+	});
+	child.kill(signal);
+	await exited;
+}
--- /dev/null
+++ b/packages/stand-ins/src/bench/main.ts
@@ -0,0 +1,44 @@
+import process from 'node:process';
+import * as util from 'node:util';
+import * as placementSuite from './placement-suite.js';
+
+const {values} = util.parseArgs({
+	options: {
+		suite: {type: 'string', default: 'placement'},
+		seed: {type: 'string', default: '1'},
+		deployment: {type: 'string', default: 'sterrenveld,chaophraya'},
+		policies: {type: 'string'},
+		loads: {type: 'string', default: '0.5,0.8,0.95'},
+		faults: {type: 'string'},
+		capacity: {type: 'string'},
+		cost: {type: 'string', default: '{}'},
+		out: {type: 'string', default: 'bench-results'},
+		'warm-up-ms': {type: 'string', default: '6000'},
+		'measured-ms': {type: 'string', default: '8000'},
+	},
+});
+
+const list = (text: string | undefined) => text?.split(',').filter(part => part !== '');
+
+switch (values.suite) {
+	case 'placement': {
+		await placementSuite.runPlacementSuite({
+			seed: Number(values.seed),
+			deployments: list(values.deployment)!,
+			policies: list(values.policies),
+			loads: list(values.loads)!.map(Number),
+			faults: list(values.faults),
+			capacity: values.capacity === undefined ? undefined : Number(values.capacity),
+			cost: JSON.parse(values.cost) as Record<string, number>,
+			outFolder: values.out,
+			warmUpMs: Number(values['warm-up-ms']),
+			measuredMs: Number(values['measured-ms']),
+		});
+		break;
+	}
+
+	default: {
+		console.error(`unknown suite ${values.suite}`);
+		process.exitCode = 2;
+	}
+}
--- /dev/null
+++ b/packages/stand-ins/src/bench/oracle.ts
@@ -0,0 +1,36 @@
+import * as core from '@bluebellmast/core';
+
+/** Weights of the oracle's costs. */
+export type OracleWeights = {
+	/** Cost of a millisecond of prefill beyond the time it takes. */
+	readonly waste: number;
+	/** Milliseconds for an endpoint whose slots are all taken. */
+	readonly occupancyMs: number;
+};
+
+/**
+ * The bound that the policies are compared with: one mind that sees all engines' caches and loads at once and takes the
+ * cheapest of all. Greedy: it does not know the requests to come.
+ */
+export class Oracle implements core.placement.PlacementPolicy {
+	constructor(private readonly weights: OracleWeights) {}
+
+	place(
+		request: core.placement.PlacementRequest,
+		view: core.placement.PlacementView,
+	): core.placement.Placement | undefined {
+		const hits = view.hits(request);
+		const costs = core.placement.listEligible(request, view).map(endpoint => {
+			const cachedTokens = core.placement.claimedTokens(endpoint, hits);
+			return {endpoint, cachedTokens, costMs: this.#cost(endpoint, request.promptTokens - cachedTokens)};
+		});
+		const best = costs.sort((left, right) => left.costMs - right.costMs)[0];
+		return best && core.placement.placeOn(best.endpoint, request, best.cachedTokens);
+	}
+
+	#cost(endpoint: core.placement.EndpointView, missingTokens: number): number {
+		const missingMs = missingTokens / endpoint.prefillTokensPerMs;
+		const occupancyMs = core.placement.relativeLoad(endpoint) * this.weights.occupancyMs;
+		return endpoint.queueMs + occupancyMs + (missingMs * (1 + this.weights.waste));
+	}
+}
