Test the clients and stand-ins; decode streams as UTF-8

The load tool counted every stream as lost: setEncoding has no effect on the iteration of an undici body. The watch had the same call, unharmed as its lines are ASCII. Both decode by themselves now.

--- a/packages/platform/src/kv/etcd-watch.ts
+++ b/packages/platform/src/kv/etcd-watch.ts
@@ -52,9 +52,9 @@
 			return;
 		}
 
-		res.body.setEncoding('utf8');
-		for await (const text of res.body) {
-			this.#onText(text as string);
+		const decoder = new TextDecoder();
+		for await (const chunk of res.body) {
+			this.#onText(decoder.decode(chunk as Uint8Array, {stream: true}));
 			if (this.#ended) {
 				return;
 			}
--- /dev/null
+++ b/packages/platform/tests/kv/etcd-client.test.ts
@@ -0,0 +1,248 @@
+import {Buffer} from 'node:buffer';
+import * as chai from 'chai';
+import * as standIns from '@bluebellmast/stand-ins';
+import * as platform from '@bluebellmast/platform';
+
+const {expect} = chai;
+const errorCodes = platform.kv.KvErrorCode;
+const faultNames = standIns.fault.FaultName;
+
+function textOf(entry: platform.kv.KvEntry | undefined): string | undefined {
+	return entry && Buffer.from(entry.value).toString('utf8');
+}
+
+describe('EtcdClient', () => {
+	let kv: standIns.kv.KvStandIn;
+	let url: string;
+	let client: platform.kv.EtcdClient;
+	let calls: platform.kv.KvCallType[];
+
+	async function begin(options: standIns.kv.KvOptions = {}): Promise<void> {
+		kv = standIns.kv.createKv({latencyMs: 0, progressMs: 20, ...options});
+		const {port} = await kv.start();
+		url = `http://127.0.0.1:${port}`;
+		client = open([url]);
+	}
+
+	function open(baseUrls: readonly string[]): platform.kv.EtcdClient {
+		return platform.kv.createEtcdClient({
+			baseUrls,
+			callTimeoutMs: 250,
+			watchProgressTimeoutMs: 250,
+			onCall(type) {
+				calls.push(type);
+			},
+		});
+	}
+
+	async function write(key: string, text: string, revision = 0, lease?: string) {
+		return client.compareAndSwap(key, revision, Buffer.from(text), lease);
+	}
+
+	async function errorOf(result: platform.kv.KvResult<unknown>): Promise<platform.kv.KvErrorCode | undefined> {
+		const either = await result;
+		return either.isLeft() ? (either.extract()).code : undefined;
+	}
+
+	async function valueOf<Value>(result: platform.kv.KvResult<Value>): Promise<Value> {
+		const either = await result;
+		return either.unsafeCoerce();
+	}
+
+	beforeEach(async () => {
+		calls = [];
+		await begin();
+	});
+
+	afterEach(async () => {
+		await client.close();
+		await kv.stop();
+	});
+
+	it('swaps only at the expected revision and shows what stands', async () => {
+		const first = await valueOf(write('a', 'one'));
+		const stale = await valueOf(write('a', 'two'));
+		const next = await valueOf(write('a', 'three', first.revision));
+		expect([first.swapped, stale.swapped, next.swapped]).to.deep.equal([true, false, true]);
+		expect(textOf(stale.current)).to.equal('one');
+		expect(textOf(await valueOf(client.get('a')))).to.equal('three');
+	});
+
+	it('deletes only at the expected revision', async () => {
+		const {revision} = await valueOf(write('a', 'one'));
+		const stale = await valueOf(client.compareAndDelete('a', revision + 5));
+		const removed = await valueOf(client.compareAndDelete('a', revision));
+		expect([stale.swapped, removed.swapped]).to.deep.equal([false, true]);
+		expect(await valueOf(client.get('a'))).to.equal(undefined);
+	});
+
+	it('reads all keys below a prefix and no others', async () => {
+		await write('p/1', 'x');
+		await write('p/2', 'y');
+		await write('q', 'z');
+		const entries = await valueOf(client.getPrefix('p/'));
+		expect(entries.map(entry => entry.key)).to.deep.equal(['p/1', 'p/2']);
+	});
+
+	it('says that the outcome is unknown when the answer to a write is lost', async () => {
+		await kv.server.apply({fault: faultNames.LoseAnswers});
+		expect(await errorOf(write('a', 'one'))).to.equal(errorCodes.OutcomeUnknown);
+		expect(textOf(await valueOf(client.get('a')))).to.equal('one');
+	});
+
+	it('says not sent for a read and unknown for a write when nothing is answered', async () => {
+		await kv.server.apply({fault: faultNames.Freeze});
+		expect(await errorOf(client.get('a'))).to.equal(errorCodes.NotSent);
+		expect(await errorOf(write('a', 'one'))).to.equal(errorCodes.OutcomeUnknown);
+		await kv.server.apply({fault: faultNames.Clear});
+		expect(textOf(await valueOf(client.get('a')))).to.equal('one');
+	});
+
+	it('says not sent when no connection can be opened', async () => {
+		await kv.server.apply({fault: faultNames.Outage});
+		await errorOf(client.get('a'));
+		expect(await errorOf(write('a', 'one'))).to.equal(errorCodes.NotSent);
+		await kv.server.apply({fault: faultNames.Clear});
+		expect(await valueOf(client.get('a'))).to.equal(undefined);
+	});
+
+	it('replaces a connection that went silent', async () => {
+		await write('a', 'one');
+		// Lets the connection return to the pool, so that the next call uses it.
+		await standIns.util.sleep(20);
+		await kv.server.apply({fault: faultNames.Silent});
+		expect(await errorOf(client.get('a'))).to.equal(errorCodes.NotSent);
+		expect(textOf(await valueOf(client.get('a')))).to.equal('one');
+	});
+
+	it('goes on to the next base URL, also with calls at the same time', async () => {
+		const other = open(['http://127.0.0.1:1', url]);
+		const results = await Promise.all([other.get('a'), other.get('b'), other.get('c')]);
+		await other.close();
+		expect(results.map(result => result.isRight())).to.deep.equal([true, true, true]);
+	});
+
+	it('tells a refusal for the rate', async () => {
+		await client.close();
+		await kv.stop();
+		await begin({writesPerSecond: 1});
+		await write('a', 'one');
+		expect(await errorOf(write('b', 'two'))).to.equal(errorCodes.RateLimited);
+		expect(kv.counts().rate_limited).to.equal(1);
+	});
+
+	it('tells that a value is too large', async () => {
+		expect(await errorOf(write('a', 'x'.repeat(1_048_577)))).to.equal(errorCodes.ValueTooLarge);
+	});
+
+	it('tells that a lease is lost, and its keys are gone', async () => {
+		const lease = await valueOf(client.grantLease(1000));
+		await write('a', 'one', 0, lease.id);
+		expect(await valueOf(client.keepAlive(lease))).to.deep.equal(lease);
+		kv.expireLease(lease.id);
+		expect(await errorOf(client.keepAlive(lease))).to.equal(errorCodes.LeaseLost);
+		expect(await errorOf(write('b', 'two', 0, lease.id))).to.equal(errorCodes.LeaseLost);
+		expect(await errorOf(client.revoke(lease))).to.equal(errorCodes.LeaseLost);
+		expect(await valueOf(client.get('a'))).to.equal(undefined);
+	});
+
+	it('lets a lease lapse that is not kept alive', async () => {
+		const lease = await valueOf(client.grantLease(1000));
+		await write('a', 'one', 0, lease.id);
+		const {listener, seen} = createListener();
+		client.watch('a', false, listener);
+		expect(await seen(1)).to.deep.equal(['a gone']);
+	});
+
+	it('counts each call, and a watch once', async () => {
+		await write('a', 'one');
+		await client.get('a');
+		const {listener, seen} = createListener();
+		client.watch('a', false, listener);
+		await write('a', 'two', 2);
+		await seen(1);
+		expect([...calls].sort()).to.deep.equal(['range', 'txn', 'txn', 'watch']);
+		expect(kv.counts()).to.deep.equal({txn: 2, range: 1, watch: 1});
+	});
+
+	describe('watch', () => {
+		it('sees all changes in order, from the last read on', async () => {
+			await client.get('p/0');
+			const {listener, seen} = createListener();
+			const watching = client.watch('p/', true, listener);
+			const first = await valueOf(write('p/1', 'x'));
+			await write('p/2', 'y');
+			await write('q', 'z');
+			await client.compareAndDelete('p/1', first.revision);
+			expect(await seen(3)).to.deep.equal(['p/1 x', 'p/2 y', 'p/1 gone']);
+			watching.close();
+		});
+
+		it('also reports a change made while it is being opened by a new client', async () => {
+			const other = open([url]);
+			const {listener, seen} = createListener();
+			await other.get('a');
+			await write('a', 'one');
+			other.watch('a', false, listener);
+			expect(await seen(1)).to.deep.equal(['a one']);
+			await other.close();
+		});
+
+		async function endAt(fault: standIns.fault.FaultName): Promise<string> {
+			const {listener, seen, ended} = createListener();
+			client.watch('a', false, listener);
+			await write('a', 'one');
+			await seen(1);
+			await kv.server.apply({fault});
+			return ended;
+		}
+
+		for (const fault of [faultNames.Silent, faultNames.Freeze, faultNames.Outage]) {
+			it(`ends at the fault ${fault}`, async () => {
+				expect(await endAt(fault)).to.be.a('string');
+			});
+		}
+
+		it('lives on while only progress notices come', async () => {
+			const {listener, seen, ends} = createListener();
+			client.watch('a', false, listener);
+			await standIns.util.sleep(600);
+			await write('a', 'one');
+			await seen(1);
+			expect(ends).to.deep.equal([]);
+		});
+	});
+});
+
+/** Creates a listener and functions that wait for what it sees. */
+function createListener() {
+	const lines: string[] = [];
+	const ends: string[] = [];
+	let onLine: () => void = () => undefined;
+	let onEnd: (reason: string) => void = () => undefined;
+	const ended = new Promise<string>(resolve => {
+		onEnd = resolve;
+	});
+	const listener: platform.kv.KvWatchListener = {
+		onChange(change) {
+			lines.push(`${change.key} ${textOf(change.entry) ?? 'gone'}`);
+			onLine();
+		},
+		onEnd(reason) {
+			ends.push(reason);
+			onEnd(reason);
+		},
+	};
+	const seen = async (count: number): Promise<string[]> => new Promise(resolve => {
+		onLine = () => {
+			if (lines.length >= count) {
+				resolve(lines);
+			}
+		};
+
+		onLine();
+	});
+	return {
+		listener, seen, ended, ends,
+	};
+}
--- /dev/null
+++ b/packages/platform/tests/vms/http-vm-list-client.test.ts
@@ -0,0 +1,50 @@
+import * as chai from 'chai';
+import * as standIns from '@bluebellmast/stand-ins';
+import * as platform from '@bluebellmast/platform';
+
+const {expect} = chai;
+const vm: platform.vms.ListedVm = {
+	vm: 'a', host: '10.0.0.1', peerPort: 7000, dataCentre: 'one', leaving: false,
+};
+
+describe('HttpVmListClient', () => {
+	let list: standIns.vmList.VmListStandIn;
+	let client: platform.vms.HttpVmListClient;
+
+	beforeEach(async () => {
+		list = standIns.vmList.createVmList({vms: [vm], lagMs: 60_000});
+		const {port} = await list.start();
+		client = platform.vms.createHttpVmListClient({baseUrl: `http://127.0.0.1:${port}`, timeoutMs: 200});
+	});
+
+	afterEach(async () => {
+		await client.close();
+		await list.stop();
+	});
+
+	it('reads the list, which lags behind the truth', async () => {
+		list.set([]);
+		expect(await client.list()).to.deep.equal([vm]);
+	});
+
+	it('drops malformed entries', async () => {
+		await list.stop();
+		const malformed: unknown[] = [{vm: 'b'}, 7];
+		list = standIns.vmList.createVmList({vms: [vm, ...malformed as platform.vms.ListedVm[]]});
+		const {port} = await list.start();
+		const other = platform.vms.createHttpVmListClient({baseUrl: `http://127.0.0.1:${port}`});
+		expect(await other.list()).to.deep.equal([vm]);
+		await other.close();
+	});
+
+	async function listAt(fault: standIns.fault.FaultName): Promise<readonly platform.vms.ListedVm[] | undefined> {
+		await list.server.apply({fault});
+		return client.list();
+	}
+
+	for (const fault of [standIns.fault.FaultName.Freeze, standIns.fault.FaultName.Outage]) {
+		it(`returns nothing at the fault ${fault}`, async () => {
+			expect(await listAt(fault)).to.equal(undefined);
+		});
+	}
+});
--- a/packages/stand-ins/src/load/caller.ts
+++ b/packages/stand-ins/src/load/caller.ts
@@ -104,9 +104,9 @@
 			}
 		},
 	});
-	res.body.setEncoding('utf8');
-	for await (const text of res.body) {
-		parser.feed(text as string);
+	const decoder = new TextDecoder();
+	for await (const chunk of res.body) {
+		parser.feed(decoder.decode(chunk as Uint8Array, {stream: true}));
 	}
 
 	return checker.finish();
--- /dev/null
+++ b/packages/stand-ins/tests/load/load-generator.test.ts
@@ -0,0 +1,150 @@
+import type * as http from 'node:http';
+import * as chai from 'chai';
+import * as standIns from '@bluebellmast/stand-ins';
+
+const {expect} = chai;
+
+type Body = {readonly messages: Array<{role: string; content: string}>; readonly max_tokens: number; readonly order?: string};
+type Answerer = (res: http.ServerResponse, tokens: readonly string[], finishReason: string) => void;
+
+function send(res: http.ServerResponse, tokens: readonly string[], finishReason?: string): void {
+	for (const content of tokens) {
+		res.write(`data: ${JSON.stringify({choices: [{index: 0, delta: {content}, finish_reason: null}]})}\n\n`); // eslint-disable-line @typescript-eslint/naming-convention
+	}
+
+	if (finishReason !== undefined) {
+		res.write(`data: ${JSON.stringify({choices: [{index: 0, delta: {}, finish_reason: finishReason}]})}\n\n`); // eslint-disable-line @typescript-eslint/naming-convention
+		res.end('data: [DONE]\n\n');
+	}
+}
+
+function refuse(res: http.ServerResponse, execution: string): void {
+	standIns.util.sendJson(res, 503, {error: {code: 'overloaded', execution, message: ''}});
+}
+
+const error = 'event: error\ndata: {"error":{"code":"stream_interrupted","execution":"unknown","message":""}}\n\n';
+const cases: ReadonlyArray<{name: string; outcome: standIns.load.Outcome; answer: Answerer}> = [
+	{
+		name: 'a whole answer', outcome: standIns.load.Outcome.Answered, answer(res, tokens, finishReason) {
+			send(res, tokens, finishReason);
+		},
+	},
+	{
+		name: 'a whole answer after a restart', outcome: standIns.load.Outcome.Answered, answer(res, tokens, finishReason) {
+			send(res, tokens.slice(0, 2));
+			res.write('event: restart\ndata: {}\n\n');
+			send(res, tokens, finishReason);
+		},
+	},
+	{
+		name: 'a cut answer', outcome: standIns.load.Outcome.Wrong, answer(res, tokens, finishReason) {
+			send(res, tokens.slice(0, -1), finishReason);
+		},
+	},
+	{
+		name: 'an answer without an end mark', outcome: standIns.load.Outcome.Wrong, answer(res, tokens) {
+			send(res, tokens);
+			res.end();
+		},
+	},
+	{
+		name: 'a reordered answer', outcome: standIns.load.Outcome.Wrong, answer(res, tokens, finishReason) {
+			send(res, [...tokens].reverse(), finishReason);
+		},
+	},
+	{
+		name: 'an answer with a doubled token', outcome: standIns.load.Outcome.Wrong, answer(res, tokens, finishReason) {
+			send(res, [tokens[0]!, ...tokens], finishReason);
+		},
+	},
+	{
+		name: 'a typed error after the first token', outcome: standIns.load.Outcome.Interrupted, answer(res, tokens) {
+			send(res, tokens.slice(0, 1));
+			res.end(error);
+		},
+	},
+	{
+		name: 'a typed error before the first token', outcome: standIns.load.Outcome.RefusedUnknown, answer(res) {
+			res.end(error);
+		},
+	},
+	{
+		name: 'a refusal that nothing was run', outcome: standIns.load.Outcome.RefusedNotRun, answer(res) {
+			refuse(res, 'not_run');
+		},
+	},
+	{
+		name: 'a refusal without an execution state', outcome: standIns.load.Outcome.Wrong, answer(res) {
+			refuse(res, 'perhaps');
+		},
+	},
+	{
+		name: 'a lost connection', outcome: standIns.load.Outcome.Lost, answer(res) {
+			res.destroy();
+		},
+	},
+];
+
+describe('runLoad', () => {
+	async function runAgainst(answer: Answerer, options: Partial<standIns.load.LoadOptions> = {}) {
+		const prompts: string[][] = [];
+		const server = new standIns.fault.StandInServer({}, async (req, res) => {
+			const body = await standIns.util.readJson(req) as Body;
+			if (req.url === '/readyz') {
+				standIns.util.sendJson(res, 200, {});
+				return;
+			}
+
+			if (body.order !== undefined) {
+				standIns.util.sendJson(res, 200, {order: body.order, account: 'club'});
+				return;
+			}
+
+			prompts.push(body.messages.map(message => message.content));
+			const expected = standIns.engine.expectedAnswer('club', body.messages, body.max_tokens);
+			answer(res, expected.tokens, expected.finishReason);
+		});
+		const {port} = await server.start();
+		const result = await standIns.load.runLoad({
+			targets: [`http://127.0.0.1:${port}`],
+			accounts: [{id: 'club', key: 'secret'}],
+			model: 'model',
+			maxRequests: 5,
+			requestsPerSecond: 500,
+			streamShare: 1,
+			pieceTokens: 10,
+			...options,
+		});
+		await server.stop();
+		return {result, prompts};
+	}
+
+	for (const {name, outcome, answer} of cases) {
+		it(`counts ${name} as ${outcome}`, async () => {
+			const {result} = await runAgainst(answer);
+			expect(result.questions, JSON.stringify(result.failures[0])).to.include({sent: 5, [outcome]: 5});
+			expect(standIns.check.checkCounts('questions', {...result.questions, wrong: 0, lost: result.questions.lost + result.questions.wrong})).to.deep.equal([]);
+		});
+	}
+
+	it('sends the same prompts for the same seed, with nested prefixes', async () => {
+		const runs = [
+			await runAgainst(cases[0]!.answer, {maxRequests: 30, seed: 4}),
+			await runAgainst(cases[0]!.answer, {maxRequests: 30, seed: 4}),
+		];
+		const [first, second] = runs.map(run => run.prompts.map(prompt => prompt.join('|')).sort());
+		expect(first).to.deep.equal(second);
+		const plans = new Set(runs[0]!.prompts.map(prompt => prompt[0]));
+		const questions = new Set(runs[0]!.prompts.map(prompt => prompt[2]));
+		expect(plans.size).to.be.within(2, 8);
+		expect(questions.size).to.equal(30);
+	});
+
+	it('checks that a booking\'s answer is its own', async () => {
+		const options = {bookingService: 'boekhuis', bookingShare: 1};
+		const right = await runAgainst(cases[0]!.answer, options);
+		const crossed = await runAgainst(cases[0]!.answer, {...options, accounts: [{id: 'school', key: 'other'}]});
+		expect(right.result.bookings).to.include({sent: 5, answered: 5});
+		expect(crossed.result.bookings).to.include({sent: 5, wrong: 5});
+	});
+});
