--- a/packages/router/src/placement/placer.ts
+++ b/packages/router/src/placement/placer.ts
@@ -189,7 +189,7 @@
 	}
 
 	#isBusy(target: ChatTarget): boolean {
-		const view = this.#options.engines.loads.find(target.endpoint.id); // eslint-disable-line unicorn/no-array-callback-reference
+		const view = this.#options.engines.loads.endpointOf(target.endpoint.id);
 		return view !== undefined && view.load >= view.capacity;
 	}
 
