--- a/packages/ctl/src/change/change-writer.ts
+++ b/packages/ctl/src/change/change-writer.ts
@@ -41,7 +41,7 @@
 export type ChangeWriterOptions = {
 	readonly kv: platform.kv.KeyValueClient;
 	readonly sleep: (durationMs: number) => Promise<void>;
-	/** Default 8. */
+	/** Default 6. */
 	readonly maxTries?: number;
 	/** Pause after the first failed try; it doubles. Default 50. */
 	readonly firstPauseMs?: number;
@@ -68,7 +68,7 @@
 	#lastError = '';
 
 	constructor(options: ChangeWriterOptions, change: Change) {
-		this.#options = {maxTries: 8, firstPauseMs: 50, ...options};
+		this.#options = {maxTries: 6, firstPauseMs: 50, ...options};
 		this.#change = change;
 	}
 
@@ -80,8 +80,10 @@
 				return {...result, ...(this.#head && {head: this.#head})};
 			}
 
-			await this.#options.sleep(pauseMs); // eslint-disable-line no-await-in-loop
-			pauseMs *= 2;
+			if (round < this.#options.maxTries - 1) {
+				await this.#options.sleep(pauseMs); // eslint-disable-line no-await-in-loop
+				pauseMs *= 2;
+			}
 		}
 
 		return this.#giveUp();
--- a/packages/ctl/src/commands/apply-command.ts
+++ b/packages/ctl/src/commands/apply-command.ts
@@ -61,8 +61,9 @@
 		return;
 	}
 
-	ctx.warn(`what the file would change in generation ${inForce.generation}:`);
-	for (const line of config.manifest.describeDifferences(inForce, content)) {
+	const differences = config.manifest.describeDifferences(inForce, content);
+	ctx.warn(`what the file would change in generation ${inForce.generation}: ${differences.length} entries`);
+	for (const line of differences) {
 		ctx.warn(`  ${line}`);
 	}
 }
--- /dev/null
+++ b/packages/ctl/tests/fakes/faulty-kv.ts
@@ -0,0 +1,76 @@
+import * as platform from '@bluebellmast/platform';
+import * as purify from 'purify-ts';
+import * as memoryKv from '../../../router/tests/controllers/fakes/memory-kv.js';
+
+/** What goes wrong with one call. */
+export enum KvFault {
+	None = 'none',
+	NotSent = 'not_sent',
+	/** A write takes effect and its answer is lost. */
+	AnswerLost = 'answer_lost',
+	/** A write is lost, and the client can't tell. */
+	WriteLost = 'write_lost',
+	/** A write's answer is lost, and it arrives some time later. */
+	WriteDelayed = 'write_delayed',
+}
+
+/** Draws the fault of each call, and lets it wait for its turn. */
+export type FaultPlan = {
+	nextFault(): KvFault;
+	turn(what: string): Promise<void>;
+};
+
+/** Client of a key-value service in memory whose calls interleave and fail as a plan says. */
+export class FaultyKvClient extends memoryKv.MemoryKvClient {
+	/** Writes that arrive after their call has ended. */
+	readonly delayed: Array<Promise<unknown>> = [];
+
+	constructor(store: memoryKv.MemoryKv, readonly plan: FaultPlan) {
+		super(store);
+	}
+
+	override async get(key: string): platform.kv.KvResult<platform.kv.KvEntry | undefined> {
+		await this.plan.turn('get');
+		return this.plan.nextFault() === KvFault.None ? super.get(key) : fail(platform.kv.KvErrorCode.NotSent);
+	}
+
+	override async compareAndSwap(key: string, expectedRevision: number, value: Uint8Array): platform.kv.KvResult<platform.kv.KvSwap> {
+		await this.plan.turn('swap');
+		switch (this.plan.nextFault()) {
+			case KvFault.None: {
+				return super.compareAndSwap(key, expectedRevision, value);
+			}
+
+			case KvFault.NotSent: {
+				return fail(platform.kv.KvErrorCode.NotSent);
+			}
+
+			case KvFault.AnswerLost: {
+				await super.compareAndSwap(key, expectedRevision, value);
+				return fail(platform.kv.KvErrorCode.OutcomeUnknown);
+			}
+
+			case KvFault.WriteLost: {
+				return fail(platform.kv.KvErrorCode.OutcomeUnknown);
+			}
+
+			case KvFault.WriteDelayed: {
+				this.delayed.push(this.#writeLater(key, expectedRevision, value));
+				return fail(platform.kv.KvErrorCode.OutcomeUnknown);
+			}
+		}
+	}
+
+	async close(): Promise<void> {
+		await Promise.all(this.delayed);
+	}
+
+	async #writeLater(key: string, expectedRevision: number, value: Uint8Array): Promise<void> {
+		await this.plan.turn('delayed write');
+		await super.compareAndSwap(key, expectedRevision, value);
+	}
+}
+
+function fail<Value>(code: platform.kv.KvErrorCode): purify.Either<platform.kv.KvError, Value> {
+	return purify.Left({code, message: code});
+}
