--- a/packages/ctl/tests/change/change-writer.test.ts
+++ b/packages/ctl/tests/change/change-writer.test.ts
@@ -66,6 +66,7 @@
 function checkHistory(heads: readonly core.manifest.ManifestHead[], operations: ReadonlyMap<string, Operation>): void {
 	for (const [index, head] of heads.entries()) {
 		expect(head.generation).to.equal(index + 1);
+		expect(head.madeFrom).to.equal(index);
 		const operation = operations.get(head.changeId);
 		const before = index === 0 ? [] : heads[index - 1]!.recalled;
 		const lost = before.filter(batch => !head.recalled.includes(batch));
--- /dev/null
+++ b/packages/ctl/tests/fakes/fake-context.ts
@@ -0,0 +1,86 @@
+import * as fs from 'node:fs';
+import type * as core from '@bluebellmast/core';
+import * as purify from 'purify-ts';
+import * as memoryKv from '../../../router/tests/controllers/fakes/memory-kv.js';
+import type * as ctl from '@bluebellmast/ctl';
+
+/** Router that answers what the test sets; without a status it does not answer. */
+export class FakeRouter implements ctl.routers.RouterClient {
+	status_: ctl.routers.RouterStatus | undefined;
+	events: readonly core.timeline.TimelineEvent[] = [];
+
+	constructor(readonly url: string, generation: number, confirmed = true) {
+		this.status_ = {
+			vm: `vm-of-${url}`,
+			incarnation: 'i-1',
+			dataCentre: 'dc-1',
+			ready: true,
+			stopping: false,
+			generation,
+			confirmed,
+			requestsUnderWay: 0,
+			members: [],
+			endpoints: [{id: 'engine-1', service: 'pool'}],
+		};
+	}
+
+	async status(): ctl.routers.RouterResult<ctl.routers.RouterStatus> {
+		return this.status_ === undefined ? purify.Left('silent') : purify.Right(this.status_);
+	}
+
+	async timeline(): ctl.routers.RouterResult<readonly core.timeline.TimelineEvent[]> {
+		return this.status_ === undefined ? purify.Left('silent') : purify.Right(this.events);
+	}
+}
+
+class ClosableKv extends memoryKv.MemoryKvClient {
+	async close(): Promise<void> {} // eslint-disable-line @typescript-eslint/no-empty-function
+}
+
+/** World of the tool in memory; time passes only by sleeping. */
+export class FakeContext implements ctl.cli.Context {
+	readonly printed: string[] = [];
+	readonly warned: string[] = [];
+	readonly files = new Map<string, string>();
+	readonly routers = new Map<string, FakeRouter>();
+	readonly store = new memoryKv.MemoryKv();
+	readonly kv = new ClosableKv(this.store);
+	#now = 0;
+	#ids = 0;
+
+	readonly print = (line: string) => {
+		this.printed.push(line);
+	};
+
+	readonly warn = (line: string) => {
+		this.warned.push(line);
+	};
+
+	readonly readFile = (file: string) => this.files.get(file) ?? fs.readFileSync(file, 'utf8');
+	readonly writeFile = (file: string, text: string) => {
+		this.files.set(file, text);
+	};
+
+	readonly createKv = () => this.kv;
+	readonly createRouterClient = (url: string) => this.routers.get(url)!;
+	readonly now = () => this.#now;
+	readonly sleep = async (durationMs: number) => {
+		this.#now += durationMs;
+	};
+
+	get operator(): string {
+		return 'alice';
+	}
+
+	readonly createId = () => {
+		this.#ids += 1;
+		return String(this.#ids);
+	};
+
+	/** Adds a router at a URL. */
+	addRouter(url: string, generation: number, confirmed?: boolean): FakeRouter {
+		const router = new FakeRouter(url, generation, confirmed);
+		this.routers.set(url, router);
+		return router;
+	}
+}
