Count dispatched prompts into the cache picture

Cause: prompts that share a cold prefix were spread while the first of them was still being computed. Change: a dispatch makes the picture expect its pieces, a failure takes them back; the engine stand-in matches a prefix again when its prefill begins, as engines with chunked prefill do.

--- a/packages/core/src/cache/cache-picture.ts
+++ b/packages/core/src/cache/cache-picture.ts
@@ -208,6 +208,23 @@
 		return hasGap ? CacheEventOutcome.AppliedAfterGap : CacheEventOutcome.Applied;
 	}
 
+	/** Takes note that an engine was given a prompt: it will hold the pieces by the time it takes the next one. */
+	expect(report: Omit<AnswerCacheReport, 'cachedTokens'>): void {
+		this.#addPieces(report);
+	}
+
+	/** Takes back what was expected of an attempt that failed: the pieces after the first `keptTokens`. */
+	retract(report: Omit<AnswerCacheReport, 'cachedTokens'>, keptTokens: number): void {
+		const engine = this.#engineOf(report.endpoint, report.incarnation);
+		let tokens = 0;
+		for (const piece of engine === undefined ? [] : report.pieces) {
+			tokens += piece.tokens;
+			if (tokens > keptTokens) {
+				this.#removeHolders(piece.key, engine!);
+			}
+		}
+	}
+
 	/** Corrects the picture by an answer: the engine has just used or computed all pieces of the prompt. */
 	applyAnswer(report: AnswerCacheReport): void {
 		const engine = this.#engineOf(report.endpoint, report.incarnation);
@@ -216,14 +233,7 @@
 		}
 
 		this.#overclaimedTokens += Math.max(0, this.#confirmedTokens(engine, report.pieces) - report.cachedTokens);
-		for (const piece of report.pieces) {
-			const state = this.#pieceOf(piece.key, report.salt);
-			if (state !== undefined) {
-				this.#addHolder(state, engine);
-			}
-		}
-
-		this.#evictPieces();
+		this.#addPieces(report);
 	}
 
 	/** Applies another router's digest of the hot pieces that an engine holds; it replaces the digest before. */
@@ -341,6 +351,22 @@
 		}
 	}
 
+	#addPieces(report: Omit<AnswerCacheReport, 'cachedTokens'>): void {
+		const engine = this.#engineOf(report.endpoint, report.incarnation);
+		if (engine === undefined) {
+			return;
+		}
+
+		for (const piece of report.pieces) {
+			const state = this.#pieceOf(piece.key, report.salt);
+			if (state !== undefined) {
+				this.#addHolder(state, engine);
+			}
+		}
+
+		this.#evictPieces();
+	}
+
 	#applyChange(engine: EngineState, event: EngineCacheEvent): void {
 		switch (event.change) {
 			case CacheChange.Stored: {
--- a/packages/core/src/placement/placement-state.ts
+++ b/packages/core/src/placement/placement-state.ts
@@ -18,6 +18,13 @@
 	readonly countKept?: (pieces: readonly prefixKeys.PrefixPiece[]) => number;
 };
 
+/** One try of a request at the endpoint that it was placed on. */
+export type DispatchedAttempt = {
+	readonly attemptId: string;
+	readonly request: placementRequest.PlacementRequest;
+	readonly placement: placementRequest.Placement;
+};
+
 /** What an answer shows of its engine's cache. */
 export type AnswerOutcome = {
 	readonly request: placementRequest.PlacementRequest;
@@ -60,6 +67,25 @@
 		return this.#policy.place(request, this.viewOf(request.service), now);
 	}
 
+	/** Counts the dispatch of an attempt as it was placed. */
+	dispatched(attempt: DispatchedAttempt, now: number): void {
+		const {request, placement} = attempt;
+		const missingTokens = Math.max(0, request.promptTokens - placement.expectedCachedTokens);
+		this.loads.dispatched(attempt.attemptId, placement.endpoint, missingTokens, now);
+		if (placement.incarnation !== undefined) {
+			this.picture.expect(cacheReportOf(attempt, placement.incarnation));
+		}
+	}
+
+	/** Counts the end of an attempt that gave no answer. */
+	failed(attempt: DispatchedAttempt, now: number): void {
+		const {placement} = attempt;
+		this.loads.finished(attempt.attemptId, 0, now);
+		if (placement.incarnation !== undefined) {
+			this.picture.retract(cacheReportOf(attempt, placement.incarnation), placement.expectedCachedTokens);
+		}
+	}
+
 	/** Corrects the picture by an answer. */
 	answered(outcome: AnswerOutcome): void {
 		this.picture.applyAnswer({
@@ -84,6 +110,15 @@
 	}
 }
 
+function cacheReportOf(attempt: DispatchedAttempt, incarnation: string): Omit<cachePicture.AnswerCacheReport, 'cachedTokens'> {
+	return {
+		endpoint: attempt.placement.endpoint,
+		incarnation,
+		salt: saltOf(attempt.request),
+		pieces: attempt.request.pieces,
+	};
+}
+
 function saltOf(request: placementRequest.PlacementRequest): weightsModel.WeightsKey {
 	return prefixKeys.saltOfKey(request.account, request.weights ?? '');
 }
--- a/packages/stand-ins/src/bench/placement-run.ts
+++ b/packages/stand-ins/src/bench/placement-run.ts
@@ -282,7 +282,8 @@
 		const timer = setTimeout(() => {
 			abort.abort();
 		}, arrivedAt + deadlineMs - Date.now());
-		state.loads.dispatched(attemptId, endpoint, request.placement.promptTokens - placement.expectedCachedTokens, Date.now());
+		const attempt = {attemptId, request: request.placement, placement};
+		state.dispatched(attempt, Date.now());
 		try {
 			const answer = await client.complete(request.placement, attemptId, abort.signal, {
 				onFirstToken(now) {
@@ -296,7 +297,7 @@
 			});
 			return answer;
 		} catch {
-			state.loads.finished(attemptId, 0, Date.now());
+			state.failed(attempt, Date.now());
 			if (abort.signal.aborted) {
 				void cancelQuietly(client, attemptId);
 			} else {
--- a/packages/stand-ins/src/engine/batch-scheduler.ts
+++ b/packages/stand-ins/src/engine/batch-scheduler.ts
@@ -63,6 +63,7 @@
 			await this.faults.whenThawed(); // eslint-disable-line no-await-in-loop
 			this.#admit();
 			const prefilling = this.#nextPrefill();
+			this.#matchAgain(prefilling);
 			const chunk = Math.min(prefilling?.missingTokens ?? 0, this.settings.prefillChunkTokens);
 			await this.#wait(this.#stepDuration(chunk)); // eslint-disable-line no-await-in-loop
 			await this.faults.whenThawed(); // eslint-disable-line no-await-in-loop
@@ -100,15 +101,28 @@
 	}
 
 	#begin(task: engineTask.EngineTask): void {
-		const {body} = task.request;
-		task.hits = this.cache.match(body.cache_salt, body.prefix.map(piece => piece.key));
-		const cachedTokens = task.hits.reduce((sum, piece) => sum + piece.tokens, 0);
-		task.missingTokens = task.promptTokens - cachedTokens;
+		this.#match(task);
 		task.state = task.missingTokens > 0 ? engineTask.TaskState.Prefill : engineTask.TaskState.Decode;
 		this.#running.add(task);
 		this.onBegin(task);
 	}
 
+	/** Matches the prefix once more when its prefill begins: prompts before it may have computed the same pieces. */
+	#matchAgain(task: engineTask.EngineTask | undefined): void {
+		if (!task || task.prefillBegun) {
+			return;
+		}
+
+		task.prefillBegun = true;
+		this.#match(task);
+	}
+
+	#match(task: engineTask.EngineTask): void {
+		const {body} = task.request;
+		task.hits = this.cache.match(body.cache_salt, body.prefix.map(piece => piece.key));
+		task.missingTokens = task.promptTokens - task.hits.reduce((sum, piece) => sum + piece.tokens, 0);
+	}
+
 	#nextPrefill(): engineTask.EngineTask | undefined {
 		return [...this.#running].find(task => task.state === engineTask.TaskState.Prefill);
 	}
--- a/packages/stand-ins/src/engine/engine-task.ts
+++ b/packages/stand-ins/src/engine/engine-task.ts
@@ -26,6 +26,8 @@
 	state = TaskState.Queued;
 	/** Prompt tokens that are still to be computed; set at the start of the prefill. */
 	missingTokens = 0;
+	/** Whether a first chunk of the prompt was computed. */
+	prefillBegun = false;
 	hits: readonly prefixCache.CachedPiece[] = [];
 	readonly promptTokens: number;
 	readonly finishReason: string;
