--- a/packages/stand-ins/src/check/engine-check.ts
+++ b/packages/stand-ins/src/check/engine-check.ts
@@ -4,11 +4,11 @@
 export type RecallRecord = {
 	/** Text form of the weights. */
 	readonly weights: string;
-	/** Milliseconds since the Unix epoch after which no request may begin on them. */
+	/** Milliseconds since the Unix epoch after which no request may be sent to them. */
 	readonly inForceAt: number;
 };
 
-/** Checks that no engine used cache entries across accounts or weights or began on recalled weights; returns the findings. */
+/** Checks that no engine used cache entries across accounts or weights or got a request on recalled weights; returns the findings. */
 export function checkEngines(records: readonly engine.EngineRecord[], recalls: readonly RecallRecord[] = []): string[] {
 	return records.flatMap(record => [...checkHits(record), ...checkRecalls(record, recalls)]);
 }
@@ -21,8 +21,8 @@
 
 function checkRecalls(record: engine.EngineRecord, recalls: readonly RecallRecord[]): string[] {
 	return recalls
-		.filter(recall => recall.weights === record.weights && record.at > recall.inForceAt)
-		.map(recall => `${nameOf(record)} began on recalled ${recall.weights} ${record.at - recall.inForceAt} ms after the recall was in force`);
+		.filter(recall => recall.weights === record.weights && record.arrivedAt > recall.inForceAt)
+		.map(recall => `${nameOf(record)} was sent to recalled ${recall.weights} ${record.arrivedAt - recall.inForceAt} ms after the recall was in force`);
 }
 
 function nameOf(record: engine.EngineRecord): string {
--- a/packages/stand-ins/src/deployment/deployment-options.ts
+++ b/packages/stand-ins/src/deployment/deployment-options.ts
@@ -13,6 +13,10 @@
 	readonly accounts?: number;
 	/** Milliseconds that one weight load takes; default 500. */
 	readonly weightLoadMs?: number;
+	/** Versions of the model that engines hold at their first start; default `['1']`. */
+	readonly loadedVersions?: readonly string[];
+	/** Versions of the model that engines hold when they start again; default none. */
+	readonly restartVersions?: readonly string[];
 	/** More arguments of each engine, such as `['--cache-limit-tokens', '50000']`; default none. */
 	readonly engineArgs?: readonly string[];
 	/** More arguments of the key-value service; default none. */
@@ -32,6 +36,8 @@
 		runners: 2,
 		accounts: 4,
 		weightLoadMs: 500,
+		loadedVersions: ['1'],
+		restartVersions: [],
 		engineArgs: [],
 		kvArgs: [],
 		routerSettings: {},
--- a/packages/stand-ins/src/deployment/local-deployment.ts
+++ b/packages/stand-ins/src/deployment/local-deployment.ts
@@ -30,8 +30,6 @@
 const packagesFolder = path.resolve(path.dirname(url.fileURLToPath(import.meta.url)), '../../..');
 const readyTimeoutMs = 20_000;
 const readyPollMs = 50;
-/** Weights that the engines hold from the start. */
-const firstVersion = '1';
 
 /** Routers and stand-ins as processes on this machine. */
 export class LocalDeployment {
@@ -79,7 +77,7 @@
 	/** Starts all stand-ins, applies the manifest, and starts all routers. */
 	async start(): Promise<void> {
 		await this.#startStandIns();
-		const manifest = this.writeManifest('manifest.yaml', [firstVersion]);
+		const manifest = this.writeManifest('manifest.yaml', this.#settings.loadedVersions.slice(0, 1));
 		await this.control('apply', '--kv', this.kvUrl, manifest);
 		await this.#startRouters();
 	}
@@ -92,12 +90,31 @@
 
 	/** Runs the operators' tool; throws when it fails. */
 	async control(...args: string[]): Promise<void> {
-		const code = await util.runChild(this.#childOptions('bluebellmastctl', path.join(packagesFolder, 'ctl/dist/main.js'), args));
+		const code = await this.tryControl(...args);
 		if (code !== 0) {
 			throw new Error(`bluebellmastctl ${args.join(' ')} ended with code ${code}; see ${this.#settings.folder}`);
 		}
 	}
 
+	/** Runs the operators' tool and returns its exit code. */
+	async tryControl(...args: string[]): Promise<number> {
+		return util.runChild(this.#childOptions('bluebellmastctl', path.join(packagesFolder, 'ctl/dist/main.js'), args));
+	}
+
+	/** Returns the routers that have ended, as findings. */
+	endedRouters(): string[] {
+		return this.routers.filter(router => !router.child.running).map(router => `${router.vm} has ended`);
+	}
+
+	/** Returns the lines of all logs that name a broken invariant. */
+	brokenInvariants(): string[] {
+		const files = fs.readdirSync(this.#settings.folder).filter(file => file.endsWith('.log'));
+		return files.flatMap(file => fs.readFileSync(this.#path(file), 'utf8')
+			.split('\n')
+			.filter(line => /invariant \S+ broken/.test(line))
+			.map(line => `${file}: ${line.trim()}`));
+	}
+
 	/** Writes a manifest file with the given versions of the model and returns its path. */
 	writeManifest(name: string, versions: readonly string[]): string {
 		return this.#writeYaml(name, manifestFile.createManifest({
@@ -118,9 +135,9 @@
 		await this.#waitUntilReady(router);
 	}
 
-	/** Starts an engine again on its old addresses; it holds no weights and no cache. */
+	/** Starts an engine again on its old addresses, with an empty cache. */
 	async restartEngine(standIn: RunningStandIn): Promise<void> {
-		standIn.child = await this.#restartStandIn('engine', standIn, this.#engineArgs(standIn.name, ''));
+		standIn.child = await this.#restartStandIn('engine', standIn, this.#engineArgs(standIn.name, this.#settings.restartVersions));
 	}
 
 	/** Starts a runner again on its old addresses. */
@@ -168,7 +185,7 @@
 		this.#cacheStore = await this.#startStandIn('cache-store', 'cache-store', []);
 		for (let index = 1; index <= engines; index++) {
 			const name = `engine-${index}`;
-			const args = this.#engineArgs(name, `${manifestFile.modelName}@${firstVersion}`);
+			const args = this.#engineArgs(name, this.#settings.loadedVersions);
 			this.engines.push(await this.#startStandIn('engine', name, args)); // eslint-disable-line no-await-in-loop
 		}
 
@@ -243,12 +260,12 @@
 		return child;
 	}
 
-	#engineArgs(name: string, weights: string): string[] {
+	#engineArgs(name: string, versions: readonly string[]): string[] {
 		return [
 			'--name',
 			name,
 			'--weights',
-			weights,
+			versions.map(version => `${manifestFile.modelName}@${version}`).join(','),
 			'--weight-store',
 			`http://${host}:${this.#weightStore!.port}`,
 			'--record-file',
--- a/packages/stand-ins/src/engine/engine-stand-in.ts
+++ b/packages/stand-ins/src/engine/engine-stand-in.ts
@@ -19,7 +19,8 @@
 export type EngineRecord = {
 	readonly engine: string;
 	readonly incarnation: string;
-	readonly at: number;
+	/** Milliseconds since the Unix epoch at which it arrived. */
+	readonly arrivedAt: number;
 	readonly requestId: string;
 	readonly attemptId: string;
 	readonly account: string;
@@ -51,7 +52,7 @@
 	constructor(options: engineOptions.EngineOptions) {
 		this.#settings = engineOptions.fillDefaults(options);
 		this.#recorder = new util.Recorder(options.recordFile);
-		this.server = new fault.StandInServer(options, async (req, res) => this.#handle(req, res), {
+		this.server = new fault.StandInServer(options, async (req, res, arrivedAt) => this.#handle(req, res, arrivedAt), {
 			record: () => this.records(),
 		}, request => {
 			if (request.fault === fault.FaultName.Crash) {
@@ -109,7 +110,7 @@
 		this.#tasks.stop();
 	}
 
-	async #handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+	async #handle(req: http.IncomingMessage, res: http.ServerResponse, arrivedAt: number): Promise<void> {
 		const path = util.pathOf(req);
 		const stream = streamPath.exec(path);
 		if (stream) {
@@ -119,7 +120,7 @@
 
 		switch (`${req.method} ${path}`) {
 			case 'POST /v1/chat/completions': {
-				await this.#complete(req, res);
+				await this.#complete(req, res, arrivedAt);
 				break;
 			}
 
@@ -169,8 +170,8 @@
 		}
 	}
 
-	async #complete(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
-		const request = await readTaskRequest(req);
+	async #complete(req: http.IncomingMessage, res: http.ServerResponse, arrivedAt: number): Promise<void> {
+		const request = await readTaskRequest(req, arrivedAt);
 		if (!this.#holder.has(request.weights)) {
 			await this.server.faults.beforeAnswer();
 			util.sendJson(res, 409, {code: 'weights_not_loaded', message: request.weights}, this.#headers(request));
@@ -256,11 +257,11 @@
 	}
 
 	#record(task: engineTask.EngineTask): void {
-		const {requestId, attemptId, account, weights, body} = task.request;
+		const {requestId, attemptId, account, weights, arrivedAt, body} = task.request;
 		this.#recorder.add({
 			engine: this.#settings.name,
 			incarnation: this.incarnation,
-			at: Date.now(),
+			arrivedAt,
 			requestId,
 			attemptId,
 			account,
@@ -301,13 +302,14 @@
 	return new EngineStandIn(options);
 }
 
-async function readTaskRequest(req: http.IncomingMessage): Promise<engineTask.TaskRequest> {
+async function readTaskRequest(req: http.IncomingMessage, arrivedAt: number): Promise<engineTask.TaskRequest> {
 	const body = await util.readJson(req) as wire.endpoint.EngineCompletionRequest;
 	return {
 		requestId: util.headerOf(req, wire.http.HeaderName.RequestId),
 		attemptId: util.headerOf(req, wire.http.HeaderName.AttemptId),
 		account: util.headerOf(req, wire.http.HeaderName.Account),
 		weights: util.headerOf(req, wire.http.HeaderName.Weights),
+		arrivedAt,
 		body,
 	};
 }
--- a/packages/stand-ins/src/engine/engine-task.ts
+++ b/packages/stand-ins/src/engine/engine-task.ts
@@ -18,6 +18,8 @@
 	readonly attemptId: string;
 	readonly account: string;
 	readonly weights: string;
+	/** Milliseconds since the Unix epoch. */
+	readonly arrivedAt: number;
 	readonly body: wire.endpoint.EngineCompletionRequest;
 };
 
--- a/packages/stand-ins/src/fault/stand-in-server.ts
+++ b/packages/stand-ins/src/fault/stand-in-server.ts
@@ -32,8 +32,8 @@
 	readonly onCrash?: () => void;
 };
 
-/** Answers a request. */
-export type Handler = (req: http.IncomingMessage, res: http.ServerResponse) => Promise<void>;
+/** Answers a request that arrived at `arrivedAt`, in milliseconds since the Unix epoch. */
+export type Handler = (req: http.IncomingMessage, res: http.ServerResponse, arrivedAt: number) => Promise<void>;
 
 /** Reads what `GET /<name>` on the fault port answers. */
 export type RecordReader = () => unknown;
@@ -183,10 +183,11 @@
 	}
 
 	async #handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		const arrivedAt = Date.now();
 		res.on('error', () => undefined);
 		try {
 			await this.faults.whenThawed();
-			await this.handler(req, res);
+			await this.handler(req, res, arrivedAt);
 		} catch (err) {
 			if (!res.headersSent) {
 				httpIo.sendJson(res, 500, {message: String(err)});
--- a/packages/stand-ins/src/load/load-generator.ts
+++ b/packages/stand-ins/src/load/load-generator.ts
@@ -94,7 +94,7 @@
 			tokenAt = now;
 		};
 
-		const outcome = await this.#caller.ask({...question, onToken});
+		const outcome = await this.#watchLost(name, question.target, this.#caller.ask({...question, onToken}));
 		if (outcome.outcome === callOutcome.Outcome.Answered) {
 			this.#result.total.record(performance.now() - arrivedAt);
 		}
@@ -102,6 +102,22 @@
 		this.#result.addQuestion(`question ${name} at ${question.target}`, outcome);
 	}
 
+	async #watchLost(
+		request: string,
+		target: string,
+		answer: Promise<callOutcome.CallOutcome>,
+	): Promise<callOutcome.CallOutcome> {
+		const sentAt = Date.now();
+		const outcome = await answer;
+		if (outcome.outcome === callOutcome.Outcome.Lost) {
+			this.#result.addLost({
+				request, target, sentAt, endedAt: Date.now(), detail: outcome.detail ?? '',
+			});
+		}
+
+		return outcome;
+	}
+
 	async #book(name: string, account: loadOptions.LoadAccount, service: string, arrivedAt: number): Promise<void> {
 		this.#result.sendBooking();
 		const key = `booking-${name}`;
@@ -111,11 +127,11 @@
 				await util.sleep(repeatDelayMs); // eslint-disable-line no-await-in-loop
 			}
 
-			// eslint-disable-next-line no-await-in-loop
-			const outcome = await this.#caller.book({
-				target: this.#targets.next(), account, service, key, order: name,
+			const target = this.#targets.next();
+			const answer = this.#caller.book({
+				target, account, service, key, order: name,
 			});
-			tries.push(outcome);
+			tries.push(await this.#watchLost(key, target, answer)); // eslint-disable-line no-await-in-loop
 		} while (tries.length <= this.settings.bookingRepeats && repeatable.has(tries.at(-1)!.outcome));
 
 		if (tries.at(-1)!.outcome === callOutcome.Outcome.Answered) {
--- a/packages/stand-ins/src/load/load-result.ts
+++ b/packages/stand-ins/src/load/load-result.ts
@@ -1,5 +1,6 @@
 import * as callOutcome from './call-outcome.js';
 import * as latencyRecorder from './latency-recorder.js';
+import type * as lostCall from './lost-call.js';
 
 /** Counts of outcomes of one sort of requests. */
 export type OutcomeCounts = Readonly<Record<callOutcome.Outcome, number>> & {readonly sent: number};
@@ -36,6 +37,8 @@
 	readonly promptTokens: number;
 	readonly cachedTokens: number;
 	readonly failures: readonly Failure[];
+	/** Tries that were left without an answer. */
+	readonly lost: readonly lostCall.LostCall[];
 	readonly bookingRecords: readonly BookingRecord[];
 };
 
@@ -51,6 +54,7 @@
 	readonly #questions: callOutcome.CallOutcome[] = [];
 	readonly #bookings: BookingRecord[] = [];
 	readonly #failures: Failure[] = [];
+	readonly #lost: lostCall.LostCall[] = [];
 	#questionsSent = 0;
 	#bookingsSent = 0;
 
@@ -66,6 +70,11 @@
 		this.#bookingsSent += 1;
 	}
 
+	/** Notes a try that was left without an answer. */
+	addLost(call: lostCall.LostCall): void {
+		this.#lost.push(call);
+	}
+
 	/** Notes the end of a question. */
 	addQuestion(request: string, outcome: callOutcome.CallOutcome): void {
 		this.#questions.push(outcome);
@@ -94,6 +103,7 @@
 			promptTokens: this.#questions.reduce((sum, outcome) => sum + (outcome.promptTokens ?? 0), 0),
 			cachedTokens: this.#questions.reduce((sum, outcome) => sum + (outcome.cachedTokens ?? 0), 0),
 			failures: this.#failures,
+			lost: this.#lost,
 			bookingRecords: this.#bookings,
 		};
 	}
--- /dev/null
+++ b/packages/stand-ins/src/soak/main.ts
@@ -0,0 +1,54 @@
+import * as fs from 'node:fs';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import process from 'node:process';
+import * as util from 'node:util';
+import * as soak from './soak.js';
+
+const usage = `Usage: node soak/main.js [--seed N] [--minutes M] [--empty-engines] [--keep]
+Runs routers and stand-ins as processes on this machine under load and a seeded schedule of faults, and checks the records.
+  --empty-engines  engines that start again hold no weights until they are ordered to load them`;
+const millisecondsPerMinute = 60_000;
+
+const {values} = util.parseArgs({
+	options: {
+		seed: {type: 'string', default: '1'},
+		minutes: {type: 'string', default: '1'},
+		'empty-engines': {type: 'boolean', default: false},
+		keep: {type: 'boolean', default: false},
+		help: {type: 'boolean', default: false},
+	},
+});
+
+async function main(): Promise<number> {
+	const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'bluebellmast-soak-'));
+	const lines: string[] = [];
+	const findings = await soak.runSoak({
+		folder,
+		seed: Number(values.seed),
+		durationMs: Number(values.minutes) * millisecondsPerMinute,
+		emptyEngines: values['empty-engines'],
+		print(line) {
+			lines.push(line);
+			console.log(line);
+		},
+	});
+	for (const finding of findings) {
+		console.log(`finding: ${finding}`);
+	}
+
+	const command = `npm run soak -- --seed ${values.seed} --minutes ${values.minutes}${values['empty-engines'] ? ' --empty-engines' : ''}`;
+	console.log(findings.length === 0 ? 'nothing found' : `${findings.length} findings with: ${command}; logs in ${folder}`);
+	fs.writeFileSync(path.join(folder, 'soak.txt'), [...lines, ...findings, ''].join('\n'));
+	if (findings.length === 0 && !values.keep) {
+		fs.rmSync(folder, {recursive: true});
+	}
+
+	return findings.length === 0 ? 0 : 1;
+}
+
+if (values.help) {
+	console.log(usage);
+} else {
+	process.exitCode = await main();
+}
--- /dev/null
+++ b/packages/stand-ins/src/soak/soak.ts
@@ -0,0 +1,70 @@
+import * as check from '../check/index.js';
+import * as deployment from '../deployment/index.js';
+import * as load from '../load/index.js';
+import * as printResult from '../demo/print-result.js';
+import * as disturberModule from './disturber.js';
+import * as lostCheck from './lost-check.js';
+import * as operatorModule from './operator.js';
+import * as schedule from './schedule.js';
+
+/** Options of a randomised run. */
+export type SoakOptions = {
+	readonly folder: string;
+	readonly seed: number;
+	readonly durationMs: number;
+	/** Whether engines that start again hold no weights. */
+	readonly emptyEngines: boolean;
+	/** Prints one line. */
+	readonly print: (line: string) => void;
+};
+
+const sizes = {routers: 6, engines: 4, runners: 3};
+const versions = ['1', '2'];
+const requestsPerSecond = 25;
+const bookingRepeats = 3;
+
+/** Runs processes under load and disturbances and returns the findings. */
+export async function runSoak(options: SoakOptions): Promise<string[]> {
+	const {folder, seed, durationMs, print} = options;
+	const disturbances = schedule.createSchedule({seed, durationMs, ...sizes});
+	const local = new deployment.LocalDeployment({
+		folder, seed, ...sizes, loadedVersions: versions, restartVersions: options.emptyEngines ? [] : versions,
+	});
+	try {
+		await local.start();
+		const disturber = new disturberModule.Disturber(local, print);
+		const operator = new operatorModule.Operator(local, print);
+		const [result] = await Promise.all([
+			load.runLoad({
+				targets: local.targets,
+				accounts: local.accounts,
+				model: deployment.modelName,
+				bookingService: deployment.bookingServiceName,
+				seed,
+				durationMs,
+				requestsPerSecond,
+				bookingShare: 0.4,
+				bookingRepeats,
+			}),
+			disturber.run(disturbances),
+			operator.run(durationMs),
+		]);
+		for (const line of printResult.describeResult(result)) {
+			print(line);
+		}
+
+		print(`calls of the key-value service: ${JSON.stringify(await local.kvCounts())}`);
+		return [
+			...disturber.findings,
+			...check.checkCounts('questions', result.questions),
+			...check.checkCounts('bookings', result.bookings),
+			...check.checkBookings(result.bookingRecords, local.executions()),
+			...check.checkEngines(local.engineRecords(), operator.recalls),
+			...lostCheck.checkLost(result.lost, disturber.outages),
+			...local.brokenInvariants(),
+			...local.endedRouters(),
+		];
+	} finally {
+		await local.stop();
+	}
+}
--- a/packages/stand-ins/tests/check/check.test.ts
+++ b/packages/stand-ins/tests/check/check.test.ts
@@ -54,14 +54,14 @@
 		key: 'k', salt: 's', tokens: 1, account: 'club', weights: 'm@1',
 	};
 	const record: standIns.engine.EngineRecord = {
-		engine: 'e', incarnation: 'i', at: 100, requestId: 'q', attemptId: 'a', account: 'club', weights: 'm@1', salt: 's', promptTokens: 1, hits: [hit],
+		engine: 'e', incarnation: 'i', arrivedAt: 100, requestId: 'q', attemptId: 'a', account: 'club', weights: 'm@1', salt: 's', promptTokens: 1, hits: [hit],
 	};
 	const cases: ReadonlyArray<{name: string; record: Partial<standIns.engine.EngineRecord>; findings: number}> = [
 		{name: 'own cache', record: {}, findings: 0},
 		{name: 'cache of another account', record: {account: 'school'}, findings: 1},
 		{name: 'cache of other weights', record: {weights: 'm@2'}, findings: 1},
 		{name: 'recalled weights in time', record: {weights: 'm@0', hits: []}, findings: 0},
-		{name: 'recalled weights too late', record: {weights: 'm@0', hits: [], at: 201}, findings: 1},
+		{name: 'recalled weights too late', record: {weights: 'm@0', hits: [], arrivedAt: 201}, findings: 1},
 	];
 	for (const {name, record: more, findings} of cases) {
 		it(`has ${findings} findings on ${name}`, () => {
