--- /dev/null
+++ b/packages/stand-ins/src/soak/index.ts
@@ -0,0 +1,1 @@
+export * from './schedule.js';
--- a/packages/stand-ins/src/util/random.ts
+++ b/packages/stand-ins/src/util/random.ts
@@ -2,6 +2,10 @@
 import * as uniformInt from 'pure-rand/distribution/uniformInt';
 import type * as generator from 'pure-rand/types/RandomGenerator';
 import * as xoroshiro from 'pure-rand/generator/xoroshiro128plus';
+import * as skip from 'pure-rand/utils/skipN';
+
+/** Numbers dropped at the start, as the first ones after a small seed are not spread evenly. */
+const warmUpDraws = 64;
 
 /** Seeded source of random numbers. */
 export class Random {
@@ -9,6 +13,7 @@
 
 	constructor(seed: number) {
 		this.#generator = xoroshiro.xoroshiro128plus(seed);
+		skip.skipN(this.#generator, warmUpDraws);
 	}
 
 	/** Returns an integer from `min` to `max`, both included. */
