--- a/packages/router/src/controllers/load-poll-controller.ts
+++ b/packages/router/src/controllers/load-poll-controller.ts
@@ -20,15 +20,21 @@
 export class LoadPollController implements controller.Controller {
 	readonly #options: LoadPollOptions;
 	#timer: NodeJS.Timeout | undefined;
+	#hasPolled = false;
 
 	constructor(options: LoadPollOptions) {
 		this.#options = options;
 	}
 
+	/** Whether each endpoint of a manifest was asked at least once. */
+	get hasPolled(): boolean {
+		return this.#hasPolled;
+	}
+
 	async start(): Promise<void> {
-		await this.#pollAll();
+		await this.pollAll();
 		this.#timer = setInterval(() => {
-			void this.#pollAll();
+			void this.pollAll();
 		}, pollIntervalMs);
 	}
 
@@ -36,9 +42,15 @@
 		clearInterval(this.#timer);
 	}
 
-	async #pollAll(): Promise<void> {
-		const endpoints = this.#options.manifest()?.endpoints ?? [];
-		await Promise.all(endpoints.map(async endpoint => this.#poll(endpoint)));
+	/** Asks all endpoints of the manifest at once. */
+	async pollAll(): Promise<void> {
+		const manifest = this.#options.manifest();
+		if (manifest === undefined) {
+			return;
+		}
+
+		await Promise.all(manifest.endpoints.map(async endpoint => this.#poll(endpoint)));
+		this.#hasPolled = true;
 	}
 
 	async #poll(endpoint: core.model.Endpoint): Promise<void> {
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,5 +1,8 @@
 export type * as controller from './controllers/controller.js';
-export * as controllers from './controllers/index.js';
 export type * as metrics from './util/metrics.js';
-export * as peers from './peers/index.js';
+export type * as status from './http/admin-handler.js';
+export * as controllers from './controllers/index.js';
 export * as clock from './util/clock.js';
+export * as peers from './peers/index.js';
+export * as program from './router-program.js';
+export * as wireUp from './wire-up.js';
--- a/packages/router/src/router-program.ts
+++ b/packages/router/src/router-program.ts
@@ -39,6 +39,11 @@
 		return this.#options.server.port;
 	}
 
+	/** Number of requests under way. */
+	get requestsUnderWay(): number {
+		return this.#options.requests.size;
+	}
+
 	/** Starts all parts. Rejects when an address cannot be listened on. */
 	async start(): Promise<void> {
 		await this.#options.server.start();
--- a/packages/router/src/wire-up.ts
+++ b/packages/router/src/wire-up.ts
@@ -91,6 +91,9 @@
 			services.reported(endpoint.id, report, systemClock.now());
 		},
 	});
+	manifests.onChange(() => {
+		void polls.pollAll();
+	});
 	const chooser = new placer.Placer({
 		engines,
 		services,
@@ -124,7 +127,7 @@
 	]);
 	const requests = new requestTable.RequestTable();
 	const lifecycle = new routerProgram.Lifecycle();
-	const isReady = () => lifecycle.isServing && manifests.current() !== undefined;
+	const isReady = () => lifecycle.isServing && polls.hasPolled;
 	const server = new routerServer.RouterServer({
 		host: settings.listen.host,
 		port: settings.listen.port,
--- /dev/null
+++ b/packages/router/tests/support/router-fixture.ts
@@ -0,0 +1,230 @@
+import * as crypto from 'node:crypto';
+import * as config from '@bluebellmast/config';
+import * as core from '@bluebellmast/core';
+import * as platform from '@bluebellmast/platform';
+import * as standIns from '@bluebellmast/stand-ins';
+import * as router from '@bluebellmast/router';
+
+/** What a fixture starts. */
+export type FixtureOptions = {
+	/** Weights that each engine holds; one engine for each entry. */
+	readonly engines?: ReadonlyArray<readonly string[]>;
+	/** Options of all engines. */
+	readonly engine?: standIns.engine.EngineOptions;
+	/** Runners of the booking service. */
+	readonly runners?: number;
+	/** Allowed versions of the model, preferred first. */
+	readonly versions?: readonly string[];
+	/** Settings of the router that differ from the fixture's. */
+	readonly settings?: Readonly<Record<string, unknown>>;
+};
+
+const host = '127.0.0.1';
+const operatorKey = 'operator';
+
+/** Bearer key of the fixture's account. */
+export const accountKey = 'key-club';
+/** The fixture's account. */
+export const accountId = 'club';
+/** The fixture's model. */
+export const modelId = 'lantaarn';
+
+/** One router in this process before in-process stand-ins. */
+export class RouterFixture {
+	readonly kv = standIns.kv.createKv({});
+	readonly engines: standIns.engine.EngineStandIn[] = [];
+	readonly runners: standIns.plainService.PlainServiceStandIn[] = [];
+	#client: platform.kv.EtcdClient | undefined;
+	#program: router.program.RouterProgram | undefined;
+	#head: core.manifest.ManifestHead | undefined;
+
+	/** Base URL for callers. */
+	get url(): string {
+		return `http://${host}:${this.#program!.port}`;
+	}
+
+	/** The router. */
+	get program(): router.program.RouterProgram {
+		return this.#program!;
+	}
+
+	async start(options: FixtureOptions = {}): Promise<void> {
+		const {port} = await this.kv.start();
+		const kvUrl = `http://${host}:${port}`;
+		this.#client = platform.kv.createEtcdClient({baseUrls: [kvUrl]});
+		const endpoints = [
+			...await this.#startEngines(options),
+			...await this.#startRunners(options.runners ?? 1),
+		];
+		await this.#apply(createContent(endpoints, options.versions ?? ['1']));
+		this.#program = router.wireUp.createRouterProgram(createSettings(kvUrl, options.settings ?? {}));
+		await this.#program.start();
+		await this.untilReady();
+	}
+
+	async stop(): Promise<void> {
+		const all = [...this.engines, ...this.runners];
+		await this.#program?.stop();
+		await Promise.all(all.map(async part => part.stop()));
+		await this.#client?.close();
+		await this.kv.stop();
+	}
+
+	/** Accepts a recall in the key-value service. */
+	async recall(batch: core.model.BatchKey): Promise<void> {
+		const proposal = config.manifest.proposeRecall(this.#head, [batch], crypto.randomUUID()).unsafeCoerce();
+		await this.#write(proposal);
+	}
+
+	/** Calls the router as the fixture's account. */
+	async call(path: string, body: unknown, headers: Readonly<Record<string, string>> = {}): Promise<Response> {
+		return fetch(`${this.url}${path}`, {
+			method: 'POST',
+			headers: {authorization: `Bearer ${accountKey}`, 'content-type': 'application/json', ...headers},
+			body: typeof body === 'string' ? body : JSON.stringify(body),
+		});
+	}
+
+	/** Returns the router's state as operators see it. */
+	async status(): Promise<router.status.RouterStatus> {
+		const res = await fetch(`${this.url}/admin/status`, {headers: {authorization: `Bearer ${operatorKey}`}});
+		return await res.json() as router.status.RouterStatus;
+	}
+
+	/** Waits until the router serves and all engines have reported. */
+	async untilReady(): Promise<void> {
+		for (;;) {
+			const res = await fetch(`${this.url}/readyz`); // eslint-disable-line no-await-in-loop
+			if (res.ok) {
+				return;
+			}
+
+			await standIns.util.sleep(10); // eslint-disable-line no-await-in-loop
+		}
+	}
+
+	/** Waits until a condition holds; the test's own time limit bounds it. */
+	async until(condition: () => boolean): Promise<void> {
+		while (!condition()) {
+			await standIns.util.sleep(5); // eslint-disable-line no-await-in-loop
+		}
+	}
+
+	async #startEngines(options: FixtureOptions): Promise<core.model.Endpoint[]> {
+		const endpoints: core.model.Endpoint[] = [];
+		for (const weights of options.engines ?? [[`${modelId}@1`]]) {
+			const engine = standIns.engine.createEngine({
+				stepMs: 1, stepPerRequestMs: 0, loadMs: 1, loadLagMs: 0, ...options.engine, weights,
+			});
+			const {port} = await engine.start(); // eslint-disable-line no-await-in-loop
+			this.engines.push(engine);
+			endpoints.push(createEndpoint(`engine-${endpoints.length + 1}`, 'pool', port));
+		}
+
+		return endpoints;
+	}
+
+	async #startRunners(count: number): Promise<core.model.Endpoint[]> {
+		const endpoints: core.model.Endpoint[] = [];
+		for (let index = 1; index <= count; index++) {
+			const runner = standIns.plainService.createPlainService({latencyMs: 1});
+			const {port} = await runner.start(); // eslint-disable-line no-await-in-loop
+			this.runners.push(runner);
+			endpoints.push(createEndpoint(`runner-${index}`, 'boekhuis', port));
+		}
+
+		return endpoints;
+	}
+
+	async #apply(content: config.manifest.ManifestContent): Promise<void> {
+		const change = {changeId: crypto.randomUUID(), madeFrom: 0};
+		await this.#write(config.manifest.proposeApply(undefined, content, change).unsafeCoerce());
+	}
+
+	async #write(proposal: config.manifest.Proposal): Promise<void> {
+		const client = this.#client!;
+		for (const section of proposal.newSections) {
+			await client.compareAndSwap(config.manifest.sectionKey(section.hash), 0, section.bytes); // eslint-disable-line no-await-in-loop
+		}
+
+		const before = await client.get(config.manifest.headKey);
+		const revision = before.unsafeCoerce()?.revision ?? 0;
+		const swap = await client.compareAndSwap(config.manifest.headKey, revision, config.manifest.encodeHead(proposal.head));
+		if (!swap.unsafeCoerce().swapped) {
+			throw new Error('the manifest was changed by somebody else');
+		}
+
+		this.#head = proposal.head;
+	}
+}
+
+function createEndpoint(id: string, service: string, port: number): core.model.Endpoint {
+	return {
+		id,
+		service,
+		host,
+		port,
+		dataCentre: 'a',
+		checksFencing: true,
+		role: core.model.EngineRole.Mixed,
+		capacity: 16,
+		leaving: false,
+	};
+}
+
+function createContent(
+	endpoints: readonly core.model.Endpoint[],
+	versions: readonly string[],
+): config.manifest.ManifestContent {
+	const common = {models: [], rules: [], maxConcurrentLoads: 1};
+	return {
+		models: [{
+			id: modelId, service: 'pool', versions, defaultKind: 'question', supportsForcedPrefix: true,
+		}],
+		adapters: [],
+		accounts: [{
+			id: accountId,
+			keyHashes: [crypto.createHash('sha256').update(accountKey).digest('hex')],
+			share: 1,
+			limits: {requestsPerSecond: 1000, burst: 1000, tokensPerSecond: 1_000_000},
+			allowed: [],
+		}],
+		kinds: [
+			{
+				id: 'question', weight: 1, priority: 1, deadlineMs: 20_000, repeatable: true,
+			},
+			{
+				id: 'booking', weight: 5, priority: 1, deadlineMs: 20_000, repeatable: false,
+			},
+		],
+		services: [
+			{
+				...common, id: 'pool', type: core.model.ServiceType.Engine, models: [modelId], defaultKind: 'question',
+			},
+			{
+				...common,
+				id: 'boekhuis',
+				type: core.model.ServiceType.Plain,
+				rules: [{method: 'POST', pathPrefix: '/bookings', kind: 'booking'}],
+				defaultKind: 'question',
+			},
+		],
+		endpoints,
+	};
+}
+
+function createSettings(kvUrl: string, more: Readonly<Record<string, unknown>>): config.settings.Settings {
+	return config.settings.settingsSchema.parse({
+		vm: 'vm-1',
+		dataCentre: 'a',
+		region: 'r',
+		listen: {host, port: 0},
+		peer: {host, port: 0},
+		operatorKeyHash: crypto.createHash('sha256').update(operatorKey).digest('hex'),
+		platform: {kv: [kvUrl]},
+		stop: {readinessLeadMs: 0},
+		manifest: {pollMs: 50},
+		timeouts: {progressMs: 500},
+		...more,
+	});
+}
