--- a/packages/core/src/ledger/issued-key-memory.ts
+++ b/packages/core/src/ledger/issued-key-memory.ts
@@ -14,14 +14,14 @@
 	readonly retentionMs: number;
 	/** Used keys that are remembered; further ones are refused. */
 	readonly maxUses: number;
-	/** Length of an outcome's body above which only its status is kept, in UTF-16 units. */
-	readonly maxOutcomeLength: number;
+	/** Size of an outcome's body above which only its status is kept, in bytes. */
+	readonly maxOutcomeBytes: number;
 };
 
 /** Creates the terms of issued keys from their defaults and the given changes. */
 export function createIssuedKeyTerms(changes: Partial<IssuedKeyTerms> = {}): IssuedKeyTerms {
 	return {
-		lifetimeMs: 900_000, retentionMs: 3_600_000, maxUses: 50_000, maxOutcomeLength: 4096, ...changes,
+		lifetimeMs: 900_000, retentionMs: 3_600_000, maxUses: 50_000, maxOutcomeBytes: 4096, ...changes,
 	};
 }
 
@@ -179,7 +179,7 @@
 		return withUse(memory, nonce, undefined);
 	}
 
-	const isKept = (outcome?.body?.length ?? 0) <= memory.terms.maxOutcomeLength;
+	const isKept = (outcome?.body?.length ?? 0) <= memory.terms.maxOutcomeBytes;
 	const kept = outcome === undefined || isKept ? outcome : {status: outcome.status};
 	return withUse(memory, nonce, {...use, life, ...(kept && {outcome: kept})});
 }
--- a/packages/core/src/ledger/ledger-entry.ts
+++ b/packages/core/src/ledger/ledger-entry.ts
@@ -17,8 +17,8 @@
 	/** HTTP status of the endpoint's answer. */
 	readonly status: number;
 	readonly contentType?: string;
-	/** Text of the answer; absent when it was too large to keep. */
-	readonly body?: string;
+	/** Bytes of the answer; absent when they were too many to keep. */
+	readonly body?: Uint8Array;
 };
 
 /** The intent to send one request that may not be repeated. */
--- a/packages/core/src/ledger/ledger-event.ts
+++ b/packages/core/src/ledger/ledger-event.ts
@@ -12,6 +12,8 @@
 	Settle = 'settle',
 	/** A call to the key-value service ended. */
 	CallEnded = 'call_ended',
+	/** The intent could not be handed to the shard's writer. */
+	HandoverFailed = 'handover_failed',
 	/** Another router hands over its intent. */
 	PeerIntent = 'peer_intent',
 	/** Another router hands over a settlement. */
@@ -31,6 +33,7 @@
 		readonly result: AttemptResult;
 		readonly outcome?: ledgerEntry.RecordedOutcome;
 	}
+	| {readonly type: LedgerEventType.HandoverFailed; readonly attempt: model.AttemptId}
 	| {readonly type: LedgerEventType.CallEnded; readonly shard: number; readonly end: shardWriter.ShardCallEnd}
 	| {
 		readonly type: LedgerEventType.PeerIntent;
--- a/packages/core/src/ledger/ledger-shard.ts
+++ b/packages/core/src/ledger/ledger-shard.ts
@@ -45,9 +45,8 @@
 		entry.incarnation,
 		entry.attempt,
 		entry.outcome?.contentType ?? '',
-		entry.outcome?.body ?? '',
 	];
-	let bytes = entryOverheadBytes;
+	let bytes = entryOverheadBytes + (entry.outcome?.body?.length ?? 0);
 	for (const text of texts) {
 		bytes += utf8Bytes(text);
 	}
--- a/packages/core/src/ledger/ledger-step.ts
+++ b/packages/core/src/ledger/ledger-step.ts
@@ -305,6 +305,11 @@
 			return applyShardStep(node, shardWriter.endShardCall(shardWriterOf(node, event.shard), event.end, now, ledgerNode.rulesOf(node)), now);
 		}
 
+		case ledgerEvent.LedgerEventType.HandoverFailed: {
+			const own = node.attempts.get(event.attempt);
+			return own?.fallbackAt === undefined ? {state: node, effects: []} : queueIntent(node, own, now);
+		}
+
 		case ledgerEvent.LedgerEventType.PeerIntent: {
 			return takePeerIntent(node, event, now);
 		}
--- a/packages/core/src/ledger/ledger-verdict.ts
+++ b/packages/core/src/ledger/ledger-verdict.ts
@@ -19,6 +19,8 @@
 	Withdrawn = 'withdrawn',
 	/** The intent could not be recorded in time. */
 	Unavailable = 'unavailable',
+	/** The router that issued the key cannot be reached at present. */
+	IssuerUnreachable = 'issuer_unreachable',
 	/** An issued key is not valid any more, or not yet, and was never used. */
 	Expired = 'expired',
 	/** A settlement stands in the ledger. */
--- a/packages/core/src/ledger/verdict-refusal.ts
+++ b/packages/core/src/ledger/verdict-refusal.ts
@@ -49,6 +49,11 @@
 		prior: request.PriorRun.None,
 		message: 'The intent could not be recorded in time.',
 	},
+	[ledgerVerdict.VerdictType.IssuerUnreachable]: {
+		code: model.ErrorCode.LedgerUnavailable,
+		prior: request.PriorRun.Possible,
+		message: 'The router that issued the idempotency key cannot be reached at present.',
+	},
 	[ledgerVerdict.VerdictType.Expired]: {
 		code: model.ErrorCode.InvalidRequest,
 		prior: request.PriorRun.None,
--- a/packages/core/src/limits/index.ts
+++ b/packages/core/src/limits/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './usage-record.js';
--- /dev/null
+++ b/packages/router/src/controllers/ledger-controller.ts
@@ -0,0 +1,237 @@
+import * as core from '@bluebellmast/core';
+import type * as platform from '@bluebellmast/platform';
+import * as wire from '@bluebellmast/wire';
+import type * as peers from '../peers/peer-network.js';
+import * as clock from '../util/clock.js';
+import type * as metrics from '../util/metrics.js';
+import type * as controller from './controller.js';
+import * as ledgerBeginVerdict from './ledger-begin-verdict.js';
+import * as ledgerShardStore from './ledger-shard-store.js';
+import * as ledgerTimer from './ledger-timer.js';
+
+/** Options of {@link createLedgerController}. */
+export type LedgerControllerOptions = {
+	readonly self: core.ledger.LedgerMember;
+	readonly kv: platform.kv.KeyValueClient;
+	readonly peers: peers.PeerNetwork;
+	readonly metrics: metrics.Metrics;
+	/** Clock of the machine by default. */
+	readonly clock?: clock.Clock;
+	/** Timer of the machine by default. */
+	readonly timer?: ledgerTimer.LedgerTimer;
+	/** Changes to the default terms. */
+	readonly terms?: Partial<core.ledger.LedgerTerms>;
+	/** Start of the shards' keys; `ledger/` by default. */
+	readonly keyPrefix?: string;
+	/** Longest time that a planned stop waits for settlements to be recorded; 5000 by default. */
+	readonly stopTimeoutMs?: number;
+};
+
+type SettledOptions = Required<Omit<LedgerControllerOptions, 'terms' | 'kv' | 'keyPrefix'>>;
+
+type Waiting = (verdict: ledgerBeginVerdict.BeginVerdict) => void;
+
+/**
+ * Keeps the ledger of requests that may not be repeated. A request is sent only after `begin` gave `proceed`
+ * and `claimSend` gave true; then it is settled once.
+ */
+export class LedgerController implements controller.Controller {
+	readonly #options: SettledOptions;
+	readonly #store: ledgerShardStore.LedgerShardStore;
+	#node: core.ledger.LedgerNode;
+	readonly #waiting = new Map<core.model.AttemptId, Waiting>();
+	#cancelWake?: () => void;
+	#wakeAt = Infinity;
+	#onIdle?: () => void;
+
+	constructor(options: SettledOptions, store: ledgerShardStore.LedgerShardStore, terms: core.ledger.LedgerTerms) {
+		this.#options = options;
+		this.#store = store;
+		this.#node = core.ledger.createLedgerNode(options.self, terms);
+	}
+
+	async start(): Promise<void> {
+		const {peers} = this.#options;
+		peers.on(wire.peer.PeerMessageType.IntentRequest, (from, message) => {
+			const {intent, waitMs} = message as wire.peer.IntentRequest;
+			this.#step({
+				type: core.ledger.LedgerEventType.PeerIntent, from, intent, waitMs,
+			});
+		});
+		peers.on(wire.peer.PeerMessageType.IntentAnswer, (from, message) => {
+			const {verdict} = message as wire.peer.IntentAnswer;
+			this.#step({type: core.ledger.LedgerEventType.PeerVerdict, from, verdict});
+		});
+		peers.on(wire.peer.PeerMessageType.OutcomeNotice, (from, message) => {
+			const {settlement} = message as wire.peer.OutcomeNotice;
+			this.#step({type: core.ledger.LedgerEventType.PeerSettlement, from, settlement});
+		});
+	}
+
+	/** Waits until every settlement is recorded, within the stop's limit. */
+	async stop(): Promise<void> {
+		this.#node = {...this.#node, terms: {...this.#node.terms, settleDelayMs: 0}};
+		this.#step({type: core.ledger.LedgerEventType.Wake});
+		if (!core.ledger.isLedgerIdle(this.#node)) {
+			await new Promise<void>(resolve => {
+				this.#onIdle = resolve;
+				this.#options.timer.after(this.#options.stopTimeoutMs, resolve);
+			});
+		}
+
+		this.#cancelWake?.();
+	}
+
+	/** Sets the live routers, by which shards get their writers and attempts of gone routers are told. */
+	setMembers(members: readonly core.ledger.LedgerMember[]): void {
+		this.#node = core.ledger.setMembers(this.#node, members);
+	}
+
+	/** Records the intent to send a request; answers within a bounded part of its deadline. */
+	async begin(req: ledgerBeginVerdict.BeginRequest): Promise<ledgerBeginVerdict.BeginVerdict> {
+		const {account, key, digest, attempt, deadlineAt} = req;
+		const {vm, incarnation} = this.#options.self;
+		const intent = {
+			account, key, digest, vm, incarnation, attempt, at: this.#options.clock.now(),
+		};
+		return new Promise(resolve => {
+			this.#waiting.set(attempt, resolve);
+			this.#step({type: core.ledger.LedgerEventType.Begin, intent, deadlineAt});
+		});
+	}
+
+	/** Takes the one permission to send; asked right before the first byte. When false, nothing may be sent. */
+	claimSend(attempt: core.model.AttemptId): boolean {
+		const claim = core.ledger.claimSend(this.#node, attempt, this.#options.clock.now());
+		this.#node = claim.node;
+		return claim.allowed;
+	}
+
+	/** Records lazily how an attempt came out. */
+	settle(
+		attempt: core.model.AttemptId,
+		result: core.ledger.AttemptResult,
+		outcome?: core.ledger.RecordedOutcome,
+	): void {
+		this.#step({
+			type: core.ledger.LedgerEventType.Settle, attempt, result, ...(outcome && {outcome}),
+		});
+	}
+
+	/** Records the whole answer of a sent attempt. */
+	finish(attempt: core.model.AttemptId, outcome: core.ledger.RecordedOutcome): void {
+		this.settle(attempt, core.ledger.AttemptResult.Answered, outcome);
+	}
+
+	/** Frees the key of an attempt that was never sent and never will be. */
+	withdraw(attempt: core.model.AttemptId): void {
+		this.settle(attempt, core.ledger.AttemptResult.NeverSent);
+	}
+
+	#step(event: core.ledger.LedgerEvent): void {
+		const step = core.ledger.stepLedger(this.#node, event, this.#options.clock.now());
+		this.#node = step.state;
+		for (const effect of step.effects) {
+			this.#carryOut(effect);
+		}
+
+		this.#scheduleWake();
+		if (this.#onIdle !== undefined && core.ledger.isLedgerIdle(this.#node)) {
+			this.#onIdle();
+		}
+	}
+
+	#carryOut(effect: core.ledger.LedgerEffect): void {
+		const {peers} = this.#options;
+		switch (effect.type) {
+			case core.ledger.LedgerEffectType.ReadShard: {
+				void this.#endCall(effect.shard, this.#store.read(effect.shard, effect.callId));
+				break;
+			}
+
+			case core.ledger.LedgerEffectType.SwapShard: {
+				const {shard, callId, expectedRevision, value} = effect;
+				void this.#endCall(shard, this.#store.swap(shard, callId, expectedRevision, value));
+				break;
+			}
+
+			case core.ledger.LedgerEffectType.Verdict: {
+				this.#answer(effect.verdict, effect.retryAfterMs);
+				break;
+			}
+
+			case core.ledger.LedgerEffectType.SendIntent: {
+				this.#handIntent(effect.to, effect.intent, effect.waitMs);
+				break;
+			}
+
+			case core.ledger.LedgerEffectType.SendSettlement: {
+				const message: wire.peer.OutcomeNotice = {type: wire.peer.PeerMessageType.OutcomeNotice, settlement: effect.settlement};
+				peers.send(effect.to, message);
+				break;
+			}
+
+			case core.ledger.LedgerEffectType.SendVerdict: {
+				const message: wire.peer.IntentAnswer = {type: wire.peer.PeerMessageType.IntentAnswer, verdict: effect.verdict};
+				peers.send(effect.to, message);
+				break;
+			}
+		}
+	}
+
+	async #endCall(shard: number, call: Promise<core.ledger.ShardCallEnd>): Promise<void> {
+		const end = await call;
+		this.#step({type: core.ledger.LedgerEventType.CallEnded, shard, end});
+	}
+
+	#handIntent(to: core.model.VmId, intent: core.ledger.Intent, waitMs: number): void {
+		const message: wire.peer.IntentRequest = {type: wire.peer.PeerMessageType.IntentRequest, intent, waitMs};
+		if (!this.#options.peers.send(to, message)) {
+			this.#step({type: core.ledger.LedgerEventType.HandoverFailed, attempt: intent.attempt});
+		}
+	}
+
+	#answer(verdict: core.ledger.LedgerVerdict, retryAfterMs?: number): void {
+		const resolve = this.#waiting.get(verdict.attempt);
+		this.#waiting.delete(verdict.attempt);
+		this.#options.metrics.increment('ledger.verdict', 1, {type: verdict.type});
+		resolve?.(ledgerBeginVerdict.beginVerdictOf(verdict, retryAfterMs));
+	}
+
+	#scheduleWake(): void {
+		const wakeAt = core.ledger.nextWakeOf(this.#node) ?? Infinity;
+		if (wakeAt === this.#wakeAt) {
+			return;
+		}
+
+		this.#cancelWake?.();
+		this.#cancelWake = undefined;
+		this.#wakeAt = wakeAt;
+		if (wakeAt === Infinity) {
+			return;
+		}
+
+		const delayMs = Math.max(0, Math.ceil(wakeAt - this.#options.clock.now()));
+		this.#cancelWake = this.#options.timer.after(delayMs, () => {
+			this.#wakeAt = Infinity;
+			this.#step({type: core.ledger.LedgerEventType.Wake});
+		});
+	}
+}
+
+/** Creates the controller of the ledger. */
+export function createLedgerController(options: LedgerControllerOptions): LedgerController {
+	const {
+		self, kv, peers, metrics,
+		clock: time = new clock.SystemClock(),
+		timer = new ledgerTimer.SystemTimer(),
+		terms = {},
+		keyPrefix = 'ledger/',
+		stopTimeoutMs = 5000,
+	} = options;
+	const store = new ledgerShardStore.LedgerShardStore(kv, keyPrefix, metrics);
+	const settled = {
+		self, peers, metrics, clock: time, timer, stopTimeoutMs,
+	};
+	return new LedgerController(settled, store, core.ledger.createLedgerTerms(terms));
+}
--- /dev/null
+++ b/packages/router/src/controllers/ledger-idempotency-store.ts
@@ -0,0 +1,60 @@
+import * as core from '@bluebellmast/core';
+import * as purify from 'purify-ts';
+import type * as idempotencyStore from '../filters/idempotency-store.js';
+import type * as requestContext from '../filters/request-context.js';
+import * as ledgerBeginVerdict from './ledger-begin-verdict.js';
+import type * as ledgerGate from './ledger-gate.js';
+
+const resultOf = {
+	[core.model.ExecutionState.Done]: core.ledger.AttemptResult.Answered,
+	[core.model.ExecutionState.NotRun]: core.ledger.AttemptResult.RefusedBeforeBegin,
+	[core.model.ExecutionState.Unknown]: core.ledger.AttemptResult.Lost,
+} as const;
+
+/**
+ * Serves the idempotency filter from the ledger and from issued keys. The permission to send is taken with the verdict,
+ * so a request with a verdict to run is settled by its outcome alone. The filter forwards issued keys before it asks here.
+ */
+export class LedgerIdempotencyStore implements idempotencyStore.IdempotencyStore {
+	readonly #gate: ledgerGate.LedgerGate;
+
+	constructor(gate: ledgerGate.LedgerGate) {
+		this.#gate = gate;
+	}
+
+	async begin(intent: idempotencyStore.Intent): Promise<idempotencyStore.IntentVerdict> {
+		const verdict = await this.#gate.begin(intent);
+		switch (verdict.type) {
+			case ledgerBeginVerdict.BeginVerdictType.Proceed: {
+				return this.#claim(verdict.attempt);
+			}
+
+			case ledgerBeginVerdict.BeginVerdictType.Replay: {
+				const {status, contentType = 'application/octet-stream', body = new Uint8Array()} = verdict.outcome;
+				return purify.Right({status, contentType, body});
+			}
+
+			case ledgerBeginVerdict.BeginVerdictType.Forward: {
+				return purify.Left(core.ledger.refusalOfVerdict(core.ledger.VerdictType.IssuerUnreachable));
+			}
+
+			case ledgerBeginVerdict.BeginVerdictType.Refuse: {
+				return purify.Left(verdict.refusal);
+			}
+		}
+	}
+
+	finish(intent: idempotencyStore.Intent, outcome: requestContext.RequestOutcome): void {
+		const {execution, answer} = outcome;
+		this.#gate.settle(intent.attempt, resultOf[execution], answer);
+	}
+
+	#claim(attempt: core.model.AttemptId): idempotencyStore.IntentVerdict {
+		if (this.#gate.claimSend(attempt)) {
+			return purify.Right(undefined);
+		}
+
+		this.#gate.settle(attempt, core.ledger.AttemptResult.NeverSent);
+		return purify.Left(core.ledger.refusalOfVerdict(core.ledger.VerdictType.Withdrawn));
+	}
+}
--- a/packages/wire/src/peer/index.ts
+++ b/packages/wire/src/peer/index.ts
@@ -1,3 +1,5 @@
 export * from './hello.js';
 export * from './manifest-messages.js';
 export * from './peer-message-type.js';
+export * from './ledger-messages.js';
+export * from './usage-messages.js';
