--- a/packages/core/src/cache/index.ts
+++ b/packages/core/src/cache/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './cache-picture.js';
+export * from './hot-prefixes.js';
+export * from './prefix-keys.js';
--- a/packages/wire/src/peer/index.ts
+++ b/packages/wire/src/peer/index.ts
@@ -1,3 +1,6 @@
 export * from './hello.js';
+export * from './ledger-messages.js';
+export * from './manifest-messages.js';
 export * from './member-message.js';
 export * from './peer-message-type.js';
+export * from './usage-messages.js';
