--- a/packages/router/src/controllers/index.ts
+++ b/packages/router/src/controllers/index.ts
@@ -6,3 +6,5 @@
 export * from './ledger-shard-codec.js';
 export * from './ledger-timer.js';
 export * from './manifest-controller.js';
+export * from './member-controller.js';
+export * from './snapshot-controller.js';
--- /dev/null
+++ b/packages/router/src/controllers/member-controller.ts
@@ -0,0 +1,284 @@
+import * as core from '@bluebellmast/core';
+import type * as platform from '@bluebellmast/platform';
+import * as wire from '@bluebellmast/wire';
+import createDebug from 'debug';
+import type * as peerAddress from '../peers/peer-address.js';
+import type * as peerNetwork from '../peers/peer-network.js';
+import type * as clock from '../util/clock.js';
+import type * as metrics from '../util/metrics.js';
+import type * as controller from './controller.js';
+import type * as snapshotController from './snapshot-controller.js';
+
+const debug = createDebug('bluebellmast:members');
+const messageType = wire.peer.PeerMessageType;
+const eventType = core.members.MembershipEventType;
+const effectType = core.members.MembershipEffectType;
+
+/** Addresses outside the neighbours that are tried at once, and how long each choice stays. */
+const maxContacts = 12;
+const contactTurnMs = 2000;
+
+/** Options of the members' controller. */
+export type MemberControllerOptions = {
+	readonly vm: core.model.VmId;
+	readonly incarnation: core.model.Incarnation;
+	readonly dataCentre: core.model.DataCentreId;
+	/** IP number and port at which this router accepts links. */
+	readonly host: string;
+	readonly port: number;
+	readonly network: peerNetwork.PeerNetwork;
+	readonly vmList: platform.vms.VmListClient;
+	/** Addresses from the settings. */
+	readonly hints: readonly peerAddress.PeerAddress[];
+	readonly clock: clock.Clock;
+	readonly metrics?: metrics.Metrics;
+	/** Milliseconds between reads of the VM list. Default 5000. */
+	readonly listMs?: number;
+	/** Limits of the membership; see `core.members.MembershipOptions`. */
+	readonly limits?: Partial<core.members.MembershipDefaults>;
+};
+
+/** Is told when a member appears, goes, restarts or begins to leave. */
+export type MemberListener = (members: readonly core.members.MemberRecord[]) => void;
+
+/** Keeps the members: drives the membership over the links and reads the platform's list of VMs as a hint. */
+export class MemberController implements controller.Controller {
+	private readonly cfg: MemberControllerOptions;
+	private readonly membership: core.members.Membership;
+	private readonly listeners: MemberListener[] = [];
+	private listed: readonly platform.vms.ListedVm[] | undefined;
+	private timers: NodeJS.Timeout[] = [];
+	private listing = false;
+
+	constructor(options: MemberControllerOptions) {
+		this.cfg = options;
+		const startedAt = options.clock.now();
+		this.membership = new core.members.Membership({
+			...options.limits,
+			vm: options.vm,
+			incarnation: options.incarnation,
+			host: options.host,
+			port: options.port,
+			dataCentre: options.dataCentre,
+			seed: core.util.hash32(options.incarnation) % 0x7F_FF_FF_FF,
+			startedAt,
+		});
+		this.handleMessages();
+	}
+
+	async start(): Promise<void> {
+		const periodMs = this.cfg.limits?.periodMs ?? core.members.membershipDefaults.periodMs;
+		this.timers = [
+			setInterval(() => {
+				this.step({type: eventType.Tick});
+			}, periodMs),
+			setInterval(() => {
+				void this.readList();
+			}, this.cfg.listMs ?? 5000),
+		];
+		void this.readList();
+	}
+
+	/** Tells the others that this router is gone, so that they need not find out. */
+	async stop(): Promise<void> {
+		for (const timer of this.timers) {
+			clearInterval(timer);
+		}
+
+		this.step({type: eventType.Left});
+	}
+
+	/** Tells the others that this router is about to stop; called when a planned stop begins. */
+	announceLeaving(): void {
+		this.step({type: eventType.Leave});
+	}
+
+	/** Adds a listener; it is told at once. */
+	onChange(listener: MemberListener): void {
+		this.listeners.push(listener);
+		listener(this.liveRecords());
+	}
+
+	/** Members that take part, this router included. */
+	liveMembers(): readonly core.model.VmId[] {
+		return this.liveRecords().map(record => record.vm);
+	}
+
+	/** Records of the members that take part; `leaving` is also set where the platform's list says so. */
+	liveRecords(): readonly core.members.MemberRecord[] {
+		const leaving = new Set((this.listed ?? []).filter(entry => entry.leaving).map(entry => entry.vm));
+		return this.membership.present().map(record => leaving.has(record.vm) ? {...record, leaving: true} : record);
+	}
+
+	/** VMs of the platform's latest list; before the first, all routers that were ever heard of. */
+	listedVms(): readonly core.model.VmId[] {
+		return this.listed?.map(entry => entry.vm) ?? this.membership.records().map(record => record.vm);
+	}
+
+	/** Incarnation of a member that takes part. */
+	incarnationOf(vm: core.model.VmId): core.model.Incarnation | undefined {
+		const record = this.membership.get(vm);
+		return record !== undefined && core.members.isPresent(record) ? record.incarnation : undefined;
+	}
+
+	/** Returns whether an incarnation is over; see `core.members.IncarnationHistory.isGone`. */
+	isGone(vm: core.model.VmId, incarnation: core.model.Incarnation): boolean {
+		return this.membership.isGone(vm, incarnation, this.cfg.clock.now());
+	}
+
+	/** Addresses to keep links to: the neighbours, and in turn some others that do not take part as far as is known. */
+	addresses(): readonly peerAddress.PeerAddress[] {
+		return [...this.neighbourAddresses(), ...this.contacts()];
+	}
+
+	/** Address of a member, for a link on demand. */
+	findAddress(vm: core.model.VmId): peerAddress.PeerAddress | undefined {
+		const record = this.membership.get(vm);
+		return record !== undefined && core.members.isPresent(record) ? record : undefined;
+	}
+
+	/** Members as part of the state that a starting router is given. */
+	snapshotSource(): snapshotController.SnapshotSource {
+		return {
+			name: 'members',
+			capture: () => this.membership.records(),
+			restore: body => {
+				if (wire.peer.isMemberRecords(body)) {
+					this.step({type: eventType.Learned, records: body});
+				}
+			},
+		};
+	}
+
+	private neighbourAddresses(): peerAddress.PeerAddress[] {
+		return this.membership.neighbours().map(vm => {
+			const {host, port} = this.membership.get(vm)!;
+			return {host, port, vm};
+		});
+	}
+
+	private contacts(): peerAddress.PeerAddress[] {
+		const present = new Set(this.membership.present().map(record => `${record.host}:${record.port}`));
+		const candidates = new Map<string, peerAddress.PeerAddress>();
+		const listed = (this.listed ?? []).map(({vm, host, peerPort}) => ({vm, host, port: peerPort}));
+		const absent = this.membership.records().filter(record => !core.members.isPresent(record));
+		for (const {host, port} of [...this.cfg.hints, ...listed, ...absent]) {
+			const key = `${host}:${port}`;
+			if (!present.has(key)) {
+				candidates.set(key, {host, port});
+			}
+		}
+
+		const all = [...candidates.values()];
+		const first = Math.floor(this.cfg.clock.now() / contactTurnMs) * maxContacts;
+		return all.length <= maxContacts
+			? all
+			: Array.from({length: maxContacts}, (_, i) => all[(first + i) % all.length]!);
+	}
+
+	private handleMessages(): void {
+		const {network} = this.cfg;
+		network.on(messageType.Hello, (from, message) => {
+			const {incarnation, host, port, dataCentre} = message as wire.peer.Hello;
+			this.step({
+				type: eventType.LinkUp, from, incarnation, host, port, dataCentre,
+			});
+		});
+		network.on(messageType.Ping, (from, message) => {
+			if (wire.peer.isPing(message)) {
+				this.step({type: eventType.Ping, from, spread: message.spread});
+			}
+		});
+		network.on(messageType.Ack, (from, message) => {
+			if (wire.peer.isPing(message)) {
+				this.step({type: eventType.Ack, from, spread: message.spread});
+			}
+		});
+		network.on(messageType.PingRequest, (from, message) => {
+			if (wire.peer.isPingRequest(message)) {
+				const {target, spread} = message;
+				this.step({
+					type: eventType.PingRequest, from, target, spread,
+				});
+			}
+		});
+	}
+
+	private async readList(): Promise<void> {
+		if (this.listing) {
+			return;
+		}
+
+		this.listing = true;
+		const list = await this.cfg.vmList.list();
+		this.listing = false;
+		if (list === undefined) {
+			this.cfg.metrics?.increment('members.list_unanswered');
+			return;
+		}
+
+		const isNew = JSON.stringify(list) !== JSON.stringify(this.listed);
+		this.listed = list;
+		if (isNew) {
+			this.tellListeners();
+		}
+	}
+
+	private step(event: core.members.MembershipEvent): void {
+		const effects = this.membership.step(event, this.cfg.clock.now());
+		let changed = false;
+		for (const effect of effects) {
+			changed = this.carryOut(effect) || changed;
+		}
+
+		if (changed) {
+			this.cfg.metrics?.gauge('members.live', this.membership.present().length);
+			this.tellListeners();
+		}
+	}
+
+	/** Carries out one effect. Returns whether it changed a record. */
+	private carryOut(effect: core.members.MembershipEffect): boolean {
+		const {network} = this.cfg;
+		switch (effect.type) {
+			case effectType.SendPing: {
+				network.send(effect.to, this.pingOf(messageType.Ping, effect.spread));
+				return false;
+			}
+
+			case effectType.SendAck: {
+				network.send(effect.to, this.pingOf(messageType.Ack, effect.spread));
+				return false;
+			}
+
+			case effectType.SendPingRequest: {
+				const request: wire.peer.PingRequestMessage = {
+					type: messageType.PingRequest, target: effect.target, spread: effect.spread,
+				};
+				network.send(effect.to, request);
+				return false;
+			}
+
+			case effectType.Changed: {
+				const {vm, status, incarnation} = effect.record;
+				debug('%s %s is %s', vm, incarnation, status);
+				this.cfg.metrics?.increment('members.changed', 1, {status});
+				return true;
+			}
+		}
+	}
+
+	private pingOf(
+		type: wire.peer.PingMessage['type'],
+		spread: core.members.Spread,
+	): wire.peer.PingMessage {
+		return {type, spread};
+	}
+
+	private tellListeners(): void {
+		const records = this.liveRecords();
+		for (const listener of this.listeners) {
+			listener(records);
+		}
+	}
+}
--- /dev/null
+++ b/packages/router/tests/controllers/member-controller.test.ts
@@ -0,0 +1,113 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import * as chai from 'chai';
+import type * as platform from '@bluebellmast/platform';
+import * as router from '@bluebellmast/router';
+
+const host = '127.0.0.1';
+const fast = {heartbeatMs: 20, silentMs: 100, dialDelays: {firstMs: 10, maxMs: 50}};
+
+async function until(condition: () => boolean): Promise<void> {
+	while (!condition()) {
+		await sleep(5); // eslint-disable-line no-await-in-loop
+	}
+}
+
+describe('MemberController', () => {
+	let routers: Array<{stop: () => Promise<void>}> = [];
+	let listed: readonly platform.vms.ListedVm[] | undefined;
+
+	afterEach(async () => {
+		await Promise.all(routers.map(async each => each.stop()));
+		routers = [];
+		listed = undefined;
+	});
+
+	async function startRouter(vm: string, hints: readonly router.peers.PeerAddress[], incarnation = `${vm}-1`) {
+		const clock = new router.clock.SystemClock();
+		const held: {members?: router.controllers.MemberController} = {};
+		const network = new router.peers.TcpPeerNetwork({
+			vm, incarnation, dataCentre: 'dc', host, port: 0, clock, ...fast,
+			addresses: () => held.members?.addresses() ?? [],
+			findAddress: other => held.members?.findAddress(other),
+		});
+		await network.start();
+		const members = new router.controllers.MemberController({
+			vm, incarnation, dataCentre: 'dc', host, port: network.port, network, hints, clock,
+			vmList: {list: async () => listed},
+			listMs: 20,
+			limits: {periodMs: 20, suspicionMs: 100},
+		});
+		held.members = members;
+		const restored: unknown[] = [];
+		const snapshots = new router.controllers.SnapshotController({
+			network,
+			retryMs: 10,
+			sources: [members.snapshotSource(), {
+				name: 'limits', capture: () => ({from: vm}), restore: body => restored.push(body),
+			}],
+		});
+		await members.start();
+		await snapshots.start();
+		let stopped = false;
+		const stop = async () => {
+			if (!stopped) {
+				stopped = true;
+				await snapshots.stop();
+				await members.stop();
+				await network.stop();
+			}
+		};
+
+		/** Ends the links without a word to the others. */
+		const crash = async () => {
+			stopped = true;
+			await snapshots.stop();
+			await network.stop();
+			await members.stop();
+		};
+
+		const result = {
+			network, members, restored, stop, crash, hint: {host, port: network.port},
+		};
+		routers.push(result);
+		return result;
+	}
+
+	it('finds all members from one hint, and tells a planned stop, a crash and a restart', async () => {
+		const a = await startRouter('a', []);
+		const b = await startRouter('b', [a.hint]);
+		const c = await startRouter('c', [a.hint]);
+		const d = await startRouter('d', [a.hint]);
+		await until(() => [a, b, c, d].every(each => each.members.liveMembers().length === 4));
+		chai.expect(a.members.incarnationOf('c')).to.equal('c-1');
+		await c.stop();
+		await until(() => [a, b, d].every(each => each.members.isGone('c', 'c-1')));
+		await d.crash();
+		await until(() => [a, b].every(each => each.members.isGone('d', 'd-1')));
+		chai.expect(a.members.isGone('b', 'b-1')).to.equal(false);
+		const again = await startRouter('d', [b.hint], 'd-2');
+		await until(() => [a, b, again].every(each => each.members.incarnationOf('d') === 'd-2'));
+		chai.expect([...again.members.liveMembers()].sort()).to.deep.equal(['a', 'b', 'd']);
+	});
+
+	it('gives a starting router the state of others', async () => {
+		const a = await startRouter('a', []);
+		const b = await startRouter('b', [a.hint]);
+		await until(() => b.restored.length === 1);
+		chai.expect(b.restored).to.deep.equal([{from: 'a'}]);
+	});
+
+	it('takes the list of VMs for discovery and leaving, and not for death', async () => {
+		const a = await startRouter('a', []);
+		const b = await startRouter('b', []);
+		listed = [{
+			vm: 'b', host, peerPort: b.hint.port, dataCentre: 'dc', leaving: true,
+		}];
+		await until(() => a.members.liveMembers().length === 2);
+		await until(() => a.members.liveRecords().some(record => record.vm === 'b' && record.leaving));
+		listed = [];
+		await until(() => a.members.listedVms().length === 0);
+		chai.expect(a.members.liveMembers()).to.include('b');
+		chai.expect(a.members.isGone('b', 'b-1')).to.equal(false);
+	});
+});
