Add the leader's lease and the plan of orders

Change: core.orders: lease phases by pure xstate transitions, every question with the present time; planOrders from what the engines hold: recalled unloaded at once, loads within the weight store's limit, a bounded part of a pool drained first, roles; invariants no-recalled-load, load-limit, capacity-kept.

--- /dev/null
+++ b/packages/core/src/orders/desired-weights.ts
@@ -0,0 +1,48 @@
+import * as manifestRules from '../manifest/index.js';
+import * as model from '../model/index.js';
+
+/** What the engines of a pool are to hold. */
+export type DesiredWeights = {
+	/** Weights that each engine is to hold: for each model and adapter the first version that is not recalled. */
+	readonly preferred: ReadonlySet<model.WeightsKey>;
+	/** Weights that an engine may serve. */
+	readonly allowed: ReadonlySet<model.WeightsKey>;
+};
+
+/** Returns what the engines of a pool are to hold by a manifest. */
+export function desiredWeights(manifest: model.Manifest, service: model.Service): DesiredWeights {
+	const preferred = new Set<model.WeightsKey>();
+	const allowed = new Set<model.WeightsKey>();
+	const take = (list: readonly model.Weights[]): void => {
+		for (const [index, weights] of list.entries()) {
+			const key = model.formatWeights(weights);
+			allowed.add(key);
+			if (index === 0) {
+				preferred.add(key);
+			}
+		}
+	};
+
+	for (const modelId of service.models) {
+		take(manifestRules.allowedWeights(manifest, modelId));
+		for (const adapter of manifest.adapters.filter(entry => entry.model === modelId)) {
+			take(manifestRules.allowedWeights(manifest, modelId, adapter.id));
+		}
+	}
+
+	return {preferred, allowed};
+}
+
+const weightsPattern = /^([^@+]+)@([^@+]+)(?:\+([^@+]+)@([^@+]+))?$/;
+
+/** Returns whether weights in text form contain a recalled batch; malformed text counts as not recalled. */
+export function isRecalledKey(key: model.WeightsKey, recalled: ReadonlySet<model.BatchKey>): boolean {
+	const match = weightsPattern.exec(key);
+	if (!match) {
+		return false;
+	}
+
+	const base = {model: match[1]!, modelVersion: match[2]!};
+	const weights = match[3] === undefined ? base : {...base, adapter: match[3], adapterVersion: match[4]!};
+	return model.isRecalled(weights, recalled);
+}
--- /dev/null
+++ b/packages/core/src/orders/leader-lease.ts
@@ -0,0 +1,117 @@
+import * as xstate from 'xstate';
+import * as invariant from '../util/invariant.js';
+import * as leaseMachine from './lease-machine.js';
+
+/** Times of the leader's lease, in milliseconds. */
+export type LeaseTimes = {
+	/** Length of the lease from each grant or renewal. */
+	readonly ttlMs: number;
+	/** Orders stop this long before the lease can end. */
+	readonly marginMs: number;
+	/** Longest time that an order can be under way. */
+	readonly longestOrderMs: number;
+};
+
+/** What a router knows of the lease that it holds. */
+type Held = {
+	/** Revision of the lease's key. */
+	readonly fencing: number;
+	/** Time at which the lease can end at the earliest. */
+	readonly endsAt: number;
+	/** Time from which no order of an earlier holder can be under way. */
+	readonly clearAt: number;
+};
+
+/**
+ * The leader's lease as one router sees it. Every question takes the present time, so that a router that was paused
+ * finds its lease over before it acts.
+ */
+export class LeaderLease {
+	private snapshot = xstate.initialTransition(leaseMachine.leaseMachine)[0];
+	private held: Held | undefined;
+
+	constructor(private readonly times: LeaseTimes) {
+		invariant.assertInvariant(
+			times.marginMs < times.ttlMs,
+			'leader.margin-below-lease',
+			() => `${times.marginMs} of ${times.ttlMs}`,
+		);
+	}
+
+	/** Returns the phase at the present time. */
+	phase(now: number): leaseMachine.LeasePhase {
+		this.advance(now);
+		return this.snapshot.value;
+	}
+
+	/** Returns the fencing number for an order that is sent now, or `undefined` when none may be sent. */
+	fencing(now: number): number | undefined {
+		return this.phase(now) === leaseMachine.LeasePhase.Leading ? this.held!.fencing : undefined;
+	}
+
+	/** Notes that a try to take the lease begins. */
+	try(now: number): void {
+		this.advance(now);
+		this.go(leaseMachine.LeaseEventType.Try);
+	}
+
+	/**
+	 * Takes a lease that was gained.
+	 *
+	 * @param sentAt - When the grant was asked for; the lease lasts from then at least.
+	 */
+	gained(fencing: number, sentAt: number, now: number): void {
+		this.held = {fencing, endsAt: sentAt + this.times.ttlMs, clearAt: now + this.times.longestOrderMs};
+		this.go(leaseMachine.LeaseEventType.Gained);
+		this.advance(now);
+	}
+
+	/** Notes that the lease is another's or that the service did not answer. */
+	refused(): void {
+		this.go(leaseMachine.LeaseEventType.Refused);
+	}
+
+	/** Takes a renewal that was asked for at `sentAt`. */
+	renewed(sentAt: number, now: number): void {
+		this.advance(now);
+		if (this.held === undefined) {
+			return;
+		}
+
+		this.held = {...this.held, endsAt: Math.max(this.held.endsAt, sentAt + this.times.ttlMs)};
+		this.go(leaseMachine.LeaseEventType.Renewed);
+		this.advance(now);
+	}
+
+	/** Notes that the lease was given back or is not known to the service any more. */
+	ended(): void {
+		this.held = undefined;
+		this.go(leaseMachine.LeaseEventType.Ended);
+	}
+
+	private advance(now: number): void {
+		if (this.held === undefined) {
+			return;
+		}
+
+		if (now >= this.held.endsAt) {
+			this.ended();
+			return;
+		}
+
+		if (now >= this.held.endsAt - this.times.marginMs) {
+			this.go(leaseMachine.LeaseEventType.MarginReached);
+			return;
+		}
+
+		if (now >= this.held.clearAt) {
+			this.go(leaseMachine.LeaseEventType.WaitedOut);
+		}
+	}
+
+	private go(type: leaseMachine.LeaseEventType): void {
+		if (this.snapshot.can({type})) {
+			[this.snapshot] = xstate.transition(leaseMachine.leaseMachine, this.snapshot, {type});
+		}
+	}
+}
--- /dev/null
+++ b/packages/core/src/orders/plan-orders.ts
@@ -0,0 +1,232 @@
+import * as manifestRules from '../manifest/index.js';
+import * as model from '../model/index.js';
+import * as invariant from '../util/invariant.js';
+import * as desired from './desired-weights.js';
+import * as order from './order.js';
+
+/** What a plan rests on. */
+export type PlanInput = {
+	readonly manifest: model.Manifest;
+	/** Engines that answered lately; the others get no orders. */
+	readonly engines: ReadonlyMap<model.EndpointId, order.EngineState>;
+	readonly inFlight: readonly order.OrderInFlight[];
+};
+
+/** Limits of a roll-out. */
+export type PlanLimits = {
+	/** Part of a pool that may drain at once; at least one engine may. */
+	readonly drainingShare: number;
+	/** Milliseconds after which an engine counts as drained though it still works on requests. */
+	readonly drainTimeoutMs: number;
+};
+
+/** Default limits of a roll-out. */
+export const defaultPlanLimits: PlanLimits = {drainingShare: 0.1, drainTimeoutMs: 30_000};
+
+/** Orders to send now, and the engines that are to get no new requests. */
+export type Plan = {
+	readonly orders: readonly order.PlannedOrder[];
+	readonly draining: readonly model.EndpointId[];
+};
+
+type Engine = {
+	readonly description: model.Endpoint;
+	readonly state: order.EngineState;
+	readonly missing: readonly model.WeightsKey[];
+	readonly unneeded: readonly model.WeightsKey[];
+	/** Whether it holds weights that may be served. */
+	readonly serves: boolean;
+	readonly complete: boolean;
+};
+
+/** One pool while it is planned. */
+type Pool = {
+	readonly service: model.Service;
+	readonly engines: readonly Engine[];
+	readonly draining: ReadonlySet<model.EndpointId>;
+	readonly recalled: ReadonlySet<model.BatchKey>;
+	readonly inFlight: readonly order.OrderInFlight[];
+};
+
+/**
+ * Plans the orders of all pools from what the engines hold now, so that a new leader goes on where the last one ended.
+ * Recalled weights are unloaded at once; loads stay within the weight store's limit; engines that serve are drained
+ * first, a bounded part of the pool at a time.
+ */
+export function planOrders(input: PlanInput, now: number, limits: PlanLimits = defaultPlanLimits): Plan {
+	const plans = input.manifest.services
+		.filter(service => service.type === model.ServiceType.Engine)
+		.map(service => planPool(input, service, now, limits));
+	return {
+		orders: plans.flatMap(plan => plan.orders),
+		draining: plans.flatMap(plan => plan.draining),
+	};
+}
+
+function planPool(input: PlanInput, service: model.Service, now: number, limits: PlanLimits): Plan {
+	const recalled = manifestRules.recalledSet(input.manifest);
+	const wanted = desired.desiredWeights(input.manifest, service);
+	const engines = listEngines(input, service, wanted, recalled);
+	const draining = new Set(chooseDraining(engines, limits).map(engine => engine.description.id));
+	const pool: Pool = {
+		service, engines, draining, recalled, inFlight: input.inFlight,
+	};
+	const drainedBefore = now - limits.drainTimeoutMs;
+	const changes = engines.filter(engine => !engine.complete && isFreeToChange(engine, pool, drainedBefore));
+	const orders = [
+		...planRecalls(engines, recalled),
+		...planLoads(changes, pool),
+		...changes.flatMap(engine => planRest(engine)),
+	].filter(planned => !isInFlight(planned, input.inFlight));
+	checkPlan(orders, pool);
+	return {orders, draining: [...draining]};
+}
+
+function listEngines(
+	input: PlanInput,
+	service: model.Service,
+	wanted: desired.DesiredWeights,
+	recalled: ReadonlySet<model.BatchKey>,
+): Engine[] {
+	const result: Engine[] = [];
+	for (const description of input.manifest.endpoints) {
+		const state = input.engines.get(description.id);
+		if (description.service !== service.id || state === undefined) {
+			continue;
+		}
+
+		const missing = [...wanted.preferred].filter(key => !state.weights.includes(key));
+		const unneeded = state.weights.filter(key => !wanted.allowed.has(key) && !desired.isRecalledKey(key, recalled));
+		result.push({
+			description,
+			state,
+			missing: description.leaving ? [] : missing,
+			unneeded: description.leaving ? [] : unneeded,
+			serves: !description.leaving && state.weights.some(key => wanted.allowed.has(key)),
+			complete: description.leaving
+				|| (missing.length === 0 && unneeded.length === 0 && state.role === description.role),
+		});
+	}
+
+	return result;
+}
+
+/** Chooses the engines that are to drain: those already at work first, then by name, so that the choice stays. */
+function chooseDraining(engines: readonly Engine[], limits: PlanLimits): Engine[] {
+	const serving = engines.filter(engine => engine.serves);
+	const most = Math.min(Math.max(1, Math.floor(engines.length * limits.drainingShare)), serving.length - 1);
+	const rank = (engine: Engine): number => {
+		if (engine.state.loading.length > 0) {
+			return 0;
+		}
+
+		return engine.state.drainingSince === undefined ? 2 : 1;
+	};
+
+	return serving
+		.filter(engine => !engine.complete)
+		.sort((a, b) => rank(a) - rank(b) || (a.description.id < b.description.id ? -1 : 1))
+		.slice(0, Math.max(0, most));
+}
+
+/** An engine that serves nothing needs no draining; neither does the only one that serves. */
+function isFreeToChange(engine: Engine, pool: Pool, drainedBefore: number): boolean {
+	if (!engine.serves || pool.engines.filter(each => each.serves).length === 1) {
+		return true;
+	}
+
+	const {drainingSince, running} = engine.state;
+	if (!pool.draining.has(engine.description.id) || drainingSince === undefined) {
+		return false;
+	}
+
+	return running === 0 || drainingSince <= drainedBefore;
+}
+
+function planRecalls(engines: readonly Engine[], recalled: ReadonlySet<model.BatchKey>): order.PlannedOrder[] {
+	return engines.flatMap(({description, state}) => [...new Set([...state.weights, ...state.loading])]
+		.filter(key => desired.isRecalledKey(key, recalled))
+		.map(weights => ({
+			endpoint: description.id,
+			action: order.OrderAction.Unload,
+			reason: order.OrderReason.Recalled,
+			weights,
+		})));
+}
+
+/** Counts the loads of a pool that are under way, read or sent. */
+function countLoads(engines: readonly Engine[], inFlight: readonly order.OrderInFlight[]): number {
+	const byName = new Map(engines.map(engine => [engine.description.id, engine.state]));
+	const unseen = inFlight.filter(sent => {
+		const state = byName.get(sent.endpoint);
+		return sent.action === order.OrderAction.Load && state !== undefined && !state.loading.includes(sent.weights!);
+	});
+	return unseen.length + engines.reduce((sum, engine) => sum + engine.state.loading.length, 0);
+}
+
+function planLoads(changes: readonly Engine[], pool: Pool): order.PlannedOrder[] {
+	const {service, engines, inFlight} = pool;
+	const free = Math.max(0, service.maxConcurrentLoads - countLoads(engines, inFlight));
+	const wishes = changes.flatMap(({description, state, missing}) => missing
+		.filter(weights => !state.loading.includes(weights))
+		.map(weights => ({
+			endpoint: description.id,
+			action: order.OrderAction.Load,
+			reason: order.OrderReason.Missing,
+			weights,
+		})));
+	return wishes.filter(wish => !isInFlight(wish, inFlight)).slice(0, free);
+}
+
+/** Plans unloads and the role of an engine that has all that it is to hold. */
+function planRest(engine: Engine): order.PlannedOrder[] {
+	const {description, state, missing, unneeded} = engine;
+	if (missing.length > 0) {
+		return [];
+	}
+
+	const orders: order.PlannedOrder[] = unneeded.map(weights => ({
+		endpoint: description.id,
+		action: order.OrderAction.Unload,
+		reason: order.OrderReason.Unneeded,
+		weights,
+	}));
+	if (state.role !== description.role) {
+		orders.push({
+			endpoint: description.id,
+			action: order.OrderAction.SetRole,
+			reason: order.OrderReason.RoleChanged,
+			role: description.role,
+		});
+	}
+
+	return orders;
+}
+
+function isInFlight(planned: order.PlannedOrder, inFlight: readonly order.OrderInFlight[]): boolean {
+	return inFlight.some(sent => sent.endpoint === planned.endpoint
+		&& sent.action === planned.action
+		&& sent.weights === planned.weights
+		&& sent.role === planned.role);
+}
+
+function checkPlan(orders: readonly order.PlannedOrder[], pool: Pool): void {
+	const {service, engines, draining, recalled, inFlight} = pool;
+	const loads = orders.filter(planned => planned.action === order.OrderAction.Load);
+	invariant.assertInvariant(
+		loads.every(load => !desired.isRecalledKey(load.weights!, recalled)),
+		'orders.no-recalled-load',
+		() => JSON.stringify(loads),
+	);
+	invariant.assertInvariant(
+		loads.length === 0 || loads.length + countLoads(engines, inFlight) <= service.maxConcurrentLoads,
+		'orders.load-limit',
+		() => `${service.id}: ${loads.length}`,
+	);
+	const serving = engines.filter(engine => engine.serves);
+	invariant.assertInvariant(
+		serving.length === 0 || serving.some(engine => !draining.has(engine.description.id)),
+		'orders.capacity-kept',
+		() => `${service.id}: ${draining.size} of ${serving.length} drain`,
+	);
+}
--- /dev/null
+++ b/packages/core/tests/orders/leader-lease.test.ts
@@ -0,0 +1,69 @@
+import * as chai from 'chai';
+import * as fc from 'fast-check';
+import * as core from '@bluebellmast/core';
+
+const {orders} = core;
+const times = {ttlMs: 6000, marginMs: 2000, longestOrderMs: 1000};
+
+describe('LeaderLease', () => {
+	it('waits out the earlier holder, stops before its end and finds itself over after a pause', () => {
+		const lease = new orders.LeaderLease(times);
+		lease.try(0);
+		lease.gained(7, 0, 100);
+		chai.expect(lease.fencing(1099)).to.equal(undefined);
+		chai.expect(lease.fencing(1100)).to.equal(7);
+		chai.expect(lease.fencing(3999)).to.equal(7);
+		chai.expect(lease.fencing(4000)).to.equal(undefined);
+		lease.renewed(4000, 4100);
+		chai.expect(lease.fencing(4100)).to.equal(7);
+		chai.expect(lease.phase(60_000)).to.equal(orders.LeasePhase.Follower);
+		lease.renewed(4200, 60_001);
+		chai.expect(lease.fencing(60_001)).to.equal(undefined);
+	});
+
+	it('never lets two routers give orders at once, nor within the longest order of each other', () => {
+		const action = fc.record({
+			router: fc.integer({min: 0, max: 1}),
+			waitMs: fc.integer({min: 0, max: 3000}),
+			answerMs: fc.integer({min: 0, max: 1500}),
+			lost: fc.boolean(),
+		});
+		fc.assert(fc.property(fc.array(action, {maxLength: 60}), actions => {
+			const leases = [new orders.LeaderLease(times), new orders.LeaderLease(times)];
+			let holder: {router: number; fencing: number; endsAt: number} | undefined;
+			let lastOrder = {router: -1, at: 0};
+			let now = 0;
+			let revision = 0;
+			for (const {router, waitMs, answerMs, lost} of actions) {
+				now += waitMs;
+				const lease = leases[router]!;
+				const sentAt = now;
+				const phase = lease.phase(now);
+				const isFree = holder === undefined || holder.endsAt <= now;
+				if (phase === orders.LeasePhase.Follower && isFree && !lost) {
+					revision += 1;
+					lease.try(now);
+					holder = {router, fencing: revision, endsAt: now + times.ttlMs};
+					now += answerMs;
+					lease.gained(revision, sentAt, now);
+				} else if (phase !== orders.LeasePhase.Follower && holder?.router === router && !isFree) {
+					holder.endsAt = now + times.ttlMs;
+					now += answerMs;
+					if (!lost) {
+						lease.renewed(sentAt, now);
+					}
+				}
+
+				for (const [index, each] of leases.entries()) {
+					if (each.fencing(now) === undefined) {
+						continue;
+					}
+
+					chai.expect(each.fencing(now)).to.equal(revision);
+					chai.expect(lastOrder.router === index || lastOrder.router === -1 || now - lastOrder.at >= times.longestOrderMs).to.equal(true);
+					lastOrder = {router: index, at: now};
+				}
+			}
+		}), {seed: 31, numRuns: 500});
+	});
+});
