Drive the leader's lease and the roll-out in the router

Change: LeaderController (key-value lease, fencing number from the key's revision, lost answers read back, three candidates by rendezvous), RolloutController (reads holdings, plans, asks the lease again before each order, tells who drains), HttpOrderClient, messages for endpoint notices and load digests.

--- a/packages/router/src/controllers/index.ts
+++ b/packages/router/src/controllers/index.ts
@@ -1,3 +1,4 @@
+export * from './leader-controller.js';
 export * from './ledger-begin-verdict.js';
 export * from './ledger-controller.js';
 export * from './ledger-gate.js';
@@ -7,4 +8,6 @@
 export * from './ledger-timer.js';
 export * from './manifest-controller.js';
 export * from './member-controller.js';
+export * from './order-client.js';
+export * from './rollout-controller.js';
 export * from './snapshot-controller.js';
--- /dev/null
+++ b/packages/router/src/controllers/rollout-controller.ts
@@ -0,0 +1,182 @@
+import * as core from '@bluebellmast/core';
+import * as wire from '@bluebellmast/wire';
+import createDebug from 'debug';
+import type * as clock from '../util/clock.js';
+import type * as metrics from '../util/metrics.js';
+import type * as controller from './controller.js';
+import type * as orderClient from './order-client.js';
+
+const debug = createDebug('bluebellmast:rollout');
+
+/** Milliseconds after which an order whose effect was not read counts as lost. */
+const orderMemoryMs = 5000;
+/** Engines that are read at once. */
+const readsAtOnce = 32;
+
+/** Options of the roll-out. */
+export type RolloutOptions = {
+	readonly client: orderClient.OrderClient;
+	readonly clock: clock.Clock;
+	readonly manifest: () => core.model.Manifest | undefined;
+	/** Fencing number for an order that is sent now; `undefined` when this router gives no orders. */
+	readonly fencing: () => number | undefined;
+	/** Requests that an engine works on, by its last load report. */
+	readonly running: (endpoint: core.model.EndpointId) => number;
+	/** Is told which engines are to get no new requests, while this router leads. */
+	readonly onDraining: (fencing: number, endpoints: readonly core.model.EndpointId[]) => void;
+	readonly metrics?: metrics.Metrics;
+	/** Milliseconds between rounds. Default 500. */
+	readonly periodMs?: number;
+	readonly limits?: core.orders.PlanLimits;
+};
+
+const actionTypes: Readonly<Record<core.orders.OrderAction, wire.endpoint.EngineOrderType>> = {
+	[core.orders.OrderAction.Load]: wire.endpoint.EngineOrderType.Load,
+	[core.orders.OrderAction.Unload]: wire.endpoint.EngineOrderType.Unload,
+	[core.orders.OrderAction.SetRole]: wire.endpoint.EngineOrderType.SetRole,
+};
+
+/** While this router leads, reads what the engines hold and gives the orders that the plan asks for. */
+export class RolloutController implements controller.Controller {
+	private inFlight: core.orders.OrderInFlight[] = [];
+	private readonly drainingSince = new Map<core.model.EndpointId, number>();
+	private timer: NodeJS.Timeout | undefined;
+	private round: Promise<void> | undefined;
+	private orderCount = 0;
+	private ledWith: number | undefined;
+
+	constructor(private readonly options: RolloutOptions) {}
+
+	async start(): Promise<void> {
+		this.timer = setInterval(() => {
+			void this.tick();
+		}, this.options.periodMs ?? 500);
+	}
+
+	async stop(): Promise<void> {
+		clearInterval(this.timer);
+		await this.round;
+	}
+
+	/** Carries out one round, unless one is under way. */
+	async tick(): Promise<void> {
+		this.round ??= this.carryOut();
+		await this.round;
+	}
+
+	private async carryOut(): Promise<void> {
+		try {
+			await this.planAndSend();
+		} finally {
+			this.round = undefined;
+		}
+	}
+
+	private async planAndSend(): Promise<void> {
+		const manifest = this.options.manifest();
+		const fencing = this.options.fencing();
+		if (fencing !== this.ledWith) {
+			this.inFlight = [];
+			this.drainingSince.clear();
+			this.ledWith = fencing;
+		}
+
+		if (manifest === undefined || fencing === undefined) {
+			return;
+		}
+
+		await this.giveOrders(manifest, fencing);
+	}
+
+	private async giveOrders(manifest: core.model.Manifest, fencing: number): Promise<void> {
+		const engines = await this.readEngines(manifest);
+		const now = this.options.clock.now();
+		this.forgetFinished(engines, now);
+		const current = this.options.manifest() ?? manifest;
+		const plan = core.orders.planOrders({manifest: current, engines, inFlight: this.inFlight}, now, this.options.limits);
+		this.noteDraining(plan.draining, now);
+		this.options.onDraining(fencing, plan.draining);
+		await Promise.all(plan.orders.map(async planned => this.send(current, planned)));
+	}
+
+	private async readEngines(manifest: core.model.Manifest): Promise<Map<core.model.EndpointId, core.orders.EngineState>> {
+		const services = new Set(manifest.services
+			.filter(service => service.type === core.model.ServiceType.Engine)
+			.map(service => service.id));
+		const endpoints = manifest.endpoints.filter(endpoint => services.has(endpoint.service));
+		const engines = new Map<core.model.EndpointId, core.orders.EngineState>();
+		for (let first = 0; first < endpoints.length; first += readsAtOnce) {
+			const group = endpoints.slice(first, first + readsAtOnce);
+			await Promise.all(group.map(async endpoint => { // eslint-disable-line no-await-in-loop
+				const holdings = await this.options.client.holdings(endpoint);
+				if (Array.isArray(holdings?.weights) && Array.isArray(holdings.loading)) {
+					engines.set(endpoint.id, this.stateOf(endpoint.id, holdings));
+				}
+			}));
+		}
+
+		return engines;
+	}
+
+	private stateOf(endpoint: core.model.EndpointId, holdings: wire.endpoint.EngineHoldings): core.orders.EngineState {
+		const drainingSince = this.drainingSince.get(endpoint);
+		return {
+			role: holdings.role,
+			weights: holdings.weights,
+			loading: holdings.loading,
+			running: this.options.running(endpoint),
+			...(drainingSince !== undefined && {drainingSince}),
+		};
+	}
+
+	/** Forgets orders whose effect was read, and those that are taken to be lost. */
+	private forgetFinished(engines: ReadonlyMap<core.model.EndpointId, core.orders.EngineState>, now: number): void {
+		this.inFlight = this.inFlight.filter(sent => {
+			const state = engines.get(sent.endpoint);
+			const isLoaded = sent.action === core.orders.OrderAction.Load
+				&& state?.weights.includes(sent.weights!) === true;
+			return !isLoaded && now - sent.sentAt < orderMemoryMs;
+		});
+	}
+
+	private noteDraining(draining: readonly core.model.EndpointId[], now: number): void {
+		for (const endpoint of this.drainingSince.keys()) {
+			if (!draining.includes(endpoint)) {
+				this.drainingSince.delete(endpoint);
+			}
+		}
+
+		for (const endpoint of draining) {
+			if (!this.drainingSince.has(endpoint)) {
+				this.drainingSince.set(endpoint, now);
+			}
+		}
+	}
+
+	/** Sends one order; the lease is asked again, since time has passed since the plan began. */
+	private async send(manifest: core.model.Manifest, planned: core.orders.PlannedOrder): Promise<void> {
+		const fencing = this.options.fencing();
+		const endpoint = manifest.endpoints.find(each => each.id === planned.endpoint);
+		if (fencing === undefined || fencing !== this.ledWith || endpoint === undefined) {
+			return;
+		}
+
+		const sent = {...planned, sentAt: this.options.clock.now()};
+		this.inFlight.push(sent);
+		this.orderCount += 1;
+		const answer = await this.options.client.order(endpoint, {
+			orderId: `${fencing}.${this.orderCount}`,
+			type: actionTypes[planned.action],
+			fencing,
+			...(planned.weights !== undefined && {weights: planned.weights}),
+			...(planned.role !== undefined && {role: planned.role}),
+		});
+		const result = answer?.result ?? 'unanswered';
+		debug('%s of %s at %s (%s): %s', planned.action, planned.weights, planned.endpoint, planned.reason, result);
+		this.options.metrics?.increment('orders.sent', 1, {action: planned.action, reason: planned.reason, result});
+		const isOver = answer !== undefined && answer.result !== wire.endpoint.EngineOrderResult.Accepted;
+		if (isOver) {
+			this.inFlight = this.inFlight.filter(each => each !== sent);
+		}
+	}
+}
--- /dev/null
+++ b/packages/router/tests/controllers/fakes/lease-kv.ts
@@ -0,0 +1,91 @@
+import * as platform from '@bluebellmast/platform';
+import * as purify from 'purify-ts';
+import * as memoryKv from './memory-kv.js';
+
+/** Leases of a key-value service in memory, by a clock that the test moves. */
+export class LeaseStore extends memoryKv.MemoryKv {
+	readonly leases = new Map<string, {endsAt: number; ttlMs: number; readonly keys: string[]}>();
+	nowMs = 1_000_000;
+
+	now(): number {
+		return this.nowMs;
+	}
+
+	/** Removes leases that are over, with their keys. */
+	expire(): void {
+		for (const [id, lease] of this.leases) {
+			if (lease.endsAt <= this.nowMs) {
+				this.end(id);
+			}
+		}
+	}
+
+	end(id: string): void {
+		for (const key of this.leases.get(id)?.keys ?? []) {
+			this.entries.delete(key);
+		}
+
+		this.leases.delete(id);
+	}
+}
+
+/** One client of it. */
+export class LeaseKvClient extends memoryKv.MemoryKvClient {
+	constructor(readonly leaseStore: LeaseStore) {
+		super(leaseStore);
+	}
+
+	override async get(key: string): platform.kv.KvResult<platform.kv.KvEntry | undefined> {
+		this.leaseStore.expire();
+		return super.get(key);
+	}
+
+	override async compareAndSwap(
+		key: string,
+		expectedRevision: number,
+		value: Uint8Array,
+		leaseId?: string,
+	): platform.kv.KvResult<platform.kv.KvSwap> {
+		this.leaseStore.expire();
+		const before = this.leaseStore.revision;
+		const result = await super.compareAndSwap(key, expectedRevision, value);
+		if (this.leaseStore.revision !== before && leaseId !== undefined) {
+			this.leaseStore.leases.get(leaseId)?.keys.push(key);
+		}
+
+		return result;
+	}
+
+	override async grantLease(ttlMs = 0): platform.kv.KvResult<platform.kv.KvLease> {
+		if (this.down) {
+			return this.failure(platform.kv.KvErrorCode.NotSent);
+		}
+
+		const id = String(this.leaseStore.leases.size + this.leaseStore.nowMs);
+		this.leaseStore.leases.set(id, {endsAt: this.leaseStore.nowMs + ttlMs, ttlMs, keys: []});
+		return purify.Right({id, ttlMs});
+	}
+
+	override async keepAlive(lease?: platform.kv.KvLease): platform.kv.KvResult<platform.kv.KvLease> {
+		this.leaseStore.expire();
+		const known = this.leaseStore.leases.get(lease!.id);
+		if (this.down || known === undefined) {
+			return this.failure(this.down ? platform.kv.KvErrorCode.NotSent : platform.kv.KvErrorCode.LeaseLost);
+		}
+
+		known.endsAt = this.leaseStore.nowMs + known.ttlMs;
+		return purify.Right(lease!);
+	}
+
+	override async revoke(lease?: platform.kv.KvLease): platform.kv.KvResult<void> {
+		if (!this.down) {
+			this.leaseStore.end(lease!.id);
+		}
+
+		return purify.Right(undefined);
+	}
+
+	private failure<Value>(code: platform.kv.KvErrorCode): purify.Either<platform.kv.KvError, Value> {
+		return purify.Left({code, message: 'down'});
+	}
+}
--- a/packages/wire/src/peer/index.ts
+++ b/packages/wire/src/peer/index.ts
@@ -1,3 +1,4 @@
+export * from './endpoint-messages.js';
 export * from './hello.js';
 export * from './ledger-messages.js';
 export * from './manifest-messages.js';
