--- /dev/null
+++ b/packages/core/src/endpoints/index.ts
@@ -0,0 +1,2 @@
+export * from './endpoint-table.js';
+export * from './watch-plan.js';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 export * as cache from './cache/index.js';
+export * as endpoints from './endpoints/index.js';
 export * as ledger from './ledger/index.js';
 export * as limits from './limits/index.js';
 export * as manifest from './manifest/index.js';
--- a/packages/router/src/controllers/index.ts
+++ b/packages/router/src/controllers/index.ts
@@ -1,3 +1,4 @@
+export * from './endpoint-watch-controller.js';
 export * from './leader-controller.js';
 export * from './ledger-begin-verdict.js';
 export * from './ledger-controller.js';
--- /dev/null
+++ b/packages/router/tests/controllers/endpoint-watch-controller.test.ts
@@ -0,0 +1,96 @@
+import * as chai from 'chai';
+import type * as wire from '@bluebellmast/wire';
+import * as core from '@bluebellmast/core';
+import * as memoryPeers from './fakes/memory-peers.js';
+import * as router from '@bluebellmast/router';
+
+const names = ['a', 'b', 'c', 'd'];
+
+function manifestOf(): core.model.Manifest {
+	return {
+		generation: 1, models: [], adapters: [], accounts: [], kinds: [], services: [], recalled: [],
+		endpoints: ['e0', 'e1', 'e2'].map((id, port) => ({
+			id, service: 's', host: `10.0.1.${port}`, port, dataCentre: 'dc', checksFencing: false,
+			role: core.model.EngineRole.Mixed, capacity: 4, leaving: false,
+		})),
+	};
+}
+
+describe('EndpointWatchController', () => {
+	let reads: string[];
+	let leaving: Set<string>;
+	let sequence: number;
+	const clock = {nowMs: 1_000_000, now: () => clock.nowMs};
+
+	beforeEach(() => {
+		reads = [];
+		leaving = new Set();
+		sequence = 0;
+	});
+
+	function createRouters(readAllUpTo: number, leavingHosts: ReadonlySet<string> = new Set()) {
+		const links = new memoryPeers.MemoryLinks();
+		return names.map(vm => new router.controllers.EndpointWatchController({
+			vm, incarnation: `${vm}-1`, network: links.create(vm), clock, manifest: manifestOf,
+			liveMembers: () => names,
+			async readLoad(endpoint): Promise<wire.endpoint.LoadReport> {
+				reads.push(`${vm} ${endpoint.id}`);
+				sequence += 1;
+				return {
+					incarnation: `${endpoint.id}-1`, sequence, running: 1, queued: 0, queuedTokens: 0, cachedTokens: 0,
+					cacheLimitTokens: 0, weights: [], leaving: leaving.has(endpoint.id),
+				};
+			},
+			leavingHosts: () => leavingHosts,
+			pollsPerDigest: 1,
+			limits: {readAllUpTo, watchers: 2},
+		}));
+	}
+
+	async function tickAll(routers: readonly router.controllers.EndpointWatchController[]) {
+		clock.nowMs += 250;
+		for (const each of routers) {
+			await each.tick(); // eslint-disable-line no-await-in-loop
+		}
+	}
+
+	it('in a small fleet has each router read each endpoint', async () => {
+		const routers = createRouters(4);
+		await tickAll(routers);
+		chai.expect(reads).to.have.length(12);
+		chai.expect(routers.every(each => each.endpointStates().every(state => state.reachable))).to.equal(true);
+	});
+
+	it('in a large fleet has two routers read an endpoint, and all know its load', async () => {
+		const routers = createRouters(2);
+		await tickAll(routers);
+		await tickAll(routers);
+		chai.expect(reads).to.have.length(12);
+		chai.expect(new Set(reads).size).to.equal(6);
+		chai.expect(routers.every(each => each.endpointStates().every(state => state.reachable))).to.equal(true);
+	});
+
+	it('tells all routers at once when one sees an endpoint leaving', async () => {
+		const routers = createRouters(4);
+		await tickAll(routers);
+		leaving.add('e1');
+		await routers[0]!.tick();
+		for (const each of routers) {
+			chai.expect(each.endpointStates().map(state => state.leaving)).to.deep.equal([false, true, false]);
+		}
+	});
+
+	it('takes endpoints on VMs that the platform removes to be leaving', async () => {
+		const routers = createRouters(4, new Set(['10.0.1.2']));
+		chai.expect(routers[0]!.endpointStates().map(state => state.leaving)).to.deep.equal([false, false, true]);
+	});
+
+	it('spreads who drains, and forgets it when the leader falls silent', async () => {
+		const routers = createRouters(2);
+		routers[0]!.announceDraining(5, ['e0']);
+		chai.expect(routers.map(each => each.endpointStates()[0]!.draining)).to.deep.equal([true, true, true, true]);
+		clock.nowMs += core.endpoints.endpointTableDefaults.noticeMs + 1;
+		await tickAll(routers);
+		chai.expect(routers.map(each => each.endpointStates()[0]!.draining)).to.deep.equal([false, false, false, false]);
+	});
+});
