Follow cache events of engines and spread digests of hot pieces

Cause: the picture of the caches had no source in the router. Change: CacheEventsController with one follower an engine (progress timeout, reconnect after the last sequence), the plan of who follows whom, and bounded digests for fleets too large for all to follow all.

--- a/packages/core/src/cache/cache-picture.ts
+++ b/packages/core/src/cache/cache-picture.ts
@@ -128,6 +128,11 @@
 		return this.#overclaimedTokens;
 	}
 
+	/** The present incarnation of an engine, absent until it has reported. */
+	incarnationOf(endpoint: ids.EndpointId): ids.Incarnation | undefined {
+		return this.#engines.get(endpoint)?.incarnation;
+	}
+
 	/** Last event sequence of an engine's incarnation, for a reconnect. */
 	lastSequence(endpoint: ids.EndpointId, incarnation: ids.Incarnation): number | undefined {
 		const engine = this.#engines.get(endpoint);
--- a/packages/core/src/cache/hot-prefixes.ts
+++ b/packages/core/src/cache/hot-prefixes.ts
@@ -20,6 +20,8 @@
 	at: number;
 	/** Homes given last, for hysteresis. */
 	homes: number;
+	/** Key of the piece on the weights that were used last; absent until noted. */
+	pieceKey?: string;
 };
 
 const evictionSample = 12;
@@ -61,6 +63,16 @@
 		}
 	}
 
+	/** Notes which pieces stand for the keys on the weights in use. */
+	notePieces(homeKeys: readonly string[], pieceKeys: readonly string[]): void {
+		for (const [index, homeKey] of homeKeys.entries()) {
+			const counter = this.#counters.get(homeKey);
+			if (counter !== undefined) {
+				counter.pieceKey = pieceKeys[index];
+			}
+		}
+	}
+
 	/** Returns the decayed count of a key, 0 when it is not counted. */
 	countOf(key: string, now: number): number {
 		const counter = this.#counters.get(key);
@@ -113,12 +125,22 @@
 
 	/** Returns the keys with the highest counts, highest first. */
 	hottest(limit: number, now: number): string[] {
+		return this.#hottestEntries(limit, now).map(([key]) => key);
+	}
+
+	/** Returns the noted pieces of the keys with the highest counts, highest first. */
+	hottestPieces(limit: number, now: number): string[] {
+		return this.#hottestEntries(limit, now)
+			.map(([, counter]) => counter.pieceKey)
+			.filter(pieceKey => pieceKey !== undefined);
+	}
+
+	#hottestEntries(limit: number, now: number): Array<[string, Counter]> {
 		return [...this.#counters]
-			.map(([key, counter]) => ({key, count: this.#decayed(counter, now)}))
-			.filter(entry => entry.count >= this.#minSharedCount)
-			.sort((left, right) => right.count - left.count || (left.key < right.key ? -1 : 1))
-			.slice(0, limit)
-			.map(entry => entry.key);
+			.filter(([, counter]) => this.#decayed(counter, now) >= this.#minSharedCount)
+			.sort(([leftKey, left], [rightKey, right]) =>
+				this.#decayed(right, now) - this.#decayed(left, now) || (leftKey < rightKey ? -1 : 1))
+			.slice(0, limit);
 	}
 
 	#counterOf(key: string, now: number): Counter {
--- a/packages/core/src/placement/load-view.ts
+++ b/packages/core/src/placement/load-view.ts
@@ -86,7 +86,7 @@
 	}
 
 	/** Returns one endpoint. */
-	endpointOf(endpoint: ids.EndpointId): endpointLoad.EndpointLoad | undefined {
+	find(endpoint: ids.EndpointId): endpointLoad.EndpointLoad | undefined {
 		return this.#endpoints.get(endpoint);
 	}
 
--- a/packages/core/src/placement/placement-state.ts
+++ b/packages/core/src/placement/placement-state.ts
@@ -25,6 +25,13 @@
 	readonly placement: placementRequest.Placement;
 };
 
+/** Hot pieces that an engine holds. */
+export type EngineHoldings = {
+	readonly endpoint: string;
+	readonly incarnation: string;
+	readonly keys: readonly string[];
+};
+
 /** What an answer shows of its engine's cache. */
 export type AnswerOutcome = {
 	readonly request: placementRequest.PlacementRequest;
@@ -72,6 +79,7 @@
 		const {request, placement} = attempt;
 		const missingTokens = Math.max(0, request.promptTokens - placement.expectedCachedTokens);
 		this.loads.dispatched(attempt.attemptId, placement.endpoint, missingTokens, now);
+		this.hot.notePieces(request.homeKeys, request.pieces.map(piece => piece.key));
 		if (placement.incarnation !== undefined) {
 			this.picture.expect(cacheReportOf(attempt, placement.incarnation));
 		}
@@ -97,6 +105,23 @@
 		});
 	}
 
+	/** Returns the hottest pieces that each of some engines is confirmed to hold, `limit` pieces at most over all. */
+	digestOf(endpoints: readonly string[], limit: number, now: number): EngineHoldings[] {
+		const pieces = this.hot.hottestPieces(limit, now);
+		let left = limit;
+		const holdings: EngineHoldings[] = [];
+		for (const endpoint of endpoints) {
+			const incarnation = this.picture.incarnationOf(endpoint);
+			const keys = pieces.filter(key => this.picture.holds(endpoint, key)).slice(0, left);
+			left -= keys.length;
+			if (incarnation !== undefined) {
+				holdings.push({endpoint, incarnation, keys});
+			}
+		}
+
+		return holdings;
+	}
+
 	/** Returns what a policy sees of a service. */
 	viewOf(service: string): placementView.PlacementView {
 		const endpoints = this.loads.endpointsOf(service);
--- a/packages/core/tests/placement/policies.test.ts
+++ b/packages/core/tests/placement/policies.test.ts
@@ -26,7 +26,7 @@
 	const state = new core.placement.PlacementState({policy: core.placement.createPlacementPolicy(name, {seed: 1})});
 	state.loads.setEndpoints(flags.map((_, index) => endpoint(index)));
 	for (const [index, flag] of flags.entries()) {
-		const load = state.loads.endpointOf(`e${index}`)!;
+		const load = state.loads.find(`e${index}`)!;
 		state.reported(`e${index}`, {
 			incarnation: `i${index}`, running: flag.load, queued: 0, queuedTokens: 0,
 			weights: [flag.hasWeights ? weights : 'lantaarn@6'], leaving: flag.leaving,
@@ -126,15 +126,15 @@
 		}
 
 		state.loads.advance(1500);
-		expect(state.loads.endpointOf('e0')!.slowness).to.be.closeTo(5, 0.5);
-		expect(state.loads.endpointOf('e1')!.slowness).to.equal(1);
+		expect(state.loads.find('e0')!.slowness).to.be.closeTo(5, 0.5);
+		expect(state.loads.find('e1')!.slowness).to.equal(1);
 		state.loads.advance(200_000);
-		expect(state.loads.endpointOf('e0')!.slowness).to.be.closeTo(1, 0.1);
+		expect(state.loads.find('e0')!.slowness).to.be.closeTo(1, 0.1);
 	});
 
 	it('adds own dispatches to a lagging report and drops those that the next report shows', () => {
 		const state = createState(core.placement.PlacementPolicyName.LeastLoad, [idle]);
-		const load = state.loads.endpointOf('e0')!;
+		const load = state.loads.find('e0')!;
 		state.loads.dispatched('x', 'e0', 500, 1100);
 		expect(load.load).to.equal(1);
 		state.loads.report('e0', {
--- /dev/null
+++ b/packages/router/src/controllers/cache-events-controller.ts
@@ -0,0 +1,190 @@
+import * as core from '@bluebellmast/core';
+import * as wire from '@bluebellmast/wire';
+import type * as undici from 'undici';
+import type * as peerNetwork from '../peers/peer-network.js';
+import type * as clock from '../util/clock.js';
+import type * as metrics from '../util/metrics.js';
+import * as cacheEventFollower from './cache-event-follower.js';
+import type * as controller from './controller.js';
+
+/** Options of the cache events controller. */
+export type CacheEventsControllerOptions = {
+	readonly vm: core.model.VmId;
+	/** What is fed. */
+	readonly state: core.placement.PlacementState;
+	/** Live routers, this one included. */
+	readonly liveMembers: () => readonly core.model.VmId[];
+	readonly manifest: () => core.model.Manifest | undefined;
+	readonly dispatcher: () => undici.Dispatcher;
+	readonly peers: peerNetwork.PeerNetwork;
+	readonly clock: clock.Clock;
+	readonly metrics: metrics.Metrics;
+	/** Who follows whom; see `core.cache.planFollowing`. */
+	readonly plan?: core.cache.FollowPlanOptions;
+	/** Milliseconds between looks at members and manifest. Default 1000. */
+	readonly planIntervalMs?: number;
+	/** Milliseconds between digests; sent only when not every router follows every engine. Default 10000. */
+	readonly digestIntervalMs?: number;
+	/** Milliseconds without a byte after which a connection is replaced. Default 5000. */
+	readonly progressTimeoutMs?: number;
+	/** Milliseconds before a connection is tried again. Default 500. */
+	readonly reconnectMs?: number;
+};
+
+const changeOf: Readonly<Record<wire.endpoint.CacheEventType, core.cache.CacheChange>> = {
+	[wire.endpoint.CacheEventType.Stored]: core.cache.CacheChange.Stored,
+	[wire.endpoint.CacheEventType.Evicted]: core.cache.CacheChange.Evicted,
+	[wire.endpoint.CacheEventType.Cleared]: core.cache.CacheChange.Cleared,
+};
+
+/**
+ * Feeds the cache picture: follows the events of the engines that this router is a follower of, and spreads digests
+ * of hot pieces when the fleet is too large for every router to follow every engine.
+ */
+export class CacheEventsController implements controller.Controller {
+	readonly #options: CacheEventsControllerOptions;
+	readonly #followers = new Map<core.model.EndpointId, cacheEventFollower.CacheEventFollower>();
+	readonly #origins = new Map<core.model.EndpointId, string>();
+	#planned = '';
+	#planTimer: NodeJS.Timeout | undefined;
+	#digestTimer: NodeJS.Timeout | undefined;
+
+	constructor(options: CacheEventsControllerOptions) {
+		this.#options = options;
+		options.peers.on(wire.peer.PeerMessageType.CacheDigest, (_, message) => {
+			this.#receive(message as wire.peer.CacheDigest);
+		});
+	}
+
+	/** Engines that this router follows at present. */
+	get followed(): readonly core.model.EndpointId[] {
+		return [...this.#followers.keys()];
+	}
+
+	async start(): Promise<void> {
+		this.#plan();
+		this.#planTimer = setInterval(() => {
+			this.#plan();
+		}, this.#options.planIntervalMs ?? 1000);
+		this.#digestTimer = setInterval(() => {
+			this.#sendDigest();
+		}, this.#digestIntervalMs);
+	}
+
+	async stop(): Promise<void> {
+		clearInterval(this.#planTimer);
+		clearInterval(this.#digestTimer);
+		for (const name of this.followed) {
+			this.#unfollow(name);
+		}
+	}
+
+	get #digestIntervalMs(): number {
+		return this.#options.digestIntervalMs ?? 10_000;
+	}
+
+	#engines(): core.model.Endpoint[] {
+		const manifest = this.#options.manifest();
+		const services = new Set(manifest?.services
+			.filter(service => service.type === core.model.ServiceType.Engine)
+			.map(service => service.id));
+		return manifest?.endpoints.filter(endpoint => services.has(endpoint.service)) ?? [];
+	}
+
+	/** Follows what the plan says now; does nothing while members and manifest stay the same. */
+	#plan(): void {
+		const members = [...this.#options.liveMembers()].sort();
+		this.#options.state.loads.setRouters(members.length);
+		const engines = this.#engines();
+		const inputs = JSON.stringify([members, engines.map(engine => [engine.id, engine.host, engine.port])]);
+		if (inputs === this.#planned) {
+			return;
+		}
+
+		this.#planned = inputs;
+		const names = engines.map(engine => engine.id);
+		const wanted = new Set(core.cache.planFollowing(this.#options.vm, members, names, this.#options.plan));
+		for (const name of this.followed) {
+			const engine = engines.find(candidate => candidate.id === name);
+			if (!wanted.has(name) || engine === undefined || originOf(engine) !== this.#origins.get(name)) {
+				this.#unfollow(name);
+			}
+		}
+
+		for (const engine of engines.filter(candidate => wanted.has(candidate.id) && !this.#followers.has(candidate.id))) {
+			this.#follow(engine);
+		}
+
+		this.#options.metrics.gauge('cache.followed_engines', this.#followers.size);
+	}
+
+	#follow(endpoint: core.model.Endpoint): void {
+		const {picture} = this.#options.state;
+		const follower = new cacheEventFollower.CacheEventFollower({
+			endpoint,
+			dispatcher: this.#options.dispatcher,
+			progressTimeoutMs: this.#options.progressTimeoutMs ?? 5000,
+			reconnectMs: this.#options.reconnectMs ?? 500,
+			lastSequence() {
+				const incarnation = picture.incarnationOf(endpoint.id);
+				return incarnation === undefined ? undefined : picture.lastSequence(endpoint.id, incarnation);
+			},
+			onEvent: event => {
+				this.#apply(endpoint.id, event);
+			},
+			onEnd: () => {
+				this.#options.metrics.increment('cache.event_stream_ended');
+			},
+		});
+		this.#followers.set(endpoint.id, follower);
+		this.#origins.set(endpoint.id, originOf(endpoint));
+		follower.start();
+	}
+
+	#unfollow(name: core.model.EndpointId): void {
+		this.#followers.get(name)?.stop();
+		this.#followers.delete(name);
+		this.#origins.delete(name);
+		// Events are missed from now on.
+		this.#options.state.picture.markGap(name);
+	}
+
+	#apply(endpoint: core.model.EndpointId, event: wire.endpoint.CacheEvent): void {
+		const outcome = this.#options.state.picture.applyEvent(endpoint, {
+			incarnation: event.incarnation,
+			sequence: event.sequence,
+			change: changeOf[event.type],
+			key: event.key,
+		});
+		this.#options.metrics.increment(`cache.event_${outcome}`);
+	}
+
+	#sendDigest(): void {
+		const members = this.#options.liveMembers().length;
+		if (core.cache.followsAll(members, this.#engines().length, this.#options.plan)) {
+			return;
+		}
+
+		const limit = core.cache.digestLimit(members, {intervalMs: this.#digestIntervalMs});
+		const holdings = this.#options.state.digestOf(this.followed, limit, this.#options.clock.now());
+		const message: wire.peer.CacheDigest = {
+			type: wire.peer.PeerMessageType.CacheDigest,
+			engines: holdings.map(({endpoint, incarnation, keys}) => ({
+				endpoint, incarnation, keys: wire.peer.packKeys(keys),
+			})),
+		};
+		this.#options.peers.broadcast(message);
+	}
+
+	#receive(message: wire.peer.CacheDigest): void {
+		for (const {endpoint, incarnation, keys} of message.engines) {
+			if (!this.#followers.has(endpoint)) {
+				this.#options.state.picture.applyDigest(endpoint, incarnation, wire.peer.unpackKeys(keys));
+			}
+		}
+	}
+}
+
+function originOf(endpoint: core.model.Endpoint): string {
+	return `${endpoint.host}:${endpoint.port}`;
+}
--- a/packages/router/src/controllers/index.ts
+++ b/packages/router/src/controllers/index.ts
@@ -1,1 +1,3 @@
+export * from './cache-event-follower.js';
+export * from './cache-events-controller.js';
 export * from './manifest-controller.js';
--- a/packages/stand-ins/src/bench/bench-router.ts
+++ b/packages/stand-ins/src/bench/bench-router.ts
@@ -60,7 +60,7 @@
 
 		this.#later(this.options.lag.loadMs, () => {
 			this.state.reported(endpoint, report, Date.now());
-			const load = this.state.loads.endpointOf(endpoint);
+			const load = this.state.loads.find(endpoint); // eslint-disable-line unicorn/no-array-callback-reference
 			if (load?.incarnation === report.incarnation) {
 				load.reachable = true;
 			}
@@ -85,7 +85,7 @@
 
 	/** Marks an endpoint that refused a connection. */
 	lose(endpoint: string): void {
-		const load = this.state.loads.endpointOf(endpoint);
+		const load = this.state.loads.find(endpoint); // eslint-disable-line unicorn/no-array-callback-reference
 		if (load !== undefined) {
 			load.reachable = false;
 		}
