--- a/packages/stand-ins/src/check/question-check.ts
+++ b/packages/stand-ins/src/check/question-check.ts
@@ -1,3 +1,4 @@
+import * as core from '@bluebellmast/core';
 import type * as load from '../load/index.js';
 
 /** Checks that each request was accounted for and none was answered wrongly; returns the findings. */
@@ -16,6 +17,17 @@
 	return findings;
 }
 
+/** Checks that no router met a fault of its own, and that most requests were answered; returns the findings. */
+export function checkService(result: load.LoadResult, leastAnsweredShare: number): string[] {
+	const internal = result.refusals[core.model.ErrorCode.Internal] ?? 0;
+	const sent = result.questions.sent + result.bookings.sent;
+	const answered = result.questions.answered + result.bookings.answered;
+	return [
+		...(internal > 0 ? [`${internal} requests met a fault of the router itself`] : []),
+		...(answered < sent * leastAnsweredShare ? [`only ${answered} of ${sent} requests were answered`] : []),
+	];
+}
+
 /** Checks that each request was answered whole or refused: none was cut short or left without an answer. */
 export function checkNoneCut(name: string, counts: load.OutcomeCounts): string[] {
 	return [
--- a/packages/stand-ins/src/demo/demo.ts
+++ b/packages/stand-ins/src/demo/demo.ts
@@ -15,6 +15,8 @@
 };
 
 const requestsPerSecond = 20;
+/** Share of requests that have to be answered although an engine is killed. */
+const leastAnsweredShare = 0.95;
 
 /** Runs the demo and returns the findings; none means that all adds up. */
 export async function runDemo(options: DemoOptions): Promise<string[]> {
@@ -42,6 +44,7 @@
 			...findings,
 			...check.checkCounts('questions', result.questions),
 			...check.checkCounts('bookings', result.bookings),
+			...check.checkService(result, leastAnsweredShare),
 			...check.checkNoneCut('questions', result.questions),
 			...check.checkNoneCut('bookings', result.bookings),
 			...check.checkBookings(result.bookingRecords, local.executions()),
--- a/packages/stand-ins/src/soak/soak.ts
+++ b/packages/stand-ins/src/soak/soak.ts
@@ -22,6 +22,8 @@
 const versions = ['1', '2'];
 const requestsPerSecond = 25;
 const bookingRepeats = 3;
+/** Share of requests that have to be answered in spite of all disturbances. */
+const leastAnsweredShare = 0.3;
 
 /** Runs processes under load and disturbances and returns the findings. */
 export async function runSoak(options: SoakOptions): Promise<string[]> {
@@ -58,6 +60,7 @@
 			...disturber.findings,
 			...check.checkCounts('questions', result.questions),
 			...check.checkCounts('bookings', result.bookings),
+			...check.checkService(result, leastAnsweredShare),
 			...check.checkBookings(result.bookingRecords, local.executions()),
 			...check.checkEngines(local.engineRecords(), operator.recalls),
 			...lostCheck.checkLost(result.lost, disturber.outages),
