Mend a restart that forced recalled text on the next attempt, and a slow planned stop

Cause: after a recall in the middle of a stream the new attempt was given the dropped text as forced prefix, so the caller's answer began in the middle; with one engine it was even excluded from the new attempt. The test of a recall showed both. A planned stop waited for the callers' idle connections. Change: no text counts as held after a restart; a recall excludes no endpoint; during a stop each answer closes its connection, and idle connections are closed. Ruled out: a fault of the assembler in core; its tests and the resumed and continued streams pass. Conclusion: recall, resume and continuation hold in these tests.

--- a/packages/router/src/dispatch/chat-actions.ts
+++ b/packages/router/src/dispatch/chat-actions.ts
@@ -170,7 +170,10 @@
 		}
 
 		const cause = recalled.aborted ? core.request.FailureCause.WeightsRecalled : failure.cause;
-		this.#excluded.add(this.#attempt!.endpoint.id);
+		if (cause !== core.request.FailureCause.WeightsRecalled) {
+			this.#excluded.add(this.#attempt!.endpoint.id);
+		}
+
 		this.#options.placer.reportFailure(this.#attempt!.endpoint.id, cause);
 		return this.#driver.failure(cause, attemptFailure.codeOfCause(cause), failure.message);
 	}
--- a/packages/router/src/dispatch/chat-relay.ts
+++ b/packages/router/src/dispatch/chat-relay.ts
@@ -42,9 +42,10 @@
 		this.#driver = driver;
 	}
 
-	/** Text that the caller holds; only streaming callers hold text before the end. */
+	/** Text that the caller holds; only streaming callers hold text before the end, and a restart drops it. */
 	get text(): string {
-		return this.#call.stream ? this.#stream?.text ?? '' : '';
+		const isHeld = this.#call.stream && !this.#isRestarting;
+		return isHeld ? this.#stream?.text ?? '' : '';
 	}
 
 	/** Last event of the present attempt; -1 before the first. */
--- a/packages/router/src/http/router-server.ts
+++ b/packages/router/src/http/router-server.ts
@@ -17,6 +17,8 @@
 	readonly admin: adminHandler.AdminHandler;
 };
 
+/** Milliseconds between looks for idle connections during a stop. */
+const idleCheckMs = 50;
 const defaultMaxHeaderBytes = 32 * 1024;
 const badRequest = 'HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-type: application/json\r\n\r\n'
 	+ '{"error":{"code":"invalid_request","execution":"not_run","message":"the request is not valid HTTP"}}';
@@ -25,6 +27,7 @@
 export class RouterServer {
 	readonly #options: RouterServerOptions;
 	readonly #server: http.Server;
+	#isClosing = false;
 
 	constructor(options: RouterServerOptions) {
 		this.#options = options;
@@ -55,18 +58,31 @@
 		});
 	}
 
+	/** From now on closes each connection after its answer, so that callers move to other routers. */
+	beginClosing(): void {
+		this.#isClosing = true;
+	}
+
 	/** Takes no new connections, and waits until each open one has ended its request. */
 	async stop(): Promise<void> {
+		this.beginClosing();
 		const closed = new Promise<void>(resolve => {
 			this.#server.close(() => {
 				resolve();
 			});
 		});
-		this.#server.closeIdleConnections();
+		const timer = setInterval(() => {
+			this.#server.closeIdleConnections();
+		}, idleCheckMs);
 		await closed;
+		clearInterval(timer);
 	}
 
 	#route(req: http.IncomingMessage, res: http.ServerResponse): void {
+		if (this.#isClosing) {
+			res.setHeader('connection', 'close');
+		}
+
 		if (this.#options.admin.handles(req)) {
 			this.#options.admin.handle(req, res);
 			return;
--- a/packages/router/src/placement/placer.ts
+++ b/packages/router/src/placement/placer.ts
@@ -103,9 +103,9 @@
 	}
 
 	/** Notes that a try goes to an engine. */
-	dispatchedChat(target: ChatTarget, attempt: core.model.AttemptId): void {
-		const missing = Math.max(0, target.request.promptTokens - target.placement.expectedCachedTokens);
-		this.#options.engines.loads.dispatched(attempt, target.endpoint.id, missing, this.#options.clock.now());
+	dispatchedChat(target: ChatTarget, attemptId: core.model.AttemptId): void {
+		const {request, placement} = target;
+		this.#options.engines.dispatched({attemptId, request, placement}, this.#options.clock.now());
 	}
 
 	/** Notes that a try goes to an endpoint of a plain service. */
@@ -121,19 +121,21 @@
 	/** Notes the end of a try at an engine, with its token counts when it has told them. */
 	finishedChat(
 		target: ChatTarget,
-		attempt: core.model.AttemptId,
+		attemptId: core.model.AttemptId,
 		incarnation: core.model.Incarnation | undefined,
 		usage: wire.endpoint.CompletionUsage | undefined,
 	): void {
-		this.#options.engines.loads.finished(attempt, usage?.completion_tokens ?? 0, this.#options.clock.now());
-		if (usage !== undefined && incarnation !== undefined) {
-			this.#options.engines.answered({
-				request: target.request,
-				endpoint: target.endpoint.id,
-				incarnation,
-				cachedTokens: usage.prompt_tokens_details.cached_tokens,
-			});
+		const {request, placement} = target;
+		const now = this.#options.clock.now();
+		if (usage === undefined || incarnation === undefined) {
+			this.#options.engines.failed({attemptId, request, placement}, now);
+			return;
 		}
+
+		this.#options.engines.loads.finished(attemptId, usage.completion_tokens, now);
+		this.#options.engines.answered({
+			request, endpoint: target.endpoint.id, incarnation, cachedTokens: usage.prompt_tokens_details.cached_tokens,
+		});
 	}
 
 	/** Notes the end of a try at a plain service. */
@@ -189,7 +191,8 @@
 	}
 
 	#isBusy(target: ChatTarget): boolean {
-		const view = this.#options.engines.loads.endpointOf(target.endpoint.id);
+		const endpoints = this.#options.engines.loads.endpointsOf(target.endpoint.service);
+		const view = endpoints.find(candidate => candidate.endpoint === target.endpoint.id);
 		return view !== undefined && view.load >= view.capacity;
 	}
 
--- a/packages/router/src/router-program.ts
+++ b/packages/router/src/router-program.ts
@@ -67,6 +67,7 @@
 	async #stop(): Promise<void> {
 		const {lifecycle, readinessLeadMs, server, requests, controllers} = this.#options;
 		lifecycle.isServing = false;
+		server.beginClosing();
 		this.#options.recorder.record({type: core.timeline.TimelineEventType.RouterStopping});
 		await timers.setTimeout(readinessLeadMs);
 		await server.stop();
