--- /dev/null
+++ b/packages/config/src/document/render-fields.ts
@@ -0,0 +1,60 @@
+import * as schemaFields from './schema-fields.js';
+
+const indentText = '  ';
+
+/**
+ * Returns fields as lines of YAML with their descriptions and defaults. Required and optional ones without a default are
+ * comments, so that the text can be taken as the start of a file.
+ */
+export function renderFields(fields: readonly schemaFields.SchemaField[]): string[] {
+	return fields.flatMap(field => renderField(field, '', ''));
+}
+
+/** Returns the fields of an entry of each list as lines of YAML comments. */
+export function renderListFields(fields: readonly schemaFields.SchemaField[]): string[] {
+	return fields.flatMap(field => [
+		...renderField(field, '', ''),
+		...field.fields.flatMap(part => renderEntryField(part, indentText)),
+	]);
+}
+
+function renderEntryField(field: schemaFields.SchemaField, indent: string): string[] {
+	const inner = field.fields.flatMap(part => renderEntryField(part, indent + indentText));
+	return [`${indent}# ${describe(field)}`, `${indent}${renderValue(field, '# ')}`, ...inner];
+}
+
+function renderField(field: schemaFields.SchemaField, indent: string, comment: string): string[] {
+	const description = `${indent}# ${describe(field)}`;
+	if (field.fields.length === 0 || field.isList) {
+		return [description, `${indent}${renderValue(field, comment)}`];
+	}
+
+	const inner = field.presence === schemaFields.FieldPresence.Optional ? '# ' : comment;
+	const header = hasDefault(field) ? `${inner}${field.key}:` : `# ${field.key}:${markOf(field)}`;
+	return [description, `${indent}${header}`, ...field.fields.flatMap(part => renderField(part, indent + indentText, inner))];
+}
+
+function describe(field: schemaFields.SchemaField): string {
+	return field.values.length === 0 ? field.description : `${field.description} One of: ${field.values.join(', ')}.`;
+}
+
+function renderValue(field: schemaFields.SchemaField, comment: string): string {
+	if (field.defaultValue !== undefined) {
+		return `${comment}${field.key}: ${JSON.stringify(field.defaultValue)}`;
+	}
+
+	return field.fields.length > 0 && !field.isList ? `# ${field.key}:` : `# ${field.key}:${markOf(field)}`;
+}
+
+function markOf(field: schemaFields.SchemaField): string {
+	return ` # ${field.presence}`;
+}
+
+/** Whether a line of the field or below it is no comment. */
+function hasDefault(field: schemaFields.SchemaField): boolean {
+	if (field.presence === schemaFields.FieldPresence.Optional) {
+		return false;
+	}
+
+	return field.defaultValue !== undefined || field.fields.some(part => hasDefault(part));
+}
--- a/packages/config/src/document/schema-fields.ts
+++ b/packages/config/src/document/schema-fields.ts
@@ -16,6 +16,8 @@
 	readonly presence: FieldPresence;
 	/** Default of a field that is no section. */
 	readonly defaultValue?: unknown;
+	/** The values of an enum; empty for other types. */
+	readonly values: readonly string[];
 	/** Fields of a section, or of the entries of a list of sections. */
 	readonly fields: readonly SchemaField[];
 	/** Whether the fields are those of the entries of a list. */
@@ -41,6 +43,7 @@
 		description: field.description ?? '',
 		presence,
 		...(defaultValue !== undefined && {defaultValue}),
+		values: schema instanceof zod.ZodEnum ? schema.options.map(String) : [],
 		fields: element instanceof zod.ZodObject ? schemaFields(element) : [],
 		isList: schema instanceof zod.ZodArray,
 	};
--- a/packages/config/src/manifest/index.ts
+++ b/packages/config/src/manifest/index.ts
@@ -5,4 +5,5 @@
 export * from './manifest-content.js';
 export * from './manifest-schema.js';
 export * from './parse-manifest.js';
+export * from './render-manifest-fields.js';
 export * from './sections.js';
--- /dev/null
+++ b/packages/config/src/manifest/render-manifest-fields.ts
@@ -0,0 +1,9 @@
+import * as renderFields from '../document/render-fields.js';
+import * as schemaFields from '../document/schema-fields.js';
+import * as manifestSchema from './manifest-schema.js';
+
+/** Returns all fields of a manifest file as YAML with their descriptions and defaults; entries of lists are comments. */
+export function renderManifestFields(): string {
+	const fields = schemaFields.schemaFields(manifestSchema.manifestSchema);
+	return `${renderFields.renderListFields(fields).join('\n')}\n`;
+}
