--- a/packages/stand-ins/src/engine/engine-task.ts
+++ b/packages/stand-ins/src/engine/engine-task.ts
@@ -18,6 +18,8 @@
 	readonly attemptId: string;
 	readonly account: string;
 	readonly weights: string;
+	/** Milliseconds since the Unix epoch. */
+	readonly arrivedAt: number;
 	readonly body: wire.endpoint.EngineCompletionRequest;
 };
 
@@ -26,6 +28,8 @@
 	state = TaskState.Queued;
 	/** Prompt tokens that are still to be computed; set at the start of the prefill. */
 	missingTokens = 0;
+	/** Whether a first chunk of the prompt was computed. */
+	prefillBegun = false;
 	hits: readonly prefixCache.CachedPiece[] = [];
 	readonly promptTokens: number;
 	readonly finishReason: string;
