Hold recalls back before their sections come, and count from when a newer generation is known

A router that missed the sections of a change before a recall kept its old weights until the confirmation ran out; and a router that heard of a newer read by a peer could go on by majority for as long as no head came. The tracker now emits the recalled batches of a pending head at once and keeps the time since when any newer generation is known, from heads and from reads that peers tell of.

--- a/packages/core/src/manifest/confirmation-guard.ts
+++ b/packages/core/src/manifest/confirmation-guard.ts
@@ -11,6 +11,8 @@
 export type ConfirmationState = {
 	/** Latest read of the head from the key-value service, its own or one that a router told of. */
 	readonly kv?: Confirmation;
+	/** Latest read that showed an older generation than that. */
+	readonly kvBefore?: Confirmation;
 	/** Latest answer of each router. */
 	readonly peers: ReadonlyMap<model.VmId, Confirmation>;
 };
@@ -22,7 +24,7 @@
 	readonly listedVms: readonly model.VmId[];
 	/** Generation in force on this router. */
 	readonly generation: model.Generation | undefined;
-	/** When a newer generation than the one in force was first seen. */
+	/** Since when a newer generation than the one in force is known. */
 	readonly newerSince: number | undefined;
 	readonly confirmTimeoutMs: number;
 };
@@ -40,9 +42,18 @@
 /** State of a router that has asked nobody. */
 export const initialConfirmationState: ConfirmationState = {peers: new Map()};
 
-/** Records a read of the key-value service; an older one than is known changes nothing. */
+/** Records a read of the key-value service; an earlier one, or one that shows an older generation, changes nothing. */
 export function recordKv(state: ConfirmationState, kv: Confirmation): ConfirmationState {
-	return state.kv !== undefined && state.kv.at >= kv.at ? state : {...state, kv};
+	const known = state.kv;
+	if (known === undefined) {
+		return {...state, kv};
+	}
+
+	if (kv.generation > known.generation) {
+		return {...state, kv, kvBefore: known};
+	}
+
+	return kv.generation === known.generation && kv.at > known.at ? {...state, kv} : state;
 }
 
 /** Records a router's answer; an older one than is known changes nothing. */
@@ -76,7 +87,7 @@
 	const agrees = (confirmation: Confirmation | undefined) => confirmation !== undefined
 		&& confirmation.generation <= generation
 		&& now - confirmation.at <= confirmTimeoutMs;
-	if (agrees(state.kv)) {
+	if (agrees(state.kv) || agrees(state.kvBefore)) {
 		return ConfirmationBasis.Kv;
 	}
 
--- a/packages/core/src/manifest/generation-tracker.ts
+++ b/packages/core/src/manifest/generation-tracker.ts
@@ -9,7 +9,12 @@
 export type PendingHead = {
 	readonly head: manifestHead.ManifestHead;
 	readonly source: HeadSource;
-	/** When a head newer than the one in force was first seen, in milliseconds. */
+};
+
+/** A generation that is newer than the one in force. */
+export type NewerGeneration = {
+	readonly generation: model.Generation;
+	/** Time in milliseconds since when a newer generation than the one in force is known. */
 	readonly since: number;
 };
 
@@ -17,12 +22,15 @@
 export type TrackerState = {
 	readonly inForce?: manifestHead.ManifestHead;
 	readonly pending?: PendingHead;
+	readonly newer?: NewerGeneration;
 };
 
 /** What happens to the tracker. */
 export enum TrackerEventType {
 	/** A head was read from the key-value service or told by a router. */
 	HeadSeen = 'head_seen',
+	/** A generation is known to be accepted; its head may not have been seen. */
+	GenerationKnown = 'generation_known',
 	/** Sections have arrived. */
 	SectionsArrived = 'sections_arrived',
 }
@@ -33,6 +41,9 @@
 	readonly head: manifestHead.ManifestHead;
 	readonly source: HeadSource;
 	readonly held: ReadonlySet<string>;
+} | {
+	readonly type: TrackerEventType.GenerationKnown;
+	readonly generation: model.Generation;
 } | {
 	readonly type: TrackerEventType.SectionsArrived;
 	readonly held: ReadonlySet<string>;
@@ -41,6 +52,8 @@
 /** What the tracker asks for. */
 export enum TrackerEffectType {
 	FetchSections = 'fetch_sections',
+	/** Stop using recalled batches at once, although the rest of the head is not in force yet. */
+	HoldBack = 'hold_back',
 	/** Put the head's manifest in force. */
 	Adopt = 'adopt',
 }
@@ -50,12 +63,16 @@
 	readonly type: TrackerEffectType.FetchSections;
 	readonly hashes: readonly string[];
 	readonly source: HeadSource;
+} | {
+	readonly type: TrackerEffectType.HoldBack;
+	readonly batches: readonly model.BatchKey[];
 } | {
 	readonly type: TrackerEffectType.Adopt;
 	readonly head: manifestHead.ManifestHead;
 	readonly source: HeadSource;
 };
 
+type HeadSeenEvent = Extract<TrackerEvent, {type: TrackerEventType.HeadSeen}>;
 type TrackerStep = util.Step<TrackerState, TrackerEffect>;
 
 /** State of a router that has just started. */
@@ -63,41 +80,68 @@
 
 /**
  * Takes generations only forwards: the newest head seen is pending until all its sections are held, then in force.
+ * What it recalls is held back at once.
  *
  * @throws InvariantError when two changes carry one generation.
  */
 export function stepTracker(state: TrackerState, event: TrackerEvent, now: number): TrackerStep {
-	if (event.type === TrackerEventType.SectionsArrived) {
-		return state.pending === undefined ? {state, effects: []} : adoptWhenComplete(state, state.pending, event.held);
+	switch (event.type) {
+		case TrackerEventType.HeadSeen: {
+			return seeHead(noteNewer(state, event.head.generation, now), event);
+		}
+
+		case TrackerEventType.GenerationKnown: {
+			return {state: noteNewer(state, event.generation, now), effects: []};
+		}
+
+		case TrackerEventType.SectionsArrived: {
+			return state.pending === undefined ? {state, effects: []} : adoptWhenComplete(state, state.pending, event.held);
+		}
 	}
+}
 
-	assertSameChange(state.inForce, event.head);
-	assertSameChange(state.pending?.head, event.head);
+/** Returns the hashes of a head's sections that are not held, each once. */
+export function missingSections(head: manifestHead.ManifestHead, held: ReadonlySet<string>): readonly string[] {
+	const hashes = new Set(head.sections.map(section => section.hash));
+	return [...hashes].filter(hash => !held.has(hash));
+}
+
+function seeHead(state: TrackerState, event: HeadSeenEvent): TrackerStep {
+	const {head, source, held} = event;
+	assertSameChange(state.inForce, head);
+	assertSameChange(state.pending?.head, head);
 	const newest = state.pending?.head ?? state.inForce;
-	if (newest !== undefined && event.head.generation <= newest.generation) {
+	if (newest !== undefined && head.generation <= newest.generation) {
 		return {state, effects: []};
 	}
 
-	const pending = {head: event.head, source: event.source, since: state.pending?.since ?? now};
-	return adoptWhenComplete({...state, pending}, pending, event.held);
+	const pending = {head, source};
+	return adoptWhenComplete({...state, pending}, pending, held);
 }
 
-/** Returns the hashes of a head's sections that are not held, each once. */
-export function missingSections(head: manifestHead.ManifestHead, held: ReadonlySet<string>): readonly string[] {
-	const hashes = new Set(head.sections.map(section => section.hash));
-	return [...hashes].filter(hash => !held.has(hash));
+function noteNewer(state: TrackerState, generation: model.Generation, now: number): TrackerState {
+	const known = state.newer?.generation ?? state.inForce?.generation ?? 0;
+	return generation <= known ? state : {...state, newer: {generation, since: state.newer?.since ?? now}};
 }
 
 function adoptWhenComplete(state: TrackerState, pending: PendingHead, held: ReadonlySet<string>): TrackerStep {
 	const {head, source} = pending;
 	const hashes = missingSections(head, held);
 	if (hashes.length > 0) {
-		return {state, effects: [{type: TrackerEffectType.FetchSections, hashes, source}]};
+		return {state, effects: [...holdBack(state.inForce, head), {type: TrackerEffectType.FetchSections, hashes, source}]};
 	}
 
 	const before = state.inForce?.generation ?? 0;
 	util.assertInvariant(head.generation > before, 'manifest.forwards-only', () => `${head.generation} after ${before}`);
-	return {state: {inForce: head}, effects: [{type: TrackerEffectType.Adopt, head, source}]};
+	const newer = state.newer !== undefined && state.newer.generation > head.generation ? {newer: state.newer} : {};
+	return {state: {inForce: head, ...newer}, effects: [{type: TrackerEffectType.Adopt, head, source}]};
+}
+
+/** A recall does not wait for sections that an earlier change brought. */
+function holdBack(inForce: manifestHead.ManifestHead | undefined, pending: manifestHead.ManifestHead): TrackerEffect[] {
+	const known = new Set(inForce?.recalled);
+	const batches = pending.recalled.filter(batch => !known.has(batch));
+	return inForce === undefined || batches.length === 0 ? [] : [{type: TrackerEffectType.HoldBack, batches}];
 }
 
 function assertSameChange(known: manifestHead.ManifestHead | undefined, seen: manifestHead.ManifestHead): void {
--- a/packages/core/tests/manifest/confirmation-guard.test.ts
+++ b/packages/core/tests/manifest/confirmation-guard.test.ts
@@ -63,6 +63,17 @@
 		});
 	}
 
+	it('goes on by the read before while a newer generation has just been read', () => {
+		let state = manifest.recordKv(manifest.initialConfirmationState, {generation: 4, at: fresh});
+		state = manifest.recordKv(state, {generation: 5, at: now});
+		const query = {
+			self: 'a', listedVms: three, generation: 4, newerSince: now, confirmTimeoutMs: 3000,
+		};
+		expect(manifest.confirmationBasis(state, query, now)).to.equal('kv');
+		expect(manifest.confirmationBasis(state, query, now + 3001)).to.equal('none');
+		expect(manifest.recordKv(state, {generation: 4, at: now + 1})).to.equal(state);
+	});
+
 	it('is not moved back by answers that come late', () => {
 		const late = {generation: 4, at: old};
 		const kv = manifest.recordKv(manifest.recordKv(manifest.initialConfirmationState, {generation: 4, at: fresh}), late);
--- a/packages/router/src/controllers/manifest-controller.ts
+++ b/packages/router/src/controllers/manifest-controller.ts
@@ -107,7 +107,7 @@
 			self: this.#options.vm,
 			listedVms: this.#options.listedVms(),
 			generation: this.#tracker.inForce?.generation,
-			newerSince: this.#tracker.pending?.since,
+			newerSince: this.#tracker.newer?.since,
 			confirmTimeoutMs: this.#options.confirmTimeoutMs,
 		}, now);
 	}
@@ -172,12 +172,17 @@
 			return;
 		}
 
-		this.#confirmations = tracker.recordKv(this.#confirmations, {generation: head?.generation ?? 0, at: now});
+		this.#recordKv({generation: head?.generation ?? 0, at: now});
 		if (head !== undefined) {
 			this.#onHead(head, undefined);
 		}
 	}
 
+	#recordKv(read: core.manifest.Confirmation): void {
+		this.#confirmations = tracker.recordKv(this.#confirmations, read);
+		this.#step({type: tracker.TrackerEventType.GenerationKnown, generation: read.generation});
+	}
+
 	/** Asks the watchers; all listed VMs while nobody tells of a fresh read. */
 	#probe(watchers: readonly core.model.VmId[], now: number): void {
 		const kvAge = now - (this.#confirmations.kv?.at ?? Number.NEGATIVE_INFINITY);
@@ -219,14 +224,14 @@
 	#onProbe(from: core.model.VmId, probe: wire.peer.ManifestProbe): void {
 		const now = this.#options.clock.now();
 		const {kv} = this.#confirmations;
-		const {inForce} = this.#tracker;
+		const newest = this.#tracker.pending?.head ?? this.#tracker.inForce;
 		this.#peerGenerations.set(from, probe.generation);
 		this.#send(from, {
 			type: messageType.ManifestProbeAnswer,
 			sentAt: probe.sentAt,
 			generation: this.#generation(),
 			...(kv && {kv: {generation: kv.generation, ageMs: now - kv.at}}),
-			...(inForce && inForce.generation > probe.generation && {head: inForce}),
+			...(newest && newest.generation > probe.generation && {head: newest}),
 		});
 		if (probe.generation > this.#generation()) {
 			this.#sendProbe(from, now);
@@ -238,7 +243,7 @@
 		this.#peerGenerations.set(from, generation);
 		this.#confirmations = tracker.recordPeer(this.#confirmations, from, {generation, at: sentAt});
 		if (kv !== undefined) {
-			this.#confirmations = tracker.recordKv(this.#confirmations, {generation: kv.generation, at: sentAt - kv.ageMs});
+			this.#recordKv({generation: kv.generation, at: sentAt - kv.ageMs});
 		}
 
 		if (head !== undefined) {
@@ -271,22 +276,48 @@
 		const {state, effects} = tracker.stepTracker(this.#tracker, event, this.#options.clock.now());
 		this.#tracker = state;
 		for (const effect of effects) {
-			if (effect.type === tracker.TrackerEffectType.Adopt) {
+			this.#carryOut(effect);
+		}
+	}
+
+	#carryOut(effect: core.manifest.TrackerEffect): void {
+		switch (effect.type) {
+			case tracker.TrackerEffectType.Adopt: {
 				this.#adopt(effect.head);
-			} else {
+				return;
+			}
+
+			case tracker.TrackerEffectType.HoldBack: {
+				this.#holdBack(effect.batches);
+				return;
+			}
+
+			case tracker.TrackerEffectType.FetchSections: {
 				this.#fetch(effect.hashes, effect.source);
 			}
 		}
 	}
 
+	/** Recalls batches of the manifest in force, whose generation stays until the rest has come. */
+	#holdBack(batches: readonly core.model.BatchKey[]): void {
+		if (this.#current !== undefined) {
+			const recalled = [...new Set([...this.#current.recalled, ...batches])];
+			this.#publish({...this.#current, recalled});
+		}
+	}
+
 	#adopt(head: core.manifest.ManifestHead): void {
 		const manifest = this.#sections.assemble(head);
 		core.util.assertInvariant(manifest !== undefined, 'manifest.sections-well-formed', () => `generation ${head.generation}`);
 		this.#sections.retainOnly(head);
-		this.#current = manifest;
 		debug('generation %d by change %s is in force', head.generation, head.changeId);
 		this.#options.metrics?.gauge('manifest.generation', head.generation);
 		this.#tellPeers(head);
+		this.#publish(manifest);
+	}
+
+	#publish(manifest: core.model.Manifest): void {
+		this.#current = manifest;
 		for (const listener of this.#listeners) {
 			listener(manifest);
 		}
--- a/packages/router/tests/controllers/fakes/memory-kv.ts
+++ b/packages/router/tests/controllers/fakes/memory-kv.ts
@@ -33,13 +33,16 @@
 /** One client of the key-value service in memory; `down` cuts it off. */
 export class MemoryKvClient implements platform.kv.KeyValueClient {
 	down = false;
+	/** When set, reads of sections fail. */
+	losesSections = false;
 	reads = 0;
 
 	constructor(readonly store: MemoryKv) {}
 
 	async get(key: string): platform.kv.KvResult<platform.kv.KvEntry | undefined> {
 		this.reads += 1;
-		return this.down ? notSent() : purify.Right(this.store.entries.get(key));
+		const fails = this.down || (this.losesSections && key.startsWith('manifest/section/'));
+		return fails ? notSent() : purify.Right(this.store.entries.get(key));
 	}
 
 	async getPrefix(prefix: string): platform.kv.KvResult<readonly platform.kv.KvEntry[]> {
--- a/packages/router/tests/controllers/manifest-controller.test.ts
+++ b/packages/router/tests/controllers/manifest-controller.test.ts
@@ -149,6 +149,23 @@
 		expect(fleet.controllers[0]!.current()?.models[0]?.versions).to.deep.equal(['3']);
 	});
 
+	it('takes a recall at once although the sections of a change before it do not come', async () => {
+		const fleet = new Fleet(7);
+		await fleet.run(3);
+		for (const client of fleet.clients) {
+			client.losesSections = true;
+		}
+
+		const changed = {...content, models: content.models.map(model => ({...model, versions: ['3', '2']}))};
+		fleet.write(config.manifest.proposeApply(fleet.controllers[0]!.head(), changed, {changeId: 'second', madeFrom: 1}).unsafeCoerce());
+		fleet.recall();
+		await fleet.run(1);
+		expect(fleet.generations()).to.deep.equal(all(7, 1));
+		expect(fleet.controllers.map(controller => controller.current()?.recalled)).to.deep.equal(all(7, [batch]));
+		await fleet.run(4);
+		expect(fleet.confirmed()).to.deep.equal(all(7, false));
+	});
+
 	it('ignores an older head', async () => {
 		const fleet = new Fleet(2);
 		await fleet.run(2);
--- a/packages/wire/src/peer/manifest-messages.ts
+++ b/packages/wire/src/peer/manifest-messages.ts
@@ -28,7 +28,7 @@
 		/** Milliseconds since the read was sent. */
 		readonly ageMs: number;
 	};
-	/** The head, when it is newer than the one of the router that asked. */
+	/** The newest head that the router knows, when it is newer than the one of the router that asked. */
 	readonly head?: core.manifest.ManifestHead;
 };
 
