--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -5,6 +5,7 @@
 export * as fault from './fault/index.js';
 export * as kv from './kv/index.js';
 export * as load from './load/index.js';
+export * as memberFleet from './bench/member-fleet.js';
 export * as plainService from './plain-service/index.js';
 export * as soak from './soak/index.js';
 export * as util from './util/index.js';
