--- a/packages/stand-ins/src/deployment/local-deployment.ts
+++ b/packages/stand-ins/src/deployment/local-deployment.ts
@@ -4,6 +4,7 @@
 import * as url from 'node:url';
 import * as undici from 'undici';
 import * as yaml from 'yaml';
+import type * as check from '../check/index.js';
 import type * as engine from '../engine/index.js';
 import type * as fault from '../fault/index.js';
 import type * as load from '../load/index.js';
@@ -163,6 +164,14 @@
 		return this.engines.flatMap(standIn => this.#readRecords(standIn) as engine.EngineRecord[]);
 	}
 
+	/** Returns what arrived at engines and runners. */
+	arrivals(): check.Arrival[] {
+		return [
+			...this.engineRecords().map(record => ({endpoint: record.engine, at: record.arrivedAt, request: record.requestId})),
+			...this.executions().map(execution => ({endpoint: execution.runner, at: execution.arrivedAt, request: execution.requestId})),
+		];
+	}
+
 	/** Returns the calls that the key-value service counted, by type. */
 	async kvCounts(): Promise<Record<string, number>> {
 		const res = await undici.request(`http://${host}:${this.kv.faultPort}/counts`);
--- a/packages/stand-ins/src/engine/engine-stand-in.ts
+++ b/packages/stand-ins/src/engine/engine-stand-in.ts
@@ -47,7 +47,6 @@
 	readonly #load: loadReporter.LoadReporter;
 	readonly #recorder: util.Recorder<EngineRecord>;
 	#taskCount = 0;
-	#leaving = false;
 
 	constructor(options: engineOptions.EngineOptions) {
 		this.#settings = engineOptions.fillDefaults(options);
@@ -98,11 +97,6 @@
 		return this.#recorder.list();
 	}
 
-	/** Says in load reports whether the engine is going away. */
-	setLeaving(leaving: boolean): void {
-		this.#leaving = leaving;
-	}
-
 	#endWork(): void {
 		this.#load.stop();
 		this.#events.stop();
@@ -292,7 +286,7 @@
 			cachedTokens: this.#cache.tokens,
 			cacheLimitTokens: this.#settings.cacheLimitTokens,
 			weights: this.#holder.weights,
-			leaving: this.#leaving,
+			leaving: this.server.faults.leaving,
 		};
 	}
 }
--- a/packages/stand-ins/src/fault/fault.ts
+++ b/packages/stand-ins/src/fault/fault.ts
@@ -16,6 +16,8 @@
 	LoseAnswers = 'lose_answers',
 	/** A share of `probability` of events is dropped. */
 	DropEvents = 'drop_events',
+	/** Load reports say that the endpoint is going away; it works on. */
+	Leave = 'leave',
 	/** Ends all faults but silence of connections. */
 	Clear = 'clear',
 }
--- a/packages/stand-ins/src/fault/stand-in-server.ts
+++ b/packages/stand-ins/src/fault/stand-in-server.ts
@@ -146,6 +146,11 @@
 				break;
 			}
 
+			case fault.FaultName.Leave: {
+				this.faults.leaving = true;
+				break;
+			}
+
 			case fault.FaultName.Clear: {
 				await this.#clear();
 				break;
--- a/packages/stand-ins/src/plain-service/plain-service-stand-in.ts
+++ b/packages/stand-ins/src/plain-service/plain-service-stand-in.ts
@@ -17,6 +17,9 @@
 /** One execution of a call. */
 export type Execution = {
 	readonly runner: string;
+	/** Milliseconds since the Unix epoch at which the call arrived. */
+	readonly arrivedAt: number;
+	/** Milliseconds since the Unix epoch at which it was carried out. */
 	readonly at: number;
 	readonly method: string;
 	readonly path: string;
@@ -48,14 +51,13 @@
 	readonly #incarnation = crypto.randomUUID();
 	#sequence = 0;
 	#running = 0;
-	#leaving = false;
 
 	constructor(options: PlainServiceOptions) {
 		this.#name = options.name ?? 'runner';
 		this.#latencyMs = options.latencyMs ?? defaultLatencyMs;
 		this.#random = new util.Random(options.seed ?? 1);
 		this.#recorder = new util.Recorder(options.recordFile);
-		this.server = new fault.StandInServer(options, async (req, res) => this.#handle(req, res), {
+		this.server = new fault.StandInServer(options, async (req, res, arrivedAt) => this.#handle(req, res, arrivedAt), {
 			record: () => this.executions(),
 		});
 	}
@@ -73,12 +75,7 @@
 		return this.#recorder.list();
 	}
 
-	/** Says in load reports whether the runner is going away. */
-	setLeaving(leaving: boolean): void {
-		this.#leaving = leaving;
-	}
-
-	async #handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+	async #handle(req: http.IncomingMessage, res: http.ServerResponse, arrivedAt: number): Promise<void> {
 		if (util.pathOf(req) === '/v1/load') {
 			await this.server.faults.beforeAnswer();
 			util.sendJson(res, 200, this.#loadReport());
@@ -87,17 +84,17 @@
 
 		this.#running += 1;
 		try {
-			await this.#execute(req, res);
+			await this.#execute(req, res, arrivedAt);
 		} finally {
 			this.#running -= 1;
 		}
 	}
 
-	async #execute(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+	async #execute(req: http.IncomingMessage, res: http.ServerResponse, arrivedAt: number): Promise<void> {
 		const text = await util.readText(req);
 		await util.sleep(this.#halfLatency());
 		await this.server.faults.whenThawed();
-		const execution = this.#record(req, text);
+		const execution = this.#record(req, text, arrivedAt);
 		await util.sleep(this.#halfLatency());
 		await this.server.faults.beforeAnswer();
 		if (this.#random.chance(this.server.faults.loseAnswersProbability)) {
@@ -111,9 +108,10 @@
 		});
 	}
 
-	#record(req: http.IncomingMessage, text: string): Execution {
+	#record(req: http.IncomingMessage, text: string, arrivedAt: number): Execution {
 		const execution: Execution = {
 			runner: this.#name,
+			arrivedAt,
 			at: Date.now(),
 			method: req.method ?? '',
 			path: util.pathOf(req),
@@ -151,7 +149,7 @@
 			cachedTokens: 0,
 			cacheLimitTokens: 0,
 			weights: [],
-			leaving: this.#leaving,
+			leaving: this.server.faults.leaving,
 		};
 	}
 }
--- a/packages/stand-ins/src/soak/disturber.ts
+++ b/packages/stand-ins/src/soak/disturber.ts
@@ -1,3 +1,4 @@
+import type * as check from '../check/index.js';
 import type * as deployment from '../deployment/index.js';
 import * as fault from '../fault/index.js';
 import * as util from '../util/index.js';
@@ -17,6 +18,7 @@
 /** Carries out the disturbances of a schedule. */
 export class Disturber {
 	readonly outages: RouterOutage[] = [];
+	readonly leaves: check.LeaveRecord[] = [];
 	readonly findings: string[] = [];
 
 	constructor(private readonly local: deployment.LocalDeployment, private readonly print: (line: string) => void) {}
@@ -62,6 +64,14 @@
 				return this.#fault(this.local.engines[target]!, {fault: fault.FaultName.DropEvents}, durationMs);
 			}
 
+			case types.LeaveEngine: {
+				return this.#leave(this.local.engines[target]!, durationMs);
+			}
+
+			case types.LeaveRunner: {
+				return this.#leave(this.local.runners[target]!, durationMs);
+			}
+
 			case types.FreezeRunner: {
 				return this.#fault(this.local.runners[target]!, {fault: fault.FaultName.Freeze}, durationMs);
 			}
@@ -118,6 +128,12 @@
 		await this.local.fault(standIn, {fault: fault.FaultName.Clear});
 	}
 
+	async #leave(standIn: deployment.RunningStandIn, durationMs: number): Promise<void> {
+		const from = Date.now();
+		await this.#fault(standIn, {fault: fault.FaultName.Leave}, durationMs);
+		this.leaves.push({endpoint: standIn.name, from, to: from + durationMs});
+	}
+
 	async #killRouter(router: deployment.RunningRouter, durationMs: number): Promise<void> {
 		const from = Date.now();
 		await this.#noteUnexpectedEnd(router);
--- a/packages/stand-ins/src/soak/schedule.ts
+++ b/packages/stand-ins/src/soak/schedule.ts
@@ -7,10 +7,14 @@
 	SilenceEngine = 'silence_engine',
 	RefuseEngine = 'refuse_engine',
 	DropCacheEvents = 'drop_cache_events',
+	/** The engine says that it is going away. */
+	LeaveEngine = 'leave_engine',
 	KillRunner = 'kill_runner',
 	FreezeRunner = 'freeze_runner',
 	SilenceRunner = 'silence_runner',
 	LoseRunnerAnswers = 'lose_runner_answers',
+	/** The runner says that it is going away. */
+	LeaveRunner = 'leave_runner',
 	KvOutage = 'kv_outage',
 	KvSlow = 'kv_slow',
 	KvLoseAnswers = 'kv_lose_answers',
@@ -53,6 +57,7 @@
 const meanIntervalMs = 2500;
 const shortestMs = 500;
 const longestMs = 6000;
+const longestKvMs = 20_000;
 /** Time at the start and at the end of the load without disturbances. */
 const quietMs = 4000;
 
@@ -62,10 +67,12 @@
 	[DisturbanceType.SilenceEngine]: Subject.Engine,
 	[DisturbanceType.RefuseEngine]: Subject.Engine,
 	[DisturbanceType.DropCacheEvents]: Subject.Engine,
+	[DisturbanceType.LeaveEngine]: Subject.Engine,
 	[DisturbanceType.KillRunner]: Subject.Runner,
 	[DisturbanceType.FreezeRunner]: Subject.Runner,
 	[DisturbanceType.SilenceRunner]: Subject.Runner,
 	[DisturbanceType.LoseRunnerAnswers]: Subject.Runner,
+	[DisturbanceType.LeaveRunner]: Subject.Runner,
 	[DisturbanceType.KvOutage]: Subject.Kv,
 	[DisturbanceType.KvSlow]: Subject.Kv,
 	[DisturbanceType.KvLoseAnswers]: Subject.Kv,
@@ -111,7 +118,8 @@
 	};
 	const target = random.integer(0, counts[subjectByType[type]] - 1);
 	const left = options.durationMs - quietMs - atMs;
-	const durationMs = Math.min(random.integer(shortestMs, longestMs), Math.round(left));
+	const longest = subjectByType[type] === Subject.Kv ? longestKvMs : longestMs;
+	const durationMs = Math.min(random.integer(shortestMs, longest), Math.round(left));
 	return {
 		atMs, type, target, durationMs,
 	};
--- a/packages/stand-ins/src/soak/soak.ts
+++ b/packages/stand-ins/src/soak/soak.ts
@@ -63,6 +63,7 @@
 			...check.checkService(result, leastAnsweredShare),
 			...check.checkBookings(result.bookingRecords, local.executions()),
 			...check.checkEngines(local.engineRecords(), operator.recalls),
+			...check.checkLeaving(local.arrivals(), disturber.leaves),
 			...lostCheck.checkLost(result.lost, disturber.outages),
 			...local.brokenInvariants(),
 			...local.endedRouters(),
--- a/packages/stand-ins/tests/check/check.test.ts
+++ b/packages/stand-ins/tests/check/check.test.ts
@@ -11,7 +11,7 @@
 }
 
 const execution: standIns.plainService.Execution = {
-	runner: 'r', at: 0, method: 'POST', path: '/bookings', requestId: 'q', attemptId: 'a', account: 'club', idempotencyKey: 'k', order: '1',
+	runner: 'r', arrivedAt: 0, at: 0, method: 'POST', path: '/bookings', requestId: 'q', attemptId: 'a', account: 'club', idempotencyKey: 'k', order: '1',
 };
 
 describe('checkBookings', () => {
@@ -71,6 +71,21 @@
 	}
 });
 
+describe('checkLeaving', () => {
+	const leaves = [{endpoint: 'e', from: 1000, to: 9000}];
+	const cases: ReadonlyArray<{at: number; endpoint: string; findings: number}> = [
+		{at: 3900, endpoint: 'e', findings: 0},
+		{at: 4100, endpoint: 'e', findings: 1},
+		{at: 4100, endpoint: 'f', findings: 0},
+		{at: 9100, endpoint: 'e', findings: 0},
+	];
+	for (const {at, endpoint, findings} of cases) {
+		it(`has ${findings} findings on work at ${endpoint} at ${at}`, () => {
+			expect(standIns.check.checkLeaving([{endpoint, at, request: 'q'}], leaves)).to.have.length(findings);
+		});
+	}
+});
+
 describe('checkCounts', () => {
 	const counts: standIns.load.OutcomeCounts = {
 		sent: 6, answered: 1, refused_not_run: 1, refused_unknown: 1, refused_done: 1, interrupted: 1, lost: 1, wrong: 0, // eslint-disable-line @typescript-eslint/naming-convention
