Forward requests with router-issued keys to the router that issued them

Cause: only the issuing incarnation may run a request with its key, whichever router the balancer picks. Change: an answer interface with a captured form, forwarding over the peer links, a filter that issues keys. Ruled out: sending the caller elsewhere by a redirect; callers reach routers through the balancer only.

--- a/packages/router/src/dispatch/service-actions.ts
+++ b/packages/router/src/dispatch/service-actions.ts
@@ -4,7 +4,7 @@
 import type * as serviceClient from '../endpoints/service-client.js';
 import type * as call from '../filters/call.js';
 import type * as requestContext from '../filters/request-context.js';
-import type * as callerAnswer from '../http/caller-answer.js';
+import type * as answerModule from '../http/answer.js';
 import type * as placer from '../placement/placer.js';
 import * as matchEither from '../util/match-either.js';
 import * as abortReason from './abort-reason.js';
@@ -25,7 +25,7 @@
 	readonly #options: ServiceActionsOptions;
 	readonly #excluded = new Set<core.model.EndpointId>();
 	#attempt: serviceClient.ServiceAttempt | undefined;
-	#answer: callerAnswer.WholeAnswer | undefined;
+	#answer: answerModule.WholeAnswer | undefined;
 
 	constructor(
 		ctx: requestContext.RequestContext,
@@ -40,7 +40,7 @@
 	}
 
 	/** The service's whole answer, once there is one. */
-	get answer(): callerAnswer.WholeAnswer | undefined {
+	get answer(): answerModule.WholeAnswer | undefined {
 		return this.#answer;
 	}
 
@@ -123,7 +123,7 @@
 		return {type: core.request.RequestEventType.Placed, attemptId, endpoint: endpoint.id};
 	}
 
-	#completedEvent(answer: callerAnswer.WholeAnswer): core.request.RequestEvent {
+	#completedEvent(answer: answerModule.WholeAnswer): core.request.RequestEvent {
 		this.#answer = answer;
 		return {type: core.request.RequestEventType.Completed};
 	}
--- a/packages/router/src/endpoints/service-client.ts
+++ b/packages/router/src/endpoints/service-client.ts
@@ -3,7 +3,7 @@
 import * as wire from '@bluebellmast/wire';
 import * as purify from 'purify-ts';
 import type * as undici from 'undici';
-import type * as callerAnswer from '../http/caller-answer.js';
+import type * as answerModule from '../http/answer.js';
 import * as ignore from '../util/ignore.js';
 import type * as attemptFailure from './attempt-failure.js';
 import type * as connectionPools from './connection-pools.js';
@@ -58,7 +58,7 @@
 	async call(
 		attempt: ServiceAttempt,
 		call: ServiceCallOptions,
-	): Promise<purify.Either<attemptFailure.AttemptFailure, callerAnswer.WholeAnswer>> {
+	): Promise<purify.Either<attemptFailure.AttemptFailure, answerModule.WholeAnswer>> {
 		const tracker = new sendTracker.SendTracker(call.onSend);
 		const pool = attempt.repeatable ? this.#pools.reused() : this.#pools.fresh();
 		try {
@@ -86,7 +86,7 @@
 		}
 	}
 
-	async #readAnswer(res: undici.Dispatcher.ResponseData): Promise<callerAnswer.WholeAnswer> {
+	async #readAnswer(res: undici.Dispatcher.ResponseData): Promise<answerModule.WholeAnswer> {
 		const chunks: Uint8Array[] = [];
 		let size = 0;
 		for await (const chunk of res.body) {
--- a/packages/router/src/filters/account-filter.ts
+++ b/packages/router/src/filters/account-filter.ts
@@ -2,6 +2,7 @@
 import * as crypto from 'node:crypto';
 import * as core from '@bluebellmast/core';
 import * as callModule from './call.js';
+import * as findKind from './find-kind.js';
 import type * as filter from './filter.js';
 import type * as requestContext from './request-context.js';
 
@@ -22,7 +23,7 @@
 			return;
 		}
 
-		const kind = findKind(ctx);
+		const kind = findKind.findKind(ctx);
 		if (kind === undefined) {
 			this.#refuse(ctx, core.model.ErrorCode.NotFound, `there is no ${target ?? 'kind'} of this name`);
 			return;
@@ -69,29 +70,3 @@
 		}
 	}
 }
-
-function findKind(ctx: requestContext.RequestContext): core.model.RequestKind | undefined {
-	const {manifest} = ctx;
-	const id = ctx.call.type === callModule.CallType.Chat
-		? chatKind(manifest, ctx.call, ctx.headers.requestKind)
-		: serviceKind(manifest, ctx.call);
-	return manifest.kinds.find(kind => kind.id === id);
-}
-
-function chatKind(manifest: core.model.Manifest, call: callModule.ChatCall, named: string | undefined): string | undefined {
-	const model = manifest.models.find(candidate => candidate.id === call.model);
-	return model && (named ?? model.defaultKind);
-}
-
-/** Only the manifest's rules name the kind of a plain call, so that no caller can make a booking repeatable. */
-function serviceKind(manifest: core.model.Manifest, call: callModule.Call): string | undefined {
-	if (call.type !== callModule.CallType.Service) {
-		return manifest.kinds[0]?.id;
-	}
-
-	const service = manifest.services.find(candidate => candidate.id === call.service);
-	const [path] = call.path.split('?', 1);
-	const rule = service?.rules.find(candidate =>
-		(candidate.method === '*' || candidate.method === call.method) && path!.startsWith(candidate.pathPrefix));
-	return rule?.kind ?? service?.defaultKind;
-}
--- /dev/null
+++ b/packages/router/src/filters/find-kind.ts
@@ -0,0 +1,34 @@
+import type * as core from '@bluebellmast/core';
+import * as callModule from './call.js';
+import type * as requestContext from './request-context.js';
+
+/** Returns the kind of a request, or `undefined` when its model, service or kind is not known. */
+export function findKind(ctx: requestContext.RequestContext): core.model.RequestKind | undefined {
+	const {manifest, call} = ctx;
+	if (call.type === callModule.CallType.IssueKey) {
+		return manifest.kinds.find(kind => !kind.repeatable) ?? manifest.kinds[0];
+	}
+
+	const id = call.type === callModule.CallType.Chat
+		? chatKind(manifest, call, ctx.headers.requestKind)
+		: serviceKind(manifest, call);
+	return manifest.kinds.find(kind => kind.id === id);
+}
+
+function chatKind(
+	manifest: core.model.Manifest,
+	call: callModule.ChatCall,
+	named: string | undefined,
+): string | undefined {
+	const model = manifest.models.find(candidate => candidate.id === call.model);
+	return model && (named ?? model.defaultKind);
+}
+
+/** Only the manifest's rules name the kind of a plain call, so that no caller can make a booking repeatable. */
+function serviceKind(manifest: core.model.Manifest, call: callModule.ServiceCall): string | undefined {
+	const service = manifest.services.find(candidate => candidate.id === call.service);
+	const [path] = call.path.split('?', 1);
+	const rule = service?.rules.find(candidate =>
+		(candidate.method === '*' || candidate.method === call.method) && path!.startsWith(candidate.pathPrefix));
+	return rule?.kind ?? service?.defaultKind;
+}
--- a/packages/router/src/filters/idempotency-filter.ts
+++ b/packages/router/src/filters/idempotency-filter.ts
@@ -1,6 +1,7 @@
 import * as crypto from 'node:crypto';
 import * as core from '@bluebellmast/core';
-import type * as clock from '../util/clock.js';
+import type * as forwardController from '../forward/forward-controller.js';
+import * as matchEither from '../util/match-either.js';
 import * as callModule from './call.js';
 import type * as filter from './filter.js';
 import type * as idempotencyStore from './idempotency-store.js';
@@ -8,10 +9,16 @@
 
 const maxKeyLength = 200;
 
+/** Hands a request to the router that issued its key. */
+export type Forwarder = Pick<forwardController.ForwardController, 'forward'>;
+
 /** What the idempotency filter works with. */
 export type IdempotencyFilterOptions = {
 	readonly store: idempotencyStore.IdempotencyStore;
-	readonly clock: clock.Clock;
+	/** Hands requests with keys that another router has issued to that router. */
+	readonly forwarder: Forwarder;
+	/** Returns who issued a key, when that is another router that lives. */
+	readonly issuerOf: (key: string, account: core.model.AccountId) => forwardController.Issuer | undefined;
 };
 
 /** Lets each request that may not be repeated run at most once, by its idempotency key. */
@@ -46,6 +53,12 @@
 		key: string,
 		next: filter.Next,
 	): Promise<void> {
+		const issuer = this.#options.issuerOf(key, ctx.account!.id);
+		if (issuer !== undefined) {
+			await this.#forward(ctx, call, issuer);
+			return;
+		}
+
 		const intent = {
 			account: ctx.account!.id,
 			key,
@@ -68,6 +81,23 @@
 		ctx.answer.sendWhole(recorded);
 	}
 
+	async #forward(
+		ctx: requestContext.RequestContext,
+		call: callModule.ServiceCall,
+		issuer: forwardController.Issuer,
+	): Promise<void> {
+		const result = await this.#options.forwarder.forward(ctx, call, issuer);
+		matchEither.matchEither(
+			result,
+			refusal => {
+				ctx.answer.sendRefusal(refusal);
+			},
+			answer => {
+				ctx.answer.sendWhole(answer);
+			},
+		);
+	}
+
 	async #run(
 		ctx: requestContext.RequestContext,
 		intent: idempotencyStore.Intent,
--- /dev/null
+++ b/packages/router/src/filters/issue-key-filter.ts
@@ -0,0 +1,36 @@
+import type * as core from '@bluebellmast/core';
+import * as callModule from './call.js';
+import type * as filter from './filter.js';
+import type * as requestContext from './request-context.js';
+
+const createdStatus = 201;
+
+/** A key as it is given to a caller. */
+export type IssuedKeyGrant = {
+	readonly key: string;
+	/** Time by which the key must be used first, in milliseconds since the Unix epoch. */
+	readonly expiresAt: number;
+};
+
+/** Issues idempotency keys. */
+export interface KeyIssuer { // eslint-disable-line @typescript-eslint/consistent-type-definitions
+	issue(account: core.model.AccountId): IssuedKeyGrant;
+}
+
+/** Answers requests for router-issued idempotency keys. */
+export class IssueKeyFilter implements filter.Filter {
+	readonly #issuer: KeyIssuer;
+
+	constructor(issuer: KeyIssuer) {
+		this.#issuer = issuer;
+	}
+
+	async handle(ctx: requestContext.RequestContext, next: filter.Next): Promise<void> {
+		if (ctx.call.type === callModule.CallType.IssueKey) {
+			ctx.answer.sendJson(createdStatus, this.#issuer.issue(ctx.account!.id));
+			return;
+		}
+
+		await next();
+	}
+}
--- a/packages/router/src/filters/request-context.ts
+++ b/packages/router/src/filters/request-context.ts
@@ -1,5 +1,5 @@
 import type * as core from '@bluebellmast/core';
-import type * as callerAnswer from '../http/caller-answer.js';
+import type * as answerModule from '../http/answer.js';
 import type * as call from './call.js';
 
 /** Everything that the filters know of one request. Each filter fills in its own fields. */
@@ -9,7 +9,7 @@
 	readonly arrivedAt: number;
 	readonly headers: RequestHeaders;
 	readonly call: call.Call;
-	readonly answer: callerAnswer.CallerAnswer;
+	readonly answer: answerModule.Answer;
 	/** Configuration that the request is decided by. */
 	readonly manifest: core.model.Manifest;
 	/** Set by the account filter. */
@@ -32,7 +32,7 @@
 export type RequestOutcome = {
 	readonly execution: core.model.ExecutionState;
 	/** The whole answer of a plain service, when there is one. */
-	readonly answer?: callerAnswer.WholeAnswer;
+	readonly answer?: answerModule.WholeAnswer;
 };
 
 /** The request headers that filters read. */
--- a/packages/router/src/http/caller-answer.ts
+++ b/packages/router/src/http/caller-answer.ts
@@ -2,19 +2,12 @@
 import type * as http from 'node:http';
 import * as core from '@bluebellmast/core';
 import * as wire from '@bluebellmast/wire';
+import type * as answer from './answer.js';
+import * as refusalHeaders from './refusal-headers.js';
 import * as status from './status-of.js';
 
-const millisecondsPerSecond = 1000;
-
-/** An answer of an endpoint that is passed on whole. */
-export type WholeAnswer = {
-	readonly status: number;
-	readonly contentType: string;
-	readonly body: Uint8Array;
-};
-
 /** The answer to one caller. Exactly one final answer is given. */
-export class CallerAnswer {
+export class CallerAnswer implements answer.Answer {
 	readonly #res: http.ServerResponse;
 	readonly #requestId: core.model.RequestId;
 	#finished = false;
@@ -65,12 +58,10 @@
 			return;
 		}
 
-		if (refusal.retryAfterMs !== undefined) {
-			const seconds = Math.max(1, Math.ceil(refusal.retryAfterMs / millisecondsPerSecond));
-			this.#res.setHeader(wire.http.HeaderName.RetryAfter, String(seconds));
+		for (const [name, value] of Object.entries(refusalHeaders.createRefusalHeaders(refusal))) {
+			this.#res.setHeader(name, value);
 		}
 
-		this.#res.setHeader(wire.http.HeaderName.Execution, refusal.execution);
 		this.sendJson(status.statusOf(refusal.code), {error: refusal});
 	}
 
@@ -81,12 +72,12 @@
 	}
 
 	/** Gives an endpoint's whole answer as the final answer. */
-	sendWhole(answer: WholeAnswer): void {
+	sendWhole(whole: answer.WholeAnswer): void {
 		this.#finish();
-		this.#res.statusCode = answer.status;
-		this.#res.setHeader('content-type', answer.contentType);
-		this.#res.setHeader('content-length', answer.body.length);
-		this.#res.end(answer.body);
+		this.#res.statusCode = whole.status;
+		this.#res.setHeader('content-type', whole.contentType);
+		this.#res.setHeader('content-length', whole.body.length);
+		this.#res.end(whole.body);
 	}
 
 	/** Begins a stream of server-sent events. */
