Decide limits and admission under overload in core

Account buckets with the usage of other routers, an adaptive concurrency limit that follows the load that endpoints report, a weighted fair queue bounded in length that refuses at once what cannot make its deadline and sheds repeatable low-weight work before bookings. A closed model of routers before one pool tests goodput, shares and queue bounds.

--- /dev/null
+++ b/packages/core/src/limits/account-bucket.ts
@@ -0,0 +1,55 @@
+import type * as model from '../model/index.js';
+
+const millisecondsPerSecond = 1000;
+
+/** What a client account may still use over all routers, as one router sees it. */
+export type AccountBucket = {
+	/** Requests; below zero when other routers have admitted more than the limit. */
+	readonly requests: number;
+	/** Prompt and generated tokens; below zero when answers were longer than what was left. */
+	readonly tokens: number;
+	/** When it was last filled. */
+	readonly at: number;
+};
+
+/** Returns the tokens that an account may use at once beyond its steady rate. */
+function tokenBurstOf(limits: model.AccountLimits): number {
+	const burstSeconds = limits.requestsPerSecond > 0 ? limits.burst / limits.requestsPerSecond : 0;
+	return limits.tokensPerSecond * Math.max(1, burstSeconds);
+}
+
+/** Creates a full bucket. */
+export function createBucket(limits: model.AccountLimits, now: number): AccountBucket {
+	return {requests: Math.max(1, limits.burst), tokens: tokenBurstOf(limits), at: now};
+}
+
+/** Fills a bucket at the account's rates up to its burst. */
+export function fillBucket(bucket: AccountBucket, limits: model.AccountLimits, now: number): AccountBucket {
+	const seconds = Math.max(0, now - bucket.at) / millisecondsPerSecond;
+	return {
+		requests: Math.min(Math.max(1, limits.burst), bucket.requests + (limits.requestsPerSecond * seconds)),
+		tokens: Math.min(tokenBurstOf(limits), bucket.tokens + (limits.tokensPerSecond * seconds)),
+		at: Math.max(now, bucket.at),
+	};
+}
+
+/** Takes from a bucket; it goes no further below zero than `maxDebtSeconds` of the account's rates. */
+export function takeFromBucket(
+	bucket: AccountBucket,
+	limits: model.AccountLimits,
+	taken: {readonly requests: number; readonly tokens: number},
+	maxDebtSeconds: number,
+): AccountBucket {
+	return {
+		requests: Math.max(bucket.requests - taken.requests, -limits.requestsPerSecond * maxDebtSeconds),
+		tokens: Math.max(bucket.tokens - taken.tokens, -limits.tokensPerSecond * maxDebtSeconds),
+		at: bucket.at,
+	};
+}
+
+/** Returns the milliseconds until the bucket admits a request: 0 for now, `Infinity` for never. */
+export function waitOfBucket(bucket: AccountBucket, limits: model.AccountLimits): number {
+	const requestsMs = bucket.requests >= 1 ? 0 : (1 - bucket.requests) / limits.requestsPerSecond * millisecondsPerSecond;
+	const tokensMs = bucket.tokens > 0 ? 0 : (1 - bucket.tokens) / limits.tokensPerSecond * millisecondsPerSecond;
+	return Math.max(requestsMs, tokensMs);
+}
--- /dev/null
+++ b/packages/core/src/limits/account-limiter.ts
@@ -0,0 +1,127 @@
+import type * as model from '../model/index.js';
+import * as accountBucket from './account-bucket.js';
+import type * as usageRecord from './usage-record.js';
+
+/** Largest debt that counts of other routers can leave, in seconds of the account's rates. */
+const maxDebtSeconds = 2;
+
+/**
+ * Holds client accounts to their limits over all routers. Each router keeps the whole bucket of an account and takes
+ * its own admissions out at once, those of other routers when their counts arrive: it refuses late rather than early.
+ */
+export type AccountLimiter = {
+	readonly buckets: ReadonlyMap<model.AccountId, accountBucket.AccountBucket>;
+	/** Admissions of this router since its start. */
+	readonly own: ReadonlyMap<model.AccountId, usageRecord.AccountUsage>;
+	/** Latest record of each other router. */
+	readonly others: ReadonlyMap<model.VmId, usageRecord.UsageRecord>;
+	readonly sequence: number;
+};
+
+/** Result of {@link admitToLimit}. */
+export type LimitAdmission = {
+	readonly limiter: AccountLimiter;
+	/** Milliseconds until trying again can help; 0 when the request is admitted, `Infinity` when it never helps. */
+	readonly waitMs: number;
+};
+
+type Usage = {
+	readonly requests: number;
+	readonly tokens: number;
+};
+
+/** Creates a limiter that has admitted nothing. */
+export function createAccountLimiter(): AccountLimiter {
+	return {
+		buckets: new Map(), own: new Map(), others: new Map(), sequence: 0,
+	};
+}
+
+function bucketOf(limiter: AccountLimiter, account: model.ClientAccount, now: number): accountBucket.AccountBucket {
+	const bucket = limiter.buckets.get(account.id);
+	return bucket === undefined
+		? accountBucket.createBucket(account.limits, now)
+		: accountBucket.fillBucket(bucket, account.limits, now);
+}
+
+function take(limiter: AccountLimiter, account: model.ClientAccount, usage: Usage, now: number): AccountLimiter {
+	const bucket = accountBucket.takeFromBucket(bucketOf(limiter, account, now), account.limits, usage, maxDebtSeconds);
+	return {...limiter, buckets: new Map(limiter.buckets).set(account.id, bucket)};
+}
+
+/** Counts what this router has admitted or learned of later, such as generated tokens; negative counts give back. */
+export function countUsage(limiter: AccountLimiter, account: model.ClientAccount, usage: Usage, now: number): AccountLimiter {
+	const before = limiter.own.get(account.id) ?? {account: account.id, requests: 0, tokens: 0};
+	const after = {
+		account: account.id, requests: before.requests + usage.requests, tokens: before.tokens + usage.tokens,
+	};
+	return {...take(limiter, account, usage, now), own: new Map(limiter.own).set(account.id, after)};
+}
+
+/** Admits a request of an account with its prompt tokens, or tells when to come back. */
+export function admitToLimit(
+	limiter: AccountLimiter,
+	account: model.ClientAccount,
+	promptTokens: number,
+	now: number,
+): LimitAdmission {
+	const waitMs = accountBucket.waitOfBucket(bucketOf(limiter, account, now), account.limits);
+	return waitMs > 0
+		? {limiter, waitMs}
+		: {limiter: countUsage(limiter, account, {requests: 1, tokens: promptTokens}, now), waitMs: 0};
+}
+
+function isNewer(record: usageRecord.UsageRecord, known: usageRecord.UsageRecord | undefined): boolean {
+	return known?.incarnation !== record.incarnation || known.sequence < record.sequence;
+}
+
+/**
+ * Takes in the record of another router. The first record of an incarnation sets where counting starts.
+ * Returns the limiter itself when the record is not new.
+ */
+export function takeUsageRecord(
+	limiter: AccountLimiter,
+	record: usageRecord.UsageRecord,
+	accounts: readonly model.ClientAccount[],
+	now: number,
+): AccountLimiter {
+	const known = limiter.others.get(record.vm);
+	if (!isNewer(record, known)) {
+		return limiter;
+	}
+
+	let next: AccountLimiter = {...limiter, others: new Map(limiter.others).set(record.vm, record)};
+	if (known?.incarnation !== record.incarnation) {
+		return next;
+	}
+
+	const before = new Map(known.accounts.map(usage => [usage.account, usage]));
+	for (const usage of record.accounts) {
+		const account = accounts.find(item => item.id === usage.account);
+		const counted = before.get(usage.account) ?? {requests: 0, tokens: 0};
+		if (account !== undefined) {
+			const added = {requests: usage.requests - counted.requests, tokens: usage.tokens - counted.tokens};
+			next = take(next, account, added, now);
+		}
+	}
+
+	return next;
+}
+
+/** Makes the next record of this router. */
+export function nextUsageRecord(
+	limiter: AccountLimiter,
+	self: {readonly vm: model.VmId; readonly incarnation: model.Incarnation},
+): {readonly limiter: AccountLimiter; readonly record: usageRecord.UsageRecord} {
+	const sequence = limiter.sequence + 1;
+	const record = {
+		vm: self.vm, incarnation: self.incarnation, sequence, accounts: [...limiter.own.values()],
+	};
+	return {limiter: {...limiter, sequence}, record};
+}
+
+/** Forgets routers that are gone. */
+export function keepRouters(limiter: AccountLimiter, live: readonly model.VmId[]): AccountLimiter {
+	const others = new Map([...limiter.others].filter(([vm]) => live.includes(vm)));
+	return {...limiter, others};
+}
--- /dev/null
+++ b/packages/core/src/limits/fair-queue.ts
@@ -0,0 +1,123 @@
+import type * as model from '../model/index.js';
+
+/** A request that waits for admission. */
+export type QueuedRequest = {
+	readonly id: model.RequestId;
+	readonly account: model.AccountId;
+	/** Weight of the account when capacity is shared out. */
+	readonly share: number;
+	/** Weight of the request's kind; larger is shed later. */
+	readonly weight: number;
+	/** Larger goes first among the requests of an account. */
+	readonly priority: number;
+	readonly repeatable: boolean;
+	/** Time by which the answer must have begun, in milliseconds since the epoch. */
+	readonly deadlineAt: number;
+	readonly arrivedAt: number;
+};
+
+/** Weighted fair queue over client accounts, by start times in virtual time. */
+export type FairQueue = {
+	/** In order of arrival. */
+	readonly items: readonly QueuedRequest[];
+	readonly virtualTime: number;
+	/** Virtual time at which an account's next request starts. */
+	readonly nextStarts: ReadonlyMap<model.AccountId, number>;
+};
+
+/** Creates an empty queue. */
+export function createFairQueue(): FairQueue {
+	return {items: [], virtualTime: 0, nextStarts: new Map()};
+}
+
+/** Counts one admitted request of an account, which puts its next one later in virtual time. */
+export function countAdmission(queue: FairQueue, account: model.AccountId, share: number): FairQueue {
+	const start = Math.max(queue.virtualTime, queue.nextStarts.get(account) ?? 0);
+	const nextStarts = new Map(queue.nextStarts).set(account, start + (1 / Math.max(share, Number.EPSILON)));
+	return {...queue, virtualTime: start, nextStarts};
+}
+
+function goesBefore(queue: FairQueue, a: QueuedRequest, b: QueuedRequest): boolean {
+	if (a.account === b.account) {
+		return a.priority > b.priority;
+	}
+
+	const startOf = (item: QueuedRequest) => Math.max(queue.virtualTime, queue.nextStarts.get(item.account) ?? 0);
+	return startOf(a) < startOf(b);
+}
+
+/** Returns the request that is admitted next. */
+export function nextInQueue(queue: FairQueue): QueuedRequest | undefined {
+	let first: QueuedRequest | undefined;
+	for (const item of queue.items) {
+		if (first === undefined || goesBefore(queue, item, first)) {
+			first = item;
+		}
+	}
+
+	return first;
+}
+
+/** Adds a request. */
+export function addToQueue(queue: FairQueue, item: QueuedRequest): FairQueue {
+	return {...queue, items: [...queue.items, item]};
+}
+
+/** Removes a request. */
+export function removeFromQueue(queue: FairQueue, id: model.RequestId): FairQueue {
+	return {...queue, items: queue.items.filter(item => item.id !== id)};
+}
+
+/** Returns how many queued requests go before one that comes now, when all accounts keep their shares. */
+export function countAhead(queue: FairQueue, item: QueuedRequest): number {
+	const ownAhead = queue.items.filter(other => other.account === item.account && other.priority >= item.priority).length;
+	const others = new Map<model.AccountId, {count: number; share: number}>();
+	for (const other of queue.items) {
+		if (other.account !== item.account) {
+			const entry = others.get(other.account) ?? {count: 0, share: other.share};
+			others.set(other.account, {...entry, count: entry.count + 1});
+		}
+	}
+
+	let ahead = ownAhead;
+	for (const {count, share} of others.values()) {
+		ahead += Math.min(count, (ownAhead + 1) * share / Math.max(item.share, Number.EPSILON));
+	}
+
+	return ahead;
+}
+
+function shedsBefore(a: QueuedRequest, b: QueuedRequest): boolean {
+	if (a.repeatable !== b.repeatable) {
+		return a.repeatable;
+	}
+
+	return a.weight === b.weight ? a.arrivedAt >= b.arrivedAt : a.weight < b.weight;
+}
+
+/**
+ * Returns the request to shed from a queue that is longer than its bound: repeatable ones first, then the smallest weight,
+ * then the latest; only from accounts that hold more than their share of the queue.
+ */
+export function chooseVictim(queue: FairQueue, maxLength: number): QueuedRequest | undefined {
+	const counts = new Map<model.AccountId, {count: number; share: number}>();
+	for (const item of queue.items) {
+		counts.set(item.account, {count: (counts.get(item.account)?.count ?? 0) + 1, share: item.share});
+	}
+
+	let allShares = 0;
+	for (const {share} of counts.values()) {
+		allShares += share;
+	}
+
+	let victim: QueuedRequest | undefined;
+	for (const item of queue.items) {
+		const {count, share} = counts.get(item.account)!;
+		const isOverShare = count > maxLength * share / Math.max(allShares, Number.EPSILON);
+		if (isOverShare && (victim === undefined || shedsBefore(item, victim))) {
+			victim = item;
+		}
+	}
+
+	return victim;
+}
--- /dev/null
+++ b/packages/core/tests/limits/overload.test.ts
@@ -0,0 +1,136 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import * as poolModel from './pool-model.js';
+import * as core from '@bluebellmast/core';
+
+const capacity = 40;
+const peakPerSecond = 400;
+const seeds = [1, 2, 3, 4, 5];
+
+function goodPerSecond(model: poolModel.PoolModel, sources: readonly poolModel.Source[], seconds: number): number {
+	let good = 0;
+	for (const count of model.run(sources, seconds * 1000).values()) {
+		good += count.good;
+	}
+
+	return good / seconds;
+}
+
+function sourceWith(changes: Partial<poolModel.Source>): poolModel.Source {
+	return {
+		name: 'club', account: 'club', share: 1, requestsPerSecond: peakPerSecond, ...changes,
+	};
+}
+
+describe('admission under overload', () => {
+	for (const seed of seeds) {
+		it(`keeps goodput within a tenth of its peak at three times the load, and recovers (seed ${seed})`, () => {
+			const model = new poolModel.PoolModel({
+				seed, routers: 3, capacity, admits: true,
+			});
+			const peak = Math.max(goodPerSecond(model, [sourceWith({requestsPerSecond: peakPerSecond})], 10), peakPerSecond * 0.95);
+			expect(goodPerSecond(model, [sourceWith({requestsPerSecond: 3 * peakPerSecond})], 20)).to.be.above(0.9 * peak);
+			model.run([sourceWith({requestsPerSecond: 0.7 * peakPerSecond})], 3000);
+			const after = model.run([sourceWith({requestsPerSecond: 0.7 * peakPerSecond})], 5000).get('club')!;
+			expect(after.good).to.be.above(0.99 * after.offered);
+		});
+	}
+
+	it('loses its goodput without the admission', () => {
+		const model = new poolModel.PoolModel({
+			seed: 1, routers: 3, capacity, admits: false,
+		});
+		expect(goodPerSecond(model, [sourceWith({requestsPerSecond: 3 * peakPerSecond})], 20)).to.be.below(0.2 * peakPerSecond);
+	});
+
+	it('lets no louder account take another account\'s share', () => {
+		const arbitrary = fc.record({
+			seed: fc.nat(1000), loudness: fc.integer({min: 2, max: 6}), quietShare: fc.constantFrom(1, 2, 4), routers: fc.integer({min: 1, max: 5}), isPinned: fc.boolean(),
+		});
+		fc.assert(fc.property(arbitrary, ({seed, loudness, quietShare, routers, isPinned}) => {
+			const model = new poolModel.PoolModel({
+				seed, routers, capacity, admits: true,
+			});
+			const quietRate = peakPerSecond * quietShare / (quietShare + 2) * 0.8;
+			const sources = [
+				sourceWith({
+					name: 'loud', account: 'loud', share: 2, requestsPerSecond: peakPerSecond * loudness, ...(isPinned && {router: 0}),
+				}),
+				sourceWith({
+					name: 'quiet', account: 'quiet', share: quietShare, requestsPerSecond: quietRate,
+				}),
+			];
+			model.run(sources, 3000);
+			const quiet = model.run(sources, 10_000).get('quiet')!;
+			expect(quiet.good / quiet.offered).to.be.above(0.95);
+			expect(model.longestQueue).to.be.at.most(50);
+		}), {seed: 4, numRuns: 12});
+	}).timeout(60_000);
+
+	it('sheds repeatable low-weight work before bookings of the same account', () => {
+		const model = new poolModel.PoolModel({
+			seed: 4, routers: 3, capacity, admits: true,
+		});
+		const sources = [
+			sourceWith({name: 'questions', requestsPerSecond: 3 * peakPerSecond}),
+			sourceWith({
+				name: 'bookings', requestsPerSecond: 0.2 * peakPerSecond, repeatable: false, weight: 10,
+			}),
+		];
+		model.run(sources, 3000);
+		const count = model.run(sources, 10_000).get('bookings')!;
+		expect(count.good / count.offered).to.be.above(0.99);
+	});
+});
+
+function requestWith(changes: Partial<core.limits.QueuedRequest>): core.limits.QueuedRequest {
+	return {
+		id: 'r', account: 'club', share: 1, weight: 1, priority: 1, repeatable: true, deadlineAt: 1000, arrivedAt: 0, ...changes,
+	};
+}
+
+describe('chooseVictim', () => {
+	const full = [
+		requestWith({id: 'booking', repeatable: false}),
+		requestWith({id: 'heavy', weight: 5}),
+		requestWith({id: 'early'}),
+		requestWith({id: 'late', arrivedAt: 5}),
+	];
+	const cases: Array<[string, core.limits.QueuedRequest[], string]> = [
+		['the latest of the smallest weight', full, 'late'],
+		['a heavier repeatable one before a booking', full.slice(0, 2), 'heavy'],
+		['a booking where there is nothing else', full.slice(0, 1), 'booking'],
+		['nothing of an account within its share', [...full.slice(0, 2), requestWith({id: 'quiet', account: 'school', weight: 0})], 'heavy'],
+	];
+	for (const [title, items, expected] of cases) {
+		it(`takes ${title}`, () => {
+			let queue = core.limits.createFairQueue();
+			for (const item of items) {
+				queue = core.limits.addToQueue(queue, item);
+			}
+
+			expect(core.limits.chooseVictim(queue, items.length - 1)?.id).to.equal(expected);
+		});
+	}
+});
+
+describe('pool admission', () => {
+	it('refuses at once what cannot make its deadline, with the time to come back', () => {
+		let admission = core.limits.createPoolAdmission(core.limits.createConcurrencyLimit(1, 1));
+		const steps: core.limits.AdmissionEvent[] = [
+			{type: core.limits.AdmissionEventType.Arrive, request: requestWith({id: 'r1'})},
+			{type: core.limits.AdmissionEventType.End, id: 'r1'},
+			{type: core.limits.AdmissionEventType.Arrive, request: requestWith({id: 'r2', deadlineAt: 5000})},
+			{type: core.limits.AdmissionEventType.Arrive, request: requestWith({id: 'r3', deadlineAt: 1400})},
+		];
+		const effects: core.limits.AdmissionEffect[] = [];
+		for (const [index, event] of steps.entries()) {
+			const step = core.limits.stepAdmission(admission, event, index * 400);
+			admission = step.state;
+			effects.push(...step.effects);
+		}
+
+		expect(effects.map(effect => `${effect.type} ${effect.id}`)).to.deep.equal(['admit r1', 'admit r2', 'refuse r3']);
+		expect(effects[2]).to.have.property('retryAfterMs', 100);
+	});
+});
