--- a/packages/router/src/controllers/index.ts
+++ b/packages/router/src/controllers/index.ts
@@ -1,3 +1,5 @@
+export * from './cache-event-follower.js';
+export * from './cache-events-controller.js';
 export * from './ledger-begin-verdict.js';
 export * from './ledger-controller.js';
 export * from './ledger-gate.js';
--- a/packages/router/src/router-program.ts
+++ b/packages/router/src/router-program.ts
@@ -39,6 +39,11 @@
 		return this.#options.server.port;
 	}
 
+	/** Number of requests under way. */
+	get requestsUnderWay(): number {
+		return this.#options.requests.size;
+	}
+
 	/** Starts all parts. Rejects when an address cannot be listened on. */
 	async start(): Promise<void> {
 		await this.#options.server.start();
@@ -62,6 +67,7 @@
 	async #stop(): Promise<void> {
 		const {lifecycle, readinessLeadMs, server, requests, controllers} = this.#options;
 		lifecycle.isServing = false;
+		server.beginClosing();
 		this.#options.recorder.record({type: core.timeline.TimelineEventType.RouterStopping});
 		await timers.setTimeout(readinessLeadMs);
 		await server.stop();
