--- a/packages/config/src/settings/settings-schema.ts
+++ b/packages/config/src/settings/settings-schema.ts
@@ -68,7 +68,7 @@
 
 const manifestSchema = zod.strictObject({
 	confirmTimeoutMs: fields.durationMs().default(3 * secondMs).describe('Time without a confirmed generation after which model requests are no longer placed.'),
-	pollMs: fields.durationMs().default(secondMs).describe('Time between two polls of peers, and of the key-value service by the routers that watch it.'),
+	pollMs: fields.durationMs().default(500).describe('Time between two polls of peers, and of the key-value service by the routers that watch it.'),
 });
 
 const metricsSchema = zod.strictObject({
--- a/packages/router/src/controllers/manifest-controller.ts
+++ b/packages/router/src/controllers/manifest-controller.ts
@@ -26,7 +26,7 @@
 	readonly metrics?: metrics.Metrics;
 	/** Milliseconds without confirmation after which model requests are no longer placed. Default 3000. */
 	readonly confirmTimeoutMs?: number;
-	/** Milliseconds between ticks. Default 1000. */
+	/** Milliseconds between ticks. Default 500. */
 	readonly pollMs?: number;
 	/** Routers that watch and poll the key-value service, whatever the size of the fleet. Default 3. */
 	readonly maxWatchers?: number;
@@ -40,7 +40,7 @@
 /**
  * Keeps the manifest that is in force on this router. A few routers, picked by rendezvous over the live members, watch
  * and poll the key-value service and tell the others; the others ask these each tick how current they are. Every router
- * also polls slowly by itself, so that together about one read a second is added whatever the size of the fleet.
+ * also polls slowly by itself, so that together at most one read a tick is added whatever the size of the fleet.
  */
 export class ManifestController implements controller.Controller {
 	readonly #options: Required<Omit<ManifestControllerOptions, 'metrics'>> & Pick<ManifestControllerOptions, 'metrics'>;
@@ -60,7 +60,7 @@
 
 	constructor(options: ManifestControllerOptions) {
 		this.#options = {
-			confirmTimeoutMs: 3000, pollMs: 1000, maxWatchers: 3, backstopMs: 10_000, ...options,
+			confirmTimeoutMs: 3000, pollMs: 500, maxWatchers: 3, backstopMs: 10_000, ...options,
 		};
 		this.#source = new manifestKvSource.ManifestKvSource(options.kv, head => {
 			this.#onHead(head, undefined);
