Spread usage counts and admit requests by limits in the router

UsageController sends at most maxPeers messages a spread and none while nothing is admitted; in fleets larger than that, records are passed on for a few spreads.

--- a/packages/core/src/limits/account-limiter.ts
+++ b/packages/core/src/limits/account-limiter.ts
@@ -76,7 +76,7 @@
 }
 
 /**
- * Takes in the record of another router. The first record of an incarnation sets where counting starts.
+ * Takes in the record of another router. The first record of a router sets where counting starts; a restart counts from 0.
  * Returns the limiter itself when the record is not new.
  */
 export function takeUsageRecord(
@@ -91,16 +91,17 @@
 	}
 
 	let next: AccountLimiter = {...limiter, others: new Map(limiter.others).set(record.vm, record)};
-	if (known?.incarnation !== record.incarnation) {
+	if (known === undefined) {
 		return next;
 	}
 
-	const before = new Map(known.accounts.map(usage => [usage.account, usage]));
+	const counted = known.incarnation === record.incarnation ? known.accounts : [];
+	const before = new Map(counted.map(usage => [usage.account, usage]));
 	for (const usage of record.accounts) {
 		const account = accounts.find(item => item.id === usage.account);
-		const counted = before.get(usage.account) ?? {requests: 0, tokens: 0};
+		const last = before.get(usage.account) ?? {requests: 0, tokens: 0};
 		if (account !== undefined) {
-			const added = {requests: usage.requests - counted.requests, tokens: usage.tokens - counted.tokens};
+			const added = {requests: usage.requests - last.requests, tokens: usage.tokens - last.tokens};
 			next = take(next, account, added, now);
 		}
 	}
--- /dev/null
+++ b/packages/core/tests/limits/account-limiter.test.ts
@@ -0,0 +1,108 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import * as core from '@bluebellmast/core';
+
+const account: core.model.ClientAccount = {
+	id: 'club', keyHashes: [], share: 1, allowed: [], limits: {requestsPerSecond: 50, burst: 20, tokensPerSecond: 1000},
+};
+
+describe('account limiter', () => {
+	it('admits its burst, then tells when to come back', () => {
+		let limiter = core.limits.createAccountLimiter();
+		let admitted = 0;
+		let waitMs = 0;
+		for (let index = 0; index < 25; index += 1) {
+			const admission = core.limits.admitToLimit(limiter, account, 1, 0);
+			limiter = admission.limiter;
+			waitMs = admission.waitMs;
+			admitted += waitMs === 0 ? 1 : 0;
+		}
+
+		expect(admitted).to.equal(20);
+		expect(waitMs).to.equal(20);
+		expect(core.limits.admitToLimit(limiter, account, 1, 20).waitMs).to.equal(0);
+	});
+
+	it('waits for tokens that earlier answers have used', () => {
+		const used = core.limits.countUsage(core.limits.createAccountLimiter(), account, {requests: 0, tokens: 1500}, 0);
+		expect(core.limits.admitToLimit(used, account, 1, 0).waitMs).to.equal(501);
+		expect(core.limits.admitToLimit(used, account, 1, 501).waitMs).to.equal(0);
+	});
+
+	it('counts each record of another router once, and nothing of its first', () => {
+		const other = core.limits.nextUsageRecord(
+			core.limits.countUsage(core.limits.createAccountLimiter(), account, {requests: 15, tokens: 0}, 0),
+			{vm: 'vm2', incarnation: 'i'},
+		);
+		let {limiter} = core.limits.admitToLimit(core.limits.createAccountLimiter(), account, 0, 0);
+		limiter = core.limits.takeUsageRecord(limiter, other.record, [account], 0);
+		expect(limiter.buckets.get('club')!.requests).to.equal(19);
+		const more = core.limits.nextUsageRecord(
+			core.limits.countUsage(other.limiter, account, {requests: 5, tokens: 0}, 0),
+			{vm: 'vm2', incarnation: 'i'},
+		);
+		limiter = core.limits.takeUsageRecord(limiter, more.record, [account], 0);
+		expect(core.limits.takeUsageRecord(limiter, more.record, [account], 0)).to.equal(limiter);
+		expect(limiter.buckets.get('club')!.requests).to.equal(14);
+	});
+
+	it('holds an account to its rate over all routers, and never below it', () => {
+		const arbitrary = fc.record({
+			routers: fc.integer({min: 1, max: 7}), loudness: fc.integer({min: 2, max: 6}), lossPercent: fc.constantFrom(0, 30), skew: fc.boolean(),
+		});
+		fc.assert(fc.property(arbitrary, ({routers, loudness, lossPercent, skew}) => {
+			let limiters = Array.from({length: routers}, () => core.limits.createAccountLimiter());
+			const {requestsPerSecond, burst} = account.limits;
+			const seconds = 30;
+			let admitted = 0;
+			let turn = 0;
+			for (let now = 0; now < seconds * 1000; now += 20) {
+				for (let index = 0; index < loudness; index += 1) {
+					turn += 1;
+					const router = skew ? 0 : turn % routers;
+					const admission = core.limits.admitToLimit(limiters[router]!, account, 1, now);
+					limiters[router] = admission.limiter;
+					admitted += admission.waitMs === 0 ? 1 : 0;
+				}
+
+				if (now % 200 === 0) {
+					const records = limiters.map((limiter, index) => core.limits.nextUsageRecord(limiter, {vm: `vm${index}`, incarnation: 'i'}));
+					limiters = records.map(({limiter}, index) => {
+						let next = limiter;
+						for (const [sender, {record}] of records.entries()) {
+							const isLost = ((now / 200) + (sender * 7) + (index * 13)) % 100 < lossPercent;
+							next = sender === index || isLost ? next : core.limits.takeUsageRecord(next, record, [account], now);
+						}
+
+						return next;
+					});
+				}
+			}
+
+			const allowed = (requestsPerSecond * seconds) + (burst * routers);
+			expect(admitted).to.be.at.least(requestsPerSecond * seconds * 0.9);
+			expect(admitted).to.be.at.most(allowed * 1.25);
+		}), {seed: 4, numRuns: 40});
+	}).timeout(60_000);
+});
+
+describe('concurrency limit', () => {
+	const limit = core.limits.createConcurrencyLimit(40, 4);
+	const cases: Array<[string, core.limits.PoolLoad, number, (before: number, after: number) => boolean]> = [
+		['falls while endpoints queue', {running: 40, queued: 20}, 12, (before, after) => after < before],
+		['rises while it is used and nothing queues', {running: 30, queued: 0}, 12, (before, after) => after > before],
+		['stays while it is not used', {running: 5, queued: 0}, 1, (before, after) => after === before],
+	];
+	for (const [title, load, underWay, holds] of cases) {
+		it(title, () => {
+			expect(holds(limit.limit, core.limits.adaptLimit(limit, load, underWay, 0).limit)).to.equal(true);
+		});
+	}
+
+	it('falls once for one lagging report, and follows the number of routers', () => {
+		const load = {running: 40, queued: 20};
+		const lowered = core.limits.adaptLimit(limit, load, 12, 0);
+		expect(core.limits.adaptLimit(lowered, load, 12, 100)).to.equal(lowered);
+		expect(core.limits.resizeLimit(limit, 40, 8).limit).to.equal(limit.limit / 2);
+	});
+});
--- a/packages/router/src/controllers/index.ts
+++ b/packages/router/src/controllers/index.ts
@@ -8,3 +8,5 @@
 export * from './ledger-shard-codec.js';
 export * from './ledger-timer.js';
 export * from './manifest-controller.js';
+export * from './usage-admission.js';
+export * from './usage-controller.js';
--- /dev/null
+++ b/packages/router/src/controllers/usage-controller.ts
@@ -0,0 +1,166 @@
+import * as core from '@bluebellmast/core';
+import * as wire from '@bluebellmast/wire';
+import type * as peers from '../peers/peer-network.js';
+import * as clock from '../util/clock.js';
+import type * as metrics from '../util/metrics.js';
+import type * as controller from './controller.js';
+import * as ledgerTimer from './ledger-timer.js';
+
+/** Options of {@link createUsageController}. */
+export type UsageControllerOptions = {
+	readonly self: {readonly vm: core.model.VmId; readonly incarnation: core.model.Incarnation};
+	readonly peers: peers.PeerNetwork;
+	readonly metrics: metrics.Metrics;
+	/** Client accounts of the manifest in force. */
+	readonly accounts: () => readonly core.model.ClientAccount[];
+	/** Live routers, this one among them. */
+	readonly members: () => readonly core.model.VmId[];
+	/** Clock of the machine by default. */
+	readonly clock?: clock.Clock;
+	/** Timer of the machine by default. */
+	readonly timer?: ledgerTimer.LedgerTimer;
+	/** Time between two spreads; 200 by default. */
+	readonly spreadIntervalMs?: number;
+	/** Routers that one spread goes to; 8 by default. */
+	readonly maxPeers?: number;
+};
+
+type SettledOptions = Required<UsageControllerOptions>;
+
+/** A record that is being spread. */
+type Rumour = {
+	readonly record: core.limits.UsageRecord;
+	readonly spreadsLeft: number;
+};
+
+/** Holds client accounts to their limits, and spreads this router's counts by a bounded number of messages. */
+export class UsageController implements controller.Controller {
+	readonly #options: SettledOptions;
+	#limiter = core.limits.createAccountLimiter();
+	/** Latest records by router, while they are sent. */
+	readonly #rumours = new Map<core.model.VmId, Rumour>();
+	#spreadOwn = this.#limiter.own;
+	#round = 0;
+	#cancelSpread?: () => void;
+
+	constructor(options: SettledOptions) {
+		this.#options = options;
+	}
+
+	async start(): Promise<void> {
+		this.#options.peers.on(wire.peer.PeerMessageType.Usage, (_from, message) => {
+			this.#takeRecords((message as wire.peer.UsageNotice).records);
+		});
+		this.#scheduleSpread();
+	}
+
+	async stop(): Promise<void> {
+		this.#cancelSpread?.();
+		this.spread();
+	}
+
+	/** Admits a request, or tells when to come back: 0 when it is admitted, `Infinity` when coming back never helps. */
+	admit(account: core.model.ClientAccount, promptTokens: number): number {
+		const {limiter, waitMs} = core.limits.admitToLimit(this.#limiter, account, promptTokens, this.#options.clock.now());
+		this.#limiter = limiter;
+		return waitMs;
+	}
+
+	/** Counts what is learned after admission, such as tokens; negative counts give back what was not used. */
+	count(account: core.model.ClientAccount, requests: number, tokens: number): void {
+		this.#limiter = core.limits.countUsage(this.#limiter, account, {requests, tokens}, this.#options.clock.now());
+	}
+
+	/** Sends this router's counts and new records of others to a bounded number of routers. */
+	spread(): void {
+		this.#noteOwn();
+		if (this.#rumours.size === 0) {
+			return;
+		}
+
+		const records = [...this.#rumours.values()].map(({record}) => record);
+		const message: wire.peer.UsageNotice = {type: wire.peer.PeerMessageType.Usage, records};
+		for (const vm of this.#choosePeers()) {
+			this.#options.peers.send(vm, message);
+			this.#options.metrics.increment('limits.spread');
+		}
+
+		this.#ageRumours();
+	}
+
+	#noteOwn(): void {
+		const {self, members} = this.#options;
+		if (this.#limiter.own === this.#spreadOwn) {
+			return;
+		}
+
+		this.#spreadOwn = this.#limiter.own;
+		const {limiter, record} = core.limits.nextUsageRecord(this.#limiter, self);
+		this.#limiter = core.limits.keepRouters(limiter, members());
+		this.#rumours.set(self.vm, {record, spreadsLeft: this.#spreadsOfRecord()});
+	}
+
+	#ageRumours(): void {
+		for (const [vm, {record, spreadsLeft}] of this.#rumours) {
+			if (spreadsLeft > 1) {
+				this.#rumours.set(vm, {record, spreadsLeft: spreadsLeft - 1});
+			} else {
+				this.#rumours.delete(vm);
+			}
+		}
+	}
+
+	/** One spread where a sender reaches every router itself; otherwise enough for a record to come around. */
+	#spreadsOfRecord(): number {
+		return this.#passesOn() ? Math.ceil(Math.log2(this.#options.members().length)) + 2 : 1;
+	}
+
+	/** Takes turns over the linked routers, so that each gets a spread of every few. */
+	#choosePeers(): core.model.VmId[] {
+		const {self, peers, maxPeers} = this.#options;
+		const linked = [...peers.connected()].sort();
+		const offset = core.util.hash32(self.vm);
+		const start = linked.length === 0 ? 0 : (offset + (this.#round * maxPeers)) % linked.length;
+		this.#round += 1;
+		return [...linked.slice(start), ...linked.slice(0, start)].slice(0, maxPeers);
+	}
+
+	#takeRecords(records: readonly core.limits.UsageRecord[]): void {
+		const {self, accounts, clock} = this.#options;
+		for (const record of records) {
+			const before = this.#limiter;
+			if (record.vm !== self.vm) {
+				this.#limiter = core.limits.takeUsageRecord(before, record, accounts(), clock.now());
+			}
+
+			if (this.#limiter !== before && this.#passesOn()) {
+				this.#rumours.set(record.vm, {record, spreadsLeft: this.#spreadsOfRecord()});
+			}
+		}
+	}
+
+	/** Records are passed on only where a sender does not reach every router itself. */
+	#passesOn(): boolean {
+		const {peers, members, maxPeers} = this.#options;
+		return members().length - 1 > Math.min(maxPeers, peers.connected().length);
+	}
+
+	#scheduleSpread(): void {
+		const {timer, spreadIntervalMs} = this.#options;
+		this.#cancelSpread = timer.after(spreadIntervalMs, () => {
+			this.spread();
+			this.#scheduleSpread();
+		});
+	}
+}
+
+/** Creates the controller of usage. */
+export function createUsageController(options: UsageControllerOptions): UsageController {
+	return new UsageController({
+		clock: new clock.SystemClock(),
+		timer: new ledgerTimer.SystemTimer(),
+		spreadIntervalMs: 200,
+		maxPeers: 8,
+		...options,
+	});
+}
--- /dev/null
+++ b/packages/router/tests/controllers/usage-admission.test.ts
@@ -0,0 +1,97 @@
+import {expect} from 'chai';
+import * as core from '@bluebellmast/core';
+import * as memoryPeers from './fakes/memory-peers.js';
+import * as manualTime from './fakes/manual-time.js';
+import * as router from '@bluebellmast/router';
+
+type AdmissionContext = Parameters<router.controllers.UsageAdmission['admit']>[0];
+
+const account: core.model.ClientAccount = {
+	id: 'club', keyHashes: [], share: 1, allowed: [], limits: {requestsPerSecond: 10, burst: 3, tokensPerSecond: 1000},
+};
+
+function createAdmission() {
+	const time = new manualTime.ManualTime();
+	const common = {clock: time, timer: time, metrics: manualTime.noMetrics};
+	const usage = router.controllers.createUsageController({
+		...common,
+		self: {vm: 'vm1', incarnation: 'i'},
+		peers: new memoryPeers.MemoryLinks().create('vm1'),
+		accounts: () => [account],
+		members: () => ['vm1'],
+	});
+	const manifest = {
+		endpoints: [{
+			id: 'e', service: 'boekhuis', capacity: 1, leaving: false,
+		}], models: [],
+	} as unknown as core.model.Manifest;
+	const admission = router.controllers.createUsageAdmission({
+		...common, usage, manifest: () => manifest, routers: () => 1,
+	});
+	let count = 0;
+	function contextWith(signal?: AbortSignal): AdmissionContext {
+		count += 1;
+		return {
+			id: `r${count}`,
+			arrivedAt: time.now(),
+			deadlineAt: time.now() + 1000,
+			call: {type: 'service', service: 'boekhuis'},
+			manifest,
+			account,
+			kind: {weight: 1, priority: 1, repeatable: false},
+			signal,
+		} as unknown as AdmissionContext;
+	}
+
+	return {time, admission, contextWith};
+}
+
+describe('UsageAdmission', () => {
+	it('admits to the capacity, then as others end', async () => {
+		const {admission, contextWith} = createAdmission();
+		const first = await admission.admit(contextWith());
+		let isAdmitted = false;
+		async function admitSecond(): Promise<void> {
+			const admitted = await admission.admit(contextWith());
+			isAdmitted = admitted.isRight();
+		}
+
+		const second = admitSecond();
+		await manualTime.settle();
+		expect(isAdmitted).to.equal(false);
+		first.unsafeCoerce()();
+		await second;
+		expect(isAdmitted).to.equal(true);
+	});
+
+	it('refuses an account over its limit with the time to come back, and nothing has run', async () => {
+		const {time, admission, contextWith} = createAdmission();
+		for (let index = 0; index < 3; index += 1) {
+			const admitted = await admission.admit(contextWith()); // eslint-disable-line no-await-in-loop
+			admitted.unsafeCoerce()();
+		}
+
+		const refused = await admission.admit(contextWith());
+		expect(refused.extract()).to.include({
+			code: core.model.ErrorCode.RateLimited, execution: core.model.ExecutionState.NotRun, retryAfterMs: 100,
+		});
+		time.nowMs += 100;
+		const later = await admission.admit(contextWith());
+		expect(later.isRight()).to.equal(true);
+	});
+
+	it('gives up a wait at once when the caller goes away, and gives its count back', async () => {
+		const {admission, contextWith} = createAdmission();
+		const first = await admission.admit(contextWith());
+		const abort = new AbortController();
+		const second = admission.admit(contextWith(abort.signal));
+		abort.abort(core.model.ErrorCode.CallerGone);
+		const refusal = await second;
+		expect(refusal.extract()).to.include({code: core.model.ErrorCode.CallerGone, execution: core.model.ExecutionState.NotRun});
+		first.unsafeCoerce()();
+		const third = await admission.admit(contextWith());
+		third.unsafeCoerce()();
+		const fourth = await admission.admit(contextWith());
+		expect(fourth.isRight()).to.equal(true);
+	});
+});
