--- a/packages/stand-ins/src/soak/disturber.ts
+++ b/packages/stand-ins/src/soak/disturber.ts
@@ -23,13 +23,26 @@
 
 	constructor(private readonly local: deployment.LocalDeployment, private readonly print: (line: string) => void) {}
 
-	/** Runs all disturbances at their times; those of different subjects overlap. */
+	/** Runs all disturbances at their times; one waits while another still acts on the same thing. */
 	async run(disturbances: readonly schedule.Disturbance[]): Promise<void> {
-		await Promise.all(disturbances.map(async disturbance => {
+		const last = new Map<string, Promise<void>>();
+		const running = disturbances.map(async disturbance => {
 			await util.sleep(disturbance.atMs);
-			this.print(describe(disturbance));
-			await this.#carryOut(disturbance);
-		}));
+			const names = schedule.subjectsOf(disturbance, this.local.routers.length);
+			const current = this.#carryOutAfter(names.map(async name => last.get(name)), disturbance);
+			for (const name of names) {
+				last.set(name, current);
+			}
+
+			await current;
+		});
+		await Promise.all(running);
+	}
+
+	async #carryOutAfter(earlier: ReadonlyArray<Promise<void>>, disturbance: schedule.Disturbance): Promise<void> {
+		await Promise.all(earlier);
+		this.print(describe(disturbance));
+		await this.#carryOut(disturbance);
 	}
 
 	async #carryOut(disturbance: schedule.Disturbance): Promise<void> {
--- a/packages/stand-ins/src/soak/schedule.ts
+++ b/packages/stand-ins/src/soak/schedule.ts
@@ -91,7 +91,7 @@
 	let atMs = quietMs + random.exponential(meanIntervalMs);
 	while (atMs < options.durationMs - quietMs) {
 		const disturbance = draw(random, Math.round(atMs), options);
-		const names = subjectsOf(disturbance, options);
+		const names = subjectsOf(disturbance, options.routers);
 		if (names.every(name => (busyUntil.get(name) ?? 0) < disturbance.atMs)) {
 			schedule.push(disturbance);
 			for (const name of names) {
@@ -125,8 +125,9 @@
 	};
 }
 
-function subjectsOf(disturbance: Disturbance, options: ScheduleOptions): string[] {
+/** Returns the names of all things that a disturbance acts on. */
+export function subjectsOf(disturbance: Disturbance, routers: number): string[] {
 	const subject = subjectByType[disturbance.type];
-	const targets = subject === Subject.Router ? routersOf(disturbance, options.routers) : [disturbance.target];
+	const targets = subject === Subject.Router ? routersOf(disturbance, routers) : [disturbance.target];
 	return targets.map(target => `${subject} ${target}`);
 }
