--- a/packages/router/src/dispatch/request-driver.ts
+++ b/packages/router/src/dispatch/request-driver.ts
@@ -1,16 +1,30 @@
 import * as core from '@bluebellmast/core';
 import type * as clock from '../util/clock.js';
+import type * as recorder from '../util/recorder.js';
 import type * as requestActions from './request-actions.js';
 import type * as retryLimiter from './retry-limiter.js';
 
 /** Milliseconds after which a caller may try again when endpoints failed. */
 const retryAfterFailureMs = 1000;
 
+/** Events of a request's life that stand in the time line. */
+const timelineTypes: Readonly<Partial<Record<core.request.RequestEventType, core.timeline.TimelineEventType>>> = {
+	[core.request.RequestEventType.Placed]: core.timeline.TimelineEventType.RequestPlaced,
+	[core.request.RequestEventType.Completed]: core.timeline.TimelineEventType.RequestAnswered,
+	[core.request.RequestEventType.Refused]: core.timeline.TimelineEventType.RequestRefused,
+	[core.request.RequestEventType.Failed]: core.timeline.TimelineEventType.RequestRetried,
+	[core.request.RequestEventType.DeadlinePassed]: core.timeline.TimelineEventType.RequestRefused,
+	[core.request.RequestEventType.CallerGone]: core.timeline.TimelineEventType.RequestRefused,
+};
+
 /** What a driver works with. */
 export type RequestDriverOptions = {
 	readonly terms: core.request.RequestTerms;
 	readonly clock: clock.Clock;
 	readonly retries: retryLimiter.RetryLimiter;
+	readonly recorder: recorder.Recorder;
+	/** Client account of the request, for the time line. */
+	readonly account: core.model.AccountId;
 };
 
 /** Runs one request through its life: takes events, and has the effects carried out one after the other. */
@@ -78,6 +92,7 @@
 			const step = core.request.stepRequest(this.#state, event, this.#options.clock.now());
 			this.#state = step.state;
 			this.#effects = step.effects;
+			this.#record(event);
 		}
 	}
 
@@ -136,6 +151,24 @@
 		}
 	}
 
+	/** Records what became of the request in the time line. */
+	#record(event: core.request.RequestEvent): void {
+		const type = timelineTypes[event.type];
+		if (type === undefined) {
+			return;
+		}
+
+		const endpoint = this.attempts.at(-1)?.endpoint;
+		this.#options.recorder.record({
+			type,
+			requestId: this.#options.terms.requestId,
+			account: this.#options.account,
+			...(endpoint !== undefined && {endpoint}),
+			...('cause' in event && {detail: event.cause}),
+			...(event.type === core.request.RequestEventType.Refused && {detail: event.code}),
+		});
+	}
+
 	#createRefusal(): core.model.Refusal {
 		const code = this.#state.context.code ?? core.model.ErrorCode.Internal;
 		return core.request.createRefusal(code, this.attempts, {
--- a/packages/router/src/filters/dispatch-filter.ts
+++ b/packages/router/src/filters/dispatch-filter.ts
@@ -5,6 +5,7 @@
 import type * as retryLimiter from '../dispatch/retry-limiter.js';
 import * as serviceActions from '../dispatch/service-actions.js';
 import type * as clock from '../util/clock.js';
+import type * as recorder from '../util/recorder.js';
 import * as callModule from './call.js';
 import type * as filter from './filter.js';
 import type * as requestContext from './request-context.js';
@@ -15,6 +16,7 @@
 	readonly service: serviceActions.ServiceActionsOptions;
 	readonly clock: clock.Clock;
 	readonly retries: retryLimiter.RetryLimiter;
+	readonly recorder: recorder.Recorder;
 	/** Tries of one request at most. */
 	readonly maxAttempts: number;
 	/** Resumes in a row without a new event at most. */
@@ -34,6 +36,8 @@
 			terms: this.#createTerms(ctx),
 			clock: this.#options.clock,
 			retries: this.#options.retries,
+			recorder: this.#options.recorder,
+			account: ctx.account!.id,
 		});
 		if (ctx.call.type === callModule.CallType.Chat) {
 			const actions = new chatActions.ChatActions(ctx, ctx.call, driver, this.#options.chat);
--- a/packages/router/src/wire-up.ts
+++ b/packages/router/src/wire-up.ts
@@ -294,6 +294,7 @@
 		},
 		clock: base.clock,
 		retries: new retryLimiter.RetryLimiter({share: settings.retry.budgetRatio}),
+		recorder: base.events,
 		maxAttempts: settings.retry.maxAttempts,
 		maxResumes,
 	});
