--- a/packages/platform/src/kv/etcd-transport.ts
+++ b/packages/platform/src/kv/etcd-transport.ts
@@ -38,16 +38,13 @@
 
 /** Carries calls to the first base URL that accepts them. */
 export class EtcdTransport {
-	readonly #agents: readonly undici.Pool[];
+	readonly #agents: undici.Pool[];
+	/** Pools that take no new calls and end with those under way. */
+	readonly #retired = new Set<undici.Pool>();
 	#current = 0;
 
 	constructor(private readonly options: EtcdTransportOptions) {
-		this.#agents = options.baseUrls.map(url => new undici.Pool(url, {
-			connect: {timeout: options.connectTimeoutMs},
-			pipelining: 1,
-			headersTimeout: 0,
-			bodyTimeout: 0,
-		}));
+		this.#agents = options.baseUrls.map(url => this.#createPool(url));
 	}
 
 	/** Makes a call and returns the parsed JSON body. */
@@ -85,7 +82,33 @@
 
 	/** Closes all connections. */
 	async close(): Promise<void> {
-		await Promise.all(this.#agents.map(async agent => agent.destroy()));
+		await Promise.all([...this.#agents, ...this.#retired].map(async agent => agent.destroy()));
+	}
+
+	#createPool(url: string): undici.Pool {
+		return new undici.Pool(url, {
+			connect: {timeout: this.options.connectTimeoutMs},
+			pipelining: 1,
+			headersTimeout: 0,
+			bodyTimeout: 0,
+		});
+	}
+
+	/** After a call without an answer in time, no other connection of its pool is used again: they may be silent too. */
+	#retire(agent: undici.Pool): void {
+		const index = this.#agents.indexOf(agent);
+		if (index === -1) {
+			return;
+		}
+
+		this.#agents[index] = this.#createPool(this.options.baseUrls[index]!);
+		void this.#closeRetired(agent);
+	}
+
+	async #closeRetired(agent: undici.Pool): Promise<void> {
+		this.#retired.add(agent);
+		await agent.close();
+		this.#retired.delete(agent);
 	}
 
 	async #callOne<Answer>(
@@ -103,6 +126,10 @@
 				? purify.Right(JSON.parse(text) as Answer)
 				: this.#refused(call, res.statusCode, text);
 		} catch (err) {
+			if (signal.aborted) {
+				this.#retire(agent);
+			}
+
 			const lost = call.writes && !isNeverSent(err);
 			return failure(lost ? kvError.KvErrorCode.OutcomeUnknown : kvError.KvErrorCode.NotSent, String(err));
 		}
--- a/packages/platform/tests/kv/etcd-client.test.ts
+++ b/packages/platform/tests/kv/etcd-client.test.ts
@@ -115,6 +115,15 @@
 		expect(textOf(await valueOf(client.get('a')))).to.equal('one');
 	});
 
+	it('replaces all connections of a pool when one went silent', async () => {
+		await Promise.all([write('a', 'one'), write('b', 'one'), write('c', 'one')]);
+		await standIns.util.sleep(20);
+		await kv.server.apply({fault: faultNames.Silent});
+		expect(await errorOf(client.get('a'))).to.equal(errorCodes.NotSent);
+		const results = await Promise.all([client.get('a'), client.get('b'), client.get('c')]);
+		expect(results.map(result => result.isRight())).to.deep.equal([true, true, true]);
+	});
+
 	it('goes on to the next base URL, also with calls at the same time', async () => {
 		const other = open(['http://127.0.0.1:1', url]);
 		const results = await Promise.all([other.get('a'), other.get('b'), other.get('c')]);
--- a/packages/router/src/controllers/manifest-controller.ts
+++ b/packages/router/src/controllers/manifest-controller.ts
@@ -55,6 +55,7 @@
 	#timer: NodeJS.Timeout | undefined;
 	#lastReadAt = Number.NEGATIVE_INFINITY;
 	#reading = false;
+	#fetching = false;
 	#fetchRound = 0;
 	#basis = tracker.ConfirmationBasis.None;
 
@@ -337,14 +338,22 @@
 			return;
 		}
 
+		void this.#fetchFromKv(hashes);
+	}
+
+	/** Reads one section after the other, so that few connections are open that could go silent. */
+	async #fetchFromKv(hashes: readonly string[]): Promise<void> {
+		if (this.#fetching) {
+			return;
+		}
+
+		this.#fetching = true;
 		for (const hash of hashes) {
-			void this.#fetchFromKv(hash);
+			const bytes = await this.#source.readSection(hash); // eslint-disable-line no-await-in-loop
+			this.#onSection(hash, bytes);
 		}
-	}
 
-	async #fetchFromKv(hash: string): Promise<void> {
-		const bytes = await this.#source.readSection(hash);
-		this.#onSection(hash, bytes);
+		this.#fetching = false;
 	}
 
 	/** Asks again for what is still missing: the key-value service and each connected router in turn. */
