--- a/packages/router/src/controllers/manifest-controller.ts
+++ b/packages/router/src/controllers/manifest-controller.ts
@@ -1,16 +1,15 @@
 import * as core from '@bluebellmast/core';
 import type * as platform from '@bluebellmast/platform';
-import * as wire from '@bluebellmast/wire';
 import createDebug from 'debug';
 import type * as peerNetwork from '../peers/peer-network.js';
 import type * as clock from '../util/clock.js';
 import type * as metrics from '../util/metrics.js';
 import type * as controller from './controller.js';
+import * as manifestExchange from './manifest-exchange.js';
 import * as manifestKvSource from './manifest-kv-source.js';
 import * as manifestSections from './manifest-sections.js';
 
 const debug = createDebug('bluebellmast:manifest');
-const messageType = wire.peer.PeerMessageType;
 const tracker = core.manifest;
 
 /** Options of the manifest controller. */
@@ -45,10 +44,9 @@
 export class ManifestController implements controller.Controller {
 	readonly #options: Required<Omit<ManifestControllerOptions, 'metrics'>> & Pick<ManifestControllerOptions, 'metrics'>;
 	readonly #source: manifestKvSource.ManifestKvSource;
+	readonly #exchange: manifestExchange.ManifestExchange;
 	readonly #sections = new manifestSections.ManifestSections();
 	readonly #listeners: ManifestListener[] = [];
-	/** Generation in force on each router, as last heard. */
-	readonly #peerGenerations = new Map<core.model.VmId, core.model.Generation>();
 	#tracker: core.manifest.TrackerState = tracker.initialTrackerState;
 	#confirmations: core.manifest.ConfirmationState = tracker.initialConfirmationState;
 	#current: core.model.Manifest | undefined;
@@ -66,7 +64,7 @@
 		this.#source = new manifestKvSource.ManifestKvSource(options.kv, head => {
 			this.#onHead(head, undefined);
 		});
-		this.#handleMessages();
+		this.#exchange = new manifestExchange.ManifestExchange(options.peers, options.clock, this.#createHolder());
 	}
 
 	/** Whether a watch of the key-value service is under way. */
@@ -191,74 +189,29 @@
 		const others = stale ? [...this.#options.listedVms(), ...this.#options.peers.connected()] : [];
 		const targets = new Set([...watchers, ...others]);
 		targets.delete(this.#options.vm);
-		for (const target of targets) {
-			this.#sendProbe(target, now);
-		}
-	}
-
-	#sendProbe(target: core.model.VmId, now: number): void {
-		this.#send(target, {type: messageType.ManifestProbe, sentAt: now, generation: this.#generation()});
-	}
-
-	#handleMessages(): void {
-		const {peers} = this.#options;
-		peers.on(messageType.ManifestHead, (from, message) => {
-			const {head} = message as wire.peer.ManifestHeadMessage;
-			this.#peerGenerations.set(from, head.generation);
-			this.#onHead(head, from);
-		});
-		peers.on(messageType.ManifestProbe, (from, message) => {
-			this.#onProbe(from, message as wire.peer.ManifestProbe);
-		});
-		peers.on(messageType.ManifestProbeAnswer, (from, message) => {
-			this.#onProbeAnswer(from, message as wire.peer.ManifestProbeAnswer);
-		});
-		peers.on(messageType.SectionRequest, (from, message) => {
-			this.#onSectionRequest(from, message as wire.peer.SectionRequest);
-		});
-		peers.on(messageType.SectionAnswer, (_from, message) => {
-			const {hash, bytes} = message as wire.peer.SectionAnswer;
-			this.#onSection(hash, bytes);
-		});
-	}
-
-	#onProbe(from: core.model.VmId, probe: wire.peer.ManifestProbe): void {
-		const now = this.#options.clock.now();
-		const {kv} = this.#confirmations;
-		const newest = this.#tracker.pending?.head ?? this.#tracker.inForce;
-		this.#peerGenerations.set(from, probe.generation);
-		this.#send(from, {
-			type: messageType.ManifestProbeAnswer,
-			sentAt: probe.sentAt,
-			generation: this.#generation(),
-			...(kv && {kv: {generation: kv.generation, ageMs: now - kv.at}}),
-			...(newest && newest.generation > probe.generation && {head: newest}),
-		});
-		if (probe.generation > this.#generation()) {
-			this.#sendProbe(from, now);
-		}
-	}
-
-	#onProbeAnswer(from: core.model.VmId, answer: wire.peer.ManifestProbeAnswer): void {
-		const {sentAt, generation, kv, head} = answer;
-		this.#peerGenerations.set(from, generation);
-		this.#confirmations = tracker.recordPeer(this.#confirmations, from, {generation, at: sentAt});
-		if (kv !== undefined) {
-			this.#recordKv({generation: kv.generation, at: sentAt - kv.ageMs});
-		}
-
-		if (head !== undefined) {
-			this.#onHead(head, from);
-		}
-	}
-
-	#onSectionRequest(from: core.model.VmId, request: wire.peer.SectionRequest): void {
-		for (const hash of request.hashes) {
-			const bytes = this.#sections.get(hash);
-			if (bytes !== undefined) {
-				this.#send(from, {type: messageType.SectionAnswer, hash, bytes});
-			}
-		}
+		this.#exchange.probe(targets, now);
+	}
+
+	/** What the exchange with other routers asks and tells. */
+	#createHolder(): manifestExchange.ManifestHolder {
+		return {
+			generation: () => this.#tracker.inForce?.generation ?? 0,
+			newest: () => this.#tracker.pending?.head ?? this.#tracker.inForce,
+			kv: () => this.#confirmations.kv,
+			section: hash => this.#sections.get(hash),
+			onHead: (head, from) => {
+				this.#onHead(head, from);
+			},
+			onPeerGeneration: (from, confirmation) => {
+				this.#confirmations = tracker.recordPeer(this.#confirmations, from, confirmation);
+			},
+			onKvRead: read => {
+				this.#recordKv(read);
+			},
+			onSection: (hash, bytes) => {
+				this.#onSection(hash, bytes);
+			},
+		};
 	}
 
 	#onHead(head: core.manifest.ManifestHead, source: core.manifest.HeadSource): void {
@@ -313,7 +266,7 @@
 		this.#sections.retainOnly(head);
 		debug('generation %d by change %s is in force', head.generation, head.changeId);
 		this.#options.metrics?.gauge('manifest.generation', head.generation);
-		this.#tellPeers(head);
+		this.#exchange.announce(head);
 		this.#publish(manifest);
 	}
 
@@ -324,16 +277,8 @@
 		}
 	}
 
-	#tellPeers(head: core.manifest.ManifestHead): void {
-		for (const vm of this.#options.peers.connected()) {
-			if ((this.#peerGenerations.get(vm) ?? 0) < head.generation) {
-				this.#send(vm, {type: messageType.ManifestHead, head});
-			}
-		}
-	}
-
 	#fetch(hashes: readonly string[], source: core.manifest.HeadSource): void {
-		const asked = source !== undefined && this.#send(source, {type: messageType.SectionRequest, hashes});
+		const asked = source !== undefined && this.#exchange.requestSections(source, hashes);
 		if (asked) {
 			return;
 		}
@@ -377,14 +322,6 @@
 		return this.#missing().includes(hash);
 	}
 
-	#generation(): core.model.Generation {
-		return this.#tracker.inForce?.generation ?? 0;
-	}
-
-	#send(to: core.model.VmId, message: wire.peer.ManifestMessage): boolean {
-		return this.#options.peers.send(to, message);
-	}
-
 	#noteBasis(now: number): void {
 		const basis = this.basis(now);
 		if (basis !== this.#basis) {
