--- a/packages/core/tests/limits/account-limiter.test.ts
+++ b/packages/core/tests/limits/account-limiter.test.ts
@@ -46,6 +46,21 @@
 		expect(limiter.buckets.get('club')!.requests).to.equal(14);
 	});
 
+	it('keeps an account waiting for a bounded time, however much other routers have admitted', () => {
+		const identity = {vm: 'vm2', incarnation: 'i'};
+		const idle = core.limits.nextUsageRecord(core.limits.createAccountLimiter(), identity);
+		const busy = core.limits.nextUsageRecord(
+			core.limits.countUsage(idle.limiter, account, {requests: 100_000, tokens: 10_000_000}, 0),
+			identity,
+		);
+		let limiter = core.limits.createAccountLimiter();
+		for (const {record} of [idle, busy]) {
+			limiter = core.limits.takeUsageRecord(limiter, record, [account], 0);
+		}
+
+		expect(core.limits.admitToLimit(limiter, account, 1, 0).waitMs).to.be.within(2000, 2100);
+	});
+
 	it('holds an account to its rate over all routers, and never below it', () => {
 		const arbitrary = fc.record({
 			routers: fc.integer({min: 1, max: 7}), loudness: fc.integer({min: 2, max: 6}), lossPercent: fc.constantFrom(0, 30), skew: fc.boolean(),
--- a/packages/core/tests/limits/overload.test.ts
+++ b/packages/core/tests/limits/overload.test.ts
@@ -114,6 +114,29 @@
 	}
 });
 
+describe('nextInQueue', () => {
+	it('takes the larger priority of one account, and turns between accounts by their shares', () => {
+		let queue = core.limits.createFairQueue();
+		for (const item of [
+			requestWith({id: 'low'}),
+			requestWith({id: 'high', priority: 2}),
+			requestWith({id: 'school1', account: 'school', share: 2}),
+			requestWith({id: 'school2', account: 'school', share: 2}),
+			requestWith({id: 'school3', account: 'school', share: 2}),
+		]) {
+			queue = core.limits.addToQueue(queue, item);
+		}
+
+		const order = [];
+		for (let item = core.limits.nextInQueue(queue); item !== undefined; item = core.limits.nextInQueue(queue)) {
+			order.push(item.id);
+			queue = core.limits.countAdmission(core.limits.removeFromQueue(queue, item.id), item.account, item.share);
+		}
+
+		expect(order).to.deep.equal(['high', 'school1', 'school2', 'low', 'school3']);
+	});
+});
+
 describe('pool admission', () => {
 	it('refuses at once what cannot make its deadline, with the time to come back', () => {
 		let admission = core.limits.createPoolAdmission(core.limits.createConcurrencyLimit(1, 1));
