--- a/packages/core/src/placement/cost-based.ts
+++ b/packages/core/src/placement/cost-based.ts
@@ -10,10 +10,15 @@
 
 /** What a cost counts; chosen by deployment. */
 export type CostWeights = {
-	/** Cost of a millisecond of avoidable prefill beyond the time it takes. */
-	readonly waste: number;
-	/** Milliseconds for work away from the homes of the prefix, for each millisecond of prefill of the whole prompt. */
-	readonly stray: number;
+	/**
+	 * Cost of a millisecond of prefill at a home of the prefix, beyond the time it takes, while fewer engines hold the
+	 * prefix than its rate asks for.
+	 */
+	readonly homeWaste: number;
+	/** The same elsewhere, or when enough engines hold it: the pieces push out those of other prefixes. */
+	readonly strayWaste: number;
+	/** Homes that a prefix has at least; the less loaded takes it while none holds it. */
+	readonly minHomes: number;
 	/** Milliseconds for an endpoint whose slots are all taken; in proportion below. */
 	readonly occupancyMs: number;
 	/** Part of doubtful pieces that counts as held, 0 to 1. */
@@ -33,6 +38,8 @@
 };
 
 const homeCandidates = 4;
+/** Pools up to this size are looked at as a whole. */
+const smallPool = 16;
 const spillCandidates = 2;
 const hitCandidates = 3;
 const randomCandidates = 2;
@@ -73,21 +80,25 @@
 		this.#decisions += 1;
 		const seed = nearEqual.mix32(this.#seed + this.#decisions);
 		const hits = view.hits(request);
+		const levels = boundedRendezvous.homeLevels(request, view, now);
 		const {homes, spill} = boundedRendezvous.rankHomes(
 			this.#ranker,
 			eligible,
-			boundedRendezvous.homeLevels(request, view, now),
+			levels.map(level => ({...level, homes: Math.max(level.homes, this.#weights.minHomes)})),
 		);
-		const named = [
-			...homes.slice(0, homeCandidates),
-			...spill.slice(0, spillCandidates),
-			...this.#holders(eligible, hits),
-			...this.#random(eligible, seed),
-		];
+		const wantsCopies = eligibility.countHolders(request, hits) < levels[0]!.homes;
+		const named = eligible.length <= smallPool
+			? eligible
+			: [
+				...homes.slice(0, homeCandidates),
+				...spill.slice(0, spillCandidates),
+				...this.#holders(eligible, hits),
+				...this.#random(eligible, seed),
+			];
 		const homeNames = new Set(homes.map(home => home.endpoint));
 		const keptTokens = this.#weights.importMsPerToken > 0 ? view.keptTokens(request) : 0;
 		const candidates = [...new Set(named)].map(endpoint => this.#cost({
-			endpoint, request, hits, keptTokens, isHome: homeNames.has(endpoint.endpoint),
+			endpoint, request, hits, keptTokens, isCopyWanted: wantsCopies && homeNames.has(endpoint.endpoint),
 		}));
 		const chosen = nearEqual.pickNearEqual(candidates, candidate => candidate.costMs, this.#weights.toleranceMs, seed)!;
 		const importKeys = chosen.imports ? keysBetween(request, chosen.cachedTokens, keptTokens) : [];
@@ -99,7 +110,7 @@
 		readonly request: placementRequest.PlacementRequest;
 		readonly hits: readonly placementView.PrefixHit[];
 		readonly keptTokens: number;
-		readonly isHome: boolean;
+		readonly isCopyWanted: boolean;
 	}): Candidate {
 		const {endpoint, request} = input;
 		const cachedTokens = eligibility.likelyTokens(endpoint, input.hits, this.#weights.doubt);
@@ -109,13 +120,13 @@
 		const imports = importTokens > 0 && importMs < prefillMs;
 		const missing = Math.max(0, request.promptTokens - cachedTokens - (imports ? importTokens : 0));
 		const missingMs = missing / endpoint.prefillTokensPerMs;
-		const strayMs = input.isHome ? 0 : this.#weights.stray * missingMs;
+		const waste = input.isCopyWanted ? this.#weights.homeWaste : this.#weights.strayWaste;
 		const occupancyMs = leastLoad.relativeLoad(endpoint) * this.#weights.occupancyMs;
 		return {
 			endpoint,
 			cachedTokens,
 			imports,
-			costMs: endpoint.queueMs + occupancyMs + (missingMs * (1 + this.#weights.waste)) + (imports ? importMs : 0) + strayMs,
+			costMs: endpoint.queueMs + occupancyMs + (missingMs * (1 + waste)) + (imports ? importMs : 0),
 		};
 	}
 
--- a/packages/core/src/placement/create-placement-policy.ts
+++ b/packages/core/src/placement/create-placement-policy.ts
@@ -29,10 +29,11 @@
 
 /** Weights of costs unless a deployment sets others. */
 export const defaultCostWeights: costBased.CostWeights = {
-	waste: 0.5,
-	stray: 1,
+	homeWaste: 0.5,
+	strayWaste: 8,
+	minHomes: 2,
 	occupancyMs: 100,
-	doubt: 0.5,
+	doubt: 0.95,
 	importMsPerToken: 0,
 	toleranceMs: 5,
 };
--- a/packages/core/src/placement/eligibility.ts
+++ b/packages/core/src/placement/eligibility.ts
@@ -48,6 +48,14 @@
 	return likelyTokens(endpoint, hits, 0);
 }
 
+/** Returns the number of engines that hold most of a prompt. */
+export function countHolders(
+	request: placementRequest.PlacementRequest,
+	hits: readonly placementView.PrefixHit[],
+): number {
+	return hits.filter(hit => hit.doubtfulTokens * 2 >= request.promptTokens).length;
+}
+
 /**
  * Returns the tokens of the prompt that an endpoint likely holds in its present incarnation.
  *
--- a/packages/core/src/placement/load-view.ts
+++ b/packages/core/src/placement/load-view.ts
@@ -20,6 +20,8 @@
 };
 
 const smoothing = 0.05;
+const riseSmoothing = 0.2;
+const fallSmoothing = 0.005;
 const minMeasuredTokens = 1000;
 
 /** Loads of all endpoints as one router sees them: lagging reports, own dispatches since, and measured speeds. */
@@ -159,8 +161,10 @@
 	#measurePrefill(attempt: Attempt, firstTokenMs: number): void {
 		const isMeasurable = attempt.missingTokens >= minMeasuredTokens && attempt.queueMs < firstTokenMs / 4;
 		if (isMeasurable && attempt.endpoint.slowness === 1) {
+			// A queue that this router does not see makes the rate look low, never high.
 			const rate = attempt.missingTokens / Math.max(1, firstTokenMs - attempt.queueMs);
-			this.pool.prefillTokensPerMs += (rate - this.pool.prefillTokensPerMs) * smoothing;
+			const part = rate > this.pool.prefillTokensPerMs ? riseSmoothing : fallSmoothing;
+			this.pool.prefillTokensPerMs += (rate - this.pool.prefillTokensPerMs) * part;
 		}
 	}
 
--- a/packages/stand-ins/src/bench/oracle.ts
+++ b/packages/stand-ins/src/bench/oracle.ts
@@ -2,7 +2,9 @@
 
 /** Weights of the oracle's costs. */
 export type OracleWeights = {
-	/** Cost of a millisecond of prefill beyond the time it takes. */
+	/** Cost of a millisecond of prefill beyond the time it takes, while fewer engines hold the prefix than its rate asks for. */
+	readonly copyWaste: number;
+	/** The same when enough engines hold it. */
 	readonly waste: number;
 	/** Milliseconds for an endpoint whose slots are all taken. */
 	readonly occupancyMs: number;
@@ -18,19 +20,22 @@
 	place(
 		request: core.placement.PlacementRequest,
 		view: core.placement.PlacementView,
+		now: number,
 	): core.placement.Placement | undefined {
 		const hits = view.hits(request);
+		const wanted = view.homeCount(request.homeKeys[0]!, now);
+		const waste = core.placement.countHolders(request, hits) < wanted ? this.weights.copyWaste : this.weights.waste;
 		const costs = core.placement.listEligible(request, view).map(endpoint => {
 			const cachedTokens = core.placement.claimedTokens(endpoint, hits);
-			return {endpoint, cachedTokens, costMs: this.#cost(endpoint, request.promptTokens - cachedTokens)};
+			return {endpoint, cachedTokens, costMs: this.#cost(endpoint, request.promptTokens - cachedTokens, waste)};
 		});
 		const best = costs.sort((left, right) => left.costMs - right.costMs)[0];
 		return best && core.placement.placeOn(best.endpoint, request, best.cachedTokens);
 	}
 
-	#cost(endpoint: core.placement.EndpointView, missingTokens: number): number {
+	#cost(endpoint: core.placement.EndpointView, missingTokens: number, waste: number): number {
 		const missingMs = missingTokens / endpoint.prefillTokensPerMs;
 		const occupancyMs = core.placement.relativeLoad(endpoint) * this.weights.occupancyMs;
-		return endpoint.queueMs + occupancyMs + (missingMs * (1 + this.weights.waste));
+		return endpoint.queueMs + occupancyMs + (missingMs * (1 + waste));
 	}
 }
--- a/packages/stand-ins/src/bench/placement-suite.ts
+++ b/packages/stand-ins/src/bench/placement-suite.ts
@@ -20,6 +20,8 @@
 	readonly capacity: number | undefined;
 	/** Weights of costs in place of the deployment's. */
 	readonly cost: Partial<core.placement.CostWeights>;
+	/** The oracle's weight of waste in place of the deployment's. */
+	readonly oracleWaste: number | undefined;
 	readonly outFolder: string;
 	readonly warmUpMs: number;
 	readonly measuredMs: number;
@@ -35,7 +37,11 @@
 			throw new Error(`unknown deployment ${name}`);
 		}
 
-		const deployment = {...known, cost: {...known.cost, ...options.cost}};
+		const deployment = {
+			...known,
+			cost: {...known.cost, ...options.cost},
+			oracleWaste: options.oracleWaste ?? known.oracleWaste,
+		};
 		const results = await runDeployment(deployment, options); // eslint-disable-line no-await-in-loop
 		fs.mkdirSync(options.outFolder, {recursive: true});
 		const base = path.join(options.outFolder, `placement-${name}-${options.seed}`);
