--- a/packages/core/src/cache/cache-picture.ts
+++ b/packages/core/src/cache/cache-picture.ts
@@ -218,6 +218,16 @@
 		this.#addPieces(report);
 	}
 
+	/** The same for pieces that another router tells of, whose account is not known here. */
+	expectKeys(endpoint: ids.EndpointId, incarnation: ids.Incarnation, keys: readonly string[]): void {
+		const engine = this.#engineOf(endpoint, incarnation);
+		for (const key of engine === undefined ? [] : keys) {
+			this.#addHolder(this.#pieceOf(key)!, engine!);
+		}
+
+		this.#evictPieces();
+	}
+
 	/** Takes back what was expected of an attempt that failed: the pieces after the first `keptTokens`. */
 	retract(report: Omit<AnswerCacheReport, 'cachedTokens'>, keptTokens: number): void {
 		const engine = this.#engineOf(report.endpoint, report.incarnation);
--- a/packages/core/src/placement/endpoint-load.ts
+++ b/packages/core/src/placement/endpoint-load.ts
@@ -181,10 +181,13 @@
 	change(requests: number, tokens: number): void {
 		this.#ownRequests = Math.max(0, this.#ownRequests + requests);
 		this.#ownTokens = Math.max(0, this.#ownTokens + tokens);
-		this.#changes.push({at: this.pool.now, requests, tokens});
-		this.#sumRequests += requests;
-		this.#sumTokens += tokens;
-		this.#dropOldChanges();
+		this.#addChange(requests, tokens);
+	}
+
+	/** Counts a change that another router tells of; the next reports show it too. */
+	changeByPeer(requests: number, tokens: number): void {
+		// The multiple stands for routers that do not tell; a told change counts once.
+		this.#addChange(requests / this.#peerMultiple, tokens / this.#peerMultiple);
 	}
 
 	/** Takes the mean time between tokens of one own answer. */
@@ -198,6 +201,13 @@
 		return 1 + (this.pool.options.peerFactor * (this.pool.routers - 1));
 	}
 
+	#addChange(requests: number, tokens: number): void {
+		this.#changes.push({at: this.pool.now, requests, tokens});
+		this.#sumRequests += requests;
+		this.#sumTokens += tokens;
+		this.#dropOldChanges();
+	}
+
 	/** Drops the changes that the last report already shows. */
 	#dropOldChanges(): void {
 		const since = this.#reportedAt - this.pool.options.reportLagMs;
--- a/packages/core/src/placement/load-view.ts
+++ b/packages/core/src/placement/load-view.ts
@@ -116,6 +116,12 @@
 		endpoint.change(1, missingTokens);
 	}
 
+	/** Counts a change of the requests in flight of another router, and of their prompt tokens not computed yet. */
+	changedByPeer(endpoint: ids.EndpointId, requests: number, tokens: number, now: number): void {
+		this.advance(now);
+		this.#endpoints.get(endpoint)?.changeByPeer(requests, tokens);
+	}
+
 	/** Counts the first token of an own request: its prompt is computed. */
 	firstToken(attemptId: ids.AttemptId, now: number): void {
 		this.advance(now);
--- a/packages/core/src/placement/placement-state.ts
+++ b/packages/core/src/placement/placement-state.ts
@@ -32,6 +32,40 @@
 	readonly keys: readonly string[];
 };
 
+/** A change of the load of an endpoint, as a router tells the others. */
+export type PeerLoadChange = {
+	readonly endpoint: string;
+	/** Incarnation that the pieces are for, absent when there are none. */
+	readonly incarnation?: string;
+	/** Change of the requests in flight. */
+	readonly requests: number;
+	/** Change of the prompt tokens that are not computed yet. */
+	readonly tokens: number;
+	/** Pieces that the endpoint is going to compute. */
+	readonly keys: readonly string[];
+};
+
+/** Returns the change that a dispatch makes. */
+export function dispatchChange(attempt: DispatchedAttempt): PeerLoadChange {
+	const {request, placement} = attempt;
+	let tokens = 0;
+	const keys: string[] = [];
+	for (const piece of request.pieces) {
+		tokens += piece.tokens;
+		if (tokens > placement.expectedCachedTokens) {
+			keys.push(piece.key);
+		}
+	}
+
+	return {
+		endpoint: placement.endpoint,
+		...(placement.incarnation !== undefined && {incarnation: placement.incarnation}),
+		requests: 1,
+		tokens: Math.max(0, request.promptTokens - placement.expectedCachedTokens),
+		keys,
+	};
+}
+
 /** What an answer shows of its engine's cache. */
 export type AnswerOutcome = {
 	readonly request: placementRequest.PlacementRequest;
@@ -85,6 +119,14 @@
 		}
 	}
 
+	/** Takes what another router tells of a dispatch or its end. */
+	peerChanged(change: PeerLoadChange, now: number): void {
+		this.loads.changedByPeer(change.endpoint, change.requests, change.tokens, now);
+		if (change.incarnation !== undefined) {
+			this.picture.expectKeys(change.endpoint, change.incarnation, change.keys);
+		}
+	}
+
 	/** Counts the end of an attempt that gave no answer. */
 	failed(attempt: DispatchedAttempt, now: number): void {
 		const {placement} = attempt;
--- a/packages/stand-ins/src/bench/bench-router.ts
+++ b/packages/stand-ins/src/bench/bench-router.ts
@@ -9,14 +9,20 @@
 	readonly loadMs: number;
 	/** Milliseconds by which cache events are late. */
 	readonly eventMs: number;
+	/** Milliseconds by which other routers' dispatches are heard late. */
+	readonly peerMs: number;
 	/** Share of cache events that never come, 0 to 1. */
 	readonly eventLoss: number;
 };
 
 /** A router that sees all at once. */
-export const noLag: Lag = {loadMs: 0, eventMs: 0, eventLoss: 0};
+export const noLag: Lag = {
+	loadMs: 0, eventMs: 0, peerMs: 0, eventLoss: 0,
+};
 /** A router as it is in operation, with times scaled as the engines' are. */
-export const usualLag: Lag = {loadMs: 150, eventMs: 100, eventLoss: 0.01};
+export const usualLag: Lag = {
+	loadMs: 150, eventMs: 100, peerMs: 20, eventLoss: 0.01,
+};
 
 /** Options of a logical router. */
 export type BenchRouterOptions = {
@@ -83,6 +89,13 @@
 		});
 	}
 
+	/** Hears of a dispatch or its end at another router. */
+	hearPeer(change: core.placement.PeerLoadChange): void {
+		this.#later(this.options.lag.peerMs, () => {
+			this.state.peerChanged(change, Date.now());
+		});
+	}
+
 	/** Marks an endpoint that refused a connection. */
 	lose(endpoint: string): void {
 		const load = this.state.loads.find(endpoint); // eslint-disable-line unicorn/no-array-callback-reference
@@ -108,6 +121,7 @@
 				prefillTokensPerMs: deployment.prefillTokensPerSecond / 1000,
 				slotHoldMs: 300,
 				slownessHalfLifeMs: 4000,
+				peerFactor: 0,
 			},
 			hot: {decayMs: 4000},
 		});
--- a/packages/stand-ins/src/bench/placement-run.ts
+++ b/packages/stand-ins/src/bench/placement-run.ts
@@ -300,21 +300,34 @@
 			abort.abort();
 		}, arrivedAt + deadlineMs - Date.now());
 		const attempt = {attemptId, request: request.placement, placement};
+		const change = core.placement.dispatchChange(attempt);
+		let isBegun = false;
 		state.dispatched(attempt, Date.now());
+		this.#tellPeers(router, change);
 		try {
 			const answer = await client.complete(request.placement, attemptId, abort.signal, {
-				onFirstToken(now) {
+				onFirstToken: now => {
 					clearTimeout(timer);
+					isBegun = true;
 					state.loads.firstToken(attemptId, now);
+					this.#tellPeers(router, {
+						...change, requests: 0, tokens: -change.tokens, keys: [],
+					});
 				},
 			});
 			state.loads.finished(attemptId, answer.tokens, Date.now());
+			this.#tellPeers(router, {
+				...change, requests: -1, tokens: 0, keys: [],
+			});
 			state.answered({
 				request: request.placement, endpoint, incarnation: answer.incarnation, cachedTokens: answer.cachedTokens,
 			});
 			return answer;
 		} catch {
 			state.failed(attempt, Date.now());
+			this.#tellPeers(router, {
+				...change, requests: -1, tokens: isBegun ? 0 : -change.tokens, keys: [],
+			});
 			if (abort.signal.aborted) {
 				void cancelQuietly(client, attemptId);
 			} else {
@@ -327,6 +340,14 @@
 		}
 	}
 
+	#tellPeers(from: benchRouter.BenchRouter, change: core.placement.PeerLoadChange): void {
+		for (const router of this.#routers) {
+			if (router !== from) {
+				router.hearPeer(change);
+			}
+		}
+	}
+
 	#count(request: workload.WorkloadRequest, answer: engineClient.EngineAnswer, arrivedAt: number, retries: number): void {
 		let tokens = 0;
 		let wastedTokens = 0;
