Keep doubtful pieces over several gaps, bound the prefill estimate, tell peers of dispatches

Change: up to 16 doubtful epochs; measured prefill rate never above the configured one; dispatches are told to the other routers with the keys that their rates count.

--- a/packages/core/src/cache/cache-picture.ts
+++ b/packages/core/src/cache/cache-picture.ts
@@ -72,8 +72,8 @@
 	/** Last event sequence; absent until the first event. */
 	sequence: number | undefined;
 	current: Epoch;
-	/** The epoch before the latest gap. */
-	doubtful: Epoch | undefined;
+	/** Epochs before the latest gaps, latest last. */
+	doubtful: Epoch[];
 	/** Earlier incarnations, latest last. */
 	readonly dead: ids.Incarnation[];
 	/** Keys of the latest digest of another router. */
@@ -88,6 +88,7 @@
 };
 
 const maxDeadIncarnations = 16;
+const maxDoubtfulEpochs = 16;
 
 /**
  * Which engine incarnation holds which pieces, as far as this router knows. Only a hint for placement: engines check
@@ -163,7 +164,7 @@
 			incarnation,
 			sequence: undefined,
 			current: this.#openEpoch(endpoint, incarnation),
-			doubtful: undefined,
+			doubtful: [],
 			dead: engine === undefined ? [] : [...engine.dead, engine.incarnation].slice(-maxDeadIncarnations),
 			digest: new Set(),
 		});
@@ -188,11 +189,11 @@
 			return;
 		}
 
-		if (engine.doubtful !== undefined) {
-			this.#epochs.delete(engine.doubtful.number);
+		engine.doubtful.push(engine.current);
+		if (engine.doubtful.length > maxDoubtfulEpochs) {
+			this.#epochs.delete(engine.doubtful.shift()!.number);
 		}
 
-		engine.doubtful = engine.current;
 		engine.current = this.#openEpoch(endpoint, engine.incarnation);
 	}
 
@@ -360,9 +361,8 @@
 	}
 
 	#dropEpochs(engine: EngineState): void {
-		this.#epochs.delete(engine.current.number);
-		if (engine.doubtful !== undefined) {
-			this.#epochs.delete(engine.doubtful.number);
+		for (const epoch of [engine.current, ...engine.doubtful]) {
+			this.#epochs.delete(epoch.number);
 		}
 	}
 
@@ -397,7 +397,7 @@
 
 			case CacheChange.Cleared: {
 				this.#dropEpochs(engine);
-				engine.doubtful = undefined;
+				engine.doubtful = [];
 				engine.current = this.#openEpoch(engine.current.endpoint, engine.incarnation);
 				break;
 			}
@@ -457,7 +457,7 @@
 			return;
 		}
 
-		this.#keepHolders(state, number => this.#epochs.has(number) && number !== engine.doubtful?.number);
+		this.#keepHolders(state, number => this.#epochs.has(number) && !isOf(engine, number));
 		state.holders.push(engine.current.number);
 		this.#holders += 1;
 	}
@@ -468,7 +468,7 @@
 			return;
 		}
 
-		this.#keepHolders(state, number => number !== engine.current.number && number !== engine.doubtful?.number);
+		this.#keepHolders(state, number => !isOf(engine, number));
 		if (this.#liveHolders(state).length === 0) {
 			this.#pieces.delete(key);
 		}
@@ -509,3 +509,7 @@
 		}
 	}
 }
+
+function isOf(engine: EngineState, epoch: number): boolean {
+	return engine.current.number === epoch || engine.doubtful.some(earlier => earlier.number === epoch);
+}
--- a/packages/core/src/placement/create-placement-policy.ts
+++ b/packages/core/src/placement/create-placement-policy.ts
@@ -31,7 +31,7 @@
 export const defaultCostWeights: costBased.CostWeights = {
 	homeWaste: 0.5,
 	strayWaste: 8,
-	minHomes: 2,
+	minHomes: 16,
 	occupancyMs: 100,
 	doubt: 0.95,
 	importMsPerToken: 0,
--- a/packages/core/src/placement/load-view.ts
+++ b/packages/core/src/placement/load-view.ts
@@ -4,7 +4,7 @@
 
 /** Options of the load view. */
 export type LoadViewOptions = Partial<endpointLoad.LoadOptions> & {
-	/** Prompt tokens a millisecond of an endpoint before any were measured. Default 10. */
+	/** Prompt tokens a millisecond of an endpoint at its best. Default 10. */
 	readonly prefillTokensPerMs?: number;
 	/** Milliseconds that a request holds a slot before any were measured. Default 1000. */
 	readonly slotHoldMs?: number;
@@ -19,6 +19,7 @@
 	firstTokenAt: number | undefined;
 };
 
+const defaultPrefillTokensPerMs = 10;
 const smoothing = 0.05;
 const riseSmoothing = 0.2;
 const fallSmoothing = 0.005;
@@ -27,15 +28,17 @@
 /** Loads of all endpoints as one router sees them: lagging reports, own dispatches since, and measured speeds. */
 export class LoadView {
 	readonly pool: endpointLoad.PoolEstimates;
+	readonly #maxPrefillTokensPerMs: number;
 	readonly #endpoints = new Map<ids.EndpointId, endpointLoad.EndpointLoad>();
 	readonly #attempts = new Map<ids.AttemptId, Attempt>();
 	#byService = new Map<ids.ServiceId, readonly endpointLoad.EndpointLoad[]>();
 
 	constructor(options: LoadViewOptions = {}) {
+		this.#maxPrefillTokensPerMs = options.prefillTokensPerMs ?? defaultPrefillTokensPerMs;
 		this.pool = {
 			now: 0,
 			routers: 1,
-			prefillTokensPerMs: options.prefillTokensPerMs ?? 10,
+			prefillTokensPerMs: this.#maxPrefillTokensPerMs,
 			slotHoldMs: options.slotHoldMs ?? 1000,
 			tokenMs: 0,
 			options: {
@@ -167,8 +170,9 @@
 	#measurePrefill(attempt: Attempt, firstTokenMs: number): void {
 		const isMeasurable = attempt.missingTokens >= minMeasuredTokens && attempt.queueMs < firstTokenMs / 4;
 		if (isMeasurable && attempt.endpoint.slowness === 1) {
-			// A queue that this router does not see makes the rate look low, never high.
-			const rate = attempt.missingTokens / Math.max(1, firstTokenMs - attempt.queueMs);
+			// A queue that this router does not see makes the rate look low, and a hit that it did not expect makes it look high.
+			const measured = attempt.missingTokens / Math.max(1, firstTokenMs - attempt.queueMs);
+			const rate = Math.min(measured, this.#maxPrefillTokensPerMs);
 			const part = rate > this.pool.prefillTokensPerMs ? riseSmoothing : fallSmoothing;
 			this.pool.prefillTokensPerMs += (rate - this.pool.prefillTokensPerMs) * part;
 		}
--- a/packages/core/src/placement/placement-state.ts
+++ b/packages/core/src/placement/placement-state.ts
@@ -43,6 +43,8 @@
 	readonly tokens: number;
 	/** Pieces that the endpoint is going to compute. */
 	readonly keys: readonly string[];
+	/** Keys that the rates of prefixes count; empty but for the first dispatch of a request. */
+	readonly homeKeys: readonly string[];
 };
 
 /** Returns the change that a dispatch makes. */
@@ -63,6 +65,7 @@
 		requests: 1,
 		tokens: Math.max(0, request.promptTokens - placement.expectedCachedTokens),
 		keys,
+		homeKeys: request.excluded.size === 0 ? request.homeKeys : [],
 	};
 }
 
@@ -121,6 +124,10 @@
 
 	/** Takes what another router tells of a dispatch or its end. */
 	peerChanged(change: PeerLoadChange, now: number): void {
+		if (change.homeKeys.length > 0) {
+			this.hot.record(change.homeKeys, now);
+		}
+
 		this.loads.changedByPeer(change.endpoint, change.requests, change.tokens, now);
 		if (change.incarnation !== undefined) {
 			this.picture.expectKeys(change.endpoint, change.incarnation, change.keys);
--- a/packages/stand-ins/src/bench/bench-router.ts
+++ b/packages/stand-ins/src/bench/bench-router.ts
@@ -123,7 +123,7 @@
 				slownessHalfLifeMs: 4000,
 				peerFactor: 0,
 			},
-			hot: {decayMs: 4000},
+			hot: {decayMs: 5000},
 		});
 		state.loads.setRouters(routers);
 		state.loads.setEndpoints(Array.from({length: deployment.engines}, (_, index) => describe(deployment, index)));
--- a/packages/stand-ins/src/bench/placement-run.ts
+++ b/packages/stand-ins/src/bench/placement-run.ts
@@ -311,13 +311,13 @@
 					isBegun = true;
 					state.loads.firstToken(attemptId, now);
 					this.#tellPeers(router, {
-						...change, requests: 0, tokens: -change.tokens, keys: [],
+						...change, requests: 0, tokens: -change.tokens, keys: [], homeKeys: [],
 					});
 				},
 			});
 			state.loads.finished(attemptId, answer.tokens, Date.now());
 			this.#tellPeers(router, {
-				...change, requests: -1, tokens: 0, keys: [],
+				...change, requests: -1, tokens: 0, keys: [], homeKeys: [],
 			});
 			state.answered({
 				request: request.placement, endpoint, incarnation: answer.incarnation, cachedTokens: answer.cachedTokens,
@@ -326,7 +326,7 @@
 		} catch {
 			state.failed(attempt, Date.now());
 			this.#tellPeers(router, {
-				...change, requests: -1, tokens: isBegun ? 0 : -change.tokens, keys: [],
+				...change, requests: -1, tokens: isBegun ? 0 : -change.tokens, keys: [], homeKeys: [],
 			});
 			if (abort.signal.aborted) {
 				void cancelQuietly(client, attemptId);
