--- a/packages/core/src/placement/create-placement-policy.ts
+++ b/packages/core/src/placement/create-placement-policy.ts
@@ -30,7 +30,7 @@
 /** Weights of costs unless a deployment sets others. */
 export const defaultCostWeights: costBased.CostWeights = {
 	homeWaste: 0.5,
-	strayWaste: 8,
+	strayWaste: 16,
 	minHomes: 16,
 	occupancyMs: 100,
 	doubt: 0.95,
