--- a/packages/stand-ins/src/bench/main.ts
+++ b/packages/stand-ins/src/bench/main.ts
@@ -1,5 +1,6 @@
 import process from 'node:process';
 import * as util from 'node:util';
+import * as overheadSuite from './overhead-suite.js';
 import * as placementSuite from './placement-suite.js';
 
 const {values} = util.parseArgs({
@@ -37,6 +38,11 @@
 		break;
 	}
 
+	case 'overhead': {
+		await overheadSuite.runOverheadSuite({seed: Number(values.seed), outFolder: values.out});
+		break;
+	}
+
 	default: {
 		console.error(`unknown suite ${values.suite}`);
 		process.exitCode = 2;
--- a/packages/stand-ins/src/deployment/deployment-options.ts
+++ b/packages/stand-ins/src/deployment/deployment-options.ts
@@ -19,6 +19,8 @@
 	readonly restartVersions?: readonly string[];
 	/** More arguments of each engine, such as `['--cache-limit-tokens', '50000']`; default none. */
 	readonly engineArgs?: readonly string[];
+	/** More arguments of each runner; default none. */
+	readonly runnerArgs?: readonly string[];
 	/** More arguments of the key-value service; default none. */
 	readonly kvArgs?: readonly string[];
 	/** Settings of the routers beyond the needed ones, merged in at the top level; default none. */
@@ -39,6 +41,7 @@
 		loadedVersions: ['1'],
 		restartVersions: [],
 		engineArgs: [],
+		runnerArgs: [],
 		kvArgs: [],
 		routerSettings: {},
 		...options,
--- a/packages/stand-ins/src/deployment/local-deployment.ts
+++ b/packages/stand-ins/src/deployment/local-deployment.ts
@@ -284,7 +284,7 @@
 	}
 
 	#runnerArgs(name: string): string[] {
-		return ['--name', name, '--record-file', this.#path(`${name}.records`)];
+		return ['--name', name, '--record-file', this.#path(`${name}.records`), ...this.#settings.runnerArgs];
 	}
 
 	#startChild(name: string, script: string, args: readonly string[]): util.Child {
