--- a/packages/platform/tests/kv/etcd-client.test.ts
+++ b/packages/platform/tests/kv/etcd-client.test.ts
@@ -90,6 +90,14 @@
 		expect(textOf(await valueOf(client.get('a')))).to.equal('one');
 	});
 
+	it('says that the outcome is unknown when a write takes effect only after its time', async () => {
+		await kv.server.apply({fault: faultNames.LateWrites, ms: 400});
+		expect(await errorOf(write('a', 'one'))).to.equal(errorCodes.OutcomeUnknown);
+		expect(await valueOf(client.get('a'))).to.equal(undefined);
+		await standIns.util.sleep(300);
+		expect(textOf(await valueOf(client.get('a')))).to.equal('one');
+	});
+
 	it('says not sent for a read and unknown for a write when nothing is answered', async () => {
 		await kv.server.apply({fault: faultNames.Freeze});
 		expect(await errorOf(client.get('a'))).to.equal(errorCodes.NotSent);
--- a/packages/stand-ins/src/fault/fault-state.ts
+++ b/packages/stand-ins/src/fault/fault-state.ts
@@ -5,6 +5,8 @@
 	delayMs = 0;
 	loseAnswersProbability = 0;
 	dropEventsProbability = 0;
+	/** Milliseconds from the arrival of a write to its effect. */
+	lateWriteMs = 0;
 	/** Whether load reports say that the endpoint is going away. */
 	leaving = false;
 	#frozen: Promise<void> | undefined;
@@ -27,6 +29,7 @@
 		this.delayMs = 0;
 		this.loseAnswersProbability = 0;
 		this.dropEventsProbability = 0;
+		this.lateWriteMs = 0;
 		this.leaving = false;
 		this.#thaw?.();
 		this.#frozen = undefined;
--- a/packages/stand-ins/src/fault/fault.ts
+++ b/packages/stand-ins/src/fault/fault.ts
@@ -14,6 +14,8 @@
 	Outage = 'outage',
 	/** Writes take effect but a share of `probability` of their answers is lost. */
 	LoseAnswers = 'lose_answers',
+	/** Writes take effect `ms` after they arrived. */
+	LateWrites = 'late_writes',
 	/** A share of `probability` of events is dropped. */
 	DropEvents = 'drop_events',
 	/** Load reports say that the endpoint is going away; it works on. */
@@ -25,7 +27,7 @@
 /** Body of `POST /fault` on a fault port. */
 export type FaultRequest = {
 	readonly fault: FaultName;
-	/** For `delay`: milliseconds. */
+	/** For `delay` and `late_writes`: milliseconds. */
 	readonly ms?: number;
 	/** For `lose_answers` and `drop_events`; default 1. */
 	readonly probability?: number;
--- a/packages/stand-ins/src/fault/stand-in-server.ts
+++ b/packages/stand-ins/src/fault/stand-in-server.ts
@@ -146,6 +146,11 @@
 				break;
 			}
 
+			case fault.FaultName.LateWrites: {
+				this.faults.lateWriteMs = request.ms ?? 0;
+				break;
+			}
+
 			case fault.FaultName.Leave: {
 				this.faults.leaving = true;
 				break;
--- a/packages/stand-ins/src/soak/disturber.ts
+++ b/packages/stand-ins/src/soak/disturber.ts
@@ -13,8 +13,28 @@
 };
 
 const slowMs = 400;
+/** Longer than the routers wait for an answer of the key-value service. */
+const lateWriteMs = 1500;
 const lossProbability = 0.5;
 
+/** Faults that are set on a stand-in's fault port and cleared at the end of the disturbance. */
+const faultsByType: Readonly<Partial<Record<schedule.DisturbanceType, fault.FaultRequest>>> = {
+	[schedule.DisturbanceType.FreezeEngine]: {fault: fault.FaultName.Freeze},
+	[schedule.DisturbanceType.SilenceEngine]: {fault: fault.FaultName.Silent},
+	[schedule.DisturbanceType.RefuseEngine]: {fault: fault.FaultName.Refuse},
+	[schedule.DisturbanceType.DropCacheEvents]: {fault: fault.FaultName.DropEvents},
+	[schedule.DisturbanceType.LeaveEngine]: {fault: fault.FaultName.Leave},
+	[schedule.DisturbanceType.FreezeRunner]: {fault: fault.FaultName.Freeze},
+	[schedule.DisturbanceType.SilenceRunner]: {fault: fault.FaultName.Silent},
+	[schedule.DisturbanceType.LoseRunnerAnswers]: {fault: fault.FaultName.LoseAnswers, probability: lossProbability},
+	[schedule.DisturbanceType.LeaveRunner]: {fault: fault.FaultName.Leave},
+	[schedule.DisturbanceType.KvOutage]: {fault: fault.FaultName.Outage},
+	[schedule.DisturbanceType.KvSlow]: {fault: fault.FaultName.Delay, ms: slowMs},
+	[schedule.DisturbanceType.KvLoseAnswers]: {fault: fault.FaultName.LoseAnswers, probability: lossProbability},
+	[schedule.DisturbanceType.KvLateWrites]: {fault: fault.FaultName.LateWrites, ms: lateWriteMs},
+	[schedule.DisturbanceType.SilenceKv]: {fault: fault.FaultName.Silent},
+};
+
 /** Carries out the disturbances of a schedule. */
 export class Disturber {
 	readonly outages: RouterOutage[] = [];
@@ -46,87 +66,53 @@
 	}
 
 	async #carryOut(disturbance: schedule.Disturbance): Promise<void> {
-		const {type, target, durationMs} = disturbance;
-		const types = schedule.DisturbanceType;
-		switch (type) {
-			case types.KillEngine: {
-				const engine = this.local.engines[target]!;
-				await this.#kill(engine.child, durationMs);
-				return this.local.restartEngine(engine);
-			}
-
-			case types.KillRunner: {
-				const runner = this.local.runners[target]!;
-				await this.#kill(runner.child, durationMs);
-				return this.local.restartRunner(runner);
-			}
-
-			case types.FreezeEngine: {
-				return this.#fault(this.local.engines[target]!, {fault: fault.FaultName.Freeze}, durationMs);
-			}
-
-			case types.SilenceEngine: {
-				return this.local.fault(this.local.engines[target]!, {fault: fault.FaultName.Silent});
-			}
-
-			case types.RefuseEngine: {
-				return this.#fault(this.local.engines[target]!, {fault: fault.FaultName.Refuse}, durationMs);
-			}
-
-			case types.DropCacheEvents: {
-				return this.#fault(this.local.engines[target]!, {fault: fault.FaultName.DropEvents}, durationMs);
-			}
-
-			case types.LeaveEngine: {
-				return this.#leave(this.local.engines[target]!, durationMs);
-			}
-
-			case types.LeaveRunner: {
-				return this.#leave(this.local.runners[target]!, durationMs);
-			}
-
-			case types.FreezeRunner: {
-				return this.#fault(this.local.runners[target]!, {fault: fault.FaultName.Freeze}, durationMs);
-			}
-
-			case types.SilenceRunner: {
-				return this.local.fault(this.local.runners[target]!, {fault: fault.FaultName.Silent});
-			}
-
-			case types.LoseRunnerAnswers: {
-				return this.#fault(this.local.runners[target]!, {fault: fault.FaultName.LoseAnswers, probability: lossProbability}, durationMs);
-			}
-
-			case types.KvOutage: {
-				return this.#fault(this.local.kv, {fault: fault.FaultName.Outage}, durationMs);
-			}
+		const request = faultsByType[disturbance.type];
+		if (request) {
+			await this.#fault(this.#standInOf(disturbance), request, disturbance.durationMs);
+			return;
+		}
 
-			case types.KvSlow: {
-				return this.#fault(this.local.kv, {fault: fault.FaultName.Delay, ms: slowMs}, durationMs);
-			}
+		await this.#carryOutOnProcess(disturbance);
+	}
 
-			case types.KvLoseAnswers: {
-				return this.#fault(this.local.kv, {fault: fault.FaultName.LoseAnswers, probability: lossProbability}, durationMs);
-			}
+	async #carryOutOnProcess(disturbance: schedule.Disturbance): Promise<void> {
+		const {type, target, durationMs} = disturbance;
+		const {engines, runners, routers} = this.local;
+		const actions: Partial<Record<schedule.DisturbanceType, () => Promise<void>>> = {
+			[schedule.DisturbanceType.KillEngine]: async () => this.#killEngine(engines[target]!, durationMs),
+			[schedule.DisturbanceType.KillRunner]: async () => this.#killRunner(runners[target]!, durationMs),
+			[schedule.DisturbanceType.PauseRouter]: async () => this.#pauseRouter(routers[target]!, durationMs),
+			[schedule.DisturbanceType.StopRouter]: async () => this.#stopRouter(routers[target]!, durationMs),
+			[schedule.DisturbanceType.KillRouter]: async () => this.#killRouter(routers[target]!, durationMs),
+			[schedule.DisturbanceType.KillHerd]: async () => this.#killHerd(disturbance),
+		};
+		await actions[type]!();
+	}
 
-			case types.SilenceKv: {
-				return this.local.fault(this.local.kv, {fault: fault.FaultName.Silent});
-			}
+	#standInOf(disturbance: schedule.Disturbance): deployment.RunningStandIn {
+		const {engines, runners, kv} = this.local;
+		const candidates = {
+			[schedule.Subject.Engine]: engines[disturbance.target],
+			[schedule.Subject.Runner]: runners[disturbance.target],
+			[schedule.Subject.Kv]: kv,
+			[schedule.Subject.Router]: undefined,
+		};
+		return candidates[schedule.subjectByType[disturbance.type]]!;
+	}
 
-			case types.PauseRouter: {
-				return this.#pauseRouter(this.local.routers[target]!, durationMs);
-			}
+	async #killEngine(engine: deployment.RunningStandIn, durationMs: number): Promise<void> {
+		await this.#kill(engine.child, durationMs);
+		await this.local.restartEngine(engine);
+	}
 
-			case types.StopRouter: {
-				return this.#stopRouter(this.local.routers[target]!, durationMs);
-			}
+	async #killRunner(runner: deployment.RunningStandIn, durationMs: number): Promise<void> {
+		await this.#kill(runner.child, durationMs);
+		await this.local.restartRunner(runner);
+	}
 
-			case types.KillRouter:
-			case types.KillHerd: {
-				const routers = schedule.routersOf(disturbance, this.local.routers.length).map(index => this.local.routers[index]!);
-				await Promise.all(routers.map(async router => this.#killRouter(router, durationMs)));
-			}
-		}
+	async #killHerd(disturbance: schedule.Disturbance): Promise<void> {
+		const indices = schedule.routersOf(disturbance, this.local.routers.length);
+		await Promise.all(indices.map(async index => this.#killRouter(this.local.routers[index]!, disturbance.durationMs)));
 	}
 
 	async #kill(child: util.Child, durationMs: number): Promise<void> {
@@ -136,15 +122,13 @@
 	}
 
 	async #fault(standIn: deployment.RunningStandIn, request: fault.FaultRequest, durationMs: number): Promise<void> {
+		const from = Date.now();
 		await this.local.fault(standIn, request);
 		await util.sleep(durationMs);
 		await this.local.fault(standIn, {fault: fault.FaultName.Clear});
-	}
-
-	async #leave(standIn: deployment.RunningStandIn, durationMs: number): Promise<void> {
-		const from = Date.now();
-		await this.#fault(standIn, {fault: fault.FaultName.Leave}, durationMs);
-		this.leaves.push({endpoint: standIn.name, from, to: from + durationMs});
+		if (request.fault === fault.FaultName.Leave) {
+			this.leaves.push({endpoint: standIn.name, from, to: from + durationMs});
+		}
 	}
 
 	async #killRouter(router: deployment.RunningRouter, durationMs: number): Promise<void> {
--- a/packages/stand-ins/src/soak/schedule.ts
+++ b/packages/stand-ins/src/soak/schedule.ts
@@ -18,6 +18,8 @@
 	KvOutage = 'kv_outage',
 	KvSlow = 'kv_slow',
 	KvLoseAnswers = 'kv_lose_answers',
+	/** Writes take effect after their callers have given up on the answer. */
+	KvLateWrites = 'kv_late_writes',
 	SilenceKv = 'silence_kv',
 	KillRouter = 'kill_router',
 	PauseRouter = 'pause_router',
@@ -47,7 +49,7 @@
 };
 
 /** What a disturbance acts on; two never overlap on the same thing. */
-enum Subject {
+export enum Subject {
 	Engine = 'engine',
 	Runner = 'runner',
 	Router = 'router',
@@ -61,7 +63,8 @@
 /** Time at the start and at the end of the load without disturbances. */
 const quietMs = 4000;
 
-const subjectByType: Readonly<Record<DisturbanceType, Subject>> = {
+/** What each type acts on. */
+export const subjectByType: Readonly<Record<DisturbanceType, Subject>> = {
 	[DisturbanceType.KillEngine]: Subject.Engine,
 	[DisturbanceType.FreezeEngine]: Subject.Engine,
 	[DisturbanceType.SilenceEngine]: Subject.Engine,
@@ -76,6 +79,7 @@
 	[DisturbanceType.KvOutage]: Subject.Kv,
 	[DisturbanceType.KvSlow]: Subject.Kv,
 	[DisturbanceType.KvLoseAnswers]: Subject.Kv,
+	[DisturbanceType.KvLateWrites]: Subject.Kv,
 	[DisturbanceType.SilenceKv]: Subject.Kv,
 	[DisturbanceType.KillRouter]: Subject.Router,
 	[DisturbanceType.PauseRouter]: Subject.Router,
