--- a/packages/stand-ins/src/soak/index.ts
+++ b/packages/stand-ins/src/soak/index.ts
@@ -1,1 +1,2 @@
+export * from './lost-check.js';
 export * from './schedule.js';
