--- a/packages/router/src/controllers/index.ts
+++ b/packages/router/src/controllers/index.ts
@@ -1,5 +1,6 @@
 export * from './cache-event-follower.js';
 export * from './cache-events-controller.js';
+export * from './leader-controller.js';
 export * from './ledger-begin-verdict.js';
 export * from './ledger-controller.js';
 export * from './ledger-gate.js';
@@ -9,6 +10,8 @@
 export * from './ledger-timer.js';
 export * from './manifest-controller.js';
 export * from './member-controller.js';
+export * from './order-client.js';
+export * from './rollout-controller.js';
 export * from './snapshot-controller.js';
 export * from './usage-admission.js';
 export * from './usage-controller.js';
