--- a/packages/core/src/placement/placement-state.ts
+++ b/packages/core/src/placement/placement-state.ts
@@ -25,6 +25,50 @@
 	readonly placement: placementRequest.Placement;
 };
 
+/** Hot pieces that an engine holds. */
+export type EngineHoldings = {
+	readonly endpoint: string;
+	readonly incarnation: string;
+	readonly keys: readonly string[];
+};
+
+/** A change of the load of an endpoint, as a router tells the others. */
+export type PeerLoadChange = {
+	readonly endpoint: string;
+	/** Incarnation that the pieces are for, absent when there are none. */
+	readonly incarnation?: string;
+	/** Change of the requests in flight. */
+	readonly requests: number;
+	/** Change of the prompt tokens that are not computed yet. */
+	readonly tokens: number;
+	/** Pieces that the endpoint is going to compute. */
+	readonly keys: readonly string[];
+	/** Keys that the rates of prefixes count; empty but for the first dispatch of a request. */
+	readonly homeKeys: readonly string[];
+};
+
+/** Returns the change that a dispatch makes. */
+export function dispatchChange(attempt: DispatchedAttempt): PeerLoadChange {
+	const {request, placement} = attempt;
+	let tokens = 0;
+	const keys: string[] = [];
+	for (const piece of request.pieces) {
+		tokens += piece.tokens;
+		if (tokens > placement.expectedCachedTokens) {
+			keys.push(piece.key);
+		}
+	}
+
+	return {
+		endpoint: placement.endpoint,
+		...(placement.incarnation !== undefined && {incarnation: placement.incarnation}),
+		requests: 1,
+		tokens: Math.max(0, request.promptTokens - placement.expectedCachedTokens),
+		keys,
+		homeKeys: request.excluded.size === 0 ? request.homeKeys : [],
+	};
+}
+
 /** What an answer shows of its engine's cache. */
 export type AnswerOutcome = {
 	readonly request: placementRequest.PlacementRequest;
@@ -72,11 +116,24 @@
 		const {request, placement} = attempt;
 		const missingTokens = Math.max(0, request.promptTokens - placement.expectedCachedTokens);
 		this.loads.dispatched(attempt.attemptId, placement.endpoint, missingTokens, now);
+		this.hot.notePieces(request.homeKeys, request.pieces.map(piece => piece.key));
 		if (placement.incarnation !== undefined) {
 			this.picture.expect(cacheReportOf(attempt, placement.incarnation));
 		}
 	}
 
+	/** Takes what another router tells of a dispatch or its end. */
+	peerChanged(change: PeerLoadChange, now: number): void {
+		if (change.homeKeys.length > 0) {
+			this.hot.record(change.homeKeys, now);
+		}
+
+		this.loads.changedByPeer(change.endpoint, change.requests, change.tokens, now);
+		if (change.incarnation !== undefined) {
+			this.picture.expectKeys(change.endpoint, change.incarnation, change.keys);
+		}
+	}
+
 	/** Counts the end of an attempt that gave no answer. */
 	failed(attempt: DispatchedAttempt, now: number): void {
 		const {placement} = attempt;
@@ -97,6 +154,23 @@
 		});
 	}
 
+	/** Returns the hottest pieces that each of some engines is confirmed to hold, `limit` pieces at most over all. */
+	digestOf(endpoints: readonly string[], limit: number, now: number): EngineHoldings[] {
+		const pieces = this.hot.hottestPieces(limit, now);
+		let left = limit;
+		const holdings: EngineHoldings[] = [];
+		for (const endpoint of endpoints) {
+			const incarnation = this.picture.incarnationOf(endpoint);
+			const keys = pieces.filter(key => this.picture.holds(endpoint, key)).slice(0, left);
+			left -= keys.length;
+			if (incarnation !== undefined) {
+				holdings.push({endpoint, incarnation, keys});
+			}
+		}
+
+		return holdings;
+	}
+
 	/** Returns what a policy sees of a service. */
 	viewOf(service: string): placementView.PlacementView {
 		const endpoints = this.loads.endpointsOf(service);
--- a/packages/platform/tests/kv/etcd-client.test.ts
+++ b/packages/platform/tests/kv/etcd-client.test.ts
@@ -90,6 +90,14 @@
 		expect(textOf(await valueOf(client.get('a')))).to.equal('one');
 	});
 
+	it('says that the outcome is unknown when a write takes effect only after its time', async () => {
+		await kv.server.apply({fault: faultNames.LateWrites, ms: 400});
+		expect(await errorOf(write('a', 'one'))).to.equal(errorCodes.OutcomeUnknown);
+		expect(await valueOf(client.get('a'))).to.equal(undefined);
+		await standIns.util.sleep(300);
+		expect(textOf(await valueOf(client.get('a')))).to.equal('one');
+	});
+
 	it('says not sent for a read and unknown for a write when nothing is answered', async () => {
 		await kv.server.apply({fault: faultNames.Freeze});
 		expect(await errorOf(client.get('a'))).to.equal(errorCodes.NotSent);
@@ -115,6 +123,15 @@
 		expect(textOf(await valueOf(client.get('a')))).to.equal('one');
 	});
 
+	it('replaces all connections of a pool when one went silent', async () => {
+		await Promise.all([write('a', 'one'), write('b', 'one'), write('c', 'one')]);
+		await standIns.util.sleep(20);
+		await kv.server.apply({fault: faultNames.Silent});
+		expect(await errorOf(client.get('a'))).to.equal(errorCodes.NotSent);
+		const results = await Promise.all([client.get('a'), client.get('b'), client.get('c')]);
+		expect(results.map(result => result.isRight())).to.deep.equal([true, true, true]);
+	});
+
 	it('goes on to the next base URL, also with calls at the same time', async () => {
 		const other = open(['http://127.0.0.1:1', url]);
 		const results = await Promise.all([other.get('a'), other.get('b'), other.get('c')]);
--- a/packages/router/src/controllers/index.ts
+++ b/packages/router/src/controllers/index.ts
@@ -1,3 +1,5 @@
+export * from './cache-event-follower.js';
+export * from './cache-events-controller.js';
 export * from './endpoint-watch-controller.js';
 export * from './leader-controller.js';
 export * from './ledger-begin-verdict.js';
@@ -12,3 +14,5 @@
 export * from './order-client.js';
 export * from './rollout-controller.js';
 export * from './snapshot-controller.js';
+export * from './usage-admission.js';
+export * from './usage-controller.js';
--- a/packages/router/src/controllers/manifest-controller.ts
+++ b/packages/router/src/controllers/manifest-controller.ts
@@ -1,16 +1,15 @@
 import * as core from '@bluebellmast/core';
 import type * as platform from '@bluebellmast/platform';
-import * as wire from '@bluebellmast/wire';
 import createDebug from 'debug';
 import type * as peerNetwork from '../peers/peer-network.js';
 import type * as clock from '../util/clock.js';
 import type * as metrics from '../util/metrics.js';
 import type * as controller from './controller.js';
+import * as manifestExchange from './manifest-exchange.js';
 import * as manifestKvSource from './manifest-kv-source.js';
 import * as manifestSections from './manifest-sections.js';
 
 const debug = createDebug('bluebellmast:manifest');
-const messageType = wire.peer.PeerMessageType;
 const tracker = core.manifest;
 
 /** Options of the manifest controller. */
@@ -26,7 +25,7 @@
 	readonly metrics?: metrics.Metrics;
 	/** Milliseconds without confirmation after which model requests are no longer placed. Default 3000. */
 	readonly confirmTimeoutMs?: number;
-	/** Milliseconds between ticks. Default 1000. */
+	/** Milliseconds between ticks. Default 500. */
 	readonly pollMs?: number;
 	/** Routers that watch and poll the key-value service, whatever the size of the fleet. Default 3. */
 	readonly maxWatchers?: number;
@@ -40,32 +39,32 @@
 /**
  * Keeps the manifest that is in force on this router. A few routers, picked by rendezvous over the live members, watch
  * and poll the key-value service and tell the others; the others ask these each tick how current they are. Every router
- * also polls slowly by itself, so that together about one read a second is added whatever the size of the fleet.
+ * also polls slowly by itself, so that together at most one read a tick is added whatever the size of the fleet.
  */
 export class ManifestController implements controller.Controller {
 	readonly #options: Required<Omit<ManifestControllerOptions, 'metrics'>> & Pick<ManifestControllerOptions, 'metrics'>;
 	readonly #source: manifestKvSource.ManifestKvSource;
+	readonly #exchange: manifestExchange.ManifestExchange;
 	readonly #sections = new manifestSections.ManifestSections();
 	readonly #listeners: ManifestListener[] = [];
-	/** Generation in force on each router, as last heard. */
-	readonly #peerGenerations = new Map<core.model.VmId, core.model.Generation>();
 	#tracker: core.manifest.TrackerState = tracker.initialTrackerState;
 	#confirmations: core.manifest.ConfirmationState = tracker.initialConfirmationState;
 	#current: core.model.Manifest | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	#lastReadAt = Number.NEGATIVE_INFINITY;
 	#reading = false;
+	#fetching = false;
 	#fetchRound = 0;
 	#basis = tracker.ConfirmationBasis.None;
 
 	constructor(options: ManifestControllerOptions) {
 		this.#options = {
-			confirmTimeoutMs: 3000, pollMs: 1000, maxWatchers: 3, backstopMs: 10_000, ...options,
+			confirmTimeoutMs: 3000, pollMs: 500, maxWatchers: 3, backstopMs: 10_000, ...options,
 		};
 		this.#source = new manifestKvSource.ManifestKvSource(options.kv, head => {
 			this.#onHead(head, undefined);
 		});
-		this.#handleMessages();
+		this.#exchange = new manifestExchange.ManifestExchange(options.peers, options.clock, this.#createHolder());
 	}
 
 	/** Whether a watch of the key-value service is under way. */
@@ -107,7 +106,7 @@
 			self: this.#options.vm,
 			listedVms: this.#options.listedVms(),
 			generation: this.#tracker.inForce?.generation,
-			newerSince: this.#tracker.pending?.since,
+			newerSince: this.#tracker.newer?.since,
 			confirmTimeoutMs: this.#options.confirmTimeoutMs,
 		}, now);
 	}
@@ -172,12 +171,17 @@
 			return;
 		}
 
-		this.#confirmations = tracker.recordKv(this.#confirmations, {generation: head?.generation ?? 0, at: now});
+		this.#recordKv({generation: head?.generation ?? 0, at: now});
 		if (head !== undefined) {
 			this.#onHead(head, undefined);
 		}
 	}
 
+	#recordKv(read: core.manifest.Confirmation): void {
+		this.#confirmations = tracker.recordKv(this.#confirmations, read);
+		this.#step({type: tracker.TrackerEventType.GenerationKnown, generation: read.generation});
+	}
+
 	/** Asks the watchers; all listed VMs while nobody tells of a fresh read. */
 	#probe(watchers: readonly core.model.VmId[], now: number): void {
 		const kvAge = now - (this.#confirmations.kv?.at ?? Number.NEGATIVE_INFINITY);
@@ -185,74 +189,29 @@
 		const others = stale ? [...this.#options.listedVms(), ...this.#options.peers.connected()] : [];
 		const targets = new Set([...watchers, ...others]);
 		targets.delete(this.#options.vm);
-		for (const target of targets) {
-			this.#sendProbe(target, now);
-		}
-	}
-
-	#sendProbe(target: core.model.VmId, now: number): void {
-		this.#send(target, {type: messageType.ManifestProbe, sentAt: now, generation: this.#generation()});
-	}
-
-	#handleMessages(): void {
-		const {peers} = this.#options;
-		peers.on(messageType.ManifestHead, (from, message) => {
-			const {head} = message as wire.peer.ManifestHeadMessage;
-			this.#peerGenerations.set(from, head.generation);
-			this.#onHead(head, from);
-		});
-		peers.on(messageType.ManifestProbe, (from, message) => {
-			this.#onProbe(from, message as wire.peer.ManifestProbe);
-		});
-		peers.on(messageType.ManifestProbeAnswer, (from, message) => {
-			this.#onProbeAnswer(from, message as wire.peer.ManifestProbeAnswer);
-		});
-		peers.on(messageType.SectionRequest, (from, message) => {
-			this.#onSectionRequest(from, message as wire.peer.SectionRequest);
-		});
-		peers.on(messageType.SectionAnswer, (_from, message) => {
-			const {hash, bytes} = message as wire.peer.SectionAnswer;
-			this.#onSection(hash, bytes);
-		});
-	}
-
-	#onProbe(from: core.model.VmId, probe: wire.peer.ManifestProbe): void {
-		const now = this.#options.clock.now();
-		const {kv} = this.#confirmations;
-		const {inForce} = this.#tracker;
-		this.#peerGenerations.set(from, probe.generation);
-		this.#send(from, {
-			type: messageType.ManifestProbeAnswer,
-			sentAt: probe.sentAt,
-			generation: this.#generation(),
-			...(kv && {kv: {generation: kv.generation, ageMs: now - kv.at}}),
-			...(inForce && inForce.generation > probe.generation && {head: inForce}),
-		});
-		if (probe.generation > this.#generation()) {
-			this.#sendProbe(from, now);
-		}
-	}
-
-	#onProbeAnswer(from: core.model.VmId, answer: wire.peer.ManifestProbeAnswer): void {
-		const {sentAt, generation, kv, head} = answer;
-		this.#peerGenerations.set(from, generation);
-		this.#confirmations = tracker.recordPeer(this.#confirmations, from, {generation, at: sentAt});
-		if (kv !== undefined) {
-			this.#confirmations = tracker.recordKv(this.#confirmations, {generation: kv.generation, at: sentAt - kv.ageMs});
-		}
-
-		if (head !== undefined) {
-			this.#onHead(head, from);
-		}
-	}
-
-	#onSectionRequest(from: core.model.VmId, request: wire.peer.SectionRequest): void {
-		for (const hash of request.hashes) {
-			const bytes = this.#sections.get(hash);
-			if (bytes !== undefined) {
-				this.#send(from, {type: messageType.SectionAnswer, hash, bytes});
-			}
-		}
+		this.#exchange.probe(targets, now);
+	}
+
+	/** What the exchange with other routers asks and tells. */
+	#createHolder(): manifestExchange.ManifestHolder {
+		return {
+			generation: () => this.#tracker.inForce?.generation ?? 0,
+			newest: () => this.#tracker.pending?.head ?? this.#tracker.inForce,
+			kv: () => this.#confirmations.kv,
+			section: hash => this.#sections.get(hash),
+			onHead: (head, from) => {
+				this.#onHead(head, from);
+			},
+			onPeerGeneration: (from, confirmation) => {
+				this.#confirmations = tracker.recordPeer(this.#confirmations, from, confirmation);
+			},
+			onKvRead: read => {
+				this.#recordKv(read);
+			},
+			onSection: (hash, bytes) => {
+				this.#onSection(hash, bytes);
+			},
+		};
 	}
 
 	#onHead(head: core.manifest.ManifestHead, source: core.manifest.HeadSource): void {
@@ -271,49 +230,75 @@
 		const {state, effects} = tracker.stepTracker(this.#tracker, event, this.#options.clock.now());
 		this.#tracker = state;
 		for (const effect of effects) {
-			if (effect.type === tracker.TrackerEffectType.Adopt) {
+			this.#carryOut(effect);
+		}
+	}
+
+	#carryOut(effect: core.manifest.TrackerEffect): void {
+		switch (effect.type) {
+			case tracker.TrackerEffectType.Adopt: {
 				this.#adopt(effect.head);
-			} else {
+				return;
+			}
+
+			case tracker.TrackerEffectType.HoldBack: {
+				this.#holdBack(effect.batches);
+				return;
+			}
+
+			case tracker.TrackerEffectType.FetchSections: {
 				this.#fetch(effect.hashes, effect.source);
 			}
 		}
 	}
 
+	/** Recalls batches of the manifest in force, whose generation stays until the rest has come. */
+	#holdBack(batches: readonly core.model.BatchKey[]): void {
+		if (this.#current !== undefined) {
+			const recalled = [...new Set([...this.#current.recalled, ...batches])];
+			this.#publish({...this.#current, recalled});
+		}
+	}
+
 	#adopt(head: core.manifest.ManifestHead): void {
 		const manifest = this.#sections.assemble(head);
 		core.util.assertInvariant(manifest !== undefined, 'manifest.sections-well-formed', () => `generation ${head.generation}`);
 		this.#sections.retainOnly(head);
-		this.#current = manifest;
 		debug('generation %d by change %s is in force', head.generation, head.changeId);
 		this.#options.metrics?.gauge('manifest.generation', head.generation);
-		this.#tellPeers(head);
+		this.#exchange.announce(head);
+		this.#publish(manifest);
+	}
+
+	#publish(manifest: core.model.Manifest): void {
+		this.#current = manifest;
 		for (const listener of this.#listeners) {
 			listener(manifest);
 		}
 	}
 
-	#tellPeers(head: core.manifest.ManifestHead): void {
-		for (const vm of this.#options.peers.connected()) {
-			if ((this.#peerGenerations.get(vm) ?? 0) < head.generation) {
-				this.#send(vm, {type: messageType.ManifestHead, head});
-			}
+	#fetch(hashes: readonly string[], source: core.manifest.HeadSource): void {
+		const asked = source !== undefined && this.#exchange.requestSections(source, hashes);
+		if (asked) {
+			return;
 		}
+
+		void this.#fetchFromKv(hashes);
 	}
 
-	#fetch(hashes: readonly string[], source: core.manifest.HeadSource): void {
-		const asked = source !== undefined && this.#send(source, {type: messageType.SectionRequest, hashes});
-		if (asked) {
+	/** Reads one section after the other, so that few connections are open that could go silent. */
+	async #fetchFromKv(hashes: readonly string[]): Promise<void> {
+		if (this.#fetching) {
 			return;
 		}
 
+		this.#fetching = true;
 		for (const hash of hashes) {
-			void this.#fetchFromKv(hash);
+			const bytes = await this.#source.readSection(hash); // eslint-disable-line no-await-in-loop
+			this.#onSection(hash, bytes);
 		}
-	}
 
-	async #fetchFromKv(hash: string): Promise<void> {
-		const bytes = await this.#source.readSection(hash);
-		this.#onSection(hash, bytes);
+		this.#fetching = false;
 	}
 
 	/** Asks again for what is still missing: the key-value service and each connected router in turn. */
@@ -337,14 +322,6 @@
 		return this.#missing().includes(hash);
 	}
 
-	#generation(): core.model.Generation {
-		return this.#tracker.inForce?.generation ?? 0;
-	}
-
-	#send(to: core.model.VmId, message: wire.peer.ManifestMessage): boolean {
-		return this.#options.peers.send(to, message);
-	}
-
 	#noteBasis(now: number): void {
 		const basis = this.basis(now);
 		if (basis !== this.#basis) {
--- a/packages/router/src/filters/request-context.ts
+++ b/packages/router/src/filters/request-context.ts
@@ -1,5 +1,6 @@
 import type * as core from '@bluebellmast/core';
-import type * as callerAnswer from '../http/caller-answer.js';
+import type * as wire from '@bluebellmast/wire';
+import type * as answerModule from '../http/answer.js';
 import type * as call from './call.js';
 
 /** Everything that the filters know of one request. Each filter fills in its own fields. */
@@ -9,7 +10,7 @@
 	readonly arrivedAt: number;
 	readonly headers: RequestHeaders;
 	readonly call: call.Call;
-	readonly answer: callerAnswer.CallerAnswer;
+	readonly answer: answerModule.Answer;
 	/** Configuration that the request is decided by. */
 	readonly manifest: core.model.Manifest;
 	/** Set by the account filter. */
@@ -22,8 +23,12 @@
 	signal?: AbortSignal;
 	/** Ends the deadline once the answer has begun; set by the deadline filter. */
 	releaseDeadline?: () => void;
+	/** Tells admission that the answer has begun; set by the limits filter for calls that use a pool. */
+	noteBegun?: () => void;
 	/** Prompt in pieces; set by the prefix filter for chat calls. */
 	prompt?: core.cache.SplitPrompt;
+	/** Token counts of the answer; set by the dispatch filter. */
+	usage?: wire.endpoint.CompletionUsage;
 	/** How the request ended; set by the dispatch filter. */
 	outcome?: RequestOutcome;
 };
@@ -32,7 +37,7 @@
 export type RequestOutcome = {
 	readonly execution: core.model.ExecutionState;
 	/** The whole answer of a plain service, when there is one. */
-	readonly answer?: callerAnswer.WholeAnswer;
+	readonly answer?: answerModule.WholeAnswer;
 };
 
 /** The request headers that filters read. */
--- a/packages/stand-ins/src/soak/schedule.ts
+++ b/packages/stand-ins/src/soak/schedule.ts
@@ -7,13 +7,19 @@
 	SilenceEngine = 'silence_engine',
 	RefuseEngine = 'refuse_engine',
 	DropCacheEvents = 'drop_cache_events',
+	/** The engine says that it is going away. */
+	LeaveEngine = 'leave_engine',
 	KillRunner = 'kill_runner',
 	FreezeRunner = 'freeze_runner',
 	SilenceRunner = 'silence_runner',
 	LoseRunnerAnswers = 'lose_runner_answers',
+	/** The runner says that it is going away. */
+	LeaveRunner = 'leave_runner',
 	KvOutage = 'kv_outage',
 	KvSlow = 'kv_slow',
 	KvLoseAnswers = 'kv_lose_answers',
+	/** Writes take effect after their callers have given up on the answer. */
+	KvLateWrites = 'kv_late_writes',
 	SilenceKv = 'silence_kv',
 	KillRouter = 'kill_router',
 	PauseRouter = 'pause_router',
@@ -43,7 +49,7 @@
 };
 
 /** What a disturbance acts on; two never overlap on the same thing. */
-enum Subject {
+export enum Subject {
 	Engine = 'engine',
 	Runner = 'runner',
 	Router = 'router',
@@ -53,22 +59,27 @@
 const meanIntervalMs = 2500;
 const shortestMs = 500;
 const longestMs = 6000;
+const longestKvMs = 20_000;
 /** Time at the start and at the end of the load without disturbances. */
 const quietMs = 4000;
 
-const subjectByType: Readonly<Record<DisturbanceType, Subject>> = {
+/** What each type acts on. */
+export const subjectByType: Readonly<Record<DisturbanceType, Subject>> = {
 	[DisturbanceType.KillEngine]: Subject.Engine,
 	[DisturbanceType.FreezeEngine]: Subject.Engine,
 	[DisturbanceType.SilenceEngine]: Subject.Engine,
 	[DisturbanceType.RefuseEngine]: Subject.Engine,
 	[DisturbanceType.DropCacheEvents]: Subject.Engine,
+	[DisturbanceType.LeaveEngine]: Subject.Engine,
 	[DisturbanceType.KillRunner]: Subject.Runner,
 	[DisturbanceType.FreezeRunner]: Subject.Runner,
 	[DisturbanceType.SilenceRunner]: Subject.Runner,
 	[DisturbanceType.LoseRunnerAnswers]: Subject.Runner,
+	[DisturbanceType.LeaveRunner]: Subject.Runner,
 	[DisturbanceType.KvOutage]: Subject.Kv,
 	[DisturbanceType.KvSlow]: Subject.Kv,
 	[DisturbanceType.KvLoseAnswers]: Subject.Kv,
+	[DisturbanceType.KvLateWrites]: Subject.Kv,
 	[DisturbanceType.SilenceKv]: Subject.Kv,
 	[DisturbanceType.KillRouter]: Subject.Router,
 	[DisturbanceType.PauseRouter]: Subject.Router,
@@ -84,7 +95,7 @@
 	let atMs = quietMs + random.exponential(meanIntervalMs);
 	while (atMs < options.durationMs - quietMs) {
 		const disturbance = draw(random, Math.round(atMs), options);
-		const names = subjectsOf(disturbance, options);
+		const names = subjectsOf(disturbance, options.routers);
 		if (names.every(name => (busyUntil.get(name) ?? 0) < disturbance.atMs)) {
 			schedule.push(disturbance);
 			for (const name of names) {
@@ -111,14 +122,16 @@
 	};
 	const target = random.integer(0, counts[subjectByType[type]] - 1);
 	const left = options.durationMs - quietMs - atMs;
-	const durationMs = Math.min(random.integer(shortestMs, longestMs), Math.round(left));
+	const longest = subjectByType[type] === Subject.Kv ? longestKvMs : longestMs;
+	const durationMs = Math.min(random.integer(shortestMs, longest), Math.round(left));
 	return {
 		atMs, type, target, durationMs,
 	};
 }
 
-function subjectsOf(disturbance: Disturbance, options: ScheduleOptions): string[] {
+/** Returns the names of all things that a disturbance acts on. */
+export function subjectsOf(disturbance: Disturbance, routers: number): string[] {
 	const subject = subjectByType[disturbance.type];
-	const targets = subject === Subject.Router ? routersOf(disturbance, options.routers) : [disturbance.target];
+	const targets = subject === Subject.Router ? routersOf(disturbance, routers) : [disturbance.target];
 	return targets.map(target => `${subject} ${target}`);
 }
--- a/packages/wire/src/peer/index.ts
+++ b/packages/wire/src/peer/index.ts
@@ -1,3 +1,4 @@
+export * from './cache-messages.js';
 export * from './endpoint-messages.js';
 export * from './hello.js';
 export * from './ledger-messages.js';
