Let all routers read the key-value service while nobody tells of a fresh read

With the watchers alone cut off from the service, the others went on by majority and read only every 10 s, so that a recall could stay unseen for that long. They now read every second, more slowly in a large fleet, while no read is fresh.

--- a/packages/router/src/controllers/manifest-controller.ts
+++ b/packages/router/src/controllers/manifest-controller.ts
@@ -11,6 +11,8 @@
 
 const debug = createDebug('bluebellmast:manifest');
 const tracker = core.manifest;
+/** Spreads the reads of all routers while the key-value service is away: 200 a second at most, beside the watchers'. */
+const stalePauseMsPerMember = 5;
 
 /** Options of the manifest controller. */
 export type ManifestControllerOptions = {
@@ -149,12 +151,23 @@
 		}
 	}
 
-	/** Watchers read each tick; others when their confirmation is about to lapse, and slowly as a backstop. */
+	/**
+	 * Watchers read each tick. Others read when their confirmation is about to lapse, often while nobody tells of a fresh
+	 * read (the watchers may be the only ones that can't reach the service), and slowly otherwise.
+	 */
 	#readIsDue(watches: boolean, now: number): boolean {
 		const {pollMs, backstopMs, liveMembers} = this.#options;
-		const slowMs = Math.max(backstopMs, pollMs * liveMembers().length);
+		const members = liveMembers().length;
+		const pauseMs = this.#kvIsStale(now)
+			? Math.max(2 * pollMs, members * stalePauseMsPerMember)
+			: Math.max(backstopMs, members * pollMs);
 		const lapses = this.basis(now + (2 * pollMs)) === tracker.ConfirmationBasis.None;
-		return watches || lapses || now - this.#lastReadAt >= slowMs;
+		return watches || lapses || now - this.#lastReadAt >= pauseMs;
+	}
+
+	/** Whether nobody told of a read of the key-value service lately. */
+	#kvIsStale(now: number): boolean {
+		return now - (this.#confirmations.kv?.at ?? Number.NEGATIVE_INFINITY) > 2 * this.#options.pollMs;
 	}
 
 	async #readKv(now: number): Promise<void> {
@@ -184,9 +197,7 @@
 
 	/** Asks the watchers; all listed VMs while nobody tells of a fresh read. */
 	#probe(watchers: readonly core.model.VmId[], now: number): void {
-		const kvAge = now - (this.#confirmations.kv?.at ?? Number.NEGATIVE_INFINITY);
-		const stale = kvAge > 2 * this.#options.pollMs;
-		const others = stale ? [...this.#options.listedVms(), ...this.#options.peers.connected()] : [];
+		const others = this.#kvIsStale(now) ? [...this.#options.listedVms(), ...this.#options.peers.connected()] : [];
 		const targets = new Set([...watchers, ...others]);
 		targets.delete(this.#options.vm);
 		this.#exchange.probe(targets, now);
--- a/packages/router/tests/controllers/manifest-controller.test.ts
+++ b/packages/router/tests/controllers/manifest-controller.test.ts
@@ -1,6 +1,7 @@
 import * as chai from 'chai';
 import * as config from '@bluebellmast/config';
 import * as wire from '@bluebellmast/wire';
+import * as fc from 'fast-check';
 import * as memoryKv from './fakes/memory-kv.js';
 import * as memoryPeers from './fakes/memory-peers.js';
 import * as router from '@bluebellmast/router';
@@ -253,4 +254,49 @@
 		await fleet.run(10);
 		expect(fleet.confirmed()).to.deep.equal([true]);
 	});
+
+	it('places on no recalled weights 4 s after a recall, whoever is cut off', async () => {
+		const size = 5;
+		const step = fc.oneof(
+			fc.record({type: fc.constantFrom('kv', 'links'), index: fc.nat(size - 1)}),
+			fc.record({type: fc.constantFrom('recall', 'run', 'notices'), index: fc.nat(3)}),
+		);
+		let confirmed = 0;
+		let unconfirmed = 0;
+		await fc.assert(fc.asyncProperty(fc.array(step, {minLength: 10, maxLength: 60}), async steps => {
+			const fleet = new Fleet(size);
+			const recalls: Array<{at: number; generation: number}> = [];
+			const reaches = (index: number) => !fleet.clients[index]!.down && !fleet.links.cut.has(fleet.vms[index]!);
+			await fleet.run(2);
+			for (const {type, index} of steps) {
+				if (type === 'kv') {
+					fleet.clients[index]!.down = !fleet.clients[index]!.down;
+				} else if (type === 'links' && !fleet.links.cut.delete(fleet.vms[index]!)) {
+					fleet.links.cut.add(fleet.vms[index]!);
+				} else if (type === 'notices') {
+					fleet.kv.losesNotices = !fleet.kv.losesNotices;
+				} else if (type === 'recall') {
+					fleet.recall();
+					recalls.push({at: fleet.time, generation: recalls.length + 2});
+				}
+
+				// A majority that nobody with the key-value service is linked to can't tell this from an outage for all.
+				if (![...fleet.vms.keys()].some(other => reaches(other))) {
+					fleet.clients[index % size]!.down = false;
+					fleet.links.cut.delete(fleet.vms[index % size]!);
+				}
+
+				await fleet.run(1); // eslint-disable-line no-await-in-loop
+				const due = recalls.findLast(recall => recall.at <= fleet.time - 4000)?.generation ?? 1;
+				for (const controller of fleet.controllers) {
+					const places = controller.confirmed(fleet.time);
+					confirmed += Number(places);
+					unconfirmed += Number(!places);
+					expect(!places || controller.current()!.generation >= due).to.equal(true, `${controller.current()?.generation} of ${due}`);
+				}
+			}
+		}), {numRuns: 100, seed: 5});
+		expect(confirmed).to.be.greaterThan(unconfirmed);
+		expect(unconfirmed).to.be.greaterThan(100);
+	});
 });
