Tell used keys as such while the ledger is away, and bind the send window to the retention

A repeat of a key that this router has seen in the shard gets the recorded answer or the true state, not 'not run', while the key-value service is away. A shorter retention from the settings could have been below the fixed send window; the window is half of the retention now, and terms that break the order are refused.

--- a/packages/core/src/ledger/ledger-step.ts
+++ b/packages/core/src/ledger/ledger-step.ts
@@ -126,13 +126,16 @@
 		attempts: ledgerNode.withEntry(node.attempts, intent.attempt, undefined),
 		givenUp: ledgerNode.withEntry(node.givenUp, intent.attempt, givenUp),
 	}, writer);
-	const retryAfterMs = retryAfterOf(node, own, verdict.type, now);
+	const isUnavailable = verdict.type === ledgerVerdict.VerdictType.Unavailable;
+	const seen = isUnavailable ? shardWriter.judgeByLastSeen(shard, intent, now, ledgerNode.rulesOf(node)) : undefined;
+	const answered = seen ?? verdict;
+	const retryAfterMs = retryAfterOf(node, own, answered.type, now);
 	const answer: ledgerEvent.LedgerEffect = {
 		type: ledgerEvent.LedgerEffectType.Verdict,
-		verdict,
+		verdict: answered,
 		...(retryAfterMs === undefined ? {} : {retryAfterMs}),
 	};
-	const isUndecided = verdict.type === ledgerVerdict.VerdictType.Unavailable || own.fallbackAt === undefined;
+	const isUndecided = isUnavailable || own.fallbackAt === undefined;
 	const isGivenUp = own.handedTo !== undefined && isUndecided;
 	const settlement = {intent, state: ledgerEntry.EntryState.Withdrawn as const};
 	return mayStand || isGivenUp
--- a/packages/core/src/ledger/ledger-terms.ts
+++ b/packages/core/src/ledger/ledger-terms.ts
@@ -1,3 +1,5 @@
+import * as util from '../util/index.js';
+
 /** Limits and times of the ledger; equal on all routers. */
 export type LedgerTerms = {
 	/** Number of shards; fixed for the life of a deployment. */
@@ -36,12 +38,17 @@
 	readonly maxWaitShare: number;
 };
 
-/** Creates the terms of a ledger from their defaults and the given changes. */
+/**
+ * Creates the terms of a ledger from their defaults and the given changes.
+ *
+ * @throws InvariantError when an intent could be sent after its entry expired.
+ */
 export function createLedgerTerms(changes: Partial<LedgerTerms> = {}): LedgerTerms {
+	const {retentionMs = 3_600_000, sendWindowMs = retentionMs / 2} = changes;
+	const isBounded = sendWindowMs < retentionMs;
+	util.assertInvariant(isBounded, 'ledger.send-before-expiry', () => `${sendWindowMs} ms to send, ${retentionMs} ms kept`);
 	return {
 		shardCount: 32,
-		retentionMs: 3_600_000,
-		sendWindowMs: 1_800_000,
 		withdrawnRetentionMs: 60_000,
 		maxShardBytes: 950_000,
 		maxIntentBytes: 800_000,
@@ -56,5 +63,7 @@
 		maxWaitMs: 2000,
 		maxWaitShare: 0.3,
 		...changes,
+		retentionMs,
+		sendWindowMs,
 	};
 }
--- a/packages/core/src/ledger/propose-intents.ts
+++ b/packages/core/src/ledger/propose-intents.ts
@@ -85,7 +85,7 @@
 ): ledgerVerdict.LedgerVerdict {
 	const {attempt} = intent;
 	const entry = draft.entries.get(ledgerEntry.entryKey(intent.account, intent.key));
-	if (entry?.attempt === attempt) {
+	if (entry?.attempt === attempt && entry.incarnation === intent.incarnation) {
 		return {type: judgeOwnAttempt(entry), attempt, ...(entry.outcome && {outcome: entry.outcome})};
 	}
 
--- a/packages/core/src/ledger/shard-writer.ts
+++ b/packages/core/src/ledger/shard-writer.ts
@@ -1,5 +1,6 @@
 import type * as model from '../model/index.js';
 import * as util from '../util/index.js';
+import type * as ledgerEntry from './ledger-entry.js';
 import * as ledgerShard from './ledger-shard.js';
 import type * as ledgerTerms from './ledger-terms.js';
 import * as ledgerVerdict from './ledger-verdict.js';
@@ -36,6 +37,8 @@
 export type ShardWriter = {
 	readonly index: number;
 	readonly known?: KnownShard;
+	/** The shard that was seen last; kept when it can be no base of a write any more. */
+	readonly lastSeen?: ledgerShard.LedgerShard;
 	readonly queue: readonly shardOperation.ShardOperation[];
 	readonly call?: ShardCall;
 	/** Earliest time of the next commit. */
@@ -126,6 +129,24 @@
 	return {writer: {...writer, queue: writer.queue.filter(operation => !isIntent(operation))}, mayStand};
 }
 
+/**
+ * Judges an intent that cannot be recorded by what was seen last of its shard: a key that was used before is told as such.
+ * Returns `undefined` when nothing is known of the key.
+ */
+export function judgeByLastSeen(
+	writer: ShardWriter,
+	intent: ledgerEntry.Intent,
+	now: number,
+	rules: proposeIntents.LedgerRules,
+): ledgerVerdict.LedgerVerdict | undefined {
+	const {verdicts: [verdict]} = proposeIntents.proposeIntents(writer.lastSeen ?? ledgerShard.emptyShard, [intent], now, rules);
+	const isUnused = verdict === undefined
+		|| verdict.type === ledgerVerdict.VerdictType.Proceed
+		|| verdict.type === ledgerVerdict.VerdictType.Full
+		|| verdict.type === ledgerVerdict.VerdictType.Withdrawn;
+	return isUnused ? undefined : verdict;
+}
+
 /** An intent that may stand is kept until it is withdrawn. */
 function isWaiting(operation: shardOperation.ShardOperation, now: number): boolean {
 	return operation.type === shardOperation.OperationType.Settle || operation.maybeWritten || operation.waitUntil > now;
@@ -290,7 +311,7 @@
 			util.assertInvariant(proposal !== undefined, 'ledger.swap-has-proposal', () => `read ${call.id} ended as a swap`);
 			const known = {shard: proposal.shard, revision: end.revision, seenCall: call.id};
 			const next = advanceShard({
-				...writer, call: undefined, known, failures: 0,
+				...writer, call: undefined, known, lastSeen: known.shard, failures: 0,
 			}, now, rules);
 			return {state: next.state, effects: [...answersOf(call.operations, proposal), ...next.effects]};
 		}
@@ -299,7 +320,7 @@
 			const known = {shard: end.shard, revision: end.revision, seenCall: call.id};
 			const queue = [...call.operations, ...writer.queue];
 			return advanceShard({
-				...writer, call: undefined, known, queue, failures: 0, commitAt: now,
+				...writer, call: undefined, known, lastSeen: known.shard, queue, failures: 0, commitAt: now,
 			}, now, rules);
 		}
 
--- a/packages/core/tests/ledger/ledger-shard.test.ts
+++ b/packages/core/tests/ledger/ledger-shard.test.ts
@@ -30,6 +30,7 @@
 	const cases: Array<[string, core.ledger.LedgerEntry | undefined, core.ledger.Intent, core.ledger.VerdictType, boolean]> = [
 		['a free key', undefined, other, verdictType.Proceed, true],
 		['its own attempt, read back', entryWith(), intentWith(), verdictType.Proceed, false],
+		['an attempt of the same name by an earlier incarnation', entryWith({incarnation: 'i0'}), intentWith(), verdictType.OutcomeUnknown, false],
 		['its own attempt, withdrawn', entryWith({state: entryState.Withdrawn}), intentWith(), verdictType.Withdrawn, false],
 		['an attempt of a live incarnation', entryWith(), other, verdictType.InProgress, false],
 		['an attempt of an earlier incarnation', entryWith({incarnation: 'i0'}), other, verdictType.OutcomeUnknown, false],
@@ -59,6 +60,13 @@
 	});
 });
 
+describe('createLedgerTerms', () => {
+	it('ends the time to send before an entry expires', () => {
+		expect(core.ledger.createLedgerTerms({retentionMs: 100}).sendWindowMs).to.equal(50);
+		expect(() => core.ledger.createLedgerTerms({retentionMs: 100, sendWindowMs: 100})).to.throw('ledger.send-before-expiry');
+	});
+});
+
 describe('ledger shard', () => {
 	it('refuses intents before it overflows, and keeps room for outcomes', () => {
 		const size = fc.integer({min: 0, max: 900});
--- a/packages/router/tests/controllers/ledger-controller.test.ts
+++ b/packages/router/tests/controllers/ledger-controller.test.ts
@@ -136,6 +136,22 @@
 		await fleet.run(1, 'k');
 	});
 
+	it('repeats a recorded answer that it has seen while the key-value service is away', async () => {
+		const fleet = await new Fleet().start();
+		await fleet.run(0, 'k');
+		await fleet.verdictOf(1, 'k');
+		fleet.links.loses = () => true;
+		for (const client of fleet.clients) {
+			client.down = true;
+		}
+
+		const shard = core.ledger.shardOf('club', 'k', core.ledger.createLedgerTerms().shardCount);
+		const writer = fleet.members.findIndex(({vm}) => vm === core.ledger.writerOf(shard, ['vm1', 'vm2', 'vm3']));
+		expect(await fleet.verdictOf(writer, 'k')).to.include({type: verdictType.Replay});
+		const reused = await fleet.begin(writer, 'k', 'other');
+		expect(refusalOf(reused.verdict)?.code).to.equal(errorCode.IdempotencyKeyReused);
+	});
+
 	it('tells a key of a gone router as unknown', async () => {
 		const fleet = await new Fleet().start();
 		const {attempt} = await fleet.begin(0, 'k');
