Wire the endpoint watch, the leader and the roll-out; keep a router alive on a malformed load report

Cause: npm run demo stopped with a dead router: the answer of a store without load reports was taken for a report, and the failed task ended the process.

--- a/packages/core/src/placement/placement-state.ts
+++ b/packages/core/src/placement/placement-state.ts
@@ -69,6 +69,17 @@
 	};
 }
 
+/** An endpoint as the watch over endpoints knows it. */
+export type ObservedEndpoint = {
+	readonly endpoint: string;
+	readonly leaving: boolean;
+	/** Whether it is to get no new work while an order is carried out. */
+	readonly draining: boolean;
+	readonly reachable: boolean;
+	/** Last load report, when there is one. */
+	readonly report?: endpointLoad.ReceivedLoad;
+};
+
 /** What an answer shows of its engine's cache. */
 export type AnswerOutcome = {
 	readonly request: placementRequest.PlacementRequest;
@@ -105,6 +116,20 @@
 		}
 	}
 
+	/** Takes what is known of an endpoint besides its load, and its load report when there is one. */
+	observed(state: ObservedEndpoint, now: number): void {
+		if (state.report !== undefined) {
+			this.reported(state.endpoint, state.report, now);
+		}
+
+		const endpoint = this.loads.find(state.endpoint); // eslint-disable-line unicorn/no-array-callback-reference
+		endpoint?.setLeaving(state.leaving);
+		if (endpoint !== undefined) {
+			endpoint.draining = state.draining;
+			endpoint.reachable = state.reachable;
+		}
+	}
+
 	/** Chooses the endpoint of a request. */
 	place(request: placementRequest.PlacementRequest, now: number): placementRequest.Placement | undefined {
 		this.loads.advance(now);
--- a/packages/router/src/controllers/member-controller.ts
+++ b/packages/router/src/controllers/member-controller.ts
@@ -115,6 +115,12 @@
 		return this.listed?.map(entry => entry.vm) ?? this.membership.records().map(record => record.vm);
 	}
 
+	/** IP numbers of listed VMs that are about to go and run no router: endpoints on them are leaving. */
+	leavingEndpointHosts(): ReadonlySet<string> {
+		const leaving = (this.listed ?? []).filter(entry => entry.leaving && entry.peerPort === 0);
+		return new Set(leaving.map(entry => entry.host));
+	}
+
 	/** Incarnation of a member that takes part. */
 	incarnationOf(vm: core.model.VmId): core.model.Incarnation | undefined {
 		const record = this.membership.get(vm);
--- /dev/null
+++ b/packages/router/src/endpoints/index.ts
@@ -0,0 +1,2 @@
+export * from './connection-pools.js';
+export * from './load-client.js';
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -6,6 +6,7 @@
 import * as commandLine from './cli/parse-command-line.js';
 import type * as routerProgram from './router-program.js';
 import * as wireUp from './wire-up.js';
+import * as faultGuard from './util/fault-guard.js';
 import * as ignore from './util/ignore.js';
 
 const version = '0.1.0';
@@ -80,6 +81,10 @@
 
 async function runRouter(settings: config.settings.Settings): Promise<exitCode.ExitCode> {
 	const program = wireUp.createRouterProgram(settings);
+	faultGuard.installFaultGuard(fault => {
+		printError(`fault: ${fault instanceof Error ? fault.stack : String(fault)}`);
+		program.reportFault(fault);
+	});
 	try {
 		await program.start();
 	} catch (err) {
--- a/packages/router/src/router-program.ts
+++ b/packages/router/src/router-program.ts
@@ -59,6 +59,11 @@
 		this.#options.recorder.record({type: core.timeline.TimelineEventType.RouterStarted});
 	}
 
+	/** Records a fault of the program itself. */
+	reportFault(fault: unknown): void {
+		this.#options.recorder.record({type: core.timeline.TimelineEventType.InvariantBroken, detail: String(fault)});
+	}
+
 	/**
 	 * Stops without cutting a request: readiness fails first, the listener stays open until the balancer has had time to
 	 * see it, every request ends, duties are handed over. Further calls wait for the same stop.
--- a/packages/router/src/wire-up.ts
+++ b/packages/router/src/wire-up.ts
@@ -3,13 +3,16 @@
 import * as core from '@bluebellmast/core';
 import * as platform from '@bluebellmast/platform';
 import * as cacheEvents from './controllers/cache-events-controller.js';
+import * as endpointWatch from './controllers/endpoint-watch-controller.js';
 import * as ledgerController from './controllers/ledger-controller.js';
 import * as ledgerGate from './controllers/ledger-gate.js';
 import * as ledgerStore from './controllers/ledger-idempotency-store.js';
 import * as ledgerIssuedKeys from './controllers/ledger-issued-keys.js';
-import * as loadPoll from './controllers/load-poll-controller.js';
+import * as leaderController from './controllers/leader-controller.js';
 import * as manifestController from './controllers/manifest-controller.js';
 import * as memberController from './controllers/member-controller.js';
+import * as orderClient from './controllers/order-client.js';
+import * as rolloutController from './controllers/rollout-controller.js';
 import * as snapshotController from './controllers/snapshot-controller.js';
 import * as usageAdmission from './controllers/usage-admission.js';
 import * as usageController from './controllers/usage-controller.js';
@@ -17,6 +20,7 @@
 import * as retryLimiter from './dispatch/retry-limiter.js';
 import * as connectionPools from './endpoints/connection-pools.js';
 import * as engineClient from './endpoints/engine-client.js';
+import * as loadClient from './endpoints/load-client.js';
 import * as serviceClient from './endpoints/service-client.js';
 import * as accountFilter from './filters/account-filter.js';
 import * as deadlineFilter from './filters/deadline-filter.js';
@@ -50,11 +54,13 @@
 	const placement = createPlacement(base, fleet);
 	const once = createOnce(base, fleet);
 	const limits = createLimits(base, fleet);
-	const polls = createPolls(base, fleet, placement, limits);
+	const watch = createEndpointWatch(base, fleet, placement, limits);
+	const leading = createLeading(base, fleet, watch);
 	const filters = createFilters(base, placement, once, limits);
 	const forward = once.createForward(filters.afterAccount);
 	const chain = new filterChain.FilterChain([new accountFilter.AccountFilter(), ...filters.createAll(forward)]);
-	const isReady = () => base.lifecycle.isServing && polls.hasPolled;
+	const isReady = () => base.lifecycle.isServing && watch.hasPolled;
+	const admin = createAdmin(base, fleet, watch, isReady);
 	return new routerProgram.RouterProgram({
 		lifecycle: base.lifecycle,
 		controllers: [
@@ -68,9 +74,11 @@
 			limits.usage,
 			limits.admission,
 			forward,
-			polls,
+			watch,
+			leading.leader,
+			leading.rollout,
 		],
-		server: createServer(base, fleet, chain, isReady),
+		server: createServer(base, fleet, chain, admin),
 		requests: base.requests,
 		recorder: base.events,
 		readinessLeadMs: settings.stop.readinessLeadMs,
@@ -256,23 +264,59 @@
 	return {usage, admission};
 }
 
-/** What learns the load of the endpoints. */
-function createPolls(base: Base, fleet: Fleet, placement: Placement, limits: Limits): loadPoll.LoadPollController {
-	const polls = new loadPoll.LoadPollController({
-		manifest: () => fleet.manifests.current(),
-		pools: base.pools,
+/** What knows how the endpoints are. */
+function createEndpointWatch(
+	base: Base,
+	fleet: Fleet,
+	placement: Placement,
+	limits: Limits,
+): endpointWatch.EndpointWatchController {
+	const loads = new loadClient.LoadClient(base.pools);
+	const watch = new endpointWatch.EndpointWatchController({
+		...base.self,
+		network: fleet.network,
 		clock: base.clock,
-		onReport(endpoint, report) {
+		manifest: () => fleet.manifests.current(),
+		liveMembers: () => fleet.members.liveMembers(),
+		readLoad: async endpoint => loads.read(endpoint),
+		leavingHosts: () => fleet.members.leavingEndpointHosts(),
+		metrics: base.metrics,
+		onState(state) {
 			const now = base.clock.now();
-			placement.engines.reported(endpoint.id, report, now);
-			placement.services.reported(endpoint.id, report, now);
-			limits.admission.reported(endpoint.id, report);
+			placement.engines.observed(state, now);
+			placement.services.observed(state, now);
+			if (state.report !== undefined) {
+				limits.admission.reported(state.endpoint, state.report);
+			}
 		},
 	});
 	fleet.manifests.onChange(() => {
-		void polls.pollAll();
+		void watch.tick();
+	});
+	return watch;
+}
+
+/** What gives orders to engines while this router holds the leader's lease. */
+function createLeading(base: Base, fleet: Fleet, watch: endpointWatch.EndpointWatchController) {
+	const leader = new leaderController.LeaderController({
+		...base.self,
+		kv: base.kv,
+		clock: base.clock,
+		liveMembers: () => fleet.members.liveMembers(),
+		metrics: base.metrics,
+	});
+	const rollout = new rolloutController.RolloutController({
+		client: new orderClient.HttpOrderClient(base.pools),
+		clock: base.clock,
+		manifest: () => fleet.manifests.current(),
+		fencing: () => leader.fencing(),
+		running: endpoint => watch.endpointStates().find(state => state.endpoint === endpoint)?.report?.running ?? 0,
+		onDraining(fencing, endpoints) {
+			watch.announceDraining(fencing, endpoints);
+		},
+		metrics: base.metrics,
 	});
-	return polls;
+	return {leader, rollout};
 }
 
 /** The filters behind the account: of callers' requests, and of those that another router has forwarded. */
@@ -317,12 +361,29 @@
 	};
 }
 
+/** What answers the balancer's probes and operators. */
+function createAdmin(
+	base: Base,
+	fleet: Fleet,
+	watch: endpointWatch.EndpointWatchController,
+	isReady: () => boolean,
+): adminHandler.AdminHandler {
+	const {settings} = base;
+	return new adminHandler.AdminHandler({
+		...(settings.operatorKeyHash !== undefined && {operatorKeyHash: settings.operatorKeyHash}),
+		vm: settings.vm,
+		isReady,
+		recorder: base.events,
+		status: () => createStatus(base, fleet, watch, isReady()),
+	});
+}
+
 /** The server for callers, operators and the balancer. */
 function createServer(
 	base: Base,
 	fleet: Fleet,
 	chain: filterChain.FilterChain,
-	isReady: () => boolean,
+	admin: adminHandler.AdminHandler,
 ): routerServer.RouterServer {
 	const {settings} = base;
 	return new routerServer.RouterServer({
@@ -337,17 +398,16 @@
 			manifest: () => fleet.manifests.current(),
 			body: {maxBytes: settings.limits.maxBodyBytes, timeoutMs: settings.limits.bodyTimeoutMs},
 		}),
-		admin: new adminHandler.AdminHandler({
-			...(settings.operatorKeyHash !== undefined && {operatorKeyHash: settings.operatorKeyHash}),
-			vm: settings.vm,
-			isReady,
-			recorder: base.events,
-			status: () => createStatus(base, fleet, isReady()),
-		}),
+		admin,
 	});
 }
 
-function createStatus(base: Base, fleet: Fleet, ready: boolean): adminHandler.RouterStatus {
+function createStatus(
+	base: Base,
+	fleet: Fleet,
+	watch: endpointWatch.EndpointWatchController,
+	ready: boolean,
+): adminHandler.RouterStatus {
 	return {
 		...base.self,
 		dataCentre: base.settings.dataCentre,
@@ -357,7 +417,7 @@
 		confirmed: fleet.manifests.confirmed(base.clock.now()),
 		requestsUnderWay: base.requests.size,
 		members: fleet.members.liveRecords(),
-		endpoints: [],
+		endpoints: watch.endpointStates(),
 		counters: base.metrics.counters(),
 	};
 }
