--- a/packages/core/src/ledger/ledger-terms.ts
+++ b/packages/core/src/ledger/ledger-terms.ts
@@ -21,6 +21,8 @@
 	readonly maxOutcomeBytes: number;
 	/** Shortest time between the beginnings of two commits of a shard. */
 	readonly commitIntervalMs: number;
+	/** Writes a second that all shards together may make in steady use, over all routers. */
+	readonly maxWritesPerSecond: number;
 	/** Longest time that a settlement waits for an intent to share a commit with. */
 	readonly settleDelayMs: number;
 	/** Operations in one commit. */
@@ -54,10 +56,11 @@
 		maxIntentBytes: 800_000,
 		maxOutcomeBytes: 2048,
 		commitIntervalMs: 50,
+		maxWritesPerSecond: 250,
 		settleDelayMs: 500,
 		maxBatch: 500,
 		maxQueue: 2000,
-		handoverTimeoutMs: 60,
+		handoverTimeoutMs: 400,
 		retryDelayMs: 20,
 		maxRetryDelayMs: 1000,
 		maxWaitMs: 2000,
--- a/packages/core/src/ledger/shard-writer.ts
+++ b/packages/core/src/ledger/shard-writer.ts
@@ -9,6 +9,10 @@
 import * as shardOf from './shard-of.js';
 import * as shardOperation from './shard-operation.js';
 
+const millisecondsPerSecond = 1000;
+/** Commits that a shard may make at once beyond its part of the write rate. */
+const burstCommits = 4;
+
 /** A shard as it was read or written, with its revision. */
 export type KnownShard = {
 	readonly shard: ledgerShard.LedgerShard;
@@ -43,6 +47,8 @@
 	readonly call?: ShardCall;
 	/** Earliest time of the next commit. */
 	readonly commitAt: number;
+	/** Time until which the commits so far use up the shard's part of the write rate. */
+	readonly paidUntil: number;
 	/** Earliest time of the next call after failures. */
 	readonly retryAt: number;
 	/** Failed calls in a row. */
@@ -107,7 +113,7 @@
 /** Creates the work on a shard that was not seen yet. */
 export function createShardWriter(index: number): ShardWriter {
 	return {
-		index, queue: [], commitAt: 0, retryAt: 0, failures: 0, nextCallId: 1,
+		index, queue: [], commitAt: 0, paidUntil: 0, retryAt: 0, failures: 0, nextCallId: 1,
 	};
 }
 
@@ -215,6 +221,8 @@
 	terms: ledgerTerms.LedgerTerms,
 ): ShardStep {
 	const {operations, proposal} = batch;
+	const periodMs = millisecondsPerSecond * terms.shardCount / terms.maxWritesPerSecond;
+	const paidUntil = Math.max(writer.paidUntil, now) + periodMs;
 	const id = writer.nextCallId;
 	const call = {
 		id, type: ShardCallType.Swap, operations, proposal,
@@ -224,7 +232,8 @@
 		call,
 		nextCallId: id + 1,
 		queue: writer.queue.slice(operations.length),
-		commitAt: now + terms.commitIntervalMs,
+		commitAt: Math.max(now + terms.commitIntervalMs, paidUntil - (burstCommits * periodMs)),
+		paidUntil,
 	};
 	return {
 		state,
@@ -319,8 +328,10 @@
 		case ShardCallResult.Seen: {
 			const known = {shard: end.shard, revision: end.revision, seenCall: call.id};
 			const queue = [...call.operations, ...writer.queue];
+			// A swap that lost against another writer is tried again at once.
+			const commitAt = call.type === ShardCallType.Swap ? now : writer.commitAt;
 			return advanceShard({
-				...writer, call: undefined, known, lastSeen: known.shard, queue, failures: 0, commitAt: now,
+				...writer, call: undefined, known, lastSeen: known.shard, queue, failures: 0, commitAt,
 			}, now, rules);
 		}
 
