--- a/packages/core/src/members/membership-types.ts
+++ b/packages/core/src/members/membership-types.ts
@@ -81,7 +81,7 @@
 	readonly port: number;
 	readonly dataCentre: ids.DataCentreId;
 	readonly seed: number;
-	/** Milliseconds since the Unix epoch at the start of the process. */
+	/** When this router started, in milliseconds since the Unix epoch. */
 	readonly startedAt: number;
 	/** Milliseconds between ticks. Default 500. */
 	readonly periodMs?: number;
