--- a/packages/router/src/controllers/order-client.ts
+++ b/packages/router/src/controllers/order-client.ts
@@ -14,7 +14,7 @@
 /** Speaks to engines over HTTP. */
 export class HttpOrderClient implements OrderClient {
 	/** @param timeoutMs - Longest time that a call is under way. */
-	constructor(private readonly pools: connectionPools.ConnectionPools, private readonly timeoutMs = 1500) {}
+	constructor(private readonly pools: Pick<connectionPools.ConnectionPools, 'fresh'>, private readonly timeoutMs = 1500) {}
 
 	async holdings(endpoint: core.model.Endpoint): Promise<wire.endpoint.EngineHoldings | undefined> {
 		return this.call<wire.endpoint.EngineHoldings>(endpoint, 'GET', '/v1/holdings');
