--- a/packages/core/src/members/membership.ts
+++ b/packages/core/src/members/membership.ts
@@ -7,24 +7,12 @@
 import * as types from './membership-types.js';
 import * as neighbours from './neighbours.js';
 import * as probeList from './probe-list.js';
+import * as spreadComposer from './spread-composer.js';
 
 /** Suspects that are pinged again at each tick. */
 const maxSuspectPings = 3;
 /** Ticks without a call after which the process itself counts as paused. */
 const pauseTicks = 4;
-/** Periods for which tables may differ before whole parts are exchanged; fresh records mostly settle it sooner. */
-const syncAfterPeriods = 6;
-
-/** What is known of another router's table. */
-type PeerView = {
-	/** Digest in its last message. */
-	digest: number;
-	/** Since when the tables differ; absent while they are equal. */
-	differsSince: number | undefined;
-	/** Bit mask of the parts known to differ. */
-	mask: number;
-};
-
 /** Dead members that are removed from the table at one tick. */
 const maxRemovals = 64;
 
@@ -41,10 +29,8 @@
 	private readonly probes: probeList.ProbeList;
 	/** When each suspicion ends in death. */
 	private readonly suspicions = new Map<ids.VmId, number>();
-	private readonly peers = new Map<ids.VmId, PeerView>();
+	private readonly composer: spreadComposer.SpreadComposer;
 	private followUps = 0;
-	/** Records that may still be sent in this period. */
-	private recordBudget: number;
 	private cachedNeighbours: ids.VmId[] | undefined;
 	private presentCount = 0;
 	private lastTickAt: number;
@@ -52,7 +38,7 @@
 
 	constructor(options: types.MembershipOptions) {
 		this.cfg = {...types.membershipDefaults, ...options};
-		this.recordBudget = this.cfg.recordsPerPeriod;
+		this.composer = new spreadComposer.SpreadComposer(this.table, this.cfg);
 		this.history = new incarnationHistory.IncarnationHistory(this.cfg.settleMs);
 		this.generator = new random.SeededRandom(this.cfg.seed);
 		this.probes = new probeList.ProbeList(this.generator);
@@ -179,7 +165,7 @@
 		const pauseMs = now - this.lastTickAt;
 		this.lastTickAt = now;
 		this.followUps = 0;
-		this.recordBudget = this.cfg.recordsPerPeriod;
+		this.composer.beginPeriod(now);
 		if (pauseMs > pauseTicks * this.cfg.periodMs) {
 			this.forgiveOwnPause(pauseMs);
 		}
@@ -228,7 +214,7 @@
 			return;
 		}
 
-		const behind = this.neighbours().filter(vm => this.peers.get(vm)?.digest !== this.table.digest);
+		const behind = this.neighbours().filter(vm => this.composer.differs(vm));
 		for (const vm of this.generator.shuffle(behind).slice(0, this.cfg.spreadPings)) {
 			this.send(types.MembershipEffectType.SendPing, vm, this.probes.nextSequence());
 		}
@@ -243,7 +229,7 @@
 				type: types.MembershipEffectType.SendPingRequest,
 				to: helper,
 				target: probe.target,
-				spread: this.spreadFor(helper, probe.sequence),
+				spread: this.composer.compose(helper, probe.sequence),
 			});
 		}
 	}
@@ -269,7 +255,7 @@
 			this.send(types.MembershipEffectType.SendAck, relay.origin, relay.originSequence);
 		}
 
-		if ((this.peers.get(from)?.mask ?? 0) !== 0 && this.followUps < this.cfg.followUps) {
+		if (this.composer.knowsDifference(from) && this.followUps < this.cfg.followUps) {
 			this.followUps += 1;
 			this.send(types.MembershipEffectType.SendPing, from, this.probes.nextSequence());
 		}
@@ -292,22 +278,13 @@
 			}, now);
 		}
 
-		this.peers.set(event.from, {digest: 0, differsSince: 0, mask: 0});
+		this.composer.noteLinkUp(event.from);
 		this.send(types.MembershipEffectType.SendPing, event.from, this.probes.nextSequence());
 	}
 
 	private take(from: ids.VmId, spread: types.Spread, now: number): void {
 		this.merge(spread.records, now);
-		const before = this.peers.get(from);
-		if (spread.digest === this.table.digest) {
-			this.peers.set(from, {digest: spread.digest, differsSince: undefined, mask: 0});
-			return;
-		}
-
-		const mask = spread.buckets === undefined
-			? 0
-			: memberTable.differingBuckets(this.table.bucketDigests, spread.buckets);
-		this.peers.set(from, {digest: spread.digest, differsSince: before?.differsSince ?? now, mask});
+		this.composer.noteSpread(from, spread, now);
 	}
 
 	private merge(records: readonly memberRecord.MemberRecord[], now: number): void {
@@ -361,7 +338,7 @@
 		for (const record of old.slice(0, maxRemovals)) {
 			this.history.replaced(record.vm, record.incarnation);
 			this.table.remove(record.vm);
-			this.peers.delete(record.vm);
+			this.composer.forget(record.vm);
 		}
 	}
 
@@ -401,54 +378,6 @@
 		to: ids.VmId,
 		sequence: number,
 	): void {
-		this.effects.push({type, to, spread: this.spreadFor(to, sequence)});
-	}
-
-	/** Takes up to `wanted` records out of the budget of the period. */
-	private withinBudget(wanted: number): number {
-		const granted = Math.min(wanted, this.recordBudget);
-		this.recordBudget -= granted;
-		return granted;
-	}
-
-	private shouldSync(peer: PeerView | undefined): boolean {
-		return peer?.differsSince !== undefined
-			&& this.lastTickAt - peer.differsSince >= syncAfterPeriods * this.cfg.periodMs;
-	}
-
-	private spreadFor(to: ids.VmId, sequence: number): types.Spread {
-		const records = new Map<ids.VmId, memberRecord.MemberRecord>();
-		const add = (list: readonly memberRecord.MemberRecord[]): void => {
-			for (const record of list) {
-				records.set(record.vm, record);
-			}
-		};
-
-		const receiver = this.table.get(to);
-		if (receiver !== undefined && receiver.status !== memberRecord.MemberStatus.Alive) {
-			add([receiver]);
-		}
-
-		const peer = this.peers.get(to);
-		if (peer?.digest !== this.table.digest) {
-			add(this.table.takeFresh(this.withinBudget(this.cfg.freshRecords)));
-		}
-
-		const syncs = this.shouldSync(peer);
-		if (syncs) {
-			add([this.own(), ...this.table.takeFromBuckets(peer!.mask, this.withinBudget(this.cfg.syncRecords))]);
-		}
-
-		invariant.assertInvariant(
-			records.size <= this.cfg.freshRecords + this.cfg.syncRecords + 2,
-			'members.bounded-message',
-			() => `${records.size} records`,
-		);
-		return {
-			sequence,
-			digest: this.table.digest,
-			records: [...records.values()],
-			...(syncs && {buckets: this.table.bucketDigests}),
-		};
+		this.effects.push({type, to, spread: this.composer.compose(to, sequence)});
 	}
 }
--- a/packages/router/src/peers/index.ts
+++ b/packages/router/src/peers/index.ts
@@ -2,3 +2,4 @@
 export * from './peer-address.js';
 export * from './peer-network.js';
 export * from './tcp-peer-network.js';
+export type * from './tcp-peer-network-options.js';
