--- a/packages/core/tests/cache/cache-picture.test.ts
+++ b/packages/core/tests/cache/cache-picture.test.ts
@@ -97,6 +97,30 @@
 		expect(picture.lookup('s', pieces('k1', 'k2'))).to.deep.equal([]);
 	});
 
+	it('keeps doubtful pieces over several gaps, and voids those of long ago', () => {
+		const picture = new core.cache.CachePicture();
+		picture.observeIncarnation('e', 'i');
+		picture.expectKeys('e', 'i', ['k1']);
+		for (let gap = 0; gap < 16; gap++) {
+			picture.markGap('e');
+		}
+
+		expect(picture.lookup('s', pieces('k1'))[0]).to.include({tokens: 0, doubtfulTokens: 10});
+		picture.markGap('e');
+		expect(picture.lookup('s', pieces('k1'))).to.deep.equal([]);
+	});
+
+	it('takes back what a failed attempt was expected to compute', () => {
+		const picture = new core.cache.CachePicture();
+		picture.observeIncarnation('e', 'i');
+		const report = {
+			endpoint: 'e', incarnation: 'i', salt: 's', pieces: pieces('k1', 'k2'),
+		};
+		picture.expect(report);
+		picture.retract(report, 10);
+		expect(picture.lookup('s', report.pieces)[0]).to.include({tokens: 10});
+	});
+
 	it('replaces a digest by the next and never revives a dead incarnation', () => {
 		const picture = new core.cache.CachePicture();
 		picture.observeIncarnation('e', 'i');
--- a/packages/core/tests/placement/policies.test.ts
+++ b/packages/core/tests/placement/policies.test.ts
@@ -132,6 +132,16 @@
 		expect(state.loads.find('e0')!.slowness).to.be.closeTo(1, 0.1);
 	});
 
+	it('counts what another router tells of', () => {
+		const [state, other] = [0, 1].map(() => createState(core.placement.PlacementPolicyName.CostBased, [idle, idle, idle]));
+		const asked = request('a'.repeat(4000));
+		const placement = state!.place(asked, 1001)!;
+		other!.peerChanged(core.placement.dispatchChange({attemptId: 'x', request: asked, placement}), 1002);
+		const told = other!.loads.endpointsOf(service).find(load => load.endpoint === placement.endpoint);
+		expect(told).to.include({load: 1, queuedTokens: asked.promptTokens});
+		expect(other!.place(asked, 1003)).to.include({endpoint: placement.endpoint, expectedCachedTokens: 1000});
+	});
+
 	it('adds own dispatches to a lagging report and drops those that the next report shows', () => {
 		const state = createState(core.placement.PlacementPolicyName.LeastLoad, [idle]);
 		const load = state.loads.find('e0')!;
--- /dev/null
+++ b/packages/router/tests/controllers/cache-events-controller.test.ts
@@ -0,0 +1,138 @@
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import * as chai from 'chai';
+import * as undici from 'undici';
+import * as core from '@bluebellmast/core';
+import * as wire from '@bluebellmast/wire';
+import * as memoryPeers from './fakes/memory-peers.js';
+import * as router from '@bluebellmast/router';
+
+const {expect} = chai;
+const metrics = {increment() {}, gauge() {}, timing() {}}; // eslint-disable-line @typescript-eslint/no-empty-function
+const keys = ['00000000000000a1', '00000000000000a2'];
+
+/** An engine that only publishes cache events. */
+class FakeEngine {
+	readonly lastEventIds: Array<string | undefined> = [];
+	readonly #server = http.createServer((req, res) => {
+		this.lastEventIds.push(req.headers['last-event-id'] as string | undefined);
+		res.writeHead(200, {'content-type': 'text/event-stream'});
+		this.#write(res, this.lastEventIds.length);
+	});
+
+	async start(): Promise<number> {
+		await new Promise<void>(resolve => {
+			this.#server.listen(0, '127.0.0.1', resolve);
+		});
+		return (this.#server.address() as net.AddressInfo).port;
+	}
+
+	stop(): void {
+		this.#server.close();
+		this.#server.closeAllConnections();
+	}
+
+	/** One event a connection, then silence. */
+	#write(res: http.ServerResponse, sequence: number): void {
+		const event: wire.endpoint.CacheEvent = {
+			incarnation: 'i', sequence, type: wire.endpoint.CacheEventType.Stored, key: keys[sequence - 1] ?? 'ff',
+		};
+		res.write(`id: ${sequence}\ndata: ${JSON.stringify(event)}\n\n`);
+	}
+}
+
+function createState(): core.placement.PlacementState {
+	const state = new core.placement.PlacementState({
+		policy: core.placement.createPlacementPolicy(core.placement.PlacementPolicyName.CostBased, {seed: 1}),
+	});
+	state.picture.observeIncarnation('e', 'i');
+	return state;
+}
+
+function createManifest(port: number): core.model.Manifest {
+	return {
+		generation: 1,
+		models: [],
+		adapters: [],
+		accounts: [],
+		kinds: [],
+		services: [{
+			id: 's', type: core.model.ServiceType.Engine, models: [], rules: [], defaultKind: 'k', maxConcurrentLoads: 1,
+		}],
+		endpoints: [{
+			id: 'e', service: 's', host: '127.0.0.1', port, dataCentre: 'd', checksFencing: true,
+			role: core.model.EngineRole.Mixed, capacity: 1, leaving: false,
+		}],
+		recalled: [],
+	};
+}
+
+async function until(condition: () => boolean): Promise<void> {
+	while (!condition()) {
+		// eslint-disable-next-line no-await-in-loop
+		await new Promise(resolve => {
+			setTimeout(resolve, 5);
+		});
+	}
+}
+
+describe('cache events controller', () => {
+	const engine = new FakeEngine();
+	const agent = new undici.Agent();
+	let port = 0;
+
+	before(async () => {
+		port = await engine.start();
+	});
+
+	after(async () => {
+		engine.stop();
+		await agent.destroy();
+	});
+
+	function create(vm: string, state: core.placement.PlacementState, links: memoryPeers.MemoryLinks): router.controllers.CacheEventsController {
+		return new router.controllers.CacheEventsController({
+			vm,
+			state,
+			liveMembers: () => ['a', 'b'],
+			manifest: () => createManifest(port),
+			dispatcher: () => agent,
+			peers: links.create(vm),
+			clock: {now: () => 1},
+			metrics,
+			plan: {maxStreams: 1, followers: 1},
+			digestIntervalMs: 20,
+			progressTimeoutMs: 50,
+			reconnectMs: 5,
+		});
+	}
+
+	it('follows an engine, replaces a silent connection, and spreads digests to routers that do not follow', async () => {
+		const links = new memoryPeers.MemoryLinks();
+		const states = [createState(), createState()];
+		const controllers = ['a', 'b'].map((vm, index) => create(vm, states[index]!, links));
+		for (const controller of controllers) {
+			await controller.start(); // eslint-disable-line no-await-in-loop
+		}
+
+		const follower = controllers.findIndex(controller => controller.followed.length === 1);
+		const {picture, hot} = states[follower]!;
+		expect(controllers[1 - follower]!.followed).to.deep.equal([]);
+		await until(() => keys.every(key => picture.holds('e', key)));
+		expect(engine.lastEventIds.slice(0, 2)).to.deep.equal([undefined, '1']);
+
+		hot.record(['h'], 1);
+		hot.record(['h'], 1);
+		hot.record(['h'], 1);
+		hot.notePieces(['h'], [keys[0]!]);
+		await until(() => states[1 - follower]!.picture.holds('e', keys[0]!));
+		expect(states[1 - follower]!.picture.holds('e', keys[1]!)).to.equal(false);
+		for (const controller of controllers) {
+			await controller.stop(); // eslint-disable-line no-await-in-loop
+		}
+	});
+
+	it('packs keys without loss', () => {
+		expect(wire.peer.unpackKeys(wire.peer.packKeys(keys))).to.deep.equal(keys);
+	});
+});
