--- a/packages/core/src/cache/cache-picture.ts
+++ b/packages/core/src/cache/cache-picture.ts
@@ -57,7 +57,7 @@
 };
 
 /** Estimated bytes of one piece and of one engine that holds it. */
-export const bytesPerPiece = 200;
+export const bytesPerPiece = 288;
 export const bytesPerHolder = 8;
 
 /** A run of an engine's event stream without a gap; pieces refer to it by number, and dropping it voids them all. */
