Choose cost-based placement by default, check its weights, and count unknown hints as listed VMs

Change: default policy, named weights with their defaults, weights passed to the policy; addresses from the settings count until the first list of VMs.

--- a/packages/config/src/settings/settings-schema.ts
+++ b/packages/config/src/settings/settings-schema.ts
@@ -29,11 +29,22 @@
 	maxPieces: fields.count().default(256).describe('Pieces of a prompt that are told apart; the rest count as one.'),
 });
 
+const costs = core.placement.defaultCostWeights;
+const costWeightsSchema = zod.strictObject({
+	homeWaste: zod.number().min(0).default(costs.homeWaste).describe('Cost of a millisecond of prefill at a home of the prefix, beyond its time.'),
+	strayWaste: zod.number().min(0).default(costs.strayWaste).describe('The same elsewhere, or when enough engines hold the prefix.'),
+	minHomes: fields.count().default(costs.minHomes).describe('Homes that a prefix has at least.'),
+	occupancyMs: zod.number().min(0).default(costs.occupancyMs).describe('Cost of an endpoint whose slots are all taken; in proportion below.'),
+	doubt: zod.number().min(0).max(1).default(costs.doubt).describe('Part of doubtful pieces that counts as held.'),
+	importMsPerToken: zod.number().min(0).default(costs.importMsPerToken).describe('Time to import a token of kept KV cache; 0 when there is no store.'),
+	toleranceMs: zod.number().min(0).default(costs.toleranceMs).describe('Costs that differ by less count as equal.'),
+});
+
 const placementSchema = zod.strictObject({
 	policy: zod.enum(core.placement.PlacementPolicyName)
-		.default(core.placement.PlacementPolicyName.BoundedRendezvous)
+		.default(core.placement.PlacementPolicyName.CostBased)
 		.describe('How an engine is picked.'),
-	weights: zod.record(zod.string(), zod.number()).default({}).describe('Weights of the policy by name; a name left out has the policy\'s own default.'),
+	weights: costWeightsSchema.prefault({}).describe('Weights of the cost-based policy.'),
 });
 
 const limitsSchema = zod.strictObject({
--- a/packages/config/tests/settings/parse-settings.test.ts
+++ b/packages/config/tests/settings/parse-settings.test.ts
@@ -1,4 +1,5 @@
 import * as chai from 'chai';
+import * as core from '@bluebellmast/core';
 import * as config from '@bluebellmast/config';
 
 const {expect} = chai;
@@ -24,7 +25,7 @@
 		const settings = config.settings.parseSettings('s.yaml', least).unsafeCoerce();
 		expect(settings.ledger.shards).to.equal(64);
 		expect(settings.retry).to.deep.equal({budgetRatio: 0.1, maxAttempts: 3});
-		expect(settings.placement).to.deep.equal({policy: 'bounded_rendezvous', weights: {}});
+		expect(settings.placement).to.deep.equal({policy: 'cost_based', weights: core.placement.defaultCostWeights});
 		expect(settings.peers).to.deep.equal([]);
 		expect(settings.metrics).to.equal(undefined);
 	});
--- a/packages/router/src/controllers/member-controller.ts
+++ b/packages/router/src/controllers/member-controller.ts
@@ -2,7 +2,7 @@
 import type * as platform from '@bluebellmast/platform';
 import * as wire from '@bluebellmast/wire';
 import createDebug from 'debug';
-import type * as peerAddress from '../peers/peer-address.js';
+import * as peerAddress from '../peers/peer-address.js';
 import type * as peerNetwork from '../peers/peer-network.js';
 import type * as clock from '../util/clock.js';
 import type * as metrics from '../util/metrics.js';
@@ -110,9 +110,19 @@
 		return this.membership.present().map(record => leaving.has(record.vm) ? {...record, leaving: true} : record);
 	}
 
-	/** VMs of the platform's latest list; before the first, all routers that were ever heard of. */
+	/**
+	 * VMs of the platform's latest list that run a router; before the first, all routers that were ever heard of, and the
+	 * addresses from the settings that none of them has: a router that knows nobody yet is no majority of its own.
+	 */
 	listedVms(): readonly core.model.VmId[] {
-		return this.listed?.map(entry => entry.vm) ?? this.membership.records().map(record => record.vm);
+		if (this.listed !== undefined) {
+			return this.listed.filter(entry => entry.peerPort !== 0).map(entry => entry.vm);
+		}
+
+		const records = this.membership.records();
+		const known = new Set(records.map(record => peerAddress.formatAddress(record)));
+		const unknown = this.cfg.hints.map(hint => peerAddress.formatAddress(hint)).filter(address => !known.has(address));
+		return [...records.map(record => record.vm), ...unknown];
 	}
 
 	/** IP numbers of listed VMs that are about to go and run no router: endpoints on them are leaving. */
--- a/packages/router/src/wire-up.ts
+++ b/packages/router/src/wire-up.ts
@@ -175,7 +175,7 @@
 function createPlacement(base: Base, fleet: Fleet) {
 	const {settings, self, metrics} = base;
 	const seed = core.util.hash32(self.vm);
-	const policy = core.placement.createPlacementPolicy(settings.placement.policy, {seed});
+	const policy = core.placement.createPlacementPolicy(settings.placement.policy, {seed, cost: settings.placement.weights});
 	const leastLoad = core.placement.createPlacementPolicy(core.placement.PlacementPolicyName.LeastLoad, {seed});
 	const engines = new core.placement.PlacementState({policy});
 	const services = new core.placement.PlacementState({policy: leastLoad});
--- a/packages/router/tests/controllers/member-controller.test.ts
+++ b/packages/router/tests/controllers/member-controller.test.ts
@@ -110,4 +110,14 @@
 		chai.expect(a.members.liveMembers()).to.include('b');
 		chai.expect(a.members.isGone('b', 'b-1')).to.equal(false);
 	});
+
+	it('counts addresses from the settings as listed until it knows who is there, so that it is no majority alone', async () => {
+		const hint = {host, port: 9};
+		const a = await startRouter('a', [hint]);
+		chai.expect(a.members.listedVms()).to.deep.equal(['a', `${host}:9`]);
+		listed = [{
+			vm: 'a', host, peerPort: a.hint.port, dataCentre: 'dc', leaving: false,
+		}];
+		await until(() => a.members.listedVms().length === 1);
+	});
 });
