--- a/packages/core/src/cache/cache-picture.ts
+++ b/packages/core/src/cache/cache-picture.ts
@@ -1,65 +1,15 @@
 import type * as ids from '../model/ids.js';
 import * as invariant from '../util/invariant.js';
+import * as cacheReport from './cache-report.js';
+import * as pieceTable from './piece-table.js';
 import type * as prefixKeys from './prefix-keys.js';
 
-/** What happened to a cached piece of an engine. */
-export enum CacheChange {
-	Stored = 'stored',
-	Evicted = 'evicted',
-	/** Everything was dropped. */
-	Cleared = 'cleared',
-}
-
-/** One cache event of an engine, as it was received. */
-export type EngineCacheEvent = {
-	readonly incarnation: ids.Incarnation;
-	/** Grows by one with each event of an incarnation. */
-	readonly sequence: number;
-	readonly change: CacheChange;
-	/** Key of the piece; not used for `cleared`. */
-	readonly key: string;
-};
-
-/** What an answer of an engine shows about its cache. */
-export type AnswerCacheReport = {
-	readonly endpoint: ids.EndpointId;
-	readonly incarnation: ids.Incarnation;
-	/** Account and weights of the request, as `cacheSalt` gives them. */
-	readonly salt: string;
-	readonly pieces: readonly prefixKeys.PrefixPiece[];
-	/** Prompt tokens that the engine took from its cache. */
-	readonly cachedTokens: number;
-};
-
-/** How a cache event was taken. */
-export enum CacheEventOutcome {
-	Applied = 'applied',
-	/** Applied; events before it are missing, and what they may have changed is void. */
-	AppliedAfterGap = 'applied_after_gap',
-	/** Not of the present incarnation, or received before. */
-	Ignored = 'ignored',
-}
-
-/** Tokens of a prompt that an engine is believed to hold. */
-export type CacheHit = {
-	readonly endpoint: ids.EndpointId;
-	readonly incarnation: ids.Incarnation;
-	/** Leading tokens that are confirmed. */
-	readonly tokens: number;
-	/** Leading tokens when pieces that a gap made doubtful count too; at least `tokens`. */
-	readonly doubtfulTokens: number;
-};
-
 /** Options of the picture. */
 export type CachePictureOptions = {
 	/** Bound on memory, in bytes as estimated by `bytesPerPiece` and `bytesPerHolder`. Default 16 MiB. */
 	readonly maxBytes?: number;
 };
 
-/** Estimated bytes of one piece and of one engine that holds it. */
-export const bytesPerPiece = 288;
-export const bytesPerHolder = 8;
-
 /** A run of an engine's event stream without a gap; pieces refer to it by number, and dropping it voids them all. */
 type Epoch = {
 	readonly number: number;
@@ -80,13 +30,6 @@
 	digest: ReadonlySet<string>;
 };
 
-type PieceState = {
-	/** Account and weights; absent until a request of this router names the piece. */
-	salt: string | undefined;
-	/** Numbers of the epochs that hold the piece. */
-	holders: number[];
-};
-
 const maxDeadIncarnations = 16;
 const maxDoubtfulEpochs = 16;
 
@@ -95,23 +38,19 @@
  * account and weights on their own. Memory is bounded; the pieces that were not used for longest go first.
  */
 export class CachePicture {
-	readonly #maxBytes: number;
 	readonly #engines = new Map<ids.EndpointId, EngineState>();
 	readonly #epochs = new Map<number, Epoch>();
-	readonly #pieces = new Map<string, PieceState>();
-	readonly #salts = new Map<string, string>();
+	readonly #pieces: pieceTable.PieceTable;
 	#nextEpoch = 1;
-	#holders = 0;
-	#saltConflicts = 0;
 	#overclaimedTokens = 0;
 
 	constructor(options: CachePictureOptions = {}) {
-		this.#maxBytes = options.maxBytes ?? 16 * 1024 * 1024;
+		this.#pieces = new pieceTable.PieceTable(options.maxBytes ?? 16 * 1024 * 1024);
 	}
 
 	/** Estimated bytes in use. */
 	get bytes(): number {
-		return (this.#pieces.size * bytesPerPiece) + (this.#holders * bytesPerHolder);
+		return this.#pieces.bytes;
 	}
 
 	/** Number of pieces known. */
@@ -121,7 +60,7 @@
 
 	/** Number of lookups that met a piece of another account or other weights under an equal key. */
 	get saltConflicts(): number {
-		return this.#saltConflicts;
+		return this.#pieces.saltConflicts;
 	}
 
 	/** Tokens that the picture claimed and answers then showed as not cached. */
@@ -198,10 +137,10 @@
 	}
 
 	/** Applies a cache event. */
-	applyEvent(endpoint: ids.EndpointId, event: EngineCacheEvent): CacheEventOutcome {
+	applyEvent(endpoint: ids.EndpointId, event: cacheReport.EngineCacheEvent): cacheReport.CacheEventOutcome {
 		const engine = this.#engineOf(endpoint, event.incarnation);
 		if (engine === undefined || (engine.sequence !== undefined && event.sequence <= engine.sequence)) {
-			return CacheEventOutcome.Ignored;
+			return cacheReport.CacheEventOutcome.Ignored;
 		}
 
 		const hasGap = engine.sequence !== undefined && event.sequence > engine.sequence + 1;
@@ -211,11 +150,11 @@
 
 		engine.sequence = event.sequence;
 		this.#applyChange(engine, event);
-		return hasGap ? CacheEventOutcome.AppliedAfterGap : CacheEventOutcome.Applied;
+		return hasGap ? cacheReport.CacheEventOutcome.AppliedAfterGap : cacheReport.CacheEventOutcome.Applied;
 	}
 
 	/** Takes note that an engine was given a prompt: it will hold the pieces by the time it takes the next one. */
-	expect(report: Omit<AnswerCacheReport, 'cachedTokens'>): void {
+	expect(report: Omit<cacheReport.AnswerCacheReport, 'cachedTokens'>): void {
 		this.#addPieces(report);
 	}
 
@@ -223,14 +162,14 @@
 	expectKeys(endpoint: ids.EndpointId, incarnation: ids.Incarnation, keys: readonly string[]): void {
 		const engine = this.#engineOf(endpoint, incarnation);
 		for (const key of engine === undefined ? [] : keys) {
-			this.#addHolder(this.#pieceOf(key)!, engine!);
+			this.#addHolder(this.#pieces.obtain(key)!, engine!);
 		}
 
-		this.#evictPieces();
+		this.#pieces.evict();
 	}
 
 	/** Takes back what was expected of an attempt that failed: the pieces after the first `keptTokens`. */
-	retract(report: Omit<AnswerCacheReport, 'cachedTokens'>, keptTokens: number): void {
+	retract(report: Omit<cacheReport.AnswerCacheReport, 'cachedTokens'>, keptTokens: number): void {
 		const engine = this.#engineOf(report.endpoint, report.incarnation);
 		let tokens = 0;
 		for (const piece of engine === undefined ? [] : report.pieces) {
@@ -242,7 +181,7 @@
 	}
 
 	/** Corrects the picture by an answer: the engine has just used or computed all pieces of the prompt. */
-	applyAnswer(report: AnswerCacheReport): void {
+	applyAnswer(report: cacheReport.AnswerCacheReport): void {
 		const engine = this.#engineOf(report.endpoint, report.incarnation);
 		if (engine === undefined) {
 			return;
@@ -268,10 +207,10 @@
 
 		engine.digest = digest;
 		for (const key of digest) {
-			this.#addHolder(this.#pieceOf(key)!, engine);
+			this.#addHolder(this.#pieces.obtain(key)!, engine);
 		}
 
-		this.#evictPieces();
+		this.#pieces.evict();
 	}
 
 	/** Returns whether the present incarnation of an engine is confirmed to hold a piece. */
@@ -285,16 +224,16 @@
 	 *
 	 * @param salt - Account and weights, as `cacheSalt` gives them; pieces of others are never matched.
 	 */
-	lookup(salt: string, pieces: readonly prefixKeys.PrefixPiece[]): CacheHit[] {
+	lookup(salt: string, pieces: readonly prefixKeys.PrefixPiece[]): cacheReport.CacheHit[] {
 		const runs = new Map<EngineState, {tokens: number; doubtfulTokens: number}>();
 		let before = 0;
 		for (const piece of pieces) {
 			const state = this.#pieces.get(piece.key);
-			if (state === undefined || !this.#bindSalt(state, salt)) {
+			if (state === undefined || !this.#pieces.bindSalt(state, salt)) {
 				break;
 			}
 
-			this.#touch(piece.key, state);
+			this.#pieces.touch(piece.key, state);
 			if (!this.#extendRuns(runs, state, before, piece.tokens)) {
 				break;
 			}
@@ -310,7 +249,7 @@
 	/** Returns whether any run reached the piece. */
 	#extendRuns(
 		runs: Map<EngineState, {tokens: number; doubtfulTokens: number}>,
-		state: PieceState,
+		state: pieceTable.PieceState,
 		before: number,
 		tokens: number,
 	): boolean {
@@ -335,7 +274,7 @@
 		return isExtended;
 	}
 
-	#toHit(engine: EngineState, run: {readonly tokens: number; readonly doubtfulTokens: number}): CacheHit {
+	#toHit(engine: EngineState, run: {readonly tokens: number; readonly doubtfulTokens: number}): cacheReport.CacheHit {
 		const {endpoint, incarnation} = engine.current;
 		invariant.assertInvariant(
 			this.#engines.get(endpoint) === engine && engine.incarnation === incarnation && !engine.dead.includes(incarnation),
@@ -366,36 +305,36 @@
 		}
 	}
 
-	#addPieces(report: Omit<AnswerCacheReport, 'cachedTokens'>): void {
+	#addPieces(report: Omit<cacheReport.AnswerCacheReport, 'cachedTokens'>): void {
 		const engine = this.#engineOf(report.endpoint, report.incarnation);
 		if (engine === undefined) {
 			return;
 		}
 
 		for (const piece of report.pieces) {
-			const state = this.#pieceOf(piece.key, report.salt);
+			const state = this.#pieces.obtain(piece.key, report.salt);
 			if (state !== undefined) {
 				this.#addHolder(state, engine);
 			}
 		}
 
-		this.#evictPieces();
+		this.#pieces.evict();
 	}
 
-	#applyChange(engine: EngineState, event: EngineCacheEvent): void {
+	#applyChange(engine: EngineState, event: cacheReport.EngineCacheEvent): void {
 		switch (event.change) {
-			case CacheChange.Stored: {
-				this.#addHolder(this.#pieceOf(event.key)!, engine);
-				this.#evictPieces();
+			case cacheReport.CacheChange.Stored: {
+				this.#addHolder(this.#pieces.obtain(event.key)!, engine);
+				this.#pieces.evict();
 				break;
 			}
 
-			case CacheChange.Evicted: {
+			case cacheReport.CacheChange.Evicted: {
 				this.#removeHolders(event.key, engine);
 				break;
 			}
 
-			case CacheChange.Cleared: {
+			case cacheReport.CacheChange.Cleared: {
 				this.#dropEpochs(engine);
 				engine.doubtful = [];
 				engine.current = this.#openEpoch(engine.current.endpoint, engine.incarnation);
@@ -404,21 +343,6 @@
 		}
 	}
 
-	/** Returns the piece of a key, new if need be; `undefined` when it belongs to another account or other weights. */
-	#pieceOf(key: string, salt?: string): PieceState | undefined {
-		let state = this.#pieces.get(key);
-		if (state === undefined) {
-			state = {salt: undefined, holders: []};
-			this.#pieces.set(key, state);
-		}
-
-		if (salt !== undefined && !this.#bindSalt(state, salt)) {
-			return undefined;
-		}
-
-		return state;
-	}
-
 	#confirmedTokens(engine: EngineState, pieces: readonly prefixKeys.PrefixPiece[]): number {
 		let tokens = 0;
 		for (const piece of pieces) {
@@ -432,34 +356,13 @@
 		return tokens;
 	}
 
-	#bindSalt(state: PieceState, salt: string): boolean {
-		state.salt ??= this.#internSalt(salt);
-		if (state.salt === salt) {
-			return true;
-		}
-
-		this.#saltConflicts += 1;
-		return false;
-	}
-
-	#internSalt(salt: string): string {
-		const known = this.#salts.get(salt);
-		if (known !== undefined) {
-			return known;
-		}
-
-		this.#salts.set(salt, salt);
-		return salt;
-	}
-
-	#addHolder(state: PieceState, engine: EngineState): void {
+	#addHolder(state: pieceTable.PieceState, engine: EngineState): void {
 		if (state.holders.includes(engine.current.number)) {
 			return;
 		}
 
-		this.#keepHolders(state, number => this.#epochs.has(number) && !isOf(engine, number));
-		state.holders.push(engine.current.number);
-		this.#holders += 1;
+		this.#pieces.keepHolders(state, number => this.#epochs.has(number) && !isOf(engine, number));
+		this.#pieces.addHolder(state, engine.current.number);
 	}
 
 	#removeHolders(key: string, engine: EngineState): void {
@@ -468,46 +371,20 @@
 			return;
 		}
 
-		this.#keepHolders(state, number => !isOf(engine, number));
+		this.#pieces.keepHolders(state, number => !isOf(engine, number));
 		if (this.#liveHolders(state).length === 0) {
 			this.#pieces.delete(key);
 		}
 	}
 
 	/** Drops the numbers of epochs that ended and returns the rest. */
-	#liveHolders(state: PieceState): number[] {
+	#liveHolders(state: pieceTable.PieceState): number[] {
 		if (state.holders.some(number => !this.#epochs.has(number))) {
-			this.#keepHolders(state, number => this.#epochs.has(number));
+			this.#pieces.keepHolders(state, number => this.#epochs.has(number));
 		}
 
 		return state.holders;
 	}
-
-	#keepHolders(state: PieceState, keeps: (epoch: number) => boolean): void {
-		const kept = state.holders.filter(number => keeps(number));
-		this.#holders -= state.holders.length - kept.length;
-		state.holders = kept;
-	}
-
-	#touch(key: string, state: PieceState): void {
-		this.#pieces.delete(key);
-		this.#pieces.set(key, state);
-	}
-
-	#evictPieces(): void {
-		for (const [key, state] of this.#pieces) {
-			if (this.bytes <= this.#maxBytes) {
-				break;
-			}
-
-			this.#holders -= state.holders.length;
-			this.#pieces.delete(key);
-		}
-
-		if (this.#salts.size > this.#pieces.size + maxDeadIncarnations) {
-			this.#salts.clear();
-		}
-	}
 }
 
 function isOf(engine: EngineState, epoch: number): boolean {
--- a/packages/core/src/placement/placement-state.ts
+++ b/packages/core/src/placement/placement-state.ts
@@ -1,4 +1,5 @@
 import * as cachePicture from '../cache/cache-picture.js';
+import type * as cacheReport from '../cache/cache-report.js';
 import * as hotPrefixes from '../cache/hot-prefixes.js';
 import * as prefixKeys from '../cache/prefix-keys.js';
 import type * as weightsModel from '../model/weights.js';
@@ -209,7 +210,7 @@
 	}
 }
 
-function cacheReportOf(attempt: DispatchedAttempt, incarnation: string): Omit<cachePicture.AnswerCacheReport, 'cachedTokens'> {
+function cacheReportOf(attempt: DispatchedAttempt, incarnation: string): Omit<cacheReport.AnswerCacheReport, 'cachedTokens'> {
 	return {
 		endpoint: attempt.placement.endpoint,
 		incarnation,
--- a/packages/router/src/peers/tcp-peer-network.ts
+++ b/packages/router/src/peers/tcp-peer-network.ts
@@ -162,6 +162,7 @@
 			return false;
 		}
 
+		this.cfg.metrics?.increment('peer.sent_bytes', frame.length);
 		return true;
 	}
 
@@ -344,7 +345,9 @@
 		}
 
 		if (now - link.lastSentAt >= this.cfg.heartbeatMs) {
-			link.sendFrame(this.encode({type: wire.peer.PeerMessageType.Heartbeat})!, false);
+			const heartbeat = this.encode({type: wire.peer.PeerMessageType.Heartbeat})!;
+			link.sendFrame(heartbeat, false);
+			this.cfg.metrics?.increment('peer.sent_bytes', heartbeat.length);
 		}
 	}
 
--- a/packages/stand-ins/src/bench/main.ts
+++ b/packages/stand-ins/src/bench/main.ts
@@ -1,5 +1,6 @@
 import process from 'node:process';
 import * as util from 'node:util';
+import * as controlSuite from './control-suite.js';
 import * as decisionSuite from './decision-suite.js';
 import * as overheadSuite from './overhead-suite.js';
 import * as placementSuite from './placement-suite.js';
@@ -17,6 +18,7 @@
 		cost: {type: 'string', default: '{}'},
 		'oracle-waste': {type: 'string'},
 		out: {type: 'string', default: 'bench-results'},
+		sizes: {type: 'string', default: '7,20,40'},
 		'warm-up-ms': {type: 'string', default: '3000'},
 		'measured-ms': {type: 'string', default: '6000'},
 	},
@@ -43,6 +45,13 @@
 		break;
 	}
 
+	case 'control': {
+		await controlSuite.runControlSuite({
+			seed: Number(values.seed), sizes: list(values.sizes)!.map(Number), outFolder: values.out,
+		});
+		break;
+	}
+
 	case 'decision': {
 		decisionSuite.runDecisionSuite({seed: Number(values.seed), outFolder: values.out});
 		break;
