--- a/packages/ctl/src/commands/router-commands.ts
+++ b/packages/ctl/src/commands/router-commands.ts
@@ -1,3 +1,4 @@
+import type * as wire from '@bluebellmast/wire';
 import type * as command from '../cli/command.js';
 import type * as context from '../cli/context.js';
 import * as exitCode from '../cli/exit-code.js';
@@ -21,7 +22,7 @@
 }
 
 /** Asks all routers for their status; warns of those that gave none. */
-async function askAll(routers: readonly routerClient.RouterClient[], ctx: context.Context): Promise<readonly routerClient.RouterStatus[]> {
+async function askAll(routers: readonly routerClient.RouterClient[], ctx: context.Context): Promise<readonly wire.http.RouterStatus[]> {
 	const answers = await Promise.all(routers.map(async router => {
 		const answer = await router.status();
 		return answer.ifLeft(reason => {
--- a/packages/ctl/src/routers/router-client.ts
+++ b/packages/ctl/src/routers/router-client.ts
@@ -1,30 +1,16 @@
 import {Buffer} from 'node:buffer';
 import * as core from '@bluebellmast/core';
+import type * as wire from '@bluebellmast/wire';
 import * as purify from 'purify-ts';
 import * as undici from 'undici';
 
-/** What the tool reads of a router's status; the router may tell more. */
-export type RouterStatus = {
-	readonly vm: core.model.VmId;
-	readonly incarnation: core.model.Incarnation;
-	readonly dataCentre: core.model.DataCentreId;
-	readonly ready: boolean;
-	readonly stopping: boolean;
-	readonly generation: core.model.Generation;
-	readonly confirmed: boolean;
-	readonly requestsUnderWay: number;
-	readonly members: readonly unknown[];
-	/** One record for each endpoint, with its id. */
-	readonly endpoints: ReadonlyArray<Readonly<Record<string, unknown>>>;
-};
-
 /** Result of a call; the reason of a failure is for a person. */
 export type RouterResult<Value> = Promise<purify.Either<string, Value>>;
 
 /** Asks one router. */
 export interface RouterClient { // eslint-disable-line @typescript-eslint/consistent-type-definitions
 	readonly url: string;
-	status(): RouterResult<RouterStatus>;
+	status(): RouterResult<wire.http.RouterStatus>;
 	timeline(filter: core.timeline.TimelineFilter): RouterResult<readonly core.timeline.TimelineEvent[]>;
 }
 
@@ -43,7 +29,7 @@
 		this.#operatorKey = operatorKey;
 	}
 
-	async status(): RouterResult<RouterStatus> {
+	async status(): RouterResult<wire.http.RouterStatus> {
 		const answer = await this.#get('/admin/status');
 		return answer.chain(value => toStatus(value));
 	}
@@ -96,8 +82,8 @@
 	return typeof value === 'object' && value !== null ? purify.Right(value as JsonObject) : purify.Left('the answer is no object');
 }
 
-function toStatus(value: JsonObject): purify.Either<string, RouterStatus> {
-	const status = value as Partial<RouterStatus>;
+function toStatus(value: JsonObject): purify.Either<string, wire.http.RouterStatus> {
+	const status = value as Partial<wire.http.RouterStatus>;
 	if (typeof status.vm !== 'string' || typeof status.generation !== 'number' || typeof status.confirmed !== 'boolean') {
 		return purify.Left('the answer is no status of a router');
 	}
@@ -113,5 +99,6 @@
 		requestsUnderWay: status.requestsUnderWay ?? 0,
 		members: status.members ?? [],
 		endpoints: status.endpoints ?? [],
+		counters: status.counters ?? {},
 	});
 }
--- a/packages/ctl/tests/fakes/fake-context.ts
+++ b/packages/ctl/tests/fakes/fake-context.ts
@@ -1,12 +1,13 @@
 import * as fs from 'node:fs';
 import type * as core from '@bluebellmast/core';
+import type * as wire from '@bluebellmast/wire';
 import * as purify from 'purify-ts';
 import * as memoryKv from '../../../router/tests/controllers/fakes/memory-kv.js';
 import type * as ctl from '@bluebellmast/ctl';
 
 /** Router that answers what the test sets; without a status it does not answer. */
 export class FakeRouter implements ctl.routers.RouterClient {
-	status_: ctl.routers.RouterStatus | undefined;
+	status_: wire.http.RouterStatus | undefined;
 	events: readonly core.timeline.TimelineEvent[] = [];
 
 	constructor(readonly url: string, generation: number, confirmed = true) {
@@ -21,10 +22,11 @@
 			requestsUnderWay: 0,
 			members: [],
 			endpoints: [{id: 'engine-1', service: 'pool'}],
+			counters: {},
 		};
 	}
 
-	async status(): ctl.routers.RouterResult<ctl.routers.RouterStatus> {
+	async status(): ctl.routers.RouterResult<wire.http.RouterStatus> {
 		return this.status_ === undefined ? purify.Left('silent') : purify.Right(this.status_);
 	}
 
--- a/packages/router/src/filters/account-filter.ts
+++ b/packages/router/src/filters/account-filter.ts
@@ -1,13 +1,10 @@
-import * as buffer from 'node:buffer';
-import * as crypto from 'node:crypto';
 import * as core from '@bluebellmast/core';
+import * as bearerKey from '../util/bearer-key.js';
 import * as callModule from './call.js';
 import * as findKind from './find-kind.js';
 import type * as filter from './filter.js';
 import type * as requestContext from './request-context.js';
 
-const bearerPattern = /^Bearer (\S+)$/;
-
 /** Finds the client account by its bearer key, and the request kind. */
 export class AccountFilter implements filter.Filter {
 	async handle(ctx: requestContext.RequestContext, next: filter.Next): Promise<void> {
@@ -39,20 +36,10 @@
 	}
 }
 
-/** Returns the account with the bearer key of an `authorization` header. Compares in constant time. */
+/** Returns the account with the bearer key of an `authorization` header. */
 function findAccount(manifest: core.model.Manifest, authorization: string | undefined): core.model.ClientAccount | undefined {
-	const key = bearerPattern.exec(authorization ?? '')?.[1];
-	if (key === undefined) {
-		return undefined;
-	}
-
-	const digest = crypto.createHash('sha256').update(key).digest();
-	return manifest.accounts.find(account => account.keyHashes.some(hash => equalsHash(digest, hash)));
-}
-
-function equalsHash(digest: Uint8Array, hash: string): boolean {
-	const expected = buffer.Buffer.from(hash, 'hex');
-	return expected.length === digest.length && crypto.timingSafeEqual(expected, digest);
+	const hash = bearerKey.hashBearerKey(authorization);
+	return hash && manifest.accounts.find(account => account.keyHashes.some(known => bearerKey.equalsKeyHash(hash, known)));
 }
 
 function targetOf(call: callModule.Call): string | undefined {
--- a/packages/router/src/http/admin-handler.ts
+++ b/packages/router/src/http/admin-handler.ts
@@ -1,35 +1,18 @@
 import * as buffer from 'node:buffer';
-import * as crypto from 'node:crypto';
 import type * as http from 'node:http';
 import * as core from '@bluebellmast/core';
+import type * as wire from '@bluebellmast/wire';
+import * as bearerKey from '../util/bearer-key.js';
 import type * as recorder from '../util/recorder.js';
 import * as status from './status-of.js';
 
-/** State of one router, for operators. */
-export type RouterStatus = {
-	readonly vm: core.model.VmId;
-	readonly incarnation: core.model.Incarnation;
-	readonly dataCentre: core.model.DataCentreId;
-	/** Whether the balancer is told to send requests. */
-	readonly ready: boolean;
-	readonly stopping: boolean;
-	/** Generation in force; 0 before the first. */
-	readonly generation: core.model.Generation;
-	/** Whether the generation can be confirmed at present. */
-	readonly confirmed: boolean;
-	readonly requestsUnderWay: number;
-	readonly members: readonly unknown[];
-	readonly endpoints: readonly unknown[];
-	readonly counters: Readonly<Record<string, number>>;
-};
-
 /** What the handler of operators' and the balancer's requests works with. */
 export type AdminHandlerOptions = {
 	/** SHA-256 of the operators' bearer key in hex; without it /admin/ is closed. */
 	readonly operatorKeyHash?: string;
 	readonly vm: core.model.VmId;
 	readonly isReady: () => boolean;
-	readonly status: () => RouterStatus;
+	readonly status: () => wire.http.RouterStatus;
 	readonly recorder: recorder.Recorder;
 };
 
@@ -93,14 +76,8 @@
 
 	#isOperator(req: http.IncomingMessage): boolean {
 		const {operatorKeyHash} = this.#options;
-		const key = /^Bearer (\S+)$/.exec(req.headers.authorization ?? '')?.[1];
-		if (operatorKeyHash === undefined || key === undefined) {
-			return false;
-		}
-
-		const digest = crypto.createHash('sha256').update(key).digest();
-		const expected = buffer.Buffer.from(operatorKeyHash, 'hex');
-		return expected.length === digest.length && crypto.timingSafeEqual(expected, digest);
+		const hash = bearerKey.hashBearerKey(req.headers.authorization);
+		return operatorKeyHash !== undefined && hash !== undefined && bearerKey.equalsKeyHash(hash, operatorKeyHash);
 	}
 }
 
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,6 +1,5 @@
 export type * as controller from './controllers/controller.js';
 export type * as metrics from './util/metrics.js';
-export type * as status from './http/admin-handler.js';
 export * as controllers from './controllers/index.js';
 export * as clock from './util/clock.js';
 export * as endpoints from './endpoints/index.js';
--- a/packages/router/src/wire-up.ts
+++ b/packages/router/src/wire-up.ts
@@ -33,6 +33,7 @@
 import * as prefixFilter from './filters/prefix-filter.js';
 import * as forwardController from './forward/forward-controller.js';
 import * as adminHandler from './http/admin-handler.js';
+import * as createStatus from './http/create-status.js';
 import * as requestHandler from './http/request-handler.js';
 import * as requestTable from './http/request-table.js';
 import * as routerServer from './http/router-server.js';
@@ -374,7 +375,9 @@
 		vm: settings.vm,
 		isReady,
 		recorder: base.events,
-		status: () => createStatus(base, fleet, watch, isReady()),
+		status: () => createStatus.createStatus({
+			...base, ...fleet, ready: isReady(), watch, now: base.clock.now(),
+		}),
 	});
 }
 
@@ -401,23 +404,3 @@
 		admin,
 	});
 }
-
-function createStatus(
-	base: Base,
-	fleet: Fleet,
-	watch: endpointWatch.EndpointWatchController,
-	ready: boolean,
-): adminHandler.RouterStatus {
-	return {
-		...base.self,
-		dataCentre: base.settings.dataCentre,
-		ready,
-		stopping: base.lifecycle.isStopping,
-		generation: fleet.manifests.current()?.generation ?? 0,
-		confirmed: fleet.manifests.confirmed(base.clock.now()),
-		requestsUnderWay: base.requests.size,
-		members: fleet.members.liveRecords(),
-		endpoints: watch.endpointStates(),
-		counters: base.metrics.counters(),
-	};
-}
--- a/packages/router/tests/support/router-fixture.ts
+++ b/packages/router/tests/support/router-fixture.ts
@@ -2,6 +2,7 @@
 import * as config from '@bluebellmast/config';
 import * as core from '@bluebellmast/core';
 import * as platform from '@bluebellmast/platform';
+import type * as wire from '@bluebellmast/wire';
 import * as standIns from '@bluebellmast/stand-ins';
 import * as router from '@bluebellmast/router';
 
@@ -86,9 +87,9 @@
 	}
 
 	/** Returns the router's state as operators see it. */
-	async status(): Promise<router.status.RouterStatus> {
+	async status(): Promise<wire.http.RouterStatus> {
 		const res = await fetch(`${this.url}/admin/status`, {headers: {authorization: `Bearer ${operatorKey}`}});
-		return await res.json() as router.status.RouterStatus;
+		return await res.json() as wire.http.RouterStatus;
 	}
 
 	/** Waits until the router serves and all engines have reported. */
--- a/packages/wire/src/http/index.ts
+++ b/packages/wire/src/http/index.ts
@@ -1,2 +1,3 @@
 export * from './header-name.js';
 export * from './media-type.js';
+export * from './router-status.js';
