--- a/packages/router/src/controllers/endpoint-watch-controller.ts
+++ b/packages/router/src/controllers/endpoint-watch-controller.ts
@@ -27,9 +27,9 @@
 	/** Is told of each report that is newer than what was known, and of each change of the other fields. */
 	readonly onState?: (state: WatchedEndpoint) => void;
 	readonly metrics?: metrics.Metrics;
-	/** Milliseconds between reads of an endpoint. Default 250. */
+	/** Milliseconds between reads of an endpoint. Default 500. */
 	readonly pollMs?: number;
-	/** Polls between digests and repeated notices. Default 4. */
+	/** Polls between digests and repeated notices. Default 2. */
 	readonly pollsPerDigest?: number;
 	/** Loads in one digest. Default 16. */
 	readonly loadsPerDigest?: number;
@@ -40,7 +40,7 @@
 const drainingMs = 2000;
 
 const defaults = {
-	pollMs: 250, pollsPerDigest: 4, loadsPerDigest: 16, limits: core.endpoints.defaultWatchLimits,
+	pollMs: 500, pollsPerDigest: 4, loadsPerDigest: 16, limits: core.endpoints.defaultWatchLimits,
 };
 
 /**
--- a/packages/router/src/peers/tcp-peer-network.ts
+++ b/packages/router/src/peers/tcp-peer-network.ts
@@ -92,7 +92,7 @@
 		}
 
 		const frame = this.encode(message);
-		return frame !== undefined && this.sendOn(link, frame);
+		return frame !== undefined && this.sendOn(link, frame, message.type);
 	}
 
 	broadcast(message: peerNetwork.PeerMessage): void {
@@ -102,7 +102,7 @@
 		}
 
 		for (const link of this.links.values()) {
-			this.sendOn(link, frame);
+			this.sendOn(link, frame, message.type);
 		}
 	}
 
@@ -156,13 +156,13 @@
 		return encoded.unsafeCoerce();
 	}
 
-	private sendOn(link: peerLink.PeerLink, frame: Uint8Array): boolean {
+	private sendOn(link: peerLink.PeerLink, frame: Uint8Array, type: wire.peer.PeerMessageType): boolean {
 		if (this.isSilent(link, this.cfg.clock.now()) || !link.sendFrame(frame, true)) {
 			this.cfg.metrics?.increment('peer.send_refused');
 			return false;
 		}
 
-		this.cfg.metrics?.increment('peer.sent_bytes', frame.length);
+		this.cfg.metrics?.increment('peer.sent_bytes', frame.length, {type});
 		return true;
 	}
 
@@ -347,7 +347,7 @@
 		if (now - link.lastSentAt >= this.cfg.heartbeatMs) {
 			const heartbeat = this.encode({type: wire.peer.PeerMessageType.Heartbeat})!;
 			link.sendFrame(heartbeat, false);
-			this.cfg.metrics?.increment('peer.sent_bytes', heartbeat.length);
+			this.cfg.metrics?.increment('peer.sent_bytes', heartbeat.length, {type: wire.peer.PeerMessageType.Heartbeat});
 		}
 	}
 
--- a/packages/stand-ins/src/bench/control-suite.ts
+++ b/packages/stand-ins/src/bench/control-suite.ts
@@ -22,15 +22,17 @@
 	/** Share of a core, in percent. */
 	readonly cpuPercent: number;
 	readonly residentMegabytes: number;
-	/** Bytes a second sent to other routers, frames only. */
-	readonly peerBytesPerSecond: number;
+	/** Bytes a second sent to other routers, frames only, by type of message. */
+	readonly peerBytesPerSecond: Readonly<Record<string, number>>;
+	readonly allPeerBytesPerSecond: number;
 	/** Calls of the key-value service a second, of all routers together. */
 	readonly kvCallsPerSecond: number;
 };
 
 type Sample = {
 	readonly cpuMs: number;
-	readonly peerBytes: number;
+	/** By type of message. */
+	readonly peerBytes: Readonly<Record<string, number>>;
 	readonly kvCalls: number;
 };
 
@@ -77,24 +79,43 @@
 function createCost(routers: number, before: Sample, after: Sample, local: deployment.LocalDeployment): ControlCost {
 	const seconds = measuredMs / millisecondsPerSecond;
 	const resident = local.routers.map(router => residentBytes(router.child.pid));
+	const bytes = Object.entries(after.peerBytes)
+		.map(([type, count]) => [type, Math.round((count - (before.peerBytes[type] ?? 0)) / routers / seconds)] as const);
 	return {
 		routers,
 		cpuPercent: (after.cpuMs - before.cpuMs) / routers / measuredMs * percent,
-		residentMegabytes: resident.reduce((sum, bytes) => sum + bytes, 0) / routers / bytesPerMegabyte,
-		peerBytesPerSecond: (after.peerBytes - before.peerBytes) / routers / seconds,
+		residentMegabytes: sum(resident) / routers / bytesPerMegabyte,
+		peerBytesPerSecond: Object.fromEntries(bytes),
+		allPeerBytesPerSecond: sum(bytes.map(([, count]) => count)),
 		kvCallsPerSecond: (after.kvCalls - before.kvCalls) / seconds,
 	};
 }
 
 async function sample(local: deployment.LocalDeployment): Promise<Sample> {
-	const cpuMs = local.routers.reduce((sum, router) => sum + cpuTime.cpuTimeMs(router.child.pid), 0);
+	const cpuMs = sum(local.routers.map(router => cpuTime.cpuTimeMs(router.child.pid)));
 	const counters = await Promise.all(local.routers.map(async router => readCounters(router.url)));
-	const peerBytes = counters.reduce((sum, counter) => sum + (counter['peer.sent_bytes'] ?? 0), 0);
-	const kvCalls = counters
-		.flatMap(counter => Object.entries(counter))
-		.filter(([name]) => name.startsWith('kv.calls'))
-		.reduce((sum, [, count]) => sum + count, 0);
-	return {cpuMs, peerBytes, kvCalls};
+	return {
+		cpuMs,
+		peerBytes: countByType(counters, 'peer.sent_bytes.'),
+		kvCalls: sum(Object.values(countByType(counters, 'kv.calls.'))),
+	};
+}
+
+/** Adds up the counters of all routers whose names begin with a prefix, by the rest of the name. */
+function countByType(counters: ReadonlyArray<Readonly<Record<string, number>>>, prefix: string): Record<string, number> {
+	const totals: Record<string, number> = {};
+	for (const [name, count] of counters.flatMap(counter => Object.entries(counter))) {
+		if (name.startsWith(prefix)) {
+			const type = name.slice(prefix.length);
+			totals[type] = (totals[type] ?? 0) + count;
+		}
+	}
+
+	return totals;
+}
+
+function sum(values: readonly number[]): number {
+	return values.reduce((total, value) => total + value, 0);
 }
 
 async function readCounters(url: string): Promise<Readonly<Record<string, number>>> {
