Test requests with router-issued keys that come to another router

Cause: forwarding had no test of its own. Change: whole answer, refusal, another incarnation, an issuer that cannot be reached, a lost answer; over the memory links that the manifest's tests use. After: 5 new tests pass; no fault was found.

--- /dev/null
+++ b/packages/router/src/filters/index.ts
@@ -0,0 +1,3 @@
+export * from './call.js';
+export * from './filter.js';
+export * from './request-context.js';
--- /dev/null
+++ b/packages/router/src/forward/index.ts
@@ -0,0 +1,1 @@
+export * from './forward-controller.js';
--- /dev/null
+++ b/packages/router/src/http/index.ts
@@ -0,0 +1,1 @@
+export * from './request-table.js';
--- /dev/null
+++ b/packages/router/tests/forward/forward-controller.test.ts
@@ -0,0 +1,118 @@
+import * as chai from 'chai';
+import * as core from '@bluebellmast/core';
+import * as memoryPeers from '../controllers/fakes/memory-peers.js';
+import * as router from '@bluebellmast/router';
+
+const {expect} = chai;
+
+const account = {
+	id: 'club', keyHashes: [], share: 1, limits: {requestsPerSecond: 1, burst: 1, tokensPerSecond: 1}, allowed: [],
+};
+const kind = {
+	id: 'booking', weight: 1, priority: 1, deadlineMs: 1000, repeatable: false,
+};
+const manifest: core.model.Manifest = {
+	generation: 1,
+	models: [],
+	adapters: [],
+	accounts: [account],
+	kinds: [kind],
+	services: [{
+		id: 'boekhuis', type: core.model.ServiceType.Plain, models: [], rules: [], defaultKind: 'booking', maxConcurrentLoads: 1,
+	}],
+	endpoints: [],
+	recalled: [],
+};
+
+describe('ForwardController', () => {
+	let links = new memoryPeers.MemoryLinks();
+	let runs: string[] = [];
+
+	/** Answers each request itself, and notes that it ran. */
+	const runner: router.filters.Filter = {
+		async handle(ctx) {
+			runs.push(ctx.headers.idempotencyKey!);
+			ctx.answer.sendWhole({status: 200, contentType: 'text/plain', body: new TextEncoder().encode(`for ${ctx.account!.id}`)});
+		},
+	};
+
+	const refuser: router.filters.Filter = {
+		async handle(ctx) {
+			ctx.answer.sendRefusal(core.request.createRefusal(core.model.ErrorCode.Overloaded, [], {message: 'full', retryAfterMs: 10}));
+		},
+	};
+
+	afterEach(() => {
+		links = new memoryPeers.MemoryLinks();
+		runs = [];
+	});
+
+	async function createController(
+		vm: string,
+		filter: router.filters.Filter,
+	): Promise<router.forward.ForwardController> {
+		const controller = new router.forward.ForwardController({
+			incarnation: `${vm}-1`,
+			peers: links.create(vm),
+			clock: {now: () => 0},
+			requests: new router.http.RequestTable(),
+			manifest: () => manifest,
+			filters: [filter],
+		});
+		await controller.start();
+		return controller;
+	}
+
+	async function forward(from: router.forward.ForwardController, incarnation: string, deadlineAt = 1000) {
+		const call = {
+			type: router.filters.CallType.Service as const,
+			service: 'boekhuis',
+			method: 'POST',
+			path: '/bookings',
+			contentType: 'application/json',
+			body: new TextEncoder().encode('{}'),
+		};
+		const ctx = {
+			id: 'r', arrivedAt: 0, deadlineAt, headers: {idempotencyKey: 'k'}, call, account, kind, manifest,
+		} as unknown as router.filters.RequestContext;
+		return from.forward(ctx, call, {vm: 'b', incarnation});
+	}
+
+	it('gives the caller the issuer\'s whole answer, for the right account', async () => {
+		const a = await createController('a', refuser);
+		await createController('b', runner);
+		const result = await forward(a, 'b-1');
+		expect(new TextDecoder().decode(result.unsafeCoerce().body)).to.equal('for club');
+		expect(runs).to.deep.equal(['k']);
+	});
+
+	it('passes on the issuer\'s refusal with its execution state', async () => {
+		const a = await createController('a', runner);
+		await createController('b', refuser);
+		const result = await forward(a, 'b-1');
+		expect(result.extract()).to.deep.include({code: 'overloaded', execution: 'not_run', retryAfterMs: 10});
+	});
+
+	it('runs nothing at another incarnation, and says unknown', async () => {
+		const a = await createController('a', runner);
+		await createController('b', runner);
+		const result = await forward(a, 'b-0');
+		expect(result.extract()).to.include({code: 'outcome_unknown', execution: 'unknown'});
+		expect(runs).to.deep.equal([]);
+	});
+
+	it('says not run when the issuer cannot be reached', async () => {
+		const a = await createController('a', runner);
+		const result = await forward(a, 'b-1');
+		expect(result.extract()).to.include({code: 'no_endpoint', execution: 'not_run'});
+	});
+
+	it('says unknown when the issuer ran the request and its answer is lost', async () => {
+		const a = await createController('a', refuser);
+		links.loses = to => to === 'a';
+		await createController('b', runner);
+		const result = await forward(a, 'b-1', 10);
+		expect(result.extract()).to.include({code: 'outcome_unknown', execution: 'unknown'});
+		expect(runs).to.deep.equal(['k']);
+	});
+});
