Close ways in which a refusal or a kind could be untrue

Cause: read as a newcomer, three places claimed more than they knew. A status of 429 or 503 counted as 'not run'; a path with dot segments or needless escapes could slip past the manifest's rules, so that a booking passed as repeatable; a stream to a slow caller added a listener at each wait. IPv6 endpoints got a malformed address, and each failed attempt stood as a retry in the time line. Change: 'refused before it began' needs 409 of an engine or the header x-execution: not_run; paths with a second spelling are refused; listeners are taken off; addresses are bracketed; the time line tells resumes, restarts, retries and ends apart. Ruled out: normalising paths, since the service may spell them otherwise.

--- a/packages/router/src/dispatch/request-driver.ts
+++ b/packages/router/src/dispatch/request-driver.ts
@@ -12,7 +12,6 @@
 	[core.request.RequestEventType.Placed]: core.timeline.TimelineEventType.RequestPlaced,
 	[core.request.RequestEventType.Completed]: core.timeline.TimelineEventType.RequestAnswered,
 	[core.request.RequestEventType.Refused]: core.timeline.TimelineEventType.RequestRefused,
-	[core.request.RequestEventType.Failed]: core.timeline.TimelineEventType.RequestRetried,
 	[core.request.RequestEventType.DeadlinePassed]: core.timeline.TimelineEventType.RequestRefused,
 	[core.request.RequestEventType.CallerGone]: core.timeline.TimelineEventType.RequestRefused,
 };
@@ -92,7 +91,7 @@
 			const step = core.request.stepRequest(this.#state, event, this.#options.clock.now());
 			this.#state = step.state;
 			this.#effects = step.effects;
-			this.#record(event);
+			this.#record(event, step.effects);
 		}
 	}
 
@@ -152,8 +151,10 @@
 	}
 
 	/** Records what became of the request in the time line. */
-	#record(event: core.request.RequestEvent): void {
-		const type = timelineTypes[event.type];
+	#record(event: core.request.RequestEvent, effects: readonly core.request.RequestEffect[]): void {
+		const type = event.type === core.request.RequestEventType.Failed
+			? typeOfFailure(effects)
+			: timelineTypes[event.type];
 		if (type === undefined) {
 			return;
 		}
@@ -177,3 +178,18 @@
 		});
 	}
 }
+
+/** Tells what followed a failed attempt. */
+function typeOfFailure(effects: readonly core.request.RequestEffect[]): core.timeline.TimelineEventType {
+	if (effects.includes(core.request.RequestEffect.Resume)) {
+		return core.timeline.TimelineEventType.StreamResumed;
+	}
+
+	if (effects.includes(core.request.RequestEffect.Restart)) {
+		return core.timeline.TimelineEventType.StreamRestarted;
+	}
+
+	return effects.includes(core.request.RequestEffect.CountRetry)
+		? core.timeline.TimelineEventType.RequestRetried
+		: core.timeline.TimelineEventType.RequestRefused;
+}
--- a/packages/router/src/endpoints/engine-attempt.ts
+++ b/packages/router/src/endpoints/engine-attempt.ts
@@ -29,8 +29,8 @@
 	return typeof value === 'string' ? value : '';
 }
 
-/** Statuses with which an engine refuses before it begins: weights not loaded, too many, overloaded. */
-const refusedStatuses: ReadonlySet<number> = new Set([409, 429, 503]);
+/** Status with which an engine refuses before it begins, because it does not hold the weights. */
+const weightsNotLoadedStatus = 409;
 
 const goneStatuses: ReadonlySet<number> = new Set([404, 410]);
 
@@ -40,7 +40,7 @@
 	res: undici.Dispatcher.ResponseData,
 ): attemptFailure.AttemptFailure | undefined {
 	if (res.statusCode !== 200) {
-		return {cause: causeOfStatus(res.statusCode), message: `${attempt.endpoint.id} answered ${res.statusCode}`};
+		return {cause: causeOfAnswer(res), message: `${attempt.endpoint.id} answered ${res.statusCode}`};
 	}
 
 	const matches = headerOf(res, wire.http.HeaderName.RequestId) === attempt.requestId
@@ -52,10 +52,14 @@
 		: {cause: core.request.FailureCause.WrongAnswer, message: `${attempt.endpoint.id} answered for another request or weights`};
 }
 
-function causeOfStatus(status: number): core.request.FailureCause {
-	if (refusedStatuses.has(status)) {
+function causeOfAnswer(res: undici.Dispatcher.ResponseData): core.request.FailureCause {
+	const notRun: string = core.model.ExecutionState.NotRun;
+	const isNotRun = headerOf(res, wire.http.HeaderName.Execution) === notRun;
+	if (isNotRun || res.statusCode === weightsNotLoadedStatus) {
 		return core.request.FailureCause.Refused;
 	}
 
-	return goneStatuses.has(status) ? core.request.FailureCause.EndpointGone : core.request.FailureCause.EndpointError;
+	return goneStatuses.has(res.statusCode)
+		? core.request.FailureCause.EndpointGone
+		: core.request.FailureCause.EndpointError;
 }
--- a/packages/router/src/endpoints/service-client.ts
+++ b/packages/router/src/endpoints/service-client.ts
@@ -41,8 +41,8 @@
 	readonly onAnswer: () => void;
 };
 
-/** Statuses with which a service says that it refused before it began. */
-const refusedStatuses: ReadonlySet<number> = new Set([429, 503]);
+/** Statuses after which a call that may be repeated is tried elsewhere. */
+const busyStatuses: ReadonlySet<number> = new Set([429, 503]);
 
 /** Speaks to plain services. */
 export class ServiceClient {
@@ -120,8 +120,14 @@
 	attempt: ServiceAttempt,
 	res: undici.Dispatcher.ResponseData,
 ): attemptFailure.AttemptFailure | undefined {
-	if (refusedStatuses.has(res.statusCode)) {
-		return {cause: core.request.FailureCause.Refused, message: `${attempt.endpoint.id} answered ${res.statusCode}`};
+	const message = `${attempt.endpoint.id} answered ${res.statusCode}`;
+	if (res.headers[wire.http.HeaderName.Execution] === core.model.ExecutionState.NotRun) {
+		return {cause: core.request.FailureCause.Refused, message};
+	}
+
+	// A status alone is no proof that nothing was carried out.
+	if (attempt.repeatable && busyStatuses.has(res.statusCode)) {
+		return {cause: core.request.FailureCause.EndpointError, message};
 	}
 
 	// A service that names the request must name this one; a service that names none is taken at its connection.
--- a/packages/router/src/filters/index.ts
+++ b/packages/router/src/filters/index.ts
@@ -1,3 +1,4 @@
 export * from './call.js';
 export * from './filter.js';
+export * from './parse-call.js';
 export * from './request-context.js';
--- a/packages/router/src/http/caller-answer.ts
+++ b/packages/router/src/http/caller-answer.ts
@@ -96,10 +96,7 @@
 			return;
 		}
 
-		await new Promise<void>(resolve => {
-			this.#res.once('drain', resolve);
-			this.#res.once('close', resolve);
-		});
+		await this.#drained();
 	}
 
 	/** Ends a stream that is whole. */
@@ -108,6 +105,20 @@
 		this.#res.end('data: [DONE]\n\n');
 	}
 
+	/** Waits until the caller's connection takes more, or is closed. */
+	async #drained(): Promise<void> {
+		await new Promise<void>(resolve => {
+			const done = () => {
+				this.#res.off('drain', done);
+				this.#res.off('close', done);
+				resolve();
+			};
+
+			this.#res.on('drain', done);
+			this.#res.on('close', done);
+		});
+	}
+
 	#endStreamWithError(refusal: core.model.Refusal): void {
 		this.#finish();
 		this.#res.end(`event: error\ndata: ${JSON.stringify({error: refusal})}\n\n`);
--- /dev/null
+++ b/packages/router/tests/endpoints/service-client.test.ts
@@ -0,0 +1,91 @@
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import * as chai from 'chai';
+import * as core from '@bluebellmast/core';
+import * as router from '@bluebellmast/router';
+
+const {expect} = chai;
+const host = '127.0.0.1';
+const {FailureCause: causes} = core.request;
+
+type Case = {
+	readonly name: string;
+	readonly status: number;
+	readonly execution?: string;
+	readonly repeatable: boolean;
+	/** Cause of the failure; absent when the answer is passed on. */
+	readonly cause?: core.request.FailureCause;
+};
+
+const cases: readonly Case[] = [
+	{
+		name: 'a booking that a busy service may have begun', status: 503, repeatable: false,
+	},
+	{
+		name: 'a booking that the service says it refused', status: 503, execution: 'not_run', repeatable: false, cause: causes.Refused,
+	},
+	{
+		name: 'a search at a busy service', status: 429, repeatable: true, cause: causes.EndpointError,
+	},
+	{
+		name: 'an answer of the service itself', status: 404, repeatable: true,
+	},
+];
+
+describe('ServiceClient', () => {
+	const next: {status: number; execution?: string} = {status: 200};
+	const server = http.createServer((_, res) => {
+		res.writeHead(next.status, next.execution === undefined ? {} : {'x-execution': next.execution});
+		res.end('answer');
+	});
+	const pools = new router.endpoints.ConnectionPools();
+	const client = new router.endpoints.ServiceClient(pools, {maxAnswerBytes: 1000});
+
+	before(async () => {
+		await new Promise<void>(resolve => {
+			server.listen(0, host, resolve);
+		});
+	});
+
+	after(async () => {
+		await pools.close();
+		server.close();
+	});
+
+	for (const item of cases) {
+		it(`takes ${item.name} for ${item.cause ?? 'an answer'}`, async () => {
+			next.status = item.status;
+			next.execution = item.execution;
+			const {port} = server.address() as net.AddressInfo;
+			const endpoint = {
+				id: 'e', service: 's', host, port, dataCentre: 'a', checksFencing: false, role: core.model.EngineRole.Mixed, capacity: 1, leaving: false,
+			};
+			const result = await client.call({
+				endpoint,
+				requestId: 'r',
+				attemptId: 'a',
+				account: 'c',
+				method: 'POST',
+				path: '/x',
+				contentType: '',
+				body: new Uint8Array(),
+				repeatable: item.repeatable,
+			}, {signal: new AbortController().signal, onSend() {}, onAnswer() {}}); // eslint-disable-line @typescript-eslint/no-empty-function
+			const cause = result.isLeft() ? (result.extract() as {cause: string}).cause : undefined;
+			expect(cause).to.equal(item.cause);
+			expect(result.isRight() ? result.unsafeCoerce().status : undefined).to.equal(item.cause === undefined ? item.status : undefined);
+		});
+	}
+});
+
+describe('endpointOrigin', () => {
+	const cases = [
+		{host: '10.0.0.1', origin: 'http://10.0.0.1:80'},
+		{host: '2001:db8::1', origin: 'http://[2001:db8::1]:80'},
+	];
+	for (const {host: name, origin} of cases) {
+		it(`gives ${origin}`, () => {
+			expect(router.endpoints.endpointOrigin({host: name, port: 80} as core.model.Endpoint)).to.equal(origin);
+		});
+	}
+});
--- a/packages/router/tests/http/invalid-requests.test.ts
+++ b/packages/router/tests/http/invalid-requests.test.ts
@@ -66,6 +66,14 @@
 		code: 'idempotency_key_required',
 		places: ['idempotency-key'],
 	},
+	...['//bookings', '/%62ookings', '/bookings%2f1', '/a%zz'].map(path => ({
+		name: `the ambiguous path ${path}, which could hide a booking`,
+		path: `/v1/services/boekhuis${path}`,
+		body: {},
+		status: 400,
+		code: 'invalid_request',
+		places: ['path'],
+	})),
 	{
 		name: 'a body over the limit', body: 'x'.repeat(5000), status: 413, code: 'body_too_large',
 	},
