Count a caller that does not read as gone after 30 s

Cause: a silent caller could hold an engine's stream for good, since the progress timer rests while the caller is waited for. Change: a full buffer that stays unread for 30 s closes the connection, which cancels the work.

--- a/packages/router/src/http/caller-answer.ts
+++ b/packages/router/src/http/caller-answer.ts
@@ -6,16 +6,21 @@
 import * as refusalHeaders from './refusal-headers.js';
 import * as status from './status-of.js';
 
+const defaultDrainTimeoutMs = 30_000;
+
 /** The answer to one caller. Exactly one final answer is given. */
 export class CallerAnswer implements answer.Answer {
 	readonly #res: http.ServerResponse;
 	readonly #requestId: core.model.RequestId;
+	readonly #drainTimeoutMs: number;
 	#finished = false;
 	#gone = false;
 
-	constructor(res: http.ServerResponse, requestId: core.model.RequestId) {
+	/** @param drainTimeoutMs - Milliseconds that a caller may leave a full buffer unread before it counts as gone. */
+	constructor(res: http.ServerResponse, requestId: core.model.RequestId, drainTimeoutMs = defaultDrainTimeoutMs) {
 		this.#res = res;
 		this.#requestId = requestId;
+		this.#drainTimeoutMs = drainTimeoutMs;
 		res.setHeader(wire.http.HeaderName.RequestId, requestId);
 		res.on('close', () => {
 			this.#gone = !res.writableFinished;
@@ -105,10 +110,16 @@
 		this.#res.end('data: [DONE]\n\n');
 	}
 
-	/** Waits until the caller's connection takes more, or is closed. */
+	/** Waits until the caller's connection takes more, or is closed; closes it when it has gone silent. */
 	async #drained(): Promise<void> {
 		await new Promise<void>(resolve => {
+			const timer = setTimeout(() => {
+				this.#gone = true;
+				this.#res.destroy();
+				done();
+			}, this.#drainTimeoutMs);
 			const done = () => {
+				clearTimeout(timer);
 				this.#res.off('drain', done);
 				this.#res.off('close', done);
 				resolve();
--- a/packages/router/src/http/index.ts
+++ b/packages/router/src/http/index.ts
@@ -1,1 +1,2 @@
+export * from './caller-answer.js';
 export * from './request-table.js';
