--- a/packages/router/src/endpoints/service-client.ts
+++ b/packages/router/src/endpoints/service-client.ts
@@ -12,8 +12,8 @@
 
 /** Bounds on a call of a plain service. */
 export type ServiceClientOptions = {
-	/** Bytes of an answer at most. */
-	readonly maxAnswerBytes: number;
+	/** Bytes of an answer at most. Default 16 MiB. */
+	readonly maxAnswerBytes?: number;
 };
 
 /** One try at an endpoint of a plain service. */
@@ -41,17 +41,19 @@
 	readonly onAnswer: () => void;
 };
 
+const defaultMaxAnswerBytes = 16 * 1024 * 1024;
+
 /** Statuses after which a call that may be repeated is tried elsewhere. */
 const busyStatuses: ReadonlySet<number> = new Set([429, 503]);
 
 /** Speaks to plain services. */
 export class ServiceClient {
 	readonly #pools: connectionPools.ConnectionPools;
-	readonly #options: ServiceClientOptions;
+	readonly #maxAnswerBytes: number;
 
-	constructor(pools: connectionPools.ConnectionPools, options: ServiceClientOptions) {
+	constructor(pools: connectionPools.ConnectionPools, options: ServiceClientOptions = {}) {
 		this.#pools = pools;
-		this.#options = options;
+		this.#maxAnswerBytes = options.maxAnswerBytes ?? defaultMaxAnswerBytes;
 	}
 
 	/** Sends one call and reads its whole answer. */
@@ -92,8 +94,8 @@
 		for await (const chunk of res.body) {
 			chunks.push(chunk as Uint8Array);
 			size += (chunk as Uint8Array).length;
-			if (size > this.#options.maxAnswerBytes) {
-				throw new Error(`the answer exceeds ${this.#options.maxAnswerBytes} bytes`);
+			if (size > this.#maxAnswerBytes) {
+				throw new Error(`the answer exceeds ${this.#maxAnswerBytes} bytes`);
 			}
 		}
 
--- a/packages/router/src/filters/dispatch-filter.ts
+++ b/packages/router/src/filters/dispatch-filter.ts
@@ -19,10 +19,12 @@
 	readonly recorder: recorder.Recorder;
 	/** Tries of one request at most. */
 	readonly maxAttempts: number;
-	/** Resumes in a row without a new event at most. */
-	readonly maxResumes: number;
+	/** Resumes in a row without a new event at most. Default 3. */
+	readonly maxResumes?: number;
 };
 
+const defaultMaxResumes = 3;
+
 /** Places the request, sends it, and relays the answer. The last filter of the chain. */
 export class DispatchFilter implements filter.Filter {
 	readonly #options: DispatchFilterOptions;
@@ -70,7 +72,7 @@
 			repeatable: isChat || ctx.kind!.repeatable,
 			deadlineAt: ctx.deadlineAt!,
 			maxAttempts: this.#options.maxAttempts,
-			maxResumes: this.#options.maxResumes,
+			maxResumes: this.#options.maxResumes ?? defaultMaxResumes,
 			resumable: isChat,
 			supportsForcedPrefix: model?.supportsForcedPrefix ?? false,
 		};
--- a/packages/router/src/http/create-status.ts
+++ b/packages/router/src/http/create-status.ts
@@ -36,7 +36,22 @@
 		confirmed: manifests.confirmed(now),
 		requestsUnderWay: sources.requests.size,
 		members: sources.members.liveRecords(),
-		endpoints: sources.watch.endpointStates().map(({endpoint, ...state}) => ({id: endpoint, ...state})),
+		endpoints: sources.watch.endpointStates().map(state => describeEndpoint(state)),
 		counters: sources.metrics.counters(),
 	};
 }
+
+/** One row of the operators' list of endpoints. */
+function describeEndpoint(state: endpointWatch.WatchedEndpoint): Readonly<Record<string, unknown>> {
+	const {endpoint, incarnation, reachable, leaving, draining, report} = state;
+	return {
+		id: endpoint,
+		reachable,
+		leaving,
+		draining,
+		running: report?.running,
+		queued: report?.queued,
+		weights: report?.weights.join(' '),
+		incarnation,
+	};
+}
--- /dev/null
+++ b/packages/router/src/util/member-recorder.ts
@@ -0,0 +1,37 @@
+import * as core from '@bluebellmast/core';
+import type * as memberController from '../controllers/member-controller.js';
+import type * as recorder from './recorder.js';
+
+/** Records in the time line which routers join, restart and are lost. */
+export class MemberRecorder {
+	readonly #recorder: recorder.Recorder;
+	#known = new Map<core.model.VmId, core.model.Incarnation>();
+
+	constructor(events: recorder.Recorder) {
+		this.#recorder = events;
+	}
+
+	/** Records all changes from now on. */
+	follow(members: Pick<memberController.MemberController, 'onChange'>): void {
+		members.onChange(records => {
+			this.#update(records);
+		});
+	}
+
+	#update(records: readonly core.members.MemberRecord[]): void {
+		const present = new Map(records.map(({vm, incarnation}) => [vm, incarnation]));
+		for (const [vm, incarnation] of present) {
+			if (this.#known.get(vm) !== incarnation) {
+				this.#recorder.record({type: core.timeline.TimelineEventType.MemberJoined, detail: `${vm} ${incarnation}`});
+			}
+		}
+
+		for (const [vm, incarnation] of this.#known) {
+			if (!present.has(vm)) {
+				this.#recorder.record({type: core.timeline.TimelineEventType.MemberLost, detail: `${vm} ${incarnation}`});
+			}
+		}
+
+		this.#known = present;
+	}
+}
--- a/packages/router/src/wire-up.ts
+++ b/packages/router/src/wire-up.ts
@@ -43,11 +43,9 @@
 import * as clock from './util/clock.js';
 import * as countingMetrics from './util/counting-metrics.js';
 import * as hotShotsMetrics from './util/hot-shots-metrics.js';
+import * as memberRecorder from './util/member-recorder.js';
 import * as recorder from './util/recorder.js';
 
-const maxResumes = 3;
-const maxServiceAnswerBytes = 16 * 1024 * 1024;
-
 /** Constructs all parts of a router and joins them. The only module that does so. */
 export function createRouterProgram(settings: config.settings.Settings): routerProgram.RouterProgram {
 	const base = createBase(settings);
@@ -110,6 +108,8 @@
 		self: {vm: settings.vm, incarnation: crypto.randomUUID()},
 		clock: systemClock,
 		metrics,
+		/** What most parts are given. */
+		common: {clock: systemClock, metrics},
 		events: new recorder.Recorder(ring, systemClock, metrics),
 		kv: platform.kv.createEtcdClient({
 			baseUrls: settings.platform.kv,
@@ -136,8 +136,7 @@
 		heartbeatMs: settings.timeouts.heartbeatMs,
 		addresses: () => members.addresses(),
 		findAddress: vm => members.findAddress(vm),
-		clock: base.clock,
-		metrics,
+		...base.common,
 	});
 	const members: memberController.MemberController = new memberController.MemberController({
 		...self,
@@ -147,15 +146,13 @@
 		network,
 		vmList: vmList === undefined ? new platform.vms.NoVmList() : platform.vms.createHttpVmListClient({baseUrl: vmList}),
 		hints: settings.peers,
-		clock: base.clock,
-		metrics,
+		...base.common,
 	});
 	const manifests = new manifestController.ManifestController({
 		vm: self.vm,
 		kv: base.kv,
 		peers: network,
-		clock: base.clock,
-		metrics,
+		...base.common,
 		liveMembers: () => members.liveMembers(),
 		listedVms: () => members.listedVms(),
 		confirmTimeoutMs: settings.manifest.confirmTimeoutMs,
@@ -164,6 +161,7 @@
 	const snapshots = new snapshotController.SnapshotController({
 		network, sources: [members.snapshotSource()], metrics,
 	});
+	new memberRecorder.MemberRecorder(base.events).follow(members);
 	manifests.onChange(manifest => {
 		base.events.record({type: core.timeline.TimelineEventType.ManifestAccepted, generation: manifest.generation});
 	});
@@ -174,7 +172,7 @@
 
 /** What chooses weights and endpoints. */
 function createPlacement(base: Base, fleet: Fleet) {
-	const {settings, self, metrics} = base;
+	const {settings, self} = base;
 	const seed = core.util.hash32(self.vm);
 	const policy = core.placement.createPlacementPolicy(settings.placement.policy, {seed, cost: settings.placement.weights});
 	const leastLoad = core.placement.createPlacementPolicy(core.placement.PlacementPolicyName.LeastLoad, {seed});
@@ -200,8 +198,7 @@
 		manifest: () => fleet.manifests.current(),
 		dispatcher: () => base.pools.fresh(),
 		peers: fleet.network,
-		clock: base.clock,
-		metrics,
+		...base.common,
 	});
 	return {
 		engines, services, recalls, chooser, events,
@@ -215,8 +212,7 @@
 		self,
 		kv: base.kv,
 		peers: fleet.network,
-		metrics,
-		clock: base.clock,
+		...base.common,
 		terms: {
 			shardCount: settings.ledger.shards,
 			retentionMs: settings.ledger.retentionMs,
@@ -244,20 +240,18 @@
 
 /** What holds accounts to their limits and pools to their capacity. */
 function createLimits(base: Base, fleet: Fleet) {
-	const {settings, metrics} = base;
+	const {settings} = base;
 	const manifest = () => fleet.manifests.current();
 	const usage = usageController.createUsageController({
 		self: base.self,
 		peers: fleet.network,
-		metrics,
-		clock: base.clock,
+		...base.common,
 		accounts: () => manifest()?.accounts ?? [],
 		members: () => fleet.members.liveMembers(),
 	});
 	const admission = usageAdmission.createUsageAdmission({
 		usage,
-		clock: base.clock,
-		metrics,
+		...base.common,
 		manifest,
 		routers: () => fleet.members.liveMembers().length,
 		terms: {maxQueue: settings.limits.maxQueue},
@@ -334,14 +328,13 @@
 			recalls: placement.recalls,
 		},
 		service: {
-			services: new serviceClient.ServiceClient(base.pools, {maxAnswerBytes: maxServiceAnswerBytes}),
+			services: new serviceClient.ServiceClient(base.pools),
 			placer: placement.chooser,
 		},
 		clock: base.clock,
 		retries: new retryLimiter.RetryLimiter({share: settings.retry.budgetRatio}),
 		recorder: base.events,
 		maxAttempts: settings.retry.maxAttempts,
-		maxResumes,
 	});
 	const createIdempotency = (forwarder?: idempotencyFilter.Forwarder) => new idempotencyFilter.IdempotencyFilter({
 		store: once.store,
