--- a/packages/stand-ins/src/bench/placement-run.ts
+++ b/packages/stand-ins/src/bench/placement-run.ts
@@ -2,42 +2,13 @@
 import type * as wire from '@bluebellmast/wire';
 import * as util from '../util/index.js';
 import * as benchRouter from './bench-router.js';
-import type * as deploymentShape from './deployment.js';
 import * as engineClient from './engine-client.js';
 import * as engineFleet from './engine-fleet.js';
 import * as oracle from './oracle.js';
+import * as runOptions from './placement-run-options.js';
 import * as runResult from './run-result.js';
 import * as workload from './workload.js';
 
-/** Faults that a run can bring about. */
-export enum BenchFault {
-	None = 'none',
-	EngineCrash = 'engine_crash',
-	EventLoss = 'event_loss',
-	RouterRestart = 'router_restart',
-	HotSpotMove = 'hot_spot_move',
-	SlowEngine = 'slow_engine',
-	NoLoadReports = 'no_load_reports',
-}
-
-/** Name of the bound among the policies. */
-export const oracleName = 'oracle';
-
-/** Options of a run. */
-export type PlacementRunOptions = {
-	readonly deployment: deploymentShape.Deployment;
-	/** Name of a policy or `oracle`. */
-	readonly policy: string;
-	readonly seed: number;
-	readonly fault: BenchFault;
-	/** Share of the capacity, for the record. */
-	readonly load: number;
-	/** Open loop at this rate; 0: closed loop with all slots taken. */
-	readonly requestsPerSecond: number;
-	readonly warmUpMs: number;
-	readonly measuredMs: number;
-};
-
 const deadlineMs = 3000;
 const pollMs = 100;
 const faultAfterMs = 1500;
@@ -57,13 +28,13 @@
 	#startedAt = 0;
 	#isStopped = false;
 
-	constructor(private readonly options: PlacementRunOptions) {}
+	constructor(private readonly options: runOptions.PlacementRunOptions) {}
 
 	/** Carries out the run. */
 	async run(): Promise<runResult.RunResult> {
 		const {deployment, fault} = this.options;
 		try {
-			await this.#fleet.start(deployment, fault === BenchFault.SlowEngine ? 0 : undefined);
+			await this.#fleet.start(deployment, fault === runOptions.BenchFault.SlowEngine ? 0 : undefined);
 			this.#createRouters();
 			for (const index of this.#fleet.engines.keys()) {
 				this.#connect(index);
@@ -94,7 +65,7 @@
 	}
 
 	get #isOracle(): boolean {
-		return this.options.policy === oracleName;
+		return this.options.policy === runOptions.oracleName;
 	}
 
 	#createRouters(): void {
@@ -161,21 +132,21 @@
 		}
 
 		switch (this.options.fault) {
-			case BenchFault.EngineCrash: {
+			case runOptions.BenchFault.EngineCrash: {
 				await this.#fleet.crash(0);
 				await util.sleep(outageMs);
 				await (this.#isStopped ? undefined : this.#fleet.restart(0));
 				break;
 			}
 
-			case BenchFault.EventLoss: {
+			case runOptions.BenchFault.EventLoss: {
 				this.#eachLaggingRouter(router => {
 					router.eventLoss = lossyShare;
 				});
 				break;
 			}
 
-			case BenchFault.RouterRestart: {
+			case runOptions.BenchFault.RouterRestart: {
 				for (const router of this.#routers.slice(0, Math.ceil(this.#routers.length / 3))) {
 					router.restart(this.#reports);
 				}
@@ -183,16 +154,16 @@
 				break;
 			}
 
-			case BenchFault.NoLoadReports: {
+			case runOptions.BenchFault.NoLoadReports: {
 				this.#eachLaggingRouter(router => {
 					router.getsReports = false;
 				});
 				break;
 			}
 
-			case BenchFault.None:
-			case BenchFault.HotSpotMove:
-			case BenchFault.SlowEngine: {
+			case runOptions.BenchFault.None:
+			case runOptions.BenchFault.HotSpotMove:
+			case runOptions.BenchFault.SlowEngine: {
 				break;
 			}
 		}
@@ -225,7 +196,7 @@
 			seed,
 			requestsPerSecond,
 			durationMs: this.#durationMs,
-			...(fault === BenchFault.HotSpotMove && {hotSpotMovesAtMs: warmUpMs + faultAfterMs}),
+			...(fault === runOptions.BenchFault.HotSpotMove && {hotSpotMovesAtMs: warmUpMs + faultAfterMs}),
 		});
 		const pending: Array<Promise<void>> = [];
 		for (const request of load.list()) {
--- a/packages/stand-ins/src/bench/placement-suite.ts
+++ b/packages/stand-ins/src/bench/placement-suite.ts
@@ -3,6 +3,7 @@
 import * as core from '@bluebellmast/core';
 import * as deploymentShape from './deployment.js';
 import * as placementRun from './placement-run.js';
+import * as runOptions from './placement-run-options.js';
 import * as resultPage from './result-page.js';
 import type * as runResult from './run-result.js';
 
@@ -55,8 +56,8 @@
 	deployment: deploymentShape.Deployment,
 	options: PlacementSuiteOptions,
 ): Promise<runResult.RunResult[]> {
-	const policies = options.policies ?? [...Object.values(core.placement.PlacementPolicyName), placementRun.oracleName];
-	const faults = options.faults ?? Object.values(placementRun.BenchFault).filter(fault => fault !== placementRun.BenchFault.None);
+	const policies = options.policies ?? [...Object.values(core.placement.PlacementPolicyName), runOptions.oracleName];
+	const faults = options.faults ?? Object.values(runOptions.BenchFault).filter(fault => fault !== runOptions.BenchFault.None);
 	const results: runResult.RunResult[] = [];
 	const run = async (policy: string, load: number, fault: string, requestsPerSecond: number) => {
 		const result = await new placementRun.PlacementRun({
@@ -64,7 +65,7 @@
 			policy,
 			load,
 			requestsPerSecond,
-			fault: fault as placementRun.BenchFault,
+			fault: fault as runOptions.BenchFault,
 			seed: options.seed,
 			warmUpMs: options.warmUpMs,
 			measuredMs: options.measuredMs,
@@ -75,14 +76,14 @@
 	};
 
 	const measureCapacity = async () => {
-		const result = await run(placementRun.oracleName, 0, placementRun.BenchFault.None, 0);
+		const result = await run(runOptions.oracleName, 0, runOptions.BenchFault.None, 0);
 		return result.answeredPerSecond;
 	};
 
 	const capacity = options.capacity ?? await measureCapacity();
 	for (const load of options.loads) {
 		for (const policy of policies) {
-			await run(policy, load, placementRun.BenchFault.None, capacity * load); // eslint-disable-line no-await-in-loop
+			await run(policy, load, runOptions.BenchFault.None, capacity * load); // eslint-disable-line no-await-in-loop
 		}
 	}
 
