Decide readiness in core alone

Cause: on rereading, wire-up decided readiness beside core's decideReadiness, which nothing called; a request header field was never read. Change: the router asks core; the facts are those that it decided by, so behaviour stays. The unused field is gone.

--- a/packages/core/src/members/readiness.ts
+++ b/packages/core/src/members/readiness.ts
@@ -1,24 +1,26 @@
-/** What a starting router has. */
+/** What decides whether a router takes requests. */
 export type ReadinessFacts = {
-	/** Whether a manifest is in force here. */
-	readonly hasManifest: boolean;
+	/** Whether all parts of the router were started. */
+	readonly started: boolean;
+	/** Whether each endpoint of a manifest in force was asked for its load at least once. */
+	readonly hasLoads: boolean;
 	/** Whether a planned stop has begun. */
 	readonly stopping: boolean;
 };
 
 /** Whether a router takes requests. */
 export enum Readiness {
-	/** Waits for a manifest from a peer or the key-value service. */
+	/** Waits for a manifest from a peer or the key-value service, and for first load reports. */
 	Starting = 'starting',
 	Serving = 'serving',
 	Stopping = 'stopping',
 }
 
-/** Decides whether a router takes requests: it serves only with a manifest, and needs nothing else. */
+/** Decides whether a router takes requests: it serves only with a manifest whose endpoints it has asked once. */
 export function decideReadiness(facts: ReadinessFacts): Readiness {
 	if (facts.stopping) {
 		return Readiness.Stopping;
 	}
 
-	return facts.hasManifest ? Readiness.Serving : Readiness.Starting;
+	return facts.started && facts.hasLoads ? Readiness.Serving : Readiness.Starting;
 }
--- a/packages/router/src/filters/request-context.ts
+++ b/packages/router/src/filters/request-context.ts
@@ -46,5 +46,4 @@
 	readonly idempotencyKey?: string;
 	readonly deadlineMs?: string;
 	readonly requestKind?: string;
-	readonly lastEventId?: string;
 };
--- a/packages/router/src/router-program.ts
+++ b/packages/router/src/router-program.ts
@@ -7,10 +7,16 @@
 
 /** Whether the router offers itself to the balancer. */
 export class Lifecycle {
-	/** False before the start and from the beginning of a planned stop. */
-	isServing = false;
+	/** True once all parts were started. */
+	isStarted = false;
 	/** True from the beginning of a planned stop. */
 	isStopping = false;
+
+	/** Returns whether the balancer may send requests. */
+	isReady(hasLoads: boolean): boolean {
+		const facts = {started: this.isStarted, hasLoads, stopping: this.isStopping};
+		return core.members.decideReadiness(facts) === core.members.Readiness.Serving;
+	}
 }
 
 /** The parts that a router runs. */
@@ -55,7 +61,7 @@
 			await part.start(); // eslint-disable-line no-await-in-loop
 		}
 
-		this.#options.lifecycle.isServing = true;
+		this.#options.lifecycle.isStarted = true;
 		this.#options.recorder.record({type: core.timeline.TimelineEventType.RouterStarted});
 	}
 
@@ -75,7 +81,6 @@
 
 	async #stop(): Promise<void> {
 		const {lifecycle, readinessLeadMs, server, requests, controllers} = this.#options;
-		lifecycle.isServing = false;
 		lifecycle.isStopping = true;
 		this.#options.onStopping();
 		server.beginClosing();
--- a/packages/router/src/wire-up.ts
+++ b/packages/router/src/wire-up.ts
@@ -58,7 +58,7 @@
 	const filters = createFilters(base, placement, once, limits);
 	const forward = once.createForward(filters.afterAccount);
 	const chain = new filterChain.FilterChain([new accountFilter.AccountFilter(), ...filters.createAll(forward)]);
-	const isReady = () => base.lifecycle.isServing && watch.hasPolled;
+	const isReady = () => base.lifecycle.isReady(watch.hasPolled);
 	const admin = createAdmin(base, fleet, watch, isReady);
 	return new routerProgram.RouterProgram({
 		lifecycle: base.lifecycle,
