--- /dev/null
+++ b/packages/core/src/fleet/endpoint-registry.ts
@@ -0,0 +1,124 @@
+import * as endpointEntry from './endpoint-entry.js';
+
+/** Times by which the registry forgets endpoints, in milliseconds. */
+export type RegistryTerms = {
+	/** An entry that lapsed while the store was away and is missing this long after its return is gone. */
+	readonly returnGraceMs: number;
+};
+
+/** The platform states that lapsed entries return within about two seconds; the bound of draining is no shorter. */
+export const defaultRegistryTerms: RegistryTerms = {returnGraceMs: 2000};
+
+type Known = {
+	readonly entry: endpointEntry.EndpointEntry;
+	/** When the entry is dropped unless it returns. */
+	readonly forgetAt?: number;
+};
+
+/** Notes of an endpoint's weights that are newer than its entry. */
+type ObservedWeights = {
+	readonly bornAt: number;
+	readonly versions: Map<string, number>;
+};
+
+/** The endpoints that the store lists, kept over outages of the store. */
+export class EndpointRegistry {
+	readonly #known = new Map<string, Known>();
+	readonly #observed = new Map<string, ObservedWeights>();
+
+	constructor(private readonly terms: RegistryTerms = defaultRegistryTerms) {}
+
+	/** Takes one entry as written. */
+	put(entry: endpointEntry.EndpointEntry): void {
+		this.#known.set(entry.id, {entry});
+		const observed = this.#observed.get(entry.id);
+		if (observed !== undefined && observed.bornAt !== entry.bornAt) {
+			this.#observed.delete(entry.id);
+		}
+	}
+
+	/**
+	 * Takes the removal of an entry.
+	 *
+	 * @param maybeLapsed - Whether the store was away shortly before, so that a living endpoint's entry may have lapsed.
+	 */
+	remove(id: string, maybeLapsed: boolean, now: number): void {
+		const known = this.#known.get(id);
+		if (known === undefined) {
+			return;
+		}
+
+		if (!maybeLapsed || known.entry.state === endpointEntry.EndpointState.Draining) {
+			this.#forget(id);
+			return;
+		}
+
+		this.#known.set(id, {entry: known.entry, forgetAt: known.forgetAt ?? now + this.terms.returnGraceMs});
+	}
+
+	/** Takes a whole listing: entries that it lacks are removed. */
+	replaceAll(entries: readonly endpointEntry.EndpointEntry[], maybeLapsed: boolean, now: number): void {
+		const listed = new Set(entries.map(entry => entry.id));
+		for (const id of this.#known.keys()) {
+			if (!listed.has(id)) {
+				this.remove(id, maybeLapsed, now);
+			}
+		}
+
+		for (const entry of entries) {
+			this.put(entry);
+		}
+	}
+
+	/** Drops entries that did not return in time. */
+	sweep(now: number): void {
+		for (const [id, known] of this.#known) {
+			if (known.forgetAt !== undefined && known.forgetAt <= now) {
+				this.#forget(id);
+			}
+		}
+	}
+
+	/** Notes a version that an incarnation was seen to hold after its entry was written. */
+	noteWeights(id: string, bornAt: number, model: string, version: number): void {
+		const known = this.#known.get(id);
+		if (known === undefined || known.entry.bornAt !== bornAt) {
+			return;
+		}
+
+		const observed = this.#observed.get(id) ?? {bornAt, versions: new Map<string, number>()};
+		observed.versions.set(model, Math.max(version, observed.versions.get(model) ?? 0));
+		this.#observed.set(id, observed);
+	}
+
+	/** Version of a model's weights that an endpoint holds, as far as is known. */
+	weightVersion(id: string, model: string): number | undefined {
+		const listed = this.#known.get(id)?.entry.weights.get(model);
+		const observed = this.#observed.get(id)?.versions.get(model);
+		if (listed === undefined || observed === undefined) {
+			return listed ?? observed;
+		}
+
+		return Math.max(listed, observed);
+	}
+
+	/** Returns an endpoint by id. */
+	find(id: string): endpointEntry.EndpointEntry | undefined {
+		return this.#known.get(id)?.entry;
+	}
+
+	/** Returns the endpoints of a pool that take new requests. */
+	listReady(pool: string): endpointEntry.EndpointEntry[] {
+		return this.list().filter(entry => entry.pool === pool && entry.state === endpointEntry.EndpointState.Ready);
+	}
+
+	/** Returns all endpoints. */
+	list(): endpointEntry.EndpointEntry[] {
+		return [...this.#known.values()].map(known => known.entry);
+	}
+
+	#forget(id: string): void {
+		this.#known.delete(id);
+		this.#observed.delete(id);
+	}
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 export * as cache from './cache/index.js';
 export * as endpoints from './endpoints/index.js';
+export * as fleet from './fleet/index.js';
 export * as ledger from './ledger/index.js';
 export * as limits from './limits/index.js';
 export * as manifest from './manifest/index.js';
@@ -8,5 +9,7 @@
 export * as orders from './orders/index.js';
 export * as placement from './placement/index.js';
 export * as request from './request/index.js';
+export * as rollout from './rollout/index.js';
+export * as routing from './routing/index.js';
 export * as timeline from './timeline/index.js';
 export * as util from './util/index.js';
--- a/packages/core/src/orders/leader-lease.ts
+++ b/packages/core/src/orders/leader-lease.ts
@@ -59,9 +59,11 @@
 	 * Takes a lease that was gained.
 	 *
 	 * @param sentAt - When the grant was asked for; the lease lasts from then at least.
+	 * @param ordersMayBeUnderWay - Whether an earlier holder may have sent orders lately; by default it may have.
 	 */
-	gained(fencing: number, sentAt: number, now: number): void {
-		this.held = {fencing, endsAt: sentAt + this.times.ttlMs, clearAt: now + this.times.longestOrderMs};
+	gained(fencing: number, sentAt: number, now: number, ordersMayBeUnderWay = true): void {
+		const clearAt = ordersMayBeUnderWay ? now + this.times.longestOrderMs : now;
+		this.held = {fencing, endsAt: sentAt + this.times.ttlMs, clearAt};
 		this.go(leaseMachine.LeaseEventType.Gained);
 		this.advance(now);
 	}
--- /dev/null
+++ b/packages/core/src/rollout/index.ts
@@ -0,0 +1,3 @@
+export * from './plan-rollout.js';
+export * from './rollout-plan.js';
+export * from './weight-targets.js';
--- /dev/null
+++ b/packages/core/src/rollout/plan-rollout.ts
@@ -0,0 +1,86 @@
+import * as rolloutPlan from './rollout-plan.js';
+
+/** An engine as the leader knows it. */
+export type RolloutEngine = {
+	readonly endpoint: string;
+	readonly bornAt: number;
+	readonly model: string;
+	/** Version of the weights that it holds, as last seen. */
+	readonly version: number;
+	/** Requests under way, as last seen. */
+	readonly active: number;
+};
+
+/** Limits of a roll-out. */
+export type RolloutTerms = {
+	/** Engines of a model that may load at once, as a share of all; at least `minLoads` may. */
+	readonly maxShare: number;
+	readonly minLoads: number;
+};
+
+/** Loads slow down beyond about a quarter of a pool at both deployments (3 of 13 and 2 of 8 engines). */
+export const defaultRolloutTerms: RolloutTerms = {maxShare: 0.25, minLoads: 2};
+
+/**
+ * Plans the next steps of the roll-outs of all models.
+ *
+ * Engines that load stay until they are seen with the version; engines that are gone or were restarted are dropped.
+ * Further engines with older weights follow up to the limit, those with the fewest requests first, since they finish soonest.
+ *
+ * @param targets - Newest named version of each model.
+ */
+export function planRollout(
+	plan: rolloutPlan.RolloutPlan,
+	engines: readonly RolloutEngine[],
+	targets: ReadonlyMap<string, number>,
+	fence: number,
+	terms: RolloutTerms = defaultRolloutTerms,
+): rolloutPlan.RolloutPlan {
+	const steps: rolloutPlan.RolloutStep[] = [];
+	for (const [model, version] of targets) {
+		const ofModel = engines.filter(engine => engine.model === model);
+		steps.push(...planModel(plan, ofModel, version, terms));
+	}
+
+	return {fence, steps};
+}
+
+function planModel(
+	plan: rolloutPlan.RolloutPlan,
+	engines: readonly RolloutEngine[],
+	version: number,
+	terms: RolloutTerms,
+): rolloutPlan.RolloutStep[] {
+	const kept = engines
+		.map(engine => keepStep(plan, engine))
+		.filter(step => step !== undefined);
+	const busy = new Set(kept.filter(step => step.phase === rolloutPlan.RolloutPhase.Loading).map(step => step.endpoint));
+	const limit = Math.max(terms.minLoads, Math.floor(engines.length * terms.maxShare));
+	const next = engines
+		.filter(engine => engine.version < version && !busy.has(engine.endpoint))
+		.sort((a, b) => a.active - b.active || (a.endpoint < b.endpoint ? -1 : 1))
+		.slice(0, Math.max(0, limit - busy.size))
+		.map((engine): rolloutPlan.RolloutStep => ({
+			endpoint: engine.endpoint, bornAt: engine.bornAt, model: engine.model, version, phase: rolloutPlan.RolloutPhase.Loading,
+		}));
+	const replaced = new Set(next.map(step => step.endpoint));
+	return [...kept.filter(step => !replaced.has(step.endpoint)), ...next];
+}
+
+/** Returns the step of an engine as it stands now, or `undefined` where none is needed any more. */
+function keepStep(plan: rolloutPlan.RolloutPlan, engine: RolloutEngine): rolloutPlan.RolloutStep | undefined {
+	const step = plan.steps.find(item =>
+		item.endpoint === engine.endpoint && item.bornAt === engine.bornAt && item.model === engine.model);
+	if (step === undefined || step.phase === rolloutPlan.RolloutPhase.Loaded) {
+		return step;
+	}
+
+	return engine.version >= step.version ? {...step, phase: rolloutPlan.RolloutPhase.Loaded} : step;
+}
+
+/** Returns whether two plans tell the same steps. */
+export function isSamePlan(a: rolloutPlan.RolloutPlan, b: rolloutPlan.RolloutPlan): boolean {
+	return a.steps.length === b.steps.length && a.steps.every(step => b.steps.some(other =>
+		other.endpoint === step.endpoint && other.bornAt === step.bornAt && other.model === step.model
+		&& other.version === step.version && other.phase === step.phase));
+}
--- /dev/null
+++ b/packages/core/src/rollout/rollout-plan.ts
@@ -0,0 +1,32 @@
+/** Phase of one engine in a roll-out. */
+export enum RolloutPhase {
+	/** Out of placement; the order may be under way. */
+	Loading = 'loading',
+	/** Holds the new weights. */
+	Loaded = 'loaded',
+}
+
+/** One engine in a roll-out. */
+export type RolloutStep = {
+	readonly endpoint: string;
+	/** Start of the engine's incarnation, in Unix milliseconds. */
+	readonly bornAt: number;
+	readonly model: string;
+	readonly version: number;
+	readonly phase: RolloutPhase;
+};
+
+/** The roll-out as the leader publishes it in the store, so that all VMs leave out engines that load. */
+export type RolloutPlan = {
+	/** Fencing number of the leader that wrote it. */
+	readonly fence: number;
+	readonly steps: readonly RolloutStep[];
+};
+
+/** The plan before any roll-out. */
+export const emptyRolloutPlan: RolloutPlan = {fence: 0, steps: []};
+
+/** Returns whether an engine is out of placement by a plan. */
+export function isLoading(plan: RolloutPlan, endpoint: string): boolean {
+	return plan.steps.some(step => step.endpoint === endpoint && step.phase === RolloutPhase.Loading);
+}
--- a/packages/ctl/src/change/change-writer.ts
+++ b/packages/ctl/src/change/change-writer.ts
@@ -1,6 +1,6 @@
 import * as config from '@bluebellmast/config';
 import type * as core from '@bluebellmast/core';
-import * as platform from '@bluebellmast/platform';
+import * as clients from '@bluebellmast/kv';
 import * as purify from 'purify-ts';
 
 /** How the submission of a change ended. */
@@ -39,7 +39,7 @@
 
 /** Options of the writer. */
 export type ChangeWriterOptions = {
-	readonly kv: platform.kv.KeyValueClient;
+	readonly kv: clients.kv.KeyValueClient;
 	readonly sleep: (durationMs: number) => Promise<void>;
 	/** Default 6. */
 	readonly maxTries?: number;
@@ -142,13 +142,13 @@
 		return answer.isRight();
 	}
 
-	#onFailedSwap(err: platform.kv.KvError, base: core.manifest.ManifestHead | undefined): TryResult {
+	#onFailedSwap(err: clients.kv.KvError, base: core.manifest.ManifestHead | undefined): TryResult {
 		this.#lastError = err.message;
-		if (err.code === platform.kv.KvErrorCode.ValueTooLarge) {
+		if (err.code === clients.kv.KvErrorCode.ValueTooLarge) {
 			return {type: SubmitResultType.Refused, refusal: config.manifest.ChangeRefusalCode.TooLarge, message: err.message};
 		}
 
-		if (err.code === platform.kv.KvErrorCode.OutcomeUnknown) {
+		if (err.code === clients.kv.KvErrorCode.OutcomeUnknown) {
 			this.#lostBase = base?.generation ?? 0;
 		}
 
@@ -211,7 +211,7 @@
 	}
 }
 
-function decodeEntry(entry: platform.kv.KvEntry | undefined): purify.Either<string, HeadEntry> {
+function decodeEntry(entry: clients.kv.KvEntry | undefined): purify.Either<string, HeadEntry> {
 	return entry === undefined
 		? purify.Right({head: undefined, revision: 0})
 		: config.manifest.decodeHead(entry.value).map(head => ({head, revision: entry.revision}));
--- a/packages/ctl/src/cli/context.ts
+++ b/packages/ctl/src/cli/context.ts
@@ -1,8 +1,8 @@
-import type * as platform from '@bluebellmast/platform';
+import type * as clients from '@bluebellmast/kv';
 import type * as routerClient from '../routers/router-client.js';
 
 /** Key-value client that is closed at the end of a command. */
-export type ClosableKv = platform.kv.KeyValueClient & {
+export type ClosableKv = clients.kv.KeyValueClient & {
 	close(): Promise<void>;
 };
 
--- a/packages/ctl/src/main.ts
+++ b/packages/ctl/src/main.ts
@@ -4,7 +4,7 @@
 import * as os from 'node:os';
 import process from 'node:process';
 import * as timers from 'node:timers/promises';
-import * as platform from '@bluebellmast/platform';
+import * as clients from '@bluebellmast/kv';
 import * as runCli from './cli/run-cli.js';
 import * as routerClient from './routers/router-client.js';
 
@@ -19,7 +19,7 @@
 	writeFile(file, text) {
 		fs.writeFileSync(file, text);
 	},
-	createKv: urls => platform.kv.createEtcdClient({baseUrls: urls}),
+	createKv: urls => clients.kv.createEtcdClient({baseUrls: urls}),
 	createRouterClient: (url, operatorKey) => new routerClient.HttpRouterClient(url, operatorKey),
 	now: () => Date.now(),
 	async sleep(durationMs) {
--- a/packages/ctl/tests/fakes/faulty-kv.ts
+++ b/packages/ctl/tests/fakes/faulty-kv.ts
@@ -1,4 +1,4 @@
-import * as platform from '@bluebellmast/platform';
+import * as clients from '@bluebellmast/kv';
 import * as purify from 'purify-ts';
 import * as memoryKv from '../../../router/tests/controllers/fakes/memory-kv.js';
 
@@ -29,12 +29,12 @@
 		super(store);
 	}
 
-	override async get(key: string): platform.kv.KvResult<platform.kv.KvEntry | undefined> {
+	override async get(key: string): clients.kv.KvResult<clients.kv.KvEntry | undefined> {
 		await this.plan.turn('get');
-		return this.plan.nextFault() === KvFault.None ? super.get(key) : fail(platform.kv.KvErrorCode.NotSent);
+		return this.plan.nextFault() === KvFault.None ? super.get(key) : fail(clients.kv.KvErrorCode.NotSent);
 	}
 
-	override async compareAndSwap(key: string, expectedRevision: number, value: Uint8Array): platform.kv.KvResult<platform.kv.KvSwap> {
+	override async compareAndSwap(key: string, expectedRevision: number, value: Uint8Array): clients.kv.KvResult<clients.kv.KvSwap> {
 		await this.plan.turn('swap');
 		switch (this.plan.nextFault()) {
 			case KvFault.None: {
@@ -42,21 +42,21 @@
 			}
 
 			case KvFault.NotSent: {
-				return fail(platform.kv.KvErrorCode.NotSent);
+				return fail(clients.kv.KvErrorCode.NotSent);
 			}
 
 			case KvFault.AnswerLost: {
 				await super.compareAndSwap(key, expectedRevision, value);
-				return fail(platform.kv.KvErrorCode.OutcomeUnknown);
+				return fail(clients.kv.KvErrorCode.OutcomeUnknown);
 			}
 
 			case KvFault.WriteLost: {
-				return fail(platform.kv.KvErrorCode.OutcomeUnknown);
+				return fail(clients.kv.KvErrorCode.OutcomeUnknown);
 			}
 
 			case KvFault.WriteDelayed: {
 				this.delayed.push(this.#writeLater(key, expectedRevision, value));
-				return fail(platform.kv.KvErrorCode.OutcomeUnknown);
+				return fail(clients.kv.KvErrorCode.OutcomeUnknown);
 			}
 		}
 	}
@@ -71,6 +71,6 @@
 	}
 }
 
-function fail<Value>(code: platform.kv.KvErrorCode): purify.Either<platform.kv.KvError, Value> {
+function fail<Value>(code: clients.kv.KvErrorCode): purify.Either<clients.kv.KvError, Value> {
 	return purify.Left({code, message: code});
 }
--- /dev/null
+++ b/packages/gateway/src/call/answer-call.ts
@@ -0,0 +1,21 @@
+import type * as http from 'node:http';
+import * as refusals from './refusal.js';
+
+const msPerSecond = 1000;
+
+/** Answers a request with a refusal, unless its answer has begun. */
+export function answerRefusal(res: http.ServerResponse, refusal: refusals.Refusal): void {
+	if (res.headersSent || res.destroyed) {
+		return;
+	}
+
+	const body = Buffer.from(JSON.stringify({code: refusal.code, findings: refusal.findings}));
+	res.statusCode = refusals.statusOf(refusal);
+	res.setHeader('Content-Type', 'application/json');
+	res.setHeader('Content-Length', body.length);
+	if (refusal.retryAfterMs !== undefined) {
+		res.setHeader('Retry-After', (refusal.retryAfterMs / msPerSecond).toFixed(2));
+	}
+
+	res.end(body);
+}
--- /dev/null
+++ b/packages/gateway/src/call/call-context.ts
@@ -0,0 +1,31 @@
+import type * as http from 'node:http';
+import type * as core from '@bluebellmast/core';
+import type * as ports from '../ports/index.js';
+
+/** A request on its way through the filters. */
+export type CallContext = {
+	readonly req: http.IncomingMessage;
+	readonly res: http.ServerResponse;
+	readonly head: ports.CallHead;
+	/** When the head was read, in steady milliseconds. */
+	readonly arrivedAt: number;
+	/** Tables of the configuration that the request is served by. */
+	table?: core.routing.RouteTable;
+	route?: core.routing.Route;
+	/** Account that holds the request's key; absent on public routes. */
+	account?: core.routing.ApiAccount;
+	body?: Buffer;
+	/** Status with which the request ended, once it has. */
+	endStatus?: number;
+};
+
+/** A request whose route is known and whose body was read. */
+export type RoutedCall = CallContext & {
+	readonly table: core.routing.RouteTable;
+	readonly route: core.routing.Route;
+};
+
+/** Returns whether the connection of a caller is closed before its answer is complete. */
+export function isCallerGone(ctx: CallContext): boolean {
+	return ctx.res.destroyed || ctx.req.socket.destroyed;
+}
--- /dev/null
+++ b/packages/gateway/src/call/call-run.ts
@@ -0,0 +1,384 @@
+import * as core from '@bluebellmast/core';
+import * as endpoints from '../endpoints/index.js';
+import type * as endpointPlacer from '../placement/endpoint-placer.js';
+import type * as ports from '../ports/index.js';
+import * as eventLog from '../util/event-log.js';
+import * as answerRelay from './answer-relay.js';
+import * as callContext from './call-context.js';
+import type * as callDispatcher from './call-dispatcher.js';
+import * as refusals from './refusal.js';
+
+/** Sends beyond the attempts of the route that may follow refusals and failed connections, since nothing ran there. */
+const maxExtraSends = 2;
+/** Time that an answer must have left to be worth another send, in milliseconds. */
+const minRetryTimeMs = 30;
+/** Time after which another try can succeed when no endpoint can take a request now, in milliseconds. */
+const noEndpointRetryMs = 250;
+/** Time that an endpoint has beyond its own deadline to say so itself, in milliseconds. */
+const lateAnswerGraceMs = 40;
+/** Time until the first byte of an answer from a plain service is due, in milliseconds: the target of both deployments. */
+const plainAnswerMs = 100;
+/** Part of the connections of an endpoint that this VM opens beyond its even share. */
+const connectionShareFactor = 1.5;
+const maxPriority = 9;
+
+type Sent = {
+	readonly placement: endpointPlacer.Placement;
+	readonly attempt: endpoints.EndpointAttempt;
+	readonly id: string;
+	end?: endpoints.AttemptEnd;
+};
+
+/** The life of one request from its first send to its end. */
+export class CallRun {
+	readonly #sent: Sent[] = [];
+	readonly #excluded = new Set<string>();
+	readonly #deadlineAt: number;
+	readonly #relay: answerRelay.AnswerRelay;
+	readonly #pool: core.routing.PoolName;
+	#isTimedOut = false;
+	#isCallerGone = false;
+
+	constructor(private readonly call: callContext.RoutedCall, private readonly parts: callDispatcher.DispatchParts) {
+		const {route, head, arrivedAt, res} = call;
+		this.#deadlineAt = arrivedAt + Math.min(head.deadlineMs ?? Infinity, route.timeoutMs);
+		this.#pool = core.routing.choosePool(route, parts.random()) ?? '';
+		this.#relay = new answerRelay.AnswerRelay(res, {
+			isStream: route.kind === core.routing.RouteKind.Streaming,
+			wantsAnswer: answer => this.#takeHead(answer),
+			onProgress: () => {
+				this.#noteProgress();
+			},
+			onDrain: () => {
+				this.#sent.at(-1)?.attempt.resume();
+			},
+		});
+		this.#relay.lastEventId = head.lastEventId;
+	}
+
+	/** Whether the request may run more than once. */
+	get #isIdempotent(): boolean {
+		const {route} = this.call;
+		return route.kind === core.routing.RouteKind.Safe
+			|| (route.kind === core.routing.RouteKind.Streaming && route.isResumable);
+	}
+
+	/** Runs the request. @returns A refusal when nothing was passed on to the caller. */
+	async run(): Promise<refusals.Refusal | undefined> {
+		const onClose = (): void => {
+			this.#isCallerGone = !this.call.res.writableFinished;
+			this.#sent.at(-1)?.attempt.abort(endpoints.AttemptFault.CallerGone);
+		};
+
+		const remainingMs = this.#deadlineAt - this.parts.clock.steadyNow();
+		const timer = setTimeout(() => {
+			this.#isTimedOut = true;
+			this.#sent.at(-1)?.attempt.abort(endpoints.AttemptFault.TimedOut);
+		}, Math.max(0, remainingMs + lateAnswerGraceMs));
+		this.call.res.once('close', onClose);
+		this.parts.retries.of(this.#pool).countRequest(this.parts.clock.steadyNow());
+		try {
+			return await this.#tryEndpoints();
+		} finally {
+			clearTimeout(timer);
+			this.call.res.off('close', onClose);
+		}
+	}
+
+	/** Gives up a silent endpoint where the request may go on elsewhere. */
+	leaveEndpoint(endpoint: string): void {
+		const last = this.#sent.at(-1);
+		const isThere = last !== undefined && last.end === undefined && last.placement.entry.id === endpoint;
+		if (isThere && this.#isIdempotent && this.#mayRunAgain(1)) {
+			last.attempt.abort(endpoints.AttemptFault.EndpointSilent);
+		}
+	}
+
+	async #tryEndpoints(): Promise<refusals.Refusal | undefined> {
+		for (;;) {
+			const refusal = this.#findObstacle();
+			if (refusal !== undefined) {
+				return this.#giveUp(refusal);
+			}
+
+			const placement = this.#place();
+			if (placement === undefined) {
+				return this.#giveUp({code: refusals.RefusalCode.NoEndpoint, retryAfterMs: noEndpointRetryMs});
+			}
+
+			const end = await this.#send(placement); // eslint-disable-line no-await-in-loop -- Attempts follow one another.
+			if (end.fault === undefined && !this.#relay.endsWithinEvent && !this.#relay.hasWrongOrder) {
+				this.#relay.finish();
+				return undefined;
+			}
+
+			this.#excluded.add(placement.entry.id);
+			if (!this.#mayTryAgain(end)) {
+				return this.#giveUp({code: refusals.RefusalCode.NoEndpoint, retryAfterMs: noEndpointRetryMs});
+			}
+		}
+	}
+
+	/** Returns why the request may not be sent now, apart from endpoints. */
+	#findObstacle(): refusals.Refusal | undefined {
+		if (this.#isTimedOut || this.parts.clock.steadyNow() >= this.#deadlineAt) {
+			return {code: refusals.RefusalCode.DeadlineTooClose};
+		}
+
+		return this.parts.trust.maySend(this.call)
+			? undefined
+			: {code: refusals.RefusalCode.ConfigUnavailable, retryAfterMs: noEndpointRetryMs};
+	}
+
+	/** Chooses an endpoint; one that failed the request may get it again when there is no other. */
+	#place(): endpointPlacer.Placement | undefined {
+		const now = this.parts.clock.steadyNow();
+		const {placer} = this.parts;
+		return placer.place(this.call, this.#pool, this.#excluded, now)
+			?? (this.#excluded.size > 0 ? placer.place(this.call, this.#pool, new Set(), now) : undefined);
+	}
+
+	async #send(placement: endpointPlacer.Placement): Promise<endpoints.AttemptEnd> {
+		const {fleet, clock} = this.parts;
+		const {entry} = placement;
+		const now = clock.steadyNow();
+		const pool = this.parts.connections.of(entry);
+		const connection = pool.take({needsFresh: !this.#isIdempotent}, this.#maxConnections(), now);
+		if (connection === undefined) {
+			return {progress: core.request.AttemptProgress.NotBegun, fault: endpoints.AttemptFault.NoConnection};
+		}
+
+		const id = `${this.call.head.requestId}#${this.#sent.length}`;
+		const attempt = new endpoints.EndpointAttempt(pool, connection, this.parts.protocol, {
+			method: this.call.head.method,
+			target: this.call.head.target,
+			requestId: this.call.head.requestId,
+			headers: this.parts.protocol.encodeHead(this.call.head, this.#directives(placement, now)),
+			body: this.call.body,
+		}, this.#relay, clock.steadyNow);
+		const sent: Sent = {placement, attempt, id};
+		if (this.#sent.length > 0) {
+			this.parts.retries.of(this.#pool).countRepeat(now);
+		}
+
+		this.#sent.push(sent);
+		fleet.loads.begin(entry.id, id, placement.prefillTokens);
+		fleet.health.noteSent(entry.id, id, this.#expectedMs(placement), now);
+		this.#logSent(placement);
+		if (this.#isCallerGone) {
+			attempt.abort(endpoints.AttemptFault.CallerGone);
+		}
+
+		sent.end = await attempt.run();
+		this.#noteEnd(sent);
+		return sent.end;
+	}
+
+	#directives(placement: endpointPlacer.Placement, now: number): ports.SendDirectives {
+		const {route, account} = this.call;
+		const priority = placement.weightVersion === undefined ? undefined : account?.priority ?? route.priority;
+		return {
+			endpointId: placement.entry.id,
+			deadlineMs: Math.max(1, Math.floor(this.#deadlineAt - now)),
+			account: account?.name,
+			weightVersion: placement.weightVersion,
+			cacheNamespace: placement.cacheNamespace,
+			fetchCacheFrom: placement.cacheStore?.address,
+			saveCacheTo: placement.cacheStore?.address,
+			priority: priority === undefined ? undefined : Math.min(maxPriority, Math.max(0, priority)),
+			lastEventId: this.#relay.lastEventId,
+		};
+	}
+
+	#maxConnections(): number {
+		const limit = this.call.table.findPool(this.#pool)?.connectionLimit ?? 1;
+		return Math.max(2, Math.floor(limit / this.parts.fleet.vms * connectionShareFactor));
+	}
+
+	#expectedMs(placement: endpointPlacer.Placement): number {
+		return placement.weightVersion === undefined ? plainAnswerMs : placement.costMs;
+	}
+
+	#noteProgress(): void {
+		const sent = this.#sent.at(-1);
+		if (sent === undefined) {
+			return;
+		}
+
+		const {fleet, clock} = this.parts;
+		const now = clock.steadyNow();
+		const endpoint = sent.placement.entry.id;
+		fleet.loads.start(endpoint, sent.id);
+		fleet.health.noteHeard(endpoint, sent.id, now);
+		if (this.call.route.kind === core.routing.RouteKind.Streaming) {
+			fleet.health.noteSent(endpoint, sent.id, this.call.route.gapTargetMs, now);
+		}
+	}
+
+	#noteEnd(sent: Sent): void {
+		const {fleet, clock, connections} = this.parts;
+		const {end, placement} = sent;
+		const endpoint = placement.entry.id;
+		const now = clock.steadyNow();
+		fleet.loads.end(endpoint, sent.id);
+		fleet.health.noteEnded(endpoint, sent.id);
+		if (end?.fault === endpoints.AttemptFault.Refused && end.head !== undefined) {
+			this.#takeHead(end.head);
+		}
+
+		switch (end?.fault) {
+			case undefined: {
+				fleet.health.noteOutcome(endpoint, false);
+				this.#noteCached(placement, now);
+				break;
+			}
+
+			case endpoints.AttemptFault.ConnectFailed:
+			case endpoints.AttemptFault.ConnectionLost:
+			case endpoints.AttemptFault.WrongAnswer:
+			case endpoints.AttemptFault.Unsigned: {
+				if (fleet.health.noteBroken(endpoint, now)) {
+					connections.dropIdle(endpoint);
+					this.parts.log.write(eventLog.LogEvent.EndpointUnresponsive, {endpoint, fault: end.fault, detail: end.detail});
+				}
+
+				break;
+			}
+
+			case endpoints.AttemptFault.AnsweredWithFailure: {
+				fleet.health.noteOutcome(endpoint, true);
+				break;
+			}
+
+			default: {
+				break;
+			}
+		}
+
+		if (end?.fault !== undefined) {
+			this.#logFault(sent, end);
+		}
+	}
+
+	#noteCached(placement: endpointPlacer.Placement, now: number): void {
+		for (const key of placement.partKeys) {
+			this.parts.fleet.recent.note(key, placement.entry.id, now);
+		}
+	}
+
+	/** Learns from the head of an answer. @returns Whether the answer is passed on. */
+	#takeHead(head: ports.AnswerHead): boolean {
+		const {entry} = this.#sent.at(-1)!.placement;
+		const {fleet, clock} = this.parts;
+		if (head.load !== undefined) {
+			fleet.loads.report(entry.id, head.load, clock.steadyNow());
+		}
+
+		const model = this.call.head.prompt?.model;
+		if (head.weightVersion !== undefined && model !== undefined) {
+			fleet.registry.noteWeights(entry.id, entry.bornAt, model, head.weightVersion);
+		}
+
+		return this.#wantsAnswer(head.status);
+	}
+
+	/** An endpoint's own failure of a request that may be repeated is not passed on while another try is allowed. */
+	#wantsAnswer(status: number): boolean {
+		const isFailure = status >= 500;
+		return !isFailure || !this.#isIdempotent || !this.#mayRunAgain(0);
+	}
+
+	#mayTryAgain(end: endpoints.AttemptEnd): boolean {
+		if (this.#isCallerGone || this.#isTimedOut || this.#relay.hasWrongOrder || callContext.isCallerGone(this.call)) {
+			return false;
+		}
+
+		if (this.#relay.hasBegun && !this.call.route.isResumable) {
+			return false;
+		}
+
+		switch (end.progress) {
+			case core.request.AttemptProgress.NotBegun:
+			case core.request.AttemptProgress.Connecting: {
+				return this.#mayNotRunAgain();
+			}
+
+			case core.request.AttemptProgress.RefusedBeforeBegin: {
+				return this.#mayNotRunAgain() && this.#hasRetryBudget();
+			}
+
+			default: {
+				return this.#isIdempotent && this.#mayRunAgain(0);
+			}
+		}
+	}
+
+	/** Whether a request that has not run may be sent once more. */
+	#mayNotRunAgain(): boolean {
+		return this.#sent.length < this.call.route.maxAttempts + maxExtraSends && this.#hasTimeLeft();
+	}
+
+	/**
+	 * Whether a request that may have run may run at another endpoint.
+	 *
+	 * @param running - Attempts under way that count as runs, too.
+	 */
+	#mayRunAgain(running: number): boolean {
+		const runs = this.#sent.filter(sent => sent.end !== undefined && !core.request.hasNotRun({
+			id: sent.id, endpoint: sent.placement.entry.id, progress: sent.end.progress,
+		})).length;
+		const current = this.#sent.some(sent => sent.end === undefined) ? 1 : 0;
+		return runs + Math.max(running, current) < this.call.route.maxAttempts && this.#hasTimeLeft() && this.#hasRetryBudget();
+	}
+
+	#hasTimeLeft(): boolean {
+		return this.parts.clock.steadyNow() + minRetryTimeMs < this.#deadlineAt;
+	}
+
+	#hasRetryBudget(): boolean {
+		return this.parts.retries.of(this.#pool).allows(this.parts.fleet.vms, this.parts.clock.steadyNow());
+	}
+
+	/** Ends the request: cuts an answer that has begun, or names what is known of the outcome. */
+	#giveUp(refusal: refusals.Refusal): refusals.Refusal | undefined {
+		if (this.#relay.hasBegun) {
+			this.#relay.cut();
+			return undefined;
+		}
+
+		const attempts = this.#sent.map(sent => ({
+			id: sent.id, endpoint: sent.placement.entry.id, progress: sent.end?.progress ?? sent.attempt.progress,
+		}));
+		if (core.request.decideExecution(attempts, false) === core.model.ExecutionState.NotRun) {
+			return refusal;
+		}
+
+		const isLate = this.#isTimedOut || this.parts.clock.steadyNow() >= this.#deadlineAt;
+		return {code: isLate ? refusals.RefusalCode.TimedOut : refusals.RefusalCode.OutcomeUnknown};
+	}
+
+	#logSent(placement: endpointPlacer.Placement): void {
+		this.parts.log.write(eventLog.LogEvent.RequestSent, {
+			request: this.call.head.requestId,
+			route: this.call.route.name,
+			config: this.call.table.config.version,
+			account: this.call.account?.name,
+			endpoint: placement.entry.id,
+			send: this.#sent.length,
+			weights: placement.weightVersion,
+			costMs: Math.round(placement.costMs),
+			active: this.parts.fleet.loads.ownActive(placement.entry.id),
+		});
+	}
+
+	#logFault(sent: Sent, end: endpoints.AttemptEnd): void {
+		this.parts.log.write(eventLog.LogEvent.AttemptFailed, {
+			request: this.call.head.requestId,
+			endpoint: sent.placement.entry.id,
+			fault: end.fault,
+			progress: end.progress,
+			status: end.head?.status,
+			detail: end.detail,
+		});
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/call/event-splitter.ts
@@ -0,0 +1,51 @@
+/** Whole events of a stream, as bytes, with the id of the last one. */
+export type EventBatch = {
+	readonly bytes: Buffer;
+	readonly firstId: number | undefined;
+	readonly lastId: number | undefined;
+	readonly count: number;
+};
+
+const lineFeed = 10;
+const idPattern = /^id: ?(\d+)\r?$/gm;
+
+/** Cuts the bytes of an event stream into whole events, so that no partial event is passed on. */
+export class EventSplitter {
+	#rest: Buffer = Buffer.alloc(0);
+
+	/** Bytes of an event that is not complete. */
+	get pendingBytes(): number {
+		return this.#rest.length;
+	}
+
+	/** Takes bytes and returns the events that they complete. */
+	push(chunk: Buffer): EventBatch | undefined {
+		const bytes = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk]);
+		const end = findLastEnd(bytes);
+		this.#rest = bytes.subarray(end);
+		return end === 0 ? undefined : describe(bytes.subarray(0, end));
+	}
+}
+
+/** Returns the offset behind the last empty line, or 0 when there is none. */
+function findLastEnd(bytes: Buffer): number {
+	for (let index = bytes.length - 1; index > 0; index--) {
+		if (bytes[index] !== lineFeed) {
+			continue;
+		}
+
+		const before = bytes[index - 1] === 13 ? index - 2 : index - 1;
+		if (bytes[before] === lineFeed) {
+			return index + 1;
+		}
+	}
+
+	return 0;
+}
+
+function describe(bytes: Buffer): EventBatch {
+	const ids = [...bytes.toString('latin1').matchAll(idPattern)].map(match => Number(match[1]));
+	return {
+		bytes, firstId: ids[0], lastId: ids.at(-1), count: ids.length,
+	};
+}
--- /dev/null
+++ b/packages/gateway/src/call/retry-windows.ts
@@ -0,0 +1,20 @@
+import * as core from '@bluebellmast/core';
+
+/** Retry windows of all pools. */
+export class RetryWindows {
+	readonly #windows = new Map<core.routing.PoolName, core.fleet.RetryWindow>();
+
+	constructor(private readonly terms: core.fleet.RetryWindowTerms) {}
+
+	/** Returns the window of a pool. */
+	of(pool: core.routing.PoolName): core.fleet.RetryWindow {
+		const known = this.#windows.get(pool);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const window = new core.fleet.RetryWindow(this.terms);
+		this.#windows.set(pool, window);
+		return window;
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/call/route-filter.ts
@@ -0,0 +1,35 @@
+import * as core from '@bluebellmast/core';
+import type * as clocks from '../util/clocks.js';
+import type * as callContext from './call-context.js';
+import type * as filter from './filter.js';
+import * as refusals from './refusal.js';
+
+/** Time after which a configuration that is being read again should be there, in milliseconds. */
+const configRetryMs = 300;
+
+/** Finds the route of a request. */
+export class RouteFilter implements filter.CallFilter {
+	constructor(
+		private readonly state: core.routing.ConfigState,
+		private readonly trust: core.routing.TrustTerms,
+		private readonly clock: clocks.Clocks,
+	) {}
+
+	check(ctx: callContext.CallContext): refusals.Refusal | undefined {
+		const {table} = this.state;
+		if (table === undefined) {
+			return {code: refusals.RefusalCode.ConfigUnavailable, retryAfterMs: configRetryMs};
+		}
+
+		ctx.table = table;
+		ctx.route = table.findRoute(ctx.head.host, ctx.head.target);
+		if (ctx.route !== undefined) {
+			return undefined;
+		}
+
+		const ageMs = this.state.ageMs(this.clock.wallSafeNow());
+		return core.routing.allowsNegativeAnswers(ageMs, this.trust)
+			? {code: refusals.RefusalCode.UnknownRoute}
+			: {code: refusals.RefusalCode.ConfigUnavailable, retryAfterMs: configRetryMs};
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/controllers/duty-controller.ts
@@ -0,0 +1,137 @@
+import * as core from '@bluebellmast/core';
+import type * as clients from '@bluebellmast/kv';
+import type * as fleetState from '../placement/fleet-state.js';
+import type * as clocks from '../util/clocks.js';
+import * as eventLog from '../util/event-log.js';
+import * as dutyKeys from './duty-keys.js';
+import * as leaderCodec from './leader-codec.js';
+import * as planCodec from './plan-codec.js';
+import type * as storeFeed from './store-feed.js';
+
+/** The leader's key as last seen. */
+export type SeenLeader = leaderCodec.Leader & {
+	/** Revision of the key, which is the leader's fencing number. */
+	readonly revision: number;
+};
+
+/** What the VMs have agreed on, as last seen. */
+export type DutyView = {
+	/** Absent while there is no leader. */
+	leader?: SeenLeader;
+	/** Revision of the plan's key; 0 while there is none. */
+	planRevision: number;
+};
+
+/** How long a VM whose key lapsed still counts among those that share limits, in milliseconds: an outage of the store lets all lapse. */
+const vmMemoryMs = 15_000;
+
+/** Follows the keys by which the VMs agree on duties. */
+export class DutyController implements storeFeed.FeedListener {
+	readonly view: DutyView = {planRevision: 0};
+	/** Whether the keys were read since the start. */
+	isRead = false;
+	/** VMs with the time from which they don't count; `undefined` while their key stands. */
+	readonly #vms = new Map<string, number | undefined>();
+
+	constructor(
+		private readonly fleet: fleetState.FleetState,
+		private readonly clock: clocks.Clocks,
+		private readonly log: eventLog.EventLog,
+	) {}
+
+	onSnapshot(entries: readonly clients.kv.KvEntry[]): void {
+		this.isRead = true;
+		const keys = new Set(entries.map(entry => entry.key));
+		for (const vm of this.#vms.keys()) {
+			if (!keys.has(`${dutyKeys.vmsPrefix}${vm}`)) {
+				this.#removeVm(vm);
+			}
+		}
+
+		if (!keys.has(dutyKeys.leaderKey)) {
+			this.view.leader = undefined;
+		}
+
+		for (const entry of entries) {
+			this.onChange({key: entry.key, entry});
+		}
+
+		this.#countVms();
+	}
+
+	onChange(change: clients.kv.KvChange): void {
+		if (change.key === dutyKeys.leaderKey) {
+			this.#takeLeader(change.entry);
+		} else if (change.key === dutyKeys.planKey) {
+			this.#takePlan(change.entry);
+		} else if (change.key.startsWith(dutyKeys.vmsPrefix)) {
+			this.#takeVm(change);
+		}
+	}
+
+	/** Forgets VMs whose keys lapsed long ago. */
+	tick(): void {
+		this.#countVms();
+	}
+
+	/** Takes a plan that this VM wrote itself, before the feed tells it. */
+	noteOwnPlan(plan: core.rollout.RolloutPlan, revision: number): void {
+		if (revision > this.view.planRevision) {
+			this.view.planRevision = revision;
+			this.#usePlan(plan);
+		}
+	}
+
+	#takeLeader(entry: clients.kv.KvEntry | undefined): void {
+		this.view.leader = entry && {...leaderCodec.decodeLeader(entry.value), revision: entry.revision};
+	}
+
+	#takePlan(entry: clients.kv.KvEntry | undefined): void {
+		if (entry === undefined || entry.revision <= this.view.planRevision) {
+			return;
+		}
+
+		this.view.planRevision = entry.revision;
+		this.#usePlan(planCodec.decodePlan(entry.value));
+	}
+
+	#usePlan(plan: core.rollout.RolloutPlan): void {
+		this.fleet.plan = plan;
+		for (const step of plan.steps) {
+			if (step.phase === core.rollout.RolloutPhase.Loaded) {
+				this.fleet.registry.noteWeights(step.endpoint, step.bornAt, step.model, step.version);
+			}
+		}
+
+		const loading = plan.steps.filter(step => step.phase === core.rollout.RolloutPhase.Loading);
+		this.log.write(eventLog.LogEvent.RolloutPlanSeen, {
+			revision: this.view.planRevision, fence: plan.fence, loading: loading.map(step => step.endpoint).join(','),
+		});
+	}
+
+	#takeVm(change: clients.kv.KvChange): void {
+		const vm = change.key.slice(dutyKeys.vmsPrefix.length);
+		if (change.entry === undefined) {
+			this.#removeVm(vm);
+		} else {
+			this.#vms.set(vm, undefined);
+		}
+
+		this.#countVms();
+	}
+
+	#removeVm(vm: string): void {
+		this.#vms.set(vm, this.#vms.get(vm) ?? this.clock.steadyNow() + vmMemoryMs);
+	}
+
+	#countVms(): void {
+		const now = this.clock.steadyNow();
+		for (const [vm, endsAt] of this.#vms) {
+			if (endsAt !== undefined && endsAt <= now) {
+				this.#vms.delete(vm);
+			}
+		}
+
+		this.fleet.vms = Math.max(1, this.#vms.size);
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/controllers/lease-controller.ts
@@ -0,0 +1,201 @@
+import * as core from '@bluebellmast/core';
+import * as clients from '@bluebellmast/kv';
+import type * as fleetState from '../placement/fleet-state.js';
+import type * as clocks from '../util/clocks.js';
+import * as eventLog from '../util/event-log.js';
+import type * as dutyController from './duty-controller.js';
+import * as dutyKeys from './duty-keys.js';
+import * as leaderCodec from './leader-codec.js';
+
+/** Times of a VM's lease, in milliseconds. */
+export type VmLeaseTerms = {
+	readonly ttlMs: number;
+	/** Pause between renewals: two may be lost before the lease ends. */
+	readonly renewEveryMs: number;
+	readonly leader: core.orders.LeaseTimes;
+};
+
+/** Returns the terms for a platform on which holders may not take turns within `holderGapMs`. */
+export function createVmLeaseTerms(holderGapMs: number): VmLeaseTerms {
+	const ttlMs = 3000;
+	const marginMs = 800;
+	return {
+		ttlMs,
+		renewEveryMs: 800,
+		// The last holder stopped by the margin before its lease ended.
+		leader: {ttlMs, marginMs, longestOrderMs: Math.max(0, holderGapMs - marginMs) + 200},
+	};
+}
+
+/** What the controller works with. */
+export type LeaseControllerParts = {
+	readonly vm: string;
+	readonly store: clients.kv.KeyValueClient;
+	readonly duties: dutyController.DutyController;
+	readonly fleet: fleetState.FleetState;
+	readonly clock: clocks.Clocks;
+	readonly log: eventLog.EventLog;
+	readonly random: () => number;
+};
+
+/** Longest random pause before a try to become the leader, in milliseconds, so that not all VMs try at once. */
+const maxTryDelayMs = 400;
+
+/** Keeps this VM's lease with its key among the VMs, and takes the leader's key when it is free. */
+export class LeaseController {
+	readonly #leader: core.orders.LeaderLease;
+	#lease: clients.kv.KvLease | undefined;
+	#renewedAt = -Infinity;
+	#isRegistered = false;
+	#leaderRevision = 0;
+	#tryAt: number | undefined;
+	#isStopping = false;
+
+	constructor(private readonly parts: LeaseControllerParts, private readonly terms: VmLeaseTerms) {
+		this.#leader = new core.orders.LeaderLease(terms.leader);
+	}
+
+	/** Fencing number for an order that is sent now, or `undefined` when this VM may send none. */
+	fencing(): number | undefined {
+		return this.#isStopping ? undefined : this.#leader.fencing(this.parts.clock.wallSafeNow());
+	}
+
+	/** Notes that an engine has seen a higher fencing number: another VM leads. */
+	noteFenced(): void {
+		this.#leader.ended();
+		this.#leaderRevision = 0;
+		this.#lease = undefined;
+		this.#isRegistered = false;
+		this.parts.log.write(eventLog.LogEvent.LeaderLost, {reason: 'fenced'});
+	}
+
+	/** Renews the lease when due and takes free duties. */
+	async tick(): Promise<void> {
+		if (this.#isStopping) {
+			return;
+		}
+
+		const now = this.parts.clock.wallSafeNow();
+		if (this.#lease === undefined) {
+			await this.#grant();
+		} else if (now - this.#renewedAt >= this.terms.renewEveryMs) {
+			await this.#renew(this.#lease);
+		}
+
+		if (this.#lease !== undefined && !this.#isRegistered) {
+			await this.#register(this.#lease);
+		}
+
+		if (this.#lease !== undefined && this.parts.duties.isRead) {
+			await this.#seekLeadership(this.#lease);
+		}
+	}
+
+	/** Gives the lease back, so that another VM takes the duties at once. */
+	async stop(): Promise<void> {
+		this.#isStopping = true;
+		const lease = this.#lease;
+		this.#lease = undefined;
+		if (lease !== undefined) {
+			const revoked = await this.parts.store.revoke(lease);
+			revoked.ifLeft(failure => {
+				this.parts.log.write(eventLog.LogEvent.LeaderLost, {reason: 'stop', problem: failure.message});
+			});
+		}
+	}
+
+	async #grant(): Promise<void> {
+		const sentAt = this.parts.clock.wallSafeNow();
+		const granted = await this.parts.store.grantLease(this.terms.ttlMs);
+		granted.ifRight(lease => {
+			this.#lease = lease;
+			this.#renewedAt = sentAt;
+			this.#isRegistered = false;
+		});
+	}
+
+	async #renew(lease: clients.kv.KvLease): Promise<void> {
+		const sentAt = this.parts.clock.wallSafeNow();
+		const renewed = await this.parts.store.keepAlive(lease);
+		const now = this.parts.clock.wallSafeNow();
+		renewed.ifRight(() => {
+			this.#renewedAt = sentAt;
+			if (this.#leaderRevision !== 0) {
+				this.#leader.renewed(sentAt, now);
+			}
+		});
+		renewed.ifLeft(failure => {
+			if (failure.code === clients.kv.KvErrorCode.LeaseLost || now - this.#renewedAt > this.terms.ttlMs) {
+				this.#loseLease(failure.code);
+			}
+		});
+	}
+
+	#loseLease(reason: string): void {
+		if (this.#leaderRevision !== 0) {
+			this.parts.log.write(eventLog.LogEvent.LeaderLost, {reason});
+		}
+
+		this.#leader.ended();
+		this.#leaderRevision = 0;
+		this.#lease = undefined;
+		this.#isRegistered = false;
+	}
+
+	async #register(lease: clients.kv.KvLease): Promise<void> {
+		const key = `${dutyKeys.vmsPrefix}${this.parts.vm}`;
+		const read = await this.parts.store.get(key);
+		if (read.isLeft()) {
+			return;
+		}
+
+		const revision = (read.extract() as clients.kv.KvEntry | undefined)?.revision ?? 0;
+		const swap = await this.parts.store.compareAndSwap(key, revision, Buffer.from(this.parts.vm), lease.id);
+		swap.ifRight(result => {
+			this.#isRegistered = result.swapped;
+		});
+	}
+
+	async #seekLeadership(lease: clients.kv.KvLease): Promise<void> {
+		const {duties, clock} = this.parts;
+		const {leader} = duties.view;
+		if (this.#leaderRevision !== 0 || leader !== undefined) {
+			this.#tryAt = undefined;
+			this.#adopt(leader, lease);
+			return;
+		}
+
+		const now = clock.wallSafeNow();
+		this.#tryAt ??= now + (this.parts.random() * maxTryDelayMs);
+		if (now < this.#tryAt) {
+			return;
+		}
+
+		this.#tryAt = undefined;
+		this.#leader.try(now);
+		const value = leaderCodec.encodeLeader({vm: this.parts.vm, leaseId: lease.id});
+		const swap = await this.parts.store.compareAndSwap(dutyKeys.leaderKey, 0, value, lease.id);
+		const result = swap.toMaybe().extract();
+		if (result?.swapped) {
+			this.#lead(result.revision);
+		} else {
+			this.#leader.refused();
+		}
+	}
+
+	/** Takes the leader's key that this VM wrote under its present lease though the answer was lost. */
+	#adopt(leader: dutyController.SeenLeader | undefined, lease: clients.kv.KvLease): void {
+		if (this.#leaderRevision === 0 && leader?.vm === this.parts.vm && leader.leaseId === lease.id) {
+			this.#leader.try(this.parts.clock.wallSafeNow());
+			this.#lead(leader.revision);
+		}
+	}
+
+	#lead(revision: number): void {
+		const {clock, fleet, log} = this.parts;
+		this.#leaderRevision = revision;
+		const ordersMayBeUnderWay = fleet.plan.steps.some(step => step.phase === core.rollout.RolloutPhase.Loading);
+		this.#leader.gained(revision, this.#renewedAt, clock.wallSafeNow(), ordersMayBeUnderWay);
+		log.write(eventLog.LogEvent.LeaderGained, {fence: revision, ordersMayBeUnderWay});
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/controllers/plan-codec.ts
@@ -0,0 +1,31 @@
+import * as core from '@bluebellmast/core';
+
+type PlanJson = {
+	readonly fence: number;
+	readonly steps: ReadonlyArray<readonly [string, number, string, number, core.rollout.RolloutPhase]>;
+};
+
+/** Encodes a plan as the value of its key. */
+export function encodePlan(plan: core.rollout.RolloutPlan): Uint8Array {
+	const json: PlanJson = {
+		fence: plan.fence,
+		steps: plan.steps.map(step => [step.endpoint, step.bornAt, step.model, step.version, step.phase]),
+	};
+	return Buffer.from(JSON.stringify(json));
+}
+
+/** Decodes a plan; only VMs of the gateway write it, so anything else counts as no plan. */
+export function decodePlan(value: Uint8Array): core.rollout.RolloutPlan {
+	try {
+		const json = JSON.parse(Buffer.from(value).toString()) as PlanJson;
+		return {
+			fence: json.fence,
+			steps: json.steps.map(([endpoint, bornAt, model, version, phase]) => ({
+				endpoint, bornAt, model, version, phase,
+			})),
+		};
+	} catch {
+		// Written by a version of this program that this one does not know: the roll-out starts anew.
+		return core.rollout.emptyRolloutPlan;
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/controllers/prefix-listeners.ts
@@ -0,0 +1,33 @@
+import type * as clients from '@bluebellmast/kv';
+import type * as storeFeed from './store-feed.js';
+
+/** A listener for the keys under one prefix. */
+export type PrefixListener = {
+	readonly prefix: string;
+	readonly listener: storeFeed.FeedListener;
+};
+
+/** Shares one feed of the whole store among listeners for parts of it. */
+export class PrefixListeners implements storeFeed.FeedListener {
+	constructor(private readonly parts: readonly PrefixListener[]) {}
+
+	onSnapshot(entries: readonly clients.kv.KvEntry[], maybeLapsed: boolean): void {
+		for (const {prefix, listener} of this.parts) {
+			listener.onSnapshot(entries.filter(entry => entry.key.startsWith(prefix)), maybeLapsed);
+		}
+	}
+
+	onChange(change: clients.kv.KvChange, maybeLapsed: boolean): void {
+		for (const {prefix, listener} of this.parts) {
+			if (change.key.startsWith(prefix)) {
+				listener.onChange(change, maybeLapsed);
+			}
+		}
+	}
+
+	onConfirmed(startedAt: number): void {
+		for (const {listener} of this.parts) {
+			listener.onConfirmed?.(startedAt);
+		}
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/controllers/rollout-controller.ts
@@ -0,0 +1,179 @@
+import * as core from '@bluebellmast/core';
+import type * as clients from '@bluebellmast/kv';
+import type * as fleetState from '../placement/fleet-state.js';
+import * as ports from '../ports/index.js';
+import type * as clocks from '../util/clocks.js';
+import * as eventLog from '../util/event-log.js';
+import type * as dutyController from './duty-controller.js';
+import * as dutyKeys from './duty-keys.js';
+import type * as leaseController from './lease-controller.js';
+import * as planCodec from './plan-codec.js';
+
+/** Times of a roll-out, in milliseconds. */
+export type RolloutTimes = {
+	/** Time from the writing of the plan until all VMs have left the engine out of placement. */
+	readonly settleMs: number;
+	/** Pause between two reports that are read of an engine that loads. */
+	readonly reportEveryMs: number;
+	/** Time after an order without an answer, or without an effect, after which it is sent again. */
+	readonly reorderMs: number;
+};
+
+/**
+ * A change reaches the watchers within a round trip, and reports lag a hundred milliseconds. Orders without an answer
+ * may still be carried out, so they are repeated seldom.
+ */
+export const defaultRolloutTimes: RolloutTimes = {settleMs: 60, reportEveryMs: 250, reorderMs: 2500};
+
+/** What the controller works with. */
+export type RolloutControllerParts = {
+	readonly vm: string;
+	readonly store: clients.kv.KeyValueClient;
+	readonly duties: dutyController.DutyController;
+	readonly lease: leaseController.LeaseController;
+	readonly fleet: fleetState.FleetState;
+	readonly config: core.routing.ConfigState;
+	readonly admin: ports.EndpointAdmin;
+	readonly clock: clocks.Clocks;
+	readonly log: eventLog.EventLog;
+	readonly terms: core.rollout.RolloutTerms;
+};
+
+/** What the leader has done for one step. */
+type StepState = {
+	readonly plannedAt: number;
+	orderedAt?: number;
+	reportedAt: number;
+	acceptedOrders?: number;
+	isBusy: boolean;
+};
+
+/** As the leader, brings the engines to the newest named weights: plans, publishes, orders, and reads back. */
+export class RolloutController {
+	readonly #states = new Map<string, StepState>();
+
+	constructor(
+		private readonly parts: RolloutControllerParts,
+		private readonly times: RolloutTimes = defaultRolloutTimes,
+	) {}
+
+	/** Does what is due, if this VM leads. */
+	async tick(): Promise<void> {
+		const fence = this.parts.lease.fencing();
+		if (fence === undefined) {
+			this.#states.clear();
+			return;
+		}
+
+		const {fleet} = this.parts;
+		const plan = core.rollout.planRollout(fleet.plan, this.#listEngines(), fleet.targets.newest(), fence, this.parts.terms);
+		if (!core.rollout.isSamePlan(plan, fleet.plan) && !(await this.#publish(plan))) {
+			return;
+		}
+
+		const loading = plan.steps.filter(step => step.phase === core.rollout.RolloutPhase.Loading);
+		await Promise.all(loading.map(async step => this.#advance(step)));
+	}
+
+	#listEngines(): core.rollout.RolloutEngine[] {
+		const {fleet, config, clock} = this.parts;
+		const now = clock.steadyNow();
+		const engines: core.rollout.RolloutEngine[] = [];
+		for (const pool of config.table?.config.pools ?? []) {
+			for (const entry of pool.engine === undefined ? [] : fleet.registry.listReady(pool.name)) {
+				for (const model of pool.engine?.models ?? []) {
+					const version = fleet.registry.weightVersion(entry.id, model);
+					if (version !== undefined && fleet.health.isResponsive(entry.id)) {
+						engines.push({
+							endpoint: entry.id, bornAt: entry.bornAt, model, version, active: fleet.loads.active(entry.id, now),
+						});
+					}
+				}
+			}
+		}
+
+		return engines;
+	}
+
+	async #publish(plan: core.rollout.RolloutPlan): Promise<boolean> {
+		const {store, duties, log} = this.parts;
+		const swap = await store.compareAndSwap(dutyKeys.planKey, duties.view.planRevision, planCodec.encodePlan(plan));
+		const result = swap.toMaybe().extract();
+		if (!result?.swapped) {
+			// The feed brings the plan that stands, and the next round goes on from there.
+			return false;
+		}
+
+		duties.noteOwnPlan(plan, result.revision);
+		log.write(eventLog.LogEvent.RolloutPlanWritten, {fence: plan.fence, steps: plan.steps.length, revision: result.revision});
+		return true;
+	}
+
+	async #advance(step: core.rollout.RolloutStep): Promise<void> {
+		const now = this.parts.clock.steadyNow();
+		const key = `${step.endpoint}/${step.bornAt}/${step.model}/${step.version}`;
+		const state = this.#states.get(key) ?? {plannedAt: now, reportedAt: -Infinity, isBusy: false};
+		this.#states.set(key, state);
+		const entry = this.parts.fleet.registry.find(step.endpoint);
+		if (entry === undefined || now - state.plannedAt < this.times.settleMs) {
+			return;
+		}
+
+		const mustOrder = state.orderedAt === undefined
+			|| (now - state.orderedAt >= this.times.reorderMs && !state.isBusy);
+		if (mustOrder) {
+			await this.#order(step, state, entry);
+			return;
+		}
+
+		if (now - Math.max(state.reportedAt, state.orderedAt!) >= this.times.reportEveryMs) {
+			await this.#readReport(step, state, entry);
+		}
+	}
+
+	async #order(step: core.rollout.RolloutStep, state: StepState, entry: core.fleet.EndpointEntry): Promise<void> {
+		const {lease, admin, fleet, log, vm, clock} = this.parts;
+		const fence = lease.fencing();
+		if (fence === undefined) {
+			return;
+		}
+
+		state.orderedAt = clock.steadyNow();
+		const outcome = await admin.orderLoad(entry, {
+			model: step.model, version: step.version, holder: vm, fence, acceptedOrders: state.acceptedOrders,
+		});
+		log.write(eventLog.LogEvent.OrderSent, {
+			endpoint: step.endpoint, model: step.model, version: step.version, fence, outcome,
+		});
+		switch (outcome) {
+			case ports.OrderOutcome.AlreadyDone: {
+				fleet.registry.noteWeights(step.endpoint, step.bornAt, step.model, step.version);
+				break;
+			}
+
+			case ports.OrderOutcome.Fenced: {
+				lease.noteFenced();
+				break;
+			}
+
+			default: {
+				break;
+			}
+		}
+	}
+
+	async #readReport(step: core.rollout.RolloutStep, state: StepState, entry: core.fleet.EndpointEntry): Promise<void> {
+		const {admin, fleet, clock} = this.parts;
+		state.reportedAt = clock.steadyNow();
+		const read = await admin.readReport(entry);
+		read.ifRight(report => {
+			state.acceptedOrders = report.acceptedOrders;
+			state.isBusy = report.isBusy;
+			const version = report.weights.get(step.model);
+			const isSame = report.bornAt === 0 || report.bornAt === step.bornAt;
+			if (isSame && version !== undefined && !report.isBusy) {
+				fleet.registry.noteWeights(step.endpoint, step.bornAt, step.model, version);
+			}
+		});
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/endpoints/endpoint-attempt.ts
@@ -0,0 +1,213 @@
+import * as core from '@bluebellmast/core';
+import type * as undici from 'undici';
+import type * as ports from '../ports/index.js';
+import type * as connectionPool from './connection-pool.js';
+import type * as endpointConnection from './endpoint-connection.js';
+
+/** Why an attempt ended without a whole answer. */
+export enum AttemptFault {
+	/** No connection could be opened. */
+	ConnectFailed = 'connect_failed',
+	/** All connections that this VM may open to the endpoint are busy. */
+	NoConnection = 'no_connection',
+	/** The endpoint refused the request without running it. */
+	Refused = 'refused',
+	/** The connection ended before the answer was whole. */
+	ConnectionLost = 'connection_lost',
+	/** The answer names another request. */
+	WrongAnswer = 'wrong_answer',
+	/** A success without the endpoint's signature. */
+	Unsigned = 'unsigned',
+	/** The endpoint answered with a failure that is not passed on, since the request goes to another one. */
+	AnsweredWithFailure = 'answered_with_failure',
+	/** The caller has gone. */
+	CallerGone = 'caller_gone',
+	/** The time for the request is over. */
+	TimedOut = 'timed_out',
+	/** The endpoint sent nothing for too long. */
+	EndpointSilent = 'endpoint_silent',
+}
+
+/** Receives the answer of an attempt. */
+export interface AnswerSink { // eslint-disable-line @typescript-eslint/consistent-type-definitions
+	/**
+	 * Takes the head of an answer that belongs to the request.
+	 *
+	 * @returns Whether the body is wanted; otherwise the answer is read to its end and dropped.
+	 */
+	onHead(head: ports.AnswerHead, rawHeaders: readonly Buffer[]): boolean;
+	/** Takes a piece of the body. @returns Whether more may follow now; {@link EndpointAttempt.resume} goes on. */
+	onData(chunk: Buffer): boolean;
+}
+
+/** How an attempt ended. */
+export type AttemptEnd = {
+	readonly progress: core.request.AttemptProgress;
+	/** Absent when the answer arrived whole. */
+	readonly fault?: AttemptFault;
+	readonly head?: ports.AnswerHead;
+	/** Reason in the words of the library that failed. */
+	readonly detail?: string;
+};
+
+/** What an attempt sends. */
+export type AttemptRequest = {
+	readonly method: string;
+	readonly target: string;
+	readonly requestId: string;
+	readonly headers: string[];
+	readonly body?: Buffer;
+};
+
+class AbortedError extends Error {
+	constructor(readonly fault: AttemptFault) {
+		super(fault);
+		this.name = 'AbortedError';
+	}
+}
+
+/** One send of a request to one endpoint over one connection. */
+export class EndpointAttempt implements undici.Dispatcher.DispatchHandler {
+	/** How far the attempt has come. */
+	progress = core.request.AttemptProgress.NotBegun;
+	#controller: undici.Dispatcher.DispatchController | undefined;
+	#abortFault: AttemptFault | undefined;
+	#head: ports.AnswerHead | undefined;
+	#wantsBody = false;
+	#hasStatedLength = true;
+	#refusal: AttemptFault | undefined;
+	#resolve: (end: AttemptEnd) => void = () => undefined;
+	#isEnded = false;
+
+	constructor(
+		private readonly pool: connectionPool.ConnectionPool,
+		private readonly connection: endpointConnection.EndpointConnection,
+		private readonly protocol: ports.EndpointProtocol,
+		private readonly request: AttemptRequest,
+		private readonly sink: AnswerSink,
+		private readonly steadyNow: () => number,
+	) {}
+
+	/** Sends the request. @returns How the attempt ended; never rejects. */
+	async run(): Promise<AttemptEnd> {
+		return new Promise(resolve => {
+			this.#resolve = resolve;
+			this.progress = core.request.AttemptProgress.Connecting;
+			const {method, target, headers, body} = this.request;
+			this.connection.dispatch({
+				method: method as undici.Dispatcher.HttpMethod, path: target, headers, body: body ?? null,
+			}, this);
+		});
+	}
+
+	/** Ends the attempt: its connection is closed, which makes the endpoint stop its work. */
+	abort(fault: AttemptFault): void {
+		if (this.#isEnded || this.#abortFault !== undefined) {
+			return;
+		}
+
+		this.#abortFault = fault;
+		if (this.#controller === undefined) {
+			this.#end({progress: this.progress, fault});
+			return;
+		}
+
+		this.#controller.abort(new AbortedError(fault));
+	}
+
+	/** Goes on reading after {@link AnswerSink.onData} returned `false`. */
+	resume(): void {
+		this.#controller?.resume();
+	}
+
+	onRequestStart(controller: undici.Dispatcher.DispatchController): void {
+		if (this.#isEnded) {
+			controller.abort(new AbortedError(this.#abortFault ?? AttemptFault.CallerGone));
+			return;
+		}
+
+		this.#controller = controller;
+		this.progress = core.request.AttemptProgress.MaybeSent;
+	}
+
+	onResponseStart(controller: undici.Dispatcher.DispatchController, status: number, headers: ports.ParsedHeaders): void {
+		if (status < 200 || this.#isEnded) {
+			return;
+		}
+
+		const head = this.protocol.decodeAnswer(status, headers);
+		this.#head = head;
+		this.#hasStatedLength = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+		const fault = this.#findFault(head);
+		if (fault !== undefined) {
+			this.abort(fault);
+			return;
+		}
+
+		if (head.isNotExecuted) {
+			this.progress = core.request.AttemptProgress.RefusedBeforeBegin;
+			this.#refusal = AttemptFault.Refused;
+			return;
+		}
+
+		this.progress = core.request.AttemptProgress.AnswerBegun;
+
+		const {rawHeaders} = controller as unknown as {readonly rawHeaders: readonly Buffer[]};
+		this.#wantsBody = this.sink.onHead(head, rawHeaders);
+		if (!this.#wantsBody) {
+			this.#refusal = AttemptFault.AnsweredWithFailure;
+		}
+	}
+
+	onResponseData(controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
+		if (this.#wantsBody && !this.#isEnded && !this.sink.onData(chunk)) {
+			controller.pause();
+		}
+	}
+
+	onResponseEnd(): void {
+		if (!this.#hasStatedLength && this.connection.wasReset) {
+			this.#end({progress: this.progress, fault: AttemptFault.ConnectionLost, head: this.#head, detail: 'reset at the end'});
+			return;
+		}
+
+		if (this.progress === core.request.AttemptProgress.AnswerBegun) {
+			this.progress = core.request.AttemptProgress.AnsweredWhole;
+		}
+
+		this.#end({progress: this.progress, fault: this.#refusal, head: this.#head});
+	}
+
+	onResponseError(_controller: undici.Dispatcher.DispatchController | undefined, err: Error): void {
+		const connectFailed = this.progress === core.request.AttemptProgress.Connecting;
+		const fault = this.#abortFault
+			?? this.#refusal
+			?? (connectFailed ? AttemptFault.ConnectFailed : AttemptFault.ConnectionLost);
+		this.#end({progress: this.progress, fault, head: this.#head, detail: err.message});
+	}
+
+	#findFault(head: ports.AnswerHead): AttemptFault | undefined {
+		if (head.requestId !== undefined && head.requestId !== this.request.requestId) {
+			return AttemptFault.WrongAnswer;
+		}
+
+		return head.status < 300 && (!head.isSigned || head.requestId === undefined) ? AttemptFault.Unsigned : undefined;
+	}
+
+	#end(end: AttemptEnd): void {
+		if (this.#isEnded) {
+			return;
+		}
+
+		this.#isEnded = true;
+		const isReusable = end.fault === undefined || end.fault === AttemptFault.Refused
+			|| end.fault === AttemptFault.AnsweredWithFailure;
+		if (isReusable) {
+			this.pool.release(this.connection, this.steadyNow());
+		} else {
+			this.pool.drop(this.connection);
+		}
+
+		this.#resolve(end);
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/endpoints/index.ts
@@ -0,0 +1,4 @@
+export * from './connection-pool.js';
+export * from './connection-pools.js';
+export * from './endpoint-attempt.js';
+export * from './endpoint-connection.js';
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,109 @@
+import type * as core from '@bluebellmast/core';
+import type * as controllers from './controllers/index.js';
+import type * as gatewaySettings from './gateway-settings.js';
+import * as ingress from './ingress/index.js';
+import type * as placement from './placement/index.js';
+import type * as clocks from './util/clocks.js';
+import * as eventLog from './util/event-log.js';
+import * as periodic from './util/periodic.js';
+
+/** The parts of a gateway. */
+export type GatewayParts = {
+	readonly settings: gatewaySettings.GatewaySettings;
+	readonly config: core.routing.ConfigState;
+	readonly fleet: placement.FleetState;
+	readonly server: ingress.GatewayServer;
+	readonly feed: controllers.StoreFeed;
+	readonly lease: controllers.LeaseController;
+	readonly rollout: controllers.RolloutController;
+	readonly duties: controllers.DutyController;
+	readonly endpointController: controllers.EndpointController;
+	readonly clock: clocks.Clocks;
+	readonly log: eventLog.EventLog;
+};
+
+/** Intervals of the periodic work, in milliseconds. */
+const endpointTickMs = 100;
+const leaseTickMs = 150;
+const rolloutTickMs = 50;
+/** Age of the configuration beyond which the VM asks for no new connections, in milliseconds: several polls have failed. */
+const readyConfigAgeMs = 3000;
+/** Time between the first refused readiness question and the end of listening, in milliseconds: two questions and a margin. */
+const unlistedMs = 2800;
+/** Part of the grace time that is kept for the exit itself, in milliseconds. */
+const exitMarginMs = 300;
+
+/** One gateway process. */
+export class Gateway {
+	readonly #readiness: ingress.ReadinessServer;
+	#tasks: periodic.Periodic[] = [];
+	#isStopping = false;
+
+	constructor(private readonly parts: GatewayParts) {
+		this.#readiness = new ingress.ReadinessServer(parts.settings.readinessPath, () => this.isReady());
+	}
+
+	/** Ports on which the gateway listens. */
+	get ports(): {readonly callers: number; readonly readiness: number} {
+		return {callers: this.parts.server.port, readiness: this.#readiness.port};
+	}
+
+	/** Whether new connections are welcome. */
+	isReady(): boolean {
+		const {config, clock} = this.parts;
+		return !this.#isStopping && config.ageMs(clock.wallSafeNow()) <= readyConfigAgeMs;
+	}
+
+	/** Starts to follow the store and to listen. */
+	async start(): Promise<void> {
+		const {settings, server, feed, log} = this.parts;
+		void feed.run();
+		await Promise.all([server.listen(settings.listen), this.#readiness.listen(settings.readiness)]);
+		this.#tasks = this.#runTasks();
+		log.write(eventLog.LogEvent.Started, {port: server.port, dataCentre: settings.dataCentre});
+	}
+
+	/** Stops without cutting requests: leaves the balancer first, then ends what is under way, in the grace time. */
+	async stop(): Promise<void> {
+		if (this.#isStopping) {
+			return;
+		}
+
+		this.#isStopping = true;
+		const {settings, server, lease, log, clock} = this.parts;
+		const startedAt = clock.steadyNow();
+		log.write(eventLog.LogEvent.Stopping, {graceMs: settings.graceMs});
+		server.beginStop();
+		await Promise.all([lease.stop(), new Promise(resolve => {
+			setTimeout(resolve, unlistedMs);
+		})]);
+		await server.finishStop(settings.graceMs - exitMarginMs - (clock.steadyNow() - startedAt));
+		this.close();
+		log.write(eventLog.LogEvent.Stopped, {});
+	}
+
+	/** Closes everything at once. */
+	close(): void {
+		for (const task of this.#tasks) {
+			task.stop();
+		}
+
+		this.parts.feed.stop();
+		this.parts.server.close();
+		this.#readiness.close();
+	}
+
+	#runTasks(): periodic.Periodic[] {
+		const {endpointController, duties, lease, rollout, log} = this.parts;
+		const run = (name: string, intervalMs: number, task: () => Promise<void> | void): periodic.Periodic =>
+			periodic.runPeriodically(name, intervalMs, log, eventLog.LogEvent.InternalError, task);
+		return [
+			run('endpoints', endpointTickMs, () => {
+				endpointController.tick();
+				duties.tick();
+			}),
+			run('lease', leaseTickMs, async () => lease.tick()),
+			run('rollout', rolloutTickMs, async () => rollout.tick()),
+		];
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,10 @@
+export * as call from './call/index.js';
+export * as controllers from './controllers/index.js';
+export * as endpoints from './endpoints/index.js';
+export * from './gateway-settings.js';
+export * from './gateway.js';
+export * as ingress from './ingress/index.js';
+export * as placement from './placement/index.js';
+export * as ports from './ports/index.js';
+export * as util from './util/index.js';
+export * from './wire-up.js';
--- /dev/null
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -0,0 +1,176 @@
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import * as call from '../call/index.js';
+import type * as ports from '../ports/index.js';
+import type * as clocks from '../util/clocks.js';
+import * as eventLog from '../util/event-log.js';
+
+/** An address to listen on. */
+export type ListenAddress = {
+	readonly host: string;
+	readonly port: number;
+};
+
+/** What the server works with. */
+export type GatewayServerParts = {
+	readonly protocol: ports.CallerProtocol;
+	/** Steps that each request passes before it is dispatched. */
+	readonly filters: readonly call.CallFilter[];
+	readonly dispatcher: call.CallDispatcher;
+	readonly clock: clocks.Clocks;
+	readonly log: eventLog.EventLog;
+};
+
+/** Bytes of a request head that are accepted; the platform's callers stay within half of it. */
+const maxHeadBytes = 32_768;
+/** Time that idle connections are kept beyond what callers are told, so that a reused one is still open. */
+const keepAliveExtraMs = 2000;
+/** Interval at which a stopping server looks for idle connections, in milliseconds. */
+const drainCheckMs = 100;
+
+/** Accepts callers' requests and answers them. */
+export class GatewayServer {
+	readonly #server: http.Server;
+	#isStopping = false;
+	#active = 0;
+
+	constructor(private readonly parts: GatewayServerParts) {
+		this.#server = http.createServer({maxHeaderSize: maxHeadBytes, keepAlive: true, noDelay: true}, (req, res) => {
+			void this.#handle(req, res);
+		});
+		this.#server.on('clientError', (err: NodeJS.ErrnoException, socket: net.Socket) => {
+			this.#refuseConnection(err, socket);
+		});
+		// The limits of the configuration replace these; whole requests are bounded by their routes.
+		this.#server.requestTimeout = 0;
+	}
+
+	/** Applies the configured bounds on callers. */
+	applyLimits(limits: {readonly headerTimeoutMs: number; readonly idleTimeoutMs: number}): void {
+		this.#server.headersTimeout = limits.headerTimeoutMs;
+		this.#server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveExtraMs;
+	}
+
+	/** Starts to listen. */
+	async listen(address: ListenAddress): Promise<void> {
+		return new Promise((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen(address.port, address.host, () => {
+				resolve();
+			});
+		});
+	}
+
+	/** Port on which the server listens. */
+	get port(): number {
+		return (this.#server.address() as net.AddressInfo).port;
+	}
+
+	/** From now on each answer closes its connection, so that callers go to other VMs. */
+	beginStop(): void {
+		this.#isStopping = true;
+	}
+
+	/** Stops to accept connections and waits until all requests have ended, `maxMs` milliseconds at most. */
+	async finishStop(maxMs: number): Promise<void> {
+		this.#server.close();
+		const endsAt = this.parts.clock.steadyNow() + maxMs;
+		while (this.parts.clock.steadyNow() < endsAt) {
+			if (this.#active === 0) {
+				this.#server.closeIdleConnections();
+				break;
+			}
+
+			await new Promise(resolve => { // eslint-disable-line no-await-in-loop -- Waits between checks.
+				setTimeout(resolve, drainCheckMs);
+			});
+		}
+	}
+
+	/** Closes everything at once. */
+	close(): void {
+		this.#server.close();
+		this.#server.closeAllConnections();
+	}
+
+	async #handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		this.#active += 1;
+		res.on('error', () => {
+			// A broken connection shows as its close, which ends the request.
+		});
+		if (this.#isStopping) {
+			res.setHeader('Connection', 'close');
+		}
+
+		try {
+			await this.#answer(req, res);
+		} catch (err) {
+			this.parts.log.write(eventLog.LogEvent.InternalError, {task: 'request', problem: String(err)});
+			call.answerRefusal(res, {code: call.RefusalCode.InternalFault});
+			if (!res.writableEnded) {
+				res.destroy();
+			}
+		} finally {
+			this.#active -= 1;
+		}
+	}
+
+	async #answer(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		const raw: ports.RawHead = {method: req.method ?? '', target: req.url ?? '', rawHeaders: req.rawHeaders};
+		const decoded = this.parts.protocol.decodeHead(raw);
+		if (decoded.isLeft()) {
+			const findings = (decoded.extract() as readonly ports.HeadFinding[]).map(item => `${item.place}: ${item.problem}`);
+			this.parts.log.write(eventLog.LogEvent.RequestRejected, {code: call.RefusalCode.MalformedRequest, findings: findings.join('; ')});
+			res.setHeader('Connection', 'close');
+			call.answerRefusal(res, {code: call.RefusalCode.MalformedRequest, findings});
+			return;
+		}
+
+		const head = decoded.extract() as ports.CallHead;
+		const ctx: call.CallContext = {
+			req, res, head, arrivedAt: this.parts.clock.steadyNow(),
+		};
+		const refusal = await this.#run(ctx);
+		if (refusal !== undefined) {
+			this.#refuse(ctx, refusal);
+		}
+
+		this.parts.log.write(eventLog.LogEvent.RequestEnded, {
+			request: head.requestId,
+			route: ctx.route?.name,
+			status: res.headersSent ? res.statusCode : 0,
+			isWhole: res.writableEnded,
+			code: refusal?.code,
+			tookMs: Math.round(this.parts.clock.steadyNow() - ctx.arrivedAt),
+		});
+	}
+
+	async #run(ctx: call.CallContext): Promise<call.Refusal | undefined> {
+		for (const filter of this.parts.filters) {
+			const refusal = await filter.check(ctx); // eslint-disable-line no-await-in-loop -- Filters follow one another.
+			if (refusal !== undefined) {
+				return refusal;
+			}
+		}
+
+		return ctx.res.destroyed ? undefined : this.parts.dispatcher.dispatch(ctx as call.RoutedCall);
+	}
+
+	#refuse(ctx: call.CallContext, refusal: call.Refusal): void {
+		if (refusal.code === call.RefusalCode.BodyTooLarge || !ctx.req.complete) {
+			ctx.res.setHeader('Connection', 'close');
+		}
+
+		call.answerRefusal(ctx.res, refusal);
+	}
+
+	#refuseConnection(err: NodeJS.ErrnoException, socket: net.Socket): void {
+		if (!socket.writable || err.code === 'ECONNRESET') {
+			socket.destroy();
+			return;
+		}
+
+		const status = err.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request';
+		socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/ingress/index.ts
@@ -0,0 +1,2 @@
+export * from './gateway-server.js';
+export * from './readiness-server.js';
--- /dev/null
+++ b/packages/gateway/src/placement/fleet-state.ts
@@ -0,0 +1,14 @@
+import * as core from '@bluebellmast/core';
+
+/** What this VM believes of the endpoints; the controllers write it, placement reads it. */
+export class FleetState {
+	readonly registry = new core.fleet.EndpointRegistry();
+	readonly health = new core.fleet.EndpointHealth();
+	readonly loads = new core.fleet.EndpointLoads();
+	readonly recent = new core.fleet.RecentParts();
+	readonly targets = new core.rollout.WeightTargets();
+	/** Plan of the roll-out under way, as last seen in the store. */
+	plan: core.rollout.RolloutPlan = core.rollout.emptyRolloutPlan;
+	/** VMs that share the load, this one included. */
+	vms = 1;
+}
--- /dev/null
+++ b/packages/gateway/src/placement/index.ts
@@ -0,0 +1,2 @@
+export * from './endpoint-placer.js';
+export * from './fleet-state.js';
--- /dev/null
+++ b/packages/gateway/src/ports/index.ts
@@ -0,0 +1,3 @@
+export * from './caller-protocol.js';
+export * from './endpoint-protocol.js';
+export * from './store-decoder.js';
--- /dev/null
+++ b/packages/gateway/src/util/index.ts
@@ -0,0 +1,3 @@
+export * from './clocks.js';
+export * from './event-log.js';
+export * from './periodic.js';
--- /dev/null
+++ b/packages/gateway/src/wire-up.ts
@@ -0,0 +1,84 @@
+import * as core from '@bluebellmast/core';
+import type * as clients from '@bluebellmast/kv';
+import * as call from './call/index.js';
+import * as controllers from './controllers/index.js';
+import * as endpoints from './endpoints/index.js';
+import type * as gatewaySettings from './gateway-settings.js';
+import * as gateway from './gateway.js';
+import * as ingress from './ingress/index.js';
+import * as placement from './placement/index.js';
+import type * as ports from './ports/index.js';
+import type * as clocks from './util/clocks.js';
+import type * as eventLog from './util/event-log.js';
+
+/** What a gateway is made of beside its own parts. */
+export type GatewayOptions = {
+	readonly settings: gatewaySettings.GatewaySettings;
+	readonly store: clients.kv.KeyValueClient & clients.kv.KvChangeFeed;
+	readonly decoder: ports.StoreDecoder;
+	readonly callerProtocol: ports.CallerProtocol;
+	readonly endpointProtocol: ports.EndpointProtocol;
+	readonly admin: ports.EndpointAdmin;
+	readonly clock: clocks.Clocks;
+	readonly log: eventLog.EventLog;
+	/** Draws a number from 0 up to but not including 1; decides splits and pauses. */
+	readonly random: () => number;
+};
+
+/** Constructs a gateway; {@link gateway.Gateway.start} starts it. */
+export function createGateway(options: GatewayOptions): gateway.Gateway {
+	const {settings, store, decoder, clock, log, random, admin} = options;
+	const config = new core.routing.ConfigState();
+	const fleet = new placement.FleetState();
+	const connections = new endpoints.ConnectionPools();
+	const dispatcher = new call.CallDispatcher({
+		fleet,
+		connections,
+		clock,
+		log,
+		random,
+		placer: new placement.EndpointPlacer(fleet, {
+			dataCentre: settings.dataCentre,
+			versionMs: settings.versionMs,
+			costs: core.fleet.defaultPlacementTerms,
+		}),
+		protocol: options.endpointProtocol,
+		retries: new call.RetryWindows(settings.retries),
+		trust: new call.SendTrust(config, settings.trust, clock),
+	});
+	const server = new ingress.GatewayServer({
+		protocol: options.callerProtocol,
+		filters: [
+			new call.RouteFilter(config, settings.trust, clock),
+			new call.AccountFilter(config, settings.trust, clock),
+			new call.BodyFilter(),
+		],
+		dispatcher,
+		clock,
+		log,
+	});
+	const operator = new controllers.OperatorController({
+		decoder, config, fleet, clock, log,
+		onConfig(accepted) {
+			server.applyLimits(accepted.limits);
+		},
+	});
+	const endpointController = new controllers.EndpointController({
+		decoder, config, fleet, connections, dispatcher, admin, clock, log,
+	});
+	const duties = new controllers.DutyController(fleet, clock, log);
+	const lease = new controllers.LeaseController({
+		vm: settings.vm, store, duties, fleet, clock, log, random,
+	}, controllers.createVmLeaseTerms(settings.holderGapMs));
+	const rollout = new controllers.RolloutController({
+		vm: settings.vm, store, duties, lease, fleet, config, admin, clock, log, terms: core.rollout.defaultRolloutTerms,
+	});
+	const feed = new controllers.StoreFeed(store, '', new controllers.PrefixListeners([
+		{prefix: decoder.prefixes.operator, listener: operator},
+		{prefix: decoder.prefixes.endpoints, listener: endpointController},
+		{prefix: controllers.dutyPrefix, listener: duties},
+	]), clock, log);
+	return new gateway.Gateway({
+		settings, config, fleet, server, feed, lease, rollout, duties, endpointController, clock, log,
+	});
+}
--- a/packages/platform/src/kv/index.ts
+++ b/packages/kv/src/kv/index.ts
@@ -1,3 +1,4 @@
+export * from './change-feed.js';
 export * from './etcd-client.js';
 export * from './key-value-client.js';
 export * from './kv-call-type.js';
--- a/packages/platform/src/kv/kv-error.ts
+++ b/packages/kv/src/kv/kv-error.ts
@@ -8,6 +8,8 @@
 	RateLimited = 'rate_limited',
 	/** The value exceeds the service's limit; it had no effect. */
 	ValueTooLarge = 'value_too_large',
+	/** The changes after the given revision are no longer known; a new snapshot is needed. */
+	HistoryLost = 'history_lost',
 	/** The lease is not known to the service. */
 	LeaseLost = 'lease_lost',
 }
--- a/packages/platform/tests/kv/etcd-client.test.ts
+++ b/packages/kv/tests/kv/etcd-client.test.ts
@@ -1,21 +1,21 @@
 import {Buffer} from 'node:buffer';
 import * as chai from 'chai';
 import * as standIns from '@bluebellmast/stand-ins';
-import * as platform from '@bluebellmast/platform';
+import * as clients from '@bluebellmast/kv';
 
 const {expect} = chai;
-const errorCodes = platform.kv.KvErrorCode;
+const errorCodes = clients.kv.KvErrorCode;
 const faultNames = standIns.fault.FaultName;
 
-function textOf(entry: platform.kv.KvEntry | undefined): string | undefined {
+function textOf(entry: clients.kv.KvEntry | undefined): string | undefined {
 	return entry && Buffer.from(entry.value).toString('utf8');
 }
 
 describe('EtcdClient', () => {
 	let kv: standIns.kv.KvStandIn;
 	let url: string;
-	let client: platform.kv.EtcdClient;
-	let calls: platform.kv.KvCallType[];
+	let client: clients.kv.EtcdClient;
+	let calls: clients.kv.KvCallType[];
 
 	async function begin(options: standIns.kv.KvOptions = {}): Promise<void> {
 		kv = standIns.kv.createKv({latencyMs: 0, progressMs: 20, ...options});
@@ -24,8 +24,8 @@
 		client = open([url]);
 	}
 
-	function open(baseUrls: readonly string[]): platform.kv.EtcdClient {
-		return platform.kv.createEtcdClient({
+	function open(baseUrls: readonly string[]): clients.kv.EtcdClient {
+		return clients.kv.createEtcdClient({
 			baseUrls,
 			callTimeoutMs: 250,
 			watchProgressTimeoutMs: 250,
@@ -39,12 +39,12 @@
 		return client.compareAndSwap(key, revision, Buffer.from(text), lease);
 	}
 
-	async function errorOf(result: platform.kv.KvResult<unknown>): Promise<platform.kv.KvErrorCode | undefined> {
+	async function errorOf(result: clients.kv.KvResult<unknown>): Promise<clients.kv.KvErrorCode | undefined> {
 		const either = await result;
 		return either.isLeft() ? (either.extract()).code : undefined;
 	}
 
-	async function valueOf<Value>(result: platform.kv.KvResult<Value>): Promise<Value> {
+	async function valueOf<Value>(result: clients.kv.KvResult<Value>): Promise<Value> {
 		const either = await result;
 		return either.unsafeCoerce();
 	}
@@ -240,7 +240,7 @@
 	const ended = new Promise<string>(resolve => {
 		onEnd = resolve;
 	});
-	const listener: platform.kv.KvWatchListener = {
+	const listener: clients.kv.KvWatchListener = {
 		onChange(change) {
 			lines.push(`${change.key} ${textOf(change.entry) ?? 'gone'}`);
 			onLine();
--- a/packages/platform/tests/vms/http-vm-list-client.test.ts
+++ b/packages/kv/tests/vms/http-vm-list-client.test.ts
@@ -1,20 +1,20 @@
 import * as chai from 'chai';
 import * as standIns from '@bluebellmast/stand-ins';
-import * as platform from '@bluebellmast/platform';
+import * as clients from '@bluebellmast/kv';
 
 const {expect} = chai;
-const vm: platform.vms.ListedVm = {
+const vm: clients.vms.ListedVm = {
 	vm: 'a', host: '10.0.0.1', peerPort: 7000, dataCentre: 'one', leaving: false,
 };
 
 describe('HttpVmListClient', () => {
 	let list: standIns.vmList.VmListStandIn;
-	let client: platform.vms.HttpVmListClient;
+	let client: clients.vms.HttpVmListClient;
 
 	beforeEach(async () => {
 		list = standIns.vmList.createVmList({vms: [vm], lagMs: 60_000});
 		const {port} = await list.start();
-		client = platform.vms.createHttpVmListClient({baseUrl: `http://127.0.0.1:${port}`, timeoutMs: 200});
+		client = clients.vms.createHttpVmListClient({baseUrl: `http://127.0.0.1:${port}`, timeoutMs: 200});
 	});
 
 	afterEach(async () => {
@@ -30,14 +30,14 @@
 	it('drops malformed entries', async () => {
 		await list.stop();
 		const malformed: unknown[] = [{vm: 'b'}, 7];
-		list = standIns.vmList.createVmList({vms: [vm, ...malformed as platform.vms.ListedVm[]]});
+		list = standIns.vmList.createVmList({vms: [vm, ...malformed as clients.vms.ListedVm[]]});
 		const {port} = await list.start();
-		const other = platform.vms.createHttpVmListClient({baseUrl: `http://127.0.0.1:${port}`});
+		const other = clients.vms.createHttpVmListClient({baseUrl: `http://127.0.0.1:${port}`});
 		expect(await other.list()).to.deep.equal([vm]);
 		await other.close();
 	});
 
-	async function listAt(fault: standIns.fault.FaultName): Promise<readonly platform.vms.ListedVm[] | undefined> {
+	async function listAt(fault: standIns.fault.FaultName): Promise<readonly clients.vms.ListedVm[] | undefined> {
 		await list.server.apply({fault});
 		return client.list();
 	}
--- a/packages/router/src/controllers/leader-controller.ts
+++ b/packages/router/src/controllers/leader-controller.ts
@@ -1,5 +1,5 @@
 import * as core from '@bluebellmast/core';
-import * as platform from '@bluebellmast/platform';
+import * as clients from '@bluebellmast/kv';
 import createDebug from 'debug';
 import type * as clock from '../util/clock.js';
 import type * as metrics from '../util/metrics.js';
@@ -15,7 +15,7 @@
 export type LeaderOptions = {
 	readonly vm: core.model.VmId;
 	readonly incarnation: core.model.Incarnation;
-	readonly kv: platform.kv.KeyValueClient;
+	readonly kv: clients.kv.KeyValueClient;
 	readonly clock: clock.Clock;
 	/** Members that are alive; a few of them, chosen alike by all, try to take the lease. */
 	readonly liveMembers: () => readonly core.model.VmId[];
@@ -39,7 +39,7 @@
 	private readonly cfg: LeaderOptions & typeof defaults;
 	private readonly lease: core.orders.LeaderLease;
 	private readonly value: Uint8Array;
-	private kvLease: platform.kv.KvLease | undefined;
+	private kvLease: clients.kv.KvLease | undefined;
 	private timer: NodeJS.Timeout | undefined;
 	private underWay: Promise<void> | undefined;
 	private stopped = false;
@@ -147,7 +147,7 @@
 		}
 
 		const failure = swapped.swap().unsafeCoerce();
-		if (failure.code !== platform.kv.KvErrorCode.OutcomeUnknown) {
+		if (failure.code !== clients.kv.KvErrorCode.OutcomeUnknown) {
 			return undefined;
 		}
 
@@ -168,7 +168,7 @@
 			return;
 		}
 
-		if (renewed.swap().unsafeCoerce().code === platform.kv.KvErrorCode.LeaseLost) {
+		if (renewed.swap().unsafeCoerce().code === clients.kv.KvErrorCode.LeaseLost) {
 			debug('lost the lease');
 			this.cfg.metrics?.increment('leader.lost');
 			this.lease.ended();
--- a/packages/router/src/controllers/ledger-controller.ts
+++ b/packages/router/src/controllers/ledger-controller.ts
@@ -1,5 +1,5 @@
 import * as core from '@bluebellmast/core';
-import type * as platform from '@bluebellmast/platform';
+import type * as clients from '@bluebellmast/kv';
 import * as wire from '@bluebellmast/wire';
 import type * as peers from '../peers/peer-network.js';
 import * as clock from '../util/clock.js';
@@ -12,7 +12,7 @@
 /** Options of {@link createLedgerController}. */
 export type LedgerControllerOptions = {
 	readonly self: core.ledger.LedgerMember;
-	readonly kv: platform.kv.KeyValueClient;
+	readonly kv: clients.kv.KeyValueClient;
 	readonly peers: peers.PeerNetwork;
 	readonly metrics: metrics.Metrics;
 	/** Clock of the machine by default. */
--- a/packages/router/src/controllers/ledger-shard-store.ts
+++ b/packages/router/src/controllers/ledger-shard-store.ts
@@ -1,16 +1,16 @@
 import * as core from '@bluebellmast/core';
-import * as platform from '@bluebellmast/platform';
+import * as clients from '@bluebellmast/kv';
 import * as matchEither from '../util/match-either.js';
 import type * as metrics from '../util/metrics.js';
 import * as ledgerShardCodec from './ledger-shard-codec.js';
 
 /** Reads and writes the ledger's shards in the key-value service. */
 export class LedgerShardStore {
-	readonly #kv: platform.kv.KeyValueClient;
+	readonly #kv: clients.kv.KeyValueClient;
 	readonly #keyPrefix: string;
 	readonly #metrics: metrics.Metrics;
 
-	constructor(kv: platform.kv.KeyValueClient, keyPrefix: string, counters: metrics.Metrics) {
+	constructor(kv: clients.kv.KeyValueClient, keyPrefix: string, counters: metrics.Metrics) {
 		this.#kv = kv;
 		this.#keyPrefix = keyPrefix;
 		this.#metrics = counters;
@@ -39,7 +39,7 @@
 		return `${this.#keyPrefix}${shard}`;
 	}
 
-	#seen(callId: number, entry: platform.kv.KvEntry | undefined): core.ledger.ShardCallEnd {
+	#seen(callId: number, entry: clients.kv.KvEntry | undefined): core.ledger.ShardCallEnd {
 		if (entry === undefined) {
 			return {
 				result: core.ledger.ShardCallResult.Seen, callId, shard: core.ledger.emptyShard, revision: 0,
@@ -56,8 +56,8 @@
 		);
 	}
 
-	#failSwap(callId: number, err: platform.kv.KvError): core.ledger.ShardCallEnd {
-		if (err.code !== platform.kv.KvErrorCode.OutcomeUnknown) {
+	#failSwap(callId: number, err: clients.kv.KvError): core.ledger.ShardCallEnd {
+		if (err.code !== clients.kv.KvErrorCode.OutcomeUnknown) {
 			return this.#fail(callId);
 		}
 
--- a/packages/router/src/controllers/manifest-controller.ts
+++ b/packages/router/src/controllers/manifest-controller.ts
@@ -1,5 +1,5 @@
 import * as core from '@bluebellmast/core';
-import type * as platform from '@bluebellmast/platform';
+import type * as clients from '@bluebellmast/kv';
 import createDebug from 'debug';
 import type * as peerNetwork from '../peers/peer-network.js';
 import type * as clock from '../util/clock.js';
@@ -17,7 +17,7 @@
 /** Options of the manifest controller. */
 export type ManifestControllerOptions = {
 	readonly vm: core.model.VmId;
-	readonly kv: platform.kv.KeyValueClient;
+	readonly kv: clients.kv.KeyValueClient;
 	readonly peers: peerNetwork.PeerNetwork;
 	readonly clock: clock.Clock;
 	/** Members that are alive as far as this router knows. */
--- a/packages/router/src/controllers/manifest-kv-source.ts
+++ b/packages/router/src/controllers/manifest-kv-source.ts
@@ -1,6 +1,6 @@
 import * as config from '@bluebellmast/config';
 import type * as core from '@bluebellmast/core';
-import type * as platform from '@bluebellmast/platform';
+import type * as clients from '@bluebellmast/kv';
 import createDebug from 'debug';
 
 const debug = createDebug('bluebellmast:manifest');
@@ -14,11 +14,11 @@
 
 /** Reads and watches the manifest in the key-value service. */
 export class ManifestKvSource {
-	readonly #kv: platform.kv.KeyValueClient;
+	readonly #kv: clients.kv.KeyValueClient;
 	readonly #onHead: (head: core.manifest.ManifestHead) => void;
-	#watch: platform.kv.KvWatch | undefined;
+	#watch: clients.kv.KvWatch | undefined;
 
-	constructor(kv: platform.kv.KeyValueClient, onHead: (head: core.manifest.ManifestHead) => void) {
+	constructor(kv: clients.kv.KeyValueClient, onHead: (head: core.manifest.ManifestHead) => void) {
 		this.#kv = kv;
 		this.#onHead = onHead;
 	}
--- a/packages/router/src/controllers/member-controller.ts
+++ b/packages/router/src/controllers/member-controller.ts
@@ -1,5 +1,5 @@
 import * as core from '@bluebellmast/core';
-import type * as platform from '@bluebellmast/platform';
+import type * as clients from '@bluebellmast/kv';
 import * as wire from '@bluebellmast/wire';
 import createDebug from 'debug';
 import * as peerAddress from '../peers/peer-address.js';
@@ -27,7 +27,7 @@
 	readonly host: string;
 	readonly port: number;
 	readonly network: peerNetwork.PeerNetwork;
-	readonly vmList: platform.vms.VmListClient;
+	readonly vmList: clients.vms.VmListClient;
 	/** Addresses from the settings. */
 	readonly hints: readonly peerAddress.PeerAddress[];
 	readonly clock: clock.Clock;
@@ -46,7 +46,7 @@
 	private readonly cfg: MemberControllerOptions;
 	private readonly membership: core.members.Membership;
 	private readonly listeners: MemberListener[] = [];
-	private listed: readonly platform.vms.ListedVm[] | undefined;
+	private listed: readonly clients.vms.ListedVm[] | undefined;
 	private timers: NodeJS.Timeout[] = [];
 	private listing = false;
 
--- a/packages/router/src/wire-up.ts
+++ b/packages/router/src/wire-up.ts
@@ -1,7 +1,7 @@
 import * as crypto from 'node:crypto';
 import type * as config from '@bluebellmast/config';
 import * as core from '@bluebellmast/core';
-import * as platform from '@bluebellmast/platform';
+import * as clients from '@bluebellmast/kv';
 import * as cacheEvents from './controllers/cache-events-controller.js';
 import * as endpointWatch from './controllers/endpoint-watch-controller.js';
 import * as ledgerController from './controllers/ledger-controller.js';
@@ -111,7 +111,7 @@
 		/** What most parts are given. */
 		common: {clock: systemClock, metrics},
 		events: new recorder.Recorder(ring, systemClock, metrics),
-		kv: platform.kv.createEtcdClient({
+		kv: clients.kv.createEtcdClient({
 			baseUrls: settings.platform.kv,
 			callTimeoutMs: settings.platform.kvTimeoutMs,
 			onCall(type) {
@@ -144,7 +144,7 @@
 		host: settings.peer.host,
 		port: settings.peer.port,
 		network,
-		vmList: vmList === undefined ? new platform.vms.NoVmList() : platform.vms.createHttpVmListClient({baseUrl: vmList}),
+		vmList: vmList === undefined ? new clients.vms.NoVmList() : clients.vms.createHttpVmListClient({baseUrl: vmList}),
 		hints: settings.peers,
 		...base.common,
 	});
--- a/packages/router/tests/controllers/fakes/lease-kv.ts
+++ b/packages/router/tests/controllers/fakes/lease-kv.ts
@@ -1,4 +1,4 @@
-import * as platform from '@bluebellmast/platform';
+import * as clients from '@bluebellmast/kv';
 import * as purify from 'purify-ts';
 import * as memoryKv from './memory-kv.js';
 
@@ -35,7 +35,7 @@
 		super(leaseStore);
 	}
 
-	override async get(key: string): platform.kv.KvResult<platform.kv.KvEntry | undefined> {
+	override async get(key: string): clients.kv.KvResult<clients.kv.KvEntry | undefined> {
 		this.leaseStore.expire();
 		return super.get(key);
 	}
@@ -45,7 +45,7 @@
 		expectedRevision: number,
 		value: Uint8Array,
 		leaseId?: string,
-	): platform.kv.KvResult<platform.kv.KvSwap> {
+	): clients.kv.KvResult<clients.kv.KvSwap> {
 		this.leaseStore.expire();
 		const before = this.leaseStore.revision;
 		const result = await super.compareAndSwap(key, expectedRevision, value);
@@ -56,9 +56,9 @@
 		return result;
 	}
 
-	override async grantLease(ttlMs = 0): platform.kv.KvResult<platform.kv.KvLease> {
+	override async grantLease(ttlMs = 0): clients.kv.KvResult<clients.kv.KvLease> {
 		if (this.down) {
-			return this.failure(platform.kv.KvErrorCode.NotSent);
+			return this.failure(clients.kv.KvErrorCode.NotSent);
 		}
 
 		const id = String(this.leaseStore.leases.size + this.leaseStore.nowMs);
@@ -66,18 +66,18 @@
 		return purify.Right({id, ttlMs});
 	}
 
-	override async keepAlive(lease?: platform.kv.KvLease): platform.kv.KvResult<platform.kv.KvLease> {
+	override async keepAlive(lease?: clients.kv.KvLease): clients.kv.KvResult<clients.kv.KvLease> {
 		this.leaseStore.expire();
 		const known = this.leaseStore.leases.get(lease!.id);
 		if (this.down || known === undefined) {
-			return this.failure(this.down ? platform.kv.KvErrorCode.NotSent : platform.kv.KvErrorCode.LeaseLost);
+			return this.failure(this.down ? clients.kv.KvErrorCode.NotSent : clients.kv.KvErrorCode.LeaseLost);
 		}
 
 		known.endsAt = this.leaseStore.nowMs + known.ttlMs;
 		return purify.Right(lease!);
 	}
 
-	override async revoke(lease?: platform.kv.KvLease): platform.kv.KvResult<void> {
+	override async revoke(lease?: clients.kv.KvLease): clients.kv.KvResult<void> {
 		if (!this.down) {
 			this.leaseStore.end(lease!.id);
 		}
@@ -85,7 +85,7 @@
 		return purify.Right(undefined);
 	}
 
-	private failure<Value>(code: platform.kv.KvErrorCode): purify.Either<platform.kv.KvError, Value> {
+	private failure<Value>(code: clients.kv.KvErrorCode): purify.Either<clients.kv.KvError, Value> {
 		return purify.Left({code, message: 'down'});
 	}
 }
--- a/packages/router/tests/controllers/fakes/memory-kv.ts
+++ b/packages/router/tests/controllers/fakes/memory-kv.ts
@@ -1,10 +1,10 @@
-import * as platform from '@bluebellmast/platform';
+import * as clients from '@bluebellmast/kv';
 import * as purify from 'purify-ts';
 
 /** Key-value service in memory that several clients share. */
 export class MemoryKv {
-	readonly entries = new Map<string, platform.kv.KvEntry>();
-	readonly watches = new Map<platform.kv.KvWatchListener, string>();
+	readonly entries = new Map<string, clients.kv.KvEntry>();
+	readonly watches = new Map<clients.kv.KvWatchListener, string>();
 	/** When set, watches are told nothing. */
 	losesNotices = false;
 	/** When set, the next write takes effect and its answer is lost. */
@@ -31,7 +31,7 @@
 }
 
 /** One client of the key-value service in memory; `down` cuts it off. */
-export class MemoryKvClient implements platform.kv.KeyValueClient {
+export class MemoryKvClient implements clients.kv.KeyValueClient {
 	down = false;
 	/** When set, reads of sections fail. */
 	losesSections = false;
@@ -39,17 +39,17 @@
 
 	constructor(readonly store: MemoryKv) {}
 
-	async get(key: string): platform.kv.KvResult<platform.kv.KvEntry | undefined> {
+	async get(key: string): clients.kv.KvResult<clients.kv.KvEntry | undefined> {
 		this.reads += 1;
 		const fails = this.down || (this.losesSections && key.startsWith('manifest/section/'));
 		return fails ? notSent() : purify.Right(this.store.entries.get(key));
 	}
 
-	async getPrefix(prefix: string): platform.kv.KvResult<readonly platform.kv.KvEntry[]> {
+	async getPrefix(prefix: string): clients.kv.KvResult<readonly clients.kv.KvEntry[]> {
 		return this.down ? notSent() : purify.Right([...this.store.entries.values()].filter(entry => entry.key.startsWith(prefix)));
 	}
 
-	async compareAndSwap(key: string, expectedRevision: number, value: Uint8Array): platform.kv.KvResult<platform.kv.KvSwap> {
+	async compareAndSwap(key: string, expectedRevision: number, value: Uint8Array): clients.kv.KvResult<clients.kv.KvSwap> {
 		if (this.down) {
 			return notSent();
 		}
@@ -62,29 +62,29 @@
 		const revision = this.store.put(key, value);
 		if (this.store.losesNextAnswer) {
 			this.store.losesNextAnswer = false;
-			return purify.Left({code: platform.kv.KvErrorCode.OutcomeUnknown, message: 'answer lost'});
+			return purify.Left({code: clients.kv.KvErrorCode.OutcomeUnknown, message: 'answer lost'});
 		}
 
 		return purify.Right({swapped: true, revision});
 	}
 
-	async compareAndDelete(): platform.kv.KvResult<platform.kv.KvSwap> {
+	async compareAndDelete(): clients.kv.KvResult<clients.kv.KvSwap> {
 		return notSent();
 	}
 
-	async grantLease(): platform.kv.KvResult<platform.kv.KvLease> {
+	async grantLease(): clients.kv.KvResult<clients.kv.KvLease> {
 		return notSent();
 	}
 
-	async keepAlive(): platform.kv.KvResult<platform.kv.KvLease> {
+	async keepAlive(): clients.kv.KvResult<clients.kv.KvLease> {
 		return notSent();
 	}
 
-	async revoke(): platform.kv.KvResult<void> {
+	async revoke(): clients.kv.KvResult<void> {
 		return notSent();
 	}
 
-	watch(key: string, _prefix: boolean, listener: platform.kv.KvWatchListener): platform.kv.KvWatch {
+	watch(key: string, _prefix: boolean, listener: clients.kv.KvWatchListener): clients.kv.KvWatch {
 		const {watches} = this.store;
 		watches.set(listener, key);
 		return {
@@ -95,6 +95,6 @@
 	}
 }
 
-function notSent<Value>(): purify.Either<platform.kv.KvError, Value> {
-	return purify.Left({code: platform.kv.KvErrorCode.NotSent, message: 'down'});
+function notSent<Value>(): purify.Either<clients.kv.KvError, Value> {
+	return purify.Left({code: clients.kv.KvErrorCode.NotSent, message: 'down'});
 }
--- a/packages/router/tests/controllers/manifest-spread.test.ts
+++ b/packages/router/tests/controllers/manifest-spread.test.ts
@@ -1,7 +1,7 @@
 import * as timers from 'node:timers/promises';
 import * as chai from 'chai';
 import * as config from '@bluebellmast/config';
-import * as platform from '@bluebellmast/platform';
+import * as clients from '@bluebellmast/kv';
 import * as standIns from '@bluebellmast/stand-ins';
 import * as router from '@bluebellmast/router';
 
@@ -24,11 +24,11 @@
 class Node {
 	readonly network: router.peers.TcpPeerNetwork;
 	readonly controller: router.controllers.ManifestController;
-	readonly #kv: platform.kv.EtcdClient;
+	readonly #kv: clients.kv.EtcdClient;
 
 	constructor(vm: string, kvUrl: string, vms: readonly string[], nodes: readonly Node[]) {
 		const clock = new router.clock.SystemClock();
-		this.#kv = platform.kv.createEtcdClient({baseUrls: [kvUrl], callTimeoutMs: 300});
+		this.#kv = clients.kv.createEtcdClient({baseUrls: [kvUrl], callTimeoutMs: 300});
 		this.network = new router.peers.TcpPeerNetwork({
 			vm, incarnation: `${vm}-1`, dataCentre: 'dc-1', host, port: 0, clock, heartbeatMs: 50,
 			addresses: () => nodes.filter(node => node !== this).map(node => ({host, port: node.network.port})),
@@ -62,7 +62,7 @@
 	const vms = ['vm-0', 'vm-1', 'vm-2', 'vm-3', 'vm-4'];
 	const nodes: Node[] = [];
 	const kv = standIns.kv.createKv({host, port: 0});
-	let operator: platform.kv.EtcdClient;
+	let operator: clients.kv.EtcdClient;
 	let kvUrl: string;
 
 	const startNode = async (vm: string) => {
@@ -89,7 +89,7 @@
 	before(async () => {
 		const {port} = await kv.start();
 		kvUrl = `http://${host}:${port}`;
-		operator = platform.kv.createEtcdClient({baseUrls: [kvUrl]});
+		operator = clients.kv.createEtcdClient({baseUrls: [kvUrl]});
 		for (const vm of vms.slice(0, 4)) {
 			await startNode(vm); // eslint-disable-line no-await-in-loop
 		}
--- a/packages/router/tests/controllers/member-controller.test.ts
+++ b/packages/router/tests/controllers/member-controller.test.ts
@@ -1,6 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import * as chai from 'chai';
-import type * as platform from '@bluebellmast/platform';
+import type * as clients from '@bluebellmast/kv';
 import * as router from '@bluebellmast/router';
 
 const host = '127.0.0.1';
@@ -14,7 +14,7 @@
 
 describe('MemberController', () => {
 	let routers: Array<{stop: () => Promise<void>}> = [];
-	let listed: readonly platform.vms.ListedVm[] | undefined;
+	let listed: readonly clients.vms.ListedVm[] | undefined;
 
 	afterEach(async () => {
 		await Promise.all(routers.map(async each => each.stop()));
--- a/packages/router/tests/controllers/orders-over-http.test.ts
+++ b/packages/router/tests/controllers/orders-over-http.test.ts
@@ -1,7 +1,7 @@
 import * as undici from 'undici';
 import * as chai from 'chai';
 import * as core from '@bluebellmast/core';
-import * as platform from '@bluebellmast/platform';
+import * as clients from '@bluebellmast/kv';
 import * as standIns from '@bluebellmast/stand-ins';
 import * as router from '@bluebellmast/router';
 
@@ -21,7 +21,7 @@
 		weights: ['m@1'], loadMs: 50, checksFencing,
 	}));
 	const controllers: router.controller.Controller[] = [];
-	let kvClient: platform.kv.EtcdClient;
+	let kvClient: clients.kv.EtcdClient;
 
 	after(async () => {
 		for (const each of controllers) {
@@ -35,7 +35,7 @@
 
 	it('takes the lease, rolls engines forward and unloads what is recalled', async () => {
 		const {port} = await kv.start();
-		kvClient = platform.kv.createEtcdClient({baseUrls: [`http://${host}:${port}`]});
+		kvClient = clients.kv.createEtcdClient({baseUrls: [`http://${host}:${port}`]});
 		const addresses = await Promise.all(engines.map(async engine => engine.start()));
 		const endpoints = addresses.map((address, index): core.model.Endpoint => ({
 			id: `e${index}`, service: 's', host, port: address.port, dataCentre: 'dc', checksFencing: index === 0,
--- a/packages/router/tests/support/router-fixture.ts
+++ b/packages/router/tests/support/router-fixture.ts
@@ -1,7 +1,7 @@
 import * as crypto from 'node:crypto';
 import * as config from '@bluebellmast/config';
 import * as core from '@bluebellmast/core';
-import * as platform from '@bluebellmast/platform';
+import * as clients from '@bluebellmast/kv';
 import type * as wire from '@bluebellmast/wire';
 import * as standIns from '@bluebellmast/stand-ins';
 import * as router from '@bluebellmast/router';
@@ -35,7 +35,7 @@
 	readonly kv = standIns.kv.createKv({});
 	readonly engines: standIns.engine.EngineStandIn[] = [];
 	readonly runners: standIns.plainService.PlainServiceStandIn[] = [];
-	#client: platform.kv.EtcdClient | undefined;
+	#client: clients.kv.EtcdClient | undefined;
 	#program: router.program.RouterProgram | undefined;
 	#head: core.manifest.ManifestHead | undefined;
 
@@ -52,7 +52,7 @@
 	async start(options: FixtureOptions = {}): Promise<void> {
 		const {port} = await this.kv.start();
 		const kvUrl = `http://${host}:${port}`;
-		this.#client = platform.kv.createEtcdClient({baseUrls: [kvUrl]});
+		this.#client = clients.kv.createEtcdClient({baseUrls: [kvUrl]});
 		const endpoints = [
 			...await this.#startEngines(options),
 			...await this.#startRunners(options.runners ?? 1),
--- a/packages/stand-ins/src/vm-list/vm-list-stand-in.ts
+++ b/packages/stand-ins/src/vm-list/vm-list-stand-in.ts
@@ -1,4 +1,4 @@
-import type * as platform from '@bluebellmast/platform';
+import type * as clients from '@bluebellmast/kv';
 import * as fault from '../fault/index.js';
 import * as util from '../util/index.js';
 
@@ -7,10 +7,10 @@
 	/** Milliseconds by which the list lags behind changes; default 2,000. */
 	readonly lagMs?: number;
 	/** VMs listed from the start. */
-	readonly vms?: readonly platform.vms.ListedVm[];
+	readonly vms?: readonly clients.vms.ListedVm[];
 };
 
-type Change = {readonly at: number; readonly vms: readonly platform.vms.ListedVm[]};
+type Change = {readonly at: number; readonly vms: readonly clients.vms.ListedVm[]};
 
 const defaultLagMs = 2000;
 
@@ -25,7 +25,7 @@
 		this.#changes = [{at: 0, vms: options.vms ?? []}];
 		this.server = new fault.StandInServer(options, async (req, res) => {
 			if (req.method === 'PUT') {
-				this.set(await util.readJson(req) as platform.vms.ListedVm[]);
+				this.set(await util.readJson(req) as clients.vms.ListedVm[]);
 			}
 
 			await this.server.faults.beforeAnswer();
@@ -34,7 +34,7 @@
 	}
 
 	/** Sets the true list; it shows after the lag. */
-	set(vms: readonly platform.vms.ListedVm[]): void {
+	set(vms: readonly clients.vms.ListedVm[]): void {
 		this.#changes.push({at: Date.now(), vms});
 	}
 
@@ -46,7 +46,7 @@
 		await this.server.stop();
 	}
 
-	#listAt(time: number): readonly platform.vms.ListedVm[] {
+	#listAt(time: number): readonly clients.vms.ListedVm[] {
 		const index = this.#changes.findLastIndex(change => change.at <= time);
 		this.#changes = this.#changes.slice(Math.max(index, 0));
 		return this.#changes[0]!.vms;
--- a/scripts/check-imports.mjs
+++ b/scripts/check-imports.mjs
@@ -8,10 +8,10 @@
 	core: [],
 	wire: ['core'],
 	config: ['core'],
-	platform: ['core', 'wire'],
-	router: ['core', 'wire', 'config', 'platform'],
-	ctl: ['core', 'wire', 'config', 'platform'],
-	'stand-ins': ['core', 'wire', 'config', 'platform'],
+	kv: ['core', 'wire'],
+	router: ['core', 'wire', 'config', 'kv'],
+	ctl: ['core', 'wire', 'config', 'kv'],
+	'stand-ins': ['core', 'wire', 'config', 'kv'],
 };
 const coreLibraries = ['xstate', 'purify-ts', 'xxhash-wasm', 'pure-rand'];
 const coreForbidden = /Date\.now|new Date\(\)|Math\.random|setTimeout|setInterval|performance\.now|\bprocess\.[a-z]/;
