Exchange loads between VMs, and check silent endpoints before leaving them

Change: each VM sends a digest of its requests and uncomputed prompt tokens per endpoint every 100 ms; an endpoint is suspected only if no VM heard of it, and left only if a check stays unanswered.

--- a/packages/core/src/fleet/choose-endpoint.ts
+++ b/packages/core/src/fleet/choose-endpoint.ts
@@ -2,6 +2,7 @@
 import type * as endpointEntry from './endpoint-entry.js';
 import type * as endpointHealth from './endpoint-health.js';
 import type * as engineLoad from './engine-load.js';
+import type * as peerLoads from './peer-loads.js';
 import type * as recentParts from './recent-parts.js';
 
 /** Costs of a placement, as milliseconds of delay unless named otherwise. */
@@ -58,6 +59,7 @@
 /** What a choice rests on. */
 export type PlacementView = {
 	readonly loads: engineLoad.EndpointLoads;
+	readonly peers: peerLoads.PeerLoads;
 	readonly health: endpointHealth.EndpointHealth;
 	readonly recent: recentParts.RecentParts;
 };
@@ -109,11 +111,12 @@
 	const {entry} = candidate;
 	const {need} = placement;
 	const tokens = countTokens(entry.id, placement, view, now);
-	const active = view.loads.active(entry.id, now);
+	const active = view.loads.active(entry.id, view.peers.active(entry.id, now), now);
+	const waitingTokens = view.loads.prefillTokens(entry.id) + view.peers.prefillTokens(entry.id, now);
 	const queued = Math.max(0, active - entry.slots);
 	const costMs = (tokens.prefill / terms.prefillTokensPerMs)
 		+ (tokens.fetch / terms.fetchTokensPerMs)
-		+ (view.loads.prefillTokens(entry.id) / terms.prefillTokensPerMs)
+		+ (waitingTokens / terms.prefillTokensPerMs)
 		+ (active * terms.activeMs)
 		+ (queued / Math.max(1, entry.slots) * terms.fullQueueMs)
 		+ (view.health.failureRate(entry.id) * terms.failureMs)
--- a/packages/core/src/fleet/endpoint-health.ts
+++ b/packages/core/src/fleet/endpoint-health.ts
@@ -1,25 +1,34 @@
 /** Bounds of passive health, in milliseconds unless named otherwise. */
 export type HealthTerms = {
-	/** An endpoint that sends nothing for this long after an answer was due counts as unresponsive. */
+	/** An endpoint that sends nothing for this long after an answer was due is suspected to be dead. */
 	readonly silenceMs: number;
-	/** Failed connections or unexplained resets in a row after which an endpoint counts as unresponsive. */
+	/** Failed connections or unexplained resets in a row after which an endpoint is suspected. */
 	readonly failuresInRow: number;
-	/** How long an unresponsive endpoint gets no requests before it is checked again. */
+	/** Pause between checks of an endpoint that did not answer the last one. */
 	readonly checkIntervalMs: number;
 	/** Weight of the newest outcome in the moving average of failures. */
 	readonly failureWeight: number;
 };
 
 /**
- * The silence bound is a little over the first-token target of both deployments, which endpoints that answer at all
- * rarely exceed; checks once a second keep the price of probes low.
+ * Endpoints that work send something at each step, some tens of milliseconds apart, to one VM or another; a check costs
+ * less than a request that waits for a dead endpoint.
  */
 export const defaultHealthTerms: HealthTerms = {
-	silenceMs: 900, failuresInRow: 3, checkIntervalMs: 1000, failureWeight: 0.1,
+	silenceMs: 500, failuresInRow: 3, checkIntervalMs: 1000, failureWeight: 0.1,
 };
 
-/** How an endpoint has behaved, from the traffic that it was sent. */
+/** What is believed of an endpoint. */
+enum Belief {
+	Responsive = 'responsive',
+	/** A check is due or under way; the endpoint still gets requests. */
+	Suspected = 'suspected',
+	/** The last check was not answered; the endpoint gets no requests. */
+	Unresponsive = 'unresponsive',
+}
+
 type Record = {
+	belief: Belief;
 	/** Last time at which anything arrived from it. */
 	heardAt: number;
 	/** When the first byte of each unanswered request was due, by attempt. */
@@ -27,12 +36,10 @@
 	failuresInRow: number;
 	/** Moving average of failures, from 0 to 1. */
 	failureRate: number;
-	/** When it was found unresponsive, until a check succeeds. */
-	unresponsiveSince?: number;
 	checkedAt: number;
 };
 
-/** Judges endpoints by the answers that they give, so that no health checks are needed while they work. */
+/** Judges endpoints by the answers that they give, so that only suspected ones need a check. */
 export class EndpointHealth {
 	readonly #records = new Map<string, Record>();
 
@@ -66,58 +73,59 @@
 		record.failureRate += this.terms.failureWeight * ((isFailure ? 1 : 0) - record.failureRate);
 	}
 
-	/**
-	 * Notes that no connection could be opened or that one broke without an answer.
-	 *
-	 * @returns Whether the endpoint is now taken as unresponsive.
-	 */
-	noteBroken(endpoint: string, now: number): boolean {
+	/** Notes that no connection could be opened or that one broke without an answer. */
+	noteBroken(endpoint: string): void {
 		this.noteOutcome(endpoint, true);
 		const record = this.#record(endpoint);
-		if (record.failuresInRow < this.terms.failuresInRow || record.unresponsiveSince !== undefined) {
-			return false;
+		if (record.failuresInRow >= this.terms.failuresInRow && record.belief === Belief.Responsive) {
+			record.belief = Belief.Suspected;
+			record.checkedAt = -Infinity;
 		}
-
-		this.#suspect(record, now);
-		return true;
 	}
 
-	/** Notes the result of a check. */
-	noteCheck(endpoint: string, isAlive: boolean, now: number): void {
+	/**
+	 * Notes the result of a check.
+	 *
+	 * @returns Whether the endpoint is now believed to be otherwise than before.
+	 */
+	noteCheck(endpoint: string, isAlive: boolean, now: number): boolean {
 		const record = this.#record(endpoint);
+		const wasUnresponsive = record.belief === Belief.Unresponsive;
 		record.checkedAt = now;
+		record.belief = isAlive ? Belief.Responsive : Belief.Unresponsive;
 		if (isAlive) {
-			record.unresponsiveSince = undefined;
 			record.failuresInRow = 0;
 			record.heardAt = now;
-			record.waiting.clear();
 		}
+
+		return wasUnresponsive === isAlive;
 	}
 
-	/** Finds endpoints that fell silent; each is returned once. */
-	findSilent(now: number): string[] {
-		const silent: string[] = [];
+	/**
+	 * Finds endpoints that are due for a check: those that fell silent, failed repeatedly, or did not answer the last check.
+	 *
+	 * @param heardByOthers - When an endpoint last sent anything to another VM.
+	 */
+	dueForCheck(heardByOthers: (endpoint: string) => number, now: number): string[] {
+		const due: string[] = [];
 		for (const [endpoint, record] of this.#records) {
-			if (record.unresponsiveSince === undefined && this.#isSilent(record, now)) {
-				this.#suspect(record, now);
-				silent.push(endpoint);
+			if (record.belief === Belief.Responsive && this.#isSilent(record, heardByOthers(endpoint), now)) {
+				record.belief = Belief.Suspected;
+				record.checkedAt = -Infinity;
 			}
-		}
 
-		return silent;
-	}
+			if (record.belief !== Belief.Responsive && now - record.checkedAt >= this.terms.checkIntervalMs) {
+				record.checkedAt = now;
+				due.push(endpoint);
+			}
+		}
 
-	/** Returns the unresponsive endpoints that are due for a check. */
-	dueForCheck(now: number): string[] {
-		return [...this.#records]
-			.filter(([, record]) => record.unresponsiveSince !== undefined
-				&& now - record.checkedAt >= this.terms.checkIntervalMs)
-			.map(([endpoint]) => endpoint);
+		return due;
 	}
 
 	/** Whether an endpoint may get requests. */
 	isResponsive(endpoint: string): boolean {
-		return this.#records.get(endpoint)?.unresponsiveSince === undefined;
+		return this.#records.get(endpoint)?.belief !== Belief.Unresponsive;
 	}
 
 	/** Moving average of failures, from 0 to 1. */
@@ -125,6 +133,11 @@
 		return this.#records.get(endpoint)?.failureRate ?? 0;
 	}
 
+	/** When an endpoint last sent anything; minus infinity where it never did. */
+	heardAt(endpoint: string): number {
+		return this.#records.get(endpoint)?.heardAt ?? -Infinity;
+	}
+
 	/** Forgets endpoints that are no longer listed. */
 	retain(listed: ReadonlySet<string>): void {
 		for (const endpoint of this.#records.keys()) {
@@ -134,9 +147,10 @@
 		}
 	}
 
-	#isSilent(record: Record, now: number): boolean {
+	#isSilent(record: Record, heardByOthers: number, now: number): boolean {
+		const heardAt = Math.max(record.heardAt, heardByOthers);
 		for (const dueAt of record.waiting.values()) {
-			if (now - Math.max(dueAt, record.heardAt) >= this.terms.silenceMs) {
+			if (now - Math.max(dueAt, heardAt) >= this.terms.silenceMs) {
 				return true;
 			}
 		}
@@ -144,11 +158,6 @@
 		return false;
 	}
 
-	#suspect(record: Record, now: number): void {
-		record.unresponsiveSince = now;
-		record.checkedAt = now;
-	}
-
 	#record(endpoint: string): Record {
 		const known = this.#records.get(endpoint);
 		if (known !== undefined) {
@@ -156,7 +165,7 @@
 		}
 
 		const record: Record = {
-			heardAt: -Infinity, waiting: new Map(), failuresInRow: 0, failureRate: 0, checkedAt: -Infinity,
+			belief: Belief.Responsive, heardAt: -Infinity, waiting: new Map(), failuresInRow: 0, failureRate: 0, checkedAt: -Infinity,
 		};
 		this.#records.set(endpoint, record);
 		return record;
--- a/packages/core/src/fleet/engine-load.ts
+++ b/packages/core/src/fleet/engine-load.ts
@@ -27,8 +27,8 @@
 	ownAtReport: number;
 };
 
-/** Age after which a reported load says nothing any more, in milliseconds: several times the time of a typical request. */
-const reportLifetimeMs = 3000;
+/** Age after which a reported load says nothing any more, in milliseconds: about the time of a typical request. */
+const reportLifetimeMs = 1000;
 
 /** Load of each endpoint: what it told last, corrected by what this VM sent and finished since. */
 export class EndpointLoads {
@@ -60,19 +60,29 @@
 		load.ownAtReport = load.own.size;
 	}
 
-	/** Requests under way at an endpoint, of all callers, as far as is known. */
-	active(endpoint: string, now: number): number {
+	/**
+	 * Requests under way at an endpoint, of all callers, as far as is known.
+	 *
+	 * @param others - Requests that other VMs told of.
+	 */
+	active(endpoint: string, others: number, now: number): number {
 		const load = this.#loads.get(endpoint);
 		if (load === undefined) {
-			return 0;
+			return others;
 		}
 
+		const told = load.own.size + others;
 		if (load.reported === undefined || now - load.reportedAt > reportLifetimeMs) {
-			return load.own.size;
+			return told;
 		}
 
 		const sinceReport = load.own.size - load.ownAtReport;
-		return Math.max(load.own.size, load.reported.running + load.reported.waiting + sinceReport);
+		return Math.max(told, load.reported.running + load.reported.waiting + sinceReport);
+	}
+
+	/** Endpoints at which this VM has requests under way. */
+	busyEndpoints(): string[] {
+		return [...this.#loads].filter(([, load]) => load.own.size > 0).map(([endpoint]) => endpoint);
 	}
 
 	/** Prompt tokens of this VM's requests that an endpoint has still to compute. */
--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -3,5 +3,7 @@
 export * from './endpoint-health.js';
 export * from './endpoint-registry.js';
 export * from './engine-load.js';
+export * from './load-digest.js';
+export * from './peer-loads.js';
 export * from './recent-parts.js';
 export * from './retry-window.js';
--- /dev/null
+++ b/packages/core/src/fleet/load-digest.ts
@@ -0,0 +1,18 @@
+/** What one VM has under way at one endpoint. */
+export type EndpointDigest = {
+	readonly endpoint: string;
+	/** Requests under way. */
+	readonly active: number;
+	/** Prompt tokens of these requests that the endpoint has still to compute. */
+	readonly prefillTokens: number;
+	/** Milliseconds since the endpoint sent anything to this VM; absent where it never did. */
+	readonly heardAgoMs?: number;
+};
+
+/** What one VM has under way, sent to the others. */
+export type LoadDigest = {
+	readonly vm: string;
+	/** Grows with each digest of a process; a new process begins with a larger number. */
+	readonly sequence: number;
+	readonly endpoints: readonly EndpointDigest[];
+};
--- a/packages/core/src/rollout/plan-rollout.ts
+++ b/packages/core/src/rollout/plan-rollout.ts
@@ -25,7 +25,8 @@
  * Plans the next steps of the roll-outs of all models.
  *
  * Engines that load stay until they are seen with the version; engines that are gone or were restarted are dropped.
- * Further engines with older weights follow up to the limit, those with the fewest requests first, since they finish soonest.
+ * Further engines with older weights follow up to the limit, those with the oldest weights and
+ * then those with the fewest requests first, since these finish soonest.
  *
  * @param targets - Newest named version of each model.
  */
@@ -58,7 +59,8 @@
 	const limit = Math.max(terms.minLoads, Math.floor(engines.length * terms.maxShare));
 	const next = engines
 		.filter(engine => engine.version < version && !busy.has(engine.endpoint))
-		.sort((a, b) => a.active - b.active || (a.endpoint < b.endpoint ? -1 : 1))
+		// Each version has a time by which it must be in place, so the oldest weights go first.
+		.sort((a, b) => a.version - b.version || a.active - b.active || (a.endpoint < b.endpoint ? -1 : 1))
 		.slice(0, Math.max(0, limit - busy.size))
 		.map((engine): rolloutPlan.RolloutStep => ({
 			endpoint: engine.endpoint, bornAt: engine.bornAt, model: engine.model, version, phase: rolloutPlan.RolloutPhase.Loading,
--- a/packages/gateway/src/call/call-run.ts
+++ b/packages/gateway/src/call/call-run.ts
@@ -216,7 +216,7 @@
 	}
 
 	#noteEnd(sent: Sent): void {
-		const {fleet, clock, connections} = this.parts;
+		const {fleet, clock} = this.parts;
 		const {end, placement} = sent;
 		const endpoint = placement.entry.id;
 		const now = clock.steadyNow();
@@ -237,11 +237,7 @@
 			case endpoints.AttemptFault.ConnectionLost:
 			case endpoints.AttemptFault.WrongAnswer:
 			case endpoints.AttemptFault.Unsigned: {
-				if (fleet.health.noteBroken(endpoint, now)) {
-					connections.dropIdle(endpoint);
-					this.parts.log.write(eventLog.LogEvent.EndpointUnresponsive, {endpoint, fault: end.fault, detail: end.detail});
-				}
-
+				fleet.health.noteBroken(endpoint);
 				break;
 			}
 
--- a/packages/gateway/src/controllers/duty-controller.ts
+++ b/packages/gateway/src/controllers/duty-controller.ts
@@ -22,6 +22,14 @@
 	planRevision: number;
 };
 
+/** A VM of the gateway. */
+type Member = {
+	/** `IP:PORT` at which it takes digests of load. */
+	readonly address: string;
+	/** When it no longer counts; absent while its key stands. */
+	readonly forgetAt?: number;
+};
+
 /** How long a VM whose key lapsed still counts among those that share limits, in milliseconds: an outage of the store lets all lapse. */
 const vmMemoryMs = 15_000;
 
@@ -30,8 +38,7 @@
 	readonly view: DutyView = {planRevision: 0};
 	/** Whether the keys were read since the start. */
 	isRead = false;
-	/** VMs with the time from which they don't count; `undefined` while their key stands. */
-	readonly #vms = new Map<string, number | undefined>();
+	readonly #vms = new Map<string, Member>();
 
 	constructor(
 		private readonly fleet: fleetState.FleetState,
@@ -82,6 +89,11 @@
 		}
 	}
 
+	/** Addresses of the other VMs. */
+	peerAddresses(ownVm: string): string[] {
+		return [...this.#vms].filter(([vm]) => vm !== ownVm).map(([, member]) => member.address);
+	}
+
 	#takeLeader(entry: clients.kv.KvEntry | undefined): void {
 		this.view.leader = entry && {...leaderCodec.decodeLeader(entry.value), revision: entry.revision};
 	}
@@ -114,24 +126,28 @@
 		if (change.entry === undefined) {
 			this.#removeVm(vm);
 		} else {
-			this.#vms.set(vm, undefined);
+			this.#vms.set(vm, {address: Buffer.from(change.entry.value).toString()});
 		}
 
 		this.#countVms();
 	}
 
 	#removeVm(vm: string): void {
-		this.#vms.set(vm, this.#vms.get(vm) ?? this.clock.steadyNow() + vmMemoryMs);
+		const member = this.#vms.get(vm);
+		if (member !== undefined) {
+			this.#vms.set(vm, {...member, forgetAt: member.forgetAt ?? this.clock.steadyNow() + vmMemoryMs});
+		}
 	}
 
 	#countVms(): void {
 		const now = this.clock.steadyNow();
-		for (const [vm, endsAt] of this.#vms) {
-			if (endsAt !== undefined && endsAt <= now) {
+		for (const [vm, {forgetAt}] of this.#vms) {
+			if (forgetAt !== undefined && forgetAt <= now) {
 				this.#vms.delete(vm);
 			}
 		}
 
 		this.fleet.vms = Math.max(1, this.#vms.size);
+		this.fleet.peers.retain(new Set(this.#vms.keys()));
 	}
 }
--- a/packages/gateway/src/controllers/endpoint-controller.ts
+++ b/packages/gateway/src/controllers/endpoint-controller.ts
@@ -22,8 +22,6 @@
 
 /** Follows the listed endpoints, and leaves those that stop to answer until a check finds them alive. */
 export class EndpointController implements storeFeed.FeedListener {
-	readonly #checking = new Set<string>();
-
 	constructor(private readonly parts: EndpointControllerParts) {}
 
 	onSnapshot(entries: readonly clients.kv.KvEntry[], maybeLapsed: boolean): void {
@@ -51,18 +49,12 @@
 		}
 	}
 
-	/** Drops entries that did not return, and looks for endpoints that fell silent or are due for a check. */
+	/** Drops entries that did not return, and checks endpoints that fell silent. */
 	tick(): void {
-		const {fleet, clock, connections, dispatcher, log} = this.parts;
+		const {fleet, clock} = this.parts;
 		const now = clock.steadyNow();
 		fleet.registry.sweep(now);
-		for (const endpoint of fleet.health.findSilent(now)) {
-			log.write(eventLog.LogEvent.EndpointUnresponsive, {endpoint, fault: 'silent'});
-			connections.dropIdle(endpoint);
-			dispatcher.leaveEndpoint(endpoint);
-		}
-
-		for (const endpoint of fleet.health.dueForCheck(now)) {
+		for (const endpoint of fleet.health.dueForCheck(id => fleet.peers.heardAt(id), now)) {
 			void this.#check(endpoint);
 		}
 	}
@@ -101,22 +93,25 @@
 	}
 
 	async #check(endpoint: string): Promise<void> {
-		const {fleet, config, admin, clock, log} = this.parts;
+		const {fleet, config, admin, clock} = this.parts;
 		const entry = fleet.registry.find(endpoint);
 		const pool = entry === undefined ? undefined : config.table?.findPool(entry.pool);
-		if (entry === undefined || pool === undefined || this.#checking.has(endpoint)) {
+		if (entry === undefined || pool === undefined) {
 			return;
 		}
 
-		this.#checking.add(endpoint);
-		try {
-			const isAlive = await admin.isAlive(entry, pool);
-			fleet.health.noteCheck(endpoint, isAlive, clock.steadyNow());
-			if (isAlive) {
-				log.write(eventLog.LogEvent.EndpointResponsive, {endpoint});
-			}
-		} finally {
-			this.#checking.delete(endpoint);
+		const isAlive = await admin.isAlive(entry, pool);
+		if (fleet.health.noteCheck(endpoint, isAlive, clock.steadyNow())) {
+			this.#noteChange(endpoint, isAlive);
+		}
+	}
+
+	#noteChange(endpoint: string, isAlive: boolean): void {
+		const {connections, dispatcher, log} = this.parts;
+		log.write(isAlive ? eventLog.LogEvent.EndpointResponsive : eventLog.LogEvent.EndpointUnresponsive, {endpoint});
+		if (!isAlive) {
+			connections.dropIdle(endpoint);
+			dispatcher.leaveEndpoint(endpoint);
 		}
 	}
 
--- a/packages/gateway/src/controllers/index.ts
+++ b/packages/gateway/src/controllers/index.ts
@@ -2,6 +2,7 @@
 export * from './duty-keys.js';
 export * from './endpoint-controller.js';
 export * from './lease-controller.js';
+export * from './load-controller.js';
 export * from './operator-controller.js';
 export * from './prefix-listeners.js';
 export * from './rollout-controller.js';
--- a/packages/gateway/src/controllers/lease-controller.ts
+++ b/packages/gateway/src/controllers/lease-controller.ts
@@ -30,6 +30,8 @@
 /** What the controller works with. */
 export type LeaseControllerParts = {
 	readonly vm: string;
+	/** Tells the `IP:PORT` at which this VM takes digests of load. */
+	readonly ownAddress: () => string;
 	readonly store: clients.kv.KeyValueClient;
 	readonly duties: dutyController.DutyController;
 	readonly fleet: fleetState.FleetState;
@@ -150,7 +152,7 @@
 		}
 
 		const revision = (read.extract() as clients.kv.KvEntry | undefined)?.revision ?? 0;
-		const swap = await this.parts.store.compareAndSwap(key, revision, Buffer.from(this.parts.vm), lease.id);
+		const swap = await this.parts.store.compareAndSwap(key, revision, Buffer.from(this.parts.ownAddress()), lease.id);
 		swap.ifRight(result => {
 			this.#isRegistered = result.swapped;
 		});
--- a/packages/gateway/src/controllers/rollout-controller.ts
+++ b/packages/gateway/src/controllers/rollout-controller.ts
@@ -46,6 +46,8 @@
 	reportedAt: number;
 	acceptedOrders?: number;
 	isBusy: boolean;
+	/** Whether a call to the engine is under way. */
+	isCalling: boolean;
 };
 
 /** As the leader, brings the engines to the newest named weights: plans, publishes, orders, and reads back. */
@@ -72,7 +74,9 @@
 		}
 
 		const loading = plan.steps.filter(step => step.phase === core.rollout.RolloutPhase.Loading);
-		await Promise.all(loading.map(async step => this.#advance(step)));
+		for (const step of loading) {
+			void this.#advance(step);
+		}
 	}
 
 	#listEngines(): core.rollout.RolloutEngine[] {
@@ -85,7 +89,7 @@
 					const version = fleet.registry.weightVersion(entry.id, model);
 					if (version !== undefined && fleet.health.isResponsive(entry.id)) {
 						engines.push({
-							endpoint: entry.id, bornAt: entry.bornAt, model, version, active: fleet.loads.active(entry.id, now),
+							endpoint: entry.id, bornAt: entry.bornAt, model, version, active: fleet.loads.active(entry.id, fleet.peers.active(entry.id, now), now),
 						});
 					}
 				}
@@ -112,21 +116,32 @@
 	async #advance(step: core.rollout.RolloutStep): Promise<void> {
 		const now = this.parts.clock.steadyNow();
 		const key = `${step.endpoint}/${step.bornAt}/${step.model}/${step.version}`;
-		const state = this.#states.get(key) ?? {plannedAt: now, reportedAt: -Infinity, isBusy: false};
+		const state = this.#states.get(key) ?? {plannedAt: now, reportedAt: -Infinity, isBusy: false, isCalling: false};
 		this.#states.set(key, state);
 		const entry = this.parts.fleet.registry.find(step.endpoint);
-		if (entry === undefined || now - state.plannedAt < this.times.settleMs) {
+		if (entry === undefined || state.isCalling || now - state.plannedAt < this.times.settleMs) {
 			return;
 		}
 
+		state.isCalling = true;
+		try {
+			await this.#call(step, state, entry, now);
+		} finally {
+			state.isCalling = false;
+		}
+	}
+
+	async #call(
+		step: core.rollout.RolloutStep,
+		state: StepState,
+		entry: core.fleet.EndpointEntry,
+		now: number,
+	): Promise<void> {
 		const mustOrder = state.orderedAt === undefined
 			|| (now - state.orderedAt >= this.times.reorderMs && !state.isBusy);
 		if (mustOrder) {
 			await this.#order(step, state, entry);
-			return;
-		}
-
-		if (now - Math.max(state.reportedAt, state.orderedAt!) >= this.times.reportEveryMs) {
+		} else if (now - Math.max(state.reportedAt, state.orderedAt!) >= this.times.reportEveryMs) {
 			await this.#readReport(step, state, entry);
 		}
 	}
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -10,6 +10,8 @@
 	readonly listen: ingress.ListenAddress;
 	/** Where the balancer asks for readiness. */
 	readonly readiness: ingress.ListenAddress;
+	/** Where other VMs send digests of their load. */
+	readonly peers: ingress.ListenAddress;
 	/** Path of the readiness question. */
 	readonly readinessPath: string;
 	readonly trust: core.routing.TrustTerms;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,6 +2,7 @@
 import type * as controllers from './controllers/index.js';
 import type * as gatewaySettings from './gateway-settings.js';
 import * as ingress from './ingress/index.js';
+import type * as peers from './peers/index.js';
 import type * as placement from './placement/index.js';
 import type * as clocks from './util/clocks.js';
 import * as eventLog from './util/event-log.js';
@@ -18,6 +19,8 @@
 	readonly rollout: controllers.RolloutController;
 	readonly duties: controllers.DutyController;
 	readonly endpointController: controllers.EndpointController;
+	readonly exchange: peers.LoadExchange;
+	readonly load: controllers.LoadController;
 	readonly clock: clocks.Clocks;
 	readonly log: eventLog.EventLog;
 };
@@ -26,6 +29,8 @@
 const endpointTickMs = 100;
 const leaseTickMs = 150;
 const rolloutTickMs = 50;
+/** Digests of load are a few hundred bytes; this keeps them below 3 KB/s for each peer. */
+const loadTickMs = 100;
 /** Age of the configuration beyond which the VM asks for no new connections, in milliseconds: several polls have failed. */
 const readyConfigAgeMs = 3000;
 /** Time between the first refused readiness question and the end of listening, in milliseconds: two questions and a margin. */
@@ -56,9 +61,13 @@
 
 	/** Starts to follow the store and to listen. */
 	async start(): Promise<void> {
-		const {settings, server, feed, log} = this.parts;
+		const {settings, server, feed, exchange, log} = this.parts;
+		await Promise.all([
+			server.listen(settings.listen),
+			this.#readiness.listen(settings.readiness),
+			exchange.listen(),
+		]);
 		void feed.run();
-		await Promise.all([server.listen(settings.listen), this.#readiness.listen(settings.readiness)]);
 		this.#tasks = this.#runTasks();
 		log.write(eventLog.LogEvent.Started, {port: server.port, dataCentre: settings.dataCentre});
 	}
@@ -89,12 +98,13 @@
 		}
 
 		this.parts.feed.stop();
+		this.parts.exchange.close();
 		this.parts.server.close();
 		this.#readiness.close();
 	}
 
 	#runTasks(): periodic.Periodic[] {
-		const {endpointController, duties, lease, rollout, log} = this.parts;
+		const {endpointController, duties, lease, rollout, load, log} = this.parts;
 		const run = (name: string, intervalMs: number, task: () => Promise<void> | void): periodic.Periodic =>
 			periodic.runPeriodically(name, intervalMs, log, eventLog.LogEvent.InternalError, task);
 		return [
@@ -103,6 +113,9 @@
 				duties.tick();
 			}),
 			run('lease', leaseTickMs, async () => lease.tick()),
+			run('load', loadTickMs, () => {
+				load.tick();
+			}),
 			run('rollout', rolloutTickMs, async () => rollout.tick()),
 		];
 	}
--- /dev/null
+++ b/packages/gateway/src/peers/index.ts
@@ -0,0 +1,2 @@
+export * from './digest-codec.js';
+export * from './load-exchange.js';
--- /dev/null
+++ b/packages/gateway/src/peers/load-exchange.ts
@@ -0,0 +1,66 @@
+import * as dgram from 'node:dgram';
+import type * as core from '@bluebellmast/core';
+import type * as ingress from '../ingress/index.js';
+import * as eventLog from '../util/event-log.js';
+import * as digestCodec from './digest-codec.js';
+
+/** What the exchange works with. */
+export type LoadExchangeParts = {
+	/** Where digests of other VMs arrive. */
+	readonly listen: ingress.ListenAddress;
+	readonly log: eventLog.EventLog;
+	readonly onDigest: (digest: core.fleet.LoadDigest) => void;
+};
+
+/**
+ * Sends digests of this VM's load to the others and takes theirs, as datagrams: each digest is whole in itself, so a lost
+ * one needs no repetition.
+ */
+export class LoadExchange {
+	readonly #socket = dgram.createSocket('udp4');
+
+	constructor(private readonly parts: LoadExchangeParts) {
+		this.#socket.on('message', message => {
+			const digest = digestCodec.decodeDigest(message);
+			if (digest !== undefined) {
+				parts.onDigest(digest);
+			}
+		});
+		this.#socket.on('error', err => {
+			parts.log.write(eventLog.LogEvent.InternalError, {task: 'load exchange', problem: err.message});
+		});
+	}
+
+	/** Starts to listen. */
+	async listen(): Promise<void> {
+		return new Promise(resolve => {
+			this.#socket.bind(this.parts.listen.port, this.parts.listen.host, () => {
+				resolve();
+			});
+		});
+	}
+
+	/** Address under which other VMs reach this one. */
+	get address(): string {
+		const {address, port} = this.#socket.address();
+		return `${address}:${port}`;
+	}
+
+	/** Sends a digest to other VMs, given as `IP:PORT`. */
+	send(digest: core.fleet.LoadDigest, addresses: readonly string[]): void {
+		const message = digestCodec.encodeDigest(digest);
+		for (const address of addresses) {
+			const [host, port] = address.split(':');
+			this.#socket.send(message, Number(port), host, err => {
+				if (err !== null) {
+					this.parts.log.write(eventLog.LogEvent.InternalError, {task: 'load digest', peer: address, problem: err.message});
+				}
+			});
+		}
+	}
+
+	/** Stops the exchange. */
+	close(): void {
+		this.#socket.close();
+	}
+}
--- a/packages/gateway/src/placement/fleet-state.ts
+++ b/packages/gateway/src/placement/fleet-state.ts
@@ -5,6 +5,7 @@
 	readonly registry = new core.fleet.EndpointRegistry();
 	readonly health = new core.fleet.EndpointHealth();
 	readonly loads = new core.fleet.EndpointLoads();
+	readonly peers = new core.fleet.PeerLoads();
 	readonly recent = new core.fleet.RecentParts();
 	readonly targets = new core.rollout.WeightTargets();
 	/** Plan of the roll-out under way, as last seen in the store. */
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -6,6 +6,7 @@
 import type * as gatewaySettings from './gateway-settings.js';
 import * as gateway from './gateway.js';
 import * as ingress from './ingress/index.js';
+import * as peers from './peers/index.js';
 import * as placement from './placement/index.js';
 import type * as ports from './ports/index.js';
 import type * as clocks from './util/clocks.js';
@@ -67,8 +68,18 @@
 		decoder, config, fleet, connections, dispatcher, admin, clock, log,
 	});
 	const duties = new controllers.DutyController(fleet, clock, log);
+	const exchange = new peers.LoadExchange({
+		listen: settings.peers,
+		log,
+		onDigest(digest) {
+			fleet.peers.note(digest, clock.steadyNow());
+		},
+	});
+	const load = new controllers.LoadController({
+		vm: settings.vm, fleet, duties, exchange, clock,
+	});
 	const lease = new controllers.LeaseController({
-		vm: settings.vm, store, duties, fleet, clock, log, random,
+		vm: settings.vm, ownAddress: () => exchange.address, store, duties, fleet, clock, log, random,
 	}, controllers.createVmLeaseTerms(settings.holderGapMs));
 	const rollout = new controllers.RolloutController({
 		vm: settings.vm, store, duties, lease, fleet, config, admin, clock, log, terms: core.rollout.defaultRolloutTerms,
@@ -79,6 +90,6 @@
 		{prefix: controllers.dutyPrefix, listener: duties},
 	]), clock, log);
 	return new gateway.Gateway({
-		settings, config, fleet, server, feed, lease, rollout, duties, endpointController, clock, log,
+		settings, config, fleet, server, feed, lease, rollout, duties, endpointController, exchange, load, clock, log,
 	});
 }
