Wait for room at the VM, refuse long waits at once, tell all VMs where parts are cached

The roll-out passes on since when a version counts, and the youngest process leads. Conclusion: engine queues must stay short; next are refused orders and tests.

--- a/packages/core/src/fleet/choose-endpoint.ts
+++ b/packages/core/src/fleet/choose-endpoint.ts
@@ -2,49 +2,49 @@
 import type * as endpointEntry from './endpoint-entry.js';
 import type * as endpointHealth from './endpoint-health.js';
 import type * as engineLoad from './engine-load.js';
+import type * as partPlaces from './part-places.js';
 import type * as peerLoads from './peer-loads.js';
-import type * as recentParts from './recent-parts.js';
 
 /** Costs of a placement, as milliseconds of delay unless named otherwise. */
 export type PlacementTerms = {
-	/** Prompt tokens that an engine computes in a millisecond. */
+	/** Prompt tokens that an engine computes in a millisecond, with the steps of running requests between. */
 	readonly prefillTokensPerMs: number;
 	/** Prompt tokens that an engine fetches from the cache store in a millisecond. */
 	readonly fetchTokensPerMs: number;
 	/** Cost of each request that is under way in an engine. */
 	readonly activeMs: number;
-	/** Cost of a queue as long as an engine's slots. */
+	/** Cost of a queue as long as an endpoint's slots. */
 	readonly fullQueueMs: number;
 	/** Cost of an endpoint that fails every request. */
 	readonly failureMs: number;
 	/** Cost of another data centre: the platform prices bytes between them. */
 	readonly otherDataCentreMs: number;
-	/** Cost of weights older than the newest named ones, which halve a fifth of an answer's value. */
+	/** Cost of weights older than the newest named ones, which lessen an answer's value by a fifth. */
 	readonly oldWeightsMs: number;
-	/** Endpoints, first in rendezvous order, that are taken to hold a prompt's first part without a sign of it. */
-	readonly homes: number;
+	/** Gain of the endpoint that is first in rendezvous order, so that VMs agree on a home for a part that none has. */
+	readonly homeMs: number;
 };
 
 /**
- * The prefill and fetch rates lie between those of the two deployments' sheets (54.6 and 63.9 tokens/ms computed, 350
- * and 250 tokens/ms over the cache store's link).
+ * The prefill rate is the sheets' 54.6 and 63.9 tokens/ms less the steps of some tens of running requests; the fetch rate
+ * lies below the 350 and 250 tokens/ms that the cache stores' links carry.
  */
 export const defaultPlacementTerms: PlacementTerms = {
-	prefillTokensPerMs: 55,
-	fetchTokensPerMs: 250,
-	activeMs: 6,
-	fullQueueMs: 1000,
+	prefillTokensPerMs: 45,
+	fetchTokensPerMs: 200,
+	activeMs: 3,
+	fullQueueMs: 500,
 	failureMs: 2000,
 	otherDataCentreMs: 4,
 	oldWeightsMs: 100,
-	homes: 1,
+	homeMs: 30,
 };
 
 /** What a request needs of an endpoint. */
 export type PlacementNeed = {
 	/** Data centre of this VM. */
 	readonly dataCentre: string;
-	/** Cacheable parts of the prompt in order, with the cache namespace in their ids; empty for plain services. */
+	/** Cacheable parts of the prompt in order; empty for plain services. */
 	readonly parts: readonly engineLoad.PromptPart[];
 	/** Parts at the front of the prompt that other requests share. */
 	readonly sharedParts: number;
@@ -54,6 +54,8 @@
 export type Candidate = {
 	readonly entry: endpointEntry.EndpointEntry;
 	readonly hasOldWeights: boolean;
+	/** Namespace of cached state under the endpoint's weights. */
+	readonly cacheNamespace: string;
 };
 
 /** What a choice rests on. */
@@ -61,30 +63,39 @@
 	readonly loads: engineLoad.EndpointLoads;
 	readonly peers: peerLoads.PeerLoads;
 	readonly health: endpointHealth.EndpointHealth;
-	readonly recent: recentParts.RecentParts;
+	readonly parts: partPlaces.PartPlaces;
 	readonly terms: PlacementTerms;
 };
 
 /** An endpoint with what the request is expected to cost there. */
 export type Choice = {
-	readonly entry: endpointEntry.EndpointEntry;
-	/** Expected delay until the first token plus penalties, in milliseconds. */
+	readonly candidate: Candidate;
+	/** Rank: expected delay until the first token plus penalties, in milliseconds. */
 	readonly costMs: number;
+	/** Time that the endpoint needs for what it has before it can begin, in milliseconds. */
+	readonly backlogMs: number;
+	/** Expected time until the first token, in milliseconds. */
+	readonly firstTokenMs: number;
 	/** Prompt tokens that the endpoint has to compute. */
 	readonly prefillTokens: number;
 };
 
-/** Chooses the endpoint with the least cost; ties go to the first in rendezvous order. */
+/** Key of a prompt part in a cache namespace. */
+export function partKey(cacheNamespace: string, part: engineLoad.PromptPart): string {
+	return `${cacheNamespace}/${part.id}`;
+}
+
+/** Chooses the endpoint with the least cost. */
 export function chooseEndpoint(
 	candidates: readonly Candidate[],
 	need: PlacementNeed,
 	view: PlacementView,
 	now: number,
 ): Choice | undefined {
-	const homes = new Set(rankHomes(candidates, need).slice(0, view.terms.homes));
+	const home = findHome(candidates, need);
 	let best: Choice | undefined;
 	for (const candidate of candidates) {
-		const choice = costOf(candidate, {need, isHome: homes.has(candidate.entry.id)}, view, now);
+		const choice = costOf(candidate, {need, isHome: candidate.entry.id === home}, view, now);
 		if (best === undefined || choice.costMs < best.costMs) {
 			best = choice;
 		}
@@ -93,11 +104,11 @@
 	return best;
 }
 
-function rankHomes(candidates: readonly Candidate[], need: PlacementNeed): string[] {
+function findHome(candidates: readonly Candidate[], need: PlacementNeed): string | undefined {
 	const first = need.parts[0];
 	return first === undefined || need.sharedParts === 0
-		? []
-		: rendezvous.rankByRendezvous(first.id, candidates.map(candidate => candidate.entry.id));
+		? undefined
+		: rendezvous.bestByRendezvous(first.id, candidates.map(candidate => candidate.entry.id));
 }
 
 function costOf(
@@ -107,45 +118,45 @@
 	now: number,
 ): Choice {
 	const {entry} = candidate;
-	const {need} = placement;
+	const {need, isHome} = placement;
 	const {terms} = view;
-	const tokens = countTokens(entry.id, placement, view, now);
+	const tokens = countTokens(candidate, need, view, now);
 	const active = view.loads.active(entry.id, view.peers.active(entry.id, now), now);
 	const waitingTokens = view.loads.prefillTokens(entry.id) + view.peers.prefillTokens(entry.id, now);
 	const queued = Math.max(0, active - entry.slots);
-	const costMs = (tokens.prefill / terms.prefillTokensPerMs)
-		+ (tokens.fetch / terms.fetchTokensPerMs)
-		+ (waitingTokens / terms.prefillTokensPerMs)
+	const backlogMs = (waitingTokens / terms.prefillTokensPerMs) + (queued / Math.max(1, entry.slots) * terms.fullQueueMs);
+	const firstTokenMs = backlogMs + (tokens.prefill / terms.prefillTokensPerMs) + (tokens.fetch / terms.fetchTokensPerMs);
+	const costMs = firstTokenMs
 		+ (active * terms.activeMs)
-		+ (queued / Math.max(1, entry.slots) * terms.fullQueueMs)
 		+ (view.health.failureRate(entry.id) * terms.failureMs)
 		+ (entry.dataCentre === need.dataCentre ? 0 : terms.otherDataCentreMs)
-		+ (candidate.hasOldWeights ? terms.oldWeightsMs : 0);
-	return {entry, costMs, prefillTokens: tokens.prefill};
+		+ (candidate.hasOldWeights ? terms.oldWeightsMs : 0)
+		- (isHome ? terms.homeMs : 0);
+	return {
+		candidate, costMs, backlogMs, firstTokenMs, prefillTokens: tokens.prefill,
+	};
 }
 
 /** Counts the tokens to compute and to fetch; a part counts as cached only if all parts before it are. */
 function countTokens(
-	endpoint: string,
-	placement: {readonly need: PlacementNeed; readonly isHome: boolean},
+	candidate: Candidate,
+	need: PlacementNeed,
 	view: PlacementView,
 	now: number,
 ): {prefill: number; fetch: number} {
 	let prefill = 0;
 	let fetch = 0;
-	let isCached = true;
-	for (const [index, part] of placement.need.parts.entries()) {
-		const isShared = index < placement.need.sharedParts;
-		const isAtHome = placement.isHome && isShared;
-		isCached &&= (isAtHome || view.recent.has(part.id, endpoint, now));
-		if (isCached) {
-			continue;
-		}
-
-		if (isShared) {
-			fetch += part.tokens;
-		} else {
+	let isPresent = true;
+	for (const [index, part] of need.parts.entries()) {
+		const key = partKey(candidate.cacheNamespace, part);
+		const isShared = index < need.sharedParts;
+		const isCached: boolean = isPresent && view.parts.isCached(key, candidate.entry.id, now);
+		const isStored: boolean = isPresent && isShared && Number.isFinite(view.parts.storedForMs(key, now));
+		isPresent = isCached || isStored;
+		if (!isPresent) {
 			prefill += part.tokens;
+		} else if (!isCached) {
+			fetch += part.tokens;
 		}
 	}
 
--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -1,3 +1,4 @@
+export * from './admission.js';
 export * from './choose-endpoint.js';
 export * from './endpoint-entry.js';
 export * from './endpoint-health.js';
@@ -5,5 +6,5 @@
 export * from './engine-load.js';
 export * from './load-digest.js';
 export * from './peer-loads.js';
-export * from './recent-parts.js';
+export * from './part-places.js';
 export * from './retry-window.js';
--- a/packages/core/src/fleet/load-digest.ts
+++ b/packages/core/src/fleet/load-digest.ts
@@ -1,3 +1,5 @@
+import type * as partPlaces from './part-places.js';
+
 /** What one VM has under way at one endpoint. */
 export type EndpointDigest = {
 	readonly endpoint: string;
@@ -9,10 +11,12 @@
 	readonly heardAgoMs?: number;
 };
 
-/** What one VM has under way, sent to the others. */
+/** What one VM has under way and what it learned since its last digest, sent to the others. */
 export type LoadDigest = {
 	readonly vm: string;
 	/** Grows with each digest of a process; a new process begins with a larger number. */
 	readonly sequence: number;
 	readonly endpoints: readonly EndpointDigest[];
+	/** Signs of where large prompt parts are cached. */
+	readonly parts: readonly partPlaces.PartSign[];
 };
--- a/packages/core/src/rollout/plan-rollout.ts
+++ b/packages/core/src/rollout/plan-rollout.ts
@@ -28,6 +28,8 @@
 	readonly engines: readonly RolloutEngine[];
 	/** Newest named version of each model. */
 	readonly targets: ReadonlyMap<string, number>;
+	/** Versions with the times at which they were first seen. */
+	readonly named: readonly rolloutPlan.NamedVersion[];
 	/** Fencing number of the leader that plans. */
 	readonly fence: number;
 };
@@ -40,7 +42,7 @@
  * then those with the fewest requests first, since these finish soonest.
  */
 export function planRollout(
-	{plan, engines, targets, fence}: RolloutInput,
+	{plan, engines, targets, named, fence}: RolloutInput,
 	terms: RolloutTerms = defaultRolloutTerms,
 ): rolloutPlan.RolloutPlan {
 	const steps: rolloutPlan.RolloutStep[] = [];
@@ -49,7 +51,7 @@
 		steps.push(...planModel(plan, ofModel, version, terms));
 	}
 
-	return {fence, steps};
+	return {fence, steps, named};
 }
 
 function planModel(
--- a/packages/core/src/rollout/rollout-plan.ts
+++ b/packages/core/src/rollout/rollout-plan.ts
@@ -16,15 +16,25 @@
 	readonly phase: RolloutPhase;
 };
 
+/** A named version of weights, as the leader passes it on. */
+export type NamedVersion = {
+	readonly model: string;
+	readonly version: number;
+	/** When the version was first seen, in Unix milliseconds. */
+	readonly seenAt: number;
+};
+
 /** The roll-out as the leader publishes it in the store, so that all VMs leave out engines that load. */
 export type RolloutPlan = {
 	/** Fencing number of the leader that wrote it. */
 	readonly fence: number;
 	readonly steps: readonly RolloutStep[];
+	/** Versions with the time since which they count, which a VM that starts later can't know by itself. */
+	readonly named: readonly NamedVersion[];
 };
 
 /** The plan before any roll-out. */
-export const emptyRolloutPlan: RolloutPlan = {fence: 0, steps: []};
+export const emptyRolloutPlan: RolloutPlan = {fence: 0, steps: [], named: []};
 
 /** Returns whether an engine is out of placement by a plan. */
 export function isLoading(plan: RolloutPlan, endpoint: string): boolean {
--- a/packages/core/src/rollout/weight-targets.ts
+++ b/packages/core/src/rollout/weight-targets.ts
@@ -6,21 +6,32 @@
 
 /** Named versions that are remembered for each model. */
 const keptVersions = 50;
+/** Newest versions of each model that are passed on to VMs that start later. */
+const passedOnVersions = 4;
 
 /** The versions of weights that the operator named, with the times at which this VM saw them first. */
 export class WeightTargets {
 	readonly #targets = new Map<string, Target[]>();
 
-	/** Takes a named version. @returns Whether it is newer than all before. */
-	note(model: string, version: number, now: number): boolean {
+	/**
+	 * Takes a named version, also one that another VM saw earlier than this one.
+	 *
+	 * @returns Whether it is newer than all before.
+	 */
+	note(model: string, version: number, seenAt: number): boolean {
 		const targets = this.#targets.get(model) ?? [];
-		const newest = targets.at(-1);
-		if (newest !== undefined && newest.version >= version) {
-			return false;
-		}
+		const isNewest = targets.every(target => target.version < version);
+		const known = targets.find(target => target.version === version);
+		const others = targets.filter(target => target.version !== version);
+		const merged = [...others, {version, seenAt: Math.min(seenAt, known?.seenAt ?? Infinity)}];
+		this.#targets.set(model, merged.sort((a, b) => a.version - b.version).slice(-keptVersions));
+		return isNewest;
+	}
 
-		this.#targets.set(model, [...targets, {version, seenAt: now}].slice(-keptVersions));
-		return true;
+	/** Newest versions with the times at which they were seen. */
+	list(): Array<{readonly model: string; readonly version: number; readonly seenAt: number}> {
+		return [...this.#targets].flatMap(([model, targets]) =>
+			targets.slice(-passedOnVersions).map(target => ({model, ...target})));
 	}
 
 	/** Newest named version of each model. */
--- a/packages/gateway/src/call/call-dispatcher.ts
+++ b/packages/gateway/src/call/call-dispatcher.ts
@@ -9,6 +9,7 @@
 import * as callRun from './call-run.js';
 import type * as refusals from './refusal.js';
 import type * as retryWindows from './retry-windows.js';
+import type * as waitingRoom from './waiting-room.js';
 
 /** What requests are dispatched with. */
 export type DispatchParts = {
@@ -17,6 +18,9 @@
 	readonly connections: endpoints.ConnectionPools;
 	readonly protocol: ports.EndpointProtocol;
 	readonly retries: retryWindows.RetryWindows;
+	readonly waiting: waitingRoom.WaitingRoom;
+	/** Tells where prompt parts are cached. */
+	readonly noteParts: (signs: readonly core.fleet.PartSign[]) => void;
 	readonly trust: CallTrust;
 	readonly clock: clocks.Clocks;
 	readonly log: eventLog.EventLog;
--- a/packages/gateway/src/call/call-run.ts
+++ b/packages/gateway/src/call/call-run.ts
@@ -1,6 +1,6 @@
 import * as core from '@bluebellmast/core';
 import * as endpoints from '../endpoints/index.js';
-import type * as endpointPlacer from '../placement/endpoint-placer.js';
+import * as endpointPlacer from '../placement/endpoint-placer.js';
 import type * as ports from '../ports/index.js';
 import * as eventLog from '../util/event-log.js';
 import * as answerRelay from './answer-relay.js';
@@ -20,7 +20,13 @@
 const plainAnswerMs = 100;
 /** Part of the connections of an endpoint that this VM opens beyond its even share. */
 const connectionShareFactor = 1.5;
-const maxPriority = 9;
+/** Wait after which the expectation has proved wrong, as a multiple of it, and the least such wait in milliseconds. */
+const maxWaitFactor = 2;
+const minWaitMs = 1000;
+/** Part of the time of a route below which a deadline shows that the caller comes back after a refusal. */
+const repeatTimeShare = 0.95;
+/** Time that must be left after a wait for the answer itself, in milliseconds. */
+const answerTimeMs = 500;
 
 /** Faults that speak against the endpoint itself. */
 const brokenFaults: ReadonlySet<endpoints.AttemptFault> = new Set([
@@ -34,6 +40,8 @@
 	readonly placement: endpointPlacer.Placement;
 	readonly attempt: endpoints.EndpointAttempt;
 	readonly id: string;
+	/** Whether any part of its answer has arrived. */
+	hasBegun: boolean;
 	end?: endpoints.AttemptEnd;
 };
 
@@ -46,6 +54,8 @@
 	readonly #pool: core.routing.PoolName;
 	#isTimedOut = false;
 	#isCallerGone = false;
+	#cancelWait: (() => void) | undefined;
+	#retryAfterMs = noEndpointRetryMs;
 
 	constructor(private readonly call: callContext.RoutedCall, private readonly parts: callDispatcher.DispatchParts) {
 		const {route, head, arrivedAt, res} = call;
@@ -75,12 +85,14 @@
 	async run(): Promise<refusals.Refusal | undefined> {
 		const onClose = (): void => {
 			this.#isCallerGone = !this.call.res.writableFinished;
+			this.#cancelWait?.();
 			this.#sent.at(-1)?.attempt.abort(endpoints.AttemptFault.CallerGone);
 		};
 
 		const remainingMs = this.#deadlineAt - this.parts.clock.steadyNow();
 		const timer = setTimeout(() => {
 			this.#isTimedOut = true;
+			this.#cancelWait?.();
 			this.#sent.at(-1)?.attempt.abort(endpoints.AttemptFault.TimedOut);
 		}, Math.max(0, remainingMs + lateAnswerGraceMs));
 		this.call.res.once('close', onClose);
@@ -109,9 +121,9 @@
 				return this.#giveUp(refusal);
 			}
 
-			const placement = this.#place();
+			const placement = await this.#findRoom(); // eslint-disable-line no-await-in-loop -- Attempts follow one another.
 			if (placement === undefined) {
-				return this.#giveUp({code: refusals.RefusalCode.NoEndpoint, retryAfterMs: noEndpointRetryMs});
+				return this.#giveUp({code: refusals.RefusalCode.NoEndpoint, retryAfterMs: this.#retryAfterMs});
 			}
 
 			const end = await this.#send(placement); // eslint-disable-line no-await-in-loop -- Attempts follow one another.
@@ -146,6 +158,49 @@
 			?? (this.#excluded.size > 0 ? placer.place(this.call, this.#pool, new Set(), now) : undefined);
 	}
 
+	/** Whether the caller has less time than its route gives, since an earlier try was refused. */
+	#isRepeat(): boolean {
+		const {head, route} = this.call;
+		return (head.deadlineMs ?? Infinity) < route.timeoutMs * repeatTimeShare;
+	}
+
+	/** Chooses an endpoint with room for the request, and waits for one when there is none. */
+	async #findRoom(): Promise<endpointPlacer.Placement | undefined> {
+		const first = this.#place();
+		if (first === undefined || first.hasRoom) {
+			return first;
+		}
+
+		const now = this.parts.clock.steadyNow();
+		const decision = this.parts.placer.decideWait(this.#pool, {
+			queuedTokens: this.parts.waiting.queuedTokens,
+			timeLeftMs: this.#deadlineAt - now,
+			isRepeat: this.#isRepeat(),
+		});
+		if (!decision.mayWait) {
+			this.#retryAfterMs = decision.expectedMs * (1 + this.parts.random());
+			return undefined;
+		}
+
+		let found: endpointPlacer.Placement | undefined;
+		const {ended, cancel} = this.parts.waiting.wait({
+			priority: endpointPlacer.priorityOf(this.call),
+			targetLatencyMs: this.call.route.targetLatencyMs,
+			arrivedAt: this.call.arrivedAt,
+			deadlineAt: this.#deadlineAt,
+			prefillTokens: first.choice.prefillTokens,
+			expiresAt: Math.min(this.#deadlineAt - answerTimeMs, now + Math.max(maxWaitFactor * decision.expectedMs, minWaitMs)),
+			hasRoom: () => {
+				found = this.#place();
+				return found === undefined || found.hasRoom;
+			},
+		});
+		this.#cancelWait = cancel;
+		await ended;
+		this.#cancelWait = undefined;
+		return found?.hasRoom && !this.#isTimedOut && !this.#isCallerGone ? found : undefined;
+	}
+
 	async #send(placement: endpointPlacer.Placement): Promise<endpoints.AttemptEnd> {
 		const {fleet, clock} = this.parts;
 		const {entry} = placement;
@@ -171,14 +226,17 @@
 			sink: this.#relay,
 			steadyNow: clock.steadyNow,
 		});
-		const sent: Sent = {placement, attempt, id};
+		const sent: Sent = {
+			placement, attempt, id, hasBegun: false,
+		};
 		if (this.#sent.length > 0) {
 			this.parts.retries.of(this.#pool).countRepeat(now);
 		}
 
 		this.#sent.push(sent);
-		fleet.loads.begin(entry.id, id, placement.prefillTokens);
+		fleet.loads.begin(entry.id, id, placement.choice.prefillTokens);
 		fleet.health.noteSent(entry.id, id, this.#expectedMs(placement), now);
+		this.#noteParts(placement, false);
 		this.#logSent(placement);
 		if (this.#isCallerGone) {
 			attempt.abort(endpoints.AttemptFault.CallerGone);
@@ -190,17 +248,16 @@
 	}
 
 	#directives(placement: endpointPlacer.Placement, now: number): ports.SendDirectives {
-		const {route, account} = this.call;
-		const priority = placement.weightVersion === undefined ? undefined : account?.priority ?? route.priority;
+		const {account} = this.call;
 		return {
 			endpointId: placement.entry.id,
 			deadlineMs: Math.max(1, Math.floor(this.#deadlineAt - now)),
 			account: account?.name,
 			weightVersion: placement.weightVersion,
 			cacheNamespace: placement.cacheNamespace,
-			fetchCacheFrom: placement.cacheStore?.address,
-			saveCacheTo: placement.cacheStore?.address,
-			priority: priority === undefined ? undefined : Math.min(maxPriority, Math.max(0, priority)),
+			fetchCacheFrom: placement.fetchCacheFrom,
+			saveCacheTo: placement.saveCacheTo,
+			priority: placement.weightVersion === undefined ? undefined : endpointPlacer.enginePriorityOf(this.call, placement.choice),
 			lastEventId: this.#relay.lastEventId,
 		};
 	}
@@ -211,7 +268,7 @@
 	}
 
 	#expectedMs(placement: endpointPlacer.Placement): number {
-		return placement.weightVersion === undefined ? plainAnswerMs : placement.costMs;
+		return placement.weightVersion === undefined ? plainAnswerMs : placement.choice.firstTokenMs;
 	}
 
 	#noteProgress(): void {
@@ -223,6 +280,11 @@
 		const {fleet, clock} = this.parts;
 		const now = clock.steadyNow();
 		const endpoint = sent.placement.entry.id;
+		if (!sent.hasBegun) {
+			sent.hasBegun = true;
+			this.#noteParts(sent.placement, sent.placement.saveCacheTo !== undefined);
+		}
+
 		fleet.loads.start(endpoint, sent.id);
 		fleet.health.noteHeard(endpoint, sent.id, now);
 		if (this.call.route.kind === core.routing.RouteKind.Streaming) {
@@ -231,10 +293,9 @@
 	}
 
 	#noteEnd(sent: Sent): void {
-		const {fleet, clock} = this.parts;
+		const {fleet} = this.parts;
 		const {end, placement} = sent;
 		const endpoint = placement.entry.id;
-		const now = clock.steadyNow();
 		fleet.loads.end(endpoint, sent.id);
 		fleet.health.noteEnded(endpoint, sent.id);
 		if (end?.fault === endpoints.AttemptFault.Refused && end.head !== undefined) {
@@ -243,7 +304,6 @@
 
 		if (end?.fault === undefined) {
 			fleet.health.noteOutcome(endpoint, false);
-			this.#noteCached(placement, now);
 			return;
 		}
 
@@ -256,9 +316,9 @@
 		this.#logFault(sent, end);
 	}
 
-	#noteCached(placement: endpointPlacer.Placement, now: number): void {
-		for (const key of placement.partKeys) {
-			this.parts.fleet.recent.note(key, placement.entry.id, now);
+	#noteParts(placement: endpointPlacer.Placement, isComputed: boolean): void {
+		if (placement.partKeys.length > 0) {
+			this.parts.noteParts(placement.partKeys.map(key => ({key, endpoint: placement.entry.id, isComputed})));
 		}
 	}
 
@@ -355,7 +415,9 @@
 			endpoint: placement.entry.id,
 			send: this.#sent.length,
 			weights: placement.weightVersion,
-			costMs: Math.round(placement.costMs),
+			costMs: Math.round(placement.choice.costMs),
+			backlogMs: Math.round(placement.choice.backlogMs),
+			prefill: placement.choice.prefillTokens,
 			active: this.parts.fleet.loads.ownActive(placement.entry.id),
 		});
 	}
--- a/packages/gateway/src/call/index.ts
+++ b/packages/gateway/src/call/index.ts
@@ -11,3 +11,4 @@
 export * from './retry-windows.js';
 export * from './route-filter.js';
 export * from './send-trust.js';
+export * from './waiting-room.js';
--- a/packages/gateway/src/controllers/duty-controller.ts
+++ b/packages/gateway/src/controllers/duty-controller.ts
@@ -110,6 +110,11 @@
 
 	#usePlan(plan: core.rollout.RolloutPlan): void {
 		this.fleet.plan = plan;
+		const offset = this.clock.steadyNow() - this.clock.wallNow();
+		for (const {model, version, seenAt} of plan.named) {
+			this.fleet.targets.note(model, version, seenAt + offset);
+		}
+
 		for (const step of plan.steps) {
 			if (step.phase === core.rollout.RolloutPhase.Loaded) {
 				this.fleet.registry.noteWeights(step.endpoint, step.bornAt, step.model, step.version);
--- a/packages/gateway/src/controllers/endpoint-controller.ts
+++ b/packages/gateway/src/controllers/endpoint-controller.ts
@@ -72,10 +72,6 @@
 	#noteIncarnation(entry: core.fleet.EndpointEntry): void {
 		const known = this.parts.fleet.registry.get(entry.id);
 		const isNew = known?.bornAt !== entry.bornAt;
-		if (isNew) {
-			this.parts.fleet.recent.forgetEndpoint(entry.id);
-		}
-
 		if (isNew || known?.state !== entry.state) {
 			this.parts.log.write(eventLog.LogEvent.EndpointChanged, {
 				endpoint: entry.id, pool: entry.pool, state: entry.state, bornAt: entry.bornAt,
--- a/packages/gateway/src/controllers/lease-controller.ts
+++ b/packages/gateway/src/controllers/lease-controller.ts
@@ -42,7 +42,14 @@
 };
 
 /** Longest random pause before a try to become the leader, in milliseconds, so that not all VMs try at once. */
-const maxTryDelayMs = 400;
+const maxTryDelayMs = 150;
+/**
+ * Pause of an old process before the same, in milliseconds: while VMs are restarted in turn, the youngest process is the last
+ * to be stopped next.
+ */
+const maxAgeDelayMs = 300;
+/** Age at which half of that pause applies, in milliseconds: the order of a rolling restart of one VM. */
+const halfDelayAgeMs = 10_000;
 
 /** Keeps this VM's lease with its key among the VMs, and takes the leader's key when it is free. */
 export class LeaseController {
@@ -53,9 +60,11 @@
 	#leaderRevision = 0;
 	#tryAt: number | undefined;
 	#isStopping = false;
+	readonly #startedAt: number;
 
 	constructor(private readonly parts: LeaseControllerParts, private readonly terms: VmLeaseTerms) {
 		this.#leader = new core.orders.LeaderLease(terms.leader);
+		this.#startedAt = parts.clock.wallSafeNow();
 	}
 
 	/** Fencing number for an order that is sent now, or `undefined` when this VM may send none. */
@@ -169,7 +178,7 @@
 		}
 
 		const now = clock.wallSafeNow();
-		this.#tryAt ??= now + (this.parts.random() * maxTryDelayMs);
+		this.#tryAt ??= now + this.#tryDelayMs(now);
 		if (now < this.#tryAt) {
 			return;
 		}
@@ -186,6 +195,11 @@
 		}
 	}
 
+	#tryDelayMs(now: number): number {
+		const ageMs = now - this.#startedAt;
+		return (this.parts.random() * maxTryDelayMs) + (maxAgeDelayMs * ageMs / (ageMs + halfDelayAgeMs));
+	}
+
 	/** Takes the leader's key that this VM wrote under its present lease though the answer was lost. */
 	#adopt(leader: dutyController.SeenLeader | undefined, lease: clients.kv.KvLease): void {
 		if (this.#leaderRevision === 0 && leader?.vm === this.parts.vm && leader.leaseId === lease.id) {
--- a/packages/gateway/src/controllers/load-controller.ts
+++ b/packages/gateway/src/controllers/load-controller.ts
@@ -13,25 +13,67 @@
 	readonly clock: clocks.Clocks;
 };
 
-/** Tells the other VMs what this one has under way at each endpoint. */
+/** Pause between the sending of a large prompt and the digest that tells of it, in milliseconds; several are told at once. */
+const promptDelayMs = 5;
+/** Signs of cached parts in one digest, which keep it below one packet. */
+const maxParts = 20;
+
+/** Tells the other VMs what this one has under way at each endpoint, and where it sent large prompt parts. */
 export class LoadController {
 	#sequence = Date.now();
 	#wasIdle = false;
+	#parts: core.fleet.PartSign[] = [];
+	#timer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly parts: LoadControllerParts) {}
 
+	/** Takes a sign of a cached part, and tells the others soon: the next request for it may come to any VM. */
+	noteParts(signs: readonly core.fleet.PartSign[]): void {
+		const now = this.parts.clock.steadyNow();
+		for (const sign of signs) {
+			this.parts.fleet.parts.note(sign, now);
+		}
+
+		this.#parts = [...this.#parts, ...signs].slice(-maxParts);
+		this.#timer ??= setTimeout(() => {
+			this.#send();
+		}, promptDelayMs);
+	}
+
+	/** Takes a digest of another VM. */
+	takeDigest(digest: core.fleet.LoadDigest): void {
+		const now = this.parts.clock.steadyNow();
+		this.parts.fleet.peers.note(digest, now);
+		for (const sign of digest.parts) {
+			this.parts.fleet.parts.note(sign, now);
+		}
+	}
+
 	/** Sends a digest; an idle VM sends one and then rests. */
 	tick(): void {
-		const {vm, exchange, duties} = this.parts;
-		const endpoints = this.#describe();
-		const isIdle = endpoints.length === 0;
-		if (isIdle && this.#wasIdle) {
-			return;
+		const isIdle = this.parts.fleet.loads.busyEndpoints().length === 0;
+		if (!isIdle || !this.#wasIdle) {
+			this.#send();
 		}
 
 		this.#wasIdle = isIdle;
+	}
+
+	/** Sends nothing more. */
+	stop(): void {
+		clearTimeout(this.#timer);
+	}
+
+	#send(): void {
+		const {vm, exchange, duties} = this.parts;
+		clearTimeout(this.#timer);
+		this.#timer = undefined;
+		const parts = this.#parts;
+		this.#parts = [];
 		this.#sequence += 1;
-		exchange.send({vm, sequence: this.#sequence, endpoints}, duties.peerAddresses(vm));
+		exchange.send({
+			vm, sequence: this.#sequence, endpoints: this.#describe(), parts,
+		}, duties.peerAddresses(vm));
 	}
 
 	#describe(): core.fleet.EndpointDigest[] {
--- a/packages/gateway/src/controllers/plan-codec.ts
+++ b/packages/gateway/src/controllers/plan-codec.ts
@@ -3,6 +3,7 @@
 
 type PlanJson = {
 	readonly fence: number;
+	readonly named?: ReadonlyArray<readonly [string, number, number]>;
 	readonly steps: ReadonlyArray<readonly [string, number, string, number, core.rollout.RolloutPhase]>;
 };
 
@@ -10,6 +11,7 @@
 export function encodePlan(plan: core.rollout.RolloutPlan): Uint8Array {
 	const json: PlanJson = {
 		fence: plan.fence,
+		named: plan.named.map(item => [item.model, item.version, item.seenAt]),
 		steps: plan.steps.map(step => [step.endpoint, step.bornAt, step.model, step.version, step.phase]),
 	};
 	return buffer.Buffer.from(JSON.stringify(json));
@@ -21,6 +23,7 @@
 		const json = JSON.parse(buffer.Buffer.from(value).toString()) as PlanJson;
 		return {
 			fence: json.fence,
+			named: (json.named ?? []).map(([model, version, seenAt]) => ({model, version, seenAt})),
 			steps: json.steps.map(([endpoint, bornAt, model, version, phase]) => ({
 				endpoint, bornAt, model, version, phase,
 			})),
--- a/packages/gateway/src/controllers/rollout-controller.ts
+++ b/packages/gateway/src/controllers/rollout-controller.ts
@@ -69,7 +69,7 @@
 
 		const {fleet} = this.parts;
 		const plan = core.rollout.planRollout({
-			plan: fleet.plan, engines: this.#listEngines(), targets: fleet.targets.newest(), fence,
+			plan: fleet.plan, engines: this.#listEngines(), targets: fleet.targets.newest(), named: this.#listNamed(), fence,
 		}, this.parts.terms);
 		if (!core.rollout.isSamePlan(plan, fleet.plan) && !(await this.#publish(plan))) {
 			return;
@@ -81,6 +81,13 @@
 		}
 	}
 
+	/** Lists the named versions by the wall clock, the only one that VMs share. */
+	#listNamed(): core.rollout.NamedVersion[] {
+		const {fleet, clock} = this.parts;
+		const offset = clock.wallNow() - clock.steadyNow();
+		return fleet.targets.list().map(({model, version, seenAt}) => ({model, version, seenAt: Math.round(seenAt + offset)}));
+	}
+
 	#listEngines(): core.rollout.RolloutEngine[] {
 		const {fleet, config, clock} = this.parts;
 		const now = clock.steadyNow();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -98,6 +98,7 @@
 		}
 
 		this.parts.feed.stop();
+		this.parts.load.stop();
 		this.parts.exchange.close();
 		this.parts.server.close();
 		this.#readiness.close();
--- a/packages/gateway/src/peers/digest-codec.ts
+++ b/packages/gateway/src/peers/digest-codec.ts
@@ -1,38 +1,48 @@
+import type * as buffer from 'node:buffer';
 import type * as core from '@bluebellmast/core';
 import * as cbor from 'cbor-x';
 
 /** Rows of a digest as they travel: endpoint, active requests, prefill tokens, milliseconds since it was heard. */
-type DigestRow = readonly [string, number, number, number | undefined];
+type EndpointRow = readonly [string, number, number, number | undefined];
 
-type DigestMessage = readonly [vm: string, sequence: number, rows: readonly DigestRow[]];
+/** Part with its namespace, endpoint, whether it was computed there. */
+type PartRow = readonly [string, string, boolean];
+
+type DigestMessage = readonly [vm: string, sequence: number, endpoints: readonly EndpointRow[], parts: readonly PartRow[]];
 
 /** Encodes a digest as one datagram. */
-export function encodeDigest(digest: core.fleet.LoadDigest): Uint8Array {
+export function encodeDigest(digest: core.fleet.LoadDigest): buffer.Buffer {
 	const message: DigestMessage = [
 		digest.vm,
 		digest.sequence,
 		digest.endpoints.map(entry => [entry.endpoint, entry.active, entry.prefillTokens, entry.heardAgoMs]),
+		digest.parts.map(part => [part.key, part.endpoint, part.isComputed]),
 	];
 	return cbor.encode(message);
 }
 
 /** Decodes a datagram; `undefined` where it is no digest. */
 export function decodeDigest(bytes: Uint8Array): core.fleet.LoadDigest | undefined {
+	let message: unknown;
 	try {
-		const message = cbor.decode(bytes) as DigestMessage;
-		return isDigest(message)
-			? {
-				vm: message[0],
-				sequence: message[1],
-				endpoints: message[2].map(([endpoint, active, prefillTokens, heardAgoMs]) => ({
-					endpoint, active, prefillTokens, heardAgoMs,
-				})),
-			}
-			: undefined;
+		message = cbor.decode(bytes);
 	} catch {
 		// Not CBOR: another program's datagram, or a cut one.
 		return undefined;
 	}
+
+	return isDigest(message) ? fromMessage(message) : undefined;
+}
+
+function fromMessage([vm, sequence, endpoints, parts]: DigestMessage): core.fleet.LoadDigest {
+	return {
+		vm,
+		sequence,
+		endpoints: endpoints.map(([endpoint, active, prefillTokens, heardAgoMs]) => ({
+			endpoint, active, prefillTokens, heardAgoMs: heardAgoMs ?? undefined,
+		})),
+		parts: parts.map(([key, endpoint, isComputed]) => ({key, endpoint, isComputed})),
+	};
 }
 
 function isDigest(message: unknown): message is DigestMessage {
@@ -40,7 +50,11 @@
 		return false;
 	}
 
-	const rows: unknown = message[2];
-	return Array.isArray(rows) && rows.every(row => Array.isArray(row)
-		&& typeof row[0] === 'string' && typeof row[1] === 'number' && typeof row[2] === 'number');
+	return isRows(message[2], ['string', 'number', 'number']) && isRows(message[3], ['string', 'string', 'boolean']);
+}
+
+/** Whether a value is a list of rows that begin with values of the given types. */
+function isRows(value: unknown, types: readonly string[]): boolean {
+	return Array.isArray(value) && value.every(row =>
+		Array.isArray(row) && types.every((type, index) => typeof row[index] === type));
 }
--- a/packages/gateway/src/placement/endpoint-placer.ts
+++ b/packages/gateway/src/placement/endpoint-placer.ts
@@ -8,6 +8,7 @@
 	/** Longest time for which older weights may be used after newer ones were named, in milliseconds. */
 	readonly versionMs: number;
 	readonly costs: core.fleet.PlacementTerms;
+	readonly admission: core.fleet.AdmissionTerms;
 };
 
 /** Part of the bound on older weights that is kept for the time until the endpoint begins, in milliseconds: about its longest queue. */
@@ -17,16 +18,27 @@
 /** Parts of a prompt from this size on are fetched from and saved to the cache store, in tokens. */
 const minStoredTokens = 1000;
 
+/** Age of a saved part from which it is saved once more, in milliseconds: the store drops parts that are not used. */
+const saveAgainMs = 10_000;
+
+/** Rank of the most urgent large request at an engine, where ranks reach from 0 to 9. */
+const largeOffset = 5;
+
 /** Where a request goes, and what the endpoint is told. */
 export type Placement = {
 	readonly entry: core.fleet.EndpointEntry;
-	readonly costMs: number;
-	readonly prefillTokens: number;
-	/** Parts with the namespace in their ids. */
+	/** What the choice rested on. */
+	readonly choice: core.fleet.Choice;
+	/** Whether the endpoint has room for the request now. */
+	readonly hasRoom: boolean;
+	/** Keys of the shared parts that are worth to be cached. */
 	readonly partKeys: readonly string[];
 	readonly weightVersion?: number;
 	readonly cacheNamespace?: string;
-	readonly cacheStore?: core.routing.CacheStore;
+	/** `IP:PORT` of the cache store to fetch from. */
+	readonly fetchCacheFrom?: string;
+	/** `IP:PORT` of the cache store to save to. */
+	readonly saveCacheTo?: string;
 };
 
 /** Chooses endpoints for requests by what this VM believes of them. */
@@ -45,14 +57,22 @@
 		excluded: ReadonlySet<string>,
 		now: number,
 	): Placement | undefined {
-		const {prompt} = call.head;
-		const isEngine = call.table.findPool(pool)?.engine !== undefined && prompt !== undefined;
+		const isEngine = call.table.findPool(pool)?.engine !== undefined && call.head.prompt !== undefined;
 		const candidates = this.fleet.registry.listReady(pool)
 			.filter(entry => !excluded.has(entry.id) && this.fleet.health.isResponsive(entry.id))
-			.filter(entry => !isEngine || this.#mayServe(entry, prompt.model, now))
-			.map(entry => ({entry, hasOldWeights: isEngine && this.#hasOldWeights(entry, prompt.model, now)}));
-		const choice = core.fleet.chooseEndpoint(candidates, this.#need(call, isEngine), {...this.fleet, terms: this.terms.costs}, now);
-		return choice === undefined ? undefined : this.#describe(call, choice, isEngine);
+			.filter(entry => !isEngine || this.#mayServe(entry, call.head.prompt.model, now))
+			.map(entry => this.#toCandidate(entry, call, isEngine, now));
+		const view: core.fleet.PlacementView = {...this.fleet, terms: this.terms.costs};
+		const choice = core.fleet.chooseEndpoint(candidates, this.#need(call, isEngine), view, now);
+		return choice === undefined ? undefined : this.#describe(call, choice, isEngine, now);
+	}
+
+	/** Decides whether a request may wait until an engine of its pool has room for it. */
+	decideWait(pool: core.routing.PoolName, outlook: Omit<core.fleet.WaitOutlook, 'tokensPerMs'>): core.fleet.WaitDecision {
+		const engines = this.fleet.registry.listReady(pool)
+			.filter(entry => this.fleet.health.isResponsive(entry.id) && !core.rollout.isLoading(this.fleet.plan, entry.id));
+		const tokensPerMs = engines.length * this.terms.costs.prefillTokensPerMs / this.fleet.vms;
+		return core.fleet.decideWait({...outlook, tokensPerMs}, this.terms.admission);
 	}
 
 	#mayServe(entry: core.fleet.EndpointEntry, model: string, now: number): boolean {
@@ -64,45 +84,76 @@
 		return this.fleet.targets.outdatedForMs(model, version, now) < this.terms.versionMs - versionMarginMs;
 	}
 
-	#hasOldWeights(entry: core.fleet.EndpointEntry, model: string, now: number): boolean {
+	#toCandidate(
+		entry: core.fleet.EndpointEntry,
+		call: callContext.RoutedCall,
+		isEngine: boolean,
+		now: number,
+	): core.fleet.Candidate {
+		if (!isEngine) {
+			return {entry, hasOldWeights: false, cacheNamespace: ''};
+		}
+
+		const {model} = call.head.prompt!;
 		const version = this.fleet.registry.weightVersion(entry.id, model) ?? 0;
-		return this.fleet.targets.outdatedForMs(model, version, now) > oldWeightsGraceMs;
+		return {
+			entry,
+			hasOldWeights: this.fleet.targets.outdatedForMs(model, version, now) > oldWeightsGraceMs,
+			cacheNamespace: `${model}@${version}${wallOf(call.account)}`,
+		};
 	}
 
 	#need(call: callContext.RoutedCall, isEngine: boolean): core.fleet.PlacementNeed {
 		const parts = isEngine ? call.head.prompt!.parts : [];
-		const wall = wallOf(call.account);
-		return {
-			dataCentre: this.terms.dataCentre,
-			parts: parts.map(part => ({id: `${wall}/${part.id}`, tokens: part.tokens})),
-			sharedParts: Math.max(0, parts.length - 1),
-		};
+		return {dataCentre: this.terms.dataCentre, parts, sharedParts: Math.max(0, parts.length - 1)};
 	}
 
-	#describe(call: callContext.RoutedCall, choice: core.fleet.Choice, isEngine: boolean): Placement {
-		const {entry, costMs, prefillTokens} = choice;
+	#describe(
+		call: callContext.RoutedCall,
+		choice: core.fleet.Choice,
+		isEngine: boolean,
+		now: number,
+	): Placement {
+		const {entry, cacheNamespace} = choice.candidate;
 		if (!isEngine) {
 			return {
-				entry, costMs, prefillTokens, partKeys: [],
+				entry, choice, hasRoom: true, partKeys: [],
 			};
 		}
 
 		const prompt = call.head.prompt!;
-		const weightVersion = this.fleet.registry.weightVersion(entry.id, prompt.model);
-		const wall = wallOf(call.account);
-		const largest = Math.max(0, ...prompt.parts.slice(0, -1).map(part => part.tokens));
+		const partKeys = prompt.parts.slice(0, -1)
+			.filter(part => part.tokens >= minStoredTokens)
+			.map(part => core.fleet.partKey(cacheNamespace, part));
+		const store = partKeys.length === 0 ? undefined : call.table.config.cacheStores[0]?.address;
+		const mustSave = partKeys.some(key => this.fleet.parts.storedForMs(key, now) > saveAgainMs);
 		return {
 			entry,
-			costMs,
-			prefillTokens,
-			partKeys: prompt.parts.map(part => `${wall}/${part.id}`),
-			weightVersion,
-			cacheNamespace: `${prompt.model}@${weightVersion}${wall}`,
-			cacheStore: largest >= minStoredTokens ? call.table.config.cacheStores[0] : undefined,
+			choice,
+			hasRoom: core.fleet.hasRoom(choice, call.route.targetLatencyMs, this.terms.admission),
+			partKeys,
+			weightVersion: this.fleet.registry.weightVersion(entry.id, prompt.model),
+			cacheNamespace,
+			fetchCacheFrom: store,
+			saveCacheTo: mustSave ? store : undefined,
 		};
 	}
 }
 
+/**
+ * Rank of a request at an engine, from 0 to 9: small requests go before large ones, which take several times as long,
+ * and each of them by the account's rank or else the route's.
+ */
+export function enginePriorityOf(call: callContext.RoutedCall, choice: core.fleet.Choice): number {
+	const isLarge = choice.prefillTokens > core.fleet.defaultAdmissionTerms.smallTokens;
+	return (isLarge ? largeOffset : 0) + Math.min(largeOffset - 1, Math.max(0, priorityOf(call)));
+}
+
+/** Rank of a request: an account's own goes before its route's. */
+export function priorityOf(call: callContext.RoutedCall): number {
+	return call.account?.priority ?? call.route.priority;
+}
+
 /** Separates the cached state of isolated accounts from all others. */
 function wallOf(account: core.routing.ApiAccount | undefined): string {
 	return account?.isIsolated ? `+${account.name}` : '';
--- a/packages/gateway/src/placement/fleet-state.ts
+++ b/packages/gateway/src/placement/fleet-state.ts
@@ -6,7 +6,7 @@
 	readonly health = new core.fleet.EndpointHealth();
 	readonly loads = new core.fleet.EndpointLoads();
 	readonly peers = new core.fleet.PeerLoads();
-	readonly recent = new core.fleet.RecentParts();
+	readonly parts = new core.fleet.PartPlaces();
 	readonly targets = new core.rollout.WeightTargets();
 	/** Plan of the roll-out under way, as last seen in the store. */
 	plan: core.rollout.RolloutPlan = core.rollout.emptyRolloutPlan;
--- a/packages/gateway/src/util/clocks.ts
+++ b/packages/gateway/src/util/clocks.ts
@@ -9,6 +9,8 @@
 	 * against the steady one. A wall clock that is set forward looks the same, so ages err to the old side.
 	 */
 	wallSafeNow(): number;
+	/** Unix milliseconds; may step. Only for what VMs tell each other. */
+	wallNow(): number;
 };
 
 /** Difference between the two clocks below which no suspension is assumed, in milliseconds: above any slewing. */
@@ -24,6 +26,10 @@
 		return perfHooks.performance.now();
 	}
 
+	wallNow(): number {
+		return Date.now();
+	}
+
 	wallSafeNow(): number {
 		const steady = perfHooks.performance.now();
 		const wall = Date.now();
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -32,6 +32,17 @@
 	const config = new core.routing.ConfigState();
 	const fleet = new placement.FleetState();
 	const connections = new endpoints.ConnectionPools();
+	const duties = new controllers.DutyController(fleet, clock, log);
+	const exchange = new peers.LoadExchange({
+		listen: settings.peers,
+		log,
+		onDigest(digest) {
+			load.takeDigest(digest);
+		},
+	});
+	const load = new controllers.LoadController({
+		vm: settings.vm, fleet, duties, exchange, clock,
+	});
 	const dispatcher = new call.CallDispatcher({
 		fleet,
 		connections,
@@ -42,9 +53,14 @@
 			dataCentre: settings.dataCentre,
 			versionMs: settings.versionMs,
 			costs: core.fleet.defaultPlacementTerms,
+			admission: core.fleet.defaultAdmissionTerms,
 		}),
 		protocol: options.endpointProtocol,
 		retries: new call.RetryWindows(settings.retries),
+		waiting: new call.WaitingRoom(() => clock.steadyNow()),
+		noteParts(signs) {
+			load.noteParts(signs);
+		},
 		trust: new call.SendTrust(config, settings.trust, clock),
 	});
 	const server = new ingress.GatewayServer({
@@ -67,17 +83,6 @@
 	const endpointController = new controllers.EndpointController({
 		decoder, config, fleet, connections, dispatcher, admin, clock, log,
 	});
-	const duties = new controllers.DutyController(fleet, clock, log);
-	const exchange = new peers.LoadExchange({
-		listen: settings.peers,
-		log,
-		onDigest(digest) {
-			fleet.peers.note(digest, clock.steadyNow());
-		},
-	});
-	const load = new controllers.LoadController({
-		vm: settings.vm, fleet, duties, exchange, clock,
-	});
 	const lease = new controllers.LeaseController({
 		vm: settings.vm, ownAddress: () => exchange.address, store, duties, fleet, clock, log, random,
 	}, controllers.createVmLeaseTerms(settings.holderGapMs));
