Count only what goes ahead in an expected wait; start large prompts on free engines only; leave endpoints that are gone at once

Change: the wait counts requests that go before; long prompts start only below a tenth of their target of backlog; a 421 or a refused connection leaves the endpoint until a check, and a check of an engine reads its weights.

--- a/packages/core/src/fleet/admission.ts
+++ b/packages/core/src/fleet/admission.ts
@@ -19,7 +19,7 @@
  * several targets of small ones, so it starts only on an engine that is nearly free.
  */
 export const defaultAdmissionTerms: AdmissionTerms = {
-	smallTokens: 1500, smallShare: 0.8, largeShare: 0.25, maxWaitMs: 1200, maxRepeatWaitShare: 0.5,
+	smallTokens: 1500, smallShare: 0.8, largeShare: 0.1, maxWaitMs: 1200, maxRepeatWaitShare: 0.5,
 };
 
 /** Whether an engine has room for a request now; otherwise it waits at the VM, where it holds up nothing. */
--- a/packages/core/src/fleet/endpoint-health.ts
+++ b/packages/core/src/fleet/endpoint-health.ts
@@ -83,6 +83,13 @@
 		}
 	}
 
+	/** Notes that another incarnation or nothing at all answers at the endpoint's address; a check follows at once. */
+	noteGone(endpoint: string): void {
+		const record = this.#record(endpoint);
+		record.belief = Belief.Unresponsive;
+		record.checkedAt = -Infinity;
+	}
+
 	/**
 	 * Notes the result of a check.
 	 *
--- /dev/null
+++ b/packages/gateway/src/call/answer-timing.ts
@@ -0,0 +1,32 @@
+/** Times of an answer, in milliseconds; absent where nothing arrived. */
+export type AnswerTimes = {
+	/** From the arrival of the request to the first part of its answer. */
+	readonly firstMs?: number;
+	/** Longest pause between two parts. */
+	readonly maxGapMs?: number;
+};
+
+/** Measures when the parts of an answer arrive. */
+export class AnswerTiming {
+	#firstAt: number | undefined;
+	#lastAt = 0;
+	#maxGapMs = 0;
+
+	/** Notes a part of the answer. */
+	note(now: number): void {
+		if (this.#firstAt === undefined) {
+			this.#firstAt = now;
+		} else {
+			this.#maxGapMs = Math.max(this.#maxGapMs, now - this.#lastAt);
+		}
+
+		this.#lastAt = now;
+	}
+
+	/** Returns the times, counted from the arrival of the request. */
+	describe(arrivedAt: number): AnswerTimes {
+		return this.#firstAt === undefined
+			? {}
+			: {firstMs: Math.round(this.#firstAt - arrivedAt), maxGapMs: Math.round(this.#maxGapMs)};
+	}
+}
--- a/packages/gateway/src/call/call-context.ts
+++ b/packages/gateway/src/call/call-context.ts
@@ -1,6 +1,7 @@
 import type * as http from 'node:http';
 import type * as core from '@bluebellmast/core';
 import type * as ports from '../ports/index.js';
+import type * as answerTiming from './answer-timing.js';
 
 /** A request on its way through the filters. */
 export type CallContext = {
@@ -15,8 +16,8 @@
 	/** Account that holds the request's key; absent on public routes. */
 	account?: core.routing.ApiAccount;
 	body?: Uint8Array;
-	/** Status with which the request ended, once it has. */
-	endStatus?: number;
+	/** Times of the answer, once the request has ended. */
+	timing?: answerTiming.AnswerTimes;
 };
 
 /** A request whose route is known and whose body was read. */
--- a/packages/gateway/src/call/call-run.ts
+++ b/packages/gateway/src/call/call-run.ts
@@ -4,6 +4,7 @@
 import type * as ports from '../ports/index.js';
 import * as eventLog from '../util/event-log.js';
 import * as answerRelay from './answer-relay.js';
+import * as answerTiming from './answer-timing.js';
 import * as callContext from './call-context.js';
 import type * as callDispatcher from './call-dispatcher.js';
 import * as refusals from './refusal.js';
@@ -54,6 +55,7 @@
 	readonly #pool: core.routing.PoolName;
 	#isTimedOut = false;
 	#isCallerGone = false;
+	readonly #timing = new answerTiming.AnswerTiming();
 	#cancelWait: (() => void) | undefined;
 	#retryAfterMs = noEndpointRetryMs;
 
@@ -100,6 +102,7 @@
 		try {
 			return await this.#tryEndpoints();
 		} finally {
+			this.call.timing = this.#timing.describe(this.call.arrivedAt);
 			clearTimeout(timer);
 			this.call.res.off('close', onClose);
 		}
@@ -172,8 +175,15 @@
 		}
 
 		const now = this.parts.clock.steadyNow();
+		const request: core.fleet.WaitingRequest = {
+			priority: endpointPlacer.enginePriorityOf(this.call, first.choice),
+			targetLatencyMs: this.call.route.targetLatencyMs,
+			arrivedAt: this.call.arrivedAt,
+			deadlineAt: this.#deadlineAt,
+			prefillTokens: first.choice.prefillTokens,
+		};
 		const decision = this.parts.placer.decideWait(this.#pool, {
-			queuedTokens: this.parts.waiting.queuedTokens,
+			queuedTokens: this.parts.waiting.tokensAhead(request),
 			timeLeftMs: this.#deadlineAt - now,
 			isRepeat: this.#isRepeat(),
 		});
@@ -184,11 +194,7 @@
 
 		let found: endpointPlacer.Placement | undefined;
 		const {ended, cancel} = this.parts.waiting.wait({
-			priority: endpointPlacer.priorityOf(this.call),
-			targetLatencyMs: this.call.route.targetLatencyMs,
-			arrivedAt: this.call.arrivedAt,
-			deadlineAt: this.#deadlineAt,
-			prefillTokens: first.choice.prefillTokens,
+			...request,
 			expiresAt: Math.min(this.#deadlineAt - answerTimeMs, now + Math.max(maxWaitFactor * decision.expectedMs, minWaitMs)),
 			hasRoom: () => {
 				found = this.#place();
@@ -285,6 +291,7 @@
 			this.#noteParts(sent.placement, sent.placement.saveCacheTo !== undefined);
 		}
 
+		this.#timing.note(now);
 		fleet.loads.start(endpoint, sent.id);
 		fleet.health.noteHeard(endpoint, sent.id, now);
 		if (this.call.route.kind === core.routing.RouteKind.Streaming) {
@@ -307,7 +314,9 @@
 			return;
 		}
 
-		if (brokenFaults.has(end.fault)) {
+		if (end.head?.isMisdirected || end.fault === endpoints.AttemptFault.ConnectRefused) {
+			fleet.health.noteGone(endpoint);
+		} else if (brokenFaults.has(end.fault)) {
 			fleet.health.noteBroken(endpoint);
 		} else if (end.fault === endpoints.AttemptFault.AnsweredWithFailure) {
 			fleet.health.noteOutcome(endpoint, true);
--- a/packages/gateway/src/call/waiting-room.ts
+++ b/packages/gateway/src/call/waiting-room.ts
@@ -37,11 +37,12 @@
 
 	constructor(private readonly steadyNow: () => number) {}
 
-	/** Prompt tokens of the requests that wait. */
-	get queuedTokens(): number {
+	/** Prompt tokens of the waiting requests that go before a new one. */
+	tokensAhead(request: core.fleet.WaitingRequest): number {
+		const now = this.steadyNow();
 		let tokens = 0;
 		for (const {waiter} of this.#waiting) {
-			tokens += waiter.prefillTokens;
+			tokens += core.fleet.compareWaiting(waiter, request, now) <= 0 ? waiter.prefillTokens : 0;
 		}
 
 		return tokens;
--- a/packages/gateway/src/controllers/endpoint-controller.ts
+++ b/packages/gateway/src/controllers/endpoint-controller.ts
@@ -96,12 +96,27 @@
 			return;
 		}
 
-		const isAlive = await admin.isAlive(entry, pool);
+		const isAlive = pool.engine === undefined ? await admin.isAlive(entry, pool) : await this.#readEngine(entry);
 		if (fleet.health.noteCheck(endpoint, isAlive, clock.steadyNow())) {
 			this.#noteChange(endpoint, isAlive);
 		}
 	}
 
+	/** Reads an engine's report. @returns Whether this incarnation of it answered. */
+	async #readEngine(entry: core.fleet.EndpointEntry): Promise<boolean> {
+		const answer = await this.parts.admin.readReport(entry);
+		const report = answer.toMaybe().extract();
+		if (report === undefined || (report.bornAt !== 0 && report.bornAt !== entry.bornAt)) {
+			return false;
+		}
+
+		for (const [model, version] of report.weights) {
+			this.parts.fleet.registry.noteWeights(entry.id, entry.bornAt, model, version);
+		}
+
+		return true;
+	}
+
 	#noteChange(endpoint: string, isAlive: boolean): void {
 		const {connections, dispatcher, log} = this.parts;
 		log.write(isAlive ? eventLog.LogEvent.EndpointResponsive : eventLog.LogEvent.EndpointUnresponsive, {endpoint});
--- a/packages/gateway/src/controllers/rollout-controller.ts
+++ b/packages/gateway/src/controllers/rollout-controller.ts
@@ -173,9 +173,15 @@
 		});
 		if (outcome === ports.OrderOutcome.AlreadyDone) {
 			fleet.registry.noteWeights(step.endpoint, step.bornAt, step.model, step.version);
-		} else if (outcome === ports.OrderOutcome.Fenced) {
+		}
+
+		if (outcome === ports.OrderOutcome.Fenced) {
 			lease.noteFenced();
 		}
+
+		if (outcome === ports.OrderOutcome.Rejected) {
+			fleet.health.noteGone(step.endpoint);
+		}
 	}
 
 	async #readReport(step: core.rollout.RolloutStep, state: StepState, entry: core.fleet.EndpointEntry): Promise<void> {
--- a/packages/gateway/src/endpoints/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoints/endpoint-attempt.ts
@@ -8,6 +8,8 @@
 export enum AttemptFault {
 	/** No connection could be opened. */
 	ConnectFailed = 'connect_failed',
+	/** Nothing listens at the endpoint's address. */
+	ConnectRefused = 'connect_refused',
 	/** All connections that this VM may open to the endpoint are busy. */
 	NoConnection = 'no_connection',
 	/** The endpoint refused the request without running it. */
@@ -188,7 +190,7 @@
 		const connectFailed = this.progress === core.request.AttemptProgress.Connecting;
 		const fault = this.#abortFault
 			?? this.#refusal
-			?? (connectFailed ? AttemptFault.ConnectFailed : AttemptFault.ConnectionLost);
+			?? (connectFailed ? connectFault(err) : AttemptFault.ConnectionLost);
 		this.#end({
 			progress: this.progress, fault, head: this.#head, detail: err.message,
 		});
@@ -219,3 +221,7 @@
 		this.#resolve?.(end);
 	}
 }
+
+function connectFault(err: NodeJS.ErrnoException): AttemptFault {
+	return err.code === 'ECONNREFUSED' ? AttemptFault.ConnectRefused : AttemptFault.ConnectFailed;
+}
--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -145,6 +145,7 @@
 			status: res.headersSent ? res.statusCode : 0,
 			isWhole: res.writableEnded,
 			code: refusal?.code,
+			...ctx.timing,
 			tookMs: Math.round(this.parts.clock.steadyNow() - ctx.arrivedAt),
 		});
 	}
--- a/packages/gateway/src/ports/endpoint-protocol.ts
+++ b/packages/gateway/src/ports/endpoint-protocol.ts
@@ -26,6 +26,8 @@
 /** Head of an endpoint's answer. */
 export type AnswerHead = {
 	readonly status: number;
+	/** Whether another endpoint answered than the one that was meant, or its weights have another version. */
+	readonly isMisdirected: boolean;
 	readonly requestId?: string;
 	/** Whether the endpoint states that it did not run the request. */
 	readonly isNotExecuted: boolean;
@@ -93,8 +95,9 @@
 
 /** Calls to endpoints that are not requests of callers. */
 export interface EndpointAdmin { // eslint-disable-line @typescript-eslint/consistent-type-definitions
-	/** Returns whether an endpoint answers at all. */
+	/** Returns whether an endpoint of a plain service answers at all. */
 	isAlive(entry: core.fleet.EndpointEntry, pool: core.routing.Pool): Promise<boolean>;
+	/** Reads the state of an engine, which tells also that it answers. */
 	readReport(entry: core.fleet.EndpointEntry): Promise<purify.Either<EndpointCallError, EngineReport>>;
 	orderLoad(entry: core.fleet.EndpointEntry, order: LoadOrder): Promise<OrderOutcome>;
 }
