Test the decisions and the whole path against stand-ins of the users' platform; split the life of a request

Change: stand-ins of the platform's store and servers over their published protocol; tests of routing, endpoints, placement, admission, retries and roll-out, two of them named after the load pattern they answer (a herd on a free engine, a VM that restarts in the middle of a roll-out), and of the whole path with lost answers, refusals, broken streams, roll-outs, stops. Tries without a connection count as sends. Notes on endpoints and the search for room left call-run.ts.

--- /dev/null
+++ b/packages/core/tests/fleet/endpoint-registry.test.ts
@@ -0,0 +1,57 @@
+import * as chai from 'chai';
+import * as support from '../support/fleet.js';
+import * as core from '@bluebellmast/core';
+
+const {expect} = chai;
+
+describe('EndpointRegistry', () => {
+	function idsOf(registry: core.fleet.EndpointRegistry): string[] {
+		return registry.listReady('llm').map(entry => entry.id);
+	}
+
+	it('drops an endpoint at once when its entry is removed while the store is stable', () => {
+		const registry = new core.fleet.EndpointRegistry();
+		registry.put(support.createEntry('a'));
+		registry.remove('a', false, 0);
+		expect(idsOf(registry)).to.deep.equal([]);
+	});
+
+	it('keeps an endpoint whose entry may have lapsed for two seconds, counted from the first listing that lacks it', () => {
+		const registry = new core.fleet.EndpointRegistry();
+		registry.replaceAll([support.createEntry('a'), support.createEntry('b')], false, 0);
+		registry.replaceAll([support.createEntry('b')], true, 1000);
+		registry.replaceAll([support.createEntry('b')], true, 2500);
+		registry.sweep(2999);
+		expect(idsOf(registry)).to.have.members(['a', 'b']);
+		registry.sweep(3000);
+		expect(idsOf(registry)).to.deep.equal(['b']);
+	});
+
+	it('keeps an endpoint whose entry returns in time', () => {
+		const registry = new core.fleet.EndpointRegistry();
+		registry.put(support.createEntry('a'));
+		registry.remove('a', true, 0);
+		registry.put(support.createEntry('a'));
+		registry.sweep(10_000);
+		expect(idsOf(registry)).to.deep.equal(['a']);
+	});
+
+	it('gives draining endpoints no requests, and does not keep them when their entry is removed', () => {
+		const registry = new core.fleet.EndpointRegistry();
+		registry.put(support.createEntry('a', {state: core.fleet.EndpointState.Draining}));
+		expect(idsOf(registry)).to.deep.equal([]);
+		registry.remove('a', true, 0);
+		expect(registry.get('a')).to.equal(undefined);
+	});
+
+	it('takes observed weights only for the incarnation that showed them, and forgets them with it', () => {
+		const registry = new core.fleet.EndpointRegistry();
+		registry.put(support.createEntry('a'));
+		registry.noteWeights('a', 2, 'm', 9);
+		expect(registry.weightVersion('a', 'm')).to.equal(1);
+		registry.noteWeights('a', 1, 'm', 3);
+		expect(registry.weightVersion('a', 'm')).to.equal(3);
+		registry.put(support.createEntry('a', {bornAt: 2}));
+		expect(registry.weightVersion('a', 'm')).to.equal(1);
+	});
+});
--- /dev/null
+++ b/packages/core/tests/rollout/plan-rollout.test.ts
@@ -0,0 +1,87 @@
+import * as chai from 'chai';
+import * as core from '@bluebellmast/core';
+
+const {expect} = chai;
+const {Loading: loading, Loaded: loaded} = core.rollout.RolloutPhase;
+
+function engine(endpoint: string, version: number, changes: Partial<core.rollout.RolloutEngine> = {}): core.rollout.RolloutEngine {
+	return {
+		endpoint, bornAt: 1, model: 'm', version, active: 0, ...changes,
+	};
+}
+
+function step(endpoint: string, version: number, phase: core.rollout.RolloutPhase, bornAt = 1): core.rollout.RolloutStep {
+	return {
+		endpoint, bornAt, model: 'm', version, phase,
+	};
+}
+
+function plan(
+	steps: readonly core.rollout.RolloutStep[],
+	engines: readonly core.rollout.RolloutEngine[],
+	target: number,
+): readonly core.rollout.RolloutStep[] {
+	return core.rollout.planRollout({
+		plan: {fence: 1, steps, named: []}, engines, targets: new Map([['m', target]]), named: [], fence: 2,
+	}).steps;
+}
+
+describe('planRollout', () => {
+	const pool = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'].map(id => engine(id, 1));
+
+	it('loads a quarter of a pool at once, two at least', () => {
+		expect(plan([], pool, 2).map(item => item.endpoint)).to.deep.equal(['a', 'b']);
+		expect(plan([], pool.slice(0, 3), 2).map(item => item.endpoint)).to.deep.equal(['a', 'b']);
+	});
+
+	it('takes the oldest weights first, then the fewest requests', () => {
+		const engines = [engine('a', 2, {active: 0}), engine('b', 1, {active: 9}), engine('c', 1, {active: 3}), engine('d', 2)];
+		expect(plan([], engines, 3).map(item => item.endpoint)).to.deep.equal(['c', 'b']);
+	});
+
+	it('goes on to further engines as loads end', () => {
+		const steps = [step('a', 2, loading), step('b', 2, loading)];
+		const next = plan(steps, [engine('a', 2), ...pool.slice(1)], 2);
+		expect(next).to.deep.equal([
+			step('a', 2, loaded), step('b', 2, loading), step('c', 2, loading),
+		]);
+	});
+
+	it('skips a version that was superseded before an engine began to load it, and lets loads under way end', () => {
+		const steps = [step('a', 2, loading)];
+		expect(plan(steps, pool, 3)).to.deep.equal([step('a', 2, loading), step('b', 3, loading)]);
+	});
+
+	it('loads again what a finished load left behind', () => {
+		const steps = [step('a', 2, loaded)];
+		expect(plan(steps, [engine('a', 2)], 3)).to.deep.equal([step('a', 3, loading)]);
+	});
+
+	it('drops steps of engines that are gone or were restarted', () => {
+		const steps = [step('a', 2, loading), step('z', 2, loading)];
+		expect(plan(steps, [engine('a', 2, {bornAt: 5})], 2)).to.deep.equal([]);
+	});
+
+	it('plans nothing when all have the newest version', () => {
+		expect(plan([], pool, 1)).to.deep.equal([]);
+	});
+});
+
+describe('WeightTargets', () => {
+	it('counts how long weights are outdated from the first newer version', () => {
+		const targets = new core.rollout.WeightTargets();
+		expect(targets.note('m', 2, 1000)).to.equal(true);
+		expect(targets.note('m', 3, 4000)).to.equal(true);
+		expect(targets.note('m', 2, 9000)).to.equal(false);
+		expect([1, 2, 3].map(version => targets.outdatedForMs('m', version, 5000))).to.deep.equal([4000, 1000, 0]);
+		expect(targets.outdatedForMs('other', 1, 5000)).to.equal(0);
+	});
+
+	// Pattern: a VM that restarts in the middle of a roll-out reads the named version from the store as if it were new.
+	it('takes the time at which another VM saw a version earlier', () => {
+		const targets = new core.rollout.WeightTargets();
+		targets.note('m', 4, 6000);
+		expect(targets.note('m', 4, 500)).to.equal(false);
+		expect(targets.outdatedForMs('m', 3, 6000)).to.equal(5500);
+	});
+});
--- /dev/null
+++ b/packages/core/tests/routing/route-table.test.ts
@@ -0,0 +1,44 @@
+import * as chai from 'chai';
+import * as support from '../support/gateway-config.js';
+import * as core from '@bluebellmast/core';
+
+const {expect} = chai;
+
+describe('RouteTable', () => {
+	const table = new core.routing.RouteTable(support.createConfig({
+		routes: [
+			support.createRoute({name: 'short', host: 'a.example', prefix: '/x/'}),
+			support.createRoute({name: 'long', host: 'a.example', prefix: '/x/y/'}),
+			support.createRoute({
+				name: 'open', host: 'b.example', prefix: '/', isPublic: true,
+			}),
+		],
+		accounts: [{name: 'club', keys: ['k1', 'k2'], isIsolated: false}],
+	}));
+	const cases: ReadonlyArray<readonly [string, string, string | undefined]> = [
+		['a.example', '/x/1', 'short'],
+		['a.example', '/x/y/1', 'long'],
+		['A.Example:8080', '/x/y/1?q=/', 'long'],
+		['a.example', '/x', undefined],
+		['b.example', '/anything', 'open'],
+		['c.example', '/x/1', undefined],
+	];
+
+	for (const [host, path, name] of cases) {
+		it(`finds ${name ?? 'no route'} for ${host}${path}`, () => {
+			expect(table.findRoute(host, path)?.name).to.equal(name);
+		});
+	}
+
+	it('finds the account of a key, and needs none on public routes', () => {
+		expect(table.findAccount('k2')?.name).to.equal('club');
+		expect(table.findAccount('k3')).to.equal(undefined);
+		expect(table.needsKey(table.findRoute('a.example', '/x/1')!)).to.equal(true);
+		expect(table.needsKey(table.findRoute('b.example', '/')!)).to.equal(false);
+	});
+
+	it('shares requests among pools by weight', () => {
+		const route = support.createRoute({pools: [{pool: 'p', weight: 90}, {pool: 'q', weight: 10}]});
+		expect([0, 0.89, 0.9, 0.999].map(point => core.routing.choosePool(route, point))).to.deep.equal(['p', 'p', 'q', 'q']);
+	});
+});
--- /dev/null
+++ b/packages/core/tests/support/fleet.ts
@@ -0,0 +1,34 @@
+import * as core from '@bluebellmast/core';
+
+/** Creates the entry of an engine with defaults for what a test does not care about. */
+export function createEntry(id: string, changes: Partial<core.fleet.EndpointEntry> = {}): core.fleet.EndpointEntry {
+	return {
+		id,
+		bornAt: 1,
+		pool: 'llm',
+		address: '10.0.0.1:80',
+		dataCentre: 'dc-a',
+		slots: 64,
+		state: core.fleet.EndpointState.Ready,
+		weights: new Map([['m', 1]]),
+		...changes,
+	};
+}
+
+/** Creates an engine that may get requests, in the cache namespace `n`. */
+export function createCandidate(id: string, changes: Partial<core.fleet.Candidate> = {}): core.fleet.Candidate {
+	return {
+		entry: createEntry(id), hasOldWeights: false, cacheNamespace: 'n', ...changes,
+	};
+}
+
+/** Creates an empty view of the endpoints. */
+export function createView(): core.fleet.PlacementView {
+	return {
+		loads: new core.fleet.EndpointLoads(),
+		peers: new core.fleet.PeerLoads(),
+		health: new core.fleet.EndpointHealth(),
+		parts: new core.fleet.PartPlaces(),
+		terms: core.fleet.defaultPlacementTerms,
+	};
+}
--- a/packages/gateway/src/call/call-run.ts
+++ b/packages/gateway/src/call/call-run.ts
@@ -2,12 +2,14 @@
 import * as endpoints from '../endpoints/index.js';
 import * as endpointPlacer from '../placement/endpoint-placer.js';
 import type * as ports from '../ports/index.js';
-import * as eventLog from '../util/event-log.js';
 import * as answerRelay from './answer-relay.js';
 import * as answerTiming from './answer-timing.js';
+import * as attemptNotes from './attempt-notes.js';
 import * as callContext from './call-context.js';
 import type * as callDispatcher from './call-dispatcher.js';
 import * as refusals from './refusal.js';
+import * as roomFinder from './room-finder.js';
+import type * as sentAttempt from './sent-attempt.js';
 
 /** Sends beyond the attempts of the route that may follow refusals and failed connections, since nothing ran there. */
 const maxExtraSends = 2;
@@ -17,38 +19,11 @@
 const noEndpointRetryMs = 250;
 /** Time that an endpoint has beyond its own deadline to say so itself, in milliseconds. */
 const lateAnswerGraceMs = 40;
-/** Time until the first byte of an answer from a plain service is due, in milliseconds: the target of both deployments. */
-const plainAnswerMs = 100;
 /** Part of the connections of an endpoint that this VM opens beyond its even share. */
 const connectionShareFactor = 1.5;
-/** Wait after which the expectation has proved wrong, as a multiple of it, and the least such wait in milliseconds. */
-const maxWaitFactor = 2;
-const minWaitMs = 1000;
-/** Part of the time of a route below which a deadline shows that the caller comes back after a refusal. */
-const repeatTimeShare = 0.95;
-/** Time that must be left after a wait for the answer itself, in milliseconds. */
-const answerTimeMs = 500;
-
-/** Faults that speak against the endpoint itself. */
-const brokenFaults: ReadonlySet<endpoints.AttemptFault> = new Set([
-	endpoints.AttemptFault.ConnectFailed,
-	endpoints.AttemptFault.ConnectionLost,
-	endpoints.AttemptFault.WrongAnswer,
-	endpoints.AttemptFault.Unsigned,
-]);
-
-type Sent = {
-	readonly placement: endpointPlacer.Placement;
-	readonly attempt: endpoints.EndpointAttempt;
-	readonly id: string;
-	/** Whether any part of its answer has arrived. */
-	hasBegun: boolean;
-	end?: endpoints.AttemptEnd;
-};
-
 /** The life of one request from its first send to its end. */
 export class CallRun {
-	readonly #sent: Sent[] = [];
+	readonly #sent: sentAttempt.SentAttempt[] = [];
 	readonly #excluded = new Set<string>();
 	readonly #deadlineAt: number;
 	readonly #relay: answerRelay.AnswerRelay;
@@ -56,8 +31,10 @@
 	#isTimedOut = false;
 	#isCallerGone = false;
 	readonly #timing = new answerTiming.AnswerTiming();
-	#cancelWait: (() => void) | undefined;
-	#retryAfterMs = noEndpointRetryMs;
+	readonly #notes: attemptNotes.AttemptNotes;
+	readonly #rooms: roomFinder.RoomFinder;
+	/** Sends that were tried, those without a free connection included. */
+	#tries = 0;
 
 	constructor(private readonly call: callContext.RoutedCall, private readonly parts: callDispatcher.DispatchParts) {
 		const {route, head, arrivedAt, res} = call;
@@ -74,6 +51,8 @@
 			},
 		});
 		this.#relay.lastEventId = head.lastEventId;
+		this.#notes = new attemptNotes.AttemptNotes(call, parts);
+		this.#rooms = new roomFinder.RoomFinder(call, parts, this.#deadlineAt, () => this.#place());
 	}
 
 	/** Whether the request may run more than once. */
@@ -87,14 +66,14 @@
 	async run(): Promise<refusals.Refusal | undefined> {
 		const onClose = (): void => {
 			this.#isCallerGone = !this.call.res.writableFinished;
-			this.#cancelWait?.();
+			this.#rooms.cancel();
 			this.#sent.at(-1)?.attempt.abort(endpoints.AttemptFault.CallerGone);
 		};
 
 		const remainingMs = this.#deadlineAt - this.parts.clock.steadyNow();
 		const timer = setTimeout(() => {
 			this.#isTimedOut = true;
-			this.#cancelWait?.();
+			this.#rooms.cancel();
 			this.#sent.at(-1)?.attempt.abort(endpoints.AttemptFault.TimedOut);
 		}, Math.max(0, remainingMs + lateAnswerGraceMs));
 		this.call.res.once('close', onClose);
@@ -124,18 +103,18 @@
 				return this.#giveUp(refusal);
 			}
 
-			const placement = await this.#findRoom(); // eslint-disable-line no-await-in-loop -- Attempts follow one another.
-			if (placement === undefined) {
-				return this.#giveUp({code: refusals.RefusalCode.NoEndpoint, retryAfterMs: this.#retryAfterMs});
+			const room = await this.#rooms.find(this.#pool); // eslint-disable-line no-await-in-loop -- Attempts follow one another.
+			if (room.placement === undefined) {
+				return this.#giveUp({code: refusals.RefusalCode.NoEndpoint, retryAfterMs: room.retryAfterMs});
 			}
 
-			const end = await this.#send(placement); // eslint-disable-line no-await-in-loop -- Attempts follow one another.
+			const end = await this.#send(room.placement); // eslint-disable-line no-await-in-loop -- Attempts follow one another.
 			if (end.fault === undefined && !this.#relay.endsWithinEvent && !this.#relay.hasWrongOrder) {
 				this.#relay.finish();
 				return undefined;
 			}
 
-			this.#excluded.add(placement.entry.id);
+			this.#excluded.add(room.placement.entry.id);
 			if (!this.#mayTryAgain(end)) {
 				return this.#giveUp({code: refusals.RefusalCode.NoEndpoint, retryAfterMs: noEndpointRetryMs});
 			}
@@ -161,56 +140,11 @@
 			?? (this.#excluded.size > 0 ? placer.place(this.call, this.#pool, new Set(), now) : undefined);
 	}
 
-	/** Whether the caller has less time than its route gives, since an earlier try was refused. */
-	#isRepeat(): boolean {
-		const {head, route} = this.call;
-		return (head.deadlineMs ?? Infinity) < route.timeoutMs * repeatTimeShare;
-	}
-
-	/** Chooses an endpoint with room for the request, and waits for one when there is none. */
-	async #findRoom(): Promise<endpointPlacer.Placement | undefined> {
-		const first = this.#place();
-		if (first === undefined || first.hasRoom) {
-			return first;
-		}
-
-		const now = this.parts.clock.steadyNow();
-		const request: core.fleet.WaitingRequest = {
-			priority: endpointPlacer.enginePriorityOf(this.call, first.choice),
-			targetLatencyMs: this.call.route.targetLatencyMs,
-			arrivedAt: this.call.arrivedAt,
-			deadlineAt: this.#deadlineAt,
-			prefillTokens: first.choice.prefillTokens,
-		};
-		const decision = this.parts.placer.decideWait(this.#pool, {
-			queuedTokens: this.parts.waiting.tokensAhead(request),
-			timeLeftMs: this.#deadlineAt - now,
-			isRepeat: this.#isRepeat(),
-		});
-		if (!decision.mayWait) {
-			this.#retryAfterMs = decision.expectedMs * (1 + this.parts.random());
-			return undefined;
-		}
-
-		let found: endpointPlacer.Placement | undefined;
-		const {ended, cancel} = this.parts.waiting.wait({
-			...request,
-			expiresAt: Math.min(this.#deadlineAt - answerTimeMs, now + Math.max(maxWaitFactor * decision.expectedMs, minWaitMs)),
-			hasRoom: () => {
-				found = this.#place();
-				return found === undefined || found.hasRoom;
-			},
-		});
-		this.#cancelWait = cancel;
-		await ended;
-		this.#cancelWait = undefined;
-		return found?.hasRoom && !this.#isTimedOut && !this.#isCallerGone ? found : undefined;
-	}
-
 	async #send(placement: endpointPlacer.Placement): Promise<endpoints.AttemptEnd> {
-		const {fleet, clock} = this.parts;
+		const {clock} = this.parts;
 		const {entry} = placement;
 		const now = clock.steadyNow();
+		this.#tries += 1;
 		const pool = this.parts.connections.of(entry);
 		const connection = pool.take({needsFresh: !this.#isIdempotent}, this.#maxConnections(), now);
 		if (connection === undefined) {
@@ -232,7 +166,7 @@
 			sink: this.#relay,
 			steadyNow: clock.steadyNow,
 		});
-		const sent: Sent = {
+		const sent: sentAttempt.SentAttempt = {
 			placement, attempt, id, hasBegun: false,
 		};
 		if (this.#sent.length > 0) {
@@ -240,16 +174,13 @@
 		}
 
 		this.#sent.push(sent);
-		fleet.loads.begin(entry.id, id, placement.choice.prefillTokens);
-		fleet.health.noteSent(entry.id, id, this.#expectedMs(placement), now);
-		this.#noteParts(placement, false);
-		this.#logSent(placement);
+		this.#notes.noteSent(sent, this.#sent.length);
 		if (this.#isCallerGone) {
 			attempt.abort(endpoints.AttemptFault.CallerGone);
 		}
 
 		sent.end = await attempt.run();
-		this.#noteEnd(sent);
+		this.#notes.noteEnd(sent, sent.end);
 		return sent.end;
 	}
 
@@ -273,77 +204,17 @@
 		return Math.max(2, Math.floor(limit / this.parts.fleet.vms * connectionShareFactor));
 	}
 
-	#expectedMs(placement: endpointPlacer.Placement): number {
-		return placement.weightVersion === undefined ? plainAnswerMs : placement.choice.firstTokenMs;
-	}
-
 	#noteProgress(): void {
 		const sent = this.#sent.at(-1);
-		if (sent === undefined) {
-			return;
-		}
-
-		const {fleet, clock} = this.parts;
-		const now = clock.steadyNow();
-		const endpoint = sent.placement.entry.id;
-		if (!sent.hasBegun) {
-			sent.hasBegun = true;
-			this.#noteParts(sent.placement, sent.placement.saveCacheTo !== undefined);
-		}
-
-		this.#timing.note(now);
-		fleet.loads.start(endpoint, sent.id);
-		fleet.health.noteHeard(endpoint, sent.id, now);
-		if (this.call.route.kind === core.routing.RouteKind.Streaming) {
-			fleet.health.noteSent(endpoint, sent.id, this.call.route.gapTargetMs, now);
+		if (sent !== undefined) {
+			this.#timing.note(this.parts.clock.steadyNow());
+			this.#notes.noteProgress(sent);
 		}
 	}
 
-	#noteEnd(sent: Sent): void {
-		const {fleet} = this.parts;
-		const {end, placement} = sent;
-		const endpoint = placement.entry.id;
-		fleet.loads.end(endpoint, sent.id);
-		fleet.health.noteEnded(endpoint, sent.id);
-		if (end?.fault === endpoints.AttemptFault.Refused && end.head !== undefined) {
-			this.#takeHead(end.head);
-		}
-
-		if (end?.fault === undefined) {
-			fleet.health.noteOutcome(endpoint, false);
-			return;
-		}
-
-		if (end.head?.isMisdirected || end.fault === endpoints.AttemptFault.ConnectRefused) {
-			fleet.health.noteGone(endpoint);
-		} else if (brokenFaults.has(end.fault)) {
-			fleet.health.noteBroken(endpoint);
-		} else if (end.fault === endpoints.AttemptFault.AnsweredWithFailure) {
-			fleet.health.noteOutcome(endpoint, true);
-		}
-
-		this.#logFault(sent, end);
-	}
-
-	#noteParts(placement: endpointPlacer.Placement, isComputed: boolean): void {
-		if (placement.partKeys.length > 0) {
-			this.parts.noteParts(placement.partKeys.map(key => ({key, endpoint: placement.entry.id, isComputed})));
-		}
-	}
-
-	/** Learns from the head of an answer. @returns Whether the answer is passed on. */
+	/** Takes the head of an answer. @returns Whether the answer is passed on. */
 	#takeHead(head: ports.AnswerHead): boolean {
-		const {entry} = this.#sent.at(-1)!.placement;
-		const {fleet, clock} = this.parts;
-		if (head.load !== undefined) {
-			fleet.loads.report(entry.id, head.load, clock.steadyNow());
-		}
-
-		const model = this.call.head.prompt?.model;
-		if (head.weightVersion !== undefined && model !== undefined) {
-			fleet.registry.noteWeights(entry.id, entry.bornAt, model, head.weightVersion);
-		}
-
+		this.#notes.noteHead(this.#sent.at(-1)!, head);
 		return this.#wantsAnswer(head.status);
 	}
 
@@ -373,7 +244,7 @@
 
 	/** Whether a request that has not run may be sent once more. */
 	#maySendAgain(): boolean {
-		return this.#sent.length < this.call.route.maxAttempts + maxExtraSends && this.#hasTimeLeft();
+		return this.#tries < this.call.route.maxAttempts + maxExtraSends && this.#hasTimeLeft();
 	}
 
 	/**
@@ -414,31 +285,4 @@
 		const isLate = this.#isTimedOut || this.parts.clock.steadyNow() >= this.#deadlineAt;
 		return {code: isLate ? refusals.RefusalCode.TimedOut : refusals.RefusalCode.OutcomeUnknown};
 	}
-
-	#logSent(placement: endpointPlacer.Placement): void {
-		this.parts.log.write(eventLog.LogEvent.RequestSent, {
-			request: this.call.head.requestId,
-			route: this.call.route.name,
-			config: this.call.table.config.version,
-			account: this.call.account?.name,
-			endpoint: placement.entry.id,
-			send: this.#sent.length,
-			weights: placement.weightVersion,
-			costMs: Math.round(placement.choice.costMs),
-			backlogMs: Math.round(placement.choice.backlogMs),
-			prefill: placement.choice.prefillTokens,
-			active: this.parts.fleet.loads.ownActive(placement.entry.id),
-		});
-	}
-
-	#logFault(sent: Sent, end: endpoints.AttemptEnd): void {
-		this.parts.log.write(eventLog.LogEvent.AttemptFailed, {
-			request: this.call.head.requestId,
-			endpoint: sent.placement.entry.id,
-			fault: end.fault,
-			progress: end.progress,
-			status: end.head?.status,
-			detail: end.detail,
-		});
-	}
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -43,6 +43,7 @@
 	readonly #readiness: ingress.ReadinessServer;
 	#tasks: periodic.Periodic[] = [];
 	#isStopping = false;
+	#isClosed = false;
 
 	constructor(private readonly parts: GatewayParts) {
 		this.#readiness = new ingress.ReadinessServer(parts.settings.readinessPath, () => this.isReady());
@@ -93,6 +94,11 @@
 
 	/** Closes everything at once. */
 	close(): void {
+		if (this.#isClosed) {
+			return;
+		}
+
+		this.#isClosed = true;
 		for (const task of this.#tasks) {
 			task.stop();
 		}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -8,6 +8,7 @@
 export * as memberFleet from './bench/member-fleet.js';
 export * as plainService from './plain-service/index.js';
 export * as soak from './soak/index.js';
+export * as usersPlatform from './users-platform/index.js';
 export * as util from './util/index.js';
 export * as vmList from './vm-list/index.js';
 export * as weightStore from './weight-store/index.js';
--- /dev/null
+++ b/packages/stand-ins/src/users-platform/index.ts
@@ -0,0 +1,2 @@
+export * from './server-stand-in.js';
+export * from './store-stand-in.js';
--- /dev/null
+++ b/packages/stand-ins/src/users-platform/server-stand-in.ts
@@ -0,0 +1,241 @@
+/* eslint-disable @typescript-eslint/naming-convention -- Field names of the protocol. */
+import type * as http from 'node:http';
+import * as fault from '../fault/index.js';
+import * as util from '../util/index.js';
+
+/** Options of a server of the users' platform. */
+export type UsersServerOptions = fault.StandInOptions & {
+	readonly id: string;
+	readonly service: string;
+	/** Model that it serves in streams; a plain service without one. */
+	readonly model?: string;
+	/** Events of each stream; default 3. */
+	readonly events?: number;
+	/** Milliseconds between events, and that a plain request takes; default 1. */
+	readonly paceMs?: number;
+	/** Milliseconds that new weights take; default 20. */
+	readonly loadMs?: number;
+};
+
+/** How a server misbehaves. */
+export enum ServerFault {
+	None = 'none',
+	/** Refuses requests as if it were full. */
+	Full = 'full',
+	/** Runs the request and resets the connection in place of an answer. */
+	AnswerLost = 'answer_lost',
+	/** Breaks streams off after their first event. */
+	BreakStream = 'break_stream',
+	/** Answers with the id of another request. */
+	WrongId = 'wrong_id',
+	/** Answers without its signature. */
+	Unsigned = 'unsigned',
+	/** Sends an answer of no stated length and resets the connection at its end. */
+	UnframedReset = 'unframed_reset',
+	/** Runs the request and answers with a failure. */
+	Fails = 'fails',
+}
+
+/** A request that a server ran. */
+export type UsersServerRun = {
+	readonly server: string;
+	readonly requestId: string;
+	readonly path: string;
+	readonly body: string;
+	readonly headers: http.IncomingHttpHeaders;
+};
+
+/** An order that a server took. */
+export type UsersServerOrder = {
+	readonly version: number;
+	readonly holder: string;
+	readonly fence: number;
+};
+
+const defaultEvents = 3;
+const defaultPaceMs = 1;
+const defaultLoadMs = 20;
+const slots = 8;
+/** Time for bytes to leave before a reset, in milliseconds. */
+const flushMs = 20;
+
+/** A server of the users' platform, a model engine or a runner of a plain service, over a part of its published protocol. */
+export class UsersServerStandIn implements fault.StandIn {
+	readonly server: fault.StandInServer;
+	/** Requests that it ran. */
+	readonly runs: UsersServerRun[] = [];
+	/** Orders that it took. */
+	readonly orders: UsersServerOrder[] = [];
+	/** Ids of requests whose connection the caller closed before the end. */
+	readonly abandoned: string[] = [];
+	fault = ServerFault.None;
+	version = 1;
+	#isLoading = false;
+	#highestFence = 0;
+	readonly #bornAt = Date.now();
+
+	constructor(private readonly options: UsersServerOptions) {
+		this.server = new fault.StandInServer(options, async (req, res) => this.#handle(req, res));
+	}
+
+	async start(): Promise<fault.StandInAddresses> {
+		return this.server.start();
+	}
+
+	async stop(): Promise<void> {
+		await this.server.stop();
+	}
+
+	/** Returns what it writes about itself to the store. */
+	describe(state = 'ready'): Readonly<Record<string, unknown>> {
+		return {
+			service: this.options.service,
+			address: `127.0.0.1:${this.server.port}`,
+			zone: 'zone-a',
+			version: 'v1',
+			slots,
+			state,
+			cold_remaining_ms: 0,
+			born: this.#bornAt,
+			sequence: 1,
+			...(this.options.model !== undefined && {models: this.#models()}),
+		};
+	}
+
+	async #handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		if (util.headerOf(req, 'bluebellmast-expected-instance') !== this.options.id) {
+			util.sendJson(res, 421, {}, {'Bluebellmast-Instance-Id': this.options.id});
+			return;
+		}
+
+		const path = util.pathOf(req);
+		switch (path) {
+			case '/v1/report': {
+				util.sendJson(res, 200, {
+					born: this.#bornAt, models: this.#models(), busy: this.#isLoading, sequence: this.orders.length,
+				});
+
+				break;
+			}
+
+			case '/v1/order': {
+				await this.#takeOrder(req, res);
+
+				break;
+			}
+
+			case '/health': {
+				util.sendJson(res, 200, {}, {'Bluebellmast-Instance-Id': this.options.id});
+
+				break;
+			}
+
+			default: {
+				await this.#run(req, res);
+			}
+		}
+	}
+
+	async #takeOrder(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		const order = await util.readJson(req) as UsersServerOrder;
+		if (order.fence < this.#highestFence) {
+			util.sendJson(res, 412, {});
+			return;
+		}
+
+		this.#highestFence = order.fence;
+		if (order.version === this.version) {
+			util.sendJson(res, 200, {});
+			return;
+		}
+
+		this.orders.push(order);
+		this.#isLoading = true;
+		setTimeout(() => {
+			this.version = order.version;
+			this.#isLoading = false;
+		}, this.options.loadMs ?? defaultLoadMs);
+		util.sendJson(res, 202, {});
+	}
+
+	async #run(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		const requestId = util.headerOf(req, 'bluebellmast-request-id');
+		const expected = util.headerOf(req, 'bluebellmast-expected-version');
+		const body = await util.readText(req);
+		if (expected !== '' && Number(expected) !== this.version) {
+			util.sendJson(res, 421, {}, {'Bluebellmast-Instance-Id': this.options.id});
+			return;
+		}
+
+		if (this.fault === ServerFault.Full || this.#isLoading) {
+			util.sendJson(res, 503, {}, {'Bluebellmast-Not-Executed': '1', 'Bluebellmast-Request-Id': requestId});
+			return;
+		}
+
+		this.runs.push({
+			server: this.options.id, requestId, path: req.url ?? '', body, headers: req.headers,
+		});
+		res.once('close', () => {
+			if (!res.writableFinished) {
+				this.abandoned.push(requestId);
+			}
+		});
+		if (this.fault === ServerFault.AnswerLost) {
+			res.destroy();
+			return;
+		}
+
+		await (this.options.model === undefined ? this.#answerPlain(requestId, res) : this.#answerStream(req, requestId, res));
+	}
+
+	async #answerPlain(requestId: string, res: http.ServerResponse): Promise<void> {
+		await util.sleep(this.options.paceMs ?? defaultPaceMs);
+		const headers = this.#headers(requestId);
+		if (this.fault === ServerFault.Fails) {
+			util.sendJson(res, 500, {problem: 'its own'}, headers);
+		} else if (this.fault === ServerFault.UnframedReset) {
+			const text = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('');
+			res.socket?.write(`HTTP/1.1 200 OK\r\nConnection: close\r\n${text}\r\n{"half":`);
+			await this.#reset(res);
+		} else {
+			util.sendJson(res, 200, {server: this.options.id}, headers);
+		}
+	}
+
+	async #answerStream(req: http.IncomingMessage, requestId: string, res: http.ServerResponse): Promise<void> {
+		const first = Number(util.headerOf(req, 'last-event-id') || '0') + 1;
+		const last = this.options.events ?? defaultEvents;
+		res.writeHead(200, {
+			'Content-Type': 'text/event-stream', 'Bluebellmast-Weight-Versions': String(this.version), ...this.#headers(requestId),
+		});
+		for (let id = first; id <= last; id++) {
+			res.write(`id: ${id}\ndata: token ${id}\n\n`);
+			await util.sleep(this.options.paceMs ?? defaultPaceMs); // eslint-disable-line no-await-in-loop -- Events follow one another.
+			if (this.fault === ServerFault.BreakStream) {
+				res.write(`id: ${id + 1}\nda`);
+				await this.#reset(res); // eslint-disable-line no-await-in-loop -- The end of the stream.
+				return;
+			}
+		}
+
+		res.end();
+	}
+
+	/** Resets a connection once what was written has gone. */
+	async #reset(res: http.ServerResponse): Promise<void> {
+		await util.sleep(flushMs);
+		(res.socket as unknown as fault.GatedConnection).abort();
+	}
+
+	#headers(requestId: string): Record<string, string> {
+		return {
+			'Bluebellmast-Request-Id': this.fault === ServerFault.WrongId ? 'another' : requestId,
+			'Bluebellmast-Server-Load': `1,0,${slots}`,
+			...(this.fault !== ServerFault.Unsigned && {'Bluebellmast-Response-Seal': `seal-of-${this.options.id}`}),
+		};
+	}
+
+	#models(): unknown[] {
+		return [{name: this.options.model, version: this.version, adapters: []}];
+	}
+}
--- /dev/null
+++ b/packages/stand-ins/src/users-platform/store-stand-in.ts
@@ -0,0 +1,230 @@
+/* eslint-disable @typescript-eslint/naming-convention -- Field names of the protocol. */
+import {Buffer} from 'node:buffer';
+import type * as http from 'node:http';
+import * as fault from '../fault/index.js';
+import * as leaseTable from '../kv/lease-table.js';
+import * as revisionStore from '../kv/revision-store.js';
+import * as util from '../util/index.js';
+
+type Row = {readonly key: string; readonly revision: number};
+
+type Txn = {
+	readonly expected: readonly Row[];
+	readonly put: ReadonlyArray<{readonly key: string; readonly value: string; readonly lease?: number}>;
+	readonly delete: readonly string[];
+};
+
+const msPerSecond = 1000;
+const leaseCheckMs = 20;
+const watchCheckMs = 5;
+/** Items of one page; small, so that tests see several pages. */
+const pageItems = 3;
+
+/** The store of the users' platform, over a part of its published protocol. */
+export class UsersStoreStandIn implements fault.StandIn {
+	readonly server: fault.StandInServer;
+	/** Calls by method and path. */
+	readonly calls: string[] = [];
+	readonly #store = new revisionStore.RevisionStore();
+	readonly #leases = new leaseTable.LeaseTable();
+	#forgottenRevision = 0;
+	#leaseTimer: NodeJS.Timeout | undefined;
+	#isStopped = false;
+
+	constructor(options: fault.StandInOptions = {}) {
+		this.server = new fault.StandInServer(options, async (req, res) => this.#handle(req, res));
+	}
+
+	async start(): Promise<fault.StandInAddresses> {
+		this.#leaseTimer = setInterval(() => {
+			this.#expireLeases(Date.now());
+		}, leaseCheckMs);
+		return this.server.start();
+	}
+
+	async stop(): Promise<void> {
+		this.#isStopped = true;
+		clearInterval(this.#leaseTimer);
+		await this.server.stop();
+	}
+
+	/** Writes as the operator or an endpoint does. */
+	write(key: string, value: unknown): void {
+		this.#store.put(encode(key), encode(JSON.stringify(value)), '0');
+	}
+
+	/** Writes bytes as they are. */
+	writeText(key: string, text: string): void {
+		this.#store.put(encode(key), encode(text), '0');
+	}
+
+	/** Removes a key. */
+	remove(key: string): void {
+		this.#store.delete(encode(key));
+	}
+
+	/** Reads the text under a key. */
+	read(key: string): string | undefined {
+		const pair = this.#store.get(encode(key));
+		return pair && decode(pair.value);
+	}
+
+	/** Forgets all changes so far: watches from an earlier revision are told so. */
+	forgetHistory(): void {
+		this.#forgottenRevision = this.#store.revision;
+	}
+
+	/** Ends all leases with their keys. */
+	endLeases(): void {
+		this.#expireLeases(Infinity);
+	}
+
+	async #handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		const url = new URL(req.url ?? '/', 'http://store');
+		this.calls.push(`${req.method} ${url.pathname}`);
+		const name = url.pathname.split('/')[2] ?? '';
+		const id = url.pathname.split('/')[3] ?? '';
+		switch (name) {
+			case 'kv-key': {
+				this.#answerKey(url, res);
+				break;
+			}
+
+			case 'kv-range': {
+				this.#answerRange(url, res);
+				break;
+			}
+
+			case 'kv-watch': {
+				await this.#answerWatch(url, res);
+				break;
+			}
+
+			case 'kv-txn': {
+				await this.#answerTxn(await util.readJson(req) as Txn, res);
+				break;
+			}
+
+			case 'kv-lease': {
+				const {ttl_ms: ttlMs} = await util.readJson(req) as {readonly ttl_ms: number};
+				util.sendJson(res, 200, {lease: Number(this.#leases.grant(ttlMs / msPerSecond, Date.now())), ttl_ms: ttlMs});
+				break;
+			}
+
+			case 'kv-keep': {
+				const ttlSeconds = this.#leases.keepAlive(id, Date.now());
+				util.sendJson(res, ttlSeconds === 0 ? 404 : 200, {ttl_ms: ttlSeconds * msPerSecond});
+				break;
+			}
+
+			case 'kv-lease-end': {
+				this.#leases.revoke(id);
+				this.#dropLease(id);
+				util.sendJson(res, 200, {});
+				break;
+			}
+
+			default: {
+				util.sendJson(res, 404, {});
+			}
+		}
+	}
+
+	#answerKey(url: URL, res: http.ServerResponse): void {
+		const pair = this.#store.get(encode(url.searchParams.get('key') ?? ''));
+		util.sendJson(res, pair === undefined ? 404 : 200, pair && {...toItem(pair), at: this.#store.revision});
+	}
+
+	#answerRange(url: URL, res: http.ServerResponse): void {
+		const prefix = url.searchParams.get('prefix') ?? '';
+		const after = url.searchParams.get('after') ?? '';
+		const items = this.#store.range({key: '', end: Buffer.from([0]).toString('base64')})
+			.map(pair => toItem(pair))
+			.filter(item => item.key.startsWith(prefix) && item.key > after);
+		util.sendJson(res, 200, {
+			items: items.slice(0, pageItems), has_more: items.length > pageItems, at: this.#store.revision,
+		});
+	}
+
+	async #answerWatch(url: URL, res: http.ServerResponse): Promise<void> {
+		const prefix = url.searchParams.get('prefix') ?? '';
+		const after = Number(url.searchParams.get('after'));
+		const endsAt = Date.now() + Number(url.searchParams.get('wait_ms'));
+		if (after < this.#forgottenRevision) {
+			util.sendJson(res, 410, {});
+			return;
+		}
+
+		let events = this.#eventsAfter(prefix, after);
+		while (events.length === 0 && Date.now() < endsAt && !this.#isStopped) {
+			await util.sleep(watchCheckMs); // eslint-disable-line no-await-in-loop -- A poll.
+			events = this.#eventsAfter(prefix, after);
+		}
+
+		await this.server.faults.whenThawed();
+		util.sendJson(res, 200, {events, at: this.#store.revision});
+	}
+
+	#eventsAfter(prefix: string, after: number): unknown[] {
+		return this.#store.changesFrom(after + 1)
+			.filter(change => decode(change.key).startsWith(prefix))
+			.map(change => change.pair === undefined
+				? {key: decode(change.key), revision: change.revision, removed: true}
+				: toItem(change.pair));
+	}
+
+	async #answerTxn(txn: Txn, res: http.ServerResponse): Promise<void> {
+		const isAsExpected = txn.expected.every(row => (this.#store.get(encode(row.key))?.modRevision ?? 0) === row.revision);
+		if (!isAsExpected) {
+			const items = txn.expected.map(row => this.#store.get(encode(row.key)));
+			util.sendJson(res, 412, {items: items.flatMap(pair => pair === undefined ? [] : [toItem(pair)])});
+			return;
+		}
+
+		if (txn.put.some(put => (put.lease ?? 0) !== 0 && !this.#leases.has(String(put.lease)))) {
+			util.sendJson(res, 404, {});
+			return;
+		}
+
+		for (const put of txn.put) {
+			this.#store.put(encode(put.key), put.value, String(put.lease ?? 0));
+		}
+
+		for (const key of txn.delete) {
+			this.#store.delete(encode(key));
+		}
+
+		if (this.server.faults.loseAnswersProbability > 0) {
+			res.destroy();
+			return;
+		}
+
+		util.sendJson(res, 200, {revision: this.#store.revision});
+	}
+
+	#expireLeases(now: number): void {
+		for (const id of this.#leases.expire(now)) {
+			this.#dropLease(id);
+		}
+	}
+
+	#dropLease(id: string): void {
+		for (const key of this.#store.keysOfLease(id)) {
+			this.#store.delete(key);
+		}
+	}
+}
+
+function encode(text: string): string {
+	return Buffer.from(text).toString('base64');
+}
+
+function decode(text: string): string {
+	return Buffer.from(text, 'base64').toString();
+}
+
+function toItem(pair: revisionStore.StoredPair): {readonly key: string} & Readonly<Record<string, unknown>> {
+	return {
+		key: decode(pair.key), value: pair.value, revision: pair.modRevision, created: pair.createRevision, lease: Number(pair.lease),
+	};
+}
