Follow the news of the cache store on two VMs; name its states in the log

Cause: parts were expected in the cache store by what VMs had sent for saving alone; evictions, a restart or a dead store were not seen, and a dead one holds up each request that fetches from it. Change: two VMs by rendezvous follow the store's events and pass on what it took and dropped, that it restarted, and that it does not answer; the others need no call.

--- a/packages/core/src/fleet/choose-endpoint.ts
+++ b/packages/core/src/fleet/choose-endpoint.ts
@@ -147,11 +147,12 @@
 	let prefill = 0;
 	let fetch = 0;
 	let isPresent = true;
+	const isStoreUsable = view.parts.isStoreUsable(now);
 	for (const [index, part] of need.parts.entries()) {
 		const key = partKey(candidate.cacheNamespace, part);
 		const isShared = index < need.sharedParts;
 		const isCached: boolean = isPresent && view.parts.isCached(key, candidate.entry.id, now);
-		const isStored: boolean = isPresent && isShared && Number.isFinite(view.parts.storedForMs(key, now));
+		const isStored: boolean = isPresent && isShared && isStoreUsable && Number.isFinite(view.parts.storedForMs(key, now));
 		isPresent = isCached || isStored;
 		if (!isPresent) {
 			prefill += part.tokens;
--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -1,4 +1,5 @@
 export * from './admission.js';
+export * from './cache-sign.js';
 export * from './choose-endpoint.js';
 export * from './endpoint-entry.js';
 export * from './endpoint-health.js';
--- a/packages/core/src/fleet/load-digest.ts
+++ b/packages/core/src/fleet/load-digest.ts
@@ -1,4 +1,4 @@
-import type * as partPlaces from './part-places.js';
+import type * as cacheSign from './cache-sign.js';
 
 /** What one VM has under way at one endpoint. */
 export type EndpointDigest = {
@@ -18,5 +18,5 @@
 	readonly sequence: number;
 	readonly endpoints: readonly EndpointDigest[];
 	/** Signs of where large prompt parts are cached. */
-	readonly parts: readonly partPlaces.PartSign[];
+	readonly signs: readonly cacheSign.CacheSign[];
 };
--- a/packages/gateway/src/call/attempt-notes.ts
+++ b/packages/gateway/src/call/attempt-notes.ts
@@ -121,7 +121,8 @@
 
 	#noteParts(placement: endpointPlacer.Placement, isComputed: boolean): void {
 		if (placement.partKeys.length > 0) {
-			this.parts.noteParts(placement.partKeys.map(key => ({key, endpoint: placement.entry.id, isComputed})));
+			const type = isComputed ? core.fleet.CacheSignType.Computed : core.fleet.CacheSignType.Sent;
+			this.parts.noteSigns(placement.partKeys.map(key => ({type, key, endpoint: placement.entry.id})));
 		}
 	}
 }
--- a/packages/gateway/src/call/call-dispatcher.ts
+++ b/packages/gateway/src/call/call-dispatcher.ts
@@ -20,7 +20,7 @@
 	readonly retries: retryWindows.RetryWindows;
 	readonly waiting: waitingRoom.WaitingRoom;
 	/** Tells where prompt parts are cached. */
-	readonly noteParts: (signs: readonly core.fleet.PartSign[]) => void;
+	readonly noteSigns: (signs: readonly core.fleet.CacheSign[]) => void;
 	readonly trust: CallTrust;
 	readonly clock: clocks.Clocks;
 	readonly log: eventLog.EventLog;
--- a/packages/gateway/src/controllers/duty-controller.ts
+++ b/packages/gateway/src/controllers/duty-controller.ts
@@ -90,6 +90,11 @@
 		}
 	}
 
+	/** Names of all VMs. */
+	vmNames(): string[] {
+		return [...this.#vms.keys()];
+	}
+
 	/** Addresses of the other VMs. */
 	peerAddresses(ownVm: string): string[] {
 		return [...this.#vms].filter(([vm]) => vm !== ownVm).map(([, member]) => member.address);
--- a/packages/gateway/src/controllers/index.ts
+++ b/packages/gateway/src/controllers/index.ts
@@ -1,3 +1,4 @@
+export * from './cache-store-controller.js';
 export * from './duty-controller.js';
 export * from './duty-keys.js';
 export * from './endpoint-controller.js';
--- a/packages/gateway/src/controllers/load-controller.ts
+++ b/packages/gateway/src/controllers/load-controller.ts
@@ -15,36 +15,34 @@
 
 /** Pause between the sending of a large prompt and the digest that tells of it, in milliseconds; several are told at once. */
 const promptDelayMs = 5;
-/** Signs of cached parts in one digest, which keep it below one packet. */
-const maxParts = 20;
+/** Signs in one digest, which keep it below one packet. */
+const maxSigns = 24;
 
 /** Tells the other VMs what this one has under way at each endpoint, and where it sent large prompt parts. */
 export class LoadController {
 	#sequence = Date.now();
 	#wasIdle = false;
-	#parts: core.fleet.PartSign[] = [];
+	readonly #signs: core.fleet.CacheSign[] = [];
 	#timer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly parts: LoadControllerParts) {}
 
-	/** Takes a sign of a cached part, and tells the others soon: the next request for it may come to any VM. */
-	noteParts(signs: readonly core.fleet.PartSign[]): void {
+	/** Takes signs of cached parts, and tells the others soon: the next request for a part may come to any VM. */
+	noteSigns(signs: readonly core.fleet.CacheSign[]): void {
 		const now = this.parts.clock.steadyNow();
 		for (const sign of signs) {
 			this.parts.fleet.parts.note(sign, now);
 		}
 
-		this.#parts = [...this.#parts, ...signs].slice(-maxParts);
-		this.#timer ??= setTimeout(() => {
-			this.#send();
-		}, promptDelayMs);
+		this.#signs.push(...signs);
+		this.#schedule();
 	}
 
 	/** Takes a digest of another VM. */
 	takeDigest(digest: core.fleet.LoadDigest): void {
 		const now = this.parts.clock.steadyNow();
 		this.parts.fleet.peers.note(digest, now);
-		for (const sign of digest.parts) {
+		for (const sign of digest.signs) {
 			this.parts.fleet.parts.note(sign, now);
 		}
 	}
@@ -64,16 +62,24 @@
 		clearTimeout(this.#timer);
 	}
 
+	#schedule(): void {
+		this.#timer ??= setTimeout(() => {
+			this.#send();
+		}, promptDelayMs);
+	}
+
 	#send(): void {
 		const {vm, exchange, duties} = this.parts;
 		clearTimeout(this.#timer);
 		this.#timer = undefined;
-		const parts = this.#parts;
-		this.#parts = [];
+		const signs = this.#signs.splice(0, maxSigns);
 		this.#sequence += 1;
 		exchange.send({
-			vm, sequence: this.#sequence, endpoints: this.#describe(), parts,
+			vm, sequence: this.#sequence, endpoints: this.#describe(), signs,
 		}, duties.peerAddresses(vm));
+		if (this.#signs.length > 0) {
+			this.#schedule();
+		}
 	}
 
 	#describe(): core.fleet.EndpointDigest[] {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,6 +21,7 @@
 	readonly endpointController: controllers.EndpointController;
 	readonly exchange: peers.LoadExchange;
 	readonly load: controllers.LoadController;
+	readonly cacheStore: controllers.CacheStoreController;
 	readonly clock: clocks.Clocks;
 	readonly log: eventLog.EventLog;
 };
@@ -29,6 +30,8 @@
 const endpointTickMs = 100;
 const leaseTickMs = 150;
 const rolloutTickMs = 50;
+/** Pause between two calls that wait for news of the cache store. */
+const cacheStoreTickMs = 100;
 /** Digests of load are a few hundred bytes; this keeps them below 3 KB/s for each peer. */
 const loadTickMs = 100;
 /** Age of the configuration beyond which the VM asks for no new connections, in milliseconds: several polls have failed. */
@@ -111,7 +114,7 @@
 	}
 
 	#runTasks(): periodic.Periodic[] {
-		const {endpointController, duties, lease, rollout, load, log} = this.parts;
+		const {endpointController, duties, lease, rollout, load, cacheStore, log} = this.parts;
 		const tasks: readonly periodic.PeriodicTask[] = [
 			{
 				name: 'endpoints',
@@ -128,6 +131,7 @@
 					load.tick();
 				},
 			},
+			{name: 'cache store', intervalMs: cacheStoreTickMs, run: async () => cacheStore.tick()},
 			{name: 'lease', intervalMs: leaseTickMs, run: async () => lease.tick()},
 			{name: 'rollout', intervalMs: rolloutTickMs, run: async () => rollout.tick()},
 		];
--- a/packages/gateway/src/peers/digest-codec.ts
+++ b/packages/gateway/src/peers/digest-codec.ts
@@ -5,10 +5,10 @@
 /** Rows of a digest as they travel: endpoint, active requests, prefill tokens, milliseconds since it was heard. */
 type EndpointRow = readonly [string, number, number, number | undefined];
 
-/** Part with its namespace, endpoint, whether it was computed there. */
-type PartRow = readonly [string, string, boolean];
+/** Type of sign, part with its namespace, endpoint. */
+type SignRow = readonly [core.fleet.CacheSignType, string, string];
 
-type DigestMessage = readonly [vm: string, sequence: number, endpoints: readonly EndpointRow[], parts: readonly PartRow[]];
+type DigestMessage = readonly [vm: string, sequence: number, endpoints: readonly EndpointRow[], signs: readonly SignRow[]];
 
 /** Encodes a digest as one datagram. */
 export function encodeDigest(digest: core.fleet.LoadDigest): buffer.Buffer {
@@ -16,7 +16,7 @@
 		digest.vm,
 		digest.sequence,
 		digest.endpoints.map(entry => [entry.endpoint, entry.active, entry.prefillTokens, entry.heardAgoMs]),
-		digest.parts.map(part => [part.key, part.endpoint, part.isComputed]),
+		digest.signs.map(sign => [sign.type, sign.key, sign.endpoint]),
 	];
 	return cbor.encode(message);
 }
@@ -34,14 +34,14 @@
 	return isDigest(message) ? fromMessage(message) : undefined;
 }
 
-function fromMessage([vm, sequence, endpoints, parts]: DigestMessage): core.fleet.LoadDigest {
+function fromMessage([vm, sequence, endpoints, signs]: DigestMessage): core.fleet.LoadDigest {
 	return {
 		vm,
 		sequence,
 		endpoints: endpoints.map(([endpoint, active, prefillTokens, heardAgoMs]) => ({
 			endpoint, active, prefillTokens, heardAgoMs: heardAgoMs ?? undefined,
 		})),
-		parts: parts.map(([key, endpoint, isComputed]) => ({key, endpoint, isComputed})),
+		signs: signs.map(([type, key, endpoint]) => ({type, key, endpoint})),
 	};
 }
 
@@ -50,7 +50,7 @@
 		return false;
 	}
 
-	return isRows(message[2], ['string', 'number', 'number']) && isRows(message[3], ['string', 'string', 'boolean']);
+	return isRows(message[2], ['string', 'number', 'number']) && isRows(message[3], ['string', 'string', 'string']);
 }
 
 /** Whether a value is a list of rows that begin with values of the given types. */
--- a/packages/gateway/src/placement/endpoint-placer.ts
+++ b/packages/gateway/src/placement/endpoint-placer.ts
@@ -18,8 +18,8 @@
 /** Parts of a prompt from this size on are fetched from and saved to the cache store, in tokens. */
 const minStoredTokens = 1000;
 
-/** Age of a saved part from which it is saved once more, in milliseconds: the store drops parts that are not used. */
-const saveAgainMs = 10_000;
+/** Age of the last news of a stored part from which it is saved once more, in milliseconds, since news get lost. */
+const saveAgainMs = 20_000;
 
 /** Rank of the most urgent large request at an engine, where ranks reach from 0 to 9. */
 const largeOffset = 5;
@@ -125,7 +125,8 @@
 		const partKeys = prompt.parts.slice(0, -1)
 			.filter(part => part.tokens >= minStoredTokens)
 			.map(part => core.fleet.partKey(cacheNamespace, part));
-		const store = partKeys.length === 0 ? undefined : call.table.config.cacheStores[0]?.address;
+		const usesStore = partKeys.length > 0 && this.fleet.parts.isStoreUsable(now);
+		const store = usesStore ? call.table.config.cacheStores[0]?.address : undefined;
 		const mustSave = partKeys.some(key => this.fleet.parts.storedForMs(key, now) > saveAgainMs);
 		return {
 			entry,
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -20,6 +20,7 @@
 	readonly callerProtocol: ports.CallerProtocol;
 	readonly endpointProtocol: ports.EndpointProtocol;
 	readonly admin: ports.EndpointAdmin;
+	readonly cacheStoreNews: ports.CacheStoreNews;
 	readonly clock: clocks.Clocks;
 	readonly log: eventLog.EventLog;
 	/** Draws a number from 0 up to but not including 1; decides splits and pauses. */
@@ -58,8 +59,8 @@
 		protocol: options.endpointProtocol,
 		retries: new call.RetryWindows(settings.retries),
 		waiting: new call.WaitingRoom(() => clock.steadyNow()),
-		noteParts(signs) {
-			load.noteParts(signs);
+		noteSigns(signs) {
+			load.noteSigns(signs);
 		},
 		trust: new call.SendTrust(config, settings.trust, clock),
 	});
@@ -83,6 +84,17 @@
 	const endpointController = new controllers.EndpointController({
 		decoder, config, fleet, connections, dispatcher, admin, clock, log,
 	});
+	const cacheStore = new controllers.CacheStoreController({
+		vm: settings.vm,
+		fleet,
+		config,
+		duties,
+		news: options.cacheStoreNews,
+		log,
+		noteSigns(signs) {
+			load.noteSigns(signs);
+		},
+	});
 	const lease = new controllers.LeaseController({
 		vm: settings.vm, ownAddress: () => exchange.address, store, duties, fleet, clock, log, random,
 	}, controllers.createVmLeaseTerms(settings.holderGapMs));
@@ -99,6 +111,6 @@
 		store, prefix: '', listener, clock, log,
 	});
 	return new gateway.Gateway({
-		settings, config, fleet, server, feed, lease, rollout, duties, endpointController, exchange, load, clock, log,
+		settings, config, fleet, server, feed, lease, rollout, duties, endpointController, exchange, load, cacheStore, clock, log,
 	});
 }
