Pass answers without a stated end on as they are; keep the close of a connection apart from its reset

Change: such an answer is passed on without a stated end, closed with its connection; only an end in order completes it.

--- a/packages/gateway/src/call/answer-relay.ts
+++ b/packages/gateway/src/call/answer-relay.ts
@@ -35,7 +35,7 @@
 	#splitter = new eventSplitter.EventSplitter();
 	#held: Uint8Array[] = [];
 	#heldBytes = 0;
-	#head: {readonly status: number; readonly rawHeaders: readonly string[]} | undefined;
+	#head: {readonly status: number; readonly rawHeaders: readonly string[]; readonly isFramed: boolean} | undefined;
 	#hasBegun = false;
 	#isEventStream = false;
 	#isWaitingForDrain = false;
@@ -53,7 +53,7 @@
 		return this.#hasWrongOrder;
 	}
 
-	onHead(head: ports.AnswerHead, rawHeaders: readonly Uint8Array[]): boolean {
+	onHead(head: ports.AnswerHead, raw: endpoints.RawAnswer): boolean {
 		this.options.onProgress();
 		if (!this.options.wantsAnswer(head)) {
 			return false;
@@ -64,10 +64,10 @@
 			return head.status === this.#head?.status;
 		}
 
-		const headers = rawHeaders.map(value => buffer.Buffer.from(value).toString('latin1'));
+		const headers = raw.headers.map(value => buffer.Buffer.from(value).toString('latin1'));
 		this.#held = [];
 		this.#heldBytes = 0;
-		this.#head = {status: head.status, rawHeaders: headers};
+		this.#head = {status: head.status, rawHeaders: headers, isFramed: raw.isFramed};
 		this.#isEventStream = this.options.isStream && head.status < 300;
 		if (this.#isEventStream) {
 			this.#begin();
@@ -155,9 +155,13 @@
 
 	#begin(): void {
 		this.#hasBegun = true;
-		const {status, rawHeaders} = this.#head!;
+		const {status, rawHeaders, isFramed} = this.#head!;
 		this.res.statusCode = status;
 		this.res.sendDate = false;
+		if (!isFramed) {
+			this.#endWithConnection();
+		}
+
 		const dropped = new Set([...connectionHeaders, ...namedByConnection(rawHeaders)]);
 		for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
 			const name = rawHeaders[index]!;
@@ -167,6 +171,12 @@
 		}
 	}
 
+	/** Leaves an answer without a stated end as it is: nobody but the endpoint can tell whether it is complete. */
+	#endWithConnection(): void {
+		this.res.useChunkedEncodingByDefault = false;
+		this.res.shouldKeepAlive = false;
+	}
+
 	#write(bytes: Uint8Array): boolean {
 		const mayGoOn = this.res.write(bytes);
 		if (!mayGoOn && !this.#isWaitingForDrain) {
--- a/packages/gateway/src/endpoints/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoints/endpoint-attempt.ts
@@ -30,6 +30,14 @@
 	EndpointSilent = 'endpoint_silent',
 }
 
+/** Framing and headers of an answer as received. */
+export type RawAnswer = {
+	/** Header names and values by turns. */
+	readonly headers: readonly Uint8Array[];
+	/** Whether the answer states where it ends; otherwise it ends with its connection. */
+	readonly isFramed: boolean;
+};
+
 /** Receives the answer of an attempt. */
 export interface AnswerSink { // eslint-disable-line @typescript-eslint/consistent-type-definitions
 	/**
@@ -37,7 +45,7 @@
 	 *
 	 * @returns Whether the body is wanted; otherwise the answer is read to its end and dropped.
 	 */
-	onHead(head: ports.AnswerHead, rawHeaders: readonly Uint8Array[]): boolean;
+	onHead(head: ports.AnswerHead, raw: RawAnswer): boolean;
 	/** Takes a piece of the body. @returns Whether more may follow now; {@link EndpointAttempt.resume} goes on. */
 	onData(chunk: Uint8Array): boolean;
 }
@@ -87,7 +95,7 @@
 	#abortFault: AttemptFault | undefined;
 	#head: ports.AnswerHead | undefined;
 	#wantsBody = false;
-	#hasStatedLength = true;
+	#isFramed = true;
 	#refusal: AttemptFault | undefined;
 	#resolve: ((end: AttemptEnd) => void) | undefined;
 	#isEnded = false;
@@ -143,7 +151,7 @@
 
 		const head = this.parts.protocol.decodeAnswer(status, headers);
 		this.#head = head;
-		this.#hasStatedLength = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+		this.#isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 		const fault = this.#findFault(head);
 		if (fault !== undefined) {
 			this.abort(fault);
@@ -159,7 +167,7 @@
 		this.progress = core.request.AttemptProgress.AnswerBegun;
 
 		const {rawHeaders} = controller as unknown as {readonly rawHeaders: readonly Uint8Array[]};
-		this.#wantsBody = this.parts.sink.onHead(head, rawHeaders);
+		this.#wantsBody = this.parts.sink.onHead(head, {headers: rawHeaders, isFramed: this.#isFramed});
 		if (!this.#wantsBody) {
 			this.#refusal = AttemptFault.AnsweredWithFailure;
 		}
@@ -172,7 +180,7 @@
 	}
 
 	onResponseEnd(): void {
-		if (!this.#hasStatedLength && this.parts.connection.wasReset) {
+		if (!this.#isFramed && !this.parts.connection.hasEnded) {
 			this.#end({
 				progress: this.progress, fault: AttemptFault.ConnectionLost, head: this.#head, detail: 'reset at the end',
 			});
--- a/packages/gateway/src/endpoints/endpoint-connection.ts
+++ b/packages/gateway/src/endpoints/endpoint-connection.ts
@@ -26,7 +26,7 @@
 	isBusy = false;
 	/** When the last request ended, in steady milliseconds. */
 	idleSince = 0;
-	#wasReset = false;
+	#hasEnded = false;
 	#isOpen = false;
 	readonly #client: undici.Client;
 
@@ -60,9 +60,9 @@
 		return this.#isOpen;
 	}
 
-	/** Whether the connection ended by a reset, which leaves an answer without a stated length incomplete. */
-	get wasReset(): boolean {
-		return this.#wasReset;
+	/** Whether the endpoint ended the connection in order; a reset leaves an answer without a stated length incomplete. */
+	get hasEnded(): boolean {
+		return this.#hasEnded;
 	}
 
 	/** Sends a request. */
@@ -77,8 +77,12 @@
 
 	#watch(socket: net.Socket | tls.TLSSocket): void {
 		this.#isOpen = true;
-		socket.on('error', () => {
-			this.#wasReset = true;
+		// Listens before the client does, which takes an answer for complete at a reset, too.
+		socket.once('end', () => {
+			this.#hasEnded = true;
+		});
+		socket.once('error', () => {
+			this.#hasEnded = false;
 		});
 	}
 }
--- a/packages/stand-ins/src/users-platform/server-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/server-stand-in.ts
@@ -32,6 +32,8 @@
 	Unsigned = 'unsigned',
 	/** Sends an answer of no stated length and resets the connection at its end. */
 	UnframedReset = 'unframed_reset',
+	/** Sends a whole answer of no stated length, which ends with its connection. */
+	Unframed = 'unframed',
 	/** Runs the request and answers with a failure. */
 	Fails = 'fails',
 }
@@ -193,10 +195,8 @@
 		const headers = this.#headers(requestId);
 		if (this.fault === ServerFault.Fails) {
 			util.sendJson(res, 500, {problem: 'its own'}, headers);
-		} else if (this.fault === ServerFault.UnframedReset) {
-			const text = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('');
-			res.socket?.write(`HTTP/1.1 200 OK\r\nConnection: close\r\n${text}\r\n{"half":`);
-			await this.#reset(res);
+		} else if (this.fault === ServerFault.UnframedReset || this.fault === ServerFault.Unframed) {
+			await this.#answerUnframed(headers, res);
 		} else {
 			util.sendJson(res, 200, {server: this.options.id}, headers);
 		}
@@ -221,6 +221,16 @@
 		res.end();
 	}
 
+	async #answerUnframed(headers: Readonly<Record<string, string>>, res: http.ServerResponse): Promise<void> {
+		const text = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('');
+		res.socket?.write(`HTTP/1.1 200 OK\r\nConnection: close\r\n${text}\r\n{"whole":1}`);
+		if (this.fault === ServerFault.UnframedReset) {
+			await this.#reset(res);
+		} else {
+			res.socket?.end();
+		}
+	}
+
 	/** Resets a connection once what was written has gone. */
 	async #reset(res: http.ServerResponse): Promise<void> {
 		await util.sleep(flushMs);
