Hand the roll-out over sooner: each order follows a publication, so a new leader knows when the last one went

Change: orders go out within 600 ms of a publication of the plan; a new leader reads the plan and waits only until the last publication is older than that window and the platform's gap between holders. The lease lasts 2 s. Reports of loading engines are read every 120 ms; 1.2 s of the version bound are kept for the engine's queue, which admission holds short. Digests go to twelve VMs at a time in large fleets.

--- a/packages/core/src/fleet/peer-loads.ts
+++ b/packages/core/src/fleet/peer-loads.ts
@@ -6,12 +6,15 @@
 	readonly endpoints: ReadonlyMap<string, loadDigest.EndpointDigest>;
 };
 
-/** Age after which a digest says nothing any more, in milliseconds: several intervals between digests. */
-const digestLifetimeMs = 1500;
+/** Age after which a digest says nothing any more, in milliseconds: several intervals between digests of a VM. */
+const minLifetimeMs = 1500;
+/** The same for each VM of a large fleet, whose VMs tell each other in turn. */
+const lifetimePerVmMs = 20;
 
 /** What the other VMs have under way at the endpoints, by their latest digests. */
 export class PeerLoads {
 	readonly #received = new Map<string, Received>();
+	#lifetimeMs = minLifetimeMs;
 
 	/** Takes a digest; an older one than the last is ignored. */
 	note(digest: loadDigest.LoadDigest, now: number): void {
@@ -45,8 +48,9 @@
 		return heardAt;
 	}
 
-	/** Forgets VMs that are no longer members. */
+	/** Forgets VMs that are no longer members, and fits the lifetime of digests to their number. */
 	retain(vms: ReadonlySet<string>): void {
+		this.#lifetimeMs = Math.max(minLifetimeMs, vms.size * lifetimePerVmMs);
 		for (const vm of this.#received.keys()) {
 			if (!vms.has(vm)) {
 				this.#received.delete(vm);
@@ -58,7 +62,7 @@
 		let sum = 0;
 		for (const {at, endpoints} of this.#received.values()) {
 			const digest = endpoints.get(endpoint);
-			if (digest !== undefined && now - at <= digestLifetimeMs) {
+			if (digest !== undefined && now - at <= this.#lifetimeMs) {
 				sum += valueOf(digest);
 			}
 		}
--- a/packages/core/src/orders/leader-lease.ts
+++ b/packages/core/src/orders/leader-lease.ts
@@ -59,10 +59,9 @@
 	 * Takes a lease that was gained.
 	 *
 	 * @param sentAt - When the grant was asked for; the lease lasts from then at least.
-	 * @param ordersMayBeUnderWay - Whether an earlier holder may have sent orders lately; by default it may have.
+	 * @param clearAt - Time from which no order of an earlier holder can be under way; by default the longest order from now.
 	 */
-	gained(fencing: number, sentAt: number, now: number, ordersMayBeUnderWay = true): void {
-		const clearAt = ordersMayBeUnderWay ? now + this.times.longestOrderMs : now;
+	gained(fencing: number, sentAt: number, now: number, clearAt: number = now + this.times.longestOrderMs): void {
 		this.held = {fencing, endsAt: sentAt + this.times.ttlMs, clearAt};
 		this.go(leaseMachine.LeaseEventType.Gained);
 		this.advance(now);
--- a/packages/core/src/rollout/plan-rollout.ts
+++ b/packages/core/src/rollout/plan-rollout.ts
@@ -51,7 +51,9 @@
 		steps.push(...planModel(plan, ofModel, version, terms));
 	}
 
-	return {fence, steps, named};
+	return {
+		fence, round: plan.round, steps, named,
+	};
 }
 
 function planModel(
--- a/packages/core/src/rollout/rollout-plan.ts
+++ b/packages/core/src/rollout/rollout-plan.ts
@@ -28,13 +28,17 @@
 export type RolloutPlan = {
 	/** Fencing number of the leader that wrote it. */
 	readonly fence: number;
+	/** Grows each time the plan is published again to repeat an order. */
+	readonly round: number;
 	readonly steps: readonly RolloutStep[];
 	/** Versions with the time since which they count, which a VM that starts later can't know by itself. */
 	readonly named: readonly NamedVersion[];
 };
 
 /** The plan before any roll-out. */
-export const emptyRolloutPlan: RolloutPlan = {fence: 0, steps: [], named: []};
+export const emptyRolloutPlan: RolloutPlan = {
+	fence: 0, round: 0, steps: [], named: [],
+};
 
 /** Returns whether an engine is out of placement by a plan. */
 export function isLoading(plan: RolloutPlan, endpoint: string): boolean {
--- a/packages/core/tests/rollout/plan-rollout.test.ts
+++ b/packages/core/tests/rollout/plan-rollout.test.ts
@@ -22,7 +22,9 @@
 	target: number,
 ): readonly core.rollout.RolloutStep[] {
 	return core.rollout.planRollout({
-		plan: {fence: 1, steps, named: []}, engines, targets: new Map([['m', target]]), named: [], fence: 2,
+		plan: {
+			fence: 1, round: 0, steps, named: [],
+		}, engines, targets: new Map([['m', target]]), named: [], fence: 2,
 	}).steps;
 }
 
--- a/packages/gateway/src/controllers/duty-controller.ts
+++ b/packages/gateway/src/controllers/duty-controller.ts
@@ -21,6 +21,8 @@
 	leader?: SeenLeader;
 	/** Revision of the plan's key; 0 while there is none. */
 	planRevision: number;
+	/** When the plan was seen last, in wall-safe milliseconds; absent while there is none. */
+	planSeenAt?: number;
 };
 
 /** A VM of the gateway. */
@@ -115,6 +117,7 @@
 
 	#usePlan(plan: core.rollout.RolloutPlan): void {
 		this.fleet.plan = plan;
+		this.view.planSeenAt = this.clock.wallSafeNow();
 		const offset = this.clock.steadyNow() - this.clock.wallNow();
 		for (const {model, version, seenAt} of plan.named) {
 			this.fleet.targets.note(model, version, seenAt + offset);
--- a/packages/gateway/src/controllers/lease-controller.ts
+++ b/packages/gateway/src/controllers/lease-controller.ts
@@ -1,7 +1,6 @@
 import * as buffer from 'node:buffer';
 import * as core from '@bluebellmast/core';
 import * as clients from '@bluebellmast/kv';
-import type * as fleetState from '../placement/fleet-state.js';
 import type * as clocks from '../util/clocks.js';
 import * as eventLog from '../util/event-log.js';
 import type * as dutyController from './duty-controller.js';
@@ -18,13 +17,12 @@
 
 /** Returns the terms for a platform on which holders may not take turns within `holderGapMs`. */
 export function createVmLeaseTerms(holderGapMs: number): VmLeaseTerms {
-	const ttlMs = 3000;
-	const marginMs = 800;
+	// Short, since nobody gives orders until the lease of a lost leader ends; a slow day of the store answers in 240 ms.
+	const ttlMs = 2000;
 	return {
 		ttlMs,
-		renewEveryMs: 800,
-		// The last holder stopped by the margin before its lease ended.
-		leader: {ttlMs, marginMs, longestOrderMs: Math.max(0, holderGapMs - marginMs) + 200},
+		renewEveryMs: 500,
+		leader: {ttlMs, marginMs: 600, longestOrderMs: orderWindowMs + holderGapMs + clockSlackMs},
 	};
 }
 
@@ -35,12 +33,19 @@
 	readonly ownAddress: () => string;
 	readonly store: clients.kv.KeyValueClient;
 	readonly duties: dutyController.DutyController;
-	readonly fleet: fleetState.FleetState;
 	readonly clock: clocks.Clocks;
 	readonly log: eventLog.EventLog;
 	readonly random: () => number;
 };
 
+/**
+ * Time after the publication of a plan within which its orders are sent, in milliseconds. Whoever saw the plan knows by it
+ * when the last order can have been sent.
+ */
+export const orderWindowMs = 600;
+/** Part of the gap between two holders that is kept for timers that fire late, in milliseconds. */
+const clockSlackMs = 150;
+
 /** Longest random pause before a try to become the leader, in milliseconds, so that not all VMs try at once. */
 const maxTryDelayMs = 150;
 /**
@@ -173,7 +178,7 @@
 		const {leader} = duties.view;
 		if (this.#leaderRevision !== 0 || leader !== undefined) {
 			this.#tryAt = undefined;
-			this.#adopt(leader, lease);
+			await this.#adopt(leader, lease);
 			return;
 		}
 
@@ -189,7 +194,7 @@
 		const swap = await this.parts.store.compareAndSwap(dutyKeys.leaderKey, 0, value, lease.id);
 		const result = swap.toMaybe().extract();
 		if (result?.swapped) {
-			this.#lead(result.revision);
+			await this.#lead(result.revision);
 		} else {
 			this.#leader.refused();
 		}
@@ -201,18 +206,28 @@
 	}
 
 	/** Takes the leader's key that this VM wrote under its present lease though the answer was lost. */
-	#adopt(leader: dutyController.SeenLeader | undefined, lease: clients.kv.KvLease): void {
+	async #adopt(leader: dutyController.SeenLeader | undefined, lease: clients.kv.KvLease): Promise<void> {
 		if (this.#leaderRevision === 0 && leader?.vm === this.parts.vm && leader.leaseId === lease.id) {
 			this.#leader.try(this.parts.clock.wallSafeNow());
-			this.#lead(leader.revision);
+			await this.#lead(leader.revision);
 		}
 	}
 
-	#lead(revision: number): void {
-		const {clock, fleet, log} = this.parts;
+	async #lead(revision: number): Promise<void> {
+		const {clock, log} = this.parts;
 		this.#leaderRevision = revision;
-		const ordersMayBeUnderWay = fleet.plan.steps.some(step => step.phase === core.rollout.RolloutPhase.Loading);
-		this.#leader.gained(revision, this.#renewedAt, clock.wallSafeNow(), ordersMayBeUnderWay);
-		log.write(eventLog.LogEvent.LeaderGained, {fence: revision, ordersMayBeUnderWay});
+		const now = clock.wallSafeNow();
+		const lastOrderAt = await this.#lastOrderAt();
+		const clearAt = lastOrderAt + this.terms.leader.longestOrderMs;
+		this.#leader.gained(revision, this.#renewedAt, clock.wallSafeNow(), clearAt);
+		log.write(eventLog.LogEvent.LeaderGained, {fence: revision, clearInMs: Math.round(Math.max(0, clearAt - now))});
+	}
+
+	/** When the last plan was published at the latest; minus infinity where there is none. */
+	async #lastOrderAt(): Promise<number> {
+		const {store, duties, clock} = this.parts;
+		const read = await store.get(dutyKeys.planKey);
+		const isKnown = read.map(entry => (entry?.revision ?? 0) <= duties.view.planRevision).orDefault(false);
+		return isKnown ? duties.view.planSeenAt ?? -Infinity : clock.wallSafeNow();
 	}
 }
--- a/packages/gateway/src/controllers/load-controller.ts
+++ b/packages/gateway/src/controllers/load-controller.ts
@@ -8,13 +8,18 @@
 export type LoadControllerParts = {
 	readonly vm: string;
 	readonly fleet: fleetState.FleetState;
-	readonly duties: dutyController.DutyController;
-	readonly exchange: peers.LoadExchange;
+	readonly duties: Pick<dutyController.DutyController, 'peerAddresses'>;
+	readonly exchange: Pick<peers.LoadExchange, 'send'>;
 	readonly clock: clocks.Clocks;
 };
 
 /** Pause between the sending of a large prompt and the digest that tells of it, in milliseconds; several are told at once. */
 const promptDelayMs = 5;
+/**
+ * Other VMs that get one digest; larger fleets are told in turn. Twelve digests of a few hundred bytes ten times a second,
+ * in and out, stay below the 19 KB/s of control that a node may spend at a quarter of the VMs' engines busy.
+ */
+const maxPeers = 12;
 /** Signs in one digest, which keep it below one packet. */
 const maxSigns = 24;
 
@@ -24,6 +29,8 @@
 	#wasIdle = false;
 	readonly #signs: core.fleet.CacheSign[] = [];
 	#timer: NodeJS.Timeout | undefined;
+	/** Peers that were told so far, counted on to tell the next ones. */
+	#told = 0;
 
 	constructor(private readonly parts: LoadControllerParts) {}
 
@@ -69,19 +76,32 @@
 	}
 
 	#send(): void {
-		const {vm, exchange, duties} = this.parts;
+		const {vm, exchange} = this.parts;
 		clearTimeout(this.#timer);
 		this.#timer = undefined;
 		const signs = this.#signs.splice(0, maxSigns);
 		this.#sequence += 1;
 		exchange.send({
 			vm, sequence: this.#sequence, endpoints: this.#describe(), signs,
-		}, duties.peerAddresses(vm));
+		}, this.#choosePeers(signs));
 		if (this.#signs.length > 0) {
 			this.#schedule();
 		}
 	}
 
+	/** News of the cache store come from few VMs, so they go to all; what this VM sent goes to some in turn. */
+	#choosePeers(signs: readonly core.fleet.CacheSign[]): string[] {
+		const addresses = this.parts.duties.peerAddresses(this.parts.vm);
+		const isStoreNews = signs.some(sign => sign.endpoint === '');
+		if (isStoreNews || addresses.length <= maxPeers) {
+			return addresses;
+		}
+
+		const first = this.#told % addresses.length;
+		this.#told += maxPeers;
+		return [...addresses, ...addresses].slice(first, first + maxPeers);
+	}
+
 	#describe(): core.fleet.EndpointDigest[] {
 		const {fleet, clock} = this.parts;
 		const now = clock.steadyNow();
--- a/packages/gateway/src/controllers/rollout-controller.ts
+++ b/packages/gateway/src/controllers/rollout-controller.ts
@@ -6,7 +6,7 @@
 import * as eventLog from '../util/event-log.js';
 import type * as dutyController from './duty-controller.js';
 import * as dutyKeys from './duty-keys.js';
-import type * as leaseController from './lease-controller.js';
+import * as leaseController from './lease-controller.js';
 import * as planCodec from './plan-codec.js';
 
 /** Times of a roll-out, in milliseconds. */
@@ -23,7 +23,7 @@
  * A change reaches the watchers within a round trip, and reports lag a hundred milliseconds. Orders without an answer
  * may still be carried out, so they are repeated seldom.
  */
-export const defaultRolloutTimes: RolloutTimes = {settleMs: 60, reportEveryMs: 250, reorderMs: 2500};
+export const defaultRolloutTimes: RolloutTimes = {settleMs: 60, reportEveryMs: 120, reorderMs: 2500};
 
 /** What the controller works with. */
 export type RolloutControllerParts = {
@@ -53,6 +53,10 @@
 /** As the leader, brings the engines to the newest named weights: plans, publishes, orders, and reads back. */
 export class RolloutController {
 	readonly #states = new Map<string, StepState>();
+	/** When the last publication began, in steady milliseconds. */
+	#publishedAt = -Infinity;
+	/** Whether an order is due that needs another publication. */
+	#needsRound = false;
 
 	constructor(
 		private readonly parts: RolloutControllerParts,
@@ -68,10 +72,12 @@
 		}
 
 		const {fleet} = this.parts;
-		const plan = core.rollout.planRollout({
+		const planned = core.rollout.planRollout({
 			plan: fleet.plan, engines: this.#listEngines(), targets: fleet.targets.newest(), named: this.#listNamed(), fence,
 		}, this.parts.terms);
-		if (!core.rollout.isSamePlan(plan, fleet.plan) && !(await this.#publish(plan))) {
+		const plan = {...planned, round: planned.round + (this.#needsRound ? 1 : 0)};
+		const mustPublish = this.#needsRound || !core.rollout.isSamePlan(plan, fleet.plan);
+		if (mustPublish && !(await this.#publish(plan))) {
 			return;
 		}
 
@@ -109,7 +115,8 @@
 	}
 
 	async #publish(plan: core.rollout.RolloutPlan): Promise<boolean> {
-		const {store, duties, log} = this.parts;
+		const {store, duties, clock, log} = this.parts;
+		const startedAt = clock.steadyNow();
 		const swap = await store.compareAndSwap(dutyKeys.planKey, duties.view.planRevision, planCodec.encodePlan(plan));
 		const result = swap.toMaybe().extract();
 		if (!result?.swapped) {
@@ -117,6 +124,8 @@
 			return false;
 		}
 
+		this.#publishedAt = startedAt;
+		this.#needsRound = false;
 		duties.noteOwnPlan(plan, result.revision);
 		log.write(eventLog.LogEvent.RolloutPlanWritten, {fence: plan.fence, steps: plan.steps.length, revision: result.revision});
 		return true;
@@ -150,7 +159,10 @@
 	): Promise<void> {
 		const mustOrder = state.orderedAt === undefined
 			|| (now - state.orderedAt >= this.times.reorderMs && !state.isBusy);
-		if (mustOrder) {
+		if (mustOrder && now - this.#publishedAt > leaseController.orderWindowMs) {
+			// A later leader could not know of an order that no publication announced.
+			this.#needsRound = true;
+		} else if (mustOrder) {
 			await this.#order(step, state, entry);
 		} else if (now - Math.max(state.reportedAt, state.orderedAt!) >= this.times.reportEveryMs) {
 			await this.#readReport(step, state, entry);
--- a/packages/gateway/src/placement/endpoint-placer.ts
+++ b/packages/gateway/src/placement/endpoint-placer.ts
@@ -12,7 +12,7 @@
 };
 
 /** Part of the bound on older weights that is kept for the time until the endpoint begins, in milliseconds: about its longest queue. */
-const versionMarginMs = 2000;
+const versionMarginMs = 1200;
 /** Time after which older weights cost the value of answers, in milliseconds, by the platform's rules. */
 const oldWeightsGraceMs = 1500;
 /** Parts of a prompt from this size on are fetched from and saved to the cache store, in tokens. */
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -96,7 +96,7 @@
 		},
 	});
 	const lease = new controllers.LeaseController({
-		vm: settings.vm, ownAddress: () => exchange.address, store, duties, fleet, clock, log, random,
+		vm: settings.vm, ownAddress: () => exchange.address, store, duties, clock, log, random,
 	}, controllers.createVmLeaseTerms(settings.holderGapMs));
 	const rollout = new controllers.RolloutController({
 		vm: settings.vm, store, duties, lease, fleet, config, admin, clock, log, terms: core.rollout.defaultRolloutTerms,
--- a/packages/stand-ins/src/users-platform/server-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/server-stand-in.ts
@@ -52,6 +52,8 @@
 	readonly version: number;
 	readonly holder: string;
 	readonly fence: number;
+	/** When it arrived, in Unix milliseconds. */
+	readonly at: number;
 };
 
 const defaultEvents = 3;
@@ -151,7 +153,7 @@
 			return;
 		}
 
-		this.orders.push(order);
+		this.orders.push({...order, at: Date.now()});
 		this.#isLoading = true;
 		setTimeout(() => {
 			this.version = order.version;
