Log what each refusal rested on; one function to listen

Cause: a refusal stood in the log by its code alone, so the way to its cause ended there. Change: refusals carry their inputs (age and version of the configuration, endpoints that are ready, responsive, loading and serving, expected wait and backlog) into the final line of the request. Two servers share the code to listen.

--- a/packages/gateway/src/call/account-filter.ts
+++ b/packages/gateway/src/call/account-filter.ts
@@ -4,9 +4,6 @@
 import type * as filter from './filter.js';
 import * as refusals from './refusal.js';
 
-/** Time after which a configuration that is being read again should be there, in milliseconds. */
-const configRetryMs = 300;
-
 /** Finds the client account that holds a request's API key. */
 export class AccountFilter implements filter.CallFilter {
 	constructor(
@@ -24,11 +21,11 @@
 		const ageMs = this.state.ageMs(this.clock.wallSafeNow());
 		ctx.account = head.apiKey === undefined ? undefined : table.findAccount(head.apiKey);
 		if (ctx.account === undefined && core.routing.allowsNegativeAnswers(ageMs, this.trust)) {
-			return {code: refusals.RefusalCode.UnknownKey};
+			return {code: refusals.RefusalCode.UnknownKey, inputs: {config: table.config.version}};
 		}
 
 		return ctx.account === undefined || !core.routing.allowsKeyedRequests(ageMs, this.trust)
-			? {code: refusals.RefusalCode.ConfigUnavailable, retryAfterMs: configRetryMs}
+			? refusals.configUnavailable(ageMs)
 			: undefined;
 	}
 }
--- a/packages/gateway/src/call/call-run.ts
+++ b/packages/gateway/src/call/call-run.ts
@@ -105,7 +105,8 @@
 
 			const room = await this.#rooms.find(this.#pool); // eslint-disable-line no-await-in-loop -- Attempts follow one another.
 			if (room.placement === undefined) {
-				return this.#giveUp({code: refusals.RefusalCode.NoEndpoint, retryAfterMs: room.retryAfterMs});
+				const {retryAfterMs, inputs} = room;
+				return this.#giveUp({code: refusals.RefusalCode.NoEndpoint, retryAfterMs, inputs});
 			}
 
 			const end = await this.#send(room.placement); // eslint-disable-line no-await-in-loop -- Attempts follow one another.
@@ -129,7 +130,7 @@
 
 		return this.parts.trust.maySend(this.call)
 			? undefined
-			: {code: refusals.RefusalCode.ConfigUnavailable, retryAfterMs: noEndpointRetryMs};
+			: {code: refusals.RefusalCode.ConfigUnavailable, retryAfterMs: noEndpointRetryMs, inputs: {atSend: this.#tries}};
 	}
 
 	/** Chooses an endpoint; one that failed the request may get it again when there is no other. */
--- a/packages/gateway/src/call/refusal.ts
+++ b/packages/gateway/src/call/refusal.ts
@@ -1,3 +1,5 @@
+import type * as eventLog from '../util/event-log.js';
+
 /** Why the gateway answers a request itself. */
 export enum RefusalCode {
 	MalformedRequest = 'malformed_request',
@@ -41,9 +43,23 @@
 	readonly retryAfterMs?: number;
 	/** What is wrong, each with its place. */
 	readonly findings?: readonly string[];
+	/** What the decision rested on, for the log. */
+	readonly inputs?: eventLog.LogFields;
 };
 
 /** Returns the HTTP status of a refusal. */
 export function statusOf(refusal: Refusal): number {
 	return statuses[refusal.code];
 }
+
+/** Time after which a configuration that is being read again should be there, in milliseconds. */
+const configRetryMs = 300;
+
+/** Returns the refusal of what a configuration of this age can't decide. */
+export function configUnavailable(ageMs: number): Refusal {
+	return {
+		code: RefusalCode.ConfigUnavailable,
+		retryAfterMs: configRetryMs,
+		inputs: {configAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined},
+	};
+}
--- a/packages/gateway/src/call/room-finder.ts
+++ b/packages/gateway/src/call/room-finder.ts
@@ -1,5 +1,6 @@
 import type * as core from '@bluebellmast/core';
 import * as endpointPlacer from '../placement/endpoint-placer.js';
+import type * as eventLog from '../util/event-log.js';
 import type * as callContext from './call-context.js';
 import type * as callDispatcher from './call-dispatcher.js';
 import * as waitingRoom from './waiting-room.js';
@@ -17,7 +18,7 @@
 /** Result of a search: an endpoint with room, or the time after which to come back. */
 export type RoomResult =
 	| {readonly placement: endpointPlacer.Placement}
-	| {readonly placement: undefined; readonly retryAfterMs: number};
+	| {readonly placement: undefined; readonly retryAfterMs: number; readonly inputs: eventLog.LogFields};
 
 /** Finds an endpoint with room for one request, and waits for one when there is none. */
 export class RoomFinder {
@@ -38,16 +39,16 @@
 
 	/** Finds an endpoint of a pool. */
 	async find(pool: core.routing.PoolName): Promise<RoomResult> {
+		const now = this.parts.clock.steadyNow();
 		const first = this.place();
 		if (first === undefined) {
-			return {placement: undefined, retryAfterMs: noEndpointRetryMs};
+			return {placement: undefined, retryAfterMs: noEndpointRetryMs, inputs: this.parts.placer.describePool(this.call, pool, now)};
 		}
 
 		if (first.hasRoom) {
 			return {placement: first};
 		}
 
-		const now = this.parts.clock.steadyNow();
 		const request = this.#describe(first);
 		const {mayWait, expectedMs} = this.parts.placer.decideWait(pool, {
 			queuedTokens: this.parts.waiting.tokensAhead(request),
@@ -56,13 +57,16 @@
 		});
 		// Callers come back over a span of time, not as one wave.
 		const retryAfterMs = Math.max(noEndpointRetryMs, expectedMs * (1 + this.parts.random()));
+		const inputs: eventLog.LogFields = {
+			expectedWaitMs: Math.round(expectedMs), backlogMs: Math.round(first.choice.backlogMs), prefill: first.choice.prefillTokens,
+		};
 		if (!mayWait) {
-			return {placement: undefined, retryAfterMs};
+			return {placement: undefined, retryAfterMs, inputs};
 		}
 
 		const patienceMs = Math.max(maxWaitFactor * expectedMs, minWaitMs);
 		const placement = await this.#wait(request, Math.min(this.deadlineAt - answerTimeMs, now + patienceMs));
-		return placement === undefined ? {placement, retryAfterMs} : {placement};
+		return placement === undefined ? {placement, retryAfterMs, inputs} : {placement};
 	}
 
 	async #wait(request: core.fleet.WaitingRequest, expiresAt: number): Promise<endpointPlacer.Placement | undefined> {
--- a/packages/gateway/src/call/route-filter.ts
+++ b/packages/gateway/src/call/route-filter.ts
@@ -4,9 +4,6 @@
 import type * as filter from './filter.js';
 import * as refusals from './refusal.js';
 
-/** Time after which a configuration that is being read again should be there, in milliseconds. */
-const configRetryMs = 300;
-
 /** Finds the route of a request. */
 export class RouteFilter implements filter.CallFilter {
 	constructor(
@@ -18,7 +15,7 @@
 	check(ctx: callContext.CallContext): refusals.Refusal | undefined {
 		const {table} = this.state;
 		if (table === undefined) {
-			return {code: refusals.RefusalCode.ConfigUnavailable, retryAfterMs: configRetryMs};
+			return refusals.configUnavailable(Infinity);
 		}
 
 		ctx.table = table;
@@ -29,7 +26,7 @@
 
 		const ageMs = this.state.ageMs(this.clock.wallSafeNow());
 		return core.routing.allowsNegativeAnswers(ageMs, this.trust)
-			? {code: refusals.RefusalCode.UnknownRoute}
-			: {code: refusals.RefusalCode.ConfigUnavailable, retryAfterMs: configRetryMs};
+			? {code: refusals.RefusalCode.UnknownRoute, inputs: {host: ctx.head.host, config: table.config.version}}
+			: refusals.configUnavailable(ageMs);
 	}
 }
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -1,5 +1,5 @@
 import type * as core from '@bluebellmast/core';
-import type * as ingress from './ingress/index.js';
+import type * as listen from './util/listen.js';
 
 /** What a gateway process learns from its settings. */
 export type GatewaySettings = {
@@ -7,11 +7,11 @@
 	readonly vm: string;
 	readonly dataCentre: string;
 	/** Where callers connect. */
-	readonly listen: ingress.ListenAddress;
+	readonly listen: listen.ListenAddress;
 	/** Where the balancer asks for readiness. */
-	readonly readiness: ingress.ListenAddress;
+	readonly readiness: listen.ListenAddress;
 	/** Where other VMs send digests of their load. */
-	readonly peers: ingress.ListenAddress;
+	readonly peers: listen.ListenAddress;
 	/** Path of the readiness question. */
 	readonly readinessPath: string;
 	readonly trust: core.routing.TrustTerms;
--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -4,12 +4,7 @@
 import type * as ports from '../ports/index.js';
 import type * as clocks from '../util/clocks.js';
 import * as eventLog from '../util/event-log.js';
-
-/** An address to listen on. */
-export type ListenAddress = {
-	readonly host: string;
-	readonly port: number;
-};
+import * as listen from '../util/listen.js';
 
 /** What the server works with. */
 export type GatewayServerParts = {
@@ -53,18 +48,13 @@
 	}
 
 	/** Starts to listen. */
-	async listen(address: ListenAddress): Promise<void> {
-		return new Promise((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen(address.port, address.host, () => {
-				resolve();
-			});
-		});
+	async listen(address: listen.ListenAddress): Promise<void> {
+		return listen.listenOn(this.#server, address);
 	}
 
 	/** Port on which the server listens. */
 	get port(): number {
-		return (this.#server.address() as net.AddressInfo).port;
+		return listen.portOf(this.#server);
 	}
 
 	/** From now on each answer closes its connection, so that callers go to other VMs. */
@@ -145,6 +135,8 @@
 			status: res.headersSent ? res.statusCode : 0,
 			isWhole: res.writableEnded,
 			code: refusal?.code,
+			retryAfterMs: refusal?.retryAfterMs === undefined ? undefined : Math.round(refusal.retryAfterMs),
+			...refusal?.inputs,
 			...ctx.timing,
 			tookMs: Math.round(this.parts.clock.steadyNow() - ctx.arrivedAt),
 		});
--- a/packages/gateway/src/ingress/readiness-server.ts
+++ b/packages/gateway/src/ingress/readiness-server.ts
@@ -1,6 +1,5 @@
 import * as http from 'node:http';
-import type * as net from 'node:net';
-import type * as gatewayServer from './gateway-server.js';
+import * as listen from '../util/listen.js';
 
 /** Tells the platform's balancer whether this VM takes new connections. */
 export class ReadinessServer {
@@ -16,18 +15,13 @@
 	}
 
 	/** Starts to listen. */
-	async listen(address: gatewayServer.ListenAddress): Promise<void> {
-		return new Promise((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen(address.port, address.host, () => {
-				resolve();
-			});
-		});
+	async listen(address: listen.ListenAddress): Promise<void> {
+		return listen.listenOn(this.#server, address);
 	}
 
 	/** Port on which the server listens. */
 	get port(): number {
-		return (this.#server.address() as net.AddressInfo).port;
+		return listen.portOf(this.#server);
 	}
 
 	/** Closes everything at once. */
--- a/packages/gateway/src/peers/load-exchange.ts
+++ b/packages/gateway/src/peers/load-exchange.ts
@@ -1,13 +1,13 @@
 import * as dgram from 'node:dgram';
 import type * as core from '@bluebellmast/core';
-import type * as ingress from '../ingress/index.js';
 import * as eventLog from '../util/event-log.js';
+import type * as listen from '../util/listen.js';
 import * as digestCodec from './digest-codec.js';
 
 /** What the exchange works with. */
 export type LoadExchangeParts = {
 	/** Where digests of other VMs arrive. */
-	readonly listen: ingress.ListenAddress;
+	readonly listen: listen.ListenAddress;
 	readonly log: eventLog.EventLog;
 	readonly onDigest: (digest: core.fleet.LoadDigest) => void;
 };
--- a/packages/gateway/src/placement/endpoint-placer.ts
+++ b/packages/gateway/src/placement/endpoint-placer.ts
@@ -1,5 +1,6 @@
 import * as core from '@bluebellmast/core';
 import type * as callContext from '../call/call-context.js';
+import type * as eventLog from '../util/event-log.js';
 import type * as fleetState from './fleet-state.js';
 
 /** Terms of placement on this deployment. */
@@ -75,6 +76,19 @@
 		return core.fleet.decideWait({...outlook, tokensPerMs}, this.terms.admission);
 	}
 
+	/** Counts the endpoints of a pool by what keeps requests from them, for the log. */
+	describePool(call: callContext.RoutedCall, pool: core.routing.PoolName, now: number): eventLog.LogFields {
+		const ready = this.fleet.registry.listReady(pool);
+		const responsive = ready.filter(entry => this.fleet.health.isResponsive(entry.id));
+		const model = call.head.prompt?.model;
+		return {
+			ready: ready.length,
+			responsive: responsive.length,
+			loading: responsive.filter(entry => core.rollout.isLoading(this.fleet.plan, entry.id)).length,
+			serving: model === undefined ? undefined : responsive.filter(entry => this.#mayServe(entry, model, now)).length,
+		};
+	}
+
 	#mayServe(entry: core.fleet.EndpointEntry, model: string, now: number): boolean {
 		const version = this.fleet.registry.weightVersion(entry.id, model);
 		if (version === undefined || core.rollout.isLoading(this.fleet.plan, entry.id)) {
--- a/packages/gateway/src/util/event-log.ts
+++ b/packages/gateway/src/util/event-log.ts
@@ -5,8 +5,8 @@
 	Started = 'started',
 	Stopping = 'stopping',
 	Stopped = 'stopped',
-	SettingsReloaded = 'settings_reloaded',
-	SettingsInvalid = 'settings_invalid',
+	/** A signal to read the settings again; they hold for the life of a process. */
+	SettingsKept = 'settings_kept',
 	StoreLost = 'store_lost',
 	StoreRegained = 'store_regained',
 	CacheStoreLost = 'cache_store_lost',
--- a/packages/gateway/src/util/index.ts
+++ b/packages/gateway/src/util/index.ts
@@ -1,3 +1,4 @@
 export * from './clocks.js';
 export * from './event-log.js';
+export * from './listen.js';
 export * from './periodic.js';
