Bound the bytes of load digests: every 200 ms, to six VMs at a time

Cause: at 7 VMs a digest of 13 busy engines has about 330 bytes; ten times a second and after each large prompt to six VMs is up to 30 KB/s, over the 19 KB/s of control that a node may spend; to twelve it would have been twice that. Change: a digest without news is sent every 200 ms, and to six VMs at a time, in turn in larger fleets.

--- a/packages/core/src/fleet/peer-loads.ts
+++ b/packages/core/src/fleet/peer-loads.ts
@@ -9,7 +9,7 @@
 /** Age after which a digest says nothing any more, in milliseconds: several intervals between digests of a VM. */
 const minLifetimeMs = 1500;
 /** The same for each VM of a large fleet, whose VMs tell each other in turn. */
-const lifetimePerVmMs = 20;
+const lifetimePerVmMs = 100;
 
 /** What the other VMs have under way at the endpoints, by their latest digests. */
 export class PeerLoads {
--- a/packages/gateway/src/controllers/load-controller.ts
+++ b/packages/gateway/src/controllers/load-controller.ts
@@ -16,10 +16,12 @@
 /** Pause between the sending of a large prompt and the digest that tells of it, in milliseconds; several are told at once. */
 const promptDelayMs = 5;
 /**
- * Other VMs that get one digest; larger fleets are told in turn. Twelve digests of a few hundred bytes ten times a second,
- * in and out, stay below the 19 KB/s of control that a node may spend at a quarter of the VMs' engines busy.
+ * Other VMs that get one digest; larger fleets are told in turn. Six digests of about 330 bytes seven times a second are
+ * 14 KB/s, of the 19 KB/s of control that a node may spend.
  */
-const maxPeers = 12;
+const maxPeers = 6;
+/** Pause between two digests without news, in milliseconds. */
+const idleDigestMs = 200;
 /** Signs in one digest, which keep it below one packet. */
 const maxSigns = 24;
 
@@ -31,6 +33,7 @@
 	#timer: NodeJS.Timeout | undefined;
 	/** Peers that were told so far, counted on to tell the next ones. */
 	#told = 0;
+	#sentAt = -Infinity;
 
 	constructor(private readonly parts: LoadControllerParts) {}
 
@@ -57,11 +60,11 @@
 	/** Sends a digest; an idle VM sends one and then rests. */
 	tick(): void {
 		const isIdle = this.parts.fleet.loads.busyEndpoints().length === 0;
-		if (!isIdle || !this.#wasIdle) {
+		const isDue = this.parts.clock.steadyNow() - this.#sentAt >= idleDigestMs;
+		if (isDue && !(isIdle && this.#wasIdle)) {
 			this.#send();
+			this.#wasIdle = isIdle;
 		}
-
-		this.#wasIdle = isIdle;
 	}
 
 	/** Sends nothing more. */
@@ -81,6 +84,7 @@
 		this.#timer = undefined;
 		const signs = this.#signs.splice(0, maxSigns);
 		this.#sequence += 1;
+		this.#sentAt = this.parts.clock.steadyNow();
 		exchange.send({
 			vm, sequence: this.#sequence, endpoints: this.#describe(), signs,
 		}, this.#choosePeers(signs));
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -32,7 +32,7 @@
 const rolloutTickMs = 50;
 /** Pause between two calls that wait for news of the cache store. */
 const cacheStoreTickMs = 100;
-/** Digests of load are a few hundred bytes; this keeps them below 3 KB/s for each peer. */
+/** Pause between two looks whether a digest of load is due. */
 const loadTickMs = 100;
 /** Age of the configuration beyond which the VM asks for no new connections, in milliseconds: several polls have failed. */
 const readyConfigAgeMs = 3000;
