Check the key and the trust in the configuration again after a wait for room

Cause: on rereading, a request was checked before it waited for room, up to some seconds, and sent without another look, so that a key could be revoked, or the store be lost, in between. Change: the check stands right before each send, too; a wait is a line in the log.

--- a/packages/gateway/src/call/call-run.ts
+++ b/packages/gateway/src/call/call-run.ts
@@ -21,6 +21,7 @@
 const lateAnswerGraceMs = 40;
 /** Part of the connections of an endpoint that this VM opens beyond its even share. */
 const connectionShareFactor = 1.5;
+
 /** The life of one request from its first send to its end. */
 export class CallRun {
 	readonly #sent: sentAttempt.SentAttempt[] = [];
@@ -109,6 +110,12 @@
 				return this.#giveUp({code: refusals.RefusalCode.NoEndpoint, retryAfterMs, inputs});
 			}
 
+			// The wait for room may have outlasted the key or the trust in the configuration.
+			const lateRefusal = this.#findObstacle();
+			if (lateRefusal !== undefined) {
+				return this.#giveUp(lateRefusal);
+			}
+
 			const end = await this.#send(room.placement); // eslint-disable-line no-await-in-loop -- Attempts follow one another.
 			if (end.fault === undefined && !this.#relay.endsWithinEvent && !this.#relay.hasWrongOrder) {
 				this.#relay.finish();
--- a/packages/gateway/src/call/room-finder.ts
+++ b/packages/gateway/src/call/room-finder.ts
@@ -1,6 +1,6 @@
 import type * as core from '@bluebellmast/core';
 import * as endpointPlacer from '../placement/endpoint-placer.js';
-import type * as eventLog from '../util/event-log.js';
+import * as eventLog from '../util/event-log.js';
 import type * as callContext from './call-context.js';
 import type * as callDispatcher from './call-dispatcher.js';
 import * as waitingRoom from './waiting-room.js';
@@ -64,6 +64,7 @@
 			return {placement: undefined, retryAfterMs, inputs};
 		}
 
+		this.parts.log.write(eventLog.LogEvent.RequestWaiting, {request: this.call.head.requestId, ...inputs});
 		const patienceMs = Math.max(maxWaitFactor * expectedMs, minWaitMs);
 		const placement = await this.#wait(request, Math.min(this.deadlineAt - answerTimeMs, now + patienceMs));
 		return placement === undefined ? {placement, retryAfterMs, inputs} : {placement};
--- a/packages/gateway/src/util/event-log.ts
+++ b/packages/gateway/src/util/event-log.ts
@@ -25,6 +25,8 @@
 	EndpointUnresponsive = 'endpoint_unresponsive',
 	EndpointResponsive = 'endpoint_responsive',
 	RequestRejected = 'request_rejected',
+	/** No endpoint has room; the request waits for it at the VM. */
+	RequestWaiting = 'request_waiting',
 	RequestSent = 'request_sent',
 	AttemptFailed = 'attempt_failed',
 	RequestEnded = 'request_ended',
--- a/packages/stand-ins/src/users-platform/server-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/server-stand-in.ts
@@ -11,6 +11,8 @@
 	readonly model?: string;
 	/** Events of each stream; default 3. */
 	readonly events?: number;
+	/** Milliseconds until the first event of a stream; default 0. */
+	readonly firstMs?: number;
 	/** Milliseconds between events, and that a plain request takes; default 1. */
 	readonly paceMs?: number;
 	/** Milliseconds that new weights take; default 20. */
@@ -207,6 +209,7 @@
 	async #answerStream(req: http.IncomingMessage, requestId: string, res: http.ServerResponse): Promise<void> {
 		const first = Number(util.headerOf(req, 'last-event-id') || '0') + 1;
 		const last = this.options.events ?? defaultEvents;
+		await util.sleep(this.options.firstMs ?? 0);
 		res.writeHead(200, {
 			'Content-Type': 'text/event-stream', 'Bluebellmast-Weight-Versions': String(this.version), ...this.#headers(requestId),
 		});
