Remove unused getters and a part, and keep one copy of the time to come back

Found on rereading: noEndpointRetryMs stood in two files; CallDispatcher.active, ConnectionPool.size and the fleet of the cache store's controller were never read. Behaviour is as before; 58 tests of the gateway and the adapter pass, XO is clean there.

--- a/packages/gateway/src/call/call-dispatcher.ts
+++ b/packages/gateway/src/call/call-dispatcher.ts
@@ -39,11 +39,6 @@
 
 	constructor(private readonly parts: DispatchParts) {}
 
-	/** Number of requests under way. */
-	get active(): number {
-		return this.#runs.size;
-	}
-
 	/** Runs a request to its end. @returns A refusal when no answer of an endpoint was passed on. */
 	async dispatch(ctx: callContext.RoutedCall): Promise<refusals.Refusal | undefined> {
 		const run = new callRun.CallRun(ctx, this.parts);
--- a/packages/gateway/src/call/call-run.ts
+++ b/packages/gateway/src/call/call-run.ts
@@ -15,8 +15,6 @@
 const maxExtraSends = 2;
 /** Time that an answer must have left to be worth another send, in milliseconds. */
 const minRetryTimeMs = 30;
-/** Time after which another try can succeed when no endpoint can take a request now, in milliseconds. */
-const noEndpointRetryMs = 250;
 /** Time that an endpoint has beyond its own deadline to say so itself, in milliseconds. */
 const lateAnswerGraceMs = 40;
 /** Part of the connections of an endpoint that this VM opens beyond its even share. */
@@ -124,7 +122,7 @@
 
 			this.#excluded.add(room.placement.entry.id);
 			if (!this.#mayTryAgain(end)) {
-				return this.#giveUp({code: refusals.RefusalCode.NoEndpoint, retryAfterMs: noEndpointRetryMs});
+				return this.#giveUp({code: refusals.RefusalCode.NoEndpoint, retryAfterMs: refusals.noEndpointRetryMs});
 			}
 		}
 	}
@@ -137,7 +135,7 @@
 
 		return this.parts.trust.maySend(this.call)
 			? undefined
-			: {code: refusals.RefusalCode.ConfigUnavailable, retryAfterMs: noEndpointRetryMs, inputs: {atSend: this.#tries}};
+			: {code: refusals.RefusalCode.ConfigUnavailable, retryAfterMs: refusals.noEndpointRetryMs, inputs: {atSend: this.#tries}};
 	}
 
 	/** Chooses an endpoint; one that failed the request may get it again when there is no other. */
--- a/packages/gateway/src/call/refusal.ts
+++ b/packages/gateway/src/call/refusal.ts
@@ -52,6 +52,9 @@
 	return statuses[refusal.code];
 }
 
+/** Time after which another try can succeed when no endpoint can take a request now, in milliseconds. */
+export const noEndpointRetryMs = 250;
+
 /** Time after which a configuration that is being read again should be there, in milliseconds. */
 const configRetryMs = 300;
 
--- a/packages/gateway/src/call/room-finder.ts
+++ b/packages/gateway/src/call/room-finder.ts
@@ -3,6 +3,7 @@
 import * as eventLog from '../util/event-log.js';
 import type * as callContext from './call-context.js';
 import type * as callDispatcher from './call-dispatcher.js';
+import * as refusals from './refusal.js';
 import * as waitingRoom from './waiting-room.js';
 
 /** Wait after which the expectation has proved wrong, as a multiple of it, and the least such wait in milliseconds. */
@@ -12,8 +13,6 @@
 const repeatTimeShare = 0.95;
 /** Time that must be left after a wait for the answer itself, in milliseconds. */
 const answerTimeMs = 500;
-/** Time after which another try can succeed when no endpoint can take a request now, in milliseconds. */
-const noEndpointRetryMs = 250;
 
 /** Result of a search: an endpoint with room, or the time after which to come back. */
 export type RoomResult =
@@ -42,7 +41,7 @@
 		const now = this.parts.clock.steadyNow();
 		const first = this.place();
 		if (first === undefined) {
-			return {placement: undefined, retryAfterMs: noEndpointRetryMs, inputs: this.parts.placer.describePool(this.call, pool, now)};
+			return {placement: undefined, retryAfterMs: refusals.noEndpointRetryMs, inputs: this.parts.placer.describePool(this.call, pool, now)};
 		}
 
 		if (first.hasRoom) {
@@ -56,7 +55,7 @@
 			isRepeat: this.#isRepeat(),
 		});
 		// Callers come back over a span of time, not as one wave.
-		const retryAfterMs = Math.max(noEndpointRetryMs, expectedMs * (1 + this.parts.random()));
+		const retryAfterMs = Math.max(refusals.noEndpointRetryMs, expectedMs * (1 + this.parts.random()));
 		const inputs: eventLog.LogFields = {
 			expectedWaitMs: Math.round(expectedMs), backlogMs: Math.round(first.choice.backlogMs), prefill: first.choice.prefillTokens,
 		};
--- a/packages/gateway/src/controllers/cache-store-controller.ts
+++ b/packages/gateway/src/controllers/cache-store-controller.ts
@@ -1,5 +1,4 @@
 import * as core from '@bluebellmast/core';
-import type * as fleetState from '../placement/fleet-state.js';
 import type * as ports from '../ports/index.js';
 import * as eventLog from '../util/event-log.js';
 import type * as dutyController from './duty-controller.js';
@@ -7,7 +6,6 @@
 /** What the controller works with. */
 export type CacheStoreControllerParts = {
 	readonly vm: string;
-	readonly fleet: fleetState.FleetState;
 	readonly config: core.routing.ConfigState;
 	readonly duties: dutyController.DutyController;
 	readonly news: ports.CacheStoreNews;
--- a/packages/gateway/src/endpoints/connection-pool.ts
+++ b/packages/gateway/src/endpoints/connection-pool.ts
@@ -18,11 +18,6 @@
 		private readonly terms: endpointConnection.ConnectionTerms = endpointConnection.defaultConnectionTerms,
 	) {}
 
-	/** Number of connections, idle ones included. */
-	get size(): number {
-		return this.#connections.size;
-	}
-
 	/**
 	 * Takes the idle connection that was used last, or opens one.
 	 *
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -86,7 +86,6 @@
 	});
 	const cacheStore = new controllers.CacheStoreController({
 		vm: settings.vm,
-		fleet,
 		config,
 		duties,
 		news: options.cacheStoreNews,
