Name the accepted orders in each order, and notice engines that go back to old weights

Cause: read, then shown by tests that failed first. The first order to an engine named no expected count of accepted orders, so that one without an answer could be carried out seconds later, after a newer one, and bring old weights back. And the registry kept the highest version it ever saw of an incarnation, so that an engine that had gone back was never loaded again (the test timed out), while requests were sent there with the wrong expectation. Change: the leader reads an engine's report before its first order and names the count in each order; a conflict makes it read again. Observed weights are forgotten after three seconds without a new sight of them; steps told as loaded count once. Stand-in: orders that are carried out late, restarts under the same id, the condition on accepted orders. Ruled out: orders without expectation but with a longer pause before the next (an order may come 12 s late).

--- a/packages/core/src/fleet/endpoint-registry.ts
+++ b/packages/core/src/fleet/endpoint-registry.ts
@@ -4,10 +4,15 @@
 export type RegistryTerms = {
 	/** An entry that lapsed while the store was away and is missing this long after its return is gone. */
 	readonly returnGraceMs: number;
+	/** Age of an observed version beyond which older weights in an entry or a report are news, and not a late copy. */
+	readonly observedLifetimeMs: number;
 };
 
-/** The platform states that lapsed entries return within about two seconds; the bound of draining is no shorter. */
-export const defaultRegistryTerms: RegistryTerms = {returnGraceMs: 2000};
+/**
+ * The platform states that lapsed entries return within about two seconds; the bound of draining is no shorter. Endpoints
+ * write every 1.2 s and entries arrive 0.8 s late, to which a second is added.
+ */
+export const defaultRegistryTerms: RegistryTerms = {returnGraceMs: 2000, observedLifetimeMs: 3000};
 
 type Known = {
 	readonly entry: endpointEntry.EndpointEntry;
@@ -15,10 +20,18 @@
 	readonly forgetAt?: number;
 };
 
+/** A version that an endpoint was seen to hold. */
+type ObservedVersion = {
+	readonly version: number;
+	/** When it was seen last, in steady milliseconds. */
+	readonly seenAt: number;
+};
+
 /** Notes of an endpoint's weights that are newer than its entry. */
 type ObservedWeights = {
 	readonly bornAt: number;
-	readonly versions: Map<string, number>;
+	/** Newest observation of each model. */
+	readonly versions: Map<string, ObservedVersion>;
 };
 
 /** The endpoints that the store lists, kept over outages of the store. */
@@ -29,11 +42,22 @@
 	constructor(private readonly terms: RegistryTerms = defaultRegistryTerms) {}
 
 	/** Takes one entry as written. */
-	put(entry: endpointEntry.EndpointEntry): void {
+	put(entry: endpointEntry.EndpointEntry, now: number): void {
 		this.#known.set(entry.id, {entry});
 		const observed = this.#observed.get(entry.id);
-		if (observed !== undefined && observed.bornAt !== entry.bornAt) {
+		if (observed === undefined) {
+			return;
+		}
+
+		if (observed.bornAt !== entry.bornAt) {
 			this.#observed.delete(entry.id);
+			return;
+		}
+
+		for (const [model, {seenAt}] of observed.versions) {
+			if (now - seenAt > this.terms.observedLifetimeMs) {
+				observed.versions.delete(model);
+			}
 		}
 	}
 
@@ -66,7 +90,7 @@
 		}
 
 		for (const entry of entries) {
-			this.put(entry);
+			this.put(entry, now);
 		}
 	}
 
@@ -79,22 +103,31 @@
 		}
 	}
 
-	/** Notes a version that an incarnation was seen to hold after its entry was written. */
-	noteWeights(id: string, bornAt: number, model: string, version: number): void {
+	/**
+	 * Notes a version that an incarnation was seen to hold after its entry was written. An older one is only taken once the
+	 * newer was not seen for some time: reports are late, but an order that was delayed can bring old weights back.
+	 */
+	noteWeights(id: string, bornAt: number, weights: {readonly model: string; readonly version: number}, now: number): void {
 		const known = this.#known.get(id);
 		if (known?.entry.bornAt !== bornAt) {
 			return;
 		}
 
-		const observed = this.#observed.get(id) ?? {bornAt, versions: new Map<string, number>()};
-		observed.versions.set(model, Math.max(version, observed.versions.get(model) ?? 0));
+		const {model, version} = weights;
+		const observed = this.#observed.get(id) ?? {bornAt, versions: new Map<string, ObservedVersion>()};
+		const last = observed.versions.get(model);
+		const isNews = last === undefined || version >= last.version || now - last.seenAt > this.terms.observedLifetimeMs;
+		if (isNews) {
+			observed.versions.set(model, {version, seenAt: now});
+		}
+
 		this.#observed.set(id, observed);
 	}
 
 	/** Version of a model's weights that an endpoint holds, as far as is known. */
 	weightVersion(id: string, model: string): number | undefined {
 		const listed = this.#known.get(id)?.entry.weights.get(model);
-		const observed = this.#observed.get(id)?.versions.get(model);
+		const observed = this.#observed.get(id)?.versions.get(model)?.version;
 		if (listed === undefined || observed === undefined) {
 			return listed ?? observed;
 		}
--- a/packages/core/src/rollout/plan-rollout.ts
+++ b/packages/core/src/rollout/plan-rollout.ts
@@ -89,10 +89,3 @@
 
 	return engine.version >= step.version ? {...step, phase: rolloutPlan.RolloutPhase.Loaded} : step;
 }
-
-/** Returns whether two plans tell the same steps. */
-export function isSamePlan(a: rolloutPlan.RolloutPlan, b: rolloutPlan.RolloutPlan): boolean {
-	return a.steps.length === b.steps.length && a.steps.every(step => b.steps.some(other =>
-		other.endpoint === step.endpoint && other.bornAt === step.bornAt && other.model === step.model
-		&& other.version === step.version && other.phase === step.phase));
-}
--- a/packages/core/src/rollout/rollout-plan.ts
+++ b/packages/core/src/rollout/rollout-plan.ts
@@ -44,3 +44,17 @@
 export function isLoading(plan: RolloutPlan, endpoint: string): boolean {
 	return plan.steps.some(step => step.endpoint === endpoint && step.phase === RolloutPhase.Loading);
 }
+
+/** Returns whether two plans tell the same steps. */
+export function isSamePlan(a: RolloutPlan, b: RolloutPlan): boolean {
+	return a.steps.length === b.steps.length && a.steps.every(step => b.steps.some(other => isSameStep(step, other)));
+}
+
+/** Returns the steps that a plan calls loaded and an earlier plan did not. */
+export function listNewlyLoaded(plan: RolloutPlan, earlier: RolloutPlan): RolloutStep[] {
+	return plan.steps.filter(step => step.phase === RolloutPhase.Loaded && !earlier.steps.some(other => isSameStep(step, other)));
+}
+
+function isSameStep(a: RolloutStep, b: RolloutStep): boolean {
+	return a.endpoint === b.endpoint && a.bornAt === b.bornAt && a.model === b.model && a.version === b.version && a.phase === b.phase;
+}
--- a/packages/core/tests/fleet/endpoint-registry.test.ts
+++ b/packages/core/tests/fleet/endpoint-registry.test.ts
@@ -11,7 +11,7 @@
 
 	it('drops an endpoint at once when its entry is removed while the store is stable', () => {
 		const registry = new core.fleet.EndpointRegistry();
-		registry.put(support.createEntry('a'));
+		registry.put(support.createEntry('a'), 0);
 		registry.remove('a', false, 0);
 		expect(idsOf(registry)).to.deep.equal([]);
 	});
@@ -29,16 +29,16 @@
 
 	it('keeps an endpoint whose entry returns in time', () => {
 		const registry = new core.fleet.EndpointRegistry();
-		registry.put(support.createEntry('a'));
+		registry.put(support.createEntry('a'), 0);
 		registry.remove('a', true, 0);
-		registry.put(support.createEntry('a'));
+		registry.put(support.createEntry('a'), 0);
 		registry.sweep(10_000);
 		expect(idsOf(registry)).to.deep.equal(['a']);
 	});
 
 	it('gives draining endpoints no requests, and does not keep them when their entry is removed', () => {
 		const registry = new core.fleet.EndpointRegistry();
-		registry.put(support.createEntry('a', {state: core.fleet.EndpointState.Draining}));
+		registry.put(support.createEntry('a', {state: core.fleet.EndpointState.Draining}), 0);
 		expect(idsOf(registry)).to.deep.equal([]);
 		registry.remove('a', true, 0);
 		expect(registry.get('a')).to.equal(undefined);
@@ -46,12 +46,49 @@
 
 	it('takes observed weights only for the incarnation that showed them, and forgets them with it', () => {
 		const registry = new core.fleet.EndpointRegistry();
-		registry.put(support.createEntry('a'));
-		registry.noteWeights('a', 2, 'm', 9);
+		registry.put(support.createEntry('a'), 0);
+		registry.noteWeights('a', 2, {model: 'm', version: 9}, 0);
 		expect(registry.weightVersion('a', 'm')).to.equal(1);
-		registry.noteWeights('a', 1, 'm', 3);
+		registry.noteWeights('a', 1, {model: 'm', version: 3}, 0);
 		expect(registry.weightVersion('a', 'm')).to.equal(3);
-		registry.put(support.createEntry('a', {bornAt: 2}));
+		registry.put(support.createEntry('a', {bornAt: 2}), 0);
 		expect(registry.weightVersion('a', 'm')).to.equal(1);
 	});
+
+	// Pattern: an order without an answer is carried out after a newer one, so that old weights return.
+	describe('when an endpoint goes back to older weights', () => {
+		function observe(): core.fleet.EndpointRegistry {
+			const registry = new core.fleet.EndpointRegistry();
+			registry.put(support.createEntry('a'), 0);
+			registry.noteWeights('a', 1, {model: 'm', version: 3}, 1000);
+			return registry;
+		}
+
+		it('takes late copies of older weights for what they are', () => {
+			const registry = observe();
+			registry.noteWeights('a', 1, {model: 'm', version: 2}, 3000);
+			registry.put(support.createEntry('a'), 3500);
+			expect(registry.weightVersion('a', 'm')).to.equal(3);
+		});
+
+		it('believes a report of them once the newer were not seen for three seconds', () => {
+			const registry = observe();
+			registry.noteWeights('a', 1, {model: 'm', version: 2}, 4001);
+			expect(registry.weightVersion('a', 'm')).to.equal(2);
+		});
+
+		it('believes an entry with them as late', () => {
+			const registry = observe();
+			registry.put(support.createEntry('a'), 4001);
+			expect(registry.weightVersion('a', 'm')).to.equal(1);
+		});
+
+		it('keeps what answers show again and again', () => {
+			const registry = observe();
+			registry.noteWeights('a', 1, {model: 'm', version: 3}, 4000);
+			registry.noteWeights('a', 1, {model: 'm', version: 2}, 5000);
+			registry.put(support.createEntry('a'), 5000);
+			expect(registry.weightVersion('a', 'm')).to.equal(3);
+		});
+	});
 });
--- a/packages/gateway/src/call/attempt-notes.ts
+++ b/packages/gateway/src/call/attempt-notes.ts
@@ -71,13 +71,14 @@
 	noteHead({placement}: sentAttempt.SentAttempt, head: ports.AnswerHead): void {
 		const {fleet, clock} = this.parts;
 		const {entry} = placement;
+		const now = clock.steadyNow();
 		if (head.load !== undefined) {
-			fleet.loads.report(entry.id, head.load, clock.steadyNow());
+			fleet.loads.report(entry.id, head.load, now);
 		}
 
 		const model = this.call.head.prompt?.model;
 		if (head.weightVersion !== undefined && model !== undefined) {
-			fleet.registry.noteWeights(entry.id, entry.bornAt, model, head.weightVersion);
+			fleet.registry.noteWeights(entry.id, entry.bornAt, {model, version: head.weightVersion}, now);
 		}
 	}
 
--- a/packages/gateway/src/controllers/duty-controller.ts
+++ b/packages/gateway/src/controllers/duty-controller.ts
@@ -116,6 +116,7 @@
 	}
 
 	#usePlan(plan: core.rollout.RolloutPlan): void {
+		const known = this.fleet.plan;
 		this.fleet.plan = plan;
 		this.view.planSeenAt = this.clock.wallSafeNow();
 		const offset = this.clock.steadyNow() - this.clock.wallNow();
@@ -123,10 +124,10 @@
 			this.fleet.targets.note(model, version, seenAt + offset);
 		}
 
-		for (const step of plan.steps) {
-			if (step.phase === core.rollout.RolloutPhase.Loaded) {
-				this.fleet.registry.noteWeights(step.endpoint, step.bornAt, step.model, step.version);
-			}
+		// A step that was told before says nothing of what the engine holds now.
+		const now = this.clock.steadyNow();
+		for (const step of core.rollout.listNewlyLoaded(plan, known)) {
+			this.fleet.registry.noteWeights(step.endpoint, step.bornAt, step, now);
 		}
 
 		const loading = plan.steps.filter(step => step.phase === core.rollout.RolloutPhase.Loading);
--- a/packages/gateway/src/controllers/endpoint-controller.ts
+++ b/packages/gateway/src/controllers/endpoint-controller.ts
@@ -66,7 +66,7 @@
 		}
 
 		this.#noteIncarnation(entry);
-		this.parts.fleet.registry.put(entry);
+		this.parts.fleet.registry.put(entry, this.parts.clock.steadyNow());
 	}
 
 	#noteIncarnation(entry: core.fleet.EndpointEntry): void {
@@ -111,7 +111,7 @@
 		}
 
 		for (const [model, version] of report.weights) {
-			this.parts.fleet.registry.noteWeights(entry.id, entry.bornAt, model, version);
+			this.parts.fleet.registry.noteWeights(entry.id, entry.bornAt, {model, version}, this.parts.clock.steadyNow());
 		}
 
 		return true;
--- a/packages/gateway/src/controllers/rollout-controller.ts
+++ b/packages/gateway/src/controllers/rollout-controller.ts
@@ -44,7 +44,7 @@
 	readonly plannedAt: number;
 	orderedAt?: number;
 	reportedAt: number;
-	acceptedOrders?: number;
+	/** Whether the engine carries out an order, as last reported. */
 	isBusy: boolean;
 	/** Whether a call to the engine is under way. */
 	isCalling: boolean;
@@ -53,6 +53,11 @@
 /** As the leader, brings the engines to the newest named weights: plans, publishes, orders, and reads back. */
 export class RolloutController {
 	readonly #states = new Map<string, StepState>();
+	/**
+	 * Orders that each incarnation has accepted, as last reported. Each order names this number, so that one without an
+	 * answer that is carried out late can't undo a newer one.
+	 */
+	readonly #acceptedOrders = new Map<string, number>();
 	/** When the last publication began, in steady milliseconds. */
 	#publishedAt = -Infinity;
 	/** Whether an order is due that needs another publication. */
@@ -68,6 +73,7 @@
 		const fence = this.parts.lease.fencing();
 		if (fence === undefined) {
 			this.#states.clear();
+			this.#acceptedOrders.clear();
 			return;
 		}
 
@@ -133,13 +139,13 @@
 
 	async #advance(step: core.rollout.RolloutStep): Promise<void> {
 		const now = this.parts.clock.steadyNow();
-		const key = `${step.endpoint}/${step.bornAt}/${step.model}/${step.version}`;
+		const key = `${incarnationOf(step)}/${step.model}/${step.version}`;
 		const state = this.#states.get(key) ?? {
 			plannedAt: now, reportedAt: -Infinity, isBusy: false, isCalling: false,
 		};
 		this.#states.set(key, state);
 		const entry = this.parts.fleet.registry.get(step.endpoint);
-		if (entry === undefined || state.isCalling || now - state.plannedAt < this.times.settleMs) {
+		if (entry === undefined || state.isCalling) {
 			return;
 		}
 
@@ -157,14 +163,21 @@
 		entry: core.fleet.EndpointEntry,
 		now: number,
 	): Promise<void> {
-		const mustOrder = state.orderedAt === undefined
-			|| (now - state.orderedAt >= this.times.reorderMs && !state.isBusy);
+		const isReportDue = now - Math.max(state.reportedAt, state.orderedAt ?? -Infinity) >= this.times.reportEveryMs;
+		if (!this.#acceptedOrders.has(incarnationOf(step))) {
+			await (isReportDue ? this.#readReport(step, state, entry) : undefined);
+			return;
+		}
+
+		const mustOrder = !state.isBusy && (state.orderedAt === undefined
+			? now - state.plannedAt >= this.times.settleMs
+			: now - state.orderedAt >= this.times.reorderMs);
 		if (mustOrder && now - this.#publishedAt > leaseController.orderWindowMs) {
 			// A later leader could not know of an order that no publication announced.
 			this.#needsRound = true;
 		} else if (mustOrder) {
 			await this.#order(step, state, entry);
-		} else if (now - Math.max(state.reportedAt, state.orderedAt!) >= this.times.reportEveryMs) {
+		} else if (isReportDue && (state.isBusy || state.orderedAt !== undefined)) {
 			await this.#readReport(step, state, entry);
 		}
 	}
@@ -178,13 +191,19 @@
 
 		state.orderedAt = clock.steadyNow();
 		const outcome = await admin.orderLoad(entry, {
-			model: step.model, version: step.version, holder: vm, fence, acceptedOrders: state.acceptedOrders,
+			model: step.model, version: step.version, holder: vm, fence, acceptedOrders: this.#acceptedOrders.get(incarnationOf(step)),
 		});
 		log.write(eventLog.LogEvent.OrderSent, {
 			endpoint: step.endpoint, model: step.model, version: step.version, fence, outcome,
 		});
 		if (outcome === ports.OrderOutcome.AlreadyDone) {
-			fleet.registry.noteWeights(step.endpoint, step.bornAt, step.model, step.version);
+			fleet.registry.noteWeights(step.endpoint, step.bornAt, step, clock.steadyNow());
+		}
+
+		if (outcome === ports.OrderOutcome.Conflict) {
+			// Another order came in between: what the engine holds is read before the next one.
+			this.#acceptedOrders.delete(incarnationOf(step));
+			state.orderedAt = undefined;
 		}
 
 		if (outcome === ports.OrderOutcome.Fenced) {
@@ -201,13 +220,22 @@
 		state.reportedAt = clock.steadyNow();
 		const read = await admin.readReport(entry);
 		read.ifRight(report => {
-			state.acceptedOrders = report.acceptedOrders;
+			const isSame = report.bornAt === 0 || report.bornAt === step.bornAt;
+			if (!isSame) {
+				return;
+			}
+
+			this.#acceptedOrders.set(incarnationOf(step), report.acceptedOrders);
 			state.isBusy = report.isBusy;
 			const version = report.weights.get(step.model);
-			const isSame = report.bornAt === 0 || report.bornAt === step.bornAt;
-			if (isSame && version !== undefined && !report.isBusy) {
-				fleet.registry.noteWeights(step.endpoint, step.bornAt, step.model, version);
+			if (version !== undefined && !report.isBusy) {
+				fleet.registry.noteWeights(step.endpoint, step.bornAt, {model: step.model, version}, clock.steadyNow());
 			}
 		});
 	}
 }
+
+/** Names the incarnation of the engine that a step is for. */
+function incarnationOf(step: core.rollout.RolloutStep): string {
+	return `${step.endpoint}/${step.bornAt}`;
+}
--- a/packages/stand-ins/src/fault/stand-in-server.ts
+++ b/packages/stand-ins/src/fault/stand-in-server.ts
@@ -92,6 +92,11 @@
 	/** Closes the listener and all connections. */
 	closeAbruptly(): void {
 		this.#listener.close();
+		this.closeConnections();
+	}
+
+	/** Resets all connections. */
+	closeConnections(): void {
 		for (const connection of this.#connections) {
 			connection.abort();
 		}
--- a/packages/stand-ins/src/users-platform/server-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/server-stand-in.ts
@@ -17,8 +17,17 @@
 	readonly paceMs?: number;
 	/** Milliseconds that new weights take; default 20. */
 	readonly loadMs?: number;
+	/** Milliseconds after which an order is carried out that got no answer; default 300. */
+	readonly lateOrderMs?: number;
 };
 
+/** What becomes of orders. */
+export enum OrderFault {
+	None = 'none',
+	/** An order gets no answer and is carried out later, if its condition holds then. */
+	Late = 'late',
+}
+
 /** How a server misbehaves. */
 export enum ServerFault {
 	None = 'none',
@@ -54,13 +63,22 @@
 	readonly version: number;
 	readonly holder: string;
 	readonly fence: number;
+	/** Orders that must have been accepted before; absent where any number may. */
+	readonly expected?: number;
 	/** When it arrived, in Unix milliseconds. */
 	readonly at: number;
 };
 
+/** What a server answers to an order. */
+type OrderAnswer = {
+	readonly status: number;
+	readonly isAccepted: boolean;
+};
+
 const defaultEvents = 3;
 const defaultPaceMs = 1;
 const defaultLoadMs = 20;
+const defaultLateOrderMs = 300;
 const slots = 8;
 /** Time for bytes to leave before a reset, in milliseconds. */
 const flushMs = 20;
@@ -74,11 +92,18 @@
 	readonly orders: UsersServerOrder[] = [];
 	/** Ids of requests whose connection the caller closed before the end. */
 	readonly abandoned: string[] = [];
+	/** Orders that came late and were not carried out, since their condition did not hold any more. */
+	readonly missedOrders: UsersServerOrder[] = [];
 	fault = ServerFault.None;
+	orderFault = OrderFault.None;
 	version = 1;
+	/** Orders that wait to be carried out late. */
+	pendingOrders = 0;
 	#isLoading = false;
 	#highestFence = 0;
-	readonly #bornAt = Date.now();
+	/** Orders accepted by this incarnation. */
+	#accepted = 0;
+	#bornAt = Date.now();
 
 	constructor(private readonly options: UsersServerOptions) {
 		this.server = new fault.StandInServer(options, async (req, res) => this.#handle(req, res));
@@ -92,6 +117,15 @@
 		await this.server.stop();
 	}
 
+	/** Starts again under the same id and address: a new incarnation with the weights that it had. */
+	restart(): void {
+		this.#bornAt += 1;
+		this.#accepted = 0;
+		this.#highestFence = 0;
+		this.#isLoading = false;
+		this.server.closeConnections();
+	}
+
 	/** Returns what it writes about itself to the store. */
 	describe(state = 'ready'): Readonly<Record<string, unknown>> {
 		return {
@@ -118,7 +152,7 @@
 		switch (path) {
 			case '/v1/report': {
 				util.sendJson(res, 200, {
-					born: this.#bornAt, models: this.#models(), busy: this.#isLoading, sequence: this.orders.length,
+					born: this.#bornAt, models: this.#models(), busy: this.#isLoading, sequence: this.#accepted,
 				});
 
 				break;
@@ -143,25 +177,44 @@
 	}
 
 	async #takeOrder(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
-		const order = await util.readJson(req) as UsersServerOrder;
-		if (order.fence < this.#highestFence) {
-			util.sendJson(res, 412, {});
+		const order = {...await util.readJson(req) as UsersServerOrder, at: Date.now()};
+		if (this.orderFault === OrderFault.Late) {
+			this.pendingOrders += 1;
+			await util.sleep(this.options.lateOrderMs ?? defaultLateOrderMs);
+			this.pendingOrders -= 1;
+			if (!this.#carryOut(order).isAccepted) {
+				this.missedOrders.push(order);
+			}
+
+			res.destroy();
 			return;
 		}
 
+		util.sendJson(res, this.#carryOut(order).status, {});
+	}
+
+	#carryOut(order: UsersServerOrder): OrderAnswer {
+		if (order.fence < this.#highestFence) {
+			return {status: 412, isAccepted: false};
+		}
+
 		this.#highestFence = order.fence;
+		if (this.#isLoading || (order.expected !== undefined && order.expected !== this.#accepted)) {
+			return {status: 409, isAccepted: false};
+		}
+
 		if (order.version === this.version) {
-			util.sendJson(res, 200, {});
-			return;
+			return {status: 200, isAccepted: false};
 		}
 
-		this.orders.push({...order, at: Date.now()});
+		this.orders.push(order);
+		this.#accepted += 1;
 		this.#isLoading = true;
 		setTimeout(() => {
 			this.version = order.version;
 			this.#isLoading = false;
 		}, this.options.loadMs ?? defaultLoadMs);
-		util.sendJson(res, 202, {});
+		return {status: 202, isAccepted: true};
 	}
 
 	async #run(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
--- a/packages/stand-ins/src/users-platform/store-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/store-stand-in.ts
@@ -69,6 +69,11 @@
 		return pair && decode(pair.value);
 	}
 
+	/** Revision of the last change of a key; 0 where it does not exist. */
+	revisionOf(key: string): number {
+		return this.#store.get(encode(key))?.modRevision ?? 0;
+	}
+
 	/** Forgets all changes so far: watches from an earlier revision are told so. */
 	forgetHistory(): void {
 		this.#forgottenRevision = this.#store.revision;
