Metrics, typed log events, exactly one final line a request, and bluebellmastctl explain

Change: log events with typed fields in core/log, read back by `bluebellmastctl explain`, which prints a request's lines with what its VM believed. Counters and histograms (prom-client) are fed from the same events before the log's bound, so both agree; gauges read the state at a scrape. Final lines name the outcome (answered, refused, cut, caller_gone). The log leaves 50 of 300 lines a second to changes of belief; sonic-boom writes them in the thread pool, 256 KiB at most. A request whose caller has gone is refused before any send by one check, in place of an abort before the send that could never have ended (found by reading). One list of connection headers for both directions. Ruled out: counting at each decision beside its log line (two places to keep alike). Tests: observability, event-log (burst, full sink, reader that stopped), explain-request, explain; the caller-gone and the final-line tests failed first.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,6 +3,7 @@
 export * as fleet from './fleet/index.js';
 export * as ledger from './ledger/index.js';
 export * as limits from './limits/index.js';
+export * as log from './log/index.js';
 export * as manifest from './manifest/index.js';
 export * as members from './members/index.js';
 export * as model from './model/index.js';
--- /dev/null
+++ b/packages/core/src/log/explain-request.ts
@@ -0,0 +1,123 @@
+import * as logEvent from './log-event.js';
+import type * as logLine from './log-line.js';
+
+/** What a VM believed when a request arrived there. */
+export type BeliefAt = {
+	readonly vm: string;
+	/** Last line of each kind of belief before the request's first line, in order of time. */
+	readonly lines: readonly logLine.LogLine[];
+};
+
+/** What the logs tell of one request. */
+export type RequestStory = {
+	readonly request: string;
+	/** Beliefs of each VM that the request came to. */
+	readonly beliefs: readonly BeliefAt[];
+	/** The request's own lines and changes of belief meanwhile that concern it, in order of time. */
+	readonly lines: readonly logLine.LogLine[];
+	/** Whether the request's final line is there. */
+	readonly isComplete: boolean;
+	/** Lines that the VMs of the request dropped around it. */
+	readonly droppedLines: number;
+};
+
+/** Beliefs that replace one another: the last line of a subject holds. */
+const subjects: ReadonlyMap<logEvent.LogEvent, string> = new Map([
+	[logEvent.LogEvent.Started, 'process'],
+	[logEvent.LogEvent.Stopping, 'process'],
+	[logEvent.LogEvent.ReadinessChanged, 'readiness'],
+	[logEvent.LogEvent.StoreLost, 'store'],
+	[logEvent.LogEvent.StoreRegained, 'store'],
+	[logEvent.LogEvent.CacheStoreLost, 'cache store'],
+	[logEvent.LogEvent.CacheStoreRegained, 'cache store'],
+	[logEvent.LogEvent.ConfigAccepted, 'config'],
+	[logEvent.LogEvent.WeightTargetSeen, 'weight target'],
+	[logEvent.LogEvent.RolloutPlanSeen, 'plan'],
+	[logEvent.LogEvent.VmsChanged, 'vms'],
+]);
+
+/** Beliefs about one endpoint: its state in the list, and whether it answers. */
+const endpointSubjects: ReadonlyMap<logEvent.LogEvent, string> = new Map([
+	[logEvent.LogEvent.EndpointChanged, 'listed'],
+	[logEvent.LogEvent.EndpointRemoved, 'listed'],
+	[logEvent.LogEvent.EndpointUnresponsive, 'answers'],
+	[logEvent.LogEvent.EndpointResponsive, 'answers'],
+]);
+
+/**
+ * Tells the story of a request from the logs of all VMs.
+ *
+ * @param lines - Lines in any order.
+ */
+export function explainRequest(lines: readonly logLine.LogLine[], request: string): RequestStory {
+	const own = lines.filter(line => line.fields.request === request);
+	const endpoints = new Set(own.map(line => line.fields.endpoint).filter(endpoint => endpoint !== undefined));
+	const vms = [...new Set(own.map(line => line.vm))];
+	const spans = vms.map(vm => spanOf(vm, own));
+	const meanwhile = lines.filter(line => subjectOf(line, endpoints) !== undefined
+		&& spans.some(span => line.vm === span.vm && line.at > span.from && line.at <= span.to));
+	return {
+		request,
+		beliefs: spans.map(span => ({vm: span.vm, lines: listBeliefs(lines, span, endpoints)})),
+		lines: inOrder([...own, ...meanwhile]),
+		isComplete: own.some(line => line.event === logEvent.LogEvent.RequestEnded),
+		droppedLines: countDropped(lines, spans),
+	};
+}
+
+/** Time that a request spent at one VM, in Unix milliseconds. */
+type Span = {
+	readonly vm: string;
+	readonly from: number;
+	readonly to: number;
+};
+
+function spanOf(vm: string, own: readonly logLine.LogLine[]): Span {
+	const times = own.filter(line => line.vm === vm).map(line => line.at);
+	return {vm, from: Math.min(...times), to: Math.max(...times)};
+}
+
+/** Names what a line is about, if it can bear on the request. */
+function subjectOf(line: logLine.LogLine, endpoints: ReadonlySet<logLine.LogValue>): string | undefined {
+	const aspect = endpointSubjects.get(line.event);
+	const {endpoint} = line.fields;
+	if (aspect !== undefined) {
+		return endpoint !== undefined && endpoints.has(endpoint) ? `${endpoint} ${aspect}` : undefined;
+	}
+
+	return subjects.get(line.event);
+}
+
+function listBeliefs(
+	lines: readonly logLine.LogLine[],
+	span: Span,
+	endpoints: ReadonlySet<logLine.LogValue>,
+): logLine.LogLine[] {
+	const last = new Map<string, logLine.LogLine>();
+	for (const line of inOrder(lines.filter(item => item.vm === span.vm && item.at <= span.from))) {
+		const subject = subjectOf(line, endpoints);
+		if (subject !== undefined) {
+			last.set(subject, line);
+		}
+	}
+
+	return inOrder([...last.values()]);
+}
+
+/** Margin around a request within which dropped lines may be its own, in milliseconds: the bound counts by the second. */
+const droppedMarginMs = 1000;
+
+function countDropped(lines: readonly logLine.LogLine[], spans: readonly Span[]): number {
+	let count = 0;
+	for (const line of lines) {
+		const isNear = spans.some(span =>
+			line.vm === span.vm && line.at >= span.from - droppedMarginMs && line.at <= span.to + droppedMarginMs);
+		count += line.event === logEvent.LogEvent.LinesDropped && isNear ? Number(line.fields.lines) : 0;
+	}
+
+	return count;
+}
+
+function inOrder(lines: readonly logLine.LogLine[]): logLine.LogLine[] {
+	return [...lines].sort((a, b) => a.at - b.at);
+}
--- /dev/null
+++ b/packages/core/src/log/index.ts
@@ -0,0 +1,3 @@
+export * from './explain-request.js';
+export * from './log-event.js';
+export * from './log-line.js';
--- a/packages/ctl/src/cli/context.ts
+++ b/packages/ctl/src/cli/context.ts
@@ -12,6 +12,7 @@
 	readonly print: (line: string) => void;
 	/** Writes a line to standard error. */
 	readonly warn: (line: string) => void;
+	/** Reads a file, or standard input for `-`. */
 	readonly readFile: (file: string) => string;
 	readonly writeFile: (file: string, text: string) => void;
 	readonly createKv: (urls: readonly string[]) => ClosableKv;
--- /dev/null
+++ b/packages/ctl/src/commands/explain-command.ts
@@ -0,0 +1,29 @@
+import * as core from '@bluebellmast/core';
+import type * as command from '../cli/command.js';
+import * as exitCode from '../cli/exit-code.js';
+import * as optionValues from '../cli/option-values.js';
+import * as renderStory from '../timeline/render-story.js';
+
+const standardInput = '-';
+
+/** Tells the story of one request from the logs of gateways. */
+export const explainCommand: command.Command = {
+	name: 'explain',
+	usage: 'REQUEST_ID [LOG_FILE ...]',
+	summary: 'Prints what the logs of all VMs tell of a request: its lines in order, and what the VM believed. Reads standard input without files.',
+	options: {},
+	async run(_values, positionals, ctx) {
+		const [request, ...files] = positionals;
+		const id = optionValues.onlyPositional(request === undefined ? [] : [request], 'REQUEST_ID');
+		const texts = (files.length === 0 ? [standardInput] : files).map(file => optionValues.readText(file, ctx));
+		const rows = texts.flatMap(text => text.split('\n')).filter(row => row.trim() !== '');
+		const lines = rows.map(row => core.log.parseLogLine(row)).filter(line => line !== undefined);
+		if (lines.length < rows.length) {
+			ctx.warn(`${rows.length - lines.length} of ${rows.length} lines are not of a gateway's log`);
+		}
+
+		const story = core.log.explainRequest(lines, id);
+		ctx.print(renderStory.renderStory(story));
+		return story.lines.length === 0 ? exitCode.ExitCode.Findings : exitCode.ExitCode.Ok;
+	},
+};
--- a/packages/ctl/src/commands/index.ts
+++ b/packages/ctl/src/commands/index.ts
@@ -1,6 +1,7 @@
 import type * as command from '../cli/command.js';
 import * as applyCommand from './apply-command.js';
 import * as checkCommands from './check-commands.js';
+import * as explainCommand from './explain-command.js';
 import * as recallCommands from './recall-commands.js';
 import * as routerCommands from './router-commands.js';
 import * as timelineCommand from './timeline-command.js';
@@ -15,4 +16,5 @@
 	routerCommands.statusCommand,
 	routerCommands.endpointsCommand,
 	timelineCommand.timelineCommand,
+	explainCommand.explainCommand,
 ];
--- a/packages/ctl/src/main.ts
+++ b/packages/ctl/src/main.ts
@@ -15,7 +15,7 @@
 	warn(line) {
 		process.stderr.write(`${line}\n`);
 	},
-	readFile: file => fs.readFileSync(file, 'utf8'),
+	readFile: file => fs.readFileSync(file === '-' ? process.stdin.fd : file, 'utf8'),
 	writeFile(file, text) {
 		fs.writeFileSync(file, text);
 	},
--- a/packages/ctl/src/timeline/index.ts
+++ b/packages/ctl/src/timeline/index.ts
@@ -1,2 +1,3 @@
 export * from './render-html.js';
+export * from './render-story.js';
 export * from './render-text.js';
--- a/packages/gateway/src/call/answer-relay.ts
+++ b/packages/gateway/src/call/answer-relay.ts
@@ -2,13 +2,9 @@
 import type * as http from 'node:http';
 import type * as endpoints from '../endpoints/index.js';
 import type * as ports from '../ports/index.js';
+import * as connectionHeaders from '../util/connection-headers.js';
 import * as eventSplitter from './event-splitter.js';
 
-/** Headers that concern one connection only. */
-const connectionHeaders = new Set([
-	'connection', 'keep-alive', 'proxy-connection', 'transfer-encoding', 'te', 'trailer', 'upgrade', 'proxy-authenticate',
-]);
-
 /** Answers up to this size are read whole before they are passed on, so that a broken one can be tried elsewhere. */
 const maxHeldBytes = 65_536;
 
@@ -162,7 +158,7 @@
 			this.#endWithConnection();
 		}
 
-		const dropped = new Set([...connectionHeaders, ...namedByConnection(rawHeaders)]);
+		const dropped = connectionHeaders.listConnectionHeaders(rawHeaders);
 		for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
 			const name = rawHeaders[index]!;
 			if (!dropped.has(name.toLowerCase())) {
@@ -190,15 +186,3 @@
 		return mayGoOn;
 	}
 }
-
-/** Names of headers that a `Connection` header declares to concern one connection only. */
-function namedByConnection(rawHeaders: readonly string[]): string[] {
-	const names: string[] = [];
-	for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
-		if (rawHeaders[index]!.toLowerCase() === 'connection') {
-			names.push(...rawHeaders[index + 1]!.split(',').map(name => name.trim().toLowerCase()));
-		}
-	}
-
-	return names;
-}
--- a/packages/gateway/src/call/call-context.ts
+++ b/packages/gateway/src/call/call-context.ts
@@ -16,6 +16,8 @@
 	/** Account that holds the request's key; absent on public routes. */
 	account?: core.routing.ApiAccount;
 	body?: Uint8Array;
+	/** Whether an answer was begun that could not be completed. */
+	isCut?: boolean;
 	/** Times of the answer, once the request has ended. */
 	timing?: answerTiming.AnswerTimes;
 };
--- a/packages/gateway/src/call/call-run.ts
+++ b/packages/gateway/src/call/call-run.ts
@@ -103,17 +103,17 @@
 			}
 
 			const room = await this.#rooms.find(this.#pool); // eslint-disable-line no-await-in-loop -- Attempts follow one another.
-			if (room.placement === undefined) {
-				const {retryAfterMs, inputs} = room;
-				return this.#giveUp({code: refusals.RefusalCode.NoEndpoint, retryAfterMs, inputs});
-			}
-
-			// The wait for room may have outlasted the key or the trust in the configuration.
+			// The wait for room may have outlasted the caller, the key or the trust in the configuration.
 			const lateRefusal = this.#findObstacle();
 			if (lateRefusal !== undefined) {
 				return this.#giveUp(lateRefusal);
 			}
 
+			if (room.placement === undefined) {
+				const {retryAfterMs, inputs} = room;
+				return this.#giveUp({code: refusals.RefusalCode.NoEndpoint, retryAfterMs, inputs});
+			}
+
 			const end = await this.#send(room.placement); // eslint-disable-line no-await-in-loop -- Attempts follow one another.
 			if (end.fault === undefined && !this.#relay.endsWithinEvent && !this.#relay.hasWrongOrder) {
 				this.#relay.finish();
@@ -129,13 +129,17 @@
 
 	/** Returns why the request may not be sent now, apart from endpoints. */
 	#findObstacle(): refusals.Refusal | undefined {
+		if (this.#isCallerGone || callContext.isCallerGone(this.call)) {
+			return {code: refusals.RefusalCode.CallerGone};
+		}
+
 		if (this.#isTimedOut || this.parts.clock.steadyNow() >= this.#deadlineAt) {
 			return {code: refusals.RefusalCode.DeadlineTooClose};
 		}
 
 		return this.parts.trust.maySend(this.call)
 			? undefined
-			: {code: refusals.RefusalCode.ConfigUnavailable, retryAfterMs: refusals.noEndpointRetryMs, inputs: {atSend: this.#tries}};
+			: {code: refusals.RefusalCode.ConfigUnavailable, retryAfterMs: refusals.noEndpointRetryMs, inputs: {tries: this.#tries}};
 	}
 
 	/** Chooses an endpoint; one that failed the request may get it again when there is no other. */
@@ -181,10 +185,6 @@
 
 		this.#sent.push(sent);
 		this.#notes.noteSent(sent, this.#sent.length);
-		if (this.#isCallerGone) {
-			attempt.abort(endpoints.AttemptFault.CallerGone);
-		}
-
 		sent.end = await attempt.run();
 		this.#notes.noteEnd(sent, sent.end);
 		return sent.end;
@@ -278,9 +278,14 @@
 	#giveUp(refusal: refusals.Refusal): refusals.Refusal | undefined {
 		if (this.#relay.hasBegun) {
 			this.#relay.cut();
+			this.call.isCut = !this.#isCallerGone;
 			return undefined;
 		}
 
+		if (this.#isCallerGone) {
+			return {code: refusals.RefusalCode.CallerGone};
+		}
+
 		const attempts = this.#sent.map(sent => ({
 			id: sent.id, endpoint: sent.placement.entry.id, progress: sent.end?.progress ?? sent.attempt.progress,
 		}));
--- a/packages/gateway/src/call/refusal.ts
+++ b/packages/gateway/src/call/refusal.ts
@@ -1,4 +1,4 @@
-import type * as eventLog from '../util/event-log.js';
+import type * as core from '@bluebellmast/core';
 
 /** Why the gateway answers a request itself. */
 export enum RefusalCode {
@@ -17,6 +17,8 @@
 	OutcomeUnknown = 'outcome_unknown',
 	/** The request was sent and not answered in time. */
 	TimedOut = 'timed_out',
+	/** The caller closed its connection; nobody gets this answer. */
+	CallerGone = 'caller_gone',
 	/** A fault of this program before anything was sent. */
 	InternalFault = 'internal_fault',
 }
@@ -33,6 +35,7 @@
 	[RefusalCode.DeadlineTooClose]: 503,
 	[RefusalCode.OutcomeUnknown]: 502,
 	[RefusalCode.TimedOut]: 504,
+	[RefusalCode.CallerGone]: 503,
 	[RefusalCode.InternalFault]: 502,
 };
 
@@ -44,7 +47,7 @@
 	/** What is wrong, each with its place. */
 	readonly findings?: readonly string[];
 	/** What the decision rested on, for the log. */
-	readonly inputs?: eventLog.LogFields;
+	readonly inputs?: core.log.RefusalInputs;
 };
 
 /** Returns the HTTP status of a refusal. */
--- a/packages/gateway/src/call/room-finder.ts
+++ b/packages/gateway/src/call/room-finder.ts
@@ -17,7 +17,7 @@
 /** Result of a search: an endpoint with room, or the time after which to come back. */
 export type RoomResult =
 	| {readonly placement: endpointPlacer.Placement}
-	| {readonly placement: undefined; readonly retryAfterMs: number; readonly inputs: eventLog.LogFields};
+	| {readonly placement: undefined; readonly retryAfterMs: number; readonly inputs: core.log.RefusalInputs};
 
 /** Finds an endpoint with room for one request, and waits for one when there is none. */
 export class RoomFinder {
@@ -56,7 +56,7 @@
 		});
 		// Callers come back over a span of time, not as one wave.
 		const retryAfterMs = Math.max(refusals.noEndpointRetryMs, expectedMs * (1 + this.parts.random()));
-		const inputs: eventLog.LogFields = {
+		const inputs: core.log.RefusalInputs = {
 			expectedWaitMs: Math.round(expectedMs), backlogMs: Math.round(first.choice.backlogMs), prefill: first.choice.prefillTokens,
 		};
 		if (!mayWait) {
--- a/packages/gateway/src/call/waiting-room.ts
+++ b/packages/gateway/src/call/waiting-room.ts
@@ -37,6 +37,11 @@
 
 	constructor(private readonly steadyNow: () => number) {}
 
+	/** Requests that wait. */
+	get size(): number {
+		return this.#waiting.size;
+	}
+
 	/** Prompt tokens of the waiting requests that go before a new one. */
 	tokensAhead(request: core.fleet.WaitingRequest): number {
 		const now = this.steadyNow();
--- a/packages/gateway/src/controllers/cache-store-controller.ts
+++ b/packages/gateway/src/controllers/cache-store-controller.ts
@@ -55,7 +55,7 @@
 			}
 		});
 		read.ifRight(news => {
-			this.#take(news);
+			this.#take(address, news);
 		});
 	}
 
@@ -64,7 +64,7 @@
 		return ranked.slice(0, followers).includes(this.parts.vm);
 	}
 
-	#take(news: ports.CacheStoreChanges): void {
+	#take(address: string, news: ports.CacheStoreChanges): void {
 		const isRestarted = this.#incarnation !== undefined && this.#incarnation !== news.incarnation;
 		this.#incarnation = news.incarnation;
 		// The new incarnation counts from the start again.
@@ -72,11 +72,11 @@
 		const isReset = isRestarted || news.hasGap;
 		if (this.#isLost) {
 			this.#isLost = false;
-			this.parts.log.write(eventLog.LogEvent.CacheStoreRegained, {address: this.#address});
+			this.parts.log.write(eventLog.LogEvent.CacheStoreRegained, {address});
 		}
 
 		if (isReset) {
-			this.parts.log.write(eventLog.LogEvent.CacheStoreReset, {address: this.#address, isRestarted});
+			this.parts.log.write(eventLog.LogEvent.CacheStoreReset, {address, isRestarted});
 		}
 
 		const signs = news.changes
--- a/packages/gateway/src/controllers/duty-controller.ts
+++ b/packages/gateway/src/controllers/duty-controller.ts
@@ -162,7 +162,12 @@
 			}
 		}
 
-		this.fleet.vms = Math.max(1, this.#vms.size);
+		const vms = Math.max(1, this.#vms.size);
+		if (vms !== this.fleet.vms) {
+			this.log.write(eventLog.LogEvent.VmsChanged, {vms});
+		}
+
+		this.fleet.vms = vms;
 		this.fleet.peers.retain(new Set(this.#vms.keys()));
 	}
 }
--- a/packages/gateway/src/controllers/lease-controller.ts
+++ b/packages/gateway/src/controllers/lease-controller.ts
@@ -77,6 +77,11 @@
 		return this.#isStopping ? undefined : this.#leader.fencing(this.parts.clock.wallSafeNow());
 	}
 
+	/** Whether this VM may give orders. */
+	get isLeading(): boolean {
+		return this.fencing() !== undefined;
+	}
+
 	/** Notes that an engine has seen a higher fencing number: another VM leads. */
 	noteFenced(): void {
 		this.#leader.ended();
--- a/packages/gateway/src/controllers/rollout-controller.ts
+++ b/packages/gateway/src/controllers/rollout-controller.ts
@@ -190,11 +190,12 @@
 		}
 
 		state.orderedAt = clock.steadyNow();
+		const acceptedOrders = this.#acceptedOrders.get(incarnationOf(step));
 		const outcome = await admin.orderLoad(entry, {
-			model: step.model, version: step.version, holder: vm, fence, acceptedOrders: this.#acceptedOrders.get(incarnationOf(step)),
+			model: step.model, version: step.version, holder: vm, fence, acceptedOrders,
 		});
 		log.write(eventLog.LogEvent.OrderSent, {
-			endpoint: step.endpoint, model: step.model, version: step.version, fence, outcome,
+			endpoint: step.endpoint, model: step.model, version: step.version, fence, expected: acceptedOrders, outcome,
 		});
 		if (outcome === ports.OrderOutcome.AlreadyDone) {
 			fleet.registry.noteWeights(step.endpoint, step.bornAt, step, clock.steadyNow());
--- a/packages/gateway/src/controllers/store-feed.ts
+++ b/packages/gateway/src/controllers/store-feed.ts
@@ -50,7 +50,8 @@
 	#failedAt = -Infinity;
 	#pauseMs: number;
 	#isStopped = false;
-	#isLost = false;
+	/** When the store was lost, in steady milliseconds; absent while it answers. */
+	#lostAt: number | undefined;
 
 	constructor(private readonly parts: StoreFeedParts, private readonly terms: FeedTerms = defaultFeedTerms) {
 		this.#pauseMs = terms.minPauseMs;
@@ -117,16 +118,17 @@
 
 	#noteSuccess(): void {
 		this.#pauseMs = this.terms.minPauseMs;
-		if (this.#isLost) {
-			this.#isLost = false;
-			this.parts.log.write(eventLog.LogEvent.StoreRegained, {prefix: this.parts.prefix});
+		if (this.#lostAt !== undefined) {
+			const awayMs = Math.round(this.parts.clock.steadyNow() - this.#lostAt);
+			this.#lostAt = undefined;
+			this.parts.log.write(eventLog.LogEvent.StoreRegained, {prefix: this.parts.prefix, awayMs});
 		}
 	}
 
 	#noteFailure(failure: clients.kv.KvError): void {
 		this.#failedAt = this.parts.clock.steadyNow();
-		if (!this.#isLost) {
-			this.#isLost = true;
+		if (this.#lostAt === undefined) {
+			this.#lostAt = this.#failedAt;
 			this.parts.log.write(eventLog.LogEvent.StoreLost, {prefix: this.parts.prefix, code: failure.code, problem: failure.message});
 		}
 	}
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -1,4 +1,5 @@
 import type * as core from '@bluebellmast/core';
+import type * as metrics from './metrics/index.js';
 import type * as listen from './util/listen.js';
 
 /** What a gateway process learns from its settings. */
@@ -12,6 +13,8 @@
 	readonly readiness: listen.ListenAddress;
 	/** Where other VMs send digests of their load. */
 	readonly peers: listen.ListenAddress;
+	/** Where metrics are served; nowhere if absent. */
+	readonly metrics?: metrics.MetricsAddress;
 	/** Path of the readiness question. */
 	readonly readinessPath: string;
 	readonly trust: core.routing.TrustTerms;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,6 +2,7 @@
 import type * as controllers from './controllers/index.js';
 import type * as gatewaySettings from './gateway-settings.js';
 import * as ingress from './ingress/index.js';
+import type * as metrics from './metrics/index.js';
 import type * as peers from './peers/index.js';
 import type * as placement from './placement/index.js';
 import type * as clocks from './util/clocks.js';
@@ -23,6 +24,8 @@
 	readonly load: controllers.LoadController;
 	readonly cacheStore: controllers.CacheStoreController;
 	readonly clock: clocks.Clocks;
+	/** Absent where the settings name no address for it. */
+	readonly metrics?: metrics.MetricsServer;
 	readonly log: eventLog.EventLog;
 };
 
@@ -47,14 +50,15 @@
 	#tasks: periodic.Periodic[] = [];
 	#isStopping = false;
 	#isClosed = false;
+	#wasReady = false;
 
 	constructor(private readonly parts: GatewayParts) {
 		this.#readiness = new ingress.ReadinessServer(parts.settings.readinessPath, () => this.isReady());
 	}
 
 	/** Ports on which the gateway listens. */
-	get ports(): {readonly callers: number; readonly readiness: number} {
-		return {callers: this.parts.server.port, readiness: this.#readiness.port};
+	get ports(): {readonly callers: number; readonly readiness: number; readonly metrics?: number} {
+		return {callers: this.parts.server.port, readiness: this.#readiness.port, metrics: this.parts.metrics?.port};
 	}
 
 	/** Whether new connections are welcome. */
@@ -70,6 +74,7 @@
 			server.listen(settings.listen),
 			this.#readiness.listen(settings.readiness),
 			exchange.listen(),
+			this.parts.metrics?.listen(),
 		]);
 		void feed.run();
 		this.#tasks = this.#runTasks();
@@ -92,7 +97,7 @@
 		})]);
 		await server.finishStop(settings.graceMs - exitMarginMs - (clock.steadyNow() - startedAt));
 		this.close();
-		log.write(eventLog.LogEvent.Stopped, {});
+		log.write(eventLog.LogEvent.Stopped, {tookMs: Math.round(clock.steadyNow() - startedAt)});
 	}
 
 	/** Closes everything at once. */
@@ -111,6 +116,17 @@
 		this.parts.exchange.close();
 		this.parts.server.close();
 		this.#readiness.close();
+		this.parts.metrics?.close();
+	}
+
+	#noteReadiness(): void {
+		const {config, clock, log} = this.parts;
+		const isReady = this.isReady();
+		if (isReady !== this.#wasReady) {
+			this.#wasReady = isReady;
+			const ageMs = config.ageMs(clock.wallSafeNow());
+			log.write(eventLog.LogEvent.ReadinessChanged, {isReady, configAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined});
+		}
 	}
 
 	#runTasks(): periodic.Periodic[] {
@@ -119,9 +135,10 @@
 			{
 				name: 'endpoints',
 				intervalMs: endpointTickMs,
-				run() {
+				run: () => {
 					endpointController.tick();
 					duties.tick();
+					this.#noteReadiness();
 				},
 			},
 			{
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -4,6 +4,7 @@
 export * from './gateway-settings.js';
 export * from './gateway.js';
 export * as ingress from './ingress/index.js';
+export * as metrics from './metrics/index.js';
 export * as peers from './peers/index.js';
 export * as placement from './placement/index.js';
 export * as ports from './ports/index.js';
--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -1,5 +1,6 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
+import * as core from '@bluebellmast/core';
 import * as call from '../call/index.js';
 import type * as ports from '../ports/index.js';
 import type * as clocks from '../util/clocks.js';
@@ -57,6 +58,11 @@
 		return listen.portOf(this.#server);
 	}
 
+	/** Requests that have not ended. */
+	get openRequests(): number {
+		return this.#open.size;
+	}
+
 	/** From now on each answer closes its connection, so that callers go to other VMs. */
 	beginStop(): void {
 		this.#isStopping = true;
@@ -99,11 +105,8 @@
 		try {
 			await this.#answer(req, res);
 		} catch (err) {
-			this.parts.log.write(eventLog.LogEvent.InternalError, {task: 'request', problem: String(err)});
-			call.answerRefusal(res, {code: call.RefusalCode.InternalFault});
-			if (!res.writableEnded) {
-				res.destroy();
-			}
+			this.#noteFault(err);
+			res.destroy();
 		} finally {
 			this.#open.delete(res);
 		}
@@ -124,16 +127,32 @@
 		const ctx: call.CallContext = {
 			req, res, head, arrivedAt: this.parts.clock.steadyNow(),
 		};
-		const refusal = await this.#run(ctx);
+		let refusal: call.Refusal | undefined = {code: call.RefusalCode.InternalFault};
+		try {
+			refusal = await this.#run(ctx);
+		} catch (err) {
+			this.#noteFault(err);
+		}
+
 		if (refusal !== undefined) {
 			this.#refuse(ctx, refusal);
 		}
 
+		this.#noteEnd(ctx, refusal);
+	}
+
+	#noteFault(err: unknown): void {
+		this.parts.log.write(eventLog.LogEvent.InternalError, {task: 'request', problem: String(err)});
+	}
+
+	#noteEnd(ctx: call.CallContext, refusal: call.Refusal | undefined): void {
+		const {head, res, route} = ctx;
 		this.parts.log.write(eventLog.LogEvent.RequestEnded, {
 			request: head.requestId,
-			route: ctx.route?.name,
+			outcome: outcomeOf(ctx, refusal),
+			route: route?.name,
+			kind: route?.kind,
 			status: res.headersSent ? res.statusCode : 0,
-			isWhole: res.writableEnded,
 			code: refusal?.code,
 			retryAfterMs: refusal?.retryAfterMs === undefined ? undefined : Math.round(refusal.retryAfterMs),
 			...refusal?.inputs,
@@ -159,6 +178,10 @@
 		}
 
 		call.answerRefusal(ctx.res, refusal);
+		if (!ctx.res.writableEnded) {
+			// An answer has begun that nobody will complete.
+			ctx.res.destroy();
+		}
 	}
 
 	#refuseConnection(err: NodeJS.ErrnoException, socket: net.Socket): void {
@@ -167,11 +190,26 @@
 			return;
 		}
 
-		const status = err.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request';
+		const isTooLarge = err.code === 'HPE_HEADER_OVERFLOW';
+		const status = isTooLarge ? '431 Request Header Fields Too Large' : '400 Bad Request';
+		const code = isTooLarge ? call.RefusalCode.HeadTooLarge : call.RefusalCode.MalformedRequest;
+		this.parts.log.write(eventLog.LogEvent.RequestRejected, {code, findings: `connection: ${err.message}`});
 		socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
 	}
 }
 
+function outcomeOf({res, isCut}: call.CallContext, refusal: call.Refusal | undefined): core.log.RequestOutcome {
+	if (refusal !== undefined && refusal.code !== call.RefusalCode.CallerGone) {
+		return core.log.RequestOutcome.Refused;
+	}
+
+	if (isCut) {
+		return core.log.RequestOutcome.Cut;
+	}
+
+	return res.writableEnded ? core.log.RequestOutcome.Answered : core.log.RequestOutcome.CallerGone;
+}
+
 /** Closes the connection of an answer once it has ended; says so in its head unless that has gone. */
 function closeAfter(res: http.ServerResponse): void {
 	if (!res.headersSent) {
--- /dev/null
+++ b/packages/gateway/src/metrics/event-metrics.ts
@@ -0,0 +1,99 @@
+import * as core from '@bluebellmast/core';
+import * as prometheus from 'prom-client';
+import type * as eventLog from '../util/event-log.js';
+
+const {LogEvent: logEvents} = core.log;
+const msPerSecond = 1000;
+/** Bounds of times, in seconds: from an answer of a plain service to the longest time of a route. */
+const secondsBuckets = [0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1, 1.5, 2.5, 4, 8];
+/** Value of a label where the log has none: the request matched no route. */
+const noKind = 'none';
+
+/**
+ * Counts what the log tells, each event before the log's bound can drop its line, so that counters and log agree and
+ * no decision has to be reported twice.
+ */
+export class EventMetrics implements eventLog.EventLog {
+	readonly #events: prometheus.Counter;
+	readonly #requests: prometheus.Counter;
+	readonly #durations: prometheus.Histogram;
+	readonly #firstBytes: prometheus.Histogram;
+	readonly #gaps: prometheus.Histogram;
+	readonly #sends: prometheus.Counter;
+	readonly #faults: prometheus.Counter;
+	readonly #orders: prometheus.Counter;
+
+	/** @param next - Writes the lines. */
+	constructor(private readonly next: eventLog.EventLog, registry: prometheus.Registry) {
+		const registers = [registry];
+		this.#events = new prometheus.Counter({
+			name: 'bluebellmast_log_events_total', help: 'Events by name, dropped lines included.', labelNames: ['event'], registers,
+		});
+		this.#requests = new prometheus.Counter({
+			name: 'bluebellmast_requests_total',
+			help: 'Requests that ended, by kind of route, outcome, and the code of the gateway\'s own answer.',
+			labelNames: ['kind', 'outcome', 'code'],
+			registers,
+		});
+		this.#durations = createHistogram('bluebellmast_request_duration_seconds', 'Time from the head of a request to its end.', registers);
+		this.#firstBytes = createHistogram('bluebellmast_first_byte_seconds', 'Time from the head of a request to the first part of its answer.', registers);
+		this.#gaps = createHistogram('bluebellmast_longest_gap_seconds', 'Longest pause between two parts of an answer.', registers);
+		this.#sends = new prometheus.Counter({
+			name: 'bluebellmast_sends_total', help: 'Requests sent to endpoints, first sends and repeats.', labelNames: ['type'], registers,
+		});
+		this.#faults = new prometheus.Counter({
+			name: 'bluebellmast_attempt_faults_total', help: 'Sends that ended without a whole answer, by fault.', labelNames: ['fault'], registers,
+		});
+		this.#orders = new prometheus.Counter({
+			name: 'bluebellmast_orders_total', help: 'Orders to load weights, by outcome.', labelNames: ['outcome'], registers,
+		});
+	}
+
+	write<Event extends core.log.LogEvent>(event: Event, fields: core.log.LogFieldsOf[Event]): void {
+		this.#events.inc({event});
+		this.#count({event, fields} as AnyEvent);
+		this.next.write(event, fields);
+	}
+
+	#count(item: AnyEvent): void {
+		if (item.event === logEvents.RequestEnded) {
+			this.#countEnd(item.fields);
+		}
+
+		if (item.event === logEvents.RequestRejected) {
+			this.#requests.inc({kind: noKind, outcome: core.log.RequestOutcome.Refused, code: item.fields.code});
+		}
+
+		if (item.event === logEvents.RequestSent) {
+			this.#sends.inc({type: item.fields.send === 1 ? 'first' : 'repeat'});
+		}
+
+		if (item.event === logEvents.AttemptFailed) {
+			this.#faults.inc({fault: item.fields.fault});
+		}
+
+		if (item.event === logEvents.OrderSent) {
+			this.#orders.inc({outcome: item.fields.outcome});
+		}
+	}
+
+	#countEnd({kind = noKind, outcome, code = '', tookMs, firstMs, maxGapMs}: core.log.LogFieldsOf[core.log.LogEvent.RequestEnded]): void {
+		this.#requests.inc({kind, outcome, code});
+		this.#durations.observe({kind}, tookMs / msPerSecond);
+		if (firstMs !== undefined) {
+			this.#firstBytes.observe({kind}, firstMs / msPerSecond);
+		}
+
+		if (maxGapMs !== undefined) {
+			this.#gaps.observe({kind}, maxGapMs / msPerSecond);
+		}
+	}
+}
+
+type AnyEvent = {[Event in core.log.LogEvent]: {readonly event: Event; readonly fields: core.log.LogFieldsOf[Event]}}[core.log.LogEvent];
+
+function createHistogram(name: string, help: string, registers: prometheus.Registry[]): prometheus.Histogram {
+	return new prometheus.Histogram({
+		name, help, labelNames: ['kind'], buckets: secondsBuckets, registers,
+	});
+}
--- /dev/null
+++ b/packages/gateway/src/metrics/index.ts
@@ -0,0 +1,3 @@
+export * from './event-metrics.js';
+export * from './metrics-server.js';
+export * from './state-gauges.js';
--- /dev/null
+++ b/packages/gateway/src/metrics/state-gauges.ts
@@ -0,0 +1,68 @@
+import process from 'node:process';
+import * as prometheus from 'prom-client';
+
+/** Numbers that are read at each scrape. */
+export type GatewayState = {
+	/** Version of the configuration in force; 0 where none is known. */
+	readonly configVersion: number;
+	/** Time since the store last confirmed it, in seconds. */
+	readonly configAgeSeconds: number;
+	readonly isReady: boolean;
+	readonly isLeader: boolean;
+	/** VMs that share limits, this one included. */
+	readonly vms: number;
+	/** Endpoints that are listed as ready. */
+	readonly listedEndpoints: number;
+	/** Those of them that did not answer the last check. */
+	readonly unresponsiveEndpoints: number;
+	/** Engines that load weights by the plan in force. */
+	readonly loadingEndpoints: number;
+	/** Requests that have not ended. */
+	readonly openRequests: number;
+	/** Those of them that wait for room at an endpoint. */
+	readonly waitingRequests: number;
+	readonly droppedLogLines: number;
+};
+
+type GaugeSpec = {
+	readonly name: string;
+	readonly help: string;
+	readonly read: (state: GatewayState) => number;
+};
+
+const microsecondsPerSecond = 1_000_000;
+
+const gauges: readonly GaugeSpec[] = [
+	{name: 'bluebellmast_config_version', help: 'Version of the configuration in force.', read: state => state.configVersion},
+	{name: 'bluebellmast_config_age_seconds', help: 'Time since the store confirmed the configuration.', read: state => state.configAgeSeconds},
+	{name: 'bluebellmast_ready', help: 'Whether the VM asks for new connections.', read: state => Number(state.isReady)},
+	{name: 'bluebellmast_leader', help: 'Whether the VM may give orders.', read: state => Number(state.isLeader)},
+	{name: 'bluebellmast_vms', help: 'VMs that share limits.', read: state => state.vms},
+	{name: 'bluebellmast_endpoints_listed', help: 'Endpoints listed as ready.', read: state => state.listedEndpoints},
+	{name: 'bluebellmast_endpoints_unresponsive', help: 'Listed endpoints that did not answer a check.', read: state => state.unresponsiveEndpoints},
+	{name: 'bluebellmast_endpoints_loading', help: 'Engines that load weights.', read: state => state.loadingEndpoints},
+	{name: 'bluebellmast_requests_open', help: 'Requests that have not ended.', read: state => state.openRequests},
+	{name: 'bluebellmast_requests_waiting', help: 'Requests that wait for room at an endpoint.', read: state => state.waitingRequests},
+	{name: 'bluebellmast_log_lines_dropped', help: 'Log lines dropped since the start.', read: state => state.droppedLogLines},
+	{name: 'process_resident_memory_bytes', help: 'Memory of the process.', read: () => process.memoryUsage.rss()},
+	{name: 'process_cpu_seconds', help: 'Processor time of the process since its start.', read: () => cpuSeconds()},
+];
+
+/** Registers gauges that read the state of the gateway at each scrape. */
+export function registerStateGauges(registry: prometheus.Registry, readState: () => GatewayState): void {
+	for (const {name, help, read} of gauges) {
+		const gauge = new prometheus.Gauge({
+			name,
+			help,
+			registers: [registry],
+			collect() {
+				gauge.set(read(readState()));
+			},
+		});
+	}
+}
+
+function cpuSeconds(): number {
+	const {user, system} = process.cpuUsage();
+	return (user + system) / microsecondsPerSecond;
+}
--- a/packages/gateway/src/placement/endpoint-placer.ts
+++ b/packages/gateway/src/placement/endpoint-placer.ts
@@ -1,6 +1,5 @@
 import * as core from '@bluebellmast/core';
 import type * as callContext from '../call/call-context.js';
-import type * as eventLog from '../util/event-log.js';
 import type * as fleetState from './fleet-state.js';
 
 /** Terms of placement on this deployment. */
@@ -77,7 +76,7 @@
 	}
 
 	/** Counts the endpoints of a pool by what keeps requests from them, for the log. */
-	describePool(call: callContext.RoutedCall, pool: core.routing.PoolName, now: number): eventLog.LogFields {
+	describePool(call: callContext.RoutedCall, pool: core.routing.PoolName, now: number): core.log.RefusalInputs {
 		const ready = this.fleet.registry.listReady(pool);
 		const responsive = ready.filter(entry => this.fleet.health.isResponsive(entry.id));
 		const model = call.head.prompt?.model;
--- a/packages/gateway/src/util/event-log.ts
+++ b/packages/gateway/src/util/event-log.ts
@@ -1,98 +1,76 @@
-import * as fs from 'node:fs';
+import * as core from '@bluebellmast/core';
+import sonicBoom from 'sonic-boom';
 
 /** Names of the events in the log. */
-export enum LogEvent {
-	Started = 'started',
-	Stopping = 'stopping',
-	Stopped = 'stopped',
-	/** A signal to read the settings again; they hold for the life of a process. */
-	SettingsKept = 'settings_kept',
-	StoreLost = 'store_lost',
-	StoreRegained = 'store_regained',
-	CacheStoreLost = 'cache_store_lost',
-	CacheStoreRegained = 'cache_store_regained',
-	CacheStoreReset = 'cache_store_reset',
-	StoreEntryInvalid = 'store_entry_invalid',
-	ConfigAccepted = 'config_accepted',
-	WeightTargetSeen = 'weight_target_seen',
-	RolloutPlanSeen = 'rollout_plan_seen',
-	RolloutPlanWritten = 'rollout_plan_written',
-	OrderSent = 'order_sent',
-	LeaderGained = 'leader_gained',
-	LeaderLost = 'leader_lost',
-	EndpointChanged = 'endpoint_changed',
-	EndpointRemoved = 'endpoint_removed',
-	EndpointUnresponsive = 'endpoint_unresponsive',
-	EndpointResponsive = 'endpoint_responsive',
-	RequestRejected = 'request_rejected',
-	/** No endpoint has room; the request waits for it at the VM. */
-	RequestWaiting = 'request_waiting',
-	RequestSent = 'request_sent',
-	AttemptFailed = 'attempt_failed',
-	RequestEnded = 'request_ended',
-	InternalError = 'internal_error',
-	LinesDropped = 'lines_dropped',
-}
-
-/** Values of a log line. */
-export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
+export const {LogEvent} = core.log; // eslint-disable-line @typescript-eslint/naming-convention -- An enum under its own name.
 
 /** Writes structured log lines. */
 export interface EventLog { // eslint-disable-line @typescript-eslint/consistent-type-definitions
-	write(event: LogEvent, fields?: LogFields): void;
+	write<Event extends core.log.LogEvent>(event: Event, fields: core.log.LogFieldsOf[Event]): void;
 }
 
+/** Takes the text of log lines without ever blocking. */
+export type LogSink = {
+	/** Takes text; beyond its bound it drops the text. @returns Whether the text was taken. */
+	write(text: string): boolean;
+	/** Waits until all text has gone, for some milliseconds at most. */
+	flush(maxMs: number): Promise<void>;
+};
+
 /** Options of {@link BoundedEventLog}. */
 export type BoundedEventLogOptions = {
 	readonly vm: string;
-	/** File descriptor; standard output by default. */
-	readonly fd?: number;
+	readonly sink: LogSink;
+	/** Unix milliseconds. */
+	readonly now: () => number;
 	/** Lines a second, beyond which lines are dropped and counted; 300 by default. */
 	readonly linesPerSecond?: number;
-	/** Bytes that may wait for a slow reader, beyond which lines are dropped; 256 KiB by default. */
-	readonly maxWaitingBytes?: number;
+	/** Part of these lines that single requests leave to all other events; 50 by default. */
+	readonly reservedLines?: number;
 };
 
-const standardOutput = 1;
+/** A VM of the busiest standard day writes about 150 lines a second, so that only bursts reach the bound. */
 const defaultLinesPerSecond = 300;
-const defaultMaxWaitingBytes = 262_144;
+/** Lines of all other events in the busiest second of a played day are fewer. */
+const defaultReservedLines = 50;
 const msPerSecond = 1000;
 
 /**
- * Writes JSON lines without ever blocking the event loop: writes run in the thread pool, one at a time, and lines beyond
- * the bounds are dropped and counted.
+ * Writes JSON lines. Lines beyond the bound are dropped and counted; requests reach it before changes of belief do, by
+ * which all of them are explained.
  */
 export class BoundedEventLog implements EventLog {
-	readonly #options: Required<BoundedEventLogOptions>;
-	#waiting: string[] = [];
-	#waitingBytes = 0;
-	#isWriting = false;
+	/** Lines that were dropped since the start. */
+	droppedLines = 0;
+	readonly #linesPerSecond: number;
+	readonly #requestLines: number;
 	#second = 0;
 	#linesInSecond = 0;
-	#dropped = 0;
+	/** Dropped lines that no line has told of yet. */
+	#untold = 0;
 
-	constructor(options: BoundedEventLogOptions) {
-		this.#options = {
-			fd: standardOutput, linesPerSecond: defaultLinesPerSecond, maxWaitingBytes: defaultMaxWaitingBytes, ...options,
-		};
+	constructor(private readonly options: BoundedEventLogOptions) {
+		this.#linesPerSecond = options.linesPerSecond ?? defaultLinesPerSecond;
+		this.#requestLines = this.#linesPerSecond - (options.reservedLines ?? defaultReservedLines);
 	}
 
-	write(event: LogEvent, fields: LogFields = {}): void {
-		const at = Date.now();
+	write<Event extends core.log.LogEvent>(event: Event, fields: core.log.LogFieldsOf[Event]): void {
+		const at = this.options.now();
 		this.#startSecond(Math.floor(at / msPerSecond));
-		if (this.#linesInSecond >= this.#options.linesPerSecond || this.#waitingBytes >= this.#options.maxWaitingBytes) {
-			this.#dropped += 1;
+		const bound = core.log.isRequestEvent(event) ? this.#requestLines : this.#linesPerSecond;
+		if (this.#linesInSecond >= bound || !this.#append(at, event, fields)) {
+			this.#drop();
 			return;
 		}
 
-		if (this.#dropped > 0) {
-			const lines = this.#dropped;
-			this.#dropped = 0;
-			this.#append(at, LogEvent.LinesDropped, {lines});
+		if (this.#untold > 0 && this.#append(at, LogEvent.LinesDropped, {lines: this.#untold})) {
+			this.#untold = 0;
 		}
+	}
 
-		this.#append(at, event, fields);
-		this.#flush();
+	/** Waits until the lines have gone, for some milliseconds at most. */
+	async flush(maxMs: number): Promise<void> {
+		await this.options.sink.flush(maxMs);
 	}
 
 	#startSecond(second: number): void {
@@ -102,33 +80,52 @@
 		}
 	}
 
-	#append(at: number, event: LogEvent, fields: LogFields): void {
-		const line = `${JSON.stringify({
-			at, vm: this.#options.vm, event, ...fields,
-		})}\n`;
+	#drop(): void {
+		this.droppedLines += 1;
+		this.#untold += 1;
+	}
+
+	#append(at: number, event: core.log.LogEvent, fields: Readonly<Record<string, unknown>>): boolean {
 		this.#linesInSecond += 1;
-		this.#waiting.push(line);
-		this.#waitingBytes += line.length;
+		return this.options.sink.write(`${JSON.stringify({
+			at, vm: this.options.vm, event, ...fields,
+		})}\n`);
 	}
+}
 
-	#flush(): void {
-		if (this.#isWriting || this.#waiting.length === 0) {
-			return;
-		}
+const standardOutput = 1;
+/** Bytes that may wait for a slow reader: several seconds at the bound of lines. */
+const maxWaitingBytes = 262_144;
+
+/** Writes to a file descriptor, standard output by default, in the thread pool: a reader that is slow or stopped holds up nothing. */
+export class DescriptorSink implements LogSink {
+	readonly #stream: InstanceType<typeof sonicBoom.SonicBoom>;
+	#isDropped = false;
+
+	constructor(fd = standardOutput) {
+		this.#stream = new sonicBoom.SonicBoom({fd, sync: false, maxLength: maxWaitingBytes});
+		this.#stream.on('drop', () => {
+			this.#isDropped = true;
+		});
+		this.#stream.on('error', () => {
+			// The reader is gone: the log itself can't take the reason, and the gateway goes on without it.
+			this.#isDropped = true;
+		});
+	}
+
+	write(text: string): boolean {
+		this.#isDropped = false;
+		this.#stream.write(text);
+		return !this.#isDropped;
+	}
 
-		const chunk = this.#waiting.join('');
-		this.#waiting = [];
-		this.#waitingBytes = 0;
-		this.#isWriting = true;
-		fs.write(this.#options.fd, chunk, err => {
-			this.#isWriting = false;
-			if (err) {
-				// The log itself can't take the reason: the lines count as dropped.
-				this.#dropped += 1;
-				return;
-			}
-
-			this.#flush();
+	async flush(maxMs: number): Promise<void> {
+		await new Promise<void>(resolve => {
+			const timer = setTimeout(resolve, maxMs);
+			this.#stream.flush(() => {
+				clearTimeout(timer);
+				resolve();
+			});
 		});
 	}
 }
--- a/packages/gateway/src/util/index.ts
+++ b/packages/gateway/src/util/index.ts
@@ -1,4 +1,5 @@
 export * from './clocks.js';
+export * from './connection-headers.js';
 export * from './event-log.js';
 export * from './listen.js';
 export * from './periodic.js';
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -1,11 +1,13 @@
 import * as core from '@bluebellmast/core';
 import type * as clients from '@bluebellmast/kv';
+import * as prometheus from 'prom-client';
 import * as call from './call/index.js';
 import * as controllers from './controllers/index.js';
 import * as endpoints from './endpoints/index.js';
 import type * as gatewaySettings from './gateway-settings.js';
 import * as gateway from './gateway.js';
 import * as ingress from './ingress/index.js';
+import * as metrics from './metrics/index.js';
 import * as peers from './peers/index.js';
 import * as placement from './placement/index.js';
 import type * as ports from './ports/index.js';
@@ -22,14 +24,21 @@
 	readonly admin: ports.EndpointAdmin;
 	readonly cacheStoreNews: ports.CacheStoreNews;
 	readonly clock: clocks.Clocks;
+	/** Log of the process; {@link BoundedEventLog} bounds its volume. */
 	readonly log: eventLog.EventLog;
+	/** Lines that the log dropped so far; none by default. */
+	readonly droppedLogLines?: () => number;
 	/** Draws a number from 0 up to but not including 1; decides splits and pauses. */
 	readonly random: () => number;
 };
 
+const msPerSecond = 1000;
+
 /** Constructs a gateway; {@link gateway.Gateway.start} starts it. */
 export function createGateway(options: GatewayOptions): gateway.Gateway {
-	const {settings, store, decoder, clock, log, random, admin} = options;
+	const {settings, store, decoder, clock, random, admin} = options;
+	const registry = new prometheus.Registry();
+	const log = new metrics.EventMetrics(options.log, registry);
 	const config = new core.routing.ConfigState();
 	const fleet = new placement.FleetState();
 	const connections = new endpoints.ConnectionPools();
@@ -44,6 +53,7 @@
 	const load = new controllers.LoadController({
 		vm: settings.vm, fleet, duties, exchange, clock,
 	});
+	const waiting = new call.WaitingRoom(() => clock.steadyNow());
 	const dispatcher = new call.CallDispatcher({
 		fleet,
 		connections,
@@ -58,7 +68,7 @@
 		}),
 		protocol: options.endpointProtocol,
 		retries: new call.RetryWindows(settings.retries),
-		waiting: new call.WaitingRoom(() => clock.steadyNow()),
+		waiting,
 		noteSigns(signs) {
 			load.noteSigns(signs);
 		},
@@ -109,7 +119,38 @@
 	const feed = new controllers.StoreFeed({
 		store, prefix: '', listener, clock, log,
 	});
-	return new gateway.Gateway({
-		settings, config, fleet, server, feed, lease, rollout, duties, endpointController, exchange, load, cacheStore, clock, log,
+	const program = new gateway.Gateway({
+		settings,
+		config,
+		fleet,
+		server,
+		feed,
+		lease,
+		rollout,
+		duties,
+		endpointController,
+		exchange,
+		load,
+		cacheStore,
+		clock,
+		log,
+		metrics: settings.metrics && new metrics.MetricsServer(settings.metrics, registry, log),
+	});
+	metrics.registerStateGauges(registry, () => {
+		const ready = fleet.registry.list().filter(entry => entry.state === core.fleet.EndpointState.Ready);
+		return {
+			configVersion: config.table?.config.version ?? 0,
+			configAgeSeconds: config.ageMs(clock.wallSafeNow()) / msPerSecond,
+			isReady: program.isReady(),
+			isLeader: lease.isLeading,
+			vms: fleet.vms,
+			listedEndpoints: ready.length,
+			unresponsiveEndpoints: ready.filter(entry => !fleet.health.isResponsive(entry.id)).length,
+			loadingEndpoints: ready.filter(entry => core.rollout.isLoading(fleet.plan, entry.id)).length,
+			openRequests: server.openRequests,
+			waitingRequests: waiting.size,
+			droppedLogLines: options.droppedLogLines?.() ?? 0,
+		};
 	});
+	return program;
 }
