--- a/packages/gateway/src/call/call-run.ts
+++ b/packages/gateway/src/call/call-run.ts
@@ -17,6 +17,13 @@
 const minRetryTimeMs = 30;
 /** Time that an endpoint has beyond its own deadline to say so itself, in milliseconds. */
 const lateAnswerGraceMs = 40;
+/**
+ * Silence after which a read is sent to another endpoint, as a multiple of its target latency, and the least such time in
+ * milliseconds: answers of both deployments' plain services take a third of their targets, and a connection that went
+ * silent answers nothing at all.
+ */
+const stalledFactor = 3;
+const minStalledMs = 300;
 /** Part of the connections of an endpoint that this VM opens beyond its even share. */
 const connectionShareFactor = 1.5;
 
@@ -185,11 +192,29 @@
 
 		this.#sent.push(sent);
 		this.#notes.noteSent(sent, this.#sent.length);
+		const stallTimer = this.#watchForStall(sent);
 		sent.end = await attempt.run();
+		clearTimeout(stallTimer);
 		this.#notes.noteEnd(sent, sent.end);
 		return sent.end;
 	}
 
+	/** Gives up an attempt at a read that is not answered, where another endpoint may answer in time. */
+	#watchForStall(sent: sentAttempt.SentAttempt): NodeJS.Timeout | undefined {
+		const {route} = this.call;
+		if (route.kind !== core.routing.RouteKind.Safe) {
+			return undefined;
+		}
+
+		return setTimeout(() => {
+			if (!sent.hasBegun && this.#mayRunAgain(1)) {
+				// Connections that were opened along with this one may be as silent.
+				this.parts.connections.dropIdle(sent.placement.entry.id);
+				sent.attempt.abort(endpoints.AttemptFault.EndpointSilent);
+			}
+		}, Math.max(minStalledMs, stalledFactor * route.targetLatencyMs));
+	}
+
 	#directives(placement: endpointPlacer.Placement, now: number): ports.SendDirectives {
 		const {account} = this.call;
 		return {
--- a/packages/gateway/src/call/refusal.ts
+++ b/packages/gateway/src/call/refusal.ts
@@ -5,6 +5,8 @@
 	MalformedRequest = 'malformed_request',
 	HeadTooLarge = 'head_too_large',
 	BodyTooLarge = 'body_too_large',
+	/** The body did not arrive before the deadline. */
+	BodyTimeout = 'body_timeout',
 	UnknownRoute = 'unknown_route',
 	UnknownKey = 'unknown_key',
 	/** No configuration is known, or it is too old to decide by. */
@@ -28,6 +30,7 @@
 	[RefusalCode.MalformedRequest]: 400,
 	[RefusalCode.HeadTooLarge]: 431,
 	[RefusalCode.BodyTooLarge]: 413,
+	[RefusalCode.BodyTimeout]: 408,
 	[RefusalCode.UnknownRoute]: 404,
 	[RefusalCode.UnknownKey]: 401,
 	[RefusalCode.ConfigUnavailable]: 503,
--- a/packages/gateway/src/controllers/duty-controller.ts
+++ b/packages/gateway/src/controllers/duty-controller.ts
@@ -63,20 +63,15 @@
 		}
 
 		for (const entry of entries) {
-			this.onChange({key: entry.key, entry});
+			this.#take({key: entry.key, entry});
 		}
 
 		this.#countVms();
 	}
 
 	onChange(change: clients.kv.KvChange): void {
-		if (change.key === dutyKeys.leaderKey) {
-			this.#takeLeader(change.entry);
-		} else if (change.key === dutyKeys.planKey) {
-			this.#takePlan(change.entry);
-		} else if (change.key.startsWith(dutyKeys.vmsPrefix)) {
-			this.#takeVm(change);
-		}
+		this.#take(change);
+		this.#countVms();
 	}
 
 	/** Forgets VMs whose keys lapsed long ago. */
@@ -102,6 +97,16 @@
 		return [...this.#vms].filter(([vm]) => vm !== ownVm).map(([, member]) => member.address);
 	}
 
+	#take(change: clients.kv.KvChange): void {
+		if (change.key === dutyKeys.leaderKey) {
+			this.#takeLeader(change.entry);
+		} else if (change.key === dutyKeys.planKey) {
+			this.#takePlan(change.entry);
+		} else if (change.key.startsWith(dutyKeys.vmsPrefix)) {
+			this.#takeVm(change);
+		}
+	}
+
 	#takeLeader(entry: clients.kv.KvEntry | undefined): void {
 		this.view.leader = entry && {...leaderCodec.decodeLeader(entry.value), revision: entry.revision};
 	}
@@ -143,8 +148,6 @@
 		} else {
 			this.#vms.set(vm, {address: buffer.Buffer.from(change.entry.value).toString()});
 		}
-
-		this.#countVms();
 	}
 
 	#removeVm(vm: string): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -61,6 +61,11 @@
 		return {callers: this.parts.server.port, readiness: this.#readiness.port, metrics: this.parts.metrics?.port};
 	}
 
+	/** Requests that have not ended. */
+	get openRequests(): number {
+		return this.parts.server.openRequests;
+	}
+
 	/** Whether new connections are welcome. */
 	isReady(): boolean {
 		const {config, clock} = this.parts;
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -79,7 +79,7 @@
 		filters: [
 			new call.RouteFilter(config, settings.trust, clock),
 			new call.AccountFilter(config, settings.trust, clock),
-			new call.BodyFilter(),
+			new call.BodyFilter(clock),
 		],
 		dispatcher,
 		clock,
