--- a/packages/core/tests/rollout/plan-rollout.test.ts
+++ b/packages/core/tests/rollout/plan-rollout.test.ts
@@ -69,6 +69,24 @@
 	});
 });
 
+describe('listNewlyLoaded', () => {
+	function planOf(steps: readonly core.rollout.RolloutStep[]): core.rollout.RolloutPlan {
+		return {...core.rollout.emptyRolloutPlan, steps};
+	}
+
+	it('lists a load that ended, and not one that was told before', () => {
+		const before = planOf([step('a', 2, loaded), step('b', 2, loading)]);
+		const now = planOf([step('a', 2, loaded), step('b', 2, loaded), step('c', 2, loading)]);
+		expect(core.rollout.listNewlyLoaded(now, before)).to.deep.equal([step('b', 2, loaded)]);
+	});
+
+	it('lists an engine again that was restarted or loaded other weights', () => {
+		const before = planOf([step('a', 2, loaded), step('b', 2, loaded)]);
+		const now = planOf([step('a', 2, loaded, 5), step('b', 3, loaded)]);
+		expect(core.rollout.listNewlyLoaded(now, before)).to.deep.equal(now.steps);
+	});
+});
+
 describe('WeightTargets', () => {
 	it('counts how long weights are outdated from the first newer version', () => {
 		const targets = new core.rollout.WeightTargets();
--- a/packages/gateway/src/controllers/rollout-controller.ts
+++ b/packages/gateway/src/controllers/rollout-controller.ts
@@ -20,10 +20,11 @@
 };
 
 /**
- * A change reaches the watchers within a round trip, and reports lag a hundred milliseconds. Orders without an answer
- * may still be carried out, so they are repeated seldom.
+ * A change reaches the watchers within a round trip, and reports lag a hundred milliseconds. An order is given up after half a
+ * second; until it is repeated, a report can tell that the engine has begun to load. Orders that are carried out late come
+ * two seconds late at the earliest, and find that the engine has accepted another one.
  */
-export const defaultRolloutTimes: RolloutTimes = {settleMs: 60, reportEveryMs: 120, reorderMs: 2500};
+export const defaultRolloutTimes: RolloutTimes = {settleMs: 60, reportEveryMs: 120, reorderMs: 800};
 
 /** What the controller works with. */
 export type RolloutControllerParts = {
