--- a/packages/stand-ins/src/users-platform/server-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/server-stand-in.ts
@@ -1,5 +1,6 @@
 /* eslint-disable @typescript-eslint/naming-convention -- Field names of the protocol. */
 import type * as http from 'node:http';
+import type * as net from 'node:net';
 import * as fault from '../fault/index.js';
 import * as util from '../util/index.js';
 
@@ -47,6 +48,14 @@
 	Unframed = 'unframed',
 	/** Runs the request and answers with a failure. */
 	Fails = 'fails',
+	/** Sends the same answer a second time, after the first. */
+	Doubled = 'doubled',
+	/** Sends the same answer a second time just before the answer to the next request on the connection. */
+	DoubledLate = 'doubled_late',
+	/** Answers before it has read the body, and reads on later. */
+	Early = 'early',
+	/** Sends bytes that are no answer. */
+	Nonsense = 'nonsense',
 }
 
 /** A request that a server ran. */
@@ -99,6 +108,8 @@
 	version = 1;
 	/** Orders that wait to be carried out late. */
 	pendingOrders = 0;
+	/** Answers that are to be sent once more, by connection. */
+	readonly #owedAnswers = new WeakMap<net.Socket, string>();
 	#isLoading = false;
 	#highestFence = 0;
 	/** Orders accepted by this incarnation. */
@@ -220,7 +231,7 @@
 	async #run(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
 		const requestId = util.headerOf(req, 'bluebellmast-request-id');
 		const expected = util.headerOf(req, 'bluebellmast-expected-version');
-		const body = await util.readText(req);
+		const body = this.fault === ServerFault.Early ? '' : await util.readText(req);
 		if (expected !== '' && Number(expected) !== this.version) {
 			util.sendJson(res, 421, {}, {'Bluebellmast-Instance-Id': this.options.id});
 			return;
@@ -249,13 +260,49 @@
 
 	async #answerPlain(requestId: string, res: http.ServerResponse): Promise<void> {
 		await util.sleep(this.options.paceMs ?? defaultPaceMs);
+		this.#sendOwedAnswer(res.socket!);
 		const headers = this.#headers(requestId);
-		if (this.fault === ServerFault.Fails) {
-			util.sendJson(res, 500, {problem: 'its own'}, headers);
-		} else if (this.fault === ServerFault.UnframedReset || this.fault === ServerFault.Unframed) {
-			await this.#answerUnframed(headers, res);
-		} else {
-			util.sendJson(res, 200, {server: this.options.id}, headers);
+		switch (this.fault) {
+			case ServerFault.Nonsense: {
+				res.socket!.write('no answer at all\r\n\r\n');
+				break;
+			}
+
+			case ServerFault.Doubled:
+			case ServerFault.DoubledLate: {
+				this.#answerTwice(headers, res);
+				break;
+			}
+
+			case ServerFault.Fails: {
+				util.sendJson(res, 500, {problem: 'its own'}, headers);
+				break;
+			}
+
+			case ServerFault.Unframed:
+			case ServerFault.UnframedReset: {
+				await this.#answerUnframed(headers, res);
+				break;
+			}
+
+			case ServerFault.None:
+			case ServerFault.Full:
+			case ServerFault.AnswerLost:
+			case ServerFault.BreakStream:
+			case ServerFault.WrongId:
+			case ServerFault.Unsigned:
+			case ServerFault.Early: {
+				util.sendJson(res, 200, {server: this.options.id}, headers);
+				break;
+			}
+		}
+	}
+
+	#sendOwedAnswer(socket: net.Socket): void {
+		const owed = this.#owedAnswers.get(socket);
+		if (owed !== undefined) {
+			this.#owedAnswers.delete(socket);
+			socket.write(owed);
 		}
 	}
 
@@ -279,6 +326,20 @@
 		res.end();
 	}
 
+	/** Answers, and sends or keeps a copy of the answer. */
+	#answerTwice(headers: Readonly<Record<string, string>>, res: http.ServerResponse): void {
+		const body = JSON.stringify({server: this.options.id});
+		const text = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('');
+		const copy = `HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n${text}\r\n${body}`;
+		const {socket} = res;
+		util.sendJson(res, 200, {server: this.options.id}, headers);
+		if (this.fault === ServerFault.Doubled) {
+			socket!.write(copy);
+		} else {
+			this.#owedAnswers.set(socket!, copy);
+		}
+	}
+
 	async #answerUnframed(headers: Readonly<Record<string, string>>, res: http.ServerResponse): Promise<void> {
 		const text = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('');
 		res.socket?.write(`HTTP/1.1 200 OK\r\nConnection: close\r\n${text}\r\n{"whole":1}`);
