--- /dev/null
+++ b/packages/stand-ins/src/bench/limit-suite.ts
@@ -0,0 +1,27 @@
+import * as limitDays from './limit-days.js';
+import * as limitModel from './limit-model.js';
+
+const tokensPerMillion = 1_000_000;
+
+/** Prints, for each day, what engines can compute, what is needed, and the share of credit that no router can exceed. */
+export function runLimitSuite(): void {
+	console.log('| day | capacity, M tokens | needed | of capacity | credit at most | served of each kind |');
+	console.log('| --- | --- | --- | --- | --- | --- |');
+	for (const day of limitDays.limitDays) {
+		console.log(describe(limitModel.computeLimit(day)));
+	}
+}
+
+function describe(limit: limitModel.DayLimit): string {
+	const kinds = limit.kinds.map(({name, servedShare}) => `${name} ${servedShare.toFixed(2)}`);
+	const capacity = limit.capacityTokens / tokensPerMillion;
+	const cells = [
+		limit.name,
+		capacity.toFixed(1),
+		(capacity * limit.utilization).toFixed(1),
+		limit.utilization.toFixed(2),
+		limit.creditShare.toFixed(2),
+		kinds.join(', '),
+	];
+	return `| ${cells.join(' | ')} |`;
+}
--- a/packages/stand-ins/src/bench/main.ts
+++ b/packages/stand-ins/src/bench/main.ts
@@ -2,6 +2,7 @@
 import * as util from 'node:util';
 import * as controlSuite from './control-suite.js';
 import * as decisionSuite from './decision-suite.js';
+import * as limitSuite from './limit-suite.js';
 import * as overheadSuite from './overhead-suite.js';
 import * as placementSuite from './placement-suite.js';
 
@@ -57,6 +58,11 @@
 		break;
 	}
 
+	case 'limit': {
+		limitSuite.runLimitSuite();
+		break;
+	}
+
 	case 'overhead': {
 		await overheadSuite.runOverheadSuite({seed: Number(values.seed), outFolder: values.out});
 		break;
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -4,6 +4,7 @@
 export * as engine from './engine/index.js';
 export * as fault from './fault/index.js';
 export * as kv from './kv/index.js';
+export * as limitModel from './bench/limit-model.js';
 export * as load from './load/index.js';
 export * as memberFleet from './bench/member-fleet.js';
 export * as plainService from './plain-service/index.js';
