Lead on when the clock alone says that the lease has ended

Traced by reading: a clock that is set forward counts as a suspension, so the leader's lease ended by its own clock, while at the store it stood and was renewed for ever; the leader's key never became free and nobody gave orders. Engines with old weights were then refused after version_ms. Change: after a renewal that the store confirmed, a lease that has ended by the own clock alone is taken anew with the same key and fencing number, after the gap since the last publication. Ruled out: not to count forward steps as suspensions (the keys' bound holds for suspended VMs, too).

--- a/packages/core/src/orders/leader-lease.ts
+++ b/packages/core/src/orders/leader-lease.ts
@@ -84,6 +84,12 @@
 		this.advance(now);
 	}
 
+	/** Whether the lease is held at the present time, be it for orders or not yet. */
+	isHeld(now: number): boolean {
+		this.advance(now);
+		return this.held !== undefined;
+	}
+
 	/** Notes that the lease was given back or is not known to the service any more. */
 	ended(): void {
 		this.held = undefined;
--- a/packages/gateway/src/controllers/lease-controller.ts
+++ b/packages/gateway/src/controllers/lease-controller.ts
@@ -142,9 +142,7 @@
 		const now = this.parts.clock.wallSafeNow();
 		renewed.ifRight(() => {
 			this.#renewedAt = sentAt;
-			if (this.#leaderRevision !== 0) {
-				this.#leader.renewed(sentAt, now);
-			}
+			this.#noteRenewed(sentAt, now);
 		});
 		renewed.ifLeft(failure => {
 			if (failure.code === clients.kv.KvErrorCode.LeaseLost || now - this.#renewedAt > this.terms.ttlMs) {
@@ -153,6 +151,22 @@
 		});
 	}
 
+	/**
+	 * Prolongs the leadership by a renewal. Where this VM's clock took the lease for ended though the store did not, since it was
+	 * set forward, the leader's key that still stands is taken anew.
+	 */
+	#noteRenewed(sentAt: number, now: number): void {
+		if (this.#leaderRevision === 0) {
+			return;
+		}
+
+		this.#leader.renewed(sentAt, now);
+		if (!this.#leader.isHeld(now)) {
+			this.#leaderRevision = 0;
+			this.parts.log.write(eventLog.LogEvent.LeaderLost, {reason: 'clock'});
+		}
+	}
+
 	#loseLease(reason: string): void {
 		if (this.#leaderRevision !== 0) {
 			this.parts.log.write(eventLog.LogEvent.LeaderLost, {reason});
