Believe no other VM's clock on when a version was named that this VM saw being named

Change: a version whose naming a VM saw itself keeps that time; what the plan tells counts only for versions that were named before the VM's first reading of the store. Left open: a VM that starts in the middle of a roll-out still goes by the difference of two clocks. Ruled out: ages in place of times (a plan is read long after it was written).

--- a/packages/core/src/rollout/weight-targets.ts
+++ b/packages/core/src/rollout/weight-targets.ts
@@ -2,6 +2,8 @@
 	readonly version: number;
 	/** When the version was first seen, in milliseconds. */
 	readonly seenAt: number;
+	/** Whether this VM saw the version being named, so that no other VM's clock tells more. */
+	readonly isWitnessed: boolean;
 };
 
 /** Named versions that are remembered for each model. */
@@ -14,18 +16,22 @@
 	readonly #targets = new Map<string, Target[]>();
 
 	/**
-	 * Takes a named version, also one that another VM saw earlier than this one.
+	 * Takes a version whose naming this VM saw.
+	 *
+	 * @returns Whether it is newer than all before.
+	 */
+	witness(model: string, version: number, now: number): boolean {
+		return this.#take(model, {version, seenAt: now, isWitnessed: true});
+	}
+
+	/**
+	 * Takes a version that was named before this VM looked, or one that another VM saw earlier by its clock. That clock may be set
+	 * wrong, so it counts only for versions whose naming this VM missed.
 	 *
 	 * @returns Whether it is newer than all before.
 	 */
 	note(model: string, version: number, seenAt: number): boolean {
-		const targets = this.#targets.get(model) ?? [];
-		const isNewest = targets.every(target => target.version < version);
-		const known = targets.find(target => target.version === version);
-		const others = targets.filter(target => target.version !== version);
-		const merged = [...others, {version, seenAt: Math.min(seenAt, known?.seenAt ?? Infinity)}];
-		this.#targets.set(model, merged.sort((a, b) => a.version - b.version).slice(-keptVersions));
-		return isNewest;
+		return this.#take(model, {version, seenAt, isWitnessed: false});
 	}
 
 	/** Newest versions with the times at which they were seen. */
@@ -44,4 +50,24 @@
 		const newer = this.#targets.get(model)?.find(target => target.version > version);
 		return newer === undefined ? 0 : now - newer.seenAt;
 	}
+
+	#take(model: string, target: Target): boolean {
+		const {version} = target;
+		const targets = this.#targets.get(model) ?? [];
+		const isNewest = targets.every(other => other.version < version);
+		const known = targets.find(other => other.version === version);
+		const others = targets.filter(other => other.version !== version);
+		const merged = [...others, merge(target, known)];
+		this.#targets.set(model, merged.sort((a, b) => a.version - b.version).slice(-keptVersions));
+		return isNewest;
+	}
+}
+
+/** A witnessed time stands; of two others the earlier one counts. */
+function merge(target: Target, known: Target | undefined): Target {
+	if (known === undefined || known.isWitnessed) {
+		return known ?? target;
+	}
+
+	return {...target, seenAt: Math.min(target.seenAt, known.seenAt)};
 }
--- a/packages/core/tests/rollout/plan-rollout.test.ts
+++ b/packages/core/tests/rollout/plan-rollout.test.ts
@@ -97,6 +97,15 @@
 		expect(targets.outdatedForMs('other', 1, 5000)).to.equal(0);
 	});
 
+	// Pattern: the clock of the leader's VM is set back, so that versions seem to have been named long ago.
+	it('keeps the time at which this VM saw a version being named, whatever clocks of other VMs say', () => {
+		const targets = new core.rollout.WeightTargets();
+		targets.witness('m', 4, 6000);
+		expect(targets.note('m', 4, -24_000)).to.equal(false);
+		expect(targets.witness('m', 4, 9000)).to.equal(false);
+		expect(targets.outdatedForMs('m', 3, 6500)).to.equal(500);
+	});
+
 	// Pattern: a VM that restarts in the middle of a roll-out reads the named version from the store as if it were new.
 	it('takes the time at which another VM saw a version earlier', () => {
 		const targets = new core.rollout.WeightTargets();
--- a/packages/gateway/src/controllers/operator-controller.ts
+++ b/packages/gateway/src/controllers/operator-controller.ts
@@ -19,12 +19,17 @@
 
 /** Takes what the operator writes: the configuration and the named versions of weights. */
 export class OperatorController implements storeFeed.FeedListener {
+	/** Whether the operator's entries were read before, so that what is new was written since. */
+	#isRead = false;
+
 	constructor(private readonly parts: OperatorControllerParts) {}
 
 	onSnapshot(entries: readonly clients.kv.KvEntry[]): void {
 		for (const entry of entries) {
 			this.#take(entry);
 		}
+
+		this.#isRead = true;
 	}
 
 	onChange(change: clients.kv.KvChange): void {
@@ -71,7 +76,10 @@
 	}
 
 	#takeTarget(model: string, version: number): void {
-		if (this.parts.fleet.targets.note(model, version, this.parts.clock.steadyNow())) {
+		const {targets} = this.parts.fleet;
+		const now = this.parts.clock.steadyNow();
+		const isNewest = this.#isRead ? targets.witness(model, version, now) : targets.note(model, version, now);
+		if (isNewest) {
 			this.parts.log.write(eventLog.LogEvent.WeightTargetSeen, {model, version});
 		}
 	}
