One server of a single path, gauges read once a scrape, one way to lose a lease

Cause: read over as a whole. The servers of readiness and of metrics were written twice; each of eleven gauges read the whole state at a scrape; a fenced leader forgot its lease by a copy of the code for a lost one; the rank of a request at an engine was worked out twice, by the default terms and not by those of the placer; the caller's leave was asked in two ways at two places. Change: PathServer for both; one reading of the state sets all gauges; noteFenced loses the lease as any other loss does; the rank stands in the placement; one getter for the caller's leave; timers of Node in place of hand-made sleeps; two doc comments stand at their types again. Behaviour: unchanged but for the log. A leader that is fenced after it had already lost its lease no longer writes leader_lost a second time, and a fault of the metrics page names its path as the task.

--- a/packages/gateway/src/call/call-run.ts
+++ b/packages/gateway/src/call/call-run.ts
@@ -1,6 +1,6 @@
 import * as core from '@bluebellmast/core';
 import * as endpoints from '../endpoints/index.js';
-import * as endpointPlacer from '../placement/endpoint-placer.js';
+import type * as endpointPlacer from '../placement/endpoint-placer.js';
 import type * as ports from '../ports/index.js';
 import * as answerRelay from './answer-relay.js';
 import * as answerTiming from './answer-timing.js';
@@ -68,6 +68,11 @@
 			|| (route.kind === core.routing.RouteKind.Streaming && route.isResumable);
 	}
 
+	/** Whether the caller has left, seen by the close of its answer or of its connection. */
+	get #hasCallerLeft(): boolean {
+		return this.#isCallerGone || callContext.isCallerGone(this.call);
+	}
+
 	/** Runs the request. @returns A refusal when nothing was passed on to the caller. */
 	async run(): Promise<refusals.Refusal | undefined> {
 		const onClose = (): void => {
@@ -136,7 +141,7 @@
 
 	/** Returns why the request may not be sent now, apart from endpoints. */
 	#findObstacle(): refusals.Refusal | undefined {
-		if (this.#isCallerGone || callContext.isCallerGone(this.call)) {
+		if (this.#hasCallerLeft) {
 			return {code: refusals.RefusalCode.CallerGone};
 		}
 
@@ -225,7 +230,7 @@
 			cacheNamespace: placement.cacheNamespace,
 			fetchCacheFrom: placement.fetchCacheFrom,
 			saveCacheTo: placement.saveCacheTo,
-			priority: placement.weightVersion === undefined ? undefined : endpointPlacer.enginePriorityOf(this.call, placement.choice),
+			priority: placement.enginePriority,
 			lastEventId: this.#relay.lastEventId,
 		};
 	}
@@ -256,7 +261,7 @@
 	}
 
 	#mayTryAgain(end: endpoints.AttemptEnd): boolean {
-		if (this.#isCallerGone || this.#isTimedOut || this.#relay.hasWrongOrder || callContext.isCallerGone(this.call)) {
+		if (this.#hasCallerLeft || this.#isTimedOut || this.#relay.hasWrongOrder) {
 			return false;
 		}
 
--- a/packages/gateway/src/call/event-splitter.ts
+++ b/packages/gateway/src/call/event-splitter.ts
@@ -1,6 +1,6 @@
-/** Whole events of a stream, as bytes, with the id of the last one. */
 import * as buffer from 'node:buffer';
 
+/** Whole events of a stream, as bytes, with the ids of the first and the last one. */
 export type EventBatch = {
 	readonly bytes: Uint8Array;
 	readonly firstId: number | undefined;
--- a/packages/gateway/src/call/room-finder.ts
+++ b/packages/gateway/src/call/room-finder.ts
@@ -1,5 +1,5 @@
 import type * as core from '@bluebellmast/core';
-import * as endpointPlacer from '../placement/endpoint-placer.js';
+import type * as endpointPlacer from '../placement/endpoint-placer.js';
 import * as eventLog from '../util/event-log.js';
 import type * as callContext from './call-context.js';
 import type * as callDispatcher from './call-dispatcher.js';
@@ -87,7 +87,7 @@
 
 	#describe(first: endpointPlacer.Placement): core.fleet.WaitingRequest {
 		return {
-			priority: endpointPlacer.enginePriorityOf(this.call, first.choice),
+			priority: first.enginePriority ?? 0,
 			targetLatencyMs: this.call.route.targetLatencyMs,
 			arrivedAt: this.call.arrivedAt,
 			deadlineAt: this.deadlineAt,
--- a/packages/gateway/src/controllers/leader-codec.ts
+++ b/packages/gateway/src/controllers/leader-codec.ts
@@ -1,6 +1,6 @@
-/** Who leads, and by which lease: tells the present holder from an earlier process on the same VM. */
 import * as buffer from 'node:buffer';
 
+/** Who leads, and by which lease: tells the present holder from an earlier process on the same VM. */
 export type Leader = {
 	readonly vm: string;
 	readonly leaseId: string;
--- a/packages/gateway/src/controllers/lease-controller.ts
+++ b/packages/gateway/src/controllers/lease-controller.ts
@@ -84,11 +84,7 @@
 
 	/** Notes that an engine has seen a higher fencing number: another VM leads. */
 	noteFenced(): void {
-		this.#leader.ended();
-		this.#leaderRevision = 0;
-		this.#lease = undefined;
-		this.#isRegistered = false;
-		this.parts.log.write(eventLog.LogEvent.LeaderLost, {reason: 'fenced'});
+		this.#loseLease('fenced');
 	}
 
 	/** Renews the lease when due and takes free duties. */
--- a/packages/gateway/src/controllers/store-feed.ts
+++ b/packages/gateway/src/controllers/store-feed.ts
@@ -1,3 +1,4 @@
+import * as timers from 'node:timers/promises';
 import * as core from '@bluebellmast/core';
 import * as clients from '@bluebellmast/kv';
 import type * as clocks from '../util/clocks.js';
@@ -136,8 +137,6 @@
 	async #pause(): Promise<void> {
 		const pauseMs = this.#pauseMs;
 		this.#pauseMs = Math.min(this.terms.maxPauseMs, pauseMs * 2);
-		await new Promise(resolve => {
-			setTimeout(resolve, pauseMs);
-		});
+		await timers.setTimeout(pauseMs);
 	}
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,12 +1,13 @@
+import * as timers from 'node:timers/promises';
 import type * as core from '@bluebellmast/core';
 import type * as controllers from './controllers/index.js';
 import type * as gatewaySettings from './gateway-settings.js';
 import * as ingress from './ingress/index.js';
-import type * as metrics from './metrics/index.js';
 import type * as peers from './peers/index.js';
 import type * as placement from './placement/index.js';
 import type * as clocks from './util/clocks.js';
 import * as eventLog from './util/event-log.js';
+import type * as pathServer from './util/path-server.js';
 import * as periodic from './util/periodic.js';
 
 /** The parts of a gateway. */
@@ -25,7 +26,7 @@
 	readonly cacheStore: controllers.CacheStoreController;
 	readonly clock: clocks.Clocks;
 	/** Absent where the settings name no address for it. */
-	readonly metrics?: metrics.MetricsServer;
+	readonly metrics?: pathServer.PathServer;
 	readonly log: eventLog.EventLog;
 };
 
@@ -46,14 +47,14 @@
 
 /** One gateway process. */
 export class Gateway {
-	readonly #readiness: ingress.ReadinessServer;
+	readonly #readiness: pathServer.PathServer;
 	#tasks: periodic.Periodic[] = [];
 	#isStopping = false;
 	#isClosed = false;
 	#wasReady = false;
 
 	constructor(private readonly parts: GatewayParts) {
-		this.#readiness = new ingress.ReadinessServer(parts.settings.readinessPath, () => this.isReady());
+		this.#readiness = ingress.createReadinessServer(parts.settings.readinessPath, () => this.isReady(), parts.log);
 	}
 
 	/** Ports on which the gateway listens. */
@@ -79,7 +80,7 @@
 			server.listen(settings.listen),
 			this.#readiness.listen(settings.readiness),
 			exchange.listen(),
-			this.parts.metrics?.listen(),
+			settings.metrics && this.parts.metrics?.listen(settings.metrics),
 		]);
 		void feed.run();
 		this.#tasks = this.#runTasks();
@@ -97,9 +98,7 @@
 		const startedAt = clock.steadyNow();
 		log.write(eventLog.LogEvent.Stopping, {graceMs: settings.graceMs});
 		server.beginStop();
-		await Promise.all([lease.stop(), new Promise(resolve => {
-			setTimeout(resolve, unlistedMs);
-		})]);
+		await Promise.all([lease.stop(), timers.setTimeout(unlistedMs)]);
 		await server.finishStop(settings.graceMs - exitMarginMs - (clock.steadyNow() - startedAt));
 		this.close();
 		log.write(eventLog.LogEvent.Stopped, {tookMs: Math.round(clock.steadyNow() - startedAt)});
--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -1,5 +1,6 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
+import * as timers from 'node:timers/promises';
 import * as core from '@bluebellmast/core';
 import * as call from '../call/index.js';
 import type * as ports from '../ports/index.js';
@@ -81,9 +82,7 @@
 				break;
 			}
 
-			await new Promise(resolve => { // eslint-disable-line no-await-in-loop -- Waits between checks.
-				setTimeout(resolve, drainCheckMs);
-			});
+			await timers.setTimeout(drainCheckMs); // eslint-disable-line no-await-in-loop -- Waits between checks.
 		}
 	}
 
--- a/packages/gateway/src/metrics/state-gauges.ts
+++ b/packages/gateway/src/metrics/state-gauges.ts
@@ -1,7 +1,7 @@
 import process from 'node:process';
 import * as prometheus from 'prom-client';
 
-/** Numbers that are read at each scrape. */
+/** Numbers that are read before each scrape. */
 export type GatewayState = {
 	/** Version of the configuration in force; 0 where none is known. */
 	readonly configVersion: number;
@@ -48,18 +48,20 @@
 	{name: 'process_cpu_seconds', help: 'Processor time of the process since its start.', read: () => cpuSeconds()},
 ];
 
-/** Registers gauges that read the state of the gateway at each scrape. */
-export function registerStateGauges(registry: prometheus.Registry, readState: () => GatewayState): void {
-	for (const {name, help, read} of gauges) {
-		const gauge = new prometheus.Gauge({
-			name,
-			help,
-			registers: [registry],
-			collect() {
-				gauge.set(read(readState()));
-			},
-		});
-	}
+/**
+ * Registers the gauges of the gateway's state.
+ *
+ * @returns A function that reads the state once and sets them all.
+ */
+export function registerStateGauges(registry: prometheus.Registry, readState: () => GatewayState): () => void {
+	const registers = [registry];
+	const setters = gauges.map(({name, help, read}) => ({gauge: new prometheus.Gauge({name, help, registers}), read}));
+	return () => {
+		const state = readState();
+		for (const {gauge, read} of setters) {
+			gauge.set(read(state));
+		}
+	};
 }
 
 function cpuSeconds(): number {
--- a/packages/gateway/src/placement/endpoint-placer.ts
+++ b/packages/gateway/src/placement/endpoint-placer.ts
@@ -34,6 +34,8 @@
 	/** Keys of the shared parts that are worth to be cached. */
 	readonly partKeys: readonly string[];
 	readonly weightVersion?: number;
+	/** Rank of the request at an engine, from 0 to 9; 0 is the most urgent. */
+	readonly enginePriority?: number;
 	readonly cacheNamespace?: string;
 	/** `IP:PORT` of the cache store to fetch from. */
 	readonly fetchCacheFrom?: string;
@@ -146,6 +148,7 @@
 			choice,
 			hasRoom: core.fleet.hasRoom(choice, call.route.targetLatencyMs, this.terms.admission),
 			partKeys,
+			enginePriority: enginePriorityOf(call, choice, this.terms.admission),
 			weightVersion: this.fleet.registry.weightVersion(entry.id, prompt.model),
 			cacheNamespace,
 			fetchCacheFrom: store,
@@ -158,13 +161,13 @@
  * Rank of a request at an engine, from 0 to 9: small requests go before large ones, which take several times as long,
  * and each of them by the account's rank or else the route's.
  */
-export function enginePriorityOf(call: callContext.RoutedCall, choice: core.fleet.Choice): number {
-	const isLarge = choice.prefillTokens > core.fleet.defaultAdmissionTerms.smallTokens;
+function enginePriorityOf(call: callContext.RoutedCall, choice: core.fleet.Choice, terms: core.fleet.AdmissionTerms): number {
+	const isLarge = choice.prefillTokens > terms.smallTokens;
 	return (isLarge ? largeOffset : 0) + Math.min(largeOffset - 1, Math.max(0, priorityOf(call)));
 }
 
 /** Rank of a request: an account's own goes before its route's. */
-export function priorityOf(call: callContext.RoutedCall): number {
+function priorityOf(call: callContext.RoutedCall): number {
 	return call.account?.priority ?? call.route.priority;
 }
 
--- a/packages/gateway/src/util/index.ts
+++ b/packages/gateway/src/util/index.ts
@@ -2,4 +2,5 @@
 export * from './connection-headers.js';
 export * from './event-log.js';
 export * from './listen.js';
+export * from './path-server.js';
 export * from './periodic.js';
--- /dev/null
+++ b/packages/gateway/src/util/path-server.ts
@@ -0,0 +1,48 @@
+import * as http from 'node:http';
+import * as eventLog from './event-log.js';
+import * as listen from './listen.js';
+
+/** Answers a request for the path of a {@link PathServer}. */
+export type PathAnswer = (res: http.ServerResponse) => Promise<void> | void;
+
+/** An HTTP server with one path; all others are not found. */
+export class PathServer {
+	readonly #server: http.Server;
+
+	constructor(private readonly path: string, private readonly answer: PathAnswer, private readonly log: eventLog.EventLog) {
+		this.#server = http.createServer((req, res) => {
+			void this.#handle(req, res);
+		});
+	}
+
+	/** Starts to listen. */
+	async listen(address: listen.ListenAddress): Promise<void> {
+		return listen.listenOn(this.#server, address);
+	}
+
+	/** Port on which the server listens. */
+	get port(): number {
+		return listen.portOf(this.#server);
+	}
+
+	/** Closes everything at once. */
+	close(): void {
+		this.#server.close();
+		this.#server.closeAllConnections();
+	}
+
+	async #handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		if (req.url !== this.path) {
+			res.writeHead(404, {'Content-Length': 0});
+			res.end();
+			return;
+		}
+
+		try {
+			await this.answer(res);
+		} catch (err) {
+			this.log.write(eventLog.LogEvent.InternalError, {task: this.path, problem: String(err)});
+			res.destroy();
+		}
+	}
+}
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -119,6 +119,22 @@
 	const feed = new controllers.StoreFeed({
 		store, prefix: '', listener, clock, log,
 	});
+	const refresh = metrics.registerStateGauges(registry, () => {
+		const ready = fleet.registry.list().filter(entry => entry.state === core.fleet.EndpointState.Ready);
+		return {
+			configVersion: config.table?.config.version ?? 0,
+			configAgeSeconds: config.ageMs(clock.wallSafeNow()) / msPerSecond,
+			isReady: program.isReady(),
+			isLeader: lease.isLeading,
+			vms: fleet.vms,
+			listedEndpoints: ready.length,
+			unresponsiveEndpoints: ready.filter(entry => !fleet.health.isResponsive(entry.id)).length,
+			loadingEndpoints: ready.filter(entry => core.rollout.isLoading(fleet.plan, entry.id)).length,
+			openRequests: server.openRequests,
+			waitingRequests: waiting.size,
+			droppedLogLines: options.droppedLogLines?.() ?? 0,
+		};
+	});
 	const program = new gateway.Gateway({
 		settings,
 		config,
@@ -134,23 +150,7 @@
 		cacheStore,
 		clock,
 		log,
-		metrics: settings.metrics && new metrics.MetricsServer(settings.metrics, registry, log),
-	});
-	metrics.registerStateGauges(registry, () => {
-		const ready = fleet.registry.list().filter(entry => entry.state === core.fleet.EndpointState.Ready);
-		return {
-			configVersion: config.table?.config.version ?? 0,
-			configAgeSeconds: config.ageMs(clock.wallSafeNow()) / msPerSecond,
-			isReady: program.isReady(),
-			isLeader: lease.isLeading,
-			vms: fleet.vms,
-			listedEndpoints: ready.length,
-			unresponsiveEndpoints: ready.filter(entry => !fleet.health.isResponsive(entry.id)).length,
-			loadingEndpoints: ready.filter(entry => core.rollout.isLoading(fleet.plan, entry.id)).length,
-			openRequests: server.openRequests,
-			waitingRequests: waiting.size,
-			droppedLogLines: options.droppedLogLines?.() ?? 0,
-		};
+		metrics: settings.metrics && metrics.createMetricsServer(settings.metrics.path, registry, refresh, log),
 	});
 	return program;
 }
