--- a/packages/core/src/fleet/choose-endpoint.ts
+++ b/packages/core/src/fleet/choose-endpoint.ts
@@ -1,3 +1,4 @@
+import * as outdatedWeights from '../rollout/outdated-weights.js';
 import * as rendezvous from '../util/rendezvous.js';
 import type * as endpointEntry from './endpoint-entry.js';
 import type * as endpointHealth from './endpoint-health.js';
@@ -54,6 +55,8 @@
 export type Candidate = {
 	readonly entry: endpointEntry.EndpointEntry;
 	readonly hasOldWeights: boolean;
+	/** Time until requests may no longer start on the endpoint's weights, in milliseconds; `Infinity` for the newest weights. */
+	readonly startWithinMs: number;
 	/** Cache namespace for the endpoint's weights. */
 	readonly cacheNamespace: string;
 };
@@ -85,7 +88,11 @@
 	return `${cacheNamespace}/${part.id}`;
 }
 
-/** Chooses the endpoint with the lowest cost; `undefined` without candidates. */
+/**
+ * Chooses the endpoint with the lowest cost. Endpoints where the request could start too late for their weights are left out.
+ *
+ * @returns `undefined` without candidates.
+ */
 export function chooseEndpoint(
 	candidates: readonly Candidate[],
 	requirements: PlacementRequirements,
@@ -96,7 +103,8 @@
 	let best: EndpointChoice | undefined;
 	for (const candidate of candidates) {
 		const choice = estimateCost(candidate, {requirements, isHome: candidate.entry.id === home}, view, now);
-		if (best === undefined || choice.costMs < best.costMs) {
+		const isCheaper = best === undefined || choice.costMs < best.costMs;
+		if (isCheaper && outdatedWeights.canStartInTime(candidate.startWithinMs, choice.firstTokenMs)) {
 			best = choice;
 		}
 	}
--- a/packages/core/src/rollout/weight-targets.ts
+++ b/packages/core/src/rollout/weight-targets.ts
@@ -51,6 +51,16 @@
 		return newer === undefined ? 0 : now - newer.seenAt;
 	}
 
+	/**
+	 * Returns the milliseconds until requests may no longer start on a version; `Infinity` if no newer version is known.
+	 *
+	 * @param maxOutdatedMs - How long a version may be used after a newer one was named.
+	 */
+	startWithinMs(model: string, version: number, maxOutdatedMs: number, now: number): number {
+		const newer = this.#targets.get(model)?.find(target => target.version > version);
+		return newer === undefined ? Infinity : newer.seenAt + maxOutdatedMs - now;
+	}
+
 	#add(model: string, target: TargetVersion): boolean {
 		const {version} = target;
 		const targets = this.#targets.get(model) ?? [];
--- a/packages/core/tests/support/fleet.ts
+++ b/packages/core/tests/support/fleet.ts
@@ -18,7 +18,7 @@
 /** Creates a candidate for placement in the cache namespace `n`. */
 export function createCandidate(id: string, changes: Partial<core.fleet.Candidate> = {}): core.fleet.Candidate {
 	return {
-		entry: createEntry(id), hasOldWeights: false, cacheNamespace: 'n', ...changes,
+		entry: createEntry(id), hasOldWeights: false, startWithinMs: Infinity, cacheNamespace: 'n', ...changes,
 	};
 }
 
--- a/packages/gateway/src/call/request-dispatcher.ts
+++ b/packages/gateway/src/call/request-dispatcher.ts
@@ -50,6 +50,13 @@
 		}
 	}
 
+	/** Aborts the attempts that have not started on weights that may soon no longer be used. */
+	abortOutdatedAttempts(now: number): void {
+		for (const forwarder of this.#forwarders) {
+			forwarder.abortOutdatedAttempt(now);
+		}
+	}
+
 	/** Aborts the attempts at an endpoint that stopped responding, if their requests may be retried at another endpoint. */
 	abortSilentAttempts(endpoint: core.fleet.EndpointEntry['id']): void {
 		for (const forwarder of this.#forwarders) {
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -107,6 +107,15 @@
 		}
 	}
 
+	/** Aborts the current attempt if it has not started and the weights of its endpoint may soon no longer be used. */
+	abortOutdatedAttempt(now: number): void {
+		const last = this.#attempts.at(-1);
+		const isWaiting = last !== undefined && last.end === undefined && !last.hasResponseStarted;
+		if (isWaiting && this.dependencies.placer.mustTakeBack(this.request, last.placement, now)) {
+			last.attempt.abort(endpoints.AttemptFault.WeightsOutdated);
+		}
+	}
+
 	async #runAttempts(): Promise<refusals.Refusal | undefined> {
 		for (;;) {
 			const refusal = this.#findRefusal();
--- a/packages/gateway/src/controllers/endpoint-controller.ts
+++ b/packages/gateway/src/controllers/endpoint-controller.ts
@@ -49,11 +49,12 @@
 		}
 	}
 
-	/** Drops endpoints whose entries did not return, and starts the health checks that are due. */
+	/** Drops endpoints whose entries did not return, starts the health checks that are due, and aborts attempts on outdated weights. */
 	tick(): void {
-		const {fleet, clock} = this.dependencies;
+		const {fleet, clock, dispatcher} = this.dependencies;
 		const now = clock.monotonicNow();
 		fleet.registry.removeExpired(now);
+		dispatcher.abortOutdatedAttempts(now);
 		for (const endpoint of fleet.health.startDueChecks(id => fleet.peers.lastReceivedAt(id), now)) {
 			void this.#checkHealth(endpoint);
 		}
--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -24,18 +24,42 @@
 const keepAliveMarginMs = 2000;
 /** Interval at which a server that shuts down checks for open requests, in milliseconds. */
 const drainCheckIntervalMs = 100;
+/** Time for which a server that shuts down keeps connections on which no whole request has arrived, in milliseconds. */
+const partialRequestGraceMs = 1000;
+
+/** HTTP server that keeps idle connections open while a response has ended that is not sent as a whole; Node counts its connection as idle. */
+class CallerHttpServer extends http.Server {
+	constructor(
+		options: http.ServerOptions,
+		private readonly handle: (req: http.IncomingMessage, res: http.ServerResponse) => void,
+		private readonly hasUnsentResponses: () => boolean,
+	) {
+		super(options);
+		this.on('request', this.handle);
+	}
+
+	override closeIdleConnections(): void {
+		if (!this.hasUnsentResponses()) {
+			super.closeIdleConnections();
+		}
+	}
+}
 
 /** HTTP server that receives the callers' requests. */
 export class GatewayServer {
-	readonly #server: http.Server;
+	readonly #server: CallerHttpServer;
 	#isShuttingDown = false;
-	/** Responses that have not ended. */
+	/** Responses that have not been handled, or not been passed on to the connection as a whole. */
 	readonly #openResponses = new Set<http.ServerResponse>();
 
 	constructor(private readonly dependencies: GatewayServerDependencies) {
-		this.#server = http.createServer({maxHeaderSize: maxHeadBytes, keepAlive: true, noDelay: true}, (req, res) => {
-			void this.#handle(req, res);
-		});
+		this.#server = new CallerHttpServer(
+			{maxHeaderSize: maxHeadBytes, keepAlive: true, noDelay: true},
+			(req, res) => {
+				void this.#handle(req, res);
+			},
+			() => [...this.#openResponses].some(res => res.writableEnded && !res.writableFinished),
+		);
 		this.#server.on('clientError', (err: NodeJS.ErrnoException, socket: net.Socket) => {
 			this.#rejectConnection(err, socket);
 		});
@@ -72,13 +96,19 @@
 		}
 	}
 
-	/** Stops accepting connections and waits until all requests have ended, for at most `maxMs` milliseconds. */
+	/**
+	 * Stops accepting connections and waits until all requests have ended, for at most `maxMs` milliseconds. Requests that are being
+	 * read when the last response ends are waited for as well.
+	 */
 	async finishShutdown(maxMs: number): Promise<void> {
 		this.#server.close();
-		const endsAt = this.dependencies.clock.monotonicNow() + maxMs;
-		while (this.dependencies.clock.monotonicNow() < endsAt) {
-			if (this.#openResponses.size === 0) {
-				this.#server.closeIdleConnections();
+		const now = (): number => this.dependencies.clock.monotonicNow();
+		const endsAt = now() + maxMs;
+		let lastResponseAt = now();
+		while (now() < endsAt) {
+			if (this.#openResponses.size > 0) {
+				lastResponseAt = now();
+			} else if (now() - lastResponseAt >= partialRequestGraceMs || !(await this.#hasBusyConnections())) { // eslint-disable-line no-await-in-loop -- Checks follow one another.
 				break;
 			}
 
@@ -92,6 +122,16 @@
 		this.#server.closeAllConnections();
 	}
 
+	/** Closes the idle connections. @returns Whether connections remain, on which a request is being read or a response is being sent. */
+	async #hasBusyConnections(): Promise<boolean> {
+		this.#server.closeIdleConnections();
+		return new Promise(resolve => {
+			this.#server.getConnections((err, count) => {
+				resolve(err === null && count > 0);
+			});
+		});
+	}
+
 	async #handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
 		this.#openResponses.add(res);
 		res.on('error', () => {
@@ -107,8 +147,20 @@
 			this.#logError(err);
 			res.destroy();
 		} finally {
+			this.#forgetWhenClosed(res);
+		}
+	}
+
+	/** A response is open until its last byte was passed on to the connection, or the connection was closed. */
+	#forgetWhenClosed(res: http.ServerResponse): void {
+		if (res.closed || res.destroyed) {
 			this.#openResponses.delete(res);
+			return;
 		}
+
+		res.once('close', () => {
+			this.#openResponses.delete(res);
+		});
 	}
 
 	async #handleRequest(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
--- a/packages/gateway/src/placement/endpoint-placer.ts
+++ b/packages/gateway/src/placement/endpoint-placer.ts
@@ -11,11 +11,6 @@
 	readonly admission: core.fleet.AdmissionLimits;
 };
 
-/**
- * Part of the limit on the use of older weights that is reserved for the time until the endpoint starts the request, in
- * milliseconds; about the wait in its longest queue.
- */
-const outdatedWeightsMarginMs = 1200;
 /** Time after which responses of older weights are worth less by the platform's rules, in milliseconds. */
 const oldWeightsGraceMs = 1500;
 /** Minimum size of a prompt part that is fetched from and saved to the cache store, in tokens. */
@@ -80,6 +75,12 @@
 		return core.fleet.decideWait({...conditions, tokensPerMs}, this.options.admission);
 	}
 
+	/** Returns whether a request that was sent but has not started must be taken back, since its weights may soon no longer be used. */
+	mustTakeBack(call: requestContext.RoutedRequest, placement: Placement, now: number): boolean {
+		return placement.weightVersion !== undefined
+			&& core.rollout.mustTakeBack(this.#startWithinMs(call.head.prompt!.model, placement.weightVersion, now));
+	}
+
 	/** Counts the endpoints of a pool by why they get no requests, for the log. */
 	describePool(call: requestContext.RoutedRequest, pool: core.routing.PoolName, now: number): core.log.RefusalInputs {
 		const ready = this.fleet.registry.listReady(pool);
@@ -99,7 +100,7 @@
 			return false;
 		}
 
-		return this.fleet.targets.outdatedForMs(model, version, now) < this.options.maxOutdatedWeightsMs - outdatedWeightsMarginMs;
+		return core.rollout.canStartInTime(this.#startWithinMs(model, version, now), 0);
 	}
 
 	#createCandidate(
@@ -109,7 +110,9 @@
 		now: number,
 	): core.fleet.Candidate {
 		if (!usesEngine) {
-			return {entry, hasOldWeights: false, cacheNamespace: ''};
+			return {
+				entry, hasOldWeights: false, startWithinMs: Infinity, cacheNamespace: '',
+			};
 		}
 
 		const {model} = call.head.prompt!;
@@ -117,10 +120,15 @@
 		return {
 			entry,
 			hasOldWeights: this.fleet.targets.outdatedForMs(model, version, now) > oldWeightsGraceMs,
+			startWithinMs: this.#startWithinMs(model, version, now),
 			cacheNamespace: `${model}@${version}${isolationSuffix(call.account)}`,
 		};
 	}
 
+	#startWithinMs(model: string, version: number, now: number): number {
+		return this.fleet.targets.startWithinMs(model, version, this.options.maxOutdatedWeightsMs, now);
+	}
+
 	#requirementsOf(call: requestContext.RoutedRequest, usesEngine: boolean): core.fleet.PlacementRequirements {
 		const parts = usesEngine ? call.head.prompt!.parts : [];
 		return {dataCentre: this.options.dataCentre, parts, sharedParts: Math.max(0, parts.length - 1)};
--- a/packages/router/src/peers/peer-link.ts
+++ b/packages/router/src/peers/peer-link.ts
@@ -31,6 +31,8 @@
 	readonly dialled: boolean;
 	readonly openedAt: number;
 	lastReceivedAt: number;
+	/** When the link was first judged silent since data was last received on it; `undefined` if it was not. */
+	judgedSilentAt: number | undefined;
 	lastSentAt: number;
 	/** When a message other than a heartbeat was last sent or received, or when the link became inactive. */
 	lastUsedAt: number;
@@ -113,6 +115,7 @@
 	private handleData(chunk: Uint8Array): void {
 		this.bytesReceived += chunk.length;
 		this.lastReceivedAt = this.options.clock.now();
+		this.judgedSilentAt = undefined;
 		const failure = this.decoder.push(chunk, message => {
 			this.handleMessage(message);
 		});
--- a/packages/router/src/peers/tcp-peer-network.ts
+++ b/packages/router/src/peers/tcp-peer-network.ts
@@ -167,7 +167,12 @@
 	}
 
 	private isSilent(link: peerLink.PeerLink, now: number): boolean {
-		return now - link.lastReceivedAt > this.options.silentMs;
+		const isSilent = now - link.lastReceivedAt > this.options.silentMs;
+		if (isSilent) {
+			link.judgedSilentAt ??= now;
+		}
+
+		return isSilent;
 	}
 
 	private accept(socket: net.Socket): void {
@@ -309,16 +314,24 @@
 		this.options.metrics?.gauge('peer.links', this.activeLinks.size);
 	}
 
-	/** After a pause of this process, sets `lastReceivedAt` of all links to now; nothing was read, so all would look silent. */
+	/**
+	 * After a pause of this process, sets `lastReceivedAt` of the links to now; nothing was read, so all would look silent. A link
+	 * that was judged silent before the pause remains silent, so that no message is accepted on it.
+	 */
 	private resetSilenceAfterPause(now: number): void {
-		const extraDelayMs = now - this.lastTickAt - this.options.heartbeatMs;
+		const previousTickAt = this.lastTickAt;
+		const extraDelayMs = now - previousTickAt - this.options.heartbeatMs;
 		this.lastTickAt = now;
 		if (Math.abs(extraDelayMs) <= this.options.heartbeatMs) {
 			return;
 		}
 
+		const latestPauseStart = previousTickAt + (2 * this.options.heartbeatMs);
 		for (const link of [...this.activeLinks.values(), ...this.inactiveLinks]) {
-			link.lastReceivedAt = now;
+			if (link.judgedSilentAt === undefined || link.judgedSilentAt > latestPauseStart) {
+				link.lastReceivedAt = now;
+				link.judgedSilentAt = undefined;
+			}
 		}
 	}
 
--- a/packages/router/tests/peers/tcp-peer-network.test.ts
+++ b/packages/router/tests/peers/tcp-peer-network.test.ts
@@ -118,6 +118,50 @@
 		chai.expect(received).to.include('again');
 	});
 
+	it('keeps a link silent that was silent before the process paused', async () => {
+		const steadyClock = new router.clock.SystemClock();
+		let pausedMs = 0;
+		const clock = {now: () => steadyClock.now() + pausedMs};
+		const b = await startNetwork('b', () => [], {closeMs: 60_000, clock});
+		const proxy = new TcpProxy(() => b.port);
+		await listenRaw(proxy.server);
+		const a = await startNetwork('a', () => [{host, port: proxy.port, vm: 'b'}], {closeMs: 60_000, clock});
+		await waitUntil(() => a.connectedVms().length === 1 && b.connectedVms().length === 1);
+		const received: string[] = [];
+		b.on(wire.peer.PeerMessageType.Usage, (_, message) => {
+			received.push((message as TextMessage).text);
+		});
+		proxy.dropTraffic();
+		await waitUntil(() => a.connectedVms().length === 0);
+		pausedMs += 3 * shortTimeouts.heartbeatMs;
+		await waitUntil(() => a.send('b', {type: wire.peer.PeerMessageType.Usage, text: 'again'} as TextMessage));
+		await waitUntil(() => received.length > 0);
+		chai.expect(received).to.include('again');
+	});
+
+	it('keeps a link that was in use before the process paused', async () => {
+		const steadyClock = new router.clock.SystemClock();
+		let pausedMs = 0;
+		const clock = {now: () => steadyClock.now() + pausedMs};
+		const b = await startNetwork('b', () => []);
+		const counted: string[] = [];
+		const metrics: router.metrics.Metrics = {
+			increment(name) {
+				counted.push(name);
+			},
+			gauge: () => undefined,
+			timing: () => undefined,
+		};
+		const a = await startNetwork('a', () => [{host, port: b.port, vm: 'b'}], {
+			clock, metrics, silentMs: 10_000, closeMs: 20_000,
+		});
+		await waitUntil(() => a.connectedVms().length === 1);
+		pausedMs += 60_000;
+		await sleep(4 * shortTimeouts.heartbeatMs);
+		chai.expect(a.connectedVms()).to.deep.equal(['b']);
+		chai.expect(counted).to.include('peer.links_opened').and.not.include('peer.links_closed');
+	});
+
 	it('passes the hello of the new incarnation to the handler when a router restarts', async () => {
 		const hellos: string[] = [];
 		const addresses: router.peers.PeerAddress[] = [];
--- a/packages/stand-ins/src/users-platform/users-server-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/users-server-stand-in.ts
@@ -312,6 +312,8 @@
 	async #sendStream(req: http.IncomingMessage, requestId: string, res: http.ServerResponse): Promise<void> {
 		const firstId = Number(util.headerOf(req, 'last-event-id') || '0') + 1;
 		const lastId = this.options.eventCount ?? defaultEventCount;
+		// A fault holds for the streams that begin under it, so that a test may take it back as soon as it sees the execution.
+		const breaksStream = this.fault === ServerFault.BreakStream;
 		await util.sleep(this.options.firstEventDelayMs ?? 0);
 		res.writeHead(200, {
 			'Content-Type': 'text/event-stream', 'Bluebellmast-Weight-Versions': String(this.version), ...this.#createHeaders(requestId),
@@ -319,7 +321,7 @@
 		for (let id = firstId; id <= lastId; id++) {
 			res.write(`id: ${id}\ndata: token ${id}\n\n`);
 			await util.sleep(this.options.intervalMs ?? defaultIntervalMs); // eslint-disable-line no-await-in-loop -- Events are sent in sequence.
-			if (this.fault === ServerFault.BreakStream) {
+			if (breaksStream) {
 				res.write(`id: ${id + 1}\nda`);
 				await this.#resetConnection(res); // eslint-disable-line no-await-in-loop -- The end of the stream.
 				return;
