Renew a long lease for being a member, and a short one only for leading

Cause: each VM renewed a lease of 2 s twice a second, leader or not, so that lease calls grow with the fleet: 390 a second at 195 VMs. Change: RenewedLease holds one lease; the key of a VM is bound to one of 8 s, renewed every 2.5 s, the leader's key to one of 2 s that only the leader renews. The old code makes two calls a second and VM by its constants. Cost: the key of a dead VM stays 6 s longer; VMs were counted for 15 s after it in any case.

--- a/packages/gateway/src/controllers/lease-controller.ts
+++ b/packages/gateway/src/controllers/lease-controller.ts
@@ -1,32 +1,45 @@
 import * as buffer from 'node:buffer';
 import * as core from '@bluebellmast/core';
-import * as clients from '@bluebellmast/kv';
+import type * as clients from '@bluebellmast/kv';
 import type * as clocks from '../util/clocks.js';
 import * as eventLog from '../util/event-log.js';
 import type * as coordinationController from './coordination-controller.js';
 import * as coordinationKeys from './coordination-keys.js';
 import * as leaderCodec from './leader-codec.js';
+import * as renewedLease from './renewed-lease.js';
 
-/** Options of a VM's lease, in milliseconds. */
+/** Options of a VM's leases. */
 export type VmLeaseOptions = {
-	readonly ttlMs: number;
-	/** Interval between renewals; the lease survives two lost ones. */
-	readonly renewIntervalMs: number;
-	readonly leader: core.orders.LeaseOptions;
+	/** Lease of the VM's key in the list of VMs. */
+	readonly member: renewedLease.RenewedLeaseOptions;
+	/** Lease of the leader's key. */
+	readonly leader: renewedLease.RenewedLeaseOptions;
+	/** Durations that limit when the leader may send orders. */
+	readonly leadership: core.orders.LeaseOptions;
 };
 
 /**
- * Returns the options of a VM's lease.
+ * Lease of a VM's key. Long, since each VM renews one and a failed VM counts for a while in any case; it outlasts most outages of
+ * the store.
+ */
+const memberLease: renewedLease.RenewedLeaseOptions = {ttlMs: 8000, renewIntervalMs: 2500, retryIntervalMs: 500};
+
+/**
+ * Lease of the leader's key. Short, since no VM sends orders until the lease of a failed leader ends. The store responds within
+ * 240 ms on a slow day.
+ */
+const leaderLease: renewedLease.RenewedLeaseOptions = {ttlMs: 2000, renewIntervalMs: 500, retryIntervalMs: 150};
+
+/**
+ * Returns the options of a VM's leases.
  *
  * @param leaderOrderGapMs - Shortest time between orders of two leaders, in milliseconds.
  */
 export function createVmLeaseOptions(leaderOrderGapMs: number): VmLeaseOptions {
-	// Short, since no VM sends orders until the lease of a failed leader ends. The store responds within 240 ms on a slow day.
-	const ttlMs = 2000;
 	return {
-		ttlMs,
-		renewIntervalMs: 500,
-		leader: {ttlMs, marginMs: 600, maxOrderDurationMs: orderWindowMs + leaderOrderGapMs + timerSlackMs},
+		member: memberLease,
+		leader: leaderLease,
+		leadership: {ttlMs: leaderLease.ttlMs, marginMs: 600, maxOrderDurationMs: orderWindowMs + leaderOrderGapMs + timerSlackMs},
 	};
 }
 
@@ -60,11 +73,12 @@
 /** Age of the process at which half of that delay applies, in milliseconds; a rolling restart takes about as long per VM. */
 const halfDelayAgeMs = 10_000;
 
-/** Keeps this VM's lease and its key in the list of VMs, and acquires the leader's key when there is no leader. */
+/** Keeps this VM's key in the list of VMs, and acquires and keeps the leader's key when there is no leader. */
 export class LeaseController {
-	readonly #leader: core.orders.LeaderLease;
-	#lease: clients.kv.KvLease | undefined;
-	#renewedAt = -Infinity;
+	readonly #leadership: core.orders.LeaderLease;
+	readonly #member: renewedLease.RenewedLease;
+	/** Exists from an attempt to lead until another VM leads or the leadership is lost. */
+	readonly #leader: renewedLease.RenewedLease;
 	#isRegistered = false;
 	#leaderRevision = 0;
 	#acquireAt: number | undefined;
@@ -72,13 +86,16 @@
 	readonly #startedAt: number;
 
 	constructor(private readonly dependencies: LeaseControllerDependencies, private readonly options: VmLeaseOptions) {
-		this.#leader = new core.orders.LeaderLease(options.leader);
-		this.#startedAt = dependencies.clock.suspendAwareNow();
+		const {store, clock} = dependencies;
+		this.#leadership = new core.orders.LeaderLease(options.leadership);
+		this.#member = new renewedLease.RenewedLease(store, clock, options.member);
+		this.#leader = new renewedLease.RenewedLease(store, clock, options.leader);
+		this.#startedAt = clock.suspendAwareNow();
 	}
 
 	/** Returns the fencing token for an order that is sent now, or `undefined` when this VM may send none. */
 	fencing(): number | undefined {
-		return this.#isStopping ? undefined : this.#leader.fencing(this.dependencies.clock.suspendAwareNow());
+		return this.#isStopping ? undefined : this.#leadership.fencing(this.dependencies.clock.suspendAwareNow());
 	}
 
 	/** Whether this VM may send orders. */
@@ -86,69 +103,56 @@
 		return this.fencing() !== undefined;
 	}
 
-	/** Gives up the lease after an engine reported a higher fencing token, which means that another VM leads. */
+	/** Gives up the leadership after an engine reported a higher fencing token, which means that another VM leads. */
 	handleFenced(): void {
-		this.#loseLease('fenced');
+		this.#loseLeadership('fenced');
 	}
 
-	/** Acquires or renews the lease when due, registers this VM, and tries to become the leader if there is none. */
+	/** Acquires or renews the leases when due, registers this VM, and tries to become the leader if there is none. */
 	async tick(): Promise<void> {
 		if (this.#isStopping) {
 			return;
 		}
 
-		const now = this.dependencies.clock.suspendAwareNow();
-		if (this.#lease === undefined) {
-			await this.#grant();
-		} else if (now - this.#renewedAt >= this.options.renewIntervalMs) {
-			await this.#renew(this.#lease);
+		await Promise.all([this.#renewLeadership(), this.#keepMembership()]);
+		if (this.#member.lease !== undefined && this.dependencies.coordination.hasSnapshot) {
+			await this.#acquireLeadership();
 		}
+	}
 
-		if (this.#lease !== undefined && !this.#isRegistered) {
-			await this.#register(this.#lease);
+	/** Revokes the leases, so that another VM can become the leader at once. */
+	async stop(): Promise<void> {
+		this.#isStopping = true;
+		const wasLeading = this.#leaderRevision !== 0;
+		const [problem] = await Promise.all([this.#leader.revoke(), this.#member.revoke()]);
+		if (wasLeading) {
+			this.dependencies.log.write(eventLog.LogEvent.LeaderLost, {reason: 'stop', problem});
 		}
+	}
 
-		if (this.#lease !== undefined && this.dependencies.coordination.hasSnapshot) {
-			await this.#acquireLeadership(this.#lease);
+	/** Renews the lease of this VM's key, or requests one, and registers this VM. */
+	async #keepMembership(): Promise<void> {
+		if (await this.#member.renewIfDue() === renewedLease.LeaseRenewal.Lost) {
+			this.#member.drop();
 		}
-	}
 
-	/** Revokes the lease, so that another VM can become the leader at once. */
-	async stop(): Promise<void> {
-		this.#isStopping = true;
-		const lease = this.#lease;
-		this.#lease = undefined;
-		if (lease !== undefined) {
-			const revoked = await this.dependencies.store.revokeLease(lease);
-			revoked.ifLeft(failure => {
-				this.dependencies.log.write(eventLog.LogEvent.LeaderLost, {reason: 'stop', problem: failure.message});
-			});
-		}
-	}
-
-	async #grant(): Promise<void> {
-		const sentAt = this.dependencies.clock.suspendAwareNow();
-		const granted = await this.dependencies.store.grantLease(this.options.ttlMs);
-		granted.ifRight(lease => {
-			this.#lease = lease;
-			this.#renewedAt = sentAt;
+		if (this.#member.lease === undefined) {
 			this.#isRegistered = false;
-		});
+			await this.#member.grant();
+		}
+
+		if (this.#member.lease !== undefined && !this.#isRegistered) {
+			await this.#register(this.#member.lease);
+		}
 	}
 
-	async #renew(lease: clients.kv.KvLease): Promise<void> {
-		const sentAt = this.dependencies.clock.suspendAwareNow();
-		const renewed = await this.dependencies.store.keepLeaseAlive(lease);
-		const now = this.dependencies.clock.suspendAwareNow();
-		renewed.ifRight(() => {
-			this.#renewedAt = sentAt;
-			this.#recordRenewal(sentAt, now);
-		});
-		renewed.ifLeft(failure => {
-			if (failure.code === clients.kv.KvErrorCode.LeaseLost || now - this.#renewedAt > this.options.ttlMs) {
-				this.#loseLease(failure.code);
-			}
-		});
+	async #renewLeadership(): Promise<void> {
+		const renewal = await this.#leader.renewIfDue();
+		if (renewal === renewedLease.LeaseRenewal.Renewed) {
+			this.#recordRenewal(this.#leader.renewedAt, this.dependencies.clock.suspendAwareNow());
+		} else if (renewal === renewedLease.LeaseRenewal.Lost) {
+			this.#loseLeadership('lease_lost');
+		}
 	}
 
 	/**
@@ -160,22 +164,21 @@
 			return;
 		}
 
-		this.#leader.recordRenewal(sentAt, now);
-		if (!this.#leader.isHeld(now)) {
+		this.#leadership.recordRenewal(sentAt, now);
+		if (!this.#leadership.isHeld(now)) {
 			this.#leaderRevision = 0;
 			this.dependencies.log.write(eventLog.LogEvent.LeaderLost, {reason: 'clock'});
 		}
 	}
 
-	#loseLease(reason: string): void {
+	#loseLeadership(reason: string): void {
 		if (this.#leaderRevision !== 0) {
 			this.dependencies.log.write(eventLog.LogEvent.LeaderLost, {reason});
 		}
 
-		this.#leader.recordEnd();
+		this.#leadership.recordEnd();
 		this.#leaderRevision = 0;
-		this.#lease = undefined;
-		this.#isRegistered = false;
+		this.#leader.drop();
 	}
 
 	async #register(lease: clients.kv.KvLease): Promise<void> {
@@ -192,12 +195,12 @@
 		});
 	}
 
-	async #acquireLeadership(lease: clients.kv.KvLease): Promise<void> {
+	async #acquireLeadership(): Promise<void> {
 		const {coordination, clock} = this.dependencies;
 		const {leader} = coordination.state;
 		if (this.#leaderRevision !== 0 || leader !== undefined) {
 			this.#acquireAt = undefined;
-			await this.#recoverLeadership(leader, lease);
+			await this.#recoverLeadership(leader);
 			return;
 		}
 
@@ -208,14 +211,29 @@
 		}
 
 		this.#acquireAt = undefined;
-		this.#leader.beginAcquiring(now);
-		const value = leaderCodec.encodeLeader({vm: this.dependencies.vm, leaseId: lease.id});
-		const swap = await this.dependencies.store.compareAndSwap(coordinationKeys.leaderKey, 0, value, lease.id);
+		if (this.#leader.lease === undefined) {
+			await this.#leader.grant();
+		}
+
+		if (this.#leader.lease !== undefined && !this.#isStopping) {
+			await this.#writeLeaderKey(this.#leader.lease);
+		}
+	}
+
+	async #writeLeaderKey(lease: clients.kv.KvLease): Promise<void> {
+		const {store, clock, vm} = this.dependencies;
+		this.#leadership.beginAcquiring(clock.suspendAwareNow());
+		const swap = await store.compareAndSwap(coordinationKeys.leaderKey, 0, leaderCodec.encodeLeader({vm, leaseId: lease.id}), lease.id);
 		const result = swap.toMaybe().extract();
 		if (result?.swapped) {
 			await this.#beginLeading(result.revision);
-		} else {
-			this.#leader.recordRefusal();
+			return;
+		}
+
+		this.#leadership.recordRefusal();
+		// Without a response the key may have been written, so the lease is kept.
+		if (result !== undefined) {
+			this.#leader.drop();
 		}
 	}
 
@@ -224,11 +242,21 @@
 		return (this.dependencies.random() * maxRandomDelayMs) + (maxAgeDelayMs * ageMs / (ageMs + halfDelayAgeMs));
 	}
 
-	/** Begins to lead if this VM wrote the leader's key with its current lease but the response was lost. */
-	async #recoverLeadership(leader: coordinationController.ObservedLeader | undefined, lease: clients.kv.KvLease): Promise<void> {
-		if (this.#leaderRevision === 0 && leader?.vm === this.dependencies.vm && leader.leaseId === lease.id) {
-			this.#leader.beginAcquiring(this.dependencies.clock.suspendAwareNow());
+	/**
+	 * Begins to lead if this VM wrote the leader's key with its current lease but the response was lost; drops the lease if
+	 * another VM leads.
+	 */
+	async #recoverLeadership(leader: coordinationController.ObservedLeader | undefined): Promise<void> {
+		const {lease} = this.#leader;
+		if (this.#leaderRevision !== 0 || leader === undefined || lease === undefined) {
+			return;
+		}
+
+		if (leader.vm === this.dependencies.vm && leader.leaseId === lease.id) {
+			this.#leadership.beginAcquiring(this.dependencies.clock.suspendAwareNow());
 			await this.#beginLeading(leader.revision);
+		} else {
+			this.#leader.drop();
 		}
 	}
 
@@ -237,8 +265,8 @@
 		this.#leaderRevision = revision;
 		const now = clock.suspendAwareNow();
 		const latestOrderAt = await this.#latestOrderAt();
-		const previousOrdersEndAt = latestOrderAt + this.options.leader.maxOrderDurationMs;
-		this.#leader.recordGrant(revision, this.#renewedAt, clock.suspendAwareNow(), previousOrdersEndAt);
+		const previousOrdersEndAt = latestOrderAt + this.options.leadership.maxOrderDurationMs;
+		this.#leadership.recordGrant(revision, this.#leader.renewedAt, clock.suspendAwareNow(), previousOrdersEndAt);
 		log.write(eventLog.LogEvent.LeaderGained, {fence: revision, clearInMs: Math.round(Math.max(0, previousOrdersEndAt - now))});
 	}
 
