Know where nested prefixes are cached by their last part

Cause: a part counted as cached only if every part before it did, and parts under 1,000 tokens are not tracked. The earlier sites have one long shared part, which hid it. Change: core/fleet/shared-prefix.ts. A prefix is known by its last part; what comes before it is cached with it. Prefixes of 1,000 tokens in all are tracked, fetched and saved, however they are divided. The home follows the longest tracked prefix. Tests: nested-prefixes.test.ts names the pattern; two of its tests fail on (1,800 of 6,870 tokens to compute on the engine that has the rest; homes spread over all engines). Its load test holds on both.

--- a/packages/core/src/fleet/choose-endpoint.ts
+++ b/packages/core/src/fleet/choose-endpoint.ts
@@ -5,6 +5,7 @@
 import type * as endpointLoads from './endpoint-loads.js';
 import type * as partLocations from './part-locations.js';
 import type * as peerLoads from './peer-loads.js';
+import * as sharedPrefix from './shared-prefix.js';
 
 /** Costs of a placement, in milliseconds of delay unless the name says otherwise. */
 export type PlacementCosts = {
@@ -83,11 +84,6 @@
 	readonly prefillTokens: number;
 };
 
-/** Returns the key of a prompt part in a cache namespace. */
-export function partKey(cacheNamespace: string, part: endpointLoads.PromptPart): string {
-	return `${cacheNamespace}/${part.id}`;
-}
-
 /**
  * Chooses the endpoint with the lowest cost. Endpoints where the request could start too late for their weights are left out.
  *
@@ -112,11 +108,17 @@
 	return best;
 }
 
-function findHome(candidates: readonly Candidate[], requirements: PlacementRequirements): string | undefined {
-	const first = requirements.parts[0];
-	return first === undefined || requirements.sharedParts === 0
-		? undefined
-		: rendezvous.selectByRendezvous(first.id, candidates.map(candidate => candidate.entry.id));
+/**
+ * Finds the engine that computes a prefix which none has cached: the same one on all VMs. Prompts that share a long prefix have the
+ * same home; those that share only a short one are spread by their first part.
+ */
+function findHome(candidates: readonly Candidate[], {parts, sharedParts}: PlacementRequirements): string | undefined {
+	if (sharedParts === 0 || parts[0] === undefined) {
+		return undefined;
+	}
+
+	const key = sharedPrefix.listSharedPrefixes('', parts, sharedParts).at(-1)?.key ?? sharedPrefix.partKey('', parts[0]);
+	return rendezvous.selectByRendezvous(key, candidates.map(candidate => candidate.entry.id));
 }
 
 function estimateCost(
@@ -145,29 +147,22 @@
 	};
 }
 
-/** Counts the tokens to compute and to fetch. A part counts as cached only if all earlier parts are cached. */
+/** Counts the prompt tokens to compute and to fetch from the cache store. */
 function countTokens(
 	candidate: Candidate,
-	requirements: PlacementRequirements,
+	{parts, sharedParts}: PlacementRequirements,
 	view: PlacementView,
 	now: number,
 ): {prefill: number; fetch: number} {
-	let prefill = 0;
-	let fetch = 0;
-	let isPrefixCached = true;
-	const isStoreUsable = view.parts.isStoreUsable(now);
-	for (const [index, part] of requirements.parts.entries()) {
-		const key = partKey(candidate.cacheNamespace, part);
-		const isShared = index < requirements.sharedParts;
-		const isCached: boolean = isPrefixCached && view.parts.isCached(key, candidate.entry.id, now);
-		const isStored: boolean = isPrefixCached && isShared && isStoreUsable && Number.isFinite(view.parts.storedAgeMs(key, now));
-		isPrefixCached = isCached || isStored;
-		if (!isPrefixCached) {
-			prefill += part.tokens;
-		} else if (!isCached) {
-			fetch += part.tokens;
-		}
+	const prefixes = sharedPrefix.listSharedPrefixes(candidate.cacheNamespace, parts, sharedParts);
+	const cached = sharedPrefix.countCachedTokens(prefixes, key => view.parts.isCached(key, candidate.entry.id, now));
+	const stored = view.parts.isStoreUsable(now)
+		? sharedPrefix.countCachedTokens(prefixes, key => Number.isFinite(view.parts.storedAgeMs(key, now)))
+		: 0;
+	let total = 0;
+	for (const part of parts) {
+		total += part.tokens;
 	}
 
-	return {prefill, fetch};
+	return {prefill: total - Math.max(cached, stored), fetch: Math.max(0, stored - cached)};
 }
--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -9,3 +9,4 @@
 export * from './peer-loads.js';
 export * from './part-locations.js';
 export * from './retry-window.js';
+export * from './shared-prefix.js';
--- a/packages/gateway/src/call/attempt-recorder.ts
+++ b/packages/gateway/src/call/attempt-recorder.ts
@@ -121,9 +121,9 @@
 	}
 
 	#recordCacheObservations(placement: endpointPlacer.Placement, isComputed: boolean): void {
-		if (placement.partKeys.length > 0) {
+		if (placement.prefixes.length > 0) {
 			const type = isComputed ? core.fleet.CacheObservationType.Computed : core.fleet.CacheObservationType.Sent;
-			this.dependencies.recordCacheObservations(placement.partKeys.map(key => ({type, key, endpoint: placement.entry.id})));
+			this.dependencies.recordCacheObservations(placement.prefixes.map(({key}) => ({type, key, endpoint: placement.entry.id})));
 		}
 	}
 }
--- a/packages/gateway/src/controllers/cache-store-controller.ts
+++ b/packages/gateway/src/controllers/cache-store-controller.ts
@@ -18,8 +18,8 @@
 const followerCount = 2;
 /** Longest wait of one poll, in milliseconds; also bounds the time until a failed store is detected. */
 const pollWaitMs = 1000;
-/** Minimum size of a part in tokens; smaller parts are not worth fetching from the store. */
-const minPartTokens = 1000;
+/** Minimum size of a part whose changes are passed on, in tokens. */
+const minPartTokens = core.fleet.minTrackedPrefixTokens;
 const resetObservation: core.fleet.CacheObservation = {type: core.fleet.CacheObservationType.StoreReset, key: '', endpoint: ''};
 const downObservation: core.fleet.CacheObservation = {type: core.fleet.CacheObservationType.StoreDown, key: '', endpoint: ''};
 
--- a/packages/gateway/src/placement/endpoint-placer.ts
+++ b/packages/gateway/src/placement/endpoint-placer.ts
@@ -1,5 +1,6 @@
 import * as core from '@bluebellmast/core';
 import type * as requestContext from '../call/request-context.js';
+import type * as ports from '../ports/index.js';
 import type * as fleetState from './fleet-state.js';
 
 /** Options of placement on this deployment. */
@@ -13,9 +14,6 @@
 
 /** Time after which responses of older weights are worth less by the platform's rules, in milliseconds. */
 const oldWeightsGraceMs = 1500;
-/** Minimum size of a prompt part that is fetched from and saved to the cache store, in tokens. */
-const minStoredTokens = 1000;
-
 /** Age of the last observation of a stored part above which it is saved again, in milliseconds, since observations get lost. */
 const resaveAgeMs = 20_000;
 
@@ -29,8 +27,8 @@
 	readonly choice: core.fleet.EndpointChoice;
 	/** Whether the endpoint has capacity for the request now. */
 	readonly hasCapacity: boolean;
-	/** Keys of the shared prompt parts that are large enough for the cache store. */
-	readonly partKeys: readonly string[];
+	/** Shared prefixes of the prompt whose location is tracked, shortest first. */
+	readonly prefixes: readonly core.fleet.SharedPrefix[];
 	readonly weightVersion?: number;
 	/** Priority of the request at the engine, from 0 to 9; 0 is the most urgent. */
 	readonly enginePriority?: number;
@@ -130,8 +128,10 @@
 	}
 
 	#requirementsOf(call: requestContext.RoutedRequest, usesEngine: boolean): core.fleet.PlacementRequirements {
-		const parts = usesEngine ? call.head.prompt!.parts : [];
-		return {dataCentre: this.options.dataCentre, parts, sharedParts: Math.max(0, parts.length - 1)};
+		const {prompt} = call.head;
+		return usesEngine && prompt !== undefined
+			? {dataCentre: this.options.dataCentre, parts: prompt.parts, sharedParts: countSharedParts(prompt)}
+			: {dataCentre: this.options.dataCentre, parts: [], sharedParts: 0};
 	}
 
 	#createPlacement(
@@ -143,22 +143,20 @@
 		const {entry, cacheNamespace} = choice.candidate;
 		if (!usesEngine) {
 			return {
-				entry, choice, hasCapacity: true, partKeys: [],
+				entry, choice, hasCapacity: true, prefixes: [],
 			};
 		}
 
 		const prompt = call.head.prompt!;
-		const partKeys = prompt.parts.slice(0, -1)
-			.filter(part => part.tokens >= minStoredTokens)
-			.map(part => core.fleet.partKey(cacheNamespace, part));
-		const canUseStore = partKeys.length > 0 && this.fleet.parts.isStoreUsable(now);
+		const prefixes = core.fleet.listSharedPrefixes(cacheNamespace, prompt.parts, countSharedParts(prompt));
+		const canUseStore = prefixes.length > 0 && this.fleet.parts.isStoreUsable(now);
 		const cacheStore = canUseStore ? call.table.config.cacheStores[0]?.address : undefined;
-		const mustSave = partKeys.some(key => this.fleet.parts.storedAgeMs(key, now) > resaveAgeMs);
+		const mustSave = prefixes.some(prefix => this.fleet.parts.storedAgeMs(prefix.key, now) > resaveAgeMs);
 		return {
 			entry,
 			choice,
 			hasCapacity: core.fleet.canAdmit(choice, call.route.targetLatencyMs, this.options.admission),
-			partKeys,
+			prefixes,
 			enginePriority: getEnginePriority(call, choice, this.options.admission),
 			weightVersion: this.fleet.registry.weightVersion(entry.id, prompt.model),
 			cacheNamespace,
@@ -168,6 +166,11 @@
 	}
 }
 
+/** Returns the number of leading parts of a prompt that other requests share: all but the last one. */
+function countSharedParts(prompt: ports.PromptMetadata): number {
+	return Math.max(0, prompt.parts.length - 1);
+}
+
 /**
  * Returns the priority of a request at an engine, from 0 to 9. Small requests precede large ones, which take several times as
  * long; among each, the priority of the account or else of the route decides.
