Pause between polls that find changes, longer in larger fleets

Cause: a poll of the store ends at the first change. Change: after a poll that found changes a VM pauses for 2 ms a VM of the fleet, 500 ms at most, so that the polls of all VMs stay at 500 a second up to 250 VMs. The leader waits as much longer before its orders. A poll that found nothing is followed at once, as before.

--- a/packages/gateway/src/controllers/rollout-controller.ts
+++ b/packages/gateway/src/controllers/rollout-controller.ts
@@ -11,7 +11,7 @@
 
 /** Options of the controller, in milliseconds. */
 export type RolloutControllerOptions = {
-	/** Time from the publication of the plan until all VMs exclude the engine from placement. */
+	/** Time from the publication of the plan until all VMs exclude the engine from placement, without the pause between their polls. */
 	readonly propagationMs: number;
 	/** Interval between reads of the report of a loading engine. */
 	readonly reportIntervalMs: number;
@@ -74,6 +74,11 @@
 		private readonly options: RolloutControllerOptions = defaultRolloutControllerOptions,
 	) {}
 
+	/** Time from the publication of a plan until all VMs act on it, in milliseconds. */
+	get #propagationMs(): number {
+		return this.options.propagationMs + core.fleet.computePollPauseMs(this.dependencies.fleet.vmCount);
+	}
+
 	/** Performs the work that is due, if this VM leads. */
 	async tick(): Promise<void> {
 		const fence = this.dependencies.lease.fencing();
@@ -176,7 +181,7 @@
 		}
 
 		const isOrderDue = !state.isBusy && (state.orderedAt === undefined
-			? now - state.plannedAt >= this.options.propagationMs
+			? now - state.plannedAt >= this.#propagationMs
 			: now - state.orderedAt >= this.options.orderRetryMs);
 		if (isOrderDue && now - this.#publishedAt > leaseController.orderWindowMs) {
 			// A later leader derives the time of the last order from the last publication, so an order must follow one closely.
--- a/packages/gateway/src/controllers/store-feed.ts
+++ b/packages/gateway/src/controllers/store-feed.ts
@@ -45,6 +45,8 @@
 	readonly store: clients.kv.KvChangeFeed;
 	readonly prefix: string;
 	readonly listener: StoreFeedListener;
+	/** Returns the pause after a poll that found changes, in milliseconds, so that one poll gathers several; 0 by default. */
+	readonly pollPauseMs?: () => number;
 	readonly clock: clocks.Clocks;
 	readonly log: eventLog.EventLog;
 };
@@ -55,6 +57,8 @@
 	#lastFailureAt = -Infinity;
 	#retryDelayMs: number;
 	#isStopped = false;
+	/** Whether the last poll ended before its longest wait, since there were changes. */
+	#hasFoundChanges = false;
 	/** When calls began to fail, in milliseconds of the monotonic clock; absent while they succeed. */
 	#unavailableSince: number | undefined;
 
@@ -71,6 +75,8 @@
 			const isOk = await this.#readOrPoll(); // eslint-disable-line no-await-in-loop -- Calls are sequential.
 			if (!isOk && !this.#isStopped) {
 				await this.#waitBeforeRetry(); // eslint-disable-line no-await-in-loop -- Delays the next call after a failure.
+			} else if (this.#hasFoundChanges && !this.#isStopped) {
+				await timers.setTimeout(this.dependencies.pollPauseMs?.() ?? 0); // eslint-disable-line no-await-in-loop -- Gathers changes.
 			}
 		}
 	}
@@ -83,6 +89,7 @@
 	async #readOrPoll(): Promise<boolean> {
 		const startedAt = this.dependencies.clock.suspendAwareNow();
 		const revision = this.#revision;
+		this.#hasFoundChanges = false;
 		const failure = revision === undefined ? await this.#readSnapshot() : await this.#poll(revision);
 		if (failure === undefined) {
 			this.#recordSuccess();
@@ -112,6 +119,7 @@
 		const polled = await this.dependencies.store.poll(this.dependencies.prefix, revision, this.options.pollWaitMs);
 		return core.util.matchEither(polled, failure => failure, read => {
 			this.#revision = Math.max(revision, read.revision);
+			this.#hasFoundChanges = read.changes.length > 0;
 			for (const change of read.changes) {
 				this.dependencies.listener.onChange(change, this.#maybeLapsed());
 			}
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -117,7 +117,7 @@
 	]);
 	// One feed of the whole store takes a third of the calls that one feed per prefix would.
 	const feed = new controllers.StoreFeed({
-		store, prefix: '', listener, clock, log,
+		store, prefix: '', listener, pollPauseMs: () => core.fleet.computePollPauseMs(fleet.vmCount), clock, log,
 	});
 	const refresh = metrics.registerStateGauges(registry, () => {
 		const ready = fleet.registry.list().filter(entry => entry.state === core.fleet.EndpointState.Ready);
--- a/packages/gateway/tests/controllers/store-feed.test.ts
+++ b/packages/gateway/tests/controllers/store-feed.test.ts
@@ -40,7 +40,7 @@
 	return purify.Left({code, message: 'scripted'});
 }
 
-async function follow(results: PollResult[]): Promise<{readonly received: string[]; readonly store: ScriptedStore; readonly events: string[]}> {
+async function follow(results: PollResult[], pollPauseMs = (): number => 0): Promise<{readonly received: string[]; readonly store: ScriptedStore; readonly events: string[]}> {
 	const received: string[] = [];
 	const events: string[] = [];
 	const store = new ScriptedStore(results, () => {
@@ -50,6 +50,7 @@
 	const feed = new gateway.controllers.StoreFeed({
 		store,
 		prefix: '',
+		pollPauseMs,
 		listener: {
 			onSnapshot(entries, maybeLapsed) {
 				received.push(`snapshot ${entries.length} ${maybeLapsed}`);
@@ -104,4 +105,16 @@
 		const {received} = await follow([failed(outcomeUnknown), purify.Right({changes: [], revision: 10})]);
 		expect(received.filter(text => text.startsWith('confirmed'))).to.deep.equal(['confirmed 1000', 'confirmed 1002']);
 	});
+
+	// Where entries change all the time, each poll would end at once.
+	it('pauses after polls that found changes, and only after these', async () => {
+		const changed: PollResult = purify.Right({changes: [{key: 'a', entry: entry('a', 11)}], revision: 11});
+		const unchanged: PollResult = purify.Right({changes: [], revision: 11});
+		let pauses = 0;
+		await follow([changed, unchanged, changed, unchanged, unchanged], () => {
+			pauses += 1;
+			return 1;
+		});
+		expect(pauses).to.equal(2);
+	});
 });
