--- a/packages/router/src/controllers/order-client.ts
+++ b/packages/router/src/controllers/order-client.ts
@@ -5,12 +5,14 @@
 
 /** Reads the holdings of engines and sends them orders. */
 export interface OrderClient { // eslint-disable-line @typescript-eslint/consistent-type-definitions
-	/** Returns the weights, role and fencing token of an engine, or `undefined` if it does not respond in time. */
+	/** Returns the weights, role and fencing token of an engine, or `undefined` if it does not respond in time or responds with an error. */
 	readHoldings(endpoint: core.model.Endpoint): Promise<wire.endpoint.EngineHoldings | undefined>;
-	/** Sends an order. Returns `undefined` if there is no response in time; the engine may still have accepted the order. */
+	/** Sends an order. Returns `undefined` if there is no response in time or an error; the engine may still have accepted the order. */
 	sendOrder(endpoint: core.model.Endpoint, order: wire.endpoint.EngineOrder): Promise<wire.endpoint.EngineOrderResponse | undefined>;
 }
 
+const firstErrorStatus = 300;
+
 /** Order client over HTTP. */
 export class HttpOrderClient implements OrderClient {
 	/** @param timeoutMs - Timeout of each call in milliseconds. */
@@ -41,6 +43,11 @@
 				signal: AbortSignal.timeout(this.timeoutMs),
 				...(body !== undefined && {headers: {'content-type': 'application/json'}, body: JSON.stringify(body)}),
 			});
+			if (res.statusCode >= firstErrorStatus) {
+				await res.body.dump();
+				return undefined;
+			}
+
 			return await res.body.json() as ResponseBody;
 		} catch {
 			return undefined;
--- a/packages/router/src/controllers/usage-admission.ts
+++ b/packages/router/src/controllers/usage-admission.ts
@@ -117,12 +117,18 @@
 			arrivedAt: ctx.arrivedAt,
 		};
 		const admitted = await new Promise<AdmissionResult>(resolve => {
+			const abortWait = (): void => {
+				this.#abortWait(ctx.id, service, ctx.signal?.reason as core.model.ErrorCode);
+			};
+
 			this.#admissionCallbacks.set(ctx.id, resolve);
 			this.#serviceByRequest.set(ctx.id, service);
-			ctx.signal?.addEventListener('abort', () => {
-				this.#abortWait(ctx.id, service, ctx.signal?.reason as core.model.ErrorCode);
-			}, {once: true});
+			ctx.signal?.addEventListener('abort', abortWait, {once: true});
 			this.#applyAdmissionEvent(service, {type: core.limits.AdmissionEventType.Arrive, request});
+			// A signal that was aborted before emits no event.
+			if (ctx.signal?.aborted) {
+				abortWait();
+			}
 		});
 		if (admitted.isLeft()) {
 			this.#serviceByRequest.delete(ctx.id);
--- a/packages/router/src/filters/idempotency-filter.ts
+++ b/packages/router/src/filters/idempotency-filter.ts
@@ -35,7 +35,7 @@
 		}
 
 		const key = ctx.headers.idempotencyKey;
-		if (key === undefined || key.length > maxKeyLength) {
+		if (key === undefined || key.length === 0 || key.length > maxKeyLength) {
 			ctx.response.sendRefusal(core.request.createRefusal(core.model.ErrorCode.IdempotencyKeyRequired, [], {
 				message: 'this call may not be repeated and needs an idempotency key',
 				findings: [{place: 'idempotency-key', message: `must hold 1 to ${maxKeyLength} characters`}],
--- a/packages/router/tests/controllers/usage-admission.test.ts
+++ b/packages/router/tests/controllers/usage-admission.test.ts
@@ -80,6 +80,19 @@
 		expect(later.isRight()).to.equal(true);
 	});
 
+	it('does not let a request wait whose caller disconnected before, and refunds the request', async () => {
+		const {admission, contextWith} = createAdmission();
+		const first = await admission.admit(contextWith());
+		const aborted = AbortSignal.abort(core.model.ErrorCode.CallerDisconnected);
+		const second = await Promise.race([admission.admit(contextWith(aborted)), manualTime.flushPromises()]);
+		expect(second?.extract()).to.include({code: core.model.ErrorCode.CallerDisconnected, execution: core.model.ExecutionState.NotRun});
+		first.unsafeCoerce()();
+		const third = await admission.admit(contextWith());
+		third.unsafeCoerce()();
+		const fourth = await admission.admit(contextWith());
+		expect(fourth.isRight()).to.equal(true);
+	});
+
 	it('ends the wait immediately when the caller disconnects, and refunds the request', async () => {
 		const {admission, contextWith} = createAdmission();
 		const first = await admission.admit(contextWith());
--- a/packages/router/tests/dispatch/bookings.test.ts
+++ b/packages/router/tests/dispatch/bookings.test.ts
@@ -44,6 +44,16 @@
 		expect(executions('o1')).to.equal(1);
 	});
 
+	it('refuses an empty key and one of 201 characters as not executed', async () => {
+		await routerFixture.start();
+		for (const key of ['', 'k'.repeat(201)]) {
+			const error = await readRefusal(await book(key, 'o1')); // eslint-disable-line no-await-in-loop -- One after the other.
+			expect(error).to.include({code: 'idempotency_key_required', execution: 'not_run'});
+		}
+
+		expect(executions('o1')).to.equal(0);
+	});
+
 	it('refuses a key that was used with another body', async () => {
 		await routerFixture.start();
 		await book('k1', 'o1');
