--- a/packages/stand-ins/tests/soak/fault-schedule.test.ts
+++ b/packages/stand-ins/tests/soak/fault-schedule.test.ts
@@ -6,6 +6,21 @@
 	durationMs: 120_000, routers: 6, engines: 4, runners: 3,
 };
 
+/** Lists the components that a fault acts on, by the name of its type. */
+function listComponents(scheduledFault: standIns.soak.ScheduledFault): string[] {
+	const {type, targetIndex} = scheduledFault;
+	if (type === standIns.soak.ScheduledFaultType.KillHalfOfRouters) {
+		return Array.from({length: options.routers / 2}, (_, index) => `router ${(targetIndex + index) % options.routers}`);
+	}
+
+	if (type.includes('kv')) {
+		return ['kv'];
+	}
+
+	const kind = ['router', 'runner'].find(name => type.includes(name)) ?? 'engine';
+	return [`${kind} ${targetIndex}`];
+}
+
 describe('createSchedule', () => {
 	it('creates the same schedule for the same seed and a different one for another seed', () => {
 		const schedules = [1, 1, 2].map(seed => standIns.soak.createFaultSchedule({...options, seed}));
@@ -14,18 +29,15 @@
 	});
 
 	for (let seed = 1; seed <= 20; seed++) {
-		it(`keeps faults within the run and does not overlap them on a router, with seed ${seed}`, () => {
+		it(`keeps faults within the run and does not overlap them on any component, with seed ${seed}`, () => {
 			const schedule = standIns.soak.createFaultSchedule({...options, seed});
-			const routersBusyUntil = new Map<number, number>();
+			const busyUntil = new Map<string, number>();
 			expect(schedule.length).to.be.above(10);
 			for (const scheduledFault of schedule) {
 				expect(scheduledFault.atMs + scheduledFault.durationMs).to.be.below(options.durationMs);
-				const routers = scheduledFault.type.endsWith('router') || scheduledFault.type === standIns.soak.ScheduledFaultType.KillHalfOfRouters
-					? standIns.soak.listRouterIndices(scheduledFault, options.routers)
-					: [];
-				for (const router of routers) {
-					expect(routersBusyUntil.get(router) ?? 0).to.be.below(scheduledFault.atMs);
-					routersBusyUntil.set(router, scheduledFault.atMs + scheduledFault.durationMs);
+				for (const component of listComponents(scheduledFault)) {
+					expect(busyUntil.get(component) ?? 0, component).to.be.below(scheduledFault.atMs);
+					busyUntil.set(component, scheduledFault.atMs + scheduledFault.durationMs);
 				}
 			}
 		});
