Keep the load of each endpoint as a total over the other VMs' digests

Cause: each placement summed the digests of all VMs for each engine, twice: 25,000 look-ups at 195 VMs and 65 engines, for each request and up to 24 times each 20 ms for those that wait. Change: PeerLoads adds and subtracts digests as they come, expire or lose their VM. The health of endpoints asks for news of other VMs only where this VM has none. Tests: a property test against plain sums over lost, doubled, late digests and changing members (it found a total of zero that was dropped too early); the count takes no look at the digests.

--- a/packages/core/src/fleet/endpoint-health.ts
+++ b/packages/core/src/fleet/endpoint-health.ts
@@ -117,7 +117,11 @@
 	startDueChecks(lastReceivedByOthers: (endpoint: string) => number, now: number): string[] {
 		const due: string[] = [];
 		for (const [endpoint, record] of this.#records) {
-			if (record.state === HealthState.Responsive && this.#isSilent(record, lastReceivedByOthers(endpoint), now)) {
+			// The other VMs are asked only about endpoints that are silent to this one, since that takes time for each of them.
+			const isSilent = record.state === HealthState.Responsive
+				&& this.#isSilent(record, -Infinity, now)
+				&& this.#isSilent(record, lastReceivedByOthers(endpoint), now);
+			if (isSilent) {
 				record.state = HealthState.Suspected;
 				record.checkedAt = -Infinity;
 			}
--- a/packages/core/src/fleet/peer-loads.ts
+++ b/packages/core/src/fleet/peer-loads.ts
@@ -6,6 +6,12 @@
 	readonly endpoints: ReadonlyMap<string, loadDigest.EndpointDigest>;
 };
 
+/** Load of all other VMs on one endpoint. */
+type EndpointTotal = {
+	active: number;
+	prefillTokens: number;
+};
+
 /** Minimum time for which a digest is used after its receipt, in milliseconds: several digest intervals of a VM. */
 const minLifetimeMs = 1500;
 /**
@@ -14,9 +20,15 @@
  */
 const lifetimePerVmMs = 100;
 
-/** Load that other VMs put on the endpoints, by their latest digests. */
+/**
+ * Load that other VMs put on the endpoints, by their latest digests. The total of each endpoint is kept up to date, so that the
+ * time of a placement doesn't grow with the number of VMs.
+ */
 export class PeerLoads {
 	readonly #digests = new Map<string, ReceivedDigest>();
+	/** Digests that have not expired and are part of the totals, by VM; the oldest first. */
+	readonly #counted = new Map<string, ReceivedDigest>();
+	readonly #totals = new Map<string, EndpointTotal>();
 	#lifetimeMs = minLifetimeMs;
 
 	/** Applies a digest; ignores one that is not newer than the last digest of its VM. */
@@ -26,19 +38,24 @@
 			return;
 		}
 
-		this.#digests.set(digest.vm, {
+		const received: ReceivedDigest = {
 			sequence: digest.sequence, receivedAt: now, endpoints: new Map(digest.endpoints.map(entry => [entry.endpoint, entry])),
-		});
+		};
+		this.#digests.set(digest.vm, received);
+		this.#uncount(digest.vm);
+		this.#count(digest.vm, received);
 	}
 
 	/** Returns the number of other VMs' requests in flight at an endpoint. */
 	countActive(endpoint: string, now: number): number {
-		return this.#sum(endpoint, now, entry => entry.active);
+		this.#uncountExpired(now);
+		return this.#totals.get(endpoint)?.active ?? 0;
 	}
 
 	/** Returns the prompt tokens of other VMs' requests that an endpoint still has to compute. */
 	countPrefillTokens(endpoint: string, now: number): number {
-		return this.#sum(endpoint, now, entry => entry.prefillTokens);
+		this.#uncountExpired(now);
+		return this.#totals.get(endpoint)?.prefillTokens ?? 0;
 	}
 
 	/** Returns when an endpoint last sent data to another VM; `-Infinity` when unknown. */
@@ -53,23 +70,72 @@
 
 	/** Removes VMs that are no longer members, and adjusts the lifetime of digests to their number. */
 	retain(vms: ReadonlySet<string>): void {
-		this.#lifetimeMs = Math.max(minLifetimeMs, vms.size * lifetimePerVmMs);
 		for (const vm of this.#digests.keys()) {
 			if (!vms.has(vm)) {
 				this.#digests.delete(vm);
+				this.#uncount(vm);
 			}
 		}
+
+		const lifetimeMs = Math.max(minLifetimeMs, vms.size * lifetimePerVmMs);
+		if (lifetimeMs !== this.#lifetimeMs) {
+			this.#lifetimeMs = lifetimeMs;
+			this.#countAll();
+		}
 	}
 
-	#sum(endpoint: string, now: number, valueOf: (entry: loadDigest.EndpointDigest) => number): number {
-		let sum = 0;
-		for (const {receivedAt, endpoints} of this.#digests.values()) {
-			const entry = endpoints.get(endpoint);
-			if (entry !== undefined && now - receivedAt <= this.#lifetimeMs) {
-				sum += valueOf(entry);
+	/** Counts all digests anew, the oldest first; those that have expired leave the totals at the next query. */
+	#countAll(): void {
+		this.#counted.clear();
+		this.#totals.clear();
+		const byAge = [...this.#digests].sort(([, a], [, b]) => a.receivedAt - b.receivedAt);
+		for (const [vm, digest] of byAge) {
+			this.#count(vm, digest);
+		}
+	}
+
+	#uncountExpired(now: number): void {
+		for (const [vm, {receivedAt}] of this.#counted) {
+			if (now - receivedAt <= this.#lifetimeMs) {
+				return;
 			}
+
+			this.#uncount(vm);
 		}
+	}
 
-		return sum;
+	#count(vm: string, digest: ReceivedDigest): void {
+		this.#counted.set(vm, digest);
+		for (const {endpoint, active, prefillTokens} of digest.endpoints.values()) {
+			const total = this.#totals.get(endpoint);
+			if (total === undefined) {
+				this.#totals.set(endpoint, {active, prefillTokens});
+			} else {
+				total.active += active;
+				total.prefillTokens += prefillTokens;
+			}
+		}
+	}
+
+	#uncount(vm: string): void {
+		const digest = this.#counted.get(vm);
+		if (digest === undefined) {
+			return;
+		}
+
+		this.#counted.delete(vm);
+		for (const {endpoint, active, prefillTokens} of digest.endpoints.values()) {
+			const total = this.#totals.get(endpoint);
+			// A total of zero is dropped, although digests may still state a load of zero.
+			if (total === undefined) {
+				continue;
+			}
+
+			total.active -= active;
+			total.prefillTokens -= prefillTokens;
+			if (total.active === 0 && total.prefillTokens === 0) {
+				this.#totals.delete(endpoint);
+			}
+		}
 	}
 }
