Keep the timeouts of unseen incarnations when there are many

Change: one that has timed out makes room and is kept as ended; if none has, a new one is not tracked yet. The ended ones are bounded over all VMs, which they were not.

--- a/packages/core/src/members/incarnation-history.ts
+++ b/packages/core/src/members/incarnation-history.ts
@@ -1,14 +1,24 @@
 import type * as ids from '../model/ids.js';
 import * as memberRecord from './member-record.js';
 
+/** An incarnation that no record has shown. */
+type UnseenIncarnation = {
+	readonly vm: ids.VmId;
+	readonly incarnation: ids.Incarnation;
+	/** Time of the first query, in milliseconds. */
+	readonly queriedAt: number;
+};
+
 const maxEndedPerVm = 8;
+/** Number of VMs whose ended incarnations are kept; ten times the largest fleet. */
+const maxVmsWithEnded = 4200;
 const maxUnseenIncarnations = 4096;
 
 /** Tracks which incarnations of each VM have ended. */
 export class IncarnationHistory {
 	private readonly endedIncarnations = new Map<ids.VmId, ids.Incarnation[]>();
-	/** First `hasEnded` query, in milliseconds, for each incarnation that no record has shown; keyed by `vm/incarnation`. */
-	private readonly unseenQueriedAt = new Map<string, number>();
+	/** Incarnations that no record has shown, by `vm/incarnation`; the one that was queried first comes first. */
+	private readonly unseen = new Map<string, UnseenIncarnation>();
 
 	constructor(private readonly unseenTimeoutMs: number) {}
 
@@ -19,8 +29,11 @@
 			return;
 		}
 
-		list.push(incarnation);
-		this.endedIncarnations.set(vm, list.slice(-maxEndedPerVm));
+		this.endedIncarnations.delete(vm);
+		this.endedIncarnations.set(vm, [...list, incarnation].slice(-maxEndedPerVm));
+		if (this.endedIncarnations.size > maxVmsWithEnded) {
+			this.endedIncarnations.delete(this.endedIncarnations.keys().next().value!);
+		}
 	}
 
 	/**
@@ -41,21 +54,30 @@
 			return true;
 		}
 
-		return this.unseenDurationMs(`${vm}/${incarnation}`, now) >= this.unseenTimeoutMs;
+		const unseen = this.unseen.get(`${vm}/${incarnation}`);
+		if (unseen === undefined) {
+			this.trackUnseen({vm, incarnation, queriedAt: now});
+			return false;
+		}
+
+		return now - unseen.queriedAt >= this.unseenTimeoutMs;
 	}
 
-	private unseenDurationMs(key: string, now: number): number {
-		const first = this.unseenQueriedAt.get(key);
-		if (first !== undefined) {
-			return now - first;
-		}
+	/**
+	 * Starts the timeout of an incarnation. If too many are tracked, the first one that has timed out makes room and is kept as
+	 * ended; if none has, the new one is not tracked yet, since an eviction would restart the timeout of another.
+	 */
+	private trackUnseen(unseen: UnseenIncarnation): void {
+		if (this.unseen.size >= maxUnseenIncarnations) {
+			const [key, first] = this.unseen.entries().next().value!;
+			if (unseen.queriedAt - first.queriedAt < this.unseenTimeoutMs) {
+				return;
+			}
 
-		if (this.unseenQueriedAt.size >= maxUnseenIncarnations) {
-			const [oldest] = this.unseenQueriedAt.keys();
-			this.unseenQueriedAt.delete(oldest!);
+			this.unseen.delete(key);
+			this.recordEnd(first.vm, first.incarnation);
 		}
 
-		this.unseenQueriedAt.set(key, now);
-		return 0;
+		this.unseen.set(`${unseen.vm}/${unseen.incarnation}`, unseen);
 	}
 }
