--- a/packages/core/src/endpoints/endpoint-table.ts
+++ b/packages/core/src/endpoints/endpoint-table.ts
@@ -98,6 +98,8 @@
 	/** Applies a notice from another router that an incarnation of an endpoint is shutting down. */
 	applyLeavingNotice(endpoint: ids.EndpointId, incarnation: ids.Incarnation, now: number): void {
 		const {leavingNotices: notices} = this.getOrCreateEntry(endpoint);
+		// A renewed notice becomes the newest one.
+		notices.delete(incarnation);
 		notices.set(incarnation, now);
 		if (notices.size > maxEndedIncarnations) {
 			const [oldest] = notices.keys();
--- a/packages/core/tests/endpoints/endpoint-table.test.ts
+++ b/packages/core/tests/endpoints/endpoint-table.test.ts
@@ -18,6 +18,16 @@
 		chai.expect(table.stateOf('e', 140).incarnation).to.equal('i2');
 	});
 
+	it('keeps a leaving notice that was renewed last when there are too many', () => {
+		const table = new endpoints.EndpointTable();
+		table.applyReport('e', report('i1', 1), 0);
+		for (const incarnation of ['i1', 'i2', 'i3', 'i4', 'i1', 'i5']) {
+			table.applyLeavingNotice('e', incarnation, 0);
+		}
+
+		chai.expect(table.stateOf('e', 0).leaving).to.equal(true);
+	});
+
 	it('applies a leaving notice to its incarnation only, and only while it is renewed', () => {
 		const table = new endpoints.EndpointTable();
 		table.applyReport('e', report('i1', 1), 0);
