--- a/packages/router/tests/peers/tcp-peer-network.test.ts
+++ b/packages/router/tests/peers/tcp-peer-network.test.ts
@@ -101,11 +101,12 @@
 		chai.expect(received.sort()).to.deep.equal(['a>b:x', 'a>c:x', 'b>a:x', 'b>c:x', 'c>a:x', 'c>b:x']);
 	});
 
-	it('replaces a silent link by a new one', async () => {
-		const b = await startNetwork('b', () => [], {closeMs: 60_000});
+	/** Starts two routers, silences the link between them, and waits until one of them judges it silent. */
+	async function startWithSilentLink(clock: router.clock.Clock) {
+		const b = await startNetwork('b', () => [], {closeMs: 60_000, clock});
 		const proxy = new TcpProxy(() => b.port);
 		await listenRaw(proxy.server);
-		const a = await startNetwork('a', () => [{host, port: proxy.port, vm: 'b'}], {closeMs: 60_000});
+		const a = await startNetwork('a', () => [{host, port: proxy.port, vm: 'b'}], {closeMs: 60_000, clock});
 		await waitUntil(() => a.connectedVms().length === 1 && b.connectedVms().length === 1);
 		const received: string[] = [];
 		b.on(wire.peer.PeerMessageType.Usage, (_, message) => {
@@ -113,6 +114,11 @@
 		});
 		proxy.dropTraffic();
 		await waitUntil(() => a.connectedVms().length === 0);
+		return {a, received};
+	}
+
+	it('replaces a silent link by a new one', async () => {
+		const {a, received} = await startWithSilentLink(new router.clock.SystemClock());
 		await waitUntil(() => a.send('b', {type: wire.peer.PeerMessageType.Usage, text: 'again'} as TextMessage));
 		await waitUntil(() => received.length > 0);
 		chai.expect(received).to.include('again');
@@ -121,18 +127,7 @@
 	it('keeps a link silent that was silent before the process paused', async () => {
 		const steadyClock = new router.clock.SystemClock();
 		let pausedMs = 0;
-		const clock = {now: () => steadyClock.now() + pausedMs};
-		const b = await startNetwork('b', () => [], {closeMs: 60_000, clock});
-		const proxy = new TcpProxy(() => b.port);
-		await listenRaw(proxy.server);
-		const a = await startNetwork('a', () => [{host, port: proxy.port, vm: 'b'}], {closeMs: 60_000, clock});
-		await waitUntil(() => a.connectedVms().length === 1 && b.connectedVms().length === 1);
-		const received: string[] = [];
-		b.on(wire.peer.PeerMessageType.Usage, (_, message) => {
-			received.push((message as TextMessage).text);
-		});
-		proxy.dropTraffic();
-		await waitUntil(() => a.connectedVms().length === 0);
+		const {a, received} = await startWithSilentLink({now: () => steadyClock.now() + pausedMs});
 		pausedMs += 3 * shortTimeouts.heartbeatMs;
 		await waitUntil(() => a.send('b', {type: wire.peer.PeerMessageType.Usage, text: 'again'} as TextMessage));
 		await waitUntil(() => received.length > 0);
