Log the time left of requests on replaced weights, and how old a version may be

Whether a request waited longer in its engine than the margin allowed, or its VM counted the limit from too late a time, looked the same in the log and in the metrics.

Change: request_sent has startWithinMs, weight_target_seen has maxAgeMs (the time since the call that delivered all earlier changes), and a histogram shows the margins. The feed tells its listeners since when a change can have been written.

--- a/packages/core/src/log/log-event.ts
+++ b/packages/core/src/log/log-event.ts
@@ -88,7 +88,11 @@
 	[LogEvent.CacheStoreReset]: {readonly address: string; readonly isRestarted: boolean};
 	[LogEvent.StoreEntryInvalid]: {readonly key: string; readonly findings: string};
 	[LogEvent.ConfigAccepted]: {readonly version: number; readonly routes: number};
-	[LogEvent.WeightTargetSeen]: {readonly model: string; readonly version: number};
+	[LogEvent.WeightTargetSeen]: {
+		readonly model: string; readonly version: number;
+		/** Milliseconds before which the version can't have been named, as counted by this VM; absent if it was named before the first read. */
+		readonly maxAgeMs?: number;
+	};
 	[LogEvent.RolloutPlanSeen]: {readonly revision: number; readonly fence: number; readonly loading: string};
 	[LogEvent.RolloutPlanWritten]: {readonly revision: number; readonly fence: number; readonly steps: number};
 	[LogEvent.OrderSent]: {
@@ -112,6 +116,8 @@
 		readonly send: number;
 		/** Version of the weights that the endpoint is told to use. */
 		readonly weights?: number;
+		/** Milliseconds until the request may no longer start on these weights; absent for the newest ones. */
+		readonly startWithinMs?: number;
 		readonly costMs: number; readonly backlogMs: number; readonly prefill: number;
 		/** Number of requests of this VM in flight at the endpoint. */
 		readonly active: number;
--- a/packages/gateway/src/call/attempt-recorder.ts
+++ b/packages/gateway/src/call/attempt-recorder.ts
@@ -42,6 +42,7 @@
 			endpoint,
 			send: number,
 			weights: placement.weightVersion,
+			startWithinMs: roundFinite(placement.choice.candidate.startWithinMs),
 			costMs: Math.round(placement.choice.costMs),
 			backlogMs: Math.round(placement.choice.backlogMs),
 			prefill: placement.choice.prefillTokens,
@@ -127,3 +128,8 @@
 		}
 	}
 }
+
+/** Returns a finite number rounded, or `undefined`. */
+function roundFinite(value: number): number | undefined {
+	return Number.isFinite(value) ? Math.round(value) : undefined;
+}
--- a/packages/gateway/src/controllers/endpoint-controller.ts
+++ b/packages/gateway/src/controllers/endpoint-controller.ts
@@ -24,7 +24,7 @@
 export class EndpointController implements storeFeed.StoreFeedListener {
 	constructor(private readonly dependencies: EndpointControllerDependencies) {}
 
-	onSnapshot(entries: readonly clients.kv.KvEntry[], maybeLapsed: boolean): void {
+	onSnapshot(entries: readonly clients.kv.KvEntry[], {maybeLapsed}: storeFeed.ReadContext): void {
 		const listed = entries.map(entry => this.#decode(entry)).filter(entry => entry !== undefined);
 		for (const entry of listed) {
 			this.#logChange(entry);
@@ -34,7 +34,7 @@
 		this.#dropUnlisted();
 	}
 
-	onChange(change: clients.kv.KvChange, maybeLapsed: boolean): void {
+	onChange(change: clients.kv.KvChange, {maybeLapsed}: storeFeed.ReadContext): void {
 		const {decoder, fleet, clock, log} = this.dependencies;
 		if (change.entry !== undefined) {
 			this.#put(change.entry);
--- a/packages/gateway/src/controllers/operator-controller.ts
+++ b/packages/gateway/src/controllers/operator-controller.ts
@@ -24,17 +24,17 @@
 
 	constructor(private readonly dependencies: OperatorControllerDependencies) {}
 
-	onSnapshot(entries: readonly clients.kv.KvEntry[]): void {
+	onSnapshot(entries: readonly clients.kv.KvEntry[], context: storeFeed.ReadContext): void {
 		for (const entry of entries) {
-			this.#applyEntry(entry);
+			this.#applyEntry(entry, context);
 		}
 
 		this.#hasSnapshot = true;
 	}
 
-	onChange(change: clients.kv.KvChange): void {
+	onChange(change: clients.kv.KvChange, context: storeFeed.ReadContext): void {
 		if (change.entry !== undefined) {
-			this.#applyEntry(change.entry);
+			this.#applyEntry(change.entry, context);
 		}
 	}
 
@@ -42,7 +42,7 @@
 		this.dependencies.config.confirm(startedAt);
 	}
 
-	#applyEntry(entry: clients.kv.KvEntry): void {
+	#applyEntry(entry: clients.kv.KvEntry, context: storeFeed.ReadContext): void {
 		const {decoder, log} = this.dependencies;
 		const item = decoder.decode(entry);
 		switch (item.type) {
@@ -52,7 +52,7 @@
 			}
 
 			case ports.StoreEntryType.WeightTarget: {
-				this.#applyTarget(item.model, item.version);
+				this.#applyTarget(item.model, item.version, context);
 				break;
 			}
 
@@ -75,12 +75,15 @@
 		}
 	}
 
-	#applyTarget(model: string, version: number): void {
+	#applyTarget(model: string, version: number, {changedSince}: storeFeed.ReadContext): void {
 		const {targets} = this.dependencies.fleet;
-		const now = this.dependencies.clock.monotonicNow();
+		const {clock} = this.dependencies;
+		const now = clock.monotonicNow();
 		const isNewest = this.#hasSnapshot ? targets.observe(model, version, now) : targets.addReported(model, version, now);
 		if (isNewest) {
-			this.dependencies.log.write(eventLog.LogEvent.WeightTargetSeen, {model, version});
+			this.dependencies.log.write(eventLog.LogEvent.WeightTargetSeen, {
+				model, version, maxAgeMs: Number.isFinite(changedSince) ? Math.round(clock.suspendAwareNow() - changedSince) : undefined,
+			});
 		}
 	}
 }
--- a/packages/gateway/src/controllers/prefix-listeners.ts
+++ b/packages/gateway/src/controllers/prefix-listeners.ts
@@ -11,16 +11,16 @@
 export class PrefixListeners implements storeFeed.StoreFeedListener {
 	constructor(private readonly listeners: readonly PrefixListener[]) {}
 
-	onSnapshot(entries: readonly clients.kv.KvEntry[], maybeLapsed: boolean): void {
+	onSnapshot(entries: readonly clients.kv.KvEntry[], context: storeFeed.ReadContext): void {
 		for (const {prefix, listener} of this.listeners) {
-			listener.onSnapshot(entries.filter(entry => entry.key.startsWith(prefix)), maybeLapsed);
+			listener.onSnapshot(entries.filter(entry => entry.key.startsWith(prefix)), context);
 		}
 	}
 
-	onChange(change: clients.kv.KvChange, maybeLapsed: boolean): void {
+	onChange(change: clients.kv.KvChange, context: storeFeed.ReadContext): void {
 		for (const {prefix, listener} of this.listeners) {
 			if (change.key.startsWith(prefix)) {
-				listener.onChange(change, maybeLapsed);
+				listener.onChange(change, context);
 			}
 		}
 	}
--- a/packages/gateway/src/controllers/store-feed.ts
+++ b/packages/gateway/src/controllers/store-feed.ts
@@ -4,15 +4,22 @@
 import type * as clocks from '../util/clocks.js';
 import * as eventLog from '../util/event-log.js';
 
-/** Receives the entries and changes that a {@link StoreFeed} reads. */
-export interface StoreFeedListener { // eslint-disable-line @typescript-eslint/consistent-type-definitions
+/** Circumstances of a read of the store. */
+export type ReadContext = {
+	/** Whether the store was unavailable shortly before, so that entries of live writers may have expired. */
+	readonly maybeLapsed: boolean;
 	/**
-	 * Called with all entries under the prefix.
-	 *
-	 * @param maybeLapsed - Whether the store was unavailable shortly before, so that entries of live writers may have expired.
+	 * When the call before began that delivered all earlier changes, in milliseconds of a clock that also counts the time that the VM was
+	 * suspended; what this read shows as new was written later. `-Infinity` for the first read.
 	 */
-	onSnapshot(entries: readonly clients.kv.KvEntry[], maybeLapsed: boolean): void;
-	onChange(change: clients.kv.KvChange, maybeLapsed: boolean): void;
+	readonly changedSince: number;
+};
+
+/** Receives the entries and changes that a {@link StoreFeed} reads. */
+export interface StoreFeedListener { // eslint-disable-line @typescript-eslint/consistent-type-definitions
+	/** Called with all entries under the prefix. */
+	onSnapshot(entries: readonly clients.kv.KvEntry[], context: ReadContext): void;
+	onChange(change: clients.kv.KvChange, context: ReadContext): void;
 	/**
 	 * Called when all changes from before a call of the store were delivered.
 	 *
@@ -55,6 +62,8 @@
 export class StoreFeed {
 	#revision: number | undefined;
 	#lastFailureAt = -Infinity;
+	/** When the last successful call began, in milliseconds of the clock that counts suspensions. */
+	#confirmedAt = -Infinity;
 	#retryDelayMs: number;
 	#isStopped = false;
 	/** Whether the last poll ended before its longest wait, since there were changes. */
@@ -93,6 +102,7 @@
 		const failure = revision === undefined ? await this.#readSnapshot() : await this.#poll(revision);
 		if (failure === undefined) {
 			this.#recordSuccess();
+			this.#confirmedAt = startedAt;
 			this.dependencies.listener.onConfirmed?.(startedAt);
 			return true;
 		}
@@ -110,7 +120,7 @@
 		const snapshot = await this.dependencies.store.snapshot(this.dependencies.prefix);
 		return core.util.matchEither(snapshot, failure => failure, read => {
 			this.#revision = read.revision;
-			this.dependencies.listener.onSnapshot(read.entries, this.#maybeLapsed());
+			this.dependencies.listener.onSnapshot(read.entries, this.#context());
 			return undefined;
 		});
 	}
@@ -120,16 +130,20 @@
 		return core.util.matchEither(polled, failure => failure, read => {
 			this.#revision = Math.max(revision, read.revision);
 			this.#hasFoundChanges = read.changes.length > 0;
+			const context = this.#context();
 			for (const change of read.changes) {
-				this.dependencies.listener.onChange(change, this.#maybeLapsed());
+				this.dependencies.listener.onChange(change, context);
 			}
 
 			return undefined;
 		});
 	}
 
-	#maybeLapsed(): boolean {
-		return this.dependencies.clock.monotonicNow() - this.#lastFailureAt < this.options.lapseWindowMs;
+	#context(): ReadContext {
+		return {
+			maybeLapsed: this.dependencies.clock.monotonicNow() - this.#lastFailureAt < this.options.lapseWindowMs,
+			changedSince: this.#confirmedAt,
+		};
 	}
 
 	#recordSuccess(): void {
--- a/packages/gateway/src/metrics/event-metrics.ts
+++ b/packages/gateway/src/metrics/event-metrics.ts
@@ -22,6 +22,7 @@
 	readonly #attempts: prometheus.Counter;
 	readonly #faults: prometheus.Counter;
 	readonly #orders: prometheus.Counter;
+	readonly #startMargins: prometheus.Histogram;
 
 	/** @param next - Log to which all events are passed on. */
 	constructor(private readonly next: eventLog.EventLog, registry: prometheus.Registry) {
@@ -47,6 +48,12 @@
 		this.#orders = new prometheus.Counter({
 			name: 'bluebellmast_orders_total', help: 'Orders to load weights, by outcome.', labelNames: ['outcome'], registers,
 		});
+		this.#startMargins = new prometheus.Histogram({
+			name: 'bluebellmast_replaced_weights_margin_seconds',
+			help: 'Time left until a request may no longer start, when it was sent to an engine with replaced weights.',
+			buckets: secondsBuckets,
+			registers,
+		});
 	}
 
 	write<Event extends core.log.LogEvent>(event: Event, fields: core.log.LogFieldsByEvent[Event]): void {
@@ -66,6 +73,9 @@
 
 		if (logged.event === logEvents.RequestSent) {
 			this.#attempts.inc({type: logged.fields.send === 1 ? 'first' : 'repeat'});
+			if (logged.fields.startWithinMs !== undefined) {
+				this.#startMargins.observe(logged.fields.startWithinMs / msPerSecond);
+			}
 		}
 
 		if (logged.event === logEvents.AttemptFailed) {
--- a/packages/gateway/tests/controllers/store-feed.test.ts
+++ b/packages/gateway/tests/controllers/store-feed.test.ts
@@ -52,10 +52,10 @@
 		prefix: '',
 		pollPauseMs,
 		listener: {
-			onSnapshot(entries, maybeLapsed) {
+			onSnapshot(entries, {maybeLapsed}) {
 				received.push(`snapshot ${entries.length} ${maybeLapsed}`);
 			},
-			onChange(change, maybeLapsed) {
+			onChange(change, {maybeLapsed}) {
 				received.push(`change ${change.key} ${change.entry === undefined ? 'removed' : 'put'} ${maybeLapsed}`);
 			},
 			onConfirmed(startedAt) {
