--- /dev/null
+++ b/packages/gateway/tests/placement/replaced-weights-limit.test.ts
@@ -0,0 +1,124 @@
+import * as buffer from 'node:buffer';
+import * as core from '@bluebellmast/core';
+import * as chai from 'chai';
+import * as gateway from '@bluebellmast/gateway';
+
+const {expect} = chai;
+const maxOutdatedWeightsMs = 6000;
+const poolName = 'llm';
+const engine: core.fleet.EndpointEntry = {
+	id: 'engine-1',
+	bornAt: 1,
+	pool: poolName,
+	address: '10.0.0.1:80',
+	dataCentre: 'dc-a',
+	slots: 64,
+	state: core.fleet.EndpointState.Ready,
+	weights: new Map([['m', 1]]),
+};
+
+/** A VM with one engine that keeps version 1 of the weights, in virtual time. */
+class VmWithOldEngine {
+	now = 0;
+	/** Time that the VM was suspended, in milliseconds. */
+	suspendedMs = 0;
+	readonly fleet = new gateway.placement.FleetState();
+	readonly #clock: gateway.util.Clocks = {
+		monotonicNow: () => this.now,
+		suspendAwareNow: () => this.now + this.suspendedMs,
+		wallNow: () => this.now + this.suspendedMs,
+	};
+
+	readonly #operator = new gateway.controllers.OperatorController({
+		decoder: {
+			prefixes: {operator: 'op/', endpoints: 'servers/'},
+			decode: entry => ({type: gateway.ports.StoreEntryType.WeightTarget, model: 'm', version: entry.revision}),
+			endpointIdOf: () => undefined,
+		},
+		config: new core.routing.ConfigState(),
+		fleet: this.fleet,
+		clock: this.#clock,
+		log: {
+			write() {}, // eslint-disable-line @typescript-eslint/no-empty-function -- The log is not under test.
+		},
+		onConfigAccepted() {}, // eslint-disable-line @typescript-eslint/no-empty-function -- No configuration arrives.
+	});
+
+	readonly #placer = new gateway.placement.EndpointPlacer(this.fleet, {
+		dataCentre: 'dc-a', maxOutdatedWeightsMs, costs: core.fleet.defaultPlacementCosts, admission: core.fleet.defaultAdmissionLimits,
+	});
+
+	constructor() {
+		this.fleet.registry.put(engine, 0);
+		this.#operator.onSnapshot([entryOf(1)], {maybeLapsed: false, changedSince: -Infinity});
+	}
+
+	/** Reads from the store that a version was named, by a call that came `unconfirmedMs` after the last one that delivered all changes. */
+	readNamedVersion(version: number, unconfirmedMs: number): void {
+		const changedSince = this.#clock.suspendAwareNow() - unconfirmedMs;
+		this.#operator.onChange({key: 'op/version/m', entry: entryOf(version)}, {maybeLapsed: false, changedSince});
+	}
+
+	/** Whether a request is placed at the engine. */
+	places(): boolean {
+		return this.#placer.place(createRequest(), poolName, new Set(), this.#clock.monotonicNow()) !== undefined;
+	}
+
+	/** Whether a request that waits in the engine is taken back. */
+	takesBack(): boolean {
+		const placement = {weightVersion: 1} as unknown as gateway.placement.Placement;
+		return this.#placer.mustTakeBack(createRequest(), placement, this.#clock.monotonicNow());
+	}
+}
+
+function entryOf(version: number): {key: string; value: Uint8Array; revision: number} {
+	return {key: 'op/version/m', value: buffer.Buffer.from(''), revision: version};
+}
+
+function createRequest(): gateway.call.RoutedRequest {
+	const engineSpec = {
+		slots: 64, memoryTokens: 100_000, bytesPerToken: 1000, linkMbps: 1000, models: ['m'],
+	};
+	const table = {
+		config: {cacheStores: []},
+		findPool: () => ({name: poolName, connectionLimit: 100, engine: engineSpec}),
+	};
+	const prompt = {
+		model: 'm', promptTokens: 300, maxOutputTokens: 10, parts: [{id: 'question', tokens: 300}],
+	};
+	return {table, head: {prompt}, route: {priority: 0, targetLatencyMs: 500}} as unknown as gateway.call.RoutedRequest;
+}
+
+describe('limit on starts on replaced weights', () => {
+	// Guards against a start after the limit: the request waits longer in its engine than was left when it was sent.
+	it('takes a request back that waits in its engine until the limit is near', () => {
+		const vm = new VmWithOldEngine();
+		vm.now = 3012;
+		vm.readNamedVersion(2, 10);
+		vm.now = 7744;
+		expect(vm.places()).to.equal(true);
+		vm.now = 9012 - 400;
+		expect(vm.takesBack()).to.equal(true);
+	});
+
+	// Guards against a limit that counts from when a VM read the version, although its calls to the store had failed until then.
+	it('counts from the last confirmed read if the new version was read late', () => {
+		const vm = new VmWithOldEngine();
+		vm.now = 10_000;
+		vm.readNamedVersion(2, 5500);
+		expect(vm.places()).to.equal(false);
+		expect(vm.takesBack()).to.equal(true);
+	});
+
+	// Guards against a limit on a clock that stands still while the VM is suspended.
+	it('counts the time for which the VM was suspended', () => {
+		const vm = new VmWithOldEngine();
+		vm.now = 1000;
+		vm.readNamedVersion(2, 10);
+		vm.now = 1500;
+		expect(vm.places()).to.equal(true);
+		vm.suspendedMs = 5500;
+		expect(vm.places()).to.equal(false);
+		expect(vm.takesBack()).to.equal(true);
+	});
+});
