Count the limit on starts on replaced weights while the VM is suspended

Callers saw answers of replaced weights after their limit. Cause: the time since a version was named was counted on the monotonic clock, which stands still while a VM is suspended, so that the limit came later by the length of the suspension.

Change: WeightTargets keeps its times on the clock that includes suspensions, for the placement, for requests that are taken back, and for the times that VMs exchange in the roll-out plan. Placement takes one moment on both clocks. Evidence: 'counts the time for which the VM was suspended' failed before and passes. If the wall clock is set forward during a roll-out, engines with replaced weights are left earlier; that errs on the safe side.

--- a/packages/core/src/rollout/weight-targets.ts
+++ b/packages/core/src/rollout/weight-targets.ts
@@ -11,7 +11,10 @@
 /** Number of newest versions per model that are published for VMs that start later. */
 const sharedVersionsPerModel = 4;
 
-/** Weights versions that the operator named, with the times at which they were first seen. */
+/**
+ * Weights versions that the operator named, with the times at which they were first seen. All times are of a clock that also
+ * counts the time that the VM was suspended.
+ */
 export class WeightTargets {
 	readonly #targets = new Map<string, TargetVersion[]>();
 
--- a/packages/gateway/src/call/endpoint-finder.ts
+++ b/packages/gateway/src/call/endpoint-finder.ts
@@ -1,5 +1,6 @@
 import type * as core from '@bluebellmast/core';
 import type * as endpointPlacer from '../placement/endpoint-placer.js';
+import * as clocks from '../util/clocks.js';
 import * as eventLog from '../util/event-log.js';
 import type * as requestContext from './request-context.js';
 import type * as requestDispatcher from './request-dispatcher.js';
@@ -41,7 +42,7 @@
 		const now = this.dependencies.clock.monotonicNow();
 		const candidate = this.place();
 		if (candidate === undefined) {
-			return {placement: undefined, retryAfterMs: refusals.noEndpointRetryAfterMs, inputs: this.dependencies.placer.describePool(this.request, pool, now)};
+			return {placement: undefined, retryAfterMs: refusals.noEndpointRetryAfterMs, inputs: this.#describePool(pool)};
 		}
 
 		if (candidate.hasCapacity) {
@@ -85,6 +86,10 @@
 		return outcome === requestQueue.WaitOutcome.CapacityAvailable ? found : undefined;
 	}
 
+	#describePool(pool: core.routing.PoolName): core.log.RefusalInputs {
+		return this.dependencies.placer.describePool(this.request, pool, clocks.readInstant(this.dependencies.clock));
+	}
+
 	#createWaitingRequest(placement: endpointPlacer.Placement): core.fleet.WaitingRequest {
 		return {
 			priority: placement.enginePriority ?? 0,
--- a/packages/gateway/src/call/request-dispatcher.ts
+++ b/packages/gateway/src/call/request-dispatcher.ts
@@ -51,7 +51,7 @@
 	}
 
 	/** Aborts the attempts that have not started on weights that may soon no longer be used. */
-	abortOutdatedAttempts(now: number): void {
+	abortOutdatedAttempts(now: clocks.Instant): void {
 		for (const forwarder of this.#forwarders) {
 			forwarder.abortOutdatedAttempt(now);
 		}
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -2,6 +2,7 @@
 import * as endpoints from '../endpoints/index.js';
 import type * as endpointPlacer from '../placement/endpoint-placer.js';
 import type * as ports from '../ports/index.js';
+import * as clocks from '../util/clocks.js';
 import * as responseRelay from './response-relay.js';
 import * as responseTimer from './response-timer.js';
 import * as attemptRecorder from './attempt-recorder.js';
@@ -108,7 +109,7 @@
 	}
 
 	/** Aborts the current attempt if it has not started and the weights of its endpoint may soon no longer be used. */
-	abortOutdatedAttempt(now: number): void {
+	abortOutdatedAttempt(now: clocks.Instant): void {
 		const last = this.#attempts.at(-1);
 		const isWaiting = last !== undefined && last.end === undefined && !last.hasResponseStarted;
 		if (isWaiting && this.dependencies.placer.mustTakeBack(this.request, last.placement, now)) {
@@ -165,8 +166,8 @@
 
 	/** Chooses an endpoint; one at which the request failed is chosen again only if there is no other. */
 	#place(): endpointPlacer.Placement | undefined {
-		const now = this.dependencies.clock.monotonicNow();
-		const {placer} = this.dependencies;
+		const {placer, clock} = this.dependencies;
+		const now = clocks.readInstant(clock);
 		return placer.place(this.request, this.#pool, this.#failedEndpoints, now)
 			?? (this.#failedEndpoints.size > 0 ? placer.place(this.request, this.#pool, new Set(), now) : undefined);
 	}
--- a/packages/gateway/src/controllers/coordination-controller.ts
+++ b/packages/gateway/src/controllers/coordination-controller.ts
@@ -130,7 +130,7 @@
 		const previousPlan = this.fleet.plan;
 		this.fleet.plan = plan;
 		this.state.planSeenAt = this.clock.suspendAwareNow();
-		const clockOffsetMs = this.clock.monotonicNow() - this.clock.wallNow();
+		const clockOffsetMs = this.clock.suspendAwareNow() - this.clock.wallNow();
 		for (const {model, version, seenAt} of plan.named) {
 			this.fleet.targets.addReported(model, version, seenAt + clockOffsetMs);
 		}
--- a/packages/gateway/src/controllers/endpoint-controller.ts
+++ b/packages/gateway/src/controllers/endpoint-controller.ts
@@ -4,7 +4,7 @@
 import type * as endpoints from '../endpoints/index.js';
 import type * as fleetState from '../placement/fleet-state.js';
 import * as ports from '../ports/index.js';
-import type * as clocks from '../util/clocks.js';
+import * as clocks from '../util/clocks.js';
 import * as eventLog from '../util/event-log.js';
 import type * as storeFeed from './store-feed.js';
 
@@ -54,7 +54,7 @@
 		const {fleet, clock, dispatcher} = this.dependencies;
 		const now = clock.monotonicNow();
 		fleet.registry.removeExpired(now);
-		dispatcher.abortOutdatedAttempts(now);
+		dispatcher.abortOutdatedAttempts(clocks.readInstant(clock));
 		for (const endpoint of fleet.health.startDueChecks(id => fleet.peers.lastReceivedAt(id), now)) {
 			void this.#checkHealth(endpoint);
 		}
--- a/packages/gateway/src/controllers/operator-controller.ts
+++ b/packages/gateway/src/controllers/operator-controller.ts
@@ -78,11 +78,11 @@
 	#applyTarget(model: string, version: number, {changedSince}: storeFeed.ReadContext): void {
 		const {targets} = this.dependencies.fleet;
 		const {clock} = this.dependencies;
-		const now = clock.monotonicNow();
+		const now = clock.suspendAwareNow();
 		const isNewest = this.#hasSnapshot ? targets.observe(model, version, now) : targets.addReported(model, version, now);
 		if (isNewest) {
 			this.dependencies.log.write(eventLog.LogEvent.WeightTargetSeen, {
-				model, version, maxAgeMs: Number.isFinite(changedSince) ? Math.round(clock.suspendAwareNow() - changedSince) : undefined,
+				model, version, maxAgeMs: Number.isFinite(changedSince) ? Math.round(now - changedSince) : undefined,
 			});
 		}
 	}
--- a/packages/gateway/src/controllers/rollout-controller.ts
+++ b/packages/gateway/src/controllers/rollout-controller.ts
@@ -107,7 +107,7 @@
 	/** Lists the named versions with times of the wall clock, the only clock that the VMs share. */
 	#listNamedVersions(): core.rollout.NamedVersion[] {
 		const {fleet, clock} = this.dependencies;
-		const clockOffsetMs = clock.wallNow() - clock.monotonicNow();
+		const clockOffsetMs = clock.wallNow() - clock.suspendAwareNow();
 		return fleet.targets.list().map(({model, version, seenAt}) => ({model, version, seenAt: Math.round(seenAt + clockOffsetMs)}));
 	}
 
--- a/packages/gateway/src/placement/endpoint-placer.ts
+++ b/packages/gateway/src/placement/endpoint-placer.ts
@@ -1,6 +1,7 @@
 import * as core from '@bluebellmast/core';
 import type * as requestContext from '../call/request-context.js';
 import type * as ports from '../ports/index.js';
+import type * as clocks from '../util/clocks.js';
 import type * as fleetState from './fleet-state.js';
 
 /** Options of placement on this deployment. */
@@ -53,16 +54,16 @@
 		call: requestContext.RoutedRequest,
 		pool: core.routing.PoolName,
 		excluded: ReadonlySet<string>,
-		now: number,
+		now: clocks.Instant,
 	): Placement | undefined {
 		const usesEngine = call.table.findPool(pool)?.engine !== undefined && call.head.prompt !== undefined;
 		const candidates = this.fleet.registry.listReady(pool)
 			.filter(entry => !excluded.has(entry.id) && this.fleet.health.isResponsive(entry.id))
-			.filter(entry => !usesEngine || this.#canServe(entry, call.head.prompt.model, now))
-			.map(entry => this.#createCandidate(entry, call, usesEngine, now));
+			.filter(entry => !usesEngine || this.#canServe(entry, call.head.prompt.model, now.suspendAware))
+			.map(entry => this.#createCandidate(entry, call, usesEngine, now.suspendAware));
 		const view: core.fleet.PlacementView = {...this.fleet, costs: this.options.costs};
-		const choice = core.fleet.chooseEndpoint(candidates, this.#requirementsOf(call, usesEngine), view, now);
-		return choice === undefined ? undefined : this.#createPlacement(call, choice, usesEngine, now);
+		const choice = core.fleet.chooseEndpoint(candidates, this.#requirementsOf(call, usesEngine), view, now.monotonic);
+		return choice === undefined ? undefined : this.#createPlacement(call, choice, usesEngine, now.monotonic);
 	}
 
 	/** Decides whether a request may wait until an engine of its pool has capacity for it. */
@@ -74,13 +75,13 @@
 	}
 
 	/** Returns whether a request that was sent but has not started must be taken back, since its weights may soon no longer be used. */
-	mustTakeBack(call: requestContext.RoutedRequest, placement: Placement, now: number): boolean {
+	mustTakeBack(call: requestContext.RoutedRequest, placement: Placement, now: clocks.Instant): boolean {
 		return placement.weightVersion !== undefined
-			&& core.rollout.mustTakeBack(this.#startWithinMs(call.head.prompt!.model, placement.weightVersion, now));
+			&& core.rollout.mustTakeBack(this.#startWithinMs(call.head.prompt!.model, placement.weightVersion, now.suspendAware));
 	}
 
 	/** Counts the endpoints of a pool by why they get no requests, for the log. */
-	describePool(call: requestContext.RoutedRequest, pool: core.routing.PoolName, now: number): core.log.RefusalInputs {
+	describePool(call: requestContext.RoutedRequest, pool: core.routing.PoolName, now: clocks.Instant): core.log.RefusalInputs {
 		const ready = this.fleet.registry.listReady(pool);
 		const responsive = ready.filter(entry => this.fleet.health.isResponsive(entry.id));
 		const model = call.head.prompt?.model;
@@ -88,10 +89,11 @@
 			ready: ready.length,
 			responsive: responsive.length,
 			loading: responsive.filter(entry => core.rollout.isLoading(this.fleet.plan, entry.id)).length,
-			serving: model === undefined ? undefined : responsive.filter(entry => this.#canServe(entry, model, now)).length,
+			serving: model === undefined ? undefined : responsive.filter(entry => this.#canServe(entry, model, now.suspendAware)).length,
 		};
 	}
 
+	/** @param now - Milliseconds of the clock that includes suspensions. */
 	#canServe(entry: core.fleet.EndpointEntry, model: string, now: number): boolean {
 		const version = this.fleet.registry.weightVersion(entry.id, model);
 		if (version === undefined || core.rollout.isLoading(this.fleet.plan, entry.id)) {
@@ -101,6 +103,7 @@
 		return core.rollout.canStartInTime(this.#startWithinMs(model, version, now), 0);
 	}
 
+	/** @param now - Milliseconds of the clock that includes suspensions. */
 	#createCandidate(
 		entry: core.fleet.EndpointEntry,
 		call: requestContext.RoutedRequest,
@@ -123,6 +126,7 @@
 		};
 	}
 
+	/** @param now - Milliseconds of the clock that includes suspensions. */
 	#startWithinMs(model: string, version: number, now: number): number {
 		return this.fleet.targets.startWithinMs(model, version, this.options.maxOutdatedWeightsMs, now);
 	}
--- a/packages/gateway/src/util/clocks.ts
+++ b/packages/gateway/src/util/clocks.ts
@@ -13,6 +13,19 @@
 	wallNow(): number;
 };
 
+/** One moment on both clocks of durations, in milliseconds. */
+export type Instant = {
+	/** By the monotonic clock, which does not advance while the VM is suspended. */
+	readonly monotonic: number;
+	/** By the clock that includes suspensions. */
+	readonly suspendAware: number;
+};
+
+/** Reads both clocks of durations. */
+export function readInstant(clock: Clocks): Instant {
+	return {monotonic: clock.monotonicNow(), suspendAware: clock.suspendAwareNow()};
+}
+
 /** Jump of the wall clock above which a suspension is assumed, in milliseconds; larger than any slewing. */
 const suspensionThresholdMs = 100;
 
--- a/packages/gateway/tests/placement/replaced-weights-limit.test.ts
+++ b/packages/gateway/tests/placement/replaced-weights-limit.test.ts
@@ -61,13 +61,13 @@
 
 	/** Whether a request is placed at the engine. */
 	places(): boolean {
-		return this.#placer.place(createRequest(), poolName, new Set(), this.#clock.monotonicNow()) !== undefined;
+		return this.#placer.place(createRequest(), poolName, new Set(), gateway.util.readInstant(this.#clock)) !== undefined;
 	}
 
 	/** Whether a request that waits in the engine is taken back. */
 	takesBack(): boolean {
 		const placement = {weightVersion: 1} as unknown as gateway.placement.Placement;
-		return this.#placer.mustTakeBack(createRequest(), placement, this.#clock.monotonicNow());
+		return this.#placer.mustTakeBack(createRequest(), placement, gateway.util.readInstant(this.#clock));
 	}
 }
 
