Count the limit on starts on replaced weights from the last confirmed read

Callers saw answers of replaced weights after their limit. Cause: a VM counted the limit from when it read the newer version. A VM whose calls to the store had failed or hung until then counted from too late a time; the time that the leader publishes did not help, since a VM's own time goes before it.

Change: a version that was read more than 2 s after the call that delivered all earlier changes began counts from that call.

--- a/packages/core/src/rollout/weight-targets.ts
+++ b/packages/core/src/rollout/weight-targets.ts
@@ -1,6 +1,6 @@
 type TargetVersion = {
 	readonly version: number;
-	/** When the version was first seen, in milliseconds. */
+	/** When the version was named, at the latest, in milliseconds. */
 	readonly seenAt: number;
 	/** Whether this VM saw the version when it was named, so that times from other VMs are ignored. */
 	readonly isObservedLocally: boolean;
@@ -10,6 +10,11 @@
 const maxVersionsPerModel = 50;
 /** Number of newest versions per model that are published for VMs that start later. */
 const sharedVersionsPerModel = 4;
+/**
+ * Longest time between two reads of the store without an interruption, in milliseconds. A version that was read in time counts from
+ * the read, one that was read later from the read before.
+ */
+const maxReadIntervalMs = 2000;
 
 /**
  * Weights versions that the operator named, with the times at which they were first seen. All times are of a clock that also
@@ -21,10 +26,12 @@
 	/**
 	 * Adds a version that this VM saw when it was named.
 	 *
+	 * @param namedSince - When the version was not named yet, as an earlier read of the store showed.
 	 * @returns Whether the version is newer than all known versions.
 	 */
-	observe(model: string, version: number, now: number): boolean {
-		return this.#add(model, {version, seenAt: now, isObservedLocally: true});
+	observe(model: string, version: number, namedSince: number, now: number): boolean {
+		const isReadInTime = now - namedSince <= maxReadIntervalMs;
+		return this.#add(model, {version, seenAt: isReadInTime ? now : namedSince, isObservedLocally: true});
 	}
 
 	/**
--- a/packages/core/tests/rollout/plan-rollout.test.ts
+++ b/packages/core/tests/rollout/plan-rollout.test.ts
@@ -100,9 +100,9 @@
 	// When the clock of the leader's VM is set back, versions seem to have been named long ago.
 	it('keeps the time at which this VM saw a version being named, regardless of the clocks of other VMs', () => {
 		const targets = new core.rollout.WeightTargets();
-		targets.observe('m', 4, 6000);
+		targets.observe('m', 4, 5900, 6000);
 		expect(targets.addReported('m', 4, -24_000)).to.equal(false);
-		expect(targets.observe('m', 4, 9000)).to.equal(false);
+		expect(targets.observe('m', 4, 8900, 9000)).to.equal(false);
 		expect(targets.outdatedForMs('m', 3, 6500)).to.equal(500);
 	});
 
--- a/packages/gateway/src/controllers/operator-controller.ts
+++ b/packages/gateway/src/controllers/operator-controller.ts
@@ -79,7 +79,7 @@
 		const {targets} = this.dependencies.fleet;
 		const {clock} = this.dependencies;
 		const now = clock.suspendAwareNow();
-		const isNewest = this.#hasSnapshot ? targets.observe(model, version, now) : targets.addReported(model, version, now);
+		const isNewest = this.#hasSnapshot ? targets.observe(model, version, changedSince, now) : targets.addReported(model, version, now);
 		if (isNewest) {
 			this.dependencies.log.write(eventLog.LogEvent.WeightTargetSeen, {
 				model, version, maxAgeMs: Number.isFinite(changedSince) ? Math.round(now - changedSince) : undefined,
