Lead again at once after a restart of the leader's process

Cause: the restarted process waited until the lease of its predecessor ended, and then for the time between orders of two leaders, counted from its own start, since it had first seen the plan then.

Change: a process whose VM holds the leader's key takes it over by its revision, since only one process of a VM runs; the plan names the VM that wrote it, and a leader whose own VM wrote the last plan need not wait. Fences still rise, since they are revisions of the key. Plans of older builds have no writer, and the wait is kept.

--- a/packages/core/src/rollout/rollout-plan.ts
+++ b/packages/core/src/rollout/rollout-plan.ts
@@ -28,6 +28,8 @@
 export type RolloutPlan = {
 	/** Fencing token of the leader that wrote the plan. */
 	readonly fence: number;
+	/** Name of the VM that wrote the plan; absent in plans of older builds. */
+	readonly writer?: string;
 	/** Increases each time the plan is published again to retry an order. */
 	readonly round: number;
 	readonly steps: readonly RolloutStep[];
--- a/packages/gateway/src/controllers/lease-controller.ts
+++ b/packages/gateway/src/controllers/lease-controller.ts
@@ -6,6 +6,7 @@
 import type * as coordinationController from './coordination-controller.js';
 import * as coordinationKeys from './coordination-keys.js';
 import * as leaderCodec from './leader-codec.js';
+import * as planCodec from './plan-codec.js';
 import * as renewedLease from './renewed-lease.js';
 
 /** Options of a VM's leases. */
@@ -211,19 +212,25 @@
 		}
 
 		this.#acquireAt = undefined;
+		await this.#acquireLeaderKey(0);
+	}
+
+	/** Requests a lease if there is none, and writes the leader's key; see {@link LeaseController.#writeLeaderKey}. */
+	async #acquireLeaderKey(expectedRevision: number): Promise<void> {
 		if (this.#leader.lease === undefined) {
 			await this.#leader.grant();
 		}
 
 		if (this.#leader.lease !== undefined && !this.#isStopping) {
-			await this.#writeLeaderKey(this.#leader.lease);
+			await this.#writeLeaderKey(this.#leader.lease, expectedRevision);
 		}
 	}
 
-	async #writeLeaderKey(lease: clients.kv.KvLease): Promise<void> {
+	/** @param expectedRevision - Revision of the leader's key that is replaced; 0 if there is none. */
+	async #writeLeaderKey(lease: clients.kv.KvLease, expectedRevision: number): Promise<void> {
 		const {store, clock, vm} = this.dependencies;
 		this.#leadership.beginAcquiring(clock.suspendAwareNow());
-		const swap = await store.compareAndSwap(coordinationKeys.leaderKey, 0, leaderCodec.encodeLeader({vm, leaseId: lease.id}), lease.id);
+		const swap = await store.compareAndSwap(coordinationKeys.leaderKey, expectedRevision, leaderCodec.encodeLeader({vm, leaseId: lease.id}), lease.id);
 		const result = swap.toMaybe().extract();
 		if (result?.swapped) {
 			await this.#beginLeading(result.revision);
@@ -243,20 +250,21 @@
 	}
 
 	/**
-	 * Begins to lead if this VM wrote the leader's key with its current lease but the response was lost; drops the lease if
-	 * another VM leads.
+	 * Begins to lead if this VM wrote the leader's key with its current lease but the response was lost, or with the lease of an
+	 * earlier process, which can't be alive; drops the lease if another VM leads.
 	 */
 	async #recoverLeadership(leader: coordinationController.ObservedLeader | undefined): Promise<void> {
-		const {lease} = this.#leader;
-		if (this.#leaderRevision !== 0 || leader === undefined || lease === undefined) {
+		if (this.#leaderRevision !== 0 || leader === undefined) {
 			return;
 		}
 
-		if (leader.vm === this.dependencies.vm && leader.leaseId === lease.id) {
+		if (leader.vm !== this.dependencies.vm) {
+			this.#leader.drop();
+		} else if (leader.leaseId === this.#leader.lease?.id) {
 			this.#leadership.beginAcquiring(this.dependencies.clock.suspendAwareNow());
 			await this.#beginLeading(leader.revision);
 		} else {
-			this.#leader.drop();
+			await this.#acquireLeaderKey(leader.revision);
 		}
 	}
 
@@ -270,10 +278,18 @@
 		log.write(eventLog.LogEvent.LeaderGained, {fence: revision, clearInMs: Math.round(Math.max(0, previousOrdersEndAt - now))});
 	}
 
-	/** Returns the latest time at which the last plan can have been published; `-Infinity` if there is none. */
+	/**
+	 * Returns the latest time at which another VM can have published the last plan; `-Infinity` if there is none, or if an earlier
+	 * process of this VM published it.
+	 */
 	async #latestOrderAt(): Promise<number> {
-		const {store, coordination, clock} = this.dependencies;
+		const {store, coordination, clock, vm} = this.dependencies;
 		const read = await store.get(coordinationKeys.rolloutPlanKey);
+		const isOwn = read.map(entry => entry !== undefined && planCodec.decodePlan(entry.value).writer === vm).orDefault(false);
+		if (isOwn) {
+			return -Infinity;
+		}
+
 		const isKnown = read.map(entry => (entry?.revision ?? 0) <= coordination.state.planRevision).orDefault(false);
 		return isKnown ? coordination.state.planSeenAt ?? -Infinity : clock.suspendAwareNow();
 	}
--- a/packages/gateway/src/controllers/plan-codec.ts
+++ b/packages/gateway/src/controllers/plan-codec.ts
@@ -3,6 +3,7 @@
 
 type PlanJson = {
 	readonly fence: number;
+	readonly writer?: string;
 	readonly round?: number;
 	readonly named?: ReadonlyArray<readonly [string, number, number]>;
 	readonly steps: ReadonlyArray<readonly [string, number, string, number, core.rollout.RolloutPhase]>;
@@ -12,6 +13,7 @@
 export function encodePlan(plan: core.rollout.RolloutPlan): Uint8Array {
 	const json: PlanJson = {
 		fence: plan.fence,
+		writer: plan.writer,
 		round: plan.round,
 		named: plan.named.map(item => [item.model, item.version, item.seenAt]),
 		steps: plan.steps.map(step => [step.endpoint, step.bornAt, step.model, step.version, step.phase]),
@@ -25,6 +27,7 @@
 		const json = JSON.parse(buffer.Buffer.from(value).toString()) as PlanJson;
 		return {
 			fence: json.fence,
+			writer: json.writer,
 			round: json.round ?? 0,
 			named: (json.named ?? []).map(([model, version, seenAt]) => ({model, version, seenAt})),
 			steps: json.steps.map(([endpoint, bornAt, model, version, phase]) => ({
--- a/packages/gateway/src/controllers/rollout-controller.ts
+++ b/packages/gateway/src/controllers/rollout-controller.ts
@@ -92,7 +92,7 @@
 		const planned = core.rollout.planRollout({
 			plan: fleet.plan, engines: this.#listEngines(), targets: fleet.targets.newestVersions(), named: this.#listNamedVersions(), fence,
 		}, this.dependencies.limits);
-		const plan = {...planned, round: planned.round + (this.#needsPublication ? 1 : 0)};
+		const plan = {...planned, writer: this.dependencies.vm, round: planned.round + (this.#needsPublication ? 1 : 0)};
 		const mustPublish = this.#needsPublication || !core.rollout.isSamePlan(plan, fleet.plan);
 		if (mustPublish && !(await this.#publish(plan))) {
 			return;
--- a/packages/gateway/tests/controllers/lease-controller.test.ts
+++ b/packages/gateway/tests/controllers/lease-controller.test.ts
@@ -22,30 +22,13 @@
 	/** Added to the time of the VMs' clocks. */
 	clockOffsetMs = 0;
 	readonly #random = new core.util.SeededRandom(1);
+	readonly #clock: gateway.util.Clocks;
 
 	constructor(size: number) {
 		const now = (): number => this.now + this.clockOffsetMs;
-		const clock: gateway.util.Clocks = {monotonicNow: now, suspendAwareNow: now, wallNow: now};
+		this.#clock = {monotonicNow: now, suspendAwareNow: now, wallNow: now};
 		for (let index = 0; index < size; index++) {
-			const events: core.log.LogEvent[] = [];
-			const log: gateway.util.EventLog = {
-				write(event) {
-					events.push(event);
-				},
-			};
-			const coordination = new gateway.controllers.CoordinationController(new gateway.placement.FleetState(), clock, log);
-			const controller = new gateway.controllers.LeaseController({
-				vm: `vm-${index}`,
-				getOwnAddress: () => '10.0.0.1:1',
-				store: this.store.client,
-				coordination,
-				clock,
-				log,
-				random: () => this.#random.int(1000) / 1000,
-			}, gateway.controllers.createVmLeaseOptions(1000));
-			this.vms.push({
-				controller, coordination, events, seenChanges: -1,
-			});
+			this.vms.push(this.#createVm(index));
 		}
 	}
 
@@ -54,6 +37,19 @@
 		return value && new TextDecoder().decode(value).split(' ').find(word => word.startsWith('vm-'));
 	}
 
+	/** Replaces the process of a VM, as after it was killed; its leases remain. */
+	restart(index: number): void {
+		this.vms[index] = this.#createVm(index);
+	}
+
+	/** Writes a roll-out plan in the name of a VM. */
+	async publishPlan(writer: string): Promise<void> {
+		const plan = {fence: 1, writer, steps: []};
+		const {rolloutPlanKey} = gateway.controllers;
+		const revision = this.store.keys.get(rolloutPlanKey)?.entry.revision ?? 0;
+		await this.store.client.compareAndSwap(rolloutPlanKey, revision, new TextEncoder().encode(JSON.stringify(plan)));
+	}
+
 	/** Runs all VMs but those that have failed. */
 	async run(forMs: number, failed: ReadonlySet<string> = new Set()): Promise<void> {
 		for (const endsAt = this.now + forMs; this.now < endsAt; this.now += tickMs) {
@@ -67,6 +63,28 @@
 		}
 	}
 
+	#createVm(index: number): Vm {
+		const events: core.log.LogEvent[] = [];
+		const log: gateway.util.EventLog = {
+			write(event) {
+				events.push(event);
+			},
+		};
+		const coordination = new gateway.controllers.CoordinationController(new gateway.placement.FleetState(), this.#clock, log);
+		const controller = new gateway.controllers.LeaseController({
+			vm: `vm-${index}`,
+			getOwnAddress: () => '10.0.0.1:1',
+			store: this.store.client,
+			coordination,
+			clock: this.#clock,
+			log,
+			random: () => this.#random.int(1000) / 1000,
+		}, gateway.controllers.createVmLeaseOptions(1000));
+		return {
+			controller, coordination, events, seenChanges: -1,
+		};
+	}
+
 	#readChanges(vm: Vm): void {
 		if (vm.seenChanges !== this.store.changes) {
 			vm.seenChanges = this.store.changes;
@@ -101,6 +119,36 @@
 		expect(fleet.store.keys.has(`${gateway.controllers.coordinationPrefix}vms/${failed}`)).to.equal(false);
 	});
 
+	// Guards against a roll-out that pauses for seconds when the leader's process is killed: its lease and the time between orders
+	// of two leaders were waited out, although the same VM continues.
+	it('leads again as soon as its process has restarted, if it wrote the last plan', async () => {
+		const fleet = new Fleet(3);
+		await fleet.run(5000);
+		const leader = fleet.leader!;
+		await fleet.publishPlan(leader);
+		await fleet.run(300);
+		const index = Number(leader.slice('vm-'.length));
+		fleet.restart(index);
+		await fleet.run(600);
+		expect(fleet.leader).to.equal(leader);
+		expect(fleet.vms[index]!.controller.isLeading).to.equal(true);
+	});
+
+	it('waits for the orders of another leader after its process has restarted', async () => {
+		const fleet = new Fleet(3);
+		await fleet.run(5000);
+		const leader = fleet.leader!;
+		const index = Number(leader.slice('vm-'.length));
+		await fleet.publishPlan(`vm-${(index + 1) % 3}`);
+		await fleet.run(300);
+		fleet.restart(index);
+		await fleet.run(600);
+		expect(fleet.leader).to.equal(leader);
+		expect(fleet.vms[index]!.controller.isLeading).to.equal(false);
+		await fleet.run(2000);
+		expect(fleet.vms[index]!.controller.isLeading).to.equal(true);
+	});
+
 	it('keeps its leases when the clock is set back', async () => {
 		const fleet = new Fleet(1);
 		await fleet.run(5000);
