Bound when a version was named by the reads of the store and the leader's time

Change: the feed says after when a change was certainly written, from when to count, and when it was read; the leader's time counts within that interval, unless it is shorter than half a second; a version is replaced at the earliest time of all newer ones; reads after the first change nothing. Suspensions are added, whatever their length. The clock of the feed's tests now advances by calls of the store, not by reads of the clock; the times that they expect are the same.

--- a/packages/core/src/rollout/weight-targets.ts
+++ b/packages/core/src/rollout/weight-targets.ts
@@ -1,9 +1,18 @@
+/** When a version was named, as a read of the store by this VM shows, in milliseconds. */
+export type NamedInterval = {
+	/** When the version was certainly not named yet; `-Infinity` if that is not known. */
+	readonly after: number;
+	/** Time to count from while no VM has reported a better one. */
+	readonly assumed: number;
+	/** When the version was read. */
+	readonly before: number;
+};
+
 type TargetVersion = {
 	readonly version: number;
-	/** When the version was named, at the latest, in milliseconds. */
-	readonly seenAt: number;
-	/** Whether this VM saw the version when it was named, so that times from other VMs are ignored. */
-	readonly isObservedLocally: boolean;
+	readonly interval: NamedInterval;
+	/** Earliest time at which another VM saw the version, by a clock that may be wrong. */
+	readonly reportedAt?: number;
 };
 
 /** Maximum number of named versions that are stored per model. */
@@ -11,10 +20,10 @@
 /** Number of newest versions per model that are published for VMs that start later. */
 const sharedVersionsPerModel = 4;
 /**
- * Longest time between two reads of the store without an interruption, in milliseconds. A version that was read in time counts from
- * the read, one that was read later from the read before.
+ * Length of an interval up to which this VM's own time is used, whatever other VMs report, in milliseconds. It lies within the
+ * time by which requests are taken back before the limit.
  */
-const maxReadIntervalMs = 2000;
+const exactIntervalMs = 500;
 
 /**
  * Weights versions that the operator named, with the times at which they were first seen. All times are of a clock that also
@@ -24,30 +33,29 @@
 	readonly #targets = new Map<string, TargetVersion[]>();
 
 	/**
-	 * Adds a version that this VM saw when it was named.
+	 * Adds a version that this VM read from the store. Later reads of the same version change nothing.
 	 *
-	 * @param namedSince - When the version was not named yet, as an earlier read of the store showed.
 	 * @returns Whether the version is newer than all known versions.
 	 */
-	observe(model: string, version: number, namedSince: number, now: number): boolean {
-		const isReadInTime = now - namedSince <= maxReadIntervalMs;
-		return this.#add(model, {version, seenAt: isReadInTime ? now : namedSince, isObservedLocally: true});
+	observe(model: string, version: number, interval: NamedInterval): boolean {
+		return this.#add(model, version, known => known ?? {version, interval});
 	}
 
 	/**
-	 * Adds a version that was named before this VM started to watch, or that another VM saw earlier by its own clock. That clock
-	 * may be wrong, so its time is used only for versions that this VM did not see when they were named.
+	 * Adds the time at which another VM saw a version. Its clock may be wrong, so that the time counts only within the interval in
+	 * which the version was named by this VM's own reads, if there is one.
 	 *
 	 * @returns Whether the version is newer than all known versions.
 	 */
-	addReported(model: string, version: number, seenAt: number): boolean {
-		return this.#add(model, {version, seenAt, isObservedLocally: false});
+	addReported(model: string, version: number, reportedAt: number, now: number): boolean {
+		const unread: TargetVersion = {version, interval: {after: -Infinity, assumed: now, before: now}};
+		return this.#add(model, version, (known = unread) => ({...known, reportedAt: Math.min(reportedAt, known.reportedAt ?? Infinity)}));
 	}
 
 	/** Returns the newest versions of each model with the times at which they were first seen. */
 	list(): Array<{readonly model: string; readonly version: number; readonly seenAt: number}> {
 		return [...this.#targets].flatMap(([model, targets]) =>
-			targets.slice(-sharedVersionsPerModel).map(target => ({model, ...target})));
+			targets.slice(-sharedVersionsPerModel).map(target => ({model, version: target.version, seenAt: seenAtOf(target)})));
 	}
 
 	/** Returns the newest named version by model. */
@@ -57,8 +65,7 @@
 
 	/** Returns the milliseconds since a version newer than the given one was first seen; 0 if there is none. */
 	outdatedForMs(model: string, version: number, now: number): number {
-		const newer = this.#targets.get(model)?.find(target => target.version > version);
-		return newer === undefined ? 0 : now - newer.seenAt;
+		return Math.max(0, now - this.#replacedAt(model, version));
 	}
 
 	/**
@@ -67,27 +74,29 @@
 	 * @param maxOutdatedMs - How long a version may be used after a newer one was named.
 	 */
 	startWithinMs(model: string, version: number, maxOutdatedMs: number, now: number): number {
-		const newer = this.#targets.get(model)?.find(target => target.version > version);
-		return newer === undefined ? Infinity : newer.seenAt + maxOutdatedMs - now;
+		return this.#replacedAt(model, version) + maxOutdatedMs - now;
+	}
+
+	/** Returns when the first newer version was named; `Infinity` if there is none. */
+	#replacedAt(model: string, version: number): number {
+		const newer = (this.#targets.get(model) ?? []).filter(target => target.version > version);
+		return Math.min(...newer.map(target => seenAtOf(target)));
 	}
 
-	#add(model: string, target: TargetVersion): boolean {
-		const {version} = target;
+	#add(model: string, version: number, update: (known: TargetVersion | undefined) => TargetVersion): boolean {
 		const targets = this.#targets.get(model) ?? [];
 		const isNewest = targets.every(other => other.version < version);
-		const known = targets.find(other => other.version === version);
+		const updated = update(targets.find(other => other.version === version));
 		const others = targets.filter(other => other.version !== version);
-		const merged = [...others, mergeTargets(target, known)];
-		this.#targets.set(model, merged.sort((a, b) => a.version - b.version).slice(-maxVersionsPerModel));
+		this.#targets.set(model, [...others, updated].sort((a, b) => a.version - b.version).slice(-maxVersionsPerModel));
 		return isNewest;
 	}
 }
 
-/** Merges two observations of a version: a time that this VM observed takes precedence, otherwise the earlier time. */
-function mergeTargets(target: TargetVersion, known: TargetVersion | undefined): TargetVersion {
-	if (known === undefined || known.isObservedLocally) {
-		return known ?? target;
+function seenAtOf({interval, reportedAt}: TargetVersion): number {
+	if (reportedAt === undefined || interval.before - interval.after <= exactIntervalMs) {
+		return interval.assumed;
 	}
 
-	return {...target, seenAt: Math.min(target.seenAt, known.seenAt)};
+	return Math.min(interval.before, Math.max(interval.after, reportedAt));
 }
--- a/packages/core/tests/rollout/outdated-weights.test.ts
+++ b/packages/core/tests/rollout/outdated-weights.test.ts
@@ -42,23 +42,15 @@
 
 	it('counts the time to the limit from the first newer version', () => {
 		const targets = new core.rollout.WeightTargets();
-		targets.observe('m', 1, 0, 0);
+		targets.observe('m', 1, support.readAt(0));
 		expect(targets.startWithinMs('m', 1, 12_000, 5000)).to.equal(Infinity);
-		targets.observe('m', 2, 900, 1000);
-		targets.observe('m', 3, 3900, 4000);
+		targets.observe('m', 2, support.readAt(1000));
+		targets.observe('m', 3, support.readAt(4000));
 		expect(targets.startWithinMs('m', 1, 12_000, 5000)).to.equal(8000);
 		expect(targets.startWithinMs('m', 2, 12_000, 5000)).to.equal(11_000);
 		expect(targets.startWithinMs('m', 3, 12_000, 5000)).to.equal(Infinity);
 	});
 
-	it('counts the time to the limit from the read before if a version was read late', () => {
-		const targets = new core.rollout.WeightTargets();
-		targets.observe('m', 2, 1000, 7000);
-		expect(targets.startWithinMs('m', 1, 12_000, 7000)).to.equal(6000);
-		targets.observe('m', 3, 7000, 8900);
-		expect(targets.startWithinMs('m', 2, 12_000, 8900)).to.equal(12_000);
-	});
-
 	it('takes a request back that has not started shortly before the limit', () => {
 		expect(core.rollout.mustTakeBack(Infinity)).to.equal(false);
 		expect(core.rollout.mustTakeBack(2000)).to.equal(false);
--- a/packages/core/tests/rollout/plan-rollout.test.ts
+++ b/packages/core/tests/rollout/plan-rollout.test.ts
@@ -86,31 +86,3 @@
 		expect(core.rollout.listNewlyLoaded(now, before)).to.deep.equal(now.steps);
 	});
 });
-
-describe('WeightTargets', () => {
-	it('counts the time that weights are outdated from the first newer version', () => {
-		const targets = new core.rollout.WeightTargets();
-		expect(targets.addReported('m', 2, 1000)).to.equal(true);
-		expect(targets.addReported('m', 3, 4000)).to.equal(true);
-		expect(targets.addReported('m', 2, 9000)).to.equal(false);
-		expect([1, 2, 3].map(version => targets.outdatedForMs('m', version, 5000))).to.deep.equal([4000, 1000, 0]);
-		expect(targets.outdatedForMs('other', 1, 5000)).to.equal(0);
-	});
-
-	// When the clock of the leader's VM is set back, versions seem to have been named long ago.
-	it('keeps the time at which this VM saw a version being named, regardless of the clocks of other VMs', () => {
-		const targets = new core.rollout.WeightTargets();
-		targets.observe('m', 4, 5900, 6000);
-		expect(targets.addReported('m', 4, -24_000)).to.equal(false);
-		expect(targets.observe('m', 4, 8900, 9000)).to.equal(false);
-		expect(targets.outdatedForMs('m', 3, 6500)).to.equal(500);
-	});
-
-	// A VM that restarts during a roll-out reads the named version from the store as if it were new.
-	it('uses the time of another VM that saw a version earlier', () => {
-		const targets = new core.rollout.WeightTargets();
-		targets.addReported('m', 4, 6000);
-		expect(targets.addReported('m', 4, 500)).to.equal(false);
-		expect(targets.outdatedForMs('m', 3, 6000)).to.equal(5500);
-	});
-});
--- /dev/null
+++ b/packages/core/tests/rollout/weight-targets.test.ts
@@ -0,0 +1,66 @@
+import * as chai from 'chai';
+import * as support from '../support/fleet.js';
+import * as core from '@bluebellmast/core';
+
+const {expect} = chai;
+
+describe('WeightTargets', () => {
+	it('counts the time that weights are outdated from the first newer version', () => {
+		const targets = new core.rollout.WeightTargets();
+		expect(targets.addReported('m', 2, 1000, 5000)).to.equal(true);
+		expect(targets.addReported('m', 3, 4000, 5000)).to.equal(true);
+		expect(targets.addReported('m', 2, 9000, 9000)).to.equal(false);
+		expect([1, 2, 3].map(version => targets.outdatedForMs('m', version, 5000))).to.deep.equal([4000, 1000, 0]);
+		expect(targets.outdatedForMs('other', 1, 5000)).to.equal(0);
+	});
+
+	// When the clock of the leader's VM is set back, versions seem to have been named long ago.
+	it('keeps the time at which this VM saw a version being named, regardless of the clocks of other VMs', () => {
+		const targets = new core.rollout.WeightTargets();
+		targets.observe('m', 4, support.readAt(6000));
+		expect(targets.addReported('m', 4, -24_000, 6000)).to.equal(false);
+		expect(targets.observe('m', 4, support.readAt(9000))).to.equal(false);
+		expect(targets.outdatedForMs('m', 3, 6500)).to.equal(500);
+	});
+
+	// A VM that restarts during a roll-out reads the named version from the store as if it were new.
+	it('uses the time of another VM that saw a version earlier', () => {
+		const targets = new core.rollout.WeightTargets();
+		targets.observe('m', 4, {after: -Infinity, assumed: 6000, before: 6000});
+		expect(targets.addReported('m', 4, 500, 6000)).to.equal(false);
+		expect(targets.outdatedForMs('m', 3, 6000)).to.equal(5500);
+	});
+
+	// The store's history was lost, so that all entries are read again.
+	it('still uses that time after it has read the version again', () => {
+		const targets = new core.rollout.WeightTargets();
+		targets.observe('m', 2, {after: -Infinity, assumed: 6000, before: 6000});
+		targets.observe('m', 2, support.readAt(7000));
+		targets.addReported('m', 2, 3012, 7100);
+		expect(targets.startWithinMs('m', 1, 6000, 8000)).to.equal(1012);
+	});
+
+	const lateReads = [
+		{name: 'within the interval', reportedAt: 3000, seenAt: 3000},
+		{name: 'before it', reportedAt: -40_000, seenAt: 1000},
+		{name: 'after the read', reportedAt: 2_400_000, seenAt: 7000},
+	];
+	for (const {name, reportedAt, seenAt} of lateReads) {
+		it(`limits the time that another VM reports for a version read late: ${name}`, () => {
+			const targets = new core.rollout.WeightTargets();
+			targets.observe('m', 2, {after: 1000, assumed: 5000, before: 7000});
+			expect(targets.outdatedForMs('m', 1, 7000)).to.equal(2000);
+			targets.addReported('m', 2, reportedAt, 7100);
+			expect(targets.outdatedForMs('m', 1, 7000)).to.equal(7000 - seenAt);
+		});
+	}
+
+	// A VM that restarts reads the newest version only; the leader publishes the earlier one by a clock that is fast.
+	it('does not count a version as named later than a newer one', () => {
+		const targets = new core.rollout.WeightTargets();
+		targets.observe('m', 3, {after: -Infinity, assumed: 6000, before: 6000});
+		targets.addReported('m', 2, 8012, 6100);
+		targets.addReported('m', 3, 9012, 6100);
+		expect(targets.startWithinMs('m', 1, 6000, 9012)).to.equal(2988);
+	});
+});
--- a/packages/core/tests/support/fleet.ts
+++ b/packages/core/tests/support/fleet.ts
@@ -32,3 +32,8 @@
 		costs: core.fleet.defaultPlacementCosts,
 	};
 }
+
+/** Returns the interval in which a version was named that was read at once. */
+export function readAt(before: number): core.rollout.NamedInterval {
+	return {after: before - 100, assumed: before, before};
+}
--- a/packages/gateway/src/controllers/coordination-controller.ts
+++ b/packages/gateway/src/controllers/coordination-controller.ts
@@ -130,9 +130,10 @@
 		const previousPlan = this.fleet.plan;
 		this.fleet.plan = plan;
 		this.state.planSeenAt = this.clock.suspendAwareNow();
-		const clockOffsetMs = this.clock.suspendAwareNow() - this.clock.wallNow();
+		const suspendAwareNow = this.clock.suspendAwareNow();
+		const clockOffsetMs = suspendAwareNow - this.clock.wallNow();
 		for (const {model, version, seenAt} of plan.named) {
-			this.fleet.targets.addReported(model, version, seenAt + clockOffsetMs);
+			this.fleet.targets.addReported(model, version, seenAt + clockOffsetMs, suspendAwareNow);
 		}
 
 		// Only steps that this plan newly reports as loaded are observations; the engine may have changed since the earlier ones.
--- a/packages/gateway/src/controllers/operator-controller.ts
+++ b/packages/gateway/src/controllers/operator-controller.ts
@@ -2,7 +2,6 @@
 import type * as clients from '@bluebellmast/kv';
 import type * as fleetState from '../placement/fleet-state.js';
 import * as ports from '../ports/index.js';
-import type * as clocks from '../util/clocks.js';
 import * as eventLog from '../util/event-log.js';
 import type * as storeFeed from './store-feed.js';
 
@@ -11,7 +10,6 @@
 	readonly decoder: ports.StoreDecoder;
 	readonly config: core.routing.ConfigState;
 	readonly fleet: fleetState.FleetState;
-	readonly clock: clocks.Clocks;
 	readonly log: eventLog.EventLog;
 	/** Called when a newer configuration has become active. */
 	readonly onConfigAccepted: (config: core.routing.GatewayConfig) => void;
@@ -19,17 +17,12 @@
 
 /** Applies the operator's entries: the configuration and the weights versions that engines should load. */
 export class OperatorController implements storeFeed.StoreFeedListener {
-	/** Whether the operator's entries have been read once, so that later ones were written while this VM watched. */
-	#hasSnapshot = false;
-
 	constructor(private readonly dependencies: OperatorControllerDependencies) {}
 
 	onSnapshot(entries: readonly clients.kv.KvEntry[], context: storeFeed.ReadContext): void {
 		for (const entry of entries) {
 			this.#applyEntry(entry, context);
 		}
-
-		this.#hasSnapshot = true;
 	}
 
 	onChange(change: clients.kv.KvChange, context: storeFeed.ReadContext): void {
@@ -75,15 +68,11 @@
 		}
 	}
 
-	#applyTarget(model: string, version: number, {changedSince}: storeFeed.ReadContext): void {
-		const {targets} = this.dependencies.fleet;
-		const {clock} = this.dependencies;
-		const now = clock.suspendAwareNow();
-		const isNewest = this.#hasSnapshot ? targets.observe(model, version, changedSince, now) : targets.addReported(model, version, now);
-		if (isNewest) {
-			this.dependencies.log.write(eventLog.LogEvent.WeightTargetSeen, {
-				model, version, maxAgeMs: Number.isFinite(changedSince) ? Math.round(now - changedSince) : undefined,
-			});
+	#applyTarget(model: string, version: number, {changedAfter, changedSince, readAt}: storeFeed.ReadContext): void {
+		const {fleet, log} = this.dependencies;
+		if (fleet.targets.observe(model, version, {after: changedAfter, assumed: changedSince, before: readAt})) {
+			const maxAgeMs = Number.isFinite(changedAfter) ? Math.round(readAt - changedAfter) : undefined;
+			log.write(eventLog.LogEvent.WeightTargetSeen, {model, version, maxAgeMs});
 		}
 	}
 }
--- a/packages/gateway/src/controllers/store-feed.ts
+++ b/packages/gateway/src/controllers/store-feed.ts
@@ -9,10 +9,17 @@
 	/** Whether the store was unavailable shortly before, so that entries of live writers may have expired. */
 	readonly maybeLapsed: boolean;
 	/**
-	 * When the call before began that delivered all earlier changes, in milliseconds of a clock that also counts the time that the VM was
-	 * suspended; what this read shows as new was written later. `-Infinity` for the first read.
+	 * When the call before began that delivered all earlier changes; what this read shows as new was written later. `-Infinity` for the
+	 * first read. Times are milliseconds of a clock that also counts the time that the VM was suspended.
+	 */
+	readonly changedAfter: number;
+	/**
+	 * Earliest time to assume for what this read shows as new: within the delay of the feed while the store can be reached, and
+	 * regardless of how long it could not be reached before.
 	 */
 	readonly changedSince: number;
+	/** When the read ended. */
+	readonly readAt: number;
 };
 
 /** Receives the entries and changes that a {@link StoreFeed} reads. */
@@ -37,16 +44,22 @@
 	readonly maxRetryDelayMs: number;
 	/** Time after the last failed call during which missing entries may have expired in an outage and may return. */
 	readonly lapseWindowMs: number;
+	/** Longest time until the feed reads a change once the store can be reached again. */
+	readonly maxRecoveryMs: number;
 };
 
 /**
  * One poll per second confirms the configuration well within the limits on the revocation of keys. Entries return within two
- * seconds after an outage; the lapse window adds one second for writing them.
+ * seconds after an outage; the lapse window adds one second for writing them. The recovery covers a delay between two calls, the
+ * timeout of a connection attempt and that of a call.
  */
 export const defaultStoreFeedOptions: StoreFeedOptions = {
-	pollWaitMs: 1000, minRetryDelayMs: 100, maxRetryDelayMs: 400, lapseWindowMs: 3000,
+	pollWaitMs: 1000, minRetryDelayMs: 100, maxRetryDelayMs: 400, lapseWindowMs: 3000, maxRecoveryMs: 2000,
 };
 
+/** Duration of a poll up to which the changes that it returned can have been written before it began, in milliseconds. */
+const promptPollMs = 100;
+
 /** Dependencies of a {@link StoreFeed}. */
 export type StoreFeedDependencies = {
 	readonly store: clients.kv.KvChangeFeed;
@@ -62,8 +75,11 @@
 export class StoreFeed {
 	#revision: number | undefined;
 	#lastFailureAt = -Infinity;
-	/** When the last successful call began, in milliseconds of the clock that counts suspensions. */
+	/** When the last successful call began and ended, in milliseconds of the clock that counts suspensions. */
 	#confirmedAt = -Infinity;
+	#respondedAt = -Infinity;
+	/** Time that the VM had been suspended until then, in milliseconds. */
+	#suspendedMs = 0;
 	#retryDelayMs: number;
 	#isStopped = false;
 	/** Whether the last poll ended before its longest wait, since there were changes. */
@@ -99,10 +115,12 @@
 		const startedAt = this.dependencies.clock.suspendAwareNow();
 		const revision = this.#revision;
 		this.#hasFoundChanges = false;
-		const failure = revision === undefined ? await this.#readSnapshot() : await this.#poll(revision);
+		const failure = revision === undefined ? await this.#readSnapshot(startedAt) : await this.#poll(revision, startedAt);
 		if (failure === undefined) {
 			this.#recordSuccess();
 			this.#confirmedAt = startedAt;
+			this.#respondedAt = this.dependencies.clock.suspendAwareNow();
+			this.#suspendedMs = this.#countSuspendedMs();
 			this.dependencies.listener.onConfirmed?.(startedAt);
 			return true;
 		}
@@ -116,21 +134,21 @@
 		return false;
 	}
 
-	async #readSnapshot(): Promise<clients.kv.KvError | undefined> {
+	async #readSnapshot(startedAt: number): Promise<clients.kv.KvError | undefined> {
 		const snapshot = await this.dependencies.store.snapshot(this.dependencies.prefix);
 		return core.util.matchEither(snapshot, failure => failure, read => {
 			this.#revision = read.revision;
-			this.dependencies.listener.onSnapshot(read.entries, this.#context());
+			this.dependencies.listener.onSnapshot(read.entries, this.#context(startedAt));
 			return undefined;
 		});
 	}
 
-	async #poll(revision: number): Promise<clients.kv.KvError | undefined> {
+	async #poll(revision: number, startedAt: number): Promise<clients.kv.KvError | undefined> {
 		const polled = await this.dependencies.store.poll(this.dependencies.prefix, revision, this.options.pollWaitMs);
 		return core.util.matchEither(polled, failure => failure, read => {
 			this.#revision = Math.max(revision, read.revision);
 			this.#hasFoundChanges = read.changes.length > 0;
-			const context = this.#context();
+			const context = this.#context(startedAt);
 			for (const change of read.changes) {
 				this.dependencies.listener.onChange(change, context);
 			}
@@ -139,13 +157,37 @@
 		});
 	}
 
-	#context(): ReadContext {
+	/** @param startedAt - When the call began. */
+	#context(startedAt: number): ReadContext {
+		const {clock} = this.dependencies;
+		const readAt = clock.suspendAwareNow();
 		return {
-			maybeLapsed: this.dependencies.clock.monotonicNow() - this.#lastFailureAt < this.options.lapseWindowMs,
-			changedSince: this.#confirmedAt,
+			maybeLapsed: clock.monotonicNow() - this.#lastFailureAt < this.options.lapseWindowMs,
+			changedAfter: this.#confirmedAt,
+			changedSince: this.#changedSince(startedAt, readAt),
+			readAt,
 		};
 	}
 
+	#changedSince(startedAt: number, readAt: number): number {
+		if (this.#confirmedAt === -Infinity) {
+			return readAt;
+		}
+
+		const suspendedMs = this.#countSuspendedMs() - this.#suspendedMs;
+		if (this.#unavailableSince !== undefined || suspendedMs > 0) {
+			return Math.max(this.#confirmedAt, readAt - suspendedMs - this.options.maxRecoveryMs);
+		}
+
+		// A poll that waits returns as soon as there is a change; one that returns at once shows what changed since the last one ended.
+		return readAt - startedAt > promptPollMs ? readAt : this.#respondedAt;
+	}
+
+	#countSuspendedMs(): number {
+		const {clock} = this.dependencies;
+		return Math.round(clock.suspendAwareNow() - clock.monotonicNow());
+	}
+
 	#recordSuccess(): void {
 		this.#retryDelayMs = this.options.minRetryDelayMs;
 		if (this.#unavailableSince !== undefined) {
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -86,7 +86,7 @@
 		log,
 	});
 	const operator = new controllers.OperatorController({
-		decoder, config, fleet, clock, log,
+		decoder, config, fleet, log,
 		onConfigAccepted(accepted) {
 			server.applyLimits(accepted.limits);
 		},
--- a/packages/gateway/tests/controllers/store-feed.test.ts
+++ b/packages/gateway/tests/controllers/store-feed.test.ts
@@ -13,16 +13,23 @@
 class ScriptedStore implements clients.kv.KvChangeFeed {
 	snapshots = 0;
 	readonly polledRevisions: number[] = [];
+	#calls = 0;
 
-	constructor(private readonly results: PollResult[], private readonly onEnd: () => void) {}
+	/**
+	 * @param onCall - Called when a call ends, with its number.
+	 * @param onEnd - Called when the last result is returned.
+	 */
+	constructor(private readonly results: PollResult[], private readonly onCall: (number: number) => void, private readonly onEnd: () => void) {}
 
 	async snapshot(): clients.kv.KvResult<clients.kv.KvSnapshot> {
 		this.snapshots += 1;
+		this.#endCall();
 		return purify.Right({entries: [entry('a', 5)], revision: 10 * this.snapshots});
 	}
 
 	async poll(_prefix: string, afterRevision: number): clients.kv.KvResult<clients.kv.KvChanges> {
 		this.polledRevisions.push(afterRevision);
+		this.#endCall();
 		const result = this.results.shift();
 		if (this.results.length === 0) {
 			this.onEnd();
@@ -30,6 +37,11 @@
 
 		return result ?? purify.Right({changes: [], revision: afterRevision});
 	}
+
+	#endCall(): void {
+		this.onCall(this.#calls);
+		this.#calls += 1;
+	}
 }
 
 function entry(key: string, revision: number): clients.kv.KvEntry {
@@ -40,29 +52,50 @@
 	return purify.Left({code, message: 'scripted'});
 }
 
-async function follow(results: PollResult[], pollPauseMs = (): number => 0): Promise<{readonly received: string[]; readonly store: ScriptedStore; readonly events: string[]}> {
+type FollowOptions = {
+	readonly pollPauseMs?: () => number;
+	/** How long each call takes, in milliseconds; 1 by default. */
+	readonly callMs?: readonly number[];
+	/** How long the VM is suspended in each call, in milliseconds; 0 by default. */
+	readonly suspendedMs?: readonly number[];
+};
+
+type Followed = {
+	readonly received: string[];
+	readonly contexts: gateway.controllers.ReadContext[];
+	readonly store: ScriptedStore;
+	readonly events: string[];
+};
+
+async function follow(results: PollResult[], {pollPauseMs = () => 0, callMs = [], suspendedMs = []}: FollowOptions = {}): Promise<Followed> {
 	const received: string[] = [];
+	const contexts: gateway.controllers.ReadContext[] = [];
 	const events: string[] = [];
-	const store = new ScriptedStore(results, () => {
+	let now = 1000;
+	let totalSuspendedMs = 0;
+	const store = new ScriptedStore(results, number => {
+		now += callMs[number] ?? 1;
+		totalSuspendedMs += suspendedMs[number] ?? 0;
+	}, () => {
 		feed.stop();
 	});
-	let now = 1000;
 	const feed = new gateway.controllers.StoreFeed({
 		store,
 		prefix: '',
 		pollPauseMs,
 		listener: {
-			onSnapshot(entries, {maybeLapsed}) {
-				received.push(`snapshot ${entries.length} ${maybeLapsed}`);
+			onSnapshot(entries, context) {
+				received.push(`snapshot ${entries.length} ${context.maybeLapsed}`);
 			},
-			onChange(change, {maybeLapsed}) {
-				received.push(`change ${change.key} ${change.entry === undefined ? 'removed' : 'put'} ${maybeLapsed}`);
+			onChange(change, context) {
+				received.push(`change ${change.key} ${change.entry === undefined ? 'removed' : 'put'} ${context.maybeLapsed}`);
+				contexts.push(context);
 			},
 			onConfirmed(startedAt) {
 				received.push(`confirmed ${startedAt}`);
 			},
 		},
-		clock: {monotonicNow: () => now, suspendAwareNow: () => now++, wallNow: () => now},
+		clock: {monotonicNow: () => now, suspendAwareNow: () => now + totalSuspendedMs, wallNow: () => now},
 		log: {
 			write(event) {
 				events.push(event);
@@ -72,7 +105,9 @@
 		...gateway.controllers.defaultStoreFeedOptions, minRetryDelayMs: 1, maxRetryDelayMs: 1,
 	});
 	await feed.run();
-	return {received, store, events};
+	return {
+		received, contexts, store, events,
+	};
 }
 
 describe('StoreFeed', () => {
@@ -111,10 +146,46 @@
 		const changed: PollResult = purify.Right({changes: [{key: 'a', entry: entry('a', 11)}], revision: 11});
 		const unchanged: PollResult = purify.Right({changes: [], revision: 11});
 		let pauses = 0;
-		await follow([changed, unchanged, changed, unchanged, unchanged], () => {
-			pauses += 1;
-			return 1;
+		await follow([changed, unchanged, changed, unchanged, unchanged], {
+			pollPauseMs() {
+				pauses += 1;
+				return 1;
+			},
 		});
 		expect(pauses).to.equal(2);
 	});
+
+	const changed: PollResult = purify.Right({changes: [{key: 'a', entry: entry('a', 11)}], revision: 11});
+	const unchanged: PollResult = purify.Right({changes: [], revision: 11});
+	const failure = failed(outcomeUnknown);
+	const outage = Array.from({length: 10}, () => failure);
+	const reads = [
+		{
+			name: 'a poll that returned while it waited', results: [changed, unchanged], callMs: [4, 600],
+			expected: {changedAfter: 1000, changedSince: 1604, readAt: 1604},
+		},
+		{
+			name: 'a poll that returned at once', results: [unchanged, changed, unchanged], callMs: [4, 1000, 5],
+			expected: {changedAfter: 1004, changedSince: 2004, readAt: 2009},
+		},
+		{
+			name: 'a poll after calls that failed for a short time', results: [failure, changed, unchanged], callMs: [4, 700, 5],
+			expected: {changedAfter: 1000, changedSince: 1000, readAt: 1709},
+		},
+		{
+			name: 'a poll after an outage', results: [...outage, changed, unchanged], callMs: [4, ...outage.map(() => 1000), 5],
+			expected: {changedAfter: 1000, changedSince: 9009, readAt: 11_009},
+		},
+		{
+			name: 'a poll during which the VM was suspended', results: [changed, unchanged], callMs: [4, 300], suspendedMs: [0, 9000],
+			expected: {changedAfter: 1000, changedSince: 1000, readAt: 10_304},
+		},
+	];
+	for (const {name, results, expected, ...options} of reads) {
+		it(`tells since when a change can have been written: ${name}`, async () => {
+			const {contexts} = await follow(results, options);
+			const [{changedAfter, changedSince, readAt}] = contexts as [gateway.controllers.ReadContext];
+			expect({changedAfter, changedSince, readAt}).to.deep.equal(expected);
+		});
+	}
 });
--- a/packages/gateway/tests/placement/replaced-weights-limit.test.ts
+++ b/packages/gateway/tests/placement/replaced-weights-limit.test.ts
@@ -37,7 +37,6 @@
 		},
 		config: new core.routing.ConfigState(),
 		fleet: this.fleet,
-		clock: this.#clock,
 		log: {
 			write() {}, // eslint-disable-line @typescript-eslint/no-empty-function -- The log is not under test.
 		},
@@ -50,13 +49,18 @@
 
 	constructor() {
 		this.fleet.registry.put(engine, 0);
-		this.#operator.onSnapshot([entryOf(1)], {maybeLapsed: false, changedSince: -Infinity});
+		this.#operator.onSnapshot([entryOf(1)], {
+			maybeLapsed: false, changedAfter: -Infinity, changedSince: 0, readAt: 0,
+		});
 	}
 
-	/** Reads from the store that a version was named, by a call that came `unconfirmedMs` after the last one that delivered all changes. */
-	readNamedVersion(version: number, unconfirmedMs: number): void {
-		const changedSince = this.#clock.suspendAwareNow() - unconfirmedMs;
-		this.#operator.onChange({key: 'op/version/m', entry: entryOf(version)}, {maybeLapsed: false, changedSince});
+	/** Reads from the store that a version was named at most `maxAgeMs` ago. */
+	readNamedVersion(version: number, maxAgeMs: number): void {
+		const readAt = this.#clock.suspendAwareNow();
+		const changedSince = readAt - maxAgeMs;
+		this.#operator.onChange({key: 'op/version/m', entry: entryOf(version)}, {
+			maybeLapsed: false, changedAfter: changedSince, changedSince, readAt,
+		});
 	}
 
 	/** Whether a request is placed at the engine. */
