Count what a placement needs once per prompt, not once per engine

Cause: per engine, a placement listed and filtered all endpoints, hashed the engine's id, listed the prompt's prefixes with their keys, asked for the same stored prefixes, and searched the steps of the plan and the named versions.

Change: prefixes and stored tokens once per cache namespace; homes by HomeRanker, which keeps the hashes of ids; ready endpoints per pool until a change; loading engines per plan; replaced versions with the time when they were replaced. Homes differ from those of older builds beside it, which costs a discount only.

--- a/packages/core/src/fleet/choose-endpoint.ts
+++ b/packages/core/src/fleet/choose-endpoint.ts
@@ -1,5 +1,5 @@
+import type * as homeRanker from '../placement/home-ranker.js';
 import * as outdatedWeights from '../rollout/outdated-weights.js';
-import * as rendezvous from '../util/rendezvous.js';
 import type * as endpointEntry from './endpoint-entry.js';
 import type * as endpointHealth from './endpoint-health.js';
 import type * as endpointLoads from './endpoint-loads.js';
@@ -68,6 +68,7 @@
 	readonly peers: peerLoads.PeerLoads;
 	readonly health: endpointHealth.EndpointHealth;
 	readonly parts: partLocations.PartLocations;
+	readonly homes: homeRanker.HomeRanker;
 	readonly costs: PlacementCosts;
 };
 
@@ -95,10 +96,11 @@
 	view: PlacementView,
 	now: number,
 ): EndpointChoice | undefined {
-	const home = findHome(candidates, requirements);
+	const home = findHome(candidates, requirements, view);
+	const prompt = new PromptTokens(requirements, view, now);
 	let best: EndpointChoice | undefined;
 	for (const candidate of candidates) {
-		const choice = estimateCost(candidate, {requirements, isHome: candidate.entry.id === home}, view, now);
+		const choice = estimateCost(candidate, {requirements, prompt, isHome: candidate.entry.id === home}, view, now);
 		const isCheaper = best === undefined || choice.costMs < best.costMs;
 		if (isCheaper && outdatedWeights.canStartInTime(candidate.startWithinMs, choice.firstTokenMs)) {
 			best = choice;
@@ -112,25 +114,25 @@
  * Finds the engine that computes a prefix which none has cached: the same one on all VMs. Prompts that share a long prefix have the
  * same home; those that share only a short one are spread by their first part.
  */
-function findHome(candidates: readonly Candidate[], {parts, sharedParts}: PlacementRequirements): string | undefined {
+function findHome(candidates: readonly Candidate[], {parts, sharedParts}: PlacementRequirements, view: PlacementView): string | undefined {
 	if (sharedParts === 0 || parts[0] === undefined) {
 		return undefined;
 	}
 
 	const key = sharedPrefix.listSharedPrefixes('', parts, sharedParts).at(-1)?.key ?? sharedPrefix.partKey('', parts[0]);
-	return rendezvous.selectByRendezvous(key, candidates.map(candidate => candidate.entry.id));
+	return view.homes.select(key, candidates.map(candidate => candidate.entry.id));
 }
 
 function estimateCost(
 	candidate: Candidate,
-	placement: {readonly requirements: PlacementRequirements; readonly isHome: boolean},
+	placement: {readonly requirements: PlacementRequirements; readonly prompt: PromptTokens; readonly isHome: boolean},
 	view: PlacementView,
 	now: number,
 ): EndpointChoice {
 	const {entry} = candidate;
-	const {requirements, isHome} = placement;
+	const {requirements, prompt, isHome} = placement;
 	const {costs} = view;
-	const tokens = countTokens(candidate, requirements, view, now);
+	const tokens = prompt.count(candidate);
 	const active = view.loads.countActive(entry.id, view.peers.countActive(entry.id, now), now);
 	const pendingTokens = view.loads.countPrefillTokens(entry.id) + view.peers.countPrefillTokens(entry.id, now);
 	const queued = Math.max(0, active - entry.slots);
@@ -147,22 +149,51 @@
 	};
 }
 
-/** Counts the prompt tokens to compute and to fetch from the cache store. */
-function countTokens(
-	candidate: Candidate,
-	{parts, sharedParts}: PlacementRequirements,
-	view: PlacementView,
-	now: number,
-): {prefill: number; fetch: number} {
-	const prefixes = sharedPrefix.listSharedPrefixes(candidate.cacheNamespace, parts, sharedParts);
-	const cached = sharedPrefix.countCachedTokens(prefixes, key => view.parts.isCached(key, candidate.entry.id, now));
-	const stored = view.parts.isStoreUsable(now)
-		? sharedPrefix.countCachedTokens(prefixes, key => Number.isFinite(view.parts.storedAgeMs(key, now)))
-		: 0;
-	let total = 0;
-	for (const part of parts) {
-		total += part.tokens;
+/** What a prompt needs in one cache namespace, whatever the engine. */
+type NamespaceTokens = {
+	readonly prefixes: readonly sharedPrefix.SharedPrefix[];
+	/** Tokens of the longest prefix in the cache store. */
+	readonly stored: number;
+};
+
+/** Counts the tokens of one prompt at each engine; what doesn't depend on the engine is counted once. */
+class PromptTokens {
+	readonly #total: number;
+	readonly #byNamespace = new Map<string, NamespaceTokens>();
+
+	constructor(
+		private readonly requirements: PlacementRequirements,
+		private readonly view: PlacementView,
+		private readonly now: number,
+	) {
+		let total = 0;
+		for (const part of requirements.parts) {
+			total += part.tokens;
+		}
+
+		this.#total = total;
+	}
+
+	/** Returns the prompt tokens that an engine has to compute, and those that it fetches from the cache store. */
+	count({entry, cacheNamespace}: Candidate): {readonly prefill: number; readonly fetch: number} {
+		const {prefixes, stored} = this.#tokensIn(cacheNamespace);
+		const cached = sharedPrefix.countCachedTokens(prefixes, key => this.view.parts.isCached(key, entry.id, this.now));
+		return {prefill: this.#total - Math.max(cached, stored), fetch: Math.max(0, stored - cached)};
 	}
 
-	return {prefill: total - Math.max(cached, stored), fetch: Math.max(0, stored - cached)};
+	#tokensIn(cacheNamespace: string): NamespaceTokens {
+		const known = this.#byNamespace.get(cacheNamespace);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const {parts} = this.view;
+		const prefixes = sharedPrefix.listSharedPrefixes(cacheNamespace, this.requirements.parts, this.requirements.sharedParts);
+		const stored = parts.isStoreUsable(this.now)
+			? sharedPrefix.countCachedTokens(prefixes, key => Number.isFinite(parts.storedAgeMs(key, this.now)))
+			: 0;
+		const tokens = {prefixes, stored};
+		this.#byNamespace.set(cacheNamespace, tokens);
+		return tokens;
+	}
 }
--- a/packages/core/src/fleet/endpoint-registry.ts
+++ b/packages/core/src/fleet/endpoint-registry.ts
@@ -38,11 +38,14 @@
 export class EndpointRegistry {
 	readonly #endpoints = new Map<string, RegisteredEndpoint>();
 	readonly #observed = new Map<string, ObservedWeights>();
+	/** Ready endpoints by pool; cleared at each change. */
+	readonly #ready = new Map<string, readonly endpointEntry.EndpointEntry[]>();
 
 	constructor(private readonly options: RegistryOptions = defaultRegistryOptions) {}
 
 	/** Adds or replaces an entry, and drops expired observations of its endpoint. */
 	put(entry: endpointEntry.EndpointEntry, now: number): void {
+		this.#ready.clear();
 		this.#endpoints.set(entry.id, {entry});
 		const observed = this.#observed.get(entry.id);
 		if (observed === undefined) {
@@ -142,8 +145,15 @@
 	}
 
 	/** Returns the endpoints of a pool that accept new requests. */
-	listReady(pool: string): endpointEntry.EndpointEntry[] {
-		return this.list().filter(entry => entry.pool === pool && entry.state === endpointEntry.EndpointState.Ready);
+	listReady(pool: string): readonly endpointEntry.EndpointEntry[] {
+		const known = this.#ready.get(pool);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const ready = this.list().filter(entry => entry.pool === pool && entry.state === endpointEntry.EndpointState.Ready);
+		this.#ready.set(pool, ready);
+		return ready;
 	}
 
 	/** Returns all endpoints. */
@@ -152,6 +162,7 @@
 	}
 
 	#drop(id: string): void {
+		this.#ready.clear();
 		this.#endpoints.delete(id);
 		this.#observed.delete(id);
 	}
--- a/packages/core/src/placement/home-ranker.ts
+++ b/packages/core/src/placement/home-ranker.ts
@@ -23,6 +23,22 @@
 		return best.map(entry => entry.endpoint);
 	}
 
+	/** Returns the best of the endpoints for the key, or `undefined` without endpoints. */
+	select(key: string, endpoints: readonly string[]): string | undefined {
+		const keyHash = hash.hash32(key);
+		let best: string | undefined;
+		let bestWeight = -1;
+		for (const endpoint of endpoints) {
+			const weight = nearEqual.mix32(keyHash ^ this.#hashName(endpoint)); // eslint-disable-line no-bitwise
+			if (weight > bestWeight || (weight === bestWeight && endpoint < best!)) {
+				best = endpoint;
+				bestWeight = weight;
+			}
+		}
+
+		return best;
+	}
+
 	#hashName(name: string): number {
 		const cachedHash = this.#nameHashes.get(name);
 		if (cachedHash !== undefined) {
--- a/packages/core/src/rollout/rollout-plan.ts
+++ b/packages/core/src/rollout/rollout-plan.ts
@@ -42,9 +42,18 @@
 	fence: 0, round: 0, steps: [], named: [],
 };
 
+/** Loading engines by plan, since each placement asks for each engine. */
+const loadingEndpoints = new WeakMap<RolloutPlan, ReadonlySet<string>>();
+
 /** Returns whether a plan excludes an engine from placement because it loads weights. */
 export function isLoading(plan: RolloutPlan, endpoint: string): boolean {
-	return plan.steps.some(step => step.endpoint === endpoint && step.phase === RolloutPhase.Loading);
+	let loading = loadingEndpoints.get(plan);
+	if (loading === undefined) {
+		loading = new Set(plan.steps.filter(step => step.phase === RolloutPhase.Loading).map(step => step.endpoint));
+		loadingEndpoints.set(plan, loading);
+	}
+
+	return loading.has(endpoint);
 }
 
 /** Returns whether two plans have the same steps. */
--- a/packages/core/src/rollout/weight-targets.ts
+++ b/packages/core/src/rollout/weight-targets.ts
@@ -15,6 +15,11 @@
 	readonly reportedAt?: number;
 };
 
+type Replacement = {
+	readonly version: number;
+	readonly namedAt: number;
+};
+
 /** Maximum number of named versions that are stored per model. */
 const maxVersionsPerModel = 50;
 /** Number of newest versions per model that are published for VMs that start later. */
@@ -31,6 +36,8 @@
  */
 export class WeightTargets {
 	readonly #targets = new Map<string, TargetVersion[]>();
+	/** By model, the versions in rising order, each with the earliest time at which it or a newer one was named. */
+	readonly #replacements = new Map<string, Replacement[]>();
 
 	/**
 	 * Adds a version that this VM read from the store. Later reads of the same version change nothing.
@@ -79,8 +86,7 @@
 
 	/** Returns when the first newer version was named; `Infinity` if there is none. */
 	#replacedAt(model: string, version: number): number {
-		const newer = (this.#targets.get(model) ?? []).filter(target => target.version > version);
-		return Math.min(...newer.map(target => seenAtOf(target)));
+		return this.#replacements.get(model)?.find(replacement => replacement.version > version)?.namedAt ?? Infinity;
 	}
 
 	#add(model: string, version: number, update: (known: TargetVersion | undefined) => TargetVersion): boolean {
@@ -88,11 +94,21 @@
 		const isNewest = targets.every(other => other.version < version);
 		const updated = update(targets.find(other => other.version === version));
 		const others = targets.filter(other => other.version !== version);
-		this.#targets.set(model, [...others, updated].sort((a, b) => a.version - b.version).slice(-maxVersionsPerModel));
+		const sorted = [...others, updated].sort((a, b) => a.version - b.version).slice(-maxVersionsPerModel);
+		this.#targets.set(model, sorted);
+		this.#replacements.set(model, listReplacements(sorted));
 		return isNewest;
 	}
 }
 
+function listReplacements(targets: readonly TargetVersion[]): Replacement[] {
+	let namedAt = Infinity;
+	return targets.toReversed().map(target => {
+		namedAt = Math.min(namedAt, seenAtOf(target));
+		return {version: target.version, namedAt};
+	}).reverse();
+}
+
 function seenAtOf({interval, reportedAt}: TargetVersion): number {
 	if (reportedAt === undefined || interval.before - interval.after <= exactIntervalMs) {
 		return interval.assumed;
--- a/packages/core/tests/support/fleet.ts
+++ b/packages/core/tests/support/fleet.ts
@@ -29,6 +29,7 @@
 		peers: new core.fleet.PeerLoads(),
 		health: new core.fleet.EndpointHealth(),
 		parts: new core.fleet.PartLocations(),
+		homes: new core.placement.HomeRanker(),
 		costs: core.fleet.defaultPlacementCosts,
 	};
 }
--- a/packages/gateway/src/placement/fleet-state.ts
+++ b/packages/gateway/src/placement/fleet-state.ts
@@ -7,6 +7,7 @@
 	readonly loads = new core.fleet.EndpointLoads();
 	readonly peers = new core.fleet.PeerLoads();
 	readonly parts = new core.fleet.PartLocations();
+	readonly homes = new core.placement.HomeRanker();
 	readonly targets = new core.rollout.WeightTargets();
 	/** The roll-out plan, as last read from the store. */
 	plan: core.rollout.RolloutPlan = core.rollout.emptyRolloutPlan;
