Track endpoints that ask for a pause

Cause: endpoints may answer 503 with a time for which they want nothing from a VM; no module decides what follows.

--- /dev/null
+++ b/packages/core/src/fleet/paused-endpoints.ts
@@ -0,0 +1,193 @@
+import type * as endpointEntry from './endpoint-entry.js';
+
+/** Limits on the pauses that endpoints ask for, and the return of requests after them. Times are in milliseconds. */
+export type PauseOptions = {
+	/** Longest pause that is kept; an endpoint that asks for more is sent a request again after this time. */
+	readonly maxPauseMs: number;
+	/** Longest time over which requests return after a pause; shorter pauses are followed by a return as long as the pause. */
+	readonly maxReturnMs: number;
+	/** Steps of the return; the number of requests in flight may double at each of them. */
+	readonly returnSteps: number;
+	/** Calls that may be sent to an endpoint in one pause, where waiting for its end does harm. */
+	readonly maxUrgentCalls: number;
+	/** Maximum number of pauses that are kept. */
+	readonly maxPauses: number;
+};
+
+export const defaultPauseOptions: PauseOptions = {
+	maxPauseMs: 86_400_000, maxReturnMs: 2000, returnSteps: 4, maxUrgentCalls: 2, maxPauses: 10_000,
+};
+
+/** An incarnation of an endpoint; another one does not share its pause. */
+export type EndpointIncarnation = Pick<endpointEntry.EndpointEntry, 'id' | 'bornAt'>;
+
+/** A pause whose end has been reached. */
+export type EndedPause = {
+	readonly endpoint: string;
+	/** Duration of the pause, in milliseconds. */
+	readonly pausedMs: number;
+	/** Whether the endpoint has restarted; otherwise the time it asked for has elapsed. */
+	readonly isReplaced: boolean;
+};
+
+type Pause = {
+	readonly bornAt: number;
+	readonly startedAt: number;
+	/** End of the time that the endpoint asked for. */
+	endsAt: number;
+	/** When this VM sends requests again: within the time of the return, so that the VMs do not all begin at once. */
+	resumesAt: number;
+	/** Time from the first request after the pause until their number is no longer limited. */
+	returnMs: number;
+	urgentCalls: number;
+	/** Attempts in flight that were sent after the pause. */
+	readonly attempts: Set<string>;
+	isEndReported: boolean;
+};
+
+/** Endpoints that asked this VM to send nothing for a time. Times are of a clock that includes suspensions of the VM. */
+export class PausedEndpoints {
+	/** Pauses by endpoint, the one that was recorded first first. */
+	readonly #pauses = new Map<string, Pause>();
+
+	constructor(private readonly options: PauseOptions = defaultPauseOptions) {}
+
+	/** Number of endpoints with a pause, including those to which requests return. */
+	get size(): number {
+		return this.#pauses.size;
+	}
+
+	/**
+	 * Records that an endpoint asks for a pause. A pause in progress is never shortened, since the endpoint has asked for its whole time.
+	 *
+	 * @param spread - Place of this VM among those that return to the endpoint, from 0 to 1.
+	 * @returns Whether a pause begins; otherwise one was in progress.
+	 */
+	pause({id, bornAt}: EndpointIncarnation, pauseMs: number, spread: number, now: number): boolean {
+		const known = this.#pauses.get(id);
+		if (known !== undefined && known.bornAt > bornAt) {
+			// A late response of an incarnation that has ended.
+			return false;
+		}
+
+		const boundedMs = Math.min(pauseMs, this.options.maxPauseMs);
+		const returnMs = Math.min(boundedMs, this.options.maxReturnMs);
+		const endsAt = now + boundedMs;
+		if (known?.bornAt === bornAt && now < known.endsAt) {
+			if (endsAt > known.endsAt) {
+				Object.assign(known, {endsAt, resumesAt: endsAt + (spread * returnMs), returnMs});
+			}
+
+			return false;
+		}
+
+		this.#pauses.delete(id);
+		this.#pauses.set(id, {
+			bornAt, startedAt: now, endsAt, resumesAt: endsAt + (spread * returnMs), returnMs, urgentCalls: 0, attempts: new Set(), isEndReported: false,
+		});
+		this.#enforceLimit();
+		return true;
+	}
+
+	/** Returns whether an endpoint has asked that nothing be sent to it now. */
+	isPaused(endpoint: EndpointIncarnation, now: number): boolean {
+		const pause = this.#find(endpoint);
+		return pause !== undefined && now < pause.endsAt;
+	}
+
+	/** Returns the time until this VM sends requests to an endpoint again, in milliseconds; 0 if it does now. */
+	resumesInMs(endpoint: EndpointIncarnation, now: number): number {
+		const pause = this.#find(endpoint);
+		return pause === undefined ? 0 : Math.max(0, pause.resumesAt - now);
+	}
+
+	/** Returns whether an endpoint to which requests return has as many in flight as it may have now. */
+	isReturnLimited(endpoint: EndpointIncarnation, now: number): boolean {
+		const pause = this.#find(endpoint);
+		if (pause === undefined || now >= pause.resumesAt + pause.returnMs) {
+			return false;
+		}
+
+		const step = Math.floor(this.options.returnSteps * (now - pause.resumesAt) / pause.returnMs);
+		return pause.attempts.size >= 2 ** step;
+	}
+
+	/** Takes one of the calls that may be sent during a pause. @returns Whether the call may be sent. */
+	takeUrgentCall(endpoint: EndpointIncarnation, now: number): boolean {
+		const pause = this.#find(endpoint);
+		if (pause === undefined || now >= pause.endsAt) {
+			return true;
+		}
+
+		if (pause.urgentCalls >= this.options.maxUrgentCalls) {
+			return false;
+		}
+
+		pause.urgentCalls += 1;
+		return true;
+	}
+
+	/** Records that a request was sent. */
+	recordSent(endpoint: EndpointIncarnation, attempt: string): void {
+		this.#find(endpoint)?.attempts.add(attempt);
+	}
+
+	/** Records the end of an attempt. */
+	recordEnd(endpoint: EndpointIncarnation, attempt: string): void {
+		this.#find(endpoint)?.attempts.delete(attempt);
+	}
+
+	/**
+	 * Removes the pauses after which all requests have returned, and those of incarnations that were replaced. The pause of an endpoint that is
+	 * not listed is kept, since its entry may come back.
+	 *
+	 * @param bornAtOf - Returns the incarnation that is listed, or `undefined` if the endpoint is not.
+	 * @returns The pauses that have ended since the last call.
+	 */
+	removeEnded(bornAtOf: (endpoint: string) => number | undefined, now: number): EndedPause[] {
+		const ended: EndedPause[] = [];
+		for (const [endpoint, pause] of this.#pauses) {
+			const isReplaced = (bornAtOf(endpoint) ?? pause.bornAt) !== pause.bornAt;
+			const isOver = isReplaced || now >= pause.endsAt;
+			if (isOver && !pause.isEndReported) {
+				pause.isEndReported = true;
+				ended.push({endpoint, pausedMs: Math.min(now, pause.endsAt) - pause.startedAt, isReplaced});
+			}
+
+			if (isReplaced || now >= pause.resumesAt + pause.returnMs) {
+				this.#pauses.delete(endpoint);
+			}
+		}
+
+		return ended;
+	}
+
+	#find({id, bornAt}: EndpointIncarnation): Pause | undefined {
+		const pause = this.#pauses.get(id);
+		return pause?.bornAt === bornAt ? pause : undefined;
+	}
+
+	#enforceLimit(): void {
+		if (this.#pauses.size > this.options.maxPauses) {
+			const [oldest] = this.#pauses.keys();
+			this.#pauses.delete(oldest!);
+		}
+	}
+}
+
+/** Shortest and longest time over which refused callers are spread, in milliseconds. */
+const minCallerSpreadMs = 250;
+const maxCallerSpreadMs = 2000;
+/** Time over which refused callers are spread, as a share of the time until the first endpoint is back. */
+const callerSpreadShare = 0.5;
+
+/**
+ * Returns the time after which a caller should retry that was refused because all endpoints that could serve it asked for a pause.
+ *
+ * @param firstBackMs - Time until requests are sent again to the first of the endpoints, in milliseconds.
+ * @param spread - Place of this caller among those that were refused, from 0 to 1.
+ */
+export function computePauseRetryAfterMs(firstBackMs: number, spread: number): number {
+	const spreadMs = Math.min(maxCallerSpreadMs, Math.max(minCallerSpreadMs, firstBackMs * callerSpreadShare));
+	return firstBackMs + (spread * spreadMs);
+}
