Send nothing to endpoints that ask for a pause

Cause: a 503 with Retry-After was treated as any refusal; the endpoint got the next request at once, and health checks, orders and polls of the cache store too. A caller whom only such endpoints could serve was told to return after 250 ms.

--- a/packages/core/src/fleet/endpoint-health.ts
+++ b/packages/core/src/fleet/endpoint-health.ts
@@ -113,8 +113,9 @@
 	 * a response was due, failed repeatedly, or did not respond to the last check.
 	 *
 	 * @param lastReceivedByOthers - Returns when an endpoint last sent data to another VM.
+	 * @param mayCheck - Returns whether an endpoint that is due may be checked now; asked only for these.
 	 */
-	startDueChecks(lastReceivedByOthers: (endpoint: string) => number, now: number): string[] {
+	startDueChecks(lastReceivedByOthers: (endpoint: string) => number, now: number, mayCheck: (endpoint: string) => boolean = () => true): string[] {
 		const due: string[] = [];
 		for (const [endpoint, record] of this.#records) {
 			// The other VMs are asked only about endpoints that are silent to this one, since that takes time for each of them.
@@ -126,7 +127,8 @@
 				record.checkedAt = -Infinity;
 			}
 
-			if (record.state !== HealthState.Responsive && now - record.checkedAt >= this.options.checkIntervalMs) {
+			const isDue = record.state !== HealthState.Responsive && now - record.checkedAt >= this.options.checkIntervalMs;
+			if (isDue && mayCheck(endpoint)) {
 				record.checkedAt = now;
 				due.push(endpoint);
 			}
--- a/packages/core/src/fleet/paused-endpoints.ts
+++ b/packages/core/src/fleet/paused-endpoints.ts
@@ -61,13 +61,13 @@
 	 * Records that an endpoint asks for a pause. A pause in progress is never shortened, since the endpoint has asked for its whole time.
 	 *
 	 * @param spread - Place of this VM among those that return to the endpoint, from 0 to 1.
-	 * @returns Whether a pause begins; otherwise one was in progress.
+	 * @returns The duration of the pause that begins, in milliseconds; `undefined` if one was in progress.
 	 */
-	pause({id, bornAt}: EndpointIncarnation, pauseMs: number, spread: number, now: number): boolean {
+	pause({id, bornAt}: EndpointIncarnation, pauseMs: number, spread: number, now: number): number | undefined {
 		const known = this.#pauses.get(id);
 		if (known !== undefined && known.bornAt > bornAt) {
 			// A late response of an incarnation that has ended.
-			return false;
+			return undefined;
 		}
 
 		const boundedMs = Math.min(pauseMs, this.options.maxPauseMs);
@@ -78,7 +78,7 @@
 				Object.assign(known, {endsAt, resumesAt: endsAt + (spread * returnMs), returnMs});
 			}
 
-			return false;
+			return undefined;
 		}
 
 		this.#pauses.delete(id);
@@ -86,7 +86,7 @@
 			bornAt, startedAt: now, endsAt, resumesAt: endsAt + (spread * returnMs), returnMs, urgentCalls: 0, attempts: new Set(), isEndReported: false,
 		});
 		this.#enforceLimit();
-		return true;
+		return boundedMs;
 	}
 
 	/** Returns whether an endpoint has asked that nothing be sent to it now. */
@@ -112,19 +112,18 @@
 		return pause.attempts.size >= 2 ** step;
 	}
 
-	/** Takes one of the calls that may be sent during a pause. @returns Whether the call may be sent. */
-	takeUrgentCall(endpoint: EndpointIncarnation, now: number): boolean {
+	/** Returns whether a call may be sent that can't wait for the end of a pause; always if there is none. */
+	mayCallUrgently(endpoint: EndpointIncarnation, now: number): boolean {
 		const pause = this.#find(endpoint);
-		if (pause === undefined || now >= pause.endsAt) {
-			return true;
-		}
+		return pause === undefined || now >= pause.endsAt || pause.urgentCalls < this.options.maxUrgentCalls;
+	}
 
-		if (pause.urgentCalls >= this.options.maxUrgentCalls) {
-			return false;
+	/** Records a call that is sent, and counts it if the endpoint is paused. */
+	recordCall(endpoint: EndpointIncarnation, now: number): void {
+		const pause = this.#find(endpoint);
+		if (pause !== undefined && now < pause.endsAt) {
+			pause.urgentCalls += 1;
 		}
-
-		pause.urgentCalls += 1;
-		return true;
 	}
 
 	/** Records that a request was sent. */
--- a/packages/core/src/log/log-event.ts
+++ b/packages/core/src/log/log-event.ts
@@ -25,6 +25,9 @@
 	EndpointRemoved = 'endpoint_removed',
 	EndpointUnresponsive = 'endpoint_unresponsive',
 	EndpointResponsive = 'endpoint_responsive',
+	/** An endpoint or cache store has asked this VM to send nothing for a time. */
+	EndpointPaused = 'endpoint_paused',
+	EndpointPauseEnded = 'endpoint_pause_ended',
 	/** The head of a request cannot be parsed; the final line of such a request. */
 	RequestRejected = 'request_rejected',
 	/** No endpoint has capacity; the request waits at the VM. */
@@ -62,6 +65,8 @@
 	readonly ready?: number;
 	/** Number of those that are responsive. */
 	readonly responsive?: number;
+	/** Number of those that asked for a pause, or have as many requests in flight as they may have after one. */
+	readonly paused?: number;
 	/** Number of those that are loading weights. */
 	readonly loading?: number;
 	/** Number of those whose weights may be used for responses. */
@@ -104,6 +109,12 @@
 	[LogEvent.EndpointRemoved]: {readonly endpoint: string; readonly maybeLapsed: boolean};
 	[LogEvent.EndpointUnresponsive]: {readonly endpoint: string};
 	[LogEvent.EndpointResponsive]: {readonly endpoint: string};
+	[LogEvent.EndpointPaused]: {readonly endpoint: string; readonly pauseMs: number};
+	[LogEvent.EndpointPauseEnded]: {
+		readonly endpoint: string; readonly pausedMs: number;
+		/** Whether the endpoint has restarted; otherwise the time has elapsed. */
+		readonly isReplaced: boolean;
+	};
 	[LogEvent.RequestRejected]: {readonly code: string; readonly findings: string};
 	[LogEvent.RequestWaiting]: {readonly request: string} & RefusalInputs;
 	[LogEvent.RequestSent]: {
--- a/packages/gateway/src/call/attempt-recorder.ts
+++ b/packages/gateway/src/call/attempt-recorder.ts
@@ -32,6 +32,7 @@
 		const endpoint = placement.entry.id;
 		const isEngine = placement.weightVersion !== undefined;
 		fleet.loads.addRequest(endpoint, id, placement.choice.prefillTokens);
+		this.dependencies.pauses.recordSent(placement.entry, id);
 		fleet.health.recordSent(endpoint, id, isEngine ? placement.choice.firstTokenMs : plainServiceFirstByteMs, clock.monotonicNow());
 		this.#recordCacheObservations(placement, false);
 		log.write(eventLog.LogEvent.RequestSent, {
@@ -67,6 +68,11 @@
 		}
 	}
 
+	/** Records the pause that a response asks for, refusals included, as soon as its head has arrived. */
+	recordPause(placement: endpointPlacer.Placement, head: ports.ResponseHead): void {
+		this.dependencies.pauses.record(placement.entry, head.retryAfterMs);
+	}
+
 	/** Records the load and the weight version that the head of a response reports. */
 	recordHead({placement}: sentAttempt.SentAttempt, head: ports.ResponseHead): void {
 		const {fleet, clock} = this.dependencies;
@@ -87,6 +93,7 @@
 		const {fleet} = this.dependencies;
 		const endpoint = sent.placement.entry.id;
 		fleet.loads.removeRequest(endpoint, sent.id);
+		this.dependencies.pauses.recordEnd(sent.placement.entry, sent.id);
 		fleet.health.recordEnd(endpoint, sent.id);
 		if (end.fault === undefined) {
 			fleet.health.recordOutcome(endpoint, false);
--- a/packages/gateway/src/call/endpoint-finder.ts
+++ b/packages/gateway/src/call/endpoint-finder.ts
@@ -1,4 +1,4 @@
-import type * as core from '@bluebellmast/core';
+import * as core from '@bluebellmast/core';
 import type * as endpointPlacer from '../placement/endpoint-placer.js';
 import * as eventLog from '../util/event-log.js';
 import type * as requestContext from './request-context.js';
@@ -41,7 +41,7 @@
 		const now = this.dependencies.clock.monotonicNow();
 		const candidate = this.place();
 		if (candidate === undefined) {
-			return {placement: undefined, retryAfterMs: refusals.noEndpointRetryAfterMs, inputs: this.dependencies.placer.describePool(this.request, pool, now)};
+			return this.#refuse(pool, now);
 		}
 
 		if (candidate.hasCapacity) {
@@ -66,7 +66,35 @@
 		this.dependencies.log.write(eventLog.LogEvent.RequestWaiting, {request: this.request.head.requestId, ...inputs});
 		const maxWaitMs = Math.max(maxWaitFactor * expectedMs, minWaitMs);
 		const placement = await this.#wait(request, Math.min(this.deadlineAt - minResponseTimeMs, now + maxWaitMs));
-		return placement === undefined ? {placement, retryAfterMs, inputs} : {placement};
+		if (placement !== undefined) {
+			return {placement};
+		}
+
+		// During the wait all endpoints may have become unavailable.
+		return this.place() === undefined
+			? this.#refuse(pool, this.dependencies.clock.monotonicNow())
+			: {placement: undefined, retryAfterMs, inputs};
+	}
+
+	/**
+	 * Returns the time after which a caller should retry that no endpoint can serve now, in milliseconds: when the first endpoint is back if all that
+	 * could serve the request asked for a pause.
+	 */
+	computeRetryAfterMs(pool: core.routing.PoolName): number {
+		const firstBackMs = this.place() === undefined
+			? this.dependencies.placer.firstPauseEndMs(this.request, pool, this.dependencies.clock.monotonicNow())
+			: undefined;
+		return firstBackMs === undefined
+			? refusals.noEndpointRetryAfterMs
+			: core.fleet.computePauseRetryAfterMs(firstBackMs, this.dependencies.random());
+	}
+
+	#refuse(pool: core.routing.PoolName, now: number): EndpointSearchResult {
+		return {
+			placement: undefined,
+			retryAfterMs: this.computeRetryAfterMs(pool),
+			inputs: this.dependencies.placer.describePool(this.request, pool, now),
+		};
 	}
 
 	async #wait(request: core.fleet.WaitingRequest, expiresAt: number): Promise<endpointPlacer.Placement | undefined> {
--- a/packages/gateway/src/call/request-dispatcher.ts
+++ b/packages/gateway/src/call/request-dispatcher.ts
@@ -1,5 +1,6 @@
 import type * as core from '@bluebellmast/core';
 import type * as endpoints from '../endpoints/index.js';
+import type * as endpointPauses from '../placement/endpoint-pauses.js';
 import type * as endpointPlacer from '../placement/endpoint-placer.js';
 import type * as fleetState from '../placement/fleet-state.js';
 import type * as ports from '../ports/index.js';
@@ -15,6 +16,7 @@
 export type DispatcherDependencies = {
 	readonly fleet: fleetState.FleetState;
 	readonly placer: endpointPlacer.EndpointPlacer;
+	readonly pauses: endpointPauses.EndpointPauses;
 	readonly connections: endpoints.ConnectionPools;
 	readonly protocol: ports.EndpointProtocol;
 	readonly retryWindows: retryWindows.RetryWindows;
--- a/packages/gateway/src/controllers/cache-store-controller.ts
+++ b/packages/gateway/src/controllers/cache-store-controller.ts
@@ -1,4 +1,5 @@
 import * as core from '@bluebellmast/core';
+import type * as endpointPauses from '../placement/endpoint-pauses.js';
 import type * as ports from '../ports/index.js';
 import * as eventLog from '../util/event-log.js';
 import type * as coordinationController from './coordination-controller.js';
@@ -9,6 +10,7 @@
 	readonly config: core.routing.ConfigState;
 	readonly coordination: coordinationController.CoordinationController;
 	readonly changeFeed: ports.CacheStoreChangeFeed;
+	readonly pauses: endpointPauses.EndpointPauses;
 	readonly log: eventLog.EventLog;
 	/** Applies observations on this VM and sends them to the others. */
 	readonly publishObservations: (observations: readonly core.fleet.CacheObservation[]) => void;
@@ -46,8 +48,15 @@
 			this.#nextPosition = 0;
 		}
 
+		// The incarnation of a store is known only from its responses.
+		const store: core.fleet.EndpointIncarnation = {id: address, bornAt: 0};
+		if (this.dependencies.pauses.isPaused(store)) {
+			return;
+		}
+
 		const result = await this.dependencies.changeFeed.poll(address, this.#nextPosition, pollWaitMs);
 		result.ifLeft(err => {
+			this.dependencies.pauses.record(store, err.retryAfterMs);
 			this.dependencies.publishObservations([downObservation]);
 			if (!this.#isUnavailable) {
 				this.#isUnavailable = true;
--- a/packages/gateway/src/controllers/endpoint-controller.ts
+++ b/packages/gateway/src/controllers/endpoint-controller.ts
@@ -2,6 +2,7 @@
 import type * as clients from '@bluebellmast/kv';
 import type * as call from '../call/index.js';
 import type * as endpoints from '../endpoints/index.js';
+import type * as endpointPauses from '../placement/endpoint-pauses.js';
 import type * as fleetState from '../placement/fleet-state.js';
 import * as ports from '../ports/index.js';
 import type * as clocks from '../util/clocks.js';
@@ -13,6 +14,7 @@
 	readonly decoder: ports.StoreDecoder;
 	readonly config: core.routing.ConfigState;
 	readonly fleet: fleetState.FleetState;
+	readonly pauses: endpointPauses.EndpointPauses;
 	readonly connections: endpoints.ConnectionPools;
 	readonly dispatcher: call.RequestDispatcher;
 	readonly admin: ports.EndpointAdmin;
@@ -51,15 +53,26 @@
 
 	/** Drops endpoints whose entries did not return, starts the health checks that are due, and aborts attempts on outdated weights. */
 	tick(): void {
-		const {fleet, clock, dispatcher} = this.dependencies;
+		const {fleet, pauses, clock, dispatcher} = this.dependencies;
 		const now = clock.monotonicNow();
 		fleet.registry.removeExpired(now);
+		pauses.removeEnded(id => fleet.registry.get(id)?.bornAt);
 		dispatcher.abortOutdatedAttempts(now);
-		for (const endpoint of fleet.health.startDueChecks(id => fleet.peers.lastReceivedAt(id), now)) {
+		for (const endpoint of fleet.health.startDueChecks(id => fleet.peers.lastReceivedAt(id), now, id => this.#mayCheck(id))) {
 			void this.#checkHealth(endpoint);
 		}
 	}
 
+	/**
+	 * Returns whether an endpoint may be checked now. During a pause that it asked for, only one with requests in flight is, since these would
+	 * otherwise wait for an endpoint that does not respond.
+	 */
+	#mayCheck(id: string): boolean {
+		const {fleet, pauses} = this.dependencies;
+		const entry = fleet.registry.get(id);
+		return entry === undefined || !pauses.isPaused(entry) || (fleet.loads.countOwnActive(id) > 0 && pauses.mayCallUrgently(entry));
+	}
+
 	#put(raw: clients.kv.KvEntry): void {
 		const entry = this.#decode(raw);
 		if (entry === undefined) {
@@ -90,22 +103,35 @@
 	}
 
 	async #checkHealth(endpoint: string): Promise<void> {
-		const {fleet, config, admin, clock} = this.dependencies;
+		const {fleet, config, clock} = this.dependencies;
 		const entry = fleet.registry.get(endpoint);
 		const pool = entry === undefined ? undefined : config.table?.findPool(entry.pool);
 		if (entry === undefined || pool === undefined) {
 			return;
 		}
 
-		const isAlive = pool.engine === undefined ? await admin.isAlive(entry, pool) : await this.#readEngine(entry);
+		this.dependencies.pauses.recordCall(entry);
+		const isAlive = pool.engine === undefined ? await this.#checkPlainService(entry, pool) : await this.#readEngine(entry);
 		if (fleet.health.recordCheck(endpoint, isAlive, clock.monotonicNow())) {
 			this.#handleHealthChange(endpoint, isAlive);
 		}
 	}
 
+	async #checkPlainService(entry: core.fleet.EndpointEntry, pool: core.routing.Pool): Promise<boolean> {
+		const {isAlive, retryAfterMs} = await this.dependencies.admin.checkHealth(entry, pool);
+		this.dependencies.pauses.record(entry, retryAfterMs);
+		return isAlive;
+	}
+
 	/** Reads an engine's report and records its weights. @returns Whether the listed incarnation responded. */
 	async #readEngine(entry: core.fleet.EndpointEntry): Promise<boolean> {
 		const result = await this.dependencies.admin.readReport(entry);
+		const retryAfterMs = result.swap().toMaybe().extract()?.retryAfterMs;
+		if (retryAfterMs !== undefined) {
+			this.dependencies.pauses.record(entry, retryAfterMs);
+			return true;
+		}
+
 		const report = result.toMaybe().extract();
 		if (report === undefined || (report.bornAt !== 0 && report.bornAt !== entry.bornAt)) {
 			return false;
--- a/packages/gateway/src/controllers/rollout-controller.ts
+++ b/packages/gateway/src/controllers/rollout-controller.ts
@@ -1,5 +1,6 @@
 import * as core from '@bluebellmast/core';
 import type * as clients from '@bluebellmast/kv';
+import type * as endpointPauses from '../placement/endpoint-pauses.js';
 import type * as fleetState from '../placement/fleet-state.js';
 import * as ports from '../ports/index.js';
 import type * as clocks from '../util/clocks.js';
@@ -17,6 +18,8 @@
 	readonly reportIntervalMs: number;
 	/** Time after which an order that got no response or had no effect is sent again. */
 	readonly orderRetryMs: number;
+	/** Time for which the calls of a step wait for the end of a pause that the engine asked for. */
+	readonly maxPauseWaitMs: number;
 };
 
 /**
@@ -25,7 +28,7 @@
  * late at the earliest; by then the engine has accepted another order and rejects the delayed one.
  */
 export const defaultRolloutControllerOptions: RolloutControllerOptions = {
-	propagationMs: 60, reportIntervalMs: 120, orderRetryMs: 800,
+	propagationMs: 60, reportIntervalMs: 120, orderRetryMs: 800, maxPauseWaitMs: 2000,
 };
 
 /** Dependencies of the controller. */
@@ -35,6 +38,7 @@
 	readonly coordination: coordinationController.CoordinationController;
 	readonly lease: leaseController.LeaseController;
 	readonly fleet: fleetState.FleetState;
+	readonly pauses: endpointPauses.EndpointPauses;
 	readonly config: core.routing.ConfigState;
 	readonly admin: ports.EndpointAdmin;
 	readonly clock: clocks.Clocks;
@@ -112,7 +116,7 @@
 	}
 
 	#listEngines(): core.rollout.RolloutEngine[] {
-		const {fleet, config, clock} = this.dependencies;
+		const {fleet, pauses, config, clock} = this.dependencies;
 		const now = clock.monotonicNow();
 		const engines: core.rollout.RolloutEngine[] = [];
 		for (const pool of config.table?.config.pools ?? []) {
@@ -120,8 +124,14 @@
 				for (const model of pool.engine?.models ?? []) {
 					const version = fleet.registry.weightVersion(entry.id, model);
 					if (version !== undefined && fleet.health.isResponsive(entry.id)) {
+						const active = fleet.loads.countActive(entry.id, fleet.peers.countActive(entry.id, now), now);
 						engines.push({
-							endpoint: entry.id, bornAt: entry.bornAt, model, version, active: fleet.loads.countActive(entry.id, fleet.peers.countActive(entry.id, now), now),
+							endpoint: entry.id,
+							bornAt: entry.bornAt,
+							model,
+							version,
+							// Engines that asked for a pause are planned last.
+							active: pauses.isPaused(entry) ? Infinity : active,
 						});
 					}
 				}
@@ -175,6 +185,10 @@
 		now: number,
 	): Promise<void> {
 		const isReportDue = now - Math.max(state.reportReadAt, state.orderedAt ?? -Infinity) >= this.options.reportIntervalMs;
+		if (!this.#mayCall(state, entry, now)) {
+			return;
+		}
+
 		if (!this.#acceptedOrders.has(incarnationKey(step))) {
 			await (isReportDue ? this.#readReport(step, state, entry) : undefined);
 			return;
@@ -188,23 +202,31 @@
 			this.#needsPublication = true;
 		} else if (isOrderDue) {
 			await this.#sendOrder(step, state, entry);
-		} else if (isReportDue && (state.isBusy || state.orderedAt !== undefined)) {
+		} else if (isReportDue && !this.dependencies.pauses.isPaused(entry) && (state.isBusy || state.orderedAt !== undefined)) {
 			await this.#readReport(step, state, entry);
 		}
 	}
 
+	/** Returns whether an engine may be called: during a pause that it asked for only if the step has waited for long. */
+	#mayCall(state: StepState, entry: core.fleet.EndpointEntry, now: number): boolean {
+		const {pauses} = this.dependencies;
+		return !pauses.isPaused(entry) || (now - state.plannedAt >= this.options.maxPauseWaitMs && pauses.mayCallUrgently(entry));
+	}
+
 	async #sendOrder(step: core.rollout.RolloutStep, state: StepState, entry: core.fleet.EndpointEntry): Promise<void> {
-		const {lease, admin, fleet, log, vm, clock} = this.dependencies;
+		const {lease, admin, fleet, pauses, log, vm, clock} = this.dependencies;
 		const fence = lease.fencing();
 		if (fence === undefined) {
 			return;
 		}
 
 		state.orderedAt = clock.monotonicNow();
+		pauses.recordCall(entry);
 		const acceptedOrders = this.#acceptedOrders.get(incarnationKey(step));
-		const outcome = await admin.orderWeightLoad(entry, {
+		const {outcome, retryAfterMs} = await admin.orderWeightLoad(entry, {
 			model: step.model, version: step.version, holder: vm, fence, acceptedOrders,
 		});
+		pauses.record(entry, retryAfterMs);
 		log.write(eventLog.LogEvent.OrderSent, {
 			endpoint: step.endpoint, model: step.model, version: step.version, fence, expected: acceptedOrders, outcome,
 		});
@@ -230,7 +252,11 @@
 	async #readReport(step: core.rollout.RolloutStep, state: StepState, entry: core.fleet.EndpointEntry): Promise<void> {
 		const {admin, fleet, clock} = this.dependencies;
 		state.reportReadAt = clock.monotonicNow();
+		this.dependencies.pauses.recordCall(entry);
 		const read = await admin.readReport(entry);
+		read.ifLeft(err => {
+			this.dependencies.pauses.record(entry, err.retryAfterMs);
+		});
 		read.ifRight(report => {
 			const isSameIncarnation = report.bornAt === 0 || report.bornAt === step.bornAt;
 			if (!isSameIncarnation) {
--- a/packages/gateway/src/endpoints/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoints/endpoint-attempt.ts
@@ -86,6 +86,8 @@
 	readonly protocol: ports.EndpointProtocol;
 	readonly request: AttemptRequest;
 	readonly sink: ResponseSink;
+	/** Called with each head of a response that belongs to the request, refusals included. */
+	readonly onHead?: (head: ports.ResponseHead) => void;
 	readonly monotonicNow: () => number;
 };
 
@@ -159,6 +161,7 @@
 			return;
 		}
 
+		this.options.onHead?.(head);
 		if (head.isNotExecuted) {
 			this.progress = core.request.AttemptProgress.RefusedBeforeExecution;
 			this.#responseFault = AttemptFault.Refused;
--- /dev/null
+++ b/packages/gateway/src/placement/endpoint-pauses.ts
@@ -0,0 +1,77 @@
+import * as core from '@bluebellmast/core';
+import type * as clocks from '../util/clocks.js';
+import * as eventLog from '../util/event-log.js';
+
+/** Dependencies of {@link EndpointPauses}. */
+export type EndpointPausesDependencies = {
+	readonly clock: Pick<clocks.Clocks, 'suspendAwareNow'>;
+	readonly log: eventLog.EventLog;
+	/** Returns a random number from 0 (inclusive) to 1 (exclusive). */
+	readonly random: () => number;
+};
+
+/** The pauses that endpoints and cache stores asked this VM for, with a log line for the begin and the end of each. */
+export class EndpointPauses {
+	readonly #paused = new core.fleet.PausedEndpoints();
+
+	constructor(private readonly dependencies: EndpointPausesDependencies) {}
+
+	/** Records the pause that a response asks for, if it does. */
+	record(endpoint: core.fleet.EndpointIncarnation, retryAfterMs: number | undefined): void {
+		const {log, random} = this.dependencies;
+		const pauseMs = retryAfterMs === undefined ? undefined : this.#paused.pause(endpoint, retryAfterMs, random(), this.#now());
+		if (pauseMs !== undefined) {
+			log.write(eventLog.LogEvent.EndpointPaused, {endpoint: endpoint.id, pauseMs: Math.round(pauseMs)});
+		}
+	}
+
+	/** Returns whether an endpoint has asked that nothing be sent to it now. */
+	isPaused(endpoint: core.fleet.EndpointIncarnation): boolean {
+		return this.#paused.isPaused(endpoint, this.#now());
+	}
+
+	/** Returns the time until requests are sent to an endpoint again, in milliseconds; 0 if they are now. */
+	resumesInMs(endpoint: core.fleet.EndpointIncarnation): number {
+		return this.#paused.resumesInMs(endpoint, this.#now());
+	}
+
+	/** Returns whether an endpoint to which requests return after a pause has as many in flight as it may have now. */
+	isReturnLimited(endpoint: core.fleet.EndpointIncarnation): boolean {
+		return this.#paused.isReturnLimited(endpoint, this.#now());
+	}
+
+	/** Returns whether a call may be sent that can't wait for the end of a pause; always if there is none. */
+	mayCallUrgently(endpoint: core.fleet.EndpointIncarnation): boolean {
+		return this.#paused.mayCallUrgently(endpoint, this.#now());
+	}
+
+	/** Records a call that is sent, and counts it if the endpoint is paused. */
+	recordCall(endpoint: core.fleet.EndpointIncarnation): void {
+		this.#paused.recordCall(endpoint, this.#now());
+	}
+
+	/** Records that a request was sent. */
+	recordSent(endpoint: core.fleet.EndpointIncarnation, attempt: string): void {
+		this.#paused.recordSent(endpoint, attempt);
+	}
+
+	/** Records the end of an attempt. */
+	recordEnd(endpoint: core.fleet.EndpointIncarnation, attempt: string): void {
+		this.#paused.recordEnd(endpoint, attempt);
+	}
+
+	/**
+	 * Removes pauses that have ended, and logs each end.
+	 *
+	 * @param bornAtOf - Returns the incarnation that is listed, or `undefined` if the endpoint is not.
+	 */
+	removeEnded(bornAtOf: (endpoint: string) => number | undefined): void {
+		for (const {endpoint, pausedMs, isReplaced} of this.#paused.removeEnded(bornAtOf, this.#now())) {
+			this.dependencies.log.write(eventLog.LogEvent.EndpointPauseEnded, {endpoint, pausedMs: Math.round(pausedMs), isReplaced});
+		}
+	}
+
+	#now(): number {
+		return this.dependencies.clock.suspendAwareNow();
+	}
+}
--- a/packages/gateway/src/placement/endpoint-placer.ts
+++ b/packages/gateway/src/placement/endpoint-placer.ts
@@ -1,6 +1,7 @@
 import * as core from '@bluebellmast/core';
 import type * as requestContext from '../call/request-context.js';
 import type * as ports from '../ports/index.js';
+import type * as endpointPauses from './endpoint-pauses.js';
 import type * as fleetState from './fleet-state.js';
 
 /** Options of placement on this deployment. */
@@ -41,7 +42,11 @@
 
 /** Chooses endpoints for requests by this VM's view of the fleet. */
 export class EndpointPlacer {
-	constructor(private readonly fleet: fleetState.FleetState, private readonly options: PlacerOptions) {}
+	constructor(
+		private readonly fleet: fleetState.FleetState,
+		private readonly pauses: endpointPauses.EndpointPauses,
+		private readonly options: PlacerOptions,
+	) {}
 
 	/**
 	 * Chooses an endpoint.
@@ -56,13 +61,28 @@
 		now: number,
 	): Placement | undefined {
 		const usesEngine = call.table.findPool(pool)?.engine !== undefined && call.head.prompt !== undefined;
-		const candidates = this.fleet.registry.listReady(pool)
-			.filter(entry => !excluded.has(entry.id) && this.fleet.health.isResponsive(entry.id))
-			.filter(entry => !usesEngine || this.#canServe(entry, call.head.prompt.model, now))
+		const resumed = this.#listServing(call, pool, now)
+			.filter(entry => !excluded.has(entry.id) && this.pauses.resumesInMs(entry) === 0);
+		const unlimited = resumed.filter(entry => !this.pauses.isReturnLimited(entry));
+		const candidates = (unlimited.length > 0 ? unlimited : resumed)
 			.map(entry => this.#createCandidate(entry, call, usesEngine, now));
 		const view: core.fleet.PlacementView = {...this.fleet, costs: this.options.costs};
 		const choice = core.fleet.chooseEndpoint(candidates, this.#requirementsOf(call, usesEngine), view, now);
-		return choice === undefined ? undefined : this.#createPlacement(call, choice, usesEngine, now);
+		if (choice === undefined) {
+			return undefined;
+		}
+
+		const placement = this.#createPlacement(call, choice, usesEngine, now);
+		return unlimited.length > 0 ? placement : {...placement, hasCapacity: false};
+	}
+
+	/**
+	 * Returns the time until the first of the endpoints that could serve a request but for a pause is back, in milliseconds; `undefined` if
+	 * none has asked for one.
+	 */
+	firstPauseEndMs(call: requestContext.RoutedRequest, pool: core.routing.PoolName, now: number): number | undefined {
+		const times = this.#listServing(call, pool, now).map(entry => this.pauses.resumesInMs(entry)).filter(ms => ms > 0);
+		return times.length === 0 ? undefined : Math.min(...times);
 	}
 
 	/** Decides whether a request may wait until an engine of its pool has capacity for it. */
@@ -87,11 +107,19 @@
 		return {
 			ready: ready.length,
 			responsive: responsive.length,
+			paused: responsive.filter(entry => this.pauses.resumesInMs(entry) > 0 || this.pauses.isReturnLimited(entry)).length,
 			loading: responsive.filter(entry => core.rollout.isLoading(this.fleet.plan, entry.id)).length,
 			serving: model === undefined ? undefined : responsive.filter(entry => this.#canServe(entry, model, now)).length,
 		};
 	}
 
+	/** Lists the endpoints that could serve a request if none had asked for a pause. */
+	#listServing(call: requestContext.RoutedRequest, pool: core.routing.PoolName, now: number): core.fleet.EndpointEntry[] {
+		const model = call.table.findPool(pool)?.engine === undefined ? undefined : call.head.prompt?.model;
+		return this.fleet.registry.listReady(pool)
+			.filter(entry => this.fleet.health.isResponsive(entry.id) && (model === undefined || this.#canServe(entry, model, now)));
+	}
+
 	#canServe(entry: core.fleet.EndpointEntry, model: string, now: number): boolean {
 		const version = this.fleet.registry.weightVersion(entry.id, model);
 		if (version === undefined || core.rollout.isLoading(this.fleet.plan, entry.id)) {
--- a/packages/gateway/src/placement/index.ts
+++ b/packages/gateway/src/placement/index.ts
@@ -1,2 +1,3 @@
+export * from './endpoint-pauses.js';
 export * from './endpoint-placer.js';
 export * from './fleet-state.js';
--- a/packages/gateway/src/ports/endpoint-protocol.ts
+++ b/packages/gateway/src/ports/endpoint-protocol.ts
@@ -34,6 +34,8 @@
 	/** Whether the response has the endpoint's signature. */
 	readonly isSigned: boolean;
 	readonly load?: core.fleet.ReportedLoad;
+	/** Time for which the endpoint wants nothing more from this VM, in milliseconds; absent if it states none. */
+	readonly retryAfterMs?: number;
 	/** Version of the weights that generate the response. */
 	readonly weightVersion?: number;
 };
@@ -88,16 +90,32 @@
 	Unknown = 'unknown',
 }
 
+/** Response to an order. */
+export type OrderResponse = {
+	readonly outcome: OrderOutcome;
+	/** Time for which the endpoint wants nothing more from this VM, in milliseconds; absent if it states none. */
+	readonly retryAfterMs?: number;
+};
+
+/** Result of a health check. */
+export type HealthCheck = {
+	readonly isAlive: boolean;
+	/** Time for which the endpoint wants nothing more from this VM, in milliseconds; absent if it states none. */
+	readonly retryAfterMs?: number;
+};
+
 /** A failed call to an endpoint. */
 export type EndpointCallError = {
 	readonly message: string;
+	/** Time for which the endpoint wants nothing more from this VM, in milliseconds; absent if it states none. */
+	readonly retryAfterMs?: number;
 };
 
 /** Calls to endpoints other than callers' requests. */
 export interface EndpointAdmin { // eslint-disable-line @typescript-eslint/consistent-type-definitions
 	/** Returns whether an endpoint of a plain service responds. */
-	isAlive(entry: core.fleet.EndpointEntry, pool: core.routing.Pool): Promise<boolean>;
+	checkHealth(entry: core.fleet.EndpointEntry, pool: core.routing.Pool): Promise<HealthCheck>;
 	/** Reads the state of an engine; a success also shows that the engine responds. */
 	readReport(entry: core.fleet.EndpointEntry): Promise<purify.Either<EndpointCallError, EngineReport>>;
-	orderWeightLoad(entry: core.fleet.EndpointEntry, order: WeightLoadOrder): Promise<OrderOutcome>;
+	orderWeightLoad(entry: core.fleet.EndpointEntry, order: WeightLoadOrder): Promise<OrderResponse>;
 }
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -41,6 +41,7 @@
 	const log = new metrics.EventMetrics(options.log, registry);
 	const config = new core.routing.ConfigState();
 	const fleet = new placement.FleetState();
+	const pauses = new placement.EndpointPauses({clock, log, random});
 	const connections = new endpoints.ConnectionPools();
 	const coordination = new controllers.CoordinationController(fleet, clock, log);
 	const loadExchange = new peers.LoadExchange({
@@ -56,11 +57,12 @@
 	const waiting = new call.RequestQueue(() => clock.monotonicNow());
 	const dispatcher = new call.RequestDispatcher({
 		fleet,
+		pauses,
 		connections,
 		clock,
 		log,
 		random,
-		placer: new placement.EndpointPlacer(fleet, {
+		placer: new placement.EndpointPlacer(fleet, pauses, {
 			dataCentre: settings.dataCentre,
 			maxOutdatedWeightsMs: settings.maxOutdatedWeightsMs,
 			costs: core.fleet.defaultPlacementCosts,
@@ -92,13 +94,14 @@
 		},
 	});
 	const endpointController = new controllers.EndpointController({
-		decoder, config, fleet, connections, dispatcher, admin, clock, log,
+		decoder, config, fleet, pauses, connections, dispatcher, admin, clock, log,
 	});
 	const cacheStoreController = new controllers.CacheStoreController({
 		vm: settings.vm,
 		config,
 		coordination,
 		changeFeed: options.cacheStoreChangeFeed,
+		pauses,
 		log,
 		publishObservations(observations) {
 			loadController.publishObservations(observations);
@@ -108,7 +111,7 @@
 		vm: settings.vm, getOwnAddress: () => loadExchange.address, store, coordination, clock, log, random,
 	}, controllers.createVmLeaseOptions(settings.leaderOrderGapMs));
 	const rolloutController = new controllers.RolloutController({
-		vm: settings.vm, store, coordination, lease: leaseController, fleet, config, admin, clock, log, limits: core.rollout.defaultRolloutLimits,
+		vm: settings.vm, store, coordination, lease: leaseController, fleet, pauses, config, admin, clock, log, limits: core.rollout.defaultRolloutLimits,
 	});
 	const listener = new controllers.PrefixListeners([
 		{prefix: decoder.prefixes.operator, listener: operator},
--- a/packages/stand-ins/src/users-platform/users-server-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/users-server-stand-in.ts
@@ -78,6 +78,21 @@
 	readonly arrivedAt: number;
 };
 
+/** An arrival at a server that asks for a pause. */
+export type PausedArrival = {
+	readonly path: string;
+	/** Milliseconds since the Unix epoch. */
+	readonly at: number;
+};
+
+type AskedPause = {
+	/** Value of `Retry-After`. */
+	readonly retryAfter: string;
+	/** Milliseconds since the Unix epoch. */
+	readonly until: number;
+	readonly includesCalls: boolean;
+};
+
 /** Result of an order. */
 type OrderResult = {
 	readonly status: number;
@@ -108,6 +123,8 @@
 	readonly rejectedLateOrders: UsersServerOrder[] = [];
 	fault = ServerFault.None;
 	orderFault = OrderFault.None;
+	/** Arrivals while the server asked for a pause. */
+	readonly arrivalsInPause: PausedArrival[] = [];
 	version = 1;
 	/** Number of orders whose delayed execution is pending. */
 	pendingLateOrderCount = 0;
@@ -118,6 +135,7 @@
 	/** Number of orders accepted by this incarnation. */
 	#acceptedOrderCount = 0;
 	#startedAt = Date.now();
+	#pause: AskedPause = {retryAfter: '', until: -Infinity, includesCalls: false};
 
 	constructor(private readonly options: UsersServerOptions) {
 		this.server = new fault.StandInServer(options, async (req, res) => this.#handle(req, res));
@@ -140,6 +158,15 @@
 		this.server.resetConnections();
 	}
 
+	/**
+	 * Turns requests and health checks away with status 503 and the value of `Retry-After`, for a time in milliseconds.
+	 *
+	 * @param includesCalls - Whether orders and reads of the report are turned away as well.
+	 */
+	askForPause(retryAfter: string, ms: number, includesCalls = false): void {
+		this.#pause = {retryAfter, until: Date.now() + ms, includesCalls};
+	}
+
 	/** Returns the entry that the server writes about itself to the store. */
 	createRegistration(state = 'ready'): Readonly<Record<string, unknown>> {
 		return {
@@ -163,6 +190,15 @@
 		}
 
 		const path = util.pathOf(req);
+		if (Date.now() < this.#pause.until) {
+			this.arrivalsInPause.push({path, at: Date.now()});
+			const isCall = path === '/v1/report' || path === '/v1/order';
+			if (!isCall || this.#pause.includesCalls) {
+				this.#turnAway(req, res);
+				return;
+			}
+		}
+
 		switch (path) {
 			case '/v1/report': {
 				util.sendJson(res, 200, {
@@ -190,6 +226,14 @@
 		}
 	}
 
+	#turnAway(req: http.IncomingMessage, res: http.ServerResponse): void {
+		util.sendJson(res, 503, {}, {
+			'Bluebellmast-Not-Executed': '1',
+			'Bluebellmast-Request-Id': util.headerOf(req, 'bluebellmast-request-id'),
+			'Retry-After': this.#pause.retryAfter,
+		});
+	}
+
 	async #handleOrder(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
 		const order = {...await util.readJson(req) as UsersServerOrder, arrivedAt: Date.now()};
 		if (this.orderFault === OrderFault.Late) {
