Return gradually to endpoints after their pauses, and tell the other VMs of them

Cause: after a pause all VMs and callers came back at once, and each VM of a large fleet had to be refused by each paused endpoint. Change: a VM has at most its share of an endpoint's slots in flight during the return, callers are spread over the time of the return, and digests name four pauses in turn (fifth element, which older builds ignore); others prefer other endpoints, at the cost of a full queue.

--- a/packages/core/src/fleet/choose-endpoint.ts
+++ b/packages/core/src/fleet/choose-endpoint.ts
@@ -23,6 +23,8 @@
 	readonly otherDataCentreMs: number;
 	/** Cost of weights older than the newest named version, which reduce the value of an answer by a fifth. */
 	readonly oldWeightsMs: number;
+	/** Cost of an endpoint that has asked another VM for a pause, and will probably refuse this VM too: as much as a full queue. */
+	readonly pausedForPeersMs: number;
 	/** Discount of the first endpoint in rendezvous order, so that VMs choose the same endpoint for a part that none has cached. */
 	readonly homeDiscountMs: number;
 };
@@ -39,6 +41,7 @@
 	failureMs: 2000,
 	otherDataCentreMs: 4,
 	oldWeightsMs: 100,
+	pausedForPeersMs: 500,
 	homeDiscountMs: 30,
 };
 
@@ -56,6 +59,8 @@
 export type Candidate = {
 	readonly entry: endpointEntry.EndpointEntry;
 	readonly hasOldWeights: boolean;
+	/** Whether the endpoint has asked another VM for a pause that lasts; `false` by default. */
+	readonly isPausedForPeers?: boolean;
 	/** Time until requests may no longer start on the endpoint's weights, in milliseconds; `Infinity` for the newest weights. */
 	readonly startWithinMs: number;
 	/** Cache namespace for the endpoint's weights. */
@@ -141,6 +146,7 @@
 		+ (view.health.failureRate(entry.id) * costs.failureMs)
 		+ (entry.dataCentre === requirements.dataCentre ? 0 : costs.otherDataCentreMs)
 		+ (candidate.hasOldWeights ? costs.oldWeightsMs : 0)
+		+ (candidate.isPausedForPeers ? costs.pausedForPeersMs : 0)
 		- (isHome ? costs.homeDiscountMs : 0);
 	return {
 		candidate, costMs, backlogMs, firstTokenMs, prefillTokens: tokens.prefill,
--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -8,6 +8,7 @@
 export * from './load-digest.js';
 export * from './peer-loads.js';
 export * from './part-locations.js';
+export * from './peer-pauses.js';
 export * from './paused-endpoints.js';
 export * from './poll-pause.js';
 export * from './retry-window.js';
--- a/packages/core/src/fleet/load-digest.ts
+++ b/packages/core/src/fleet/load-digest.ts
@@ -11,6 +11,15 @@
 	readonly sinceLastReceivedMs?: number;
 };
 
+/** A pause that an endpoint asked one VM for. */
+export type PauseDigest = {
+	readonly endpoint: string;
+	/** Start time of the incarnation, in Unix milliseconds; 0 when unknown. */
+	readonly bornAt: number;
+	/** Time until the end of the pause, in milliseconds. */
+	readonly remainingMs: number;
+};
+
 /** Summary that a VM sends to the others: its load on the endpoints and its cache observations since the last digest. */
 export type LoadDigest = {
 	readonly vm: string;
@@ -19,4 +28,6 @@
 	readonly endpoints: readonly EndpointDigest[];
 	/** Observations of where large prompt parts are cached. */
 	readonly cacheObservations: readonly cacheObservation.CacheObservation[];
+	/** Some of the pauses that endpoints asked the VM for; absent if it does not tell of them. */
+	readonly pauses?: readonly PauseDigest[];
 };
--- a/packages/core/src/fleet/paused-endpoints.ts
+++ b/packages/core/src/fleet/paused-endpoints.ts
@@ -1,4 +1,5 @@
 import type * as endpointEntry from './endpoint-entry.js';
+import type * as loadDigest from './load-digest.js';
 
 /** Limits on the pauses that endpoints ask for, and the return of requests after them. Times are in milliseconds. */
 export type PauseOptions = {
@@ -6,7 +7,7 @@
 	readonly maxPauseMs: number;
 	/** Longest time over which requests return after a pause; shorter pauses are followed by a return as long as the pause. */
 	readonly maxReturnMs: number;
-	/** Steps of the return; the number of requests in flight may double at each of them. */
+	/** Steps of the return, at each of which more requests may be in flight. */
 	readonly returnSteps: number;
 	/** Calls that may be sent to an endpoint in one pause, where waiting for its end does harm. */
 	readonly maxUrgentCalls: number;
@@ -21,6 +22,14 @@
 /** An incarnation of an endpoint; another one does not share its pause. */
 export type EndpointIncarnation = Pick<endpointEntry.EndpointEntry, 'id' | 'bornAt'>;
 
+/** The return of requests to an endpoint after its pause. */
+export type PauseReturn = {
+	/** Time until this VM sends requests to the endpoint again, in milliseconds. */
+	readonly resumesInMs: number;
+	/** Time from then until their number is no longer limited, in milliseconds. */
+	readonly returnMs: number;
+};
+
 /** A pause whose end has been reached. */
 export type EndedPause = {
 	readonly endpoint: string;
@@ -95,21 +104,33 @@
 		return pause !== undefined && now < pause.endsAt;
 	}
 
-	/** Returns the time until this VM sends requests to an endpoint again, in milliseconds; 0 if it does now. */
-	resumesInMs(endpoint: EndpointIncarnation, now: number): number {
+	/** Lists the pauses in progress, for the digests of this VM. */
+	list(now: number): loadDigest.PauseDigest[] {
+		return [...this.#pauses]
+			.filter(([, pause]) => now < pause.endsAt)
+			.map(([endpoint, {bornAt, endsAt}]) => ({endpoint, bornAt, remainingMs: Math.ceil(endsAt - now)}));
+	}
+
+	/** Returns when this VM sends requests to an endpoint again; `undefined` if it does now. */
+	findReturn(endpoint: EndpointIncarnation, now: number): PauseReturn | undefined {
 		const pause = this.#find(endpoint);
-		return pause === undefined ? 0 : Math.max(0, pause.resumesAt - now);
+		return pause === undefined || now >= pause.resumesAt ? undefined : {resumesInMs: pause.resumesAt - now, returnMs: pause.returnMs};
 	}
 
-	/** Returns whether an endpoint to which requests return has as many in flight as it may have now. */
-	isReturnLimited(endpoint: EndpointIncarnation, now: number): boolean {
+	/**
+	 * Returns whether an endpoint to which requests return has as many in flight as it may have now.
+	 *
+	 * @param shareOfSlots - This VM's share of the slots of the endpoint, which is reached at the end of the return.
+	 */
+	isReturnLimited(endpoint: EndpointIncarnation, shareOfSlots: number, now: number): boolean {
 		const pause = this.#find(endpoint);
 		if (pause === undefined || now >= pause.resumesAt + pause.returnMs) {
 			return false;
 		}
 
-		const step = Math.floor(this.options.returnSteps * (now - pause.resumesAt) / pause.returnMs);
-		return pause.attempts.size >= 2 ** step;
+		const {returnSteps} = this.options;
+		const step = Math.floor(returnSteps * (now - pause.resumesAt) / pause.returnMs);
+		return pause.attempts.size >= Math.max(1, Math.floor(shareOfSlots * (step + 1) / returnSteps));
 	}
 
 	/** Returns whether a call may be sent that can't wait for the end of a pause; always if there is none. */
@@ -174,19 +195,13 @@
 	}
 }
 
-/** Shortest and longest time over which refused callers are spread, in milliseconds. */
-const minCallerSpreadMs = 250;
-const maxCallerSpreadMs = 2000;
-/** Time over which refused callers are spread, as a share of the time until the first endpoint is back. */
-const callerSpreadShare = 0.5;
-
 /**
- * Returns the time after which a caller should retry that was refused because all endpoints that could serve it asked for a pause.
+ * Returns the time after which a caller should retry that was refused because all endpoints that could serve it asked for a pause. Callers
+ * are spread over the time in which requests return to the endpoint.
  *
- * @param firstBackMs - Time until requests are sent again to the first of the endpoints, in milliseconds.
+ * @param first - The return of requests to the first of the endpoints.
  * @param spread - Place of this caller among those that were refused, from 0 to 1.
  */
-export function computePauseRetryAfterMs(firstBackMs: number, spread: number): number {
-	const spreadMs = Math.min(maxCallerSpreadMs, Math.max(minCallerSpreadMs, firstBackMs * callerSpreadShare));
-	return firstBackMs + (spread * spreadMs);
+export function computePauseRetryAfterMs(first: PauseReturn, spread: number): number {
+	return first.resumesInMs + (spread * first.returnMs);
 }
--- a/packages/gateway/src/call/endpoint-finder.ts
+++ b/packages/gateway/src/call/endpoint-finder.ts
@@ -81,12 +81,12 @@
 	 * could serve the request asked for a pause.
 	 */
 	computeRetryAfterMs(pool: core.routing.PoolName): number {
-		const firstBackMs = this.place() === undefined
-			? this.dependencies.placer.firstPauseEndMs(this.request, pool, this.dependencies.clock.monotonicNow())
+		const first = this.place() === undefined
+			? this.dependencies.placer.findFirstReturn(this.request, pool, this.dependencies.clock.monotonicNow())
 			: undefined;
-		return firstBackMs === undefined
+		return first === undefined
 			? refusals.noEndpointRetryAfterMs
-			: core.fleet.computePauseRetryAfterMs(firstBackMs, this.dependencies.random());
+			: core.fleet.computePauseRetryAfterMs(first, this.dependencies.random());
 	}
 
 	#refuse(pool: core.routing.PoolName, now: number): EndpointSearchResult {
--- a/packages/gateway/src/controllers/load-controller.ts
+++ b/packages/gateway/src/controllers/load-controller.ts
@@ -1,5 +1,6 @@
 import type * as core from '@bluebellmast/core';
 import type * as peers from '../peers/index.js';
+import type * as endpointPauses from '../placement/endpoint-pauses.js';
 import type * as fleetState from '../placement/fleet-state.js';
 import type * as clocks from '../util/clocks.js';
 import type * as coordinationController from './coordination-controller.js';
@@ -8,6 +9,7 @@
 export type LoadControllerDependencies = {
 	readonly vm: string;
 	readonly fleet: fleetState.FleetState;
+	readonly pauses: Pick<endpointPauses.EndpointPauses, 'takeDigest' | 'applyDigest'>;
 	readonly coordination: Pick<coordinationController.CoordinationController, 'listPeerAddresses'>;
 	readonly exchange: Pick<peers.LoadExchange, 'send'>;
 	readonly clock: clocks.Clocks;
@@ -52,6 +54,7 @@
 	applyDigest(digest: core.fleet.LoadDigest): void {
 		const now = this.dependencies.clock.monotonicNow();
 		this.dependencies.fleet.peers.applyDigest(digest, now);
+		this.dependencies.pauses.applyDigest(digest.pauses ?? []);
 		for (const observation of digest.cacheObservations) {
 			this.dependencies.fleet.parts.applyObservation(observation, now);
 		}
@@ -79,14 +82,14 @@
 	}
 
 	#send(): void {
-		const {vm, exchange} = this.dependencies;
+		const {vm, exchange, pauses} = this.dependencies;
 		clearTimeout(this.#timer);
 		this.#timer = undefined;
 		const observations = this.#observations.splice(0, maxObservations);
 		this.#sequence += 1;
 		this.#lastSentAt = this.dependencies.clock.monotonicNow();
 		exchange.send({
-			vm, sequence: this.#sequence, endpoints: this.#describeLoad(), cacheObservations: observations,
+			vm, sequence: this.#sequence, endpoints: this.#describeLoad(), cacheObservations: observations, pauses: pauses.takeDigest(),
 		}, this.#choosePeers(observations));
 		if (this.#observations.length > 0) {
 			this.#scheduleSend();
--- a/packages/gateway/src/peers/digest-codec.ts
+++ b/packages/gateway/src/peers/digest-codec.ts
@@ -8,17 +8,32 @@
 /** Encoded cache observation: type, prompt part with its cache namespace, endpoint. */
 type ObservationRow = readonly [core.fleet.CacheObservationType, string, string];
 
-type DigestMessage = readonly [vm: string, sequence: number, endpoints: readonly EndpointRow[], observations: readonly ObservationRow[]];
+/** Encoded pause: endpoint, start time of its incarnation in Unix milliseconds, milliseconds until the end. */
+type PauseRow = readonly [string, number, number];
+
+/** Parts of a digest that older builds do not know and ignore. */
+type DigestExtension = {
+	readonly pauses?: readonly PauseRow[];
+};
+
+type DigestMessage = readonly [
+	vm: string,
+	sequence: number,
+	endpoints: readonly EndpointRow[],
+	observations: readonly ObservationRow[],
+	extension?: DigestExtension,
+];
 
 /** Encodes a digest as one datagram. */
 export function encodeDigest(digest: core.fleet.LoadDigest): buffer.Buffer {
-	const message: DigestMessage = [
+	const pauses = (digest.pauses ?? []).map(({endpoint, bornAt, remainingMs}): PauseRow => [endpoint, bornAt, remainingMs]);
+	const state: DigestMessage = [
 		digest.vm,
 		digest.sequence,
 		digest.endpoints.map(entry => [entry.endpoint, entry.active, entry.prefillTokens, entry.sinceLastReceivedMs]),
 		digest.cacheObservations.map(observation => [observation.type, observation.key, observation.endpoint]),
 	];
-	return cbor.encode(message);
+	return cbor.encode(pauses.length === 0 ? state : [...state, {pauses}]);
 }
 
 /** Decodes a datagram; returns `undefined` if it is not a digest. */
@@ -34,7 +49,8 @@
 	return isDigest(message) ? toDigest(message) : undefined;
 }
 
-function toDigest([vm, sequence, endpoints, observations]: DigestMessage): core.fleet.LoadDigest {
+function toDigest([vm, sequence, endpoints, observations, extension]: DigestMessage): core.fleet.LoadDigest {
+	const pauses = toPauses(extension?.pauses);
 	return {
 		vm,
 		sequence,
@@ -42,9 +58,21 @@
 			endpoint, active, prefillTokens, sinceLastReceivedMs: sinceLastReceivedMs ?? undefined,
 		})),
 		cacheObservations: observations.map(([type, key, endpoint]) => ({type, key, endpoint})),
+		...(pauses.length > 0 && {pauses}),
 	};
 }
 
+/** Decodes the pauses; skips invalid ones, since the rest of the digest is usable without them. */
+function toPauses(rows: unknown): core.fleet.PauseDigest[] {
+	if (!isRows(rows, ['string', 'number', 'number'])) {
+		return [];
+	}
+
+	return (rows as readonly PauseRow[])
+		.map(([endpoint, bornAt, remainingMs]) => ({endpoint, bornAt, remainingMs}))
+		.filter(pause => pause.remainingMs > 0);
+}
+
 function isDigest(message: unknown): message is DigestMessage {
 	if (!Array.isArray(message) || typeof message[0] !== 'string' || typeof message[1] !== 'number') {
 		return false;
--- a/packages/gateway/src/placement/endpoint-pauses.ts
+++ b/packages/gateway/src/placement/endpoint-pauses.ts
@@ -10,9 +10,15 @@
 	readonly random: () => number;
 };
 
+/** Number of pauses in a digest; with about 27 bytes each they take 5 KB/s of the 19 KB/s that a node may use for control traffic. */
+const maxPausesPerDigest = 4;
+
 /** The pauses that endpoints and cache stores asked this VM for, with a log line for the begin and the end of each. */
 export class EndpointPauses {
 	readonly #paused = new core.fleet.PausedEndpoints();
+	readonly #peers = new core.fleet.PeerPauses();
+	/** Number of pauses that digests have told of; the next one continues after them. */
+	#toldCount = 0;
 
 	constructor(private readonly dependencies: EndpointPausesDependencies) {}
 
@@ -30,14 +36,37 @@
 		return this.#paused.isPaused(endpoint, this.#now());
 	}
 
-	/** Returns the time until requests are sent to an endpoint again, in milliseconds; 0 if they are now. */
-	resumesInMs(endpoint: core.fleet.EndpointIncarnation): number {
-		return this.#paused.resumesInMs(endpoint, this.#now());
+	/** Returns whether an endpoint has asked another VM for a pause that lasts. */
+	isPausedForPeers(endpoint: core.fleet.EndpointIncarnation): boolean {
+		return this.#peers.isPaused(endpoint, this.#now());
+	}
+
+	/** Returns when requests are sent to an endpoint again; `undefined` if they are now. */
+	findReturn(endpoint: core.fleet.EndpointIncarnation): core.fleet.PauseReturn | undefined {
+		return this.#paused.findReturn(endpoint, this.#now());
+	}
+
+	/**
+	 * Returns whether an endpoint to which requests return after a pause has as many in flight as it may have now.
+	 *
+	 * @param shareOfSlots - This VM's share of the slots of the endpoint.
+	 */
+	isReturnLimited(endpoint: core.fleet.EndpointIncarnation, shareOfSlots: number): boolean {
+		return this.#paused.isReturnLimited(endpoint, shareOfSlots, this.#now());
+	}
+
+	/** Returns the next pauses in turn for a digest to the other VMs. */
+	takeDigest(): core.fleet.PauseDigest[] {
+		const pauses = this.#paused.list(this.#now());
+		const first = pauses.length === 0 ? 0 : this.#toldCount % pauses.length;
+		const told = [...pauses.slice(first), ...pauses.slice(0, first)].slice(0, maxPausesPerDigest);
+		this.#toldCount += told.length;
+		return told;
 	}
 
-	/** Returns whether an endpoint to which requests return after a pause has as many in flight as it may have now. */
-	isReturnLimited(endpoint: core.fleet.EndpointIncarnation): boolean {
-		return this.#paused.isReturnLimited(endpoint, this.#now());
+	/** Applies the pauses that another VM tells of. */
+	applyDigest(pauses: readonly core.fleet.PauseDigest[]): void {
+		this.#peers.apply(pauses, this.#now());
 	}
 
 	/** Returns whether a call may be sent that can't wait for the end of a pause; always if there is none. */
@@ -66,6 +95,7 @@
 	 * @param bornAtOf - Returns the incarnation that is listed, or `undefined` if the endpoint is not.
 	 */
 	removeEnded(bornAtOf: (endpoint: string) => number | undefined): void {
+		this.#peers.removeEnded(this.#now());
 		for (const {endpoint, pausedMs, isReplaced} of this.#paused.removeEnded(bornAtOf, this.#now())) {
 			this.dependencies.log.write(eventLog.LogEvent.EndpointPauseEnded, {endpoint, pausedMs: Math.round(pausedMs), isReplaced});
 		}
--- a/packages/gateway/src/placement/endpoint-placer.ts
+++ b/packages/gateway/src/placement/endpoint-placer.ts
@@ -62,8 +62,8 @@
 	): Placement | undefined {
 		const usesEngine = call.table.findPool(pool)?.engine !== undefined && call.head.prompt !== undefined;
 		const resumed = this.#listServing(call, pool, now)
-			.filter(entry => !excluded.has(entry.id) && this.pauses.resumesInMs(entry) === 0);
-		const unlimited = resumed.filter(entry => !this.pauses.isReturnLimited(entry));
+			.filter(entry => !excluded.has(entry.id) && this.pauses.findReturn(entry) === undefined);
+		const unlimited = resumed.filter(entry => !this.#isReturnLimited(entry));
 		const candidates = (unlimited.length > 0 ? unlimited : resumed)
 			.map(entry => this.#createCandidate(entry, call, usesEngine, now));
 		const view: core.fleet.PlacementView = {...this.fleet, costs: this.options.costs};
@@ -77,12 +77,11 @@
 	}
 
 	/**
-	 * Returns the time until the first of the endpoints that could serve a request but for a pause is back, in milliseconds; `undefined` if
-	 * none has asked for one.
+	 * Returns when the first of the endpoints that could serve a request but for a pause is back; `undefined` if none has asked for one.
 	 */
-	firstPauseEndMs(call: requestContext.RoutedRequest, pool: core.routing.PoolName, now: number): number | undefined {
-		const times = this.#listServing(call, pool, now).map(entry => this.pauses.resumesInMs(entry)).filter(ms => ms > 0);
-		return times.length === 0 ? undefined : Math.min(...times);
+	findFirstReturn(call: requestContext.RoutedRequest, pool: core.routing.PoolName, now: number): core.fleet.PauseReturn | undefined {
+		const returns = this.#listServing(call, pool, now).map(entry => this.pauses.findReturn(entry)).filter(each => each !== undefined);
+		return returns.sort((a, b) => a.resumesInMs - b.resumesInMs)[0];
 	}
 
 	/** Decides whether a request may wait until an engine of its pool has capacity for it. */
@@ -107,12 +106,16 @@
 		return {
 			ready: ready.length,
 			responsive: responsive.length,
-			paused: responsive.filter(entry => this.pauses.resumesInMs(entry) > 0 || this.pauses.isReturnLimited(entry)).length,
+			paused: responsive.filter(entry => this.pauses.findReturn(entry) !== undefined || this.#isReturnLimited(entry)).length,
 			loading: responsive.filter(entry => core.rollout.isLoading(this.fleet.plan, entry.id)).length,
 			serving: model === undefined ? undefined : responsive.filter(entry => this.#canServe(entry, model, now)).length,
 		};
 	}
 
+	#isReturnLimited(entry: core.fleet.EndpointEntry): boolean {
+		return this.pauses.isReturnLimited(entry, entry.slots / this.fleet.vmCount);
+	}
+
 	/** Lists the endpoints that could serve a request if none had asked for a pause. */
 	#listServing(call: requestContext.RoutedRequest, pool: core.routing.PoolName, now: number): core.fleet.EndpointEntry[] {
 		const model = call.table.findPool(pool)?.engine === undefined ? undefined : call.head.prompt?.model;
@@ -137,7 +140,7 @@
 	): core.fleet.Candidate {
 		if (!usesEngine) {
 			return {
-				entry, hasOldWeights: false, startWithinMs: Infinity, cacheNamespace: '',
+				entry, hasOldWeights: false, isPausedForPeers: this.pauses.isPausedForPeers(entry), startWithinMs: Infinity, cacheNamespace: '',
 			};
 		}
 
@@ -146,6 +149,7 @@
 		return {
 			entry,
 			hasOldWeights: this.fleet.targets.outdatedForMs(model, version, now) > oldWeightsGraceMs,
+			isPausedForPeers: this.pauses.isPausedForPeers(entry),
 			startWithinMs: this.#startWithinMs(model, version, now),
 			cacheNamespace: `${model}@${version}${isolationSuffix(call.account)}`,
 		};
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -52,7 +52,7 @@
 		},
 	});
 	const loadController = new controllers.LoadController({
-		vm: settings.vm, fleet, coordination, exchange: loadExchange, clock,
+		vm: settings.vm, fleet, pauses, coordination, exchange: loadExchange, clock,
 	});
 	const waiting = new call.RequestQueue(() => clock.monotonicNow());
 	const dispatcher = new call.RequestDispatcher({
--- /dev/null
+++ b/packages/gateway/tests/peers/digest-codec.test.ts
@@ -0,0 +1,49 @@
+import type * as core from '@bluebellmast/core';
+import * as cbor from 'cbor-x';
+import * as chai from 'chai';
+import * as gateway from '@bluebellmast/gateway';
+
+const {expect} = chai;
+const withoutPauses: core.fleet.LoadDigest = {
+	vm: 'vm-1',
+	sequence: 7,
+	endpoints: [{
+		endpoint: 'a', active: 2, prefillTokens: 300, sinceLastReceivedMs: 20,
+	}],
+	cacheObservations: [],
+};
+const digest: core.fleet.LoadDigest = {
+	...withoutPauses,
+	pauses: [{endpoint: 'b', bornAt: 1_796_370_137_105, remainingMs: 4500}],
+};
+const olderRows = ['vm-1', 7, [['a', 2, 300, 20]], []];
+
+describe('digests', () => {
+	it('tell the pauses that endpoints asked the VM for', () => {
+		expect(gateway.peers.decodeDigest(gateway.peers.encodeDigest(digest))).to.deep.equal(digest);
+	});
+
+	it('are readable for older builds, which read the first four elements', () => {
+		const message = cbor.decode(gateway.peers.encodeDigest(digest)) as unknown[];
+		expect(message.slice(0, 4)).to.deep.equal(olderRows);
+	});
+
+	it('have the form of older builds while there is no pause', () => {
+		const message: unknown = cbor.decode(gateway.peers.encodeDigest({...withoutPauses, pauses: []}));
+		expect(message).to.deep.equal(olderRows);
+	});
+
+	const others: ReadonlyArray<{readonly name: string; readonly extension: readonly unknown[]}> = [
+		{name: 'without an extension', extension: []},
+		{name: 'with an unknown extension', extension: [{other: 1}]},
+		{name: 'with pauses that are no list', extension: [{pauses: 5}]},
+		{name: 'with an extension that is no map', extension: [null]},
+		{name: 'with invalid pauses', extension: [{pauses: [['b', 1], ['b', 1, -5], ['b', 1, Number.NaN], [1, 1, 1]]}]},
+	];
+	for (const {name, extension} of others) {
+		it(`of another build ${name} are accepted without pauses`, () => {
+			const decoded = gateway.peers.decodeDigest(cbor.encode([...olderRows, ...extension]));
+			expect(decoded).to.deep.equal(withoutPauses);
+		});
+	}
+});
