Take back requests that are not sent when their endpoint asks for a pause

Cause: a request whose connection was still being opened was sent to the endpoint once it was open, up to half a second into the pause.

--- a/packages/gateway/src/call/request-dispatcher.ts
+++ b/packages/gateway/src/call/request-dispatcher.ts
@@ -59,6 +59,13 @@
 		}
 	}
 
+	/** Aborts the attempts whose connection is not open at endpoints that asked for a pause meanwhile. */
+	abortPausedAttempts(): void {
+		for (const forwarder of this.#forwarders) {
+			forwarder.abortPausedAttempt();
+		}
+	}
+
 	/** Aborts the attempts at an endpoint that stopped responding, if their requests may be retried at another endpoint. */
 	abortSilentAttempts(endpoint: core.fleet.EndpointEntry['id']): void {
 		for (const forwarder of this.#forwarders) {
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -116,6 +116,15 @@
 		}
 	}
 
+	/** Aborts the current attempt if its connection is not open and its endpoint has asked for a pause meanwhile. */
+	abortPausedAttempt(): void {
+		const last = this.#attempts.at(-1);
+		const isUnsent = last !== undefined && last.end === undefined && last.attempt.progress === core.request.AttemptProgress.Connecting;
+		if (isUnsent && this.dependencies.pauses.isPaused(last.placement.entry)) {
+			last.attempt.abort(endpoints.AttemptFault.EndpointPaused);
+		}
+	}
+
 	async #runAttempts(): Promise<refusals.Refusal | undefined> {
 		for (;;) {
 			const refusal = this.#findRefusal();
--- a/packages/gateway/src/controllers/endpoint-controller.ts
+++ b/packages/gateway/src/controllers/endpoint-controller.ts
@@ -51,13 +51,14 @@
 		}
 	}
 
-	/** Drops endpoints whose entries did not return, starts the health checks that are due, and aborts attempts on outdated weights. */
+	/** Drops endpoints whose entries did not return, starts the health checks that are due, and aborts attempts on outdated weights or at paused endpoints. */
 	tick(): void {
 		const {fleet, pauses, clock, dispatcher} = this.dependencies;
 		const now = clock.monotonicNow();
 		fleet.registry.removeExpired(now);
 		pauses.removeEnded(id => fleet.registry.get(id)?.bornAt);
 		dispatcher.abortOutdatedAttempts(now);
+		dispatcher.abortPausedAttempts();
 		for (const endpoint of fleet.health.startDueChecks(id => fleet.peers.lastReceivedAt(id), now, id => this.#mayCheck(id))) {
 			void this.#checkHealth(endpoint);
 		}
--- a/packages/gateway/src/endpoints/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoints/endpoint-attempt.ts
@@ -28,6 +28,8 @@
 	TimedOut = 'timed_out',
 	/** The endpoint sent nothing for too long. */
 	EndpointSilent = 'endpoint_silent',
+	/** The endpoint asked for a pause before the connection was open. */
+	EndpointPaused = 'endpoint_paused',
 	/** The request did not start before the weights of the endpoint may no longer be used. */
 	WeightsOutdated = 'weights_outdated',
 }
--- a/packages/gateway/tests/controllers/endpoint-pauses.test.ts
+++ b/packages/gateway/tests/controllers/endpoint-pauses.test.ts
@@ -57,7 +57,7 @@
 				fleet,
 				pauses,
 				connections: {closeIdle: () => undefined},
-				dispatcher: {abortOutdatedAttempts: () => undefined, abortSilentAttempts: () => undefined},
+				dispatcher: {abortOutdatedAttempts: () => undefined, abortPausedAttempts: () => undefined, abortSilentAttempts: () => undefined},
 				admin,
 				clock,
 				log,
