--- a/packages/gateway/src/call/endpoint-finder.ts
+++ b/packages/gateway/src/call/endpoint-finder.ts
@@ -1,4 +1,4 @@
-import type * as core from '@bluebellmast/core';
+import * as core from '@bluebellmast/core';
 import type * as endpointPlacer from '../placement/endpoint-placer.js';
 import * as clocks from '../util/clocks.js';
 import * as eventLog from '../util/event-log.js';
@@ -42,7 +42,7 @@
 		const now = this.dependencies.clock.monotonicNow();
 		const candidate = this.place();
 		if (candidate === undefined) {
-			return {placement: undefined, retryAfterMs: refusals.noEndpointRetryAfterMs, inputs: this.#describePool(pool)};
+			return this.#refuse(pool);
 		}
 
 		if (candidate.hasCapacity) {
@@ -67,7 +67,35 @@
 		this.dependencies.log.write(eventLog.LogEvent.RequestWaiting, {request: this.request.head.requestId, ...inputs});
 		const maxWaitMs = Math.max(maxWaitFactor * expectedMs, minWaitMs);
 		const placement = await this.#wait(request, Math.min(this.deadlineAt - minResponseTimeMs, now + maxWaitMs));
-		return placement === undefined ? {placement, retryAfterMs, inputs} : {placement};
+		if (placement !== undefined) {
+			return {placement};
+		}
+
+		// During the wait all endpoints may have become unavailable.
+		return this.place() === undefined
+			? this.#refuse(pool)
+			: {placement: undefined, retryAfterMs, inputs};
+	}
+
+	/**
+	 * Returns the time after which a caller should retry that no endpoint can serve now, in milliseconds: when the first endpoint is back if all that
+	 * could serve the request asked for a pause.
+	 */
+	computeRetryAfterMs(pool: core.routing.PoolName): number {
+		const first = this.place() === undefined
+			? this.dependencies.placer.findFirstReturn(this.request, pool, clocks.readInstant(this.dependencies.clock))
+			: undefined;
+		return first === undefined
+			? refusals.noEndpointRetryAfterMs
+			: core.fleet.computePauseRetryAfterMs(first, this.dependencies.random());
+	}
+
+	#refuse(pool: core.routing.PoolName): EndpointSearchResult {
+		return {
+			placement: undefined,
+			retryAfterMs: this.computeRetryAfterMs(pool),
+			inputs: this.dependencies.placer.describePool(this.request, pool, clocks.readInstant(this.dependencies.clock)),
+		};
 	}
 
 	async #wait(request: core.fleet.WaitingRequest, expiresAt: number): Promise<endpointPlacer.Placement | undefined> {
@@ -86,10 +114,6 @@
 		return outcome === requestQueue.WaitOutcome.CapacityAvailable ? found : undefined;
 	}
 
-	#describePool(pool: core.routing.PoolName): core.log.RefusalInputs {
-		return this.dependencies.placer.describePool(this.request, pool, clocks.readInstant(this.dependencies.clock));
-	}
-
 	#createWaitingRequest(placement: endpointPlacer.Placement): core.fleet.WaitingRequest {
 		return {
 			priority: placement.enginePriority ?? 0,
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -117,6 +117,15 @@
 		}
 	}
 
+	/** Aborts the current attempt if its connection is not open and its endpoint has asked for a pause meanwhile. */
+	abortPausedAttempt(): void {
+		const last = this.#attempts.at(-1);
+		const isUnsent = last !== undefined && last.end === undefined && last.attempt.progress === core.request.AttemptProgress.Connecting;
+		if (isUnsent && this.dependencies.pauses.isPaused(last.placement.entry)) {
+			last.attempt.abort(endpoints.AttemptFault.EndpointPaused);
+		}
+	}
+
 	async #runAttempts(): Promise<refusals.Refusal | undefined> {
 		for (;;) {
 			const refusal = this.#findRefusal();
@@ -144,7 +153,7 @@
 
 			this.#failedEndpoints.add(searchResult.placement.entry.id);
 			if (!this.#mayRetry(end)) {
-				return this.#fail({code: refusals.RefusalCode.NoEndpoint, retryAfterMs: refusals.noEndpointRetryAfterMs});
+				return this.#fail({code: refusals.RefusalCode.NoEndpoint, retryAfterMs: this.#endpointFinder.computeRetryAfterMs(this.#pool)});
 			}
 		}
 	}
@@ -196,6 +205,9 @@
 				body: this.request.body,
 			},
 			sink: this.#relay,
+			onHead: head => {
+				this.#recorder.recordPause(placement, head);
+			},
 			monotonicNow: clock.monotonicNow,
 		});
 		const sent: sentAttempt.SentAttempt = {
--- a/packages/gateway/src/endpoints/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoints/endpoint-attempt.ts
@@ -28,6 +28,8 @@
 	TimedOut = 'timed_out',
 	/** The endpoint sent nothing for too long. */
 	EndpointSilent = 'endpoint_silent',
+	/** The endpoint asked for a pause before the connection was open. */
+	EndpointPaused = 'endpoint_paused',
 	/** The request did not start before the weights of the endpoint may no longer be used. */
 	WeightsOutdated = 'weights_outdated',
 }
@@ -86,6 +88,8 @@
 	readonly protocol: ports.EndpointProtocol;
 	readonly request: AttemptRequest;
 	readonly sink: ResponseSink;
+	/** Called with each head of a response that belongs to the request, refusals included. */
+	readonly onHead?: (head: ports.ResponseHead) => void;
 	readonly monotonicNow: () => number;
 };
 
@@ -159,6 +163,7 @@
 			return;
 		}
 
+		this.options.onHead?.(head);
 		if (head.isNotExecuted) {
 			this.progress = core.request.AttemptProgress.RefusedBeforeExecution;
 			this.#responseFault = AttemptFault.Refused;
--- a/packages/gateway/src/placement/endpoint-placer.ts
+++ b/packages/gateway/src/placement/endpoint-placer.ts
@@ -2,6 +2,7 @@
 import type * as requestContext from '../call/request-context.js';
 import type * as ports from '../ports/index.js';
 import type * as clocks from '../util/clocks.js';
+import type * as endpointPauses from './endpoint-pauses.js';
 import type * as fleetState from './fleet-state.js';
 
 /** Options of placement on this deployment. */
@@ -42,7 +43,11 @@
 
 /** Chooses endpoints for requests by this VM's view of the fleet. */
 export class EndpointPlacer {
-	constructor(private readonly fleet: fleetState.FleetState, private readonly options: PlacerOptions) {}
+	constructor(
+		private readonly fleet: fleetState.FleetState,
+		private readonly pauses: endpointPauses.EndpointPauses,
+		private readonly options: PlacerOptions,
+	) {}
 
 	/**
 	 * Chooses an endpoint.
@@ -57,13 +62,27 @@
 		now: clocks.Instant,
 	): Placement | undefined {
 		const usesEngine = call.table.findPool(pool)?.engine !== undefined && call.head.prompt !== undefined;
-		const candidates = this.fleet.registry.listReady(pool)
-			.filter(entry => !excluded.has(entry.id) && this.fleet.health.isResponsive(entry.id))
-			.filter(entry => !usesEngine || this.#canServe(entry, call.head.prompt.model, now.suspendAware))
+		const resumed = this.#listServing(call, pool, now)
+			.filter(entry => !excluded.has(entry.id) && this.pauses.findReturn(entry) === undefined);
+		const unlimited = resumed.filter(entry => !this.#isReturnLimited(entry));
+		const candidates = (unlimited.length > 0 ? unlimited : resumed)
 			.map(entry => this.#createCandidate(entry, call, usesEngine, now.suspendAware));
 		const view: core.fleet.PlacementView = {...this.fleet, costs: this.options.costs};
 		const choice = core.fleet.chooseEndpoint(candidates, this.#requirementsOf(call, usesEngine), view, now.monotonic);
-		return choice === undefined ? undefined : this.#createPlacement(call, choice, usesEngine, now.monotonic);
+		if (choice === undefined) {
+			return undefined;
+		}
+
+		const placement = this.#createPlacement(call, choice, usesEngine, now.monotonic);
+		return unlimited.length > 0 ? placement : {...placement, hasCapacity: false};
+	}
+
+	/**
+	 * Returns when the first of the endpoints that could serve a request but for a pause is back; `undefined` if none has asked for one.
+	 */
+	findFirstReturn(call: requestContext.RoutedRequest, pool: core.routing.PoolName, now: clocks.Instant): core.fleet.PauseReturn | undefined {
+		const returns = this.#listServing(call, pool, now).map(entry => this.pauses.findReturn(entry)).filter(each => each !== undefined);
+		return returns.sort((a, b) => a.resumesInMs - b.resumesInMs)[0];
 	}
 
 	/** Decides whether a request may wait until an engine of its pool has capacity for it. */
@@ -88,11 +107,23 @@
 		return {
 			ready: ready.length,
 			responsive: responsive.length,
+			paused: responsive.filter(entry => this.pauses.findReturn(entry) !== undefined || this.#isReturnLimited(entry)).length,
 			loading: responsive.filter(entry => core.rollout.isLoading(this.fleet.plan, entry.id)).length,
 			serving: model === undefined ? undefined : responsive.filter(entry => this.#canServe(entry, model, now.suspendAware)).length,
 		};
 	}
 
+	#isReturnLimited(entry: core.fleet.EndpointEntry): boolean {
+		return this.pauses.isReturnLimited(entry, entry.slots / this.fleet.vmCount);
+	}
+
+	/** Lists the endpoints that could serve a request if none had asked for a pause. */
+	#listServing(call: requestContext.RoutedRequest, pool: core.routing.PoolName, now: clocks.Instant): core.fleet.EndpointEntry[] {
+		const model = call.table.findPool(pool)?.engine === undefined ? undefined : call.head.prompt?.model;
+		return this.fleet.registry.listReady(pool)
+			.filter(entry => this.fleet.health.isResponsive(entry.id) && (model === undefined || this.#canServe(entry, model, now.suspendAware)));
+	}
+
 	/** @param now - Milliseconds of the clock that includes suspensions. */
 	#canServe(entry: core.fleet.EndpointEntry, model: string, now: number): boolean {
 		const version = this.fleet.registry.weightVersion(entry.id, model);
@@ -112,7 +143,7 @@
 	): core.fleet.Candidate {
 		if (!usesEngine) {
 			return {
-				entry, hasOldWeights: false, startWithinMs: Infinity, cacheNamespace: '',
+				entry, hasOldWeights: false, isPausedForPeers: this.pauses.isPausedForPeers(entry), startWithinMs: Infinity, cacheNamespace: '',
 			};
 		}
 
@@ -121,6 +152,7 @@
 		return {
 			entry,
 			hasOldWeights: this.fleet.targets.outdatedForMs(model, version, now) > oldWeightsGraceMs,
+			isPausedForPeers: this.pauses.isPausedForPeers(entry),
 			startWithinMs: this.#startWithinMs(model, version, now),
 			cacheNamespace: `${model}@${version}${isolationSuffix(call.account)}`,
 		};
--- a/packages/gateway/tests/placement/replaced-weights-limit.test.ts
+++ b/packages/gateway/tests/placement/replaced-weights-limit.test.ts
@@ -37,13 +37,12 @@
 		},
 		config: new core.routing.ConfigState(),
 		fleet: this.fleet,
-		log: {
-			write() {}, // eslint-disable-line @typescript-eslint/no-empty-function -- The log is not under test.
-		},
-		onConfigAccepted() {}, // eslint-disable-line @typescript-eslint/no-empty-function -- No configuration arrives.
+		log: {write: () => undefined},
+		onConfigAccepted: () => undefined,
 	});
 
-	readonly #placer = new gateway.placement.EndpointPlacer(this.fleet, {
+	readonly #pauses = new gateway.placement.EndpointPauses({clock: this.#clock, log: {write: () => undefined}, random: () => 0});
+	readonly #placer = new gateway.placement.EndpointPlacer(this.fleet, this.#pauses, {
 		dataCentre: 'dc-a', maxOutdatedWeightsMs, costs: core.fleet.defaultPlacementCosts, admission: core.fleet.defaultAdmissionLimits,
 	});
 
