--- a/packages/gateway/src/placement/endpoint-pauses.ts
+++ b/packages/gateway/src/placement/endpoint-pauses.ts
@@ -13,7 +13,10 @@
 /** Number of pauses in a digest; with about 27 bytes each they take 5 KB/s of the 19 KB/s that a node may use for control traffic. */
 const maxPausesPerDigest = 4;
 
-/** The pauses that endpoints and cache stores asked this VM for, with a log line for the begin and the end of each. */
+/**
+ * The pauses that endpoints and cache stores asked this VM for, with a log line for the begin and the end of each, and those that other VMs
+ * tell of. Placement asks for each candidate, so the clock is read only while there is a pause.
+ */
 export class EndpointPauses {
 	readonly #paused = new core.fleet.PausedEndpoints();
 	readonly #peers = new core.fleet.PeerPauses();
@@ -38,12 +41,12 @@
 
 	/** Returns whether an endpoint has asked another VM for a pause that lasts. */
 	isPausedForPeers(endpoint: core.fleet.EndpointIncarnation): boolean {
-		return this.#peers.isPaused(endpoint, this.#now());
+		return this.#peers.size > 0 && this.#peers.isPaused(endpoint, this.#now());
 	}
 
 	/** Returns when requests are sent to an endpoint again; `undefined` if they are now. */
 	findReturn(endpoint: core.fleet.EndpointIncarnation): core.fleet.PauseReturn | undefined {
-		return this.#paused.findReturn(endpoint, this.#now());
+		return this.#paused.size === 0 ? undefined : this.#paused.findReturn(endpoint, this.#now());
 	}
 
 	/**
@@ -52,7 +55,7 @@
 	 * @param shareOfSlots - This VM's share of the slots of the endpoint.
 	 */
 	isReturnLimited(endpoint: core.fleet.EndpointIncarnation, shareOfSlots: number): boolean {
-		return this.#paused.isReturnLimited(endpoint, shareOfSlots, this.#now());
+		return this.#paused.size > 0 && this.#paused.isReturnLimited(endpoint, shareOfSlots, this.#now());
 	}
 
 	/** Returns the next pauses in turn for a digest to the other VMs. */
