--- a/packages/gateway/src/placement/endpoint-pauses.ts
+++ b/packages/gateway/src/placement/endpoint-pauses.ts
@@ -13,7 +13,10 @@
 /** Number of pauses in a digest; with about 27 bytes each they take 5 KB/s of the 19 KB/s that a node may use for control traffic. */
 const maxPausesPerDigest = 4;
 
-/** The pauses that endpoints and cache stores asked this VM for, with a log line for the begin and the end of each. */
+/**
+ * The pauses that endpoints and cache stores asked this VM for, with a log line for the begin and the end of each, and those that other VMs
+ * tell of. Placement asks for each candidate, so the clock is read only while there is a pause.
+ */
 export class EndpointPauses {
 	readonly #paused = new core.fleet.PausedEndpoints();
 	readonly #peers = new core.fleet.PeerPauses();
