Decide on requests to endpoints that announced that they are leaving

Change: LeavingEndpoints keeps the notices of this VM by incarnation (id and start time) and the reports of other VMs.

Ruled out: keeping only one notice per id. A late response of the previous incarnation would replace the notice of the present one, and comparing start times would exclude an incarnation whose host has a clock that is late.

--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -5,6 +5,7 @@
 export * from './endpoint-health.js';
 export * from './endpoint-registry.js';
 export * from './endpoint-loads.js';
+export * from './leaving-endpoints.js';
 export * from './load-digest.js';
 export * from './peer-loads.js';
 export * from './part-locations.js';
--- a/packages/core/src/fleet/load-digest.ts
+++ b/packages/core/src/fleet/load-digest.ts
@@ -1,4 +1,5 @@
 import type * as cacheObservation from './cache-observation.js';
+import type * as leavingEndpoints from './leaving-endpoints.js';
 
 /** Load that one VM puts on one endpoint. */
 export type EndpointDigest = {
@@ -19,4 +20,6 @@
 	readonly endpoints: readonly EndpointDigest[];
 	/** Observations of where large prompt parts are cached. */
 	readonly cacheObservations: readonly cacheObservation.CacheObservation[];
+	/** Endpoints that told this VM that they are leaving; absent if there are none, or in digests of older versions. */
+	readonly leavingEndpoints?: readonly leavingEndpoints.EndpointIncarnation[];
 };
