Send nothing new to endpoints that announced that they are leaving

Cause: the header Server-Leaving of responses was not read. A VM that was out of touch with the store, or whose store still listed the endpoint as ready, sent requests there for longer than drain_ms.

Change: the header is decoded in the codec of endpoint responses and read from every head: responses, streams, refusals, health checks, reports and orders. A response of another endpoint at the address (421, or another id) is no notice; a body that names its incarnation decides which one leaves. From the first notice on, placement prefers all other endpoints; if all are leaving, they are used for drain_ms (0 if the settings don't have it), then requests are refused at once. Waiting requests are placed again by the same rule, requests and streams in progress are finished. The digests carry the notices as an appended extension, which older versions ignore; other VMs prefer other endpoints for 5 s after each. One log line endpoint_leaving per incarnation, counted by event.

--- a/packages/core/src/log/explain-request.ts
+++ b/packages/core/src/log/explain-request.ts
@@ -36,12 +36,13 @@
 	[logEvent.LogEvent.VmsChanged, 'vms'],
 ]);
 
-/** Events of state changes of an endpoint by the aspect that changes: its listed state, or whether it responds. */
+/** Events of state changes of an endpoint by the aspect that changes: its listed state, whether it responds, or whether it is leaving. */
 const endpointAspectByEvent: ReadonlyMap<logEvent.LogEvent, string> = new Map([
 	[logEvent.LogEvent.EndpointChanged, 'listed'],
 	[logEvent.LogEvent.EndpointRemoved, 'listed'],
 	[logEvent.LogEvent.EndpointUnresponsive, 'answers'],
 	[logEvent.LogEvent.EndpointResponsive, 'answers'],
+	[logEvent.LogEvent.EndpointLeaving, 'leaving'],
 ]);
 
 /**
--- a/packages/core/src/log/log-event.ts
+++ b/packages/core/src/log/log-event.ts
@@ -25,6 +25,8 @@
 	EndpointRemoved = 'endpoint_removed',
 	EndpointUnresponsive = 'endpoint_unresponsive',
 	EndpointResponsive = 'endpoint_responsive',
+	/** An endpoint announced in a response that it is leaving. */
+	EndpointLeaving = 'endpoint_leaving',
 	/** The head of a request cannot be parsed; the final line of such a request. */
 	RequestRejected = 'request_rejected',
 	/** No endpoint has capacity; the request waits at the VM. */
@@ -62,6 +64,8 @@
 	readonly ready?: number;
 	/** Number of those that are responsive. */
 	readonly responsive?: number;
+	/** Number of those that told this VM that they are leaving. */
+	readonly leaving?: number;
 	/** Number of those that are loading weights. */
 	readonly loading?: number;
 	/** Number of those whose weights may be used for responses. */
@@ -104,6 +108,7 @@
 	[LogEvent.EndpointRemoved]: {readonly endpoint: string; readonly maybeLapsed: boolean};
 	[LogEvent.EndpointUnresponsive]: {readonly endpoint: string};
 	[LogEvent.EndpointResponsive]: {readonly endpoint: string};
+	[LogEvent.EndpointLeaving]: {readonly endpoint: string; readonly bornAt: number};
 	[LogEvent.RequestRejected]: {readonly code: string; readonly findings: string};
 	[LogEvent.RequestWaiting]: {readonly request: string} & RefusalInputs;
 	[LogEvent.RequestSent]: {
--- a/packages/gateway/src/call/attempt-recorder.ts
+++ b/packages/gateway/src/call/attempt-recorder.ts
@@ -1,7 +1,7 @@
 import * as core from '@bluebellmast/core';
 import * as endpoints from '../endpoints/index.js';
 import type * as endpointPlacer from '../placement/endpoint-placer.js';
-import type * as ports from '../ports/index.js';
+import * as ports from '../ports/index.js';
 import * as eventLog from '../util/event-log.js';
 import type * as requestContext from './request-context.js';
 import type * as requestDispatcher from './request-dispatcher.js';
@@ -82,6 +82,13 @@
 		}
 	}
 
+	/** Records whether the head of a response, also of a refusal, states that the endpoint is leaving. */
+	recordNotice(entry: core.fleet.EndpointEntry, head: ports.ResponseHead): void {
+		if (ports.announcesLeaving(head, entry.id)) {
+			this.dependencies.leavingRecorder.record(entry);
+		}
+	}
+
 	/** Records the end of an attempt. */
 	recordEnd(sent: sentAttempt.SentAttempt, end: endpoints.AttemptResult): void {
 		const {fleet} = this.dependencies;
--- a/packages/gateway/src/call/request-dispatcher.ts
+++ b/packages/gateway/src/call/request-dispatcher.ts
@@ -2,6 +2,7 @@
 import type * as endpoints from '../endpoints/index.js';
 import type * as endpointPlacer from '../placement/endpoint-placer.js';
 import type * as fleetState from '../placement/fleet-state.js';
+import type * as leavingRecorder from '../placement/leaving-recorder.js';
 import type * as ports from '../ports/index.js';
 import type * as clocks from '../util/clocks.js';
 import type * as eventLog from '../util/event-log.js';
@@ -21,6 +22,7 @@
 	readonly queue: requestQueue.RequestQueue;
 	/** Records where prompt parts are cached. */
 	readonly recordCacheObservations: (observations: readonly core.fleet.CacheObservation[]) => void;
+	readonly leavingRecorder: leavingRecorder.LeavingRecorder;
 	readonly authorizer: SendAuthorizer;
 	readonly clock: clocks.Clocks;
 	readonly log: eventLog.EventLog;
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -165,10 +165,10 @@
 
 	/** Chooses an endpoint; one at which the request failed is chosen again only if there is no other. */
 	#place(): endpointPlacer.Placement | undefined {
-		const now = this.dependencies.clock.monotonicNow();
-		const {placer} = this.dependencies;
-		return placer.place(this.request, this.#pool, this.#failedEndpoints, now)
-			?? (this.#failedEndpoints.size > 0 ? placer.place(this.request, this.#pool, new Set(), now) : undefined);
+		const {placer, clock} = this.dependencies;
+		const times: endpointPlacer.PlacementTimes = {now: clock.monotonicNow(), suspendAwareNow: clock.suspendAwareNow()};
+		return placer.place(this.request, this.#pool, this.#failedEndpoints, times)
+			?? (this.#failedEndpoints.size > 0 ? placer.place(this.request, this.#pool, new Set(), times) : undefined);
 	}
 
 	async #send(placement: endpointPlacer.Placement): Promise<endpoints.AttemptResult> {
@@ -195,6 +195,9 @@
 				body: this.request.body,
 			},
 			sink: this.#relay,
+			onHeadReceived: head => {
+				this.#recorder.recordNotice(entry, head);
+			},
 			monotonicNow: clock.monotonicNow,
 		});
 		const sent: sentAttempt.SentAttempt = {
--- a/packages/gateway/src/controllers/endpoint-controller.ts
+++ b/packages/gateway/src/controllers/endpoint-controller.ts
@@ -54,6 +54,10 @@
 		const {fleet, clock, dispatcher} = this.dependencies;
 		const now = clock.monotonicNow();
 		fleet.registry.removeExpired(now);
+		if (fleet.leaving.size > 0) {
+			fleet.leaving.retain(fleet.registry.list(), clock.suspendAwareNow());
+		}
+
 		dispatcher.abortOutdatedAttempts(now);
 		for (const endpoint of fleet.health.startDueChecks(id => fleet.peers.lastReceivedAt(id), now)) {
 			void this.#checkHealth(endpoint);
--- a/packages/gateway/src/controllers/load-controller.ts
+++ b/packages/gateway/src/controllers/load-controller.ts
@@ -24,6 +24,8 @@
 const digestIntervalMs = 200;
 /** Largest number of observations in a digest, so that it fits into one packet. */
 const maxObservations = 24;
+/** Largest number of leaving endpoints in a digest, for the same reason. */
+const maxLeavingEndpoints = 8;
 
 /** Sends the other VMs digests of the load that this VM puts on each endpoint and of its cache observations. */
 export class LoadController {
@@ -48,12 +50,25 @@
 		this.#scheduleSend();
 	}
 
+	/** Soon sends the other VMs a digest, which names the endpoints that told this VM that they are leaving. */
+	publishNotices(): void {
+		this.#scheduleSend();
+	}
+
 	/** Applies a digest of another VM. */
 	applyDigest(digest: core.fleet.LoadDigest): void {
-		const now = this.dependencies.clock.monotonicNow();
-		this.dependencies.fleet.peers.applyDigest(digest, now);
+		const {fleet, clock} = this.dependencies;
+		const now = clock.monotonicNow();
+		fleet.peers.applyDigest(digest, now);
 		for (const observation of digest.cacheObservations) {
-			this.dependencies.fleet.parts.applyObservation(observation, now);
+			fleet.parts.applyObservation(observation, now);
+		}
+
+		for (const endpoint of digest.leavingEndpoints ?? []) {
+			// Reports of incarnations that are not listed here would never be removed.
+			if (fleet.registry.get(endpoint.id)?.bornAt === endpoint.bornAt) {
+				fleet.leaving.recordReport(endpoint, clock.suspendAwareNow());
+			}
 		}
 	}
 
@@ -79,14 +94,18 @@
 	}
 
 	#send(): void {
-		const {vm, exchange} = this.dependencies;
+		const {vm, exchange, fleet} = this.dependencies;
 		clearTimeout(this.#timer);
 		this.#timer = undefined;
 		const observations = this.#observations.splice(0, maxObservations);
 		this.#sequence += 1;
 		this.#lastSentAt = this.dependencies.clock.monotonicNow();
 		exchange.send({
-			vm, sequence: this.#sequence, endpoints: this.#describeLoad(), cacheObservations: observations,
+			vm,
+			sequence: this.#sequence,
+			endpoints: this.#describeLoad(),
+			cacheObservations: observations,
+			leavingEndpoints: fleet.leaving.listNoticed(maxLeavingEndpoints),
 		}, this.#choosePeers(observations));
 		if (this.#observations.length > 0) {
 			this.#scheduleSend();
--- a/packages/gateway/src/endpoints/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoints/endpoint-attempt.ts
@@ -86,6 +86,8 @@
 	readonly protocol: ports.EndpointProtocol;
 	readonly request: AttemptRequest;
 	readonly sink: ResponseSink;
+	/** Called with the head of each response, also of a refusal or an invalid one, as soon as it arrives. */
+	readonly onHeadReceived: (head: ports.ResponseHead) => void;
 	readonly monotonicNow: () => number;
 };
 
@@ -152,6 +154,7 @@
 
 		const head = this.options.protocol.decodeResponseHead(status, headers);
 		this.#head = head;
+		this.options.onHeadReceived(head);
 		this.#isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 		const fault = this.#findHeadFault(head);
 		if (fault !== undefined) {
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -25,4 +25,6 @@
 	readonly maxOutdatedWeightsMs: number;
 	/** Shortest time between orders of two leaders, in milliseconds. */
 	readonly leaderOrderGapMs: number;
+	/** Time for which an endpoint that announced that it is leaving may still get new requests, in milliseconds; 0 if none are allowed. */
+	readonly drainMs: number;
 };
--- a/packages/gateway/src/peers/digest-codec.ts
+++ b/packages/gateway/src/peers/digest-codec.ts
@@ -8,17 +8,29 @@
 /** Encoded cache observation: type, prompt part with its cache namespace, endpoint. */
 type ObservationRow = readonly [core.fleet.CacheObservationType, string, string];
 
-type DigestMessage = readonly [vm: string, sequence: number, endpoints: readonly EndpointRow[], observations: readonly ObservationRow[]];
+/** Encoded incarnation of an endpoint: id, start time. */
+type IncarnationRow = readonly [string, number];
+
+/** Fields that were added to digests; versions that do not know one ignore it. */
+type DigestExtensions = {
+	readonly leaving?: readonly IncarnationRow[];
+};
+
+type DigestMessage = readonly [
+	vm: string, sequence: number, endpoints: readonly EndpointRow[], observations: readonly ObservationRow[], extensions?: DigestExtensions,
+];
 
 /** Encodes a digest as one datagram. */
 export function encodeDigest(digest: core.fleet.LoadDigest): buffer.Buffer {
+	const leaving = digest.leavingEndpoints ?? [];
 	const message: DigestMessage = [
 		digest.vm,
 		digest.sequence,
 		digest.endpoints.map(entry => [entry.endpoint, entry.active, entry.prefillTokens, entry.sinceLastReceivedMs]),
 		digest.cacheObservations.map(observation => [observation.type, observation.key, observation.endpoint]),
 	];
-	return cbor.encode(message);
+	const extensions: DigestExtensions = {leaving: leaving.map(({id, bornAt}) => [id, bornAt])};
+	return cbor.encode(leaving.length > 0 ? [...message, extensions] : message);
 }
 
 /** Decodes a datagram; returns `undefined` if it is not a digest. */
@@ -34,7 +46,8 @@
 	return isDigest(message) ? toDigest(message) : undefined;
 }
 
-function toDigest([vm, sequence, endpoints, observations]: DigestMessage): core.fleet.LoadDigest {
+function toDigest([vm, sequence, endpoints, observations, extensions]: DigestMessage): core.fleet.LoadDigest {
+	const leaving = isRows(extensions?.leaving, ['string', 'number']) ? extensions!.leaving! : [];
 	return {
 		vm,
 		sequence,
@@ -42,6 +55,7 @@
 			endpoint, active, prefillTokens, sinceLastReceivedMs: sinceLastReceivedMs ?? undefined,
 		})),
 		cacheObservations: observations.map(([type, key, endpoint]) => ({type, key, endpoint})),
+		...(leaving.length > 0 && {leavingEndpoints: leaving.map(([id, bornAt]) => ({id, bornAt}))}),
 	};
 }
 
--- a/packages/gateway/src/placement/endpoint-placer.ts
+++ b/packages/gateway/src/placement/endpoint-placer.ts
@@ -12,6 +12,14 @@
 	readonly admission: core.fleet.AdmissionLimits;
 };
 
+/** Times of a placement, in milliseconds. */
+export type PlacementTimes = {
+	/** Current time of the monotonic clock. */
+	readonly now: number;
+	/** Current time of the clock that includes suspensions of the VM. */
+	readonly suspendAwareNow: number;
+};
+
 /** Time after which responses of older weights are worth less by the platform's rules, in milliseconds. */
 const oldWeightsGraceMs = 1500;
 /** Age of the last observation of a stored part above which it is saved again, in milliseconds, since observations get lost. */
@@ -44,7 +52,8 @@
 	constructor(private readonly fleet: fleetState.FleetState, private readonly options: PlacerOptions) {}
 
 	/**
-	 * Chooses an endpoint.
+	 * Chooses an endpoint. One that is leaving is chosen only if there is no other, and one that other VMs report as leaving only
+	 * if no other has capacity.
 	 *
 	 * @param excluded - Endpoints at which an attempt of the request has failed.
 	 * @returns `undefined` when no endpoint is available for the request.
@@ -53,23 +62,30 @@
 		call: requestContext.RoutedRequest,
 		pool: core.routing.PoolName,
 		excluded: ReadonlySet<string>,
-		now: number,
+		{now, suspendAwareNow}: PlacementTimes,
 	): Placement | undefined {
 		const usesEngine = call.table.findPool(pool)?.engine !== undefined && call.head.prompt !== undefined;
-		const candidates = this.fleet.registry.listReady(pool)
+		const entries = this.fleet.registry.listReady(pool)
 			.filter(entry => !excluded.has(entry.id) && this.fleet.health.isResponsive(entry.id))
-			.filter(entry => !usesEngine || this.#canServe(entry, call.head.prompt.model, now))
-			.map(entry => this.#createCandidate(entry, call, usesEngine, now));
-		const view: core.fleet.PlacementView = {...this.fleet, costs: this.options.costs};
-		const choice = core.fleet.chooseEndpoint(candidates, this.#requirementsOf(call, usesEngine), view, now);
-		return choice === undefined ? undefined : this.#createPlacement(call, choice, usesEngine, now);
+			.filter(entry => !usesEngine || this.#canServe(entry, call.head.prompt.model, now));
+		let best: Placement | undefined;
+		for (const group of this.fleet.leaving.groupByAvailability(entries, suspendAwareNow)) {
+			const isReported = group.availability === core.fleet.EndpointAvailability.ReportedLeaving;
+			const placement = best === undefined || (isReported && !best.hasCapacity)
+				? this.#placeAmong(group.entries, call, usesEngine, now)
+				: undefined;
+			best = best === undefined || placement?.hasCapacity ? placement : best;
+		}
+
+		return best;
 	}
 
 	/** Decides whether a request may wait until an engine of its pool has capacity for it. */
 	decideWait(pool: core.routing.PoolName, conditions: Omit<core.fleet.WaitConditions, 'tokensPerMs'>): core.fleet.WaitDecision {
 		const engines = this.fleet.registry.listReady(pool)
 			.filter(entry => this.fleet.health.isResponsive(entry.id) && !core.rollout.isLoading(this.fleet.plan, entry.id));
-		const tokensPerMs = engines.length * this.options.costs.prefillTokensPerMs / this.fleet.vmCount;
+		const staying = engines.filter(entry => !this.fleet.leaving.isLeaving(entry));
+		const tokensPerMs = (staying.length > 0 ? staying : engines).length * this.options.costs.prefillTokensPerMs / this.fleet.vmCount;
 		return core.fleet.decideWait({...conditions, tokensPerMs}, this.options.admission);
 	}
 
@@ -87,11 +103,25 @@
 		return {
 			ready: ready.length,
 			responsive: responsive.length,
+			leaving: responsive.filter(entry => this.fleet.leaving.isLeaving(entry)).length,
 			loading: responsive.filter(entry => core.rollout.isLoading(this.fleet.plan, entry.id)).length,
 			serving: model === undefined ? undefined : responsive.filter(entry => this.#canServe(entry, model, now)).length,
 		};
 	}
 
+	/** Chooses among endpoints of the same availability. */
+	#placeAmong(
+		entries: readonly core.fleet.EndpointEntry[],
+		call: requestContext.RoutedRequest,
+		usesEngine: boolean,
+		now: number,
+	): Placement | undefined {
+		const candidates = entries.map(entry => this.#createCandidate(entry, call, usesEngine, now));
+		const view: core.fleet.PlacementView = {...this.fleet, costs: this.options.costs};
+		const choice = core.fleet.chooseEndpoint(candidates, this.#requirementsOf(call, usesEngine), view, now);
+		return choice === undefined ? undefined : this.#createPlacement(call, choice, usesEngine, now);
+	}
+
 	#canServe(entry: core.fleet.EndpointEntry, model: string, now: number): boolean {
 		const version = this.fleet.registry.weightVersion(entry.id, model);
 		if (version === undefined || core.rollout.isLoading(this.fleet.plan, entry.id)) {
--- a/packages/gateway/src/placement/fleet-state.ts
+++ b/packages/gateway/src/placement/fleet-state.ts
@@ -7,9 +7,14 @@
 	readonly loads = new core.fleet.EndpointLoads();
 	readonly peers = new core.fleet.PeerLoads();
 	readonly parts = new core.fleet.PartLocations();
+	readonly leaving: core.fleet.LeavingEndpoints;
 	readonly targets = new core.rollout.WeightTargets();
 	/** The roll-out plan, as last read from the store. */
 	plan: core.rollout.RolloutPlan = core.rollout.emptyRolloutPlan;
 	/** Number of VMs that share the load, including this one. */
 	vmCount = 1;
+
+	constructor(leavingOptions: Partial<core.fleet.LeavingOptions> = {}) {
+		this.leaving = new core.fleet.LeavingEndpoints(leavingOptions);
+	}
 }
--- a/packages/gateway/src/placement/index.ts
+++ b/packages/gateway/src/placement/index.ts
@@ -1,2 +1,3 @@
 export * from './endpoint-placer.js';
 export * from './fleet-state.js';
+export * from './leaving-recorder.js';
--- a/packages/gateway/src/ports/endpoint-protocol.ts
+++ b/packages/gateway/src/ports/endpoint-protocol.ts
@@ -31,6 +31,10 @@
 	readonly requestId?: string;
 	/** Whether the endpoint states that it did not execute the request. */
 	readonly isNotExecuted: boolean;
+	/** Id of the endpoint that sent the response, if it states it. */
+	readonly respondingEndpoint?: string;
+	/** Whether the sender states that it is leaving. */
+	readonly isLeaving: boolean;
 	/** Whether the response has the endpoint's signature. */
 	readonly isSigned: boolean;
 	readonly load?: core.fleet.ReportedLoad;
@@ -38,6 +42,12 @@
 	readonly weightVersion?: number;
 };
 
+/** Returns whether the head of a response states that the intended endpoint is leaving; another one may respond at its address. */
+export function announcesLeaving(head: ResponseHead, endpointId: string): boolean {
+	const isFromIntended = head.respondingEndpoint === undefined ? !head.isMisdirected : head.respondingEndpoint === endpointId;
+	return head.isLeaving && isFromIntended;
+}
+
 /** Header values by name, as parsed by the HTTP client. */
 export type ParsedHeaders = Readonly<Record<string, string | string[] | undefined>>;
 
@@ -100,4 +110,6 @@
 	/** Reads the state of an engine; a success also shows that the engine responds. */
 	readReport(entry: core.fleet.EndpointEntry): Promise<purify.Either<EndpointCallError, EngineReport>>;
 	orderWeightLoad(entry: core.fleet.EndpointEntry, order: WeightLoadOrder): Promise<OrderOutcome>;
+	/** Sets the listener for responses of any call that announce that the endpoint is leaving. */
+	setLeavingListener(listener: (endpoint: core.fleet.EndpointIncarnation) => void): void;
 }
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -40,7 +40,7 @@
 	const registry = new prometheus.Registry();
 	const log = new metrics.EventMetrics(options.log, registry);
 	const config = new core.routing.ConfigState();
-	const fleet = new placement.FleetState();
+	const fleet = new placement.FleetState({drainMs: settings.drainMs});
 	const connections = new endpoints.ConnectionPools();
 	const coordination = new controllers.CoordinationController(fleet, clock, log);
 	const loadExchange = new peers.LoadExchange({
@@ -53,6 +53,15 @@
 	const loadController = new controllers.LoadController({
 		vm: settings.vm, fleet, coordination, exchange: loadExchange, clock,
 	});
+	const leavingRecorder = new placement.LeavingRecorder({
+		fleet, clock, log,
+		onFirstNotice() {
+			loadController.publishNotices();
+		},
+	});
+	admin.setLeavingListener(endpoint => {
+		leavingRecorder.record(endpoint);
+	});
 	const waiting = new call.RequestQueue(() => clock.monotonicNow());
 	const dispatcher = new call.RequestDispatcher({
 		fleet,
@@ -60,6 +69,7 @@
 		clock,
 		log,
 		random,
+		leavingRecorder,
 		placer: new placement.EndpointPlacer(fleet, {
 			dataCentre: settings.dataCentre,
 			maxOutdatedWeightsMs: settings.maxOutdatedWeightsMs,
--- a/packages/gateway/tests/controllers/load-controller.test.ts
+++ b/packages/gateway/tests/controllers/load-controller.test.ts
@@ -56,6 +56,45 @@
 		expect(sent[1]!.digest.sequence).to.be.greaterThan(sent[0]!.digest.sequence);
 	});
 
+	it('reports the endpoints that told this VM that they are leaving while they are listed, and none that others reported', () => {
+		const {controller, fleet, sent, tick} = createController(6);
+		const reported = {id: 'b', bornAt: 1};
+		fleet.leaving.recordNotice({id: 'a', bornAt: 1}, 0);
+		fleet.leaving.recordReport(reported, 0);
+		controller.tick();
+		fleet.leaving.retain([reported], 0);
+		fleet.loads.addRequest('a', 'r1', 500);
+		tick(200);
+		expect(sent.map(each => each.digest.leavingEndpoints)).to.deep.equal([[{id: 'a', bornAt: 1}], []]);
+	});
+
+	it('names at most eight leaving endpoints in a digest, the latest first', () => {
+		const {controller, fleet, sent} = createController(6);
+		for (let index = 0; index < 20; index++) {
+			fleet.leaving.recordNotice({id: `e-${index}`, bornAt: 1}, index);
+		}
+
+		controller.tick();
+		expect(sent[0]!.digest.leavingEndpoints!.map(({id}) => id)).to.deep.equal([19, 18, 17, 16, 15, 14, 13, 12].map(index => `e-${index}`));
+	});
+
+	it('applies reports of other VMs to the listed incarnations only', () => {
+		const {controller, fleet} = createController(6);
+		const entry: core.fleet.EndpointEntry = {
+			id: 'a', bornAt: 2, pool: 'p', address: '10.0.0.9:1', dataCentre: 'dc', slots: 1, state: core.fleet.EndpointState.Ready, weights: new Map(),
+		};
+		fleet.registry.put(entry, 0);
+		controller.applyDigest({
+			vm: 'other', sequence: 1, endpoints: [], cacheObservations: [], leavingEndpoints: [{id: 'a', bornAt: 1}, {id: 'b', bornAt: 1}],
+		});
+		expect(fleet.leaving.size).to.equal(0);
+		controller.applyDigest({
+			vm: 'other', sequence: 2, endpoints: [], cacheObservations: [], leavingEndpoints: [entry],
+		});
+		expect(fleet.leaving.availabilityOf(entry, 1000)).to.equal(core.fleet.EndpointAvailability.ReportedLeaving);
+		expect(fleet.leaving.isLeaving(entry)).to.equal(false);
+	});
+
 	// If each VM sent its digests to all others, each of 420 VMs would receive thousands of datagrams per second.
 	it('sends each digest to six VMs of a large fleet, and reaches all VMs in turn', () => {
 		const {fleet, sent, tick} = createController(57);
--- a/packages/stand-ins/src/users-platform/users-server-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/users-server-stand-in.ts
@@ -108,6 +108,8 @@
 	readonly rejectedLateOrders: UsersServerOrder[] = [];
 	fault = ServerFault.None;
 	orderFault = OrderFault.None;
+	/** Value of the header in all responses that announces that the server is leaving; absent if it has no such header. */
+	leavingHeader: string | undefined;
 	version = 1;
 	/** Number of orders whose delayed execution is pending. */
 	pendingLateOrderCount = 0;
@@ -137,6 +139,7 @@
 		this.#acceptedOrderCount = 0;
 		this.#highestFence = 0;
 		this.#isLoading = false;
+		this.leavingHeader = undefined;
 		this.server.resetConnections();
 	}
 
@@ -157,6 +160,10 @@
 	}
 
 	async #handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		if (this.leavingHeader !== undefined) {
+			res.setHeader('Server-Leaving', this.leavingHeader);
+		}
+
 		if (util.headerOf(req, 'bluebellmast-expected-instance') !== this.options.id) {
 			util.sendJson(res, 421, {}, {'Bluebellmast-Instance-Id': this.options.id});
 			return;
