--- a/packages/core/src/fleet/endpoint-entry.ts
+++ b/packages/core/src/fleet/endpoint-entry.ts
@@ -19,3 +19,6 @@
 	/** Version of the loaded weights by model. */
 	readonly weights: ReadonlyMap<string, number>;
 };
+
+/** One incarnation of an endpoint: a restart under the same id is another one. */
+export type EndpointIncarnation = Pick<EndpointEntry, 'id' | 'bornAt'>;
--- a/packages/core/src/fleet/load-digest.ts
+++ b/packages/core/src/fleet/load-digest.ts
@@ -1,4 +1,5 @@
 import type * as cacheObservation from './cache-observation.js';
+import type * as endpointEntry from './endpoint-entry.js';
 
 /** Load that one VM puts on one endpoint. */
 export type EndpointDigest = {
@@ -30,4 +31,6 @@
 	readonly cacheObservations: readonly cacheObservation.CacheObservation[];
 	/** Some of the pauses that endpoints asked the VM for; absent if it does not tell of them. */
 	readonly pauses?: readonly PauseDigest[];
+	/** Endpoints that told this VM that they are leaving; absent if there are none, or in digests of older versions. */
+	readonly leavingEndpoints?: readonly endpointEntry.EndpointIncarnation[];
 };
--- a/packages/core/src/fleet/paused-endpoints.ts
+++ b/packages/core/src/fleet/paused-endpoints.ts
@@ -19,9 +19,6 @@
 	maxPauseMs: 86_400_000, maxReturnMs: 2000, returnSteps: 4, maxUrgentCalls: 2, maxPauses: 10_000,
 };
 
-/** An incarnation of an endpoint; another one does not share its pause. */
-export type EndpointIncarnation = Pick<endpointEntry.EndpointEntry, 'id' | 'bornAt'>;
-
 /** The return of requests to an endpoint after its pause. */
 export type PauseReturn = {
 	/** Time until this VM sends requests to the endpoint again, in milliseconds. */
@@ -72,7 +69,7 @@
 	 * @param spread - Place of this VM among those that return to the endpoint, from 0 to 1.
 	 * @returns The duration of the pause that begins, in milliseconds; `undefined` if one was in progress.
 	 */
-	pause({id, bornAt}: EndpointIncarnation, pauseMs: number, spread: number, now: number): number | undefined {
+	pause({id, bornAt}: endpointEntry.EndpointIncarnation, pauseMs: number, spread: number, now: number): number | undefined {
 		const known = this.#pauses.get(id);
 		if (known !== undefined && known.bornAt > bornAt) {
 			// A late response of an incarnation that has ended.
@@ -99,7 +96,7 @@
 	}
 
 	/** Returns whether an endpoint has asked that nothing be sent to it now. */
-	isPaused(endpoint: EndpointIncarnation, now: number): boolean {
+	isPaused(endpoint: endpointEntry.EndpointIncarnation, now: number): boolean {
 		const pause = this.#find(endpoint);
 		return pause !== undefined && now < pause.endsAt;
 	}
@@ -112,7 +109,7 @@
 	}
 
 	/** Returns when this VM sends requests to an endpoint again; `undefined` if it does now. */
-	findReturn(endpoint: EndpointIncarnation, now: number): PauseReturn | undefined {
+	findReturn(endpoint: endpointEntry.EndpointIncarnation, now: number): PauseReturn | undefined {
 		const pause = this.#find(endpoint);
 		return pause === undefined || now >= pause.resumesAt ? undefined : {resumesInMs: pause.resumesAt - now, returnMs: pause.returnMs};
 	}
@@ -122,7 +119,7 @@
 	 *
 	 * @param shareOfSlots - This VM's share of the slots of the endpoint, which is reached at the end of the return.
 	 */
-	isReturnLimited(endpoint: EndpointIncarnation, shareOfSlots: number, now: number): boolean {
+	isReturnLimited(endpoint: endpointEntry.EndpointIncarnation, shareOfSlots: number, now: number): boolean {
 		const pause = this.#find(endpoint);
 		if (pause === undefined || now >= pause.resumesAt + pause.returnMs) {
 			return false;
@@ -134,13 +131,13 @@
 	}
 
 	/** Returns whether a call may be sent that can't wait for the end of a pause; always if there is none. */
-	mayCallUrgently(endpoint: EndpointIncarnation, now: number): boolean {
+	mayCallUrgently(endpoint: endpointEntry.EndpointIncarnation, now: number): boolean {
 		const pause = this.#find(endpoint);
 		return pause === undefined || now >= pause.endsAt || pause.urgentCalls < this.options.maxUrgentCalls;
 	}
 
 	/** Records a call that is sent, and counts it if the endpoint is paused. */
-	recordCall(endpoint: EndpointIncarnation, now: number): void {
+	recordCall(endpoint: endpointEntry.EndpointIncarnation, now: number): void {
 		const pause = this.#find(endpoint);
 		if (pause !== undefined && now < pause.endsAt) {
 			pause.urgentCalls += 1;
@@ -148,12 +145,12 @@
 	}
 
 	/** Records that a request was sent. */
-	recordSent(endpoint: EndpointIncarnation, attempt: string): void {
+	recordSent(endpoint: endpointEntry.EndpointIncarnation, attempt: string): void {
 		this.#find(endpoint)?.attempts.add(attempt);
 	}
 
 	/** Records the end of an attempt. */
-	recordEnd(endpoint: EndpointIncarnation, attempt: string): void {
+	recordEnd(endpoint: endpointEntry.EndpointIncarnation, attempt: string): void {
 		this.#find(endpoint)?.attempts.delete(attempt);
 	}
 
@@ -182,7 +179,7 @@
 		return ended;
 	}
 
-	#find({id, bornAt}: EndpointIncarnation): Pause | undefined {
+	#find({id, bornAt}: endpointEntry.EndpointIncarnation): Pause | undefined {
 		const pause = this.#pauses.get(id);
 		return pause?.bornAt === bornAt ? pause : undefined;
 	}
--- a/packages/core/src/fleet/peer-pauses.ts
+++ b/packages/core/src/fleet/peer-pauses.ts
@@ -1,5 +1,5 @@
+import type * as endpointEntry from './endpoint-entry.js';
 import type * as loadDigest from './load-digest.js';
-import type * as pausedEndpoints from './paused-endpoints.js';
 
 /** Limits on the pauses that other VMs tell of. */
 export type PeerPausesOptions = {
@@ -43,7 +43,7 @@
 	}
 
 	/** Returns whether an endpoint has asked another VM for a pause that lasts. */
-	isPaused({id, bornAt}: pausedEndpoints.EndpointIncarnation, now: number): boolean {
+	isPaused({id, bornAt}: endpointEntry.EndpointIncarnation, now: number): boolean {
 		const pause = this.#pauses.get(id);
 		return pause?.bornAt === bornAt && now < pause.endsAt;
 	}
--- a/packages/core/src/log/explain-request.ts
+++ b/packages/core/src/log/explain-request.ts
@@ -36,7 +36,7 @@
 	[logEvent.LogEvent.VmsChanged, 'vms'],
 ]);
 
-/** Events of state changes of an endpoint by the aspect that changes: its listed state, whether it responds, or whether it asked for a pause. */
+/** Events of state changes of an endpoint by the aspect that changes: its listed state, whether it responds, asked for a pause, or is leaving. */
 const endpointAspectByEvent: ReadonlyMap<logEvent.LogEvent, string> = new Map([
 	[logEvent.LogEvent.EndpointChanged, 'listed'],
 	[logEvent.LogEvent.EndpointRemoved, 'listed'],
@@ -44,6 +44,7 @@
 	[logEvent.LogEvent.EndpointResponsive, 'answers'],
 	[logEvent.LogEvent.EndpointPaused, 'pause'],
 	[logEvent.LogEvent.EndpointPauseEnded, 'pause'],
+	[logEvent.LogEvent.EndpointLeaving, 'leaving'],
 ]);
 
 /**
--- a/packages/core/src/log/log-event.ts
+++ b/packages/core/src/log/log-event.ts
@@ -28,6 +28,8 @@
 	/** An endpoint or cache store has asked this VM to send nothing for a time. */
 	EndpointPaused = 'endpoint_paused',
 	EndpointPauseEnded = 'endpoint_pause_ended',
+	/** An endpoint announced in a response that it is leaving. */
+	EndpointLeaving = 'endpoint_leaving',
 	/** The head of a request cannot be parsed; the final line of such a request. */
 	RequestRejected = 'request_rejected',
 	/** No endpoint has capacity; the request waits at the VM. */
@@ -67,6 +69,8 @@
 	readonly responsive?: number;
 	/** Number of those that asked for a pause, or have as many requests in flight as they may have after one. */
 	readonly paused?: number;
+	/** Number of those that told this VM that they are leaving. */
+	readonly leaving?: number;
 	/** Number of those that are loading weights. */
 	readonly loading?: number;
 	/** Number of those whose weights may be used for responses. */
@@ -119,6 +123,7 @@
 		/** Whether the endpoint has restarted; otherwise the time has elapsed. */
 		readonly isReplaced: boolean;
 	};
+	[LogEvent.EndpointLeaving]: {readonly endpoint: string; readonly bornAt: number};
 	[LogEvent.RequestRejected]: {readonly code: string; readonly findings: string};
 	[LogEvent.RequestWaiting]: {readonly request: string} & RefusalInputs;
 	[LogEvent.RequestSent]: {
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -205,7 +205,10 @@
 				body: this.request.body,
 			},
 			sink: this.#relay,
-			onHead: head => {
+			onHeadReceived: head => {
+				this.#recorder.recordNotice(entry, head);
+			},
+			onMatchingHead: head => {
 				this.#recorder.recordPause(placement, head);
 			},
 			monotonicNow: clock.monotonicNow,
--- a/packages/gateway/src/controllers/endpoint-controller.ts
+++ b/packages/gateway/src/controllers/endpoint-controller.ts
@@ -56,6 +56,10 @@
 		const {fleet, pauses, clock, dispatcher} = this.dependencies;
 		const now = clock.monotonicNow();
 		fleet.registry.removeExpired(now);
+		if (fleet.leaving.size > 0) {
+			fleet.leaving.retain(fleet.registry.list(), clock.suspendAwareNow());
+		}
+
 		pauses.removeEnded(id => fleet.registry.get(id)?.bornAt);
 		dispatcher.abortOutdatedAttempts(clocks.readInstant(clock));
 		dispatcher.abortPausedAttempts();
--- a/packages/gateway/src/endpoints/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoints/endpoint-attempt.ts
@@ -88,8 +88,10 @@
 	readonly protocol: ports.EndpointProtocol;
 	readonly request: AttemptRequest;
 	readonly sink: ResponseSink;
+	/** Called with the head of each response, also of a refusal or an invalid one, as soon as it arrives. */
+	readonly onHeadReceived: (head: ports.ResponseHead) => void;
 	/** Called with each head of a response that belongs to the request, refusals included. */
-	readonly onHead?: (head: ports.ResponseHead) => void;
+	readonly onMatchingHead?: (head: ports.ResponseHead) => void;
 	readonly monotonicNow: () => number;
 };
 
@@ -156,6 +158,7 @@
 
 		const head = this.options.protocol.decodeResponseHead(status, headers);
 		this.#head = head;
+		this.options.onHeadReceived(head);
 		this.#isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 		const fault = this.#findHeadFault(head);
 		if (fault !== undefined) {
@@ -163,7 +166,7 @@
 			return;
 		}
 
-		this.options.onHead?.(head);
+		this.options.onMatchingHead?.(head);
 		if (head.isNotExecuted) {
 			this.progress = core.request.AttemptProgress.RefusedBeforeExecution;
 			this.#responseFault = AttemptFault.Refused;
--- a/packages/gateway/src/peers/digest-codec.ts
+++ b/packages/gateway/src/peers/digest-codec.ts
@@ -11,9 +11,13 @@
 /** Encoded pause: endpoint, start time of its incarnation in Unix milliseconds, milliseconds until the end. */
 type PauseRow = readonly [string, number, number];
 
+/** Encoded incarnation of an endpoint: id, start time in Unix milliseconds. */
+type IncarnationRow = readonly [string, number];
+
 /** Parts of a digest that older builds do not know and ignore. */
 type DigestExtension = {
 	readonly pauses?: readonly PauseRow[];
+	readonly leaving?: readonly IncarnationRow[];
 };
 
 type DigestMessage = readonly [
@@ -27,13 +31,15 @@
 /** Encodes a digest as one datagram. */
 export function encodeDigest(digest: core.fleet.LoadDigest): buffer.Buffer {
 	const pauses = (digest.pauses ?? []).map(({endpoint, bornAt, remainingMs}): PauseRow => [endpoint, bornAt, remainingMs]);
+	const leaving = (digest.leavingEndpoints ?? []).map(({id, bornAt}): IncarnationRow => [id, bornAt]);
 	const state: DigestMessage = [
 		digest.vm,
 		digest.sequence,
 		digest.endpoints.map(entry => [entry.endpoint, entry.active, entry.prefillTokens, entry.sinceLastReceivedMs]),
 		digest.cacheObservations.map(observation => [observation.type, observation.key, observation.endpoint]),
 	];
-	return cbor.encode(pauses.length === 0 ? state : [...state, {pauses}]);
+	const extension: DigestExtension = {...(pauses.length > 0 && {pauses}), ...(leaving.length > 0 && {leaving})};
+	return cbor.encode(Object.keys(extension).length === 0 ? state : [...state, extension]);
 }
 
 /** Decodes a datagram; returns `undefined` if it is not a digest. */
@@ -51,6 +57,7 @@
 
 function toDigest([vm, sequence, endpoints, observations, extension]: DigestMessage): core.fleet.LoadDigest {
 	const pauses = toPauses(extension?.pauses);
+	const leaving = isRows(extension?.leaving, ['string', 'number']) ? extension!.leaving! : [];
 	return {
 		vm,
 		sequence,
@@ -59,6 +66,7 @@
 		})),
 		cacheObservations: observations.map(([type, key, endpoint]) => ({type, key, endpoint})),
 		...(pauses.length > 0 && {pauses}),
+		...(leaving.length > 0 && {leavingEndpoints: leaving.map(([id, bornAt]) => ({id, bornAt}))}),
 	};
 }
 
--- a/packages/gateway/src/placement/endpoint-placer.ts
+++ b/packages/gateway/src/placement/endpoint-placer.ts
@@ -50,7 +50,8 @@
 	) {}
 
 	/**
-	 * Chooses an endpoint.
+	 * Chooses an endpoint. One that is leaving is chosen only if there is no other, and one that other VMs report as leaving only
+	 * if no other has capacity.
 	 *
 	 * @param excluded - Endpoints at which an attempt of the request has failed.
 	 * @returns `undefined` when no endpoint is available for the request.
@@ -61,27 +62,26 @@
 		excluded: ReadonlySet<string>,
 		now: clocks.Instant,
 	): Placement | undefined {
-		const usesEngine = call.table.findPool(pool)?.engine !== undefined && call.head.prompt !== undefined;
 		const resumed = this.#listServing(call, pool, now)
 			.filter(entry => !excluded.has(entry.id) && this.pauses.findReturn(entry) === undefined);
-		const unlimited = resumed.filter(entry => !this.#isReturnLimited(entry));
-		const candidates = (unlimited.length > 0 ? unlimited : resumed)
-			.map(entry => this.#createCandidate(entry, call, usesEngine, now.suspendAware));
-		const view: core.fleet.PlacementView = {...this.fleet, costs: this.options.costs};
-		const choice = core.fleet.chooseEndpoint(candidates, this.#requirementsOf(call, usesEngine), view, now.monotonic);
-		if (choice === undefined) {
-			return undefined;
+		let best: Placement | undefined;
+		for (const group of this.fleet.leaving.groupByAvailability(resumed, now.suspendAware)) {
+			const isReported = group.availability === core.fleet.EndpointAvailability.ReportedLeaving;
+			const placement = best === undefined || (isReported && !best.hasCapacity)
+				? this.#placeAmong(group.entries, call, pool, now)
+				: undefined;
+			best = best === undefined || placement?.hasCapacity ? placement : best;
 		}
 
-		const placement = this.#createPlacement(call, choice, usesEngine, now.monotonic);
-		return unlimited.length > 0 ? placement : {...placement, hasCapacity: false};
+		return best;
 	}
 
 	/**
 	 * Returns when the first of the endpoints that could serve a request but for a pause is back; `undefined` if none has asked for one.
 	 */
 	findFirstReturn(call: requestContext.RoutedRequest, pool: core.routing.PoolName, now: clocks.Instant): core.fleet.PauseReturn | undefined {
-		const returns = this.#listServing(call, pool, now).map(entry => this.pauses.findReturn(entry)).filter(each => each !== undefined);
+		const staying = this.fleet.leaving.groupByAvailability(this.#listServing(call, pool, now), now.suspendAware).flatMap(group => group.entries);
+		const returns = staying.map(entry => this.pauses.findReturn(entry)).filter(each => each !== undefined);
 		return returns.sort((a, b) => a.resumesInMs - b.resumesInMs)[0];
 	}
 
@@ -89,7 +89,8 @@
 	decideWait(pool: core.routing.PoolName, conditions: Omit<core.fleet.WaitConditions, 'tokensPerMs'>): core.fleet.WaitDecision {
 		const engines = this.fleet.registry.listReady(pool)
 			.filter(entry => this.fleet.health.isResponsive(entry.id) && !core.rollout.isLoading(this.fleet.plan, entry.id));
-		const tokensPerMs = engines.length * this.options.costs.prefillTokensPerMs / this.fleet.vmCount;
+		const staying = engines.filter(entry => !this.fleet.leaving.isLeaving(entry));
+		const tokensPerMs = (staying.length > 0 ? staying : engines).length * this.options.costs.prefillTokensPerMs / this.fleet.vmCount;
 		return core.fleet.decideWait({...conditions, tokensPerMs}, this.options.admission);
 	}
 
@@ -108,6 +109,7 @@
 			ready: ready.length,
 			responsive: responsive.length,
 			paused: responsive.filter(entry => this.pauses.findReturn(entry) !== undefined || this.#isReturnLimited(entry)).length,
+			leaving: responsive.filter(entry => this.fleet.leaving.isLeaving(entry)).length,
 			loading: responsive.filter(entry => core.rollout.isLoading(this.fleet.plan, entry.id)).length,
 			serving: model === undefined ? undefined : responsive.filter(entry => this.#canServe(entry, model, now.suspendAware)).length,
 		};
@@ -117,13 +119,34 @@
 		return this.pauses.isReturnLimited(entry, entry.slots / this.fleet.vmCount);
 	}
 
-	/** Lists the endpoints that could serve a request if none had asked for a pause. */
+	/** Lists the endpoints that could serve a request if none had asked for a pause or were leaving. */
 	#listServing(call: requestContext.RoutedRequest, pool: core.routing.PoolName, now: clocks.Instant): core.fleet.EndpointEntry[] {
 		const model = call.table.findPool(pool)?.engine === undefined ? undefined : call.head.prompt?.model;
 		return this.fleet.registry.listReady(pool)
 			.filter(entry => this.fleet.health.isResponsive(entry.id) && (model === undefined || this.#canServe(entry, model, now.suspendAware)));
 	}
 
+	/** Chooses among endpoints of the same availability; those that return after a pause come after the others. */
+	#placeAmong(
+		entries: readonly core.fleet.EndpointEntry[],
+		call: requestContext.RoutedRequest,
+		pool: core.routing.PoolName,
+		now: clocks.Instant,
+	): Placement | undefined {
+		const usesEngine = call.table.findPool(pool)?.engine !== undefined && call.head.prompt !== undefined;
+		const unlimited = entries.filter(entry => !this.#isReturnLimited(entry));
+		const candidates = (unlimited.length > 0 ? unlimited : entries)
+			.map(entry => this.#createCandidate(entry, call, usesEngine, now.suspendAware));
+		const view: core.fleet.PlacementView = {...this.fleet, costs: this.options.costs};
+		const choice = core.fleet.chooseEndpoint(candidates, this.#requirementsOf(call, usesEngine), view, now.monotonic);
+		if (choice === undefined) {
+			return undefined;
+		}
+
+		const placement = this.#createPlacement(call, choice, usesEngine, now.monotonic);
+		return unlimited.length > 0 ? placement : {...placement, hasCapacity: false};
+	}
+
 	/** @param now - Milliseconds of the clock that includes suspensions. */
 	#canServe(entry: core.fleet.EndpointEntry, model: string, now: number): boolean {
 		const version = this.fleet.registry.weightVersion(entry.id, model);
--- a/packages/gateway/src/placement/index.ts
+++ b/packages/gateway/src/placement/index.ts
@@ -1,3 +1,4 @@
 export * from './endpoint-pauses.js';
 export * from './endpoint-placer.js';
 export * from './fleet-state.js';
+export * from './leaving-recorder.js';
--- a/packages/gateway/tests/call/paused-attempt.test.ts
+++ b/packages/gateway/tests/call/paused-attempt.test.ts
@@ -41,6 +41,9 @@
 		const dispatcher = new gateway.call.RequestDispatcher({
 			fleet,
 			pauses,
+			leavingRecorder: new gateway.placement.LeavingRecorder({
+				fleet, clock, log, onFirstNotice: () => undefined,
+			}),
 			clock,
 			log,
 			connections: connections as unknown as gateway.endpoints.ConnectionPools,
