Assume an age for versions that were named before a VM started, and publish each version's time at once

Cause: all VMs were stopped and started, and each counted the bound from its own first read, as no leader had published the time. A leader published the times of versions only when a step of the plan changed, and four for a model.

Change: a version read first counts as half of the bound old until a leader publishes its time; a leader publishes when a named version is missing in the plan, 16 for a model. Ruled out: no use of replaced weights until a time is published, which refuses a model for seconds after each restart of all VMs.

--- a/packages/core/src/rollout/rollout-plan.ts
+++ b/packages/core/src/rollout/rollout-plan.ts
@@ -61,6 +61,11 @@
 	return a.steps.length === b.steps.length && a.steps.every(step => b.steps.some(other => isSameStep(step, other)));
 }
 
+/** Returns whether a plan has a time for each of the named versions. */
+export function listsVersions(plan: RolloutPlan, named: readonly NamedVersion[]): boolean {
+	return named.every(({model, version}) => plan.named.some(other => other.model === model && other.version === version));
+}
+
 /** Returns the loaded steps of a plan that an earlier plan does not have as loaded. */
 export function listNewlyLoaded(plan: RolloutPlan, earlier: RolloutPlan): RolloutStep[] {
 	return plan.steps.filter(step => step.phase === RolloutPhase.Loaded && !earlier.steps.some(other => isSameStep(step, other)));
--- a/packages/core/src/rollout/weight-targets.ts
+++ b/packages/core/src/rollout/weight-targets.ts
@@ -23,7 +23,7 @@
 /** Maximum number of named versions that are stored per model. */
 const maxVersionsPerModel = 50;
 /** Number of newest versions per model that are published for VMs that start later. */
-const sharedVersionsPerModel = 4;
+const sharedVersionsPerModel = 16;
 /**
  * Length of an interval up to which this VM's own time is used, whatever other VMs report, in milliseconds. It lies within the
  * time by which requests are taken back before the limit.
--- a/packages/core/tests/rollout/plan-rollout.test.ts
+++ b/packages/core/tests/rollout/plan-rollout.test.ts
@@ -86,3 +86,18 @@
 		expect(core.rollout.listNewlyLoaded(now, before)).to.deep.equal(now.steps);
 	});
 });
+
+describe('listsVersions', () => {
+	const plan = {...core.rollout.emptyRolloutPlan, named: [{model: 'm', version: 2, seenAt: 5}, {model: 'n', version: 3, seenAt: 5}]};
+
+	it('is true while a plan has a time for each named version, whatever that time is', () => {
+		expect(core.rollout.listsVersions(plan, [])).to.equal(true);
+		expect(core.rollout.listsVersions(plan, [{model: 'm', version: 2, seenAt: 9}])).to.equal(true);
+	});
+
+	// The loading engines are at their limit, so that a further version changes no step.
+	it('is false when a version was named since', () => {
+		expect(core.rollout.listsVersions(plan, [{model: 'm', version: 2, seenAt: 5}, {model: 'm', version: 3, seenAt: 9}])).to.equal(false);
+		expect(core.rollout.listsVersions(plan, [{model: 'n', version: 2, seenAt: 5}])).to.equal(false);
+	});
+});
--- a/packages/gateway/src/controllers/operator-controller.ts
+++ b/packages/gateway/src/controllers/operator-controller.ts
@@ -11,6 +11,11 @@
 	readonly config: core.routing.ConfigState;
 	readonly fleet: fleetState.FleetState;
 	readonly log: eventLog.EventLog;
+	/**
+	 * Age to assume, while no VM has published a better one, of versions that were named before this VM first read the store, in
+	 * milliseconds: nothing in the store tells when an entry was written.
+	 */
+	readonly unseenVersionAgeMs: number;
 	/** Called when a newer configuration has become active. */
 	readonly onConfigAccepted: (config: core.routing.GatewayConfig) => void;
 };
@@ -69,9 +74,11 @@
 	}
 
 	#applyTarget(model: string, version: number, {changedAfter, changedSince, readAt}: storeFeed.ReadContext): void {
-		const {fleet, log} = this.dependencies;
-		if (fleet.targets.observe(model, version, {after: changedAfter, assumed: changedSince, before: readAt})) {
-			const maxAgeMs = Number.isFinite(changedAfter) ? Math.round(readAt - changedAfter) : undefined;
+		const {fleet, log, unseenVersionAgeMs} = this.dependencies;
+		const isFirstRead = changedAfter === -Infinity;
+		const assumed = isFirstRead ? readAt - unseenVersionAgeMs : changedSince;
+		if (fleet.targets.observe(model, version, {after: changedAfter, assumed, before: readAt})) {
+			const maxAgeMs = isFirstRead ? undefined : Math.round(readAt - changedAfter);
 			log.write(eventLog.LogEvent.WeightTargetSeen, {model, version, maxAgeMs});
 		}
 	}
--- a/packages/gateway/src/controllers/rollout-controller.ts
+++ b/packages/gateway/src/controllers/rollout-controller.ts
@@ -97,7 +97,8 @@
 			plan: fleet.plan, engines: this.#listEngines(), targets: fleet.targets.newestVersions(), named: this.#listNamedVersions(), fence,
 		}, this.dependencies.limits);
 		const plan = {...planned, writer: this.dependencies.vm, round: planned.round + (this.#needsPublication ? 1 : 0)};
-		const mustPublish = this.#needsPublication || !core.rollout.isSamePlan(plan, fleet.plan);
+		const mustPublish = this.#needsPublication || !core.rollout.isSamePlan(plan, fleet.plan)
+			|| !core.rollout.listsVersions(fleet.plan, plan.named);
 		if (mustPublish && !(await this.#publish(plan))) {
 			return;
 		}
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -33,6 +33,8 @@
 };
 
 const msPerSecond = 1000;
+/** Age to assume of a version that was named before the start, as a share of the time for which replaced weights may be used. */
+const unseenVersionAgeShare = 0.5;
 
 /** Creates a gateway; {@link gateway.Gateway.start} starts it. */
 export function createGateway(options: GatewayOptions): gateway.Gateway {
@@ -99,6 +101,7 @@
 	});
 	const operator = new controllers.OperatorController({
 		decoder, config, fleet, log,
+		unseenVersionAgeMs: settings.maxOutdatedWeightsMs * unseenVersionAgeShare,
 		onConfigAccepted(accepted) {
 			server.applyLimits(accepted.limits);
 		},
--- a/packages/gateway/tests/placement/replaced-weights-limit.test.ts
+++ b/packages/gateway/tests/placement/replaced-weights-limit.test.ts
@@ -38,6 +38,7 @@
 		config: new core.routing.ConfigState(),
 		fleet: this.fleet,
 		log: {write: () => undefined},
+		unseenVersionAgeMs: maxOutdatedWeightsMs / 2,
 		onConfigAccepted: () => undefined,
 	});
 
@@ -46,9 +47,10 @@
 		dataCentre: 'dc-a', maxOutdatedWeightsMs, costs: core.fleet.defaultPlacementCosts, admission: core.fleet.defaultAdmissionLimits,
 	});
 
-	constructor() {
+	/** @param version - Version that was named before the VM started. */
+	constructor(version = 1) {
 		this.fleet.registry.put(engine, 0);
-		this.#operator.onSnapshot([entryOf(1)], {
+		this.#operator.onSnapshot([entryOf(version)], {
 			maybeLapsed: false, changedAfter: -Infinity, changedSince: 0, readAt: 0,
 		});
 	}
@@ -124,4 +126,15 @@
 		expect(vm.places()).to.equal(false);
 		expect(vm.takesBack()).to.equal(true);
 	});
+
+	// Guards against a limit that counts from the start of a VM, when all VMs were killed before one could publish the time.
+	it('assumes that a version it read first was named some time before', () => {
+		const vm = new VmWithOldEngine(2);
+		vm.now = 1000;
+		expect(vm.places()).to.equal(true);
+		vm.now = 2600;
+		expect(vm.takesBack()).to.equal(true);
+		vm.fleet.targets.addReported('m', 2, -100, 2600);
+		expect(vm.takesBack()).to.equal(false);
+	});
 });
