Read the era of the store, and use no response or revision of an older one

Cause: a store that returns from a copy gives revisions and ids of leases out again. The client compared them with those of before: a poll, a write or a renewal named a revision or a lease that meant something else.

Change: `EraTracker` (core) judges each response by its era and by the era on which the call was based.

The store stand-in keeps copies, and returns from one in the next era.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -12,5 +12,6 @@
 export * as request from './request/index.js';
 export * as rollout from './rollout/index.js';
 export * as routing from './routing/index.js';
+export * as store from './store/index.js';
 export * as timeline from './timeline/index.js';
 export * as util from './util/index.js';
--- /dev/null
+++ b/packages/core/src/store/index.ts
@@ -0,0 +1,3 @@
+export * from './era-tracker.js';
+export * from './fencing-token.js';
+export * from './pacing.js';
--- a/packages/kv/src/kv/key-value-client.ts
+++ b/packages/kv/src/kv/key-value-client.ts
@@ -7,6 +7,8 @@
 	readonly value: Uint8Array;
 	/** Revision at which this key was last changed; revisions increase over all keys. */
 	readonly revision: number;
+	/** Era in which the entry was read, if the service states one. */
+	readonly era?: number;
 };
 
 /** Result of `compareAndSwap` or `compareAndDelete`. */
@@ -17,12 +19,16 @@
 	readonly revision: number;
 	/** The present entry when nothing was written; `undefined` when the key does not exist. */
 	readonly current?: KvEntry;
+	/** Era of the revision, if the service states one. */
+	readonly era?: number;
 };
 
 /** A lease; keys that are written with it are deleted when it expires or is revoked. */
 export type KvLease = {
 	readonly id: string;
 	readonly ttlMs: number;
+	/** Era in which the lease was granted, if the service states one. */
+	readonly era?: number;
 };
 
 /** A change that a watch reports; `entry` is `undefined` when the key was deleted. */
@@ -54,10 +60,12 @@
 	/**
 	 * Writes the value if the key's revision is the expected one; 0 means that the key does not exist.
 	 * When the response is lost, the error is `outcome_unknown` and the caller must read the key to find out.
+	 *
+	 * @param era - Era of the expected revision and the lease; the call is not sent if a newer one is known.
 	 */
-	compareAndSwap(key: string, expectedRevision: number, value: Uint8Array, leaseId?: string): KvResult<KvSwapResult>;
-	/** Deletes the key if its revision is the expected one. */
-	compareAndDelete(key: string, expectedRevision: number): KvResult<KvSwapResult>;
+	compareAndSwap(key: string, expectedRevision: number, value: Uint8Array, leaseId?: string, era?: number): KvResult<KvSwapResult>;
+	/** Deletes the key if its revision is the expected one; `era` as in `compareAndSwap`. */
+	compareAndDelete(key: string, expectedRevision: number, era?: number): KvResult<KvSwapResult>;
 	grantLease(ttlMs: number): KvResult<KvLease>;
 	keepLeaseAlive(lease: KvLease): KvResult<KvLease>;
 	revokeLease(lease: KvLease): KvResult<void>;
--- a/packages/kv/src/kv/kv-error.ts
+++ b/packages/kv/src/kv/kv-error.ts
@@ -12,6 +12,13 @@
 	HistoryLost = 'history_lost',
 	/** The lease has expired, was revoked or is unknown to the service. */
 	LeaseLost = 'lease_lost',
+	/** The response was sent before the service returned from a copy of its data; it was ignored. */
+	EraOutdated = 'era_outdated',
+	/**
+	 * The service returned from a copy after it had given out the revision or the lease that the call names. A write may or may not
+	 * have taken effect; revisions must be read again and leases requested anew.
+	 */
+	EraCrossed = 'era_crossed',
 }
 
 /** A failed call to the key-value service. */
--- a/packages/stand-ins/src/kv/lease-table.ts
+++ b/packages/stand-ins/src/kv/lease-table.ts
@@ -5,9 +5,15 @@
 
 const millisecondsPerSecond = 1000;
 
+/** Leases at one time. */
+export type LeaseTableCopy = {
+	readonly lastId: number;
+	readonly leases: ReadonlyMap<string, {readonly ttlSeconds: number; readonly remainingMs: number}>;
+};
+
 /** Leases with their expiry times; times are in milliseconds since the Unix epoch. */
 export class LeaseTable {
-	readonly #leases = new Map<string, Lease>();
+	#leases = new Map<string, Lease>();
 	#lastId = 0;
 
 	/** Grants a lease and returns its id. */
@@ -48,4 +54,16 @@
 
 		return expiredIds;
 	}
+
+	/** Returns a copy of the leases with the time that they have left. */
+	copy(now: number): LeaseTableCopy {
+		const leases = [...this.#leases].map(([id, {ttlSeconds, expiresAt}]) => [id, {ttlSeconds, remainingMs: expiresAt - now}] as const);
+		return {lastId: this.#lastId, leases: new Map(leases)};
+	}
+
+	/** Sets the leases back to a copy; they have the time left that they had then, and later ids are given out again. */
+	restore(copy: LeaseTableCopy, now: number): void {
+		this.#lastId = copy.lastId;
+		this.#leases = new Map([...copy.leases].map(([id, {ttlSeconds, remainingMs}]) => [id, {ttlSeconds, expiresAt: now + remainingMs}]));
+	}
 }
--- a/packages/stand-ins/src/kv/revision-store.ts
+++ b/packages/stand-ins/src/kv/revision-store.ts
@@ -24,6 +24,12 @@
 	readonly end?: string;
 };
 
+/** Contents of a store at one time. */
+export type RevisionStoreCopy = {
+	readonly revision: number;
+	readonly pairs: ReadonlyMap<string, StoredPair>;
+};
+
 /** Maximum number of past changes that are kept for watches. */
 const historyLimit = 10_000;
 
@@ -42,7 +48,7 @@
 /** Key-value pairs with revisions and a bounded history of changes. */
 export class RevisionStore {
 	#revision = 1;
-	readonly #pairs = new Map<string, StoredPair>();
+	#pairs = new Map<string, StoredPair>();
 	#history: StoredChange[] = [];
 
 	/** Revision of the last change. */
@@ -103,6 +109,18 @@
 		return this.#history.filter(change => change.revision >= revision);
 	}
 
+	/** Returns a copy of the contents; later changes do not affect it. */
+	copy(): RevisionStoreCopy {
+		return {revision: this.#revision, pairs: new Map(this.#pairs)};
+	}
+
+	/** Sets the contents and the revision back to a copy; later revisions are given out again. */
+	restore(copy: RevisionStoreCopy): void {
+		this.#revision = copy.revision;
+		this.#pairs = new Map(copy.pairs);
+		this.#history = this.#history.filter(change => change.revision <= copy.revision);
+	}
+
 	#appendToHistory(change: StoredChange): StoredChange {
 		this.#history.push(change);
 		if (this.#history.length > historyLimit) {
--- a/packages/stand-ins/src/users-platform/users-store-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/users-store-stand-in.ts
@@ -20,18 +20,41 @@
 /** Page size of range reads; small, so that tests cover several pages. */
 const itemsPerPage = 3;
 
+/** Interval between copies, in milliseconds. */
+const copyIntervalMs = 50;
+/** Number of copies that are kept. */
+const maxCopies = 400;
+
+/** Options of {@link UsersStoreStandIn}. */
+export type UsersStoreOptions = fault.StandInOptions & {
+	/** Era at the start; by default responses carry none. */
+	readonly era?: number;
+};
+
+/** Contents of the stand-in at one time. */
+type StoreCopy = {
+	readonly at: number;
+	readonly contents: revisionStore.RevisionStoreCopy;
+	readonly leases: leaseTable.LeaseTableCopy;
+};
+
 /** Stand-in for the key-value store of the users' platform. It implements a part of the platform's published protocol. */
 export class UsersStoreStandIn implements fault.StandIn {
 	readonly server: fault.StandInServer;
 	/** Method and path of each call, in order of arrival. */
 	readonly calls: string[] = [];
+	/** Text of the era that responses carry; absent if they carry none. */
+	eraText: string | undefined;
 	readonly #store = new revisionStore.RevisionStore();
 	readonly #leases = new leaseTable.LeaseTable();
 	#compactedRevision = 0;
 	#leaseTimer: NodeJS.Timeout | undefined;
+	#copyTimer: NodeJS.Timeout | undefined;
+	#copies: StoreCopy[] = [];
 	#isStopped = false;
 
-	constructor(options: fault.StandInOptions = {}) {
+	constructor(options: UsersStoreOptions = {}) {
+		this.eraText = options.era?.toString();
 		this.server = new fault.StandInServer(options, async (req, res) => this.#handle(req, res));
 	}
 
@@ -39,12 +62,16 @@
 		this.#leaseTimer = setInterval(() => {
 			this.#expireLeases(Date.now());
 		}, leaseCheckIntervalMs);
+		this.#copyTimer = setInterval(() => {
+			this.#takeCopy(Date.now());
+		}, copyIntervalMs);
 		return this.server.start();
 	}
 
 	async stop(): Promise<void> {
 		this.#isStopped = true;
 		clearInterval(this.#leaseTimer);
+		clearInterval(this.#copyTimer);
 		await this.server.stop();
 	}
 
@@ -83,7 +110,40 @@
 		this.#expireLeases(Infinity);
 	}
 
+	/**
+	 * Closes the store for a time, and opens it again with the contents that it had some time before: revisions and ids of leases that
+	 * were given out since then are given out again, in the next era.
+	 *
+	 * @param ageMs - Age of the copy when the store closes.
+	 * @param awayMs - Time for which the store is closed.
+	 */
+	async returnFromCopy(ageMs: number, awayMs: number): Promise<void> {
+		const closedAt = Date.now();
+		const copy = this.#copies.findLast(({at}) => at <= closedAt - ageMs) ?? this.#copies[0];
+		await this.server.applyFault({fault: fault.FaultName.Outage});
+		await util.sleep(awayMs);
+		if (copy !== undefined) {
+			this.#store.restore(copy.contents);
+			this.#leases.restore(copy.leases, Date.now());
+		}
+
+		this.eraText &&= String(Number(this.eraText) + 1);
+		this.#copies = [];
+		await this.server.applyFault({fault: fault.FaultName.Clear});
+	}
+
+	#takeCopy(now: number): void {
+		this.#copies.push({at: now, contents: this.#store.copy(), leases: this.#leases.copy(now)});
+		if (this.#copies.length > maxCopies) {
+			this.#copies.shift();
+		}
+	}
+
 	async #handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		if (this.eraText !== undefined) {
+			res.setHeader('Store-Era', this.eraText);
+		}
+
 		const url = new URL(req.url ?? '/', 'http://store');
 		this.calls.push(`${req.method} ${url.pathname}`);
 		const operation = url.pathname.split('/')[2] ?? '';
@@ -154,7 +214,7 @@
 		const prefix = url.searchParams.get('prefix') ?? '';
 		const after = Number(url.searchParams.get('after'));
 		const endsAt = Date.now() + Number(url.searchParams.get('wait_ms'));
-		if (after < this.#compactedRevision) {
+		if (after < this.#compactedRevision || after > this.#store.revision) {
 			util.sendJson(res, 410, {});
 			return;
 		}
