Answer for an absent key with JSON in the store stand-in

Cause: the stand-in answered 404 with the text 'undefined'. The client could not parse it and took the outcome for unknown, so that no VM of any test over the stand-ins ever registered its key, and each new leader waited 1.75 s before its first order.

Change: the body is an empty object.

--- a/packages/stand-ins/src/users-platform/users-store-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/users-store-stand-in.ts
@@ -196,7 +196,7 @@
 
 	#sendKey(url: URL, res: http.ServerResponse): void {
 		const pair = this.#store.get(toBase64(url.searchParams.get('key') ?? ''));
-		util.sendJson(res, pair === undefined ? 404 : 200, pair && {...toItem(pair), at: this.#store.revision});
+		util.sendJson(res, pair === undefined ? 404 : 200, pair === undefined ? {} : {...toItem(pair), at: this.#store.revision});
 	}
 
 	#sendRange(url: URL, res: http.ServerResponse): void {
