Start anew when the store has returned from a copy

Cause: the feed kept the higher of its own revision and that of the store, so after a return it never saw what was undone or written since. Leases, the leader's key and the plan's revision of before were used on. An engine that had seen the old leader's fencing token, the revision of its key, turned the orders of the next one away.

The next leader waits as if a plan had been published when it first saw the era, since such a plan may be lost. A plan that is older than the one in force is not applied, and the next leader writes the newer one again. A leader's key that names a VM that does not lead is deleted by that VM.

--- a/packages/core/src/log/explain-request.ts
+++ b/packages/core/src/log/explain-request.ts
@@ -28,6 +28,8 @@
 	[logEvent.LogEvent.ReadinessChanged, 'readiness'],
 	[logEvent.LogEvent.StoreLost, 'store'],
 	[logEvent.LogEvent.StoreRegained, 'store'],
+	[logEvent.LogEvent.StoreReturned, 'store era'],
+	[logEvent.LogEvent.StoreReread, 'store era'],
 	[logEvent.LogEvent.CacheStoreLost, 'cache store'],
 	[logEvent.LogEvent.CacheStoreRegained, 'cache store'],
 	[logEvent.LogEvent.ConfigAccepted, 'config'],
--- a/packages/core/src/log/log-event.ts
+++ b/packages/core/src/log/log-event.ts
@@ -9,6 +9,12 @@
 	ReadinessChanged = 'readiness_changed',
 	StoreLost = 'store_lost',
 	StoreRegained = 'store_regained',
+	/** A response of the store carries a newer era: the store has lost its latest changes and returned from a copy. */
+	StoreReturned = 'store_returned',
+	/** All entries were read after the store returned from a copy. */
+	StoreReread = 'store_reread',
+	/** The responses of the store carry no era that can be used, so that a return from a copy goes unnoticed. */
+	StoreEraUnusable = 'store_era_unusable',
 	CacheStoreLost = 'cache_store_lost',
 	CacheStoreRegained = 'cache_store_regained',
 	CacheStoreReset = 'cache_store_reset',
@@ -83,6 +89,12 @@
 	[LogEvent.ReadinessChanged]: {readonly isReady: boolean; readonly configAgeMs?: number};
 	[LogEvent.StoreLost]: {readonly prefix: string; readonly code: string; readonly problem: string};
 	[LogEvent.StoreRegained]: {readonly prefix: string; readonly awayMs: number};
+	[LogEvent.StoreReturned]: {readonly era: number; readonly previous: number};
+	[LogEvent.StoreReread]: {readonly prefix: string; readonly era?: number; readonly entries: number};
+	[LogEvent.StoreEraUnusable]: {
+		/** What the responses state instead; absent if they state nothing. */
+		readonly text?: string;
+	};
 	[LogEvent.CacheStoreLost]: {readonly address: string; readonly problem: string};
 	[LogEvent.CacheStoreRegained]: {readonly address: string};
 	[LogEvent.CacheStoreReset]: {readonly address: string; readonly isRestarted: boolean};
--- a/packages/gateway/src/controllers/coordination-controller.ts
+++ b/packages/gateway/src/controllers/coordination-controller.ts
@@ -11,8 +11,10 @@
 
 /** The leader as last read from the store. */
 export type ObservedLeader = leaderCodec.Leader & {
-	/** Revision of the leader's key, which is its fencing token. */
+	/** Revision of the leader's key. */
 	readonly revision: number;
+	/** Era of the revision, if the store states one. */
+	readonly era?: number;
 };
 
 /** State shared by the VMs, as last read from the store. */
@@ -21,6 +23,10 @@
 	leader?: ObservedLeader;
 	/** Revision of the roll-out plan's key; 0 while there is none. */
 	planRevision: number;
+	/** Era of `planRevision`, if the store states one. */
+	planEra?: number;
+	/** Whether the store has the plan that is in force; it may have lost it when it returned from a copy. */
+	isPlanStored: boolean;
 	/**
 	 * When a new plan was last received, in milliseconds of a clock that also counts the time that the VM was suspended; absent
 	 * while there is none.
@@ -44,10 +50,14 @@
 
 /** Tracks the keys by which the VMs coordinate: the leader, the roll-out plan and the list of VMs. */
 export class CoordinationController implements storeFeed.StoreFeedListener {
-	readonly state: CoordinationState = {planRevision: 0};
-	/** Whether the keys have been read since the start of the process. */
+	readonly state: CoordinationState = {planRevision: 0, isPlanStored: true};
+	/** Whether the keys have been read since the start of the process and since the last return of the store from a copy. */
 	hasSnapshot = false;
 	readonly #vms = new Map<string, VmRecord>();
+	/** Era that the last return of the store began. */
+	#era: number | undefined;
+	/** Revision of the plan in force, and its era. */
+	#applied: {readonly revision: number; readonly era?: number} = {revision: 0};
 
 	constructor(
 		private readonly fleet: fleetState.FleetState,
@@ -68,6 +78,10 @@
 			this.state.leader = undefined;
 		}
 
+		if (this.#era !== undefined && !keys.has(coordinationKeys.rolloutPlanKey)) {
+			this.state.isPlanStored = this.fleet.plan === core.rollout.emptyRolloutPlan;
+		}
+
 		for (const entry of entries) {
 			this.#applyChange({key: entry.key, entry});
 		}
@@ -75,6 +89,18 @@
 		this.#updateVms();
 	}
 
+	/**
+	 * Handles a return of the store from a copy: its revisions are unknown until the next snapshot. The plan stays in force, and VMs
+	 * are kept until they can have registered again.
+	 */
+	handleReturn(era: number): void {
+		this.#era = era;
+		this.hasSnapshot = false;
+		this.state.leader = undefined;
+		this.state.planRevision = 0;
+		this.state.planEra = undefined;
+	}
+
 	onChange(change: clients.kv.KvChange): void {
 		this.#applyChange(change);
 		this.#updateVms();
@@ -86,13 +112,19 @@
 	}
 
 	/** Applies a plan that this VM wrote itself, before the feed reports it. */
-	recordOwnPlan(plan: core.rollout.RolloutPlan, revision: number): void {
-		if (revision > this.state.planRevision) {
-			this.state.planRevision = revision;
+	recordOwnPlan(plan: core.rollout.RolloutPlan, revision: number, era?: number): void {
+		const isOutdated = era !== undefined && this.#era !== undefined && era < this.#era;
+		if (!isOutdated && revision > this.state.planRevision) {
+			this.#recordPlanRevision(revision, era);
 			this.#applyPlan(plan);
 		}
 	}
 
+	/** Number of VMs that share limits, at least 1. */
+	get vmCount(): number {
+		return this.fleet.vmCount;
+	}
+
 	/** Returns the names of all VMs. */
 	listVmNames(): string[] {
 		return [...this.#vms.keys()];
@@ -114,7 +146,7 @@
 	}
 
 	#applyLeader(entry: clients.kv.KvEntry | undefined): void {
-		this.state.leader = entry && {...leaderCodec.decodeLeader(entry.value), revision: entry.revision};
+		this.state.leader = entry && {...leaderCodec.decodeLeader(entry.value), revision: entry.revision, era: entry.era};
 	}
 
 	#applyPlanEntry(entry: clients.kv.KvEntry | undefined): void {
@@ -122,11 +154,36 @@
 			return;
 		}
 
-		this.state.planRevision = entry.revision;
-		this.#applyPlan(planCodec.decodePlan(entry.value));
+		this.#recordPlanRevision(entry.revision, entry.era);
+		const plan = planCodec.decodePlan(entry.value);
+		if (this.#isOlderPlan(plan, entry)) {
+			this.state.isPlanStored = false;
+			return;
+		}
+
+		this.#applyPlan(plan);
+	}
+
+	#recordPlanRevision(revision: number, era: number | undefined): void {
+		this.state.planRevision = revision;
+		this.state.planEra = era;
+	}
+
+	/**
+	 * Returns whether a plan is older than the one in force: the store may have returned from a copy that was made before the plan in
+	 * force was written. Fencing tokens rise over returns; plans of one leader were written in one era, whose revisions the copy has.
+	 */
+	#isOlderPlan(plan: core.rollout.RolloutPlan, entry: clients.kv.KvEntry): boolean {
+		if (entry.era === undefined || this.#applied.era === undefined || entry.era === this.#applied.era) {
+			return entry.era !== undefined && plan.fence < this.fleet.plan.fence;
+		}
+
+		return plan.fence < this.fleet.plan.fence || (plan.fence === this.fleet.plan.fence && entry.revision < this.#applied.revision);
 	}
 
 	#applyPlan(plan: core.rollout.RolloutPlan): void {
+		this.#applied = {revision: this.state.planRevision, era: this.state.planEra};
+		this.state.isPlanStored = true;
 		const previousPlan = this.fleet.plan;
 		this.fleet.plan = plan;
 		this.state.planSeenAt = this.clock.suspendAwareNow();
--- a/packages/gateway/src/controllers/index.ts
+++ b/packages/gateway/src/controllers/index.ts
@@ -2,6 +2,7 @@
 export * from './coordination-controller.js';
 export * from './coordination-keys.js';
 export * from './endpoint-controller.js';
+export * from './era-listener.js';
 export * from './lease-controller.js';
 export * from './load-controller.js';
 export * from './operator-controller.js';
--- a/packages/gateway/src/controllers/lease-controller.ts
+++ b/packages/gateway/src/controllers/lease-controller.ts
@@ -82,6 +82,12 @@
 	#isRegistered = false;
 	#leaderRevision = 0;
 	#acquireAt: number | undefined;
+	/** Earliest time of the next attempt to register this VM. */
+	#registerAt = -Infinity;
+	/** When the newest era of the store was first seen; `-Infinity` while none was. */
+	#eraSeenAt = -Infinity;
+	/** Whether the store has returned from a copy, so that the leader's key can hold an earlier leadership of this VM. */
+	#hasReturned = false;
 	#isStopping = false;
 	readonly #startedAt: number;
 
@@ -108,6 +114,24 @@
 		this.#loseLeadership('fenced');
 	}
 
+	/**
+	 * Handles a newer era of the store. After a return from a copy this VM's leases may be gone or belong to other VMs, so it gives
+	 * up the leadership and registers anew.
+	 *
+	 * @param previous - The era before; `undefined` if this is the first one.
+	 */
+	handleEra(previous: number | undefined): void {
+		const now = this.dependencies.clock.suspendAwareNow();
+		this.#eraSeenAt = now;
+		if (previous === undefined) {
+			return;
+		}
+
+		this.#hasReturned = true;
+		this.#loseLeadership('store_returned');
+		this.#loseMembership(now);
+	}
+
 	/** Acquires or renews the leases when due, registers this VM, and tries to become the leader if there is none. */
 	async tick(): Promise<void> {
 		if (this.#isStopping) {
@@ -132,18 +156,38 @@
 
 	/** Renews the lease of this VM's key, or requests one, and registers this VM. */
 	async #keepMembership(): Promise<void> {
+		const {clock} = this.dependencies;
 		if (await this.#member.renewIfDue() === renewedLease.LeaseRenewal.Lost) {
-			this.#member.drop();
+			this.#loseMembership(clock.suspendAwareNow());
+		}
+
+		if (this.#isRegistered || clock.suspendAwareNow() < this.#registerAt) {
+			return;
 		}
 
 		if (this.#member.lease === undefined) {
-			this.#isRegistered = false;
 			await this.#member.grant();
 		}
 
-		if (this.#member.lease !== undefined && !this.#isRegistered) {
+		if (this.#member.lease !== undefined) {
 			await this.#register(this.#member.lease);
 		}
+
+		if (!this.#isRegistered) {
+			this.#delayRegistration(clock.suspendAwareNow());
+		}
+	}
+
+	/** Forgets the lease of this VM's key; it registers anew after a random delay, since other VMs may have lost theirs as well. */
+	#loseMembership(now: number): void {
+		this.#member.drop();
+		this.#isRegistered = false;
+		this.#delayRegistration(now);
+	}
+
+	#delayRegistration(now: number): void {
+		const {coordination, random} = this.dependencies;
+		this.#registerAt = now + core.store.computeRegistrationDelayMs(coordination.vmCount, random());
 	}
 
 	async #renewLeadership(): Promise<void> {
@@ -189,9 +233,10 @@
 		}
 
 		const revision = (read.extract() as clients.kv.KvEntry | undefined)?.revision ?? 0;
-		const swap = await this.dependencies.store.compareAndSwap(key, revision, buffer.Buffer.from(this.dependencies.getOwnAddress()), lease.id);
+		const value = buffer.Buffer.from(this.dependencies.getOwnAddress());
+		const swap = await this.dependencies.store.compareAndSwap(key, revision, value, lease.id, lease.era);
 		swap.ifRight(result => {
-			this.#isRegistered = result.swapped;
+			this.#isRegistered = result.swapped && this.#member.lease?.id === lease.id;
 		});
 	}
 
@@ -201,6 +246,7 @@
 		if (this.#leaderRevision !== 0 || leader !== undefined) {
 			this.#acquireAt = undefined;
 			await this.#recoverLeadership(leader);
+			await this.#removeOutdatedKey();
 			return;
 		}
 
@@ -223,10 +269,10 @@
 	async #writeLeaderKey(lease: clients.kv.KvLease): Promise<void> {
 		const {store, clock, vm} = this.dependencies;
 		this.#leadership.beginAcquiring(clock.suspendAwareNow());
-		const swap = await store.compareAndSwap(coordinationKeys.leaderKey, 0, leaderCodec.encodeLeader({vm, leaseId: lease.id}), lease.id);
+		const swap = await store.compareAndSwap(coordinationKeys.leaderKey, 0, leaderCodec.encodeLeader({vm, leaseId: lease.id}), lease.id, lease.era);
 		const result = swap.toMaybe().extract();
 		if (result?.swapped) {
-			await this.#beginLeading(result.revision);
+			await this.#beginLeading(result);
 			return;
 		}
 
@@ -254,27 +300,49 @@
 
 		if (leader.vm === this.dependencies.vm && leader.leaseId === lease.id) {
 			this.#leadership.beginAcquiring(this.dependencies.clock.suspendAwareNow());
-			await this.#beginLeading(leader.revision);
+			await this.#beginLeading(leader);
 		} else {
 			this.#leader.drop();
 		}
 	}
 
-	async #beginLeading(revision: number): Promise<void> {
+	/**
+	 * Deletes a leader's key that names this VM although it does not lead, after the store returned from a copy with it: the lease of
+	 * such a key may have been granted again to another VM, which renews it.
+	 */
+	async #removeOutdatedKey(): Promise<void> {
+		const {store, coordination, vm} = this.dependencies;
+		const {leader} = coordination.state;
+		if (this.#hasReturned && this.#leaderRevision === 0 && leader?.vm === vm && leader.leaseId !== this.#leader.lease?.id) {
+			await store.compareAndDelete(coordinationKeys.leaderKey, leader.revision, leader.era);
+		}
+	}
+
+	async #beginLeading({revision, era}: {readonly revision: number; readonly era?: number}): Promise<void> {
 		const {clock, log} = this.dependencies;
+		const eraSeenAt = this.#eraSeenAt;
 		this.#leaderRevision = revision;
 		const now = clock.suspendAwareNow();
 		const latestOrderAt = await this.#latestOrderAt();
+		if (this.#leaderRevision !== revision || this.#eraSeenAt !== eraSeenAt) {
+			// The leadership was lost meanwhile.
+			return;
+		}
+
+		const fence = core.store.createFencingToken(revision, era);
 		const previousOrdersEndAt = latestOrderAt + this.options.leadership.maxOrderDurationMs;
-		this.#leadership.recordGrant(revision, this.#leader.renewedAt, clock.suspendAwareNow(), previousOrdersEndAt);
-		log.write(eventLog.LogEvent.LeaderGained, {fence: revision, clearInMs: Math.round(Math.max(0, previousOrdersEndAt - now))});
+		this.#leadership.recordGrant(fence, this.#leader.renewedAt, clock.suspendAwareNow(), previousOrdersEndAt);
+		log.write(eventLog.LogEvent.LeaderGained, {fence, clearInMs: Math.round(Math.max(0, previousOrdersEndAt - now))});
 	}
 
-	/** Returns the latest time at which the last plan can have been published; `-Infinity` if there is none. */
+	/**
+	 * Returns the latest time at which the last plan can have been published; `-Infinity` if there is none. A plan that was lost when
+	 * the store returned from a copy was published before the newest era was seen.
+	 */
 	async #latestOrderAt(): Promise<number> {
 		const {store, coordination, clock} = this.dependencies;
 		const read = await store.get(coordinationKeys.rolloutPlanKey);
 		const isKnown = read.map(entry => (entry?.revision ?? 0) <= coordination.state.planRevision).orDefault(false);
-		return isKnown ? coordination.state.planSeenAt ?? -Infinity : clock.suspendAwareNow();
+		return isKnown ? Math.max(coordination.state.planSeenAt ?? -Infinity, this.#eraSeenAt) : clock.suspendAwareNow();
 	}
 }
--- a/packages/gateway/src/controllers/prefix-listeners.ts
+++ b/packages/gateway/src/controllers/prefix-listeners.ts
@@ -30,4 +30,10 @@
 			listener.onConfirmed?.(startedAt);
 		}
 	}
+
+	onReturn(): void {
+		for (const {listener} of this.listeners) {
+			listener.onReturn?.();
+		}
+	}
 }
--- a/packages/gateway/src/controllers/renewed-lease.ts
+++ b/packages/gateway/src/controllers/renewed-lease.ts
@@ -21,6 +21,9 @@
 	Lost = 'lost',
 }
 
+/** Errors of a renewal after which the lease can't be used any more. */
+const endedCodes: ReadonlySet<clients.kv.KvErrorCode> = new Set([clients.kv.KvErrorCode.LeaseLost, clients.kv.KvErrorCode.EraCrossed]);
+
 /** A lease of the key-value store that is renewed before it ends. */
 export class RenewedLease {
 	#lease: clients.kv.KvLease | undefined;
@@ -77,7 +80,7 @@
 
 		const failure = renewed.extract() as clients.kv.KvError;
 		const hasEnded = this.clock.suspendAwareNow() - this.#renewedAt > this.options.ttlMs;
-		return failure.code === clients.kv.KvErrorCode.LeaseLost || hasEnded ? LeaseRenewal.Lost : LeaseRenewal.Failed;
+		return endedCodes.has(failure.code) || hasEnded ? LeaseRenewal.Lost : LeaseRenewal.Failed;
 	}
 
 	/** Forgets the lease; it ends by itself. */
--- a/packages/gateway/src/controllers/rollout-controller.ts
+++ b/packages/gateway/src/controllers/rollout-controller.ts
@@ -93,7 +93,7 @@
 			plan: fleet.plan, engines: this.#listEngines(), targets: fleet.targets.newestVersions(), named: this.#listNamedVersions(), fence,
 		}, this.dependencies.limits);
 		const plan = {...planned, round: planned.round + (this.#needsPublication ? 1 : 0)};
-		const mustPublish = this.#needsPublication || !core.rollout.isSamePlan(plan, fleet.plan);
+		const mustPublish = this.#needsPublication || !this.dependencies.coordination.state.isPlanStored || !core.rollout.isSamePlan(plan, fleet.plan);
 		if (mustPublish && !(await this.#publish(plan))) {
 			return;
 		}
@@ -134,7 +134,8 @@
 	async #publish(plan: core.rollout.RolloutPlan): Promise<boolean> {
 		const {store, coordination, clock, log} = this.dependencies;
 		const startedAt = clock.monotonicNow();
-		const swap = await store.compareAndSwap(coordinationKeys.rolloutPlanKey, coordination.state.planRevision, planCodec.encodePlan(plan));
+		const {planRevision, planEra} = coordination.state;
+		const swap = await store.compareAndSwap(coordinationKeys.rolloutPlanKey, planRevision, planCodec.encodePlan(plan), undefined, planEra);
 		const result = swap.toMaybe().extract();
 		if (!result?.swapped) {
 			// The feed delivers the stored plan, and the next tick continues from it.
@@ -143,7 +144,7 @@
 
 		this.#publishedAt = startedAt;
 		this.#needsPublication = false;
-		coordination.recordOwnPlan(plan, result.revision);
+		coordination.recordOwnPlan(plan, result.revision, result.era);
 		log.write(eventLog.LogEvent.RolloutPlanWritten, {fence: plan.fence, steps: plan.steps.length, revision: result.revision});
 		return true;
 	}
--- a/packages/gateway/src/controllers/store-feed.ts
+++ b/packages/gateway/src/controllers/store-feed.ts
@@ -19,6 +19,8 @@
 	 * @param startedAt - When the call began, in milliseconds of a clock that also counts the time that the VM was suspended.
 	 */
 	onConfirmed?(startedAt: number): void;
+	/** Called before the first snapshot after the store has returned from a copy, whose entries may be older than the known ones. */
+	onReturn?(): void;
 }
 
 /** Options of a {@link StoreFeed}, in milliseconds. */
@@ -47,11 +49,20 @@
 	readonly listener: StoreFeedListener;
 	/** Returns the pause after a poll that found changes, in milliseconds, so that one poll gathers several; 0 by default. */
 	readonly pollPauseMs?: () => number;
+	/** Eras of the store; without them no return from a copy is noticed. */
+	readonly eras?: clients.kv.KvEras;
+	/** Returns the delay before the snapshot after a return from a copy, in milliseconds, so that not all VMs read at once; 0 by default. */
+	readonly returnDelayMs?: () => number;
+	/** Waits for a number of milliseconds; by a timer of the system by default. */
+	readonly sleep?: (ms: number) => Promise<void>;
 	readonly clock: clocks.Clocks;
 	readonly log: eventLog.EventLog;
 };
 
-/** Reads the entries under a prefix of the store and follows their changes; recovers from outages and from lost history. */
+/**
+ * Reads the entries under a prefix of the store and follows their changes; recovers from outages, from lost history, and from returns
+ * of the store from a copy.
+ */
 export class StoreFeed {
 	#revision: number | undefined;
 	#lastFailureAt = -Infinity;
@@ -61,12 +72,23 @@
 	#hasFoundChanges = false;
 	/** When calls began to fail, in milliseconds of the monotonic clock; absent while they succeed. */
 	#unavailableSince: number | undefined;
+	/** Era of `#revision`. */
+	#era: number | undefined;
+	/** Whether the store has returned from a copy and no snapshot was read since. */
+	#hasReturned = false;
+	/** Ends the poll in progress. */
+	#pollAbort = new AbortController();
 
 	constructor(
 		private readonly dependencies: StoreFeedDependencies,
 		private readonly options: StoreFeedOptions = defaultStoreFeedOptions,
 	) {
 		this.#retryDelayMs = options.minRetryDelayMs;
+		dependencies.eras?.subscribe({
+			onEra: (_era, previous) => {
+				this.#handleEra(previous);
+			},
+		});
 	}
 
 	/** Follows the prefix until {@link StoreFeed.stop}. */
@@ -76,7 +98,7 @@
 			if (!isOk && !this.#isStopped) {
 				await this.#waitBeforeRetry(); // eslint-disable-line no-await-in-loop -- Delays the next call after a failure.
 			} else if (this.#hasFoundChanges && !this.#isStopped) {
-				await timers.setTimeout(this.dependencies.pollPauseMs?.() ?? 0); // eslint-disable-line no-await-in-loop -- Gathers changes.
+				await this.#sleep(this.dependencies.pollPauseMs?.() ?? 0); // eslint-disable-line no-await-in-loop -- Gathers changes.
 			}
 		}
 	}
@@ -91,6 +113,11 @@
 		const revision = this.#revision;
 		this.#hasFoundChanges = false;
 		const failure = revision === undefined ? await this.#readSnapshot() : await this.#poll(revision);
+		if (this.#mustReadAnew(revision, failure)) {
+			await this.#sleep(this.dependencies.returnDelayMs?.() ?? 0);
+			return true;
+		}
+
 		if (failure === undefined) {
 			this.#recordSuccess();
 			this.dependencies.listener.onConfirmed?.(startedAt);
@@ -106,18 +133,57 @@
 		return false;
 	}
 
+	/**
+	 * Handles a newer era. The poll in progress follows a history that has ended. Entries whose writers have to write them again may
+	 * be missing for a while.
+	 */
+	#handleEra(previous: number | undefined): void {
+		if (previous === undefined) {
+			return;
+		}
+
+		this.#hasReturned = true;
+		this.#revision = undefined;
+		this.#lastFailureAt = this.dependencies.clock.monotonicNow();
+		this.#pollAbort.abort();
+		this.#pollAbort = new AbortController();
+	}
+
+	/** Returns whether a call was overtaken by a return of the store from a copy, so that its result says nothing. */
+	#mustReadAnew(revision: number | undefined, failure: clients.kv.KvError | undefined): boolean {
+		return failure?.code === clients.kv.KvErrorCode.EraCrossed || (revision !== undefined && this.#revision === undefined);
+	}
+
+	/** Returns whether a result was read before the store returned from a copy. */
+	#isFromEarlierEra(era: number | undefined): boolean {
+		const newest = this.dependencies.eras?.newest;
+		return era !== undefined && newest !== undefined && era < newest;
+	}
+
 	async #readSnapshot(): Promise<clients.kv.KvError | undefined> {
 		const snapshot = await this.dependencies.store.snapshot(this.dependencies.prefix);
-		return core.util.matchEither(snapshot, failure => failure, read => {
+		return core.util.matchEither<clients.kv.KvError, clients.kv.KvSnapshot, clients.kv.KvError | undefined>(snapshot, failure => failure, read => {
+			if (this.#isFromEarlierEra(read.era)) {
+				return {code: clients.kv.KvErrorCode.EraCrossed, message: `the snapshot is of era ${read.era}`};
+			}
+
 			this.#revision = read.revision;
+			this.#era = read.era;
+			this.#recordReturn(read);
 			this.dependencies.listener.onSnapshot(read.entries, this.#maybeLapsed());
 			return undefined;
 		});
 	}
 
 	async #poll(revision: number): Promise<clients.kv.KvError | undefined> {
-		const polled = await this.dependencies.store.poll(this.dependencies.prefix, revision, this.options.pollWaitMs);
+		const polled = await this.dependencies.store.poll(this.dependencies.prefix, revision, this.options.pollWaitMs, {
+			era: this.#era, signal: this.#pollAbort.signal,
+		});
 		return core.util.matchEither(polled, failure => failure, read => {
+			if (this.#revision === undefined) {
+				return undefined;
+			}
+
 			this.#revision = Math.max(revision, read.revision);
 			this.#hasFoundChanges = read.changes.length > 0;
 			for (const change of read.changes) {
@@ -132,6 +198,14 @@
 		return this.dependencies.clock.monotonicNow() - this.#lastFailureAt < this.options.lapseWindowMs;
 	}
 
+	#recordReturn({era, entries}: clients.kv.KvSnapshot): void {
+		if (this.#hasReturned) {
+			this.#hasReturned = false;
+			this.dependencies.log.write(eventLog.LogEvent.StoreReread, {prefix: this.dependencies.prefix, era, entries: entries.length});
+			this.dependencies.listener.onReturn?.();
+		}
+	}
+
 	#recordSuccess(): void {
 		this.#retryDelayMs = this.options.minRetryDelayMs;
 		if (this.#unavailableSince !== undefined) {
@@ -154,6 +228,10 @@
 	async #waitBeforeRetry(): Promise<void> {
 		const retryDelayMs = this.#retryDelayMs;
 		this.#retryDelayMs = Math.min(this.options.maxRetryDelayMs, retryDelayMs * 2);
-		await timers.setTimeout(retryDelayMs);
+		await this.#sleep(retryDelayMs);
+	}
+
+	async #sleep(ms: number): Promise<void> {
+		await (this.dependencies.sleep ?? timers.setTimeout)(ms);
 	}
 }
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -17,7 +17,8 @@
 /** Settings, clients, adapters and other dependencies of a gateway. */
 export type GatewayOptions = {
 	readonly settings: gatewaySettings.GatewaySettings;
-	readonly store: clients.kv.KeyValueClient & clients.kv.KvChangeFeed;
+	/** Client of the store; without eras no return of the store from a copy is noticed. */
+	readonly store: clients.kv.KeyValueClient & clients.kv.KvChangeFeed & Partial<clients.kv.KvEraSource>;
 	readonly decoder: ports.StoreDecoder;
 	readonly callerProtocol: ports.CallerProtocol;
 	readonly endpointProtocol: ports.EndpointProtocol;
@@ -115,9 +116,18 @@
 		{prefix: decoder.prefixes.endpoints, listener: endpointController},
 		{prefix: controllers.coordinationPrefix, listener: coordination},
 	]);
+	// Subscribed before the feed, so that nothing uses what was read in an earlier era.
+	store.eras?.subscribe(new controllers.EraListener({coordination, leaseController, log}));
 	// One feed of the whole store takes a third of the calls that one feed per prefix would.
 	const feed = new controllers.StoreFeed({
-		store, prefix: '', listener, pollPauseMs: () => core.fleet.computePollPauseMs(fleet.vmCount), clock, log,
+		store,
+		eras: store.eras,
+		prefix: '',
+		listener,
+		pollPauseMs: () => core.fleet.computePollPauseMs(fleet.vmCount),
+		returnDelayMs: () => random() * core.fleet.computePollPauseMs(fleet.vmCount),
+		clock,
+		log,
 	});
 	const refresh = metrics.registerStateGauges(registry, () => {
 		const ready = fleet.registry.list().filter(entry => entry.state === core.fleet.EndpointState.Ready);
--- a/packages/gateway/tests/controllers/store-feed.test.ts
+++ b/packages/gateway/tests/controllers/store-feed.test.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import * as timers from 'node:timers/promises';
 import * as clients from '@bluebellmast/kv';
 import * as chai from 'chai';
 import * as purify from 'purify-ts';
@@ -75,6 +76,107 @@
 	return {received, store, events};
 }
 
+/** A store whose polls wait until they are aborted or the test ends them; responses carry the era that the test sets. */
+class ReturningStore implements clients.kv.KvChangeFeed, clients.kv.KvEraSource {
+	readonly eras = new clients.kv.KvEras();
+	readonly polls: Array<{readonly revision: number; readonly era?: number}> = [];
+	revision = 100;
+	era = 1;
+	/** Completes the poll in progress. */
+	endPoll: (result: PollResult) => void = () => undefined;
+
+	async snapshot(): clients.kv.KvResult<clients.kv.KvSnapshot> {
+		return this.eras.checkResponse(String(this.era)).map(era => ({entries: [entry(`e${this.era}`, this.revision)], revision: this.revision, era}));
+	}
+
+	async poll(_prefix: string, revision: number, _waitMs: number, options: clients.kv.KvPollOptions = {}): clients.kv.KvResult<clients.kv.KvChanges> {
+		this.polls.push({revision, era: options.era});
+		return new Promise(resolve => {
+			this.endPoll = resolve;
+			options.signal?.addEventListener('abort', () => {
+				resolve(failed(outcomeUnknown));
+			});
+		});
+	}
+}
+
+describe('StoreFeed of a store that returns from a copy', () => {
+	const tickMs = 5;
+	let store: ReturningStore;
+	let received: string[];
+	let events: string[];
+	let feed: gateway.controllers.StoreFeed;
+	let running: Promise<void>;
+
+	beforeEach(async () => {
+		store = new ReturningStore();
+		received = [];
+		events = [];
+		feed = new gateway.controllers.StoreFeed({
+			store,
+			eras: store.eras,
+			prefix: '',
+			listener: {
+				onSnapshot(entries, maybeLapsed) {
+					received.push(`snapshot ${entries.map(({key}) => key).join(' ')} ${maybeLapsed}`);
+				},
+				onChange(change) {
+					received.push(`change ${change.key}`);
+				},
+				onReturn() {
+					received.push('return');
+				},
+			},
+			clock: {monotonicNow: () => 0, suspendAwareNow: () => 0, wallNow: () => 0},
+			log: {
+				write(event) {
+					events.push(event);
+				},
+			},
+		});
+		running = feed.run();
+		await timers.setTimeout(tickMs);
+	});
+
+	afterEach(async () => {
+		feed.stop();
+		store.endPoll(purify.Right({changes: [], revision: 0}));
+		await running;
+	});
+
+	function returnFromCopy(revision: number): void {
+		store.era += 1;
+		store.revision = revision;
+	}
+
+	it('ends the poll and reads a snapshot when any call shows a newer era, though the revision is lower', async () => {
+		returnFromCopy(60);
+		store.eras.checkResponse('2');
+		await timers.setTimeout(tickMs);
+		expect(received).to.deep.equal(['snapshot e1 false', 'return', 'snapshot e2 true']);
+		expect(store.polls).to.deep.equal([{revision: 100, era: 1}, {revision: 60, era: 2}]);
+		expect(events).to.deep.equal([gateway.util.LogEvent.StoreReread]);
+	});
+
+	it('delivers no changes of the earlier era that arrive with the news of the return', async () => {
+		returnFromCopy(100);
+		store.endPoll(purify.Right({changes: [{key: 'late', entry: entry('late', 101)}], revision: 101}));
+		store.eras.checkResponse('2');
+		await timers.setTimeout(tickMs);
+		expect(received).to.deep.equal(['snapshot e1 false', 'return', 'snapshot e2 true']);
+	});
+
+	it('reads one snapshot for several returns in a row', async () => {
+		returnFromCopy(60);
+		store.eras.checkResponse('2');
+		returnFromCopy(50);
+		store.eras.checkResponse('3');
+		await timers.setTimeout(tickMs);
+		expect(received.at(-1)).to.equal('snapshot e3 true');
+		expect(store.polls.at(-1)).to.deep.equal({revision: 50, era: 3});
+	});
+});
+
 describe('StoreFeed', () => {
 	it('reads a snapshot, polls from its revision, and confirms with the start time of each call', async () => {
 		const {received, store} = await follow([
