Keep to what is known of leaving endpoints when the store returns from a copy

Cause: the copy may list an endpoint as ready that this VM knows to drain, or to have left, and older weights than it has loaded.

Entries that are still missing get the full grace time again after each return. Each poll has an abort signal of its own: the listeners that fetch adds to a signal that lives on were never removed.

--- a/packages/gateway/src/controllers/endpoint-controller.ts
+++ b/packages/gateway/src/controllers/endpoint-controller.ts
@@ -1,4 +1,4 @@
-import type * as core from '@bluebellmast/core';
+import * as core from '@bluebellmast/core';
 import type * as clients from '@bluebellmast/kv';
 import type * as call from '../call/index.js';
 import type * as endpoints from '../endpoints/index.js';
@@ -22,15 +22,40 @@
 
 /** Tracks the endpoints that the store lists, checks those that stop responding, and moves requests away from unresponsive ones. */
 export class EndpointController implements storeFeed.StoreFeedListener {
+	readonly #departed = new core.store.DepartedEndpoints();
+	/** Whether the next snapshot is the first one after the store returned from a copy. */
+	#hasReturned = false;
+
 	constructor(private readonly dependencies: EndpointControllerDependencies) {}
 
+	/**
+	 * Keeps what is known of the endpoints while the store may list older entries: the weights that they have loaded, and for the
+	 * same time as at first, the endpoints whose entries are missing.
+	 */
+	onReturn(): void {
+		const {registry} = this.dependencies.fleet;
+		const now = this.dependencies.clock.monotonicNow();
+		this.#hasReturned = true;
+		for (const entry of registry.list()) {
+			for (const model of entry.weights.keys()) {
+				const version = registry.weightVersion(entry.id, model)!;
+				registry.recordObservedWeights(entry.id, entry.bornAt, {model, version}, now);
+			}
+
+			registry.put(entry, now);
+		}
+	}
+
 	onSnapshot(entries: readonly clients.kv.KvEntry[], maybeLapsed: boolean): void {
-		const listed = entries.map(entry => this.#decode(entry)).filter(entry => entry !== undefined);
+		const now = this.dependencies.clock.monotonicNow();
+		const decoded = entries.map(entry => this.#decode(entry)).filter(entry => entry !== undefined);
+		const listed = this.#hasReturned ? decoded.filter(entry => !this.#departed.hold(entry, now)).map(entry => this.#keepDraining(entry)) : decoded;
+		this.#hasReturned = false;
 		for (const entry of listed) {
 			this.#logChange(entry);
 		}
 
-		this.dependencies.fleet.registry.replaceAll(listed, maybeLapsed, this.dependencies.clock.monotonicNow());
+		this.dependencies.fleet.registry.replaceAll(listed, maybeLapsed, now);
 		this.#dropUnlisted();
 	}
 
@@ -43,6 +68,12 @@
 
 		const id = decoder.endpointIdOf(change.key);
 		if (id !== undefined) {
+			const known = fleet.registry.get(id);
+			this.#departed.release(id);
+			if (known !== undefined && (!maybeLapsed || known.state === core.fleet.EndpointState.Draining)) {
+				this.#departed.recordDeparture(known, clock.monotonicNow());
+			}
+
 			log.write(eventLog.LogEvent.EndpointRemoved, {endpoint: id, maybeLapsed});
 			fleet.registry.remove(id, maybeLapsed, clock.monotonicNow());
 			this.#dropUnlisted();
@@ -54,6 +85,10 @@
 		const {fleet, clock, dispatcher} = this.dependencies;
 		const now = clock.monotonicNow();
 		fleet.registry.removeExpired(now);
+		for (const entry of this.#departed.takeConfirmed(now)) {
+			this.#putEntry(entry);
+		}
+
 		dispatcher.abortOutdatedAttempts(now);
 		for (const endpoint of fleet.health.startDueChecks(id => fleet.peers.lastReceivedAt(id), now)) {
 			void this.#checkHealth(endpoint);
@@ -62,14 +97,24 @@
 
 	#put(raw: clients.kv.KvEntry): void {
 		const entry = this.#decode(raw);
-		if (entry === undefined) {
-			return;
+		if (entry !== undefined) {
+			this.#departed.release(entry.id);
+			this.#putEntry(entry);
 		}
+	}
 
+	#putEntry(entry: core.fleet.EndpointEntry): void {
 		this.#logChange(entry);
 		this.dependencies.fleet.registry.put(entry, this.dependencies.clock.monotonicNow());
 	}
 
+	/** Returns an entry of a copy as draining if its incarnation is known to drain, which it never ceases to do. */
+	#keepDraining(entry: core.fleet.EndpointEntry): core.fleet.EndpointEntry {
+		const known = this.dependencies.fleet.registry.get(entry.id);
+		const isDraining = known?.bornAt === entry.bornAt && known.state === core.fleet.EndpointState.Draining;
+		return isDraining ? {...entry, state: core.fleet.EndpointState.Draining} : entry;
+	}
+
 	#logChange(entry: core.fleet.EndpointEntry): void {
 		const registered = this.dependencies.fleet.registry.get(entry.id);
 		const isNew = registered?.bornAt !== entry.bornAt;
--- a/packages/gateway/src/controllers/store-feed.ts
+++ b/packages/gateway/src/controllers/store-feed.ts
@@ -76,8 +76,8 @@
 	#era: number | undefined;
 	/** Whether the store has returned from a copy and no snapshot was read since. */
 	#hasReturned = false;
-	/** Ends the poll in progress. */
-	#pollAbort = new AbortController();
+	/** Ends the poll in progress, if there is one. */
+	#pollAbort: AbortController | undefined;
 
 	constructor(
 		private readonly dependencies: StoreFeedDependencies,
@@ -145,8 +145,7 @@
 		this.#hasReturned = true;
 		this.#revision = undefined;
 		this.#lastFailureAt = this.dependencies.clock.monotonicNow();
-		this.#pollAbort.abort();
-		this.#pollAbort = new AbortController();
+		this.#pollAbort?.abort();
 	}
 
 	/** Returns whether a call was overtaken by a return of the store from a copy, so that its result says nothing. */
@@ -176,6 +175,7 @@
 	}
 
 	async #poll(revision: number): Promise<clients.kv.KvError | undefined> {
+		this.#pollAbort = new AbortController();
 		const polled = await this.dependencies.store.poll(this.dependencies.prefix, revision, this.options.pollWaitMs, {
 			era: this.#era, signal: this.#pollAbort.signal,
 		});
