--- a/packages/gateway/tests/support/returning-store.ts
+++ b/packages/gateway/tests/support/returning-store.ts
@@ -47,7 +47,6 @@
 };
 
 const callTimeoutMs = 700;
-const itemsPerPage = 4;
 const copyIntervalMs = 100;
 const maxLatencyMs = 20;
 /** Delay of a write whose response is lost and which is executed late, in milliseconds. */
@@ -71,7 +70,11 @@
 	#isAway = false;
 	#waiting: Array<() => void> = [];
 
-	constructor(private readonly time: virtualTime.VirtualTime, private readonly random: core.util.SeededRandom) {
+	constructor(
+		private readonly time: virtualTime.VirtualTime,
+		private readonly random: core.util.SeededRandom,
+		private readonly itemsPerPage: number,
+	) {
 		this.#keepCopies();
 	}
 
@@ -232,8 +235,8 @@
 							const items = [...this.items].filter(([key]) => key.startsWith(prefix) && key > after).sort(([a], [b]) => a < b ? -1 : 1);
 							learn(era, '', this.revision);
 							return purify.Right({
-								page: items.slice(0, itemsPerPage).map(([key, item]) => readEntry(key, item, era)),
-								hasMore: items.length > itemsPerPage,
+								page: items.slice(0, this.itemsPerPage).map(([key, item]) => readEntry(key, item, era)),
+								hasMore: items.length > this.itemsPerPage,
 								at: {revision: this.revision, era},
 							});
 						},
--- a/packages/gateway/tests/support/simulated-fleet.ts
+++ b/packages/gateway/tests/support/simulated-fleet.ts
@@ -158,9 +158,10 @@
 	weightVersion = 1;
 	returns = 0;
 
-	constructor(vmCount: number, engineCount: number, seed: number) {
+	/** @param itemsPerPage - Page size of the store; small by default, so that a snapshot takes several pages. */
+	constructor(vmCount: number, engineCount: number, seed: number, itemsPerPage = 4) {
 		this.random = new core.util.SeededRandom(seed);
-		this.store = new returningStore.ReturningStore(this.time, this.random);
+		this.store = new returningStore.ReturningStore(this.time, this.random, itemsPerPage);
 		this.#writeConfig();
 		this.#writeTarget();
 		for (let index = 0; index < engineCount; index++) {
