Send digests while there is a pause to tell of

Cause: an idle VM sends no digests, so a VM with few requests did not tell the others of a pause. Change: a VM with a pause in progress counts as busy for its digests.

--- a/packages/gateway/src/controllers/load-controller.ts
+++ b/packages/gateway/src/controllers/load-controller.ts
@@ -9,7 +9,7 @@
 export type LoadControllerDependencies = {
 	readonly vm: string;
 	readonly fleet: fleetState.FleetState;
-	readonly pauses: Pick<endpointPauses.EndpointPauses, 'takeDigest' | 'applyDigest'>;
+	readonly pauses: Pick<endpointPauses.EndpointPauses, 'hasPauses' | 'takeDigest' | 'applyDigest'>;
 	readonly coordination: Pick<coordinationController.CoordinationController, 'listPeerAddresses'>;
 	readonly exchange: Pick<peers.LoadExchange, 'send'>;
 	readonly clock: clocks.Clocks;
@@ -60,9 +60,10 @@
 		}
 	}
 
-	/** Sends a digest if one is due; a VM that becomes idle sends one more and then none. */
+	/** Sends a digest if one is due; a VM that becomes idle, and has no pause to tell of, sends one more and then none. */
 	tick(): void {
-		const isIdle = this.dependencies.fleet.loads.listBusyEndpoints().length === 0;
+		const {fleet, pauses} = this.dependencies;
+		const isIdle = fleet.loads.listBusyEndpoints().length === 0 && !pauses.hasPauses();
 		const isDue = this.dependencies.clock.monotonicNow() - this.#lastSentAt >= digestIntervalMs;
 		if (isDue && !(isIdle && this.#wasIdle)) {
 			this.#send();
--- a/packages/gateway/src/placement/endpoint-pauses.ts
+++ b/packages/gateway/src/placement/endpoint-pauses.ts
@@ -58,6 +58,11 @@
 		return this.#paused.size > 0 && this.#paused.isReturnLimited(endpoint, shareOfSlots, this.#now());
 	}
 
+	/** Returns whether this VM has been asked for a pause that lasts. */
+	hasPauses(): boolean {
+		return this.#paused.size > 0 && this.#paused.list(this.#now()).length > 0;
+	}
+
 	/** Returns the next pauses in turn for a digest to the other VMs. */
 	takeDigest(): core.fleet.PauseDigest[] {
 		const pauses = this.#paused.list(this.#now());
--- a/packages/gateway/tests/controllers/endpoint-pauses.test.ts
+++ b/packages/gateway/tests/controllers/endpoint-pauses.test.ts
@@ -112,6 +112,41 @@
 		});
 	});
 
+	describe('digests', () => {
+		function createController(vm: string, own: gateway.placement.EndpointPauses, send: (digest: core.fleet.LoadDigest) => void): gateway.controllers.LoadController {
+			return new gateway.controllers.LoadController({
+				vm,
+				fleet: new gateway.placement.FleetState(),
+				pauses: own,
+				coordination: {listPeerAddresses: () => ['10.0.0.1:1']},
+				exchange: {send},
+				clock,
+			});
+		}
+
+		it('of an idle VM tell the others of a pause until its end', () => {
+			const others = new gateway.placement.EndpointPauses({clock, log, random: () => 0});
+			const receiver = createController('vm-2', others, () => undefined);
+			let sent = 0;
+			const sender = createController('vm-1', pauses, digest => {
+				sent += 1;
+				receiver.applyDigest(gateway.peers.decodeDigest(gateway.peers.encodeDigest(digest))!);
+			});
+			clock.now = 1000;
+			// The digest that a VM sends when it becomes idle.
+			sender.tick();
+			pauses.record(entry, 2000);
+			for (; clock.now < 5000; clock.now += tickMs) {
+				sender.tick();
+				expect(others.isPausedForPeers(entry)).to.equal(clock.now >= 1200 && clock.now < 3000);
+				expect(others.isPaused(entry)).to.equal(false);
+			}
+
+			// One each 200 ms during the pause, the first one, and one when the VM becomes idle again.
+			expect(sent).to.equal(11);
+		});
+	});
+
 	describe('polls of the cache store', () => {
 		it('stop from the response that asks for a pause until its end', async () => {
 			const polls: number[] = [];
--- a/packages/gateway/tests/controllers/load-controller.test.ts
+++ b/packages/gateway/tests/controllers/load-controller.test.ts
@@ -21,7 +21,7 @@
 	const controller = new gateway.controllers.LoadController({
 		vm: 'own',
 		fleet,
-		pauses: {takeDigest: () => [], applyDigest: () => undefined},
+		pauses: {hasPauses: () => false, takeDigest: () => [], applyDigest: () => undefined},
 		coordination: {listPeerAddresses: () => Array.from({length: peers}, (_, index) => `10.0.0.${index}:1`)},
 		exchange: {
 			send(digest, addresses) {
