Refuse waiting requests at once when their pool has no endpoint left

Cause: the request queue counted a request for which no endpoint is left like one that is released to an endpoint, two in 20 ms, so that the rest waited on for an endpoint that can't come. When all endpoints of a pool are leaving, callers were told to come back after 250 ms.

Change: such a wait ends with an outcome of its own that takes no share of the releases. Its refusal counts the pool's endpoints in the log. If all responsive endpoints are leaving, Retry-After is 1 s plus up to as much at random: the store is polled once a second for others.

--- a/packages/gateway/src/call/endpoint-finder.ts
+++ b/packages/gateway/src/call/endpoint-finder.ts
@@ -19,6 +19,12 @@
 	| {readonly placement: endpointPlacer.Placement}
 	| {readonly placement: undefined; readonly retryAfterMs: number; readonly inputs: core.log.RefusalInputs};
 
+type WaitResult = {
+	readonly outcome: requestQueue.WaitOutcome;
+	/** Present if an endpoint has capacity. */
+	readonly placement: endpointPlacer.Placement | undefined;
+};
+
 /** Finds an endpoint with capacity for one request, and waits for one if there is none. */
 export class EndpointFinder {
 	#cancel: (() => void) | undefined;
@@ -41,7 +47,7 @@
 		const now = this.dependencies.clock.monotonicNow();
 		const candidate = this.place();
 		if (candidate === undefined) {
-			return {placement: undefined, retryAfterMs: refusals.noEndpointRetryAfterMs, inputs: this.dependencies.placer.describePool(this.request, pool, now)};
+			return this.#createNoEndpointResult(pool, now);
 		}
 
 		if (candidate.hasCapacity) {
@@ -65,24 +71,37 @@
 
 		this.dependencies.log.write(eventLog.LogEvent.RequestWaiting, {request: this.request.head.requestId, ...inputs});
 		const maxWaitMs = Math.max(maxWaitFactor * expectedMs, minWaitMs);
-		const placement = await this.#wait(request, Math.min(this.deadlineAt - minResponseTimeMs, now + maxWaitMs));
+		const {outcome, placement} = await this.#wait(request, Math.min(this.deadlineAt - minResponseTimeMs, now + maxWaitMs));
+		if (outcome === requestQueue.WaitOutcome.NoEndpoint) {
+			return this.#createNoEndpointResult(pool, this.dependencies.clock.monotonicNow());
+		}
+
 		return placement === undefined ? {placement, retryAfterMs, inputs} : {placement};
 	}
 
-	async #wait(request: core.fleet.WaitingRequest, expiresAt: number): Promise<endpointPlacer.Placement | undefined> {
+	#createNoEndpointResult(pool: core.routing.PoolName, now: number): EndpointSearchResult {
+		const inputs = this.dependencies.placer.describePool(this.request, pool, now);
+		const areAllLeaving = inputs.responsive !== 0 && inputs.leaving === inputs.responsive;
+		const retryAfterMs = areAllLeaving
+			? refusals.allLeavingRetryAfterMs * (1 + this.dependencies.random())
+			: refusals.noEndpointRetryAfterMs;
+		return {placement: undefined, retryAfterMs, inputs};
+	}
+
+	async #wait(request: core.fleet.WaitingRequest, expiresAt: number): Promise<WaitResult> {
 		let found: endpointPlacer.Placement | undefined;
 		const {ended, cancel} = this.dependencies.queue.wait({
 			...request,
 			expiresAt,
 			hasCapacity: () => {
 				found = this.place();
-				return found === undefined || found.hasCapacity;
+				return found?.hasCapacity;
 			},
 		});
 		this.#cancel = cancel;
 		const outcome = await ended;
 		this.#cancel = undefined;
-		return outcome === requestQueue.WaitOutcome.CapacityAvailable ? found : undefined;
+		return {outcome, placement: outcome === requestQueue.WaitOutcome.CapacityAvailable ? found : undefined};
 	}
 
 	#createWaitingRequest(placement: endpointPlacer.Placement): core.fleet.WaitingRequest {
--- a/packages/gateway/src/call/refusal.ts
+++ b/packages/gateway/src/call/refusal.ts
@@ -61,6 +61,12 @@
 /** Time after which a retry can succeed if no endpoint can accept a request now, in milliseconds. */
 export const noEndpointRetryAfterMs = 250;
 
+/**
+ * Time after which a retry can succeed if all endpoints are leaving, in milliseconds: the interval at which the store is polled for
+ * others.
+ */
+export const allLeavingRetryAfterMs = 1000;
+
 /** Time within which the store should confirm the configuration again, in milliseconds. */
 const configRetryAfterMs = 300;
 
--- a/packages/gateway/src/call/request-queue.ts
+++ b/packages/gateway/src/call/request-queue.ts
@@ -4,6 +4,8 @@
 export enum WaitOutcome {
 	/** An endpoint has capacity; the request is sent immediately. */
 	CapacityAvailable = 'room',
+	/** No endpoint is left to wait for. */
+	NoEndpoint = 'no_endpoint',
 	/** The maximum wait has elapsed. */
 	Expired = 'expired',
 	/** The request cancelled the wait. */
@@ -14,8 +16,8 @@
 export type QueuedRequest = core.fleet.WaitingRequest & {
 	/** When the wait expires, in milliseconds of the monotonic clock. */
 	readonly expiresAt: number;
-	/** Returns whether an endpoint has capacity now, or none is left to wait for. */
-	readonly hasCapacity: () => boolean;
+	/** Returns whether an endpoint has capacity now, or `undefined` if none is left to wait for. */
+	readonly hasCapacity: () => boolean | undefined;
 };
 
 type QueueEntry = {
@@ -94,7 +96,14 @@
 		const sortedEntries = [...this.#entries].sort((a, b) => core.fleet.compareWaitingRequests(a.request, b.request, now));
 		let released = 0;
 		for (const entry of sortedEntries.slice(0, maxCheckedPerCheck)) {
-			if (released < maxReleasedPerCheck && entry.request.hasCapacity()) {
+			if (released === maxReleasedPerCheck) {
+				return;
+			}
+
+			const hasCapacity = entry.request.hasCapacity();
+			if (hasCapacity === undefined) {
+				entry.end(WaitOutcome.NoEndpoint);
+			} else if (hasCapacity) {
 				released += 1;
 				entry.end(WaitOutcome.CapacityAvailable);
 			}
--- a/packages/gateway/tests/call/request-queue.test.ts
+++ b/packages/gateway/tests/call/request-queue.test.ts
@@ -40,6 +40,27 @@
 		expect(ends).to.deep.equal([gateway.call.WaitOutcome.Expired, gateway.call.WaitOutcome.Cancelled]);
 	});
 
+	it('ends the waits of requests for which no endpoint is left at one check, also behind those that wait on', async () => {
+		let now = 100;
+		let checks = 0;
+		const queue = new gateway.call.RequestQueue(() => {
+			now += 1;
+			return now;
+		});
+		const waiting = queue.wait(createRequest({
+			expiresAt: 150,
+			hasCapacity() {
+				checks += 1;
+				return false;
+			},
+		}));
+		const unservable = Array.from({length: 20}, () => queue.wait(createRequest({priority: 5, expiresAt: 120, hasCapacity: () => undefined})));
+		const outcomes = await Promise.all(unservable.map(async ({ended}) => ended));
+		waiting.cancel();
+		expect([...new Set(outcomes)]).to.deep.equal([gateway.call.WaitOutcome.NoEndpoint]);
+		expect(checks).to.equal(1);
+	});
+
 	// Guards against refusing short requests because hundreds of long prompts, which do not take precedence, are waiting.
 	it('counts only the tokens of requests that take precedence', async () => {
 		const queue = new gateway.call.RequestQueue(() => 100);
