--- a/packages/gateway/src/call/endpoint-finder.ts
+++ b/packages/gateway/src/call/endpoint-finder.ts
@@ -20,6 +20,12 @@
 	| {readonly placement: endpointPlacer.Placement}
 	| {readonly placement: undefined; readonly retryAfterMs: number; readonly inputs: core.log.RefusalInputs};
 
+type WaitResult = {
+	readonly outcome: requestQueue.WaitOutcome;
+	/** Present if an endpoint has capacity. */
+	readonly placement: endpointPlacer.Placement | undefined;
+};
+
 /** Finds an endpoint with capacity for one request, and waits for one if there is none. */
 export class EndpointFinder {
 	#cancel: (() => void) | undefined;
@@ -66,15 +72,12 @@
 
 		this.dependencies.log.write(eventLog.LogEvent.RequestWaiting, {request: this.request.head.requestId, ...inputs});
 		const maxWaitMs = Math.max(maxWaitFactor * expectedMs, minWaitMs);
-		const placement = await this.#wait(request, Math.min(this.deadlineAt - minResponseTimeMs, now + maxWaitMs));
+		const {outcome, placement} = await this.#wait(request, Math.min(this.deadlineAt - minResponseTimeMs, now + maxWaitMs));
 		if (placement !== undefined) {
 			return {placement};
 		}
 
-		// During the wait all endpoints may have become unavailable.
-		return this.place() === undefined
-			? this.#refuse(pool)
-			: {placement: undefined, retryAfterMs, inputs};
+		return outcome === requestQueue.WaitOutcome.NoEndpoint ? this.#refuse(pool) : {placement: undefined, retryAfterMs, inputs};
 	}
 
 	/**
@@ -91,27 +94,28 @@
 	}
 
 	#refuse(pool: core.routing.PoolName): EndpointSearchResult {
-		return {
-			placement: undefined,
-			retryAfterMs: this.computeRetryAfterMs(pool),
-			inputs: this.dependencies.placer.describePool(this.request, pool, clocks.readInstant(this.dependencies.clock)),
-		};
+		const inputs = this.dependencies.placer.describePool(this.request, pool, clocks.readInstant(this.dependencies.clock));
+		const areAllLeaving = inputs.responsive !== 0 && inputs.leaving === inputs.responsive;
+		const retryAfterMs = areAllLeaving
+			? refusals.allLeavingRetryAfterMs * (1 + this.dependencies.random())
+			: this.computeRetryAfterMs(pool);
+		return {placement: undefined, retryAfterMs, inputs};
 	}
 
-	async #wait(request: core.fleet.WaitingRequest, expiresAt: number): Promise<endpointPlacer.Placement | undefined> {
+	async #wait(request: core.fleet.WaitingRequest, expiresAt: number): Promise<WaitResult> {
 		let found: endpointPlacer.Placement | undefined;
 		const {ended, cancel} = this.dependencies.queue.wait({
 			...request,
 			expiresAt,
 			hasCapacity: () => {
 				found = this.place();
-				return found === undefined || found.hasCapacity;
+				return found?.hasCapacity;
 			},
 		});
 		this.#cancel = cancel;
 		const outcome = await ended;
 		this.#cancel = undefined;
-		return outcome === requestQueue.WaitOutcome.CapacityAvailable ? found : undefined;
+		return {outcome, placement: outcome === requestQueue.WaitOutcome.CapacityAvailable ? found : undefined};
 	}
 
 	#createWaitingRequest(placement: endpointPlacer.Placement): core.fleet.WaitingRequest {
