Send no load digest after the load controller was stopped

Cause: LoadController.stop cancelled the scheduled digest only; an observation that arrived later scheduled another one, to be sent through a socket that Gateway.close has closed by then. Change: after stop, observations are applied but not sent, and tick sends nothing.

--- a/packages/gateway/src/controllers/load-controller.ts
+++ b/packages/gateway/src/controllers/load-controller.ts
@@ -34,6 +34,7 @@
 	/** Number of recipients of the digests that were sent in turn; the next turn starts after them. */
 	#rotationOffset = 0;
 	#lastSentAt = -Infinity;
+	#isStopped = false;
 
 	constructor(private readonly dependencies: LoadControllerDependencies) {}
 
@@ -44,6 +45,10 @@
 			this.dependencies.fleet.parts.applyObservation(observation, now);
 		}
 
+		if (this.#isStopped) {
+			return;
+		}
+
 		this.#observations.push(...observations);
 		this.#scheduleSend();
 	}
@@ -60,15 +65,16 @@
 	/** Sends a digest if one is due; a VM that becomes idle sends one more and then none. */
 	tick(): void {
 		const isIdle = this.dependencies.fleet.loads.listBusyEndpoints().length === 0;
-		const isDue = this.dependencies.clock.monotonicNow() - this.#lastSentAt >= digestIntervalMs;
+		const isDue = !this.#isStopped && this.dependencies.clock.monotonicNow() - this.#lastSentAt >= digestIntervalMs;
 		if (isDue && !(isIdle && this.#wasIdle)) {
 			this.#send();
 			this.#wasIdle = isIdle;
 		}
 	}
 
-	/** Cancels the scheduled digest. */
+	/** Cancels the scheduled digest; no digest is sent afterwards. */
 	stop(): void {
+		this.#isStopped = true;
 		clearTimeout(this.#timer);
 	}
 
--- a/packages/gateway/tests/controllers/load-controller.test.ts
+++ b/packages/gateway/tests/controllers/load-controller.test.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import * as core from '@bluebellmast/core';
 import * as chai from 'chai';
 import * as gateway from '@bluebellmast/gateway';
@@ -78,6 +79,17 @@
 		controller.stop();
 		expect(['a', 'b', 'c'].map(endpoint => fleet.parts.isCached('n/p', endpoint, 1000))).to.deep.equal([true, true, false]);
 	});
+
+	it('sends nothing after it was stopped, but still applies observations', async () => {
+		const {controller, fleet, sent, tick} = createController(2);
+		fleet.loads.addRequest('a', 'r1', 500);
+		controller.stop();
+		tick(200);
+		controller.publishObservations([{type: core.fleet.CacheObservationType.Sent, key: 'n/p', endpoint: 'a'}]);
+		await sleep(50);
+		expect(sent).to.deep.equal([]);
+		expect(fleet.parts.isCached('n/p', 'a', 1000)).to.equal(true);
+	});
 });
 
 describe('digest codec', () => {
