Reject the start of the load exchange when its socket can't bind

Cause: LoadExchange.listen resolved on 'listening' and had no other outcome, so that a gateway whose address is in use logged an internal error and then never finished its start. Change: listen rejects on the first error before the socket listens, as listenOn does for TCP servers. Result: the new test failed on the code before (not settled after 5 s) and passes in 11 ms.

--- a/packages/gateway/src/peers/load-exchange.ts
+++ b/packages/gateway/src/peers/load-exchange.ts
@@ -31,10 +31,12 @@
 		});
 	}
 
-	/** Starts listening. */
+	/** Starts listening; rejects if the socket can't bind to the address. */
 	async listen(): Promise<void> {
-		return new Promise(resolve => {
+		return new Promise((resolve, reject) => {
+			this.#socket.once('error', reject);
 			this.#socket.bind(this.options.listen.port, this.options.listen.host, () => {
+				this.#socket.off('error', reject);
 				resolve();
 			});
 		});
