Log a stream with missing events as a fault of its endpoint

Cause: on an event whose id doesn't follow the last one, ResponseRelay destroyed the caller's response. The close of that response looked like a caller that disconnects, so the attempt was logged with fault=caller_gone, the request ended with that outcome, and the endpoint's failure rate didn't count it. Change: the relay reports the sequence error, and the attempt is aborted with the fault invalid_sequence, which counts as a failure of the endpoint; the response is truncated as for a broken stream. The stand-in server can leave out an event.

--- a/packages/gateway/src/call/attempt-recorder.ts
+++ b/packages/gateway/src/call/attempt-recorder.ts
@@ -113,7 +113,7 @@
 		const isUnreachable = end.head?.isMisdirected === true || end.fault === endpoints.AttemptFault.ConnectRefused;
 		if (isUnreachable) {
 			health.recordUnresponsive(endpoint);
-		} else if (end.fault === endpoints.AttemptFault.ErrorResponse) {
+		} else if (end.fault === endpoints.AttemptFault.ErrorResponse || end.fault === endpoints.AttemptFault.InvalidSequence) {
 			health.recordOutcome(endpoint, true);
 		} else if (end.fault !== undefined && connectionFaults.has(end.fault)) {
 			health.recordConnectionFailure(endpoint);
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -52,6 +52,9 @@
 			onProgress: () => {
 				this.#recordProgress();
 			},
+			onSequenceError: () => {
+				this.#attempts.at(-1)?.attempt.abort(endpoints.AttemptFault.InvalidSequence);
+			},
 			onDrain: () => {
 				this.#attempts.at(-1)?.attempt.resume();
 			},
--- a/packages/gateway/src/call/response-relay.ts
+++ b/packages/gateway/src/call/response-relay.ts
@@ -17,6 +17,8 @@
 	readonly acceptsHead: HeadPredicate;
 	/** Called when the head and each chunk of a response arrive. */
 	readonly onProgress: () => void;
+	/** Called when an endpoint sent events with non-consecutive ids; nothing is relayed afterwards. */
+	readonly onSequenceError: () => void;
 	/** Called when the caller's connection accepts data again after backpressure. */
 	readonly onDrain: () => void;
 };
@@ -113,6 +115,10 @@
 	}
 
 	#relayEvents(chunk: Uint8Array): boolean {
+		if (this.#hasSequenceError) {
+			return true;
+		}
+
 		const batch = this.#splitter.push(chunk);
 		if (batch === undefined) {
 			return true;
@@ -120,8 +126,8 @@
 
 		if (!this.#continuesSequence(batch)) {
 			this.#hasSequenceError = true;
-			this.abort();
-			return false;
+			this.options.onSequenceError();
+			return true;
 		}
 
 		this.lastEventId = batch.lastId ?? this.lastEventId;
--- a/packages/gateway/src/endpoints/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoints/endpoint-attempt.ts
@@ -22,6 +22,8 @@
 	Unsigned = 'unsigned',
 	/** The endpoint returned an error that is not passed on, since the request is sent to another endpoint. */
 	ErrorResponse = 'answered_with_failure',
+	/** The ids of the events of a stream are not consecutive. */
+	InvalidSequence = 'invalid_sequence',
 	/** The caller closed its connection. */
 	CallerDisconnected = 'caller_gone',
 	/** The deadline of the request has passed. */
--- a/packages/stand-ins/src/users-platform/users-server-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/users-server-stand-in.ts
@@ -38,6 +38,8 @@
 	ResponseLost = 'answer_lost',
 	/** Resets the connection of a stream after its first event. */
 	BreakStream = 'break_stream',
+	/** Leaves out the second event of a stream. */
+	SkipEvent = 'skip_event',
 	/** Responds with the request id of another request. */
 	WrongId = 'wrong_id',
 	/** Responds without the signature header. */
@@ -292,6 +294,7 @@
 			case ServerFault.Full:
 			case ServerFault.ResponseLost:
 			case ServerFault.BreakStream:
+			case ServerFault.SkipEvent:
 			case ServerFault.WrongId:
 			case ServerFault.Unsigned:
 			case ServerFault.EarlyResponse: {
@@ -314,12 +317,16 @@
 		const lastId = this.options.eventCount ?? defaultEventCount;
 		// A fault holds for the streams that begin under it, so that a test may take it back as soon as it sees the execution.
 		const breaksStream = this.fault === ServerFault.BreakStream;
+		const skippedId = this.fault === ServerFault.SkipEvent ? firstId + 1 : undefined;
 		await util.sleep(this.options.firstEventDelayMs ?? 0);
 		res.writeHead(200, {
 			'Content-Type': 'text/event-stream', 'Bluebellmast-Weight-Versions': String(this.version), ...this.#createHeaders(requestId),
 		});
 		for (let id = firstId; id <= lastId; id++) {
-			res.write(`id: ${id}\ndata: token ${id}\n\n`);
+			if (id !== skippedId) {
+				res.write(`id: ${id}\ndata: token ${id}\n\n`);
+			}
+
 			await util.sleep(this.options.intervalMs ?? defaultIntervalMs); // eslint-disable-line no-await-in-loop -- Events are sent in sequence.
 			if (breaksStream) {
 				res.write(`id: ${id + 1}\nda`);
