Measure the silence of links in running time, so that a link judged silent stays silent

Cause, shown: after a tick that was late by more than a heartbeat, resetSilenceAfterPause also cleared the judgement of a link that was judged silent later than two heartbeats after the tick before. connectedVms and send judge between ticks and did not notice the pause, so a stall of 40 ms (at the heartbeat of the tests) just before a judgement opened the link again; a message was accepted on it and lost. With ticks that are late time after time no link was ever judged silent. A second cause of the same time-out, in the tests: they waited by polls every 5 ms for a state that ends when the link is replaced, which takes about 2 ms. Traced with the mended code: both ends had opened the new link before the test saw the old one silent.

Change: RunningTime counts a pause as one heartbeat at most and never decreases. Links are silent, and closed, by it; no judgement is kept or cleared. The tests of silent links look at each tick, before a replaces the link, and at each poll as before; the one that needs the state lets only a replace the link. Seven tests with their own clock send before and after each tick. Ruled out: discounting the pause from lastReceivedAt without a bound between ticks.

--- a/packages/router/src/peers/peer-link.ts
+++ b/packages/router/src/peers/peer-link.ts
@@ -1,6 +1,7 @@
 import type * as net from 'node:net';
 import * as wire from '@bluebellmast/wire';
 import type * as clock from '../util/clock.js';
+import type * as runningTime from './running-time.js';
 
 /** Listener for the events of a link. */
 export type PeerLinkListener = {
@@ -16,6 +17,8 @@
 	/** Whether this end opened the connection. */
 	readonly dialled: boolean;
 	readonly clock: clock.Clock;
+	/** Running time of this process, in which the silence of the link is measured. */
+	readonly runningTime: runningTime.RunningTime;
 	readonly maxFrameBytes: number;
 	/** Maximum number of bytes buffered in the socket; sends beyond it are refused. */
 	readonly maxBufferedBytes: number;
@@ -30,15 +33,14 @@
 	replacesSilentLink = false;
 	readonly dialled: boolean;
 	readonly openedAt: number;
-	lastReceivedAt: number;
-	/** When the link was first judged silent since data was last received on it; `undefined` if it was not. */
-	judgedSilentAt: number | undefined;
 	lastSentAt: number;
 	/** When a message other than a heartbeat was last sent or received, or when the link became inactive. */
 	lastUsedAt: number;
 	bytesSent = 0;
 	bytesReceived = 0;
 
+	/** Running time at which data was last received, in milliseconds. */
+	private lastReceivedRunningMs: number;
 	private readonly decoder: wire.frames.FrameDecoder;
 	private isCorked = false;
 
@@ -46,7 +48,7 @@
 		const now = options.clock.now();
 		this.dialled = options.dialled;
 		this.openedAt = now;
-		this.lastReceivedAt = now;
+		this.lastReceivedRunningMs = options.runningTime.elapsedMs(now);
 		this.lastSentAt = now;
 		this.lastUsedAt = now;
 		this.decoder = new wire.frames.FrameDecoder(options.maxFrameBytes);
@@ -66,6 +68,11 @@
 		return this.options.socket.destroyed;
 	}
 
+	/** Returns for how long this process was running without receiving data on the link, in milliseconds. */
+	silenceMs(now: number): number {
+		return this.options.runningTime.elapsedMs(now) - this.lastReceivedRunningMs;
+	}
+
 	/**
 	 * Queues a frame. Returns false, without queueing it, if the link is closed or its buffer is full.
 	 *
@@ -114,10 +121,10 @@
 
 	private handleData(chunk: Uint8Array): void {
 		this.bytesReceived += chunk.length;
-		this.lastReceivedAt = this.options.clock.now();
-		this.judgedSilentAt = undefined;
+		const now = this.options.clock.now();
+		this.lastReceivedRunningMs = this.options.runningTime.elapsedMs(now);
 		const failure = this.decoder.push(chunk, message => {
-			this.handleMessage(message);
+			this.handleMessage(message, now);
 		});
 		if (failure !== undefined && !this.isClosed) {
 			this.options.socket.destroy();
@@ -125,13 +132,13 @@
 		}
 	}
 
-	private handleMessage(message: wire.frames.FrameMessage): void {
+	private handleMessage(message: wire.frames.FrameMessage, now: number): void {
 		if (this.isClosed) {
 			return;
 		}
 
 		if (message.type !== wire.peer.PeerMessageType.Heartbeat) {
-			this.lastUsedAt = this.lastReceivedAt;
+			this.lastUsedAt = now;
 		}
 
 		this.options.listener.onMessage(this, message);
--- a/packages/router/src/peers/tcp-peer-network-options.ts
+++ b/packages/router/src/peers/tcp-peer-network-options.ts
@@ -22,9 +22,9 @@
 	readonly metrics?: metrics.Metrics;
 	/** Interval of the ticks, and time without a send after which a heartbeat is sent, in milliseconds. Default 500. */
 	readonly heartbeatMs?: number;
-	/** Time without a received byte after which a link counts as silent and is replaced, in milliseconds. Default 1,500. */
+	/** Running time without a received byte after which a link counts as silent and is replaced, in milliseconds. Default 1,500. */
 	readonly silentMs?: number;
-	/** Time without a received byte after which a link is closed, in milliseconds. Default 6,000. */
+	/** Running time without a received byte after which a link is closed, in milliseconds. Default 6,000. */
 	readonly closeMs?: number;
 	/** Time limit for connecting and receiving the hello, in milliseconds. Default 2,000. */
 	readonly helloTimeoutMs?: number;
--- a/packages/router/src/peers/tcp-peer-network.ts
+++ b/packages/router/src/peers/tcp-peer-network.ts
@@ -7,6 +7,7 @@
 import type * as peerAddress from './peer-address.js';
 import * as peerLink from './peer-link.js';
 import type * as peerNetwork from './peer-network.js';
+import * as runningTime from './running-time.js';
 import * as networkOptions from './tcp-peer-network-options.js';
 
 const debug = createDebug('bluebellmast:peers');
@@ -15,6 +16,7 @@
 export class TcpPeerNetwork implements peerNetwork.PeerNetwork, peerLink.PeerLinkListener {
 	private readonly options: networkOptions.TcpPeerNetworkOptions & typeof networkOptions.tcpPeerNetworkDefaults;
 	private readonly dialBackoff: dialBackoff.DialBackoff;
+	private readonly runningTime: runningTime.RunningTime;
 	private readonly handlers = new Map<wire.peer.PeerMessageType, peerNetwork.PeerHandler>();
 	private readonly activeLinks = new Map<core.model.VmId, peerLink.PeerLink>();
 	/** Connections whose hello has not been received, and links that were replaced. */
@@ -22,13 +24,13 @@
 	private readonly dialledAddresses = new Map<peerLink.PeerLink, peerAddress.PeerAddress>();
 	private readonly server: net.Server;
 	private timer: NodeJS.Timeout | undefined;
-	private lastTickAt = 0;
 	private listenPort = 0;
 	private isStopped = false;
 
 	constructor(options: networkOptions.TcpPeerNetworkOptions) {
 		this.options = {...networkOptions.tcpPeerNetworkDefaults, ...options};
 		this.dialBackoff = new dialBackoff.DialBackoff(this.options.dialDelays);
+		this.runningTime = new runningTime.RunningTime(this.options.heartbeatMs, this.options.clock.now());
 		this.server = net.createServer(socket => {
 			this.accept(socket);
 		});
@@ -46,7 +48,6 @@
 			this.server.listen(this.options.port, this.options.host, resolve);
 		});
 		this.listenPort = (this.server.address() as net.AddressInfo).port;
-		this.lastTickAt = this.options.clock.now();
 		this.timer = setInterval(() => {
 			this.tick();
 		}, this.options.heartbeatMs);
@@ -166,13 +167,9 @@
 		return true;
 	}
 
+	/** Returns whether a link is silent. One that is remains so until data is received on it. */
 	private isSilent(link: peerLink.PeerLink, now: number): boolean {
-		const isSilent = now - link.lastReceivedAt > this.options.silentMs;
-		if (isSilent) {
-			link.judgedSilentAt ??= now;
-		}
-
-		return isSilent;
+		return link.silenceMs(now) > this.options.silentMs;
 	}
 
 	private accept(socket: net.Socket): void {
@@ -216,6 +213,7 @@
 			socket,
 			dialled,
 			clock: this.options.clock,
+			runningTime: this.runningTime,
 			maxFrameBytes: this.options.maxFrameBytes,
 			maxBufferedBytes: this.options.maxBufferedBytes,
 			listener: this,
@@ -295,7 +293,7 @@
 	/** Sends heartbeats, replaces silent links, closes links that stayed silent or idle, and opens missing links. */
 	private tick(): void {
 		const now = this.options.clock.now();
-		this.resetSilenceAfterPause(now);
+		this.runningTime.tick(now);
 		const addresses = this.options.addresses();
 		const alwaysLinkedVms = new Set(addresses.map(address => this.dialBackoff.vmAt(address)));
 		for (const [vm, link] of this.activeLinks) {
@@ -314,34 +312,13 @@
 		this.options.metrics?.gauge('peer.links', this.activeLinks.size);
 	}
 
-	/**
-	 * After a pause of this process, sets `lastReceivedAt` of the links to now; nothing was read, so all would look silent. A link
-	 * that was judged silent before the pause remains silent, so that no message is accepted on it.
-	 */
-	private resetSilenceAfterPause(now: number): void {
-		const previousTickAt = this.lastTickAt;
-		const extraDelayMs = now - previousTickAt - this.options.heartbeatMs;
-		this.lastTickAt = now;
-		if (Math.abs(extraDelayMs) <= this.options.heartbeatMs) {
-			return;
-		}
-
-		const latestPauseStart = previousTickAt + (2 * this.options.heartbeatMs);
-		for (const link of [...this.activeLinks.values(), ...this.inactiveLinks]) {
-			if (link.judgedSilentAt === undefined || link.judgedSilentAt > latestPauseStart) {
-				link.lastReceivedAt = now;
-				link.judgedSilentAt = undefined;
-			}
-		}
-	}
-
 	private maintainLink(
 		vm: core.model.VmId,
 		link: peerLink.PeerLink,
 		alwaysLinkedVms: ReadonlySet<core.model.VmId | undefined>,
 		now: number,
 	): void {
-		if (now - link.lastReceivedAt > this.options.closeMs) {
+		if (link.silenceMs(now) > this.options.closeMs) {
 			link.destroy();
 			return;
 		}
--- a/packages/router/tests/peers/tcp-peer-network.test.ts
+++ b/packages/router/tests/peers/tcp-peer-network.test.ts
@@ -101,19 +101,44 @@
 		chai.expect(received.sort()).to.deep.equal(['a>b:x', 'a>c:x', 'b>a:x', 'b>c:x', 'c>a:x', 'c>b:x']);
 	});
 
-	/** Starts two routers, silences the link between them, and waits until one of them judges it silent. */
-	async function startWithSilentLink(clock: router.clock.Clock) {
-		const b = await startNetwork('b', () => [], {closeMs: 60_000, clock});
+	/**
+	 * Starts two routers, a and b, silences the link between them, and waits until a judges it silent or b has replaced it.
+	 *
+	 * @param onSilent - Called when a judges the link silent, before a replaces it. The state ends with the replacement, which
+	 * takes less time than the interval of `waitUntil`.
+	 */
+	async function startWithSilentLink(clock: router.clock.Clock, onSilent?: () => void, overridesOfB = {}) {
+		const b = await startNetwork('b', () => [], {closeMs: 60_000, clock, ...overridesOfB});
 		const proxy = new TcpProxy(() => b.port);
 		await listenRaw(proxy.server);
-		const a = await startNetwork('a', () => [{host, port: proxy.port, vm: 'b'}], {closeMs: 60_000, clock});
+		let isDropped = false;
+		let isJudgedSilent = false;
+		let isReplaced = false;
+		const observe = () => {
+			if (isDropped && !isJudgedSilent && a.connectedVms().length === 0) {
+				isJudgedSilent = true;
+				onSilent?.();
+			}
+		};
+
+		const a = await startNetwork('a', () => {
+			observe();
+			return [{host, port: proxy.port, vm: 'b'}];
+		}, {closeMs: 60_000, clock});
 		await waitUntil(() => a.connectedVms().length === 1 && b.connectedVms().length === 1);
 		const received: string[] = [];
 		b.on(wire.peer.PeerMessageType.Usage, (_, message) => {
 			received.push((message as TextMessage).text);
 		});
+		a.on(wire.peer.PeerMessageType.Hello, () => {
+			isReplaced = true;
+		});
+		isDropped = true;
 		proxy.dropTraffic();
-		await waitUntil(() => a.connectedVms().length === 0);
+		await waitUntil(() => {
+			observe();
+			return isJudgedSilent || isReplaced;
+		});
 		return {a, received};
 	}
 
@@ -127,13 +152,77 @@
 	it('keeps a link silent that was silent before the process paused', async () => {
 		const steadyClock = new router.clock.SystemClock();
 		let pausedMs = 0;
-		const {a, received} = await startWithSilentLink({now: () => steadyClock.now() + pausedMs});
-		pausedMs += 3 * shortTimeouts.heartbeatMs;
+		const {a, received} = await startWithSilentLink({now: () => steadyClock.now() + pausedMs}, () => {
+			pausedMs += 3 * shortTimeouts.heartbeatMs;
+		}, {silentMs: 60_000});
+		chai.expect(pausedMs).to.be.greaterThan(0);
 		await waitUntil(() => a.send('b', {type: wire.peer.PeerMessageType.Usage, text: 'again'} as TextMessage));
 		await waitUntil(() => received.length > 0);
 		chai.expect(received).to.include('again');
 	});
 
+	/** Starts a router with one link to a peer that sends its hello and nothing else; the clock stands still until `advance`. */
+	async function startWithMutePeer() {
+		const server = net.createServer(socket => {
+			const hello: wire.peer.Hello = {
+				type: wire.peer.PeerMessageType.Hello, protocol: wire.peer.peerProtocolVersion, vm: 'b', incarnation: 'b-1',
+				dataCentre: 'dc', host, port: 1, replaces: false,
+			};
+			socket.on('error', () => socket.destroy());
+			socket.resume();
+			socket.write(wire.frames.encodeFrame(hello).unsafeCoerce());
+		});
+		await listenRaw(server);
+		const {port} = server.address() as net.AddressInfo;
+		let now = 1_000_000;
+		let ticks = 0;
+		const a = await startNetwork('a', () => {
+			ticks += 1;
+			return [{host, port}];
+		}, {clock: {now: () => now}, closeMs: 60_000});
+		await waitUntil(() => a.connectedVms().length === 1);
+		return {
+			a,
+			advance(elapsedMs: number) {
+				now += elapsedMs;
+			},
+			async waitForTick() {
+				const previousTicks = ticks;
+				await waitUntil(() => ticks > previousTicks);
+			},
+		};
+	}
+
+	const {heartbeatMs, silentMs} = shortTimeouts;
+	const tickIntervals: ReadonlyArray<readonly [string, readonly number[]]> = [
+		['on time', [heartbeatMs]],
+		['late by half an interval', [1.5 * heartbeatMs]],
+		['late by more than an interval', [(2 * heartbeatMs) + 1]],
+		['late by more than an interval at times', [heartbeatMs, heartbeatMs, (3 * heartbeatMs) + 1]],
+		['later than the time limit of a silent link', [silentMs + 1]],
+		['much later than the time limit of a silent link', [10 * silentMs]],
+		['early after the clock was set back', [heartbeatMs, heartbeatMs, -5 * heartbeatMs]],
+	];
+	for (const [label, intervals] of tickIntervals) {
+		it(`accepts no message again on a link judged silent when ticks are ${label}`, async () => {
+			const {a, advance, waitForTick} = await startWithMutePeer();
+			const accepted: boolean[] = [];
+			const send = () => {
+				accepted.push(a.send('b', {type: wire.peer.PeerMessageType.Usage}));
+			};
+
+			for (let step = 0; step < 15; step += 1) {
+				advance(intervals[step % intervals.length]!);
+				send();
+				await waitForTick(); // eslint-disable-line no-await-in-loop
+				send();
+			}
+
+			chai.expect(accepted.at(-1), 'the link is judged silent').to.equal(false);
+			chai.expect(accepted.lastIndexOf(true), 'index of the last accepted message').to.be.lessThan(accepted.indexOf(false));
+		});
+	}
+
 	it('keeps a link that was in use before the process paused', async () => {
 		const steadyClock = new router.clock.SystemClock();
 		let pausedMs = 0;
