Find a recalled version that contains a plus sign in a weights key

Cause: the pattern of weights keys allowed no plus sign in a version, and a key that doesn't match counts as not recalled. Manifests can't contain such versions, but recalls accept them and engines may report them. Change: ids contain no plus sign, so the last one before the second @ starts the adapter; all others belong to the version.

--- a/packages/core/src/orders/desired-weights.ts
+++ b/packages/core/src/orders/desired-weights.ts
@@ -33,7 +33,8 @@
 	return {preferred, allowed};
 }
 
-const weightsPattern = /^([^@+]+)@([^@+]+)(?:\+([^@+]+)@([^@+]+))?$/;
+/** Versions may contain `+` (build metadata), ids may not, so the last `+` before the second `@` starts the adapter. */
+const weightsPattern = /^([^@+]+)@([^@]+?)(?:\+([^@+]+)@([^@]+))?$/;
 
 /** Returns whether a weights key contains a recalled version of a model or adapter. A malformed key counts as not recalled. */
 export function isRecalledKey(key: model.WeightsKey, recalled: ReadonlySet<model.BatchKey>): boolean {
