Compare the speed of an endpoint with that of its own service

Cause: LoadView kept one median token time, that of the service measured last, so that after a response of a fast service all endpoints of a slower one counted as slow. Change: one median for each service; removed with the last endpoint of the service. The averages of the prefill rate and of the slot time are still shared by all services.

--- a/packages/core/src/placement/endpoint-load.ts
+++ b/packages/core/src/placement/endpoint-load.ts
@@ -15,7 +15,7 @@
 	readonly leaving: boolean;
 };
 
-/** Estimates that all endpoints of a load view share, over all services; the load view updates them in place. */
+/** Estimates that all endpoints of a load view share; the load view updates them in place. */
 export type SharedEstimates = {
 	/** Current time in milliseconds. */
 	now: number;
@@ -25,8 +25,8 @@
 	prefillTokensPerMs: number;
 	/** Average time that a request occupies a slot, in milliseconds. */
 	slotHoldMs: number;
-	/** Median time between generated tokens of the endpoints of the service that was measured last, in milliseconds; 0 if unknown. */
-	tokenMs: number;
+	/** Median time between generated tokens of the endpoints of each service that was measured, in milliseconds. */
+	readonly tokenMsByService: Map<ids.ServiceId, number>;
 	readonly options: LoadOptions;
 };
 
@@ -126,13 +126,14 @@
 		return slotMs + (this.queuedTokens / this.prefillTokensPerMs);
 	}
 
-	/** Ratio of the endpoint's token time to the median `tokenMs` of the estimates; 1 below `slowRatio`. */
+	/** Ratio of the endpoint's token time to the median of its service; 1 below `slowRatio`. */
 	get slowness(): number {
-		if (this.#tokenSamples < minTokenSamples || this.estimates.tokenMs <= 0) {
+		const medianTokenMs = this.estimates.tokenMsByService.get(this.service) ?? 0;
+		if (this.#tokenSamples < minTokenSamples || medianTokenMs <= 0) {
 			return 1;
 		}
 
-		const ratio = this.#tokenMs / this.estimates.tokenMs;
+		const ratio = this.#tokenMs / medianTokenMs;
 		if (ratio < this.estimates.options.slowRatio) {
 			return 1;
 		}
--- a/packages/core/src/placement/load-view.ts
+++ b/packages/core/src/placement/load-view.ts
@@ -43,7 +43,7 @@
 			routers: 1,
 			prefillTokensPerMs: this.#maxPrefillTokensPerMs,
 			slotHoldMs: options.slotHoldMs ?? 1000,
-			tokenMs: 0,
+			tokenMsByService: new Map(),
 			options: {
 				reportLagMs: options.reportLagMs ?? 300,
 				staleReportMs: options.staleReportMs ?? 3000,
@@ -86,6 +86,12 @@
 		for (const endpoint of this.#endpoints.values()) {
 			this.#byService.set(endpoint.service, [...(this.#byService.get(endpoint.service) ?? []), endpoint]);
 		}
+
+		for (const service of this.estimates.tokenMsByService.keys()) {
+			if (!this.#byService.has(service)) {
+				this.estimates.tokenMsByService.delete(service);
+			}
+		}
 	}
 
 	/** Returns the endpoints of a service. */
@@ -189,6 +195,9 @@
 			.map(endpoint => endpoint.tokenMs)
 			.filter(tokenMs => tokenMs !== undefined)
 			.sort((left, right) => left - right);
-		this.estimates.tokenMs = measured[Math.floor(measured.length / 2)] ?? 0;
+		const medianTokenMs = measured[Math.floor(measured.length / 2)];
+		if (medianTokenMs !== undefined) {
+			this.estimates.tokenMsByService.set(attempt.endpoint.service, medianTokenMs);
+		}
 	}
 }
