Forget removed endpoints in the endpoint watch

Cause: only the table was pruned; the last notified states and the reports to broadcast kept each endpoint that ever was in the manifest, and one that returned in the same state was not reported again. Change: all three keep the endpoints of the manifest only. Result: the new test failed on the code before (no report of the returned endpoint) and passes.

--- a/packages/router/src/controllers/endpoint-watch-controller.ts
+++ b/packages/router/src/controllers/endpoint-watch-controller.ts
@@ -125,7 +125,7 @@
 		}
 
 		const ids = manifest.endpoints.map(endpoint => endpoint.id);
-		this.table.retain(new Set(ids));
+		this.retainListed(new Set(ids));
 		const watched = this.updateWatchPlan(ids);
 		this.pollCount += 1;
 		if (this.pollCount % this.options.pollsPerDigest === 0) {
@@ -140,6 +140,22 @@
 		this.notifyStateChanges();
 	}
 
+	/** Removes what is known of endpoints that are no longer in the manifest. */
+	private retainListed(listed: ReadonlySet<core.model.EndpointId>): void {
+		this.table.retain(listed);
+		for (const endpoint of this.unsentReports) {
+			if (!listed.has(endpoint)) {
+				this.unsentReports.delete(endpoint);
+			}
+		}
+
+		for (const endpoint of this.notifiedStates.keys()) {
+			if (!listed.has(endpoint)) {
+				this.notifiedStates.delete(endpoint);
+			}
+		}
+	}
+
 	private updateWatchPlan(endpoints: readonly core.model.EndpointId[]): ReadonlySet<core.model.EndpointId> {
 		const members = this.options.liveMembers();
 		const key = `${members.join(' ')}|${endpoints.join(' ')}`;
--- a/packages/router/tests/controllers/endpoint-watch-controller.test.ts
+++ b/packages/router/tests/controllers/endpoint-watch-controller.test.ts
@@ -85,6 +85,25 @@
 		chai.expect(routers[0]!.endpointStates().map(state => state.leaving)).to.deep.equal([false, false, true]);
 	});
 
+	it('forgets an endpoint that leaves the manifest, and reports its state again when it returns', async () => {
+		let manifest = createManifest();
+		const changed: string[] = [];
+		const controller = new router.controllers.EndpointWatchController({
+			vm: 'a', incarnation: 'a-1', peers: new memoryPeers.MemoryLinks().create('a'), clock, manifest: () => manifest,
+			liveMembers: () => ['a'],
+			readLoad: async () => undefined,
+			onStateChange(state) {
+				changed.push(state.endpoint);
+			},
+		});
+		for (const listed of [['e0', 'e1', 'e2'], ['e0', 'e2'], ['e0', 'e1', 'e2']]) {
+			manifest = {...manifest, endpoints: createManifest().endpoints.filter(({id}) => listed.includes(id))};
+			await controller.tick(); // eslint-disable-line no-await-in-loop
+		}
+
+		chai.expect(changed).to.deep.equal(['e0', 'e1', 'e2', 'e1']);
+	});
+
 	it('broadcasts draining endpoints, and clears them when the leader sends no more notices', async () => {
 		const routers = createRouters(2);
 		routers[0]!.announceDraining(5, ['e0']);
