Record unexpected errors other than broken invariants as internal errors

Cause: any uncaught error of a router was recorded and counted as invariant_broken. Change: createErrorEvent decides by the class of the error; the new event type is internal_error, counted as events.internal_error.

--- a/packages/core/src/timeline/timeline-event.ts
+++ b/packages/core/src/timeline/timeline-event.ts
@@ -1,4 +1,5 @@
 import type * as ids from '../model/ids.js';
+import * as invariant from '../util/invariant.js';
 import * as hybridClock from './hybrid-clock.js';
 
 /** Type of a timeline event. */
@@ -35,7 +36,10 @@
 	OrderFinished = 'order_finished',
 	KvLost = 'kv_lost',
 	KvReturned = 'kv_returned',
+	/** An invariant of the program was violated. */
 	InvariantBroken = 'invariant_broken',
+	/** The program met another error that it did not expect. */
+	InternalError = 'internal_error',
 }
 
 /** An event of the timeline. */
@@ -53,6 +57,12 @@
 /** An event as passed to the recorder, which adds the timestamp and the VM. */
 export type NewTimelineEvent = Omit<TimelineEvent, 'at' | 'counter' | 'vm'>;
 
+/** Describes an unexpected error as an event. */
+export function createErrorEvent(err: unknown): NewTimelineEvent {
+	const type = err instanceof invariant.InvariantError ? TimelineEventType.InvariantBroken : TimelineEventType.InternalError;
+	return {type, detail: String(err)};
+}
+
 /** Selects events by the values of their fields; an absent field matches all events. */
 export type TimelineFilter = {
 	readonly requestId?: ids.RequestId;
--- a/packages/core/tests/timeline/timeline.test.ts
+++ b/packages/core/tests/timeline/timeline.test.ts
@@ -14,6 +14,17 @@
 		expect(core.timeline.mergeEvents([[effect], [cause]])).to.deep.equal([cause, effect]);
 	});
 
+	const errors: ReadonlyArray<readonly [string, unknown, core.timeline.TimelineEventType]> = [
+		['a violated invariant', new core.util.InvariantError('a.b', 'state'), eventType.InvariantBroken],
+		['another error', new TypeError('no such field'), eventType.InternalError],
+		['a thrown string', 'no reason', eventType.InternalError],
+	];
+	for (const [label, err, type] of errors) {
+		it(`describes ${label} as ${type}`, () => {
+			expect(core.timeline.createErrorEvent(err)).to.deep.equal({type, detail: String(err)});
+		});
+	}
+
 	it('ignores a remote clock that is too far ahead', () => {
 		const ring = new core.timeline.TimelineRingBuffer({vm: 'a', maxDriftMs: 100});
 		ring.observe({at: 1_000_000, counter: 0}, 1000);
--- a/packages/router/src/http/request-handler.ts
+++ b/packages/router/src/http/request-handler.ts
@@ -108,11 +108,7 @@
 	/** Reports an unexpected error in the router; whether the request was executed is then unknown. */
 	#handleInternalError(err: unknown, response: httpResponseWriter.HttpResponseWriter, id: core.model.RequestId): void {
 		debug('request %s failed with an internal error: %s', id, err instanceof Error ? err.stack : String(err));
-		this.#options.recorder.record({
-			type: core.timeline.TimelineEventType.InvariantBroken,
-			requestId: id,
-			detail: String(err),
-		});
+		this.#options.recorder.record({...core.timeline.createErrorEvent(err), requestId: id});
 		if (!response.isFinished && !response.isCallerDisconnected) {
 			response.sendRefusal(core.request.createRefusal(core.model.ErrorCode.Internal, [], {
 				message: 'the router met a fault of its own',
--- a/packages/router/src/router-program.ts
+++ b/packages/router/src/router-program.ts
@@ -71,7 +71,7 @@
 
 	/** Records an uncaught error in the timeline. */
 	recordInternalError(error: unknown): void {
-		this.#options.recorder.record({type: core.timeline.TimelineEventType.InvariantBroken, detail: String(error)});
+		this.#options.recorder.record(core.timeline.createErrorEvent(error));
 	}
 
 	/**
