Leave a base URL of the key-value service that did not respond in time

Cause: one deadline covers the attempts of a call at all base URLs. A first one that accepts connections and is silent used it up, and each further call started there again. Change: after a call timed out, the next one starts with the next base URL; the time limit of a call is unchanged. Result: the tests of a read and a write failed on the code before (not_sent also for the second call) and pass; a third covers a watch that gets no response.

--- a/packages/kv/src/kv/etcd-transport.ts
+++ b/packages/kv/src/kv/etcd-transport.ts
@@ -6,7 +6,7 @@
 
 /** Options of `EtcdTransport`. */
 export type EtcdTransportOptions = {
-	/** Base URLs, tried in this order, starting with the one that responded last. */
+	/** Base URLs, tried in this order, starting with the one that responded last or follows one that did not respond. */
 	readonly baseUrls: readonly string[];
 	readonly callTimeoutMs: number;
 	readonly connectTimeoutMs: number;
@@ -54,6 +54,12 @@
 		for (let attempt = 0; attempt < this.#pools.length && !deadline.aborted; attempt++) {
 			const index = (first + attempt) % this.#pools.length;
 			const response = await this.#sendTo<ResponseBody>(this.#pools[index]!, call, deadline); // eslint-disable-line no-await-in-loop
+			if (deadline.aborted) {
+				// Connected but silent: the next call starts with the next base URL.
+				this.#preferNextAfter(index);
+				return response;
+			}
+
 			if (response.isRight() || (response.extract() as kvError.KvError).code !== kvError.KvErrorCode.NotSent) {
 				this.#preferredIndex = index;
 				return response;
@@ -78,7 +84,7 @@
 				method: 'POST', path: call.path, body: JSON.stringify(call.body), signal,
 			});
 		} catch (err) {
-			this.#preferredIndex = (index + 1) % this.#pools.length;
+			this.#preferNextAfter(index);
 			throw err;
 		}
 	}
@@ -88,6 +94,10 @@
 		await Promise.all([...this.#pools, ...this.#drainingPools].map(async pool => pool.destroy()));
 	}
 
+	#preferNextAfter(index: number): void {
+		this.#preferredIndex = (index + 1) % this.#pools.length;
+	}
+
 	#createPool(url: string): undici.Pool {
 		return new undici.Pool(url, {
 			connect: {timeout: this.options.connectTimeoutMs},
--- a/packages/kv/tests/kv/etcd-client.test.ts
+++ b/packages/kv/tests/kv/etcd-client.test.ts
@@ -139,6 +139,47 @@
 		expect(results.map(result => result.isRight())).to.deep.equal([true, true, true]);
 	});
 
+	describe('with two base URLs', () => {
+		let secondKv: standIns.kv.KvStandIn;
+		let other: clients.kv.EtcdClient;
+
+		beforeEach(async () => {
+			secondKv = standIns.kv.createKv({latencyMs: 0, progressIntervalMs: 20});
+			const {port} = await secondKv.start();
+			other = createClient([url, `http://127.0.0.1:${port}`]);
+		});
+
+		afterEach(async () => {
+			await other.close();
+			await secondKv.stop();
+		});
+
+		it('starts with the second URL after the first did not respond to a read', async () => {
+			await kv.server.applyFault({fault: faultNames.Freeze});
+			expect(await errorOf(other.get('a'))).to.equal(errorCodes.NotSent);
+			expect(await errorOf(other.get('a'))).to.equal(undefined);
+			expect(secondKv.counts()).to.deep.equal({range: 1});
+		});
+
+		it('starts with the second URL after the first did not respond to a write', async () => {
+			await kv.server.applyFault({fault: faultNames.Freeze});
+			expect(await errorOf(other.compareAndSwap('a', 0, Buffer.from('one')))).to.equal(errorCodes.OutcomeUnknown);
+			expect(await errorOf(other.get('a'))).to.equal(undefined);
+			expect(secondKv.counts()).to.deep.equal({range: 1});
+		});
+
+		it('starts with the second URL after the first did not respond to a watch', async () => {
+			await other.get('a');
+			await kv.server.applyFault({fault: faultNames.Freeze});
+			const {listener, ended} = createRecordingListener();
+			other.watch('a', false, listener);
+			await ended;
+			await standIns.util.sleep(20);
+			expect(await errorOf(other.get('a'))).to.equal(undefined);
+			expect(secondKv.counts()).to.deep.equal({range: 1});
+		});
+	});
+
 	it('reports a write that exceeds the rate limit', async () => {
 		await client.close();
 		await kv.stop();
