Stay at the base URL when a watch is closed while it is being opened

Cause: closing a watch aborts its call, and openStream took each error for a service that does not respond, so that the next call went to another base URL. Change: a watch that its owner closes aborts with StreamClosedError, which leaves the preferred URL; a progress timeout moves on as before. Result: the new test failed on the code before (the next read went to the second URL) and passes.

--- a/packages/kv/src/kv/etcd-transport.ts
+++ b/packages/kv/src/kv/etcd-transport.ts
@@ -22,6 +22,14 @@
 	readonly isWrite: boolean;
 };
 
+/** Reason for which the caller aborts a stream that it no longer needs, regardless of whether the service responds. */
+export class StreamClosedError extends Error {
+	constructor() {
+		super('the stream was closed');
+		this.name = 'StreamClosedError';
+	}
+}
+
 const connectErrorCodes: ReadonlySet<string> = new Set([
 	'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT',
 ]);
@@ -74,7 +82,8 @@
 	/**
 	 * Opens a streaming call; the caller reads `body` and aborts it by `signal`.
 	 *
-	 * @throws Error when the call fails or is aborted; the next call starts with the next base URL.
+	 * @throws Error when the call fails or is aborted; the next call starts with the next base URL, unless the reason of the abort
+	 * is a {@link StreamClosedError}.
 	 */
 	async openStream(call: EtcdCall, signal: AbortSignal): Promise<undici.Dispatcher.ResponseData> {
 		const index = this.#preferredIndex;
@@ -84,7 +93,10 @@
 				method: 'POST', path: call.path, body: JSON.stringify(call.body), signal,
 			});
 		} catch (err) {
-			this.#preferNextAfter(index);
+			if (!(signal.reason instanceof StreamClosedError)) {
+				this.#preferNextAfter(index);
+			}
+
 			throw err;
 		}
 	}
--- a/packages/kv/src/kv/etcd-watch.ts
+++ b/packages/kv/src/kv/etcd-watch.ts
@@ -3,7 +3,7 @@
 import * as etcdProtocol from './etcd-protocol.js';
 import * as kvCallType from './kv-call-type.js';
 import type * as client from './key-value-client.js';
-import type * as etcdTransport from './etcd-transport.js';
+import * as etcdTransport from './etcd-transport.js';
 
 /** The keys and revisions that a watch reports. */
 export type EtcdWatchTarget = {
@@ -40,9 +40,7 @@
 	}
 
 	close(): void {
-		this.#isEnded = true;
-		clearTimeout(this.#progressTimer);
-		this.#abortController.abort();
+		this.#stop(new etcdTransport.StreamClosedError());
 	}
 
 	async #readLines(res: undici.Dispatcher.ResponseData): Promise<void> {
@@ -105,9 +103,15 @@
 			return;
 		}
 
-		this.close();
+		this.#stop(new Error(reason));
 		this.listener.onEnd(reason);
 	}
+
+	#stop(reason: Error): void {
+		this.#isEnded = true;
+		clearTimeout(this.#progressTimer);
+		this.#abortController.abort(reason);
+	}
 }
 
 function createWatchCall(target: EtcdWatchTarget): etcdTransport.EtcdCall {
--- a/packages/kv/tests/kv/etcd-client.test.ts
+++ b/packages/kv/tests/kv/etcd-client.test.ts
@@ -168,6 +168,14 @@
 			expect(secondKv.counts()).to.deep.equal({range: 1});
 		});
 
+		it('stays at the first URL when a watch is closed while it is being opened', async () => {
+			await other.get('a');
+			other.watch('a', false, createRecordingListener().listener).close();
+			await standIns.util.sleep(20);
+			await other.get('a');
+			expect(secondKv.counts()).to.deep.equal({});
+		});
+
 		it('starts with the second URL after the first did not respond to a watch', async () => {
 			await other.get('a');
 			await kv.server.applyFault({fault: faultNames.Freeze});
