Declare the grant of an issued key once

Cause: the filter and the controller declared the same type IssuedKeyGrant. Change: the controller implements KeyIssuer of the filter and uses its type. No change of behaviour, so no new test.

--- a/packages/router/src/controllers/issued-key-controller.ts
+++ b/packages/router/src/controllers/issued-key-controller.ts
@@ -1,5 +1,6 @@
 import * as crypto from 'node:crypto';
 import * as core from '@bluebellmast/core';
+import type * as issueKeyFilter from '../filters/issue-key-filter.js';
 import * as clock from '../util/clock.js';
 import type * as metrics from '../util/metrics.js';
 import type * as controller from './controller.js';
@@ -22,17 +23,10 @@
 	readonly cleanupIntervalMs?: number;
 };
 
-/** An issued key, as returned to the caller. */
-export type IssuedKeyGrant = {
-	readonly key: string;
-	/** Time by which the key must be used for the first time, in milliseconds since the Unix epoch. */
-	readonly expiresAt: number;
-};
-
 type ResolvedOptions = Required<Omit<IssuedKeyControllerOptions, 'issuedKeyOptions'>>;
 
 /** Issues idempotency keys and decides on requests with such keys, without calls to the key-value service. */
-export class IssuedKeyController implements controller.Controller {
+export class IssuedKeyController implements controller.Controller, issueKeyFilter.KeyIssuer {
 	readonly #options: ResolvedOptions;
 	#registry: core.ledger.IssuedKeyRegistry;
 	#members: readonly core.ledger.LedgerMember[];
@@ -59,7 +53,7 @@
 	}
 
 	/** Issues a key to an account. */
-	issue(account: core.model.AccountId, now: number = this.#options.clock.now()): IssuedKeyGrant {
+	issue(account: core.model.AccountId, now: number = this.#options.clock.now()): issueKeyFilter.IssuedKeyGrant {
 		const {self, createNonce, metrics} = this.#options;
 		this.#registry = core.ledger.recordKeyIssue(this.#registry, now);
 		const key = core.ledger.formatIssuedKey({
