Read the response of a plain service by its type

Cause: DispatchFilter read an optional field answer that only one of two classes has, so that a renamed getter would have been lost silently. Change: each branch sets the outcome itself; the getter is called response, as the field of the outcome. No change of behaviour.

--- a/packages/router/src/dispatch/service-actions.ts
+++ b/packages/router/src/dispatch/service-actions.ts
@@ -39,7 +39,7 @@
 	}
 
 	/** The complete response of the service; `undefined` before it has arrived. */
-	get answer(): responseWriter.BufferedResponse | undefined {
+	get response(): responseWriter.BufferedResponse | undefined {
 		return this.#response;
 	}
 
--- a/packages/router/src/filters/dispatch-filter.ts
+++ b/packages/router/src/filters/dispatch-filter.ts
@@ -1,7 +1,6 @@
 import type * as core from '@bluebellmast/core';
 import * as chatActions from '../dispatch/chat-actions.js';
 import * as requestDriver from '../dispatch/request-driver.js';
-import type * as requestActions from '../dispatch/request-actions.js';
 import type * as retryLimiter from '../dispatch/retry-limiter.js';
 import * as serviceActions from '../dispatch/service-actions.js';
 import type * as clock from '../util/clock.js';
@@ -43,25 +42,17 @@
 		});
 		if (ctx.call.type === callModule.CallType.Chat) {
 			const actions = new chatActions.ChatActions(ctx, ctx.call, driver, this.#options.chat);
-			await this.#run(ctx, driver, actions);
+			ctx.outcome = {execution: await driver.run(actions)};
 			return;
 		}
 
 		if (ctx.call.type === callModule.CallType.Service) {
 			const actions = new serviceActions.ServiceActions(ctx, ctx.call, driver, this.#options.service);
-			await this.#run(ctx, driver, actions);
+			const execution = await driver.run(actions);
+			ctx.outcome = {execution, ...(actions.response && {response: actions.response})};
 		}
 	}
 
-	async #run(
-		ctx: requestContext.RequestContext,
-		driver: requestDriver.RequestDriver,
-		actions: requestActions.RequestActions & {readonly answer?: requestContext.RequestOutcome['response']},
-	): Promise<void> {
-		const execution = await driver.run(actions);
-		ctx.outcome = {execution, ...(actions.answer && {response: actions.answer})};
-	}
-
 	#createRequestOptions(ctx: requestContext.RequestContext): core.request.RequestOptions {
 		const isChat = ctx.call.type === callModule.CallType.Chat;
 		const model = isChat
