--- a/packages/router/src/dispatch/chat-relay.ts
+++ b/packages/router/src/dispatch/chat-relay.ts
@@ -105,7 +105,8 @@
 			}
 
 			if (event.data === endOfStream) {
-				return this.#endAttempt();
+				this.#endAttempt();
+				return undefined;
 			}
 
 			const failure = await this.#handleEvent(event, stream.incarnation);
@@ -127,14 +128,11 @@
 		this.#ctx.response.sendJson(200, this.#createCompletion());
 	}
 
-	#endAttempt(): attemptFailure.AttemptFailure | undefined {
+	#endAttempt(): void {
 		this.#stream = core.request.endStream(this.#stream!);
-		if (!this.#call.stream) {
-			return undefined;
+		if (this.#call.stream) {
+			this.#recordDelivery();
 		}
-
-		this.#recordDelivery();
-		return undefined;
 	}
 
 	async #handleEvent(
