--- a/packages/gateway/src/controllers/load-controller.ts
+++ b/packages/gateway/src/controllers/load-controller.ts
@@ -38,6 +38,7 @@
 	/** Number of recipients of the digests that were sent in turn; the next turn starts after them. */
 	#rotationOffset = 0;
 	#lastSentAt = -Infinity;
+	#isStopped = false;
 
 	constructor(private readonly dependencies: LoadControllerDependencies) {}
 
@@ -48,6 +49,10 @@
 			this.dependencies.fleet.parts.applyObservation(observation, now);
 		}
 
+		if (this.#isStopped) {
+			return;
+		}
+
 		this.#observations.push(...observations);
 		this.#scheduleSend();
 	}
@@ -79,15 +84,16 @@
 	tick(): void {
 		const {fleet, pauses} = this.dependencies;
 		const isIdle = fleet.loads.listBusyEndpoints().length === 0 && !pauses.hasPauses();
-		const isDue = this.dependencies.clock.monotonicNow() - this.#lastSentAt >= digestIntervalMs;
+		const isDue = !this.#isStopped && this.dependencies.clock.monotonicNow() - this.#lastSentAt >= digestIntervalMs;
 		if (isDue && !(isIdle && this.#wasIdle)) {
 			this.#send();
 			this.#wasIdle = isIdle;
 		}
 	}
 
-	/** Cancels the scheduled digest. */
+	/** Cancels the scheduled digest; no digest is sent afterwards. */
 	stop(): void {
+		this.#isStopped = true;
 		clearTimeout(this.#timer);
 	}
 
