--- /dev/null
+++ b/packages/stand-ins/src/check/platform/check-platform.ts
@@ -0,0 +1,26 @@
+import * as answerCheck from './answer-check.js';
+import * as configCheck from './config-check.js';
+import * as drainCheck from './drain-check.js';
+import * as endCheck from './end-check.js';
+import * as executionCheck from './execution-check.js';
+import type * as records from './platform-records.js';
+import * as serviceCheck from './service-check.js';
+import * as versionCheck from './version-check.js';
+
+/** Checks that hold at every moment of a run. */
+const checks = [
+	answerCheck.checkAnswers,
+	executionCheck.checkExecutions,
+	versionCheck.checkVersions,
+	configCheck.checkConfigs,
+	drainCheck.checkDrains,
+	endCheck.checkDeadlines,
+	endCheck.checkPlannedStops,
+	serviceCheck.checkReadiness,
+	serviceCheck.checkRecovery,
+];
+
+/** Runs all checks on the record of a run; returns the findings. */
+export function checkPlatform(record: records.PlatformRecord): records.Finding[] {
+	return checks.flatMap(check => check(record));
+}
--- /dev/null
+++ b/packages/stand-ins/src/check/platform/platform-records.ts
@@ -0,0 +1,181 @@
+/** How an exchange between a client and a gateway ended. */
+export enum ExchangeEnd {
+	/** The response is complete according to its framing. */
+	Complete = 'complete',
+	/** The connection ended after a part of the response. */
+	Truncated = 'truncated',
+	/** The connection ended before the response began. */
+	NoResponse = 'no_response',
+	NotConnected = 'not_connected',
+	/** The client closed the connection. */
+	GaveUp = 'gave_up',
+	/** Nothing ended the exchange until some time after the deadline. */
+	Overdue = 'overdue',
+}
+
+/** Kind of a request, which decides how often it may be executed. */
+export enum RequestKind {
+	Safe = 'safe',
+	Unsafe = 'unsafe',
+	/** Stream that may be resumed at another server. */
+	Resumable = 'resumable',
+	/** Stream that may be executed once. */
+	Once = 'once',
+}
+
+/** A request of a client with what the client saw of it; times are in milliseconds since the Unix epoch. */
+export type Exchange = {
+	readonly requestId: string;
+	readonly gateway: string;
+	readonly kind: RequestKind;
+	/** Name of the route that the request is for. */
+	readonly route: string;
+	readonly path: string;
+	readonly key: string;
+	readonly body: string;
+	readonly sentAt: number;
+	/** Milliseconds after `sentAt` that the client waits. */
+	readonly deadlineMs: number;
+	/** Timeout of the route, in milliseconds. */
+	readonly timeoutMs: number;
+	readonly endedAt: number;
+	readonly end: ExchangeEnd;
+	readonly status?: number;
+	/** Value of the signature header. */
+	readonly signature?: string;
+	/** Request id in the header of the response. */
+	readonly respondedId?: string;
+	readonly responseBody: string;
+};
+
+/** A request that a server executed. */
+export type Execution = {
+	readonly server: string;
+	readonly requestId: string;
+	readonly path: string;
+	readonly body: string;
+	readonly arrivedAt: number;
+	/** Deadline header that the server received, in milliseconds. */
+	readonly deadlineMs?: number;
+	/** Client account that the server was told. */
+	readonly account?: string;
+	/** Whether the server received an API key. */
+	readonly hasKey: boolean;
+};
+
+/** First event of a stream. */
+export type Start = {
+	readonly server: string;
+	readonly requestId: string;
+	readonly version: number;
+	readonly at: number;
+};
+
+/** What a disruption acts on. */
+export enum DisruptionTarget {
+	/** A gateway process: ended, starting or suspended. */
+	Gateway = 'gateway',
+	Store = 'store',
+	/** The link between one gateway and the store. */
+	StoreLink = 'store_link',
+	/** The links between all gateways and one server. */
+	ServerLink = 'server_link',
+	Server = 'server',
+}
+
+/** A period of disruption of one component. */
+export type Disruption = {
+	readonly target: DisruptionTarget;
+	/** Name of the gateway or server; empty for the store. */
+	readonly name: string;
+	/** Whether the disruption is a stop by SIGTERM or a start after it. */
+	readonly isPlanned: boolean;
+	readonly from: number;
+	readonly to: number;
+};
+
+/** A version of weights that the store acknowledged. */
+export type NamedVersion = {
+	readonly model: string;
+	readonly version: number;
+	readonly acknowledgedAt: number;
+};
+
+/** A configuration that the store acknowledged. */
+export type AcknowledgedConfig = {
+	readonly version: number;
+	readonly acknowledgedAt: number;
+	/** Names of its routes. */
+	readonly routes: readonly string[];
+	/** Its API keys with the client account of each. */
+	readonly accounts: Readonly<Record<string, string>>;
+};
+
+/** A period in which the store lists a server as leaving or does not list it though it serves. */
+export type LeavingPeriod = {
+	readonly server: string;
+	readonly from: number;
+	readonly to: number;
+};
+
+/** SIGTERM of a gateway. */
+export type PlannedStop = {
+	readonly gateway: string;
+	readonly at: number;
+};
+
+/** Start of a gateway process, and when it first responded that it is ready. */
+export type GatewayStart = {
+	readonly gateway: string;
+	readonly at: number;
+	/** Absent if the process ended before. */
+	readonly readyAt?: number;
+	/** End of the process or of the run. */
+	readonly endedAt: number;
+};
+
+/** Bounds from the settings of the gateways, in milliseconds. */
+export type Bounds = {
+	readonly settleWindowMs: number;
+	readonly configPropagationMs: number;
+	readonly outerBoundMs: number;
+	readonly revocationMs: number;
+	readonly versionMs: number;
+	readonly drainMs: number;
+	readonly graceMs: number;
+	readonly lossSlackMs: number;
+	readonly recoveryMs: number;
+};
+
+/** All that clients, servers and the operator saw of a run. */
+export type PlatformRecord = {
+	readonly bounds: Bounds;
+	readonly exchanges: readonly Exchange[];
+	readonly executions: readonly Execution[];
+	readonly starts: readonly Start[];
+	/** Model of each engine. */
+	readonly models: Readonly<Record<string, string>>;
+	readonly disruptions: readonly Disruption[];
+	readonly versions: readonly NamedVersion[];
+	readonly configs: readonly AcknowledgedConfig[];
+	readonly leavingPeriods: readonly LeavingPeriod[];
+	readonly plannedStops: readonly PlannedStop[];
+	readonly gatewayStarts: readonly GatewayStart[];
+};
+
+/** A broken promise; `requestId` is absent if it concerns no single request. */
+export type Finding = {
+	readonly check: string;
+	readonly text: string;
+	readonly requestId?: string;
+};
+
+/** Returns whether a request may be executed more than once. */
+export function isIdempotent(kind: RequestKind): boolean {
+	return kind === RequestKind.Safe || kind === RequestKind.Resumable;
+}
+
+/** Returns whether a status states that the request was not and will not be executed. */
+export function isRefusalStatus(status: number | undefined): boolean {
+	return status !== undefined && [408, 421, 429, 503].includes(status);
+}
--- /dev/null
+++ b/packages/stand-ins/src/check/platform/service-check.ts
@@ -0,0 +1,40 @@
+import * as calm from './calm.js';
+import * as records from './platform-records.js';
+
+/** Share of requests that have to be served once all faults are over. */
+const minServedShare = 0.95;
+/** Number of requests from which the share is judged. */
+const minRequests = 50;
+
+/** Checks that gateways become ready within the recovery bound after a start, while the store and links are calm; returns the findings. */
+export function checkReadiness(record: records.PlatformRecord): records.Finding[] {
+	return record.gatewayStarts
+		.filter(start => !isInterrupted(record, start))
+		.filter(start => {
+			const endedAt = start.readyAt ?? start.endedAt;
+			return endedAt - calm.findCalmStretchStart(record, start.at, endedAt) > record.bounds.recoveryMs;
+		})
+		.map(start => ({
+			check: 'readiness',
+			text: start.readyAt === undefined
+				? `${start.gateway} was not ready ${start.endedAt - start.at} ms after its start`
+				: `${start.gateway} was ready only ${start.readyAt - start.at} ms after its start`,
+		}));
+}
+
+/** Returns whether a process was disrupted again before it was ready. */
+function isInterrupted(record: records.PlatformRecord, start: records.GatewayStart): boolean {
+	return record.disruptions.some(({target, name, from}) => target === records.DisruptionTarget.Gateway
+		&& name === start.gateway && from > start.at && from <= (start.readyAt ?? start.endedAt));
+}
+
+/** Checks that requests which every configuration allows are served again when the recovery bound after the last fault has passed; returns the findings. */
+export function checkRecovery(record: records.PlatformRecord): records.Finding[] {
+	const recoveredAt = Math.max(0, ...record.disruptions.map(({to}) => to)) + record.bounds.recoveryMs;
+	const owed = record.exchanges.filter(exchange => exchange.sentAt > recoveredAt && exchange.end !== records.ExchangeEnd.GaveUp
+		&& record.configs.every(config => config.routes.includes(exchange.route) && exchange.key in config.accounts));
+	const served = owed.filter(({end, status}) => end === records.ExchangeEnd.Complete && status === 200);
+	return owed.length >= minRequests && served.length < owed.length * minServedShare
+		? [{check: 'recovery', text: `only ${served.length} of ${owed.length} requests were served after the last fault`}]
+		: [];
+}
--- a/packages/stand-ins/src/soak/fault-injector.ts
+++ b/packages/stand-ins/src/soak/fault-injector.ts
@@ -3,6 +3,7 @@
 import * as fault from '../fault/index.js';
 import * as util from '../util/index.js';
 import * as faultSchedule from './fault-schedule.js';
+import * as playSchedule from './play-schedule.js';
 
 /** A period in which a router was killed or paused. */
 export type RouterOutage = {
@@ -46,24 +47,14 @@
 
 	/** Injects all faults at their times; a fault waits until earlier faults of the same targets have ended. */
 	async run(faults: readonly faultSchedule.ScheduledFault[]): Promise<void> {
-		const lastByTarget = new Map<string, Promise<void>>();
-		const running = faults.map(async scheduledFault => {
-			await util.sleep(scheduledFault.atMs);
-			const names = faultSchedule.listTargetNames(scheduledFault, this.deployment.routers.length);
-			const current = this.#injectAfter(names.map(async name => lastByTarget.get(name)), scheduledFault);
-			for (const name of names) {
-				lastByTarget.set(name, current);
-			}
-
-			await current;
-		});
-		await Promise.all(running);
-	}
-
-	async #injectAfter(earlier: ReadonlyArray<Promise<void>>, scheduledFault: faultSchedule.ScheduledFault): Promise<void> {
-		await Promise.all(earlier);
-		this.print(formatScheduledFault(scheduledFault));
-		await this.#inject(scheduledFault);
+		await playSchedule.playSchedule(
+			faults,
+			scheduledFault => faultSchedule.listTargetNames(scheduledFault, this.deployment.routers.length),
+			async scheduledFault => {
+				this.print(formatScheduledFault(scheduledFault));
+				await this.#inject(scheduledFault);
+			},
+		);
 	}
 
 	async #inject(scheduledFault: faultSchedule.ScheduledFault): Promise<void> {
--- a/packages/stand-ins/src/soak/main.ts
+++ b/packages/stand-ins/src/soak/main.ts
@@ -3,15 +3,20 @@
 import * as path from 'node:path';
 import process from 'node:process';
 import * as util from 'node:util';
+import * as platformSoak from './platform/index.js';
 import * as soak from './soak.js';
 
-const usage = `Usage: node soak/main.js [--seed N] [--minutes M] [--empty-engines] [--keep]
-Runs routers and stand-ins as local processes under load, injects faults from a seeded schedule, and checks the recorded requests.
+const usage = `Usage: node soak/main.js [--system router|platform] [--seed N] [--minutes M] [--empty-engines] [--logs FOLDER] [--keep]
+Runs routers, or the deployed gateways, and stand-ins as local processes under load, injects faults from a seeded schedule, and
+checks the recorded requests.
+  --logs           folder in which a folder for settings, logs and records is created; default the system's temporary folder
   --empty-engines  engines hold no weights after a restart until they are ordered to load them`;
 const millisecondsPerMinute = 60_000;
 
 const {values} = util.parseArgs({
 	options: {
+		system: {type: 'string', default: 'router'},
+		logs: {type: 'string', default: os.tmpdir()},
 		seed: {type: 'string', default: '1'},
 		minutes: {type: 'string', default: '1'},
 		'empty-engines': {type: 'boolean', default: false},
@@ -20,24 +25,33 @@
 	},
 });
 
+async function run(folder: string, print: (line: string) => void): Promise<string[]> {
+	const seed = Number(values.seed);
+	const durationMs = Number(values.minutes) * millisecondsPerMinute;
+	if (values.system === 'platform') {
+		const findings = await platformSoak.runPlatformSoak({
+			folder, root: process.cwd(), seed, durationMs, print,
+		});
+		return findings.map(finding => platformSoak.formatFinding(finding));
+	}
+
+	return soak.runSoak({
+		folder, seed, durationMs, emptyEngines: values['empty-engines'], print,
+	});
+}
+
 async function main(): Promise<number> {
-	const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'bluebellmast-soak-'));
+	const folder = fs.mkdtempSync(path.join(values.logs, 'bluebellmast-soak-'));
 	const lines: string[] = [];
-	const findings = await soak.runSoak({
-		folder,
-		seed: Number(values.seed),
-		durationMs: Number(values.minutes) * millisecondsPerMinute,
-		emptyEngines: values['empty-engines'],
-		print(line) {
-			lines.push(line);
-			console.log(line);
-		},
+	const findings = await run(folder, line => {
+		lines.push(line);
+		console.log(line);
 	});
 	for (const finding of findings) {
 		console.log(`finding: ${finding}`);
 	}
 
-	const command = `npm run soak -- --seed ${values.seed} --minutes ${values.minutes}${values['empty-engines'] ? ' --empty-engines' : ''}`;
+	const command = `npm run soak -- --system ${values.system} --seed ${values.seed} --minutes ${values.minutes}${values['empty-engines'] ? ' --empty-engines' : ''}`;
 	console.log(findings.length === 0 ? 'no findings' : `${findings.length} findings with: ${command}; logs in ${folder}`);
 	fs.writeFileSync(path.join(folder, 'soak.txt'), [...lines, ...findings, ''].join('\n'));
 	if (findings.length === 0 && !values.keep) {
--- /dev/null
+++ b/packages/stand-ins/src/soak/platform/gateway-settings.ts
@@ -0,0 +1,66 @@
+/* eslint-disable @typescript-eslint/naming-convention -- Field names of the platform. */
+import type * as check from '../../check/index.js';
+
+/** Addresses of a gateway process on its machine. */
+export type GatewayAddresses = {
+	readonly host: string;
+	readonly callerPort: number;
+	readonly readinessPort: number;
+	readonly internalPort: number;
+	readonly metricsPort: number;
+};
+
+const millisecondsPerSecond = 1000;
+
+/** Bounds that the settings of all gateways state. */
+export function createBounds(versionMs: number): check.platform.Bounds {
+	return {
+		settleWindowMs: 3000,
+		configPropagationMs: 2000,
+		outerBoundMs: 5000,
+		revocationMs: 5000,
+		versionMs,
+		drainMs: 2000,
+		graceMs: 8000,
+		lossSlackMs: 200,
+		recoveryMs: 12_000,
+	};
+}
+
+/** Formats the settings file of a gateway. */
+export function formatSettings(
+	name: string,
+	addresses: GatewayAddresses,
+	storeAddress: string,
+	bounds: check.platform.Bounds,
+): string {
+	const {host, callerPort, readinessPort, internalPort} = addresses;
+	const lines = {
+		node_name: name,
+		role: 'gateway',
+		zone: 'zone-a',
+		region: 'region-a',
+		ip_address: host,
+		internal_ports: `${internalPort},${internalPort}`,
+		'listen.frontend': `${host}:${callerPort}`,
+		'listen.ready': `${host}:${readinessPort}`,
+		'platform.address': storeAddress,
+		'bounds.settle_window_ms': bounds.settleWindowMs,
+		'bounds.config_propagation_ms': bounds.configPropagationMs,
+		'bounds.outer_bound_ms': bounds.outerBoundMs,
+		'bounds.strict_revocation': true,
+		'bounds.revocation_ms': bounds.revocationMs,
+		'bounds.budget_ratio': 0.2,
+		'bounds.budget_slack': 54,
+		'bounds.budget_window_s': 10,
+		'bounds.grace_s': bounds.graceMs / millisecondsPerSecond,
+		'bounds.drain_ms': bounds.drainMs,
+		'bounds.loss_slack_ms': bounds.lossSlackMs,
+		'bounds.recovery_s': bounds.recoveryMs / millisecondsPerSecond,
+		'bounds.require_fencing': true,
+		'bounds.lease_ms': 3000,
+		'bounds.thaw_ms': 300,
+		'bounds.version_ms': bounds.versionMs,
+	};
+	return Object.entries(lines).map(([field, value]) => `${field}=${value}\n`).join('');
+}
--- /dev/null
+++ b/packages/stand-ins/src/soak/platform/index.ts
@@ -0,0 +1,2 @@
+export * from './platform-plan.js';
+export * from './platform-soak.js';
--- /dev/null
+++ b/packages/stand-ins/src/soak/platform/platform-injector.ts
@@ -0,0 +1,345 @@
+import * as check from '../../check/index.js';
+import * as fault from '../../fault/index.js';
+import * as usersPlatform from '../../users-platform/index.js';
+import * as util from '../../util/index.js';
+import * as playSchedule from '../play-schedule.js';
+import type * as gatewayProcess from './gateway-process.js';
+import type * as platformClients from './platform-clients.js';
+import * as platformConfig from './platform-config.js';
+import * as platformPlan from './platform-plan.js';
+import type * as platformSystem from './platform-system.js';
+import type * as serverFleet from './server-fleet.js';
+
+/** Dependencies of an injector. */
+export type PlatformInjectorOptions = {
+	readonly system: platformSystem.PlatformSystem;
+	readonly clients: platformClients.PlatformClients;
+	readonly plan: platformPlan.PlatformPlan;
+	readonly bounds: check.platform.Bounds;
+	readonly print: (line: string) => void;
+};
+
+type Mutable<Value> = {-readonly [Key in keyof Value]: Value[Key]};
+
+const {ActionType: types} = platformPlan;
+const {DisruptionTarget: targets} = check.platform;
+const burstFactor = 6;
+const maxBurstMs = 1500;
+const changeIntervalMs = 150;
+/** Milliseconds for which a leaving server goes on serving after the bound. */
+const leaveMarginMs = 1500;
+/** Milliseconds between the end and the start of a gateway that is stopped in turn, and until the next one is stopped. */
+const restartMs = 300;
+const turnMs = 500;
+const storeDelayMs = 250;
+const millisecondsPerAmount = 100;
+const slowMsPerAmount = 700;
+/** Milliseconds after its last sign of life at which the platform removes the entry of a crashed server. */
+const entryLifeMs = 3600;
+
+/** Plays the actions of a plan and records disruptions. */
+export class PlatformInjector {
+	readonly disruptions: check.platform.Disruption[] = [];
+	readonly leavingPeriods: check.platform.LeavingPeriod[] = [];
+	readonly plannedStops: check.platform.PlannedStop[] = [];
+	readonly findings: check.platform.Finding[] = [];
+	readonly #startedAt = Date.now();
+	#replacements = 0;
+
+	constructor(private readonly options: PlatformInjectorOptions) {}
+
+	/** Plays all actions. */
+	async run(): Promise<void> {
+		const {plan, print} = this.options;
+		await playSchedule.playSchedule(
+			plan.actions,
+			action => platformPlan.listTargets(action, plan.sizes),
+			async action => {
+				print(`${Date.now() - this.#startedAt} ms: ${platformPlan.formatAction(action)}`);
+				await this.#play(action);
+			},
+		);
+	}
+
+	async #play(action: platformPlan.PlannedAction): Promise<void> {
+		switch (platformPlan.targetByType[action.type]) {
+			case platformPlan.ActionTarget.Gateway:
+			case platformPlan.ActionTarget.AllGateways: {
+				await this.#playOnGateways(action);
+				break;
+			}
+
+			case platformPlan.ActionTarget.Store: {
+				await this.#playOnStore(action);
+				break;
+			}
+
+			case platformPlan.ActionTarget.Server: {
+				await this.#playOnServer(action);
+				break;
+			}
+
+			case platformPlan.ActionTarget.Nothing: {
+				await this.#playChange(action);
+				break;
+			}
+		}
+	}
+
+	async #playOnGateways(action: platformPlan.PlannedAction): Promise<void> {
+		const {gateways} = this.options.system;
+		const gateway = gateways[action.targetIndex]!;
+		const {durationMs} = action;
+		const actions: Partial<Record<platformPlan.ActionType, () => Promise<unknown>>> = {
+			[types.StopGateway]: async () => this.#stopGateway(gateway, durationMs),
+			[types.KillGateway]: async () => this.#killGateway(gateway, durationMs),
+			[types.SuspendGateway]: async () => this.#suspendGateway(gateway, durationMs),
+			[types.StopInTurn]: async () => this.#stopInTurn(),
+			[types.StopAll]: async () => Promise.all(gateways.map(async each => this.#stopGateway(each, durationMs))),
+			[types.KillAll]: async () => Promise.all(gateways.map(async each => this.#killGateway(each, durationMs))),
+			[types.SuspendAll]: async () => Promise.all(gateways.map(async each => this.#suspendGateway(each, durationMs))),
+			[types.SuspendLeader]: async () => this.#suspendLeader(action),
+		};
+		await actions[action.type]!();
+	}
+
+	async #stopGateway(gateway: gatewayProcess.GatewayProcess, durationMs: number): Promise<void> {
+		this.#checkIsRunning(gateway);
+		await this.#disrupt(targets.Gateway, gateway.name, true, async () => {
+			this.plannedStops.push({gateway: gateway.name, at: Date.now()});
+			gateway.signal('terminate');
+			const killTimer = setTimeout(() => {
+				gateway.signal('kill');
+			}, this.options.bounds.graceMs);
+			await gateway.waitForExit();
+			clearTimeout(killTimer);
+			await util.sleep(durationMs);
+			gateway.start();
+		});
+	}
+
+	async #killGateway(gateway: gatewayProcess.GatewayProcess, durationMs: number): Promise<void> {
+		this.#checkIsRunning(gateway);
+		await this.#disrupt(targets.Gateway, gateway.name, false, async () => {
+			gateway.signal('kill');
+			await gateway.waitForExit();
+			await util.sleep(durationMs);
+			gateway.start();
+		});
+	}
+
+	async #suspendGateway(gateway: gatewayProcess.GatewayProcess, durationMs: number): Promise<void> {
+		this.#checkIsRunning(gateway);
+		await this.#disrupt(targets.Gateway, gateway.name, false, async () => {
+			gateway.signal('pause');
+			await util.sleep(durationMs);
+			gateway.signal('resume');
+		});
+	}
+
+	async #stopInTurn(): Promise<void> {
+		for (const gateway of this.options.system.gateways) {
+			await this.#stopGateway(gateway, restartMs); // eslint-disable-line no-await-in-loop -- In turn.
+			await util.sleep(turnMs); // eslint-disable-line no-await-in-loop -- In turn.
+		}
+	}
+
+	async #suspendLeader(action: platformPlan.PlannedAction): Promise<void> {
+		const {system} = this.options;
+		const leader = system.findLeader() ?? system.gateways[action.targetIndex]!;
+		await Promise.all([this.#suspendGateway(leader, action.durationMs), this.#nameVersions(action)]);
+	}
+
+	#checkIsRunning(gateway: gatewayProcess.GatewayProcess): void {
+		if (!gateway.isRunning) {
+			this.findings.push({check: 'processes', text: `${gateway.name} had exited by itself`});
+		}
+	}
+
+	async #playOnStore(action: platformPlan.PlannedAction): Promise<void> {
+		const {system: {store, gateways}} = this.options;
+		const {durationMs, targetIndex, amount} = action;
+		const some = gateways.filter((_, index) => (index - targetIndex + gateways.length) % gateways.length < Math.min(amount, gateways.length - 1));
+		const gateway = gateways[targetIndex]!;
+		const actions: Partial<Record<platformPlan.ActionType, () => Promise<unknown>>> = {
+			[types.StoreDown]: async () => this.#faultStore({fault: fault.FaultName.Outage}, durationMs),
+			[types.StoreLosesAnswers]: async () => this.#faultStore({fault: fault.FaultName.LoseResponses}, durationMs),
+			[types.StoreDiscardsHistory]: async () => this.#disrupt(targets.Store, '', false, async () => {
+				store.compactHistory();
+			}),
+			[types.StoreSlow]: async () => this.#disrupt(targets.Store, '', false, async () => this.#faultLinks(gateways, fault.LinkFault.Delay, durationMs, storeDelayMs)),
+			[types.StoreRefusesSome]: async () => this.#faultStoreLinks(some, fault.LinkFault.Reset, durationMs),
+			[types.HoldRequestsToStore]: async () => this.#faultStoreLinks([gateway], fault.LinkFault.HoldRequests, durationMs),
+			[types.HoldResponsesOfStore]: async () => this.#faultStoreLinks([gateway], fault.LinkFault.HoldResponses, durationMs),
+			[types.SilenceStoreLink]: async () => this.#faultStoreLinks([gateway], fault.LinkFault.Silence, 0),
+		};
+		await actions[action.type]!();
+	}
+
+	async #faultStore(request: fault.FaultRequest, durationMs: number): Promise<void> {
+		const {server} = this.options.system.store;
+		await this.#disrupt(targets.Store, '', false, async () => {
+			await server.applyFault(request);
+			await util.sleep(durationMs);
+			await server.applyFault({fault: fault.FaultName.Clear});
+		});
+	}
+
+	async #faultStoreLinks(gateways: readonly gatewayProcess.GatewayProcess[], linkFault: fault.LinkFault, durationMs: number): Promise<void> {
+		await Promise.all(gateways.map(async gateway => this.#disrupt(targets.StoreLink, gateway.name, false, async () =>
+			this.#faultLinks([gateway], linkFault, durationMs))));
+	}
+
+	async #faultLinks(
+		gateways: readonly gatewayProcess.GatewayProcess[],
+		linkFault: fault.LinkFault,
+		durationMs: number,
+		delayMs?: number,
+	): Promise<void> {
+		await Promise.all(gateways.map(async ({storeLink}) => faultLink(storeLink, linkFault, durationMs, delayMs)));
+	}
+
+	async #playOnServer(action: platformPlan.PlannedAction): Promise<void> {
+		const {fleet} = this.options.system;
+		const server = fleet.servers[action.targetIndex]!;
+		const {durationMs, amount} = action;
+		const linkFaults: Partial<Record<platformPlan.ActionType, fault.LinkFault>> = {
+			[types.DelayServerLink]: fault.LinkFault.Delay,
+			[types.HoldRequestsToServer]: fault.LinkFault.HoldRequests,
+			[types.HoldResponsesOfServer]: fault.LinkFault.HoldResponses,
+			[types.ResetServerLink]: fault.LinkFault.Reset,
+			[types.SilenceServerLink]: fault.LinkFault.Silence,
+		};
+		const linkFault = linkFaults[action.type];
+		if (linkFault !== undefined) {
+			await this.#disrupt(targets.ServerLink, server.id, false, async () =>
+				faultLink(server.link, linkFault, linkFault === fault.LinkFault.Silence ? 0 : durationMs, amount * millisecondsPerAmount));
+			return;
+		}
+
+		await this.#disrupt(targets.Server, server.id, false, async () => this.#faultServer(server, action));
+	}
+
+	async #faultServer(server: serverFleet.FleetServer, action: platformPlan.PlannedAction): Promise<void> {
+		const {system: {fleet, operator}} = this.options;
+		const {standIn} = server;
+		const {durationMs, amount} = action;
+		const actions: Partial<Record<platformPlan.ActionType, () => Promise<unknown>>> = {
+			[types.CrashServer]: async () => this.#crashServer(server, durationMs),
+			[types.DrainServer]: async () => this.#leave(server, action),
+			[types.RemoveEntry]: async () => this.#leave(server, action),
+			async [types.SlowServer]() {
+				standIn.extraDelayMs = amount * slowMsPerAmount;
+				await util.sleep(durationMs);
+				standIn.extraDelayMs = 0;
+			},
+			async [types.RestartServer]() {
+				standIn.restart();
+				fleet.list(server, 'ready');
+			},
+			[types.ReplaceServer]: async () => {
+				this.#replacements += 1;
+				const id = `${server.service}-new-${this.#replacements}`;
+				await fleet.replace(action.targetIndex, id, operator.newestVersionOf(server.model));
+			},
+			[types.FullServer]: async () => setServerFault(standIn, usersPlatform.ServerFault.Full, durationMs),
+			[types.BreakStreams]: async () => setServerFault(standIn, usersPlatform.ServerFault.BreakStream, durationMs),
+		};
+		await actions[action.type]!();
+	}
+
+	async #crashServer(server: serverFleet.FleetServer, durationMs: number): Promise<void> {
+		const {fleet} = this.options.system;
+		await server.standIn.server.applyFault({fault: fault.FaultName.Outage});
+		await util.sleep(Math.min(durationMs, entryLifeMs));
+		if (durationMs > entryLifeMs) {
+			fleet.unlist(server);
+			await util.sleep(durationMs - entryLifeMs);
+		}
+
+		server.standIn.restart();
+		await server.standIn.server.applyFault({fault: fault.FaultName.Clear});
+		fleet.list(server, 'ready');
+	}
+
+	/** Lists a server as draining or removes its entry, lets it serve on, ends it, and starts it again under the same id. */
+	async #leave(server: serverFleet.FleetServer, action: platformPlan.PlannedAction): Promise<void> {
+		const {fleet} = this.options.system;
+		const from = Date.now();
+		if (action.type === types.DrainServer) {
+			fleet.list(server, 'draining');
+		} else {
+			fleet.unlist(server);
+		}
+
+		const period: Mutable<check.platform.LeavingPeriod> = {server: server.id, from, to: Infinity};
+		this.leavingPeriods.push(period);
+		await util.sleep(this.options.bounds.drainMs + leaveMarginMs);
+		period.to = Date.now();
+		fleet.unlist(server);
+		await server.standIn.server.applyFault({fault: fault.FaultName.Outage});
+		await util.sleep(action.durationMs);
+		server.standIn.restart();
+		await server.standIn.server.applyFault({fault: fault.FaultName.Clear});
+		fleet.list(server, 'ready');
+	}
+
+	async #playChange(action: platformPlan.PlannedAction): Promise<void> {
+		const {system: {operator}, clients} = this.options;
+		const actions: Partial<Record<platformPlan.ActionType, () => Promise<unknown>>> = {
+			async [types.NameVersion]() {
+				operator.nameVersion(modelOf(action.amount));
+			},
+			[types.NameVersions]: async () => this.#nameVersions(action),
+			async [types.RevokeKey]() {
+				operator.revokeKey();
+			},
+			async [types.ConfigStorm]() {
+				for (let count = 0; count < action.amount; count++) {
+					operator.changeRoutes();
+					await util.sleep(changeIntervalMs); // eslint-disable-line no-await-in-loop -- Changes in series.
+				}
+			},
+			async [types.Burst]() {
+				clients.rateFactor = burstFactor;
+				await util.sleep(Math.min(action.durationMs, maxBurstMs));
+				clients.rateFactor = 1;
+			},
+		};
+		await actions[action.type]!();
+	}
+
+	async #nameVersions(action: platformPlan.PlannedAction): Promise<void> {
+		const {operator} = this.options.system;
+		for (let count = 0; count < action.amount; count++) {
+			operator.nameVersion(modelOf(action.targetIndex + count));
+			await util.sleep(changeIntervalMs); // eslint-disable-line no-await-in-loop -- Changes in series.
+		}
+	}
+
+	/** Records a disruption while an action lasts. */
+	async #disrupt(target: check.platform.DisruptionTarget, name: string, isPlanned: boolean, act: () => Promise<void>): Promise<void> {
+		const disruption: Mutable<check.platform.Disruption> = {
+			target, name, isPlanned, from: Date.now(), to: Infinity,
+		};
+		this.disruptions.push(disruption);
+		await act();
+		disruption.to = Date.now();
+	}
+}
+
+function modelOf(number: number): string {
+	return platformConfig.models[number % platformConfig.models.length]!;
+}
+
+async function setServerFault(standIn: usersPlatform.UsersServerStandIn, serverFault: usersPlatform.ServerFault, durationMs: number): Promise<void> {
+	standIn.fault = serverFault;
+	await util.sleep(durationMs);
+	standIn.fault = usersPlatform.ServerFault.None;
+}
+
+async function faultLink(link: fault.LinkProxy, linkFault: fault.LinkFault, durationMs: number, delayMs?: number): Promise<void> {
+	link.setFault(linkFault, delayMs);
+	await util.sleep(durationMs);
+	link.setFault(fault.LinkFault.None);
+}
--- /dev/null
+++ b/packages/stand-ins/src/soak/platform/platform-operator.ts
@@ -0,0 +1,98 @@
+import * as check from '../../check/index.js';
+import type * as usersPlatform from '../../users-platform/index.js';
+import type * as util from '../../util/index.js';
+import * as platformConfig from './platform-config.js';
+
+const baseKeyCount = 6;
+const maxExtraRoutes = 3;
+
+/** Simulated operator: writes configurations and names versions of weights. The return of a write is its acknowledgement. */
+export class PlatformOperator {
+	readonly configs: check.platform.AcknowledgedConfig[] = [];
+	readonly versions: check.platform.NamedVersion[] = [];
+	readonly #newestVersions = new Map<string, number>();
+	readonly #routes = platformConfig.createBaseRoutes();
+	#extraRoutes: platformConfig.SoakRoute[] = [];
+	#accounts: Record<string, string> = {};
+	#keyNumber = 0;
+	#routeNumber = 0;
+	#configVersion = 1;
+
+	constructor(private readonly store: usersPlatform.UsersStoreStandIn, private readonly random: util.Random) {
+		for (let index = 0; index < baseKeyCount; index++) {
+			this.#addKey();
+		}
+	}
+
+	/** Keys of the newest configuration. */
+	get keys(): string[] {
+		return Object.keys(this.#accounts);
+	}
+
+	/** Writes the first configuration and the first version of each model. */
+	start(): void {
+		this.#writeConfig();
+		for (const {model} of platformConfig.services) {
+			if (model !== undefined) {
+				this.nameVersion(model);
+			}
+		}
+	}
+
+	newestVersionOf(model: string | undefined): number {
+		return model === undefined ? 1 : this.#newestVersions.get(model) ?? 1;
+	}
+
+	/** Names the next version of a model. */
+	nameVersion(model: string): void {
+		const version = (this.#newestVersions.get(model) ?? 0) + 1;
+		this.#newestVersions.set(model, version);
+		this.store.write(`op/version/${model}`, {model, version});
+		this.versions.push({model, version, acknowledgedAt: Date.now()});
+	}
+
+	/** Replaces a key by a new one. The first key stays in all configurations. */
+	revokeKey(): void {
+		const {[this.random.pick(this.keys.slice(1))]: _, ...rest} = this.#accounts;
+		this.#accounts = rest;
+		this.#addKey();
+		this.#writeConfig();
+	}
+
+	/** Adds a route, and removes the oldest added one if there are many. */
+	changeRoutes(): void {
+		this.#routeNumber += 1;
+		const route = platformConfig.createExtraRoute(`extra-${this.#routeNumber}`, check.platform.RequestKind.Safe);
+		this.#extraRoutes = [...this.#extraRoutes, route].slice(-maxExtraRoutes);
+		this.#writeConfig();
+	}
+
+	/** Returns the routes that clients may ask for: all of the newest configuration, and now and then one that was removed. */
+	pickRoute(random: util.Random): platformConfig.SoakRoute {
+		if (this.#routeNumber > 0 && random.chance(0.1)) {
+			const number = random.integer(Math.max(1, this.#routeNumber - maxExtraRoutes), this.#routeNumber);
+			return platformConfig.createExtraRoute(`extra-${number}`, check.platform.RequestKind.Safe);
+		}
+
+		return random.pick(this.#routes);
+	}
+
+	/** Returns a key of the newest configuration, or now and then any key that a configuration held. */
+	pickKey(random: util.Random): string {
+		return random.chance(0.1) ? `key-${random.integer(1, this.#keyNumber)}` : random.pick(this.keys);
+	}
+
+	#addKey(): void {
+		this.#keyNumber += 1;
+		this.#accounts[`key-${this.#keyNumber}`] = `account-${this.#keyNumber}`;
+	}
+
+	#writeConfig(): void {
+		this.#configVersion += this.random.integer(1, 4);
+		const routes = [...this.#routes, ...this.#extraRoutes];
+		this.store.write('op/config', platformConfig.createConfig(this.#configVersion, routes, this.#accounts));
+		this.configs.push({
+			version: this.#configVersion, acknowledgedAt: Date.now(), routes: routes.map(({name}) => name), accounts: {...this.#accounts},
+		});
+	}
+}
--- /dev/null
+++ b/packages/stand-ins/src/soak/platform/server-fleet.ts
@@ -0,0 +1,142 @@
+import type * as check from '../../check/index.js';
+import * as fault from '../../fault/index.js';
+import * as usersPlatform from '../../users-platform/index.js';
+import type * as util from '../../util/index.js';
+
+/** A server stand-in with the proxy of the links to it. */
+export type FleetServer = {
+	readonly id: string;
+	readonly service: string;
+	readonly model?: string;
+	readonly standIn: usersPlatform.UsersServerStandIn;
+	readonly link: fault.LinkProxy;
+	readonly address: string;
+	isListed: boolean;
+	state: string;
+	listedVersion: number;
+};
+
+/** Options of a fleet of servers. */
+export type ServerFleetOptions = {
+	readonly store: usersPlatform.UsersStoreStandIn;
+	readonly random: util.Random;
+	/** Number of events in each stream. */
+	readonly streamEvents: number;
+};
+
+const refreshIntervalMs = 50;
+
+/** Servers of all services; keeps their entries in the store up to date. */
+export class ServerFleet {
+	readonly servers: FleetServer[] = [];
+	readonly leavingPeriods: check.platform.LeavingPeriod[] = [];
+	/** Stand-ins of all incarnations, also of those that were replaced. */
+	readonly #standIns: usersPlatform.UsersServerStandIn[] = [];
+	#timer: NodeJS.Timeout | undefined;
+
+	constructor(private readonly options: ServerFleetOptions) {}
+
+	start(): void {
+		this.#timer = setInterval(() => {
+			for (const server of this.servers.filter(({isListed, listedVersion, standIn}) => isListed && listedVersion !== standIn.version)) {
+				this.list(server);
+			}
+		}, refreshIntervalMs);
+	}
+
+	async stop(): Promise<void> {
+		clearInterval(this.#timer);
+		for (const {link} of this.servers) {
+			link.stop();
+		}
+
+		await Promise.all(this.#standIns.map(async standIn => standIn.stop()));
+	}
+
+	/** Starts a server and writes its entry. */
+	async add(id: string, service: string, model: string | undefined): Promise<void> {
+		const standIn = await this.#startStandIn(id, service, model);
+		const link = new fault.LinkProxy({host: '127.0.0.1', port: standIn.server.port});
+		const server = {
+			id, service, model, standIn, link, address: `127.0.0.1:${await link.start()}`, isListed: false, state: 'ready', listedVersion: 0,
+		};
+		this.servers.push(server);
+		this.list(server);
+	}
+
+	/** Ends a server and starts another one at the same address, with the newest version of its model. */
+	async replace(index: number, id: string, version: number): Promise<void> {
+		const former = this.servers[index]!;
+		this.unlist(former);
+		await former.standIn.stop();
+		const standIn = await this.#startStandIn(id, former.service, former.model, former.standIn.server.port);
+		standIn.version = version;
+		const server = {
+			...former, id, standIn, state: 'ready',
+		};
+		this.servers[index] = server;
+		this.list(server);
+	}
+
+	/** Writes the entry of a server. */
+	list(server: FleetServer, state = server.state): void {
+		server.state = state;
+		server.isListed = true;
+		server.listedVersion = server.standIn.version;
+		this.options.store.write(`servers/${server.id}`, {...server.standIn.createRegistration(state), address: server.address});
+	}
+
+	/** Removes the entry of a server. */
+	unlist(server: FleetServer): void {
+		server.isListed = false;
+		this.options.store.remove(`servers/${server.id}`);
+	}
+
+	listExecutions(): check.platform.Execution[] {
+		return this.#standIns.flatMap(({executions}) => executions).map(({server, requestId, path, body, arrivedAt, headers}) => ({
+			server, requestId, path, body, arrivedAt,
+			deadlineMs: numberOf(headers['bluebellmast-deadline-milliseconds']),
+			account: textOf(headers['bluebellmast-tenant']),
+			hasKey: headers['bluebellmast-credential'] !== undefined,
+		}));
+	}
+
+	listStarts(): check.platform.Start[] {
+		return this.#standIns.flatMap(({starts}) => starts);
+	}
+
+	/** Returns the model of each engine, by its id. */
+	mapModels(): Record<string, string> {
+		const models: Record<string, string> = {};
+		for (const {options: {id, model}} of this.#standIns) {
+			if (model !== undefined) {
+				models[id] = model;
+			}
+		}
+
+		return models;
+	}
+
+	async #startStandIn(id: string, service: string, model?: string, port?: number): Promise<usersPlatform.UsersServerStandIn> {
+		const {random, streamEvents} = this.options;
+		const standIn = new usersPlatform.UsersServerStandIn({
+			id, service, model, port,
+			identifiesRequests: true,
+			eventCount: streamEvents,
+			firstEventDelayMs: random.integer(5, 60),
+			intervalMs: random.integer(10, 60),
+			loadMs: random.integer(200, 1000),
+		});
+		await standIn.start();
+		this.#standIns.push(standIn);
+		return standIn;
+	}
+}
+
+function textOf(value: string | string[] | undefined): string | undefined {
+	return Array.isArray(value) ? value[0] : value;
+}
+
+function numberOf(value: string | string[] | undefined): number | undefined {
+	return value === undefined ? undefined : Number(textOf(value));
+}
--- a/packages/stand-ins/src/users-platform/users-server-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/users-server-stand-in.ts
@@ -20,6 +20,8 @@
 	readonly loadMs?: number;
 	/** Delay of an order under `OrderFault.Late`, in milliseconds; default 300. */
 	readonly lateOrderDelayMs?: number;
+	/** Whether response bodies name the server and the id of their request; default false. */
+	readonly identifiesRequests?: boolean;
 };
 
 /** Faults in the handling of orders. */
@@ -65,6 +67,17 @@
 	readonly path: string;
 	readonly body: string;
 	readonly headers: http.IncomingHttpHeaders;
+	/** Arrival time in milliseconds since the Unix epoch. */
+	readonly arrivedAt: number;
+};
+
+/** The first event of a stream, with which the stream starts to run. */
+export type UsersServerStart = {
+	readonly server: string;
+	readonly requestId: string;
+	readonly version: number;
+	/** Milliseconds since the Unix epoch. */
+	readonly at: number;
 };
 
 /** An order to load a weight version. */
@@ -100,6 +113,8 @@
 	readonly server: fault.StandInServer;
 	/** Requests that were executed. */
 	readonly executions: UsersServerExecution[] = [];
+	/** Streams that sent their first event. */
+	readonly starts: UsersServerStart[] = [];
 	/** Orders that were accepted. */
 	readonly orders: UsersServerOrder[] = [];
 	/** Ids of requests whose connection closed before the response was complete. */
@@ -109,6 +124,8 @@
 	fault = ServerFault.None;
 	orderFault = OrderFault.None;
 	version = 1;
+	/** Delay of plain responses and of first events, in addition to the one of the options, in milliseconds. */
+	extraDelayMs = 0;
 	/** Number of orders whose delayed execution is pending. */
 	pendingLateOrderCount = 0;
 	/** Copies of responses to be sent before the next response on a connection, by connection. */
@@ -119,7 +136,7 @@
 	#acceptedOrderCount = 0;
 	#startedAt = Date.now();
 
-	constructor(private readonly options: UsersServerOptions) {
+	constructor(readonly options: UsersServerOptions) {
 		this.server = new fault.StandInServer(options, async (req, res) => this.#handle(req, res));
 	}
 
@@ -246,7 +263,7 @@
 		}
 
 		this.executions.push({
-			server: this.options.id, requestId, path: req.url ?? '', body, headers: req.headers,
+			server: this.options.id, requestId, path: req.url ?? '', body, headers: req.headers, arrivedAt: Date.now(),
 		});
 		res.once('close', () => {
 			if (!res.writableFinished) {
@@ -262,7 +279,11 @@
 	}
 
 	async #sendPlainResponse(requestId: string, res: http.ServerResponse): Promise<void> {
-		await util.sleep(this.options.intervalMs ?? defaultIntervalMs);
+		await util.sleep((this.options.intervalMs ?? defaultIntervalMs) + this.extraDelayMs);
+		if (res.destroyed) {
+			return;
+		}
+
 		this.#sendPendingDuplicate(res.socket!);
 		const headers = this.#createHeaders(requestId);
 		switch (this.fault) {
@@ -295,7 +316,7 @@
 			case ServerFault.WrongId:
 			case ServerFault.Unsigned:
 			case ServerFault.EarlyResponse: {
-				util.sendJson(res, 200, {server: this.options.id}, headers);
+				util.sendJson(res, 200, {server: this.options.id, ...(this.options.identifiesRequests && {requestId})}, headers);
 				break;
 			}
 		}
@@ -314,12 +335,19 @@
 		const lastId = this.options.eventCount ?? defaultEventCount;
 		// A fault holds for the streams that begin under it, so that a test may take it back as soon as it sees the execution.
 		const breaksStream = this.fault === ServerFault.BreakStream;
-		await util.sleep(this.options.firstEventDelayMs ?? 0);
+		await util.sleep((this.options.firstEventDelayMs ?? 0) + this.extraDelayMs);
+		if (res.destroyed) {
+			return;
+		}
+
+		this.starts.push({
+			server: this.options.id, requestId, version: this.version, at: Date.now(),
+		});
 		res.writeHead(200, {
 			'Content-Type': 'text/event-stream', 'Bluebellmast-Weight-Versions': String(this.version), ...this.#createHeaders(requestId),
 		});
 		for (let id = firstId; id <= lastId; id++) {
-			res.write(`id: ${id}\ndata: token ${id}\n\n`);
+			res.write(`id: ${id}\ndata: token ${id}${this.options.identifiesRequests ? ` of ${requestId} from ${this.options.id}` : ''}\n\n`);
 			await util.sleep(this.options.intervalMs ?? defaultIntervalMs); // eslint-disable-line no-await-in-loop -- Events are sent in sequence.
 			if (breaksStream) {
 				res.write(`id: ${id + 1}\nda`);
--- a/packages/stand-ins/src/util/child-process.ts
+++ b/packages/stand-ins/src/util/child-process.ts
@@ -10,6 +10,8 @@
 	/** Path of the script that Node.js runs. */
 	readonly script: string;
 	readonly args: readonly string[];
+	/** Options of Node.js itself; default none. */
+	readonly nodeArgs?: readonly string[];
 	/** File to which standard output and standard error are appended. */
 	readonly logFile: string;
 	/** Environment variables in addition to those of this process. */
@@ -26,7 +28,7 @@
 
 	constructor(readonly options: ChildProcessOptions) {
 		const log = fs.createWriteStream(options.logFile, {flags: 'a'});
-		this.#process = childProcess.spawn(process.execPath, [options.script, ...options.args], {
+		this.#process = childProcess.spawn(process.execPath, [...options.nodeArgs ?? [], options.script, ...options.args], {
 			stdio: ['ignore', 'pipe', 'pipe'], env: {...process.env, ...options.env},
 		});
 		this.#process.stdout!.pipe(log, {end: false});
--- /dev/null
+++ b/packages/stand-ins/tests/check/platform/check-platform.test.ts
@@ -0,0 +1,325 @@
+import * as chai from 'chai';
+import * as standIns from '@bluebellmast/stand-ins';
+
+const {expect} = chai;
+const {platform} = standIns.check;
+const {RequestKind: kinds, ExchangeEnd: ends, DisruptionTarget: targets} = platform;
+type Platform = typeof standIns.check.platform;
+type PlatformRecord = Parameters<Platform['checkPlatform']>[0];
+
+const second = 1000;
+const bounds: PlatformRecord['bounds'] = {
+	settleWindowMs: 3 * second, configPropagationMs: 2 * second, outerBoundMs: 5 * second, revocationMs: 5 * second, versionMs: 8 * second,
+	drainMs: 2 * second, graceMs: 8 * second, lossSlackMs: 200, recoveryMs: 12 * second,
+};
+/** Time at which the request of the sound record is sent. */
+const sentAt = 100 * second;
+
+const plainExchange: PlatformRecord['exchanges'][number] = {
+	requestId: 'q-1', gateway: 'gateway-0', kind: kinds.Unsafe, route: 'book', path: '/book/q-1', key: 'key-1', body: 'body of q-1',
+	sentAt, deadlineMs: 2 * second, timeoutMs: 3 * second, endedAt: sentAt + 50, end: ends.Complete, status: 200, signature: 'seal-of-plain-0',
+	respondedId: 'q-1', responseBody: '{"server":"plain-0","requestId":"q-1"}',
+};
+const plainExecution: PlatformRecord['executions'][number] = {
+	server: 'plain-0', requestId: 'q-1', path: '/book/q-1', body: 'body of q-1', arrivedAt: sentAt + 10, deadlineMs: 1990, account: 'account-1', hasKey: false,
+};
+
+function createEvents(server = 'chat-0', ids = [1, 2, 3, 4, 5, 6]): string {
+	return ids.map(id => `id: ${id}\ndata: token ${id} of q-2 from ${server}\n\n`).join('');
+}
+
+const streamExchange: PlatformRecord['exchanges'][number] = {
+	...plainExchange, requestId: 'q-2', kind: kinds.Once, route: 'chat', path: '/chat/q-2', body: 'body of q-2', timeoutMs: 8 * second,
+	signature: 'seal-of-chat-0', respondedId: 'q-2', responseBody: createEvents(),
+};
+const streamExecution: PlatformRecord['executions'][number] = {
+	...plainExecution, server: 'chat-0', requestId: 'q-2', path: '/chat/q-2', body: 'body of q-2',
+};
+const start: PlatformRecord['starts'][number] = {
+	server: 'chat-0', requestId: 'q-2', version: 2, at: sentAt + 30,
+};
+const config: PlatformRecord['configs'][number] = {
+	version: 1, acknowledgedAt: 0, routes: ['book', 'chat'], accounts: {'key-1': 'account-1', 'key-2': 'account-2'},
+};
+const soundRecord: PlatformRecord = {
+	bounds,
+	exchanges: [plainExchange, streamExchange],
+	executions: [plainExecution, streamExecution],
+	starts: [start],
+	models: {'chat-0': 'model-chat'},
+	disruptions: [],
+	versions: [{model: 'model-chat', version: 1, acknowledgedAt: 0}, {model: 'model-chat', version: 2, acknowledgedAt: second}],
+	configs: [config],
+	leavingPeriods: [],
+	plannedStops: [],
+	gatewayStarts: [{
+		gateway: 'gateway-0', at: 0, readyAt: second, endedAt: 200 * second,
+	}],
+};
+
+function withPlain(changes: Partial<typeof plainExchange>, executions = [plainExecution]): Partial<PlatformRecord> {
+	return {exchanges: [{...plainExchange, ...changes}], executions, starts: []};
+}
+
+function withStream(changes: Partial<typeof streamExchange>): Partial<PlatformRecord> {
+	return {exchanges: [{...streamExchange, ...changes}], executions: [streamExecution], starts: []};
+}
+
+function disrupt(target: PlatformRecord['disruptions'][number]['target'], name: string, from: number, to: number): PlatformRecord['disruptions'][number] {
+	return {
+		target, name, isPlanned: false, from, to,
+	};
+}
+
+const refused = {status: 503, signature: undefined, responseBody: ''};
+const denied = {status: 404, signature: undefined, responseBody: ''};
+const cut = {end: ends.NoResponse, status: undefined};
+const newerConfig = {...config, version: 2, acknowledgedAt: sentAt - (3 * second)};
+const newerVersions: PlatformRecord['versions'] = [...soundRecord.versions, {model: 'model-chat', version: 3, acknowledgedAt: sentAt - (9 * second)}];
+
+type Case = {
+	readonly name: string;
+	readonly changes: Partial<PlatformRecord>;
+	/** Part of the one finding; absent if the record is sound. */
+	readonly finding?: string;
+};
+
+const cases: readonly Case[] = [
+	{name: 'a sound record', changes: {}},
+	{name: 'a success without a signature', changes: withPlain({signature: undefined}), finding: 'no signature'},
+	{name: 'a response with the id of another request', changes: withPlain({respondedId: 'q-9'}), finding: 'bears the request id q-9'},
+	{
+		name: 'a response that names another server',
+		changes: withPlain({signature: 'seal-of-plain-1', responseBody: '{"server":"plain-1","requestId":"q-1"}'}),
+		finding: 'names plain-1, which did not execute',
+	},
+	{
+		name: 'a body of another request',
+		changes: withPlain({responseBody: '{"server":"plain-0","requestId":"q-9"}'}),
+		finding: 'the body is not that of plain-0',
+	},
+	{name: 'a body that looks complete but is not', changes: withPlain({responseBody: '{"server":"pl'}), finding: 'the body is not that of plain-0'},
+	{
+		name: 'a stream with a missing event',
+		changes: withStream({responseBody: createEvents('chat-0', [1, 2, 4, 5, 6])}),
+		finding: 'missing, repeated or broken',
+	},
+	{
+		name: 'a stream with a repeated event',
+		changes: withStream({responseBody: createEvents('chat-0', [1, 2, 2, 3, 4, 5])}),
+		finding: 'missing, repeated or broken',
+	},
+	{
+		name: 'a stream that ends as complete too early',
+		changes: withStream({responseBody: createEvents('chat-0', [1, 2, 3])}),
+		finding: 'ends as complete after 3 events',
+	},
+	{name: 'a stream that ends in an event', changes: withStream({responseBody: `${createEvents()}id: 7\nda`}), finding: 'missing, repeated or broken'},
+	{
+		name: 'a stream from another server than it names',
+		changes: {...withStream({kind: kinds.Resumable, responseBody: createEvents('chat-1')}), executions: [streamExecution, {...streamExecution, server: 'chat-1'}]},
+		finding: 'the first event is not from chat-0',
+	},
+	{name: 'a truncated stream that does not look complete', changes: withStream({end: ends.Truncated, responseBody: createEvents('chat-0', [1, 2])})},
+	{
+		name: 'a request that no client sent',
+		changes: {executions: [...soundRecord.executions, {...plainExecution, requestId: 'q-9'}]},
+		finding: 'no client sent',
+	},
+	{
+		name: 'an unsafe request that was executed twice',
+		changes: withPlain({}, [plainExecution, {...plainExecution, server: 'plain-1'}]),
+		finding: 'executed 2 times',
+	},
+	{name: 'a safe request that was executed twice', changes: withPlain({kind: kinds.Safe}, [plainExecution, {...plainExecution, server: 'plain-1'}])},
+	{name: 'a refused request that was not executed', changes: withPlain(refused, [])},
+	{name: 'a refused request that was executed', changes: withPlain(refused), finding: 'refused with 503 and executed'},
+	{
+		name: 'a refused request that was executed later',
+		changes: withPlain({...refused, status: 429}, [{...plainExecution, arrivedAt: sentAt + second, deadlineMs: 990}]),
+		finding: 'refused with 429 and executed',
+	},
+	{name: 'a failure that promises nothing', changes: withPlain({status: 502, signature: undefined, responseBody: ''})},
+	{name: 'a changed body', changes: withPlain({}, [{...plainExecution, body: 'another'}]), finding: 'path or body was changed'},
+	{name: 'a key that was passed on', changes: withPlain({}, [{...plainExecution, hasKey: true}]), finding: 'key was passed on'},
+	{
+		name: 'the account of another key',
+		changes: withPlain({}, [{...plainExecution, account: 'account-2'}]),
+		finding: 'an account that never held the key',
+	},
+	{name: 'a deadline after the client\'s', changes: withPlain({}, [{...plainExecution, deadlineMs: 2600}]), finding: 'ends after the client\'s'},
+	{name: 'no deadline', changes: withPlain({}, [{...plainExecution, deadlineMs: undefined}]), finding: 'ends after the client\'s'},
+	{
+		name: 'a late deadline of a gateway that was suspended',
+		changes: {...withPlain({}, [{...plainExecution, deadlineMs: 2600}]), disruptions: [disrupt(targets.Gateway, 'gateway-0', sentAt, sentAt + 5)]},
+	},
+	{name: 'a start on a replaced version after the bound', changes: {versions: newerVersions}, finding: 'started on version 2'},
+	{
+		name: 'a start on a replaced version within the bound',
+		changes: {versions: [...soundRecord.versions, {model: 'model-chat', version: 3, acknowledgedAt: sentAt - (7 * second)}]},
+	},
+	{name: 'a start on an old version of another model', changes: {versions: [...soundRecord.versions, {model: 'model-code', version: 9, acknowledgedAt: 0}]}},
+	{
+		name: 'a start on a replaced version while another gateway, which leads, is suspended',
+		changes: {versions: newerVersions, disruptions: [disrupt(targets.Gateway, 'gateway-1', sentAt - (9 * second), sentAt + second)]},
+		finding: 'started on version 2',
+	},
+	{
+		name: 'a start on a replaced version after a disruption of the store, before the bound has passed in one calm stretch',
+		changes: {versions: newerVersions, disruptions: [disrupt(targets.Store, '', sentAt - (9 * second), sentAt - (8 * second))]},
+	},
+	{
+		name: 'a start on a replaced version from a gateway that was suspended just before',
+		changes: {versions: newerVersions, disruptions: [disrupt(targets.Gateway, 'gateway-0', sentAt - (4 * second), sentAt - second)]},
+	},
+	{
+		name: 'a request with a key that was revoked before the bound',
+		changes: {configs: [config, {...newerConfig, acknowledgedAt: sentAt - (6 * second), accounts: {'key-2': 'account-2'}}], ...withPlain({})},
+		finding: 'was revoked more than 5000 ms before',
+	},
+	{
+		name: 'a request with a revoked key at a gateway that was suspended',
+		changes: {
+			configs: [config, {...newerConfig, acknowledgedAt: sentAt - (6 * second), accounts: {'key-2': 'account-2'}}],
+			disruptions: [disrupt(targets.Gateway, 'gateway-0', sentAt - (7 * second), sentAt - 1)],
+			...withPlain({}),
+		},
+		finding: 'was revoked more than 5000 ms before',
+	},
+	{
+		name: 'a request on a route that was removed before the bound',
+		changes: {configs: [config, {...newerConfig, routes: ['chat']}], ...withPlain({})},
+		finding: 'as only a configuration allows that was replaced',
+	},
+	{
+		name: 'a request on a route that was removed within the bound',
+		changes: {configs: [config, {...newerConfig, acknowledgedAt: sentAt - second, routes: ['chat']}], ...withPlain({})},
+	},
+	{
+		name: 'a request on a route that was removed while the store was down',
+		changes: {
+			configs: [config, {...newerConfig, routes: ['chat']}],
+			disruptions: [disrupt(targets.Store, '', sentAt - (4 * second), sentAt - second)],
+			...withPlain({}),
+		},
+	},
+	{name: 'a denied request that every configuration allows', changes: withPlain(denied, []), finding: 'denied with 404'},
+	{
+		name: 'a denied request on a route that was added before the bound',
+		changes: {configs: [{...config, routes: ['chat']}, newerConfig], ...withPlain(denied, [])},
+		finding: 'denied with 404',
+	},
+	{
+		name: 'a denied request on a route that was added within the bound',
+		changes: {configs: [{...config, routes: ['chat']}, {...newerConfig, acknowledgedAt: sentAt - second}], ...withPlain(denied, [])},
+	},
+	{
+		name: 'a request to a server that left before the bound',
+		changes: {leavingPeriods: [{server: 'plain-0', from: sentAt - (3 * second), to: sentAt + second}]},
+		finding: 'after the store listed it as leaving',
+	},
+	{name: 'a request to a server that left within the bound', changes: {leavingPeriods: [{server: 'plain-0', from: sentAt - second, to: sentAt + second}]}},
+	{
+		name: 'a request to a leaving server from a gateway that was suspended',
+		changes: {
+			leavingPeriods: [{server: 'plain-0', from: sentAt - (3 * second), to: sentAt + second}],
+			disruptions: [disrupt(targets.Gateway, 'gateway-0', sentAt - (3 * second), sentAt - second)],
+		},
+	},
+	{
+		name: 'a request that is kept waiting past its deadline',
+		changes: withPlain({end: ends.Overdue, endedAt: sentAt + (3.5 * second), status: undefined}),
+		finding: 'overdue 1500 ms after the deadline',
+	},
+	{
+		name: 'a request that is kept waiting by a suspended gateway',
+		changes: {
+			...withPlain({end: ends.Overdue, endedAt: sentAt + (3.5 * second), status: undefined}),
+			disruptions: [disrupt(targets.Gateway, 'gateway-0', sentAt, sentAt + (4 * second))],
+		},
+	},
+	{
+		name: 'a request that a planned stop interrupts',
+		changes: {
+			...withPlain(cut),
+			plannedStops: [{gateway: 'gateway-0', at: sentAt - 20}],
+			disruptions: [{...disrupt(targets.Gateway, 'gateway-0', sentAt - 20, sentAt + second), isPlanned: true}],
+		},
+		finding: 'no_response, sent 20 ms and ended 70 ms after SIGTERM',
+	},
+	{
+		name: 'a stream that a planned stop truncates',
+		changes: {
+			...withStream({end: ends.Truncated, responseBody: createEvents('chat-0', [1])}),
+			plannedStops: [{gateway: 'gateway-0', at: sentAt + 20}],
+			disruptions: [{...disrupt(targets.Gateway, 'gateway-0', sentAt + 20, sentAt + second), isPlanned: true}],
+		},
+		finding: 'truncated, sent -20 ms',
+	},
+	{
+		name: 'a request that crosses the close of a gateway that stops and is not executed',
+		changes: {...withPlain(cut, []), plannedStops: [{gateway: 'gateway-0', at: sentAt - 20}]},
+	},
+	{
+		name: 'a request that is lost in a crash during a planned stop',
+		changes: {
+			...withPlain(cut),
+			plannedStops: [{gateway: 'gateway-0', at: sentAt - 20}],
+			disruptions: [disrupt(targets.Server, 'plain-0', sentAt, sentAt + second)],
+		},
+	},
+	{
+		name: 'a gateway that is not ready within the bound after its start',
+		changes: {
+			gatewayStarts: [{
+				gateway: 'gateway-0', at: 0, readyAt: 13 * second, endedAt: 200 * second,
+			}],
+		},
+		finding: 'was ready only 13000 ms after its start',
+	},
+	{
+		name: 'a gateway that never is ready',
+		changes: {gatewayStarts: [{gateway: 'gateway-0', at: 0, endedAt: 200 * second}]},
+		finding: 'was not ready 200000 ms after its start',
+	},
+	{
+		name: 'a gateway that starts while the store is down',
+		changes: {
+			gatewayStarts: [{
+				gateway: 'gateway-0', at: 0, readyAt: 20 * second, endedAt: 200 * second,
+			}],
+			disruptions: [disrupt(targets.Store, '', 0, 15 * second)],
+		},
+	},
+	{
+		name: 'a gateway that is killed before it is ready',
+		changes: {
+			gatewayStarts: [{gateway: 'gateway-0', at: 0, endedAt: 14 * second}],
+			disruptions: [disrupt(targets.Gateway, 'gateway-0', 14 * second, 15 * second)],
+		},
+	},
+	{
+		name: 'requests that are still refused when the recovery bound has passed',
+		changes: {
+			exchanges: Array.from({length: 60}, (_, index) => ({...plainExchange, ...refused, requestId: `q-${index}`})),
+			executions: [],
+			starts: [],
+			disruptions: [disrupt(targets.Gateway, 'gateway-0', 80 * second, 85 * second)],
+		},
+		finding: 'only 0 of 60 requests were served after the last fault',
+	},
+];
+
+describe('checkPlatform', () => {
+	for (const {name, changes, finding} of cases) {
+		it(`${finding === undefined ? 'accepts' : 'reports'} ${name}`, () => {
+			const findings = platform.checkPlatform({...soundRecord, ...changes}).map(({text}) => text);
+			if (finding === undefined) {
+				expect(findings).to.deep.equal([]);
+			} else {
+				expect(findings).to.have.lengthOf(1);
+				expect(findings[0]).to.contain(finding);
+			}
+		});
+	}
+});
