Soak: disturb roll-outs of weights, and check lost responses

Orders may now be lost, and each next leader is suspended too.

Adds the check that gateways in touch lose no more than three responses, and prints by how much the soak itself was delayed.

--- a/packages/stand-ins/src/check/platform/check-platform.ts
+++ b/packages/stand-ins/src/check/platform/check-platform.ts
@@ -16,6 +16,7 @@
 	drainCheck.checkDrains,
 	endCheck.checkDeadlines,
 	endCheck.checkPlannedStops,
+	endCheck.checkLostResponses,
 	serviceCheck.checkReadiness,
 	serviceCheck.checkRecovery,
 ];
--- a/packages/stand-ins/src/check/platform/end-check.ts
+++ b/packages/stand-ins/src/check/platform/end-check.ts
@@ -5,6 +5,8 @@
 const lateSlackMs = 500;
 /** Milliseconds after SIGTERM during which requests that a server is still at work on near the end of the grace period are excused. */
 const stopExcuseMs = 3000;
+/** Number of lost responses that are allowed in a run. */
+const maxLostResponses = 3;
 
 /** Checks that gateways in touch keep no request waiting past its deadline or its route's timeout; returns the findings. */
 export function checkDeadlines(record: records.PlatformRecord): records.Finding[] {
@@ -31,6 +33,24 @@
 		})));
 }
 
+/**
+ * Checks that gateways in touch close no connection without a complete response to a request that a sound server executes, beyond a few;
+ * returns the findings.
+ */
+export function checkLostResponses(record: records.PlatformRecord): records.Finding[] {
+	const executedIds = new Set(record.executions.map(({requestId}) => requestId));
+	const lost = record.exchanges
+		.filter(exchange => isInterrupted(exchange) && executedIds.has(exchange.requestId))
+		.filter(({sentAt, endedAt, deadlineMs, timeoutMs}) => endedAt < sentAt + Math.min(deadlineMs, timeoutMs))
+		.filter(({gateway, sentAt, endedAt}) => calm.isInTouch(record, gateway, sentAt, endedAt)
+			&& !calm.hasDisruption(record, sentAt, endedAt, ({target}) => target === records.DisruptionTarget.Server));
+	return lost.length <= maxLostResponses
+		? []
+		: lost.map(exchange => ({
+			check: 'lost responses', requestId: exchange.requestId, text: `${exchange.gateway}: ${exchange.end} after ${exchange.endedAt - exchange.sentAt} ms`,
+		}));
+}
+
 function isInterrupted(exchange: records.Exchange): boolean {
 	return exchange.end === records.ExchangeEnd.Truncated || exchange.end === records.ExchangeEnd.NoResponse;
 }
--- a/packages/stand-ins/src/soak/platform/platform-injector.ts
+++ b/packages/stand-ins/src/soak/platform/platform-injector.ts
@@ -24,6 +24,7 @@
 const {ActionType: types} = platformPlan;
 const {DisruptionTarget: targets} = check.platform;
 const burstFactor = 6;
+const leaderPollMs = 100;
 const maxBurstMs = 1500;
 const changeIntervalMs = 150;
 /** Milliseconds for which a leaving server goes on serving after the bound. */
@@ -99,6 +100,7 @@
 			[types.KillAll]: async () => Promise.all(gateways.map(async each => this.#killGateway(each, durationMs))),
 			[types.SuspendAll]: async () => Promise.all(gateways.map(async each => this.#suspendGateway(each, durationMs))),
 			[types.SuspendLeader]: async () => this.#suspendLeader(action),
+			[types.SuspendLeaders]: async () => this.#suspendLeaders(action),
 		};
 		await actions[action.type]!();
 	}
@@ -150,6 +152,23 @@
 		await Promise.all([this.#suspendGateway(leader, action.durationMs), this.#nameVersions(action)]);
 	}
 
+	async #suspendLeaders(action: platformPlan.PlannedAction): Promise<void> {
+		const {gateways} = this.options.system;
+		const endsAt = Date.now() + action.durationMs;
+		const suspended = new Map<string, Promise<void>>();
+		const naming = this.#nameVersions(action);
+		while (Date.now() < endsAt) {
+			const leader = this.options.system.findLeader();
+			if (leader !== undefined && !suspended.has(leader.name) && suspended.size < gateways.length - 1) {
+				suspended.set(leader.name, this.#suspendGateway(leader, endsAt - Date.now()));
+			}
+
+			await util.sleep(leaderPollMs); // eslint-disable-line no-await-in-loop -- A poll.
+		}
+
+		await Promise.all([naming, ...suspended.values()]);
+	}
+
 	#checkIsRunning(gateway: gatewayProcess.GatewayProcess): void {
 		if (!gateway.isRunning) {
 			this.findings.push({check: 'processes', text: `${gateway.name} had exited by itself`});
@@ -242,6 +261,8 @@
 				const id = `${server.service}-new-${this.#replacements}`;
 				await fleet.replace(action.targetIndex, id, operator.newestVersionOf(server.model));
 			},
+			[types.LateOrders]: async () => setOrderFault(standIn, usersPlatform.OrderFault.Late, durationMs),
+			[types.LostOrders]: async () => setOrderFault(standIn, usersPlatform.OrderFault.Lost, durationMs),
 			[types.FullServer]: async () => setServerFault(standIn, usersPlatform.ServerFault.Full, durationMs),
 			[types.BreakStreams]: async () => setServerFault(standIn, usersPlatform.ServerFault.BreakStream, durationMs),
 		};
@@ -332,6 +353,12 @@
 	return platformConfig.models[number % platformConfig.models.length]!;
 }
 
+async function setOrderFault(standIn: usersPlatform.UsersServerStandIn, orderFault: usersPlatform.OrderFault, durationMs: number): Promise<void> {
+	standIn.orderFault = orderFault;
+	await util.sleep(durationMs);
+	standIn.orderFault = usersPlatform.OrderFault.None;
+}
+
 async function setServerFault(standIn: usersPlatform.UsersServerStandIn, serverFault: usersPlatform.ServerFault, durationMs: number): Promise<void> {
 	standIn.fault = serverFault;
 	await util.sleep(durationMs);
--- a/packages/stand-ins/src/soak/platform/platform-plan.ts
+++ b/packages/stand-ins/src/soak/platform/platform-plan.ts
@@ -14,6 +14,8 @@
 	SuspendAll = 'suspend_all',
 	/** Suspends the leading gateway and names several versions meanwhile. */
 	SuspendLeader = 'suspend_leader',
+	/** As `SuspendLeader`, and suspends each next leader too, except the last gateway. */
+	SuspendLeaders = 'suspend_leaders',
 	StoreDown = 'store_down',
 	StoreSlow = 'store_slow',
 	StoreLosesAnswers = 'store_loses_answers',
@@ -32,6 +34,10 @@
 	/** Another server at the same address. */
 	ReplaceServer = 'replace_server',
 	BreakStreams = 'break_streams',
+	/** The server carries out orders late and sends no response to them. */
+	LateOrders = 'late_orders',
+	/** The server closes the connections of orders and does not carry them out. */
+	LostOrders = 'lost_orders',
 	NameVersion = 'name_version',
 	NameVersions = 'name_versions',
 	RevokeKey = 'revoke_key',
@@ -96,6 +102,7 @@
 	[ActionType.KillAll]: ActionTarget.AllGateways,
 	[ActionType.SuspendAll]: ActionTarget.AllGateways,
 	[ActionType.SuspendLeader]: ActionTarget.AllGateways,
+	[ActionType.SuspendLeaders]: ActionTarget.AllGateways,
 	[ActionType.StoreDown]: ActionTarget.Store,
 	[ActionType.StoreSlow]: ActionTarget.Store,
 	[ActionType.StoreLosesAnswers]: ActionTarget.Store,
@@ -109,6 +116,8 @@
 	[ActionType.RestartServer]: ActionTarget.Server,
 	[ActionType.ReplaceServer]: ActionTarget.Server,
 	[ActionType.BreakStreams]: ActionTarget.Server,
+	[ActionType.LateOrders]: ActionTarget.Server,
+	[ActionType.LostOrders]: ActionTarget.Server,
 	[ActionType.NameVersion]: ActionTarget.Nothing,
 	[ActionType.NameVersions]: ActionTarget.Nothing,
 	[ActionType.RevokeKey]: ActionTarget.Nothing,
@@ -134,7 +143,7 @@
 	ActionType.KillAll,
 	ActionType.SuspendAll,
 	ActionType.SuspendLeader,
-	ActionType.SuspendLeader,
+	ActionType.SuspendLeaders,
 	ActionType.NameVersions,
 ];
 const storeActions = [
@@ -150,8 +159,24 @@
 	ActionType.RestartServer,
 	ActionType.ReplaceServer,
 	ActionType.BreakStreams,
+	ActionType.LateOrders,
+	ActionType.LostOrders,
+	ActionType.NameVersions,
+];
+/** Actions that disturb roll-outs of weights while the store and the links are calm. */
+const rolloutActions = [
 	ActionType.NameVersions,
+	ActionType.SuspendLeader,
+	ActionType.SuspendLeaders,
+	ActionType.SuspendLeaders,
+	ActionType.SlowServer,
+	ActionType.LateOrders,
+	ActionType.LostOrders,
+	ActionType.CrashServer,
+	ActionType.StopGateway,
 ];
+/** Actions that may last longer than others, so that a roll-out is not complete when its bound has passed. */
+const longActions: ReadonlySet<ActionType> = new Set([ActionType.LostOrders, ActionType.SuspendLeader, ActionType.SuspendLeaders]);
 const linkActions = [
 	ActionType.DelayServerLink,
 	ActionType.HoldRequestsToServer,
@@ -165,6 +190,7 @@
 /** Types of actions of a phase; a rule that excuses certain disruptions can only be judged in phases without them. */
 const phaseActions: ReadonlyArray<readonly ActionType[]> = [
 	plannedActions,
+	rolloutActions,
 	[...gatewayActions, ...serverActions],
 	storeActions,
 	linkActions,
@@ -176,6 +202,7 @@
 const meanIntervalMs = 1200;
 const minDurationMs = 300;
 const maxDurationMs = 6000;
+const maxLongDurationMs = 16_000;
 const maxAmount = 6;
 /** Usual time from SIGTERM of a gateway to its next start, and from the notice of a server that leaves to its end. */
 const stopMs = 5000;
@@ -273,7 +300,8 @@
 	const type = random.pick(types);
 	const servers = (2 * sizes.engines) + sizes.runners;
 	const count = targetByType[type] === ActionTarget.Server ? servers : sizes.gateways;
+	const maxMs = longActions.has(type) ? maxLongDurationMs : maxDurationMs;
 	return {
-		atMs, type, targetIndex: random.integer(0, count - 1), durationMs: random.integer(minDurationMs, maxDurationMs), amount: random.integer(1, maxAmount),
+		atMs, type, targetIndex: random.integer(0, count - 1), durationMs: random.integer(minDurationMs, maxMs), amount: random.integer(1, maxAmount),
 	};
 }
--- a/packages/stand-ins/src/soak/platform/platform-soak.ts
+++ b/packages/stand-ins/src/soak/platform/platform-soak.ts
@@ -1,5 +1,6 @@
 import * as fs from 'node:fs';
 import * as path from 'node:path';
+import * as perfHooks from 'node:perf_hooks';
 import * as check from '../../check/index.js';
 import * as gatewaySettings from './gateway-settings.js';
 import * as platformClients from './platform-clients.js';
@@ -20,6 +21,7 @@
 };
 
 const checkIntervalMs = 10_000;
+const nanosecondsPerMillisecond = 1e6;
 const maxLogLines = 200;
 
 /** Runs the deployed gateways as processes under load and planned faults; returns the findings. */
@@ -64,6 +66,8 @@
 		return findings;
 	};
 
+	const eventLoopDelay = perfHooks.monitorEventLoopDelay();
+	eventLoopDelay.enable();
 	const timer = setInterval(report, checkIntervalMs);
 	try {
 		await Promise.all([clients.run(options.durationMs), injector.run()]);
@@ -73,6 +77,7 @@
 	}
 
 	printSummary(options, clients);
+	options.print(`the soak itself was delayed by ${Math.round(eventLoopDelay.max / nanosecondsPerMillisecond)} ms at most`);
 	options.print(`the last disruption ended ${Date.now() - Math.max(0, ...injector.disruptions.map(({to}) => to))} ms before the end`);
 	const findings = report();
 	writeRecord(options.folder, createRecord(bounds, system, clients, injector), findings, system);
--- a/packages/stand-ins/src/soak/platform/server-fleet.ts
+++ b/packages/stand-ins/src/soak/platform/server-fleet.ts
@@ -25,6 +25,11 @@
 };
 
 const refreshIntervalMs = 50;
+const minLoadMs = 200;
+const maxLoadMs = 2500;
+/** Delay of first events, interval of events and duration of plain requests. */
+const minDelayMs = 5;
+const maxDelayMs = 60;
 
 /** Servers of all services; keeps their entries in the store up to date. */
 export class ServerFleet {
@@ -123,9 +128,9 @@
 			id, service, model, port,
 			identifiesRequests: true,
 			eventCount: streamEvents,
-			firstEventDelayMs: random.integer(5, 60),
-			intervalMs: random.integer(10, 60),
-			loadMs: random.integer(200, 1000),
+			firstEventDelayMs: random.integer(minDelayMs, maxDelayMs),
+			intervalMs: random.integer(minDelayMs, maxDelayMs),
+			loadMs: random.integer(minLoadMs, maxLoadMs),
 		});
 		await standIn.start();
 		this.#standIns.push(standIn);
--- a/packages/stand-ins/src/users-platform/users-server-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/users-server-stand-in.ts
@@ -29,6 +29,8 @@
 	None = 'none',
 	/** Sends no response and executes the order after a delay if its preconditions still hold. */
 	Late = 'late',
+	/** Closes the connection without executing the order. */
+	Lost = 'lost',
 }
 
 /** Faults in the handling of requests. */
@@ -221,6 +223,11 @@
 			return;
 		}
 
+		if (this.orderFault === OrderFault.Lost) {
+			res.destroy();
+			return;
+		}
+
 		util.sendJson(res, this.#executeOrder(order).status, {});
 	}
 
--- a/packages/stand-ins/tests/check/platform/check-platform.test.ts
+++ b/packages/stand-ins/tests/check/platform/check-platform.test.ts
@@ -71,9 +71,19 @@
 	};
 }
 
+const cut = {end: ends.NoResponse, status: undefined};
+
+function withLost(count: number): Partial<PlatformRecord> {
+	const ids = Array.from({length: count}, (_, index) => `q-${index}`);
+	return {
+		exchanges: ids.map(requestId => ({...plainExchange, ...cut, requestId})),
+		executions: ids.map(requestId => ({...plainExecution, requestId})),
+		starts: [],
+	};
+}
+
 const refused = {status: 503, signature: undefined, responseBody: ''};
 const denied = {status: 404, signature: undefined, responseBody: ''};
-const cut = {end: ends.NoResponse, status: undefined};
 const newerConfig = {...config, version: 2, acknowledgedAt: sentAt - (3 * second)};
 const newerVersions: PlatformRecord['versions'] = [...soundRecord.versions, {model: 'model-chat', version: 3, acknowledgedAt: sentAt - (9 * second)}];
 
@@ -82,6 +92,8 @@
 	readonly changes: Partial<PlatformRecord>;
 	/** Part of the one finding; absent if the record is sound. */
 	readonly finding?: string;
+	/** Number of findings; default 1 if there is a finding. */
+	readonly findings?: number;
 };
 
 const cases: readonly Case[] = [
@@ -268,6 +280,24 @@
 			disruptions: [disrupt(targets.Server, 'plain-0', sentAt, sentAt + second)],
 		},
 	},
+	{
+		name: 'up to three lost responses',
+		changes: withLost(3),
+	},
+	{
+		name: 'a lost response to each of four requests',
+		changes: withLost(4),
+		findings: 4,
+		finding: 'no_response after 50 ms',
+	},
+	{
+		name: 'lost responses to requests that no server executed',
+		changes: {...withLost(4), executions: []},
+	},
+	{
+		name: 'lost responses while a server is down',
+		changes: {...withLost(4), disruptions: [disrupt(targets.Server, 'plain-0', sentAt, sentAt + 10)]},
+	},
 	{
 		name: 'a gateway that is not ready within the bound after its start',
 		changes: {
@@ -311,13 +341,13 @@
 ];
 
 describe('checkPlatform', () => {
-	for (const {name, changes, finding} of cases) {
+	for (const {name, changes, finding, findings: count = 1} of cases) {
 		it(`${finding === undefined ? 'accepts' : 'reports'} ${name}`, () => {
 			const findings = platform.checkPlatform({...soundRecord, ...changes}).map(({text}) => text);
 			if (finding === undefined) {
 				expect(findings).to.deep.equal([]);
 			} else {
-				expect(findings).to.have.lengthOf(1);
+				expect(findings).to.have.lengthOf(count);
 				expect(findings[0]).to.contain(finding);
 			}
 		});
