--- a/packages/stand-ins/src/check/platform/check-platform.ts
+++ b/packages/stand-ins/src/check/platform/check-platform.ts
@@ -3,6 +3,7 @@
 import * as drainCheck from './drain-check.js';
 import * as endCheck from './end-check.js';
 import * as executionCheck from './execution-check.js';
+import * as passedDeadlineCheck from './passed-deadline-check.js';
 import type * as records from './platform-records.js';
 import * as serviceCheck from './service-check.js';
 import * as versionCheck from './version-check.js';
@@ -11,12 +12,14 @@
 const checks = [
 	answerCheck.checkAnswers,
 	executionCheck.checkExecutions,
+	passedDeadlineCheck.checkPassedDeadlines,
 	versionCheck.checkVersions,
 	configCheck.checkConfigs,
 	drainCheck.checkDrains,
 	endCheck.checkDeadlines,
 	endCheck.checkPlannedStops,
 	endCheck.checkLostResponses,
+	serviceCheck.checkProcesses,
 	serviceCheck.checkReadiness,
 	serviceCheck.checkRecovery,
 ];
--- a/packages/stand-ins/src/check/platform/index.ts
+++ b/packages/stand-ins/src/check/platform/index.ts
@@ -4,6 +4,7 @@
 export * from './drain-check.js';
 export * from './end-check.js';
 export * from './execution-check.js';
+export * from './passed-deadline-check.js';
 export * from './platform-records.js';
 export * from './service-check.js';
 export * from './version-check.js';
--- a/packages/stand-ins/src/check/platform/platform-records.ts
+++ b/packages/stand-ins/src/check/platform/platform-records.ts
@@ -132,6 +132,8 @@
 	readonly readyAt?: number;
 	/** End of the process or of the run. */
 	readonly endedAt: number;
+	/** Exit code of the process, -1 if a signal ended it; absent while it runs. */
+	readonly exitCode?: number;
 };
 
 /** Bounds from the settings of the gateways, in milliseconds. */
--- a/packages/stand-ins/src/check/platform/service-check.ts
+++ b/packages/stand-ins/src/check/platform/service-check.ts
@@ -1,6 +1,8 @@
 import * as calm from './calm.js';
 import * as records from './platform-records.js';
 
+/** Milliseconds after a disruption within which the end of a process counts as part of it. */
+const ownEndMarginMs = 1000;
 /** Share of requests that have to be served once all faults are over. */
 const minServedShare = 0.95;
 /** Number of requests from which the share is judged. */
@@ -22,6 +24,16 @@
 		}));
 }
 
+/** Checks that no gateway process ends by itself or fails at a planned stop; returns the findings. */
+export function checkProcesses(record: records.PlatformRecord): records.Finding[] {
+	return record.gatewayStarts.flatMap(({gateway, endedAt, exitCode}) => {
+		const isDisrupted = record.disruptions.some(({target, name, from, to}) => target === records.DisruptionTarget.Gateway
+			&& name === gateway && endedAt >= from && endedAt <= to + ownEndMarginMs);
+		const hasFailed = exitCode !== undefined && (exitCode > 0 || !isDisrupted);
+		return hasFailed ? [{check: 'processes', text: `${gateway} ended with exit code ${exitCode}${isDisrupted ? '' : ' by itself'}`}] : [];
+	});
+}
+
 /** Returns whether a process was disrupted again before it was ready. */
 function isInterrupted(record: records.PlatformRecord, start: records.GatewayStart): boolean {
 	return record.disruptions.some(({target, name, from}) => target === records.DisruptionTarget.Gateway
--- a/packages/stand-ins/src/soak/main.ts
+++ b/packages/stand-ins/src/soak/main.ts
@@ -12,6 +12,7 @@
   --logs           folder in which a folder for settings, logs and records is created; default the system's temporary folder
   --empty-engines  engines hold no weights after a restart until they are ordered to load them`;
 const millisecondsPerMinute = 60_000;
+const interruptedExitCode = 130;
 
 const {values} = util.parseArgs({
 	options: {
@@ -61,6 +62,13 @@
 	return findings.length === 0 ? 0 : 1;
 }
 
+// The exit of this process ends the processes that it started.
+for (const signal of ['SIGINT', 'SIGTERM']) {
+	process.once(signal, () => {
+		process.exit(interruptedExitCode);
+	});
+}
+
 if (values.help) {
 	console.log(usage);
 } else {
--- a/packages/stand-ins/src/soak/platform/gateway-process.ts
+++ b/packages/stand-ins/src/soak/platform/gateway-process.ts
@@ -30,6 +30,8 @@
 	readonly at: number;
 	readyAt?: number;
 	endedAt?: number;
+	/** Exit code, or -1 if a signal ended the process. */
+	exitCode?: number;
 };
 
 /** The deployed gateway program on a machine of its own, and the proxy of its link to the store. */
@@ -58,10 +60,6 @@
 		return this.#addresses!.callerPort;
 	}
 
-	get isRunning(): boolean {
-		return this.#child?.isRunning ?? false;
-	}
-
 	get logFile(): string {
 		return path.join(this.options.folder, `${this.name}.log`);
 	}
@@ -144,7 +142,7 @@
 }
 
 async function recordEnd(child: util.ChildProcess, life: Life): Promise<void> {
-	await child.exited;
+	life.exitCode = await child.exited;
 	life.endedAt = Date.now();
 }
 
--- a/packages/stand-ins/src/soak/platform/platform-injector.ts
+++ b/packages/stand-ins/src/soak/platform/platform-injector.ts
@@ -43,7 +43,6 @@
 	readonly disruptions: check.platform.Disruption[] = [];
 	readonly leavingPeriods: check.platform.LeavingPeriod[] = [];
 	readonly plannedStops: check.platform.PlannedStop[] = [];
-	readonly findings: check.platform.Finding[] = [];
 	readonly #startedAt = Date.now();
 	#replacements = 0;
 
@@ -106,7 +105,6 @@
 	}
 
 	async #stopGateway(gateway: gatewayProcess.GatewayProcess, durationMs: number): Promise<void> {
-		this.#checkIsRunning(gateway);
 		await this.#disrupt(targets.Gateway, gateway.name, true, async () => {
 			this.plannedStops.push({gateway: gateway.name, at: Date.now()});
 			gateway.signal('terminate');
@@ -121,7 +119,6 @@
 	}
 
 	async #killGateway(gateway: gatewayProcess.GatewayProcess, durationMs: number): Promise<void> {
-		this.#checkIsRunning(gateway);
 		await this.#disrupt(targets.Gateway, gateway.name, false, async () => {
 			gateway.signal('kill');
 			await gateway.waitForExit();
@@ -131,7 +128,6 @@
 	}
 
 	async #suspendGateway(gateway: gatewayProcess.GatewayProcess, durationMs: number): Promise<void> {
-		this.#checkIsRunning(gateway);
 		await this.#disrupt(targets.Gateway, gateway.name, false, async () => {
 			gateway.signal('pause');
 			await util.sleep(durationMs);
@@ -169,12 +165,6 @@
 		await Promise.all([naming, ...suspended.values()]);
 	}
 
-	#checkIsRunning(gateway: gatewayProcess.GatewayProcess): void {
-		if (!gateway.isRunning) {
-			this.findings.push({check: 'processes', text: `${gateway.name} had exited by itself`});
-		}
-	}
-
 	async #playOnStore(action: platformPlan.PlannedAction): Promise<void> {
 		const {system: {store, gateways}} = this.options;
 		const {durationMs, targetIndex, amount} = action;
--- a/packages/stand-ins/src/soak/platform/platform-soak.ts
+++ b/packages/stand-ins/src/soak/platform/platform-soak.ts
@@ -57,7 +57,7 @@
 	});
 	const printed = new Set<string>();
 	const report = (): check.platform.Finding[] => {
-		const findings = [...injector.findings, ...check.platform.checkPlatform(createRecord(bounds, system, clients, injector))];
+		const findings = check.platform.checkPlatform(createRecord(bounds, system, clients, injector));
 		for (const line of findings.map(finding => formatFinding(finding)).filter(text => !printed.has(text))) {
 			printed.add(line);
 			options.print(`finding: ${line}`);
@@ -105,7 +105,7 @@
 		leavingPeriods: injector.leavingPeriods,
 		plannedStops: injector.plannedStops,
 		gatewayStarts: gateways.flatMap(({name, lives}) => lives.map(life => ({
-			gateway: name, at: life.at, readyAt: life.readyAt, endedAt: life.endedAt ?? now,
+			gateway: name, at: life.at, readyAt: life.readyAt, endedAt: life.endedAt ?? now, exitCode: life.exitCode,
 		}))),
 	};
 }
--- a/packages/stand-ins/src/util/child-process.ts
+++ b/packages/stand-ins/src/util/child-process.ts
@@ -18,6 +18,15 @@
 	readonly env?: Readonly<Record<string, string>>;
 };
 
+/** Processes that have not exited; they are killed when this process exits. */
+const runningProcesses = new Set<childProcess.ChildProcess>();
+
+process.once('exit', () => {
+	for (const child of runningProcesses) {
+		child.kill('SIGKILL');
+	}
+});
+
 /** A Node.js child process. Signals are sent through its handle, never by process name. */
 export class ChildProcess {
 	/** Resolves with the exit code, or -1 when a signal ended the process. */
@@ -31,6 +40,7 @@
 		this.#process = childProcess.spawn(process.execPath, [...options.nodeArgs ?? [], options.script, ...options.args], {
 			stdio: ['ignore', 'pipe', 'pipe'], env: {...process.env, ...options.env},
 		});
+		runningProcesses.add(this.#process);
 		this.#process.stdout!.pipe(log, {end: false});
 		this.#process.stderr!.pipe(log, {end: false});
 		this.#firstLine = new Promise(resolve => {
@@ -39,6 +49,7 @@
 		this.exited = new Promise(resolve => {
 			this.#process.once('exit', code => {
 				this.#isRunning = false;
+				runningProcesses.delete(this.#process);
 				log.end();
 				resolve(code ?? -1);
 			});
