--- a/packages/stand-ins/src/check/platform/check-platform.ts
+++ b/packages/stand-ins/src/check/platform/check-platform.ts
@@ -5,6 +5,7 @@
 import * as executionCheck from './execution-check.js';
 import * as passedDeadlineCheck from './passed-deadline-check.js';
 import type * as records from './platform-records.js';
+import * as rolloutCheck from './rollout-check.js';
 import * as serviceCheck from './service-check.js';
 import * as versionCheck from './version-check.js';
 
@@ -14,6 +15,8 @@
 	executionCheck.checkExecutions,
 	passedDeadlineCheck.checkPassedDeadlines,
 	versionCheck.checkVersions,
+	rolloutCheck.checkOrders,
+	rolloutCheck.checkFinalVersions,
 	configCheck.checkConfigs,
 	drainCheck.checkDrains,
 	endCheck.checkDeadlines,
--- a/packages/stand-ins/src/check/platform/index.ts
+++ b/packages/stand-ins/src/check/platform/index.ts
@@ -6,5 +6,6 @@
 export * from './execution-check.js';
 export * from './passed-deadline-check.js';
 export * from './platform-records.js';
+export * from './rollout-check.js';
 export * from './service-check.js';
 export * from './version-check.js';
--- a/packages/stand-ins/src/check/platform/platform-records.ts
+++ b/packages/stand-ins/src/check/platform/platform-records.ts
@@ -136,6 +136,21 @@
 	readonly exitCode?: number;
 };
 
+/** An order to load weights that a server accepted. */
+export type AcceptedOrder = {
+	readonly server: string;
+	/** Name of the gateway that gave it. */
+	readonly holder: string;
+	readonly fence: number;
+	readonly at: number;
+};
+
+/** Version that a server held at the end of a run. */
+export type FinalVersion = {
+	readonly server: string;
+	readonly version: number;
+};
+
 /** Bounds from the settings of the gateways, in milliseconds. */
 export type Bounds = {
 	readonly settleWindowMs: number;
@@ -147,6 +162,10 @@
 	readonly graceMs: number;
 	readonly lossSlackMs: number;
 	readonly recoveryMs: number;
+	/** Minimum time between orders of two holders. */
+	readonly leaseMs: number;
+	/** Time after the end of a suspension in which orders of the suspended gateway are excused. */
+	readonly thawMs: number;
 };
 
 /** All that clients, servers and the operator saw of a run. */
@@ -163,6 +182,11 @@
 	readonly leavingPeriods: readonly LeavingPeriod[];
 	readonly plannedStops: readonly PlannedStop[];
 	readonly gatewayStarts: readonly GatewayStart[];
+	readonly orders: readonly AcceptedOrder[];
+	/** Empty until the end of the run. */
+	readonly finalVersions: readonly FinalVersion[];
+	/** End of the run, or the present time while it lasts. */
+	readonly endedAt: number;
 };
 
 /** A broken promise; `requestId` is absent if it concerns no single request. */
--- a/packages/stand-ins/src/soak/platform/gateway-settings.ts
+++ b/packages/stand-ins/src/soak/platform/gateway-settings.ts
@@ -24,6 +24,8 @@
 		graceMs: 8000,
 		lossSlackMs: 200,
 		recoveryMs: 12_000,
+		leaseMs: 3000,
+		thawMs: 300,
 	};
 }
 
@@ -58,8 +60,8 @@
 		'bounds.loss_slack_ms': bounds.lossSlackMs,
 		'bounds.recovery_s': bounds.recoveryMs / millisecondsPerSecond,
 		'bounds.require_fencing': true,
-		'bounds.lease_ms': 3000,
-		'bounds.thaw_ms': 300,
+		'bounds.lease_ms': bounds.leaseMs,
+		'bounds.thaw_ms': bounds.thawMs,
 		'bounds.version_ms': bounds.versionMs,
 	};
 	return Object.entries(lines).map(([field, value]) => `${field}=${value}\n`).join('');
--- a/packages/stand-ins/src/soak/platform/platform-soak.ts
+++ b/packages/stand-ins/src/soak/platform/platform-soak.ts
@@ -56,8 +56,11 @@
 		system, clients, plan, bounds, print: options.print,
 	});
 	const printed = new Set<string>();
-	const report = (): check.platform.Finding[] => {
-		const findings = check.platform.checkPlatform(createRecord(bounds, system, clients, injector));
+	const readRecord = (isEnd: boolean): check.platform.PlatformRecord => ({
+		...createRecord(bounds, system, clients, injector), finalVersions: isEnd ? system.fleet.listVersions() : [],
+	});
+	const report = (isEnd: boolean): check.platform.Finding[] => {
+		const findings = check.platform.checkPlatform(readRecord(isEnd));
 		for (const line of findings.map(finding => formatFinding(finding)).filter(text => !printed.has(text))) {
 			printed.add(line);
 			options.print(`finding: ${line}`);
@@ -68,7 +71,7 @@
 
 	const eventLoopDelay = perfHooks.monitorEventLoopDelay();
 	eventLoopDelay.enable();
-	const timer = setInterval(report, checkIntervalMs);
+	const timer = setInterval(report, checkIntervalMs, false);
 	try {
 		await Promise.all([clients.run(options.durationMs), injector.run()]);
 	} finally {
@@ -79,8 +82,8 @@
 	printSummary(options, clients);
 	options.print(`the soak itself was delayed by ${Math.round(eventLoopDelay.max / nanosecondsPerMillisecond)} ms at most`);
 	options.print(`the last disruption ended ${Date.now() - Math.max(0, ...injector.disruptions.map(({to}) => to))} ms before the end`);
-	const findings = report();
-	writeRecord(options.folder, createRecord(bounds, system, clients, injector), findings, system);
+	const findings = report(true);
+	writeRecord(options.folder, readRecord(true), findings, system);
 	return findings;
 }
 
@@ -90,7 +93,7 @@
 	system: platformSystem.PlatformSystem,
 	clients: platformClients.PlatformClients,
 	injector: platformInjector.PlatformInjector,
-): check.platform.PlatformRecord {
+): Omit<check.platform.PlatformRecord, 'finalVersions'> {
 	const {fleet, operator, gateways} = system;
 	const now = Date.now();
 	return {
@@ -104,6 +107,8 @@
 		configs: operator.configs,
 		leavingPeriods: injector.leavingPeriods,
 		plannedStops: injector.plannedStops,
+		orders: fleet.listOrders(),
+		endedAt: now,
 		gatewayStarts: gateways.flatMap(({name, lives}) => lives.map(life => ({
 			gateway: name, at: life.at, readyAt: life.readyAt, endedAt: life.endedAt ?? now, exitCode: life.exitCode,
 		}))),
--- a/packages/stand-ins/src/soak/platform/server-fleet.ts
+++ b/packages/stand-ins/src/soak/platform/server-fleet.ts
@@ -110,6 +110,17 @@
 		return this.#standIns.flatMap(({starts}) => starts);
 	}
 
+	listOrders(): check.platform.AcceptedOrder[] {
+		return this.#standIns.flatMap(({orders, options}) => orders.map(({holder, fence, arrivedAt}) => ({
+			server: options.id, holder, fence, at: arrivedAt,
+		})));
+	}
+
+	/** Returns the version that each engine holds now. */
+	listVersions(): check.platform.FinalVersion[] {
+		return this.servers.filter(({model}) => model !== undefined).map(({id, standIn}) => ({server: id, version: standIn.version}));
+	}
+
 	/** Returns the model of each engine, by its id. */
 	mapModels(): Record<string, string> {
 		const models: Record<string, string> = {};
--- a/packages/stand-ins/tests/check/platform/check-platform.test.ts
+++ b/packages/stand-ins/tests/check/platform/check-platform.test.ts
@@ -10,7 +10,7 @@
 const second = 1000;
 const bounds: PlatformRecord['bounds'] = {
 	settleWindowMs: 3 * second, configPropagationMs: 2 * second, outerBoundMs: 5 * second, revocationMs: 5 * second, versionMs: 8 * second,
-	drainMs: 2 * second, graceMs: 8 * second, lossSlackMs: 200, recoveryMs: 12 * second,
+	drainMs: 2 * second, graceMs: 8 * second, lossSlackMs: 200, recoveryMs: 12 * second, leaseMs: 3 * second, thawMs: 300,
 };
 /** Time at which the request of the sound record is sent. */
 const sentAt = 100 * second;
@@ -44,18 +44,25 @@
 const gatewayStart: PlatformRecord['gatewayStarts'][number] = {
 	gateway: 'gateway-0', at: 0, readyAt: second, endedAt: 200 * second,
 };
+const order: PlatformRecord['orders'][number] = {
+	server: 'chat-0', holder: 'gateway-0', fence: 4, at: 50 * second,
+};
+const outdated = [{server: 'chat-0', version: 1}, {server: 'chat-1', version: 1}];
 const soundRecord: PlatformRecord = {
 	bounds,
 	exchanges: [plainExchange, streamExchange],
 	executions: [plainExecution, streamExecution],
 	starts: [start],
-	models: {'chat-0': 'model-chat'},
+	models: {'chat-0': 'model-chat', 'chat-1': 'model-chat'},
 	disruptions: [],
 	versions: [{model: 'model-chat', version: 1, acknowledgedAt: 0}, {model: 'model-chat', version: 2, acknowledgedAt: second}],
 	configs: [config],
 	leavingPeriods: [],
 	plannedStops: [],
 	gatewayStarts: [gatewayStart],
+	orders: [order],
+	finalVersions: [{server: 'chat-0', version: 3}, {server: 'chat-1', version: 3}],
+	endedAt: 200 * second,
 };
 
 function withPlain(changes: Partial<typeof plainExchange>, executions = [plainExecution]): Partial<PlatformRecord> {
@@ -322,6 +329,54 @@
 		name: 'lost responses while a server is down',
 		changes: {...withLost(4), disruptions: [disrupt(targets.Server, 'plain-0', sentAt, sentAt + 10)]},
 	},
+	{
+		name: 'orders of two gateways with one fencing token',
+		changes: {orders: [order, {...order, holder: 'gateway-1', at: 60 * second}]},
+		finding: 'with the same fencing token',
+	},
+	{
+		name: 'orders of two gateways within the bound',
+		changes: {
+			orders: [order, {
+				...order, holder: 'gateway-1', fence: 5, at: 52 * second,
+			}],
+		},
+		finding: 'accepted an order of gateway-1 2000 ms after one of gateway-0',
+	},
+	{
+		name: 'an order with the same fencing token from a gateway that was resumed just before',
+		changes: {
+			orders: [order, {...order, holder: 'gateway-1', at: 60 * second}],
+			disruptions: [disrupt(targets.Gateway, 'gateway-1', 55 * second, (60 * second) - 100)],
+		},
+	},
+	{
+		name: 'orders of two gateways after the bound',
+		changes: {
+			orders: [order, {
+				...order, holder: 'gateway-1', fence: 5, at: 53 * second,
+			}],
+		},
+	},
+	{
+		name: 'orders of two gateways within the bound, of which one was suspended just before',
+		changes: {
+			orders: [order, {
+				...order, holder: 'gateway-1', fence: 5, at: 52 * second,
+			}],
+			disruptions: [disrupt(targets.Gateway, 'gateway-0', 47 * second, 49 * second)],
+		},
+	},
+	{
+		name: 'engines that hold a replaced version at the end', changes: {finalVersions: outdated}, findings: 2, finding: 'still holds version 1',
+	},
+	{
+		name: 'one engine that holds a replaced version at the end', changes: {finalVersions: outdated.slice(1)},
+	},
+	{
+		name: 'engines that hold a version that was replaced just before the end',
+		changes: {finalVersions: outdated, versions: [{model: 'model-chat', version: 1, acknowledgedAt: 0}, {model: 'model-chat', version: 2, acknowledgedAt: 190 * second}], starts: []},
+	},
 	{
 		name: 'a gateway that ends by itself',
 		changes: {gatewayStarts: [{...gatewayStart, exitCode: 0}]},
