--- a/packages/stand-ins/src/fault/link-proxy.ts
+++ b/packages/stand-ins/src/fault/link-proxy.ts
@@ -86,7 +86,7 @@
 
 	#open(caller: net.Socket): void {
 		caller.on('error', () => undefined);
-		if (this.#fault === LinkFault.Reset) {
+		if (this.#fault === LinkFault.Reset || this.#isStopped) {
 			caller.resetAndDestroy();
 			return;
 		}
--- a/packages/stand-ins/src/soak/main.ts
+++ b/packages/stand-ins/src/soak/main.ts
@@ -72,5 +72,6 @@
 if (values.help) {
 	console.log(usage);
 } else {
-	process.exitCode = await main();
+	// Sockets that were reset while a peer was suspended may stay open and keep this process running.
+	process.exit(await main()); // eslint-disable-line unicorn/no-process-exit -- A command-line tool.
 }
