Stand-ins: let a process exit whose connections were reset while they were ended

Node.js 20 fails resetAndDestroy with EINVAL in the turn in which the socket was ended, and spins on the handle at exit (shown with a small program; stack of the hanging run: CleanupHandles). Such a socket is closed without a reset now, in the proxy and in the stand-ins. The explicit exit of the soak is taken back.

--- a/packages/stand-ins/src/fault/link-proxy.ts
+++ b/packages/stand-ins/src/fault/link-proxy.ts
@@ -1,5 +1,6 @@
 import * as net from 'node:net';
 import * as sleepModule from '../util/sleep.js';
+import * as resetSocket from './reset-socket.js';
 
 /** Faults of a link. */
 export enum LinkFault {
@@ -87,7 +88,7 @@
 	#open(caller: net.Socket): void {
 		caller.on('error', () => undefined);
 		if (this.#fault === LinkFault.Reset || this.#isStopped) {
-			caller.resetAndDestroy();
+			resetSocket.resetSocket(caller);
 			return;
 		}
 
@@ -116,7 +117,7 @@
 		});
 		from.on('error', () => {
 			pass(() => {
-				to.resetAndDestroy();
+				resetSocket.resetSocket(to);
 			});
 		});
 		from.on('close', () => {
@@ -145,6 +146,6 @@
 }
 
 function reset(link: Link): void {
-	link.caller.resetAndDestroy();
-	link.target.resetAndDestroy();
+	resetSocket.resetSocket(link.caller);
+	resetSocket.resetSocket(link.target);
 }
--- a/packages/stand-ins/src/fault/silenceable-connection.ts
+++ b/packages/stand-ins/src/fault/silenceable-connection.ts
@@ -1,5 +1,6 @@
 import type * as net from 'node:net';
 import * as stream from 'node:stream';
+import * as resetSocket from './reset-socket.js';
 
 /** A TCP connection that can be silenced: data in both directions is discarded while the connection stays open. */
 export class SilenceableConnection extends stream.Duplex {
@@ -33,7 +34,7 @@
 
 	/** Closes the TCP connection with a reset. */
 	reset(): void {
-		this.socket.resetAndDestroy();
+		resetSocket.resetSocket(this.socket);
 		this.destroy();
 	}
 
--- a/packages/stand-ins/src/soak/main.ts
+++ b/packages/stand-ins/src/soak/main.ts
@@ -72,6 +72,5 @@
 if (values.help) {
 	console.log(usage);
 } else {
-	// Sockets that were reset while a peer was suspended may stay open and keep this process running.
-	process.exit(await main()); // eslint-disable-line unicorn/no-process-exit -- A command-line tool.
+	process.exitCode = await main();
 }
