--- a/packages/stand-ins/src/util/child-process.ts
+++ b/packages/stand-ins/src/util/child-process.ts
@@ -10,12 +10,23 @@
 	/** Path of the script that Node.js runs. */
 	readonly script: string;
 	readonly args: readonly string[];
+	/** Options of Node.js itself; default none. */
+	readonly nodeArgs?: readonly string[];
 	/** File to which standard output and standard error are appended. */
 	readonly logFile: string;
 	/** Environment variables in addition to those of this process. */
 	readonly env?: Readonly<Record<string, string>>;
 };
 
+/** Processes that have not exited; they are killed when this process exits. */
+const runningProcesses = new Set<childProcess.ChildProcess>();
+
+process.once('exit', () => {
+	for (const child of runningProcesses) {
+		child.kill('SIGKILL');
+	}
+});
+
 /** A Node.js child process. Signals are sent through its handle, never by process name. */
 export class ChildProcess {
 	/** Resolves with the exit code, or -1 when a signal ended the process. */
@@ -26,9 +37,10 @@
 
 	constructor(readonly options: ChildProcessOptions) {
 		const log = fs.createWriteStream(options.logFile, {flags: 'a'});
-		this.#process = childProcess.spawn(process.execPath, [options.script, ...options.args], {
+		this.#process = childProcess.spawn(process.execPath, [...options.nodeArgs ?? [], options.script, ...options.args], {
 			stdio: ['ignore', 'pipe', 'pipe'], env: {...process.env, ...options.env},
 		});
+		runningProcesses.add(this.#process);
 		this.#process.stdout!.pipe(log, {end: false});
 		this.#process.stderr!.pipe(log, {end: false});
 		this.#firstLine = new Promise(resolve => {
@@ -37,6 +49,7 @@
 		this.exited = new Promise(resolve => {
 			this.#process.once('exit', code => {
 				this.#isRunning = false;
+				runningProcesses.delete(this.#process);
 				log.end();
 				resolve(code ?? -1);
 			});
