Log endpoints that are held back after a return of the store

The store lists an endpoint as ready and the VM does not use it: one line (endpoint_held) for each says so. The end-to-end test of leaving endpoints expects it.

--- a/packages/core/src/log/log-event.ts
+++ b/packages/core/src/log/log-event.ts
@@ -29,6 +29,8 @@
 	VmsChanged = 'vms_changed',
 	EndpointChanged = 'endpoint_changed',
 	EndpointRemoved = 'endpoint_removed',
+	/** The store returned from a copy that lists an endpoint that has left; it is not used until its entry is written again or stays. */
+	EndpointHeld = 'endpoint_held',
 	EndpointUnresponsive = 'endpoint_unresponsive',
 	EndpointResponsive = 'endpoint_responsive',
 	/** The head of a request cannot be parsed; the final line of such a request. */
@@ -114,6 +116,7 @@
 	[LogEvent.VmsChanged]: {readonly vms: number};
 	[LogEvent.EndpointChanged]: {readonly endpoint: string; readonly pool: string; readonly state: string; readonly bornAt: number};
 	[LogEvent.EndpointRemoved]: {readonly endpoint: string; readonly maybeLapsed: boolean};
+	[LogEvent.EndpointHeld]: {readonly endpoint: string; readonly bornAt: number};
 	[LogEvent.EndpointUnresponsive]: {readonly endpoint: string};
 	[LogEvent.EndpointResponsive]: {readonly endpoint: string};
 	[LogEvent.RequestRejected]: {readonly code: string; readonly findings: string};
--- a/packages/gateway/src/controllers/endpoint-controller.ts
+++ b/packages/gateway/src/controllers/endpoint-controller.ts
@@ -49,7 +49,7 @@
 	onSnapshot(entries: readonly clients.kv.KvEntry[], maybeLapsed: boolean): void {
 		const now = this.dependencies.clock.monotonicNow();
 		const decoded = entries.map(entry => this.#decode(entry)).filter(entry => entry !== undefined);
-		const listed = this.#hasReturned ? decoded.filter(entry => !this.#departed.hold(entry, now)).map(entry => this.#keepDraining(entry)) : decoded;
+		const listed = this.#hasReturned ? decoded.filter(entry => !this.#isHeld(entry, now)).map(entry => this.#keepDraining(entry)) : decoded;
 		this.#hasReturned = false;
 		for (const entry of listed) {
 			this.#logChange(entry);
@@ -108,6 +108,16 @@
 		this.dependencies.fleet.registry.put(entry, this.dependencies.clock.monotonicNow());
 	}
 
+	/** Returns whether an entry of a copy is of an endpoint that has left, and is not used for the time being. */
+	#isHeld(entry: core.fleet.EndpointEntry, now: number): boolean {
+		const isHeld = this.#departed.hold(entry, now);
+		if (isHeld) {
+			this.dependencies.log.write(eventLog.LogEvent.EndpointHeld, {endpoint: entry.id, bornAt: entry.bornAt});
+		}
+
+		return isHeld;
+	}
+
 	/** Returns an entry of a copy as draining if its incarnation is known to drain, which it never ceases to do. */
 	#keepDraining(entry: core.fleet.EndpointEntry): core.fleet.EndpointEntry {
 		const known = this.dependencies.fleet.registry.get(entry.id);
