Return the store stand-in from a copy that the test has taken

Cause: copies are taken every 50 ms, and the one to return from was chosen by age, so that a copy of the same millisecond as the write counted as older. The feed ignores differences of its two clocks below 50 ms, which are no suspensions.

--- a/packages/gateway/src/controllers/store-feed.ts
+++ b/packages/gateway/src/controllers/store-feed.ts
@@ -62,6 +62,9 @@
 /** Duration of a poll up to which the changes that it returned can have been written before it began, in milliseconds. */
 const promptPollMs = 100;
 
+/** Length from which a suspension of the VM is considered, in milliseconds; the clocks are read one after the other. */
+const minSuspensionMs = 50;
+
 /** Dependencies of a {@link StoreFeed}. */
 export type StoreFeedDependencies = {
 	readonly store: clients.kv.KvChangeFeed;
@@ -241,7 +244,7 @@
 		}
 
 		const suspendedMs = this.#countSuspendedMs() - this.#suspendedMs;
-		if (this.#unavailableSince !== undefined || suspendedMs > 0) {
+		if (this.#unavailableSince !== undefined || suspendedMs > minSuspensionMs) {
 			return Math.max(this.#confirmedAt, readAt - suspendedMs - this.options.maxRecoveryMs);
 		}
 
@@ -251,7 +254,7 @@
 
 	#countSuspendedMs(): number {
 		const {clock} = this.dependencies;
-		return Math.round(clock.suspendAwareNow() - clock.monotonicNow());
+		return clock.suspendAwareNow() - clock.monotonicNow();
 	}
 
 	#recordReturn({era, entries}: clients.kv.KvSnapshot): void {
--- a/packages/stand-ins/src/users-platform/users-store-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/users-store-stand-in.ts
@@ -32,7 +32,7 @@
 };
 
 /** Contents of the stand-in at one time. */
-type StoreCopy = {
+export type StoreCopy = {
 	readonly at: number;
 	readonly contents: revisionStore.RevisionStoreCopy;
 	readonly leases: leaseTable.LeaseTableCopy;
@@ -63,7 +63,7 @@
 			this.#expireLeases(Date.now());
 		}, leaseCheckIntervalMs);
 		this.#copyTimer = setInterval(() => {
-			this.#takeCopy(Date.now());
+			this.takeCopy();
 		}, copyIntervalMs);
 		return this.server.start();
 	}
@@ -119,7 +119,11 @@
 	 */
 	async returnFromCopy(ageMs: number, awayMs: number): Promise<void> {
 		const closedAt = Date.now();
-		const copy = this.#copies.findLast(({at}) => at <= closedAt - ageMs) ?? this.#copies[0];
+		await this.returnFrom(this.#copies.findLast(({at}) => at <= closedAt - ageMs) ?? this.#copies[0], awayMs);
+	}
+
+	/** Closes the store for a time, and opens it again with the contents of a copy, as {@link UsersStoreStandIn.returnFromCopy} does. */
+	async returnFrom(copy: StoreCopy | undefined, awayMs: number): Promise<void> {
 		await this.server.applyFault({fault: fault.FaultName.Outage});
 		await util.sleep(awayMs);
 		if (copy !== undefined) {
@@ -132,11 +136,16 @@
 		await this.server.applyFault({fault: fault.FaultName.Clear});
 	}
 
-	#takeCopy(now: number): void {
-		this.#copies.push({at: now, contents: this.#store.copy(), leases: this.#leases.copy(now)});
+	/** Takes a copy of the contents at once. */
+	takeCopy(): StoreCopy {
+		const at = Date.now();
+		const copy = {at, contents: this.#store.copy(), leases: this.#leases.copy(at)};
+		this.#copies.push(copy);
 		if (this.#copies.length > maxCopies) {
 			this.#copies.shift();
 		}
+
+		return copy;
 	}
 
 	async #handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
