Call the increase of requests after a pause a ramp-up

'Return' meant three things: what a function gives back, the store that comes back from a copy, and requests that come back after a pause. No change of behaviour.

--- a/packages/core/src/fleet/paused-endpoints.ts
+++ b/packages/core/src/fleet/paused-endpoints.ts
@@ -1,14 +1,14 @@
 import type * as endpointEntry from './endpoint-entry.js';
 import type * as loadDigest from './load-digest.js';
 
-/** Limits on the pauses that endpoints ask for, and the return of requests after them. Times are in milliseconds. */
+/** Limits on the pauses that endpoints ask for, and the ramp-up of requests after them. Times are in milliseconds. */
 export type PauseOptions = {
 	/** Longest pause that is kept; an endpoint that asks for more is sent a request again after this time. */
 	readonly maxPauseMs: number;
-	/** Longest time over which requests return after a pause; shorter pauses are followed by a return as long as the pause. */
-	readonly maxReturnMs: number;
-	/** Steps of the return, at each of which more requests may be in flight. */
-	readonly returnSteps: number;
+	/** Longest ramp-up after a pause; shorter pauses are followed by a ramp-up as long as the pause. */
+	readonly maxRampUpMs: number;
+	/** Steps of the ramp-up, at each of which more requests may be in flight. */
+	readonly rampUpSteps: number;
 	/** Calls that may be sent to an endpoint in one pause, where waiting for its end does harm. */
 	readonly maxUrgentCalls: number;
 	/** Maximum number of pauses that are kept. */
@@ -16,15 +16,15 @@
 };
 
 export const defaultPauseOptions: PauseOptions = {
-	maxPauseMs: 86_400_000, maxReturnMs: 2000, returnSteps: 4, maxUrgentCalls: 2, maxPauses: 10_000,
+	maxPauseMs: 86_400_000, maxRampUpMs: 2000, rampUpSteps: 4, maxUrgentCalls: 2, maxPauses: 10_000,
 };
 
-/** The return of requests to an endpoint after its pause. */
-export type PauseReturn = {
+/** The gradual increase of requests to an endpoint after its pause. */
+export type RampUp = {
 	/** Time until this VM sends requests to the endpoint again, in milliseconds. */
 	readonly resumesInMs: number;
 	/** Time from then until their number is no longer limited, in milliseconds. */
-	readonly returnMs: number;
+	readonly rampUpMs: number;
 };
 
 /** A pause whose end has been reached. */
@@ -41,10 +41,10 @@
 	readonly startedAt: number;
 	/** End of the time that the endpoint asked for. */
 	endsAt: number;
-	/** When this VM sends requests again: within the time of the return, so that the VMs do not all begin at once. */
+	/** When this VM sends requests again: within the time of a ramp-up after the pause, so that the VMs do not all begin at once. */
 	resumesAt: number;
 	/** Time from the first request after the pause until their number is no longer limited. */
-	returnMs: number;
+	rampUpMs: number;
 	urgentCalls: number;
 	/** Attempts in flight that were sent after the pause. */
 	readonly attempts: Set<string>;
@@ -58,7 +58,7 @@
 
 	constructor(private readonly options: PauseOptions = defaultPauseOptions) {}
 
-	/** Number of endpoints with a pause, including those to which requests return. */
+	/** Number of endpoints with a pause, including those in their ramp-up. */
 	get size(): number {
 		return this.#pauses.size;
 	}
@@ -66,7 +66,7 @@
 	/**
 	 * Records that an endpoint asks for a pause. A pause in progress is never shortened, since the endpoint has asked for its whole time.
 	 *
-	 * @param spread - Place of this VM among those that return to the endpoint, from 0 to 1.
+	 * @param spread - Place of this VM among those that resume, from 0 to 1.
 	 * @returns The duration of the pause that begins, in milliseconds; `undefined` if one was in progress.
 	 */
 	pause({id, bornAt}: endpointEntry.EndpointIncarnation, pauseMs: number, spread: number, now: number): number | undefined {
@@ -77,11 +77,11 @@
 		}
 
 		const boundedMs = Math.min(pauseMs, this.options.maxPauseMs);
-		const returnMs = Math.min(boundedMs, this.options.maxReturnMs);
+		const rampUpMs = Math.min(boundedMs, this.options.maxRampUpMs);
 		const endsAt = now + boundedMs;
 		if (known?.bornAt === bornAt && now < known.endsAt) {
 			if (endsAt > known.endsAt) {
-				Object.assign(known, {endsAt, resumesAt: endsAt + (spread * returnMs), returnMs});
+				Object.assign(known, {endsAt, resumesAt: endsAt + (spread * rampUpMs), rampUpMs});
 			}
 
 			return undefined;
@@ -89,7 +89,7 @@
 
 		this.#pauses.delete(id);
 		this.#pauses.set(id, {
-			bornAt, startedAt: now, endsAt, resumesAt: endsAt + (spread * returnMs), returnMs, urgentCalls: 0, attempts: new Set(), isEndReported: false,
+			bornAt, startedAt: now, endsAt, resumesAt: endsAt + (spread * rampUpMs), rampUpMs, urgentCalls: 0, attempts: new Set(), isEndReported: false,
 		});
 		this.#enforceLimit();
 		return boundedMs;
@@ -109,25 +109,25 @@
 	}
 
 	/** Returns when this VM sends requests to an endpoint again; `undefined` if it does now. */
-	findReturn(endpoint: endpointEntry.EndpointIncarnation, now: number): PauseReturn | undefined {
+	findRampUp(endpoint: endpointEntry.EndpointIncarnation, now: number): RampUp | undefined {
 		const pause = this.#find(endpoint);
-		return pause === undefined || now >= pause.resumesAt ? undefined : {resumesInMs: pause.resumesAt - now, returnMs: pause.returnMs};
+		return pause === undefined || now >= pause.resumesAt ? undefined : {resumesInMs: pause.resumesAt - now, rampUpMs: pause.rampUpMs};
 	}
 
 	/**
-	 * Returns whether an endpoint to which requests return has as many in flight as it may have now.
+	 * Returns whether an endpoint in its ramp-up has as many requests in flight as it may have now.
 	 *
-	 * @param shareOfSlots - This VM's share of the slots of the endpoint, which is reached at the end of the return.
+	 * @param shareOfSlots - This VM's share of the slots of the endpoint, which is reached at the end of the ramp-up.
 	 */
-	isReturnLimited(endpoint: endpointEntry.EndpointIncarnation, shareOfSlots: number, now: number): boolean {
+	isRampUpLimited(endpoint: endpointEntry.EndpointIncarnation, shareOfSlots: number, now: number): boolean {
 		const pause = this.#find(endpoint);
-		if (pause === undefined || now >= pause.resumesAt + pause.returnMs) {
+		if (pause === undefined || now >= pause.resumesAt + pause.rampUpMs) {
 			return false;
 		}
 
-		const {returnSteps} = this.options;
-		const step = Math.floor(returnSteps * (now - pause.resumesAt) / pause.returnMs);
-		return pause.attempts.size >= Math.max(1, Math.floor(shareOfSlots * (step + 1) / returnSteps));
+		const {rampUpSteps} = this.options;
+		const step = Math.floor(rampUpSteps * (now - pause.resumesAt) / pause.rampUpMs);
+		return pause.attempts.size >= Math.max(1, Math.floor(shareOfSlots * (step + 1) / rampUpSteps));
 	}
 
 	/** Returns whether a call may be sent that can't wait for the end of a pause; always if there is none. */
@@ -155,7 +155,7 @@
 	}
 
 	/**
-	 * Removes the pauses after which all requests have returned, and those of incarnations that were replaced. The pause of an endpoint that is
+	 * Removes the pauses whose ramp-up is over, and those of incarnations that were replaced. The pause of an endpoint that is
 	 * not listed is kept, since its entry may come back.
 	 *
 	 * @param bornAtOf - Returns the incarnation that is listed, or `undefined` if the endpoint is not.
@@ -171,7 +171,7 @@
 				ended.push({endpoint, pausedMs: Math.min(now, pause.endsAt) - pause.startedAt, isReplaced});
 			}
 
-			if (isReplaced || now >= pause.resumesAt + pause.returnMs) {
+			if (isReplaced || now >= pause.resumesAt + pause.rampUpMs) {
 				this.#pauses.delete(endpoint);
 			}
 		}
@@ -194,11 +194,11 @@
 
 /**
  * Returns the time after which a caller should retry that was refused because all endpoints that could serve it asked for a pause. Callers
- * are spread over the time in which requests return to the endpoint.
+ * are spread over the ramp-up of the endpoint.
  *
- * @param first - The return of requests to the first of the endpoints.
+ * @param first - The ramp-up of the endpoint whose pause ends first.
  * @param spread - Place of this caller among those that were refused, from 0 to 1.
  */
-export function computePauseRetryAfterMs(first: PauseReturn, spread: number): number {
-	return first.resumesInMs + (spread * first.returnMs);
+export function computePauseRetryAfterMs(first: RampUp, spread: number): number {
+	return first.resumesInMs + (spread * first.rampUpMs);
 }
--- a/packages/core/tests/fleet/paused-endpoints-load.test.ts
+++ b/packages/core/tests/fleet/paused-endpoints-load.test.ts
@@ -7,8 +7,8 @@
 const allowedLateArrivals = 2;
 /** Requests of a VM that may be on the way to an endpoint when it asks for the pause, and the one that it answers. */
 const maxArrivalsPerVm = 2;
-/** Time over which requests return to an endpoint: its place in the return of a VM, and the return itself, in milliseconds. */
-const maxReturnMs = 4000;
+/** Time until an endpoint has all its requests again: the place of a VM in the spread, and the ramp-up itself, in milliseconds. */
+const maxRampUpMs = 4000;
 
 const cases = [1, 10, 20].flatMap(paused => [500, 5000, 60_000].flatMap(pauseMs => [7, 195].map(vms => ({
 	paused, pauseMs, vms, seed: 1,
@@ -25,7 +25,7 @@
 			const result = run(scenario, pauseHandlings.Shared);
 			expect(result.maxLateArrivals).to.be.at.most(allowedLateArrivals);
 			expect(result.arrivalsInPause).to.be.at.most(vms * paused * maxArrivalsPerVm);
-			expect(result.recoveryMs).to.be.at.most(maxReturnMs);
+			expect(result.recoveryMs).to.be.at.most(maxRampUpMs);
 			expect(result.keptPauses).to.equal(0);
 		}).timeout(60_000);
 	}
@@ -55,7 +55,7 @@
 	});
 
 	for (const vms of [7, 195]) {
-		it(`of ${vms} VMs overfills the endpoints less if requests return gradually after a pause of all of them`, () => {
+		it(`of ${vms} VMs overfills the endpoints less if requests ramp up after a pause of all of them`, () => {
 			const scenario = {
 				paused: 20, pauseMs: 5000, vms, seed: 1,
 			};
--- a/packages/core/tests/fleet/paused-endpoints.test.ts
+++ b/packages/core/tests/fleet/paused-endpoints.test.ts
@@ -74,7 +74,7 @@
 		];
 		for (const {pauseMs, spread, resumesInMs} of spreads) {
 			it(`get requests again after ${resumesInMs} ms if they asked for ${pauseMs} ms and the VM has place ${spread}`, () => {
-				expect(createPaused(pauseMs, spread).findReturn(endpoint, 0)?.resumesInMs).to.equal(resumesInMs);
+				expect(createPaused(pauseMs, spread).findRampUp(endpoint, 0)?.resumesInMs).to.equal(resumesInMs);
 			});
 		}
 
@@ -92,14 +92,14 @@
 			it(`have at most ${allowed} requests in flight at ${at} ms with ${shareOfSlots} slots a VM after a pause of 500 ms`, () => {
 				const pauses = createPaused(500);
 				let sent = 0;
-				while (sent < 100 && !pauses.isReturnLimited(endpoint, shareOfSlots, at)) {
+				while (sent < 100 && !pauses.isRampUpLimited(endpoint, shareOfSlots, at)) {
 					pauses.recordSent(endpoint, `r-${sent}`);
 					sent += 1;
 				}
 
 				expect(sent).to.equal(allowed);
 				pauses.recordEnd(endpoint, 'r-0');
-				expect(pauses.isReturnLimited(endpoint, shareOfSlots, at)).to.equal(false);
+				expect(pauses.isRampUpLimited(endpoint, shareOfSlots, at)).to.equal(false);
 			});
 		}
 	});
@@ -137,12 +137,12 @@
 
 describe('the time after which callers return whom only paused endpoints could serve', () => {
 	const cases = [
-		{first: {resumesInMs: 100, returnMs: 2000}, from: 100, to: 2100},
-		{first: {resumesInMs: 500, returnMs: 500}, from: 500, to: 1000},
-		{first: {resumesInMs: 60_000, returnMs: 2000}, from: 60_000, to: 62_000},
+		{first: {resumesInMs: 100, rampUpMs: 2000}, from: 100, to: 2100},
+		{first: {resumesInMs: 500, rampUpMs: 500}, from: 500, to: 1000},
+		{first: {resumesInMs: 60_000, rampUpMs: 2000}, from: 60_000, to: 62_000},
 	];
 	for (const {first, from, to} of cases) {
-		it(`lies between ${from} and ${to} ms if requests return in ${first.resumesInMs} ms for ${first.returnMs} ms`, () => {
+		it(`lies between ${from} and ${to} ms if the ramp-up begins in ${first.resumesInMs} ms and takes ${first.rampUpMs} ms`, () => {
 			expect([0, 1].map(spread => core.fleet.computePauseRetryAfterMs(first, spread))).to.deep.equal([from, to]);
 		});
 	}
--- a/packages/core/tests/support/paused-fleet.ts
+++ b/packages/core/tests/support/paused-fleet.ts
@@ -122,7 +122,7 @@
 		this.#vms = Array.from({length: scenario.vms}, () => ({
 			pauses: new core.fleet.PausedEndpoints({
 				...core.fleet.defaultPauseOptions,
-				...(scenario.handling === PauseHandling.Abrupt && {maxReturnMs: 0}),
+				...(scenario.handling === PauseHandling.Abrupt && {maxRampUpMs: 0}),
 			}),
 			retries: new core.fleet.RetryWindow(retryLimits),
 			ownActive: zeros(),
@@ -208,7 +208,7 @@
 	#dispatch(request: CallerRequest): void {
 		const vm = this.#vms[request.vm]!;
 		const usable = this.#listUsable(vm);
-		const unlimited = this.#heedsPauses ? usable.filter(index => !vm.pauses.isReturnLimited(this.#endpoints[index]!.entry, slots / this.#vms.length, this.#now)) : usable;
+		const unlimited = this.#respectsPauses ? usable.filter(index => !vm.pauses.isRampUpLimited(this.#endpoints[index]!.entry, slots / this.#vms.length, this.#now)) : usable;
 		if (usable.length === 0) {
 			this.#refuse(request, this.#computeRetryAfterMs(vm));
 		} else if (unlimited.length === 0) {
@@ -221,13 +221,13 @@
 		}
 	}
 
-	get #heedsPauses(): boolean {
+	get #respectsPauses(): boolean {
 		return this.scenario.handling !== PauseHandling.None;
 	}
 
 	#listUsable(vm: Vm): number[] {
 		const all = [...this.#endpoints.keys()];
-		return this.#heedsPauses ? all.filter(index => vm.pauses.findReturn(this.#endpoints[index]!.entry, this.#now) === undefined) : all;
+		return this.#respectsPauses ? all.filter(index => vm.pauses.findRampUp(this.#endpoints[index]!.entry, this.#now) === undefined) : all;
 	}
 
 	/** Chooses the endpoint with the fewest known requests in flight, at random among equals. */
@@ -283,7 +283,7 @@
 			vm.firstAskedAt[index] = Math.min(vm.firstAskedAt[index]!, this.#now);
 			this.#after(networkMs, () => {
 				end();
-				if (this.#heedsPauses) {
+				if (this.#respectsPauses) {
 					vm.pauses.pause(endpoint.entry, retryAfterMs, this.#random(), this.#now);
 				}
 
@@ -321,12 +321,12 @@
 	}
 
 	#computeRetryAfterMs(vm: Vm): number {
-		const returns = this.#endpoints.map(({entry}) => vm.pauses.findReturn(entry, this.#now)).filter(each => each !== undefined);
-		if (returns.length < endpointCount) {
+		const rampUps = this.#endpoints.map(({entry}) => vm.pauses.findRampUp(entry, this.#now)).filter(each => each !== undefined);
+		if (rampUps.length < endpointCount) {
 			return noEndpointRetryAfterMs;
 		}
 
-		const [first] = returns.sort((a, b) => a.resumesInMs - b.resumesInMs);
+		const [first] = rampUps.sort((a, b) => a.resumesInMs - b.resumesInMs);
 		return core.fleet.computePauseRetryAfterMs(first!, this.#random());
 	}
 
--- a/packages/gateway/src/call/endpoint-finder.ts
+++ b/packages/gateway/src/call/endpoint-finder.ts
@@ -86,7 +86,7 @@
 	 */
 	computeRetryAfterMs(pool: core.routing.PoolName): number {
 		const first = this.place() === undefined
-			? this.dependencies.placer.findFirstReturn(this.request, pool, clocks.readInstant(this.dependencies.clock))
+			? this.dependencies.placer.findFirstRampUp(this.request, pool, clocks.readInstant(this.dependencies.clock))
 			: undefined;
 		return first === undefined
 			? refusals.noEndpointRetryAfterMs
--- a/packages/gateway/src/placement/endpoint-pauses.ts
+++ b/packages/gateway/src/placement/endpoint-pauses.ts
@@ -45,17 +45,17 @@
 	}
 
 	/** Returns when requests are sent to an endpoint again; `undefined` if they are now. */
-	findReturn(endpoint: core.fleet.EndpointIncarnation): core.fleet.PauseReturn | undefined {
-		return this.#paused.size === 0 ? undefined : this.#paused.findReturn(endpoint, this.#now());
+	findRampUp(endpoint: core.fleet.EndpointIncarnation): core.fleet.RampUp | undefined {
+		return this.#paused.size === 0 ? undefined : this.#paused.findRampUp(endpoint, this.#now());
 	}
 
 	/**
-	 * Returns whether an endpoint to which requests return after a pause has as many in flight as it may have now.
+	 * Returns whether an endpoint in its ramp-up after a pause has as many requests in flight as it may have now.
 	 *
 	 * @param shareOfSlots - This VM's share of the slots of the endpoint.
 	 */
-	isReturnLimited(endpoint: core.fleet.EndpointIncarnation, shareOfSlots: number): boolean {
-		return this.#paused.size > 0 && this.#paused.isReturnLimited(endpoint, shareOfSlots, this.#now());
+	isRampUpLimited(endpoint: core.fleet.EndpointIncarnation, shareOfSlots: number): boolean {
+		return this.#paused.size > 0 && this.#paused.isRampUpLimited(endpoint, shareOfSlots, this.#now());
 	}
 
 	/** Returns whether this VM has been asked for a pause that lasts. */
--- a/packages/gateway/src/placement/endpoint-placer.ts
+++ b/packages/gateway/src/placement/endpoint-placer.ts
@@ -63,7 +63,7 @@
 		now: clocks.Instant,
 	): Placement | undefined {
 		const resumed = this.#listServing(call, pool, now)
-			.filter(entry => !excluded.has(entry.id) && this.pauses.findReturn(entry) === undefined);
+			.filter(entry => !excluded.has(entry.id) && this.pauses.findRampUp(entry) === undefined);
 		let best: Placement | undefined;
 		for (const group of this.fleet.leaving.groupByAvailability(resumed, now.suspendAware)) {
 			const isReported = group.availability === core.fleet.EndpointAvailability.ReportedLeaving;
@@ -77,12 +77,12 @@
 	}
 
 	/**
-	 * Returns when the first of the endpoints that could serve a request but for a pause is back; `undefined` if none has asked for one.
+	 * Returns the earliest ramp-up of the endpoints that could serve a request but for a pause; `undefined` if none has asked for one.
 	 */
-	findFirstReturn(call: requestContext.RoutedRequest, pool: core.routing.PoolName, now: clocks.Instant): core.fleet.PauseReturn | undefined {
+	findFirstRampUp(call: requestContext.RoutedRequest, pool: core.routing.PoolName, now: clocks.Instant): core.fleet.RampUp | undefined {
 		const staying = this.fleet.leaving.groupByAvailability(this.#listServing(call, pool, now), now.suspendAware).flatMap(group => group.entries);
-		const returns = staying.map(entry => this.pauses.findReturn(entry)).filter(each => each !== undefined);
-		return returns.sort((a, b) => a.resumesInMs - b.resumesInMs)[0];
+		const rampUps = staying.map(entry => this.pauses.findRampUp(entry)).filter(each => each !== undefined);
+		return rampUps.sort((a, b) => a.resumesInMs - b.resumesInMs)[0];
 	}
 
 	/** Decides whether a request may wait until an engine of its pool has capacity for it. */
@@ -108,15 +108,15 @@
 		return {
 			ready: ready.length,
 			responsive: responsive.length,
-			paused: responsive.filter(entry => this.pauses.findReturn(entry) !== undefined || this.#isReturnLimited(entry)).length,
+			paused: responsive.filter(entry => this.pauses.findRampUp(entry) !== undefined || this.#isRampUpLimited(entry)).length,
 			leaving: responsive.filter(entry => this.fleet.leaving.isLeaving(entry)).length,
 			loading: responsive.filter(entry => core.rollout.isLoading(this.fleet.plan, entry.id)).length,
 			serving: model === undefined ? undefined : responsive.filter(entry => this.#canServe(entry, model, now.suspendAware)).length,
 		};
 	}
 
-	#isReturnLimited(entry: core.fleet.EndpointEntry): boolean {
-		return this.pauses.isReturnLimited(entry, entry.slots / this.fleet.vmCount);
+	#isRampUpLimited(entry: core.fleet.EndpointEntry): boolean {
+		return this.pauses.isRampUpLimited(entry, entry.slots / this.fleet.vmCount);
 	}
 
 	/** Lists the endpoints that could serve a request if none had asked for a pause or were leaving. */
@@ -126,7 +126,7 @@
 			.filter(entry => this.fleet.health.isResponsive(entry.id) && (model === undefined || this.#canServe(entry, model, now.suspendAware)));
 	}
 
-	/** Chooses among endpoints of the same availability; those that return after a pause come after the others. */
+	/** Chooses among endpoints of the same availability; those limited by their ramp-up come after the others. */
 	#placeAmong(
 		entries: readonly core.fleet.EndpointEntry[],
 		call: requestContext.RoutedRequest,
@@ -134,7 +134,7 @@
 		now: clocks.Instant,
 	): Placement | undefined {
 		const usesEngine = call.table.findPool(pool)?.engine !== undefined && call.head.prompt !== undefined;
-		const unlimited = entries.filter(entry => !this.#isReturnLimited(entry));
+		const unlimited = entries.filter(entry => !this.#isRampUpLimited(entry));
 		const candidates = (unlimited.length > 0 ? unlimited : entries)
 			.map(entry => this.#createCandidate(entry, call, usesEngine, now.suspendAware));
 		const view: core.fleet.PlacementView = {...this.fleet, costs: this.options.costs};
--- a/packages/gateway/tests/placement/endpoint-pauses.test.ts
+++ b/packages/gateway/tests/placement/endpoint-pauses.test.ts
@@ -49,7 +49,7 @@
 		pauses.record(createEntry('b'), 1000);
 		clock.now = 400;
 		expect(place()).to.equal(undefined);
-		expect(placer.findFirstReturn(request, 'app', gateway.util.readInstant(clock))).to.deep.equal({resumesInMs: 600, returnMs: 1000});
+		expect(placer.findFirstRampUp(request, 'app', gateway.util.readInstant(clock))).to.deep.equal({resumesInMs: 600, rampUpMs: 1000});
 		expect(placer.describePool(request, 'app', gateway.util.readInstant(clock))).to.include({ready: 2, responsive: 2, paused: 2});
 	});
 
