--- a/packages/core/src/log/log-event.ts
+++ b/packages/core/src/log/log-event.ts
@@ -38,6 +38,8 @@
 	EndpointPauseEnded = 'endpoint_pause_ended',
 	/** An endpoint announced in a response that it is leaving. */
 	EndpointLeaving = 'endpoint_leaving',
+	/** An endpoint did not complete requests of this VM, all at about the same time: its process has ended, or its connections were closed. */
+	EndpointInterrupted = 'endpoint_interrupted',
 	/** The head of a request cannot be parsed; the final line of such a request. */
 	RequestRejected = 'request_rejected',
 	/** No endpoint has capacity; the request waits at the VM. */
@@ -139,6 +141,13 @@
 		readonly isReplaced: boolean;
 	};
 	[LogEvent.EndpointLeaving]: {readonly endpoint: string; readonly bornAt: number};
+	[LogEvent.EndpointInterrupted]: {
+		readonly endpoint: string; readonly bornAt: number;
+		/** Number of requests whose response had begun, and of those that the endpoint may not have started with. */
+		readonly begun: number; readonly waiting: number;
+		/** The most frequent shared prompt parts of the requests whose response had begun, each with their number. */
+		readonly parts: string;
+	};
 	[LogEvent.RequestRejected]: {readonly code: string; readonly findings: string};
 	[LogEvent.RequestWaiting]: {readonly request: string} & RefusalInputs;
 	[LogEvent.RequestSent]: {
@@ -150,6 +159,8 @@
 		/** Milliseconds until the request may no longer start on these weights; absent for the newest ones. */
 		readonly startWithinMs?: number;
 		readonly costMs: number; readonly backlogMs: number; readonly prefill: number;
+		/** Shared parts of the prompt; absent without a prompt. */
+		readonly parts?: string;
 		/** Number of requests of this VM in flight at the endpoint. */
 		readonly active: number;
 	};
--- /dev/null
+++ b/packages/core/src/quarantine/index.ts
@@ -0,0 +1,2 @@
+export * from './interruption.js';
+export * from './part-key.js';
--- a/packages/gateway/src/call/attempt-recorder.ts
+++ b/packages/gateway/src/call/attempt-recorder.ts
@@ -47,6 +47,7 @@
 			costMs: Math.round(placement.choice.costMs),
 			backlogMs: Math.round(placement.choice.backlogMs),
 			prefill: placement.choice.prefillTokens,
+			parts: this.#listSharedParts()?.join(','),
 			active: fleet.loads.countOwnActive(endpoint),
 		});
 	}
@@ -96,6 +97,17 @@
 		}
 	}
 
+	/** Records that the endpoint did not complete the response, or closed the connection before it began. */
+	recordInterruption({placement, hasResponseStarted}: sentAttempt.SentAttempt): void {
+		const {prompt} = this.request.head;
+		const ownPart = prompt?.parts.at(-1);
+		this.dependencies.interruptions.record(placement.entry, {
+			sharedParts: this.#listSharedParts() ?? [],
+			ownPart: ownPart && core.quarantine.createPartKey(prompt!.model, ownPart.id),
+			hasBegun: hasResponseStarted,
+		});
+	}
+
 	/** Records the end of an attempt. */
 	recordEnd(sent: sentAttempt.SentAttempt, end: endpoints.AttemptResult): void {
 		const {fleet} = this.dependencies;
@@ -123,6 +135,12 @@
 		});
 	}
 
+	/** Returns the keys of the prompt parts that other requests may share; `undefined` without a prompt. */
+	#listSharedParts(): string[] | undefined {
+		const {prompt} = this.request.head;
+		return prompt?.parts.slice(0, -1).map(part => core.quarantine.createPartKey(prompt.model, part.id));
+	}
+
 	#recordFault(endpoint: string, end: endpoints.AttemptResult): void {
 		const {health} = this.dependencies.fleet;
 		const isUnreachable = end.head?.isMisdirected === true || end.fault === endpoints.AttemptFault.ConnectRefused;
--- a/packages/gateway/src/call/request-dispatcher.ts
+++ b/packages/gateway/src/call/request-dispatcher.ts
@@ -1,5 +1,6 @@
 import type * as core from '@bluebellmast/core';
 import type * as endpoints from '../endpoints/index.js';
+import type * as endpointInterruptions from '../placement/endpoint-interruptions.js';
 import type * as endpointPauses from '../placement/endpoint-pauses.js';
 import type * as endpointPlacer from '../placement/endpoint-placer.js';
 import type * as fleetState from '../placement/fleet-state.js';
@@ -18,6 +19,7 @@
 	readonly fleet: fleetState.FleetState;
 	readonly placer: endpointPlacer.EndpointPlacer;
 	readonly pauses: endpointPauses.EndpointPauses;
+	readonly interruptions: Pick<endpointInterruptions.EndpointInterruptions, 'record'>;
 	readonly connections: endpoints.ConnectionPools;
 	readonly protocol: ports.EndpointProtocol;
 	readonly retryWindows: retryWindows.RetryWindows;
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -229,9 +229,19 @@
 		sent.end = await attempt.run();
 		clearTimeout(stallTimer);
 		this.#recorder.recordEnd(sent, sent.end);
+		if (this.#isInterrupted(sent.end)) {
+			this.#recorder.recordInterruption(sent);
+		}
+
 		return sent.end;
 	}
 
+	/** Whether the endpoint broke an attempt off, other than by a refusal. */
+	#isInterrupted({fault, progress}: endpoints.AttemptResult): boolean {
+		const isRefused = progress === core.request.AttemptProgress.RefusedBeforeExecution;
+		return fault === undefined ? this.#relay.hasIncompleteEvent : fault === endpoints.AttemptFault.ConnectionLost && !isRefused;
+	}
+
 	/** Starts a timer that aborts an attempt of a safe request that gets no response, if it may be retried at another endpoint. */
 	#startStallTimer(sent: sentAttempt.SentAttempt): NodeJS.Timeout | undefined {
 		const {route} = this.request;
--- a/packages/gateway/src/placement/index.ts
+++ b/packages/gateway/src/placement/index.ts
@@ -1,3 +1,4 @@
+export * from './endpoint-interruptions.js';
 export * from './endpoint-pauses.js';
 export * from './endpoint-placer.js';
 export * from './fleet-state.js';
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -45,6 +45,7 @@
 	const config = new core.routing.ConfigState();
 	const fleet = new placement.FleetState({drainMs: settings.drainMs});
 	const pauses = new placement.EndpointPauses({clock, log, random});
+	const interruptions = new placement.EndpointInterruptions({log});
 	const connections = new endpoints.ConnectionPools();
 	const coordination = new controllers.CoordinationController(fleet, clock, log);
 	const loadExchange = new peers.LoadExchange({
@@ -70,6 +71,7 @@
 	const dispatcher = new call.RequestDispatcher({
 		fleet,
 		pauses,
+		interruptions,
 		connections,
 		clock,
 		log,
--- a/packages/gateway/tests/call/paused-attempt.test.ts
+++ b/packages/gateway/tests/call/paused-attempt.test.ts
@@ -41,6 +41,7 @@
 		const dispatcher = new gateway.call.RequestDispatcher({
 			fleet,
 			pauses,
+			interruptions: {record: () => undefined},
 			leavingRecorder: new gateway.placement.LeavingRecorder({
 				fleet, clock, log, onFirstNotice: () => undefined,
 			}),
--- /dev/null
+++ b/packages/gateway/tests/placement/endpoint-interruptions.test.ts
@@ -0,0 +1,41 @@
+import * as timers from 'node:timers/promises';
+import * as chai from 'chai';
+import * as core from '@bluebellmast/core';
+import * as gateway from '@bluebellmast/gateway';
+
+const {expect} = chai;
+const {LogEvent: events} = core.log;
+
+function createRequest(sharedParts: readonly string[], hasBegun: boolean): core.quarantine.InterruptedRequest {
+	return {sharedParts, ownPart: 'm/own', hasBegun};
+}
+
+describe('EndpointInterruptions', () => {
+	it('logs one line for each incarnation, with the parts of the requests whose response had begun', async () => {
+		const lines: unknown[] = [];
+		const interruptions = new gateway.placement.EndpointInterruptions({
+			log: {
+				write(event, fields) {
+					lines.push({event, ...fields});
+				},
+			},
+		});
+		interruptions.record({id: 'a', bornAt: 1}, createRequest(['m/1', 'm/2'], true));
+		interruptions.record({id: 'a', bornAt: 1}, createRequest(['m/3', 'm/2', 'm/2'], true));
+		interruptions.record({id: 'a', bornAt: 1}, createRequest(['m/4'], false));
+		interruptions.record({id: 'a', bornAt: 2}, createRequest([], true));
+		interruptions.record({id: 'b', bornAt: 1}, createRequest(['m/5'], false));
+		await timers.setTimeout(100);
+		expect(lines).to.deep.equal([
+			{
+				event: events.EndpointInterrupted, endpoint: 'a', bornAt: 1, begun: 2, waiting: 1, parts: 'm/2 2, m/1 1, m/3 1',
+			},
+			{
+				event: events.EndpointInterrupted, endpoint: 'a', bornAt: 2, begun: 1, waiting: 0, parts: '',
+			},
+			{
+				event: events.EndpointInterrupted, endpoint: 'b', bornAt: 1, begun: 0, waiting: 1, parts: '',
+			},
+		]);
+	});
+});
--- a/packages/stand-ins/src/users-platform/users-server-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/users-server-stand-in.ts
@@ -22,6 +22,10 @@
 	readonly lateOrderDelayMs?: number;
 	/** Whether response bodies name the server and the id of their request; default false. */
 	readonly identifiesRequests?: boolean;
+	/** Part of a prompt, other than the last one, on which the process ends soon after the first event; default none. */
+	readonly crashingPart?: string;
+	/** Called when the process has ended on the crashing part. */
+	readonly onCrash?: () => void;
 };
 
 /** Faults in the handling of orders. */
@@ -121,6 +125,8 @@
 const defaultLoadMs = 20;
 const defaultLateOrderDelayMs = 300;
 const slotCount = 8;
+/** Milliseconds from the first event of a stream with the crashing part to the end of the process. */
+const crashDelayMs = 30;
 /** Milliseconds that written bytes are given to leave before a connection is reset. */
 const flushDelayMs = 20;
 
@@ -154,6 +160,7 @@
 	/** Copies of responses to be sent before the next response on a connection, by connection. */
 	readonly #pendingDuplicates = new WeakMap<net.Socket, string>();
 	#isLoading = false;
+	#hasCrashed = false;
 	#highestFence = 0;
 	/** Number of orders accepted by this incarnation. */
 	#acceptedOrderCount = 0;
@@ -409,6 +416,12 @@
 		res.writeHead(200, {
 			'Content-Type': 'text/event-stream', 'Bluebellmast-Weight-Versions': String(this.version), ...this.#createHeaders(requestId),
 		});
+		if (this.#crashesOn(req)) {
+			setTimeout(() => {
+				this.#crash();
+			}, crashDelayMs);
+		}
+
 		for (let id = firstId; id <= lastId; id++) {
 			if (id !== skippedId) {
 				res.write(`id: ${id}\ndata: token ${id}${label}\n\n`);
@@ -425,6 +438,19 @@
 		res.end();
 	}
 
+	#crashesOn(req: http.IncomingMessage): boolean {
+		const parts = util.headerOf(req, 'bluebellmast-prompt-prefix').split(',').slice(0, -1);
+		return parts.some(part => part.split(':', 1)[0] === this.options.crashingPart);
+	}
+
+	#crash(): void {
+		if (!this.#hasCrashed) {
+			this.#hasCrashed = true;
+			this.server.closeAll();
+			this.options.onCrash?.();
+		}
+	}
+
 	/** Sends a response, and sends a copy of it immediately or keeps the copy for the next request, depending on the fault. */
 	#sendResponseTwice(headers: Readonly<Record<string, string>>, res: http.ServerResponse): void {
 		const body = JSON.stringify({server: this.options.id});
