--- a/packages/core/src/fleet/load-digest.ts
+++ b/packages/core/src/fleet/load-digest.ts
@@ -1,3 +1,4 @@
+import type * as quarantineDigest from '../quarantine/quarantine-digest.js';
 import type * as cacheObservation from './cache-observation.js';
 import type * as endpointEntry from './endpoint-entry.js';
 
@@ -33,4 +34,6 @@
 	readonly pauses?: readonly PauseDigest[];
 	/** Endpoints that told this VM that they are leaving; absent if there are none, or in digests of older versions. */
 	readonly leavingEndpoints?: readonly endpointEntry.EndpointIncarnation[];
+	/** Evidence on prompt parts that end endpoints; absent if there is nothing to tell. */
+	readonly quarantine?: quarantineDigest.QuarantineDigest;
 };
--- a/packages/core/src/log/log-event.ts
+++ b/packages/core/src/log/log-event.ts
@@ -40,6 +40,10 @@
 	EndpointLeaving = 'endpoint_leaving',
 	/** An endpoint did not complete requests of this VM, all at about the same time: its process has ended, or its connections were closed. */
 	EndpointInterrupted = 'endpoint_interrupted',
+	/** Requests with a prompt part that ends endpoints are refused from now on. */
+	PartQuarantined = 'part_quarantined',
+	/** Requests with a quarantined part are sent again: the evidence has expired, or proved to be void. */
+	PartReleased = 'part_released',
 	/** The head of a request cannot be parsed; the final line of such a request. */
 	RequestRejected = 'request_rejected',
 	/** No endpoint has capacity; the request waits at the VM. */
@@ -71,6 +75,8 @@
 	/** Version of the configuration that was used. */
 	readonly config?: number;
 	readonly host?: string;
+	/** Quarantined prompt part. */
+	readonly part?: string;
 	/** Number of earlier attempts. */
 	readonly tries?: number;
 	/** Number of endpoints of the pool that are listed as ready. */
@@ -148,6 +154,14 @@
 		/** The most frequent shared prompt parts of the requests whose response had begun, each with their number. */
 		readonly parts: string;
 	};
+	[LogEvent.PartQuarantined]: {
+		readonly part: string;
+		/** Parts that a request must have as well to be refused, as long as the cause is not known more exactly. */
+		readonly with: string;
+		/** Number of endpoints that ended, and of different requests that were in progress there. */
+		readonly ends: number; readonly requests: number;
+	};
+	[LogEvent.PartReleased]: {readonly part: string};
 	[LogEvent.RequestRejected]: {readonly code: string; readonly findings: string};
 	[LogEvent.RequestWaiting]: {readonly request: string} & RefusalInputs;
 	[LogEvent.RequestSent]: {
--- a/packages/core/src/quarantine/interruption.ts
+++ b/packages/core/src/quarantine/interruption.ts
@@ -1,11 +1,8 @@
 import type * as endpointEntry from '../fleet/endpoint-entry.js';
+import type * as partKey from './part-key.js';
 
 /** A request whose response an endpoint did not complete, although it did not refuse the request. */
-export type InterruptedRequest = {
-	/** Keys of the parts of its prompt that other requests may share. */
-	readonly sharedParts: readonly string[];
-	/** Key of the last part of its prompt, which is specific to the request or its session; absent without a prompt. */
-	readonly ownPart?: string;
+export type InterruptedRequest = partKey.PromptKeys & {
 	/** Whether the response had begun; otherwise the endpoint may not have started with the request. */
 	readonly hasBegun: boolean;
 };
@@ -13,6 +10,8 @@
 /** Requests that an endpoint interrupted at about the same time, as when its process ends. */
 export type Interruption = {
 	readonly endpoint: endpointEntry.EndpointIncarnation;
+	/** When the first of the requests was interrupted, in milliseconds of a clock that includes suspensions of the VM. */
+	readonly at: number;
 	readonly requests: readonly InterruptedRequest[];
 };
 
--- a/packages/core/src/quarantine/part-key.ts
+++ b/packages/core/src/quarantine/part-key.ts
@@ -3,8 +3,25 @@
 /** Longest key that is kept as text, which is easier to find in logs; part ids come from callers and have any length. */
 const maxTextLength = 48;
 
+/** Largest number of shared parts that are considered, the first ones; callers may send any number. */
+const maxSharedParts = 32;
+
+/** Keys of the parts of a prompt. */
+export type PromptKeys = {
+	/** Keys of the parts that other requests may share, in their order. */
+	readonly sharedParts: readonly string[];
+	/** Key of the last part, which is specific to the request or its session; absent without parts. */
+	readonly ownPart?: string;
+};
+
 /** Returns the key of a prompt part of a model's requests, of bounded length. */
 export function createPartKey(model: string, id: string): string {
 	const text = `${model}/${id}`;
 	return text.length <= maxTextLength ? text : hash.hash64Hex(text);
 }
+
+/** Returns the keys of the parts of a prompt, given in their order. */
+export function createPromptKeys(model: string, ids: readonly string[]): PromptKeys {
+	const keys = ids.map(id => createPartKey(model, id));
+	return {sharedParts: keys.slice(0, -1).slice(0, maxSharedParts), ownPart: keys.at(-1)};
+}
--- a/packages/gateway/src/call/attempt-recorder.ts
+++ b/packages/gateway/src/call/attempt-recorder.ts
@@ -10,6 +10,9 @@
 /** Time within which the first byte of a response of a plain service is due, in milliseconds: the target of both deployments. */
 const plainServiceFirstByteMs = 100;
 
+/** Time after a response within which an endpoint that the request ends closes its connections, in milliseconds. */
+const outlivedMs = 500;
+
 /** Faults that count as connection failures of the endpoint. */
 const connectionFaults: ReadonlySet<endpoints.AttemptFault> = new Set([
 	endpoints.AttemptFault.ConnectFailed,
@@ -20,7 +23,12 @@
 
 /** Records the attempts of one request in the state of the fleet and in the log. */
 export class AttemptRecorder {
-	constructor(private readonly request: requestContext.RoutedRequest, private readonly dependencies: requestDispatcher.DispatcherDependencies) {}
+	/** @param promptKeys - Keys of the parts of the request's prompt; absent without a prompt. */
+	constructor(
+		private readonly request: requestContext.RoutedRequest,
+		private readonly promptKeys: core.quarantine.PromptKeys | undefined,
+		private readonly dependencies: requestDispatcher.DispatcherDependencies,
+	) {}
 
 	/**
 	 * Records that an attempt was sent.
@@ -47,7 +55,7 @@
 			costMs: Math.round(placement.choice.costMs),
 			backlogMs: Math.round(placement.choice.backlogMs),
 			prefill: placement.choice.prefillTokens,
-			parts: this.#listSharedParts()?.join(','),
+			parts: this.promptKeys?.sharedParts.join(','),
 			active: fleet.loads.countOwnActive(endpoint),
 		});
 	}
@@ -99,13 +107,33 @@
 
 	/** Records that the endpoint did not complete the response, or closed the connection before it began. */
 	recordInterruption({placement, hasResponseStarted}: sentAttempt.SentAttempt): void {
-		const {prompt} = this.request.head;
-		const ownPart = prompt?.parts.at(-1);
-		this.dependencies.interruptions.record(placement.entry, {
-			sharedParts: this.#listSharedParts() ?? [],
-			ownPart: ownPart && core.quarantine.createPartKey(prompt!.model, ownPart.id),
-			hasBegun: hasResponseStarted,
-		});
+		this.dependencies.interruptions.record(placement.entry, {sharedParts: [], ...this.promptKeys, hasBegun: hasResponseStarted});
+	}
+
+	/**
+	 * Records that an attempt delivered a complete response, once its connection shows that the endpoint outlived the request: a short
+	 * response may be complete before the endpoint ends on it.
+	 */
+	recordCompletion(sent: sentAttempt.SentAttempt, connection: Pick<endpoints.EndpointConnection, 'isOpen'>): void {
+		const {quarantine, clock} = this.dependencies;
+		const sharedParts = this.promptKeys?.sharedParts ?? [];
+		if (sharedParts.length === 0) {
+			return;
+		}
+
+		const completedAt = clock.suspendAwareNow();
+		setTimeout(() => {
+			if (connection.isOpen) {
+				quarantine.recordCompletion(sharedParts, completedAt);
+			} else {
+				this.recordInterruption(sent);
+			}
+		}, outlivedMs).unref();
+	}
+
+	/** Records that the intended endpoint responded, if only by a refusal. */
+	recordAlive({placement, sentAt}: sentAttempt.SentAttempt): void {
+		this.dependencies.quarantine.recordAlive(placement.entry, sentAt);
 	}
 
 	/** Records the end of an attempt. */
@@ -135,12 +163,6 @@
 		});
 	}
 
-	/** Returns the keys of the prompt parts that other requests may share; `undefined` without a prompt. */
-	#listSharedParts(): string[] | undefined {
-		const {prompt} = this.request.head;
-		return prompt?.parts.slice(0, -1).map(part => core.quarantine.createPartKey(prompt.model, part.id));
-	}
-
 	#recordFault(endpoint: string, end: endpoints.AttemptResult): void {
 		const {health} = this.dependencies.fleet;
 		const isUnreachable = end.head?.isMisdirected === true || end.fault === endpoints.AttemptFault.ConnectRefused;
--- a/packages/gateway/src/call/refusal.ts
+++ b/packages/gateway/src/call/refusal.ts
@@ -13,6 +13,8 @@
 	ConfigUnavailable = 'config_unavailable',
 	/** No endpoint can accept the request now. */
 	NoEndpoint = 'no_endpoint',
+	/** A part of the prompt is quarantined, since endpoints ended that began a response on it. */
+	PartQuarantined = 'part_quarantined',
 	/** The response can't start before the deadline. */
 	DeadlineTooClose = 'deadline_too_close',
 	/** The request was sent, and its outcome is unknown. */
@@ -35,6 +37,7 @@
 	[RefusalCode.UnknownKey]: 401,
 	[RefusalCode.ConfigUnavailable]: 503,
 	[RefusalCode.NoEndpoint]: 503,
+	[RefusalCode.PartQuarantined]: 503,
 	[RefusalCode.DeadlineTooClose]: 503,
 	[RefusalCode.OutcomeUnknown]: 502,
 	[RefusalCode.TimedOut]: 504,
--- a/packages/gateway/src/call/request-dispatcher.ts
+++ b/packages/gateway/src/call/request-dispatcher.ts
@@ -1,4 +1,5 @@
 import type * as core from '@bluebellmast/core';
+import type * as quarantineController from '../controllers/quarantine-controller.js';
 import type * as endpoints from '../endpoints/index.js';
 import type * as endpointInterruptions from '../placement/endpoint-interruptions.js';
 import type * as endpointPauses from '../placement/endpoint-pauses.js';
@@ -20,6 +21,7 @@
 	readonly placer: endpointPlacer.EndpointPlacer;
 	readonly pauses: endpointPauses.EndpointPauses;
 	readonly interruptions: Pick<endpointInterruptions.EndpointInterruptions, 'record'>;
+	readonly quarantine: Pick<quarantineController.QuarantineController, 'match' | 'recordCompletion' | 'recordAlive'>;
 	readonly connections: endpoints.ConnectionPools;
 	readonly protocol: ports.EndpointProtocol;
 	readonly retryWindows: retryWindows.RetryWindows;
@@ -70,6 +72,13 @@
 		}
 	}
 
+	/** Ends the waits and the attempts of requests with a quarantined part whose response has not begun. */
+	abortQuarantined(): void {
+		for (const forwarder of this.#forwarders) {
+			forwarder.abortIfQuarantined();
+		}
+	}
+
 	/** Aborts the attempts at an endpoint that stopped responding, if their requests may be retried at another endpoint. */
 	abortSilentAttempts(endpoint: core.fleet.EndpointEntry['id']): void {
 		for (const forwarder of this.#forwarders) {
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -14,6 +14,8 @@
 
 /** Attempts allowed beyond those of the route after refusals and failed connections, since the request was not executed there. */
 const maxExtraAttempts = 2;
+/** Interrupted responses after which a request is not retried, since it may be what ends the endpoints. */
+const maxInterruptions = 2;
 /** Time that must remain before the deadline for a retry, in milliseconds. */
 const minRetryTimeMs = 30;
 /** Time after the deadline during which the endpoint can still report the timeout itself, in milliseconds. */
@@ -35,11 +37,14 @@
 	readonly #deadlineAt: number;
 	readonly #relay: responseRelay.ResponseRelay;
 	readonly #pool: core.routing.PoolName;
+	readonly #promptKeys: core.quarantine.PromptKeys | undefined;
 	#isTimedOut = false;
 	#isResponseClosed = false;
 	readonly #responseTimer = new responseTimer.ResponseTimer();
 	readonly #recorder: attemptRecorder.AttemptRecorder;
 	readonly #endpointFinder: endpointFinder.EndpointFinder;
+	/** Number of attempts whose response an endpoint interrupted. */
+	#interruptedCount = 0;
 	/** Number of attempts, including those that found no free connection. */
 	#attemptCount = 0;
 
@@ -61,7 +66,8 @@
 			},
 		});
 		this.#relay.lastEventId = head.lastEventId;
-		this.#recorder = new attemptRecorder.AttemptRecorder(request, dependencies);
+		this.#promptKeys = head.prompt && core.quarantine.createPromptKeys(head.prompt.model, head.prompt.parts.map(part => part.id));
+		this.#recorder = new attemptRecorder.AttemptRecorder(request, this.#promptKeys, dependencies);
 		this.#endpointFinder = new endpointFinder.EndpointFinder(request, dependencies, this.#deadlineAt, () => this.#place());
 	}
 
@@ -129,6 +135,19 @@
 		}
 	}
 
+	/** Ends the wait or the attempt of a request with a quarantined part, unless its response has begun. */
+	abortIfQuarantined(): void {
+		if (this.#findQuarantined() === undefined) {
+			return;
+		}
+
+		this.#endpointFinder.cancel();
+		const last = this.#attempts.at(-1);
+		if (last !== undefined && last.end === undefined && !last.hasResponseStarted) {
+			last.attempt.abort(endpoints.AttemptFault.PartQuarantined);
+		}
+	}
+
 	async #runAttempts(): Promise<refusals.Refusal | undefined> {
 		for (;;) {
 			const refusal = this.#findRefusal();
@@ -171,11 +190,21 @@
 			return {code: refusals.RefusalCode.DeadlineTooClose};
 		}
 
+		const quarantined = this.#findQuarantined();
+		if (quarantined !== undefined) {
+			const {part, releasedInMs} = quarantined;
+			return {code: refusals.RefusalCode.PartQuarantined, retryAfterMs: releasedInMs, inputs: {part, tries: this.#attemptCount}};
+		}
+
 		return this.dependencies.authorizer.maySend(this.request)
 			? undefined
 			: {code: refusals.RefusalCode.ConfigUnavailable, retryAfterMs: refusals.noEndpointRetryAfterMs, inputs: {tries: this.#attemptCount}};
 	}
 
+	#findQuarantined(): core.quarantine.QuarantineMatch | undefined {
+		return this.dependencies.quarantine.match(this.#promptKeys?.sharedParts ?? []);
+	}
+
 	/** Chooses an endpoint; one at which the request failed is chosen again only if there is no other. */
 	#place(): endpointPlacer.Placement | undefined {
 		const {placer, clock} = this.dependencies;
@@ -213,11 +242,12 @@
 			},
 			onMatchingHead: head => {
 				this.#recorder.recordPause(placement, head);
+				this.#recorder.recordAlive(sent);
 			},
 			monotonicNow: clock.monotonicNow,
 		});
 		const sent: sentAttempt.SentAttempt = {
-			placement, attempt, id, hasResponseStarted: false,
+			placement, attempt, id, sentAt: clock.suspendAwareNow(), hasResponseStarted: false,
 		};
 		if (this.#attempts.length > 0) {
 			this.dependencies.retryWindows.of(this.#pool).countRetry(now);
@@ -230,7 +260,10 @@
 		clearTimeout(stallTimer);
 		this.#recorder.recordEnd(sent, sent.end);
 		if (this.#isInterrupted(sent.end)) {
+			this.#interruptedCount += sent.hasResponseStarted ? 1 : 0;
 			this.#recorder.recordInterruption(sent);
+		} else if (sent.end.fault === undefined && attempt.keepsConnection) {
+			this.#recorder.recordCompletion(sent, connection);
 		}
 
 		return sent.end;
@@ -299,7 +332,8 @@
 	}
 
 	#mayRetry(end: endpoints.AttemptResult): boolean {
-		if (this.#isCallerDisconnected || this.#isTimedOut || this.#relay.hasSequenceError) {
+		const mayEndEndpoints = this.#interruptedCount >= maxInterruptions;
+		if (this.#isCallerDisconnected || this.#isTimedOut || this.#relay.hasSequenceError || mayEndEndpoints) {
 			return false;
 		}
 
--- a/packages/gateway/src/controllers/index.ts
+++ b/packages/gateway/src/controllers/index.ts
@@ -7,6 +7,7 @@
 export * from './load-controller.js';
 export * from './operator-controller.js';
 export * from './prefix-listeners.js';
+export * from './quarantine-controller.js';
 export * from './renewed-lease.js';
 export * from './rollout-controller.js';
 export * from './store-feed.js';
--- a/packages/gateway/src/controllers/load-controller.ts
+++ b/packages/gateway/src/controllers/load-controller.ts
@@ -3,6 +3,7 @@
 import type * as endpointPauses from '../placement/endpoint-pauses.js';
 import type * as fleetState from '../placement/fleet-state.js';
 import type * as clocks from '../util/clocks.js';
+import type * as quarantineController from './quarantine-controller.js';
 import type * as coordinationController from './coordination-controller.js';
 
 /** Dependencies of the controller. */
@@ -10,6 +11,7 @@
 	readonly vm: string;
 	readonly fleet: fleetState.FleetState;
 	readonly pauses: Pick<endpointPauses.EndpointPauses, 'hasPauses' | 'takeDigest' | 'applyDigest'>;
+	readonly quarantine: Pick<quarantineController.QuarantineController, 'applyDigest' | 'takeDigest' | 'tick' | 'hasNews' | 'hasQuarantinedParts'>;
 	readonly coordination: Pick<coordinationController.CoordinationController, 'listPeerAddresses'>;
 	readonly exchange: Pick<peers.LoadExchange, 'send'>;
 	readonly clock: clocks.Clocks;
@@ -22,6 +24,8 @@
  * second, amount to 14 KB/s of the 19 KB/s that a node may use for control traffic.
  */
 const peersPerDigest = 6;
+/** Number of VMs that a digest with evidence on prompt parts is sent to. */
+const peersPerUrgentDigest = 12;
 /** Interval between digests when there are no new observations, in milliseconds. */
 const digestIntervalMs = 200;
 /** Largest number of observations in a digest, so that it fits into one packet. */
@@ -64,10 +68,14 @@
 
 	/** Applies a digest of another VM. */
 	applyDigest(digest: core.fleet.LoadDigest): void {
-		const {fleet, pauses, clock} = this.dependencies;
+		const {fleet, pauses, quarantine, clock} = this.dependencies;
 		const now = clock.monotonicNow();
 		fleet.peers.applyDigest(digest, now);
 		pauses.applyDigest(digest.pauses ?? []);
+		if (digest.quarantine !== undefined) {
+			quarantine.applyDigest(digest.quarantine);
+		}
+
 		for (const observation of digest.cacheObservations) {
 			fleet.parts.applyObservation(observation, now);
 		}
@@ -82,8 +90,9 @@
 
 	/** Sends a digest if one is due; a VM that becomes idle, and has no pause to tell of, sends one more and then none. */
 	tick(): void {
-		const {fleet, pauses} = this.dependencies;
-		const isIdle = fleet.loads.listBusyEndpoints().length === 0 && !pauses.hasPauses();
+		const {fleet, pauses, quarantine} = this.dependencies;
+		quarantine.tick();
+		const isIdle = fleet.loads.listBusyEndpoints().length === 0 && !pauses.hasPauses() && !quarantine.hasQuarantinedParts;
 		const isDue = !this.#isStopped && this.dependencies.clock.monotonicNow() - this.#lastSentAt >= digestIntervalMs;
 		if (isDue && !(isIdle && this.#wasIdle)) {
 			this.#send();
@@ -104,12 +113,13 @@
 	}
 
 	#send(): void {
-		const {vm, exchange, fleet, pauses} = this.dependencies;
+		const {vm, exchange, fleet, pauses, quarantine} = this.dependencies;
 		clearTimeout(this.#timer);
 		this.#timer = undefined;
 		const observations = this.#observations.splice(0, maxObservations);
 		this.#sequence += 1;
 		this.#lastSentAt = this.dependencies.clock.monotonicNow();
+		const isUrgent = quarantine.hasNews;
 		exchange.send({
 			vm,
 			sequence: this.#sequence,
@@ -117,23 +127,28 @@
 			cacheObservations: observations,
 			pauses: pauses.takeDigest(),
 			leavingEndpoints: fleet.leaving.listNoticed(maxLeavingEndpoints),
-		}, this.#choosePeers(observations));
-		if (this.#observations.length > 0) {
+			quarantine: quarantine.takeDigest(),
+		}, this.#choosePeers(observations, isUrgent));
+		if (this.#observations.length > 0 || quarantine.hasNews) {
 			this.#scheduleSend();
 		}
 	}
 
-	/** Chooses the recipients: all VMs for observations of the cache store, which only a few VMs make, otherwise some VMs in turn. */
-	#choosePeers(observations: readonly core.fleet.CacheObservation[]): string[] {
+	/**
+	 * Chooses the recipients: all VMs for observations of the cache store, which only a few VMs make, otherwise some VMs in turn; more of them for
+	 * news that all VMs need soon, which the recipients pass on.
+	 */
+	#choosePeers(observations: readonly core.fleet.CacheObservation[], isUrgent: boolean): string[] {
 		const addresses = this.dependencies.coordination.listPeerAddresses(this.dependencies.vm);
 		const hasStoreObservation = observations.some(observation => observation.endpoint === '');
-		if (hasStoreObservation || addresses.length <= peersPerDigest) {
+		const count = isUrgent ? peersPerUrgentDigest : peersPerDigest;
+		if (hasStoreObservation || addresses.length <= count) {
 			return addresses;
 		}
 
 		const first = this.#rotationOffset % addresses.length;
-		this.#rotationOffset += peersPerDigest;
-		return [...addresses, ...addresses].slice(first, first + peersPerDigest);
+		this.#rotationOffset += count;
+		return [...addresses, ...addresses].slice(first, first + count);
 	}
 
 	#describeLoad(): core.fleet.EndpointDigest[] {
--- a/packages/gateway/src/endpoints/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoints/endpoint-attempt.ts
@@ -32,6 +32,8 @@
 	EndpointSilent = 'endpoint_silent',
 	/** The endpoint asked for a pause before the connection was open. */
 	EndpointPaused = 'endpoint_paused',
+	/** A part of the prompt was quarantined before the response had begun. */
+	PartQuarantined = 'part_quarantined',
 	/** The request did not start before the weights of the endpoint may no longer be used. */
 	WeightsOutdated = 'weights_outdated',
 }
@@ -105,12 +107,18 @@
 	#head: ports.ResponseHead | undefined;
 	#wantsBody = false;
 	#isFramed = true;
+	#keepsConnection = true;
 	#responseFault: AttemptFault | undefined;
 	#resolve: ((result: AttemptResult) => void) | undefined;
 	#isEnded = false;
 
 	constructor(private readonly options: AttemptOptions) {}
 
+	/** Whether the endpoint keeps the connection open after the response; otherwise a later close tells nothing of the endpoint. */
+	get keepsConnection(): boolean {
+		return this.#isFramed && this.#keepsConnection;
+	}
+
 	/** Sends the request. @returns The result of the attempt; never rejects. */
 	async run(): Promise<AttemptResult> {
 		return new Promise(resolve => {
@@ -162,6 +170,7 @@
 		this.#head = head;
 		this.options.onHeadReceived(head);
 		this.#isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+		this.#keepsConnection = headers.connection !== 'close';
 		const fault = this.#findHeadFault(head);
 		if (fault !== undefined) {
 			this.abort(fault);
--- a/packages/gateway/src/peers/digest-codec.ts
+++ b/packages/gateway/src/peers/digest-codec.ts
@@ -14,12 +14,28 @@
 /** Encoded incarnation of an endpoint: id, start time in Unix milliseconds. */
 type IncarnationRow = readonly [string, number];
 
+/** Encoded interrupted request: endpoint, start time of its incarnation, age in milliseconds, whether its response had begun, own part, shared parts. */
+type CrashRow = readonly [string, number, number, boolean, string, readonly string[]];
+
+/** Encoded sound prompt part: key, age in milliseconds. */
+type SoundRow = readonly [string, number];
+
+/** Encoded survivor: endpoint, start time of its incarnation, age in milliseconds. */
+type SurvivorRow = readonly [string, number, number];
+
 /** Parts of a digest that older builds do not know and ignore. */
 type DigestExtension = {
 	readonly pauses?: readonly PauseRow[];
 	readonly leaving?: readonly IncarnationRow[];
+	readonly crashes?: readonly CrashRow[];
+	readonly sound?: readonly SoundRow[];
+	readonly alive?: readonly SurvivorRow[];
 };
 
+/** Longest key of a prompt part, and largest number of parts of a request, that are accepted. */
+const maxPartKeyLength = 64;
+const maxSharedParts = 32;
+
 type DigestMessage = readonly [
 	vm: string,
 	sequence: number,
@@ -38,7 +54,9 @@
 		digest.endpoints.map(entry => [entry.endpoint, entry.active, entry.prefillTokens, entry.sinceLastReceivedMs]),
 		digest.cacheObservations.map(observation => [observation.type, observation.key, observation.endpoint]),
 	];
-	const extension: DigestExtension = {...(pauses.length > 0 && {pauses}), ...(leaving.length > 0 && {leaving})};
+	const extension: DigestExtension = {
+		...(pauses.length > 0 && {pauses}), ...(leaving.length > 0 && {leaving}), ...(digest.quarantine && encodeQuarantine(digest.quarantine)),
+	};
 	return cbor.encode(Object.keys(extension).length === 0 ? state : [...state, extension]);
 }
 
@@ -58,6 +76,7 @@
 function toDigest([vm, sequence, endpoints, observations, extension]: DigestMessage): core.fleet.LoadDigest {
 	const pauses = toPauses(extension?.pauses);
 	const leaving = isRows(extension?.leaving, ['string', 'number']) ? extension!.leaving! : [];
+	const quarantine = toQuarantine(extension ?? {});
 	return {
 		vm,
 		sequence,
@@ -67,9 +86,49 @@
 		cacheObservations: observations.map(([type, key, endpoint]) => ({type, key, endpoint})),
 		...(pauses.length > 0 && {pauses}),
 		...(leaving.length > 0 && {leavingEndpoints: leaving.map(([id, bornAt]) => ({id, bornAt}))}),
+		...(quarantine && {quarantine}),
 	};
 }
 
+function encodeQuarantine({crashes, soundParts, survivors}: core.quarantine.QuarantineDigest): DigestExtension {
+	return {
+		...(crashes.length > 0 && {
+			crashes: crashes.map(({endpoint, ageMs, hasBegun, ownPart, sharedParts}): CrashRow => [
+				endpoint.id, endpoint.bornAt, ageMs, hasBegun, ownPart, sharedParts,
+			]),
+		}),
+		...(soundParts.length > 0 && {sound: soundParts.map(({part, ageMs}): SoundRow => [part, ageMs])}),
+		...(survivors.length > 0 && {alive: survivors.map(({endpoint, ageMs}): SurvivorRow => [endpoint.id, endpoint.bornAt, ageMs])}),
+	};
+}
+
+/** Decodes the evidence on prompt parts; skips invalid rows. */
+function toQuarantine({crashes, sound, alive}: DigestExtension): core.quarantine.QuarantineDigest | undefined {
+	const crashRows = isRows(crashes, ['string', 'number', 'number', 'boolean', 'string']) ? crashes!.filter(row => isCrashRow(row)) : [];
+	const soundRows = isRows(sound, ['string', 'number']) ? sound!.filter(([part, ageMs]) => isPartKey(part) && ageMs >= 0) : [];
+	const aliveRows = isRows(alive, ['string', 'number', 'number']) ? alive!.filter(row => row[2] >= 0) : [];
+	if (crashRows.length + soundRows.length + aliveRows.length === 0) {
+		return undefined;
+	}
+
+	return {
+		crashes: crashRows.map(([id, bornAt, ageMs, hasBegun, ownPart, sharedParts]) => ({
+			endpoint: {id, bornAt}, ageMs, hasBegun, ownPart, sharedParts,
+		})),
+		soundParts: soundRows.map(([part, ageMs]) => ({part, ageMs})),
+		survivors: aliveRows.map(([id, bornAt, ageMs]) => ({endpoint: {id, bornAt}, ageMs})),
+	};
+}
+
+function isCrashRow([_endpoint, _bornAt, ageMs, _hasBegun, ownPart, sharedParts]: CrashRow): boolean {
+	return ageMs >= 0 && isPartKey(ownPart) && Array.isArray(sharedParts) && sharedParts.length <= maxSharedParts
+		&& sharedParts.every(part => isPartKey(part));
+}
+
+function isPartKey(part: unknown): boolean {
+	return typeof part === 'string' && part.length > 0 && part.length <= maxPartKeyLength;
+}
+
 /** Decodes the pauses; skips invalid ones, since the rest of the digest is usable without them. */
 function toPauses(rows: unknown): core.fleet.PauseDigest[] {
 	if (!isRows(rows, ['string', 'number', 'number'])) {
--- a/packages/gateway/src/placement/endpoint-interruptions.ts
+++ b/packages/gateway/src/placement/endpoint-interruptions.ts
@@ -1,9 +1,13 @@
 import * as core from '@bluebellmast/core';
+import type * as clocks from '../util/clocks.js';
 import * as eventLog from '../util/event-log.js';
 
 /** Dependencies of {@link EndpointInterruptions}. */
 export type EndpointInterruptionsDependencies = {
+	readonly clock: Pick<clocks.Clocks, 'suspendAwareNow'>;
 	readonly log: eventLog.EventLog;
+	/** Called with the requests that an endpoint interrupted together. */
+	readonly onInterruption: (interruption: core.quarantine.Interruption) => void;
 };
 
 /** Time in which the connections to a process that has ended are closed, in milliseconds. */
@@ -13,10 +17,11 @@
 
 type Collection = {
 	readonly endpoint: core.fleet.EndpointIncarnation;
+	readonly at: number;
 	readonly requests: core.quarantine.InterruptedRequest[];
 };
 
-/** Collects the requests that an endpoint interrupts at about the same time, and logs them together. */
+/** Collects the requests that an endpoint interrupts at about the same time, and reports them together. */
 export class EndpointInterruptions {
 	readonly #collections = new Map<string, Collection>();
 
@@ -30,7 +35,7 @@
 			return;
 		}
 
-		const collection: Collection = {endpoint: {id, bornAt}, requests: [request]};
+		const collection: Collection = {endpoint: {id, bornAt}, at: this.dependencies.clock.suspendAwareNow(), requests: [request]};
 		this.#collections.set(id, collection);
 		setTimeout(() => {
 			if (this.#collections.get(id) === collection) {
@@ -52,5 +57,6 @@
 			waiting: requests.length - begun,
 			parts: parts.map(({part, requests: count}) => `${part} ${count}`).join(', '),
 		});
+		this.dependencies.onInterruption(interruption);
 	}
 }
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -45,7 +45,23 @@
 	const config = new core.routing.ConfigState();
 	const fleet = new placement.FleetState({drainMs: settings.drainMs});
 	const pauses = new placement.EndpointPauses({clock, log, random});
-	const interruptions = new placement.EndpointInterruptions({log});
+	const quarantine = new controllers.QuarantineController({
+		clock,
+		log,
+		onNews() {
+			loadController.publishNotices();
+		},
+		onQuarantined() {
+			dispatcher.abortQuarantined();
+		},
+	});
+	const interruptions = new placement.EndpointInterruptions({
+		clock,
+		log,
+		onInterruption(interruption) {
+			quarantine.recordInterruption(interruption);
+		},
+	});
 	const connections = new endpoints.ConnectionPools();
 	const coordination = new controllers.CoordinationController(fleet, clock, log);
 	const loadExchange = new peers.LoadExchange({
@@ -56,7 +72,7 @@
 		},
 	});
 	const loadController = new controllers.LoadController({
-		vm: settings.vm, fleet, pauses, coordination, exchange: loadExchange, clock,
+		vm: settings.vm, fleet, pauses, quarantine, coordination, exchange: loadExchange, clock,
 	});
 	const leavingRecorder = new placement.LeavingRecorder({
 		fleet, clock, log,
@@ -72,6 +88,7 @@
 		fleet,
 		pauses,
 		interruptions,
+		quarantine,
 		connections,
 		clock,
 		log,
--- a/packages/gateway/tests/call/paused-attempt.test.ts
+++ b/packages/gateway/tests/call/paused-attempt.test.ts
@@ -42,6 +42,7 @@
 			fleet,
 			pauses,
 			interruptions: {record: () => undefined},
+			quarantine: {match: () => undefined, recordCompletion: () => undefined, recordAlive: () => undefined},
 			leavingRecorder: new gateway.placement.LeavingRecorder({
 				fleet, clock, log, onFirstNotice: () => undefined,
 			}),
--- a/packages/gateway/tests/controllers/endpoint-pauses.test.ts
+++ b/packages/gateway/tests/controllers/endpoint-pauses.test.ts
@@ -118,6 +118,9 @@
 				vm,
 				fleet: new gateway.placement.FleetState(),
 				pauses: own,
+				quarantine: new gateway.controllers.QuarantineController({
+					clock: {suspendAwareNow: () => 0}, log: {write: () => undefined}, onNews: () => undefined, onQuarantined: () => undefined,
+				}),
 				coordination: {listPeerAddresses: () => ['10.0.0.1:1']},
 				exchange: {send},
 				clock,
--- a/packages/gateway/tests/controllers/load-controller.test.ts
+++ b/packages/gateway/tests/controllers/load-controller.test.ts
@@ -23,6 +23,9 @@
 		vm: 'own',
 		fleet,
 		pauses: {hasPauses: () => false, takeDigest: () => [], applyDigest: () => undefined},
+		quarantine: new gateway.controllers.QuarantineController({
+			clock: {suspendAwareNow: () => 0}, log: {write: () => undefined}, onNews: () => undefined, onQuarantined: () => undefined,
+		}),
 		coordination: {listPeerAddresses: () => Array.from({length: peers}, (_, index) => `10.0.0.${index}:1`)},
 		exchange: {
 			send(digest, addresses) {
--- a/packages/gateway/tests/peers/digest-codec.test.ts
+++ b/packages/gateway/tests/peers/digest-codec.test.ts
@@ -43,6 +43,29 @@
 		expect(message).to.deep.equal(olderRows);
 	});
 
+	const evidence: core.quarantine.QuarantineDigest = {
+		crashes: [{
+			endpoint: {id: 'a', bornAt: 1_796_370_137_105}, ageMs: 40, hasBegun: true, ownPart: 'm/own', sharedParts: ['m/1', 'm/2'],
+		}],
+		soundParts: [{part: 'm/1', ageMs: 5}],
+		survivors: [{endpoint: {id: 'b', bornAt: 3}, ageMs: 7}],
+	};
+
+	it('tell the evidence on prompt parts that end endpoints', () => {
+		const message = gateway.peers.encodeDigest({...withoutPauses, quarantine: evidence});
+		expect(gateway.peers.decodeDigest(message)).to.deep.equal({...withoutPauses, quarantine: evidence});
+	});
+
+	it('with invalid evidence are accepted without it', () => {
+		const crash = ['a', 1, 40, true, 'm/own', ['m/1']];
+		const extension = {
+			crashes: [[...crash.slice(0, 2), -1, ...crash.slice(3)], [...crash.slice(0, 4), 'x'.repeat(65), ['m/1']], [...crash.slice(0, 5), 'm/1'], [...crash.slice(0, 5), [1]]],
+			sound: [['m/1', -5], ['', 5]],
+			alive: [['b', 3, -7]],
+		};
+		expect(gateway.peers.decodeDigest(cbor.encode([...olderRows, extension]))).to.deep.equal(withoutPauses);
+	});
+
 	const others: ReadonlyArray<{readonly name: string; readonly extension: readonly unknown[]}> = [
 		{name: 'without an extension', extension: []},
 		{name: 'with an unknown extension', extension: [{other: 1}]},
--- a/packages/gateway/tests/placement/endpoint-interruptions.test.ts
+++ b/packages/gateway/tests/placement/endpoint-interruptions.test.ts
@@ -13,7 +13,12 @@
 describe('EndpointInterruptions', () => {
 	it('logs one line for each incarnation, with the parts of the requests whose response had begun', async () => {
 		const lines: unknown[] = [];
+		const reported: core.quarantine.Interruption[] = [];
 		const interruptions = new gateway.placement.EndpointInterruptions({
+			clock: {suspendAwareNow: () => 7},
+			onInterruption(interruption) {
+				reported.push(interruption);
+			},
 			log: {
 				write(event, fields) {
 					lines.push({event, ...fields});
@@ -37,5 +42,8 @@
 				event: events.EndpointInterrupted, endpoint: 'b', bornAt: 1, begun: 0, waiting: 1, parts: '',
 			},
 		]);
+		expect(reported.map(({endpoint, at, requests}) => [endpoint.id, endpoint.bornAt, at, requests.length])).to.deep.equal([
+			['a', 1, 7, 3], ['a', 2, 7, 1], ['b', 1, 7, 1],
+		]);
 	});
 });
