Bound the events of streams, and split them in linear time

Change: chunks are kept apart and only new bytes are searched; an event of more than 256 KiB ends the attempt as endless_response, which may be resumed elsewhere.

--- a/packages/gateway/src/call/attempt-recorder.ts
+++ b/packages/gateway/src/call/attempt-recorder.ts
@@ -19,6 +19,7 @@
 	endpoints.AttemptFault.ConnectionLost,
 	endpoints.AttemptFault.WrongResponse,
 	endpoints.AttemptFault.Unsigned,
+	endpoints.AttemptFault.EndlessResponse,
 ]);
 
 /** Records the attempts of one request in the state of the fleet and in the log. */
--- a/packages/gateway/src/call/event-splitter.ts
+++ b/packages/gateway/src/call/event-splitter.ts
@@ -10,23 +10,48 @@
 };
 
 const lineFeed = 10;
+/** Longest end of an event, in bytes: two line ends, of which the first one may lack the carriage return. */
+const maxEndBytes = 3;
 const idPattern = /^id: ?(\d+)\r?$/gm;
 
 /** Splits the bytes of an event stream at event boundaries, so that no partial event is relayed. */
 export class EventSplitter {
-	#pending: Uint8Array = buffer.Buffer.alloc(0);
+	/** Chunks of the incomplete event at the end. */
+	#pending: Uint8Array[] = [];
+	#pendingBytes = 0;
+	/** Last bytes of the incomplete event, in which the end of an event may have begun. */
+	#tail: Uint8Array = buffer.Buffer.alloc(0);
 
 	/** Number of bytes of the incomplete event at the end. */
 	get pendingBytes(): number {
-		return this.#pending.length;
+		return this.#pendingBytes;
 	}
 
 	/** Appends bytes. @returns The events that are now complete, or `undefined` if there are none. */
 	push(chunk: Uint8Array): EventBatch | undefined {
-		const bytes = this.#pending.length === 0 ? chunk : buffer.Buffer.concat([this.#pending, chunk]);
-		const end = findEndOfLastEvent(bytes);
-		this.#pending = bytes.subarray(end);
-		return end === 0 ? undefined : createBatch(bytes.subarray(0, end));
+		const searched = this.#tail.length === 0 ? chunk : buffer.Buffer.concat([this.#tail, chunk]);
+		const end = findEndOfLastEvent(searched) - this.#tail.length;
+		if (end <= 0) {
+			this.#append(chunk, searched);
+			return undefined;
+		}
+
+		const bytes = buffer.Buffer.concat([...this.#pending, chunk.subarray(0, end)]);
+		const rest = chunk.subarray(end);
+		this.#pending = [];
+		this.#pendingBytes = 0;
+		this.#append(rest, rest);
+		return createBatch(bytes);
+	}
+
+	/** @param searched - The bytes with the tail before them. */
+	#append(bytes: Uint8Array, searched: Uint8Array): void {
+		if (bytes.length > 0) {
+			this.#pending.push(bytes);
+			this.#pendingBytes += bytes.length;
+		}
+
+		this.#tail = searched.subarray(Math.max(0, searched.length - maxEndBytes + 1));
 	}
 }
 
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -61,6 +61,9 @@
 			onSequenceError: () => {
 				this.#attempts.at(-1)?.attempt.abort(endpoints.AttemptFault.InvalidSequence);
 			},
+			onEventTooLarge: () => {
+				this.#attempts.at(-1)?.attempt.abort(endpoints.AttemptFault.EndlessResponse);
+			},
 			onDrain: () => {
 				this.#attempts.at(-1)?.attempt.resume();
 			},
--- a/packages/gateway/src/call/response-relay.ts
+++ b/packages/gateway/src/call/response-relay.ts
@@ -8,6 +8,9 @@
 /** Responses up to this size are buffered until complete, so that a request can be retried if its response is interrupted. */
 const maxBufferedBytes = 65_536;
 
+/** Largest event of a stream; an event holds some tokens. */
+const maxEventBytes = 262_144;
+
 /** Decides by the head of a response whether the response is relayed. */
 export type HeadPredicate = (head: ports.ResponseHead) => boolean;
 
@@ -19,6 +22,8 @@
 	readonly onProgress: () => void;
 	/** Called when an endpoint sent events with non-consecutive ids; nothing is relayed afterwards. */
 	readonly onSequenceError: () => void;
+	/** Called when an event is larger than any sound one; nothing of it is relayed. */
+	readonly onEventTooLarge: () => void;
 	/** Called when the caller's connection accepts data again after backpressure. */
 	readonly onDrain: () => void;
 };
@@ -121,6 +126,10 @@
 
 		const batch = this.#splitter.push(chunk);
 		if (batch === undefined) {
+			if (this.#splitter.pendingBytes > maxEventBytes) {
+				this.options.onEventTooLarge();
+			}
+
 			return true;
 		}
 
--- a/packages/gateway/src/endpoints/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoints/endpoint-attempt.ts
@@ -24,6 +24,8 @@
 	ErrorResponse = 'answered_with_failure',
 	/** The ids of the events of a stream are not consecutive. */
 	InvalidSequence = 'invalid_sequence',
+	/** The endpoint sent more interim responses, or more bytes without the end of an event, than any sound one does. */
+	EndlessResponse = 'endless_response',
 	/** The caller closed its connection. */
 	CallerDisconnected = 'caller_gone',
 	/** The deadline of the request has passed. */
--- a/packages/gateway/tests/call/event-splitter.test.ts
+++ b/packages/gateway/tests/call/event-splitter.test.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import process from 'node:process';
 import * as chai from 'chai';
 import * as fastCheck from 'fast-check';
 import * as gateway from '@bluebellmast/gateway';
@@ -24,6 +25,32 @@
 		expect([batch?.firstId, batch?.lastId]).to.deep.equal([1, 2]);
 	});
 
+	it('finds the end of an event that is split over chunks', () => {
+		for (const text of ['id: 1\ndata: x\n\nid: 2', 'id: 1\r\ndata: x\r\n\r\nid: 2']) {
+			const splitter = new gateway.call.EventSplitter();
+			const batches = [...text].map(character => splitter.push(Buffer.from(character))).filter(batch => batch !== undefined);
+			expect(batches.map(batch => toText(batch))).to.deep.equal([text.slice(0, -'id: 2'.length)]);
+			expect(splitter.pendingBytes).to.equal('id: 2'.length);
+		}
+	});
+
+	it('takes time in proportion to the bytes of an event without an end', () => {
+		const chunk = Buffer.alloc(1024, 'x');
+		const measure = (chunks: number): number => {
+			const splitter = new gateway.call.EventSplitter();
+			const startedAt = process.cpuUsage().user;
+			for (let count = 0; count < chunks; count++) {
+				splitter.push(chunk);
+			}
+
+			return process.cpuUsage().user - startedAt;
+		};
+
+		measure(1000);
+		// Time in proportion to the square would be 256 times as long; a margin of four allows for a busy machine.
+		expect(measure(16_000)).to.be.below(64 * Math.max(1000, measure(1000)));
+	});
+
 	it('preserves all bytes, wherever the chunks are split', () => {
 		const text = Array.from({length: 5}, (_, index) => `id: ${index + 1}\ndata: token ${index}\n\n`).join('');
 		fastCheck.assert(fastCheck.property(fastCheck.array(fastCheck.nat({max: text.length}), {maxLength: 8}), cuts => {
