Send no digest after the process has stopped

Cause: a notice of an endpoint, and since the quarantine the evidence on an endpoint that ended, schedules a digest even after stop, which is then sent on a closed socket and ends the process with ERR_SOCKET_DGRAM_NOT_RUNNING; seen in end-to-end.test.ts.

Measured: 'sends nothing after it was stopped' fails before, with one digest sent, and passes now.

--- a/packages/gateway/src/controllers/load-controller.ts
+++ b/packages/gateway/src/controllers/load-controller.ts
@@ -107,6 +107,10 @@
 	}
 
 	#scheduleSend(): void {
+		if (this.#isStopped) {
+			return;
+		}
+
 		this.#timer ??= setTimeout(() => {
 			this.#send();
 		}, observationDelayMs);
--- a/packages/gateway/tests/controllers/load-controller.test.ts
+++ b/packages/gateway/tests/controllers/load-controller.test.ts
@@ -45,6 +45,18 @@
 }
 
 describe('LoadController', () => {
+	// Guards against a process that ends with an error while it shuts down, since a notice of an endpoint arrives after its socket was closed.
+	it('sends nothing after it was stopped', async () => {
+		const {controller, sent, tick} = createController(2);
+		controller.stop();
+		controller.publishNotices();
+		tick(1000);
+		await new Promise(resolve => {
+			setTimeout(resolve, 50);
+		});
+		expect(sent).to.deep.equal([]);
+	});
+
 	it('sends its load to all VMs of a small fleet, and one more digest when it becomes idle', () => {
 		const {fleet, sent, tick} = createController(6);
 		fleet.loads.addRequest('a', 'r1', 500);
