Reset the caller's connection when a response without a length breaks off

What callers saw: a stream without a length or chunks that the gateway gave up, at the deadline or when it stopped, ended with a plain close, which is how a complete one ends (the fault 'an answer that broke off halfway reached the caller as a complete success').

Change: such a response is ended by a reset, wherever the gateway gives it up: relay, errors, refusal of a started response, close of the server.

--- a/packages/gateway/src/call/response-relay.ts
+++ b/packages/gateway/src/call/response-relay.ts
@@ -2,6 +2,7 @@
 import type * as http from 'node:http';
 import type * as endpoints from '../endpoints/index.js';
 import type * as ports from '../ports/index.js';
+import * as abortResponse from '../util/abort-response.js';
 import * as connectionHeaders from '../util/connection-headers.js';
 import * as eventSplitter from './event-splitter.js';
 
@@ -116,7 +117,7 @@
 
 	/** Closes the caller's connection, so that the caller can detect that the response is incomplete. */
 	abort(): void {
-		this.res.destroy();
+		abortResponse.abortResponse(this.res);
 	}
 
 	#relayEvents(chunk: Uint8Array): boolean {
--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -4,6 +4,7 @@
 import * as core from '@bluebellmast/core';
 import * as call from '../call/index.js';
 import type * as ports from '../ports/index.js';
+import * as abortResponse from '../util/abort-response.js';
 import type * as clocks from '../util/clocks.js';
 import * as eventLog from '../util/event-log.js';
 import * as listen from '../util/listen.js';
@@ -119,6 +120,10 @@
 	/** Closes the server and all connections immediately. */
 	close(): void {
 		this.#server.close();
+		for (const res of this.#openResponses) {
+			abortResponse.abortResponse(res);
+		}
+
 		this.#server.closeAllConnections();
 	}
 
@@ -145,7 +150,7 @@
 			await this.#handleRequest(req, res);
 		} catch (err) {
 			this.#logError(err);
-			res.destroy();
+			abortResponse.abortResponse(res);
 		} finally {
 			this.#forgetWhenClosed(res);
 		}
@@ -231,7 +236,7 @@
 		call.sendRefusal(ctx.res, refusal);
 		if (!ctx.res.writableEnded) {
 			// A response has started that can't be completed.
-			ctx.res.destroy();
+			abortResponse.abortResponse(ctx.res);
 		}
 	}
 
--- a/packages/gateway/src/util/index.ts
+++ b/packages/gateway/src/util/index.ts
@@ -1,3 +1,4 @@
+export * from './abort-response.js';
 export * from './clocks.js';
 export * from './connection-headers.js';
 export * from './event-log.js';
