Resume streams in which no event is completed

Change: only complete events count as progress of a stream. A resumable stream without one for eight times the pause that is on time, 2 s at least, is resumed at another endpoint; others last until their deadline, since silence is no reason to end a response.

--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -27,6 +27,12 @@
  */
 const stallTimeoutFactor = 3;
 const minStallTimeoutMs = 300;
+/**
+ * Time without a complete event after which a stream is resumed at another endpoint, as a multiple of the longest pause that is on time, and its
+ * minimum in milliseconds. Callers of the platform give up streams after as long.
+ */
+const eventTimeoutFactor = 8;
+const minEventTimeoutMs = 2000;
 /** Connections that this VM may open to an endpoint, relative to its equal share of the connection limit. */
 const connectionShareFactor = 1.5;
 
@@ -40,6 +46,8 @@
 	readonly #promptKeys: core.quarantine.PromptKeys | undefined;
 	#isTimedOut = false;
 	#isResponseClosed = false;
+	/** Ends a stream without events; absent before the response and on routes whose streams can't be resumed. */
+	#eventTimer: NodeJS.Timeout | undefined;
 	readonly #responseTimer = new responseTimer.ResponseTimer();
 	readonly #recorder: attemptRecorder.AttemptRecorder;
 	readonly #endpointFinder: endpointFinder.EndpointFinder;
@@ -261,6 +269,7 @@
 		const stallTimer = this.#startStallTimer(sent);
 		sent.end = await attempt.run();
 		clearTimeout(stallTimer);
+		clearTimeout(this.#eventTimer);
 		this.#recorder.recordEnd(sent, sent.end);
 		if (this.#isInterrupted(sent.end)) {
 			this.#interruptedCount += sent.hasResponseStarted ? 1 : 0;
@@ -294,6 +303,19 @@
 		}, Math.max(minStallTimeoutMs, stallTimeoutFactor * route.targetLatencyMs));
 	}
 
+	/** Starts the timer anew that resumes a stream at another endpoint when no event is completed for too long. */
+	#restartEventTimer(sent: sentAttempt.SentAttempt): void {
+		const {route} = this.request;
+		clearTimeout(this.#eventTimer);
+		if (route.kind === core.routing.RouteKind.Streaming && route.isResumable) {
+			this.#eventTimer = setTimeout(() => {
+				if (this.#mayRetryExecuted(1)) {
+					sent.attempt.abort(endpoints.AttemptFault.EndpointSilent);
+				}
+			}, Math.max(minEventTimeoutMs, eventTimeoutFactor * route.gapTargetMs));
+		}
+	}
+
 	#createDirectives(placement: endpointPlacer.Placement, now: number): ports.AttemptDirectives {
 		const {account} = this.request;
 		return {
@@ -317,6 +339,7 @@
 	#recordProgress(): void {
 		const sent = this.#attempts.at(-1);
 		if (sent !== undefined) {
+			this.#restartEventTimer(sent);
 			this.#responseTimer.recordPart(this.dependencies.clock.monotonicNow());
 			this.#recorder.recordProgress(sent);
 		}
--- a/packages/gateway/src/call/response-relay.ts
+++ b/packages/gateway/src/call/response-relay.ts
@@ -19,7 +19,7 @@
 export type ResponseRelayOptions = {
 	readonly isStream: boolean;
 	readonly acceptsHead: HeadPredicate;
-	/** Called when the head and each chunk of a response arrive. */
+	/** Called when the head of a response, each chunk, or of a stream each complete event arrives. */
 	readonly onProgress: () => void;
 	/** Called when an endpoint sent events with non-consecutive ids; nothing is relayed afterwards. */
 	readonly onSequenceError: () => void;
@@ -82,11 +82,12 @@
 	}
 
 	onData(chunk: Uint8Array): boolean {
-		this.options.onProgress();
 		if (this.#isEventStream) {
 			return this.#relayEvents(chunk);
 		}
 
+		this.options.onProgress();
+
 		if (this.#hasStarted) {
 			return this.#write(chunk);
 		}
@@ -134,6 +135,7 @@
 			return true;
 		}
 
+		this.options.onProgress();
 		if (!this.#continuesSequence(batch)) {
 			this.#hasSequenceError = true;
 			this.options.onSequenceError();
