--- /dev/null
+++ b/packages/gateway/src/call/attempt-timers.ts
@@ -0,0 +1,44 @@
+import * as core from '@bluebellmast/core';
+
+/**
+ * Time without a response after which a safe request is retried at another endpoint, as a multiple of the target latency of
+ * its route, and its minimum in milliseconds. Plain services of both deployments respond within a third of their targets,
+ * while a stalled connection never delivers a response.
+ */
+const stallTimeoutFactor = 3;
+const minStallTimeoutMs = 300;
+/**
+ * Time without a complete event after which a stream is resumed at another endpoint, as a multiple of the longest pause that is on time, and its
+ * minimum in milliseconds. Callers of the platform give up streams after as long.
+ */
+const eventTimeoutFactor = 8;
+const minEventTimeoutMs = 2000;
+
+/** Finds attempts that make no progress: safe requests without a response, and resumable streams without a further event. */
+export class AttemptTimers {
+	#responseTimer: NodeJS.Timeout | undefined;
+	#eventTimer: NodeJS.Timeout | undefined;
+
+	constructor(private readonly route: Pick<core.routing.Route, 'kind' | 'isResumable' | 'targetLatencyMs' | 'gapTargetMs'>) {}
+
+	/** Starts to wait for the response of an attempt. */
+	start(onStalled: () => void): void {
+		if (this.route.kind === core.routing.RouteKind.Safe) {
+			this.#responseTimer = setTimeout(onStalled, Math.max(minStallTimeoutMs, stallTimeoutFactor * this.route.targetLatencyMs));
+		}
+	}
+
+	/** Waits for the next event of a stream, as its response has begun or an event is complete. */
+	restart(onStalled: () => void): void {
+		clearTimeout(this.#eventTimer);
+		if (this.route.kind === core.routing.RouteKind.Streaming && this.route.isResumable) {
+			this.#eventTimer = setTimeout(onStalled, Math.max(minEventTimeoutMs, eventTimeoutFactor * this.route.gapTargetMs));
+		}
+	}
+
+	/** Ends the waits of an attempt. */
+	stop(): void {
+		clearTimeout(this.#responseTimer);
+		clearTimeout(this.#eventTimer);
+	}
+}
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -5,6 +5,7 @@
 import * as clocks from '../util/clocks.js';
 import * as responseRelay from './response-relay.js';
 import * as responseTimer from './response-timer.js';
+import * as attemptTimers from './attempt-timers.js';
 import * as attemptRecorder from './attempt-recorder.js';
 import * as requestContext from './request-context.js';
 import type * as requestDispatcher from './request-dispatcher.js';
@@ -20,19 +21,6 @@
 const minRetryTimeMs = 30;
 /** Time after the deadline during which the endpoint can still report the timeout itself, in milliseconds. */
 const lateResponseGraceMs = 40;
-/**
- * Time without a response after which a safe request is retried at another endpoint, as a multiple of the target latency of
- * its route, and its minimum in milliseconds. Plain services of both deployments respond within a third of their targets,
- * while a stalled connection never delivers a response.
- */
-const stallTimeoutFactor = 3;
-const minStallTimeoutMs = 300;
-/**
- * Time without a complete event after which a stream is resumed at another endpoint, as a multiple of the longest pause that is on time, and its
- * minimum in milliseconds. Callers of the platform give up streams after as long.
- */
-const eventTimeoutFactor = 8;
-const minEventTimeoutMs = 2000;
 /** Connections that this VM may open to an endpoint, relative to its equal share of the connection limit. */
 const connectionShareFactor = 1.5;
 
@@ -46,8 +34,7 @@
 	readonly #promptKeys: core.quarantine.PromptKeys | undefined;
 	#isTimedOut = false;
 	#isResponseClosed = false;
-	/** Ends a stream without events; absent before the response and on routes whose streams can't be resumed. */
-	#eventTimer: NodeJS.Timeout | undefined;
+	readonly #timers: attemptTimers.AttemptTimers;
 	readonly #responseTimer = new responseTimer.ResponseTimer();
 	readonly #recorder: attemptRecorder.AttemptRecorder;
 	readonly #endpointFinder: endpointFinder.EndpointFinder;
@@ -78,6 +65,7 @@
 		});
 		this.#relay.lastEventId = head.lastEventId;
 		this.#promptKeys = head.prompt && core.quarantine.createPromptKeys(head.prompt.model, head.prompt.parts.map(part => part.id));
+		this.#timers = new attemptTimers.AttemptTimers(route);
 		this.#recorder = new attemptRecorder.AttemptRecorder(request, this.#promptKeys, dependencies);
 		this.#endpointFinder = new endpointFinder.EndpointFinder(request, dependencies, this.#deadlineAt, () => this.#place());
 	}
@@ -266,10 +254,11 @@
 
 		this.#attempts.push(sent);
 		this.#recorder.recordSent(sent, this.#attempts.length);
-		const stallTimer = this.#startStallTimer(sent);
+		this.#timers.start(() => {
+			this.#abortUnanswered(sent);
+		});
 		sent.end = await attempt.run();
-		clearTimeout(stallTimer);
-		clearTimeout(this.#eventTimer);
+		this.#timers.stop();
 		this.#recorder.recordEnd(sent, sent.end);
 		if (this.#isInterrupted(sent.end)) {
 			this.#interruptedCount += sent.hasResponseStarted ? 1 : 0;
@@ -287,32 +276,19 @@
 		return fault === undefined ? this.#relay.hasIncompleteEvent : fault === endpoints.AttemptFault.ConnectionLost && !isRefused;
 	}
 
-	/** Starts a timer that aborts an attempt of a safe request that gets no response, if it may be retried at another endpoint. */
-	#startStallTimer(sent: sentAttempt.SentAttempt): NodeJS.Timeout | undefined {
-		const {route} = this.request;
-		if (route.kind !== core.routing.RouteKind.Safe) {
-			return undefined;
+	/** Aborts an attempt without progress if the request may be retried at another endpoint. */
+	#abortStalled(sent: sentAttempt.SentAttempt): void {
+		if (this.#mayRetryExecuted(1)) {
+			sent.attempt.abort(endpoints.AttemptFault.EndpointSilent);
 		}
-
-		return setTimeout(() => {
-			if (!sent.hasResponseStarted && this.#mayRetryExecuted(1)) {
-				// Idle connections to the same endpoint may be stalled as well.
-				this.dependencies.connections.closeIdle(sent.placement.entry.id);
-				sent.attempt.abort(endpoints.AttemptFault.EndpointSilent);
-			}
-		}, Math.max(minStallTimeoutMs, stallTimeoutFactor * route.targetLatencyMs));
 	}
 
-	/** Starts the timer anew that resumes a stream at another endpoint when no event is completed for too long. */
-	#restartEventTimer(sent: sentAttempt.SentAttempt): void {
-		const {route} = this.request;
-		clearTimeout(this.#eventTimer);
-		if (route.kind === core.routing.RouteKind.Streaming && route.isResumable) {
-			this.#eventTimer = setTimeout(() => {
-				if (this.#mayRetryExecuted(1)) {
-					sent.attempt.abort(endpoints.AttemptFault.EndpointSilent);
-				}
-			}, Math.max(minEventTimeoutMs, eventTimeoutFactor * route.gapTargetMs));
+	/** Aborts an attempt of a safe request that gets no response. */
+	#abortUnanswered(sent: sentAttempt.SentAttempt): void {
+		if (!sent.hasResponseStarted && this.#mayRetryExecuted(1)) {
+			// Idle connections to the same endpoint may be stalled as well.
+			this.dependencies.connections.closeIdle(sent.placement.entry.id);
+			this.#abortStalled(sent);
 		}
 	}
 
@@ -339,7 +315,9 @@
 	#recordProgress(): void {
 		const sent = this.#attempts.at(-1);
 		if (sent !== undefined) {
-			this.#restartEventTimer(sent);
+			this.#timers.restart(() => {
+				this.#abortStalled(sent);
+			});
 			this.#responseTimer.recordPart(this.dependencies.clock.monotonicNow());
 			this.#recorder.recordProgress(sent);
 		}
