--- a/packages/core/src/quarantine/find-culprits.ts
+++ b/packages/core/src/quarantine/find-culprits.ts
@@ -19,11 +19,11 @@
 };
 
 /**
- * The users' rules count requests that are sent three seconds after the fifth end. Closed connections of endpoints that are killed
- * together are noticed within some tens of milliseconds.
+ * The users' rules count requests that are sent three seconds after the fifth end. Of endpoints that are killed together, some VM notices each
+ * within some milliseconds.
  */
 export const defaultCulpritLimits: CulpritLimits = {
-	minEnds: 3, minRequests: 2, minMoments: 2, minEndsOfSound: 5, minEndsUnbegun: 5, momentMs: 100, soundMs: 30_000,
+	minEnds: 3, minRequests: 2, minMoments: 3, minEndsOfSound: 5, minEndsUnbegun: 5, momentMs: 50, soundMs: 30_000,
 };
 
 /** A prompt part that ends endpoints, as far as the evidence goes. */
@@ -149,10 +149,17 @@
 	}
 
 	#count(rows: readonly crashRow.CrashRow[]): EndCount {
+		// An end is as early as the first VM noticed it; others may be slow, or notice only that an endpoint did not outlive a request.
+		const endedAt = new Map<string, number>();
+		for (const {endpoint, at} of rows) {
+			const key = crashRow.incarnationKey(endpoint);
+			endedAt.set(key, Math.min(at, endedAt.get(key) ?? Infinity));
+		}
+
 		return {
-			ends: new Set(rows.map(row => crashRow.incarnationKey(row.endpoint))).size,
+			ends: endedAt.size,
 			requests: new Set(rows.map(row => row.ownPart)).size,
-			moments: countMoments(rows.map(row => row.at), this.limits.momentMs),
+			moments: countMoments([...endedAt.values()], this.limits.momentMs),
 		};
 	}
 }
--- a/packages/core/tests/quarantine/part-quarantine.test.ts
+++ b/packages/core/tests/quarantine/part-quarantine.test.ts
@@ -31,6 +31,14 @@
 			name: 'ends at one moment, as when endpoints are killed together',
 			rows: Array.from({length: 10}, (_, index): RowInput => [index, index * 9, 'x busy', `o${index}`]), expected: [],
 		},
+		{
+			name: 'ends at one moment that some VMs notice late',
+			rows: Array.from({length: 20}, (_, index): RowInput => [index % 10, index < 10 ? index : index * 60, 'x busy', `o${index}`]), expected: [],
+		},
+		{
+			name: 'endpoints that are killed in two groups',
+			rows: Array.from({length: 10}, (_, index): RowInput => [index, index < 5 ? index : 1000 + index, 'x busy', `o${index}`]), expected: [],
+		},
 		{
 			name: 'requests that may not have started, at three ends',
 			rows: threeEnds.map(([endpoint, at, parts, own]): RowInput => [endpoint, at, parts, own, false]), expected: [],
