Keep the evidence on quarantined parts over a restart of all VMs

Cause: the evidence was only in the memory of the VMs; after all of them were killed at once, three more endpoints would end, beyond what the users' rule allows.

--- a/packages/core/src/log/log-event.ts
+++ b/packages/core/src/log/log-event.ts
@@ -42,6 +42,8 @@
 	EndpointInterrupted = 'endpoint_interrupted',
 	/** Requests with a prompt part that ends endpoints are refused from now on. */
 	PartQuarantined = 'part_quarantined',
+	/** The evidence on quarantined parts could not be stored; it is tried again. */
+	QuarantineNotStored = 'quarantine_not_stored',
 	/** Requests with a quarantined part are sent again: the evidence has expired, or proved to be void. */
 	PartReleased = 'part_released',
 	/** The head of a request cannot be parsed; the final line of such a request. */
@@ -162,6 +164,7 @@
 		readonly ends: number; readonly requests: number;
 	};
 	[LogEvent.PartReleased]: {readonly part: string};
+	[LogEvent.QuarantineNotStored]: {readonly problem: string};
 	[LogEvent.RequestRejected]: {readonly code: string; readonly findings: string};
 	[LogEvent.RequestWaiting]: {readonly request: string} & RefusalInputs;
 	[LogEvent.RequestSent]: {
--- a/packages/gateway/src/controllers/coordination-keys.ts
+++ b/packages/gateway/src/controllers/coordination-keys.ts
@@ -4,5 +4,7 @@
 export const leaderKey = `${coordinationPrefix}leader`;
 /** Key of the current roll-out plan. */
 export const rolloutPlanKey = `${coordinationPrefix}rollout`;
+/** Key of the evidence on quarantined prompt parts, which outlasts a restart of all VMs. */
+export const quarantineKey = `${coordinationPrefix}quarantine`;
 /** Prefix of the keys of the VMs, one for each, bound to its lease. */
 export const vmKeyPrefix = `${coordinationPrefix}vms/`;
--- a/packages/gateway/src/controllers/index.ts
+++ b/packages/gateway/src/controllers/index.ts
@@ -8,6 +8,7 @@
 export * from './operator-controller.js';
 export * from './prefix-listeners.js';
 export * from './quarantine-controller.js';
+export * from './quarantine-store.js';
 export * from './renewed-lease.js';
 export * from './rollout-controller.js';
 export * from './store-feed.js';
--- a/packages/gateway/src/controllers/quarantine-controller.ts
+++ b/packages/gateway/src/controllers/quarantine-controller.ts
@@ -118,6 +118,14 @@
 		return this.#news.size > 0;
 	}
 
+	/** Returns the quarantined parts in alphabetical order, and the evidence on them. */
+	describeQuarantined(): {readonly parts: string; readonly evidence: core.quarantine.QuarantineDigest} {
+		const now = this.#now();
+		const parts = this.#parts.list().map(({part}) => part).sort((a, b) => a < b ? -1 : 1).join(' ');
+		const crashes = this.#parts.listDecisiveRows().map(({at, ...row}) => ({...row, ageMs: Math.round(now - at)}));
+		return {parts, evidence: {crashes, soundParts: [], survivors: []}};
+	}
+
 	/** Releases parts whose evidence has expired. */
 	tick(): void {
 		if (this.#parts.size > 0 && this.#now() - this.#updatedAt >= updateIntervalMs) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,6 +23,7 @@
 	readonly endpointController: controllers.EndpointController;
 	readonly loadExchange: peers.LoadExchange;
 	readonly loadController: controllers.LoadController;
+	readonly quarantineStore: controllers.QuarantineStore;
 	readonly cacheStoreController: controllers.CacheStoreController;
 	readonly clock: clocks.Clocks;
 	/** Absent if the settings have no address for metrics. */
@@ -34,6 +35,8 @@
 const endpointIntervalMs = 100;
 const leaseIntervalMs = 150;
 const rolloutIntervalMs = 50;
+/** Interval between checks whether the evidence on quarantined parts must be stored. */
+const quarantineIntervalMs = 250;
 /** Interval between polls of the cache store, each of which waits for changes. */
 const cacheStoreIntervalMs = 100;
 /** Interval between checks whether a digest (summary of this VM's load) must be sent to the other VMs. */
@@ -141,7 +144,7 @@
 
 	#runTasks(): periodicTask.PeriodicTaskHandle[] {
 		const {
-			endpointController, coordination, leaseController, rolloutController, loadController, cacheStoreController, log,
+			endpointController, coordination, leaseController, rolloutController, loadController, quarantineStore, cacheStoreController, log,
 		} = this.components;
 		const tasks: readonly periodicTask.PeriodicTask[] = [
 			{
@@ -160,6 +163,7 @@
 					loadController.tick();
 				},
 			},
+			{name: 'quarantine', intervalMs: quarantineIntervalMs, run: async () => quarantineStore.tick()},
 			{name: 'cache store', intervalMs: cacheStoreIntervalMs, run: async () => cacheStoreController.tick()},
 			{name: 'lease', intervalMs: leaseIntervalMs, run: async () => leaseController.tick()},
 			{name: 'rollout', intervalMs: rolloutIntervalMs, run: async () => rolloutController.tick()},
--- a/packages/gateway/src/peers/digest-codec.ts
+++ b/packages/gateway/src/peers/digest-codec.ts
@@ -23,15 +23,19 @@
 /** Encoded survivor: endpoint, start time of its incarnation, age in milliseconds. */
 type SurvivorRow = readonly [string, number, number];
 
-/** Parts of a digest that older builds do not know and ignore. */
-type DigestExtension = {
-	readonly pauses?: readonly PauseRow[];
-	readonly leaving?: readonly IncarnationRow[];
+/** Encoded evidence on prompt parts that end endpoints; absent lists are empty. */
+export type EncodedEvidence = {
 	readonly crashes?: readonly CrashRow[];
 	readonly sound?: readonly SoundRow[];
 	readonly alive?: readonly SurvivorRow[];
 };
 
+/** Parts of a digest that older builds do not know and ignore. */
+type DigestExtension = EncodedEvidence & {
+	readonly pauses?: readonly PauseRow[];
+	readonly leaving?: readonly IncarnationRow[];
+};
+
 /** Longest key of a prompt part, and largest number of parts of a request, that are accepted. */
 const maxPartKeyLength = 64;
 const maxSharedParts = 32;
@@ -55,7 +59,7 @@
 		digest.cacheObservations.map(observation => [observation.type, observation.key, observation.endpoint]),
 	];
 	const extension: DigestExtension = {
-		...(pauses.length > 0 && {pauses}), ...(leaving.length > 0 && {leaving}), ...(digest.quarantine && encodeQuarantine(digest.quarantine)),
+		...(pauses.length > 0 && {pauses}), ...(leaving.length > 0 && {leaving}), ...(digest.quarantine && encodeEvidence(digest.quarantine)),
 	};
 	return cbor.encode(Object.keys(extension).length === 0 ? state : [...state, extension]);
 }
@@ -76,7 +80,7 @@
 function toDigest([vm, sequence, endpoints, observations, extension]: DigestMessage): core.fleet.LoadDigest {
 	const pauses = toPauses(extension?.pauses);
 	const leaving = isRows(extension?.leaving, ['string', 'number']) ? extension!.leaving! : [];
-	const quarantine = toQuarantine(extension ?? {});
+	const quarantine = decodeEvidence(extension ?? {});
 	return {
 		vm,
 		sequence,
@@ -90,7 +94,8 @@
 	};
 }
 
-function encodeQuarantine({crashes, soundParts, survivors}: core.quarantine.QuarantineDigest): DigestExtension {
+/** Encodes the evidence on prompt parts. */
+export function encodeEvidence({crashes, soundParts, survivors}: core.quarantine.QuarantineDigest): EncodedEvidence {
 	return {
 		...(crashes.length > 0 && {
 			crashes: crashes.map(({endpoint, ageMs, hasBegun, ownPart, sharedParts}): CrashRow => [
@@ -103,7 +108,7 @@
 }
 
 /** Decodes the evidence on prompt parts; skips invalid rows. */
-function toQuarantine({crashes, sound, alive}: DigestExtension): core.quarantine.QuarantineDigest | undefined {
+export function decodeEvidence({crashes, sound, alive}: EncodedEvidence): core.quarantine.QuarantineDigest | undefined {
 	const crashRows = isRows(crashes, ['string', 'number', 'number', 'boolean', 'string']) ? crashes!.filter(row => isCrashRow(row)) : [];
 	const soundRows = isRows(sound, ['string', 'number']) ? sound!.filter(([part, ageMs]) => isPartKey(part) && ageMs >= 0) : [];
 	const aliveRows = isRows(alive, ['string', 'number', 'number']) ? alive!.filter(row => row[2] >= 0) : [];
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -146,10 +146,14 @@
 	const rolloutController = new controllers.RolloutController({
 		vm: settings.vm, store, coordination, lease: leaseController, fleet, pauses, config, admin, clock, log, limits: core.rollout.defaultRolloutLimits,
 	});
+	const quarantineStore = new controllers.QuarantineStore({
+		store, lease: leaseController, quarantine, clock, log,
+	});
 	const listener = new controllers.PrefixListeners([
 		{prefix: decoder.prefixes.operator, listener: operator},
 		{prefix: decoder.prefixes.endpoints, listener: endpointController},
 		{prefix: controllers.coordinationPrefix, listener: coordination},
+		{prefix: controllers.quarantineKey, listener: quarantineStore},
 	]);
 	// Subscribed before the feed, so that nothing uses what was read in an earlier era.
 	store.eras?.subscribe(new controllers.EraListener({coordination, leaseController, log}));
@@ -192,6 +196,7 @@
 		endpointController,
 		loadExchange,
 		loadController,
+		quarantineStore,
 		cacheStoreController,
 		clock,
 		log,
