--- a/packages/stand-ins/src/check/platform/check-platform.ts
+++ b/packages/stand-ins/src/check/platform/check-platform.ts
@@ -1,5 +1,6 @@
 import * as answerCheck from './answer-check.js';
 import * as configCheck from './config-check.js';
+import * as crashingPartCheck from './crashing-part-check.js';
 import * as drainCheck from './drain-check.js';
 import * as endCheck from './end-check.js';
 import * as executionCheck from './execution-check.js';
@@ -19,6 +20,7 @@
 	rolloutCheck.checkFinalVersions,
 	configCheck.checkConfigs,
 	drainCheck.checkDrains,
+	crashingPartCheck.checkCrashingParts,
 	endCheck.checkDeadlines,
 	endCheck.checkPlannedStops,
 	endCheck.checkLostResponses,
--- a/packages/stand-ins/src/check/platform/index.ts
+++ b/packages/stand-ins/src/check/platform/index.ts
@@ -1,6 +1,7 @@
 export * from './answer-check.js';
 export * from './check-platform.js';
 export * from './config-check.js';
+export * from './crashing-part-check.js';
 export * from './drain-check.js';
 export * from './end-check.js';
 export * from './execution-check.js';
--- a/packages/stand-ins/src/check/platform/platform-records.ts
+++ b/packages/stand-ins/src/check/platform/platform-records.ts
@@ -61,6 +61,8 @@
 	readonly account?: string;
 	/** Whether the server received an API key. */
 	readonly hasKey: boolean;
+	/** Whether its prompt has the part on which engines end; false by default. */
+	readonly hasCrashingPart?: boolean;
 };
 
 /** First event of a stream. */
@@ -71,6 +73,15 @@
 	readonly at: number;
 };
 
+/** Part of prompts on which engines end. */
+export const crashingPart = 'dead';
+
+/** End of an engine on a prompt. */
+export type Crash = {
+	readonly server: string;
+	readonly at: number;
+};
+
 /** What a disruption acts on. */
 export enum DisruptionTarget {
 	/** A gateway process: ended, starting or suspended. */
@@ -177,6 +188,8 @@
 	/** Model of each engine. */
 	readonly models: Readonly<Record<string, string>>;
 	readonly disruptions: readonly Disruption[];
+	/** Ends of engines on prompts; none by default. */
+	readonly crashes?: readonly Crash[];
 	readonly versions: readonly NamedVersion[];
 	readonly configs: readonly AcknowledgedConfig[];
 	readonly leavingPeriods: readonly LeavingPeriod[];
--- a/packages/stand-ins/src/soak/platform/platform-client.ts
+++ b/packages/stand-ins/src/soak/platform/platform-client.ts
@@ -9,6 +9,8 @@
 	readonly model?: string;
 	/** Milliseconds after which the client closes the connection; absent if it waits for its deadline. */
 	readonly givesUpAfterMs?: number;
+	/** Whether the prompt has the part on which engines end; false by default. */
+	readonly hasCrashingPart?: boolean;
 };
 
 type Mutable<Value> = {-readonly [Key in keyof Value]: Value[Key]};
@@ -23,7 +25,7 @@
 	agent: http.Agent,
 	request: ClientRequest,
 ): Promise<check.platform.Exchange> {
-	const {model, givesUpAfterMs, ...sent} = request;
+	const {model, givesUpAfterMs, hasCrashingPart, ...sent} = request;
 	const exchange: Mutable<check.platform.Exchange> = {
 		...sent, gateway: gateway.name, sentAt: Date.now(), endedAt: 0, end: ends.NoResponse, responseBody: '',
 	};
@@ -116,11 +118,16 @@
 		...(request.model !== undefined && {
 			'Bluebellmast-Model': request.model,
 			'Bluebellmast-Token-Usage': '400,20',
-			'Bluebellmast-Prompt-Prefix': `a${Number(request.requestId.at(-1)) || 0}:300,${Number(request.requestId.split('-').at(-1)).toString(16)}b:100`,
+			'Bluebellmast-Prompt-Prefix': createPrompt(request),
 		}),
 	};
 }
 
+function createPrompt({requestId, hasCrashingPart}: ClientRequest): string {
+	const crashingPart = hasCrashingPart ? `${check.platform.crashingPart}:50,` : '';
+	return `a${Number(requestId.at(-1)) || 0}:300,${crashingPart}${Number(requestId.split('-').at(-1)).toString(16)}b:100`;
+}
+
 function headerOf(res: http.IncomingMessage, name: string): string | undefined {
 	const value = res.headers[name];
 	return Array.isArray(value) ? value[0] : value;
--- a/packages/stand-ins/src/soak/platform/platform-clients.ts
+++ b/packages/stand-ins/src/soak/platform/platform-clients.ts
@@ -23,6 +23,8 @@
 	readonly openIds = new Set<string>();
 	/** Multiplies the rate of requests. */
 	rateFactor = 1;
+	/** Share of the requests whose prompt has the part on which engines end. */
+	crashingShare = 0;
 	readonly #agents = new Map<string, http.Agent>();
 	readonly #random: util.Random;
 	#sending: Promise<unknown> = Promise.resolve();
@@ -59,6 +61,7 @@
 		const route = this.system.operator.pickRoute(random);
 		const request: platformClient.ClientRequest = {
 			...platformClient.createRequest(id, route, this.system.operator.pickKey(random), random.integer(minDeadlineMs, maxDeadlineMs)),
+			hasCrashingPart: this.crashingShare > 0 && random.chance(this.crashingShare),
 			...(random.chance(giveUpShare) && {givesUpAfterMs: random.integer(1, maxGiveUpMs)}),
 		};
 		const repeatsAtOnce = random.chance(repeatShare);
--- a/packages/stand-ins/src/soak/platform/platform-injector.ts
+++ b/packages/stand-ins/src/soak/platform/platform-injector.ts
@@ -23,6 +23,8 @@
 
 const {ActionType: types} = platformPlan;
 const {DisruptionTarget: targets} = check.platform;
+/** Share of the requests to engines with the part on which they end. */
+const crashingShare = 0.1;
 const burstFactor = 6;
 const leaderPollMs = 100;
 const maxBurstMs = 1500;
@@ -79,6 +81,11 @@
 				break;
 			}
 
+			case platformPlan.ActionTarget.AllServers: {
+				await this.#sendCrashingPrompts(action.durationMs);
+				break;
+			}
+
 			case platformPlan.ActionTarget.Nothing: {
 				await this.#playChange(action);
 				break;
@@ -295,6 +302,14 @@
 		fleet.list(server, 'ready');
 	}
 
+	async #sendCrashingPrompts(durationMs: number): Promise<void> {
+		const {system: {fleet}, clients} = this.options;
+		clients.crashingShare = crashingShare;
+		await util.sleep(durationMs);
+		clients.crashingShare = 0;
+		await fleet.waitForRestarts();
+	}
+
 	async #playChange(action: platformPlan.PlannedAction): Promise<void> {
 		const {system: {operator}, clients} = this.options;
 		const actions: Partial<Record<platformPlan.ActionType, () => Promise<unknown>>> = {
--- a/packages/stand-ins/src/soak/platform/platform-plan.ts
+++ b/packages/stand-ins/src/soak/platform/platform-plan.ts
@@ -50,6 +50,8 @@
 	HoldRequestsToStore = 'hold_requests_to_store',
 	HoldResponsesOfStore = 'hold_responses_of_store',
 	SilenceStoreLink = 'silence_store_link',
+	/** Some prompts have a part on which engines end. */
+	CrashingPrompts = 'crashing_prompts',
 	/** The clients send several times as many requests. */
 	Burst = 'burst',
 }
@@ -82,6 +84,7 @@
 	AllGateways = 'all_gateways',
 	Store = 'store',
 	Server = 'server',
+	AllServers = 'all_servers',
 	Nothing = 'nothing',
 }
 
@@ -130,6 +133,7 @@
 	[ActionType.HoldRequestsToStore]: ActionTarget.Store,
 	[ActionType.HoldResponsesOfStore]: ActionTarget.Store,
 	[ActionType.SilenceStoreLink]: ActionTarget.Store,
+	[ActionType.CrashingPrompts]: ActionTarget.AllServers,
 	[ActionType.Burst]: ActionTarget.Nothing,
 };
 
@@ -211,6 +215,12 @@
 const pauseMs = 4000;
 /** Milliseconds at the end of the run without actions: the time to recover, and a time in which service is judged. */
 const quietEndMs = 20_000;
+/** Share of the runs with prompts on which engines end, how long these are sent, and the time until an engine is back. */
+const crashingPromptsShare = 0.5;
+const crashingPromptsSeed = 1_000_000;
+const minCrashingPromptsMs = 6000;
+const maxCrashingPromptsMs = 12_000;
+const crashRestartMs = 3000;
 const versionBoundsMs = [5000, 8000, 12_000];
 /** Share of actions that are changes by the operator or bursts of clients. */
 const changeShare = 0.35;
@@ -246,7 +256,7 @@
 		phaseMs = phaseEndMs;
 	}
 
-	return {sizes, versionMs, actions};
+	return {sizes, versionMs, actions: [...actions, ...drawCrashingPrompts(seed, lastMs)].sort((a, b) => a.atMs - b.atMs)};
 }
 
 /** Lists the names of all targets of an action. */
@@ -261,6 +271,10 @@
 			return Array.from({length: sizes.gateways}, (_, index) => `${ActionTarget.Gateway} ${index}`);
 		}
 
+		case ActionTarget.AllServers: {
+			return Array.from({length: (2 * sizes.engines) + sizes.runners}, (_, index) => `${ActionTarget.Server} ${index}`);
+		}
+
 		case ActionTarget.Store: {
 			return [target];
 		}
@@ -285,10 +299,23 @@
 		[ActionType.StopInTurn]: sizes.gateways * stopMs,
 		[ActionType.DrainServer]: leaveMs + action.durationMs,
 		[ActionType.RemoveEntry]: leaveMs + action.durationMs,
+		[ActionType.CrashingPrompts]: crashRestartMs + action.durationMs,
 	};
 	return estimates[action.type] ?? action.durationMs;
 }
 
+/** Draws for half of the seeds a time with prompts on which engines end; other draws do not depend on it. */
+function drawCrashingPrompts(seed: number, lastMs: number): PlannedAction[] {
+	const random = new util.Random(seed + crashingPromptsSeed);
+	const durationMs = random.integer(minCrashingPromptsMs, maxCrashingPromptsMs);
+	const latestMs = lastMs - durationMs - crashRestartMs;
+	return random.chance(crashingPromptsShare) && latestMs > pauseMs
+		? [{
+			atMs: random.integer(pauseMs, latestMs), type: ActionType.CrashingPrompts, targetIndex: 0, durationMs, amount: 1,
+		}]
+		: [];
+}
+
 function drawSizes(random: util.Random): PlatformSizes {
 	const isLarge = random.chance(largeRunShare);
 	return isLarge
--- a/packages/stand-ins/src/soak/platform/server-fleet.ts
+++ b/packages/stand-ins/src/soak/platform/server-fleet.ts
@@ -1,7 +1,7 @@
-import type * as check from '../../check/index.js';
+import * as check from '../../check/index.js';
 import * as fault from '../../fault/index.js';
 import * as usersPlatform from '../../users-platform/index.js';
-import type * as util from '../../util/index.js';
+import * as util from '../../util/index.js';
 
 /** A server stand-in with the proxy of the links to it. */
 export type FleetServer = {
@@ -25,6 +25,8 @@
 };
 
 const refreshIntervalMs = 50;
+/** Time until an engine that ended on a prompt is back. */
+const restartMs = 1500;
 const minLoadMs = 200;
 const maxLoadMs = 2500;
 /** Delay of first events, interval of events and duration of plain requests. */
@@ -35,6 +37,10 @@
 export class ServerFleet {
 	readonly servers: FleetServer[] = [];
 	readonly leavingPeriods: check.platform.LeavingPeriod[] = [];
+	/** Ends of engines on prompts, and the times until they were back. */
+	readonly crashes: check.platform.Crash[] = [];
+	readonly crashDisruptions: check.platform.Disruption[] = [];
+	readonly #restarts = new Set<Promise<void>>();
 	/** Stand-ins of all incarnations, also of those that were replaced. */
 	readonly #standIns: usersPlatform.UsersServerStandIn[] = [];
 	#timer: NodeJS.Timeout | undefined;
@@ -83,6 +89,11 @@
 		this.list(server);
 	}
 
+	/** Waits until all engines that ended on prompts are back. */
+	async waitForRestarts(): Promise<void> {
+		await Promise.all(this.#restarts);
+	}
+
 	/** Writes the entry of a server. */
 	list(server: FleetServer, state = server.state): void {
 		server.state = state;
@@ -103,6 +114,7 @@
 			deadlineMs: numberOf(headers['bluebellmast-deadline-milliseconds']),
 			account: textOf(headers['bluebellmast-tenant']),
 			hasKey: headers['bluebellmast-credential'] !== undefined,
+			hasCrashingPart: textOf(headers['bluebellmast-prompt-prefix'])?.includes(`${check.platform.crashingPart}:`),
 		}));
 	}
 
@@ -133,11 +145,31 @@
 		return models;
 	}
 
+	/** Starts an engine that ended on a prompt again, as a new incarnation. */
+	async #restart(id: string): Promise<void> {
+		const server = this.servers.find(other => other.id === id)!;
+		const disruption = {
+			target: check.platform.DisruptionTarget.Server, name: id, isPlanned: false, from: Date.now(), to: Infinity,
+		};
+		this.crashes.push({server: id, at: disruption.from});
+		this.crashDisruptions.push(disruption);
+		await util.sleep(restartMs);
+		server.standIn.restart();
+		await server.standIn.server.applyFault({fault: fault.FaultName.Clear});
+		this.list(server, 'ready');
+		disruption.to = Date.now();
+	}
+
 	async #startStandIn(id: string, service: string, model?: string, port?: number): Promise<usersPlatform.UsersServerStandIn> {
 		const {random, streamEvents} = this.options;
 		const standIn = new usersPlatform.UsersServerStandIn({
 			id, service, model, port,
 			identifiesRequests: true,
+			crashingPart: check.platform.crashingPart,
+			onCrash: () => {
+				const restart = this.#restart(id);
+				this.#restarts.add(restart);
+			},
 			eventCount: streamEvents,
 			firstEventDelayMs: random.integer(minDelayMs, maxDelayMs),
 			intervalMs: random.integer(minDelayMs, maxDelayMs),
--- a/packages/stand-ins/src/users-platform/users-server-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/users-server-stand-in.ts
@@ -185,6 +185,7 @@
 		this.#acceptedOrderCount = 0;
 		this.#highestFence = 0;
 		this.#isLoading = false;
+		this.#hasCrashed = false;
 		this.leavingHeader = undefined;
 		this.server.resetConnections();
 	}
--- a/packages/stand-ins/tests/check/platform/check-platform.test.ts
+++ b/packages/stand-ins/tests/check/platform/check-platform.test.ts
@@ -109,6 +109,21 @@
 const newerConfig = {...config, version: 2, acknowledgedAt: sentAt - (3 * second)};
 const newerVersions: PlatformRecord['versions'] = [...soundRecord.versions, {model: 'model-chat', version: 3, acknowledgedAt: sentAt - (9 * second)}];
 
+/** Creates requests with the crashing part that arrive one after the other, from a time after the given number of ends on. */
+function withCrashingPart(ends: number, arrivals: number, firstAfterMs: number): Partial<PlatformRecord> {
+	const ids = Array.from({length: arrivals}, (_, index) => `q-${index}`);
+	return {
+		crashes: Array.from({length: ends}, (_, index) => ({server: 'chat-0', at: sentAt + (index * 10)})),
+		exchanges: ids.map(requestId => ({
+			...streamExchange, requestId, path: `/chat/${requestId}`, respondedId: undefined, end: platform.ExchangeEnd.GaveUp, status: undefined, responseBody: '', signature: undefined,
+		})),
+		executions: ids.map(requestId => ({
+			...streamExecution, requestId, path: `/chat/${requestId}`, arrivedAt: sentAt + (ends * 10) + firstAfterMs, deadlineMs: 100, hasCrashingPart: true,
+		})),
+		starts: [],
+	};
+}
+
 type Case = {
 	readonly name: string;
 	readonly changes: Partial<PlatformRecord>;
@@ -181,6 +196,17 @@
 		changes: withPlain({}, [{...plainExecution, account: 'account-2'}]),
 		finding: 'an account that never held the key',
 	},
+	{name: 'requests with the crashing part within the settle window after the fifth end', changes: withCrashingPart(5, 9, 2000)},
+	{name: 'three requests with the crashing part after the window', changes: withCrashingPart(5, 3, 3500)},
+	{name: 'requests with the crashing part after four ends', changes: withCrashingPart(4, 9, 3500)},
+	{
+		name: 'four requests with the crashing part after the window', changes: withCrashingPart(5, 4, 3500),
+		finding: '4 requests with the part reached engines of model-chat after 5 had ended',
+	},
+	{
+		name: 'requests with the crashing part from a gateway that is not in touch',
+		changes: {...withCrashingPart(5, 9, 3500), disruptions: [disrupt(targets.Gateway, 'gateway-0', sentAt + (2 * second), sentAt + (3 * second))]},
+	},
 	{name: 'up to 20 deadlines that are longer than the client\'s', changes: withDeadlines(20, [2600])},
 	{
 		name: 'many deadlines that are longer than the client\'s', changes: withDeadlines(21, [2600]), findings: 21, finding: 'received the deadline 2600 ms',
