Void evidence on an endpoint only by a connection that was open all the while, and keep what suffices

Change: an endpoint has survived an interruption if a response arrives on a connection that was open before it; one row of each endpoint is repeated and stored.

--- a/packages/core/src/quarantine/part-quarantine.ts
+++ b/packages/core/src/quarantine/part-quarantine.ts
@@ -30,8 +30,14 @@
 	maxSurvivors: 1024,
 };
 
-/** Number of the first rows, and of the last ones, that suffice as evidence on a part. */
-const rowsAtEachEnd = 4;
+/** Number of the first endpoints that ended, and of the last ones, whose rows suffice as evidence on a part. */
+const rowsAtEachEnd = 6;
+
+/** Time for which an incarnation is known to be alive, in milliseconds of the clock of the evidence. */
+export type AlivePeriod = {
+	readonly from: number;
+	readonly until: number;
+};
 
 /** What changed by new evidence. */
 export type QuarantineChange = {
@@ -53,15 +59,14 @@
 	/** Interrupted requests by key, the oldest first. */
 	readonly #rows = new Map<string, crashRow.CrashRow>();
 	readonly #sound: recentTimes.RecentTimes;
-	/** When incarnations last proved to be alive. */
-	readonly #alive: recentTimes.RecentTimes;
+	/** The last times for which incarnations proved to be alive; the one that was updated the longest ago first. */
+	readonly #alive = new Map<string, AlivePeriod>();
 	#culprits = new Map<string, findCulprits.Culprit>();
 	/** Parts of the rows that no request has completed since; absent after a change of the evidence. */
 	#suspects: Set<string> | undefined;
 
 	constructor(private readonly options: PartQuarantineOptions = defaultPartQuarantineOptions) {
 		this.#sound = new recentTimes.RecentTimes(options.maxSoundParts);
-		this.#alive = new recentTimes.RecentTimes(options.maxSurvivors);
 	}
 
 	/** Number of interrupted requests that are kept. */
@@ -144,22 +149,28 @@
 	}
 
 	/**
-	 * Records that an incarnation was alive at a time. Its earlier interruptions were no ends.
+	 * Records that an incarnation was alive for a time. Interruptions in that time were no ends.
 	 *
-	 * @returns Whether it interrupted requests before.
+	 * @returns Whether there were any.
 	 */
-	recordAlive(endpoint: endpointEntry.EndpointIncarnation, at: number): boolean {
+	recordAlive(endpoint: endpointEntry.EndpointIncarnation, period: AlivePeriod): boolean {
 		if (this.#rows.size === 0) {
 			return false;
 		}
 
 		const key = crashRow.incarnationKey(endpoint);
-		const voidRows = [...this.#rows].filter(([, row]) => crashRow.incarnationKey(row.endpoint) === key && row.at < at);
+		const voidRows = [...this.#rows].filter(([, row]) => crashRow.incarnationKey(row.endpoint) === key && isWithin(row, period));
 		if (voidRows.length === 0) {
 			return false;
 		}
 
-		this.#alive.record(key, at);
+		this.#alive.delete(key);
+		this.#alive.set(key, period);
+		if (this.#alive.size > this.options.maxSurvivors) {
+			const [oldest] = this.#alive.keys();
+			this.#alive.delete(oldest!);
+		}
+
 		for (const [rowKey] of voidRows) {
 			this.#rows.delete(rowKey);
 		}
@@ -207,11 +218,11 @@
 		return [...this.#culprits.values()];
 	}
 
-	/** Lists rows on which the quarantine of parts rests: the first and the last ones of each part. */
+	/** Lists rows on which the quarantine of parts rests: of each part one row of the first and the last endpoints that ended. */
 	listDecisiveRows(): crashRow.CrashRow[] {
 		const decisive = new Set<crashRow.CrashRow>();
 		for (const part of this.#culprits.keys()) {
-			const rows = [...this.#rows.values()].filter(row => row.sharedParts.includes(part)).sort((a, b) => a.at - b.at);
+			const rows = listRowsByEndpoint([...this.#rows.values()].filter(row => row.sharedParts.includes(part)));
 			for (const row of [...rows.slice(0, rowsAtEachEnd), ...rows.slice(-rowsAtEachEnd)]) {
 				decisive.add(row);
 			}
@@ -225,10 +236,15 @@
 		const known = this.#rows.get(crashRow.rowKey(row));
 		return (known === undefined || (row.hasBegun && !known.hasBegun))
 			&& now - row.at <= this.options.lifetimeMs
-			&& row.at > this.#alive.last(crashRow.incarnationKey(row.endpoint))
+			&& !this.#hasSurvived(row)
 			&& row.sharedParts.some(part => row.at > this.#sound.last(part));
 	}
 
+	#hasSurvived(row: crashRow.CrashRow): boolean {
+		const period = this.#alive.get(crashRow.incarnationKey(row.endpoint));
+		return period !== undefined && isWithin(row, period);
+	}
+
 	/** Rates how likely it is that a part of the request is the cause: begun ones, those with parts of other rows, those with parts that were never sound. */
 	#rateSuspicion({sharedParts, hasBegun}: crashRow.CrashRow): number {
 		const unknown = sharedParts.filter(part => this.#sound.last(part) === -Infinity);
@@ -256,6 +272,23 @@
 	}
 }
 
+/** Returns one row of each endpoint, ordered by time: the first one whose response had begun, or else the first one. */
+function listRowsByEndpoint(rows: readonly crashRow.CrashRow[]): crashRow.CrashRow[] {
+	const chosen = new Map<string, crashRow.CrashRow>();
+	for (const row of [...rows].sort((a, b) => (Number(b.hasBegun) - Number(a.hasBegun)) || a.at - b.at)) {
+		const key = crashRow.incarnationKey(row.endpoint);
+		if (!chosen.has(key)) {
+			chosen.set(key, row);
+		}
+	}
+
+	return [...chosen.values()].sort((a, b) => a.at - b.at);
+}
+
+function isWithin({at}: crashRow.CrashRow, {from, until}: AlivePeriod): boolean {
+	return at > from && at < until;
+}
+
 function increment(counts: Map<string, number>, key: string): void {
 	counts.set(key, (counts.get(key) ?? 0) + 1);
 }
--- a/packages/core/src/quarantine/quarantine-digest.ts
+++ b/packages/core/src/quarantine/quarantine-digest.ts
@@ -8,10 +8,11 @@
 	readonly ageMs: number;
 };
 
-/** An incarnation of an endpoint that lives on after it interrupted requests. */
+/** An incarnation of an endpoint that lived on after it interrupted requests: a connection to it was open all the while. */
 export type Survivor = {
 	readonly endpoint: endpointEntry.EndpointIncarnation;
-	/** Time since it was known to be alive, in milliseconds. */
+	/** Time since the connection was opened, and since a response arrived on it, in milliseconds. */
+	readonly openedAgeMs: number;
 	readonly ageMs: number;
 };
 
--- a/packages/core/tests/quarantine/part-quarantine.test.ts
+++ b/packages/core/tests/quarantine/part-quarantine.test.ts
@@ -106,7 +106,8 @@
 
 	it('voids the evidence of endpoints that live on, and of ends before a part was sound', () => {
 		const quarantine = createQuarantine(threeEnds, 400);
-		expect(quarantine.recordAlive({id: 'e-2', bornAt: 1}, 300)).to.equal(true);
+		expect(quarantine.recordAlive({id: 'e-2', bornAt: 1}, {from: 250, until: 300})).to.equal(false);
+		expect(quarantine.recordAlive({id: 'e-2', bornAt: 1}, {from: 150, until: 300})).to.equal(true);
 		expect(quarantine.update(500).removed).to.have.lengthOf(1);
 		expect(quarantine.addRows(threeEnds.map(row => createRow(row)), 500)).to.deep.equal([]);
 		quarantine.addRows([createRow([4, 600, 'v bad', 'o4'])], 600);
@@ -116,6 +117,21 @@
 		expect(quarantine.update(700).removed).to.have.lengthOf(1);
 	});
 
+	// Guards against a VM that learns of a quarantined part by the rows that others repeat, and does not quarantine it.
+	it('lists rows that suffice to quarantine the same parts', () => {
+		for (const [seed, count] of [1, 2, 3, 4, 5].flatMap(each => [[each, 8], [each, 40]] as const)) {
+			const random = new core.util.SeededRandom(seed);
+			const inputs = Array.from({length: count * 4}, (_, index): RowInput => [
+				index % count, ((index % count) * 17) + random.int(15), `${random.int(2) === 0 ? 'bad' : 'sound'} x${random.int(30)}`, `o${index}`, random.int(4) > 0,
+			]);
+			const quarantine = createQuarantine([...inputs, ...Array.from({length: count}, (_, index): RowInput => [index, index * 17, 'bad', `p${index}`])], 1000);
+			const other = new core.quarantine.PartQuarantine();
+			other.addRows(quarantine.listDecisiveRows(), 1000);
+			other.update(1000);
+			expect(other.match(['bad'], 1000), `seed ${seed}, ${count} ends`).to.not.equal(undefined);
+		}
+	});
+
 	it('is bounded, and keeps the evidence on quarantined parts', () => {
 		const quarantine = createQuarantine(threeEnds, 400);
 		for (let number = 0; number < 2000; number++) {
@@ -148,7 +164,7 @@
 				}
 
 				quarantine.recordSound(['a'], 1000);
-				quarantine.recordAlive({id: 'e-0', bornAt: 1}, 3000);
+				quarantine.recordAlive({id: 'e-0', bornAt: 1}, {from: -1, until: 3000});
 				quarantine.recordSound(['c'], 2001);
 				quarantine.update(2001);
 				return quarantine;
--- a/packages/gateway/src/call/attempt-recorder.ts
+++ b/packages/gateway/src/call/attempt-recorder.ts
@@ -132,9 +132,9 @@
 		}, outlivedMs).unref();
 	}
 
-	/** Records that the intended endpoint responded, if only by a refusal. */
-	recordAlive({placement, sentAt}: sentAttempt.SentAttempt): void {
-		this.dependencies.quarantine.recordAlive(placement.entry, sentAt);
+	/** Records that the intended endpoint responded on a connection, if only by a refusal. */
+	recordAlive({placement}: sentAttempt.SentAttempt, connection: Pick<endpoints.EndpointConnection, 'openedAt'>): void {
+		this.dependencies.quarantine.recordAlive(placement.entry, connection.openedAt);
 	}
 
 	/** Records the end of an attempt. */
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -241,12 +241,12 @@
 			},
 			onMatchingHead: head => {
 				this.#recorder.recordPause(placement, head);
-				this.#recorder.recordAlive(sent);
+				this.#recorder.recordAlive(sent, connection);
 			},
 			monotonicNow: clock.monotonicNow,
 		});
 		const sent: sentAttempt.SentAttempt = {
-			placement, attempt, id, sentAt: clock.suspendAwareNow(), hasResponseStarted: false,
+			placement, attempt, id, hasResponseStarted: false,
 		};
 		if (this.#attempts.length > 0) {
 			this.dependencies.retryWindows.of(this.#pool).countRetry(now);
--- a/packages/gateway/src/call/sent-attempt.ts
+++ b/packages/gateway/src/call/sent-attempt.ts
@@ -6,8 +6,6 @@
 	/** Identifies the attempt among all attempts of this VM. */
 	readonly id: string;
 	readonly placement: endpointPlacer.Placement;
-	/** When the attempt was sent, in milliseconds of a clock that includes suspensions of the VM. */
-	readonly sentAt: number;
 	readonly attempt: endpoints.EndpointAttempt;
 	/** Whether any part of the response has arrived. */
 	hasResponseStarted: boolean;
--- a/packages/gateway/src/controllers/quarantine-controller.ts
+++ b/packages/gateway/src/controllers/quarantine-controller.ts
@@ -25,6 +25,8 @@
 const repeatIntervalMs = 1000;
 /** Interval at which the last completed request with a disputed part is told again, in milliseconds. */
 const soundRepeatMs = 1000;
+/** Longest time from the end of an endpoint until its last bytes are read, in milliseconds. */
+const maxReadDelayMs = 250;
 /** Interval between checks whether evidence has expired, in milliseconds. */
 const updateIntervalMs = 1000;
 
@@ -64,10 +66,17 @@
 		}
 	}
 
-	/** Records that an endpoint responded to a request that was sent at a time of the clock that includes suspensions. */
-	recordAlive({id, bornAt}: core.fleet.EndpointIncarnation, sentAt: number): void {
-		if (this.#parts.recordAlive({id, bornAt}, sentAt)) {
-			this.#news.survivors.push({endpoint: {id, bornAt}, at: sentAt});
+	/**
+	 * Records that an endpoint responded on a connection. One that ends closes its connections, while a response on a new connection may be of
+	 * its next incarnation.
+	 *
+	 * @param openedAt - When the connection was opened, in milliseconds of the clock that includes suspensions.
+	 */
+	recordAlive({id, bornAt}: core.fleet.EndpointIncarnation, openedAt: number): void {
+		// Bytes that an endpoint sent before its end may be read somewhat later.
+		const period: core.quarantine.AlivePeriod = {from: openedAt, until: this.#now() - maxReadDelayMs};
+		if (this.#parts.recordAlive({id, bornAt}, period)) {
+			this.#news.survivors.push({endpoint: {id, bornAt}, period});
 			this.#update();
 		}
 	}
@@ -80,9 +89,10 @@
 			isChanged = this.#parts.recordSound([part], now - ageMs) || isChanged;
 		}
 
-		for (const {endpoint, ageMs} of survivors) {
-			if (this.#parts.recordAlive(endpoint, now - ageMs)) {
-				this.#news.survivors.push({endpoint, at: now - ageMs});
+		for (const {endpoint, openedAgeMs, ageMs} of survivors) {
+			const period: core.quarantine.AlivePeriod = {from: now - openedAgeMs, until: now - ageMs};
+			if (this.#parts.recordAlive(endpoint, period)) {
+				this.#news.survivors.push({endpoint, period});
 				isChanged = true;
 			}
 		}
@@ -109,7 +119,9 @@
 		return {
 			crashes: rows.map(({at, ...row}) => ({...row, ageMs: Math.round(now - at)})),
 			soundParts: soundParts.map(({part, soundAt}) => ({part, ageMs: Math.round(now - soundAt)})),
-			survivors: survivors.map(({endpoint, at}) => ({endpoint, ageMs: Math.round(now - at)})),
+			survivors: survivors.map(({endpoint, period: {from, until}}) => ({
+				endpoint, openedAgeMs: Math.round(now - from), ageMs: Math.round(now - until),
+			})),
 		};
 	}
 
@@ -199,7 +211,7 @@
 class NewsQueue {
 	readonly rows: core.quarantine.CrashRow[] = [];
 	readonly soundParts: Array<{readonly part: string; readonly soundAt: number}> = [];
-	readonly survivors: Array<{readonly endpoint: core.fleet.EndpointIncarnation; readonly at: number}> = [];
+	readonly survivors: Array<{readonly endpoint: core.fleet.EndpointIncarnation; readonly period: core.quarantine.AlivePeriod}> = [];
 
 	get size(): number {
 		return this.rows.length + this.soundParts.length + this.survivors.length;
--- a/packages/gateway/src/endpoints/connection-pool.ts
+++ b/packages/gateway/src/endpoints/connection-pool.ts
@@ -15,6 +15,8 @@
 
 	constructor(
 		private readonly address: string,
+		/** Returns the present time, in milliseconds of a clock that includes suspensions of the VM. */
+		private readonly now: () => number,
 		private readonly options: endpointConnection.ConnectionOptions = endpointConnection.defaultConnectionOptions,
 	) {}
 
@@ -79,7 +81,7 @@
 			this.discard(idle);
 		}
 
-		const connection = new endpointConnection.EndpointConnection(this.address, this.options, () => {
+		const connection = new endpointConnection.EndpointConnection(this.address, this.options, this.now, () => {
 			if (!connection.isBusy) {
 				this.discard(connection);
 			}
--- a/packages/gateway/src/endpoints/connection-pools.ts
+++ b/packages/gateway/src/endpoints/connection-pools.ts
@@ -11,6 +11,9 @@
 export class ConnectionPools {
 	readonly #pools = new Map<string, IncarnationPool>();
 
+	/** @param now - Returns the present time, in milliseconds of a clock that includes suspensions of the VM. */
+	constructor(private readonly now: () => number) {}
+
 	/** Returns the pool of an endpoint's incarnation; idle connections to an earlier incarnation are closed. */
 	poolFor(entry: core.fleet.EndpointEntry): connectionPool.ConnectionPool {
 		const known = this.#pools.get(entry.id);
@@ -19,7 +22,7 @@
 		}
 
 		known?.pool.closeIdle();
-		const pool = new connectionPool.ConnectionPool(entry.address);
+		const pool = new connectionPool.ConnectionPool(entry.address, this.now);
 		this.#pools.set(entry.id, {bornAt: entry.bornAt, address: entry.address, pool});
 		return pool;
 	}
--- a/packages/gateway/src/endpoints/endpoint-connection.ts
+++ b/packages/gateway/src/endpoints/endpoint-connection.ts
@@ -28,9 +28,11 @@
 	idleSince = 0;
 	#hasEndedCleanly = false;
 	#isOpen = false;
+	#openedAt = Infinity;
 	readonly #client: undici.Client;
 
-	constructor(address: string, options: ConnectionOptions, onClosed: () => void) {
+	/** @param now - Returns the present time, in milliseconds of a clock that includes suspensions of the VM. */
+	constructor(address: string, options: ConnectionOptions, private readonly now: () => number, onClosed: () => void) {
 		const connect = undici.buildConnector({timeout: options.connectTimeoutMs});
 		this.#client = new undici.Client(`http://${address}`, {
 			pipelining: 1,
@@ -60,6 +62,11 @@
 		return this.#isOpen;
 	}
 
+	/** When the connection was established, in milliseconds of the clock that includes suspensions; `Infinity` before. */
+	get openedAt(): number {
+		return this.#openedAt;
+	}
+
 	/** Whether the endpoint closed the connection without a reset; after a reset a response without a stated length is incomplete. */
 	get hasEndedCleanly(): boolean {
 		return this.#hasEndedCleanly;
@@ -76,6 +83,7 @@
 
 	#observeSocket(socket: net.Socket | tls.TLSSocket): void {
 		this.#isOpen = true;
+		this.#openedAt = this.now();
 		// Registered before the listeners of undici, which treats a response as complete after a reset, too.
 		socket.once('end', () => {
 			this.#hasEndedCleanly = true;
--- a/packages/gateway/src/peers/digest-codec.ts
+++ b/packages/gateway/src/peers/digest-codec.ts
@@ -20,8 +20,8 @@
 /** Encoded sound prompt part: key, age in milliseconds. */
 type SoundRow = readonly [string, number];
 
-/** Encoded survivor: endpoint, start time of its incarnation, age in milliseconds. */
-type SurvivorRow = readonly [string, number, number];
+/** Encoded survivor: endpoint, start time of its incarnation, ages of the connection and of the last response on it in milliseconds. */
+type SurvivorRow = readonly [string, number, number, number];
 
 /** Encoded evidence on prompt parts that end endpoints; absent lists are empty. */
 export type EncodedEvidence = {
@@ -103,7 +103,7 @@
 			]),
 		}),
 		...(soundParts.length > 0 && {sound: soundParts.map(({part, ageMs}): SoundRow => [part, ageMs])}),
-		...(survivors.length > 0 && {alive: survivors.map(({endpoint, ageMs}): SurvivorRow => [endpoint.id, endpoint.bornAt, ageMs])}),
+		...(survivors.length > 0 && {alive: survivors.map(({endpoint, openedAgeMs, ageMs}): SurvivorRow => [endpoint.id, endpoint.bornAt, openedAgeMs, ageMs])}),
 	};
 }
 
@@ -111,7 +111,7 @@
 export function decodeEvidence({crashes, sound, alive}: EncodedEvidence): core.quarantine.QuarantineDigest | undefined {
 	const crashRows = isRows(crashes, ['string', 'number', 'number', 'boolean', 'string']) ? crashes!.filter(row => isCrashRow(row)) : [];
 	const soundRows = isRows(sound, ['string', 'number']) ? sound!.filter(([part, ageMs]) => isPartKey(part) && ageMs >= 0) : [];
-	const aliveRows = isRows(alive, ['string', 'number', 'number']) ? alive!.filter(row => row[2] >= 0) : [];
+	const aliveRows = isRows(alive, ['string', 'number', 'number', 'number']) ? alive!.filter(row => row[2] >= row[3] && row[3] >= 0) : [];
 	if (crashRows.length + soundRows.length + aliveRows.length === 0) {
 		return undefined;
 	}
@@ -121,7 +121,7 @@
 			endpoint: {id, bornAt}, ageMs, hasBegun, ownPart, sharedParts,
 		})),
 		soundParts: soundRows.map(([part, ageMs]) => ({part, ageMs})),
-		survivors: aliveRows.map(([id, bornAt, ageMs]) => ({endpoint: {id, bornAt}, ageMs})),
+		survivors: aliveRows.map(([id, bornAt, openedAgeMs, ageMs]) => ({endpoint: {id, bornAt}, openedAgeMs, ageMs})),
 	};
 }
 
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -62,7 +62,7 @@
 			quarantine.recordInterruption(interruption);
 		},
 	});
-	const connections = new endpoints.ConnectionPools();
+	const connections = new endpoints.ConnectionPools(() => clock.suspendAwareNow());
 	const coordination = new controllers.CoordinationController(fleet, clock, log);
 	const loadExchange = new peers.LoadExchange({
 		listen: settings.peers,
--- a/packages/gateway/tests/peers/digest-codec.test.ts
+++ b/packages/gateway/tests/peers/digest-codec.test.ts
@@ -48,7 +48,7 @@
 			endpoint: {id: 'a', bornAt: 1_796_370_137_105}, ageMs: 40, hasBegun: true, ownPart: 'm/own', sharedParts: ['m/1', 'm/2'],
 		}],
 		soundParts: [{part: 'm/1', ageMs: 5}],
-		survivors: [{endpoint: {id: 'b', bornAt: 3}, ageMs: 7}],
+		survivors: [{endpoint: {id: 'b', bornAt: 3}, openedAgeMs: 900, ageMs: 7}],
 	};
 
 	it('tell the evidence on prompt parts that end endpoints', () => {
@@ -61,7 +61,7 @@
 		const extension = {
 			crashes: [[...crash.slice(0, 2), -1, ...crash.slice(3)], [...crash.slice(0, 4), 'x'.repeat(65), ['m/1']], [...crash.slice(0, 5), 'm/1'], [...crash.slice(0, 5), [1]]],
 			sound: [['m/1', -5], ['', 5]],
-			alive: [['b', 3, -7]],
+			alive: [['b', 3, 10, -7], ['b', 3, 1, 7]],
 		};
 		expect(gateway.peers.decodeDigest(cbor.encode([...olderRows, extension]))).to.deep.equal(withoutPauses);
 	});
