Derive in core when a change of the store was written

Cause: the store feed decided itself since when a change can have been written, which no test without a store could reach.

--- a/packages/core/src/rollout/weight-targets.ts
+++ b/packages/core/src/rollout/weight-targets.ts
@@ -1,16 +1,9 @@
-/** When a version was named, as a read of the store by this VM shows, in milliseconds. */
-export type NamedInterval = {
-	/** When the version was certainly not named yet; `-Infinity` if that is not known. */
-	readonly after: number;
-	/** Time to count from while no VM has reported a better one. */
-	readonly assumed: number;
-	/** When the version was read. */
-	readonly before: number;
-};
+import type * as changeTimes from '../store/change-times.js';
 
 type TargetVersion = {
 	readonly version: number;
-	readonly interval: NamedInterval;
+	/** When the version was named, as a read of the store by this VM shows. */
+	readonly interval: changeTimes.ChangeInterval;
 	/** Earliest time at which another VM saw the version, by a clock that may be wrong. */
 	readonly reportedAt?: number;
 };
@@ -44,7 +37,7 @@
 	 *
 	 * @returns Whether the version is newer than all known versions.
 	 */
-	observe(model: string, version: number, interval: NamedInterval): boolean {
+	observe(model: string, version: number, interval: changeTimes.ChangeInterval): boolean {
 		return this.#add(model, version, known => known ?? {version, interval});
 	}
 
--- a/packages/core/src/store/index.ts
+++ b/packages/core/src/store/index.ts
@@ -1,3 +1,4 @@
+export * from './change-times.js';
 export * from './departed-endpoints.js';
 export * from './era-tracker.js';
 export * from './fencing-token.js';
--- a/packages/core/tests/support/fleet.ts
+++ b/packages/core/tests/support/fleet.ts
@@ -35,6 +35,6 @@
 }
 
 /** Returns the interval in which a version was named that was read at once. */
-export function readAt(before: number): core.rollout.NamedInterval {
+export function readAt(before: number): core.store.ChangeInterval {
 	return {after: before - 100, assumed: before, before};
 }
--- a/packages/gateway/src/controllers/operator-controller.ts
+++ b/packages/gateway/src/controllers/operator-controller.ts
@@ -73,12 +73,12 @@
 		}
 	}
 
-	#applyTarget(model: string, version: number, {changedAfter, changedSince, readAt}: storeFeed.ReadContext): void {
+	#applyTarget(model: string, version: number, {changed}: storeFeed.ReadContext): void {
 		const {fleet, log, unseenVersionAgeMs} = this.dependencies;
-		const isFirstRead = changedAfter === -Infinity;
-		const assumed = isFirstRead ? readAt - unseenVersionAgeMs : changedSince;
-		if (fleet.targets.observe(model, version, {after: changedAfter, assumed, before: readAt})) {
-			const maxAgeMs = isFirstRead ? undefined : Math.round(readAt - changedAfter);
+		const isFirstRead = changed.after === -Infinity;
+		const named = isFirstRead ? {...changed, assumed: changed.before - unseenVersionAgeMs} : changed;
+		if (fleet.targets.observe(model, version, named)) {
+			const maxAgeMs = isFirstRead ? undefined : Math.round(changed.before - changed.after);
 			log.write(eventLog.LogEvent.WeightTargetSeen, {model, version, maxAgeMs});
 		}
 	}
--- a/packages/gateway/src/controllers/store-feed.ts
+++ b/packages/gateway/src/controllers/store-feed.ts
@@ -1,25 +1,15 @@
 import * as timers from 'node:timers/promises';
 import * as core from '@bluebellmast/core';
 import * as clients from '@bluebellmast/kv';
-import type * as clocks from '../util/clocks.js';
+import * as clocks from '../util/clocks.js';
 import * as eventLog from '../util/event-log.js';
 
 /** Circumstances of a read of the store. */
 export type ReadContext = {
 	/** Whether the store was unavailable shortly before, so that entries of live writers may have expired. */
 	readonly maybeLapsed: boolean;
-	/**
-	 * When the call before began that delivered all earlier changes; what this read shows as new was written later. `-Infinity` for the
-	 * first read. Times are milliseconds of a clock that also counts the time that the VM was suspended.
-	 */
-	readonly changedAfter: number;
-	/**
-	 * Earliest time to assume for what this read shows as new: within the delay of the feed while the store can be reached, and
-	 * regardless of how long it could not be reached before.
-	 */
-	readonly changedSince: number;
-	/** When the read ended. */
-	readonly readAt: number;
+	/** When the changes that the read shows as new were written. */
+	readonly changed: core.store.ChangeInterval;
 };
 
 /** Receives the entries and changes that a {@link StoreFeed} reads. */
@@ -46,25 +36,16 @@
 	readonly maxRetryDelayMs: number;
 	/** Time after the last failed call during which missing entries may have expired in an outage and may return. */
 	readonly lapseWindowMs: number;
-	/** Longest time until the feed reads a change once the store can be reached again. */
-	readonly maxRecoveryMs: number;
 };
 
 /**
  * One poll per second confirms the configuration well within the limits on the revocation of keys. Entries return within two
- * seconds after an outage; the lapse window adds one second for writing them. The recovery covers a delay between two calls, the
- * timeout of a connection attempt and that of a call.
+ * seconds after an outage; the lapse window adds one second for writing them.
  */
 export const defaultStoreFeedOptions: StoreFeedOptions = {
-	pollWaitMs: 1000, minRetryDelayMs: 100, maxRetryDelayMs: 400, lapseWindowMs: 3000, maxRecoveryMs: 2000,
+	pollWaitMs: 1000, minRetryDelayMs: 100, maxRetryDelayMs: 400, lapseWindowMs: 3000,
 };
 
-/** Duration of a poll up to which the changes that it returned can have been written before it began, in milliseconds. */
-const promptPollMs = 100;
-
-/** Length from which a suspension of the VM is considered, in milliseconds; the clocks are read one after the other. */
-const minSuspensionMs = 50;
-
 /** Dependencies of a {@link StoreFeed}. */
 export type StoreFeedDependencies = {
 	readonly store: clients.kv.KvChangeFeed;
@@ -89,11 +70,7 @@
 export class StoreFeed {
 	#revision: number | undefined;
 	#lastFailureAt = -Infinity;
-	/** When the last successful call began and ended, in milliseconds of the clock that counts suspensions. */
-	#confirmedAt = -Infinity;
-	#respondedAt = -Infinity;
-	/** Time that the VM had been suspended until then, in milliseconds. */
-	#suspendedMs = 0;
+	readonly #changeTimes = new core.store.ChangeTimes();
 	#retryDelayMs: number;
 	#isStopped = false;
 	/** Whether the last poll ended before its longest wait, since there were changes. */
@@ -148,9 +125,7 @@
 
 		if (failure === undefined) {
 			this.#recordSuccess();
-			this.#confirmedAt = startedAt;
-			this.#respondedAt = this.dependencies.clock.suspendAwareNow();
-			this.#suspendedMs = this.#countSuspendedMs();
+			this.#changeTimes.recordSuccess(this.#callTimes(startedAt));
 			this.dependencies.listener.onConfirmed?.(startedAt);
 			return true;
 		}
@@ -228,33 +203,16 @@
 
 	/** @param startedAt - When the call began. */
 	#context(startedAt: number): ReadContext {
-		const {clock} = this.dependencies;
-		const readAt = clock.suspendAwareNow();
 		return {
-			maybeLapsed: clock.monotonicNow() - this.#lastFailureAt < this.options.lapseWindowMs,
-			changedAfter: this.#confirmedAt,
-			changedSince: this.#changedSince(startedAt, readAt),
-			readAt,
+			maybeLapsed: this.dependencies.clock.monotonicNow() - this.#lastFailureAt < this.options.lapseWindowMs,
+			changed: this.#changeTimes.intervalOf(this.#callTimes(startedAt)),
 		};
 	}
 
-	#changedSince(startedAt: number, readAt: number): number {
-		if (this.#confirmedAt === -Infinity) {
-			return readAt;
-		}
-
-		const suspendedMs = this.#countSuspendedMs() - this.#suspendedMs;
-		if (this.#unavailableSince !== undefined || suspendedMs > minSuspensionMs) {
-			return Math.max(this.#confirmedAt, readAt - suspendedMs - this.options.maxRecoveryMs);
-		}
-
-		// A poll that waits returns as soon as there is a change; one that returns at once shows what changed since the last one ended.
-		return readAt - startedAt > promptPollMs ? readAt : this.#respondedAt;
-	}
-
-	#countSuspendedMs(): number {
-		const {clock} = this.dependencies;
-		return clock.suspendAwareNow() - clock.monotonicNow();
+	/** Returns the times of a call that ends now. */
+	#callTimes(startedAt: number): core.store.CallTimes {
+		const {monotonic, suspendAware} = clocks.readInstant(this.dependencies.clock);
+		return {startedAt, endedAt: suspendAware, suspendedMs: suspendAware - monotonic};
 	}
 
 	#recordReturn({era, entries}: clients.kv.KvSnapshot): void {
@@ -275,6 +233,7 @@
 	}
 
 	#recordFailure(failure: clients.kv.KvError): void {
+		this.#changeTimes.recordFailure();
 		this.#lastFailureAt = this.dependencies.clock.monotonicNow();
 		if (this.#unavailableSince === undefined) {
 			this.#unavailableSince = this.#lastFailureAt;
--- a/packages/gateway/tests/controllers/store-feed.test.ts
+++ b/packages/gateway/tests/controllers/store-feed.test.ts
@@ -264,30 +264,29 @@
 	const reads = [
 		{
 			name: 'a poll that returned while it waited', results: [changed, unchanged], callMs: [4, 600],
-			expected: {changedAfter: 1000, changedSince: 1604, readAt: 1604},
+			expected: {after: 1000, assumed: 1604, before: 1604},
 		},
 		{
 			name: 'a poll that returned at once', results: [unchanged, changed, unchanged], callMs: [4, 1000, 5],
-			expected: {changedAfter: 1004, changedSince: 2004, readAt: 2009},
+			expected: {after: 1004, assumed: 2004, before: 2009},
 		},
 		{
 			name: 'a poll after calls that failed for a short time', results: [failure, changed, unchanged], callMs: [4, 700, 5],
-			expected: {changedAfter: 1000, changedSince: 1000, readAt: 1709},
+			expected: {after: 1000, assumed: 1000, before: 1709},
 		},
 		{
 			name: 'a poll after an outage', results: [...outage, changed, unchanged], callMs: [4, ...outage.map(() => 1000), 5],
-			expected: {changedAfter: 1000, changedSince: 9009, readAt: 11_009},
+			expected: {after: 1000, assumed: 9009, before: 11_009},
 		},
 		{
 			name: 'a poll during which the VM was suspended', results: [changed, unchanged], callMs: [4, 300], suspendedMs: [0, 9000],
-			expected: {changedAfter: 1000, changedSince: 1000, readAt: 10_304},
+			expected: {after: 1000, assumed: 1000, before: 10_304},
 		},
 	];
 	for (const {name, results, expected, ...options} of reads) {
 		it(`tells since when a change can have been written: ${name}`, async () => {
 			const {contexts} = await follow(results, options);
-			const [{changedAfter, changedSince, readAt}] = contexts as [gateway.controllers.ReadContext];
-			expect({changedAfter, changedSince, readAt}).to.deep.equal(expected);
+			expect(contexts[0]!.changed).to.deep.equal(expected);
 		});
 	}
 });
--- a/packages/gateway/tests/placement/replaced-weights-limit.test.ts
+++ b/packages/gateway/tests/placement/replaced-weights-limit.test.ts
@@ -51,16 +51,15 @@
 	constructor(version = 1) {
 		this.fleet.registry.put(engine, 0);
 		this.#operator.onSnapshot([entryOf(version)], {
-			maybeLapsed: false, changedAfter: -Infinity, changedSince: 0, readAt: 0,
+			maybeLapsed: false, changed: {after: -Infinity, assumed: 0, before: 0},
 		});
 	}
 
 	/** Reads from the store that a version was named at most `maxAgeMs` ago. */
 	readNamedVersion(version: number, maxAgeMs: number): void {
 		const readAt = this.#clock.suspendAwareNow();
-		const changedSince = readAt - maxAgeMs;
 		this.#operator.onChange({key: 'op/version/m', entry: entryOf(version)}, {
-			maybeLapsed: false, changedAfter: changedSince, changedSince, readAt,
+			maybeLapsed: false, changed: {after: readAt - maxAgeMs, assumed: readAt - maxAgeMs, before: readAt},
 		});
 	}
 
