--- a/packages/core/src/fleet/load-digest.ts
+++ b/packages/core/src/fleet/load-digest.ts
@@ -34,6 +34,6 @@
 	readonly pauses?: readonly PauseDigest[];
 	/** Endpoints that told this VM that they are leaving; absent if there are none, or in digests of older versions. */
 	readonly leavingEndpoints?: readonly endpointEntry.EndpointIncarnation[];
-	/** Evidence on prompt parts that end endpoints; absent if there is nothing to tell. */
+	/** Evidence on prompt parts that end endpoints; absent if there is none. */
 	readonly quarantine?: quarantineDigest.QuarantineDigest;
 };
--- a/packages/core/src/quarantine/part-quarantine.ts
+++ b/packages/core/src/quarantine/part-quarantine.ts
@@ -18,9 +18,7 @@
 	readonly maxSurvivors: number;
 };
 
-/**
- * Evidence of five minutes finds a part that is met once a minute. The parts in use at the size of letter 1 are some ten thousand.
- */
+/** Evidence of five minutes finds a part that is met once a minute. */
 export const defaultPartQuarantineOptions: PartQuarantineOptions = {
 	limits: findCulprits.defaultCulpritLimits,
 	lifetimeMs: 300_000,
@@ -121,8 +119,8 @@
 		const suspects = this.#listSuspects();
 		let clearsSuspect = false;
 		for (const part of parts) {
-			const isNews = this.#sound.record(part, at);
-			clearsSuspect ||= isNews && suspects.has(part);
+			const isLater = this.#sound.record(part, at);
+			clearsSuspect ||= isLater && suspects.has(part);
 		}
 
 		if (clearsSuspect) {
--- a/packages/core/src/quarantine/quarantine-digest.ts
+++ b/packages/core/src/quarantine/quarantine-digest.ts
@@ -16,7 +16,7 @@
 	readonly ageMs: number;
 };
 
-/** Evidence on prompt parts that end endpoints, as VMs tell each other of it. */
+/** Evidence on prompt parts that end endpoints, as VMs exchange it. */
 export type QuarantineDigest = {
 	readonly crashes: ReadonlyArray<Omit<crashRow.CrashRow, 'at'> & {
 		/** Time since the request was interrupted, in milliseconds. */
--- a/packages/core/tests/quarantine/part-quarantine.test.ts
+++ b/packages/core/tests/quarantine/part-quarantine.test.ts
@@ -145,7 +145,7 @@
 		expect(quarantine.list().map(({part}) => part)).to.deep.equal(['bad']);
 	});
 
-	// Guards against verdicts that depend on the order in which VMs hear of interruptions, completed requests and endpoints that live on.
+	// Guards against verdicts that depend on the order in which VMs learn of interruptions, completed requests and endpoints that live on.
 	it('decides alike for evidence in any order and any number of times, and spares parts that are sound after all ends', () => {
 		const rowInput = fastCheck.tuple(
 			fastCheck.integer({min: 0, max: 8}),
--- a/packages/gateway/src/controllers/load-controller.ts
+++ b/packages/gateway/src/controllers/load-controller.ts
@@ -11,7 +11,7 @@
 	readonly vm: string;
 	readonly fleet: fleetState.FleetState;
 	readonly pauses: Pick<endpointPauses.EndpointPauses, 'hasPauses' | 'takeDigest' | 'applyDigest'>;
-	readonly quarantine: Pick<quarantineController.QuarantineController, 'applyDigest' | 'takeDigest' | 'tick' | 'hasNews' | 'hasQuarantinedParts'>;
+	readonly quarantine: Pick<quarantineController.QuarantineController, 'applyDigest' | 'takeDigest' | 'tick' | 'hasPendingEvidence' | 'hasQuarantinedParts'>;
 	readonly coordination: Pick<coordinationController.CoordinationController, 'listPeerAddresses'>;
 	readonly exchange: Pick<peers.LoadExchange, 'send'>;
 	readonly clock: clocks.Clocks;
@@ -123,7 +123,7 @@
 		const observations = this.#observations.splice(0, maxObservations);
 		this.#sequence += 1;
 		this.#lastSentAt = this.dependencies.clock.monotonicNow();
-		const isUrgent = quarantine.hasNews;
+		const isUrgent = quarantine.hasPendingEvidence;
 		exchange.send({
 			vm,
 			sequence: this.#sequence,
@@ -133,14 +133,14 @@
 			leavingEndpoints: fleet.leaving.listNoticed(maxLeavingEndpoints),
 			quarantine: quarantine.takeDigest(),
 		}, this.#choosePeers(observations, isUrgent));
-		if (this.#observations.length > 0 || quarantine.hasNews) {
+		if (this.#observations.length > 0 || quarantine.hasPendingEvidence) {
 			this.#scheduleSend();
 		}
 	}
 
 	/**
 	 * Chooses the recipients: all VMs for observations of the cache store, which only a few VMs make, otherwise some VMs in turn; more of them for
-	 * news that all VMs need soon, which the recipients pass on.
+	 * evidence that all VMs need soon, which the recipients pass on.
 	 */
 	#choosePeers(observations: readonly core.fleet.CacheObservation[], isUrgent: boolean): string[] {
 		const addresses = this.dependencies.coordination.listPeerAddresses(this.dependencies.vm);
--- a/packages/gateway/src/controllers/quarantine-controller.ts
+++ b/packages/gateway/src/controllers/quarantine-controller.ts
@@ -6,8 +6,8 @@
 export type QuarantineControllerDependencies = {
 	readonly clock: Pick<clocks.Clocks, 'suspendAwareNow'>;
 	readonly log: eventLog.EventLog;
-	/** Called when there is evidence that the other VMs should soon get. */
-	readonly onNews: () => void;
+	/** Called when there is evidence to be sent to the other VMs soon. */
+	readonly onPendingEvidence: () => void;
 	/** Called when a part has been quarantined. */
 	readonly onQuarantined: () => void;
 };
@@ -17,34 +17,34 @@
 const maxSoundPartsPerDigest = 6;
 const maxSurvivorsPerDigest = 4;
 /** Largest number of items of each kind that wait for a digest. */
-const maxWaitingNews = 128;
+const maxPendingItems = 128;
 /**
  * Interval at which the evidence on quarantined parts is repeated, in milliseconds. Eight rows of about 90 bytes to six VMs take 4.3 KB/s of
  * the 19 KB/s that a node may use for control traffic.
  */
 const repeatIntervalMs = 1000;
-/** Interval at which the last completed request with a disputed part is told again, in milliseconds. */
-const soundRepeatMs = 1000;
+/** Shortest interval between two reports that the same disputed part is sound, in milliseconds. */
+const soundReportIntervalMs = 1000;
 /** Longest time from the end of an endpoint until its last bytes are read, in milliseconds. */
 const maxReadDelayMs = 250;
 /** Interval between checks whether evidence has expired, in milliseconds. */
 const updateIntervalMs = 1000;
 
 /**
- * Quarantines prompt parts that end endpoints, by what this VM and the others see: requests that endpoints interrupted, requests that
+ * Quarantines prompt parts that end endpoints, by the observations of this VM and the others: requests that endpoints interrupted, requests that
  * were completed, and endpoints that live on. Each VM passes on what is new to it, so that all VMs decide by the same evidence.
  */
 export class QuarantineController {
 	readonly #parts = new core.quarantine.PartQuarantine();
-	readonly #news = new NewsQueue();
-	readonly #toldSound = new core.quarantine.RecentTimes(maxWaitingNews);
+	readonly #pending = new PendingEvidence();
+	readonly #reportedSound = new core.quarantine.RecentTimes(maxPendingItems);
 	#repeatedAt = -Infinity;
 	#repeatedCount = 0;
 	#updatedAt = -Infinity;
 
 	constructor(private readonly dependencies: QuarantineControllerDependencies) {}
 
-	/** Whether parts are quarantined, so that the other VMs must be told of them. */
+	/** Whether parts are quarantined, the evidence on which is repeated to the other VMs. */
 	get hasQuarantinedParts(): boolean {
 		return this.#parts.list().length > 0;
 	}
@@ -76,12 +76,12 @@
 		// Bytes that an endpoint sent before its end may be read somewhat later.
 		const period: core.quarantine.AlivePeriod = {from: openedAt, until: this.#now() - maxReadDelayMs};
 		if (this.#parts.recordAlive({id, bornAt}, period)) {
-			this.#news.survivors.push({endpoint: {id, bornAt}, period});
+			this.#pending.survivors.push({endpoint: {id, bornAt}, period});
 			this.#update();
 		}
 	}
 
-	/** Applies what another VM tells, and passes on what is new. */
+	/** Applies the evidence of another VM, and passes on what is new. */
 	applyDigest({crashes, soundParts, survivors}: core.quarantine.QuarantineDigest): void {
 		const now = this.#now();
 		let isChanged = false;
@@ -92,7 +92,7 @@
 		for (const {endpoint, openedAgeMs, ageMs} of survivors) {
 			const period: core.quarantine.AlivePeriod = {from: now - openedAgeMs, until: now - ageMs};
 			if (this.#parts.recordAlive(endpoint, period)) {
-				this.#news.survivors.push({endpoint, period});
+				this.#pending.survivors.push({endpoint, period});
 				isChanged = true;
 			}
 		}
@@ -109,9 +109,9 @@
 	/** Returns the next evidence for a digest; `undefined` if there is none. */
 	takeDigest(): core.quarantine.QuarantineDigest | undefined {
 		const now = this.#now();
-		const rows = [...this.#news.rows.splice(0, maxRowsPerDigest), ...this.#takeRepeatedRows(now)].slice(0, maxRowsPerDigest);
-		const soundParts = this.#news.soundParts.splice(0, maxSoundPartsPerDigest);
-		const survivors = this.#news.survivors.splice(0, maxSurvivorsPerDigest);
+		const rows = [...this.#pending.rows.splice(0, maxRowsPerDigest), ...this.#takeRepeatedRows(now)].slice(0, maxRowsPerDigest);
+		const soundParts = this.#pending.soundParts.splice(0, maxSoundPartsPerDigest);
+		const survivors = this.#pending.survivors.splice(0, maxSurvivorsPerDigest);
 		if (rows.length + soundParts.length + survivors.length === 0) {
 			return undefined;
 		}
@@ -126,8 +126,8 @@
 	}
 
 	/** Whether there is evidence that waits for a digest. */
-	get hasNews(): boolean {
-		return this.#news.size > 0;
+	get hasPendingEvidence(): boolean {
+		return this.#pending.size > 0;
 	}
 
 	/** Returns the quarantined parts in alphabetical order, and the evidence on them. */
@@ -147,14 +147,14 @@
 
 	#spreadRows(rows: readonly core.quarantine.CrashRow[]): void {
 		if (rows.length > 0) {
-			this.#news.rows.push(...rows);
+			this.#pending.rows.push(...rows);
 			this.#update();
 		}
 	}
 
-	/** Decides again which parts are quarantined, and tells the other VMs what is new. */
+	/** Decides again which parts are quarantined, logs the changes, and has pending evidence sent. */
 	#update(): void {
-		const {log, onNews, onQuarantined} = this.dependencies;
+		const {log, onPendingEvidence, onQuarantined} = this.dependencies;
 		const now = this.#now();
 		this.#updatedAt = now;
 		this.#collectSoundParts(now);
@@ -169,9 +169,9 @@
 			log.write(eventLog.LogEvent.PartReleased, {part});
 		}
 
-		this.#news.drop();
-		if (this.#news.size > 0) {
-			onNews();
+		this.#pending.drop();
+		if (this.#pending.size > 0) {
+			onPendingEvidence();
 		}
 
 		if (added.length > 0) {
@@ -179,13 +179,13 @@
 		}
 	}
 
-	/** Collects disputed parts that this VM knows to be sound, since others may not know. */
+	/** Collects disputed parts that this VM knows to be sound, to be reported to the others. */
 	#collectSoundParts(now: number): void {
 		for (const {part, soundAt} of this.#parts.listDisputedParts()) {
-			const isTold = now - this.#toldSound.last(part) < soundRepeatMs;
-			if (!isTold && now - soundAt <= core.quarantine.defaultCulpritLimits.soundMs) {
-				this.#toldSound.record(part, now);
-				this.#news.soundParts.push({part, soundAt});
+			const isReported = now - this.#reportedSound.last(part) < soundReportIntervalMs;
+			if (!isReported && now - soundAt <= core.quarantine.defaultCulpritLimits.soundMs) {
+				this.#reportedSound.record(part, now);
+				this.#pending.soundParts.push({part, soundAt});
 			}
 		}
 	}
@@ -208,7 +208,7 @@
 }
 
 /** Evidence that waits for a digest. */
-class NewsQueue {
+class PendingEvidence {
 	readonly rows: core.quarantine.CrashRow[] = [];
 	readonly soundParts: Array<{readonly part: string; readonly soundAt: number}> = [];
 	readonly survivors: Array<{readonly endpoint: core.fleet.EndpointIncarnation; readonly period: core.quarantine.AlivePeriod}> = [];
@@ -220,7 +220,7 @@
 	/** Drops the oldest items beyond the bound. */
 	drop(): void {
 		for (const items of [this.rows, this.soundParts, this.survivors]) {
-			items.splice(0, Math.max(0, items.length - maxWaitingNews));
+			items.splice(0, Math.max(0, items.length - maxPendingItems));
 		}
 	}
 }
--- a/packages/gateway/src/endpoints/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoints/endpoint-attempt.ts
@@ -127,7 +127,7 @@
 
 	constructor(private readonly options: AttemptOptions) {}
 
-	/** Whether the endpoint keeps the connection open after the response; otherwise a later close tells nothing of the endpoint. */
+	/** Whether the endpoint keeps the connection open after the response; otherwise a later close does not show that the endpoint has ended. */
 	get keepsConnection(): boolean {
 		return this.#isFramed && this.#keepsConnection;
 	}
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -48,7 +48,7 @@
 	const quarantine = new controllers.QuarantineController({
 		clock,
 		log,
-		onNews() {
+		onPendingEvidence() {
 			loadController.publishNotices();
 		},
 		onQuarantined() {
--- a/packages/gateway/tests/controllers/endpoint-pauses.test.ts
+++ b/packages/gateway/tests/controllers/endpoint-pauses.test.ts
@@ -119,7 +119,7 @@
 				fleet: new gateway.placement.FleetState(),
 				pauses: own,
 				quarantine: new gateway.controllers.QuarantineController({
-					clock: {suspendAwareNow: () => 0}, log: {write: () => undefined}, onNews: () => undefined, onQuarantined: () => undefined,
+					clock: {suspendAwareNow: () => 0}, log: {write: () => undefined}, onPendingEvidence: () => undefined, onQuarantined: () => undefined,
 				}),
 				coordination: {listPeerAddresses: () => ['10.0.0.1:1']},
 				exchange: {send},
--- a/packages/gateway/tests/controllers/load-controller.test.ts
+++ b/packages/gateway/tests/controllers/load-controller.test.ts
@@ -24,7 +24,7 @@
 		fleet,
 		pauses: {hasPauses: () => false, takeDigest: () => [], applyDigest: () => undefined},
 		quarantine: new gateway.controllers.QuarantineController({
-			clock: {suspendAwareNow: () => 0}, log: {write: () => undefined}, onNews: () => undefined, onQuarantined: () => undefined,
+			clock: {suspendAwareNow: () => 0}, log: {write: () => undefined}, onPendingEvidence: () => undefined, onQuarantined: () => undefined,
 		}),
 		coordination: {listPeerAddresses: () => Array.from({length: peers}, (_, index) => `10.0.0.${index}:1`)},
 		exchange: {
--- a/packages/gateway/tests/controllers/quarantine-store.test.ts
+++ b/packages/gateway/tests/controllers/quarantine-store.test.ts
@@ -11,7 +11,7 @@
 	readonly clock = new manualClock.ManualClock();
 	readonly lease = {isLeading: true};
 	readonly quarantine = new gateway.controllers.QuarantineController({
-		clock: this.clock, log: {write: () => undefined}, onNews: () => undefined, onQuarantined: () => undefined,
+		clock: this.clock, log: {write: () => undefined}, onPendingEvidence: () => undefined, onQuarantined: () => undefined,
 	});
 
 	readonly store: gateway.controllers.QuarantineStore;
--- a/packages/gateway/tests/peers/digest-codec.test.ts
+++ b/packages/gateway/tests/peers/digest-codec.test.ts
@@ -51,7 +51,7 @@
 		survivors: [{endpoint: {id: 'b', bornAt: 3}, openedAgeMs: 900, ageMs: 7}],
 	};
 
-	it('tell the evidence on prompt parts that end endpoints', () => {
+	it('carry the evidence on prompt parts that end endpoints', () => {
 		const message = gateway.peers.encodeDigest({...withoutPauses, quarantine: evidence});
 		expect(gateway.peers.decodeDigest(message)).to.deep.equal({...withoutPauses, quarantine: evidence});
 	});
--- a/packages/gateway/tests/support/simulated-crashes.ts
+++ b/packages/gateway/tests/support/simulated-crashes.ts
@@ -71,7 +71,7 @@
 const firstPartCount = 40;
 const subjectCount = 700;
 
-/** Model of VMs and endpoints in virtual time: what VMs tell each other, and requests of which some end their endpoints. */
+/** Model of VMs and endpoints in virtual time: the evidence that VMs exchange, and requests of which some end their endpoints. */
 export class SimulatedCrashes {
 	readonly outcome: CrashOutcome = {
 		ends: [], crashingSends: [], sound: 0, soundRefusals: [], evidenceBytes: 0, evidenceDatagrams: 0, lastVmRefusesAt: -Infinity,
@@ -131,7 +131,7 @@
 			quarantine: new gateway.controllers.QuarantineController({
 				clock: {suspendAwareNow: () => this.time.now},
 				log: {write: () => undefined},
-				onNews: () => {
+				onPendingEvidence: () => {
 					this.#scheduleDigest(vm);
 				},
 				onQuarantined: () => {
@@ -157,7 +157,7 @@
 	}
 
 	#sendDigest(vm: Vm): void {
-		const isUrgent = vm.quarantine.hasNews;
+		const isUrgent = vm.quarantine.hasPendingEvidence;
 		const quarantine = vm.quarantine.takeDigest();
 		if (quarantine === undefined) {
 			return;
@@ -180,7 +180,7 @@
 		}
 
 		vm.offset += count;
-		if (vm.quarantine.hasNews) {
+		if (vm.quarantine.hasPendingEvidence) {
 			this.#scheduleDigest(vm);
 		}
 	}
