Don't execute a request on a connection that was ended after a response

Cause: in a graceful shutdown, and after a response with Connection: close, the server ends its side of the connection, but still read and passed on a request that crossed this on the way.

Change: such a request is not accepted, and its connection is closed at once, so that the caller may repeat it.

Measured: 'does not accept a request on a connection that it has ended after a response' fails before (dispatched twice) and passes now; the other tests of the shutdown pass.

--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -138,6 +138,12 @@
 	}
 
 	async #handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		if (req.socket.writableEnded) {
+			// The request has crossed the close of its connection; its caller can repeat it, since it is not executed.
+			req.socket.destroy();
+			return;
+		}
+
 		this.#openResponses.add(res);
 		res.on('error', () => {
 			// A broken connection also emits `close`, which ends the request.
--- a/packages/gateway/tests/ingress/gateway-server.test.ts
+++ b/packages/gateway/tests/ingress/gateway-server.test.ts
@@ -38,11 +38,23 @@
 	let server: gateway.ingress.GatewayServer;
 	let callers: RawCaller[] = [];
 	let body = 'answer';
+	let dispatched = 0;
+	/** Ends the responses; absent for responses that end at once. */
+	let finish: Promise<void> | undefined;
 
 	beforeEach(async () => {
 		body = 'answer';
+		dispatched = 0;
+		finish = undefined;
 		const dispatcher = {
 			async dispatch(ctx: gateway.call.RequestContext) {
+				dispatched += 1;
+				if (finish !== undefined) {
+					ctx.res.writeHead(200, {'Content-Length': body.length});
+					ctx.res.flushHeaders();
+					await finish;
+				}
+
 				ctx.res.end(body);
 			},
 		} as unknown as gateway.call.RequestDispatcher;
@@ -93,6 +105,28 @@
 		expect(caller.received).to.match(/^HTTP\/1.1 200 OK/).and.to.match(/answer$/);
 	});
 
+	// Guards against a request that is executed although its connection is being closed, so that its caller gets no response (soak seed 122).
+	it('does not accept a request on a connection that it has ended after a response', async () => {
+		let end: () => void = () => undefined;
+		finish = new Promise(resolve => {
+			end = resolve;
+		});
+		const request = 'GET / HTTP/1.1\r\nHost: a.example\r\n\r\n';
+		const socket = net.connect({port: server.port, host, allowHalfOpen: true});
+		const caller = new RawCaller(socket);
+		callers.push(caller);
+		socket.once('end', () => {
+			socket.write(request);
+		});
+		socket.write(request);
+		await waitUntil(() => caller.received.includes('\r\n\r\n'));
+		const ended = shutDown();
+		end();
+		await ended;
+		expect(caller.received).to.match(/answer$/);
+		expect(dispatched).to.equal(1);
+	});
+
 	it('passes a response on as a whole to a caller that reads slowly', async () => {
 		body = 'x'.repeat(32 * 1024 * 1024);
 		const caller = await connect();
