Log why a request stayed at a silent or failed endpoint, and requests and responses that are lost with their connection

The logs could not tell the hypotheses apart: a stream that was cut had no word on why it was not continued, a request that crossed the close of its connection left no line, and a response that was handed over but had not left counted as answered.

request_ended has the obstacle that kept the request from another endpoint; attempt_silent, request_dropped and response_unsent are new.

Tests of the gateway, the logs and unresponsive peers: 139 passed.

--- a/packages/core/src/log/index.ts
+++ b/packages/core/src/log/index.ts
@@ -1,3 +1,4 @@
 export * from './explain-request.js';
 export * from './log-event.js';
 export * from './log-line.js';
+export * from './retry-obstacle.js';
--- a/packages/core/src/log/log-event.ts
+++ b/packages/core/src/log/log-event.ts
@@ -1,3 +1,5 @@
+import type * as retryObstacle from './retry-obstacle.js';
+
 /** Names of log events. */
 export enum LogEvent {
 	Started = 'started',
@@ -52,8 +54,14 @@
 	RequestWaiting = 'request_waiting',
 	RequestSent = 'request_sent',
 	AttemptFailed = 'attempt_failed',
+	/** An attempt that the request could have left for another endpoint sends nothing for too long. */
+	AttemptSilent = 'attempt_silent',
 	/** The final line of a request whose head was parsed. */
 	RequestEnded = 'request_ended',
+	/** A request arrived on a connection that this VM had already closed; it is not executed, and its caller gets no response. */
+	RequestDropped = 'request_dropped',
+	/** The connection was closed before the whole response had left the process. */
+	ResponseUnsent = 'response_unsent',
 	InternalError = 'internal_error',
 	LinesDropped = 'lines_dropped',
 }
@@ -187,6 +195,11 @@
 		readonly progress: string;
 		readonly status?: number; readonly detail?: string;
 	};
+	[LogEvent.AttemptSilent]: {
+		readonly request: string; readonly endpoint: string;
+		/** Why the request is not sent to another endpoint; absent if it is. */
+		readonly obstacle?: retryObstacle.RetryObstacle;
+	};
 	[LogEvent.RequestEnded]: {
 		readonly request: string; readonly outcome: RequestOutcome; readonly route?: string; readonly kind?: string;
 		/** HTTP status that was sent; 0 when none was sent. */
@@ -198,15 +211,29 @@
 		readonly firstMs?: number;
 		/** Longest time between two parts of the response. */
 		readonly maxGapMs?: number;
+		/** Why the request was not sent to another endpoint, if an attempt failed. */
+		readonly obstacle?: retryObstacle.RetryObstacle;
 		readonly tookMs: number;
 	} & RefusalInputs;
+	[LogEvent.RequestDropped]: {
+		/** Absent if the head can't be decoded. */
+		readonly request?: string;
+	};
+	[LogEvent.ResponseUnsent]: {readonly request: string; readonly status: number; readonly problem: string};
 	[LogEvent.InternalError]: {readonly task: string; readonly problem: string; readonly peer?: string};
 	[LogEvent.LinesDropped]: {readonly lines: number};
 };
 
 /** Events of single requests; their number grows with the load. */
 const requestEvents: ReadonlySet<LogEvent> = new Set([
-	LogEvent.RequestRejected, LogEvent.RequestWaiting, LogEvent.RequestSent, LogEvent.AttemptFailed, LogEvent.RequestEnded,
+	LogEvent.RequestRejected,
+	LogEvent.RequestWaiting,
+	LogEvent.RequestSent,
+	LogEvent.AttemptFailed,
+	LogEvent.AttemptSilent,
+	LogEvent.RequestEnded,
+	LogEvent.RequestDropped,
+	LogEvent.ResponseUnsent,
 ]);
 
 /** Returns whether an event concerns a single request; all other events concern the state of a process. */
--- a/packages/gateway/src/call/attempt-recorder.ts
+++ b/packages/gateway/src/call/attempt-recorder.ts
@@ -137,6 +137,15 @@
 		this.dependencies.quarantine.recordAlive(placement.entry, connection.openedAt);
 	}
 
+	/**
+	 * Records that an attempt sends nothing for too long.
+	 *
+	 * @param obstacle - Why the request is not sent to another endpoint; absent if it is.
+	 */
+	recordSilence({placement}: sentAttempt.SentAttempt, obstacle: core.log.RetryObstacle | undefined): void {
+		this.dependencies.log.write(eventLog.LogEvent.AttemptSilent, {request: this.request.head.requestId, endpoint: placement.entry.id, obstacle});
+	}
+
 	/** Records the end of an attempt. */
 	recordEnd(sent: sentAttempt.SentAttempt, end: endpoints.AttemptResult): void {
 		const {fleet} = this.dependencies;
--- a/packages/gateway/src/call/request-context.ts
+++ b/packages/gateway/src/call/request-context.ts
@@ -18,6 +18,8 @@
 	body?: Uint8Array;
 	/** Whether a response was started that could not be completed. */
 	isTruncated?: boolean;
+	/** Why the request was not sent to another endpoint after a failed attempt. */
+	obstacle?: core.log.RetryObstacle;
 	/** Times of the response; set when the request has ended. */
 	responseTimes?: responseTimer.ResponseTimes;
 };
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -11,22 +11,24 @@
 import type * as requestDispatcher from './request-dispatcher.js';
 import * as refusals from './refusal.js';
 import * as endpointFinder from './endpoint-finder.js';
+import * as retryRules from './retry-rules.js';
 import type * as sentAttempt from './sent-attempt.js';
 
-/** Attempts allowed beyond those of the route after refusals and failed connections, since the request was not executed there. */
-const maxExtraAttempts = 2;
-/** Interrupted responses after which a request is not retried, since it may be what ends the endpoints. */
-const maxInterruptions = 2;
-/** Time that must remain before the deadline for a retry, in milliseconds. */
-const minRetryTimeMs = 30;
 /** Time after the deadline during which the endpoint can still report the timeout itself, in milliseconds. */
 const lateResponseGraceMs = 40;
 /** Connections that this VM may open to an endpoint, relative to its equal share of the connection limit. */
 const connectionShareFactor = 1.5;
 
+/** Why a request is not sent again, by the refusal that it would have got if no response had begun. */
+const obstaclesByRefusal: ReadonlyMap<refusals.RefusalCode, core.log.RetryObstacle> = new Map([
+	[refusals.RefusalCode.CallerDisconnected, core.log.RetryObstacle.CallerDisconnected],
+	[refusals.RefusalCode.DeadlineTooClose, core.log.RetryObstacle.DeadlinePassed],
+	[refusals.RefusalCode.PartQuarantined, core.log.RetryObstacle.PartQuarantined],
+	[refusals.RefusalCode.ConfigUnavailable, core.log.RetryObstacle.NotAuthorized],
+]);
+
 /** Forwards one request to endpoints, with retries, until a response is relayed or the request is refused. */
 export class RequestForwarder {
-	readonly #attempts: sentAttempt.SentAttempt[] = [];
 	readonly #failedEndpoints = new Set<string>();
 	readonly #deadlineAt: number;
 	readonly #relay: responseRelay.ResponseRelay;
@@ -38,10 +40,7 @@
 	readonly #responseTimer = new responseTimer.ResponseTimer();
 	readonly #recorder: attemptRecorder.AttemptRecorder;
 	readonly #endpointFinder: endpointFinder.EndpointFinder;
-	/** Number of attempts whose response an endpoint interrupted. */
-	#interruptedCount = 0;
-	/** Number of attempts, including those that found no free connection. */
-	#attemptCount = 0;
+	readonly #rules: retryRules.RetryRules;
 
 	constructor(private readonly request: requestContext.RoutedRequest, private readonly dependencies: requestDispatcher.DispatcherDependencies) {
 		const {route, head, arrivedAt, res} = request;
@@ -54,29 +53,25 @@
 				this.#recordProgress();
 			},
 			onSequenceError: () => {
-				this.#attempts.at(-1)?.attempt.abort(endpoints.AttemptFault.InvalidSequence);
+				this.#rules.attempts.at(-1)?.attempt.abort(endpoints.AttemptFault.InvalidSequence);
 			},
 			onEventTooLarge: () => {
-				this.#attempts.at(-1)?.attempt.abort(endpoints.AttemptFault.EndlessResponse);
+				this.#rules.attempts.at(-1)?.attempt.abort(endpoints.AttemptFault.EndlessResponse);
 			},
 			onDrain: () => {
-				this.#attempts.at(-1)?.attempt.resume();
+				this.#rules.attempts.at(-1)?.attempt.resume();
 			},
 		});
 		this.#relay.lastEventId = head.lastEventId;
 		this.#promptKeys = head.prompt && core.quarantine.createPromptKeys(head.prompt.model, head.prompt.parts.map(part => part.id));
+		this.#rules = new retryRules.RetryRules({
+			route, deadlineAt: this.#deadlineAt, window: dependencies.retryWindows.of(this.#pool), vmCount: () => dependencies.fleet.vmCount,
+		});
 		this.#timers = new attemptTimers.AttemptTimers(route);
 		this.#recorder = new attemptRecorder.AttemptRecorder(request, this.#promptKeys, dependencies);
 		this.#endpointFinder = new endpointFinder.EndpointFinder(request, dependencies, this.#deadlineAt, () => this.#place());
 	}
 
-	/** Whether the request may be executed more than once. */
-	get #isIdempotent(): boolean {
-		const {route} = this.request;
-		return route.kind === core.routing.RouteKind.Safe
-			|| (route.kind === core.routing.RouteKind.Streaming && route.isResumable);
-	}
-
 	/** Whether the caller has closed its connection. */
 	get #isCallerDisconnected(): boolean {
 		return this.#isResponseClosed || requestContext.isCallerDisconnected(this.request);
@@ -87,14 +82,14 @@
 		const onClose = (): void => {
 			this.#isResponseClosed = !this.request.res.writableFinished;
 			this.#endpointFinder.cancel();
-			this.#attempts.at(-1)?.attempt.abort(endpoints.AttemptFault.CallerDisconnected);
+			this.#rules.attempts.at(-1)?.attempt.abort(endpoints.AttemptFault.CallerDisconnected);
 		};
 
 		const remainingMs = this.#deadlineAt - this.dependencies.clock.monotonicNow();
 		const timer = setTimeout(() => {
 			this.#isTimedOut = true;
 			this.#endpointFinder.cancel();
-			this.#attempts.at(-1)?.attempt.abort(endpoints.AttemptFault.TimedOut);
+			this.#rules.attempts.at(-1)?.attempt.abort(endpoints.AttemptFault.TimedOut);
 		}, Math.max(0, remainingMs + lateResponseGraceMs));
 		this.request.res.once('close', onClose);
 		this.dependencies.retryWindows.of(this.#pool).countRequest(this.dependencies.clock.monotonicNow());
@@ -109,16 +104,16 @@
 
 	/** Aborts the current attempt if it is at the given endpoint and the request may be retried at another one. */
 	abortSilentAttempt(endpoint: string): void {
-		const last = this.#attempts.at(-1);
+		const last = this.#rules.attempts.at(-1);
 		const isAtEndpoint = last !== undefined && last.end === undefined && last.placement.entry.id === endpoint;
-		if (isAtEndpoint && this.#isIdempotent && this.#mayRetryExecuted(1)) {
-			last.attempt.abort(endpoints.AttemptFault.EndpointSilent);
+		if (isAtEndpoint) {
+			this.#abortStalled(last);
 		}
 	}
 
 	/** Aborts the current attempt if it has not started and the weights of its endpoint may soon no longer be used. */
 	abortOutdatedAttempt(now: clocks.Instant): void {
-		const last = this.#attempts.at(-1);
+		const last = this.#rules.attempts.at(-1);
 		const isWaiting = last !== undefined && last.end === undefined && !last.hasResponseStarted;
 		if (isWaiting && this.dependencies.placer.mustTakeBack(this.request, last.placement, now)) {
 			last.attempt.abort(endpoints.AttemptFault.WeightsOutdated);
@@ -127,7 +122,7 @@
 
 	/** Aborts the current attempt if its connection is not open and its endpoint has asked for a pause meanwhile. */
 	abortPausedAttempt(): void {
-		const last = this.#attempts.at(-1);
+		const last = this.#rules.attempts.at(-1);
 		const isUnsent = last !== undefined && last.end === undefined && last.attempt.progress === core.request.AttemptProgress.Connecting;
 		if (isUnsent && this.dependencies.pauses.isPaused(last.placement.entry)) {
 			last.attempt.abort(endpoints.AttemptFault.EndpointPaused);
@@ -141,7 +136,7 @@
 		}
 
 		this.#endpointFinder.cancel();
-		const last = this.#attempts.at(-1);
+		const last = this.#rules.attempts.at(-1);
 		if (last !== undefined && last.end === undefined && !last.hasResponseStarted) {
 			last.attempt.abort(endpoints.AttemptFault.PartQuarantined);
 		}
@@ -173,7 +168,8 @@
 			}
 
 			this.#failedEndpoints.add(searchResult.placement.entry.id);
-			if (!this.#mayRetry(end)) {
+			this.request.obstacle = this.#findObstacle(end);
+			if (this.request.obstacle !== undefined) {
 				return this.#fail({code: refusals.RefusalCode.NoEndpoint, retryAfterMs: this.#endpointFinder.computeRetryAfterMs(this.#pool)});
 			}
 		}
@@ -192,12 +188,12 @@
 		const quarantined = this.#findQuarantined();
 		if (quarantined !== undefined) {
 			const {part, releasedInMs} = quarantined;
-			return {code: refusals.RefusalCode.PartQuarantined, retryAfterMs: releasedInMs, inputs: {part, tries: this.#attemptCount}};
+			return {code: refusals.RefusalCode.PartQuarantined, retryAfterMs: releasedInMs, inputs: {part, tries: this.#rules.attemptCount}};
 		}
 
 		return this.dependencies.authorizer.maySend(this.request)
 			? undefined
-			: {code: refusals.RefusalCode.ConfigUnavailable, retryAfterMs: refusals.noEndpointRetryAfterMs, inputs: {tries: this.#attemptCount}};
+			: {code: refusals.RefusalCode.ConfigUnavailable, retryAfterMs: refusals.noEndpointRetryAfterMs, inputs: {tries: this.#rules.attemptCount}};
 	}
 
 	#findQuarantined(): core.quarantine.QuarantineMatch | undefined {
@@ -216,14 +212,14 @@
 		const {clock} = this.dependencies;
 		const {entry} = placement;
 		const now = clock.monotonicNow();
-		this.#attemptCount += 1;
+		this.#rules.attemptCount += 1;
 		const pool = this.dependencies.connections.poolFor(entry);
-		const connection = pool.acquire({requiresFresh: !this.#isIdempotent}, this.#computeMaxConnections(), now);
+		const connection = pool.acquire({requiresFresh: !this.#rules.isIdempotent}, this.#computeMaxConnections(), now);
 		if (connection === undefined) {
 			return {progress: core.request.AttemptProgress.NotStarted, fault: endpoints.AttemptFault.ConnectionLimitReached};
 		}
 
-		const id = `${this.request.head.requestId}#${this.#attempts.length}`;
+		const id = `${this.request.head.requestId}#${this.#rules.attempts.length}`;
 		const attempt = new endpoints.EndpointAttempt({
 			pool,
 			connection,
@@ -248,12 +244,12 @@
 		const sent: sentAttempt.SentAttempt = {
 			placement, attempt, id, hasResponseStarted: false,
 		};
-		if (this.#attempts.length > 0) {
+		if (this.#rules.attempts.length > 0) {
 			this.dependencies.retryWindows.of(this.#pool).countRetry(now);
 		}
 
-		this.#attempts.push(sent);
-		this.#recorder.recordSent(sent, this.#attempts.length);
+		this.#rules.attempts.push(sent);
+		this.#recorder.recordSent(sent, this.#rules.attempts.length);
 		this.#timers.start(() => {
 			this.#abortUnanswered(sent);
 		});
@@ -261,7 +257,7 @@
 		this.#timers.stop();
 		this.#recorder.recordEnd(sent, sent.end);
 		if (this.#isInterrupted(sent.end)) {
-			this.#interruptedCount += sent.hasResponseStarted ? 1 : 0;
+			this.#rules.interruptedCount += sent.hasResponseStarted ? 1 : 0;
 			this.#recorder.recordInterruption(sent);
 		} else if (sent.end.fault === undefined && attempt.keepsConnection) {
 			this.#recorder.recordCompletion(sent, connection);
@@ -276,19 +272,22 @@
 		return fault === undefined ? this.#relay.hasIncompleteEvent : fault === endpoints.AttemptFault.ConnectionLost && !isRefused;
 	}
 
-	/** Aborts an attempt without progress if the request may be retried at another endpoint. */
-	#abortStalled(sent: sentAttempt.SentAttempt): void {
-		if (this.#mayRetryExecuted(1)) {
+	/** Aborts an attempt without progress if the request may be retried at another endpoint. @returns Whether it was aborted. */
+	#abortStalled(sent: sentAttempt.SentAttempt): boolean {
+		const obstacle = this.#rules.findExecutedObstacle(1, this.dependencies.clock.monotonicNow());
+		this.#recorder.recordSilence(sent, obstacle);
+		if (obstacle === undefined) {
 			sent.attempt.abort(endpoints.AttemptFault.EndpointSilent);
 		}
+
+		return obstacle === undefined;
 	}
 
 	/** Aborts an attempt of a safe request that gets no response. */
 	#abortUnanswered(sent: sentAttempt.SentAttempt): void {
-		if (!sent.hasResponseStarted && this.#mayRetryExecuted(1)) {
+		if (!sent.hasResponseStarted && this.#abortStalled(sent)) {
 			// Idle connections to the same endpoint may be stalled as well.
 			this.dependencies.connections.closeIdle(sent.placement.entry.id);
-			this.#abortStalled(sent);
 		}
 	}
 
@@ -313,7 +312,7 @@
 	}
 
 	#recordProgress(): void {
-		const sent = this.#attempts.at(-1);
+		const sent = this.#rules.attempts.at(-1);
 		if (sent !== undefined) {
 			this.#timers.restart(() => {
 				this.#abortStalled(sent);
@@ -325,64 +324,35 @@
 
 	/** Handles the head of a response. @returns Whether the response is relayed. */
 	#handleHead(head: ports.ResponseHead): boolean {
-		this.#recorder.recordHead(this.#attempts.at(-1)!, head);
+		this.#recorder.recordHead(this.#rules.attempts.at(-1)!, head);
 		return this.#acceptsStatus(head.status);
 	}
 
 	/** Whether a response is relayed; a server error is not, as long as the request may be retried. */
 	#acceptsStatus(status: number): boolean {
 		const isFailure = status >= 500;
-		return !isFailure || !this.#isIdempotent || !this.#mayRetryExecuted(0);
+		return !isFailure || this.#rules.findExecutedObstacle(0, this.dependencies.clock.monotonicNow()) !== undefined;
 	}
 
-	#mayRetry(end: endpoints.AttemptResult): boolean {
-		const mayEndEndpoints = this.#interruptedCount >= maxInterruptions;
-		if (this.#isCallerDisconnected || this.#isTimedOut || this.#relay.hasSequenceError || mayEndEndpoints) {
-			return false;
-		}
-
-		if (this.#relay.hasStarted && !this.request.route.isResumable) {
-			return false;
+	/** Returns what prevents a retry after an attempt has ended; `undefined` if there may be one. */
+	#findObstacle(end: endpoints.AttemptResult): core.log.RetryObstacle | undefined {
+		if (this.#isCallerDisconnected) {
+			return core.log.RetryObstacle.CallerDisconnected;
 		}
 
-		if (end.progress === core.request.AttemptProgress.RefusedBeforeExecution) {
-			return this.#mayRetryUnexecuted() && this.#hasRetryBudget();
+		if (this.#isTimedOut) {
+			return core.log.RetryObstacle.DeadlinePassed;
 		}
 
-		const maybeSent = end.progress !== core.request.AttemptProgress.NotStarted
-			&& end.progress !== core.request.AttemptProgress.Connecting;
-		return maybeSent ? this.#isIdempotent && this.#mayRetryExecuted(0) : this.#mayRetryUnexecuted();
-	}
-
-	/** Whether a request that was not executed may be retried. */
-	#mayRetryUnexecuted(): boolean {
-		return this.#attemptCount < this.request.route.maxAttempts + maxExtraAttempts && this.#hasTimeLeft();
-	}
-
-	/**
-	 * Whether a request that may have been executed may be retried at another endpoint.
-	 *
-	 * @param running - Number of attempts in progress that count as executions.
-	 */
-	#mayRetryExecuted(running: number): boolean {
-		const executions = this.#attempts.filter(sent => sent.end !== undefined && !core.request.isKnownNotExecuted({
-			id: sent.id, endpoint: sent.placement.entry.id, progress: sent.end.progress,
-		})).length;
-		const unfinished = this.#attempts.some(sent => sent.end === undefined) ? 1 : 0;
-		return executions + Math.max(running, unfinished) < this.request.route.maxAttempts && this.#hasTimeLeft() && this.#hasRetryBudget();
-	}
-
-	#hasTimeLeft(): boolean {
-		return this.dependencies.clock.monotonicNow() + minRetryTimeMs < this.#deadlineAt;
-	}
-
-	#hasRetryBudget(): boolean {
-		return this.dependencies.retryWindows.of(this.#pool).allowsRetry(this.dependencies.fleet.vmCount, this.dependencies.clock.monotonicNow());
+		return this.#relay.hasSequenceError
+			? core.log.RetryObstacle.InvalidSequence
+			: this.#rules.findObstacle(end, this.#relay.hasStarted, this.dependencies.clock.monotonicNow());
 	}
 
 	/** Ends the request: aborts a response that has started, or returns a refusal that reflects what is known of the outcome. */
 	#fail(refusal: refusals.Refusal): refusals.Refusal | undefined {
 		if (this.#relay.hasStarted) {
+			this.request.obstacle ??= obstaclesByRefusal.get(refusal.code) ?? core.log.RetryObstacle.NoEndpoint;
 			this.#relay.abort();
 			this.request.isTruncated = !this.#isResponseClosed;
 			return undefined;
@@ -392,7 +362,7 @@
 			return {code: refusals.RefusalCode.CallerDisconnected};
 		}
 
-		const attempts = this.#attempts.map(sent => ({
+		const attempts = this.#rules.attempts.map(sent => ({
 			id: sent.id, endpoint: sent.placement.entry.id, progress: sent.end?.progress ?? sent.attempt.progress,
 		}));
 		if (core.request.decideExecution(attempts, false) === core.model.ExecutionState.NotRun) {
--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -140,6 +140,7 @@
 	async #handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
 		if (req.socket.writableEnded) {
 			// The request has crossed the close of its connection; its caller can repeat it, since it is not executed.
+			this.#logDropped(req);
 			req.socket.destroy();
 			return;
 		}
@@ -175,8 +176,7 @@
 	}
 
 	async #handleRequest(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
-		const raw: ports.RawRequestHead = {method: req.method ?? '', target: req.url ?? '', rawHeaders: req.rawHeaders};
-		const decoded = this.dependencies.protocol.decodeRequestHead(raw);
+		const decoded = this.#decodeHead(req);
 		if (decoded.isLeft()) {
 			const findings = (decoded.extract()).map(item => `${item.place}: ${item.problem}`);
 			this.dependencies.log.write(eventLog.LogEvent.RequestRejected, {code: call.RefusalCode.MalformedRequest, findings: findings.join('; ')});
@@ -201,6 +201,31 @@
 		}
 
 		this.#logEnd(ctx, refusal);
+		this.#logUnsent(ctx);
+	}
+
+	#decodeHead(req: http.IncomingMessage): ReturnType<ports.CallerProtocol['decodeRequestHead']> {
+		return this.dependencies.protocol.decodeRequestHead({method: req.method ?? '', target: req.url ?? '', rawHeaders: req.rawHeaders});
+	}
+
+	#logDropped(req: http.IncomingMessage): void {
+		const request = this.#decodeHead(req).map(head => head.requestId).toMaybe().extract();
+		this.dependencies.log.write(eventLog.LogEvent.RequestDropped, {request});
+	}
+
+	/** Logs a response that ended if its connection is closed before the last byte has left the process. */
+	#logUnsent({head, res}: call.RequestContext): void {
+		if (!res.writableEnded || res.writableFinished) {
+			return;
+		}
+
+		res.once('close', () => {
+			if (!res.writableFinished) {
+				this.dependencies.log.write(eventLog.LogEvent.ResponseUnsent, {
+					request: head.requestId, status: res.statusCode, problem: res.req.socket.errored?.message ?? 'connection closed',
+				});
+			}
+		});
 	}
 
 	#logError(err: unknown): void {
@@ -217,6 +242,7 @@
 			status: res.headersSent ? res.statusCode : 0,
 			code: refusal?.code,
 			retryAfterMs: refusal?.retryAfterMs === undefined ? undefined : Math.round(refusal.retryAfterMs),
+			obstacle: ctx.obstacle,
 			...refusal?.inputs,
 			...ctx.responseTimes,
 			tookMs: Math.round(this.dependencies.clock.monotonicNow() - ctx.arrivedAt),
