--- a/packages/stand-ins/src/users-platform/users-server-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/users-server-stand-in.ts
@@ -165,6 +165,8 @@
 	/** Number of orders accepted by this incarnation. */
 	#acceptedOrderCount = 0;
 	#startedAt = Date.now();
+	/** Until when the server sends nothing, in milliseconds since the Unix epoch. */
+	#silentUntil = -Infinity;
 	#pause: AskedPause = {retryAfter: '', until: -Infinity, includesCalls: false};
 
 	constructor(readonly options: UsersServerOptions) {
@@ -199,6 +201,11 @@
 		this.#pause = {retryAfter, until: Date.now() + ms, includesCalls};
 	}
 
+	/** Sends nothing for a time in milliseconds, and then goes on; connections are accepted and stay open meanwhile. */
+	fallSilent(ms: number): void {
+		this.#silentUntil = Date.now() + ms;
+	}
+
 	/** Returns the entry that the server writes about itself to the store. */
 	createRegistration(state = 'ready'): Readonly<Record<string, unknown>> {
 		return {
@@ -216,6 +223,7 @@
 	}
 
 	async #handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		await this.#waitWhileSilent();
 		if (this.leavingHeader !== undefined) {
 			res.setHeader('Server-Leaving', this.leavingHeader);
 		}
@@ -262,6 +270,12 @@
 		}
 	}
 
+	async #waitWhileSilent(): Promise<void> {
+		while (Date.now() < this.#silentUntil) {
+			await util.sleep(this.#silentUntil - Date.now()); // eslint-disable-line no-await-in-loop -- The silence may be extended meanwhile.
+		}
+	}
+
 	#turnAway(req: http.IncomingMessage, res: http.ServerResponse): void {
 		util.sendJson(res, 503, {}, {
 			'Bluebellmast-Not-Executed': '1',
@@ -348,6 +362,7 @@
 
 	async #sendPlainResponse(requestId: string, res: http.ServerResponse): Promise<void> {
 		await util.sleep((this.options.intervalMs ?? defaultIntervalMs) + this.extraDelayMs);
+		await this.#waitWhileSilent();
 		if (res.destroyed) {
 			return;
 		}
@@ -429,6 +444,7 @@
 			}
 
 			await util.sleep(this.options.intervalMs ?? defaultIntervalMs); // eslint-disable-line no-await-in-loop -- Events are sent in sequence.
+			await this.#waitWhileSilent(); // eslint-disable-line no-await-in-loop -- Events are sent in sequence.
 			if (breaksStream) {
 				res.write(`id: ${id + 1}\nda`);
 				await this.#resetConnection(res); // eslint-disable-line no-await-in-loop -- The end of the stream.
