--- /dev/null
+++ b/packages/gateway/src/call/attempt-sender.ts
@@ -0,0 +1,113 @@
+import * as endpoints from '../endpoints/index.js';
+import type * as endpointPlacer from '../placement/endpoint-placer.js';
+import type * as ports from '../ports/index.js';
+import type * as attemptRecorder from './attempt-recorder.js';
+import type * as requestContext from './request-context.js';
+import type * as requestDispatcher from './request-dispatcher.js';
+import type * as sentAttempt from './sent-attempt.js';
+
+/** Connections that this VM may open to an endpoint, relative to its equal share of the connection limit. */
+const connectionShareFactor = 1.5;
+
+/** What an {@link AttemptSender} needs to know of its request. */
+export type AttemptSenderOptions = {
+	readonly request: requestContext.RoutedRequest;
+	/** In milliseconds of the monotonic clock. */
+	readonly deadlineAt: number;
+	/** Whether the request may be executed more than once. */
+	readonly isIdempotent: boolean;
+	readonly recorder: attemptRecorder.AttemptRecorder;
+	readonly dependencies: requestDispatcher.DispatcherDependencies;
+	/** Receives the response of an attempt. */
+	readonly createSink: (sent: sentAttempt.SentAttempt) => endpoints.ResponseSink;
+	/** Whether the endpoint broke off an attempt that has ended, other than by a refusal. */
+	readonly isInterrupted: (end: endpoints.AttemptResult) => boolean;
+};
+
+/** Sends the attempts of one request, and records how they end. */
+export class AttemptSender {
+	constructor(private readonly options: AttemptSenderOptions) {}
+
+	/**
+	 * Sends the request to an endpoint.
+	 *
+	 * @param number - Number of the attempt, counted from 1.
+	 * @param lastEventId - Id of the last event that the caller has received; absent at the start of a response.
+	 * @returns The attempt, or `undefined` if all connections that this VM may open to the endpoint are busy.
+	 */
+	send(placement: endpointPlacer.Placement, number: number, lastEventId: number | undefined, now: number): sentAttempt.SentAttempt | undefined {
+		const {request: {head, body}, dependencies, recorder, isIdempotent} = this.options;
+		const {entry} = placement;
+		const pool = dependencies.connections.poolFor(entry);
+		const connection = pool.acquire({requiresFresh: !isIdempotent}, this.#computeMaxConnections(entry.pool), now);
+		if (connection === undefined) {
+			return undefined;
+		}
+
+		const attempt = new endpoints.EndpointAttempt({
+			pool,
+			connection,
+			protocol: dependencies.protocol,
+			request: {
+				method: head.method,
+				target: head.target,
+				requestId: head.requestId,
+				headers: dependencies.protocol.encodeRequestHead(head, this.#createDirectives(placement, lastEventId, now)),
+				body,
+			},
+			sink: {
+				onHead: (responseHead, raw) => sink.onHead(responseHead, raw),
+				onData: chunk => sink.onData(chunk),
+			},
+			onHeadReceived(responseHead) {
+				recorder.recordNotice(entry, responseHead);
+			},
+			onMatchingHead(responseHead) {
+				recorder.recordPause(placement, responseHead);
+				recorder.recordAlive(sent, connection);
+			},
+			monotonicNow: dependencies.clock.monotonicNow,
+		});
+		const sent: sentAttempt.SentAttempt = {
+			placement, attempt, id: `${head.requestId}#${number - 1}`, hasResponseStarted: false, ended: Promise.resolve(),
+		};
+		const sink = this.options.createSink(sent);
+		recorder.recordSent(sent, number);
+		sent.ended = this.#run(sent, connection);
+		return sent;
+	}
+
+	async #run(sent: sentAttempt.SentAttempt, connection: endpoints.EndpointConnection): Promise<void> {
+		const {recorder, isInterrupted} = this.options;
+		const end = await sent.attempt.run();
+		sent.end = end;
+		recorder.recordEnd(sent, end);
+		sent.isInterrupted = isInterrupted(end);
+		if (sent.isInterrupted) {
+			recorder.recordInterruption(sent);
+		} else if (end.fault === undefined && sent.attempt.keepsConnection) {
+			recorder.recordCompletion(sent, connection);
+		}
+	}
+
+	#createDirectives(placement: endpointPlacer.Placement, lastEventId: number | undefined, now: number): ports.AttemptDirectives {
+		const {request: {account}, deadlineAt} = this.options;
+		return {
+			endpointId: placement.entry.id,
+			deadlineMs: Math.max(1, Math.floor(deadlineAt - now)),
+			account: account?.name,
+			weightVersion: placement.weightVersion,
+			cacheNamespace: placement.cacheNamespace,
+			fetchCacheFrom: placement.fetchCacheFrom,
+			saveCacheTo: placement.saveCacheTo,
+			priority: placement.enginePriority,
+			lastEventId,
+		};
+	}
+
+	#computeMaxConnections(pool: string): number {
+		const {request, dependencies} = this.options;
+		const limit = request.table.findPool(pool)?.connectionLimit ?? 1;
+		return Math.max(2, Math.floor(limit / dependencies.fleet.vmCount * connectionShareFactor));
+	}
+}
--- a/packages/gateway/src/call/attempt-timers.ts
+++ b/packages/gateway/src/call/attempt-timers.ts
@@ -14,31 +14,35 @@
 const eventTimeoutFactor = 8;
 const minEventTimeoutMs = 2000;
 
-/** Finds attempts that make no progress: safe requests without a response, and resumable streams without a further event. */
+/**
+ * Finds attempts that make no progress: safe requests without a response, and resumable streams without a further event. The callbacks are called
+ * again after the same time while that lasts.
+ */
 export class AttemptTimers {
 	#responseTimer: NodeJS.Timeout | undefined;
 	#eventTimer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly route: Pick<core.routing.Route, 'kind' | 'isResumable' | 'targetLatencyMs' | 'gapTargetMs'>) {}
 
-	/** Starts to wait for the response of an attempt. */
+	/** Starts to wait for the response of an attempt, in place of an earlier one. */
 	start(onStalled: () => void): void {
+		this.stop();
 		if (this.route.kind === core.routing.RouteKind.Safe) {
-			this.#responseTimer = setTimeout(onStalled, Math.max(minStallTimeoutMs, stallTimeoutFactor * this.route.targetLatencyMs));
+			this.#responseTimer = setInterval(onStalled, Math.max(minStallTimeoutMs, stallTimeoutFactor * this.route.targetLatencyMs));
 		}
 	}
 
 	/** Waits for the next event of a stream, as its response has begun or an event is complete. */
 	restart(onStalled: () => void): void {
-		clearTimeout(this.#eventTimer);
+		clearInterval(this.#eventTimer);
 		if (this.route.kind === core.routing.RouteKind.Streaming && this.route.isResumable) {
-			this.#eventTimer = setTimeout(onStalled, Math.max(minEventTimeoutMs, eventTimeoutFactor * this.route.gapTargetMs));
+			this.#eventTimer = setInterval(onStalled, Math.max(minEventTimeoutMs, eventTimeoutFactor * this.route.gapTargetMs));
 		}
 	}
 
 	/** Ends the waits of an attempt. */
 	stop(): void {
-		clearTimeout(this.#responseTimer);
-		clearTimeout(this.#eventTimer);
+		clearInterval(this.#responseTimer);
+		clearInterval(this.#eventTimer);
 	}
 }
--- a/packages/gateway/src/call/request-dispatcher.ts
+++ b/packages/gateway/src/call/request-dispatcher.ts
@@ -61,14 +61,14 @@
 	/** Aborts the attempts that have not started on weights that may soon no longer be used. */
 	abortOutdatedAttempts(now: clocks.Instant): void {
 		for (const forwarder of this.#forwarders) {
-			forwarder.abortOutdatedAttempt(now);
+			forwarder.abortOutdatedAttempts(now);
 		}
 	}
 
 	/** Aborts the attempts whose connection is not open at endpoints that asked for a pause meanwhile. */
 	abortPausedAttempts(): void {
 		for (const forwarder of this.#forwarders) {
-			forwarder.abortPausedAttempt();
+			forwarder.abortPausedAttempts();
 		}
 	}
 
@@ -79,10 +79,10 @@
 		}
 	}
 
-	/** Aborts the attempts at an endpoint that stopped responding, if their requests may be retried at another endpoint. */
-	abortSilentAttempts(endpoint: core.fleet.EndpointEntry['id']): void {
+	/** Sends the requests at an endpoint that does not respond to other endpoints as well, where that is possible. */
+	replaceSilentAttempts(endpoint: core.fleet.EndpointEntry['id']): void {
 		for (const forwarder of this.#forwarders) {
-			forwarder.abortSilentAttempt(endpoint);
+			forwarder.replaceSilentAttempt(endpoint);
 		}
 	}
 }
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -5,8 +5,10 @@
 import * as clocks from '../util/clocks.js';
 import * as responseRelay from './response-relay.js';
 import * as responseTimer from './response-timer.js';
+import * as activeAttempts from './active-attempts.js';
 import * as attemptTimers from './attempt-timers.js';
 import * as attemptRecorder from './attempt-recorder.js';
+import * as attemptSender from './attempt-sender.js';
 import * as requestContext from './request-context.js';
 import type * as requestDispatcher from './request-dispatcher.js';
 import * as refusals from './refusal.js';
@@ -16,8 +18,6 @@
 
 /** Time after the deadline during which the endpoint can still report the timeout itself, in milliseconds. */
 const lateResponseGraceMs = 40;
-/** Connections that this VM may open to an endpoint, relative to its equal share of the connection limit. */
-const connectionShareFactor = 1.5;
 
 /** Why a request is not sent again, by the refusal that it would have got if no response had begun. */
 const obstaclesByRefusal: ReadonlyMap<refusals.RefusalCode, core.log.RetryObstacle> = new Map([
@@ -41,6 +41,8 @@
 	readonly #recorder: attemptRecorder.AttemptRecorder;
 	readonly #endpointFinder: endpointFinder.EndpointFinder;
 	readonly #rules: retryRules.RetryRules;
+	readonly #active: activeAttempts.ActiveAttempts;
+	readonly #sender: attemptSender.AttemptSender;
 
 	constructor(private readonly request: requestContext.RoutedRequest, private readonly dependencies: requestDispatcher.DispatcherDependencies) {
 		const {route, head, arrivedAt, res} = request;
@@ -48,18 +50,17 @@
 		this.#pool = core.routing.choosePool(route, dependencies.random()) ?? '';
 		this.#relay = new responseRelay.ResponseRelay(res, {
 			isStream: route.kind === core.routing.RouteKind.Streaming,
-			acceptsHead: responseHead => this.#handleHead(responseHead),
 			onProgress: () => {
 				this.#recordProgress();
 			},
 			onSequenceError: () => {
-				this.#rules.attempts.at(-1)?.attempt.abort(endpoints.AttemptFault.InvalidSequence);
+				this.#active.current?.attempt.abort(endpoints.AttemptFault.InvalidSequence);
 			},
 			onEventTooLarge: () => {
-				this.#rules.attempts.at(-1)?.attempt.abort(endpoints.AttemptFault.EndlessResponse);
+				this.#active.current?.attempt.abort(endpoints.AttemptFault.EndlessResponse);
 			},
 			onDrain: () => {
-				this.#rules.attempts.at(-1)?.attempt.resume();
+				this.#active.current?.attempt.resume();
 			},
 		});
 		this.#relay.lastEventId = head.lastEventId;
@@ -70,6 +71,24 @@
 		this.#timers = new attemptTimers.AttemptTimers(route);
 		this.#recorder = new attemptRecorder.AttemptRecorder(request, this.#promptKeys, dependencies);
 		this.#endpointFinder = new endpointFinder.EndpointFinder(request, dependencies, this.#deadlineAt, () => this.#place());
+		this.#active = new activeAttempts.ActiveAttempts({
+			isComplete: sent => this.#isComplete(sent),
+			onCurrent: sent => {
+				this.#startTimers(sent);
+			},
+			onFailed: sent => {
+				this.#handleFailedAlternative(sent);
+			},
+		});
+		this.#sender = new attemptSender.AttemptSender({
+			request,
+			deadlineAt: this.#deadlineAt,
+			isIdempotent: this.#rules.isIdempotent,
+			recorder: this.#recorder,
+			dependencies,
+			createSink: sent => this.#createSink(sent),
+			isInterrupted: end => this.#isInterrupted(end),
+		});
 	}
 
 	/** Whether the caller has closed its connection. */
@@ -82,14 +101,14 @@
 		const onClose = (): void => {
 			this.#isResponseClosed = !this.request.res.writableFinished;
 			this.#endpointFinder.cancel();
-			this.#rules.attempts.at(-1)?.attempt.abort(endpoints.AttemptFault.CallerDisconnected);
+			this.#active.abort(endpoints.AttemptFault.CallerDisconnected);
 		};
 
 		const remainingMs = this.#deadlineAt - this.dependencies.clock.monotonicNow();
 		const timer = setTimeout(() => {
 			this.#isTimedOut = true;
 			this.#endpointFinder.cancel();
-			this.#rules.attempts.at(-1)?.attempt.abort(endpoints.AttemptFault.TimedOut);
+			this.#active.abort(endpoints.AttemptFault.TimedOut);
 		}, Math.max(0, remainingMs + lateResponseGraceMs));
 		this.request.res.once('close', onClose);
 		this.dependencies.retryWindows.of(this.#pool).countRequest(this.dependencies.clock.monotonicNow());
@@ -102,43 +121,41 @@
 		}
 	}
 
-	/** Aborts the current attempt if it is at the given endpoint and the request may be retried at another one. */
-	abortSilentAttempt(endpoint: string): void {
-		const last = this.#rules.attempts.at(-1);
-		const isAtEndpoint = last !== undefined && last.end === undefined && last.placement.entry.id === endpoint;
-		if (isAtEndpoint) {
-			this.#abortStalled(last);
+	/** Sends the request to another endpoint as well if its current attempt is at an endpoint that does not respond. */
+	replaceSilentAttempt(endpoint: string): void {
+		const {current} = this.#active;
+		if (current?.placement.entry.id === endpoint) {
+			this.#replaceSilent(current);
 		}
 	}
 
-	/** Aborts the current attempt if it has not started and the weights of its endpoint may soon no longer be used. */
-	abortOutdatedAttempt(now: clocks.Instant): void {
-		const last = this.#rules.attempts.at(-1);
-		const isWaiting = last !== undefined && last.end === undefined && !last.hasResponseStarted;
-		if (isWaiting && this.dependencies.placer.mustTakeBack(this.request, last.placement, now)) {
-			last.attempt.abort(endpoints.AttemptFault.WeightsOutdated);
+	/** Aborts the attempts that have not started if the weights of their endpoint may soon no longer be used. */
+	abortOutdatedAttempts(now: clocks.Instant): void {
+		for (const sent of this.#listWaiting()) {
+			if (this.dependencies.placer.mustTakeBack(this.request, sent.placement, now)) {
+				sent.attempt.abort(endpoints.AttemptFault.WeightsOutdated);
+			}
 		}
 	}
 
-	/** Aborts the current attempt if its connection is not open and its endpoint has asked for a pause meanwhile. */
-	abortPausedAttempt(): void {
-		const last = this.#rules.attempts.at(-1);
-		const isUnsent = last !== undefined && last.end === undefined && last.attempt.progress === core.request.AttemptProgress.Connecting;
-		if (isUnsent && this.dependencies.pauses.isPaused(last.placement.entry)) {
-			last.attempt.abort(endpoints.AttemptFault.EndpointPaused);
+	/** Aborts the attempts whose connection is not open and whose endpoint has asked for a pause meanwhile. */
+	abortPausedAttempts(): void {
+		for (const {attempt, placement} of this.#active.list()) {
+			if (attempt.progress === core.request.AttemptProgress.Connecting && this.dependencies.pauses.isPaused(placement.entry)) {
+				attempt.abort(endpoints.AttemptFault.EndpointPaused);
+			}
 		}
 	}
 
-	/** Ends the wait or the attempt of a request with a quarantined part, unless its response has begun. */
+	/** Ends the wait or the attempts of a request with a quarantined part, except for a response that has begun. */
 	abortIfQuarantined(): void {
 		if (this.#findQuarantined() === undefined) {
 			return;
 		}
 
 		this.#endpointFinder.cancel();
-		const last = this.#rules.attempts.at(-1);
-		if (last !== undefined && last.end === undefined && !last.hasResponseStarted) {
-			last.attempt.abort(endpoints.AttemptFault.PartQuarantined);
+		for (const {attempt} of this.#listWaiting()) {
+			attempt.abort(endpoints.AttemptFault.PartQuarantined);
 		}
 	}
 
@@ -161,14 +178,16 @@
 				return this.#fail({code: refusals.RefusalCode.NoEndpoint, retryAfterMs, inputs});
 			}
 
-			const end = await this.#send(searchResult.placement); // eslint-disable-line no-await-in-loop -- Attempts follow one another.
-			if (end.fault === undefined && !this.#relay.hasIncompleteEvent && !this.#relay.hasSequenceError) {
+			const first = this.#send(searchResult.placement);
+			const last = first && await this.#active.run(first); // eslint-disable-line no-await-in-loop -- Attempts follow one another.
+			this.#timers.stop();
+			if (last !== undefined && this.#isComplete(last)) {
 				this.#relay.complete();
 				return undefined;
 			}
 
-			this.#failedEndpoints.add(searchResult.placement.entry.id);
-			this.request.obstacle = this.#findObstacle(end);
+			this.#failedEndpoints.add((last?.placement ?? searchResult.placement).entry.id);
+			this.request.obstacle = this.#findObstacle(last?.end?.progress ?? core.request.AttemptProgress.NotStarted);
 			if (this.request.obstacle !== undefined) {
 				return this.#fail({code: refusals.RefusalCode.NoEndpoint, retryAfterMs: this.#endpointFinder.computeRetryAfterMs(this.#pool)});
 			}
@@ -208,62 +227,30 @@
 			?? (this.#failedEndpoints.size > 0 ? placer.place(this.request, this.#pool, new Set(), now) : undefined);
 	}
 
-	async #send(placement: endpointPlacer.Placement): Promise<endpoints.AttemptResult> {
-		const {clock} = this.dependencies;
-		const {entry} = placement;
-		const now = clock.monotonicNow();
+	/** Sends the request to an endpoint. @returns `undefined` if all connections that this VM may open to it are busy. */
+	#send(placement: endpointPlacer.Placement): sentAttempt.SentAttempt | undefined {
+		const now = this.dependencies.clock.monotonicNow();
 		this.#rules.attemptCount += 1;
-		const pool = this.dependencies.connections.poolFor(entry);
-		const connection = pool.acquire({requiresFresh: !this.#rules.isIdempotent}, this.#computeMaxConnections(), now);
-		if (connection === undefined) {
-			return {progress: core.request.AttemptProgress.NotStarted, fault: endpoints.AttemptFault.ConnectionLimitReached};
+		const sent = this.#sender.send(placement, this.#rules.attempts.length + 1, this.#relay.lastEventId, now);
+		if (sent === undefined) {
+			return undefined;
 		}
 
-		const id = `${this.request.head.requestId}#${this.#rules.attempts.length}`;
-		const attempt = new endpoints.EndpointAttempt({
-			pool,
-			connection,
-			protocol: this.dependencies.protocol,
-			request: {
-				method: this.request.head.method,
-				target: this.request.head.target,
-				requestId: this.request.head.requestId,
-				headers: this.dependencies.protocol.encodeRequestHead(this.request.head, this.#createDirectives(placement, now)),
-				body: this.request.body,
-			},
-			sink: this.#relay,
-			onHeadReceived: head => {
-				this.#recorder.recordNotice(entry, head);
-			},
-			onMatchingHead: head => {
-				this.#recorder.recordPause(placement, head);
-				this.#recorder.recordAlive(sent, connection);
-			},
-			monotonicNow: clock.monotonicNow,
-		});
-		const sent: sentAttempt.SentAttempt = {
-			placement, attempt, id, hasResponseStarted: false,
-		};
 		if (this.#rules.attempts.length > 0) {
 			this.dependencies.retryWindows.of(this.#pool).countRetry(now);
 		}
 
 		this.#rules.attempts.push(sent);
-		this.#recorder.recordSent(sent, this.#rules.attempts.length);
-		this.#timers.start(() => {
-			this.#abortUnanswered(sent);
-		});
-		sent.end = await attempt.run();
-		this.#timers.stop();
-		this.#recorder.recordEnd(sent, sent.end);
-		if (this.#isInterrupted(sent.end)) {
-			this.#rules.interruptedCount += sent.hasResponseStarted ? 1 : 0;
-			this.#recorder.recordInterruption(sent);
-		} else if (sent.end.fault === undefined && attempt.keepsConnection) {
-			this.#recorder.recordCompletion(sent, connection);
-		}
+		return sent;
+	}
+
+	/** Whether an attempt that has ended delivered a complete response. */
+	#isComplete({end}: sentAttempt.SentAttempt): boolean {
+		return end !== undefined && end.fault === undefined && !this.#relay.hasIncompleteEvent && !this.#relay.hasSequenceError;
+	}
 
-		return sent.end;
+	#listWaiting(): sentAttempt.SentAttempt[] {
+		return this.#active.list().filter(sent => !sent.hasResponseStarted);
 	}
 
 	/** Whether the endpoint broke an attempt off, other than by a refusal. */
@@ -272,70 +259,98 @@
 		return fault === undefined ? this.#relay.hasIncompleteEvent : fault === endpoints.AttemptFault.ConnectionLost && !isRefused;
 	}
 
-	/** Aborts an attempt without progress if the request may be retried at another endpoint. @returns Whether it was aborted. */
-	#abortStalled(sent: sentAttempt.SentAttempt): boolean {
-		const obstacle = this.#rules.findExecutedObstacle(1, this.dependencies.clock.monotonicNow());
-		this.#recorder.recordSilence(sent, obstacle);
-		if (obstacle === undefined) {
-			sent.attempt.abort(endpoints.AttemptFault.EndpointSilent);
+	/** Sends the request to another endpoint as well, as its current attempt is silent. @returns Whether that was possible. */
+	#replaceSilent(silent: sentAttempt.SentAttempt): boolean {
+		const isReplaceable = silent === this.#active.current && !this.#active.hasReplacement && this.#rules.isIdempotent;
+		if (!isReplaceable || this.#isTimedOut || this.#isCallerDisconnected || this.#relay.isBlocked) {
+			return false;
 		}
 
+		const obstacle = this.#startReplacement(silent);
+		this.#recorder.recordSilence(silent, obstacle);
 		return obstacle === undefined;
 	}
 
-	/** Aborts an attempt of a safe request that gets no response. */
-	#abortUnanswered(sent: sentAttempt.SentAttempt): void {
-		if (!sent.hasResponseStarted && this.#abortStalled(sent)) {
-			// Idle connections to the same endpoint may be stalled as well.
-			this.dependencies.connections.closeIdle(sent.placement.entry.id);
+	#startReplacement(silent: sentAttempt.SentAttempt): core.log.RetryObstacle | undefined {
+		const now = clocks.readInstant(this.dependencies.clock);
+		const refusal = this.#findRefusal();
+		const obstacle = refusal === undefined ? this.#rules.findExecutedObstacle(now.monotonic) : getObstacle(refusal);
+		if (obstacle !== undefined) {
+			return obstacle;
 		}
+
+		const excluded = new Set([...this.#failedEndpoints, silent.placement.entry.id]);
+		const placement = this.dependencies.placer.place(this.request, this.#pool, excluded, now);
+		const replacement = placement?.hasCapacity ? this.#send(placement) : undefined;
+		if (replacement === undefined) {
+			return core.log.RetryObstacle.NoEndpoint;
+		}
+
+		this.#active.addReplacement(replacement);
+		return undefined;
 	}
 
-	#createDirectives(placement: endpointPlacer.Placement, now: number): ports.AttemptDirectives {
-		const {account} = this.request;
-		return {
-			endpointId: placement.entry.id,
-			deadlineMs: Math.max(1, Math.floor(this.#deadlineAt - now)),
-			account: account?.name,
-			weightVersion: placement.weightVersion,
-			cacheNamespace: placement.cacheNamespace,
-			fetchCacheFrom: placement.fetchCacheFrom,
-			saveCacheTo: placement.saveCacheTo,
-			priority: placement.enginePriority,
-			lastEventId: this.#relay.lastEventId,
-		};
+	/** Looks for another replacement when one has failed, so that the request doesn't depend on the silent endpoint alone. */
+	#handleFailedAlternative(sent: sentAttempt.SentAttempt): void {
+		this.#failedEndpoints.add(sent.placement.entry.id);
+		const {current} = this.#active;
+		if (current !== undefined && current !== sent) {
+			this.#replaceSilent(current);
+		}
+	}
+
+	#startTimers(sent: sentAttempt.SentAttempt): void {
+		this.#timers.start(() => {
+			if (!sent.hasResponseStarted && this.#replaceSilent(sent)) {
+				// Idle connections to the same endpoint may be stalled as well.
+				this.dependencies.connections.closeIdle(sent.placement.entry.id);
+			}
+		});
 	}
 
-	#computeMaxConnections(): number {
-		const limit = this.request.table.findPool(this.#pool)?.connectionLimit ?? 1;
-		return Math.max(2, Math.floor(limit / this.dependencies.fleet.vmCount * connectionShareFactor));
+	/** Creates the sink of an attempt, which passes a response on to the caller as long as the attempt is the current one. */
+	#createSink(sent: sentAttempt.SentAttempt): endpoints.ResponseSink {
+		return {
+			onHead: (head, raw) => {
+				this.#recorder.recordHead(sent, head);
+				this.#recorder.recordProgress(sent);
+				if (!this.#acceptsHead(head)) {
+					return false;
+				}
+
+				this.#active.promote(sent);
+				this.#recordProgress();
+				this.#relay.onHead(head, raw);
+				return true;
+			},
+			onData: chunk => sent !== this.#active.current || this.#relay.onData(chunk),
+		};
 	}
 
 	#recordProgress(): void {
-		const sent = this.#rules.attempts.at(-1);
+		const sent = this.#active.current;
 		if (sent !== undefined) {
+			this.#active.cancelReplacement();
 			this.#timers.restart(() => {
-				this.#abortStalled(sent);
+				this.#replaceSilent(sent);
 			});
 			this.#responseTimer.recordPart(this.dependencies.clock.monotonicNow());
 			this.#recorder.recordProgress(sent);
 		}
 	}
 
-	/** Handles the head of a response. @returns Whether the response is relayed. */
-	#handleHead(head: ports.ResponseHead): boolean {
-		this.#recorder.recordHead(this.#rules.attempts.at(-1)!, head);
-		return this.#acceptsStatus(head.status);
-	}
+	/** Whether a response is relayed; a server error is not, as long as another attempt is in progress or the request may be retried. */
+	#acceptsHead({status}: ports.ResponseHead): boolean {
+		if (!this.#relay.canContinueWith(status)) {
+			return false;
+		}
 
-	/** Whether a response is relayed; a server error is not, as long as the request may be retried. */
-	#acceptsStatus(status: number): boolean {
-		const isFailure = status >= 500;
-		return !isFailure || this.#rules.findExecutedObstacle(0, this.dependencies.clock.monotonicNow()) !== undefined;
+		return status < 500
+			|| (this.#active.list().length < 2 && this.#rules.findExecutedObstacle(this.dependencies.clock.monotonicNow()) !== undefined);
 	}
 
 	/** Returns what prevents a retry after an attempt has ended; `undefined` if there may be one. */
-	#findObstacle(end: endpoints.AttemptResult): core.log.RetryObstacle | undefined {
+	#findObstacle(progress: core.request.AttemptProgress): core.log.RetryObstacle | undefined {
 		if (this.#isCallerDisconnected) {
 			return core.log.RetryObstacle.CallerDisconnected;
 		}
@@ -346,13 +361,13 @@
 
 		return this.#relay.hasSequenceError
 			? core.log.RetryObstacle.InvalidSequence
-			: this.#rules.findObstacle(end, this.#relay.hasStarted, this.dependencies.clock.monotonicNow());
+			: this.#rules.findObstacle(progress, this.#relay.hasStarted, this.dependencies.clock.monotonicNow());
 	}
 
 	/** Ends the request: aborts a response that has started, or returns a refusal that reflects what is known of the outcome. */
 	#fail(refusal: refusals.Refusal): refusals.Refusal | undefined {
 		if (this.#relay.hasStarted) {
-			this.request.obstacle ??= obstaclesByRefusal.get(refusal.code) ?? core.log.RetryObstacle.NoEndpoint;
+			this.request.obstacle ??= getObstacle(refusal);
 			this.#relay.abort();
 			this.request.isTruncated = !this.#isResponseClosed;
 			return undefined;
@@ -373,3 +388,7 @@
 		return {code: isLate ? refusals.RefusalCode.TimedOut : refusals.RefusalCode.OutcomeUnknown};
 	}
 }
+
+function getObstacle({code}: refusals.Refusal): core.log.RetryObstacle {
+	return obstaclesByRefusal.get(code) ?? core.log.RetryObstacle.NoEndpoint;
+}
--- a/packages/gateway/src/call/response-relay.ts
+++ b/packages/gateway/src/call/response-relay.ts
@@ -12,14 +12,10 @@
 /** Largest event of a stream; an event holds some tokens. */
 const maxEventBytes = 262_144;
 
-/** Decides by the head of a response whether the response is relayed. */
-export type HeadPredicate = (head: ports.ResponseHead) => boolean;
-
 /** Options of {@link ResponseRelay}. */
 export type ResponseRelayOptions = {
 	readonly isStream: boolean;
-	readonly acceptsHead: HeadPredicate;
-	/** Called when the head of a response, each chunk, or of a stream each complete event arrives. */
+	/** Called when a chunk of the body arrives, of a stream a complete event. */
 	readonly onProgress: () => void;
 	/** Called when an endpoint sent events with non-consecutive ids; nothing is relayed afterwards. */
 	readonly onSequenceError: () => void;
@@ -33,7 +29,7 @@
  * Relays the response of one attempt or, for a resumed stream, of several attempts to the caller. Events of streams are
  * relayed as soon as they are complete. Other responses are buffered until they are complete or exceed the buffer.
  */
-export class ResponseRelay implements endpoints.ResponseSink {
+export class ResponseRelay {
 	/** Id of the last event that was relayed. */
 	lastEventId: number | undefined;
 	#splitter = new eventSplitter.EventSplitter();
@@ -57,15 +53,21 @@
 		return this.#hasSequenceError;
 	}
 
-	onHead(head: ports.ResponseHead, raw: endpoints.RawResponse): boolean {
-		this.options.onProgress();
-		if (!this.options.acceptsHead(head)) {
-			return false;
-		}
+	/** Whether the caller does not accept more data at present, so that endpoints are not read. */
+	get isBlocked(): boolean {
+		return this.#isWaitingForDrain;
+	}
 
+	/** Whether a response with the given status can be relayed: one that has started keeps its status. */
+	canContinueWith(status: number): boolean {
+		return !this.#hasStarted || status === this.#head?.status;
+	}
+
+	/** Starts to relay a response, or continues the one that has started. */
+	onHead(head: ports.ResponseHead, raw: endpoints.RawResponse): void {
 		this.#splitter = new eventSplitter.EventSplitter();
 		if (this.#hasStarted) {
-			return head.status === this.#head?.status;
+			return;
 		}
 
 		const headers = raw.headers.map(value => buffer.Buffer.from(value).toString('latin1'));
@@ -77,10 +79,9 @@
 			this.#start();
 			this.res.flushHeaders();
 		}
-
-		return true;
 	}
 
+	/** Relays a chunk of the body. @returns Whether to continue reading. */
 	onData(chunk: Uint8Array): boolean {
 		if (this.#isEventStream) {
 			return this.#relayEvents(chunk);
--- a/packages/gateway/src/call/retry-rules.ts
+++ b/packages/gateway/src/call/retry-rules.ts
@@ -1,5 +1,4 @@
 import * as core from '@bluebellmast/core';
-import type * as endpoints from '../endpoints/index.js';
 import type * as sentAttempt from './sent-attempt.js';
 
 const {RetryObstacle: obstacles} = core.log;
@@ -28,8 +27,6 @@
 	readonly attempts: sentAttempt.SentAttempt[] = [];
 	/** Number of attempts, including those that found no free connection. */
 	attemptCount = 0;
-	/** Number of attempts whose response an endpoint interrupted. */
-	interruptedCount = 0;
 
 	constructor(private readonly options: RetryRulesOptions) {}
 
@@ -42,10 +39,11 @@
 	/**
 	 * Returns what prevents a retry after an attempt has ended; `undefined` if the request may be sent to another endpoint.
 	 *
+	 * @param progress - How far the attempt came.
 	 * @param hasResponseBegun - Whether the caller has received a part of a response.
 	 */
-	findObstacle(end: endpoints.AttemptResult, hasResponseBegun: boolean, now: number): core.log.RetryObstacle | undefined {
-		if (this.interruptedCount >= maxInterruptions) {
+	findObstacle(progress: core.request.AttemptProgress, hasResponseBegun: boolean, now: number): core.log.RetryObstacle | undefined {
+		if (this.attempts.filter(sent => sent.isInterrupted && sent.hasResponseStarted).length >= maxInterruptions) {
 			return obstacles.Interruptions;
 		}
 
@@ -53,7 +51,7 @@
 			return obstacles.NotResumable;
 		}
 
-		switch (end.progress) {
+		switch (progress) {
 			case progresses.RefusedBeforeExecution: {
 				return this.#findUnexecutedObstacle(now) ?? this.#findBudgetObstacle(now);
 			}
@@ -66,30 +64,21 @@
 			case progresses.MaybeSent:
 			case progresses.ResponseStarted:
 			case progresses.ResponseComplete: {
-				return this.findExecutedObstacle(0, now);
+				return this.findExecutedObstacle(now);
 			}
 		}
 	}
 
-	/**
-	 * Returns what prevents that a request that may have been executed is sent to another endpoint.
-	 *
-	 * @param running - Number of attempts in progress that count as executions.
-	 */
-	findExecutedObstacle(running: number, now: number): core.log.RetryObstacle | undefined {
+	/** Returns what prevents that a request that may have been executed is sent to another endpoint; attempts in progress count as executed. */
+	findExecutedObstacle(now: number): core.log.RetryObstacle | undefined {
 		if (!this.isIdempotent) {
 			return obstacles.NotIdempotent;
 		}
 
-		const executions = this.attempts.filter(sent => sent.end !== undefined && !core.request.isKnownNotExecuted({
+		const executions = this.attempts.filter(sent => sent.end === undefined || !core.request.isKnownNotExecuted({
 			id: sent.id, endpoint: sent.placement.entry.id, progress: sent.end.progress,
 		})).length;
-		const unfinished = this.attempts.some(sent => sent.end === undefined) ? 1 : 0;
-		if (executions + Math.max(running, unfinished) >= this.options.route.maxAttempts) {
-			return obstacles.AttemptsUsed;
-		}
-
-		return this.#findTimeObstacle(now) ?? this.#findBudgetObstacle(now);
+		return executions >= this.options.route.maxAttempts ? obstacles.AttemptsUsed : this.#findUnexecutedObstacle(now) ?? this.#findBudgetObstacle(now);
 	}
 
 	/** Returns what prevents a retry of a request that was not executed, regardless of the budget. */
--- a/packages/gateway/src/call/sent-attempt.ts
+++ b/packages/gateway/src/call/sent-attempt.ts
@@ -7,8 +7,12 @@
 	readonly id: string;
 	readonly placement: endpointPlacer.Placement;
 	readonly attempt: endpoints.EndpointAttempt;
+	/** Resolves when the attempt has ended and its end is recorded. */
+	ended: Promise<void>;
 	/** Whether any part of the response has arrived. */
 	hasResponseStarted: boolean;
+	/** Whether the endpoint broke the attempt off, other than by a refusal. */
+	isInterrupted?: boolean;
 	/** Absent while the attempt is in progress. */
 	end?: endpoints.AttemptResult;
 };
--- a/packages/gateway/src/controllers/endpoint-controller.ts
+++ b/packages/gateway/src/controllers/endpoint-controller.ts
@@ -22,7 +22,7 @@
 	readonly log: eventLog.EventLog;
 };
 
-/** Tracks the endpoints that the store lists, checks those that stop responding, and moves requests away from unresponsive ones. */
+/** Tracks the endpoints that the store lists, checks those that stop responding, and has requests at unresponsive ones sent to others as well. */
 export class EndpointController implements storeFeed.StoreFeedListener {
 	readonly #departed = new core.store.DepartedEndpoints();
 	/** Whether the next snapshot is the first one after the store returned from a copy. */
@@ -175,6 +175,11 @@
 		if (fleet.health.recordCheck(endpoint, isAlive, clock.monotonicNow())) {
 			this.#handleHealthChange(endpoint, isAlive);
 		}
+
+		if (!isAlive) {
+			// After each failed check, since the retry budget or the capacity of other endpoints may not have sufficed before.
+			this.dependencies.dispatcher.replaceSilentAttempts(endpoint);
+		}
 	}
 
 	async #checkPlainService(entry: core.fleet.EndpointEntry, pool: core.routing.Pool): Promise<boolean> {
@@ -205,11 +210,10 @@
 	}
 
 	#handleHealthChange(endpoint: string, isAlive: boolean): void {
-		const {connections, dispatcher, log} = this.dependencies;
+		const {connections, log} = this.dependencies;
 		log.write(isAlive ? eventLog.LogEvent.EndpointResponsive : eventLog.LogEvent.EndpointUnresponsive, {endpoint});
 		if (!isAlive) {
 			connections.closeIdle(endpoint);
-			dispatcher.abortSilentAttempts(endpoint);
 		}
 	}
 
--- a/packages/gateway/src/endpoints/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoints/endpoint-attempt.ts
@@ -32,6 +32,8 @@
 	TimedOut = 'timed_out',
 	/** The endpoint sent nothing for too long. */
 	EndpointSilent = 'endpoint_silent',
+	/** Another attempt of the request made progress. */
+	Superseded = 'superseded',
 	/** The endpoint asked for a pause before the connection was open. */
 	EndpointPaused = 'endpoint_paused',
 	/** A part of the prompt was quarantined before the response had begun. */
