--- a/packages/core/src/fleet/retry-window.ts
+++ b/packages/core/src/fleet/retry-window.ts
@@ -33,6 +33,12 @@
 		this.#currentHalfWindow(now).retries += 1;
 	}
 
+	/** Takes back the count of a retry that was not sent. */
+	uncountRetry(now: number): void {
+		const halfWindow = this.#currentHalfWindow(now);
+		halfWindow.retries = Math.max(0, halfWindow.retries - 1);
+	}
+
 	/**
 	 * Returns whether another retry is within this VM's part of the limits.
 	 *
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -116,6 +116,7 @@
 			return await this.#runAttempts();
 		} finally {
 			this.request.responseTimes = this.#responseTimer.getTimes(this.request.arrivedAt);
+			this.#rules.releaseRetry(this.dependencies.clock.monotonicNow());
 			clearTimeout(timer);
 			this.request.res.off('close', onClose);
 		}
@@ -187,7 +188,7 @@
 			}
 
 			this.#failedEndpoints.add((last?.placement ?? searchResult.placement).entry.id);
-			this.request.obstacle = this.#findObstacle(last?.end?.progress ?? core.request.AttemptProgress.NotStarted);
+			this.request.obstacle = this.#reserveRetry(last?.end?.progress ?? core.request.AttemptProgress.NotStarted);
 			if (this.request.obstacle !== undefined) {
 				return this.#fail({code: refusals.RefusalCode.NoEndpoint, retryAfterMs: this.#endpointFinder.computeRetryAfterMs(this.#pool)});
 			}
@@ -236,11 +237,7 @@
 			return undefined;
 		}
 
-		if (this.#rules.attempts.length > 0) {
-			this.dependencies.retryWindows.of(this.#pool).countRetry(now);
-		}
-
-		this.#rules.attempts.push(sent);
+		this.#rules.recordSent(sent, now);
 		return sent;
 	}
 
@@ -346,11 +343,11 @@
 		}
 
 		return status < 500
-			|| (this.#active.list().length < 2 && this.#rules.findExecutedObstacle(this.dependencies.clock.monotonicNow()) !== undefined);
+			|| (this.#active.list().length < 2 && this.#rules.reserveExecutedRetry(this.dependencies.clock.monotonicNow()) !== undefined);
 	}
 
-	/** Returns what prevents a retry after an attempt has ended; `undefined` if there may be one. */
-	#findObstacle(progress: core.request.AttemptProgress): core.log.RetryObstacle | undefined {
+	/** Reserves a retry after an attempt has ended. @returns What prevents it. */
+	#reserveRetry(progress: core.request.AttemptProgress): core.log.RetryObstacle | undefined {
 		if (this.#isCallerDisconnected) {
 			return core.log.RetryObstacle.CallerDisconnected;
 		}
@@ -361,7 +358,7 @@
 
 		return this.#relay.hasSequenceError
 			? core.log.RetryObstacle.InvalidSequence
-			: this.#rules.findObstacle(progress, this.#relay.hasStarted, this.dependencies.clock.monotonicNow());
+			: this.#rules.reserveRetry(progress, this.#relay.hasStarted, this.dependencies.clock.monotonicNow());
 	}
 
 	/** Ends the request: aborts a response that has started, or returns a refusal that reflects what is known of the outcome. */
--- a/packages/gateway/src/call/retry-rules.ts
+++ b/packages/gateway/src/call/retry-rules.ts
@@ -23,27 +23,51 @@
 
 /** Decides whether a request may be sent to another endpoint, from its earlier attempts and the retry budget. */
 export class RetryRules {
-	/** Attempts that were sent, in order. */
-	readonly attempts: sentAttempt.SentAttempt[] = [];
 	/** Number of attempts, including those that found no free connection. */
 	attemptCount = 0;
+	readonly #attempts: sentAttempt.SentAttempt[] = [];
+	/** Whether a retry that has not been sent yet is counted in the budget. */
+	#hasReservedRetry = false;
 
 	constructor(private readonly options: RetryRulesOptions) {}
 
+	/** Attempts that were sent, in order. */
+	get attempts(): readonly sentAttempt.SentAttempt[] {
+		return this.#attempts;
+	}
+
 	/** Whether the request may be executed more than once. */
 	get isIdempotent(): boolean {
 		const {kind, isResumable} = this.options.route;
 		return kind === core.routing.RouteKind.Safe || (kind === core.routing.RouteKind.Streaming && isResumable);
 	}
 
+	/** Records that an attempt was sent; one after the first counts in the retry budget. */
+	recordSent(sent: sentAttempt.SentAttempt, now: number): void {
+		if (this.#attempts.length > 0 && !this.#hasReservedRetry) {
+			this.options.window.countRetry(now);
+		}
+
+		this.#hasReservedRetry = false;
+		this.#attempts.push(sent);
+	}
+
+	/** Returns a reserved retry to the budget, as the request is not sent again. */
+	releaseRetry(now: number): void {
+		if (this.#hasReservedRetry) {
+			this.#hasReservedRetry = false;
+			this.options.window.uncountRetry(now);
+		}
+	}
+
 	/**
-	 * Returns what prevents a retry after an attempt has ended; `undefined` if the request may be sent to another endpoint.
+	 * Reserves a retry after an attempt has ended. @returns What prevents it; `undefined` if the request may be sent to another endpoint.
 	 *
 	 * @param progress - How far the attempt came.
 	 * @param hasResponseBegun - Whether the caller has received a part of a response.
 	 */
-	findObstacle(progress: core.request.AttemptProgress, hasResponseBegun: boolean, now: number): core.log.RetryObstacle | undefined {
-		if (this.attempts.filter(sent => sent.isInterrupted && sent.hasResponseStarted).length >= maxInterruptions) {
+	reserveRetry(progress: core.request.AttemptProgress, hasResponseBegun: boolean, now: number): core.log.RetryObstacle | undefined {
+		if (this.#attempts.filter(sent => sent.isInterrupted && sent.hasResponseStarted).length >= maxInterruptions) {
 			return obstacles.Interruptions;
 		}
 
@@ -53,7 +77,7 @@
 
 		switch (progress) {
 			case progresses.RefusedBeforeExecution: {
-				return this.#findUnexecutedObstacle(now) ?? this.#findBudgetObstacle(now);
+				return this.#findUnexecutedObstacle(now) ?? this.#reserve(now);
 			}
 
 			case progresses.NotStarted:
@@ -64,18 +88,23 @@
 			case progresses.MaybeSent:
 			case progresses.ResponseStarted:
 			case progresses.ResponseComplete: {
-				return this.findExecutedObstacle(now);
+				return this.reserveExecutedRetry(now);
 			}
 		}
 	}
 
+	/** Reserves a retry of a request that may have been executed. @returns What prevents it. */
+	reserveExecutedRetry(now: number): core.log.RetryObstacle | undefined {
+		return this.findExecutedObstacle(now) ?? this.#reserve(now);
+	}
+
 	/** Returns what prevents that a request that may have been executed is sent to another endpoint; attempts in progress count as executed. */
 	findExecutedObstacle(now: number): core.log.RetryObstacle | undefined {
 		if (!this.isIdempotent) {
 			return obstacles.NotIdempotent;
 		}
 
-		const executions = this.attempts.filter(sent => sent.end === undefined || !core.request.isKnownNotExecuted({
+		const executions = this.#attempts.filter(sent => sent.end === undefined || !core.request.isKnownNotExecuted({
 			id: sent.id, endpoint: sent.placement.entry.id, progress: sent.end.progress,
 		})).length;
 		return executions >= this.options.route.maxAttempts ? obstacles.AttemptsUsed : this.#findUnexecutedObstacle(now) ?? this.#findBudgetObstacle(now);
@@ -91,6 +120,18 @@
 	}
 
 	#findBudgetObstacle(now: number): core.log.RetryObstacle | undefined {
-		return this.options.window.allowsRetry(this.options.vmCount(), now) ? undefined : obstacles.RetryBudgetUsed;
+		const isAllowed = this.#hasReservedRetry || this.options.window.allowsRetry(this.options.vmCount(), now);
+		return isAllowed ? undefined : obstacles.RetryBudgetUsed;
+	}
+
+	/** Counts a retry before it is sent, so that requests that fail together do not all use what is left of the budget. */
+	#reserve(now: number): core.log.RetryObstacle | undefined {
+		const obstacle = this.#findBudgetObstacle(now);
+		if (obstacle === undefined && !this.#hasReservedRetry) {
+			this.options.window.countRetry(now);
+			this.#hasReservedRetry = true;
+		}
+
+		return obstacle;
 	}
 }
--- /dev/null
+++ b/packages/gateway/tests/support/loaded-vm.ts
@@ -0,0 +1,119 @@
+import * as core from '@bluebellmast/core';
+import * as clocks from './manual-clock.js';
+import * as fake from './fake-connections.js';
+import * as gateway from '@bluebellmast/gateway';
+
+const {LogEvent: logEvents} = core.log;
+const pool: core.routing.Pool = {name: 'app', healthPath: '/health', connectionLimit: 1000};
+const streamCount = 60;
+const vmCount = 7;
+/** The platform's retry budget for a service, and the part of it that a VM uses. */
+const budget = {ratio: 0.2, slack: 54, windowMs: 10_000};
+const usableShare = 0.8;
+
+/** Number of retries that the budget allows to the VM. */
+export const maxRetries = Math.floor(usableShare * ((budget.ratio * streamCount * 2 / 3) + (budget.slack / vmCount)));
+
+/** Many resumable streams of one VM, all begun at the first of two endpoints. */
+export class LoadedVm {
+	readonly connections = new fake.FakeConnections();
+	readonly responses: fake.FakeResponse[] = [];
+	readonly ends: Array<Readonly<Record<string, unknown>>> = [];
+	readonly ended: Array<Promise<gateway.call.Refusal | undefined>> = [];
+	readonly dispatcher: gateway.call.RequestDispatcher;
+	readonly #clock = new clocks.ManualClock();
+	readonly #fleet = new gateway.placement.FleetState();
+
+	constructor() {
+		const clock = this.#clock;
+		const fleet = this.#fleet;
+		const log: gateway.util.EventLog = {
+			write: (event, fields) => {
+				if (event === logEvents.AttemptFailed) {
+					this.ends.push({...fields});
+				}
+			},
+		};
+		fleet.vmCount = vmCount;
+		const pauses = new gateway.placement.EndpointPauses({clock, log, random: () => 0});
+		this.dispatcher = new gateway.call.RequestDispatcher({
+			fleet,
+			pauses,
+			interruptions: {record: () => undefined},
+			quarantine: {match: () => undefined, recordCompletion: () => undefined, recordAlive: () => undefined},
+			leavingRecorder: new gateway.placement.LeavingRecorder({
+				fleet, clock, log, onFirstNotice: () => undefined,
+			}),
+			clock,
+			log,
+			connections: this.connections.pools,
+			placer: new gateway.placement.EndpointPlacer(fleet, pauses, {
+				dataCentre: 'dc-a', maxOutdatedWeightsMs: 1000, costs: core.fleet.defaultPlacementCosts, admission: core.fleet.defaultAdmissionLimits,
+			}),
+			protocol: this.connections.protocol,
+			retryWindows: new gateway.call.RetryWindows(budget),
+			queue: new gateway.call.RequestQueue(() => clock.now),
+			recordCacheObservations: () => undefined,
+			authorizer: {maySend: () => true},
+			random: () => 0,
+		});
+	}
+
+	/** Begins the streams at endpoint `a`, each with one event; endpoint `b` is listed afterwards. */
+	async begin(): Promise<void> {
+		this.addEndpoint('a');
+		for (let number = 0; number < streamCount; number++) {
+			this.#send(`r-${number}`);
+		}
+
+		await settle();
+		for (const stream of this.connections.streams) {
+			stream.begin();
+			stream.sendEvent();
+		}
+
+		this.addEndpoint('b');
+	}
+
+	addEndpoint(id: string): void {
+		this.#fleet.registry.put({
+			id, bornAt: 1, pool: 'app', address: '127.0.0.1:9', dataCentre: 'dc-a', slots: 200, state: core.fleet.EndpointState.Ready, weights: new Map(),
+		}, 0);
+	}
+
+	removeEndpoint(id: string): void {
+		this.#fleet.registry.remove(id, false, 0);
+	}
+
+	/** Ends all requests that are in progress. */
+	async close(): Promise<void> {
+		for (const res of this.responses) {
+			res.emit('close');
+		}
+
+		await Promise.all(this.ended);
+	}
+
+	#send(requestId: string): void {
+		const res = new fake.FakeResponse();
+		this.responses.push(res);
+		this.ended.push(this.dispatcher.dispatch({
+			req: {socket: {destroyed: false}},
+			res,
+			head: {requestId, method: 'POST', target: '/stream/1'},
+			arrivedAt: 0,
+			table: {findPool: () => pool, config: {version: 1}},
+			route: {
+				name: 'stream', kind: core.routing.RouteKind.Streaming, pools: [{pool: 'app', weight: 1}], timeoutMs: 60_000, targetLatencyMs: 500,
+				priority: 0, maxAttempts: 2, isResumable: true, gapTargetMs: 300,
+			},
+		} as unknown as gateway.call.RoutedRequest));
+	}
+}
+
+/** Waits until what is pending has been handled. */
+export async function settle(): Promise<void> {
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+}
