--- a/packages/core/src/fleet/endpoint-health.ts
+++ b/packages/core/src/fleet/endpoint-health.ts
@@ -27,8 +27,17 @@
 	Unresponsive = 'unresponsive',
 }
 
+/** Why an endpoint is not taken for responsive. */
+enum Suspicion {
+	/** It sent nothing when a response was due; refuted by anything that it sends. */
+	Silence = 'silence',
+	/** Connections failed, or another incarnation or nothing responds at its address; refuted only by a check. */
+	Failure = 'failure',
+}
+
 type EndpointRecord = {
 	state: HealthState;
+	suspicion: Suspicion;
 	/** Time at which data last arrived from the endpoint. */
 	lastReceivedAt: number;
 	/** Time at which the first byte of the response to each request is due, by attempt. */
@@ -54,11 +63,21 @@
 		this.#getOrCreateRecord(endpoint).responsesDueAt.set(attempt, now + expectedMs);
 	}
 
-	/** Records that data for an attempt arrived from an endpoint. */
-	recordReceived(endpoint: string, attempt: string, now: number): void {
+	/**
+	 * Records that data for an attempt arrived from an endpoint.
+	 *
+	 * @returns Whether the endpoint has become responsive by that, as it was only silent.
+	 */
+	recordReceived(endpoint: string, attempt: string, now: number): boolean {
 		const record = this.#getOrCreateRecord(endpoint);
 		record.lastReceivedAt = now;
 		record.responsesDueAt.delete(attempt);
+		if (record.state !== HealthState.Unresponsive || record.suspicion !== Suspicion.Silence) {
+			return false;
+		}
+
+		record.state = HealthState.Responsive;
+		return true;
 	}
 
 	/** Records the end of an attempt, regardless of its outcome. */
@@ -78,34 +97,35 @@
 		this.recordOutcome(endpoint, true);
 		const record = this.#getOrCreateRecord(endpoint);
 		if (record.consecutiveFailures >= this.options.maxConsecutiveFailures && record.state === HealthState.Responsive) {
-			record.state = HealthState.Suspected;
-			record.checkedAt = -Infinity;
+			suspect(record, Suspicion.Failure);
 		}
 	}
 
 	/** Records that another incarnation, or nothing, responds at the endpoint's address; a check becomes due at once. */
 	recordUnresponsive(endpoint: string): void {
 		const record = this.#getOrCreateRecord(endpoint);
+		suspect(record, Suspicion.Failure);
 		record.state = HealthState.Unresponsive;
-		record.checkedAt = -Infinity;
 	}
 
 	/**
-	 * Records the result of a check.
+	 * Records the result of a check. A silent endpoint that has sent data since the check began is alive, whatever became of the check.
 	 *
 	 * @returns Whether the endpoint changed between responsive and unresponsive.
 	 */
 	recordCheck(endpoint: string, isAlive: boolean, now: number): boolean {
 		const record = this.#getOrCreateRecord(endpoint);
 		const wasUnresponsive = record.state === HealthState.Unresponsive;
+		const isSending = record.suspicion === Suspicion.Silence && record.lastReceivedAt > record.checkedAt;
+		const isResponsive = isAlive || isSending;
 		record.checkedAt = now;
-		record.state = isAlive ? HealthState.Responsive : HealthState.Unresponsive;
+		record.state = isResponsive ? HealthState.Responsive : HealthState.Unresponsive;
 		if (isAlive) {
 			record.consecutiveFailures = 0;
 			record.lastReceivedAt = now;
 		}
 
-		return wasUnresponsive === isAlive;
+		return wasUnresponsive === isResponsive;
 	}
 
 	/**
@@ -123,8 +143,7 @@
 				&& this.#isSilent(record, -Infinity, now)
 				&& this.#isSilent(record, lastReceivedByOthers(endpoint), now);
 			if (isSilent) {
-				record.state = HealthState.Suspected;
-				record.checkedAt = -Infinity;
+				suspect(record, Suspicion.Silence);
 			}
 
 			const isDue = record.state !== HealthState.Responsive && now - record.checkedAt >= this.options.checkIntervalMs;
@@ -179,9 +198,22 @@
 		}
 
 		const record: EndpointRecord = {
-			state: HealthState.Responsive, lastReceivedAt: -Infinity, responsesDueAt: new Map(), consecutiveFailures: 0, failureRate: 0, checkedAt: -Infinity,
+			state: HealthState.Responsive,
+			suspicion: Suspicion.Silence,
+			lastReceivedAt: -Infinity,
+			responsesDueAt: new Map(),
+			consecutiveFailures: 0,
+			failureRate: 0,
+			checkedAt: -Infinity,
 		};
 		this.#records.set(endpoint, record);
 		return record;
 	}
 }
+
+/** Makes a check of an endpoint due at once. */
+function suspect(record: EndpointRecord, suspicion: Suspicion): void {
+	record.state = HealthState.Suspected;
+	record.suspicion = suspicion;
+	record.checkedAt = -Infinity;
+}
--- a/packages/core/tests/fleet/endpoint-health.test.ts
+++ b/packages/core/tests/fleet/endpoint-health.test.ts
@@ -56,4 +56,42 @@
 		health.recordEnd('a', 'r1');
 		expect(health.startDueChecks(never, 10_000)).to.deep.equal([]);
 	});
+
+	// Guards against requests that are refused or moved although a server that was silent for a moment has gone on.
+	describe('of an endpoint that was silent and goes on', () => {
+		let health: core.fleet.EndpointHealth;
+
+		beforeEach(() => {
+			health = new core.fleet.EndpointHealth();
+			health.recordSent('a', 'r1', 300, 0);
+			health.startDueChecks(never, 800);
+		});
+
+		it('uses it again as soon as it sends anything', () => {
+			health.recordCheck('a', false, 900);
+			expect(health.recordReceived('a', 'r1', 950)).to.equal(true);
+			expect(health.isResponsive('a')).to.equal(true);
+			expect(health.recordReceived('a', 'r1', 960)).to.equal(false);
+		});
+
+		it('does not stop using it if it sends anything before the check has failed', () => {
+			expect(health.recordReceived('a', 'r1', 850)).to.equal(false);
+			expect(health.recordCheck('a', false, 900)).to.equal(false);
+			expect(health.isResponsive('a')).to.equal(true);
+		});
+
+		it('stops using it if it sent something only before the check', () => {
+			health.recordReceived('a', 'r1', 800);
+			health.recordSent('a', 'r2', 0, 800);
+			health.startDueChecks(never, 1800);
+			expect(health.recordCheck('a', false, 1900)).to.equal(true);
+			expect(health.isResponsive('a')).to.equal(false);
+		});
+
+		it('needs a check if nothing listens at its address', () => {
+			health.recordUnresponsive('a');
+			expect(health.recordReceived('a', 'r1', 950)).to.equal(false);
+			expect(health.isResponsive('a')).to.equal(false);
+		});
+	});
 });
--- a/packages/gateway/src/call/attempt-recorder.ts
+++ b/packages/gateway/src/call/attempt-recorder.ts
@@ -63,7 +63,7 @@
 
 	/** Records that the head of a response or a chunk of its body arrived. */
 	recordProgress(sent: sentAttempt.SentAttempt): void {
-		const {fleet, clock} = this.dependencies;
+		const {fleet, clock, log} = this.dependencies;
 		const {placement, id} = sent;
 		const now = clock.monotonicNow();
 		const endpoint = placement.entry.id;
@@ -73,7 +73,10 @@
 		}
 
 		fleet.loads.endPrefill(endpoint, id);
-		fleet.health.recordReceived(endpoint, id, now);
+		if (fleet.health.recordReceived(endpoint, id, now)) {
+			log.write(eventLog.LogEvent.EndpointResponsive, {endpoint});
+		}
+
 		if (this.request.route.kind === core.routing.RouteKind.Streaming) {
 			fleet.health.recordSent(endpoint, id, this.request.route.gapTargetMs, now);
 		}
--- a/packages/gateway/src/controllers/endpoint-controller.ts
+++ b/packages/gateway/src/controllers/endpoint-controller.ts
@@ -172,11 +172,13 @@
 
 		this.dependencies.pauses.recordCall(entry);
 		const isAlive = pool.engine === undefined ? await this.#checkPlainService(entry, pool) : await this.#readEngine(entry);
-		if (fleet.health.recordCheck(endpoint, isAlive, clock.monotonicNow())) {
-			this.#handleHealthChange(endpoint, isAlive);
+		const hasChanged = fleet.health.recordCheck(endpoint, isAlive, clock.monotonicNow());
+		const isResponsive = fleet.health.isResponsive(endpoint);
+		if (hasChanged) {
+			this.#handleHealthChange(endpoint, isResponsive);
 		}
 
-		if (!isAlive) {
+		if (!isResponsive) {
 			// After each failed check, since the retry budget or the capacity of other endpoints may not have sufficed before.
 			this.dependencies.dispatcher.replaceSilentAttempts(endpoint);
 		}
@@ -209,10 +211,10 @@
 		return true;
 	}
 
-	#handleHealthChange(endpoint: string, isAlive: boolean): void {
+	#handleHealthChange(endpoint: string, isResponsive: boolean): void {
 		const {connections, log} = this.dependencies;
-		log.write(isAlive ? eventLog.LogEvent.EndpointResponsive : eventLog.LogEvent.EndpointUnresponsive, {endpoint});
-		if (!isAlive) {
+		log.write(isResponsive ? eventLog.LogEvent.EndpointResponsive : eventLog.LogEvent.EndpointUnresponsive, {endpoint});
+		if (!isResponsive) {
 			connections.closeIdle(endpoint);
 		}
 	}
