--- a/packages/gateway/tests/support/fake-connections.ts
+++ b/packages/gateway/tests/support/fake-connections.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import * as events from 'node:events';
 import type * as undici from 'undici';
+import type * as core from '@bluebellmast/core';
 import type * as gateway from '@bluebellmast/gateway';
 
 /** A stream that an endpoint of {@link FakeConnections} is working on. */
@@ -31,8 +32,8 @@
 	}
 
 	/** Sends the head of the response. */
-	begin(): void {
-		this.handler.onResponseStart?.(this.#typedController, 200, {'content-length': '1', 'x-request-id': this.requestId}, 'OK');
+	begin(status = 200): void {
+		this.handler.onResponseStart?.(this.#typedController, status, {'content-length': '1', 'x-request-id': this.requestId}, 'OK');
 	}
 
 	/** Refuses the request as not executed. */
@@ -47,6 +48,11 @@
 		this.#nextId += 1;
 	}
 
+	/** Sends a part of the body. */
+	sendBytes(text: string): void {
+		this.handler.onResponseData?.(this.#typedController, Buffer.from(text));
+	}
+
 	/** Ends the response. */
 	end(): void {
 		this.handler.onResponseEnd?.(this.#typedController, {});
@@ -61,6 +67,8 @@
 /** Connections to endpoints that exist only in the test, which decides what they send. */
 export class FakeConnections {
 	readonly streams: FakeStream[] = [];
+	/** Endpoints to which no further connection may be opened. */
+	readonly full = new Set<string>();
 
 	/** Protocol of the endpoints. */
 	readonly protocol = {
@@ -73,8 +81,8 @@
 
 	/** Connection pools as the dispatcher uses them. */
 	readonly pools = {
-		poolFor: () => ({
-			acquire: () => ({
+		poolFor: ({id}: core.fleet.EndpointEntry) => ({
+			acquire: () => this.full.has(id) ? undefined : ({
 				isOpen: true,
 				dispatch: (options: undici.Dispatcher.DispatchOptions, handler: undici.Dispatcher.DispatchHandler) => {
 					const [requestId, endpoint, lastEventId] = options.headers as string[];
--- a/packages/gateway/tests/support/loaded-vm.ts
+++ b/packages/gateway/tests/support/loaded-vm.ts
@@ -21,12 +21,12 @@
 	readonly ends: Array<Readonly<Record<string, unknown>>> = [];
 	readonly ended: Array<Promise<gateway.call.Refusal | undefined>> = [];
 	readonly dispatcher: gateway.call.RequestDispatcher;
-	readonly #clock = new clocks.ManualClock();
-	readonly #fleet = new gateway.placement.FleetState();
+	readonly clock = new clocks.ManualClock();
+	readonly fleet = new gateway.placement.FleetState();
+	readonly pauses: gateway.placement.EndpointPauses;
 
 	constructor() {
-		const clock = this.#clock;
-		const fleet = this.#fleet;
+		const {clock, fleet} = this;
 		const log: gateway.util.EventLog = {
 			write: (event, fields) => {
 				if (event === logEvents.AttemptFailed) {
@@ -36,6 +36,7 @@
 		};
 		fleet.vmCount = vmCount;
 		const pauses = new gateway.placement.EndpointPauses({clock, log, random: () => 0});
+		this.pauses = pauses;
 		this.dispatcher = new gateway.call.RequestDispatcher({
 			fleet,
 			pauses,
@@ -63,7 +64,7 @@
 	async begin(): Promise<void> {
 		this.addEndpoint('a');
 		for (let number = 0; number < streamCount; number++) {
-			this.#send(`r-${number}`);
+			this.send(`r-${number}`);
 		}
 
 		await settle();
@@ -76,38 +77,40 @@
 	}
 
 	addEndpoint(id: string): void {
-		this.#fleet.registry.put({
+		this.fleet.registry.put({
 			id, bornAt: 1, pool: 'app', address: '127.0.0.1:9', dataCentre: 'dc-a', slots: 200, state: core.fleet.EndpointState.Ready, weights: new Map(),
 		}, 0);
 	}
 
 	removeEndpoint(id: string): void {
-		this.#fleet.registry.remove(id, false, 0);
+		this.fleet.registry.remove(id, false, 0);
 	}
 
-	/** Ends all requests that are in progress. */
-	async close(): Promise<void> {
-		for (const res of this.responses) {
-			res.emit('close');
-		}
-
-		await Promise.all(this.ended);
-	}
-
-	#send(requestId: string): void {
+	/** Sends a request. @returns The response to the caller. */
+	send(requestId: string, route: Partial<core.routing.Route> = {}): fake.FakeResponse {
 		const res = new fake.FakeResponse();
 		this.responses.push(res);
 		this.ended.push(this.dispatcher.dispatch({
 			req: {socket: {destroyed: false}},
 			res,
 			head: {requestId, method: 'POST', target: '/stream/1'},
-			arrivedAt: 0,
+			arrivedAt: this.clock.now,
 			table: {findPool: () => pool, config: {version: 1}},
 			route: {
 				name: 'stream', kind: core.routing.RouteKind.Streaming, pools: [{pool: 'app', weight: 1}], timeoutMs: 60_000, targetLatencyMs: 500,
-				priority: 0, maxAttempts: 2, isResumable: true, gapTargetMs: 300,
+				priority: 0, maxAttempts: 2, isResumable: true, gapTargetMs: 300, ...route,
 			},
 		} as unknown as gateway.call.RoutedRequest));
+		return res;
+	}
+
+	/** Ends all requests that are in progress. */
+	async close(): Promise<void> {
+		for (const res of this.responses) {
+			res.emit('close');
+		}
+
+		await Promise.all(this.ended);
 	}
 }
 
