Failing test: a safe response that has begun is joined with the one of a replacement (MIXED)

A response of a safe request that is larger than the buffer (64 KiB) has begun at the caller. Its endpoint falls silent in the body and a health check fails: startReplacement asks findExecutedObstacle, which unlike reserveRetry has no check for a response that has begun and can't be resumed. The replacement is sent, its head is accepted, and its whole body is written after the part of the first one; with chunks or an end by close it looks complete.

Proposed fix: move the check hasResponseBegun && !isResumable (NotResumable) and the one for maxInterruptions into findExecutedObstacle, so that startReplacement, reserveRetry and acceptsHead share it; for a streaming route ask ResponseRelay whether the response is one of events.

--- /dev/null
+++ b/packages/gateway/tests/call/silent-attempt.test.ts
@@ -0,0 +1,57 @@
+import * as chai from 'chai';
+import * as core from '@bluebellmast/core';
+import type * as fake from '../support/fake-connections.js';
+import * as loaded from '../support/loaded-vm.js';
+
+const {expect} = chai;
+const {settle} = loaded;
+const safe = {kind: core.routing.RouteKind.Safe, isResumable: false, targetLatencyMs: 20_000};
+
+// Guards against LOST and MIXED: what becomes of the two attempts of a request at an endpoint that fell silent.
+describe('a request at a silent endpoint', () => {
+	let vm: loaded.LoadedVm;
+	let res: fake.FakeResponse;
+
+	beforeEach(() => {
+		vm = new loaded.LoadedVm();
+	});
+
+	afterEach(async () => {
+		await vm.close();
+	});
+
+	/** Sends a request to endpoint `a`, and lists the others afterwards. @returns The attempt. */
+	async function start(route: Partial<core.routing.Route>, ...others: string[]): Promise<fake.FakeStream> {
+		vm.addEndpoint('a');
+		res = vm.send('r-1', route);
+		await settle();
+		for (const id of others) {
+			vm.addEndpoint(id);
+		}
+
+		return vm.connections.streams[0]!;
+	}
+
+	/** Has the request sent to another endpoint as well. @returns The last attempt at that endpoint. */
+	async function replace(endpoint: string, silent = 'a'): Promise<fake.FakeStream | undefined> {
+		vm.dispatcher.replaceSilentAttempts(silent);
+		await settle();
+		return vm.connections.listAt(endpoint).at(-1);
+	}
+
+	it('is not answered with the bodies of two responses, one after the other', async () => {
+		const silent = await start(safe, 'b');
+		silent.begin();
+		silent.sendBytes('a'.repeat(70_000));
+		const replacement = await replace('b');
+		replacement?.begin();
+		replacement?.sendBytes('b'.repeat(70_000));
+		replacement?.end();
+		await settle();
+		expect({isJoined: /ab/.test(res.body), isComplete: res.writableFinished}).to.deep.equal({isJoined: false, isComplete: false});
+		silent.sendBytes('a');
+		silent.end();
+		await settle();
+		expect(res.body.length).to.equal(70_001);
+	});
+});
