Failing test: the errors of both endpoints are discarded, and the caller gets none of them

acceptsHead discards a 5xx while two attempts are in progress.

Proposed fix: count in acceptsHead only attempts whose head has not arrived (hasResponseStarted false, other than this one) as another one in progress.

--- a/packages/gateway/tests/call/silent-attempt.test.ts
+++ b/packages/gateway/tests/call/silent-attempt.test.ts
@@ -54,4 +54,15 @@
 		await settle();
 		expect(res.body.length).to.equal(70_001);
 	});
+
+	it('gets the error of an endpoint if both endpoints return one', async () => {
+		const silent = await start(safe, 'b');
+		const replacement = await replace('b');
+		silent.begin(500);
+		replacement!.begin(500);
+		silent.end();
+		replacement!.end();
+		await settle();
+		expect({status: res.statusCode, isComplete: res.writableFinished}).to.deep.equal({status: 500, isComplete: true});
+	});
 });
