Failing test: replacements that found no free connection use up the attempts

RequestForwarder.#send counts attemptCount before a connection is acquired. While an endpoint is silent, startReplacement is called once a second (failed check) or per timer, and after each failed replacement; each one for which all connections to the other endpoint are busy counts. After maxAttempts + 2 of them nothing was sent, but the request is neither replaced nor sent again any more: when the silent endpoint ends, the stream is cut (attempts_used) although it ran at one server only.

Proposed fix: count attemptCount in recordSent, and for the search of #runAttempts only (where it bounds the loop), not in startReplacement.

--- a/packages/gateway/tests/call/silent-attempt.test.ts
+++ b/packages/gateway/tests/call/silent-attempt.test.ts
@@ -65,4 +65,20 @@
 		await settle();
 		expect({status: res.statusCode, isComplete: res.writableFinished}).to.deep.equal({status: 500, isComplete: true});
 	});
+
+	it('is still sent again after no connection was free for a replacement', async () => {
+		const silent = await start({maxAttempts: 2}, 'b');
+		silent.begin();
+		silent.sendEvent();
+		vm.connections.full.add('b');
+		for (let check = 0; check < 4; check++) {
+			await replace('b'); // eslint-disable-line no-await-in-loop -- Checks follow one another.
+		}
+
+		vm.connections.full.delete('b');
+		silent.reset();
+		await settle();
+		expect(vm.connections.listAt('b').map(({resumedAfter}) => resumedAfter)).to.deep.equal([1]);
+		expect(res.destroyed).to.equal(false);
+	});
 });
