Failing test: a replacement that falls silent as well keeps the request from a third endpoint

While a replacement is in progress, replaceSilent does nothing, and replaceSilentAttempt looks only at the current attempt. With attempts = 3 the third endpoint is never tried if the first two hang: the request waits for its deadline.

Proposed fix: in replaceSilentAttempt, if the replacement is at the silent endpoint and has not begun, allow one more replacement (a list in place of one), or give the replacement up in favour of the new one once that has been sent.

--- a/packages/gateway/tests/call/silent-attempt.test.ts
+++ b/packages/gateway/tests/call/silent-attempt.test.ts
@@ -81,4 +81,22 @@
 		expect(vm.connections.listAt('b').map(({resumedAfter}) => resumedAfter)).to.deep.equal([1]);
 		expect(res.destroyed).to.equal(false);
 	});
+
+	it('is sent to a third endpoint if its replacement falls silent as well', async () => {
+		await start({maxAttempts: 3}, 'b');
+		await replace('b');
+		vm.addEndpoint('c');
+		await replace('c');
+		await replace('c', 'b');
+		await replace('c');
+		expect(vm.connections.listAt('c').length).to.equal(1);
+	});
+
+	it('is not sent to a third endpoint that its route does not allow', async () => {
+		await start({maxAttempts: 2}, 'b', 'c');
+		await replace('b');
+		await replace('b', 'b');
+		await replace('c', 'c');
+		expect(vm.connections.streams.length).to.equal(2);
+	});
 });
