--- /dev/null
+++ b/packages/gateway/tests/call/silent-attempt.test.ts
@@ -0,0 +1,102 @@
+import * as chai from 'chai';
+import * as core from '@bluebellmast/core';
+import type * as fake from '../support/fake-connections.js';
+import * as loaded from '../support/loaded-vm.js';
+
+const {expect} = chai;
+const {settle} = loaded;
+const safe = {kind: core.routing.RouteKind.Safe, isResumable: false, targetLatencyMs: 20_000};
+
+// Guards against LOST and MIXED: what becomes of the two attempts of a request at an endpoint that fell silent.
+describe('a request at a silent endpoint', () => {
+	let vm: loaded.LoadedVm;
+	let res: fake.FakeResponse;
+
+	beforeEach(() => {
+		vm = new loaded.LoadedVm();
+	});
+
+	afterEach(async () => {
+		await vm.close();
+	});
+
+	/** Sends a request to endpoint `a`, and lists the others afterwards. @returns The attempt. */
+	async function start(route: Partial<core.routing.Route>, ...others: string[]): Promise<fake.FakeStream> {
+		vm.addEndpoint('a');
+		res = vm.send('r-1', route);
+		await settle();
+		for (const id of others) {
+			vm.addEndpoint(id);
+		}
+
+		return vm.connections.streams[0]!;
+	}
+
+	/** Has the request sent to another endpoint as well. @returns The last attempt at that endpoint. */
+	async function replace(endpoint: string, silent = 'a'): Promise<fake.FakeStream | undefined> {
+		vm.dispatcher.replaceSilentAttempts(silent);
+		await settle();
+		return vm.connections.listAt(endpoint).at(-1);
+	}
+
+	it('is not answered with the bodies of two responses, one after the other', async () => {
+		const silent = await start(safe, 'b');
+		silent.begin();
+		silent.sendBytes('a'.repeat(70_000));
+		const replacement = await replace('b');
+		replacement?.begin();
+		replacement?.sendBytes('b'.repeat(70_000));
+		replacement?.end();
+		await settle();
+		expect({isJoined: /ab/.test(res.body), isComplete: res.writableFinished}).to.deep.equal({isJoined: false, isComplete: false});
+		silent.sendBytes('a');
+		silent.end();
+		await settle();
+		expect(res.body.length).to.equal(70_001);
+	});
+
+	it('gets the error of an endpoint if both endpoints return one', async () => {
+		const silent = await start(safe, 'b');
+		const replacement = await replace('b');
+		silent.begin(500);
+		replacement!.begin(500);
+		silent.end();
+		replacement!.end();
+		await settle();
+		expect({status: res.statusCode, isComplete: res.writableFinished}).to.deep.equal({status: 500, isComplete: true});
+	});
+
+	it('is still sent again after no connection was free for a replacement', async () => {
+		const silent = await start({maxAttempts: 2}, 'b');
+		silent.begin();
+		silent.sendEvent();
+		vm.connections.full.add('b');
+		for (let check = 0; check < 4; check++) {
+			await replace('b'); // eslint-disable-line no-await-in-loop -- Checks follow one another.
+		}
+
+		vm.connections.full.delete('b');
+		silent.reset();
+		await settle();
+		expect(vm.connections.listAt('b').map(({resumedAfter}) => resumedAfter)).to.deep.equal([1]);
+		expect(res.destroyed).to.equal(false);
+	});
+
+	it('is sent to a third endpoint if its replacement falls silent as well', async () => {
+		await start({maxAttempts: 3}, 'b');
+		await replace('b');
+		vm.addEndpoint('c');
+		await replace('c');
+		await replace('c', 'b');
+		await replace('c');
+		expect(vm.connections.listAt('c').length).to.equal(1);
+	});
+
+	it('is not sent to a third endpoint that its route does not allow', async () => {
+		await start({maxAttempts: 2}, 'b', 'c');
+		await replace('b');
+		await replace('b', 'b');
+		await replace('c', 'c');
+		expect(vm.connections.streams.length).to.equal(2);
+	});
+});
