--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -66,7 +66,11 @@
 		this.#relay.lastEventId = head.lastEventId;
 		this.#promptKeys = head.prompt && core.quarantine.createPromptKeys(head.prompt.model, head.prompt.parts.map(part => part.id));
 		this.#rules = new retryRules.RetryRules({
-			route, deadlineAt: this.#deadlineAt, window: dependencies.retryWindows.of(this.#pool), vmCount: () => dependencies.fleet.vmCount,
+			route,
+			isBound: () => this.#relay.hasStarted && !(route.isResumable && this.#relay.isEventStream),
+			deadlineAt: this.#deadlineAt,
+			window: dependencies.retryWindows.of(this.#pool),
+			vmCount: () => dependencies.fleet.vmCount,
 		});
 		this.#timers = new attemptTimers.AttemptTimers(route);
 		this.#recorder = new attemptRecorder.AttemptRecorder(request, this.#promptKeys, dependencies);
@@ -358,7 +362,7 @@
 
 		return this.#relay.hasSequenceError
 			? core.log.RetryObstacle.InvalidSequence
-			: this.#rules.reserveRetry(progress, this.#relay.hasStarted, this.dependencies.clock.monotonicNow());
+			: this.#rules.reserveRetry(progress, this.dependencies.clock.monotonicNow());
 	}
 
 	/** Ends the request: aborts a response that has started, or returns a refusal that reflects what is known of the outcome. */
--- a/packages/gateway/src/call/response-relay.ts
+++ b/packages/gateway/src/call/response-relay.ts
@@ -48,6 +48,11 @@
 		return this.#hasStarted;
 	}
 
+	/** Whether the response consists of events, so that another endpoint can continue it after the last one. */
+	get isEventStream(): boolean {
+		return this.#isEventStream;
+	}
+
 	/** Whether an endpoint sent events with non-consecutive ids, so that the response can't be completed. */
 	get hasSequenceError(): boolean {
 		return this.#hasSequenceError;
--- a/packages/gateway/src/call/retry-rules.ts
+++ b/packages/gateway/src/call/retry-rules.ts
@@ -14,6 +14,8 @@
 /** What the rules depend on, besides the attempts of the request. */
 export type RetryRulesOptions = {
 	readonly route: Pick<core.routing.Route, 'kind' | 'isResumable' | 'maxAttempts'>;
+	/** Returns whether a response has begun that another endpoint can't continue. */
+	readonly isBound: () => boolean;
 	/** In milliseconds of the monotonic clock. */
 	readonly deadlineAt: number;
 	readonly window: core.fleet.RetryWindow;
@@ -64,17 +66,8 @@
 	 * Reserves a retry after an attempt has ended. @returns What prevents it; `undefined` if the request may be sent to another endpoint.
 	 *
 	 * @param progress - How far the attempt came.
-	 * @param hasResponseBegun - Whether the caller has received a part of a response.
 	 */
-	reserveRetry(progress: core.request.AttemptProgress, hasResponseBegun: boolean, now: number): core.log.RetryObstacle | undefined {
-		if (this.#attempts.filter(sent => sent.isInterrupted && sent.hasResponseStarted).length >= maxInterruptions) {
-			return obstacles.Interruptions;
-		}
-
-		if (hasResponseBegun && !this.options.route.isResumable) {
-			return obstacles.NotResumable;
-		}
-
+	reserveRetry(progress: core.request.AttemptProgress, now: number): core.log.RetryObstacle | undefined {
 		switch (progress) {
 			case progresses.RefusedBeforeExecution: {
 				return this.#findUnexecutedObstacle(now) ?? this.#reserve(now);
@@ -112,6 +105,14 @@
 
 	/** Returns what prevents a retry of a request that was not executed, regardless of the budget. */
 	#findUnexecutedObstacle(now: number): core.log.RetryObstacle | undefined {
+		if (this.#attempts.filter(sent => sent.isInterrupted && sent.hasResponseStarted).length >= maxInterruptions) {
+			return obstacles.Interruptions;
+		}
+
+		if (this.options.isBound()) {
+			return obstacles.NotResumable;
+		}
+
 		return this.attemptCount >= this.options.route.maxAttempts + maxExtraAttempts ? obstacles.AttemptsUsed : this.#findTimeObstacle(now);
 	}
 
--- a/packages/gateway/tests/call/silent-attempt.test.ts
+++ b/packages/gateway/tests/call/silent-attempt.test.ts
@@ -39,12 +39,12 @@
 		return vm.connections.listAt(endpoint).at(-1);
 	}
 
-	it('is not answered with the bodies of two responses, one after the other', async () => {
-		const silent = await start(safe, 'b');
-		silent.begin();
+	async function expectOneBody(route: Partial<core.routing.Route>, status: number): Promise<void> {
+		const silent = await start(route, 'b');
+		silent.begin(status);
 		silent.sendBytes('a'.repeat(70_000));
 		const replacement = await replace('b');
-		replacement?.begin();
+		replacement?.begin(status);
 		replacement?.sendBytes('b'.repeat(70_000));
 		replacement?.end();
 		await settle();
@@ -53,7 +53,18 @@
 		silent.end();
 		await settle();
 		expect(res.body.length).to.equal(70_001);
-	});
+	}
+
+	const joinable: ReadonlyArray<{readonly title: string; readonly route: Partial<core.routing.Route>; readonly status: number}> = [
+		{title: 'a large response', route: safe, status: 200},
+		{title: 'a large response without events', route: {isResumable: true}, status: 404},
+	];
+
+	for (const {title, route, status} of joinable) {
+		it(`is not answered with the bodies of two responses, one after the other, when ${title} has begun`, async () => {
+			await expectOneBody(route, status);
+		});
+	}
 
 	it('gets the error of an endpoint if both endpoints return one', async () => {
 		const silent = await start(safe, 'b');
