Count a replacement only if it was sent

What callers would have seen: a stream that was cut when its endpoint ended after a silence, although it had run at one endpoint only: each check during the silence for which no connection to another endpoint was free used up an attempt.

--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -183,6 +183,7 @@
 				return this.#fail({code: refusals.RefusalCode.NoEndpoint, retryAfterMs, inputs});
 			}
 
+			this.#rules.attemptCount += 1;
 			const first = this.#send(searchResult.placement);
 			const last = first && await this.#active.run(first); // eslint-disable-line no-await-in-loop -- Attempts follow one another.
 			this.#timers.stop();
@@ -235,7 +236,6 @@
 	/** Sends the request to an endpoint. @returns `undefined` if all connections that this VM may open to it are busy. */
 	#send(placement: endpointPlacer.Placement): sentAttempt.SentAttempt | undefined {
 		const now = this.dependencies.clock.monotonicNow();
-		this.#rules.attemptCount += 1;
 		const sent = this.#sender.send(placement, this.#rules.attempts.length + 1, this.#relay.lastEventId, now);
 		if (sent === undefined) {
 			return undefined;
@@ -287,6 +287,7 @@
 			return core.log.RetryObstacle.NoEndpoint;
 		}
 
+		this.#rules.attemptCount += 1;
 		this.#active.addReplacement(replacement);
 		return undefined;
 	}
