--- a/packages/gateway/src/call/active-attempts.ts
+++ b/packages/gateway/src/call/active-attempts.ts
@@ -26,9 +26,9 @@
 		return this.#current?.end === undefined ? this.#current : undefined;
 	}
 
-	/** Whether a replacement for the current attempt is in progress. */
-	get hasReplacement(): boolean {
-		return this.#replacement !== undefined;
+	/** The replacement for the current attempt; absent while there is none. */
+	get replacement(): sentAttempt.SentAttempt | undefined {
+		return this.#replacement;
 	}
 
 	/** The attempts in progress. */
@@ -55,9 +55,11 @@
 		}
 	}
 
-	/** Adds a replacement for the current attempt. */
+	/** Adds a replacement for the current attempt; an earlier one, which is silent as well, is ended. */
 	addReplacement(sent: sentAttempt.SentAttempt): void {
+		const previous = this.#replacement;
 		this.#replacement = sent;
+		previous?.attempt.abort(endpoints.AttemptFault.EndpointSilent);
 		void this.#awaitReplacement(sent);
 	}
 
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -126,11 +126,10 @@
 		}
 	}
 
-	/** Sends the request to another endpoint as well if its current attempt is at an endpoint that does not respond. */
+	/** Sends the request to another endpoint as well if its latest attempt is at an endpoint that does not respond. */
 	replaceSilentAttempt(endpoint: string): void {
-		const {current} = this.#active;
-		if (current?.placement.entry.id === endpoint) {
-			this.#replaceSilent(current);
+		for (const sent of this.#active.list().filter(({placement}) => placement.entry.id === endpoint)) {
+			this.#replaceSilent(sent);
 		}
 	}
 
@@ -260,19 +259,19 @@
 		return fault === undefined ? this.#relay.hasIncompleteEvent : fault === endpoints.AttemptFault.ConnectionLost && !isRefused;
 	}
 
-	/** Sends the request to another endpoint as well, as its current attempt is silent. @returns Whether that was possible. */
+	/** Sends the request to another endpoint as well, as its latest attempt is silent. @returns Whether that was possible. */
 	#replaceSilent(silent: sentAttempt.SentAttempt): boolean {
-		const isReplaceable = silent === this.#active.current && !this.#active.hasReplacement && this.#rules.isIdempotent;
-		if (!isReplaceable || this.#isTimedOut || this.#isCallerDisconnected || this.#relay.isBlocked) {
+		const isLatest = silent === (this.#active.replacement ?? this.#active.current);
+		if (!isLatest || !this.#rules.isIdempotent || this.#isTimedOut || this.#isCallerDisconnected || this.#relay.isBlocked) {
 			return false;
 		}
 
-		const obstacle = this.#startReplacement(silent);
+		const obstacle = this.#startReplacement();
 		this.#recorder.recordSilence(silent, obstacle);
 		return obstacle === undefined;
 	}
 
-	#startReplacement(silent: sentAttempt.SentAttempt): core.log.RetryObstacle | undefined {
+	#startReplacement(): core.log.RetryObstacle | undefined {
 		const now = clocks.readInstant(this.dependencies.clock);
 		const refusal = this.#findRefusal();
 		const obstacle = refusal === undefined ? this.#rules.findExecutedObstacle(now.monotonic) : getObstacle(refusal);
@@ -280,7 +279,7 @@
 			return obstacle;
 		}
 
-		const excluded = new Set([...this.#failedEndpoints, silent.placement.entry.id]);
+		const excluded = new Set([...this.#failedEndpoints, ...this.#active.list().map(sent => sent.placement.entry.id)]);
 		const placement = this.dependencies.placer.place(this.request, this.#pool, excluded, now);
 		const replacement = placement?.hasCapacity ? this.#send(placement) : undefined;
 		if (replacement === undefined) {
--- a/packages/gateway/tests/support/fake-connections.ts
+++ b/packages/gateway/tests/support/fake-connections.ts
@@ -82,13 +82,15 @@
 	/** Connection pools as the dispatcher uses them. */
 	readonly pools = {
 		poolFor: ({id}: core.fleet.EndpointEntry) => ({
-			acquire: () => this.full.has(id) ? undefined : ({
-				isOpen: true,
-				dispatch: (options: undici.Dispatcher.DispatchOptions, handler: undici.Dispatcher.DispatchHandler) => {
-					const [requestId, endpoint, lastEventId] = options.headers as string[];
-					this.streams.push(new FakeStream(endpoint!, requestId!, Number(lastEventId), handler));
-				},
-			}),
+			acquire: () => this.full.has(id)
+				? undefined
+				: ({
+					isOpen: true,
+					dispatch: (options: undici.Dispatcher.DispatchOptions, handler: undici.Dispatcher.DispatchHandler) => {
+						const [requestId, endpoint, lastEventId] = options.headers as string[];
+						this.streams.push(new FakeStream(endpoint!, requestId!, Number(lastEventId), handler));
+					},
+				}),
 			release: () => undefined,
 			discard: () => undefined,
 		}),
