Failing tests: a check that failed outweighs data that arrived meanwhile, and data does not end the judgement

EndpointHealth.recordCheck(false) marks an endpoint unresponsive even if it has sent data since the check began (a check that waits for a slot of a plain service, or one whose connection lost a packet): it gets no requests for a second, its idle connections are closed, all its requests are sent to others as well, and waiting requests of its pool are refused if it is the last one. Likewise data that arrives from an unresponsive endpoint does not make a check due: it stays without requests for up to checkIntervalMs after it has gone on.

Proposed fix: recordCheck(false) counts only if lastReceivedAt is before the start of the check (checkedAt); recordReceived of an unresponsive endpoint sets checkedAt to -Infinity.

--- a/packages/core/tests/fleet/endpoint-health.test.ts
+++ b/packages/core/tests/fleet/endpoint-health.test.ts
@@ -56,4 +56,22 @@
 		health.recordEnd('a', 'r1');
 		expect(health.startDueChecks(never, 10_000)).to.deep.equal([]);
 	});
+
+	it('keeps using an endpoint that sends data while a check that fails is in progress', () => {
+		const health = new core.fleet.EndpointHealth();
+		health.recordSent('a', 'r1', 0, 0);
+		expect(health.startDueChecks(never, 500)).to.deep.equal(['a']);
+		health.recordReceived('a', 'r1', 700);
+		expect(health.recordCheck('a', false, 1000)).to.equal(false);
+		expect(health.isResponsive('a')).to.equal(true);
+	});
+
+	it('checks an unresponsive endpoint at once when it sends data again', () => {
+		const health = new core.fleet.EndpointHealth();
+		health.recordSent('a', 'r1', 0, 0);
+		health.startDueChecks(never, 500);
+		health.recordCheck('a', false, 1000);
+		health.recordReceived('a', 'r1', 1100);
+		expect(health.startDueChecks(never, 1110)).to.deep.equal(['a']);
+	});
 });
