Failing tests: permits of a ramp-up by requests taken back together; retries counted in the half window of the decision

1. abortPausedAttempts (and abortOutdatedAttempts) ends attempts in one loop; each request searches in the same turn of the microtasks, before any of the others is sent: 20 requests go to an endpoint whose ramp-up allows 7. In real connections the aborts of attempts that are not connected resolve in one tick. Proposed fix: as for the queue, count a placement when it is handed out. 2. RetryRules.#reserve counts a retry in the half window of the decision, recordSent does not move it. A request that waits for capacity past the end of the half window leaves the window up to a wait too early: at 15 000 ms 6 retries are allowed although 13 were sent in the last 9950 ms (rule BUDGET). Control: decided at 5000 ms none is. Proposed fix: keep the half window of the reservation (countRetry returns it), and on recordSent take it back there and count now. releaseRetry has the same fault: it takes one from the current half window (nothing if that has none).

--- a/packages/gateway/tests/support/fake-connections.ts
+++ b/packages/gateway/tests/support/fake-connections.ts
@@ -69,6 +69,8 @@
 	readonly streams: FakeStream[] = [];
 	/** Endpoints to which no further connection may be opened. */
 	readonly full = new Set<string>();
+	/** Endpoints to which connections are never established. */
+	readonly unreachable = new Set<string>();
 
 	/** Protocol of the endpoints. */
 	readonly protocol = {
@@ -86,6 +88,10 @@
 				isOpen: true,
 				dispatch: (options: undici.Dispatcher.DispatchOptions, handler: undici.Dispatcher.DispatchHandler) => {
 					const [requestId, endpoint, lastEventId] = options.headers as string[];
+					if (this.unreachable.has(endpoint!)) {
+						return;
+					}
+
 					this.streams.push(new FakeStream(endpoint!, requestId!, Number(lastEventId), handler));
 				},
 			}),
