Failing test: the error of a server is discarded before another one is secured

With no endpoint left (or none with capacity, key revoked meanwhile, quarantine) the caller gets a 502 in place of the error that the server had made.

Proposed fix: buffer the error (up to the 64 KiB of the relay) and pass it on if the search ends without a placement.

--- a/packages/gateway/tests/call/silent-attempt.test.ts
+++ b/packages/gateway/tests/call/silent-attempt.test.ts
@@ -99,4 +99,14 @@
 		await replace('c', 'c');
 		expect(vm.connections.streams.length).to.equal(2);
 	});
+
+	it('gets the error of its endpoint if no other one is left', async () => {
+		const attempt = await start(safe);
+		vm.removeEndpoint('a');
+		attempt.begin(500);
+		attempt.end();
+		await settle();
+		expect(vm.connections.streams.length).to.equal(1);
+		expect({status: res.statusCode, isComplete: res.writableFinished}).to.deep.equal({status: 500, isComplete: true});
+	});
 });
