--- a/packages/gateway/tests/call/silent-attempt.test.ts
+++ b/packages/gateway/tests/call/silent-attempt.test.ts
@@ -109,4 +109,109 @@
 		expect(vm.connections.streams.length).to.equal(1);
 		expect({status: res.statusCode, isComplete: res.writableFinished}).to.deep.equal({status: 500, isComplete: true});
 	});
+
+	describe('with two attempts in progress', () => {
+		let silent: fake.FakeStream;
+		let replacement: fake.FakeStream;
+
+		beforeEach(async () => {
+			silent = await start({}, 'b');
+			silent.begin();
+			silent.sendEvent();
+			replacement = (await replace('b'))!;
+		});
+
+		function countActive(): number {
+			return vm.fleet.loads.countOwnActive('a') + vm.fleet.loads.countOwnActive('b');
+		}
+
+		it('ends both when the caller disconnects', async () => {
+			expect(countActive()).to.equal(2);
+			res.emit('close');
+			await Promise.all(vm.ended);
+			expect([silent.isAborted, replacement.isAborted]).to.deep.equal([true, true]);
+			expect(countActive()).to.equal(0);
+			expect(vm.connections.streams.length).to.equal(2);
+		});
+
+		for (const [title, first, second] of [['the silent one first', 0, 1], ['the replacement first', 1, 0]] as const) {
+			it(`is cut once if both connections break in one tick, ${title}`, async () => {
+				const attempts = [silent, replacement];
+				attempts[first].reset();
+				attempts[second].reset();
+				await Promise.all(vm.ended);
+				expect(res.destroyed).to.equal(true);
+				expect(countActive()).to.equal(0);
+				expect(vm.connections.streams.length).to.equal(2);
+			});
+		}
+
+		it('goes on at the replacement if an event of the silent one follows its head in the same tick', async () => {
+			replacement.begin();
+			silent.sendEvent();
+			replacement.sendEvent();
+			replacement.end();
+			await Promise.all(vm.ended);
+			expect(res.listEventIds()).to.deep.equal([1, 2]);
+			expect(silent.isAborted).to.equal(true);
+			expect(countActive()).to.equal(0);
+		});
+
+		it('goes on at the silent one if its event comes before the head of the replacement in the same tick', async () => {
+			silent.sendEvent();
+			replacement.begin();
+			replacement.sendEvent();
+			silent.sendEvent();
+			silent.end();
+			await Promise.all(vm.ended);
+			expect(res.listEventIds()).to.deep.equal([1, 2, 3]);
+			expect(replacement.isAborted).to.equal(true);
+			expect(countActive()).to.equal(0);
+		});
+
+		it('drops an event that the silent one has sent in part', async () => {
+			silent.sendBytes('id: 2\nda');
+			replacement.begin();
+			replacement.sendEvent();
+			silent.sendBytes('ta: y\n\n');
+			replacement.end();
+			await Promise.all(vm.ended);
+			expect(res.body).to.equal('id: 1\ndata: x\n\nid: 2\ndata: x\n\n');
+			expect(res.writableFinished).to.equal(true);
+		});
+
+		it('is continued by the silent one if the replacement returns an error', async () => {
+			replacement.begin(500);
+			silent.sendEvent();
+			replacement.end();
+			await settle();
+			silent.end();
+			await Promise.all(vm.ended);
+			expect(res.listEventIds()).to.deep.equal([1, 2]);
+			expect(res.writableFinished).to.equal(true);
+			expect(countActive()).to.equal(0);
+		});
+
+		it('is completed by the replacement if the silent one breaks off within an event and the replacement begins in the same tick', async () => {
+			silent.sendBytes('id: 2\nda');
+			silent.reset();
+			replacement.begin();
+			replacement.sendEvent();
+			replacement.end();
+			await Promise.all(vm.ended);
+			expect(res.body).to.equal('id: 1\ndata: x\n\nid: 2\ndata: x\n\n');
+			expect(res.writableFinished).to.equal(true);
+			expect(countActive()).to.equal(0);
+		});
+
+		it('is completed by the replacement if it ends in the tick in which the silent one breaks off', async () => {
+			replacement.begin();
+			replacement.sendEvent();
+			replacement.end();
+			silent.reset();
+			await Promise.all(vm.ended);
+			expect(res.listEventIds()).to.deep.equal([1, 2]);
+			expect(res.writableFinished).to.equal(true);
+		});
+	});
 });
