Failing test: a request at a silent endpoint is never sent again to an endpoint that refused it

startReplacement excludes all endpoints at which the request has failed, a refusal while full included, and unlike #place it has no second look without them, nor does it wait for capacity. With two endpoints one refusal is enough: the request stays at the silent endpoint until its deadline even if that one has hung for good and the other is free.

Proposed fix: exclude only the endpoint of the current attempt on a second look (place(..., new Set([silent]))), at the next failed check or timer.

--- a/packages/gateway/tests/call/silent-attempt.test.ts
+++ b/packages/gateway/tests/call/silent-attempt.test.ts
@@ -100,6 +100,15 @@
 		expect(vm.connections.streams.length).to.equal(2);
 	});
 
+	it('is sent again to an endpoint that refused it before, when the silent one does not go on', async () => {
+		await start({}, 'b');
+		const replacement = await replace('b');
+		replacement!.refuse();
+		await settle();
+		await replace('b');
+		expect(vm.connections.listAt('b').length).to.equal(2);
+	});
+
 	it('gets the error of its endpoint if no other one is left', async () => {
 		const attempt = await start(safe);
 		vm.removeEndpoint('a');
