Count a retry in the window at the time at which it is sent

A request that waited for capacity past the end of that half left the window too early, so that the budget could be exceeded (6 more retries in the last 9950 ms). The reservation is taken back where it was counted, and the retry counts when it is sent.

--- a/packages/core/src/fleet/retry-window.ts
+++ b/packages/core/src/fleet/retry-window.ts
@@ -28,15 +28,17 @@
 		this.#currentHalfWindow(now).requests += 1;
 	}
 
-	/** Counts a retry: an attempt of a request after its first. */
-	countRetry(now: number): void {
-		this.#currentHalfWindow(now).retries += 1;
-	}
-
-	/** Takes back the count of a retry that was not sent. */
-	uncountRetry(now: number): void {
+	/**
+	 * Counts a retry: an attempt of a request after its first.
+	 *
+	 * @returns Takes the count back, if the retry is not sent.
+	 */
+	countRetry(now: number): () => void {
 		const halfWindow = this.#currentHalfWindow(now);
-		halfWindow.retries = Math.max(0, halfWindow.retries - 1);
+		halfWindow.retries += 1;
+		return () => {
+			halfWindow.retries -= 1;
+		};
 	}
 
 	/**
--- a/packages/gateway/src/call/retry-rules.ts
+++ b/packages/gateway/src/call/retry-rules.ts
@@ -28,8 +28,8 @@
 	/** Number of attempts, including those that found no free connection. */
 	attemptCount = 0;
 	readonly #attempts: sentAttempt.SentAttempt[] = [];
-	/** Whether a retry that has not been sent yet is counted in the budget. */
-	#hasReservedRetry = false;
+	/** Takes back the count of a retry that has not been sent yet; absent if none is reserved. */
+	#uncountReserved: (() => void) | undefined;
 
 	constructor(private readonly options: RetryRulesOptions) {}
 
@@ -46,20 +46,19 @@
 
 	/** Records that an attempt was sent; one after the first counts in the retry budget. */
 	recordSent(sent: sentAttempt.SentAttempt, now: number): void {
-		if (this.#attempts.length > 0 && !this.#hasReservedRetry) {
+		// A reserved retry counts from now on, since the search for an endpoint may have taken long.
+		this.releaseRetry();
+		if (this.#attempts.length > 0) {
 			this.options.window.countRetry(now);
 		}
 
-		this.#hasReservedRetry = false;
 		this.#attempts.push(sent);
 	}
 
 	/** Returns a reserved retry to the budget, as the request is not sent again. */
-	releaseRetry(now: number): void {
-		if (this.#hasReservedRetry) {
-			this.#hasReservedRetry = false;
-			this.options.window.uncountRetry(now);
-		}
+	releaseRetry(): void {
+		this.#uncountReserved?.();
+		this.#uncountReserved = undefined;
 	}
 
 	/**
@@ -121,16 +120,15 @@
 	}
 
 	#findBudgetObstacle(now: number): core.log.RetryObstacle | undefined {
-		const isAllowed = this.#hasReservedRetry || this.options.window.allowsRetry(this.options.vmCount(), now);
+		const isAllowed = this.#uncountReserved !== undefined || this.options.window.allowsRetry(this.options.vmCount(), now);
 		return isAllowed ? undefined : obstacles.RetryBudgetUsed;
 	}
 
 	/** Counts a retry before it is sent, so that requests that fail together do not all use what is left of the budget. */
 	#reserve(now: number): core.log.RetryObstacle | undefined {
 		const obstacle = this.#findBudgetObstacle(now);
-		if (obstacle === undefined && !this.#hasReservedRetry) {
-			this.options.window.countRetry(now);
-			this.#hasReservedRetry = true;
+		if (obstacle === undefined) {
+			this.#uncountReserved ??= this.options.window.countRetry(now);
 		}
 
 		return obstacle;
