Failing test: an error response of a resumable stream that has begun is joined with the one of a replacement (MIXED)

The same as for safe responses, on a streaming route: a response with a status of 300 or more is no stream of events, and has begun once it is larger than the buffer.

Proposed fix: ResponseRelay.canResume = !hasStarted || isEventStream; pass that in place of hasStarted && isResumable.

--- a/packages/gateway/tests/call/silent-attempt.test.ts
+++ b/packages/gateway/tests/call/silent-attempt.test.ts
@@ -230,4 +230,16 @@
 			expect(res.writableFinished).to.equal(true);
 		});
 	});
+
+	it('is not answered with an error response of its first endpoint that goes on with the one of another', async () => {
+		const silent = await start({}, 'b');
+		silent.begin(404);
+		silent.sendBytes('a'.repeat(70_000));
+		const replacement = await replace('b');
+		replacement?.begin(404);
+		replacement?.sendBytes('b'.repeat(70_000));
+		replacement?.end();
+		await settle();
+		expect({isJoined: res.body.includes('ab'), isComplete: res.writableFinished}).to.deep.equal({isJoined: false, isComplete: false});
+	});
 });
