Failing test: a reservation that is released in the next half of the window is not returned

RetryWindow.uncountRetry takes one from the present half window, which may have none (the retry stays counted for up to 15 s: too strict), or those of others (too lax once the older half has left). Proposed fix: countRetry returns its half window, uncountRetry takes that.

--- a/packages/core/tests/fleet/retry-window.test.ts
+++ b/packages/core/tests/fleet/retry-window.test.ts
@@ -56,4 +56,15 @@
 			});
 		}), {seed: 11, numRuns: 200});
 	});
+
+	it('takes back the retry that was counted, also when another half of the window has begun', () => {
+		const window = new core.fleet.RetryWindow(limits);
+		for (let count = 0; count < 6; count++) {
+			window.countRetry(4999);
+		}
+
+		expect(window.allowsRetry(7, 5001)).to.equal(false);
+		window.uncountRetry(5001);
+		expect(window.allowsRetry(7, 5001)).to.equal(true);
+	});
 });
