--- a/packages/gateway/tests/call/silent-attempt.test.ts
+++ b/packages/gateway/tests/call/silent-attempt.test.ts
@@ -242,4 +242,73 @@
 		await settle();
 		expect({isJoined: res.body.includes('ab'), isComplete: res.writableFinished}).to.deep.equal({isJoined: false, isComplete: false});
 	});
+
+	it('is not sent to a further endpoint after it has been interrupted twice', async () => {
+		const first = await start({maxAttempts: 6}, 'b');
+		first.begin();
+		first.sendEvent();
+		first.reset();
+		await settle();
+		const [second] = vm.connections.listAt('b');
+		second!.begin();
+		second!.sendEvent();
+		vm.removeEndpoint('a');
+		vm.addEndpoint('c');
+		await replace('c', 'b');
+		second!.reset();
+		await settle();
+		expect(vm.connections.listAt('c').length).to.equal(1);
+		vm.addEndpoint('d');
+		await replace('d', 'c');
+		expect(vm.connections.listAt('d')).to.deep.equal([]);
+	});
+
+	it('is not sent to another endpoint while its caller does not read, but is afterwards', async () => {
+		const silent = await start({}, 'b');
+		silent.begin();
+		res.write = () => false;
+		silent.sendEvent();
+		expect(await replace('b')).to.equal(undefined);
+		res.emit('drain');
+		expect(await replace('b')).to.not.equal(undefined);
+	});
+
+	it('ends both attempts at its deadline', async () => {
+		const silent = await start({timeoutMs: 200}, 'b');
+		silent.begin();
+		silent.sendEvent();
+		const replacement = await replace('b');
+		await Promise.all(vm.ended);
+		expect([silent.isAborted, replacement!.isAborted, res.destroyed]).to.deep.equal([true, true, true]);
+		expect(vm.fleet.loads.countOwnActive('a') + vm.fleet.loads.countOwnActive('b')).to.equal(0);
+		expect(vm.connections.streams.length).to.equal(2);
+	});
+
+	it('is answered once if the response of a safe request arrives from both endpoints', async () => {
+		const silent = await start(safe, 'b');
+		silent.begin();
+		silent.sendBytes('a1');
+		const replacement = await replace('b');
+		replacement!.begin();
+		replacement!.sendBytes('b1');
+		silent.sendBytes('a2');
+		silent.end();
+		replacement!.sendBytes('b2');
+		replacement!.end();
+		await Promise.all(vm.ended);
+		expect({body: res.body, isComplete: res.writableFinished}).to.deep.equal({body: 'b1b2', isComplete: true});
+	});
+
+	it('is answered by the endpoint that was silent if its body goes on before the replacement responds', async () => {
+		const silent = await start(safe, 'b');
+		silent.begin();
+		silent.sendBytes('a1');
+		const replacement = await replace('b');
+		silent.sendBytes('a2');
+		silent.end();
+		replacement!.begin();
+		await Promise.all(vm.ended);
+		expect({body: res.body, isComplete: res.writableFinished}).to.deep.equal({body: 'a1a2', isComplete: true});
+		expect(replacement!.isAborted).to.equal(true);
+	});
 });
