Take no connection that this VM closed itself as evidence that a prompt ends endpoints

Merges the review's last tests; the one on taking a retry back uses the count that countRetry returns.

Found by the review: a request that was completed within 500 ms before its idle connection was closed by the VM itself, after a failed check or when its endpoint left the list, counted as one that its endpoint had broken off.

--- a/packages/core/tests/fleet/retry-window.test.ts
+++ b/packages/core/tests/fleet/retry-window.test.ts
@@ -56,4 +56,12 @@
 			});
 		}), {seed: 11, numRuns: 200});
 	});
+
+	it('takes back the retry that was counted, also when another half of the window has begun', () => {
+		const window = new core.fleet.RetryWindow(limits);
+		const uncounts = Array.from({length: 6}, () => window.countRetry(4999));
+		expect(window.allowsRetry(7, 5001)).to.equal(false);
+		uncounts[0]!();
+		expect(window.allowsRetry(7, 5001)).to.equal(true);
+	});
 });
--- a/packages/gateway/src/endpoints/endpoint-connection.ts
+++ b/packages/gateway/src/endpoints/endpoint-connection.ts
@@ -29,6 +29,7 @@
 	#hasEndedCleanly = false;
 	#isOpen = false;
 	#openedAt = Infinity;
+	#isClosedHere = false;
 	readonly #client: undici.Client;
 
 	/** @param now - Returns the present time, in milliseconds of a clock that includes suspensions of the VM. */
@@ -62,6 +63,11 @@
 		return this.#isOpen;
 	}
 
+	/** Whether this VM closed the connection while the endpoint kept it open, which says nothing about the endpoint. */
+	get isClosedHere(): boolean {
+		return this.#isClosedHere;
+	}
+
 	/** When the connection was established, in milliseconds of the clock that includes suspensions; `Infinity` before. */
 	get openedAt(): number {
 		return this.#openedAt;
@@ -78,6 +84,7 @@
 
 	/** Closes the connection at once. */
 	destroy(): void {
+		this.#isClosedHere ||= this.#isOpen;
 		this.#client.destroy(null, () => undefined);
 	}
 
