--- a/packages/gateway/src/call/body-filter.ts
+++ b/packages/gateway/src/call/body-filter.ts
@@ -1,5 +1,7 @@
 import * as buffer from 'node:buffer';
+import type * as http from 'node:http';
 import type * as clocks from '../util/clocks.js';
+import * as bodyReader from './body-reader.js';
 import type * as requestContext from './request-context.js';
 import type * as requestFilter from './request-filter.js';
 import * as refusals from './refusal.js';
@@ -9,46 +11,41 @@
 	constructor(private readonly clock: clocks.Clocks) {}
 
 	async check(ctx: requestContext.RequestContext): Promise<refusals.Refusal | undefined> {
-		let timer: NodeJS.Timeout | undefined;
-		const timeout = new Promise<refusals.Refusal>(resolve => {
-			timer = setTimeout(() => {
-				resolve({code: refusals.RefusalCode.BodyTimeout});
-			}, this.#remainingMs(ctx));
+		const chunks: Uint8Array[] = [];
+		const maxBytes = ctx.table?.config.limits.bodyBytes ?? Infinity;
+		const maxMs = computeRemainingMs(ctx, this.clock.monotonicNow());
+		const bodyEnd = await bodyReader.readBody(ctx.req, {maxBytes, maxMs}, chunk => {
+			chunks.push(chunk);
 		});
-		try {
-			return await Promise.race([readBody(ctx), timeout]);
-		} finally {
-			clearTimeout(timer);
-		}
-	}
+		switch (bodyEnd) {
+			case bodyReader.BodyEnd.TooLarge: {
+				return {code: refusals.RefusalCode.BodyTooLarge};
+			}
 
-	#remainingMs({head, route, arrivedAt}: requestContext.RequestContext): number {
-		const allowedMs = Math.min(head.deadlineMs ?? Infinity, route?.timeoutMs ?? Infinity);
-		return Math.max(0, arrivedAt + allowedMs - this.clock.monotonicNow());
-	}
-}
+			case bodyReader.BodyEnd.TimedOut: {
+				return {code: refusals.RefusalCode.BodyTimeout};
+			}
 
-async function readBody(ctx: requestContext.RequestContext): Promise<refusals.Refusal | undefined> {
-	const maxBytes = ctx.table?.config.limits.bodyBytes ?? Infinity;
-	const chunks: Uint8Array[] = [];
-	let size = 0;
-	try {
-		for await (const chunk of ctx.req as AsyncIterable<Uint8Array>) {
-			size += chunk.length;
-			if (size > maxBytes) {
-				return {code: refusals.RefusalCode.BodyTooLarge};
+			case bodyReader.BodyEnd.Aborted: {
+				// No response can be sent.
+				ctx.res.destroy();
+				return undefined;
 			}
 
-			chunks.push(chunk);
+			case bodyReader.BodyEnd.Complete: {
+				ctx.body = chunks.length > 0 || announcesBody(ctx.req) ? buffer.Buffer.concat(chunks) : undefined;
+				return undefined;
+			}
 		}
-	} catch {
-		// The caller closed its connection or sent invalid framing, so no response can be sent.
-		ctx.res.destroy();
-		return undefined;
 	}
+}
+
+/** Returns the time until the deadline of a request and the timeout of its route, in milliseconds; `Infinity` if neither is known. */
+export function computeRemainingMs({head, route, arrivedAt}: requestContext.RequestContext, now: number): number {
+	const allowedMs = Math.min(head.deadlineMs ?? Infinity, route?.timeoutMs ?? Infinity);
+	return Math.max(0, arrivedAt + allowedMs - now);
+}
 
-	const hasBody = size > 0 || ctx.req.headers['content-length'] !== undefined
-		|| ctx.req.headers['transfer-encoding'] !== undefined;
-	ctx.body = hasBody ? buffer.Buffer.concat(chunks, size) : undefined;
-	return undefined;
+function announcesBody(req: http.IncomingMessage): boolean {
+	return req.headers['content-length'] !== undefined || req.headers['transfer-encoding'] !== undefined;
 }
--- /dev/null
+++ b/packages/gateway/src/call/body-reader.ts
@@ -0,0 +1,65 @@
+import type * as http from 'node:http';
+
+/** How the reading of a body ended. */
+export enum BodyEnd {
+	Complete = 'complete',
+	TooLarge = 'too_large',
+	TimedOut = 'timed_out',
+	/** The caller closed its connection or sent invalid framing. */
+	Aborted = 'aborted',
+}
+
+/** Bounds of the reading of a body. */
+export type BodyBounds = {
+	readonly maxBytes: number;
+	readonly maxMs: number;
+};
+
+/** Longest time of a timer, in milliseconds. */
+const maxTimerMs = 2_147_483_647;
+
+/**
+ * Reads the body of a request. Unlike an asynchronous iteration that is left early, this neither destroys the request nor separates it
+ * from its connection; what arrives after the end of the reading is discarded.
+ */
+export async function readBody(req: http.IncomingMessage, bounds: BodyBounds, onChunk: (chunk: Uint8Array) => void): Promise<BodyEnd> {
+	if (req.readableEnded) {
+		return BodyEnd.Complete;
+	}
+
+	if (req.destroyed) {
+		return BodyEnd.Aborted;
+	}
+
+	return new Promise(resolve => {
+		let size = 0;
+		const endWith = (bodyEnd: BodyEnd): void => {
+			clearTimeout(timer);
+			req.off('data', onData).off('end', onEnd).off('error', onAborted).off('close', onAborted);
+			req.resume();
+			resolve(bodyEnd);
+		};
+
+		const onEnd = (): void => {
+			endWith(BodyEnd.Complete);
+		};
+
+		const onAborted = (): void => {
+			endWith(BodyEnd.Aborted);
+		};
+
+		const onData = (chunk: Uint8Array): void => {
+			size += chunk.length;
+			if (size > bounds.maxBytes) {
+				endWith(BodyEnd.TooLarge);
+			} else {
+				onChunk(chunk);
+			}
+		};
+
+		const timer = setTimeout(() => {
+			endWith(BodyEnd.TimedOut);
+		}, Math.min(bounds.maxMs, maxTimerMs));
+		req.on('data', onData).once('end', onEnd).once('error', onAborted).once('close', onAborted);
+	});
+}
--- /dev/null
+++ b/packages/gateway/tests/ingress/connection-ends.test.ts
@@ -0,0 +1,186 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import * as chai from 'chai';
+import * as purify from 'purify-ts';
+import * as rawCallers from '../support/raw-caller.js';
+import * as gateway from '@bluebellmast/gateway';
+
+const {expect} = chai;
+const {RefusalCode: codes} = gateway.call;
+const host = '127.0.0.1';
+const pieceBytes = 6000;
+const pieceCount = 5;
+const pieceIntervalMs = 40;
+const bodyBytes = pieceBytes * pieceCount;
+const piece = 'x'.repeat(pieceBytes);
+const requestHead: gateway.ports.RequestHead = {
+	method: 'POST', target: '/', host: 'a.example', requestId: 'r', deadlineMs: 8000, forwardedHeaders: [],
+};
+
+describe('callers that have sent a request', () => {
+	let server: gateway.ingress.GatewayServer;
+	let callers: rawCallers.RawCaller[] = [];
+	let dispatched = 0;
+	let dispatch: (ctx: gateway.call.RequestContext) => Promise<void>;
+	let filters: gateway.call.RequestFilter[];
+	let decode: gateway.ports.CallerProtocol['decodeRequestHead'];
+
+	beforeEach(async () => {
+		dispatched = 0;
+		filters = [];
+		decode = () => purify.Right(requestHead);
+		dispatch = async ctx => {
+			ctx.res.end('answer');
+		};
+
+		const clock = new gateway.util.SystemClocks();
+		const bodyFilter = new gateway.call.BodyFilter(clock);
+		server = new gateway.ingress.GatewayServer({
+			protocol: {decodeRequestHead: (...args) => decode(...args)},
+			filters: [
+				{
+					async check(ctx) {
+						for (const filter of filters) {
+							const refusal = await filter.check(ctx); // eslint-disable-line no-await-in-loop
+							if (refusal !== undefined) {
+								return refusal;
+							}
+						}
+
+						return undefined;
+					},
+				},
+				bodyFilter,
+			],
+			dispatcher: {
+				async dispatch(ctx: gateway.call.RequestContext) {
+					dispatched += 1;
+					await dispatch(ctx);
+				},
+			} as unknown as gateway.call.RequestDispatcher,
+			clock,
+			log: {write: () => undefined},
+		});
+		await server.listen({host, port: 0});
+	});
+
+	afterEach(() => {
+		server.close();
+		for (const {socket} of callers) {
+			socket.destroy();
+		}
+
+		callers = [];
+	});
+
+	async function connect(): Promise<rawCallers.RawCaller> {
+		const caller = await rawCallers.connect(server.port);
+		callers.push(caller);
+		return caller;
+	}
+
+	function refuse(code: gateway.call.RefusalCode): void {
+		filters.push({check: () => ({code, retryAfterMs: 300})});
+	}
+
+	/** Sets the limits that apply to the body of a request. */
+	function limitBody(limits: {readonly bytes?: number; readonly timeoutMs?: number}): void {
+		filters.push({
+			check(ctx) {
+				const table = {config: {limits: {bodyBytes: limits.bytes ?? 1_000_000}}};
+				Object.assign(ctx, {table, route: {name: 'route', timeoutMs: limits.timeoutMs ?? 8000}});
+				return undefined;
+			},
+		});
+	}
+
+	const refusals: ReadonlyArray<{readonly title: string; readonly status: number; readonly code: gateway.call.RefusalCode; readonly arrange: () => void}> = [
+		...[
+			{title: 'its API key is not known', status: 401, code: codes.UnknownKey},
+			{title: 'its route is not known', status: 404, code: codes.UnknownRoute},
+			{title: 'no configuration is known', status: 503, code: codes.ConfigUnavailable},
+		].map(item => ({
+			...item,
+			arrange() {
+				refuse(item.code);
+			},
+		})),
+		{
+			title: 'its head is malformed',
+			status: 400,
+			code: codes.MalformedRequest,
+			arrange() {
+				decode = () => purify.Left([{place: 'head', problem: 'no id'}]);
+			},
+		},
+		{
+			title: 'its body is too large',
+			status: 413,
+			code: codes.BodyTooLarge,
+			arrange() {
+				limitBody({bytes: pieceBytes + 1});
+			},
+		},
+		{
+			title: 'its body takes too long',
+			status: 408,
+			code: codes.BodyTimeout,
+			arrange() {
+				limitBody({timeoutMs: pieceIntervalMs});
+			},
+		},
+	];
+
+	for (const {title, status, code, arrange} of refusals) {
+		it(`receive the refusal if ${title}, though they do not end their body`, async () => {
+			arrange();
+			const caller = await connect();
+			caller.socket.write(`POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: ${bodyBytes}\r\n\r\n${piece}${piece}`);
+			await caller.read();
+			expect(caller.statuses).to.deep.equal([status]);
+			expect(JSON.parse(caller.responses[0]!.body)).to.include({code});
+			await rawCallers.waitUntil(() => caller.isClosed);
+			expect(caller.isClosed).to.equal(true);
+			expect(caller.error).to.equal(undefined);
+		});
+	}
+
+	it('receive the refusal of a body that is too large while the server shuts down', async () => {
+		limitBody({bytes: pieceBytes + 1});
+		server.beginShutdown();
+		const caller = await connect();
+		caller.socket.write(`POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: ${bodyBytes}\r\n\r\n${piece}`);
+		await sleep(pieceIntervalMs);
+		caller.socket.write(piece);
+		await caller.read();
+		expect(caller.statuses).to.deep.equal([413]);
+		caller.socket.end();
+		await rawCallers.waitUntil(() => caller.isClosed);
+		expect(caller.error).to.equal(undefined);
+	});
+
+	it('receive a refusal for invalid bytes that arrive in pieces', async () => {
+		const caller = await connect();
+		for (let index = 0; index < pieceCount; index++) {
+			caller.socket.write('\0\0\0');
+			await sleep(pieceIntervalMs); // eslint-disable-line no-await-in-loop
+		}
+
+		await caller.read();
+		expect(caller.error).to.equal(undefined);
+		expect(caller.statuses).to.deep.equal([400]);
+	});
+
+	it('receive a refusal for a head that is too large, after it was sent as a whole', async () => {
+		const caller = await connect();
+		caller.socket.write('GET / HTTP/1.1\r\nHost: a.example\r\n');
+		for (let index = 0; index < 2 * pieceCount; index++) {
+			caller.socket.write(`Field-${index}: ${piece}\r\n`);
+			await sleep(pieceIntervalMs); // eslint-disable-line no-await-in-loop
+		}
+
+		caller.socket.write('\r\n');
+		await caller.read();
+		expect(caller.error).to.equal(undefined);
+		expect(caller.statuses).to.deep.equal([431]);
+	});
+});
