--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -2,12 +2,15 @@
 import type * as net from 'node:net';
 import * as timers from 'node:timers/promises';
 import * as core from '@bluebellmast/core';
+import * as bodyFilter from '../call/body-filter.js';
+import * as bodyReader from '../call/body-reader.js';
 import * as call from '../call/index.js';
 import type * as ports from '../ports/index.js';
 import * as abortResponse from '../util/abort-response.js';
 import type * as clocks from '../util/clocks.js';
 import * as eventLog from '../util/event-log.js';
 import * as listen from '../util/listen.js';
+import * as lingeringClose from './lingering-close.js';
 
 /** Dependencies of {@link GatewayServer}. */
 export type GatewayServerDependencies = {
@@ -27,6 +30,14 @@
 const drainCheckIntervalMs = 100;
 /** Time for which a server that shuts down keeps connections on which no whole request has arrived, in milliseconds. */
 const partialRequestGraceMs = 1000;
+/** Time for which the rest of a refused request's body is awaited, in milliseconds: callers give a request up that is not read within it. */
+const maxDiscardMs = 1000;
+/** Size of the rest that is awaited while no configured limit of bodies is known, in bytes. */
+const defaultMaxDiscardBytes = 1_048_576;
+/** Time for which a connection is kept after its last response to discard what its caller is still sending, in milliseconds; at least. */
+const minLingerMs = 1000;
+/** The same after a refusal of a request that states no deadline, or a later one. */
+const maxLingerMs = 30_000;
 
 /** HTTP server that keeps idle connections open while a response has ended that is not sent as a whole; Node counts its connection as idle. */
 class CallerHttpServer extends http.Server {
@@ -46,6 +57,13 @@
 	}
 }
 
+/** A request whose head may be malformed. */
+type UndecodedRequest = Pick<call.RequestContext, 'req' | 'res'> & Partial<call.RequestContext>;
+
+function isDecoded(ctx: UndecodedRequest): ctx is call.RequestContext {
+	return ctx.head !== undefined && ctx.arrivedAt !== undefined;
+}
+
 /** HTTP server that receives the callers' requests. */
 export class GatewayServer {
 	readonly #server: CallerHttpServer;
@@ -61,6 +79,9 @@
 			},
 			() => [...this.#openResponses].some(res => res.writableEnded && !res.writableFinished),
 		);
+		this.#server.on('connection', (socket: net.Socket) => {
+			lingeringClose.setLingerTime(socket, minLingerMs);
+		});
 		this.#server.on('clientError', (err: NodeJS.ErrnoException, socket: net.Socket) => {
 			this.#rejectConnection(err, socket);
 		});
@@ -141,7 +162,7 @@
 		if (req.socket.writableEnded) {
 			// The request has crossed the close of its connection; its caller can repeat it, since it is not executed.
 			this.#logDropped(req);
-			req.socket.destroy();
+			req.resume();
 			return;
 		}
 
@@ -180,8 +201,7 @@
 		if (decoded.isLeft()) {
 			const findings = (decoded.extract()).map(item => `${item.place}: ${item.problem}`);
 			this.dependencies.log.write(eventLog.LogEvent.RequestRejected, {code: call.RefusalCode.MalformedRequest, findings: findings.join('; ')});
-			res.setHeader('Connection', 'close');
-			call.sendRefusal(res, {code: call.RefusalCode.MalformedRequest, findings});
+			await this.#sendRefusal({req, res}, {code: call.RefusalCode.MalformedRequest, findings});
 			return;
 		}
 
@@ -197,7 +217,7 @@
 		}
 
 		if (refusal !== undefined) {
-			this.#sendRefusal(ctx, refusal);
+			await this.#sendRefusal(ctx, refusal);
 		}
 
 		this.#logEnd(ctx, refusal);
@@ -260,29 +280,56 @@
 		return ctx.res.destroyed ? undefined : this.dependencies.dispatcher.dispatch(ctx as call.RoutedRequest);
 	}
 
-	#sendRefusal(ctx: call.RequestContext, refusal: call.Refusal): void {
-		if (refusal.code === call.RefusalCode.BodyTooLarge || !ctx.req.complete) {
-			ctx.res.setHeader('Connection', 'close');
+	/** Sends a refusal once the body has ended, so that the connection can be kept, or after a bounded time. */
+	async #sendRefusal(ctx: UndecodedRequest, refusal: call.Refusal): Promise<void> {
+		const {req, res} = ctx;
+		if (!req.complete && !res.headersSent && refusal.code !== call.RefusalCode.BodyTimeout) {
+			await this.#discardBody(ctx);
+		}
+
+		if (!req.complete && !res.headersSent) {
+			res.setHeader('Connection', 'close');
+			lingeringClose.setLingerTime(req.socket, this.#computeLingerMs(ctx));
 		}
 
-		call.sendRefusal(ctx.res, refusal);
-		if (!ctx.res.writableEnded) {
+		call.sendRefusal(res, refusal);
+		if (!res.writableEnded) {
 			// A response has started that can't be completed.
-			abortResponse.abortResponse(ctx.res);
+			abortResponse.abortResponse(res);
 		}
 	}
 
+	async #discardBody(ctx: UndecodedRequest): Promise<void> {
+		const remainingMs = isDecoded(ctx) ? bodyFilter.computeRemainingMs(ctx, this.dependencies.clock.monotonicNow()) : Infinity;
+		await bodyReader.readBody(ctx.req, {
+			maxBytes: ctx.table?.config.limits.bodyBytes ?? defaultMaxDiscardBytes,
+			maxMs: Math.min(maxDiscardMs, remainingMs),
+		}, () => undefined);
+	}
+
+	/** Callers may go on sending until their deadline. */
+	#computeLingerMs({head, arrivedAt}: UndecodedRequest): number {
+		const endsAt = (arrivedAt ?? 0) + (head?.deadlineMs ?? Infinity);
+		return Math.min(maxLingerMs, Math.max(minLingerMs, endsAt - this.dependencies.clock.monotonicNow()));
+	}
+
 	#rejectConnection(err: NodeJS.ErrnoException, socket: net.Socket): void {
-		if (!socket.writable || err.code === 'ECONNRESET') {
+		if (err.code === 'ECONNRESET') {
 			socket.destroy();
 			return;
 		}
 
+		if (!socket.writable) {
+			// The connection is closed already, and discards what arrives.
+			return;
+		}
+
 		const isTooLarge = err.code === 'HPE_HEADER_OVERFLOW';
 		const status = isTooLarge ? '431 Request Header Fields Too Large' : '400 Bad Request';
 		const code = isTooLarge ? call.RefusalCode.HeadTooLarge : call.RefusalCode.MalformedRequest;
 		this.dependencies.log.write(eventLog.LogEvent.RequestRejected, {code, findings: `connection: ${err.message}`});
-		socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+		socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+		lingeringClose.closeLingering(socket, minLingerMs);
 	}
 }
 
@@ -305,6 +352,6 @@
 	}
 
 	res.once('finish', () => {
-		res.req.socket.end();
+		lingeringClose.closeLingering(res.req.socket, minLingerMs);
 	});
 }
--- a/packages/gateway/tests/ingress/connection-ends.test.ts
+++ b/packages/gateway/tests/ingress/connection-ends.test.ts
@@ -10,6 +10,8 @@
 const pieceBytes = 6000;
 const pieceCount = 5;
 const pieceIntervalMs = 40;
+/** Interval at which a body takes longer than the gateway waits for its end before it sends a refusal. */
+const longIntervalMs = 600;
 const bodyBytes = pieceBytes * pieceCount;
 const piece = 'x'.repeat(pieceBytes);
 const requestHead: gateway.ports.RequestHead = {
@@ -93,6 +95,14 @@
 		});
 	}
 
+	const bodies: ReadonlyArray<{readonly title: string; readonly header: string; readonly encode: (text: string) => string; readonly end: string}> = [
+		{
+			title: 'a body of known length', header: `Content-Length: ${bodyBytes}`, encode: text => text, end: '',
+		},
+		{
+			title: 'a chunked body', header: 'Transfer-Encoding: chunked', encode: text => `${text.length.toString(16)}\r\n${text}\r\n`, end: '0\r\n\r\n',
+		},
+	];
 	const refusals: ReadonlyArray<{readonly title: string; readonly status: number; readonly code: gateway.call.RefusalCode; readonly arrange: () => void}> = [
 		...[
 			{title: 'its API key is not known', status: 401, code: codes.UnknownKey},
@@ -131,6 +141,25 @@
 	];
 
 	for (const {title, status, code, arrange} of refusals) {
+		for (const body of bodies) {
+			it(`receive the refusal if ${title}, after ${body.title} in pieces`, async () => {
+				arrange();
+				const caller = await connect();
+				caller.socket.write(`POST / HTTP/1.1\r\nHost: a.example\r\n${body.header}\r\n\r\n`);
+				for (let index = 0; index < pieceCount; index++) {
+					await sleep(pieceIntervalMs); // eslint-disable-line no-await-in-loop
+					caller.socket.write(body.encode(piece));
+				}
+
+				caller.socket.write(body.end);
+				await sleep(pieceIntervalMs);
+				await caller.read();
+				expect(caller.error).to.equal(undefined);
+				expect(caller.statuses).to.deep.equal([status]);
+				expect(JSON.parse(caller.responses[0]!.body)).to.include({code});
+			});
+		}
+
 		it(`receive the refusal if ${title}, though they do not end their body`, async () => {
 			arrange();
 			const caller = await connect();
@@ -144,6 +173,53 @@
 		});
 	}
 
+	it('receive the refusal though they go on sending long after it', async () => {
+		refuse(codes.ConfigUnavailable);
+		const caller = await connect();
+		caller.socket.write(`POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: ${bodyBytes}\r\n\r\n`);
+		for (let index = 0; index < pieceCount; index++) {
+			await sleep(longIntervalMs); // eslint-disable-line no-await-in-loop
+			caller.socket.write(piece);
+		}
+
+		await caller.read();
+		expect(caller.error).to.equal(undefined);
+		expect(caller.statuses).to.deep.equal([503]);
+	});
+
+	it('can use their connection again after a refusal, if they have ended their body', async () => {
+		refuse(codes.ConfigUnavailable);
+		const caller = await connect();
+		caller.socket.write(`POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: ${2 * pieceBytes}\r\n\r\n${piece}`);
+		await sleep(pieceIntervalMs);
+		caller.socket.write(piece);
+		await caller.read();
+		filters = [];
+		caller.socket.write('GET / HTTP/1.1\r\nHost: a.example\r\n\r\n');
+		await caller.read(2);
+		expect(caller.statuses).to.deep.equal([503, 200]);
+	});
+
+	it('receive the refusal while the server shuts down', async () => {
+		refuse(codes.ConfigUnavailable);
+		const caller = await connect();
+		caller.socket.write(`POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: ${bodyBytes}\r\n\r\n${piece}`);
+		await sleep(pieceIntervalMs);
+		server.beginShutdown();
+		const ended = server.finishShutdown(5000);
+		for (let index = 1; index < pieceCount; index++) {
+			await sleep(pieceIntervalMs); // eslint-disable-line no-await-in-loop
+			caller.socket.write(piece);
+		}
+
+		await sleep(pieceIntervalMs);
+		await caller.read();
+		await ended;
+		server.close();
+		expect(caller.error).to.equal(undefined);
+		expect(caller.statuses).to.deep.equal([503]);
+	});
+
 	it('receive the refusal of a body that is too large while the server shuts down', async () => {
 		limitBody({bytes: pieceBytes + 1});
 		server.beginShutdown();
