--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -178,7 +178,7 @@
 			await this.#handleRequest(req, res);
 		} catch (err) {
 			this.#logError(err);
-			abortResponse.abortResponse(res);
+			await this.#sendRefusal({req, res}, {code: call.RefusalCode.InternalError});
 		} finally {
 			this.#forgetWhenClosed(res);
 		}
--- a/packages/gateway/tests/ingress/connection-ends.test.ts
+++ b/packages/gateway/tests/ingress/connection-ends.test.ts
@@ -138,6 +138,16 @@
 				limitBody({timeoutMs: pieceIntervalMs});
 			},
 		},
+		{
+			title: 'its head can not be decoded for an internal error',
+			status: 502,
+			code: codes.InternalError,
+			arrange() {
+				decode = () => {
+					throw new Error('decoder');
+				};
+			},
+		},
 	];
 
 	for (const {title, status, code, arrange} of refusals) {
