Refusals bear no headers of a response that could not be relayed

What callers saw: if relaying a response failed before its head was sent, the refusal bore the endpoint's headers, such as its signature, and both a length and 'Transfer-Encoding: chunked', so that it could not be read.

Cause: sendRefusal kept the headers that were set before.

Evidence: before, 'receive a refusal without the headers of a response that could not be relayed' failed ('HTTP/1.1 502 Bad Gateway Transfer-...'); after, it passes.

--- a/packages/gateway/src/call/send-refusal.ts
+++ b/packages/gateway/src/call/send-refusal.ts
@@ -10,6 +10,7 @@
 		return;
 	}
 
+	removeRelayedHeaders(res);
 	const body = buffer.Buffer.from(JSON.stringify({code: refusal.code, findings: refusal.findings}));
 	res.statusCode = refusals.getStatus(refusal);
 	res.setHeader('Content-Type', 'application/json');
@@ -20,3 +21,12 @@
 
 	res.end(body);
 }
+
+/** Removes the headers of an endpoint's response that could not be relayed; they do not apply to a refusal. */
+function removeRelayedHeaders(res: http.ServerResponse): void {
+	for (const name of res.getHeaderNames()) {
+		if (name !== 'connection') {
+			res.removeHeader(name);
+		}
+	}
+}
--- a/packages/gateway/tests/ingress/connection-ends.test.ts
+++ b/packages/gateway/tests/ingress/connection-ends.test.ts
@@ -197,6 +197,20 @@
 		expect(caller.statuses).to.deep.equal([503]);
 	});
 
+	it('receive a refusal without the headers of a response that could not be relayed', async () => {
+		dispatch = async ctx => {
+			ctx.res.setHeader('Transfer-Encoding', 'chunked');
+			ctx.res.setHeader('Seal', 's');
+			throw new Error('relay');
+		};
+
+		const caller = await connect();
+		caller.socket.write('GET / HTTP/1.1\r\nHost: a.example\r\n\r\n');
+		await caller.read();
+		expect(caller.statuses).to.deep.equal([502]);
+		expect(caller.responses[0]!.head).not.to.match(/^(?:transfer-encoding|seal):/im);
+	});
+
 	it('can use their connection again after a refusal, if they have ended their body', async () => {
 		refuse(codes.ConfigUnavailable);
 		const caller = await connect();
