--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -11,6 +11,7 @@
 import * as eventLog from '../util/event-log.js';
 import * as listen from '../util/listen.js';
 import * as lingeringClose from './lingering-close.js';
+import * as responseOrder from './response-order.js';
 
 /** Dependencies of {@link GatewayServer}. */
 export type GatewayServerDependencies = {
@@ -58,10 +59,10 @@
 }
 
 /** A request whose head may be malformed. */
-type UndecodedRequest = Pick<call.RequestContext, 'req' | 'res'> & Partial<call.RequestContext>;
+type UndecodedRequest = Pick<call.RequestContext, 'req' | 'res' | 'arrivedAt'> & Partial<call.RequestContext>;
 
 function isDecoded(ctx: UndecodedRequest): ctx is call.RequestContext {
-	return ctx.head !== undefined && ctx.arrivedAt !== undefined;
+	return ctx.head !== undefined;
 }
 
 /** HTTP server that receives the callers' requests. */
@@ -70,6 +71,7 @@
 	#isShuttingDown = false;
 	/** Responses that have not been handled, or not been passed on to the connection as a whole. */
 	readonly #openResponses = new Set<http.ServerResponse>();
+	readonly #order = new responseOrder.ResponseOrder();
 
 	constructor(private readonly dependencies: GatewayServerDependencies) {
 		this.#server = new CallerHttpServer(
@@ -114,7 +116,7 @@
 	beginShutdown(): void {
 		this.#isShuttingDown = true;
 		for (const res of this.#openResponses) {
-			closeConnectionAfter(res);
+			this.#closeConnectionAfter(res);
 		}
 	}
 
@@ -159,6 +161,15 @@
 	}
 
 	async #handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		const arrivedAt = this.dependencies.clock.monotonicNow();
+		if (!req.socket.writableEnded) {
+			await this.#order.add(res);
+		}
+
+		if (req.socket.destroyed) {
+			return;
+		}
+
 		if (req.socket.writableEnded) {
 			// The request has crossed the close of its connection; its caller can repeat it, since it is not executed.
 			this.#logDropped(req);
@@ -171,19 +182,32 @@
 			// A broken connection also emits `close`, which ends the request.
 		});
 		if (this.#isShuttingDown) {
-			closeConnectionAfter(res);
+			this.#closeConnectionAfter(res);
 		}
 
 		try {
-			await this.#handleRequest(req, res);
+			await this.#handleRequest({req, res, arrivedAt});
 		} catch (err) {
 			this.#logError(err);
-			await this.#sendRefusal({req, res}, {code: call.RefusalCode.InternalError});
+			await this.#sendRefusal({req, res, arrivedAt}, {code: call.RefusalCode.InternalError});
 		} finally {
 			this.#forgetWhenClosed(res);
 		}
 	}
 
+	/** Closes the connection after a response has ended unless another one follows; announces this in the head if it has not been sent. */
+	#closeConnectionAfter(res: http.ServerResponse): void {
+		if (!res.headersSent && this.#order.isLast(res)) {
+			res.setHeader('Connection', 'close');
+		}
+
+		res.once('finish', () => {
+			if (this.#order.isLast(res)) {
+				lingeringClose.closeLingering(res.req.socket, minLingerMs);
+			}
+		});
+	}
+
 	/** A response is open until its last byte was passed on to the connection, or the connection was closed. */
 	#forgetWhenClosed(res: http.ServerResponse): void {
 		if (res.closed || res.destroyed) {
@@ -196,19 +220,17 @@
 		});
 	}
 
-	async #handleRequest(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
-		const decoded = this.#decodeHead(req);
+	async #handleRequest(undecoded: UndecodedRequest): Promise<void> {
+		const decoded = this.#decodeHead(undecoded.req);
 		if (decoded.isLeft()) {
 			const findings = (decoded.extract()).map(item => `${item.place}: ${item.problem}`);
 			this.dependencies.log.write(eventLog.LogEvent.RequestRejected, {code: call.RefusalCode.MalformedRequest, findings: findings.join('; ')});
-			await this.#sendRefusal({req, res}, {code: call.RefusalCode.MalformedRequest, findings});
+			await this.#sendRefusal(undecoded, {code: call.RefusalCode.MalformedRequest, findings});
 			return;
 		}
 
 		const head = decoded.extract() as ports.RequestHead;
-		const ctx: call.RequestContext = {
-			req, res, head, arrivedAt: this.dependencies.clock.monotonicNow(),
-		};
+		const ctx: call.RequestContext = {...undecoded, head};
 		let refusal: call.Refusal | undefined = {code: call.RefusalCode.InternalError};
 		try {
 			refusal = await this.#process(ctx);
@@ -309,7 +331,7 @@
 
 	/** Callers may go on sending until their deadline. */
 	#computeLingerMs({head, arrivedAt}: UndecodedRequest): number {
-		const endsAt = (arrivedAt ?? 0) + (head?.deadlineMs ?? Infinity);
+		const endsAt = arrivedAt + (head?.deadlineMs ?? Infinity);
 		return Math.min(maxLingerMs, Math.max(minLingerMs, endsAt - this.dependencies.clock.monotonicNow()));
 	}
 
@@ -344,14 +366,3 @@
 
 	return res.writableEnded ? core.log.RequestOutcome.Answered : core.log.RequestOutcome.CallerDisconnected;
 }
-
-/** Closes the connection after a response has ended, and announces this in the head unless it has already been sent. */
-function closeConnectionAfter(res: http.ServerResponse): void {
-	if (!res.headersSent) {
-		res.setHeader('Connection', 'close');
-	}
-
-	res.once('finish', () => {
-		lingeringClose.closeLingering(res.req.socket, minLingerMs);
-	});
-}
--- a/packages/gateway/tests/ingress/connection-ends.test.ts
+++ b/packages/gateway/tests/ingress/connection-ends.test.ts
@@ -258,6 +258,42 @@
 		expect(caller.error).to.equal(undefined);
 	});
 
+	it('receive responses to all pipelined requests while the server shuts down', async () => {
+		let finish: () => void = () => undefined;
+		const finished = new Promise<void>(resolve => {
+			finish = resolve;
+		});
+		dispatch = async ctx => {
+			await finished;
+			ctx.res.end('answer');
+		};
+
+		const caller = await connect();
+		caller.socket.write('GET /1 HTTP/1.1\r\nHost: a.example\r\n\r\nGET /2 HTTP/1.1\r\nHost: a.example\r\n\r\n');
+		await rawCallers.waitUntil(() => dispatched > 0);
+		server.beginShutdown();
+		finish();
+		await caller.read(2);
+		expect(caller.error).to.equal(undefined);
+		expect(caller.statuses).to.deep.equal([200, 200]);
+		await rawCallers.waitUntil(() => caller.isClosed);
+		expect(caller.isClosed).to.equal(true);
+	});
+
+	it('are not executed behind a response that ends with its connection', async () => {
+		dispatch = async ctx => {
+			await sleep(pieceIntervalMs);
+			ctx.res.setHeader('Connection', 'close');
+			ctx.res.end('answer');
+		};
+
+		const caller = await connect();
+		caller.socket.write('GET /1 HTTP/1.1\r\nHost: a.example\r\n\r\nGET /2 HTTP/1.1\r\nHost: a.example\r\n\r\n');
+		await caller.read(2);
+		expect(caller.statuses).to.deep.equal([200]);
+		expect(dispatched).to.equal(1);
+	});
+
 	it('receive a refusal for invalid bytes that arrive in pieces', async () => {
 		const caller = await connect();
 		for (let index = 0; index < pieceCount; index++) {
