--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -72,6 +72,8 @@
 	/** Responses that have not been handled, or not been passed on to the connection as a whole. */
 	readonly #openResponses = new Set<http.ServerResponse>();
 	readonly #order = new responseOrder.ResponseOrder();
+	/** Responses after which the connection is closed, since invalid bytes followed their request. */
+	readonly #closing = new WeakSet<http.ServerResponse>();
 
 	constructor(private readonly dependencies: GatewayServerDependencies) {
 		this.#server = new CallerHttpServer(
@@ -335,6 +337,7 @@
 		return Math.min(maxLingerMs, Math.max(minLingerMs, endsAt - this.dependencies.clock.monotonicNow()));
 	}
 
+	/** Handles bytes that are no request, or a head that takes too long. */
 	#rejectConnection(err: NodeJS.ErrnoException, socket: net.Socket): void {
 		if (err.code === 'ECONNRESET') {
 			socket.destroy();
@@ -346,15 +349,33 @@
 			return;
 		}
 
-		const isTooLarge = err.code === 'HPE_HEADER_OVERFLOW';
-		const status = isTooLarge ? '431 Request Header Fields Too Large' : '400 Bad Request';
-		const code = isTooLarge ? call.RefusalCode.HeadTooLarge : call.RefusalCode.MalformedRequest;
-		this.dependencies.log.write(eventLog.LogEvent.RequestRejected, {code, findings: `connection: ${err.message}`});
-		socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-		lingeringClose.closeLingering(socket, minLingerMs);
+		const open = this.#order.getOpen(socket);
+		const isIncomplete = open !== undefined && !open.req.complete;
+		if (isIncomplete && !this.#openResponses.has(open)) {
+			// Earlier responses come first; the body is refused when its time is over.
+			return;
+		}
+
+		if (open === undefined || (isIncomplete && !open.headersSent)) {
+			const {status, code} = getRejection(err);
+			this.dependencies.log.write(eventLog.LogEvent.RequestRejected, {code, findings: `connection: ${err.message}`});
+			socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+			lingeringClose.closeLingering(socket, minLingerMs);
+		} else if (!this.#closing.has(open)) {
+			// The invalid bytes follow a request that has been read.
+			this.#closing.add(open);
+			this.#closeConnectionAfter(open);
+		}
 	}
 }
 
+/** Returns the status line, without the version, and the logged code of the refusal of a connection. */
+function getRejection(err: NodeJS.ErrnoException): {readonly status: string; readonly code: call.RefusalCode} {
+	return err.code === 'HPE_HEADER_OVERFLOW'
+		? {status: '431 Request Header Fields Too Large', code: call.RefusalCode.HeadTooLarge}
+		: {status: '400 Bad Request', code: call.RefusalCode.MalformedRequest};
+}
+
 function getOutcome({res, isTruncated}: call.RequestContext, refusal: call.Refusal | undefined): core.log.RequestOutcome {
 	if (refusal !== undefined && refusal.code !== call.RefusalCode.CallerDisconnected) {
 		return core.log.RequestOutcome.Refused;
--- a/packages/gateway/tests/ingress/connection-ends.test.ts
+++ b/packages/gateway/tests/ingress/connection-ends.test.ts
@@ -294,6 +294,67 @@
 		expect(dispatched).to.equal(1);
 	});
 
+	it('receive their response if invalid bytes follow the request', async () => {
+		let finish: () => void = () => undefined;
+		const finished = new Promise<void>(resolve => {
+			finish = resolve;
+		});
+		dispatch = async ctx => {
+			ctx.res.writeHead(200, {'Content-Length': 6});
+			ctx.res.write('ans');
+			await finished;
+			ctx.res.end('wer');
+		};
+
+		const caller = await connect();
+		caller.socket.write('GET / HTTP/1.1\r\nHost: a.example\r\n\r\n');
+		await rawCallers.waitUntil(() => dispatched === 1);
+		caller.socket.write('\0\0\0');
+		await sleep(pieceIntervalMs);
+		caller.socket.write('\0\0\0');
+		await sleep(pieceIntervalMs);
+		finish();
+		await caller.read();
+		expect(caller.error).to.equal(undefined);
+		expect(caller.statuses).to.deep.equal([200]);
+		await rawCallers.waitUntil(() => caller.isClosed);
+		expect(caller.received).to.match(/answer$/);
+	});
+
+	it('receive their response if the body of a pipelined request has invalid framing', async () => {
+		let finish: () => void = () => undefined;
+		const finished = new Promise<void>(resolve => {
+			finish = resolve;
+		});
+		dispatch = async ctx => {
+			await finished;
+			ctx.res.end('answer');
+		};
+
+		const caller = await connect();
+		caller.socket.write('GET / HTTP/1.1\r\nHost: a.example\r\n\r\nPOST / HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n');
+		await rawCallers.waitUntil(() => dispatched === 1);
+		caller.socket.write('none\r\n');
+		await sleep(pieceIntervalMs);
+		finish();
+		await caller.read();
+		expect(caller.error).to.equal(undefined);
+		expect(caller.statuses).to.deep.equal([200]);
+	});
+
+	it('receive a refusal if their body has invalid framing', async () => {
+		const caller = await connect();
+		caller.socket.write('POST / HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n');
+		await sleep(pieceIntervalMs);
+		caller.socket.write('none\r\n');
+		await sleep(pieceIntervalMs);
+		caller.socket.write('none\r\n');
+		await caller.read();
+		expect(caller.error).to.equal(undefined);
+		expect(caller.statuses).to.deep.equal([400]);
+		expect(dispatched).to.equal(0);
+	});
+
 	it('receive a refusal for invalid bytes that arrive in pieces', async () => {
 		const caller = await connect();
 		for (let index = 0; index < pieceCount; index++) {
