--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -1,4 +1,4 @@
-import * as http from 'node:http';
+import type * as http from 'node:http';
 import type * as net from 'node:net';
 import * as timers from 'node:timers/promises';
 import * as core from '@bluebellmast/core';
@@ -10,6 +10,8 @@
 import type * as clocks from '../util/clocks.js';
 import * as eventLog from '../util/event-log.js';
 import * as listen from '../util/listen.js';
+import * as callerHttpServer from './caller-http-server.js';
+import * as idleConnections from './idle-connections.js';
 import * as lingeringClose from './lingering-close.js';
 import * as responseOrder from './response-order.js';
 
@@ -40,24 +42,6 @@
 /** The same after a refusal of a request that states no deadline, or a later one. */
 const maxLingerMs = 30_000;
 
-/** HTTP server that keeps idle connections open while a response has ended that is not sent as a whole; Node counts its connection as idle. */
-class CallerHttpServer extends http.Server {
-	constructor(
-		options: http.ServerOptions,
-		private readonly handle: (req: http.IncomingMessage, res: http.ServerResponse) => void,
-		private readonly hasUnsentResponses: () => boolean,
-	) {
-		super(options);
-		this.on('request', this.handle);
-	}
-
-	override closeIdleConnections(): void {
-		if (!this.hasUnsentResponses()) {
-			super.closeIdleConnections();
-		}
-	}
-}
-
 /** A request whose head may be malformed. */
 type UndecodedRequest = Pick<call.RequestContext, 'req' | 'res' | 'arrivedAt'> & Partial<call.RequestContext>;
 
@@ -67,16 +51,17 @@
 
 /** HTTP server that receives the callers' requests. */
 export class GatewayServer {
-	readonly #server: CallerHttpServer;
+	readonly #server: callerHttpServer.CallerHttpServer;
 	#isShuttingDown = false;
 	/** Responses that have not been handled, or not been passed on to the connection as a whole. */
 	readonly #openResponses = new Set<http.ServerResponse>();
+	readonly #idle = new idleConnections.IdleConnections();
 	readonly #order = new responseOrder.ResponseOrder();
 	/** Responses after which the connection is closed, since invalid bytes followed their request. */
 	readonly #closing = new WeakSet<http.ServerResponse>();
 
 	constructor(private readonly dependencies: GatewayServerDependencies) {
-		this.#server = new CallerHttpServer(
+		this.#server = new callerHttpServer.CallerHttpServer(
 			{maxHeaderSize: maxHeadBytes, keepAlive: true, noDelay: true},
 			(req, res) => {
 				void this.#handle(req, res);
@@ -89,6 +74,9 @@
 		this.#server.on('clientError', (err: NodeJS.ErrnoException, socket: net.Socket) => {
 			this.#rejectConnection(err, socket);
 		});
+		this.#server.on('timeout', (socket: net.Socket) => {
+			this.#closeIdle(socket);
+		});
 		// Whole requests are bounded by the timeouts of their routes; `applyLimits` sets the other timeouts.
 		this.#server.requestTimeout = 0;
 	}
@@ -164,6 +152,8 @@
 
 	async #handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
 		const arrivedAt = this.dependencies.clock.monotonicNow();
+		// Node announces the timeout that applies when a request arrives.
+		const keepAliveMs = this.#server.keepAliveTimeout;
 		if (!req.socket.writableEnded) {
 			await this.#order.add(res);
 		}
@@ -193,7 +183,7 @@
 			this.#logError(err);
 			await this.#sendRefusal({req, res, arrivedAt}, {code: call.RefusalCode.InternalError});
 		} finally {
-			this.#forgetWhenClosed(res);
+			this.#forgetWhenClosed(res, keepAliveMs);
 		}
 	}
 
@@ -211,15 +201,28 @@
 	}
 
 	/** A response is open until its last byte was passed on to the connection, or the connection was closed. */
-	#forgetWhenClosed(res: http.ServerResponse): void {
-		if (res.closed || res.destroyed) {
+	#forgetWhenClosed(res: http.ServerResponse, keepAliveMs: number): void {
+		const {socket} = res.req;
+		const forget = (): void => {
 			this.#openResponses.delete(res);
-			return;
+			this.#idle.record(socket, keepAliveMs, this.dependencies.clock.monotonicNow());
+		};
+
+		if (res.closed || res.destroyed) {
+			forget();
+		} else {
+			res.once('close', forget);
 		}
+	}
 
-		res.once('close', () => {
-			this.#openResponses.delete(res);
-		});
+	/** Closes a connection on which nothing has arrived for the time that applied when it became idle, unless a longer one applies now. */
+	#closeIdle(socket: net.Socket): void {
+		const remainingMs = this.#idle.getRemainingMs(socket, this.#server.keepAliveTimeout, this.dependencies.clock.monotonicNow());
+		if (remainingMs > 0) {
+			socket.setTimeout(Math.ceil(remainingMs));
+		} else {
+			socket.destroy();
+		}
 	}
 
 	async #handleRequest(undecoded: UndecodedRequest): Promise<void> {
