--- /dev/null
+++ b/packages/gateway/src/ingress/connection-rejection.ts
@@ -0,0 +1,32 @@
+import * as refusals from '../call/refusal.js';
+
+/** Node's code for a head that takes too long. */
+const headTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
+
+/** Refusal of bytes that are no request; it has no body. */
+export type ConnectionRejection = {
+	/** Code for the log. */
+	readonly code: refusals.RefusalCode;
+	/** Whole response. */
+	readonly response: string;
+};
+
+/** Whether an error of Node's HTTP server says that a head took too long. */
+export function isHeadTimeout(err: NodeJS.ErrnoException): boolean {
+	return err.code === headTimeoutCode;
+}
+
+/** Creates the refusal that corresponds to an error of Node's HTTP server. */
+export function createRejection(err: NodeJS.ErrnoException): ConnectionRejection {
+	if (isHeadTimeout(err)) {
+		return encode('408 Request Timeout', refusals.RefusalCode.BodyTimeout);
+	}
+
+	return err.code === 'HPE_HEADER_OVERFLOW'
+		? encode('431 Request Header Fields Too Large', refusals.RefusalCode.HeadTooLarge)
+		: encode('400 Bad Request', refusals.RefusalCode.MalformedRequest);
+}
+
+function encode(status: string, code: refusals.RefusalCode): ConnectionRejection {
+	return {code, response: `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`};
+}
--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -2,8 +2,6 @@
 import type * as net from 'node:net';
 import * as timers from 'node:timers/promises';
 import * as core from '@bluebellmast/core';
-import * as bodyFilter from '../call/body-filter.js';
-import * as bodyReader from '../call/body-reader.js';
 import * as call from '../call/index.js';
 import type * as ports from '../ports/index.js';
 import * as abortResponse from '../util/abort-response.js';
@@ -11,8 +9,11 @@
 import * as eventLog from '../util/event-log.js';
 import * as listen from '../util/listen.js';
 import * as callerHttpServer from './caller-http-server.js';
+import * as connectionRejection from './connection-rejection.js';
+import * as headerTimeout from './header-timeout.js';
 import * as idleConnections from './idle-connections.js';
 import * as lingeringClose from './lingering-close.js';
+import * as refusalSender from './refusal-sender.js';
 import * as responseOrder from './response-order.js';
 
 /** Dependencies of {@link GatewayServer}. */
@@ -23,8 +24,13 @@
 	readonly dispatcher: call.RequestDispatcher;
 	readonly clock: clocks.Clocks;
 	readonly log: eventLog.EventLog;
+	/** Interval between checks for heads that take too long, in milliseconds; 30 seconds by default. */
+	readonly headCheckIntervalMs?: number;
 };
 
+/** Default of {@link GatewayServerDependencies.headCheckIntervalMs}. */
+const defaultHeadCheckIntervalMs = 30_000;
+
 /** Maximum size of a request head in bytes; heads of the platform's callers are at most half as large. */
 const maxHeadBytes = 32_768;
 /** Time that connections stay open beyond the configured idle timeout, in milliseconds, so that reuse just before it succeeds. */
@@ -33,21 +39,6 @@
 const drainCheckIntervalMs = 100;
 /** Time for which a server that shuts down keeps connections on which no whole request has arrived, in milliseconds. */
 const partialRequestGraceMs = 1000;
-/** Time for which the rest of a refused request's body is awaited, in milliseconds: callers give a request up that is not read within it. */
-const maxDiscardMs = 1000;
-/** Size of the rest that is awaited while no configured limit of bodies is known, in bytes. */
-const defaultMaxDiscardBytes = 1_048_576;
-/** Time for which a connection is kept after its last response to discard what its caller is still sending, in milliseconds; at least. */
-const minLingerMs = 1000;
-/** The same after a refusal of a request that states no deadline, or a later one. */
-const maxLingerMs = 30_000;
-
-/** A request whose head may be malformed. */
-type UndecodedRequest = Pick<call.RequestContext, 'req' | 'res' | 'arrivedAt'> & Partial<call.RequestContext>;
-
-function isDecoded(ctx: UndecodedRequest): ctx is call.RequestContext {
-	return ctx.head !== undefined;
-}
 
 /** HTTP server that receives the callers' requests. */
 export class GatewayServer {
@@ -55,21 +46,33 @@
 	#isShuttingDown = false;
 	/** Responses that have not been handled, or not been passed on to the connection as a whole. */
 	readonly #openResponses = new Set<http.ServerResponse>();
+	readonly #headerTimeout = new headerTimeout.HeaderTimeout(timeoutMs => {
+		this.#server.headersTimeout = timeoutMs;
+	});
+
 	readonly #idle = new idleConnections.IdleConnections();
 	readonly #order = new responseOrder.ResponseOrder();
 	/** Responses after which the connection is closed, since invalid bytes followed their request. */
 	readonly #closing = new WeakSet<http.ServerResponse>();
 
+	readonly #refusals: refusalSender.RefusalSender;
+
 	constructor(private readonly dependencies: GatewayServerDependencies) {
+		this.#refusals = new refusalSender.RefusalSender(dependencies.clock);
 		this.#server = new callerHttpServer.CallerHttpServer(
-			{maxHeaderSize: maxHeadBytes, keepAlive: true, noDelay: true},
+			{
+				maxHeaderSize: maxHeadBytes,
+				keepAlive: true,
+				noDelay: true,
+				connectionsCheckingInterval: dependencies.headCheckIntervalMs ?? defaultHeadCheckIntervalMs,
+			},
 			(req, res) => {
 				void this.#handle(req, res);
 			},
 			() => [...this.#openResponses].some(res => res.writableEnded && !res.writableFinished),
 		);
 		this.#server.on('connection', (socket: net.Socket) => {
-			lingeringClose.setLingerTime(socket, minLingerMs);
+			lingeringClose.setLingerTime(socket, lingeringClose.minLingerMs);
 		});
 		this.#server.on('clientError', (err: NodeJS.ErrnoException, socket: net.Socket) => {
 			this.#rejectConnection(err, socket);
@@ -83,7 +86,7 @@
 
 	/** Applies the configured timeouts of callers' connections. */
 	applyLimits(limits: {readonly headerTimeoutMs: number; readonly idleTimeoutMs: number}): void {
-		this.#server.headersTimeout = limits.headerTimeoutMs;
+		this.#headerTimeout.set(limits.headerTimeoutMs);
 		this.#server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveMarginMs;
 	}
 
@@ -132,6 +135,7 @@
 
 	/** Closes the server and all connections immediately. */
 	close(): void {
+		this.#headerTimeout.close();
 		this.#server.close();
 		for (const res of this.#openResponses) {
 			abortResponse.abortResponse(res);
@@ -181,7 +185,7 @@
 			await this.#handleRequest({req, res, arrivedAt});
 		} catch (err) {
 			this.#logError(err);
-			await this.#sendRefusal({req, res, arrivedAt}, {code: call.RefusalCode.InternalError});
+			await this.#refusals.send({req, res, arrivedAt}, {code: call.RefusalCode.InternalError});
 		} finally {
 			this.#forgetWhenClosed(res, keepAliveMs);
 		}
@@ -195,7 +199,7 @@
 
 		res.once('finish', () => {
 			if (this.#order.isLast(res)) {
-				lingeringClose.closeLingering(res.req.socket, minLingerMs);
+				lingeringClose.closeLingering(res.req.socket, lingeringClose.minLingerMs);
 			}
 		});
 	}
@@ -225,12 +229,12 @@
 		}
 	}
 
-	async #handleRequest(undecoded: UndecodedRequest): Promise<void> {
+	async #handleRequest(undecoded: refusalSender.UndecodedRequest): Promise<void> {
 		const decoded = this.#decodeHead(undecoded.req);
 		if (decoded.isLeft()) {
 			const findings = (decoded.extract()).map(item => `${item.place}: ${item.problem}`);
 			this.dependencies.log.write(eventLog.LogEvent.RequestRejected, {code: call.RefusalCode.MalformedRequest, findings: findings.join('; ')});
-			await this.#sendRefusal(undecoded, {code: call.RefusalCode.MalformedRequest, findings});
+			await this.#refusals.send(undecoded, {code: call.RefusalCode.MalformedRequest, findings});
 			return;
 		}
 
@@ -244,7 +248,7 @@
 		}
 
 		if (refusal !== undefined) {
-			await this.#sendRefusal(ctx, refusal);
+			await this.#refusals.send(ctx, refusal);
 		}
 
 		this.#logEnd(ctx, refusal);
@@ -307,39 +311,6 @@
 		return ctx.res.destroyed ? undefined : this.dependencies.dispatcher.dispatch(ctx as call.RoutedRequest);
 	}
 
-	/** Sends a refusal once the body has ended, so that the connection can be kept, or after a bounded time. */
-	async #sendRefusal(ctx: UndecodedRequest, refusal: call.Refusal): Promise<void> {
-		const {req, res} = ctx;
-		if (!req.complete && !res.headersSent && refusal.code !== call.RefusalCode.BodyTimeout) {
-			await this.#discardBody(ctx);
-		}
-
-		if (!req.complete && !res.headersSent) {
-			res.setHeader('Connection', 'close');
-			lingeringClose.setLingerTime(req.socket, this.#computeLingerMs(ctx));
-		}
-
-		call.sendRefusal(res, refusal);
-		if (!res.writableEnded) {
-			// A response has started that can't be completed.
-			abortResponse.abortResponse(res);
-		}
-	}
-
-	async #discardBody(ctx: UndecodedRequest): Promise<void> {
-		const remainingMs = isDecoded(ctx) ? bodyFilter.computeRemainingMs(ctx, this.dependencies.clock.monotonicNow()) : Infinity;
-		await bodyReader.readBody(ctx.req, {
-			maxBytes: ctx.table?.config.limits.bodyBytes ?? defaultMaxDiscardBytes,
-			maxMs: Math.min(maxDiscardMs, remainingMs),
-		}, () => undefined);
-	}
-
-	/** Callers may go on sending until their deadline. */
-	#computeLingerMs({head, arrivedAt}: UndecodedRequest): number {
-		const endsAt = arrivedAt + (head?.deadlineMs ?? Infinity);
-		return Math.min(maxLingerMs, Math.max(minLingerMs, endsAt - this.dependencies.clock.monotonicNow()));
-	}
-
 	/** Handles bytes that are no request, or a head that takes too long. */
 	#rejectConnection(err: NodeJS.ErrnoException, socket: net.Socket): void {
 		if (err.code === 'ECONNRESET') {
@@ -352,6 +323,12 @@
 			return;
 		}
 
+		if (connectionRejection.isHeadTimeout(err) && socket.bytesRead === 0) {
+			// No request has begun, so a caller that sends one now must not take a refusal for its response.
+			lingeringClose.closeLingering(socket, lingeringClose.minLingerMs);
+			return;
+		}
+
 		const open = this.#order.getOpen(socket);
 		const isIncomplete = open !== undefined && !open.req.complete;
 		if (isIncomplete && !this.#openResponses.has(open)) {
@@ -360,10 +337,10 @@
 		}
 
 		if (open === undefined || (isIncomplete && !open.headersSent)) {
-			const {status, code} = getRejection(err);
+			const {code, response} = connectionRejection.createRejection(err);
 			this.dependencies.log.write(eventLog.LogEvent.RequestRejected, {code, findings: `connection: ${err.message}`});
-			socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-			lingeringClose.closeLingering(socket, minLingerMs);
+			socket.write(response);
+			lingeringClose.closeLingering(socket, lingeringClose.minLingerMs);
 		} else if (!this.#closing.has(open)) {
 			// The invalid bytes follow a request that has been read.
 			this.#closing.add(open);
@@ -372,13 +349,6 @@
 	}
 }
 
-/** Returns the status line, without the version, and the logged code of the refusal of a connection. */
-function getRejection(err: NodeJS.ErrnoException): {readonly status: string; readonly code: call.RefusalCode} {
-	return err.code === 'HPE_HEADER_OVERFLOW'
-		? {status: '431 Request Header Fields Too Large', code: call.RefusalCode.HeadTooLarge}
-		: {status: '400 Bad Request', code: call.RefusalCode.MalformedRequest};
-}
-
 function getOutcome({res, isTruncated}: call.RequestContext, refusal: call.Refusal | undefined): core.log.RequestOutcome {
 	if (refusal !== undefined && refusal.code !== call.RefusalCode.CallerDisconnected) {
 		return core.log.RequestOutcome.Refused;
--- a/packages/gateway/src/ingress/lingering-close.ts
+++ b/packages/gateway/src/ingress/lingering-close.ts
@@ -1,5 +1,8 @@
 import type * as net from 'node:net';
 
+/** Time for which a connection is kept at least after its last response, in milliseconds, to discard what its caller is still sending. */
+export const minLingerMs = 1000;
+
 /**
  * Closes a connection so that the caller can read what was sent last: ends the sending direction, and discards what arrives until the
  * caller closes its side, for at most `maxMs` milliseconds. A connection that is closed at once is reset by bytes that arrive afterwards,
--- a/packages/gateway/tests/ingress/connection-timeouts.test.ts
+++ b/packages/gateway/tests/ingress/connection-timeouts.test.ts
@@ -10,6 +10,7 @@
 const requestHead: gateway.ports.RequestHead = {
 	method: 'GET', target: '/', host: 'a.example', requestId: 'r', forwardedHeaders: [],
 };
+const headCheckIntervalMs = 100;
 
 /** Returns the time for which a response allows its connection to be used again, in milliseconds. */
 function getAnnouncedMs({head}: rawCallers.WholeResponse): number {
@@ -35,6 +36,7 @@
 			} as unknown as gateway.call.RequestDispatcher,
 			clock: new gateway.util.SystemClocks(),
 			log: {write: () => undefined},
+			headCheckIntervalMs,
 		});
 		await server.listen({host: '127.0.0.1', port: 0});
 	});
@@ -119,4 +121,44 @@
 		await caller.read();
 		expect(caller.statuses).to.deep.equal([200]);
 	});
+
+	it('allow a head in progress as long as a limit that was lowered meanwhile', async () => {
+		server.applyLimits({headerTimeoutMs: 10_000, idleTimeoutMs: 5000});
+		caller = await rawCallers.connect(server.port);
+		caller.socket.write('GET / HTTP/1.1\r\nHost: a.exa');
+		await sleep(100);
+		server.applyLimits({headerTimeoutMs: 200, idleTimeoutMs: 5000});
+		await sleep(1000);
+		caller.socket.write('mple\r\n\r\n');
+		await caller.read();
+		expect(caller.statuses).to.deep.equal([200]);
+	});
+
+	it('apply a lowered limit to the heads that begin after the limit before it has passed', async () => {
+		server.applyLimits({headerTimeoutMs: 300, idleTimeoutMs: 5000});
+		server.applyLimits({headerTimeoutMs: 100, idleTimeoutMs: 5000});
+		server.applyLimits({headerTimeoutMs: 100, idleTimeoutMs: 5000});
+		caller = await rawCallers.connect(server.port);
+		caller.socket.write('GET / HTTP/1.1\r\nHost: a.exa');
+		await caller.read();
+		expect(caller.statuses).to.deep.equal([408]);
+	});
+
+	it('refuse a head that takes too long with a status that promises that the request is not executed', async () => {
+		server.applyLimits({headerTimeoutMs: 200, idleTimeoutMs: 5000});
+		caller = await rawCallers.connect(server.port);
+		caller.socket.write('GET / HTTP/1.1\r\nHost: a.exa');
+		await sleep(100);
+		await caller.read();
+		expect(caller.statuses).to.deep.equal([408]);
+	});
+
+	it('send nothing on a connection on which no request has begun', async () => {
+		server.applyLimits({headerTimeoutMs: 200, idleTimeoutMs: 100});
+		caller = await rawCallers.connect(server.port);
+		caller.socket.resume();
+		await rawCallers.waitUntil(() => caller.isClosed);
+		expect(caller.isClosed).to.equal(true);
+		expect(caller.received).to.equal('');
+	});
 });
