--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -1,4 +1,4 @@
-import * as http from 'node:http';
+import type * as http from 'node:http';
 import type * as net from 'node:net';
 import * as timers from 'node:timers/promises';
 import * as core from '@bluebellmast/core';
@@ -8,6 +8,13 @@
 import type * as clocks from '../util/clocks.js';
 import * as eventLog from '../util/event-log.js';
 import * as listen from '../util/listen.js';
+import * as callerHttpServer from './caller-http-server.js';
+import * as connectionRejection from './connection-rejection.js';
+import * as headerTimeout from './header-timeout.js';
+import * as idleConnections from './idle-connections.js';
+import * as lingeringClose from './lingering-close.js';
+import * as refusalSender from './refusal-sender.js';
+import * as responseOrder from './response-order.js';
 
 /** Dependencies of {@link GatewayServer}. */
 export type GatewayServerDependencies = {
@@ -17,8 +24,13 @@
 	readonly dispatcher: call.RequestDispatcher;
 	readonly clock: clocks.Clocks;
 	readonly log: eventLog.EventLog;
+	/** Interval between checks for heads that take too long, in milliseconds; 30 seconds by default. */
+	readonly headCheckIntervalMs?: number;
 };
 
+/** Default of {@link GatewayServerDependencies.headCheckIntervalMs}. */
+const defaultHeadCheckIntervalMs = 30_000;
+
 /** Maximum size of a request head in bytes; heads of the platform's callers are at most half as large. */
 const maxHeadBytes = 32_768;
 /** Time that connections stay open beyond the configured idle timeout, in milliseconds, so that reuse just before it succeeds. */
@@ -28,49 +40,53 @@
 /** Time for which a server that shuts down keeps connections on which no whole request has arrived, in milliseconds. */
 const partialRequestGraceMs = 1000;
 
-/** HTTP server that keeps idle connections open while a response has ended that is not sent as a whole; Node counts its connection as idle. */
-class CallerHttpServer extends http.Server {
-	constructor(
-		options: http.ServerOptions,
-		private readonly handle: (req: http.IncomingMessage, res: http.ServerResponse) => void,
-		private readonly hasUnsentResponses: () => boolean,
-	) {
-		super(options);
-		this.on('request', this.handle);
-	}
-
-	override closeIdleConnections(): void {
-		if (!this.hasUnsentResponses()) {
-			super.closeIdleConnections();
-		}
-	}
-}
-
 /** HTTP server that receives the callers' requests. */
 export class GatewayServer {
-	readonly #server: CallerHttpServer;
+	readonly #server: callerHttpServer.CallerHttpServer;
 	#isShuttingDown = false;
 	/** Responses that have not been handled, or not been passed on to the connection as a whole. */
 	readonly #openResponses = new Set<http.ServerResponse>();
+	readonly #headerTimeout = new headerTimeout.HeaderTimeout(timeoutMs => {
+		this.#server.headersTimeout = timeoutMs;
+	});
+
+	readonly #idle = new idleConnections.IdleConnections();
+	readonly #order = new responseOrder.ResponseOrder();
+	/** Responses after which the connection is closed, since invalid bytes followed their request. */
+	readonly #closing = new WeakSet<http.ServerResponse>();
+
+	readonly #refusals: refusalSender.RefusalSender;
 
 	constructor(private readonly dependencies: GatewayServerDependencies) {
-		this.#server = new CallerHttpServer(
-			{maxHeaderSize: maxHeadBytes, keepAlive: true, noDelay: true},
+		this.#refusals = new refusalSender.RefusalSender(dependencies.clock);
+		this.#server = new callerHttpServer.CallerHttpServer(
+			{
+				maxHeaderSize: maxHeadBytes,
+				keepAlive: true,
+				noDelay: true,
+				connectionsCheckingInterval: dependencies.headCheckIntervalMs ?? defaultHeadCheckIntervalMs,
+			},
 			(req, res) => {
 				void this.#handle(req, res);
 			},
 			() => [...this.#openResponses].some(res => res.writableEnded && !res.writableFinished),
 		);
+		this.#server.on('connection', (socket: net.Socket) => {
+			lingeringClose.setLingerTime(socket, lingeringClose.minLingerMs);
+		});
 		this.#server.on('clientError', (err: NodeJS.ErrnoException, socket: net.Socket) => {
 			this.#rejectConnection(err, socket);
 		});
+		this.#server.on('timeout', (socket: net.Socket) => {
+			this.#closeIdle(socket);
+		});
 		// Whole requests are bounded by the timeouts of their routes; `applyLimits` sets the other timeouts.
 		this.#server.requestTimeout = 0;
 	}
 
 	/** Applies the configured timeouts of callers' connections. */
 	applyLimits(limits: {readonly headerTimeoutMs: number; readonly idleTimeoutMs: number}): void {
-		this.#server.headersTimeout = limits.headerTimeoutMs;
+		this.#headerTimeout.set(limits.headerTimeoutMs);
 		this.#server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveMarginMs;
 	}
 
@@ -93,7 +109,7 @@
 	beginShutdown(): void {
 		this.#isShuttingDown = true;
 		for (const res of this.#openResponses) {
-			closeConnectionAfter(res);
+			this.#closeConnectionAfter(res);
 		}
 	}
 
@@ -119,6 +135,7 @@
 
 	/** Closes the server and all connections immediately. */
 	close(): void {
+		this.#headerTimeout.close();
 		this.#server.close();
 		for (const res of this.#openResponses) {
 			abortResponse.abortResponse(res);
@@ -138,10 +155,21 @@
 	}
 
 	async #handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		const arrivedAt = this.dependencies.clock.monotonicNow();
+		// Node announces the timeout that applies when a request arrives.
+		const keepAliveMs = this.#server.keepAliveTimeout;
+		if (!req.socket.writableEnded) {
+			await this.#order.add(res);
+		}
+
+		if (req.socket.destroyed) {
+			return;
+		}
+
 		if (req.socket.writableEnded) {
 			// The request has crossed the close of its connection; its caller can repeat it, since it is not executed.
 			this.#logDropped(req);
-			req.socket.destroy();
+			req.resume();
 			return;
 		}
 
@@ -150,45 +178,68 @@
 			// A broken connection also emits `close`, which ends the request.
 		});
 		if (this.#isShuttingDown) {
-			closeConnectionAfter(res);
+			this.#closeConnectionAfter(res);
 		}
 
 		try {
-			await this.#handleRequest(req, res);
+			await this.#handleRequest({req, res, arrivedAt});
 		} catch (err) {
 			this.#logError(err);
-			abortResponse.abortResponse(res);
+			await this.#refusals.send({req, res, arrivedAt}, {code: call.RefusalCode.InternalError});
 		} finally {
-			this.#forgetWhenClosed(res);
+			this.#forgetWhenClosed(res, keepAliveMs);
+		}
+	}
+
+	/** Closes the connection after a response has ended unless another one follows; announces this in the head if it has not been sent. */
+	#closeConnectionAfter(res: http.ServerResponse): void {
+		if (!res.headersSent && this.#order.isLast(res)) {
+			res.setHeader('Connection', 'close');
 		}
+
+		res.once('finish', () => {
+			if (this.#order.isLast(res)) {
+				lingeringClose.closeLingering(res.req.socket, lingeringClose.minLingerMs);
+			}
+		});
 	}
 
 	/** A response is open until its last byte was passed on to the connection, or the connection was closed. */
-	#forgetWhenClosed(res: http.ServerResponse): void {
-		if (res.closed || res.destroyed) {
+	#forgetWhenClosed(res: http.ServerResponse, keepAliveMs: number): void {
+		const {socket} = res.req;
+		const forget = (): void => {
 			this.#openResponses.delete(res);
-			return;
+			this.#idle.record(socket, keepAliveMs, this.dependencies.clock.monotonicNow());
+		};
+
+		if (res.closed || res.destroyed) {
+			forget();
+		} else {
+			res.once('close', forget);
 		}
+	}
 
-		res.once('close', () => {
-			this.#openResponses.delete(res);
-		});
+	/** Closes a connection on which nothing has arrived for the time that applied when it became idle, unless a longer one applies now. */
+	#closeIdle(socket: net.Socket): void {
+		const remainingMs = this.#idle.getRemainingMs(socket, this.#server.keepAliveTimeout, this.dependencies.clock.monotonicNow());
+		if (remainingMs > 0) {
+			socket.setTimeout(Math.ceil(remainingMs));
+		} else {
+			socket.destroy();
+		}
 	}
 
-	async #handleRequest(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
-		const decoded = this.#decodeHead(req);
+	async #handleRequest(undecoded: refusalSender.UndecodedRequest): Promise<void> {
+		const decoded = this.#decodeHead(undecoded.req);
 		if (decoded.isLeft()) {
 			const findings = (decoded.extract()).map(item => `${item.place}: ${item.problem}`);
 			this.dependencies.log.write(eventLog.LogEvent.RequestRejected, {code: call.RefusalCode.MalformedRequest, findings: findings.join('; ')});
-			res.setHeader('Connection', 'close');
-			call.sendRefusal(res, {code: call.RefusalCode.MalformedRequest, findings});
+			await this.#refusals.send(undecoded, {code: call.RefusalCode.MalformedRequest, findings});
 			return;
 		}
 
 		const head = decoded.extract() as ports.RequestHead;
-		const ctx: call.RequestContext = {
-			req, res, head, arrivedAt: this.dependencies.clock.monotonicNow(),
-		};
+		const ctx: call.RequestContext = {...undecoded, head};
 		let refusal: call.Refusal | undefined = {code: call.RefusalCode.InternalError};
 		try {
 			refusal = await this.#process(ctx);
@@ -197,7 +248,7 @@
 		}
 
 		if (refusal !== undefined) {
-			this.#sendRefusal(ctx, refusal);
+			await this.#refusals.send(ctx, refusal);
 		}
 
 		this.#logEnd(ctx, refusal);
@@ -260,29 +311,41 @@
 		return ctx.res.destroyed ? undefined : this.dependencies.dispatcher.dispatch(ctx as call.RoutedRequest);
 	}
 
-	#sendRefusal(ctx: call.RequestContext, refusal: call.Refusal): void {
-		if (refusal.code === call.RefusalCode.BodyTooLarge || !ctx.req.complete) {
-			ctx.res.setHeader('Connection', 'close');
+	/** Handles bytes that are no request, or a head that takes too long. */
+	#rejectConnection(err: NodeJS.ErrnoException, socket: net.Socket): void {
+		if (err.code === 'ECONNRESET') {
+			socket.destroy();
+			return;
 		}
 
-		call.sendRefusal(ctx.res, refusal);
-		if (!ctx.res.writableEnded) {
-			// A response has started that can't be completed.
-			abortResponse.abortResponse(ctx.res);
+		if (!socket.writable) {
+			// The connection is closed already, and discards what arrives.
+			return;
 		}
-	}
 
-	#rejectConnection(err: NodeJS.ErrnoException, socket: net.Socket): void {
-		if (!socket.writable || err.code === 'ECONNRESET') {
-			socket.destroy();
+		if (connectionRejection.isHeadTimeout(err) && socket.bytesRead === 0) {
+			// No request has begun, so a caller that sends one now must not take a refusal for its response.
+			lingeringClose.closeLingering(socket, lingeringClose.minLingerMs);
+			return;
+		}
+
+		const open = this.#order.getOpen(socket);
+		const isIncomplete = open !== undefined && !open.req.complete;
+		if (isIncomplete && !this.#openResponses.has(open)) {
+			// Earlier responses come first; the body is refused when its time is over.
 			return;
 		}
 
-		const isTooLarge = err.code === 'HPE_HEADER_OVERFLOW';
-		const status = isTooLarge ? '431 Request Header Fields Too Large' : '400 Bad Request';
-		const code = isTooLarge ? call.RefusalCode.HeadTooLarge : call.RefusalCode.MalformedRequest;
-		this.dependencies.log.write(eventLog.LogEvent.RequestRejected, {code, findings: `connection: ${err.message}`});
-		socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+		if (open === undefined || (isIncomplete && !open.headersSent)) {
+			const {code, response} = connectionRejection.createRejection(err);
+			this.dependencies.log.write(eventLog.LogEvent.RequestRejected, {code, findings: `connection: ${err.message}`});
+			socket.write(response);
+			lingeringClose.closeLingering(socket, lingeringClose.minLingerMs);
+		} else if (!this.#closing.has(open)) {
+			// The invalid bytes follow a request that has been read.
+			this.#closing.add(open);
+			this.#closeConnectionAfter(open);
+		}
 	}
 }
 
@@ -297,14 +360,3 @@
 
 	return res.writableEnded ? core.log.RequestOutcome.Answered : core.log.RequestOutcome.CallerDisconnected;
 }
-
-/** Closes the connection after a response has ended, and announces this in the head unless it has already been sent. */
-function closeConnectionAfter(res: http.ServerResponse): void {
-	if (!res.headersSent) {
-		res.setHeader('Connection', 'close');
-	}
-
-	res.once('finish', () => {
-		res.req.socket.end();
-	});
-}
