Keep the list of ready endpoints over heartbeats

Cause: each heartbeat put an equal entry into the registry, which dropped the list of ready endpoints, so that nearly each placement filtered all endpoints again: 55 heartbeats a second for 12 placements at 60 VMs.

Change: EndpointRegistry compares the entry with the registered one (isSameEntry) and keeps list and entry if they state the same. What else a heartbeat does is unchanged: it confirms an entry that may have expired, and drops expired observations of weights.

Ruled out: comparing the stored bytes, since the sequence in them changes with each heartbeat.

--- a/packages/core/src/fleet/endpoint-entry.ts
+++ b/packages/core/src/fleet/endpoint-entry.ts
@@ -22,3 +22,29 @@
 
 /** One incarnation of an endpoint: a restart under the same id is another one. */
 export type EndpointIncarnation = Pick<EndpointEntry, 'id' | 'bornAt'>;
+
+/** Returns whether two entries state the same. */
+export function isSameEntry(a: EndpointEntry, b: EndpointEntry): boolean {
+	return a.id === b.id
+		&& a.bornAt === b.bornAt
+		&& a.pool === b.pool
+		&& a.address === b.address
+		&& a.dataCentre === b.dataCentre
+		&& a.slots === b.slots
+		&& a.state === b.state
+		&& hasSameWeights(a, b);
+}
+
+function hasSameWeights({weights}: EndpointEntry, other: EndpointEntry): boolean {
+	if (weights.size !== other.weights.size) {
+		return false;
+	}
+
+	for (const [model, version] of weights) {
+		if (other.weights.get(model) !== version) {
+			return false;
+		}
+	}
+
+	return true;
+}
--- a/packages/core/src/fleet/endpoint-registry.ts
+++ b/packages/core/src/fleet/endpoint-registry.ts
@@ -43,10 +43,9 @@
 
 	constructor(private readonly options: RegistryOptions = defaultRegistryOptions) {}
 
-	/** Adds or replaces an entry, and drops expired observations of its endpoint. */
+	/** Adds or replaces an entry, and drops expired observations of its endpoint. Heartbeats write the same entry again. */
 	put(entry: endpointEntry.EndpointEntry, now: number): void {
-		this.#ready.clear();
-		this.#endpoints.set(entry.id, {entry});
+		this.#set(entry);
 		const observed = this.#observed.get(entry.id);
 		if (observed === undefined) {
 			return;
@@ -161,6 +160,16 @@
 		return [...this.#endpoints.values()].map(known => known.entry);
 	}
 
+	#set(entry: endpointEntry.EndpointEntry): void {
+		const known = this.#endpoints.get(entry.id);
+		if (known === undefined || !endpointEntry.isSameEntry(known.entry, entry)) {
+			this.#ready.clear();
+			this.#endpoints.set(entry.id, {entry});
+		} else if (known.expiresAt !== undefined) {
+			this.#endpoints.set(entry.id, {entry: known.entry});
+		}
+	}
+
 	#drop(id: string): void {
 		this.#ready.clear();
 		this.#endpoints.delete(id);
--- a/packages/core/tests/fleet/placement-work-at-scale.test.ts
+++ b/packages/core/tests/fleet/placement-work-at-scale.test.ts
@@ -36,6 +36,9 @@
 		registry.put(support.createEntry('a'), 0);
 		const before = registry.listReady('llm');
 		expect(registry.listReady('llm')).to.equal(before);
+		// A heartbeat writes the same entry again.
+		registry.put(support.createEntry('a'), 5);
+		expect(registry.listReady('llm')).to.equal(before);
 		registry.put(support.createEntry('b'), 10);
 		expect(registry.listReady('llm').map(entry => entry.id)).to.deep.equal(['a', 'b']);
 		registry.remove('a', false, 20);
