Derive what depends on the list of VMs only after it changed

Cause: each VM ranked all VMs for the cache store ten times a second (two hashes' worth and a sort of the fleet), built a set of all VMs at each tick and at each change of any coordination key, and listed all addresses for each digest.

Change: CoordinationController keeps the names and addresses until a VM's key changes, and visits the VMs at a tick only when the first lapsed one is due or when PeerLoads holds a digest of a VM that isn't listed. CacheStoreController ranks again when the names or the address of the store changed.

Ruled out: visiting the VMs each second only, which would keep a lapsed VM and a stranger's digests longer.

--- a/packages/core/src/fleet/peer-loads.ts
+++ b/packages/core/src/fleet/peer-loads.ts
@@ -30,6 +30,14 @@
 	readonly #counted = new Map<string, ReceivedDigest>();
 	readonly #totals = new Map<string, EndpointTotal>();
 	#lifetimeMs = minLifetimeMs;
+	/** The VMs that were last retained. */
+	#members: ReadonlySet<string> = new Set();
+	#hasNonMembers = false;
+
+	/** Whether digests were applied of VMs that {@link PeerLoads.retain} would remove. */
+	get hasNonMembers(): boolean {
+		return this.#hasNonMembers;
+	}
 
 	/** Applies a digest; ignores one that is not newer than the last digest of its VM. */
 	applyDigest(digest: loadDigest.LoadDigest, now: number): void {
@@ -42,6 +50,7 @@
 			sequence: digest.sequence, receivedAt: now, endpoints: new Map(digest.endpoints.map(entry => [entry.endpoint, entry])),
 		};
 		this.#digests.set(digest.vm, received);
+		this.#hasNonMembers ||= !this.#members.has(digest.vm);
 		this.#uncount(digest.vm);
 		this.#count(digest.vm, received);
 	}
@@ -70,6 +79,8 @@
 
 	/** Removes VMs that are no longer members, and adjusts the lifetime of digests to their number. */
 	retain(vms: ReadonlySet<string>): void {
+		this.#members = vms;
+		this.#hasNonMembers = false;
 		for (const vm of this.#digests.keys()) {
 			if (!vms.has(vm)) {
 				this.#digests.delete(vm);
--- a/packages/gateway/src/controllers/cache-store-controller.ts
+++ b/packages/gateway/src/controllers/cache-store-controller.ts
@@ -25,12 +25,20 @@
 const resetObservation: core.fleet.CacheObservation = {type: core.fleet.CacheObservationType.StoreReset, key: '', endpoint: ''};
 const downObservation: core.fleet.CacheObservation = {type: core.fleet.CacheObservationType.StoreDown, key: '', endpoint: ''};
 
+/** Whether this VM polls a store while the VMs are the same. */
+type Following = {
+	readonly address: string;
+	readonly vms: readonly string[];
+	readonly isFollower: boolean;
+};
+
 /** Polls the cache store for changes. A few VMs do this and send their observations to the others. */
 export class CacheStoreController {
 	#address: string | undefined;
 	#incarnation: number | undefined;
 	#nextPosition = 0;
 	#isUnavailable = false;
+	#following: Following | undefined;
 
 	constructor(private readonly dependencies: CacheStoreControllerDependencies) {}
 
@@ -68,9 +76,15 @@
 		});
 	}
 
+	/** Returns whether this VM polls a store. The VMs are ranked only after they have changed. */
 	#isFollower(address: string): boolean {
-		const ranked = core.util.rankByRendezvous(address, this.dependencies.coordination.listVmNames());
-		return ranked.slice(0, followerCount).includes(this.dependencies.vm);
+		const vms = this.dependencies.coordination.listVmNames();
+		if (this.#following?.address !== address || this.#following.vms !== vms) {
+			const isFollower = core.util.rankByRendezvous(address, vms).slice(0, followerCount).includes(this.dependencies.vm);
+			this.#following = {address, vms, isFollower};
+		}
+
+		return this.#following.isFollower;
 	}
 
 	#applyChanges(address: string, batch: ports.CacheStoreChanges): void {
--- a/packages/gateway/src/controllers/coordination-controller.ts
+++ b/packages/gateway/src/controllers/coordination-controller.ts
@@ -42,6 +42,12 @@
 	readonly expiresAt?: number;
 };
 
+/** Addresses of the VMs other than one of them. */
+type PeerAddresses = {
+	readonly ownVm: string;
+	readonly addresses: readonly string[];
+};
+
 /**
  * How long a VM whose key has expired still counts as one that shares limits, in milliseconds, since an outage of the store
  * makes all keys expire.
@@ -54,6 +60,12 @@
 	/** Whether the keys have been read since the start of the process and since the last return of the store from a copy. */
 	hasSnapshot = false;
 	readonly #vms = new Map<string, VmRecord>();
+	/** Names of the VMs as last listed; absent after a change. */
+	#vmNames: readonly string[] | undefined;
+	/** Addresses of the VMs other than {@link PeerAddresses.ownVm} as last listed; absent after a change. */
+	#peerAddresses: PeerAddresses | undefined;
+	/** When the first of the lapsed VMs is dropped, in milliseconds of the monotonic clock. */
+	#nextExpiryAt = Infinity;
 	/** Era that the last return of the store began. */
 	#era: number | undefined;
 	/** Revision of the plan in force, and its era. */
@@ -103,12 +115,16 @@
 
 	onChange(change: clients.kv.KvChange): void {
 		this.#applyChange(change);
-		this.#updateVms();
+		if (change.key.startsWith(coordinationKeys.vmKeyPrefix)) {
+			this.#updateVms();
+		}
 	}
 
-	/** Drops VMs whose keys expired long ago. */
+	/** Drops VMs whose keys expired long ago, and the loads that VMs not listed told of. */
 	tick(): void {
-		this.#updateVms();
+		if (this.#nextExpiryAt <= this.clock.monotonicNow() || this.fleet.peers.hasNonMembers) {
+			this.#updateVms();
+		}
 	}
 
 	/** Applies a plan that this VM wrote itself, before the feed reports it. */
@@ -125,14 +141,20 @@
 		return this.fleet.vmCount;
 	}
 
-	/** Returns the names of all VMs. */
-	listVmNames(): string[] {
-		return [...this.#vms.keys()];
+	/** Returns the names of all VMs; the same array until they change. */
+	listVmNames(): readonly string[] {
+		this.#vmNames ??= [...this.#vms.keys()];
+		return this.#vmNames;
 	}
 
 	/** Returns the addresses of the other VMs. */
-	listPeerAddresses(ownVm: string): string[] {
-		return [...this.#vms].filter(([vm]) => vm !== ownVm).map(([, record]) => record.address);
+	listPeerAddresses(ownVm: string): readonly string[] {
+		if (this.#peerAddresses?.ownVm !== ownVm) {
+			const addresses = [...this.#vms].filter(([vm]) => vm !== ownVm).map(([, record]) => record.address);
+			this.#peerAddresses = {ownVm, addresses};
+		}
+
+		return this.#peerAddresses.addresses;
 	}
 
 	#applyChange(change: clients.kv.KvChange): void {
@@ -221,14 +243,21 @@
 		}
 	}
 
+	/** Drops VMs whose keys expired long ago, and derives what depends on the list of VMs. */
 	#updateVms(): void {
 		const now = this.clock.monotonicNow();
-		for (const [vm, {expiresAt}] of this.#vms) {
-			if (expiresAt !== undefined && expiresAt <= now) {
+		this.#nextExpiryAt = Infinity;
+		for (const [vm, {expiresAt = Infinity}] of this.#vms) {
+			if (expiresAt <= now) {
 				this.#vms.delete(vm);
+			} else {
+				this.#nextExpiryAt = Math.min(this.#nextExpiryAt, expiresAt);
 			}
 		}
 
+		this.#vmNames = undefined;
+		this.#peerAddresses = undefined;
+
 		const vms = Math.max(1, this.#vms.size);
 		if (vms !== this.fleet.vmCount) {
 			this.log.write(eventLog.LogEvent.VmsChanged, {vms});
--- a/packages/gateway/src/controllers/load-controller.ts
+++ b/packages/gateway/src/controllers/load-controller.ts
@@ -142,7 +142,7 @@
 	 * Chooses the recipients: all VMs for observations of the cache store, which only a few VMs make, otherwise some VMs in turn; more of them for
 	 * evidence that all VMs need soon, which the recipients pass on.
 	 */
-	#choosePeers(observations: readonly core.fleet.CacheObservation[], isUrgent: boolean): string[] {
+	#choosePeers(observations: readonly core.fleet.CacheObservation[], isUrgent: boolean): readonly string[] {
 		const addresses = this.dependencies.coordination.listPeerAddresses(this.dependencies.vm);
 		const hasStoreObservation = observations.some(observation => observation.endpoint === '');
 		const count = isUrgent ? peersPerUrgentDigest : peersPerDigest;
