Run all periodic tasks by one timer

Cause: six timers of 50 to 250 ms ran apart, so that an idle VM woke up about 60 times a second.

Change: one timer of 50 ms starts what is due (TaskSchedule); the intervals stay. Each task still runs from the end of its last run, without overlap, errors are logged by the task's name, and time counts, not steps, when the process is delayed. A task starts at the nearest step, so up to 25 ms earlier or later than before.

Ruled out: longer intervals, since roll-outs, leases and digests depend on them.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,6 +31,8 @@
 	readonly log: eventLog.EventLog;
 };
 
+/** Interval of the timer of all periodic tasks, in milliseconds; the intervals of the tasks are multiples of it. */
+const taskStepMs = 50;
 /** Intervals of the periodic tasks, in milliseconds. */
 const endpointIntervalMs = 100;
 const leaseIntervalMs = 150;
@@ -54,7 +56,7 @@
 /** A gateway process. */
 export class Gateway {
 	readonly #readiness: pathServer.PathServer;
-	#tasks: periodicTask.PeriodicTaskHandle[] = [];
+	#tasks: periodicTask.PeriodicTaskHandle | undefined;
 	#isStopping = false;
 	#isClosed = false;
 	#wasReady = false;
@@ -120,10 +122,7 @@
 		}
 
 		this.#isClosed = true;
-		for (const task of this.#tasks) {
-			task.stop();
-		}
-
+		this.#tasks?.stop();
 		this.components.feed.stop();
 		this.components.loadController.stop();
 		this.components.loadExchange.close();
@@ -142,9 +141,9 @@
 		}
 	}
 
-	#runTasks(): periodicTask.PeriodicTaskHandle[] {
+	#runTasks(): periodicTask.PeriodicTaskHandle {
 		const {
-			endpointController, coordination, leaseController, rolloutController, loadController, quarantineStore, cacheStoreController, log,
+			endpointController, coordination, leaseController, rolloutController, loadController, quarantineStore, cacheStoreController, clock, log,
 		} = this.components;
 		const tasks: readonly periodicTask.PeriodicTask[] = [
 			{
@@ -168,6 +167,6 @@
 			{name: 'lease', intervalMs: leaseIntervalMs, run: async () => leaseController.tick()},
 			{name: 'rollout', intervalMs: rolloutIntervalMs, run: async () => rolloutController.tick()},
 		];
-		return tasks.map(task => periodicTask.runPeriodically(task, log));
+		return periodicTask.runPeriodically(tasks, {stepMs: taskStepMs, now: () => clock.monotonicNow(), log});
 	}
 }
--- a/packages/gateway/src/util/periodic-task.ts
+++ b/packages/gateway/src/util/periodic-task.ts
@@ -1,6 +1,6 @@
 import * as eventLog from './event-log.js';
 
-/** Stops a task that runs periodically. */
+/** Stops tasks that run periodically. */
 export type PeriodicTaskHandle = {
 	stop(): void;
 };
@@ -9,28 +9,88 @@
 export type PeriodicTask = {
 	/** Name of the task in the log. */
 	readonly name: string;
-	/** Time between the end of a run and the start of the next one. */
+	/** Time between the end of a run and the start of the next one, in milliseconds; a multiple of the step of the timer. */
 	readonly intervalMs: number;
 	readonly run: () => Promise<void> | void;
 };
 
-/** Runs a task periodically, starting immediately; runs never overlap. Errors are logged and do not stop the task. */
-export function runPeriodically(task: PeriodicTask, log: eventLog.EventLog): PeriodicTaskHandle {
+type TaskState = {
+	readonly task: PeriodicTask;
+	isRunning: boolean;
+	/** When the next run is due; `-Infinity` before the first one. */
+	dueAt: number;
+};
+
+/** Decides which tasks start at each step of a timer. Runs of a task never overlap. */
+export class TaskSchedule {
+	readonly #states: readonly TaskState[];
+
+	/** @param stepMs - Interval of the timer, in milliseconds. A task starts at the step that is nearest to its time. */
+	constructor(tasks: readonly PeriodicTask[], private readonly stepMs: number) {
+		this.#states = tasks.map(task => ({task, isRunning: false, dueAt: -Infinity}));
+	}
+
+	/** Returns the tasks that are due, which count as running until {@link TaskSchedule.recordEnd}. */
+	takeDue(now: number): PeriodicTask[] {
+		const due: PeriodicTask[] = [];
+		for (const state of this.#states) {
+			if (!state.isRunning && now >= state.dueAt) {
+				state.isRunning = true;
+				due.push(state.task);
+			}
+		}
+
+		return due;
+	}
+
+	/** Records the end of a run. */
+	recordEnd(task: PeriodicTask, now: number): void {
+		const state = this.#states.find(other => other.task === task)!;
+		state.isRunning = false;
+		state.dueAt = now + task.intervalMs - (this.stepMs / 2);
+	}
+}
+
+/** Options of {@link runPeriodically}. */
+export type PeriodicTasksOptions = {
+	/** Interval of the timer, in milliseconds. */
+	readonly stepMs: number;
+	/** Returns milliseconds of the monotonic clock. */
+	readonly now: () => number;
+	readonly log: eventLog.EventLog;
+};
+
+/**
+ * Runs tasks periodically, starting immediately, by one timer, so that the process wakes up once for all that are due. Errors are logged and do not
+ * stop a task.
+ */
+export function runPeriodically(tasks: readonly PeriodicTask[], {stepMs, now, log}: PeriodicTasksOptions): PeriodicTaskHandle {
+	const schedule = new TaskSchedule(tasks, stepMs);
 	let isStopped = false;
 	let timer: NodeJS.Timeout | undefined;
-	const run = async (): Promise<void> => {
+	const run = async (task: PeriodicTask): Promise<void> => {
 		try {
 			await task.run();
 		} catch (err) {
 			log.write(eventLog.LogEvent.InternalError, {task: task.name, problem: String(err)});
 		}
 
+		schedule.recordEnd(task, now());
+	};
+
+	const step = (): void => {
+		for (const task of schedule.takeDue(now())) {
+			if (!isStopped) {
+				void run(task);
+			}
+		}
+
 		if (!isStopped) {
-			timer = setTimeout(run, task.intervalMs);
+			timer = setTimeout(step, stepMs);
 		}
 	};
 
-	timer = setTimeout(run, 0);
+	timer = setTimeout(step, 0);
 	return {
 		stop() {
 			isStopped = true;
