--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -133,12 +133,12 @@
 		}
 	}
 
-	/** Closes the server and all connections immediately. */
+	/** Closes the server and all connections immediately; requests whose response has not started are refused. */
 	close(): void {
 		this.#headerTimeout.close();
 		this.#server.close();
 		for (const res of this.#openResponses) {
-			abortResponse.abortResponse(res);
+			endImmediately(res);
 		}
 
 		this.#server.closeAllConnections();
@@ -349,6 +349,18 @@
 	}
 }
 
+/** Refuses a request that may have been sent to an endpoint; aborts a response that has started. */
+function endImmediately(res: http.ServerResponse): void {
+	if (!res.headersSent) {
+		res.setHeader('Connection', 'close');
+		call.sendRefusal(res, {code: call.RefusalCode.OutcomeUnknown});
+	}
+
+	if (!res.writableEnded) {
+		abortResponse.abortResponse(res);
+	}
+}
+
 function getOutcome({res, isTruncated}: call.RequestContext, refusal: call.Refusal | undefined): core.log.RequestOutcome {
 	if (refusal !== undefined && refusal.code !== call.RefusalCode.CallerDisconnected) {
 		return core.log.RequestOutcome.Refused;
--- a/packages/gateway/tests/ingress/connection-ends.test.ts
+++ b/packages/gateway/tests/ingress/connection-ends.test.ts
@@ -258,6 +258,19 @@
 		expect(caller.error).to.equal(undefined);
 	});
 
+	it('receive a response if the grace period of a shutdown ends before that of an endpoint', async () => {
+		dispatch = async () => new Promise(() => undefined); // eslint-disable-line no-promise-executor-return
+		const caller = await connect();
+		caller.socket.write('GET / HTTP/1.1\r\nHost: a.example\r\n\r\n');
+		await rawCallers.waitUntil(() => dispatched === 1);
+		server.beginShutdown();
+		await server.finishShutdown(200);
+		server.close();
+		await caller.read();
+		expect(caller.error).to.equal(undefined);
+		expect(caller.statuses).to.deep.equal([502]);
+	});
+
 	it('receive responses to all pipelined requests while the server shuts down', async () => {
 		let finish: () => void = () => undefined;
 		const finished = new Promise<void>(resolve => {
