Router: count a retry at the moment at which the budget is read

Callers: when an endpoint failed, all of its requests were tried again at once, whatever retry budget was left, so that the other endpoints got the whole load of the failed one a second time. `RequestDriver.prepareFailure` read the budget; the retry was counted as an effect, several turns of the promise queue later. Requests that fail at the same moment all saw the same free budget. Fix: an action reports the failure without a statement on the budget; the driver reads the budget, decides and counts the retry in one synchronous step, so that no other request can read it in between. `ActionEvent` makes an early reading impossible by type. Ruled out: reserving a retry in `prepareFailure`, since most failures of streams lead to a resume, which takes none.

--- a/packages/core/src/request/request-state.ts
+++ b/packages/core/src/request/request-state.ts
@@ -109,7 +109,7 @@
 	Restart = 'restart',
 	/** Cancel the current attempt at its endpoint. */
 	Cancel = 'cancel',
-	/** Subtract one retry from the retry budget. */
+	/** Subtract one retry from the retry budget, before another request reads it. */
 	CountRetry = 'count_retry',
 	/** End the response to the caller. */
 	Finish = 'finish',
--- a/packages/router/src/dispatch/chat-actions.ts
+++ b/packages/router/src/dispatch/chat-actions.ts
@@ -47,7 +47,7 @@
 		options.placer.recordArrival(ctx);
 	}
 
-	place(): core.request.RequestEvent {
+	place(): requestActions.ActionEvent {
 		const abortEvent = this.#createAbortEvent();
 		if (abortEvent !== undefined) {
 			return abortEvent;
@@ -61,12 +61,12 @@
 		);
 	}
 
-	async dispatch(): Promise<core.request.RequestEvent> {
+	async dispatch(): Promise<requestActions.ActionEvent> {
 		this.#driver.applyEvent({type: core.request.RequestEventType.Connecting});
 		return this.#runAttempt(async options => this.#options.engines.open(this.#attempt!, options));
 	}
 
-	async resume(): Promise<core.request.RequestEvent> {
+	async resume(): Promise<requestActions.ActionEvent> {
 		return this.#runAttempt(async options =>
 			this.#options.engines.resume(this.#attempt!, this.#relay.lastEventId, {...options, onSend: noop.noop}));
 	}
@@ -125,7 +125,7 @@
 	}
 
 	/** Runs the current attempt until its response ends or fails, then releases its load at the endpoint. */
-	async #runAttempt(open: (options: engineClient.EngineCallOptions) => Promise<engineClient.EngineResult>): Promise<core.request.RequestEvent> {
+	async #runAttempt(open: (options: engineClient.EngineCallOptions) => Promise<engineClient.EngineResult>): Promise<requestActions.ActionEvent> {
 		const attempt = this.#attempt!;
 		const weightsWatch = this.#options.recallWatcher.watch(attempt.weights);
 		const signal = AbortSignal.any([this.#ctx.signal!, weightsWatch.signal]);
@@ -167,7 +167,7 @@
 		}
 	}
 
-	#handleFailure(failure: attemptFailure.AttemptFailure, recallSignal: AbortSignal): core.request.RequestEvent {
+	#handleFailure(failure: attemptFailure.AttemptFailure, recallSignal: AbortSignal): requestActions.ActionEvent {
 		const abortEvent = this.#createAbortEvent();
 		if (abortEvent !== undefined) {
 			return abortEvent;
--- /dev/null
+++ b/packages/router/src/dispatch/index.ts
@@ -0,0 +1,3 @@
+export type * from './request-actions.js';
+export * from './request-driver.js';
+export * from './retry-limiter.js';
--- a/packages/router/src/dispatch/request-driver.ts
+++ b/packages/router/src/dispatch/request-driver.ts
@@ -74,11 +74,9 @@
 	}
 
 	/** Sets the details of the refusal that may follow a failed attempt, and returns the event for the failure. */
-	prepareFailure(cause: core.request.FailureCause, code: core.model.ErrorCode, message: string): core.request.RequestEvent {
+	prepareFailure(cause: core.request.FailureCause, code: core.model.ErrorCode, message: string): requestActions.ActionEvent {
 		this.setRefusalDetails(message, retryAfterFailureMs);
-		return {
-			type: core.request.RequestEventType.Failed, cause, code, retryAllowed: this.#options.retries.canRetry(),
-		};
+		return {type: core.request.RequestEventType.Failed, cause, code};
 	}
 
 	/** Runs the request until it ends. Returns whether it was executed, as far as that is known. */
@@ -91,16 +89,32 @@
 				return core.request.decideExecution(this.attempts, false);
 			}
 
-			const step = core.request.stepRequest(this.#state, event, this.#options.clock.now());
-			this.#state = step.state;
-			this.#effects = step.effects;
-			this.#recordEvent(event, step.effects);
+			this.#effects = this.#decide(event);
+			this.#recordEvent(event, this.#effects);
 		}
 	}
 
+	/**
+	 * Applies the event that an action led to and returns the effects. Reads the retry budget and counts the retry without a wait
+	 * in between, because many requests fail at the same moment when an endpoint fails.
+	 */
+	#decide(event: requestActions.ActionEvent): readonly core.request.RequestEffect[] {
+		const {retries, clock} = this.#options;
+		const machineEvent = event.type === core.request.RequestEventType.Failed
+			? {...event, retryAllowed: retries.canRetry()}
+			: event;
+		const {state, effects} = core.request.stepRequest(this.#state, machineEvent, clock.now());
+		this.#state = state;
+		if (effects.includes(core.request.RequestEffect.CountRetry)) {
+			retries.countRetry();
+		}
+
+		return effects;
+	}
+
 	/** Executes the effects in order. Returns the event that the last one leads to; `undefined` ends the request. */
-	async #runEffects(actions: requestActions.RequestActions): Promise<core.request.RequestEvent | undefined> {
-		let event: core.request.RequestEvent | undefined;
+	async #runEffects(actions: requestActions.RequestActions): Promise<requestActions.ActionEvent | undefined> {
+		let event: requestActions.ActionEvent | undefined;
 		for (const effect of this.#effects) {
 			event = await this.#runEffect(effect, actions); // eslint-disable-line no-await-in-loop
 		}
@@ -111,7 +125,7 @@
 	async #runEffect(
 		effect: core.request.RequestEffect,
 		actions: requestActions.RequestActions,
-	): Promise<core.request.RequestEvent | undefined> {
+	): Promise<requestActions.ActionEvent | undefined> {
 		switch (effect) {
 			case core.request.RequestEffect.Place:
 			case core.request.RequestEffect.Continue: {
@@ -137,7 +151,7 @@
 			}
 
 			case core.request.RequestEffect.CountRetry: {
-				this.#options.retries.countRetry();
+				// It was counted when it was decided.
 				return undefined;
 			}
 
@@ -155,7 +169,7 @@
 	}
 
 	/** Records the event in the timeline if it has an entry there. */
-	#recordEvent(event: core.request.RequestEvent, effects: readonly core.request.RequestEffect[]): void {
+	#recordEvent(event: requestActions.ActionEvent, effects: readonly core.request.RequestEffect[]): void {
 		const type = event.type === core.request.RequestEventType.Failed
 			? timelineTypeOfFailure(effects)
 			: timelineTypeByEvent[event.type];
--- a/packages/router/src/dispatch/service-actions.ts
+++ b/packages/router/src/dispatch/service-actions.ts
@@ -43,7 +43,7 @@
 		return this.#response;
 	}
 
-	place(): core.request.RequestEvent {
+	place(): requestActions.ActionEvent {
 		const abortEvent = this.#createAbortEvent();
 		if (abortEvent !== undefined) {
 			return abortEvent;
@@ -57,7 +57,7 @@
 		);
 	}
 
-	async dispatch(): Promise<core.request.RequestEvent> {
+	async dispatch(): Promise<requestActions.ActionEvent> {
 		this.#driver.applyEvent({type: core.request.RequestEventType.Connecting});
 		this.#options.placer.recordServiceDispatch(this.#attempt!.endpoint.id, this.#attempt!.attemptId);
 		try {
@@ -80,7 +80,7 @@
 		}
 	}
 
-	async resume(): Promise<core.request.RequestEvent> {
+	async resume(): Promise<requestActions.ActionEvent> {
 		throw new core.util.InvariantError('service.no-resume', `request ${this.#ctx.id}`);
 	}
 
@@ -127,7 +127,7 @@
 		return {type: core.request.RequestEventType.Completed};
 	}
 
-	#handleFailure(failure: attemptFailure.AttemptFailure): core.request.RequestEvent {
+	#handleFailure(failure: attemptFailure.AttemptFailure): requestActions.ActionEvent {
 		const abortEvent = this.#createAbortEvent();
 		if (abortEvent !== undefined) {
 			return abortEvent;
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -2,6 +2,7 @@
 export type * as metrics from './util/metrics.js';
 export * as controllers from './controllers/index.js';
 export * as clock from './util/clock.js';
+export * as dispatch from './dispatch/index.js';
 export * as filters from './filters/index.js';
 export * as forward from './forward/index.js';
 export * as http from './http/index.js';
