Router: keep the response to a forwarded request until a link accepts it

Callers: a booking with a router-issued key was executed, and the caller got "outcome unknown" half a second after its deadline, although the router that issued the key had the complete response. `ForwardController` ignored the result of `PeerNetwork.send`. A link that is silent for 1.5 s accepts nothing until it is replaced or receives data again, so a response that was complete in that time was discarded. Evidence: "returns the response when the link was silent for a moment while the request was executed" failed before (the sender's result was the refusal `outcome_unknown` after its deadline of 1,000 ms and 500 ms of grace); now the response arrives once the link is back. Left: a response that was accepted by a link that has lost the other end without notice is not sent again.

--- a/packages/router/src/forward/forward-controller.ts
+++ b/packages/router/src/forward/forward-controller.ts
@@ -1,6 +1,7 @@
 import * as crypto from 'node:crypto';
 import * as core from '@bluebellmast/core';
 import * as wire from '@bluebellmast/wire';
+import createDebug from 'debug';
 import * as purify from 'purify-ts';
 import type * as controller from '../controllers/controller.js';
 import type * as call from '../filters/call.js';
@@ -14,6 +15,9 @@
 import type * as peerNetwork from '../peers/peer-network.js';
 import type * as clock from '../util/clock.js';
 import * as capturingResponseWriter from './capturing-response-writer.js';
+import * as sendWithRetries from './send-with-retries.js';
+
+const debug = createDebug('bluebellmast:forward');
 
 /** Time after the deadline for which the issuer's response is still awaited. */
 const responseGraceMs = 500;
@@ -119,10 +123,9 @@
 	}
 
 	async #handleRequest(from: core.model.VmId, message: wire.peer.ForwardRequest): Promise<void> {
+		let delivery: Promise<void> | undefined;
 		const writer = new capturingResponseWriter.CapturingResponseWriter(response => {
-			this.#options.peers.send(from, {
-				type: wire.peer.PeerMessageType.ForwardAnswer, forwardId: message.forwardId, ...response,
-			} as wire.peer.ForwardAnswer);
+			delivery = this.#sendResponse(from, message, response);
 		});
 		const id = crypto.randomUUID();
 		const removeRequest = this.#options.requests.add(id);
@@ -133,10 +136,25 @@
 				writer.sendRefusal(createUnknownOutcomeRefusal());
 			}
 		} finally {
+			await delivery;
 			removeRequest();
 		}
 	}
 
+	/** Sends a response for as long as the router that forwarded the request awaits it. */
+	async #sendResponse(
+		to: core.model.VmId,
+		request: wire.peer.ForwardRequest,
+		response: capturingResponseWriter.CapturedResponse,
+	): Promise<void> {
+		const {forwardId, deadlineMs} = request;
+		const message: wire.peer.ForwardAnswer = {type: wire.peer.PeerMessageType.ForwardAnswer, forwardId, ...response};
+		const isSent = await sendWithRetries.sendWithRetries(() => this.#options.peers.send(to, message), deadlineMs + responseGraceMs);
+		if (!isSent) {
+			debug('no link to %s accepted the response to the forwarded request %s', to, forwardId);
+		}
+	}
+
 	async #runFilters(
 		message: wire.peer.ForwardRequest,
 		writer: capturingResponseWriter.CapturingResponseWriter,
--- a/packages/router/tests/forward/forward-controller.test.ts
+++ b/packages/router/tests/forward/forward-controller.test.ts
@@ -1,5 +1,6 @@
 import * as chai from 'chai';
 import * as core from '@bluebellmast/core';
+import * as standIns from '@bluebellmast/stand-ins';
 import * as memoryPeers from '../controllers/fakes/memory-peers.js';
 import * as router from '@bluebellmast/router';
 
@@ -42,6 +43,21 @@
 		},
 	};
 
+	/** Starts to respond when `respond` is called. */
+	function createSlowFilter(): {readonly filter: router.filters.Filter; respond: () => void} {
+		let respond = (): void => undefined;
+		const isDue = new Promise<void>(resolve => {
+			respond = resolve;
+		});
+		const filter: router.filters.Filter = {
+			async handle(ctx, next) {
+				await isDue;
+				await executingFilter.handle(ctx, next);
+			},
+		};
+		return {filter, respond};
+	}
+
 	afterEach(() => {
 		links = new memoryPeers.MemoryLinks();
 		executedKeys = [];
@@ -107,6 +123,38 @@
 		expect(result.extract()).to.include({code: 'no_endpoint', execution: 'not_run'});
 	});
 
+	// Guards against a lost response: a booking was executed, and its response was discarded because the link was silent when it was complete.
+	it('returns the response when the link was silent for a moment while the request was executed', async () => {
+		const {filter, respond} = createSlowFilter();
+		const a = await createController('a', refusingFilter);
+		await createController('b', filter);
+		const pending = forward(a, 'b-1', 1000);
+		links.disconnected.add('a');
+		respond();
+		await standIns.util.sleep(50);
+		expect(executedKeys).to.deep.equal(['k']);
+		links.disconnected.clear();
+		const result = await pending;
+		expect(new TextDecoder().decode(result.unsafeCoerce().body)).to.equal('for club');
+	});
+
+	it('stops sending a response that the other router no longer awaits', async () => {
+		const {filter, respond} = createSlowFilter();
+		const a = await createController('a', refusingFilter);
+		const sent: string[] = [];
+		await createController('b', filter);
+		const pending = forward(a, 'b-1', 10);
+		links.disconnected.add('a');
+		links.shouldDrop = to => sent.push(to) > 0;
+		respond();
+		const result = await pending;
+		expect(result.extract()).to.include({code: 'outcome_unknown', execution: 'unknown'});
+		await standIns.util.sleep(300);
+		links.disconnected.clear();
+		await standIns.util.sleep(200);
+		expect(sent).to.deep.equal([]);
+	});
+
 	it('reports an unknown outcome when the issuer executed the request and its response is lost', async () => {
 		const a = await createController('a', refusingFilter);
 		links.shouldDrop = to => to === 'a';
