Router: wait a bounded time for a link to the router that issued a key

Callers: a booking with a router-issued key was refused as not executed, with a second to wait, whenever the link to the issuing router was silent for a moment or, in a large fleet, not open yet; no other router can execute it. Evidence: "sends the request when the link is silent for a moment" failed before with `no_endpoint` (link back after 50 ms, deadline 1,000 ms); it now returns the issuer's response. "does not send a request that was refused" guards the statement "not run". Each send carries the time that is left. A request that was refused is never sent.

--- a/packages/router/src/forward/forward-controller.ts
+++ b/packages/router/src/forward/forward-controller.ts
@@ -22,6 +22,10 @@
 /** Time after the deadline for which the issuer's response is still awaited. */
 const responseGraceMs = 500;
 const retryAfterUnreachableMs = 1000;
+/** Longest time for which a request waits for a link to the issuer, in milliseconds. */
+const maxLinkWaitMs = 2000;
+/** Longest time for which a request waits for a link to the issuer, as a share of the time until its deadline. */
+const maxLinkWaitShare = 0.3;
 
 /** Options and dependencies of `ForwardController`. */
 export type ForwardControllerOptions = {
@@ -78,8 +82,30 @@
 		issuer: Issuer,
 	): Promise<purify.Either<core.model.Refusal, responseWriter.BufferedResponse>> {
 		const forwardId = crypto.randomUUID();
-		const deadlineMs = Math.max(0, ctx.deadlineAt! - this.#options.clock.now());
-		const message: wire.peer.ForwardRequest = {
+		const deadlineMs = this.#remainingMs(ctx);
+		return new Promise(resolve => {
+			this.#addPending(forwardId, deadlineMs + responseGraceMs, resolve);
+			void this.#sendRequest(issuer, () => this.#createRequest(forwardId, ctx, serviceCall, issuer));
+		});
+	}
+
+	/** Sends a request, or refuses it if no link to the issuer accepts it in time; a refused one is never sent. */
+	async #sendRequest(issuer: Issuer, createRequest: () => wire.peer.ForwardRequest): Promise<void> {
+		const {forwardId, deadlineMs} = createRequest();
+		const maxWaitMs = Math.min(maxLinkWaitMs, deadlineMs * maxLinkWaitShare);
+		const isSent = await sendWithRetries.sendWithRetries(() => this.#options.peers.send(issuer.vm, createRequest()), maxWaitMs);
+		if (!isSent) {
+			this.#resolvePending(forwardId, purify.Left(createUnreachableRefusal()));
+		}
+	}
+
+	#createRequest(
+		forwardId: string,
+		ctx: requestContext.RequestContext,
+		serviceCall: call.ServiceCall,
+		issuer: Issuer,
+	): wire.peer.ForwardRequest {
+		return {
 			type: wire.peer.PeerMessageType.ForwardRequest,
 			forwardId,
 			incarnation: issuer.incarnation,
@@ -91,14 +117,12 @@
 				[wire.http.HeaderName.IdempotencyKey]: ctx.headers.idempotencyKey!,
 			},
 			body: serviceCall.body,
-			deadlineMs,
+			deadlineMs: this.#remainingMs(ctx),
 		};
-		return new Promise(resolve => {
-			this.#addPending(forwardId, deadlineMs + responseGraceMs, resolve);
-			if (!this.#options.peers.send(issuer.vm, message)) {
-				this.#resolvePending(forwardId, purify.Left(createUnreachableRefusal()));
-			}
-		});
+	}
+
+	#remainingMs(ctx: requestContext.RequestContext): number {
+		return Math.max(0, ctx.deadlineAt! - this.#options.clock.now());
 	}
 
 	#addPending(forwardId: string, timeoutMs: number, resolve: Resolve): void {
--- a/packages/router/tests/forward/forward-controller.test.ts
+++ b/packages/router/tests/forward/forward-controller.test.ts
@@ -138,6 +138,30 @@
 		expect(new TextDecoder().decode(result.unsafeCoerce().body)).to.equal('for club');
 	});
 
+	// Guards against needless refusals: only the issuer can execute the request, and its link was silent or not open yet.
+	it('sends the request when the link is silent for a moment', async () => {
+		const a = await createController('a', refusingFilter);
+		await createController('b', executingFilter);
+		links.disconnected.add('b');
+		const pending = forward(a, 'b-1', 1000);
+		await standIns.util.sleep(50);
+		links.disconnected.clear();
+		const result = await pending;
+		expect(new TextDecoder().decode(result.unsafeCoerce().body)).to.equal('for club');
+		expect(executedKeys).to.deep.equal(['k']);
+	});
+
+	it('does not send a request that was refused', async () => {
+		const a = await createController('a', refusingFilter);
+		await createController('b', executingFilter);
+		links.disconnected.add('b');
+		const result = await forward(a, 'b-1', 100);
+		expect(result.extract()).to.include({code: 'no_endpoint', execution: 'not_run'});
+		links.disconnected.clear();
+		await standIns.util.sleep(300);
+		expect(executedKeys).to.deep.equal([]);
+	});
+
 	it('stops sending a response that the other router no longer awaits', async () => {
 		const {filter, respond} = createSlowFilter();
 		const a = await createController('a', refusingFilter);
