Router: resume a stream at an unreachable engine where no other endpoint can continue it

Callers: a stream ended with an error event when its engine could not be connected to for a moment after the connection had gone silent, although the engine went on and kept the stream; so did a whole answer that was being collected. Only `connection_lost` led to a resume. A resume that couldn't connect gave the attempt up for another endpoint, and where there was none, or no forced prefix, or no retry left, the request ended. Fix: another endpoint is still tried first. Where there is none, the request is resumed at the same incarnation, up to `maxResumes` without a new event, with a second between connection attempts; the deadline and the caller still end it. Causes that say that the stream is gone (other incarnation, error, recall) end it as before. Refuted by tests that pass before and after: an engine that is frozen for 1.8 s (progress timeout 0.5 s) ends a stream; calls that arrive while the only engine is frozen for 1 s are refused.

--- a/packages/core/src/request/request-machine.ts
+++ b/packages/core/src/request/request-machine.ts
@@ -95,6 +95,7 @@
 	guards: {
 		isDecision: ({context, event}, params: {decision: retryDecision.RetryDecision}) => decideOnFailure(context, event) === params.decision,
 		hasResponseStarted: ({context}) => context.hasResponseStarted,
+		canResumeWithoutAlternative: ({context}) => retryDecision.canResumeWithoutAlternative(context),
 	},
 	actions: {
 		effect(_, _params: {effect: requestState.RequestEffect}) {
@@ -115,7 +116,7 @@
 
 const failAction = machineSetup.assign(({context, event}) => {
 	xstate.assertEvent(event, requestState.RequestEventType.Failed);
-	return markAttemptRefused(context, event);
+	return {...markAttemptRefused(context, event), lastFailure: event.cause};
 });
 
 const setCodeAction = machineSetup.assign(({context, event}) => {
@@ -151,7 +152,7 @@
 	{
 		guard: whenDecision(retryDecision.RetryDecision.Resume),
 		target: RequestPhase.Resuming,
-		actions: [resumeAction, effect(requestState.RequestEffect.Resume)],
+		actions: [failAction, resumeAction, effect(requestState.RequestEffect.Resume)],
 	},
 	{
 		guard: whenDecision(retryDecision.RetryDecision.TryOtherEndpoint),
@@ -212,7 +213,14 @@
 		target: RequestPhase.Placed,
 		actions: [addAttemptAction, effect(requestState.RequestEffect.Dispatch)],
 	},
-	[requestState.RequestEventType.Refused]: createEndTransitions(false),
+	[requestState.RequestEventType.Refused]: [
+		{
+			guard: 'canResumeWithoutAlternative' as const,
+			target: RequestPhase.Resuming,
+			actions: [resumeAction, effect(requestState.RequestEffect.Resume)],
+		},
+		...createEndTransitions(false),
+	],
 	...createEndEvents(false),
 };
 
--- a/packages/core/src/request/request-state.ts
+++ b/packages/core/src/request/request-state.ts
@@ -29,6 +29,8 @@
 	readonly hasDeliveredText: boolean;
 	/** Number of resumes of the current attempt since its last event. */
 	readonly resumeCount: number;
+	/** Why the current attempt failed last; absent before the first failure. */
+	readonly lastFailure?: FailureCause;
 	/** Why the request ended without a complete response; absent otherwise. */
 	readonly code?: model.ErrorCode;
 };
--- a/packages/core/src/request/retry-decision.ts
+++ b/packages/core/src/request/retry-decision.ts
@@ -35,21 +35,35 @@
 	return options.repeatable || attempts.every(item => attempt.isKnownNotExecuted(item));
 }
 
-function canResume(state: requestState.RequestState, failure: AttemptFailure): boolean {
+function hasResumesLeft(state: requestState.RequestState): boolean {
 	const current = state.attempts.at(-1);
-	return failure.cause === requestState.FailureCause.ConnectionLost
-		&& state.options.resumable
+	return state.options.resumable
 		&& current?.progress === attempt.AttemptProgress.ResponseStarted
 		&& current.incarnation !== undefined
 		&& state.resumeCount < state.options.maxResumes;
 }
 
+/**
+ * Returns whether a request for which no other endpoint was found can be resumed at the incarnation of its current attempt. That is
+ * the case after a failure to connect, since the incarnation may only be unreachable for a moment.
+ */
+export function canResumeWithoutAlternative(state: requestState.RequestState): boolean {
+	return state.lastFailure === requestState.FailureCause.ConnectFailed && hasResumesLeft(state);
+}
+
 /** Decides how to proceed after the failure of the current attempt. */
 export function decideRetry(state: requestState.RequestState, failure: AttemptFailure, now: number): RetryDecision {
-	if (canResume(state, failure)) {
+	if (failure.cause === requestState.FailureCause.ConnectionLost && hasResumesLeft(state)) {
 		return RetryDecision.Resume;
 	}
 
+	const decision = decideNewAttempt(state, failure, now);
+	return decision === RetryDecision.End && canResumeWithoutAlternative({...state, lastFailure: failure.cause})
+		? RetryDecision.Resume
+		: decision;
+}
+
+function decideNewAttempt(state: requestState.RequestState, failure: AttemptFailure, now: number): RetryDecision {
 	if (!mayStartNewAttempt(state, failure, now)) {
 		return RetryDecision.End;
 	}
--- a/packages/core/tests/request/request-machine.test.ts
+++ b/packages/core/tests/request/request-machine.test.ts
@@ -27,6 +27,7 @@
 	return {type: eventType.Placed, attemptId, endpoint: 'e'};
 }
 
+const noEndpoint: core.request.RequestEvent = {type: eventType.Refused, code: core.model.ErrorCode.NoEndpoint};
 const sending: core.request.RequestEvent = {type: eventType.Sending};
 const responseStarted: core.request.RequestEvent = {type: eventType.ResponseStarted, incarnation: 'i'};
 const delivered: core.request.RequestEvent = {type: eventType.Delivered};
@@ -44,6 +45,7 @@
 	const first = [placed('a1'), sending];
 	const streaming = [...first, responseStarted, delivered];
 	const lost = failed(causes.ConnectionLost);
+	const unreachable = failed(causes.ConnectFailed);
 	type Case = [string, Partial<core.request.RequestOptions>, core.request.RequestEvent[], core.request.RequestPhase, core.request.RequestEffect[]];
 	const cases: Case[] = [
 		['retries at another endpoint when nothing was delivered', {}, [...first, lost], phases.Admitted, [effectName.CountRetry, effectName.Place]],
@@ -66,6 +68,63 @@
 			phases.Refused,
 			[effectName.EndWithError],
 		],
+		[
+			'continues at another endpoint when the engine of a stream cannot be connected to',
+			{},
+			[...streaming, lost, unreachable],
+			phases.Continuing,
+			[effectName.CountRetry, effectName.Continue],
+		],
+		// These guard against streams that end because their engine was unreachable for a moment.
+		[
+			'resumes again when the engine cannot be connected to and no endpoint can continue the stream',
+			{},
+			[...streaming, lost, unreachable, noEndpoint],
+			phases.Resuming,
+			[effectName.Resume],
+		],
+		[
+			'resumes again when the engine cannot be connected to and engines cannot continue from a given text',
+			{supportsForcedPrefix: false},
+			[...streaming, lost, unreachable],
+			phases.Resuming,
+			[effectName.Resume],
+		],
+		[
+			'resumes again when the engine cannot be connected to and the retry budget does not allow a retry',
+			{},
+			[...streaming, lost, failed(causes.ConnectFailed, false)],
+			phases.Resuming,
+			[effectName.Resume],
+		],
+		[
+			'resumes again when the engine cannot be connected to, nothing was delivered and there is no other endpoint',
+			{},
+			[...first, responseStarted, lost, unreachable, noEndpoint],
+			phases.Resuming,
+			[effectName.Resume],
+		],
+		[
+			'ends after the maximum number of resumes that could not connect',
+			{},
+			[...streaming, lost, unreachable, noEndpoint, unreachable, noEndpoint],
+			phases.Refused,
+			[effectName.EndWithError],
+		],
+		[
+			'does not resume at an engine that no longer exists when no endpoint can continue the stream',
+			{},
+			[...streaming, lost, failed(causes.EndpointGone), noEndpoint],
+			phases.Refused,
+			[effectName.EndWithError],
+		],
+		[
+			'does not resume on recalled weights when no endpoint can restart the stream',
+			{},
+			[...streaming, lost, failed(causes.WeightsRecalled), noEndpoint],
+			phases.Refused,
+			[effectName.EndWithError],
+		],
 		[
 			'restarts when the weights were recalled',
 			{supportsForcedPrefix: false},
@@ -75,7 +134,7 @@
 		],
 		['finishes when the response is complete', {}, [...streaming, {type: eventType.Completed}], phases.Done, [effectName.Finish]],
 		['cancels the attempt when the caller disconnects', {}, [...first, {type: eventType.CallerDisconnected}], phases.Refused, [effectName.Cancel, effectName.Refuse]],
-		['refuses when no endpoint is available', {}, [{type: eventType.Refused, code: core.model.ErrorCode.NoEndpoint}], phases.Refused, [effectName.Refuse]],
+		['refuses when no endpoint is available', {}, [noEndpoint], phases.Refused, [effectName.Refuse]],
 	];
 	for (const [title, options, events, phase, effects] of cases) {
 		it(title, () => {
--- a/packages/router/src/dispatch/chat-actions.ts
+++ b/packages/router/src/dispatch/chat-actions.ts
@@ -1,4 +1,5 @@
 import * as crypto from 'node:crypto';
+import * as timers from 'node:timers/promises';
 import * as core from '@bluebellmast/core';
 import type * as wire from '@bluebellmast/wire';
 import * as attemptFailure from '../endpoints/attempt-failure.js';
@@ -14,6 +15,9 @@
 import type * as requestActions from './request-actions.js';
 import type * as requestDriver from './request-driver.js';
 
+/** Pause before a resume at an engine that could not be connected to, in milliseconds. */
+const reconnectPauseMs = 1000;
+
 /** Dependencies of `ChatActions`. */
 export type ChatActionsOptions = {
 	readonly engines: engineClient.EngineClient;
@@ -32,6 +36,8 @@
 	#target: placer.ChatTarget | undefined;
 	#attempt: engineAttempt.EngineAttempt | undefined;
 	#incarnation: core.model.Incarnation | undefined;
+	/** Whether the last call of the current attempt could not connect. */
+	#isUnreachable = false;
 
 	constructor(
 		ctx: requestContext.RequestContext,
@@ -67,6 +73,10 @@
 	}
 
 	async resume(): Promise<requestActions.ActionEvent> {
+		if (this.#isUnreachable) {
+			await this.#pauseBeforeReconnect();
+		}
+
 		return this.#runAttempt(async options =>
 			this.#options.engines.resume(this.#attempt!, this.#relay.lastEventId, {...options, onSend: noop.noop}));
 	}
@@ -93,6 +103,15 @@
 		}
 	}
 
+	/** Ends early when the request's signal is aborted; the resume that follows then fails at once. */
+	async #pauseBeforeReconnect(): Promise<void> {
+		try {
+			await timers.setTimeout(reconnectPauseMs, undefined, {signal: this.#ctx.signal!});
+		} catch {
+			// The signal was aborted.
+		}
+	}
+
 	#beginAttempt(target: placer.ChatTarget): core.request.RequestEvent {
 		const attemptId = crypto.randomUUID();
 		this.#target = target;
@@ -178,6 +197,7 @@
 			this.#excludedEndpoints.add(this.#attempt!.endpoint.id);
 		}
 
+		this.#isUnreachable = cause === core.request.FailureCause.ConnectFailed;
 		this.#options.placer.recordFailure(this.#attempt!.endpoint.id, cause);
 		return this.#driver.prepareFailure(cause, attemptFailure.errorCodeOfCause(cause), failure.message);
 	}
--- a/packages/router/src/dispatch/request-driver.ts
+++ b/packages/router/src/dispatch/request-driver.ts
@@ -170,7 +170,8 @@
 
 	/** Records the event in the timeline if it has an entry there. */
 	#recordEvent(event: requestActions.ActionEvent, effects: readonly core.request.RequestEffect[]): void {
-		const type = event.type === core.request.RequestEventType.Failed
+		const isResumed = effects.includes(core.request.RequestEffect.Resume);
+		const type = event.type === core.request.RequestEventType.Failed || isResumed
 			? timelineTypeOfFailure(effects)
 			: timelineTypeByEvent[event.type];
 		if (type === undefined) {
--- a/packages/router/tests/dispatch/chat.test.ts
+++ b/packages/router/tests/dispatch/chat.test.ts
@@ -49,6 +49,11 @@
 		return parseEvents.parseEvents(first + await readRest(reader));
 	}
 
+	async function clearFaultsAfter(delayMs: number): Promise<void> {
+		await standIns.util.sleep(delayMs);
+		await routerFixture.engines[0]!.server.applyFault({fault: standIns.fault.FaultName.Clear});
+	}
+
 	function expectComplete(events: readonly parseEvents.StreamEvent[]): void {
 		expect(parseEvents.assembleText(events)).to.equal(expected);
 		expect(events.at(-1)?.data).to.equal('[DONE]');
@@ -86,6 +91,48 @@
 		expect(routerFixture.engines[0]!.records()).to.have.length(1);
 	});
 
+	// Guards against a stream that ends with an error because its engine, the only one, was unreachable for a moment.
+	it('resumes on the same engine when it cannot be connected to for a moment and no other can continue the stream', async () => {
+		await routerFixture.start({engine: {stepMs: 5}});
+		const {server} = routerFixture.engines[0]!;
+		let isReachable: Promise<void> | undefined;
+		const events = await readStreamDuring(async () => {
+			await server.applyFault({fault: standIns.fault.FaultName.Refuse});
+			await server.applyFault({fault: standIns.fault.FaultName.Silent});
+			isReachable = clearFaultsAfter(1200);
+		});
+		await isReachable;
+		expectComplete(events);
+		expect(routerFixture.engines[0]!.records()).to.have.length(1);
+	});
+
+	it('completes a stream of an engine that is frozen for longer than the progress timeout', async () => {
+		await routerFixture.start({engine: {stepMs: 5}});
+		const {server} = routerFixture.engines[0]!;
+		let isThawed: Promise<void> | undefined;
+		const events = await readStreamDuring(async () => {
+			await server.applyFault({fault: standIns.fault.FaultName.Freeze});
+			isThawed = clearFaultsAfter(1800);
+		});
+		await isThawed;
+		expectComplete(events);
+		expect(routerFixture.engines[0]!.records()).to.have.length(1);
+	});
+
+	it('completes calls that arrive while the only engine is frozen for a moment', async () => {
+		await routerFixture.start({engine: {stepMs: 1}});
+		const {server} = routerFixture.engines[0]!;
+		await server.applyFault({fault: standIns.fault.FaultName.Freeze});
+		const responses = Array.from({length: 8}, async () => routerFixture.call('/v1/chat/completions', {...body, stream: false}));
+		await standIns.util.sleep(1000);
+		await server.applyFault({fault: standIns.fault.FaultName.Clear});
+		for (const res of await Promise.all(responses)) {
+			expect(res.status).to.equal(200);
+		}
+
+		expect(routerFixture.engines[0]!.records()).to.have.length(8);
+	});
+
 	it('restarts on allowed weights when the weights are recalled during the stream', async () => {
 		await routerFixture.start({engines: [['lantaarn@1', 'lantaarn@2']], versions: ['2', '1'], engine: {stepMs: 5}});
 		const events = await readStreamDuring(async () => routerFixture.recallBatch('model:lantaarn@2'));
