Router: remove engines from the cache index that have left the manifest

Cause: `CacheIndex.forget` had no caller, so that the state of each engine that was ever seen, and its epochs, stayed for ever, and digests for it went on to be kept. `PlacementState.setEndpoints` replaces the endpoints of the loads and of the cache index together, so that neither can be forgotten.

--- a/packages/core/src/cache/cache-index.ts
+++ b/packages/core/src/cache/cache-index.ts
@@ -113,15 +113,14 @@
 		return true;
 	}
 
-	/** Removes everything known about an endpoint that no longer exists. */
-	forget(endpoint: ids.EndpointId): void {
-		const engine = this.#engines.get(endpoint);
-		if (engine === undefined) {
-			return;
+	/** Removes all endpoints but the given ones. Pieces that only removed ones held leave by eviction. */
+	retain(endpoints: ReadonlySet<ids.EndpointId>): void {
+		for (const [endpoint, engine] of this.#engines) {
+			if (!endpoints.has(endpoint)) {
+				this.#dropEpochs(engine);
+				this.#engines.delete(endpoint);
+			}
 		}
-
-		this.#dropEpochs(engine);
-		this.#engines.delete(endpoint);
 	}
 
 	/** Marks the pieces of an engine as unconfirmed, as after an event gap of unknown size. */
--- a/packages/core/src/placement/placement-state.ts
+++ b/packages/core/src/placement/placement-state.ts
@@ -2,6 +2,7 @@
 import type * as cacheReport from '../cache/cache-report.js';
 import * as hotPrefixes from '../cache/hot-prefixes.js';
 import * as prefixKeys from '../cache/prefix-keys.js';
+import type * as endpointModel from '../model/endpoint.js';
 import type * as weightsModel from '../model/weights.js';
 import type * as endpointLoad from './endpoint-load.js';
 import * as loadView from './load-view.js';
@@ -105,6 +106,12 @@
 		this.#countStoredTokens = options.countStoredTokens ?? (() => 0);
 	}
 
+	/** Replaces the endpoints by those of a manifest; keeps the state of endpoints that remain. */
+	setEndpoints(endpoints: readonly endpointModel.Endpoint[]): void {
+		this.loads.setEndpoints(endpoints);
+		this.cacheIndex.retain(new Set(endpoints.map(endpoint => endpoint.id)));
+	}
+
 	/** Counts a request of a caller towards the rates of its prefix. Called once per request, not per attempt. */
 	recordArrival(request: placementRequest.PlacementRequest, now: number): void {
 		this.hotPrefixes.record(request.homeKeys, now);
--- a/packages/router/src/wire-up.ts
+++ b/packages/router/src/wire-up.ts
@@ -180,8 +180,8 @@
 	const services = new core.placement.PlacementState({policy: leastLoad});
 	const weightRecalls = new recallWatcher.RecallWatcher();
 	fleet.manifests.onChange(manifest => {
-		engines.loads.setEndpoints(manifest.endpoints);
-		services.loads.setEndpoints(manifest.endpoints);
+		engines.setEndpoints(manifest.endpoints);
+		services.setEndpoints(manifest.endpoints);
 		weightRecalls.update(manifest);
 	});
 	const requestPlacer = new placer.Placer({
