Router: remove accounts from the limits that have left the manifest

Cause: buckets and usage of an account stayed for ever, and its usage was sent with each record to the other routers. The records of routers that had left were removed only after new usage of this router's own, so an idle one kept them. Both removals now precede the check for new usage, and leave a map as it is where there is nothing to remove, so that the check isn't met by a removal alone. An account that returns starts with a full bucket.

--- a/packages/core/src/limits/account-limiter.ts
+++ b/packages/core/src/limits/account-limiter.ts
@@ -122,8 +122,20 @@
 	return {limiter: {...limiter, sequence}, record};
 }
 
-/** Removes the records of routers that are not live. */
-export function retainRouters(limiter: AccountLimiter, live: readonly model.VmId[]): AccountLimiter {
-	const others = new Map([...limiter.others].filter(([vm]) => live.includes(vm)));
-	return {...limiter, others};
+function retainKeys<Value>(map: ReadonlyMap<string, Value>, keys: ReadonlySet<string>): ReadonlyMap<string, Value> {
+	return [...map.keys()].every(key => keys.has(key)) ? map : new Map([...map].filter(([key]) => keys.has(key)));
+}
+
+/** Removes the records of routers that are not live, and accounts that are no longer in the manifest. Maps of which nothing is removed stay the same. */
+export function retainListed(
+	limiter: AccountLimiter,
+	listed: {readonly routers: readonly model.VmId[]; readonly accounts: readonly model.ClientAccount[]},
+): AccountLimiter {
+	const accounts = new Set(listed.accounts.map(account => account.id));
+	return {
+		...limiter,
+		buckets: retainKeys(limiter.buckets, accounts),
+		own: retainKeys(limiter.own, accounts),
+		others: retainKeys(limiter.others, new Set(listed.routers)),
+	};
 }
--- a/packages/router/src/controllers/usage-controller.ts
+++ b/packages/router/src/controllers/usage-controller.ts
@@ -89,14 +89,15 @@
 	}
 
 	#addOwnRecord(): void {
-		const {self, members} = this.#options;
+		const {self, members, accounts} = this.#options;
+		this.#limiter = core.limits.retainListed(this.#limiter, {routers: members(), accounts: accounts()});
 		if (this.#limiter.own === this.#lastRecordedUsage) {
 			return;
 		}
 
 		this.#lastRecordedUsage = this.#limiter.own;
 		const {limiter, record} = core.limits.nextUsageRecord(this.#limiter, self);
-		this.#limiter = core.limits.retainRouters(limiter, members());
+		this.#limiter = limiter;
 		this.#pendingRecords.set(self.vm, {record, sendsLeft: this.#countSendsPerRecord()});
 	}
 
