Router: remove loads and pools from the admission that have left the manifest

Cause: `UsageAdmission` kept the last load of each endpoint and the pool of each service that it had ever seen. A pool is kept while requests of it are queued or in flight.

--- a/packages/router/src/controllers/usage-admission.ts
+++ b/packages/router/src/controllers/usage-admission.ts
@@ -198,7 +198,26 @@
 		return capacity;
 	}
 
+	/** Removes the loads of endpoints, and the unused pools of services, that are no longer in the manifest. */
+	#removeUnlisted(): void {
+		const manifest = this.#options.manifest();
+		const endpoints = new Set(manifest?.endpoints.map(endpoint => endpoint.id));
+		for (const endpoint of this.#loads.keys()) {
+			if (!endpoints.has(endpoint)) {
+				this.#loads.delete(endpoint);
+			}
+		}
+
+		const services = new Set(manifest?.services.map(service => service.id));
+		for (const [service, {inFlight, queue}] of this.#pools) {
+			if (!services.has(service) && inFlight.size === 0 && queue.items.length === 0) {
+				this.#pools.delete(service);
+			}
+		}
+	}
+
 	#updateLimits(): void {
+		this.#removeUnlisted();
 		for (const service of this.#pools.keys()) {
 			const load = {running: 0, queued: 0};
 			for (const endpoint of this.#listEndpoints(service)) {
