Core: remove start times from the fair queue that have passed

Cause: `FairQueue.nextStarts` kept an entry for each account that was ever admitted to a pool, and copied them all at each admission. A start time up to the virtual time is equal to none, so the order of requests is the same.

--- a/packages/core/src/limits/fair-queue.ts
+++ b/packages/core/src/limits/fair-queue.ts
@@ -30,10 +30,14 @@
 	return {items: [], virtualTime: 0, nextStarts: new Map()};
 }
 
-/** Counts an admitted request of an account, which advances the virtual start time of the account's next request. */
+/**
+ * Counts an admitted request of an account, which advances the virtual start time of the account's next request. Start times that have
+ * passed are removed, since they are equal to none.
+ */
 export function countAdmission(queue: FairQueue, account: model.AccountId, share: number): FairQueue {
 	const start = Math.max(queue.virtualTime, queue.nextStarts.get(account) ?? 0);
-	const nextStarts = new Map(queue.nextStarts).set(account, start + (1 / Math.max(share, Number.EPSILON)));
+	const nextStarts = new Map([...queue.nextStarts].filter(([, nextStart]) => nextStart > start));
+	nextStarts.set(account, start + (1 / Math.max(share, Number.EPSILON)));
 	return {...queue, virtualTime: start, nextStarts};
 }
 
