Router: remove generations of routers that have left

Cause: `ManifestExchange` kept the generation of each VM that ever sent a message. They are removed at each tick, unless the router is live or connected.

--- a/packages/router/src/controllers/manifest-controller.ts
+++ b/packages/router/src/controllers/manifest-controller.ts
@@ -131,6 +131,7 @@
 		const watchers = this.#selectWatchers();
 		const isWatcher = watchers.includes(this.#options.vm);
 		this.#confirmations = coreManifest.retainListedPeers(this.#confirmations, this.#options.listedVms());
+		this.#exchange.retain(new Set([...this.#options.liveMembers(), ...this.#options.peers.connectedVms()]));
 		this.#updateWatch(isWatcher);
 		this.#probe(watchers, now);
 		this.#retryMissingSections();
--- a/packages/router/src/controllers/manifest-exchange.ts
+++ b/packages/router/src/controllers/manifest-exchange.ts
@@ -59,6 +59,15 @@
 		}
 	}
 
+	/** Removes what is known of all routers but the given ones. */
+	retain(vms: ReadonlySet<core.model.VmId>): void {
+		for (const vm of this.#generations.keys()) {
+			if (!vms.has(vm)) {
+				this.#generations.delete(vm);
+			}
+		}
+	}
+
 	/** Sends a head to all connected routers that are not known to have it. */
 	announce(head: core.manifest.ManifestHead): void {
 		for (const vm of this.#peers.connectedVms()) {
