Router: bound the number of counters in the status

Cause: counters are tagged with accounts and services, and each tag that was ever used stayed, also in each answer of the admin interface. The counter that was incremented the longest ago is removed beyond 4,096. The metrics that are sent on are unchanged.

--- a/packages/router/src/util/counting-metrics.ts
+++ b/packages/router/src/util/counting-metrics.ts
@@ -1,5 +1,8 @@
 import type * as metrics from './metrics.js';
 
+/** Largest number of counters; tags hold names of accounts and services, which come and go. */
+const maxCounters = 4096;
+
 /** Keeps the counters in memory for the router's status, and forwards all metrics to another sink if there is one. */
 export class CountingMetrics implements metrics.Metrics {
 	readonly #counters = new Map<string, number>();
@@ -11,7 +14,15 @@
 
 	increment(name: string, by = 1, tags: Readonly<Record<string, string>> = {}): void {
 		const key = [name, ...Object.values(tags)].join('.');
-		this.#counters.set(key, (this.#counters.get(key) ?? 0) + by);
+		const value = (this.#counters.get(key) ?? 0) + by;
+		// The counter that was incremented last becomes the last one of the map.
+		this.#counters.delete(key);
+		this.#counters.set(key, value);
+		if (this.#counters.size > maxCounters) {
+			const [oldest] = this.#counters.keys();
+			this.#counters.delete(oldest!);
+		}
+
 		this.#next?.increment(name, by, tags);
 	}
 
