--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -8,5 +8,7 @@
 export * as http from './http/index.js';
 export * as endpoints from './endpoints/index.js';
 export * as peers from './peers/index.js';
+export * as placement from './placement/index.js';
 export * as program from './router-program.js';
+export * as util from './util/index.js';
 export * as wireUp from './wire-up.js';
--- /dev/null
+++ b/packages/router/src/placement/index.ts
@@ -0,0 +1,1 @@
+export * from './placer.js';
--- /dev/null
+++ b/packages/router/src/util/index.ts
@@ -0,0 +1,1 @@
+export * from './counting-metrics.js';
