--- a/packages/router/tests/controllers/usage-admission.test.ts
+++ b/packages/router/tests/controllers/usage-admission.test.ts
@@ -64,6 +64,27 @@
 		expect(isAdmitted).to.equal(true);
 	});
 
+	it('admits no more than the capacity and the burst of requests that arrive at the same moment', async () => {
+		const {admission, contextWith} = createAdmission();
+		let running = 0;
+		let largestRunning = 0;
+		let admitted = 0;
+		await Promise.all(Array.from({length: 30}, async () => {
+			const result = await admission.admit(contextWith());
+			if (result.isLeft()) {
+				return;
+			}
+
+			admitted += 1;
+			running += 1;
+			largestRunning = Math.max(largestRunning, running);
+			await manualTime.flushPromises();
+			running -= 1;
+			result.unsafeCoerce()();
+		}));
+		expect({admitted, largestRunning}).to.deep.equal({admitted: 3, largestRunning: 1});
+	});
+
 	it('refuses an account that exceeds its limit with not run and the retry time', async () => {
 		const {time, admission, contextWith} = createAdmission();
 		for (let index = 0; index < 3; index += 1) {
--- a/packages/router/tests/dispatch/bookings.test.ts
+++ b/packages/router/tests/dispatch/bookings.test.ts
@@ -83,6 +83,19 @@
 		expect(executions('o1')).to.equal(1);
 	});
 
+	it('executes a call once and returns its response when the only runner and then the key-value store are frozen for a moment', async () => {
+		await routerFixture.start();
+		for (const [index, {server}] of [routerFixture.runners[0]!, routerFixture.kv].entries()) {
+			await server.applyFault({fault: faults.Freeze}); // eslint-disable-line no-await-in-loop
+			const response = book(`k${index}`, `o${index}`);
+			await standIns.util.sleep(1500); // eslint-disable-line no-await-in-loop
+			await server.applyFault({fault: faults.Clear}); // eslint-disable-line no-await-in-loop
+			const {status} = await response; // eslint-disable-line no-await-in-loop
+			expect(status).to.equal(200);
+			expect(executions(`o${index}`)).to.equal(1);
+		}
+	});
+
 	it('reports the call as not executed when no runner can be reached', async () => {
 		await routerFixture.start({runners: 1});
 		await routerFixture.runners[0]!.server.applyFault({fault: faults.Refuse});
