Load client: check the finish reason of an unstreamed answer

Only the text was compared, so that a router that changed or invented the reason passed the soak. "counts an unstreamed answer with another finish reason as wrong" failed before (5 of 5 counted as answered) and passes now. The router's own test compares the reason as well; it passed without a change.

--- a/packages/router/tests/dispatch/chat.test.ts
+++ b/packages/router/tests/dispatch/chat.test.ts
@@ -6,7 +6,7 @@
 const {expect} = chai;
 const messages = [{role: 'user', content: 'When is the window clear?'}];
 const maxTokens = 200;
-const expected = standIns.engine.expectedAnswer(fixture.accountId, messages, maxTokens).text;
+const {text: expected, finishReason} = standIns.engine.expectedAnswer(fixture.accountId, messages, maxTokens);
 const body = {
 	model: fixture.modelId, messages, stream: true, max_tokens: maxTokens, // eslint-disable-line @typescript-eslint/naming-convention
 };
@@ -64,8 +64,9 @@
 	it('sends the complete response at once to a caller that does not stream', async () => {
 		await routerFixture.start();
 		const res = await routerFixture.call('/v1/chat/completions', {...body, stream: false});
-		const completion = await res.json() as {choices: Array<{message: {content: string}}>};
+		const completion = await res.json() as {choices: Array<{message: {content: string}; finish_reason: string}>};
 		expect(completion.choices[0]?.message.content).to.equal(expected);
+		expect(completion.choices[0]?.finish_reason).to.equal(finishReason);
 	});
 
 	it('streams the complete response in order', async () => {
--- a/packages/stand-ins/src/load/load-client.ts
+++ b/packages/stand-ins/src/load/load-client.ts
@@ -117,11 +117,16 @@
 	expected: engine.ExpectedAnswer,
 ): Promise<callOutcome.CallOutcome> {
 	const completion = await res.body.json() as wire.endpoint.Completion;
-	const text = completion.choices[0]?.message.content ?? '';
+	const choice = completion.choices[0];
+	const text = choice?.message.content ?? '';
 	if (text !== expected.text) {
 		return {outcome: callOutcome.Outcome.Wrong, detail: answerChecker.describeDifference(expected.text, text)};
 	}
 
+	if (choice?.finish_reason !== expected.finishReason) {
+		return {outcome: callOutcome.Outcome.Wrong, detail: `ended with finish reason ${choice?.finish_reason}`};
+	}
+
 	return {
 		outcome: callOutcome.Outcome.Answered,
 		promptTokens: completion.usage.prompt_tokens,
--- a/packages/stand-ins/tests/load/load-generator.test.ts
+++ b/packages/stand-ins/tests/load/load-generator.test.ts
@@ -127,6 +127,21 @@
 		});
 	}
 
+	for (const [isOwnReason, outcome] of [[true, standIns.load.Outcome.Answered], [false, standIns.load.Outcome.Wrong]] as const) {
+		it(`counts an unstreamed answer with ${isOwnReason ? 'its' : 'another'} finish reason as ${outcome}`, async () => {
+			const {result} = await runAgainst((res, tokens, finishReason) => {
+				const reason = isOwnReason ? finishReason : `not ${finishReason}`;
+				/* eslint-disable @typescript-eslint/naming-convention */
+				standIns.util.sendJson(res, 200, {
+					choices: [{index: 0, message: {role: 'assistant', content: tokens.join('')}, finish_reason: reason}],
+					usage: {prompt_tokens: 10, completion_tokens: tokens.length, prompt_tokens_details: {cached_tokens: 0}},
+				});
+				/* eslint-enable @typescript-eslint/naming-convention */
+			}, {streamShare: 0});
+			expect(result.questions, JSON.stringify(result.failures[0])).to.include({sent: 5, [outcome]: 5});
+		});
+	}
+
 	it('sends the same prompts with nested shared prefixes for the same seed', async () => {
 		const runs = [
 			await runAgainst(cases[0]!.answer, {maxRequests: 30, seed: 4}),
