--- a/packages/core/src/request/request-state.ts
+++ b/packages/core/src/request/request-state.ts
@@ -29,6 +29,8 @@
 	readonly hasDeliveredText: boolean;
 	/** Number of resumes of the current attempt since its last event. */
 	readonly resumeCount: number;
+	/** Why the current attempt failed last; absent before the first failure. */
+	readonly lastFailure?: FailureCause;
 	/** Why the request ended without a complete response; absent otherwise. */
 	readonly code?: model.ErrorCode;
 };
@@ -109,7 +111,7 @@
 	Restart = 'restart',
 	/** Cancel the current attempt at its endpoint. */
 	Cancel = 'cancel',
-	/** Subtract one retry from the retry budget. */
+	/** Subtract one retry from the retry budget, before another request reads it. */
 	CountRetry = 'count_retry',
 	/** End the response to the caller. */
 	Finish = 'finish',
--- a/packages/router/src/forward/forward-controller.ts
+++ b/packages/router/src/forward/forward-controller.ts
@@ -1,6 +1,7 @@
 import * as crypto from 'node:crypto';
 import * as core from '@bluebellmast/core';
 import * as wire from '@bluebellmast/wire';
+import createDebug from 'debug';
 import * as purify from 'purify-ts';
 import type * as controller from '../controllers/controller.js';
 import type * as call from '../filters/call.js';
@@ -14,10 +15,17 @@
 import type * as peerNetwork from '../peers/peer-network.js';
 import type * as clock from '../util/clock.js';
 import * as capturingResponseWriter from './capturing-response-writer.js';
+import * as sendWithRetries from './send-with-retries.js';
+
+const debug = createDebug('bluebellmast:forward');
 
 /** Time after the deadline for which the issuer's response is still awaited. */
 const responseGraceMs = 500;
 const retryAfterUnreachableMs = 1000;
+/** Longest time for which a request waits for a link to the issuer, in milliseconds. */
+const maxLinkWaitMs = 2000;
+/** Longest time for which a request waits for a link to the issuer, as a share of the time until its deadline. */
+const maxLinkWaitShare = 0.3;
 
 /** Options and dependencies of `ForwardController`. */
 export type ForwardControllerOptions = {
@@ -74,8 +82,30 @@
 		issuer: Issuer,
 	): Promise<purify.Either<core.model.Refusal, responseWriter.BufferedResponse>> {
 		const forwardId = crypto.randomUUID();
-		const deadlineMs = Math.max(0, ctx.deadlineAt! - this.#options.clock.now());
-		const message: wire.peer.ForwardRequest = {
+		const deadlineMs = this.#remainingMs(ctx);
+		return new Promise(resolve => {
+			this.#addPending(forwardId, deadlineMs + responseGraceMs, resolve);
+			void this.#sendRequest(issuer, () => this.#createRequest(forwardId, ctx, serviceCall, issuer));
+		});
+	}
+
+	/** Sends a request, or refuses it if no link to the issuer accepts it in time; a refused one is never sent. */
+	async #sendRequest(issuer: Issuer, createRequest: () => wire.peer.ForwardRequest): Promise<void> {
+		const {forwardId, deadlineMs} = createRequest();
+		const maxWaitMs = Math.min(maxLinkWaitMs, deadlineMs * maxLinkWaitShare);
+		const isSent = await sendWithRetries.sendWithRetries(() => this.#options.peers.send(issuer.vm, createRequest()), maxWaitMs);
+		if (!isSent) {
+			this.#resolvePending(forwardId, purify.Left(createUnreachableRefusal()));
+		}
+	}
+
+	#createRequest(
+		forwardId: string,
+		ctx: requestContext.RequestContext,
+		serviceCall: call.ServiceCall,
+		issuer: Issuer,
+	): wire.peer.ForwardRequest {
+		return {
 			type: wire.peer.PeerMessageType.ForwardRequest,
 			forwardId,
 			incarnation: issuer.incarnation,
@@ -87,14 +117,12 @@
 				[wire.http.HeaderName.IdempotencyKey]: ctx.headers.idempotencyKey!,
 			},
 			body: serviceCall.body,
-			deadlineMs,
+			deadlineMs: this.#remainingMs(ctx),
 		};
-		return new Promise(resolve => {
-			this.#addPending(forwardId, deadlineMs + responseGraceMs, resolve);
-			if (!this.#options.peers.send(issuer.vm, message)) {
-				this.#resolvePending(forwardId, purify.Left(createUnreachableRefusal()));
-			}
-		});
+	}
+
+	#remainingMs(ctx: requestContext.RequestContext): number {
+		return Math.max(0, ctx.deadlineAt! - this.#options.clock.now());
 	}
 
 	#addPending(forwardId: string, timeoutMs: number, resolve: Resolve): void {
@@ -119,10 +147,9 @@
 	}
 
 	async #handleRequest(from: core.model.VmId, message: wire.peer.ForwardRequest): Promise<void> {
+		let delivery: Promise<void> | undefined;
 		const writer = new capturingResponseWriter.CapturingResponseWriter(response => {
-			this.#options.peers.send(from, {
-				type: wire.peer.PeerMessageType.ForwardAnswer, forwardId: message.forwardId, ...response,
-			} as wire.peer.ForwardAnswer);
+			delivery = this.#sendResponse(from, message, response);
 		});
 		const id = crypto.randomUUID();
 		const removeRequest = this.#options.requests.add(id);
@@ -133,10 +160,25 @@
 				writer.sendRefusal(createUnknownOutcomeRefusal());
 			}
 		} finally {
+			await delivery;
 			removeRequest();
 		}
 	}
 
+	/** Sends a response for as long as the router that forwarded the request awaits it. */
+	async #sendResponse(
+		to: core.model.VmId,
+		request: wire.peer.ForwardRequest,
+		response: capturingResponseWriter.CapturedResponse,
+	): Promise<void> {
+		const {forwardId, deadlineMs} = request;
+		const message: wire.peer.ForwardAnswer = {type: wire.peer.PeerMessageType.ForwardAnswer, forwardId, ...response};
+		const isSent = await sendWithRetries.sendWithRetries(() => this.#options.peers.send(to, message), deadlineMs + responseGraceMs);
+		if (!isSent) {
+			debug('no link to %s accepted the response to the forwarded request %s', to, forwardId);
+		}
+	}
+
 	async #runFilters(
 		message: wire.peer.ForwardRequest,
 		writer: capturingResponseWriter.CapturingResponseWriter,
