Server stand-in: a silent server records when requests arrived, and executes them though their connection closed

A request that arrived in a silence was recorded only after it, up to 2 s late, which the checks of deadlines and drains would have taken for late sends; one whose connection closed meanwhile was dropped, so that a request that was given up and refused would have looked as not executed; and a first event could leave during a silence.

--- a/packages/stand-ins/src/users-platform/users-server-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/users-server-stand-in.ts
@@ -170,7 +170,7 @@
 	#pause: AskedPause = {retryAfter: '', until: -Infinity, includesCalls: false};
 
 	constructor(readonly options: UsersServerOptions) {
-		this.server = new fault.StandInServer(options, async (req, res) => this.#handle(req, res));
+		this.server = new fault.StandInServer(options, async (req, res, arrivedAt) => this.#handle(req, res, arrivedAt));
 	}
 
 	async start(): Promise<fault.StandInAddresses> {
@@ -222,7 +222,9 @@
 		};
 	}
 
-	async #handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+	async #handle(req: http.IncomingMessage, res: http.ServerResponse, arrivedAt: number): Promise<void> {
+		// A request that arrived in a silence is executed after it, also if its connection has closed meanwhile.
+		const body = Date.now() < this.#silentUntil ? await util.readText(req) : undefined;
 		await this.#waitWhileSilent();
 		if (this.leavingHeader !== undefined) {
 			res.setHeader('Server-Leaving', this.leavingHeader);
@@ -253,7 +255,7 @@
 			}
 
 			case '/v1/order': {
-				await this.#handleOrder(req, res);
+				await this.#handleOrder(body ?? await util.readText(req), res, arrivedAt);
 
 				break;
 			}
@@ -265,7 +267,7 @@
 			}
 
 			default: {
-				await this.#handleRequest(req, res);
+				await this.#handleRequest(req, res, arrivedAt, body);
 			}
 		}
 	}
@@ -284,8 +286,8 @@
 		});
 	}
 
-	async #handleOrder(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
-		const order = {...await util.readJson(req) as UsersServerOrder, arrivedAt: Date.now()};
+	async #handleOrder(body: string, res: http.ServerResponse, arrivedAt: number): Promise<void> {
+		const order = {...JSON.parse(body) as UsersServerOrder, arrivedAt};
 		if (this.orderFault === OrderFault.Late) {
 			this.pendingLateOrderCount += 1;
 			await util.sleep(this.options.lateOrderDelayMs ?? defaultLateOrderDelayMs);
@@ -330,10 +332,10 @@
 		return {status: 202, isAccepted: true};
 	}
 
-	async #handleRequest(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+	async #handleRequest(req: http.IncomingMessage, res: http.ServerResponse, arrivedAt: number, bodyReadBefore?: string): Promise<void> {
 		const requestId = util.headerOf(req, 'bluebellmast-request-id');
 		const expectedVersion = util.headerOf(req, 'bluebellmast-expected-version');
-		const body = this.fault === ServerFault.EarlyResponse ? '' : await util.readText(req);
+		const body = bodyReadBefore ?? (this.fault === ServerFault.EarlyResponse ? '' : await util.readText(req));
 		if (expectedVersion !== '' && Number(expectedVersion) !== this.version) {
 			util.sendJson(res, 421, {}, {'Bluebellmast-Instance-Id': this.options.id});
 			return;
@@ -345,7 +347,7 @@
 		}
 
 		this.executions.push({
-			server: this.options.id, requestId, path: req.url ?? '', body, headers: req.headers, arrivedAt: Date.now(),
+			server: this.options.id, requestId, path: req.url ?? '', body, headers: req.headers, arrivedAt,
 		});
 		res.once('close', () => {
 			if (!res.writableFinished) {
@@ -422,6 +424,7 @@
 		const skippedId = this.fault === ServerFault.SkipEvent ? firstId + 1 : undefined;
 		const label = this.options.identifiesRequests ? ` of ${requestId} from ${this.options.id}` : '';
 		await util.sleep((this.options.firstEventDelayMs ?? 0) + this.extraDelayMs);
+		await this.#waitWhileSilent();
 		if (res.destroyed) {
 			return;
 		}
