Soak: check that requests beside a configuration end with a complete response

A 500, 502 or 504 of the gateway itself is reported too, by a check of its own name, since it promises nothing.

A silence of a server is recorded, and excuses nothing; recovery is judged after the last of them. A disruption of the store alone no longer excuses losses of safe and unsafe requests without an API key. Timeouts may differ from configuration to configuration: the deadline check takes the longest that may be in force, the checks of losses the shortest. The checks of losses are in a module of their own.

--- a/packages/stand-ins/src/check/platform/calm.ts
+++ b/packages/stand-ins/src/check/platform/calm.ts
@@ -7,6 +7,29 @@
 		&& !hasDisruption(record, from, to, ({target, name}) => own.has(target) && name === gateway);
 }
 
+/**
+ * Returns whether a gateway was in touch while it handled a request, as far as the loss of the request is concerned: a disruption
+ * of the store alone excuses nothing for safe and unsafe requests without an API key.
+ */
+export function isInTouchForLoss(record: records.PlatformRecord, exchange: records.Exchange): boolean {
+	const {gateway, sentAt, endedAt} = exchange;
+	return isInTouch(isBoundWithoutStore(exchange) ? withoutStoreDisruptions(record) : record, gateway, sentAt, endedAt);
+}
+
+/** Returns whether an unplanned disruption excuses the loss of a request: any from the settle window before it to its end. */
+export function hasUnplannedDisruption(record: records.PlatformRecord, exchange: records.Exchange): boolean {
+	return hasDisruption(record, exchange.sentAt, exchange.endedAt, ({isPlanned, target}) =>
+		!isPlanned && !(target === records.DisruptionTarget.Store && isBoundWithoutStore(exchange)));
+}
+
+function isBoundWithoutStore({kind, key}: records.Exchange): boolean {
+	return key === '' && (kind === records.RequestKind.Safe || kind === records.RequestKind.Unsafe);
+}
+
+function withoutStoreDisruptions(record: records.PlatformRecord): records.PlatformRecord {
+	return {...record, disruptions: record.disruptions.filter(({target}) => target !== records.DisruptionTarget.Store)};
+}
+
 /** Returns whether the store had no disruption from the settle window before `from` to `to`. */
 export function isStoreCalm(record: records.PlatformRecord, from: number, to: number): boolean {
 	return !hasDisruption(record, from, to, ({target}) => target === records.DisruptionTarget.Store);
--- a/packages/stand-ins/src/check/platform/check-platform.ts
+++ b/packages/stand-ins/src/check/platform/check-platform.ts
@@ -4,6 +4,7 @@
 import * as drainCheck from './drain-check.js';
 import * as endCheck from './end-check.js';
 import * as executionCheck from './execution-check.js';
+import * as lossCheck from './loss-check.js';
 import * as passedDeadlineCheck from './passed-deadline-check.js';
 import type * as records from './platform-records.js';
 import * as rolloutCheck from './rollout-check.js';
@@ -22,8 +23,9 @@
 	drainCheck.checkDrains,
 	crashingPartCheck.checkCrashingParts,
 	endCheck.checkDeadlines,
-	endCheck.checkPlannedStops,
-	endCheck.checkLostResponses,
+	lossCheck.checkPlannedStops,
+	lossCheck.checkLostResponses,
+	lossCheck.checkConfigLosses,
 	serviceCheck.checkProcesses,
 	serviceCheck.checkReadiness,
 	serviceCheck.checkRecovery,
--- a/packages/stand-ins/src/check/platform/config-check.ts
+++ b/packages/stand-ins/src/check/platform/config-check.ts
@@ -1,4 +1,5 @@
 import * as calm from './calm.js';
+import * as configsInForce from './configs-in-force.js';
 import * as records from './platform-records.js';
 
 const check = 'configuration';
@@ -16,7 +17,7 @@
 
 /** A revoked key binds all gateways, in touch or not; other changes bind those in touch. */
 function findExecutedProblem(record: records.PlatformRecord, exchange: records.Exchange): string | undefined {
-	if (listConfigsInForce(record, exchange, record.bounds.revocationMs).every(config => !(exchange.key in config.accounts))) {
+	if (configsInForce.listConfigsInForce(record, exchange, record.bounds.revocationMs).every(config => !hasKey(config, exchange))) {
 		return `executed with the key ${exchange.key}, which was revoked more than ${record.bounds.revocationMs} ms before`;
 	}
 
@@ -24,7 +25,7 @@
 		return undefined;
 	}
 
-	const configs = listConfigsInForce(record, exchange, record.bounds.configPropagationMs);
+	const configs = configsInForce.listConfigsInForce(record, exchange, record.bounds.configPropagationMs);
 	return configs.every(config => !isAllowed(config, exchange))
 		? `executed on the route ${exchange.route} with the key ${exchange.key}, as only a configuration allows that was replaced more than ${record.bounds.configPropagationMs} ms before`
 		: undefined;
@@ -36,18 +37,17 @@
 	}
 
 	const isBound = calm.isInTouch(record, exchange.gateway, exchange.sentAt, exchange.sentAt);
-	const configs = isBound ? listConfigsInForce(record, exchange, record.bounds.configPropagationMs) : record.configs;
+	const configs = isBound ? configsInForce.listConfigsInForce(record, exchange, record.bounds.configPropagationMs) : record.configs;
 	return configs.every(config => isAllowed(config, exchange))
 		? `denied with ${exchange.status} on the route ${exchange.route} with the key ${exchange.key}, which every configuration that may be in force allows`
 		: undefined;
 }
 
-/** Lists the configurations that may be in force for a request: the newest one that is older than the bound, and all later ones. */
-function listConfigsInForce(record: records.PlatformRecord, exchange: records.Exchange, boundMs: number): records.AcknowledgedConfig[] {
-	const binding = record.configs.findLastIndex(config => config.acknowledgedAt + boundMs < exchange.sentAt);
-	return record.configs.slice(Math.max(0, binding)).filter(config => config.acknowledgedAt <= exchange.endedAt);
+function isAllowed(config: records.AcknowledgedConfig, exchange: records.Exchange): boolean {
+	return config.routes.includes(exchange.route) && hasKey(config, exchange);
 }
 
-function isAllowed(config: records.AcknowledgedConfig, exchange: records.Exchange): boolean {
-	return config.routes.includes(exchange.route) && exchange.key in config.accounts;
+/** Returns whether a configuration has the key of a request, or the request needs none. */
+function hasKey(config: records.AcknowledgedConfig, {key}: records.Exchange): boolean {
+	return key === '' || key in config.accounts;
 }
--- a/packages/stand-ins/src/check/platform/index.ts
+++ b/packages/stand-ins/src/check/platform/index.ts
@@ -5,6 +5,7 @@
 export * from './drain-check.js';
 export * from './end-check.js';
 export * from './execution-check.js';
+export * from './loss-check.js';
 export * from './passed-deadline-check.js';
 export * from './platform-records.js';
 export * from './rollout-check.js';
--- /dev/null
+++ b/packages/stand-ins/src/check/platform/loss-check.ts
@@ -0,0 +1,89 @@
+import * as calm from './calm.js';
+import * as configsInForce from './configs-in-force.js';
+import * as records from './platform-records.js';
+
+/** Milliseconds after SIGTERM during which requests that a server is still at work on near the end of the grace period are excused. */
+const stopExcuseMs = 3000;
+/** Number of lost responses that are allowed in a run. */
+const maxLostResponses = 3;
+/** Milliseconds by which a change of the configuration lasts longer than it may take to be in force. */
+const changeMarginMs = 1000;
+/** Share of its time after which the loss of a request is not put down to a change of the configuration. */
+const maxUsedShare = 0.7;
+/** Statuses of a gateway that leave open whether the request was executed. */
+const ownFailureStatuses = new Set([500, 502, 504]);
+
+/** Checks that planned stops interrupt no request, where no unplanned disruption explains it; returns the findings. */
+export function checkPlannedStops(record: records.PlatformRecord): records.Finding[] {
+	const executedIds = new Set(record.executions.map(({requestId}) => requestId));
+	return record.plannedStops.flatMap(stop => record.exchanges
+		.filter(exchange => exchange.gateway === stop.gateway && isInterrupted(exchange))
+		.filter(({sentAt, endedAt}) => endedAt >= stop.at && sentAt <= stop.at + record.bounds.graceMs + 1000)
+		.filter(exchange => executedIds.has(exchange.requestId) || exchange.endedAt - exchange.sentAt > record.bounds.lossSlackMs)
+		.filter(exchange => !isExcused(record, exchange) && !isAtEndOfGrace(record, exchange, stop))
+		.map(exchange => ({
+			check: 'planned stops', requestId: exchange.requestId,
+			text: `${exchange.gateway}: ${exchange.end}, sent ${exchange.sentAt - stop.at} ms and ended ${exchange.endedAt - stop.at} ms after SIGTERM`,
+		})));
+}
+
+/**
+ * Checks that gateways in touch close no connection without a complete response to a request that a sound server executes, beyond a few;
+ * returns the findings.
+ */
+export function checkLostResponses(record: records.PlatformRecord): records.Finding[] {
+	const executedIds = new Set(record.executions.map(({requestId}) => requestId));
+	const lost = record.exchanges
+		.filter(exchange => isInterrupted(exchange) && executedIds.has(exchange.requestId))
+		.filter(exchange => !isOutOfTime(record, exchange) && calm.isInTouchForLoss(record, exchange)
+			&& !calm.hasDisruption(record, exchange.sentAt, exchange.endedAt, ({target}) => target === records.DisruptionTarget.Server));
+	return lost.length <= maxLostResponses
+		? []
+		: lost.map(exchange => ({
+			check: 'lost responses', requestId: exchange.requestId, text: `${exchange.gateway}: ${exchange.end} after ${exchange.endedAt - exchange.sentAt} ms`,
+		}));
+}
+
+/**
+ * Checks that requests around a change of the configuration get a complete response, if no unplanned disruption explains that they do not and
+ * a part of their time was left. A failure that the gateway made up for a request that was passed on counts as no response; returns the findings.
+ */
+export function checkConfigLosses(record: records.PlatformRecord): records.Finding[] {
+	const executedIds = new Set(record.executions.map(({requestId}) => requestId));
+	const windows = record.configs.map(config => ({
+		from: config.sentAt, to: config.acknowledgedAt + record.bounds.configPropagationMs + changeMarginMs,
+	}));
+	return record.exchanges
+		.filter(exchange => isInterrupted(exchange) || isOwnFailure(exchange))
+		.filter(({sentAt, endedAt}) => windows.some(({from, to}) => sentAt <= to && endedAt >= from))
+		.filter(exchange => executedIds.has(exchange.requestId) || exchange.endedAt - exchange.sentAt > record.bounds.lossSlackMs)
+		.filter(exchange => exchange.endedAt - exchange.sentAt < configsInForce.findTimeLimits(record, exchange).minMs * maxUsedShare)
+		.filter(exchange => !calm.hasUnplannedDisruption(record, exchange))
+		.filter(exchange => record.plannedStops.every(stop => stop.gateway !== exchange.gateway || !isAtEndOfGrace(record, exchange, stop)))
+		.map(exchange => ({
+			check: isInterrupted(exchange) ? 'losses beside configurations' : 'failures beside configurations', requestId: exchange.requestId,
+			text: `${exchange.gateway}: ${exchange.kind}, ${[exchange.end, exchange.status].join(' ').trim()} after ${exchange.endedAt - exchange.sentAt} ms`,
+		}));
+}
+
+/** Returns whether a complete response is a failure that promises nothing and is from the gateway itself. */
+function isOwnFailure({end, status, signature}: records.Exchange): boolean {
+	return end === records.ExchangeEnd.Complete && signature === undefined && ownFailureStatuses.has(status ?? 0);
+}
+
+function isInterrupted(exchange: records.Exchange): boolean {
+	return exchange.end === records.ExchangeEnd.Truncated || exchange.end === records.ExchangeEnd.NoResponse;
+}
+
+/** Returns whether the time of a request was over, or an unplanned disruption may explain its end. */
+function isExcused(record: records.PlatformRecord, exchange: records.Exchange): boolean {
+	return isOutOfTime(record, exchange) || calm.hasUnplannedDisruption(record, exchange);
+}
+
+function isOutOfTime(record: records.PlatformRecord, exchange: records.Exchange): boolean {
+	return exchange.endedAt >= exchange.sentAt + configsInForce.findTimeLimits(record, exchange).minMs;
+}
+
+function isAtEndOfGrace(record: records.PlatformRecord, exchange: records.Exchange, stop: records.PlannedStop): boolean {
+	return exchange.endedAt >= stop.at + (record.bounds.graceMs * 5 / 6) && exchange.sentAt <= stop.at + stopExcuseMs;
+}
--- a/packages/stand-ins/src/check/platform/platform-records.ts
+++ b/packages/stand-ins/src/check/platform/platform-records.ts
@@ -31,12 +31,13 @@
 	/** Name of the route that the request is for. */
 	readonly route: string;
 	readonly path: string;
+	/** API key; empty on a public route. */
 	readonly key: string;
 	readonly body: string;
 	readonly sentAt: number;
 	/** Milliseconds after `sentAt` that the client waits. */
 	readonly deadlineMs: number;
-	/** Timeout of the route, in milliseconds. */
+	/** Timeout of the route in the newest configuration when the request was sent, in milliseconds. */
 	readonly timeoutMs: number;
 	readonly endedAt: number;
 	readonly end: ExchangeEnd;
@@ -105,6 +106,13 @@
 	readonly to: number;
 };
 
+/** A period in which a sound server sent nothing; no disruption. */
+export type Silence = {
+	readonly server: string;
+	readonly from: number;
+	readonly to: number;
+};
+
 /** A version of weights that the store acknowledged. */
 export type NamedVersion = {
 	readonly model: string;
@@ -115,9 +123,13 @@
 /** A configuration that the store acknowledged. */
 export type AcknowledgedConfig = {
 	readonly version: number;
+	/** When the operator sent it, in milliseconds since the Unix epoch. */
+	readonly sentAt: number;
 	readonly acknowledgedAt: number;
 	/** Names of its routes. */
 	readonly routes: readonly string[];
+	/** Timeout of each route in milliseconds, by its name. */
+	readonly timeoutsMs: Readonly<Record<string, number>>;
 	/** Its API keys with the client account of each. */
 	readonly accounts: Readonly<Record<string, string>>;
 };
@@ -194,6 +206,8 @@
 	readonly configs: readonly AcknowledgedConfig[];
 	readonly leavingPeriods: readonly LeavingPeriod[];
 	readonly plannedStops: readonly PlannedStop[];
+	/** None by default. */
+	readonly silences?: readonly Silence[];
 	readonly gatewayStarts: readonly GatewayStart[];
 	readonly orders: readonly AcceptedOrder[];
 	/** Empty until the end of the run. */
--- a/packages/stand-ins/src/check/platform/service-check.ts
+++ b/packages/stand-ins/src/check/platform/service-check.ts
@@ -42,9 +42,9 @@
 
 /** Checks that requests which every configuration allows are served again when the recovery bound after the last fault has passed; returns the findings. */
 export function checkRecovery(record: records.PlatformRecord): records.Finding[] {
-	const recoveredAt = Math.max(0, ...record.disruptions.map(({to}) => to)) + record.bounds.recoveryMs;
+	const recoveredAt = Math.max(0, ...[...record.disruptions, ...record.silences ?? []].map(({to}) => to)) + record.bounds.recoveryMs;
 	const owed = record.exchanges.filter(exchange => exchange.sentAt > recoveredAt && exchange.end !== records.ExchangeEnd.GaveUp
-		&& record.configs.every(config => config.routes.includes(exchange.route) && exchange.key in config.accounts));
+		&& record.configs.every(config => config.routes.includes(exchange.route) && (exchange.key === '' || exchange.key in config.accounts)));
 	const served = owed.filter(({end, status}) => end === records.ExchangeEnd.Complete && status === 200);
 	return owed.length >= minRequests && served.length < owed.length * minServedShare
 		? [{check: 'recovery', text: `only ${served.length} of ${owed.length} requests were served after the last fault`}]
--- a/packages/stand-ins/src/soak/platform/platform-operator.ts
+++ b/packages/stand-ins/src/soak/platform/platform-operator.ts
@@ -90,9 +90,13 @@
 	#writeConfig(): void {
 		this.#configVersion += this.random.integer(1, 4);
 		const routes = [...this.#routes, ...this.#extraRoutes];
+		const sentAt = Date.now();
 		this.store.write('op/config', platformConfig.createConfig(this.#configVersion, routes, this.#accounts));
 		this.configs.push({
-			version: this.#configVersion, acknowledgedAt: Date.now(), routes: routes.map(({name}) => name), accounts: {...this.#accounts},
+			version: this.#configVersion, sentAt, acknowledgedAt: Date.now(),
+			routes: routes.map(({name}) => name),
+			timeoutsMs: Object.fromEntries(routes.map(({name, timeoutMs}) => [name, timeoutMs])),
+			accounts: {...this.#accounts},
 		});
 	}
 }
--- a/packages/stand-ins/tests/check/platform/check-platform.test.ts
+++ b/packages/stand-ins/tests/check/platform/check-platform.test.ts
@@ -39,7 +39,7 @@
 	server: 'chat-0', requestId: 'q-2', version: 2, at: sentAt + 30,
 };
 const config: PlatformRecord['configs'][number] = {
-	version: 1, acknowledgedAt: 0, routes: ['book', 'chat'], accounts: {'key-1': 'account-1', 'key-2': 'account-2'},
+	version: 1, sentAt: -1, acknowledgedAt: 0, routes: ['book', 'chat'], timeoutsMs: {book: 3 * second, chat: 8 * second}, accounts: {'key-1': 'account-1', 'key-2': 'account-2'},
 };
 const gatewayStart: PlatformRecord['gatewayStarts'][number] = {
 	gateway: 'gateway-0', at: 0, readyAt: second, endedAt: 200 * second,
@@ -95,11 +95,13 @@
 	};
 }
 
-function withLost(count: number): Partial<PlatformRecord> {
+function withLost(count: number, changes: Partial<typeof plainExchange> = {}): Partial<PlatformRecord> {
 	const ids = Array.from({length: count}, (_, index) => `q-${index}`);
 	return {
-		exchanges: ids.map(requestId => ({...plainExchange, ...cut, requestId})),
-		executions: ids.map(requestId => ({...plainExecution, requestId})),
+		exchanges: ids.map(requestId => ({
+			...plainExchange, ...cut, ...changes, requestId,
+		})),
+		executions: ids.map(requestId => ({...plainExecution, requestId, ...(changes.key === '' && {account: undefined})})),
 		starts: [],
 	};
 }
@@ -107,6 +109,10 @@
 const refused = {status: 503, signature: undefined, responseBody: ''};
 const denied = {status: 404, signature: undefined, responseBody: ''};
 const newerConfig = {...config, version: 2, acknowledgedAt: sentAt - (3 * second)};
+const newestConfig = {
+	...config, version: 2, sentAt: sentAt + 10, acknowledgedAt: sentAt + 20,
+};
+const storeOutage = disrupt(targets.Store, '', sentAt - second, sentAt + second);
 const newerVersions: PlatformRecord['versions'] = [...soundRecord.versions, {model: 'model-chat', version: 3, acknowledgedAt: sentAt - (9 * second)}];
 
 /** Creates requests with the crashing part that arrive one after the other, from a time after the given number of ends on. */
@@ -355,6 +361,142 @@
 		name: 'lost responses while a server is down',
 		changes: {...withLost(4), disruptions: [disrupt(targets.Server, 'plain-0', sentAt, sentAt + 10)]},
 	},
+	{
+		name: 'lost responses while a server is silent',
+		changes: {...withLost(4), silences: [{server: 'plain-0', from: sentAt - second, to: sentAt + second}]},
+		findings: 4,
+		finding: 'no_response after 50 ms',
+	},
+	{
+		name: 'lost responses while the store is down',
+		changes: {...withLost(4), disruptions: [storeOutage]},
+	},
+	{
+		name: 'lost responses to requests without a key while the store is down',
+		changes: {...withLost(4, {key: ''}), disruptions: [storeOutage]},
+		findings: 4,
+		finding: 'no_response after 50 ms',
+	},
+	{
+		name: 'a request that is interrupted after a change of the configuration',
+		changes: {...withPlain(cut), configs: [config, newestConfig]},
+		finding: 'unsafe, no_response after 50 ms',
+	},
+	{
+		name: 'a request that is interrupted just before the time for a change of the configuration has passed',
+		changes: {...withPlain(cut), configs: [config, {...newestConfig, sentAt: sentAt - (3 * second), acknowledgedAt: sentAt - (3 * second)}]},
+		finding: 'unsafe, no_response after 50 ms',
+	},
+	{
+		name: 'a request that is interrupted after the time for a change of the configuration has passed',
+		changes: {...withPlain(cut), configs: [config, {...newestConfig, sentAt: sentAt - (3 * second), acknowledgedAt: sentAt - (3 * second) - 1}]},
+	},
+	{
+		name: 'a request that ended before the configuration was sent',
+		changes: {...withPlain(cut), configs: [config, {...newestConfig, sentAt: sentAt + 51, acknowledgedAt: sentAt + 60}]},
+	},
+	{
+		name: 'a stream that is truncated beside a change of the configuration while its server is silent',
+		changes: {
+			...withStream({end: ends.Truncated, responseBody: createEvents('chat-0', [1])}),
+			configs: [config, newestConfig],
+			silences: [{server: 'chat-0', from: sentAt - second, to: sentAt + second}],
+		},
+		finding: 'once, truncated 200 after 50 ms',
+	},
+	{
+		name: 'a failure of the gateway itself beside a change of the configuration',
+		changes: {...withPlain({status: 502, signature: undefined, responseBody: ''}), configs: [config, newestConfig]},
+		finding: 'unsafe, complete 502 after 50 ms',
+	},
+	{
+		name: 'a failure of a server beside a change of the configuration',
+		changes: {...withPlain({status: 500}), configs: [config, newestConfig]},
+	},
+	{
+		name: 'a request that is refused beside a change of the configuration',
+		changes: {...withPlain(refused, []), configs: [config, newestConfig]},
+	},
+	{
+		name: 'a request that crosses the close of its connection and is not passed on, beside a change of the configuration',
+		changes: {...withPlain(cut, []), configs: [config, newestConfig]},
+	},
+	{
+		name: 'a request that is not passed on and is interrupted long after it was sent, beside a change of the configuration',
+		changes: {...withPlain({...cut, endedAt: sentAt + 201}, []), configs: [config, newestConfig]},
+		finding: 'unsafe, no_response after 201 ms',
+	},
+	{
+		name: 'a request that is interrupted beside a change of the configuration when most of its time is used',
+		changes: {...withPlain({...cut, endedAt: sentAt + 1400}), configs: [config, newestConfig]},
+	},
+	{
+		name: 'a request that is interrupted when most of a shorter timeout is used, which may be in force',
+		changes: {
+			...withPlain({...cut, endedAt: sentAt + 800}),
+			configs: [config, {...newestConfig, timeoutsMs: {...config.timeoutsMs, book: second}}],
+		},
+	},
+	{
+		name: 'a request that is interrupted beside a change of the configuration after a server crashed',
+		changes: {
+			...withPlain(cut), configs: [config, newestConfig], disruptions: [disrupt(targets.Server, 'plain-1', sentAt - (4 * second), sentAt - (3 * second))],
+		},
+	},
+	{
+		name: 'a request that is interrupted beside a change of the configuration while another gateway stops as planned',
+		changes: {
+			...withPlain(cut), configs: [config, newestConfig],
+			disruptions: [{...disrupt(targets.Gateway, 'gateway-1', sentAt, sentAt + second), isPlanned: true}],
+		},
+		finding: 'unsafe, no_response after 50 ms',
+	},
+	{
+		name: 'a request that is interrupted beside a change of the configuration while the store is down',
+		changes: {...withPlain(cut), configs: [config, newestConfig], disruptions: [storeOutage]},
+	},
+	{
+		name: 'a request without a key that is interrupted beside a change of the configuration while the store is down',
+		changes: {...withPlain({...cut, key: ''}, [{...plainExecution, account: undefined}]), configs: [config, newestConfig], disruptions: [storeOutage]},
+		finding: 'unsafe, no_response after 50 ms',
+	},
+	{
+		name: 'a stream without a key that is interrupted beside a change of the configuration while the store is down',
+		changes: {
+			...withStream({key: '', end: ends.Truncated, responseBody: createEvents('chat-0', [1])}),
+			executions: [{...streamExecution, account: undefined}],
+			configs: [config, newestConfig],
+			disruptions: [storeOutage],
+		},
+	},
+	{
+		name: 'a request without a key on a route of every configuration',
+		changes: withPlain({key: ''}, [{...plainExecution, account: undefined}]),
+	},
+	{
+		name: 'a request without a key whose server was told an account',
+		changes: withPlain({key: ''}),
+		finding: 'an account that never held the key',
+	},
+	{
+		name: 'a request that ends after a timeout that was replaced within the bound',
+		changes: {
+			...withPlain({deadlineMs: 9 * second, endedAt: sentAt + (3.4 * second)}),
+			configs: [config, {
+				...config, version: 2, sentAt: sentAt - second, acknowledgedAt: sentAt - second, timeoutsMs: {book: 2 * second, chat: second},
+			}],
+		},
+	},
+	{
+		name: 'a request that ends long after a timeout that is in force',
+		changes: {
+			...withPlain({deadlineMs: 9 * second, timeoutMs: 2 * second, endedAt: sentAt + (2.6 * second)}),
+			configs: [config, {
+				...config, version: 2, sentAt: sentAt - (3 * second), acknowledgedAt: sentAt - (3 * second), timeoutsMs: {book: 2 * second, chat: second},
+			}],
+		},
+		finding: 'complete 600 ms after the deadline',
+	},
 	{
 		name: 'orders of two gateways with one fencing token',
 		changes: {orders: [order, {...order, holder: 'gateway-1', at: 60 * second}]},
