Soak: servers that fall silent for a moment, beside changes of the configuration

The users' pages say that a sound server may fall silent for a second or so and go on. One, several or all servers of a service now send nothing for 0.3 to 2 s, at once or in turn, in series and beside all other actions; a server goes on for a second or more before its next silence.

Two public routes come to the others, since the users' rules excuse less for requests without a key. The operator's changes and the actions are in modules of their own.

Tests: three new ones of the plan (lengths and pauses, beside all other types, only silences).

--- a/packages/stand-ins/src/soak/platform/index.ts
+++ b/packages/stand-ins/src/soak/platform/index.ts
@@ -1,2 +1,3 @@
+export * from './platform-action.js';
 export * from './platform-plan.js';
 export * from './platform-soak.js';
--- a/packages/stand-ins/src/soak/platform/platform-client.ts
+++ b/packages/stand-ins/src/soak/platform/platform-client.ts
@@ -114,7 +114,7 @@
 		Host: platformConfig.hostName, // eslint-disable-line @typescript-eslint/naming-convention -- Header name.
 		'Bluebellmast-Request-Id': request.requestId,
 		'Bluebellmast-Deadline-Milliseconds': String(request.deadlineMs),
-		'Bluebellmast-Credential': request.key,
+		...(request.key !== '' && {'Bluebellmast-Credential': request.key}),
 		...(request.model !== undefined && {
 			'Bluebellmast-Model': request.model,
 			'Bluebellmast-Token-Usage': '400,20',
--- a/packages/stand-ins/src/soak/platform/platform-clients.ts
+++ b/packages/stand-ins/src/soak/platform/platform-clients.ts
@@ -60,7 +60,7 @@
 		const id = `q-${this.#requestNumber}`;
 		const route = this.system.operator.pickRoute(random);
 		const request: platformClient.ClientRequest = {
-			...platformClient.createRequest(id, route, this.system.operator.pickKey(random), random.integer(minDeadlineMs, maxDeadlineMs)),
+			...platformClient.createRequest(id, route, this.system.operator.pickKey(random, route), random.integer(minDeadlineMs, maxDeadlineMs)),
 			hasCrashingPart: this.crashingShare > 0 && random.chance(this.crashingShare),
 			...(random.chance(giveUpShare) && {givesUpAfterMs: random.integer(1, maxGiveUpMs)}),
 		};
--- a/packages/stand-ins/src/soak/platform/platform-config.ts
+++ b/packages/stand-ins/src/soak/platform/platform-config.ts
@@ -8,6 +8,8 @@
 	readonly service: string;
 	readonly attempts: number;
 	readonly timeoutMs: number;
+	/** Whether requests need no API key; false by default. */
+	readonly isPublic?: boolean;
 };
 
 /** Services with the model of each; the plain service has none. */
@@ -47,6 +49,12 @@
 		{
 			name: 'look', kind: kinds.Safe, service: 'plain', attempts: 2, timeoutMs: plainTimeoutMs,
 		},
+		{
+			name: 'post', kind: kinds.Unsafe, service: 'plain', attempts: 2, timeoutMs: plainTimeoutMs, isPublic: true,
+		},
+		{
+			name: 'view', kind: kinds.Safe, service: 'plain', attempts: 2, timeoutMs: plainTimeoutMs, isPublic: true,
+		},
 	];
 }
 
@@ -55,6 +63,7 @@
 	version: number,
 	routes: readonly SoakRoute[],
 	accounts: Readonly<Record<string, string>>,
+	idleTimeoutMs: number,
 ): Readonly<Record<string, unknown>> {
 	return {
 		version,
@@ -68,7 +77,7 @@
 			}),
 		})),
 		limits: {
-			header_bytes: 16_384, body_bytes: 100_000, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
+			header_bytes: 16_384, body_bytes: 100_000, header_timeout_ms: 3000, idle_timeout_ms: idleTimeoutMs,
 		},
 		tenants: Object.entries(accounts).map(([key, name]) => ({name, keys: [key], isolated: false})),
 	};
@@ -86,7 +95,7 @@
 		priority: isStream ? 0 : 2,
 		service: route.service,
 		attempts: route.attempts,
-		public: false,
+		public: route.isPublic ?? false,
 		...(isStream && {sticky: true, resumable: route.kind === check.platform.RequestKind.Resumable, gap_target_ms: 300}),
 	};
 }
--- a/packages/stand-ins/src/soak/platform/platform-injector.ts
+++ b/packages/stand-ins/src/soak/platform/platform-injector.ts
@@ -5,10 +5,12 @@
 import * as playSchedule from '../play-schedule.js';
 import type * as gatewayProcess from './gateway-process.js';
 import type * as platformClients from './platform-clients.js';
-import * as platformConfig from './platform-config.js';
-import * as platformPlan from './platform-plan.js';
+import * as operatorChanges from './operator-changes.js';
+import * as platformAction from './platform-action.js';
+import type * as platformPlan from './platform-plan.js';
 import type * as platformSystem from './platform-system.js';
 import type * as serverFleet from './server-fleet.js';
+import * as silences from './silences.js';
 
 /** Dependencies of an injector. */
 export type PlatformInjectorOptions = {
@@ -21,14 +23,11 @@
 
 type Mutable<Value> = {-readonly [Key in keyof Value]: Value[Key]};
 
-const {ActionType: types} = platformPlan;
+const {ActionType: types} = platformAction;
 const {DisruptionTarget: targets} = check.platform;
 /** Share of the requests to engines with the part on which they end. */
 const crashingShare = 0.1;
-const burstFactor = 6;
 const leaderPollMs = 100;
-const maxBurstMs = 1500;
-const changeIntervalMs = 150;
 /** Milliseconds for which a leaving server goes on serving after the bound. */
 const leaveMarginMs = 1500;
 /** Milliseconds between the end and the start of a gateway that is stopped in turn, and until the next one is stopped. */
@@ -45,6 +44,7 @@
 	readonly disruptions: check.platform.Disruption[] = [];
 	readonly leavingPeriods: check.platform.LeavingPeriod[] = [];
 	readonly plannedStops: check.platform.PlannedStop[] = [];
+	readonly silences: check.platform.Silence[] = [];
 	readonly #startedAt = Date.now();
 	#replacements = 0;
 
@@ -55,49 +55,55 @@
 		const {plan, print} = this.options;
 		await playSchedule.playSchedule(
 			plan.actions,
-			action => platformPlan.listTargets(action, plan.sizes),
+			action => platformAction.listTargets(action, plan.sizes),
 			async action => {
-				print(`${Date.now() - this.#startedAt} ms: ${platformPlan.formatAction(action)}`);
+				print(`${Date.now() - this.#startedAt} ms: ${platformAction.formatAction(action)}`);
 				await this.#play(action);
 			},
 		);
 	}
 
-	async #play(action: platformPlan.PlannedAction): Promise<void> {
-		switch (platformPlan.targetByType[action.type]) {
-			case platformPlan.ActionTarget.Gateway:
-			case platformPlan.ActionTarget.AllGateways: {
+	async #play(action: platformAction.PlannedAction): Promise<void> {
+		const {system, clients, plan} = this.options;
+		switch (platformAction.targetByType[action.type]) {
+			case platformAction.ActionTarget.Gateway:
+			case platformAction.ActionTarget.AllGateways: {
 				await this.#playOnGateways(action);
 				break;
 			}
 
-			case platformPlan.ActionTarget.Store: {
+			case platformAction.ActionTarget.Store: {
 				await this.#playOnStore(action);
 				break;
 			}
 
-			case platformPlan.ActionTarget.Server: {
+			case platformAction.ActionTarget.Server: {
 				await this.#playOnServer(action);
 				break;
 			}
 
-			case platformPlan.ActionTarget.AllServers: {
+			case platformAction.ActionTarget.AllServers: {
 				await this.#sendCrashingPrompts(action.durationMs);
 				break;
 			}
 
-			case platformPlan.ActionTarget.Nothing: {
-				await this.#playChange(action);
+			case platformAction.ActionTarget.Silence: {
+				await silences.playSilences(action, plan.sizes, system.fleet, this.silences);
+				break;
+			}
+
+			case platformAction.ActionTarget.Nothing: {
+				await operatorChanges.playChange(action, system.operator, clients);
 				break;
 			}
 		}
 	}
 
-	async #playOnGateways(action: platformPlan.PlannedAction): Promise<void> {
+	async #playOnGateways(action: platformAction.PlannedAction): Promise<void> {
 		const {gateways} = this.options.system;
 		const gateway = gateways[action.targetIndex]!;
 		const {durationMs} = action;
-		const actions: Partial<Record<platformPlan.ActionType, () => Promise<unknown>>> = {
+		const actions: Partial<Record<platformAction.ActionType, () => Promise<unknown>>> = {
 			[types.StopGateway]: async () => this.#stopGateway(gateway, durationMs),
 			[types.KillGateway]: async () => this.#killGateway(gateway, durationMs),
 			[types.SuspendGateway]: async () => this.#suspendGateway(gateway, durationMs),
@@ -149,17 +155,17 @@
 		}
 	}
 
-	async #suspendLeader(action: platformPlan.PlannedAction): Promise<void> {
+	async #suspendLeader(action: platformAction.PlannedAction): Promise<void> {
 		const {system} = this.options;
 		const leader = system.findLeader() ?? system.gateways[action.targetIndex]!;
-		await Promise.all([this.#suspendGateway(leader, action.durationMs), this.#nameVersions(action)]);
+		await Promise.all([this.#suspendGateway(leader, action.durationMs), operatorChanges.nameVersions(action, this.options.system.operator)]);
 	}
 
-	async #suspendLeaders(action: platformPlan.PlannedAction): Promise<void> {
+	async #suspendLeaders(action: platformAction.PlannedAction): Promise<void> {
 		const {gateways} = this.options.system;
 		const endsAt = Date.now() + action.durationMs;
 		const suspended = new Map<string, Promise<void>>();
-		const naming = this.#nameVersions(action);
+		const naming = operatorChanges.nameVersions(action, this.options.system.operator);
 		while (Date.now() < endsAt) {
 			const leader = this.options.system.findLeader();
 			if (leader !== undefined && !suspended.has(leader.name) && suspended.size < gateways.length - 1) {
@@ -172,12 +178,12 @@
 		await Promise.all([naming, ...suspended.values()]);
 	}
 
-	async #playOnStore(action: platformPlan.PlannedAction): Promise<void> {
+	async #playOnStore(action: platformAction.PlannedAction): Promise<void> {
 		const {system: {store, gateways}} = this.options;
 		const {durationMs, targetIndex, amount} = action;
 		const some = gateways.filter((_, index) => (index - targetIndex + gateways.length) % gateways.length < Math.min(amount, gateways.length - 1));
 		const gateway = gateways[targetIndex]!;
-		const actions: Partial<Record<platformPlan.ActionType, () => Promise<unknown>>> = {
+		const actions: Partial<Record<platformAction.ActionType, () => Promise<unknown>>> = {
 			[types.StoreDown]: async () => this.#faultStore({fault: fault.FaultName.Outage}, durationMs),
 			[types.StoreLosesAnswers]: async () => this.#faultStore({fault: fault.FaultName.LoseResponses}, durationMs),
 			[types.StoreDiscardsHistory]: async () => this.#disrupt(targets.Store, '', false, async () => {
@@ -215,11 +221,11 @@
 		await Promise.all(gateways.map(async ({storeLink}) => faultLink(storeLink, linkFault, durationMs, delayMs)));
 	}
 
-	async #playOnServer(action: platformPlan.PlannedAction): Promise<void> {
+	async #playOnServer(action: platformAction.PlannedAction): Promise<void> {
 		const {fleet} = this.options.system;
 		const server = fleet.servers[action.targetIndex]!;
 		const {durationMs, amount} = action;
-		const linkFaults: Partial<Record<platformPlan.ActionType, fault.LinkFault>> = {
+		const linkFaults: Partial<Record<platformAction.ActionType, fault.LinkFault>> = {
 			[types.DelayServerLink]: fault.LinkFault.Delay,
 			[types.HoldRequestsToServer]: fault.LinkFault.HoldRequests,
 			[types.HoldResponsesOfServer]: fault.LinkFault.HoldResponses,
@@ -236,11 +242,11 @@
 		await this.#disrupt(targets.Server, server.id, false, async () => this.#faultServer(server, action));
 	}
 
-	async #faultServer(server: serverFleet.FleetServer, action: platformPlan.PlannedAction): Promise<void> {
+	async #faultServer(server: serverFleet.FleetServer, action: platformAction.PlannedAction): Promise<void> {
 		const {system: {fleet, operator}} = this.options;
 		const {standIn} = server;
 		const {durationMs, amount} = action;
-		const actions: Partial<Record<platformPlan.ActionType, () => Promise<unknown>>> = {
+		const actions: Partial<Record<platformAction.ActionType, () => Promise<unknown>>> = {
 			[types.CrashServer]: async () => this.#crashServer(server, durationMs),
 			[types.DrainServer]: async () => this.#leave(server, action),
 			[types.RemoveEntry]: async () => this.#leave(server, action),
@@ -281,7 +287,7 @@
 	}
 
 	/** Lists a server as draining or removes its entry, lets it serve on, ends it, and starts it again under the same id. */
-	async #leave(server: serverFleet.FleetServer, action: platformPlan.PlannedAction): Promise<void> {
+	async #leave(server: serverFleet.FleetServer, action: platformAction.PlannedAction): Promise<void> {
 		const {fleet} = this.options.system;
 		const from = Date.now();
 		if (action.type === types.DrainServer) {
@@ -310,39 +316,6 @@
 		await fleet.waitForRestarts();
 	}
 
-	async #playChange(action: platformPlan.PlannedAction): Promise<void> {
-		const {system: {operator}, clients} = this.options;
-		const actions: Partial<Record<platformPlan.ActionType, () => Promise<unknown>>> = {
-			async [types.NameVersion]() {
-				operator.nameVersion(modelOf(action.amount));
-			},
-			[types.NameVersions]: async () => this.#nameVersions(action),
-			async [types.RevokeKey]() {
-				operator.revokeKey();
-			},
-			async [types.ConfigStorm]() {
-				for (let count = 0; count < action.amount; count++) {
-					operator.changeRoutes();
-					await util.sleep(changeIntervalMs); // eslint-disable-line no-await-in-loop -- Changes in series.
-				}
-			},
-			async [types.Burst]() {
-				clients.rateFactor = burstFactor;
-				await util.sleep(Math.min(action.durationMs, maxBurstMs));
-				clients.rateFactor = 1;
-			},
-		};
-		await actions[action.type]!();
-	}
-
-	async #nameVersions(action: platformPlan.PlannedAction): Promise<void> {
-		const {operator} = this.options.system;
-		for (let count = 0; count < action.amount; count++) {
-			operator.nameVersion(modelOf(action.targetIndex + count));
-			await util.sleep(changeIntervalMs); // eslint-disable-line no-await-in-loop -- Changes in series.
-		}
-	}
-
 	/** Records a disruption while an action lasts. */
 	async #disrupt(target: check.platform.DisruptionTarget, name: string, isPlanned: boolean, act: () => Promise<void>): Promise<void> {
 		const disruption: Mutable<check.platform.Disruption> = {
@@ -354,10 +327,6 @@
 	}
 }
 
-function modelOf(number: number): string {
-	return platformConfig.models[number % platformConfig.models.length]!;
-}
-
 async function setOrderFault(standIn: usersPlatform.UsersServerStandIn, orderFault: usersPlatform.OrderFault, durationMs: number): Promise<void> {
 	standIn.orderFault = orderFault;
 	await util.sleep(durationMs);
--- a/packages/stand-ins/src/soak/platform/platform-operator.ts
+++ b/packages/stand-ins/src/soak/platform/platform-operator.ts
@@ -3,15 +3,31 @@
 import type * as util from '../../util/index.js';
 import * as platformConfig from './platform-config.js';
 
+/** What a new configuration changes. */
+export enum ConfigChange {
+	/** Replaces a key by a new one. The first key stays in all configurations. */
+	RevokeKey = 'revoke_key',
+	/** Adds a route, and removes the oldest added one if there are many. */
+	Routes = 'routes',
+	/** Changes the timeout of each route that all configurations have. */
+	Timeouts = 'timeouts',
+	/** Changes for how long clients may keep an idle connection. */
+	IdleTimeout = 'idle_timeout',
+}
+
 const baseKeyCount = 6;
 const maxExtraRoutes = 3;
+const idleTimeoutsMs = [15_000, 1000, 3000, 8000];
+/** Factors of the timeouts of routes. */
+const timeoutFactors = [0.5, 0.75, 1, 1.5];
 
 /** Simulated operator: writes configurations and names versions of weights. The return of a write is its acknowledgement. */
 export class PlatformOperator {
 	readonly configs: check.platform.AcknowledgedConfig[] = [];
 	readonly versions: check.platform.NamedVersion[] = [];
 	readonly #newestVersions = new Map<string, number>();
-	readonly #routes = platformConfig.createBaseRoutes();
+	#routes = platformConfig.createBaseRoutes();
+	#idleTimeoutMs = idleTimeoutsMs[0]!;
 	#extraRoutes: platformConfig.SoakRoute[] = [];
 	#accounts: Record<string, string> = {};
 	#keyNumber = 0;
@@ -51,19 +67,34 @@
 		this.versions.push({model, version, acknowledgedAt: Date.now()});
 	}
 
-	/** Replaces a key by a new one. The first key stays in all configurations. */
-	revokeKey(): void {
-		const {[this.random.pick(this.keys.slice(1))]: _, ...rest} = this.#accounts;
-		this.#accounts = rest;
-		this.#addKey();
-		this.#writeConfig();
-	}
+	/** Writes a configuration with a change. */
+	changeConfig(change: ConfigChange): void {
+		switch (change) {
+			case ConfigChange.RevokeKey: {
+				const {[this.random.pick(this.keys.slice(1))]: _, ...rest} = this.#accounts;
+				this.#accounts = rest;
+				this.#addKey();
+				break;
+			}
+
+			case ConfigChange.Routes: {
+				this.#routeNumber += 1;
+				const route = platformConfig.createExtraRoute(`extra-${this.#routeNumber}`, check.platform.RequestKind.Safe);
+				this.#extraRoutes = [...this.#extraRoutes, route].slice(-maxExtraRoutes);
+				break;
+			}
+
+			case ConfigChange.Timeouts: {
+				this.#routes = platformConfig.createBaseRoutes().map(route => ({...route, timeoutMs: route.timeoutMs * this.random.pick(timeoutFactors)}));
+				break;
+			}
+
+			case ConfigChange.IdleTimeout: {
+				this.#idleTimeoutMs = this.random.pick(idleTimeoutsMs);
+				break;
+			}
+		}
 
-	/** Adds a route, and removes the oldest added one if there are many. */
-	changeRoutes(): void {
-		this.#routeNumber += 1;
-		const route = platformConfig.createExtraRoute(`extra-${this.#routeNumber}`, check.platform.RequestKind.Safe);
-		this.#extraRoutes = [...this.#extraRoutes, route].slice(-maxExtraRoutes);
 		this.#writeConfig();
 	}
 
@@ -77,8 +108,12 @@
 		return random.pick(this.#routes);
 	}
 
-	/** Returns a key of the newest configuration, or now and then any key that a configuration held. */
-	pickKey(random: util.Random): string {
+	/** Returns a key of the newest configuration, or now and then any key that a configuration held; none for a public route. */
+	pickKey(random: util.Random, route: platformConfig.SoakRoute): string {
+		if (route.isPublic) {
+			return '';
+		}
+
 		return random.chance(0.1) ? `key-${random.integer(1, this.#keyNumber)}` : random.pick(this.keys);
 	}
 
@@ -91,7 +126,7 @@
 		this.#configVersion += this.random.integer(1, 4);
 		const routes = [...this.#routes, ...this.#extraRoutes];
 		const sentAt = Date.now();
-		this.store.write('op/config', platformConfig.createConfig(this.#configVersion, routes, this.#accounts));
+		this.store.write('op/config', platformConfig.createConfig(this.#configVersion, routes, this.#accounts, this.#idleTimeoutMs));
 		this.configs.push({
 			version: this.#configVersion, sentAt, acknowledgedAt: Date.now(),
 			routes: routes.map(({name}) => name),
--- a/packages/stand-ins/src/soak/platform/platform-soak.ts
+++ b/packages/stand-ins/src/soak/platform/platform-soak.ts
@@ -3,6 +3,7 @@
 import * as perfHooks from 'node:perf_hooks';
 import * as check from '../../check/index.js';
 import * as gatewaySettings from './gateway-settings.js';
+import * as platformAction from './platform-action.js';
 import * as platformClients from './platform-clients.js';
 import * as platformInjector from './platform-injector.js';
 import * as platformPlan from './platform-plan.js';
@@ -16,6 +17,8 @@
 	readonly root: string;
 	readonly seed: number;
 	readonly durationMs: number;
+	/** Whether only silences of servers and changes by the operator are played; false by default. */
+	readonly onlySilences?: boolean;
 	/** Prints one line. */
 	readonly print: (line: string) => void;
 };
@@ -26,11 +29,11 @@
 
 /** Runs the deployed gateways as processes under load and planned faults; returns the findings. */
 export async function runPlatformSoak(options: PlatformSoakOptions): Promise<check.platform.Finding[]> {
-	const plan = platformPlan.createPlatformPlan(options.seed, options.durationMs);
+	const plan = platformPlan.createPlatformPlan(options.seed, options.durationMs, {onlySilences: options.onlySilences});
 	const {sizes, versionMs, actions} = plan;
 	options.print(`${sizes.gateways} gateways, ${sizes.engines} engines of each of two models, ${sizes.runners} runners, version bound ${versionMs} ms`);
 	for (const action of actions) {
-		options.print(`plan: ${platformPlan.formatAction(action)}`);
+		options.print(`plan: ${platformAction.formatAction(action)}`);
 	}
 
 	const bounds = gatewaySettings.createBounds(versionMs);
@@ -108,6 +111,7 @@
 		configs: operator.configs,
 		leavingPeriods: injector.leavingPeriods,
 		plannedStops: injector.plannedStops,
+		silences: injector.silences,
 		orders: fleet.listOrders(),
 		endedAt: now,
 		gatewayStarts: gateways.flatMap(({name, lives}) => lives.map(life => ({
--- a/packages/stand-ins/src/soak/platform/platform-system.ts
+++ b/packages/stand-ins/src/soak/platform/platform-system.ts
@@ -4,13 +4,13 @@
 import * as gatewayProcess from './gateway-process.js';
 import * as platformConfig from './platform-config.js';
 import * as platformOperator from './platform-operator.js';
-import type * as platformPlan from './platform-plan.js';
+import type * as platformAction from './platform-action.js';
 import * as serverFleet from './server-fleet.js';
 
 /** Options of a system. */
 export type PlatformSystemOptions = {
 	readonly seed: number;
-	readonly sizes: platformPlan.PlatformSizes;
+	readonly sizes: platformAction.PlatformSizes;
 	readonly bounds: check.platform.Bounds;
 	readonly streamEvents: number;
 	readonly folder: string;
--- a/packages/stand-ins/tests/soak/platform/platform-plan.test.ts
+++ b/packages/stand-ins/tests/soak/platform/platform-plan.test.ts
@@ -34,4 +34,45 @@
 			expect((2 * engines) + runners).to.be.within(4, 40);
 		}
 	});
+
+	it('lets each server fall silent for 0.3 to 2 s and go on for a second or more', () => {
+		for (let seed = 1; seed <= 60; seed++) {
+			for (const onlySilences of [false, true]) {
+				const {actions, sizes} = platform.createPlatformPlan(seed, durationMs, {onlySilences});
+				const endByServer = new Map<number, number>();
+				for (const action of actions.filter(({type}) => platform.targetByType[type] === platform.ActionTarget.Silence)) {
+					const servers = platform.listSilentServers(action, sizes);
+					expect(action.durationMs).to.be.within(300, 2000);
+					expect(new Set(servers.map(server => Math.min(2, Math.floor(server / sizes.engines)))).size, 'services').to.equal(1);
+					for (const server of servers) {
+						expect(action.atMs, `seed ${seed}, server ${server}`).to.be.at.least(endByServer.get(server) ?? 0);
+						endByServer.set(server, action.atMs + platform.estimateMs(action, sizes));
+					}
+				}
+			}
+		}
+	});
+
+	it('plays silences beside all other types of actions', () => {
+		const types = new Set<string>();
+		for (let seed = 1; seed <= 200; seed++) {
+			const {actions, sizes} = platform.createPlatformPlan(seed, durationMs);
+			const silences = actions.filter(({type}) => platform.targetByType[type] === platform.ActionTarget.Silence);
+			for (const action of actions) {
+				const endMs = action.atMs + platform.estimateMs(action, sizes);
+				if (silences.some(({atMs, durationMs: lengthMs}) => atMs <= endMs && atMs + lengthMs >= action.atMs)) {
+					types.add(action.type);
+				}
+			}
+		}
+
+		expect([...types].sort()).to.deep.equal(Object.values(platform.ActionType).sort());
+	});
+
+	it('plays only silences and changes where it is asked to', () => {
+		const {actions, sizes} = platform.createPlatformPlan(1, durationMs, {onlySilences: true});
+		const targets = new Set(actions.map(({type}) => platform.targetByType[type]));
+		expect([...targets].sort()).to.deep.equal([platform.ActionTarget.Nothing, platform.ActionTarget.Silence].sort());
+		expect(Math.max(...actions.map(action => action.atMs + platform.estimateMs(action, sizes)))).to.be.at.most(durationMs - 4000);
+	});
 });
