Soak: record how long processes wait for a processor

The record could not tell a process that does not get to run from one that blocks. scheduling.jsonl now has, for each second, how long the main thread of each gateway and of the soak ran and waited; the worst wait is printed. No check uses it.

--- a/packages/stand-ins/src/soak/platform/gateway-process.ts
+++ b/packages/stand-ins/src/soak/platform/gateway-process.ts
@@ -62,6 +62,11 @@
 
 	get logFile(): string {
 		return path.join(this.options.folder, `${this.name}.log`);
+	/** Id of the current process, or -1. */
+	get pid(): number {
+		return this.#child?.pid ?? -1;
+	}
+
 	}
 
 	/** Chooses ports and writes the settings file. */
--- a/packages/stand-ins/src/soak/platform/index.ts
+++ b/packages/stand-ins/src/soak/platform/index.ts
@@ -1,3 +1,4 @@
 export * from './platform-action.js';
 export * from './platform-plan.js';
 export * from './platform-soak.js';
+export * from './scheduling-record.js';
--- a/packages/stand-ins/src/soak/platform/platform-soak.ts
+++ b/packages/stand-ins/src/soak/platform/platform-soak.ts
@@ -84,6 +84,7 @@
 
 	printSummary(options, clients);
 	options.print(`the soak itself was delayed by ${Math.round(eventLoopDelay.max / nanosecondsPerMillisecond)} ms at most`);
+	options.print(formatWaits(system));
 	options.print(`the last disruption ended ${Date.now() - Math.max(0, ...injector.disruptions.map(({to}) => to))} ms before the end`);
 	const findings = report(true);
 	writeRecord(options.folder, readRecord(true), findings, system);
@@ -136,13 +137,19 @@
 }
 
 /** Writes the record, and for each request with a finding a file with all that concerns it. */
+/** Formats how long a process waited for a processor, in the worst second of all. */
+function formatWaits({scheduling: {entries}}: platformSystem.PlatformSystem): string {
+	const [worst] = [...entries].sort((first, second) => second.waitedMs - first.waitedMs);
+	return `a process waited for a processor for ${worst?.waitedMs ?? 'unknown'} ms in one second at most (${worst?.process ?? 'none'})`;
+}
+
 function writeRecord(
 	folder: string,
 	record: check.platform.PlatformRecord,
 	findings: readonly check.platform.Finding[],
 	system: platformSystem.PlatformSystem,
 ): void {
-	for (const [name, value] of Object.entries(record)) {
+	for (const [name, value] of Object.entries({...record, scheduling: system.scheduling.entries})) {
 		const text = Array.isArray(value) ? value.map(entry => JSON.stringify(entry)).join('\n') : JSON.stringify(value);
 		fs.writeFileSync(path.join(folder, `${name}.jsonl`), `${text}\n`);
 	}
--- a/packages/stand-ins/src/soak/platform/platform-system.ts
+++ b/packages/stand-ins/src/soak/platform/platform-system.ts
@@ -1,10 +1,12 @@
+import process from 'node:process';
 import type * as check from '../../check/index.js';
 import * as usersPlatform from '../../users-platform/index.js';
 import * as util from '../../util/index.js';
 import * as gatewayProcess from './gateway-process.js';
 import * as platformConfig from './platform-config.js';
 import * as platformOperator from './platform-operator.js';
-import type * as platformAction from './platform-action.js';
+import * as platformAction from './platform-action.js';
+import * as schedulingRecord from './scheduling-record.js';
 import * as serverFleet from './server-fleet.js';
 
 /** Options of a system. */
@@ -27,6 +29,7 @@
 	readonly store = new usersPlatform.UsersStoreStandIn();
 	readonly operator: platformOperator.PlatformOperator;
 	readonly fleet: serverFleet.ServerFleet;
+	readonly scheduling = new schedulingRecord.SchedulingRecord();
 	gateways: gatewayProcess.GatewayProcess[] = [];
 	#probeTimer: NodeJS.Timeout | undefined;
 
@@ -55,7 +58,9 @@
 
 		await this.#waitUntilReady();
 		this.#probeTimer = setInterval(() => {
+			this.scheduling.sample('soak', process.pid, Date.now());
 			for (const gateway of this.gateways) {
+				this.scheduling.sample(gateway.name, gateway.pid, Date.now());
 				void gateway.probe();
 			}
 		}, probeIntervalMs);
