Soak: changes of settings with SIGHUP, calls that the store refuses to some gateways, several data centres

Gateways and servers are spread over one to three data centres.

The check of losses beside configurations also covers SIGHUP, as the users' rule LOST does: requests sent up to config_propagation_ms after it and interrupted after it.

--- a/packages/stand-ins/src/check/platform/check-platform.ts
+++ b/packages/stand-ins/src/check/platform/check-platform.ts
@@ -25,7 +25,7 @@
 	endCheck.checkDeadlines,
 	lossCheck.checkPlannedStops,
 	lossCheck.checkLostResponses,
-	lossCheck.checkConfigLosses,
+	lossCheck.checkChangeLosses,
 	serviceCheck.checkProcesses,
 	serviceCheck.checkReadiness,
 	serviceCheck.checkRecovery,
--- a/packages/stand-ins/src/check/platform/loss-check.ts
+++ b/packages/stand-ins/src/check/platform/loss-check.ts
@@ -45,27 +45,38 @@
 }
 
 /**
- * Checks that requests around a change of the configuration get a complete response, if no unplanned disruption explains that they do not and
- * a part of their time was left. A failure that the gateway made up for a request that was passed on counts as no response; returns the findings.
+ * Checks that requests around a change of the configuration, or of the settings of their gateway, get a complete response, if no unplanned
+ * disruption explains that they do not; beside a configuration, a part of their time must have been left. A failure that the gateway made up for a request that was passed on counts as no response; returns the findings.
  */
-export function checkConfigLosses(record: records.PlatformRecord): records.Finding[] {
+export function checkChangeLosses(record: records.PlatformRecord): records.Finding[] {
 	const executedIds = new Set(record.executions.map(({requestId}) => requestId));
-	const windows = record.configs.map(config => ({
-		from: config.sentAt, to: config.acknowledgedAt + record.bounds.configPropagationMs + changeMarginMs,
-	}));
 	return record.exchanges
 		.filter(exchange => isInterrupted(exchange) || isOwnFailure(exchange))
-		.filter(({sentAt, endedAt}) => windows.some(({from, to}) => sentAt <= to && endedAt >= from))
+		.filter(exchange => isBesideConfig(record, exchange) || isBesideReload(record, exchange))
 		.filter(exchange => executedIds.has(exchange.requestId) || exchange.endedAt - exchange.sentAt > record.bounds.lossSlackMs)
-		.filter(exchange => exchange.endedAt - exchange.sentAt < configsInForce.findTimeLimits(record, exchange).minMs * maxUsedShare)
-		.filter(exchange => !calm.hasUnplannedDisruption(record, exchange))
+		.filter(exchange => !isExcused(record, exchange))
 		.filter(exchange => record.plannedStops.every(stop => stop.gateway !== exchange.gateway || !isAtEndOfGrace(record, exchange, stop)))
 		.map(exchange => ({
-			check: isInterrupted(exchange) ? 'losses beside configurations' : 'failures beside configurations', requestId: exchange.requestId,
+			check: `${isInterrupted(exchange) ? 'losses' : 'failures'} beside ${isBesideConfig(record, exchange) ? 'configurations' : 'reloads'}`,
+			requestId: exchange.requestId,
 			text: `${exchange.gateway}: ${exchange.kind}, ${[exchange.end, exchange.status].join(' ').trim()} after ${exchange.endedAt - exchange.sentAt} ms`,
 		}));
 }
 
+/** Returns whether a configuration may have come into force while a request with time left was in progress. */
+function isBesideConfig(record: records.PlatformRecord, exchange: records.Exchange): boolean {
+	const {sentAt, endedAt} = exchange;
+	return endedAt - sentAt < configsInForce.findTimeLimits(record, exchange).minMs * maxUsedShare
+		&& record.configs.some(config =>
+			sentAt <= config.acknowledgedAt + record.bounds.configPropagationMs + changeMarginMs && endedAt >= config.sentAt);
+}
+
+/** Returns whether the settings of the gateway of a request changed before its end, and not long before it was sent. */
+function isBesideReload(record: records.PlatformRecord, {gateway, sentAt, endedAt}: records.Exchange): boolean {
+	return (record.reloads ?? []).some(reload =>
+		reload.gateway === gateway && sentAt <= reload.at + record.bounds.configPropagationMs && endedAt >= reload.at);
+}
+
 /** Returns whether a complete response is a failure that promises nothing and is from the gateway itself. */
 function isOwnFailure({end, status, signature}: records.Exchange): boolean {
 	return end === records.ExchangeEnd.Complete && signature === undefined && ownFailureStatuses.has(status ?? 0);
--- a/packages/stand-ins/src/check/platform/platform-records.ts
+++ b/packages/stand-ins/src/check/platform/platform-records.ts
@@ -147,6 +147,12 @@
 	readonly at: number;
 };
 
+/** SIGHUP of a gateway, after its settings file has changed. */
+export type Reload = {
+	readonly gateway: string;
+	readonly at: number;
+};
+
 /** Start of a gateway process, and when it first responded that it is ready. */
 export type GatewayStart = {
 	readonly gateway: string;
@@ -207,6 +213,8 @@
 	readonly leavingPeriods: readonly LeavingPeriod[];
 	readonly plannedStops: readonly PlannedStop[];
 	/** None by default. */
+	readonly reloads?: readonly Reload[];
+	/** None by default. */
 	readonly silences?: readonly Silence[];
 	readonly gatewayStarts: readonly GatewayStart[];
 	readonly orders: readonly AcceptedOrder[];
--- a/packages/stand-ins/src/fault/link-proxy.ts
+++ b/packages/stand-ins/src/fault/link-proxy.ts
@@ -77,6 +77,11 @@
 		}
 	}
 
+	/** Returns whether one of the connections to the target has a port at the end of the proxy. */
+	usesPort(port: number): boolean {
+		return [...this.#links].some(({target}) => target.localPort === port);
+	}
+
 	stop(): void {
 		this.#isStopped = true;
 		this.#server.close();
--- a/packages/stand-ins/src/fault/silenceable-connection.ts
+++ b/packages/stand-ins/src/fault/silenceable-connection.ts
@@ -26,6 +26,11 @@
 		});
 	}
 
+	/** Port of the other end, or undefined once the connection is closed. */
+	get remotePort(): number | undefined {
+		return this.socket.remotePort;
+	}
+
 	/** Discards all data in both directions from now on. */
 	silence(): void {
 		this.#isSilent = true;
--- /dev/null
+++ b/packages/stand-ins/src/soak/platform/extra-plan.ts
@@ -0,0 +1,60 @@
+import * as util from '../../util/index.js';
+import * as platformAction from './platform-action.js';
+
+const {ActionType: types} = platformAction;
+const extraTypes = [types.ChangeSettings, types.BreakSettings, types.StoreUnavailableToSome, types.StoreLimitsSome];
+const seedOffset = 3_000_000;
+const dataCentresOffset = 4_000_000;
+const maxDataCentres = 3;
+/** Share of the runs with these actions. */
+const runShare = 0.5;
+const meanIntervalMs = 4000;
+const minDurationMs = 300;
+const maxDurationMs = 4000;
+const maxAmount = 6;
+
+/** Returns the number of data centres of a run. */
+export function drawDataCentres(seed: number): number {
+	return new util.Random(dataCentresOffset + seed).integer(1, maxDataCentres);
+}
+
+/**
+ * Draws for half of the seeds changes of settings and refusals by the store, at times at which their targets have no other action; draws of
+ * other actions do not depend on it.
+ */
+export function drawExtraActions(
+	seed: number,
+	others: readonly platformAction.PlannedAction[],
+	sizes: platformAction.PlatformSizes,
+	{fromMs, lastMs}: {readonly fromMs: number; readonly lastMs: number},
+): platformAction.PlannedAction[] {
+	const random = new util.Random(seedOffset + seed);
+	const drawn: platformAction.PlannedAction[] = [];
+	if (!random.chance(runShare)) {
+		return drawn;
+	}
+
+	for (let atMs = fromMs; atMs < lastMs; atMs += random.exponential(meanIntervalMs)) {
+		const action: platformAction.PlannedAction = {
+			atMs: Math.round(atMs),
+			type: random.pick(extraTypes),
+			targetIndex: random.integer(0, sizes.gateways - 1),
+			durationMs: random.integer(minDurationMs, maxDurationMs),
+			amount: random.integer(1, maxAmount),
+		};
+		const isFree = [...others, ...drawn].every(other => !overlap(action, other, sizes));
+		if (isFree && action.atMs + platformAction.estimateMs(action, sizes) <= lastMs) {
+			drawn.push(action);
+		}
+	}
+
+	return drawn;
+}
+
+/** Returns whether two actions have a target in common at the same time. */
+function overlap(first: platformAction.PlannedAction, second: platformAction.PlannedAction, sizes: platformAction.PlatformSizes): boolean {
+	const targets = platformAction.listTargets(second, sizes);
+	return platformAction.listTargets(first, sizes).some(target => targets.includes(target))
+		&& first.atMs <= second.atMs + platformAction.estimateMs(second, sizes)
+		&& second.atMs <= first.atMs + platformAction.estimateMs(first, sizes);
+}
--- a/packages/stand-ins/src/soak/platform/gateway-process.ts
+++ b/packages/stand-ins/src/soak/platform/gateway-process.ts
@@ -17,6 +17,7 @@
 	/** Root of the repository. */
 	readonly root: string;
 	readonly storePort: number;
+	readonly dataCentre: string;
 	readonly bounds: check.platform.Bounds;
 };
 
@@ -43,6 +44,7 @@
 	#misses = 0;
 	#child: util.ChildProcess | undefined;
 	#addresses: gatewaySettings.GatewayAddresses | undefined;
+	#settings = '';
 
 	constructor(private readonly options: GatewayProcessOptions) {
 		this.storeLink = new fault.LinkProxy({host: '127.0.0.1', port: options.storePort});
@@ -60,13 +62,13 @@
 		return this.#addresses!.callerPort;
 	}
 
-	get logFile(): string {
-		return path.join(this.options.folder, `${this.name}.log`);
 	/** Id of the current process, or -1. */
 	get pid(): number {
 		return this.#child?.pid ?? -1;
 	}
 
+	get logFile(): string {
+		return path.join(this.options.folder, `${this.name}.log`);
 	}
 
 	/** Chooses ports and writes the settings file. */
@@ -76,7 +78,15 @@
 			host: this.host, callerPort: callerPort!, readinessPort: readinessPort!, internalPort: internalPort!, metricsPort: metricsPort!,
 		};
 		const storeAddress = `127.0.0.1:${await this.storeLink.start()}`;
-		fs.writeFileSync(this.#settingsFile, gatewaySettings.formatSettings(this.name, this.#addresses, storeAddress, this.options.bounds));
+		this.#settings = gatewaySettings.formatSettings({
+			name: this.name, dataCentre: this.options.dataCentre, addresses: this.#addresses, storeAddress, bounds: this.options.bounds,
+		});
+		this.writeSettings('');
+	}
+
+	/** Writes the settings file with further lines, which are read at the next start. */
+	writeSettings(furtherLines: string): void {
+		fs.writeFileSync(this.#settingsFile, `${this.#settings}${furtherLines}`);
 	}
 
 	/** Starts a process with the start line of the deployment. */
@@ -98,7 +108,7 @@
 	}
 
 	/** Sends a signal to the current process. */
-	signal(name: 'terminate' | 'kill' | 'pause' | 'resume'): void {
+	signal(name: 'terminate' | 'kill' | 'pause' | 'resume' | 'reload'): void {
 		this.#child?.[name]();
 	}
 
--- a/packages/stand-ins/src/soak/platform/gateway-settings.ts
+++ b/packages/stand-ins/src/soak/platform/gateway-settings.ts
@@ -29,18 +29,23 @@
 	};
 }
 
+/** What the settings file of a gateway states. */
+export type GatewaySettings = {
+	readonly name: string;
+	readonly dataCentre: string;
+	readonly addresses: GatewayAddresses;
+	/** `IP:PORT` of the store. */
+	readonly storeAddress: string;
+	readonly bounds: check.platform.Bounds;
+};
+
 /** Formats the settings file of a gateway. */
-export function formatSettings(
-	name: string,
-	addresses: GatewayAddresses,
-	storeAddress: string,
-	bounds: check.platform.Bounds,
-): string {
+export function formatSettings({name, dataCentre, addresses, storeAddress, bounds}: GatewaySettings): string {
 	const {host, callerPort, readinessPort, internalPort} = addresses;
 	const lines = {
 		node_name: name,
 		role: 'gateway',
-		zone: 'zone-a',
+		zone: dataCentre,
 		region: 'region-a',
 		ip_address: host,
 		internal_ports: `${internalPort},${internalPort}`,
--- a/packages/stand-ins/src/soak/platform/platform-action.ts
+++ b/packages/stand-ins/src/soak/platform/platform-action.ts
@@ -5,6 +5,10 @@
 	KillGateway = 'kill_gateway',
 	/** SIGSTOP, and SIGCONT after the duration. */
 	SuspendGateway = 'suspend_gateway',
+	/** Other settings in the file of a gateway, and SIGHUP; the former ones and SIGHUP after the duration. */
+	ChangeSettings = 'change_settings',
+	/** As `ChangeSettings`, with settings that are not valid. */
+	BreakSettings = 'break_settings',
 	/** SIGTERM of all gateways in turn. */
 	StopInTurn = 'stop_in_turn',
 	StopAll = 'stop_all',
@@ -20,6 +24,10 @@
 	StoreDiscardsHistory = 'store_discards_history',
 	/** The store resets the connections of some gateways. */
 	StoreRefusesSome = 'store_refuses_some',
+	/** The store answers all calls of some gateways with status 503. */
+	StoreUnavailableToSome = 'store_unavailable_to_some',
+	/** The store answers all calls of some gateways with status 429. */
+	StoreLimitsSome = 'store_limits_some',
 	CrashServer = 'crash_server',
 	SlowServer = 'slow_server',
 	/** The server refuses all requests as one without a free slot does. */
@@ -89,8 +97,15 @@
 	readonly engines: number;
 	/** Servers of the plain service. */
 	readonly runners: number;
+	/** Data centres, over which the gateways and the servers of each service are spread. */
+	readonly dataCentres: number;
 };
 
+/** Returns the name of the data centre of a gateway or of a server of a service, by its index. */
+export function dataCentreOf(index: number, {dataCentres}: PlatformSizes): string {
+	return `zone-${index % dataCentres}`;
+}
+
 /** What actions of a type act on. */
 export enum ActionTarget {
 	Gateway = 'gateway',
@@ -108,6 +123,8 @@
 	[ActionType.StopGateway]: ActionTarget.Gateway,
 	[ActionType.KillGateway]: ActionTarget.Gateway,
 	[ActionType.SuspendGateway]: ActionTarget.Gateway,
+	[ActionType.ChangeSettings]: ActionTarget.Gateway,
+	[ActionType.BreakSettings]: ActionTarget.Gateway,
 	[ActionType.StopInTurn]: ActionTarget.AllGateways,
 	[ActionType.StopAll]: ActionTarget.AllGateways,
 	[ActionType.KillAll]: ActionTarget.AllGateways,
@@ -119,6 +136,8 @@
 	[ActionType.StoreLosesAnswers]: ActionTarget.Store,
 	[ActionType.StoreDiscardsHistory]: ActionTarget.Store,
 	[ActionType.StoreRefusesSome]: ActionTarget.Store,
+	[ActionType.StoreUnavailableToSome]: ActionTarget.Store,
+	[ActionType.StoreLimitsSome]: ActionTarget.Store,
 	[ActionType.CrashServer]: ActionTarget.Server,
 	[ActionType.SlowServer]: ActionTarget.Server,
 	[ActionType.FullServer]: ActionTarget.Server,
@@ -202,6 +221,8 @@
 	const estimates: Partial<Record<ActionType, number>> = {
 		[ActionType.StopGateway]: stopMs + action.durationMs,
 		[ActionType.StopAll]: stopMs + action.durationMs,
+		[ActionType.ChangeSettings]: 2 * action.durationMs,
+		[ActionType.BreakSettings]: 2 * action.durationMs,
 		[ActionType.StopInTurn]: sizes.gateways * stopMs,
 		[ActionType.DrainServer]: leaveMs + action.durationMs,
 		[ActionType.RemoveEntry]: leaveMs + action.durationMs,
--- a/packages/stand-ins/src/soak/platform/platform-injector.ts
+++ b/packages/stand-ins/src/soak/platform/platform-injector.ts
@@ -36,6 +36,10 @@
 const storeDelayMs = 250;
 const millisecondsPerAmount = 100;
 const slowMsPerAmount = 700;
+const unavailableStatus = 503;
+const limitedStatus = 429;
+const changedSettings = 'bounds.grace_s=5\nregion=region-b\n';
+const brokenSettings = 'bounds.grace_s=soon\nnode_name\n';
 /** Milliseconds after its last sign of life at which the platform removes the entry of a crashed server. */
 const entryLifeMs = 3600;
 
@@ -44,6 +48,7 @@
 	readonly disruptions: check.platform.Disruption[] = [];
 	readonly leavingPeriods: check.platform.LeavingPeriod[] = [];
 	readonly plannedStops: check.platform.PlannedStop[] = [];
+	readonly reloads: check.platform.Reload[] = [];
 	readonly silences: check.platform.Silence[] = [];
 	readonly #startedAt = Date.now();
 	#replacements = 0;
@@ -107,6 +112,8 @@
 			[types.StopGateway]: async () => this.#stopGateway(gateway, durationMs),
 			[types.KillGateway]: async () => this.#killGateway(gateway, durationMs),
 			[types.SuspendGateway]: async () => this.#suspendGateway(gateway, durationMs),
+			[types.ChangeSettings]: async () => this.#reloadGateway(gateway, changedSettings, durationMs),
+			[types.BreakSettings]: async () => this.#reloadGateway(gateway, brokenSettings, durationMs),
 			[types.StopInTurn]: async () => this.#stopInTurn(),
 			[types.StopAll]: async () => Promise.all(gateways.map(async each => this.#stopGateway(each, durationMs))),
 			[types.KillAll]: async () => Promise.all(gateways.map(async each => this.#killGateway(each, durationMs))),
@@ -148,6 +155,16 @@
 		});
 	}
 
+	/** Changes the settings of a gateway for a time, and announces both changes to its process. */
+	async #reloadGateway(gateway: gatewayProcess.GatewayProcess, furtherLines: string, durationMs: number): Promise<void> {
+		for (const lines of [furtherLines, '']) {
+			gateway.writeSettings(lines);
+			this.reloads.push({gateway: gateway.name, at: Date.now()});
+			gateway.signal('reload');
+			await util.sleep(durationMs); // eslint-disable-line no-await-in-loop -- In turn.
+		}
+	}
+
 	async #stopInTurn(): Promise<void> {
 		for (const gateway of this.options.system.gateways) {
 			await this.#stopGateway(gateway, restartMs); // eslint-disable-line no-await-in-loop -- In turn.
@@ -190,6 +207,8 @@
 				store.compactHistory();
 			}),
 			[types.StoreSlow]: async () => this.#disrupt(targets.Store, '', false, async () => this.#faultLinks(gateways, fault.LinkFault.Delay, durationMs, storeDelayMs)),
+			[types.StoreUnavailableToSome]: async () => this.#refuseCalls(some, unavailableStatus, durationMs),
+			[types.StoreLimitsSome]: async () => this.#refuseCalls(some, limitedStatus, durationMs),
 			[types.StoreRefusesSome]: async () => this.#faultStoreLinks(some, fault.LinkFault.Reset, durationMs),
 			[types.HoldRequestsToStore]: async () => this.#faultStoreLinks([gateway], fault.LinkFault.HoldRequests, durationMs),
 			[types.HoldResponsesOfStore]: async () => this.#faultStoreLinks([gateway], fault.LinkFault.HoldResponses, durationMs),
@@ -212,6 +231,17 @@
 			this.#faultLinks([gateway], linkFault, durationMs))));
 	}
 
+	/** Lets the store refuse all calls of some gateways. */
+	async #refuseCalls(gateways: readonly gatewayProcess.GatewayProcess[], status: number, durationMs: number): Promise<void> {
+		const {store} = this.options.system;
+		await Promise.all(gateways.map(async gateway => this.#disrupt(targets.StoreLink, gateway.name, false, async () => {
+			const refusal: usersPlatform.StoreRefusal = {status, concerns: port => gateway.storeLink.usesPort(port)};
+			store.refusals.add(refusal);
+			await util.sleep(durationMs);
+			store.refusals.delete(refusal);
+		})));
+	}
+
 	async #faultLinks(
 		gateways: readonly gatewayProcess.GatewayProcess[],
 		linkFault: fault.LinkFault,
--- a/packages/stand-ins/src/soak/platform/platform-plan.ts
+++ b/packages/stand-ins/src/soak/platform/platform-plan.ts
@@ -1,4 +1,5 @@
 import * as util from '../../util/index.js';
+import * as extraPlan from './extra-plan.js';
 import * as platformAction from './platform-action.js';
 import * as silencePlan from './silence-plan.js';
 
@@ -108,7 +109,7 @@
 /** Creates the plan of a run; a pure function of its arguments. */
 export function createPlatformPlan(seed: number, durationMs: number, {onlySilences = false}: PlatformPlanOptions = {}): PlatformPlan {
 	const random = new util.Random(seed);
-	const sizes = drawSizes(random);
+	const sizes = {...drawSizes(random), dataCentres: extraPlan.drawDataCentres(seed)};
 	const versionMs = random.pick(versionBoundsMs);
 	const lastMs = durationMs - (onlySilences ? shortQuietEndMs : quietEndMs);
 	if (onlySilences) {
@@ -133,7 +134,8 @@
 		phaseMs = phaseEndMs;
 	}
 
-	const all = [...actions, ...drawCrashingPrompts(seed, lastMs), ...silencePlan.drawSilences(seed, phases, sizes)];
+	const prompted = [...actions, ...drawCrashingPrompts(seed, lastMs)];
+	const all = [...prompted, ...silencePlan.drawSilences(seed, phases, sizes), ...extraPlan.drawExtraActions(seed, prompted, sizes, {fromMs: pauseMs, lastMs})];
 	return {sizes, versionMs, actions: all.sort((a, b) => a.atMs - b.atMs)};
 }
 
@@ -174,7 +176,7 @@
 		: [];
 }
 
-function drawSizes(random: util.Random): platformAction.PlatformSizes {
+function drawSizes(random: util.Random): Omit<platformAction.PlatformSizes, 'dataCentres'> {
 	const isLarge = random.chance(largeRunShare);
 	return isLarge
 		? {gateways: random.integer(8, 12), engines: random.integer(8, 14), runners: random.integer(6, 12)}
--- a/packages/stand-ins/src/soak/platform/platform-soak.ts
+++ b/packages/stand-ins/src/soak/platform/platform-soak.ts
@@ -112,6 +112,7 @@
 		configs: operator.configs,
 		leavingPeriods: injector.leavingPeriods,
 		plannedStops: injector.plannedStops,
+		reloads: injector.reloads,
 		silences: injector.silences,
 		orders: fleet.listOrders(),
 		endedAt: now,
@@ -136,13 +137,13 @@
 	options.print(`requests by outcome: ${[...counts].map(([name, count]) => `${name} ${count}`).join(', ')}`);
 }
 
-/** Writes the record, and for each request with a finding a file with all that concerns it. */
 /** Formats how long a process waited for a processor, in the worst second of all. */
 function formatWaits({scheduling: {entries}}: platformSystem.PlatformSystem): string {
 	const [worst] = [...entries].sort((first, second) => second.waitedMs - first.waitedMs);
 	return `a process waited for a processor for ${worst?.waitedMs ?? 'unknown'} ms in one second at most (${worst?.process ?? 'none'})`;
 }
 
+/** Writes the record, and for each request with a finding a file with all that concerns it. */
 function writeRecord(
 	folder: string,
 	record: check.platform.PlatformRecord,
--- a/packages/stand-ins/src/soak/platform/platform-system.ts
+++ b/packages/stand-ins/src/soak/platform/platform-system.ts
@@ -49,7 +49,7 @@
 		const {folder, root, bounds, sizes} = this.options;
 		const network = gatewayProcess.chooseNetwork();
 		this.gateways = Array.from({length: sizes.gateways}, (_, index) => new gatewayProcess.GatewayProcess({
-			name: `gateway-${index}`, host: `${network}.${index + 1}`, folder, root, storePort: port, bounds,
+			name: `gateway-${index}`, host: `${network}.${index + 1}`, folder, root, storePort: port, bounds, dataCentre: platformAction.dataCentreOf(index, sizes),
 		}));
 		await Promise.all(this.gateways.map(async gateway => gateway.prepare()));
 		for (const gateway of this.gateways) {
@@ -87,7 +87,7 @@
 		for (const {name, model} of platformConfig.services) {
 			const count = model === undefined ? this.options.sizes.runners : this.options.sizes.engines;
 			for (let index = 0; index < count; index++) {
-				await this.fleet.add(`${name}-${index}`, name, model); // eslint-disable-line no-await-in-loop -- One after the other.
+				await this.fleet.add(`${name}-${index}`, name, model, platformAction.dataCentreOf(index, this.options.sizes)); // eslint-disable-line no-await-in-loop -- One after the other.
 			}
 		}
 	}
--- a/packages/stand-ins/src/soak/platform/server-fleet.ts
+++ b/packages/stand-ins/src/soak/platform/server-fleet.ts
@@ -8,6 +8,7 @@
 	readonly id: string;
 	readonly service: string;
 	readonly model?: string;
+	readonly dataCentre: string;
 	readonly standIn: usersPlatform.UsersServerStandIn;
 	readonly link: fault.LinkProxy;
 	readonly address: string;
@@ -65,11 +66,11 @@
 	}
 
 	/** Starts a server and writes its entry. */
-	async add(id: string, service: string, model: string | undefined): Promise<void> {
+	async add(id: string, service: string, model: string | undefined, dataCentre: string): Promise<void> {
 		const standIn = await this.#startStandIn(id, service, model);
 		const link = new fault.LinkProxy({host: '127.0.0.1', port: standIn.server.port});
 		const server = {
-			id, service, model, standIn, link, address: `127.0.0.1:${await link.start()}`, isListed: false, state: 'ready', listedVersion: 0,
+			id, service, model, dataCentre, standIn, link, address: `127.0.0.1:${await link.start()}`, isListed: false, state: 'ready', listedVersion: 0,
 		};
 		this.servers.push(server);
 		this.list(server);
@@ -99,7 +100,7 @@
 		server.state = state;
 		server.isListed = true;
 		server.listedVersion = server.standIn.version;
-		this.options.store.write(`servers/${server.id}`, {...server.standIn.createRegistration(state), address: server.address});
+		this.options.store.write(`servers/${server.id}`, {...server.standIn.createRegistration(state), address: server.address, zone: server.dataCentre});
 	}
 
 	/** Removes the entry of a server. */
--- a/packages/stand-ins/src/users-platform/users-store-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/users-store-stand-in.ts
@@ -31,6 +31,13 @@
 	readonly era?: number;
 };
 
+/** Refusal of all calls of some callers. */
+export type StoreRefusal = {
+	readonly status: number;
+	/** Returns whether the calls on a connection from a port of the caller's are refused. */
+	readonly concerns: (port: number) => boolean;
+};
+
 /** Contents of the stand-in at one time. */
 export type StoreCopy = {
 	readonly at: number;
@@ -45,6 +52,8 @@
 	readonly calls: string[] = [];
 	/** Text of the era that responses carry; absent if they carry none. */
 	eraText: string | undefined;
+	/** Refusals in force. */
+	readonly refusals = new Set<StoreRefusal>();
 	readonly #store = new revisionStore.RevisionStore();
 	readonly #leases = new leaseTable.LeaseTable();
 	#compactedRevision = 0;
@@ -148,6 +157,11 @@
 		return copy;
 	}
 
+	#findRefusal({socket}: http.IncomingMessage): StoreRefusal | undefined {
+		const {remotePort} = socket;
+		return [...this.refusals].find(({concerns}) => remotePort !== undefined && concerns(remotePort));
+	}
+
 	async #handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
 		if (this.eraText !== undefined) {
 			res.setHeader('Store-Era', this.eraText);
@@ -155,6 +169,12 @@
 
 		const url = new URL(req.url ?? '/', 'http://store');
 		this.calls.push(`${req.method} ${url.pathname}`);
+		const refusal = this.#findRefusal(req);
+		if (refusal !== undefined) {
+			util.sendJson(res, refusal.status, {});
+			return;
+		}
+
 		const operation = url.pathname.split('/')[2] ?? '';
 		const leaseId = url.pathname.split('/')[3] ?? '';
 		switch (operation) {
--- a/packages/stand-ins/src/util/child-process.ts
+++ b/packages/stand-ins/src/util/child-process.ts
@@ -81,6 +81,11 @@
 		this.#process.kill('SIGKILL');
 	}
 
+	/** Sends SIGHUP, which announces changed settings. */
+	reload(): void {
+		this.#process.kill('SIGHUP');
+	}
+
 	/** Sends SIGSTOP, which simulates a machine that hangs. */
 	pause(): void {
 		this.#process.kill('SIGSTOP');
--- a/packages/stand-ins/tests/check/platform/check-platform.test.ts
+++ b/packages/stand-ins/tests/check/platform/check-platform.test.ts
@@ -469,6 +469,30 @@
 			disruptions: [storeOutage],
 		},
 	},
+	{
+		name: 'a request that is interrupted after SIGHUP of its gateway',
+		changes: {...withPlain({...cut, endedAt: sentAt + 1900}), reloads: [{gateway: 'gateway-0', at: sentAt + 1800}]},
+		finding: 'unsafe, no_response after 1900 ms',
+	},
+	{
+		name: 'a request that is interrupted, and was sent shortly after SIGHUP of its gateway',
+		changes: {...withPlain(cut), reloads: [{gateway: 'gateway-0', at: sentAt - (2 * second)}]},
+		finding: 'unsafe, no_response after 50 ms',
+	},
+	{
+		name: 'a request that is interrupted, and was sent long after SIGHUP of its gateway',
+		changes: {...withPlain(cut), reloads: [{gateway: 'gateway-0', at: sentAt - (2 * second) - 1}]},
+	},
+	{
+		name: 'a request that is interrupted after SIGHUP of another gateway',
+		changes: {...withPlain(cut), reloads: [{gateway: 'gateway-1', at: sentAt}]},
+	},
+	{
+		name: 'a request that is interrupted after SIGHUP of its gateway and a crash of a server',
+		changes: {
+			...withPlain(cut), reloads: [{gateway: 'gateway-0', at: sentAt}], disruptions: [disrupt(targets.Server, 'plain-1', sentAt - second, sentAt)],
+		},
+	},
 	{
 		name: 'a request without a key on a route of every configuration',
 		changes: withPlain({key: ''}, [{...plainExecution, account: undefined}]),
--- a/packages/stand-ins/tests/soak/platform/platform-plan.test.ts
+++ b/packages/stand-ins/tests/soak/platform/platform-plan.test.ts
@@ -5,6 +5,8 @@
 const {platform} = standIns.soak;
 const durationMs = 120_000;
 const quietEndMs = 20_000;
+const {ActionType: types} = platform;
+const extraTypes = new Set([types.ChangeSettings, types.BreakSettings, types.StoreUnavailableToSome, types.StoreLimitsSome]);
 
 describe('createPlatformPlan', () => {
 	it('creates the same plan for the same seed and a different one for another seed', () => {
@@ -75,4 +77,31 @@
 		expect([...targets].sort()).to.deep.equal([platform.ActionTarget.Nothing, platform.ActionTarget.Silence].sort());
 		expect(Math.max(...actions.map(action => action.atMs + platform.estimateMs(action, sizes)))).to.be.at.most(durationMs - 4000);
 	});
+
+	it('changes settings and lets the store refuse some gateways while these have no other action', () => {
+		for (let seed = 1; seed <= 60; seed++) {
+			const {actions, sizes} = platform.createPlatformPlan(seed, durationMs);
+			const extra = actions.filter(({type}) => extraTypes.has(type));
+			for (const action of extra) {
+				const others = actions.filter(other => other !== action
+					&& platform.listTargets(other, sizes).some(target => platform.listTargets(action, sizes).includes(target)));
+				for (const other of others) {
+					const isBefore = other.atMs + platform.estimateMs(other, sizes) < action.atMs;
+					expect(isBefore || other.atMs > action.atMs + platform.estimateMs(action, sizes), `seed ${seed}, ${other.type}`).to.equal(true);
+				}
+			}
+		}
+	});
+
+	it('spreads gateways and servers over one to three data centres', () => {
+		const counts = new Set<number>();
+		for (let seed = 1; seed <= 60; seed++) {
+			const {sizes} = platform.createPlatformPlan(seed, durationMs);
+			counts.add(sizes.dataCentres);
+			const names = new Set(Array.from({length: 3}, (_, index) => platform.dataCentreOf(index, sizes)));
+			expect(names.size).to.equal(sizes.dataCentres);
+		}
+
+		expect(counts).to.deep.equal(new Set([1, 2, 3]));
+	});
 });
