--- a/packages/stand-ins/src/soak/platform/platform-soak.ts
+++ b/packages/stand-ins/src/soak/platform/platform-soak.ts
@@ -85,7 +85,8 @@
 	printSummary(options, clients);
 	options.print(`the soak itself was delayed by ${Math.round(eventLoopDelay.max / nanosecondsPerMillisecond)} ms at most`);
 	options.print(formatWaits(system));
-	options.print(`the last disruption ended ${Date.now() - Math.max(0, ...injector.disruptions.map(({to}) => to))} ms before the end`);
+	const faultEnds = [...injector.disruptions, ...injector.silences].map(({to}) => to);
+	options.print(faultEnds.length === 0 ? 'there was no fault' : `the last fault ended ${Date.now() - Math.max(...faultEnds)} ms before the end`);
 	const findings = report(true);
 	writeRecord(options.folder, readRecord(true), findings, system);
 	return findings;
