--- a/packages/stand-ins/src/soak/platform/platform-soak.ts
+++ b/packages/stand-ins/src/soak/platform/platform-soak.ts
@@ -3,6 +3,7 @@
 import * as perfHooks from 'node:perf_hooks';
 import * as check from '../../check/index.js';
 import * as gatewaySettings from './gateway-settings.js';
+import * as platformAction from './platform-action.js';
 import * as platformClients from './platform-clients.js';
 import * as platformInjector from './platform-injector.js';
 import * as platformPlan from './platform-plan.js';
@@ -16,6 +17,8 @@
 	readonly root: string;
 	readonly seed: number;
 	readonly durationMs: number;
+	/** Whether only silences of servers and changes by the operator are played; false by default. */
+	readonly onlySilences?: boolean;
 	/** Prints one line. */
 	readonly print: (line: string) => void;
 };
@@ -26,11 +29,11 @@
 
 /** Runs the deployed gateways as processes under load and planned faults; returns the findings. */
 export async function runPlatformSoak(options: PlatformSoakOptions): Promise<check.platform.Finding[]> {
-	const plan = platformPlan.createPlatformPlan(options.seed, options.durationMs);
+	const plan = platformPlan.createPlatformPlan(options.seed, options.durationMs, {onlySilences: options.onlySilences});
 	const {sizes, versionMs, actions} = plan;
 	options.print(`${sizes.gateways} gateways, ${sizes.engines} engines of each of two models, ${sizes.runners} runners, version bound ${versionMs} ms`);
 	for (const action of actions) {
-		options.print(`plan: ${platformPlan.formatAction(action)}`);
+		options.print(`plan: ${platformAction.formatAction(action)}`);
 	}
 
 	const bounds = gatewaySettings.createBounds(versionMs);
@@ -81,7 +84,9 @@
 
 	printSummary(options, clients);
 	options.print(`the soak itself was delayed by ${Math.round(eventLoopDelay.max / nanosecondsPerMillisecond)} ms at most`);
-	options.print(`the last disruption ended ${Date.now() - Math.max(0, ...injector.disruptions.map(({to}) => to))} ms before the end`);
+	options.print(formatWaits(system));
+	const faultEnds = [...injector.disruptions, ...injector.silences].map(({to}) => to);
+	options.print(faultEnds.length === 0 ? 'there was no fault' : `the last fault ended ${Date.now() - Math.max(...faultEnds)} ms before the end`);
 	const findings = report(true);
 	writeRecord(options.folder, readRecord(true), findings, system);
 	return findings;
@@ -108,6 +113,8 @@
 		configs: operator.configs,
 		leavingPeriods: injector.leavingPeriods,
 		plannedStops: injector.plannedStops,
+		reloads: injector.reloads,
+		silences: injector.silences,
 		orders: fleet.listOrders(),
 		endedAt: now,
 		gatewayStarts: gateways.flatMap(({name, lives}) => lives.map(life => ({
@@ -131,6 +138,12 @@
 	options.print(`requests by outcome: ${[...counts].map(([name, count]) => `${name} ${count}`).join(', ')}`);
 }
 
+/** Formats how long a process waited for a processor, in the worst second of all. */
+function formatWaits({scheduling: {entries}}: platformSystem.PlatformSystem): string {
+	const [worst] = [...entries].sort((first, second) => second.waitedMs - first.waitedMs);
+	return `a process waited for a processor for ${worst?.waitedMs ?? 'unknown'} ms in one second at most (${worst?.process ?? 'none'})`;
+}
+
 /** Writes the record, and for each request with a finding a file with all that concerns it. */
 function writeRecord(
 	folder: string,
@@ -138,7 +151,7 @@
 	findings: readonly check.platform.Finding[],
 	system: platformSystem.PlatformSystem,
 ): void {
-	for (const [name, value] of Object.entries(record)) {
+	for (const [name, value] of Object.entries({...record, scheduling: system.scheduling.entries})) {
 		const text = Array.isArray(value) ? value.map(entry => JSON.stringify(entry)).join('\n') : JSON.stringify(value);
 		fs.writeFileSync(path.join(folder, `${name}.jsonl`), `${text}\n`);
 	}
--- a/packages/stand-ins/src/soak/platform/platform-system.ts
+++ b/packages/stand-ins/src/soak/platform/platform-system.ts
@@ -1,16 +1,18 @@
+import process from 'node:process';
 import type * as check from '../../check/index.js';
 import * as usersPlatform from '../../users-platform/index.js';
 import * as util from '../../util/index.js';
 import * as gatewayProcess from './gateway-process.js';
 import * as platformConfig from './platform-config.js';
 import * as platformOperator from './platform-operator.js';
-import type * as platformPlan from './platform-plan.js';
+import * as platformAction from './platform-action.js';
+import * as schedulingRecord from './scheduling-record.js';
 import * as serverFleet from './server-fleet.js';
 
 /** Options of a system. */
 export type PlatformSystemOptions = {
 	readonly seed: number;
-	readonly sizes: platformPlan.PlatformSizes;
+	readonly sizes: platformAction.PlatformSizes;
 	readonly bounds: check.platform.Bounds;
 	readonly streamEvents: number;
 	readonly folder: string;
@@ -27,6 +29,7 @@
 	readonly store = new usersPlatform.UsersStoreStandIn();
 	readonly operator: platformOperator.PlatformOperator;
 	readonly fleet: serverFleet.ServerFleet;
+	readonly scheduling = new schedulingRecord.SchedulingRecord();
 	gateways: gatewayProcess.GatewayProcess[] = [];
 	#probeTimer: NodeJS.Timeout | undefined;
 
@@ -46,7 +49,7 @@
 		const {folder, root, bounds, sizes} = this.options;
 		const network = gatewayProcess.chooseNetwork();
 		this.gateways = Array.from({length: sizes.gateways}, (_, index) => new gatewayProcess.GatewayProcess({
-			name: `gateway-${index}`, host: `${network}.${index + 1}`, folder, root, storePort: port, bounds,
+			name: `gateway-${index}`, host: `${network}.${index + 1}`, folder, root, storePort: port, bounds, dataCentre: platformAction.dataCentreOf(index, sizes),
 		}));
 		await Promise.all(this.gateways.map(async gateway => gateway.prepare()));
 		for (const gateway of this.gateways) {
@@ -55,7 +58,9 @@
 
 		await this.#waitUntilReady();
 		this.#probeTimer = setInterval(() => {
+			this.scheduling.sample('soak', process.pid, Date.now());
 			for (const gateway of this.gateways) {
+				this.scheduling.sample(gateway.name, gateway.pid, Date.now());
 				void gateway.probe();
 			}
 		}, probeIntervalMs);
@@ -82,7 +87,7 @@
 		for (const {name, model} of platformConfig.services) {
 			const count = model === undefined ? this.options.sizes.runners : this.options.sizes.engines;
 			for (let index = 0; index < count; index++) {
-				await this.fleet.add(`${name}-${index}`, name, model); // eslint-disable-line no-await-in-loop -- One after the other.
+				await this.fleet.add(`${name}-${index}`, name, model, platformAction.dataCentreOf(index, this.options.sizes)); // eslint-disable-line no-await-in-loop -- One after the other.
 			}
 		}
 	}
--- a/packages/stand-ins/tests/soak/platform/platform-plan.test.ts
+++ b/packages/stand-ins/tests/soak/platform/platform-plan.test.ts
@@ -5,6 +5,8 @@
 const {platform} = standIns.soak;
 const durationMs = 120_000;
 const quietEndMs = 20_000;
+const {ActionType: types} = platform;
+const extraTypes = new Set([types.ChangeSettings, types.BreakSettings, types.StoreUnavailableToSome, types.StoreLimitsSome]);
 
 describe('createPlatformPlan', () => {
 	it('creates the same plan for the same seed and a different one for another seed', () => {
@@ -34,4 +36,72 @@
 			expect((2 * engines) + runners).to.be.within(4, 40);
 		}
 	});
+
+	it('lets each server fall silent for 0.3 to 2 s and go on for a second or more', () => {
+		for (let seed = 1; seed <= 60; seed++) {
+			for (const onlySilences of [false, true]) {
+				const {actions, sizes} = platform.createPlatformPlan(seed, durationMs, {onlySilences});
+				const endByServer = new Map<number, number>();
+				for (const action of actions.filter(({type}) => platform.targetByType[type] === platform.ActionTarget.Silence)) {
+					const servers = platform.listSilentServers(action, sizes);
+					expect(action.durationMs).to.be.within(300, 2000);
+					expect(new Set(servers.map(server => Math.min(2, Math.floor(server / sizes.engines)))).size, 'services').to.equal(1);
+					for (const server of servers) {
+						expect(action.atMs, `seed ${seed}, server ${server}`).to.be.at.least(endByServer.get(server) ?? 0);
+						endByServer.set(server, action.atMs + platform.estimateMs(action, sizes));
+					}
+				}
+			}
+		}
+	});
+
+	it('plays silences beside all other types of actions', () => {
+		const types = new Set<string>();
+		for (let seed = 1; seed <= 200; seed++) {
+			const {actions, sizes} = platform.createPlatformPlan(seed, durationMs);
+			const silences = actions.filter(({type}) => platform.targetByType[type] === platform.ActionTarget.Silence);
+			for (const action of actions) {
+				const endMs = action.atMs + platform.estimateMs(action, sizes);
+				if (silences.some(({atMs, durationMs: lengthMs}) => atMs <= endMs && atMs + lengthMs >= action.atMs)) {
+					types.add(action.type);
+				}
+			}
+		}
+
+		expect([...types].sort()).to.deep.equal(Object.values(platform.ActionType).sort());
+	});
+
+	it('plays only silences and changes where it is asked to', () => {
+		const {actions, sizes} = platform.createPlatformPlan(1, durationMs, {onlySilences: true});
+		const targets = new Set(actions.map(({type}) => platform.targetByType[type]));
+		expect([...targets].sort()).to.deep.equal([platform.ActionTarget.Nothing, platform.ActionTarget.Silence].sort());
+		expect(Math.max(...actions.map(action => action.atMs + platform.estimateMs(action, sizes)))).to.be.at.most(durationMs - 4000);
+	});
+
+	it('changes settings and lets the store refuse some gateways while these have no other action', () => {
+		for (let seed = 1; seed <= 60; seed++) {
+			const {actions, sizes} = platform.createPlatformPlan(seed, durationMs);
+			const extra = actions.filter(({type}) => extraTypes.has(type));
+			for (const action of extra) {
+				const others = actions.filter(other => other !== action
+					&& platform.listTargets(other, sizes).some(target => platform.listTargets(action, sizes).includes(target)));
+				for (const other of others) {
+					const isBefore = other.atMs + platform.estimateMs(other, sizes) < action.atMs;
+					expect(isBefore || other.atMs > action.atMs + platform.estimateMs(action, sizes), `seed ${seed}, ${other.type}`).to.equal(true);
+				}
+			}
+		}
+	});
+
+	it('spreads gateways and servers over one to three data centres', () => {
+		const counts = new Set<number>();
+		for (let seed = 1; seed <= 60; seed++) {
+			const {sizes} = platform.createPlatformPlan(seed, durationMs);
+			counts.add(sizes.dataCentres);
+			const names = new Set(Array.from({length: 3}, (_, index) => platform.dataCentreOf(index, sizes)));
+			expect(names.size).to.equal(sizes.dataCentres);
+		}
+
+		expect(counts).to.deep.equal(new Set([1, 2, 3]));
+	});
 });
