--- a/packages/router/tests/support/simulated-week.ts
+++ b/packages/router/tests/support/simulated-week.ts
@@ -3,17 +3,13 @@
 import * as memoryKv from '../controllers/fakes/memory-kv.js';
 import * as manualTime from '../controllers/fakes/manual-time.js';
 import * as memoryPeers from '../controllers/fakes/memory-peers.js';
+import * as simulatedManifest from './simulated-manifest.js';
 import * as router from '@bluebellmast/router';
 
 const self = {vm: 'vm-self', incarnation: 'vm-self/1'};
 const startMs = 1_700_000_000_000;
 const hourMs = 3_600_000;
 const stepMs = 600_000;
-const engineCount = 6;
-const runnerCount = 3;
-const vmCount = 5;
-const accountCount = 8;
-const modelId = 'lantaarn';
 const prompt = [{role: 'user', content: 'h'.repeat(24_000)}];
 
 /** Timer whose callbacks run once in each step of the simulation, whatever their delay. */
@@ -44,8 +40,8 @@
 	#now = startMs;
 	#hour = 0;
 	#count = 0;
-	#manifest = createManifest(0);
-	#vms = listVms(0);
+	#manifest = simulatedManifest.createManifest(0);
+	#vms = simulatedManifest.listVms(0);
 	readonly #timer = new StepTimer();
 	readonly #clock = {now: () => this.#now};
 	readonly #metrics = new router.util.CountingMetrics();
@@ -87,7 +83,7 @@
 	});
 
 	readonly #admission = router.controllers.createUsageAdmission({
-		...this.#common, usage: this.#usage, manifest: () => this.#manifest, countRouters: () => vmCount + 1,
+		...this.#common, usage: this.#usage, manifest: () => this.#manifest, countRouters: () => simulatedManifest.vmCount + 1,
 	});
 
 	readonly #ledger = router.controllers.createLedgerController({
@@ -160,7 +156,7 @@
 		const hour = Math.floor((this.#now - startMs) / hourMs);
 		if (hour !== this.#hour) {
 			this.#hour = hour;
-			this.#manifest = createManifest(hour);
+			this.#manifest = simulatedManifest.createManifest(hour);
 			this.#applyManifest();
 			this.#replaceVms();
 		}
@@ -193,7 +189,7 @@
 
 	#replaceVms(): void {
 		const before = this.#vms;
-		this.#vms = listVms(this.#hour);
+		this.#vms = simulatedManifest.listVms(this.#hour);
 		for (const vm of before.filter(candidate => !this.#vms.includes(candidate))) {
 			this.#links.networks.delete(vm);
 			this.#receiveRecord(vm, core.members.MemberStatus.Left);
@@ -216,7 +212,7 @@
 
 	/** Delivers a message of each kind that carries the state of other routers from each of them. */
 	#receiveFromPeers(): void {
-		const engines = this.#manifest.endpoints.slice(0, engineCount);
+		const engines = this.#manifest.endpoints.slice(0, simulatedManifest.engineCount);
 		for (const from of this.#vms) {
 			this.#count += 1;
 			const incarnation = `${from}/1`;
@@ -250,7 +246,7 @@
 	/** Returns the number of steps since the account at a slot was added. */
 	#countSteps(slot: number): number {
 		const hours = ((this.#now - startMs) / hourMs) + slot;
-		return Math.floor((hours % accountCount) * hourMs / stepMs);
+		return Math.floor((hours % simulatedManifest.accountCount) * hourMs / stepMs);
 	}
 
 	#createCacheDigest(endpoint: core.model.Endpoint): wire.peer.EngineCacheDigest {
@@ -273,14 +269,14 @@
 			manifest: this.#manifest,
 			account,
 			kind: this.#manifest.kinds[0]!,
-			prompt: core.cache.splitPrompt({account: account.id, model: modelId}, prompt),
+			prompt: core.cache.splitPrompt({account: account.id, model: simulatedManifest.modelId}, prompt),
 			response: undefined as unknown as router.filters.RequestContext['response'],
 		};
 	}
 
 	async #runChat(account: core.model.ClientAccount): Promise<void> {
 		const call = {
-			type: router.filters.CallType.Chat as const, model: modelId, messages: prompt, stream: true, maxTokens: 10,
+			type: router.filters.CallType.Chat as const, model: simulatedManifest.modelId, messages: prompt, stream: true, maxTokens: 10,
 		};
 		const ctx = this.#createContext(account, call);
 		const admitted = await this.#admission.admit(ctx);
@@ -356,7 +352,7 @@
 	}
 
 	#weights(): string[] {
-		return this.#manifest.models[0]!.versions.map(version => `${modelId}@${version}`);
+		return this.#manifest.models[0]!.versions.map(version => `${simulatedManifest.modelId}@${version}`);
 	}
 
 	#createReport(endpoint: core.model.Endpoint): wire.endpoint.LoadReport {
@@ -374,45 +370,3 @@
 		};
 	}
 }
-
-function listVms(hour: number): string[] {
-	return Array.from({length: vmCount}, (_, slot) => `vm-${slot}-${Math.floor((hour + slot) / vmCount)}`);
-}
-
-function createManifest(hour: number): core.model.Manifest {
-	const sixth = Math.floor(hour / 6);
-	const service = {
-		models: [], rules: [], defaultKind: 'booking', maxConcurrentLoads: 1,
-	};
-	const endpoint = {
-		host: '10.0.0.9', port: 1, dataCentre: 'a', checksFencing: true, role: core.model.EngineRole.Mixed, capacity: 16, leaving: false,
-	};
-	return {
-		generation: hour + 1,
-		models: [{
-			id: modelId, service: 'pool', versions: [`${sixth + 1}`, `${sixth}`], defaultKind: 'booking', supportsForcedPrefix: true,
-		}],
-		adapters: [],
-		accounts: Array.from({length: accountCount}, (_, slot) => ({
-			id: `club-${slot}-${Math.floor((hour + slot) / accountCount)}`,
-			keyHashes: [],
-			share: 1,
-			limits: {requestsPerSecond: 1, burst: 20, tokensPerSecond: 100_000},
-			allowed: [],
-		})),
-		kinds: [{
-			id: 'booking', weight: 1, priority: 1, deadlineMs: 1000, repeatable: true,
-		}],
-		services: [
-			{
-				...service, id: 'pool', type: core.model.ServiceType.Engine, models: [modelId],
-			},
-			{...service, id: `service-${sixth}`, type: core.model.ServiceType.Plain},
-		],
-		endpoints: [
-			...Array.from({length: engineCount}, (_, slot) => ({...endpoint, id: `engine-${slot}-${Math.floor((hour + slot) / engineCount)}`, service: 'pool'})),
-			...Array.from({length: runnerCount}, (_, slot) => ({...endpoint, id: `runner-${slot}-${sixth}`, service: `service-${sixth}`})),
-		],
-		recalled: [],
-	};
-}
