Derive what a version of the weights means once for each placement

Cause: a placement asked for each engine, and twice, until when its version may be used, how long it has been replaced, and built its cache namespace anew, although most engines hold the same version.

Change: WeightTerms derives these once for each version of a request; EndpointPlacer looks them up.

Ruled out: keeping the terms beyond one placement, since they depend on the present time and the account.

--- a/packages/gateway/src/placement/endpoint-placer.ts
+++ b/packages/gateway/src/placement/endpoint-placer.ts
@@ -4,6 +4,7 @@
 import type * as clocks from '../util/clocks.js';
 import type * as endpointPauses from './endpoint-pauses.js';
 import type * as fleetState from './fleet-state.js';
+import * as weightTerms from './weight-terms.js';
 
 /** Options of placement on this deployment. */
 export type PlacerOptions = {
@@ -14,8 +15,6 @@
 	readonly admission: core.fleet.AdmissionLimits;
 };
 
-/** Time after which responses of older weights are worth less by the platform's rules, in milliseconds. */
-const oldWeightsGraceMs = 1500;
 /** Age of the last observation of a stored part above which it is saved again, in milliseconds, since observations get lost. */
 const resaveAgeMs = 20_000;
 
@@ -41,6 +40,14 @@
 	readonly saveCacheTo?: string;
 };
 
+/** A request that is placed, and its terms on the versions of its model's weights. */
+type PlacedCall = {
+	readonly call: requestContext.RoutedRequest;
+	readonly pool: core.routing.PoolName;
+	/** Absent without a prompt. */
+	readonly terms: weightTerms.WeightTerms | undefined;
+};
+
 /** Chooses endpoints for requests by this VM's view of the fleet. */
 export class EndpointPlacer {
 	constructor(
@@ -62,13 +69,14 @@
 		excluded: ReadonlySet<string>,
 		now: clocks.Instant,
 	): Placement | undefined {
-		const resumed = this.#listServing(call, pool, now)
+		const terms = this.#createTerms(call, now.suspendAware);
+		const resumed = this.#listServing(call, pool, terms)
 			.filter(entry => !excluded.has(entry.id) && this.pauses.findRampUp(entry) === undefined);
 		let best: Placement | undefined;
 		for (const group of this.fleet.leaving.groupByAvailability(resumed, now.suspendAware)) {
 			const isReported = group.availability === core.fleet.EndpointAvailability.ReportedLeaving;
 			const placement = best === undefined || (isReported && !best.hasCapacity)
-				? this.#placeAmong(group.entries, call, pool, now)
+				? this.#placeAmong(group.entries, {call, pool, terms}, now)
 				: undefined;
 			best = best === undefined || placement?.hasCapacity ? placement : best;
 		}
@@ -80,7 +88,9 @@
 	 * Returns the earliest ramp-up of the endpoints that could serve a request but for a pause; `undefined` if none has asked for one.
 	 */
 	findFirstRampUp(call: requestContext.RoutedRequest, pool: core.routing.PoolName, now: clocks.Instant): core.fleet.RampUp | undefined {
-		const staying = this.fleet.leaving.groupByAvailability(this.#listServing(call, pool, now), now.suspendAware).flatMap(group => group.entries);
+		const staying = this.fleet.leaving
+			.groupByAvailability(this.#listServing(call, pool, this.#createTerms(call, now.suspendAware)), now.suspendAware)
+			.flatMap(group => group.entries);
 		const rampUps = staying.map(entry => this.pauses.findRampUp(entry)).filter(each => each !== undefined);
 		return rampUps.sort((a, b) => a.resumesInMs - b.resumesInMs)[0];
 	}
@@ -104,14 +114,14 @@
 	describePool(call: requestContext.RoutedRequest, pool: core.routing.PoolName, now: clocks.Instant): core.log.RefusalInputs {
 		const ready = this.fleet.registry.listReady(pool);
 		const responsive = ready.filter(entry => this.fleet.health.isResponsive(entry.id));
-		const model = call.head.prompt?.model;
+		const terms = this.#createTerms(call, now.suspendAware);
 		return {
 			ready: ready.length,
 			responsive: responsive.length,
 			paused: responsive.filter(entry => this.pauses.findRampUp(entry) !== undefined || this.#isRampUpLimited(entry)).length,
 			leaving: responsive.filter(entry => this.fleet.leaving.isLeaving(entry)).length,
 			loading: responsive.filter(entry => core.rollout.isLoading(this.fleet.plan, entry.id)).length,
-			serving: model === undefined ? undefined : responsive.filter(entry => this.#canServe(entry, model, now.suspendAware)).length,
+			serving: terms === undefined ? undefined : responsive.filter(entry => this.#canServe(entry, terms)).length,
 		};
 	}
 
@@ -120,23 +130,34 @@
 	}
 
 	/** Lists the endpoints that could serve a request if none had asked for a pause or were leaving. */
-	#listServing(call: requestContext.RoutedRequest, pool: core.routing.PoolName, now: clocks.Instant): core.fleet.EndpointEntry[] {
-		const model = call.table.findPool(pool)?.engine === undefined ? undefined : call.head.prompt?.model;
+	#listServing(call: requestContext.RoutedRequest, pool: core.routing.PoolName, terms: weightTerms.WeightTerms | undefined): core.fleet.EndpointEntry[] {
+		const engineTerms = call.table.findPool(pool)?.engine === undefined ? undefined : terms;
 		return this.fleet.registry.listReady(pool)
-			.filter(entry => this.fleet.health.isResponsive(entry.id) && (model === undefined || this.#canServe(entry, model, now.suspendAware)));
+			.filter(entry => this.fleet.health.isResponsive(entry.id) && (engineTerms === undefined || this.#canServe(entry, engineTerms)));
+	}
+
+	/**
+	 * Creates the terms of a request on weights; `undefined` without a prompt.
+	 *
+	 * @param now - Milliseconds of the clock that includes suspensions.
+	 */
+	#createTerms({head, account}: requestContext.RoutedRequest, now: number): weightTerms.WeightTerms | undefined {
+		return head.prompt && new weightTerms.WeightTerms({
+			targets: this.fleet.targets, model: head.prompt.model, account, maxOutdatedMs: this.options.maxOutdatedWeightsMs, now,
+		});
 	}
 
 	/** Chooses among endpoints of the same availability; those limited by their ramp-up come after the others. */
 	#placeAmong(
 		entries: readonly core.fleet.EndpointEntry[],
-		call: requestContext.RoutedRequest,
-		pool: core.routing.PoolName,
+		{call, pool, terms}: PlacedCall,
 		now: clocks.Instant,
 	): Placement | undefined {
-		const usesEngine = call.table.findPool(pool)?.engine !== undefined && call.head.prompt !== undefined;
+		const engineTerms = call.table.findPool(pool)?.engine === undefined ? undefined : terms;
+		const usesEngine = engineTerms !== undefined;
 		const unlimited = entries.filter(entry => !this.#isRampUpLimited(entry));
 		const candidates = (unlimited.length > 0 ? unlimited : entries)
-			.map(entry => this.#createCandidate(entry, call, usesEngine, now.suspendAware));
+			.map(entry => this.#createCandidate(entry, engineTerms));
 		const view: core.fleet.PlacementView = {...this.fleet, costs: this.options.costs};
 		const choice = core.fleet.chooseEndpoint(candidates, this.#requirementsOf(call, usesEngine), view, now.monotonic);
 		if (choice === undefined) {
@@ -147,37 +168,23 @@
 		return unlimited.length > 0 ? placement : {...placement, hasCapacity: false};
 	}
 
-	/** @param now - Milliseconds of the clock that includes suspensions. */
-	#canServe(entry: core.fleet.EndpointEntry, model: string, now: number): boolean {
-		const version = this.fleet.registry.weightVersion(entry.id, model);
-		if (version === undefined || core.rollout.isLoading(this.fleet.plan, entry.id)) {
-			return false;
-		}
-
-		return core.rollout.canStartInTime(this.#startWithinMs(model, version, now), 0);
+	#canServe(entry: core.fleet.EndpointEntry, terms: weightTerms.WeightTerms): boolean {
+		const version = this.fleet.registry.weightVersion(entry.id, terms.model);
+		return version !== undefined && !core.rollout.isLoading(this.fleet.plan, entry.id) && terms.of(version).canStart;
 	}
 
-	/** @param now - Milliseconds of the clock that includes suspensions. */
-	#createCandidate(
-		entry: core.fleet.EndpointEntry,
-		call: requestContext.RoutedRequest,
-		usesEngine: boolean,
-		now: number,
-	): core.fleet.Candidate {
-		if (!usesEngine) {
+	/** @param terms - Absent if the service has no engines. */
+	#createCandidate(entry: core.fleet.EndpointEntry, terms: weightTerms.WeightTerms | undefined): core.fleet.Candidate {
+		const isPausedForPeers = this.pauses.isPausedForPeers(entry);
+		if (terms === undefined) {
 			return {
-				entry, hasOldWeights: false, isPausedForPeers: this.pauses.isPausedForPeers(entry), startWithinMs: Infinity, cacheNamespace: '',
+				entry, hasOldWeights: false, isPausedForPeers, startWithinMs: Infinity, cacheNamespace: '',
 			};
 		}
 
-		const {model} = call.head.prompt!;
-		const version = this.fleet.registry.weightVersion(entry.id, model) ?? 0;
+		const {hasOldWeights, startWithinMs, cacheNamespace} = terms.of(this.fleet.registry.weightVersion(entry.id, terms.model) ?? 0);
 		return {
-			entry,
-			hasOldWeights: this.fleet.targets.outdatedForMs(model, version, now) > oldWeightsGraceMs,
-			isPausedForPeers: this.pauses.isPausedForPeers(entry),
-			startWithinMs: this.#startWithinMs(model, version, now),
-			cacheNamespace: `${model}@${version}${isolationSuffix(call.account)}`,
+			entry, hasOldWeights, isPausedForPeers, startWithinMs, cacheNamespace,
 		};
 	}
 
@@ -247,8 +254,3 @@
 function getPriority(call: requestContext.RoutedRequest): number {
 	return call.account?.priority ?? call.route.priority;
 }
-
-/** Returns a suffix of the cache namespace that separates the cached state of an isolated account from all others. */
-function isolationSuffix(account: core.routing.ApiAccount | undefined): string {
-	return account?.isIsolated ? `+${account.name}` : '';
-}
