--- a/packages/stand-ins/src/fault/stand-in-server.ts
+++ b/packages/stand-ins/src/fault/stand-in-server.ts
@@ -2,10 +2,14 @@
 import type * as nodeNet from 'node:net';
 import * as net from 'node:net';
 import * as httpIo from '../util/http-io.js';
+import * as sleepModule from '../util/sleep.js';
 import * as fault from './fault.js';
 import * as faultState from './fault-state.js';
 import * as silenceableConnection from './silenceable-connection.js';
 
+const listenRetryMs = 100;
+const maxListenAttempts = 50;
+
 /** Ports that a stand-in listens on, for requests and for faults. */
 export type StandInAddresses = {
 	readonly port: number;
@@ -173,7 +177,7 @@
 		this.faults.clear();
 		if (!this.#listener.listening) {
 			this.#listener = this.#createListener();
-			await listen(this.#listener, this.#port, this.#host);
+			await listenAgain(this.#listener, this.#port, this.#host);
 		}
 	}
 
@@ -237,6 +241,22 @@
 	}
 }
 
+/** Listens on a port that was given up for a time; waits while another process uses it for an outgoing connection. */
+async function listenAgain(server: net.Server, port: number, host: string): Promise<void> {
+	for (let attempt = 1; ; attempt++) {
+		try {
+			await listen(server, port, host); // eslint-disable-line no-await-in-loop -- A retry.
+			return;
+		} catch (err) {
+			if ((err as NodeJS.ErrnoException).code !== 'EADDRINUSE' || attempt === maxListenAttempts) {
+				throw err;
+			}
+		}
+
+		await sleepModule.sleep(listenRetryMs); // eslint-disable-line no-await-in-loop -- A retry.
+	}
+}
+
 async function listen(server: net.Server, port: number, host: string): Promise<number> {
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
