--- a/packages/core/tests/fleet/endpoint-health.test.ts
+++ b/packages/core/tests/fleet/endpoint-health.test.ts
@@ -57,6 +57,15 @@
 		expect(health.startDueChecks(never, 10_000)).to.deep.equal([]);
 	});
 
+	it('keeps using an endpoint that sends data while a check that fails is in progress', () => {
+		const health = new core.fleet.EndpointHealth();
+		health.recordSent('a', 'r1', 0, 0);
+		expect(health.startDueChecks(never, 500)).to.deep.equal(['a']);
+		health.recordReceived('a', 'r1', 700);
+		expect(health.recordCheck('a', false, 1000)).to.equal(false);
+		expect(health.isResponsive('a')).to.equal(true);
+	});
+
 	// Guards against requests that are refused or moved although a server that was silent for a moment has gone on.
 	describe('of an endpoint that was silent and goes on', () => {
 		let health: core.fleet.EndpointHealth;
--- a/packages/gateway/src/call/attempt-recorder.ts
+++ b/packages/gateway/src/call/attempt-recorder.ts
@@ -118,7 +118,7 @@
 	 * Records that an attempt delivered a complete response, once its connection shows that the endpoint outlived the request: a short
 	 * response may be complete before the endpoint ends on it.
 	 */
-	recordCompletion(sent: sentAttempt.SentAttempt, connection: Pick<endpoints.EndpointConnection, 'isOpen'>): void {
+	recordCompletion(sent: sentAttempt.SentAttempt, connection: Pick<endpoints.EndpointConnection, 'isOpen' | 'isClosedHere'>): void {
 		const {quarantine, clock} = this.dependencies;
 		const sharedParts = this.promptKeys?.sharedParts ?? [];
 		if (sharedParts.length === 0) {
@@ -129,7 +129,7 @@
 		setTimeout(() => {
 			if (connection.isOpen) {
 				quarantine.recordCompletion(sharedParts, completedAt);
-			} else {
+			} else if (!connection.isClosedHere) {
 				this.recordInterruption(sent);
 			}
 		}, outlivedMs).unref();
--- a/packages/gateway/src/call/retry-rules.ts
+++ b/packages/gateway/src/call/retry-rules.ts
@@ -14,6 +14,8 @@
 /** What the rules depend on, besides the attempts of the request. */
 export type RetryRulesOptions = {
 	readonly route: Pick<core.routing.Route, 'kind' | 'isResumable' | 'maxAttempts'>;
+	/** Returns whether a response has begun that another endpoint can't continue. */
+	readonly isBound: () => boolean;
 	/** In milliseconds of the monotonic clock. */
 	readonly deadlineAt: number;
 	readonly window: core.fleet.RetryWindow;
@@ -26,8 +28,8 @@
 	/** Number of attempts, including those that found no free connection. */
 	attemptCount = 0;
 	readonly #attempts: sentAttempt.SentAttempt[] = [];
-	/** Whether a retry that has not been sent yet is counted in the budget. */
-	#hasReservedRetry = false;
+	/** Takes back the count of a retry that has not been sent yet; absent if none is reserved. */
+	#uncountReserved: (() => void) | undefined;
 
 	constructor(private readonly options: RetryRulesOptions) {}
 
@@ -44,37 +46,27 @@
 
 	/** Records that an attempt was sent; one after the first counts in the retry budget. */
 	recordSent(sent: sentAttempt.SentAttempt, now: number): void {
-		if (this.#attempts.length > 0 && !this.#hasReservedRetry) {
+		// A reserved retry counts from now on, since the search for an endpoint may have taken long.
+		this.releaseRetry();
+		if (this.#attempts.length > 0) {
 			this.options.window.countRetry(now);
 		}
 
-		this.#hasReservedRetry = false;
 		this.#attempts.push(sent);
 	}
 
 	/** Returns a reserved retry to the budget, as the request is not sent again. */
-	releaseRetry(now: number): void {
-		if (this.#hasReservedRetry) {
-			this.#hasReservedRetry = false;
-			this.options.window.uncountRetry(now);
-		}
+	releaseRetry(): void {
+		this.#uncountReserved?.();
+		this.#uncountReserved = undefined;
 	}
 
 	/**
 	 * Reserves a retry after an attempt has ended. @returns What prevents it; `undefined` if the request may be sent to another endpoint.
 	 *
 	 * @param progress - How far the attempt came.
-	 * @param hasResponseBegun - Whether the caller has received a part of a response.
 	 */
-	reserveRetry(progress: core.request.AttemptProgress, hasResponseBegun: boolean, now: number): core.log.RetryObstacle | undefined {
-		if (this.#attempts.filter(sent => sent.isInterrupted && sent.hasResponseStarted).length >= maxInterruptions) {
-			return obstacles.Interruptions;
-		}
-
-		if (hasResponseBegun && !this.options.route.isResumable) {
-			return obstacles.NotResumable;
-		}
-
+	reserveRetry(progress: core.request.AttemptProgress, now: number): core.log.RetryObstacle | undefined {
 		switch (progress) {
 			case progresses.RefusedBeforeExecution: {
 				return this.#findUnexecutedObstacle(now) ?? this.#reserve(now);
@@ -112,6 +104,14 @@
 
 	/** Returns what prevents a retry of a request that was not executed, regardless of the budget. */
 	#findUnexecutedObstacle(now: number): core.log.RetryObstacle | undefined {
+		if (this.#attempts.filter(sent => sent.isInterrupted && sent.hasResponseStarted).length >= maxInterruptions) {
+			return obstacles.Interruptions;
+		}
+
+		if (this.options.isBound()) {
+			return obstacles.NotResumable;
+		}
+
 		return this.attemptCount >= this.options.route.maxAttempts + maxExtraAttempts ? obstacles.AttemptsUsed : this.#findTimeObstacle(now);
 	}
 
@@ -120,16 +120,15 @@
 	}
 
 	#findBudgetObstacle(now: number): core.log.RetryObstacle | undefined {
-		const isAllowed = this.#hasReservedRetry || this.options.window.allowsRetry(this.options.vmCount(), now);
+		const isAllowed = this.#uncountReserved !== undefined || this.options.window.allowsRetry(this.options.vmCount(), now);
 		return isAllowed ? undefined : obstacles.RetryBudgetUsed;
 	}
 
 	/** Counts a retry before it is sent, so that requests that fail together do not all use what is left of the budget. */
 	#reserve(now: number): core.log.RetryObstacle | undefined {
 		const obstacle = this.#findBudgetObstacle(now);
-		if (obstacle === undefined && !this.#hasReservedRetry) {
-			this.options.window.countRetry(now);
-			this.#hasReservedRetry = true;
+		if (obstacle === undefined) {
+			this.#uncountReserved ??= this.options.window.countRetry(now);
 		}
 
 		return obstacle;
--- a/packages/gateway/tests/support/fake-connections.ts
+++ b/packages/gateway/tests/support/fake-connections.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import * as events from 'node:events';
 import type * as undici from 'undici';
+import type * as core from '@bluebellmast/core';
 import type * as gateway from '@bluebellmast/gateway';
 
 /** A stream that an endpoint of {@link FakeConnections} is working on. */
@@ -31,8 +32,8 @@
 	}
 
 	/** Sends the head of the response. */
-	begin(): void {
-		this.handler.onResponseStart?.(this.#typedController, 200, {'content-length': '1', 'x-request-id': this.requestId}, 'OK');
+	begin(status = 200): void {
+		this.handler.onResponseStart?.(this.#typedController, status, {'content-length': '1', 'x-request-id': this.requestId}, 'OK');
 	}
 
 	/** Refuses the request as not executed. */
@@ -47,6 +48,11 @@
 		this.#nextId += 1;
 	}
 
+	/** Sends a part of the body. */
+	sendBytes(text: string): void {
+		this.handler.onResponseData?.(this.#typedController, Buffer.from(text));
+	}
+
 	/** Ends the response. */
 	end(): void {
 		this.handler.onResponseEnd?.(this.#typedController, {});
@@ -58,9 +64,19 @@
 	}
 }
 
+type IdleConnection = {
+	isOpen: boolean;
+	isClosedHere: boolean;
+	readonly id: string;
+};
+
 /** Connections to endpoints that exist only in the test, which decides what they send. */
 export class FakeConnections {
 	readonly streams: FakeStream[] = [];
+	/** Endpoints to which no further connection may be opened. */
+	readonly full = new Set<string>();
+	/** Endpoints to which connections are never established. */
+	readonly unreachable = new Set<string>();
 
 	/** Protocol of the endpoints. */
 	readonly protocol = {
@@ -73,20 +89,37 @@
 
 	/** Connection pools as the dispatcher uses them. */
 	readonly pools = {
-		poolFor: () => ({
-			acquire: () => ({
-				isOpen: true,
-				dispatch: (options: undici.Dispatcher.DispatchOptions, handler: undici.Dispatcher.DispatchHandler) => {
-					const [requestId, endpoint, lastEventId] = options.headers as string[];
-					this.streams.push(new FakeStream(endpoint!, requestId!, Number(lastEventId), handler));
-				},
-			}),
-			release: () => undefined,
+		poolFor: ({id}: core.fleet.EndpointEntry) => ({
+			acquire: () => this.full.has(id)
+				? undefined
+				: ({
+					id,
+					isOpen: true,
+					isClosedHere: false,
+					dispatch: (options: undici.Dispatcher.DispatchOptions, handler: undici.Dispatcher.DispatchHandler) => {
+						const [requestId, endpoint, lastEventId] = options.headers as string[];
+						if (this.unreachable.has(endpoint!)) {
+							return;
+						}
+
+						this.streams.push(new FakeStream(endpoint!, requestId!, Number(lastEventId), handler));
+					},
+				}),
+			release: (connection: IdleConnection) => {
+				this.#idle.push(connection);
+			},
 			discard: () => undefined,
 		}),
-		closeIdle: () => undefined,
+		closeIdle: (endpoint: string) => {
+			for (const connection of this.#idle.filter(({id}) => id === endpoint)) {
+				connection.isOpen = false;
+				connection.isClosedHere = true;
+			}
+		},
 	} as unknown as gateway.endpoints.ConnectionPools;
 
+	readonly #idle: IdleConnection[] = [];
+
 	/** The streams that were sent to an endpoint, in order. */
 	listAt(endpoint: string): FakeStream[] {
 		return this.streams.filter(stream => stream.endpoint === endpoint);
