--- a/packages/stand-ins/src/soak/main.ts
+++ b/packages/stand-ins/src/soak/main.ts
@@ -44,6 +44,7 @@
 }
 
 async function main(): Promise<number> {
+	fs.mkdirSync(values.logs, {recursive: true});
 	const folder = fs.mkdtempSync(path.join(values.logs, 'bluebellmast-soak-'));
 	const lines: string[] = [];
 	const findings = await run(folder, line => {
--- a/packages/stand-ins/src/users-platform/index.ts
+++ b/packages/stand-ins/src/users-platform/index.ts
@@ -1,2 +1,3 @@
+export * from './users-server-records.js';
 export * from './users-server-stand-in.js';
 export * from './users-store-stand-in.js';
--- a/packages/stand-ins/src/users-platform/users-server-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/users-server-stand-in.ts
@@ -3,108 +3,7 @@
 import type * as net from 'node:net';
 import * as fault from '../fault/index.js';
 import * as util from '../util/index.js';
-
-/** Options of a server stand-in of the users' platform. */
-export type UsersServerOptions = fault.StandInOptions & {
-	readonly id: string;
-	readonly service: string;
-	/** Model that the server streams completions of; without it the server runs a plain service. */
-	readonly model?: string;
-	/** Number of events in each stream; default 3. */
-	readonly eventCount?: number;
-	/** Delay before the first event of a stream, in milliseconds; default 0. */
-	readonly firstEventDelayMs?: number;
-	/** Interval between stream events and duration of a plain request, in milliseconds; default 1. */
-	readonly intervalMs?: number;
-	/** Duration of a weight load in milliseconds; default 20. */
-	readonly loadMs?: number;
-	/** Delay of an order under `OrderFault.Late`, in milliseconds; default 300. */
-	readonly lateOrderDelayMs?: number;
-	/** Whether response bodies name the server and the id of their request; default false. */
-	readonly identifiesRequests?: boolean;
-	/** Part of a prompt, other than the last one, on which the process ends soon after the first event; default none. */
-	readonly crashingPart?: string;
-	/** Called when the process has ended on the crashing part. */
-	readonly onCrash?: () => void;
-};
-
-/** Faults in the handling of orders. */
-export enum OrderFault {
-	None = 'none',
-	/** Sends no response and executes the order after a delay if its preconditions still hold. */
-	Late = 'late',
-	/** Closes the connection without executing the order. */
-	Lost = 'lost',
-}
-
-/** Faults in the handling of requests. */
-export enum ServerFault {
-	None = 'none',
-	/** Refuses every request with status 503, as a server without a free slot does. */
-	Full = 'full',
-	/** Executes the request and closes the connection without a response. */
-	ResponseLost = 'answer_lost',
-	/** Resets the connection of a stream after its first event. */
-	BreakStream = 'break_stream',
-	/** Leaves out the second event of a stream. */
-	SkipEvent = 'skip_event',
-	/** Responds with the request id of another request. */
-	WrongId = 'wrong_id',
-	/** Responds without the signature header. */
-	Unsigned = 'unsigned',
-	/** Sends a response without a length or chunked encoding, and resets the connection after it. */
-	UnframedReset = 'unframed_reset',
-	/** Sends a complete response without a length or chunked encoding, and closes the connection after it. */
-	Unframed = 'unframed',
-	/** Executes the request and responds with status 500. */
-	Fails = 'fails',
-	/** Sends the response twice in succession. */
-	DuplicateResponse = 'doubled',
-	/** Sends the response again just before the response to the next request on the same connection. */
-	LateDuplicateResponse = 'doubled_late',
-	/** Responds before the request body is read. */
-	EarlyResponse = 'early',
-	/** Sends bytes that are not an HTTP response. */
-	InvalidHttp = 'nonsense',
-}
-
-/** A request that a server executed. */
-export type UsersServerExecution = {
-	readonly server: string;
-	readonly requestId: string;
-	readonly path: string;
-	readonly body: string;
-	readonly headers: http.IncomingHttpHeaders;
-	/** Arrival time in milliseconds since the Unix epoch. */
-	readonly arrivedAt: number;
-};
-
-/** The first event of a stream, with which the stream starts to run. */
-export type UsersServerStart = {
-	readonly server: string;
-	readonly requestId: string;
-	readonly version: number;
-	/** Milliseconds since the Unix epoch. */
-	readonly at: number;
-};
-
-/** An order to load a weight version. */
-export type UsersServerOrder = {
-	readonly version: number;
-	readonly holder: string;
-	readonly fence: number;
-	/** Number of orders that must have been accepted before this one; absent when any number is allowed. */
-	readonly expected?: number;
-	/** Arrival time in milliseconds since the Unix epoch. */
-	readonly arrivedAt: number;
-};
-
-/** An arrival at a server that asks for a pause. */
-export type PausedArrival = {
-	readonly path: string;
-	/** Milliseconds since the Unix epoch. */
-	readonly at: number;
-};
+import * as records from './users-server-records.js';
 
 type AskedPause = {
 	/** Value of `Retry-After`. */
@@ -137,19 +36,19 @@
 export class UsersServerStandIn implements fault.StandIn {
 	readonly server: fault.StandInServer;
 	/** Requests that were executed. */
-	readonly executions: UsersServerExecution[] = [];
+	readonly executions: records.UsersServerExecution[] = [];
 	/** Streams that sent their first event. */
-	readonly starts: UsersServerStart[] = [];
+	readonly starts: records.UsersServerStart[] = [];
 	/** Orders that were accepted. */
-	readonly orders: UsersServerOrder[] = [];
+	readonly orders: records.UsersServerOrder[] = [];
 	/** Ids of requests whose connection closed before the response was complete. */
 	readonly abandonedRequestIds: string[] = [];
 	/** Delayed orders that were not accepted, as a precondition no longer held or the version was loaded already. */
-	readonly rejectedLateOrders: UsersServerOrder[] = [];
-	fault = ServerFault.None;
-	orderFault = OrderFault.None;
+	readonly rejectedLateOrders: records.UsersServerOrder[] = [];
+	fault = records.ServerFault.None;
+	orderFault = records.OrderFault.None;
 	/** Arrivals while the server asked for a pause. */
-	readonly arrivalsInPause: PausedArrival[] = [];
+	readonly arrivalsInPause: records.PausedArrival[] = [];
 	/** Value of the header in all responses that announces that the server is leaving; absent if it has no such header. */
 	leavingHeader: string | undefined;
 	version = 1;
@@ -169,7 +68,7 @@
 	#silentUntil = -Infinity;
 	#pause: AskedPause = {retryAfter: '', until: -Infinity, includesCalls: false};
 
-	constructor(readonly options: UsersServerOptions) {
+	constructor(readonly options: records.UsersServerOptions) {
 		this.server = new fault.StandInServer(options, async (req, res, arrivedAt) => this.#handle(req, res, arrivedAt));
 	}
 
@@ -287,8 +186,8 @@
 	}
 
 	async #handleOrder(body: string, res: http.ServerResponse, arrivedAt: number): Promise<void> {
-		const order = {...JSON.parse(body) as UsersServerOrder, arrivedAt};
-		if (this.orderFault === OrderFault.Late) {
+		const order = {...JSON.parse(body) as records.UsersServerOrder, arrivedAt};
+		if (this.orderFault === records.OrderFault.Late) {
 			this.pendingLateOrderCount += 1;
 			await util.sleep(this.options.lateOrderDelayMs ?? defaultLateOrderDelayMs);
 			this.pendingLateOrderCount -= 1;
@@ -300,7 +199,7 @@
 			return;
 		}
 
-		if (this.orderFault === OrderFault.Lost) {
+		if (this.orderFault === records.OrderFault.Lost) {
 			res.destroy();
 			return;
 		}
@@ -308,7 +207,7 @@
 		util.sendJson(res, this.#executeOrder(order).status, {});
 	}
 
-	#executeOrder(order: UsersServerOrder): OrderResult {
+	#executeOrder(order: records.UsersServerOrder): OrderResult {
 		if (order.fence < this.#highestFence) {
 			return {status: 412, isAccepted: false};
 		}
@@ -335,13 +234,13 @@
 	async #handleRequest(req: http.IncomingMessage, res: http.ServerResponse, arrivedAt: number, bodyReadBefore?: string): Promise<void> {
 		const requestId = util.headerOf(req, 'bluebellmast-request-id');
 		const expectedVersion = util.headerOf(req, 'bluebellmast-expected-version');
-		const body = bodyReadBefore ?? (this.fault === ServerFault.EarlyResponse ? '' : await util.readText(req));
+		const body = bodyReadBefore ?? (this.fault === records.ServerFault.EarlyResponse ? '' : await util.readText(req));
 		if (expectedVersion !== '' && Number(expectedVersion) !== this.version) {
 			util.sendJson(res, 421, {}, {'Bluebellmast-Instance-Id': this.options.id});
 			return;
 		}
 
-		if (this.fault === ServerFault.Full || this.#isLoading) {
+		if (this.fault === records.ServerFault.Full || this.#isLoading) {
 			util.sendJson(res, 503, {}, {'Bluebellmast-Not-Executed': '1', 'Bluebellmast-Request-Id': requestId});
 			return;
 		}
@@ -354,7 +253,7 @@
 				this.abandonedRequestIds.push(requestId);
 			}
 		});
-		if (this.fault === ServerFault.ResponseLost) {
+		if (this.fault === records.ServerFault.ResponseLost) {
 			res.destroy();
 			return;
 		}
@@ -372,36 +271,36 @@
 		this.#sendPendingDuplicate(res.socket!);
 		const headers = this.#createHeaders(requestId);
 		switch (this.fault) {
-			case ServerFault.InvalidHttp: {
+			case records.ServerFault.InvalidHttp: {
 				res.socket!.write('no answer at all\r\n\r\n');
 				break;
 			}
 
-			case ServerFault.DuplicateResponse:
-			case ServerFault.LateDuplicateResponse: {
+			case records.ServerFault.DuplicateResponse:
+			case records.ServerFault.LateDuplicateResponse: {
 				this.#sendResponseTwice(headers, res);
 				break;
 			}
 
-			case ServerFault.Fails: {
+			case records.ServerFault.Fails: {
 				util.sendJson(res, 500, {problem: 'its own'}, headers);
 				break;
 			}
 
-			case ServerFault.Unframed:
-			case ServerFault.UnframedReset: {
+			case records.ServerFault.Unframed:
+			case records.ServerFault.UnframedReset: {
 				await this.#sendUnframedResponse(headers, res);
 				break;
 			}
 
-			case ServerFault.None:
-			case ServerFault.Full:
-			case ServerFault.ResponseLost:
-			case ServerFault.BreakStream:
-			case ServerFault.SkipEvent:
-			case ServerFault.WrongId:
-			case ServerFault.Unsigned:
-			case ServerFault.EarlyResponse: {
+			case records.ServerFault.None:
+			case records.ServerFault.Full:
+			case records.ServerFault.ResponseLost:
+			case records.ServerFault.BreakStream:
+			case records.ServerFault.SkipEvent:
+			case records.ServerFault.WrongId:
+			case records.ServerFault.Unsigned:
+			case records.ServerFault.EarlyResponse: {
 				util.sendJson(res, 200, {server: this.options.id, ...(this.options.identifiesRequests && {requestId})}, headers);
 				break;
 			}
@@ -420,8 +319,8 @@
 		const firstId = Number(util.headerOf(req, 'last-event-id') || '0') + 1;
 		const lastId = this.options.eventCount ?? defaultEventCount;
 		// A fault holds for the streams that begin under it, so that a test may take it back as soon as it sees the execution.
-		const breaksStream = this.fault === ServerFault.BreakStream;
-		const skippedId = this.fault === ServerFault.SkipEvent ? firstId + 1 : undefined;
+		const breaksStream = this.fault === records.ServerFault.BreakStream;
+		const skippedId = this.fault === records.ServerFault.SkipEvent ? firstId + 1 : undefined;
 		const label = this.options.identifiesRequests ? ` of ${requestId} from ${this.options.id}` : '';
 		await util.sleep((this.options.firstEventDelayMs ?? 0) + this.extraDelayMs);
 		await this.#waitWhileSilent();
@@ -478,7 +377,7 @@
 		const copy = `HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n${headerLines}\r\n${body}`;
 		const {socket} = res;
 		util.sendJson(res, 200, {server: this.options.id}, headers);
-		if (this.fault === ServerFault.DuplicateResponse) {
+		if (this.fault === records.ServerFault.DuplicateResponse) {
 			socket!.write(copy);
 		} else {
 			this.#pendingDuplicates.set(socket!, copy);
@@ -488,7 +387,7 @@
 	async #sendUnframedResponse(headers: Readonly<Record<string, string>>, res: http.ServerResponse): Promise<void> {
 		const headerLines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('');
 		res.socket?.write(`HTTP/1.1 200 OK\r\nConnection: close\r\n${headerLines}\r\n{"whole":1}`);
-		if (this.fault === ServerFault.UnframedReset) {
+		if (this.fault === records.ServerFault.UnframedReset) {
 			await this.#resetConnection(res);
 		} else {
 			res.socket?.end();
@@ -503,9 +402,9 @@
 
 	#createHeaders(requestId: string): Record<string, string> {
 		return {
-			'Bluebellmast-Request-Id': this.fault === ServerFault.WrongId ? 'another' : requestId,
+			'Bluebellmast-Request-Id': this.fault === records.ServerFault.WrongId ? 'another' : requestId,
 			'Bluebellmast-Server-Load': `1,0,${slotCount}`,
-			...(this.fault !== ServerFault.Unsigned && {'Bluebellmast-Response-Seal': `seal-of-${this.options.id}`}),
+			...(this.fault !== records.ServerFault.Unsigned && {'Bluebellmast-Response-Seal': `seal-of-${this.options.id}`}),
 		};
 	}
 
