Release waiting requests in turn, each after the one before was sent

Two requests were released for one place; the second found it taken when it confirmed its placement, and had to wait anew, at worst to be refused.

Change: the queue looks for capacity for the next request after the released one was sent.

--- a/packages/gateway/src/call/request-queue.ts
+++ b/packages/gateway/src/call/request-queue.ts
@@ -1,3 +1,4 @@
+import * as timers from 'node:timers/promises';
 import * as core from '@bluebellmast/core';
 
 /** How the wait of a request ended. */
@@ -78,14 +79,21 @@
 	#scheduleCheck(): void {
 		if (this.#entries.size > 0) {
 			this.#timer ??= setTimeout(() => {
-				this.#timer = undefined;
-				this.#checkEntries();
-				this.#scheduleCheck();
+				void this.#check();
 			}, checkIntervalMs);
 		}
 	}
 
-	#checkEntries(): void {
+	async #check(): Promise<void> {
+		try {
+			await this.#checkEntries();
+		} finally {
+			this.#timer = undefined;
+			this.#scheduleCheck();
+		}
+	}
+
+	async #checkEntries(): Promise<void> {
 		const now = this.monotonicNow();
 		for (const entry of this.#entries) {
 			if (entry.request.expiresAt <= now) {
@@ -100,12 +108,14 @@
 				return;
 			}
 
-			const hasCapacity = entry.request.hasCapacity();
+			const hasCapacity = this.#entries.has(entry) ? entry.request.hasCapacity() : false;
 			if (hasCapacity === undefined) {
 				entry.end(WaitOutcome.NoEndpoint);
 			} else if (hasCapacity) {
 				released += 1;
 				entry.end(WaitOutcome.CapacityAvailable);
+				// The request is sent before capacity is sought for the next one.
+				await timers.setImmediate(); // eslint-disable-line no-await-in-loop -- Requests are released in turn.
 			}
 		}
 	}
--- a/packages/gateway/tests/call/request-queue.test.ts
+++ b/packages/gateway/tests/call/request-queue.test.ts
@@ -31,6 +31,24 @@
 		expect(order).to.deep.equal(['first', 'second', 'less urgent']);
 	});
 
+	// Guards against requests that are released together for the same capacity, so that one has to wait anew.
+	it('releases a request only after the one before has used its capacity', async () => {
+		const queue = new gateway.call.RequestQueue(() => 100);
+		let capacity = 1;
+		const waits = [10, 20].map(arrivedAt => queue.wait(createRequest({arrivedAt, hasCapacity: () => capacity > 0})));
+		const use = async (ended: Promise<gateway.call.WaitOutcome>): Promise<gateway.call.WaitOutcome> => {
+			const outcome = await ended;
+			capacity -= 1;
+			return outcome;
+		};
+
+		const second = use(waits[1]!.ended);
+		expect(await use(waits[0]!.ended)).to.equal(gateway.call.WaitOutcome.CapacityAvailable);
+		expect([queue.size, capacity]).to.deep.equal([1, 0]);
+		waits[1]!.cancel();
+		expect(await second).to.equal(gateway.call.WaitOutcome.Cancelled);
+	});
+
 	it('ends a wait that expires and one that is cancelled', async () => {
 		const queue = new gateway.call.RequestQueue(() => 100);
 		const expired = queue.wait(createRequest({expiresAt: 100}));
