Decide in the gateway, not in platform/, what a reset of a check's connection means

platform/ reports that a connection was reset; EndpointChecker repeats the check once and takes a second reset for a live process.

--- a/packages/gateway/src/controllers/endpoint-controller.ts
+++ b/packages/gateway/src/controllers/endpoint-controller.ts
@@ -7,6 +7,7 @@
 import * as ports from '../ports/index.js';
 import * as clocks from '../util/clocks.js';
 import * as eventLog from '../util/event-log.js';
+import * as endpointChecker from './endpoint-checker.js';
 import type * as storeFeed from './store-feed.js';
 
 /** Dependencies of the controller. */
@@ -28,7 +29,11 @@
 	/** Whether the next snapshot is the first one after the store returned from a copy. */
 	#hasReturned = false;
 
-	constructor(private readonly dependencies: EndpointControllerDependencies) {}
+	readonly #checker: endpointChecker.EndpointChecker;
+
+	constructor(private readonly dependencies: EndpointControllerDependencies) {
+		this.#checker = new endpointChecker.EndpointChecker(dependencies);
+	}
 
 	/**
 	 * Keeps what is known of the endpoints while the store may list older entries: the weights that they have loaded, and for the
@@ -170,8 +175,7 @@
 			return;
 		}
 
-		this.dependencies.pauses.recordCall(entry);
-		const isAlive = pool.engine === undefined ? await this.#checkPlainService(entry, pool) : await this.#readEngine(entry);
+		const isAlive = await this.#checker.isAlive(entry, pool);
 		const hasChanged = fleet.health.recordCheck(endpoint, isAlive, clock.monotonicNow());
 		const isResponsive = fleet.health.isResponsive(endpoint);
 		if (hasChanged) {
@@ -184,33 +188,6 @@
 		}
 	}
 
-	async #checkPlainService(entry: core.fleet.EndpointEntry, pool: core.routing.Pool): Promise<boolean> {
-		const {isAlive, retryAfterMs} = await this.dependencies.admin.checkHealth(entry, pool);
-		this.dependencies.pauses.record(entry, retryAfterMs);
-		return isAlive;
-	}
-
-	/** Reads an engine's report and records its weights. @returns Whether the listed incarnation responded. */
-	async #readEngine(entry: core.fleet.EndpointEntry): Promise<boolean> {
-		const result = await this.dependencies.admin.readReport(entry);
-		const retryAfterMs = result.swap().toMaybe().extract()?.retryAfterMs;
-		if (retryAfterMs !== undefined) {
-			this.dependencies.pauses.record(entry, retryAfterMs);
-			return true;
-		}
-
-		const report = result.toMaybe().extract();
-		if (report === undefined || (report.bornAt !== 0 && report.bornAt !== entry.bornAt)) {
-			return false;
-		}
-
-		for (const [model, version] of report.weights) {
-			this.dependencies.fleet.registry.recordObservedWeights(entry.id, entry.bornAt, {model, version}, this.dependencies.clock.monotonicNow());
-		}
-
-		return true;
-	}
-
 	#handleHealthChange(endpoint: string, isResponsive: boolean): void {
 		const {connections, log} = this.dependencies;
 		log.write(isResponsive ? eventLog.LogEvent.EndpointResponsive : eventLog.LogEvent.EndpointUnresponsive, {endpoint});
--- a/packages/gateway/src/controllers/index.ts
+++ b/packages/gateway/src/controllers/index.ts
@@ -1,6 +1,7 @@
 export * from './cache-store-controller.js';
 export * from './coordination-controller.js';
 export * from './coordination-keys.js';
+export * from './endpoint-checker.js';
 export * from './endpoint-controller.js';
 export * from './era-listener.js';
 export * from './lease-controller.js';
--- a/packages/gateway/src/ports/endpoint-protocol.ts
+++ b/packages/gateway/src/ports/endpoint-protocol.ts
@@ -110,6 +110,8 @@
 /** Result of a health check. */
 export type HealthCheck = {
 	readonly isAlive: boolean;
+	/** Whether the connection was established, and closed or reset before a response. */
+	readonly isReset?: boolean;
 	/** Time for which the endpoint wants nothing more from this VM, in milliseconds; absent if it states none. */
 	readonly retryAfterMs?: number;
 };
@@ -117,6 +119,8 @@
 /** A failed call to an endpoint. */
 export type EndpointCallError = {
 	readonly message: string;
+	/** Whether the connection was established, and closed or reset before a response. */
+	readonly isReset?: boolean;
 	/** Time for which the endpoint wants nothing more from this VM, in milliseconds; absent if it states none. */
 	readonly retryAfterMs?: number;
 };
--- a/packages/stand-ins/src/users-platform/users-server-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/users-server-stand-in.ts
@@ -1,8 +1,8 @@
 /* eslint-disable @typescript-eslint/naming-convention -- Field names of the protocol. */
 import type * as http from 'node:http';
-import type * as net from 'node:net';
 import * as fault from '../fault/index.js';
 import * as util from '../util/index.js';
+import * as duplicateResponses from './duplicate-responses.js';
 import * as records from './users-server-records.js';
 
 type AskedPause = {
@@ -56,8 +56,7 @@
 	extraDelayMs = 0;
 	/** Number of orders whose delayed execution is pending. */
 	pendingLateOrderCount = 0;
-	/** Copies of responses to be sent before the next response on a connection, by connection. */
-	readonly #pendingDuplicates = new WeakMap<net.Socket, string>();
+	readonly #duplicates = new duplicateResponses.DuplicateResponses();
 	#isLoading = false;
 	#hasCrashed = false;
 	#highestFence = 0;
@@ -268,7 +267,7 @@
 			return;
 		}
 
-		this.#sendPendingDuplicate(res.socket!);
+		this.#duplicates.sendPending(res.socket!);
 		const headers = this.#createHeaders(requestId);
 		switch (this.fault) {
 			case records.ServerFault.InvalidHttp: {
@@ -278,7 +277,7 @@
 
 			case records.ServerFault.DuplicateResponse:
 			case records.ServerFault.LateDuplicateResponse: {
-				this.#sendResponseTwice(headers, res);
+				this.#duplicates.sendTwice(res, {server: this.options.id}, headers, this.fault === records.ServerFault.LateDuplicateResponse);
 				break;
 			}
 
@@ -307,14 +306,6 @@
 		}
 	}
 
-	#sendPendingDuplicate(socket: net.Socket): void {
-		const duplicate = this.#pendingDuplicates.get(socket);
-		if (duplicate !== undefined) {
-			this.#pendingDuplicates.delete(socket);
-			socket.write(duplicate);
-		}
-	}
-
 	async #sendStream(req: http.IncomingMessage, requestId: string, res: http.ServerResponse): Promise<void> {
 		const firstId = Number(util.headerOf(req, 'last-event-id') || '0') + 1;
 		const lastId = this.options.eventCount ?? defaultEventCount;
@@ -370,20 +361,6 @@
 		}
 	}
 
-	/** Sends a response, and sends a copy of it immediately or keeps the copy for the next request, depending on the fault. */
-	#sendResponseTwice(headers: Readonly<Record<string, string>>, res: http.ServerResponse): void {
-		const body = JSON.stringify({server: this.options.id});
-		const headerLines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('');
-		const copy = `HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n${headerLines}\r\n${body}`;
-		const {socket} = res;
-		util.sendJson(res, 200, {server: this.options.id}, headers);
-		if (this.fault === records.ServerFault.DuplicateResponse) {
-			socket!.write(copy);
-		} else {
-			this.#pendingDuplicates.set(socket!, copy);
-		}
-	}
-
 	async #sendUnframedResponse(headers: Readonly<Record<string, string>>, res: http.ServerResponse): Promise<void> {
 		const headerLines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('');
 		res.socket?.write(`HTTP/1.1 200 OK\r\nConnection: close\r\n${headerLines}\r\n{"whole":1}`);
