Test: measure the time of an endless event several times and compare the best ones

Cause: one measurement of each size, in processor time of the whole process, which includes garbage collection of the other tests' heap and compilation by other threads. Shown by a script: in a process with 3 million small objects, the first pair measured 162,531 against 883 us (ratio 162, allowed 64), the next ones 56, 23 and 17; without them 13 to 29. Change: the best of five measurements of each size; bound and sizes are the same. A splitter that copies and searches all pending bytes has a ratio of 15.4 for four times the chunks (16 expected), thus 256 for sixteen times, in each measurement, so that the best one shows it as well.

--- a/packages/gateway/tests/call/event-splitter.test.ts
+++ b/packages/gateway/tests/call/event-splitter.test.ts
@@ -46,9 +46,12 @@
 			return process.cpuUsage().user - startedAt;
 		};
 
+		// The processor time of the process includes its garbage collection and compilation, which may fall into any one of the measurements.
+		const measureBest = (chunks: number): number => Math.min(...Array.from({length: 5}, () => measure(chunks)));
+
 		measure(1000);
 		// Time in proportion to the square would be 256 times as long; a margin of four allows for a busy machine.
-		expect(measure(16_000)).to.be.below(64 * Math.max(1000, measure(1000)));
+		expect(measureBest(16_000)).to.be.below(64 * Math.max(1000, measureBest(1000)));
 	});
 
 	it('preserves all bytes, wherever the chunks are split', () => {
