Refuse requests that wait for an endpoint at the end of the grace period with 503

Callers saw: a request that waited for capacity until the grace period of a stop ended got 502, which says that its outcome is unknown; it had not run, and its caller could not repeat it safely. Cause: GatewayServer.close refused all open requests alike, as it did not know which were sent. Change: the context of a request records that it was sent; the others get 503 (shutting_down, a time to return) and are not sent afterwards, since a request whose response has ended counts as one whose caller can't be answered. Test: connection-ends, 'receive a refusal if the grace period ...' got 502 before. The test of a request at an endpoint now says that it was sent, since its fake dispatcher stands for that; it expects 502 as before, and that nothing is sent afterwards.

--- a/packages/gateway/src/call/attempt-sender.ts
+++ b/packages/gateway/src/call/attempt-sender.ts
@@ -72,6 +72,7 @@
 			placement, attempt, id: `${head.requestId}#${number - 1}`, hasResponseStarted: false, ended: Promise.resolve(),
 		};
 		const sink = this.options.createSink(sent);
+		this.options.request.isSent = true;
 		recorder.recordSent(sent, number);
 		sent.ended = this.#run(sent, connection);
 		return sent;
--- a/packages/gateway/src/call/refusal.ts
+++ b/packages/gateway/src/call/refusal.ts
@@ -17,6 +17,8 @@
 	PartQuarantined = 'part_quarantined',
 	/** The response can't start before the deadline. */
 	DeadlineTooClose = 'deadline_too_close',
+	/** The VM shuts down, and the request was not sent. */
+	ShuttingDown = 'shutting_down',
 	/** The request was sent, and its outcome is unknown. */
 	OutcomeUnknown = 'outcome_unknown',
 	/** The request was sent, and no response arrived in time. */
@@ -39,6 +41,7 @@
 	[RefusalCode.NoEndpoint]: 503,
 	[RefusalCode.PartQuarantined]: 503,
 	[RefusalCode.DeadlineTooClose]: 503,
+	[RefusalCode.ShuttingDown]: 503,
 	[RefusalCode.OutcomeUnknown]: 502,
 	[RefusalCode.TimedOut]: 504,
 	[RefusalCode.CallerDisconnected]: 503,
--- a/packages/gateway/src/call/request-context.ts
+++ b/packages/gateway/src/call/request-context.ts
@@ -16,6 +16,8 @@
 	/** Account to which the API key of the request belongs; absent on public routes. */
 	account?: core.routing.ApiAccount;
 	body?: Uint8Array;
+	/** Whether the request was sent to an endpoint, which may have executed it. */
+	isSent?: boolean;
 	/** Whether a response was started that could not be completed. */
 	isTruncated?: boolean;
 	/** Why the request was not sent to another endpoint after a failed attempt. */
@@ -30,7 +32,7 @@
 	readonly route: core.routing.Route;
 };
 
-/** Returns whether the caller's connection is closed. */
+/** Returns whether the caller can't receive a response any more: its connection is closed, or its request was refused at the end of a shutdown. */
 export function isCallerDisconnected(ctx: RequestContext): boolean {
-	return ctx.res.destroyed || ctx.req.socket.destroyed;
+	return ctx.res.destroyed || ctx.res.writableEnded || ctx.req.socket.destroyed;
 }
--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -46,6 +46,8 @@
 	#isShuttingDown = false;
 	/** Responses that have not been handled, or not been passed on to the connection as a whole. */
 	readonly #openResponses = new Set<http.ServerResponse>();
+	/** Requests whose head was decoded, by response. */
+	readonly #contexts = new WeakMap<http.ServerResponse, call.RequestContext>();
 	readonly #headerTimeout = new headerTimeout.HeaderTimeout(timeoutMs => {
 		this.#server.headersTimeout = timeoutMs;
 	});
@@ -138,7 +140,7 @@
 		this.#headerTimeout.close();
 		this.#server.close();
 		for (const res of this.#openResponses) {
-			endImmediately(res);
+			endImmediately(res, this.#contexts.get(res)?.isSent === true);
 		}
 
 		this.#server.closeAllConnections();
@@ -240,6 +242,7 @@
 
 		const head = decoded.extract() as ports.RequestHead;
 		const ctx: call.RequestContext = {...undecoded, head};
+		this.#contexts.set(ctx.res, ctx);
 		let refusal: call.Refusal | undefined = {code: call.RefusalCode.InternalError};
 		try {
 			refusal = await this.#process(ctx);
@@ -349,11 +352,13 @@
 	}
 }
 
-/** Refuses a request that may have been sent to an endpoint; aborts a response that has started. */
-function endImmediately(res: http.ServerResponse): void {
+/** Refuses a request, according to whether it was sent to an endpoint; aborts a response that has started. */
+function endImmediately(res: http.ServerResponse, isSent: boolean): void {
 	if (!res.headersSent) {
 		res.setHeader('Connection', 'close');
-		call.sendRefusal(res, {code: call.RefusalCode.OutcomeUnknown});
+		call.sendRefusal(res, isSent
+			? {code: call.RefusalCode.OutcomeUnknown}
+			: {code: call.RefusalCode.ShuttingDown, retryAfterMs: call.noEndpointRetryAfterMs});
 	}
 
 	if (!res.writableEnded) {
--- a/packages/gateway/tests/ingress/connection-ends.test.ts
+++ b/packages/gateway/tests/ingress/connection-ends.test.ts
@@ -258,8 +258,17 @@
 		expect(caller.error).to.equal(undefined);
 	});
 
-	it('receive a response if the grace period of a shutdown ends before that of an endpoint', async () => {
-		dispatch = async () => new Promise(() => undefined); // eslint-disable-line no-promise-executor-return
+	/** Ends the grace period of a shutdown while a request is in progress. @returns The status that its caller receives. */
+	async function endGracePeriod(isSent: boolean): Promise<readonly number[]> {
+		let isSendable: boolean | undefined;
+		dispatch = async ctx => {
+			ctx.isSent = isSent;
+			await new Promise<void>(resolve => {
+				ctx.res.once('finish', resolve);
+			});
+			isSendable = !gateway.call.isCallerDisconnected(ctx);
+		};
+
 		const caller = await connect();
 		caller.socket.write('GET / HTTP/1.1\r\nHost: a.example\r\n\r\n');
 		await rawCallers.waitUntil(() => dispatched === 1);
@@ -268,7 +277,18 @@
 		server.close();
 		await caller.read();
 		expect(caller.error).to.equal(undefined);
-		expect(caller.statuses).to.deep.equal([502]);
+		await rawCallers.waitUntil(() => isSendable !== undefined);
+		expect(isSendable).to.equal(false);
+		return caller.statuses;
+	}
+
+	it('receive a response if the grace period of a shutdown ends before that of an endpoint', async () => {
+		expect(await endGracePeriod(true)).to.deep.equal([502]);
+	});
+
+	// Guards against a 502 for a request that has not run.
+	it('receive a refusal if the grace period of a shutdown ends while they wait for an endpoint', async () => {
+		expect(await endGracePeriod(false)).to.deep.equal([503]);
 	});
 
 	it('receive responses to all pipelined requests while the server shuts down', async () => {
