Log a head that takes too long as head_timeout

The log said body_timeout, which the same status has, so that a slow head could not be told from a slow body. The test of the timeout now checks the log line as well; it found body_timeout before.

--- a/packages/gateway/src/call/refusal.ts
+++ b/packages/gateway/src/call/refusal.ts
@@ -4,6 +4,8 @@
 export enum RefusalCode {
 	MalformedRequest = 'malformed_request',
 	HeadTooLarge = 'head_too_large',
+	/** The head did not arrive within the configured time. */
+	HeadTimeout = 'head_timeout',
 	BodyTooLarge = 'body_too_large',
 	/** The body did not arrive before the deadline. */
 	BodyTimeout = 'body_timeout',
@@ -33,6 +35,7 @@
 const statuses: Readonly<Record<RefusalCode, number>> = {
 	[RefusalCode.MalformedRequest]: 400,
 	[RefusalCode.HeadTooLarge]: 431,
+	[RefusalCode.HeadTimeout]: 408,
 	[RefusalCode.BodyTooLarge]: 413,
 	[RefusalCode.BodyTimeout]: 408,
 	[RefusalCode.UnknownRoute]: 404,
--- a/packages/gateway/src/ingress/connection-rejection.ts
+++ b/packages/gateway/src/ingress/connection-rejection.ts
@@ -19,7 +19,7 @@
 /** Creates the refusal that corresponds to an error of Node's HTTP server. */
 export function createRejection(err: NodeJS.ErrnoException): ConnectionRejection {
 	if (isHeadTimeout(err)) {
-		return encode('408 Request Timeout', refusals.RefusalCode.BodyTimeout);
+		return encode('408 Request Timeout', refusals.RefusalCode.HeadTimeout);
 	}
 
 	return err.code === 'HPE_HEADER_OVERFLOW'
--- a/packages/gateway/tests/ingress/connection-timeouts.test.ts
+++ b/packages/gateway/tests/ingress/connection-timeouts.test.ts
@@ -1,6 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import * as chai from 'chai';
 import * as purify from 'purify-ts';
+import * as core from '@bluebellmast/core';
 import * as rawCallers from '../support/raw-caller.js';
 import * as gateway from '@bluebellmast/gateway';
 
@@ -20,11 +21,13 @@
 describe('timeouts of callers\' connections', () => {
 	let server: gateway.ingress.GatewayServer;
 	let caller: rawCallers.RawCaller;
+	let rejections: unknown[] = [];
 	/** Ends the responses. */
 	let finish: Promise<void>;
 
 	beforeEach(async () => {
 		finish = Promise.resolve();
+		rejections = [];
 		server = new gateway.ingress.GatewayServer({
 			protocol: {decodeRequestHead: () => purify.Right(requestHead)},
 			filters: [new gateway.call.BodyFilter(new gateway.util.SystemClocks())],
@@ -35,7 +38,13 @@
 				},
 			} as unknown as gateway.call.RequestDispatcher,
 			clock: new gateway.util.SystemClocks(),
-			log: {write: () => undefined},
+			log: {
+				write(event, fields) {
+					if (event === core.log.LogEvent.RequestRejected) {
+						rejections.push(fields);
+					}
+				},
+			},
 			headCheckIntervalMs,
 		});
 		await server.listen({host: '127.0.0.1', port: 0});
@@ -151,6 +160,7 @@
 		await sleep(100);
 		await caller.read();
 		expect(caller.statuses).to.deep.equal([408]);
+		expect(rejections).to.deep.equal([{code: gateway.call.RefusalCode.HeadTimeout, findings: 'connection: Request timeout'}]);
 	});
 
 	it('send nothing on a connection on which no request has begun', async () => {
