--- a/packages/gateway/src/call/refusal.ts
+++ b/packages/gateway/src/call/refusal.ts
@@ -4,6 +4,8 @@
 export enum RefusalCode {
 	MalformedRequest = 'malformed_request',
 	HeadTooLarge = 'head_too_large',
+	/** The head did not arrive within the configured time. */
+	HeadTimeout = 'head_timeout',
 	BodyTooLarge = 'body_too_large',
 	/** The body did not arrive before the deadline. */
 	BodyTimeout = 'body_timeout',
@@ -17,6 +19,8 @@
 	PartQuarantined = 'part_quarantined',
 	/** The response can't start before the deadline. */
 	DeadlineTooClose = 'deadline_too_close',
+	/** The VM shuts down, and the request was not sent. */
+	ShuttingDown = 'shutting_down',
 	/** The request was sent, and its outcome is unknown. */
 	OutcomeUnknown = 'outcome_unknown',
 	/** The request was sent, and no response arrived in time. */
@@ -31,6 +35,7 @@
 const statuses: Readonly<Record<RefusalCode, number>> = {
 	[RefusalCode.MalformedRequest]: 400,
 	[RefusalCode.HeadTooLarge]: 431,
+	[RefusalCode.HeadTimeout]: 408,
 	[RefusalCode.BodyTooLarge]: 413,
 	[RefusalCode.BodyTimeout]: 408,
 	[RefusalCode.UnknownRoute]: 404,
@@ -39,6 +44,7 @@
 	[RefusalCode.NoEndpoint]: 503,
 	[RefusalCode.PartQuarantined]: 503,
 	[RefusalCode.DeadlineTooClose]: 503,
+	[RefusalCode.ShuttingDown]: 503,
 	[RefusalCode.OutcomeUnknown]: 502,
 	[RefusalCode.TimedOut]: 504,
 	[RefusalCode.CallerDisconnected]: 503,
