Refuse CONNECT requests, and keep the responses before them

Callers saw: a connection on which CONNECT arrived was closed without a response, and a request in progress on it ended without one. Cause: Node destroys a connection on which CONNECT arrives unless the server listens for it. Change: it is refused as invalid bytes are: 400, or the connection is closed after the responses before it. Tests: connection-ends, 'ask for a tunnel': both failed before (no response in either).

--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -79,6 +79,9 @@
 		this.#server.on('clientError', (err: NodeJS.ErrnoException, socket: net.Socket) => {
 			this.#rejectConnection(err, socket);
 		});
+		this.#server.on('connect', (req: http.IncomingMessage, socket: net.Socket) => {
+			this.#rejectConnection(new Error(`method ${req.method}`), socket);
+		});
 		this.#server.on('timeout', (socket: net.Socket) => {
 			this.#closeIdle(socket);
 		});
--- a/packages/gateway/tests/ingress/connection-ends.test.ts
+++ b/packages/gateway/tests/ingress/connection-ends.test.ts
@@ -291,6 +291,36 @@
 		expect(await endGracePeriod(false)).to.deep.equal([503]);
 	});
 
+	// Guards against a connection that is closed without a response when its caller asks for a tunnel.
+	it('receive a refusal if they ask for a tunnel', async () => {
+		const caller = await connect();
+		caller.socket.write('CONNECT b.example:443 HTTP/1.1\r\nHost: b.example\r\n\r\n');
+		await caller.read();
+		expect(caller.statuses).to.deep.equal([400]);
+		await rawCallers.waitUntil(() => caller.isClosed);
+		expect(caller.error).to.equal(undefined);
+	});
+
+	it('receive their response if they ask for a tunnel meanwhile', async () => {
+		let finish: () => void = () => undefined;
+		const finished = new Promise<void>(resolve => {
+			finish = resolve;
+		});
+		dispatch = async ctx => {
+			await finished;
+			ctx.res.end('answer');
+		};
+
+		const caller = await connect();
+		caller.socket.write('GET / HTTP/1.1\r\nHost: a.example\r\n\r\nCONNECT b.example:443 HTTP/1.1\r\nHost: b.example\r\n\r\n');
+		await rawCallers.waitUntil(() => dispatched === 1);
+		finish();
+		await caller.read();
+		expect(caller.statuses).to.deep.equal([200]);
+		await rawCallers.waitUntil(() => caller.isClosed);
+		expect(caller.error).to.equal(undefined);
+	});
+
 	it('receive responses to all pipelined requests while the server shuts down', async () => {
 		let finish: () => void = () => undefined;
 		const finished = new Promise<void>(resolve => {
