Don't repeat streams at once whose route states no longest pause between events

Callers saw: once a configuration was in force whose streaming routes have no gap_target_ms, each resumable stream counted as stalled a millisecond after each of its events. It was sent to a second endpoint at once, until the retry budget was used, and the first one was given up; before, with no other endpoint, budget or permission left, the response was cut: neither an answer nor a refusal, beside a change of the configuration. Cause: the decoder takes an unstated pause as Infinity, and AttemptTimers passed it to a timer of Node, which fires after 1 ms then. Why this works: there is no timer without a longest pause; the silence of the endpoint is still found by its check.

--- a/packages/gateway/src/call/attempt-timers.ts
+++ b/packages/gateway/src/call/attempt-timers.ts
@@ -35,7 +35,8 @@
 	/** Waits for the next event of a stream, as its response has begun or an event is complete. */
 	restart(onStalled: () => void): void {
 		clearInterval(this.#eventTimer);
-		if (this.route.kind === core.routing.RouteKind.Streaming && this.route.isResumable) {
+		// A timer of infinite length would fire at once.
+		if (this.route.kind === core.routing.RouteKind.Streaming && this.route.isResumable && Number.isFinite(this.route.gapTargetMs)) {
 			this.#eventTimer = setInterval(onStalled, Math.max(minEventTimeoutMs, eventTimeoutFactor * this.route.gapTargetMs));
 		}
 	}
