Wait for the same shutdown at each further signal

Callers saw: a second SIGTERM during a stop cut all requests in progress, and the process exited with status 0. Cause: Gateway.stop returned at once if the stop had begun, and the entry point exits when it returns. Change: all calls wait for the one shutdown. Evidence: gateway.test.ts fails before ('second' first).

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -57,7 +57,8 @@
 export class Gateway {
 	readonly #readiness: pathServer.PathServer;
 	#tasks: periodicTask.PeriodicTaskHandle | undefined;
-	#isStopping = false;
+	/** Settles when the shutdown has ended; absent before it begins. */
+	#stopped: Promise<void> | undefined;
 	#isClosed = false;
 	#wasReady = false;
 
@@ -78,7 +79,7 @@
 	/** Whether the gateway is ready for new connections. */
 	isReady(): boolean {
 		const {config, clock} = this.components;
-		return !this.#isStopping && config.ageMs(clock.suspendAwareNow()) <= maxReadyConfigAgeMs;
+		return this.#stopped === undefined && config.ageMs(clock.suspendAwareNow()) <= maxReadyConfigAgeMs;
 	}
 
 	/** Starts the servers, the store feed and the periodic tasks. */
@@ -97,22 +98,11 @@
 
 	/**
 	 * Shuts down gracefully: reports not ready until the load balancer has stopped sending new connections, then completes the
-	 * requests in progress, within the grace period.
+	 * requests in progress, within the grace period. Further calls wait for the same shutdown.
 	 */
 	async stop(): Promise<void> {
-		if (this.#isStopping) {
-			return;
-		}
-
-		this.#isStopping = true;
-		const {settings, server, leaseController, log, clock} = this.components;
-		const startedAt = clock.monotonicNow();
-		log.write(eventLog.LogEvent.Stopping, {graceMs: settings.graceMs});
-		server.beginShutdown();
-		await Promise.all([leaseController.stop(), timers.setTimeout(deregistrationMs)]);
-		await server.finishShutdown(settings.graceMs - exitMarginMs - (clock.monotonicNow() - startedAt));
-		this.close();
-		log.write(eventLog.LogEvent.Stopped, {tookMs: Math.round(clock.monotonicNow() - startedAt)});
+		this.#stopped ??= this.#stop();
+		return this.#stopped;
 	}
 
 	/** Immediately stops all tasks and closes all servers and connections. */
@@ -131,6 +121,17 @@
 		this.components.metrics?.close();
 	}
 
+	async #stop(): Promise<void> {
+		const {settings, server, leaseController, log, clock} = this.components;
+		const startedAt = clock.monotonicNow();
+		log.write(eventLog.LogEvent.Stopping, {graceMs: settings.graceMs});
+		server.beginShutdown();
+		await Promise.all([leaseController.stop(), timers.setTimeout(deregistrationMs)]);
+		await server.finishShutdown(settings.graceMs - exitMarginMs - (clock.monotonicNow() - startedAt));
+		this.close();
+		log.write(eventLog.LogEvent.Stopped, {tookMs: Math.round(clock.monotonicNow() - startedAt)});
+	}
+
 	#logReadiness(): void {
 		const {config, clock, log} = this.components;
 		const isReady = this.isReady();
