Wait for endpoints that are silent, paused or full before a begun response is cut

Callers saw: a stream whose endpoint broke off was cut at once if the only other endpoint was silent for a moment, asked for a pause while it was being connected to, or was expected to have no capacity for a while. Cause: EndpointFinder refused at the first look if no endpoint could be chosen, as it does for a request that has not run; for a response that has begun there is no refusal, so that it was cut. Change: if a response has begun, the search waits in the queue, up to the deadline, as long as an endpoint may return. New requests are refused as before.

--- a/packages/gateway/src/call/endpoint-finder.ts
+++ b/packages/gateway/src/call/endpoint-finder.ts
@@ -79,19 +79,44 @@
 		return current?.hasCapacity ? current : undefined;
 	}
 
-	/** Finds an endpoint; waits for capacity if the expected wait allows it. */
-	async find(): Promise<EndpointSearchResult> {
+	/**
+	 * Finds an endpoint; waits for capacity if the expected wait allows it.
+	 *
+	 * @param hasBegun - Whether a response has begun, which would be cut. Then any wait up to the deadline is allowed, also for an endpoint that is
+	 * silent or paused.
+	 */
+	async find(hasBegun: boolean): Promise<EndpointSearchResult> {
 		const now = this.dependencies.clock.monotonicNow();
 		const candidate = this.place();
-		if (candidate === undefined) {
+		if (candidate === undefined && !(hasBegun && this.#mayReturn())) {
 			return this.#refuse();
 		}
 
-		if (candidate.hasCapacity) {
+		if (candidate?.hasCapacity) {
 			return {placement: candidate, sentCount: this.dependencies.fleet.loads.sentCount};
 		}
 
 		const request = this.#createWaitingRequest(candidate);
+		return candidate === undefined || hasBegun
+			? this.#awaitWhileBegun(request)
+			: this.#awaitCapacity(request, candidate, now);
+	}
+
+	/**
+	 * Returns the time after which a caller should retry that no endpoint can serve now, in milliseconds: when the first endpoint is back if all that
+	 * could serve the request asked for a pause.
+	 */
+	computeRetryAfterMs(): number {
+		const first = this.place() === undefined
+			? this.dependencies.placer.findFirstRampUp(this.request, this.pool, clocks.readInstant(this.dependencies.clock))
+			: undefined;
+		return first === undefined
+			? refusals.noEndpointRetryAfterMs
+			: core.fleet.computePauseRetryAfterMs(first, this.dependencies.random());
+	}
+
+	/** Waits for capacity if the expected wait allows it. */
+	async #awaitCapacity(request: core.fleet.WaitingRequest, candidate: endpointPlacer.Placement, now: number): Promise<EndpointSearchResult> {
 		const {mayWait, expectedMs} = this.dependencies.placer.decideWait(this.pool, {
 			queuedTokens: this.dependencies.queue.countTokensAhead(request),
 			timeLeftMs: this.deadlineAt - now,
@@ -108,7 +133,9 @@
 
 		this.dependencies.log.write(eventLog.LogEvent.RequestWaiting, {request: this.request.head.requestId, ...inputs});
 		const maxWaitMs = Math.max(maxWaitFactor * expectedMs, minWaitMs);
-		const {outcome, found} = await this.#wait(request, Math.min(this.deadlineAt - minResponseTimeMs, now + maxWaitMs));
+		// An endpoint that is only silent may go on before the wait expires.
+		const {outcome, found} = await this.#wait(request, Math.min(this.deadlineAt - minResponseTimeMs, now + maxWaitMs), () =>
+			this.dependencies.placer.hasSilentEndpoint(this.pool));
 		if (found !== undefined) {
 			return found;
 		}
@@ -116,17 +143,16 @@
 		return outcome === requestQueue.WaitOutcome.NoEndpoint ? this.#refuse() : {placement: undefined, retryAfterMs, inputs};
 	}
 
-	/**
-	 * Returns the time after which a caller should retry that no endpoint can serve now, in milliseconds: when the first endpoint is back if all that
-	 * could serve the request asked for a pause.
-	 */
-	computeRetryAfterMs(): number {
-		const first = this.place() === undefined
-			? this.dependencies.placer.findFirstRampUp(this.request, this.pool, clocks.readInstant(this.dependencies.clock))
-			: undefined;
-		return first === undefined
-			? refusals.noEndpointRetryAfterMs
-			: core.fleet.computePauseRetryAfterMs(first, this.dependencies.random());
+	async #awaitWhileBegun(request: core.fleet.WaitingRequest): Promise<EndpointSearchResult> {
+		this.dependencies.log.write(eventLog.LogEvent.RequestWaiting, {request: this.request.head.requestId});
+		const {found} = await this.#wait(request, this.deadlineAt - minResponseTimeMs, () => this.#mayReturn());
+		return found ?? this.#refuse();
+	}
+
+	/** Whether an endpoint that can't be chosen now may be soon: it is silent, or has asked for a pause. */
+	#mayReturn(): boolean {
+		const {placer, clock} = this.dependencies;
+		return placer.hasSilentEndpoint(this.pool) || placer.findFirstRampUp(this.request, this.pool, clocks.readInstant(clock)) !== undefined;
 	}
 
 	#refuse(): EndpointSearchResult {
@@ -138,7 +164,8 @@
 		return {placement: undefined, retryAfterMs, inputs};
 	}
 
-	async #wait(request: core.fleet.WaitingRequest, expiresAt: number): Promise<WaitResult> {
+	/** @param mayReturn - Returns whether the wait goes on while there is no endpoint. */
+	async #wait(request: core.fleet.WaitingRequest, expiresAt: number, mayReturn: () => boolean): Promise<WaitResult> {
 		let found: FoundEndpoint | undefined;
 		const {ended, cancel} = this.dependencies.queue.wait({
 			...request,
@@ -146,8 +173,7 @@
 			hasCapacity: () => {
 				const placement = this.place();
 				found = placement && {placement, sentCount: this.dependencies.fleet.loads.sentCount};
-				// An endpoint that is only silent may go on before the wait expires.
-				return placement === undefined && this.dependencies.placer.hasSilentEndpoint(this.pool) ? false : placement?.hasCapacity;
+				return placement === undefined && mayReturn() ? false : placement?.hasCapacity;
 			},
 		});
 		this.#cancel = cancel;
@@ -156,13 +182,13 @@
 		return {outcome, found: outcome === requestQueue.WaitOutcome.CapacityAvailable ? found : undefined};
 	}
 
-	#createWaitingRequest(placement: endpointPlacer.Placement): core.fleet.WaitingRequest {
+	#createWaitingRequest(placement: endpointPlacer.Placement | undefined): core.fleet.WaitingRequest {
 		return {
-			priority: placement.enginePriority ?? 0,
+			priority: placement?.enginePriority ?? 0,
 			targetLatencyMs: this.request.route.targetLatencyMs,
 			arrivedAt: this.request.arrivedAt,
 			deadlineAt: this.deadlineAt,
-			prefillTokens: placement.choice.prefillTokens,
+			prefillTokens: placement?.choice.prefillTokens ?? 0,
 		};
 	}
 
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -162,7 +162,7 @@
 				return this.#fail(refusal);
 			}
 
-			const searchResult = await this.#endpointFinder.find(); // eslint-disable-line no-await-in-loop -- Attempts follow one another.
+			const searchResult = await this.#endpointFinder.find(this.#relay.hasStarted); // eslint-disable-line no-await-in-loop -- Attempts follow one another.
 			// During the wait the caller may have disconnected, its key may have been revoked, or the configuration may have become too old.
 			const lateRefusal = this.#findRefusal();
 			if (lateRefusal !== undefined) {
