Keep a silent second attempt until a third one responds, and replace it when it stalls as well

Callers saw: a request whose endpoint and second endpoint were silent lost the second attempt as soon as a third was sent, which could refuse it; and if both connections were stalled while their endpoints served others, no third endpoint was tried before the deadline. Change: all attempts stay until one of them responds; a timer replaces the latest attempt, and begins anew when one is sent.

--- a/packages/gateway/src/call/active-attempts.ts
+++ b/packages/gateway/src/call/active-attempts.ts
@@ -12,12 +12,13 @@
 };
 
 /**
- * The attempts of a request that are in progress: the current one and, while that one is silent, a replacement. The current attempt is given up
- * only when the response of the replacement begins, since a silent endpoint may go on and the replacement may fail.
+ * The attempts of a request that are in progress: the current one and, while that one is silent, its replacements. Attempts are given up
+ * only when the response of another one begins, since a silent endpoint may go on and a replacement may fail.
  */
 export class ActiveAttempts {
 	#current: sentAttempt.SentAttempt | undefined;
-	#replacement: sentAttempt.SentAttempt | undefined;
+	/** In the order in which they were sent. */
+	#replacements: readonly sentAttempt.SentAttempt[] = [];
 
 	constructor(private readonly options: ActiveAttemptsOptions) {}
 
@@ -26,14 +27,14 @@
 		return this.#current?.end === undefined ? this.#current : undefined;
 	}
 
-	/** The replacement for the current attempt; absent while there is none. */
-	get replacement(): sentAttempt.SentAttempt | undefined {
-		return this.#replacement;
+	/** The attempt that was sent last. */
+	get latest(): sentAttempt.SentAttempt | undefined {
+		return this.#replacements.at(-1) ?? this.#current;
 	}
 
 	/** The attempts in progress. */
 	list(): sentAttempt.SentAttempt[] {
-		return [this.#current, this.#replacement].filter(sent => sent !== undefined && sent.end === undefined) as sentAttempt.SentAttempt[];
+		return [this.#current, ...this.#replacements].filter(sent => sent !== undefined && sent.end === undefined) as sentAttempt.SentAttempt[];
 	}
 
 	/** Waits until an attempt has ended, or the last one of those that have replaced it. @returns The attempt that ended last. */
@@ -45,35 +46,42 @@
 				continue;
 			}
 
-			if (this.#replacement === undefined || this.options.isComplete(sent)) {
-				this.cancelReplacement();
+			if (this.#replacements.length === 0 || this.options.isComplete(sent)) {
+				this.cancelReplacements();
 				return sent;
 			}
 
 			this.options.onFailed(sent);
-			this.#promoteReplacement();
+			this.#makeCurrent(this.#replacements.at(-1)!);
 		}
 	}
 
-	/** Adds a replacement for the current attempt; an earlier one, which is silent as well, is ended. */
+	/** Adds a replacement for the attempts in progress, which are silent. */
 	addReplacement(sent: sentAttempt.SentAttempt): void {
-		const previous = this.#replacement;
-		this.#replacement = sent;
-		previous?.attempt.abort(endpoints.AttemptFault.EndpointSilent);
+		this.#replacements = [...this.#replacements, sent];
 		void this.#awaitReplacement(sent);
 	}
 
-	/** Ends the replacement, as the current attempt makes progress. */
-	cancelReplacement(): void {
-		this.#replacement?.attempt.abort(endpoints.AttemptFault.Superseded);
-		this.#replacement = undefined;
+	/** Ends the replacements, as the current attempt makes progress. */
+	cancelReplacements(): void {
+		const replacements = this.#replacements;
+		this.#replacements = [];
+		for (const {attempt} of replacements) {
+			attempt.abort(endpoints.AttemptFault.Superseded);
+		}
 	}
 
-	/** Makes an attempt the current one, as its response begins; the one that it replaces is ended. */
+	/** Makes a replacement the current attempt, as its response begins; the others, which are silent, are ended. */
 	promote(sent: sentAttempt.SentAttempt): void {
-		if (sent === this.#replacement) {
-			this.#current?.attempt.abort(endpoints.AttemptFault.EndpointSilent);
-			this.#promoteReplacement();
+		if (!this.#replacements.includes(sent)) {
+			return;
+		}
+
+		const others = this.list().filter(other => other !== sent);
+		this.#replacements = [];
+		this.#setCurrent(sent);
+		for (const {attempt} of others) {
+			attempt.abort(endpoints.AttemptFault.EndpointSilent);
 		}
 	}
 
@@ -86,15 +94,14 @@
 
 	async #awaitReplacement(sent: sentAttempt.SentAttempt): Promise<void> {
 		await sent.ended;
-		if (sent === this.#replacement) {
-			this.#replacement = undefined;
+		if (this.#replacements.includes(sent)) {
+			this.#replacements = this.#replacements.filter(other => other !== sent);
 			this.options.onFailed(sent);
 		}
 	}
 
-	#promoteReplacement(): void {
-		const sent = this.#replacement!;
-		this.#replacement = undefined;
+	#makeCurrent(sent: sentAttempt.SentAttempt): void {
+		this.#replacements = this.#replacements.filter(other => other !== sent);
 		this.#setCurrent(sent);
 	}
 
--- a/packages/gateway/src/call/attempt-timers.ts
+++ b/packages/gateway/src/call/attempt-timers.ts
@@ -41,6 +41,12 @@
 		}
 	}
 
+	/** Begins the waits anew, as the request was sent to another endpoint as well. */
+	refresh(): void {
+		this.#responseTimer?.refresh();
+		this.#eventTimer?.refresh();
+	}
+
 	/** Ends the waits of an attempt. */
 	stop(): void {
 		clearInterval(this.#responseTimer);
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -255,8 +255,7 @@
 	 * @returns Whether that was possible.
 	 */
 	#replaceSilent(silent: sentAttempt.SentAttempt, mayRepeat = true): boolean {
-		const isLatest = silent === (this.#active.replacement ?? this.#active.current);
-		if (!isLatest || !this.#rules.isIdempotent || this.#isTimedOut || this.#isCallerDisconnected || this.#relay.isBlocked) {
+		if (silent !== this.#active.latest || !this.#rules.isIdempotent || this.#isTimedOut || this.#isCallerDisconnected || this.#relay.isBlocked) {
 			return false;
 		}
 
@@ -282,6 +281,7 @@
 
 		this.#rules.attemptCount += 1;
 		this.#active.addReplacement(replacement);
+		this.#timers.refresh();
 		return undefined;
 	}
 
@@ -296,9 +296,10 @@
 
 	#startTimers(sent: sentAttempt.SentAttempt): void {
 		this.#timers.start(() => {
-			if (!sent.hasResponseStarted && this.#replaceSilent(sent)) {
+			const {latest} = this.#active;
+			if (!sent.hasResponseStarted && latest !== undefined && this.#replaceSilent(latest)) {
 				// Idle connections to the same endpoint may be stalled as well.
-				this.dependencies.connections.closeIdle(sent.placement.entry.id);
+				this.dependencies.connections.closeIdle(latest.placement.entry.id);
 			}
 		});
 	}
@@ -326,9 +327,9 @@
 	#recordProgress(): void {
 		const sent = this.#active.current;
 		if (sent !== undefined) {
-			this.#active.cancelReplacement();
+			this.#active.cancelReplacements();
 			this.#timers.restart(() => {
-				this.#replaceSilent(sent);
+				this.#replaceSilent(this.#active.latest ?? sent);
 			});
 			this.#responseTimer.recordPart(this.dependencies.clock.monotonicNow());
 			this.#recorder.recordProgress(sent);
