Keep an endpoint in use that refuses a request for the version of its weights

Callers saw: refusals for up to a second, since the endpoint got no requests until its next check. Cause: each 421 counted as one of another process at the endpoint's address. Change: one that the endpoint itself signs its id to does not.

--- a/packages/gateway/src/call/attempt-recorder.ts
+++ b/packages/gateway/src/call/attempt-recorder.ts
@@ -178,7 +178,9 @@
 
 	#recordFault(endpoint: string, end: endpoints.AttemptResult): void {
 		const {health} = this.dependencies.fleet;
-		const isUnreachable = end.head?.isMisdirected === true || end.fault === endpoints.AttemptFault.ConnectRefused;
+		// An endpoint refuses with the same status if its weights are not those that the request names.
+		const isOther = end.head?.isMisdirected === true && end.head.respondingEndpoint !== endpoint;
+		const isUnreachable = isOther || end.fault === endpoints.AttemptFault.ConnectRefused;
 		if (isUnreachable) {
 			health.recordUnresponsive(endpoint);
 		} else if (end.fault === endpoints.AttemptFault.ErrorResponse || end.fault === endpoints.AttemptFault.InvalidSequence) {
