Take a refusal of a silent endpoint as a sign that it has gone on

An endpoint that was silent and refused a request got no further ones until its next check: only the parts of accepted responses counted as received.

--- a/packages/gateway/src/call/attempt-recorder.ts
+++ b/packages/gateway/src/call/attempt-recorder.ts
@@ -63,7 +63,7 @@
 
 	/** Records that the head of a response or a chunk of its body arrived. */
 	recordProgress(sent: sentAttempt.SentAttempt): void {
-		const {fleet, clock, log} = this.dependencies;
+		const {fleet, clock} = this.dependencies;
 		const {placement, id} = sent;
 		const now = clock.monotonicNow();
 		const endpoint = placement.entry.id;
@@ -73,10 +73,7 @@
 		}
 
 		fleet.loads.endPrefill(endpoint, id);
-		if (fleet.health.recordReceived(endpoint, id, now)) {
-			log.write(eventLog.LogEvent.EndpointResponsive, {endpoint});
-		}
-
+		this.#recordReceived(sent, now);
 		if (this.request.route.kind === core.routing.RouteKind.Streaming) {
 			fleet.health.recordSent(endpoint, id, this.request.route.gapTargetMs, now);
 		}
@@ -135,9 +132,13 @@
 		}, outlivedMs).unref();
 	}
 
-	/** Records that the intended endpoint responded on a connection, if only by a refusal. */
-	recordAlive({placement}: sentAttempt.SentAttempt, connection: Pick<endpoints.EndpointConnection, 'openedAt'>): void {
-		this.dependencies.quarantine.recordAlive(placement.entry, connection.openedAt);
+	/** Records that an endpoint responded on a connection, if only by a refusal. */
+	recordAlive(sent: sentAttempt.SentAttempt, head: ports.ResponseHead, connection: Pick<endpoints.EndpointConnection, 'openedAt'>): void {
+		const {entry} = sent.placement;
+		this.dependencies.quarantine.recordAlive(entry, connection.openedAt);
+		if (!isFromOther(head, entry.id)) {
+			this.#recordReceived(sent, this.dependencies.clock.monotonicNow());
+		}
 	}
 
 	/**
@@ -176,11 +177,16 @@
 		});
 	}
 
+	#recordReceived({placement, id}: sentAttempt.SentAttempt, now: number): void {
+		const endpoint = placement.entry.id;
+		if (this.dependencies.fleet.health.recordReceived(endpoint, id, now)) {
+			this.dependencies.log.write(eventLog.LogEvent.EndpointResponsive, {endpoint});
+		}
+	}
+
 	#recordFault(endpoint: string, end: endpoints.AttemptResult): void {
 		const {health} = this.dependencies.fleet;
-		// An endpoint refuses with the same status if its weights are not those that the request names.
-		const isOther = end.head?.isMisdirected === true && end.head.respondingEndpoint !== endpoint;
-		const isUnreachable = isOther || end.fault === endpoints.AttemptFault.ConnectRefused;
+		const isUnreachable = (end.head !== undefined && isFromOther(end.head, endpoint)) || end.fault === endpoints.AttemptFault.ConnectRefused;
 		if (isUnreachable) {
 			health.recordUnresponsive(endpoint);
 		} else if (end.fault === endpoints.AttemptFault.ErrorResponse || end.fault === endpoints.AttemptFault.InvalidSequence) {
@@ -198,6 +204,11 @@
 	}
 }
 
+/** Whether a refusal is of another process at the endpoint's address. An endpoint refuses with the same status if its weights are not those named. */
+function isFromOther({isMisdirected, respondingEndpoint}: ports.ResponseHead, endpoint: string): boolean {
+	return isMisdirected && respondingEndpoint !== endpoint;
+}
+
 /** Returns a finite number rounded, or `undefined`. */
 function roundFinite(value: number): number | undefined {
 	return Number.isFinite(value) ? Math.round(value) : undefined;
--- a/packages/gateway/src/call/attempt-sender.ts
+++ b/packages/gateway/src/call/attempt-sender.ts
@@ -64,7 +64,7 @@
 			},
 			onMatchingHead(responseHead) {
 				recorder.recordPause(placement, responseHead);
-				recorder.recordAlive(sent, connection);
+				recorder.recordAlive(sent, responseHead, connection);
 			},
 			monotonicNow: dependencies.clock.monotonicNow,
 		});
