Test: the simulated fleet names replaceSilentAttempts as the dispatcher does

Cause: its stub of the dispatcher still had the earlier name, so that a failed check in the simulation would have thrown. Change: the present name.

--- a/packages/gateway/tests/support/simulated-fleet.ts
+++ b/packages/gateway/tests/support/simulated-fleet.ts
@@ -73,7 +73,7 @@
 			decoder, config: this.config, fleet: this.fleet, pauses, admin, clock, log,
 			connections: {retain: () => undefined, closeIdle: () => undefined} as unknown as gateway.endpoints.ConnectionPools,
 			dispatcher: {
-				abortOutdatedAttempts: () => undefined, abortPausedAttempts: () => undefined, abortSilentAttempts: () => undefined,
+				abortOutdatedAttempts: () => undefined, abortPausedAttempts: () => undefined, replaceSilentAttempts: () => undefined,
 			} as unknown as gateway.call.RequestDispatcher,
 		});
 		const operator = new controllers.OperatorController({
