--- a/packages/gateway/src/controllers/rollout-controller.ts
+++ b/packages/gateway/src/controllers/rollout-controller.ts
@@ -48,6 +48,7 @@
 
 /** What the leader has done for one step of the plan. Times are in milliseconds of the monotonic clock. */
 type StepState = {
+	readonly step: core.rollout.RolloutStep;
 	readonly plannedAt: number;
 	orderedAt?: number;
 	reportReadAt: number;
@@ -57,6 +58,12 @@
 	isCallInProgress: boolean;
 };
 
+/** Number of orders that one incarnation of an engine has accepted. */
+type AcceptedOrders = {
+	readonly engine: core.fleet.EndpointIncarnation;
+	readonly count: number;
+};
+
 /**
  * While this VM leads, brings the engines to the newest named weights: plans the steps, publishes the plan, sends the orders
  * and reads the reports of the engines.
@@ -67,7 +74,7 @@
 	 * Number of orders that each incarnation has accepted, as last reported. Each order states this number, so that an order
 	 * whose response was lost can't undo a newer one if it takes effect late.
 	 */
-	readonly #acceptedOrders = new Map<string, number>();
+	readonly #acceptedOrders = new Map<string, AcceptedOrders>();
 	/** When the last publication began, in milliseconds of the monotonic clock. */
 	#publishedAt = -Infinity;
 	/** Whether an order is due for which the plan must be published again. */
@@ -93,6 +100,7 @@
 		}
 
 		const {fleet} = this.dependencies;
+		this.#dropEnded();
 		const planned = core.rollout.planRollout({
 			plan: fleet.plan, engines: this.#listEngines(), targets: fleet.targets.newestVersions(), named: this.#listNamedVersions(), fence,
 		}, this.dependencies.limits);
@@ -109,6 +117,29 @@
 		}
 	}
 
+	/**
+	 * Drops what is known of incarnations that are no longer listed, and of steps to versions that are not the newest ones, unless they are loading.
+	 * The other steps are kept, since an engine that is silent for a moment leaves the plan and returns.
+	 */
+	#dropEnded(): void {
+		const {registry, plan, targets} = this.dependencies.fleet;
+		const newest = targets.newestVersions();
+		const loading = new Set(plan.steps.filter(({phase}) => phase === core.rollout.RolloutPhase.Loading).map(step => keyOfStep(step)));
+		for (const [key, {step, isCallInProgress}] of this.#stepStates) {
+			const isListed = registry.get(step.endpoint)?.bornAt === step.bornAt;
+			const isNeeded = isListed && (step.version >= (newest.get(step.model) ?? Infinity) || loading.has(key));
+			if (!isNeeded && !isCallInProgress) {
+				this.#stepStates.delete(key);
+			}
+		}
+
+		for (const [key, {engine}] of this.#acceptedOrders) {
+			if (registry.get(engine.id)?.bornAt !== engine.bornAt) {
+				this.#acceptedOrders.delete(key);
+			}
+		}
+	}
+
 	/** Lists the named versions with times of the wall clock, the only clock that the VMs share. */
 	#listNamedVersions(): core.rollout.NamedVersion[] {
 		const {fleet, clock} = this.dependencies;
@@ -162,9 +193,9 @@
 
 	async #advanceStep(step: core.rollout.RolloutStep): Promise<void> {
 		const now = this.dependencies.clock.monotonicNow();
-		const key = `${incarnationKey(step)}/${step.model}/${step.version}`;
+		const key = keyOfStep(step);
 		const state = this.#stepStates.get(key) ?? {
-			plannedAt: now, reportReadAt: -Infinity, isBusy: false, isCallInProgress: false,
+			step, plannedAt: now, reportReadAt: -Infinity, isBusy: false, isCallInProgress: false,
 		};
 		this.#stepStates.set(key, state);
 		const entry = this.dependencies.fleet.registry.get(step.endpoint);
@@ -224,7 +255,7 @@
 
 		state.orderedAt = clock.monotonicNow();
 		pauses.recordCall(entry);
-		const acceptedOrders = this.#acceptedOrders.get(incarnationKey(step));
+		const acceptedOrders = this.#acceptedOrders.get(incarnationKey(step))?.count;
 		const {outcome, retryAfterMs} = await admin.orderWeightLoad(entry, {
 			model: step.model, version: step.version, holder: vm, fence, acceptedOrders,
 		});
@@ -265,7 +296,7 @@
 				return;
 			}
 
-			this.#acceptedOrders.set(incarnationKey(step), report.acceptedOrders);
+			this.#acceptedOrders.set(incarnationKey(step), {engine: {id: step.endpoint, bornAt: step.bornAt}, count: report.acceptedOrders});
 			state.isBusy = report.isBusy;
 			const version = report.weights.get(step.model);
 			if (version !== undefined && !report.isBusy) {
@@ -279,3 +310,8 @@
 function incarnationKey(step: core.rollout.RolloutStep): string {
 	return `${step.endpoint}/${step.bornAt}`;
 }
+
+/** Returns a key for a step, which is the same in all of its phases. */
+function keyOfStep(step: core.rollout.RolloutStep): string {
+	return `${incarnationKey(step)}/${step.model}/${step.version}`;
+}
