--- a/packages/core/src/fleet/retry-window.ts
+++ b/packages/core/src/fleet/retry-window.ts
@@ -10,6 +10,9 @@
 /** Part of the platform's limits that is used; a margin is needed because each VM counts only its own requests and retries. */
 const usableShare = 0.8;
 
+/** Number of half windows before the current one that count. */
+const keptHalfWindows = 2;
+
 type HalfWindow = {
 	/** Index of the half window, counted from time 0. */
 	readonly index: number;
@@ -62,14 +65,24 @@
 		return retries + 1 <= allowed;
 	}
 
+	/** Returns whether nothing counts any more, so that the window is as good as a new one. */
+	isIdle(now: number): boolean {
+		const index = this.#indexOf(now);
+		return this.#halfWindows.every(halfWindow => halfWindow.index < index - keptHalfWindows);
+	}
+
+	#indexOf(now: number): number {
+		return Math.floor(now / (this.limits.windowMs / 2));
+	}
+
 	#currentHalfWindow(now: number): HalfWindow {
-		const index = Math.floor(now / (this.limits.windowMs / 2));
+		const index = this.#indexOf(now);
 		const last = this.#halfWindows.at(-1);
 		if (last?.index === index) {
 			return last;
 		}
 
-		this.#halfWindows = this.#halfWindows.filter(halfWindow => halfWindow.index >= index - 2);
+		this.#halfWindows = this.#halfWindows.filter(halfWindow => halfWindow.index >= index - keptHalfWindows);
 		const halfWindow: HalfWindow = {index, requests: 0, retries: 0};
 		this.#halfWindows.push(halfWindow);
 		return halfWindow;
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -61,7 +61,7 @@
 			route,
 			hasUnresumableResponse: () => this.#relay.hasStarted && !(route.isResumable && this.#relay.isEventStream),
 			deadlineAt: this.#deadlineAt,
-			window: dependencies.retryWindows.of(this.#pool),
+			window: now => dependencies.retryWindows.of(this.#pool, now),
 			vmCount: () => dependencies.fleet.vmCount,
 		});
 		this.#timers = new attemptTimers.AttemptTimers(route);
@@ -100,14 +100,14 @@
 			this.#active.abort(endpoints.AttemptFault.CallerDisconnected);
 		};
 
-		const remainingMs = this.#deadlineAt - this.dependencies.clock.monotonicNow();
+		const now = this.dependencies.clock.monotonicNow();
 		const timer = setTimeout(() => {
 			this.#isTimedOut = true;
 			this.#endpointFinder.cancel();
 			this.#active.abort(endpoints.AttemptFault.TimedOut);
-		}, Math.max(0, remainingMs + lateResponseGraceMs));
+		}, Math.max(0, this.#deadlineAt - now + lateResponseGraceMs));
 		this.request.res.once('close', onClose);
-		this.dependencies.retryWindows.of(this.#pool).countRequest(this.dependencies.clock.monotonicNow());
+		this.dependencies.retryWindows.of(this.#pool, now).countRequest(now);
 		try {
 			return await this.#runAttempts();
 		} finally {
--- a/packages/gateway/src/call/retry-rules.ts
+++ b/packages/gateway/src/call/retry-rules.ts
@@ -18,7 +18,8 @@
 	readonly hasUnresumableResponse: () => boolean;
 	/** In milliseconds of the monotonic clock. */
 	readonly deadlineAt: number;
-	readonly window: core.fleet.RetryWindow;
+	/** Returns the retry window of the pool. */
+	readonly window: (now: number) => core.fleet.RetryWindow;
 	/** Returns the number of VMs that share the retry budget. */
 	readonly vmCount: () => number;
 };
@@ -49,7 +50,7 @@
 		// A reserved retry counts from now on, since the search for an endpoint may have taken long.
 		this.releaseRetry();
 		if (this.#attempts.length > 0) {
-			this.options.window.countRetry(now);
+			this.options.window(now).countRetry(now);
 		}
 
 		this.#attempts.push(sent);
@@ -120,7 +121,7 @@
 	}
 
 	#findBudgetObstacle(now: number): core.log.RetryObstacle | undefined {
-		const isAllowed = this.#uncountReserved !== undefined || this.options.window.allowsRetry(this.options.vmCount(), now);
+		const isAllowed = this.#uncountReserved !== undefined || this.options.window(now).allowsRetry(this.options.vmCount(), now);
 		return isAllowed ? undefined : obstacles.RetryBudgetUsed;
 	}
 
@@ -128,7 +129,7 @@
 	#reserve(now: number): core.log.RetryObstacle | undefined {
 		const obstacle = this.#findBudgetObstacle(now);
 		if (obstacle === undefined) {
-			this.#uncountReserved ??= this.options.window.countRetry(now);
+			this.#uncountReserved ??= this.options.window(now).countRetry(now);
 		}
 
 		return obstacle;
