--- a/packages/core/src/rollout/weight-targets.ts
+++ b/packages/core/src/rollout/weight-targets.ts
@@ -58,6 +58,16 @@
 			targets.slice(-sharedVersionsPerModel).map(target => ({model, version: target.version, seenAt: seenAtOf(target)})));
 	}
 
+	/** Drops the models that are not needed any more, for instance because the operator has removed them. */
+	retain(isNeeded: (model: string) => boolean): void {
+		for (const model of this.#targets.keys()) {
+			if (!isNeeded(model)) {
+				this.#targets.delete(model);
+				this.#replacements.delete(model);
+			}
+		}
+	}
+
 	/** Returns the newest named version by model. */
 	newestVersions(): ReadonlyMap<string, number> {
 		return new Map([...this.#targets].map(([model, targets]) => [model, targets.at(-1)!.version]));
--- a/packages/gateway/src/controllers/operator-controller.ts
+++ b/packages/gateway/src/controllers/operator-controller.ts
@@ -22,20 +22,43 @@
 
 /** Applies the operator's entries: the configuration and the weights versions that engines should load. */
 export class OperatorController implements storeFeed.StoreFeedListener {
+	/** Model of each entry of a weights version that the store lists, by key. */
+	readonly #listedModels = new Map<string, string>();
+
 	constructor(private readonly dependencies: OperatorControllerDependencies) {}
 
 	onSnapshot(entries: readonly clients.kv.KvEntry[], context: storeFeed.ReadContext): void {
+		this.#listedModels.clear();
 		for (const entry of entries) {
 			this.#applyEntry(entry, context);
 		}
 	}
 
 	onChange(change: clients.kv.KvChange, context: storeFeed.ReadContext): void {
-		if (change.entry !== undefined) {
+		if (change.entry === undefined) {
+			this.#listedModels.delete(change.key);
+		} else {
 			this.#applyEntry(change.entry, context);
 		}
 	}
 
+	/**
+	 * Forgets the named versions of models that the operator has removed: neither the store nor the configuration lists them, and no endpoint holds
+	 * their weights, which may be used only as long as the times of newer versions are known. A plan that still lists such a model adds it again.
+	 */
+	tick(): void {
+		const {fleet, config} = this.dependencies;
+		const {table} = config;
+		if (table === undefined) {
+			return;
+		}
+
+		const named = new Set(this.#listedModels.values());
+		fleet.targets.retain(model => named.has(model)
+			|| table.config.pools.some(pool => pool.engine?.models.includes(model))
+			|| fleet.registry.list().some(entry => fleet.registry.weightVersion(entry.id, model) !== undefined));
+	}
+
 	onConfirmed(startedAt: number): void {
 		this.dependencies.config.confirm(startedAt);
 	}
@@ -50,6 +73,7 @@
 			}
 
 			case ports.StoreEntryType.WeightTarget: {
+				this.#listedModels.set(entry.key, item.model);
 				this.#applyTarget(item.model, item.version, context);
 				break;
 			}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,6 +21,7 @@
 	readonly rolloutController: controllers.RolloutController;
 	readonly coordination: controllers.CoordinationController;
 	readonly endpointController: controllers.EndpointController;
+	readonly operator: controllers.OperatorController;
 	readonly loadExchange: peers.LoadExchange;
 	readonly loadController: controllers.LoadController;
 	readonly quarantineStore: controllers.QuarantineStore;
@@ -43,6 +44,8 @@
 const cacheStoreIntervalMs = 100;
 /** Interval between checks whether a digest (summary of this VM's load) must be sent to the other VMs. */
 const loadIntervalMs = 100;
+/** Interval between checks whether the operator has removed models. */
+const operatorIntervalMs = 10_000;
 /** Age of the configuration above which the gateway is not ready for new connections, in milliseconds; several polls failed by then. */
 const maxReadyConfigAgeMs = 3000;
 /**
@@ -143,7 +146,7 @@
 
 	#runTasks(): periodicTask.PeriodicTaskHandle {
 		const {
-			endpointController, coordination, leaseController, rolloutController, loadController, quarantineStore, cacheStoreController, clock, log,
+			endpointController, operator, coordination, leaseController, rolloutController, loadController, quarantineStore, cacheStoreController, clock, log,
 		} = this.components;
 		const tasks: readonly periodicTask.PeriodicTask[] = [
 			{
@@ -162,6 +165,13 @@
 					loadController.tick();
 				},
 			},
+			{
+				name: 'operator',
+				intervalMs: operatorIntervalMs,
+				run() {
+					operator.tick();
+				},
+			},
 			{name: 'quarantine', intervalMs: quarantineIntervalMs, run: async () => quarantineStore.tick()},
 			{name: 'cache store', intervalMs: cacheStoreIntervalMs, run: async () => cacheStoreController.tick()},
 			{name: 'lease', intervalMs: leaseIntervalMs, run: async () => leaseController.tick()},
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -194,6 +194,7 @@
 		rolloutController,
 		coordination,
 		endpointController,
+		operator,
 		loadExchange,
 		loadController,
 		quarantineStore,
--- a/packages/router/tests/support/collection-sizes.ts
+++ b/packages/router/tests/support/collection-sizes.ts
@@ -3,9 +3,9 @@
 
 /** Smaller collections are not recorded: to find the line takes about as long as ten writes. */
 const minSize = 16;
-const codePattern = /packages\/(core|router)\/dist\/(.+)\.js$/;
+const codePattern = /packages\/(core|gateway|router)\/dist\/(.+)\.js$/;
 
-/** Records the largest sizes of the maps and sets that the packages `core` and `router` create while it is installed. */
+/** Records the largest sizes of the maps and sets that the packages `core`, `gateway` and `router` create while it is installed. */
 export class CollectionSizes {
 	#largest = new Map<Site, number>();
 	readonly #originalMap = globalThis.Map;
