Bound the searches and log lines of many requests at one silent endpoint

Cause: after each failed check, one a second, each request at the endpoint searched for another one and wrote a line. Change: a search that found nothing for any request with the same pool, model, target latency and excluded endpoints stands for 20 ms, at most until an attempt ends or the next failed check. For engines it stands only if all backlogs are too long for any prompt (EndpointPlacer.mayHaveCapacity); if some prompt might be admitted, each request searches as before. Eight silent attempts at an endpoint get a line of their own in a second; attempts_silent counts the others by reason. Ruled out: a limit of searches for each check, since requests after it would wait for an endpoint that is free.

--- a/packages/core/src/fleet/admission.ts
+++ b/packages/core/src/fleet/admission.ts
@@ -31,6 +31,11 @@
 	return choice.backlogMs <= targetLatencyMs * share;
 }
 
+/** Returns the largest backlog of an engine that is sent any request with the target latency, in milliseconds. */
+export function computeMaxBacklogMs(targetLatencyMs: number, {smallBacklogShare, largeBacklogShare}: AdmissionLimits): number {
+	return targetLatencyMs * Math.max(smallBacklogShare, largeBacklogShare);
+}
+
 /** A request that waits at the VM until an engine can take it. */
 export type WaitingRequest = {
 	/** Priority; 0 is the most urgent. */
--- a/packages/core/src/fleet/choose-endpoint.ts
+++ b/packages/core/src/fleet/choose-endpoint.ts
@@ -138,10 +138,8 @@
 	const {requirements, prompt, isHome} = placement;
 	const {costs} = view;
 	const tokens = prompt.count(candidate);
-	const active = view.loads.countActive(entry.id, view.peers.countActive(entry.id, now), now);
-	const pendingTokens = view.loads.countPrefillTokens(entry.id) + view.peers.countPrefillTokens(entry.id, now);
-	const queued = Math.max(0, active - entry.slots);
-	const backlogMs = (pendingTokens / costs.prefillTokensPerMs) + (queued / Math.max(1, entry.slots) * costs.fullQueueMs);
+	const active = countActive(entry, view, now);
+	const backlogMs = computeBacklogMs(entry, active, view, now);
 	const firstTokenMs = backlogMs + (tokens.prefill / costs.prefillTokensPerMs) + (tokens.fetch / costs.fetchTokensPerMs);
 	const costMs = firstTokenMs
 		+ (active * costs.activeRequestMs)
@@ -155,6 +153,21 @@
 	};
 }
 
+/** Estimates the time that an endpoint needs for earlier requests before it can begin with another one, in milliseconds. */
+export function estimateBacklogMs(entry: endpointEntry.EndpointEntry, view: PlacementView, now: number): number {
+	return computeBacklogMs(entry, countActive(entry, view, now), view, now);
+}
+
+function countActive({id}: endpointEntry.EndpointEntry, {loads, peers}: PlacementView, now: number): number {
+	return loads.countActive(id, peers.countActive(id, now), now);
+}
+
+function computeBacklogMs({id, slots}: endpointEntry.EndpointEntry, active: number, {loads, peers, costs}: PlacementView, now: number): number {
+	const pendingTokens = loads.countPrefillTokens(id) + peers.countPrefillTokens(id, now);
+	const queued = Math.max(0, active - slots);
+	return (pendingTokens / costs.prefillTokensPerMs) + (queued / Math.max(1, slots) * costs.fullQueueMs);
+}
+
 /** What a prompt needs in one cache namespace, whatever the engine. */
 type NamespaceTokens = {
 	readonly prefixes: readonly sharedPrefix.SharedPrefix[];
--- a/packages/core/src/log/log-event.ts
+++ b/packages/core/src/log/log-event.ts
@@ -56,6 +56,8 @@
 	AttemptFailed = 'attempt_failed',
 	/** An attempt that the request could have left for another endpoint sends nothing for too long. */
 	AttemptSilent = 'attempt_silent',
+	/** Counts of further such attempts at one endpoint in the last second, of which too many were silent for a line each. */
+	AttemptsSilent = 'attempts_silent',
 	/** The final line of a request whose head was parsed. */
 	RequestEnded = 'request_ended',
 	/** A request arrived on a connection that this VM had already closed; it is not executed, and its caller gets no response. */
@@ -200,6 +202,13 @@
 		/** Why the request is not sent to another endpoint; absent if it is. */
 		readonly obstacle?: retryObstacle.RetryObstacle;
 	};
+	[LogEvent.AttemptsSilent]: {
+		readonly endpoint: string;
+		/** Number of attempts without a line of their own. */
+		readonly others: number;
+		/** Their number by the reason why the request is not sent to another endpoint, or by `replaced`. */
+		readonly reasons: string;
+	};
 	[LogEvent.RequestEnded]: {
 		readonly request: string; readonly outcome: RequestOutcome; readonly route?: string; readonly kind?: string;
 		/** HTTP status that was sent; 0 when none was sent. */
--- a/packages/gateway/src/call/attempt-recorder.ts
+++ b/packages/gateway/src/call/attempt-recorder.ts
@@ -28,7 +28,7 @@
 	constructor(
 		private readonly request: requestContext.RoutedRequest,
 		private readonly promptKeys: core.quarantine.PromptKeys | undefined,
-		private readonly dependencies: requestDispatcher.DispatcherDependencies,
+		private readonly dependencies: requestDispatcher.ForwarderDependencies,
 	) {}
 
 	/**
@@ -146,7 +146,7 @@
 	 * @param obstacle - Why the request is not sent to another endpoint; absent if it is.
 	 */
 	recordSilence({placement}: sentAttempt.SentAttempt, obstacle: core.log.RetryObstacle | undefined): void {
-		this.dependencies.log.write(eventLog.LogEvent.AttemptSilent, {request: this.request.head.requestId, endpoint: placement.entry.id, obstacle});
+		this.dependencies.silences.record(this.request.head.requestId, placement.entry.id, obstacle);
 	}
 
 	/** Records the end of an attempt. */
@@ -154,6 +154,7 @@
 		const {fleet} = this.dependencies;
 		const endpoint = sent.placement.entry.id;
 		fleet.loads.removeRequest(endpoint, sent.id);
+		this.dependencies.failedSearches.clear();
 		this.dependencies.pauses.recordEnd(sent.placement.entry, sent.id);
 		fleet.health.recordEnd(endpoint, sent.id);
 		if (end.fault === undefined) {
--- a/packages/gateway/src/call/endpoint-finder.ts
+++ b/packages/gateway/src/call/endpoint-finder.ts
@@ -41,7 +41,7 @@
 
 	constructor(
 		private readonly request: requestContext.RoutedRequest,
-		private readonly dependencies: requestDispatcher.DispatcherDependencies,
+		private readonly dependencies: requestDispatcher.ForwarderDependencies,
 		private readonly deadlineAt: number,
 		private readonly pool: core.routing.PoolName,
 	) {}
@@ -69,6 +69,35 @@
 		return placement ?? (mayRepeat && this.#failed.size > 0 ? placer.place(this.request, this.pool, new Set(active), now) : undefined);
 	}
 
+	/**
+	 * Finds an endpoint with capacity for a replacement, and sends the request there. There is no search if one has just found nothing for any
+	 * request that excludes the same endpoints.
+	 *
+	 * @param active - As for {@link EndpointFinder.place}, as `mayRepeat`.
+	 * @param send - Sends the request; returns `undefined` if no connection to the endpoint is free.
+	 * @returns What `send` returned, or `undefined` if there is no endpoint.
+	 */
+	findReplacement<Sent>(active: readonly string[], mayRepeat: boolean, send: (placement: endpointPlacer.Placement) => Sent | undefined): Sent | undefined {
+		const {placer, clock, failedSearches} = this.dependencies;
+		const now = clocks.readInstant(clock);
+		const excluded = mayRepeat ? active : [...this.#failed, ...active];
+		const {head, route, table: {config: {version}}} = this.request;
+		const key = JSON.stringify([version, this.pool, head.prompt?.model, route.targetLatencyMs, mayRepeat, [...this.#failed].sort(), active.toSorted()]);
+		if (failedSearches.has(key, now.monotonic)) {
+			return undefined;
+		}
+
+		const placement = this.place(active, mayRepeat);
+		const sent = placement?.hasCapacity ? send(placement) : undefined;
+		// Requests without a prompt all find the same endpoint; it may have no free connection.
+		const isForAll = sent === undefined && (head.prompt === undefined || !placer.mayHaveCapacity(this.request, this.pool, new Set(excluded), now));
+		if (isForAll) {
+			failedSearches.add(key, now.monotonic);
+		}
+
+		return sent;
+	}
+
 	/** Returns the placement that was found, or another one if requests that were sent since may have used its capacity; `undefined` if none is left. */
 	confirm({placement, sentCount}: FoundEndpoint): endpointPlacer.Placement | undefined {
 		if (sentCount === this.dependencies.fleet.loads.sentCount) {
--- a/packages/gateway/src/call/request-dispatcher.ts
+++ b/packages/gateway/src/call/request-dispatcher.ts
@@ -9,11 +9,13 @@
 import type * as ports from '../ports/index.js';
 import type * as clocks from '../util/clocks.js';
 import type * as eventLog from '../util/event-log.js';
+import * as failedSearches from './failed-searches.js';
 import type * as requestContext from './request-context.js';
 import * as requestForwarder from './request-forwarder.js';
 import type * as refusals from './refusal.js';
 import type * as retryWindows from './retry-windows.js';
 import type * as requestQueue from './request-queue.js';
+import * as silenceLog from './silence-log.js';
 
 /** Dependencies of {@link RequestDispatcher}. */
 export type DispatcherDependencies = {
@@ -36,6 +38,12 @@
 	readonly random: () => number;
 };
 
+/** Dependencies of one request: those of the dispatcher, and what the requests share. */
+export type ForwarderDependencies = DispatcherDependencies & {
+	readonly failedSearches: failedSearches.FailedSearches;
+	readonly silences: silenceLog.SilenceLog;
+};
+
 /** Decides immediately before each attempt whether a request may still be sent. */
 export type SendAuthorizer = {
 	maySend(ctx: requestContext.RoutedRequest): boolean;
@@ -44,12 +52,17 @@
 /** Forwards requests to endpoints and keeps track of those in progress. */
 export class RequestDispatcher {
 	readonly #forwarders = new Set<requestForwarder.RequestForwarder>();
+	readonly #dependencies: ForwarderDependencies;
 
-	constructor(private readonly dependencies: DispatcherDependencies) {}
+	constructor(dependencies: DispatcherDependencies) {
+		this.#dependencies = {
+			...dependencies, failedSearches: new failedSearches.FailedSearches(), silences: new silenceLog.SilenceLog(dependencies.log),
+		};
+	}
 
 	/** Forwards a request. @returns A refusal if no response of an endpoint was relayed to the caller. */
 	async dispatch(ctx: requestContext.RoutedRequest): Promise<refusals.Refusal | undefined> {
-		const forwarder = new requestForwarder.RequestForwarder(ctx, this.dependencies);
+		const forwarder = new requestForwarder.RequestForwarder(ctx, this.#dependencies);
 		this.#forwarders.add(forwarder);
 		try {
 			return await forwarder.forward();
@@ -81,6 +94,7 @@
 
 	/** Sends the requests at an endpoint that does not respond to other endpoints as well, where that is possible. */
 	replaceSilentAttempts(endpoint: core.fleet.EndpointEntry['id']): void {
+		this.#dependencies.failedSearches.clear();
 		for (const forwarder of this.#forwarders) {
 			forwarder.replaceSilentAttempt(endpoint);
 		}
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -36,7 +36,7 @@
 	readonly #active: activeAttempts.ActiveAttempts;
 	readonly #sender: attemptSender.AttemptSender;
 
-	constructor(private readonly request: requestContext.RoutedRequest, private readonly dependencies: requestDispatcher.DispatcherDependencies) {
+	constructor(private readonly request: requestContext.RoutedRequest, private readonly dependencies: requestDispatcher.ForwarderDependencies) {
 		const {route, head, arrivedAt, res} = request;
 		this.#deadlineAt = arrivedAt + Math.min(head.deadlineMs ?? Infinity, route.timeoutMs);
 		this.#pool = core.routing.choosePool(route, dependencies.random()) ?? '';
@@ -274,8 +274,7 @@
 		}
 
 		const active = this.#active.list().map(sent => sent.placement.entry.id);
-		const placement = this.#endpointFinder.place(active, mayRepeat);
-		const replacement = placement?.hasCapacity ? this.#send(placement) : undefined;
+		const replacement = this.#endpointFinder.findReplacement(active, mayRepeat, placement => this.#send(placement));
 		if (replacement === undefined) {
 			return core.log.RetryObstacle.NoEndpoint;
 		}
--- a/packages/gateway/src/placement/endpoint-placer.ts
+++ b/packages/gateway/src/placement/endpoint-placer.ts
@@ -70,10 +70,8 @@
 		now: clocks.Instant,
 	): Placement | undefined {
 		const conditions = this.#createConditions(call, now.suspendAware);
-		const resumed = this.#listServing(call, pool, conditions)
-			.filter(entry => !excluded.has(entry.id) && this.pauses.findRampUp(entry) === undefined);
 		let best: Placement | undefined;
-		for (const group of this.fleet.leaving.groupByAvailability(resumed, now.suspendAware)) {
+		for (const group of this.#groupCandidates({call, pool, conditions}, excluded, now)) {
 			const isReported = group.availability === core.fleet.EndpointAvailability.ReportedLeaving;
 			const placement = best === undefined || (isReported && !best.hasCapacity)
 				? this.#placeAmong(group.entries, {call, pool, conditions}, now)
@@ -84,6 +82,19 @@
 		return best;
 	}
 
+	/**
+	 * Returns whether any request with the same model, target latency and excluded endpoints may find an endpoint with capacity, whatever its prompt.
+	 */
+	mayHaveCapacity(call: requestContext.RoutedRequest, pool: core.routing.PoolName, excluded: ReadonlySet<string>, now: clocks.Instant): boolean {
+		const conditions = this.#createConditions(call, now.suspendAware);
+		const isEngine = call.table.findPool(pool)?.engine !== undefined && conditions !== undefined;
+		const view: core.fleet.PlacementView = {...this.fleet, costs: this.options.costs};
+		const maxBacklogMs = core.fleet.computeMaxBacklogMs(call.route.targetLatencyMs, this.options.admission);
+		return this.#groupCandidates({call, pool, conditions}, excluded, now)
+			.flatMap(group => group.entries)
+			.some(entry => !this.#isRampUpLimited(entry) && (!isEngine || core.fleet.estimateBacklogMs(entry, view, now.monotonic) <= maxBacklogMs));
+	}
+
 	/**
 	 * Returns the earliest ramp-up of the endpoints that could serve a request but for a pause; `undefined` if none has asked for one.
 	 */
@@ -130,6 +141,17 @@
 		};
 	}
 
+	/** Groups the endpoints that may be sent a request by whether they are leaving, the most preferred first. */
+	#groupCandidates(
+		{call, pool, conditions}: PlacedCall,
+		excluded: ReadonlySet<string>,
+		now: clocks.Instant,
+	): core.fleet.AvailabilityGroup[] {
+		const resumed = this.#listServing(call, pool, conditions)
+			.filter(entry => !excluded.has(entry.id) && this.pauses.findRampUp(entry) === undefined);
+		return this.fleet.leaving.groupByAvailability(resumed, now.suspendAware);
+	}
+
 	#isRampUpLimited(entry: core.fleet.EndpointEntry): boolean {
 		return this.pauses.isRampUpLimited(entry, entry.slots / this.fleet.vmCount);
 	}
--- a/packages/gateway/tests/support/loaded-vm.ts
+++ b/packages/gateway/tests/support/loaded-vm.ts
@@ -5,14 +5,28 @@
 
 const {LogEvent: logEvents} = core.log;
 const pool: core.routing.Pool = {name: 'app', healthPath: '/health', connectionLimit: 1000};
-const streamCount = 60;
+const defaultStreamCount = 60;
 const vmCount = 7;
 /** The platform's retry budget for a service, and the part of it that a VM uses. */
 const budget = {ratio: 0.2, slack: 54, windowMs: 10_000};
 const usableShare = 0.8;
 
-/** Number of retries that the budget allows to the VM. */
-export const maxRetries = Math.floor(usableShare * ((budget.ratio * streamCount * 2 / 3) + (budget.slack / vmCount)));
+/** Returns the number of retries that the budget allows to the VM. */
+export function countAllowedRetries(streamCount: number): number {
+	return Math.floor(usableShare * ((budget.ratio * streamCount * 2 / 3) + (budget.slack / vmCount)));
+}
+
+/** Number of retries that the budget allows to a VM with the default number of streams. */
+export const maxRetries = countAllowedRetries(defaultStreamCount);
+
+class CountingPlacer extends gateway.placement.EndpointPlacer {
+	searchCount = 0;
+
+	override place(...args: Parameters<gateway.placement.EndpointPlacer['place']>): gateway.placement.Placement | undefined {
+		this.searchCount += 1;
+		return super.place(...args);
+	}
+}
 
 /** Many resumable streams of one VM, all begun at the first of two endpoints. */
 export class LoadedVm {
@@ -26,11 +40,15 @@
 	readonly clock = new clocks.ManualClock();
 	readonly fleet = new gateway.placement.FleetState();
 	readonly pauses: gateway.placement.EndpointPauses;
+	readonly placer: CountingPlacer;
+	/** Log lines in order. */
+	readonly lines: Array<{readonly event: core.log.LogEvent; readonly fields: Readonly<Record<string, unknown>>}> = [];
 
-	constructor() {
+	constructor(private readonly streamCount = defaultStreamCount) {
 		const {clock, fleet} = this;
 		const log: gateway.util.EventLog = {
 			write: (event, fields) => {
+				this.lines.push({event, fields});
 				if (event === logEvents.AttemptFailed) {
 					this.ends.push({...fields});
 				}
@@ -39,6 +57,9 @@
 		fleet.vmCount = vmCount;
 		const pauses = new gateway.placement.EndpointPauses({clock, log, random: () => 0});
 		this.pauses = pauses;
+		this.placer = new CountingPlacer(fleet, pauses, {
+			dataCentre: 'dc-a', maxOutdatedWeightsMs: 1000, costs: core.fleet.defaultPlacementCosts, admission: core.fleet.defaultAdmissionLimits,
+		});
 		this.dispatcher = new gateway.call.RequestDispatcher({
 			fleet,
 			pauses,
@@ -54,9 +75,7 @@
 			clock,
 			log,
 			connections: this.connections.pools,
-			placer: new gateway.placement.EndpointPlacer(fleet, pauses, {
-				dataCentre: 'dc-a', maxOutdatedWeightsMs: 1000, costs: core.fleet.defaultPlacementCosts, admission: core.fleet.defaultAdmissionLimits,
-			}),
+			placer: this.placer,
 			protocol: this.connections.protocol,
 			retryWindows: new gateway.call.RetryWindows(budget),
 			queue: new gateway.call.RequestQueue(() => clock.now),
@@ -69,7 +88,7 @@
 	/** Begins the streams at endpoint `a`, each with one event; endpoint `b` is listed afterwards. */
 	async begin(): Promise<void> {
 		this.addEndpoint('a');
-		for (let number = 0; number < streamCount; number++) {
+		for (let number = 0; number < this.streamCount; number++) {
 			this.send(`r-${number}`);
 		}
 
