--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -36,7 +36,7 @@
 	readonly #active: activeAttempts.ActiveAttempts;
 	readonly #sender: attemptSender.AttemptSender;
 
-	constructor(private readonly request: requestContext.RoutedRequest, private readonly dependencies: requestDispatcher.DispatcherDependencies) {
+	constructor(private readonly request: requestContext.RoutedRequest, private readonly dependencies: requestDispatcher.ForwarderDependencies) {
 		const {route, head, arrivedAt, res} = request;
 		this.#deadlineAt = arrivedAt + Math.min(head.deadlineMs ?? Infinity, route.timeoutMs);
 		this.#pool = core.routing.choosePool(route, dependencies.random()) ?? '';
@@ -61,7 +61,7 @@
 			route,
 			hasUnresumableResponse: () => this.#relay.hasStarted && !(route.isResumable && this.#relay.isEventStream),
 			deadlineAt: this.#deadlineAt,
-			window: dependencies.retryWindows.of(this.#pool),
+			window: now => dependencies.retryWindows.of(this.#pool, now),
 			vmCount: () => dependencies.fleet.vmCount,
 		});
 		this.#timers = new attemptTimers.AttemptTimers(route);
@@ -100,14 +100,14 @@
 			this.#active.abort(endpoints.AttemptFault.CallerDisconnected);
 		};
 
-		const remainingMs = this.#deadlineAt - this.dependencies.clock.monotonicNow();
+		const now = this.dependencies.clock.monotonicNow();
 		const timer = setTimeout(() => {
 			this.#isTimedOut = true;
 			this.#endpointFinder.cancel();
 			this.#active.abort(endpoints.AttemptFault.TimedOut);
-		}, Math.max(0, remainingMs + lateResponseGraceMs));
+		}, Math.max(0, this.#deadlineAt - now + lateResponseGraceMs));
 		this.request.res.once('close', onClose);
-		this.dependencies.retryWindows.of(this.#pool).countRequest(this.dependencies.clock.monotonicNow());
+		this.dependencies.retryWindows.of(this.#pool, now).countRequest(now);
 		try {
 			return await this.#runAttempts();
 		} finally {
@@ -273,8 +273,7 @@
 		}
 
 		const active = this.#active.list().map(sent => sent.placement.entry.id);
-		const placement = this.#endpointFinder.place(active, mayRepeat);
-		const replacement = placement?.hasCapacity ? this.#send(placement) : undefined;
+		const replacement = this.#endpointFinder.findReplacement(active, mayRepeat, placement => this.#send(placement));
 		if (replacement === undefined) {
 			return core.log.RetryObstacle.NoEndpoint;
 		}
