Count the connections of requests in progress when an endpoint's entry returns

An endpoint whose entry left the store for a moment got up to twice the connections of this VM's share, and resets what is beyond its limit: the pool was dropped with its busy connections. It stays until they have ended.

--- a/packages/gateway/src/endpoints/connection-pool.ts
+++ b/packages/gateway/src/endpoints/connection-pool.ts
@@ -20,6 +20,11 @@
 		private readonly options: endpointConnection.ConnectionOptions = endpointConnection.defaultConnectionOptions,
 	) {}
 
+	/** Number of connections. */
+	get size(): number {
+		return this.#connections.size;
+	}
+
 	/**
 	 * Returns the idle connection that was used last, or opens one, and marks it as busy.
 	 *
--- a/packages/gateway/src/endpoints/connection-pools.ts
+++ b/packages/gateway/src/endpoints/connection-pools.ts
@@ -32,11 +32,15 @@
 		this.#pools.get(endpoint)?.pool.closeIdle();
 	}
 
-	/** Removes endpoints that are no longer listed; requests in progress continue. */
+	/** Removes endpoints that are no longer listed. Requests in progress continue, and count if their endpoint returns. */
 	retain(listed: ReadonlySet<string>): void {
-		for (const [endpoint, incarnationPool] of this.#pools) {
-			if (!listed.has(endpoint)) {
-				incarnationPool.pool.closeIdle();
+		for (const [endpoint, {pool}] of this.#pools) {
+			if (listed.has(endpoint)) {
+				continue;
+			}
+
+			pool.closeIdle();
+			if (pool.size === 0) {
 				this.#pools.delete(endpoint);
 			}
 		}
