--- a/packages/gateway/src/call/attempt-sender.ts
+++ b/packages/gateway/src/call/attempt-sender.ts
@@ -1,3 +1,4 @@
+import * as core from '@bluebellmast/core';
 import * as endpoints from '../endpoints/index.js';
 import type * as endpointPlacer from '../placement/endpoint-placer.js';
 import type * as ports from '../ports/index.js';
@@ -26,6 +27,9 @@
 
 /** Sends the attempts of one request, and records how they end. */
 export class AttemptSender {
+	/** Attempts of which it is not known that they were not executed. */
+	readonly #mayBeExecuted = new Set<sentAttempt.SentAttempt>();
+
 	constructor(private readonly options: AttemptSenderOptions) {}
 
 	/**
@@ -72,6 +76,7 @@
 			placement, attempt, id: `${head.requestId}#${number - 1}`, hasResponseStarted: false, ended: Promise.resolve(),
 		};
 		const sink = this.options.createSink(sent);
+		this.#mayBeExecuted.add(sent);
 		this.options.request.isSent = true;
 		recorder.recordSent(sent, number);
 		sent.ended = this.#run(sent, connection);
@@ -82,6 +87,11 @@
 		const {recorder, isInterrupted} = this.options;
 		const end = await sent.attempt.run();
 		sent.end = end;
+		if (core.request.isKnownNotExecuted({id: sent.id, endpoint: sent.placement.entry.id, progress: end.progress})) {
+			this.#mayBeExecuted.delete(sent);
+			this.options.request.isSent = this.#mayBeExecuted.size > 0;
+		}
+
 		recorder.recordEnd(sent, end);
 		sent.isInterrupted = isInterrupted(end);
 		if (sent.isInterrupted) {
--- a/packages/gateway/src/call/request-context.ts
+++ b/packages/gateway/src/call/request-context.ts
@@ -16,7 +16,7 @@
 	/** Account to which the API key of the request belongs; absent on public routes. */
 	account?: core.routing.ApiAccount;
 	body?: Uint8Array;
-	/** Whether the request was sent to an endpoint, which may have executed it. */
+	/** Whether the request was sent to an endpoint that may have executed it; refused attempts don't count. */
 	isSent?: boolean;
 	/** Whether a response was started that could not be completed. */
 	isTruncated?: boolean;
--- a/packages/gateway/tests/support/loaded-vm.ts
+++ b/packages/gateway/tests/support/loaded-vm.ts
@@ -37,6 +37,8 @@
 	readonly dispatcher: gateway.call.RequestDispatcher;
 	/** Endpoints of the interruptions that were recorded. */
 	readonly interruptedAt: string[] = [];
+	/** The request that was authorized last. */
+	lastAuthorized: gateway.call.RoutedRequest | undefined;
 	readonly clock = new clocks.ManualClock();
 	readonly fleet = new gateway.placement.FleetState();
 	readonly pauses: gateway.placement.EndpointPauses;
@@ -80,7 +82,12 @@
 			retryWindows: new gateway.call.RetryWindows(budget),
 			queue: new gateway.call.RequestQueue(() => clock.now),
 			recordCacheObservations: () => undefined,
-			authorizer: {maySend: () => true},
+			authorizer: {
+				maySend: ctx => {
+					this.lastAuthorized = ctx;
+					return true;
+				},
+			},
 			random: () => 0,
 		});
 	}
