Apply operators' words on prompt parts on every VM

A part met less often than every 150 s is never found, and a wrong decision holds for five minutes. Change: OperatorWordListener reads the words of decision 10 from the feed of the store; OperatorWords keeps the last one on each part, until it ends; QuarantineController refuses parts that were added, and PartQuarantine drops evidence up to a lift that holds the part, also if it arrives later. Log lines operator_word_accepted and operator_word_ended. The stored evidence says since when each part is quarantined. No further call of a VM, and no work per request while there are no words.

--- a/packages/core/src/quarantine/part-key.ts
+++ b/packages/core/src/quarantine/part-key.ts
@@ -16,7 +16,11 @@
 
 /** Returns the key of a prompt part of a model's requests, of bounded length. */
 export function createPartKey(model: string, id: string): string {
-	const text = `${model}/${id}`;
+	return toPartKey(`${model}/${id}`);
+}
+
+/** Returns the key of a prompt part that is given as `MODEL/ID` or by its key. */
+export function toPartKey(text: string): string {
 	return text.length <= maxTextLength ? text : hash.hash64Hex(text);
 }
 
--- a/packages/core/src/quarantine/part-quarantine.ts
+++ b/packages/core/src/quarantine/part-quarantine.ts
@@ -31,6 +31,9 @@
 /** Number of the first endpoints that ended, and of the last ones, whose rows suffice as evidence on a part. */
 const rowsAtEachEnd = 6;
 
+/** Largest number of parts whose lifts are known; more than are in force at a time. */
+const maxLiftedParts = 64;
+
 /** Time for which an incarnation is known to be alive, in milliseconds of the clock of the evidence. */
 export type AlivePeriod = {
 	readonly from: number;
@@ -59,6 +62,8 @@
 	readonly #sound: recentTimes.RecentTimes;
 	/** The last times for which incarnations proved to be alive; the one that was updated the longest ago first. */
 	readonly #alive = new Map<string, AlivePeriod>();
+	/** When operators lifted parts, so that earlier evidence is void. */
+	readonly #lifted = new recentTimes.RecentTimes(maxLiftedParts);
 	#culprits = new Map<string, findCulprits.Culprit>();
 	/** Parts of the rows that no request has completed since; absent after a change of the evidence. */
 	#suspects: Set<string> | undefined;
@@ -177,6 +182,21 @@
 		return true;
 	}
 
+	/**
+	 * Records that an operator lifted a part: earlier interruptions of requests with it are evidence on none of their parts, or else those that
+	 * stand beside it would be held the cause instead.
+	 */
+	lift(part: string, at: number): void {
+		this.#lifted.record(part, at);
+		for (const [key, row] of this.#rows) {
+			if (this.#isLifted(row)) {
+				this.#rows.delete(key);
+			}
+		}
+
+		this.#suspects = undefined;
+	}
+
 	/** Decides again which parts are quarantined. */
 	update(now: number): QuarantineChange {
 		for (const [key, row] of this.#rows) {
@@ -235,9 +255,14 @@
 		return (known === undefined || (row.hasBegun && !known.hasBegun))
 			&& now - row.at <= this.options.lifetimeMs
 			&& !this.#hasSurvived(row)
+			&& !this.#isLifted(row)
 			&& row.sharedParts.some(part => row.at > this.#sound.last(part));
 	}
 
+	#isLifted({sharedParts, at}: crashRow.CrashRow): boolean {
+		return this.#lifted.size > 0 && sharedParts.some(part => at <= this.#lifted.last(part));
+	}
+
 	#hasSurvived(row: crashRow.CrashRow): boolean {
 		const period = this.#alive.get(crashRow.incarnationKey(row.endpoint));
 		return period !== undefined && isWithin(row, period);
--- a/packages/core/tests/quarantine/part-key.test.ts
+++ b/packages/core/tests/quarantine/part-key.test.ts
@@ -13,4 +13,10 @@
 			expect(key.length).to.be.at.most(48);
 		}
 	});
+
+	it('is the same for a part that an operator names by model and id, and by its key', () => {
+		const longId = 'f'.repeat(5000);
+		const key = core.quarantine.createPartKey('m', longId);
+		expect([core.quarantine.toPartKey(`m/${longId}`), core.quarantine.toPartKey(key)]).to.deep.equal([key, key]);
+	});
 });
--- a/packages/gateway/src/controllers/quarantine-controller.ts
+++ b/packages/gateway/src/controllers/quarantine-controller.ts
@@ -36,6 +36,7 @@
  */
 export class QuarantineController {
 	readonly #parts = new core.quarantine.PartQuarantine();
+	readonly #words = new core.quarantine.OperatorWords();
 	readonly #pending = new PendingEvidence();
 	readonly #reportedSound = new core.quarantine.RecentTimes(maxPendingItems);
 	#repeatedAt = -Infinity;
@@ -51,7 +52,33 @@
 
 	/** Returns the quarantined part because of which a request must not be sent. */
 	match(sharedParts: readonly string[]): core.quarantine.QuarantineMatch | undefined {
-		return this.hasQuarantinedParts ? this.#parts.match(sharedParts, this.#now()) : undefined;
+		if (!this.hasQuarantinedParts && this.#words.size === 0) {
+			return undefined;
+		}
+
+		const now = this.#now();
+		const added = this.#words.findAdded(sharedParts, now);
+		return added === undefined ? this.#parts.match(sharedParts, now) : {part: added.part, releasedInMs: added.endsAt - now};
+	}
+
+	/** Applies an operator's word on a part. One that was lifted is quarantined again only by later evidence. */
+	applyOperatorWord(word: core.quarantine.OperatorWord, reading: core.quarantine.WordReading): void {
+		const kept = this.#words.record(word, reading);
+		if (kept === undefined) {
+			return;
+		}
+
+		const {part, action, by, reason, saidAt, endsAt} = kept;
+		this.dependencies.log.write(eventLog.LogEvent.OperatorWordAccepted, {
+			part, action, by, reason, endsInMs: Math.round(endsAt - reading.now),
+		});
+		if (action === core.quarantine.OperatorAction.Add) {
+			this.dependencies.onQuarantined();
+		} else {
+			this.#parts.lift(part, saidAt);
+			this.#pending.removeRows(part, saidAt);
+			this.#update();
+		}
 	}
 
 	/** Records requests that an endpoint interrupted. */
@@ -130,16 +157,20 @@
 		return this.#pending.size > 0;
 	}
 
-	/** Returns the quarantined parts in alphabetical order, and the evidence on them. */
-	describeQuarantined(): {readonly parts: string; readonly evidence: core.quarantine.QuarantineDigest} {
+	/** Returns the quarantined parts in alphabetical order, also as one text, and the evidence on them. */
+	describeQuarantined(): {readonly keys: readonly string[]; readonly parts: string; readonly evidence: core.quarantine.QuarantineDigest} {
 		const now = this.#now();
-		const parts = this.#parts.list().map(({part}) => part).sort((a, b) => a < b ? -1 : 1).join(' ');
+		const keys = this.#parts.list().map(({part}) => part).sort((a, b) => a < b ? -1 : 1);
 		const crashes = this.#parts.listDecisiveRows().map(({at, ...row}) => ({...row, ageMs: Math.round(now - at)}));
-		return {parts, evidence: {crashes, soundParts: [], survivors: []}};
+		return {keys, parts: keys.join(' '), evidence: {crashes, soundParts: [], survivors: []}};
 	}
 
-	/** Releases parts whose evidence has expired. */
+	/** Releases parts whose evidence or operator's word has expired. */
 	tick(): void {
+		for (const {part, action} of this.#words.expire(this.#now())) {
+			this.dependencies.log.write(eventLog.LogEvent.OperatorWordEnded, {part, action});
+		}
+
 		if (this.#parts.size > 0 && this.#now() - this.#updatedAt >= updateIntervalMs) {
 			this.#update();
 		}
@@ -217,6 +248,12 @@
 		return this.rows.length + this.soundParts.length + this.survivors.length;
 	}
 
+	/** Removes the rows of requests with a part up to a time. */
+	removeRows(part: string, until: number): void {
+		const kept = this.rows.filter(row => row.at > until || !row.sharedParts.includes(part));
+		this.rows.splice(0, this.rows.length, ...kept);
+	}
+
 	/** Drops the oldest items beyond the bound. */
 	drop(): void {
 		for (const items of [this.rows, this.soundParts, this.survivors]) {
--- a/packages/gateway/src/controllers/quarantine-store.ts
+++ b/packages/gateway/src/controllers/quarantine-store.ts
@@ -1,13 +1,12 @@
-import * as buffer from 'node:buffer';
 import type * as core from '@bluebellmast/core';
 import type * as clients from '@bluebellmast/kv';
-import * as digestCodec from '../peers/digest-codec.js';
 import type * as clocks from '../util/clocks.js';
 import * as eventLog from '../util/event-log.js';
 import * as coordinationKeys from './coordination-keys.js';
 import type * as leaseController from './lease-controller.js';
 import type * as quarantineController from './quarantine-controller.js';
 import type * as storeFeed from './store-feed.js';
+import * as storedEvidence from './stored-evidence.js';
 
 /** Dependencies of a {@link QuarantineStore}. */
 export type QuarantineStoreDependencies = {
@@ -18,12 +17,6 @@
 	readonly log: eventLog.EventLog;
 };
 
-/** Evidence as it is stored. */
-type StoredEvidence = digestCodec.EncodedEvidence & {
-	/** Unix milliseconds from which the ages count. */
-	readonly writtenAt: number;
-};
-
 /** Shortest time between two writes, in milliseconds. */
 const writeIntervalMs = 1000;
 
@@ -37,6 +30,7 @@
 	#era: number | undefined;
 	/** Parts whose evidence is stored, in alphabetical order; absent before the store was read. */
 	#storedParts: string | undefined;
+	#storedSince: Readonly<Record<string, number>> = {};
 	#attemptedAt = -Infinity;
 
 	constructor(private readonly dependencies: QuarantineStoreDependencies) {}
@@ -46,6 +40,7 @@
 		this.#revision = 0;
 		this.#era = undefined;
 		this.#storedParts = '';
+		this.#storedSince = {};
 		if (entry !== undefined) {
 			this.#apply(entry);
 		}
@@ -67,19 +62,23 @@
 			return;
 		}
 
-		const {parts, evidence} = quarantine.describeQuarantined();
+		const {keys, parts, evidence} = quarantine.describeQuarantined();
 		if (parts === this.#storedParts) {
 			return;
 		}
 
 		this.#attemptedAt = now;
-		const stored: StoredEvidence = {writtenAt: clock.wallNow(), ...digestCodec.encodeEvidence(evidence)};
-		const value = buffer.Buffer.from(JSON.stringify({parts, ...stored}));
+		const writtenAt = clock.wallNow();
+		const since = this.#computeSince(keys, writtenAt);
+		const value = storedEvidence.encodeStoredEvidence({
+			parts, since, writtenAt, evidence,
+		});
 		const result = await store.compareAndSwap(coordinationKeys.quarantineKey, this.#revision, value, undefined, this.#era);
 		result.ifRight(({swapped, revision}) => {
 			if (swapped) {
 				this.#revision = revision;
 				this.#storedParts = parts;
+				this.#storedSince = since;
 			}
 		});
 		// A conflict is resolved by the next read of the store.
@@ -91,14 +90,19 @@
 	#apply({value, revision, era}: clients.kv.KvEntry): void {
 		this.#revision = revision;
 		this.#era = era;
-		const stored = decode(value);
+		const stored = storedEvidence.decodeStoredEvidence(value);
 		this.#storedParts = stored?.parts ?? '';
-		const evidence = stored && digestCodec.decodeEvidence(stored);
-		if (evidence !== undefined) {
-			const sinceMs = Math.max(0, this.dependencies.clock.wallNow() - stored!.writtenAt);
-			this.dependencies.quarantine.applyDigest(addAge(evidence, sinceMs));
+		this.#storedSince = stored?.since ?? {};
+		if (stored?.evidence !== undefined) {
+			const sinceMs = Math.max(0, this.dependencies.clock.wallNow() - stored.writtenAt);
+			this.dependencies.quarantine.applyDigest(addAge(stored.evidence, sinceMs));
 		}
 	}
+
+	/** Returns since when parts are quarantined; the store knows it of those that another VM or an earlier process wrote. */
+	#computeSince(keys: readonly string[], now: number): Record<string, number> {
+		return Object.fromEntries(keys.map(part => [part, this.#storedSince[part] ?? now]));
+	}
 }
 
 function addAge(evidence: core.quarantine.QuarantineDigest, sinceMs: number): core.quarantine.QuarantineDigest {
@@ -106,13 +110,3 @@
 		crashes: evidence.crashes.map(row => ({...row, ageMs: row.ageMs + sinceMs})), soundParts: [], survivors: [],
 	};
 }
-
-function decode(value: Uint8Array): (StoredEvidence & {readonly parts: string}) | undefined {
-	try {
-		const json = JSON.parse(buffer.Buffer.from(value).toString()) as StoredEvidence & {readonly parts: string};
-		return typeof json.writtenAt === 'number' && typeof json.parts === 'string' ? json : undefined;
-	} catch {
-		// Written by another version of the gateway; it is overwritten when a part is quarantined.
-		return undefined;
-	}
-}
--- a/packages/gateway/tests/controllers/quarantine-store.test.ts
+++ b/packages/gateway/tests/controllers/quarantine-store.test.ts
@@ -82,6 +82,20 @@
 		expect(String(shared.keys.get(quarantineKey)!.entry.value)).to.contain('m/bad m/worse');
 	});
 
+	it('keeps since when a part is quarantined, when another VM stores it anew with a further part', async () => {
+		const shared = new memoryStore.MemoryStore();
+		const first = new Vm(shared);
+		first.quarantinePart('m/bad');
+		await first.tick();
+		const second = new Vm(shared);
+		second.clock.now = 60_000;
+		second.read();
+		second.quarantinePart('m/worse');
+		await second.tick();
+		const stored = gateway.controllers.decodeStoredEvidence(shared.keys.get(quarantineKey)!.entry.value);
+		expect(stored).to.deep.include({parts: 'm/bad m/worse', since: Object.fromEntries([['m/bad', 2000], ['m/worse', 62_000]]), writtenAt: 62_000});
+	});
+
 	it('clears the stored evidence when all parts are released, and ignores what it can\'t read', async () => {
 		const shared = new memoryStore.MemoryStore();
 		const vm = new Vm(shared);
