--- a/packages/gateway/tests/support/simulated-crashes.ts
+++ b/packages/gateway/tests/support/simulated-crashes.ts
@@ -13,7 +13,7 @@
 	readonly killedShare: number;
 	/** Share of the datagrams between VMs that are lost, of 100. */
 	readonly lossPercent: number;
-	/** Whether VMs quarantine parts. */
+	/** Whether VMs collect evidence and quarantine parts. */
 	readonly isQuarantined: boolean;
 	readonly seed: number;
 };
@@ -224,7 +224,9 @@
 		this.time.schedule(beginMs, () => {
 			request.hasBegun = endpoint.inProgress.has(request);
 			if (request.hasBegun) {
-				vm.quarantine.recordAlive(incarnation, sentAt);
+				this.#observe(vm, quarantine => {
+					quarantine.recordAlive(incarnation, sentAt);
+				});
 			}
 		});
 		this.time.schedule(beginMs + (isCrashing ? crashMs : answerMs), () => {
@@ -261,13 +263,24 @@
 		endpoint.inProgress.delete(request);
 		this.time.schedule(outlivedMs, () => {
 			if (endpoint.incarnation === incarnation && !endpoint.isDown) {
-				vm.quarantine.recordCompletion(keys.sharedParts, completedAt);
+				this.#observe(vm, quarantine => {
+					quarantine.recordCompletion(keys.sharedParts, completedAt);
+				});
 			} else {
-				vm.quarantine.recordInterruption({endpoint: incarnation, at: this.time.now, requests: [{...keys, hasBegun: true}]});
+				this.#observe(vm, quarantine => {
+					quarantine.recordInterruption({endpoint: incarnation, at: this.time.now, requests: [{...keys, hasBegun: true}]});
+				});
 			}
 		});
 	}
 
+	/** Has a VM collect evidence, unless the scenario is without the quarantine. */
+	#observe(vm: Vm, record: (quarantine: gateway.controllers.QuarantineController) => void): void {
+		if (this.scenario.isQuarantined) {
+			record(vm.quarantine);
+		}
+	}
+
 	#end(endpoint: Endpoint): void {
 		if (endpoint.isDown) {
 			return;
@@ -285,7 +298,9 @@
 			const requests = interrupted.filter(request => request.vm === vm).map(({keys, hasBegun}) => ({...keys, hasBegun}));
 			const at = this.time.now + latencyMs;
 			this.time.schedule(latencyMs + collectionMs, () => {
-				vm.quarantine.recordInterruption({endpoint: incarnation, at, requests});
+				this.#observe(vm, quarantine => {
+					quarantine.recordInterruption({endpoint: incarnation, at, requests});
+				});
 			});
 		}
 
--- a/packages/gateway/tests/support/virtual-time.ts
+++ b/packages/gateway/tests/support/virtual-time.ts
@@ -11,8 +11,7 @@
 	schedule(ms: number, run: () => void): void {
 		this.#count += 1;
 		const timer: Timer = {at: this.now + Math.max(0, ms), number: this.#count, run};
-		const index = this.#timers.findIndex(other => other.at > timer.at);
-		this.#timers.splice(index === -1 ? this.#timers.length : index, 0, timer);
+		this.#timers.splice(this.#findIndexAfter(timer.at), 0, timer);
 	}
 
 	/** Runs all timers up to a time. */
@@ -29,4 +28,20 @@
 
 		this.now = endsAt;
 	}
+
+	/** Returns the index of the first timer that is later than a time. */
+	#findIndexAfter(at: number): number {
+		let low = 0;
+		let high = this.#timers.length;
+		while (low < high) {
+			const middle = Math.floor((low + high) / 2);
+			if (this.#timers[middle]!.at > at) {
+				high = middle;
+			} else {
+				low = middle + 1;
+			}
+		}
+
+		return low;
+	}
 }
