--- a/packages/gateway/tests/load/crashing-parts.test.ts
+++ b/packages/gateway/tests/load/crashing-parts.test.ts
@@ -16,10 +16,11 @@
 			for (const killedShare of crashingPerSecond === 100 ? [0] : [0, 0.1]) {
 				const beside = killedShare > 0 ? ' beside ends of a tenth of the endpoints' : '';
 				it(`is contained by ${fleet.vmCount} VMs at ${crashingPerSecond} requests a second${beside}`, async () => {
-					const {sentAfter, sound, soundRefusals, countedFrom, wrongParts} = await runCrashScenario.runCrashScenario({...fleet, crashingPerSecond, killedShare});
+					const {sentAfter, sound, soundRefusals, countedFrom, refusingVms, wrongParts} = await runCrashScenario.runCrashScenario({...fleet, crashingPerSecond, killedShare});
 					expect(sentAfter).to.be.at.most(maxSentAfter);
 					expect(soundRefusals.filter(at => at > countedFrom + runCrashScenario.settleWindowMs)).to.deep.equal([]);
 					expect(soundRefusals.length).to.be.below(sound * maxSoundRefusedShare);
+					expect(refusingVms).to.equal(fleet.vmCount);
 					expect(wrongParts).to.deep.equal([]);
 				}).timeout(60_000);
 			}
--- a/packages/gateway/tests/support/run-crash-scenario.ts
+++ b/packages/gateway/tests/support/run-crash-scenario.ts
@@ -11,6 +11,8 @@
 	/** Time from which the users' rule counts requests with the part. */
 	readonly countedFrom: number;
 	readonly sentAfter: number;
+	/** Number of VMs that refuse the part at the end. */
+	readonly refusingVms: number;
 	readonly wrongParts: readonly string[];
 };
 
@@ -25,6 +27,10 @@
 	const {outcome} = crashes;
 	const countedFrom = (outcome.ends[maxEndsBefore - 1] ?? outcome.ends.at(-1) ?? Infinity) + settleWindowMs;
 	return {
-		...outcome, countedFrom, sentAfter: outcome.crashingSends.filter(at => at > countedFrom).length, wrongParts: crashes.listWrongParts(),
+		...outcome,
+		countedFrom,
+		sentAfter: outcome.crashingSends.filter(at => at > countedFrom).length,
+		refusingVms: crashes.countRefusingVms(),
+		wrongParts: crashes.listWrongParts(),
 	};
 }
--- a/packages/gateway/tests/support/simulated-crashes.ts
+++ b/packages/gateway/tests/support/simulated-crashes.ts
@@ -96,6 +96,11 @@
 		}
 	}
 
+	/** Returns the number of VMs that refuse requests with the crashing part. */
+	countRefusingVms(): number {
+		return this.#vms.filter(vm => vm.quarantine.match(['m/f0', 'm/bad']) !== undefined).length;
+	}
+
 	/** Lists the parts that VMs hold to end endpoints although they don't. */
 	listWrongParts(): string[] {
 		return [...new Set(this.#vms.flatMap(vm => crashingSuspects(vm)))];
