--- a/packages/stand-ins/src/bench/main.ts
+++ b/packages/stand-ins/src/bench/main.ts
@@ -2,6 +2,7 @@
 import * as util from 'node:util';
 import * as controlSuite from './control-suite.js';
 import * as decisionSuite from './decision-suite.js';
+import * as gatewaySuite from './gateway-suite.js';
 import * as limitSuite from './limit-suite.js';
 import * as overheadSuite from './overhead-suite.js';
 import * as placementSuite from './placement-suite.js';
@@ -22,6 +23,9 @@
 		sizes: {type: 'string', default: '7,20,40'},
 		'warm-up-ms': {type: 'string', default: '3000'},
 		'measured-ms': {type: 'string', default: '6000'},
+		roots: {type: 'string', default: '.'},
+		runs: {type: 'string', default: '5'},
+		requests: {type: 'string', default: '300'},
 	},
 });
 
@@ -58,6 +62,13 @@
 		break;
 	}
 
+	case 'gateway': {
+		await gatewaySuite.runGatewaySuite({
+			seed: Number(values.seed), roots: list(values.roots)!, runs: Number(values.runs), requests: Number(values.requests), outFolder: values.out,
+		});
+		break;
+	}
+
 	case 'limit': {
 		limitSuite.runLimitSuite();
 		break;
