Test: begin the watch of a key before it is written

Cause: a watch of a client that has seen no revision reads the key to get one; the test wrote the key at the same time. If the write was executed first, the watch began after it, and the test waited for a change that it could not see, until its limit of 60 s. Seen once in 3 runs of this file, at a load of 16 to 21. Change: the test reads the key first, so that the watch begins before the write. Checks and limits are as before.

--- a/packages/kv/tests/kv/etcd-client.test.ts
+++ b/packages/kv/tests/kv/etcd-client.test.ts
@@ -256,6 +256,8 @@
 
 		async function endAt(fault: standIns.fault.FaultName): Promise<string> {
 			const {listener, seen, ended} = createRecordingListener();
+			// With this read the watch begins before the write; otherwise it reads the key at the same time.
+			await client.get('a');
 			client.watch('a', false, listener);
 			await write('a', 'one');
 			await seen(1);
