--- a/packages/stand-ins/tests/soak/platform/scheduling-record.test.ts
+++ b/packages/stand-ins/tests/soak/platform/scheduling-record.test.ts
@@ -12,5 +12,7 @@
 		chai.expect(record.entries.map(entry => [entry.process, entry.at])).to.deep.equal([['self', 1]]);
 		chai.expect(record.entries[0]!.ranMs).to.be.at.least(0);
 		chai.expect(record.entries[0]!.waitedMs).to.be.at.least(0);
+		chai.expect(record.entries[0]!.othersRanMs).to.be.at.least(0);
+		chai.expect(record.entries[0]!.othersWaitedMs).to.be.at.least(0);
 	});
 });
