--- /dev/null
+++ b/packages/gateway/tests/call/error-response.test.ts
@@ -0,0 +1,73 @@
+import * as chai from 'chai';
+import * as core from '@bluebellmast/core';
+import type * as fake from '../support/fake-connections.js';
+import * as loaded from '../support/loaded-vm.js';
+
+const {expect} = chai;
+const {settle} = loaded;
+const safe = {kind: core.routing.RouteKind.Safe, isResumable: false, targetLatencyMs: 20_000};
+
+// Guards against a 502 in place of an endpoint's own error, which is discarded before another attempt has delivered a response.
+describe('the error response of an endpoint', () => {
+	let vm: loaded.LoadedVm;
+	let res: fake.FakeResponse;
+
+	beforeEach(() => {
+		vm = new loaded.LoadedVm();
+	});
+
+	afterEach(async () => {
+		await vm.close();
+	});
+
+	/** Sends a request to endpoint `a`, and lists the others afterwards. @returns The attempt. */
+	async function start(route: Partial<core.routing.Route>, ...others: string[]): Promise<fake.FakeStream> {
+		vm.addEndpoint('a');
+		res = vm.send('r-1', route);
+		await settle();
+		for (const id of others) {
+			vm.addEndpoint(id);
+		}
+
+		return vm.connections.streams[0]!;
+	}
+
+	/** Has the request sent to another endpoint as well. @returns The last attempt at that endpoint. */
+	async function replace(endpoint: string, silent: string): Promise<fake.FakeStream> {
+		vm.dispatcher.replaceSilentAttempts(silent);
+		await settle();
+		return vm.connections.listAt(endpoint).at(-1)!;
+	}
+
+	/** Has the replacement fail after its endpoint has returned an error, when no other endpoint is left. */
+	async function expectError(fail: (replacement: fake.FakeStream) => void): Promise<void> {
+		const silent = await start(safe, 'b');
+		const replacement = await replace('b', 'a');
+		vm.removeEndpoint('a');
+		vm.removeEndpoint('b');
+		silent.begin(500);
+		silent.end();
+		await settle();
+		fail(replacement);
+		await settle();
+		expect({status: res.statusCode, isComplete: res.writableFinished}).to.deep.equal({status: 500, isComplete: true});
+	}
+
+	it('is delivered if the endpoint that could take the request has left before the error was read', async () => {
+		const attempt = await start(safe, 'b');
+		attempt.begin(500);
+		vm.removeEndpoint('b');
+		vm.removeEndpoint('a');
+		attempt.end();
+		await settle();
+		expect({status: res.statusCode, isComplete: res.writableFinished}).to.deep.equal({status: 500, isComplete: true});
+	});
+
+	it('is delivered if the replacement refuses the request after the error', async () => expectError(replacement => {
+		replacement.refuse();
+	}));
+
+	it('is delivered if the replacement breaks its connection after the error', async () => expectError(replacement => {
+		replacement.reset();
+	}));
+});
