--- a/packages/gateway/tests/call/silent-refusal.test.ts
+++ b/packages/gateway/tests/call/silent-refusal.test.ts
@@ -9,7 +9,6 @@
 // Guards against an endpoint that gets no requests for up to a second after it has gone on, since it refused the request that it got while it was silent.
 describe('a refusal', () => {
 	let vm: loaded.LoadedVm;
-	let res: fake.FakeResponse;
 
 	beforeEach(() => {
 		vm = new loaded.LoadedVm();
@@ -22,7 +21,7 @@
 	/** Sends a request to endpoint `a`, and lists the others afterwards. @returns The attempt. */
 	async function start(route: Partial<core.routing.Route>, ...others: string[]): Promise<fake.FakeStream> {
 		vm.addEndpoint('a');
-		res = vm.send('r-1', route);
+		vm.send('r-1', route);
 		await settle();
 		for (const id of others) {
 			vm.addEndpoint(id);
--- a/packages/gateway/tests/call/silent-replacements.test.ts
+++ b/packages/gateway/tests/call/silent-replacements.test.ts
@@ -9,7 +9,6 @@
 const impatient = {
 	kind: core.routing.RouteKind.Safe, isResumable: false, targetLatencyMs: 100, maxAttempts: 3,
 };
-const safe = {kind: core.routing.RouteKind.Safe, isResumable: false, targetLatencyMs: 20_000};
 
 /** Waits until a condition holds, for at most `maxMs` milliseconds. */
 async function waitFor(condition: () => boolean, maxMs: number): Promise<void> {
--- a/packages/gateway/tests/call/unlisted-endpoint.test.ts
+++ b/packages/gateway/tests/call/unlisted-endpoint.test.ts
@@ -10,7 +10,6 @@
 // Guards against requests that wait until their deadline for a silent endpoint that has left the store, or whose pool the configuration no longer has.
 describe('a request', () => {
 	let vm: loaded.LoadedVm;
-	let res: fake.FakeResponse;
 
 	beforeEach(() => {
 		vm = new loaded.LoadedVm();
@@ -23,7 +22,7 @@
 	/** Sends a request to endpoint `a`, and lists the others afterwards. @returns The attempt. */
 	async function start(route: Partial<core.routing.Route>, ...others: string[]): Promise<fake.FakeStream> {
 		vm.addEndpoint('a');
-		res = vm.send('r-1', route);
+		vm.send('r-1', route);
 		await settle();
 		for (const id of others) {
 			vm.addEndpoint(id);
