Soak: play series of signals and returns of the store, and check what clients that leave, resume and repeat see

Cause: docs/SOAK.md listed as not checked or not played: a store that comes back from an older copy, streams that clients resume, the retry budget, work that goes on after a client has left, gateways that are ready after SIGTERM, and SIGTERM, SIGKILL and SIGHUP that overlap. Change: half of the seeds play series of signals on a gateway (SIGHUP before and after SIGTERM, SIGTERM again, SIGKILL within the grace period, both during a start) beside the silences and configurations of their phases; half play returns of the store in the next era, after which operator and servers write again at once. Clients resume streams with Last-Event-Id. New checks: clients that left, retry budget, readiness after stops; the check of answers knows resumed streams. Plans of the other actions are as before. Each new check has cases with broken records. The timed faults of the injector have a file of their own. The record of the test of crashing parts ends now after its requests have arrived, which the check of clients that left would report.

--- a/packages/stand-ins/src/check/platform/answer-check.ts
+++ b/packages/stand-ins/src/check/platform/answer-check.ts
@@ -44,7 +44,8 @@
 	const texts = exchange.responseBody.split('\n\n');
 	const last = texts.pop();
 	const events = texts.map(text => eventPattern.exec(text));
-	const isInOrder = events.every((event, index) => event !== null && event[1] === String(index + 1) && event[2] === event[1]);
+	const firstId = (exchange.resumedAfter ?? 0) + 1;
+	const isInOrder = events.every((event, index) => event !== null && event[1] === String(index + firstId) && event[2] === event[1]);
 	if (last !== '' || !isInOrder) {
 		return ['the stream has a missing, repeated or broken event'];
 	}
@@ -61,5 +62,5 @@
 export const streamEvents = 6;
 
 function expectedEvents(exchange: records.Exchange): number | undefined {
-	return isStream(exchange) ? streamEvents : undefined;
+	return isStream(exchange) ? streamEvents - (exchange.resumedAfter ?? 0) : undefined;
 }
--- a/packages/stand-ins/src/check/platform/check-platform.ts
+++ b/packages/stand-ins/src/check/platform/check-platform.ts
@@ -4,9 +4,11 @@
 import * as drainCheck from './drain-check.js';
 import * as endCheck from './end-check.js';
 import * as executionCheck from './execution-check.js';
+import * as goneCheck from './gone-check.js';
 import * as lossCheck from './loss-check.js';
 import * as passedDeadlineCheck from './passed-deadline-check.js';
 import type * as records from './platform-records.js';
+import * as retryCheck from './retry-check.js';
 import * as rolloutCheck from './rollout-check.js';
 import * as serviceCheck from './service-check.js';
 import * as versionCheck from './version-check.js';
@@ -23,11 +25,14 @@
 	drainCheck.checkDrains,
 	crashingPartCheck.checkCrashingParts,
 	endCheck.checkDeadlines,
+	goneCheck.checkGone,
+	retryCheck.checkRetryBudget,
 	lossCheck.checkPlannedStops,
 	lossCheck.checkLostResponses,
 	lossCheck.checkChangeLosses,
 	serviceCheck.checkProcesses,
 	serviceCheck.checkReadiness,
+	serviceCheck.checkReadinessAfterStops,
 	serviceCheck.checkRecovery,
 ];
 
--- a/packages/stand-ins/src/check/platform/platform-records.ts
+++ b/packages/stand-ins/src/check/platform/platform-records.ts
@@ -30,10 +30,14 @@
 	readonly kind: RequestKind;
 	/** Name of the route that the request is for. */
 	readonly route: string;
+	/** Service to which the route leads. */
+	readonly service: string;
 	readonly path: string;
 	/** API key; empty on a public route. */
 	readonly key: string;
 	readonly body: string;
+	/** Id of the last event that the client has of an earlier stream, which the request resumes; absent if it resumes none. */
+	readonly resumedAfter?: number;
 	readonly sentAt: number;
 	/** Milliseconds after `sentAt` that the client waits. */
 	readonly deadlineMs: number;
@@ -64,6 +68,17 @@
 	readonly hasKey: boolean;
 	/** Whether its prompt has the part on which engines end; false by default. */
 	readonly hasCrashingPart?: boolean;
+	/** When the server was to end its work on it, as it seemed at its start. */
+	readonly expectedEndAt?: number;
+	/** When the response was complete or its connection closed; absent while the server works on it. */
+	readonly endedAt?: number;
+};
+
+/** A request that reached a server, whether it was executed or not. */
+export type Arrival = {
+	readonly service: string;
+	readonly requestId: string;
+	readonly at: number;
 };
 
 /** First event of a stream. */
@@ -145,6 +160,8 @@
 export type PlannedStop = {
 	readonly gateway: string;
 	readonly at: number;
+	/** When new connections were no longer forwarded to the gateway, or its process had ended; absent until then. */
+	readonly outAt?: number;
 };
 
 /** SIGHUP of a gateway, after its settings file has changed. */
@@ -195,6 +212,9 @@
 	readonly leaseMs: number;
 	/** Time after the end of a suspension in which orders of the suspended gateway are excused. */
 	readonly thawMs: number;
+	readonly retryRatio: number;
+	readonly retrySlack: number;
+	readonly retryWindowMs: number;
 };
 
 /** All that clients, servers and the operator saw of a run. */
@@ -202,6 +222,8 @@
 	readonly bounds: Bounds;
 	readonly exchanges: readonly Exchange[];
 	readonly executions: readonly Execution[];
+	/** None by default. */
+	readonly arrivals?: readonly Arrival[];
 	readonly starts: readonly Start[];
 	/** Model of each engine. */
 	readonly models: Readonly<Record<string, string>>;
--- a/packages/stand-ins/src/check/platform/service-check.ts
+++ b/packages/stand-ins/src/check/platform/service-check.ts
@@ -3,6 +3,8 @@
 
 /** Milliseconds after a disruption within which the end of a process counts as part of it. */
 const ownEndMarginMs = 1000;
+/** Milliseconds after SIGTERM from which a gateway must not count as ready. */
+const maxReadyAfterStopMs = 4000;
 /** Share of requests that have to be served once all faults are over. */
 const minServedShare = 0.95;
 /** Number of requests from which the share is judged. */
@@ -24,6 +26,16 @@
 		}));
 }
 
+/** Checks that new connections are no longer forwarded to a gateway some time after its SIGTERM; returns the findings. */
+export function checkReadinessAfterStops(record: records.PlatformRecord): records.Finding[] {
+	return record.plannedStops
+		.filter(({at, outAt}) => (outAt ?? record.endedAt) - at > maxReadyAfterStopMs)
+		.map(({gateway, at, outAt}) => ({
+			check: 'readiness after stops',
+			text: `${gateway} counted as ready ${(outAt ?? record.endedAt) - at} ms after SIGTERM`,
+		}));
+}
+
 /** Checks that no gateway process ends by itself or fails at a planned stop; returns the findings. */
 export function checkProcesses(record: records.PlatformRecord): records.Finding[] {
 	return record.gatewayStarts.flatMap(({gateway, endedAt, exitCode}) => {
--- a/packages/stand-ins/src/soak/platform/extra-plan.ts
+++ b/packages/stand-ins/src/soak/platform/extra-plan.ts
@@ -2,13 +2,26 @@
 import * as platformAction from './platform-action.js';
 
 const {ActionType: types} = platformAction;
-const extraTypes = [types.ChangeSettings, types.BreakSettings, types.StoreUnavailableToSome, types.StoreLimitsSome];
-const seedOffset = 3_000_000;
+
+type ExtraGroup = {
+	readonly extraTypes: readonly platformAction.ActionType[];
+	readonly seedOffset: number;
+	readonly meanIntervalMs: number;
+};
+
+const groups: readonly ExtraGroup[] = [
+	{
+		extraTypes: [types.ChangeSettings, types.BreakSettings, types.StoreUnavailableToSome, types.StoreLimitsSome],
+		seedOffset: 3_000_000,
+		meanIntervalMs: 4000,
+	},
+	{extraTypes: [types.SignalSeries], seedOffset: 6_000_000, meanIntervalMs: 1500},
+	{extraTypes: [types.StoreReturns], seedOffset: 7_000_000, meanIntervalMs: 8000},
+];
 const dataCentresOffset = 4_000_000;
 const maxDataCentres = 3;
 /** Share of the runs with these actions. */
 const runShare = 0.5;
-const meanIntervalMs = 4000;
 const minDurationMs = 300;
 const maxDurationMs = 4000;
 const maxAmount = 6;
@@ -19,16 +32,29 @@
 }
 
 /**
- * Draws for half of the seeds changes of settings and refusals by the store, at times at which their targets have no other action; draws of
- * other actions do not depend on it.
+ * Draws for half of the seeds actions of each group, at times at which their targets have no other action; draws of other actions do not depend
+ * on it.
  */
 export function drawExtraActions(
 	seed: number,
 	others: readonly platformAction.PlannedAction[],
 	sizes: platformAction.PlatformSizes,
-	{fromMs, lastMs}: {readonly fromMs: number; readonly lastMs: number},
+	period: {readonly fromMs: number; readonly lastMs: number},
+): platformAction.PlannedAction[] {
+	const drawn: platformAction.PlannedAction[] = [];
+	for (const group of groups) {
+		drawn.push(...drawGroup(new util.Random(group.seedOffset + seed), group, [...others, ...drawn], {...period, sizes}));
+	}
+
+	return drawn;
+}
+
+function drawGroup(
+	random: util.Random,
+	{extraTypes, meanIntervalMs}: ExtraGroup,
+	others: readonly platformAction.PlannedAction[],
+	{fromMs, lastMs, sizes}: {readonly fromMs: number; readonly lastMs: number; readonly sizes: platformAction.PlatformSizes},
 ): platformAction.PlannedAction[] {
-	const random = new util.Random(seedOffset + seed);
 	const drawn: platformAction.PlannedAction[] = [];
 	if (!random.chance(runShare)) {
 		return drawn;
--- a/packages/stand-ins/src/soak/platform/gateway-settings.ts
+++ b/packages/stand-ins/src/soak/platform/gateway-settings.ts
@@ -26,6 +26,9 @@
 		recoveryMs: 12_000,
 		leaseMs: 3000,
 		thawMs: 300,
+		retryRatio: 0.2,
+		retrySlack: 54,
+		retryWindowMs: 10_000,
 	};
 }
 
@@ -57,9 +60,9 @@
 		'bounds.outer_bound_ms': bounds.outerBoundMs,
 		'bounds.strict_revocation': true,
 		'bounds.revocation_ms': bounds.revocationMs,
-		'bounds.budget_ratio': 0.2,
-		'bounds.budget_slack': 54,
-		'bounds.budget_window_s': 10,
+		'bounds.budget_ratio': bounds.retryRatio,
+		'bounds.budget_slack': bounds.retrySlack,
+		'bounds.budget_window_s': bounds.retryWindowMs / millisecondsPerSecond,
 		'bounds.grace_s': bounds.graceMs / millisecondsPerSecond,
 		'bounds.drain_ms': bounds.drainMs,
 		'bounds.loss_slack_ms': bounds.lossSlackMs,
--- a/packages/stand-ins/src/soak/platform/platform-action.ts
+++ b/packages/stand-ins/src/soak/platform/platform-action.ts
@@ -3,6 +3,8 @@
 	/** SIGTERM, and a new process after the duration. */
 	StopGateway = 'stop_gateway',
 	KillGateway = 'kill_gateway',
+	/** Signals to one gateway that follow one another while the former ones are still carried out. */
+	SignalSeries = 'signal_series',
 	/** SIGSTOP, and SIGCONT after the duration. */
 	SuspendGateway = 'suspend_gateway',
 	/** Other settings in the file of a gateway, and SIGHUP; the former ones and SIGHUP after the duration. */
@@ -28,6 +30,8 @@
 	StoreUnavailableToSome = 'store_unavailable_to_some',
 	/** The store answers all calls of some gateways with status 429. */
 	StoreLimitsSome = 'store_limits_some',
+	/** The store is away, and comes back with the contents of some seconds before in the next era. */
+	StoreReturns = 'store_returns',
 	CrashServer = 'crash_server',
 	SlowServer = 'slow_server',
 	/** The server refuses all requests as one without a free slot does. */
@@ -122,6 +126,7 @@
 export const targetByType: Readonly<Record<ActionType, ActionTarget>> = {
 	[ActionType.StopGateway]: ActionTarget.Gateway,
 	[ActionType.KillGateway]: ActionTarget.Gateway,
+	[ActionType.SignalSeries]: ActionTarget.Gateway,
 	[ActionType.SuspendGateway]: ActionTarget.Gateway,
 	[ActionType.ChangeSettings]: ActionTarget.Gateway,
 	[ActionType.BreakSettings]: ActionTarget.Gateway,
@@ -138,6 +143,7 @@
 	[ActionType.StoreRefusesSome]: ActionTarget.Store,
 	[ActionType.StoreUnavailableToSome]: ActionTarget.Store,
 	[ActionType.StoreLimitsSome]: ActionTarget.Store,
+	[ActionType.StoreReturns]: ActionTarget.Store,
 	[ActionType.CrashServer]: ActionTarget.Server,
 	[ActionType.SlowServer]: ActionTarget.Server,
 	[ActionType.FullServer]: ActionTarget.Server,
@@ -175,6 +181,8 @@
 /** Usual time from SIGTERM of a gateway to its next start, and from the notice of a server that leaves to its end. */
 const stopMs = 5000;
 const leaveMs = 3500;
+/** As `stopMs`, for a series of signals. */
+const seriesMs = 9000;
 /** Time from the last crashing prompt until an engine is back. */
 export const crashRestartMs = 3000;
 /** Time between two silences of a server. */
@@ -220,6 +228,7 @@
 export function estimateMs(action: PlannedAction, sizes: PlatformSizes): number {
 	const estimates: Partial<Record<ActionType, number>> = {
 		[ActionType.StopGateway]: stopMs + action.durationMs,
+		[ActionType.SignalSeries]: seriesMs + action.durationMs,
 		[ActionType.StopAll]: stopMs + action.durationMs,
 		[ActionType.ChangeSettings]: 2 * action.durationMs,
 		[ActionType.BreakSettings]: 2 * action.durationMs,
--- a/packages/stand-ins/src/soak/platform/platform-client.ts
+++ b/packages/stand-ins/src/soak/platform/platform-client.ts
@@ -4,7 +4,7 @@
 import * as platformConfig from './platform-config.js';
 
 /** A request that a client sends. */
-export type ClientRequest = Pick<check.platform.Exchange, 'requestId' | 'kind' | 'route' | 'path' | 'key' | 'body' | 'deadlineMs' | 'timeoutMs'> & {
+export type ClientRequest = Pick<check.platform.Exchange, 'requestId' | 'kind' | 'route' | 'service' | 'path' | 'key' | 'body' | 'resumedAfter' | 'deadlineMs' | 'timeoutMs'> & {
 	/** Model of the route's service, absent for a plain service. */
 	readonly model?: string;
 	/** Milliseconds after which the client closes the connection; absent if it waits for its deadline. */
@@ -100,6 +100,7 @@
 		requestId: id,
 		kind: route.kind,
 		route: route.name,
+		service: route.service,
 		path: `/${route.name}/${id}?n=1`,
 		key,
 		body: route.kind === check.platform.RequestKind.Safe ? '' : `body of ${id}`,
@@ -114,6 +115,7 @@
 		Host: platformConfig.hostName, // eslint-disable-line @typescript-eslint/naming-convention -- Header name.
 		'Bluebellmast-Request-Id': request.requestId,
 		'Bluebellmast-Deadline-Milliseconds': String(request.deadlineMs),
+		...(request.resumedAfter !== undefined && {'Last-Event-Id': String(request.resumedAfter)}),
 		...(request.key !== '' && {'Bluebellmast-Credential': request.key}),
 		...(request.model !== undefined && {
 			'Bluebellmast-Model': request.model,
@@ -123,6 +125,11 @@
 	};
 }
 
+/** Returns the number of whole events that a client has got of a stream, the ones before it resumed included. */
+export function countEvents({resumedAfter = 0, responseBody}: check.platform.Exchange): number {
+	return resumedAfter + responseBody.split('\n\n').length - 1;
+}
+
 function createPrompt({requestId, hasCrashingPart}: ClientRequest): string {
 	const crashingPart = hasCrashingPart ? `${check.platform.crashingPart}:50,` : '';
 	return `a${Number(requestId.at(-1)) || 0}:300,${crashingPart}${Number(requestId.split('-').at(-1)).toString(16)}b:100`;
--- a/packages/stand-ins/src/soak/platform/platform-clients.ts
+++ b/packages/stand-ins/src/soak/platform/platform-clients.ts
@@ -15,6 +15,8 @@
 const maxGiveUpMs = 500;
 const repeatShare = 0.5;
 const maxRepeats = 2;
+/** Share of the interrupted streams that a client resumes at once. */
+const resumeShare = 0.7;
 
 /** Clients with connections that they keep, which send requests at random times. */
 export class PlatformClients {
@@ -53,14 +55,16 @@
 		}
 	}
 
-	async #send(client: number, repeats: number): Promise<void> {
+	/** @param interrupted - Stream that the request resumes. */
+	async #send(client: number, repeats: number, interrupted?: check.platform.Exchange): Promise<void> {
 		const gateway = this.#chooseGateway(client);
 		const random = this.#random;
 		this.#requestNumber += 1;
 		const id = `q-${this.#requestNumber}`;
-		const route = this.system.operator.pickRoute(random);
+		const route = interrupted === undefined ? this.system.operator.pickRoute(random) : this.system.operator.findRoute(interrupted.route);
 		const request: platformClient.ClientRequest = {
 			...platformClient.createRequest(id, route, this.system.operator.pickKey(random, route), random.integer(minDeadlineMs, maxDeadlineMs)),
+			...(interrupted !== undefined && {key: interrupted.key, resumedAfter: platformClient.countEvents(interrupted)}),
 			hasCrashingPart: this.crashingShare > 0 && random.chance(this.crashingShare),
 			...(random.chance(giveUpShare) && {givesUpAfterMs: random.integer(1, maxGiveUpMs)}),
 		};
@@ -69,6 +73,11 @@
 		const exchange = await platformClient.sendRequest(gateway, this.#agentOf(client, gateway), request);
 		this.openIds.delete(id);
 		this.exchanges.push(exchange);
+		if (repeats < maxRepeats && isResumable(exchange) && random.chance(resumeShare)) {
+			await this.#send(client, repeats + 1, exchange);
+			return;
+		}
+
 		const isServed = exchange.end === check.platform.ExchangeEnd.Complete && exchange.status === 200;
 		if (!isServed && repeatsAtOnce && repeats < maxRepeats) {
 			await this.#send(client, repeats + 1);
@@ -94,3 +103,10 @@
 		return agent;
 	}
 }
+
+/** Returns whether a stream broke off, or its client left, after some of its events. */
+function isResumable(exchange: check.platform.Exchange): boolean {
+	const events = platformClient.countEvents(exchange);
+	return exchange.kind === check.platform.RequestKind.Resumable && exchange.end !== check.platform.ExchangeEnd.Complete
+		&& exchange.status === 200 && events > 0 && events < check.platform.streamEvents;
+}
--- a/packages/stand-ins/src/soak/platform/platform-injector.ts
+++ b/packages/stand-ins/src/soak/platform/platform-injector.ts
@@ -10,7 +10,9 @@
 import type * as platformPlan from './platform-plan.js';
 import type * as platformSystem from './platform-system.js';
 import type * as serverFleet from './server-fleet.js';
+import * as signalSeries from './signal-series.js';
 import * as silences from './silences.js';
+import * as timedFaults from './timed-faults.js';
 
 /** Dependencies of an injector. */
 export type PlatformInjectorOptions = {
@@ -35,6 +37,7 @@
 const turnMs = 500;
 const storeDelayMs = 250;
 const millisecondsPerAmount = 100;
+const millisecondsPerSecond = 1000;
 const slowMsPerAmount = 700;
 const unavailableStatus = 503;
 const limitedStatus = 429;
@@ -111,6 +114,7 @@
 		const actions: Partial<Record<platformAction.ActionType, () => Promise<unknown>>> = {
 			[types.StopGateway]: async () => this.#stopGateway(gateway, durationMs),
 			[types.KillGateway]: async () => this.#killGateway(gateway, durationMs),
+			[types.SignalSeries]: async () => this.#playSignals(gateway, action),
 			[types.SuspendGateway]: async () => this.#suspendGateway(gateway, durationMs),
 			[types.ChangeSettings]: async () => this.#reloadGateway(gateway, changedSettings, durationMs),
 			[types.BreakSettings]: async () => this.#reloadGateway(gateway, brokenSettings, durationMs),
@@ -126,8 +130,7 @@
 
 	async #stopGateway(gateway: gatewayProcess.GatewayProcess, durationMs: number): Promise<void> {
 		await this.#disrupt(targets.Gateway, gateway.name, true, async () => {
-			this.plannedStops.push({gateway: gateway.name, at: Date.now()});
-			gateway.signal('terminate');
+			signalSeries.terminate(gateway, this.plannedStops);
 			const killTimer = setTimeout(() => {
 				gateway.signal('kill');
 			}, this.options.bounds.graceMs);
@@ -147,6 +150,21 @@
 		});
 	}
 
+	async #playSignals(gateway: gatewayProcess.GatewayProcess, {amount, durationMs}: platformAction.PlannedAction): Promise<void> {
+		const {bounds: {graceMs}} = this.options;
+		let kill: Mutable<check.platform.Disruption> | undefined;
+		await this.#disrupt(targets.Gateway, gateway.name, true, async () => signalSeries.playSeries(gateway, {number: amount, stepMs: durationMs, graceMs}, {
+			plannedStops: this.plannedStops,
+			reloads: this.reloads,
+			onKill: () => {
+				kill ??= this.#beginDisruption(targets.Gateway, gateway.name, false);
+			},
+		}));
+		if (kill !== undefined) {
+			kill.to = Date.now();
+		}
+	}
+
 	async #suspendGateway(gateway: gatewayProcess.GatewayProcess, durationMs: number): Promise<void> {
 		await this.#disrupt(targets.Gateway, gateway.name, false, async () => {
 			gateway.signal('pause');
@@ -206,6 +224,7 @@
 			[types.StoreDiscardsHistory]: async () => this.#disrupt(targets.Store, '', false, async () => {
 				store.compactHistory();
 			}),
+			[types.StoreReturns]: async () => this.#disrupt(targets.Store, '', false, async () => this.#returnStore(durationMs, amount)),
 			[types.StoreSlow]: async () => this.#disrupt(targets.Store, '', false, async () => this.#faultLinks(gateways, fault.LinkFault.Delay, durationMs, storeDelayMs)),
 			[types.StoreUnavailableToSome]: async () => this.#refuseCalls(some, unavailableStatus, durationMs),
 			[types.StoreLimitsSome]: async () => this.#refuseCalls(some, limitedStatus, durationMs),
@@ -217,6 +236,14 @@
 		await actions[action.type]!();
 	}
 
+	/** Lets the store come back from an older copy; the operator and the servers write at once what was lost. */
+	async #returnStore(awayMs: number, ageSeconds: number): Promise<void> {
+		const {store, operator, fleet} = this.options.system;
+		await store.returnFromCopy(ageSeconds * millisecondsPerSecond, awayMs);
+		operator.writeAgain();
+		fleet.writeAgain();
+	}
+
 	async #faultStore(request: fault.FaultRequest, durationMs: number): Promise<void> {
 		const {server} = this.options.system.store;
 		await this.#disrupt(targets.Store, '', false, async () => {
@@ -248,7 +275,7 @@
 		durationMs: number,
 		delayMs?: number,
 	): Promise<void> {
-		await Promise.all(gateways.map(async ({storeLink}) => faultLink(storeLink, linkFault, durationMs, delayMs)));
+		await Promise.all(gateways.map(async ({storeLink}) => timedFaults.faultLink(storeLink, linkFault, durationMs, delayMs)));
 	}
 
 	async #playOnServer(action: platformAction.PlannedAction): Promise<void> {
@@ -265,7 +292,7 @@
 		const linkFault = linkFaults[action.type];
 		if (linkFault !== undefined) {
 			await this.#disrupt(targets.ServerLink, server.id, false, async () =>
-				faultLink(server.link, linkFault, linkFault === fault.LinkFault.Silence ? 0 : durationMs, amount * millisecondsPerAmount));
+				timedFaults.faultLink(server.link, linkFault, linkFault === fault.LinkFault.Silence ? 0 : durationMs, amount * millisecondsPerAmount));
 			return;
 		}
 
@@ -294,10 +321,10 @@
 				const id = `${server.service}-new-${this.#replacements}`;
 				await fleet.replace(action.targetIndex, id, operator.newestVersionOf(server.model));
 			},
-			[types.LateOrders]: async () => setOrderFault(standIn, usersPlatform.OrderFault.Late, durationMs),
-			[types.LostOrders]: async () => setOrderFault(standIn, usersPlatform.OrderFault.Lost, durationMs),
-			[types.FullServer]: async () => setServerFault(standIn, usersPlatform.ServerFault.Full, durationMs),
-			[types.BreakStreams]: async () => setServerFault(standIn, usersPlatform.ServerFault.BreakStream, durationMs),
+			[types.LateOrders]: async () => timedFaults.setOrderFault(standIn, usersPlatform.OrderFault.Late, durationMs),
+			[types.LostOrders]: async () => timedFaults.setOrderFault(standIn, usersPlatform.OrderFault.Lost, durationMs),
+			[types.FullServer]: async () => timedFaults.setServerFault(standIn, usersPlatform.ServerFault.Full, durationMs),
+			[types.BreakStreams]: async () => timedFaults.setServerFault(standIn, usersPlatform.ServerFault.BreakStream, durationMs),
 		};
 		await actions[action.type]!();
 	}
@@ -348,29 +375,16 @@
 
 	/** Records a disruption while an action lasts. */
 	async #disrupt(target: check.platform.DisruptionTarget, name: string, isPlanned: boolean, act: () => Promise<void>): Promise<void> {
-		const disruption: Mutable<check.platform.Disruption> = {
-			target, name, isPlanned, from: Date.now(), to: Infinity,
-		};
-		this.disruptions.push(disruption);
+		const disruption = this.#beginDisruption(target, name, isPlanned);
 		await act();
 		disruption.to = Date.now();
 	}
-}
-
-async function setOrderFault(standIn: usersPlatform.UsersServerStandIn, orderFault: usersPlatform.OrderFault, durationMs: number): Promise<void> {
-	standIn.orderFault = orderFault;
-	await util.sleep(durationMs);
-	standIn.orderFault = usersPlatform.OrderFault.None;
-}
-
-async function setServerFault(standIn: usersPlatform.UsersServerStandIn, serverFault: usersPlatform.ServerFault, durationMs: number): Promise<void> {
-	standIn.fault = serverFault;
-	await util.sleep(durationMs);
-	standIn.fault = usersPlatform.ServerFault.None;
-}
 
-async function faultLink(link: fault.LinkProxy, linkFault: fault.LinkFault, durationMs: number, delayMs?: number): Promise<void> {
-	link.setFault(linkFault, delayMs);
-	await util.sleep(durationMs);
-	link.setFault(fault.LinkFault.None);
+	#beginDisruption(target: check.platform.DisruptionTarget, name: string, isPlanned: boolean): Mutable<check.platform.Disruption> {
+		const disruption = {
+			target, name, isPlanned, from: Date.now(), to: Infinity,
+		};
+		this.disruptions.push(disruption);
+		return disruption;
+	}
 }
--- a/packages/stand-ins/src/soak/platform/platform-operator.ts
+++ b/packages/stand-ins/src/soak/platform/platform-operator.ts
@@ -67,6 +67,14 @@
 		this.versions.push({model, version, acknowledgedAt: Date.now()});
 	}
 
+	/** Writes all again after the store has come back from an older copy. */
+	writeAgain(): void {
+		this.#writeConfig();
+		for (const [model, version] of this.#newestVersions) {
+			this.store.write(`op/version/${model}`, {model, version});
+		}
+	}
+
 	/** Writes a configuration with a change. */
 	changeConfig(change: ConfigChange): void {
 		switch (change) {
@@ -108,6 +116,11 @@
 		return random.pick(this.#routes);
 	}
 
+	/** Returns a route of every configuration, as the newest one has it. */
+	findRoute(name: string): platformConfig.SoakRoute {
+		return this.#routes.find(route => route.name === name)!;
+	}
+
 	/** Returns a key of the newest configuration, or now and then any key that a configuration held; none for a public route. */
 	pickKey(random: util.Random, route: platformConfig.SoakRoute): string {
 		if (route.isPublic) {
--- a/packages/stand-ins/src/soak/platform/platform-soak.ts
+++ b/packages/stand-ins/src/soak/platform/platform-soak.ts
@@ -105,6 +105,7 @@
 		bounds,
 		exchanges: clients.exchanges,
 		executions: fleet.listExecutions().filter(({requestId}) => !clients.openIds.has(requestId)),
+		arrivals: fleet.listArrivals(),
 		starts: fleet.listStarts().filter(({requestId}) => !clients.openIds.has(requestId)),
 		models: fleet.mapModels(),
 		disruptions: [...injector.disruptions, ...fleet.crashDisruptions],
--- a/packages/stand-ins/src/soak/platform/platform-system.ts
+++ b/packages/stand-ins/src/soak/platform/platform-system.ts
@@ -26,7 +26,7 @@
 
 /** The deployed gateways as processes, the stand-ins of the users' store and servers in this process, and the operator. */
 export class PlatformSystem {
-	readonly store = new usersPlatform.UsersStoreStandIn();
+	readonly store = new usersPlatform.UsersStoreStandIn({era: 1});
 	readonly operator: platformOperator.PlatformOperator;
 	readonly fleet: serverFleet.ServerFleet;
 	readonly scheduling = new schedulingRecord.SchedulingRecord();
--- a/packages/stand-ins/src/soak/platform/server-fleet.ts
+++ b/packages/stand-ins/src/soak/platform/server-fleet.ts
@@ -103,6 +103,18 @@
 		this.options.store.write(`servers/${server.id}`, {...server.standIn.createRegistration(state), address: server.address, zone: server.dataCentre});
 	}
 
+	/** Writes all entries again after the store has come back from an older copy, and removes those of servers that are not listed. */
+	writeAgain(): void {
+		const listedIds = new Set(this.servers.filter(({isListed}) => isListed).map(({id}) => id));
+		for (const {options: {id}} of this.#standIns.filter(({options}) => !listedIds.has(options.id))) {
+			this.options.store.remove(`servers/${id}`);
+		}
+
+		for (const server of this.servers.filter(({isListed}) => isListed)) {
+			this.list(server);
+		}
+	}
+
 	/** Removes the entry of a server. */
 	unlist(server: FleetServer): void {
 		server.isListed = false;
@@ -110,8 +122,8 @@
 	}
 
 	listExecutions(): check.platform.Execution[] {
-		return this.#standIns.flatMap(({executions}) => executions).map(({server, requestId, path, body, arrivedAt, headers}) => ({
-			server, requestId, path, body, arrivedAt,
+		return this.#standIns.flatMap(({executions}) => executions).map(({headers, ...execution}) => ({
+			...execution,
 			deadlineMs: numberOf(headers['bluebellmast-deadline-milliseconds']),
 			account: textOf(headers['bluebellmast-tenant']),
 			hasKey: headers['bluebellmast-credential'] !== undefined,
@@ -119,6 +131,10 @@
 		}));
 	}
 
+	listArrivals(): check.platform.Arrival[] {
+		return this.#standIns.flatMap(({arrivals, options: {service}}) => arrivals.map(arrival => ({service, ...arrival})));
+	}
+
 	listStarts(): check.platform.Start[] {
 		return this.#standIns.flatMap(({starts}) => starts);
 	}
--- a/packages/stand-ins/src/users-platform/users-server-records.ts
+++ b/packages/stand-ins/src/users-platform/users-server-records.ts
@@ -74,6 +74,17 @@
 	readonly headers: http.IncomingHttpHeaders;
 	/** Arrival time in milliseconds since the Unix epoch. */
 	readonly arrivedAt: number;
+	/** When the work on it was to end, as it seemed at its start. */
+	readonly expectedEndAt: number;
+	/** When its response was complete or its connection closed. */
+	endedAt?: number;
+};
+
+/** A request that reached a server, whether it was executed or not. */
+export type UsersServerArrival = {
+	readonly requestId: string;
+	/** Milliseconds since the Unix epoch. */
+	readonly at: number;
 };
 
 /** The first event of a stream, with which the stream starts to run. */
--- a/packages/stand-ins/src/users-platform/users-server-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/users-server-stand-in.ts
@@ -3,6 +3,7 @@
 import * as fault from '../fault/index.js';
 import * as util from '../util/index.js';
 import * as duplicateResponses from './duplicate-responses.js';
+import * as executionEnd from './execution-end.js';
 import * as records from './users-server-records.js';
 
 type AskedPause = {
@@ -37,6 +38,8 @@
 	readonly server: fault.StandInServer;
 	/** Requests that were executed. */
 	readonly executions: records.UsersServerExecution[] = [];
+	/** Requests that arrived, also those that were not executed. */
+	readonly arrivals: records.UsersServerArrival[] = [];
 	/** Streams that sent their first event. */
 	readonly starts: records.UsersServerStart[] = [];
 	/** Orders that were accepted. */
@@ -232,6 +235,7 @@
 
 	async #handleRequest(req: http.IncomingMessage, res: http.ServerResponse, arrivedAt: number, bodyReadBefore?: string): Promise<void> {
 		const requestId = util.headerOf(req, 'bluebellmast-request-id');
+		this.arrivals.push({requestId, at: arrivedAt});
 		const expectedVersion = util.headerOf(req, 'bluebellmast-expected-version');
 		const body = bodyReadBefore ?? (this.fault === records.ServerFault.EarlyResponse ? '' : await util.readText(req));
 		if (expectedVersion !== '' && Number(expectedVersion) !== this.version) {
@@ -244,14 +248,11 @@
 			return;
 		}
 
-		this.executions.push({
-			server: this.options.id, requestId, path: req.url ?? '', body, headers: req.headers, arrivedAt,
-		});
-		res.once('close', () => {
-			if (!res.writableFinished) {
-				this.abandonedRequestIds.push(requestId);
-			}
-		});
+		const execution: records.UsersServerExecution = {
+			server: this.options.id, requestId, path: req.url ?? '', body, headers: req.headers, arrivedAt, expectedEndAt: Date.now() + this.#workMs,
+		};
+		this.executions.push(execution);
+		executionEnd.recordEnd(execution, res, () => this.abandonedRequestIds.push(requestId));
 		if (this.fault === records.ServerFault.ResponseLost) {
 			res.destroy();
 			return;
@@ -260,6 +261,12 @@
 		await (this.options.model === undefined ? this.#sendPlainResponse(requestId, res) : this.#sendStream(req, requestId, res));
 	}
 
+	/** Usual duration of a request in milliseconds. */
+	get #workMs(): number {
+		const {model, intervalMs = defaultIntervalMs, firstEventDelayMs = 0, eventCount = defaultEventCount} = this.options;
+		return this.extraDelayMs + (model === undefined ? intervalMs : firstEventDelayMs + (eventCount * intervalMs));
+	}
+
 	async #sendPlainResponse(requestId: string, res: http.ServerResponse): Promise<void> {
 		await util.sleep((this.options.intervalMs ?? defaultIntervalMs) + this.extraDelayMs);
 		await this.#waitWhileSilent();
--- a/packages/stand-ins/tests/check/platform/check-platform.test.ts
+++ b/packages/stand-ins/tests/check/platform/check-platform.test.ts
@@ -11,12 +11,13 @@
 const bounds: PlatformRecord['bounds'] = {
 	settleWindowMs: 3 * second, configPropagationMs: 2 * second, outerBoundMs: 5 * second, revocationMs: 5 * second, versionMs: 8 * second,
 	drainMs: 2 * second, graceMs: 8 * second, lossSlackMs: 200, recoveryMs: 12 * second, leaseMs: 3 * second, thawMs: 300,
+	retryRatio: 0.2, retrySlack: 2, retryWindowMs: 10 * second,
 };
 /** Time at which the request of the sound record is sent. */
 const sentAt = 100 * second;
 
 const plainExchange: PlatformRecord['exchanges'][number] = {
-	requestId: 'q-1', gateway: 'gateway-0', kind: kinds.Unsafe, route: 'book', path: '/book/q-1', key: 'key-1', body: 'body of q-1',
+	requestId: 'q-1', gateway: 'gateway-0', kind: kinds.Unsafe, route: 'book', service: 'plain', path: '/book/q-1', key: 'key-1', body: 'body of q-1',
 	sentAt, deadlineMs: 2 * second, timeoutMs: 3 * second, endedAt: sentAt + 50, end: ends.Complete, status: 200, signature: 'seal-of-plain-0',
 	respondedId: 'q-1', responseBody: '{"server":"plain-0","requestId":"q-1"}',
 };
@@ -29,7 +30,7 @@
 }
 
 const streamExchange: PlatformRecord['exchanges'][number] = {
-	...plainExchange, requestId: 'q-2', kind: kinds.Once, route: 'chat', path: '/chat/q-2', body: 'body of q-2', timeoutMs: 8 * second,
+	...plainExchange, requestId: 'q-2', kind: kinds.Once, route: 'chat', service: 'chat', path: '/chat/q-2', body: 'body of q-2', timeoutMs: 8 * second,
 	signature: 'seal-of-chat-0', respondedId: 'q-2', responseBody: createEvents(),
 };
 const streamExecution: PlatformRecord['executions'][number] = {
@@ -118,18 +119,51 @@
 /** Creates requests with the crashing part that arrive one after the other, from a time after the given number of ends on. */
 function withCrashingPart(ends: number, arrivals: number, firstAfterMs: number): Partial<PlatformRecord> {
 	const ids = Array.from({length: arrivals}, (_, index) => `q-${index}`);
+	const arrivedAt = sentAt + (ends * 10) + firstAfterMs;
 	return {
 		crashes: Array.from({length: ends}, (_, index) => ({server: 'chat-0', at: sentAt + (index * 10)})),
 		exchanges: ids.map(requestId => ({
-			...streamExchange, requestId, path: `/chat/${requestId}`, respondedId: undefined, end: platform.ExchangeEnd.GaveUp, status: undefined, responseBody: '', signature: undefined,
+			...streamExchange, requestId, path: `/chat/${requestId}`, endedAt: arrivedAt + 50, respondedId: undefined, end: platform.ExchangeEnd.GaveUp,
+			status: undefined, responseBody: '', signature: undefined,
 		})),
 		executions: ids.map(requestId => ({
-			...streamExecution, requestId, path: `/chat/${requestId}`, arrivedAt: sentAt + (ends * 10) + firstAfterMs, deadlineMs: 100, hasCrashingPart: true,
+			...streamExecution, requestId, path: `/chat/${requestId}`, arrivedAt, endedAt: arrivedAt + 50, deadlineMs: 100, hasCrashingPart: true,
 		})),
 		starts: [],
 	};
 }
 
+/** Creates requests whose clients leave after 0.1 s and on which a server works until some time after. */
+function withGone(count: number, kind: typeof plainExchange.kind, endsAfterMs: number | undefined, arrivesAfterMs = 0): Partial<PlatformRecord> {
+	const ids = Array.from({length: count}, (_, index) => `q-${index}`);
+	return {
+		exchanges: ids.map(requestId => ({
+			...plainExchange, requestId, kind, end: ends.GaveUp, endedAt: sentAt + 100, status: undefined,
+		})),
+		executions: ids.map(requestId => ({
+			...plainExecution, requestId, arrivedAt: sentAt + 100 + arrivesAfterMs, expectedEndAt: sentAt + second,
+			...(endsAfterMs !== undefined && {endedAt: sentAt + 100 + endsAfterMs}),
+		})),
+		starts: [],
+	};
+}
+
+/** Creates ten requests within 5 s, each of which arrives a number of times at once. */
+function withArrivals(times: number, retryAfterMs = 0): Partial<PlatformRecord> {
+	const ids = Array.from({length: 10}, (_, index) => `q-${index}`);
+	const atOf = (index: number): number => sentAt + (index * 500);
+	return {
+		exchanges: ids.map((requestId, index) => ({
+			...plainExchange, requestId, kind: kinds.Safe, sentAt: atOf(index), endedAt: atOf(index) + 50, ...refused,
+		})),
+		executions: [],
+		starts: [],
+		arrivals: ids.flatMap((requestId, index) => Array.from({length: times}, (_, retry) => ({
+			service: 'plain', requestId, at: atOf(index) + (retry * retryAfterMs),
+		}))),
+	};
+}
+
 type Case = {
 	readonly name: string;
 	readonly changes: Partial<PlatformRecord>;
@@ -175,6 +209,68 @@
 		changes: {...withStream({kind: kinds.Resumable, responseBody: createEvents('chat-1')}), executions: [streamExecution, {...streamExecution, server: 'chat-1'}]},
 		finding: 'the first event is not from chat-0',
 	},
+	{
+		name: 'a resumed stream', changes: withStream({resumedAfter: 2, responseBody: createEvents('chat-0', [3, 4, 5, 6])}),
+	},
+	{
+		name: 'a resumed stream that begins with an event that the client has',
+		changes: withStream({resumedAfter: 2, responseBody: createEvents('chat-0', [2, 3, 4, 5, 6])}),
+		finding: 'missing, repeated or broken',
+	},
+	{
+		name: 'a resumed stream that begins anew',
+		changes: withStream({resumedAfter: 2, responseBody: createEvents()}),
+		finding: 'missing, repeated or broken',
+	},
+	{
+		name: 'a resumed stream that ends as complete too early',
+		changes: withStream({resumedAfter: 2, responseBody: createEvents('chat-0', [3, 4])}),
+		finding: 'ends as complete after 2 events',
+	},
+	{name: 'three requests that a server works on long after their clients have left', changes: withGone(3, kinds.Safe, 600)},
+	{
+		name: 'requests that a server works on long after their clients have left', changes: withGone(4, kinds.Safe, 600), findings: 4,
+		finding: 'plain-0 still worked on a safe request 500 ms after its client had left',
+	},
+	{
+		name: 'requests that a server never ends after their clients have left', changes: withGone(4, kinds.Safe, undefined), findings: 4,
+		finding: 'still worked on a safe request',
+	},
+	{name: 'requests that servers end shortly after their clients have left', changes: withGone(9, kinds.Safe, 400)},
+	{name: 'unsafe requests that a server completes after their clients have left', changes: withGone(9, kinds.Unsafe, 600)},
+	{
+		name: 'requests that a server works on after their clients have left a suspended gateway',
+		changes: {...withGone(9, kinds.Safe, 600), disruptions: [disrupt(targets.Gateway, 'gateway-0', sentAt, sentAt + second)]},
+	},
+	{name: 'three requests that reach a server long after their clients have left', changes: withGone(3, kinds.Unsafe, 700, 600)},
+	{
+		name: 'requests that reach a server long after their clients have left', changes: withGone(4, kinds.Unsafe, 700, 600), findings: 4,
+		finding: 'arrived at plain-0 600 ms after its client had left',
+	},
+	{name: 'arrivals without repeats', changes: withArrivals(1)},
+	{
+		name: 'more repeated arrivals than the budget allows', changes: withArrivals(2),
+		finding: 'plain got 10 repeated arrivals in a window, 4 are allowed',
+	},
+	{
+		name: 'repeated arrivals that a budget allows',
+		changes: {...withArrivals(2), bounds: {...bounds, retrySlack: 8}},
+	},
+	{
+		name: 'repeated arrivals of one window that come late', changes: withArrivals(2, 9 * second),
+		finding: 'plain got 10 repeated arrivals in a window, 4 are allowed',
+	},
+	{
+		name: 'a gateway that counts as ready long after SIGTERM',
+		changes: {plannedStops: [{gateway: 'gateway-0', at: 150 * second, outAt: (154 * second) + 1}]},
+		finding: 'gateway-0 counted as ready 4001 ms after SIGTERM',
+	},
+	{
+		name: 'a gateway that counts as ready ever after SIGTERM',
+		changes: {plannedStops: [{gateway: 'gateway-0', at: 150 * second}]},
+		finding: 'gateway-0 counted as ready 50000 ms after SIGTERM',
+	},
+	{name: 'a gateway that counts as ready shortly after SIGTERM', changes: {plannedStops: [{gateway: 'gateway-0', at: 150 * second, outAt: 153 * second}]}},
 	{name: 'a truncated stream that does not look complete', changes: withStream({end: ends.Truncated, responseBody: createEvents('chat-0', [1, 2])})},
 	{
 		name: 'a request that no client sent',
@@ -317,7 +413,7 @@
 		name: 'a request that a planned stop interrupts',
 		changes: {
 			...withPlain(cut),
-			plannedStops: [{gateway: 'gateway-0', at: sentAt - 20}],
+			plannedStops: [{gateway: 'gateway-0', at: sentAt - 20, outAt: sentAt}],
 			disruptions: [{...disrupt(targets.Gateway, 'gateway-0', sentAt - 20, sentAt + second), isPlanned: true}],
 		},
 		finding: 'no_response, sent 20 ms and ended 70 ms after SIGTERM',
@@ -326,20 +422,20 @@
 		name: 'a stream that a planned stop truncates',
 		changes: {
 			...withStream({end: ends.Truncated, responseBody: createEvents('chat-0', [1])}),
-			plannedStops: [{gateway: 'gateway-0', at: sentAt + 20}],
+			plannedStops: [{gateway: 'gateway-0', at: sentAt + 20, outAt: sentAt + 40}],
 			disruptions: [{...disrupt(targets.Gateway, 'gateway-0', sentAt + 20, sentAt + second), isPlanned: true}],
 		},
 		finding: 'truncated, sent -20 ms',
 	},
 	{
 		name: 'a request that crosses the close of a gateway that stops and is not executed',
-		changes: {...withPlain(cut, []), plannedStops: [{gateway: 'gateway-0', at: sentAt - 20}]},
+		changes: {...withPlain(cut, []), plannedStops: [{gateway: 'gateway-0', at: sentAt - 20, outAt: sentAt}]},
 	},
 	{
 		name: 'a request that is lost in a crash during a planned stop',
 		changes: {
 			...withPlain(cut),
-			plannedStops: [{gateway: 'gateway-0', at: sentAt - 20}],
+			plannedStops: [{gateway: 'gateway-0', at: sentAt - 20, outAt: sentAt}],
 			disruptions: [disrupt(targets.Server, 'plain-0', sentAt, sentAt + second)],
 		},
 	},
