Soak: record the waits of processes from their start

The record of waits began when all gateways were ready, and left out the first second of each later process. Change: samples begin with the processes, and the first one of a process tells all since its start. Measured: the test of the record passes.

--- a/packages/stand-ins/src/soak/platform/platform-system.ts
+++ b/packages/stand-ins/src/soak/platform/platform-system.ts
@@ -21,6 +21,7 @@
 };
 
 const probeIntervalMs = 1000;
+const sampleIntervalMs = 1000;
 const startPollMs = 50;
 const maxStartMs = 30_000;
 
@@ -32,6 +33,7 @@
 	readonly scheduling = new schedulingRecord.SchedulingRecord();
 	gateways: gatewayProcess.GatewayProcess[] = [];
 	#probeTimer: NodeJS.Timeout | undefined;
+	#sampleTimer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly options: PlatformSystemOptions) {
 		this.operator = new platformOperator.PlatformOperator(this.store, new util.Random(options.seed));
@@ -56,11 +58,15 @@
 			gateway.start();
 		}
 
-		await this.#waitUntilReady();
-		this.#probeTimer = setInterval(() => {
+		this.#sampleTimer = setInterval(() => {
 			this.scheduling.sample('soak', process.pid, Date.now());
 			for (const gateway of this.gateways) {
 				this.scheduling.sample(gateway.name, gateway.pid, Date.now());
+			}
+		}, sampleIntervalMs);
+		await this.#waitUntilReady();
+		this.#probeTimer = setInterval(() => {
+			for (const gateway of this.gateways) {
 				void gateway.probe();
 			}
 		}, probeIntervalMs);
@@ -69,6 +75,7 @@
 	/** Ends all processes and stand-ins that the system started. */
 	async stop(): Promise<void> {
 		clearInterval(this.#probeTimer);
+		clearInterval(this.#sampleTimer);
 		for (const gateway of this.gateways) {
 			gateway.stop();
 		}
--- a/packages/stand-ins/src/soak/platform/scheduling-record.ts
+++ b/packages/stand-ins/src/soak/platform/scheduling-record.ts
@@ -2,7 +2,7 @@
 
 /**
  * How long the main thread of a process and all of its other threads together ran, and waited for a processor while they could have run, since
- * the entry before. A main thread that does neither is idle, or waits for one of the others, as in a collection of garbage.
+ * the entry before, or since its start. A main thread that does neither is idle, or waits for one of the others, as in a collection of garbage.
  */
 export type SchedulingEntry = {
 	readonly process: string;
@@ -29,26 +29,23 @@
 	/** Totals of each thread, by its id. */
 	readonly #totals = new Map<number, Totals>();
 
-	/** Adds an entry for a process, unless this is its first sample or the operating system has no statistics for it. */
+	/** Adds an entry for a process, unless the operating system has no statistics for it. */
 	sample(name: string, pid: number, now: number): void {
-		const isFirst = !this.#totals.has(pid);
 		const main = this.#readDifference(pid, pid);
 		if (main === undefined) {
 			return;
 		}
 
 		const others = listThreads(pid).filter(thread => thread !== pid).map(thread => this.#readDifference(pid, thread) ?? {ranNs: 0, waitedNs: 0});
-		if (!isFirst) {
-			this.entries.push({
-				process: name,
-				at: now,
-				ranMs: toMs(main.ranNs),
-				waitedMs: toMs(main.waitedNs),
-				othersRanMs: toMs(others.reduce((sum, {ranNs}) => sum + ranNs, 0)),
-				othersWaitedMs: toMs(others.reduce((sum, {waitedNs}) => sum + waitedNs, 0)),
-				blockedIn: readText(`/proc/${pid}/wchan`)?.replace(/^0$/, '') ?? '',
-			});
-		}
+		this.entries.push({
+			process: name,
+			at: now,
+			ranMs: toMs(main.ranNs),
+			waitedMs: toMs(main.waitedNs),
+			othersRanMs: toMs(others.reduce((sum, {ranNs}) => sum + ranNs, 0)),
+			othersWaitedMs: toMs(others.reduce((sum, {waitedNs}) => sum + waitedNs, 0)),
+			blockedIn: readText(`/proc/${pid}/wchan`)?.replace(/^0$/, '') ?? '',
+		});
 	}
 
 	/** Returns what a thread ran and waited since it was last read; all of it at the first time. */
