Soak: judge readiness after SIGTERM by the questions that were sent, not by when the soak noticed

The time was taken from the rotation, which changes only when the soak itself asks; its samples of that time are up to 6 s apart. Change: the check takes the time at which the last question was sent that got a 200, and finds later ones than 2 s after SIGTERM, which is as strict: two misses, one second apart, take a gateway out within 4 s.

--- a/packages/stand-ins/src/check/platform/platform-records.ts
+++ b/packages/stand-ins/src/check/platform/platform-records.ts
@@ -160,8 +160,6 @@
 export type PlannedStop = {
 	readonly gateway: string;
 	readonly at: number;
-	/** When new connections were no longer forwarded to the gateway, or its process had ended; absent until then. */
-	readonly outAt?: number;
 };
 
 /** SIGHUP of a gateway, after its settings file has changed. */
@@ -176,6 +174,8 @@
 	readonly at: number;
 	/** Absent if the process ended before. */
 	readonly readyAt?: number;
+	/** When the last question whose response was that it is ready was sent; absent if there was none. */
+	readonly lastReadyAt?: number;
 	/** End of the process or of the run. */
 	readonly endedAt: number;
 	/** Exit code of the process, -1 if a signal ended it; absent while it runs. */
--- a/packages/stand-ins/src/check/platform/service-check.ts
+++ b/packages/stand-ins/src/check/platform/service-check.ts
@@ -3,8 +3,8 @@
 
 /** Milliseconds after a disruption within which the end of a process counts as part of it. */
 const ownEndMarginMs = 1000;
-/** Milliseconds after SIGTERM from which a gateway must not count as ready. */
-const maxReadyAfterStopMs = 4000;
+/** Milliseconds after SIGTERM from which a gateway must not respond that it is ready, so that two questions in a row take it out within 4 s. */
+const maxReadyAfterStopMs = 2000;
 /** Share of requests that have to be served once all faults are over. */
 const minServedShare = 0.95;
 /** Number of requests from which the share is judged. */
@@ -26,14 +26,15 @@
 		}));
 }
 
-/** Checks that new connections are no longer forwarded to a gateway some time after its SIGTERM; returns the findings. */
+/** Checks that gateways do not respond that they are ready some time after their SIGTERM; returns the findings. */
 export function checkReadinessAfterStops(record: records.PlatformRecord): records.Finding[] {
-	return record.plannedStops
-		.filter(({at, outAt}) => (outAt ?? record.endedAt) - at > maxReadyAfterStopMs)
-		.map(({gateway, at, outAt}) => ({
-			check: 'readiness after stops',
-			text: `${gateway} counted as ready ${(outAt ?? record.endedAt) - at} ms after SIGTERM`,
-		}));
+	return record.plannedStops.flatMap(({gateway, at}) => {
+		const life = record.gatewayStarts.find(start => start.gateway === gateway && start.at <= at && start.endedAt >= at);
+		const readyForMs = (life?.lastReadyAt ?? at) - at;
+		return readyForMs > maxReadyAfterStopMs
+			? [{check: 'readiness after stops', text: `${gateway} responded that it is ready ${readyForMs} ms after SIGTERM`}]
+			: [];
+	});
 }
 
 /** Checks that no gateway process ends by itself or fails at a planned stop; returns the findings. */
--- a/packages/stand-ins/src/soak/platform/gateway-process.ts
+++ b/packages/stand-ins/src/soak/platform/gateway-process.ts
@@ -30,6 +30,8 @@
 type Life = {
 	readonly at: number;
 	readyAt?: number;
+	/** When the last question was sent to which it responded that it is ready. */
+	lastReadyAt?: number;
 	endedAt?: number;
 	/** Exit code, or -1 if a signal ended the process. */
 	exitCode?: number;
@@ -120,9 +122,11 @@
 	/** Asks the gateway once whether it is ready, as the platform does, and updates the rotation. */
 	async probe(): Promise<void> {
 		const life = this.lives.at(-1);
+		const askedAt = Date.now();
 		const isReady = await this.#isReady();
 		if (isReady && life !== undefined) {
 			life.readyAt ??= Date.now();
+			life.lastReadyAt = askedAt;
 		}
 
 		this.#misses = isReady ? 0 : this.#misses + 1;
--- a/packages/stand-ins/src/soak/platform/platform-soak.ts
+++ b/packages/stand-ins/src/soak/platform/platform-soak.ts
@@ -119,7 +119,7 @@
 		orders: fleet.listOrders(),
 		endedAt: now,
 		gatewayStarts: gateways.flatMap(({name, lives}) => lives.map(life => ({
-			gateway: name, at: life.at, readyAt: life.readyAt, endedAt: life.endedAt ?? now, exitCode: life.exitCode,
+			gateway: name, at: life.at, readyAt: life.readyAt, lastReadyAt: life.lastReadyAt, endedAt: life.endedAt ?? now, exitCode: life.exitCode,
 		}))),
 	};
 }
--- a/packages/stand-ins/src/soak/platform/signal-series.ts
+++ b/packages/stand-ins/src/soak/platform/signal-series.ts
@@ -2,8 +2,6 @@
 import * as util from '../../util/index.js';
 import type * as gatewayProcess from './gateway-process.js';
 
-type Mutable<Value> = {-readonly [Key in keyof Value]: Value[Key]};
-
 /** One signal of a series. */
 export enum SeriesStep {
 	/** SIGHUP, with changed settings in the file. */
@@ -56,12 +54,10 @@
 	reload(gateway, '', record);
 }
 
-/** Sends SIGTERM to a gateway and records it, with the time until new connections are no longer forwarded to it. */
+/** Sends SIGTERM to a gateway and records it. */
 export function terminate(gateway: gatewayProcess.GatewayProcess, plannedStops: check.platform.PlannedStop[]): void {
-	const stop: Mutable<check.platform.PlannedStop> = {gateway: gateway.name, at: Date.now()};
-	plannedStops.push(stop);
+	plannedStops.push({gateway: gateway.name, at: Date.now()});
 	gateway.signal('terminate');
-	void recordOut(gateway, stop);
 }
 
 async function playStep(gateway: gatewayProcess.GatewayProcess, step: SeriesStep, graceMs: number, record: SeriesRecord): Promise<void> {
@@ -112,12 +108,3 @@
 		await util.sleep(pollMs); // eslint-disable-line no-await-in-loop -- A poll.
 	}
 }
-
-async function recordOut(gateway: gatewayProcess.GatewayProcess, stop: Mutable<check.platform.PlannedStop>): Promise<void> {
-	const life = gateway.lives.at(-1)!;
-	while (gateway.isInRotation && life.endedAt === undefined) {
-		await util.sleep(pollMs); // eslint-disable-line no-await-in-loop -- A poll.
-	}
-
-	stop.outAt = Date.now();
-}
--- a/packages/stand-ins/tests/check/platform/check-platform.test.ts
+++ b/packages/stand-ins/tests/check/platform/check-platform.test.ts
@@ -261,16 +261,23 @@
 		finding: 'plain got 10 repeated arrivals in a window, 4 are allowed',
 	},
 	{
-		name: 'a gateway that counts as ready long after SIGTERM',
-		changes: {plannedStops: [{gateway: 'gateway-0', at: 150 * second, outAt: (154 * second) + 1}]},
-		finding: 'gateway-0 counted as ready 4001 ms after SIGTERM',
+		name: 'a gateway that responds that it is ready long after SIGTERM',
+		changes: {plannedStops: [{gateway: 'gateway-0', at: 150 * second}], gatewayStarts: [{...gatewayStart, lastReadyAt: (152 * second) + 1}]},
+		finding: 'gateway-0 responded that it is ready 2001 ms after SIGTERM',
 	},
 	{
-		name: 'a gateway that counts as ready ever after SIGTERM',
-		changes: {plannedStops: [{gateway: 'gateway-0', at: 150 * second}]},
-		finding: 'gateway-0 counted as ready 50000 ms after SIGTERM',
+		name: 'a gateway that responds that it is ready shortly after SIGTERM',
+		changes: {plannedStops: [{gateway: 'gateway-0', at: 150 * second}], gatewayStarts: [{...gatewayStart, lastReadyAt: 152 * second}]},
+	},
+	{
+		name: 'a gateway whose next process responds that it is ready',
+		changes: {
+			plannedStops: [{gateway: 'gateway-0', at: 150 * second}],
+			gatewayStarts: [{...gatewayStart, lastReadyAt: 150 * second, endedAt: 151 * second}, {
+				...gatewayStart, at: 152 * second, readyAt: 153 * second, lastReadyAt: 190 * second,
+			}],
+		},
 	},
-	{name: 'a gateway that counts as ready shortly after SIGTERM', changes: {plannedStops: [{gateway: 'gateway-0', at: 150 * second, outAt: 153 * second}]}},
 	{name: 'a truncated stream that does not look complete', changes: withStream({end: ends.Truncated, responseBody: createEvents('chat-0', [1, 2])})},
 	{
 		name: 'a request that no client sent',
@@ -413,7 +420,7 @@
 		name: 'a request that a planned stop interrupts',
 		changes: {
 			...withPlain(cut),
-			plannedStops: [{gateway: 'gateway-0', at: sentAt - 20, outAt: sentAt}],
+			plannedStops: [{gateway: 'gateway-0', at: sentAt - 20}],
 			disruptions: [{...disrupt(targets.Gateway, 'gateway-0', sentAt - 20, sentAt + second), isPlanned: true}],
 		},
 		finding: 'no_response, sent 20 ms and ended 70 ms after SIGTERM',
@@ -422,20 +429,20 @@
 		name: 'a stream that a planned stop truncates',
 		changes: {
 			...withStream({end: ends.Truncated, responseBody: createEvents('chat-0', [1])}),
-			plannedStops: [{gateway: 'gateway-0', at: sentAt + 20, outAt: sentAt + 40}],
+			plannedStops: [{gateway: 'gateway-0', at: sentAt + 20}],
 			disruptions: [{...disrupt(targets.Gateway, 'gateway-0', sentAt + 20, sentAt + second), isPlanned: true}],
 		},
 		finding: 'truncated, sent -20 ms',
 	},
 	{
 		name: 'a request that crosses the close of a gateway that stops and is not executed',
-		changes: {...withPlain(cut, []), plannedStops: [{gateway: 'gateway-0', at: sentAt - 20, outAt: sentAt}]},
+		changes: {...withPlain(cut, []), plannedStops: [{gateway: 'gateway-0', at: sentAt - 20}]},
 	},
 	{
 		name: 'a request that is lost in a crash during a planned stop',
 		changes: {
 			...withPlain(cut),
-			plannedStops: [{gateway: 'gateway-0', at: sentAt - 20, outAt: sentAt}],
+			plannedStops: [{gateway: 'gateway-0', at: sentAt - 20}],
 			disruptions: [disrupt(targets.Server, 'plain-0', sentAt, sentAt + second)],
 		},
 	},
