--- a/packages/stand-ins/src/soak/platform/platform-soak.ts
+++ b/packages/stand-ins/src/soak/platform/platform-soak.ts
@@ -105,6 +105,7 @@
 		bounds,
 		exchanges: clients.exchanges,
 		executions: fleet.listExecutions().filter(({requestId}) => !clients.openIds.has(requestId)),
+		arrivals: fleet.listArrivals(),
 		starts: fleet.listStarts().filter(({requestId}) => !clients.openIds.has(requestId)),
 		models: fleet.mapModels(),
 		disruptions: [...injector.disruptions, ...fleet.crashDisruptions],
@@ -118,7 +119,7 @@
 		orders: fleet.listOrders(),
 		endedAt: now,
 		gatewayStarts: gateways.flatMap(({name, lives}) => lives.map(life => ({
-			gateway: name, at: life.at, readyAt: life.readyAt, endedAt: life.endedAt ?? now, exitCode: life.exitCode,
+			gateway: name, at: life.at, readyAt: life.readyAt, lastReadyAt: life.lastReadyAt, endedAt: life.endedAt ?? now, exitCode: life.exitCode,
 		}))),
 	};
 }
