--- a/packages/core/src/log/log-event.ts
+++ b/packages/core/src/log/log-event.ts
@@ -1,4 +1,4 @@
-import type * as operatorWord from '../quarantine/operator-word.js';
+import type * as operatorOverride from '../quarantine/operator-override.js';
 import type * as retryObstacle from './retry-obstacle.js';
 
 /** Names of log events. */
@@ -47,9 +47,9 @@
 	PartQuarantined = 'part_quarantined',
 	/** The evidence on quarantined parts could not be stored; it is tried again. */
 	QuarantineNotStored = 'quarantine_not_stored',
-	/** An operator's word on a prompt part is in force on this VM, or has ended. */
-	OperatorWordAccepted = 'operator_word_accepted',
-	OperatorWordEnded = 'operator_word_ended',
+	/** An operator's override on a prompt part is in force on this VM, or has ended. */
+	OperatorOverrideAccepted = 'operator_override_accepted',
+	OperatorOverrideEnded = 'operator_override_ended',
 	/** Requests with a quarantined part are sent again: the evidence has expired, or proved to be void. */
 	PartReleased = 'part_released',
 	/** The head of a request cannot be parsed; the final line of such a request. */
@@ -178,12 +178,12 @@
 		readonly ends: number; readonly requests: number;
 	};
 	[LogEvent.PartReleased]: {readonly part: string};
-	[LogEvent.OperatorWordAccepted]: {
-		readonly part: string; readonly action: operatorWord.OperatorAction; readonly by: string; readonly reason: string;
-		/** Time until the word ends, in milliseconds. */
+	[LogEvent.OperatorOverrideAccepted]: {
+		readonly part: string; readonly action: operatorOverride.OperatorAction; readonly by: string; readonly reason: string;
+		/** Time until the override ends, in milliseconds. */
 		readonly endsInMs: number;
 	};
-	[LogEvent.OperatorWordEnded]: {readonly part: string; readonly action: operatorWord.OperatorAction};
+	[LogEvent.OperatorOverrideEnded]: {readonly part: string; readonly action: operatorOverride.OperatorAction};
 	[LogEvent.QuarantineNotStored]: {readonly problem: string};
 	[LogEvent.RequestRejected]: {readonly code: string; readonly findings: string};
 	[LogEvent.RequestWaiting]: {readonly request: string} & RefusalInputs;
--- a/packages/core/tests/quarantine/operator-words.test.ts
+++ b/packages/core/tests/quarantine/operator-overrides.test.ts
@@ -3,7 +3,7 @@
 
 const {expect} = chai;
 const {
-	OperatorAction: actions, applyOperatorOrder, liftLifetimeMs, maxOperatorWords, maxWordLifetimeMs,
+	OperatorAction: actions, applyOperatorOrder, liftLifetimeMs, maxOperatorOverrides, maxOverrideLifetimeMs,
 } = core.quarantine;
 const minuteMs = 60_000;
 const wallNow = 1_700_000_000_000;
@@ -14,23 +14,23 @@
 	};
 }
 
-function createWord(fields: Partial<core.quarantine.OperatorWord> = {}): core.quarantine.OperatorWord {
+function createOverride(fields: Partial<core.quarantine.OperatorOverride> = {}): core.quarantine.OperatorOverride {
 	return {
 		part: 'm/a', action: actions.Add, at: wallNow, until: wallNow + (10 * minuteMs), by: 'alice', reason: 'crashes engines', ...fields,
 	};
 }
 
-function applyOrders(...orders: readonly core.quarantine.OperatorOrder[]): readonly core.quarantine.OperatorWord[] {
-	let words: readonly core.quarantine.OperatorWord[] = [];
+function applyOrders(...orders: readonly core.quarantine.OperatorOrder[]): readonly core.quarantine.OperatorOverride[] {
+	let overrides: readonly core.quarantine.OperatorOverride[] = [];
 	for (const order of orders) {
-		words = applyOperatorOrder(words, order, wallNow).unsafeCoerce();
+		overrides = applyOperatorOrder(overrides, order, wallNow).unsafeCoerce();
 	}
 
-	return words;
+	return overrides;
 }
 
 describe('applyOperatorOrder', () => {
-	it('replaces the earlier word on the part by a later one, also by the same clock', () => {
+	it('replaces the earlier override on the part by a later one, also by the same clock', () => {
 		const [first, second] = applyOrders(createOrder('m/b'), createOrder('m/a'), createOrder('m/b', actions.Lift));
 		expect([first!.part, second!.part]).to.deep.equal(['m/a', 'm/b']);
 		expect(second).to.include({action: actions.Lift, at: wallNow + 2});
@@ -38,7 +38,7 @@
 
 	const lifetimes = [
 		{name: 'an addition', orders: [createOrder('m/a')], expectedMs: 10 * minuteMs},
-		{name: 'an addition for too long', orders: [createOrder('m/a', actions.Add, 9 * maxWordLifetimeMs)], expectedMs: maxWordLifetimeMs},
+		{name: 'an addition for too long', orders: [createOrder('m/a', actions.Add, 9 * maxOverrideLifetimeMs)], expectedMs: maxOverrideLifetimeMs},
 		{name: 'a lift of an addition', orders: [createOrder('m/a', actions.Add, 30 * minuteMs), createOrder('m/a', actions.Lift, liftLifetimeMs)], expectedMs: 30 * minuteMs},
 		{name: 'a lift of evidence', orders: [createOrder('m/a', actions.Lift, liftLifetimeMs)], expectedMs: liftLifetimeMs},
 	];
@@ -48,68 +48,68 @@
 		});
 	}
 
-	it('refuses a word beyond the largest number, until one has ended', () => {
-		const words = applyOrders(...Array.from({length: maxOperatorWords}, (_, index) => createOrder(`m/${index}`)));
-		expect(applyOperatorOrder(words, createOrder('m/x'), wallNow).isLeft()).to.equal(true);
-		expect(applyOperatorOrder(words, createOrder('m/0', actions.Lift), wallNow).isRight()).to.equal(true);
-		expect(applyOperatorOrder(words, createOrder('m/x'), wallNow + (11 * minuteMs)).unsafeCoerce()).to.have.lengthOf(1);
+	it('refuses an override beyond the largest number, until one has ended', () => {
+		const overrides = applyOrders(...Array.from({length: maxOperatorOverrides}, (_, index) => createOrder(`m/${index}`)));
+		expect(applyOperatorOrder(overrides, createOrder('m/x'), wallNow).isLeft()).to.equal(true);
+		expect(applyOperatorOrder(overrides, createOrder('m/0', actions.Lift), wallNow).isRight()).to.equal(true);
+		expect(applyOperatorOrder(overrides, createOrder('m/x'), wallNow + (11 * minuteMs)).unsafeCoerce()).to.have.lengthOf(1);
 	});
 });
 
-describe('OperatorWords', () => {
+describe('OperatorOverrides', () => {
 	const now = 500_000;
 	const changed = {after: now - 1000, before: now};
 
 	const readings = [
 		{
-			name: 'one that was just read', word: createWord({at: wallNow - 300}), changed, expected: now - 300,
+			name: 'one that was just read', override: createOverride({at: wallNow - 300}), changed, expected: now - 300,
 		},
 		{
-			name: 'one of an operator whose clock is 20 s behind', word: createWord({at: wallNow - 20_000}), changed, expected: now - 1000,
+			name: 'one of an operator whose clock is 20 s behind', override: createOverride({at: wallNow - 20_000}), changed, expected: now - 1000,
 		},
 		{
-			name: 'one of an operator whose clock is 20 s ahead', word: createWord({at: wallNow + 20_000}), changed, expected: now,
+			name: 'one of an operator whose clock is 20 s ahead', override: createOverride({at: wallNow + 20_000}), changed, expected: now,
 		},
 		{
-			name: 'one that a store shows again that returned from a copy', word: createWord({at: wallNow - (5 * minuteMs)}), changed, expected: now - (5 * minuteMs),
+			name: 'one that a store shows again that returned from a copy', override: createOverride({at: wallNow - (5 * minuteMs)}), changed, expected: now - (5 * minuteMs),
 		},
 		{
-			name: 'one that a VM reads at its start', word: createWord({at: wallNow - 20_000}), changed: {after: -Infinity, before: now}, expected: now - 20_000,
+			name: 'one that a VM reads at its start', override: createOverride({at: wallNow - 20_000}), changed: {after: -Infinity, before: now}, expected: now - 20_000,
 		},
 	];
-	for (const {name, word, changed, expected} of readings) {
+	for (const {name, override, changed, expected} of readings) {
 		it(`counts ${name} from the time at which it was said`, () => {
-			const kept = new core.quarantine.OperatorWords().record(word, {changed, now, wallNow});
-			expect(kept?.saidAt).to.equal(expected);
-			expect(kept?.endsAt).to.equal(expected + word.until - word.at);
+			const kept = new core.quarantine.OperatorOverrides().record(override, {changed, now, wallNow});
+			expect(kept?.givenAt).to.equal(expected);
+			expect(kept?.endsAt).to.equal(expected + override.until - override.at);
 		});
 	}
 
-	it('keeps the later word on a part, in any order and any number of times', () => {
-		const words = new core.quarantine.OperatorWords();
+	it('keeps the later override on a part, in any order and any number of times', () => {
+		const overrides = new core.quarantine.OperatorOverrides();
 		const reading = {changed, now, wallNow};
-		const added = createWord({at: wallNow - 200});
-		const lifted = createWord({at: wallNow - 100, action: actions.Lift});
-		expect([lifted, added, lifted].map(word => words.record(word, reading) !== undefined)).to.deep.equal([true, false, false]);
-		expect(words.findAdded(['m/a'], now)).to.equal(undefined);
-		expect(words.record(createWord(), reading)).to.include({action: actions.Add});
-		expect(words.findAdded(['m/x', 'm/a'], now)?.part).to.equal('m/a');
+		const added = createOverride({at: wallNow - 200});
+		const lifted = createOverride({at: wallNow - 100, action: actions.Lift});
+		expect([lifted, added, lifted].map(override => overrides.record(override, reading) !== undefined)).to.deep.equal([true, false, false]);
+		expect(overrides.findAdded(['m/a'], now)).to.equal(undefined);
+		expect(overrides.record(createOverride(), reading)).to.include({action: actions.Add});
+		expect(overrides.findAdded(['m/x', 'm/a'], now)?.part).to.equal('m/a');
 	});
 
-	it('ends words by their own time, and is bounded', () => {
-		const words = new core.quarantine.OperatorWords();
+	it('ends overrides by their own time, and is bounded', () => {
+		const overrides = new core.quarantine.OperatorOverrides();
 		const reading = {changed, now, wallNow};
-		expect(words.record(createWord({at: wallNow - (11 * minuteMs), until: wallNow - minuteMs}), reading)).to.equal(undefined);
-		for (let index = 0; index < 2 * maxOperatorWords; index++) {
-			words.record(createWord({part: `m/${index}`, at: wallNow - 500 + index}), reading);
+		expect(overrides.record(createOverride({at: wallNow - (11 * minuteMs), until: wallNow - minuteMs}), reading)).to.equal(undefined);
+		for (let index = 0; index < 2 * maxOperatorOverrides; index++) {
+			overrides.record(createOverride({part: `m/${index}`, at: wallNow - 500 + index}), reading);
 		}
 
-		expect(words.size).to.equal(maxOperatorWords);
-		expect(words.findAdded(['m/0'], now)).to.equal(undefined);
+		expect(overrides.size).to.equal(maxOperatorOverrides);
+		expect(overrides.findAdded(['m/0'], now)).to.equal(undefined);
 		const endsAt = now + (10 * minuteMs);
-		expect(words.findAdded([`m/${(2 * maxOperatorWords) - 1}`], endsAt)).to.equal(undefined);
-		expect(words.expire(endsAt)).to.have.lengthOf(maxOperatorWords);
-		expect(words.size).to.equal(0);
+		expect(overrides.findAdded([`m/${(2 * maxOperatorOverrides) - 1}`], endsAt)).to.equal(undefined);
+		expect(overrides.expire(endsAt)).to.have.lengthOf(maxOperatorOverrides);
+		expect(overrides.size).to.equal(0);
 	});
 });
 
@@ -132,7 +132,7 @@
 		expect(quarantine.size).to.equal(0);
 	});
 
-	it('ignores earlier evidence that arrives later, as from a VM that has not read the word', () => {
+	it('ignores earlier evidence that arrives later, as from a VM that has not read the override', () => {
 		const quarantine = new core.quarantine.PartQuarantine();
 		quarantine.lift('m/bad', 400);
 		expect(quarantine.addRows(rows, 500)).to.deep.equal([]);
--- a/packages/gateway/src/controllers/coordination-keys.ts
+++ b/packages/gateway/src/controllers/coordination-keys.ts
@@ -6,7 +6,7 @@
 export const rolloutPlanKey = `${coordinationPrefix}rollout`;
 /** Key of the evidence on quarantined prompt parts, which outlasts a restart of all VMs. */
 export const quarantineKey = `${coordinationPrefix}quarantine`;
-/** Key of the operators' words on prompt parts, which no VM writes. */
-export const operatorWordsKey = `${coordinationPrefix}operator/quarantine`;
+/** Key of the operators' overrides on prompt parts, which no VM writes. */
+export const operatorOverridesKey = `${coordinationPrefix}operator/quarantine`;
 /** Prefix of the keys of the VMs, one for each, bound to its lease. */
 export const vmKeyPrefix = `${coordinationPrefix}vms/`;
--- a/packages/gateway/src/controllers/quarantine-controller.ts
+++ b/packages/gateway/src/controllers/quarantine-controller.ts
@@ -36,7 +36,7 @@
  */
 export class QuarantineController {
 	readonly #parts = new core.quarantine.PartQuarantine();
-	readonly #words = new core.quarantine.OperatorWords();
+	readonly #overrides = new core.quarantine.OperatorOverrides();
 	readonly #pending = new PendingEvidence();
 	readonly #reportedSound = new core.quarantine.RecentTimes(maxPendingItems);
 	#repeatedAt = -Infinity;
@@ -52,31 +52,31 @@
 
 	/** Returns the quarantined part because of which a request must not be sent. */
 	match(sharedParts: readonly string[]): core.quarantine.QuarantineMatch | undefined {
-		if (!this.hasQuarantinedParts && this.#words.size === 0) {
+		if (!this.hasQuarantinedParts && this.#overrides.size === 0) {
 			return undefined;
 		}
 
 		const now = this.#now();
-		const added = this.#words.findAdded(sharedParts, now);
+		const added = this.#overrides.findAdded(sharedParts, now);
 		return added === undefined ? this.#parts.match(sharedParts, now) : {part: added.part, releasedInMs: added.endsAt - now};
 	}
 
-	/** Applies an operator's word on a part. One that was lifted is quarantined again only by later evidence. */
-	applyOperatorWord(word: core.quarantine.OperatorWord, reading: core.quarantine.WordReading): void {
-		const kept = this.#words.record(word, reading);
+	/** Applies an operator's override on a part. One that was lifted is quarantined again only by later evidence. */
+	applyOperatorOverride(override: core.quarantine.OperatorOverride, reading: core.quarantine.OverrideReading): void {
+		const kept = this.#overrides.record(override, reading);
 		if (kept === undefined) {
 			return;
 		}
 
-		const {part, action, by, reason, saidAt, endsAt} = kept;
-		this.dependencies.log.write(eventLog.LogEvent.OperatorWordAccepted, {
+		const {part, action, by, reason, givenAt, endsAt} = kept;
+		this.dependencies.log.write(eventLog.LogEvent.OperatorOverrideAccepted, {
 			part, action, by, reason, endsInMs: Math.round(endsAt - reading.now),
 		});
 		if (action === core.quarantine.OperatorAction.Add) {
 			this.dependencies.onQuarantined();
 		} else {
-			this.#parts.lift(part, saidAt);
-			this.#pending.removeRows(part, saidAt);
+			this.#parts.lift(part, givenAt);
+			this.#pending.removeRows(part, givenAt);
 			this.#update();
 		}
 	}
@@ -165,10 +165,10 @@
 		return {keys, parts: keys.join(' '), evidence: {crashes, soundParts: [], survivors: []}};
 	}
 
-	/** Releases parts whose evidence or operator's word has expired. */
+	/** Releases parts whose evidence or operator's override has expired. */
 	tick(): void {
-		for (const {part, action} of this.#words.expire(this.#now())) {
-			this.dependencies.log.write(eventLog.LogEvent.OperatorWordEnded, {part, action});
+		for (const {part, action} of this.#overrides.expire(this.#now())) {
+			this.dependencies.log.write(eventLog.LogEvent.OperatorOverrideEnded, {part, action});
 		}
 
 		if (this.#parts.size > 0 && this.#now() - this.#updatedAt >= updateIntervalMs) {
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -149,13 +149,13 @@
 	const quarantineStore = new controllers.QuarantineStore({
 		store, lease: leaseController, quarantine, clock, log,
 	});
-	const operatorWords = new controllers.OperatorWordListener({quarantine, clock, log});
+	const operatorOverrides = new controllers.OperatorOverrideListener({quarantine, clock, log});
 	const listener = new controllers.PrefixListeners([
 		{prefix: decoder.prefixes.operator, listener: operator},
 		{prefix: decoder.prefixes.endpoints, listener: endpointController},
 		{prefix: controllers.coordinationPrefix, listener: coordination},
 		// Before the evidence, which an operator may have lifted.
-		{prefix: controllers.operatorWordsKey, listener: operatorWords},
+		{prefix: controllers.operatorOverridesKey, listener: operatorOverrides},
 		{prefix: controllers.quarantineKey, listener: quarantineStore},
 	]);
 	// Subscribed before the feed, so that nothing uses what was read in an earlier era.
--- a/packages/gateway/tests/controllers/operator-words.test.ts
+++ b/packages/gateway/tests/controllers/operator-overrides.test.ts
@@ -1,24 +1,24 @@
 import {Buffer} from 'node:buffer';
 import * as core from '@bluebellmast/core';
 import * as chai from 'chai';
-import * as simulatedOperatorWords from '../support/simulated-operator-words.js';
+import * as simulatedOperatorOverrides from '../support/simulated-operator-overrides.js';
 import * as gateway from '@bluebellmast/gateway';
 
 const {expect} = chai;
 const {OperatorAction: actions} = core.quarantine;
 const {LogEvent: events} = core.log;
-const {operatorWordsKey, decodeOperatorWords, encodeOperatorWords} = gateway.controllers;
+const {operatorOverridesKey, decodeOperatorOverrides, encodeOperatorOverrides} = gateway.controllers;
 /** Users' bound on the time until what one VM knows is in force on all. */
 const settleWindowMs = 3000;
 const warmUpMs = 2500;
 
-async function start(vmCount: number): Promise<simulatedOperatorWords.SimulatedOperatorWords> {
-	const simulation = new simulatedOperatorWords.SimulatedOperatorWords(vmCount, 1);
+async function start(vmCount: number): Promise<simulatedOperatorOverrides.SimulatedOperatorOverrides> {
+	const simulation = new simulatedOperatorOverrides.SimulatedOperatorOverrides(vmCount, 1);
 	await simulation.advance(warmUpMs);
 	return simulation;
 }
 
-describe('operators\' words on prompt parts', () => {
+describe('operators\' overrides on prompt parts', () => {
 	for (const vmCount of [7, 66, 195, 420]) {
 		it(`are in force on ${vmCount} VMs within the settle window, and after all of them restarted`, async () => {
 			const simulation = await start(vmCount);
@@ -46,7 +46,7 @@
 		await simulation.advance(settleWindowMs);
 		expect(simulation.countRefusing('m/bad')).to.equal(0);
 		const [vm] = simulation.vms;
-		expect(vm!.events.map(({event}) => event)).to.deep.equal([events.PartQuarantined, events.OperatorWordAccepted, events.PartReleased]);
+		expect(vm!.events.map(({event}) => event)).to.deep.equal([events.PartQuarantined, events.OperatorOverrideAccepted, events.PartReleased]);
 		expect(vm!.quarantine.hasPendingEvidence, 'void evidence is not sent').to.equal(false);
 		vm!.recordEnds('m/bad');
 		expect(vm!.refuses('m/bad')).to.equal(true);
@@ -89,7 +89,7 @@
 		expect(simulation.countRefusing('m/bad')).to.equal(7);
 		await simulation.advance(2000);
 		expect(simulation.countRefusing('m/bad')).to.equal(0);
-		expect(simulation.vms[0]!.events.map(({event}) => event)).to.deep.equal([events.OperatorWordAccepted, events.OperatorWordEnded]);
+		expect(simulation.vms[0]!.events.map(({event}) => event)).to.deep.equal([events.OperatorOverrideAccepted, events.OperatorOverrideEnded]);
 		simulation.restartVms();
 		await simulation.advance(settleWindowMs);
 		expect(simulation.countRefusing('m/bad')).to.equal(0);
@@ -103,7 +103,7 @@
 		await simulation.advance(1000);
 		expect(simulation.countRefusing('m/bad')).to.equal(7);
 		await simulation.advance(1000 + settleWindowMs);
-		expect(simulation.store.items.has(operatorWordsKey)).to.equal(false);
+		expect(simulation.store.items.has(operatorOverridesKey)).to.equal(false);
 		expect(simulation.countRefusing('m/bad')).to.equal(7);
 	});
 
@@ -115,7 +115,7 @@
 		await simulation.advance(2000);
 		simulation.store.returnFromCopy(3000, 500, () => undefined);
 		await simulation.advance(500 + settleWindowMs);
-		expect(decodeOperatorWords(simulation.store.items.get(operatorWordsKey)!.value).unsafeCoerce()[0]!.action).to.equal(actions.Add);
+		expect(decodeOperatorOverrides(simulation.store.items.get(operatorOverridesKey)!.value).unsafeCoerce()[0]!.action).to.equal(actions.Add);
 		expect(simulation.countRefusing('m/bad')).to.equal(0);
 	});
 
@@ -134,42 +134,42 @@
 		const simulation = await start(7);
 		simulation.say('m/bad', actions.Add);
 		await simulation.advance(settleWindowMs);
-		simulation.store.write(operatorWordsKey, Buffer.from('{"words":[{}]}'));
+		simulation.store.write(operatorOverridesKey, Buffer.from('{"overrides":[{}]}'));
 		await simulation.advance(settleWindowMs);
 		expect(simulation.countRefusing('m/bad')).to.equal(7);
 		const {event, fields} = simulation.vms[0]!.events.at(-1)!;
 		expect(event).to.equal(events.StoreEntryInvalid);
-		expect(fields.findings).to.match(/words\.0\.part .*words\.0\.action .*words\.0\.reason/);
+		expect(fields.findings).to.match(/overrides\.0\.part .*overrides\.0\.action .*overrides\.0\.reason/);
 	});
 });
 
-describe('codec of operators\' words', () => {
-	const word: core.quarantine.OperatorWord = {
+describe('codec of operators\' overrides', () => {
+	const override: core.quarantine.OperatorOverride = {
 		part: 'm/bad', action: actions.Add, at: 1, until: 2, by: 'alice', reason: 'crashes engines',
 	};
 
 	it('decodes what it encodes', () => {
-		expect(decodeOperatorWords(encodeOperatorWords([word])).unsafeCoerce()).to.deep.equal([word]);
+		expect(decodeOperatorOverrides(encodeOperatorOverrides([override])).unsafeCoerce()).to.deep.equal([override]);
 	});
 
 	const invalid = [
 		{name: 'no JSON', text: '{', findings: 1},
 		{name: 'null', text: 'null', findings: 1},
-		{name: 'no list', text: '{"words":{}}', findings: 1},
-		{name: 'too many words', text: JSON.stringify({words: Array.from({length: core.quarantine.maxOperatorWords + 1}, () => word)}), findings: 1},
-		{name: 'a word that is null', text: '{"words":[null]}', findings: 6},
-		{name: 'invalid fields of two words', text: JSON.stringify({words: [{...word, part: ' '}, {...word, at: 'now', reason: '\u0007'}]}), findings: 3},
+		{name: 'no list', text: '{"overrides":{}}', findings: 1},
+		{name: 'too many overrides', text: JSON.stringify({overrides: Array.from({length: core.quarantine.maxOperatorOverrides + 1}, () => override)}), findings: 1},
+		{name: 'an override that is null', text: '{"overrides":[null]}', findings: 6},
+		{name: 'invalid fields of two overrides', text: JSON.stringify({overrides: [{...override, part: ' '}, {...override, at: 'now', reason: '\u0007'}]}), findings: 3},
 		{
 			name: 'texts that are too long', text: JSON.stringify({
-				words: [{
-					...word, part: 'a'.repeat(65), by: 'a'.repeat(41), reason: 'a'.repeat(121),
+				overrides: [{
+					...override, part: 'a'.repeat(65), by: 'a'.repeat(41), reason: 'a'.repeat(121),
 				}],
 			}), findings: 3,
 		},
 	];
 	for (const {name, text, findings} of invalid) {
 		it(`returns all findings for ${name}`, () => {
-			expect(decodeOperatorWords(Buffer.from(text)).swap().unsafeCoerce()).to.have.lengthOf(findings);
+			expect(decodeOperatorOverrides(Buffer.from(text)).swap().unsafeCoerce()).to.have.lengthOf(findings);
 		});
 	}
 });
--- a/packages/gateway/tests/support/simulated-operator-words.ts
+++ b/packages/gateway/tests/support/simulated-operator-overrides.ts
@@ -7,15 +7,15 @@
 const tickMs = 200;
 const itemsPerPage = 500;
 
-/** A VM with what follows the words of operators. */
-export class SimulatedWordVm {
+/** A VM with what follows the overrides of operators. */
+export class SimulatedOverrideVm {
 	readonly events: Array<{readonly event: core.log.LogEvent; readonly fields: Readonly<Record<string, unknown>>; readonly at: number}> = [];
 	readonly link: returningStore.Link;
 	readonly quarantine: gateway.controllers.QuarantineController;
 	readonly #feed: gateway.controllers.StoreFeed;
 	#isStopped = false;
 
-	constructor(private readonly simulation: SimulatedOperatorWords, vmCount: number) {
+	constructor(private readonly simulation: SimulatedOperatorOverrides, vmCount: number) {
 		const {time, store, random} = simulation;
 		this.link = {
 			isCut: false, losesResponses: false, responseDelayMs: 0,
@@ -41,7 +41,7 @@
 			eras: client.eras,
 			prefix: '',
 			listener: new controllers.PrefixListeners([
-				{prefix: controllers.operatorWordsKey, listener: new controllers.OperatorWordListener({quarantine: this.quarantine, clock, log})},
+				{prefix: controllers.operatorOverridesKey, listener: new controllers.OperatorOverrideListener({quarantine: this.quarantine, clock, log})},
 				{prefix: controllers.quarantineKey, listener: quarantineStore},
 			]),
 			pollPauseMs: () => core.fleet.computePollPauseMs(vmCount),
@@ -87,12 +87,12 @@
 	}
 }
 
-/** VMs that follow a store in virtual time, and an operator who writes words. */
-export class SimulatedOperatorWords {
+/** VMs that follow a store in virtual time, and an operator who writes overrides. */
+export class SimulatedOperatorOverrides {
 	readonly time = new virtualTime.VirtualTime();
 	readonly random: core.util.SeededRandom;
 	readonly store: returningStore.ReturningStore;
-	vms: SimulatedWordVm[];
+	vms: SimulatedOverrideVm[];
 
 	constructor(private readonly vmCount: number, seed: number) {
 		this.random = new core.util.SeededRandom(seed);
@@ -105,15 +105,15 @@
 		return 1_700_000_000_000 + this.time.now;
 	}
 
-	/** Writes an operator's word at once. */
+	/** Writes an operator's override at once. */
 	say(part: string, action: core.quarantine.OperatorAction, lifetimeMs = 600_000): void {
-		const {operatorWordsKey} = controllers;
-		const item = this.store.items.get(operatorWordsKey);
-		const words = item === undefined ? [] : controllers.decodeOperatorWords(item.value).unsafeCoerce();
-		const next = core.quarantine.applyOperatorOrder(words, {
+		const {operatorOverridesKey} = controllers;
+		const item = this.store.items.get(operatorOverridesKey);
+		const overrides = item === undefined ? [] : controllers.decodeOperatorOverrides(item.value).unsafeCoerce();
+		const next = core.quarantine.applyOperatorOrder(overrides, {
 			part, action, lifetimeMs, by: 'alice', reason: 'test',
 		}, this.wallNow).unsafeCoerce();
-		this.store.write(operatorWordsKey, controllers.encodeOperatorWords(next));
+		this.store.write(operatorOverridesKey, controllers.encodeOperatorOverrides(next));
 	}
 
 	/** Ends all VMs at once, and starts new ones. */
@@ -134,7 +134,7 @@
 		return this.vms.filter(vm => vm.refuses(part)).length;
 	}
 
-	#createVms(): SimulatedWordVm[] {
-		return Array.from({length: this.vmCount}, () => new SimulatedWordVm(this, this.vmCount));
+	#createVms(): SimulatedOverrideVm[] {
+		return Array.from({length: this.vmCount}, () => new SimulatedOverrideVm(this, this.vmCount));
 	}
 }
