Limit the time of all timers that a configuration states

Callers would see: a route with a timeout of more than 25 days ended each request at once, and a longest pause of more than 3 days repeated each resumable stream at once. The timeout of a request, the wait for a response and a lowered header timeout had no limit; the reader of bodies had one.

--- a/packages/gateway/src/call/attempt-timers.ts
+++ b/packages/gateway/src/call/attempt-timers.ts
@@ -1,4 +1,5 @@
 import * as core from '@bluebellmast/core';
+import * as timerMs from '../util/timer-ms.js';
 
 /**
  * Time without a response after which a safe request is retried at another endpoint, as a multiple of the target latency of
@@ -28,16 +29,15 @@
 	start(onStalled: () => void): void {
 		this.stop();
 		if (this.route.kind === core.routing.RouteKind.Safe) {
-			this.#responseTimer = setInterval(onStalled, Math.max(minStallTimeoutMs, stallTimeoutFactor * this.route.targetLatencyMs));
+			this.#responseTimer = setInterval(onStalled, timerMs.toTimerMs(Math.max(minStallTimeoutMs, stallTimeoutFactor * this.route.targetLatencyMs)));
 		}
 	}
 
 	/** Waits for the next event of a stream, as its response has begun or an event is complete. */
 	restart(onStalled: () => void): void {
 		clearInterval(this.#eventTimer);
-		// A timer of infinite length would fire at once.
-		if (this.route.kind === core.routing.RouteKind.Streaming && this.route.isResumable && Number.isFinite(this.route.gapTargetMs)) {
-			this.#eventTimer = setInterval(onStalled, Math.max(minEventTimeoutMs, eventTimeoutFactor * this.route.gapTargetMs));
+		if (this.route.kind === core.routing.RouteKind.Streaming && this.route.isResumable) {
+			this.#eventTimer = setInterval(onStalled, timerMs.toTimerMs(Math.max(minEventTimeoutMs, eventTimeoutFactor * this.route.gapTargetMs)));
 		}
 	}
 
--- a/packages/gateway/src/call/body-reader.ts
+++ b/packages/gateway/src/call/body-reader.ts
@@ -1,4 +1,5 @@
 import type * as http from 'node:http';
+import * as timerMs from '../util/timer-ms.js';
 
 /** How the reading of a body ended. */
 export enum BodyEnd {
@@ -15,9 +16,6 @@
 	readonly maxMs: number;
 };
 
-/** Longest time of a timer, in milliseconds. */
-const maxTimerMs = 2_147_483_647;
-
 /**
  * Reads the body of a request. Unlike an asynchronous iteration that is left early, this neither destroys the request nor separates it
  * from its connection; what arrives after the end of the reading is discarded.
@@ -59,7 +57,7 @@
 
 		const timer = setTimeout(() => {
 			endWith(BodyEnd.TimedOut);
-		}, Math.min(bounds.maxMs, maxTimerMs));
+		}, timerMs.toTimerMs(bounds.maxMs));
 		req.on('data', onData).once('end', onEnd).once('error', onAborted).once('close', onAborted);
 	});
 }
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -3,6 +3,7 @@
 import type * as endpointPlacer from '../placement/endpoint-placer.js';
 import type * as ports from '../ports/index.js';
 import * as clocks from '../util/clocks.js';
+import * as timerMs from '../util/timer-ms.js';
 import * as responseRelay from './response-relay.js';
 import * as responseTimer from './response-timer.js';
 import * as activeAttempts from './active-attempts.js';
@@ -105,7 +106,7 @@
 			this.#isTimedOut = true;
 			this.#endpointFinder.cancel();
 			this.#active.abort(endpoints.AttemptFault.TimedOut);
-		}, Math.max(0, this.#deadlineAt - now + lateResponseGraceMs));
+		}, timerMs.toTimerMs(Math.max(0, this.#deadlineAt - now + lateResponseGraceMs)));
 		this.request.res.once('close', onClose);
 		this.dependencies.retryWindows.of(this.#pool, now).countRequest(now);
 		try {
--- a/packages/gateway/src/ingress/header-timeout.ts
+++ b/packages/gateway/src/ingress/header-timeout.ts
@@ -1,3 +1,5 @@
+import * as timerMs from '../util/timer-ms.js';
+
 /**
  * Timeout of the heads of requests. A timeout that is lowered takes effect once the heads have ended that began under the one before, since
  * their callers send them according to it.
@@ -24,7 +26,7 @@
 
 		this.#lowering = setTimeout(() => {
 			this.#apply(timeoutMs);
-		}, this.#currentMs);
+		}, timerMs.toTimerMs(this.#currentMs));
 		this.#lowering.unref();
 	}
 
