--- a/packages/core/src/quarantine/operator-override.ts
+++ b/packages/core/src/quarantine/operator-override.ts
@@ -1,6 +1,6 @@
 import * as purify from 'purify-ts';
 
-/** What an operator says about a prompt part. */
+/** Kinds of overrides. */
 export enum OperatorAction {
 	/** Requests with the part are refused. */
 	Add = 'add',
--- a/packages/core/src/quarantine/operator-overrides.ts
+++ b/packages/core/src/quarantine/operator-overrides.ts
@@ -22,8 +22,8 @@
 const maxClockDifferenceMs = 60_000;
 
 /**
- * Operators' overrides on prompt parts, the last one on each. Overrides are added and end, and are never forgotten before, so that a
- * store that returned from a copy without them takes none away.
+ * Operators' overrides on prompt parts, the last one on each. An override is kept until it ends, also if the
+ * store was restored from a copy without it.
  */
 export class OperatorOverrides {
 	readonly #overrides = new Map<string, KeptOverride>();
--- a/packages/gateway/src/call/refusal.ts
+++ b/packages/gateway/src/call/refusal.ts
@@ -19,7 +19,7 @@
 	PartQuarantined = 'part_quarantined',
 	/** The response can't start before the deadline. */
 	DeadlineTooClose = 'deadline_too_close',
-	/** The VM shuts down, and the request was not sent. */
+	/** The VM shuts down, and no endpoint can have executed the request. */
 	ShuttingDown = 'shutting_down',
 	/** The request was sent, and its outcome is unknown. */
 	OutcomeUnknown = 'outcome_unknown',
--- a/packages/gateway/src/controllers/operator-overrides-codec.ts
+++ b/packages/gateway/src/controllers/operator-overrides-codec.ts
@@ -20,7 +20,7 @@
 	return buffer.Buffer.from(JSON.stringify({overrides}));
 }
 
-/** Decodes operators' overrides; returns all findings if one override is invalid; none is applied then. */
+/** Decodes operators' overrides. @returns All findings if an override is invalid; then none is applied. */
 export function decodeOperatorOverrides(value: Uint8Array): purify.Either<readonly string[], readonly core.quarantine.OperatorOverride[]> {
 	let overrides: unknown;
 	try {
--- a/packages/gateway/tests/call/error-response.test.ts
+++ b/packages/gateway/tests/call/error-response.test.ts
@@ -40,7 +40,7 @@
 	}
 
 	/** Has the replacement fail after its endpoint has returned an error, when no other endpoint is left. */
-	async function expectError(fail: (replacement: fake.FakeStream) => void): Promise<void> {
+	async function expectErrorResponse(fail: (replacement: fake.FakeStream) => void): Promise<void> {
 		const silent = await start(safe, 'b');
 		const replacement = await replace('b', 'a');
 		vm.removeEndpoint('a');
@@ -63,11 +63,11 @@
 		expect({status: res.statusCode, isComplete: res.writableFinished}).to.deep.equal({status: 500, isComplete: true});
 	});
 
-	it('is delivered if the replacement refuses the request after the error', async () => expectError(replacement => {
+	it('is delivered if the replacement refuses the request after the error', async () => expectErrorResponse(replacement => {
 		replacement.refuse();
 	}));
 
-	it('is delivered if the replacement breaks its connection after the error', async () => expectError(replacement => {
+	it('is delivered if the replacement breaks its connection after the error', async () => expectErrorResponse(replacement => {
 		replacement.reset();
 	}));
 });
--- a/packages/gateway/tests/controllers/rollout-silent-engine.test.ts
+++ b/packages/gateway/tests/controllers/rollout-silent-engine.test.ts
@@ -30,7 +30,7 @@
 		const log = {write: () => undefined};
 		const ordered = new Set<string>();
 		const never = new Promise<never>(() => {
-			// An engine that loads is not heard of in this test.
+			// Reports of engines that load stay pending in this test.
 		});
 		const controller = new gateway.controllers.RolloutController({
 			vm: 'vm-1',
--- a/packages/stand-ins/src/soak/platform/platform-action.ts
+++ b/packages/stand-ins/src/soak/platform/platform-action.ts
@@ -30,7 +30,7 @@
 	StoreUnavailableToSome = 'store_unavailable_to_some',
 	/** The store answers all calls of some gateways with status 429. */
 	StoreLimitsSome = 'store_limits_some',
-	/** The store is away, and comes back with the contents of some seconds before in the next era. */
+	/** The store is unavailable, and restarts from a copy that is some seconds old, in the next era. */
 	StoreReturns = 'store_returns',
 	CrashServer = 'crash_server',
 	SlowServer = 'slow_server',
--- a/packages/stand-ins/src/soak/platform/platform-injector.ts
+++ b/packages/stand-ins/src/soak/platform/platform-injector.ts
@@ -236,7 +236,7 @@
 		await actions[action.type]!();
 	}
 
-	/** Lets the store come back from an older copy; the operator and the servers write at once what was lost. */
+	/** Restarts the store from an older copy; the operator and the servers write again at once what was lost. */
 	async #returnStore(awayMs: number, ageSeconds: number): Promise<void> {
 		const {store, operator, fleet} = this.options.system;
 		await store.returnFromCopy(ageSeconds * millisecondsPerSecond, awayMs);
--- a/packages/stand-ins/src/soak/platform/platform-operator.ts
+++ b/packages/stand-ins/src/soak/platform/platform-operator.ts
@@ -67,7 +67,7 @@
 		this.versions.push({model, version, acknowledgedAt: Date.now()});
 	}
 
-	/** Writes all again after the store has come back from an older copy. */
+	/** Writes all entries again after the store was restored from an older copy. */
 	writeAgain(): void {
 		this.#writeConfig();
 		for (const [model, version] of this.#newestVersions) {
--- a/packages/stand-ins/src/soak/platform/server-fleet.ts
+++ b/packages/stand-ins/src/soak/platform/server-fleet.ts
@@ -103,7 +103,7 @@
 		this.options.store.write(`servers/${server.id}`, {...server.standIn.createRegistration(state), address: server.address, zone: server.dataCentre});
 	}
 
-	/** Writes all entries again after the store has come back from an older copy, and removes those of servers that are not listed. */
+	/** Writes all entries again after the store was restored from an older copy, and removes those of servers that are not listed. */
 	writeAgain(): void {
 		const listedIds = new Set(this.servers.filter(({isListed}) => isListed).map(({id}) => id));
 		for (const {options: {id}} of this.#standIns.filter(({options}) => !listedIds.has(options.id))) {
