Log and count the times for which the event loop was blocked

The timer of the periodic tasks writes event_loop_blocked if it runs 100 ms or more late; bluebellmast_event_loop_blocked_seconds counts them.

--- a/packages/core/src/log/log-event.ts
+++ b/packages/core/src/log/log-event.ts
@@ -68,6 +68,8 @@
 	RequestDropped = 'request_dropped',
 	/** The connection was closed before the whole response had left the process. */
 	ResponseUnsent = 'response_unsent',
+	/** The event loop was blocked: meanwhile nothing was read and no timer ran. */
+	EventLoopBlocked = 'event_loop_blocked',
 	InternalError = 'internal_error',
 	LinesDropped = 'lines_dropped',
 }
@@ -239,6 +241,7 @@
 		readonly request?: string;
 	};
 	[LogEvent.ResponseUnsent]: {readonly request: string; readonly status: number; readonly problem: string};
+	[LogEvent.EventLoopBlocked]: {readonly blockedMs: number};
 	[LogEvent.InternalError]: {readonly task: string; readonly problem: string; readonly peer?: string};
 	[LogEvent.LinesDropped]: {readonly lines: number};
 };
--- a/packages/gateway/src/metrics/event-metrics.ts
+++ b/packages/gateway/src/metrics/event-metrics.ts
@@ -23,6 +23,7 @@
 	readonly #faults: prometheus.Counter;
 	readonly #orders: prometheus.Counter;
 	readonly #startMargins: prometheus.Histogram;
+	readonly #blockedTimes: prometheus.Histogram;
 
 	/** @param next - Log to which all events are passed on. */
 	constructor(private readonly next: eventLog.EventLog, registry: prometheus.Registry) {
@@ -54,6 +55,12 @@
 			buckets: secondsBuckets,
 			registers,
 		});
+		this.#blockedTimes = new prometheus.Histogram({
+			name: 'bluebellmast_event_loop_blocked_seconds',
+			help: 'Times for which the event loop was blocked for 0.1 s or more.',
+			buckets: secondsBuckets,
+			registers,
+		});
 	}
 
 	write<Event extends core.log.LogEvent>(event: Event, fields: core.log.LogFieldsByEvent[Event]): void {
@@ -85,6 +92,10 @@
 		if (logged.event === logEvents.OrderSent) {
 			this.#orders.inc({outcome: logged.fields.outcome});
 		}
+
+		if (logged.event === logEvents.EventLoopBlocked) {
+			this.#blockedTimes.observe(logged.fields.blockedMs / msPerSecond);
+		}
 	}
 
 	#countRequestEnd({kind = unknownKind, outcome, code = '', tookMs, firstMs, maxGapMs}: core.log.LogFieldsByEvent[core.log.LogEvent.RequestEnded]): void {
--- a/packages/gateway/src/util/periodic-task.ts
+++ b/packages/gateway/src/util/periodic-task.ts
@@ -60,14 +60,18 @@
 	readonly log: eventLog.EventLog;
 };
 
+/** Delay of the timer from which on the event loop counts as blocked, in milliseconds; a wait for the processor of some steps is usual. */
+const minBlockedMs = 100;
+
 /**
  * Runs tasks periodically, starting immediately, by one timer, so that the process wakes up once for all that are due. Errors are logged and do not
- * stop a task.
+ * stop a task; so is each time for which the event loop was blocked.
  */
 export function runPeriodically(tasks: readonly PeriodicTask[], {stepMs, now, log}: PeriodicTasksOptions): PeriodicTaskHandle {
 	const schedule = new TaskSchedule(tasks, stepMs);
 	let isStopped = false;
 	let timer: NodeJS.Timeout | undefined;
+	let dueAt = now();
 	const run = async (task: PeriodicTask): Promise<void> => {
 		try {
 			await task.run();
@@ -79,6 +83,11 @@
 	};
 
 	const step = (): void => {
+		const blockedMs = Math.round(now() - dueAt);
+		if (blockedMs >= minBlockedMs) {
+			log.write(eventLog.LogEvent.EventLoopBlocked, {blockedMs});
+		}
+
 		for (const task of schedule.takeDue(now())) {
 			if (!isStopped) {
 				void run(task);
@@ -86,6 +95,7 @@
 		}
 
 		if (!isStopped) {
+			dueAt = now() + stepMs;
 			timer = setTimeout(step, stepMs);
 		}
 	};
--- a/packages/gateway/tests/util/periodic-task.test.ts
+++ b/packages/gateway/tests/util/periodic-task.test.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import * as chai from 'chai';
 import * as gateway from '@bluebellmast/gateway';
 
@@ -83,8 +84,10 @@
 			stepMs: 1,
 			now: () => performance.now(),
 			log: {
-				write(_event, fields) {
-					logged.push(fields);
+				write(event, fields) {
+					if (event === gateway.util.LogEvent.InternalError) {
+						logged.push(fields);
+					}
 				},
 			},
 		});
@@ -102,4 +105,25 @@
 		});
 		expect(runs).to.deep.equal(atStop);
 	});
+
+	it('logs how long the event loop was blocked', async () => {
+		const blockedMs: number[] = [];
+		const handle = gateway.util.runPeriodically([], {
+			stepMs: 10,
+			now: () => performance.now(),
+			log: {
+				write(event, fields) {
+					if (event === gateway.util.LogEvent.EventLoopBlocked) {
+						blockedMs.push((fields as {readonly blockedMs: number}).blockedMs);
+					}
+				},
+			},
+		});
+		await sleep(30);
+		const blockedUntil = performance.now() + 300;
+		while (performance.now() < blockedUntil) {} // eslint-disable-line no-empty -- Blocks the event loop.
+		await sleep(30);
+		handle.stop();
+		expect(Math.max(...blockedMs)).to.be.within(250, 1000);
+	});
 });
