--- /dev/null
+++ b/packages/gateway/tests/ingress/blocked-event-loop.test.ts
@@ -0,0 +1,136 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import * as chai from 'chai';
+import * as purify from 'purify-ts';
+import * as blocking from '../support/blocking.js';
+import * as gateway from '@bluebellmast/gateway';
+
+const {expect} = chai;
+const request = 'GET / HTTP/1.1\r\nHost: a.example\r\n\r\n';
+const requestHead: gateway.ports.RequestHead = {
+	method: 'GET', target: '/', host: 'a.example', requestId: 'r', forwardedHeaders: [], deadlineMs: 1500,
+};
+const endMs = 7000;
+
+function listStatuses({received}: blocking.SeenByCaller): number[] {
+	return [...received.matchAll(/HTTP\/1\.1 (?<status>\d{3}) /g)].map(match => Number(match.groups!.status));
+}
+
+// Guards against a whole request that gets neither a response nor a refusal, since timers run before sockets are read after the event loop was blocked.
+describe('a request that arrives while the event loop is blocked', () => {
+	let server: gateway.ingress.GatewayServer;
+
+	beforeEach(async () => {
+		const clock = new gateway.util.SystemClocks();
+		server = new gateway.ingress.GatewayServer({
+			protocol: {decodeRequestHead: () => purify.Right(requestHead)},
+			filters: [new gateway.call.BodyFilter(clock)],
+			dispatcher: {
+				async dispatch(ctx: gateway.call.RequestContext) {
+					ctx.res.end('answer');
+				},
+			} as unknown as gateway.call.RequestDispatcher,
+			clock,
+			log: {write: () => undefined},
+			headCheckIntervalMs: 100,
+		});
+		await server.listen({host: '127.0.0.1', port: 0});
+	});
+
+	afterEach(() => {
+		server.close();
+	});
+
+	it('is answered though the idle timeout of its connection has passed meanwhile', async () => {
+		server.applyLimits({headerTimeoutMs: 5000, idleTimeoutMs: 1000});
+		const caller = blocking.runThreadCaller(server.port, [{atMs: 0, text: request}, {atMs: 1000, text: request}], endMs);
+		await sleep(600);
+		await blocking.blockEventLoop(4500);
+		expect(listStatuses(await caller)).to.deep.equal([200, 200]);
+	});
+
+	it('is answered though the server stops listening meanwhile', async () => {
+		server.applyLimits({headerTimeoutMs: 5000, idleTimeoutMs: 15_000});
+		const caller = blocking.runThreadCaller(server.port, [{atMs: 0, text: request}, {atMs: 1000, text: request}], endMs);
+		await sleep(600);
+		server.beginShutdown();
+		setTimeout(() => {
+			void server.finishShutdown(5000);
+		}, 200);
+		await blocking.blockEventLoop(1200);
+		expect(listStatuses(await caller)).to.deep.equal([200, 200]);
+	});
+
+	it('is answered though its connection was not accepted before the server stops listening', async () => {
+		setTimeout(() => {
+			void server.finishShutdown(5000);
+		}, 600);
+		const caller = blocking.runThreadCaller(server.port, [{atMs: 0, text: request}], endMs);
+		await blocking.blockEventLoop(1200);
+		expect(listStatuses(await caller)).to.deep.equal([200]);
+	});
+
+	it('gets a response though the grace period has ended meanwhile', async () => {
+		server.applyLimits({headerTimeoutMs: 5000, idleTimeoutMs: 15_000});
+		const caller = blocking.runThreadCaller(server.port, [
+			{atMs: 0, text: request}, {atMs: 500, text: request.slice(0, 4)}, {atMs: 1000, text: request.slice(4)},
+		], endMs);
+		setTimeout(async () => {
+			await server.finishShutdown(300);
+			server.close();
+		}, 650);
+		await sleep(700);
+		await blocking.blockEventLoop(1000);
+		expect(listStatuses(await caller)).to.have.lengthOf(2);
+	});
+
+	it('is answered though the timeout of its head has passed meanwhile', async () => {
+		server.applyLimits({headerTimeoutMs: 700, idleTimeoutMs: 15_000});
+		const caller = blocking.runThreadCaller(server.port, [{atMs: 0, text: request.slice(0, 4)}, {atMs: 650, text: request.slice(4)}], 3000);
+		await sleep(500);
+		await blocking.blockEventLoop(1000);
+		expect(listStatuses(await caller)).to.deep.equal([200]);
+	});
+
+	it('is answered though its connection is idle for longer than the limit of heads', async () => {
+		server.applyLimits({headerTimeoutMs: 300, idleTimeoutMs: 15_000});
+		const caller = blocking.runThreadCaller(server.port, [{atMs: 600, text: request}], 3000);
+		await sleep(250);
+		await blocking.blockEventLoop(1000);
+		expect(listStatuses(await caller)).to.deep.equal([200]);
+	});
+
+	it('is answered though the time for its body has passed meanwhile', async () => {
+		const head = 'POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\n\r\n';
+		const caller = blocking.runThreadCaller(server.port, [{atMs: 0, text: `${head}x`}, {atMs: 1000, text: 'x'}], 4000);
+		await sleep(600);
+		await blocking.blockEventLoop(1500);
+		expect(listStatuses(await caller)).to.deep.equal([200]);
+	});
+});
+
+// Guards against a reset of a connection whose caller sends a request at the moment at which the server closes it.
+describe('a request that crosses the close of its idle connection', () => {
+	it('is dropped with a log line, without a reset', async () => {
+		let droppedCount = 0;
+		const server = new gateway.ingress.GatewayServer({
+			protocol: {decodeRequestHead: () => purify.Right(requestHead)},
+			filters: [],
+			dispatcher: {
+				async dispatch(ctx: gateway.call.RequestContext) {
+					ctx.res.end('answer');
+				},
+			} as unknown as gateway.call.RequestDispatcher,
+			clock: new gateway.util.SystemClocks(),
+			log: {
+				write(event) {
+					droppedCount += event === gateway.util.LogEvent.RequestDropped ? 1 : 0;
+				},
+			},
+		});
+		await server.listen({host: '127.0.0.1', port: 0});
+		server.applyLimits({headerTimeoutMs: 5000, idleTimeoutMs: 0});
+		const seen = await blocking.runThreadCaller(server.port, [{atMs: 0, text: request}, {afterEndMs: 300, text: request}], endMs);
+		server.close();
+		expect({statuses: listStatuses(seen), error: seen.error, droppedCount}).to.deep.equal({statuses: [200], error: undefined, droppedCount: 1});
+	});
+});
