--- a/packages/gateway/src/call/body-reader.ts
+++ b/packages/gateway/src/call/body-reader.ts
@@ -1,5 +1,5 @@
 import type * as http from 'node:http';
-import * as timerMs from '../util/timer-ms.js';
+import * as clients from '@bluebellmast/kv';
 
 /** How the reading of a body ended. */
 export enum BodyEnd {
@@ -32,7 +32,7 @@
 	return new Promise(resolve => {
 		let size = 0;
 		const endWith = (bodyEnd: BodyEnd): void => {
-			clearTimeout(timer);
+			timer.clear();
 			req.off('data', onData).off('end', onEnd).off('error', onAborted).off('close', onAborted);
 			req.resume();
 			resolve(bodyEnd);
@@ -55,9 +55,9 @@
 			}
 		};
 
-		const timer = setTimeout(() => {
+		const timer = new clients.timeouts.InputTimer(bounds.maxMs, () => {
 			endWith(BodyEnd.TimedOut);
-		}, timerMs.toTimerMs(bounds.maxMs));
+		});
 		req.on('data', onData).once('end', onEnd).once('error', onAborted).once('close', onAborted);
 	});
 }
--- a/packages/gateway/src/ingress/caller-http-server.ts
+++ b/packages/gateway/src/ingress/caller-http-server.ts
@@ -1,7 +1,14 @@
 import * as http from 'node:http';
+import type * as net from 'node:net';
+import * as lingeringClose from '../util/lingering-close.js';
 
-/** HTTP server that keeps idle connections open while a response has ended that is not sent as a whole; Node counts its connection as idle. */
+/**
+ * HTTP server that closes idle connections without a reset, so that a caller whose request crosses the close can tell that it was not executed.
+ * It keeps them open while a response has ended that is not sent as a whole, since Node counts its connection as idle.
+ */
 export class CallerHttpServer extends http.Server {
+	#isClosingIdle = false;
+
 	constructor(
 		options: http.ServerOptions,
 		private readonly handle: (req: http.IncomingMessage, res: http.ServerResponse) => void,
@@ -9,11 +16,19 @@
 	) {
 		super(options);
 		this.on('request', this.handle);
+		this.on('connection', (socket: net.Socket) => {
+			lingeringClose.setLingerTime(socket, lingeringClose.minLingerMs);
+			lingeringClose.lingerOnDestroy(socket, () => this.#isClosingIdle);
+		});
 	}
 
 	override closeIdleConnections(): void {
-		if (!this.hasUnsentResponses()) {
-			super.closeIdleConnections();
+		if (this.hasUnsentResponses()) {
+			return;
 		}
+
+		this.#isClosingIdle = true;
+		super.closeIdleConnections();
+		this.#isClosingIdle = false;
 	}
 }
--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -2,17 +2,18 @@
 import type * as net from 'node:net';
 import * as timers from 'node:timers/promises';
 import * as core from '@bluebellmast/core';
+import * as clients from '@bluebellmast/kv';
 import * as call from '../call/index.js';
 import type * as ports from '../ports/index.js';
 import * as abortResponse from '../util/abort-response.js';
 import type * as clocks from '../util/clocks.js';
 import * as eventLog from '../util/event-log.js';
+import * as lingeringClose from '../util/lingering-close.js';
 import * as listen from '../util/listen.js';
 import * as callerHttpServer from './caller-http-server.js';
 import * as connectionRejection from './connection-rejection.js';
 import * as headerTimeout from './header-timeout.js';
 import * as idleConnections from './idle-connections.js';
-import * as lingeringClose from './lingering-close.js';
 import * as refusalSender from './refusal-sender.js';
 import * as responseOrder from './response-order.js';
 
@@ -73,11 +74,12 @@
 			},
 			() => [...this.#openResponses].some(res => res.writableEnded && !res.writableFinished),
 		);
-		this.#server.on('connection', (socket: net.Socket) => {
-			lingeringClose.setLingerTime(socket, lingeringClose.minLingerMs);
-		});
 		this.#server.on('clientError', (err: NodeJS.ErrnoException, socket: net.Socket) => {
-			this.#rejectConnection(err, socket);
+			if (connectionRejection.isHeadTimeout(err)) {
+				void this.#rejectSlowHead(err, socket);
+			} else {
+				this.#rejectConnection(err, socket);
+			}
 		});
 		this.#server.on('connect', (req: http.IncomingMessage, socket: net.Socket) => {
 			this.#rejectConnection(new Error(`method ${req.method}`), socket);
@@ -123,9 +125,12 @@
 	 * read when the last response ends are waited for as well.
 	 */
 	async finishShutdown(maxMs: number): Promise<void> {
-		this.#server.close();
 		const now = (): number => this.dependencies.clock.monotonicNow();
 		const endsAt = now() + maxMs;
+		// Connections that wait to be accepted would be reset; their requests are read one turn after they are accepted.
+		await clients.timeouts.waitForInput();
+		await clients.timeouts.waitForInput();
+		this.#server.close();
 		let lastResponseAt = now();
 		while (now() < endsAt) {
 			if (this.#openResponses.size > 0) {
@@ -135,6 +140,7 @@
 			}
 
 			await timers.setTimeout(drainCheckIntervalMs); // eslint-disable-line no-await-in-loop -- Waits between checks.
+			await clients.timeouts.waitForInput(); // eslint-disable-line no-await-in-loop -- Waits between checks.
 		}
 	}
 
@@ -230,7 +236,7 @@
 		if (remainingMs > 0) {
 			socket.setTimeout(Math.ceil(remainingMs));
 		} else {
-			socket.destroy();
+			void lingeringClose.closeIdle(socket);
 		}
 	}
 
@@ -317,6 +323,15 @@
 		return ctx.res.destroyed ? undefined : this.dependencies.dispatcher.dispatch(ctx as call.RoutedRequest);
 	}
 
+	/** Handles a head that takes too long, unless the rest of it had arrived, but was not read yet. */
+	async #rejectSlowHead(err: NodeJS.ErrnoException, socket: net.Socket): Promise<void> {
+		const last = this.#order.getLast(socket);
+		await clients.timeouts.waitForInput();
+		if (this.#order.getLast(socket) === last) {
+			this.#rejectConnection(err, socket);
+		}
+	}
+
 	/** Handles bytes that are no request, or a head that takes too long. */
 	#rejectConnection(err: NodeJS.ErrnoException, socket: net.Socket): void {
 		if (err.code === 'ECONNRESET') {
--- a/packages/gateway/src/ingress/header-timeout.ts
+++ b/packages/gateway/src/ingress/header-timeout.ts
@@ -1,4 +1,4 @@
-import * as timerMs from '../util/timer-ms.js';
+import * as clients from '@bluebellmast/kv';
 
 /**
  * Timeout of the heads of requests. A timeout that is lowered takes effect once the heads have ended that began under the one before, since
@@ -26,7 +26,7 @@
 
 		this.#lowering = setTimeout(() => {
 			this.#apply(timeoutMs);
-		}, timerMs.toTimerMs(this.#currentMs));
+		}, clients.timeouts.toTimerMs(this.#currentMs));
 		this.#lowering.unref();
 	}
 
--- a/packages/gateway/src/ingress/refusal-sender.ts
+++ b/packages/gateway/src/ingress/refusal-sender.ts
@@ -3,7 +3,7 @@
 import * as call from '../call/index.js';
 import * as abortResponse from '../util/abort-response.js';
 import type * as clocks from '../util/clocks.js';
-import * as lingeringClose from './lingering-close.js';
+import * as lingeringClose from '../util/lingering-close.js';
 
 /** Time for which the rest of a refused request's body is awaited, in milliseconds: callers give a request up that is not read within it. */
 const maxDiscardMs = 1000;
--- a/packages/gateway/src/ingress/response-order.ts
+++ b/packages/gateway/src/ingress/response-order.ts
@@ -31,6 +31,11 @@
 		return this.#last.get(res.req.socket) === res;
 	}
 
+	/** Returns the response to the last request of a connection, if there was one. */
+	getLast(socket: net.Socket): http.ServerResponse | undefined {
+		return this.#last.get(socket);
+	}
+
 	/** Returns the response to the last request of a connection if it is not closed. */
 	getOpen(socket: net.Socket): http.ServerResponse | undefined {
 		const res = this.#last.get(socket);
--- a/packages/gateway/src/ingress/lingering-close.ts
+++ b/packages/gateway/src/util/lingering-close.ts
@@ -1,4 +1,5 @@
 import type * as net from 'node:net';
+import * as clients from '@bluebellmast/kv';
 
 /** Time for which a connection is kept at least after its last response, in milliseconds, to discard what its caller is still sending. */
 export const minLingerMs = 1000;
@@ -13,18 +14,40 @@
 		return;
 	}
 
-	const timer = setTimeout(() => {
+	const timer = new clients.timeouts.InputTimer(maxMs, () => {
 		socket.destroy();
-	}, maxMs);
+	});
 	socket.once('close', () => {
-		clearTimeout(timer);
+		timer.clear();
 	});
 	socket.end();
 }
 
+/** Closes an idle connection, unless bytes have arrived that were not read yet. */
+export async function closeIdle(socket: net.Socket): Promise<void> {
+	const {bytesRead} = socket;
+	await clients.timeouts.waitForInput();
+	if (socket.bytesRead === bytesRead) {
+		closeLingering(socket, minLingerMs);
+	}
+}
+
 /** Sets how long a connection lingers when Node's HTTP server closes it after its last response, in milliseconds. */
 export function setLingerTime(socket: net.Socket, maxMs: number): void {
 	socket.destroySoon = () => {
 		closeLingering(socket, maxMs);
 	};
 }
+
+/** Has a connection linger when Node's HTTP server destroys it while a condition holds. */
+export function lingerOnDestroy(socket: net.Socket, mustLinger: () => boolean): void {
+	const destroy = socket.destroy.bind(socket);
+	socket.destroy = err => {
+		if (!mustLinger()) {
+			return destroy(err);
+		}
+
+		closeLingering(socket, minLingerMs);
+		return socket;
+	};
+}
--- a/packages/gateway/src/util/path-server.ts
+++ b/packages/gateway/src/util/path-server.ts
@@ -1,5 +1,7 @@
 import * as http from 'node:http';
+import type * as net from 'node:net';
 import * as eventLog from './event-log.js';
+import * as lingeringClose from './lingering-close.js';
 import * as listen from './listen.js';
 
 /** Handles a request for the path of a {@link PathServer}. */
@@ -13,6 +15,9 @@
 		this.#server = http.createServer((req, res) => {
 			void this.#handle(req, res);
 		});
+		this.#server.on('timeout', (socket: net.Socket) => {
+			void lingeringClose.closeIdle(socket);
+		});
 	}
 
 	/** Starts listening. */
--- a/packages/kv/src/index.ts
+++ b/packages/kv/src/index.ts
@@ -1,2 +1,3 @@
 export * as kv from './kv/index.js';
+export * as timeouts from './timeouts/index.js';
 export * as vms from './vms/index.js';
--- a/platform/src/call-deadline.ts
+++ b/packages/kv/src/timeouts/call-deadline.ts
@@ -1,10 +1,12 @@
+import * as silenceTimer from './silence-timer.js';
+
 /**
- * Ends a call after a time, or when its caller gives it up. The timer refers to the signal: one that is combined by
+ * Ends a call after a time without its response, or when its caller gives it up. The timer refers to the signal: one that is combined by
  * `AbortSignal.any` from `AbortSignal.timeout` may be collected as garbage before the timeout, and then never aborts.
  */
 export class CallDeadline {
 	readonly #controller = new AbortController();
-	readonly #timer: NodeJS.Timeout;
+	readonly #timer: silenceTimer.SilenceTimer;
 	readonly #onCallerAbort: () => void;
 
 	/**
@@ -12,9 +14,9 @@
 	 * @param callerSignal - Aborts the call earlier, with its reason.
 	 */
 	constructor(timeoutMs: number, private readonly callerSignal?: AbortSignal) {
-		this.#timer = setTimeout(() => {
+		this.#timer = new silenceTimer.SilenceTimer(timeoutMs, () => {
 			this.#controller.abort(new DOMException(`no response within ${timeoutMs} ms`, 'TimeoutError'));
-		}, timeoutMs);
+		});
 		this.#onCallerAbort = () => {
 			this.#controller.abort(callerSignal?.reason);
 		};
@@ -32,7 +34,7 @@
 
 	/** Releases the timer and the listener after the call has ended. */
 	clear(): void {
-		clearTimeout(this.#timer);
+		this.#timer.clear();
 		this.callerSignal?.removeEventListener('abort', this.#onCallerAbort);
 	}
 }
--- /dev/null
+++ b/packages/kv/src/timeouts/index.ts
@@ -0,0 +1,3 @@
+export * from './call-deadline.js';
+export * from './input-timer.js';
+export * from './silence-timer.js';
