--- a/packages/gateway/tests/ingress/blocked-event-loop.test.ts
+++ b/packages/gateway/tests/ingress/blocked-event-loop.test.ts
@@ -1,7 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import * as chai from 'chai';
 import * as purify from 'purify-ts';
-import * as blocking from '../support/blocking.js';
+import * as blocking from '../../../kv/tests/support/blocking.js';
 import * as gateway from '@bluebellmast/gateway';
 
 const {expect} = chai;
--- a/packages/gateway/tests/support/blocking.ts
+++ b/packages/kv/tests/support/blocking.ts
@@ -1,3 +1,4 @@
+import * as net from 'node:net';
 import * as worker from 'node:worker_threads';
 
 /** Blocks the event loop in its check phase, so that timers that become due run before sockets are read. */
@@ -62,3 +63,23 @@
 		caller.once('error', reject);
 	});
 }
+
+/** Connects to a thread that sends a byte after a time, also while the event loop of this one is blocked. @returns The connection. */
+export async function connectToSender(afterMs: number): Promise<net.Socket> {
+	const code = `
+		const {parentPort, workerData} = require('node:worker_threads');
+		const server = require('node:net').createServer(socket => {
+			setTimeout(() => { socket.end('x'); server.close(); }, workerData);
+		});
+		server.listen(0, '127.0.0.1', () => { parentPort.postMessage(server.address().port); });
+	`;
+	const sender = new worker.Worker(code, {eval: true, workerData: afterMs});
+	const port = await new Promise<number>(resolve => {
+		sender.once('message', resolve);
+	});
+	const socket = net.connect(port, '127.0.0.1');
+	await new Promise(resolve => {
+		socket.once('connect', resolve);
+	});
+	return socket;
+}
