--- a/packages/gateway/src/call/attempt-timers.ts
+++ b/packages/gateway/src/call/attempt-timers.ts
@@ -1,5 +1,5 @@
 import * as core from '@bluebellmast/core';
-import * as timerMs from '../util/timer-ms.js';
+import * as clients from '@bluebellmast/kv';
 
 /**
  * Time without a response after which a safe request is retried at another endpoint, as a multiple of the target latency of
@@ -20,8 +20,8 @@
  * again after the same time while that lasts.
  */
 export class AttemptTimers {
-	#responseTimer: NodeJS.Timeout | undefined;
-	#eventTimer: NodeJS.Timeout | undefined;
+	#responseTimer: clients.timeouts.SilenceTimer | undefined;
+	#eventTimer: clients.timeouts.SilenceTimer | undefined;
 
 	constructor(private readonly route: Pick<core.routing.Route, 'kind' | 'isResumable' | 'targetLatencyMs' | 'gapTargetMs'>) {}
 
@@ -29,15 +29,16 @@
 	start(onStalled: () => void): void {
 		this.stop();
 		if (this.route.kind === core.routing.RouteKind.Safe) {
-			this.#responseTimer = setInterval(onStalled, timerMs.toTimerMs(Math.max(minStallTimeoutMs, stallTimeoutFactor * this.route.targetLatencyMs)));
+			this.#responseTimer = createRepeatedTimer(Math.max(minStallTimeoutMs, stallTimeoutFactor * this.route.targetLatencyMs), onStalled);
 		}
 	}
 
 	/** Waits for the next event of a stream, as its response has begun or an event is complete. */
 	restart(onStalled: () => void): void {
-		clearInterval(this.#eventTimer);
-		if (this.route.kind === core.routing.RouteKind.Streaming && this.route.isResumable) {
-			this.#eventTimer = setInterval(onStalled, timerMs.toTimerMs(Math.max(minEventTimeoutMs, eventTimeoutFactor * this.route.gapTargetMs)));
+		if (this.#eventTimer !== undefined) {
+			this.#eventTimer.refresh();
+		} else if (this.route.kind === core.routing.RouteKind.Streaming && this.route.isResumable) {
+			this.#eventTimer = createRepeatedTimer(Math.max(minEventTimeoutMs, eventTimeoutFactor * this.route.gapTargetMs), onStalled);
 		}
 	}
 
@@ -49,7 +50,18 @@
 
 	/** Ends the waits of an attempt. */
 	stop(): void {
-		clearInterval(this.#responseTimer);
-		clearInterval(this.#eventTimer);
+		this.#responseTimer?.clear();
+		this.#eventTimer?.clear();
+		this.#responseTimer = undefined;
+		this.#eventTimer = undefined;
 	}
 }
+
+/** Creates a timer that begins anew each time it has called back. */
+function createRepeatedTimer(timeoutMs: number, onStalled: () => void): clients.timeouts.SilenceTimer {
+	const timer = new clients.timeouts.SilenceTimer(timeoutMs, () => {
+		timer.refresh();
+		onStalled();
+	});
+	return timer;
+}
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -1,9 +1,9 @@
 import * as core from '@bluebellmast/core';
+import * as clients from '@bluebellmast/kv';
 import * as endpoints from '../endpoints/index.js';
 import type * as endpointPlacer from '../placement/endpoint-placer.js';
 import type * as ports from '../ports/index.js';
 import * as clocks from '../util/clocks.js';
-import * as timerMs from '../util/timer-ms.js';
 import * as responseRelay from './response-relay.js';
 import * as responseTimer from './response-timer.js';
 import * as activeAttempts from './active-attempts.js';
@@ -102,11 +102,11 @@
 		};
 
 		const now = this.dependencies.clock.monotonicNow();
-		const timer = setTimeout(() => {
+		const timer = new clients.timeouts.InputTimer(Math.max(0, this.#deadlineAt - now + lateResponseGraceMs), () => {
 			this.#isTimedOut = true;
 			this.#endpointFinder.cancel();
 			this.#active.abort(endpoints.AttemptFault.TimedOut);
-		}, timerMs.toTimerMs(Math.max(0, this.#deadlineAt - now + lateResponseGraceMs)));
+		});
 		this.request.res.once('close', onClose);
 		this.dependencies.retryWindows.of(this.#pool, now).countRequest(now);
 		try {
@@ -114,7 +114,7 @@
 		} finally {
 			this.request.responseTimes = this.#responseTimer.getTimes(this.request.arrivedAt);
 			this.#rules.releaseRetry();
-			clearTimeout(timer);
+			timer.clear();
 			this.request.res.off('close', onClose);
 		}
 	}
