--- a/packages/core/src/fleet/endpoint-health.ts
+++ b/packages/core/src/fleet/endpoint-health.ts
@@ -1,3 +1,5 @@
+import * as blockedTimes from '../util/blocked-times.js';
+
 /** Options of passive health checks, in milliseconds unless the name says otherwise. */
 export type HealthOptions = {
 	/** An endpoint that sends nothing for this long after a response was due becomes suspected. */
@@ -51,6 +53,7 @@
 /** Tracks the health of endpoints by their responses, so that only suspected ones need a check. */
 export class EndpointHealth {
 	readonly #records = new Map<string, EndpointRecord>();
+	readonly #blockedTimes = new blockedTimes.BlockedTimes();
 
 	constructor(private readonly options: HealthOptions = defaultHealthOptions) {}
 
@@ -80,6 +83,11 @@
 		return true;
 	}
 
+	/** Records that this VM read nothing for a time, which does not count as silence of endpoints. */
+	recordBlocked(blockedMs: number, now: number): void {
+		this.#blockedTimes.record(blockedMs, now);
+	}
+
 	/** Records the end of an attempt, regardless of its outcome. */
 	recordEnd(endpoint: string, attempt: string): void {
 		this.#records.get(endpoint)?.responsesDueAt.delete(attempt);
@@ -189,7 +197,9 @@
 	#isSilent(record: EndpointRecord, lastReceivedByOthers: number, now: number): boolean {
 		const lastReceivedAt = Math.max(record.lastReceivedAt, lastReceivedByOthers);
 		for (const dueAt of record.responsesDueAt.values()) {
-			if (now - Math.max(dueAt, lastReceivedAt) >= this.options.silenceTimeoutMs) {
+			const silentSince = Math.max(dueAt, lastReceivedAt);
+			if (now - silentSince >= this.options.silenceTimeoutMs
+				&& this.#blockedTimes.computeUnblockedMs(silentSince, now) >= this.options.silenceTimeoutMs) {
 				return true;
 			}
 		}
--- a/packages/core/src/util/index.ts
+++ b/packages/core/src/util/index.ts
@@ -1,3 +1,4 @@
+export * from './blocked-times.js';
 export * from './hash.js';
 export * from './invariant.js';
 export * from './random.js';
--- a/packages/core/tests/fleet/endpoint-health.test.ts
+++ b/packages/core/tests/fleet/endpoint-health.test.ts
@@ -103,4 +103,14 @@
 			expect(health.isResponsive('a')).to.equal(false);
 		});
 	});
+
+	// Guards against an endpoint that gets no requests since this VM did not read what it sent.
+	it('does not check an endpoint for a time in which the event loop of the VM was blocked', () => {
+		const health = new core.fleet.EndpointHealth();
+		health.recordSent('a', 'r1', 300, 0);
+		health.recordBlocked(1000, 1200);
+		expect(health.startDueChecks(never, 1200)).to.deep.equal([]);
+		expect(health.startDueChecks(never, 1699)).to.deep.equal([]);
+		expect(health.startDueChecks(never, 1700)).to.deep.equal(['a']);
+	});
 });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -178,6 +178,13 @@
 			{name: 'lease', intervalMs: leaseIntervalMs, run: async () => leaseController.tick()},
 			{name: 'rollout', intervalMs: rolloutIntervalMs, run: async () => rolloutController.tick()},
 		];
-		return periodicTask.runPeriodically(tasks, {stepMs: taskStepMs, now: () => clock.monotonicNow(), log});
+		return periodicTask.runPeriodically(tasks, {
+			stepMs: taskStepMs,
+			now: () => clock.monotonicNow(),
+			log,
+			onBlocked: blockedMs => {
+				this.components.fleet.health.recordBlocked(blockedMs, clock.monotonicNow());
+			},
+		});
 	}
 }
--- a/packages/gateway/src/util/periodic-task.ts
+++ b/packages/gateway/src/util/periodic-task.ts
@@ -1,3 +1,4 @@
+import * as clients from '@bluebellmast/kv';
 import * as eventLog from './event-log.js';
 
 /** Stops tasks that run periodically. */
@@ -58,19 +59,22 @@
 	/** Returns milliseconds of the monotonic clock. */
 	readonly now: () => number;
 	readonly log: eventLog.EventLog;
+	/** Called before the tasks run if the event loop was blocked meanwhile, after the input that had arrived was read. */
+	readonly onBlocked?: (blockedMs: number) => void;
 };
 
 /** Delay of the timer from which on the event loop counts as blocked, in milliseconds; a wait for the processor of some steps is usual. */
 const minBlockedMs = 100;
 
 /**
- * Runs tasks periodically, starting immediately, by one timer, so that the process wakes up once for all that are due. Errors are logged and do not
+ * Runs tasks periodically, starting immediately, by one timer, so that the process wakes up once for all that are due. The tasks run after the input that has arrived by
+ * then was read. Errors are logged and do not
  * stop a task; so is each time for which the event loop was blocked.
  */
-export function runPeriodically(tasks: readonly PeriodicTask[], {stepMs, now, log}: PeriodicTasksOptions): PeriodicTaskHandle {
+export function runPeriodically(tasks: readonly PeriodicTask[], {stepMs, now, log, onBlocked}: PeriodicTasksOptions): PeriodicTaskHandle {
 	const schedule = new TaskSchedule(tasks, stepMs);
 	let isStopped = false;
-	let timer: NodeJS.Timeout | undefined;
+	let timer: clients.timeouts.InputTimer | undefined;
 	let dueAt = now();
 	const run = async (task: PeriodicTask): Promise<void> => {
 		try {
@@ -86,6 +90,7 @@
 		const blockedMs = Math.round(now() - dueAt);
 		if (blockedMs >= minBlockedMs) {
 			log.write(eventLog.LogEvent.EventLoopBlocked, {blockedMs});
+			onBlocked?.(blockedMs);
 		}
 
 		for (const task of schedule.takeDue(now())) {
@@ -96,15 +101,15 @@
 
 		if (!isStopped) {
 			dueAt = now() + stepMs;
-			timer = setTimeout(step, stepMs);
+			timer = new clients.timeouts.InputTimer(stepMs, step);
 		}
 	};
 
-	timer = setTimeout(step, 0);
+	timer = new clients.timeouts.InputTimer(0, step);
 	return {
 		stop() {
 			isStopped = true;
-			clearTimeout(timer);
+			timer?.clear();
 		},
 	};
 }
