Don't execute requests of callers that left while the event loop was blocked

Cause: the end of a connection is read one turn of the event loop after the bytes before it, so that a request is dispatched before its caller is known to have left. Change: for 0.1 s after a block, reported by the timer of the periodic tasks before anything is read, requests wait for two turns; a caller that has ended its side counts as disconnected at once, as Node closes its connection then. The log lines of a request's end move to RequestLog.

--- a/packages/gateway/src/call/request-context.ts
+++ b/packages/gateway/src/call/request-context.ts
@@ -32,7 +32,8 @@
 	readonly route: core.routing.Route;
 };
 
-/** Returns whether the caller can't receive a response any more: its connection is closed, or its request was refused at the end of a shutdown. */
+/** Returns whether the caller can't receive a response any more: its connection is closed or ended, or its request was refused at the end of a shutdown. */
 export function isCallerDisconnected(ctx: RequestContext): boolean {
-	return ctx.res.destroyed || ctx.res.writableEnded || ctx.req.socket.destroyed;
+	// Node closes a connection soon after its caller has ended its side.
+	return ctx.res.destroyed || ctx.res.writableEnded || ctx.req.socket.destroyed || ctx.req.socket.readableEnded;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -183,7 +183,9 @@
 			now: () => clock.monotonicNow(),
 			log,
 			onBlocked: blockedMs => {
-				this.components.fleet.health.recordBlocked(blockedMs, clock.monotonicNow());
+				const blockedUntil = clock.monotonicNow();
+				this.components.fleet.health.recordBlocked(blockedMs, blockedUntil);
+				this.components.server.recordBlocked(blockedUntil);
 			},
 		});
 	}
--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -1,7 +1,6 @@
 import type * as http from 'node:http';
 import type * as net from 'node:net';
 import * as timers from 'node:timers/promises';
-import * as core from '@bluebellmast/core';
 import * as clients from '@bluebellmast/kv';
 import * as call from '../call/index.js';
 import type * as ports from '../ports/index.js';
@@ -15,6 +14,7 @@
 import * as headerTimeout from './header-timeout.js';
 import * as idleConnections from './idle-connections.js';
 import * as refusalSender from './refusal-sender.js';
+import * as requestLog from './request-log.js';
 import * as responseOrder from './response-order.js';
 
 /** Dependencies of {@link GatewayServer}. */
@@ -38,6 +38,8 @@
 const keepAliveMarginMs = 2000;
 /** Interval at which a server that shuts down checks for open requests, in milliseconds. */
 const drainCheckIntervalMs = 100;
+/** Time after a block of the event loop in which requests wait until the ends of their connections are read, in milliseconds. */
+const afterBlockMs = 100;
 /** Time for which a server that shuts down keeps connections on which no whole request has arrived, in milliseconds. */
 const partialRequestGraceMs = 1000;
 
@@ -45,6 +47,8 @@
 export class GatewayServer {
 	readonly #server: callerHttpServer.CallerHttpServer;
 	#isShuttingDown = false;
+	/** When the event loop was last blocked, in milliseconds of the monotonic clock. */
+	#blockedAt = -Infinity;
 	/** Responses that have not been handled, or not been passed on to the connection as a whole. */
 	readonly #openResponses = new Set<http.ServerResponse>();
 	/** Requests whose head was decoded, by response. */
@@ -59,8 +63,10 @@
 	readonly #closing = new WeakSet<http.ServerResponse>();
 
 	readonly #refusals: refusalSender.RefusalSender;
+	readonly #log: requestLog.RequestLog;
 
 	constructor(private readonly dependencies: GatewayServerDependencies) {
+		this.#log = new requestLog.RequestLog(dependencies.log);
 		this.#refusals = new refusalSender.RefusalSender(dependencies.clock);
 		this.#server = new callerHttpServer.CallerHttpServer(
 			{
@@ -97,6 +103,11 @@
 		this.#server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveMarginMs;
 	}
 
+	/** Records that the event loop was blocked up to now, so that callers may have left whose requests are read next. */
+	recordBlocked(now: number): void {
+		this.#blockedAt = now;
+	}
+
 	/** Starts listening. */
 	async listen(address: listen.ListenAddress): Promise<void> {
 		return listen.listenOn(this.#server, address);
@@ -195,7 +206,7 @@
 		try {
 			await this.#handleRequest({req, res, arrivedAt});
 		} catch (err) {
-			this.#logError(err);
+			this.#log.writeError(err);
 			await this.#refusals.send({req, res, arrivedAt}, {code: call.RefusalCode.InternalError});
 		} finally {
 			this.#forgetWhenClosed(res, keepAliveMs);
@@ -256,15 +267,15 @@
 		try {
 			refusal = await this.#process(ctx);
 		} catch (err) {
-			this.#logError(err);
+			this.#log.writeError(err);
 		}
 
 		if (refusal !== undefined) {
 			await this.#refusals.send(ctx, refusal);
 		}
 
-		this.#logEnd(ctx, refusal);
-		this.#logUnsent(ctx);
+		this.#log.writeEnd(ctx, refusal, this.dependencies.clock.monotonicNow());
+		this.#log.watchUnsent(ctx);
 	}
 
 	#decodeHead(req: http.IncomingMessage): ReturnType<ports.CallerProtocol['decodeRequestHead']> {
@@ -272,44 +283,7 @@
 	}
 
 	#logDropped(req: http.IncomingMessage): void {
-		const request = this.#decodeHead(req).map(head => head.requestId).toMaybe().extract();
-		this.dependencies.log.write(eventLog.LogEvent.RequestDropped, {request});
-	}
-
-	/** Logs a response that ended if its connection is closed before the last byte has left the process. */
-	#logUnsent({head, res}: call.RequestContext): void {
-		if (!res.writableEnded || res.writableFinished) {
-			return;
-		}
-
-		res.once('close', () => {
-			if (!res.writableFinished) {
-				this.dependencies.log.write(eventLog.LogEvent.ResponseUnsent, {
-					request: head.requestId, status: res.statusCode, problem: res.req.socket.errored?.message ?? 'connection closed',
-				});
-			}
-		});
-	}
-
-	#logError(err: unknown): void {
-		this.dependencies.log.write(eventLog.LogEvent.InternalError, {task: 'request', problem: String(err)});
-	}
-
-	#logEnd(ctx: call.RequestContext, refusal: call.Refusal | undefined): void {
-		const {head, res, route} = ctx;
-		this.dependencies.log.write(eventLog.LogEvent.RequestEnded, {
-			request: head.requestId,
-			outcome: getOutcome(ctx, refusal),
-			route: route?.name,
-			kind: route?.kind,
-			status: res.headersSent ? res.statusCode : 0,
-			code: refusal?.code,
-			retryAfterMs: refusal?.retryAfterMs === undefined ? undefined : Math.round(refusal.retryAfterMs),
-			obstacle: ctx.obstacle,
-			...refusal?.inputs,
-			...ctx.responseTimes,
-			tookMs: Math.round(this.dependencies.clock.monotonicNow() - ctx.arrivedAt),
-		});
+		this.#log.writeDropped(this.#decodeHead(req).map(head => head.requestId).toMaybe().extract());
 	}
 
 	async #process(ctx: call.RequestContext): Promise<call.Refusal | undefined> {
@@ -320,7 +294,13 @@
 			}
 		}
 
-		return ctx.res.destroyed ? undefined : this.dependencies.dispatcher.dispatch(ctx as call.RoutedRequest);
+		if (this.dependencies.clock.monotonicNow() - this.#blockedAt <= afterBlockMs) {
+			// The end of a connection is read one turn of the event loop after the bytes before it.
+			await clients.timeouts.waitForInput();
+			await clients.timeouts.waitForInput();
+		}
+
+		return call.isCallerDisconnected(ctx) ? undefined : this.dependencies.dispatcher.dispatch(ctx as call.RoutedRequest);
 	}
 
 	/** Handles a head that takes too long, unless the rest of it had arrived, but was not read yet. */
@@ -383,15 +363,3 @@
 		abortResponse.abortResponse(res);
 	}
 }
-
-function getOutcome({res, isTruncated}: call.RequestContext, refusal: call.Refusal | undefined): core.log.RequestOutcome {
-	if (refusal !== undefined && refusal.code !== call.RefusalCode.CallerDisconnected) {
-		return core.log.RequestOutcome.Refused;
-	}
-
-	if (isTruncated) {
-		return core.log.RequestOutcome.Truncated;
-	}
-
-	return res.writableEnded ? core.log.RequestOutcome.Answered : core.log.RequestOutcome.CallerDisconnected;
-}
--- a/packages/gateway/src/util/periodic-task.ts
+++ b/packages/gateway/src/util/periodic-task.ts
@@ -59,7 +59,7 @@
 	/** Returns milliseconds of the monotonic clock. */
 	readonly now: () => number;
 	readonly log: eventLog.EventLog;
-	/** Called before the tasks run if the event loop was blocked meanwhile, after the input that had arrived was read. */
+	/** Called if the event loop was blocked, before the input that arrived meanwhile is read. */
 	readonly onBlocked?: (blockedMs: number) => void;
 };
 
@@ -67,14 +67,13 @@
 const minBlockedMs = 100;
 
 /**
- * Runs tasks periodically, starting immediately, by one timer, so that the process wakes up once for all that are due. The tasks run after the input that has arrived by
- * then was read. Errors are logged and do not
- * stop a task; so is each time for which the event loop was blocked.
+ * Runs tasks periodically, starting immediately, by one timer, so that the process wakes up once for all that are due. The tasks run after the
+ * input that had arrived by then was read. Errors are logged and do not stop a task; times for which the event loop was blocked are logged as well.
  */
 export function runPeriodically(tasks: readonly PeriodicTask[], {stepMs, now, log, onBlocked}: PeriodicTasksOptions): PeriodicTaskHandle {
 	const schedule = new TaskSchedule(tasks, stepMs);
 	let isStopped = false;
-	let timer: clients.timeouts.InputTimer | undefined;
+	let timer: NodeJS.Timeout | undefined;
 	let dueAt = now();
 	const run = async (task: PeriodicTask): Promise<void> => {
 		try {
@@ -86,30 +85,34 @@
 		schedule.recordEnd(task, now());
 	};
 
-	const step = (): void => {
-		const blockedMs = Math.round(now() - dueAt);
-		if (blockedMs >= minBlockedMs) {
-			log.write(eventLog.LogEvent.EventLoopBlocked, {blockedMs});
-			onBlocked?.(blockedMs);
-		}
-
+	const runDue = (): void => {
 		for (const task of schedule.takeDue(now())) {
 			if (!isStopped) {
 				void run(task);
 			}
 		}
+	};
+
+	const step = async (): Promise<void> => {
+		const blockedMs = Math.round(now() - dueAt);
+		if (blockedMs >= minBlockedMs) {
+			log.write(eventLog.LogEvent.EventLoopBlocked, {blockedMs});
+			onBlocked?.(blockedMs);
+		}
 
+		await clients.timeouts.waitForInput();
 		if (!isStopped) {
+			runDue();
 			dueAt = now() + stepMs;
-			timer = new clients.timeouts.InputTimer(stepMs, step);
+			timer = setTimeout(step, stepMs);
 		}
 	};
 
-	timer = new clients.timeouts.InputTimer(0, step);
+	timer = setTimeout(step, 0);
 	return {
 		stop() {
 			isStopped = true;
-			timer?.clear();
+			clearTimeout(timer);
 		},
 	};
 }
--- a/packages/gateway/tests/ingress/blocked-event-loop.test.ts
+++ b/packages/gateway/tests/ingress/blocked-event-loop.test.ts
@@ -108,6 +108,46 @@
 	});
 });
 
+// Guards against work for callers that left while the event loop was blocked: a request is read before the end of its connection.
+describe('a request whose caller leaves while the event loop is blocked', () => {
+	it('is not dispatched', async () => {
+		const dispatched: string[] = [];
+		const clock = new gateway.util.SystemClocks();
+		const server = new gateway.ingress.GatewayServer({
+			protocol: {decodeRequestHead: ({target}) => purify.Right({...requestHead, target})},
+			filters: [new gateway.call.BodyFilter(clock)],
+			dispatcher: {
+				async dispatch(ctx: gateway.call.RequestContext) {
+					dispatched.push(ctx.head.target);
+					ctx.res.end('answer');
+				},
+			} as unknown as gateway.call.RequestDispatcher,
+			clock,
+			log: {write: () => undefined},
+		});
+		await server.listen({host: '127.0.0.1', port: 0});
+		server.applyLimits({headerTimeoutMs: 5000, idleTimeoutMs: 15_000});
+		const tasks = gateway.util.runPeriodically([], {
+			stepMs: 10,
+			now: () => performance.now(),
+			log: {write: () => undefined},
+			onBlocked() {
+				server.recordBlocked(performance.now());
+			},
+		});
+		const callers = [1, 2, 3].map(async number => blocking.runThreadCaller(server.port, [
+			{atMs: 0, text: request}, {atMs: 800, text: `GET /left-${number} HTTP/1.1\r\nHost: a.example\r\n\r\n`},
+		], 1000));
+		const patient = blocking.runThreadCaller(server.port, [{atMs: 800, text: 'GET /patient HTTP/1.1\r\nHost: a.example\r\n\r\n'}], 3000);
+		await sleep(500);
+		await blocking.blockEventLoop(1200);
+		await Promise.all([...callers, patient]);
+		tasks.stop();
+		server.close();
+		expect(dispatched).to.deep.equal(['/', '/', '/', '/patient']);
+	});
+});
+
 // Guards against a reset of a connection whose caller sends a request at the moment at which the server closes it.
 describe('a request that crosses the close of its idle connection', () => {
 	it('is dropped with a log line, without a reset', async () => {
