Server stand-in: record when a connection closed in a silence, not when the silence ended

Cause: a request that arrived in a silence was executed after it, and its end was recorded then, also if its connection had closed meanwhile. The check of clients that left compared the end of the silence with the client's time, so that four such requests whose client left over 0.5 s before the end of the silence were four findings. The check needs no silences: the socket of a silent server sees the close. Change: the close is observed from the arrival of the request on. The check is unchanged, and measures 500 ms beside a silence as elsewhere; two records show it (connections closed, and connections open until the silence ends). The test of the stand-in failed first (recorded end 1 ms after the silence).

--- a/packages/stand-ins/src/users-platform/users-server-records.ts
+++ b/packages/stand-ins/src/users-platform/users-server-records.ts
@@ -76,7 +76,7 @@
 	readonly arrivedAt: number;
 	/** When the work on it was to end, as it seemed at its start. */
 	readonly expectedEndAt: number;
-	/** When its response was complete or its connection closed. */
+	/** When its response was complete or its connection closed; before the work began if that was in a silence. */
 	endedAt?: number;
 };
 
--- a/packages/stand-ins/src/users-platform/users-server-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/users-server-stand-in.ts
@@ -3,7 +3,7 @@
 import * as fault from '../fault/index.js';
 import * as util from '../util/index.js';
 import * as duplicateResponses from './duplicate-responses.js';
-import * as executionEnd from './execution-end.js';
+import * as responseEnd from './response-end.js';
 import * as records from './users-server-records.js';
 
 type AskedPause = {
@@ -124,6 +124,7 @@
 	}
 
 	async #handle(req: http.IncomingMessage, res: http.ServerResponse, arrivedAt: number): Promise<void> {
+		const end = new responseEnd.ResponseEnd(res);
 		// A request that arrived in a silence is executed after it, also if its connection has closed meanwhile.
 		const body = Date.now() < this.#silentUntil ? await util.readText(req) : undefined;
 		await this.#waitWhileSilent();
@@ -168,7 +169,7 @@
 			}
 
 			default: {
-				await this.#handleRequest(req, res, arrivedAt, body);
+				await this.#handleRequest(req, res, {arrivedAt, end, body});
 			}
 		}
 	}
@@ -233,7 +234,7 @@
 		return {status: 202, isAccepted: true};
 	}
 
-	async #handleRequest(req: http.IncomingMessage, res: http.ServerResponse, arrivedAt: number, bodyReadBefore?: string): Promise<void> {
+	async #handleRequest(req: http.IncomingMessage, res: http.ServerResponse, {arrivedAt, end, body: bodyReadBefore}: responseEnd.ReceivedRequest): Promise<void> {
 		const requestId = util.headerOf(req, 'bluebellmast-request-id');
 		this.arrivals.push({requestId, at: arrivedAt});
 		const expectedVersion = util.headerOf(req, 'bluebellmast-expected-version');
@@ -252,7 +253,7 @@
 			server: this.options.id, requestId, path: req.url ?? '', body, headers: req.headers, arrivedAt, expectedEndAt: Date.now() + this.#workMs,
 		};
 		this.executions.push(execution);
-		executionEnd.recordEnd(execution, res, () => this.abandonedRequestIds.push(requestId));
+		end.recordIn(execution, () => this.abandonedRequestIds.push(requestId));
 		if (this.fault === records.ServerFault.ResponseLost) {
 			res.destroy();
 			return;
--- a/packages/stand-ins/tests/check/platform/check-platform.test.ts
+++ b/packages/stand-ins/tests/check/platform/check-platform.test.ts
@@ -237,6 +237,15 @@
 		finding: 'still worked on a safe request',
 	},
 	{name: 'requests that servers end shortly after their clients have left', changes: withGone(9, kinds.Safe, 400)},
+	{
+		name: 'requests whose connections are closed shortly after their clients have left, while the server is silent',
+		changes: {...withGone(9, kinds.Safe, 3), silences: [{server: 'plain-0', from: sentAt, to: sentAt + 900}]},
+	},
+	{
+		name: 'requests whose connections stay open after their clients have left until a silence of the server ends',
+		changes: {...withGone(4, kinds.Safe, 810), silences: [{server: 'plain-0', from: sentAt, to: sentAt + 900}]}, findings: 4,
+		finding: 'still worked on a safe request 500 ms after',
+	},
 	{name: 'unsafe requests that a server completes after their clients have left', changes: withGone(9, kinds.Unsafe, 600)},
 	{
 		name: 'requests that a server works on after their clients have left a suspended gateway',
--- a/packages/stand-ins/tests/users-platform/users-server-stand-in.test.ts
+++ b/packages/stand-ins/tests/users-platform/users-server-stand-in.test.ts
@@ -7,6 +7,8 @@
 const pollMs = 5;
 const maxPolls = 2000;
 const silenceMs = 300;
+const longSilenceMs = 1500;
+const leaveMs = 50;
 
 describe('UsersServerStandIn', () => {
 	it('interrupts a stream that began under the fault, though the fault was taken back before the first event', async () => {
@@ -94,4 +96,29 @@
 			await server.stop();
 		}
 	});
+
+	it('records when a connection closed in a silence, not when the silence ended', async () => {
+		const server = new standIns.usersPlatform.UsersServerStandIn({id: 's-1', service: 's'});
+		const {port} = await server.start();
+		try {
+			const silentUntil = Date.now() + longSilenceMs;
+			server.fallSilent(longSilenceMs);
+			const req = http.request({
+				host: '127.0.0.1', port, path: '/view/1', headers: {'Bluebellmast-Request-Id': 'r1', 'Bluebellmast-Expected-Instance': 's-1'},
+			});
+			req.on('error', () => undefined);
+			req.end();
+			await sleep(leaveMs);
+			req.destroy();
+			for (let count = 0; count < maxPolls && server.executions.length === 0; count++) {
+				await sleep(pollMs); // eslint-disable-line no-await-in-loop
+			}
+
+			chai.expect(Date.now()).to.be.at.least(silentUntil);
+			chai.expect(server.executions[0]!.endedAt).to.be.lessThan(silentUntil);
+			chai.expect(server.abandonedRequestIds).to.deep.equal(['r1']);
+		} finally {
+			await server.stop();
+		}
+	});
 });
