Soak: let servers and the store listen on any port after an outage

Cause: a server that was down listened on its former port again, which another process may hold for longer than the 5 s of retries; the soak ended with EADDRINUSE. A server that replaced another one did not retry at all. Change: proxies read the port of their target for each connection, so that the address that gateways know stays the same while the stand-in takes any free port (`keepsPort: false`). Other stand-ins keep their port and the retries. The test takes the port for good.

--- a/packages/stand-ins/src/engine/engine-options.ts
+++ b/packages/stand-ins/src/engine/engine-options.ts
@@ -44,7 +44,7 @@
 };
 
 /** Options after defaults are applied. */
-export type EngineSettings = Required<Omit<EngineOptions, 'onCrash' | 'weightStore' | 'recordFile'>>;
+export type EngineSettings = Required<Omit<EngineOptions, 'onCrash' | 'keepsPort' | 'weightStore' | 'recordFile'>>;
 
 const defaults: Omit<EngineSettings, 'host' | 'port' | 'faultPort' | 'seed'> = {
 	name: 'engine',
--- a/packages/stand-ins/src/fault/link-proxy.ts
+++ b/packages/stand-ins/src/fault/link-proxy.ts
@@ -17,7 +17,7 @@
 	Silence = 'silence',
 }
 
-/** Where a proxy forwards to. */
+/** Where a proxy forwards to; read anew for each connection. */
 export type LinkTarget = {
 	readonly host: string;
 	readonly port: number;
--- a/packages/stand-ins/src/fault/stand-in-server.ts
+++ b/packages/stand-ins/src/fault/stand-in-server.ts
@@ -28,6 +28,8 @@
 	readonly host?: string;
 	/** Port for requests; default 0, any free port. */
 	readonly port?: number;
+	/** Whether it listens on the same port again after an outage, which another process may have taken; default true. */
+	readonly keepsPort?: boolean;
 	/** Port for faults and records; default 0, any free port. */
 	readonly faultPort?: number;
 	/** Seed of the random number generator; default 1. */
@@ -77,13 +79,13 @@
 		});
 	}
 
-	/** Port for requests; the actual port after the start. */
+	/** Port for requests; the actual port after the start, and after an outage if it may change. */
 	get port(): number {
 		return this.#port;
 	}
 
 	async start(): Promise<StandInAddresses> {
-		this.#port = await listen(this.#listener, this.#port, this.#host);
+		await this.#listen(this.#port);
 		const faultPort = await listen(this.#faultHttp, this.options.faultPort ?? 0, this.#host);
 		return {port: this.#port, faultPort};
 	}
@@ -173,11 +175,15 @@
 		}
 	}
 
+	async #listen(port: number): Promise<void> {
+		this.#port = await listen(this.#listener, port, this.#host);
+	}
+
 	async #clear(): Promise<void> {
 		this.faults.clear();
 		if (!this.#listener.listening) {
 			this.#listener = this.#createListener();
-			await listenAgain(this.#listener, this.#port, this.#host);
+			await (this.options.keepsPort === false ? this.#listen(0) : listenAgain(this.#listener, this.#port, this.#host));
 		}
 	}
 
--- a/packages/stand-ins/src/soak/platform/gateway-process.ts
+++ b/packages/stand-ins/src/soak/platform/gateway-process.ts
@@ -16,7 +16,7 @@
 	readonly folder: string;
 	/** Root of the repository. */
 	readonly root: string;
-	readonly storePort: number;
+	readonly store: fault.LinkTarget;
 	readonly dataCentre: string;
 	readonly bounds: check.platform.Bounds;
 };
@@ -49,7 +49,7 @@
 	#settings = '';
 
 	constructor(private readonly options: GatewayProcessOptions) {
-		this.storeLink = new fault.LinkProxy({host: '127.0.0.1', port: options.storePort});
+		this.storeLink = new fault.LinkProxy(options.store);
 	}
 
 	get name(): string {
--- a/packages/stand-ins/src/soak/platform/platform-system.ts
+++ b/packages/stand-ins/src/soak/platform/platform-system.ts
@@ -1,5 +1,6 @@
 import process from 'node:process';
 import type * as check from '../../check/index.js';
+import type * as fault from '../../fault/index.js';
 import * as usersPlatform from '../../users-platform/index.js';
 import * as util from '../../util/index.js';
 import * as gatewayProcess from './gateway-process.js';
@@ -27,7 +28,7 @@
 
 /** The deployed gateways as processes, the stand-ins of the users' store and servers in this process, and the operator. */
 export class PlatformSystem {
-	readonly store = new usersPlatform.UsersStoreStandIn({era: 1});
+	readonly store = new usersPlatform.UsersStoreStandIn({era: 1, keepsPort: false});
 	readonly operator: platformOperator.PlatformOperator;
 	readonly fleet: serverFleet.ServerFleet;
 	readonly scheduling = new schedulingRecord.SchedulingRecord();
@@ -44,14 +45,21 @@
 
 	/** Starts everything and waits until all gateways are ready. */
 	async start(): Promise<void> {
-		const {port} = await this.store.start();
+		await this.store.start();
 		this.operator.start();
 		await this.#startServers();
 		this.fleet.start();
 		const {folder, root, bounds, sizes} = this.options;
+		const {server} = this.store;
+		const store: fault.LinkTarget = {
+			host: '127.0.0.1',
+			get port() {
+				return server.port;
+			},
+		};
 		const network = gatewayProcess.chooseNetwork();
 		this.gateways = Array.from({length: sizes.gateways}, (_, index) => new gatewayProcess.GatewayProcess({
-			name: `gateway-${index}`, host: `${network}.${index + 1}`, folder, root, storePort: port, bounds, dataCentre: platformAction.dataCentreOf(index, sizes),
+			name: `gateway-${index}`, host: `${network}.${index + 1}`, folder, root, store, bounds, dataCentre: platformAction.dataCentreOf(index, sizes),
 		}));
 		await Promise.all(this.gateways.map(async gateway => gateway.prepare()));
 		for (const gateway of this.gateways) {
--- a/packages/stand-ins/src/soak/platform/server-fleet.ts
+++ b/packages/stand-ins/src/soak/platform/server-fleet.ts
@@ -68,20 +68,27 @@
 	/** Starts a server and writes its entry. */
 	async add(id: string, service: string, model: string | undefined, dataCentre: string): Promise<void> {
 		const standIn = await this.#startStandIn(id, service, model);
-		const link = new fault.LinkProxy({host: '127.0.0.1', port: standIn.server.port});
+		const {servers} = this;
+		const index = servers.length;
+		const link = new fault.LinkProxy({
+			host: '127.0.0.1',
+			get port() {
+				return servers[index]!.standIn.server.port;
+			},
+		});
 		const server = {
 			id, service, model, dataCentre, standIn, link, address: `127.0.0.1:${await link.start()}`, isListed: false, state: 'ready', listedVersion: 0,
 		};
-		this.servers.push(server);
+		servers.push(server);
 		this.list(server);
 	}
 
-	/** Ends a server and starts another one at the same address, with the newest version of its model. */
+	/** Ends a server and starts another one behind the same proxy, so at the same address, with the newest version of its model. */
 	async replace(index: number, id: string, version: number): Promise<void> {
 		const former = this.servers[index]!;
 		this.unlist(former);
 		await former.standIn.stop();
-		const standIn = await this.#startStandIn(id, former.service, former.model, former.standIn.server.port);
+		const standIn = await this.#startStandIn(id, former.service, former.model);
 		standIn.version = version;
 		const server = {
 			...former, id, standIn, state: 'ready',
@@ -177,10 +184,11 @@
 		disruption.to = Date.now();
 	}
 
-	async #startStandIn(id: string, service: string, model?: string, port?: number): Promise<usersPlatform.UsersServerStandIn> {
+	async #startStandIn(id: string, service: string, model?: string): Promise<usersPlatform.UsersServerStandIn> {
 		const {random, streamEvents} = this.options;
 		const standIn = new usersPlatform.UsersServerStandIn({
-			id, service, model, port,
+			id, service, model,
+			keepsPort: false,
 			identifiesRequests: true,
 			crashingPart: check.platform.crashingPart,
 			onCrash: () => {
--- a/packages/stand-ins/tests/fault/stand-in-server.test.ts
+++ b/packages/stand-ins/tests/fault/stand-in-server.test.ts
@@ -36,4 +36,38 @@
 			await server.stop();
 		}
 	});
+
+	it('listens on another port after an outage if it may, though its port is taken for good', async () => {
+		const server = new standIns.fault.StandInServer({keepsPort: false}, async (_req, res) => {
+			res.end('whole');
+		});
+		const {port} = await server.start();
+		const proxy = new standIns.fault.LinkProxy({
+			host: '127.0.0.1',
+			get port() {
+				return server.port;
+			},
+		});
+		const other = net.createServer();
+		try {
+			const proxyPort = await proxy.start();
+			await server.applyFault({fault: faults.Outage});
+			await new Promise<void>(resolve => {
+				other.listen(port, '127.0.0.1', resolve);
+			});
+			await server.applyFault({fault: faults.Clear});
+			chai.expect(server.port).not.to.equal(port);
+			const status = await new Promise<number | undefined>((resolve, reject) => {
+				http.get({host: '127.0.0.1', port: proxyPort, agent: false}, res => {
+					res.resume();
+					resolve(res.statusCode);
+				}).on('error', reject);
+			});
+			chai.expect(status).to.equal(200);
+		} finally {
+			other.close();
+			proxy.stop();
+			await server.stop();
+		}
+	});
 });
