Soak: stop gateway processes for up to 2 s in series, and check that no whole request is lost

Check "losses beside blocks": a request on a kept connection that was sent before its gateway went on, and whose exchange ended well after the beginning of the block, gets a response or a refusal. A block excuses delays of its gateway, no loss.

--- a/packages/stand-ins/src/check/platform/calm.ts
+++ b/packages/stand-ins/src/check/platform/calm.ts
@@ -1,19 +1,20 @@
 import * as records from './platform-records.js';
 
-/** Returns whether a gateway was in touch from `from` to `to`: no disruption of its process, its link or the store's in the settle window before. */
+/** Returns whether a gateway was in touch from `from` to `to`: no disruption or block of its process, its link or the store's in the settle window before. */
 export function isInTouch(record: records.PlatformRecord, gateway: string, from: number, to: number): boolean {
 	const own = new Set([records.DisruptionTarget.Gateway, records.DisruptionTarget.StoreLink]);
 	return isStoreCalm(record, from, to) && areServerLinksCalm(record, from, to)
-		&& !hasDisruption(record, from, to, ({target, name}) => own.has(target) && name === gateway);
+		&& !hasDisruption(record, from, to, ({target, name}) => own.has(target) && name === gateway)
+		&& !(record.blocks ?? []).some(block => block.gateway === gateway && block.from <= to && block.to >= from - record.bounds.settleWindowMs);
 }
 
 /**
  * Returns whether a gateway was in touch while it handled a request, as far as the loss of the request is concerned: a disruption
- * of the store alone excuses nothing for safe and unsafe requests without an API key.
+ * of the store alone excuses nothing for safe and unsafe requests without an API key, and a block nothing for any.
  */
 export function isInTouchForLoss(record: records.PlatformRecord, exchange: records.Exchange): boolean {
 	const {gateway, sentAt, endedAt} = exchange;
-	return isInTouch(isBoundWithoutStore(exchange) ? withoutStoreDisruptions(record) : record, gateway, sentAt, endedAt);
+	return isInTouch({...(isBoundWithoutStore(exchange) ? withoutStoreDisruptions(record) : record), blocks: []}, gateway, sentAt, endedAt);
 }
 
 /** Returns whether an unplanned disruption excuses the loss of a request: any from the settle window before it to its end. */
--- a/packages/stand-ins/src/check/platform/check-platform.ts
+++ b/packages/stand-ins/src/check/platform/check-platform.ts
@@ -30,6 +30,7 @@
 	lossCheck.checkPlannedStops,
 	lossCheck.checkLostResponses,
 	lossCheck.checkChangeLosses,
+	lossCheck.checkBlocks,
 	serviceCheck.checkProcesses,
 	serviceCheck.checkReadiness,
 	serviceCheck.checkReadinessAfterStops,
--- a/packages/stand-ins/src/check/platform/loss-check.ts
+++ b/packages/stand-ins/src/check/platform/loss-check.ts
@@ -64,6 +64,31 @@
 		}));
 }
 
+/**
+ * Checks that a whole request is responded to or refused if its gateway was blocked while it was in progress: one that was sent on a kept
+ * connection before the gateway went on. A gateway that is stopped closes no connection, so that a request that ends well after the beginning
+ * of the block was sent before its connection was closed. A stream may be cut when its time is over; returns the findings.
+ */
+export function checkBlocks(record: records.PlatformRecord): records.Finding[] {
+	return record.exchanges.flatMap(exchange => {
+		const block = (record.blocks ?? []).find(({gateway, from, to}) =>
+			gateway === exchange.gateway && exchange.sentAt < to && exchange.endedAt > from + record.bounds.lossSlackMs);
+		const isLost = exchange.end === records.ExchangeEnd.NoResponse
+			|| (exchange.end === records.ExchangeEnd.Truncated && !isOutOfTime(record, exchange));
+		const isExcused = calm.hasUnplannedDisruption(record, exchange)
+			|| record.plannedStops.some(stop => stop.gateway === exchange.gateway && isAtEndOfGrace(record, exchange, stop));
+		if (block === undefined || !exchange.isOnKeptConnection || !isLost || isExcused) {
+			return [];
+		}
+
+		const times = `sent ${exchange.sentAt - block.from} ms and ended ${exchange.endedAt - block.from} ms after the beginning`;
+		return [{
+			check: 'losses beside blocks', requestId: exchange.requestId,
+			text: `${exchange.gateway}: ${exchange.end}, ${times} of a block of ${block.to - block.from} ms`,
+		}];
+	});
+}
+
 /** Returns whether a configuration may have come into force while a request with time left was in progress. */
 function isBesideConfig(record: records.PlatformRecord, exchange: records.Exchange): boolean {
 	const {sentAt, endedAt} = exchange;
--- a/packages/stand-ins/src/check/platform/platform-records.ts
+++ b/packages/stand-ins/src/check/platform/platform-records.ts
@@ -51,6 +51,8 @@
 	/** Request id in the header of the response. */
 	readonly respondedId?: string;
 	readonly responseBody: string;
+	/** Whether the client used a connection that it had used before; false by default. */
+	readonly isOnKeptConnection?: boolean;
 };
 
 /** A request that a server executed. */
@@ -128,6 +130,14 @@
 	readonly to: number;
 };
 
+/** A period of up to two seconds in which a gateway process was stopped; it excuses delays of that gateway, and no lost request. */
+export type Block = {
+	readonly gateway: string;
+	readonly from: number;
+	/** When the process was about to go on. */
+	readonly to: number;
+};
+
 /** A version of weights that the store acknowledged. */
 export type NamedVersion = {
 	readonly model: string;
@@ -238,6 +248,8 @@
 	readonly reloads?: readonly Reload[];
 	/** None by default. */
 	readonly silences?: readonly Silence[];
+	/** None by default. */
+	readonly blocks?: readonly Block[];
 	readonly gatewayStarts: readonly GatewayStart[];
 	readonly orders: readonly AcceptedOrder[];
 	/** Empty until the end of the run. */
--- a/packages/stand-ins/src/check/platform/service-check.ts
+++ b/packages/stand-ins/src/check/platform/service-check.ts
@@ -47,15 +47,16 @@
 	});
 }
 
-/** Returns whether a process was disrupted again before it was ready. */
+/** Returns whether a process was disrupted again, or blocked, before it was ready. */
 function isInterrupted(record: records.PlatformRecord, start: records.GatewayStart): boolean {
-	return record.disruptions.some(({target, name, from}) => target === records.DisruptionTarget.Gateway
-		&& name === start.gateway && from > start.at && from <= (start.readyAt ?? start.endedAt));
+	const disrupted = record.disruptions.filter(({target, name}) => target === records.DisruptionTarget.Gateway && name === start.gateway);
+	const blocked = (record.blocks ?? []).filter(({gateway}) => gateway === start.gateway);
+	return [...disrupted, ...blocked].some(({from}) => from > start.at && from <= (start.readyAt ?? start.endedAt));
 }
 
 /** Checks that requests which every configuration allows are served again when the recovery bound after the last fault has passed; returns the findings. */
 export function checkRecovery(record: records.PlatformRecord): records.Finding[] {
-	const recoveredAt = Math.max(0, ...[...record.disruptions, ...record.silences ?? []].map(({to}) => to)) + record.bounds.recoveryMs;
+	const recoveredAt = Math.max(0, ...[...record.disruptions, ...record.silences ?? [], ...record.blocks ?? []].map(({to}) => to)) + record.bounds.recoveryMs;
 	const owed = record.exchanges.filter(exchange => exchange.sentAt > recoveredAt && exchange.end !== records.ExchangeEnd.GaveUp
 		&& record.configs.every(config => config.routes.includes(exchange.route) && (exchange.key === '' || exchange.key in config.accounts)));
 	const served = owed.filter(({end, status}) => end === records.ExchangeEnd.Complete && status === 200);
--- a/packages/stand-ins/src/soak/platform/gateway-process.ts
+++ b/packages/stand-ins/src/soak/platform/gateway-process.ts
@@ -69,6 +69,11 @@
 		return this.#child?.pid ?? -1;
 	}
 
+	get isRunning(): boolean {
+		const life = this.lives.at(-1);
+		return life !== undefined && life.endedAt === undefined;
+	}
+
 	get logFile(): string {
 		return path.join(this.options.folder, `${this.name}.log`);
 	}
--- a/packages/stand-ins/src/soak/platform/platform-action.ts
+++ b/packages/stand-ins/src/soak/platform/platform-action.ts
@@ -75,6 +75,10 @@
 	SilenceService = 'silence_service',
 	/** As `SilenceServer`, for several servers of a service, one after the other. */
 	SilenceInTurn = 'silence_in_turn',
+	/** SIGSTOP and SIGCONT of one gateway, several times in series. */
+	BlockGateway = 'block_gateway',
+	/** As `BlockGateway`, for all gateways at once. */
+	BlockGateways = 'block_gateways',
 	/** Some prompts have a part on which engines end. */
 	CrashingPrompts = 'crashing_prompts',
 	/** The clients send several times as many requests. */
@@ -90,7 +94,7 @@
 	readonly targetIndex: number;
 	/** Milliseconds until the fault ends or an ended process is started again. */
 	readonly durationMs: number;
-	/** Parameter of the action: number of versions, configurations, gateways or servers, or milliseconds of delay. */
+	/** Parameter of the action: number of blocks, versions, configurations, gateways or servers, or milliseconds of delay. */
 	readonly amount: number;
 };
 
@@ -119,6 +123,8 @@
 	AllServers = 'all_servers',
 	/** What servers send: one silence of a server follows another, beside any other action on it. */
 	Silence = 'silence',
+	/** Whether gateways are stopped for a moment: one block of a gateway follows another, beside any other action on it. */
+	Block = 'block',
 	Nothing = 'nothing',
 }
 
@@ -166,6 +172,8 @@
 	[ActionType.SilenceServers]: ActionTarget.Silence,
 	[ActionType.SilenceService]: ActionTarget.Silence,
 	[ActionType.SilenceInTurn]: ActionTarget.Silence,
+	[ActionType.BlockGateway]: ActionTarget.Block,
+	[ActionType.BlockGateways]: ActionTarget.Block,
 	[ActionType.DelayServerLink]: ActionTarget.Server,
 	[ActionType.HoldRequestsToServer]: ActionTarget.Server,
 	[ActionType.HoldResponsesOfServer]: ActionTarget.Server,
@@ -187,6 +195,8 @@
 export const crashRestartMs = 3000;
 /** Time between two silences of a server. */
 export const silencePauseMs = 1000;
+/** Time between two blocks of a series. */
+export const blockPauseMs = 200;
 
 /** Lists the names of all targets of an action. */
 export function listTargets(action: PlannedAction, sizes: PlatformSizes): string[] {
@@ -208,6 +218,10 @@
 			return listSilentServers(action, sizes).map(index => `${target} ${index}`);
 		}
 
+		case ActionTarget.Block: {
+			return listBlockedGateways(action, sizes).map(index => `${target} ${index}`);
+		}
+
 		case ActionTarget.Store: {
 			return [target];
 		}
@@ -236,6 +250,8 @@
 		[ActionType.DrainServer]: leaveMs + action.durationMs,
 		[ActionType.RemoveEntry]: leaveMs + action.durationMs,
 		[ActionType.CrashingPrompts]: crashRestartMs + action.durationMs,
+		[ActionType.BlockGateway]: action.amount * (action.durationMs + blockPauseMs),
+		[ActionType.BlockGateways]: action.amount * (action.durationMs + blockPauseMs),
 		[ActionType.SilenceServer]: action.durationMs + silencePauseMs,
 		[ActionType.SilenceServers]: action.durationMs + silencePauseMs,
 		[ActionType.SilenceService]: action.durationMs + silencePauseMs,
@@ -252,3 +268,8 @@
 	return Array.from({length: Math.min(count, counts[action.type] ?? action.amount)}, (_, offset) =>
 		first + ((action.targetIndex - first + offset) % count));
 }
+
+/** Lists the indexes of the gateways that an action blocks. */
+export function listBlockedGateways({type, targetIndex}: PlannedAction, {gateways}: PlatformSizes): number[] {
+	return type === ActionType.BlockGateways ? Array.from({length: gateways}, (_, index) => index) : [targetIndex];
+}
--- a/packages/stand-ins/src/soak/platform/platform-client.ts
+++ b/packages/stand-ins/src/soak/platform/platform-client.ts
@@ -66,6 +66,7 @@
 		});
 		req.on('socket', socket => {
 			isConnected = !socket.connecting;
+			exchange.isOnKeptConnection = req.reusedSocket;
 			if (socket.connecting) {
 				socket.once('connect', () => {
 					isConnected = true;
--- a/packages/stand-ins/src/soak/platform/platform-injector.ts
+++ b/packages/stand-ins/src/soak/platform/platform-injector.ts
@@ -5,6 +5,7 @@
 import * as playSchedule from '../play-schedule.js';
 import type * as gatewayProcess from './gateway-process.js';
 import type * as platformClients from './platform-clients.js';
+import * as blocks from './blocks.js';
 import * as operatorChanges from './operator-changes.js';
 import * as platformAction from './platform-action.js';
 import type * as platformPlan from './platform-plan.js';
@@ -53,6 +54,7 @@
 	readonly plannedStops: check.platform.PlannedStop[] = [];
 	readonly reloads: check.platform.Reload[] = [];
 	readonly silences: check.platform.Silence[] = [];
+	readonly blocks: check.platform.Block[] = [];
 	readonly #startedAt = Date.now();
 	#replacements = 0;
 
@@ -100,6 +102,11 @@
 				break;
 			}
 
+			case platformAction.ActionTarget.Block: {
+				await blocks.playBlocks(action, plan.sizes, system.gateways, this.blocks);
+				break;
+			}
+
 			case platformAction.ActionTarget.Nothing: {
 				await operatorChanges.playChange(action, system.operator, clients);
 				break;
--- a/packages/stand-ins/src/soak/platform/platform-plan.ts
+++ b/packages/stand-ins/src/soak/platform/platform-plan.ts
@@ -1,4 +1,5 @@
 import * as util from '../../util/index.js';
+import * as blockPlan from './block-plan.js';
 import * as extraPlan from './extra-plan.js';
 import * as platformAction from './platform-action.js';
 import * as silencePlan from './silence-plan.js';
@@ -102,7 +103,10 @@
 
 /** Options of a plan. */
 export type PlatformPlanOptions = {
-	/** Whether servers fall silent and the operator changes configurations all the while, and nothing else happens; false by default. */
+	/**
+	 * Whether servers fall silent and the operator changes configurations all the while, gateways are blocked and stopped for some seeds, and
+	 * nothing else happens; false by default.
+	 */
 	readonly onlySilences?: boolean;
 };
 
@@ -114,7 +118,8 @@
 	const lastMs = durationMs - (onlySilences ? shortQuietEndMs : quietEndMs);
 	if (onlySilences) {
 		const phase = {fromMs: shortPauseMs, toMs: lastMs, mode: silencePlan.SilenceMode.Only};
-		return {sizes, versionMs, actions: silencePlan.drawSilences(seed, [phase], sizes)};
+		const actions = [...silencePlan.drawSilences(seed, [phase], sizes), ...blockPlan.drawBlocks(seed, phase, sizes)];
+		return {sizes, versionMs, actions: actions.sort((a, b) => a.atMs - b.atMs)};
 	}
 
 	const actions: platformAction.PlannedAction[] = [];
--- a/packages/stand-ins/src/soak/platform/platform-soak.ts
+++ b/packages/stand-ins/src/soak/platform/platform-soak.ts
@@ -85,7 +85,7 @@
 	printSummary(options, clients);
 	options.print(`the soak itself was delayed by ${Math.round(eventLoopDelay.max / nanosecondsPerMillisecond)} ms at most`);
 	options.print(formatWaits(system));
-	const faultEnds = [...injector.disruptions, ...injector.silences].map(({to}) => to);
+	const faultEnds = [...injector.disruptions, ...injector.silences, ...injector.blocks].map(({to}) => to);
 	options.print(faultEnds.length === 0 ? 'there was no fault' : `the last fault ended ${Date.now() - Math.max(...faultEnds)} ms before the end`);
 	const findings = report(true);
 	writeRecord(options.folder, readRecord(true), findings, system);
@@ -116,6 +116,7 @@
 		plannedStops: injector.plannedStops,
 		reloads: injector.reloads,
 		silences: injector.silences,
+		blocks: injector.blocks,
 		orders: fleet.listOrders(),
 		endedAt: now,
 		gatewayStarts: gateways.flatMap(({name, lives}) => lives.map(life => ({
--- a/packages/stand-ins/tests/check/platform/check-platform.test.ts
+++ b/packages/stand-ins/tests/check/platform/check-platform.test.ts
@@ -148,6 +148,18 @@
 	};
 }
 
+/** Creates a request that is sent some time after the beginning of a block of 1.5 s, on a connection that its client has used before. */
+function withBlock(sentAfterMs: number, endedAfterMs: number, changes: Partial<typeof plainExchange> = {}): Partial<PlatformRecord> {
+	return {
+		exchanges: [{
+			...plainExchange, ...cut, sentAt: sentAt + sentAfterMs, endedAt: sentAt + endedAfterMs, deadlineMs: 3 * second, isOnKeptConnection: true, ...changes,
+		}],
+		executions: [],
+		starts: [],
+		blocks: [{gateway: 'gateway-0', from: sentAt, to: sentAt + 1500}],
+	};
+}
+
 /** Creates ten requests within 5 s, each of which arrives a number of times at once. */
 function withArrivals(times: number, retryAfterMs = 0): Partial<PlatformRecord> {
 	const ids = Array.from({length: 10}, (_, index) => `q-${index}`);
@@ -256,6 +268,45 @@
 		name: 'requests that reach a server long after their clients have left', changes: withGone(4, kinds.Unsafe, 700, 600), findings: 4,
 		finding: 'arrived at plain-0 600 ms after its client had left',
 	},
+	{
+		name: 'a request that is lost at a gateway that was blocked when it was sent', changes: withBlock(700, 1520),
+		finding: 'no_response, sent 700 ms and ended 1520 ms after the beginning of a block of 1500 ms',
+	},
+	{
+		name: 'a request that is lost at a gateway that was blocked after it was sent', changes: withBlock(-300, 1520),
+		finding: 'no_response, sent -300 ms',
+	},
+	{
+		name: 'a request that is lost when its time was over at the end of a block', changes: withBlock(100, 1520, {deadlineMs: second}),
+		finding: 'no_response, sent 100 ms',
+	},
+	{
+		name: 'a stream that is cut beside a block', changes: withBlock(100, 1520, {
+			kind: kinds.Once, route: 'chat', service: 'chat', end: ends.Truncated, status: 200, timeoutMs: 8 * second,
+		}),
+		finding: 'truncated, sent 100 ms',
+	},
+	{
+		name: 'a request that is lost beside a block, though the same gateway is stopped as planned',
+		changes: {
+			...withBlock(700, 1520), plannedStops: [{gateway: 'gateway-0', at: sentAt + 300}],
+			disruptions: [{...disrupt(targets.Gateway, 'gateway-0', sentAt + 300, sentAt + 2000), isPlanned: true}],
+		},
+		finding: 'no_response, sent', findings: 2,
+	},
+	{name: 'a request that is refused after a block', changes: withBlock(700, 1520, {end: ends.Complete, ...refused})},
+	{name: 'a request that crosses the close of its connection just before a block', changes: withBlock(-10, 30)},
+	{name: 'a request on a new connection that is reset after a block', changes: withBlock(700, 1520, {isOnKeptConnection: false})},
+	{name: 'a request that is lost beside the block of another gateway', changes: withBlock(700, 1520, {gateway: 'gateway-1'})},
+	{
+		name: 'a stream that is cut beside a block when its time is over', changes: withBlock(100, 1520, {
+			kind: kinds.Once, route: 'chat', service: 'chat', end: ends.Truncated, status: 200, deadlineMs: second, timeoutMs: 8 * second,
+		}),
+	},
+	{
+		name: 'a request that is lost at a blocked gateway that is killed',
+		changes: {...withBlock(700, 1520), disruptions: [disrupt(targets.Gateway, 'gateway-0', sentAt + 800, sentAt + 5000)]},
+	},
 	{name: 'arrivals without repeats', changes: withArrivals(1)},
 	{
 		name: 'more repeated arrivals than the budget allows', changes: withArrivals(2),
--- a/packages/stand-ins/tests/soak/platform/platform-plan.test.ts
+++ b/packages/stand-ins/tests/soak/platform/platform-plan.test.ts
@@ -8,6 +8,10 @@
 const {ActionType: types} = platform;
 const extraTypes = new Set([types.ChangeSettings, types.BreakSettings, types.StoreUnavailableToSome, types.StoreLimitsSome]);
 
+/** Played beside silences alone. */
+const blockTypes = [types.BlockGateway, types.BlockGateways];
+const seedWithoutBlocks = 5;
+
 describe('createPlatformPlan', () => {
 	it('creates the same plan for the same seed and a different one for another seed', () => {
 		const plans = [1, 1, 2].map(seed => platform.createPlatformPlan(seed, durationMs));
@@ -16,7 +20,7 @@
 	});
 
 	it('plays every type of action within 60 seeds, and leaves the end of each run quiet', () => {
-		const types = new Set<string>();
+		const types = new Set<string>(blockTypes);
 		for (let seed = 1; seed <= 60; seed++) {
 			const {actions, sizes} = platform.createPlatformPlan(seed, durationMs);
 			expect(actions.length, `seed ${seed}`).to.be.above(8);
@@ -56,7 +60,7 @@
 	});
 
 	it('plays silences beside all other types of actions', () => {
-		const types = new Set<string>();
+		const types = new Set<string>(blockTypes);
 		for (let seed = 1; seed <= 200; seed++) {
 			const {actions, sizes} = platform.createPlatformPlan(seed, durationMs);
 			const silences = actions.filter(({type}) => platform.targetByType[type] === platform.ActionTarget.Silence);
@@ -72,12 +76,39 @@
 	});
 
 	it('plays only silences and changes where it is asked to', () => {
-		const {actions, sizes} = platform.createPlatformPlan(1, durationMs, {onlySilences: true});
+		const {actions, sizes} = platform.createPlatformPlan(seedWithoutBlocks, durationMs, {onlySilences: true});
 		const targets = new Set(actions.map(({type}) => platform.targetByType[type]));
 		expect([...targets].sort()).to.deep.equal([platform.ActionTarget.Nothing, platform.ActionTarget.Silence].sort());
 		expect(Math.max(...actions.map(action => action.atMs + platform.estimateMs(action, sizes)))).to.be.at.most(durationMs - 4000);
 	});
 
+	it('blocks gateways for 0.2 to 2 s in series, beside silences, changes and planned stops, with half of the seeds', () => {
+		const types = new Set<string>();
+		let blockedRuns = 0;
+		for (let seed = 1; seed <= 60; seed++) {
+			const {actions, sizes} = platform.createPlatformPlan(seed, durationMs, {onlySilences: true});
+			const blocks = actions.filter(({type}) => platform.targetByType[type] === platform.ActionTarget.Block);
+			blockedRuns += blocks.length > 0 ? 1 : 0;
+			const endByGateway = new Map<number, number>();
+			for (const block of blocks) {
+				expect(block.durationMs).to.be.within(200, 2000);
+				expect(block.amount).to.be.within(1, 4);
+				const endMs = block.atMs + platform.estimateMs(block, sizes);
+				for (const index of platform.listBlockedGateways(block, sizes)) {
+					expect(block.atMs, `seed ${seed}, gateway ${index}`).to.be.at.least(endByGateway.get(index) ?? 0);
+					endByGateway.set(index, endMs);
+				}
+
+				for (const action of actions.filter(({atMs}) => atMs >= block.atMs && atMs <= endMs)) {
+					types.add(action.type);
+				}
+			}
+		}
+
+		expect(blockedRuns).to.be.within(20, 40);
+		expect([...types]).to.include.members([...blockTypes, platform.ActionType.StopGateway, platform.ActionType.SilenceServers, platform.ActionType.MixedStorm]);
+	});
+
 	it('changes settings and lets the store refuse some gateways while these have no other action', () => {
 		for (let seed = 1; seed <= 60; seed++) {
 			const {actions, sizes} = platform.createPlatformPlan(seed, durationMs);
