--- a/packages/stand-ins/src/soak/platform/gateway-process.ts
+++ b/packages/stand-ins/src/soak/platform/gateway-process.ts
@@ -16,7 +16,7 @@
 	readonly folder: string;
 	/** Root of the repository. */
 	readonly root: string;
-	readonly storePort: number;
+	readonly store: fault.LinkTarget;
 	readonly dataCentre: string;
 	readonly bounds: check.platform.Bounds;
 };
@@ -49,7 +49,7 @@
 	#settings = '';
 
 	constructor(private readonly options: GatewayProcessOptions) {
-		this.storeLink = new fault.LinkProxy({host: '127.0.0.1', port: options.storePort});
+		this.storeLink = new fault.LinkProxy(options.store);
 	}
 
 	get name(): string {
@@ -69,6 +69,11 @@
 		return this.#child?.pid ?? -1;
 	}
 
+	get isRunning(): boolean {
+		const life = this.lives.at(-1);
+		return life !== undefined && life.endedAt === undefined;
+	}
+
 	get logFile(): string {
 		return path.join(this.options.folder, `${this.name}.log`);
 	}
