--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -8,9 +8,7 @@
 import * as abortResponse from '../util/abort-response.js';
 import type * as clocks from '../util/clocks.js';
 import * as eventLog from '../util/event-log.js';
-import * as lingeringClose from '../util/lingering-close.js';
 import * as listen from '../util/listen.js';
-import * as callerHttpServer from './caller-http-server.js';
 import * as connectionRejection from './connection-rejection.js';
 import * as headerTimeout from './header-timeout.js';
 import * as idleConnections from './idle-connections.js';
@@ -43,7 +41,7 @@
 
 /** HTTP server that receives the callers' requests. */
 export class GatewayServer {
-	readonly #server: callerHttpServer.CallerHttpServer;
+	readonly #server: clients.connections.CallerHttpServer;
 	#isShuttingDown = false;
 	/** Responses that have not been handled, or not been passed on to the connection as a whole. */
 	readonly #openResponses = new Set<http.ServerResponse>();
@@ -62,7 +60,7 @@
 
 	constructor(private readonly dependencies: GatewayServerDependencies) {
 		this.#refusals = new refusalSender.RefusalSender(dependencies.clock);
-		this.#server = new callerHttpServer.CallerHttpServer(
+		this.#server = new clients.connections.CallerHttpServer(
 			{
 				maxHeaderSize: maxHeadBytes,
 				keepAlive: true,
@@ -210,7 +208,7 @@
 
 		res.once('finish', () => {
 			if (this.#order.isLast(res)) {
-				lingeringClose.closeLingering(res.req.socket, lingeringClose.minLingerMs);
+				clients.connections.closeLingering(res.req.socket, clients.connections.minLingerMs);
 			}
 		});
 	}
@@ -236,7 +234,7 @@
 		if (remainingMs > 0) {
 			socket.setTimeout(Math.ceil(remainingMs));
 		} else {
-			void lingeringClose.closeIdle(socket);
+			void clients.connections.closeIdle(socket);
 		}
 	}
 
@@ -346,7 +344,7 @@
 
 		if (connectionRejection.isHeadTimeout(err) && socket.bytesRead === 0) {
 			// No request has begun, so a caller that sends one now must not take a refusal for its response.
-			lingeringClose.closeLingering(socket, lingeringClose.minLingerMs);
+			clients.connections.closeLingering(socket, clients.connections.minLingerMs);
 			return;
 		}
 
@@ -361,7 +359,7 @@
 			const {code, response} = connectionRejection.createRejection(err);
 			this.dependencies.log.write(eventLog.LogEvent.RequestRejected, {code, findings: `connection: ${err.message}`});
 			socket.write(response);
-			lingeringClose.closeLingering(socket, lingeringClose.minLingerMs);
+			clients.connections.closeLingering(socket, clients.connections.minLingerMs);
 		} else if (!this.#closing.has(open)) {
 			// The invalid bytes follow a request that has been read.
 			this.#closing.add(open);
--- a/packages/gateway/src/ingress/refusal-sender.ts
+++ b/packages/gateway/src/ingress/refusal-sender.ts
@@ -1,9 +1,9 @@
+import * as clients from '@bluebellmast/kv';
 import * as bodyFilter from '../call/body-filter.js';
 import * as bodyReader from '../call/body-reader.js';
 import * as call from '../call/index.js';
 import * as abortResponse from '../util/abort-response.js';
 import type * as clocks from '../util/clocks.js';
-import * as lingeringClose from '../util/lingering-close.js';
 
 /** Time for which the rest of a refused request's body is awaited, in milliseconds: callers give a request up that is not read within it. */
 const maxDiscardMs = 1000;
@@ -35,7 +35,7 @@
 		}
 
 		if (!req.complete) {
-			lingeringClose.setLingerTime(req.socket, this.#computeLingerMs(ctx));
+			clients.connections.setLingerTime(req.socket, this.#computeLingerMs(ctx));
 		}
 
 		call.sendRefusal(res, refusal);
@@ -56,6 +56,6 @@
 	/** Callers may go on sending until their deadline. */
 	#computeLingerMs({head, arrivedAt}: UndecodedRequest): number {
 		const endsAt = arrivedAt + (head?.deadlineMs ?? Infinity);
-		return Math.min(maxLingerMs, Math.max(lingeringClose.minLingerMs, endsAt - this.clock.monotonicNow()));
+		return Math.min(maxLingerMs, Math.max(clients.connections.minLingerMs, endsAt - this.clock.monotonicNow()));
 	}
 }
--- a/packages/gateway/src/util/index.ts
+++ b/packages/gateway/src/util/index.ts
@@ -2,7 +2,6 @@
 export * from './clocks.js';
 export * from './connection-headers.js';
 export * from './event-log.js';
-export * from './lingering-close.js';
 export * from './listen.js';
 export * from './path-server.js';
 export * from './periodic-task.js';
--- a/packages/gateway/src/util/path-server.ts
+++ b/packages/gateway/src/util/path-server.ts
@@ -1,7 +1,7 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
+import * as clients from '@bluebellmast/kv';
 import * as eventLog from './event-log.js';
-import * as lingeringClose from './lingering-close.js';
 import * as listen from './listen.js';
 
 /** Handles a request for the path of a {@link PathServer}. */
@@ -16,7 +16,7 @@
 			void this.#handle(req, res);
 		});
 		this.#server.on('timeout', (socket: net.Socket) => {
-			void lingeringClose.closeIdle(socket);
+			void clients.connections.closeIdle(socket);
 		});
 	}
 
--- a/packages/gateway/src/ingress/caller-http-server.ts
+++ b/packages/kv/src/connections/caller-http-server.ts
@@ -1,6 +1,6 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
-import * as lingeringClose from '../util/lingering-close.js';
+import * as lingeringClose from './lingering-close.js';
 
 /**
  * HTTP server that closes idle connections without a reset, so that a caller whose request crosses the close can tell that it was not executed.
--- /dev/null
+++ b/packages/kv/src/connections/index.ts
@@ -0,0 +1,2 @@
+export * from './caller-http-server.js';
+export * from './lingering-close.js';
--- a/packages/gateway/src/util/lingering-close.ts
+++ b/packages/kv/src/connections/lingering-close.ts
@@ -1,5 +1,5 @@
 import type * as net from 'node:net';
-import * as clients from '@bluebellmast/kv';
+import * as timeouts from '../timeouts/index.js';
 
 /** Time for which a connection is kept at least after its last response, in milliseconds, to discard what its caller is still sending. */
 export const minLingerMs = 1000;
@@ -14,7 +14,7 @@
 		return;
 	}
 
-	const timer = new clients.timeouts.InputTimer(maxMs, () => {
+	const timer = new timeouts.InputTimer(maxMs, () => {
 		socket.destroy();
 	});
 	socket.once('close', () => {
@@ -26,7 +26,7 @@
 /** Closes an idle connection, unless bytes have arrived that were not read yet. */
 export async function closeIdle(socket: net.Socket): Promise<void> {
 	const {bytesRead} = socket;
-	await clients.timeouts.waitForInput();
+	await timeouts.waitForInput();
 	if (socket.bytesRead === bytesRead) {
 		closeLingering(socket, minLingerMs);
 	}
--- a/packages/router/src/http/read-body.ts
+++ b/packages/router/src/http/read-body.ts
@@ -1,5 +1,6 @@
 import * as buffer from 'node:buffer';
 import type * as http from 'node:http';
+import * as clients from '@bluebellmast/kv';
 import * as purify from 'purify-ts';
 
 /** Why a body could not be read. */
@@ -30,14 +31,14 @@
 		const chunks: Uint8Array[] = [];
 		let size = 0;
 		const finish = (result: purify.Either<BodyError, Uint8Array>) => {
-			clearTimeout(timer);
+			timer.clear();
 			req.removeAllListeners('data');
 			resolve(result);
 		};
 
-		const timer = setTimeout(() => {
+		const timer = new clients.timeouts.InputTimer(options.timeoutMs, () => {
 			finish(purify.Left(BodyError.Timeout));
-		}, options.timeoutMs);
+		});
 		req.on('data', (chunk: Uint8Array) => {
 			size += chunk.length;
 			if (size > options.maxBytes) {
--- a/packages/router/src/http/router-server.ts
+++ b/packages/router/src/http/router-server.ts
@@ -1,5 +1,6 @@
-import * as http from 'node:http';
+import type * as http from 'node:http';
 import type * as net from 'node:net';
+import * as clients from '@bluebellmast/kv';
 import type * as adminHandler from './admin-handler.js';
 import type * as requestHandler from './request-handler.js';
 
@@ -13,6 +14,8 @@
 	readonly headerTimeoutMs: number;
 	/** Maximum size of the request headers, in bytes. Default 32 KiB. */
 	readonly maxHeaderBytes?: number;
+	/** Interval at which slow headers are looked for, in milliseconds. Default 30,000. */
+	readonly headCheckIntervalMs?: number;
 	readonly requests: requestHandler.RequestHandler;
 	readonly admin: adminHandler.AdminHandler;
 };
@@ -20,29 +23,41 @@
 /** Interval at which idle connections are closed during a shutdown. */
 const idleCheckIntervalMs = 50;
 const defaultMaxHeaderBytes = 32 * 1024;
+const defaultHeadCheckIntervalMs = 30_000;
+/** Node's code for a head that takes too long. */
+const headTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
 const badRequestResponse = 'HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-type: application/json\r\n\r\n'
 	+ '{"error":{"code":"invalid_request","execution":"not_run","message":"the request is not valid HTTP"}}';
 
 /** HTTP server for callers, operators and the load balancer. */
 export class RouterServer {
 	readonly #options: RouterServerOptions;
-	readonly #server: http.Server;
+	readonly #server: clients.connections.CallerHttpServer;
+	readonly #openResponses = new Set<http.ServerResponse>();
+	/** Last request of each connection. */
+	readonly #lastRequests = new WeakMap<net.Socket, http.IncomingMessage>();
 	#isDraining = false;
 
 	constructor(options: RouterServerOptions) {
 		this.#options = options;
-		this.#server = http.createServer({
+		this.#server = new clients.connections.CallerHttpServer({
 			maxHeaderSize: options.maxHeaderBytes ?? defaultMaxHeaderBytes,
 			headersTimeout: options.headerTimeoutMs,
 			requestTimeout: 0,
+			connectionsCheckingInterval: options.headCheckIntervalMs ?? defaultHeadCheckIntervalMs,
 		}, (req, res) => {
 			this.#route(req, res);
-		});
-		this.#server.on('clientError', (_err, socket) => {
-			if (socket.writable) {
-				socket.end(badRequestResponse);
+		}, () => [...this.#openResponses].some(res => res.writableEnded && !res.writableFinished));
+		this.#server.on('clientError', (err: NodeJS.ErrnoException, socket: net.Socket) => {
+			if (err.code === headTimeoutCode) {
+				void this.#rejectSlowHead(socket);
+			} else {
+				rejectConnection(socket);
 			}
 		});
+		this.#server.on('timeout', (socket: net.Socket) => {
+			void clients.connections.closeIdle(socket);
+		});
 	}
 
 	/** Port that the server listens on; only valid after `start`. */
@@ -66,19 +81,41 @@
 	/** Accepts no new connections and waits until the requests on all open connections have ended. */
 	async stop(): Promise<void> {
 		this.startDraining();
+		// Connections that wait to be accepted would be reset; their requests are read one turn after they are accepted.
+		await clients.timeouts.waitForInput();
+		await clients.timeouts.waitForInput();
 		const closed = new Promise<void>(resolve => {
 			this.#server.close(() => {
 				resolve();
 			});
 		});
 		const timer = setInterval(() => {
-			this.#server.closeIdleConnections();
+			void this.#closeIdleConnections();
 		}, idleCheckIntervalMs);
 		await closed;
 		clearInterval(timer);
 	}
 
+	async #closeIdleConnections(): Promise<void> {
+		await clients.timeouts.waitForInput();
+		this.#server.closeIdleConnections();
+	}
+
+	/** Rejects a head that takes too long, unless the rest of it had arrived, but was not read yet. */
+	async #rejectSlowHead(socket: net.Socket): Promise<void> {
+		const last = this.#lastRequests.get(socket);
+		await clients.timeouts.waitForInput();
+		if (this.#lastRequests.get(socket) === last) {
+			rejectConnection(socket);
+		}
+	}
+
 	#route(req: http.IncomingMessage, res: http.ServerResponse): void {
+		this.#lastRequests.set(req.socket, req);
+		this.#openResponses.add(res);
+		res.once('close', () => {
+			this.#openResponses.delete(res);
+		});
 		if (this.#isDraining) {
 			res.setHeader('connection', 'close');
 		}
@@ -91,3 +128,9 @@
 		void this.#options.requests.handle(req, res);
 	}
 }
+
+function rejectConnection(socket: net.Socket): void {
+	if (socket.writable) {
+		socket.end(badRequestResponse);
+	}
+}
