--- a/packages/kv/tests/timeouts/timers.test.ts
+++ b/packages/kv/tests/timeouts/timers.test.ts
@@ -1,42 +1,11 @@
-import * as net from 'node:net';
-import * as worker from 'node:worker_threads';
 import {setTimeout as sleep} from 'node:timers/promises';
 import * as chai from 'chai';
+import * as blocking from '../../../gateway/tests/support/blocking.js';
+import * as threadServer from '../support/thread-server.js';
 import * as clients from '@bluebellmast/kv';
 
 const {expect} = chai;
 
-/** Blocks the event loop in its check phase, so that timers that become due run before sockets are read. */
-async function blockEventLoop(blockedMs: number): Promise<void> {
-	return new Promise(resolve => {
-		setImmediate(() => {
-			setImmediate(resolve);
-			const until = performance.now() + blockedMs;
-			while (performance.now() < until) {} // eslint-disable-line no-empty -- Blocks the event loop.
-		});
-	});
-}
-
-/** Connects to a thread that sends a byte after a time. @returns The connection. */
-async function connectToSender(afterMs: number): Promise<net.Socket> {
-	const code = `
-		const {parentPort, workerData} = require('node:worker_threads');
-		const server = require('node:net').createServer(socket => {
-			setTimeout(() => { socket.end('x'); server.close(); }, workerData);
-		});
-		server.listen(0, '127.0.0.1', () => { parentPort.postMessage(server.address().port); });
-	`;
-	const sender = new worker.Worker(code, {eval: true, workerData: afterMs});
-	const port = await new Promise<number>(resolve => {
-		sender.once('message', resolve);
-	});
-	const socket = net.connect(port, '127.0.0.1');
-	await new Promise(resolve => {
-		socket.once('connect', resolve);
-	});
-	return socket;
-}
-
 // Guards against decisions that nothing has arrived, made before what had arrived while the event loop was blocked was read.
 describe('timers beside a blocked event loop', () => {
 	for (const timerClass of [clients.timeouts.InputTimer, clients.timeouts.SilenceTimer]) {
@@ -44,7 +13,7 @@
 		const create = (ms: number, onEnd: () => void): InstanceType<typeof timerClass> => Reflect.construct(timerClass, [ms, onEnd]) as InstanceType<typeof timerClass>;
 
 		it(`${name} does not call back if it is cleared by input that arrived meanwhile`, async () => {
-			const socket = await connectToSender(200);
+			const socket = await threadServer.connectToSender(200);
 			let endCount = 0;
 			const timer = create(300, () => {
 				endCount += 1;
@@ -52,13 +21,13 @@
 			socket.once('data', () => {
 				timer.clear();
 			});
-			await blockEventLoop(600);
+			await blocking.blockEventLoop(600);
 			await sleep(700);
 			expect(endCount).to.equal(0);
 		});
 
 		it(`${name} does not call back before its time if it was refreshed by input that arrived meanwhile`, async () => {
-			const socket = await connectToSender(200);
+			const socket = await threadServer.connectToSender(200);
 			let endedAt = 0;
 			let refreshedAt = 0;
 			const timer = create(300, () => {
@@ -68,7 +37,7 @@
 				refreshedAt = performance.now();
 				timer.refresh();
 			});
-			await blockEventLoop(600);
+			await blocking.blockEventLoop(600);
 			await sleep(800);
 			timer.clear();
 			expect(endedAt - refreshedAt).to.be.greaterThan(298);
@@ -79,7 +48,7 @@
 			create(100, () => {
 				endCount += 1;
 			});
-			await blockEventLoop(150);
+			await blocking.blockEventLoop(150);
 			await sleep(500);
 			expect(endCount).to.equal(1);
 		});
@@ -102,18 +71,18 @@
 				resolve(performance.now() - startedAt);
 			});
 		});
-		await blockEventLoop(600);
+		await blocking.blockEventLoop(600);
 		const endedAfterMs = await ended;
 		expect(endedAfterMs).to.be.greaterThan(698);
 	});
 
 	it('CallDeadline does not abort a call whose response arrived meanwhile', async () => {
-		const socket = await connectToSender(200);
+		const socket = await threadServer.connectToSender(200);
 		const deadline = new clients.timeouts.CallDeadline(300);
 		socket.once('data', () => {
 			deadline.clear();
 		});
-		await blockEventLoop(600);
+		await blocking.blockEventLoop(600);
 		await sleep(700);
 		expect(deadline.signal.aborted).to.equal(false);
 	});
--- a/packages/router/src/endpoints/progress-timer.ts
+++ b/packages/router/src/endpoints/progress-timer.ts
@@ -1,8 +1,10 @@
+import * as clients from '@bluebellmast/kv';
+
 /** Timer that aborts a signal unless it is restarted within its time limit. */
 export class ProgressTimer {
 	readonly #controller = new AbortController();
 	readonly #timeoutMs: number;
-	#timer: NodeJS.Timeout;
+	#timer: clients.timeouts.SilenceTimer;
 
 	/**
 	 * @param firstTimeoutMs - Time limit until the first restart, in milliseconds.
@@ -26,12 +28,12 @@
 
 	/** Stops the timer until the next `restart`. */
 	stop(): void {
-		clearTimeout(this.#timer);
+		this.#timer.clear();
 	}
 
-	#startTimer(limitMs: number): NodeJS.Timeout {
-		return setTimeout(() => {
+	#startTimer(limitMs: number): clients.timeouts.SilenceTimer {
+		return new clients.timeouts.SilenceTimer(limitMs, () => {
 			this.#controller.abort('no progress');
-		}, limitMs);
+		});
 	}
 }
--- a/packages/router/src/filters/deadline-filter.ts
+++ b/packages/router/src/filters/deadline-filter.ts
@@ -1,4 +1,5 @@
 import * as core from '@bluebellmast/core';
+import * as clients from '@bluebellmast/kv';
 import type * as filter from './filter.js';
 import type * as requestContext from './request-context.js';
 
@@ -20,19 +21,19 @@
 		ctx.deadlineAt = ctx.arrivedAt + timeoutMs;
 		ctx.signal = abortController.signal;
 		ctx.cancelDeadline = () => {
-			clearTimeout(timer);
+			timer.clear();
 		};
 
-		const timer = setTimeout(() => {
+		const timer = new clients.timeouts.InputTimer(timeoutMs, () => {
 			abortController.abort(core.model.ErrorCode.DeadlineExceeded);
-		}, timeoutMs);
+		});
 		ctx.response.onCallerDisconnect(() => {
 			abortController.abort(core.model.ErrorCode.CallerDisconnected);
 		});
 		try {
 			await next();
 		} finally {
-			clearTimeout(timer);
+			timer.clear();
 		}
 	}
 }
--- a/packages/router/src/forward/forward-controller.ts
+++ b/packages/router/src/forward/forward-controller.ts
@@ -1,5 +1,6 @@
 import * as crypto from 'node:crypto';
 import * as core from '@bluebellmast/core';
+import * as clients from '@bluebellmast/kv';
 import * as wire from '@bluebellmast/wire';
 import createDebug from 'debug';
 import * as purify from 'purify-ts';
@@ -126,11 +127,11 @@
 	}
 
 	#addPending(forwardId: string, timeoutMs: number, resolve: Resolve): void {
-		const timer = setTimeout(() => {
+		const timer = new clients.timeouts.InputTimer(timeoutMs, () => {
 			this.#resolvePending(forwardId, purify.Left(createUnknownOutcomeRefusal()));
-		}, timeoutMs);
+		});
 		this.#pending.set(forwardId, result => {
-			clearTimeout(timer);
+			timer.clear();
 			resolve(result);
 		});
 	}
--- a/packages/router/src/http/http-response-writer.ts
+++ b/packages/router/src/http/http-response-writer.ts
@@ -1,6 +1,7 @@
 import * as buffer from 'node:buffer';
 import type * as http from 'node:http';
 import * as core from '@bluebellmast/core';
+import * as clients from '@bluebellmast/kv';
 import * as wire from '@bluebellmast/wire';
 import type * as responseWriter from './response-writer.js';
 import * as refusalHeaders from './refusal-headers.js';
@@ -116,13 +117,13 @@
 	/** Waits until the send buffer has drained or the connection is closed; closes the connection after the drain timeout. */
 	async #waitForDrain(): Promise<void> {
 		await new Promise<void>(resolve => {
-			const timer = setTimeout(() => {
+			const timer = new clients.timeouts.SilenceTimer(this.#drainTimeoutMs, () => {
 				this.#isCallerDisconnected = true;
 				this.#res.destroy();
 				done();
-			}, this.#drainTimeoutMs);
+			});
 			const done = () => {
-				clearTimeout(timer);
+				timer.clear();
 				this.#res.off('drain', done);
 				this.#res.off('close', done);
 				resolve();
