--- a/packages/kv/src/timeouts/index.ts
+++ b/packages/kv/src/timeouts/index.ts
@@ -1,3 +1,4 @@
 export * from './call-deadline.js';
+export * from './input-interval.js';
 export * from './input-timer.js';
 export * from './silence-timer.js';
--- /dev/null
+++ b/packages/kv/src/timeouts/input-interval.ts
@@ -0,0 +1,27 @@
+import * as inputTimer from './input-timer.js';
+
+/** An interval for decisions that rest on what has not arrived. It calls back each time after the input that had arrived was read. */
+export class InputInterval {
+	readonly #timer: NodeJS.Timeout;
+	#isCleared = false;
+
+	/** @param intervalMs - Time between two calls in milliseconds. */
+	constructor(intervalMs: number, private readonly onTick: () => void) {
+		this.#timer = setInterval(() => {
+			void this.#tick();
+		}, inputTimer.toTimerMs(intervalMs));
+	}
+
+	/** Cancels the interval; no call follows. */
+	clear(): void {
+		this.#isCleared = true;
+		clearInterval(this.#timer);
+	}
+
+	async #tick(): Promise<void> {
+		await inputTimer.waitForInput();
+		if (!this.#isCleared) {
+			this.onTick();
+		}
+	}
+}
--- a/packages/kv/tests/support/thread-server.ts
+++ b/packages/kv/tests/support/thread-server.ts
@@ -1,7 +1,13 @@
 import * as net from 'node:net';
 import * as worker from 'node:worker_threads';
 
-/** Text that a {@link ThreadServer} writes on each connection, and when, in milliseconds after the first bytes of its caller. */
+/** From when on a {@link ThreadServer} counts the times of its writes. */
+export enum WriteStart {
+	Connection = 'connection',
+	FirstBytes = 'first_bytes',
+}
+
+/** Text that a {@link ThreadServer} writes on each connection, and when, in milliseconds after the start of the writes. */
 export type ServerWrite = {readonly afterMs: number; readonly text: string};
 
 const serverCode = `
@@ -11,11 +17,18 @@
 	sockets.add(socket);
 	socket.on('error', () => undefined);
 	socket.on('close', () => { sockets.delete(socket); });
-	socket.once('data', () => {
-		for (const {afterMs, text} of workerData) {
+	parentPort.postMessage('connection');
+	const write = () => {
+		for (const {afterMs, text} of workerData.writes) {
 			setTimeout(() => { socket.write(text, 'latin1'); }, afterMs);
 		}
-	});
+	};
+	socket.resume();
+	if (workerData.writeStart === 'connection') {
+		write();
+	} else {
+		socket.once('data', write);
+	}
 });
 server.listen(0, '127.0.0.1', () => { parentPort.postMessage(server.address().port); });
 `;
@@ -23,8 +36,8 @@
 /** TCP server in another thread, which goes on while the event loop of this one is blocked. */
 export class ThreadServer {
 	/** Starts a server that writes the same on each connection. */
-	static async start(writes: readonly ServerWrite[]): Promise<ThreadServer> {
-		const thread = new worker.Worker(serverCode, {eval: true, workerData: writes});
+	static async start(writes: readonly ServerWrite[], writeStart = WriteStart.FirstBytes): Promise<ThreadServer> {
+		const thread = new worker.Worker(serverCode, {eval: true, workerData: {writes, writeStart}});
 		const port = await new Promise<number>((resolve, reject) => {
 			thread.once('message', resolve);
 			thread.once('error', reject);
@@ -32,7 +45,14 @@
 		return new ThreadServer(thread, port);
 	}
 
-	private constructor(private readonly thread: worker.Worker, readonly port: number) {}
+	/** Number of connections that were accepted. */
+	connectionCount = 0;
+
+	private constructor(private readonly thread: worker.Worker, readonly port: number) {
+		thread.on('message', () => {
+			this.connectionCount += 1;
+		});
+	}
 
 	async stop(): Promise<void> {
 		await this.thread.terminate();
--- a/packages/kv/tests/timeouts/timers.test.ts
+++ b/packages/kv/tests/timeouts/timers.test.ts
@@ -86,4 +86,33 @@
 		await sleep(700);
 		expect(deadline.signal.aborted).to.equal(false);
 	});
+
+	it('InputInterval calls back after the input that arrived meanwhile', async () => {
+		const socket = await threadServer.connectToSender(200);
+		let hasArrived = false;
+		socket.once('data', () => {
+			hasArrived = true;
+		});
+		const seen: boolean[] = [];
+		const interval = new clients.timeouts.InputInterval(300, () => {
+			seen.push(hasArrived);
+		});
+		await blocking.blockEventLoop(600);
+		await sleep(400);
+		interval.clear();
+		expect(seen[0]).to.equal(true);
+	});
+
+	it('InputInterval does not call back after it was cleared', async () => {
+		let callCount = 0;
+		const interval = new clients.timeouts.InputInterval(50, () => {
+			callCount += 1;
+		});
+		setTimeout(() => {
+			interval.clear();
+		}, 60);
+		await blocking.blockEventLoop(150);
+		await sleep(200);
+		expect(callCount).to.equal(0);
+	});
 });
--- a/packages/router/src/controllers/member-controller.ts
+++ b/packages/router/src/controllers/member-controller.ts
@@ -1,5 +1,5 @@
 import * as core from '@bluebellmast/core';
-import type * as clients from '@bluebellmast/kv';
+import * as clients from '@bluebellmast/kv';
 import * as wire from '@bluebellmast/wire';
 import createDebug from 'debug';
 import * as peerAddress from '../peers/peer-address.js';
@@ -47,7 +47,8 @@
 	private readonly membership: core.members.Membership;
 	private readonly listeners: MemberListener[] = [];
 	private vmList: readonly clients.vms.ListedVm[] | undefined;
-	private timers: NodeJS.Timeout[] = [];
+	private ticks: clients.timeouts.InputInterval | undefined;
+	private listReads: NodeJS.Timeout | undefined;
 	private isReadingVmList = false;
 
 	constructor(controllerOptions: MemberControllerOptions) {
@@ -68,23 +69,19 @@
 
 	async start(): Promise<void> {
 		const periodMs = this.options.limits?.periodMs ?? core.members.membershipDefaults.periodMs;
-		this.timers = [
-			setInterval(() => {
-				this.step({type: eventType.Tick});
-			}, periodMs),
-			setInterval(() => {
-				void this.readVmList();
-			}, this.options.listIntervalMs ?? 5000),
-		];
+		this.ticks = new clients.timeouts.InputInterval(periodMs, () => {
+			this.step({type: eventType.Tick});
+		});
+		this.listReads = setInterval(() => {
+			void this.readVmList();
+		}, this.options.listIntervalMs ?? 5000);
 		void this.readVmList();
 	}
 
 	/** Announces that this router has left, so that the others do not need to detect it. */
 	async stop(): Promise<void> {
-		for (const timer of this.timers) {
-			clearInterval(timer);
-		}
-
+		this.ticks?.clear();
+		clearInterval(this.listReads);
 		this.step({type: eventType.LeaveFinished});
 	}
 
--- a/packages/router/src/http/router-server.ts
+++ b/packages/router/src/http/router-server.ts
@@ -89,16 +89,11 @@
 				resolve();
 			});
 		});
-		const timer = setInterval(() => {
-			void this.#closeIdleConnections();
-		}, idleCheckIntervalMs);
+		const timer = new clients.timeouts.InputInterval(idleCheckIntervalMs, () => {
+			this.#server.closeIdleConnections();
+		});
 		await closed;
-		clearInterval(timer);
-	}
-
-	async #closeIdleConnections(): Promise<void> {
-		await clients.timeouts.waitForInput();
-		this.#server.closeIdleConnections();
+		timer.clear();
 	}
 
 	/** Rejects a head that takes too long, unless the rest of it had arrived, but was not read yet. */
--- a/packages/router/src/peers/peer-link.ts
+++ b/packages/router/src/peers/peer-link.ts
@@ -39,6 +39,8 @@
 	bytesSent = 0;
 	bytesReceived = 0;
 
+	/** Running time at which the link was opened, in milliseconds. */
+	private readonly openedRunningMs: number;
 	/** Running time at which data was last received, in milliseconds. */
 	private lastReceivedRunningMs: number;
 	private readonly decoder: wire.frames.FrameDecoder;
@@ -48,7 +50,8 @@
 		const now = options.clock.now();
 		this.dialled = options.dialled;
 		this.openedAt = now;
-		this.lastReceivedRunningMs = options.runningTime.elapsedMs(now);
+		this.openedRunningMs = options.runningTime.elapsedMs(now);
+		this.lastReceivedRunningMs = this.openedRunningMs;
 		this.lastSentAt = now;
 		this.lastUsedAt = now;
 		this.decoder = new wire.frames.FrameDecoder(options.maxFrameBytes);
@@ -68,6 +71,11 @@
 		return this.options.socket.destroyed;
 	}
 
+	/** Returns for how long this process was running since the link was opened, in milliseconds. */
+	openMs(now: number): number {
+		return this.options.runningTime.elapsedMs(now) - this.openedRunningMs;
+	}
+
 	/** Returns for how long this process was running without receiving data on the link, in milliseconds. */
 	silenceMs(now: number): number {
 		return this.options.runningTime.elapsedMs(now) - this.lastReceivedRunningMs;
--- a/packages/router/src/peers/tcp-peer-network-options.ts
+++ b/packages/router/src/peers/tcp-peer-network-options.ts
@@ -26,7 +26,7 @@
 	readonly silentMs?: number;
 	/** Running time without a received byte after which a link is closed, in milliseconds. Default 6,000. */
 	readonly closeMs?: number;
-	/** Time limit for connecting and receiving the hello, in milliseconds. Default 2,000. */
+	/** Running time for connecting and receiving the hello, in milliseconds. Default 2,000. */
 	readonly helloTimeoutMs?: number;
 	/** Time without use after which a link on demand is closed, in milliseconds. Default 30,000. */
 	readonly idleMs?: number;
--- a/packages/router/src/peers/tcp-peer-network.ts
+++ b/packages/router/src/peers/tcp-peer-network.ts
@@ -1,5 +1,6 @@
 import * as net from 'node:net';
 import type * as core from '@bluebellmast/core';
+import * as clients from '@bluebellmast/kv';
 import * as wire from '@bluebellmast/wire';
 import createDebug from 'debug';
 import * as dialBackoff from './dial-backoff.js';
@@ -23,7 +24,7 @@
 	private readonly inactiveLinks = new Set<peerLink.PeerLink>();
 	private readonly dialledAddresses = new Map<peerLink.PeerLink, peerAddress.PeerAddress>();
 	private readonly server: net.Server;
-	private timer: NodeJS.Timeout | undefined;
+	private timer: clients.timeouts.InputInterval | undefined;
 	private listenPort = 0;
 	private isStopped = false;
 
@@ -48,16 +49,16 @@
 			this.server.listen(this.options.port, this.options.host, resolve);
 		});
 		this.listenPort = (this.server.address() as net.AddressInfo).port;
-		this.timer = setInterval(() => {
+		this.timer = new clients.timeouts.InputInterval(this.options.heartbeatMs, () => {
 			this.tick();
-		}, this.options.heartbeatMs);
+		});
 		this.tick();
 	}
 
 	/** Sends the buffered frames, closes all links and stops listening. */
 	async stop(): Promise<void> {
 		this.isStopped = true;
-		clearInterval(this.timer);
+		this.timer?.clear();
 		const closed = new Promise<void>(resolve => {
 			this.server.close(() => {
 				resolve();
@@ -345,8 +346,8 @@
 	/** Closes connections whose hello did not arrive in time, and replaced links after messages in flight had time to arrive. */
 	private closeInactiveLinks(now: number): void {
 		for (const link of this.inactiveLinks) {
-			const since = link.hello === undefined ? link.openedAt : link.lastUsedAt;
-			if (now - since > this.options.helloTimeoutMs) {
+			const waitedMs = link.hello === undefined ? link.openMs(now) : now - link.lastUsedAt;
+			if (waitedMs > this.options.helloTimeoutMs) {
 				link.destroy();
 			}
 		}
--- /dev/null
+++ b/packages/router/tests/controllers/blocked-event-loop.test.ts
@@ -0,0 +1,62 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import * as chai from 'chai';
+import type * as core from '@bluebellmast/core';
+import * as wire from '@bluebellmast/wire';
+import * as blocking from '../../../gateway/tests/support/blocking.js';
+import * as threadServer from '../../../kv/tests/support/thread-server.js';
+import * as router from '@bluebellmast/router';
+
+const {expect} = chai;
+const host = '127.0.0.1';
+const messageType = wire.peer.PeerMessageType;
+
+// Guards against members that are suspected although their response to a ping arrived while the event loop was blocked.
+describe('a member whose response arrives while the event loop is blocked', () => {
+	it('is not suspected', async () => {
+		const handlers = new Map<wire.peer.PeerMessageType, router.peers.PeerHandler>();
+		const pings: wire.peer.PingMessage[] = [];
+		const statuses: string[] = [];
+		const members = new router.controllers.MemberController({
+			vm: 'a',
+			incarnation: 'a-1',
+			dataCentre: 'dc',
+			host,
+			port: 1,
+			seedAddresses: [],
+			clock: new router.clock.SystemClock(),
+			vmList: {list: async () => undefined},
+			peers: {
+				on(type: wire.peer.PeerMessageType, handler: router.peers.PeerHandler) {
+					handlers.set(type, handler);
+				},
+				send(_to: core.model.VmId, message: wire.peer.PingMessage) {
+					pings.push(message);
+					return true;
+				},
+			} as unknown as router.peers.PeerNetwork,
+			metrics: {
+				increment(_name, _by, tags = {}) {
+					const {status} = tags;
+					statuses.push(...(status === undefined ? [] : [status]));
+				},
+				gauge: () => undefined,
+				timing: () => undefined,
+			},
+		});
+		const peer = await threadServer.connectToSender(1850);
+		await members.start();
+		handlers.get(messageType.Hello)!('b', {
+			type: messageType.Hello, incarnation: 'b-1', host, port: 2, dataCentre: 'dc',
+		} as wire.peer.Hello);
+		peer.once('data', () => {
+			for (const {spread} of pings.splice(0)) {
+				handlers.get(messageType.Ack)!('b', {type: messageType.Ack, spread: {...spread, records: []}} as wire.peer.PingMessage);
+			}
+		});
+		await sleep(1750);
+		await blocking.blockEventLoop(600);
+		await sleep(100);
+		await members.stop();
+		expect(statuses).to.not.include('suspect');
+	});
+});
