--- a/packages/ctl/src/routers/router-client.ts
+++ b/packages/ctl/src/routers/router-client.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import * as core from '@bluebellmast/core';
+import * as clients from '@bluebellmast/kv';
 import type * as wire from '@bluebellmast/wire';
 import * as purify from 'purify-ts';
 import * as undici from 'undici';
@@ -46,10 +47,11 @@
 	}
 
 	async #get(path: string): RouterResult<JsonObject> {
+		const deadline = new clients.timeouts.CallDeadline(callTimeoutMs);
 		try {
 			const {statusCode, body} = await undici.request(this.url + path, {
 				headers: this.#operatorKey === undefined ? {} : {authorization: `Bearer ${this.#operatorKey}`},
-				signal: AbortSignal.timeout(callTimeoutMs),
+				signal: deadline.signal,
 			});
 			const text = await readBounded(body);
 			if (statusCode !== 200) {
@@ -59,6 +61,8 @@
 			return expectObject(JSON.parse(text));
 		} catch (err) {
 			return purify.Left(err instanceof Error ? err.message : String(err));
+		} finally {
+			deadline.clear();
 		}
 	}
 }
--- a/packages/router/src/controllers/order-client.ts
+++ b/packages/router/src/controllers/order-client.ts
@@ -1,4 +1,5 @@
 import type * as core from '@bluebellmast/core';
+import * as clients from '@bluebellmast/kv';
 import type * as wire from '@bluebellmast/wire';
 import type * as connectionPools from '../endpoints/connection-pools.js';
 import * as endpointOrigin from '../endpoints/endpoint-origin.js';
@@ -35,12 +36,13 @@
 		path: string,
 		body?: unknown,
 	): Promise<ResponseBody | undefined> {
+		const deadline = new clients.timeouts.CallDeadline(this.timeoutMs);
 		try {
 			const res = await this.pools.singleUse().request({
 				origin: endpointOrigin.endpointOrigin(endpoint),
 				path,
 				method,
-				signal: AbortSignal.timeout(this.timeoutMs),
+				signal: deadline.signal,
 				...(body !== undefined && {headers: {'content-type': 'application/json'}, body: JSON.stringify(body)}),
 			});
 			if (res.statusCode >= firstErrorStatus) {
@@ -51,6 +53,8 @@
 			return await res.body.json() as ResponseBody;
 		} catch {
 			return undefined;
+		} finally {
+			deadline.clear();
 		}
 	}
 }
--- a/packages/router/src/endpoints/load-client.ts
+++ b/packages/router/src/endpoints/load-client.ts
@@ -1,4 +1,5 @@
 import type * as core from '@bluebellmast/core';
+import * as clients from '@bluebellmast/kv';
 import type * as wire from '@bluebellmast/wire';
 import * as zod from 'zod';
 import type * as connectionPools from './connection-pools.js';
@@ -33,17 +34,20 @@
 
 	/** Returns the load report of an endpoint, or `undefined` if no valid report arrives within the time limit. */
 	async read(endpoint: core.model.Endpoint): Promise<wire.endpoint.LoadReport | undefined> {
+		const deadline = new clients.timeouts.CallDeadline(this.#timeoutMs);
 		try {
 			const res = await this.#pools.keepAlive().request({
 				origin: endpointOrigin.endpointOrigin(endpoint),
 				path: '/v1/load',
 				method: 'GET',
-				signal: AbortSignal.timeout(this.#timeoutMs),
+				signal: deadline.signal,
 			});
 			const parsed = loadReportSchema.safeParse(await res.body.json());
 			return parsed.success ? parsed.data : undefined;
 		} catch {
 			return undefined;
+		} finally {
+			deadline.clear();
 		}
 	}
 }
