--- a/packages/gateway/tests/call/blocked-event-loop.test.ts
+++ b/packages/gateway/tests/call/blocked-event-loop.test.ts
@@ -2,6 +2,7 @@
 import * as chai from 'chai';
 import * as core from '@bluebellmast/core';
 import * as blocking from '../../../kv/tests/support/blocking.js';
+import * as threadServer from '../../../kv/tests/support/thread-server.js';
 import * as loaded from '../support/loaded-vm.js';
 
 const {expect} = chai;
@@ -24,7 +25,7 @@
 		const res = vm.send('r-1', {timeoutMs: 400});
 		await settle();
 		const [stream] = vm.connections.streams;
-		const socket = await blocking.connectToSender(200);
+		const socket = await threadServer.connectToSender(200);
 		socket.once('data', () => {
 			stream!.begin();
 			stream!.sendEvent();
@@ -40,7 +41,7 @@
 		await settle();
 		vm.addEndpoint('b');
 		const [stream] = vm.connections.streams;
-		const socket = await blocking.connectToSender(200);
+		const socket = await threadServer.connectToSender(200);
 		socket.once('data', () => {
 			stream!.begin();
 			stream!.end();
@@ -57,7 +58,7 @@
 		const [stream] = vm.connections.streams;
 		stream!.begin();
 		stream!.sendEvent();
-		const socket = await blocking.connectToSender(1800);
+		const socket = await threadServer.connectToSender(1800);
 		socket.once('data', () => {
 			stream!.sendEvent();
 		});
--- a/packages/gateway/tests/util/periodic-task.test.ts
+++ b/packages/gateway/tests/util/periodic-task.test.ts
@@ -1,6 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import * as chai from 'chai';
 import * as blocking from '../../../kv/tests/support/blocking.js';
+import * as threadServer from '../../../kv/tests/support/thread-server.js';
 import * as gateway from '@bluebellmast/gateway';
 
 const {expect} = chai;
@@ -144,7 +145,7 @@
 				order.push('blocked');
 			},
 		});
-		const socket = await blocking.connectToSender(100);
+		const socket = await threadServer.connectToSender(100);
 		socket.once('data', () => {
 			order.push('data');
 		});
--- a/packages/kv/tests/timeouts/timers.test.ts
+++ b/packages/kv/tests/timeouts/timers.test.ts
@@ -1,6 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import * as chai from 'chai';
 import * as blocking from '../support/blocking.js';
+import * as threadServer from '../support/thread-server.js';
 import * as clients from '@bluebellmast/kv';
 
 const {expect} = chai;
@@ -12,7 +13,7 @@
 		const create = (ms: number, onEnd: () => void): InstanceType<typeof timerClass> => Reflect.construct(timerClass, [ms, onEnd]) as InstanceType<typeof timerClass>;
 
 		it(`${name} does not call back if it is cleared by input that arrived meanwhile`, async () => {
-			const socket = await blocking.connectToSender(200);
+			const socket = await threadServer.connectToSender(200);
 			let endCount = 0;
 			const timer = create(300, () => {
 				endCount += 1;
@@ -26,7 +27,7 @@
 		});
 
 		it(`${name} does not call back before its time if it was refreshed by input that arrived meanwhile`, async () => {
-			const socket = await blocking.connectToSender(200);
+			const socket = await threadServer.connectToSender(200);
 			let endedAt = 0;
 			let refreshedAt = 0;
 			const timer = create(300, () => {
@@ -76,7 +77,7 @@
 	});
 
 	it('CallDeadline does not abort a call whose response arrived meanwhile', async () => {
-		const socket = await blocking.connectToSender(200);
+		const socket = await threadServer.connectToSender(200);
 		const deadline = new clients.timeouts.CallDeadline(300);
 		socket.once('data', () => {
 			deadline.clear();
@@ -85,4 +86,33 @@
 		await sleep(700);
 		expect(deadline.signal.aborted).to.equal(false);
 	});
+
+	it('InputInterval calls back after the input that arrived meanwhile', async () => {
+		const socket = await threadServer.connectToSender(200);
+		let hasArrived = false;
+		socket.once('data', () => {
+			hasArrived = true;
+		});
+		const seen: boolean[] = [];
+		const interval = new clients.timeouts.InputInterval(300, () => {
+			seen.push(hasArrived);
+		});
+		await blocking.blockEventLoop(600);
+		await sleep(400);
+		interval.clear();
+		expect(seen[0]).to.equal(true);
+	});
+
+	it('InputInterval does not call back after it was cleared', async () => {
+		let callCount = 0;
+		const interval = new clients.timeouts.InputInterval(50, () => {
+			callCount += 1;
+		});
+		setTimeout(() => {
+			interval.clear();
+		}, 60);
+		await blocking.blockEventLoop(150);
+		await sleep(200);
+		expect(callCount).to.equal(0);
+	});
 });
