--- a/packages/gateway/tests/ingress/blocked-event-loop.test.ts
+++ b/packages/gateway/tests/ingress/blocked-event-loop.test.ts
@@ -69,6 +69,17 @@
 		expect(listStatuses(await caller)).to.deep.equal([200]);
 	});
 
+	// Guards against resets of connections that wait to be accepted, of which each turn of the event loop accepts one.
+	it('is answered though several connections were not accepted before the server stops listening', async () => {
+		setTimeout(() => {
+			void server.finishShutdown(5000);
+		}, 600);
+		const callers = Array.from({length: 8}, async () => blocking.runThreadCaller(server.port, [{atMs: 0, text: request}], endMs));
+		await blocking.blockEventLoop(1500);
+		const seen = await Promise.all(callers);
+		expect(seen.map(caller => listStatuses(caller))).to.deep.equal(Array.from({length: 8}, () => [200]));
+	});
+
 	it('gets a response though the grace period has ended meanwhile', async () => {
 		server.applyLimits({headerTimeoutMs: 5000, idleTimeoutMs: 15_000});
 		const caller = blocking.runThreadCaller(server.port, [
