--- a/packages/gateway/src/ingress/caller-http-server.ts
+++ b/packages/gateway/src/ingress/caller-http-server.ts
@@ -1,5 +1,6 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
+import * as clients from '@bluebellmast/kv';
 import * as lingeringClose from '../util/lingering-close.js';
 
 /**
@@ -8,6 +9,7 @@
  */
 export class CallerHttpServer extends http.Server {
 	#isClosingIdle = false;
+	#acceptedCount = 0;
 
 	constructor(
 		options: http.ServerOptions,
@@ -17,11 +19,23 @@
 		super(options);
 		this.on('request', this.handle);
 		this.on('connection', (socket: net.Socket) => {
+			this.#acceptedCount += 1;
 			lingeringClose.setLingerTime(socket, lingeringClose.minLingerMs);
 			lingeringClose.lingerOnDestroy(socket, () => this.#isClosingIdle);
 		});
 	}
 
+	/** Accepts the connections that wait, and reads the requests on them; those that are not accepted when the server closes are reset. */
+	async acceptWaiting(mayContinue: () => boolean): Promise<void> {
+		let lastCount: number;
+		do {
+			lastCount = this.#acceptedCount;
+			// A turn of the event loop accepts one connection, and reads what has arrived on those of the turns before.
+			await clients.timeouts.waitForInput(); // eslint-disable-line no-await-in-loop -- Turns follow one another.
+			await clients.timeouts.waitForInput(); // eslint-disable-line no-await-in-loop -- Turns follow one another.
+		} while (this.#acceptedCount > lastCount && mayContinue());
+	}
+
 	override closeIdleConnections(): void {
 		if (this.hasUnsentResponses()) {
 			return;
--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -127,9 +127,7 @@
 	async finishShutdown(maxMs: number): Promise<void> {
 		const now = (): number => this.dependencies.clock.monotonicNow();
 		const endsAt = now() + maxMs;
-		// Connections that wait to be accepted would be reset; their requests are read one turn after they are accepted.
-		await clients.timeouts.waitForInput();
-		await clients.timeouts.waitForInput();
+		await this.#server.acceptWaiting(() => now() < endsAt);
 		this.#server.close();
 		let lastResponseAt = now();
 		while (now() < endsAt) {
