--- a/packages/kv/tests/timeouts/timers.test.ts
+++ b/packages/kv/tests/timeouts/timers.test.ts
@@ -75,6 +75,34 @@
 		expect(endedAfterMs).to.be.greaterThan(698);
 	});
 
+	// Guards against the silence of another process that was sent its request only after the event loop was blocked.
+	it('SilenceTimer adds the time for which the event loop was blocked in the middle of the wait', async () => {
+		const startedAt = performance.now();
+		const ended = new Promise<number>(resolve => {
+			new clients.timeouts.SilenceTimer(500, () => { // eslint-disable-line no-new -- The timer runs by itself.
+				resolve(performance.now() - startedAt);
+			});
+		});
+		await blocking.blockEventLoop(400);
+		const endedAfterMs = await ended;
+		expect(endedAfterMs).to.be.within(800, 1200);
+	});
+
+	it('SilenceTimer ends in a bounded time if the event loop is blocked again and again', async () => {
+		const startedAt = performance.now();
+		const ended = new Promise<number>(resolve => {
+			new clients.timeouts.SilenceTimer(500, () => { // eslint-disable-line no-new -- The timer runs by itself.
+				resolve(performance.now() - startedAt);
+			});
+		});
+		for (let count = 0; count < 20; count++) {
+			await blocking.blockEventLoop(150); // eslint-disable-line no-await-in-loop -- Blocks follow one another.
+			await sleep(5); // eslint-disable-line no-await-in-loop -- Blocks follow one another.
+		}
+
+		expect(await ended).to.be.lessThan(2800);
+	}).timeout(10_000);
+
 	it('CallDeadline does not abort a call whose response arrived meanwhile', async () => {
 		const socket = await blocking.connectToSender(200);
 		const deadline = new clients.timeouts.CallDeadline(300);
