--- a/packages/gateway/src/ingress/caller-http-server.ts
+++ b/packages/gateway/src/ingress/caller-http-server.ts
@@ -10,6 +10,7 @@
 export class CallerHttpServer extends http.Server {
 	#isClosingIdle = false;
 	#acceptedCount = 0;
+	readonly #sockets = new Set<net.Socket>();
 
 	constructor(
 		options: http.ServerOptions,
@@ -20,11 +21,20 @@
 		this.on('request', this.handle);
 		this.on('connection', (socket: net.Socket) => {
 			this.#acceptedCount += 1;
+			this.#sockets.add(socket);
+			socket.once('close', () => {
+				this.#sockets.delete(socket);
+			});
 			lingeringClose.setLingerTime(socket, lingeringClose.minLingerMs);
-			lingeringClose.lingerOnDestroy(socket, () => this.#isClosingIdle);
+			lingeringClose.closeUnreadOnDestroy(socket, () => this.#isClosingIdle);
 		});
 	}
 
+	/** Whether connections are open other than those that were closed while they were idle. */
+	get hasBusyConnections(): boolean {
+		return [...this.#sockets].some(socket => !lingeringClose.isClosedUnread(socket));
+	}
+
 	/** Accepts the connections that wait, and reads the requests on them; those that are not accepted when the server closes are reset. */
 	async acceptWaiting(mayContinue: () => boolean): Promise<void> {
 		let lastCount: number;
--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -133,7 +133,7 @@
 		while (now() < endsAt) {
 			if (this.#openResponses.size > 0) {
 				lastResponseAt = now();
-			} else if (now() - lastResponseAt >= partialRequestGraceMs || !(await this.#hasBusyConnections())) { // eslint-disable-line no-await-in-loop -- Checks follow one another.
+			} else if (now() - lastResponseAt >= partialRequestGraceMs || !this.#hasBusyConnections()) {
 				break;
 			}
 
@@ -154,13 +154,9 @@
 	}
 
 	/** Closes the idle connections. @returns Whether connections remain, on which a request is being read or a response is being sent. */
-	async #hasBusyConnections(): Promise<boolean> {
+	#hasBusyConnections(): boolean {
 		this.#server.closeIdleConnections();
-		return new Promise(resolve => {
-			this.#server.getConnections((err, count) => {
-				resolve(err === null && count > 0);
-			});
-		});
+		return this.#server.hasBusyConnections;
 	}
 
 	async #handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
--- a/packages/gateway/src/util/lingering-close.ts
+++ b/packages/gateway/src/util/lingering-close.ts
@@ -28,10 +28,24 @@
 	const {bytesRead} = socket;
 	await clients.timeouts.waitForInput();
 	if (socket.bytesRead === bytesRead) {
-		closeLingering(socket, minLingerMs);
+		closeUnread(socket);
 	}
 }
 
+/**
+ * Closes an idle connection without reading what arrives from now on, so that a request that crosses the close can be repeated. It is kept for a time, since bytes that
+ * arrive at a closed connection reset it.
+ */
+function closeUnread(socket: net.Socket): void {
+	socket.pause();
+	closeLingering(socket, minLingerMs);
+}
+
+/** Whether a connection was closed while it was idle, and nothing is read from it. */
+export function isClosedUnread(socket: net.Socket): boolean {
+	return socket.writableEnded && socket.isPaused();
+}
+
 /** Sets how long a connection lingers when Node's HTTP server closes it after its last response, in milliseconds. */
 export function setLingerTime(socket: net.Socket, maxMs: number): void {
 	socket.destroySoon = () => {
@@ -39,15 +53,15 @@
 	};
 }
 
-/** Has a connection linger when Node's HTTP server destroys it while a condition holds. */
-export function lingerOnDestroy(socket: net.Socket, mustLinger: () => boolean): void {
+/** Has a connection closed as an idle one when Node's HTTP server destroys it while a condition holds. */
+export function closeUnreadOnDestroy(socket: net.Socket, isIdle: () => boolean): void {
 	const destroy = socket.destroy.bind(socket);
 	socket.destroy = err => {
-		if (!mustLinger()) {
+		if (!isIdle()) {
 			return destroy(err);
 		}
 
-		closeLingering(socket, minLingerMs);
+		closeUnread(socket);
 		return socket;
 	};
 }
