--- a/packages/gateway/tests/ingress/blocked-event-loop.test.ts
+++ b/packages/gateway/tests/ingress/blocked-event-loop.test.ts
@@ -124,15 +124,20 @@
 describe('a request that crosses the close of its idle connection', () => {
 	let server: gateway.ingress.GatewayServer;
 	let droppedCount: number;
+	let respond: (res: gateway.call.RequestContext['res']) => Promise<void>;
 
 	beforeEach(async () => {
 		droppedCount = 0;
+		respond = async res => {
+			res.end('answer');
+		};
+
 		server = new gateway.ingress.GatewayServer({
 			protocol: {decodeRequestHead: () => purify.Right(requestHead)},
 			filters: [],
 			dispatcher: {
 				async dispatch(ctx: gateway.call.RequestContext) {
-					ctx.res.end('answer');
+					await respond(ctx.res);
 				},
 			} as unknown as gateway.call.RequestDispatcher,
 			clock: new gateway.util.SystemClocks(),
@@ -164,4 +169,19 @@
 		const seen = await caller;
 		expect({statuses: listStatuses(seen), error: seen.error, droppedCount}).to.deep.equal({statuses: [200], error: undefined, droppedCount: 0});
 	});
+
+	it('is not read if the connection is closed after a response that had begun before the server stops', async () => {
+		server.applyLimits({headerTimeoutMs: 5000, idleTimeoutMs: 15_000});
+		respond = async res => {
+			res.flushHeaders();
+			await sleep(600);
+			res.end('answer');
+		};
+
+		const caller = blocking.runThreadCaller(server.port, [{atMs: 0, text: request}, {afterEndMs: 300, text: request}], endMs);
+		await sleep(500);
+		server.beginShutdown();
+		const seen = await caller;
+		expect({statuses: listStatuses(seen), error: seen.error, droppedCount}).to.deep.equal({statuses: [200], error: undefined, droppedCount: 0});
+	});
 });
