--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -203,7 +203,13 @@
 		}
 
 		res.once('finish', () => {
-			if (this.#order.isLast(res)) {
+			if (!this.#order.isLast(res)) {
+				return;
+			}
+
+			if (res.req.complete && !this.#closing.has(res)) {
+				lingeringClose.closeUnread(res.req.socket);
+			} else {
 				lingeringClose.closeLingering(res.req.socket, lingeringClose.minLingerMs);
 			}
 		});
--- a/packages/gateway/src/util/lingering-close.ts
+++ b/packages/gateway/src/util/lingering-close.ts
@@ -33,15 +33,15 @@
 }
 
 /**
- * Closes an idle connection without reading what arrives from now on, so that a request that crosses the close can be repeated. It is kept for a time, since bytes that
+ * Closes a connection on which no request is in progress without reading what arrives from now on, so that a request that crosses the close can be repeated. It is kept for a time, since bytes that
  * arrive at a closed connection reset it.
  */
-function closeUnread(socket: net.Socket): void {
+export function closeUnread(socket: net.Socket): void {
 	socket.pause();
 	closeLingering(socket, minLingerMs);
 }
 
-/** Whether a connection was closed while it was idle, and nothing is read from it. */
+/** Whether a connection was closed by {@link closeUnread}. */
 export function isClosedUnread(socket: net.Socket): boolean {
 	return socket.writableEnded && socket.isPaused();
 }
