--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -136,15 +136,13 @@
 	async finishShutdown(maxMs: number): Promise<void> {
 		const now = (): number => this.dependencies.clock.monotonicNow();
 		const endsAt = now() + maxMs;
-		// Connections that wait to be accepted would be reset; their requests are read one turn after they are accepted.
-		await clients.timeouts.waitForInput();
-		await clients.timeouts.waitForInput();
+		await this.#server.acceptWaiting(() => now() < endsAt);
 		this.#server.close();
 		let lastResponseAt = now();
 		while (now() < endsAt) {
 			if (this.#openResponses.size > 0) {
 				lastResponseAt = now();
-			} else if (now() - lastResponseAt >= partialRequestGraceMs || !(await this.#hasBusyConnections())) { // eslint-disable-line no-await-in-loop -- Checks follow one another.
+			} else if (now() - lastResponseAt >= partialRequestGraceMs || !this.#hasBusyConnections()) {
 				break;
 			}
 
@@ -165,13 +163,9 @@
 	}
 
 	/** Closes the idle connections. @returns Whether connections remain, on which a request is being read or a response is being sent. */
-	async #hasBusyConnections(): Promise<boolean> {
+	#hasBusyConnections(): boolean {
 		this.#server.closeIdleConnections();
-		return new Promise(resolve => {
-			this.#server.getConnections((err, count) => {
-				resolve(err === null && count > 0);
-			});
-		});
+		return this.#server.hasBusyConnections;
 	}
 
 	async #handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
@@ -218,7 +212,13 @@
 		}
 
 		res.once('finish', () => {
-			if (this.#order.isLast(res)) {
+			if (!this.#order.isLast(res)) {
+				return;
+			}
+
+			if (res.req.complete && !this.#closing.has(res)) {
+				clients.connections.closeUnread(res.req.socket);
+			} else {
 				clients.connections.closeLingering(res.req.socket, clients.connections.minLingerMs);
 			}
 		});
--- a/packages/router/src/http/router-server.ts
+++ b/packages/router/src/http/router-server.ts
@@ -20,6 +20,8 @@
 	readonly admin: adminHandler.AdminHandler;
 };
 
+/** Time for which connections that wait are accepted at the beginning of a shutdown, in milliseconds. */
+const maxAcceptMs = 1000;
 /** Interval at which idle connections are closed during a shutdown. */
 const idleCheckIntervalMs = 50;
 const defaultMaxHeaderBytes = 32 * 1024;
@@ -81,9 +83,8 @@
 	/** Accepts no new connections and waits until the requests on all open connections have ended. */
 	async stop(): Promise<void> {
 		this.startDraining();
-		// Connections that wait to be accepted would be reset; their requests are read one turn after they are accepted.
-		await clients.timeouts.waitForInput();
-		await clients.timeouts.waitForInput();
+		const acceptedUntil = performance.now() + maxAcceptMs;
+		await this.#server.acceptWaiting(() => performance.now() < acceptedUntil);
 		const closed = new Promise<void>(resolve => {
 			this.#server.close(() => {
 				resolve();
