--- a/packages/gateway/src/util/periodic-task.ts
+++ b/packages/gateway/src/util/periodic-task.ts
@@ -93,14 +93,19 @@
 		}
 	};
 
-	const step = async (): Promise<void> => {
-		const blockedMs = Math.round(now() - dueAt);
+	const reportBlockSince = (since: number): void => {
+		const blockedMs = Math.round(now() - since);
 		if (blockedMs >= minBlockedMs) {
 			log.write(eventLog.LogEvent.EventLoopBlocked, {blockedMs});
 			onBlocked?.(blockedMs);
 		}
+	};
 
+	const step = async (): Promise<void> => {
+		reportBlockSince(dueAt);
+		const firedAt = now();
 		await clients.timeouts.waitForInput();
+		reportBlockSince(firedAt);
 		if (!isStopped) {
 			runDue();
 			dueAt = now() + stepMs;
--- a/packages/kv/src/timeouts/input-interval.ts
+++ b/packages/kv/src/timeouts/input-interval.ts
@@ -1,4 +1,5 @@
 import * as inputTimer from './input-timer.js';
+import * as inputWait from './input-wait.js';
 
 /** An interval for decisions that rest on what has not arrived. It calls back each time after the input that had arrived was read. */
 export class InputInterval {
@@ -19,7 +20,7 @@
 	}
 
 	async #tick(): Promise<void> {
-		await inputTimer.waitForInput();
+		await inputWait.waitForInput();
 		if (!this.#isCleared) {
 			this.onTick();
 		}
--- a/packages/kv/src/timeouts/input-timer.ts
+++ b/packages/kv/src/timeouts/input-timer.ts
@@ -1,3 +1,5 @@
+import * as inputWait from './input-wait.js';
+
 /** Longest time of a timer of Node, in milliseconds; timers that are longer, or infinite, fire at once. */
 const maxTimerMs = 2_147_483_647;
 
@@ -6,40 +8,30 @@
 	return Math.min(durationMs, maxTimerMs);
 }
 
-/**
- * Waits until the input that has arrived at this process was read. Node runs the timers that are due before it reads sockets, so that after a time in which
- * the event loop was blocked, a timer can't know what has arrived.
- */
-export async function waitForInput(): Promise<void> {
-	return new Promise(resolve => {
-		setImmediate(resolve);
-	});
-}
-
 /**
  * A timer for decisions that rest on what has not arrived by the end of a time. It calls back after the input that had arrived by then was
  * read, unless {@link InputTimer.clear} was called meanwhile.
  */
 export class InputTimer {
 	readonly #timer: NodeJS.Timeout;
-	#immediate: NodeJS.Immediate | undefined;
+	#wait: inputWait.InputWait | undefined;
 
 	/** @param timeoutMs - Time in milliseconds; may be infinite. */
 	constructor(timeoutMs: number, onTimeout: () => void) {
 		this.#timer = setTimeout(() => {
-			this.#immediate = setImmediate(onTimeout);
+			this.#wait = new inputWait.InputWait(onTimeout);
 		}, toTimerMs(timeoutMs));
 	}
 
 	/** Begins the time anew. */
 	refresh(): void {
-		clearImmediate(this.#immediate);
+		this.#wait?.cancel();
 		this.#timer.refresh();
 	}
 
 	/** Cancels the timer. */
 	clear(): void {
 		clearTimeout(this.#timer);
-		clearImmediate(this.#immediate);
+		this.#wait?.cancel();
 	}
 }
--- a/packages/kv/tests/timeouts/timers.test.ts
+++ b/packages/kv/tests/timeouts/timers.test.ts
@@ -64,6 +64,35 @@
 		});
 	}
 
+	it('InputTimer does not call back if it is cleared by input that arrived while the event loop was blocked after its time', async () => {
+		const socket = await threadServer.connectToSender(300);
+		let endCount = 0;
+		setTimeout(() => {
+			void blocking.blockEventLoop(600);
+		}, 100);
+		const timer = new clients.timeouts.InputTimer(100, () => {
+			endCount += 1;
+		});
+		socket.once('data', () => {
+			timer.clear();
+		});
+		await sleep(1000);
+		expect(endCount).to.equal(0);
+	});
+
+	it('waitForInput waits for input that arrived while the event loop was blocked after its start', async () => {
+		const socket = await threadServer.connectToSender(300);
+		let hasArrived = false;
+		socket.once('data', () => {
+			hasArrived = true;
+		});
+		await sleep(100);
+		const blocked = blocking.blockEventLoop(600);
+		await clients.timeouts.waitForInput();
+		expect(hasArrived).to.equal(true);
+		await blocked;
+	});
+
 	it('SilenceTimer adds the time for which the event loop was blocked, at most its own', async () => {
 		const startedAt = performance.now();
 		const ended = new Promise<number>(resolve => {
