Take a stream from a silent endpoint only with the first event of another

Cause: the head of a replacement's response ended all other attempts. A replacement that sent its head and then broke off left the stream without an endpoint, although the first one went on.

Change: while a request has several attempts, the head of a stream is held, and the attempt with the first complete event is relayed, with its own head and body; only then the others are ended. An event that does not follow the last one, or is too large, ends the held attempt alone. A held response that is complete without a further event completes the stream. This holds for the head of the first attempt as well, as long as nothing was relayed: otherwise the caller could get the head of one endpoint and the events of another. Once a stream is held, an error response of another attempt is not relayed. Responses that are not streams are taken over by the head as before: a plain service delivers head and body together, and its retry is a new response, not a continuation. The relay of attempts moved out of RequestForwarder into AttemptResponses.

Side: the endpoints now work on the same stream until the first event, not until the first head, of one of them.

--- a/packages/gateway/src/call/active-attempts.ts
+++ b/packages/gateway/src/call/active-attempts.ts
@@ -13,7 +13,7 @@
 
 /**
  * The attempts of a request that are in progress: the current one and, while that one is silent, its replacements. Attempts are given up
- * only when the response of another one begins, since a silent endpoint may go on and a replacement may fail.
+ * only when another one delivers, since a silent endpoint may go on and a replacement may fail.
  */
 export class ActiveAttempts {
 	#current: sentAttempt.SentAttempt | undefined;
@@ -71,8 +71,13 @@
 		}
 	}
 
-	/** Makes a replacement the current attempt, as its response begins; the others, which are silent, are ended. */
+	/** Makes an attempt the only one, as it delivers; the others are ended. */
 	promote(sent: sentAttempt.SentAttempt): void {
+		if (sent === this.#current) {
+			this.cancelReplacements();
+			return;
+		}
+
 		if (!this.#replacements.includes(sent)) {
 			return;
 		}
@@ -94,10 +99,17 @@
 
 	async #awaitReplacement(sent: sentAttempt.SentAttempt): Promise<void> {
 		await sent.ended;
-		if (this.#replacements.includes(sent)) {
-			this.#replacements = this.#replacements.filter(other => other !== sent);
-			this.options.onFailed(sent);
+		if (!this.#replacements.includes(sent)) {
+			return;
 		}
+
+		if (this.options.isComplete(sent)) {
+			this.promote(sent);
+			return;
+		}
+
+		this.#replacements = this.#replacements.filter(other => other !== sent);
+		this.options.onFailed(sent);
 	}
 
 	#makeCurrent(sent: sentAttempt.SentAttempt): void {
--- a/packages/gateway/src/call/attempt-sender.ts
+++ b/packages/gateway/src/call/attempt-sender.ts
@@ -22,7 +22,7 @@
 	/** Receives the response of an attempt. */
 	readonly createSink: (sent: sentAttempt.SentAttempt) => endpoints.ResponseSink;
 	/** Whether the endpoint broke off an attempt that has ended, other than by a refusal. */
-	readonly isInterrupted: (end: endpoints.AttemptResult) => boolean;
+	readonly isInterrupted: (sent: sentAttempt.SentAttempt, end: endpoints.AttemptResult) => boolean;
 };
 
 /** Sends the attempts of one request, and records how they end. */
@@ -93,7 +93,7 @@
 		}
 
 		recorder.recordEnd(sent, end);
-		sent.isInterrupted = isInterrupted(end);
+		sent.isInterrupted = isInterrupted(sent, end);
 		if (sent.isInterrupted) {
 			recorder.recordInterruption(sent);
 		} else if (end.fault === undefined && sent.attempt.keepsConnection) {
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -1,12 +1,12 @@
 import * as core from '@bluebellmast/core';
 import * as endpoints from '../endpoints/index.js';
 import type * as endpointPlacer from '../placement/endpoint-placer.js';
-import type * as ports from '../ports/index.js';
 import * as clocks from '../util/clocks.js';
 import * as timerMs from '../util/timer-ms.js';
 import * as responseRelay from './response-relay.js';
 import * as responseTimer from './response-timer.js';
 import * as activeAttempts from './active-attempts.js';
+import * as attemptResponses from './attempt-responses.js';
 import * as attemptTimers from './attempt-timers.js';
 import * as attemptRecorder from './attempt-recorder.js';
 import * as attemptSender from './attempt-sender.js';
@@ -35,6 +35,7 @@
 	readonly #endpointFinder: endpointFinder.EndpointFinder;
 	readonly #rules: retryRules.RetryRules;
 	readonly #active: activeAttempts.ActiveAttempts;
+	readonly #responses: attemptResponses.AttemptResponses;
 	readonly #sender: attemptSender.AttemptSender;
 
 	constructor(private readonly request: requestContext.RoutedRequest, private readonly dependencies: requestDispatcher.ForwarderDependencies) {
@@ -69,22 +70,37 @@
 		this.#recorder = new attemptRecorder.AttemptRecorder(request, this.#promptKeys, dependencies);
 		this.#endpointFinder = new endpointFinder.EndpointFinder(request, dependencies, this.#deadlineAt, this.#pool);
 		this.#active = new activeAttempts.ActiveAttempts({
-			isComplete: sent => this.#isComplete(sent),
+			isComplete: sent => this.#responses.isComplete(sent),
 			onCurrent: sent => {
 				this.#startTimers(sent);
+				if (sent.held !== undefined) {
+					this.#awaitNextEvent(sent);
+				}
 			},
 			onFailed: sent => {
 				this.#handleFailedAlternative(sent);
 			},
 		});
+		this.#responses = new attemptResponses.AttemptResponses({
+			relay: this.#relay,
+			active: this.#active,
+			recorder: this.#recorder,
+			onHeld: sent => {
+				this.#awaitNextEvent(sent);
+			},
+			onBegun: sent => {
+				this.#recordPart(sent);
+			},
+			canSendAgain: () => this.#canSendAgain(),
+		});
 		this.#sender = new attemptSender.AttemptSender({
 			request,
 			deadlineAt: this.#deadlineAt,
 			isIdempotent: this.#rules.isIdempotent,
 			recorder: this.#recorder,
 			dependencies,
-			createSink: sent => this.#createSink(sent),
-			isInterrupted: end => this.#isInterrupted(end),
+			createSink: sent => this.#responses.createSink(sent),
+			isInterrupted: (sent, end) => this.#responses.isInterrupted(sent, end),
 		});
 	}
 
@@ -184,8 +200,8 @@
 			const first = this.#send(placement);
 			const last = first && await this.#active.run(first); // eslint-disable-line no-await-in-loop -- Attempts follow one another.
 			this.#timers.stop();
-			if (last !== undefined && this.#isComplete(last)) {
-				this.#relay.complete();
+			if (last !== undefined && this.#responses.isComplete(last)) {
+				this.#responses.complete(last);
 				return undefined;
 			}
 
@@ -234,21 +250,10 @@
 		return sent;
 	}
 
-	/** Whether an attempt that has ended delivered a complete response. */
-	#isComplete({end}: sentAttempt.SentAttempt): boolean {
-		return end !== undefined && end.fault === undefined && !this.#relay.hasIncompleteEvent && !this.#relay.hasSequenceError;
-	}
-
 	#listWaiting(): sentAttempt.SentAttempt[] {
 		return this.#active.list().filter(sent => !sent.hasResponseStarted);
 	}
 
-	/** Whether the endpoint broke an attempt off, other than by a refusal. */
-	#isInterrupted({fault, progress}: endpoints.AttemptResult): boolean {
-		const isRefused = progress === core.request.AttemptProgress.RefusedBeforeExecution;
-		return fault === undefined ? this.#relay.hasIncompleteEvent : fault === endpoints.AttemptFault.ConnectionLost && !isRefused;
-	}
-
 	/**
 	 * Sends the request to another endpoint as well, as its latest attempt is silent.
 	 *
@@ -304,46 +309,26 @@
 		});
 	}
 
-	/** Creates the sink of an attempt, which passes a response on to the caller as long as the attempt is the current one. */
-	#createSink(sent: sentAttempt.SentAttempt): endpoints.ResponseSink {
-		return {
-			onHead: (head, raw) => {
-				this.#recorder.recordHead(sent, head);
-				this.#recorder.recordProgress(sent);
-				sent.isDiscarded = !this.#acceptsHead(sent, head);
-				if (sent.isDiscarded) {
-					return false;
-				}
-
-				this.#active.promote(sent);
-				this.#recordProgress();
-				this.#relay.onHead(head, raw);
-				return true;
-			},
-			onData: chunk => sent !== this.#active.current || this.#relay.onData(chunk),
-		};
+	#awaitNextEvent(sent: sentAttempt.SentAttempt): void {
+		this.#timers.restart(() => {
+			this.#replaceSilent(this.#active.latest ?? sent);
+		});
 	}
 
+	/** Records that the current attempt delivers. */
 	#recordProgress(): void {
 		const sent = this.#active.current;
 		if (sent !== undefined) {
 			this.#active.cancelReplacements();
-			this.#timers.restart(() => {
-				this.#replaceSilent(this.#active.latest ?? sent);
-			});
-			this.#responseTimer.recordPart(this.dependencies.clock.monotonicNow());
-			this.#recorder.recordProgress(sent);
+			this.#recordPart(sent);
 		}
 	}
 
-	/** Whether a response is relayed; a server error is not, as long as another attempt may succeed. */
-	#acceptsHead(sent: sentAttempt.SentAttempt, {status}: ports.ResponseHead): boolean {
-		if (!this.#relay.canContinueWith(status)) {
-			return false;
-		}
-
-		const hasOther = this.#active.list().some(other => other !== sent && !other.isDiscarded);
-		return status < 500 || !(hasOther || this.#canSendAgain());
+	/** Records that a part of the response has arrived that is relayed, if only its head. */
+	#recordPart(sent: sentAttempt.SentAttempt): void {
+		this.#awaitNextEvent(sent);
+		this.#responseTimer.recordPart(this.dependencies.clock.monotonicNow());
+		this.#recorder.recordProgress(sent);
 	}
 
 	/** Whether another endpoint could take the request now; reserves a retry then. */
--- a/packages/gateway/src/call/response-relay.ts
+++ b/packages/gateway/src/call/response-relay.ts
@@ -10,7 +10,7 @@
 const maxBufferedBytes = 65_536;
 
 /** Largest event of a stream; an event holds some tokens. */
-const maxEventBytes = 262_144;
+export const maxEventBytes = 262_144;
 
 /** Options of {@link ResponseRelay}. */
 export type ResponseRelayOptions = {
@@ -68,6 +68,11 @@
 		return !this.#hasStarted || status === this.#head?.status;
 	}
 
+	/** Whether a response with the given head consists of events. */
+	isStreamHead({status}: ports.ResponseHead): boolean {
+		return this.options.isStream && status < 300;
+	}
+
 	/** Starts to relay a response, or continues the one that has started. */
 	onHead(head: ports.ResponseHead, raw: endpoints.RawResponse): void {
 		this.#splitter = new eventSplitter.EventSplitter();
@@ -79,7 +84,7 @@
 		this.#buffered = [];
 		this.#bufferedBytes = 0;
 		this.#head = {status: head.status, rawHeaders: headers, isFramed: raw.isFramed};
-		this.#isEventStream = this.options.isStream && head.status < 300;
+		this.#isEventStream = this.isStreamHead(head);
 		if (this.#isEventStream) {
 			this.#start();
 			this.res.flushHeaders();
@@ -122,6 +127,16 @@
 		return this.#isEventStream && this.#splitter.pendingBytes > 0;
 	}
 
+	/** Whether the ids of a batch are consecutive and continue after the last event that was relayed. */
+	continuesSequence(batch: eventSplitter.EventBatch): boolean {
+		if (batch.firstId === undefined || batch.lastId === undefined) {
+			return true;
+		}
+
+		const isConsecutive = batch.lastId - batch.firstId === batch.count - 1;
+		return isConsecutive && (this.lastEventId === undefined || batch.firstId === this.lastEventId + 1);
+	}
+
 	/** Closes the caller's connection, so that the caller can detect that the response is incomplete. */
 	abort(): void {
 		abortResponse.abortResponse(this.res);
@@ -142,7 +157,7 @@
 		}
 
 		this.options.onProgress();
-		if (!this.#continuesSequence(batch)) {
+		if (!this.continuesSequence(batch)) {
 			this.#hasSequenceError = true;
 			this.options.onSequenceError();
 			return true;
@@ -152,16 +167,6 @@
 		return this.#write(batch.bytes);
 	}
 
-	/** Whether the ids of a batch are consecutive and continue after the last event that was relayed. */
-	#continuesSequence(batch: eventSplitter.EventBatch): boolean {
-		if (batch.firstId === undefined || batch.lastId === undefined) {
-			return true;
-		}
-
-		const isConsecutive = batch.lastId - batch.firstId === batch.count - 1;
-		return isConsecutive && (this.lastEventId === undefined || batch.firstId === this.lastEventId + 1);
-	}
-
 	#flushBuffered(): boolean {
 		this.#start();
 		let canContinue = true;
--- a/packages/gateway/src/call/sent-attempt.ts
+++ b/packages/gateway/src/call/sent-attempt.ts
@@ -1,5 +1,6 @@
 import type * as endpoints from '../endpoints/index.js';
 import type * as endpointPlacer from '../placement/endpoint-placer.js';
+import type * as heldResponse from './held-response.js';
 
 /** An attempt to send a request to an endpoint, in progress or ended. */
 export type SentAttempt = {
@@ -13,6 +14,8 @@
 	hasResponseStarted: boolean;
 	/** Whether a response has arrived that is not relayed. */
 	isDiscarded?: boolean;
+	/** What has arrived of a response that is not relayed yet. */
+	held?: heldResponse.HeldResponse;
 	/** Whether the endpoint broke the attempt off, other than by a refusal. */
 	isInterrupted?: boolean;
 	/** Absent while the attempt is in progress. */
