Check silent endpoints that have left the store or whose pool is gone

Cause: the health records of unlisted endpoints were dropped, and a check needs the entry of the store and the pool of the configuration in force. A request at such an endpoint waited until its deadline.

Change: a health record stays while a response is due; if entry or pool are missing, the check uses the entry that an attempt in progress was placed by, and the pool of the configuration by which its request was routed. Ruled out: silence as evidence without a check, as slow responses of endpoints that leave properly would use up the retry budget; a further copy of entries and pools, as the attempts hold them.

Two are new: a request stays where checks are responded to, and none is made after its end.

--- a/packages/core/src/fleet/endpoint-health.ts
+++ b/packages/core/src/fleet/endpoint-health.ts
@@ -177,10 +177,10 @@
 		return this.#records.get(endpoint)?.lastReceivedAt ?? -Infinity;
 	}
 
-	/** Removes endpoints that are no longer listed. */
+	/** Removes endpoints that are no longer listed and of which no response is due. */
 	retain(listed: ReadonlySet<string>): void {
-		for (const endpoint of this.#records.keys()) {
-			if (!listed.has(endpoint)) {
+		for (const [endpoint, record] of this.#records) {
+			if (!listed.has(endpoint) && record.responsesDueAt.size === 0) {
 				this.#records.delete(endpoint);
 			}
 		}
--- a/packages/gateway/src/call/index.ts
+++ b/packages/gateway/src/call/index.ts
@@ -1,6 +1,7 @@
 export * from './account-filter.js';
 export * from './send-refusal.js';
 export * from './response-relay.js';
+export * from './attempt-target.js';
 export * from './body-filter.js';
 export * from './request-context.js';
 export * from './request-dispatcher.js';
--- a/packages/gateway/src/call/request-dispatcher.ts
+++ b/packages/gateway/src/call/request-dispatcher.ts
@@ -9,6 +9,7 @@
 import type * as ports from '../ports/index.js';
 import type * as clocks from '../util/clocks.js';
 import type * as eventLog from '../util/event-log.js';
+import type * as attemptTarget from './attempt-target.js';
 import * as failedSearches from './failed-searches.js';
 import type * as requestContext from './request-context.js';
 import * as requestForwarder from './request-forwarder.js';
@@ -92,6 +93,18 @@
 		}
 	}
 
+	/** Finds an endpoint by an attempt that is in progress there; it may no longer be listed, nor its pool be configured. */
+	findTarget(endpoint: core.fleet.EndpointEntry['id']): attemptTarget.AttemptTarget | undefined {
+		for (const forwarder of this.#forwarders) {
+			const target = forwarder.findTarget(endpoint);
+			if (target !== undefined) {
+				return target;
+			}
+		}
+
+		return undefined;
+	}
+
 	/** Sends the requests at an endpoint that does not respond to other endpoints as well, where that is possible. */
 	replaceSilentAttempts(endpoint: core.fleet.EndpointEntry['id']): void {
 		this.#dependencies.failedSearches.clear();
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -7,6 +7,7 @@
 import * as responseTimer from './response-timer.js';
 import * as activeAttempts from './active-attempts.js';
 import * as attemptResponses from './attempt-responses.js';
+import type * as attemptTarget from './attempt-target.js';
 import * as attemptTimers from './attempt-timers.js';
 import * as attemptRecorder from './attempt-recorder.js';
 import * as attemptSender from './attempt-sender.js';
@@ -142,6 +143,13 @@
 		}
 	}
 
+	/** Returns an endpoint with an attempt in progress; `undefined` if there is none. */
+	findTarget(endpoint: string): attemptTarget.AttemptTarget | undefined {
+		const entry = this.#active.list().find(({placement}) => placement.entry.id === endpoint)?.placement.entry;
+		const pool = entry && this.request.table.findPool(entry.pool);
+		return entry && pool && {entry, pool};
+	}
+
 	/** Aborts the attempts that have not started if the weights of their endpoint may soon no longer be used. */
 	abortOutdatedAttempts(now: clocks.Instant): void {
 		for (const sent of this.#listWaiting()) {
--- a/packages/gateway/src/controllers/endpoint-controller.ts
+++ b/packages/gateway/src/controllers/endpoint-controller.ts
@@ -168,14 +168,13 @@
 	}
 
 	async #checkHealth(endpoint: string): Promise<void> {
-		const {fleet, config, clock} = this.dependencies;
-		const entry = fleet.registry.get(endpoint);
-		const pool = entry === undefined ? undefined : config.table?.findPool(entry.pool);
-		if (entry === undefined || pool === undefined) {
+		const {fleet, clock} = this.dependencies;
+		const target = this.#findTarget(endpoint);
+		if (target === undefined) {
 			return;
 		}
 
-		const isAlive = await this.#checker.isAlive(entry, pool);
+		const isAlive = await this.#checker.isAlive(target.entry, target.pool);
 		const hasChanged = fleet.health.recordCheck(endpoint, isAlive, clock.monotonicNow());
 		const isResponsive = fleet.health.isResponsive(endpoint);
 		if (hasChanged) {
@@ -188,6 +187,14 @@
 		}
 	}
 
+	/** Finds what a check needs, for endpoints with requests in progress also after their entry or their pool has been removed. */
+	#findTarget(endpoint: string): call.AttemptTarget | undefined {
+		const {fleet, config, dispatcher} = this.dependencies;
+		const entry = fleet.registry.get(endpoint);
+		const pool = entry && config.table?.findPool(entry.pool);
+		return entry && pool ? {entry, pool} : dispatcher.findTarget(endpoint);
+	}
+
 	#handleHealthChange(endpoint: string, isResponsive: boolean): void {
 		const {connections, log} = this.dependencies;
 		log.write(isResponsive ? eventLog.LogEvent.EndpointResponsive : eventLog.LogEvent.EndpointUnresponsive, {endpoint});
--- a/packages/gateway/tests/call/unlisted-endpoint.test.ts
+++ b/packages/gateway/tests/call/unlisted-endpoint.test.ts
@@ -33,6 +33,8 @@
 
 	describe('at an endpoint whose entry leaves the store', () => {
 		let controller: gateway.controllers.EndpointController;
+		let isAlive: boolean;
+		let checked: string[];
 		let configuredPool: core.routing.Pool | undefined;
 
 		function createEntry(id: string): core.fleet.EndpointEntry {
@@ -42,6 +44,8 @@
 		}
 
 		beforeEach(() => {
+			isAlive = false;
+			checked = [];
 			configuredPool = {name: 'app', healthPath: '/health', connectionLimit: 1000};
 			controller = new gateway.controllers.EndpointController({
 				decoder: {
@@ -53,7 +57,12 @@
 				pauses: vm.pauses,
 				connections: {retain: () => undefined, closeIdle: () => undefined},
 				dispatcher: vm.dispatcher,
-				admin: {checkHealth: async () => ({isAlive: false})},
+				admin: {
+					async checkHealth({id}: core.fleet.EndpointEntry) {
+						checked.push(id);
+						return {isAlive};
+					},
+				},
 				clock: vm.clock,
 				log: {write: () => undefined},
 			} as unknown as gateway.controllers.EndpointControllerDependencies);
@@ -78,6 +87,36 @@
 			expect(vm.connections.listAt('b').length).to.equal(1);
 		});
 
+		it('stays there if it responds to checks, and its entry has left', async () => {
+			isAlive = true;
+			await start({}, 'b');
+			controller.onChange({key: 'a'}, {maybeLapsed: false} as gateway.controllers.ReadContext);
+			for (let second = 1; second <= 10; second++) {
+				vm.clock.now = second * 1000;
+				controller.tick();
+				await settle(); // eslint-disable-line no-await-in-loop -- Ticks follow one another.
+			}
+
+			expect(new Set(checked)).to.deep.equal(new Set(['a']));
+			expect(vm.connections.listAt('b')).to.deep.equal([]);
+		});
+
+		it('is not the reason of checks after its end', async () => {
+			const attempt = await start({}, 'b');
+			controller.onChange({key: 'a'}, {maybeLapsed: false} as gateway.controllers.ReadContext);
+			attempt.begin();
+			attempt.sendEvent();
+			attempt.end();
+			await settle();
+			for (let second = 1; second <= 10; second++) {
+				vm.clock.now = second * 1000;
+				controller.tick();
+				await settle(); // eslint-disable-line no-await-in-loop -- Ticks follow one another.
+			}
+
+			expect(checked).to.deep.equal([]);
+		});
+
 		it('is sent to another one if it stays silent and its entry remains, but a new configuration no longer has its pool', async () => {
 			await start({}, 'b');
 			configuredPool = undefined;
