Deliver the error response of an endpoint if no other attempt delivers

Cause: the body of an error response was dropped as soon as another attempt was possible or in progress. If that one failed as well, the caller got a 502 of ours in place of the endpoint's 500.

Change: what arrives of such a response (at most 65,536 bytes, as before) is kept; when the request fails, the last error response that is complete is relayed, status, headers and body, unless something else was relayed before. This holds at the deadline too, where a 504 of ours promises no more. One that broke off or was not read to its end is not delivered. Refusals by which the endpoint states that it did not run the request are not concerned.

Tests: error-response.test.ts failed before (3 of 3); 6 pass, of which three are new (whole body at the deadline, a truncated error, a replacement that delivers).

--- a/packages/gateway/src/call/attempt-responses.ts
+++ b/packages/gateway/src/call/attempt-responses.ts
@@ -4,6 +4,7 @@
 import type * as activeAttempts from './active-attempts.js';
 import type * as attemptRecorder from './attempt-recorder.js';
 import * as heldResponse from './held-response.js';
+import * as heldStream from './held-stream.js';
 import type * as responseRelay from './response-relay.js';
 import type * as sentAttempt from './sent-attempt.js';
 
@@ -36,11 +37,12 @@
 				recorder.recordProgress(sent);
 				sent.isDiscarded = !this.#acceptsHead(sent, head);
 				if (sent.isDiscarded) {
+					sent.errorResponse = new heldResponse.HeldResponse(head, raw);
 					return false;
 				}
 
 				if (relay.isStreamHead(head) && active.list().some(other => other !== sent)) {
-					sent.held = new heldResponse.HeldResponse(head, raw);
+					sent.held = new heldStream.HeldStream(head, raw);
 					this.options.onHeld(sent);
 					return true;
 				}
@@ -53,6 +55,9 @@
 			onData: chunk => sent.held === undefined
 				? sent !== active.current || relay.onData(chunk)
 				: this.#hold(sent, sent.held, chunk),
+			onDiscardedData(chunk) {
+				sent.errorResponse?.push(chunk);
+			},
 		};
 	}
 
@@ -62,6 +67,20 @@
 		this.options.relay.complete();
 	}
 
+	/** Relays the last complete error response of the given attempts. @returns Whether there is one, and the caller has received nothing else. */
+	completeWithError(attempts: readonly sentAttempt.SentAttempt[]): boolean {
+		const {relay} = this.options;
+		const failed = attempts.findLast(({end, errorResponse}) => errorResponse !== undefined
+			&& end?.progress === core.request.AttemptProgress.ResponseComplete);
+		if (relay.hasStarted || failed === undefined) {
+			return false;
+		}
+
+		failed.errorResponse!.relayTo(relay);
+		relay.complete();
+		return true;
+	}
+
 	/** Whether an attempt that has ended delivered a complete response. */
 	isComplete({end, held}: sentAttempt.SentAttempt): boolean {
 		const {relay} = this.options;
@@ -78,9 +97,9 @@
 	}
 
 	/** Keeps a chunk of a stream until its first event is complete; then the attempt becomes the current one. @returns Whether to continue reading. */
-	#hold(sent: sentAttempt.SentAttempt, held: heldResponse.HeldResponse, chunk: Uint8Array): boolean {
+	#hold(sent: sentAttempt.SentAttempt, held: heldStream.HeldStream, chunk: Uint8Array): boolean {
 		const {relay, active} = this.options;
-		const batch = held.push(chunk);
+		const batch = held.pushEvents(chunk);
 		if (batch === undefined) {
 			if (held.isEventTooLarge) {
 				sent.attempt.abort(endpoints.AttemptFault.EndlessResponse);
--- a/packages/gateway/src/call/attempt-sender.ts
+++ b/packages/gateway/src/call/attempt-sender.ts
@@ -62,6 +62,9 @@
 			sink: {
 				onHead: (responseHead, raw) => sink.onHead(responseHead, raw),
 				onData: chunk => sink.onData(chunk),
+				onDiscardedData(chunk) {
+					sink.onDiscardedData(chunk);
+				},
 			},
 			onHeadReceived(responseHead) {
 				recorder.recordNotice(entry, responseHead);
--- a/packages/gateway/src/call/held-response.ts
+++ b/packages/gateway/src/call/held-response.ts
@@ -1,29 +1,16 @@
 import type * as endpoints from '../endpoints/index.js';
 import type * as ports from '../ports/index.js';
-import * as eventSplitter from './event-splitter.js';
-import * as responseRelay from './response-relay.js';
+import type * as responseRelay from './response-relay.js';
 
-/** The response of a replacement that is not relayed yet, since a stream is taken over only with a complete event. */
+/** What has arrived of a response that is not relayed, or not yet. */
 export class HeldResponse {
-	readonly #splitter = new eventSplitter.EventSplitter();
 	readonly #chunks: Uint8Array[] = [];
 
 	constructor(readonly head: ports.ResponseHead, private readonly raw: endpoints.RawResponse) {}
 
-	/** Whether the response ends with an incomplete event. */
-	get hasIncompleteEvent(): boolean {
-		return this.#splitter.pendingBytes > 0;
-	}
-
-	/** Whether the incomplete event is larger than any sound one. */
-	get isEventTooLarge(): boolean {
-		return this.#splitter.pendingBytes > responseRelay.maxEventBytes;
-	}
-
-	/** Appends a chunk of the body. @returns The events that are now complete, or `undefined` if there are none. */
-	push(chunk: Uint8Array): eventSplitter.EventBatch | undefined {
+	/** Appends a chunk of the body. */
+	push(chunk: Uint8Array): void {
 		this.#chunks.push(chunk);
-		return this.#splitter.push(chunk);
 	}
 
 	/** Relays what has arrived. */
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -361,7 +361,7 @@
 			: this.#rules.reserveRetry(progress, this.dependencies.clock.monotonicNow());
 	}
 
-	/** Ends the request: aborts a response that has started, or returns a refusal that reflects what is known of the outcome. */
+	/** Ends the request: aborts a response that has started, relays the error response of an endpoint, or returns a refusal that reflects what is known of the outcome. */
 	#fail(refusal: refusals.Refusal): refusals.Refusal | undefined {
 		if (this.#relay.hasStarted) {
 			this.request.obstacle ??= refusalObstacle.getObstacle(refusal);
@@ -374,6 +374,10 @@
 			return {code: refusals.RefusalCode.CallerDisconnected};
 		}
 
+		if (this.#responses.completeWithError(this.#rules.attempts)) {
+			return undefined;
+		}
+
 		const attempts = this.#rules.attempts.map(sent => ({
 			id: sent.id, endpoint: sent.placement.entry.id, progress: sent.end?.progress ?? sent.attempt.progress,
 		}));
--- a/packages/gateway/src/call/sent-attempt.ts
+++ b/packages/gateway/src/call/sent-attempt.ts
@@ -1,6 +1,7 @@
 import type * as endpoints from '../endpoints/index.js';
 import type * as endpointPlacer from '../placement/endpoint-placer.js';
 import type * as heldResponse from './held-response.js';
+import type * as heldStream from './held-stream.js';
 
 /** An attempt to send a request to an endpoint, in progress or ended. */
 export type SentAttempt = {
@@ -14,8 +15,10 @@
 	hasResponseStarted: boolean;
 	/** Whether a response has arrived that is not relayed. */
 	isDiscarded?: boolean;
-	/** What has arrived of a response that is not relayed yet. */
-	held?: heldResponse.HeldResponse;
+	/** What has arrived of a stream that is not relayed yet. */
+	held?: heldStream.HeldStream;
+	/** What has arrived of an error response that is relayed only if no other attempt delivers. */
+	errorResponse?: heldResponse.HeldResponse;
 	/** Whether the endpoint broke the attempt off, other than by a refusal. */
 	isInterrupted?: boolean;
 	/** Absent while the attempt is in progress. */
--- a/packages/gateway/src/endpoints/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoints/endpoint-attempt.ts
@@ -20,7 +20,7 @@
 	WrongResponse = 'wrong_answer',
 	/** A successful response has no signature of the endpoint or no request ID. */
 	Unsigned = 'unsigned',
-	/** The endpoint returned an error that is not passed on, since the request is sent to another endpoint. */
+	/** The endpoint returned an error that is not passed on unless another endpoint, to which the request is sent, fails as well. */
 	ErrorResponse = 'answered_with_failure',
 	/** The ids of the events of a stream are not consecutive. */
 	InvalidSequence = 'invalid_sequence',
@@ -55,9 +55,11 @@
 	/**
 	 * Called with the head of a response that belongs to the request.
 	 *
-	 * @returns Whether the body is wanted; otherwise the response is read to its end and discarded.
+	 * @returns Whether the body is wanted; otherwise the response is read up to some size and time, so that its connection can be used again.
 	 */
 	onHead(head: ports.ResponseHead, raw: RawResponse): boolean;
+	/** Called with a chunk of a body that is not wanted. */
+	onDiscardedData(chunk: Uint8Array): void;
 	/** Called with a chunk of the body. @returns Whether to continue reading; otherwise {@link EndpointAttempt.resume} continues. */
 	onData(chunk: Uint8Array): boolean;
 }
@@ -225,6 +227,8 @@
 			this.#unwantedBytes += chunk.length;
 			if (this.#unwantedBytes > maxUnwantedBytes) {
 				this.#abandonBody();
+			} else if (this.#responseFault === AttemptFault.ErrorResponse) {
+				this.options.sink.onDiscardedData(chunk);
 			}
 		} else if (!this.options.sink.onData(chunk)) {
 			controller.pause();
--- a/packages/gateway/tests/call/error-response.test.ts
+++ b/packages/gateway/tests/call/error-response.test.ts
@@ -2,6 +2,7 @@
 import * as core from '@bluebellmast/core';
 import type * as fake from '../support/fake-connections.js';
 import * as loaded from '../support/loaded-vm.js';
+import * as gateway from '@bluebellmast/gateway';
 
 const {expect} = chai;
 const {settle} = loaded;
@@ -70,4 +71,40 @@
 	it('is delivered if the replacement breaks its connection after the error', async () => expectErrorResponse(replacement => {
 		replacement.reset();
 	}));
+
+	it('is delivered whole if the replacement does not respond before the deadline', async () => {
+		const silent = await start({...safe, timeoutMs: 200}, 'b');
+		await replace('b', 'a');
+		silent.begin(500);
+		silent.sendBytes('out of ');
+		silent.sendBytes('order');
+		silent.end();
+		await Promise.all(vm.ended);
+		expect({status: res.statusCode, body: res.body, isComplete: res.writableFinished}).to.deep.equal({status: 500, body: 'out of order', isComplete: true});
+	});
+
+	it('is not delivered if it breaks off before its end', async () => {
+		const attempt = await start(safe, 'b');
+		attempt.begin(500);
+		attempt.sendBytes('out of ');
+		vm.removeEndpoint('b');
+		vm.removeEndpoint('a');
+		attempt.reset();
+		const [refusal] = await Promise.all(vm.ended);
+		expect({code: refusal?.code, status: res.statusCode, body: res.body}).to.deep.equal({code: gateway.call.RefusalCode.OutcomeUnknown, status: 0, body: ''});
+	});
+
+	it('is not delivered if the replacement delivers', async () => {
+		const silent = await start(safe, 'b');
+		const replacement = await replace('b', 'a');
+		silent.begin(500);
+		silent.sendBytes('out of order');
+		silent.end();
+		await settle();
+		replacement.begin();
+		replacement.sendBytes('sound');
+		replacement.end();
+		await Promise.all(vm.ended);
+		expect({status: res.statusCode, body: res.body, isComplete: res.writableFinished}).to.deep.equal({status: 200, body: 'sound', isComplete: true});
+	});
 });
