Show where a taken-back stream is sent to a third endpoint, and why not always

The listed test of taken-back-stream.test.ts is not mended: its request had been written to the second endpoint, so that it may have run there. A third run would be one more than the route's attempts (rule BUDGET); leaving the attempt there could begin the request on weights that may no longer be used (VERSION). That undici has handed bytes to the socket is all that is known, so there is no evidence that it has not run.

Attempts that have provably not run are left out already: two new cases, a connection that was never open and a refusal, passed without a change.

--- a/packages/gateway/tests/call/taken-back-stream.test.ts
+++ b/packages/gateway/tests/call/taken-back-stream.test.ts
@@ -47,4 +47,37 @@
 		expect({isCut: res.destroyed, resumedAfter: vm.connections.listAt('c').map(({resumedAfter}) => resumedAfter)})
 			.to.deep.equal({isCut: false, resumedAfter: [1]});
 	});
+
+	it('is sent to a third one if its connection to the second one was never open', async () => {
+		const stream = await start({maxAttempts: 2}, 'b');
+		stream.begin();
+		stream.sendEvent();
+		vm.removeEndpoint('a');
+		vm.connections.unreachable.add('b');
+		stream.reset();
+		await settle();
+		expect(vm.fleet.loads.countOwnActive('b')).to.equal(1);
+		vm.removeEndpoint('b');
+		vm.addEndpoint('c');
+		vm.placer.mustTakeBack = () => true;
+		vm.dispatcher.abortOutdatedAttempts({monotonic: 0, suspendAware: 0});
+		await settle();
+		expect({isCut: res.destroyed, resumedAfter: vm.connections.listAt('c').map(({resumedAfter}) => resumedAfter)})
+			.to.deep.equal({isCut: false, resumedAfter: [1]});
+	});
+
+	it('is sent to a third one if the second one refuses it before', async () => {
+		const stream = await start({maxAttempts: 2}, 'b');
+		stream.begin();
+		stream.sendEvent();
+		vm.removeEndpoint('a');
+		stream.reset();
+		await settle();
+		vm.removeEndpoint('b');
+		vm.addEndpoint('c');
+		vm.connections.listAt('b')[0]!.refuse();
+		await settle();
+		expect({isCut: res.destroyed, resumedAfter: vm.connections.listAt('c').map(({resumedAfter}) => resumedAfter)})
+			.to.deep.equal({isCut: false, resumedAfter: [1]});
+	});
 });
