Keep the step of a roll-out whose engine is silent for a moment

Cause: the leader planned only engines that respond. A loading engine that was silent for a moment lost its step, and another engine began to load in its place, although the first went on loading: 3 at once in place of 2.

Change: an engine with a step that is silent, as opposed to one that can't be connected to or where another incarnation responds, keeps the step for up to 2 s (`maxSilenceMs`, twice the interval of health checks). It counts as one of the concurrent loads, gets no order and no new step, and does not count among the engines of which a share may load. Weighed: keeping the step for long would block the roll-out behind an engine that is dark, while its version has a deadline; so it ends after 2 s, and from then on 3 may load if the engine does return.

--- a/packages/core/src/rollout/plan-rollout.ts
+++ b/packages/core/src/rollout/plan-rollout.ts
@@ -9,6 +9,8 @@
 	readonly version: number;
 	/** Requests in flight. */
 	readonly active: number;
+	/** Whether the engine has been silent for a moment; it may go on loading. */
+	readonly isSilent?: boolean;
 };
 
 /** Limits on concurrent loads in a roll-out. */
@@ -39,7 +41,7 @@
  * Plans the next steps of the roll-outs of all models.
  *
  * Steps of loading engines remain until the engine is seen with the version. Steps of engines that are not listed or were restarted
- * are dropped. Up to the limit, engines with older weights are added: those with the oldest weights first, then those with the
+ * are dropped. A silent engine keeps its step, which counts as one of the concurrent loads, and gets no new one. Up to the limit, engines with older weights are added: those with the oldest weights first, then those with the
  * fewest requests, since they finish their requests soonest.
  */
 export function planRollout(
@@ -67,8 +69,9 @@
 		.map(engine => updateStep(plan, engine))
 		.filter(step => step !== undefined);
 	const loading = new Set(kept.filter(step => step.phase === rolloutPlan.RolloutPhase.Loading).map(step => step.endpoint));
-	const limit = Math.max(limits.minConcurrentLoads, Math.floor(engines.length * limits.maxLoadingShare));
-	const next = engines
+	const responsive = engines.filter(engine => engine.isSilent !== true);
+	const limit = Math.max(limits.minConcurrentLoads, Math.floor(responsive.length * limits.maxLoadingShare));
+	const next = responsive
 		.filter(engine => engine.version < version && !loading.has(engine.endpoint))
 		// Each version has a deadline by which it must be loaded, so engines with the oldest weights are first.
 		.sort((a, b) => a.version - b.version || a.active - b.active || (a.endpoint < b.endpoint ? -1 : 1))
--- a/packages/core/tests/rollout/plan-rollout.test.ts
+++ b/packages/core/tests/rollout/plan-rollout.test.ts
@@ -64,6 +64,11 @@
 		expect(plan(steps, [engine('a', 2, {bornAt: 5})], 2)).to.deep.equal([]);
 	});
 
+	it('keeps the step of a silent engine as one of the loads, and plans no other for it', () => {
+		const engines = [engine('a', 1, {isSilent: true}), engine('b', 1, {isSilent: true}), ...pool.slice(2)];
+		expect(plan([step('a', 2, loading)], engines, 2)).to.deep.equal([step('a', 2, loading), step('c', 2, loading)]);
+	});
+
 	it('plans no steps when all engines have the newest version', () => {
 		expect(plan([], pool, 1)).to.deep.equal([]);
 	});
--- a/packages/gateway/src/controllers/rollout-controller.ts
+++ b/packages/gateway/src/controllers/rollout-controller.ts
@@ -20,15 +20,18 @@
 	readonly orderRetryMs: number;
 	/** Time for which the calls of a step wait for the end of a pause that the engine asked for. */
 	readonly maxPauseWaitMs: number;
+	/** Time for which a silent engine keeps its step. Afterwards another engine loads in its place, so that the roll-out goes on. */
+	readonly maxSilenceMs: number;
 };
 
 /**
  * A change reaches the VMs within a round trip, and reports lag by a hundred milliseconds. A call times out after half a second;
  * before the order is retried, a report can show that the engine has begun to load. A delayed order takes effect two seconds
- * late at the earliest; by then the engine has accepted another order and rejects the delayed one.
+ * late at the earliest; by then the engine has accepted another order and rejects the delayed one. A silent engine is checked
+ * every second.
  */
 export const defaultRolloutControllerOptions: RolloutControllerOptions = {
-	propagationMs: 60, reportIntervalMs: 120, orderRetryMs: 800, maxPauseWaitMs: 2000,
+	propagationMs: 60, reportIntervalMs: 120, orderRetryMs: 800, maxPauseWaitMs: 2000, maxSilenceMs: 2000,
 };
 
 /** Dependencies of the controller. */
@@ -75,6 +78,8 @@
 	 * whose response was lost can't undo a newer one if it takes effect late.
 	 */
 	readonly #acceptedOrders = new Map<string, AcceptedOrders>();
+	/** Since when engines with a step have been silent, in milliseconds of the monotonic clock. */
+	#silentSince: ReadonlyMap<string, number> = new Map();
 	/** When the last publication began, in milliseconds of the monotonic clock. */
 	#publishedAt = -Infinity;
 	/** Whether an order is due for which the plan must be published again. */
@@ -96,11 +101,13 @@
 		if (fence === undefined) {
 			this.#stepStates.clear();
 			this.#acceptedOrders.clear();
+			this.#silentSince = new Map();
 			return;
 		}
 
 		const {fleet} = this.dependencies;
 		this.#dropEnded();
+		this.#trackSilence();
 		const planned = core.rollout.planRollout({
 			plan: fleet.plan, engines: this.#listEngines(), targets: fleet.targets.newestVersions(), named: this.#listNamedVersions(), fence,
 		}, this.dependencies.limits);
@@ -111,8 +118,8 @@
 			return;
 		}
 
-		const loading = plan.steps.filter(step => step.phase === core.rollout.RolloutPhase.Loading);
-		for (const step of loading) {
+		const due = plan.steps.filter(step => step.phase === core.rollout.RolloutPhase.Loading && !this.#silentSince.has(step.endpoint));
+		for (const step of due) {
 			void this.#advanceStep(step);
 		}
 	}
@@ -140,6 +147,13 @@
 		}
 	}
 
+	#trackSilence(): void {
+		const {fleet, clock} = this.dependencies;
+		const now = clock.monotonicNow();
+		const silent = fleet.plan.steps.filter(({endpoint}) => fleet.health.isSilent(endpoint));
+		this.#silentSince = new Map(silent.map(({endpoint}) => [endpoint, this.#silentSince.get(endpoint) ?? now]));
+	}
+
 	/** Lists the named versions with times of the wall clock, the only clock that the VMs share. */
 	#listNamedVersions(): core.rollout.NamedVersion[] {
 		const {fleet, clock} = this.dependencies;
@@ -155,7 +169,9 @@
 			for (const entry of pool.engine === undefined ? [] : fleet.registry.listReady(pool.name)) {
 				for (const model of pool.engine?.models ?? []) {
 					const version = fleet.registry.weightVersion(entry.id, model);
-					if (version !== undefined && fleet.health.isResponsive(entry.id)) {
+					const silentSince = this.#silentSince.get(entry.id);
+					const isPlanned = silentSince === undefined ? fleet.health.isResponsive(entry.id) : now - silentSince < this.options.maxSilenceMs;
+					if (version !== undefined && isPlanned) {
 						const active = fleet.loads.countActive(entry.id, fleet.peers.countActive(entry.id, now), now);
 						engines.push({
 							endpoint: entry.id,
@@ -164,6 +180,7 @@
 							version,
 							// Engines that asked for a pause are planned last.
 							active: pauses.isPaused(entry) ? Infinity : active,
+							isSilent: silentSince !== undefined,
 						});
 					}
 				}
