Date the end of an endpoint by the close of its connection

Cause: whether an endpoint outlived a completed request is looked at 0.5 s later, and its end was dated by that look. Two groups of endpoints that are killed 200 ms apart had ends at five moments, so that a first part which sound requests share was quarantined.

Change: a connection knows when it was closed; a request that its endpoint did not outlive is dated by that. Requests that are collected together take the earliest time. The simulation of crashes in the tests, which holds a model of this, dates them by the end of the endpoint and the latency.

--- a/packages/gateway/src/call/attempt-recorder.ts
+++ b/packages/gateway/src/call/attempt-recorder.ts
@@ -106,16 +106,20 @@
 		}
 	}
 
-	/** Records that the endpoint did not complete the response, or closed the connection before it began. */
-	recordInterruption({placement, hasResponseStarted}: sentAttempt.SentAttempt): void {
-		this.dependencies.interruptions.record(placement.entry, {sharedParts: [], ...this.promptKeys, hasBegun: hasResponseStarted});
+	/**
+	 * Records that the endpoint did not complete the response, or closed the connection before it began.
+	 *
+	 * @param at - When the connection was closed, in milliseconds of the clock that includes suspensions.
+	 */
+	recordInterruption({placement, hasResponseStarted}: sentAttempt.SentAttempt, at = this.dependencies.clock.suspendAwareNow()): void {
+		this.dependencies.interruptions.record(placement.entry, {sharedParts: [], ...this.promptKeys, hasBegun: hasResponseStarted}, at);
 	}
 
 	/**
 	 * Records that an attempt delivered a complete response, once its connection shows that the endpoint outlived the request: a short
 	 * response may be complete before the endpoint ends on it.
 	 */
-	recordCompletion(sent: sentAttempt.SentAttempt, connection: Pick<endpoints.EndpointConnection, 'isOpen' | 'isClosedHere'>): void {
+	recordCompletion(sent: sentAttempt.SentAttempt, connection: Pick<endpoints.EndpointConnection, 'isOpen' | 'isClosedHere' | 'closedAt'>): void {
 		const {quarantine, clock} = this.dependencies;
 		const sharedParts = this.promptKeys?.sharedParts ?? [];
 		if (sharedParts.length === 0) {
@@ -127,7 +131,7 @@
 			if (connection.isOpen) {
 				quarantine.recordCompletion(sharedParts, completedAt);
 			} else if (!connection.isClosedHere) {
-				this.recordInterruption(sent);
+				this.recordInterruption(sent, connection.closedAt);
 			}
 		}, outlivedMs).unref();
 	}
--- a/packages/gateway/src/endpoints/endpoint-connection.ts
+++ b/packages/gateway/src/endpoints/endpoint-connection.ts
@@ -29,6 +29,7 @@
 	#hasEndedCleanly = false;
 	#isOpen = false;
 	#openedAt = Infinity;
+	#closedAt = Infinity;
 	#isClosedHere = false;
 	readonly #client: undici.Client;
 
@@ -54,6 +55,7 @@
 		});
 		this.#client.on('disconnect', () => {
 			this.#isOpen = false;
+			this.#closedAt = this.now();
 			onClosed();
 		});
 	}
@@ -73,6 +75,11 @@
 		return this.#openedAt;
 	}
 
+	/** When the connection was closed by either side, in milliseconds of the clock that includes suspensions; `Infinity` before. */
+	get closedAt(): number {
+		return this.#closedAt;
+	}
+
 	/** Whether the endpoint closed the connection without a reset; after a reset a response without a stated length is incomplete. */
 	get hasEndedCleanly(): boolean {
 		return this.#hasEndedCleanly;
--- a/packages/gateway/src/placement/endpoint-interruptions.ts
+++ b/packages/gateway/src/placement/endpoint-interruptions.ts
@@ -1,10 +1,8 @@
 import * as core from '@bluebellmast/core';
-import type * as clocks from '../util/clocks.js';
 import * as eventLog from '../util/event-log.js';
 
 /** Dependencies of {@link EndpointInterruptions}. */
 export type EndpointInterruptionsDependencies = {
-	readonly clock: Pick<clocks.Clocks, 'suspendAwareNow'>;
 	readonly log: eventLog.EventLog;
 	/** Called with the requests that an endpoint interrupted together. */
 	readonly onInterruption: (interruption: core.quarantine.Interruption) => void;
@@ -17,7 +15,7 @@
 
 type Collection = {
 	readonly endpoint: core.fleet.EndpointIncarnation;
-	readonly at: number;
+	at: number;
 	readonly requests: core.quarantine.InterruptedRequest[];
 };
 
@@ -27,15 +25,20 @@
 
 	constructor(private readonly dependencies: EndpointInterruptionsDependencies) {}
 
-	/** Records that an endpoint interrupted a request of this VM. */
-	record({id, bornAt}: core.fleet.EndpointIncarnation, request: core.quarantine.InterruptedRequest): void {
+	/**
+	 * Records that an endpoint interrupted a request of this VM.
+	 *
+	 * @param at - When it did, in milliseconds of the clock that includes suspensions.
+	 */
+	record({id, bornAt}: core.fleet.EndpointIncarnation, request: core.quarantine.InterruptedRequest, at: number): void {
 		const known = this.#collections.get(id);
 		if (known?.endpoint.bornAt === bornAt) {
 			known.requests.push(request);
+			known.at = Math.min(known.at, at);
 			return;
 		}
 
-		const collection: Collection = {endpoint: {id, bornAt}, at: this.dependencies.clock.suspendAwareNow(), requests: [request]};
+		const collection: Collection = {endpoint: {id, bornAt}, at, requests: [request]};
 		this.#collections.set(id, collection);
 		setTimeout(() => {
 			if (this.#collections.get(id) === collection) {
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -56,7 +56,6 @@
 		},
 	});
 	const interruptions = new placement.EndpointInterruptions({
-		clock,
 		log,
 		onInterruption(interruption) {
 			quarantine.recordInterruption(interruption);
--- a/packages/gateway/tests/placement/endpoint-interruptions.test.ts
+++ b/packages/gateway/tests/placement/endpoint-interruptions.test.ts
@@ -15,7 +15,6 @@
 		const lines: unknown[] = [];
 		const reported: core.quarantine.Interruption[] = [];
 		const interruptions = new gateway.placement.EndpointInterruptions({
-			clock: {suspendAwareNow: () => 7},
 			onInterruption(interruption) {
 				reported.push(interruption);
 			},
@@ -25,11 +24,11 @@
 				},
 			},
 		});
-		interruptions.record({id: 'a', bornAt: 1}, createRequest(['m/1', 'm/2'], true));
-		interruptions.record({id: 'a', bornAt: 1}, createRequest(['m/3', 'm/2', 'm/2'], true));
-		interruptions.record({id: 'a', bornAt: 1}, createRequest(['m/4'], false));
-		interruptions.record({id: 'a', bornAt: 2}, createRequest([], true));
-		interruptions.record({id: 'b', bornAt: 1}, createRequest(['m/5'], false));
+		interruptions.record({id: 'a', bornAt: 1}, createRequest(['m/1', 'm/2'], true), 8);
+		interruptions.record({id: 'a', bornAt: 1}, createRequest(['m/3', 'm/2', 'm/2'], true), 7);
+		interruptions.record({id: 'a', bornAt: 1}, createRequest(['m/4'], false), 7);
+		interruptions.record({id: 'a', bornAt: 2}, createRequest([], true), 7);
+		interruptions.record({id: 'b', bornAt: 1}, createRequest(['m/5'], false), 7);
 		await timers.setTimeout(100);
 		expect(lines).to.deep.equal([
 			{
--- a/packages/gateway/tests/support/fake-connections.ts
+++ b/packages/gateway/tests/support/fake-connections.ts
@@ -67,6 +67,7 @@
 type IdleConnection = {
 	isOpen: boolean;
 	isClosedHere: boolean;
+	closedAt: number;
 	readonly id: string;
 };
 
@@ -96,6 +97,7 @@
 					id,
 					isOpen: true,
 					isClosedHere: false,
+					closedAt: Infinity,
 					dispatch: (options: undici.Dispatcher.DispatchOptions, handler: undici.Dispatcher.DispatchHandler) => {
 						const [requestId, endpoint, lastEventId] = options.headers as string[];
 						if (this.unreachable.has(endpoint!)) {
@@ -120,6 +122,14 @@
 
 	readonly #idle: IdleConnection[] = [];
 
+	/** Has an endpoint close its idle connections. */
+	endIdle(endpoint: string, now: number): void {
+		for (const connection of this.#idle.filter(({id}) => id === endpoint)) {
+			connection.isOpen = false;
+			connection.closedAt = now;
+		}
+	}
+
 	/** The streams that were sent to an endpoint, in order. */
 	listAt(endpoint: string): FakeStream[] {
 		return this.streams.filter(stream => stream.endpoint === endpoint);
--- a/packages/gateway/tests/support/loaded-vm.ts
+++ b/packages/gateway/tests/support/loaded-vm.ts
@@ -37,6 +37,8 @@
 	readonly dispatcher: gateway.call.RequestDispatcher;
 	/** Endpoints of the interruptions that were recorded. */
 	readonly interruptedAt: string[] = [];
+	/** When these interrupted a request. */
+	readonly interruptionTimes: number[] = [];
 	/** The request that was authorized last. */
 	lastAuthorized: gateway.call.RoutedRequest | undefined;
 	readonly clock = new clocks.ManualClock();
@@ -66,8 +68,9 @@
 			fleet,
 			pauses,
 			interruptions: {
-				record: ({id}) => {
+				record: ({id}, _request, at) => {
 					this.interruptedAt.push(id);
+					this.interruptionTimes.push(at);
 				},
 			},
 			quarantine: {match: () => undefined, recordCompletion: () => undefined, recordAlive: () => undefined},
--- a/packages/gateway/tests/support/simulated-crashes.ts
+++ b/packages/gateway/tests/support/simulated-crashes.ts
@@ -82,6 +82,8 @@
 	readonly #random: core.util.SeededRandom;
 	readonly #vms: Vm[];
 	readonly #endpoints: Endpoint[];
+	/** When incarnations ended. */
+	readonly #endedAt = new WeakMap<core.fleet.EndpointIncarnation, number>();
 	#requestCount = 0;
 
 	constructor(private readonly scenario: CrashScenario, private readonly time: virtualTime.VirtualTime) {
@@ -283,7 +285,9 @@
 				});
 			} else {
 				this.#observe(vm, quarantine => {
-					quarantine.recordInterruption({endpoint: incarnation, at: this.time.now, requests: [{...keys, hasBegun: true}]});
+					// The connection was closed when the endpoint ended.
+					const at = this.#endedAt.get(incarnation)! + latencyMs;
+					quarantine.recordInterruption({endpoint: incarnation, at, requests: [{...keys, hasBegun: true}]});
 				});
 			}
 		});
@@ -305,6 +309,7 @@
 		const interrupted = [...endpoint.inProgress];
 		endpoint.inProgress = new Set();
 		endpoint.isDown = true;
+		this.#endedAt.set(incarnation, this.time.now);
 		this.time.schedule(restartMs, () => {
 			endpoint.incarnation = {id: incarnation.id, bornAt: this.time.now};
 			endpoint.isDown = false;
