--- a/packages/gateway/src/call/active-attempts.ts
+++ b/packages/gateway/src/call/active-attempts.ts
@@ -85,8 +85,8 @@
 		const others = this.list().filter(other => other !== sent);
 		this.#replacements = [];
 		this.#setCurrent(sent);
-		for (const {attempt} of others) {
-			attempt.abort(endpoints.AttemptFault.EndpointSilent);
+		for (const {attempt, held} of others) {
+			attempt.abort(held === undefined ? endpoints.AttemptFault.EndpointSilent : endpoints.AttemptFault.Superseded);
 		}
 	}
 
--- a/packages/gateway/tests/call/replacement-head.test.ts
+++ b/packages/gateway/tests/call/replacement-head.test.ts
@@ -108,6 +108,7 @@
 		replacement.end();
 		await settle();
 		expect(silent.isAborted).to.equal(true);
+		expect(vm.ends.map(({endpoint, fault}) => [endpoint, fault])).to.deep.equal([['a', 'superseded']]);
 		expect({status: res.statusCode, ids: res.listEventIds(), isComplete: res.writableFinished}).to.deep.equal({status: 201, ids: [1], isComplete: true});
 	});
 
