--- a/packages/gateway/tests/call/replacement-head.test.ts
+++ b/packages/gateway/tests/call/replacement-head.test.ts
@@ -98,6 +98,24 @@
 		expect({ids: res.listEventIds(), isComplete: res.writableFinished}).to.deep.equal({ids: [1, 2], isComplete: true});
 	});
 
+	it('is not taken from it by an event of another one that never ends', async () => {
+		const silent = await start({}, 'b');
+		silent.begin();
+		silent.sendEvent();
+		const replacement = await replace('b', 'a');
+		replacement.begin();
+		for (let part = 0; part < 5; part++) {
+			replacement.sendBytes('x'.repeat(65_536));
+		}
+
+		await settle();
+		expect(vm.ends.map(({endpoint, fault}) => [endpoint, fault])).to.deep.equal([['b', 'endless_response']]);
+		silent.sendEvent();
+		silent.end();
+		await settle();
+		expect({ids: res.listEventIds(), isComplete: res.writableFinished}).to.deep.equal({ids: [1, 2], isComplete: true});
+	});
+
 	it('gets head and events of one endpoint if both send a head', async () => {
 		const silent = await start({}, 'b');
 		const replacement = await replace('b', 'a');
