--- a/packages/gateway/tests/endpoints/aborted-attempt.test.ts
+++ b/packages/gateway/tests/endpoints/aborted-attempt.test.ts
@@ -48,7 +48,7 @@
 			request: {
 				method: 'POST', target: '/once/1', requestId: 'r-1', headers: ['Content-Length', String(body.length)], body,
 			},
-			sink: {onHead: () => true, onData: () => true},
+			sink: {onHead: () => true, onData: () => true, onDiscardedData: () => undefined},
 			onHeadReceived: () => undefined,
 			monotonicNow: () => 0,
 		});
