Read the end of a connection before a completed response counts as a sign of life

Half a second after a complete response, a timer looks whether its connection is still open; after a block of the event loop it acted before the end of the connection was read, so that a prompt part that ends endpoints was exonerated, and the end of the endpoint was not recorded. Test failed before.

--- a/packages/gateway/src/call/attempt-recorder.ts
+++ b/packages/gateway/src/call/attempt-recorder.ts
@@ -1,4 +1,5 @@
 import * as core from '@bluebellmast/core';
+import * as clients from '@bluebellmast/kv';
 import * as endpoints from '../endpoints/index.js';
 import type * as endpointPlacer from '../placement/endpoint-placer.js';
 import * as ports from '../ports/index.js';
@@ -127,7 +128,8 @@
 		}
 
 		const completedAt = clock.suspendAwareNow();
-		setTimeout(() => {
+		setTimeout(async () => {
+			await clients.timeouts.waitForInput();
 			if (connection.isOpen) {
 				quarantine.recordCompletion(sharedParts, completedAt);
 			} else if (!connection.isClosedHere) {
--- a/packages/gateway/tests/call/blocked-event-loop.test.ts
+++ b/packages/gateway/tests/call/blocked-event-loop.test.ts
@@ -4,6 +4,7 @@
 import * as blocking from '../../../kv/tests/support/blocking.js';
 import * as threadServer from '../../../kv/tests/support/thread-server.js';
 import * as loaded from '../support/loaded-vm.js';
+import type * as gateway from '@bluebellmast/gateway';
 
 const {expect} = chai;
 const {settle} = loaded;
@@ -51,6 +52,24 @@
 		expect(vm.connections.listAt('b')).to.have.lengthOf(0);
 	});
 
+	it('does not count as a sign that its endpoint goes on, if the end of the connection arrives meanwhile as well', async () => {
+		const prompt = {model: 'm', parts: [{id: 'f1', tokens: 60}, {id: 'f2', tokens: 60}]} as unknown as gateway.ports.PromptMetadata;
+		vm.send('r-1', {}, {prompt});
+		await settle();
+		const [stream] = vm.connections.streams;
+		stream!.begin();
+		stream!.sendEvent();
+		stream!.end();
+		await Promise.all(vm.ended);
+		const socket = await threadServer.connectToSender(200);
+		socket.once('data', () => {
+			vm.connections.endIdle('a', 70);
+		});
+		await blocking.blockEventLoop(900);
+		await sleep(200);
+		expect(vm.interruptionTimes).to.deep.equal([70]);
+	});
+
 	it('is not resumed at another endpoint since its next event seems late', async () => {
 		vm.send('r-1', {gapTargetMs: 100});
 		await settle();
