--- a/packages/gateway/src/controllers/store-feed.ts
+++ b/packages/gateway/src/controllers/store-feed.ts
@@ -46,6 +46,9 @@
 	pollWaitMs: 1000, minRetryDelayMs: 100, maxRetryDelayMs: 400, lapseWindowMs: 3000,
 };
 
+/** Time for which changes are applied at once, in milliseconds; input is read before the next one. */
+const maxBlockMs = 10;
+
 /** Dependencies of a {@link StoreFeed}. */
 export type StoreFeedDependencies = {
 	readonly store: clients.kv.KvChangeFeed;
@@ -185,22 +188,35 @@
 		const polled = await this.dependencies.store.poll(this.dependencies.prefix, revision, this.options.pollWaitMs, {
 			era: this.#era, signal: this.#pollAbort.signal,
 		});
-		return core.util.matchEither(polled, failure => failure, read => {
-			if (this.#revision === undefined) {
-				return undefined;
-			}
-
-			this.#revision = Math.max(revision, read.revision);
-			this.#hasFoundChanges = read.changes.length > 0;
-			const context = this.#context(startedAt);
-			for (const change of read.changes) {
-				this.dependencies.listener.onChange(change, context);
+		return core.util.matchEither<clients.kv.KvError, clients.kv.KvChanges, Promise<clients.kv.KvError | undefined>>(polled, async failure => failure, async read => {
+			if (this.#revision !== undefined) {
+				this.#revision = Math.max(revision, read.revision);
+				await this.#applyChanges(read.changes, this.#context(startedAt));
 			}
 
 			return undefined;
 		});
 	}
 
+	/** Applies the changes of a poll; drops the rest of them when the store returns from a copy meanwhile. */
+	async #applyChanges(changes: readonly clients.kv.KvChange[], context: ReadContext): Promise<void> {
+		const {listener, clock} = this.dependencies;
+		this.#hasFoundChanges = changes.length > 0;
+		let begunAt = clock.monotonicNow();
+		for (const change of changes) {
+			if (clock.monotonicNow() - begunAt >= maxBlockMs) {
+				await clients.timeouts.waitForInput(); // eslint-disable-line no-await-in-loop -- Reads input between changes.
+				begunAt = clock.monotonicNow();
+			}
+
+			if (this.#revision === undefined) {
+				return;
+			}
+
+			listener.onChange(change, context);
+		}
+	}
+
 	/** @param startedAt - When the call began. */
 	#context(startedAt: number): ReadContext {
 		return {
--- a/packages/gateway/tests/controllers/store-feed.test.ts
+++ b/packages/gateway/tests/controllers/store-feed.test.ts
@@ -290,3 +290,66 @@
 		});
 	}
 });
+
+// Guards against a poll with many large values that blocks the event loop until all of them are applied.
+describe('a StoreFeed whose poll finds changes that take long to apply', () => {
+	async function applySlowChanges(onApplied: (count: number, eras: clients.kv.KvEras) => void): Promise<{readonly applied: string[]; readonly turnsBetween: number[]}> {
+		const eras = new clients.kv.KvEras();
+		const applied: string[] = [];
+		const turnsBetween: number[] = [];
+		let now = 1000;
+		let turns = 0;
+		let isDone = false;
+		const countTurns = (): void => {
+			turns += 1;
+			if (!isDone) {
+				setImmediate(countTurns);
+			}
+		};
+
+		setImmediate(countTurns);
+		const store = new ScriptedStore([
+			purify.Right({changes: ['a', 'b', 'c'].map((key, index) => ({key, entry: entry(key, 11 + index)})), revision: 13}),
+			purify.Right({changes: [], revision: 13}),
+		], () => undefined, () => {
+			feed.stop();
+		});
+		const feed = new gateway.controllers.StoreFeed({
+			store,
+			prefix: '',
+			eras,
+			listener: {
+				onSnapshot: () => undefined,
+				onChange({key}) {
+					applied.push(key);
+					turnsBetween.push(turns);
+					now += 15;
+					onApplied(applied.length, eras);
+				},
+			},
+			clock: {monotonicNow: () => now, suspendAwareNow: () => now, wallNow: () => now},
+			log: {write: () => undefined},
+		});
+		await feed.run();
+		isDone = true;
+		return {applied, turnsBetween};
+	}
+
+	it('reads input between them', async () => {
+		const {applied, turnsBetween} = await applySlowChanges(() => undefined);
+		expect(applied).to.deep.equal(['a', 'b', 'c']);
+		expect(new Set(turnsBetween).size).to.equal(3);
+	});
+
+	it('drops the rest when the store returns from a copy meanwhile', async () => {
+		const {applied} = await applySlowChanges((count, eras) => {
+			if (count === 1) {
+				setImmediate(() => {
+					eras.checkResponse('1');
+					eras.checkResponse('2');
+				});
+			}
+		});
+		expect(applied).to.deep.equal(['a']);
+	});
+});
