--- a/packages/kv/src/timeouts/input-timer.ts
+++ b/packages/kv/src/timeouts/input-timer.ts
@@ -37,6 +37,11 @@
 		this.#timer.refresh();
 	}
 
+	/** Lets the process end before the timer does. */
+	unref(): void {
+		this.#timer.unref();
+	}
+
 	/** Cancels the timer. */
 	clear(): void {
 		clearTimeout(this.#timer);
--- a/packages/router/src/controllers/one-shot-timer.ts
+++ b/packages/router/src/controllers/one-shot-timer.ts
@@ -1,16 +1,18 @@
+import * as clients from '@bluebellmast/kv';
+
 /** Calls a function once after a delay. */
 export interface OneShotTimer { // eslint-disable-line @typescript-eslint/consistent-type-definitions
 	/** Schedules the call; returns a function that cancels it. */
 	after(delayMs: number, callback: () => void): () => void;
 }
 
-/** Timer based on `setTimeout`; it does not keep the process alive. */
+/** Timer that calls back after the input that had arrived was read; it does not keep the process alive. */
 export class SystemTimer implements OneShotTimer {
 	after(delayMs: number, callback: () => void): () => void {
-		const timeout = setTimeout(callback, delayMs);
-		timeout.unref();
+		const timer = new clients.timeouts.InputTimer(delayMs, callback);
+		timer.unref();
 		return () => {
-			clearTimeout(timeout);
+			timer.clear();
 		};
 	}
 }
--- a/packages/router/tests/controllers/blocked-event-loop.test.ts
+++ b/packages/router/tests/controllers/blocked-event-loop.test.ts
@@ -60,3 +60,37 @@
 		expect(statuses).to.not.include('suspect');
 	});
 });
+
+// Guards against a booking that is refused, or committed by a second router, although the answer on its intent arrived while the event loop was blocked.
+describe('the timer of the ledger beside a blocked event loop', () => {
+	it('calls back after the answer that arrived meanwhile', async () => {
+		const peer = await threadServer.connectToSender(400);
+		const seen: string[] = [];
+		peer.once('data', () => {
+			seen.push('answer');
+		});
+		const ended = new Promise<void>(resolve => {
+			new router.controllers.SystemTimer().after(600, () => {
+				seen.push('timer');
+				resolve();
+			});
+		});
+		await sleep(300);
+		await blocking.blockEventLoop(600);
+		await ended;
+		expect(seen).to.deep.equal(['answer', 'timer']);
+	});
+
+	it('does not call back after it is cancelled by an answer that arrived meanwhile', async () => {
+		const peer = await threadServer.connectToSender(400);
+		let callCount = 0;
+		const cancel = new router.controllers.SystemTimer().after(600, () => {
+			callCount += 1;
+		});
+		peer.once('data', cancel);
+		await sleep(300);
+		await blocking.blockEventLoop(600);
+		await sleep(50);
+		expect(callCount).to.equal(0);
+	});
+});
