--- a/packages/kv/tests/support/blocking.ts
+++ b/packages/kv/tests/support/blocking.ts
@@ -17,6 +17,8 @@
 	readonly received: string;
 	/** Error of the connection, for example that it was reset. */
 	readonly error?: string;
+	/** Time from the connect to the end of the server's side, in milliseconds. */
+	readonly endedAfterMs?: number;
 };
 
 const callerCode = `
@@ -25,8 +27,11 @@
 const socket = net.connect({port, host: '127.0.0.1', allowHalfOpen: true});
 let received = '';
 let error;
+let connectedAt;
+let endedAfterMs;
+socket.on('connect', () => { connectedAt = performance.now(); });
 const finish = () => {
-	parentPort.postMessage({received, error});
+	parentPort.postMessage({received, error, endedAfterMs});
 	socket.destroy();
 };
 const timer = setTimeout(finish, endMs);
@@ -34,6 +39,7 @@
 socket.on('error', err => { error = err.code; });
 socket.on('close', () => { clearTimeout(timer); finish(); });
 socket.on('end', () => {
+	endedAfterMs = performance.now() - connectedAt;
 	let lastMs = 0;
 	for (const {afterEndMs, text} of writes.filter(write => write.afterEndMs !== undefined)) {
 		setTimeout(() => { socket.write(text, 'latin1'); }, afterEndMs);
