--- a/packages/gateway/src/ingress/caller-http-server.ts
+++ b/packages/gateway/src/ingress/caller-http-server.ts
@@ -3,14 +3,9 @@
 import * as clients from '@bluebellmast/kv';
 import * as lingeringClose from '../util/lingering-close.js';
 
-/**
- * HTTP server that closes idle connections without a reset, so that a caller whose request crosses the close can tell that it was not executed.
- * It keeps them open while a response has ended that is not sent as a whole, since Node counts its connection as idle.
- */
+/** HTTP server that keeps idle connections open while a response has ended that is not sent as a whole; Node counts its connection as idle. */
 export class CallerHttpServer extends http.Server {
-	#isClosingIdle = false;
 	#acceptedCount = 0;
-	readonly #sockets = new Set<net.Socket>();
 
 	constructor(
 		options: http.ServerOptions,
@@ -21,20 +16,10 @@
 		this.on('request', this.handle);
 		this.on('connection', (socket: net.Socket) => {
 			this.#acceptedCount += 1;
-			this.#sockets.add(socket);
-			socket.once('close', () => {
-				this.#sockets.delete(socket);
-			});
 			lingeringClose.setLingerTime(socket, lingeringClose.minLingerMs);
-			lingeringClose.closeUnreadOnDestroy(socket, () => this.#isClosingIdle);
 		});
 	}
 
-	/** Whether connections are open other than those that were closed while they were idle. */
-	get hasBusyConnections(): boolean {
-		return [...this.#sockets].some(socket => !lingeringClose.isClosedUnread(socket));
-	}
-
 	/** Accepts the connections that wait, and reads the requests on them; those that are not accepted when the server closes are reset. */
 	async acceptWaiting(mayContinue: () => boolean): Promise<void> {
 		let lastCount: number;
@@ -44,15 +29,13 @@
 			await clients.timeouts.waitForInput(); // eslint-disable-line no-await-in-loop -- Turns follow one another.
 			await clients.timeouts.waitForInput(); // eslint-disable-line no-await-in-loop -- Turns follow one another.
 		} while (this.#acceptedCount > lastCount && mayContinue());
+
+		await clients.timeouts.waitForRecentInput();
 	}
 
 	override closeIdleConnections(): void {
-		if (this.hasUnsentResponses()) {
-			return;
+		if (!this.hasUnsentResponses()) {
+			super.closeIdleConnections();
 		}
-
-		this.#isClosingIdle = true;
-		super.closeIdleConnections();
-		this.#isClosingIdle = false;
 	}
 }
--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -133,12 +133,12 @@
 		while (now() < endsAt) {
 			if (this.#openResponses.size > 0) {
 				lastResponseAt = now();
-			} else if (now() - lastResponseAt >= partialRequestGraceMs || !this.#hasBusyConnections()) {
+			} else if (now() - lastResponseAt >= partialRequestGraceMs || !(await this.#hasBusyConnections())) { // eslint-disable-line no-await-in-loop -- Checks follow one another.
 				break;
 			}
 
 			await timers.setTimeout(drainCheckIntervalMs); // eslint-disable-line no-await-in-loop -- Waits between checks.
-			await clients.timeouts.waitForInput(); // eslint-disable-line no-await-in-loop -- Waits between checks.
+			await clients.timeouts.waitForRecentInput(); // eslint-disable-line no-await-in-loop -- Waits between checks.
 		}
 	}
 
@@ -154,9 +154,13 @@
 	}
 
 	/** Closes the idle connections. @returns Whether connections remain, on which a request is being read or a response is being sent. */
-	#hasBusyConnections(): boolean {
+	async #hasBusyConnections(): Promise<boolean> {
 		this.#server.closeIdleConnections();
-		return this.#server.hasBusyConnections;
+		return new Promise(resolve => {
+			this.#server.getConnections((err, count) => {
+				resolve(err === null && count > 0);
+			});
+		});
 	}
 
 	async #handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
@@ -203,14 +207,8 @@
 		}
 
 		res.once('finish', () => {
-			if (!this.#order.isLast(res)) {
-				return;
-			}
-
-			if (res.req.complete && !this.#closing.has(res)) {
-				lingeringClose.closeUnread(res.req.socket);
-			} else {
-				lingeringClose.closeLingering(res.req.socket, lingeringClose.minLingerMs);
+			if (this.#order.isLast(res)) {
+				lingeringClose.closeAfterResponse(res.req.socket, !res.req.complete || this.#closing.has(res));
 			}
 		});
 	}
--- a/packages/gateway/src/util/lingering-close.ts
+++ b/packages/gateway/src/util/lingering-close.ts
@@ -23,27 +23,30 @@
 	socket.end();
 }
 
-/** Closes an idle connection, unless bytes have arrived that were not read yet. */
+/**
+ * Closes an idle connection, unless bytes have arrived that were not read yet. It is closed at once: the end of the sending direction alone would be sent in the next turn
+ * of the event loop, and a request that arrives until then would wait in vain.
+ */
 export async function closeIdle(socket: net.Socket): Promise<void> {
 	const {bytesRead} = socket;
-	await clients.timeouts.waitForInput();
+	await clients.timeouts.waitForRecentInput();
 	if (socket.bytesRead === bytesRead) {
-		closeUnread(socket);
+		socket.destroy();
 	}
 }
 
 /**
- * Closes a connection on which no request is in progress without reading what arrives from now on, so that a request that crosses the close can be repeated. It is kept for a time, since bytes that
- * arrive at a closed connection reset it.
+ * Closes a connection after a response whose head has not announced it. Unless `mustRead`, nothing is read from now on, so that a request that crosses the close can be
+ * repeated.
+ *
+ * @param mustRead - Whether the caller may still be sending what belongs to the request.
  */
-export function closeUnread(socket: net.Socket): void {
-	socket.pause();
-	closeLingering(socket, minLingerMs);
-}
+export function closeAfterResponse(socket: net.Socket, mustRead: boolean): void {
+	if (!mustRead) {
+		socket.pause();
+	}
 
-/** Whether a connection was closed by {@link closeUnread}. */
-export function isClosedUnread(socket: net.Socket): boolean {
-	return socket.writableEnded && socket.isPaused();
+	closeLingering(socket, minLingerMs);
 }
 
 /** Sets how long a connection lingers when Node's HTTP server closes it after its last response, in milliseconds. */
@@ -52,16 +55,3 @@
 		closeLingering(socket, maxMs);
 	};
 }
-
-/** Has a connection closed as an idle one when Node's HTTP server destroys it while a condition holds. */
-export function closeUnreadOnDestroy(socket: net.Socket, isIdle: () => boolean): void {
-	const destroy = socket.destroy.bind(socket);
-	socket.destroy = err => {
-		if (!isIdle()) {
-			return destroy(err);
-		}
-
-		closeUnread(socket);
-		return socket;
-	};
-}
--- a/packages/kv/src/timeouts/input-timer.ts
+++ b/packages/kv/src/timeouts/input-timer.ts
@@ -16,6 +16,21 @@
 	});
 }
 
+/** Longest turn of the event loop after which the input counts as read, in milliseconds. */
+const maxTurnMs = 20;
+/** Turns that are waited for at most, so that the wait ends on a busy machine as well. */
+const maxTurns = 5;
+
+/** Waits until all input was read but that of the last milliseconds: as long as turns of the event loop take longer, more may have arrived meanwhile. */
+export async function waitForRecentInput(): Promise<void> {
+	let turnMs = Infinity;
+	for (let turns = 0; turns < maxTurns && turnMs > maxTurnMs; turns++) {
+		const startedAt = performance.now();
+		await waitForInput(); // eslint-disable-line no-await-in-loop -- Turns follow one another.
+		turnMs = performance.now() - startedAt;
+	}
+}
+
 /**
  * A timer for decisions that rest on what has not arrived by the end of a time. It calls back after the input that had arrived by then was
  * read, unless {@link InputTimer.clear} was called meanwhile.
