--- a/packages/kv/src/kv/etcd-transport.ts
+++ b/packages/kv/src/kv/etcd-transport.ts
@@ -1,5 +1,6 @@
 import * as purify from 'purify-ts';
 import * as undici from 'undici';
+import * as callDeadline from '../timeouts/call-deadline.js';
 import * as etcdProtocol from './etcd-protocol.js';
 import type * as kvCallType from './kv-call-type.js';
 import * as kvError from './kv-error.js';
@@ -56,27 +57,12 @@
 
 	/** Sends a call and returns the parsed JSON body. Another base URL is tried only when the call had no effect on the last. */
 	async call<ResponseBody>(call: EtcdCall): Promise<purify.Either<kvError.KvError, ResponseBody>> {
-		const deadline = AbortSignal.timeout(this.options.callTimeoutMs);
-		let result = createError(kvError.KvErrorCode.NotSent, 'no base URL is configured');
-		const first = this.#preferredIndex;
-		for (let attempt = 0; attempt < this.#pools.length && !deadline.aborted; attempt++) {
-			const index = (first + attempt) % this.#pools.length;
-			const response = await this.#sendTo<ResponseBody>(this.#pools[index]!, call, deadline); // eslint-disable-line no-await-in-loop
-			if (deadline.aborted) {
-				// Connected but silent: the next call starts with the next base URL.
-				this.#preferNextAfter(index);
-				return response;
-			}
-
-			if (response.isRight() || (response.extract() as kvError.KvError).code !== kvError.KvErrorCode.NotSent) {
-				this.#preferredIndex = index;
-				return response;
-			}
-
-			result = response as purify.Either<kvError.KvError, never>;
+		const deadline = new callDeadline.CallDeadline(this.options.callTimeoutMs);
+		try {
+			return await this.#callUntil<ResponseBody>(call, deadline.signal);
+		} finally {
+			deadline.clear();
 		}
-
-		return result;
 	}
 
 	/**
@@ -106,6 +92,29 @@
 		await Promise.all([...this.#pools, ...this.#drainingPools].map(async pool => pool.destroy()));
 	}
 
+	async #callUntil<ResponseBody>(call: EtcdCall, deadline: AbortSignal): Promise<purify.Either<kvError.KvError, ResponseBody>> {
+		let result = createError(kvError.KvErrorCode.NotSent, 'no base URL is configured');
+		const first = this.#preferredIndex;
+		for (let attempt = 0; attempt < this.#pools.length && !deadline.aborted; attempt++) {
+			const index = (first + attempt) % this.#pools.length;
+			const response = await this.#sendTo<ResponseBody>(this.#pools[index]!, call, deadline); // eslint-disable-line no-await-in-loop
+			if (deadline.aborted) {
+				// Connected but silent: the next call starts with the next base URL.
+				this.#preferNextAfter(index);
+				return response;
+			}
+
+			if (response.isRight() || (response.extract() as kvError.KvError).code !== kvError.KvErrorCode.NotSent) {
+				this.#preferredIndex = index;
+				return response;
+			}
+
+			result = response as purify.Either<kvError.KvError, never>;
+		}
+
+		return result;
+	}
+
 	#preferNextAfter(index: number): void {
 		this.#preferredIndex = (index + 1) % this.#pools.length;
 	}
--- a/packages/kv/src/kv/etcd-watch.ts
+++ b/packages/kv/src/kv/etcd-watch.ts
@@ -1,5 +1,6 @@
 /* eslint-disable @typescript-eslint/naming-convention -- Field names of the etcd protocol. */
 import type * as undici from 'undici';
+import * as silenceTimer from '../timeouts/silence-timer.js';
 import * as etcdProtocol from './etcd-protocol.js';
 import * as kvCallType from './kv-call-type.js';
 import type * as client from './key-value-client.js';
@@ -17,7 +18,7 @@
 export class EtcdWatch implements client.KvWatch {
 	readonly #abortController = new AbortController();
 	#isEnded = false;
-	#progressTimer: NodeJS.Timeout | undefined;
+	#progressTimer: silenceTimer.SilenceTimer | undefined;
 	#partialLine = '';
 
 	constructor(
@@ -87,15 +88,18 @@
 	}
 
 	#restartProgressTimer(): void {
-		clearTimeout(this.#progressTimer);
 		if (this.#isEnded) {
 			return;
 		}
 
-		this.#progressTimer = setTimeout(() => {
+		if (this.#progressTimer !== undefined) {
+			this.#progressTimer.refresh();
+			return;
+		}
+
+		this.#progressTimer = new silenceTimer.SilenceTimer(this.progressTimeoutMs, () => {
 			this.#end('no data within the progress timeout');
-		}, this.progressTimeoutMs);
-		this.#progressTimer.unref();
+		});
 	}
 
 	#end(reason: string): void {
@@ -109,7 +113,7 @@
 
 	#stop(reason: Error): void {
 		this.#isEnded = true;
-		clearTimeout(this.#progressTimer);
+		this.#progressTimer?.clear();
 		this.#abortController.abort(reason);
 	}
 }
--- a/packages/kv/src/vms/http-vm-list-client.ts
+++ b/packages/kv/src/vms/http-vm-list-client.ts
@@ -1,4 +1,5 @@
 import * as undici from 'undici';
+import * as callDeadline from '../timeouts/call-deadline.js';
 import type * as vmList from './vm-list.js';
 
 /** Options of `HttpVmListClient`. */
@@ -32,13 +33,15 @@
 
 	/** Returns the well-formed entries of the list, or `undefined` on a timeout, a failure or a response that is no list. */
 	async list(): Promise<readonly vmList.ListedVm[] | undefined> {
+		const deadline = new callDeadline.CallDeadline(this.#timeoutMs);
 		try {
-			const signal = AbortSignal.timeout(this.#timeoutMs);
-			const res = await this.#pool.request({method: 'GET', path: '/v1/vms', signal});
+			const res = await this.#pool.request({method: 'GET', path: '/v1/vms', signal: deadline.signal});
 			const body: unknown = await res.body.json();
 			return res.statusCode === 200 && Array.isArray(body) ? body.filter(vm => isListedVm(vm)) : undefined;
 		} catch {
 			return undefined;
+		} finally {
+			deadline.clear();
 		}
 	}
 
