--- a/packages/gateway/tests/call/blocked-event-loop.test.ts
+++ b/packages/gateway/tests/call/blocked-event-loop.test.ts
@@ -3,6 +3,7 @@
 import * as core from '@bluebellmast/core';
 import * as blocking from '../../../kv/tests/support/blocking.js';
 import * as loaded from '../support/loaded-vm.js';
+import type * as gateway from '@bluebellmast/gateway';
 
 const {expect} = chai;
 const {settle} = loaded;
@@ -66,3 +67,27 @@
 		expect(vm.connections.listAt('b')).to.have.lengthOf(0);
 	}).timeout(10_000);
 });
+
+// Guards against a prompt that ends endpoints and is taken for a sound one, since their connections were not read after the event loop was blocked.
+describe('a connection that is closed after a response while the event loop is blocked', () => {
+	it('shows that the endpoint has ended on the request', async () => {
+		const vm = new loaded.LoadedVm();
+		vm.addEndpoint('a');
+		const prompt = {model: 'm', parts: [{id: 'f1', tokens: 60}, {id: 'f2', tokens: 60}]} as unknown as gateway.ports.PromptMetadata;
+		vm.send('r-1', {}, {prompt});
+		await settle();
+		const socket = await blocking.connectToSender(200);
+		const [stream] = vm.connections.streams;
+		stream!.begin();
+		stream!.sendEvent();
+		stream!.end();
+		await Promise.all(vm.ended);
+		socket.once('data', () => {
+			vm.connections.breakIdle('a');
+		});
+		await blocking.blockEventLoop(900);
+		await sleep(600);
+		await vm.close();
+		expect(vm.interruptedAt).to.deep.equal(['a']);
+	});
+});
--- a/packages/gateway/tests/support/fake-connections.ts
+++ b/packages/gateway/tests/support/fake-connections.ts
@@ -120,6 +120,13 @@
 
 	readonly #idle: IdleConnection[] = [];
 
+	/** Has an endpoint close its idle connections. */
+	breakIdle(endpoint: string): void {
+		for (const connection of this.#idle.filter(({id}) => id === endpoint)) {
+			connection.isOpen = false;
+		}
+	}
+
 	/** The streams that were sent to an endpoint, in order. */
 	listAt(endpoint: string): FakeStream[] {
 		return this.streams.filter(stream => stream.endpoint === endpoint);
