--- a/packages/gateway/src/call/attempt-recorder.ts
+++ b/packages/gateway/src/call/attempt-recorder.ts
@@ -1,4 +1,5 @@
 import * as core from '@bluebellmast/core';
+import * as clients from '@bluebellmast/kv';
 import * as endpoints from '../endpoints/index.js';
 import type * as endpointPlacer from '../placement/endpoint-placer.js';
 import * as ports from '../ports/index.js';
@@ -123,13 +124,13 @@
 		}
 
 		const completedAt = clock.suspendAwareNow();
-		setTimeout(() => {
+		new clients.timeouts.InputTimer(outlivedMs, () => { // eslint-disable-line no-new -- The timer runs by itself.
 			if (connection.isOpen) {
 				quarantine.recordCompletion(sharedParts, completedAt);
 			} else if (!connection.isClosedHere) {
 				this.recordInterruption(sent);
 			}
-		}, outlivedMs).unref();
+		});
 	}
 
 	/** Records that an endpoint responded on a connection, if only by a refusal. */
