--- a/packages/gateway/tests/call/blocked-event-loop.test.ts
+++ b/packages/gateway/tests/call/blocked-event-loop.test.ts
@@ -86,3 +86,27 @@
 		expect(vm.connections.listAt('b')).to.have.lengthOf(0);
 	}).timeout(10_000);
 });
+
+// Guards against a prompt that ends endpoints and is taken for a sound one, since their connections were not read after the event loop was blocked.
+describe('a connection that is closed after a response while the event loop is blocked', () => {
+	it('shows that the endpoint has ended on the request', async () => {
+		const vm = new loaded.LoadedVm();
+		vm.addEndpoint('a');
+		const prompt = {model: 'm', parts: [{id: 'f1', tokens: 60}, {id: 'f2', tokens: 60}]} as unknown as gateway.ports.PromptMetadata;
+		vm.send('r-1', {}, {prompt});
+		await settle();
+		const socket = await threadServer.connectToSender(200);
+		const [stream] = vm.connections.streams;
+		stream!.begin();
+		stream!.sendEvent();
+		stream!.end();
+		await Promise.all(vm.ended);
+		socket.once('data', () => {
+			vm.connections.endIdle('a', vm.clock.now);
+		});
+		await blocking.blockEventLoop(900);
+		await sleep(600);
+		await vm.close();
+		expect(vm.interruptedAt).to.deep.equal(['a']);
+	});
+});
--- a/packages/kv/src/kv/etcd-watch.ts
+++ b/packages/kv/src/kv/etcd-watch.ts
@@ -88,11 +88,15 @@
 	}
 
 	#restartProgressTimer(): void {
-		this.#progressTimer?.clear();
 		if (this.#isEnded) {
 			return;
 		}
 
+		if (this.#progressTimer !== undefined) {
+			this.#progressTimer.refresh();
+			return;
+		}
+
 		this.#progressTimer = new timeouts.SilenceTimer(this.progressTimeoutMs, () => {
 			this.#end('no data within the progress timeout');
 		});
--- a/packages/kv/src/timeouts/input-wait.ts
+++ b/packages/kv/src/timeouts/input-wait.ts
@@ -1,7 +1,7 @@
 /** Duration of a turn of the event loop from which on it counts as blocked, in milliseconds. */
 const minBlockedMs = 20;
 /** Turns after which a wait ends also if each of them was blocked. */
-const maxTurns = 3;
+const maxTurns = 5;
 
 /**
  * Waits until the input that has arrived at this process was read. Node runs the timers that are due before it reads sockets, so that after a time
