--- a/packages/gateway/src/util/periodic-task.ts
+++ b/packages/gateway/src/util/periodic-task.ts
@@ -1,3 +1,4 @@
+import * as timers from 'node:timers/promises';
 import * as clients from '@bluebellmast/kv';
 import * as eventLog from './event-log.js';
 
@@ -93,19 +94,26 @@
 		}
 	};
 
-	const reportBlockSince = (since: number): void => {
+	const reportBlockSince = (since: number): boolean => {
 		const blockedMs = Math.round(now() - since);
-		if (blockedMs >= minBlockedMs) {
+		const isBlocked = blockedMs >= minBlockedMs;
+		if (isBlocked) {
 			log.write(eventLog.LogEvent.EventLoopBlocked, {blockedMs});
 			onBlocked?.(blockedMs);
 		}
+
+		return isBlocked;
 	};
 
 	const step = async (): Promise<void> => {
 		reportBlockSince(dueAt);
 		const firedAt = now();
-		await clients.timeouts.waitForInput();
-		reportBlockSince(firedAt);
+		await timers.setImmediate();
+		// A block after the timer is reported before the next turn reads what arrived meanwhile.
+		if (reportBlockSince(firedAt)) {
+			await clients.timeouts.waitForInput();
+		}
+
 		if (!isStopped) {
 			runDue();
 			dueAt = now() + stepMs;
