Offer waiting requests capacity after pending input was read, before their wait expires

What callers saw: 503 after a wait, though the response that frees capacity had arrived while the event loop was blocked.

--- a/packages/gateway/src/call/request-queue.ts
+++ b/packages/gateway/src/call/request-queue.ts
@@ -1,5 +1,6 @@
 import * as timers from 'node:timers/promises';
 import * as core from '@bluebellmast/core';
+import * as clients from '@bluebellmast/kv';
 
 /** How the wait of a request ended. */
 export enum WaitOutcome {
@@ -86,21 +87,28 @@
 
 	async #check(): Promise<void> {
 		try {
-			await this.#checkEntries();
+			// What has arrived while the event loop was blocked may free capacity.
+			await clients.timeouts.waitForInput();
+			await this.#releaseEntries();
+			this.#endExpired();
 		} finally {
 			this.#timer = undefined;
 			this.#scheduleCheck();
 		}
 	}
 
-	async #checkEntries(): Promise<void> {
+	/** Ends the waits that have expired; capacity was sought for them before. */
+	#endExpired(): void {
 		const now = this.monotonicNow();
 		for (const entry of this.#entries) {
 			if (entry.request.expiresAt <= now) {
 				entry.end(WaitOutcome.Expired);
 			}
 		}
+	}
 
+	async #releaseEntries(): Promise<void> {
+		const now = this.monotonicNow();
 		const sortedEntries = [...this.#entries].sort((a, b) => core.fleet.compareWaitingRequests(a.request, b.request, now));
 		let released = 0;
 		for (const entry of sortedEntries.slice(0, maxCheckedPerCheck)) {
--- a/packages/gateway/tests/call/request-queue.test.ts
+++ b/packages/gateway/tests/call/request-queue.test.ts
@@ -1,3 +1,5 @@
+import {once} from 'node:events';
+import * as net from 'node:net';
 import * as chai from 'chai';
 import * as gateway from '@bluebellmast/gateway';
 
@@ -31,6 +33,32 @@
 		expect(order).to.deep.equal(['first', 'second', 'less urgent']);
 	});
 
+	// Guards against refusals after a blocked event loop, whose timers run before the sockets are read.
+	it('offers capacity to a request that expires, also if it becomes available only by data that is read after the timer', async () => {
+		const server = net.createServer();
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const reader = net.connect((server.address() as net.AddressInfo).port, '127.0.0.1');
+		const [writer] = await once(server, 'connection') as [net.Socket];
+		let hasCapacity = false;
+		reader.once('data', () => {
+			hasCapacity = true;
+		});
+		const queue = new gateway.call.RequestQueue(() => 100);
+		const {ended} = queue.wait(createRequest({expiresAt: 100, hasCapacity: () => hasCapacity}));
+		writer.write('x');
+		const blockedUntil = Date.now() + 60;
+		while (Date.now() < blockedUntil) {
+			// The event loop is blocked.
+		}
+
+		const outcome = await ended;
+		reader.destroy();
+		writer.destroy();
+		server.close();
+		expect(outcome).to.equal(gateway.call.WaitOutcome.CapacityAvailable);
+	});
+
 	// Guards against requests that are released together for the same capacity, so that one has to wait anew.
 	it('releases a request only after the one before has used its capacity', async () => {
 		const queue = new gateway.call.RequestQueue(() => 100);
