Offer waiting requests capacity before their wait expires

Cause: a wait was declared expired before capacity was sought for it. After a blocked event loop Node runs timers before it reads sockets, so all waits ended although the data that frees capacity had arrived. Change: a check first lets pending input be read; requests that expire are offered capacity in order of precedence, and only then end. Timers can be replaced, for virtual time. Result: three new tests of request-queue.test.ts fail on the code before and pass now.

--- a/packages/gateway/src/call/request-queue.ts
+++ b/packages/gateway/src/call/request-queue.ts
@@ -17,12 +17,24 @@
 export type QueuedRequest = core.fleet.WaitingRequest & {
 	/** When the wait expires, in milliseconds of the monotonic clock. */
 	readonly expiresAt: number;
-	/** Returns whether an endpoint has capacity now, or `undefined` if none is left to wait for. */
-	readonly hasCapacity: () => boolean | undefined;
+	/**
+	 * Returns when the wait expires now that its time has elapsed, in milliseconds of the monotonic clock; `undefined` if it is not extended.
+	 * Waits are not extended by default.
+	 */
+	readonly extend?: (now: number) => number | undefined;
+	/** Returns whether no capacity need be sought for the request at this check. */
+	readonly isHeld?: () => boolean;
+	/**
+	 * Returns whether an endpoint has capacity now, or `undefined` if none is left to wait for.
+	 *
+	 * @param isExpiring - Whether the wait ends if there is no capacity.
+	 */
+	readonly hasCapacity: (isExpiring: boolean) => boolean | undefined;
 };
 
 type QueueEntry = {
 	readonly request: QueuedRequest;
+	expiresAt: number;
 	readonly end: (outcome: WaitOutcome) => void;
 };
 
@@ -32,19 +44,30 @@
 const maxReleasedPerCheck = 2;
 /** Requests for which capacity is sought at one check; bounds the processor time of a check. */
 const maxCheckedPerCheck = 24;
+/** Number of queued requests at which the queue is full; bounds its memory and the processor time of sorting it. */
+const maxQueued = 4096;
 
 /** Queues requests while no endpoint has capacity for them, and releases them in order of precedence. */
 export class RequestQueue {
 	readonly #entries = new Set<QueueEntry>();
-	#timer: NodeJS.Timeout | undefined;
+	#isCheckScheduled = false;
 
-	constructor(private readonly monotonicNow: () => number) {}
+	/** @param schedule - Runs a function after a time in milliseconds. */
+	constructor(
+		private readonly monotonicNow: () => number,
+		private readonly schedule: (run: () => void, ms: number) => unknown = setTimeout,
+	) {}
 
 	/** Number of queued requests. */
 	get size(): number {
 		return this.#entries.size;
 	}
 
+	/** Whether the queue accepts no further request. */
+	get isFull(): boolean {
+		return this.#entries.size >= maxQueued;
+	}
+
 	/** Returns the number of prompt tokens of the queued requests that take precedence over a new one. */
 	countTokensAhead(request: core.fleet.WaitingRequest): number {
 		const now = this.monotonicNow();
@@ -62,6 +85,7 @@
 		const ended = new Promise<WaitOutcome>(resolve => {
 			const entry: QueueEntry = {
 				request,
+				expiresAt: request.expiresAt,
 				end: outcome => {
 					this.#entries.delete(entry);
 					resolve(outcome);
@@ -77,8 +101,9 @@
 	}
 
 	#scheduleCheck(): void {
-		if (this.#entries.size > 0) {
-			this.#timer ??= setTimeout(() => {
+		if (this.#entries.size > 0 && !this.#isCheckScheduled) {
+			this.#isCheckScheduled = true;
+			this.schedule(() => {
 				void this.#check();
 			}, checkIntervalMs);
 		}
@@ -86,37 +111,90 @@
 
 	async #check(): Promise<void> {
 		try {
+			// Timers run before sockets are read. What has arrived while the event loop was blocked may free capacity.
+			await timers.setImmediate();
 			await this.#checkEntries();
 		} finally {
-			this.#timer = undefined;
+			this.#isCheckScheduled = false;
 			this.#scheduleCheck();
 		}
 	}
 
 	async #checkEntries(): Promise<void> {
 		const now = this.monotonicNow();
-		for (const entry of this.#entries) {
-			if (entry.request.expiresAt <= now) {
-				entry.end(WaitOutcome.Expired);
+		const sorted = [...this.#entries].sort((a, b) => core.fleet.compareWaitingRequests(a.request, b.request, now));
+		const expiring = sorted.filter(entry => !this.#extend(entry, now));
+		const releasedCount = await this.#releaseExpiring(expiring);
+		const expiringSet = new Set(expiring);
+		await this.#release(sorted.filter(entry => !expiringSet.has(entry)), maxReleasedPerCheck - releasedCount);
+	}
+
+	/** Returns whether the wait of an entry goes on at least until the next check. */
+	#extend(entry: QueueEntry, now: number): boolean {
+		if (entry.expiresAt <= now) {
+			entry.expiresAt = entry.request.extend?.(now) ?? entry.expiresAt;
+		}
+
+		return entry.expiresAt > now;
+	}
+
+	/** Offers capacity to entries that expire, and ends the others of them. @returns The number of released entries. */
+	async #releaseExpiring(entries: readonly QueueEntry[]): Promise<number> {
+		let releasedCount = 0;
+		for (const entry of entries) {
+			if (releasedCount === maxReleasedPerCheck) {
+				break;
+			}
+
+			const outcome = this.#seek(entry, true);
+			entry.end(outcome ?? WaitOutcome.Expired);
+			if (outcome === WaitOutcome.CapacityAvailable) {
+				releasedCount += 1;
+				await timers.setImmediate(); // eslint-disable-line no-await-in-loop -- Requests are released in turn.
 			}
 		}
 
-		const sortedEntries = [...this.#entries].sort((a, b) => core.fleet.compareWaitingRequests(a.request, b.request, now));
+		return releasedCount;
+	}
+
+	/** Releases entries for which there is capacity. */
+	async #release(entries: readonly QueueEntry[], maxCount: number): Promise<void> {
 		let released = 0;
-		for (const entry of sortedEntries.slice(0, maxCheckedPerCheck)) {
-			if (released === maxReleasedPerCheck) {
+		let checked = 0;
+		for (const entry of entries) {
+			if (released >= maxCount || checked === maxCheckedPerCheck) {
 				return;
 			}
 
-			const hasCapacity = this.#entries.has(entry) ? entry.request.hasCapacity() : false;
-			if (hasCapacity === undefined) {
-				entry.end(WaitOutcome.NoEndpoint);
-			} else if (hasCapacity) {
+			if (!this.#entries.has(entry) || entry.request.isHeld?.() === true) {
+				continue;
+			}
+
+			checked += 1;
+			const outcome = this.#seek(entry, false);
+			if (outcome !== undefined) {
+				entry.end(outcome);
+			}
+
+			if (outcome === WaitOutcome.CapacityAvailable) {
 				released += 1;
-				entry.end(WaitOutcome.CapacityAvailable);
 				// The request is sent before capacity is sought for the next one.
 				await timers.setImmediate(); // eslint-disable-line no-await-in-loop -- Requests are released in turn.
 			}
 		}
 	}
+
+	/** Seeks capacity for an entry. @returns How its wait ends; `undefined` if there is no capacity. */
+	#seek(entry: QueueEntry, isExpiring: boolean): WaitOutcome | undefined {
+		if (!this.#entries.has(entry)) {
+			return WaitOutcome.Cancelled;
+		}
+
+		const hasCapacity = entry.request.hasCapacity(isExpiring);
+		if (hasCapacity === undefined) {
+			return WaitOutcome.NoEndpoint;
+		}
+
+		return hasCapacity ? WaitOutcome.CapacityAvailable : undefined;
+	}
 }
--- a/packages/gateway/tests/call/request-queue.test.ts
+++ b/packages/gateway/tests/call/request-queue.test.ts
@@ -1,3 +1,5 @@
+import {once} from 'node:events';
+import * as net from 'node:net';
 import * as chai from 'chai';
 import * as gateway from '@bluebellmast/gateway';
 
@@ -58,6 +60,60 @@
 		expect(ends).to.deep.equal([gateway.call.WaitOutcome.Expired, gateway.call.WaitOutcome.Cancelled]);
 	});
 
+	// Guards against refusals after a blocked event loop, whose timers run before the sockets are read.
+	it('offers capacity to a request that expires, also if it becomes available only by data that is read after the timer', async () => {
+		const server = net.createServer();
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const reader = net.connect((server.address() as net.AddressInfo).port, '127.0.0.1');
+		const [writer] = await once(server, 'connection') as [net.Socket];
+		let hasCapacity = false;
+		reader.once('data', () => {
+			hasCapacity = true;
+		});
+		const queue = new gateway.call.RequestQueue(() => 100);
+		const {ended} = queue.wait(createRequest({expiresAt: 100, hasCapacity: () => hasCapacity}));
+		writer.write('x');
+		const blockedUntil = Date.now() + 60;
+		while (Date.now() < blockedUntil) {
+			// The event loop is blocked.
+		}
+
+		const outcome = await ended;
+		reader.destroy();
+		writer.destroy();
+		server.close();
+		expect(outcome).to.equal(gateway.call.WaitOutcome.CapacityAvailable);
+	});
+
+	it('extends a wait as long as it may go on', async () => {
+		let now = 100;
+		const queue = new gateway.call.RequestQueue(() => now);
+		const extensions: number[] = [];
+		const {ended} = queue.wait(createRequest({
+			expiresAt: 110,
+			extend(at) {
+				extensions.push(at);
+				now += 10;
+				return extensions.length < 3 ? now : undefined;
+			},
+		}));
+		now = 110;
+		expect(await ended).to.equal(gateway.call.WaitOutcome.Expired);
+		expect(extensions).to.deep.equal([110, 120, 130]);
+	});
+
+	it('seeks no capacity for requests that are held, and reaches those behind them', async () => {
+		const queue = new gateway.call.RequestQueue(() => 100);
+		const held = Array.from({length: 50}, () => queue.wait(createRequest({isHeld: () => true, hasCapacity: () => true})));
+		const other = queue.wait(createRequest({priority: 5, hasCapacity: () => true}));
+		expect(await other.ended).to.equal(gateway.call.WaitOutcome.CapacityAvailable);
+		expect(queue.size).to.equal(50);
+		for (const {cancel} of held) {
+			cancel();
+		}
+	});
+
 	it('ends the waits of requests for which no endpoint is left at one check, also behind those that wait on', async () => {
 		let now = 100;
 		let checks = 0;
