Decide how long requests wait for a pool that has no endpoint

Cause: nothing in core says how likely it is that a silent or empty pool comes back in time, so such requests were refused at once. Pure; not used yet.

--- /dev/null
+++ b/packages/core/src/fleet/pool-gaps.ts
@@ -0,0 +1,127 @@
+import * as pacedReturn from './paced-return.js';
+import type * as waitRules from './wait-rules.js';
+
+/** Time between two searches within which the end of a gap is known well enough to be learned, in milliseconds. */
+const maxUncertaintyMs = 250;
+
+type Gap = {
+	readonly startedAt: number;
+	lastSeenAt: number;
+	cause: waitRules.WaitCause;
+};
+
+type PoolRecord = {
+	gap: Gap | undefined;
+	/** Number of requests that wait for an endpoint of the pool. */
+	waitingCount: number;
+	returning: pacedReturn.PacedReturn | undefined;
+	/** When the pool last had an endpoint again after a gap. */
+	returnedAt: number;
+};
+
+/**
+ * Tracks the times in which a pool has no endpoint that may be sent requests, and the return of requests after them. A pool stands for the
+ * endpoints that serve the same requests; it is known once it has had an endpoint.
+ */
+export class PoolGaps {
+	readonly #records = new Map<string, PoolRecord>();
+
+	/** @param random - Returns a random number from 0 (inclusive) to 1 (exclusive). */
+	constructor(private readonly rules: waitRules.WaitRules, private readonly random: () => number) {}
+
+	/** Number of known pools. */
+	get size(): number {
+		return this.#records.size;
+	}
+
+	/** Records that a search found an endpoint. */
+	recordEndpoint(pool: string, now: number): void {
+		const record = this.#records.get(pool);
+		if (record === undefined) {
+			this.#records.set(pool, {
+				gap: undefined, waitingCount: 0, returning: undefined, returnedAt: -Infinity,
+			});
+			return;
+		}
+
+		const {gap, waitingCount} = record;
+		if (gap === undefined) {
+			return;
+		}
+
+		const isEndKnown = now - gap.lastSeenAt <= maxUncertaintyMs;
+		this.rules.recordDuration(gap.cause, (isEndKnown ? now : gap.lastSeenAt) - gap.startedAt, isEndKnown);
+		record.gap = undefined;
+		record.returnedAt = now;
+		record.returning = waitingCount > 0
+			? new pacedReturn.PacedReturn({waitingCount, gapMs: now - gap.startedAt, random: this.random()}, now)
+			: undefined;
+	}
+
+	/** Records that a search found no endpoint. */
+	recordAbsence(pool: string, cause: waitRules.WaitCause, now: number): void {
+		const record = this.#records.get(pool);
+		if (record === undefined) {
+			return;
+		}
+
+		record.gap ??= {startedAt: now, lastSeenAt: now, cause};
+		record.gap.lastSeenAt = now;
+		record.gap.cause = cause;
+		record.returning = undefined;
+	}
+
+	/** Returns whether a request may wait for the end of the present gap of a pool. */
+	mayWait(pool: string, timeLeftMs: number, now: number): boolean {
+		const gap = this.#records.get(pool)?.gap;
+		return gap !== undefined && this.rules.mayWait({cause: gap.cause, elapsedMs: now - gap.startedAt, timeLeftMs});
+	}
+
+	/** Returns the cause of the present gap of a pool, and the expected time until its end in milliseconds; `undefined` if there is none. */
+	findGap(pool: string, now: number): {readonly cause: waitRules.WaitCause; readonly expectedMs: number} | undefined {
+		const gap = this.#records.get(pool)?.gap;
+		return gap && {cause: gap.cause, expectedMs: this.rules.expectedMs(gap.cause, now - gap.startedAt)};
+	}
+
+	/** Returns when a pool last had an endpoint again after a gap; `-Infinity` if never. */
+	returnedAt(pool: string): number {
+		return this.#records.get(pool)?.returnedAt ?? -Infinity;
+	}
+
+	/** Counts a request that begins to wait for an endpoint of a pool. @returns A function that ends its wait. */
+	countWaiting(pool: string): () => void {
+		const record = this.#records.get(pool);
+		if (record === undefined) {
+			return () => undefined;
+		}
+
+		record.waitingCount += 1;
+		return () => {
+			record.waitingCount -= 1;
+		};
+	}
+
+	/** Returns whether requests are held back after a gap, so that the VMs do not send them all at once. */
+	isHeldBack(pool: string, now: number): boolean {
+		return this.#findReturning(pool, now)?.maySend(now) === false;
+	}
+
+	/** Returns whether a new request queues, since others that waited for the pool are sent one after another. */
+	isReturning(pool: string, now: number): boolean {
+		return this.#findReturning(pool, now) !== undefined;
+	}
+
+	/** Records that a request that waited is sent. */
+	recordSent(pool: string): void {
+		this.#records.get(pool)?.returning?.recordSent();
+	}
+
+	#findReturning(pool: string, now: number): pacedReturn.PacedReturn | undefined {
+		const record = this.#records.get(pool);
+		if (record?.returning !== undefined && (record.waitingCount === 0 || record.returning.hasEnded(now))) {
+			record.returning = undefined;
+		}
+
+		return record?.returning;
+	}
+}
