Let requests wait through short gaps of a pool

Cause: a request for which no endpoint was left got 503 at once, and one that waited for capacity got it after max(1 s, twice the expected wait), however much time it had left. A VM also took engines for working whose only requests in flight are those of other VMs: it waited for capacity that a silent engine doesn't free, with an expected wait near 0. Requests of other pools no longer count as ahead in the queue. Waits are logged with cause, expected and real time.

--- a/packages/core/src/fleet/duration-table.ts
+++ b/packages/core/src/fleet/duration-table.ts
@@ -14,7 +14,7 @@
 };
 
 /** Without knowledge, a state that has lasted for some time is as likely to end within the same time again as it is not. */
-export const defaultDurationPrior: DurationPrior = {endChance: 0.5, weight: 2};
+export const defaultDurationPrior: DurationPrior = {endChance: 0.5, weight: 1};
 
 /** Learns how long a state lasts, as a life table: the chance of its end in each interval of its duration. Its size is fixed. */
 export class DurationTable {
--- a/packages/core/src/fleet/endpoint-registry.ts
+++ b/packages/core/src/fleet/endpoint-registry.ts
@@ -38,6 +38,8 @@
 export class EndpointRegistry {
 	readonly #endpoints = new Map<string, RegisteredEndpoint>();
 	readonly #observed = new Map<string, ObservedWeights>();
+	/** Pools that have or had an endpoint. */
+	readonly #listedPools = new Set<string>();
 	/** Ready endpoints by pool; cleared at each change. */
 	readonly #ready = new Map<string, readonly endpointEntry.EndpointEntry[]>();
 
@@ -143,6 +145,11 @@
 		return this.#endpoints.get(id)?.entry;
 	}
 
+	/** Returns whether a pool has or had an endpoint. */
+	hasListed(pool: string): boolean {
+		return this.#listedPools.has(pool);
+	}
+
 	/** Returns the endpoints of a pool that accept new requests. */
 	listReady(pool: string): readonly endpointEntry.EndpointEntry[] {
 		const known = this.#ready.get(pool);
@@ -164,6 +171,7 @@
 		const known = this.#endpoints.get(entry.id);
 		if (known === undefined || !endpointEntry.isSameEntry(known.entry, entry)) {
 			this.#ready.clear();
+			this.#listedPools.add(entry.pool);
 			this.#endpoints.set(entry.id, {entry});
 		} else if (known.expiresAt !== undefined) {
 			this.#endpoints.set(entry.id, {entry: known.entry});
--- a/packages/core/src/fleet/peer-loads.ts
+++ b/packages/core/src/fleet/peer-loads.ts
@@ -12,6 +12,16 @@
 	prefillTokens: number;
 };
 
+/** What other VMs last told of the responses of an endpoint, in milliseconds of the own clock. */
+type EndpointSign = {
+	/** When the first of a series of digests named the endpoint. */
+	readonly firstNamedAt: number;
+	namedAt: number;
+	receivedAt: number;
+};
+
+/** Time within which an endpoint with requests in flight sends something, in milliseconds; a decode step is much shorter. */
+const maxStepMs = 500;
 /** Minimum time for which a digest is used after its receipt, in milliseconds: several digest intervals of a VM. */
 const minLifetimeMs = 1500;
 /**
@@ -29,6 +39,8 @@
 	/** Digests that have not expired and are part of the totals, by VM; the oldest first. */
 	readonly #counted = new Map<string, ReceivedDigest>();
 	readonly #totals = new Map<string, EndpointTotal>();
+	/** By endpoint with requests in flight. */
+	readonly #signs = new Map<string, EndpointSign>();
 	#lifetimeMs = minLifetimeMs;
 	/** The VMs that were last retained. */
 	#members: ReadonlySet<string> = new Set();
@@ -53,6 +65,19 @@
 		this.#hasNonMembers ||= !this.#members.has(digest.vm);
 		this.#uncount(digest.vm);
 		this.#count(digest.vm, received);
+		for (const entry of digest.endpoints) {
+			this.#recordSign(entry, now);
+		}
+	}
+
+	/**
+	 * Returns for how long an endpoint has sent nothing to other VMs that have requests in flight there, in milliseconds; 0 if it did so when a digest
+	 * last named it.
+	 */
+	silentMs(endpoint: string, now: number): number {
+		const sign = this.#signs.get(endpoint);
+		const heardAt = sign && Math.max(sign.receivedAt, sign.firstNamedAt);
+		return heardAt === undefined || sign!.namedAt - heardAt < maxStepMs ? 0 : now - heardAt;
 	}
 
 	/** Returns the number of other VMs' requests in flight at an endpoint. */
@@ -88,6 +113,12 @@
 			}
 		}
 
+		for (const endpoint of this.#signs.keys()) {
+			if (!this.#totals.has(endpoint)) {
+				this.#signs.delete(endpoint);
+			}
+		}
+
 		const lifetimeMs = Math.max(minLifetimeMs, vms.size * lifetimePerVmMs);
 		if (lifetimeMs !== this.#lifetimeMs) {
 			this.#lifetimeMs = lifetimeMs;
@@ -95,6 +126,20 @@
 		}
 	}
 
+	#recordSign({endpoint, active, sinceLastReceivedMs}: loadDigest.EndpointDigest, now: number): void {
+		if (active === 0) {
+			return;
+		}
+
+		const known = this.#signs.get(endpoint);
+		const isSeries = known !== undefined && now - known.namedAt <= this.#lifetimeMs;
+		this.#signs.set(endpoint, {
+			firstNamedAt: isSeries ? known.firstNamedAt : now,
+			namedAt: now,
+			receivedAt: Math.max(known?.receivedAt ?? -Infinity, now - (sinceLastReceivedMs ?? Infinity)),
+		});
+	}
+
 	/** Counts all digests anew, the oldest first; those that have expired leave the totals at the next query. */
 	#countAll(): void {
 		this.#counted.clear();
--- a/packages/core/src/fleet/pool-gaps.ts
+++ b/packages/core/src/fleet/pool-gaps.ts
@@ -21,7 +21,7 @@
 
 /**
  * Tracks the times in which a pool has no endpoint that may be sent requests, and the return of requests after them. A pool stands for the
- * endpoints that serve the same requests; it is known once it has had an endpoint.
+ * endpoints that serve the same requests; requests wait only for one that is known to have had an endpoint.
  */
 export class PoolGaps {
 	readonly #records = new Map<string, PoolRecord>();
@@ -34,16 +34,19 @@
 		return this.#records.size;
 	}
 
-	/** Records that a search found an endpoint. */
-	recordEndpoint(pool: string, now: number): void {
-		const record = this.#records.get(pool);
-		if (record === undefined) {
+	/** Makes a pool known, which has or had an endpoint. */
+	add(pool: string): void {
+		if (!this.#records.has(pool)) {
 			this.#records.set(pool, {
 				gap: undefined, waitingCount: 0, returning: undefined, returnedAt: -Infinity,
 			});
-			return;
 		}
+	}
 
+	/** Records that a search found an endpoint. */
+	recordEndpoint(pool: string, now: number): void {
+		this.add(pool);
+		const record = this.#records.get(pool)!;
 		const {gap, waitingCount} = record;
 		if (gap === undefined) {
 			return;
@@ -58,14 +61,18 @@
 			: undefined;
 	}
 
-	/** Records that a search found no endpoint. */
-	recordAbsence(pool: string, cause: waitRules.WaitCause, now: number): void {
+	/**
+	 * Records that a search found no endpoint.
+	 *
+	 * @param lastedMs - How long that has been so, in milliseconds.
+	 */
+	recordAbsence(pool: string, cause: waitRules.WaitCause, now: number, lastedMs = 0): void {
 		const record = this.#records.get(pool);
 		if (record === undefined) {
 			return;
 		}
 
-		record.gap ??= {startedAt: now, lastSeenAt: now, cause};
+		record.gap ??= {startedAt: now - lastedMs, lastSeenAt: now, cause};
 		record.gap.lastSeenAt = now;
 		record.gap.cause = cause;
 		record.returning = undefined;
--- a/packages/core/src/fleet/wait-rules.ts
+++ b/packages/core/src/fleet/wait-rules.ts
@@ -38,7 +38,7 @@
 /**
  * Chance of being served above which a request waits. A request that waits in vain loses the time in which its caller could have turned elsewhere.
  */
-const defaultMinChance = 0.6;
+const defaultMinChance = 0.5;
 
 /** Lets requests wait as long as the states of the same cause that lasted as long mostly ended in the time that is left. */
 export class LearnedWaitRules implements WaitRules {
--- a/packages/core/src/log/log-event.ts
+++ b/packages/core/src/log/log-event.ts
@@ -56,6 +56,8 @@
 	RequestRejected = 'request_rejected',
 	/** No endpoint has capacity; the request waits at the VM. */
 	RequestWaiting = 'request_waiting',
+	/** The wait of a request ended; compares it with the expected one. */
+	RequestWaited = 'request_waited',
 	RequestSent = 'request_sent',
 	AttemptFailed = 'attempt_failed',
 	/** An attempt that the request could have left for another endpoint sends nothing for too long. */
@@ -187,6 +189,13 @@
 	[LogEvent.QuarantineNotStored]: {readonly problem: string};
 	[LogEvent.RequestRejected]: {readonly code: string; readonly findings: string};
 	[LogEvent.RequestWaiting]: {readonly request: string} & RefusalInputs;
+	[LogEvent.RequestWaited]: {
+		readonly request: string; readonly outcome: string;
+		/** What the request waited for at first. */
+		readonly cause: string;
+		/** Expected wait, and how long the request waited, in milliseconds. */
+		readonly expectedWaitMs: number; readonly waitedMs: number;
+	};
 	[LogEvent.RequestSent]: {
 		readonly request: string; readonly route: string; readonly config: number; readonly account?: string; readonly endpoint: string;
 		/** Number of the attempt, starting at 1. */
@@ -247,6 +256,7 @@
 const requestEvents: ReadonlySet<LogEvent> = new Set([
 	LogEvent.RequestRejected,
 	LogEvent.RequestWaiting,
+	LogEvent.RequestWaited,
 	LogEvent.RequestSent,
 	LogEvent.AttemptFailed,
 	LogEvent.AttemptSilent,
--- a/packages/core/tests/fleet/peer-loads.test.ts
+++ b/packages/core/tests/fleet/peer-loads.test.ts
@@ -42,4 +42,25 @@
 		expect(loads.lastReceivedAt('a')).to.equal(700);
 		expect(loads.lastReceivedAt('b')).to.equal(-Infinity);
 	});
+
+	it('returns for how long an endpoint with requests in flight has sent nothing to other VMs', () => {
+		const loads = new core.fleet.PeerLoads();
+		expect(loads.silentMs('a', 1000)).to.equal(0);
+		loads.applyDigest(digest('x', 1, 1), 1000);
+		expect(loads.silentMs('a', 1200)).to.equal(0);
+		loads.applyDigest(digest('x', 2, 1), 1600);
+		expect(loads.silentMs('a', 1700)).to.equal(700);
+		loads.applyDigest(digest('y', 1, 1, 20), 1800);
+		expect(loads.silentMs('a', 2500)).to.equal(0);
+		loads.applyDigest(digest('x', 3, 1, 700), 2400);
+		expect(loads.silentMs('a', 2500)).to.equal(720);
+	});
+
+	it('takes no endpoint for silent that nobody has sent requests, and none whose requests began a moment ago', () => {
+		const loads = new core.fleet.PeerLoads();
+		loads.applyDigest(digest('x', 1, 0, 60_000), 1000);
+		expect(loads.silentMs('a', 2000)).to.equal(0);
+		loads.applyDigest(digest('x', 2, 1, 61_000), 2000);
+		expect(loads.silentMs('a', 2100)).to.equal(0);
+	});
 });
--- a/packages/core/tests/fleet/pool-gaps.test.ts
+++ b/packages/core/tests/fleet/pool-gaps.test.ts
@@ -37,6 +37,14 @@
 		expect(gaps.mayWait('a', 7500, 10_000)).to.equal(false);
 	});
 
+	it('lets requests wait for a pool that was added before it had an endpoint, and counts the time that a gap has lasted', () => {
+		gaps.add('a');
+		gaps.recordAbsence('a', causes.Silence, 1000, 700);
+		expect(gaps.mayWait('a', 7500, 1000)).to.equal(true);
+		gaps.recordEndpoint('a', 1100);
+		expect(rules.records).to.deep.equal([[causes.Silence, 800, true]]);
+	});
+
 	it('learns the duration of a gap whose end was seen, and of another that it has lasted', () => {
 		gaps.recordEndpoint('a', 0);
 		gaps.recordAbsence('a', causes.Silence, 1000);
--- a/packages/gateway/src/call/endpoint-finder.ts
+++ b/packages/gateway/src/call/endpoint-finder.ts
@@ -7,9 +7,12 @@
 import * as refusals from './refusal.js';
 import * as requestQueue from './request-queue.js';
 
-/** Wait after which the estimate is considered wrong, as a multiple of the expected wait, and its minimum in milliseconds. */
+/** Wait after which the estimate is considered wrong, as a multiple of the expected wait. */
 const maxWaitFactor = 2;
-const minWaitMs = 1000;
+/** Time after which it is decided anew whether a request waits on, in milliseconds. */
+const decisionIntervalMs = 100;
+/** Longest time after which a caller should retry while a pool has no endpoint, in milliseconds: the interval at which silent endpoints are checked. */
+const maxGapRetryAfterMs = 1000;
 /** A deadline below this part of the timeout of the route indicates a retry by the caller after a refusal. */
 const retryTimeShare = 0.95;
 /** Time that must remain for the response itself after a wait, in milliseconds. */
@@ -27,6 +30,18 @@
 	| FoundEndpoint
 	| {readonly placement: undefined; readonly retryAfterMs: number; readonly inputs: core.log.RefusalInputs};
 
+/** Dependencies of {@link EndpointFinder}. */
+export type FinderDependencies = Pick<
+	requestDispatcher.ForwarderDependencies,
+	'clock' | 'failedSearches' | 'fleet' | 'gaps' | 'log' | 'placer' | 'queue' | 'random' | 'waitRules'
+>;
+
+/** What a request waits for, and for how long it is expected to. */
+type ExpectedWait = {
+	readonly cause: core.fleet.WaitCause;
+	readonly expectedMs: number;
+};
+
 type WaitResult = {
 	readonly outcome: requestQueue.WaitOutcome;
 	/** Present if an endpoint has capacity. */
@@ -38,13 +53,17 @@
 	#cancel: (() => void) | undefined;
 	/** Endpoints at which an attempt of the request has failed. */
 	readonly #failed = new Set<string>();
+	/** Name of the endpoints that serve the same requests. */
+	readonly #servingPool: string;
 
 	constructor(
 		private readonly request: requestContext.RoutedRequest,
-		private readonly dependencies: requestDispatcher.ForwarderDependencies,
+		private readonly dependencies: FinderDependencies,
 		private readonly deadlineAt: number,
 		private readonly pool: core.routing.PoolName,
-	) {}
+	) {
+		this.#servingPool = `${pool}/${request.head.prompt?.model ?? ''}`;
+	}
 
 	/** Cancels the wait, if there is one. */
 	cancel(): void {
@@ -115,20 +134,20 @@
 	 * silent or paused.
 	 */
 	async find(hasBegun: boolean): Promise<EndpointSearchResult> {
-		const now = this.dependencies.clock.monotonicNow();
-		const candidate = this.place();
-		if (candidate === undefined && !(hasBegun && this.#mayReturn())) {
-			return this.#refuse();
+		const {clock, fleet, gaps} = this.dependencies;
+		const now = clock.monotonicNow();
+		const candidate = this.#search(now);
+		if (candidate?.hasCapacity && (hasBegun || !gaps.isReturning(this.#servingPool, now))) {
+			return {placement: candidate, sentCount: fleet.loads.sentCount};
 		}
 
-		if (candidate?.hasCapacity) {
-			return {placement: candidate, sentCount: this.dependencies.fleet.loads.sentCount};
+		if (hasBegun) {
+			return candidate === undefined && !this.#mayReturn() ? this.#refuse() : this.#awaitWhileBegun(this.#createWaitingRequest(candidate));
 		}
 
-		const request = this.#createWaitingRequest(candidate);
-		return candidate === undefined || hasBegun
-			? this.#awaitWhileBegun(request)
-			: this.#awaitCapacity(request, candidate, now);
+		return candidate === undefined || gaps.findGap(this.#servingPool, now) !== undefined
+			? this.#awaitReturn(candidate, now)
+			: this.#awaitCapacity(candidate, now);
 	}
 
 	/**
@@ -144,37 +163,122 @@
 			: core.fleet.computePauseRetryAfterMs(first, this.dependencies.random());
 	}
 
+	/** Chooses an endpoint, and records whether its pool has one. A pool whose engines are all stalled counts as one without endpoints. */
+	#search(now: number): endpointPlacer.Placement | undefined {
+		const {fleet, gaps, placer, clock} = this.dependencies;
+		const instant = clocks.readInstant(clock);
+		const placement = this.place();
+		const stalledMs = placement?.hasCapacity === false ? placer.findStallMs(this.pool, instant) : undefined;
+		if (placement !== undefined && stalledMs === undefined) {
+			gaps.recordEndpoint(this.#servingPool, now);
+			return placement;
+		}
+
+		const cause = placement === undefined ? placer.findWaitCause(this.request, this.pool, instant) : core.fleet.WaitCause.Silence;
+		if (cause === undefined) {
+			return placement;
+		}
+
+		if (fleet.registry.hasListed(this.pool) && this.#isModelConfigured()) {
+			gaps.add(this.#servingPool);
+		}
+
+		gaps.recordAbsence(this.#servingPool, cause, now, stalledMs);
+		return placement;
+	}
+
+	/** Whether the pool is configured to serve the model of the request; callers may name any model. */
+	#isModelConfigured(): boolean {
+		const {head: {prompt}, table} = this.request;
+		return prompt === undefined || table.findPool(this.pool)?.engine?.models.includes(prompt.model) === true;
+	}
+
+	/** Waits until the pool has an endpoint again, if that is likely enough. */
+	async #awaitReturn(candidate: endpointPlacer.Placement | undefined, now: number): Promise<EndpointSearchResult> {
+		const {clock, gaps, placer, queue} = this.dependencies;
+		const request = this.#createWaitingRequest(candidate);
+		const queueMs = placer.estimateQueueMs(this.pool, queue.countTokensAhead(request, this.#servingPool));
+		const gap = gaps.findGap(this.#servingPool, now);
+		const mayReturn = candidate !== undefined || placer.findWaitCause(this.request, this.pool, clocks.readInstant(clock)) !== undefined;
+		if (gap === undefined || !mayReturn || queue.isFull || !gaps.mayWait(this.#servingPool, this.#waitTimeLeft(now) - queueMs, now)) {
+			return this.#refuse();
+		}
+
+		const found = await this.#await(request, {cause: gap.cause, expectedMs: gap.expectedMs + queueMs}, {}, now);
+		return found ?? this.#refuse();
+	}
+
 	/** Waits for capacity if the expected wait allows it. */
-	async #awaitCapacity(request: core.fleet.WaitingRequest, candidate: endpointPlacer.Placement, now: number): Promise<EndpointSearchResult> {
-		const {mayWait, expectedMs} = this.dependencies.placer.decideWait(this.pool, {
-			queuedTokens: this.dependencies.queue.countTokensAhead(request),
+	async #awaitCapacity(candidate: endpointPlacer.Placement, now: number): Promise<EndpointSearchResult> {
+		const {clock, gaps, placer, queue, random} = this.dependencies;
+		const request = this.#createWaitingRequest(candidate);
+		const {mayWait, expectedMs} = placer.decideWait(this.pool, {
+			queuedTokens: queue.countTokensAhead(request, this.#servingPool),
 			timeLeftMs: this.deadlineAt - now,
 			isRetry: this.#isRetry(),
-		});
+		}, clocks.readInstant(clock));
 		// Random jitter prevents callers from retrying all at the same time.
-		const retryAfterMs = Math.max(refusals.noEndpointRetryAfterMs, expectedMs * (1 + this.dependencies.random()));
+		const retryAfterMs = Math.max(refusals.noEndpointRetryAfterMs, expectedMs * (1 + random()));
 		const inputs: core.log.RefusalInputs = {
 			expectedWaitMs: Math.round(expectedMs), backlogMs: Math.round(candidate.choice.backlogMs), prefill: candidate.choice.prefillTokens,
 		};
-		if (!mayWait) {
+		const mayQueue = gaps.isReturning(this.#servingPool, now) ? expectedMs <= this.#waitTimeLeft(now) : mayWait;
+		if (!mayQueue || queue.isFull) {
 			return {placement: undefined, retryAfterMs, inputs};
 		}
 
-		this.dependencies.log.write(eventLog.LogEvent.RequestWaiting, {request: this.request.head.requestId, ...inputs});
-		const maxWaitMs = Math.max(maxWaitFactor * expectedMs, minWaitMs);
-		// An endpoint that is only silent may go on before the wait expires.
-		const {outcome, found} = await this.#wait(request, Math.min(this.deadlineAt - minResponseTimeMs, now + maxWaitMs), () =>
-			this.dependencies.placer.hasSilentEndpoint(this.pool));
-		if (found !== undefined) {
-			return found;
+		const found = await this.#await(request, {cause: core.fleet.WaitCause.Capacity, expectedMs}, inputs, now);
+		return found ?? (this.place() === undefined ? this.#refuse() : {placement: undefined, retryAfterMs, inputs});
+	}
+
+	/** Waits for an endpoint with capacity for as long as it is likely enough that one can serve the request in time. */
+	async #await(
+		request: core.fleet.WaitingRequest,
+		{cause, expectedMs}: ExpectedWait,
+		inputs: core.log.RefusalInputs,
+		now: number,
+	): Promise<FoundEndpoint | undefined> {
+		const {gaps, log, waitRules, clock} = this.dependencies;
+		const expectedWaitMs = Math.round(expectedMs);
+		log.write(eventLog.LogEvent.RequestWaiting, {request: this.request.head.requestId, ...inputs, expectedWaitMs});
+		const endWaiting = gaps.countWaiting(this.#servingPool);
+		const {outcome, found} = await this.#wait(request, now + decisionIntervalMs, {
+			mayReturn: () => this.dependencies.placer.findWaitCause(this.request, this.pool, clocks.readInstant(clock)) !== undefined,
+			extend: at => this.#mayWaitOn(now, expectedMs, at) ? at + decisionIntervalMs : undefined,
+		});
+		endWaiting();
+		const waitedMs = clock.monotonicNow() - now;
+		if (cause === core.fleet.WaitCause.Capacity && gaps.returnedAt(this.#servingPool) < now && outcome !== requestQueue.WaitOutcome.Cancelled) {
+			waitRules.recordDuration(cause, waitedMs, found !== undefined);
+		}
+
+		log.write(eventLog.LogEvent.RequestWaited, {
+			request: this.request.head.requestId, outcome, cause, expectedWaitMs, waitedMs: Math.round(waitedMs),
+		});
+		return found;
+	}
+
+	/** Whether a request that has waited since a time waits on. */
+	#mayWaitOn(startedAt: number, expectedMs: number, now: number): boolean {
+		const {gaps, waitRules} = this.dependencies;
+		const timeLeftMs = this.#waitTimeLeft(now);
+		if (gaps.findGap(this.#servingPool, now) !== undefined) {
+			return gaps.mayWait(this.#servingPool, timeLeftMs, now);
 		}
 
-		return outcome === requestQueue.WaitOutcome.NoEndpoint ? this.#refuse() : {placement: undefined, retryAfterMs, inputs};
+		const elapsedMs = now - Math.max(startedAt, gaps.returnedAt(this.#servingPool));
+		return timeLeftMs > 0
+			&& (elapsedMs < maxWaitFactor * expectedMs || waitRules.mayWait({cause: core.fleet.WaitCause.Capacity, elapsedMs, timeLeftMs}));
+	}
+
+	/** Returns the time within which a wait must end so that the request can be served, in milliseconds. */
+	#waitTimeLeft(now: number): number {
+		return this.deadlineAt - minResponseTimeMs - now;
 	}
 
 	async #awaitWhileBegun(request: core.fleet.WaitingRequest): Promise<EndpointSearchResult> {
 		this.dependencies.log.write(eventLog.LogEvent.RequestWaiting, {request: this.request.head.requestId});
-		const {found} = await this.#wait(request, this.deadlineAt - minResponseTimeMs, () => this.#mayReturn());
+		const {found} = await this.#wait(request, this.deadlineAt - minResponseTimeMs, {mayReturn: () => this.#mayReturn()});
 		return found ?? this.#refuse();
 	}
 
@@ -185,24 +289,57 @@
 	}
 
 	#refuse(): EndpointSearchResult {
-		const inputs = this.dependencies.placer.describePool(this.request, this.pool, clocks.readInstant(this.dependencies.clock));
+		const {gaps, placer, clock, random} = this.dependencies;
+		const now = clocks.readInstant(clock);
+		const inputs = placer.describePool(this.request, this.pool, now);
 		const areAllLeaving = inputs.responsive !== 0 && inputs.leaving === inputs.responsive;
-		const retryAfterMs = areAllLeaving
-			? refusals.allLeavingRetryAfterMs * (1 + this.dependencies.random())
-			: this.computeRetryAfterMs();
+		if (areAllLeaving) {
+			return {placement: undefined, retryAfterMs: refusals.allLeavingRetryAfterMs * (1 + random()), inputs};
+		}
+
+		const isFailed = inputs.responsive === 0 && placer.findWaitCause(this.request, this.pool, now) === undefined;
+		const gap = isFailed ? undefined : gaps.findGap(this.#servingPool, now.monotonic);
+		const retryAfterMs = gap === undefined
+			? this.computeRetryAfterMs()
+			: Math.min(maxGapRetryAfterMs, Math.max(refusals.noEndpointRetryAfterMs, gap.expectedMs)) * (1 + random());
 		return {placement: undefined, retryAfterMs, inputs};
 	}
 
-	/** @param mayReturn - Returns whether the wait goes on while there is no endpoint. */
-	async #wait(request: core.fleet.WaitingRequest, expiresAt: number, mayReturn: () => boolean): Promise<WaitResult> {
+	/**
+	 * @param conditions.mayReturn - Returns whether the wait goes on while there is no endpoint.
+	 * @param conditions.extend - As that of a queued request.
+	 */
+	async #wait(
+		request: core.fleet.WaitingRequest,
+		expiresAt: number,
+		{mayReturn, extend}: {readonly mayReturn: () => boolean} & Pick<requestQueue.QueuedRequest, 'extend'>,
+	): Promise<WaitResult> {
+		const {clock, fleet, gaps, queue} = this.dependencies;
+		const pool = this.#servingPool;
 		let found: FoundEndpoint | undefined;
-		const {ended, cancel} = this.dependencies.queue.wait({
+		const {ended, cancel} = queue.wait({
 			...request,
+			pool,
 			expiresAt,
-			hasCapacity: () => {
-				const placement = this.place();
-				found = placement && {placement, sentCount: this.dependencies.fleet.loads.sentCount};
-				return placement === undefined && mayReturn() ? false : placement?.hasCapacity;
+			extend,
+			isPoolHeld() {
+				const now = clock.monotonicNow();
+				return gaps.findGap(pool, now) !== undefined || gaps.isHeldBack(pool, now);
+			},
+			hasCapacity: isExpiring => {
+				const now = clock.monotonicNow();
+				const placement = this.#search(now);
+				if (placement === undefined) {
+					return mayReturn() ? false : undefined;
+				}
+
+				if (!placement.hasCapacity || (gaps.isHeldBack(pool, now) && !isExpiring)) {
+					return false;
+				}
+
+				gaps.recordSent(pool);
+				found = {placement, sentCount: fleet.loads.sentCount};
+				return true;
 			},
 		});
 		this.#cancel = cancel;
@@ -212,12 +349,13 @@
 	}
 
 	#createWaitingRequest(placement: endpointPlacer.Placement | undefined): core.fleet.WaitingRequest {
+		const {priority, prefillTokens} = this.dependencies.placer.describeUnplaced(this.request);
 		return {
-			priority: placement?.enginePriority ?? 0,
+			priority: placement?.enginePriority ?? priority,
 			targetLatencyMs: this.request.route.targetLatencyMs,
 			arrivedAt: this.request.arrivedAt,
 			deadlineAt: this.deadlineAt,
-			prefillTokens: placement?.choice.prefillTokens ?? 0,
+			prefillTokens: placement?.choice.prefillTokens ?? prefillTokens,
 		};
 	}
 
--- a/packages/gateway/src/call/request-dispatcher.ts
+++ b/packages/gateway/src/call/request-dispatcher.ts
@@ -1,4 +1,4 @@
-import type * as core from '@bluebellmast/core';
+import * as core from '@bluebellmast/core';
 import type * as quarantineController from '../controllers/quarantine-controller.js';
 import type * as endpoints from '../endpoints/index.js';
 import type * as endpointInterruptions from '../placement/endpoint-interruptions.js';
@@ -42,6 +42,8 @@
 export type ForwarderDependencies = DispatcherDependencies & {
 	readonly failedSearches: failedSearches.FailedSearches;
 	readonly silences: silenceLog.SilenceLog;
+	readonly waitRules: core.fleet.WaitRules;
+	readonly gaps: core.fleet.PoolGaps;
 };
 
 /** Decides immediately before each attempt whether a request may still be sent. */
@@ -55,8 +57,13 @@
 	readonly #dependencies: ForwarderDependencies;
 
 	constructor(dependencies: DispatcherDependencies) {
+		const waitRules = new core.fleet.LearnedWaitRules();
 		this.#dependencies = {
-			...dependencies, failedSearches: new failedSearches.FailedSearches(), silences: new silenceLog.SilenceLog(dependencies.log),
+			...dependencies,
+			failedSearches: new failedSearches.FailedSearches(),
+			silences: new silenceLog.SilenceLog(dependencies.log),
+			waitRules,
+			gaps: new core.fleet.PoolGaps(waitRules, dependencies.random),
 		};
 	}
 
--- a/packages/gateway/src/call/request-queue.ts
+++ b/packages/gateway/src/call/request-queue.ts
@@ -15,6 +15,8 @@
 
 /** A request that waits for capacity at an endpoint. */
 export type QueuedRequest = core.fleet.WaitingRequest & {
+	/** Name of the endpoints that the request waits for; requests with the same name wait for one another. */
+	readonly pool?: string;
 	/** When the wait expires, in milliseconds of the monotonic clock. */
 	readonly expiresAt: number;
 	/**
@@ -22,8 +24,8 @@
 	 * Waits are not extended by default.
 	 */
 	readonly extend?: (now: number) => number | undefined;
-	/** Returns whether no capacity need be sought for the request at this check. */
-	readonly isHeld?: () => boolean;
+	/** Returns whether no other request for the same endpoints finds capacity either, after one has found none. */
+	readonly isPoolHeld?: () => boolean;
 	/**
 	 * Returns whether an endpoint has capacity now, or `undefined` if none is left to wait for.
 	 *
@@ -68,12 +70,13 @@
 		return this.#entries.size >= maxQueued;
 	}
 
-	/** Returns the number of prompt tokens of the queued requests that take precedence over a new one. */
-	countTokensAhead(request: core.fleet.WaitingRequest): number {
+	/** Returns the number of prompt tokens of the queued requests for the same endpoints that take precedence over a new one. */
+	countTokensAhead(request: core.fleet.WaitingRequest, pool?: string): number {
 		const now = this.monotonicNow();
 		let tokens = 0;
 		for (const {request: queued} of this.#entries) {
-			tokens += core.fleet.compareWaitingRequests(queued, request, now) <= 0 ? queued.prefillTokens : 0;
+			const isAhead = queued.pool === pool && core.fleet.compareWaitingRequests(queued, request, now) <= 0;
+			tokens += isAhead ? queued.prefillTokens : 0;
 		}
 
 		return tokens;
@@ -161,12 +164,13 @@
 	async #release(entries: readonly QueueEntry[], maxCount: number): Promise<void> {
 		let released = 0;
 		let checked = 0;
+		const heldPools = new Set<string | undefined>();
 		for (const entry of entries) {
 			if (released >= maxCount || checked === maxCheckedPerCheck) {
 				return;
 			}
 
-			if (!this.#entries.has(entry) || entry.request.isHeld?.() === true) {
+			if (!this.#entries.has(entry) || heldPools.has(entry.request.pool)) {
 				continue;
 			}
 
@@ -174,6 +178,8 @@
 			const outcome = this.#seek(entry, false);
 			if (outcome !== undefined) {
 				entry.end(outcome);
+			} else if (entry.request.isPoolHeld?.() === true) {
+				heldPools.add(entry.request.pool);
 			}
 
 			if (outcome === WaitOutcome.CapacityAvailable) {
--- a/packages/gateway/src/placement/endpoint-placer.ts
+++ b/packages/gateway/src/placement/endpoint-placer.ts
@@ -18,6 +18,11 @@
 /** Age of the last observation of a stored part above which it is saved again, in milliseconds, since observations get lost. */
 const resaveAgeMs = 20_000;
 
+/** Time within which an engine with requests in flight sends something to some VM, in milliseconds; a decode step is much shorter. */
+const maxStepMs = 500;
+/** Time for which it is known whether the engines of a pool are stalled, in milliseconds. */
+const stallLifetimeMs = 50;
+
 /** Engine priority of the most urgent large request; engine priorities range from 0 to 9. */
 const largeRequestOffset = 5;
 
@@ -50,6 +55,9 @@
 
 /** Chooses endpoints for requests by this VM's view of the fleet. */
 export class EndpointPlacer {
+	/** By pool, when it was last found whether its engines are stalled, and for how long they were. */
+	readonly #stalls = new Map<string, {readonly at: number; readonly stalledMs: number | undefined}>();
+
 	constructor(
 		private readonly fleet: fleetState.FleetState,
 		private readonly pauses: endpointPauses.EndpointPauses,
@@ -107,14 +115,41 @@
 	}
 
 	/** Decides whether a request may wait until an engine of its pool has capacity for it. */
-	decideWait(pool: core.routing.PoolName, conditions: Omit<core.fleet.WaitConditions, 'tokensPerMs'>): core.fleet.WaitDecision {
-		const engines = this.fleet.registry.listReady(pool)
-			.filter(entry => this.fleet.health.isResponsive(entry.id) && !core.rollout.isLoading(this.fleet.plan, entry.id));
-		const staying = engines.filter(entry => !this.fleet.leaving.isLeaving(entry));
-		const tokensPerMs = (staying.length > 0 ? staying : engines).length * this.options.costs.prefillTokensPerMs / this.fleet.vmCount;
+	decideWait(pool: core.routing.PoolName, conditions: Omit<core.fleet.WaitConditions, 'tokensPerMs'>, now: clocks.Instant): core.fleet.WaitDecision {
+		const engines = this.#listServingEngines(pool);
+		const working = engines.filter(entry => this.#silentMs(entry, now.monotonic) < maxStepMs);
+		const staying = working.filter(entry => !this.fleet.leaving.isLeaving(entry));
+		const tokensPerMs = (staying.length > 0 ? staying : working).length * this.options.costs.prefillTokensPerMs / this.fleet.vmCount;
 		return core.fleet.decideWait({...conditions, tokensPerMs}, this.options.admission);
 	}
 
+	/** Returns for how long no engine of a pool has sent anything although all have requests in flight, in milliseconds; `undefined` if one has. */
+	findStallMs(pool: core.routing.PoolName, now: clocks.Instant): number | undefined {
+		const known = this.#stalls.get(pool);
+		if (known !== undefined && now.monotonic - known.at < stallLifetimeMs) {
+			return known.stalledMs;
+		}
+
+		const stalledMs = Math.min(...this.#listServingEngines(pool).map(entry => this.#silentMs(entry, now.monotonic)));
+		const isStalled = stalledMs >= maxStepMs && Number.isFinite(stalledMs);
+		this.#stalls.set(pool, {at: now.monotonic, stalledMs: isStalled ? stalledMs : undefined});
+		return isStalled ? stalledMs : undefined;
+	}
+
+	/**
+	 * Estimates how long the engines of a pool, also those that get no requests now, take for the prompt tokens that wait at this VM, in milliseconds.
+	 */
+	estimateQueueMs(pool: core.routing.PoolName, queuedTokens: number): number {
+		const engineCount = Math.max(1, this.fleet.registry.listReady(pool).length);
+		return queuedTokens * this.fleet.vmCount / (engineCount * this.options.costs.prefillTokensPerMs);
+	}
+
+	/** Describes a request for which no endpoint is known, so that it can be queued; its shared parts are assumed to be cached. */
+	describeUnplaced(call: requestContext.RoutedRequest): Pick<core.fleet.WaitingRequest, 'priority' | 'prefillTokens'> {
+		const prefillTokens = call.head.prompt?.parts.at(-1)?.tokens ?? 0;
+		return {priority: getEnginePriority(call, prefillTokens, this.options.admission), prefillTokens};
+	}
+
 	/** Returns whether a request that was sent but has not started must be taken back, since its weights may soon no longer be used. */
 	mustTakeBack(call: requestContext.RoutedRequest, placement: Placement, now: clocks.Instant): boolean {
 		return placement.weightVersion !== undefined
@@ -126,6 +161,28 @@
 		return this.fleet.registry.listReady(pool).some(entry => this.fleet.health.isSilent(entry.id));
 	}
 
+	/**
+	 * Returns why a pool has no endpoint for a request although it may have one soon; `undefined` if its endpoints failed, or have asked for a pause
+	 * whose end is known.
+	 */
+	findWaitCause(call: requestContext.RoutedRequest, pool: core.routing.PoolName, now: clocks.Instant): core.fleet.WaitCause | undefined {
+		if (this.hasSilentEndpoint(pool)) {
+			return core.fleet.WaitCause.Silence;
+		}
+
+		if (this.findFirstRampUp(call, pool, now) !== undefined) {
+			return undefined;
+		}
+
+		const ready = this.fleet.registry.listReady(pool);
+		const responsive = ready.filter(entry => this.fleet.health.isResponsive(entry.id));
+		if (responsive.every(entry => this.fleet.leaving.isLeaving(entry))) {
+			return ready.length > 0 && responsive.length === 0 ? undefined : core.fleet.WaitCause.Departure;
+		}
+
+		return core.fleet.WaitCause.Weights;
+	}
+
 	/** Counts the endpoints of a pool by why they get no requests, for the log. */
 	describePool(call: requestContext.RoutedRequest, pool: core.routing.PoolName, now: clocks.Instant): core.log.RefusalInputs {
 		const ready = this.fleet.registry.listReady(pool);
@@ -152,6 +209,16 @@
 		return this.fleet.leaving.groupByAvailability(resumed, now.suspendAware);
 	}
 
+	#listServingEngines(pool: core.routing.PoolName): core.fleet.EndpointEntry[] {
+		return this.fleet.registry.listReady(pool)
+			.filter(entry => this.fleet.health.isResponsive(entry.id) && !core.rollout.isLoading(this.fleet.plan, entry.id));
+	}
+
+	/** Returns for how long an engine with requests of other VMs in flight has sent nothing to any VM, as far as is known. */
+	#silentMs({id}: core.fleet.EndpointEntry, now: number): number {
+		return Math.min(this.fleet.peers.silentMs(id, now), now - this.fleet.health.lastReceivedAt(id));
+	}
+
 	#isRampUpLimited(entry: core.fleet.EndpointEntry): boolean {
 		return this.pauses.isRampUpLimited(entry, entry.slots / this.fleet.vmCount);
 	}
@@ -250,7 +317,7 @@
 			choice,
 			hasCapacity: core.fleet.canAdmit(choice, call.route.targetLatencyMs, this.options.admission),
 			prefixes,
-			enginePriority: getEnginePriority(call, choice, this.options.admission),
+			enginePriority: getEnginePriority(call, choice.prefillTokens, this.options.admission),
 			weightVersion: this.fleet.registry.weightVersion(entry.id, prompt.model),
 			cacheNamespace,
 			fetchCacheFrom: cacheStore,
@@ -270,10 +337,10 @@
  */
 function getEnginePriority(
 	call: requestContext.RoutedRequest,
-	choice: core.fleet.EndpointChoice,
+	prefillTokens: number,
 	limits: core.fleet.AdmissionLimits,
 ): number {
-	const isLarge = choice.prefillTokens > limits.maxSmallPrefillTokens;
+	const isLarge = prefillTokens > limits.maxSmallPrefillTokens;
 	return (isLarge ? largeRequestOffset : 0) + Math.min(largeRequestOffset - 1, Math.max(0, getPriority(call)));
 }
 
