Expect no shorter wait than the rate of the queue allows

Cause: the expected wait divides the prompt tokens ahead by what the engines compute, also where slots are what lacks; requests were admitted to a queue that was released much more slowly. Change: `ReleaseRate` measures at which rate the requests that wait for a pool are sent; the expected wait uses it where it is lower.

--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -15,6 +15,7 @@
 export * from './paused-endpoints.js';
 export * from './poll-pause.js';
 export * from './pool-gaps.js';
+export * from './release-rate.js';
 export * from './retry-window.js';
 export * from './shared-prefix.js';
 export * from './wait-rules.js';
--- a/packages/core/src/fleet/pool-gaps.ts
+++ b/packages/core/src/fleet/pool-gaps.ts
@@ -1,4 +1,5 @@
 import * as pacedReturn from './paced-return.js';
+import * as releaseRate from './release-rate.js';
 import type * as waitRules from './wait-rules.js';
 
 /** Time between two searches within which the end of a gap is known well enough to be learned, in milliseconds. */
@@ -15,6 +16,7 @@
 	/** Number of requests that wait for an endpoint of the pool. */
 	waitingCount: number;
 	returning: pacedReturn.PacedReturn | undefined;
+	readonly releases: releaseRate.ReleaseRate;
 	/** When the pool last had an endpoint again after a gap. */
 	returnedAt: number;
 };
@@ -38,7 +40,7 @@
 	add(pool: string): void {
 		if (!this.#records.has(pool)) {
 			this.#records.set(pool, {
-				gap: undefined, waitingCount: 0, returning: undefined, returnedAt: -Infinity,
+				gap: undefined, waitingCount: 0, returning: undefined, releases: new releaseRate.ReleaseRate(), returnedAt: -Infinity,
 			});
 		}
 	}
@@ -55,6 +57,7 @@
 		const isEndKnown = now - gap.lastSeenAt <= maxUncertaintyMs;
 		this.rules.recordDuration(gap.cause, (isEndKnown ? now : gap.lastSeenAt) - gap.startedAt, isEndKnown);
 		record.gap = undefined;
+		record.releases.recordEmpty();
 		record.returnedAt = now;
 		record.returning = waitingCount > 0
 			? new pacedReturn.PacedReturn({waitingCount, gapMs: now - gap.startedAt, random: this.random()}, now)
@@ -96,15 +99,19 @@
 	}
 
 	/** Counts a request that begins to wait for an endpoint of a pool. @returns A function that ends its wait. */
-	countWaiting(pool: string): () => void {
+	countWaiting(pool: string, now: number): () => void {
 		const record = this.#records.get(pool);
 		if (record === undefined) {
 			return () => undefined;
 		}
 
 		record.waitingCount += 1;
+		record.releases.recordWaiting(now);
 		return () => {
 			record.waitingCount -= 1;
+			if (record.waitingCount === 0) {
+				record.releases.recordEmpty();
+			}
 		};
 	}
 
@@ -119,8 +126,15 @@
 	}
 
 	/** Records that a request that waited is sent. */
-	recordSent(pool: string): void {
-		this.#records.get(pool)?.returning?.recordSent();
+	recordSent(pool: string, prefillTokens: number, now: number): void {
+		const record = this.#records.get(pool);
+		record?.returning?.recordSent();
+		record?.releases.recordRelease(prefillTokens, now);
+	}
+
+	/** Returns the rate at which requests that wait for a pool are sent, in prompt tokens per millisecond; `Infinity` if it is not known. */
+	releasedTokensPerMs(pool: string, now: number): number {
+		return this.#records.get(pool)?.releases.tokensPerMs(now) ?? Infinity;
 	}
 
 	#findReturning(pool: string, now: number): pacedReturn.PacedReturn | undefined {
--- a/packages/core/tests/fleet/pool-gaps.test.ts
+++ b/packages/core/tests/fleet/pool-gaps.test.ts
@@ -59,13 +59,13 @@
 	it('spreads the return of those that wait, and lets new requests queue behind them', () => {
 		gaps.recordEndpoint('a', 0);
 		gaps.recordAbsence('a', causes.Silence, 1000);
-		const ends = [gaps.countWaiting('a'), gaps.countWaiting('a')];
+		const ends = [gaps.countWaiting('a', 1000), gaps.countWaiting('a', 1000)];
 		gaps.recordAbsence('a', causes.Silence, 1990);
 		gaps.recordEndpoint('a', 2000);
 		expect(gaps.returnedAt('a')).to.equal(2000);
 		expect([gaps.isReturning('a', 2000), gaps.isHeldBack('a', 2000)]).to.deep.equal([true, true]);
 		expect(gaps.isHeldBack('a', 2051)).to.equal(false);
-		gaps.recordSent('a');
+		gaps.recordSent('a', 400, 2051);
 		expect(gaps.isHeldBack('a', 2051)).to.equal(true);
 		for (const end of ends) {
 			end();
--- a/packages/gateway/src/call/endpoint-finder.ts
+++ b/packages/gateway/src/call/endpoint-finder.ts
@@ -216,6 +216,7 @@
 			queuedTokens: queue.countTokensAhead(request, this.#servingPool),
 			timeLeftMs: this.deadlineAt - now,
 			isRetry: this.#isRetry(),
+			maxTokensPerMs: gaps.releasedTokensPerMs(this.#servingPool, now),
 		}, clocks.readInstant(clock));
 		// Random jitter prevents callers from retrying all at the same time.
 		const retryAfterMs = Math.max(refusals.noEndpointRetryAfterMs, expectedMs * (1 + random()));
@@ -241,7 +242,7 @@
 		const {gaps, log, waitRules, clock} = this.dependencies;
 		const expectedWaitMs = Math.round(expectedMs);
 		log.write(eventLog.LogEvent.RequestWaiting, {request: this.request.head.requestId, ...inputs, expectedWaitMs});
-		const endWaiting = gaps.countWaiting(this.#servingPool);
+		const endWaiting = gaps.countWaiting(this.#servingPool, now);
 		const {outcome, found} = await this.#wait(request, now + decisionIntervalMs, {
 			mayReturn: () => this.dependencies.placer.findWaitCause(this.request, this.pool, clocks.readInstant(clock)) !== undefined,
 			extend: at => this.#mayWaitOn(now, expectedMs, at) ? at + decisionIntervalMs : undefined,
@@ -337,7 +338,7 @@
 					return false;
 				}
 
-				gaps.recordSent(pool);
+				gaps.recordSent(pool, placement.choice.prefillTokens, now);
 				found = {placement, sentCount: fleet.loads.sentCount};
 				return true;
 			},
--- a/packages/gateway/src/placement/endpoint-placer.ts
+++ b/packages/gateway/src/placement/endpoint-placer.ts
@@ -114,13 +114,17 @@
 		return rampUps.sort((a, b) => a.resumesInMs - b.resumesInMs)[0];
 	}
 
-	/** Decides whether a request may wait until an engine of its pool has capacity for it. */
-	decideWait(pool: core.routing.PoolName, conditions: Omit<core.fleet.WaitConditions, 'tokensPerMs'>, now: clocks.Instant): core.fleet.WaitDecision {
+	/** Decides whether a request may wait until an engine of its pool has capacity for it; `maxTokensPerMs` is the rate at which requests left the queue. */
+	decideWait(
+		pool: core.routing.PoolName,
+		{maxTokensPerMs, ...conditions}: Omit<core.fleet.WaitConditions, 'tokensPerMs'> & {readonly maxTokensPerMs: number},
+		now: clocks.Instant,
+	): core.fleet.WaitDecision {
 		const engines = this.#listServingEngines(pool);
 		const working = engines.filter(entry => this.#silentMs(entry, now.monotonic) < maxStepMs);
 		const staying = working.filter(entry => !this.fleet.leaving.isLeaving(entry));
 		const tokensPerMs = (staying.length > 0 ? staying : working).length * this.options.costs.prefillTokensPerMs / this.fleet.vmCount;
-		return core.fleet.decideWait({...conditions, tokensPerMs}, this.options.admission);
+		return core.fleet.decideWait({...conditions, tokensPerMs: Math.min(tokensPerMs, maxTokensPerMs)}, this.options.admission);
 	}
 
 	/** Returns for how long no engine of a pool has sent anything although all have requests in flight, in milliseconds; `undefined` if one has. */
