--- a/packages/gateway/tests/load/hand-over-of-last-endpoint.test.ts
+++ b/packages/gateway/tests/load/hand-over-of-last-endpoint.test.ts
@@ -1,5 +1,6 @@
 import * as chai from 'chai';
 import * as core from '@bluebellmast/core';
+import * as poolResult from '../support/pool-result.js';
 import * as simulatedPool from '../support/simulated-pool.js';
 import * as waitRules from '../support/wait-rules.js';
 
@@ -27,7 +28,7 @@
 	pool.loadWeights(gapMs);
 };
 
-async function run(changes: Partial<simulatedPool.PoolScenario>, createRules: () => core.fleet.WaitRules, change: Change): Promise<simulatedPool.PoolResult> {
+async function run(changes: Partial<simulatedPool.PoolScenario>, createRules: () => core.fleet.WaitRules, change: Change): Promise<poolResult.PoolResult> {
 	const pool = new simulatedPool.SimulatedPool({
 		...scenario, vmCount: 7, ...changes, createRules,
 	});
@@ -43,7 +44,7 @@
 async function expectServed(changes: Partial<simulatedPool.PoolScenario>, change: Change): Promise<void> {
 	const before = await run(changes, () => new waitRules.RefusingWaitRules(), change);
 	const after = await run(changes, () => new core.fleet.LearnedWaitRules(), change);
-	console.log(`        ${simulatedPool.compare(before, after)}`);
+	console.log(`        ${poolResult.compare(before, after)}`);
 	expect(before.earlyRefusals).to.be.greaterThan(1000);
 	expect(after.served).to.equal(after.requests);
 	expect(after.earlyRefusals + after.lateRefusals).to.be.at.most(before.earlyRefusals / 50);
--- a/packages/gateway/tests/load/silence-of-whole-pool.test.ts
+++ b/packages/gateway/tests/load/silence-of-whole-pool.test.ts
@@ -1,5 +1,6 @@
 import * as chai from 'chai';
 import * as core from '@bluebellmast/core';
+import * as poolResult from '../support/pool-result.js';
 import * as simulatedPool from '../support/simulated-pool.js';
 import * as waitRules from '../support/wait-rules.js';
 
@@ -15,7 +16,7 @@
 const intervalMs = 5000;
 
 /** Has all endpoints fall silent for a moment, again and again. */
-async function run(vmCount: number, createRules: () => core.fleet.WaitRules): Promise<simulatedPool.PoolResult> {
+async function run(vmCount: number, createRules: () => core.fleet.WaitRules): Promise<poolResult.PoolResult> {
 	const pool = new simulatedPool.SimulatedPool({...scenario, vmCount, createRules});
 	for (const [index, ms] of silencesMs.entries()) {
 		pool.time.schedule(2000 + (index * intervalMs), () => {
@@ -27,7 +28,7 @@
 }
 
 /** Has all endpoints fall silent for good after short silences. */
-async function runFailure(vmCount: number, createRules: () => core.fleet.WaitRules): Promise<simulatedPool.PoolResult> {
+async function runFailure(vmCount: number, createRules: () => core.fleet.WaitRules): Promise<poolResult.PoolResult> {
 	const pool = new simulatedPool.SimulatedPool({...scenario, vmCount, createRules});
 	for (const at of [2000, 7000, 12_000]) {
 		pool.time.schedule(at, () => {
@@ -47,7 +48,7 @@
 		it(`are served after a wait instead of being refused, with ${vmCount} VMs`, async () => {
 			const before = await run(vmCount, () => new waitRules.RefusingWaitRules());
 			const after = await run(vmCount, () => new core.fleet.LearnedWaitRules());
-			console.log(`        ${simulatedPool.compare(before, after)}`);
+			console.log(`        ${poolResult.compare(before, after)}`);
 			expect(after.served).to.equal(after.requests);
 			expect(after.earlyRefusals + after.lateRefusals).to.be.at.most((before.earlyRefusals + before.lateRefusals) / 5);
 			expect(after.maxArrivals).to.be.at.most(slotCount);
--- a/packages/gateway/tests/support/simulated-pool.ts
+++ b/packages/gateway/tests/support/simulated-pool.ts
@@ -1,4 +1,5 @@
 import * as core from '@bluebellmast/core';
+import * as poolResult from './pool-result.js';
 import * as virtualTime from './virtual-time.js';
 import * as gateway from '@bluebellmast/gateway';
 
@@ -42,32 +43,6 @@
 	readonly priority: number;
 };
 
-/** What the callers saw. */
-export type PoolResult = {
-	requests: number;
-	served: number;
-	/** Requests that were not served before their deadline. */
-	lost: number;
-	/** Refusals on arrival at a VM. */
-	earlyRefusals: number;
-	/** Refusals after a wait. */
-	lateRefusals: number;
-	/** Refusals after two endpoints turned the request away as full. */
-	exhausted: number;
-	/** Sum of the waits before late refusals, in milliseconds. */
-	lateRefusalMs: number;
-	/** Requests that endpoints turned away as full. */
-	turnedAway: number;
-	/** Largest number of requests that waited at one VM. */
-	maxQueued: number;
-	/** Largest number of requests that arrived at endpoints within 20 ms. */
-	maxArrivals: number;
-	/** Times from arrival to the first token, in milliseconds. */
-	readonly firstTokenMs: number[];
-	/** Differences between real and expected waits, by cause. */
-	readonly waitErrors: Map<string, number[]>;
-};
-
 class SimulatedEndpoint {
 	silentUntil = -Infinity;
 	active = 0;
@@ -278,25 +253,13 @@
 	}
 }
 
-/** Describes the results of the code without and with a change. */
-export function compare(before: PoolResult, after: PoolResult): string {
-	const refusals = [before, after].map(each => `${each.earlyRefusals}/${each.lateRefusals}/${each.exhausted}`).join(' -> ');
-	const means = [before, after].map(each => Math.round(each.firstTokenMs.reduce((sum, ms) => sum + ms, 0) / each.firstTokenMs.length)).join(' -> ');
-	return `refused at once/after a wait/after two attempts ${refusals}; turned away ${before.turnedAway} -> ${after.turnedAway}; `
-		+ `most arrivals in 20 ms ${before.maxArrivals} -> ${after.maxArrivals}; most queued ${after.maxQueued}; mean first token ${means} ms`;
-}
-
 /** VMs that place the requests of callers at the endpoints of one pool, in virtual time; callers that were refused retry at other VMs. */
 export class SimulatedPool {
 	readonly time = new virtualTime.VirtualTime();
 	readonly random: core.util.SeededRandom;
 	readonly endpoints = new Map<string, SimulatedEndpoint>();
 	readonly vms: SimulatedPoolVm[];
-	readonly result: PoolResult = {
-		requests: 0, served: 0, lost: 0, earlyRefusals: 0, lateRefusals: 0, exhausted: 0, lateRefusalMs: 0, turnedAway: 0, maxQueued: 0, maxArrivals: 0, firstTokenMs: [],
-		waitErrors: new Map(),
-	};
-
+	readonly result = poolResult.createPoolResult();
 	#arrivalPeriod = 0;
 	#arrivals = 0;
 	#bornCount = 0;
@@ -318,7 +281,7 @@
 	}
 
 	/** Has callers send requests up to a time; runs until all of them have ended. */
-	async run(endsAt: number): Promise<PoolResult> {
+	async run(endsAt: number): Promise<poolResult.PoolResult> {
 		const {requestsPerSecond, deadlineMs} = this.scenario;
 		const count = Math.floor(endsAt / 1000 * requestsPerSecond);
 		for (let id = 0; id < count; id++) {
