Forget pools that are no longer searched

Change: a pool that was not searched for 10 minutes is forgotten, and one without endpoints 60 s after its last one was dropped.

--- a/packages/core/src/fleet/endpoint-registry.ts
+++ b/packages/core/src/fleet/endpoint-registry.ts
@@ -14,6 +14,9 @@
  */
 export const defaultRegistryOptions: RegistryOptions = {returnGraceMs: 2000, observationLifetimeMs: 3000};
 
+/** Time for which it is known that a pool had an endpoint, in milliseconds; requests do not wait for the next one for longer. */
+const droppedPoolLifetimeMs = 60_000;
+
 type RegisteredEndpoint = {
 	readonly entry: endpointEntry.EndpointEntry;
 	/** When the endpoint is dropped unless its entry returns; absent while the entry is listed. */
@@ -38,8 +41,8 @@
 export class EndpointRegistry {
 	readonly #endpoints = new Map<string, RegisteredEndpoint>();
 	readonly #observed = new Map<string, ObservedWeights>();
-	/** Pools that have or had an endpoint. */
-	readonly #listedPools = new Set<string>();
+	/** When an endpoint of a pool was last dropped, by pool. */
+	readonly #droppedAt = new Map<string, number>();
 	/** Ready endpoints by pool; cleared at each change. */
 	readonly #ready = new Map<string, readonly endpointEntry.EndpointEntry[]>();
 
@@ -77,6 +80,7 @@
 		}
 
 		if (!maybeLapsed || known.entry.state === endpointEntry.EndpointState.Draining) {
+			this.#droppedAt.set(known.entry.pool, now);
 			this.#drop(id);
 			return;
 		}
@@ -102,9 +106,16 @@
 	removeExpired(now: number): void {
 		for (const [id, known] of this.#endpoints) {
 			if (known.expiresAt !== undefined && known.expiresAt <= now) {
+				this.#droppedAt.set(known.entry.pool, now);
 				this.#drop(id);
 			}
 		}
+
+		for (const [pool, droppedAt] of this.#droppedAt) {
+			if (now - droppedAt > droppedPoolLifetimeMs) {
+				this.#droppedAt.delete(pool);
+			}
+		}
 	}
 
 	/**
@@ -145,9 +156,9 @@
 		return this.#endpoints.get(id)?.entry;
 	}
 
-	/** Returns whether a pool has or had an endpoint. */
+	/** Returns whether a pool has an endpoint, or had one a short time ago. */
 	hasListed(pool: string): boolean {
-		return this.#listedPools.has(pool);
+		return this.#droppedAt.has(pool) || this.list().some(entry => entry.pool === pool);
 	}
 
 	/** Returns the endpoints of a pool that accept new requests. */
@@ -171,7 +182,6 @@
 		const known = this.#endpoints.get(entry.id);
 		if (known === undefined || !endpointEntry.isSameEntry(known.entry, entry)) {
 			this.#ready.clear();
-			this.#listedPools.add(entry.pool);
 			this.#endpoints.set(entry.id, {entry});
 		} else if (known.expiresAt !== undefined) {
 			this.#endpoints.set(entry.id, {entry: known.entry});
--- a/packages/core/src/fleet/pool-gaps.ts
+++ b/packages/core/src/fleet/pool-gaps.ts
@@ -5,6 +5,9 @@
 /** Time between two searches within which the end of a gap is known well enough to be learned, in milliseconds. */
 const maxUncertaintyMs = 250;
 
+/** Time after which a pool that was not searched is forgotten, in milliseconds. */
+const unusedLifetimeMs = 600_000;
+
 type Gap = {
 	readonly startedAt: number;
 	lastSeenAt: number;
@@ -12,6 +15,7 @@
 };
 
 type PoolRecord = {
+	searchedAt: number;
 	gap: Gap | undefined;
 	/** Number of requests that wait for an endpoint of the pool. */
 	waitingCount: number;
@@ -36,10 +40,17 @@
 		return this.#records.size;
 	}
 
-	/** Makes a pool known, which has or had an endpoint. */
-	add(pool: string): void {
+	/** Returns whether a pool is known. */
+	has(pool: string): boolean {
+		return this.#records.has(pool);
+	}
+
+	/** Makes a pool known, which has or had an endpoint, and forgets those that were not searched for long. */
+	add(pool: string, now: number): void {
 		if (!this.#records.has(pool)) {
+			this.#removeUnused(now);
 			this.#records.set(pool, {
+				searchedAt: now,
 				gap: undefined, waitingCount: 0, returning: undefined, releases: new releaseRate.ReleaseRate(), returnedAt: -Infinity,
 			});
 		}
@@ -47,8 +58,9 @@
 
 	/** Records that a search found an endpoint. */
 	recordEndpoint(pool: string, now: number): void {
-		this.add(pool);
+		this.add(pool, now);
 		const record = this.#records.get(pool)!;
+		record.searchedAt = now;
 		const {gap, waitingCount} = record;
 		if (gap === undefined) {
 			return;
@@ -75,6 +87,7 @@
 			return;
 		}
 
+		record.searchedAt = now;
 		record.gap ??= {startedAt: now - lastedMs, lastSeenAt: now, cause};
 		record.gap.lastSeenAt = now;
 		record.gap.cause = cause;
@@ -137,6 +150,14 @@
 		return this.#records.get(pool)?.releases.tokensPerMs(now) ?? Infinity;
 	}
 
+	#removeUnused(now: number): void {
+		for (const [pool, {searchedAt, waitingCount}] of this.#records) {
+			if (waitingCount === 0 && now - searchedAt > unusedLifetimeMs) {
+				this.#records.delete(pool);
+			}
+		}
+	}
+
 	#findReturning(pool: string, now: number): pacedReturn.PacedReturn | undefined {
 		const record = this.#records.get(pool);
 		if (record?.returning !== undefined && (record.waitingCount === 0 || record.returning.hasEnded(now))) {
--- a/packages/core/tests/fleet/pool-gaps.test.ts
+++ b/packages/core/tests/fleet/pool-gaps.test.ts
@@ -38,7 +38,7 @@
 	});
 
 	it('lets requests wait for a pool that was added before it had an endpoint, and counts the time that a gap has lasted', () => {
-		gaps.add('a');
+		gaps.add('a', 1000);
 		gaps.recordAbsence('a', causes.Silence, 1000, 700);
 		expect(gaps.mayWait('a', 7500, 1000)).to.equal(true);
 		gaps.recordEndpoint('a', 1100);
@@ -74,6 +74,14 @@
 		expect(gaps.isReturning('a', 2052)).to.equal(false);
 	});
 
+	it('forgets pools that were not searched for long, except those that requests wait for', () => {
+		gaps.recordEndpoint('a', 0);
+		gaps.recordEndpoint('b', 0);
+		gaps.countWaiting('b', 0);
+		gaps.recordEndpoint('c', 700_000);
+		expect(['a', 'b', 'c'].map(pool => gaps.has(pool))).to.deep.equal([false, true, true]);
+	});
+
 	it('holds nothing back if no request waits', () => {
 		gaps.recordEndpoint('a', 0);
 		gaps.recordAbsence('a', causes.Silence, 1000);
--- a/packages/gateway/src/call/endpoint-finder.ts
+++ b/packages/gateway/src/call/endpoint-finder.ts
@@ -179,8 +179,8 @@
 			return placement;
 		}
 
-		if (fleet.registry.hasListed(this.pool) && this.#isModelConfigured()) {
-			gaps.add(this.#servingPool);
+		if (!gaps.has(this.#servingPool) && fleet.registry.hasListed(this.pool) && this.#isModelConfigured()) {
+			gaps.add(this.#servingPool, now);
 		}
 
 		gaps.recordAbsence(this.#servingPool, cause, now, stalledMs);
