--- a/packages/core/tests/fleet/endpoint-registry.test.ts
+++ b/packages/core/tests/fleet/endpoint-registry.test.ts
@@ -16,6 +16,18 @@
 		expect(idsOf(registry)).to.deep.equal([]);
 	});
 
+	it('knows for a minute that a pool had an endpoint', () => {
+		const registry = new core.fleet.EndpointRegistry();
+		expect(registry.hasListed('llm')).to.equal(false);
+		registry.put(support.createEntry('a'), 0);
+		expect(registry.hasListed('llm')).to.equal(true);
+		registry.remove('a', false, 1000);
+		registry.removeExpired(61_000);
+		expect(registry.hasListed('llm')).to.equal(true);
+		registry.removeExpired(61_001);
+		expect(registry.hasListed('llm')).to.equal(false);
+	});
+
 	it('keeps an endpoint whose entry may have expired for two seconds from the first listing without it', () => {
 		const registry = new core.fleet.EndpointRegistry();
 		registry.replaceAll([support.createEntry('a'), support.createEntry('b')], false, 0);
