--- a/packages/core/src/rollout/plan-rollout.ts
+++ b/packages/core/src/rollout/plan-rollout.ts
@@ -41,8 +41,9 @@
  * Plans the next steps of the roll-outs of all models.
  *
  * Steps of loading engines remain until the engine is seen with the version. Steps of engines that are not listed or were restarted
- * are dropped. A silent engine keeps its step, which counts as one of the concurrent loads, and gets no new one. Up to the limit, engines with older weights are added: those with the oldest weights first, then those with the
- * fewest requests, since they finish their requests soonest.
+ * are dropped. A silent engine keeps its step, which counts as one of the concurrent loads, and gets no new one. Up to the limit, engines
+ * with older weights are added: those with the oldest weights first, then those with the fewest requests, since they finish their requests
+ * soonest.
  */
 export function planRollout(
 	{plan, engines, targets, named, fence}: RolloutInput,
--- a/packages/stand-ins/src/check/platform/loss-check.ts
+++ b/packages/stand-ins/src/check/platform/loss-check.ts
@@ -66,7 +66,7 @@
 
 /**
  * Checks that a whole request is responded to or refused if its gateway was blocked while it was in progress: one that was sent on a kept
- * connection before the gateway went on. A gateway that is stopped closes no connection, so that a request that ends well after the beginning
+ * connection before the gateway resumed. A gateway that is stopped closes no connection, so that a request that ends well after the beginning
  * of the block was sent before its connection was closed. A stream may be cut when its time is over; returns the findings.
  */
 export function checkBlocks(record: records.PlatformRecord): records.Finding[] {
--- a/packages/stand-ins/tests/fault/stand-in-server.test.ts
+++ b/packages/stand-ins/tests/fault/stand-in-server.test.ts
@@ -37,7 +37,7 @@
 		}
 	});
 
-	it('listens on another port after an outage if it may, though its port is taken for good', async () => {
+	it('listens on another port after an outage if it may, though another process keeps its port', async () => {
 		const server = new standIns.fault.StandInServer({keepsPort: false}, async (_req, res) => {
 			res.end('whole');
 		});
