Decode and log the limits that endpoints state

Change: endpoint_limited, endpoint_limit_ended (with the sends of this VM of any kind under it), endpoint_limit_invalid. A limit holds for one incarnation, until a signed response states none. Nothing acts on it yet.

--- /dev/null
+++ b/packages/core/src/limits/request-limits.ts
@@ -0,0 +1,105 @@
+import type * as endpointEntry from '../fleet/endpoint-entry.js';
+import * as statedLimits from './stated-limits.js';
+
+/** What one response states of the limit of its endpoint. */
+export type LimitStatement = {
+	/** Absent if it states none. */
+	readonly limit: {
+		/** Absent if the text is no valid rate. */
+		readonly requestsPerSecond: number | undefined;
+		readonly text: string;
+	} | undefined;
+	/** Whether the limit has ended if the response states none. */
+	readonly isAuthoritative: boolean;
+};
+
+/** A change of a limit, for the log. */
+export type RecordedLimitChange = statedLimits.LimitChange & {
+	readonly isFromPeer: boolean;
+	/** Requests and other calls of this VM to the endpoint since the previous change. */
+	readonly sends: number;
+};
+
+/** A limit that is no valid rate. */
+export type InvalidLimit = {
+	readonly endpoint: string;
+	readonly text: string;
+};
+
+/** Maximum number of changes that are kept for the log, and of endpoints whose invalid limit was logged. */
+const maxPending = 256;
+const maxLoggedLength = 64;
+
+/** The limits on requests that endpoints state, which all VMs keep together. Times are in milliseconds of a clock that includes suspensions. */
+export class RequestLimits {
+	readonly #stated = new statedLimits.StatedLimits();
+	readonly #changes: RecordedLimitChange[] = [];
+	readonly #invalid: InvalidLimit[] = [];
+	/** Incarnations whose invalid limit was reported, by endpoint. */
+	readonly #reportedInvalid = new Map<string, number>();
+	/** Sends since the last change of the limit, by endpoint. */
+	readonly #sends = new Map<string, number>();
+
+	/** Records what a response of an endpoint states. */
+	record(endpoint: endpointEntry.EndpointIncarnation, {limit, isAuthoritative}: LimitStatement, now: number): void {
+		if (limit !== undefined && limit.requestsPerSecond === undefined) {
+			this.#recordInvalid(endpoint, limit.text);
+		} else if (limit !== undefined || (isAuthoritative && this.#stated.size > 0)) {
+			this.#addChange(this.#stated.record(endpoint, limit?.requestsPerSecond, now), false);
+		}
+	}
+
+	/** Returns the limit of an endpoint in requests a second; `undefined` if it states none. */
+	getRate(endpoint: endpointEntry.EndpointIncarnation): number | undefined {
+		return this.#stated.size === 0 ? undefined : this.#stated.getRate(endpoint);
+	}
+
+	/** Counts a request or another call that was sent to an endpoint. */
+	countSend(endpoint: endpointEntry.EndpointIncarnation): void {
+		if (this.getRate(endpoint) !== undefined) {
+			this.#sends.set(endpoint.id, (this.#sends.get(endpoint.id) ?? 0) + 1);
+		}
+	}
+
+	/** Removes limits of incarnations that were replaced. @param bornAtOf - Returns the incarnation that is listed, if the endpoint is. */
+	removeEnded(bornAtOf: (endpoint: string) => number | undefined, now: number): void {
+		for (const change of this.#stated.removeEnded(bornAtOf, () => false, now)) {
+			this.#addChange(change, false);
+		}
+	}
+
+	/** Returns the changes since the last call. */
+	takeChanges(): RecordedLimitChange[] {
+		return this.#changes.splice(0);
+	}
+
+	/** Returns the invalid limits since the last call, one for each incarnation. */
+	takeInvalid(): InvalidLimit[] {
+		return this.#invalid.splice(0);
+	}
+
+	#addChange(change: statedLimits.LimitChange | undefined, isFromPeer: boolean): void {
+		if (change === undefined) {
+			return;
+		}
+
+		const sends = this.#sends.get(change.endpoint) ?? 0;
+		this.#sends.delete(change.endpoint);
+		if (this.#changes.length < maxPending) {
+			this.#changes.push({...change, isFromPeer, sends});
+		}
+	}
+
+	#recordInvalid({id, bornAt}: endpointEntry.EndpointIncarnation, text: string): void {
+		if (this.#reportedInvalid.get(id) === bornAt) {
+			return;
+		}
+
+		if (this.#reportedInvalid.size >= maxPending) {
+			this.#reportedInvalid.clear();
+		}
+
+		this.#reportedInvalid.set(id, bornAt);
+		this.#invalid.push({endpoint: id, text: text.slice(0, maxLoggedLength)});
+	}
+}
--- a/packages/core/src/log/explain-request.ts
+++ b/packages/core/src/log/explain-request.ts
@@ -38,7 +38,7 @@
 	[logEvent.LogEvent.VmsChanged, 'vms'],
 ]);
 
-/** Events of state changes of an endpoint by the aspect that changes: its listed state, whether it responds, asked for a pause, is leaving, or interrupted requests. */
+/** Events of state changes of an endpoint by the aspect that changes: its listed state, whether it responds, asked for a pause, states a limit, is leaving, or interrupted requests. */
 const endpointAspectByEvent: ReadonlyMap<logEvent.LogEvent, string> = new Map([
 	[logEvent.LogEvent.EndpointChanged, 'listed'],
 	[logEvent.LogEvent.EndpointRemoved, 'listed'],
@@ -47,6 +47,8 @@
 	[logEvent.LogEvent.EndpointResponsive, 'answers'],
 	[logEvent.LogEvent.EndpointPaused, 'pause'],
 	[logEvent.LogEvent.EndpointPauseEnded, 'pause'],
+	[logEvent.LogEvent.EndpointLimited, 'limit'],
+	[logEvent.LogEvent.EndpointLimitEnded, 'limit'],
 	[logEvent.LogEvent.EndpointLeaving, 'leaving'],
 	[logEvent.LogEvent.EndpointInterrupted, 'interruption'],
 ]);
--- a/packages/core/src/log/log-event.ts
+++ b/packages/core/src/log/log-event.ts
@@ -39,6 +39,11 @@
 	/** An endpoint or cache store has asked this VM to send nothing for a time. */
 	EndpointPaused = 'endpoint_paused',
 	EndpointPauseEnded = 'endpoint_pause_ended',
+	/** An endpoint states how many requests a second it takes from all VMs together, or another number than before. */
+	EndpointLimited = 'endpoint_limited',
+	EndpointLimitEnded = 'endpoint_limit_ended',
+	/** An endpoint states a limit that is no positive decimal number; it is ignored. */
+	EndpointLimitInvalid = 'endpoint_limit_invalid',
 	/** An endpoint announced in a response that it is leaving. */
 	EndpointLeaving = 'endpoint_leaving',
 	/** An endpoint did not complete requests of this VM, all at about the same time: its process has ended, or its connections were closed. */
@@ -164,6 +169,21 @@
 		/** Whether the endpoint has restarted; otherwise the time has elapsed. */
 		readonly isReplaced: boolean;
 	};
+	[LogEvent.EndpointLimited]: {
+		readonly endpoint: string; readonly requestsPerSecond: number;
+		/** Whether another VM told of the limit; otherwise a response to this VM stated it. */
+		readonly isFromPeer: boolean;
+		/** Requests and other calls of this VM while the endpoint stated another limit. */
+		readonly sends: number;
+	};
+	[LogEvent.EndpointLimitEnded]: {
+		readonly endpoint: string; readonly limitedMs: number;
+		/** Whether the endpoint has restarted; otherwise its responses state no limit any more. */
+		readonly isReplaced: boolean;
+		/** Requests and other calls of this VM while the endpoint stated a limit. */
+		readonly sends: number;
+	};
+	[LogEvent.EndpointLimitInvalid]: {readonly endpoint: string; readonly text: string};
 	[LogEvent.EndpointLeaving]: {readonly endpoint: string; readonly bornAt: number};
 	[LogEvent.EndpointInterrupted]: {
 		readonly endpoint: string; readonly bornAt: number;
--- a/packages/gateway/src/call/attempt-recorder.ts
+++ b/packages/gateway/src/call/attempt-recorder.ts
@@ -43,6 +43,7 @@
 		const isEngine = placement.weightVersion !== undefined;
 		fleet.loads.addRequest(endpoint, id, placement.choice.prefillTokens);
 		this.dependencies.pauses.recordSent(placement.entry, id);
+		fleet.limits.countSend(placement.entry);
 		fleet.health.recordSent(endpoint, id, isEngine ? placement.choice.firstTokenMs : plainServiceFirstByteMs, clock.monotonicNow());
 		this.#recordCacheObservations(placement, false);
 		log.write(eventLog.LogEvent.RequestSent, {
@@ -85,6 +86,14 @@
 		this.dependencies.pauses.record(placement.entry, head.retryAfterMs);
 	}
 
+	/** Records the limit that a response states, or that it states none, as soon as its head has arrived. */
+	recordLimit({entry}: endpointPlacer.Placement, head: ports.ResponseHead): void {
+		const {fleet, clock} = this.dependencies;
+		if (ports.isFromIntended(head, entry.id)) {
+			fleet.limits.record(entry, {limit: head.requestLimit, isAuthoritative: head.isSigned}, clock.suspendAwareNow());
+		}
+	}
+
 	/** Records the load and the weight version that the head of a response reports. */
 	recordHead({placement}: sentAttempt.SentAttempt, head: ports.ResponseHead): void {
 		const {fleet, clock} = this.dependencies;
--- a/packages/gateway/src/call/attempt-sender.ts
+++ b/packages/gateway/src/call/attempt-sender.ts
@@ -71,6 +71,7 @@
 			},
 			onMatchingHead(responseHead) {
 				recorder.recordPause(placement, responseHead);
+				recorder.recordLimit(placement, responseHead);
 				recorder.recordAlive(sent, responseHead, connection);
 			},
 			monotonicNow: dependencies.clock.monotonicNow,
--- a/packages/gateway/src/controllers/endpoint-checker.ts
+++ b/packages/gateway/src/controllers/endpoint-checker.ts
@@ -7,7 +7,7 @@
 /** Dependencies of {@link EndpointChecker}. */
 export type EndpointCheckerDependencies = {
 	readonly admin: Pick<ports.EndpointAdmin, 'checkHealth' | 'readReport'>;
-	readonly fleet: Pick<fleetState.FleetState, 'registry'>;
+	readonly fleet: Pick<fleetState.FleetState, 'registry' | 'limits'>;
 	readonly pauses: Pick<endpointPauses.EndpointPauses, 'record' | 'recordCall'>;
 	readonly clock: clocks.Clocks;
 };
@@ -38,6 +38,7 @@
 
 	async #call(entry: core.fleet.EndpointEntry, pool: core.routing.Pool): Promise<CallOutcome> {
 		this.dependencies.pauses.recordCall(entry);
+		this.dependencies.fleet.limits.countSend(entry);
 		return pool.engine === undefined ? this.#checkPlainService(entry, pool) : this.#readEngine(entry);
 	}
 
--- a/packages/gateway/src/controllers/endpoint-controller.ts
+++ b/packages/gateway/src/controllers/endpoint-controller.ts
@@ -4,6 +4,7 @@
 import type * as endpoints from '../endpoints/index.js';
 import type * as endpointPauses from '../placement/endpoint-pauses.js';
 import type * as fleetState from '../placement/fleet-state.js';
+import * as limitLog from '../placement/limit-log.js';
 import * as ports from '../ports/index.js';
 import * as clocks from '../util/clocks.js';
 import * as eventLog from '../util/event-log.js';
@@ -101,6 +102,8 @@
 		}
 
 		pauses.removeEnded(id => fleet.registry.get(id)?.bornAt);
+		fleet.limits.removeEnded(id => fleet.registry.get(id)?.bornAt, clock.suspendAwareNow());
+		limitLog.writeLimitChanges(fleet.limits, this.dependencies.log);
 		dispatcher.abortOutdatedAttempts(clocks.readInstant(clock));
 		dispatcher.abortPausedAttempts();
 		for (const endpoint of fleet.health.startDueChecks(id => fleet.peers.lastReceivedAt(id), now, id => this.#mayCheck(id))) {
--- a/packages/gateway/src/controllers/rollout-controller.ts
+++ b/packages/gateway/src/controllers/rollout-controller.ts
@@ -272,6 +272,7 @@
 
 		state.orderedAt = clock.monotonicNow();
 		pauses.recordCall(entry);
+		fleet.limits.countSend(entry);
 		const acceptedOrders = this.#acceptedOrders.get(incarnationKey(step))?.count;
 		const {outcome, retryAfterMs} = await admin.orderWeightLoad(entry, {
 			model: step.model, version: step.version, holder: vm, fence, acceptedOrders,
@@ -303,6 +304,7 @@
 		const {admin, fleet, clock} = this.dependencies;
 		state.reportReadAt = clock.monotonicNow();
 		this.dependencies.pauses.recordCall(entry);
+		fleet.limits.countSend(entry);
 		const read = await admin.readReport(entry);
 		read.ifLeft(err => {
 			this.dependencies.pauses.record(entry, err.retryAfterMs);
--- a/packages/gateway/src/placement/fleet-state.ts
+++ b/packages/gateway/src/placement/fleet-state.ts
@@ -9,6 +9,7 @@
 	readonly parts = new core.fleet.PartLocations();
 	readonly homes = new core.placement.HomeRanker();
 	readonly leaving: core.fleet.LeavingEndpoints;
+	readonly limits: core.limits.RequestLimits;
 	readonly targets = new core.rollout.WeightTargets();
 	/** The roll-out plan, as last read from the store. */
 	plan: core.rollout.RolloutPlan = core.rollout.emptyRolloutPlan;
@@ -17,5 +18,6 @@
 
 	constructor(leavingOptions: Partial<core.fleet.LeavingOptions> = {}) {
 		this.leaving = new core.fleet.LeavingEndpoints(leavingOptions);
+		this.limits = new core.limits.RequestLimits();
 	}
 }
--- a/packages/gateway/src/ports/endpoint-protocol.ts
+++ b/packages/gateway/src/ports/endpoint-protocol.ts
@@ -23,6 +23,14 @@
 	readonly lastEventId?: number;
 };
 
+/** What a response states of the requests that its endpoint takes from all VMs together. */
+export type StatedLimit = {
+	/** Absent if the text is no valid rate. */
+	readonly requestsPerSecond: number | undefined;
+	/** The text of the response, for the log. */
+	readonly text: string;
+};
+
 /** Decoded head of an endpoint's response. */
 export type ResponseHead = {
 	readonly status: number;
@@ -40,14 +48,20 @@
 	readonly load?: core.fleet.ReportedLoad;
 	/** Time for which the endpoint wants nothing more from this VM, in milliseconds; absent if it states none. */
 	readonly retryAfterMs?: number;
+	/** Absent if the response states no limit. */
+	readonly requestLimit?: StatedLimit;
 	/** Version of the weights that generate the response. */
 	readonly weightVersion?: number;
 };
 
 /** Returns whether the head of a response states that the intended endpoint is leaving; another one may respond at its address. */
 export function announcesLeaving(head: ResponseHead, endpointId: string): boolean {
-	const isFromIntended = head.respondingEndpoint === undefined ? !head.isMisdirected : head.respondingEndpoint === endpointId;
-	return head.isLeaving && isFromIntended;
+	return head.isLeaving && isFromIntended(head, endpointId);
+}
+
+/** Returns whether the head of a response is of the intended endpoint; another one may respond at its address. */
+export function isFromIntended(head: ResponseHead, endpointId: string): boolean {
+	return head.respondingEndpoint === undefined ? !head.isMisdirected : head.respondingEndpoint === endpointId;
 }
 
 /** Header values by name, as parsed by the HTTP client. */
@@ -125,6 +139,9 @@
 	readonly retryAfterMs?: number;
 };
 
+/** Receives a limit that an endpoint states. */
+export type LimitListener = (endpoint: core.fleet.EndpointIncarnation, limit: StatedLimit) => void;
+
 /** Calls to endpoints other than callers' requests. */
 export interface EndpointAdmin { // eslint-disable-line @typescript-eslint/consistent-type-definitions
 	/** Returns whether an endpoint of a plain service responds. */
@@ -134,4 +151,6 @@
 	orderWeightLoad(entry: core.fleet.EndpointEntry, order: WeightLoadOrder): Promise<OrderResponse>;
 	/** Sets the listener for responses of any call that announce that the endpoint is leaving. */
 	setLeavingListener(listener: (endpoint: core.fleet.EndpointIncarnation) => void): void;
+	/** Sets the listener for limits that responses of any call state. */
+	setLimitListener(listener: LimitListener): void;
 }
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -82,6 +82,9 @@
 	admin.setLeavingListener(endpoint => {
 		leavingRecorder.record(endpoint);
 	});
+	admin.setLimitListener((endpoint, limit) => {
+		fleet.limits.record(endpoint, {limit, isAuthoritative: false}, clock.suspendAwareNow());
+	});
 	const waiting = new call.RequestQueue(() => clock.monotonicNow());
 	const dispatcher = new call.RequestDispatcher({
 		fleet,
--- a/packages/gateway/tests/support/simulated-fleet.ts
+++ b/packages/gateway/tests/support/simulated-fleet.ts
@@ -220,6 +220,7 @@
 		return {
 			checkHealth: async () => ({isAlive: true}),
 			setLeavingListener: () => undefined,
+			setLimitListener: () => undefined,
 			readReport: async entry => {
 				await vm.sleep(orderLatencyMs);
 				const engine = this.engines.get(entry.id)!;
--- a/packages/gateway/tests/support/simulated-gateway-week.ts
+++ b/packages/gateway/tests/support/simulated-gateway-week.ts
@@ -205,6 +205,7 @@
 		return {
 			checkHealth: async () => ({isAlive: true}),
 			setLeavingListener: () => undefined,
+			setLimitListener: () => undefined,
 			readReport: async ({id}) => {
 				const {bornAt, weights, accepted} = this.#engines.get(id)!;
 				return purify.Right({
--- a/packages/stand-ins/src/users-platform/users-server-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/users-server-stand-in.ts
@@ -54,6 +54,10 @@
 	readonly arrivalsInPause: records.PausedArrival[] = [];
 	/** Value of the header in all responses that announces that the server is leaving; absent if it has no such header. */
 	leavingHeader: string | undefined;
+	/** Requests a second that the server states as its limit in all responses; absent if it states none. */
+	limitHeader: string | undefined;
+	/** When requests and calls of any kind arrived, in milliseconds since the Unix epoch. */
+	readonly arrivalTimes: number[] = [];
 	version = 1;
 	/** Delay of plain responses and of first events, in addition to the one of the options, in milliseconds. */
 	extraDelayMs = 0;
@@ -90,6 +94,7 @@
 		this.#isLoading = false;
 		this.#hasCrashed = false;
 		this.leavingHeader = undefined;
+		this.limitHeader = undefined;
 		this.server.resetConnections();
 	}
 
@@ -132,6 +137,11 @@
 			res.setHeader('Server-Leaving', this.leavingHeader);
 		}
 
+		if (this.limitHeader !== undefined) {
+			res.setHeader('Server-Limit', this.limitHeader);
+		}
+
+		this.arrivalTimes.push(Date.now());
 		if (util.headerOf(req, 'bluebellmast-expected-instance') !== this.options.id) {
 			util.sendJson(res, 421, {}, {'Bluebellmast-Instance-Id': this.options.id});
 			return;
