--- a/packages/core/tests/limits/request-limits.test.ts
+++ b/packages/core/tests/limits/request-limits.test.ts
@@ -1,5 +1,5 @@
-import * as core from '@bluebellmast/core';
 import * as chai from 'chai';
+import * as core from '@bluebellmast/core';
 
 const {expect} = chai;
 const endpoint = {id: 'e-1', bornAt: 5};
