Keep the limits that endpoints state by all VMs together

Change: a limit is shared by as many VMs as it allows requests in about a second, the first ones in rendezvous order of the endpoint's incarnation; each has a token bucket of one permit that begins with a fraction. AttemptSender takes the permit just before the send, so resends, resumed streams and replacements pass it; health checks take one as well, the leader's reports and orders one or an allowance of a fourth of the limit. VMs tell each other limits and their ends in digests. Endpoints without a permit come after the others in placement; where all are limited, a request waits only for a permit within its target, otherwise it is refused at once with the time of the permit. Why it works: permits in 4 s are at most 4 times the limit and one for each holder, whatever VMs know of each other's load; VMs that see different lists disagree on single holders only.

--- a/packages/core/src/fleet/admission.ts
+++ b/packages/core/src/fleet/admission.ts
@@ -71,6 +71,9 @@
 	/** Prompt tokens that the engines compute for this VM per millisecond. */
 	readonly tokensPerMs: number;
 	readonly timeLeftMs: number;
+	/** Expected time until this VM may send the request to an endpoint that limits its requests, in milliseconds; 0 if another one may take it. */
+	readonly permitWaitMs: number;
+	readonly targetLatencyMs: number;
 	/** Whether the caller retries the request after a refusal. */
 	readonly isRetry: boolean;
 };
@@ -84,9 +87,12 @@
 
 /** Decides whether an arriving request that no engine can take now may wait. A request that can't be served is refused at once. */
 export function decideWait(conditions: WaitConditions, limits: AdmissionLimits): WaitDecision {
-	const expectedMs = conditions.queuedTokens / Math.max(conditions.tokensPerMs, Number.EPSILON);
-	const maxMs = conditions.isRetry
-		? Math.max(limits.maxWaitMs, conditions.timeLeftMs * limits.maxRetryWaitShare)
-		: limits.maxWaitMs;
-	return {mayWait: expectedMs <= Math.min(maxMs, conditions.timeLeftMs), expectedMs};
+	const {permitWaitMs, timeLeftMs} = conditions;
+	const queuedMs = conditions.queuedTokens / Math.max(conditions.tokensPerMs, Number.EPSILON);
+	const expectedMs = Math.max(queuedMs, permitWaitMs);
+	const retryMs = conditions.isRetry ? timeLeftMs * limits.maxRetryWaitShare : 0;
+	// Permits come at a fixed rate: a longer queue for them serves no more requests, and all of them late.
+	const maxPermitWaitMs = Math.max(conditions.targetLatencyMs * limits.smallBacklogShare, retryMs);
+	const mayWait = expectedMs <= Math.min(Math.max(limits.maxWaitMs, retryMs), timeLeftMs) && permitWaitMs <= maxPermitWaitMs;
+	return {mayWait, expectedMs};
 }
--- a/packages/core/src/fleet/load-digest.ts
+++ b/packages/core/src/fleet/load-digest.ts
@@ -1,3 +1,4 @@
+import type * as statedLimits from '../limits/stated-limits.js';
 import type * as quarantineDigest from '../quarantine/quarantine-digest.js';
 import type * as cacheObservation from './cache-observation.js';
 import type * as endpointEntry from './endpoint-entry.js';
@@ -32,6 +33,8 @@
 	readonly cacheObservations: readonly cacheObservation.CacheObservation[];
 	/** Some of the pauses that endpoints asked the VM for; absent if it does not tell of them. */
 	readonly pauses?: readonly PauseDigest[];
+	/** Some of the limits that endpoints state; absent if it does not tell of them. */
+	readonly limits?: readonly statedLimits.LimitDigest[];
 	/** Endpoints that told this VM that they are leaving; absent if there are none, or in digests of older versions. */
 	readonly leavingEndpoints?: readonly endpointEntry.EndpointIncarnation[];
 	/** Evidence on prompt parts that end endpoints; absent if there is none. */
--- a/packages/core/src/limits/request-limits.ts
+++ b/packages/core/src/limits/request-limits.ts
@@ -1,4 +1,5 @@
 import type * as endpointEntry from '../fleet/endpoint-entry.js';
+import * as permitShares from './permit-shares.js';
 import * as statedLimits from './stated-limits.js';
 
 /** What one response states of the limit of its endpoint. */
@@ -30,7 +31,7 @@
 const maxPending = 256;
 const maxLoggedLength = 64;
 
-/** The limits on requests that endpoints state, which all VMs keep together. Times are in milliseconds of a clock that includes suspensions. */
+/** The limits on requests that endpoints state, which all VMs keep together, each with its share of the permits. Times are in milliseconds of a clock that includes suspensions. */
 export class RequestLimits {
 	readonly #stated = new statedLimits.StatedLimits();
 	readonly #changes: RecordedLimitChange[] = [];
@@ -39,6 +40,24 @@
 	readonly #reportedInvalid = new Map<string, number>();
 	/** Sends since the last change of the limit, by endpoint. */
 	readonly #sends = new Map<string, number>();
+	readonly #shares: permitShares.PermitShares;
+	/** Number of limits that digests have told of; the next one continues after them. */
+	#toldCount = 0;
+
+	/** @param vm - Name of this VM. @param countHolders - Returns the number of VMs that share a limit. */
+	constructor(vm: string, countHolders: typeof permitShares.countPermitHolders = permitShares.countPermitHolders) {
+		this.#shares = new permitShares.PermitShares(vm, countHolders);
+	}
+
+	/** Whether some endpoint states a limit, or has until a short time ago. */
+	get hasLimits(): boolean {
+		return this.#stated.size > 0;
+	}
+
+	/** Sets the names of the VMs that share limits. */
+	setVms(vms: readonly string[]): void {
+		this.#shares.setVms(vms);
+	}
 
 	/** Records what a response of an endpoint states. */
 	record(endpoint: endpointEntry.EndpointIncarnation, {limit, isAuthoritative}: LimitStatement, now: number): void {
@@ -54,6 +73,49 @@
 		return this.#stated.size === 0 ? undefined : this.#stated.getRate(endpoint);
 	}
 
+	/**
+	 * Returns the time until this VM may send a request to an endpoint, in milliseconds: 0 if it may now, `Infinity` if the permits of the endpoint
+	 * belong to other VMs.
+	 */
+	waitMs(endpoint: endpointEntry.EndpointIncarnation, now: number): number {
+		const rate = this.getRate(endpoint);
+		return rate === undefined ? 0 : this.#shares.waitMs(endpoint, rate, now);
+	}
+
+	/** Returns the requests a second that this VM may send to an endpoint; `Infinity` without a limit. */
+	getShare(endpoint: endpointEntry.EndpointIncarnation, now: number): number {
+		const rate = this.getRate(endpoint);
+		return rate === undefined ? Infinity : this.#shares.rateOf(endpoint, rate, now);
+	}
+
+	/** Uses a permit for a request, or another call that any VM makes. @returns Whether it may be sent. */
+	take(endpoint: endpointEntry.EndpointIncarnation, now: number): boolean {
+		const rate = this.getRate(endpoint);
+		return rate === undefined || this.#shares.take(endpoint, rate, now);
+	}
+
+	/** Uses a permit for a call that only the leader makes. @returns Whether it may be made. */
+	takeForLeader(endpoint: endpointEntry.EndpointIncarnation, now: number): boolean {
+		const rate = this.getRate(endpoint);
+		return rate === undefined || this.#shares.takeForLeader(endpoint, rate, now);
+	}
+
+	/** Returns the next limits in turn for a digest to the other VMs, also those that have ended. */
+	takeDigest(maxRows: number, now: number): statedLimits.LimitDigest[] {
+		const rows = this.#stated.size === 0 ? [] : this.#stated.list(now);
+		const first = rows.length === 0 ? 0 : this.#toldCount % rows.length;
+		const told = [...rows.slice(first), ...rows.slice(0, first)].slice(0, maxRows);
+		this.#toldCount += told.length;
+		return told;
+	}
+
+	/** Applies the limits that another VM tells of. */
+	applyDigest(rows: readonly statedLimits.LimitDigest[], now: number): void {
+		for (const change of this.#stated.applyDigest(rows, now)) {
+			this.#addChange(change, true);
+		}
+	}
+
 	/** Counts a request or another call that was sent to an endpoint. */
 	countSend(endpoint: endpointEntry.EndpointIncarnation): void {
 		if (this.getRate(endpoint) !== undefined) {
@@ -63,9 +125,17 @@
 
 	/** Removes limits of incarnations that were replaced. @param bornAtOf - Returns the incarnation that is listed, if the endpoint is. */
 	removeEnded(bornAtOf: (endpoint: string) => number | undefined, now: number): void {
-		for (const change of this.#stated.removeEnded(bornAtOf, () => false, now)) {
+		if (!this.hasLimits) {
+			return;
+		}
+
+		// A VM without a share gets no responses that state a limit or its end.
+		const mayLapse = (endpoint: endpointEntry.EndpointIncarnation): boolean => this.waitMs(endpoint, now) === Infinity;
+		for (const change of this.#stated.removeEnded(bornAtOf, mayLapse, now)) {
 			this.#addChange(change, false);
 		}
+
+		this.#shares.retain(endpoint => this.getRate(endpoint) !== undefined);
 	}
 
 	/** Returns the changes since the last call. */
--- a/packages/core/src/log/log-event.ts
+++ b/packages/core/src/log/log-event.ts
@@ -108,6 +108,8 @@
 	readonly responsive?: number;
 	/** Number of those that asked for a pause, or have as many requests in flight as they may have after one. */
 	readonly paused?: number;
+	/** Number of those to which this VM may send nothing now, as they state a limit for all VMs together. */
+	readonly limited?: number;
 	/** Number of those that told this VM that they are leaving. */
 	readonly leaving?: number;
 	/** Number of those that are loading weights. */
--- a/packages/core/tests/fleet/admission.test.ts
+++ b/packages/core/tests/fleet/admission.test.ts
@@ -46,7 +46,7 @@
 
 describe('decideWait', () => {
 	const conditions: core.fleet.WaitConditions = {
-		queuedTokens: 45_000, tokensPerMs: 45, timeLeftMs: 12_000, isRetry: false,
+		queuedTokens: 45_000, tokensPerMs: 45, timeLeftMs: 12_000, permitWaitMs: 0, targetLatencyMs: 500, isRetry: false,
 	};
 
 	it('lets a request wait when the expected wait is one second', () => {
--- a/packages/core/tests/limits/request-limits.test.ts
+++ b/packages/core/tests/limits/request-limits.test.ts
@@ -13,7 +13,7 @@
 	let limits: core.limits.RequestLimits;
 
 	beforeEach(() => {
-		limits = new core.limits.RequestLimits();
+		limits = new core.limits.RequestLimits('vm-1');
 	});
 
 	it('hold until a later response states none', () => {
--- a/packages/gateway/src/call/attempt-sender.ts
+++ b/packages/gateway/src/call/attempt-sender.ts
@@ -37,17 +37,24 @@
 	 *
 	 * @param number - Number of the attempt, counted from 1.
 	 * @param lastEventId - Id of the last event that the caller has received; absent at the start of a response.
-	 * @returns The attempt, or `undefined` if all connections that this VM may open to the endpoint are busy.
+	 * @returns The attempt, or `undefined` if all connections that this VM may open to the endpoint are busy, or the endpoint limits its requests.
 	 */
 	send(placement: endpointPlacer.Placement, number: number, lastEventId: number | undefined, now: number): sentAttempt.SentAttempt | undefined {
 		const {request: {head, body}, dependencies, recorder, isIdempotent} = this.options;
 		const {entry} = placement;
+		const {limits} = dependencies.fleet;
+		const suspendAwareNow = dependencies.clock.suspendAwareNow();
+		if (limits.waitMs(entry, suspendAwareNow) > 0) {
+			return undefined;
+		}
+
 		const pool = dependencies.connections.poolFor(entry);
 		const connection = pool.acquire({requiresFresh: !isIdempotent}, this.#computeMaxConnections(entry.pool), now);
 		if (connection === undefined) {
 			return undefined;
 		}
 
+		limits.take(entry, suspendAwareNow);
 		const attempt = new endpoints.EndpointAttempt({
 			pool,
 			connection,
--- a/packages/gateway/src/call/endpoint-finder.ts
+++ b/packages/gateway/src/call/endpoint-finder.ts
@@ -133,22 +133,33 @@
 
 	/**
 	 * Returns the time after which a caller should retry that no endpoint can serve now, in milliseconds: when the first endpoint is back if all that
-	 * could serve the request asked for a pause.
+	 * could serve the request asked for a pause, when another VM may send it if they limit their requests.
 	 */
 	computeRetryAfterMs(): number {
-		const first = this.place() === undefined
-			? this.dependencies.placer.findFirstRampUp(this.request, this.pool, clocks.readInstant(this.dependencies.clock))
-			: undefined;
-		return first === undefined
-			? refusals.noEndpointRetryAfterMs
-			: core.fleet.computePauseRetryAfterMs(first, this.dependencies.random());
+		if (this.place() !== undefined) {
+			return refusals.noEndpointRetryAfterMs;
+		}
+
+		const {placer, clock, random} = this.dependencies;
+		const now = clocks.readInstant(clock);
+		const first = placer.findFirstRampUp(this.request, this.pool, now);
+		if (first !== undefined) {
+			return core.fleet.computePauseRetryAfterMs(first, random());
+		}
+
+		const permitIntervalMs = placer.findPermitInterval(this.request, this.pool, now) ?? 0;
+		return Math.max(refusals.noEndpointRetryAfterMs, permitIntervalMs * (1 + random()));
 	}
 
 	/** Waits for capacity if the expected wait allows it. */
 	async #awaitCapacity(request: core.fleet.WaitingRequest, candidate: endpointPlacer.Placement, now: number): Promise<EndpointSearchResult> {
-		const {mayWait, expectedMs} = this.dependencies.placer.decideWait(this.pool, {
-			queuedTokens: this.dependencies.queue.countTokensAhead(request),
+		const {placer, queue, clock} = this.dependencies;
+		const permitWaitMs = placer.findPermitWait(this.request, this.pool, queue.countAhead(request, this.pool), clocks.readInstant(clock)) ?? 0;
+		const {mayWait, expectedMs} = placer.decideWait(this.pool, {
+			queuedTokens: queue.countTokensAhead(request),
 			timeLeftMs: this.deadlineAt - now,
+			permitWaitMs,
+			targetLatencyMs: this.request.route.targetLatencyMs,
 			isRetry: this.#isRetry(),
 		});
 		// Random jitter prevents callers from retrying all at the same time.
@@ -198,6 +209,7 @@
 		let found: FoundEndpoint | undefined;
 		const {ended, cancel} = this.dependencies.queue.wait({
 			...request,
+			pool: this.pool,
 			expiresAt,
 			hasCapacity: () => {
 				const placement = this.place();
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -246,7 +246,7 @@
 		return this.dependencies.quarantine.match(this.#promptKeys?.sharedParts ?? []);
 	}
 
-	/** Sends the request to an endpoint. @returns `undefined` if all connections that this VM may open to it are busy. */
+	/** Sends the request to an endpoint. @returns `undefined` as {@link attemptSender.AttemptSender.send}. */
 	#send(placement: endpointPlacer.Placement): sentAttempt.SentAttempt | undefined {
 		const now = this.dependencies.clock.monotonicNow();
 		const sent = this.#sender.send(placement, this.#rules.attempts.length + 1, this.#relay.lastEventId, now);
--- a/packages/gateway/src/call/request-queue.ts
+++ b/packages/gateway/src/call/request-queue.ts
@@ -16,6 +16,7 @@
 
 /** A request that waits for capacity at an endpoint. */
 export type QueuedRequest = core.fleet.WaitingRequest & {
+	readonly pool: core.routing.PoolName;
 	/** When the wait expires, in milliseconds of the monotonic clock. */
 	readonly expiresAt: number;
 	/** Returns whether an endpoint has capacity now, or `undefined` if none is left to wait for. */
@@ -57,6 +58,12 @@
 		return tokens;
 	}
 
+	/** Returns the number of queued requests of a pool that take precedence over a new one. */
+	countAhead(request: core.fleet.WaitingRequest, pool: core.routing.PoolName): number {
+		const now = this.monotonicNow();
+		return [...this.#entries].filter(({request: queued}) => queued.pool === pool && core.fleet.compareWaitingRequests(queued, request, now) <= 0).length;
+	}
+
 	/** Queues a request. @returns The outcome of the wait, and a function that cancels it. */
 	wait(request: QueuedRequest): {readonly ended: Promise<WaitOutcome>; readonly cancel: () => void} {
 		let cancel = (): void => undefined;
--- a/packages/gateway/src/controllers/endpoint-checker.ts
+++ b/packages/gateway/src/controllers/endpoint-checker.ts
@@ -32,13 +32,16 @@
 	 */
 	async isAlive(entry: core.fleet.EndpointEntry, pool: core.routing.Pool): Promise<boolean> {
 		const first = await this.#call(entry, pool);
-		const last = first === CallOutcome.ConnectionReset ? await this.#call(entry, pool) : first;
+		const mayRepeat = this.dependencies.fleet.limits.waitMs(entry, this.dependencies.clock.suspendAwareNow()) === 0;
+		const last = first === CallOutcome.ConnectionReset && mayRepeat ? await this.#call(entry, pool) : first;
 		return last !== CallOutcome.Failed;
 	}
 
 	async #call(entry: core.fleet.EndpointEntry, pool: core.routing.Pool): Promise<CallOutcome> {
 		this.dependencies.pauses.recordCall(entry);
-		this.dependencies.fleet.limits.countSend(entry);
+		const {limits} = this.dependencies.fleet;
+		limits.take(entry, this.dependencies.clock.suspendAwareNow());
+		limits.countSend(entry);
 		return pool.engine === undefined ? this.#checkPlainService(entry, pool) : this.#readEngine(entry);
 	}
 
--- a/packages/gateway/src/controllers/endpoint-controller.ts
+++ b/packages/gateway/src/controllers/endpoint-controller.ts
@@ -113,11 +113,15 @@
 
 	/**
 	 * Returns whether an endpoint may be checked now. During a pause that it asked for, only one with requests in flight is, since these would
-	 * otherwise wait for an endpoint that does not respond.
+	 * otherwise wait for an endpoint that does not respond. Checks need a permit as callers' requests do where an endpoint limits its requests.
 	 */
 	#mayCheck(id: string): boolean {
 		const {fleet, pauses} = this.dependencies;
 		const entry = fleet.registry.get(id);
+		if (entry !== undefined && fleet.limits.waitMs(entry, this.dependencies.clock.suspendAwareNow()) > 0) {
+			return false;
+		}
+
 		return entry === undefined || !pauses.isPaused(entry) || (fleet.loads.countOwnActive(id) > 0 && pauses.mayCallUrgently(entry));
 	}
 
--- a/packages/gateway/src/controllers/load-controller.ts
+++ b/packages/gateway/src/controllers/load-controller.ts
@@ -33,6 +33,9 @@
 /** Largest number of leaving endpoints in a digest, for the same reason. */
 const maxLeavingEndpoints = 8;
 
+/** Number of limits in a digest; with about 30 bytes each they take 4 KB/s of the 19 KB/s that a node may use for control traffic. */
+const maxLimitsPerDigest = 4;
+
 /** Sends the other VMs digests of the load that this VM puts on each endpoint and of its cache observations. */
 export class LoadController {
 	#sequence = Date.now();
@@ -72,6 +75,7 @@
 		const now = clock.monotonicNow();
 		fleet.peers.applyDigest(digest, now);
 		pauses.applyDigest(digest.pauses ?? []);
+		fleet.limits.applyDigest(digest.limits ?? [], clock.suspendAwareNow());
 		if (digest.quarantine !== undefined) {
 			quarantine.applyDigest(digest.quarantine);
 		}
@@ -88,11 +92,11 @@
 		}
 	}
 
-	/** Sends a digest if one is due; a VM that becomes idle, and has no pause to tell of, sends one more and then none. */
+	/** Sends a digest if one is due; a VM that becomes idle, and has no pause or limit to tell of, sends one more and then none. */
 	tick(): void {
 		const {fleet, pauses, quarantine} = this.dependencies;
 		quarantine.tick();
-		const isIdle = fleet.loads.listBusyEndpoints().length === 0 && !pauses.hasPauses() && !quarantine.hasQuarantinedParts;
+		const isIdle = fleet.loads.listBusyEndpoints().length === 0 && !pauses.hasPauses() && !fleet.limits.hasLimits && !quarantine.hasQuarantinedParts;
 		const isDue = !this.#isStopped && this.dependencies.clock.monotonicNow() - this.#lastSentAt >= digestIntervalMs;
 		if (isDue && !(isIdle && this.#wasIdle)) {
 			this.#send();
@@ -130,6 +134,7 @@
 			endpoints: this.#describeLoad(),
 			cacheObservations: observations,
 			pauses: pauses.takeDigest(),
+			limits: fleet.limits.takeDigest(maxLimitsPerDigest, this.dependencies.clock.suspendAwareNow()),
 			leavingEndpoints: fleet.leaving.listNoticed(maxLeavingEndpoints),
 			quarantine: quarantine.takeDigest(),
 		}, this.#choosePeers(observations, isUrgent));
--- a/packages/gateway/src/controllers/rollout-controller.ts
+++ b/packages/gateway/src/controllers/rollout-controller.ts
@@ -266,7 +266,7 @@
 	async #sendOrder(step: core.rollout.RolloutStep, state: StepState, entry: core.fleet.EndpointEntry): Promise<void> {
 		const {lease, admin, fleet, pauses, log, vm, clock} = this.dependencies;
 		const fence = lease.fencing();
-		if (fence === undefined) {
+		if (fence === undefined || !fleet.limits.takeForLeader(entry, clock.suspendAwareNow())) {
 			return;
 		}
 
@@ -302,6 +302,10 @@
 
 	async #readReport(step: core.rollout.RolloutStep, state: StepState, entry: core.fleet.EndpointEntry): Promise<void> {
 		const {admin, fleet, clock} = this.dependencies;
+		if (!fleet.limits.takeForLeader(entry, clock.suspendAwareNow())) {
+			return;
+		}
+
 		state.reportReadAt = clock.monotonicNow();
 		this.dependencies.pauses.recordCall(entry);
 		fleet.limits.countSend(entry);
--- a/packages/gateway/src/metrics/state-gauges.ts
+++ b/packages/gateway/src/metrics/state-gauges.ts
@@ -17,6 +17,8 @@
 	readonly unresponsiveEndpoints: number;
 	/** Number of engines that load weights according to the current rollout plan. */
 	readonly loadingEndpoints: number;
+	/** Number of listed endpoints that state a limit on their requests. */
+	readonly limitedEndpoints: number;
 	/** Number of requests that have not ended. */
 	readonly openRequests: number;
 	/** Number of open requests that wait for capacity at an endpoint. */
@@ -41,6 +43,7 @@
 	{name: 'bluebellmast_endpoints_listed', help: 'Endpoints listed as ready.', read: state => state.listedEndpoints},
 	{name: 'bluebellmast_endpoints_unresponsive', help: 'Listed endpoints that did not answer a check.', read: state => state.unresponsiveEndpoints},
 	{name: 'bluebellmast_endpoints_loading', help: 'Engines that load weights.', read: state => state.loadingEndpoints},
+	{name: 'bluebellmast_endpoints_limited', help: 'Listed endpoints that limit their requests.', read: state => state.limitedEndpoints},
 	{name: 'bluebellmast_requests_open', help: 'Requests that have not ended.', read: state => state.openRequests},
 	{name: 'bluebellmast_requests_waiting', help: 'Requests that wait for room at an endpoint.', read: state => state.waitingRequests},
 	{name: 'bluebellmast_log_lines_dropped', help: 'Log lines dropped since the start.', read: state => state.droppedLogLines},
--- a/packages/gateway/src/peers/digest-codec.ts
+++ b/packages/gateway/src/peers/digest-codec.ts
@@ -11,6 +11,9 @@
 /** Encoded pause: endpoint, start time of its incarnation in Unix milliseconds, milliseconds until the end. */
 type PauseRow = readonly [string, number, number];
 
+/** Encoded limit: endpoint, start time of its incarnation in Unix milliseconds, requests a second (0 if it has ended), age in milliseconds. */
+type LimitRow = readonly [string, number, number, number];
+
 /** Encoded incarnation of an endpoint: id, start time in Unix milliseconds. */
 type IncarnationRow = readonly [string, number];
 
@@ -33,6 +36,7 @@
 /** Parts of a digest that older builds do not know and ignore. */
 type DigestExtension = EncodedEvidence & {
 	readonly pauses?: readonly PauseRow[];
+	readonly limits?: readonly LimitRow[];
 	readonly leaving?: readonly IncarnationRow[];
 };
 
@@ -51,6 +55,7 @@
 /** Encodes a digest as one datagram. */
 export function encodeDigest(digest: core.fleet.LoadDigest): buffer.Buffer {
 	const pauses = (digest.pauses ?? []).map(({endpoint, bornAt, remainingMs}): PauseRow => [endpoint, bornAt, remainingMs]);
+	const limits = (digest.limits ?? []).map(({endpoint, bornAt, requestsPerSecond, ageMs}): LimitRow => [endpoint, bornAt, requestsPerSecond, ageMs]);
 	const leaving = (digest.leavingEndpoints ?? []).map(({id, bornAt}): IncarnationRow => [id, bornAt]);
 	const state: DigestMessage = [
 		digest.vm,
@@ -59,7 +64,10 @@
 		digest.cacheObservations.map(observation => [observation.type, observation.key, observation.endpoint]),
 	];
 	const extension: DigestExtension = {
-		...(pauses.length > 0 && {pauses}), ...(leaving.length > 0 && {leaving}), ...(digest.quarantine && encodeEvidence(digest.quarantine)),
+		...(pauses.length > 0 && {pauses}),
+		...(limits.length > 0 && {limits}),
+		...(leaving.length > 0 && {leaving}),
+		...(digest.quarantine && encodeEvidence(digest.quarantine)),
 	};
 	return cbor.encode(Object.keys(extension).length === 0 ? state : [...state, extension]);
 }
@@ -79,6 +87,7 @@
 
 function toDigest([vm, sequence, endpoints, observations, extension]: DigestMessage): core.fleet.LoadDigest {
 	const pauses = toPauses(extension?.pauses);
+	const limits = toLimits(extension?.limits);
 	const leaving = isRows(extension?.leaving, ['string', 'number']) ? extension!.leaving! : [];
 	const quarantine = decodeEvidence(extension ?? {});
 	return {
@@ -89,6 +98,7 @@
 		})),
 		cacheObservations: observations.map(([type, key, endpoint]) => ({type, key, endpoint})),
 		...(pauses.length > 0 && {pauses}),
+		...(limits.length > 0 && {limits}),
 		...(leaving.length > 0 && {leavingEndpoints: leaving.map(([id, bornAt]) => ({id, bornAt}))}),
 		...(quarantine && {quarantine}),
 	};
@@ -145,6 +155,19 @@
 		.filter(pause => pause.remainingMs > 0);
 }
 
+/** Decodes the limits; skips invalid ones. */
+function toLimits(rows: unknown): core.limits.LimitDigest[] {
+	if (!isRows(rows, ['string', 'number', 'number', 'number'])) {
+		return [];
+	}
+
+	return (rows as readonly LimitRow[])
+		.map(([endpoint, bornAt, requestsPerSecond, ageMs]) => ({
+			endpoint, bornAt, requestsPerSecond, ageMs,
+		}))
+		.filter(({requestsPerSecond, ageMs}) => Number.isFinite(requestsPerSecond) && requestsPerSecond >= 0 && ageMs >= 0);
+}
+
 function isDigest(message: unknown): message is DigestMessage {
 	if (!Array.isArray(message) || typeof message[0] !== 'string' || typeof message[1] !== 'number') {
 		return false;
--- a/packages/gateway/src/placement/endpoint-placer.ts
+++ b/packages/gateway/src/placement/endpoint-placer.ts
@@ -15,6 +15,7 @@
 	readonly admission: core.fleet.AdmissionLimits;
 };
 
+const msPerSecond = 1000;
 /** Age of the last observation of a stored part above which it is saved again, in milliseconds, since observations get lost. */
 const resaveAgeMs = 20_000;
 
@@ -92,7 +93,7 @@
 		const maxBacklogMs = core.fleet.computeMaxBacklogMs(call.route.targetLatencyMs, this.options.admission);
 		return this.#groupCandidates({call, pool, conditions}, excluded, now)
 			.flatMap(group => group.entries)
-			.some(entry => !this.#isRampUpLimited(entry) && (!isEngine || core.fleet.estimateBacklogMs(entry, view, now.monotonic) <= maxBacklogMs));
+			.some(entry => !this.#mustWait(entry, now.suspendAware) && (!isEngine || core.fleet.estimateBacklogMs(entry, view, now.monotonic) <= maxBacklogMs));
 	}
 
 	/**
@@ -106,6 +107,43 @@
 		return rampUps.sort((a, b) => a.resumesInMs - b.resumesInMs)[0];
 	}
 
+	/**
+	 * Returns how soon a request may be sent to one of the endpoints that limit their requests; `undefined` if it need not wait for that.
+	 *
+	 * @param queued - Requests that wait for an endpoint of the pool and precede it.
+	 */
+	findPermitWait(call: requestContext.RoutedRequest, pool: core.routing.PoolName, queued: number, now: clocks.Instant): number | undefined {
+		const {limits} = this.fleet;
+		const entries = this.#groupCandidates({call, pool, conditions: this.#createConditions(call, now.suspendAware)}, new Set(), now)
+			.flatMap(group => group.entries);
+		const waits = entries.map(entry => limits.waitMs(entry, now.suspendAware));
+		const next = Math.min(...waits);
+		if (entries.length === 0 || next === 0) {
+			return undefined;
+		}
+
+		let permitsPerSecond = 0;
+		for (const entry of entries) {
+			permitsPerSecond += limits.getShare(entry, now.suspendAware);
+		}
+
+		return next + (queued / permitsPerSecond * msPerSecond);
+	}
+
+	/**
+	 * Returns the time in which the endpoints that could serve a request take one from any VM, in milliseconds; `undefined` if it isn't their limit
+	 * that keeps this VM from sending it.
+	 */
+	findPermitInterval(call: requestContext.RoutedRequest, pool: core.routing.PoolName, now: clocks.Instant): number | undefined {
+		const serving = this.#listServing(call, pool, this.#createConditions(call, now.suspendAware));
+		let requestsPerSecond = 0;
+		for (const entry of serving) {
+			requestsPerSecond += this.fleet.limits.getRate(entry) ?? 0;
+		}
+
+		return requestsPerSecond === 0 ? undefined : msPerSecond / requestsPerSecond;
+	}
+
 	/** Decides whether a request may wait until an engine of its pool has capacity for it. */
 	decideWait(pool: core.routing.PoolName, conditions: Omit<core.fleet.WaitConditions, 'tokensPerMs'>): core.fleet.WaitDecision {
 		const engines = this.fleet.registry.listReady(pool)
@@ -135,6 +173,7 @@
 			ready: ready.length,
 			responsive: responsive.length,
 			paused: responsive.filter(entry => this.pauses.findRampUp(entry) !== undefined || this.#isRampUpLimited(entry)).length,
+			limited: responsive.filter(entry => this.fleet.limits.waitMs(entry, now.suspendAware) > 0).length,
 			leaving: responsive.filter(entry => this.fleet.leaving.isLeaving(entry)).length,
 			loading: responsive.filter(entry => core.rollout.isLoading(this.fleet.plan, entry.id)).length,
 			serving: conditions === undefined ? undefined : responsive.filter(entry => this.#canServe(entry, conditions)).length,
@@ -148,7 +187,8 @@
 		now: clocks.Instant,
 	): core.fleet.AvailabilityGroup[] {
 		const resumed = this.#listServing(call, pool, conditions)
-			.filter(entry => !excluded.has(entry.id) && this.pauses.findRampUp(entry) === undefined);
+			.filter(entry => !excluded.has(entry.id) && this.pauses.findRampUp(entry) === undefined
+				&& this.fleet.limits.waitMs(entry, now.suspendAware) < Infinity);
 		return this.fleet.leaving.groupByAvailability(resumed, now.suspendAware);
 	}
 
@@ -156,6 +196,11 @@
 		return this.pauses.isRampUpLimited(entry, entry.slots / this.fleet.vmCount);
 	}
 
+	/** Returns whether an endpoint may be sent nothing at the moment, as it ramps up after a pause or limits its requests. */
+	#mustWait(entry: core.fleet.EndpointEntry, now: number): boolean {
+		return this.#isRampUpLimited(entry) || this.fleet.limits.waitMs(entry, now) > 0;
+	}
+
 	/** Lists the endpoints that could serve a request if none had asked for a pause or were leaving. */
 	#listServing(call: requestContext.RoutedRequest, pool: core.routing.PoolName, conditions: weightConditions.WeightConditions | undefined): core.fleet.EndpointEntry[] {
 		const engineConditions = call.table.findPool(pool)?.engine === undefined ? undefined : conditions;
@@ -174,7 +219,7 @@
 		});
 	}
 
-	/** Chooses among endpoints of the same availability; those limited by their ramp-up come after the others. */
+	/** Chooses among endpoints of the same availability; those that may be sent nothing at the moment come after the others. */
 	#placeAmong(
 		entries: readonly core.fleet.EndpointEntry[],
 		{call, pool, conditions}: PlacedCall,
@@ -182,7 +227,7 @@
 	): Placement | undefined {
 		const engineConditions = call.table.findPool(pool)?.engine === undefined ? undefined : conditions;
 		const usesEngine = engineConditions !== undefined;
-		const unlimited = entries.filter(entry => !this.#isRampUpLimited(entry));
+		const unlimited = entries.filter(entry => !this.#mustWait(entry, now.suspendAware));
 		const candidates = (unlimited.length > 0 ? unlimited : entries)
 			.map(entry => this.#createCandidate(entry, engineConditions));
 		const view: core.fleet.PlacementView = {...this.fleet, costs: this.options.costs};
--- a/packages/gateway/src/placement/fleet-state.ts
+++ b/packages/gateway/src/placement/fleet-state.ts
@@ -16,8 +16,9 @@
 	/** Number of VMs that share the load, including this one. */
 	vmCount = 1;
 
-	constructor(leavingOptions: Partial<core.fleet.LeavingOptions> = {}) {
+	/** @param vm - Name of this VM. */
+	constructor(leavingOptions: Partial<core.fleet.LeavingOptions> = {}, vm = '') {
 		this.leaving = new core.fleet.LeavingEndpoints(leavingOptions);
-		this.limits = new core.limits.RequestLimits();
+		this.limits = new core.limits.RequestLimits(vm);
 	}
 }
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -43,7 +43,7 @@
 	const registry = new prometheus.Registry();
 	const log = new metrics.EventMetrics(options.log, registry);
 	const config = new core.routing.ConfigState();
-	const fleet = new placement.FleetState({drainMs: settings.drainMs});
+	const fleet = new placement.FleetState({drainMs: settings.drainMs}, settings.vm);
 	const pauses = new placement.EndpointPauses({clock, log, random});
 	const quarantine = new controllers.QuarantineController({
 		clock,
@@ -184,6 +184,7 @@
 			listedEndpoints: ready.length,
 			unresponsiveEndpoints: ready.filter(entry => !fleet.health.isResponsive(entry.id)).length,
 			loadingEndpoints: ready.filter(entry => core.rollout.isLoading(fleet.plan, entry.id)).length,
+			limitedEndpoints: ready.filter(entry => fleet.limits.getRate(entry) !== undefined).length,
 			openRequests: server.openRequests,
 			waitingRequests: waiting.size,
 			droppedLogLines: options.droppedLogLines?.() ?? 0,
--- a/packages/gateway/tests/call/request-queue.test.ts
+++ b/packages/gateway/tests/call/request-queue.test.ts
@@ -7,6 +7,7 @@
 
 function createRequest(changes: Partial<gateway.call.QueuedRequest>): gateway.call.QueuedRequest {
 	return {
+		pool: 'app',
 		priority: 0,
 		targetLatencyMs: 500,
 		prefillTokens: 300,
--- a/packages/gateway/tests/peers/digest-codec.test.ts
+++ b/packages/gateway/tests/peers/digest-codec.test.ts
@@ -33,6 +33,18 @@
 		expect(gateway.peers.decodeDigest(gateway.peers.encodeDigest(digest))).to.deep.equal(digest);
 	});
 
+	it('tell the limits that endpoints state, and their ends', () => {
+		const limits = [
+			{
+				endpoint: 'b', bornAt: 3, requestsPerSecond: 4.3, ageMs: 120,
+			},
+			{
+				endpoint: 'c', bornAt: 4, requestsPerSecond: 0, ageMs: 0,
+			},
+		];
+		expect(gateway.peers.decodeDigest(gateway.peers.encodeDigest({...withoutPauses, limits}))).to.deep.equal({...withoutPauses, limits});
+	});
+
 	it('are readable for older builds, which read the first four elements', () => {
 		const message = cbor.decode(gateway.peers.encodeDigest(digest)) as unknown[];
 		expect(message.slice(0, 4)).to.deep.equal(olderRows);
@@ -71,6 +83,8 @@
 		{name: 'with an unknown extension', extension: [{other: 1}]},
 		{name: 'with pauses that are no list', extension: [{pauses: 5}]},
 		{name: 'with an extension that is no map', extension: [null]},
+		{name: 'with invalid limits', extension: [{limits: [['b', 1, 4.3], ['b', 1, -1, 5], ['b', 1, Number.NaN, 5], ['b', 1, 2, -5]]}]},
+		{name: 'with limits of which one is invalid', extension: [{limits: [['b', 1, -1, 5]]}]},
 		{name: 'with invalid pauses', extension: [{pauses: [['b', 1], ['b', 1, -5], ['b', 1, Number.NaN], [1, 1, 1]]}]},
 	];
 	for (const {name, extension} of others) {
