Take no refusal for that of a request if it may be an earlier one

Cause: a refusal was attributed by its id alone, which the same request sent again over the same connection shares, and one without an id to the request in progress. Change: each connection remembers what was refused on it. A request is not sent over a connection on which it was refused; a refusal without an id counts only as the first on its connection, which is not used again. Any other is a wrong response: the outcome is unknown.

--- a/packages/gateway/src/call/attempt-sender.ts
+++ b/packages/gateway/src/call/attempt-sender.ts
@@ -49,7 +49,7 @@
 		}
 
 		const pool = dependencies.connections.poolFor(entry);
-		const connection = pool.acquire({requiresFresh: !isIdempotent}, this.#computeMaxConnections(entry.pool), now);
+		const connection = pool.acquire({requiresFresh: !isIdempotent, requestId: head.requestId}, this.#computeMaxConnections(entry.pool), now);
 		if (connection === undefined) {
 			return undefined;
 		}
--- a/packages/gateway/src/endpoints/connection-pool.ts
+++ b/packages/gateway/src/endpoints/connection-pool.ts
@@ -4,6 +4,8 @@
 export type ConnectionRequirements = {
 	/** Whether the request must not be executed twice, so that it can't be retried if the endpoint has closed an idle connection. */
 	readonly requiresFresh: boolean;
+	/** Id of the request; a connection on which it was refused before is not used. */
+	readonly requestId?: string;
 };
 
 /** Longest idle time of a connection that is used for such a request, in milliseconds. */
@@ -37,7 +39,8 @@
 	): endpointConnection.EndpointConnection | undefined {
 		let best: endpointConnection.EndpointConnection | undefined;
 		for (const connection of this.#connections) {
-			const isUsable = !connection.isBusy && connection.isOpen
+			const wasRefused = requirements.requestId !== undefined && connection.refusals.mayRepeat(requirements.requestId);
+			const isUsable = !connection.isBusy && connection.isOpen && !wasRefused
 				&& (!requirements.requiresFresh || now - connection.idleSince <= maxFreshIdleMs);
 			if (isUsable && (best === undefined || connection.idleSince > best.idleSince)) {
 				best = connection;
--- a/packages/gateway/src/endpoints/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoints/endpoint-attempt.ts
@@ -16,7 +16,7 @@
 	Refused = 'refused',
 	/** The connection was closed before the response was complete. */
 	ConnectionLost = 'connection_lost',
-	/** The response belongs to another request. */
+	/** The response belongs to another request, or is a refusal that may do so. */
 	WrongResponse = 'wrong_answer',
 	/** A successful response has no signature of the endpoint or no request ID. */
 	Unsigned = 'unsigned',
@@ -203,6 +203,7 @@
 		if (head.isNotExecuted) {
 			this.progress = core.request.AttemptProgress.RefusedBeforeExecution;
 			this.#responseFault = AttemptFault.Refused;
+			this.options.connection.refusals.record(head.requestId);
 			this.#startUnwantedTimer();
 			return;
 		}
@@ -287,6 +288,10 @@
 			return AttemptFault.WrongResponse;
 		}
 
+		if (head.isNotExecuted && this.options.connection.refusals.mayRepeat(head.requestId)) {
+			return AttemptFault.WrongResponse;
+		}
+
 		return head.status < 300 && (!head.isSigned || head.requestId === undefined) ? AttemptFault.Unsigned : undefined;
 	}
 
@@ -297,7 +302,7 @@
 
 		this.#isEnded = true;
 		clearTimeout(this.#unwantedTimer);
-		const isReusable = !this.#isBodyAbandoned && (result.fault === undefined || result.fault === AttemptFault.Refused
+		const isReusable = !this.#isBodyAbandoned && !this.options.connection.refusals.isExhausted && (result.fault === undefined || result.fault === AttemptFault.Refused
 			|| result.fault === AttemptFault.ErrorResponse);
 		if (isReusable) {
 			this.options.pool.release(this.options.connection, this.options.monotonicNow());
--- a/packages/gateway/src/endpoints/endpoint-connection.ts
+++ b/packages/gateway/src/endpoints/endpoint-connection.ts
@@ -1,6 +1,7 @@
 import type * as net from 'node:net';
 import type * as tls from 'node:tls';
 import * as undici from 'undici';
+import * as refusalHistory from './refusal-history.js';
 
 /** Options of a connection to an endpoint, in milliseconds. */
 export type ConnectionOptions = {
@@ -26,6 +27,7 @@
 	isBusy = false;
 	/** When the last request ended, in milliseconds of the monotonic clock. */
 	idleSince = 0;
+	readonly refusals = new refusalHistory.RefusalHistory();
 	#hasEndedCleanly = false;
 	#isOpen = false;
 	#openedAt = Infinity;
--- a/packages/gateway/src/endpoints/index.ts
+++ b/packages/gateway/src/endpoints/index.ts
@@ -2,3 +2,4 @@
 export * from './connection-pools.js';
 export * from './endpoint-attempt.js';
 export * from './endpoint-connection.js';
+export * from './refusal-history.js';
--- a/packages/gateway/tests/support/fake-connections.ts
+++ b/packages/gateway/tests/support/fake-connections.ts
@@ -2,7 +2,7 @@
 import * as events from 'node:events';
 import type * as undici from 'undici';
 import type * as core from '@bluebellmast/core';
-import type * as gateway from '@bluebellmast/gateway';
+import * as gateway from '@bluebellmast/gateway';
 
 /** A stream that an endpoint of {@link FakeConnections} is working on. */
 export class FakeStream {
@@ -98,6 +98,7 @@
 					isOpen: true,
 					isClosedHere: false,
 					closedAt: Infinity,
+					refusals: new gateway.endpoints.RefusalHistory(),
 					dispatch: (options: undici.Dispatcher.DispatchOptions, handler: undici.Dispatcher.DispatchHandler) => {
 						const [requestId, endpoint, lastEventId] = options.headers as string[];
 						if (this.unreachable.has(endpoint!)) {
