--- a/packages/gateway/tests/call/paused-attempt.test.ts
+++ b/packages/gateway/tests/call/paused-attempt.test.ts
@@ -36,7 +36,7 @@
 
 		// Connections that are never established.
 		const connections = {
-			poolFor: () => ({acquire: () => ({dispatch: () => undefined}), release: () => undefined, discard: () => undefined}),
+			poolFor: () => ({acquire: () => ({dispatch: () => undefined, refusals: new gateway.endpoints.RefusalHistory()}), release: () => undefined, discard: () => undefined}),
 		};
 		const dispatcher = new gateway.call.RequestDispatcher({
 			fleet,
