Join streams only by events with consecutive ids

Cause: events without an id passed as part of any stream, and the end of a response without events ended the stream. Change: all events of a continuation need ids, but for comments; one without any event does not complete the stream. Cost: a stream that breaks off between its last event and its end is cut where it was completed.

--- a/packages/gateway/src/call/attempt-responses.ts
+++ b/packages/gateway/src/call/attempt-responses.ts
@@ -84,7 +84,9 @@
 	/** Whether an attempt that has ended delivered a complete response. */
 	isComplete({end, held}: sentAttempt.SentAttempt): boolean {
 		const {relay} = this.options;
-		const isSound = held === undefined ? !relay.hasIncompleteEvent && !relay.hasSequenceError : !held.hasIncompleteEvent;
+		const isSound = held === undefined
+			? !relay.hasIncompleteEvent && !relay.hasSequenceError && !relay.isEmptyContinuation
+			: !held.hasIncompleteEvent && !(relay.hasStarted && relay.isEventStream);
 		return end !== undefined && end.fault === undefined && isSound;
 	}
 
@@ -108,7 +110,7 @@
 			return true;
 		}
 
-		if (!relay.continuesSequence(batch)) {
+		if (!relay.continuesSequence(batch, relay.hasStarted)) {
 			sent.attempt.abort(endpoints.AttemptFault.InvalidSequence);
 			return true;
 		}
--- a/packages/gateway/src/call/event-splitter.ts
+++ b/packages/gateway/src/call/event-splitter.ts
@@ -7,12 +7,16 @@
 	readonly lastId: number | undefined;
 	/** Number of events that have an id. */
 	readonly count: number;
+	/** Whether there is an event without an id, other than a comment. */
+	readonly hasUnidentified: boolean;
 };
 
 const lineFeed = 10;
 /** Longest end of an event, in bytes: two line ends, of which the first one may lack the carriage return. */
 const maxEndBytes = 3;
 const idPattern = /^id: ?(\d+)\r?$/gm;
+const endOfEventPattern = /\r?\n\r?\n/;
+const idLinePattern = /^id: ?\d+\r?$/;
 
 /** Splits the bytes of an event stream at event boundaries, so that no partial event is relayed. */
 export class EventSplitter {
@@ -72,8 +76,18 @@
 }
 
 function createBatch(bytes: Uint8Array): EventBatch {
-	const ids = [...buffer.Buffer.from(bytes).toString('latin1').matchAll(idPattern)].map(match => Number(match[1]));
+	const text = buffer.Buffer.from(bytes).toString('latin1');
+	const ids = [...text.matchAll(idPattern)].map(match => Number(match[1]));
+	const events = text.split(endOfEventPattern).filter(event => event !== '');
 	return {
-		bytes, firstId: ids[0], lastId: ids.at(-1), count: ids.length,
+		bytes, firstId: ids[0], lastId: ids.at(-1), count: ids.length, hasUnidentified: events.some(event => !isIdentified(event) && !isComment(event)),
 	};
 }
+
+function isIdentified(event: string): boolean {
+	return event.split('\n').some(line => idLinePattern.test(line));
+}
+
+function isComment(event: string): boolean {
+	return event.split('\n').every(line => line.startsWith(':') || line === '\r');
+}
--- a/packages/gateway/src/call/response-relay.ts
+++ b/packages/gateway/src/call/response-relay.ts
@@ -40,6 +40,10 @@
 	#isEventStream = false;
 	#isWaitingForDrain = false;
 	#hasSequenceError = false;
+	/** Whether the response of an endpoint that is relayed continues the one of another endpoint. */
+	#isContinuation = false;
+	/** Whether an event with an id has arrived since the last head. */
+	#hasEvent = false;
 
 	constructor(private readonly res: http.ServerResponse, private readonly options: ResponseRelayOptions) {}
 
@@ -76,6 +80,8 @@
 	/** Starts to relay a response, or continues the one that has started. */
 	onHead(head: ports.ResponseHead, raw: endpoints.RawResponse): void {
 		this.#splitter = new eventSplitter.EventSplitter();
+		this.#isContinuation = this.#hasStarted;
+		this.#hasEvent = false;
 		if (this.#hasStarted) {
 			return;
 		}
@@ -127,8 +133,21 @@
 		return this.#isEventStream && this.#splitter.pendingBytes > 0;
 	}
 
-	/** Whether the ids of a batch are consecutive and continue after the last event that was relayed. */
-	continuesSequence(batch: eventSplitter.EventBatch): boolean {
+	/** Whether the stream is the continuation of another endpoint's and has no event, so that nothing shows that it belongs there. */
+	get isEmptyContinuation(): boolean {
+		return this.#isEventStream && this.#isContinuation && !this.#hasEvent;
+	}
+
+	/**
+	 * Whether the ids of a batch are consecutive and continue after the last event that was relayed.
+	 *
+	 * @param isContinuation - Whether the batch is of another endpoint than the last event; then all of its events must have ids.
+	 */
+	continuesSequence(batch: eventSplitter.EventBatch, isContinuation: boolean): boolean {
+		if (isContinuation && batch.hasUnidentified) {
+			return false;
+		}
+
 		if (batch.firstId === undefined || batch.lastId === undefined) {
 			return true;
 		}
@@ -157,13 +176,14 @@
 		}
 
 		this.options.onProgress();
-		if (!this.continuesSequence(batch)) {
+		if (!this.continuesSequence(batch, this.#isContinuation)) {
 			this.#hasSequenceError = true;
 			this.options.onSequenceError();
 			return true;
 		}
 
 		this.lastEventId = batch.lastId ?? this.lastEventId;
+		this.#hasEvent ||= batch.lastId !== undefined;
 		return this.#write(batch.bytes);
 	}
 
