Give up limits of endpoints that are no longer listed

Cause (own review): the limit of an endpoint that has left was kept for ever by the VMs with a share, which then sent digests for ever. Change: given up 30 s after the last response. Tests of this, and of limits that pass between VMs.

--- a/packages/core/src/limits/stated-limits.ts
+++ b/packages/core/src/limits/stated-limits.ts
@@ -98,7 +98,7 @@
 	}
 
 	/**
-	 * Removes limits of incarnations that were replaced, and ends of limits that all VMs know.
+	 * Removes limits of incarnations that were replaced or have not been listed for long, and ends of limits that all VMs know.
 	 *
 	 * @param bornAtOf - Returns the incarnation that is listed, or `undefined` if the endpoint is not.
 	 * @param mayLapse - Returns whether a limit that was not stated for the lifetime of digests is given up.
@@ -112,8 +112,10 @@
 		const ended: LimitChange[] = [];
 		for (const [id, statement] of this.#statements) {
 			const {bornAt, requestsPerSecond, statedAt, limitedSince} = statement;
-			const isReplaced = (bornAtOf(id) ?? bornAt) !== bornAt;
-			const isOld = now - statedAt >= this.options.digestLifetimeMs && (requestsPerSecond === undefined || mayLapse({id, bornAt}));
+			const listed = bornAtOf(id);
+			const isReplaced = (listed ?? bornAt) !== bornAt;
+			const isUnused = requestsPerSecond === undefined || listed === undefined || mayLapse({id, bornAt});
+			const isOld = now - statedAt >= this.options.digestLifetimeMs && isUnused;
 			if (!isReplaced && !isOld) {
 				continue;
 			}
--- a/packages/core/tests/limits/request-limits.test.ts
+++ b/packages/core/tests/limits/request-limits.test.ts
@@ -64,6 +64,36 @@
 		expect(limits.takeChanges().at(-1)).to.include({isReplaced: true, limitedMs: 1500});
 	});
 
+	it('are given up a while after the last response if the endpoint is not listed, or its permits belong to other VMs', () => {
+		state(limits, 4.3, 1000);
+		limits.removeEnded(() => undefined, 30_000);
+		expect(limits.getRate(endpoint)).to.equal(4.3);
+		limits.removeEnded(() => undefined, 31_000);
+		expect(limits.hasLimits).to.equal(false);
+		state(limits, 0.3, 40_000);
+		limits.removeEnded(() => 5, 80_000);
+		expect(limits.getRate(endpoint), 'this VM may find out that it has ended').to.equal(0.3);
+		const others = Array.from({length: 20}, (_, index) => `other-${index}`);
+		limits.setVms([...others, 'vm-1']);
+		expect(limits.waitMs(endpoint, 80_000)).to.equal(Infinity);
+		limits.removeEnded(() => 5, 80_000);
+		expect(limits.getRate(endpoint)).to.equal(undefined);
+	});
+
+	it('pass from one VM to another, the latest statement first', () => {
+		const other = new core.limits.RequestLimits('vm-2');
+		state(limits, 4.3, 1000);
+		other.applyDigest(limits.takeDigest(4, 1200), 1300);
+		expect(other.getRate(endpoint)).to.equal(4.3);
+		state(limits, undefined, 2000);
+		const ended = limits.takeDigest(4, 2000);
+		other.record(endpoint, {limit: {requestsPerSecond: 2, text: '2'}, isAuthoritative: true}, 3000);
+		other.applyDigest(ended, 2100);
+		expect(other.getRate(endpoint), 'stated later').to.equal(2);
+		other.applyDigest([{...ended[0]!, ageMs: 0}], 4000);
+		expect(other.getRate(endpoint)).to.equal(undefined);
+	});
+
 	it('report how much was sent under each', () => {
 		limits.countSend(endpoint);
 		state(limits, 4.3, 1000);
