--- a/packages/core/tests/limits/limited-endpoints-load.test.ts
+++ b/packages/core/tests/limits/limited-endpoints-load.test.ts
@@ -52,6 +52,13 @@
 		}
 	}).timeout(120_000);
 
+	it('get nearly all that they take if callers of all 195 VMs need the only endpoint', () => {
+		const {usedShare} = run({
+			vms: 195, endpoints: 1, requestsPerSecond: 4.3, load: 2 * 4.3,
+		});
+		expect(usedShare).to.be.at.least(minUsedShare);
+	});
+
 	// The test of the simulation itself.
 	it('get more than they may if each of 195 VMs has a share', () => {
 		expect(run({
--- a/packages/gateway/src/placement/endpoint-placer.ts
+++ b/packages/gateway/src/placement/endpoint-placer.ts
@@ -114,6 +114,10 @@
 	 */
 	findPermitWait(call: requestContext.RoutedRequest, pool: core.routing.PoolName, queued: number, now: clocks.Instant): number | undefined {
 		const {limits} = this.fleet;
+		if (!limits.hasLimits) {
+			return undefined;
+		}
+
 		const entries = this.#groupCandidates({call, pool, conditions: this.#createConditions(call, now.suspendAware)}, new Set(), now)
 			.flatMap(group => group.entries);
 		const waits = entries.map(entry => limits.waitMs(entry, now.suspendAware));
