--- a/packages/stand-ins/src/users-platform/users-server-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/users-server-stand-in.ts
@@ -129,6 +129,7 @@
 	}
 
 	async #handle(req: http.IncomingMessage, res: http.ServerResponse, arrivedAt: number): Promise<void> {
+		this.arrivalTimes.push(arrivedAt);
 		const end = new responseEnd.ResponseEnd(res);
 		// A request that arrived in a silence is executed after it, also if its connection has closed meanwhile.
 		const body = Date.now() < this.#silentUntil ? await util.readText(req) : undefined;
@@ -141,7 +142,6 @@
 			res.setHeader('Server-Limit', this.limitHeader);
 		}
 
-		this.arrivalTimes.push(Date.now());
 		if (util.headerOf(req, 'bluebellmast-expected-instance') !== this.options.id) {
 			util.sendJson(res, 421, {}, {'Bluebellmast-Instance-Id': this.options.id});
 			return;
