--- a/packages/gateway/tests/controllers/endpoint-pauses.test.ts
+++ b/packages/gateway/tests/controllers/endpoint-pauses.test.ts
@@ -102,6 +102,26 @@
 			expect(pauses.isPaused(entry)).to.equal(true);
 		});
 
+		it('take a permit of an endpoint that limits its requests', async () => {
+			const limit = {requestsPerSecond: 0.25, text: '0.25'};
+			fleet.health.recordUnresponsive('a');
+			fleet.limits.record(entry, {limit, isAuthoritative: true}, 0);
+			await runUntil(createController(plainPool), 20_000);
+			expect(checks.length).to.be.within(4, 5);
+			expect(checks.slice(1).every((at, index) => at - checks[index]! >= 4000)).to.equal(true);
+			expect(fleet.limits.take(entry, clock.now), 'left for other requests').to.equal(false);
+		});
+
+		it('are not made by a VM without a share of the limit', async () => {
+			const limit = {requestsPerSecond: 0.25, text: '0.25'};
+			fleet.health.recordUnresponsive('a');
+			fleet.limits.record(entry, {limit, isAuthoritative: true}, 0);
+			fleet.limits.setVms(Array.from({length: 20}, (_, index) => `vm-${index}`));
+			expect(fleet.limits.waitMs(entry, 0)).to.equal(Infinity);
+			await runUntil(createController(plainPool), 20_000);
+			expect(checks).to.deep.equal([]);
+		});
+
 		it('go on twice in a pause if requests are in flight at an endpoint that is silent', async () => {
 			pauses.record(entry, 60_000);
 			fleet.loads.addRequest('a', 'r-1', 0);
