--- a/packages/core/src/fleet/load-digest.ts
+++ b/packages/core/src/fleet/load-digest.ts
@@ -33,7 +33,7 @@
 	readonly cacheObservations: readonly cacheObservation.CacheObservation[];
 	/** Some of the pauses that endpoints asked the VM for; absent if it does not tell of them. */
 	readonly pauses?: readonly PauseDigest[];
-	/** Some of the limits that endpoints state; absent if it does not tell of them. */
+	/** Some of the limits that endpoints state, and of their ends; absent if there are none. */
 	readonly limits?: readonly statedLimits.LimitDigest[];
 	/** Endpoints that told this VM that they are leaving; absent if there are none, or in digests of older versions. */
 	readonly leavingEndpoints?: readonly endpointEntry.EndpointIncarnation[];
--- a/packages/core/src/limits/request-limits.ts
+++ b/packages/core/src/limits/request-limits.ts
@@ -41,8 +41,8 @@
 	/** Sends since the last change of the limit, by endpoint. */
 	readonly #sends = new Map<string, number>();
 	readonly #shares: permitShares.PermitShares;
-	/** Number of limits that digests have told of; the next one continues after them. */
-	#toldCount = 0;
+	/** Number of limits that were sent in digests; the next digest continues after them. */
+	#sentCount = 0;
 
 	/** @param vm - Name of this VM. @param countHolders - Returns the number of VMs that share a limit. */
 	constructor(vm: string, countHolders: typeof permitShares.countPermitHolders = permitShares.countPermitHolders) {
@@ -103,13 +103,13 @@
 	/** Returns the next limits in turn for a digest to the other VMs, also those that have ended. */
 	takeDigest(maxRows: number, now: number): statedLimits.LimitDigest[] {
 		const rows = this.#stated.size === 0 ? [] : this.#stated.list(now);
-		const first = rows.length === 0 ? 0 : this.#toldCount % rows.length;
-		const told = [...rows.slice(first), ...rows.slice(0, first)].slice(0, maxRows);
-		this.#toldCount += told.length;
-		return told;
+		const first = rows.length === 0 ? 0 : this.#sentCount % rows.length;
+		const selected = [...rows.slice(first), ...rows.slice(0, first)].slice(0, maxRows);
+		this.#sentCount += selected.length;
+		return selected;
 	}
 
-	/** Applies the limits that another VM tells of. */
+	/** Applies the limits in a digest of another VM. */
 	applyDigest(rows: readonly statedLimits.LimitDigest[], now: number): void {
 		for (const change of this.#stated.applyDigest(rows, now)) {
 			this.#addChange(change, true);
--- a/packages/core/src/limits/stated-limits.ts
+++ b/packages/core/src/limits/stated-limits.ts
@@ -1,6 +1,6 @@
 import type * as endpointEntry from '../fleet/endpoint-entry.js';
 
-/** The number of requests that an endpoint takes from all VMs together, as one VM tells another. */
+/** The limit of an endpoint, or its end, in a digest. */
 export type LimitDigest = {
 	readonly endpoint: string;
 	/** Start time of the incarnation, in Unix milliseconds; 0 when unknown. */
@@ -25,7 +25,7 @@
 
 /** Bounds on what is kept. */
 export type StatedLimitsOptions = {
-	/** Time for which VMs tell each other of a limit, or of its end, after a response stated it, in milliseconds. */
+	/** Time for which digests contain a limit, or its end, after a response stated it, in milliseconds. */
 	readonly digestLifetimeMs: number;
 	/** Time after a response with a limit within which responses without one don't end it, in milliseconds, since responses overtake each other. */
 	readonly minLimitedMs: number;
@@ -67,7 +67,7 @@
 		return this.#apply(endpoint, requestsPerSecond, now);
 	}
 
-	/** Applies what another VM tells: the latest statement of an endpoint holds. @returns The changes. */
+	/** Applies the rows of a digest: the latest statement of an endpoint holds. @returns The changes. */
 	applyDigest(rows: readonly LimitDigest[], now: number): LimitChange[] {
 		const changes = rows
 			.filter(({ageMs}) => ageMs < this.options.digestLifetimeMs)
--- a/packages/core/src/log/log-event.ts
+++ b/packages/core/src/log/log-event.ts
@@ -173,7 +173,7 @@
 	};
 	[LogEvent.EndpointLimited]: {
 		readonly endpoint: string; readonly requestsPerSecond: number;
-		/** Whether another VM told of the limit; otherwise a response to this VM stated it. */
+		/** Whether a digest of another VM has it; otherwise a response to this VM stated it. */
 		readonly isFromPeer: boolean;
 		/** Requests and other calls of this VM while the endpoint stated another limit. */
 		readonly sends: number;
--- a/packages/core/tests/support/limited-fleet.ts
+++ b/packages/core/tests/support/limited-fleet.ts
@@ -38,7 +38,7 @@
 	readonly maxInWindow: number;
 	/** Share of the permitted requests that were sent. */
 	readonly usedShare: number;
-	/** Bytes a second that a VM sends to tell others of the limits. */
+	/** Bytes of limits that a VM sends in digests, a second. */
 	readonly bytesPerVm: number;
 };
 
@@ -201,7 +201,7 @@
 		}
 	}
 
-	/** Tells the VMs which of them are up; a VM that starts learns it at once. */
+	/** Updates the list of VMs at each VM; one that starts has read it before its first request. */
 	#publishVms(now: number, started: readonly SimulatedVm[]): void {
 		const names = this.#vms.filter(({isUp}) => isUp).map(({name}) => name);
 		for (const vm of this.#vms) {
--- a/packages/gateway/src/controllers/load-controller.ts
+++ b/packages/gateway/src/controllers/load-controller.ts
@@ -92,7 +92,7 @@
 		}
 	}
 
-	/** Sends a digest if one is due; a VM that becomes idle, and has no pause or limit to tell of, sends one more and then none. */
+	/** Sends a digest if one is due; a VM that becomes idle, without pauses and limits to publish, sends one more and then none. */
 	tick(): void {
 		const {fleet, pauses, quarantine} = this.dependencies;
 		quarantine.tick();
--- a/packages/gateway/src/endpoints/refusal-history.ts
+++ b/packages/gateway/src/endpoints/refusal-history.ts
@@ -7,7 +7,7 @@
 	#count = 0;
 	#hasUnidentified = false;
 
-	/** Whether a later response on the connection could not be told from an earlier refusal. */
+	/** Whether a later refusal on the connection could not be distinguished from an earlier one. */
 	get isExhausted(): boolean {
 		return this.#hasUnidentified || this.#count >= maxRefusals;
 	}
--- a/packages/gateway/tests/peers/digest-codec.test.ts
+++ b/packages/gateway/tests/peers/digest-codec.test.ts
@@ -33,7 +33,7 @@
 		expect(gateway.peers.decodeDigest(gateway.peers.encodeDigest(digest))).to.deep.equal(digest);
 	});
 
-	it('tell the limits that endpoints state, and their ends', () => {
+	it('contain the limits that endpoints state, and their ends', () => {
 		const limits = [
 			{
 				endpoint: 'b', bornAt: 3, requestsPerSecond: 4.3, ageMs: 120,
--- a/packages/stand-ins/src/users-platform/users-server-records.ts
+++ b/packages/stand-ins/src/users-platform/users-server-records.ts
@@ -113,3 +113,18 @@
 	/** Milliseconds since the Unix epoch. */
 	readonly at: number;
 };
+
+/** A pause that a server asks for. */
+export type AskedPause = {
+	/** Value of `Retry-After`. */
+	readonly retryAfter: string;
+	/** Milliseconds since the Unix epoch. */
+	readonly until: number;
+	readonly includesCalls: boolean;
+};
+
+/** Result of an order. */
+export type OrderResult = {
+	readonly status: number;
+	readonly isAccepted: boolean;
+};
--- a/packages/stand-ins/src/users-platform/users-server-stand-in.ts
+++ b/packages/stand-ins/src/users-platform/users-server-stand-in.ts
@@ -6,20 +6,6 @@
 import * as responseEnd from './response-end.js';
 import * as records from './users-server-records.js';
 
-type AskedPause = {
-	/** Value of `Retry-After`. */
-	readonly retryAfter: string;
-	/** Milliseconds since the Unix epoch. */
-	readonly until: number;
-	readonly includesCalls: boolean;
-};
-
-/** Result of an order. */
-type OrderResult = {
-	readonly status: number;
-	readonly isAccepted: boolean;
-};
-
 const defaultEventCount = 3;
 const defaultIntervalMs = 1;
 const defaultLoadMs = 20;
@@ -72,7 +58,7 @@
 	#startedAt = Date.now();
 	/** Until when the server sends nothing, in milliseconds since the Unix epoch. */
 	#silentUntil = -Infinity;
-	#pause: AskedPause = {retryAfter: '', until: -Infinity, includesCalls: false};
+	#pause: records.AskedPause = {retryAfter: '', until: -Infinity, includesCalls: false};
 
 	constructor(readonly options: records.UsersServerOptions) {
 		this.server = new fault.StandInServer(options, async (req, res, arrivedAt) => this.#handle(req, res, arrivedAt));
@@ -220,7 +206,7 @@
 		util.sendJson(res, this.#executeOrder(order).status, {});
 	}
 
-	#executeOrder(order: records.UsersServerOrder): OrderResult {
+	#executeOrder(order: records.UsersServerOrder): records.OrderResult {
 		if (order.fence < this.#highestFence) {
 			return {status: 412, isAccepted: false};
 		}
