Leave the leader a call in 4 s at least to an endpoint that limits its requests

Cause: a leader without a share of the limit has its allowance only, a fourth of the limit: one call in 13 s, and a load takes three. Not load: it depends on which VM leads. Change: the allowance is a call in 4 s at least. In 4 s: four times the limit, two holders' requests below one a second, and three calls, which is within 1.5 times the limit and 5.

--- a/packages/core/src/limits/permit-shares.ts
+++ b/packages/core/src/limits/permit-shares.ts
@@ -23,8 +23,9 @@
 const maxPermits = 1;
 /** Calls that the leader may make at once beyond its permits: it reads the report of an engine and sends an order. */
 const maxLeaderCalls = 2;
-/** Calls of the leader beyond its permits, as a share of the limit. */
+/** Calls of the leader beyond its permits, as a share of the limit, and their least number a second, so that new weights are loaded in some seconds. */
 const leaderCallShare = 0.25;
+const minLeaderCallsPerSecond = 0.25;
 
 /**
  * Returns the number of VMs that share a limit. Requests are indivisible: all holders may use their permits at the same time, so there are about as
@@ -111,7 +112,8 @@
 		const share = known?.bornAt === bornAt ? known : this.#create({id, bornAt}, requestsPerSecond, now);
 		const seconds = Math.max(0, now - share.filledAt) / msPerSecond;
 		share.permits = Math.min(maxPermits, share.permits + (share.rate * seconds));
-		share.calls = Math.min(maxLeaderCalls, share.calls + (share.requestsPerSecond * leaderCallShare * seconds));
+		const callsPerSecond = Math.max(minLeaderCallsPerSecond, share.requestsPerSecond * leaderCallShare);
+		share.calls = Math.min(maxLeaderCalls, share.calls + (callsPerSecond * seconds));
 		share.filledAt = Math.max(now, share.filledAt);
 		if (share.vms !== this.#vms || share.requestsPerSecond !== requestsPerSecond) {
 			share.vms = this.#vms;
