--- a/packages/core/src/fleet/endpoint-registry.ts
+++ b/packages/core/src/fleet/endpoint-registry.ts
@@ -16,8 +16,14 @@
 
 type RegisteredEndpoint = {
 	readonly entry: endpointEntry.EndpointEntry;
-	/** When the endpoint is dropped unless its entry returns; absent while the entry is listed. */
-	readonly expiresAt?: number;
+	/** When the entry was found missing, and when the endpoint is dropped unless it returns; absent while the entry is listed. */
+	readonly missing?: {readonly since: number; readonly expiresAt: number};
+};
+
+/** An endpoint whose entry was missing for a time, in milliseconds. */
+export type MissingEndpoint = {
+	readonly id: string;
+	readonly missingMs: number;
 };
 
 /** A weights version that an endpoint was observed to hold. */
@@ -79,7 +85,8 @@
 			return;
 		}
 
-		this.#endpoints.set(id, {entry: known.entry, expiresAt: known.expiresAt ?? now + this.options.returnGraceMs});
+		const missing = known.missing ?? {since: now, expiresAt: now + this.options.returnGraceMs};
+		this.#endpoints.set(id, {entry: known.entry, missing});
 	}
 
 	/** Replaces all entries by a complete listing. */
@@ -96,13 +103,23 @@
 		}
 	}
 
-	/** Drops endpoints whose entries did not return in time. */
-	removeExpired(now: number): void {
-		for (const [id, known] of this.#endpoints) {
-			if (known.expiresAt !== undefined && known.expiresAt <= now) {
+	/** Drops endpoints whose entries did not return in time. @returns These endpoints. */
+	removeExpired(now: number): readonly MissingEndpoint[] {
+		const dropped: MissingEndpoint[] = [];
+		for (const [id, {missing}] of this.#endpoints) {
+			if (missing !== undefined && missing.expiresAt <= now) {
 				this.#drop(id);
+				dropped.push({id, missingMs: now - missing.since});
 			}
 		}
+
+		return dropped;
+	}
+
+	/** Returns for how long the entry of a kept endpoint has been missing; `undefined` if it is listed or unknown. */
+	missingMs(id: string, now: number): number | undefined {
+		const missing = this.#endpoints.get(id)?.missing;
+		return missing && now - missing.since;
 	}
 
 	/**
@@ -165,7 +182,7 @@
 		if (known === undefined || !endpointEntry.isSameEntry(known.entry, entry)) {
 			this.#ready.clear();
 			this.#endpoints.set(entry.id, {entry});
-		} else if (known.expiresAt !== undefined) {
+		} else if (known.missing !== undefined) {
 			this.#endpoints.set(entry.id, {entry: known.entry});
 		}
 	}
--- a/packages/core/src/log/explain-request.ts
+++ b/packages/core/src/log/explain-request.ts
@@ -42,6 +42,8 @@
 const endpointAspectByEvent: ReadonlyMap<logEvent.LogEvent, string> = new Map([
 	[logEvent.LogEvent.EndpointChanged, 'listed'],
 	[logEvent.LogEvent.EndpointRemoved, 'listed'],
+	[logEvent.LogEvent.EndpointRelisted, 'listed'],
+	[logEvent.LogEvent.EndpointDropped, 'listed'],
 	[logEvent.LogEvent.EndpointHeld, 'listed'],
 	[logEvent.LogEvent.EndpointUnresponsive, 'answers'],
 	[logEvent.LogEvent.EndpointResponsive, 'answers'],
--- a/packages/core/src/log/log-event.ts
+++ b/packages/core/src/log/log-event.ts
@@ -32,6 +32,10 @@
 	VmsChanged = 'vms_changed',
 	EndpointChanged = 'endpoint_changed',
 	EndpointRemoved = 'endpoint_removed',
+	/** An endpoint that was kept although its entry was missing has written it again. */
+	EndpointRelisted = 'endpoint_relisted',
+	/** An endpoint that was kept although its entry was missing is no longer used, since the entry has not returned in time. */
+	EndpointDropped = 'endpoint_dropped',
 	/** The store returned from a copy that lists an endpoint that has left; it is not used until its entry is written again or stays. */
 	EndpointHeld = 'endpoint_held',
 	EndpointUnresponsive = 'endpoint_unresponsive',
@@ -162,6 +166,12 @@
 	[LogEvent.VmsChanged]: {readonly vms: number};
 	[LogEvent.EndpointChanged]: {readonly endpoint: string; readonly pool: string; readonly state: string; readonly bornAt: number};
 	[LogEvent.EndpointRemoved]: {readonly endpoint: string; readonly maybeLapsed: boolean};
+	[LogEvent.EndpointRelisted]: {
+		readonly endpoint: string;
+		/** Time since this VM read that the entry was missing. */
+		readonly missingMs: number;
+	};
+	[LogEvent.EndpointDropped]: {readonly endpoint: string; readonly missingMs: number};
 	[LogEvent.EndpointHeld]: {readonly endpoint: string; readonly bornAt: number};
 	[LogEvent.EndpointUnresponsive]: {readonly endpoint: string};
 	[LogEvent.EndpointResponsive]: {readonly endpoint: string};
--- a/packages/gateway/src/controllers/endpoint-controller.ts
+++ b/packages/gateway/src/controllers/endpoint-controller.ts
@@ -63,6 +63,7 @@
 			this.#logChange(entry);
 		}
 
+		this.#logRemovals(listed, maybeLapsed, now);
 		this.dependencies.fleet.registry.replaceAll(listed, maybeLapsed, now);
 		this.#dropUnlisted();
 	}
@@ -92,7 +93,10 @@
 	tick(): void {
 		const {fleet, pauses, clock, dispatcher} = this.dependencies;
 		const now = clock.monotonicNow();
-		fleet.registry.removeExpired(now);
+		for (const {id, missingMs} of fleet.registry.removeExpired(now)) {
+			this.dependencies.log.write(eventLog.LogEvent.EndpointDropped, {endpoint: id, missingMs: Math.round(missingMs)});
+		}
+
 		for (const entry of this.#departed.takeConfirmed(now)) {
 			this.#putEntry(entry);
 		}
@@ -155,11 +159,28 @@
 		return isDraining ? {...entry, state: core.fleet.EndpointState.Draining} : entry;
 	}
 
+	/** Logs the endpoints that a snapshot no longer lists and that were listed before. */
+	#logRemovals(listed: readonly core.fleet.EndpointEntry[], maybeLapsed: boolean, now: number): void {
+		const {registry} = this.dependencies.fleet;
+		const ids = new Set(listed.map(entry => entry.id));
+		for (const {id} of registry.list()) {
+			if (!ids.has(id) && registry.missingMs(id, now) === undefined) {
+				this.dependencies.log.write(eventLog.LogEvent.EndpointRemoved, {endpoint: id, maybeLapsed});
+			}
+		}
+	}
+
 	#logChange(entry: core.fleet.EndpointEntry): void {
-		const registered = this.dependencies.fleet.registry.get(entry.id);
+		const {fleet, clock, log} = this.dependencies;
+		const registered = fleet.registry.get(entry.id);
+		const missingMs = fleet.registry.missingMs(entry.id, clock.monotonicNow());
+		if (missingMs !== undefined) {
+			log.write(eventLog.LogEvent.EndpointRelisted, {endpoint: entry.id, missingMs: Math.round(missingMs)});
+		}
+
 		const isNew = registered?.bornAt !== entry.bornAt;
 		if (isNew || registered?.state !== entry.state) {
-			this.dependencies.log.write(eventLog.LogEvent.EndpointChanged, {
+			log.write(eventLog.LogEvent.EndpointChanged, {
 				endpoint: entry.id, pool: entry.pool, state: entry.state, bornAt: entry.bornAt,
 			});
 		}
