Keep endpoints whose entries are missing until 2 s after the store's return, not after each removal

Callers saw: a request reached an endpoint up to 2,045 ms after it had left; one that runs into the end of the endpoint's process can be lost.

Cause: a removal within 3 s of the last failed call of the feed was taken for an expiry in the outage, and the endpoint was kept for 2 s from when the removal was read, until the next periodic task (100 ms). Both limits ran from what the VM noticed, and added up to 5.1 s after the return.

Change: LapseWindow derives from the calls of the feed whether entries may be missing. The limit of 2 s runs from the first response after an outage. An entry that was written since can't have expired: its removal is a departure. Calls rejected by the rate limit, and an outage that is shorter than a heartbeat interval, expire nothing. A second outage prolongs the limit, since endpoints can't write in it. The limit counts suspensions and is checked where an endpoint is chosen. While calls fail, polls don't wait (10 ms instead of 1 s), and the time that a failed call took counts towards the delay of the next one, so that the return is noticed earlier.

Two tests of the registry and one of the feed are replaced by stricter ones: they demanded the time limit from the removal, and a lapse after two failed calls of 1 ms.

--- a/packages/core/src/fleet/endpoint-registry.ts
+++ b/packages/core/src/fleet/endpoint-registry.ts
@@ -1,23 +1,21 @@
+import type * as lapseWindow from '../store/lapse-window.js';
 import * as endpointEntry from './endpoint-entry.js';
 
-/** Times after which the registry drops endpoints and observed weights, in milliseconds. */
+/** Times after which the registry drops observed weights, in milliseconds. */
 export type RegistryOptions = {
-	/** How long an endpoint is kept when its entry may have expired during an outage of the key-value store. */
-	readonly returnGraceMs: number;
 	/** Age of an observed version from which an older version in an entry or a report is accepted instead of ignored as stale. */
 	readonly observationLifetimeMs: number;
 };
 
-/**
- * The platform states that expired entries return within about two seconds; the time limit of draining is no shorter.
- * Endpoints write their entries every 1.2 s and the entries arrive 0.8 s late; the observation lifetime adds one second.
- */
-export const defaultRegistryOptions: RegistryOptions = {returnGraceMs: 2000, observationLifetimeMs: 3000};
+/** Endpoints write their entries every 1.2 s and the entries arrive 0.8 s late; the observation lifetime adds one second. */
+export const defaultRegistryOptions: RegistryOptions = {observationLifetimeMs: 3000};
 
 type RegisteredEndpoint = {
 	readonly entry: endpointEntry.EndpointEntry;
-	/** When the entry was found missing, and when the endpoint is dropped unless it returns; absent while the entry is listed. */
-	readonly missing?: {readonly since: number; readonly expiresAt: number};
+	/** A time after which the entry was certainly written; `-Infinity` when unknown. */
+	readonly writtenAfter: number;
+	/** When the entry was found missing, and the return of the store before that; absent while the entry is listed. */
+	readonly missing?: {readonly since: number; readonly returnedAt: number};
 };
 
 /** An endpoint whose entry was missing for a time, in milliseconds. */
@@ -29,7 +27,7 @@
 /** A weights version that an endpoint was observed to hold. */
 type ObservedVersion = {
 	readonly version: number;
-	/** When it was last observed, in milliseconds of the monotonic clock. */
+	/** When it was last observed. */
 	readonly seenAt: number;
 };
 
@@ -40,18 +38,29 @@
 	readonly versions: Map<string, ObservedVersion>;
 };
 
-/** Endpoints that the key-value store lists; kept during its outages. */
+/**
+ * Endpoints that the key-value store lists; kept during its outages. All times are in milliseconds of a clock that also counts the time that the VM
+ * was suspended.
+ */
 export class EndpointRegistry {
 	readonly #endpoints = new Map<string, RegisteredEndpoint>();
 	readonly #observed = new Map<string, ObservedWeights>();
 	/** Ready endpoints by pool; cleared at each change. */
 	readonly #ready = new Map<string, readonly endpointEntry.EndpointEntry[]>();
+	/** When the endpoints whose entries are missing are dropped; `Infinity` if there are none or the store is unavailable. */
+	#dropAt = Infinity;
+	/** Endpoints that were dropped since {@link EndpointRegistry.takeDropped}. */
+	#dropped: MissingEndpoint[] = [];
 
 	constructor(private readonly options: RegistryOptions = defaultRegistryOptions) {}
 
-	/** Adds or replaces an entry, and drops expired observations of its endpoint; an equal entry only renews it. */
-	put(entry: endpointEntry.EndpointEntry, now: number): void {
-		this.#set(entry);
+	/**
+	 * Adds or replaces an entry, and drops expired observations of its endpoint; an equal entry only renews it.
+	 *
+	 * @param writtenAfter - A time after which the entry was certainly written; by default nothing new is known.
+	 */
+	put(entry: endpointEntry.EndpointEntry, now: number, writtenAfter = -Infinity): void {
+		this.#set(entry, writtenAfter);
 		const observed = this.#observed.get(entry.id);
 		if (observed === undefined) {
 			return;
@@ -70,31 +79,42 @@
 	}
 
 	/**
-	 * Removes an entry; keeps it for `returnGraceMs` if it may only have expired.
+	 * Removes an entry; keeps it until the end of the lapse if it may only have expired.
 	 *
-	 * @param maybeLapsed - Whether the key-value store was unavailable shortly before, so that the entry of a live endpoint may have expired.
+	 * @param lapse - Time in which entries of live endpoints may be missing; absent if there was no outage.
 	 */
-	remove(id: string, maybeLapsed: boolean, now: number): void {
+	remove(id: string, lapse: lapseWindow.Lapse | undefined, now: number): void {
 		const known = this.#endpoints.get(id);
 		if (known === undefined) {
 			return;
 		}
 
-		if (!maybeLapsed || known.entry.state === endpointEntry.EndpointState.Draining) {
+		if (lapse === undefined || !this.mayHaveExpired(id, lapse)) {
 			this.#drop(id);
 			return;
 		}
 
-		const missing = known.missing ?? {since: now, expiresAt: now + this.options.returnGraceMs};
-		this.#endpoints.set(id, {entry: known.entry, missing});
+		this.#endpoints.set(id, {...known, missing: {since: known.missing?.since ?? now, returnedAt: lapse.returnedAt}});
+		this.#dropAt = lapse.endsAt;
+	}
+
+	/** Keeps the endpoints whose entries are missing until the end of a lapse, or drops them if there is none. */
+	applyLapse(lapse: lapseWindow.Lapse | undefined): void {
+		this.#dropAt = lapse?.endsAt ?? -Infinity;
+	}
+
+	/** Returns whether the entry of an endpoint may have expired in an outage; otherwise its removal means that the endpoint has left. */
+	mayHaveExpired(id: string, lapse: lapseWindow.Lapse): boolean {
+		const known = this.#endpoints.get(id);
+		return known?.entry.state === endpointEntry.EndpointState.Ready && known.writtenAfter < lapse.returnedAt;
 	}
 
 	/** Replaces all entries by a complete listing. */
-	replaceAll(entries: readonly endpointEntry.EndpointEntry[], maybeLapsed: boolean, now: number): void {
+	replaceAll(entries: readonly endpointEntry.EndpointEntry[], lapse: lapseWindow.Lapse | undefined, now: number): void {
 		const listed = new Set(entries.map(entry => entry.id));
 		for (const id of this.#endpoints.keys()) {
 			if (!listed.has(id)) {
-				this.remove(id, maybeLapsed, now);
+				this.remove(id, lapse, now);
 			}
 		}
 
@@ -103,16 +123,11 @@
 		}
 	}
 
-	/** Drops endpoints whose entries did not return in time. @returns These endpoints. */
-	removeExpired(now: number): readonly MissingEndpoint[] {
-		const dropped: MissingEndpoint[] = [];
-		for (const [id, {missing}] of this.#endpoints) {
-			if (missing !== undefined && missing.expiresAt <= now) {
-				this.#drop(id);
-				dropped.push({id, missingMs: now - missing.since});
-			}
-		}
-
+	/** Returns the endpoints whose entries did not return in time, and which were dropped since the last call. */
+	takeDropped(now: number): readonly MissingEndpoint[] {
+		this.#dropMissing(now);
+		const dropped = this.#dropped;
+		this.#dropped = [];
 		return dropped;
 	}
 
@@ -160,8 +175,16 @@
 		return this.#endpoints.get(id)?.entry;
 	}
 
+	/** Returns whether an incarnation accepts new requests. */
+	isReady({id, bornAt}: endpointEntry.EndpointIncarnation, now: number): boolean {
+		this.#dropMissing(now);
+		const entry = this.get(id);
+		return entry?.bornAt === bornAt && entry.state === endpointEntry.EndpointState.Ready;
+	}
+
 	/** Returns the endpoints of a pool that accept new requests. */
-	listReady(pool: string): readonly endpointEntry.EndpointEntry[] {
+	listReady(pool: string, now: number): readonly endpointEntry.EndpointEntry[] {
+		this.#dropMissing(now);
 		const known = this.#ready.get(pool);
 		if (known !== undefined) {
 			return known;
@@ -177,13 +200,33 @@
 		return [...this.#endpoints.values()].map(known => known.entry);
 	}
 
-	#set(entry: endpointEntry.EndpointEntry): void {
+	#set(entry: endpointEntry.EndpointEntry, writtenAfter: number): void {
 		const known = this.#endpoints.get(entry.id);
 		if (known === undefined || !endpointEntry.isSameEntry(known.entry, entry)) {
 			this.#ready.clear();
-			this.#endpoints.set(entry.id, {entry});
-		} else if (known.missing !== undefined) {
-			this.#endpoints.set(entry.id, {entry: known.entry});
+			this.#endpoints.set(entry.id, {entry, writtenAfter});
+			return;
+		}
+
+		// An entry that expired in an outage is written again after it.
+		const latest = Math.max(known.writtenAfter, writtenAfter, known.missing?.returnedAt ?? -Infinity);
+		if (known.missing !== undefined || latest !== known.writtenAfter) {
+			this.#endpoints.set(entry.id, {entry: known.entry, writtenAfter: latest});
+		}
+	}
+
+	/** Drops the endpoints whose entries did not return in time. */
+	#dropMissing(now: number): void {
+		if (now < this.#dropAt) {
+			return;
+		}
+
+		this.#dropAt = Infinity;
+		for (const [id, {missing}] of this.#endpoints) {
+			if (missing !== undefined) {
+				this.#drop(id);
+				this.#dropped.push({id, missingMs: now - missing.since});
+			}
 		}
 	}
 
--- a/packages/core/tests/fleet/endpoint-registry.test.ts
+++ b/packages/core/tests/fleet/endpoint-registry.test.ts
@@ -5,42 +5,78 @@
 const {expect} = chai;
 
 describe('EndpointRegistry', () => {
-	function idsOf(registry: core.fleet.EndpointRegistry): string[] {
-		return registry.listReady('llm').map(entry => entry.id);
+	const lapse: core.store.Lapse = {returnedAt: 1000, endsAt: 3000};
+
+	function idsOf(registry: core.fleet.EndpointRegistry, now = 0): string[] {
+		return registry.listReady('llm', now).map(entry => entry.id);
 	}
 
 	it('drops an endpoint at once when its entry is removed while the key-value store is available', () => {
 		const registry = new core.fleet.EndpointRegistry();
 		registry.put(support.createEntry('a'), 0);
-		registry.remove('a', false, 0);
+		registry.remove('a', undefined, 0);
 		expect(idsOf(registry)).to.deep.equal([]);
 	});
 
-	it('keeps an endpoint whose entry may have expired for two seconds from the first listing without it', () => {
+	it('keeps an endpoint whose entry may have expired until the end of the lapse, whenever the entry was found missing', () => {
 		const registry = new core.fleet.EndpointRegistry();
-		registry.replaceAll([support.createEntry('a'), support.createEntry('b')], false, 0);
-		registry.replaceAll([support.createEntry('b')], true, 1000);
-		registry.replaceAll([support.createEntry('b')], true, 2500);
-		registry.removeExpired(2999);
-		expect(idsOf(registry)).to.have.members(['a', 'b']);
-		registry.removeExpired(3000);
-		expect(idsOf(registry)).to.deep.equal(['b']);
+		registry.replaceAll([support.createEntry('a'), support.createEntry('b'), support.createEntry('c')], undefined, 0);
+		registry.replaceAll([support.createEntry('b'), support.createEntry('c')], lapse, 1000);
+		registry.replaceAll([support.createEntry('b')], lapse, 2500);
+		expect(idsOf(registry, 2999)).to.have.members(['a', 'b', 'c']);
+		expect(idsOf(registry, 3000)).to.deep.equal(['b']);
+		expect(registry.takeDropped(3000)).to.deep.equal([{id: 'a', missingMs: 2000}, {id: 'c', missingMs: 500}]);
 	});
 
-	it('keeps an endpoint whose entry returns within the grace period', () => {
+	it('keeps it during a second outage and until the end of its lapse', () => {
 		const registry = new core.fleet.EndpointRegistry();
 		registry.put(support.createEntry('a'), 0);
-		registry.remove('a', true, 0);
+		registry.remove('a', lapse, 1000);
+		registry.applyLapse({...lapse, endsAt: Infinity});
+		expect(idsOf(registry, 9000)).to.deep.equal(['a']);
+		registry.applyLapse({returnedAt: 2500, endsAt: 4500});
+		expect(idsOf(registry, 4499)).to.deep.equal(['a']);
+		expect(idsOf(registry, 4500)).to.deep.equal([]);
+	});
+
+	for (const [description, putAgain] of [
+		['when its entry was written after the return', (registry: core.fleet.EndpointRegistry) => {
+			registry.put(support.createEntry('a'), 1500, 1400);
+		}],
+		['when its entry had expired and was written again', (registry: core.fleet.EndpointRegistry) => {
+			registry.remove('a', lapse, 1000);
+			registry.put(support.createEntry('a'), 1000);
+		}],
+	] as const) {
+		it(`drops an endpoint at once ${description}`, () => {
+			const registry = new core.fleet.EndpointRegistry();
+			registry.put(support.createEntry('a'), 0);
+			putAgain(registry);
+			registry.remove('a', lapse, 1600);
+			expect(idsOf(registry, 1600)).to.deep.equal([]);
+		});
+	}
+
+	it('keeps an endpoint whose entry was written after an earlier return', () => {
+		const registry = new core.fleet.EndpointRegistry();
+		registry.put(support.createEntry('a'), 0, 500);
+		registry.remove('a', lapse, 1600);
+		expect(idsOf(registry, 1600)).to.deep.equal(['a']);
+	});
+
+	it('keeps an endpoint whose entry returns within the grace period', () => {
+		const registry = new core.fleet.EndpointRegistry();
 		registry.put(support.createEntry('a'), 0);
-		registry.removeExpired(10_000);
-		expect(idsOf(registry)).to.deep.equal(['a']);
+		registry.remove('a', lapse, 1000);
+		registry.put(support.createEntry('a'), 1000);
+		expect(idsOf(registry, 10_000)).to.deep.equal(['a']);
 	});
 
 	it('does not list draining endpoints as ready, and drops them at once when their entry is removed', () => {
 		const registry = new core.fleet.EndpointRegistry();
 		registry.put(support.createEntry('a', {state: core.fleet.EndpointState.Draining}), 0);
 		expect(idsOf(registry)).to.deep.equal([]);
-		registry.remove('a', true, 0);
+		registry.remove('a', lapse, 1000);
 		expect(registry.get('a')).to.equal(undefined);
 	});
 
--- a/packages/core/tests/fleet/placement-work-at-scale.test.ts
+++ b/packages/core/tests/fleet/placement-work-at-scale.test.ts
@@ -34,16 +34,16 @@
 	it('lists the ready endpoints of a pool anew only after a change', () => {
 		const registry = new core.fleet.EndpointRegistry();
 		registry.put(support.createEntry('a'), 0);
-		const before = registry.listReady('llm');
-		expect(registry.listReady('llm')).to.equal(before);
+		const before = registry.listReady('llm', 30);
+		expect(registry.listReady('llm', 30)).to.equal(before);
 		// An equal entry, as heartbeats cause.
 		registry.put(support.createEntry('a'), 5);
-		expect(registry.listReady('llm')).to.equal(before);
+		expect(registry.listReady('llm', 30)).to.equal(before);
 		registry.put(support.createEntry('b'), 10);
-		expect(registry.listReady('llm').map(entry => entry.id)).to.deep.equal(['a', 'b']);
-		registry.remove('a', false, 20);
-		expect(registry.listReady('llm').map(entry => entry.id)).to.deep.equal(['b']);
+		expect(registry.listReady('llm', 30).map(entry => entry.id)).to.deep.equal(['a', 'b']);
+		registry.remove('a', undefined, 20);
+		expect(registry.listReady('llm', 30).map(entry => entry.id)).to.deep.equal(['b']);
 		registry.put(support.createEntry('b', {state: core.fleet.EndpointState.Draining}), 30);
-		expect(registry.listReady('llm')).to.deep.equal([]);
+		expect(registry.listReady('llm', 30)).to.deep.equal([]);
 	});
 });
--- a/packages/gateway/src/call/attempt-recorder.ts
+++ b/packages/gateway/src/call/attempt-recorder.ts
@@ -98,14 +98,13 @@
 	recordHead({placement}: sentAttempt.SentAttempt, head: ports.ResponseHead): void {
 		const {fleet, clock} = this.dependencies;
 		const {entry} = placement;
-		const now = clock.monotonicNow();
 		if (head.load !== undefined) {
-			fleet.loads.setReportedLoad(entry.id, head.load, now);
+			fleet.loads.setReportedLoad(entry.id, head.load, clock.monotonicNow());
 		}
 
 		const model = this.request.head.prompt?.model;
 		if (head.weightVersion !== undefined && model !== undefined) {
-			fleet.registry.recordObservedWeights(entry.id, entry.bornAt, {model, version: head.weightVersion}, now);
+			fleet.registry.recordObservedWeights(entry.id, entry.bornAt, {model, version: head.weightVersion}, clock.suspendAwareNow());
 		}
 	}
 
--- a/packages/gateway/src/call/endpoint-finder.ts
+++ b/packages/gateway/src/call/endpoint-finder.ts
@@ -161,7 +161,7 @@
 			permitWaitMs,
 			targetLatencyMs: this.request.route.targetLatencyMs,
 			isRetry: this.#isRetry(),
-		});
+		}, clocks.readInstant(clock));
 		// Random jitter prevents callers from retrying all at the same time.
 		const retryAfterMs = Math.max(refusals.noEndpointRetryAfterMs, expectedMs * (1 + this.dependencies.random()));
 		const inputs: core.log.RefusalInputs = {
@@ -175,7 +175,7 @@
 		const maxWaitMs = Math.max(maxWaitFactor * expectedMs, minWaitMs);
 		// An endpoint that is only silent may go on before the wait expires.
 		const {outcome, found} = await this.#wait(request, Math.min(this.deadlineAt - minResponseTimeMs, now + maxWaitMs), () =>
-			this.dependencies.placer.hasSilentEndpoint(this.pool));
+			placer.hasSilentEndpoint(this.pool, clocks.readInstant(clock)));
 		if (found !== undefined) {
 			return found;
 		}
@@ -192,7 +192,8 @@
 	/** Whether an endpoint that can't be chosen now may be soon: it is silent, or has asked for a pause. */
 	#mayReturn(): boolean {
 		const {placer, clock} = this.dependencies;
-		return placer.hasSilentEndpoint(this.pool) || placer.findFirstRampUp(this.request, this.pool, clocks.readInstant(clock)) !== undefined;
+		const now = clocks.readInstant(clock);
+		return placer.hasSilentEndpoint(this.pool, now) || placer.findFirstRampUp(this.request, this.pool, now) !== undefined;
 	}
 
 	#refuse(): EndpointSearchResult {
--- a/packages/gateway/src/controllers/coordination-controller.ts
+++ b/packages/gateway/src/controllers/coordination-controller.ts
@@ -216,9 +216,8 @@
 		}
 
 		// Only steps that this plan newly reports as loaded are observations; the engine may have changed since the earlier ones.
-		const now = this.clock.monotonicNow();
 		for (const step of core.rollout.listNewlyLoaded(plan, previousPlan)) {
-			this.fleet.registry.recordObservedWeights(step.endpoint, step.bornAt, step, now);
+			this.fleet.registry.recordObservedWeights(step.endpoint, step.bornAt, step, suspendAwareNow);
 		}
 
 		const loading = plan.steps.filter(step => step.phase === core.rollout.RolloutPhase.Loading);
--- a/packages/gateway/src/controllers/endpoint-checker.ts
+++ b/packages/gateway/src/controllers/endpoint-checker.ts
@@ -67,7 +67,7 @@
 		}
 
 		for (const [model, version] of report.weights) {
-			fleet.registry.recordObservedWeights(entry.id, entry.bornAt, {model, version}, clock.monotonicNow());
+			fleet.registry.recordObservedWeights(entry.id, entry.bornAt, {model, version}, clock.suspendAwareNow());
 		}
 
 		return CallOutcome.Responded;
--- a/packages/gateway/src/controllers/endpoint-controller.ts
+++ b/packages/gateway/src/controllers/endpoint-controller.ts
@@ -37,12 +37,12 @@
 	}
 
 	/**
-	 * Keeps what is known of the endpoints while the store may list older entries: the weights that they have loaded, and for the
-	 * same time as at first, the endpoints whose entries are missing.
+	 * Keeps what is known of the endpoints while the store may list older entries: the weights that they have loaded, and the endpoints whose entries
+	 * are missing, until the time after the return within which they are written again.
 	 */
 	onReturn(): void {
 		const {registry} = this.dependencies.fleet;
-		const now = this.dependencies.clock.monotonicNow();
+		const now = this.dependencies.clock.suspendAwareNow();
 		this.#hasReturned = true;
 		for (const entry of registry.list()) {
 			for (const model of entry.weights.keys()) {
@@ -54,24 +54,28 @@
 		}
 	}
 
-	onSnapshot(entries: readonly clients.kv.KvEntry[], {maybeLapsed}: storeFeed.ReadContext): void {
-		const now = this.dependencies.clock.monotonicNow();
+	onLapse(lapse: core.store.Lapse | undefined): void {
+		this.dependencies.fleet.registry.applyLapse(lapse);
+	}
+
+	onSnapshot(entries: readonly clients.kv.KvEntry[], {lapse}: storeFeed.ReadContext): void {
+		const now = this.dependencies.clock.suspendAwareNow();
 		const decoded = entries.map(entry => this.#decode(entry)).filter(entry => entry !== undefined);
 		const listed = this.#hasReturned ? decoded.filter(entry => !this.#isHeld(entry, now)).map(entry => this.#keepDraining(entry)) : decoded;
+		this.#recordRemovals(listed, lapse);
 		this.#hasReturned = false;
 		for (const entry of listed) {
 			this.#logChange(entry);
 		}
 
-		this.#logRemovals(listed, maybeLapsed, now);
-		this.dependencies.fleet.registry.replaceAll(listed, maybeLapsed, now);
+		this.dependencies.fleet.registry.replaceAll(listed, lapse, now);
 		this.#dropUnlisted();
 	}
 
-	onChange(change: clients.kv.KvChange, {maybeLapsed}: storeFeed.ReadContext): void {
-		const {decoder, fleet, clock, log} = this.dependencies;
+	onChange(change: clients.kv.KvChange, {lapse, startedAt}: storeFeed.ReadContext): void {
+		const {decoder, fleet, clock} = this.dependencies;
 		if (change.entry !== undefined) {
-			this.#put(change.entry);
+			this.#put(change.entry, startedAt);
 			return;
 		}
 
@@ -79,12 +83,11 @@
 		if (id !== undefined) {
 			const known = fleet.registry.get(id);
 			this.#departed.release(id);
-			if (known !== undefined && (!maybeLapsed || known.state === core.fleet.EndpointState.Draining)) {
-				this.#departed.recordDeparture(known, clock.monotonicNow());
+			if (known !== undefined) {
+				this.#recordRemoval(known, lapse);
 			}
 
-			log.write(eventLog.LogEvent.EndpointRemoved, {endpoint: id, maybeLapsed});
-			fleet.registry.remove(id, maybeLapsed, clock.monotonicNow());
+			fleet.registry.remove(id, lapse, clock.suspendAwareNow());
 			this.#dropUnlisted();
 		}
 	}
@@ -92,8 +95,8 @@
 	/** Drops endpoints whose entries did not return, starts the health checks that are due, and aborts attempts on outdated weights or at paused endpoints. */
 	tick(): void {
 		const {fleet, pauses, clock, dispatcher} = this.dependencies;
-		const now = clock.monotonicNow();
-		for (const {id, missingMs} of fleet.registry.removeExpired(now)) {
+		const now = clock.suspendAwareNow();
+		for (const {id, missingMs} of fleet.registry.takeDropped(now)) {
 			this.dependencies.log.write(eventLog.LogEvent.EndpointDropped, {endpoint: id, missingMs: Math.round(missingMs)});
 		}
 
@@ -102,15 +105,15 @@
 		}
 
 		if (fleet.leaving.size > 0) {
-			fleet.leaving.retain(fleet.registry.list(), clock.suspendAwareNow());
+			fleet.leaving.retain(fleet.registry.list(), now);
 		}
 
 		pauses.removeEnded(id => fleet.registry.get(id)?.bornAt);
-		fleet.limits.removeEnded(id => fleet.registry.get(id)?.bornAt, clock.suspendAwareNow());
+		fleet.limits.removeEnded(id => fleet.registry.get(id)?.bornAt, now);
 		limitLog.writeLimitChanges(fleet.limits, this.dependencies.log);
 		dispatcher.abortOutdatedAttempts(clocks.readInstant(clock));
 		dispatcher.abortPausedAttempts();
-		for (const endpoint of fleet.health.startDueChecks(id => fleet.peers.lastReceivedAt(id), now, id => this.#mayCheck(id))) {
+		for (const endpoint of fleet.health.startDueChecks(id => fleet.peers.lastReceivedAt(id), clock.monotonicNow(), id => this.#mayCheck(id))) {
 			void this.#checkHealth(endpoint);
 		}
 	}
@@ -129,17 +132,18 @@
 		return entry === undefined || !pauses.isPaused(entry) || (fleet.loads.countOwnActive(id) > 0 && pauses.mayCallUrgently(entry));
 	}
 
-	#put(raw: clients.kv.KvEntry): void {
+	/** @param writtenAfter - A time after which the entry was certainly written. */
+	#put(raw: clients.kv.KvEntry, writtenAfter: number): void {
 		const entry = this.#decode(raw);
 		if (entry !== undefined) {
 			this.#departed.release(entry.id);
-			this.#putEntry(entry);
+			this.#putEntry(entry, writtenAfter);
 		}
 	}
 
-	#putEntry(entry: core.fleet.EndpointEntry): void {
+	#putEntry(entry: core.fleet.EndpointEntry, writtenAfter?: number): void {
 		this.#logChange(entry);
-		this.dependencies.fleet.registry.put(entry, this.dependencies.clock.monotonicNow());
+		this.dependencies.fleet.registry.put(entry, this.dependencies.clock.suspendAwareNow(), writtenAfter);
 	}
 
 	/** Returns whether an entry of a copy is of an endpoint that has left, and is not used for the time being. */
@@ -159,21 +163,37 @@
 		return isDraining ? {...entry, state: core.fleet.EndpointState.Draining} : entry;
 	}
 
-	/** Logs the endpoints that a snapshot no longer lists and that were listed before. */
-	#logRemovals(listed: readonly core.fleet.EndpointEntry[], maybeLapsed: boolean, now: number): void {
-		const {registry} = this.dependencies.fleet;
+	/** Records the endpoints that a snapshot does not list. */
+	#recordRemovals(listed: readonly core.fleet.EndpointEntry[], lapse: core.store.Lapse | undefined): void {
 		const ids = new Set(listed.map(entry => entry.id));
-		for (const {id} of registry.list()) {
-			if (!ids.has(id) && registry.missingMs(id, now) === undefined) {
-				this.dependencies.log.write(eventLog.LogEvent.EndpointRemoved, {endpoint: id, maybeLapsed});
+		for (const entry of this.dependencies.fleet.registry.list()) {
+			if (!ids.has(entry.id)) {
+				this.#recordRemoval(entry, lapse);
 			}
 		}
 	}
 
+	/**
+	 * Records that the entry of an endpoint is missing. Without a lapse the endpoint has left, except where the snapshot of a copy is older than the
+	 * endpoint.
+	 */
+	#recordRemoval(entry: core.fleet.EndpointEntry, lapse: core.store.Lapse | undefined): void {
+		const {fleet: {registry}, clock, log} = this.dependencies;
+		const now = clock.suspendAwareNow();
+		const maybeLapsed = lapse !== undefined && registry.mayHaveExpired(entry.id, lapse);
+		if (!maybeLapsed && !this.#hasReturned) {
+			this.#departed.recordDeparture(entry, now);
+		}
+
+		if (registry.missingMs(entry.id, now) === undefined) {
+			log.write(eventLog.LogEvent.EndpointRemoved, {endpoint: entry.id, maybeLapsed});
+		}
+	}
+
 	#logChange(entry: core.fleet.EndpointEntry): void {
 		const {fleet, clock, log} = this.dependencies;
 		const registered = fleet.registry.get(entry.id);
-		const missingMs = fleet.registry.missingMs(entry.id, clock.monotonicNow());
+		const missingMs = fleet.registry.missingMs(entry.id, clock.suspendAwareNow());
 		if (missingMs !== undefined) {
 			log.write(eventLog.LogEvent.EndpointRelisted, {endpoint: entry.id, missingMs: Math.round(missingMs)});
 		}
--- a/packages/gateway/src/controllers/prefix-listeners.ts
+++ b/packages/gateway/src/controllers/prefix-listeners.ts
@@ -1,3 +1,4 @@
+import type * as core from '@bluebellmast/core';
 import type * as clients from '@bluebellmast/kv';
 import type * as storeFeed from './store-feed.js';
 
@@ -31,6 +32,12 @@
 		}
 	}
 
+	onLapse(lapse: core.store.Lapse | undefined): void {
+		for (const {listener} of this.listeners) {
+			listener.onLapse?.(lapse);
+		}
+	}
+
 	onReturn(): void {
 		for (const {listener} of this.listeners) {
 			listener.onReturn?.();
--- a/packages/gateway/src/controllers/rollout-controller.ts
+++ b/packages/gateway/src/controllers/rollout-controller.ts
@@ -166,7 +166,7 @@
 		const now = clock.monotonicNow();
 		const engines: core.rollout.RolloutEngine[] = [];
 		for (const pool of config.table?.config.pools ?? []) {
-			for (const entry of pool.engine === undefined ? [] : fleet.registry.listReady(pool.name)) {
+			for (const entry of pool.engine === undefined ? [] : fleet.registry.listReady(pool.name, clock.suspendAwareNow())) {
 				for (const model of pool.engine?.models ?? []) {
 					const version = fleet.registry.weightVersion(entry.id, model);
 					const silentSince = this.#silentSince.get(entry.id);
@@ -282,7 +282,7 @@
 			endpoint: step.endpoint, model: step.model, version: step.version, fence, expected: acceptedOrders, outcome,
 		});
 		if (outcome === ports.OrderOutcome.AlreadyDone) {
-			fleet.registry.recordObservedWeights(step.endpoint, step.bornAt, step, clock.monotonicNow());
+			fleet.registry.recordObservedWeights(step.endpoint, step.bornAt, step, clock.suspendAwareNow());
 		}
 
 		if (outcome === ports.OrderOutcome.Conflict) {
@@ -323,7 +323,7 @@
 			state.isBusy = report.isBusy;
 			const version = report.weights.get(step.model);
 			if (version !== undefined && !report.isBusy) {
-				fleet.registry.recordObservedWeights(step.endpoint, step.bornAt, {model: step.model, version}, clock.monotonicNow());
+				fleet.registry.recordObservedWeights(step.endpoint, step.bornAt, {model: step.model, version}, clock.suspendAwareNow());
 			}
 		});
 	}
--- a/packages/gateway/src/controllers/store-feed.ts
+++ b/packages/gateway/src/controllers/store-feed.ts
@@ -6,8 +6,13 @@
 
 /** Circumstances of a read of the store. */
 export type ReadContext = {
-	/** Whether the store was unavailable shortly before, so that entries of live writers may have expired. */
-	readonly maybeLapsed: boolean;
+	/** Time in which entries of live endpoints may be missing; absent if no entry can have expired in an outage of the store. */
+	readonly lapse?: core.store.Lapse;
+	/**
+	 * When the call began, in milliseconds of a clock that also counts the time that the VM was suspended. Changes that a poll returns were written after
+	 * the previous response, which had arrived by then.
+	 */
+	readonly startedAt: number;
 	/** When the changes that the read shows as new were written. */
 	readonly changed: core.store.ChangeInterval;
 };
@@ -23,6 +28,8 @@
 	 * @param startedAt - When the call began, in milliseconds of a clock that also counts the time that the VM was suspended.
 	 */
 	onConfirmed?(startedAt: number): void;
+	/** Called when the time in which entries may be missing becomes longer or ends, since the store is unavailable again or has returned. */
+	onLapse?(lapse: core.store.Lapse | undefined): void;
 	/** Called before the first snapshot after the store has returned from a copy, whose entries may be older than the known ones. */
 	onReturn?(): void;
 }
@@ -31,19 +38,17 @@
 export type StoreFeedOptions = {
 	/** Longest wait of one poll; bounds the time between confirmations and the time to detect an unresponsive connection. */
 	readonly pollWaitMs: number;
-	/** Delay after a failed call; doubles up to `maxRetryDelayMs` while calls fail. */
+	/** Longest wait of a poll after a failed call, so that the return of the store is noticed soon. */
+	readonly probeWaitMs: number;
+	/** Time from the start of a failed call to the next one, at least; doubles up to `maxRetryDelayMs` while calls fail. */
 	readonly minRetryDelayMs: number;
 	readonly maxRetryDelayMs: number;
-	/** Time after the last failed call during which missing entries may have expired in an outage and may return. */
-	readonly lapseWindowMs: number;
+	readonly lapse: core.store.LapseOptions;
 };
 
-/**
- * One poll per second confirms the configuration well within the limits on the revocation of keys. Entries return within two
- * seconds after an outage; the lapse window adds one second for writing them.
- */
+/** One poll per second confirms the configuration well within the limits on the revocation of keys. */
 export const defaultStoreFeedOptions: StoreFeedOptions = {
-	pollWaitMs: 1000, minRetryDelayMs: 100, maxRetryDelayMs: 400, lapseWindowMs: 3000,
+	pollWaitMs: 1000, probeWaitMs: 10, minRetryDelayMs: 100, maxRetryDelayMs: 400, lapse: core.store.defaultLapseOptions,
 };
 
 /** Time for which changes are applied at once, in milliseconds; input is read before the next one. */
@@ -72,7 +77,7 @@
  */
 export class StoreFeed {
 	#revision: number | undefined;
-	#lastFailureAt = -Infinity;
+	readonly #lapses: core.store.LapseWindow;
 	readonly #changeTimes = new core.store.ChangeTimes();
 	#retryDelayMs: number;
 	#isStopped = false;
@@ -92,6 +97,7 @@
 		private readonly options: StoreFeedOptions = defaultStoreFeedOptions,
 	) {
 		this.#retryDelayMs = options.minRetryDelayMs;
+		this.#lapses = new core.store.LapseWindow(options.lapse);
 		dependencies.eras?.subscribe({
 			onEra: (_era, previous) => {
 				this.#handleEra(previous);
@@ -102,9 +108,10 @@
 	/** Follows the prefix until {@link StoreFeed.stop}. */
 	async run(): Promise<void> {
 		while (!this.#isStopped) {
+			const startedAt = this.dependencies.clock.monotonicNow();
 			const isOk = await this.#readOrPoll(); // eslint-disable-line no-await-in-loop -- Calls are sequential.
 			if (!isOk && !this.#isStopped) {
-				await this.#waitBeforeRetry(); // eslint-disable-line no-await-in-loop -- Delays the next call after a failure.
+				await this.#waitBeforeRetry(startedAt); // eslint-disable-line no-await-in-loop -- Delays the next call after a failure.
 			} else if (this.#hasFoundChanges && !this.#isStopped) {
 				await this.#sleep(this.dependencies.pollPauseMs?.() ?? 0); // eslint-disable-line no-await-in-loop -- Gathers changes.
 			}
@@ -153,7 +160,7 @@
 
 		this.#hasReturned = true;
 		this.#revision = undefined;
-		this.#lastFailureAt = this.dependencies.clock.monotonicNow();
+		this.#lapses.recordReturn(this.dependencies.clock.suspendAwareNow());
 		this.#pollAbort?.abort();
 	}
 
@@ -185,7 +192,8 @@
 
 	async #poll(revision: number, startedAt: number): Promise<clients.kv.KvError | undefined> {
 		this.#pollAbort = new AbortController();
-		const polled = await this.dependencies.store.poll(this.dependencies.prefix, revision, this.options.pollWaitMs, {
+		const waitMs = this.#unavailableSince === undefined ? this.options.pollWaitMs : this.options.probeWaitMs;
+		const polled = await this.dependencies.store.poll(this.dependencies.prefix, revision, waitMs, {
 			era: this.#era, signal: this.#pollAbort.signal,
 		});
 		return core.util.matchEither<clients.kv.KvError, clients.kv.KvChanges, Promise<clients.kv.KvError | undefined>>(polled, async failure => failure, async read => {
@@ -217,10 +225,23 @@
 		}
 	}
 
-	/** @param startedAt - When the call began. */
+	/**
+	 * Records that a call was successful, after calls that may have failed, and returns its circumstances.
+	 *
+	 * @param startedAt - When the call began.
+	 */
 	#context(startedAt: number): ReadContext {
+		const now = this.dependencies.clock.suspendAwareNow();
+		const hadFailed = this.#unavailableSince !== undefined;
+		this.#lapses.recordResponse(now);
+		const lapse = this.#lapses.lapseAt(now);
+		if (hadFailed) {
+			this.dependencies.listener.onLapse?.(lapse);
+		}
+
 		return {
-			maybeLapsed: this.dependencies.clock.monotonicNow() - this.#lastFailureAt < this.options.lapseWindowMs,
+			lapse,
+			startedAt,
 			changed: this.#changeTimes.intervalOf(this.#callTimes(startedAt)),
 		};
 	}
@@ -250,19 +271,36 @@
 
 	#recordFailure(failure: clients.kv.KvError): void {
 		this.#changeTimes.recordFailure();
-		this.#lastFailureAt = this.dependencies.clock.monotonicNow();
+		this.#recordAvailability(failure);
 		if (this.#unavailableSince === undefined) {
-			this.#unavailableSince = this.#lastFailureAt;
+			this.#unavailableSince = this.dependencies.clock.monotonicNow();
 			this.dependencies.log.write(eventLog.LogEvent.StoreLost, {
 				prefix: this.dependencies.prefix, code: failure.code, problem: failure.message,
 			});
 		}
 	}
 
-	async #waitBeforeRetry(): Promise<void> {
+	/** Records whether the store is unavailable; a store that rejects calls by its rate limit is not. */
+	#recordAvailability({code}: clients.kv.KvError): void {
+		const now = this.dependencies.clock.suspendAwareNow();
+		if (code === clients.kv.KvErrorCode.RateLimited) {
+			this.#lapses.recordResponse(now);
+		} else {
+			this.#lapses.recordFailure(now);
+		}
+
+		const lapse = this.#lapses.lapseAt(now);
+		if (lapse !== undefined) {
+			this.dependencies.listener.onLapse?.(lapse);
+		}
+	}
+
+	/** @param startedAt - When the failed call began. */
+	async #waitBeforeRetry(startedAt: number): Promise<void> {
 		const retryDelayMs = this.#retryDelayMs;
+		const passedMs = this.dependencies.clock.monotonicNow() - startedAt;
 		this.#retryDelayMs = Math.min(this.options.maxRetryDelayMs, retryDelayMs * 2);
-		await this.#sleep(retryDelayMs);
+		await this.#sleep(Math.max(this.options.minRetryDelayMs, retryDelayMs - passedMs));
 	}
 
 	async #sleep(ms: number): Promise<void> {
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -27,4 +27,6 @@
 	readonly leaderOrderGapMs: number;
 	/** Time for which an endpoint that announced that it is leaving may still get new requests, in milliseconds; 0 if none are allowed. */
 	readonly drainMs: number;
+	/** Interval at which endpoints renew their entries in the store, in milliseconds; that of {@link core.store.defaultLapseOptions} by default. */
+	readonly endpointHeartbeatMs?: number;
 };
--- a/packages/gateway/src/placement/endpoint-placer.ts
+++ b/packages/gateway/src/placement/endpoint-placer.ts
@@ -101,7 +101,7 @@
 	 */
 	findFirstRampUp(call: requestContext.RoutedRequest, pool: core.routing.PoolName, now: clocks.Instant): core.fleet.RampUp | undefined {
 		const staying = this.fleet.leaving
-			.groupByAvailability(this.#listServing(call, pool, this.#createConditions(call, now.suspendAware)), now.suspendAware)
+			.groupByAvailability(this.#listServing(call, pool, this.#createConditions(call, now.suspendAware), now.suspendAware), now.suspendAware)
 			.flatMap(group => group.entries);
 		const rampUps = staying.map(entry => this.pauses.findRampUp(entry)).filter(each => each !== undefined);
 		return rampUps.sort((a, b) => a.resumesInMs - b.resumesInMs)[0];
@@ -139,7 +139,7 @@
 	 * that keeps this VM from sending it.
 	 */
 	findPermitInterval(call: requestContext.RoutedRequest, pool: core.routing.PoolName, now: clocks.Instant): number | undefined {
-		const serving = this.#listServing(call, pool, this.#createConditions(call, now.suspendAware));
+		const serving = this.#listServing(call, pool, this.#createConditions(call, now.suspendAware), now.suspendAware);
 		let requestsPerSecond = 0;
 		for (const entry of serving) {
 			requestsPerSecond += this.fleet.limits.getRate(entry) ?? 0;
@@ -149,8 +149,8 @@
 	}
 
 	/** Decides whether a request may wait until an engine of its pool has capacity for it. */
-	decideWait(pool: core.routing.PoolName, conditions: Omit<core.fleet.WaitConditions, 'tokensPerMs'>): core.fleet.WaitDecision {
-		const engines = this.fleet.registry.listReady(pool)
+	decideWait(pool: core.routing.PoolName, conditions: Omit<core.fleet.WaitConditions, 'tokensPerMs'>, now: clocks.Instant): core.fleet.WaitDecision {
+		const engines = this.fleet.registry.listReady(pool, now.suspendAware)
 			.filter(entry => this.fleet.health.isResponsive(entry.id) && !core.rollout.isLoading(this.fleet.plan, entry.id));
 		const staying = engines.filter(entry => !this.fleet.leaving.isLeaving(entry));
 		const tokensPerMs = (staying.length > 0 ? staying : engines).length * this.options.costs.prefillTokensPerMs / this.fleet.vmCount;
@@ -164,13 +164,13 @@
 	}
 
 	/** Whether a pool has an endpoint that gets no requests only because it is silent. */
-	hasSilentEndpoint(pool: core.routing.PoolName): boolean {
-		return this.fleet.registry.listReady(pool).some(entry => this.fleet.health.isSilent(entry.id));
+	hasSilentEndpoint(pool: core.routing.PoolName, now: clocks.Instant): boolean {
+		return this.fleet.registry.listReady(pool, now.suspendAware).some(entry => this.fleet.health.isSilent(entry.id));
 	}
 
 	/** Counts the endpoints of a pool by why they get no requests, for the log. */
 	describePool(call: requestContext.RoutedRequest, pool: core.routing.PoolName, now: clocks.Instant): core.log.RefusalInputs {
-		const ready = this.fleet.registry.listReady(pool);
+		const ready = this.fleet.registry.listReady(pool, now.suspendAware);
 		const responsive = ready.filter(entry => this.fleet.health.isResponsive(entry.id));
 		const conditions = this.#createConditions(call, now.suspendAware);
 		return {
@@ -190,7 +190,7 @@
 		excluded: ReadonlySet<string>,
 		now: clocks.Instant,
 	): core.fleet.AvailabilityGroup[] {
-		const resumed = this.#listServing(call, pool, conditions)
+		const resumed = this.#listServing(call, pool, conditions, now.suspendAware)
 			.filter(entry => !excluded.has(entry.id) && this.pauses.findRampUp(entry) === undefined
 				&& this.fleet.limits.waitMs(entry, now.suspendAware) < Infinity);
 		return this.fleet.leaving.groupByAvailability(resumed, now.suspendAware);
@@ -205,10 +205,19 @@
 		return this.#isRampUpLimited(entry) || this.fleet.limits.waitMs(entry, now) > 0;
 	}
 
-	/** Lists the endpoints that could serve a request if none had asked for a pause or were leaving. */
-	#listServing(call: requestContext.RoutedRequest, pool: core.routing.PoolName, conditions: weightConditions.WeightConditions | undefined): core.fleet.EndpointEntry[] {
+	/**
+	 * Lists the endpoints that could serve a request if none had asked for a pause or were leaving.
+	 *
+	 * @param now - Milliseconds of the clock that includes suspensions.
+	 */
+	#listServing(
+		call: requestContext.RoutedRequest,
+		pool: core.routing.PoolName,
+		conditions: weightConditions.WeightConditions | undefined,
+		now: number,
+	): core.fleet.EndpointEntry[] {
 		const engineConditions = call.table.findPool(pool)?.engine === undefined ? undefined : conditions;
-		return this.fleet.registry.listReady(pool)
+		return this.fleet.registry.listReady(pool, now)
 			.filter(entry => this.fleet.health.isResponsive(entry.id) && (engineConditions === undefined || this.#canServe(entry, engineConditions)));
 	}
 
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -172,6 +172,9 @@
 		returnDelayMs: () => random() * core.fleet.computePollPauseMs(fleet.vmCount),
 		clock,
 		log,
+	}, {
+		...controllers.defaultStoreFeedOptions,
+		lapse: {...core.store.defaultLapseOptions, ...(settings.endpointHeartbeatMs !== undefined && {heartbeatMs: settings.endpointHeartbeatMs})},
 	});
 	const refresh = metrics.registerStateGauges(registry, () => {
 		const ready = fleet.registry.list().filter(entry => entry.state === core.fleet.EndpointState.Ready);
--- a/packages/gateway/tests/call/unlisted-endpoint.test.ts
+++ b/packages/gateway/tests/call/unlisted-endpoint.test.ts
@@ -70,14 +70,14 @@
 
 		it('still counts when the entry returns', async () => {
 			await vm.begin();
-			controller.onChange({key: 'a'}, {maybeLapsed: false} as gateway.controllers.ReadContext);
+			controller.onChange({key: 'a'}, {startedAt: 0} as gateway.controllers.ReadContext);
 			vm.addEndpoint('a');
 			expect(vm.fleet.loads.countOwnActive('a')).to.equal(vm.connections.listAt('a').length);
 		});
 
 		it('is sent to another one if it stays silent', async () => {
 			await start({}, 'b');
-			controller.onChange({key: 'a'}, {maybeLapsed: false} as gateway.controllers.ReadContext);
+			controller.onChange({key: 'a'}, {startedAt: 0} as gateway.controllers.ReadContext);
 			for (let second = 1; second <= 10; second++) {
 				vm.clock.now = second * 1000;
 				controller.tick();
@@ -90,7 +90,7 @@
 		it('stays there if it responds to checks, and its entry has left', async () => {
 			isAlive = true;
 			await start({}, 'b');
-			controller.onChange({key: 'a'}, {maybeLapsed: false} as gateway.controllers.ReadContext);
+			controller.onChange({key: 'a'}, {startedAt: 0} as gateway.controllers.ReadContext);
 			for (let second = 1; second <= 10; second++) {
 				vm.clock.now = second * 1000;
 				controller.tick();
@@ -103,7 +103,7 @@
 
 		it('is not the reason of checks after its end', async () => {
 			const attempt = await start({}, 'b');
-			controller.onChange({key: 'a'}, {maybeLapsed: false} as gateway.controllers.ReadContext);
+			controller.onChange({key: 'a'}, {startedAt: 0} as gateway.controllers.ReadContext);
 			attempt.begin();
 			attempt.sendEvent();
 			attempt.end();
--- a/packages/gateway/tests/controllers/operator-controller.test.ts
+++ b/packages/gateway/tests/controllers/operator-controller.test.ts
@@ -5,7 +5,7 @@
 import * as gateway from '@bluebellmast/gateway';
 
 const {expect} = chai;
-const read = {maybeLapsed: false, changed: {after: 0, assumed: 1, before: 2}};
+const read = {startedAt: 0, changed: {after: 0, assumed: 1, before: 2}};
 const config = {...entries.describeHour(0).config, version: 1};
 const [listedModel] = config.pools[0]!.engine!.models;
 
--- a/packages/gateway/tests/controllers/store-feed.test.ts
+++ b/packages/gateway/tests/controllers/store-feed.test.ts
@@ -6,7 +6,7 @@
 import * as gateway from '@bluebellmast/gateway';
 
 const {expect} = chai;
-const {OutcomeUnknown: outcomeUnknown, HistoryLost: historyLost} = clients.kv.KvErrorCode;
+const {OutcomeUnknown: outcomeUnknown, HistoryLost: historyLost, RateLimited: rateLimited} = clients.kv.KvErrorCode;
 
 type PollResult = purify.Either<clients.kv.KvError, clients.kv.KvChanges>;
 
@@ -86,10 +86,10 @@
 		pollPauseMs,
 		listener: {
 			onSnapshot(entries, context) {
-				received.push(`snapshot ${entries.length} ${context.maybeLapsed}`);
+				received.push(`snapshot ${entries.length} ${context.lapse !== undefined}`);
 			},
 			onChange(change, context) {
-				received.push(`change ${change.key} ${change.entry === undefined ? 'removed' : 'put'} ${context.maybeLapsed}`);
+				received.push(`change ${change.key} ${change.entry === undefined ? 'removed' : 'put'} ${context.lapse !== undefined}`);
 				contexts.push(context);
 			},
 			onConfirmed(startedAt) {
@@ -152,8 +152,8 @@
 			eras: store.eras,
 			prefix: '',
 			listener: {
-				onSnapshot(entries, {maybeLapsed}) {
-					received.push(`snapshot ${entries.map(({key}) => key).join(' ')} ${maybeLapsed}`);
+				onSnapshot(entries, {lapse}) {
+					received.push(`snapshot ${entries.map(({key}) => key).join(' ')} ${lapse !== undefined}`);
 				},
 				onChange(change) {
 					received.push(`change ${change.key}`);
@@ -233,11 +233,31 @@
 	it('reports after an outage that entries may have expired, and logs the outage and its end once', async () => {
 		const {received, events} = await follow([
 			failed(outcomeUnknown), failed(outcomeUnknown), purify.Right({changes: [{key: 'b'}], revision: 12}), purify.Right({changes: [], revision: 12}),
-		]);
+		], {callMs: [1, 700, 700, 4]});
 		expect(received).to.include('change b removed true');
 		expect(events).to.deep.equal([gateway.util.LogEvent.StoreLost, gateway.util.LogEvent.StoreRegained]);
 	});
 
+	it('reports none after an outage that is too short for an entry to expire', async () => {
+		const {received} = await follow([
+			failed(outcomeUnknown), failed(outcomeUnknown), purify.Right({changes: [{key: 'b'}], revision: 12}), purify.Right({changes: [], revision: 12}),
+		], {callMs: [1, 500, 500, 4]});
+		expect(received).to.include('change b removed false');
+	});
+
+	it('reports none after calls that the store rejected by its rate limit, which it only can while it is available', async () => {
+		const {received} = await follow([
+			failed(rateLimited), failed(rateLimited), failed(rateLimited), purify.Right({changes: [{key: 'b'}], revision: 12}), purify.Right({changes: [], revision: 12}),
+		], {callMs: [1, 700, 700, 700, 700]});
+		expect(received).to.include('change b removed false');
+	});
+
+	it('reports them until two seconds after the return, however long the outage was', async () => {
+		const removed: PollResult = purify.Right({changes: [{key: 'b'}], revision: 12});
+		const {contexts} = await follow([failed(outcomeUnknown), removed, removed, removed], {callMs: [1, 9000, 4, 1999, 1]});
+		expect(contexts.map(({lapse}) => lapse)).to.deep.equal([{returnedAt: 10_005, endsAt: 12_005}, {returnedAt: 10_005, endsAt: 12_005}, undefined]);
+	});
+
 	it('does not confirm after a failed call', async () => {
 		const {received} = await follow([failed(outcomeUnknown), purify.Right({changes: [], revision: 10})]);
 		expect(received.filter(text => text.startsWith('confirmed'))).to.deep.equal(['confirmed 1000', 'confirmed 1002']);
--- a/packages/gateway/tests/placement/replaced-weights-limit.test.ts
+++ b/packages/gateway/tests/placement/replaced-weights-limit.test.ts
@@ -51,7 +51,7 @@
 	constructor(version = 1) {
 		this.fleet.registry.put(engine, 0);
 		this.#operator.onSnapshot([entryOf(version)], {
-			maybeLapsed: false, changed: {after: -Infinity, assumed: 0, before: 0},
+			startedAt: 0, changed: {after: -Infinity, assumed: 0, before: 0},
 		});
 	}
 
@@ -59,7 +59,7 @@
 	readNamedVersion(version: number, maxAgeMs: number): void {
 		const readAt = this.#clock.suspendAwareNow();
 		this.#operator.onChange({key: 'op/version/m', entry: entryOf(version)}, {
-			maybeLapsed: false, changed: {after: readAt - maxAgeMs, assumed: readAt - maxAgeMs, before: readAt},
+			startedAt: 0, changed: {after: readAt - maxAgeMs, assumed: readAt - maxAgeMs, before: readAt},
 		});
 	}
 
--- a/packages/gateway/tests/support/loaded-vm.ts
+++ b/packages/gateway/tests/support/loaded-vm.ts
@@ -118,7 +118,7 @@
 	}
 
 	removeEndpoint(id: string): void {
-		this.fleet.registry.remove(id, false, 0);
+		this.fleet.registry.remove(id, undefined, 0);
 	}
 
 	/** Sends a request. @returns The response to the caller. */
--- a/packages/gateway/tests/support/simulated-departures.ts
+++ b/packages/gateway/tests/support/simulated-departures.ts
@@ -208,7 +208,7 @@
 	}
 
 	#send(): void {
-		for (const {id} of this.#fleet.registry.listReady(pool)) {
+		for (const {id} of this.#fleet.registry.listReady(pool, this.#now)) {
 			const usedAt = this.#usedAt.get(id) ?? [];
 			usedAt.push(this.#now);
 			this.#usedAt.set(id, usedAt);
--- a/packages/gateway/tests/support/simulated-gateway-week.ts
+++ b/packages/gateway/tests/support/simulated-gateway-week.ts
@@ -181,7 +181,7 @@
 			...vms.map((vm): [string, unknown] => [`${controllers.vmKeyPrefix}${vm}`, '127.0.0.1:1']),
 		]);
 		const {now} = this.#clock;
-		const context = {maybeLapsed: false, changed: {after: now - 1, assumed: now, before: now}};
+		const context = {startedAt: 0, changed: {after: now - 1, assumed: now, before: now}};
 		for (const key of this.#listed.keys()) {
 			if (!values.has(key)) {
 				this.#listed.delete(key);
