--- a/packages/gateway/src/call/attempt-sender.ts
+++ b/packages/gateway/src/call/attempt-sender.ts
@@ -82,6 +82,7 @@
 				recorder.recordAlive(sent, responseHead, connection);
 			},
 			monotonicNow: dependencies.clock.monotonicNow,
+			findObstacle: () => dependencies.fleet.registry.isReady(entry, dependencies.clock.suspendAwareNow()) ? undefined : endpoints.AttemptFault.EndpointLeft,
 		});
 		const sent: sentAttempt.SentAttempt = {
 			placement, attempt, id: `${head.requestId}#${number - 1}`, hasResponseStarted: false, ended: Promise.resolve(),
--- a/packages/gateway/src/endpoints/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoints/endpoint-attempt.ts
@@ -36,6 +36,8 @@
 	Superseded = 'superseded',
 	/** The endpoint asked for a pause before the connection was open. */
 	EndpointPaused = 'endpoint_paused',
+	/** The endpoint left before the connection was open. */
+	EndpointLeft = 'endpoint_left',
 	/** A part of the prompt was quarantined before the response had begun. */
 	PartQuarantined = 'part_quarantined',
 	/** The request did not start before the weights of the endpoint may no longer be used. */
@@ -109,6 +111,8 @@
 	/** Called with each head of a response that belongs to the request, refusals included. */
 	readonly onMatchingHead?: (head: ports.ResponseHead) => void;
 	readonly monotonicNow: () => number;
+	/** Called when the connection is open, just before the request is sent. @returns Why it may not be sent any more; absent if it may. */
+	readonly findObstacle?: () => AttemptFault | undefined;
 };
 
 /** An attempt to execute a request at an endpoint over one connection. */
@@ -174,6 +178,13 @@
 			return;
 		}
 
+		const obstacle = this.options.findObstacle?.();
+		if (obstacle !== undefined) {
+			this.#abortFault = obstacle;
+			controller.abort(new AbortedError(obstacle));
+			return;
+		}
+
 		this.#controller = controller;
 		this.progress = core.request.AttemptProgress.MaybeSent;
 	}
