--- a/packages/gateway/src/call/attempt-sender.ts
+++ b/packages/gateway/src/call/attempt-sender.ts
@@ -2,6 +2,7 @@
 import * as endpoints from '../endpoints/index.js';
 import type * as endpointPlacer from '../placement/endpoint-placer.js';
 import type * as ports from '../ports/index.js';
+import * as eventLog from '../util/event-log.js';
 import type * as attemptRecorder from './attempt-recorder.js';
 import type * as requestContext from './request-context.js';
 import type * as requestDispatcher from './request-dispatcher.js';
@@ -37,10 +38,11 @@
 	 *
 	 * @param number - Number of the attempt, counted from 1.
 	 * @param lastEventId - Id of the last event that the caller has received; absent at the start of a response.
-	 * @returns The attempt, or `undefined` if all connections that this VM may open to the endpoint are busy, or the endpoint limits its requests.
+	 * @returns The attempt, or `undefined` if all connections that this VM may open to the endpoint are busy, none can be opened, or the endpoint limits its
+	 * requests.
 	 */
 	send(placement: endpointPlacer.Placement, number: number, lastEventId: number | undefined, now: number): sentAttempt.SentAttempt | undefined {
-		const {request: {head, body}, dependencies, recorder, isIdempotent} = this.options;
+		const {request: {head, body}, dependencies, recorder} = this.options;
 		const {entry} = placement;
 		const {limits} = dependencies.fleet;
 		const suspendAwareNow = dependencies.clock.suspendAwareNow();
@@ -49,7 +51,7 @@
 		}
 
 		const pool = dependencies.connections.poolFor(entry);
-		const connection = pool.acquire({requiresFresh: !isIdempotent, requestId: head.requestId}, this.#computeMaxConnections(entry.pool), now);
+		const connection = this.#acquireConnection(pool, entry, now);
 		if (connection === undefined) {
 			return undefined;
 		}
@@ -95,6 +97,18 @@
 		return sent;
 	}
 
+	/** Returns a connection; `undefined` if none is free or the endpoint's address can't be used, which is no fault of the request. */
+	#acquireConnection(pool: endpoints.ConnectionPool, {id, pool: poolName}: core.fleet.EndpointEntry, now: number): endpoints.EndpointConnection | undefined {
+		const {request, dependencies: {fleet, log}, isIdempotent} = this.options;
+		try {
+			return pool.acquire({requiresFresh: !isIdempotent, requestId: request.head.requestId}, this.#computeMaxConnections(poolName), now);
+		} catch (err) {
+			fleet.health.recordUnresponsive(id);
+			log.write(eventLog.LogEvent.InternalError, {task: `connection to ${id}`, problem: String(err)});
+			return undefined;
+		}
+	}
+
 	async #run(sent: sentAttempt.SentAttempt, connection: endpoints.EndpointConnection): Promise<void> {
 		const {recorder, isInterrupted} = this.options;
 		const end = await sent.attempt.run();
--- a/packages/gateway/src/controllers/endpoint-controller.ts
+++ b/packages/gateway/src/controllers/endpoint-controller.ts
@@ -9,6 +9,7 @@
 import * as clocks from '../util/clocks.js';
 import * as eventLog from '../util/event-log.js';
 import * as endpointChecker from './endpoint-checker.js';
+import * as invalidEntryLog from './invalid-entry-log.js';
 import type * as storeFeed from './store-feed.js';
 
 /** Dependencies of the controller. */
@@ -31,9 +32,11 @@
 	#hasReturned = false;
 
 	readonly #checker: endpointChecker.EndpointChecker;
+	readonly #invalid: invalidEntryLog.InvalidEntryLog;
 
 	constructor(private readonly dependencies: EndpointControllerDependencies) {
 		this.#checker = new endpointChecker.EndpointChecker(dependencies);
+		this.#invalid = new invalidEntryLog.InvalidEntryLog(dependencies.log);
 	}
 
 	/**
@@ -79,6 +82,7 @@
 			return;
 		}
 
+		this.#invalid.forget(change.key);
 		const id = decoder.endpointIdOf(change.key);
 		if (id !== undefined) {
 			const known = fleet.registry.get(id);
@@ -209,7 +213,9 @@
 	#decode(raw: clients.kv.KvEntry): core.fleet.EndpointEntry | undefined {
 		const item = this.dependencies.decoder.decode(raw);
 		if (item.type === ports.StoreEntryType.Invalid) {
-			this.dependencies.log.write(eventLog.LogEvent.StoreEntryInvalid, {key: raw.key, findings: item.findings.join('; ')});
+			this.#invalid.recordInvalid(raw.key, item.findings);
+		} else {
+			this.#invalid.forget(raw.key);
 		}
 
 		return item.type === ports.StoreEntryType.Endpoint ? item.entry : undefined;
--- a/packages/gateway/src/controllers/operator-controller.ts
+++ b/packages/gateway/src/controllers/operator-controller.ts
@@ -3,6 +3,7 @@
 import type * as fleetState from '../placement/fleet-state.js';
 import * as ports from '../ports/index.js';
 import * as eventLog from '../util/event-log.js';
+import * as invalidEntryLog from './invalid-entry-log.js';
 import type * as storeFeed from './store-feed.js';
 
 /** Dependencies of the controller. */
@@ -25,7 +26,11 @@
 	/** Model of each entry of a weights version that the store lists, by key. */
 	readonly #listedModels = new Map<string, string>();
 
-	constructor(private readonly dependencies: OperatorControllerDependencies) {}
+	readonly #invalid: invalidEntryLog.InvalidEntryLog;
+
+	constructor(private readonly dependencies: OperatorControllerDependencies) {
+		this.#invalid = new invalidEntryLog.InvalidEntryLog(dependencies.log);
+	}
 
 	onSnapshot(entries: readonly clients.kv.KvEntry[], context: storeFeed.ReadContext): void {
 		this.#listedModels.clear();
@@ -37,6 +42,7 @@
 	onChange(change: clients.kv.KvChange, context: storeFeed.ReadContext): void {
 		if (change.entry === undefined) {
 			this.#listedModels.delete(change.key);
+			this.#invalid.forget(change.key);
 		} else {
 			this.#applyEntry(change.entry, context);
 		}
@@ -64,8 +70,11 @@
 	}
 
 	#applyEntry(entry: clients.kv.KvEntry, context: storeFeed.ReadContext): void {
-		const {decoder, log} = this.dependencies;
-		const item = decoder.decode(entry);
+		const item = this.dependencies.decoder.decode(entry);
+		if (item.type !== ports.StoreEntryType.Invalid) {
+			this.#invalid.forget(entry.key);
+		}
+
 		switch (item.type) {
 			case ports.StoreEntryType.Config: {
 				this.#applyConfig(item.config);
@@ -79,7 +88,7 @@
 			}
 
 			case ports.StoreEntryType.Invalid: {
-				log.write(eventLog.LogEvent.StoreEntryInvalid, {key: entry.key, findings: item.findings.join('; ')});
+				this.#invalid.recordInvalid(entry.key, item.findings);
 				break;
 			}
 
--- a/packages/gateway/tests/support/fake-connections.ts
+++ b/packages/gateway/tests/support/fake-connections.ts
@@ -76,6 +76,8 @@
 	readonly streams: FakeStream[] = [];
 	/** Endpoints to which no further connection may be opened. */
 	readonly full = new Set<string>();
+	/** Endpoints whose address is invalid, so that opening a connection throws. */
+	readonly invalid = new Set<string>();
 	/** Endpoints to which connections are never established. */
 	readonly unreachable = new Set<string>();
 
@@ -91,23 +93,13 @@
 	/** Connection pools as the dispatcher uses them. */
 	readonly pools = {
 		poolFor: ({id}: core.fleet.EndpointEntry) => ({
-			acquire: () => this.full.has(id)
-				? undefined
-				: ({
-					id,
-					isOpen: true,
-					isClosedHere: false,
-					closedAt: Infinity,
-					refusals: new gateway.endpoints.RefusalHistory(),
-					dispatch: (options: undici.Dispatcher.DispatchOptions, handler: undici.Dispatcher.DispatchHandler) => {
-						const [requestId, endpoint, lastEventId] = options.headers as string[];
-						if (this.unreachable.has(endpoint!)) {
-							return;
-						}
-
-						this.streams.push(new FakeStream(endpoint!, requestId!, Number(lastEventId), handler));
-					},
-				}),
+			acquire: () => {
+				if (this.invalid.has(id)) {
+					throw new TypeError('Invalid URL');
+				}
+
+				return this.full.has(id) ? undefined : this.#createConnection(id);
+			},
 			release: (connection: IdleConnection) => {
 				this.#idle.push(connection);
 			},
@@ -135,6 +127,24 @@
 	listAt(endpoint: string): FakeStream[] {
 		return this.streams.filter(stream => stream.endpoint === endpoint);
 	}
+
+	#createConnection(id: string) {
+		return {
+			id,
+			isOpen: true,
+			isClosedHere: false,
+			closedAt: Infinity,
+			refusals: new gateway.endpoints.RefusalHistory(),
+			dispatch: (options: undici.Dispatcher.DispatchOptions, handler: undici.Dispatcher.DispatchHandler) => {
+				const [requestId, endpoint, lastEventId] = options.headers as string[];
+				if (this.unreachable.has(endpoint!)) {
+					return;
+				}
+
+				this.streams.push(new FakeStream(endpoint!, requestId!, Number(lastEventId), handler));
+			},
+		};
+	}
 }
 
 /** Response to a caller that keeps what is written. */
