Refuse requests that can't be completed before the end of a planned stop

Callers saw: requests that came late in the grace period were passed on and ended with 502 when the process ended, among them ones that may not be repeated. Cause: nothing compared the time that is left with the time that a response takes.

--- a/packages/gateway/src/call/refusal.ts
+++ b/packages/gateway/src/call/refusal.ts
@@ -19,7 +19,7 @@
 	PartQuarantined = 'part_quarantined',
 	/** The response can't start before the deadline. */
 	DeadlineTooClose = 'deadline_too_close',
-	/** The VM shuts down, and no endpoint can have executed the request. */
+	/** The VM shuts down, no endpoint can have executed the request, and a response would come too late. */
 	ShuttingDown = 'shutting_down',
 	/** The request was sent, and its outcome is unknown. */
 	OutcomeUnknown = 'outcome_unknown',
@@ -76,6 +76,9 @@
  */
 export const allLeavingRetryAfterMs = 1000;
 
+/** Time after which a request that this VM can't complete before it ends can be sent to another one, in milliseconds. */
+export const shuttingDownRetryAfterMs = 100;
+
 /** Time within which the store should confirm the configuration again, in milliseconds. */
 const configRetryAfterMs = 300;
 
--- a/packages/gateway/src/call/request-dispatcher.ts
+++ b/packages/gateway/src/call/request-dispatcher.ts
@@ -1,4 +1,4 @@
-import type * as core from '@bluebellmast/core';
+import * as core from '@bluebellmast/core';
 import type * as quarantineController from '../controllers/quarantine-controller.js';
 import type * as endpoints from '../endpoints/index.js';
 import type * as endpointInterruptions from '../placement/endpoint-interruptions.js';
@@ -43,6 +43,7 @@
 export type ForwarderDependencies = DispatcherDependencies & {
 	readonly failedSearches: failedSearches.FailedSearches;
 	readonly silences: silenceLog.SilenceLog;
+	readonly plannedStop: core.request.PlannedStop;
 };
 
 /** Decides immediately before each attempt whether a request may still be sent. */
@@ -57,7 +58,7 @@
 
 	constructor(dependencies: DispatcherDependencies) {
 		this.#dependencies = {
-			...dependencies, failedSearches: new failedSearches.FailedSearches(), silences: new silenceLog.SilenceLog(dependencies.log),
+			...dependencies, failedSearches: new failedSearches.FailedSearches(), silences: new silenceLog.SilenceLog(dependencies.log), plannedStop: new core.request.PlannedStop(),
 		};
 	}
 
@@ -72,6 +73,15 @@
 		}
 	}
 
+	/**
+	 * Begins a planned stop: requests that can't be completed before its end are no longer sent.
+	 *
+	 * @param endsAt - When the process ends, in milliseconds of the monotonic clock.
+	 */
+	beginStop(endsAt: number): void {
+		this.#dependencies.plannedStop.begin(endsAt);
+	}
+
 	/** Aborts the attempts that have not started on weights that may soon no longer be used. */
 	abortOutdatedAttempts(now: clocks.Instant): void {
 		for (const forwarder of this.#forwarders) {
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -29,6 +29,8 @@
 	readonly #pool: core.routing.PoolName;
 	readonly #promptKeys: core.quarantine.PromptKeys | undefined;
 	#isTimedOut = false;
+	/** When the request was sent first. */
+	#firstSentAt: number | undefined;
 	#isResponseClosed = false;
 	readonly #timers: attemptTimers.AttemptTimers;
 	readonly #responseTimer = new responseTimer.ResponseTimer();
@@ -210,6 +212,7 @@
 			this.#timers.stop();
 			if (last !== undefined && this.#responses.isComplete(last)) {
 				this.#responses.complete(last);
+				this.#recordDuration();
 				return undefined;
 			}
 
@@ -231,6 +234,10 @@
 			return {code: refusals.RefusalCode.DeadlineTooClose};
 		}
 
+		if (!this.#relay.hasStarted && this.dependencies.clock.monotonicNow() > this.dependencies.plannedStop.latestSendAt(this.request.route)) {
+			return {code: refusals.RefusalCode.ShuttingDown, retryAfterMs: refusals.shuttingDownRetryAfterMs, inputs: {tries: this.#rules.attemptCount}};
+		}
+
 		const quarantined = this.#findQuarantined();
 		if (quarantined !== undefined) {
 			const {part, releasedInMs} = quarantined;
@@ -254,6 +261,7 @@
 			return undefined;
 		}
 
+		this.#firstSentAt ??= now;
 		this.#rules.recordSent(sent, now);
 		return sent;
 	}
@@ -323,6 +331,14 @@
 		});
 	}
 
+	/** Records how long a complete response took, for requests that come during a planned stop. */
+	#recordDuration(): void {
+		const {plannedStop, clock} = this.dependencies;
+		if (this.#firstSentAt !== undefined) {
+			plannedStop.recordDuration(this.request.route.name, clock.monotonicNow() - this.#firstSentAt);
+		}
+	}
+
 	/** Records that the current attempt delivers. */
 	#recordProgress(): void {
 		const sent = this.#active.current;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,6 @@
 import * as timers from 'node:timers/promises';
 import type * as core from '@bluebellmast/core';
+import type * as call from './call/index.js';
 import type * as controllers from './controllers/index.js';
 import type * as gatewaySettings from './gateway-settings.js';
 import * as ingress from './ingress/index.js';
@@ -16,6 +17,7 @@
 	readonly config: core.routing.ConfigState;
 	readonly fleet: placement.FleetState;
 	readonly server: ingress.GatewayServer;
+	readonly dispatcher: call.RequestDispatcher;
 	readonly feed: controllers.StoreFeed;
 	readonly leaseController: controllers.LeaseController;
 	readonly rolloutController: controllers.RolloutController;
@@ -125,10 +127,11 @@
 	}
 
 	async #stop(): Promise<void> {
-		const {settings, server, leaseController, log, clock} = this.components;
+		const {settings, server, dispatcher, leaseController, log, clock} = this.components;
 		const startedAt = clock.monotonicNow();
 		log.write(eventLog.LogEvent.Stopping, {graceMs: settings.graceMs});
 		server.beginShutdown();
+		dispatcher.beginStop(startedAt + settings.graceMs - exitMarginMs);
 		await Promise.all([leaseController.stop(), timers.setTimeout(deregistrationMs)]);
 		await server.finishShutdown(settings.graceMs - exitMarginMs - (clock.monotonicNow() - startedAt));
 		this.close();
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -198,6 +198,7 @@
 		config,
 		fleet,
 		server,
+		dispatcher,
 		feed,
 		leaseController,
 		rolloutController,
--- a/packages/gateway/tests/gateway.test.ts
+++ b/packages/gateway/tests/gateway.test.ts
@@ -18,6 +18,7 @@
 				},
 				close: () => undefined,
 			},
+			dispatcher: {beginStop: () => undefined},
 			feed: {stop: () => undefined},
 			loadController: {stop: () => undefined},
 			loadExchange: {close: () => undefined},
