Tell interrupted requests apart by their ids, not by the last parts of their prompts

Cause: rows of different requests were told apart by the last part of the prompt, so that equal prompts of different callers counted as one request, and a part needs two. A row now has a key of the last part and the request's id; a resend keeps its id.

--- a/packages/core/src/quarantine/crash-row.ts
+++ b/packages/core/src/quarantine/crash-row.ts
@@ -7,8 +7,8 @@
 	readonly at: number;
 	/** Keys of the parts of its prompt that other requests may share, in their order. */
 	readonly sharedParts: readonly string[];
-	/** Key of the last part of its prompt. */
-	readonly ownPart: string;
+	/** Key of the request. */
+	readonly requestKey: string;
 	/** Whether its response had begun. */
 	readonly hasBegun: boolean;
 };
@@ -18,7 +18,7 @@
 	return `${id}@${bornAt}`;
 }
 
-/** Returns a text that identifies a row: an incarnation interrupts requests with the same last part once. */
-export function rowKey({endpoint, ownPart}: Pick<CrashRow, 'endpoint' | 'ownPart'>): string {
-	return `${incarnationKey(endpoint)} ${ownPart}`;
+/** Returns a text that identifies a row: an incarnation interrupts a request once. */
+export function rowKey({endpoint, requestKey}: Pick<CrashRow, 'endpoint' | 'requestKey'>): string {
+	return `${incarnationKey(endpoint)} ${requestKey}`;
 }
--- a/packages/core/src/quarantine/find-culprits.ts
+++ b/packages/core/src/quarantine/find-culprits.ts
@@ -158,7 +158,7 @@
 
 		return {
 			ends: endedAt.size,
-			requests: new Set(rows.map(row => row.ownPart)).size,
+			requests: new Set(rows.map(row => row.requestKey)).size,
 			moments: countMoments([...endedAt.values()], this.limits.momentMs),
 		};
 	}
--- a/packages/core/src/quarantine/part-key.ts
+++ b/packages/core/src/quarantine/part-key.ts
@@ -10,8 +10,8 @@
 export type PromptKeys = {
 	/** Keys of the parts that other requests may share, in their order. */
 	readonly sharedParts: readonly string[];
-	/** Key of the last part, which is specific to the request or its session; absent without parts. */
-	readonly ownPart?: string;
+	/** Key of the request: of its last part, which is never the cause, and its id, since callers may send equal prompts; absent without parts. */
+	readonly requestKey?: string;
 };
 
 /** Returns the key of a prompt part of a model's requests, of bounded length. */
@@ -25,7 +25,8 @@
 }
 
 /** Returns the keys of the parts of a prompt, given in their order. */
-export function createPromptKeys(model: string, ids: readonly string[]): PromptKeys {
+export function createPromptKeys(model: string, ids: readonly string[], requestId: string): PromptKeys {
 	const keys = ids.map(id => createPartKey(model, id));
-	return {sharedParts: keys.slice(0, -1).slice(0, maxSharedParts), ownPart: keys.at(-1)};
+	const last = keys.at(-1);
+	return {sharedParts: keys.slice(0, -1).slice(0, maxSharedParts), requestKey: last === undefined ? undefined : hash.hash64Hex(`${last} ${requestId}`)};
 }
--- a/packages/core/src/quarantine/part-quarantine.ts
+++ b/packages/core/src/quarantine/part-quarantine.ts
@@ -84,9 +84,9 @@
 	 */
 	recordInterruption({endpoint, at, requests}: interruption.Interruption, now: number): crashRow.CrashRow[] {
 		return this.addRows(requests
-			.filter(request => request.sharedParts.length > 0 && request.ownPart !== undefined)
-			.map(({sharedParts, ownPart, hasBegun}) => ({
-				endpoint, at, sharedParts, ownPart: ownPart!, hasBegun,
+			.filter(request => request.sharedParts.length > 0 && request.requestKey !== undefined)
+			.map(({sharedParts, requestKey, hasBegun}) => ({
+				endpoint, at, sharedParts, requestKey: requestKey!, hasBegun,
 			})), now);
 	}
 
--- a/packages/core/tests/quarantine/operator-overrides.test.ts
+++ b/packages/core/tests/quarantine/operator-overrides.test.ts
@@ -115,7 +115,7 @@
 
 describe('PartQuarantine.lift', () => {
 	const rows = [1, 2, 3].map((number): core.quarantine.CrashRow => ({
-		endpoint: {id: `e-${number}`, bornAt: 1}, at: number * 100, sharedParts: ['m/first', `m/other-${number}`, 'm/bad'], ownPart: `o${number}`, hasBegun: true,
+		endpoint: {id: `e-${number}`, bornAt: 1}, at: number * 100, sharedParts: ['m/first', `m/other-${number}`, 'm/bad'], requestKey: `o${number}`, hasBegun: true,
 	}));
 
 	function list(quarantine: core.quarantine.PartQuarantine, now: number): string[] {
--- a/packages/core/tests/quarantine/part-quarantine.test.ts
+++ b/packages/core/tests/quarantine/part-quarantine.test.ts
@@ -5,11 +5,11 @@
 const {expect} = chai;
 
 /** An interrupted request: number of the endpoint, time, shared parts, own part. */
-type RowInput = readonly [endpoint: number, at: number, sharedParts: string, ownPart: string, hasBegun?: boolean];
+type RowInput = readonly [endpoint: number, at: number, sharedParts: string, requestKey: string, hasBegun?: boolean];
 
-function createRow([endpoint, at, sharedParts, ownPart, hasBegun = true]: RowInput): core.quarantine.CrashRow {
+function createRow([endpoint, at, sharedParts, requestKey, hasBegun = true]: RowInput): core.quarantine.CrashRow {
 	return {
-		endpoint: {id: `e-${endpoint}`, bornAt: 1}, at, sharedParts: sharedParts.split(' '), ownPart, hasBegun,
+		endpoint: {id: `e-${endpoint}`, bornAt: 1}, at, sharedParts: sharedParts.split(' '), requestKey, hasBegun,
 	};
 }
 
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -61,7 +61,7 @@
 			},
 		});
 		this.#relay.lastEventId = head.lastEventId;
-		this.#promptKeys = head.prompt && core.quarantine.createPromptKeys(head.prompt.model, head.prompt.parts.map(part => part.id));
+		this.#promptKeys = head.prompt && core.quarantine.createPromptKeys(head.prompt.model, head.prompt.parts.map(part => part.id), head.requestId);
 		this.#rules = new retryRules.RetryRules({
 			route,
 			hasUnresumableResponse: () => this.#relay.hasStarted && !(route.isResumable && this.#relay.isEventStream),
--- a/packages/gateway/src/peers/digest-codec.ts
+++ b/packages/gateway/src/peers/digest-codec.ts
@@ -17,7 +17,7 @@
 /** Encoded incarnation of an endpoint: id, start time in Unix milliseconds. */
 type IncarnationRow = readonly [string, number];
 
-/** Encoded interrupted request: endpoint, start time of its incarnation, age in milliseconds, whether its response had begun, own part, shared parts. */
+/** Encoded interrupted request: endpoint, start time of its incarnation, age in milliseconds, whether its response had begun, key of the request, shared parts. */
 type CrashRow = readonly [string, number, number, boolean, string, readonly string[]];
 
 /** Encoded sound prompt part: key, age in milliseconds. */
@@ -108,8 +108,8 @@
 export function encodeEvidence({crashes, soundParts, survivors}: core.quarantine.QuarantineDigest): EncodedEvidence {
 	return {
 		...(crashes.length > 0 && {
-			crashes: crashes.map(({endpoint, ageMs, hasBegun, ownPart, sharedParts}): CrashRow => [
-				endpoint.id, endpoint.bornAt, ageMs, hasBegun, ownPart, sharedParts,
+			crashes: crashes.map(({endpoint, ageMs, hasBegun, requestKey, sharedParts}): CrashRow => [
+				endpoint.id, endpoint.bornAt, ageMs, hasBegun, requestKey, sharedParts,
 			]),
 		}),
 		...(soundParts.length > 0 && {sound: soundParts.map(({part, ageMs}): SoundRow => [part, ageMs])}),
@@ -127,16 +127,16 @@
 	}
 
 	return {
-		crashes: crashRows.map(([id, bornAt, ageMs, hasBegun, ownPart, sharedParts]) => ({
-			endpoint: {id, bornAt}, ageMs, hasBegun, ownPart, sharedParts,
+		crashes: crashRows.map(([id, bornAt, ageMs, hasBegun, requestKey, sharedParts]) => ({
+			endpoint: {id, bornAt}, ageMs, hasBegun, requestKey, sharedParts,
 		})),
 		soundParts: soundRows.map(([part, ageMs]) => ({part, ageMs})),
 		survivors: aliveRows.map(([id, bornAt, openedAgeMs, ageMs]) => ({endpoint: {id, bornAt}, openedAgeMs, ageMs})),
 	};
 }
 
-function isCrashRow([_endpoint, _bornAt, ageMs, _hasBegun, ownPart, sharedParts]: CrashRow): boolean {
-	return ageMs >= 0 && isPartKey(ownPart) && Array.isArray(sharedParts) && sharedParts.length <= maxSharedParts
+function isCrashRow([_endpoint, _bornAt, ageMs, _hasBegun, requestKey, sharedParts]: CrashRow): boolean {
+	return ageMs >= 0 && isPartKey(requestKey) && Array.isArray(sharedParts) && sharedParts.length <= maxSharedParts
 		&& sharedParts.every(part => isPartKey(part));
 }
 
--- a/packages/gateway/tests/controllers/quarantine-store.test.ts
+++ b/packages/gateway/tests/controllers/quarantine-store.test.ts
@@ -33,7 +33,7 @@
 		for (const number of [1, 2, 3]) {
 			this.quarantine.recordInterruption({
 				endpoint: {id: `${part}-${number}`, bornAt: 1}, at: this.clock.now - (number * 100),
-				requests: [{sharedParts: [part], ownPart: `own-${number}`, hasBegun: true}],
+				requests: [{sharedParts: [part], requestKey: `own-${number}`, hasBegun: true}],
 			});
 		}
 	}
--- a/packages/gateway/tests/peers/digest-codec.test.ts
+++ b/packages/gateway/tests/peers/digest-codec.test.ts
@@ -57,7 +57,7 @@
 
 	const evidence: core.quarantine.QuarantineDigest = {
 		crashes: [{
-			endpoint: {id: 'a', bornAt: 1_796_370_137_105}, ageMs: 40, hasBegun: true, ownPart: 'm/own', sharedParts: ['m/1', 'm/2'],
+			endpoint: {id: 'a', bornAt: 1_796_370_137_105}, ageMs: 40, hasBegun: true, requestKey: 'm/own', sharedParts: ['m/1', 'm/2'],
 		}],
 		soundParts: [{part: 'm/1', ageMs: 5}],
 		survivors: [{endpoint: {id: 'b', bornAt: 3}, openedAgeMs: 900, ageMs: 7}],
--- a/packages/gateway/tests/placement/endpoint-interruptions.test.ts
+++ b/packages/gateway/tests/placement/endpoint-interruptions.test.ts
@@ -7,7 +7,7 @@
 const {LogEvent: events} = core.log;
 
 function createRequest(sharedParts: readonly string[], hasBegun: boolean): core.quarantine.InterruptedRequest {
-	return {sharedParts, ownPart: 'm/own', hasBegun};
+	return {sharedParts, requestKey: 'm/own', hasBegun};
 }
 
 describe('EndpointInterruptions', () => {
--- a/packages/gateway/tests/support/simulated-crashes.ts
+++ b/packages/gateway/tests/support/simulated-crashes.ts
@@ -9,6 +9,8 @@
 	/** Requests with the crashing part, and sound ones, a second. */
 	readonly crashingPerSecond: number;
 	readonly soundPerSecond: number;
+	/** Whether the prompts of all requests with the crashing part are equal, as of callers who ask the same; else no two are alike. */
+	readonly areCrashingEqual: boolean;
 	/** Share of the endpoints that end by themselves at once, at half of the time. */
 	readonly killedShare: number;
 	/** Time after which as many other endpoints end by themselves, in milliseconds; 0 for none. */
@@ -121,7 +123,7 @@
 
 		for (let at = crashingPerSecond > 0 ? 1000 : durationMs; at < durationMs; at += 1000 / crashingPerSecond) {
 			this.time.schedule(at, () => {
-				this.#arrive([`f${this.#random.int(firstPartCount)}`, 'bad'], true);
+				this.#arrive(this.scenario.areCrashingEqual ? ['bad'] : [`f${this.#random.int(firstPartCount)}`, 'bad'], true);
 			});
 		}
 
@@ -205,7 +207,8 @@
 	#arrive(parts: readonly string[], isCrashing: boolean): void {
 		this.#requestCount += 1;
 		const vm = this.#vms[this.#random.int(this.#vms.length)]!;
-		const keys = core.quarantine.createPromptKeys('m', [...parts, `own-${this.#requestCount}`]);
+		const lastPart = isCrashing && this.scenario.areCrashingEqual ? 'question' : `own-${this.#requestCount}`;
+		const keys = core.quarantine.createPromptKeys('m', [...parts, lastPart], `r-${this.#requestCount}`);
 		this.outcome.sound += isCrashing ? 0 : 1;
 		this.#send(vm, keys, isCrashing, attempts);
 	}
--- a/packages/gateway/tests/support/simulated-gateway-week.ts
+++ b/packages/gateway/tests/support/simulated-gateway-week.ts
@@ -242,7 +242,7 @@
 				leavingEndpoints: [engines[0]!],
 				quarantine: {
 					crashes: [{
-						endpoint: engines[1]!, sharedParts: [part], ownPart: `${part}-own`, hasBegun: true, ageMs: 10,
+						endpoint: engines[1]!, sharedParts: [part], requestKey: `${part}-own`, hasBegun: true, ageMs: 10,
 					}],
 					soundParts: [{part: `${part}-sound`, ageMs: 10}],
 					survivors: [{endpoint: engines[1]!, openedAgeMs: 1000, ageMs: 5}],
--- a/packages/gateway/tests/support/simulated-operator-overrides.ts
+++ b/packages/gateway/tests/support/simulated-operator-overrides.ts
@@ -67,7 +67,7 @@
 		for (const number of [1, 2, 3]) {
 			this.quarantine.recordInterruption({
 				endpoint: {id: `${part}-${number}`, bornAt: now}, at: now - (number * 100),
-				requests: [{sharedParts: [part], ownPart: `own-${number}`, hasBegun: true}],
+				requests: [{sharedParts: [part], requestKey: `own-${number}`, hasBegun: true}],
 			});
 		}
 	}
