--- a/packages/gateway/tests/support/run-crash-scenario.ts
+++ b/packages/gateway/tests/support/run-crash-scenario.ts
@@ -21,7 +21,7 @@
 	const time = new virtualTime.VirtualTime();
 	const crashes = new simulatedCrashes.SimulatedCrashes({
 		vmCount: 7, endpointCount: 12, crashingPerSecond: 10, soundPerSecond: 150, areCrashingEqual: false,
-		 killedShare: 0, killedAgainAfterMs: 0, lossPercent: 1, isQuarantined: true, seed: 1, ...scenario,
+		killedShare: 0, killedAgainAfterMs: 0, lossPercent: 1, isQuarantined: true, seed: 1, ...scenario,
 	}, time);
 	crashes.start(durationMs);
 	await time.runUntil(durationMs);
