--- a/packages/core/src/store/lapse-window.ts
+++ b/packages/core/src/store/lapse-window.ts
@@ -37,7 +37,7 @@
 
 /**
  * Derives from the calls of a VM whether entries may be missing since they expired in an outage of the store. The time limit runs from the return
- * of the store, not from when an entry was found missing. An outage that only this VM sees can't be told from one of the store.
+ * of the store, not from when an entry was found missing. An outage of this VM's own connections looks the same to it as one of the store.
  */
 export class LapseWindow {
 	/** When the store last responded; `-Infinity` before the first response, whatever happened until then. */
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -183,6 +183,7 @@
 	}
 
 	async #runAttempts(): Promise<refusals.Refusal | undefined> {
+		const {plannedStop, clock} = this.dependencies;
 		for (;;) {
 			const refusal = this.#findRefusal();
 			if (refusal !== undefined) {
@@ -212,7 +213,7 @@
 			this.#timers.stop();
 			if (last !== undefined && this.#responses.isComplete(last)) {
 				this.#responses.complete(last);
-				this.#recordDuration();
+				plannedStop.recordDuration(this.request.route.name, clock.monotonicNow() - this.#firstSentAt!);
 				return undefined;
 			}
 
@@ -331,14 +332,6 @@
 		});
 	}
 
-	/** Records how long a complete response took, for requests that come during a planned stop. */
-	#recordDuration(): void {
-		const {plannedStop, clock} = this.dependencies;
-		if (this.#firstSentAt !== undefined) {
-			plannedStop.recordDuration(this.request.route.name, clock.monotonicNow() - this.#firstSentAt);
-		}
-	}
-
 	/** Records that the current attempt delivers. */
 	#recordProgress(): void {
 		const sent = this.#active.current;
