Rank suspected prompt parts by the ends that they explain, before whether they were sound earlier

Callers saw: 19 engines ended, BUDGET broken (8 sends after the third end). Evidence: the cause was in 12 requests at 16 ends and had been completed before the fault, so that it ranked behind all parts that never were; seven of those, at three to five ends each by chance, explained its ends one after the other and were quarantined and released in its place. The new case of part-quarantine.test.ts failed before ('slow' and 'rare' in place of 'bad') and passes, with 38 others of quarantine.

--- a/packages/core/src/quarantine/find-culprits.ts
+++ b/packages/core/src/quarantine/find-culprits.ts
@@ -70,9 +70,9 @@
 	}
 }
 
-/** Sorts parts that were not sound before others, then those of many ends first, then by name, so that all VMs decide alike. */
+/** Sorts parts of many ends first, then those that were not sound before others, then by name, so that all VMs decide alike. */
 function compareSuspects(a: Suspect, b: Suspect): number {
-	return (Number(a.isKnownSound) - Number(b.isKnownSound)) || (b.ends - a.ends) || (a.part < b.part ? -1 : 1);
+	return (b.ends - a.ends) || (Number(a.isKnownSound) - Number(b.isKnownSound)) || (a.part < b.part ? -1 : 1);
 }
 
 function groupByPart(rows: readonly crashRow.CrashRow[], soundAt: SoundTime): Map<string, crashRow.CrashRow[]> {
--- a/packages/core/tests/quarantine/part-quarantine.test.ts
+++ b/packages/core/tests/quarantine/part-quarantine.test.ts
@@ -104,6 +104,17 @@
 		expect(quarantine.list().map(({part, companions}) => ({part, companions}))).to.deep.equal([{part: 'bad', companions: []}]);
 	});
 
+	// Guards against parts that were in progress at some of the ends by chance and are quarantined in place of the cause, which was sound before it began to end endpoints.
+	it('holds a part that was sound shortly before for the cause if it explains more ends than others that were never sound', () => {
+		const quarantine = new core.quarantine.PartQuarantine();
+		quarantine.recordSound(['bad'], 900);
+		quarantine.addRows(Array.from({length: 7}, (_, index) => createRow([index, 1000 + (index * 300), 'bad', `o${index}`])), 4000);
+		quarantine.addRows([0, 1, 2].map(index => createRow([index, 1000 + (index * 300), 'rare', `r${index}`])), 4000);
+		quarantine.addRows([3, 4, 5, 6].map(index => createRow([index, 1000 + (index * 300), 'slow', `s${index}`])), 4000);
+		quarantine.update(4000);
+		expect(quarantine.list().map(({part}) => part)).to.deep.equal(['bad']);
+	});
+
 	it('voids the evidence of endpoints that live on, and of ends before a part was sound', () => {
 		const quarantine = createQuarantine(threeEnds, 400);
 		expect(quarantine.recordAlive({id: 'e-2', bornAt: 1}, {from: 250, until: 300})).to.equal(false);
