--- a/packages/core/src/request/planned-stop.ts
+++ b/packages/core/src/request/graceful-shutdown.ts
@@ -15,10 +15,10 @@
 const unknownTargetFactor = 3;
 
 /**
- * Decides whether a request can still be completed before the process ends in a planned stop, by the time that the latest responses of its route took.
+ * Decides whether a request can still be completed before the process ends in a graceful shutdown, by the time that the latest responses of its route took.
  * Times are in milliseconds of the monotonic clock.
  */
-export class PlannedStop {
+export class GracefulShutdown {
 	#endsAt = Infinity;
 	/** Latest durations by route, as a ring. */
 	readonly #durations = new Map<string, {readonly values: number[]; next: number}>();
@@ -36,12 +36,12 @@
 		ring.next = (ring.next + 1) % rememberedResponses;
 	}
 
-	/** Begins the stop. @param endsAt - When the process ends. */
+	/** Begins the shutdown. @param endsAt - When the process ends. */
 	begin(endsAt: number): void {
 		this.#endsAt = Math.min(this.#endsAt, endsAt);
 	}
 
-	/** Returns until when a request may be sent so that it can be completed; `Infinity` without a stop. */
+	/** Returns until when a request may be sent so that it can be completed; `Infinity` without a shutdown. */
 	latestSendAt(route: RouteTimes): number {
 		return this.#endsAt === Infinity ? Infinity : this.#endsAt - this.#expectDurationMs(route);
 	}
--- a/packages/core/src/request/index.ts
+++ b/packages/core/src/request/index.ts
@@ -1,6 +1,6 @@
 export * from './attempt.js';
 export * from './execution.js';
-export * from './planned-stop.js';
+export * from './graceful-shutdown.js';
 export * from './retry-decision.js';
 export * from './refusal-factory.js';
 export * from './request-state.js';
--- a/packages/core/tests/quarantine/part-quarantine.test.ts
+++ b/packages/core/tests/quarantine/part-quarantine.test.ts
@@ -4,7 +4,7 @@
 
 const {expect} = chai;
 
-/** An interrupted request: number of the endpoint, time, shared parts, own part. */
+/** An interrupted request: number of the endpoint, time, shared parts, key of the request. */
 type RowInput = readonly [endpoint: number, at: number, sharedParts: string, requestKey: string, hasBegun?: boolean];
 
 function createRow([endpoint, at, sharedParts, requestKey, hasBegun = true]: RowInput): core.quarantine.CrashRow {
--- a/packages/core/tests/request/planned-stop.test.ts
+++ b/packages/core/tests/request/graceful-shutdown.test.ts
@@ -4,28 +4,28 @@
 const {expect} = chai;
 const route = {name: 'book', targetLatencyMs: 100, timeoutMs: 3000};
 
-describe('PlannedStop', () => {
-	let stop: core.request.PlannedStop;
+describe('GracefulShutdown', () => {
+	let shutdown: core.request.GracefulShutdown;
 
 	beforeEach(() => {
-		stop = new core.request.PlannedStop();
+		shutdown = new core.request.GracefulShutdown();
 	});
 
 	function record(...durations: readonly number[]): void {
 		for (const durationMs of durations) {
-			stop.recordDuration('book', durationMs);
+			shutdown.recordDuration('book', durationMs);
 		}
 	}
 
-	/** Begins the stop. @returns Until when a request may be sent. */
+	/** Begins the shutdown. @returns Until when a request may be sent. */
 	function stopAt(endsAt: number): number {
-		stop.begin(endsAt);
-		return stop.latestSendAt(route);
+		shutdown.begin(endsAt);
+		return shutdown.latestSendAt(route);
 	}
 
 	it('sets no limit before it begins', () => {
 		record(500);
-		expect(stop.latestSendAt(route)).to.equal(Infinity);
+		expect(shutdown.latestSendAt(route)).to.equal(Infinity);
 	});
 
 	const expectations: ReadonlyArray<readonly [description: string, durations: readonly number[], expectedMs: number]> = [
@@ -43,26 +43,26 @@
 	}
 
 	it('does not mix routes', () => {
-		stop.recordDuration('look', 2000);
+		shutdown.recordDuration('look', 2000);
 		record(40);
-		stop.begin(10_000);
-		expect(stop.latestSendAt(route)).to.equal(9960);
+		shutdown.begin(10_000);
+		expect(shutdown.latestSendAt(route)).to.equal(9960);
 	});
 
 	it('keeps its end after a second signal', () => {
 		record(40);
-		stop.begin(10_000);
-		stop.begin(12_000);
-		expect(stop.latestSendAt(route)).to.equal(9960);
+		shutdown.begin(10_000);
+		shutdown.begin(12_000);
+		expect(shutdown.latestSendAt(route)).to.equal(9960);
 	});
 
 	it('remembers 1,000 routes at most', () => {
 		record(2000);
 		for (let number = 0; number < 1000; number++) {
-			stop.recordDuration(`r-${number}`, 1);
+			shutdown.recordDuration(`r-${number}`, 1);
 		}
 
-		stop.begin(10_000);
-		expect(stop.latestSendAt(route)).to.equal(9700);
+		shutdown.begin(10_000);
+		expect(shutdown.latestSendAt(route)).to.equal(9700);
 	});
 });
--- a/packages/gateway/src/call/request-dispatcher.ts
+++ b/packages/gateway/src/call/request-dispatcher.ts
@@ -43,7 +43,7 @@
 export type ForwarderDependencies = DispatcherDependencies & {
 	readonly failedSearches: failedSearches.FailedSearches;
 	readonly silences: silenceLog.SilenceLog;
-	readonly plannedStop: core.request.PlannedStop;
+	readonly gracefulShutdown: core.request.GracefulShutdown;
 };
 
 /** Decides immediately before each attempt whether a request may still be sent. */
@@ -58,7 +58,7 @@
 
 	constructor(dependencies: DispatcherDependencies) {
 		this.#dependencies = {
-			...dependencies, failedSearches: new failedSearches.FailedSearches(), silences: new silenceLog.SilenceLog(dependencies.log), plannedStop: new core.request.PlannedStop(),
+			...dependencies, failedSearches: new failedSearches.FailedSearches(), silences: new silenceLog.SilenceLog(dependencies.log), gracefulShutdown: new core.request.GracefulShutdown(),
 		};
 	}
 
@@ -74,12 +74,12 @@
 	}
 
 	/**
-	 * Begins a planned stop: requests that can't be completed before its end are no longer sent.
+	 * Begins a graceful shutdown: requests that can't be completed before its end are no longer sent.
 	 *
 	 * @param endsAt - When the process ends, in milliseconds of the monotonic clock.
 	 */
-	beginStop(endsAt: number): void {
-		this.#dependencies.plannedStop.begin(endsAt);
+	beginShutdown(endsAt: number): void {
+		this.#dependencies.gracefulShutdown.begin(endsAt);
 	}
 
 	/** Aborts the attempts that have not started on weights that may soon no longer be used. */
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -183,7 +183,7 @@
 	}
 
 	async #runAttempts(): Promise<refusals.Refusal | undefined> {
-		const {plannedStop, clock} = this.dependencies;
+		const {gracefulShutdown, clock} = this.dependencies;
 		for (;;) {
 			const refusal = this.#findRefusal();
 			if (refusal !== undefined) {
@@ -213,7 +213,7 @@
 			this.#timers.stop();
 			if (last !== undefined && this.#responses.isComplete(last)) {
 				this.#responses.complete(last);
-				plannedStop.recordDuration(this.request.route.name, clock.monotonicNow() - this.#firstSentAt!);
+				gracefulShutdown.recordDuration(this.request.route.name, clock.monotonicNow() - this.#firstSentAt!);
 				return undefined;
 			}
 
@@ -235,7 +235,7 @@
 			return {code: refusals.RefusalCode.DeadlineTooClose};
 		}
 
-		if (!this.#relay.hasStarted && this.dependencies.clock.monotonicNow() > this.dependencies.plannedStop.latestSendAt(this.request.route)) {
+		if (!this.#relay.hasStarted && this.dependencies.clock.monotonicNow() > this.dependencies.gracefulShutdown.latestSendAt(this.request.route)) {
 			return {code: refusals.RefusalCode.ShuttingDown, retryAfterMs: refusals.shuttingDownRetryAfterMs, inputs: {tries: this.#rules.attemptCount}};
 		}
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -131,7 +131,7 @@
 		const startedAt = clock.monotonicNow();
 		log.write(eventLog.LogEvent.Stopping, {graceMs: settings.graceMs});
 		server.beginShutdown();
-		dispatcher.beginStop(startedAt + settings.graceMs - exitMarginMs);
+		dispatcher.beginShutdown(startedAt + settings.graceMs - exitMarginMs);
 		await Promise.all([leaseController.stop(), timers.setTimeout(deregistrationMs)]);
 		await server.finishShutdown(settings.graceMs - exitMarginMs - (clock.monotonicNow() - startedAt));
 		this.close();
--- a/packages/gateway/tests/gateway.test.ts
+++ b/packages/gateway/tests/gateway.test.ts
@@ -18,7 +18,7 @@
 				},
 				close: () => undefined,
 			},
-			dispatcher: {beginStop: () => undefined},
+			dispatcher: {beginShutdown: () => undefined},
 			feed: {stop: () => undefined},
 			loadController: {stop: () => undefined},
 			loadExchange: {close: () => undefined},
--- a/packages/gateway/tests/support/random-departures.ts
+++ b/packages/gateway/tests/support/random-departures.ts
@@ -18,8 +18,8 @@
 const heartbeatMs = 1200;
 /** An endpoint's entry expires this long after its last write. */
 const lifetimeMs = 3 * heartbeatMs;
-/** Time after the return of the store within which endpoints write their entries again, less the time that a request takes to reach one. */
-const returnMs = 1950;
+/** Time after the return of the store within which endpoints write their entries again, as the platform states it. */
+const returnMs = 2000;
 const untilMs = 45_000;
 const endpointCount = 6;
 /** Time before the first outage, in which the VM reads the entries. */
