Judge and log which pools a VM reaches; tell other VMs by digests

`pool_unreached` is written when several listed endpoints owe responses or fail and none sends anything for 300 ms, with the number of other VMs that have data from the pool since; `pool_reached` at the first data. Endpoints of an unreached pool are checked in turn each 300 ms. Nothing is decided by it yet. Digests tell the pools that a VM reaches once it takes relayed requests.

--- a/packages/core/src/fleet/load-digest.ts
+++ b/packages/core/src/fleet/load-digest.ts
@@ -2,6 +2,7 @@
 import type * as quarantineDigest from '../quarantine/quarantine-digest.js';
 import type * as cacheObservation from './cache-observation.js';
 import type * as endpointEntry from './endpoint-entry.js';
+import type * as peerReach from './peer-reach.js';
 
 /** Load that one VM puts on one endpoint. */
 export type EndpointDigest = {
@@ -37,6 +38,8 @@
 	readonly limits?: readonly statedLimits.LimitDigest[];
 	/** Endpoints that told this VM that they are leaving; absent if there are none, or in digests of older versions. */
 	readonly leavingEndpoints?: readonly endpointEntry.EndpointIncarnation[];
+	/** The pools that the VM reaches; absent if it takes no relayed requests, or in digests of older versions. */
+	readonly reach?: peerReach.ReachDigest;
 	/** Evidence on prompt parts that end endpoints; absent if there is none. */
 	readonly quarantine?: quarantineDigest.QuarantineDigest;
 };
--- a/packages/core/src/log/log-event.ts
+++ b/packages/core/src/log/log-event.ts
@@ -38,6 +38,9 @@
 	EndpointDropped = 'endpoint_dropped',
 	/** The store returned from a copy that lists an endpoint that has left; it is not used until its entry is written again or stays. */
 	EndpointHeld = 'endpoint_held',
+	/** Several endpoints of a pool owe responses or fail, and none sends anything to this VM. */
+	PoolUnreached = 'pool_unreached',
+	PoolReached = 'pool_reached',
 	EndpointUnresponsive = 'endpoint_unresponsive',
 	EndpointResponsive = 'endpoint_responsive',
 	/** An endpoint or cache store has asked this VM to send nothing for a time. */
@@ -173,6 +176,14 @@
 	};
 	[LogEvent.EndpointDropped]: {readonly endpoint: string; readonly missingMs: number};
 	[LogEvent.EndpointHeld]: {readonly endpoint: string; readonly bornAt: number};
+	[LogEvent.PoolUnreached]: {
+		readonly pool: string;
+		/** Number of endpoints from which data is missing, and time for which none sent anything. */
+		readonly endpoints: number; readonly silentMs: number;
+		/** Number of other VMs that have data from the pool since. */
+		readonly reachedBy: number;
+	};
+	[LogEvent.PoolReached]: {readonly pool: string};
 	[LogEvent.EndpointUnresponsive]: {readonly endpoint: string};
 	[LogEvent.EndpointResponsive]: {readonly endpoint: string};
 	[LogEvent.EndpointPaused]: {readonly endpoint: string; readonly pauseMs: number};
--- a/packages/gateway/src/call/attempt-recorder.ts
+++ b/packages/gateway/src/call/attempt-recorder.ts
@@ -23,6 +23,13 @@
 	endpoints.AttemptFault.EndlessResponse,
 ]);
 
+/** Faults of a link, or of an endpoint that has ended. */
+const unreachedFaults: ReadonlySet<endpoints.AttemptFault> = new Set([
+	endpoints.AttemptFault.ConnectFailed,
+	endpoints.AttemptFault.ConnectRefused,
+	endpoints.AttemptFault.ConnectionLost,
+]);
+
 /** Records the attempts of one request in the state of the fleet and in the log. */
 export class AttemptRecorder {
 	/** @param promptKeys - Keys of the parts of the request's prompt; absent without a prompt. */
@@ -44,7 +51,10 @@
 		fleet.loads.addRequest(endpoint, id, placement.choice.prefillTokens);
 		this.dependencies.pauses.recordSent(placement.entry, id);
 		fleet.limits.countSend(placement.entry);
-		fleet.health.recordSent(endpoint, id, isEngine ? placement.choice.firstTokenMs : plainServiceFirstByteMs, clock.monotonicNow());
+		const now = clock.monotonicNow();
+		const firstByteMs = isEngine ? placement.choice.firstTokenMs : plainServiceFirstByteMs;
+		fleet.health.recordSent(endpoint, id, firstByteMs, now);
+		fleet.reach.recordSent(placement.entry, id, now + firstByteMs);
 		this.#recordCacheObservations(placement, false);
 		log.write(eventLog.LogEvent.RequestSent, {
 			request: this.request.head.requestId,
@@ -78,6 +88,7 @@
 		this.#recordReceived(sent, now);
 		if (this.request.route.kind === core.routing.RouteKind.Streaming) {
 			fleet.health.recordSent(endpoint, id, this.request.route.gapTargetMs, now);
+			fleet.reach.recordSent(placement.entry, id, now + this.request.route.gapTargetMs);
 		}
 	}
 
@@ -172,6 +183,7 @@
 		this.dependencies.failedSearches.clear();
 		this.dependencies.pauses.recordEnd(sent.placement.entry, sent.id);
 		fleet.health.recordEnd(endpoint, sent.id);
+		fleet.reach.recordEnd(sent.placement.entry, sent.id, this.dependencies.clock.monotonicNow());
 		if (end.fault === undefined) {
 			fleet.health.recordOutcome(endpoint, false);
 			return;
@@ -181,7 +193,7 @@
 			this.recordHead(sent, end.head);
 		}
 
-		this.#recordFault(endpoint, end);
+		this.#recordFault(sent.placement.entry, end);
 		this.dependencies.log.write(eventLog.LogEvent.AttemptFailed, {
 			request: this.request.head.requestId,
 			endpoint,
@@ -194,13 +206,19 @@
 
 	#recordReceived({placement, id}: sentAttempt.SentAttempt, now: number): void {
 		const endpoint = placement.entry.id;
+		this.dependencies.fleet.reach.recordReceived(placement.entry, id, now);
 		if (this.dependencies.fleet.health.recordReceived(endpoint, id, now)) {
 			this.dependencies.log.write(eventLog.LogEvent.EndpointResponsive, {endpoint});
 		}
 	}
 
-	#recordFault(endpoint: string, end: endpoints.AttemptResult): void {
-		const {health} = this.dependencies.fleet;
+	#recordFault(entry: core.fleet.EndpointEntry, end: endpoints.AttemptResult): void {
+		const {fleet: {health, reach}, clock} = this.dependencies;
+		const endpoint = entry.id;
+		if (end.fault !== undefined && unreachedFaults.has(end.fault)) {
+			reach.recordFailure(entry, clock.monotonicNow());
+		}
+
 		const isUnreachable = (end.head !== undefined && isFromOther(end.head, endpoint)) || end.fault === endpoints.AttemptFault.ConnectRefused;
 		if (isUnreachable) {
 			health.recordUnresponsive(endpoint);
--- a/packages/gateway/src/controllers/coordination-controller.ts
+++ b/packages/gateway/src/controllers/coordination-controller.ts
@@ -265,5 +265,6 @@
 		this.fleet.vmCount = vms;
 		this.fleet.limits.setVms(this.listVmNames());
 		this.fleet.peers.retain(new Set(this.#vms.keys()));
+		this.fleet.peerReach.retain(new Set(this.#vms.keys()));
 	}
 }
--- a/packages/gateway/src/controllers/endpoint-controller.ts
+++ b/packages/gateway/src/controllers/endpoint-controller.ts
@@ -117,6 +117,7 @@
 		limitLog.writeLimitChanges(fleet.limits, this.dependencies.log);
 		dispatcher.abortOutdatedAttempts(clocks.readInstant(clock));
 		dispatcher.abortPausedAttempts();
+		this.#checkReach();
 		for (const endpoint of fleet.health.startDueChecks(id => fleet.peers.lastReceivedAt(id), clock.monotonicNow(), id => this.#mayCheck(id))) {
 			void this.#checkHealth(endpoint);
 		}
@@ -136,6 +137,29 @@
 		return entry === undefined || !pauses.isPaused(entry) || (fleet.loads.countOwnActive(id) > 0 && pauses.mayCallUrgently(entry));
 	}
 
+	/** Judges which pools this VM reaches, and checks endpoints of those that it doesn't, in turn, so that the end of an interruption is noticed. */
+	#checkReach(): void {
+		const {fleet, clock, log} = this.dependencies;
+		const now = clock.monotonicNow();
+		for (const pool of fleet.reach.listPools()) {
+			const ready = fleet.registry.listReady(pool, clock.suspendAwareNow()).map(entry => entry.id);
+			const due = fleet.reach.isReached(pool, ready, now) ? undefined : fleet.reach.takeDueCheck(pool, ready.filter(id => this.#mayCheck(id)), now);
+			if (due !== undefined) {
+				void this.#checkHealth(due);
+			}
+		}
+
+		for (const {pool, isReached, endpoints, silentMs} of fleet.reach.takeChanges()) {
+			if (isReached) {
+				log.write(eventLog.LogEvent.PoolReached, {pool});
+			} else {
+				log.write(eventLog.LogEvent.PoolUnreached, {
+					pool, endpoints, silentMs, reachedBy: fleet.peerReach.countReaching(pool, fleet.reach.lastReceivedAt(pool), now),
+				});
+			}
+		}
+	}
+
 	/** @param writtenAfter - A time after which the entry was certainly written. */
 	#put(raw: clients.kv.KvEntry, writtenAfter: number): void {
 		const entry = this.#decode(raw);
@@ -259,7 +283,9 @@
 
 	#dropUnlisted(): void {
 		const {fleet, connections} = this.dependencies;
-		const listed = new Set(fleet.registry.list().map(entry => entry.id));
+		const entries = fleet.registry.list();
+		const listed = new Set(entries.map(entry => entry.id));
+		fleet.reach.retain(new Set(entries.map(entry => entry.pool)));
 		fleet.health.retain(listed);
 		fleet.loads.retain(listed);
 		connections.retain(listed);
--- a/packages/gateway/src/controllers/load-controller.ts
+++ b/packages/gateway/src/controllers/load-controller.ts
@@ -9,6 +9,10 @@
 /** Dependencies of the controller. */
 export type LoadControllerDependencies = {
 	readonly vm: string;
+	/** Data centre of the VM; digests tell of no reach without it and `getRelayAddress`. */
+	readonly dataCentre?: string;
+	/** Returns the address at which this VM takes relayed requests; `undefined` if it takes none now. */
+	readonly getRelayAddress?: () => string | undefined;
 	readonly fleet: fleetState.FleetState;
 	readonly pauses: Pick<endpointPauses.EndpointPauses, 'hasPauses' | 'takeDigest' | 'applyDigest'>;
 	readonly quarantine: Pick<quarantineController.QuarantineController, 'applyDigest' | 'takeDigest' | 'tick' | 'hasPendingEvidence' | 'hasQuarantinedParts'>;
@@ -33,6 +37,9 @@
 /** Largest number of leaving endpoints in a digest, for the same reason. */
 const maxLeavingEndpoints = 8;
 
+/** Largest number of reached pools in a digest, for the same reason. */
+const maxReachedPools = 8;
+
 /** Number of limits in a digest; with about 30 bytes each they take 4 KB/s of the 19 KB/s that a node may use for control traffic. */
 const maxLimitsPerDigest = 4;
 
@@ -75,6 +82,10 @@
 		const now = clock.monotonicNow();
 		fleet.peers.applyDigest(digest, now);
 		pauses.applyDigest(digest.pauses ?? []);
+		if (digest.reach !== undefined) {
+			fleet.peerReach.applyDigest(digest.vm, digest.reach, now);
+		}
+
 		fleet.limits.applyDigest(digest.limits ?? [], clock.suspendAwareNow());
 		if (digest.quarantine !== undefined) {
 			quarantine.applyDigest(digest.quarantine);
@@ -136,6 +147,7 @@
 			pauses: pauses.takeDigest(),
 			limits: fleet.limits.takeDigest(maxLimitsPerDigest, this.dependencies.clock.suspendAwareNow()),
 			leavingEndpoints: fleet.leaving.listNoticed(maxLeavingEndpoints),
+			reach: this.#describeReach(),
 			quarantine: quarantine.takeDigest(),
 		}, this.#choosePeers(observations, isUrgent));
 		if (this.#observations.length > 0 || quarantine.hasPendingEvidence) {
@@ -160,6 +172,14 @@
 		return [...addresses, ...addresses].slice(first, first + count);
 	}
 
+	#describeReach(): core.fleet.ReachDigest | undefined {
+		const {dataCentre, getRelayAddress, fleet, clock} = this.dependencies;
+		const relayAddress = getRelayAddress?.();
+		return dataCentre === undefined || relayAddress === undefined
+			? undefined
+			: {relayAddress, dataCentre, pools: fleet.reach.listReached(clock.monotonicNow()).slice(0, maxReachedPools)};
+	}
+
 	#describeLoad(): core.fleet.EndpointDigest[] {
 		const {fleet, clock} = this.dependencies;
 		const now = clock.monotonicNow();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -188,6 +188,7 @@
 			onBlocked: blockedMs => {
 				const blockedUntil = clock.monotonicNow();
 				this.components.fleet.health.recordBlocked(blockedMs, blockedUntil);
+				this.components.fleet.reach.recordBlocked(blockedMs, blockedUntil);
 				this.components.server.recordBlocked(blockedUntil);
 			},
 		});
--- a/packages/gateway/src/peers/digest-codec.ts
+++ b/packages/gateway/src/peers/digest-codec.ts
@@ -14,6 +14,9 @@
 /** Encoded limit: endpoint, start time of its incarnation in Unix milliseconds, requests a second (0 if it has ended), age in milliseconds. */
 type LimitRow = readonly [string, number, number, number];
 
+/** Encoded reach: address for relayed requests, data centre, and pools with the milliseconds since data last arrived from them. */
+type ReachRow = readonly [string, string, ReadonlyArray<readonly [string, number]>];
+
 /** Encoded incarnation of an endpoint: id, start time in Unix milliseconds. */
 type IncarnationRow = readonly [string, number];
 
@@ -38,8 +41,11 @@
 	readonly pauses?: readonly PauseRow[];
 	readonly limits?: readonly LimitRow[];
 	readonly leaving?: readonly IncarnationRow[];
+	readonly reach?: ReachRow;
 };
 
+/** Address of a VM by its number: `IP:PORT`. */
+const addressPattern = /^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/;
 /** Longest key of a prompt part, and largest number of parts of a request, that are accepted. */
 const maxPartKeyLength = 64;
 const maxSharedParts = 32;
@@ -67,6 +73,7 @@
 		...(pauses.length > 0 && {pauses}),
 		...(limits.length > 0 && {limits}),
 		...(leaving.length > 0 && {leaving}),
+		...(digest.reach && {reach: encodeReach(digest.reach)}),
 		...(digest.quarantine && encodeEvidence(digest.quarantine)),
 	};
 	return cbor.encode(Object.keys(extension).length === 0 ? state : [...state, extension]);
@@ -89,6 +96,7 @@
 	const pauses = toPauses(extension?.pauses);
 	const limits = toLimits(extension?.limits);
 	const leaving = isRows(extension?.leaving, ['string', 'number']) ? extension!.leaving! : [];
+	const reach = toReach(extension?.reach);
 	const quarantine = decodeEvidence(extension ?? {});
 	return {
 		vm,
@@ -100,6 +108,7 @@
 		...(pauses.length > 0 && {pauses}),
 		...(limits.length > 0 && {limits}),
 		...(leaving.length > 0 && {leavingEndpoints: leaving.map(([id, bornAt]) => ({id, bornAt}))}),
+		...(reach && {reach}),
 		...(quarantine && {quarantine}),
 	};
 }
@@ -168,6 +177,21 @@
 		.filter(({requestsPerSecond, ageMs}) => Number.isFinite(requestsPerSecond) && requestsPerSecond >= 0 && ageMs >= 0);
 }
 
+function encodeReach({relayAddress, dataCentre, pools}: core.fleet.ReachDigest): ReachRow {
+	return [relayAddress, dataCentre, pools.map(({pool, ageMs}) => [pool, ageMs] as const)];
+}
+
+/** Decodes the reach; returns `undefined` if it is invalid. */
+function toReach(row: unknown): core.fleet.ReachDigest | undefined {
+	const [relayAddress, dataCentre, pools] = Array.isArray(row) ? row as unknown[] : [];
+	if (typeof relayAddress !== 'string' || !addressPattern.test(relayAddress) || typeof dataCentre !== 'string' || !isRows(pools, ['string', 'number'])) {
+		return undefined;
+	}
+
+	const valid = (pools as ReachRow[2]).filter(([, ageMs]) => ageMs >= 0);
+	return {relayAddress, dataCentre, pools: valid.map(([pool, ageMs]) => ({pool, ageMs}))};
+}
+
 function isDigest(message: unknown): message is DigestMessage {
 	if (!Array.isArray(message) || typeof message[0] !== 'string' || typeof message[1] !== 'number') {
 		return false;
