--- a/packages/gateway/tests/ingress/blocked-event-loop.test.ts
+++ b/packages/gateway/tests/ingress/blocked-event-loop.test.ts
@@ -159,6 +159,36 @@
 	});
 });
 
+// Guards against work for callers that left while their connections waited to be accepted, of which a busy event loop accepts one each turn: none of the turns need be
+// long enough to count as a block.
+describe('a request whose caller leaves before its connection is accepted', () => {
+	it('is not dispatched', async () => {
+		const dispatched: string[] = [];
+		const clock = new gateway.util.SystemClocks();
+		const server = new gateway.ingress.GatewayServer({
+			protocol: {decodeRequestHead: ({target}) => purify.Right({...requestHead, target})},
+			filters: [new gateway.call.BodyFilter(clock)],
+			dispatcher: {
+				async dispatch(ctx: gateway.call.RequestContext) {
+					dispatched.push(ctx.head.target);
+					ctx.res.end('answer');
+				},
+			} as unknown as gateway.call.RequestDispatcher,
+			clock,
+			log: {write: () => undefined},
+		});
+		await server.listen({host: '127.0.0.1', port: 0});
+		const call = async (target: string, endMs: number): Promise<blocking.SeenByCaller> =>
+			blocking.runThreadCaller(server.port, [{atMs: 0, text: `GET ${target} HTTP/1.1\r\nHost: a.example\r\n\r\n`}], endMs);
+		const impatient = [1, 2, 3, 4].map(async number => call(`/left-${number}`, 200));
+		const patient = call('/patient', 3000);
+		await blocking.blockEventLoop(1500);
+		await Promise.all([...impatient, patient]);
+		server.close();
+		expect(dispatched).to.deep.equal(['/patient']);
+	});
+});
+
 // Guards against a reset of a connection whose caller sends a request at the moment at which the server closes it, and against the reading of that request, after
 // which callers can't repeat one that may be executed only once.
 describe('a request that crosses the close of its idle connection', () => {
--- a/packages/stand-ins/src/fault/link-proxy.ts
+++ b/packages/stand-ins/src/fault/link-proxy.ts
@@ -13,6 +13,8 @@
 	HoldResponses = 'hold_responses',
 	/** Resets all connections, and new ones as they open. */
 	Reset = 'reset',
+	/** Resets connections as they open; those that are open go on. */
+	ResetNew = 'reset_new',
 	/** Discards all data of the connections that are open when the fault begins, for good; new ones work. */
 	Silence = 'silence',
 }
@@ -92,7 +94,7 @@
 
 	#open(caller: net.Socket): void {
 		caller.on('error', () => undefined);
-		if (this.#fault === LinkFault.Reset || this.#isStopped) {
+		if (this.#fault === LinkFault.Reset || this.#fault === LinkFault.ResetNew || this.#isStopped) {
 			resetSocket.resetSocket(caller);
 			return;
 		}
