Connect to endpoints through another VM while the direct path is interrupted

Cause: there was no path but the VM's own, and silence of an endpoint was refuted by what it sent to other VMs, so that the VM took up to 8 s to find the endpoints unresponsive, one by one. Class: what other VMs see counts as evidence on the endpoint, never on the path from here.

Fix: EndpointPaths (core) judges the direct path to each endpoint. A path is suspected when a response is 250 ms overdue and nothing has come, or a connection failed; a check opens a connection, which tells a slow endpoint from an interrupted path; other VMs' digests tell whether the endpoint is down for all. Connections to such an endpoint go through a VM that reaches it (HTTP CONNECT on the second internal port): placement, keys, weights, limits and retries stay where they were; what fails before a tunnel is open has not been sent. A response without a length that comes through a tunnel counts as incomplete, since a VM that ends closes it like the endpoint would.

Evidence: the two failing cases of platform/tests/cut-off-vm.test.ts pass; their proxies accepted connections on a cut link, which no cut link does: now connection requests get no response (silent) or are refused (reset), same bound. The third case (new connections refused) passed before.

--- a/packages/core/src/fleet/endpoint-health.ts
+++ b/packages/core/src/fleet/endpoint-health.ts
@@ -164,6 +164,16 @@
 		return due;
 	}
 
+	/** Takes an endpoint for responsive until its next failure, since it is reached over another path from now on. */
+	forget(endpoint: string): void {
+		const record = this.#records.get(endpoint);
+		if (record !== undefined) {
+			record.state = HealthState.Responsive;
+			record.consecutiveFailures = 0;
+			record.responsesDueAt.clear();
+		}
+	}
+
 	/** Returns whether an endpoint may get requests. */
 	isResponsive(endpoint: string): boolean {
 		return this.#records.get(endpoint)?.state !== HealthState.Unresponsive;
--- a/packages/core/src/fleet/load-digest.ts
+++ b/packages/core/src/fleet/load-digest.ts
@@ -38,7 +38,7 @@
 	readonly limits?: readonly statedLimits.LimitDigest[];
 	/** Endpoints that told this VM that they are leaving; absent if there are none, or in digests of older versions. */
 	readonly leavingEndpoints?: readonly endpointEntry.EndpointIncarnation[];
-	/** The pools that the VM reaches; absent if it takes no relayed requests, or in digests of older versions. */
+	/** The pools that the VM reaches; absent if it opens no connections for others, or in digests of older versions. */
 	readonly reach?: peerReach.ReachDigest;
 	/** Evidence on prompt parts that end endpoints; absent if there is none. */
 	readonly quarantine?: quarantineDigest.QuarantineDigest;
--- a/packages/core/src/fleet/peer-loads.ts
+++ b/packages/core/src/fleet/peer-loads.ts
@@ -77,6 +77,12 @@
 		return latest;
 	}
 
+	/** Returns the VMs to which an endpoint has sent data since a time, as they tell. */
+	listReceivers(endpoint: string, since: number): Set<string> {
+		const receivers = [...this.#digests].filter(([, {receivedAt, endpoints}]) => receivedAt - (endpoints.get(endpoint)?.sinceLastReceivedMs ?? Infinity) > since);
+		return new Set(receivers.map(([vm]) => vm));
+	}
+
 	/** Removes VMs that are no longer members, and adjusts the lifetime of digests to their number. */
 	retain(vms: ReadonlySet<string>): void {
 		this.#members = vms;
--- a/packages/core/src/log/explain-request.ts
+++ b/packages/core/src/log/explain-request.ts
@@ -47,6 +47,8 @@
 	[logEvent.LogEvent.EndpointHeld, 'listed'],
 	[logEvent.LogEvent.EndpointUnresponsive, 'answers'],
 	[logEvent.LogEvent.EndpointResponsive, 'answers'],
+	[logEvent.LogEvent.PathInterrupted, 'path'],
+	[logEvent.LogEvent.PathRestored, 'path'],
 	[logEvent.LogEvent.EndpointPaused, 'pause'],
 	[logEvent.LogEvent.EndpointPauseEnded, 'pause'],
 	[logEvent.LogEvent.EndpointLimited, 'limit'],
--- a/packages/core/src/log/log-event.ts
+++ b/packages/core/src/log/log-event.ts
@@ -38,9 +38,9 @@
 	EndpointDropped = 'endpoint_dropped',
 	/** The store returned from a copy that lists an endpoint that has left; it is not used until its entry is written again or stays. */
 	EndpointHeld = 'endpoint_held',
-	/** Several endpoints of a pool owe responses or fail, and none sends anything to this VM. */
-	PoolUnreached = 'pool_unreached',
-	PoolReached = 'pool_reached',
+	/** This VM can't connect to an endpoint, while other VMs reach its pool: connections go through them from now on. */
+	PathInterrupted = 'path_interrupted',
+	PathRestored = 'path_restored',
 	EndpointUnresponsive = 'endpoint_unresponsive',
 	EndpointResponsive = 'endpoint_responsive',
 	/** An endpoint or cache store has asked this VM to send nothing for a time. */
@@ -176,14 +176,14 @@
 	};
 	[LogEvent.EndpointDropped]: {readonly endpoint: string; readonly missingMs: number};
 	[LogEvent.EndpointHeld]: {readonly endpoint: string; readonly bornAt: number};
-	[LogEvent.PoolUnreached]: {
-		readonly pool: string;
-		/** Number of endpoints from which data is missing, and time for which none sent anything. */
-		readonly endpoints: number; readonly silentMs: number;
-		/** Number of other VMs that have data from the pool since. */
-		readonly reachedBy: number;
+	[LogEvent.PathInterrupted]: {
+		readonly endpoint: string; readonly pool: string;
+		/** How the last connection failed. */
+		readonly outcome: string;
+		/** Time for which nothing has come over the path, and number of other VMs that had data from the pool meanwhile. */
+		readonly silentMs: number; readonly reachedBy: number;
 	};
-	[LogEvent.PoolReached]: {readonly pool: string};
+	[LogEvent.PathRestored]: {readonly endpoint: string; readonly pool: string};
 	[LogEvent.EndpointUnresponsive]: {readonly endpoint: string};
 	[LogEvent.EndpointResponsive]: {readonly endpoint: string};
 	[LogEvent.EndpointPaused]: {readonly endpoint: string; readonly pauseMs: number};
@@ -234,6 +234,8 @@
 	[LogEvent.RequestWaiting]: {readonly request: string} & RefusalInputs;
 	[LogEvent.RequestSent]: {
 		readonly request: string; readonly route: string; readonly config: number; readonly account?: string; readonly endpoint: string;
+		/** VM through which it is sent; absent if it is sent directly. */
+		readonly helper?: string;
 		/** Number of the attempt, starting at 1. */
 		readonly send: number;
 		/** Version of the weights that the endpoint is told to use. */
--- a/packages/gateway/src/call/attempt-recorder.ts
+++ b/packages/gateway/src/call/attempt-recorder.ts
@@ -24,7 +24,7 @@
 ]);
 
 /** Faults of a link, or of an endpoint that has ended. */
-const unreachedFaults: ReadonlySet<endpoints.AttemptFault> = new Set([
+const pathFaults: ReadonlySet<endpoints.AttemptFault> = new Set([
 	endpoints.AttemptFault.ConnectFailed,
 	endpoints.AttemptFault.ConnectRefused,
 	endpoints.AttemptFault.ConnectionLost,
@@ -44,7 +44,7 @@
 	 *
 	 * @param number - Number of the attempt, counted from 1.
 	 */
-	recordSent({placement, id}: sentAttempt.SentAttempt, number: number): void {
+	recordSent({placement, id, helper}: sentAttempt.SentAttempt, number: number): void {
 		const {fleet, clock, log} = this.dependencies;
 		const endpoint = placement.entry.id;
 		const isEngine = placement.weightVersion !== undefined;
@@ -54,7 +54,10 @@
 		const now = clock.monotonicNow();
 		const firstByteMs = isEngine ? placement.choice.firstTokenMs : plainServiceFirstByteMs;
 		fleet.health.recordSent(endpoint, id, firstByteMs, now);
-		fleet.reach.recordSent(placement.entry, id, now + firstByteMs);
+		if (helper === undefined) {
+			fleet.paths.recordSent(placement.entry, id, now + firstByteMs);
+		}
+
 		this.#recordCacheObservations(placement, false);
 		log.write(eventLog.LogEvent.RequestSent, {
 			request: this.request.head.requestId,
@@ -62,6 +65,7 @@
 			config: this.request.table.config.version,
 			account: this.request.account?.name,
 			endpoint,
+			helper,
 			send: number,
 			weights: placement.weightVersion,
 			startWithinMs: roundFinite(placement.choice.candidate.startWithinMs),
@@ -88,7 +92,9 @@
 		this.#recordReceived(sent, now);
 		if (this.request.route.kind === core.routing.RouteKind.Streaming) {
 			fleet.health.recordSent(endpoint, id, this.request.route.gapTargetMs, now);
-			fleet.reach.recordSent(placement.entry, id, now + this.request.route.gapTargetMs);
+			if (sent.helper === undefined) {
+				fleet.paths.recordSent(placement.entry, id, now + this.request.route.gapTargetMs);
+			}
 		}
 	}
 
@@ -131,7 +137,12 @@
 	 *
 	 * @param at - When the connection was closed, in milliseconds of the clock that includes suspensions.
 	 */
-	recordInterruption({placement, hasResponseStarted}: sentAttempt.SentAttempt, at = this.dependencies.clock.suspendAwareNow()): void {
+	recordInterruption({placement, hasResponseStarted, helper}: sentAttempt.SentAttempt, at = this.dependencies.clock.suspendAwareNow()): void {
+		if (helper !== undefined) {
+			// The other VM may have closed the connection.
+			return;
+		}
+
 		this.dependencies.interruptions.record(placement.entry, {sharedParts: [], ...this.promptKeys, hasBegun: hasResponseStarted}, at);
 	}
 
@@ -183,7 +194,7 @@
 		this.dependencies.failedSearches.clear();
 		this.dependencies.pauses.recordEnd(sent.placement.entry, sent.id);
 		fleet.health.recordEnd(endpoint, sent.id);
-		fleet.reach.recordEnd(sent.placement.entry, sent.id, this.dependencies.clock.monotonicNow());
+		fleet.paths.recordEnd(sent.placement.entry, sent.id);
 		if (end.fault === undefined) {
 			fleet.health.recordOutcome(endpoint, false);
 			return;
@@ -193,7 +204,7 @@
 			this.recordHead(sent, end.head);
 		}
 
-		this.#recordFault(sent.placement.entry, end);
+		this.#recordFault(sent, end);
 		this.dependencies.log.write(eventLog.LogEvent.AttemptFailed, {
 			request: this.request.head.requestId,
 			endpoint,
@@ -204,19 +215,27 @@
 		});
 	}
 
-	#recordReceived({placement, id}: sentAttempt.SentAttempt, now: number): void {
+	#recordReceived({placement, id, helper}: sentAttempt.SentAttempt, now: number): void {
 		const endpoint = placement.entry.id;
-		this.dependencies.fleet.reach.recordReceived(placement.entry, id, now);
+		if (helper === undefined) {
+			this.dependencies.fleet.paths.recordReceived(placement.entry, id, now);
+		}
+
 		if (this.dependencies.fleet.health.recordReceived(endpoint, id, now)) {
 			this.dependencies.log.write(eventLog.LogEvent.EndpointResponsive, {endpoint});
 		}
 	}
 
-	#recordFault(entry: core.fleet.EndpointEntry, end: endpoints.AttemptResult): void {
-		const {fleet: {health, reach}, clock} = this.dependencies;
+	#recordFault({placement: {entry}, helper}: sentAttempt.SentAttempt, end: endpoints.AttemptResult): void {
+		const {fleet: {health, paths}, clock} = this.dependencies;
 		const endpoint = entry.id;
-		if (end.fault !== undefined && unreachedFaults.has(end.fault)) {
-			reach.recordFailure(entry, clock.monotonicNow());
+		if (helper === undefined && end.fault !== undefined && pathFaults.has(end.fault)) {
+			paths.recordFailure(entry, clock.monotonicNow());
+		}
+
+		if (helper !== undefined && end.fault === endpoints.AttemptFault.ConnectionLost) {
+			// The other VM may have closed it.
+			return;
 		}
 
 		const isUnreachable = (end.head !== undefined && isFromOther(end.head, endpoint)) || end.fault === endpoints.AttemptFault.ConnectRefused;
--- a/packages/gateway/src/call/attempt-sender.ts
+++ b/packages/gateway/src/call/attempt-sender.ts
@@ -87,7 +87,7 @@
 			findObstacle: () => dependencies.fleet.registry.isReady(entry, dependencies.clock.suspendAwareNow()) ? undefined : endpoints.AttemptFault.EndpointLeft,
 		});
 		const sent: sentAttempt.SentAttempt = {
-			placement, attempt, id: `${head.requestId}#${number - 1}`, hasResponseStarted: false, ended: Promise.resolve(),
+			placement, attempt, helper: connection.helper, id: `${head.requestId}#${number - 1}`, hasResponseStarted: false, ended: Promise.resolve(),
 		};
 		const sink = this.options.createSink(sent);
 		this.#mayBeExecuted.add(sent);
--- a/packages/gateway/src/call/request-dispatcher.ts
+++ b/packages/gateway/src/call/request-dispatcher.ts
@@ -96,6 +96,13 @@
 		}
 	}
 
+	/** Aborts the attempts whose direct connection is not open, at endpoints whose path is interrupted. */
+	abortInterruptedAttempts(): void {
+		for (const forwarder of this.#forwarders) {
+			forwarder.abortInterruptedAttempts();
+		}
+	}
+
 	/** Ends the waits and the attempts of requests with a quarantined part whose response has not begun. */
 	abortQuarantined(): void {
 		for (const forwarder of this.#forwarders) {
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -170,6 +170,16 @@
 		}
 	}
 
+	/** Aborts the attempts whose direct connection is not open, at endpoints whose path is interrupted. */
+	abortInterruptedAttempts(): void {
+		for (const {attempt, placement, helper} of this.#active.list()) {
+			const isConnecting = attempt.progress === core.request.AttemptProgress.Connecting;
+			if (isConnecting && helper === undefined && this.dependencies.fleet.paths.isInterrupted(placement.entry.id)) {
+				attempt.abort(endpoints.AttemptFault.PathInterrupted);
+			}
+		}
+	}
+
 	/** Ends the wait or the attempts of a request with a quarantined part, except for a response that has begun. */
 	abortIfQuarantined(): void {
 		if (this.#findQuarantined() === undefined) {
--- a/packages/gateway/src/call/sent-attempt.ts
+++ b/packages/gateway/src/call/sent-attempt.ts
@@ -9,6 +9,8 @@
 	readonly id: string;
 	readonly placement: endpointPlacer.Placement;
 	readonly attempt: endpoints.EndpointAttempt;
+	/** VM through which the connection goes; absent if it is direct. */
+	readonly helper?: string;
 	/** Resolves when the attempt has ended and its end is recorded. */
 	ended: Promise<void>;
 	/** Whether any part of the response has arrived. */
--- a/packages/gateway/src/controllers/coordination-controller.ts
+++ b/packages/gateway/src/controllers/coordination-controller.ts
@@ -147,6 +147,11 @@
 		return this.#vmNames;
 	}
 
+	/** Returns whether an IP address is that of a VM. */
+	isMemberAddress(address: string): boolean {
+		return [...this.#vms.values()].some(vm => vm.address.startsWith(`${address}:`));
+	}
+
 	/** Returns the addresses of the other VMs. */
 	listPeerAddresses(ownVm: string): readonly string[] {
 		if (this.#peerAddresses?.ownVm !== ownVm) {
--- a/packages/gateway/src/controllers/endpoint-checker.ts
+++ b/packages/gateway/src/controllers/endpoint-checker.ts
@@ -7,7 +7,7 @@
 /** Dependencies of {@link EndpointChecker}. */
 export type EndpointCheckerDependencies = {
 	readonly admin: Pick<ports.EndpointAdmin, 'checkHealth' | 'readReport'>;
-	readonly fleet: Pick<fleetState.FleetState, 'registry' | 'limits' | 'reach'>;
+	readonly fleet: Pick<fleetState.FleetState, 'registry' | 'limits'>;
 	readonly pauses: Pick<endpointPauses.EndpointPauses, 'record' | 'recordCall'>;
 	readonly clock: clocks.Clocks;
 };
@@ -42,12 +42,7 @@
 		const {limits} = this.dependencies.fleet;
 		limits.take(entry, this.dependencies.clock.suspendAwareNow());
 		limits.countSend(entry);
-		const outcome = await (pool.engine === undefined ? this.#checkPlainService(entry, pool) : this.#readEngine(entry));
-		if (outcome === CallOutcome.Responded) {
-			this.dependencies.fleet.reach.recordReceived(entry, undefined, this.dependencies.clock.monotonicNow());
-		}
-
-		return outcome;
+		return pool.engine === undefined ? this.#checkPlainService(entry, pool) : this.#readEngine(entry);
 	}
 
 	async #checkPlainService(entry: core.fleet.EndpointEntry, pool: core.routing.Pool): Promise<CallOutcome> {
--- a/packages/gateway/src/controllers/endpoint-controller.ts
+++ b/packages/gateway/src/controllers/endpoint-controller.ts
@@ -19,6 +19,8 @@
 	readonly fleet: fleetState.FleetState;
 	readonly pauses: endpointPauses.EndpointPauses;
 	readonly connections: endpoints.ConnectionPools;
+	/** All connections are direct by default. */
+	readonly connectors?: Pick<endpoints.EndpointConnectors, 'isDirect' | 'canTunnel'>;
 	readonly dispatcher: call.RequestDispatcher;
 	readonly admin: ports.EndpointAdmin;
 	readonly clock: clocks.Clocks;
@@ -117,7 +119,6 @@
 		limitLog.writeLimitChanges(fleet.limits, this.dependencies.log);
 		dispatcher.abortOutdatedAttempts(clocks.readInstant(clock));
 		dispatcher.abortPausedAttempts();
-		this.#checkReach();
 		for (const endpoint of fleet.health.startDueChecks(id => fleet.peers.lastReceivedAt(id), clock.monotonicNow(), id => this.#mayCheck(id))) {
 			void this.#checkHealth(endpoint);
 		}
@@ -137,29 +138,6 @@
 		return entry === undefined || !pauses.isPaused(entry) || (fleet.loads.countOwnActive(id) > 0 && pauses.mayCallUrgently(entry));
 	}
 
-	/** Judges which pools this VM reaches, and checks endpoints of those that it doesn't, in turn, so that the end of an interruption is noticed. */
-	#checkReach(): void {
-		const {fleet, clock, log} = this.dependencies;
-		const now = clock.monotonicNow();
-		for (const pool of fleet.reach.listPools()) {
-			const ready = fleet.registry.listReady(pool, clock.suspendAwareNow()).map(entry => entry.id);
-			const due = fleet.reach.isReached(pool, ready, now) ? undefined : fleet.reach.takeDueCheck(pool, ready.filter(id => this.#mayCheck(id)), now);
-			if (due !== undefined) {
-				void this.#checkHealth(due);
-			}
-		}
-
-		for (const {pool, isReached, endpoints, silentMs} of fleet.reach.takeChanges()) {
-			if (isReached) {
-				log.write(eventLog.LogEvent.PoolReached, {pool});
-			} else {
-				log.write(eventLog.LogEvent.PoolUnreached, {
-					pool, endpoints, silentMs, reachedBy: fleet.peerReach.countReaching(pool, fleet.reach.lastReceivedAt(pool), now),
-				});
-			}
-		}
-	}
-
 	/** @param writtenAfter - A time after which the entry was certainly written. */
 	#put(raw: clients.kv.KvEntry, writtenAfter: number): void {
 		const entry = this.#decode(raw);
@@ -252,7 +230,10 @@
 			return;
 		}
 
-		const isAlive = await this.#checker.isAlive(target.entry, target.pool);
+		const {connectors} = this.dependencies;
+		const isAlive = await (connectors === undefined || connectors.isDirect(endpoint)
+			? this.#checker.isAlive(target.entry, target.pool)
+			: connectors.canTunnel(target.entry));
 		const hasChanged = fleet.health.recordCheck(endpoint, isAlive, clock.monotonicNow());
 		const isResponsive = fleet.health.isResponsive(endpoint);
 		if (hasChanged) {
@@ -283,9 +264,8 @@
 
 	#dropUnlisted(): void {
 		const {fleet, connections} = this.dependencies;
-		const entries = fleet.registry.list();
-		const listed = new Set(entries.map(entry => entry.id));
-		fleet.reach.retain(new Set(entries.map(entry => entry.pool)));
+		const listed = new Set(fleet.registry.list().map(entry => entry.id));
+		fleet.paths.retain(listed);
 		fleet.health.retain(listed);
 		fleet.loads.retain(listed);
 		connections.retain(listed);
--- a/packages/gateway/src/controllers/index.ts
+++ b/packages/gateway/src/controllers/index.ts
@@ -9,6 +9,7 @@
 export * from './operator-controller.js';
 export * from './operator-override-listener.js';
 export * from './operator-overrides-codec.js';
+export * from './path-controller.js';
 export * from './prefix-listeners.js';
 export * from './quarantine-controller.js';
 export * from './quarantine-store.js';
--- a/packages/gateway/src/controllers/load-controller.ts
+++ b/packages/gateway/src/controllers/load-controller.ts
@@ -9,10 +9,10 @@
 /** Dependencies of the controller. */
 export type LoadControllerDependencies = {
 	readonly vm: string;
-	/** Data centre of the VM; digests tell of no reach without it and `getRelayAddress`. */
+	/** Data centre of the VM; digests tell of no reach without it and `getTunnelAddress`. */
 	readonly dataCentre?: string;
-	/** Returns the address at which this VM takes relayed requests; `undefined` if it takes none now. */
-	readonly getRelayAddress?: () => string | undefined;
+	/** Returns the address at which this VM opens connections for others; `undefined` if it opens none now. */
+	readonly getTunnelAddress?: () => string | undefined;
 	readonly fleet: fleetState.FleetState;
 	readonly pauses: Pick<endpointPauses.EndpointPauses, 'hasPauses' | 'takeDigest' | 'applyDigest'>;
 	readonly quarantine: Pick<quarantineController.QuarantineController, 'applyDigest' | 'takeDigest' | 'tick' | 'hasPendingEvidence' | 'hasQuarantinedParts'>;
@@ -173,11 +173,11 @@
 	}
 
 	#describeReach(): core.fleet.ReachDigest | undefined {
-		const {dataCentre, getRelayAddress, fleet, clock} = this.dependencies;
-		const relayAddress = getRelayAddress?.();
-		return dataCentre === undefined || relayAddress === undefined
+		const {dataCentre, getTunnelAddress, fleet, clock} = this.dependencies;
+		const tunnelAddress = getTunnelAddress?.();
+		return dataCentre === undefined || tunnelAddress === undefined
 			? undefined
-			: {relayAddress, dataCentre, pools: fleet.reach.listReached(clock.monotonicNow()).slice(0, maxReachedPools)};
+			: {tunnelAddress, dataCentre, pools: fleet.paths.listReachedPools(clock.monotonicNow()).slice(0, maxReachedPools)};
 	}
 
 	#describeLoad(): core.fleet.EndpointDigest[] {
--- /dev/null
+++ b/packages/gateway/src/controllers/path-controller.ts
@@ -0,0 +1,104 @@
+import * as net from 'node:net';
+import type * as core from '@bluebellmast/core';
+import type * as call from '../call/index.js';
+import type * as endpoints from '../endpoints/index.js';
+import type * as fleetState from '../placement/fleet-state.js';
+import type * as clocks from '../util/clocks.js';
+import * as eventLog from '../util/event-log.js';
+
+/** Dependencies of {@link PathController}. */
+export type PathControllerDependencies = {
+	readonly fleet: Pick<fleetState.FleetState, 'registry' | 'paths' | 'peerReach' | 'health'>;
+	readonly connectors: Pick<endpoints.EndpointConnectors, 'canTunnel'>;
+	readonly connections: Pick<endpoints.ConnectionPools, 'closeIdle'>;
+	readonly dispatcher: Pick<call.RequestDispatcher, 'replaceSilentAttempts' | 'abortInterruptedAttempts'>;
+	readonly clock: clocks.Clocks;
+	readonly log: eventLog.EventLog;
+};
+
+/** How an attempt to connect ended. */
+export enum ConnectOutcome {
+	Open = 'open',
+	/** The connection was refused or reset. */
+	Refused = 'refused',
+	TimedOut = 'timed_out',
+}
+
+/** Time for opening a connection, in milliseconds; a retransmitted SYN would follow after a second. */
+const connectTimeoutMs = 250;
+
+/** Checks the direct paths to endpoints that are suspected or interrupted; meanwhile connections go through other VMs. */
+export class PathController {
+	constructor(private readonly dependencies: PathControllerDependencies) {}
+
+	/** Starts the checks that are due. */
+	tick(): void {
+		const {fleet, clock} = this.dependencies;
+		const listed = fleet.registry.list();
+		for (const id of fleet.paths.startDueChecks(listed, clock.monotonicNow())) {
+			void this.#check(fleet.registry.get(id)!);
+		}
+	}
+
+	async #check(entry: core.fleet.EndpointEntry): Promise<void> {
+		const {fleet, clock} = this.dependencies;
+		const startedAt = clock.monotonicNow();
+		const outcome = await connectOnce(entry.address);
+		const now = clock.monotonicNow();
+		const silentSince = fleet.paths.silentSince(entry.id, now) ?? startedAt;
+		const reachedBy = fleet.peerReach.countReaching(entry.pool, silentSince, now);
+		if (fleet.paths.recordCheck(entry, outcome === ConnectOutcome.Open, reachedBy > 0, now)) {
+			await this.#handleChange(entry, outcome, {silentMs: Math.round(now - silentSince), reachedBy});
+		}
+	}
+
+	async #handleChange(entry: core.fleet.EndpointEntry, outcome: ConnectOutcome, evidence: {readonly silentMs: number; readonly reachedBy: number}): Promise<void> {
+		const {fleet, connectors, connections, dispatcher, log} = this.dependencies;
+		const {id, pool} = entry;
+		if (outcome === ConnectOutcome.Open) {
+			log.write(eventLog.LogEvent.PathRestored, {endpoint: id, pool});
+			connections.closeIdle(id);
+			return;
+		}
+
+		log.write(eventLog.LogEvent.PathInterrupted, {
+			endpoint: id, pool, outcome, ...evidence,
+		});
+		if (outcome === ConnectOutcome.TimedOut) {
+			// Open connections go on where only new ones are refused.
+			connections.closeIdle(id);
+		}
+
+		if (await connectors.canTunnel(entry)) {
+			fleet.health.forget(id);
+		} else {
+			fleet.health.recordUnresponsive(id);
+		}
+
+		dispatcher.abortInterruptedAttempts();
+		dispatcher.replaceSilentAttempts(id);
+	}
+}
+
+/** Opens a connection and closes it. */
+async function connectOnce(address: string): Promise<ConnectOutcome> {
+	const [host, port] = address.split(':');
+	return new Promise(resolve => {
+		const socket = net.connect({host, port: Number(port)});
+		const timer = setTimeout(() => {
+			end(ConnectOutcome.TimedOut);
+		}, connectTimeoutMs);
+		const end = (outcome: ConnectOutcome): void => {
+			clearTimeout(timer);
+			socket.destroy();
+			resolve(outcome);
+		};
+
+		socket.once('connect', () => {
+			end(ConnectOutcome.Open);
+		});
+		socket.once('error', () => {
+			end(ConnectOutcome.Refused);
+		});
+	});
+}
--- a/packages/gateway/src/endpoints/connection-pool.ts
+++ b/packages/gateway/src/endpoints/connection-pool.ts
@@ -1,3 +1,4 @@
+import * as connector from './connector.js';
 import * as endpointConnection from './endpoint-connection.js';
 
 /** Requirements of a request on its connection. */
@@ -11,6 +12,20 @@
 /** Longest idle time of a connection that is used for such a request, in milliseconds. */
 const maxFreshIdleMs = 1500;
 
+/** Options of a {@link ConnectionPool}. */
+export type ConnectionPoolOptions = endpointConnection.ConnectionOptions & {
+	/** Creates the connector of a new connection. */
+	readonly createConnector: (timeoutMs: number) => connector.Connector;
+	/** Whether new connections are direct; then those through other VMs end with their requests. */
+	readonly isDirect: () => boolean;
+};
+
+const defaultPoolOptions: ConnectionPoolOptions = {
+	...endpointConnection.defaultConnectionOptions,
+	createConnector: timeoutMs => new connector.DirectConnector(timeoutMs),
+	isDirect: () => true,
+};
+
 /** Connections to one incarnation of an endpoint. */
 export class ConnectionPool {
 	readonly #connections = new Set<endpointConnection.EndpointConnection>();
@@ -19,7 +34,7 @@
 		private readonly address: string,
 		/** Returns the present time, in milliseconds of a clock that includes suspensions of the VM. */
 		private readonly now: () => number,
-		private readonly options: endpointConnection.ConnectionOptions = endpointConnection.defaultConnectionOptions,
+		private readonly options: ConnectionPoolOptions = defaultPoolOptions,
 	) {}
 
 	/** Number of connections. */
@@ -59,7 +74,7 @@
 	release(connection: endpointConnection.EndpointConnection, now: number): void {
 		connection.isBusy = false;
 		connection.idleSince = now;
-		if (!connection.isOpen) {
+		if (!connection.isOpen || (connection.helper !== undefined && this.options.isDirect())) {
 			this.discard(connection);
 		}
 	}
@@ -89,10 +104,16 @@
 			this.discard(idle);
 		}
 
-		const connection = new endpointConnection.EndpointConnection(this.address, this.options, this.now, () => {
-			if (!connection.isBusy) {
-				this.discard(connection);
-			}
+		const {createConnector, ...times} = this.options;
+		const connection = new endpointConnection.EndpointConnection(this.address, {
+			...times,
+			connector: createConnector(times.connectTimeoutMs),
+			now: this.now,
+			onClosed: () => {
+				if (!connection.isBusy) {
+					this.discard(connection);
+				}
+			},
 		});
 		this.#connections.add(connection);
 		return connection;
--- a/packages/gateway/src/endpoints/connection-pools.ts
+++ b/packages/gateway/src/endpoints/connection-pools.ts
@@ -1,5 +1,7 @@
 import type * as core from '@bluebellmast/core';
 import * as connectionPool from './connection-pool.js';
+import * as endpointConnection from './endpoint-connection.js';
+import type * as endpointConnectors from './endpoint-connectors.js';
 
 type IncarnationPool = {
 	readonly bornAt: number;
@@ -11,8 +13,11 @@
 export class ConnectionPools {
 	readonly #pools = new Map<string, IncarnationPool>();
 
-	/** @param now - Returns the present time, in milliseconds of a clock that includes suspensions of the VM. */
-	constructor(private readonly now: () => number) {}
+	/**
+	 * @param now - Returns the present time, in milliseconds of a clock that includes suspensions of the VM.
+	 * @param connectors - Chooses how to connect; all connections are direct by default.
+	 */
+	constructor(private readonly now: () => number, private readonly connectors?: endpointConnectors.EndpointConnectors) {}
 
 	/** Returns the pool of an endpoint's incarnation; idle connections to an earlier incarnation are closed. */
 	poolFor(entry: core.fleet.EndpointEntry): connectionPool.ConnectionPool {
@@ -22,7 +27,7 @@
 		}
 
 		known?.pool.closeIdle();
-		const pool = new connectionPool.ConnectionPool(entry.address, this.now);
+		const pool = new connectionPool.ConnectionPool(entry.address, this.now, this.#createOptions(entry));
 		this.#pools.set(entry.id, {bornAt: entry.bornAt, address: entry.address, pool});
 		return pool;
 	}
@@ -45,4 +50,13 @@
 			}
 		}
 	}
+
+	#createOptions(entry: core.fleet.EndpointEntry): connectionPool.ConnectionPoolOptions | undefined {
+		const {connectors} = this;
+		return connectors && {
+			...endpointConnection.defaultConnectionOptions,
+			createConnector: timeoutMs => connectors.create(entry, timeoutMs),
+			isDirect: () => connectors.isDirect(entry.id),
+		};
+	}
 }
--- a/packages/gateway/src/endpoints/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoints/endpoint-attempt.ts
@@ -2,6 +2,7 @@
 import type * as undici from 'undici';
 import type * as ports from '../ports/index.js';
 import type * as connectionPool from './connection-pool.js';
+import * as connector from './connector.js';
 import type * as endpointConnection from './endpoint-connection.js';
 
 /** Why no complete response of an attempt was passed on to the caller. */
@@ -36,6 +37,10 @@
 	Superseded = 'superseded',
 	/** The endpoint asked for a pause before the connection was open. */
 	EndpointPaused = 'endpoint_paused',
+	/** The direct path to the endpoint was found to be interrupted before the connection was open. */
+	PathInterrupted = 'path_interrupted',
+	/** The VM through which the endpoint was to be reached opened no connection. */
+	TunnelFailed = 'tunnel_failed',
 	/** The endpoint left before the connection was open. */
 	EndpointLeft = 'endpoint_left',
 	/** A part of the prompt was quarantined before the response had begun. */
@@ -326,5 +331,9 @@
 }
 
 function classifyConnectError(err: NodeJS.ErrnoException): AttemptFault {
+	if (err instanceof connector.TunnelError) {
+		return err.isEndpointFault ? AttemptFault.ConnectRefused : AttemptFault.TunnelFailed;
+	}
+
 	return err.code === 'ECONNREFUSED' ? AttemptFault.ConnectRefused : AttemptFault.ConnectFailed;
 }
--- a/packages/gateway/src/endpoints/endpoint-connection.ts
+++ b/packages/gateway/src/endpoints/endpoint-connection.ts
@@ -1,6 +1,7 @@
 import type * as net from 'node:net';
 import type * as tls from 'node:tls';
 import * as undici from 'undici';
+import type * as connectorModule from './connector.js';
 import * as refusalHistory from './refusal-history.js';
 
 /** Options of a connection to an endpoint, in milliseconds. */
@@ -21,6 +22,13 @@
 	connectTimeoutMs: 500, keepAliveMs: 4000, keepAliveMarginMs: 400,
 };
 
+/** What an {@link EndpointConnection} is created with. */
+export type EndpointConnectionOptions = ConnectionOptions & {
+	readonly connector: connectorModule.Connector;
+	readonly now: () => number;
+	readonly onClosed: () => void;
+};
+
 /** A connection to an endpoint; carries one request at a time. */
 export class EndpointConnection {
 	/** Whether a request is in progress. */
@@ -35,9 +43,9 @@
 	#isClosedHere = false;
 	readonly #client: undici.Client;
 
-	/** @param now - Returns the present time, in milliseconds of a clock that includes suspensions of the VM. */
-	constructor(address: string, options: ConnectionOptions, private readonly now: () => number, onClosed: () => void) {
-		const connect = undici.buildConnector({timeout: options.connectTimeoutMs});
+	/** @param options - Its `now` returns the present time, in milliseconds of a clock that includes suspensions of the VM. */
+	constructor(address: string, private readonly options: EndpointConnectionOptions) {
+		const {connector} = options;
 		this.#client = new undici.Client(`http://${address}`, {
 			pipelining: 1,
 			headersTimeout: 0,
@@ -45,7 +53,7 @@
 			keepAliveTimeout: options.keepAliveMs,
 			keepAliveTimeoutThreshold: options.keepAliveMarginMs,
 			connect: (connectOptions, callback) => {
-				connect(connectOptions, (...result: Parameters<undici.buildConnector.Callback>) => {
+				connector.connect(connectOptions, (...result: Parameters<undici.buildConnector.Callback>) => {
 					const [err, socket] = result;
 					if (err === null) {
 						this.#observeSocket(socket);
@@ -57,8 +65,8 @@
 		});
 		this.#client.on('disconnect', () => {
 			this.#isOpen = false;
-			this.#closedAt = this.now();
-			onClosed();
+			this.#closedAt = options.now();
+			options.onClosed();
 		});
 	}
 
@@ -87,6 +95,11 @@
 		return this.#hasEndedCleanly;
 	}
 
+	/** VM through which the connection goes; absent if it is direct. */
+	get helper(): string | undefined {
+		return this.options.connector.helper;
+	}
+
 	dispatch(options: undici.Dispatcher.DispatchOptions, handler: undici.Dispatcher.DispatchHandler): void {
 		this.#client.dispatch(options, handler);
 	}
@@ -99,10 +112,11 @@
 
 	#observeSocket(socket: net.Socket | tls.TLSSocket): void {
 		this.#isOpen = true;
-		this.#openedAt = this.now();
+		this.#openedAt = this.options.now();
 		// Registered before the listeners of undici, which treats a response as complete after a reset, too.
 		socket.once('end', () => {
-			this.#hasEndedCleanly = true;
+			// A VM that relays the connection may end it in the middle of a response.
+			this.#hasEndedCleanly = this.helper === undefined;
 		});
 		socket.once('error', () => {
 			this.#hasEndedCleanly = false;
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -13,6 +13,8 @@
 	readonly readiness: listen.ListenAddress;
 	/** Address to which other VMs send their load digests. */
 	readonly peers: listen.ListenAddress;
+	/** Address at which this VM opens connections to endpoints for other VMs. */
+	readonly tunnels: listen.ListenAddress;
 	/** Address at which metrics are served; no metrics are served if absent. */
 	readonly metrics?: metrics.MetricsAddress;
 	/** HTTP path of the readiness check. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,6 +25,8 @@
 	readonly endpointController: controllers.EndpointController;
 	readonly operator: controllers.OperatorController;
 	readonly loadExchange: peers.LoadExchange;
+	readonly tunnels: peers.TunnelServer;
+	readonly pathController: controllers.PathController;
 	readonly loadController: controllers.LoadController;
 	readonly quarantineStore: controllers.QuarantineStore;
 	readonly cacheStoreController: controllers.CacheStoreController;
@@ -38,6 +40,7 @@
 const taskStepMs = 50;
 /** Intervals of the periodic tasks, in milliseconds. */
 const endpointIntervalMs = 100;
+const pathIntervalMs = 50;
 const leaseIntervalMs = 150;
 const rolloutIntervalMs = 50;
 /** Interval between checks whether the evidence on quarantined parts must be stored. */
@@ -89,11 +92,12 @@
 
 	/** Starts the servers, the store feed and the periodic tasks. */
 	async start(): Promise<void> {
-		const {settings, server, feed, loadExchange, log} = this.components;
+		const {settings, server, feed, loadExchange, tunnels, log} = this.components;
 		await Promise.all([
 			server.listen(settings.listen),
 			this.#readiness.listen(settings.readiness),
 			loadExchange.listen(),
+			tunnels.listen(),
 			settings.metrics && this.components.metrics?.listen(settings.metrics),
 		]);
 		void feed.run();
@@ -121,6 +125,7 @@
 		this.components.feed.stop();
 		this.components.loadController.stop();
 		this.components.loadExchange.close();
+		this.components.tunnels.close();
 		this.components.server.close();
 		this.#readiness.close();
 		this.components.metrics?.close();
@@ -131,6 +136,7 @@
 		const startedAt = clock.monotonicNow();
 		log.write(eventLog.LogEvent.Stopping, {graceMs: settings.graceMs});
 		server.beginShutdown();
+		this.components.tunnels.beginShutdown();
 		dispatcher.beginShutdown(startedAt + settings.graceMs - exitMarginMs);
 		await Promise.all([leaseController.stop(), timers.setTimeout(deregistrationMs)]);
 		await server.finishShutdown(settings.graceMs - exitMarginMs - (clock.monotonicNow() - startedAt));
@@ -150,7 +156,7 @@
 
 	#runTasks(): periodicTask.PeriodicTaskHandle {
 		const {
-			endpointController, operator, coordination, leaseController, rolloutController, loadController, quarantineStore, cacheStoreController, clock, log,
+			endpointController, pathController, operator, coordination, leaseController, rolloutController, loadController, quarantineStore, cacheStoreController, clock, log,
 		} = this.components;
 		const tasks: readonly periodicTask.PeriodicTask[] = [
 			{
@@ -162,6 +168,13 @@
 					this.#logReadiness();
 				},
 			},
+			{
+				name: 'paths',
+				intervalMs: pathIntervalMs,
+				run() {
+					pathController.tick();
+				},
+			},
 			{
 				name: 'load',
 				intervalMs: loadIntervalMs,
@@ -188,7 +201,7 @@
 			onBlocked: blockedMs => {
 				const blockedUntil = clock.monotonicNow();
 				this.components.fleet.health.recordBlocked(blockedMs, blockedUntil);
-				this.components.fleet.reach.recordBlocked(blockedMs, blockedUntil);
+				this.components.fleet.paths.recordBlocked(blockedMs, blockedUntil);
 				this.components.server.recordBlocked(blockedUntil);
 			},
 		});
--- a/packages/gateway/src/peers/digest-codec.ts
+++ b/packages/gateway/src/peers/digest-codec.ts
@@ -14,7 +14,7 @@
 /** Encoded limit: endpoint, start time of its incarnation in Unix milliseconds, requests a second (0 if it has ended), age in milliseconds. */
 type LimitRow = readonly [string, number, number, number];
 
-/** Encoded reach: address for relayed requests, data centre, and pools with the milliseconds since data last arrived from them. */
+/** Encoded reach: address for tunnels, data centre, and pools with the milliseconds since data last arrived from them. */
 type ReachRow = readonly [string, string, ReadonlyArray<readonly [string, number]>];
 
 /** Encoded incarnation of an endpoint: id, start time in Unix milliseconds. */
@@ -177,19 +177,19 @@
 		.filter(({requestsPerSecond, ageMs}) => Number.isFinite(requestsPerSecond) && requestsPerSecond >= 0 && ageMs >= 0);
 }
 
-function encodeReach({relayAddress, dataCentre, pools}: core.fleet.ReachDigest): ReachRow {
-	return [relayAddress, dataCentre, pools.map(({pool, ageMs}) => [pool, ageMs] as const)];
+function encodeReach({tunnelAddress, dataCentre, pools}: core.fleet.ReachDigest): ReachRow {
+	return [tunnelAddress, dataCentre, pools.map(({pool, ageMs}) => [pool, ageMs] as const)];
 }
 
 /** Decodes the reach; returns `undefined` if it is invalid. */
 function toReach(row: unknown): core.fleet.ReachDigest | undefined {
-	const [relayAddress, dataCentre, pools] = Array.isArray(row) ? row as unknown[] : [];
-	if (typeof relayAddress !== 'string' || !addressPattern.test(relayAddress) || typeof dataCentre !== 'string' || !isRows(pools, ['string', 'number'])) {
+	const [tunnelAddress, dataCentre, pools] = Array.isArray(row) ? row as unknown[] : [];
+	if (typeof tunnelAddress !== 'string' || !addressPattern.test(tunnelAddress) || typeof dataCentre !== 'string' || !isRows(pools, ['string', 'number'])) {
 		return undefined;
 	}
 
 	const valid = (pools as ReachRow[2]).filter(([, ageMs]) => ageMs >= 0);
-	return {relayAddress, dataCentre, pools: valid.map(([pool, ageMs]) => ({pool, ageMs}))};
+	return {tunnelAddress, dataCentre, pools: valid.map(([pool, ageMs]) => ({pool, ageMs}))};
 }
 
 function isDigest(message: unknown): message is DigestMessage {
--- a/packages/gateway/src/peers/index.ts
+++ b/packages/gateway/src/peers/index.ts
@@ -1,2 +1,3 @@
 export * from './digest-codec.js';
 export * from './load-exchange.js';
+export * from './tunnel-server.js';
--- a/packages/gateway/src/placement/fleet-state.ts
+++ b/packages/gateway/src/placement/fleet-state.ts
@@ -4,7 +4,7 @@
 export class FleetState {
 	readonly registry = new core.fleet.EndpointRegistry();
 	readonly health = new core.fleet.EndpointHealth();
-	readonly reach = new core.fleet.PoolReach();
+	readonly paths = new core.fleet.EndpointPaths();
 	readonly peerReach = new core.fleet.PeerReach();
 	readonly loads = new core.fleet.EndpointLoads();
 	readonly peers = new core.fleet.PeerLoads();
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -61,7 +61,10 @@
 			quarantine.recordInterruption(interruption);
 		},
 	});
-	const connections = new endpoints.ConnectionPools(() => clock.suspendAwareNow());
+	const connectors = new endpoints.EndpointConnectors({
+		fleet, dataCentre: settings.dataCentre, clock, random,
+	});
+	const connections = new endpoints.ConnectionPools(() => clock.suspendAwareNow(), connectors);
 	const coordination = new controllers.CoordinationController(fleet, clock, log);
 	const loadExchange = new peers.LoadExchange({
 		listen: settings.peers,
@@ -70,8 +73,16 @@
 			loadController.applyDigest(digest);
 		},
 	});
+	const tunnels = new peers.TunnelServer({
+		listen: settings.tunnels,
+		isMember: address => coordination.isMemberAddress(address),
+		findAddress({id, bornAt}) {
+			const entry = fleet.registry.get(id);
+			return entry?.bornAt === bornAt ? entry.address : undefined;
+		},
+	});
 	const loadController = new controllers.LoadController({
-		vm: settings.vm, fleet, pauses, quarantine, coordination, exchange: loadExchange, clock,
+		vm: settings.vm, dataCentre: settings.dataCentre, getTunnelAddress: () => tunnels.address, fleet, pauses, quarantine, coordination, exchange: loadExchange, clock,
 	});
 	const leavingRecorder = new placement.LeavingRecorder({
 		fleet, clock, log,
@@ -129,7 +140,10 @@
 		},
 	});
 	const endpointController = new controllers.EndpointController({
-		decoder, config, fleet, pauses, connections, dispatcher, admin, clock, log,
+		decoder, config, fleet, pauses, connections, connectors, dispatcher, admin, clock, log,
+	});
+	const pathController = new controllers.PathController({
+		fleet, connectors, connections, dispatcher, clock, log,
 	});
 	const cacheStoreController = new controllers.CacheStoreController({
 		vm: settings.vm,
@@ -206,6 +220,8 @@
 		endpointController,
 		operator,
 		loadExchange,
+		tunnels,
+		pathController,
 		loadController,
 		quarantineStore,
 		cacheStoreController,
--- a/packages/stand-ins/src/fault/link-proxy.ts
+++ b/packages/stand-ins/src/fault/link-proxy.ts
@@ -13,8 +13,10 @@
 	HoldResponses = 'hold_responses',
 	/** Resets all connections, and new ones as they open. */
 	Reset = 'reset',
-	/** Resets connections as they open; those that are open go on. */
-	ResetNew = 'reset_new',
+	/** Resets all connections and refuses new ones. */
+	Refuse = 'refuse',
+	/** Refuses new connections; those that are open go on. */
+	RefuseNew = 'refuse_new',
 	/** Discards all data of the connections that are open when the fault begins, for good; new ones work. */
 	Silence = 'silence',
 }
@@ -49,6 +51,7 @@
 	#fault = LinkFault.None;
 	#delayMs = 0;
 	#isStopped = false;
+	#port = 0;
 
 	constructor(private readonly target: LinkTarget) {
 		this.#server = net.createServer({noDelay: true, allowHalfOpen: true}, socket => {
@@ -61,7 +64,8 @@
 		return new Promise((resolve, reject) => {
 			this.#server.once('error', reject);
 			this.#server.listen(0, '127.0.0.1', () => {
-				resolve((this.#server.address() as net.AddressInfo).port);
+				this.#port = (this.#server.address() as net.AddressInfo).port;
+				resolve(this.#port);
 			});
 		});
 	}
@@ -70,8 +74,9 @@
 	setFault(fault: LinkFault, delayMs = 0): void {
 		this.#fault = fault;
 		this.#delayMs = delayMs;
+		this.#setListening(fault !== LinkFault.Refuse && fault !== LinkFault.RefuseNew);
 		for (const link of this.#links) {
-			if (fault === LinkFault.Reset) {
+			if (fault === LinkFault.Reset || fault === LinkFault.Refuse) {
 				reset(link);
 			}
 
@@ -79,6 +84,11 @@
 		}
 	}
 
+	/** Stops to listen, so that the port is free; connections that are open go on. */
+	closeListener(): void {
+		this.#server.close();
+	}
+
 	/** Returns whether one of the connections to the target has a port at the end of the proxy. */
 	usesPort(port: number): boolean {
 		return [...this.#links].some(({target}) => target.localPort === port);
@@ -92,9 +102,21 @@
 		}
 	}
 
+	#setListening(isListening: boolean): void {
+		if (isListening === this.#server.listening || this.#isStopped) {
+			return;
+		}
+
+		if (isListening) {
+			this.#server.listen(this.#port, '127.0.0.1');
+		} else {
+			this.#server.close();
+		}
+	}
+
 	#open(caller: net.Socket): void {
 		caller.on('error', () => undefined);
-		if (this.#fault === LinkFault.Reset || this.#fault === LinkFault.ResetNew || this.#isStopped) {
+		if (this.#fault === LinkFault.Reset || this.#isStopped) {
 			resetSocket.resetSocket(caller);
 			return;
 		}
