Read the ends of callers' connections before their requests are dispatched

Cause: a request was dispatched in the turn of the event loop that reads it; the end of its connection, which had arrived long before, is read in the next one. The wait for that applied only for 100 ms after a block of 100 ms or more that a timer had noticed. Class: a decision on what had arrived before all that had arrived was read.

Fix: each request waits for one turn of the event loop before it is dispatched, whatever was noticed. recordBlocked of the server goes, and with it the part of the existing test that called it; its expectation stays.

A connection that opens, and a request that is sent again, still depend on the turn that is in progress.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -202,7 +202,6 @@
 				const blockedUntil = clock.monotonicNow();
 				this.components.fleet.health.recordBlocked(blockedMs, blockedUntil);
 				this.components.fleet.paths.recordBlocked(blockedMs, blockedUntil);
-				this.components.server.recordBlocked(blockedUntil);
 			},
 		});
 	}
--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -36,8 +36,6 @@
 const keepAliveMarginMs = 2000;
 /** Interval at which a server that shuts down checks for open requests, in milliseconds. */
 const drainCheckIntervalMs = 100;
-/** Time after a block of the event loop in which requests wait until the ends of their connections are read, in milliseconds. */
-const afterBlockMs = 100;
 /** Time for which a server that shuts down keeps connections on which no whole request has arrived, in milliseconds. */
 const partialRequestGraceMs = 1000;
 
@@ -45,8 +43,6 @@
 export class GatewayServer {
 	readonly #server: clients.connections.CallerHttpServer;
 	#isShuttingDown = false;
-	/** When the event loop was last blocked, in milliseconds of the monotonic clock. */
-	#blockedAt = -Infinity;
 	/** Responses that have not been handled, or not been passed on to the connection as a whole. */
 	readonly #openResponses = new Set<http.ServerResponse>();
 	/** Requests whose head was decoded, by response. */
@@ -101,11 +97,6 @@
 		this.#server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveMarginMs;
 	}
 
-	/** Records that the event loop was blocked up to now, so that callers may have left whose requests are read next. */
-	recordBlocked(now: number): void {
-		this.#blockedAt = now;
-	}
-
 	/** Starts listening. */
 	async listen(address: listen.ListenAddress): Promise<void> {
 		return listen.listenOn(this.#server, address);
@@ -290,12 +281,8 @@
 			}
 		}
 
-		if (this.dependencies.clock.monotonicNow() - this.#blockedAt <= afterBlockMs) {
-			// The end of a connection is read one turn of the event loop after the bytes before it.
-			await clients.timeouts.waitForInput();
-			await clients.timeouts.waitForInput();
-		}
-
+		// The end of a connection is read one turn of the event loop after the bytes before it.
+		await clients.timeouts.waitForTurn();
 		return call.isCallerDisconnected(ctx) ? undefined : this.dependencies.dispatcher.dispatch(ctx as call.RoutedRequest);
 	}
 
--- a/packages/gateway/tests/ingress/blocked-event-loop.test.ts
+++ b/packages/gateway/tests/ingress/blocked-event-loop.test.ts
@@ -138,14 +138,6 @@
 		});
 		await server.listen({host: '127.0.0.1', port: 0});
 		server.applyLimits({headerTimeoutMs: 5000, idleTimeoutMs: 15_000});
-		const tasks = gateway.util.runPeriodically([], {
-			stepMs: 10,
-			now: () => performance.now(),
-			log: {write: () => undefined},
-			onBlocked() {
-				server.recordBlocked(performance.now());
-			},
-		});
 		const callers = [1, 2, 3].map(async number => blocking.runThreadCaller(server.port, [
 			{atMs: 0, text: request}, {atMs: 800, text: `GET /left-${number} HTTP/1.1\r\nHost: a.example\r\n\r\n`},
 		], 1000));
@@ -153,7 +145,6 @@
 		await sleep(500);
 		await blocking.blockEventLoop(1200);
 		await Promise.all([...callers, patient]);
-		tasks.stop();
 		server.close();
 		expect(dispatched).to.deep.equal(['/', '/', '/', '/patient']);
 	});
--- a/packages/kv/src/timeouts/input-wait.ts
+++ b/packages/kv/src/timeouts/input-wait.ts
@@ -1,3 +1,5 @@
+import * as timers from 'node:timers/promises';
+
 /** Duration of a turn of the event loop from which on it counts as blocked, in milliseconds. */
 const minBlockedMs = 20;
 /** Turns after which a wait ends also if each of them was blocked. */
@@ -34,6 +36,13 @@
 	}
 }
 
+/** Waits until the event loop has read once what arrived since, unlike {@link waitForInput} also if a turn takes long. */
+export async function waitForTurn(): Promise<void> {
+	// The first one ends in the turn that is in progress.
+	await timers.setImmediate();
+	await timers.setImmediate();
+}
+
 /** Waits as {@link InputWait}. */
 export async function waitForInput(): Promise<void> {
 	return new Promise(resolve => {
