Take a path for interrupted only if the endpoint was reached through another VM

Own review of the tunnels: an endpoint that had ended counted as an interrupted path if other VMs had data from its pool, so that all other paths of the VM were checked at each end of an endpoint. Now a connection through another VM decides. Tunnels that are idle are closed, so that those of VMs that lost power don't use up the bound; sooner in a shutdown.

--- a/packages/core/src/fleet/endpoint-paths.ts
+++ b/packages/core/src/fleet/endpoint-paths.ts
@@ -37,7 +37,8 @@
 	readonly dueAt: Map<string, number>;
 	/** When a connection first failed since data last arrived; `Infinity` if none has. */
 	failedAt: number;
-	isInterrupted: boolean;
+	/** Since when nothing had come when the path was found to be interrupted; absent while it is not. */
+	interruptedSince?: number;
 	checkedAt: number;
 	/** Whether the last check failed. */
 	hasFailedCheck: boolean;
@@ -48,7 +49,7 @@
 
 /**
  * The direct network paths from this VM to the endpoints. A path is suspected while its endpoint owes a response or a connection has failed; a check, which opens
- * a connection, tells a slow endpoint from an interrupted path. Whether the endpoint itself is down, other VMs can tell. All times are in milliseconds of the
+ * a connection, tells a slow endpoint from an interrupted path. Whether the endpoint itself is down, a connection through another VM tells. All times are in milliseconds of the
  * monotonic clock.
  */
 export class EndpointPaths {
@@ -87,9 +88,9 @@
 		this.#paths.get(id)?.dueAt.delete(attempt);
 	}
 
-	/** Whether the path to an endpoint is interrupted, while other VMs reach it. */
+	/** Whether the path to an endpoint is interrupted, while another VM reaches it. */
 	isInterrupted(endpoint: string): boolean {
-		return this.#paths.get(endpoint)?.isInterrupted ?? false;
+		return this.#paths.get(endpoint)?.interruptedSince !== undefined;
 	}
 
 	/** Returns the listed endpoints whose paths are due for a check, and counts them as checked. */
@@ -105,8 +106,8 @@
 	/** Returns since when nothing has come over a path that is suspected or interrupted; `undefined` if it is neither. */
 	silentSince(endpoint: string, now: number): number | undefined {
 		const path = this.#paths.get(endpoint);
-		if (path === undefined) {
-			return undefined;
+		if (path === undefined || path.interruptedSince !== undefined) {
+			return path?.interruptedSince;
 		}
 
 		const since = Math.max(path.lastReceivedAt, Math.min(path.failedAt, ...path.dueAt.values()));
@@ -116,22 +117,22 @@
 	/**
 	 * Records the result of a check.
 	 *
-	 * @param isReachedByOthers - Whether other VMs have had data from the endpoint's pool since this one had none.
+	 * @param isReachedByOther - Whether another VM could connect to the endpoint; asked only where the direct connection has failed.
 	 * @returns Whether the path has become interrupted, or is so no longer.
 	 */
-	recordCheck(end: PathEnd, isOpen: boolean, isReachedByOthers: boolean, now: number): boolean {
+	recordCheck(end: PathEnd, isOpen: boolean, isReachedByOther: boolean, now: number): boolean {
 		const path = this.#getOrCreate(end);
-		const isInterrupted = !isOpen && (path.isInterrupted || isReachedByOthers);
-		const hasChanged = path.isInterrupted !== isInterrupted;
-		path.isInterrupted = isInterrupted;
+		const wasInterrupted = path.interruptedSince !== undefined;
+		const isInterrupted = !isOpen && (wasInterrupted || isReachedByOther);
+		path.interruptedSince = isInterrupted ? this.silentSince(end.id, now) ?? now : undefined;
 		path.hasFailedCheck = !isOpen;
 		path.failedAt = isOpen ? Infinity : Math.min(path.failedAt, now);
 
-		if (hasChanged && isInterrupted) {
+		if (isInterrupted && !wasInterrupted) {
 			this.#lastInterruptedAt = now;
 		}
 
-		return hasChanged;
+		return isInterrupted !== wasInterrupted;
 	}
 
 	/** Lists the pools from which data arrived lately, for other VMs. */
@@ -157,7 +158,7 @@
 
 	#isDue(path: PathRecord | undefined, now: number): boolean {
 		const sinceCheckMs = now - (path?.checkedAt ?? -Infinity);
-		if (path?.isInterrupted) {
+		if (path?.interruptedSince !== undefined) {
 			return sinceCheckMs >= this.options.interruptedCheckMs;
 		}
 
@@ -184,7 +185,7 @@
 		}
 
 		const path: PathRecord = {
-			pool, lastReceivedAt: -Infinity, dueAt: new Map(), failedAt: Infinity, isInterrupted: false, checkedAt: -Infinity, hasFailedCheck: false,
+			pool, lastReceivedAt: -Infinity, dueAt: new Map(), failedAt: Infinity, checkedAt: -Infinity, hasFailedCheck: false,
 		};
 		this.#paths.set(id, path);
 		return path;
--- a/packages/core/src/log/log-event.ts
+++ b/packages/core/src/log/log-event.ts
@@ -38,7 +38,7 @@
 	EndpointDropped = 'endpoint_dropped',
 	/** The store returned from a copy that lists an endpoint that has left; it is not used until its entry is written again or stays. */
 	EndpointHeld = 'endpoint_held',
-	/** This VM can't connect to an endpoint, while other VMs reach its pool: connections go through them from now on. */
+	/** This VM can't connect to an endpoint, while another VM does: connections go through them from now on. */
 	PathInterrupted = 'path_interrupted',
 	PathRestored = 'path_restored',
 	EndpointUnresponsive = 'endpoint_unresponsive',
@@ -180,8 +180,8 @@
 		readonly endpoint: string; readonly pool: string;
 		/** How the last connection failed. */
 		readonly outcome: string;
-		/** Time for which nothing has come over the path, and number of other VMs that had data from the pool meanwhile. */
-		readonly silentMs: number; readonly reachedBy: number;
+		/** Time for which nothing has come over the path. */
+		readonly silentMs: number;
 	};
 	[LogEvent.PathRestored]: {readonly endpoint: string; readonly pool: string};
 	[LogEvent.EndpointUnresponsive]: {readonly endpoint: string};
--- a/packages/core/tests/fleet/endpoint-paths.test.ts
+++ b/packages/core/tests/fleet/endpoint-paths.test.ts
@@ -45,7 +45,7 @@
 		expect(paths.startDueChecks(ends, 9000)).to.deep.equal([]);
 	});
 
-	it('takes a path for interrupted when a check fails and other VMs reach the pool, until a check succeeds', () => {
+	it('takes a path for interrupted when a check fails and another VM reaches the endpoint, until a check succeeds', () => {
 		paths.recordFailure(first, 1100);
 		paths.startDueChecks(ends, 1100);
 		expect(paths.recordCheck(first, false, true, 1200)).to.equal(true);
@@ -56,6 +56,15 @@
 		expect(paths.isInterrupted('e-1')).to.equal(false);
 	});
 
+	it('tells since when nothing had come before an interruption, though open connections deliver afterwards', () => {
+		paths.recordFailure(first, 1100);
+		paths.recordCheck(first, false, true, 1200);
+		paths.recordReceived(first, 'a-1', 1300);
+		expect(paths.silentSince('e-1', 1400)).to.equal(1100);
+		expect(paths.recordCheck(first, false, false, 1700)).to.equal(false);
+		expect(paths.silentSince('e-1', 1800)).to.equal(1100);
+	});
+
 	it('does not take a path for interrupted whose endpoint is down for all, and checks it again soon', () => {
 		paths.recordFailure(first, 1100);
 		paths.startDueChecks(ends, 1100);
--- a/packages/gateway/src/controllers/path-controller.ts
+++ b/packages/gateway/src/controllers/path-controller.ts
@@ -8,7 +8,7 @@
 
 /** Dependencies of {@link PathController}. */
 export type PathControllerDependencies = {
-	readonly fleet: Pick<fleetState.FleetState, 'registry' | 'paths' | 'peerReach' | 'health'>;
+	readonly fleet: Pick<fleetState.FleetState, 'registry' | 'paths' | 'health'>;
 	readonly connectors: Pick<endpoints.EndpointConnectors, 'canTunnel'>;
 	readonly connections: Pick<endpoints.ConnectionPools, 'closeIdle'>;
 	readonly dispatcher: Pick<call.RequestDispatcher, 'replaceSilentAttempts' | 'abortInterruptedAttempts'>;
@@ -41,19 +41,21 @@
 	}
 
 	async #check(entry: core.fleet.EndpointEntry): Promise<void> {
-		const {fleet, clock} = this.dependencies;
+		const {fleet, connectors, clock} = this.dependencies;
 		const startedAt = clock.monotonicNow();
 		const outcome = await connectOnce(entry.address);
 		const now = clock.monotonicNow();
+		const isOpen = outcome === ConnectOutcome.Open;
 		const silentSince = fleet.paths.silentSince(entry.id, now) ?? startedAt;
-		const reachedBy = fleet.peerReach.countReaching(entry.pool, silentSince, now);
-		if (fleet.paths.recordCheck(entry, outcome === ConnectOutcome.Open, reachedBy > 0, now)) {
-			await this.#handleChange(entry, outcome, {silentMs: Math.round(now - silentSince), reachedBy});
+		const mayBeInterrupted = !isOpen && !fleet.paths.isInterrupted(entry.id);
+		const isReachedByOther = mayBeInterrupted && await connectors.canTunnel(entry);
+		if (fleet.paths.recordCheck(entry, isOpen, isReachedByOther, clock.monotonicNow())) {
+			this.#handleChange(entry, outcome, Math.round(now - silentSince));
 		}
 	}
 
-	async #handleChange(entry: core.fleet.EndpointEntry, outcome: ConnectOutcome, evidence: {readonly silentMs: number; readonly reachedBy: number}): Promise<void> {
-		const {fleet, connectors, connections, dispatcher, log} = this.dependencies;
+	#handleChange(entry: core.fleet.EndpointEntry, outcome: ConnectOutcome, silentMs: number): void {
+		const {fleet, connections, dispatcher, log} = this.dependencies;
 		const {id, pool} = entry;
 		if (outcome === ConnectOutcome.Open) {
 			log.write(eventLog.LogEvent.PathRestored, {endpoint: id, pool});
@@ -62,19 +64,14 @@
 		}
 
 		log.write(eventLog.LogEvent.PathInterrupted, {
-			endpoint: id, pool, outcome, ...evidence,
+			endpoint: id, pool, outcome, silentMs,
 		});
 		if (outcome === ConnectOutcome.TimedOut) {
 			// Open connections go on where only new ones are refused.
 			connections.closeIdle(id);
 		}
 
-		if (await connectors.canTunnel(entry)) {
-			fleet.health.forget(id);
-		} else {
-			fleet.health.recordUnresponsive(id);
-		}
-
+		fleet.health.forget(id);
 		dispatcher.abortInterruptedAttempts();
 		dispatcher.replaceSilentAttempts(id);
 	}
--- a/packages/gateway/src/peers/tunnel-server.ts
+++ b/packages/gateway/src/peers/tunnel-server.ts
@@ -20,6 +20,10 @@
 const connectTimeoutMs = 300;
 /** Connections for all other VMs together; each takes two descriptors and some tens of kilobytes of buffers. */
 const maxTunnels = 400;
+/** Time without data in either direction after which a connection is closed, in milliseconds: the VM at its other end may be gone; requests take less. */
+const maxIdleMs = 30_000;
+/** The same in a shutdown; longer than the pauses of a stream that is still awaited. */
+const shutdownIdleMs = 2500;
 /** Connections for one other VM, so that one can't take all. */
 const maxTunnelsPerVm = 150;
 
@@ -64,9 +68,12 @@
 		return this.#tunnels.size;
 	}
 
-	/** Takes no new connections from now on; open ones go on. */
+	/** Takes no new connections from now on; open ones go on until they are idle. */
 	beginShutdown(): void {
 		this.#isStopped = true;
+		for (const socket of this.#tunnels.keys()) {
+			socket.setTimeout(shutdownIdleMs);
+		}
 	}
 
 	/** Closes the server and all connections immediately. */
@@ -109,6 +116,9 @@
 		target.once('connect', () => {
 			clearTimeout(timer);
 			socket.setNoDelay(true);
+			socket.setTimeout(maxIdleMs, () => {
+				socket.destroy();
+			});
 			socket.write('HTTP/1.1 200 OK\r\n\r\n');
 			if (head.length > 0) {
 				target.write(head);
