Ask other VMs for a connection as soon as one is known to reach the pool

All paths are checked when those to two endpoints fail, not at each end of an endpoint. An address that can't be used ends no process.

--- a/packages/core/src/fleet/endpoint-paths.ts
+++ b/packages/core/src/fleet/endpoint-paths.ts
@@ -11,14 +11,22 @@
 	readonly ageMs: number;
 };
 
+/** How an attempt to connect ended. */
+export enum ConnectOutcome {
+	Open = 'open',
+	/** The connection was refused or reset. */
+	Refused = 'refused',
+	TimedOut = 'timed_out',
+}
+
 /** Options of {@link EndpointPaths}, in milliseconds. */
 export type PathOptions = {
 	/** Time without data from an endpoint that owes a response, after which its path is suspected. */
 	readonly silenceMs: number;
 	/** Time between two checks of a suspected path. */
 	readonly suspectedCheckMs: number;
-	/** Time after a failed check until the next one, while no other VM is known to reach the endpoint; their digests take as long. */
-	readonly unconfirmedCheckMs: number;
+	/** Time after an attempt to reach the endpoint through another VM until the next one, while it is not known to be reached by any. */
+	readonly confirmationMs: number;
 	/** Time between two checks of a path that is interrupted. */
 	readonly interruptedCheckMs: number;
 	/** Time after which what arrived from a pool is no longer told to other VMs. */
@@ -27,7 +35,7 @@
 
 /** A caller of a plain service waits for 0.6 s, so that its first try at another endpoint still counts; callers return to a direct path within a second. */
 export const defaultPathOptions: PathOptions = {
-	silenceMs: 250, suspectedCheckMs: 1000, unconfirmedCheckMs: 200, interruptedCheckMs: 500, maxToldAgeMs: 1500,
+	silenceMs: 200, suspectedCheckMs: 1000, confirmationMs: 300, interruptedCheckMs: 500, maxToldAgeMs: 1500,
 };
 
 type PathRecord = {
@@ -40,11 +48,14 @@
 	/** Since when nothing had come when the path was found to be interrupted; absent while it is not. */
 	interruptedSince?: number;
 	checkedAt: number;
-	/** Whether the last check failed. */
-	hasFailedCheck: boolean;
+	/** Whether the last check failed, so that another VM is to tell whether the endpoint is down. */
+	needsConfirmation: boolean;
+	confirmationTriedAt: number;
+	/** How the last check ended; absent before. */
+	lastOutcome?: ConnectOutcome;
 };
 
-/** Paths that are checked at once when one is found to be interrupted, since several often are. */
+/** Paths that are checked at once when a cause may concern all. */
 const maxChecksPerRound = 64;
 
 /**
@@ -55,7 +66,10 @@
 export class EndpointPaths {
 	readonly #paths = new Map<string, PathRecord>();
 	readonly #blockedTimes = new blockedTimes.BlockedTimes();
-	#lastInterruptedAt = -Infinity;
+	/** When a cause was last seen that may concern all paths: one was interrupted, or checks of two failed. */
+	#commonCauseAt = -Infinity;
+	/** The path of which a check failed last, and when. */
+	#lastFailure: {readonly id: string; readonly at: number} | undefined;
 
 	constructor(private readonly options: PathOptions = defaultPathOptions) {}
 
@@ -74,6 +88,7 @@
 		const path = this.#getOrCreate(end);
 		path.lastReceivedAt = now;
 		path.failedAt = Infinity;
+		path.needsConfirmation = false;
 		path.dueAt.delete(attempt);
 	}
 
@@ -114,25 +129,56 @@
 		return since < now ? since : undefined;
 	}
 
-	/**
-	 * Records the result of a check.
-	 *
-	 * @param isReachedByOther - Whether another VM could connect to the endpoint; asked only where the direct connection has failed.
-	 * @returns Whether the path has become interrupted, or is so no longer.
-	 */
-	recordCheck(end: PathEnd, isOpen: boolean, isReachedByOther: boolean, now: number): boolean {
+	/** Records the result of a check. @returns Whether the path was interrupted and is so no longer. */
+	recordCheck(end: PathEnd, outcome: ConnectOutcome, now: number): boolean {
 		const path = this.#getOrCreate(end);
+		const isOpen = outcome === ConnectOutcome.Open;
+		path.lastOutcome = outcome;
 		const wasInterrupted = path.interruptedSince !== undefined;
-		const isInterrupted = !isOpen && (wasInterrupted || isReachedByOther);
-		path.interruptedSince = isInterrupted ? this.silentSince(end.id, now) ?? now : undefined;
-		path.hasFailedCheck = !isOpen;
-		path.failedAt = isOpen ? Infinity : Math.min(path.failedAt, now);
+		path.needsConfirmation = !isOpen && !wasInterrupted;
+		if (isOpen) {
+			path.failedAt = Infinity;
+			path.interruptedSince = undefined;
+		} else {
+			path.failedAt = Math.min(path.failedAt, now);
+			this.#recordFailedCheck(end.id, now);
+		}
+
+		return wasInterrupted && isOpen;
+	}
+
+	/** Returns how the last check of a path ended; `undefined` if there was none. */
+	getLastOutcome(endpoint: string): ConnectOutcome | undefined {
+		return this.#paths.get(endpoint)?.lastOutcome;
+	}
+
+	/** Returns the listed endpoints to which the direct connection has failed, so that another VM is to be asked for one. */
+	listUnconfirmed(listed: readonly PathEnd[], now: number): string[] {
+		return listed.map(({id}) => id).filter(id => {
+			const path = this.#paths.get(id);
+			return path?.needsConfirmation && now - path.confirmationTriedAt >= this.options.confirmationMs;
+		});
+	}
 
-		if (isInterrupted && !wasInterrupted) {
-			this.#lastInterruptedAt = now;
+	/** Records that another VM is asked for a connection to an endpoint. */
+	startConfirmation(endpoint: string, now: number): void {
+		const path = this.#paths.get(endpoint);
+		if (path !== undefined) {
+			path.confirmationTriedAt = now;
+		}
+	}
+
+	/** Records that an endpoint was reached through another VM, though not directly: the path is interrupted. @returns Whether that is news. */
+	recordConfirmation(endpoint: string, now: number): boolean {
+		const path = this.#paths.get(endpoint);
+		if (!path?.needsConfirmation) {
+			return false;
 		}
 
-		return isInterrupted !== wasInterrupted;
+		path.interruptedSince = this.silentSince(endpoint, now) ?? now;
+		path.needsConfirmation = false;
+		this.#commonCauseAt = now;
+		return true;
 	}
 
 	/** Lists the pools from which data arrived lately, for other VMs. */
@@ -156,6 +202,15 @@
 		}
 	}
 
+	#recordFailedCheck(id: string, now: number): void {
+		const last = this.#lastFailure;
+		if (last !== undefined && last.id !== id && now - last.at < this.options.suspectedCheckMs && now - this.#commonCauseAt >= this.options.suspectedCheckMs) {
+			this.#commonCauseAt = now;
+		}
+
+		this.#lastFailure = {id, at: now};
+	}
+
 	#isDue(path: PathRecord | undefined, now: number): boolean {
 		const sinceCheckMs = now - (path?.checkedAt ?? -Infinity);
 		if (path?.interruptedSince !== undefined) {
@@ -163,10 +218,9 @@
 		}
 
 		// Whatever interrupts one path often interrupts others.
-		const isLikely = now - this.#lastInterruptedAt < this.options.suspectedCheckMs && (path?.checkedAt ?? -Infinity) < this.#lastInterruptedAt
-			&& (path?.lastReceivedAt ?? -Infinity) < this.#lastInterruptedAt;
-		const {suspectedCheckMs, unconfirmedCheckMs} = this.options;
-		return isLikely || (path !== undefined && sinceCheckMs >= (path.hasFailedCheck ? unconfirmedCheckMs : suspectedCheckMs) && this.#isSuspected(path, now));
+		const isLikely = now - this.#commonCauseAt < this.options.suspectedCheckMs && (path?.checkedAt ?? -Infinity) < this.#commonCauseAt
+			&& (path?.lastReceivedAt ?? -Infinity) < this.#commonCauseAt;
+		return isLikely || (path !== undefined && sinceCheckMs >= this.options.suspectedCheckMs && this.#isSuspected(path, now));
 	}
 
 	#isSuspected({failedAt, lastReceivedAt, dueAt}: PathRecord, now: number): boolean {
@@ -185,7 +239,7 @@
 		}
 
 		const path: PathRecord = {
-			pool, lastReceivedAt: -Infinity, dueAt: new Map(), failedAt: Infinity, checkedAt: -Infinity, hasFailedCheck: false,
+			pool, lastReceivedAt: -Infinity, dueAt: new Map(), failedAt: Infinity, checkedAt: -Infinity, needsConfirmation: false, confirmationTriedAt: -Infinity,
 		};
 		this.#paths.set(id, path);
 		return path;
--- a/packages/gateway/src/controllers/path-controller.ts
+++ b/packages/gateway/src/controllers/path-controller.ts
@@ -1,5 +1,6 @@
 import * as net from 'node:net';
-import type * as core from '@bluebellmast/core';
+import * as core from '@bluebellmast/core';
+import * as clients from '@bluebellmast/kv';
 import type * as call from '../call/index.js';
 import type * as endpoints from '../endpoints/index.js';
 import type * as fleetState from '../placement/fleet-state.js';
@@ -9,21 +10,13 @@
 /** Dependencies of {@link PathController}. */
 export type PathControllerDependencies = {
 	readonly fleet: Pick<fleetState.FleetState, 'registry' | 'paths' | 'health'>;
-	readonly connectors: Pick<endpoints.EndpointConnectors, 'canTunnel'>;
+	readonly connectors: Pick<endpoints.EndpointConnectors, 'canTunnel' | 'findHelper'>;
 	readonly connections: Pick<endpoints.ConnectionPools, 'closeIdle'>;
 	readonly dispatcher: Pick<call.RequestDispatcher, 'replaceSilentAttempts' | 'abortInterruptedAttempts'>;
 	readonly clock: clocks.Clocks;
 	readonly log: eventLog.EventLog;
 };
 
-/** How an attempt to connect ended. */
-export enum ConnectOutcome {
-	Open = 'open',
-	/** The connection was refused or reset. */
-	Refused = 'refused',
-	TimedOut = 'timed_out',
-}
-
 /** Time for opening a connection, in milliseconds; a retransmitted SYN would follow after a second. */
 const connectTimeoutMs = 250;
 
@@ -31,42 +24,60 @@
 export class PathController {
 	constructor(private readonly dependencies: PathControllerDependencies) {}
 
-	/** Starts the checks that are due. */
+	/** Starts the checks that are due, and asks other VMs for connections where direct ones have failed. */
 	tick(): void {
-		const {fleet, clock} = this.dependencies;
+		const {fleet, connectors, clock} = this.dependencies;
 		const listed = fleet.registry.list();
-		for (const id of fleet.paths.startDueChecks(listed, clock.monotonicNow())) {
+		const now = clock.monotonicNow();
+		for (const id of fleet.paths.startDueChecks(listed, now)) {
 			void this.#check(fleet.registry.get(id)!);
 		}
-	}
 
-	async #check(entry: core.fleet.EndpointEntry): Promise<void> {
-		const {fleet, connectors, clock} = this.dependencies;
-		const startedAt = clock.monotonicNow();
-		const outcome = await connectOnce(entry.address);
-		const now = clock.monotonicNow();
-		const isOpen = outcome === ConnectOutcome.Open;
-		const silentSince = fleet.paths.silentSince(entry.id, now) ?? startedAt;
-		const mayBeInterrupted = !isOpen && !fleet.paths.isInterrupted(entry.id);
-		const isReachedByOther = mayBeInterrupted && await connectors.canTunnel(entry);
-		if (fleet.paths.recordCheck(entry, isOpen, isReachedByOther, clock.monotonicNow())) {
-			this.#handleChange(entry, outcome, Math.round(now - silentSince));
+		for (const id of fleet.paths.listUnconfirmed(listed, now)) {
+			const entry = fleet.registry.get(id)!;
+			if (connectors.findHelper(entry) !== undefined) {
+				fleet.paths.startConfirmation(id, now);
+				void this.#confirm(entry);
+			}
 		}
 	}
 
-	#handleChange(entry: core.fleet.EndpointEntry, outcome: ConnectOutcome, silentMs: number): void {
-		const {fleet, connections, dispatcher, log} = this.dependencies;
+	/** Checks the direct path to an endpoint. */
+	async #check(entry: core.fleet.EndpointEntry): Promise<void> {
+		const {fleet, connections, clock, log} = this.dependencies;
 		const {id, pool} = entry;
-		if (outcome === ConnectOutcome.Open) {
+		const outcome = await this.#connect(entry);
+		if (fleet.paths.recordCheck(entry, outcome, clock.monotonicNow())) {
 			log.write(eventLog.LogEvent.PathRestored, {endpoint: id, pool});
 			connections.closeIdle(id);
+		}
+	}
+
+	async #connect({id, address}: core.fleet.EndpointEntry): Promise<core.fleet.ConnectOutcome> {
+		try {
+			return await connectOnce(address);
+		} catch (err) {
+			this.dependencies.log.write(eventLog.LogEvent.InternalError, {task: `path to ${id}`, problem: String(err)});
+			return core.fleet.ConnectOutcome.Refused;
+		}
+	}
+
+	/** Finds out whether an endpoint is reached through another VM. */
+	async #confirm(entry: core.fleet.EndpointEntry): Promise<void> {
+		const {fleet, connectors, connections, dispatcher, clock, log} = this.dependencies;
+		const {id, pool} = entry;
+		const isReached = await connectors.canTunnel(entry);
+		const now = clock.monotonicNow();
+		const silentSince = fleet.paths.silentSince(id, now) ?? now;
+		if (!isReached || !fleet.paths.recordConfirmation(id, now)) {
 			return;
 		}
 
+		const outcome = fleet.paths.getLastOutcome(id) ?? core.fleet.ConnectOutcome.TimedOut;
 		log.write(eventLog.LogEvent.PathInterrupted, {
-			endpoint: id, pool, outcome, silentMs,
+			endpoint: id, pool, outcome, silentMs: Math.round(now - silentSince),
 		});
-		if (outcome === ConnectOutcome.TimedOut) {
+		if (outcome === core.fleet.ConnectOutcome.TimedOut) {
 			// Open connections go on where only new ones are refused.
 			connections.closeIdle(id);
 		}
@@ -77,25 +88,25 @@
 	}
 }
 
-/** Opens a connection and closes it. */
-async function connectOnce(address: string): Promise<ConnectOutcome> {
+/** Opens a connection and closes it; rejects if the address can't be used. */
+async function connectOnce(address: string): Promise<core.fleet.ConnectOutcome> {
 	const [host, port] = address.split(':');
 	return new Promise(resolve => {
 		const socket = net.connect({host, port: Number(port)});
-		const timer = setTimeout(() => {
-			end(ConnectOutcome.TimedOut);
-		}, connectTimeoutMs);
-		const end = (outcome: ConnectOutcome): void => {
-			clearTimeout(timer);
+		const timer = new clients.timeouts.InputTimer(connectTimeoutMs, () => {
+			end(core.fleet.ConnectOutcome.TimedOut);
+		});
+		const end = (outcome: core.fleet.ConnectOutcome): void => {
+			timer.clear();
 			socket.destroy();
 			resolve(outcome);
 		};
 
 		socket.once('connect', () => {
-			end(ConnectOutcome.Open);
+			end(core.fleet.ConnectOutcome.Open);
 		});
 		socket.once('error', () => {
-			end(ConnectOutcome.Refused);
+			end(core.fleet.ConnectOutcome.Refused);
 		});
 	});
 }
