End the connection to the endpoint when a VM gives a tunnel up; bound the questions about an endpoint that is down

Tests of the tunnels (own review): when a VM closed its connection, only the end of its side went on, so that an endpoint which keeps half-open connections would have worked on for a caller that had left, and the tunnel stayed open. Now both sides are closed.

--- a/packages/core/src/fleet/endpoint-paths.ts
+++ b/packages/core/src/fleet/endpoint-paths.ts
@@ -48,13 +48,15 @@
 	/** Since when nothing had come when the path was found to be interrupted; absent while it is not. */
 	interruptedSince?: number;
 	checkedAt: number;
-	/** Whether the last check failed, so that another VM is to tell whether the endpoint is down. */
-	needsConfirmation: boolean;
+	/** How often other VMs may still be asked whether they reach the endpoint, to which the last check failed. */
+	confirmationsLeft: number;
 	confirmationTriedAt: number;
 	/** How the last check ended; absent before. */
 	lastOutcome?: ConnectOutcome;
 };
 
+/** Other VMs that are asked after a failed check: the first one may not reach the endpoint either. More would burden an endpoint that is down for all. */
+const maxConfirmations = 2;
 /** Paths that are checked at once when a cause may concern all. */
 const maxChecksPerRound = 64;
 
@@ -88,7 +90,7 @@
 		const path = this.#getOrCreate(end);
 		path.lastReceivedAt = now;
 		path.failedAt = Infinity;
-		path.needsConfirmation = false;
+		path.confirmationsLeft = 0;
 		path.dueAt.delete(attempt);
 	}
 
@@ -135,7 +137,7 @@
 		const isOpen = outcome === ConnectOutcome.Open;
 		path.lastOutcome = outcome;
 		const wasInterrupted = path.interruptedSince !== undefined;
-		path.needsConfirmation = !isOpen && !wasInterrupted;
+		path.confirmationsLeft = isOpen || wasInterrupted ? 0 : maxConfirmations;
 		if (isOpen) {
 			path.failedAt = Infinity;
 			path.interruptedSince = undefined;
@@ -156,7 +158,7 @@
 	listUnconfirmed(listed: readonly PathEnd[], now: number): string[] {
 		return listed.map(({id}) => id).filter(id => {
 			const path = this.#paths.get(id);
-			return path?.needsConfirmation && now - path.confirmationTriedAt >= this.options.confirmationMs;
+			return path !== undefined && path.confirmationsLeft > 0 && now - path.confirmationTriedAt >= this.options.confirmationMs;
 		});
 	}
 
@@ -165,18 +167,19 @@
 		const path = this.#paths.get(endpoint);
 		if (path !== undefined) {
 			path.confirmationTriedAt = now;
+			path.confirmationsLeft -= 1;
 		}
 	}
 
 	/** Records that an endpoint was reached through another VM, though not directly: the path is interrupted. @returns Whether that is news. */
 	recordConfirmation(endpoint: string, now: number): boolean {
 		const path = this.#paths.get(endpoint);
-		if (!path?.needsConfirmation) {
+		if (path === undefined || path.interruptedSince !== undefined || path.lastOutcome === undefined || path.lastOutcome === ConnectOutcome.Open) {
 			return false;
 		}
 
 		path.interruptedSince = this.silentSince(endpoint, now) ?? now;
-		path.needsConfirmation = false;
+		path.confirmationsLeft = 0;
 		this.#commonCauseAt = now;
 		return true;
 	}
@@ -239,7 +242,7 @@
 		}
 
 		const path: PathRecord = {
-			pool, lastReceivedAt: -Infinity, dueAt: new Map(), failedAt: Infinity, checkedAt: -Infinity, needsConfirmation: false, confirmationTriedAt: -Infinity,
+			pool, lastReceivedAt: -Infinity, dueAt: new Map(), failedAt: Infinity, checkedAt: -Infinity, confirmationsLeft: 0, confirmationTriedAt: -Infinity,
 		};
 		this.#paths.set(id, path);
 		return path;
--- a/packages/gateway/src/peers/tunnel-server.ts
+++ b/packages/gateway/src/peers/tunnel-server.ts
@@ -141,17 +141,18 @@
 
 /** Relays the bytes of both directions with backpressure; a reset of one side resets the other one, so that a response that breaks off doesn't look complete. */
 function relay(socket: net.Socket, target: net.Socket): void {
-	socket.pipe(target);
+	socket.pipe(target, {end: false});
 	target.pipe(socket);
-	for (const [from, to] of [[socket, target], [target, socket]] as const) {
-		from.on('close', hadError => {
-			if (hadError || !from.readableEnded) {
-				to.resetAndDestroy();
-			} else {
-				to.end();
-			}
-		});
-	}
+	socket.once('end', () => {
+		// A VM ends its side only to give a request up.
+		target.destroy();
+		socket.destroy();
+	});
+	target.once('close', hadError => {
+		if (hadError || !target.readableEnded) {
+			socket.resetAndDestroy();
+		}
+	});
 }
 
 /** Answers that no connection was opened, so that nothing has been sent to the endpoint. */
