--- a/packages/gateway/src/peers/tunnel-server.ts
+++ b/packages/gateway/src/peers/tunnel-server.ts
@@ -91,6 +91,9 @@
 		socket.on('error', () => {
 			// The close of the socket closes the other side.
 		});
+		socket.setTimeout(maxIdleMs, () => {
+			socket.destroy();
+		});
 		if (address === undefined) {
 			reject(socket, forbiddenStatus);
 			return;
@@ -116,9 +119,6 @@
 		target.once('connect', () => {
 			clearTimeout(timer);
 			socket.setNoDelay(true);
-			socket.setTimeout(maxIdleMs, () => {
-				socket.destroy();
-			});
 			socket.write('HTTP/1.1 200 OK\r\n\r\n');
 			if (head.length > 0) {
 				target.write(head);
@@ -126,7 +126,7 @@
 
 			relay(socket, target);
 		});
-		target.once('error', (err: NodeJS.ErrnoException) => {
+		target.on('error', (err: NodeJS.ErrnoException) => {
 			clearTimeout(timer);
 			if (target.connecting || target.bytesRead + target.bytesWritten === 0) {
 				reject(socket, err.code === 'ECONNREFUSED' ? endpoints.refusedStatus : endpoints.unreachedStatus);
--- a/packages/gateway/tests/gateway.test.ts
+++ b/packages/gateway/tests/gateway.test.ts
@@ -22,6 +22,7 @@
 			feed: {stop: () => undefined},
 			loadController: {stop: () => undefined},
 			loadExchange: {close: () => undefined},
+			tunnels: {beginShutdown: () => undefined, close: () => undefined},
 			leaseController: {stop: async () => undefined},
 			clock,
 			log: {write: () => undefined},
