Read what arrived with a request before it is decided

A request that arrives while a VM is behind with its work was decided by the configuration of the turn in which it is read, though a newer one lay in the socket of the store's poll: 'a request that arrives with a newer configuration is decided by it, though it is read first' failed (version 1 in place of 2) and passes.

Cause: the filters ran in the turn of the event loop that reads the request. Same class as the ends of connections, and the same mend: the wait of one turn comes before the filters, and once more after a body that was still coming in. A configuration that arrives later than a turn, or is held by the pause between polls, isn't covered.

--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -274,6 +274,9 @@
 	}
 
 	async #process(ctx: call.RequestContext): Promise<call.Refusal | undefined> {
+		// What arrived together with the request is read one turn of the event loop later: a newer configuration, the end of the connection.
+		await clients.timeouts.waitForTurn();
+		const wasComplete = ctx.req.complete;
 		for (const filter of this.dependencies.filters) {
 			const refusal = await filter.check(ctx); // eslint-disable-line no-await-in-loop -- Filters follow one another.
 			if (refusal !== undefined) {
@@ -281,8 +284,10 @@
 			}
 		}
 
-		// The end of a connection is read one turn of the event loop after the bytes before it.
-		await clients.timeouts.waitForTurn();
+		if (!wasComplete) {
+			await clients.timeouts.waitForTurn();
+		}
+
 		return call.isCallerDisconnected(ctx) ? undefined : this.dependencies.dispatcher.dispatch(ctx as call.RoutedRequest);
 	}
 
--- a/packages/gateway/tests/ingress/blocked-event-loop.test.ts
+++ b/packages/gateway/tests/ingress/blocked-event-loop.test.ts
@@ -1,3 +1,5 @@
+import {once} from 'node:events';
+import * as net from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import * as chai from 'chai';
 import * as purify from 'purify-ts';
@@ -180,6 +182,49 @@
 	});
 });
 
+// Guards against a request that is decided by an older configuration while a newer one has arrived, but was not read yet.
+describe('a request that arrives with a newer configuration', () => {
+	it('is decided by it, though it is read first', async () => {
+		let version = 1;
+		const store = net.createServer(socket => {
+			socket.once('data', () => {
+				version = 2;
+				socket.end();
+			});
+		});
+		store.listen(0, '127.0.0.1');
+		await once(store, 'listening');
+		const versions: number[] = [];
+		const server = new gateway.ingress.GatewayServer({
+			protocol: {decodeRequestHead: () => purify.Right(requestHead)},
+			filters: [{
+				check() {
+					versions.push(version);
+					return undefined;
+				},
+			}],
+			dispatcher: {
+				async dispatch(ctx: gateway.call.RequestContext) {
+					ctx.res.end('answer');
+				},
+			} as unknown as gateway.call.RequestDispatcher,
+			clock: new gateway.util.SystemClocks(),
+			log: {write: () => undefined},
+		});
+		await server.listen({host: '127.0.0.1', port: 0});
+		server.applyLimits({headerTimeoutMs: 5000, idleTimeoutMs: 15_000});
+		const caller = blocking.runThreadCaller(server.port, [{atMs: 0, text: request}, {atMs: 800, text: request}], 2500);
+		const {port} = store.address() as net.AddressInfo;
+		const update = blocking.runThreadCaller(port, [{atMs: 1000, text: 'newer configuration'}], 2500);
+		await sleep(500);
+		await blocking.blockEventLoop(1200);
+		await Promise.all([caller, update]);
+		server.close();
+		store.close();
+		expect(versions).to.deep.equal([1, 2]);
+	});
+});
+
 // Guards against a reset of a connection whose caller sends a request at the moment at which the server closes it, and against the reading of that request, after
 // which callers can't repeat one that may be executed only once.
 describe('a request that crosses the close of its idle connection', () => {
