--- a/packages/core/src/fleet/endpoint-paths.ts
+++ b/packages/core/src/fleet/endpoint-paths.ts
@@ -61,9 +61,9 @@
 const maxChecksPerRound = 64;
 
 /**
- * The direct network paths from this VM to the endpoints. A path is suspected while its endpoint owes a response or a connection has failed; a check, which opens
- * a connection, tells a slow endpoint from an interrupted path. Whether the endpoint itself is down, a connection through another VM tells. All times are in milliseconds of the
- * monotonic clock.
+ * The direct network paths from this VM to the endpoints. A path is suspected while its endpoint owes a response or a connection has
+ * failed; a check, which opens a connection, tells a slow endpoint from an interrupted path. A connection through another VM tells
+ * whether the endpoint itself is down. All times are in milliseconds of the monotonic clock.
  */
 export class EndpointPaths {
 	readonly #paths = new Map<string, PathRecord>();
