--- a/packages/core/src/fleet/endpoint-paths.ts
+++ b/packages/core/src/fleet/endpoint-paths.ts
@@ -29,7 +29,7 @@
 	readonly confirmationMs: number;
 	/** Time between two checks of a path that is interrupted. */
 	readonly interruptedCheckMs: number;
-	/** Time after which what arrived from a pool is no longer told to other VMs. */
+	/** Age of the last data from a pool above which digests no longer list it. */
 	readonly maxToldAgeMs: number;
 };
 
@@ -62,8 +62,8 @@
 
 /**
  * The direct network paths from this VM to the endpoints. A path is suspected while its endpoint owes a response or a connection has
- * failed; a check, which opens a connection, tells a slow endpoint from an interrupted path. A connection through another VM tells
- * whether the endpoint itself is down. All times are in milliseconds of the monotonic clock.
+ * failed; a check, which opens a connection, distinguishes a slow endpoint from an interrupted path. A connection through another VM
+ * shows whether the endpoint itself is down. All times are in milliseconds of the monotonic clock.
  */
 export class EndpointPaths {
 	readonly #paths = new Map<string, PathRecord>();
@@ -171,7 +171,7 @@
 		}
 	}
 
-	/** Records that an endpoint was reached through another VM, though not directly: the path is interrupted. @returns Whether that is news. */
+	/** Records that an endpoint was reached through another VM, though not directly: the path is interrupted. @returns Whether the path has changed. */
 	recordConfirmation(endpoint: string, now: number): boolean {
 		const path = this.#paths.get(endpoint);
 		if (path === undefined || path.interruptedSince !== undefined || path.lastOutcome === undefined || path.lastOutcome === ConnectOutcome.Open) {
--- a/packages/core/src/fleet/peer-loads.ts
+++ b/packages/core/src/fleet/peer-loads.ts
@@ -77,7 +77,7 @@
 		return latest;
 	}
 
-	/** Returns the VMs to which an endpoint has sent data since a time, as they tell. */
+	/** Returns the VMs to which an endpoint has sent data since a time, by their latest digests. */
 	listReceivers(endpoint: string, since: number): Set<string> {
 		const receivers = [...this.#digests].filter(([, {receivedAt, endpoints}]) => receivedAt - (endpoints.get(endpoint)?.sinceLastReceivedMs ?? Infinity) > since);
 		return new Set(receivers.map(([vm]) => vm));
--- a/packages/core/src/fleet/peer-reach.ts
+++ b/packages/core/src/fleet/peer-reach.ts
@@ -1,6 +1,6 @@
 import type * as endpointPaths from './endpoint-paths.js';
 
-/** What a VM tells the others of the pools that it reaches, and of where it opens connections for them. */
+/** The pools that a VM reaches and the address of its tunnels, as published in its digests. */
 export type ReachDigest = {
 	/** `IP:PORT` at which the VM opens connections to endpoints for other VMs. */
 	readonly tunnelAddress: string;
@@ -33,18 +33,18 @@
 	failedAt: number;
 };
 
-/** Time for which what a VM told is used, as for its load: at least some intervals of its digests, longer where VMs take turns. */
+/** Lifetime of a digest, as for its loads: several digest intervals, longer in large fleets, whose VMs send to each other in turn. */
 const minLifetimeMs = 1500;
 const lifetimePerVmMs = 100;
 /** Time for which a VM is not chosen after it failed or refused to help, in milliseconds. */
 const failurePauseMs = 500;
 
-/** The pools that other VMs reach, as they tell, and the choice of one through which to connect. All times are in milliseconds of the monotonic clock. */
+/** The pools that other VMs reach, by their latest digests, and the choice of a VM to connect through. All times are in milliseconds of the monotonic clock. */
 export class PeerReach {
 	readonly #peers = new Map<string, PeerRecord>();
 	#lifetimeMs = minLifetimeMs;
 
-	/** Applies what a VM tells. */
+	/** Applies the digest of a VM. */
 	applyDigest(vm: string, {tunnelAddress, dataCentre, pools}: ReachDigest, now: number): void {
 		const known = this.#peers.get(vm);
 		this.#peers.set(vm, {
--- a/packages/core/tests/fleet/endpoint-paths.test.ts
+++ b/packages/core/tests/fleet/endpoint-paths.test.ts
@@ -71,7 +71,7 @@
 		expect(paths.isInterrupted('e-1')).to.equal(false);
 	});
 
-	it('tells since when nothing had come before an interruption, though open connections deliver afterwards', () => {
+	it('keeps the time since when nothing had come before an interruption, though open connections deliver afterwards', () => {
 		interrupt(first, 1200);
 		paths.recordReceived(first, 'a-1', 1300);
 		expect(paths.silentSince('e-1', 1400)).to.equal(1100);
@@ -113,7 +113,7 @@
 		expect(paths.startDueChecks(ends, 1350)).to.deep.equal(['e-1', 'e-2', 'e-3']);
 	});
 
-	it('tells of the pools from which data arrived lately', () => {
+	it('lists the pools from which data arrived lately', () => {
 		expect(paths.listReachedPools(2500)).to.deep.equal([{pool: 'p', ageMs: 1500}]);
 		expect(paths.listReachedPools(2501)).to.deep.equal([]);
 	});
--- a/packages/core/tests/fleet/interrupted-paths-load.test.ts
+++ b/packages/core/tests/fleet/interrupted-paths-load.test.ts
@@ -15,7 +15,7 @@
 const dueMs = 100;
 const connectTimeoutMs = 250;
 const runMs = 3000;
-/** VMs that the observed one hears of in that time. */
+/** Digests that the observed VM receives in that time. */
 const heardVms = runMs / digestIntervalMs * peersPerDigest;
 /** The goal of issue 47, from the cut on. */
 const noticeMs = 1000;
@@ -33,7 +33,7 @@
 	digestAt: number;
 };
 
-/** One VM of a fleet that loses its paths to all endpoints, and what it hears from the others, in virtual time. */
+/** One VM of a fleet that loses its paths to all endpoints, and the digests that it receives, in virtual time. */
 class ObservedVm {
 	readonly peerReach = new core.fleet.PeerReach();
 	readonly paths = new core.fleet.EndpointPaths();
--- a/packages/gateway/src/controllers/load-controller.ts
+++ b/packages/gateway/src/controllers/load-controller.ts
@@ -9,7 +9,7 @@
 /** Dependencies of the controller. */
 export type LoadControllerDependencies = {
 	readonly vm: string;
-	/** Data centre of the VM; digests tell of no reach without it and `getTunnelAddress`. */
+	/** Data centre of the VM; digests list no reached pools without it and `getTunnelAddress`. */
 	readonly dataCentre?: string;
 	/** Returns the address at which this VM opens connections for others; `undefined` if it opens none now. */
 	readonly getTunnelAddress?: () => string | undefined;
--- a/packages/gateway/tests/peers/tunnel-server.test.ts
+++ b/packages/gateway/tests/peers/tunnel-server.test.ts
@@ -91,7 +91,7 @@
 		expect(connected).to.deep.equal([]);
 	});
 
-	it('tells that an endpoint refuses connections', async () => {
+	it('reports that an endpoint refuses connections', async () => {
 		endpoint.close();
 		expect(await getStatus()).to.equal(gateway.endpoints.refusedStatus);
 	});
@@ -111,7 +111,7 @@
 		expect(res.statusCode).to.equal(405);
 	});
 
-	it('takes no new connections in a shutdown, and does not tell its address, while open ones go on', async () => {
+	it('takes no new connections in a shutdown, and publishes no address, while open ones go on', async () => {
 		const {address} = tunnels;
 		const socket = await open();
 		tunnels.beginShutdown();
