--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -33,7 +33,7 @@
 		await this.store.start(`${this.#network}.1`);
 		for (let number = 1; number <= runnerCount; number++) {
 			const runner = new runnerModule.Runner({
-				id: `i-${number}`, service: 'boekhuis', zone: 'zone-a', ...runnerOptions,
+				id: `i-${number}`, service: 'service-a', zone: 'zone-a', ...runnerOptions,
 			});
 			await runner.start(`${this.#network}.${100 + number}`);
 			runner.onStarted = () => {
@@ -47,7 +47,7 @@
 		this.#heartbeat = setInterval(() => {
 			this.#writeEntries();
 		}, heartbeatMs);
-		this.store.write('op/config', createConfig(routes, limits));
+		this.store.write('op/config', createConfig(routes, limits, runnerOptions.model));
 		for (let number = 1; number <= gatewayCount; number++) {
 			const gateway = new gatewayModule.Gateway({
 				name: `frontend-${number}`,
@@ -93,14 +93,23 @@
 	}
 }
 
-function createConfig(routes, limits) {
+function createConfig(routes, limits, model) {
 	return {
 		version: 3,
 		routes: routes.map(route => ({
-			host: hostName, service: 'boekhuis', priority: 2, attempts: 1, public: false, target_latency_ms: 500, ...route,
+			host: hostName, service: 'service-a', priority: 2, attempts: 1, public: false, target_latency_ms: 500, ...route,
 		})),
 		services: [{
-			name: 'boekhuis', health_path: '/health', connection_limit: 360, protocol: 'h1', tls: false,
+			name: 'service-a',
+			health_path: '/health',
+			connection_limit: 360,
+			protocol: 'h1',
+			tls: false,
+			...(model !== undefined && {
+				engine: {
+					slots: 64, kv_capacity_tokens: 155_165, kv_token_bytes: 327_680, link_mbps: 550_000, concurrency_limit: 12, models: [{name: model}],
+				},
+			}),
 		}],
 		limits: {
 			header_bytes: 16_384, body_bytes: 4_194_304, header_timeout_ms: 3000, idle_timeout_ms: 15_000, ...limits,
--- a/review/lib/runner.mjs
+++ b/review/lib/runner.mjs
@@ -1,6 +1,7 @@
 /* eslint-disable camelcase -- Field names of the protocol. */
+/* eslint-disable no-await-in-loop -- Steps follow one another. */
 /* eslint-disable no-void -- The work goes on beside this. */
-// A stand-in of a runner of a plain service, such as a booking application (PROTOCOL.md, "Runners").
+// A stand-in of a runner: of a plain service, such as a booking application, or of a language model, which streams (PROTOCOL.md, "Runners").
 import * as http from 'node:http';
 import * as net from './net.mjs';
 
@@ -18,6 +19,8 @@
 	falls = [];
 	/** Chooses the status with which a request is answered that has run; returns undefined for a success. */
 	chooseFailure = () => undefined;
+	/** Returns whether an answer has no length and ends with its connection. */
+	isUnframed = () => false;
 	/** Requests that it can turn away in a second; absent while it is not brittle. */
 	brittle;
 	#bornAt = Date.now();
@@ -27,9 +30,10 @@
 	#port = 0;
 	#isDown = false;
 
-	constructor({id, service, zone, workMs, slots = defaultSlots, queue = defaultQueue}) {
+	/** @param options - `model` and `events` belong together: each stream has so many events, one after each `workMs`. */
+	constructor({id, service, zone, workMs, model, events, slots = defaultSlots, queue = defaultQueue}) {
 		Object.assign(this, {
-			id, service, zone, workMs, slots, queue,
+			id, service, zone, workMs, model, events, slots, queue,
 		});
 	}
 
@@ -47,7 +51,7 @@
 	createEntry(sequence) {
 		const {service, address, zone, slots} = this;
 		const entry = {
-			service, address, zone, version: 'v1', slots, state: 'ready', cold_remaining_ms: 0, sequence, born: this.#bornAt,
+			service, address, zone, version: 'v1', slots, state: 'ready', cold_remaining_ms: 0, sequence, born: this.#bornAt, ...(this.model !== undefined && {models: this.#listModels()}),
 		};
 		return this.#isDown ? undefined : entry;
 	}
@@ -72,6 +76,10 @@
 		const expected = req.headers['bluebellmast-expected-instance'] ?? this.id;
 		if (expected !== this.id) {
 			this.#answer(res, 421, {'Bluebellmast-Instance-Id': this.id});
+		} else if (req.url === '/v1/report') {
+			this.#answer(res, 200, {}, {
+				stage: 'combined', models: this.#listModels(), busy: false, sequence: 0, queue_length: this.#waiting.length, active_requests: this.#running.size, born: this.#bornAt,
+			});
 		} else if (req.url === '/health') {
 			this.#answer(res, 200, {'Bluebellmast-Instance-Id': this.id});
 		} else if (id === undefined) {
@@ -117,6 +125,12 @@
 		const run = {...request, runner: this.id, at: Date.now()};
 		this.runs.push(run);
 		this.#running.add(run);
+		if (this.model !== undefined) {
+			await this.#stream(run, res);
+			this.#running.delete(run);
+			return;
+		}
+
 		await net.sleep(this.workMs);
 		this.#running.delete(run);
 		if (!res.destroyed) {
@@ -126,6 +140,33 @@
 		}
 	}
 
+	async #stream(run, res) {
+		const {socket} = res;
+		run.isUnframed = this.isUnframed(run);
+		const headers = {
+			'Content-Type': 'text/event-stream', 'Bluebellmast-Request-Id': run.id, 'Bluebellmast-Response-Seal': `seal.${this.id}.${run.id}`, 'Bluebellmast-Weight-Versions': '1',
+		};
+		if (run.isUnframed) {
+			const lines = Object.entries({...headers, Connection: 'close'}).map(([name, value]) => `${name}: ${value}\r\n`);
+			socket.write(`HTTP/1.1 200 OK\r\n${lines.join('')}\r\n`);
+		} else {
+			res.writeHead(200, headers);
+		}
+
+		const target = run.isUnframed ? socket : res;
+		for (let number = 1; number <= this.events && !socket.destroyed; number++) {
+			target.write(`id: ${number}\ndata: token ${number} of ${run.id}\n\n`);
+			await net.sleep(this.workMs);
+		}
+
+		run.status = socket.destroyed ? 'cut' : 200;
+		target.end();
+	}
+
+	#listModels() {
+		return [{name: this.model, version: 1, adapters: []}];
+	}
+
 	#reject({id, from}, res) {
 		const now = Date.now();
 		this.rejections.push({at: now, from});
