--- a/review/lib/net.mjs
+++ b/review/lib/net.mjs
@@ -26,7 +26,10 @@
 }
 
 export function sendJson(res, status, value, headers = {}) {
-	const body = JSON.stringify(value);
+	send(res, status, JSON.stringify(value), headers);
+}
+
+export function send(res, status, body, headers = {}) {
 	res.writeHead(status, {'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body), ...headers});
 	res.end(body);
 }
--- a/review/lib/runner.mjs
+++ b/review/lib/runner.mjs
@@ -21,6 +21,10 @@
 	chooseFailure = () => undefined;
 	/** Returns whether an answer has no length and ends with its connection. */
 	isUnframed = () => false;
+	/** Returns whether an answer of a plain service has no length, and is broken off by a reset of its connection. */
+	isBrokenOff = () => false;
+	/** Text of the answers of a plain service. */
+	createAnswer = run => JSON.stringify({ran: run.id});
 	/** Requests that it can turn away in a second; absent while it is not brittle. */
 	brittle;
 	#bornAt = Date.now();
@@ -77,9 +81,9 @@
 		if (expected !== this.id) {
 			this.#answer(res, 421, {'Bluebellmast-Instance-Id': this.id});
 		} else if (req.url === '/v1/report') {
-			this.#answer(res, 200, {}, {
+			this.#answer(res, 200, {}, JSON.stringify({
 				stage: 'combined', models: this.#listModels(), busy: false, sequence: 0, queue_length: this.#waiting.length, active_requests: this.#running.size, born: this.#bornAt,
-			});
+			}));
 		} else if (req.url === '/health') {
 			this.#answer(res, 200, {'Bluebellmast-Instance-Id': this.id});
 		} else if (id === undefined) {
@@ -133,10 +137,19 @@
 
 		await net.sleep(this.workMs);
 		this.#running.delete(run);
-		if (!res.destroyed) {
-			const failure = this.chooseFailure(run);
-			run.status = failure ?? 200;
-			this.#answer(res, run.status, {'Bluebellmast-Request-Id': run.id, 'Bluebellmast-Response-Seal': `seal.${this.id}.${run.id}`}, {ran: run.id});
+		if (res.destroyed) {
+			return;
+		}
+
+		run.status = this.chooseFailure(run) ?? 200;
+		run.answer = this.createAnswer(run);
+		run.isUnframed = this.isUnframed(run);
+		run.isBrokenOff = this.isBrokenOff(run);
+		const headers = {'Bluebellmast-Request-Id': run.id, 'Bluebellmast-Response-Seal': `seal.${this.id}.${run.id}`};
+		if (run.isUnframed || run.isBrokenOff) {
+			sendUnframed(res.socket, headers, run);
+		} else {
+			this.#answer(res, run.status, headers, run.answer);
 		}
 	}
 
@@ -147,8 +160,7 @@
 			'Content-Type': 'text/event-stream', 'Bluebellmast-Request-Id': run.id, 'Bluebellmast-Response-Seal': `seal.${this.id}.${run.id}`, 'Bluebellmast-Weight-Versions': '1',
 		};
 		if (run.isUnframed) {
-			const lines = Object.entries({...headers, Connection: 'close'}).map(([name, value]) => `${name}: ${value}\r\n`);
-			socket.write(`HTTP/1.1 200 OK\r\n${lines.join('')}\r\n`);
+			socket.write(createUnframedHead(headers));
 		} else {
 			res.writeHead(200, headers);
 		}
@@ -191,11 +203,27 @@
 		this.onStarted?.();
 	}
 
-	#answer(res, status, headers, value = {}) {
-		net.sendJson(res, status, value, {
+	#answer(res, status, headers, value = '{}') {
+		net.send(res, status, value, {
 			...headers,
 			'Bluebellmast-Server-Load': `${this.#running.size},${this.#waiting.length},${this.slots}`,
 			...(this.brittle !== undefined && {'Server-Brittle': String(this.brittle)}),
 		});
 	}
 }
+
+/** Returns a head that states no length, so that the answer ends with its connection. */
+function createUnframedHead(headers) {
+	const lines = Object.entries({...headers, Connection: 'close'}).map(([name, value]) => `${name}: ${value}\r\n`);
+	return `HTTP/1.1 200 OK\r\n${lines.join('')}\r\n`;
+}
+
+/** Sends an answer without a length as a whole, or its first half and a reset. */
+function sendUnframed(socket, headers, {answer, isBrokenOff}) {
+	if (isBrokenOff) {
+		socket.write(`${createUnframedHead(headers)}${answer.slice(0, answer.length / 2)}`);
+		socket.resetAndDestroy();
+	} else {
+		socket.end(`${createUnframedHead(headers)}${answer}`);
+	}
+}
