Review, case 2: an answer without a length that is reset right after its last bytes is passed on as complete (MIXED)

Shown by review/2/run.sh: 3 of 5 runners break off one answer in twenty, without a length, by a reset after its first half.

--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,93 +1,86 @@
 /* eslint-disable camelcase -- Field names of the protocol. */
 /* eslint-disable no-await-in-loop -- Steps follow one another. */
-// A gateway process is killed while it passes streams on, some of which have no length and end with their connection.
+// Some answers have no length and end with their connection; some of these are broken off by a reset.
 import * as http from 'node:http';
 import * as caseRun from '../lib/case.mjs';
 import * as client from '../lib/client.mjs';
 import * as net from '../lib/net.mjs';
 
-const model = 'daka510000';
-const events = 30;
-const eventMs = 100;
-/** One in twenty. */
-const unframedEach = 20;
-const clientCount = 240;
-const clientGapMs = 12;
-const killAtMs = 5000;
+const runnerCount = 5;
+const garbledRunners = 3;
+/** One answer in twenty of these runners. */
+const garbledEach = 20;
+const answerBytes = 800;
+const garbledFromMs = 2000;
+const garbledMs = 5500;
 const lengthMs = 9000;
-const deadlineMs = 8000;
+const intervalMs = 10;
 
 await caseRun.runCase(import.meta.dirname, async (system, hasTrouble, write) => {
 	await system.start({
-		gatewayCount: 2,
-		runnerCount: 4,
-		runner: {workMs: eventMs, model, events},
-		routes: [{
-			name: 'ration-plan', prefix: '/plan/', kind: 'streaming', timeout_ms: deadlineMs, target_latency_ms: 600, sticky: true, resumable: false, gap_target_ms: 300,
+		gatewayCount: 2, runnerCount, runner: {workMs: 15}, routes: [{
+			name: 'delivery-order', prefix: '/order/', kind: 'unsafe', timeout_ms: 1500, target_latency_ms: 193,
 		}],
 	});
-	let count = 0;
-	for (const runner of system.runners) {
-		runner.isUnframed = () => {
-			count += 1;
-			return count % unframedEach === 0;
-		};
-	}
-
 	const startedAt = Date.now();
-	const seen = [];
-	const clients = [];
-	for (let number = 0; number < clientCount; number++) {
-		clients.push(keepAsking(system.gateways[number % 2], number, startedAt + lengthMs, seen));
-		await net.sleep(clientGapMs);
+	for (const [index, runner] of system.runners.entries()) {
+		garble(runner, index < garbledRunners, {startedAt, hasTrouble});
 	}
 
-	await net.sleep(Math.max(0, startedAt + killAtMs - Date.now()));
-	if (hasTrouble) {
-		write(`seen: SIGKILL of ${system.gateways[0].name}`);
-		system.gateways[0].signal('SIGKILL');
+	const agents = system.gateways.map(() => new http.Agent({keepAlive: true}));
+	const sent = [];
+	for (let number = 1; Date.now() - startedAt < lengthMs; number++) {
+		const index = number % system.gateways.length;
+		sent.push(client.send(system.gateways[index], {
+			agent: agents[index], id: number.toString(16).padStart(16, '0'), path: `/order/${number}`, body: '{}', deadlineMs: 1500,
+		}));
+		await net.sleep(intervalMs);
 	}
 
-	await Promise.all(clients);
-	return judge(system, seen, write);
+	return judge(system, await Promise.all(sent), write);
 });
 
-/** Asks for one stream after the other, as long as its gateway runs. */
-async function keepAsking(gateway, number, endsAt, seen) {
-	const agent = new http.Agent({keepAlive: true, maxSockets: 1});
-	for (let count = 0; Date.now() < endsAt && gateway.isRunning; count++) {
-		const id = `${(number + 1).toString(16).padStart(4, '0')}${count.toString(16).padStart(12, '0')}`;
-		seen.push(await client.send(gateway, {
-			agent,
-			id,
-			path: `/plan/${number}`,
-			body: 'a prompt',
-			deadlineMs,
-			headers: {'Bluebellmast-Model': model, 'Bluebellmast-Token-Usage': '400,30', 'Bluebellmast-Prompt-Prefix': `5c1e07a2:200,${id}:200`},
-		}));
-	}
+/** Has one answer in twenty come without a length: broken off, or whole without the disruption. */
+function garble(runner, isGarbled, {startedAt, hasTrouble}) {
+	let count = 0;
+	const isChosen = () => {
+		const sinceMs = Date.now() - startedAt;
+		count += 1;
+		return isGarbled && sinceMs >= garbledFromMs && sinceMs < garbledFromMs + garbledMs && count % garbledEach === 0;
+	};
 
-	agent.destroy();
+	runner.createAnswer = run => `{"ran":"${run.id}","place":"${'x'.repeat(answerBytes)}"}`;
+	if (hasTrouble) {
+		runner.isBrokenOff = isChosen;
+	} else {
+		runner.isUnframed = isChosen;
+	}
 }
 
 function judge(system, seen, write) {
 	const runs = new Map(system.runners.flatMap(runner => runner.runs).map(run => [run.id, run]));
 	const findings = [];
-	const counts = {whole: 0, shown: 0, hidden: 0};
+	const counts = {brokenOff: 0, unframed: 0, taken: 0};
 	for (const each of seen) {
 		const run = runs.get(each.id);
-		const received = (each.body ?? '').split('\n\n').length - 1;
-		const end = each.isComplete ? 'ended as complete' : `did not end as complete (${each.problem})`;
-		const form = run?.isUnframed ? 'without a length' : 'chunked';
-		write(`sent ${each.id} to ${each.gateway}: ${each.status ?? 'no status'}, seal ${each.seal ?? 'none'}, ${received} of ${events} events, ${end}; sent by ${run?.runner ?? 'nobody'} ${form}`);
-		if (each.isComplete && each.status === 200 && received < events) {
-			counts.hidden += 1;
-			findings.push(`MIXED: ${each.id} got ${received} of ${events} events as a success that looks complete`);
-		} else {
-			counts[each.isComplete ? 'whole' : 'shown'] += 1;
+		write(`sent ${each.id} to ${each.gateway}: ${describe(each)}; ${run === undefined ? 'not run' : describeRun(run)}`);
+		counts.brokenOff += run?.isBrokenOff ? 1 : 0;
+		counts.unframed += run?.isUnframed ? 1 : 0;
+		if (each.status === 200 && each.isComplete && each.body !== run?.answer) {
+			counts.taken += 1;
+			findings.push(`MIXED: ${each.id} got ${each.body.length} of ${run.answer.length} bytes as a success that looks complete; ${run.runner} had reset its connection`);
 		}
 	}
 
-	write(`seen: ${seen.length} requests; ${counts.whole} whole; ${counts.shown} seen to be cut; ${counts.hidden} cut that looked complete`);
+	write(`seen: ${seen.length} requests; ${counts.brokenOff} answers were broken off by a reset, ${counts.unframed} came whole without a length`);
+	write(`seen: ${counts.taken} answers were passed on as complete though half was missing`);
 	return findings;
 }
+
+function describe({status, problem, seal, body = '', isComplete}) {
+	return `${status ?? problem}, seal ${seal ?? 'none'}, ${body.length} bytes, ${isComplete ? 'complete' : 'cut'}`;
+}
+
+function describeRun({runner, answer = '', isBrokenOff}) {
+	return `${runner} sent ${isBrokenOff ? 'half of it, without a length, and a reset' : 'the whole answer'} (whole: ${answer.length} bytes)`;
+}
