--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -48,6 +48,8 @@
 			this.#writeEntries();
 		}, heartbeatMs);
 		this.store.write('op/config', createConfig(routes, limits, runnerOptions.model));
+		// The same on all machines, as the platform has it.
+		const internalPorts = await gatewayModule.findFreePorts(2, `${this.#network}.11`);
 		for (let number = 1; number <= gatewayCount; number++) {
 			const gateway = new gatewayModule.Gateway({
 				name: `frontend-${number}`,
@@ -55,7 +57,7 @@
 				zone: 'zone-a',
 				folder: this.#folder,
 				storeAddress: this.store.address,
-				internalPorts: [27_340, 27_355],
+				internalPorts,
 				further: furtherSettings,
 			});
 			await gateway.prepare();
--- a/review/lib/gateway.mjs
+++ b/review/lib/gateway.mjs
@@ -13,7 +13,7 @@
 const readyTimeoutMs = 15_000;
 
 /** Finds ports that are free on a loopback address. */
-async function findFreePorts(count, host) {
+export async function findFreePorts(count, host) {
 	const servers = Array.from({length: count}, () => nodeNet.createServer());
 	const addresses = await Promise.all(servers.map(async server => net.listen(server, host)));
 	await Promise.all(servers.map(async server => new Promise(resolve => {
