--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -6,13 +6,13 @@
 import * as client from '../lib/client.mjs';
 import * as net from '../lib/net.mjs';
 
-const runnerCount = 5;
+const runnerCount = 6;
 const garbledRunners = 3;
 /** One answer in twenty of these runners. */
 const garbledEach = 20;
 const answerBytes = 800;
 const garbledFromMs = 2000;
-const garbledMs = 5500;
+const garbledMs = 5000;
 const lengthMs = 9000;
 const intervalMs = 10;
 
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -7,6 +7,7 @@
 import * as net from '../lib/net.mjs';
 
 const model = 'daka510000';
+const runnerCount = 6;
 const events = 30;
 const eventMs = 100;
 /** One in twenty. */
@@ -14,23 +15,29 @@
 const clientCount = 360;
 const clientGapMs = 8;
 const killAtMs = 5000;
+/** Only half of the runners send such answers, for five seconds. */
+const unframedFromMs = 1000;
+const unframedMs = 5000;
 const lengthMs = 9000;
 const deadlineMs = 8000;
 
 await caseRun.runCase(import.meta.dirname, async (system, hasTrouble, write) => {
 	await system.start({
 		gatewayCount: 2,
-		runnerCount: 6,
+		runnerCount,
 		runner: {workMs: eventMs, model, events},
 		routes: [{
 			name: 'ration-plan', prefix: '/plan/', kind: 'streaming', timeout_ms: deadlineMs, target_latency_ms: 600, sticky: true, resumable: false, gap_target_ms: 300,
 		}],
 	});
-	for (const runner of system.runners) {
-		runner.isUnframed = ({id}) => isUnframed(id);
+	const startedAt = Date.now();
+	for (const runner of system.runners.slice(0, runnerCount / 2)) {
+		runner.isUnframed = ({id}) => {
+			const sinceMs = Date.now() - startedAt;
+			return sinceMs >= unframedFromMs && sinceMs < unframedFromMs + unframedMs && isUnframed(id);
+		};
 	}
 
-	const startedAt = Date.now();
 	const seen = [];
 	const clients = [];
 	for (let number = 0; number < clientCount; number++) {
--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -33,10 +33,23 @@
 		process.exit(status); // eslint-disable-line unicorn/no-process-exit -- The exit status is the result of a case.
 	};
 
-	const limit = setTimeout(() => {
-		write('problem: the case has taken too long');
+	const abort = problem => {
+		write(`problem: ${problem}`);
 		status = couldNotRun;
 		void finish();
+	};
+
+	process.on('uncaughtException', err => {
+		abort(err.stack);
+	});
+	for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) {
+		process.on(signal, () => {
+			abort(signal);
+		});
+	}
+
+	const limit = setTimeout(() => {
+		abort('the case has taken too long');
 	}, maxRunMs);
 	write(`seen: disruption: ${hasTrouble ? 'yes' : 'no (TROUBLE=0)'}`);
 	try {
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -13,6 +13,7 @@
 export const hostName = 'booking.example';
 export const apiKey = 'key-of-tenant-a';
 const heartbeatMs = 1200;
+const endTimeoutMs = 2000;
 
 export class Deployment {
 	gateways = [];
@@ -61,8 +62,8 @@
 				further: furtherSettings,
 			});
 			await gateway.prepare();
-			gateway.start();
 			this.gateways.push(gateway);
+			gateway.start();
 		}
 
 		await Promise.all(this.gateways.map(async gateway => gateway.waitUntilReady()));
@@ -75,7 +76,11 @@
 			gateway.signal('SIGKILL');
 		}
 
-		await net.sleep(200);
+		const endsAt = Date.now() + endTimeoutMs;
+		while (this.gateways.some(gateway => gateway.isRunning) && Date.now() < endsAt) {
+			await net.sleep(20);
+		}
+
 		for (const runner of this.runners) {
 			runner.stop();
 		}
