Don't relay a failure after the work with a status that promises that nothing was executed

Cause: AttemptResponses relayed any head that no other attempt could replace. Nothing told a status by which callers are promised "not executed" from the endpoint's own statement to the VM. Evidence: the 503 bears the endpoint's signature, and each request ran once, so that neither decideExecution nor a repeat of ours was at fault.

Change: the codec decodes whether callers take a status for the promise; such a response is relayed for idempotent requests only. Others get 502, and the failure counts against the endpoint. It works wherever such a response could get out, also after a refusal elsewhere and for one that is kept beside another attempt.

--- a/packages/gateway/src/call/attempt-responses.ts
+++ b/packages/gateway/src/call/attempt-responses.ts
@@ -17,6 +17,8 @@
 	readonly onHeld: (sent: sentAttempt.SentAttempt) => void;
 	/** Called when the response of the current attempt is relayed from now on. */
 	readonly onBegun: (sent: sentAttempt.SentAttempt) => void;
+	/** Whether the request may be executed more than once. */
+	readonly isIdempotent: boolean;
 	/** Whether another endpoint could take the request now; reserves a retry then. */
 	readonly canSendAgain: () => boolean;
 };
@@ -37,7 +39,7 @@
 				recorder.recordProgress(sent);
 				sent.isDiscarded = !this.#acceptsHead(sent, head);
 				if (sent.isDiscarded) {
-					sent.errorResponse = new heldResponse.HeldResponse(head, raw);
+					sent.errorResponse = this.#mayRelay(head) ? new heldResponse.HeldResponse(head, raw) : undefined;
 					return false;
 				}
 
@@ -130,11 +132,19 @@
 		}
 	}
 
+	/**
+	 * Whether a response may ever be relayed: one of an endpoint that has executed the request must not have a status by which its caller
+	 * repeats a request that may be executed only once.
+	 */
+	#mayRelay({hasNotExecutedStatus}: ports.ResponseHead): boolean {
+		return this.options.isIdempotent || !hasNotExecutedStatus;
+	}
+
 	/** Whether a response is relayed; a server error is not, as long as another attempt may succeed, nor is another error while a stream has begun. */
 	#acceptsHead(sent: sentAttempt.SentAttempt, head: ports.ResponseHead): boolean {
 		const {relay, active, canSendAgain} = this.options;
 		const others = active.list().filter(other => other !== sent && !other.isDiscarded);
-		if (!relay.canContinueWith(head.status) || (!relay.isStreamHead(head) && others.some(({held}) => held !== undefined))) {
+		if (!this.#mayRelay(head) || !relay.canContinueWith(head.status) || (!relay.isStreamHead(head) && others.some(({held}) => held !== undefined))) {
 			return false;
 		}
 
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -94,6 +94,7 @@
 			onBegun: sent => {
 				this.#recordPart(sent);
 			},
+			isIdempotent: this.#rules.isIdempotent,
 			canSendAgain: () => this.#canSendAgain(),
 		});
 		this.#sender = new attemptSender.AttemptSender({
--- a/packages/gateway/src/ports/endpoint-protocol.ts
+++ b/packages/gateway/src/ports/endpoint-protocol.ts
@@ -39,6 +39,8 @@
 	readonly requestId?: string;
 	/** Whether the endpoint states that it did not execute the request. */
 	readonly isNotExecuted: boolean;
+	/** Whether callers conclude from the status, whoever sends it, that the request was not executed. */
+	readonly hasNotExecutedStatus: boolean;
 	/** Id of the endpoint that sent the response, if it states it. */
 	readonly respondingEndpoint?: string;
 	/** Whether the sender states that it is leaving. */
--- a/packages/gateway/tests/support/fake-connections.ts
+++ b/packages/gateway/tests/support/fake-connections.ts
@@ -86,7 +86,7 @@
 		encodeRequestHead: (head: gateway.ports.RequestHead, directives: gateway.ports.AttemptDirectives) =>
 			[head.requestId, directives.endpointId, String(directives.lastEventId ?? 0)],
 		decodeResponseHead: (status: number, headers: gateway.ports.ParsedHeaders): gateway.ports.ResponseHead => ({
-			status, isMisdirected: false, requestId: String(headers['x-request-id']), isNotExecuted: status === 503, isLeaving: false, isSigned: true,
+			status, isMisdirected: false, requestId: String(headers['x-request-id']), isNotExecuted: status === 503, hasNotExecutedStatus: status === 503, isLeaving: false, isSigned: true,
 		}),
 	};
 
