Don't take a reset for the end of a response without a length

Cause: EndpointConnection took the socket's 'end' event for a regular close. Node emits it for a reset, too, if the reset arrives before the last bytes are read, and no error follows. Evidence: a trial without the product, 200 of 200 connections; there is no attempt_failed line for such a request.

Change: the end counts as regular only if the socket still has a peer, which the kernel forgets with the reset, however late the end is read.

--- a/packages/gateway/src/endpoints/endpoint-connection.ts
+++ b/packages/gateway/src/endpoints/endpoint-connection.ts
@@ -2,6 +2,7 @@
 import type * as tls from 'node:tls';
 import * as undici from 'undici';
 import type * as connectorModule from './connector.js';
+import * as isReset from './is-reset.js';
 import * as refusalHistory from './refusal-history.js';
 
 /** Options of a connection to an endpoint, in milliseconds. */
@@ -116,7 +117,7 @@
 		// Registered before the listeners of undici, which treats a response as complete after a reset, too.
 		socket.once('end', () => {
 			// A VM that relays the connection may end it in the middle of a response.
-			this.#hasEndedCleanly = this.helper === undefined;
+			this.#hasEndedCleanly = this.helper === undefined && !isReset.isReset(socket);
 		});
 		socket.once('error', () => {
 			this.#hasEndedCleanly = false;
