Relay responses without a length in chunks

Cause: ResponseRelay relayed a response without a length in the same form, so that only the close of the caller's connection ended it, and the kernel closes the connections of a killed process as regularly as a process does. Evidence: the callers' bytes have neither chunks nor a length, and SIGKILL leaves the process no time to end anything.

Change: such a response is relayed in chunks, whose last one only a living gateway sends that has seen the regular end at the endpoint. A response that is known as a whole before it is relayed states its length, as callers of HTTP/1.0 get no chunks.

--- a/packages/gateway/src/call/response-relay.ts
+++ b/packages/gateway/src/call/response-relay.ts
@@ -28,6 +28,7 @@
 /**
  * Relays the response of one attempt or, for a resumed stream, of several attempts to the caller. Events of streams are
  * relayed as soon as they are complete. Other responses are buffered until they are complete or exceed the buffer.
+ * A response that ends with the endpoint's connection is relayed in chunks, as the end of this process would look like its end.
  */
 export class ResponseRelay {
 	/** Id of the last event that was relayed. */
@@ -35,7 +36,7 @@
 	#splitter = new eventSplitter.EventSplitter();
 	#buffered: Uint8Array[] = [];
 	#bufferedBytes = 0;
-	#head: {readonly status: number; readonly rawHeaders: readonly string[]; readonly isFramed: boolean} | undefined;
+	#head: {readonly status: number; readonly rawHeaders: readonly string[]} | undefined;
 	#hasStarted = false;
 	#isEventStream = false;
 	#isWaitingForDrain = false;
@@ -89,7 +90,7 @@
 		const headers = raw.headers.map(value => buffer.Buffer.from(value).toString('latin1'));
 		this.#buffered = [];
 		this.#bufferedBytes = 0;
-		this.#head = {status: head.status, rawHeaders: headers, isFramed: raw.isFramed};
+		this.#head = {status: head.status, rawHeaders: headers};
 		this.#isEventStream = this.isStreamHead(head);
 		if (this.#isEventStream) {
 			this.#start();
@@ -118,6 +119,7 @@
 	complete(): void {
 		if (!this.#hasStarted) {
 			this.#start();
+			this.#stateLength();
 		}
 
 		for (const chunk of this.#buffered) {
@@ -200,13 +202,9 @@
 
 	#start(): void {
 		this.#hasStarted = true;
-		const {status, rawHeaders, isFramed} = this.#head!;
+		const {status, rawHeaders} = this.#head!;
 		this.res.statusCode = status;
 		this.res.sendDate = false;
-		if (!isFramed) {
-			this.#delimitByConnectionClose();
-		}
-
 		const dropped = connectionHeaders.listConnectionHeaders(rawHeaders);
 		for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
 			const name = rawHeaders[index]!;
@@ -216,10 +214,11 @@
 		}
 	}
 
-	/** Relays a response without a length or chunked encoding in the same form: only the endpoint knows whether it is complete. */
-	#delimitByConnectionClose(): void {
-		this.res.useChunkedEncodingByDefault = false;
-		this.res.shouldKeepAlive = false;
+	/** States the length of a response that is known as a whole: a caller of HTTP/1.0 gets no chunks, so that nothing else shows whether it has received everything. */
+	#stateLength(): void {
+		if (this.#bufferedBytes > 0 && !this.res.hasHeader('content-length')) {
+			this.res.setHeader('Content-Length', this.#bufferedBytes);
+		}
 	}
 
 	#write(bytes: Uint8Array): boolean {
--- a/packages/gateway/src/endpoints/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoints/endpoint-attempt.ts
@@ -49,12 +49,10 @@
 	WeightsOutdated = 'weights_outdated',
 }
 
-/** Headers and framing of a response, as received. */
+/** Headers of a response, as received. */
 export type RawResponse = {
 	/** Header names and values, alternating. */
 	readonly headers: readonly Uint8Array[];
-	/** Whether the response states its length or is chunked; otherwise it ends when the connection is closed. */
-	readonly isFramed: boolean;
 };
 
 /** Receives the response of an attempt. */
@@ -127,6 +125,7 @@
 	#abortFault: AttemptFault | undefined;
 	#head: ports.ResponseHead | undefined;
 	#wantsBody = false;
+	/** Whether the response states its length or is chunked; otherwise it ends when the connection is closed. */
 	#isFramed = true;
 	#keepsConnection = true;
 	#responseFault: AttemptFault | undefined;
@@ -228,7 +227,7 @@
 
 		// The type of undici's controller does not declare the raw headers.
 		const {rawHeaders} = controller as unknown as {readonly rawHeaders: readonly Uint8Array[]};
-		this.#wantsBody = this.options.sink.onHead(head, {headers: rawHeaders, isFramed: this.#isFramed});
+		this.#wantsBody = this.options.sink.onHead(head, {headers: rawHeaders});
 		if (!this.#wantsBody) {
 			this.#responseFault = AttemptFault.ErrorResponse;
 			this.#startUnwantedTimer();
--- a/packages/gateway/tests/support/fake-connections.ts
+++ b/packages/gateway/tests/support/fake-connections.ts
@@ -165,6 +165,10 @@
 		return false;
 	}
 
+	setHeader(): void {
+		// The headers are of no interest.
+	}
+
 	flushHeaders(): void {
 		this.headersSent = true;
 	}
