Relay responses that have no body and state no length

Callers got 502 for requests that had succeeded with 204, 304 or to HEAD without a Content-Length: such a response counted as one that ends with its connection, which stays open.

Cause: EndpointAttempt decided by the headers alone whether the end of the connection is needed.

Change: a response that has no body by its status or method needs no framing.

Before: platform/tests/responses-without-body.test.ts, three of four cases got 502. After: all pass. The fourth, HEAD with a length, failed in the first version of the test only, which expected that the HTTP client keeps the connection after HEAD; it closes it, and such a close is no longer taken for one by the endpoint.

--- a/packages/gateway/src/endpoints/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoints/endpoint-attempt.ts
@@ -95,6 +95,8 @@
 	}
 }
 
+/** Statuses whose responses have no body (RFC 9110). */
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 /** Interim responses (status below 200) that an endpoint may send before its response. */
 const maxInterimResponses = 16;
 /** Size and time up to which the body of a response that is not relayed is read, so that its connection can be used again. */
@@ -125,7 +127,7 @@
 	#abortFault: AttemptFault | undefined;
 	#head: ports.ResponseHead | undefined;
 	#wantsBody = false;
-	/** Whether the response states its length or is chunked; otherwise it ends when the connection is closed. */
+	/** Whether the response has no body, states its length or is chunked; otherwise it ends when the connection is closed. */
 	#isFramed = true;
 	#keepsConnection = true;
 	#responseFault: AttemptFault | undefined;
@@ -206,8 +208,11 @@
 		const head = this.options.protocol.decodeResponseHead(status, headers);
 		this.#head = head;
 		this.options.onHeadReceived(head);
-		this.#isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-		this.#keepsConnection = headers.connection !== 'close';
+		const isHead = this.options.request.method === 'HEAD';
+		const hasBody = !isHead && !bodilessStatuses.has(status);
+		this.#isFramed = !hasBody || headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+		// Undici closes the connection after a response to HEAD.
+		this.#keepsConnection = headers.connection !== 'close' && !isHead;
 		const fault = this.#findHeadFault(head);
 		if (fault !== undefined) {
 			this.abort(fault);
