Log the requests that the end of the grace period cuts

Change: the process waits up to 50 ms of its margin until the ends are logged, as fault=process_ended and outcome=cut with obstacle=shutting_down, or with the code of the refusal that was sent.

--- a/packages/core/src/log/retry-obstacle.ts
+++ b/packages/core/src/log/retry-obstacle.ts
@@ -20,4 +20,6 @@
 	PartQuarantined = 'part_quarantined',
 	/** No other endpoint could accept the request. */
 	NoEndpoint = 'no_endpoint',
+	/** The grace period of the process was over. */
+	ShuttingDown = 'shutting_down',
 }
--- a/packages/gateway/src/call/request-context.ts
+++ b/packages/gateway/src/call/request-context.ts
@@ -18,6 +18,8 @@
 	body?: Uint8Array;
 	/** Whether the request was sent to an endpoint that may have executed it; refused attempts don't count. */
 	isSent?: boolean;
+	/** Whether this process ends the connection, as its grace period is over. */
+	isProcessEnding?: boolean;
 	/** Whether a response was started that could not be completed. */
 	isTruncated?: boolean;
 	/** Why the request was not sent to another endpoint after a failed attempt. */
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -118,7 +118,7 @@
 		const onClose = (): void => {
 			this.#isResponseClosed = !this.request.res.writableFinished;
 			this.#endpointFinder.cancel();
-			this.#active.abort(endpoints.AttemptFault.CallerDisconnected);
+			this.#active.abort(this.request.isProcessEnding ? endpoints.AttemptFault.ProcessEnded : endpoints.AttemptFault.CallerDisconnected);
 		};
 
 		const now = this.dependencies.clock.monotonicNow();
@@ -368,6 +368,10 @@
 
 	/** Reserves a retry after an attempt has ended. @returns What prevents it. */
 	#reserveRetry(progress: core.request.AttemptProgress): core.log.RetryObstacle | undefined {
+		if (this.request.isProcessEnding) {
+			return core.log.RetryObstacle.ShuttingDown;
+		}
+
 		if (this.#isCallerDisconnected) {
 			return core.log.RetryObstacle.CallerDisconnected;
 		}
@@ -386,10 +390,14 @@
 		if (this.#relay.hasStarted) {
 			this.request.obstacle ??= refusalObstacle.getObstacle(refusal);
 			this.#relay.abort();
-			this.request.isTruncated = !this.#isResponseClosed;
+			this.request.isTruncated = this.request.isProcessEnding === true || !this.#isResponseClosed;
 			return undefined;
 		}
 
+		if (this.request.isProcessEnding) {
+			return {code: this.request.isSent ? refusals.RefusalCode.OutcomeUnknown : refusals.RefusalCode.ShuttingDown};
+		}
+
 		if (this.#isResponseClosed) {
 			return {code: refusals.RefusalCode.CallerDisconnected};
 		}
--- a/packages/gateway/src/endpoints/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoints/endpoint-attempt.ts
@@ -29,6 +29,8 @@
 	EndlessResponse = 'endless_response',
 	/** The caller closed its connection. */
 	CallerDisconnected = 'caller_gone',
+	/** The grace period of this process was over. */
+	ProcessEnded = 'process_ended',
 	/** The deadline of the request has passed. */
 	TimedOut = 'timed_out',
 	/** The endpoint sent nothing for too long. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -60,6 +60,8 @@
 const deregistrationMs = 2800;
 /** Part of the grace period that is reserved for the exit of the process, in milliseconds. */
 const exitMarginMs = 300;
+/** Part of that margin in which the requests that are cut at its beginning are logged, in milliseconds. */
+const maxLoggedEndsMs = 50;
 
 /** A gateway process. */
 export class Gateway {
@@ -141,6 +143,7 @@
 		await Promise.all([leaseController.stop(), timers.setTimeout(deregistrationMs)]);
 		await server.finishShutdown(settings.graceMs - exitMarginMs - (clock.monotonicNow() - startedAt));
 		this.close();
+		await server.awaitLoggedEnds(maxLoggedEndsMs);
 		log.write(eventLog.LogEvent.Stopped, {tookMs: Math.round(clock.monotonicNow() - startedAt)});
 	}
 
--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -45,6 +45,8 @@
 	#isShuttingDown = false;
 	/** Responses that have not been handled, or not been passed on to the connection as a whole. */
 	readonly #openResponses = new Set<http.ServerResponse>();
+	/** Number of requests whose handling has not ended. */
+	#handledCount = 0;
 	/** Requests whose head was decoded, by response. */
 	readonly #contexts = new WeakMap<http.ServerResponse, call.RequestContext>();
 	readonly #headerTimeout = new headerTimeout.HeaderTimeout(timeoutMs => {
@@ -147,12 +149,26 @@
 		this.#headerTimeout.close();
 		this.#server.close();
 		for (const res of this.#openResponses) {
-			endImmediately(res, this.#contexts.get(res)?.isSent === true);
+			const ctx = this.#contexts.get(res);
+			if (ctx !== undefined) {
+				ctx.isProcessEnding = true;
+			}
+
+			endImmediately(res, ctx?.isSent === true);
 		}
 
 		this.#server.closeAllConnections();
 	}
 
+	/** Waits after {@link GatewayServer.close} until the ends of all requests are logged, for at most `maxMs` milliseconds. */
+	async awaitLoggedEnds(maxMs: number): Promise<void> {
+		const now = (): number => this.dependencies.clock.monotonicNow();
+		const endsAt = now() + maxMs;
+		while (this.#handledCount > 0 && now() < endsAt) {
+			await clients.timeouts.waitForTurn(); // eslint-disable-line no-await-in-loop -- Turns follow one another.
+		}
+	}
+
 	/** Closes the idle connections. @returns Whether connections remain, on which a request is being read or a response is being sent. */
 	async #hasBusyConnections(): Promise<boolean> {
 		this.#server.closeIdleConnections();
@@ -183,6 +199,7 @@
 		}
 
 		this.#openResponses.add(res);
+		this.#handledCount += 1;
 		res.on('error', () => {
 			// A broken connection also emits `close`, which ends the request.
 		});
@@ -196,6 +213,7 @@
 			this.#log.writeError(err);
 			await this.#refusals.send({req, res, arrivedAt}, {code: call.RefusalCode.InternalError});
 		} finally {
+			this.#handledCount -= 1;
 			this.#forgetWhenClosed(res, keepAliveMs);
 		}
 	}
--- a/packages/gateway/tests/gateway.test.ts
+++ b/packages/gateway/tests/gateway.test.ts
@@ -17,6 +17,7 @@
 					order.push('requests ended');
 				},
 				close: () => undefined,
+				awaitLoggedEnds: async () => undefined,
 			},
 			dispatcher: {beginShutdown: () => undefined},
 			feed: {stop: () => undefined},
