Send late streams in a shutdown only if their deadline is before the end of the process

Cause: GracefulShutdown expected the next stream to take no longer than nine tenths of the latest 32 of its route. A longer one that was sent late in the grace period was cut with the process.

Change: from 2 s after SIGTERM on, when the load balancer sends nothing new any more, a stream is sent only if its deadline is before the end of the process. Others are refused as not run, and other VMs take them. That the users saw this is inferred.

--- a/packages/core/src/request/graceful-shutdown.ts
+++ b/packages/core/src/request/graceful-shutdown.ts
@@ -1,6 +1,9 @@
+import * as routing from '../routing/index.js';
+
 /** Properties of a route that tell how long its responses take, in milliseconds. */
 export type RouteTimes = {
 	readonly name: string;
+	readonly kind: routing.RouteKind;
 	readonly targetLatencyMs: number;
 	readonly timeoutMs: number;
 };
@@ -20,6 +23,7 @@
  */
 export class GracefulShutdown {
 	#endsAt = Infinity;
+	#streamsEndAt = Infinity;
 	/** Latest durations by route, as a ring. */
 	readonly #durations = new Map<string, {readonly values: number[]; next: number}>();
 
@@ -36,14 +40,30 @@
 		ring.next = (ring.next + 1) % rememberedResponses;
 	}
 
-	/** Begins the shutdown. @param endsAt - When the process ends. */
-	begin(endsAt: number): void {
+	/**
+	 * Begins the shutdown.
+	 *
+	 * @param endsAt - When the process ends.
+	 * @param streamsEndAt - From when on only those streams are sent whose deadline is before the end of the process.
+	 */
+	begin(endsAt: number, streamsEndAt: number): void {
 		this.#endsAt = Math.min(this.#endsAt, endsAt);
+		this.#streamsEndAt = Math.min(this.#streamsEndAt, streamsEndAt);
 	}
 
-	/** Returns until when a request may be sent so that it can be completed; `Infinity` without a shutdown. */
-	latestSendAt(route: RouteTimes): number {
-		return this.#endsAt === Infinity ? Infinity : this.#endsAt - this.#expectDurationMs(route);
+	/**
+	 * Returns until when a request may be sent so that it can be completed; `Infinity` without a shutdown. The latest streams of a route tell little about
+	 * the next one, whose length is up to its caller.
+	 *
+	 * @param deadlineAt - When the request ends in any case.
+	 */
+	latestSendAt(route: RouteTimes, deadlineAt: number): number {
+		if (this.#endsAt === Infinity) {
+			return Infinity;
+		}
+
+		const expectedAt = this.#endsAt - this.#expectDurationMs(route);
+		return route.kind === routing.RouteKind.Streaming && deadlineAt > this.#endsAt ? Math.min(expectedAt, this.#streamsEndAt) : expectedAt;
 	}
 
 	#expectDurationMs({name, targetLatencyMs, timeoutMs}: RouteTimes): number {
--- a/packages/core/tests/request/graceful-shutdown.test.ts
+++ b/packages/core/tests/request/graceful-shutdown.test.ts
@@ -2,7 +2,11 @@
 import * as core from '@bluebellmast/core';
 
 const {expect} = chai;
-const route = {name: 'book', targetLatencyMs: 100, timeoutMs: 3000};
+const route = {
+	name: 'book', kind: core.routing.RouteKind.Unsafe, targetLatencyMs: 100, timeoutMs: 3000,
+};
+const lateAt = 4000;
+const deadlineAt = 20_000;
 
 describe('GracefulShutdown', () => {
 	let shutdown: core.request.GracefulShutdown;
@@ -19,13 +23,13 @@
 
 	/** Begins the shutdown. @returns Until when a request may be sent. */
 	function stopAt(endsAt: number): number {
-		shutdown.begin(endsAt);
-		return shutdown.latestSendAt(route);
+		shutdown.begin(endsAt, lateAt);
+		return shutdown.latestSendAt(route, deadlineAt);
 	}
 
 	it('sets no limit before it begins', () => {
 		record(500);
-		expect(shutdown.latestSendAt(route)).to.equal(Infinity);
+		expect(shutdown.latestSendAt(route, deadlineAt)).to.equal(Infinity);
 	});
 
 	const expectations: ReadonlyArray<readonly [description: string, durations: readonly number[], expectedMs: number]> = [
@@ -45,15 +49,38 @@
 	it('does not mix routes', () => {
 		shutdown.recordDuration('look', 2000);
 		record(40);
-		shutdown.begin(10_000);
-		expect(shutdown.latestSendAt(route)).to.equal(9960);
+		shutdown.begin(10_000, lateAt);
+		expect(shutdown.latestSendAt(route, deadlineAt)).to.equal(9960);
 	});
 
 	it('keeps its end after a second signal', () => {
 		record(40);
-		shutdown.begin(10_000);
-		shutdown.begin(12_000);
-		expect(shutdown.latestSendAt(route)).to.equal(9960);
+		shutdown.begin(10_000, lateAt);
+		shutdown.begin(12_000, lateAt + 2000);
+		expect(shutdown.latestSendAt(route, deadlineAt)).to.equal(9960);
+	});
+
+	describe('of streams', () => {
+		const stream = {...route, kind: core.routing.RouteKind.Streaming};
+
+		it('allows those whose deadline is before the end of the process as long as other requests', () => {
+			record(40);
+			shutdown.begin(10_000, lateAt);
+			expect(shutdown.latestSendAt(stream, 10_000)).to.equal(9960);
+		});
+
+		it('allows the others until they count as late, however short the latest ones were', () => {
+			record(40);
+			shutdown.begin(10_000, lateAt);
+			shutdown.begin(12_000, lateAt + 2000);
+			expect(shutdown.latestSendAt(stream, 10_001)).to.equal(lateAt);
+		});
+
+		it('allows the others for a shorter time if the latest ones took longer', () => {
+			record(2900);
+			shutdown.begin(5000, lateAt);
+			expect(shutdown.latestSendAt(stream, deadlineAt)).to.equal(2100);
+		});
 	});
 
 	it('remembers 1,000 routes at most', () => {
@@ -62,7 +89,7 @@
 			shutdown.recordDuration(`r-${number}`, 1);
 		}
 
-		shutdown.begin(10_000);
-		expect(shutdown.latestSendAt(route)).to.equal(9700);
+		shutdown.begin(10_000, lateAt);
+		expect(shutdown.latestSendAt(route, deadlineAt)).to.equal(9700);
 	});
 });
--- a/packages/gateway/src/call/endpoint-finder.ts
+++ b/packages/gateway/src/call/endpoint-finder.ts
@@ -174,7 +174,8 @@
 		this.dependencies.log.write(eventLog.LogEvent.RequestWaiting, {request: this.request.head.requestId, ...inputs});
 		const maxWaitMs = Math.max(maxWaitFactor * expectedMs, minWaitMs);
 		// An endpoint that is only silent may go on before the wait expires.
-		const {outcome, found} = await this.#wait(request, Math.min(this.deadlineAt - minResponseTimeMs, now + maxWaitMs, this.dependencies.gracefulShutdown.latestSendAt(this.request.route)), () =>
+		const latestSendAt = this.dependencies.gracefulShutdown.latestSendAt(this.request.route, this.deadlineAt);
+		const {outcome, found} = await this.#wait(request, Math.min(this.deadlineAt - minResponseTimeMs, now + maxWaitMs, latestSendAt), () =>
 			placer.hasSilentEndpoint(this.pool, clocks.readInstant(clock)));
 		if (found !== undefined) {
 			return found;
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -246,7 +246,7 @@
 			return {code: refusals.RefusalCode.DeadlineTooClose};
 		}
 
-		if (!this.#relay.hasStarted && this.dependencies.clock.monotonicNow() > this.dependencies.gracefulShutdown.latestSendAt(this.request.route)) {
+		if (!this.#relay.hasStarted && this.dependencies.clock.monotonicNow() > this.dependencies.gracefulShutdown.latestSendAt(this.request.route, this.#deadlineAt)) {
 			return {code: refusals.RefusalCode.ShuttingDown, retryAfterMs: refusals.shuttingDownRetryAfterMs, inputs: {tries: this.#rules.attemptCount}};
 		}
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -58,6 +58,11 @@
  * checks fail during this time; it covers two of the load balancer's checks and a margin.
  */
 const deregistrationMs = 2800;
+/**
+ * Time between the start of a graceful shutdown and the moment from which streams count as late, in milliseconds: the load balancer sends no new connections after
+ * two of its checks, so that other VMs take these callers' streams at once.
+ */
+const lateStreamMs = 2000;
 /** Part of the grace period that is reserved for the exit of the process, in milliseconds. */
 const exitMarginMs = 300;
 /** Part of that margin in which the requests that are cut at its beginning are logged, in milliseconds. */
@@ -139,7 +144,7 @@
 		log.write(eventLog.LogEvent.Stopping, {graceMs: settings.graceMs});
 		server.beginShutdown();
 		this.components.tunnels.beginShutdown();
-		dispatcher.beginShutdown(startedAt + settings.graceMs - exitMarginMs);
+		dispatcher.beginShutdown(startedAt + settings.graceMs - exitMarginMs, startedAt + lateStreamMs);
 		await Promise.all([leaseController.stop(), timers.setTimeout(deregistrationMs)]);
 		await server.finishShutdown(settings.graceMs - exitMarginMs - (clock.monotonicNow() - startedAt));
 		this.close();
