Give up responses whose status line or chunk extension has no end

Memory was not at risk: the parser drops them.

Cause: the HTTP parser bounds headers, but not these two.

Change: EndpointConnection compares what it has read with the body that was delivered, and ends a response of which far more has arrived than its head, body and framing take; the request goes on elsewhere where it may.

--- a/packages/gateway/src/endpoints/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoints/endpoint-attempt.ts
@@ -25,7 +25,7 @@
 	ErrorResponse = 'answered_with_failure',
 	/** The ids of the events of a stream are not consecutive. */
 	InvalidSequence = 'invalid_sequence',
-	/** The endpoint sent more interim responses, or more bytes without the end of an event, than any sound one does. */
+	/** The endpoint sent more interim responses, or more bytes without the end of an event or beyond the body, than any sound one does. */
 	EndlessResponse = 'endless_response',
 	/** The caller closed its connection. */
 	CallerDisconnected = 'caller_gone',
@@ -123,7 +123,7 @@
 };
 
 /** An attempt to execute a request at an endpoint over one connection. */
-export class EndpointAttempt implements undici.Dispatcher.DispatchHandler {
+export class EndpointAttempt implements undici.Dispatcher.DispatchHandler, endpointConnection.ResponseProgress {
 	progress = core.request.AttemptProgress.NotStarted;
 	#controller: undici.Dispatcher.DispatchController | undefined;
 	#abortFault: AttemptFault | undefined;
@@ -136,6 +136,7 @@
 	#resolve: ((result: AttemptResult) => void) | undefined;
 	#isEnded = false;
 	#interimCount = 0;
+	#bodyBytes = 0;
 	#unwantedBytes = 0;
 	#unwantedTimer: NodeJS.Timeout | undefined;
 	/** Whether the rest of an unwanted body is left unread, so that the connection can't be used again. */
@@ -156,7 +157,7 @@
 			const {method, target, headers, body} = this.options.request;
 			this.options.connection.dispatch({
 				method, path: target, headers, body: body ?? null,
-			}, this);
+			}, this, this);
 		});
 	}
 
@@ -175,6 +176,16 @@
 		this.#controller.abort(new AbortedError(fault));
 	}
 
+	/** Number of bytes of the response's body that have arrived. */
+	get bodyBytes(): number {
+		return this.#bodyBytes;
+	}
+
+	/** Ends the attempt, as the response has no end. */
+	onEndless(): void {
+		this.abort(AttemptFault.EndlessResponse);
+	}
+
 	/** Continues reading after {@link ResponseSink.onData} returned `false`. */
 	resume(): void {
 		this.#controller?.resume();
@@ -242,6 +253,7 @@
 	}
 
 	onResponseData(controller: undici.Dispatcher.DispatchController, chunk: Uint8Array): void {
+		this.#bodyBytes += chunk.length;
 		if (this.#isEnded) {
 			return;
 		}
--- a/packages/gateway/src/endpoints/endpoint-connection.ts
+++ b/packages/gateway/src/endpoints/endpoint-connection.ts
@@ -23,6 +23,22 @@
 	connectTimeoutMs: 500, keepAliveMs: 4000, keepAliveMarginMs: 400,
 };
 
+/** The response that is being read on a connection. */
+export type ResponseProgress = {
+	/** Bytes of its body that were delivered. */
+	readonly bodyBytes: number;
+	/** Called when far more bytes have arrived than its head, its body and their framing take. */
+	readonly onEndless: () => void;
+};
+
+/**
+ * Bytes that may arrive in addition to the body: heads, with interim responses, and what is read ahead. The HTTP parser bounds headers, but reads a status line and the extension
+ * of a chunk's size without end.
+ */
+const maxOverheadBytes = 262_144;
+/** Bytes that frame a byte of the body at most: a chunk for each byte, with a short extension. */
+const framingFactor = 32;
+
 /** What an {@link EndpointConnection} is created with. */
 export type EndpointConnectionOptions = ConnectionOptions & {
 	readonly connector: connectorModule.Connector;
@@ -42,6 +58,10 @@
 	#openedAt = Infinity;
 	#closedAt = Infinity;
 	#isClosedHere = false;
+	#progress: ResponseProgress | undefined;
+	#socket: net.Socket | undefined;
+	/** Bytes that had been read before the last request. */
+	#bytesBefore = 0;
 	readonly #client: undici.Client;
 
 	/** @param options - Its `now` returns the present time, in milliseconds of a clock that includes suspensions of the VM. */
@@ -101,7 +121,10 @@
 		return this.options.connector.helper;
 	}
 
-	dispatch(options: undici.Dispatcher.DispatchOptions, handler: undici.Dispatcher.DispatchHandler): void {
+	/** Sends a request. @param progress - Absent if the response is not bounded. */
+	dispatch(options: undici.Dispatcher.DispatchOptions, handler: undici.Dispatcher.DispatchHandler, progress?: ResponseProgress): void {
+		this.#progress = progress;
+		this.#bytesBefore = this.#socket?.bytesRead ?? 0;
 		this.#client.dispatch(options, handler);
 	}
 
@@ -114,6 +137,10 @@
 	#observeSocket(socket: net.Socket | tls.TLSSocket): void {
 		this.#isOpen = true;
 		this.#openedAt = this.options.now();
+		this.#socket = socket;
+		socket.on('readable', () => {
+			this.#checkOverhead(socket);
+		});
 		// Registered before the listeners of undici, which treats a response as complete after a reset, too.
 		socket.once('end', () => {
 			// A VM that relays the connection may end it in the middle of a response.
@@ -123,4 +150,11 @@
 			this.#hasEndedCleanly = false;
 		});
 	}
+
+	#checkOverhead({bytesRead}: net.Socket): void {
+		const progress = this.#progress;
+		if (progress !== undefined && bytesRead - this.#bytesBefore - progress.bodyBytes > maxOverheadBytes + (framingFactor * progress.bodyBytes)) {
+			progress.onEndless();
+		}
+	}
 }
