Handle errors of connections that were handed over with CONNECT

Cause: Node's HTTP server takes its listeners off a connection that it hands over with a CONNECT request, so that nothing handled the error.

Change: the listener of the request handles it.

--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -84,6 +84,10 @@
 			}
 		});
 		this.#server.on('connect', (req: http.IncomingMessage, socket: net.Socket) => {
+			// Node's HTTP server no longer handles the errors of this connection.
+			socket.on('error', () => {
+				socket.destroy();
+			});
 			this.#rejectConnection(new Error(`method ${req.method}`), socket);
 		});
 		this.#server.on('timeout', (socket: net.Socket) => {
