Bound the bodies of all requests together

Cause: BodyFilter keeps each body until its request has ended, and only single bodies had a limit.

Change: the bodies of all requests may take an eighth of the process's memory, small ones twice as much. A request for whose body there is no memory is refused as not run, before its body is read if it states its length.

--- a/packages/gateway/src/call/body-filter.ts
+++ b/packages/gateway/src/call/body-filter.ts
@@ -1,22 +1,56 @@
 import * as buffer from 'node:buffer';
 import type * as http from 'node:http';
 import type * as clocks from '../util/clocks.js';
+import * as bodyMemory from './body-memory.js';
 import * as bodyReader from './body-reader.js';
 import type * as requestContext from './request-context.js';
 import type * as requestFilter from './request-filter.js';
 import * as refusals from './refusal.js';
 
-/** Reads the body of a request; refuses it if the body exceeds the configured size or is not complete by the deadline. */
+/** Refusal of a request for whose body there is no memory: it can be sent to another VM at once, or to this one when others have ended. */
+const noMemoryRefusal: refusals.Refusal = {code: refusals.RefusalCode.MemoryUsed, retryAfterMs: refusals.noEndpointRetryAfterMs};
+
+/**
+ * Reads the body of a request; refuses it if the body exceeds the configured size, is not complete by the deadline, or the bodies of all requests together take too much
+ * memory. A body that states its length is refused before it is read.
+ */
 export class BodyFilter implements requestFilter.RequestFilter {
-	constructor(private readonly clock: clocks.Clocks) {}
+	constructor(private readonly clock: clocks.Clocks, private readonly memory = new bodyMemory.BodyMemory()) {}
 
 	async check(ctx: requestContext.RequestContext): Promise<refusals.Refusal | undefined> {
-		const chunks: Uint8Array[] = [];
 		const maxBytes = ctx.table?.config.limits.bodyBytes ?? Infinity;
-		const maxMs = computeRemainingMs(ctx, this.clock.monotonicNow());
-		const bodyEnd = await bodyReader.readBody(ctx.req, {maxBytes, maxMs}, chunk => {
+		const statedBytes = getStatedBytes(ctx.req);
+		let takenBytes = statedBytes <= maxBytes ? statedBytes : 0;
+		if (takenBytes > 0 && !this.memory.take(takenBytes, takenBytes)) {
+			return noMemoryRefusal;
+		}
+
+		const chunks: Uint8Array[] = [];
+		let readBytes = 0;
+		const bodyEnd = await bodyReader.readBody(ctx.req, {maxBytes, maxMs: computeRemainingMs(ctx, this.clock.monotonicNow())}, chunk => {
+			readBytes += chunk.length;
+			const missingBytes = Math.max(0, readBytes - takenBytes);
+			if (missingBytes > 0 && !this.memory.take(missingBytes, readBytes)) {
+				return false;
+			}
+
+			takenBytes += missingBytes;
 			chunks.push(chunk);
+			return true;
 		});
+		const refusal = this.#finish(ctx, bodyEnd, chunks);
+		if (refusal !== undefined || ctx.res.closed) {
+			this.memory.release(takenBytes);
+		} else {
+			ctx.res.once('close', () => {
+				this.memory.release(takenBytes);
+			});
+		}
+
+		return refusal;
+	}
+
+	#finish(ctx: requestContext.RequestContext, bodyEnd: bodyReader.BodyEnd, chunks: readonly Uint8Array[]): refusals.Refusal | undefined {
 		switch (bodyEnd) {
 			case bodyReader.BodyEnd.TooLarge: {
 				return {code: refusals.RefusalCode.BodyTooLarge};
@@ -26,6 +60,10 @@
 				return {code: refusals.RefusalCode.BodyTimeout};
 			}
 
+			case bodyReader.BodyEnd.Rejected: {
+				return noMemoryRefusal;
+			}
+
 			case bodyReader.BodyEnd.Aborted: {
 				// No response can be sent.
 				ctx.res.destroy();
@@ -46,6 +84,12 @@
 	return Math.max(0, arrivedAt + allowedMs - now);
 }
 
+/** Returns the length that the head of a request states for its body; 0 if it states none. */
+function getStatedBytes(req: http.IncomingMessage): number {
+	const length = Number(req.headers['content-length'] ?? 0);
+	return Number.isSafeInteger(length) ? length : 0;
+}
+
 function announcesBody(req: http.IncomingMessage): boolean {
 	return req.headers['content-length'] !== undefined || req.headers['transfer-encoding'] !== undefined;
 }
--- a/packages/gateway/src/call/body-reader.ts
+++ b/packages/gateway/src/call/body-reader.ts
@@ -6,6 +6,8 @@
 	Complete = 'complete',
 	TooLarge = 'too_large',
 	TimedOut = 'timed_out',
+	/** A part of the body was not accepted. */
+	Rejected = 'rejected',
 	/** The caller closed its connection or sent invalid framing. */
 	Aborted = 'aborted',
 }
@@ -19,8 +21,10 @@
 /**
  * Reads the body of a request. Unlike an asynchronous iteration that is left early, this neither destroys the request nor separates it
  * from its connection; what arrives after the end of the reading is discarded.
+ *
+ * @param acceptChunk - Returns whether to go on reading.
  */
-export async function readBody(req: http.IncomingMessage, bounds: BodyBounds, onChunk: (chunk: Uint8Array) => void): Promise<BodyEnd> {
+export async function readBody(req: http.IncomingMessage, bounds: BodyBounds, acceptChunk: (chunk: Uint8Array) => boolean): Promise<BodyEnd> {
 	if (req.readableEnded) {
 		return BodyEnd.Complete;
 	}
@@ -50,8 +54,8 @@
 			size += chunk.length;
 			if (size > bounds.maxBytes) {
 				endWith(BodyEnd.TooLarge);
-			} else {
-				onChunk(chunk);
+			} else if (!acceptChunk(chunk)) {
+				endWith(BodyEnd.Rejected);
 			}
 		};
 
--- a/packages/gateway/src/call/index.ts
+++ b/packages/gateway/src/call/index.ts
@@ -3,6 +3,7 @@
 export * from './response-relay.js';
 export * from './attempt-target.js';
 export * from './body-filter.js';
+export * from './body-memory.js';
 export * from './request-context.js';
 export * from './request-dispatcher.js';
 export * from './request-forwarder.js';
--- a/packages/gateway/src/call/refusal.ts
+++ b/packages/gateway/src/call/refusal.ts
@@ -9,6 +9,8 @@
 	BodyTooLarge = 'body_too_large',
 	/** The body did not arrive before the deadline. */
 	BodyTimeout = 'body_timeout',
+	/** The bodies of all requests together take as much memory as they may. */
+	MemoryUsed = 'memory_used',
 	UnknownRoute = 'unknown_route',
 	UnknownKey = 'unknown_key',
 	/** No configuration is known, or it is too old for the decision. */
@@ -38,6 +40,7 @@
 	[RefusalCode.HeadTimeout]: 408,
 	[RefusalCode.BodyTooLarge]: 413,
 	[RefusalCode.BodyTimeout]: 408,
+	[RefusalCode.MemoryUsed]: 503,
 	[RefusalCode.UnknownRoute]: 404,
 	[RefusalCode.UnknownKey]: 401,
 	[RefusalCode.ConfigUnavailable]: 503,
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -31,4 +31,6 @@
 	readonly drainMs: number;
 	/** Interval at which endpoints renew their entries in the store, in milliseconds; that of {@link core.store.defaultLapseOptions} by default. */
 	readonly endpointHeartbeatMs?: number;
+	/** Memory that the process may use, in bytes; bodies are not bounded together by default. */
+	readonly memoryBytes?: number;
 };
--- a/packages/gateway/src/ingress/refusal-sender.ts
+++ b/packages/gateway/src/ingress/refusal-sender.ts
@@ -50,7 +50,7 @@
 		await bodyReader.readBody(ctx.req, {
 			maxBytes: ctx.table?.config.limits.bodyBytes ?? defaultMaxDiscardBytes,
 			maxMs: Math.min(maxDiscardMs, remainingMs),
-		}, () => undefined);
+		}, () => true);
 	}
 
 	/** Callers may go on sending until their deadline. */
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -36,6 +36,8 @@
 const msPerSecond = 1000;
 /** Age to assume of a version that was named before the start, as a share of the time for which replaced weights may be used. */
 const unseenVersionAgeShare = 0.5;
+/** Share of the process's memory for the bodies of requests; a body takes several times its size while it is joined and sent. */
+const bodyMemoryShare = 0.125;
 
 /** Creates a gateway; {@link gateway.Gateway.start} starts it. */
 export function createGateway(options: GatewayOptions): gateway.Gateway {
@@ -126,7 +128,7 @@
 		filters: [
 			new call.RouteFilter(config, settings.configAgeLimits, clock),
 			new call.AccountFilter(config, settings.configAgeLimits, clock),
-			new call.BodyFilter(clock),
+			new call.BodyFilter(clock, new call.BodyMemory(settings.memoryBytes === undefined ? undefined : settings.memoryBytes * bodyMemoryShare)),
 		],
 		dispatcher,
 		clock,
