--- a/packages/core/src/request/graceful-shutdown.ts
+++ b/packages/core/src/request/graceful-shutdown.ts
@@ -23,7 +23,8 @@
  */
 export class GracefulShutdown {
 	#endsAt = Infinity;
-	#streamsEndAt = Infinity;
+	/** From when on streams must end by their deadline before the process does. */
+	#lateStreamsAt = Infinity;
 	/** Latest durations by route, as a ring. */
 	readonly #durations = new Map<string, {readonly values: number[]; next: number}>();
 
@@ -44,11 +45,11 @@
 	 * Begins the shutdown.
 	 *
 	 * @param endsAt - When the process ends.
-	 * @param streamsEndAt - From when on only those streams are sent whose deadline is before the end of the process.
+	 * @param lateStreamsAt - From when on only those streams are sent whose deadline is before the end of the process.
 	 */
-	begin(endsAt: number, streamsEndAt: number): void {
+	begin(endsAt: number, lateStreamsAt: number): void {
 		this.#endsAt = Math.min(this.#endsAt, endsAt);
-		this.#streamsEndAt = Math.min(this.#streamsEndAt, streamsEndAt);
+		this.#lateStreamsAt = Math.min(this.#lateStreamsAt, lateStreamsAt);
 	}
 
 	/**
@@ -63,7 +64,8 @@
 		}
 
 		const expectedAt = this.#endsAt - this.#expectDurationMs(route);
-		return route.kind === routing.RouteKind.Streaming && deadlineAt > this.#endsAt ? Math.min(expectedAt, this.#streamsEndAt) : expectedAt;
+		const mayBeCut = route.kind === routing.RouteKind.Streaming && deadlineAt > this.#endsAt;
+		return mayBeCut ? Math.min(expectedAt, this.#lateStreamsAt) : expectedAt;
 	}
 
 	#expectDurationMs({name, targetLatencyMs, timeoutMs}: RouteTimes): number {
--- a/packages/gateway/src/call/request-dispatcher.ts
+++ b/packages/gateway/src/call/request-dispatcher.ts
@@ -77,10 +77,10 @@
 	 * Begins a graceful shutdown: requests that can't be completed before its end are no longer sent.
 	 *
 	 * @param endsAt - When the process ends, in milliseconds of the monotonic clock.
-	 * @param streamsEndAt - From when on only those streams are sent whose deadline is before that.
+	 * @param lateStreamsAt - From when on only those streams are sent whose deadline is before that.
 	 */
-	beginShutdown(endsAt: number, streamsEndAt: number): void {
-		this.#dependencies.gracefulShutdown.begin(endsAt, streamsEndAt);
+	beginShutdown(endsAt: number, lateStreamsAt: number): void {
+		this.#dependencies.gracefulShutdown.begin(endsAt, lateStreamsAt);
 	}
 
 	/** Aborts the attempts that have not started on weights that may soon no longer be used. */
