--- a/packages/core/src/request/graceful-shutdown.ts
+++ b/packages/core/src/request/graceful-shutdown.ts
@@ -53,8 +53,8 @@
 	}
 
 	/**
-	 * Returns until when a request may be sent so that it can be completed; `Infinity` without a shutdown. The latest streams of a route tell little about
-	 * the next one, whose length is up to its caller.
+	 * Returns until when a request may be sent so that it can be completed; `Infinity` without a shutdown. The length of a stream depends on its request, so
+	 * that earlier ones of the route don't bound it.
 	 *
 	 * @param deadlineAt - When the request ends in any case.
 	 */
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -17,6 +17,7 @@
 import * as refusals from './refusal.js';
 import * as endpointFinder from './endpoint-finder.js';
 import * as retryRules from './retry-rules.js';
+import * as sendConditions from './send-conditions.js';
 import type * as sentAttempt from './sent-attempt.js';
 
 /** Time after the deadline during which the endpoint can still report the timeout itself, in milliseconds. */
@@ -27,7 +28,7 @@
 	readonly #deadlineAt: number;
 	readonly #relay: responseRelay.ResponseRelay;
 	readonly #pool: core.routing.PoolName;
-	readonly #promptKeys: core.quarantine.PromptKeys | undefined;
+	readonly #conditions: sendConditions.SendConditions;
 	#isTimedOut = false;
 	/** When the request was sent first. */
 	#firstSentAt: number | undefined;
@@ -61,7 +62,7 @@
 			},
 		});
 		this.#relay.lastEventId = head.lastEventId;
-		this.#promptKeys = head.prompt && core.quarantine.createPromptKeys(head.prompt.model, head.prompt.parts.map(part => part.id), head.requestId);
+		const promptKeys = head.prompt && core.quarantine.createPromptKeys(head.prompt.model, head.prompt.parts.map(part => part.id), head.requestId);
 		this.#rules = new retryRules.RetryRules({
 			route,
 			hasUnresumableResponse: () => this.#relay.hasStarted && !(route.isResumable && this.#relay.isEventStream),
@@ -70,7 +71,8 @@
 			vmCount: () => dependencies.fleet.vmCount,
 		});
 		this.#timers = new attemptTimers.AttemptTimers(route);
-		this.#recorder = new attemptRecorder.AttemptRecorder(request, this.#promptKeys, dependencies);
+		this.#recorder = new attemptRecorder.AttemptRecorder(request, promptKeys, dependencies);
+		this.#conditions = new sendConditions.SendConditions(request, {...dependencies, deadlineAt: this.#deadlineAt, sharedParts: promptKeys?.sharedParts ?? []});
 		this.#endpointFinder = new endpointFinder.EndpointFinder(request, dependencies, this.#deadlineAt, this.#pool);
 		this.#active = new activeAttempts.ActiveAttempts({
 			isComplete: sent => this.#responses.isComplete(sent),
@@ -183,7 +185,7 @@
 
 	/** Ends the wait or the attempts of a request with a quarantined part, except for a response that has begun. */
 	abortIfQuarantined(): void {
-		if (this.#findQuarantined() === undefined) {
+		if (this.#conditions.findQuarantined() === undefined) {
 			return;
 		}
 
@@ -238,31 +240,8 @@
 
 	/** Returns why the request may not be sent now, regardless of endpoints. */
 	#findRefusal(): refusals.Refusal | undefined {
-		if (this.#isCallerDisconnected) {
-			return {code: refusals.RefusalCode.CallerDisconnected};
-		}
-
-		if (this.#isTimedOut || this.dependencies.clock.monotonicNow() >= this.#deadlineAt) {
-			return {code: refusals.RefusalCode.DeadlineTooClose};
-		}
-
-		if (!this.#relay.hasStarted && this.dependencies.clock.monotonicNow() > this.dependencies.gracefulShutdown.latestSendAt(this.request.route, this.#deadlineAt)) {
-			return {code: refusals.RefusalCode.ShuttingDown, retryAfterMs: refusals.shuttingDownRetryAfterMs, inputs: {tries: this.#rules.attemptCount}};
-		}
-
-		const quarantined = this.#findQuarantined();
-		if (quarantined !== undefined) {
-			const {part, releasedInMs} = quarantined;
-			return {code: refusals.RefusalCode.PartQuarantined, retryAfterMs: releasedInMs, inputs: {part, tries: this.#rules.attemptCount}};
-		}
-
-		return this.dependencies.authorizer.maySend(this.request)
-			? undefined
-			: {code: refusals.RefusalCode.ConfigUnavailable, retryAfterMs: refusals.noEndpointRetryAfterMs, inputs: {tries: this.#rules.attemptCount}};
-	}
-
-	#findQuarantined(): core.quarantine.QuarantineMatch | undefined {
-		return this.dependencies.quarantine.match(this.#promptKeys?.sharedParts ?? []);
+		const progress = {isTimedOut: this.#isTimedOut, hasStarted: this.#relay.hasStarted, tries: this.#rules.attemptCount};
+		return this.#isCallerDisconnected ? {code: refusals.RefusalCode.CallerDisconnected} : this.#conditions.findRefusal(progress);
 	}
 
 	/** Sends the request to an endpoint. @returns `undefined` as {@link attemptSender.AttemptSender.send}. */
