Give up calls whose response has no end

Change: the connections of these calls are closed when more has arrived after a request than its largest body and 256 KiB.

--- a/packages/core/src/request/index.ts
+++ b/packages/core/src/request/index.ts
@@ -1,4 +1,5 @@
 export * from './attempt.js';
+export * from './endless-response.js';
 export * from './execution.js';
 export * from './graceful-shutdown.js';
 export * from './retry-decision.js';
--- a/packages/gateway/src/endpoints/endpoint-connection.ts
+++ b/packages/gateway/src/endpoints/endpoint-connection.ts
@@ -1,5 +1,6 @@
 import type * as net from 'node:net';
 import type * as tls from 'node:tls';
+import * as core from '@bluebellmast/core';
 import * as undici from 'undici';
 import type * as connectorModule from './connector.js';
 import * as isReset from './is-reset.js';
@@ -31,14 +32,6 @@
 	readonly onEndless: () => void;
 };
 
-/**
- * Bytes that may arrive in addition to the body: heads, with interim responses, and what is read ahead. The HTTP parser bounds headers, but reads a status line and the extension
- * of a chunk's size without end.
- */
-const maxOverheadBytes = 262_144;
-/** Bytes that frame a byte of the body at most: a chunk for each byte, with a short extension. */
-const framingFactor = 32;
-
 /** What an {@link EndpointConnection} is created with. */
 export type EndpointConnectionOptions = ConnectionOptions & {
 	readonly connector: connectorModule.Connector;
@@ -153,7 +146,7 @@
 
 	#checkOverhead({bytesRead}: net.Socket): void {
 		const progress = this.#progress;
-		if (progress !== undefined && bytesRead - this.#bytesBefore - progress.bodyBytes > maxOverheadBytes + (framingFactor * progress.bodyBytes)) {
+		if (progress !== undefined && core.request.isEndlessResponse(bytesRead - this.#bytesBefore, progress.bodyBytes)) {
 			progress.onEndless();
 		}
 	}
--- a/packages/kv/src/connections/index.ts
+++ b/packages/kv/src/connections/index.ts
@@ -1,2 +1,3 @@
 export * from './caller-http-server.js';
 export * from './lingering-close.js';
+export * from './create-bounded-connector.js';
