--- a/packages/core/src/request/endless-response.ts
+++ b/packages/core/src/request/endless-response.ts
@@ -2,7 +2,7 @@
  * Bytes that may arrive in addition to the body of a response: heads, with interim responses, and what is read ahead. HTTP parsers bound headers, but read a
  * status line and the extension of a chunk's size without end.
  */
-const maxOverheadBytes = 262_144;
+export const maxResponseOverheadBytes = 262_144;
 /** Bytes that frame a byte of the body at most: a chunk for each byte, with a short extension. */
 const framingFactor = 32;
 
@@ -13,5 +13,5 @@
  * @param bodyBytes - Bytes of the body among them.
  */
 export function isEndlessResponse(readBytes: number, bodyBytes: number): boolean {
-	return readBytes - bodyBytes > maxOverheadBytes + (framingFactor * bodyBytes);
+	return readBytes - bodyBytes > maxResponseOverheadBytes + (framingFactor * bodyBytes);
 }
--- a/packages/kv/src/connections/create-bounded-connector.ts
+++ b/packages/kv/src/connections/create-bounded-connector.ts
@@ -1,9 +1,7 @@
 import type * as net from 'node:net';
+import * as core from '@bluebellmast/core';
 import * as undici from 'undici';
 
-/** Bytes of a response in addition to its body: its head, interim responses and framing. */
-const maxOverheadBytes = 262_144;
-
 /** Options of {@link createBoundedConnector}. */
 export type BoundedConnectorOptions = {
 	/** Timeout of opening a connection, in milliseconds. */
@@ -22,7 +20,7 @@
 		connect(options, (...result: Parameters<undici.buildConnector.Callback>) => {
 			const [err, socket] = result;
 			if (err === null) {
-				boundResponses(socket, maxBodyBytes + maxOverheadBytes);
+				boundResponses(socket, maxBodyBytes + core.request.maxResponseOverheadBytes);
 			}
 
 			callback(...result);
