Quotas of client accounts over all VMs, and shares where a pool can't serve all

Cause: the fields of a quota were dropped by the decoder, and the gateway had no quota.

VMs lend each other their shares; a keeper decides on the requests of an account. Requests are refused before their bodies are read; grants expire, and what was not executed is given back. Requests of accounts that use less of their quota come first among those of one priority (marks after core-stateless fair queueing).

--- a/packages/core/src/fleet/admission.ts
+++ b/packages/core/src/fleet/admission.ts
@@ -46,11 +46,19 @@
 	/** Time of arrival, in milliseconds. */
 	readonly arrivedAt: number;
 	readonly deadlineAt: number;
+	/**
+	 * A random part of what the account uses relative to its quota; 0 without a quota. By this mark the requests of all VMs are divided alike: of
+	 * the accounts that use more than a level, just the usage below it comes before the rest of all accounts.
+	 */
+	readonly usageMark: number;
 };
 
+/** Difference of marks below which the time of arrival decides. */
+const usageMarkStep = 0.1;
+
 /**
- * Orders waiting requests, for `Array.sort`. Requests within their target latency come first, by priority and arrival time.
- * Requests past their target latency lose nothing more by waiting; they come last, by deadline.
+ * Orders waiting requests, for `Array.sort`. Requests within their target latency come first, by priority, their account's usage of its quota, and
+ * arrival time. Requests past their target latency lose nothing more by waiting; they come last, by deadline.
  */
 export function compareWaitingRequests(a: WaitingRequest, b: WaitingRequest, now: number): number {
 	const isLateA = now - a.arrivedAt > a.targetLatencyMs;
@@ -61,7 +69,11 @@
 
 	return isLateA
 		? a.deadlineAt - b.deadlineAt
-		: a.priority - b.priority || a.arrivedAt - b.arrivedAt;
+		: a.priority - b.priority || getUsageLevel(a) - getUsageLevel(b) || a.arrivedAt - b.arrivedAt;
+}
+
+function getUsageLevel({usageMark}: WaitingRequest): number {
+	return Math.floor(usageMark / usageMarkStep);
 }
 
 /** Input for the expected wait of a request. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -10,6 +10,7 @@
 export * as orders from './orders/index.js';
 export * as placement from './placement/index.js';
 export * as quarantine from './quarantine/index.js';
+export * as quota from './quota/index.js';
 export * as request from './request/index.js';
 export * as rollout from './rollout/index.js';
 export * as routing from './routing/index.js';
--- a/packages/core/src/log/explain-request.ts
+++ b/packages/core/src/log/explain-request.ts
@@ -36,6 +36,7 @@
 	[logEvent.LogEvent.WeightTargetSeen, 'weight target'],
 	[logEvent.LogEvent.RolloutPlanSeen, 'plan'],
 	[logEvent.LogEvent.VmsChanged, 'vms'],
+	[logEvent.LogEvent.QuotaKeeperChanged, 'quota keeper'],
 ]);
 
 /** Events of state changes of an endpoint by the aspect that changes: its listed state, whether it responds, asked for a pause, states a limit, is leaving, or interrupted requests. */
--- a/packages/core/src/log/log-event.ts
+++ b/packages/core/src/log/log-event.ts
@@ -30,6 +30,8 @@
 	LeaderGained = 'leader_gained',
 	LeaderLost = 'leader_lost',
 	VmsChanged = 'vms_changed',
+	/** Another VM keeps no accounts for this one any more, as it does not respond or shuts down; or it may again. */
+	QuotaKeeperChanged = 'quota_keeper_changed',
 	EndpointChanged = 'endpoint_changed',
 	EndpointRemoved = 'endpoint_removed',
 	/** An endpoint that was kept although its entry was missing has written it again. */
@@ -129,6 +131,14 @@
 	readonly backlogMs?: number;
 	/** Number of prompt tokens that the endpoint would have had to compute. */
 	readonly prefill?: number;
+	/** Client account whose quota refused the request. */
+	readonly account?: string;
+	/** Units of its quota that the request needs, and those that it had. */
+	readonly units?: number;
+	readonly availableUnits?: number;
+	/** VM that decided, and the part of the account's quota that it held. */
+	readonly keeper?: string;
+	readonly heldShare?: number;
 };
 
 /** Fields of each log event. Durations are in milliseconds, endpoints are given by id. */
@@ -167,6 +177,7 @@
 	[LogEvent.LeaderGained]: {readonly fence: number; readonly clearInMs: number};
 	[LogEvent.LeaderLost]: {readonly reason: string; readonly problem?: string};
 	[LogEvent.VmsChanged]: {readonly vms: number};
+	[LogEvent.QuotaKeeperChanged]: {readonly peer: string; readonly isResponsive: boolean};
 	[LogEvent.EndpointChanged]: {readonly endpoint: string; readonly pool: string; readonly state: string; readonly bornAt: number};
 	[LogEvent.EndpointRemoved]: {readonly endpoint: string; readonly maybeLapsed: boolean};
 	[LogEvent.EndpointRelisted]: {
--- a/packages/core/src/log/retry-obstacle.ts
+++ b/packages/core/src/log/retry-obstacle.ts
@@ -18,6 +18,8 @@
 	/** The API key was revoked, or the configuration is older than requests with keys allow. */
 	NotAuthorized = 'not_authorized',
 	PartQuarantined = 'part_quarantined',
+	/** The quota of the account does not allow another attempt now. */
+	QuotaUsed = 'quota_used',
 	/** No other endpoint could accept the request. */
 	NoEndpoint = 'no_endpoint',
 	/** The grace period of the process was over. */
--- /dev/null
+++ b/packages/core/src/quota/quota-agent.ts
@@ -0,0 +1,512 @@
+import * as peerResponses from './peer-responses.js';
+import * as quotaBuckets from './quota-buckets.js';
+import * as quotaMessage from './quota-message.js';
+import * as quotaPartitions from './quota-partitions.js';
+import * as shareLoans from './share-loans.js';
+import type * as quota from './quota.js';
+
+/** Times of the traffic between VMs and keepers, in milliseconds. */
+export type QuotaTimes = {
+	/** Interval at which a loan is renewed. */
+	readonly minRenewalMs: number;
+	/** The same for each VM of the fleet, so that a keeper gets a bounded number of renewals a second. */
+	readonly renewalMsPerVm: number;
+	/** Duration of a loan, relative to the interval of its renewals. */
+	readonly loanFactor: number;
+	/** Time without a reply after which a call is sent again. */
+	readonly resendMs: number;
+	/** Time after which an ask has failed. */
+	readonly askTimeoutMs: number;
+	/** Time for which a VM lends nothing after the others began to count it; one that was listed before its start waits only for the end of its earlier loans. */
+	readonly startDelayMs: number;
+	/** Interval of the calls to a suspected VM. */
+	readonly probeMs: number;
+};
+
+/** Two lost renewals end no loan. */
+export const defaultQuotaTimes: QuotaTimes = {
+	minRenewalMs: 400, renewalMsPerVm: 5, loanFactor: 2.75, resendMs: 100, askTimeoutMs: 600, startDelayMs: 2000, probeMs: 1000,
+};
+
+/** Options of {@link QuotaAgent}. */
+export type QuotaAgentOptions = {
+	readonly vm: string;
+	/** Identifies this process among all that run on the VM. */
+	readonly incarnation: string;
+	/** When the process started. */
+	readonly startedAt: number;
+	readonly bounds: quota.QuotaBounds;
+	readonly findQuota: (account: string) => quota.AccountQuota | undefined;
+	/** Whether accounts without a known quota are admitted: the configuration of this VM is recent. */
+	readonly admitsUnknown: () => boolean;
+	/** Called when a VM is suspected to be unreachable, and when it responds again. */
+	readonly onPeerChange?: (vm: string, isResponsive: boolean) => void;
+	readonly times?: QuotaTimes;
+};
+
+/** A message that is to be sent. */
+export type OutgoingCall = {
+	readonly to: string;
+	readonly call: quotaMessage.QuotaCall;
+};
+
+/** A reply that is sent without a call. */
+export type OutgoingReply = {
+	readonly to: string;
+	readonly reply: quotaMessage.QuotaReply;
+};
+
+/** An ask that has been decided. */
+export type DecidedAsk = {
+	readonly id: number;
+	readonly decision: quotaMessage.QuotaDecision;
+	/** VM that decided. */
+	readonly keeper: string;
+	/** When it was asked first. */
+	readonly askedAt: number;
+};
+
+type Ask = quotaMessage.QuotaAsk & {
+	readonly partition: number;
+	readonly askedAt: number;
+	sentTo: string;
+	sentAt: number;
+	isDecided: boolean;
+};
+
+type Outgoing = {
+	readonly asks: Ask[];
+	readonly returned: quotaMessage.ReturnedUnits[];
+};
+
+/** Time for which decided asks are kept, so that a second grant is given back, in milliseconds. */
+const decidedLifetimeMs = 3000;
+/** Units that are given back in one call, so that it fits into one packet. */
+const maxReturnedPerCall = 32;
+/** Asks in one call, for the same reason. */
+const maxAsksPerCall = 24;
+/** Share below which a keeper's refusal is not final while the ask has time left: VMs are about to lend it more after the end of another keeper. */
+const minDecidingShare = 0.25;
+/** Time after the start of a shutdown in which the shares of the other VMs reach other keepers, in milliseconds. */
+const handoverDelayMs = 100;
+/** A loan is based on a clock reading that is younger than this part of its duration. */
+const maxReadingAge = 0.5;
+
+/**
+ * Enforces the quotas of client accounts over all VMs, without a network: asks the keepers of accounts, lends them this VM's shares, and
+ * keeps the accounts whose shares others lend to it. Times are in milliseconds of a clock that includes suspensions of the VM.
+ */
+export class QuotaAgent {
+	readonly #times: QuotaTimes;
+	readonly #buckets: quotaBuckets.QuotaBuckets;
+	readonly #loans = new shareLoans.ShareLoans();
+	readonly #peers = new peerResponses.PeerResponses();
+	readonly #asks = new Map<number, Ask>();
+	readonly #outgoing = new Map<string, Outgoing>();
+	#members: ReadonlySet<string> = new Set();
+	#vms: readonly string[] = [];
+	#ranks: ReadonlyArray<readonly string[]> = quotaPartitions.rankKeepers([]);
+	#activePartitions: readonly number[] = [];
+	#listedSince: number | undefined;
+	/** Whether the first list of VMs named this one; absent before it is known. */
+	#wasListedAtStart: boolean | undefined;
+	#lastAskId = 0;
+	/** When the shutdown began; absent before. */
+	#closingSince: number | undefined;
+
+	constructor(private readonly options: QuotaAgentOptions) {
+		this.#times = options.times ?? defaultQuotaTimes;
+		this.#buckets = new quotaBuckets.QuotaBuckets(options.bounds, options.startedAt);
+	}
+
+	/** Whether messages wait to be sent. */
+	get hasOutgoing(): boolean {
+		return this.#outgoing.size > 0;
+	}
+
+	/** Sets the VMs that share the quotas, which include this one once the others count it. */
+	setVms(vms: readonly string[], now: number): void {
+		if (vms === this.#vms) {
+			return;
+		}
+
+		this.#vms = vms;
+		this.#members = new Set(vms);
+		this.#ranks = quotaPartitions.rankKeepers(this.#members.has(this.options.vm) ? vms : [...vms, this.options.vm]);
+		this.#peers.retain(this.#members);
+		if (!this.#members.has(this.options.vm)) {
+			this.#listedSince = undefined;
+			this.#wasListedAtStart ??= vms.length === 0 ? undefined : false;
+			return;
+		}
+
+		this.#listedSince ??= now;
+		this.#wasListedAtStart ??= true;
+	}
+
+	/** Sets the accounts with a quota. */
+	setAccounts(accounts: readonly string[]): void {
+		this.#activePartitions = [...new Set(accounts.map(account => quotaPartitions.getPartition(account)))];
+	}
+
+	/** Asks for the units of one attempt. @returns The decision, or the id of an ask that is decided later. */
+	ask(account: string, units: number, now: number): DecidedAsk | number {
+		this.#lastAskId += 1;
+		const partition = quotaPartitions.getPartition(account);
+		const keeper = this.#findTarget(partition, now);
+		const ask: Ask = {
+			id: this.#lastAskId, account, units, partition, askedAt: now, sentTo: keeper, sentAt: now, isDecided: false,
+		};
+		if (keeper === this.options.vm) {
+			const decision = this.#decide(ask, now);
+			if (!isPending(decision)) {
+				return this.#createDecided(ask, decision, keeper);
+			}
+		} else {
+			this.#getOutgoing(keeper).asks.push(ask);
+		}
+
+		this.#asks.set(ask.id, ask);
+		return ask.id;
+	}
+
+	/** Gives units back that were granted and provably not used. */
+	giveBack(account: string, units: number, now: number): void {
+		const partition = quotaPartitions.getPartition(account);
+		const keeper = this.#findTarget(partition, now);
+		if (keeper === this.options.vm) {
+			this.#applyReturned({account, units}, now);
+		} else {
+			this.#getOutgoing(keeper).returned.push({account, units});
+		}
+	}
+
+	/** Returns the messages that are to be sent now; each renews all loans to its recipient. */
+	takeCalls(now: number): OutgoingCall[] {
+		const calls: OutgoingCall[] = [];
+		for (const [to, {asks, returned}] of this.#outgoing) {
+			do {
+				calls.push(this.#createCall(to, asks.splice(0, maxAsksPerCall), returned.splice(0, maxReturnedPerCall), now));
+			} while (asks.length + returned.length > 0);
+		}
+
+		this.#outgoing.clear();
+		return calls;
+	}
+
+	/** Handles a call of another VM. */
+	receiveCall(call: quotaMessage.QuotaCall, now: number): quotaMessage.QuotaReply {
+		const {incarnation} = this.options;
+		if (this.#isClosing) {
+			return this.#createReply([], now);
+		}
+
+		if (call.loan !== undefined && call.basedOn?.incarnation === incarnation && this.#members.has(call.vm)) {
+			const {partitions, share, durationMs} = call.loan;
+			for (const partition of partitions) {
+				this.#buckets.setLoan(partition, call.vm, {share, until: call.basedOn.at + durationMs}, now);
+			}
+		}
+
+		for (const returned of call.returned) {
+			this.#applyReturned(returned, now);
+		}
+
+		return this.#createReply(call.asks.map(ask => ({id: ask.id, decision: this.#decide(ask, now)})), now);
+	}
+
+	/** Handles the reply of a keeper. @returns The asks that it decides. */
+	receiveReply(reply: quotaMessage.QuotaReply, now: number): DecidedAsk[] {
+		if (reply.takesLoans) {
+			const isReleased = this.#peers.recordReply(reply.vm, reply.clock, now);
+			if (isReleased) {
+				this.options.onPeerChange?.(reply.vm, true);
+			}
+
+			// The first reply states the clock reading on which a loan can be based.
+			if (this.#listPartitionsToLend(reply.vm, now).some(partition => this.#loans.getKeeper(partition, now) === undefined)) {
+				this.#getOutgoing(reply.vm);
+			}
+		} else {
+			this.#handleShutdown(reply.vm, now);
+		}
+
+		const decided: DecidedAsk[] = [];
+		for (const {id, decision} of reply.decisions) {
+			const ask = this.#asks.get(id);
+			if (ask?.isDecided && decision.outcome === quotaMessage.QuotaOutcome.Granted) {
+				this.giveBack(ask.account, ask.units, now);
+			} else if (ask !== undefined && !ask.isDecided && !isPending(decision)) {
+				ask.isDecided = true;
+				decided.push(this.#createDecided(ask, decision, reply.vm));
+			}
+		}
+
+		return decided;
+	}
+
+	/** Renews loans, sends calls again that had no reply, and gives up asks. @returns The asks that are decided. */
+	tick(now: number): DecidedAsk[] {
+		this.#lendShares(now);
+		for (const vm of this.#peers.listProbed(this.#times.probeMs, now)) {
+			this.#getOutgoing(vm);
+		}
+
+		if (this.#closingSince !== undefined && now - this.#closingSince >= handoverDelayMs) {
+			this.#handOver(now);
+		}
+
+		this.#buckets.removeIdle(account => quotaPartitions.getPartition(account), this.options.findQuota, now);
+		return this.#updateAsks(now);
+	}
+
+	/** Returns the sum of the shares that this VM holds, over all partitions with accounts. */
+	countHeldShares(now: number): number {
+		let total = 0;
+		for (const partition of this.#activePartitions) {
+			total += this.#buckets.getHeldShare(partition, now);
+		}
+
+		return total;
+	}
+
+	/** Uses none of the other VMs' shares from now on, and takes no more of them. @returns Messages that tell them so. */
+	beginShutdown(now: number): OutgoingReply[] {
+		const {vm} = this.options;
+		this.#closingSince = now;
+		const lenders = this.#buckets.endAllLoans(now);
+		this.#loans.endLoans(vm);
+		this.#lendShares(now);
+		return [...lenders].filter(lender => lender !== vm).map(to => ({to, reply: this.#createReply([], now)}));
+	}
+
+	get #isClosing(): boolean {
+		return this.#closingSince !== undefined;
+	}
+
+	get #renewalMs(): number {
+		return Math.max(this.#times.minRenewalMs, this.#vms.length * this.#times.renewalMsPerVm);
+	}
+
+	get #loanMs(): number {
+		return this.#renewalMs * this.#times.loanFactor;
+	}
+
+	/** Returns this VM's share; 0 while others may not count it yet. */
+	#computeShare(now: number): number {
+		if (this.#listedSince === undefined) {
+			return 0;
+		}
+
+		const countedAt = this.#wasListedAtStart ? this.options.startedAt + this.#loanMs : this.#listedSince + this.#times.startDelayMs;
+		return now >= countedAt ? 1 / this.#vms.length : 0;
+	}
+
+	/** Returns the first VM of a partition's order that responds; this VM if no other does. */
+	#chooseKeeper(partition: number): string {
+		const {vm} = this.options;
+		return this.#ranks[partition]!.find(candidate => candidate === vm ? !this.#isClosing : this.#peers.isResponsive(candidate)) ?? vm;
+	}
+
+	/** Returns the VM that holds this VM's share, or the one that is to hold it. */
+	#findTarget(partition: number, now: number): string {
+		const holder = this.#loans.getKeeper(partition, now);
+		const isUsable = holder !== undefined && (holder === this.options.vm || this.#peers.isResponsive(holder));
+		return isUsable ? holder : this.#chooseKeeper(partition);
+	}
+
+	#getOutgoing(vm: string): Outgoing {
+		const known = this.#outgoing.get(vm);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const outgoing: Outgoing = {asks: [], returned: []};
+		this.#outgoing.set(vm, outgoing);
+		return outgoing;
+	}
+
+	/** Lends to itself what this VM keeps, and queues calls to the keepers whose loans are due. */
+	#lendShares(now: number): void {
+		const {vm} = this.options;
+		const share = this.#computeShare(now);
+		if (share === 0) {
+			return;
+		}
+
+		for (const partition of this.#activePartitions) {
+			const keeper = this.#chooseKeeper(partition);
+			if (keeper === vm) {
+				this.#lendToItself(partition, share, now);
+			} else {
+				this.#endOwnLoan(partition, now);
+				const unansweredAt = this.#peers.getUnansweredAt(keeper);
+				const lastAt = unansweredAt ?? this.#loans.getSentAt(partition, keeper);
+				const intervalMs = unansweredAt === undefined ? this.#renewalMs : this.#times.resendMs;
+				if (this.#loans.mayLend(partition, keeper, now) && now - lastAt >= intervalMs) {
+					this.#getOutgoing(keeper);
+				}
+			}
+		}
+	}
+
+	#lendToItself(partition: number, share: number, now: number): void {
+		const {vm} = this.options;
+		if (this.#loans.mayLend(partition, vm, now)) {
+			const until = now + this.#loanMs;
+			this.#loans.lend(partition, vm, until, now);
+			this.#buckets.setLoan(partition, vm, {share, until}, now);
+		}
+	}
+
+	#endOwnLoan(partition: number, now: number): void {
+		const {vm} = this.options;
+		if (this.#loans.getKeeper(partition, now) === vm) {
+			this.#buckets.endLoan(partition, vm, now);
+			this.#loans.endLoan(partition);
+		}
+	}
+
+	#listPartitionsToLend(keeper: string, now: number): number[] {
+		return this.#computeShare(now) === 0
+			? []
+			: this.#activePartitions.filter(partition => this.#chooseKeeper(partition) === keeper && this.#loans.mayLend(partition, keeper, now));
+	}
+
+	#createCall(to: string, asks: readonly Ask[], returned: readonly quotaMessage.ReturnedUnits[], now: number): OutgoingCall {
+		const clock = this.#peers.getClock(to);
+		const isRecent = clock !== undefined && now - clock.receivedAt < this.#loanMs * maxReadingAge;
+		const partitions = isRecent && this.#peers.isResponsive(to) ? this.#listPartitionsToLend(to, now) : [];
+		for (const partition of partitions) {
+			this.#loans.lend(partition, to, clock!.receivedAt + this.#loanMs, now);
+		}
+
+		if (this.#peers.recordCall(to, now)) {
+			this.options.onPeerChange?.(to, false);
+		}
+
+		return {
+			to,
+			call: {
+				vm: this.options.vm,
+				...(clock && {basedOn: clock.reading}),
+				...(partitions.length > 0 && {loan: {partitions, share: this.#computeShare(now), durationMs: this.#loanMs}}),
+				asks: asks.map(({id, account, units}) => ({id, account, units})),
+				returned,
+			},
+		};
+	}
+
+	#decide({account, units}: Pick<quotaMessage.QuotaAsk, 'account' | 'units'>, now: number): quotaMessage.QuotaDecision {
+		const limits = this.options.findQuota(account);
+		if (limits !== undefined) {
+			return this.#buckets.take({account, partition: quotaPartitions.getPartition(account), units}, limits, now);
+		}
+
+		return this.options.admitsUnknown()
+			? {
+				outcome: quotaMessage.QuotaOutcome.Granted, retryAfterMs: 0, availableUnits: 0, heldShare: 1, usage: 0,
+			}
+			: createUnavailable(this.#times.askTimeoutMs);
+	}
+
+	#applyReturned({account, units}: quotaMessage.ReturnedUnits, now: number): void {
+		const limits = this.options.findQuota(account);
+		if (limits !== undefined) {
+			this.#buckets.giveBack({account, partition: quotaPartitions.getPartition(account), units}, limits, now);
+		}
+	}
+
+	/** Gives what the buckets of a VM that shuts down hold to the keepers that have the shares now. */
+	#handOver(now: number): void {
+		const isAlone = this.#activePartitions.every(partition => this.#chooseKeeper(partition) === this.options.vm);
+		if (!isAlone) {
+			for (const {account, units} of this.#buckets.takeAll()) {
+				this.giveBack(account, units, now);
+			}
+		}
+	}
+
+	#createReply(decisions: quotaMessage.QuotaReply['decisions'], now: number): quotaMessage.QuotaReply {
+		const {vm, incarnation} = this.options;
+		return {
+			vm, clock: {incarnation, at: now}, takesLoans: !this.#isClosing, decisions,
+		};
+	}
+
+	/** Takes back the shares of a VM that shuts down, and asks another one. */
+	#handleShutdown(vm: string, now: number): void {
+		if (this.#peers.recordRefusal(vm, now)) {
+			this.options.onPeerChange?.(vm, false);
+		}
+
+		this.#loans.endLoans(vm);
+		this.#lendShares(now);
+		for (const ask of this.#asks.values()) {
+			if (!ask.isDecided && ask.sentTo === vm) {
+				this.#sendAgain(ask, now);
+			}
+		}
+	}
+
+	#updateAsks(now: number): DecidedAsk[] {
+		const decided: DecidedAsk[] = [];
+		for (const [id, ask] of this.#asks) {
+			if (ask.isDecided) {
+				if (now - ask.askedAt >= decidedLifetimeMs) {
+					this.#asks.delete(id);
+				}
+			} else if (now - ask.askedAt >= this.#times.askTimeoutMs) {
+				ask.isDecided = true;
+				decided.push(this.#createDecided(ask, this.#decideAlone(ask, now), this.options.vm));
+			} else if (now - ask.sentAt >= this.#times.resendMs) {
+				const decision = this.#sendAgain(ask, now);
+				if (decision !== undefined) {
+					ask.isDecided = true;
+					decided.push(this.#createDecided(ask, decision, this.options.vm));
+				}
+			}
+		}
+
+		return decided;
+	}
+
+	/** Sends an ask to the VM that keeps its account now. @returns The decision if that is this VM and can decide it. */
+	#sendAgain(ask: Ask, now: number): quotaMessage.QuotaDecision | undefined {
+		ask.sentTo = this.#findTarget(ask.partition, now);
+		ask.sentAt = now;
+		if (ask.sentTo === this.options.vm) {
+			const decision = this.#decide(ask, now);
+			return isPending(decision) ? undefined : decision;
+		}
+
+		this.#getOutgoing(ask.sentTo).asks.push(ask);
+		return undefined;
+	}
+
+	/** Decides an ask that no keeper has decided, by what this VM holds. */
+	#decideAlone(ask: Ask, now: number): quotaMessage.QuotaDecision {
+		if (this.#buckets.getHeldShare(ask.partition, now) === 0) {
+			return createUnavailable(this.#times.askTimeoutMs);
+		}
+
+		return this.#decide(ask, now);
+	}
+
+	#createDecided({id, askedAt}: Ask, decision: quotaMessage.QuotaDecision, keeper: string): DecidedAsk {
+		return {
+			id, decision, keeper, askedAt,
+		};
+	}
+}
+
+/** Whether a keeper can't decide yet: it refuses, but holds so few shares that others are about to lend it more. */
+function isPending({outcome, heldShare}: quotaMessage.QuotaDecision): boolean {
+	return outcome === quotaMessage.QuotaOutcome.Exceeded && heldShare < minDecidingShare;
+}
+
+function createUnavailable(retryAfterMs: number): quotaMessage.QuotaDecision {
+	return {
+		outcome: quotaMessage.QuotaOutcome.Unavailable, retryAfterMs, availableUnits: 0, heldShare: 0, usage: 0,
+	};
+}
--- a/packages/core/src/routing/gateway-config.ts
+++ b/packages/core/src/routing/gateway-config.ts
@@ -1,3 +1,5 @@
+import type * as quota from '../quota/quota.js';
+
 /** Name of a route in the configuration. */
 export type RouteName = string;
 
@@ -94,6 +96,8 @@
 	readonly priority?: number;
 	/** Whether cached state is never shared between this account and others. */
 	readonly isIsolated: boolean;
+	/** Absent if the account may send any number of requests. */
+	readonly quota?: quota.AccountQuota;
 };
 
 /** A complete configuration. */
--- a/packages/core/tests/fleet/admission.test.ts
+++ b/packages/core/tests/fleet/admission.test.ts
@@ -13,7 +13,7 @@
 
 function request(changes: Partial<core.fleet.WaitingRequest>): core.fleet.WaitingRequest {
 	return {
-		priority: 0, targetLatencyMs: 500, prefillTokens: 300, arrivedAt: 0, deadlineAt: 5000, ...changes,
+		priority: 0, targetLatencyMs: 500, prefillTokens: 300, arrivedAt: 0, deadlineAt: 5000, usageMark: 0, ...changes,
 	};
 }
 
@@ -42,6 +42,15 @@
 			first: request({arrivedAt: 800}),
 		}, 1000)).to.deep.equal(['first', 'second', 'less urgent', 'late', 'later deadline']);
 	});
+
+	it('orders requests of one priority by the usage of their accounts before their arrival, but for small differences', () => {
+		expect(order({
+			'high usage': request({arrivedAt: 500, usageMark: 0.7}),
+			'small difference': request({arrivedAt: 800, usageMark: 0.01}),
+			'low usage': request({arrivedAt: 700, usageMark: 0.09}),
+			'less urgent': request({arrivedAt: 400, priority: 1, usageMark: 0}),
+		}, 900)).to.deep.equal(['low usage', 'small difference', 'high usage', 'less urgent']);
+	});
 });
 
 describe('decideWait', () => {
--- a/packages/gateway/src/call/attempt-sender.ts
+++ b/packages/gateway/src/call/attempt-sender.ts
@@ -3,6 +3,7 @@
 import type * as endpointPlacer from '../placement/endpoint-placer.js';
 import type * as ports from '../ports/index.js';
 import * as eventLog from '../util/event-log.js';
+import type * as quotaPermit from './quota-permit.js';
 import type * as attemptRecorder from './attempt-recorder.js';
 import type * as requestContext from './request-context.js';
 import type * as requestDispatcher from './request-dispatcher.js';
@@ -57,6 +58,7 @@
 		}
 
 		limits.take(entry, suspendAwareNow);
+		const grantedAt = this.options.request.quotaPermit?.use();
 		const attempt = new endpoints.EndpointAttempt({
 			pool,
 			connection,
@@ -93,7 +95,7 @@
 		this.#mayBeExecuted.add(sent);
 		this.options.request.isSent = true;
 		recorder.recordSent(sent, number);
-		sent.ended = this.#run(sent, connection);
+		sent.ended = this.#run(sent, connection, grantedAt);
 		return sent;
 	}
 
@@ -109,13 +111,16 @@
 		}
 	}
 
-	async #run(sent: sentAttempt.SentAttempt, connection: endpoints.EndpointConnection): Promise<void> {
+	async #run(sent: sentAttempt.SentAttempt, connection: endpoints.EndpointConnection, grantedAt: quotaPermit.GrantTime | undefined): Promise<void> {
 		const {recorder, isInterrupted} = this.options;
 		const end = await sent.attempt.run();
 		sent.end = end;
 		if (core.request.isKnownNotExecuted({id: sent.id, endpoint: sent.placement.entry.id, progress: end.progress})) {
 			this.#mayBeExecuted.delete(sent);
 			this.options.request.isSent = this.#mayBeExecuted.size > 0;
+			if (grantedAt !== undefined) {
+				this.options.request.quotaPermit?.restore(grantedAt);
+			}
 		}
 
 		recorder.recordEnd(sent, end);
--- a/packages/gateway/src/call/endpoint-finder.ts
+++ b/packages/gateway/src/call/endpoint-finder.ts
@@ -232,6 +232,7 @@
 			arrivedAt: this.request.arrivedAt,
 			deadlineAt: this.deadlineAt,
 			prefillTokens: placement?.choice.prefillTokens ?? 0,
+			usageMark: this.request.quotaPermit?.usageMark ?? 0,
 		};
 	}
 
--- a/packages/gateway/src/call/index.ts
+++ b/packages/gateway/src/call/index.ts
@@ -10,6 +10,8 @@
 export * from './event-splitter.js';
 export * from './request-filter.js';
 export * from './refusal.js';
+export * from './quota-filter.js';
+export * from './quota-permit.js';
 export * from './retry-windows.js';
 export * from './route-filter.js';
 export * from './api-key-authorizer.js';
--- a/packages/gateway/src/call/refusal-obstacle.ts
+++ b/packages/gateway/src/call/refusal-obstacle.ts
@@ -6,6 +6,9 @@
 	[refusals.RefusalCode.CallerDisconnected, core.log.RetryObstacle.CallerDisconnected],
 	[refusals.RefusalCode.DeadlineTooClose, core.log.RetryObstacle.DeadlinePassed],
 	[refusals.RefusalCode.PartQuarantined, core.log.RetryObstacle.PartQuarantined],
+	[refusals.RefusalCode.QuotaExceeded, core.log.RetryObstacle.QuotaUsed],
+	[refusals.RefusalCode.QuotaTooSmall, core.log.RetryObstacle.QuotaUsed],
+	[refusals.RefusalCode.QuotaUnavailable, core.log.RetryObstacle.QuotaUsed],
 	[refusals.RefusalCode.ConfigUnavailable, core.log.RetryObstacle.NotAuthorized],
 ]);
 
--- a/packages/gateway/src/call/refusal.ts
+++ b/packages/gateway/src/call/refusal.ts
@@ -13,6 +13,12 @@
 	MemoryUsed = 'memory_used',
 	UnknownRoute = 'unknown_route',
 	UnknownKey = 'unknown_key',
+	/** The account has used its quota. */
+	QuotaExceeded = 'quota_exceeded',
+	/** The request needs more than the quota of its account ever allows at once. */
+	QuotaTooSmall = 'quota_too_small',
+	/** No VM that knows what is left of the quota responds. */
+	QuotaUnavailable = 'quota_unavailable',
 	/** No configuration is known, or it is too old for the decision. */
 	ConfigUnavailable = 'config_unavailable',
 	/** No endpoint can accept the request now. */
@@ -43,6 +49,9 @@
 	[RefusalCode.MemoryUsed]: 503,
 	[RefusalCode.UnknownRoute]: 404,
 	[RefusalCode.UnknownKey]: 401,
+	[RefusalCode.QuotaExceeded]: 429,
+	[RefusalCode.QuotaTooSmall]: 429,
+	[RefusalCode.QuotaUnavailable]: 503,
 	[RefusalCode.ConfigUnavailable]: 503,
 	[RefusalCode.NoEndpoint]: 503,
 	[RefusalCode.PartQuarantined]: 503,
--- a/packages/gateway/src/call/request-context.ts
+++ b/packages/gateway/src/call/request-context.ts
@@ -1,6 +1,7 @@
 import type * as http from 'node:http';
 import type * as core from '@bluebellmast/core';
 import type * as ports from '../ports/index.js';
+import type * as quotaPermit from './quota-permit.js';
 import type * as responseTimer from './response-timer.js';
 
 /** State of a request that the filters and the dispatcher share. */
@@ -15,6 +16,8 @@
 	route?: core.routing.Route;
 	/** Account to which the API key of the request belongs; absent on public routes. */
 	account?: core.routing.ApiAccount;
+	/** Units of the account's quota; absent if it has none. */
+	quotaPermit?: quotaPermit.QuotaPermit;
 	body?: Uint8Array;
 	/** Whether the request was sent to an endpoint that may have executed it; refused attempts don't count. */
 	isSent?: boolean;
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -115,6 +115,11 @@
 		return this.#isResponseClosed || requestContext.isCallerDisconnected(this.request);
 	}
 
+	/** Whether the quota of the account must admit the next attempt before it is sent. */
+	get #needsGrant(): boolean {
+		return this.request.quotaPermit?.isValid === false;
+	}
+
 	/** Forwards the request. @returns A refusal if no response of an endpoint was relayed to the caller. */
 	async forward(): Promise<refusals.Refusal | undefined> {
 		const onClose = (): void => {
@@ -204,8 +209,9 @@
 			}
 
 			const searchResult = await this.#endpointFinder.find(this.#relay.hasStarted); // eslint-disable-line no-await-in-loop -- Attempts follow one another.
+			const quotaRefusal = this.#needsGrant ? await this.request.quotaPermit!.acquire() : undefined; // eslint-disable-line no-await-in-loop -- As above.
 			// During the wait the caller may have disconnected, its key may have been revoked, or the configuration may have become too old.
-			const lateRefusal = this.#findRefusal();
+			const lateRefusal = this.#findRefusal() ?? quotaRefusal;
 			if (lateRefusal !== undefined) {
 				return this.#fail(lateRefusal);
 			}
@@ -285,6 +291,11 @@
 			return obstacle;
 		}
 
+		if (this.#needsGrant) {
+			void this.#replaceWhenGranted(mayRepeat);
+			return core.log.RetryObstacle.QuotaUsed;
+		}
+
 		const active = this.#active.list().map(sent => sent.placement.entry.id);
 		const replacement = this.#endpointFinder.findReplacement(active, mayRepeat, placement => this.#send(placement));
 		if (replacement === undefined) {
@@ -297,6 +308,15 @@
 		return undefined;
 	}
 
+	/** Sends the request to another endpoint as well once the quota of its account admits that. */
+	async #replaceWhenGranted(mayRepeat: boolean): Promise<void> {
+		const {latest} = this.#active;
+		const refusal = await this.request.quotaPermit!.acquire();
+		if (refusal === undefined && latest?.end === undefined && latest === this.#active.latest && !this.#needsGrant) {
+			this.#replaceSilent(latest!, mayRepeat);
+		}
+	}
+
 	/** Looks for another replacement when one has failed, so that the request doesn't depend on the silent endpoint alone. */
 	#handleFailedAlternative(sent: sentAttempt.SentAttempt): void {
 		this.#endpointFinder.recordFailure(sent.placement.entry.id);
--- a/packages/gateway/src/controllers/coordination-controller.ts
+++ b/packages/gateway/src/controllers/coordination-controller.ts
@@ -152,6 +152,11 @@
 		return [...this.#vms.values()].some(vm => vm.address.startsWith(`${address}:`));
 	}
 
+	/** Returns the address of a VM; `undefined` if it is not listed. */
+	findPeerAddress(vm: string): string | undefined {
+		return this.#vms.get(vm)?.address;
+	}
+
 	/** Returns the addresses of the other VMs. */
 	listPeerAddresses(ownVm: string): readonly string[] {
 		if (this.#peerAddresses?.ownVm !== ownVm) {
--- a/packages/gateway/src/controllers/index.ts
+++ b/packages/gateway/src/controllers/index.ts
@@ -13,6 +13,7 @@
 export * from './prefix-listeners.js';
 export * from './quarantine-controller.js';
 export * from './quarantine-store.js';
+export * from './quota-controller.js';
 export * from './renewed-lease.js';
 export * from './rollout-controller.js';
 export * from './store-feed.js';
--- a/packages/gateway/src/controllers/load-controller.ts
+++ b/packages/gateway/src/controllers/load-controller.ts
@@ -17,7 +17,7 @@
 	readonly pauses: Pick<endpointPauses.EndpointPauses, 'hasPauses' | 'takeDigest' | 'applyDigest'>;
 	readonly quarantine: Pick<quarantineController.QuarantineController, 'applyDigest' | 'takeDigest' | 'tick' | 'hasPendingEvidence' | 'hasQuarantinedParts'>;
 	readonly coordination: Pick<coordinationController.CoordinationController, 'listPeerAddresses'>;
-	readonly exchange: Pick<peers.LoadExchange, 'send'>;
+	readonly exchange: Pick<peers.PeerExchange, 'send'>;
 	readonly clock: clocks.Clocks;
 };
 
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -31,6 +31,8 @@
 	readonly drainMs: number;
 	/** Interval at which endpoints renew their entries in the store, in milliseconds; that of {@link core.store.defaultLapseOptions} by default. */
 	readonly endpointHeartbeatMs?: number;
+	/** How far the usage of all VMs may exceed the quota of an account; {@link core.quota.defaultQuotaBounds} by default. */
+	readonly quotaBounds?: core.quota.QuotaBounds;
 	/** Memory that the process may use, in bytes; bodies are not bounded together by default. */
 	readonly memoryBytes?: number;
 };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,10 +24,11 @@
 	readonly coordination: controllers.CoordinationController;
 	readonly endpointController: controllers.EndpointController;
 	readonly operator: controllers.OperatorController;
-	readonly loadExchange: peers.LoadExchange;
+	readonly peerExchange: peers.PeerExchange;
 	readonly tunnels: peers.TunnelServer;
 	readonly pathController: controllers.PathController;
 	readonly loadController: controllers.LoadController;
+	readonly quotaController: controllers.QuotaController;
 	readonly quarantineStore: controllers.QuarantineStore;
 	readonly cacheStoreController: controllers.CacheStoreController;
 	readonly clock: clocks.Clocks;
@@ -49,6 +50,8 @@
 const cacheStoreIntervalMs = 100;
 /** Interval between checks whether a digest (summary of this VM's load) must be sent to the other VMs. */
 const loadIntervalMs = 100;
+/** Interval between checks whether shares of quotas must be lent again. */
+const quotaIntervalMs = 50;
 /** Interval between checks whether the operator has removed models. */
 const operatorIntervalMs = 10_000;
 /** Age of the configuration above which the gateway is not ready for new connections, in milliseconds; several polls failed by then. */
@@ -82,8 +85,11 @@
 	}
 
 	/** Ports on which the gateway listens. */
-	get ports(): {readonly callers: number; readonly readiness: number; readonly metrics?: number} {
-		return {callers: this.components.server.port, readiness: this.#readiness.port, metrics: this.components.metrics?.port};
+	get ports(): {readonly callers: number; readonly readiness: number; readonly peers: number; readonly metrics?: number} {
+		const {server, peerExchange, metrics} = this.components;
+		return {
+			callers: server.port, readiness: this.#readiness.port, peers: peerExchange.port, metrics: metrics?.port,
+		};
 	}
 
 	/** Number of requests in progress. */
@@ -99,11 +105,11 @@
 
 	/** Starts the servers, the store feed and the periodic tasks. */
 	async start(): Promise<void> {
-		const {settings, server, feed, loadExchange, tunnels, log} = this.components;
+		const {settings, server, feed, peerExchange, tunnels, log} = this.components;
 		await Promise.all([
 			server.listen(settings.listen),
 			this.#readiness.listen(settings.readiness),
-			loadExchange.listen(),
+			peerExchange.listen(),
 			tunnels.listen(),
 			settings.metrics && this.components.metrics?.listen(settings.metrics),
 		]);
@@ -131,7 +137,7 @@
 		this.#tasks?.stop();
 		this.components.feed.stop();
 		this.components.loadController.stop();
-		this.components.loadExchange.close();
+		this.components.peerExchange.close();
 		this.components.tunnels.close();
 		this.components.server.close();
 		this.#readiness.close();
@@ -143,6 +149,7 @@
 		const startedAt = clock.monotonicNow();
 		log.write(eventLog.LogEvent.Stopping, {graceMs: settings.graceMs});
 		server.beginShutdown();
+		this.components.quotaController.beginShutdown();
 		this.components.tunnels.beginShutdown();
 		dispatcher.beginShutdown(startedAt + settings.graceMs - exitMarginMs, startedAt + lateStreamMs);
 		await Promise.all([leaseController.stop(), timers.setTimeout(deregistrationMs)]);
@@ -164,7 +171,8 @@
 
 	#runTasks(): periodicTask.PeriodicTaskHandle {
 		const {
-			endpointController, pathController, operator, coordination, leaseController, rolloutController, loadController, quarantineStore, cacheStoreController, clock, log,
+			endpointController, pathController, operator, coordination, leaseController, rolloutController, loadController, quotaController, quarantineStore, cacheStoreController, clock,
+			log,
 		} = this.components;
 		const tasks: readonly periodicTask.PeriodicTask[] = [
 			{
@@ -190,6 +198,13 @@
 					loadController.tick();
 				},
 			},
+			{
+				name: 'quotas',
+				intervalMs: quotaIntervalMs,
+				run() {
+					quotaController.tick();
+				},
+			},
 			{
 				name: 'operator',
 				intervalMs: operatorIntervalMs,
--- a/packages/gateway/src/metrics/state-gauges.ts
+++ b/packages/gateway/src/metrics/state-gauges.ts
@@ -24,6 +24,8 @@
 	/** Number of open requests that wait for capacity at an endpoint. */
 	readonly waitingRequests: number;
 	readonly droppedLogLines: number;
+	/** Sum of the shares of accounts' quotas that this VM holds. */
+	readonly heldQuotaShares: number;
 };
 
 type GaugeSpec = {
@@ -46,6 +48,7 @@
 	{name: 'bluebellmast_endpoints_limited', help: 'Listed endpoints that limit their requests.', read: state => state.limitedEndpoints},
 	{name: 'bluebellmast_requests_open', help: 'Requests that have not ended.', read: state => state.openRequests},
 	{name: 'bluebellmast_requests_waiting', help: 'Requests that wait for room at an endpoint.', read: state => state.waitingRequests},
+	{name: 'bluebellmast_quota_shares_held', help: 'Sum of the shares of accounts\' quotas that VMs lend to this one, over the partitions of the accounts.', read: state => state.heldQuotaShares},
 	{name: 'bluebellmast_log_lines_dropped', help: 'Log lines dropped since the start.', read: state => state.droppedLogLines},
 	{name: 'process_resident_memory_bytes', help: 'Memory of the process.', read: () => process.memoryUsage.rss()},
 	{name: 'process_cpu_seconds', help: 'Processor time of the process since its start.', read: () => cpuSeconds()},
--- a/packages/gateway/src/peers/digest-codec.ts
+++ b/packages/gateway/src/peers/digest-codec.ts
@@ -1,6 +1,7 @@
 import type * as buffer from 'node:buffer';
 import type * as core from '@bluebellmast/core';
 import * as cbor from 'cbor-x';
+import * as rows from './rows.js';
 
 /** Encoded state of an endpoint: id, active requests, prefill tokens, milliseconds since data was last received from it. */
 type EndpointRow = readonly [string, number, number, number | undefined];
@@ -81,21 +82,28 @@
 
 /** Decodes a datagram; returns `undefined` if it is not a digest. */
 export function decodeDigest(bytes: Uint8Array): core.fleet.LoadDigest | undefined {
-	let message: unknown;
+	return toDigest(decodeDatagram(bytes));
+}
+
+/** Decodes the contents of a datagram; returns `undefined` if they can't be read. */
+export function decodeDatagram(bytes: Uint8Array): unknown {
 	try {
-		message = cbor.decode(bytes);
+		return cbor.decode(bytes);
 	} catch {
 		// Not CBOR: a truncated datagram, or one of another program.
 		return undefined;
 	}
+}
 
-	return isDigest(message) ? toDigest(message) : undefined;
+/** Converts a decoded datagram; returns `undefined` if it is not a digest. */
+export function toDigest(message: unknown): core.fleet.LoadDigest | undefined {
+	return isDigest(message) ? createDigest(message) : undefined;
 }
 
-function toDigest([vm, sequence, endpoints, observations, extension]: DigestMessage): core.fleet.LoadDigest {
+function createDigest([vm, sequence, endpoints, observations, extension]: DigestMessage): core.fleet.LoadDigest {
 	const pauses = toPauses(extension?.pauses);
 	const limits = toLimits(extension?.limits);
-	const leaving = isRows(extension?.leaving, ['string', 'number']) ? extension!.leaving! : [];
+	const leaving = rows.isRows(extension?.leaving, ['string', 'number']) ? extension!.leaving! : [];
 	const reach = toReach(extension?.reach);
 	const quarantine = decodeEvidence(extension ?? {});
 	return {
@@ -128,9 +136,9 @@
 
 /** Decodes the evidence on prompt parts; skips invalid rows. */
 export function decodeEvidence({crashes, sound, alive}: EncodedEvidence): core.quarantine.QuarantineDigest | undefined {
-	const crashRows = isRows(crashes, ['string', 'number', 'number', 'boolean', 'string']) ? crashes!.filter(row => isCrashRow(row)) : [];
-	const soundRows = isRows(sound, ['string', 'number']) ? sound!.filter(([part, ageMs]) => isPartKey(part) && ageMs >= 0) : [];
-	const aliveRows = isRows(alive, ['string', 'number', 'number', 'number']) ? alive!.filter(row => row[2] >= row[3] && row[3] >= 0) : [];
+	const crashRows = rows.isRows(crashes, ['string', 'number', 'number', 'boolean', 'string']) ? crashes!.filter(row => isCrashRow(row)) : [];
+	const soundRows = rows.isRows(sound, ['string', 'number']) ? sound!.filter(([part, ageMs]) => isPartKey(part) && ageMs >= 0) : [];
+	const aliveRows = rows.isRows(alive, ['string', 'number', 'number', 'number']) ? alive!.filter(row => row[2] >= row[3] && row[3] >= 0) : [];
 	if (crashRows.length + soundRows.length + aliveRows.length === 0) {
 		return undefined;
 	}
@@ -154,23 +162,23 @@
 }
 
 /** Decodes the pauses; skips invalid ones, since the rest of the digest is usable without them. */
-function toPauses(rows: unknown): core.fleet.PauseDigest[] {
-	if (!isRows(rows, ['string', 'number', 'number'])) {
+function toPauses(list: unknown): core.fleet.PauseDigest[] {
+	if (!rows.isRows(list, ['string', 'number', 'number'])) {
 		return [];
 	}
 
-	return (rows as readonly PauseRow[])
+	return (list as readonly PauseRow[])
 		.map(([endpoint, bornAt, remainingMs]) => ({endpoint, bornAt, remainingMs}))
 		.filter(pause => pause.remainingMs > 0);
 }
 
 /** Decodes the limits; skips invalid ones. */
-function toLimits(rows: unknown): core.limits.LimitDigest[] {
-	if (!isRows(rows, ['string', 'number', 'number', 'number'])) {
+function toLimits(list: unknown): core.limits.LimitDigest[] {
+	if (!rows.isRows(list, ['string', 'number', 'number', 'number'])) {
 		return [];
 	}
 
-	return (rows as readonly LimitRow[])
+	return (list as readonly LimitRow[])
 		.map(([endpoint, bornAt, requestsPerSecond, ageMs]) => ({
 			endpoint, bornAt, requestsPerSecond, ageMs,
 		}))
@@ -184,7 +192,7 @@
 /** Decodes the reach; returns `undefined` if it is invalid. */
 function toReach(row: unknown): core.fleet.ReachDigest | undefined {
 	const [tunnelAddress, dataCentre, pools] = Array.isArray(row) ? row as unknown[] : [];
-	if (typeof tunnelAddress !== 'string' || !addressPattern.test(tunnelAddress) || typeof dataCentre !== 'string' || !isRows(pools, ['string', 'number'])) {
+	if (typeof tunnelAddress !== 'string' || !addressPattern.test(tunnelAddress) || typeof dataCentre !== 'string' || !rows.isRows(pools, ['string', 'number'])) {
 		return undefined;
 	}
 
@@ -197,11 +205,5 @@
 		return false;
 	}
 
-	return isRows(message[2], ['string', 'number', 'number']) && isRows(message[3], ['string', 'string', 'string']);
-}
-
-/** Returns whether a value is an array of rows whose first elements have the given types. */
-function isRows(value: unknown, types: readonly string[]): boolean {
-	return Array.isArray(value) && value.every(row =>
-		Array.isArray(row) && types.every((type, index) => typeof row[index] === type));
+	return rows.isRows(message[2], ['string', 'number', 'number']) && rows.isRows(message[3], ['string', 'string', 'string']);
 }
--- a/packages/gateway/src/peers/index.ts
+++ b/packages/gateway/src/peers/index.ts
@@ -1,3 +1,4 @@
 export * from './digest-codec.js';
-export * from './load-exchange.js';
+export * from './peer-exchange.js';
+export * from './quota-codec.js';
 export * from './tunnel-server.js';
--- a/packages/gateway/src/ports/caller-protocol.ts
+++ b/packages/gateway/src/ports/caller-protocol.ts
@@ -30,6 +30,8 @@
 	/** Milliseconds that the caller waits for the response after sending the request. */
 	readonly deadlineMs?: number;
 	readonly prompt?: PromptMetadata;
+	/** Prompt tokens, and output tokens at most, that the request states; absent if it states none. */
+	readonly statedTokens?: number;
 	/** Id of the last event that the caller received of an interrupted stream. */
 	readonly lastEventId?: number;
 	/** Header names and values, alternating, that are forwarded to the endpoint unchanged. */
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -68,12 +68,27 @@
 	});
 	const connections = new endpoints.ConnectionPools(() => clock.suspendAwareNow(), connectors);
 	const coordination = new controllers.CoordinationController(fleet, clock, log);
-	const loadExchange = new peers.LoadExchange({
+	const peerExchange = new peers.PeerExchange({
 		listen: settings.peers,
 		log,
 		onDigest(digest) {
 			loadController.applyDigest(digest);
 		},
+		onQuotaMessage(message, address) {
+			quotaController.receive(message, address);
+		},
+	});
+	const quotaBounds = settings.quotaBounds ?? core.quota.defaultQuotaBounds;
+	const quotaController = new controllers.QuotaController({
+		vm: settings.vm,
+		bounds: quotaBounds,
+		config,
+		propagationMs: settings.configAgeLimits.propagationMs,
+		coordination,
+		exchange: peerExchange,
+		recorder: new metrics.QuotaMetrics(registry),
+		clock,
+		log,
 	});
 	const tunnels = new peers.TunnelServer({
 		listen: settings.tunnels,
@@ -84,7 +99,7 @@
 		},
 	});
 	const loadController = new controllers.LoadController({
-		vm: settings.vm, dataCentre: settings.dataCentre, getTunnelAddress: () => tunnels.address, fleet, pauses, quarantine, coordination, exchange: loadExchange, clock,
+		vm: settings.vm, dataCentre: settings.dataCentre, getTunnelAddress: () => tunnels.address, fleet, pauses, quarantine, coordination, exchange: peerExchange, clock,
 	});
 	const leavingRecorder = new placement.LeavingRecorder({
 		fleet, clock, log,
@@ -128,6 +143,7 @@
 		filters: [
 			new call.RouteFilter(config, settings.configAgeLimits, clock),
 			new call.AccountFilter(config, settings.configAgeLimits, clock),
+			new call.QuotaFilter(quotaController, clock, quotaBounds),
 			new call.BodyFilter(clock, new call.BodyMemory(settings.memoryBytes === undefined ? undefined : settings.memoryBytes * bodyMemoryShare)),
 		],
 		dispatcher,
@@ -139,6 +155,7 @@
 		unseenVersionAgeMs: settings.maxOutdatedWeightsMs * unseenVersionAgeShare,
 		onConfigAccepted(accepted) {
 			server.applyLimits(accepted.limits);
+			quotaController.applyConfig(accepted);
 		},
 	});
 	const endpointController = new controllers.EndpointController({
@@ -159,7 +176,7 @@
 		},
 	});
 	const leaseController = new controllers.LeaseController({
-		vm: settings.vm, getOwnAddress: () => loadExchange.address, store, coordination, clock, log, random,
+		vm: settings.vm, getOwnAddress: () => peerExchange.address, store, coordination, clock, log, random,
 	}, controllers.createVmLeaseOptions(settings.leaderOrderGapMs));
 	const rolloutController = new controllers.RolloutController({
 		vm: settings.vm, store, coordination, lease: leaseController, fleet, pauses, config, admin, clock, log, limits: core.rollout.defaultRolloutLimits,
@@ -206,6 +223,7 @@
 			limitedEndpoints: ready.filter(entry => fleet.limits.getRate(entry) !== undefined).length,
 			openRequests: server.openRequests,
 			waitingRequests: waiting.size,
+			heldQuotaShares: quotaController.heldShares,
 			droppedLogLines: options.droppedLogLines?.() ?? 0,
 		};
 	});
@@ -221,10 +239,11 @@
 		coordination,
 		endpointController,
 		operator,
-		loadExchange,
+		peerExchange,
 		tunnels,
 		pathController,
 		loadController,
+		quotaController,
 		quarantineStore,
 		cacheStoreController,
 		clock,
--- a/packages/gateway/tests/call/request-queue.test.ts
+++ b/packages/gateway/tests/call/request-queue.test.ts
@@ -12,7 +12,7 @@
 		targetLatencyMs: 500,
 		prefillTokens: 300,
 		arrivedAt: 0,
-		deadlineAt: 5000,
+		deadlineAt: 5000, usageMark: 0,
 		expiresAt: Infinity,
 		hasCapacity: () => false,
 		...changes,
--- a/packages/gateway/tests/peers/load-exchange.test.ts
+++ b/packages/gateway/tests/peers/peer-exchange.test.ts
@@ -4,15 +4,16 @@
 
 const host = '127.0.0.1';
 
-function createExchange(port: number): gateway.peers.LoadExchange {
-	return new gateway.peers.LoadExchange({
+function createExchange(port: number): gateway.peers.PeerExchange {
+	return new gateway.peers.PeerExchange({
 		listen: {host, port},
 		log: {write: () => undefined},
 		onDigest: () => undefined,
+		onQuotaMessage: () => undefined,
 	});
 }
 
-describe('LoadExchange', () => {
+describe('PeerExchange', () => {
 	it('rejects listening at an address that is in use', async () => {
 		const first = createExchange(0);
 		await first.listen();
