--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -13,6 +13,7 @@
 import * as attemptSender from './attempt-sender.js';
 import * as requestContext from './request-context.js';
 import type * as requestDispatcher from './request-dispatcher.js';
+import * as executionRefusal from './execution-refusal.js';
 import * as refusalObstacle from './refusal-obstacle.js';
 import * as refusals from './refusal.js';
 import * as endpointFinder from './endpoint-finder.js';
@@ -171,21 +172,13 @@
 
 	/** Aborts the attempts whose connection is not open and whose endpoint has asked for a pause meanwhile. */
 	abortPausedAttempts(): void {
-		for (const {attempt, placement} of this.#active.list()) {
-			if (attempt.progress === core.request.AttemptProgress.Connecting && this.dependencies.pauses.isPaused(placement.entry)) {
-				attempt.abort(endpoints.AttemptFault.EndpointPaused);
-			}
-		}
+		this.#abortConnecting(({placement}) => this.dependencies.pauses.isPaused(placement.entry), endpoints.AttemptFault.EndpointPaused);
 	}
 
 	/** Aborts the attempts whose direct connection is not open, at endpoints whose path is interrupted. */
 	abortInterruptedAttempts(): void {
-		for (const {attempt, placement, helper} of this.#active.list()) {
-			const isConnecting = attempt.progress === core.request.AttemptProgress.Connecting;
-			if (isConnecting && helper === undefined && this.dependencies.fleet.paths.isInterrupted(placement.entry.id)) {
-				attempt.abort(endpoints.AttemptFault.PathInterrupted);
-			}
-		}
+		const {paths} = this.dependencies.fleet;
+		this.#abortConnecting(({placement, helper}) => helper === undefined && paths.isInterrupted(placement.entry.id), endpoints.AttemptFault.PathInterrupted);
 	}
 
 	/** Ends the wait or the attempts of a request with a quarantined part, except for a response that has begun. */
@@ -263,6 +256,14 @@
 		return sent;
 	}
 
+	#abortConnecting(isConcerned: (sent: sentAttempt.SentAttempt) => boolean, fault: endpoints.AttemptFault): void {
+		for (const sent of this.#active.list()) {
+			if (sent.attempt.progress === core.request.AttemptProgress.Connecting && isConcerned(sent)) {
+				sent.attempt.abort(fault);
+			}
+		}
+	}
+
 	#listWaiting(): sentAttempt.SentAttempt[] {
 		return this.#active.list().filter(sent => !sent.hasResponseStarted);
 	}
@@ -405,14 +406,7 @@
 			return undefined;
 		}
 
-		const attempts = this.#rules.attempts.map(sent => ({
-			id: sent.id, endpoint: sent.placement.entry.id, progress: sent.end?.progress ?? sent.attempt.progress,
-		}));
-		if (core.request.decideExecution(attempts, false) === core.model.ExecutionState.NotRun) {
-			return refusal;
-		}
-
 		const isLate = this.#isTimedOut || this.dependencies.clock.monotonicNow() >= this.#deadlineAt;
-		return {code: isLate ? refusals.RefusalCode.TimedOut : refusals.RefusalCode.OutcomeUnknown};
+		return executionRefusal.createExecutionRefusal(refusal, this.#rules.attempts, isLate);
 	}
 }
