--- a/packages/gateway/tests/peers/peer-exchange.test.ts
+++ b/packages/gateway/tests/peers/peer-exchange.test.ts
@@ -9,6 +9,7 @@
 		listen: {host, port},
 		log: {write: () => undefined},
 		onDigest: () => undefined,
+		onUpdate: () => undefined,
 		onQuotaMessage: () => undefined,
 	});
 }
