Revert updates of single endpoints: a datagram to all VMs costs too much processor time

Cause: about 150 more datagrams a second and VM at 66 VMs.

Ruled out: whole digests in place of updates (the same number of datagrams).

--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -8,7 +8,6 @@
 export * from './endpoint-loads.js';
 export * from './leaving-endpoints.js';
 export * from './load-digest.js';
-export * from './load-update.js';
 export * from './peer-loads.js';
 export * from './peer-reach.js';
 export * from './part-locations.js';
--- a/packages/core/src/fleet/peer-loads.ts
+++ b/packages/core/src/fleet/peer-loads.ts
@@ -1,5 +1,4 @@
 import type * as loadDigest from './load-digest.js';
-import type * as loadUpdate from './load-update.js';
 
 type ReceivedDigest = {
 	readonly sequence: number;
@@ -56,19 +55,6 @@
 		this.#count(digest.vm, received);
 	}
 
-	/** Applies an update of one endpoint to the latest digest of its VM; ignores one that is not newer than the last message of its VM. */
-	applyUpdate({vm, sequence, load}: loadUpdate.LoadUpdate, now: number): void {
-		const last = this.#digests.get(vm);
-		if (last !== undefined && last.sequence >= sequence) {
-			return;
-		}
-
-		const endpoints = [...last?.endpoints.values() ?? []].filter(({endpoint}) => endpoint !== load.endpoint);
-		this.applyDigest({
-			vm, sequence, endpoints: [...endpoints, load], cacheObservations: [],
-		}, now);
-	}
-
 	/** Returns the number of other VMs' requests in flight at an endpoint. */
 	countActive(endpoint: string, now: number): number {
 		this.#uncountExpired(now);
--- a/packages/gateway/src/call/attempt-recorder.ts
+++ b/packages/gateway/src/call/attempt-recorder.ts
@@ -83,12 +83,12 @@
 		const {placement, id} = sent;
 		const now = clock.monotonicNow();
 		const endpoint = placement.entry.id;
-		fleet.loads.endPrefill(endpoint, id);
 		if (!sent.hasResponseStarted) {
 			sent.hasResponseStarted = true;
 			this.#recordCacheObservations(placement, placement.saveCacheTo !== undefined);
 		}
 
+		fleet.loads.endPrefill(endpoint, id);
 		this.#recordReceived(sent, now);
 		if (this.request.route.kind === core.routing.RouteKind.Streaming) {
 			fleet.health.recordSent(endpoint, id, this.request.route.gapTargetMs, now);
--- a/packages/gateway/src/controllers/load-controller.ts
+++ b/packages/gateway/src/controllers/load-controller.ts
@@ -17,7 +17,7 @@
 	readonly pauses: Pick<endpointPauses.EndpointPauses, 'hasPauses' | 'takeDigest' | 'applyDigest'>;
 	readonly quarantine: Pick<quarantineController.QuarantineController, 'applyDigest' | 'takeDigest' | 'tick' | 'hasPendingEvidence' | 'hasQuarantinedParts'>;
 	readonly coordination: Pick<coordinationController.CoordinationController, 'listPeerAddresses'>;
-	readonly exchange: Pick<peers.PeerExchange, 'send' | 'sendUpdate'>;
+	readonly exchange: Pick<peers.PeerExchange, 'send'>;
 	readonly clock: clocks.Clocks;
 };
 
@@ -28,8 +28,6 @@
  * second, amount to 14 KB/s of the 19 KB/s that a node may use for control traffic.
  */
 const peersPerDigest = 6;
-/** Number of VMs that an update of one endpoint is sent to; in larger fleets they take turns. */
-const peersPerUpdate = 96;
 /** Number of VMs that a digest with evidence on prompt parts is sent to. */
 const peersPerUrgentDigest = 12;
 /** Interval between digests when there are no new observations, in milliseconds. */
@@ -50,11 +48,7 @@
 	#sequence = Date.now();
 	#wasIdle = false;
 	readonly #observations: core.fleet.CacheObservation[] = [];
-	/** Observations that the next updates carry, by endpoint. */
-	readonly #updates = new Map<string, core.fleet.CacheObservation[]>();
 	#timer: NodeJS.Timeout | undefined;
-	#updateTimer: NodeJS.Timeout | undefined;
-	#updateOffset = 0;
 	/** Number of recipients of the digests that were sent in turn; the next turn starts after them. */
 	#rotationOffset = 0;
 	#lastSentAt = -Infinity;
@@ -73,9 +67,8 @@
 			return;
 		}
 
-		for (const observation of observations) {
-			this.#queueObservation(observation);
-		}
+		this.#observations.push(...observations);
+		this.#scheduleSend();
 	}
 
 	/** Soon sends the other VMs a digest, which names the endpoints that told this VM that they are leaving. */
@@ -110,16 +103,6 @@
 		}
 	}
 
-	/** Applies an update of one endpoint by another VM. */
-	applyUpdate(update: core.fleet.LoadUpdate): void {
-		const {fleet, clock} = this.dependencies;
-		const now = clock.monotonicNow();
-		fleet.peers.applyUpdate(update, now);
-		for (const observation of update.cacheObservations) {
-			fleet.parts.applyObservation(observation, now);
-		}
-	}
-
 	/** Sends a digest if one is due; a VM that becomes idle, without pauses and limits to publish, sends one more and then none. */
 	tick(): void {
 		const {fleet, pauses, quarantine} = this.dependencies;
@@ -136,44 +119,6 @@
 	stop(): void {
 		this.#isStopped = true;
 		clearTimeout(this.#timer);
-		clearTimeout(this.#updateTimer);
-	}
-
-	/** Queues an observation for an update of its endpoint, or for the next digest if that reaches all VMs, or none is concerned. */
-	#queueObservation(observation: core.fleet.CacheObservation): void {
-		const isForDigest = observation.endpoint === '' || this.dependencies.coordination.listPeerAddresses(this.dependencies.vm).length <= peersPerDigest;
-		if (isForDigest) {
-			this.#observations.push(observation);
-			this.#scheduleSend();
-			return;
-		}
-
-		const queued = this.#updates.get(observation.endpoint);
-		if (queued === undefined) {
-			this.#updates.set(observation.endpoint, [observation]);
-		} else {
-			queued.push(observation);
-		}
-
-		this.#updateTimer ??= setTimeout(() => {
-			this.#sendUpdates();
-		}, observationDelayMs);
-	}
-
-	#sendUpdates(): void {
-		const {vm, exchange, coordination} = this.dependencies;
-		this.#updateTimer = undefined;
-		const addresses = coordination.listPeerAddresses(vm);
-		const recipients = addresses.length <= peersPerUpdate ? addresses : listInTurn(addresses, this.#updateOffset, peersPerUpdate);
-		for (const [endpoint, observations] of this.#updates) {
-			this.#sequence += 1;
-			exchange.sendUpdate({
-				vm, sequence: this.#sequence, load: this.#describeEndpoint(endpoint), cacheObservations: observations.slice(0, maxObservations),
-			}, recipients);
-		}
-
-		this.#updates.clear();
-		this.#updateOffset += peersPerUpdate;
 	}
 
 	#scheduleSend(): void {
@@ -222,9 +167,9 @@
 			return addresses;
 		}
 
-		const recipients = listInTurn(addresses, this.#rotationOffset, count);
+		const first = this.#rotationOffset % addresses.length;
 		this.#rotationOffset += count;
-		return recipients;
+		return [...addresses, ...addresses].slice(first, first + count);
 	}
 
 	#describeReach(): core.fleet.ReachDigest | undefined {
@@ -236,23 +181,16 @@
 	}
 
 	#describeLoad(): core.fleet.EndpointDigest[] {
-		return this.dependencies.fleet.loads.listBusyEndpoints().map(endpoint => this.#describeEndpoint(endpoint));
-	}
-
-	#describeEndpoint(endpoint: string): core.fleet.EndpointDigest {
 		const {fleet, clock} = this.dependencies;
-		const lastReceivedAt = fleet.health.lastReceivedAt(endpoint);
-		return {
-			endpoint,
-			active: fleet.loads.countOwnActive(endpoint),
-			prefillTokens: fleet.loads.countPrefillTokens(endpoint),
-			sinceLastReceivedMs: Number.isFinite(lastReceivedAt) ? Math.round(clock.monotonicNow() - lastReceivedAt) : undefined,
-		};
+		const now = clock.monotonicNow();
+		return fleet.loads.listBusyEndpoints().map(endpoint => {
+			const lastReceivedAt = fleet.health.lastReceivedAt(endpoint);
+			return {
+				endpoint,
+				active: fleet.loads.countOwnActive(endpoint),
+				prefillTokens: fleet.loads.countPrefillTokens(endpoint),
+				sinceLastReceivedMs: Number.isFinite(lastReceivedAt) ? Math.round(now - lastReceivedAt) : undefined,
+			};
+		});
 	}
 }
-
-/** Returns `count` of the addresses from an offset on, which go on at the beginning. */
-function listInTurn(addresses: readonly string[], offset: number, count: number): string[] {
-	const first = offset % addresses.length;
-	return [...addresses, ...addresses].slice(first, first + count);
-}
--- a/packages/gateway/src/peers/index.ts
+++ b/packages/gateway/src/peers/index.ts
@@ -2,4 +2,3 @@
 export * from './peer-exchange.js';
 export * from './quota-codec.js';
 export * from './tunnel-server.js';
-export * from './update-codec.js';
--- a/packages/gateway/src/peers/peer-exchange.ts
+++ b/packages/gateway/src/peers/peer-exchange.ts
@@ -4,7 +4,6 @@
 import type * as listen from '../util/listen.js';
 import * as digestCodec from './digest-codec.js';
 import * as quotaCodec from './quota-codec.js';
-import * as updateCodec from './update-codec.js';
 
 /** Options of {@link PeerExchange}. */
 export type PeerExchangeOptions = {
@@ -12,14 +11,13 @@
 	readonly listen: listen.ListenAddress;
 	readonly log: eventLog.EventLog;
 	readonly onDigest: (digest: core.fleet.LoadDigest) => void;
-	readonly onUpdate: (update: core.fleet.LoadUpdate) => void;
 	/** Called with a message on quotas and the address of its sender, as `IP:PORT`. */
 	readonly onQuotaMessage: (message: quotaCodec.QuotaMessage, address: string) => void;
 };
 
 /**
  * Sends digests of this VM's load, and messages on quotas, to other VMs and receives theirs, as UDP datagrams. Each digest is self-contained, so lost
- * ones need not be sent again, nor lost updates; lost messages on quotas are sent again by their sender.
+ * ones need not be sent again; lost messages on quotas are sent again by their sender.
  */
 export class PeerExchange {
 	readonly #socket = dgram.createSocket('udp4');
@@ -63,14 +61,6 @@
 		}
 	}
 
-	/** Sends an update of one endpoint to other VMs, given as `IP:PORT`. */
-	sendUpdate(update: core.fleet.LoadUpdate, addresses: readonly string[]): void {
-		const bytes = updateCodec.encodeUpdate(update);
-		for (const address of addresses) {
-			this.#send(bytes, address, 'load update');
-		}
-	}
-
 	/** Sends a message on quotas to another VM, given as `IP:PORT`. */
 	sendQuotaMessage(message: quotaCodec.QuotaMessage, address: string): void {
 		this.#send(quotaCodec.encodeQuotaMessage(message), address, 'quota message');
@@ -88,12 +78,6 @@
 			return;
 		}
 
-		const update = updateCodec.toUpdate(message);
-		if (update !== undefined) {
-			this.options.onUpdate(update);
-			return;
-		}
-
 		const quotaMessage = quotaCodec.toQuotaMessage(message);
 		if (quotaMessage !== undefined) {
 			this.options.onQuotaMessage(quotaMessage, address);
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -74,9 +74,6 @@
 		onDigest(digest) {
 			loadController.applyDigest(digest);
 		},
-		onUpdate(update) {
-			loadController.applyUpdate(update);
-		},
 		onQuotaMessage(message, address) {
 			quotaController.receive(message, address);
 		},
--- a/packages/gateway/tests/controllers/endpoint-pauses.test.ts
+++ b/packages/gateway/tests/controllers/endpoint-pauses.test.ts
@@ -142,7 +142,7 @@
 					clock: {suspendAwareNow: () => 0}, log: {write: () => undefined}, onPendingEvidence: () => undefined, onQuarantined: () => undefined,
 				}),
 				coordination: {listPeerAddresses: () => ['10.0.0.1:1']},
-				exchange: {send, sendUpdate: () => undefined},
+				exchange: {send},
 				clock,
 			});
 		}
--- a/packages/gateway/tests/controllers/load-controller.test.ts
+++ b/packages/gateway/tests/controllers/load-controller.test.ts
@@ -10,20 +10,13 @@
 	readonly addresses: readonly string[];
 };
 
-type SentUpdate = {
-	readonly update: core.fleet.LoadUpdate;
-	readonly addresses: readonly string[];
-};
-
 function createController(peers: number): {
 	readonly controller: gateway.controllers.LoadController;
 	readonly fleet: gateway.placement.FleetState;
 	readonly sent: SentDigest[];
-	readonly updates: SentUpdate[];
 	readonly tick: (afterMs: number) => void;
 } {
 	const sent: SentDigest[] = [];
-	const updates: SentUpdate[] = [];
 	let now = 1000;
 	const fleet = new gateway.placement.FleetState();
 	const controller = new gateway.controllers.LoadController({
@@ -38,9 +31,6 @@
 			send(digest, addresses) {
 				sent.push({digest, addresses});
 			},
-			sendUpdate(update, addresses) {
-				updates.push({update, addresses});
-			},
 		},
 		clock: {monotonicNow: () => now, suspendAwareNow: () => now, wallNow: () => now},
 	});
@@ -50,7 +40,7 @@
 	};
 
 	return {
-		controller, fleet, sent, updates, tick,
+		controller, fleet, sent, tick,
 	};
 }
 
@@ -145,60 +135,6 @@
 		expect(['a', 'b', 'c'].map(endpoint => fleet.parts.isCached('n/p', endpoint, 1000))).to.deep.equal([true, true, false]);
 	});
 
-	it('tells all VMs of a large fleet at once of large requests, in one update for each endpoint with its latest load', async () => {
-		const {controller, fleet, sent, updates} = createController(65);
-		const observe = (endpoint: string): void => {
-			controller.publishObservations([{type: core.fleet.CacheObservationType.Sent, key: 'n/p', endpoint}]);
-		};
-
-		fleet.loads.addRequest('a', 'r1', 17_000);
-		observe('a');
-		observe('a');
-		fleet.loads.addRequest('a', 'r2', 300);
-		observe('b');
-		await sleep(50);
-		expect(sent).to.deep.equal([]);
-		expect(updates.map(({addresses}) => new Set(addresses).size)).to.deep.equal([65, 65]);
-		expect(updates.map(({update: {load, cacheObservations}}) => [load.endpoint, load.active, load.prefillTokens, cacheObservations.length])).to.deep.equal([['a', 2, 17_300, 2], ['b', 0, 0, 1]]);
-		expect(updates[1]!.update.sequence).to.be.greaterThan(updates[0]!.update.sequence);
-		controller.stop();
-	});
-
-	it('tells 96 VMs of a larger fleet at once, in turn', async () => {
-		const {controller, updates} = createController(419);
-		for (let count = 0; count < 5; count++) {
-			controller.publishObservations([{type: core.fleet.CacheObservationType.Sent, key: 'n/p', endpoint: 'a'}]);
-			await sleep(20); // eslint-disable-line no-await-in-loop -- One update after the other.
-		}
-
-		expect(updates.map(({addresses}) => addresses.length)).to.deep.equal([96, 96, 96, 96, 96]);
-		expect(new Set(updates.flatMap(({addresses}) => addresses)).size).to.equal(419);
-		controller.stop();
-	});
-
-	it('tells a small fleet in digests, and of the cache store all VMs', async () => {
-		for (const [peers, endpoint] of [[6, 'a'], [65, '']] as const) {
-			const {controller, sent, updates} = createController(peers);
-			controller.publishObservations([{type: core.fleet.CacheObservationType.Stored, key: 'n/p', endpoint}]);
-			await sleep(50); // eslint-disable-line no-await-in-loop -- One fleet after the other.
-			expect(sent.map(({addresses}) => addresses.length), `${peers} peers`).to.deep.equal([peers]);
-			expect(updates).to.deep.equal([]);
-			controller.stop();
-		}
-	});
-
-	it('applies updates of other VMs', () => {
-		const {controller, fleet} = createController(65);
-		controller.applyUpdate({
-			vm: 'other',
-			sequence: 5,
-			load: {endpoint: 'a', active: 2, prefillTokens: 17_000},
-			cacheObservations: [{type: core.fleet.CacheObservationType.Sent, key: 'n/p', endpoint: 'a'}],
-		});
-		expect(fleet.peers.countPrefillTokens('a', 1000)).to.equal(17_000);
-		expect(fleet.parts.isCached('n/p', 'a', 1000)).to.equal(true);
-	});
-
 	it('sends nothing after it was stopped, but still applies observations', async () => {
 		const {controller, fleet, sent, tick} = createController(2);
 		fleet.loads.addRequest('a', 'r1', 500);
--- a/packages/gateway/tests/peers/peer-exchange.test.ts
+++ b/packages/gateway/tests/peers/peer-exchange.test.ts
@@ -9,7 +9,6 @@
 		listen: {host, port},
 		log: {write: () => undefined},
 		onDigest: () => undefined,
-		onUpdate: () => undefined,
 		onQuotaMessage: () => undefined,
 	});
 }
