--- a/packages/core/src/quota/quota-agent.ts
+++ b/packages/core/src/quota/quota-agent.ts
@@ -1,48 +1,10 @@
 import * as peerResponses from './peer-responses.js';
+import * as pendingAsks from './pending-asks.js';
+import * as quotaAgentOptions from './quota-agent-options.js';
 import * as quotaBuckets from './quota-buckets.js';
 import * as quotaMessage from './quota-message.js';
 import * as quotaPartitions from './quota-partitions.js';
 import * as shareLoans from './share-loans.js';
-import type * as quota from './quota.js';
-
-/** Times of the traffic between VMs and keepers, in milliseconds. */
-export type QuotaTimes = {
-	/** Interval at which a loan is renewed. */
-	readonly minRenewalMs: number;
-	/** The same for each VM of the fleet, so that a keeper gets a bounded number of renewals a second. */
-	readonly renewalMsPerVm: number;
-	/** Duration of a loan, relative to the interval of its renewals. */
-	readonly loanFactor: number;
-	/** Time without a reply after which a call is sent again. */
-	readonly resendMs: number;
-	/** Time after which an ask has failed. */
-	readonly askTimeoutMs: number;
-	/** Time for which a VM lends nothing after the others began to count it; one that was listed before its start waits only for the end of its earlier loans. */
-	readonly startDelayMs: number;
-	/** Interval of the calls to a suspected VM. */
-	readonly probeMs: number;
-};
-
-/** Two lost renewals end no loan. */
-export const defaultQuotaTimes: QuotaTimes = {
-	minRenewalMs: 400, renewalMsPerVm: 5, loanFactor: 2.75, resendMs: 100, askTimeoutMs: 600, startDelayMs: 2000, probeMs: 1000,
-};
-
-/** Options of {@link QuotaAgent}. */
-export type QuotaAgentOptions = {
-	readonly vm: string;
-	/** Identifies this process among all that run on the VM. */
-	readonly incarnation: string;
-	/** When the process started. */
-	readonly startedAt: number;
-	readonly bounds: quota.QuotaBounds;
-	readonly findQuota: (account: string) => quota.AccountQuota | undefined;
-	/** Whether accounts without a known quota are admitted: the configuration of this VM is recent. */
-	readonly admitsUnknown: () => boolean;
-	/** Called when a VM is suspected to be unreachable, and when it responds again. */
-	readonly onPeerChange?: (vm: string, isResponsive: boolean) => void;
-	readonly times?: QuotaTimes;
-};
 
 /** A message that is to be sent. */
 export type OutgoingCall = {
@@ -66,21 +28,11 @@
 	readonly askedAt: number;
 };
 
-type Ask = quotaMessage.QuotaAsk & {
-	readonly partition: number;
-	readonly askedAt: number;
-	sentTo: string;
-	sentAt: number;
-	isDecided: boolean;
-};
-
 type Outgoing = {
-	readonly asks: Ask[];
+	readonly asks: pendingAsks.PendingAsk[];
 	readonly returned: quotaMessage.ReturnedUnits[];
 };
 
-/** Time for which decided asks are kept, so that a second grant is given back, in milliseconds. */
-const decidedLifetimeMs = 3000;
 /** Units that are given back in one call, so that it fits into one packet. */
 const maxReturnedPerCall = 32;
 /** Asks in one call, for the same reason. */
@@ -97,11 +49,11 @@
  * keeps the accounts whose shares others lend to it. Times are in milliseconds of a clock that includes suspensions of the VM.
  */
 export class QuotaAgent {
-	readonly #times: QuotaTimes;
+	readonly #times: quotaAgentOptions.QuotaTimes;
 	readonly #buckets: quotaBuckets.QuotaBuckets;
 	readonly #loans = new shareLoans.ShareLoans();
 	readonly #peers = new peerResponses.PeerResponses();
-	readonly #asks = new Map<number, Ask>();
+	readonly #asks: pendingAsks.PendingAsks;
 	readonly #outgoing = new Map<string, Outgoing>();
 	#members: ReadonlySet<string> = new Set();
 	#vms: readonly string[] = [];
@@ -110,13 +62,13 @@
 	#listedSince: number | undefined;
 	/** Whether the first list of VMs named this one; absent before it is known. */
 	#wasListedAtStart: boolean | undefined;
-	#lastAskId = 0;
 	/** When the shutdown began; absent before. */
 	#closingSince: number | undefined;
 
-	constructor(private readonly options: QuotaAgentOptions) {
-		this.#times = options.times ?? defaultQuotaTimes;
+	constructor(private readonly options: quotaAgentOptions.QuotaAgentOptions) {
+		this.#times = options.times ?? quotaAgentOptions.defaultQuotaTimes;
 		this.#buckets = new quotaBuckets.QuotaBuckets(options.bounds, options.startedAt);
+		this.#asks = new pendingAsks.PendingAsks(this.#times);
 	}
 
 	/** Whether messages wait to be sent. */
@@ -151,22 +103,18 @@
 
 	/** Asks for the units of one attempt. @returns The decision, or the id of an ask that is decided later. */
 	ask(account: string, units: number, now: number): DecidedAsk | number {
-		this.#lastAskId += 1;
 		const partition = quotaPartitions.getPartition(account);
 		const keeper = this.#findTarget(partition, now);
-		const ask: Ask = {
-			id: this.#lastAskId, account, units, partition, askedAt: now, sentTo: keeper, sentAt: now, isDecided: false,
-		};
+		const ask = this.#asks.create({account, units, partition}, keeper, now);
 		if (keeper === this.options.vm) {
 			const decision = this.#decide(ask, now);
 			if (!isPending(decision)) {
-				return this.#createDecided(ask, decision, keeper);
+				return this.#settle(ask, decision, keeper);
 			}
 		} else {
 			this.#getOutgoing(keeper).asks.push(ask);
 		}
 
-		this.#asks.set(ask.id, ask);
 		return ask.id;
 	}
 
@@ -234,11 +182,10 @@
 		const decided: DecidedAsk[] = [];
 		for (const {id, decision} of reply.decisions) {
 			const ask = this.#asks.get(id);
-			if (ask?.isDecided && decision.outcome === quotaMessage.QuotaOutcome.Granted) {
+			if (ask?.isDecided === true && decision.outcome === quotaMessage.QuotaOutcome.Granted) {
 				this.giveBack(ask.account, ask.units, now);
 			} else if (ask !== undefined && !ask.isDecided && !isPending(decision)) {
-				ask.isDecided = true;
-				decided.push(this.#createDecided(ask, decision, reply.vm));
+				decided.push(this.#settle(ask, decision, reply.vm));
 			}
 		}
 
@@ -373,7 +320,7 @@
 			: this.#activePartitions.filter(partition => this.#chooseKeeper(partition) === keeper && this.#loans.mayLend(partition, keeper, now));
 	}
 
-	#createCall(to: string, asks: readonly Ask[], returned: readonly quotaMessage.ReturnedUnits[], now: number): OutgoingCall {
+	#createCall(to: string, asks: readonly pendingAsks.PendingAsk[], returned: readonly quotaMessage.ReturnedUnits[], now: number): OutgoingCall {
 		const clock = this.#peers.getClock(to);
 		const isRecent = clock !== undefined && now - clock.receivedAt < this.#loanMs * maxReadingAge;
 		const partitions = isRecent && this.#peers.isResponsive(to) ? this.#listPartitionsToLend(to, now) : [];
@@ -442,29 +389,19 @@
 
 		this.#loans.endLoans(vm);
 		this.#lendShares(now);
-		for (const ask of this.#asks.values()) {
-			if (!ask.isDecided && ask.sentTo === vm) {
-				this.#sendAgain(ask, now);
-			}
+		for (const ask of this.#asks.listSentTo(vm)) {
+			this.#sendAgain(ask, now);
 		}
 	}
 
 	#updateAsks(now: number): DecidedAsk[] {
-		const decided: DecidedAsk[] = [];
-		for (const [id, ask] of this.#asks) {
-			if (ask.isDecided) {
-				if (now - ask.askedAt >= decidedLifetimeMs) {
-					this.#asks.delete(id);
-				}
-			} else if (now - ask.askedAt >= this.#times.askTimeoutMs) {
-				ask.isDecided = true;
-				decided.push(this.#createDecided(ask, this.#decideAlone(ask, now), this.options.vm));
-			} else if (now - ask.sentAt >= this.#times.resendMs) {
-				const decision = this.#sendAgain(ask, now);
-				if (decision !== undefined) {
-					ask.isDecided = true;
-					decided.push(this.#createDecided(ask, decision, this.options.vm));
-				}
+		this.#asks.removeDecided(now);
+		const {expired, unanswered} = this.#asks.listDue(now);
+		const decided = expired.map(ask => this.#settle(ask, this.#decideAlone(ask, now), this.options.vm));
+		for (const ask of unanswered) {
+			const decision = this.#sendAgain(ask, now);
+			if (decision !== undefined) {
+				decided.push(this.#settle(ask, decision, this.options.vm));
 			}
 		}
 
@@ -472,7 +409,7 @@
 	}
 
 	/** Sends an ask to the VM that keeps its account now. @returns The decision if that is this VM and can decide it. */
-	#sendAgain(ask: Ask, now: number): quotaMessage.QuotaDecision | undefined {
+	#sendAgain(ask: pendingAsks.PendingAsk, now: number): quotaMessage.QuotaDecision | undefined {
 		ask.sentTo = this.#findTarget(ask.partition, now);
 		ask.sentAt = now;
 		if (ask.sentTo === this.options.vm) {
@@ -485,7 +422,7 @@
 	}
 
 	/** Decides an ask that no keeper has decided, by what this VM holds. */
-	#decideAlone(ask: Ask, now: number): quotaMessage.QuotaDecision {
+	#decideAlone(ask: pendingAsks.PendingAsk, now: number): quotaMessage.QuotaDecision {
 		if (this.#buckets.getHeldShare(ask.partition, now) === 0) {
 			return createUnavailable(this.#times.askTimeoutMs);
 		}
@@ -493,7 +430,9 @@
 		return this.#decide(ask, now);
 	}
 
-	#createDecided({id, askedAt}: Ask, decision: quotaMessage.QuotaDecision, keeper: string): DecidedAsk {
+	#settle(ask: pendingAsks.PendingAsk, decision: quotaMessage.QuotaDecision, keeper: string): DecidedAsk {
+		ask.isDecided = true;
+		const {id, askedAt} = ask;
 		return {
 			id, decision, keeper, askedAt,
 		};
