--- a/packages/core/src/quota/quota-agent.ts
+++ b/packages/core/src/quota/quota-agent.ts
@@ -2,6 +2,7 @@
 import * as pendingAsks from './pending-asks.js';
 import * as quotaAgentOptions from './quota-agent-options.js';
 import * as quotaBuckets from './quota-buckets.js';
+import * as quotaMembers from './quota-members.js';
 import * as quotaMessage from './quota-message.js';
 import * as quotaPartitions from './quota-partitions.js';
 import * as shareLoans from './share-loans.js';
@@ -54,14 +55,9 @@
 	readonly #loans = new shareLoans.ShareLoans();
 	readonly #peers = new peerResponses.PeerResponses();
 	readonly #asks: pendingAsks.PendingAsks;
+	readonly #members: quotaMembers.QuotaMembers;
 	readonly #outgoing = new Map<string, Outgoing>();
-	#members: ReadonlySet<string> = new Set();
-	#vms: readonly string[] = [];
-	#ranks: ReadonlyArray<readonly string[]> = quotaPartitions.rankKeepers([]);
 	#activePartitions: readonly number[] = [];
-	#listedSince: number | undefined;
-	/** Whether the first list of VMs named this one; absent before it is known. */
-	#wasListedAtStart: boolean | undefined;
 	/** When the shutdown began; absent before. */
 	#closingSince: number | undefined;
 
@@ -69,6 +65,7 @@
 		this.#times = options.times ?? quotaAgentOptions.defaultQuotaTimes;
 		this.#buckets = new quotaBuckets.QuotaBuckets(options.bounds, options.startedAt);
 		this.#asks = new pendingAsks.PendingAsks(this.#times);
+		this.#members = new quotaMembers.QuotaMembers(options, this.#times);
 	}
 
 	/** Whether messages wait to be sent. */
@@ -78,22 +75,9 @@
 
 	/** Sets the VMs that share the quotas, which include this one once the others count it. */
 	setVms(vms: readonly string[], now: number): void {
-		if (vms === this.#vms) {
-			return;
-		}
-
-		this.#vms = vms;
-		this.#members = new Set(vms);
-		this.#ranks = quotaPartitions.rankKeepers(this.#members.has(this.options.vm) ? vms : [...vms, this.options.vm]);
-		this.#peers.retain(this.#members);
-		if (!this.#members.has(this.options.vm)) {
-			this.#listedSince = undefined;
-			this.#wasListedAtStart ??= vms.length === 0 ? undefined : false;
-			return;
+		if (this.#members.set(vms, now)) {
+			this.#peers.retain(this.#members.names);
 		}
-
-		this.#listedSince ??= now;
-		this.#wasListedAtStart ??= true;
 	}
 
 	/** Sets the accounts with a quota. */
@@ -149,7 +133,7 @@
 			return this.#createReply([], now);
 		}
 
-		if (call.loan !== undefined && call.basedOn?.incarnation === incarnation && this.#members.has(call.vm)) {
+		if (call.loan !== undefined && call.basedOn?.incarnation === incarnation && this.#members.names.has(call.vm)) {
 			const {partitions, share, durationMs} = call.loan;
 			for (const partition of partitions) {
 				this.#buckets.setLoan(partition, call.vm, {share, until: call.basedOn.at + durationMs}, now);
@@ -231,28 +215,10 @@
 		return this.#closingSince !== undefined;
 	}
 
-	get #renewalMs(): number {
-		return Math.max(this.#times.minRenewalMs, this.#vms.length * this.#times.renewalMsPerVm);
-	}
-
-	get #loanMs(): number {
-		return this.#renewalMs * this.#times.loanFactor;
-	}
-
-	/** Returns this VM's share; 0 while others may not count it yet. */
-	#computeShare(now: number): number {
-		if (this.#listedSince === undefined) {
-			return 0;
-		}
-
-		const countedAt = this.#wasListedAtStart ? this.options.startedAt + this.#loanMs : this.#listedSince + this.#times.startDelayMs;
-		return now >= countedAt ? 1 / this.#vms.length : 0;
-	}
-
 	/** Returns the first VM of a partition's order that responds; this VM if no other does. */
 	#chooseKeeper(partition: number): string {
 		const {vm} = this.options;
-		return this.#ranks[partition]!.find(candidate => candidate === vm ? !this.#isClosing : this.#peers.isResponsive(candidate)) ?? vm;
+		return this.#members.listKeepers(partition).find(candidate => candidate === vm ? !this.#isClosing : this.#peers.isResponsive(candidate)) ?? vm;
 	}
 
 	/** Returns the VM that holds this VM's share, or the one that is to hold it. */
@@ -276,7 +242,7 @@
 	/** Lends to itself what this VM keeps, and queues calls to the keepers whose loans are due. */
 	#lendShares(now: number): void {
 		const {vm} = this.options;
-		const share = this.#computeShare(now);
+		const share = this.#members.computeShare(now);
 		if (share === 0) {
 			return;
 		}
@@ -289,7 +255,7 @@
 				this.#endOwnLoan(partition, now);
 				const unansweredAt = this.#peers.getUnansweredAt(keeper);
 				const lastAt = unansweredAt ?? this.#loans.getSentAt(partition, keeper);
-				const intervalMs = unansweredAt === undefined ? this.#renewalMs : this.#times.resendMs;
+				const intervalMs = unansweredAt === undefined ? this.#members.renewalMs : this.#times.resendMs;
 				if (this.#loans.mayLend(partition, keeper, now) && now - lastAt >= intervalMs) {
 					this.#getOutgoing(keeper);
 				}
@@ -300,7 +266,7 @@
 	#lendToItself(partition: number, share: number, now: number): void {
 		const {vm} = this.options;
 		if (this.#loans.mayLend(partition, vm, now)) {
-			const until = now + this.#loanMs;
+			const until = now + this.#members.loanMs;
 			this.#loans.lend(partition, vm, until, now);
 			this.#buckets.setLoan(partition, vm, {share, until}, now);
 		}
@@ -315,17 +281,17 @@
 	}
 
 	#listPartitionsToLend(keeper: string, now: number): number[] {
-		return this.#computeShare(now) === 0
+		return this.#members.computeShare(now) === 0
 			? []
 			: this.#activePartitions.filter(partition => this.#chooseKeeper(partition) === keeper && this.#loans.mayLend(partition, keeper, now));
 	}
 
 	#createCall(to: string, asks: readonly pendingAsks.PendingAsk[], returned: readonly quotaMessage.ReturnedUnits[], now: number): OutgoingCall {
 		const clock = this.#peers.getClock(to);
-		const isRecent = clock !== undefined && now - clock.receivedAt < this.#loanMs * maxReadingAge;
+		const isRecent = clock !== undefined && now - clock.receivedAt < this.#members.loanMs * maxReadingAge;
 		const partitions = isRecent && this.#peers.isResponsive(to) ? this.#listPartitionsToLend(to, now) : [];
 		for (const partition of partitions) {
-			this.#loans.lend(partition, to, clock!.receivedAt + this.#loanMs, now);
+			this.#loans.lend(partition, to, clock!.receivedAt + this.#members.loanMs, now);
 		}
 
 		if (this.#peers.recordCall(to, now)) {
@@ -337,7 +303,7 @@
 			call: {
 				vm: this.options.vm,
 				...(clock && {basedOn: clock.reading}),
-				...(partitions.length > 0 && {loan: {partitions, share: this.#computeShare(now), durationMs: this.#loanMs}}),
+				...(partitions.length > 0 && {loan: {partitions, share: this.#members.computeShare(now), durationMs: this.#members.loanMs}}),
 				asks: asks.map(({id, account, units}) => ({id, account, units})),
 				returned,
 			},
