--- a/packages/stand-ins/src/check/platform/check-platform.ts
+++ b/packages/stand-ins/src/check/platform/check-platform.ts
@@ -8,6 +8,7 @@
 import * as lossCheck from './loss-check.js';
 import * as passedDeadlineCheck from './passed-deadline-check.js';
 import type * as records from './platform-records.js';
+import * as quotaCheck from './quota-check.js';
 import * as retryCheck from './retry-check.js';
 import * as rolloutCheck from './rollout-check.js';
 import * as serviceCheck from './service-check.js';
@@ -27,6 +28,7 @@
 	endCheck.checkDeadlines,
 	goneCheck.checkGone,
 	retryCheck.checkRetryBudget,
+	quotaCheck.checkQuotas,
 	lossCheck.checkPlannedStops,
 	lossCheck.checkLostResponses,
 	lossCheck.checkChangeLosses,
--- a/packages/stand-ins/src/check/platform/platform-records.ts
+++ b/packages/stand-ins/src/check/platform/platform-records.ts
@@ -225,6 +225,15 @@
 	readonly retryRatio: number;
 	readonly retrySlack: number;
 	readonly retryWindowMs: number;
+	/** Quota of each client account, in requests, with its tolerance; absent without quotas. */
+	readonly quota?: {
+		readonly requestsPerSecond: number;
+		readonly burst: number;
+		readonly windowMs: number;
+		readonly overshoot: number;
+		/** Requests. */
+		readonly slack: number;
+	};
 };
 
 /** All that clients, servers and the operator saw of a run. */
--- a/packages/stand-ins/src/soak/platform/gateway-settings.ts
+++ b/packages/stand-ins/src/soak/platform/gateway-settings.ts
@@ -1,5 +1,6 @@
 /* eslint-disable @typescript-eslint/naming-convention -- Field names of the platform. */
 import type * as check from '../../check/index.js';
+import * as platformConfig from './platform-config.js';
 
 /** Addresses of a gateway process on its machine. */
 export type GatewayAddresses = {
@@ -29,6 +30,9 @@
 		retryRatio: 0.2,
 		retrySlack: 54,
 		retryWindowMs: 10_000,
+		quota: {
+			...platformConfig.accountQuota, windowMs: 8000, overshoot: 0.1, slack: 20,
+		},
 	};
 }
 
@@ -63,6 +67,11 @@
 		'bounds.budget_ratio': bounds.retryRatio,
 		'bounds.budget_slack': bounds.retrySlack,
 		'bounds.budget_window_s': bounds.retryWindowMs / millisecondsPerSecond,
+		...(bounds.quota && {
+			'bounds.quota_window_s': bounds.quota.windowMs / millisecondsPerSecond,
+			'bounds.quota_overshoot': bounds.quota.overshoot,
+			'bounds.quota_slack': bounds.quota.slack,
+		}),
 		'bounds.grace_s': bounds.graceMs / millisecondsPerSecond,
 		'bounds.drain_ms': bounds.drainMs,
 		'bounds.loss_slack_ms': bounds.lossSlackMs,
--- a/packages/stand-ins/src/soak/platform/platform-config.ts
+++ b/packages/stand-ins/src/soak/platform/platform-config.ts
@@ -23,6 +23,8 @@
 export const models = services.flatMap(({model}) => model === undefined ? [] : [model]);
 
 export const hostName = 'soak.example';
+/** Quota of each client account, in requests: about what clients ask without a burst. */
+export const accountQuota = {requestsPerSecond: 12, burst: 12};
 const streamTimeoutMs = 8000;
 const plainTimeoutMs = 3000;
 
@@ -79,7 +81,9 @@
 		limits: {
 			header_bytes: 16_384, body_bytes: 100_000, header_timeout_ms: 3000, idle_timeout_ms: idleTimeoutMs,
 		},
-		tenants: Object.entries(accounts).map(([key, name]) => ({name, keys: [key], isolated: false})),
+		tenants: Object.entries(accounts).map(([key, name]) => ({
+			name, keys: [key], isolated: false, unit: 'requests', requests_per_s: accountQuota.requestsPerSecond, burst: accountQuota.burst,
+		})),
 	};
 }
 
--- a/packages/stand-ins/tests/check/platform/check-platform.test.ts
+++ b/packages/stand-ins/tests/check/platform/check-platform.test.ts
@@ -107,6 +107,25 @@
 	};
 }
 
+/** Creates requests of one account that are executed at intervals, of which a quota allows 31 in 8 s. */
+function withQuota(count: number, intervalMs: number): Partial<PlatformRecord> {
+	const ids = Array.from({length: count}, (_, index) => `q-${index}`);
+	return {
+		bounds: {
+			...bounds, quota: {
+				requestsPerSecond: 2, burst: 10, windowMs: 8 * second, overshoot: 0.1, slack: 3,
+			},
+		},
+		exchanges: ids.map(requestId => ({
+			...plainExchange, requestId, path: `/book/${requestId}`, respondedId: requestId, responseBody: JSON.stringify({server: 'plain-0', requestId}),
+		})),
+		executions: ids.map((requestId, index) => ({
+			...plainExecution, requestId, path: `/book/${requestId}`, arrivedAt: sentAt + (index * intervalMs),
+		})),
+		starts: [],
+	};
+}
+
 const refused = {status: 503, signature: undefined, responseBody: ''};
 const denied = {status: 404, signature: undefined, responseBody: ''};
 const newerConfig = {...config, version: 2, acknowledgedAt: sentAt - (3 * second)};
@@ -792,6 +811,9 @@
 		},
 		finding: 'only 0 of 60 requests were served after the last fault',
 	},
+	{name: 'as many requests of an account as its quota allows', changes: withQuota(31, 10)},
+	{name: 'more requests of an account, over a longer time', changes: withQuota(60, 260)},
+	{name: 'more requests of an account than its quota allows', changes: withQuota(32, 10), finding: 'account-1: 32 requests were executed in 8000 ms, 31 are allowed'},
 ];
 
 describe('checkPlatform', () => {
