Quotas: four partitions in fleets of up to 100 VMs, loans renewed each 600 ms

Change: four keepers where few can answer for all accounts, 16 above 100 VMs; ids of both differ, so that VMs that count different numbers of members never take one for the other, and an account's bucket starts anew when its partition changes. At a planned stop the buckets are handed over after 25 ms in place of 100: with the new hash one large request fell into that gap.

--- a/packages/core/src/quota/quota-agent-options.ts
+++ b/packages/core/src/quota/quota-agent-options.ts
@@ -20,7 +20,7 @@
 
 /** Two lost renewals end no loan. */
 export const defaultQuotaTimes: QuotaTimes = {
-	minRenewalMs: 400, renewalMsPerVm: 5, loanFactor: 2.75, resendMs: 100, askTimeoutMs: 600, startDelayMs: 2000, probeMs: 1000,
+	minRenewalMs: 600, renewalMsPerVm: 5, loanFactor: 2.5, resendMs: 100, askTimeoutMs: 600, startDelayMs: 2000, probeMs: 1000,
 };
 
 /** Options of a `QuotaAgent`. */
--- a/packages/core/src/quota/quota-agent.ts
+++ b/packages/core/src/quota/quota-agent.ts
@@ -41,7 +41,7 @@
 /** Share below which a keeper's refusal is not final while the ask has time left: VMs are about to lend it more after the end of another keeper. */
 const minDecidingShare = 0.25;
 /** Time after the start of a shutdown in which the shares of the other VMs reach other keepers, in milliseconds. */
-const handoverDelayMs = 100;
+const handoverDelayMs = 25;
 /** A loan is based on a clock reading that is younger than this part of its duration. */
 const maxReadingAge = 0.5;
 
@@ -57,6 +57,7 @@
 	readonly #asks: pendingAsks.PendingAsks;
 	readonly #members: quotaMembers.QuotaMembers;
 	readonly #outgoing = new Map<string, Outgoing>();
+	#accounts: readonly string[] = [];
 	#activePartitions: readonly number[] = [];
 	/** When the shutdown began; absent before. */
 	#closingSince: number | undefined;
@@ -77,17 +78,19 @@
 	setVms(vms: readonly string[], now: number): void {
 		if (this.#members.set(vms, now)) {
 			this.#peers.retain(this.#members.names);
+			this.#updatePartitions();
 		}
 	}
 
 	/** Sets the accounts with a quota. */
 	setAccounts(accounts: readonly string[]): void {
-		this.#activePartitions = [...new Set(accounts.map(account => quotaPartitions.getPartition(account)))];
+		this.#accounts = accounts;
+		this.#updatePartitions();
 	}
 
 	/** Asks for the units of one attempt. @returns The decision, or the id of an ask that is decided later. */
 	ask(account: string, units: number, now: number): DecidedAsk | number {
-		const partition = quotaPartitions.getPartition(account);
+		const partition = this.#getPartition(account);
 		const keeper = this.#findTarget(partition, now);
 		const ask = this.#asks.create({account, units, partition}, keeper, now);
 		if (keeper === this.options.vm) {
@@ -104,7 +107,7 @@
 
 	/** Gives units back that were granted and provably not used. */
 	giveBack(account: string, units: number, now: number): void {
-		const partition = quotaPartitions.getPartition(account);
+		const partition = this.#getPartition(account);
 		const keeper = this.#findTarget(partition, now);
 		if (keeper === this.options.vm) {
 			this.#applyReturned({account, units}, now);
@@ -187,7 +190,7 @@
 			this.#handOver(now);
 		}
 
-		this.#buckets.removeIdle(account => quotaPartitions.getPartition(account), this.options.findQuota, now);
+		this.#buckets.removeIdle(account => this.#getPartition(account), this.options.findQuota, now);
 		return this.#updateAsks(now);
 	}
 
@@ -215,6 +218,14 @@
 		return this.#closingSince !== undefined;
 	}
 
+	#getPartition(account: string): number {
+		return quotaPartitions.getPartition(account, this.#members.count);
+	}
+
+	#updatePartitions(): void {
+		this.#activePartitions = [...new Set(this.#accounts.map(account => this.#getPartition(account)))];
+	}
+
 	/** Returns the first VM of a partition's order that responds; this VM if no other does. */
 	#chooseKeeper(partition: number): string {
 		const {vm} = this.options;
@@ -313,7 +324,7 @@
 	#decide({account, units}: Pick<quotaMessage.QuotaAsk, 'account' | 'units'>, now: number): quotaMessage.QuotaDecision {
 		const limits = this.options.findQuota(account);
 		if (limits !== undefined) {
-			return this.#buckets.take({account, partition: quotaPartitions.getPartition(account), units}, limits, now);
+			return this.#buckets.take({account, partition: this.#getPartition(account), units}, limits, now);
 		}
 
 		return this.options.admitsUnknown()
@@ -326,7 +337,7 @@
 	#applyReturned({account, units}: quotaMessage.ReturnedUnits, now: number): void {
 		const limits = this.options.findQuota(account);
 		if (limits !== undefined) {
-			this.#buckets.giveBack({account, partition: quotaPartitions.getPartition(account), units}, limits, now);
+			this.#buckets.giveBack({account, partition: this.#getPartition(account), units}, limits, now);
 		}
 	}
 
--- a/packages/core/src/quota/quota-buckets.ts
+++ b/packages/core/src/quota/quota-buckets.ts
@@ -22,6 +22,7 @@
 type AccountUnits = quotaMessage.ReturnedUnits & {readonly partition: number};
 
 type Bucket = {
+	readonly partition: number;
 	units: number;
 	/** {@link HeldShares.accruedMs} at the last refill. */
 	accruedMs: number;
@@ -124,7 +125,7 @@
 	/** Takes the units of an attempt from the bucket of an account, or returns when they would fit. */
 	take({account, partition, units}: AccountUnits, limits: quota.AccountQuota, now: number): quotaMessage.QuotaDecision {
 		const held = this.#update(partition, now);
-		const bucket = this.#fill(account, held, limits);
+		const bucket = this.#fill({account, partition}, held, limits);
 		bucket.grantedPerSecond *= Math.exp((bucket.usedAt - now) / usageMs);
 		bucket.usedAt = now;
 		const state = {heldShare: held.total, availableUnits: bucket.units, usage: bucket.grantedPerSecond / limits.unitsPerSecond};
@@ -145,7 +146,7 @@
 	/** Returns units that were taken and provably not used. */
 	giveBack({account, partition, units}: AccountUnits, limits: quota.AccountQuota, now: number): void {
 		const held = this.#update(partition, now);
-		const bucket = this.#fill(account, held, limits);
+		const bucket = this.#fill({account, partition}, held, limits);
 		bucket.units = Math.min(this.#getCapacity(limits) * held.total, bucket.units + units);
 	}
 
@@ -157,8 +158,9 @@
 
 		for (const [account, {bookedUntil, usedAt}] of this.#buckets) {
 			const limits = findQuota(account);
-			const held = this.#update(partitionOf(account), now);
-			const isFull = limits !== undefined && this.#fill(account, held, limits).units >= this.#getCapacity(limits) * held.total;
+			const partition = partitionOf(account);
+			const held = this.#update(partition, now);
+			const isFull = limits !== undefined && this.#fill({account, partition}, held, limits).units >= this.#getCapacity(limits) * held.total;
 			if (now - usedAt > this.bounds.windowMs && bookedUntil <= now && (limits === undefined || isFull)) {
 				this.#buckets.delete(account);
 			}
@@ -176,12 +178,9 @@
 		return Math.max(minRetryMs, bucket.bookedUntil - now);
 	}
 
-	#fill(account: string, held: HeldShares, limits: quota.AccountQuota): Bucket {
-		// An account without a bucket has used nothing of what has accrued here.
-		const startUnits = held.updatedAt - this.startedAt < this.options.startMs ? this.bounds.slack * this.options.startShare * held.total : 0;
-		const bucket = this.#buckets.get(account) ?? {
-			units: startUnits, accruedMs: 0, bookedUntil: -Infinity, usedAt: held.updatedAt, grantedPerSecond: 0,
-		};
+	#fill({account, partition}: Pick<AccountUnits, 'account' | 'partition'>, held: HeldShares, limits: quota.AccountQuota): Bucket {
+		const known = this.#buckets.get(account);
+		const bucket = known?.partition === partition ? known : this.#createBucket(partition, held, known === undefined);
 		const accrued = limits.unitsPerSecond * (held.accruedMs - bucket.accruedMs) / msPerSecond;
 		bucket.units = Math.min(this.#getCapacity(limits) * held.total, bucket.units + accrued);
 		bucket.accruedMs = held.accruedMs;
@@ -189,6 +188,19 @@
 		return bucket;
 	}
 
+	/** @param isNew - Whether the account has had no bucket here, so that it has used nothing of what has accrued; it may have had one in another partition. */
+	#createBucket(partition: number, held: HeldShares, isNew: boolean): Bucket {
+		const isStarting = held.updatedAt - this.startedAt < this.options.startMs;
+		return {
+			partition,
+			units: isNew && isStarting ? this.bounds.slack * this.options.startShare * held.total : 0,
+			accruedMs: isNew ? 0 : held.accruedMs,
+			bookedUntil: -Infinity,
+			usedAt: held.updatedAt,
+			grantedPerSecond: 0,
+		};
+	}
+
 	/** Adds what has accrued since the last update; drops loans that have ended. */
 	#update(partition: number, now: number): HeldShares {
 		let held = this.#held.get(partition);
--- a/packages/core/src/quota/quota-members.ts
+++ b/packages/core/src/quota/quota-members.ts
@@ -18,6 +18,11 @@
 		return this.#names;
 	}
 
+	/** Number of VMs that can be keepers. */
+	get count(): number {
+		return Math.max(1, this.#vms.length);
+	}
+
 	/** Interval at which loans are renewed, in milliseconds. */
 	get renewalMs(): number {
 		return Math.max(this.times.minRenewalMs, this.#vms.length * this.times.renewalMsPerVm);
@@ -38,15 +43,15 @@
 		this.#vms = vms;
 		this.#names = new Set(vms);
 		const isListed = this.#names.has(vm);
-		this.#ranks = quotaPartitions.rankKeepers(isListed ? vms : [...vms, vm]);
+		this.#ranks = quotaPartitions.rankKeepers(vms);
 		this.#listedSince = isListed ? this.#listedSince ?? now : undefined;
 		this.#wasListedAtStart ??= isListed || vms.length > 0 ? isListed : undefined;
 		return true;
 	}
 
-	/** Returns the VMs in the order in which they keep a partition; this one may be missing before the first list. */
+	/** Returns the listed VMs in the order in which they keep a partition. */
 	listKeepers(partition: number): readonly string[] {
-		return this.#ranks[partition]!;
+		return this.#ranks.get(partition) ?? [];
 	}
 
 	/** Returns this VM's share of each quota; 0 while others may not count it yet, or loans of an earlier process of this VM may last. */
--- a/packages/core/tests/quota/quota-agent.test.ts
+++ b/packages/core/tests/quota/quota-agent.test.ts
@@ -4,12 +4,12 @@
 const {expect} = chai;
 const bounds = {windowMs: 8000, overshoot: 0.1, slack: 0};
 const account = 'club';
-const partition = core.quota.getPartition(account);
+const partition = core.quota.getPartition(account, 2);
 const limits: core.quota.AccountQuota = {
 	unit: core.quota.QuotaUnit.Tokens, unitsPerSecond: 1000, burst: 1000, defaultTokens: 1,
 };
 const vms = ['vm-1', 'vm-2'];
-const keeper = core.quota.rankKeepers(vms)[partition]![0]!;
+const keeper = core.quota.rankKeepers(vms).get(partition)![0]!;
 const other = vms.find(vm => vm !== keeper)!;
 /** Time at which both VMs lend their shares. */
 const lendingAt = 3000;
@@ -120,17 +120,17 @@
 	it('keep a bounded number of buckets of accounts of which few are active', () => {
 		const buckets = new core.quota.QuotaBuckets(bounds);
 		const listAccounts = (count: number): string[] => Array.from({length: count}, (_, index) => `account-${index}`);
-		for (let index = 0; index < core.quota.partitionCount; index++) {
+		for (let index = 0; index < core.quota.partitionIdLimit; index++) {
 			buckets.setLoan(index, 'all', {share: 1, until: Infinity}, 0);
 		}
 
 		for (let second = 1; second <= 60; second++) {
 			const now = second * 1000;
 			for (const name of second === 1 ? listAccounts(10_000) : listAccounts(100)) {
-				buckets.take({account: name, partition: core.quota.getPartition(name), units: 500}, limits, now);
+				buckets.take({account: name, partition: core.quota.getPartition(name, 7), units: 500}, limits, now);
 			}
 
-			buckets.removeIdle(name => core.quota.getPartition(name), () => limits, now);
+			buckets.removeIdle(name => core.quota.getPartition(name, 7), () => limits, now);
 		}
 
 		expect(buckets.size).to.be.at.most(core.quota.defaultQuotaBucketsOptions.maxIdleBuckets);
--- a/packages/core/tests/support/quota-fleet.ts
+++ b/packages/core/tests/support/quota-fleet.ts
@@ -93,7 +93,7 @@
 		const random = new core.util.SeededRandom(scenario.seed);
 		this.#random = () => random.int(randomSteps) / randomSteps;
 		const names = Array.from({length: scenario.vms}, (_, index) => `vm-${index}`);
-		const keeper = names.indexOf(core.quota.rankKeepers(names)[core.quota.getPartition(scenario.accounts[0]!.name)]![0]!);
+		const keeper = names.indexOf(core.quota.rankKeepers(names).get(core.quota.getPartition(scenario.accounts[0]!.name, names.length))![0]!);
 		this.#faults = (scenario.faults ?? []).map(fault => ({...fault, vms: fault.vms ?? [keeper]}));
 		for (const name of names) {
 			this.#vms.push({
--- a/packages/gateway/src/peers/quota-codec.ts
+++ b/packages/gateway/src/peers/quota-codec.ts
@@ -63,7 +63,7 @@
 	}
 
 	const [partitions, share, durationMs] = row as LoanRow;
-	return Array.isArray(partitions) && partitions.every(partition => Number.isInteger(partition) && partition >= 0 && partition < core.quota.partitionCount)
+	return Array.isArray(partitions) && partitions.every(partition => Number.isInteger(partition) && partition >= 0 && partition < core.quota.partitionIdLimit)
 		&& share > 0 && share <= 1 && durationMs > 0 && durationMs <= maxLoanMs;
 }
 
--- a/packages/gateway/tests/peers/quota-codec.test.ts
+++ b/packages/gateway/tests/peers/quota-codec.test.ts
@@ -53,7 +53,7 @@
 	for (const [name, loan] of [
 		['share above 1', [[1], 2, 1000]],
 		['share of 0', [[1], 0, 1000]],
-		['unknown partition', [[16], 0.5, 1000]],
+		['unknown partition', [[32], 0.5, 1000]],
 		['endless duration', [[1], 0.5, Infinity]],
 		['missing duration', [[1], 0.5]],
 		['no list', ['x', 0.5, 1000]],
