Quotas: no attempt without a grant that is recent enough

Cause (own review): a reply that took longer than a grant may be old was taken for a success, the grant was given back, and the attempt was sent without units; with an overshoot of 0 no grant was ever recent enough.

Change: such a grant is followed by one more ask, then the request is refused (quota_unavailable); the sender sends nothing without a valid grant; the age of a grant is at least 100 ms. Two tests that fail without it.

--- a/packages/core/src/quota/quota.ts
+++ b/packages/core/src/quota/quota.ts
@@ -30,6 +30,9 @@
 /** Part of the overshoot that the age of grants may use; the rest covers VMs that count different numbers of members. */
 const grantAgeShare = 0.5;
 
+/** Time that a keeper's reply takes at most as a rule, in milliseconds. */
+const minGrantAgeMs = 100;
+
 /** Returns the units that one attempt of a request uses. */
 export function countUnits({unit, defaultTokens}: AccountQuota, statedTokens: number | undefined): number {
 	return unit === QuotaUnit.Requests ? 1 : statedTokens ?? defaultTokens;
@@ -37,5 +40,5 @@
 
 /** Returns the time within which a grant must be used, in milliseconds. */
 export function computeMaxGrantAgeMs({windowMs, overshoot}: QuotaBounds): number {
-	return windowMs * overshoot * grantAgeShare;
+	return Math.max(minGrantAgeMs, windowMs * overshoot * grantAgeShare);
 }
--- a/packages/gateway/src/call/attempt-sender.ts
+++ b/packages/gateway/src/call/attempt-sender.ts
@@ -39,11 +39,15 @@
 	 *
 	 * @param number - Number of the attempt, counted from 1.
 	 * @param lastEventId - Id of the last event that the caller has received; absent at the start of a response.
-	 * @returns The attempt, or `undefined` if all connections that this VM may open to the endpoint are busy, none can be opened, or the endpoint limits its
-	 * requests.
+	 * @returns The attempt, or `undefined` if all connections that this VM may open to the endpoint are busy, none can be opened, the endpoint limits its
+	 * requests, or the quota of the account has not admitted the attempt.
 	 */
 	send(placement: endpointPlacer.Placement, number: number, lastEventId: number | undefined, now: number): sentAttempt.SentAttempt | undefined {
-		const {request: {head, body}, dependencies, recorder} = this.options;
+		const {request: {head, body, quotaPermit: permit}, dependencies, recorder} = this.options;
+		if (permit?.isValid === false) {
+			return undefined;
+		}
+
 		const {entry} = placement;
 		const {limits} = dependencies.fleet;
 		const suspendAwareNow = dependencies.clock.suspendAwareNow();
@@ -58,7 +62,7 @@
 		}
 
 		limits.take(entry, suspendAwareNow);
-		const grantedAt = this.options.request.quotaPermit?.use();
+		const grantedAt = permit?.use();
 		const attempt = new endpoints.EndpointAttempt({
 			pool,
 			connection,
--- a/packages/gateway/src/call/quota-permit.ts
+++ b/packages/gateway/src/call/quota-permit.ts
@@ -26,6 +26,8 @@
 /** Time of a grant, in milliseconds of the clock that includes suspensions. */
 export type GrantTime = number;
 
+/** Asks until one is granted in time to be used. */
+const maxTakes = 2;
 const refusalCodes = {
 	[core.quota.QuotaOutcome.Exceeded]: refusals.RefusalCode.QuotaExceeded,
 	[core.quota.QuotaOutcome.TooLarge]: refusals.RefusalCode.QuotaTooSmall,
@@ -86,14 +88,20 @@
 		const {account, units, quotas} = this.options;
 		this.#discard();
 		try {
-			const {decision, keeper, askedAt} = await quotas.take(account, units);
-			if (decision.outcome !== core.quota.QuotaOutcome.Granted) {
-				return this.#createRefusal(decision.outcome, decision, keeper);
+			for (let count = 0; count < maxTakes; count++) {
+				const {decision, keeper, askedAt} = await quotas.take(account, units); // eslint-disable-line no-await-in-loop -- A grant that came too late is followed by another ask.
+				if (decision.outcome !== core.quota.QuotaOutcome.Granted) {
+					return this.#createRefusal(decision.outcome, decision, keeper);
+				}
+
+				this.usageMark = decision.usage * this.options.sample;
+				this.restore(askedAt);
+				if (this.isValid || this.#isReleased) {
+					return undefined;
+				}
 			}
 
-			this.usageMark = decision.usage * this.options.sample;
-			this.restore(askedAt);
-			return undefined;
+			return {code: refusals.RefusalCode.QuotaUnavailable, retryAfterMs: refusals.noEndpointRetryAfterMs, inputs: {account, units}};
 		} finally {
 			this.#pending = undefined;
 		}
--- a/packages/gateway/tests/call/quota-permit.test.ts
+++ b/packages/gateway/tests/call/quota-permit.test.ts
@@ -8,6 +8,8 @@
 /** A source of units with a clock that tests move. */
 class FakeQuotas {
 	now = 0;
+	/** How long the next asks take. */
+	delaysMs: number[] = [];
 	outcome = core.quota.QuotaOutcome.Granted;
 	taken = 0;
 	returned = 0;
@@ -15,6 +17,7 @@
 	async take(_account: string, units: number): Promise<core.quota.DecidedAsk> {
 		const askedAt = this.now;
 		await Promise.resolve();
+		this.now += this.delaysMs.shift() ?? 0;
 		this.taken += this.outcome === core.quota.QuotaOutcome.Granted ? units : 0;
 		return {
 			id: 1, keeper: 'vm-2', askedAt, decision: {
@@ -63,6 +66,21 @@
 		expect([quotas.taken, quotas.returned]).to.deep.equal([200, 100]);
 	});
 
+	it('gives back a grant that comes too late to be used, and takes another one', async () => {
+		quotas.delaysMs = [maxGrantAgeMs + 1, 10];
+		expect(await permit.acquire()).to.equal(undefined);
+		expect(permit.isValid).to.equal(true);
+		expect([quotas.taken, quotas.returned]).to.deep.equal([200, 100]);
+	});
+
+	it('refuses, and holds nothing, where grants keep coming too late', async () => {
+		quotas.delaysMs = [maxGrantAgeMs + 1, maxGrantAgeMs + 1, 10];
+		const refusal = await permit.acquire();
+		expect(refusal?.code).to.equal(gateway.call.RefusalCode.QuotaUnavailable);
+		expect(permit.use()).to.equal(undefined);
+		expect([quotas.taken, quotas.returned]).to.deep.equal([200, 200]);
+	});
+
 	it('holds the units of an attempt that was not executed for the next one, at the time of their grant', async () => {
 		await permit.acquire();
 		permit.restore(permit.use()!);
