--- a/packages/core/src/quota/quota-agent.ts
+++ b/packages/core/src/quota/quota-agent.ts
@@ -204,7 +204,7 @@
 		return total;
 	}
 
-	/** Uses none of the other VMs' shares from now on, and takes no more of them. @returns Messages that tell them so. */
+	/** Ends the loans of the other VMs, and accepts no more. @returns Notifications for them. */
 	beginShutdown(now: number): OutgoingReply[] {
 		const {vm} = this.options;
 		this.#closingSince = now;
--- a/packages/gateway/src/controllers/quota-controller.ts
+++ b/packages/gateway/src/controllers/quota-controller.ts
@@ -103,7 +103,7 @@
 		this.#flush();
 	}
 
-	/** Tells the other VMs that this one keeps no accounts from now on. */
+	/** Notifies the other VMs that this one is no longer a keeper. */
 	beginShutdown(): void {
 		if (!this.#isActive) {
 			return;
--- a/packages/gateway/tests/peers/quota-codec.test.ts
+++ b/packages/gateway/tests/peers/quota-codec.test.ts
@@ -42,7 +42,7 @@
 		expect(roundTrip({type: core.quota.QuotaMessageType.Call, call: empty})).to.deep.equal({type: core.quota.QuotaMessageType.Call, call: empty});
 	});
 
-	it('are told from digests', () => {
+	it('are distinguished from digests', () => {
 		const digest: core.fleet.LoadDigest = {
 			vm: 'vm-1', sequence: 1, endpoints: [], cacheObservations: [],
 		};
