--- a/scripts/test-groups.mjs
+++ b/scripts/test-groups.mjs
@@ -6,12 +6,13 @@
 /** Groups by the beginnings of their files' paths; a file belongs to the first group that fits. */
 const groupPrefixes = {
 	'load on the gateway': ['packages/gateway/tests/load/'],
+	clients: ['platform/tests/clients/'],
 	platform: ['platform/'],
 	'core and gateway': ['packages/core/', 'packages/gateway/'],
 	soak: ['packages/stand-ins/tests/soak/'],
 };
 /** Groups that start many processes and run after all others, alone. */
-export const loneGroups = ['soak'];
+export const loneGroups = ['clients', 'soak'];
 
 function listTests() {
 	return [...fs.readdirSync('packages').map(pkg => `packages/${pkg}`), 'platform']
