Bodies: pieces joined as they arrive, so that their memory doesn't depend on their number

Cause: BodyFilter kept each piece as an object of some hundred bytes, and BodyMemory counted its length only. Why this works: ByteAccumulator copies pieces into blocks that grow with what has arrived; the memory that is counted is that of the blocks.

--- a/packages/gateway/src/call/body-filter.ts
+++ b/packages/gateway/src/call/body-filter.ts
@@ -1,5 +1,5 @@
-import * as buffer from 'node:buffer';
 import type * as http from 'node:http';
+import * as byteAccumulator from '../util/byte-accumulator.js';
 import type * as clocks from '../util/clocks.js';
 import * as bodyMemory from './body-memory.js';
 import * as bodyReader from './body-reader.js';
@@ -25,20 +25,18 @@
 			return noMemoryRefusal;
 		}
 
-		const chunks: Uint8Array[] = [];
-		let readBytes = 0;
+		const body = new byteAccumulator.ByteAccumulator();
 		const bodyEnd = await bodyReader.readBody(ctx.req, {maxBytes, maxMs: computeRemainingMs(ctx, this.clock.monotonicNow())}, chunk => {
-			readBytes += chunk.length;
-			const missingBytes = Math.max(0, readBytes - takenBytes);
-			if (missingBytes > 0 && !this.memory.take(missingBytes, readBytes)) {
+			body.push(chunk);
+			const missingBytes = Math.max(0, body.allocatedBytes - takenBytes);
+			if (missingBytes > 0 && !this.memory.take(missingBytes, body.length)) {
 				return false;
 			}
 
 			takenBytes += missingBytes;
-			chunks.push(chunk);
 			return true;
 		});
-		const refusal = this.#finish(ctx, bodyEnd, chunks);
+		const refusal = this.#finish(ctx, bodyEnd, body);
 		if (refusal !== undefined || ctx.res.closed) {
 			this.memory.release(takenBytes);
 		} else {
@@ -50,7 +48,7 @@
 		return refusal;
 	}
 
-	#finish(ctx: requestContext.RequestContext, bodyEnd: bodyReader.BodyEnd, chunks: readonly Uint8Array[]): refusals.Refusal | undefined {
+	#finish(ctx: requestContext.RequestContext, bodyEnd: bodyReader.BodyEnd, body: byteAccumulator.ByteAccumulator): refusals.Refusal | undefined {
 		switch (bodyEnd) {
 			case bodyReader.BodyEnd.TooLarge: {
 				return {code: refusals.RefusalCode.BodyTooLarge};
@@ -71,7 +69,7 @@
 			}
 
 			case bodyReader.BodyEnd.Complete: {
-				ctx.body = chunks.length > 0 || announcesBody(ctx.req) ? buffer.Buffer.concat(chunks) : undefined;
+				ctx.body = body.length > 0 || announcesBody(ctx.req) ? body.take() : undefined;
 				return undefined;
 			}
 		}
--- a/packages/gateway/src/util/index.ts
+++ b/packages/gateway/src/util/index.ts
@@ -1,4 +1,5 @@
 export * from './abort-response.js';
+export * from './byte-accumulator.js';
 export * from './clocks.js';
 export * from './connection-headers.js';
 export * from './event-log.js';
