Input of callers: chunked bodies are parsed in slices, and refused ones not at all

Cause: Node's HTTP parser handles all that was read at once, up to 64 KiB and 32 times in a turn of the event loop; each chunk costs some microseconds and, while nothing reads the body, an object of some hundred bytes. The rest of a refused body was parsed for up to 30 s. Why this works: EarlyBody joins the pieces that arrive before a filter reads the body. From 64 pieces or 16 KiB on ConnectionInput takes the connection over: the parser gets 2 KiB at a time, the rest stays in the buffer of the socket, which Node bounds, and nothing is parsed ahead of a body that isn't read. StepScheduler gives these slices 4 ms of a turn and half of the processor time at most. A refused body in small pieces is no longer awaited, and what follows a refusal is discarded without the parser, until the caller closes its side or its deadline passes, so that it can read the refusal. Other connections are parsed by Node as before.

--- a/packages/gateway/src/call/body-filter.ts
+++ b/packages/gateway/src/call/body-filter.ts
@@ -26,7 +26,7 @@
 		}
 
 		const body = new byteAccumulator.ByteAccumulator();
-		const bodyEnd = await bodyReader.readBody(ctx.req, {maxBytes, maxMs: computeRemainingMs(ctx, this.clock.monotonicNow())}, chunk => {
+		const bodyEnd = await bodyReader.readBody(ctx, {maxBytes, maxMs: computeRemainingMs(ctx, this.clock.monotonicNow())}, chunk => {
 			body.push(chunk);
 			const missingBytes = Math.max(0, body.allocatedBytes - takenBytes);
 			if (missingBytes > 0 && !this.memory.take(missingBytes, body.length)) {
--- a/packages/gateway/src/call/body-reader.ts
+++ b/packages/gateway/src/call/body-reader.ts
@@ -1,5 +1,6 @@
 import type * as http from 'node:http';
 import * as clients from '@bluebellmast/kv';
+import type * as earlyBodies from './early-body.js';
 
 /** How the reading of a body ended. */
 export enum BodyEnd {
@@ -12,6 +13,13 @@
 	Aborted = 'aborted',
 }
 
+/** A request whose body has not been read. */
+export type UnreadBody = {
+	readonly req: http.IncomingMessage;
+	/** What has arrived of a chunked body. */
+	readonly earlyBody?: earlyBodies.EarlyBody;
+};
+
 /** Bounds of the reading of a body. */
 export type BodyBounds = {
 	readonly maxBytes: number;
@@ -24,7 +32,17 @@
  *
  * @param acceptChunk - Returns whether to go on reading.
  */
-export async function readBody(req: http.IncomingMessage, bounds: BodyBounds, acceptChunk: (chunk: Uint8Array) => boolean): Promise<BodyEnd> {
+export async function readBody({req, earlyBody}: UnreadBody, bounds: BodyBounds, acceptChunk: (chunk: Uint8Array) => boolean): Promise<BodyEnd> {
+	const early = earlyBody?.take();
+	const earlyBytes = early?.length ?? 0;
+	if (early !== undefined && earlyBytes > 0) {
+		const bodyEnd = earlyBytes > bounds.maxBytes ? BodyEnd.TooLarge : (acceptChunk(early) ? undefined : BodyEnd.Rejected);
+		if (bodyEnd !== undefined) {
+			req.resume();
+			return bodyEnd;
+		}
+	}
+
 	if (req.readableEnded) {
 		return BodyEnd.Complete;
 	}
@@ -34,7 +52,7 @@
 	}
 
 	return new Promise(resolve => {
-		let size = 0;
+		let size = earlyBytes;
 		const endWith = (bodyEnd: BodyEnd): void => {
 			timer.clear();
 			req.off('data', onData).off('end', onEnd).off('error', onAborted).off('close', onAborted);
--- a/packages/gateway/src/call/request-context.ts
+++ b/packages/gateway/src/call/request-context.ts
@@ -1,6 +1,7 @@
 import type * as http from 'node:http';
 import type * as core from '@bluebellmast/core';
 import type * as ports from '../ports/index.js';
+import type * as earlyBodies from './early-body.js';
 import type * as quotaPermit from './quota-permit.js';
 import type * as responseTimer from './response-timer.js';
 
@@ -11,6 +12,8 @@
 	readonly head: ports.RequestHead;
 	/** When the head was received, in milliseconds of the monotonic clock. */
 	readonly arrivedAt: number;
+	/** What has arrived of a chunked body before it is read. */
+	readonly earlyBody?: earlyBodies.EarlyBody;
 	/** Lookup tables of the configuration that applies to the request. */
 	table?: core.routing.RouteTable;
 	route?: core.routing.Route;
--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -8,6 +8,8 @@
 import type * as clocks from '../util/clocks.js';
 import * as eventLog from '../util/event-log.js';
 import * as listen from '../util/listen.js';
+import * as stepScheduler from '../util/step-scheduler.js';
+import * as connectionInputs from './connection-inputs.js';
 import * as connectionRejection from './connection-rejection.js';
 import * as headerTimeout from './header-timeout.js';
 import * as idleConnections from './idle-connections.js';
@@ -23,6 +25,8 @@
 	readonly dispatcher: call.RequestDispatcher;
 	readonly clock: clocks.Clocks;
 	readonly log: eventLog.EventLog;
+	/** Runs the parsing of bodies that cost much; one of its own by default. */
+	readonly scheduler?: stepScheduler.StepScheduler;
 	/** Interval between checks for heads that take too long, in milliseconds; 30 seconds by default. */
 	readonly headCheckIntervalMs?: number;
 };
@@ -58,12 +62,15 @@
 	/** Responses after which the connection is closed, since invalid bytes followed their request. */
 	readonly #closing = new WeakSet<http.ServerResponse>();
 
+	readonly #inputs: connectionInputs.ConnectionInputs;
 	readonly #refusals: refusalSender.RefusalSender;
 	readonly #log: requestLog.RequestLog;
 
 	constructor(private readonly dependencies: GatewayServerDependencies) {
 		this.#log = new requestLog.RequestLog(dependencies.log);
-		this.#refusals = new refusalSender.RefusalSender(dependencies.clock);
+		const now = (): number => dependencies.clock.monotonicNow();
+		this.#inputs = new connectionInputs.ConnectionInputs({now, scheduler: dependencies.scheduler ?? new stepScheduler.StepScheduler(now)});
+		this.#refusals = new refusalSender.RefusalSender(dependencies.clock, this.#inputs);
 		this.#server = new clients.connections.CallerHttpServer(
 			{
 				maxHeaderSize: maxHeadBytes,
@@ -185,6 +192,7 @@
 
 	async #handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
 		const arrivedAt = this.dependencies.clock.monotonicNow();
+		const earlyBody = this.#inputs.onRequest(res);
 		// Node announces the timeout that applies when a request arrives.
 		const keepAliveMs = this.#server.keepAliveTimeout;
 		if (!req.socket.writableEnded) {
@@ -198,7 +206,7 @@
 		if (req.socket.writableEnded) {
 			// The request has crossed the close of its connection; its caller can repeat it, since it is not executed.
 			this.#logDropped(req);
-			req.resume();
+			this.#inputs.discard(res);
 			return;
 		}
 
@@ -212,10 +220,14 @@
 		}
 
 		try {
-			await this.#handleRequest({req, res, arrivedAt});
+			await this.#handleRequest({
+				req, res, arrivedAt, earlyBody,
+			});
 		} catch (err) {
 			this.#log.writeError(err);
-			await this.#refusals.send({req, res, arrivedAt}, {code: call.RefusalCode.InternalError});
+			await this.#refusals.send({
+				req, res, arrivedAt, earlyBody,
+			}, {code: call.RefusalCode.InternalError});
 		} finally {
 			this.#handledCount -= 1;
 			this.#forgetWhenClosed(res, keepAliveMs);
--- a/packages/gateway/src/util/index.ts
+++ b/packages/gateway/src/util/index.ts
@@ -6,3 +6,4 @@
 export * from './listen.js';
 export * from './path-server.js';
 export * from './periodic-task.js';
+export * from './step-scheduler.js';
