Bodies: memory as it is used; bodies that have stopped yield to others

What callers saw: while 200 (in the test 64) callers had sent a body of 1 MiB but for its last byte, bodies of 100 kB were refused for as long as they stayed. Cause: memory was taken for the stated length at the head, and kept until the deadline; the newest body was refused. Why this works: memory is taken as the body arrives. When it is used up, the body yields that has progressed least of late, relative to the memory that its account uses, once it is half a second old; at once if its account uses more than twice as much as that of the other one. Complete bodies don't yield, and a stated length that doesn't fit beside them is refused at its head, as before. The refusal says 503, not run, with a time to return. Without pressure a body may take as long as its route and deadline allow.

--- a/packages/gateway/src/call/body-filter.ts
+++ b/packages/gateway/src/call/body-filter.ts
@@ -12,7 +12,7 @@
 
 /**
  * Reads the body of a request; refuses it if the body exceeds the configured size, is not complete by the deadline, or the bodies of all requests together take too much
- * memory. A body that states its length is refused before it is read.
+ * memory. A body that states its length is refused before it is read if it does not fit beside those that are complete.
  */
 export class BodyFilter implements requestFilter.RequestFilter {
 	constructor(private readonly clock: clocks.Clocks, private readonly memory = new bodyMemory.BodyMemory()) {}
@@ -20,28 +20,38 @@
 	async check(ctx: requestContext.RequestContext): Promise<refusals.Refusal | undefined> {
 		const maxBytes = ctx.table?.config.limits.bodyBytes ?? Infinity;
 		const statedBytes = getStatedBytes(ctx.req);
-		let takenBytes = statedBytes <= maxBytes ? statedBytes : 0;
-		if (takenBytes > 0 && !this.memory.take(takenBytes, takenBytes)) {
+		if (statedBytes > 0 && statedBytes <= maxBytes && !this.memory.fits(statedBytes)) {
 			return noMemoryRefusal;
 		}
 
+		let stopReading: (() => void) | undefined;
+		const reservation = this.memory.open({
+			account: ctx.account?.name ?? '',
+			now: this.clock.monotonicNow(),
+			onEvicted() {
+				stopReading?.();
+			},
+		});
 		const body = new byteAccumulator.ByteAccumulator();
-		const bodyEnd = await bodyReader.readBody(ctx, {maxBytes, maxMs: computeRemainingMs(ctx, this.clock.monotonicNow())}, chunk => {
+		const bounds = {
+			maxBytes,
+			maxMs: computeRemainingMs(ctx, this.clock.monotonicNow()),
+			onReading(stop: () => void) {
+				stopReading = stop;
+			},
+		};
+		const bodyEnd = await bodyReader.readBody(ctx, bounds, chunk => {
 			body.push(chunk);
-			const missingBytes = Math.max(0, body.allocatedBytes - takenBytes);
-			if (missingBytes > 0 && !this.memory.take(missingBytes, body.length)) {
-				return false;
-			}
-
-			takenBytes += missingBytes;
-			return true;
+			const missingBytes = body.allocatedBytes - reservation.bytes;
+			return missingBytes <= 0 || reservation.grow(missingBytes, this.clock.monotonicNow());
 		});
+		reservation.complete();
 		const refusal = this.#finish(ctx, bodyEnd, body);
 		if (refusal !== undefined || ctx.res.closed) {
-			this.memory.release(takenBytes);
+			reservation.release();
 		} else {
 			ctx.res.once('close', () => {
-				this.memory.release(takenBytes);
+				reservation.release();
 			});
 		}
 
--- a/packages/gateway/src/call/body-reader.ts
+++ b/packages/gateway/src/call/body-reader.ts
@@ -24,6 +24,8 @@
 export type BodyBounds = {
 	readonly maxBytes: number;
 	readonly maxMs: number;
+	/** Called with a function that ends the reading as if a part had not been accepted. */
+	readonly onReading?: (stop: () => void) => void;
 };
 
 /**
@@ -80,6 +82,9 @@
 		const timer = new clients.timeouts.InputTimer(bounds.maxMs, () => {
 			endWith(BodyEnd.TimedOut);
 		});
+		bounds.onReading?.(() => {
+			endWith(BodyEnd.Rejected);
+		});
 		req.on('data', onData).once('end', onEnd).once('error', onAborted).once('close', onAborted);
 	});
 }
--- a/packages/gateway/tests/load/large-bodies.test.ts
+++ b/packages/gateway/tests/load/large-bodies.test.ts
@@ -19,7 +19,7 @@
 /** Plays bodies of two sizes in virtual time, each of which is kept until its request has ended. */
 function play(memory: gateway.call.BodyMemory, seed: number): Counts {
 	const random = new core.util.SeededRandom(seed);
-	const ends: Array<{readonly at: number; readonly bytes: number}> = [];
+	const ends: Array<{readonly at: number; readonly reservation: gateway.call.BodyReservation}> = [];
 	const counts: Counts = {
 		largeServed: 0, largeRefused: 0, smallServed: 0, smallRefused: 0, mostBytes: 0, usedAtEnd: 0,
 	};
@@ -27,19 +27,21 @@
 	const release = (now: number): void => {
 		for (const end of ends.filter(({at}) => at <= now)) {
 			ends.splice(ends.indexOf(end), 1);
-			memory.release(end.bytes);
-			used -= end.bytes;
+			used -= end.reservation.bytes;
+			end.reservation.release();
 		}
 	};
 
 	const send = (now: number, bytes: number): boolean => {
-		if (!memory.take(bytes, bytes)) {
+		const reservation = memory.open({account: 'club', now, onEvicted: () => undefined});
+		if (!reservation.grow(bytes, now)) {
 			return false;
 		}
 
+		reservation.complete();
 		used += bytes;
 		counts.mostBytes = Math.max(counts.mostBytes, used);
-		ends.push({at: now + (workMs / 2) + random.int(workMs), bytes});
+		ends.push({at: now + (workMs / 2) + random.int(workMs), reservation});
 		return true;
 	};
 
