Pipelined requests: 64 of a connection wait at most

What callers saw: sixteen callers that pipelined requests without reading the responses ended the process by heap exhaustion, or nobody was served. Cause: each request of a connection becomes an object with its response at once, some 600 for what is read at a time, however many wait for the responses of earlier ones. Why this works: ResponseOrder counts the requests that wait; the connection of the 65th is closed, which frees all of them. Callers of the platform send one request at a time. The log has a line caller_turned_away, bounded as those of requests are.

--- a/packages/core/src/log/log-event.ts
+++ b/packages/core/src/log/log-event.ts
@@ -1,5 +1,6 @@
 import type * as operatorOverride from '../quarantine/operator-override.js';
 import type * as retryObstacle from './retry-obstacle.js';
+import type * as turnAwayReason from './turn-away-reason.js';
 
 /** Names of log events. */
 export enum LogEvent {
@@ -82,6 +83,8 @@
 	RequestDropped = 'request_dropped',
 	/** The connection was closed before the whole response had left the process. */
 	ResponseUnsent = 'response_unsent',
+	/** The connection of a caller was closed, or its request was refused, since it uses more than its part of what the VM has. */
+	CallerTurnedAway = 'caller_turned_away',
 	/** The event loop was blocked: meanwhile nothing was read and no timer ran. */
 	EventLoopBlocked = 'event_loop_blocked',
 	InternalError = 'internal_error',
@@ -297,6 +300,11 @@
 		readonly request?: string;
 	};
 	[LogEvent.ResponseUnsent]: {readonly request: string; readonly status: number; readonly problem: string};
+	[LogEvent.CallerTurnedAway]: {
+		readonly reason: turnAwayReason.TurnAwayReason;
+		/** IP address of the caller; absent once its connection has closed. */
+		readonly address?: string;
+	};
 	[LogEvent.EventLoopBlocked]: {readonly blockedMs: number};
 	[LogEvent.InternalError]: {readonly task: string; readonly problem: string; readonly peer?: string};
 	[LogEvent.LinesDropped]: {readonly lines: number};
@@ -312,6 +320,7 @@
 	LogEvent.RequestEnded,
 	LogEvent.RequestDropped,
 	LogEvent.ResponseUnsent,
+	LogEvent.CallerTurnedAway,
 ]);
 
 /** Returns whether an event concerns a single request; all other events concern the state of a process. */
--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -1,6 +1,7 @@
 import type * as http from 'node:http';
 import type * as net from 'node:net';
 import * as timers from 'node:timers/promises';
+import * as core from '@bluebellmast/core';
 import * as clients from '@bluebellmast/kv';
 import * as call from '../call/index.js';
 import type * as ports from '../ports/index.js';
@@ -36,6 +37,8 @@
 
 /** Maximum size of a request head in bytes; heads of the platform's callers are at most half as large. */
 const maxHeadBytes = 32_768;
+/** Requests of one connection that may wait for the responses of earlier ones; callers of the platform send one at a time. */
+const maxPipelinedRequests = 64;
 /** Time that connections stay open beyond the configured idle timeout, in milliseconds, so that reuse just before it succeeds. */
 const keepAliveMarginMs = 2000;
 /** Interval at which a server that shuts down checks for open requests, in milliseconds. */
@@ -191,6 +194,16 @@
 	}
 
 	async #handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		if (req.socket.destroyed) {
+			return;
+		}
+
+		if (this.#order.countWaiting(req.socket) >= maxPipelinedRequests) {
+			this.dependencies.log.write(eventLog.LogEvent.CallerTurnedAway, {reason: core.log.TurnAwayReason.PipelinedRequests, address: req.socket.remoteAddress});
+			req.socket.destroy();
+			return;
+		}
+
 		const arrivedAt = this.dependencies.clock.monotonicNow();
 		const earlyBody = this.#inputs.onRequest(res);
 		// Node announces the timeout that applies when a request arrives.
--- a/packages/gateway/src/ingress/response-order.ts
+++ b/packages/gateway/src/ingress/response-order.ts
@@ -8,6 +8,8 @@
 export class ResponseOrder {
 	/** Response to the last request that has arrived on a connection. */
 	readonly #last = new WeakMap<net.Socket, http.ServerResponse>();
+	/** Number of responses of a connection that wait for their turn. */
+	readonly #waiting = new WeakMap<net.Socket, number>();
 
 	/** Adds the response to a request that has arrived. @returns A promise that resolves when it may be sent; `undefined` if it may be sent now. */
 	add(res: http.ServerResponse): Promise<void> | undefined {
@@ -23,7 +25,12 @@
 			previous.removeHeader('Connection');
 		}
 
-		return waitForClose(previous, socket);
+		return this.#waitForTurn(previous, socket);
+	}
+
+	/** Returns the number of requests of a connection that wait for the responses of earlier ones. */
+	countWaiting(socket: net.Socket): number {
+		return this.#waiting.get(socket) ?? 0;
 	}
 
 	/** Whether no other request has arrived on the connection since. */
@@ -41,6 +48,12 @@
 		const res = this.#last.get(socket);
 		return res?.closed === false ? res : undefined;
 	}
+
+	async #waitForTurn(previous: http.ServerResponse, socket: net.Socket): Promise<void> {
+		this.#waiting.set(socket, this.countWaiting(socket) + 1);
+		await waitForClose(previous, socket);
+		this.#waiting.set(socket, this.countWaiting(socket) - 1);
+	}
 }
 
 /** Waits until a response or its connection is closed; a response that waits for its turn is not closed with the connection. */
