Connections of callers: bounded below the descriptors and the memory of the VM

What callers saw: with 700 open connections a process had 678 to 777 descriptors, however few its settings allowed; beyond the VM's limit it could open none to endpoints or the store, and accept none. Cause: nothing bounded the connections of callers, and limits.file_descriptors was not read. Why this works: a VM holds as many connections of callers as three quarters of its descriptors for sockets allow, and a quarter of its memory at 32 KiB each: 1,509 on the smallest machine (2,212 descriptors, 200 MB). At the bound the one with the least use is closed for a new one: one whose end is awaited, then the oldest idle one, unless a request arrives on it, then the one whose request arrives most slowly. If a response is awaited on each, the new one gets 503 with a time to return, and none of its request is read. Without limits in the settings nothing changes.

--- a/packages/core/src/log/turn-away-reason.ts
+++ b/packages/core/src/log/turn-away-reason.ts
@@ -2,4 +2,6 @@
 export enum TurnAwayReason {
 	/** More requests wait on one connection for the responses of earlier ones than a connection may have. */
 	PipelinedRequests = 'pipelined_requests',
+	/** The VM has as many connections of callers as it may, and none that could be closed for this one. */
+	Connections = 'connections',
 }
--- a/packages/gateway/src/call/refusal.ts
+++ b/packages/gateway/src/call/refusal.ts
@@ -11,6 +11,8 @@
 	BodyTimeout = 'body_timeout',
 	/** The bodies of all requests together take as much memory as they may. */
 	MemoryUsed = 'memory_used',
+	/** The VM has as many connections of callers as it may. */
+	TooManyConnections = 'too_many_connections',
 	UnknownRoute = 'unknown_route',
 	UnknownKey = 'unknown_key',
 	/** The account has used its quota. */
@@ -47,6 +49,7 @@
 	[RefusalCode.BodyTooLarge]: 413,
 	[RefusalCode.BodyTimeout]: 408,
 	[RefusalCode.MemoryUsed]: 503,
+	[RefusalCode.TooManyConnections]: 503,
 	[RefusalCode.UnknownRoute]: 404,
 	[RefusalCode.UnknownKey]: 401,
 	[RefusalCode.QuotaExceeded]: 429,
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -35,4 +35,6 @@
 	readonly quotaBounds?: core.quota.QuotaBounds;
 	/** Memory that the process may use, in bytes; bodies are not bounded together by default. */
 	readonly memoryBytes?: number;
+	/** File descriptors that the process may have open; connections of callers are not bounded by default. */
+	readonly fileDescriptors?: number;
 };
--- a/packages/gateway/src/ingress/connection-rejection.ts
+++ b/packages/gateway/src/ingress/connection-rejection.ts
@@ -1,5 +1,6 @@
 import * as refusals from '../call/refusal.js';
 
+const msPerSecond = 1000;
 /** Node's code for a head that takes too long. */
 const headTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
 
@@ -27,6 +28,11 @@
 		: encode('400 Bad Request', refusals.RefusalCode.MalformedRequest);
 }
 
-function encode(status: string, code: refusals.RefusalCode): ConnectionRejection {
-	return {code, response: `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`};
+/** Creates the refusal of a connection for which there is no room; nothing of its request is read. */
+export function createFullRejection(): ConnectionRejection {
+	return encode('503 Service Unavailable', refusals.RefusalCode.TooManyConnections, `Retry-After: ${refusals.noEndpointRetryAfterMs / msPerSecond}\r\n`);
+}
+
+function encode(status: string, code: refusals.RefusalCode, headers = ''): ConnectionRejection {
+	return {code, response: `HTTP/1.1 ${status}\r\nConnection: close\r\n${headers}Content-Length: 0\r\n\r\n`};
 }
--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -10,6 +10,7 @@
 import * as eventLog from '../util/event-log.js';
 import * as listen from '../util/listen.js';
 import * as stepScheduler from '../util/step-scheduler.js';
+import * as callerConnections from './caller-connections.js';
 import * as connectionInputs from './connection-inputs.js';
 import * as connectionRejection from './connection-rejection.js';
 import * as headerTimeout from './header-timeout.js';
@@ -26,6 +27,8 @@
 	readonly dispatcher: call.RequestDispatcher;
 	readonly clock: clocks.Clocks;
 	readonly log: eventLog.EventLog;
+	/** Connections of callers, with their number at most; not bounded by default. */
+	readonly connections?: callerConnections.CallerConnections;
 	/** Runs the parsing of bodies that cost much; one of its own by default. */
 	readonly scheduler?: stepScheduler.StepScheduler;
 	/** Interval between checks for heads that take too long, in milliseconds; 30 seconds by default. */
@@ -65,12 +68,14 @@
 	/** Responses after which the connection is closed, since invalid bytes followed their request. */
 	readonly #closing = new WeakSet<http.ServerResponse>();
 
+	readonly #connections: callerConnections.CallerConnections;
 	readonly #inputs: connectionInputs.ConnectionInputs;
 	readonly #refusals: refusalSender.RefusalSender;
 	readonly #log: requestLog.RequestLog;
 
 	constructor(private readonly dependencies: GatewayServerDependencies) {
 		this.#log = new requestLog.RequestLog(dependencies.log);
+		this.#connections = dependencies.connections ?? new callerConnections.CallerConnections();
 		const now = (): number => dependencies.clock.monotonicNow();
 		this.#inputs = new connectionInputs.ConnectionInputs({now, scheduler: dependencies.scheduler ?? new stepScheduler.StepScheduler(now)});
 		this.#refusals = new refusalSender.RefusalSender(dependencies.clock, this.#inputs);
@@ -93,6 +98,11 @@
 				this.#rejectConnection(err, socket);
 			}
 		});
+		this.#server.on('connection', (socket: net.Socket) => {
+			if (!this.#connections.add(socket, now())) {
+				this.#rejectForRoom(socket);
+			}
+		});
 		this.#server.on('connect', (req: http.IncomingMessage, socket: net.Socket) => {
 			// Node's HTTP server no longer handles the errors of this connection.
 			socket.on('error', () => {
@@ -205,6 +215,7 @@
 		}
 
 		const arrivedAt = this.dependencies.clock.monotonicNow();
+		this.#connections.onRequest(res);
 		const earlyBody = this.#inputs.onRequest(res);
 		// Node announces the timeout that applies when a request arrives.
 		const keepAliveMs = this.#server.keepAliveTimeout;
@@ -265,6 +276,7 @@
 		const {socket} = res.req;
 		const forget = (): void => {
 			this.#openResponses.delete(res);
+			this.#connections.onResponseEnd(socket, this.dependencies.clock.monotonicNow());
 			this.#idle.record(socket, keepAliveMs, this.dependencies.clock.monotonicNow());
 		};
 
@@ -338,6 +350,15 @@
 		return call.isCallerDisconnected(ctx) ? undefined : this.dependencies.dispatcher.dispatch(ctx as call.RoutedRequest);
 	}
 
+	/** Refuses a connection for which there is no room. */
+	#rejectForRoom(socket: net.Socket): void {
+		this.dependencies.log.write(eventLog.LogEvent.CallerTurnedAway, {reason: core.log.TurnAwayReason.Connections, address: socket.remoteAddress});
+		socket.removeAllListeners('data');
+		socket.resume();
+		socket.write(connectionRejection.createFullRejection().response);
+		clients.connections.closeLingering(socket, clients.connections.minLingerMs);
+	}
+
 	/** Handles a head that takes too long, unless the rest of it had arrived, but was not read yet. */
 	async #rejectSlowHead(err: NodeJS.ErrnoException, socket: net.Socket): Promise<void> {
 		const last = this.#order.getLast(socket);
--- a/packages/gateway/src/ingress/index.ts
+++ b/packages/gateway/src/ingress/index.ts
@@ -1,2 +1,3 @@
+export * from './caller-connections.js';
 export * from './gateway-server.js';
 export * from './readiness-server.js';
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -138,7 +138,9 @@
 		},
 		authorizer: new call.ApiKeyAuthorizer(config, settings.configAgeLimits, clock),
 	});
+	const callerConnections = new ingress.CallerConnections(ingress.computeMaxConnections({memoryBytes: settings.memoryBytes, descriptors: settings.fileDescriptors}));
 	const server = new ingress.GatewayServer({
+		connections: callerConnections,
 		protocol: options.callerProtocol,
 		filters: [
 			new call.RouteFilter(config, settings.configAgeLimits, clock),
