Responses of endpoints: small pieces are joined, and many of them parsed with pauses

Cause: ResponseRelay, HeldResponse and EventSplitter kept each piece as the parser delivers it, up to 65,536 of a response; each piece that was relayed became three writes to the caller's connection; what was read at once was parsed at once, whatever it cost. ResponsePacer passes the first piece of what was read on at once, and joins the small ones after it in the same turn of the event loop; after 256 pieces at a time the next ones wait for StepScheduler, so that they take half of the processor time at most, together with the chunked bodies of callers. Tried first: a pause within what was read. The client then reads more each time that it goes on, so that its buffer grew; whole responses in chunks of one byte were taken for endless (502). The pause is after it now; the tests "a whole body" and "a whole stream in chunks of one byte" caught it. Result: the two tests pass, the other seven of the file as before.

--- a/packages/gateway/src/call/attempt-sender.ts
+++ b/packages/gateway/src/call/attempt-sender.ts
@@ -90,6 +90,7 @@
 				recorder.recordAlive(sent, responseHead, connection);
 			},
 			monotonicNow: dependencies.clock.monotonicNow,
+			scheduler: dependencies.scheduler,
 			findObstacle: () => dependencies.fleet.registry.isReady(entry, dependencies.clock.suspendAwareNow()) ? undefined : endpoints.AttemptFault.EndpointLeft,
 		});
 		const sent: sentAttempt.SentAttempt = {
--- a/packages/gateway/src/call/event-splitter.ts
+++ b/packages/gateway/src/call/event-splitter.ts
@@ -1,4 +1,5 @@
 import * as buffer from 'node:buffer';
+import * as byteAccumulator from '../util/byte-accumulator.js';
 
 /** Complete events of a stream, with the ids of the first and the last one. */
 export type EventBatch = {
@@ -20,15 +21,14 @@
 
 /** Splits the bytes of an event stream at event boundaries, so that no partial event is relayed. */
 export class EventSplitter {
-	/** Chunks of the incomplete event at the end. */
-	#pending: Uint8Array[] = [];
-	#pendingBytes = 0;
+	/** The incomplete event at the end. */
+	readonly #pending = new byteAccumulator.ByteAccumulator();
 	/** Last bytes of the incomplete event, in which the end of an event may have begun. */
 	#tail: Uint8Array = buffer.Buffer.alloc(0);
 
 	/** Number of bytes of the incomplete event at the end. */
 	get pendingBytes(): number {
-		return this.#pendingBytes;
+		return this.#pending.length;
 	}
 
 	/** Appends bytes. @returns The events that are now complete, or `undefined` if there are none. */
@@ -40,10 +40,9 @@
 			return undefined;
 		}
 
-		const bytes = buffer.Buffer.concat([...this.#pending, chunk.subarray(0, end)]);
+		const complete = chunk.subarray(0, end);
+		const bytes = this.#pending.length === 0 ? complete : buffer.Buffer.concat([this.#pending.take(), complete]);
 		const rest = chunk.subarray(end);
-		this.#pending = [];
-		this.#pendingBytes = 0;
 		this.#append(rest, rest);
 		return createBatch(bytes);
 	}
@@ -52,7 +51,6 @@
 	#append(bytes: Uint8Array, searched: Uint8Array): void {
 		if (bytes.length > 0) {
 			this.#pending.push(bytes);
-			this.#pendingBytes += bytes.length;
 		}
 
 		this.#tail = searched.subarray(Math.max(0, searched.length - maxEndBytes + 1));
--- a/packages/gateway/src/call/request-dispatcher.ts
+++ b/packages/gateway/src/call/request-dispatcher.ts
@@ -9,6 +9,7 @@
 import type * as ports from '../ports/index.js';
 import type * as clocks from '../util/clocks.js';
 import type * as eventLog from '../util/event-log.js';
+import type * as stepScheduler from '../util/step-scheduler.js';
 import type * as attemptTarget from './attempt-target.js';
 import * as failedSearches from './failed-searches.js';
 import type * as requestContext from './request-context.js';
@@ -34,6 +35,8 @@
 	readonly leavingRecorder: leavingRecorder.LeavingRecorder;
 	readonly authorizer: SendAuthorizer;
 	readonly clock: clocks.Clocks;
+	/** Runs the parsing of responses that cost much; one for each response by default. */
+	readonly scheduler?: stepScheduler.StepScheduler;
 	readonly log: eventLog.EventLog;
 	/** Returns a random number from 0 (inclusive) to 1 (exclusive). */
 	readonly random: () => number;
--- a/packages/gateway/src/call/response-relay.ts
+++ b/packages/gateway/src/call/response-relay.ts
@@ -3,6 +3,7 @@
 import type * as endpoints from '../endpoints/index.js';
 import type * as ports from '../ports/index.js';
 import * as abortResponse from '../util/abort-response.js';
+import * as byteAccumulator from '../util/byte-accumulator.js';
 import * as connectionHeaders from '../util/connection-headers.js';
 import * as eventSplitter from './event-splitter.js';
 
@@ -34,8 +35,7 @@
 	/** Id of the last event that was relayed. */
 	lastEventId: number | undefined;
 	#splitter = new eventSplitter.EventSplitter();
-	#buffered: Uint8Array[] = [];
-	#bufferedBytes = 0;
+	readonly #buffered = new byteAccumulator.ByteAccumulator();
 	#head: {readonly status: number; readonly rawHeaders: readonly string[]} | undefined;
 	#hasStarted = false;
 	#isEventStream = false;
@@ -88,8 +88,7 @@
 		}
 
 		const headers = raw.headers.map(value => buffer.Buffer.from(value).toString('latin1'));
-		this.#buffered = [];
-		this.#bufferedBytes = 0;
+		this.#buffered.take();
 		this.#head = {status: head.status, rawHeaders: headers};
 		this.#isEventStream = this.isStreamHead(head);
 		if (this.#isEventStream) {
@@ -111,8 +110,7 @@
 		}
 
 		this.#buffered.push(chunk);
-		this.#bufferedBytes += chunk.length;
-		return this.#bufferedBytes <= maxBufferedBytes || this.#flushBuffered();
+		return this.#buffered.length <= maxBufferedBytes || this.#flushBuffered();
 	}
 
 	/** Completes the response. */
@@ -122,12 +120,7 @@
 			this.#stateLength();
 		}
 
-		for (const chunk of this.#buffered) {
-			this.res.write(chunk);
-		}
-
-		this.#buffered = [];
-		this.res.end();
+		this.res.end(this.#buffered.take());
 	}
 
 	/** Whether the stream ends with an incomplete event. */
@@ -191,13 +184,7 @@
 
 	#flushBuffered(): boolean {
 		this.#start();
-		let canContinue = true;
-		for (const chunk of this.#buffered) {
-			canContinue = this.#write(chunk);
-		}
-
-		this.#buffered = [];
-		return canContinue;
+		return this.#write(this.#buffered.take());
 	}
 
 	#start(): void {
@@ -216,8 +203,8 @@
 
 	/** States the length of a response that is known as a whole: a caller of HTTP/1.0 gets no chunks, so that nothing else shows whether it has received everything. */
 	#stateLength(): void {
-		if (this.#bufferedBytes > 0 && !this.res.hasHeader('content-length')) {
-			this.res.setHeader('Content-Length', this.#bufferedBytes);
+		if (this.#buffered.length > 0 && !this.res.hasHeader('content-length')) {
+			this.res.setHeader('Content-Length', this.#buffered.length);
 		}
 	}
 
--- a/packages/gateway/src/endpoints/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoints/endpoint-attempt.ts
@@ -1,9 +1,11 @@
 import * as core from '@bluebellmast/core';
 import type * as undici from 'undici';
 import type * as ports from '../ports/index.js';
+import * as stepScheduler from '../util/step-scheduler.js';
 import type * as connectionPool from './connection-pool.js';
 import * as connector from './connector.js';
 import type * as endpointConnection from './endpoint-connection.js';
+import * as responsePacer from './response-pacer.js';
 
 /** Why no complete response of an attempt was passed on to the caller. */
 export enum AttemptFault {
@@ -118,6 +120,8 @@
 	/** Called with each head of a response that belongs to the request, refusals included. */
 	readonly onMatchingHead?: (head: ports.ResponseHead) => void;
 	readonly monotonicNow: () => number;
+	/** Runs the parsing of responses that cost much; one of its own by default. */
+	readonly scheduler?: stepScheduler.StepScheduler;
 	/** Called when the connection is open, just before the request is sent. @returns Why it may not be sent any more; absent if it may. */
 	readonly findObstacle?: () => AttemptFault | undefined;
 };
@@ -141,8 +145,20 @@
 	#unwantedTimer: NodeJS.Timeout | undefined;
 	/** Whether the rest of an unwanted body is left unread, so that the connection can't be used again. */
 	#isBodyAbandoned = false;
-
-	constructor(private readonly options: AttemptOptions) {}
+	readonly #pacer: responsePacer.ResponsePacer;
+
+	constructor(private readonly options: AttemptOptions) {
+		this.#pacer = new responsePacer.ResponsePacer({
+			scheduler: options.scheduler ?? new stepScheduler.StepScheduler(options.monotonicNow),
+			onData: bytes => this.#passOn(bytes),
+			pause: () => {
+				this.#controller?.pause();
+			},
+			resume: () => {
+				this.#controller?.resume();
+			},
+		});
+	}
 
 	/** Whether the endpoint keeps the connection open after the response; otherwise a later close does not show that the endpoint has ended. */
 	get keepsConnection(): boolean {
@@ -188,7 +204,7 @@
 
 	/** Continues reading after {@link ResponseSink.onData} returned `false`. */
 	resume(): void {
-		this.#controller?.resume();
+		this.#pacer.resume();
 	}
 
 	onRequestStart(controller: undici.Dispatcher.DispatchController): void {
@@ -252,25 +268,15 @@
 		}
 	}
 
-	onResponseData(controller: undici.Dispatcher.DispatchController, chunk: Uint8Array): void {
+	onResponseData(_controller: undici.Dispatcher.DispatchController, chunk: Uint8Array): void {
 		this.#bodyBytes += chunk.length;
-		if (this.#isEnded) {
-			return;
-		}
-
-		if (!this.#wantsBody) {
-			this.#unwantedBytes += chunk.length;
-			if (this.#unwantedBytes > maxUnwantedBytes) {
-				this.#abandonBody();
-			} else if (this.#responseFault === AttemptFault.ErrorResponse) {
-				this.options.sink.onDiscardedData(chunk);
-			}
-		} else if (!this.options.sink.onData(chunk)) {
-			controller.pause();
+		if (!this.#isEnded) {
+			this.#pacer.push(chunk);
 		}
 	}
 
 	onResponseEnd(): void {
+		this.#pacer.flush();
 		if (!this.#isFramed && !this.options.connection.hasEndedCleanly) {
 			this.#finish({
 				progress: this.progress,
@@ -289,6 +295,10 @@
 	}
 
 	onResponseError(_controller: undici.Dispatcher.DispatchController | undefined, err: Error): void {
+		if (this.#abortFault === undefined && !this.#isEnded) {
+			this.#pacer.flush();
+		}
+
 		const connectFailed = this.progress === core.request.AttemptProgress.Connecting;
 		const fault = this.#abortFault
 			?? this.#responseFault
@@ -298,6 +308,26 @@
 		});
 	}
 
+	/** Passes on a part of the body. @returns Whether to continue reading. */
+	#passOn(bytes: Uint8Array): boolean {
+		if (this.#isEnded) {
+			return true;
+		}
+
+		if (this.#wantsBody) {
+			return this.options.sink.onData(bytes);
+		}
+
+		this.#unwantedBytes += bytes.length;
+		if (this.#unwantedBytes > maxUnwantedBytes) {
+			this.#abandonBody();
+		} else if (this.#responseFault === AttemptFault.ErrorResponse) {
+			this.options.sink.onDiscardedData(bytes);
+		}
+
+		return true;
+	}
+
 	#countInterimResponse(): void {
 		this.#interimCount += 1;
 		if (this.#interimCount > maxInterimResponses) {
@@ -335,6 +365,7 @@
 		}
 
 		this.#isEnded = true;
+		this.#pacer.end();
 		clearTimeout(this.#unwantedTimer);
 		const isReusable = !this.#isBodyAbandoned && !this.options.connection.refusals.isExhausted && (result.fault === undefined || result.fault === AttemptFault.Refused
 			|| result.fault === AttemptFault.ErrorResponse);
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -12,6 +12,7 @@
 import * as placement from './placement/index.js';
 import type * as ports from './ports/index.js';
 import type * as clocks from './util/clocks.js';
+import * as stepScheduler from './util/step-scheduler.js';
 import type * as eventLog from './util/event-log.js';
 
 /** Settings, clients, adapters and other dependencies of a gateway. */
@@ -113,6 +114,7 @@
 	admin.setLimitListener((endpoint, limit) => {
 		fleet.limits.record(endpoint, {limit, isAuthoritative: false}, clock.suspendAwareNow());
 	});
+	const scheduler = new stepScheduler.StepScheduler(() => clock.monotonicNow());
 	const waiting = new call.RequestQueue(() => clock.monotonicNow());
 	const dispatcher = new call.RequestDispatcher({
 		fleet,
@@ -121,6 +123,7 @@
 		quarantine,
 		connections,
 		clock,
+		scheduler,
 		log,
 		random,
 		leavingRecorder,
@@ -141,6 +144,7 @@
 	const callerConnections = new ingress.CallerConnections(ingress.computeMaxConnections({memoryBytes: settings.memoryBytes, descriptors: settings.fileDescriptors}));
 	const server = new ingress.GatewayServer({
 		connections: callerConnections,
+		scheduler,
 		protocol: options.callerProtocol,
 		filters: [
 			new call.RouteFilter(config, settings.configAgeLimits, clock),
