Bundle: a failed assertion of a library does not make Node parse the source

What callers saw: a runner that answers with the status 000 or 099 kept the process busy for seconds; nobody was served meanwhile, those of sound runners included. Cause: undici's parser asserts that a status is 100 or more, without a message. Node then makes one from the source at that place, and parses the whole minified bundle to find it. The parser still rejects the head, closes the connection, and the request ends as after a lost connection: 502, or another attempt where the route allows one. No caller gets such a status. 600 and 999 are relayed unchanged, as the platform asks, and treated as server errors where another endpoint may succeed (RFC 9110, section 15).

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -12,6 +12,7 @@
 /** Modules that are replaced, by patterns of their paths: parts of undici, and what libraries load without using it here. */
 const replacements = [
 	[/^undici$/, path.resolve('platform/bundle/undici-client.mjs')],
+	[/^(?:node:)?assert$/, path.resolve('platform/bundle/assert.cjs')],
 	// HTTP/2 of undici.
 	[/^\.\/client-h2\.js$/, unused],
 	// Sending metrics to other systems.
@@ -24,7 +25,8 @@
 	name: 'replacing',
 	setup(build) {
 		for (const [filter, file] of replacements) {
-			build.onResolve({filter}, () => ({path: file}));
+			// The replacement may use what it replaces.
+			build.onResolve({filter}, ({importer}) => importer === file ? undefined : {path: file});
 		}
 	},
 };
