Responses: the sum of what is kept for callers is bounded; gauges of the sums

Each response that is not complete keeps up to 64 KiB, and each caller that stops reading as much again, whatever their number. Cause: each response had a bound, their sum had none. Why this works: ResponseMemory (a sixteenth of the VM's memory) counts both. When it is used up, a response that is not complete is relayed as far as it has arrived, so that it can't be repeated any more; of those whose callers don't read, the one that has been unread for the longest time is cut, with a line caller_turned_away. Gauges: connections of callers, memory of bodies, memory of responses, each with its bound, and the steps of expensive parsing that wait. Also: the body of a response that was kept is written apart from its end again, as two tests expect (error-response.test.ts failed on: its fake takes no bytes with the end); the type of a test of ResponsePacer.

--- a/packages/gateway/src/call/body-memory.ts
+++ b/packages/gateway/src/call/body-memory.ts
@@ -72,6 +72,8 @@
  */
 export class BodyMemory {
 	#usedBytes = 0;
+	/** Part of it for bodies that are still arriving. */
+	#arrivingBytes = 0;
 	readonly #arriving = new Set<BodyReservation>();
 	readonly #bytesByAccount = new Map<string, number>();
 
@@ -90,8 +92,7 @@
 
 	/** Whether a body of the given size finds memory beside the complete ones, which don't yield. */
 	fits(bytes: number): boolean {
-		const arrivingBytes = [...this.#arriving].reduce((sum, {bytes}) => sum + bytes, 0);
-		return this.#isAllowed(this.#usedBytes - arrivingBytes, bytes, bytes);
+		return this.#isAllowed(this.#usedBytes - this.#arrivingBytes, bytes, bytes);
 	}
 
 	/** Takes memory; for {@link BodyReservation.grow}. */
@@ -112,6 +113,7 @@
 		body.bytes += bytes;
 		if (body.isArriving) {
 			this.#arriving.add(body);
+			this.#arrivingBytes += bytes;
 		}
 
 		return true;
@@ -121,9 +123,9 @@
 	release(body: BodyReservation): void {
 		const {account} = body.options;
 		const accountBytes = this.#getAccountBytes(account) - body.bytes;
+		this.complete(body);
 		this.#usedBytes -= body.bytes;
 		body.bytes = 0;
-		this.#arriving.delete(body);
 		if (accountBytes > 0) {
 			this.#bytesByAccount.set(account, accountBytes);
 		} else {
@@ -133,7 +135,9 @@
 
 	/** Marks a body as complete; for {@link BodyReservation.complete}. */
 	complete(body: BodyReservation): void {
-		this.#arriving.delete(body);
+		if (this.#arriving.delete(body)) {
+			this.#arrivingBytes -= body.bytes;
+		}
 	}
 
 	#isAllowed(usedBytes: number, bytes: number, bodyBytes: number): boolean {
--- a/packages/gateway/src/call/index.ts
+++ b/packages/gateway/src/call/index.ts
@@ -1,5 +1,6 @@
 export * from './account-filter.js';
 export * from './send-refusal.js';
+export * from './response-memory.js';
 export * from './response-relay.js';
 export * from './attempt-target.js';
 export * from './body-filter.js';
--- a/packages/gateway/src/call/request-dispatcher.ts
+++ b/packages/gateway/src/call/request-dispatcher.ts
@@ -15,6 +15,7 @@
 import type * as requestContext from './request-context.js';
 import * as requestForwarder from './request-forwarder.js';
 import type * as refusals from './refusal.js';
+import * as responseMemory from './response-memory.js';
 import type * as retryWindows from './retry-windows.js';
 import type * as requestQueue from './request-queue.js';
 import * as silenceLog from './silence-log.js';
@@ -37,6 +38,8 @@
 	readonly clock: clocks.Clocks;
 	/** Runs the parsing of responses that cost much; one for each response by default. */
 	readonly scheduler?: stepScheduler.StepScheduler;
+	/** Memory for responses; not bounded by default. */
+	readonly responseMemory?: responseMemory.ResponseMemory;
 	readonly log: eventLog.EventLog;
 	/** Returns a random number from 0 (inclusive) to 1 (exclusive). */
 	readonly random: () => number;
@@ -47,6 +50,7 @@
 	readonly failedSearches: failedSearches.FailedSearches;
 	readonly silences: silenceLog.SilenceLog;
 	readonly gracefulShutdown: core.request.GracefulShutdown;
+	readonly responseMemory: responseMemory.ResponseMemory;
 };
 
 /** Decides immediately before each attempt whether a request may still be sent. */
@@ -61,7 +65,11 @@
 
 	constructor(dependencies: DispatcherDependencies) {
 		this.#dependencies = {
-			...dependencies, failedSearches: new failedSearches.FailedSearches(), silences: new silenceLog.SilenceLog(dependencies.log), gracefulShutdown: new core.request.GracefulShutdown(),
+			...dependencies,
+			failedSearches: new failedSearches.FailedSearches(),
+			silences: new silenceLog.SilenceLog(dependencies.log),
+			gracefulShutdown: new core.request.GracefulShutdown(),
+			responseMemory: dependencies.responseMemory ?? new responseMemory.ResponseMemory(),
 		};
 	}
 
--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -3,6 +3,7 @@
 import * as endpoints from '../endpoints/index.js';
 import type * as endpointPlacer from '../placement/endpoint-placer.js';
 import * as clocks from '../util/clocks.js';
+import * as eventLog from '../util/event-log.js';
 import * as responseRelay from './response-relay.js';
 import * as responseTimer from './response-timer.js';
 import * as activeAttempts from './active-attempts.js';
@@ -61,6 +62,10 @@
 			onDrain: () => {
 				this.#active.current?.attempt.resume();
 			},
+			onEvicted() {
+				dependencies.log.write(eventLog.LogEvent.CallerTurnedAway, {reason: core.log.TurnAwayReason.ResponseMemory, address: request.req.socket.remoteAddress});
+			},
+			memory: dependencies.responseMemory,
 		});
 		this.#relay.lastEventId = head.lastEventId;
 		const promptKeys = head.prompt && core.quarantine.createPromptKeys(head.prompt.model, head.prompt.parts.map(part => part.id), head.requestId);
--- a/packages/gateway/src/call/response-relay.ts
+++ b/packages/gateway/src/call/response-relay.ts
@@ -6,6 +6,7 @@
 import * as byteAccumulator from '../util/byte-accumulator.js';
 import * as connectionHeaders from '../util/connection-headers.js';
 import * as eventSplitter from './event-splitter.js';
+import type * as responseMemory from './response-memory.js';
 
 /** Responses up to this size are buffered until complete, so that a request can be retried if its response is interrupted. */
 const maxBufferedBytes = 65_536;
@@ -22,6 +23,10 @@
 	readonly onSequenceError: () => void;
 	/** Called when an event is larger than any sound one; nothing of it is relayed. */
 	readonly onEventTooLarge: () => void;
+	/** Called when the response is cut, since callers that don't read use the memory for responses. */
+	readonly onEvicted: () => void;
+	/** Memory for the responses of all requests. */
+	readonly memory: responseMemory.ResponseMemory;
 	/** Called when the caller's connection accepts data again after backpressure. */
 	readonly onDrain: () => void;
 };
@@ -36,6 +41,8 @@
 	lastEventId: number | undefined;
 	#splitter = new eventSplitter.EventSplitter();
 	readonly #buffered = new byteAccumulator.ByteAccumulator();
+	/** Part of the memory for responses that is recorded for what is buffered, in bytes. */
+	#recordedBytes = 0;
 	#head: {readonly status: number; readonly rawHeaders: readonly string[]} | undefined;
 	#hasStarted = false;
 	#isEventStream = false;
@@ -46,7 +53,12 @@
 	/** Whether an event with an id has arrived since the last head. */
 	#hasEvent = false;
 
-	constructor(private readonly res: http.ServerResponse, private readonly options: ResponseRelayOptions) {}
+	constructor(private readonly res: http.ServerResponse, private readonly options: ResponseRelayOptions) {
+		res.once('close', () => {
+			this.#takeBuffered();
+			options.memory.removeUnread(this);
+		});
+	}
 
 	/** Whether a response to the caller was started. */
 	get hasStarted(): boolean {
@@ -88,7 +100,7 @@
 		}
 
 		const headers = raw.headers.map(value => buffer.Buffer.from(value).toString('latin1'));
-		this.#buffered.take();
+		this.#takeBuffered();
 		this.#head = {status: head.status, rawHeaders: headers};
 		this.#isEventStream = this.isStreamHead(head);
 		if (this.#isEventStream) {
@@ -110,7 +122,8 @@
 		}
 
 		this.#buffered.push(chunk);
-		return this.#buffered.length <= maxBufferedBytes || this.#flushBuffered();
+		const mayKeep = this.#recordBuffered();
+		return (mayKeep && this.#buffered.length <= maxBufferedBytes) || this.#flushBuffered();
 	}
 
 	/** Completes the response. */
@@ -120,7 +133,11 @@
 			this.#stateLength();
 		}
 
-		this.res.end(this.#buffered.take());
+		if (this.#buffered.length > 0) {
+			this.res.write(this.#takeBuffered());
+		}
+
+		this.res.end();
 	}
 
 	/** Whether the stream ends with an incomplete event. */
@@ -184,7 +201,7 @@
 
 	#flushBuffered(): boolean {
 		this.#start();
-		return this.#write(this.#buffered.take());
+		return this.#write(this.#takeBuffered());
 	}
 
 	#start(): void {
@@ -208,12 +225,33 @@
 		}
 	}
 
+	/** Records the memory of what is buffered. @returns Whether it may be kept. */
+	#recordBuffered(): boolean {
+		const grownBytes = this.#buffered.allocatedBytes - this.#recordedBytes;
+		this.#recordedBytes += grownBytes;
+		return this.options.memory.changeBuffered(grownBytes);
+	}
+
+	#takeBuffered(): Uint8Array {
+		const bytes = this.#buffered.take();
+		this.#recordBuffered();
+		return bytes;
+	}
+
 	#write(bytes: Uint8Array): boolean {
 		const canContinue = this.res.write(bytes);
 		if (!canContinue && !this.#isWaitingForDrain) {
 			this.#isWaitingForDrain = true;
+			this.options.memory.addUnread(this, {
+				bytes: this.res.writableLength,
+				evict: () => {
+					this.options.onEvicted();
+					this.abort();
+				},
+			});
 			this.res.once('drain', () => {
 				this.#isWaitingForDrain = false;
+				this.options.memory.removeUnread(this);
 				this.options.onDrain();
 			});
 		}
--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -230,7 +230,8 @@
 		if (req.socket.writableEnded) {
 			// The request has crossed the close of its connection; its caller can repeat it, since it is not executed.
 			this.#logDropped(req);
-			this.#inputs.discard(res);
+			earlyBody?.take();
+			req.resume();
 			return;
 		}
 
--- a/packages/gateway/src/metrics/state-gauges.ts
+++ b/packages/gateway/src/metrics/state-gauges.ts
@@ -23,6 +23,17 @@
 	readonly openRequests: number;
 	/** Number of open requests that wait for capacity at an endpoint. */
 	readonly waitingRequests: number;
+	/** Open connections of callers, and their number at most; infinite without a limit, as the following ones. */
+	readonly callerConnections: number;
+	readonly maxCallerConnections: number;
+	/** Memory for bodies of requests, in bytes, and its size at most. */
+	readonly bodyBytes: number;
+	readonly maxBodyBytes: number;
+	/** Memory for parts of responses that are kept or not read by their callers, in bytes, and its size at most. */
+	readonly responseBytes: number;
+	readonly maxResponseBytes: number;
+	/** Number of steps of expensive parsing that wait. */
+	readonly scheduledSteps: number;
 	readonly droppedLogLines: number;
 	/** Sum of the shares of accounts' quotas that this VM holds. */
 	readonly heldQuotaShares: number;
@@ -48,6 +59,13 @@
 	{name: 'bluebellmast_endpoints_limited', help: 'Listed endpoints that limit their requests.', read: state => state.limitedEndpoints},
 	{name: 'bluebellmast_requests_open', help: 'Requests that have not ended.', read: state => state.openRequests},
 	{name: 'bluebellmast_requests_waiting', help: 'Requests that wait for room at an endpoint.', read: state => state.waitingRequests},
+	{name: 'bluebellmast_caller_connections', help: 'Open connections of callers.', read: state => state.callerConnections},
+	{name: 'bluebellmast_caller_connections_max', help: 'Connections of callers at which others are closed for new ones.', read: state => state.maxCallerConnections},
+	{name: 'bluebellmast_body_bytes', help: 'Memory for bodies of requests.', read: state => state.bodyBytes},
+	{name: 'bluebellmast_body_bytes_max', help: 'Memory for bodies at which slow ones yield; small bodies may use twice as much.', read: state => state.maxBodyBytes},
+	{name: 'bluebellmast_response_bytes', help: 'Memory for responses that are not complete or not read.', read: state => state.responseBytes},
+	{name: 'bluebellmast_response_bytes_max', help: 'Memory for responses at which the one that is unread for the longest time is cut.', read: state => state.maxResponseBytes},
+	{name: 'bluebellmast_scheduled_steps', help: 'Steps of expensive parsing that wait.', read: state => state.scheduledSteps},
 	{name: 'bluebellmast_quota_shares_held', help: 'Sum of the shares of accounts\' quotas that VMs lend to this one, over the partitions of the accounts.', read: state => state.heldQuotaShares},
 	{name: 'bluebellmast_log_lines_dropped', help: 'Log lines dropped since the start.', read: state => state.droppedLogLines},
 	{name: 'process_resident_memory_bytes', help: 'Memory of the process.', read: () => process.memoryUsage.rss()},
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -37,8 +37,9 @@
 const msPerSecond = 1000;
 /** Age to assume of a version that was named before the start, as a share of the time for which replaced weights may be used. */
 const unseenVersionAgeShare = 0.5;
-/** Share of the process's memory for the bodies of requests; a body takes several times its size while it is joined and sent. */
+/** Shares of the process's memory for the bodies of requests, which take several times their size while they are joined and sent, and for parts of responses. */
 const bodyMemoryShare = 0.125;
+const responseMemoryShare = 0.0625;
 
 /** Creates a gateway; {@link gateway.Gateway.start} starts it. */
 export function createGateway(options: GatewayOptions): gateway.Gateway {
@@ -114,6 +115,9 @@
 	admin.setLimitListener((endpoint, limit) => {
 		fleet.limits.record(endpoint, {limit, isAuthoritative: false}, clock.suspendAwareNow());
 	});
+	const {memoryBytes = Infinity} = settings;
+	const bodyMemory = new call.BodyMemory(memoryBytes * bodyMemoryShare);
+	const responseMemory = new call.ResponseMemory(memoryBytes * responseMemoryShare);
 	const scheduler = new stepScheduler.StepScheduler(() => clock.monotonicNow());
 	const waiting = new call.RequestQueue(() => clock.monotonicNow());
 	const dispatcher = new call.RequestDispatcher({
@@ -124,6 +128,7 @@
 		connections,
 		clock,
 		scheduler,
+		responseMemory,
 		log,
 		random,
 		leavingRecorder,
@@ -150,7 +155,7 @@
 			new call.RouteFilter(config, settings.configAgeLimits, clock),
 			new call.AccountFilter(config, settings.configAgeLimits, clock),
 			new call.QuotaFilter(quotaController, clock, quotaBounds),
-			new call.BodyFilter(clock, new call.BodyMemory(settings.memoryBytes === undefined ? undefined : settings.memoryBytes * bodyMemoryShare)),
+			new call.BodyFilter(clock, bodyMemory),
 		],
 		dispatcher,
 		clock,
@@ -229,6 +234,13 @@
 			limitedEndpoints: ready.filter(entry => fleet.limits.getRate(entry) !== undefined).length,
 			openRequests: server.openRequests,
 			waitingRequests: waiting.size,
+			callerConnections: callerConnections.size,
+			maxCallerConnections: callerConnections.maxConnections,
+			bodyBytes: bodyMemory.usedBytes,
+			maxBodyBytes: bodyMemory.maxBytes,
+			responseBytes: responseMemory.usedBytes,
+			maxResponseBytes: responseMemory.maxBytes,
+			scheduledSteps: scheduler.size,
 			heldQuotaShares: quotaController.heldShares,
 			droppedLogLines: options.droppedLogLines?.() ?? 0,
 		};
--- a/packages/gateway/tests/endpoints/response-pacer.test.ts
+++ b/packages/gateway/tests/endpoints/response-pacer.test.ts
@@ -3,7 +3,7 @@
 import * as chai from 'chai';
 import * as fastCheck from 'fast-check';
 import * as responsePacer from '../../src/endpoints/response-pacer.js';
-import * as gateway from '@bluebellmast/gateway';
+import * as stepScheduler from '../../src/util/step-scheduler.js';
 
 const {expect} = chai;
 
@@ -14,7 +14,7 @@
 	resumes = 0;
 	canContinue = true;
 	readonly pacer = new responsePacer.ResponsePacer({
-		scheduler: new gateway.util.StepScheduler(() => 0),
+		scheduler: new stepScheduler.StepScheduler(() => 0),
 		onData: bytes => {
 			this.parts.push(bytes);
 			return this.canContinue;
