Heads: those that are not complete are bounded together

What callers saw: 1,450 connections with 29 kB of a head with many short headers each ended the process by heap exhaustion. Cause: Node keeps each name and value as an object; the head of one connection is bounded (32 KiB), the sum was not. Why this works: each 50 ms the bytes of incomplete heads are added up; above an eighth of the VM's memory, at 16 bytes for each byte of a head, the oldest such connections are closed, with a line caller_turned_away. A complete head of more than 100 headers counts as memory of its request's body.

--- a/packages/core/src/log/turn-away-reason.ts
+++ b/packages/core/src/log/turn-away-reason.ts
@@ -4,6 +4,8 @@
 	PipelinedRequests = 'pipelined_requests',
 	/** The VM has as many connections of callers as it may, and none that could be closed for this one. */
 	Connections = 'connections',
+	/** The incomplete heads of all connections take as much memory as they may, and this one is the oldest. */
+	HeadMemory = 'head_memory',
 	/** Responses that callers don't read use the memory for responses, and this caller has not read for the longest time. */
 	ResponseMemory = 'response_memory',
 }
--- a/packages/gateway/src/call/body-filter.ts
+++ b/packages/gateway/src/call/body-filter.ts
@@ -10,6 +10,10 @@
 /** Refusal of a request for whose body there is no memory: it can be sent to another VM at once, or to this one when others have ended. */
 const noMemoryRefusal: refusals.Refusal = {code: refusals.RefusalCode.MemoryUsed, retryAfterMs: refusals.noEndpointRetryAfterMs};
 
+/** Names and values of headers that a request usually has at most, and the memory that one of them takes, in bytes. */
+const usualHeaderTexts = 200;
+const headerTextBytes = 80;
+
 /**
  * Reads the body of a request; refuses it if the body exceeds the configured size, is not complete by the deadline, or the bodies of all requests together take too much
  * memory. A body that states its length is refused before it is read if it does not fit beside those that are complete.
@@ -32,6 +36,13 @@
 				stopReading?.();
 			},
 		});
+		const headMemory = computeHeadMemory(ctx.req);
+		if (headMemory > 0 && !reservation.grow(headMemory, this.clock.monotonicNow())) {
+			reservation.complete();
+			return noMemoryRefusal;
+		}
+
+		const headBytes = reservation.bytes;
 		const body = new byteAccumulator.ByteAccumulator();
 		const bounds = {
 			maxBytes,
@@ -42,7 +53,7 @@
 		};
 		const bodyEnd = await bodyReader.readBody(ctx, bounds, chunk => {
 			body.push(chunk);
-			const missingBytes = body.allocatedBytes - reservation.bytes;
+			const missingBytes = headBytes + body.allocatedBytes - reservation.bytes;
 			return missingBytes <= 0 || reservation.grow(missingBytes, this.clock.monotonicNow());
 		});
 		reservation.complete();
@@ -92,6 +103,11 @@
 	return Math.max(0, arrivedAt + allowedMs - now);
 }
 
+/** Returns the memory that the head of a request takes, as far as it is more than usual, in bytes. */
+function computeHeadMemory({rawHeaders}: http.IncomingMessage): number {
+	return rawHeaders.length <= usualHeaderTexts ? 0 : rawHeaders.length * headerTextBytes;
+}
+
 /** Returns the length that the head of a request states for its body; 0 if it states none. */
 function getStatedBytes(req: http.IncomingMessage): number {
 	const length = Number(req.headers['content-length'] ?? 0);
--- a/packages/gateway/src/ingress/caller-connections.ts
+++ b/packages/gateway/src/ingress/caller-connections.ts
@@ -9,6 +9,9 @@
 /** Share of the process's memory for these connections, and the memory that one takes with the objects of a request, in bytes. */
 const memoryShare = 0.25;
 const connectionMemoryBytes = 32_768;
+/** Share of the process's memory for incomplete heads, and the memory of a byte of a head with many short headers. */
+const headMemoryShare = 0.125;
+const headMemoryFactor = 16;
 
 /** Limits of a process, as far as they are known. */
 export type ProcessLimits = {
@@ -23,6 +26,11 @@
 	return Math.max(1, Math.floor(Math.min(byDescriptors, byMemory)));
 }
 
+/** Returns the bytes that the incomplete heads of all connections may have; `Infinity` without a limit. */
+export function computeMaxHeadBytes(memoryBytes = Infinity): number {
+	return memoryBytes * headMemoryShare / headMemoryFactor;
+}
+
 /** What a connection is used for, in the order in which connections are closed for others. */
 enum ConnectionUse {
 	/** Its last response was sent, and only its end is awaited. */
@@ -52,8 +60,11 @@
 	/** In the order of their last response, or of their begin. */
 	readonly #connections = new Map<net.Socket, Connection>();
 
-	/** @param maxConnections - Number of connections at most. */
-	constructor(readonly maxConnections = Infinity) {}
+	/**
+	 * @param maxConnections - Number of connections at most.
+	 * @param maxHeadBytes - Bytes of incomplete heads at most, over all connections; in memory they take several times as much.
+	 */
+	constructor(readonly maxConnections = Infinity, readonly maxHeadBytes = Infinity) {}
 
 	/** Number of open connections. */
 	get size(): number {
@@ -96,6 +107,28 @@
 		}
 	}
 
+	/** Closes connections with an incomplete head, the oldest first, as far as all of these heads take too much. @returns Those that were closed. */
+	closeSlowHeads(): net.Socket[] {
+		let headBytes = 0;
+		const receiving = [...this.#connections].filter(([socket, connection]) => {
+			const bytes = countHeadBytes(socket, connection);
+			headBytes += bytes;
+			return bytes > 0;
+		});
+		const closed: net.Socket[] = [];
+		for (const [socket, connection] of receiving) {
+			if (headBytes <= this.maxHeadBytes) {
+				break;
+			}
+
+			headBytes -= countHeadBytes(socket, connection);
+			closed.push(socket);
+			socket.destroy();
+		}
+
+		return closed;
+	}
+
 	/**
 	 * Closes the connection with the least use: of those that receive a request the one with the least progress, of all others the oldest.
 	 *
@@ -143,6 +176,11 @@
 	}
 }
 
+/** Returns the bytes of a head that is not complete; 0 if there is none. */
+function countHeadBytes(socket: net.Socket, {res, bytesBefore}: Connection): number {
+	return socket.writableEnded || res?.closed === false ? 0 : socket.bytesRead - bytesBefore;
+}
+
 /** Returns the bytes that were received in a millisecond of late; `Infinity` if it is too early to say. */
 function computeProgress(socket: net.Socket, {since, bytesBefore}: Connection, now: number): number {
 	return now - since < minProgressMs ? Infinity : (socket.bytesRead - bytesBefore) / (now - since);
--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -40,6 +40,8 @@
 
 /** Maximum size of a request head in bytes; heads of the platform's callers are at most half as large. */
 const maxHeadBytes = 32_768;
+/** Interval between checks of the memory of incomplete heads, in milliseconds. */
+const headMemoryCheckIntervalMs = 50;
 /** Requests of one connection that may wait for the responses of earlier ones; callers of the platform send one at a time. */
 const maxPipelinedRequests = 64;
 /** Time that connections stay open beyond the configured idle timeout, in milliseconds, so that reuse just before it succeeds. */
@@ -68,6 +70,7 @@
 	/** Responses after which the connection is closed, since invalid bytes followed their request. */
 	readonly #closing = new WeakSet<http.ServerResponse>();
 
+	#headCheck: NodeJS.Timeout | undefined;
 	readonly #connections: callerConnections.CallerConnections;
 	readonly #inputs: connectionInputs.ConnectionInputs;
 	readonly #refusals: refusalSender.RefusalSender;
@@ -125,6 +128,10 @@
 
 	/** Starts listening. */
 	async listen(address: listen.ListenAddress): Promise<void> {
+		this.#headCheck = setInterval(() => {
+			this.#closeSlowHeads();
+		}, headMemoryCheckIntervalMs);
+		this.#headCheck.unref();
 		return listen.listenOn(this.#server, address);
 	}
 
@@ -171,6 +178,7 @@
 	/** Closes the server and all connections immediately; requests whose response has not started are refused. */
 	close(): void {
 		this.#headerTimeout.close();
+		clearInterval(this.#headCheck);
 		this.#server.close();
 		for (const res of this.#openResponses) {
 			const ctx = this.#contexts.get(res);
@@ -351,6 +359,12 @@
 		return call.isCallerDisconnected(ctx) ? undefined : this.dependencies.dispatcher.dispatch(ctx as call.RoutedRequest);
 	}
 
+	#closeSlowHeads(): void {
+		for (const {remoteAddress} of this.#connections.closeSlowHeads()) {
+			this.dependencies.log.write(eventLog.LogEvent.CallerTurnedAway, {reason: core.log.TurnAwayReason.HeadMemory, address: remoteAddress});
+		}
+	}
+
 	/** Refuses a connection for which there is no room. */
 	#rejectForRoom(socket: net.Socket): void {
 		this.dependencies.log.write(eventLog.LogEvent.CallerTurnedAway, {reason: core.log.TurnAwayReason.Connections, address: socket.remoteAddress});
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -146,7 +146,8 @@
 		},
 		authorizer: new call.ApiKeyAuthorizer(config, settings.configAgeLimits, clock),
 	});
-	const callerConnections = new ingress.CallerConnections(ingress.computeMaxConnections({memoryBytes: settings.memoryBytes, descriptors: settings.fileDescriptors}));
+	const maxConnections = ingress.computeMaxConnections({memoryBytes, descriptors: settings.fileDescriptors});
+	const callerConnections = new ingress.CallerConnections(maxConnections, ingress.computeMaxHeadBytes(memoryBytes));
 	const server = new ingress.GatewayServer({
 		connections: callerConnections,
 		scheduler,
