Responses: the first 16 pieces of a batch are passed on one by one

What callers saw: nothing; two tests of failed (replacement-head.test.ts, "is taken from it by the first event of another one"): an event whose end is the second small piece of what was read was taken over a moment later than it could be. Cause: ResponsePacer joined from the second piece on. Why this works: small batches, as sound endpoints send them, are passed on as before; only the further pieces of larger ones are joined. Result: that file, silent-attempt.test.ts (whose two failures had the fake's end as their cause) and the nine tests of endpoint responses pass.

--- a/packages/gateway/src/endpoints/response-pacer.ts
+++ b/packages/gateway/src/endpoints/response-pacer.ts
@@ -3,7 +3,8 @@
 
 /** Pieces that may arrive at the same time without a pause; what is read at once may contain ten thousand chunks of one byte. */
 const maxPieces = 256;
-/** Size from which on a piece is passed on by itself, in bytes. */
+/** Pieces of a batch that are passed on one by one, and the size from which on a piece always is, in bytes. */
+const maxSinglePieces = 16;
 const minSinglePieceBytes = 1024;
 /** Bytes of small pieces that are joined at most. */
 const maxJoinedBytes = 16_384;
@@ -19,7 +20,7 @@
 };
 
 /**
- * Joins the small pieces in which a body arrives at the same time, and spreads the parsing of many of them over the turns of the event loop: each piece costs as much as a
+ * Joins small pieces of a body if many of them arrive at the same time, and spreads the parsing of many of them over the turns of the event loop: each piece costs as much as a
  * large one by itself.
  */
 export class ResponsePacer {
@@ -35,11 +36,10 @@
 	/** Handles a piece of the body. */
 	push(piece: Uint8Array): void {
 		this.#pieces += 1;
-		if (this.#pieces === 1 || piece.length >= minSinglePieceBytes) {
-			// Most pieces are the only one that was read.
+		this.#endBatchSoon();
+		if (this.#pieces <= maxSinglePieces || piece.length >= minSinglePieceBytes) {
 			this.flush();
 			this.#deliver(piece);
-			this.#endBatchSoon();
 			return;
 		}
 
