Input of callers: paced on all connections while one sends small chunks, and bounded together

Cause: took a connection over only after Node had parsed what was read with its first request, 64 KiB, so that a thousand such reads followed one another in a turn. Pipelined requests were bounded a connection only, and the bytes that wait for the parser a connection only. 32 KiB a connection left out what is read at once and what the kernel holds. Why this works: as soon as one body arrives in small pieces, or eight requests wait on a connection, the input of all connections is paced, and that of new ones for 10 s: each gets 2 KiB to the parser in its turn. Taking over keeps Node's listeners that stop reading when a socket is paused, so that nothing is read ahead, and a request that crosses a close is still not read. Bodies with a length are not cut into slices. What waits is bounded by a sixteenth of the VM's memory: the connection that has held longest, 100 ms at least, is closed. 1,024 pipelined requests wait over all connections. A connection counts as 160 KiB: 320 on the smallest machine, 560 with 350 MB; 64 in any case. Tried: pacing every connection from its begin. Keeping body pieces of 64 KiB without a copy took more memory, not less; taken back.

--- a/packages/core/src/log/turn-away-reason.ts
+++ b/packages/core/src/log/turn-away-reason.ts
@@ -6,6 +6,8 @@
 	Connections = 'connections',
 	/** The incomplete heads of all connections take as much memory as they may, and this one is the oldest. */
 	HeadMemory = 'head_memory',
+	/** What waits to be parsed of bodies in small chunks takes as much memory as it may, and this one has waited for the longest time. */
+	InputMemory = 'input_memory',
 	/** Responses that callers don't read use the memory for responses, and this caller has not read for the longest time. */
 	ResponseMemory = 'response_memory',
 }
--- a/packages/gateway/src/call/early-body.ts
+++ b/packages/gateway/src/call/early-body.ts
@@ -2,8 +2,8 @@
 import * as byteAccumulator from '../util/byte-accumulator.js';
 
 /**
- * What has arrived of a request's body before anything reads it, as one piece. Node's HTTP parser goes on with what was read together with the head, and would keep each chunk
- * as an object of some hundred bytes.
+ * What has arrived of a request's body before anything reads it, as one piece. The HTTP parser goes on with what it got together with the head, and would keep each chunk as an
+ * object of some hundred bytes.
  */
 export class EarlyBody {
 	/** Number of pieces that have arrived. */
--- a/packages/gateway/src/ingress/caller-connections.ts
+++ b/packages/gateway/src/ingress/caller-connections.ts
@@ -6,9 +6,11 @@
 const fileDescriptors = 200;
 /** Share of the other descriptors for connections of callers; endpoints, the store and other VMs need the rest. */
 const callerShare = 0.75;
-/** Share of the process's memory for these connections, and the memory that one takes with the objects of a request, in bytes. */
+/** Share of the process's memory for these connections, and the memory that one takes, in bytes: the objects of a request, 64 KiB that are read at once, and as much in the kernel. */
 const memoryShare = 0.25;
-const connectionMemoryBytes = 32_768;
+const connectionMemoryBytes = 163_840;
+/** Connections that a process may hold in any case, however little its memory. */
+const minConnections = 64;
 /** Share of the process's memory for incomplete heads, and the memory of a byte of a head with many short headers. */
 const headMemoryShare = 0.125;
 const headMemoryFactor = 16;
@@ -23,7 +25,7 @@
 export function computeMaxConnections({memoryBytes = Infinity, descriptors = Infinity}: ProcessLimits): number {
 	const byDescriptors = (descriptors - fileDescriptors) * callerShare;
 	const byMemory = memoryBytes * memoryShare / connectionMemoryBytes;
-	return Math.max(1, Math.floor(Math.min(byDescriptors, byMemory)));
+	return Math.max(minConnections, Math.floor(Math.min(byDescriptors, byMemory)));
 }
 
 /** Returns the bytes that the incomplete heads of all connections may have; `Infinity` without a limit. */
--- a/packages/gateway/src/ingress/connection-input.ts
+++ b/packages/gateway/src/ingress/connection-input.ts
@@ -7,8 +7,6 @@
 const sliceBytes = 2048;
 /** Time for which the parser gets slices of what was read at once, in milliseconds. */
 const maxInlineMs = 1;
-/** Bytes that are discarded at a time in a turn of the event loop. */
-const maxDiscardedBytes = 16_384;
 
 type DataListener = (chunk: Uint8Array) => void;
 
@@ -17,6 +15,8 @@
 	readonly scheduler: stepScheduler.StepScheduler;
 	/** Returns the present time in milliseconds of a monotonic clock. */
 	readonly now: () => number;
+	/** Called with the number of bytes that an input holds from now on. */
+	readonly onHeld: (input: ConnectionInput, bytes: number) => void;
 };
 
 /**
@@ -37,20 +37,25 @@
 	#isScheduled = false;
 	#isDiscarding = false;
 
-	/** Takes over a connection from Node's HTTP server. */
-	constructor(private readonly socket: net.Socket, private readonly options: ConnectionInputOptions) {
-		// Node registers it for connections whose bytes it doesn't parse beside the streams.
+	/** Takes the bytes of a connection over from Node's HTTP server. */
+	constructor(readonly socket: net.Socket, private readonly options: ConnectionInputOptions) {
 		const [parse] = socket.listeners('data');
 		this.#parse = parse as DataListener;
+		// By these listeners, which Node removes with the one for data, the socket stops reading as soon as it is paused.
+		const [onPause] = socket.listeners('pause');
+		const [onResume] = socket.listeners('resume');
 		socket.removeAllListeners('data');
 		socket.on('data', (chunk: Uint8Array) => {
 			this.#onData(chunk);
 		});
+		socket.on('pause', onPause as () => void);
+		socket.on('resume', onResume as () => void);
 		socket.on('drain', () => {
 			this.#continue();
 		});
-		// Node's HTTP server may have stopped reading, and no longer starts it again.
-		socket._read(sliceBytes);
+		socket.once('close', () => {
+			options.onHeld(this, 0);
+		});
 	}
 
 	/** To be called when a request begins. @param early - Its body, if it is chunked and has not been read. */
@@ -76,14 +81,17 @@
 		if (!this.#isDiscarding) {
 			this.#isDiscarding = true;
 			this.#isHeld = false;
+			this.options.onHeld(this, 0);
 			this.socket.resume();
 		}
 	}
 
 	#onData(chunk: Uint8Array): void {
 		if (this.#isDiscarding) {
-			this.#pauseDiscarding(chunk.length);
-		} else if (this.#isHeld && !this.#isStepping) {
+			return;
+		}
+
+		if (this.#isHeld && !this.#isStepping) {
 			// Node's HTTP server has resumed the socket.
 			this.#hold(chunk);
 		} else {
@@ -100,7 +108,7 @@
 				return;
 			}
 
-			const slice = chunk.subarray(offset, offset + sliceBytes);
+			const slice = this.#isReadingLength ? chunk.subarray(offset) : chunk.subarray(offset, offset + sliceBytes);
 			this.#aheadBytes += slice.length;
 			this.#parse.call(this.socket, slice);
 			offset += slice.length;
@@ -110,6 +118,12 @@
 		}
 	}
 
+	/** Whether a body is being read that states its length, so that its pieces are as large as what the parser gets. */
+	get #isReadingLength(): boolean {
+		const req = this.#res?.req;
+		return req !== undefined && this.#early === undefined && !req.complete && req.readableFlowing === true;
+	}
+
 	/** Whether the parser may get more: what follows a request that is not handled yet, or not read, waits. */
 	#mayFeed(): boolean {
 		if (this.socket.writableNeedDrain) {
@@ -132,6 +146,7 @@
 		this.#isHeld = true;
 		this.socket.pause();
 		this.socket.unshift(chunk);
+		this.options.onHeld(this, this.socket.readableLength);
 		this.#continue();
 	}
 
@@ -154,10 +169,11 @@
 
 		if (socket.readableLength > 0) {
 			this.#isStepping = true;
-			socket.read(Math.min(socket.readableLength, sliceBytes));
+			socket.read(this.#isReadingLength ? socket.readableLength : Math.min(socket.readableLength, sliceBytes));
 			this.#isStepping = false;
 		}
 
+		this.options.onHeld(this, socket.readableLength);
 		if (socket.readableLength > 0) {
 			this.#continue();
 		} else {
@@ -165,13 +181,4 @@
 			socket.resume();
 		}
 	}
-
-	#pauseDiscarding(bytes: number): void {
-		if (bytes >= maxDiscardedBytes) {
-			this.socket.pause();
-			this.options.scheduler.schedule(() => {
-				this.socket.resume();
-			});
-		}
-	}
 }
--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -31,6 +31,8 @@
 	readonly connections?: callerConnections.CallerConnections;
 	/** Runs the parsing of bodies that cost much; one of its own by default. */
 	readonly scheduler?: stepScheduler.StepScheduler;
+	/** Bytes that may wait for the parsing of such bodies, over all connections; not bounded by default. */
+	readonly maxHeldInputBytes?: number;
 	/** Interval between checks for heads that take too long, in milliseconds; 30 seconds by default. */
 	readonly headCheckIntervalMs?: number;
 };
@@ -44,6 +46,8 @@
 const headMemoryCheckIntervalMs = 50;
 /** Requests of one connection that may wait for the responses of earlier ones; callers of the platform send one at a time. */
 const maxPipelinedRequests = 64;
+/** The same of all connections. */
+const maxAllPipelinedRequests = 1024;
 /** Time that connections stay open beyond the configured idle timeout, in milliseconds, so that reuse just before it succeeds. */
 const keepAliveMarginMs = 2000;
 /** Interval at which a server that shuts down checks for open requests, in milliseconds. */
@@ -80,7 +84,14 @@
 		this.#log = new requestLog.RequestLog(dependencies.log);
 		this.#connections = dependencies.connections ?? new callerConnections.CallerConnections();
 		const now = (): number => dependencies.clock.monotonicNow();
-		this.#inputs = new connectionInputs.ConnectionInputs({now, scheduler: dependencies.scheduler ?? new stepScheduler.StepScheduler(now)});
+		this.#inputs = new connectionInputs.ConnectionInputs({
+			now,
+			scheduler: dependencies.scheduler ?? new stepScheduler.StepScheduler(now),
+			maxHeldBytes: dependencies.maxHeldInputBytes ?? Infinity,
+			onEvicted: ({remoteAddress}) => {
+				this.#logTurnedAway(core.log.TurnAwayReason.InputMemory, remoteAddress);
+			},
+		});
 		this.#refusals = new refusalSender.RefusalSender(dependencies.clock, this.#inputs);
 		this.#server = new clients.connections.CallerHttpServer(
 			{
@@ -102,6 +113,7 @@
 			}
 		});
 		this.#server.on('connection', (socket: net.Socket) => {
+			this.#inputs.onConnection(socket);
 			if (!this.#connections.add(socket, now())) {
 				this.#rejectForRoom(socket);
 			}
@@ -140,6 +152,11 @@
 		return listen.getPort(this.#server);
 	}
 
+	/** Bytes that wait for the parsing of bodies that cost much. */
+	get heldInputBytes(): number {
+		return this.#inputs.heldBytes;
+	}
+
 	/** Number of requests that have not ended. */
 	get openRequests(): number {
 		return this.#openResponses.size;
@@ -216,15 +233,15 @@
 			return;
 		}
 
-		if (this.#order.countWaiting(req.socket) >= maxPipelinedRequests) {
-			this.dependencies.log.write(eventLog.LogEvent.CallerTurnedAway, {reason: core.log.TurnAwayReason.PipelinedRequests, address: req.socket.remoteAddress});
+		if (this.#order.countWaiting(req.socket) >= maxPipelinedRequests || this.#order.waitingCount >= maxAllPipelinedRequests) {
+			this.#logTurnedAway(core.log.TurnAwayReason.PipelinedRequests, req.socket.remoteAddress);
 			req.socket.destroy();
 			return;
 		}
 
 		const arrivedAt = this.dependencies.clock.monotonicNow();
 		this.#connections.onRequest(res);
-		const earlyBody = this.#inputs.onRequest(res);
+		const earlyBody = this.#inputs.onRequest(res, this.#order.countWaiting(req.socket));
 		// Node announces the timeout that applies when a request arrives.
 		const keepAliveMs = this.#server.keepAliveTimeout;
 		if (!req.socket.writableEnded) {
@@ -359,17 +376,20 @@
 		return call.isCallerDisconnected(ctx) ? undefined : this.dependencies.dispatcher.dispatch(ctx as call.RoutedRequest);
 	}
 
+	#logTurnedAway(reason: core.log.TurnAwayReason, address: string | undefined): void {
+		this.dependencies.log.write(eventLog.LogEvent.CallerTurnedAway, {reason, address});
+	}
+
 	#closeSlowHeads(): void {
 		for (const {remoteAddress} of this.#connections.closeSlowHeads()) {
-			this.dependencies.log.write(eventLog.LogEvent.CallerTurnedAway, {reason: core.log.TurnAwayReason.HeadMemory, address: remoteAddress});
+			this.#logTurnedAway(core.log.TurnAwayReason.HeadMemory, remoteAddress);
 		}
 	}
 
 	/** Refuses a connection for which there is no room. */
 	#rejectForRoom(socket: net.Socket): void {
-		this.dependencies.log.write(eventLog.LogEvent.CallerTurnedAway, {reason: core.log.TurnAwayReason.Connections, address: socket.remoteAddress});
-		socket.removeAllListeners('data');
-		socket.resume();
+		this.#logTurnedAway(core.log.TurnAwayReason.Connections, socket.remoteAddress);
+		this.#inputs.discard(socket);
 		socket.write(connectionRejection.createFullRejection().response);
 		clients.connections.closeLingering(socket, clients.connections.minLingerMs);
 	}
--- a/packages/gateway/src/ingress/refusal-sender.ts
+++ b/packages/gateway/src/ingress/refusal-sender.ts
@@ -40,7 +40,7 @@
 
 		if (!req.complete) {
 			clients.connections.setLingerTime(req.socket, this.#computeLingerMs(ctx));
-			this.inputs.discard(res);
+			this.inputs.discard(req.socket);
 		}
 
 		call.sendRefusal(res, refusal);
--- a/packages/gateway/src/ingress/response-order.ts
+++ b/packages/gateway/src/ingress/response-order.ts
@@ -11,6 +11,13 @@
 	/** Number of responses of a connection that wait for their turn. */
 	readonly #waiting = new WeakMap<net.Socket, number>();
 
+	#waitingCount = 0;
+
+	/** Number of requests of all connections that wait for the responses of earlier ones. */
+	get waitingCount(): number {
+		return this.#waitingCount;
+	}
+
 	/** Adds the response to a request that has arrived. @returns A promise that resolves when it may be sent; `undefined` if it may be sent now. */
 	add(res: http.ServerResponse): Promise<void> | undefined {
 		const {socket} = res.req;
@@ -50,9 +57,11 @@
 	}
 
 	async #waitForTurn(previous: http.ServerResponse, socket: net.Socket): Promise<void> {
+		this.#waitingCount += 1;
 		this.#waiting.set(socket, this.countWaiting(socket) + 1);
 		await waitForClose(previous, socket);
 		this.#waiting.set(socket, this.countWaiting(socket) - 1);
+		this.#waitingCount -= 1;
 	}
 }
 
--- a/packages/gateway/src/metrics/state-gauges.ts
+++ b/packages/gateway/src/metrics/state-gauges.ts
@@ -32,6 +32,9 @@
 	/** Memory for parts of responses that are kept or not read by their callers, in bytes, and its size at most. */
 	readonly responseBytes: number;
 	readonly maxResponseBytes: number;
+	/** Bytes of callers' bodies that wait to be parsed, and their number at most. */
+	readonly inputBytes: number;
+	readonly maxInputBytes: number;
 	/** Number of steps of expensive parsing that wait. */
 	readonly scheduledSteps: number;
 	readonly droppedLogLines: number;
@@ -65,6 +68,8 @@
 	{name: 'bluebellmast_body_bytes_max', help: 'Memory for bodies at which slow ones yield; small bodies may use twice as much.', read: state => state.maxBodyBytes},
 	{name: 'bluebellmast_response_bytes', help: 'Memory for responses that are not complete or not read.', read: state => state.responseBytes},
 	{name: 'bluebellmast_response_bytes_max', help: 'Memory for responses at which the one that is unread for the longest time is cut.', read: state => state.maxResponseBytes},
+	{name: 'bluebellmast_input_bytes', help: 'Bytes of chunked bodies that wait to be parsed.', read: state => state.inputBytes},
+	{name: 'bluebellmast_input_bytes_max', help: 'Bytes that wait to be parsed at which the connection that waits longest is closed.', read: state => state.maxInputBytes},
 	{name: 'bluebellmast_scheduled_steps', help: 'Steps of expensive parsing that wait.', read: state => state.scheduledSteps},
 	{name: 'bluebellmast_quota_shares_held', help: 'Sum of the shares of accounts\' quotas that VMs lend to this one, over the partitions of the accounts.', read: state => state.heldQuotaShares},
 	{name: 'bluebellmast_log_lines_dropped', help: 'Log lines dropped since the start.', read: state => state.droppedLogLines},
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -40,6 +40,8 @@
 /** Shares of the process's memory for the bodies of requests, which take several times their size while they are joined and sent, and for parts of responses. */
 const bodyMemoryShare = 0.125;
 const responseMemoryShare = 0.0625;
+/** Share of it for input of callers that waits to be parsed. */
+const inputMemoryShare = 0.0625;
 
 /** Creates a gateway; {@link gateway.Gateway.start} starts it. */
 export function createGateway(options: GatewayOptions): gateway.Gateway {
@@ -150,6 +152,7 @@
 	const callerConnections = new ingress.CallerConnections(maxConnections, ingress.computeMaxHeadBytes(memoryBytes));
 	const server = new ingress.GatewayServer({
 		connections: callerConnections,
+		maxHeldInputBytes: memoryBytes * inputMemoryShare,
 		scheduler,
 		protocol: options.callerProtocol,
 		filters: [
@@ -241,6 +244,8 @@
 			maxBodyBytes: bodyMemory.maxBytes,
 			responseBytes: responseMemory.usedBytes,
 			maxResponseBytes: responseMemory.maxBytes,
+			inputBytes: server.heldInputBytes,
+			maxInputBytes: memoryBytes * inputMemoryShare,
 			scheduledSteps: scheduler.size,
 			heldQuotaShares: quotaController.heldShares,
 			droppedLogLines: options.droppedLogLines?.() ?? 0,
