Input of callers: connections that Node's HTTP server gives up are not paced

Such a connection is forgotten, and what arrives on it discarded. Two cases in connection-input.test.ts (before and after pacing has begun).

--- a/packages/gateway/src/ingress/connection-input.ts
+++ b/packages/gateway/src/ingress/connection-input.ts
@@ -42,14 +42,14 @@
 		const [parse] = socket.listeners('data');
 		this.#parse = parse as DataListener;
 		// By these listeners, which Node removes with the one for data, the socket stops reading as soon as it is paused.
-		const [onPause] = socket.listeners('pause');
-		const [onResume] = socket.listeners('resume');
+		const pauseListeners = socket.listeners('pause');
+		const resumeListeners = socket.listeners('resume');
 		socket.removeAllListeners('data');
 		socket.on('data', (chunk: Uint8Array) => {
 			this.#onData(chunk);
 		});
-		socket.on('pause', onPause as () => void);
-		socket.on('resume', onResume as () => void);
+		restoreListeners(socket, 'pause', pauseListeners);
+		restoreListeners(socket, 'resume', resumeListeners);
 		socket.on('drain', () => {
 			this.#continue();
 		});
@@ -182,3 +182,9 @@
 		}
 	}
 }
+
+function restoreListeners(socket: net.Socket, event: 'pause' | 'resume', listeners: readonly unknown[]): void {
+	for (const listener of listeners.filter(each => !socket.listeners(event).includes(each as () => void))) {
+		socket.on(event, listener as () => void);
+	}
+}
--- a/packages/gateway/src/ingress/connection-inputs.ts
+++ b/packages/gateway/src/ingress/connection-inputs.ts
@@ -90,6 +90,12 @@
 		return early;
 	}
 
+	/** To be called when Node's HTTP server has given a connection up and parses it no longer. */
+	onDetached(socket: net.Socket): void {
+		this.#sockets.delete(socket);
+		this.#inputs.get(socket)?.discard();
+	}
+
 	/** Discards what arrives on a connection from now on, without parsing it. */
 	discard(socket: net.Socket): void {
 		if (!socket.destroyed) {
--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -119,6 +119,7 @@
 			}
 		});
 		this.#server.on('connect', (req: http.IncomingMessage, socket: net.Socket) => {
+			this.#inputs.onDetached(socket);
 			// Node's HTTP server no longer handles the errors of this connection.
 			socket.on('error', () => {
 				socket.destroy();
--- a/packages/gateway/tests/ingress/connection-input.test.ts
+++ b/packages/gateway/tests/ingress/connection-input.test.ts
@@ -114,6 +114,37 @@
 		});
 	}
 
+	for (const [title, isFirst] of [['before', true], ['after', false]] as const) {
+		it(`are served beside a connection that Node's HTTP server gives up, if it does so ${title} them`, async () => { // eslint-disable-line @typescript-eslint/no-loop-func -- The fixture of the test.
+			const wire = encode({chunks: [1], bytes: 2000}, 0);
+			const sendConnect = async (): Promise<net.Socket> => {
+				const other = net.connect(server.port, host);
+				await once(other, 'connect');
+				other.on('error', () => undefined);
+				other.write('CONNECT a.example:1 HTTP/1.1\r\nHost: a.example\r\n\r\nmore');
+				await once(other, 'data');
+				return other;
+			};
+
+			const others = isFirst ? [await sendConnect()] : [];
+			await send(wire.wire, [1_000_000], 1);
+			others.push(...isFirst ? [] : [await sendConnect()]);
+			for (const other of others) {
+				other.write('and more');
+			}
+
+			await turn();
+			await turn();
+			socket.destroy();
+			socket = net.connect(server.port, host);
+			await send(wire.wire, [1_000_000], 1);
+			expect(bodies).to.have.lengthOf(2);
+			for (const other of others) {
+				other.destroy();
+			}
+		});
+	}
+
 	it('arrive as they were sent, whatever their chunks and the parts in which they are read', async () => {
 		const requestArbitrary = fastCheck.record({
 			chunks: fastCheck.option(fastCheck.array(fastCheck.oneof(fastCheck.constant(1), fastCheck.integer({min: 1, max: 70_000})), {minLength: 1, maxLength: 4}), {nil: undefined}),
