Connections of callers: an idle connection that is being closed stays known

Found by own review: while it was checked whether a request had arrived on an idle connection, the connection was not in the list, so that such a request was not recorded; put back, it counted as one that receives slowly, and could be closed while its response was awaited. It stays in the list now, marked and not counted. The case "keeps an idle connection on which a request arrives meanwhile" checks the next connection as well.

--- a/packages/gateway/src/ingress/caller-connections.ts
+++ b/packages/gateway/src/ingress/caller-connections.ts
@@ -52,6 +52,8 @@
 	/** When the last response ended or the connection began, in milliseconds of the monotonic clock, and the bytes that had been read by then. */
 	since: number;
 	bytesBefore: number;
+	/** Whether it is being closed, unless a request arrives meanwhile. */
+	isClosing: boolean;
 };
 
 /** Time from which on a connection counts by its progress, in milliseconds. */
@@ -61,6 +63,7 @@
 export class CallerConnections {
 	/** In the order of their last response, or of their begin. */
 	readonly #connections = new Map<net.Socket, Connection>();
+	#closingCount = 0;
 
 	/**
 	 * @param maxConnections - Number of connections at most.
@@ -79,11 +82,11 @@
 	 * @returns Whether there is room for it, also by closing another one; otherwise it is not added.
 	 */
 	add(socket: net.Socket, now: number): boolean {
-		if (this.#connections.size >= this.maxConnections && !this.#closeOne(now)) {
+		if (this.#connections.size - this.#closingCount >= this.maxConnections && !this.#closeOne(now)) {
 			return false;
 		}
 
-		this.#connections.set(socket, {since: now, bytesBefore: 0});
+		this.#connections.set(socket, {since: now, bytesBefore: 0, isClosing: false});
 		socket.once('close', () => {
 			this.#connections.delete(socket);
 		});
@@ -143,7 +146,7 @@
 		for (const [socket, connection] of this.#connections) {
 			const use = getUse(socket, connection);
 			const progress = use === ConnectionUse.Receiving ? computeProgress(socket, connection, now) : Infinity;
-			if (use < leastUse || (use === leastUse && progress < leastProgress)) {
+			if (!connection.isClosing && (use < leastUse || (use === leastUse && progress < leastProgress))) {
 				victim = socket;
 				leastUse = use;
 				leastProgress = progress;
@@ -168,13 +171,14 @@
 		return true;
 	}
 
-	/** Closes an idle connection unless a request has arrived on it. */
+	/** Closes an idle connection unless a request arrives on it. */
 	async #closeIdle(socket: net.Socket): Promise<void> {
 		const connection = this.#connections.get(socket)!;
-		this.#connections.delete(socket);
-		if (!(await clients.connections.closeIdle(socket)) && !socket.destroyed) {
-			this.#connections.set(socket, connection);
-		}
+		connection.isClosing = true;
+		this.#closingCount += 1;
+		await clients.connections.closeIdle(socket);
+		connection.isClosing = false;
+		this.#closingCount -= 1;
 	}
 }
 
--- a/packages/gateway/tests/ingress/caller-connections.test.ts
+++ b/packages/gateway/tests/ingress/caller-connections.test.ts
@@ -86,9 +86,15 @@
 		all.onResponseEnd(toSocket(sockets[0]!), 10);
 		expect(all.add(toSocket(new FakeSocket()), 20)).to.equal(true);
 		sockets[0]!.bytesRead = 100;
+		all.onRequest(createResponse(sockets[0]!, true));
 		await sleep(5);
 		expect(sockets[0]!.destroyed).to.equal(false);
 		expect(all.size).to.equal(4);
+		// A response is awaited on it, so that it is not closed for the next one either; only the new one is.
+		const next = new FakeSocket();
+		all.add(toSocket(next), 30);
+		await sleep(5);
+		expect(sockets.some(({destroyed}) => destroyed)).to.equal(false);
 	});
 
 	it('has no room while responses are awaited on all', () => {
--- a/packages/kv/src/connections/lingering-close.ts
+++ b/packages/kv/src/connections/lingering-close.ts
@@ -26,18 +26,13 @@
 /**
  * Closes an idle connection, unless bytes have arrived that were not read yet. It is closed at once: the end of the sending direction alone would be sent in the next turn
  * of the event loop, and a request that arrives until then would wait in vain.
- *
- * @returns Whether it was closed.
  */
-export async function closeIdle(socket: net.Socket): Promise<boolean> {
+export async function closeIdle(socket: net.Socket): Promise<void> {
 	const {bytesRead} = socket;
 	await timeouts.waitForInput();
-	if (socket.bytesRead !== bytesRead) {
-		return false;
+	if (socket.bytesRead === bytesRead) {
+		socket.destroy();
 	}
-
-	socket.destroy();
-	return true;
 }
 
 /**
