--- a/packages/gateway/src/ingress/gateway-server.ts
+++ b/packages/gateway/src/ingress/gateway-server.ts
@@ -5,14 +5,15 @@
 import * as clients from '@bluebellmast/kv';
 import * as call from '../call/index.js';
 import type * as ports from '../ports/index.js';
-import * as abortResponse from '../util/abort-response.js';
 import type * as clocks from '../util/clocks.js';
 import * as eventLog from '../util/event-log.js';
 import * as listen from '../util/listen.js';
 import * as stepScheduler from '../util/step-scheduler.js';
 import * as callerConnections from './caller-connections.js';
 import * as connectionInputs from './connection-inputs.js';
+import * as connectionRejecter from './connection-rejecter.js';
 import * as connectionRejection from './connection-rejection.js';
+import * as endImmediately from './end-immediately.js';
 import * as headerTimeout from './header-timeout.js';
 import * as idleConnections from './idle-connections.js';
 import * as refusalSender from './refusal-sender.js';
@@ -78,6 +79,7 @@
 	readonly #connections: callerConnections.CallerConnections;
 	readonly #inputs: connectionInputs.ConnectionInputs;
 	readonly #refusals: refusalSender.RefusalSender;
+	readonly #rejecter: connectionRejecter.ConnectionRejecter;
 	readonly #log: requestLog.RequestLog;
 
 	constructor(private readonly dependencies: GatewayServerDependencies) {
@@ -93,6 +95,15 @@
 			},
 		});
 		this.#refusals = new refusalSender.RefusalSender(dependencies.clock, this.#inputs);
+		this.#rejecter = new connectionRejecter.ConnectionRejecter({
+			log: dependencies.log,
+			order: this.#order,
+			inputs: this.#inputs,
+			isHandled: res => this.#openResponses.has(res),
+			closeAfter: res => {
+				this.#closeAfterInvalidBytes(res);
+			},
+		});
 		this.#server = new clients.connections.CallerHttpServer(
 			{
 				maxHeaderSize: maxHeadBytes,
@@ -107,15 +118,15 @@
 		);
 		this.#server.on('clientError', (err: NodeJS.ErrnoException, socket: net.Socket) => {
 			if (connectionRejection.isHeadTimeout(err)) {
-				void this.#rejectSlowHead(err, socket);
+				void this.#rejecter.rejectSlowHead(err, socket);
 			} else {
-				this.#rejectConnection(err, socket);
+				this.#rejecter.rejectConnection(err, socket);
 			}
 		});
 		this.#server.on('connection', (socket: net.Socket) => {
 			this.#inputs.onConnection(socket);
 			if (!this.#connections.add(socket, now())) {
-				this.#rejectForRoom(socket);
+				this.#rejecter.rejectForRoom(socket);
 			}
 		});
 		this.#server.on('connect', (req: http.IncomingMessage, socket: net.Socket) => {
@@ -124,7 +135,7 @@
 			socket.on('error', () => {
 				socket.destroy();
 			});
-			this.#rejectConnection(new Error(`method ${req.method}`), socket);
+			this.#rejecter.rejectConnection(new Error(`method ${req.method}`), socket);
 		});
 		this.#server.on('timeout', (socket: net.Socket) => {
 			this.#closeIdle(socket);
@@ -204,7 +215,7 @@
 				ctx.isProcessEnding = true;
 			}
 
-			endImmediately(res, ctx?.isSent === true);
+			endImmediately.endImmediately(res, ctx?.isSent === true);
 		}
 
 		this.#server.closeAllConnections();
@@ -298,6 +309,13 @@
 		});
 	}
 
+	#closeAfterInvalidBytes(res: http.ServerResponse): void {
+		if (!this.#closing.has(res)) {
+			this.#closing.add(res);
+			this.#closeConnectionAfter(res);
+		}
+	}
+
 	/** A response is open until its last byte was passed on to the connection, or the connection was closed. */
 	#forgetWhenClosed(res: http.ServerResponse, keepAliveMs: number): void {
 		const {socket} = res.req;
@@ -386,72 +404,4 @@
 			this.#logTurnedAway(core.log.TurnAwayReason.HeadMemory, remoteAddress);
 		}
 	}
-
-	/** Refuses a connection for which there is no room. */
-	#rejectForRoom(socket: net.Socket): void {
-		this.#logTurnedAway(core.log.TurnAwayReason.Connections, socket.remoteAddress);
-		this.#inputs.discard(socket);
-		socket.write(connectionRejection.createFullRejection().response);
-		clients.connections.closeLingering(socket, clients.connections.minLingerMs);
-	}
-
-	/** Handles a head that takes too long, unless the rest of it had arrived, but was not read yet. */
-	async #rejectSlowHead(err: NodeJS.ErrnoException, socket: net.Socket): Promise<void> {
-		const last = this.#order.getLast(socket);
-		await clients.timeouts.waitForInput();
-		if (this.#order.getLast(socket) === last) {
-			this.#rejectConnection(err, socket);
-		}
-	}
-
-	/** Handles bytes that are no request, or a head that takes too long. */
-	#rejectConnection(err: NodeJS.ErrnoException, socket: net.Socket): void {
-		if (err.code === 'ECONNRESET') {
-			socket.destroy();
-			return;
-		}
-
-		if (!socket.writable) {
-			// The connection is closed already, and discards what arrives.
-			return;
-		}
-
-		if (connectionRejection.isHeadTimeout(err) && socket.bytesRead === 0) {
-			// No request has begun, so a caller that sends one now must not take a refusal for its response.
-			clients.connections.closeLingering(socket, clients.connections.minLingerMs);
-			return;
-		}
-
-		const open = this.#order.getOpen(socket);
-		const isIncomplete = open !== undefined && !open.req.complete;
-		if (isIncomplete && !this.#openResponses.has(open)) {
-			// Earlier responses come first; the body is refused when its time is over.
-			return;
-		}
-
-		if (open === undefined || (isIncomplete && !open.headersSent)) {
-			const {code, response} = connectionRejection.createRejection(err);
-			this.dependencies.log.write(eventLog.LogEvent.RequestRejected, {code, findings: `connection: ${err.message}`});
-			socket.write(response);
-			clients.connections.closeLingering(socket, clients.connections.minLingerMs);
-		} else if (!this.#closing.has(open)) {
-			// The invalid bytes follow a request that has been read.
-			this.#closing.add(open);
-			this.#closeConnectionAfter(open);
-		}
-	}
-}
-
-/** Refuses a request, according to whether it was sent to an endpoint; aborts a response that has started. */
-function endImmediately(res: http.ServerResponse, isSent: boolean): void {
-	if (!res.headersSent) {
-		res.setHeader('Connection', 'close');
-		call.sendRefusal(res, isSent
-			? {code: call.RefusalCode.OutcomeUnknown}
-			: {code: call.RefusalCode.ShuttingDown, retryAfterMs: call.noEndpointRetryAfterMs});
-	}
-
-	if (!res.writableEnded) {
-		abortResponse.abortResponse(res);
-	}
 }
