--- a/packages/gateway/src/call/body-memory.ts
+++ b/packages/gateway/src/call/body-memory.ts
@@ -2,11 +2,11 @@
 const smallBodyBytes = 65_536;
 /** Memory that small bodies may use, relative to that of the others, so that a few large bodies don't exclude them. */
 const smallBodyFactor = 2;
-/** Time after which a body that is still arriving may yield to others, in milliseconds. */
-const minAgeMs = 500;
-/** Time in which the progress of a body counts half, in milliseconds. */
+/** Age from which on a body that is still arriving may be evicted, in milliseconds. */
+const minEvictionAgeMs = 500;
+/** Half-life of the progress of a body, in milliseconds. */
 const progressHalfLifeMs = 500;
-/** How much more memory another account must use for its bodies to yield before they have that age. */
+/** Factor by which the memory of another account must be larger for its bodies to be evicted before they have that age. */
 const largerAccountFactor = 2;
 
 /** A body that is to be kept in memory. */
@@ -15,7 +15,7 @@
 	readonly account: string;
 	/** Present time in milliseconds of a monotonic clock. */
 	readonly now: number;
-	/** Called when the body has yielded to others while it was arriving; its memory has been released. */
+	/** Called when the body was evicted while it was arriving; its memory has been released. */
 	readonly onEvicted: () => void;
 };
 
@@ -33,7 +33,7 @@
 		this.#progressAt = options.now;
 	}
 
-	/** Takes memory for what has arrived. @returns Whether there was enough, also by that of bodies that arrive more slowly; otherwise none was taken. */
+	/** Takes memory for what has arrived. @returns Whether there was enough, if need be after bodies that arrive more slowly were evicted; otherwise none was taken. */
 	grow(bytes: number, now: number): boolean {
 		if (!this.memory.take(this, bytes, now)) {
 			return false;
@@ -44,7 +44,7 @@
 		return true;
 	}
 
-	/** Marks the body as complete, so that it no longer yields. */
+	/** Marks the body as complete, so that it is no longer evicted. */
 	complete(): void {
 		this.isArriving = false;
 		this.memory.complete(this);
@@ -55,7 +55,7 @@
 		this.memory.release(this);
 	}
 
-	/** Returns the bytes that have arrived of late. */
+	/** Returns the bytes that have arrived, weighted by how recently. */
 	getProgress(now: number): number {
 		return this.#progressBytes * (0.5 ** ((now - this.#progressAt) / progressHalfLifeMs));
 	}
@@ -67,7 +67,7 @@
 }
 
 /**
- * Memory for the bodies of all requests together, which are kept until their requests have ended. When it is used up, the bodies yield that arrive most slowly, so that callers
+ * Memory for the bodies of all requests together, which are kept until their requests have ended. When it is used up, the bodies are evicted that arrive most slowly, so that callers
  * that send a part of a body and stop don't exclude others.
  */
 export class BodyMemory {
@@ -90,7 +90,7 @@
 		return new BodyReservation(this, options);
 	}
 
-	/** Whether a body of the given size finds memory beside the complete ones, which don't yield. */
+	/** Whether a body of the given size finds memory beside the complete ones, which are not evicted. */
 	fits(bytes: number): boolean {
 		return this.#isAllowed(this.#usedBytes - this.#arrivingBytes, bytes, bytes);
 	}
@@ -149,16 +149,16 @@
 		return this.#bytesByAccount.get(account) ?? 0;
 	}
 
-	/** Finds the body that yields to another one: the one whose progress is least, relative to the memory of its account. */
+	/** Finds the body to evict for another one: the one whose progress is least, relative to the memory of its account. */
 	#findSlowest(body: BodyReservation, now: number): BodyReservation | undefined {
 		const ownBytes = this.#getAccountBytes(body.options.account);
 		let slowest: BodyReservation | undefined;
 		let leastProgress = Infinity;
 		for (const other of this.#arriving) {
 			const accountBytes = this.#getAccountBytes(other.options.account);
-			const mayYield = other.getAgeMs(now) >= minAgeMs || accountBytes > largerAccountFactor * ownBytes;
+			const isEvictable = other.getAgeMs(now) >= minEvictionAgeMs || accountBytes > largerAccountFactor * ownBytes;
 			const progress = other.getProgress(now) / accountBytes;
-			if (mayYield && progress < leastProgress) {
+			if (isEvictable && progress < leastProgress) {
 				slowest = other;
 				leastProgress = progress;
 			}
--- a/packages/gateway/src/ingress/connection-input.ts
+++ b/packages/gateway/src/ingress/connection-input.ts
@@ -37,7 +37,7 @@
 	#isScheduled = false;
 	#isDiscarding = false;
 
-	/** Takes the bytes of a connection over from Node's HTTP server. */
+	/** Replaces Node's listener for the data of a connection, which hands all of it to the parser at once. */
 	constructor(readonly socket: net.Socket, private readonly options: ConnectionInputOptions) {
 		const [parse] = socket.listeners('data');
 		this.#parse = parse as DataListener;
