Log the estimated age of each named version, its interval and its source

The log of a VM said when it read a version (weight_target_seen), but not from when it counted, nor whether that was its own read, an assumption or the time that the leader publishes in the plan. weight_target_dated tells all three, one line for each change of 100 ms and more.

No change of behaviour: ChangeInterval also says whether the read was prompt, and the estimate moved from WeightTargets into estimateNamingTime. The expectations of change-times.test.ts and store-feed.test.ts have the new field in addition.

--- a/packages/core/src/log/explain-request.ts
+++ b/packages/core/src/log/explain-request.ts
@@ -34,6 +34,7 @@
 	[logEvent.LogEvent.CacheStoreRegained, 'cache store'],
 	[logEvent.LogEvent.ConfigAccepted, 'config'],
 	[logEvent.LogEvent.WeightTargetSeen, 'weight target'],
+	[logEvent.LogEvent.WeightTargetDated, 'age of the weight target'],
 	[logEvent.LogEvent.RolloutPlanSeen, 'plan'],
 	[logEvent.LogEvent.VmsChanged, 'vms'],
 	[logEvent.LogEvent.QuotaKeeperChanged, 'quota keeper'],
--- a/packages/core/src/log/log-event.ts
+++ b/packages/core/src/log/log-event.ts
@@ -25,6 +25,7 @@
 	StoreEntryInvalid = 'store_entry_invalid',
 	ConfigAccepted = 'config_accepted',
 	WeightTargetSeen = 'weight_target_seen',
+	WeightTargetDated = 'weight_target_dated',
 	RolloutPlanSeen = 'rollout_plan_seen',
 	RolloutPlanWritten = 'rollout_plan_written',
 	OrderSent = 'order_sent',
@@ -169,6 +170,15 @@
 		/** Milliseconds before which the version can't have been named, as counted by this VM; absent if it was named before the first read. */
 		readonly maxAgeMs?: number;
 	};
+	[LogEvent.WeightTargetDated]: {
+		readonly model: string; readonly version: number;
+		/** Milliseconds since the version was named, as this VM estimates. */
+		readonly ageMs: number;
+		/** What the estimate is based on. */
+		readonly source: string;
+		/** Bounds of the age by this VM's own reads, in milliseconds; the upper one is absent if the version was named before the first read. */
+		readonly minAgeMs: number; readonly maxAgeMs?: number;
+	};
 	[LogEvent.RolloutPlanSeen]: {readonly revision: number; readonly fence: number; readonly loading: string};
 	[LogEvent.RolloutPlanWritten]: {readonly revision: number; readonly fence: number; readonly steps: number};
 	[LogEvent.OrderSent]: {
--- a/packages/core/src/rollout/index.ts
+++ b/packages/core/src/rollout/index.ts
@@ -1,3 +1,4 @@
+export * from './naming-time.js';
 export * from './outdated-weights.js';
 export * from './plan-rollout.js';
 export * from './rollout-plan.js';
--- /dev/null
+++ b/packages/core/src/rollout/naming-time.ts
@@ -0,0 +1,50 @@
+import type * as changeTimes from '../store/change-times.js';
+
+/** How a VM knows when a version was named. */
+export enum NamingSource {
+	/** A read of the store that nothing delayed. */
+	Read = 'read',
+	/** A read after failed calls or a suspension, which shows an interval. */
+	LateRead = 'late_read',
+	/** An assumption, as the version was named before the first read. */
+	Assumed = 'assumed',
+	/** The roll-out plan, in which the leader states the time. */
+	Plan = 'plan',
+}
+
+/** What a VM knows about when a version was named. Times are in milliseconds of a clock that includes suspensions of the VM. */
+export type NamingEvidence = {
+	/** When the version was named, as a read of the store by this VM shows. */
+	readonly interval: changeTimes.ChangeInterval;
+	/** Earliest time that a roll-out plan states. */
+	readonly planAt?: number;
+};
+
+/** When a version was named, in milliseconds of a clock that includes suspensions of the VM. */
+export type NamingTime = {
+	readonly at: number;
+	readonly source: NamingSource;
+};
+
+/**
+ * Length of an interval up to which this VM's own time is used, whatever other VMs report, in milliseconds. It lies within the
+ * time by which requests are taken back before the limit.
+ */
+const exactIntervalMs = 500;
+
+/** Estimates when a version was named. */
+export function estimateNamingTime({interval, planAt}: NamingEvidence): NamingTime {
+	if (planAt === undefined || interval.before - interval.after <= exactIntervalMs) {
+		return {at: interval.assumed, source: sourceOfRead(interval)};
+	}
+
+	return {at: Math.min(interval.before, Math.max(interval.after, planAt)), source: NamingSource.Plan};
+}
+
+function sourceOfRead({after, isPrompt}: changeTimes.ChangeInterval): NamingSource {
+	if (after === -Infinity) {
+		return NamingSource.Assumed;
+	}
+
+	return isPrompt ? NamingSource.Read : NamingSource.LateRead;
+}
--- a/packages/core/src/rollout/weight-targets.ts
+++ b/packages/core/src/rollout/weight-targets.ts
@@ -1,11 +1,17 @@
 import type * as changeTimes from '../store/change-times.js';
+import * as namingTime from './naming-time.js';
 
-type TargetVersion = {
+type TargetVersion = namingTime.NamingEvidence & {
 	readonly version: number;
-	/** When the version was named, as a read of the store by this VM shows. */
+	readonly named: namingTime.NamingTime;
+};
+
+/** A version whose estimated time of naming is new or has changed. */
+export type NamingChange = namingTime.NamingTime & {
+	readonly model: string;
+	readonly version: number;
+	/** Interval in which the version was named, by this VM's own reads. */
 	readonly interval: changeTimes.ChangeInterval;
-	/** Earliest time at which another VM saw the version, by a clock that may be wrong. */
-	readonly reportedAt?: number;
 };
 
 type Replacement = {
@@ -17,11 +23,8 @@
 const maxVersionsPerModel = 50;
 /** Number of newest versions per model that are published for VMs that start later. */
 const sharedVersionsPerModel = 16;
-/**
- * Length of an interval up to which this VM's own time is used, whatever other VMs report, in milliseconds. It lies within the
- * time by which requests are taken back before the limit.
- */
-const exactIntervalMs = 500;
+/** Change of an estimated time up to which it is not listed as changed, in milliseconds. */
+const minListedChangeMs = 100;
 
 /**
  * Weights versions that the operator named, with the times at which they were first seen. All times are of a clock that also
@@ -31,6 +34,8 @@
 	readonly #targets = new Map<string, TargetVersion[]>();
 	/** By model, the versions in rising order, each with the earliest time at which it or a newer one was named. */
 	readonly #replacements = new Map<string, Replacement[]>();
+	/** Estimates that have changed since {@link WeightTargets.takeChanges}, by model and version. */
+	readonly #changes = new Map<string, NamingChange>();
 
 	/**
 	 * Adds a version that this VM read from the store. Later reads of the same version change nothing.
@@ -38,7 +43,7 @@
 	 * @returns Whether the version is newer than all known versions.
 	 */
 	observe(model: string, version: number, interval: changeTimes.ChangeInterval): boolean {
-		return this.#add(model, version, known => known ?? {version, interval});
+		return this.#add(model, version, known => known ?? {interval});
 	}
 
 	/**
@@ -48,14 +53,21 @@
 	 * @returns Whether the version is newer than all known versions.
 	 */
 	addReported(model: string, version: number, reportedAt: number, now: number): boolean {
-		const unread: TargetVersion = {version, interval: {after: -Infinity, assumed: now, before: now}};
-		return this.#add(model, version, (known = unread) => ({...known, reportedAt: Math.min(reportedAt, known.reportedAt ?? Infinity)}));
+		const unread: namingTime.NamingEvidence = {interval: {after: -Infinity, assumed: now, before: now}};
+		return this.#add(model, version, (known = unread) => ({...known, planAt: Math.min(reportedAt, known.planAt ?? Infinity)}));
 	}
 
 	/** Returns the newest versions of each model with the times at which they were first seen. */
 	list(): Array<{readonly model: string; readonly version: number; readonly seenAt: number}> {
 		return [...this.#targets].flatMap(([model, targets]) =>
-			targets.slice(-sharedVersionsPerModel).map(target => ({model, version: target.version, seenAt: seenAtOf(target)})));
+			targets.slice(-sharedVersionsPerModel).map(target => ({model, version: target.version, seenAt: target.named.at})));
+	}
+
+	/** Returns the versions whose estimated times of naming have changed since the last call. */
+	takeChanges(): NamingChange[] {
+		const changes = [...this.#changes.values()];
+		this.#changes.clear();
+		return changes;
 	}
 
 	/** Drops the models that are not needed any more, for instance because the operator has removed them. */
@@ -92,30 +104,33 @@
 		return this.#replacements.get(model)?.find(replacement => replacement.version > version)?.namedAt ?? Infinity;
 	}
 
-	#add(model: string, version: number, update: (known: TargetVersion | undefined) => TargetVersion): boolean {
+	#add(model: string, version: number, update: (known: namingTime.NamingEvidence | undefined) => namingTime.NamingEvidence): boolean {
 		const targets = this.#targets.get(model) ?? [];
 		const isNewest = targets.every(other => other.version < version);
-		const updated = update(targets.find(other => other.version === version));
+		const known = targets.find(other => other.version === version);
+		const evidence = update(known);
+		const updated: TargetVersion = {...evidence, version, named: namingTime.estimateNamingTime(evidence)};
 		const others = targets.filter(other => other.version !== version);
 		const sorted = [...others, updated].sort((a, b) => a.version - b.version).slice(-maxVersionsPerModel);
 		this.#targets.set(model, sorted);
 		this.#replacements.set(model, listReplacements(sorted));
+		this.#recordChange(model, updated, known?.named);
 		return isNewest;
 	}
+
+	#recordChange(model: string, {version, named, interval}: TargetVersion, previous: namingTime.NamingTime | undefined): void {
+		if (previous?.source !== named.source || Math.abs(previous.at - named.at) >= minListedChangeMs) {
+			this.#changes.set(`${model}/${version}`, {
+				...named, model, version, interval,
+			});
+		}
+	}
 }
 
 function listReplacements(targets: readonly TargetVersion[]): Replacement[] {
 	let namedAt = Infinity;
 	return targets.toReversed().map(target => {
-		namedAt = Math.min(namedAt, seenAtOf(target));
+		namedAt = Math.min(namedAt, target.named.at);
 		return {version: target.version, namedAt};
 	}).reverse();
 }
-
-function seenAtOf({interval, reportedAt}: TargetVersion): number {
-	if (reportedAt === undefined || interval.before - interval.after <= exactIntervalMs) {
-		return interval.assumed;
-	}
-
-	return Math.min(interval.before, Math.max(interval.after, reportedAt));
-}
--- a/packages/core/src/store/change-times.ts
+++ b/packages/core/src/store/change-times.ts
@@ -9,6 +9,8 @@
 	readonly assumed: number;
 	/** When the read ended. */
 	readonly before: number;
+	/** Whether no failed call and no suspension delayed the read, so that the change was written at about `assumed`. */
+	readonly isPrompt?: boolean;
 };
 
 /** Times of a call to the store. */
@@ -53,19 +55,22 @@
 	/** Returns when the changes that a call shows as new were written. */
 	intervalOf(call: CallTimes): ChangeInterval {
 		const last = this.#last;
-		return last === undefined
-			? {after: -Infinity, assumed: call.endedAt, before: call.endedAt}
-			: {after: last.startedAt, assumed: this.#assume(call, last), before: call.endedAt};
+		if (last === undefined) {
+			return {after: -Infinity, assumed: call.endedAt, before: call.endedAt};
+		}
+
+		const isPrompt = !this.#hasFailedSince && call.suspendedMs - last.suspendedMs <= this.options.minSuspensionMs;
+		return {
+			after: last.startedAt, assumed: isPrompt ? this.#assumePrompt(call, last) : this.#assumeLate(call, last), before: call.endedAt, isPrompt,
+		};
 	}
 
-	#assume({startedAt, endedAt, suspendedMs}: CallTimes, last: CallTimes): number {
-		const {maxRecoveryMs, promptPollMs, minSuspensionMs} = this.options;
-		const suspensionMs = suspendedMs - last.suspendedMs;
-		if (this.#hasFailedSince || suspensionMs > minSuspensionMs) {
-			return Math.max(last.startedAt, endedAt - suspensionMs - maxRecoveryMs);
-		}
+	/** A poll that waits returns as soon as there is a change; one that returns at once shows what changed since the last one ended. */
+	#assumePrompt({startedAt, endedAt}: CallTimes, last: CallTimes): number {
+		return endedAt - startedAt > this.options.promptPollMs ? endedAt : last.endedAt;
+	}
 
-		// A poll that waits returns as soon as there is a change; one that returns at once shows what changed since the last one ended.
-		return endedAt - startedAt > promptPollMs ? endedAt : last.endedAt;
+	#assumeLate({endedAt, suspendedMs}: CallTimes, last: CallTimes): number {
+		return Math.max(last.startedAt, endedAt - (suspendedMs - last.suspendedMs) - this.options.maxRecoveryMs);
 	}
 }
--- a/packages/core/tests/rollout/weight-targets.test.ts
+++ b/packages/core/tests/rollout/weight-targets.test.ts
@@ -63,4 +63,20 @@
 		targets.addReported('m', 3, 9012, 6100);
 		expect(targets.startWithinMs('m', 1, 6000, 9012)).to.equal(2988);
 	});
+
+	it('lists the estimates that have changed, with their source', () => {
+		const targets = new core.rollout.WeightTargets();
+		const interval = {after: -Infinity, assumed: 3000, before: 6000};
+		targets.observe('m', 2, interval);
+		expect(targets.takeChanges()).to.deep.equal([{
+			model: 'm', version: 2, at: 3000, source: core.rollout.NamingSource.Assumed, interval,
+		}]);
+		targets.addReported('m', 2, 500, 6000);
+		expect(targets.takeChanges()).to.deep.equal([{
+			model: 'm', version: 2, at: 500, source: core.rollout.NamingSource.Plan, interval,
+		}]);
+		targets.addReported('m', 2, 450, 6100);
+		targets.addReported('m', 2, 700, 6200);
+		expect(targets.takeChanges()).to.deep.equal([]);
+	});
 });
--- a/packages/core/tests/store/change-times.test.ts
+++ b/packages/core/tests/store/change-times.test.ts
@@ -14,22 +14,40 @@
 
 	const cases = [
 		{
-			name: 'a poll that waited', hasFailed: false, read: call(1000, 1700), expected: {after: 100, assumed: 1700, before: 1700},
+			name: 'a poll that waited', hasFailed: false, read: call(1000, 1700),
+			expected: {
+				after: 100, assumed: 1700, before: 1700, isPrompt: true,
+			},
 		},
 		{
-			name: 'a poll that returned at once', hasFailed: false, read: call(600, 610), expected: {after: 100, assumed: 120, before: 610},
+			name: 'a poll that returned at once', hasFailed: false, read: call(600, 610),
+			expected: {
+				after: 100, assumed: 120, before: 610, isPrompt: true,
+			},
 		},
 		{
-			name: 'a read soon after a failure', hasFailed: true, read: call(900, 910), expected: {after: 100, assumed: 100, before: 910},
+			name: 'a read soon after a failure', hasFailed: true, read: call(900, 910),
+			expected: {
+				after: 100, assumed: 100, before: 910, isPrompt: false,
+			},
 		},
 		{
-			name: 'a read after an outage', hasFailed: true, read: call(9000, 9010), expected: {after: 100, assumed: 7010, before: 9010},
+			name: 'a read after an outage', hasFailed: true, read: call(9000, 9010),
+			expected: {
+				after: 100, assumed: 7010, before: 9010, isPrompt: false,
+			},
 		},
 		{
-			name: 'a poll over a suspension', hasFailed: false, read: call(150, 9150, 8900), expected: {after: 100, assumed: 100, before: 9150},
+			name: 'a poll over a suspension', hasFailed: false, read: call(150, 9150, 8900),
+			expected: {
+				after: 100, assumed: 100, before: 9150, isPrompt: false,
+			},
 		},
 		{
-			name: 'clocks read one after the other', hasFailed: false, read: call(1000, 1700, 1), expected: {after: 100, assumed: 1700, before: 1700},
+			name: 'clocks read one after the other', hasFailed: false, read: call(1000, 1700, 1),
+			expected: {
+				after: 100, assumed: 1700, before: 1700, isPrompt: true,
+			},
 		},
 	];
 	for (const {name, hasFailed, read, expected} of cases) {
@@ -49,6 +67,8 @@
 		times.recordSuccess(call(100, 120));
 		times.recordFailure();
 		times.recordSuccess(call(500, 510));
-		expect(times.intervalOf(call(600, 1400))).to.deep.equal({after: 500, assumed: 1400, before: 1400});
+		expect(times.intervalOf(call(600, 1400))).to.deep.equal({
+			after: 500, assumed: 1400, before: 1400, isPrompt: true,
+		});
 	});
 });
--- a/packages/gateway/src/controllers/coordination-controller.ts
+++ b/packages/gateway/src/controllers/coordination-controller.ts
@@ -2,6 +2,7 @@
 import * as core from '@bluebellmast/core';
 import type * as clients from '@bluebellmast/kv';
 import type * as fleetState from '../placement/fleet-state.js';
+import * as namingLog from '../placement/naming-log.js';
 import type * as clocks from '../util/clocks.js';
 import * as eventLog from '../util/event-log.js';
 import * as coordinationKeys from './coordination-keys.js';
@@ -225,6 +226,8 @@
 			this.fleet.targets.addReported(model, version, seenAt + clockOffsetMs, suspendAwareNow);
 		}
 
+		namingLog.writeNamingChanges(this.fleet.targets, this.log, suspendAwareNow);
+
 		// Only steps that this plan newly reports as loaded are observations; the engine may have changed since the earlier ones.
 		for (const step of core.rollout.listNewlyLoaded(plan, previousPlan)) {
 			this.fleet.registry.recordObservedWeights(step.endpoint, step.bornAt, step, suspendAwareNow);
--- a/packages/gateway/src/controllers/operator-controller.ts
+++ b/packages/gateway/src/controllers/operator-controller.ts
@@ -1,6 +1,7 @@
 import type * as core from '@bluebellmast/core';
 import type * as clients from '@bluebellmast/kv';
 import type * as fleetState from '../placement/fleet-state.js';
+import * as namingLog from '../placement/naming-log.js';
 import * as ports from '../ports/index.js';
 import * as eventLog from '../util/event-log.js';
 import * as invalidEntryLog from './invalid-entry-log.js';
@@ -114,5 +115,7 @@
 			const maxAgeMs = isFirstRead ? undefined : Math.round(changed.before - changed.after);
 			log.write(eventLog.LogEvent.WeightTargetSeen, {model, version, maxAgeMs});
 		}
+
+		namingLog.writeNamingChanges(fleet.targets, log, changed.before);
 	}
 }
--- a/packages/gateway/tests/controllers/store-feed.test.ts
+++ b/packages/gateway/tests/controllers/store-feed.test.ts
@@ -285,23 +285,33 @@
 	const reads = [
 		{
 			name: 'a poll that returned while it waited', results: [changed, unchanged], callMs: [4, 600],
-			expected: {after: 1000, assumed: 1604, before: 1604},
+			expected: {
+				after: 1000, assumed: 1604, before: 1604, isPrompt: true,
+			},
 		},
 		{
 			name: 'a poll that returned at once', results: [unchanged, changed, unchanged], callMs: [4, 1000, 5],
-			expected: {after: 1004, assumed: 2004, before: 2009},
+			expected: {
+				after: 1004, assumed: 2004, before: 2009, isPrompt: true,
+			},
 		},
 		{
 			name: 'a poll after calls that failed for a short time', results: [failure, changed, unchanged], callMs: [4, 700, 5],
-			expected: {after: 1000, assumed: 1000, before: 1709},
+			expected: {
+				after: 1000, assumed: 1000, before: 1709, isPrompt: false,
+			},
 		},
 		{
 			name: 'a poll after an outage', results: [...outage, changed, unchanged], callMs: [4, ...outage.map(() => 1000), 5],
-			expected: {after: 1000, assumed: 9009, before: 11_009},
+			expected: {
+				after: 1000, assumed: 9009, before: 11_009, isPrompt: false,
+			},
 		},
 		{
 			name: 'a poll during which the VM was suspended', results: [changed, unchanged], callMs: [4, 300], suspendedMs: [0, 9000],
-			expected: {after: 1000, assumed: 1000, before: 10_304},
+			expected: {
+				after: 1000, assumed: 1000, before: 10_304, isPrompt: false,
+			},
 		},
 	];
 	for (const {name, results, expected, ...options} of reads) {
