Replaced weights: the time in the plan never makes a version younger than assumed

Cause: the leader publishes when a version was named by its wall clock. A VM that had no own interval for it (first read) or a long one (its calls had failed) took that time in place of its assumption, also where it was later: up to the end of its own read. With the leader's clock 2.4 s ahead, every restarted VM counted the bound from its own first read.

Ruled out: a long wait in the engine (13 ms from the send to the start), the assumption of half of the bound (it would have ended at 12.7 s), the suspension that a set clock looks like (it makes ages larger).

Fix: the published time counts only if it is earlier than the VM assumes, within its interval. A wrong clock can make a VM leave engines early, and no longer late.

Wrong checks: two expectations demanded the fault, that a time after the read makes a version read late younger (weight-targets.test.ts) and that a published time makes an assumed age smaller (replaced-weights-limit.test.ts). Both now demand that it does not.

--- a/packages/core/src/rollout/naming-time.ts
+++ b/packages/core/src/rollout/naming-time.ts
@@ -32,13 +32,15 @@
  */
 const exactIntervalMs = 500;
 
-/** Estimates when a version was named. */
-export function estimateNamingTime({interval, planAt}: NamingEvidence): NamingTime {
-	if (planAt === undefined || interval.before - interval.after <= exactIntervalMs) {
-		return {at: interval.assumed, source: sourceOfRead(interval)};
-	}
-
-	return {at: Math.min(interval.before, Math.max(interval.after, planAt)), source: NamingSource.Plan};
+/**
+ * Estimates when a version was named. The time that a plan states rests on the wall clocks of two VMs, which may be wrong, so it can make the version
+ * older than this VM assumes by its own reads, but never younger.
+ */
+export function estimateNamingTime({interval, planAt = Infinity}: NamingEvidence): NamingTime {
+	const isExact = interval.before - interval.after <= exactIntervalMs;
+	return isExact || planAt >= interval.assumed
+		? {at: interval.assumed, source: sourceOfRead(interval)}
+		: {at: Math.max(interval.after, planAt), source: NamingSource.Plan};
 }
 
 function sourceOfRead({after, isPrompt}: changeTimes.ChangeInterval): NamingSource {
--- a/packages/core/src/rollout/weight-targets.ts
+++ b/packages/core/src/rollout/weight-targets.ts
@@ -47,8 +47,8 @@
 	}
 
 	/**
-	 * Adds the time at which another VM saw a version. Its clock may be wrong, so that the time counts only within the interval in
-	 * which the version was named by this VM's own reads, if there is one.
+	 * Adds the time at which another VM saw a version, as the roll-out plan states it. Its clock may be wrong, so that the time counts only if it is
+	 * earlier than this VM assumes, and within the interval in which the version was named by this VM's own reads, if there is one.
 	 *
 	 * @returns Whether the version is newer than all known versions.
 	 */
--- a/packages/core/tests/rollout/weight-targets.test.ts
+++ b/packages/core/tests/rollout/weight-targets.test.ts
@@ -43,7 +43,8 @@
 	const lateReads = [
 		{name: 'within the interval', reportedAt: 3000, seenAt: 3000},
 		{name: 'before it', reportedAt: -40_000, seenAt: 1000},
-		{name: 'after the read', reportedAt: 2_400_000, seenAt: 7000},
+		{name: 'after the read', reportedAt: 2_400_000, seenAt: 5000},
+		{name: 'after the time to assume', reportedAt: 6500, seenAt: 5000},
 	];
 	for (const {name, reportedAt, seenAt} of lateReads) {
 		it(`limits the time that another VM reports for a version read late: ${name}`, () => {
@@ -55,6 +56,16 @@
 		});
 	}
 
+	// Guards against starts on replaced weights after the bound: the clock of the leader's VM was ahead when it published the time.
+	for (const reportedAt of [3001, 5900, 6000, 8400]) {
+		it(`does not make a version that was named before the first read younger than assumed: published as ${reportedAt}`, () => {
+			const targets = new core.rollout.WeightTargets();
+			targets.observe('m', 2, {after: -Infinity, assumed: 3000, before: 6000});
+			targets.addReported('m', 2, reportedAt, 6000);
+			expect(targets.startWithinMs('m', 1, 6000, 6000)).to.equal(3000);
+		});
+	}
+
 	// A VM that restarts reads the newest version only; the leader publishes the earlier one by a clock that is fast.
 	it('does not count a version as named later than a newer one', () => {
 		const targets = new core.rollout.WeightTargets();
--- a/packages/gateway/tests/placement/replaced-weights-limit.test.ts
+++ b/packages/gateway/tests/placement/replaced-weights-limit.test.ts
@@ -42,6 +42,8 @@
 		onConfigAccepted: () => undefined,
 	});
 
+	readonly #coordination = new gateway.controllers.CoordinationController(this.fleet, this.#clock, {write: () => undefined});
+
 	readonly #pauses = new gateway.placement.EndpointPauses({clock: this.#clock, log: {write: () => undefined}, random: () => 0});
 	readonly #placer = new gateway.placement.EndpointPlacer(this.fleet, this.#pauses, {
 		dataCentre: 'dc-a', maxOutdatedWeightsMs, costs: core.fleet.defaultPlacementCosts, admission: core.fleet.defaultAdmissionLimits,
@@ -63,6 +65,15 @@
 		});
 	}
 
+	/** Reads a plan that states when version 2 was named, in milliseconds of the wall clock. */
+	readPlan(seenAt: number): void {
+		const {rolloutPlanKey: key} = gateway.controllers;
+		const value = buffer.Buffer.from(JSON.stringify({
+			fence: 1, round: 0, named: [['m', 2, seenAt]], steps: [],
+		}));
+		this.#coordination.onChange({key, entry: {key, value, revision: 9}});
+	}
+
 	/** Whether a request is placed at the engine. */
 	places(): boolean {
 		return this.#placer.place(createRequest(), poolName, new Set(), gateway.util.readInstant(this.#clock)) !== undefined;
@@ -134,6 +145,32 @@
 		vm.now = 2600;
 		expect(vm.takesBack()).to.equal(true);
 		vm.fleet.targets.addReported('m', 2, -100, 2600);
-		expect(vm.takesBack()).to.equal(false);
+		expect(vm.takesBack()).to.equal(true);
 	});
+
+	const published = [
+		{name: 'ahead', clockErrorMs: 2400},
+		{name: 'right', clockErrorMs: 0},
+		{name: 'behind', clockErrorMs: -2400},
+	];
+	for (const {name, clockErrorMs} of published) {
+		// Guards against a version that seems younger than it is, since the clock of the leader's VM was ahead when it published the time.
+		it(`is not later than assumed for a VM that starts after the version was named, if the leader's clock is ${name}`, () => {
+			const vm = new VmWithOldEngine(2);
+			vm.now = 300;
+			vm.readPlan(-1000 + clockErrorMs);
+			vm.now = 2600;
+			expect(vm.places()).to.equal(false);
+			expect(vm.takesBack()).to.equal(true);
+		});
+
+		it(`is not later than assumed for a VM that reads the version after failed calls, if the leader's clock is ${name}`, () => {
+			const vm = new VmWithOldEngine();
+			vm.now = 10_000;
+			vm.readNamedVersion(2, 5000);
+			vm.readPlan(6000 + clockErrorMs);
+			vm.now = 10_600;
+			expect(vm.takesBack()).to.equal(true);
+		});
+	}
 });
