Replaced weights: VMs tell each other the ages of named versions in their digests

Callers could get answers of weights that had been replaced longer ago than the bound from a VM that started later than half of the bound after the version was named: it can only assume the age, and the plan's time does not help if the leader's clock is ahead. The other way round, a VM that starts right after the naming assumed an age that is too large and left engines early.

Cause: the only time that passed between VMs was that of a wall clock. VMs that have seen the version being named know its age by their own clocks.

A receiver takes the largest within the interval of its own reads; a read that nothing delayed is corrected only by more than 0.5 s. Versions newer than those that the VM has read itself are ignored. Builds before this one skip the new field.

--- a/packages/core/src/fleet/load-digest.ts
+++ b/packages/core/src/fleet/load-digest.ts
@@ -1,5 +1,6 @@
 import type * as statedLimits from '../limits/stated-limits.js';
 import type * as quarantineDigest from '../quarantine/quarantine-digest.js';
+import type * as namingTime from '../rollout/naming-time.js';
 import type * as cacheObservation from './cache-observation.js';
 import type * as endpointEntry from './endpoint-entry.js';
 import type * as peerReach from './peer-reach.js';
@@ -42,4 +43,6 @@
 	readonly reach?: peerReach.ReachDigest;
 	/** Evidence on prompt parts that end endpoints; absent if there is none. */
 	readonly quarantine?: quarantineDigest.QuarantineDigest;
+	/** Ages of versions that were named lately; absent if there are none, or in digests of older versions. */
+	readonly versionAges?: readonly namingTime.VersionAge[];
 };
--- a/packages/core/src/rollout/naming-time.ts
+++ b/packages/core/src/rollout/naming-time.ts
@@ -10,14 +10,26 @@
 	Assumed = 'assumed',
 	/** The roll-out plan, in which the leader states the time. */
 	Plan = 'plan',
+	/** Other VMs that know the age of the version. */
+	Peer = 'peer',
 }
 
+/** Age of a version, as one VM tells it to another. Ages need no common clock. */
+export type VersionAge = {
+	readonly model: string;
+	readonly version: number;
+	/** Milliseconds since the version was named. */
+	readonly ageMs: number;
+};
+
 /** What a VM knows about when a version was named. Times are in milliseconds of a clock that includes suspensions of the VM. */
 export type NamingEvidence = {
 	/** When the version was named, as a read of the store by this VM shows. */
 	readonly interval: changeTimes.ChangeInterval;
 	/** Earliest time that a roll-out plan states. */
 	readonly planAt?: number;
+	/** Earliest time by the ages that other VMs told; a message that was delayed makes it too late, until the next one. */
+	readonly peerAt?: number;
 };
 
 /** When a version was named, in milliseconds of a clock that includes suspensions of the VM. */
@@ -36,13 +48,36 @@
  * Estimates when a version was named. The time that a plan states rests on the wall clocks of two VMs, which may be wrong, so it can make the version
  * older than this VM assumes by its own reads, but never younger.
  */
-export function estimateNamingTime({interval, planAt = Infinity}: NamingEvidence): NamingTime {
+export function estimateNamingTime(evidence: NamingEvidence): NamingTime {
+	const {interval, planAt = Infinity, peerAt} = evidence;
+	const known = findKnownTime(evidence);
 	const isExact = interval.before - interval.after <= exactIntervalMs;
-	return isExact || planAt >= interval.assumed
+	if (known !== undefined && (isExact || peerAt !== undefined)) {
+		return known;
+	}
+
+	return planAt >= interval.assumed
 		? {at: interval.assumed, source: sourceOfRead(interval)}
 		: {at: Math.max(interval.after, planAt), source: NamingSource.Plan};
 }
 
+/** Returns when a version was named if that is known without wall clocks: by a read that nothing delayed, or from other VMs. */
+export function findKnownTime({interval, peerAt}: NamingEvidence): NamingTime | undefined {
+	const {after, assumed, before, isPrompt = false} = interval;
+	const own: NamingTime = {at: assumed, source: sourceOfRead(interval)};
+	if (before - after <= exactIntervalMs) {
+		return own;
+	}
+
+	if (peerAt === undefined) {
+		return isPrompt ? own : undefined;
+	}
+
+	const at = Math.min(before, Math.max(after, peerAt));
+	// The response to a prompt poll can have waited for a blocked event loop, which makes `assumed` too late.
+	return isPrompt && assumed - at <= exactIntervalMs ? own : {at, source: NamingSource.Peer};
+}
+
 function sourceOfRead({after, isPrompt}: changeTimes.ChangeInterval): NamingSource {
 	if (after === -Infinity) {
 		return NamingSource.Assumed;
--- a/packages/core/src/rollout/outdated-weights.ts
+++ b/packages/core/src/rollout/outdated-weights.ts
@@ -6,7 +6,7 @@
  * Time before the limit at which a request that has not started on replaced weights is taken back, in milliseconds. It covers
  * the interval between two checks, the way to the engine, and the time in which the VM learned of the newer version.
  */
-const takeBackMarginMs = 500;
+export const takeBackMarginMs = 500;
 
 /**
  * Returns whether a request that is sent now can be expected to start before its weights may no longer be used.
--- a/packages/core/src/rollout/weight-targets.ts
+++ b/packages/core/src/rollout/weight-targets.ts
@@ -57,6 +57,33 @@
 		return this.#add(model, version, (known = unread) => ({...known, planAt: Math.min(reportedAt, known.planAt ?? Infinity)}));
 	}
 
+	/**
+	 * Adds the age of a version that another VM knows. It counts within the interval in which the version was named by this VM's own reads. A version
+	 * newer than all that this VM has read is ignored; the VM is told again.
+	 */
+	addPeerAge({model, version, ageMs}: namingTime.VersionAge, now: number): void {
+		const targets = this.#targets.get(model) ?? [];
+		const peerAt = now - ageMs;
+		const knownAt = targets.find(target => target.version === version)?.peerAt ?? Infinity;
+		if (peerAt < knownAt && (targets.at(-1)?.version ?? 0) >= version) {
+			const unread: namingTime.NamingEvidence = {interval: {after: -Infinity, assumed: now, before: now}};
+			this.#add(model, version, (known = unread) => ({...known, peerAt}));
+		}
+	}
+
+	/**
+	 * Returns the ages of the versions for which this VM needs no wall clock, to be told to other VMs.
+	 *
+	 * @param maxAgeMs - Age from which a version is left out.
+	 */
+	listKnownAges(maxAgeMs: number, now: number): namingTime.VersionAge[] {
+		return [...this.#targets].flatMap(([model, targets]) => targets.slice(-sharedVersionsPerModel).flatMap(target => {
+			const known = namingTime.findKnownTime(target);
+			const ageMs = known === undefined ? Infinity : Math.max(0, Math.ceil(now - known.at));
+			return ageMs < maxAgeMs ? [{model, version: target.version, ageMs}] : [];
+		}));
+	}
+
 	/** Returns the newest versions of each model with the times at which they were first seen. */
 	list(): Array<{readonly model: string; readonly version: number; readonly seenAt: number}> {
 		return [...this.#targets].flatMap(([model, targets]) =>
--- a/packages/core/tests/rollout/weight-targets.test.ts
+++ b/packages/core/tests/rollout/weight-targets.test.ts
@@ -75,6 +75,82 @@
 		expect(targets.startWithinMs('m', 1, 6000, 9012)).to.equal(2988);
 	});
 
+	const unseen = {after: -Infinity, assumed: 3000, before: 6000};
+	const late = {after: 1000, assumed: 4000, before: 6000};
+	const prompt = {
+		after: 4000, assumed: 5300, before: 5300, isPrompt: true,
+	};
+	const told = [
+		{
+			name: 'before the first read, later than assumed', interval: unseen, ages: [1500], namedAt: 4500,
+		},
+		{
+			name: 'before the first read, earlier than assumed', interval: unseen, ages: [5000], namedAt: 1000,
+		},
+		{
+			name: 'before the first read, in delayed messages', interval: unseen, ages: [200, 2000, 900], namedAt: 4000,
+		},
+		{
+			name: 'before the first read, but after it by a delayed message', interval: unseen, ages: [-500], namedAt: 6000,
+		},
+		{
+			name: 'while calls failed', interval: late, ages: [2500], namedAt: 3500,
+		},
+		{
+			name: 'while calls failed, earlier than its own reads allow', interval: late, ages: [9000], namedAt: 1000,
+		},
+		{
+			name: 'when it read the store promptly', interval: prompt, ages: [1100], namedAt: 5300,
+		},
+		{
+			name: 'when it read the store promptly, but its event loop was blocked', interval: prompt, ages: [1500], namedAt: 4500,
+		},
+		{
+			name: 'when it read the store promptly, later by a delayed message', interval: prompt, ages: [100], namedAt: 5300,
+		},
+	];
+	for (const {name, interval, ages, namedAt} of told) {
+		it(`uses the age that another VM tells of a version that was named ${name}`, () => {
+			const targets = new core.rollout.WeightTargets();
+			targets.observe('m', 2, interval);
+			for (const ageMs of ages) {
+				targets.addPeerAge({model: 'm', version: 2, ageMs}, 6000);
+			}
+
+			expect(6000 - targets.outdatedForMs('m', 1, 6000)).to.equal(namedAt);
+			targets.addReported('m', 2, 2000, 6000);
+			targets.addReported('m', 2, 9000, 6000);
+			expect(6000 - targets.outdatedForMs('m', 1, 6000)).to.equal(namedAt);
+		});
+	}
+
+	// A VM that starts reads the newest version only; without the others it would count version 1 from version 3.
+	it('learns of earlier versions from other VMs, but not of newer ones', () => {
+		const targets = new core.rollout.WeightTargets();
+		targets.addPeerAge({model: 'm', version: 2, ageMs: 100}, 6000);
+		expect(targets.newestVersions()).to.deep.equal(new Map());
+		targets.observe('m', 3, unseen);
+		for (const [version, ageMs] of [[2, 4000], [3, 2500], [4, 100]] as const) {
+			targets.addPeerAge({model: 'm', version, ageMs}, 6000);
+		}
+
+		expect(targets.newestVersions()).to.deep.equal(new Map([['m', 3]]));
+		expect([1, 2, 3].map(version => targets.outdatedForMs('m', version, 6000))).to.deep.equal([4000, 2500, 0]);
+	});
+
+	it('tells other VMs only ages that need no wall clock, and passes on what they told', () => {
+		const targets = new core.rollout.WeightTargets();
+		targets.observe('m', 2, unseen);
+		targets.addReported('m', 2, 1000, 6000);
+		expect(targets.listKnownAges(12_000, 7000)).to.deep.equal([]);
+		targets.addPeerAge({model: 'm', version: 2, ageMs: 2500}, 6000);
+		targets.observe('m', 3, {
+			after: 5000, assumed: 6500, before: 6500, isPrompt: true,
+		});
+		expect(targets.listKnownAges(12_000, 7000)).to.deep.equal([{model: 'm', version: 2, ageMs: 3500}, {model: 'm', version: 3, ageMs: 500}]);
+		expect(targets.listKnownAges(3000, 7000)).to.deep.equal([{model: 'm', version: 3, ageMs: 500}]);
+	});
+
 	it('lists the estimates that have changed, with their source', () => {
 		const targets = new core.rollout.WeightTargets();
 		const interval = {after: -Infinity, assumed: 3000, before: 6000};
--- /dev/null
+++ b/packages/core/tests/rollout/wrong-clocks-load.test.ts
@@ -0,0 +1,47 @@
+import * as chai from 'chai';
+import * as simulation from '../support/fleet-with-wrong-clocks.js';
+
+const {expect} = chai;
+const runs = 50;
+
+/** Two versions, named while clocks jump and VMs restart or are cut off from the store. */
+function runRandom(vmCount: number, seed: number, areAgesTold = true): simulation.FleetOutcome {
+	return new simulation.FleetWithWrongClocks({
+		vmCount, seed, areAgesTold, durationMs: 14_000, namedAt: [3000, 3000 + (200 * (seed % 20))], maxJumpMs: 5000, troubleShare: 0.15,
+	}).run();
+}
+
+// Guards against VMs whose estimate of a version's age depends on wall clocks: they send requests to replaced weights after the bound.
+describe('wrong clocks during a roll-out', () => {
+	for (const vmCount of [6, 66]) {
+		it(`never make a version younger than it is on one of ${vmCount} VMs, nor older than its own reads allow`, () => {
+			for (let seed = 1; seed <= (vmCount === 6 ? runs : 5); seed++) {
+				const {younger, olderThanInterval, lateStarts} = runRandom(vmCount, seed);
+				expect({
+					seed, younger, olderThanInterval, lateStarts,
+				}).to.deep.equal({
+					seed, younger: 0, olderThanInterval: 0, lateStarts: 0,
+				});
+			}
+		}).timeout(20_000);
+	}
+
+	it('make it younger if the VMs do not tell each other ages', () => {
+		const outcomes = Array.from({length: runs}, (_, seed) => runRandom(6, seed + 1, false));
+		expect(outcomes.filter(({younger}) => younger > 0).length).to.be.above(0);
+	}).timeout(20_000);
+
+	for (const leaderErrorMs of [-3_600_000, -2400, 0, 2400, 3_600_000]) {
+		// No VM is left that knows the age; the VMs assume that it is half of the bound, which is older than it is.
+		it(`leave VMs that all restart at once neither without engines nor with outdated ones, with an error of ${leaderErrorMs} ms`, () => {
+			for (const vmCount of [6, 66, 195]) {
+				const {lateStarts, longestGapMs, samples} = new simulation.FleetWithWrongClocks({
+					vmCount, seed: 1, durationMs: 12_000, namedAt: [3000], restart: {at: 4000, downMs: 1000, leaderErrorMs},
+				}).run();
+				expect(samples).to.be.above(0);
+				expect(lateStarts).to.equal(0);
+				expect(longestGapMs).to.be.at.most(simulation.loadMs);
+			}
+		}).timeout(20_000);
+	}
+});
--- a/packages/gateway/src/controllers/load-controller.ts
+++ b/packages/gateway/src/controllers/load-controller.ts
@@ -2,7 +2,9 @@
 import type * as peers from '../peers/index.js';
 import type * as endpointPauses from '../placement/endpoint-pauses.js';
 import type * as fleetState from '../placement/fleet-state.js';
+import * as namingLog from '../placement/naming-log.js';
 import type * as clocks from '../util/clocks.js';
+import type * as eventLog from '../util/event-log.js';
 import type * as quarantineController from './quarantine-controller.js';
 import type * as coordinationController from './coordination-controller.js';
 
@@ -19,6 +21,9 @@
 	readonly coordination: Pick<coordinationController.CoordinationController, 'listPeerAddresses'>;
 	readonly exchange: Pick<peers.PeerExchange, 'send'>;
 	readonly clock: clocks.Clocks;
+	readonly log: eventLog.EventLog;
+	/** Age from which a version of weights is no longer told to the other VMs, in milliseconds. */
+	readonly maxToldVersionAgeMs: number;
 };
 
 /** Delay between an observation and the digest that carries it, in milliseconds, so that one digest carries several. */
@@ -43,6 +48,9 @@
 /** Number of limits in a digest; with about 30 bytes each they take 4 KB/s of the 19 KB/s that a node may use for control traffic. */
 const maxLimitsPerDigest = 4;
 
+/** Largest number of versions in a digest, which it carries only while they are young. */
+const maxToldVersions = 8;
+
 /** Sends the other VMs digests of the load that this VM puts on each endpoint and of its cache observations. */
 export class LoadController {
 	#sequence = Date.now();
@@ -78,7 +86,7 @@
 
 	/** Applies a digest of another VM. */
 	applyDigest(digest: core.fleet.LoadDigest): void {
-		const {fleet, pauses, quarantine, clock} = this.dependencies;
+		const {fleet, pauses, quarantine, clock, log} = this.dependencies;
 		const now = clock.monotonicNow();
 		fleet.peers.applyDigest(digest, now);
 		pauses.applyDigest(digest.pauses ?? []);
@@ -91,6 +99,11 @@
 			quarantine.applyDigest(digest.quarantine);
 		}
 
+		for (const age of digest.versionAges ?? []) {
+			fleet.targets.addPeerAge(age, clock.suspendAwareNow());
+		}
+
+		namingLog.writeNamingChanges(fleet.targets, log, clock.suspendAwareNow());
 		for (const observation of digest.cacheObservations) {
 			fleet.parts.applyObservation(observation, now);
 		}
@@ -103,11 +116,12 @@
 		}
 	}
 
-	/** Sends a digest if one is due; a VM that becomes idle, without pauses and limits to publish, sends one more and then none. */
+	/** Sends a digest if one is due; a VM that becomes idle, without pauses, limits and young versions to publish, sends one more and then none. */
 	tick(): void {
 		const {fleet, pauses, quarantine} = this.dependencies;
 		quarantine.tick();
-		const isIdle = fleet.loads.listBusyEndpoints().length === 0 && !pauses.hasPauses() && !fleet.limits.hasLimits && !quarantine.hasQuarantinedParts;
+		const isIdle = fleet.loads.listBusyEndpoints().length === 0 && !pauses.hasPauses() && !fleet.limits.hasLimits && !quarantine.hasQuarantinedParts
+			&& this.#listVersionAges().length === 0;
 		const isDue = !this.#isStopped && this.dependencies.clock.monotonicNow() - this.#lastSentAt >= digestIntervalMs;
 		if (isDue && !(isIdle && this.#wasIdle)) {
 			this.#send();
@@ -149,6 +163,7 @@
 			leavingEndpoints: fleet.leaving.listNoticed(maxLeavingEndpoints),
 			reach: this.#describeReach(),
 			quarantine: quarantine.takeDigest(),
+			versionAges: this.#listVersionAges(),
 		}, this.#choosePeers(observations, isUrgent));
 		if (this.#observations.length > 0 || quarantine.hasPendingEvidence) {
 			this.#scheduleSend();
@@ -172,6 +187,11 @@
 		return [...addresses, ...addresses].slice(first, first + count);
 	}
 
+	#listVersionAges(): core.rollout.VersionAge[] {
+		const {fleet, clock, maxToldVersionAgeMs} = this.dependencies;
+		return fleet.targets.listKnownAges(maxToldVersionAgeMs, clock.suspendAwareNow()).slice(-maxToldVersions);
+	}
+
 	#describeReach(): core.fleet.ReachDigest | undefined {
 		const {dataCentre, getTunnelAddress, fleet, clock} = this.dependencies;
 		const tunnelAddress = getTunnelAddress?.();
--- a/packages/gateway/src/peers/digest-codec.ts
+++ b/packages/gateway/src/peers/digest-codec.ts
@@ -21,6 +21,9 @@
 /** Encoded incarnation of an endpoint: id, start time in Unix milliseconds. */
 type IncarnationRow = readonly [string, number];
 
+/** Encoded age of a version of weights: model, version, milliseconds since it was named. */
+type VersionAgeRow = readonly [string, number, number];
+
 /** Encoded interrupted request: endpoint, start time of its incarnation, age in milliseconds, whether its response had begun, key of the request, shared parts. */
 type CrashRow = readonly [string, number, number, boolean, string, readonly string[]];
 
@@ -43,6 +46,7 @@
 	readonly limits?: readonly LimitRow[];
 	readonly leaving?: readonly IncarnationRow[];
 	readonly reach?: ReachRow;
+	readonly versions?: readonly VersionAgeRow[];
 };
 
 /** Address of a VM by its number: `IP:PORT`. */
@@ -64,6 +68,7 @@
 	const pauses = (digest.pauses ?? []).map(({endpoint, bornAt, remainingMs}): PauseRow => [endpoint, bornAt, remainingMs]);
 	const limits = (digest.limits ?? []).map(({endpoint, bornAt, requestsPerSecond, ageMs}): LimitRow => [endpoint, bornAt, requestsPerSecond, ageMs]);
 	const leaving = (digest.leavingEndpoints ?? []).map(({id, bornAt}): IncarnationRow => [id, bornAt]);
+	const versions = (digest.versionAges ?? []).map(({model, version, ageMs}): VersionAgeRow => [model, version, ageMs]);
 	const state: DigestMessage = [
 		digest.vm,
 		digest.sequence,
@@ -75,6 +80,7 @@
 		...(limits.length > 0 && {limits}),
 		...(leaving.length > 0 && {leaving}),
 		...(digest.reach && {reach: encodeReach(digest.reach)}),
+		...(versions.length > 0 && {versions}),
 		...(digest.quarantine && encodeEvidence(digest.quarantine)),
 	};
 	return cbor.encode(Object.keys(extension).length === 0 ? state : [...state, extension]);
@@ -105,6 +111,7 @@
 	const limits = toLimits(extension?.limits);
 	const leaving = rows.isRows(extension?.leaving, ['string', 'number']) ? extension!.leaving! : [];
 	const reach = toReach(extension?.reach);
+	const versionAges = toVersionAges(extension?.versions);
 	const quarantine = decodeEvidence(extension ?? {});
 	return {
 		vm,
@@ -117,6 +124,7 @@
 		...(limits.length > 0 && {limits}),
 		...(leaving.length > 0 && {leavingEndpoints: leaving.map(([id, bornAt]) => ({id, bornAt}))}),
 		...(reach && {reach}),
+		...(versionAges.length > 0 && {versionAges}),
 		...(quarantine && {quarantine}),
 	};
 }
@@ -185,6 +193,17 @@
 		.filter(({requestsPerSecond, ageMs}) => Number.isFinite(requestsPerSecond) && requestsPerSecond >= 0 && ageMs >= 0);
 }
 
+/** Decodes the ages of versions; skips invalid ones. */
+function toVersionAges(list: unknown): core.rollout.VersionAge[] {
+	if (!rows.isRows(list, ['string', 'number', 'number'])) {
+		return [];
+	}
+
+	return (list as readonly VersionAgeRow[])
+		.map(([model, version, ageMs]) => ({model, version, ageMs}))
+		.filter(({version, ageMs}) => Number.isSafeInteger(version) && ageMs >= 0 && Number.isFinite(ageMs));
+}
+
 function encodeReach({tunnelAddress, dataCentre, pools}: core.fleet.ReachDigest): ReachRow {
 	return [tunnelAddress, dataCentre, pools.map(({pool, ageMs}) => [pool, ageMs] as const)];
 }
--- a/packages/gateway/tests/controllers/endpoint-pauses.test.ts
+++ b/packages/gateway/tests/controllers/endpoint-pauses.test.ts
@@ -144,6 +144,8 @@
 				coordination: {listPeerAddresses: () => ['10.0.0.1:1']},
 				exchange: {send},
 				clock,
+				log,
+				maxToldVersionAgeMs: 0,
 			});
 		}
 
--- a/packages/gateway/tests/controllers/load-controller.test.ts
+++ b/packages/gateway/tests/controllers/load-controller.test.ts
@@ -33,6 +33,8 @@
 			},
 		},
 		clock: {monotonicNow: () => now, suspendAwareNow: () => now, wallNow: () => now},
+		log: {write: () => undefined},
+		maxToldVersionAgeMs: 12_000,
 	});
 	const tick = (afterMs: number): void => {
 		now += afterMs;
@@ -73,6 +75,37 @@
 		expect(sent[1]!.digest.sequence).to.be.greaterThan(sent[0]!.digest.sequence);
 	});
 
+	// Guards against a VM that starts during a roll-out and can only assume the age of the newest version, although others know it.
+	it('tells the ages of the versions that it knows while they are young, also when it is idle', () => {
+		const {fleet, sent, tick} = createController(6);
+		fleet.targets.observe('m', 2, {after: -Infinity, assumed: 0, before: 1000});
+		tick(200);
+		fleet.targets.observe('m', 3, {
+			after: 100, assumed: 1200, before: 1200, isPrompt: true,
+		});
+		tick(200);
+		tick(200);
+		tick(11_400);
+		tick(200);
+		tick(200);
+		expect(sent.map(({digest}) => digest.versionAges)).to.deep.equal([
+			[],
+			[{model: 'm', version: 3, ageMs: 200}],
+			[{model: 'm', version: 3, ageMs: 400}],
+			[{model: 'm', version: 3, ageMs: 11_800}],
+			[],
+		]);
+	});
+
+	it('counts a version that it only read late from the age that another VM tells', () => {
+		const {controller, fleet} = createController(6);
+		fleet.targets.observe('m', 2, {after: -Infinity, assumed: -2000, before: 1000});
+		controller.applyDigest({
+			vm: 'other', sequence: 1, endpoints: [], cacheObservations: [], versionAges: [{model: 'm', version: 2, ageMs: 4500}],
+		});
+		expect(fleet.targets.outdatedForMs('m', 1, 1000)).to.equal(4500);
+	});
+
 	it('reports the endpoints that told this VM that they are leaving while they are listed, and none that others reported', () => {
 		const {controller, fleet, sent, tick} = createController(6);
 		const reported = {id: 'b', bornAt: 1};
--- a/packages/gateway/tests/peers/digest-codec.test.ts
+++ b/packages/gateway/tests/peers/digest-codec.test.ts
@@ -45,6 +45,18 @@
 		expect(gateway.peers.decodeDigest(gateway.peers.encodeDigest({...withoutPauses, limits}))).to.deep.equal({...withoutPauses, limits});
 	});
 
+	it('contain the ages of versions of weights', () => {
+		const versionAges = [{model: 'm', version: 2, ageMs: 1300}, {model: 'n', version: 7, ageMs: 0}];
+		expect(gateway.peers.decodeDigest(gateway.peers.encodeDigest({...withoutPauses, versionAges}))).to.deep.equal({...withoutPauses, versionAges});
+	});
+
+	it('with invalid ages of versions are accepted without them', () => {
+		const versions = [['m', 2, -1], ['m', 2.5, 1], ['m', 2, Number.NaN], ['m', 2, Infinity]];
+		for (const extension of [{versions}, {versions: [['m', '2', 1]]}, {versions: 5}]) {
+			expect(gateway.peers.decodeDigest(cbor.encode([...olderRows, extension]))).to.deep.equal(withoutPauses);
+		}
+	});
+
 	it('are readable for older builds, which read the first four elements', () => {
 		const message = cbor.decode(gateway.peers.encodeDigest(digest)) as unknown[];
 		expect(message.slice(0, 4)).to.deep.equal(olderRows);
