Replaced weights: a VM that read a version promptly does not use the time in the plan

Callers lost engines with older weights up to 1.3 s early on all VMs while the clock of the leader was behind: they went to fewer engines, or were refused, during a roll-out.

Cause: the interval of a read that nothing delayed reaches back to the start of the poll before, a second and more, and the published time counted anywhere within it, although the read itself says when the version was named.

Fix: a plan's time is used only if neither a prompt read nor another VM tells the time.

--- a/packages/core/src/rollout/naming-time.ts
+++ b/packages/core/src/rollout/naming-time.ts
@@ -45,14 +45,13 @@
 const exactIntervalMs = 500;
 
 /**
- * Estimates when a version was named. The time that a plan states rests on the wall clocks of two VMs, which may be wrong, so it can make the version
- * older than this VM assumes by its own reads, but never younger.
+ * Estimates when a version was named. The time that a plan states rests on the wall clocks of two VMs, which may be wrong, so it is used only if no other
+ * time is known, and it can make the version older than this VM assumes, but never younger.
  */
 export function estimateNamingTime(evidence: NamingEvidence): NamingTime {
-	const {interval, planAt = Infinity, peerAt} = evidence;
+	const {interval, planAt = Infinity} = evidence;
 	const known = findKnownTime(evidence);
-	const isExact = interval.before - interval.after <= exactIntervalMs;
-	if (known !== undefined && (isExact || peerAt !== undefined)) {
+	if (known !== undefined) {
 		return known;
 	}
 
--- a/packages/core/tests/rollout/weight-targets.test.ts
+++ b/packages/core/tests/rollout/weight-targets.test.ts
@@ -124,6 +124,14 @@
 		});
 	}
 
+	// Guards against VMs that leave engines early, since the clock of the leader's VM was behind when it published the time.
+	it('keeps the time of a prompt read, whatever time is published', () => {
+		const targets = new core.rollout.WeightTargets();
+		targets.observe('m', 2, prompt);
+		targets.addReported('m', 2, 2900, 5400);
+		expect(targets.outdatedForMs('m', 1, 6000)).to.equal(700);
+	});
+
 	// A VM that starts reads the newest version only; without the others it would count version 1 from version 3.
 	it('learns of earlier versions from other VMs, but not of newer ones', () => {
 		const targets = new core.rollout.WeightTargets();
