Digests: those of a new process are used also if the clock of its VM was set back

Callers were placed by the load of a process that had ended: the digests of the new one were ignored until their numbers had passed those of the old one, up to the length of the jump, and its load counted as none after 1.5 s.

Cause: digests are numbered from the wall clock at the start of the process, and receivers use only rising numbers.

Evidence: peer-loads.test.ts, "uses the digests of a new process whatever their numbers" (5 requests in flight counted in place of 1 before).

Fix: a digest names its process by a random number; numbers are compared within a process, and late digests of the process before are dropped. Digests of older builds, without the number, are compared as before.

--- a/packages/core/src/fleet/load-digest.ts
+++ b/packages/core/src/fleet/load-digest.ts
@@ -28,7 +28,9 @@
 /** Summary that a VM sends to the others: its load on the endpoints and its cache observations since the last digest. */
 export type LoadDigest = {
 	readonly vm: string;
-	/** Increases with each digest of a process; a new process starts with a larger number. */
+	/** Random number of the sender's process; absent in digests of older versions. */
+	readonly process?: number;
+	/** Increases with each digest of a process. */
 	readonly sequence: number;
 	readonly endpoints: readonly EndpointDigest[];
 	/** Observations of where large prompt parts are cached. */
--- a/packages/core/src/fleet/peer-loads.ts
+++ b/packages/core/src/fleet/peer-loads.ts
@@ -1,6 +1,9 @@
 import type * as loadDigest from './load-digest.js';
 
 type ReceivedDigest = {
+	readonly process?: number;
+	/** The VM's process before, whose digests may still arrive. */
+	readonly previousProcess?: number;
 	readonly sequence: number;
 	readonly receivedAt: number;
 	readonly endpoints: ReadonlyMap<string, loadDigest.EndpointDigest>;
@@ -42,12 +45,17 @@
 	/** Applies a digest; ignores one that is not newer than the last digest of its VM. */
 	applyDigest(digest: loadDigest.LoadDigest, now: number): void {
 		const last = this.#digests.get(digest.vm);
-		if (last !== undefined && last.sequence >= digest.sequence) {
+		if (last !== undefined && !isNewer(digest, last)) {
 			return;
 		}
 
+		const {process, sequence} = digest;
 		const received: ReceivedDigest = {
-			sequence: digest.sequence, receivedAt: now, endpoints: new Map(digest.endpoints.map(entry => [entry.endpoint, entry])),
+			process,
+			previousProcess: process === last?.process ? last?.previousProcess : last?.process,
+			sequence,
+			receivedAt: now,
+			endpoints: new Map(digest.endpoints.map(entry => [entry.endpoint, entry])),
 		};
 		this.#digests.set(digest.vm, received);
 		this.#hasNonMembers ||= !this.#members.has(digest.vm);
@@ -156,3 +164,8 @@
 		}
 	}
 }
+
+/** Returns whether a digest was sent after the last one of its VM; sequence numbers of different processes are not comparable. */
+function isNewer({process, sequence}: loadDigest.LoadDigest, last: ReceivedDigest): boolean {
+	return process === last.process ? sequence > last.sequence : process === undefined || process !== last.previousProcess;
+}
--- a/packages/core/tests/fleet/peer-loads.test.ts
+++ b/packages/core/tests/fleet/peer-loads.test.ts
@@ -33,6 +33,29 @@
 		expect(loads.countActive('a', 1501)).to.equal(0);
 	});
 
+	// Guards against digests that are ignored after a restart: the clock of the VM, from which it numbers them, was set back.
+	it('uses the digests of a new process whatever their numbers, and no late ones of the process before', () => {
+		const loads = new core.fleet.PeerLoads();
+		loads.applyDigest({...digest('x', 2400, 5), process: 1}, 0);
+		loads.applyDigest({...digest('x', 10, 1), process: 2}, 100);
+		expect(loads.countActive('a', 100)).to.equal(1);
+		loads.applyDigest({...digest('x', 2401, 5), process: 1}, 100);
+		loads.applyDigest({...digest('x', 9, 4), process: 2}, 100);
+		expect(loads.countActive('a', 100)).to.equal(1);
+		loads.applyDigest({...digest('x', 11, 2), process: 2}, 100);
+		loads.applyDigest({...digest('x', 3, 7), process: 3}, 100);
+		expect(loads.countActive('a', 100)).to.equal(7);
+	});
+
+	it('uses the digests of a process of another build', () => {
+		const loads = new core.fleet.PeerLoads();
+		loads.applyDigest(digest('x', 2400, 5), 0);
+		loads.applyDigest({...digest('x', 10, 1), process: 2}, 0);
+		expect(loads.countActive('a', 0)).to.equal(1);
+		loads.applyDigest(digest('x', 5, 3), 0);
+		expect(loads.countActive('a', 0)).to.equal(3);
+	});
+
 	it('returns the latest time at which any VM received data from an endpoint, and removes VMs that left', () => {
 		const loads = new core.fleet.PeerLoads();
 		loads.applyDigest(digest('x', 1, 1, 300), 1000);
--- a/packages/gateway/src/controllers/load-controller.ts
+++ b/packages/gateway/src/controllers/load-controller.ts
@@ -11,6 +11,8 @@
 /** Dependencies of the controller. */
 export type LoadControllerDependencies = {
 	readonly vm: string;
+	/** Random number by which the other VMs tell this process from an earlier one of the VM. */
+	readonly process: number;
 	/** Data centre of the VM; digests list no reached pools without it and `getTunnelAddress`. */
 	readonly dataCentre?: string;
 	/** Returns the address at which this VM opens connections for others; `undefined` if it opens none now. */
@@ -53,6 +55,7 @@
 
 /** Sends the other VMs digests of the load that this VM puts on each endpoint and of its cache observations. */
 export class LoadController {
+	/** Versions before this one don't compare processes, so a new process starts with a larger number if the clock was not set back. */
 	#sequence = Date.now();
 	#wasIdle = false;
 	readonly #observations: core.fleet.CacheObservation[] = [];
@@ -146,7 +149,7 @@
 	}
 
 	#send(): void {
-		const {vm, exchange, fleet, pauses, quarantine} = this.dependencies;
+		const {vm, process, exchange, fleet, pauses, quarantine} = this.dependencies;
 		clearTimeout(this.#timer);
 		this.#timer = undefined;
 		const observations = this.#observations.splice(0, maxObservations);
@@ -155,6 +158,7 @@
 		const isUrgent = quarantine.hasPendingEvidence;
 		exchange.send({
 			vm,
+			process,
 			sequence: this.#sequence,
 			endpoints: this.#describeLoad(),
 			cacheObservations: observations,
--- a/packages/gateway/src/peers/digest-codec.ts
+++ b/packages/gateway/src/peers/digest-codec.ts
@@ -47,6 +47,7 @@
 	readonly leaving?: readonly IncarnationRow[];
 	readonly reach?: ReachRow;
 	readonly versions?: readonly VersionAgeRow[];
+	readonly process?: number;
 };
 
 /** Address of a VM by its number: `IP:PORT`. */
@@ -81,6 +82,7 @@
 		...(leaving.length > 0 && {leaving}),
 		...(digest.reach && {reach: encodeReach(digest.reach)}),
 		...(versions.length > 0 && {versions}),
+		...(digest.process !== undefined && {process: digest.process}),
 		...(digest.quarantine && encodeEvidence(digest.quarantine)),
 	};
 	return cbor.encode(Object.keys(extension).length === 0 ? state : [...state, extension]);
@@ -112,9 +114,11 @@
 	const leaving = rows.isRows(extension?.leaving, ['string', 'number']) ? extension!.leaving! : [];
 	const reach = toReach(extension?.reach);
 	const versionAges = toVersionAges(extension?.versions);
+	const process = extension?.process;
 	const quarantine = decodeEvidence(extension ?? {});
 	return {
 		vm,
+		...(typeof process === 'number' && {process}),
 		sequence,
 		endpoints: endpoints.map(([endpoint, active, prefillTokens, sinceLastReceivedMs]) => ({
 			endpoint, active, prefillTokens, sinceLastReceivedMs: sinceLastReceivedMs ?? undefined,
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -35,6 +35,8 @@
 };
 
 const msPerSecond = 1000;
+/** Number of random numbers among which a process draws its own. */
+const processNumbers = 2 ** 32;
 /** Age to assume of a version that was named before the start, as a share of the time for which replaced weights may be used. */
 const unseenVersionAgeShare = 0.5;
 /** Age up to which VMs tell each other the age of a version, as a multiple of that time: a VM that starts later relies on the roll-out plan. */
@@ -105,7 +107,17 @@
 		},
 	});
 	const loadController = new controllers.LoadController({
-		vm: settings.vm, dataCentre: settings.dataCentre, getTunnelAddress: () => tunnels.address, fleet, pauses, quarantine, coordination, exchange: peerExchange, clock, log,
+		vm: settings.vm,
+		process: Math.floor(random() * processNumbers),
+		dataCentre: settings.dataCentre,
+		getTunnelAddress: () => tunnels.address,
+		fleet,
+		pauses,
+		quarantine,
+		coordination,
+		exchange: peerExchange,
+		clock,
+		log,
 		maxToldVersionAgeMs: settings.maxOutdatedWeightsMs * toldVersionAgeShare,
 	});
 	const leavingRecorder = new placement.LeavingRecorder({
--- a/packages/gateway/tests/controllers/endpoint-pauses.test.ts
+++ b/packages/gateway/tests/controllers/endpoint-pauses.test.ts
@@ -136,6 +136,7 @@
 		function createController(vm: string, own: gateway.placement.EndpointPauses, send: (digest: core.fleet.LoadDigest) => void): gateway.controllers.LoadController {
 			return new gateway.controllers.LoadController({
 				vm,
+				process: 1,
 				fleet: new gateway.placement.FleetState(),
 				pauses: own,
 				quarantine: new gateway.controllers.QuarantineController({
--- a/packages/gateway/tests/controllers/load-controller.test.ts
+++ b/packages/gateway/tests/controllers/load-controller.test.ts
@@ -21,6 +21,7 @@
 	const fleet = new gateway.placement.FleetState();
 	const controller = new gateway.controllers.LoadController({
 		vm: 'own',
+		process: 77,
 		fleet,
 		pauses: {hasPauses: () => false, takeDigest: () => [], applyDigest: () => undefined},
 		quarantine: new gateway.controllers.QuarantineController({
@@ -73,6 +74,7 @@
 		}]);
 		expect(sent[1]!.digest.endpoints).to.deep.equal([]);
 		expect(sent[1]!.digest.sequence).to.be.greaterThan(sent[0]!.digest.sequence);
+		expect(sent.map(({digest}) => digest.process)).to.deep.equal([77, 77]);
 	});
 
 	// Guards against a VM that starts during a roll-out and can only assume the age of the newest version, although others know it.
--- a/packages/gateway/tests/peers/digest-codec.test.ts
+++ b/packages/gateway/tests/peers/digest-codec.test.ts
@@ -45,6 +45,11 @@
 		expect(gateway.peers.decodeDigest(gateway.peers.encodeDigest({...withoutPauses, limits}))).to.deep.equal({...withoutPauses, limits});
 	});
 
+	it('contain the number of the process, unless it is none', () => {
+		expect(gateway.peers.decodeDigest(gateway.peers.encodeDigest({...withoutPauses, process: 5}))).to.deep.equal({...withoutPauses, process: 5});
+		expect(gateway.peers.decodeDigest(cbor.encode([...olderRows, {process: 'five'}]))).to.deep.equal(withoutPauses);
+	});
+
 	it('contain the ages of versions of weights', () => {
 		const versionAges = [{model: 'm', version: 2, ageMs: 1300}, {model: 'n', version: 7, ageMs: 0}];
 		expect(gateway.peers.decodeDigest(gateway.peers.encodeDigest({...withoutPauses, versionAges}))).to.deep.equal({...withoutPauses, versionAges});
