Quarantine: ages of stored evidence no longer stand on wall clocks where they are known

Callers could have prompts that end endpoints sent on, or sound ones refused, while the clock of the leader or of the reader was wrong: evidence from the store counted as older or younger than it is, expired early, or came to lie before a completion that had been earlier. Ages that other VMs sent later did not correct it.

Cause: QuarantineStore took the age of an entry from two wall clocks, and PartQuarantine keeps the first time of a row.

Evidence: quarantine-store.test.ts: with a clock that is 2.4 s behind, a prompt read counted the evidence 2.4 s too old, with one that is 400 s behind nothing was quarantined; measured ages from another VM did not replace those of a first read.

Fix: a prompt read counts from the read. Other reads take the wall clocks' age within the interval of the read, mark the rows as estimated, do not pass them on, and let rows with measured ages replace them.

--- a/packages/core/src/quarantine/crash-row.ts
+++ b/packages/core/src/quarantine/crash-row.ts
@@ -11,6 +11,8 @@
 	readonly requestKey: string;
 	/** Whether its response had begun. */
 	readonly hasBegun: boolean;
+	/** Whether `at` rests on wall clocks, which may be wrong, so that a row with a measured time replaces this one. */
+	readonly isEstimated?: boolean;
 };
 
 /** Returns a text that identifies an incarnation. */
--- a/packages/core/src/quarantine/part-quarantine.ts
+++ b/packages/core/src/quarantine/part-quarantine.ts
@@ -249,10 +249,10 @@
 		return [...decisive];
 	}
 
-	/** Returns whether a row is new, its incarnation hasn't proved to be alive since, and one of its parts may be the cause. */
+	/** Returns whether a row is new or better than the known one, its incarnation hasn't proved to be alive since, and one of its parts may be the cause. */
 	#isUseful(row: crashRow.CrashRow, now: number): boolean {
 		const known = this.#rows.get(crashRow.rowKey(row));
-		return (known === undefined || (row.hasBegun && !known.hasBegun))
+		return (known === undefined || (row.hasBegun && !known.hasBegun) || (known.isEstimated === true && row.isEstimated !== true))
 			&& now - row.at <= this.options.lifetimeMs
 			&& !this.#hasSurvived(row)
 			&& !this.#isLifted(row)
--- a/packages/gateway/src/controllers/quarantine-controller.ts
+++ b/packages/gateway/src/controllers/quarantine-controller.ts
@@ -124,8 +124,7 @@
 			}
 		}
 
-		const rows = crashes.map(({ageMs, ...row}) => ({...row, at: now - ageMs}));
-		const added = this.#parts.addRows(rows, now);
+		const added = this.#addCrashes(crashes, now);
 		if (added.length > 0) {
 			this.#spreadRows(added);
 		} else if (isChanged) {
@@ -133,6 +132,17 @@
 		}
 	}
 
+	/**
+	 * Applies evidence from the store whose ages rest on wall clocks. It is not passed on: other VMs read it as well, and would take the ages for
+	 * measured ones.
+	 */
+	applyEstimatedEvidence({crashes}: core.quarantine.QuarantineDigest): void {
+		const rows = crashes.map(row => ({...row, isEstimated: true}));
+		if (this.#addCrashes(rows, this.#now()).length > 0) {
+			this.#update();
+		}
+	}
+
 	/** Returns the next evidence for a digest; `undefined` if there is none. */
 	takeDigest(): core.quarantine.QuarantineDigest | undefined {
 		const now = this.#now();
@@ -176,6 +186,10 @@
 		}
 	}
 
+	#addCrashes(crashes: core.quarantine.QuarantineDigest['crashes'], now: number): core.quarantine.CrashRow[] {
+		return this.#parts.addRows(crashes.map(({ageMs, ...row}) => ({...row, at: now - ageMs})), now);
+	}
+
 	#spreadRows(rows: readonly core.quarantine.CrashRow[]): void {
 		if (rows.length > 0) {
 			this.#pending.rows.push(...rows);
@@ -227,7 +241,7 @@
 		}
 
 		this.#repeatedAt = now;
-		const rows = this.#parts.listDecisiveRows();
+		const rows = this.#parts.listDecisiveRows().filter(row => row.isEstimated !== true);
 		const first = rows.length === 0 ? 0 : this.#repeatedCount % rows.length;
 		this.#repeatedCount += maxRowsPerDigest;
 		return [...rows.slice(first), ...rows.slice(0, first)].slice(0, maxRowsPerDigest);
--- a/packages/gateway/src/controllers/quarantine-store.ts
+++ b/packages/gateway/src/controllers/quarantine-store.ts
@@ -12,7 +12,7 @@
 export type QuarantineStoreDependencies = {
 	readonly store: Pick<clients.kv.KeyValueClient, 'compareAndSwap'>;
 	readonly lease: Pick<leaseController.LeaseController, 'isLeading'>;
-	readonly quarantine: Pick<quarantineController.QuarantineController, 'applyDigest' | 'describeQuarantined'>;
+	readonly quarantine: Pick<quarantineController.QuarantineController, 'applyDigest' | 'applyEstimatedEvidence' | 'describeQuarantined'>;
 	readonly clock: clocks.Clocks;
 	readonly log: eventLog.EventLog;
 };
@@ -35,22 +35,21 @@
 
 	constructor(private readonly dependencies: QuarantineStoreDependencies) {}
 
-	onSnapshot(entries: readonly clients.kv.KvEntry[]): void {
+	onSnapshot(entries: readonly clients.kv.KvEntry[], {changed}: storeFeed.ReadContext): void {
 		const entry = entries.find(({key}) => key === coordinationKeys.quarantineKey);
-		this.#revision = 0;
-		this.#era = undefined;
-		this.#storedParts = '';
-		this.#storedSince = {};
+		const isNewWrite = entry !== undefined && this.#revision > 0 && entry.revision > this.#revision && entry.era === this.#era;
+		this.#clear();
 		if (entry !== undefined) {
-			this.#apply(entry);
+			// An entry that was written before the last read, or in another era, can have any age.
+			this.#apply(entry, isNewWrite ? changed : {after: -Infinity, assumed: changed.before, before: changed.before});
 		}
 	}
 
-	onChange({entry}: clients.kv.KvChange): void {
+	onChange({entry}: clients.kv.KvChange, {changed}: storeFeed.ReadContext): void {
 		if (entry === undefined) {
-			this.onSnapshot([]);
+			this.#clear();
 		} else {
-			this.#apply(entry);
+			this.#apply(entry, changed);
 		}
 	}
 
@@ -87,16 +86,37 @@
 		});
 	}
 
-	#apply({value, revision, era}: clients.kv.KvEntry): void {
+	#clear(): void {
+		this.#revision = 0;
+		this.#era = undefined;
+		this.#storedParts = '';
+		this.#storedSince = {};
+	}
+
+	/** @param written - When the entry was written. */
+	#apply({value, revision, era}: clients.kv.KvEntry, written: core.store.ChangeInterval): void {
 		this.#revision = revision;
 		this.#era = era;
 		const stored = storedEvidence.decodeStoredEvidence(value);
 		this.#storedParts = stored?.parts ?? '';
 		this.#storedSince = stored?.since ?? {};
 		if (stored?.evidence !== undefined) {
-			const sinceMs = Math.max(0, this.dependencies.clock.wallNow() - stored.writtenAt);
-			this.dependencies.quarantine.applyDigest(addAge(stored.evidence, sinceMs));
+			this.#applyEvidence(stored.evidence, stored.writtenAt, written);
+		}
+	}
+
+	/** Applies evidence by the time at which this VM read it promptly, or else by the wall clocks of both VMs within the interval of its reads. */
+	#applyEvidence(evidence: core.quarantine.QuarantineDigest, writtenAt: number, written: core.store.ChangeInterval): void {
+		const {clock, quarantine} = this.dependencies;
+		const now = clock.suspendAwareNow();
+		if (written.isPrompt) {
+			quarantine.applyDigest(addAge(evidence, Math.max(0, now - written.assumed)));
+			return;
 		}
+
+		const byWallClocks = now - (clock.wallNow() - writtenAt);
+		const writtenBy = Math.min(written.before, Math.max(written.after, byWallClocks));
+		quarantine.applyEstimatedEvidence(addAge(evidence, Math.max(0, now - writtenBy)));
 	}
 
 	/** Returns since when parts are quarantined; the store knows it of those that another VM or an earlier process wrote. */
