Roll-out plan: states how old each named version was when it was written

Callers could get answers of weights that had been replaced longer ago than the bound after a restart of all VMs: no VM is left to tell the age, and the plan's time by the wall clock of a leader that was ahead did not make the version older than half of the bound, although the plan itself had been written later than that.

Cause: the plan held only a time of the wall clock.

Evidence: replaced-weights-limit.test.ts, "is no later than the age in the plan allows": the VM placed a request at the older weights with a plan that was written 4.7 s after the version was named, a bound of 6 s, and a leader's clock far ahead.

Fix: a named version in the plan has its age as a fourth element, which earlier builds skip. A reader takes the version to be at least that old, whatever the wall clocks say. Plans are written with each step of a roll-out, so the age is recent while engines with older weights are left. What remains: the time from the last plan until the restart is known by wall clocks only.

--- a/packages/core/src/rollout/rollout-plan.ts
+++ b/packages/core/src/rollout/rollout-plan.ts
@@ -22,6 +22,8 @@
 	readonly version: number;
 	/** When the version was first seen, in Unix milliseconds. */
 	readonly seenAt: number;
+	/** Milliseconds between then and when the plan was written; absent in plans of older builds. */
+	readonly ageMs?: number;
 };
 
 /** The roll-out plan that the leader publishes in the key-value store, so that all VMs exclude loading engines from placement. */
--- a/packages/core/tests/support/fleet-with-wrong-clocks.ts
+++ b/packages/core/tests/support/fleet-with-wrong-clocks.ts
@@ -197,7 +197,7 @@
 		const isPublished = this.#plan.some(({version}) => version === this.#newest);
 		if (leader !== undefined && (!isPublished || this.#random.int(10) === 0)) {
 			this.#plan = leader.targets.list().map(({version, seenAt}) => ({
-				model, version, seenAt: seenAt + leader.wallAt(now) - leader.clockAt(now),
+				model, version, seenAt: seenAt + leader.wallAt(now) - leader.clockAt(now), ageMs: leader.clockAt(now) - seenAt,
 			}));
 		}
 
@@ -216,8 +216,8 @@
 	}
 
 	#readPlan(vm: Vm, now: number): void {
-		for (const {version, seenAt} of vm.cutUntil <= now ? this.#plan : []) {
-			vm.targets.addReported(model, version, seenAt + vm.clockAt(now) - vm.wallAt(now), vm.clockAt(now));
+		for (const {version, seenAt, ageMs = 0} of vm.cutUntil <= now ? this.#plan : []) {
+			vm.targets.addReported(model, version, Math.min(seenAt + vm.clockAt(now) - vm.wallAt(now), vm.clockAt(now) - ageMs), vm.clockAt(now));
 		}
 	}
 
--- a/packages/gateway/src/controllers/coordination-controller.ts
+++ b/packages/gateway/src/controllers/coordination-controller.ts
@@ -222,8 +222,10 @@
 		this.state.planSeenAt = this.clock.suspendAwareNow();
 		const suspendAwareNow = this.clock.suspendAwareNow();
 		const clockOffsetMs = suspendAwareNow - this.clock.wallNow();
-		for (const {model, version, seenAt} of plan.named) {
-			this.fleet.targets.addReported(model, version, seenAt + clockOffsetMs, suspendAwareNow);
+		for (const {model, version, seenAt, ageMs = 0} of plan.named) {
+			// The version is at least as old as it was when the plan was written, whatever the wall clocks say.
+			const reportedAt = Math.min(seenAt + clockOffsetMs, suspendAwareNow - ageMs);
+			this.fleet.targets.addReported(model, version, reportedAt, suspendAwareNow);
 		}
 
 		namingLog.writeNamingChanges(this.fleet.targets, this.log, suspendAwareNow);
--- a/packages/gateway/src/controllers/plan-codec.ts
+++ b/packages/gateway/src/controllers/plan-codec.ts
@@ -5,7 +5,7 @@
 	readonly fence: number;
 	readonly writer?: string;
 	readonly round?: number;
-	readonly named?: ReadonlyArray<readonly [string, number, number]>;
+	readonly named?: ReadonlyArray<readonly [string, number, number, number?]>;
 	readonly steps: ReadonlyArray<readonly [string, number, string, number, core.rollout.RolloutPhase]>;
 };
 
@@ -15,7 +15,7 @@
 		fence: plan.fence,
 		writer: plan.writer,
 		round: plan.round,
-		named: plan.named.map(item => [item.model, item.version, item.seenAt]),
+		named: plan.named.map(({model, version, seenAt, ageMs}) => ageMs === undefined ? [model, version, seenAt] : [model, version, seenAt, ageMs]),
 		steps: plan.steps.map(step => [step.endpoint, step.bornAt, step.model, step.version, step.phase]),
 	};
 	return buffer.Buffer.from(JSON.stringify(json));
@@ -29,7 +29,9 @@
 			fence: json.fence,
 			writer: json.writer,
 			round: json.round ?? 0,
-			named: (json.named ?? []).map(([model, version, seenAt]) => ({model, version, seenAt})),
+			named: (json.named ?? []).map(([model, version, seenAt, ageMs]) => ({
+				model, version, seenAt, ...(typeof ageMs === 'number' && {ageMs}),
+			})),
 			steps: json.steps.map(([endpoint, bornAt, model, version, phase]) => ({
 				endpoint, bornAt, model, version, phase,
 			})),
--- a/packages/gateway/src/controllers/rollout-controller.ts
+++ b/packages/gateway/src/controllers/rollout-controller.ts
@@ -154,11 +154,14 @@
 		this.#silentSince = new Map(silent.map(({endpoint}) => [endpoint, this.#silentSince.get(endpoint) ?? now]));
 	}
 
-	/** Lists the named versions with times of the wall clock, the only clock that the VMs share. */
+	/** Lists the named versions with their ages, and with times of the wall clock, the only clock that the VMs share. */
 	#listNamedVersions(): core.rollout.NamedVersion[] {
 		const {fleet, clock} = this.dependencies;
-		const clockOffsetMs = clock.wallNow() - clock.suspendAwareNow();
-		return fleet.targets.list().map(({model, version, seenAt}) => ({model, version, seenAt: Math.round(seenAt + clockOffsetMs)}));
+		const now = clock.suspendAwareNow();
+		const clockOffsetMs = clock.wallNow() - now;
+		return fleet.targets.list().map(({model, version, seenAt}) => ({
+			model, version, seenAt: Math.round(seenAt + clockOffsetMs), ageMs: Math.max(0, Math.round(now - seenAt)),
+		}));
 	}
 
 	#listEngines(): core.rollout.RolloutEngine[] {
--- a/packages/gateway/tests/controllers/rollout-controller.test.ts
+++ b/packages/gateway/tests/controllers/rollout-controller.test.ts
@@ -1,3 +1,4 @@
+import * as buffer from 'node:buffer';
 import * as chai from 'chai';
 import * as core from '@bluebellmast/core';
 import type * as kv from '@bluebellmast/kv';
@@ -16,6 +17,8 @@
 	readonly clock = new manualClock.ManualClock();
 	readonly fleet = new gateway.placement.FleetState();
 	readonly orderedAt: number[] = [];
+	/** Values of the plan that were written. */
+	readonly written: string[] = [];
 	readonly #rollout: gateway.controllers.RolloutController;
 
 	constructor() {
@@ -29,8 +32,9 @@
 			coordination: new gateway.controllers.CoordinationController(fleet, clock, log),
 			pauses: new gateway.placement.EndpointPauses({clock, log, random: () => 0}),
 			store: {
-				async compareAndSwap() {
+				compareAndSwap: async (_key: string, _revision: number, value: Uint8Array) => {
 					revision += 1;
+					this.written.push(buffer.Buffer.from(value).toString());
 					return purify.Right({swapped: true, revision});
 				},
 			} as unknown as kv.kv.KeyValueClient,
@@ -62,6 +66,13 @@
 }
 
 describe('RolloutController', () => {
+	it('states the age of each named version in the plan, which needs no wall clock', async () => {
+		const leader = new Leader();
+		await leader.run(50);
+		const plan = JSON.parse(leader.written[0]!) as {readonly named: unknown};
+		expect(plan.named).to.deep.equal([[model, 2, 0, 50]]);
+	});
+
 	// Guards against orders that are repeated at once because the engine has left the plan for a moment.
 	it('sends an order again only when it is due, also if the engine was silent meanwhile', async () => {
 		const leader = new Leader();
--- a/packages/gateway/tests/placement/replaced-weights-limit.test.ts
+++ b/packages/gateway/tests/placement/replaced-weights-limit.test.ts
@@ -65,11 +65,11 @@
 		});
 	}
 
-	/** Reads a plan that states when version 2 was named, in milliseconds of the wall clock. */
-	readPlan(seenAt: number): void {
+	/** Reads a plan that states when version 2 was named, in milliseconds of the wall clock, and how long ago that was. */
+	readPlan(seenAt: number, ageMs?: number): void {
 		const {rolloutPlanKey: key} = gateway.controllers;
 		const value = buffer.Buffer.from(JSON.stringify({
-			fence: 1, round: 0, named: [['m', 2, seenAt]], steps: [],
+			fence: 1, round: 0, named: [['m', 2, seenAt, ageMs]], steps: [],
 		}));
 		this.#coordination.onChange({key, entry: {key, value, revision: 9}});
 	}
@@ -148,6 +148,18 @@
 		expect(vm.takesBack()).to.equal(true);
 	});
 
+	// Guards against an assumed age that is too small after a restart of all VMs, since the clock of the leader's VM was ahead.
+	it('is no later than the age in the plan allows, whatever the clock of the leader', () => {
+		const vm = new VmWithOldEngine(2);
+		vm.now = 300;
+		vm.readPlan(2_000_000, 4700);
+		expect(vm.places()).to.equal(true);
+		vm.now = 400;
+		expect(vm.places()).to.equal(false);
+		vm.now = 1100;
+		expect(vm.takesBack()).to.equal(true);
+	});
+
 	const published = [
 		{name: 'ahead', clockErrorMs: 2400},
 		{name: 'right', clockErrorMs: 0},
