--- a/packages/gateway/src/controllers/store-feed.ts
+++ b/packages/gateway/src/controllers/store-feed.ts
@@ -145,6 +145,8 @@
 
 		if (failure.code === clients.kv.KvErrorCode.HistoryLost) {
 			this.#revision = undefined;
+			// The next snapshot shows changes that no poll has reported.
+			this.#changeTimes.recordFailure();
 			return true;
 		}
 
@@ -163,6 +165,7 @@
 
 		this.#hasReturned = true;
 		this.#revision = undefined;
+		this.#changeTimes.recordFailure();
 		this.#lapses.recordReturn(this.dependencies.clock.suspendAwareNow());
 		this.#pollAbort?.abort();
 	}
--- a/packages/gateway/tests/controllers/store-feed.test.ts
+++ b/packages/gateway/tests/controllers/store-feed.test.ts
@@ -63,7 +63,9 @@
 
 type Followed = {
 	readonly received: string[];
+	/** Contexts of the changes. */
 	readonly contexts: gateway.controllers.ReadContext[];
+	readonly snapshotContexts: gateway.controllers.ReadContext[];
 	readonly store: ScriptedStore;
 	readonly events: string[];
 };
@@ -71,6 +73,7 @@
 async function follow(results: PollResult[], {pollPauseMs = () => 0, callMs = [], suspendedMs = []}: FollowOptions = {}): Promise<Followed> {
 	const received: string[] = [];
 	const contexts: gateway.controllers.ReadContext[] = [];
+	const snapshotContexts: gateway.controllers.ReadContext[] = [];
 	const events: string[] = [];
 	let now = 1000;
 	let totalSuspendedMs = 0;
@@ -87,6 +90,7 @@
 		listener: {
 			onSnapshot(entries, context) {
 				received.push(`snapshot ${entries.length} ${context.lapse !== undefined}`);
+				snapshotContexts.push(context);
 			},
 			onChange(change, context) {
 				received.push(`change ${change.key} ${change.entry === undefined ? 'removed' : 'put'} ${context.lapse !== undefined}`);
@@ -107,7 +111,7 @@
 	});
 	await feed.run();
 	return {
-		received, contexts, store, events,
+		received, contexts, snapshotContexts, store, events,
 	};
 }
 
@@ -314,6 +318,17 @@
 			},
 		},
 	];
+	// Guards against a version that seems to have been named when the snapshot was read, although the watch had not reported it for a second.
+	it('tells that a snapshot after the history was lost shows changes from since the last confirmed read', async () => {
+		const {snapshotContexts} = await follow([failed(historyLost), unchanged], {callMs: [4, 900, 300]});
+		expect(snapshotContexts.map(({changed}) => changed)).to.deep.equal([
+			{after: -Infinity, assumed: 1004, before: 1004},
+			{
+				after: 1000, assumed: 1000, before: 2204, isPrompt: false,
+			},
+		]);
+	});
+
 	for (const {name, results, expected, ...options} of reads) {
 		it(`tells since when a change can have been written: ${name}`, async () => {
 			const {contexts} = await follow(results, options);
