--- a/packages/core/tests/rollout/wrong-clocks-load.test.ts
+++ b/packages/core/tests/rollout/wrong-clocks-load.test.ts
@@ -44,4 +44,12 @@
 			}
 		}).timeout(20_000);
 	}
+
+	// The time from the last plan until the restart is known by wall clocks only.
+	it('leave no outdated engines to VMs that all restart long after a version was named', () => {
+		const {lateStarts} = new simulation.FleetWithWrongClocks({
+			vmCount: 6, seed: 1, durationMs: 12_000, namedAt: [3000], restart: {at: 4000, downMs: 4500, leaderErrorMs: 2400},
+		}).run();
+		expect(lateStarts).to.equal(0);
+	}).timeout(20_000);
 });
