Replaced weights: a key whose lease ends with the bound tells VMs that start that it is over

Callers could get answers of weights that had been replaced longer ago than the bound if all VMs had been down for some seconds in a roll-out: no VM is left that knows the age of the version, the plan tells it only at its last writing, and the time by the wall clock of a leader that was ahead does not help.

Cause: nothing counted the time while no VM ran, except wall clocks.

Fix: the leader writes a key for each version whose age it knows, under a lease that the store ends 1.2 s before the bound, the margin below which no request is sent. The plan tells that the key was written; a VM that reads such a plan without the key takes the version to be at least as old as the lease lasted. Only VMs that nobody told use that. Builds before this one skip the new element and the key.

Costs two writes and one more plan for a version, by the leader alone.

--- a/packages/core/src/rollout/outdated-weights.ts
+++ b/packages/core/src/rollout/outdated-weights.ts
@@ -1,5 +1,5 @@
 /** Minimum margin between the expected start of a request on replaced weights and the limit on their use, in milliseconds. */
-const minStartMarginMs = 1200;
+export const minStartMarginMs = 1200;
 /** Start times that an engine may exceed the estimate by, as a multiple of the estimate: other requests may precede this one. */
 const startTimeFactor = 3;
 /**
--- a/packages/core/src/rollout/rollout-plan.ts
+++ b/packages/core/src/rollout/rollout-plan.ts
@@ -24,6 +24,8 @@
 	readonly seenAt: number;
 	/** Milliseconds between then and when the plan was written; absent in plans of older builds. */
 	readonly ageMs?: number;
+	/** Whether the store got a key of the version that ends with the time for which the replaced weights may be used. */
+	readonly hasRecentKey?: boolean;
 };
 
 /** The roll-out plan that the leader publishes in the key-value store, so that all VMs exclude loading engines from placement. */
@@ -63,9 +65,12 @@
 	return a.steps.length === b.steps.length && a.steps.every(step => b.steps.some(other => isSameStep(step, other)));
 }
 
-/** Returns whether a plan has a time for each of the named versions. */
+/** Returns whether a plan has a time for each of the named versions, and tells which of them have keys. */
 export function listsVersions(plan: RolloutPlan, named: readonly NamedVersion[]): boolean {
-	return named.every(({model, version}) => plan.named.some(other => other.model === model && other.version === version));
+	return named.every(({model, version, hasRecentKey = false}) => {
+		const known = plan.named.find(other => other.model === model && other.version === version);
+		return known !== undefined && (known.hasRecentKey === true || !hasRecentKey);
+	});
 }
 
 /** Returns the loaded steps of a plan that an earlier plan does not have as loaded. */
--- a/packages/core/tests/rollout/wrong-clocks-load.test.ts
+++ b/packages/core/tests/rollout/wrong-clocks-load.test.ts
@@ -45,11 +45,15 @@
 		}).timeout(20_000);
 	}
 
-	// The time from the last plan until the restart is known by wall clocks only.
-	it('leave no outdated engines to VMs that all restart long after a version was named', () => {
-		const {lateStarts} = new simulation.FleetWithWrongClocks({
-			vmCount: 6, seed: 1, durationMs: 12_000, namedAt: [3000], restart: {at: 4000, downMs: 4500, leaderErrorMs: 2400},
-		}).run();
-		expect(lateStarts).to.equal(0);
-	}).timeout(20_000);
+	// Guards against an assumed age that is too small: no VM and no plan tells for how long all VMs were down.
+	for (const leaderErrorMs of [-2400, 0, 2400, 3_600_000]) {
+		it(`leave no outdated engines to VMs that all restart long after a version was named, with an error of ${leaderErrorMs} ms`, () => {
+			for (const [seed, downMs] of [[1, 2500], [2, 3500], [3, 4500], [4, 6500]] as const) {
+				const {lateStarts} = new simulation.FleetWithWrongClocks({
+					vmCount: 6, seed, durationMs: 14_000, namedAt: [3000], restart: {at: 4000, downMs, leaderErrorMs},
+				}).run();
+				expect(lateStarts).to.equal(0);
+			}
+		}).timeout(20_000);
+	}
 });
--- a/packages/core/tests/support/fleet-with-wrong-clocks.ts
+++ b/packages/core/tests/support/fleet-with-wrong-clocks.ts
@@ -6,12 +6,15 @@
 const digestIntervalMs = 200;
 const peersPerDigest = 6;
 const maxDigestDelayMs = 60;
+const minLeaseMs = 2000;
 
 /** Time that an engine takes to load weights, in milliseconds. */
 export const loadMs = 900;
 
 /** Time for which replaced weights may be used, in milliseconds. */
 export const maxOutdatedMs = 6000;
+/** Age of a version at which its key in the store ends, in milliseconds. */
+const recentVersionMs = maxOutdatedMs - core.rollout.minStartMarginMs;
 /** Times from the start of a VM, or from its return from a cut, until others have told it what it lacks, in milliseconds. */
 export const toldWithinMs = 600;
 
@@ -130,6 +133,8 @@
 	readonly #vms: Vm[];
 	readonly #engines = Array.from({length: 8}, () => ({version: 1, loading: undefined as {readonly version: number; readonly until: number} | undefined}));
 	#plan: core.rollout.NamedVersion[] = [];
+	/** True times at which the keys of versions end. */
+	readonly #keyEndsAt = new Map<number, number>();
 	#newest = 1;
 	#rotation = 0;
 	readonly #outcome: FleetOutcome = {
@@ -194,10 +199,11 @@
 	#lead(now: number): void {
 		const candidates = this.#vms.filter(vm => vm.runsFrom <= now && vm.cutUntil <= now);
 		const leader = this.options.restart === undefined ? candidates[this.#random.int(Math.max(1, candidates.length))] : candidates[0];
-		const isPublished = this.#plan.some(({version}) => version === this.#newest);
+		this.#writeKeys(leader, now);
+		const isPublished = this.#plan.some(({version, hasRecentKey}) => version === this.#newest && hasRecentKey === this.#keyEndsAt.has(version));
 		if (leader !== undefined && (!isPublished || this.#random.int(10) === 0)) {
 			this.#plan = leader.targets.list().map(({version, seenAt}) => ({
-				model, version, seenAt: seenAt + leader.wallAt(now) - leader.clockAt(now), ageMs: leader.clockAt(now) - seenAt,
+				model, version, seenAt: seenAt + leader.wallAt(now) - leader.clockAt(now), ageMs: leader.clockAt(now) - seenAt, hasRecentKey: this.#keyEndsAt.has(version),
 			}));
 		}
 
@@ -215,8 +221,20 @@
 		}
 	}
 
+	#writeKeys(leader: Vm | undefined, now: number): void {
+		for (const {version, ageMs} of leader?.targets.listKnownAges(recentVersionMs - minLeaseMs, leader.clockAt(now)) ?? []) {
+			if (!this.#keyEndsAt.has(version)) {
+				this.#keyEndsAt.set(version, now + recentVersionMs - ageMs);
+			}
+		}
+	}
+
 	#readPlan(vm: Vm, now: number): void {
-		for (const {version, seenAt, ageMs = 0} of vm.cutUntil <= now ? this.#plan : []) {
+		for (const {version, seenAt, ageMs = 0, hasRecentKey} of vm.cutUntil <= now ? this.#plan : []) {
+			if (hasRecentKey && this.#keyEndsAt.get(version)! <= now) {
+				vm.targets.addReported(model, version, vm.clockAt(now) - recentVersionMs, vm.clockAt(now));
+			}
+
 			vm.targets.addReported(model, version, Math.min(seenAt + vm.clockAt(now) - vm.wallAt(now), vm.clockAt(now) - ageMs), vm.clockAt(now));
 		}
 	}
--- a/packages/gateway/src/controllers/coordination-controller.ts
+++ b/packages/gateway/src/controllers/coordination-controller.ts
@@ -70,12 +70,16 @@
 	/** Era that the last return of the store began. */
 	#era: number | undefined;
 	/** Revision of the plan in force, and its era. */
+	/** Keys of versions that were named lately, as the store holds them. */
+	readonly #recentVersionKeys = new Set<string>();
 	#applied: {readonly revision: number; readonly era?: number} = {revision: 0};
 
 	constructor(
 		private readonly fleet: fleetState.FleetState,
 		private readonly clock: clocks.Clocks,
 		private readonly log: eventLog.EventLog,
+		/** Least age of a version whose key has ended, in milliseconds. */
+		private readonly recentVersionMs = 0,
 	) {}
 
 	onSnapshot(entries: readonly clients.kv.KvEntry[]): void {
@@ -95,10 +99,12 @@
 			this.state.isPlanStored = this.fleet.plan === core.rollout.emptyRolloutPlan;
 		}
 
+		this.#recentVersionKeys.clear();
 		for (const entry of entries) {
 			this.#applyChange({key: entry.key, entry});
 		}
 
+		this.#applyEndedVersions();
 		this.#updateVms();
 	}
 
@@ -119,6 +125,15 @@
 		if (change.key.startsWith(coordinationKeys.vmKeyPrefix)) {
 			this.#updateVms();
 		}
+
+		if (change.key === coordinationKeys.rolloutPlanKey || change.key.startsWith(coordinationKeys.recentVersionKeyPrefix)) {
+			this.#applyEndedVersions();
+		}
+	}
+
+	/** Records a key that this VM has written, before the feed reports it. */
+	recordRecentVersion(key: string): void {
+		this.#recentVersionKeys.add(key);
 	}
 
 	/** Drops VMs whose keys have expired for their retention time, and the loads reported by unlisted VMs. */
@@ -175,9 +190,31 @@
 			this.#applyPlanEntry(change.entry);
 		} else if (change.key.startsWith(coordinationKeys.vmKeyPrefix)) {
 			this.#applyVm(change);
+		} else if (change.key.startsWith(coordinationKeys.recentVersionKeyPrefix)) {
+			this.#applyRecentVersion(change);
 		}
 	}
 
+	#applyRecentVersion({key, entry}: clients.kv.KvChange): void {
+		if (entry === undefined) {
+			this.#recentVersionKeys.delete(key);
+		} else {
+			this.#recentVersionKeys.add(key);
+		}
+	}
+
+	/** Applies the least age of versions whose keys have ended, which the store counts without the clock of a VM. */
+	#applyEndedVersions(): void {
+		const now = this.clock.suspendAwareNow();
+		for (const {model, version, hasRecentKey} of this.fleet.plan.named) {
+			if (hasRecentKey && !this.#recentVersionKeys.has(coordinationKeys.recentVersionKey(model, version))) {
+				this.fleet.targets.addReported(model, version, now - this.recentVersionMs, now);
+			}
+		}
+
+		namingLog.writeNamingChanges(this.fleet.targets, this.log, now);
+	}
+
 	#applyLeader(entry: clients.kv.KvEntry | undefined): void {
 		this.state.leader = entry && {...leaderCodec.decodeLeader(entry.value), revision: entry.revision, era: entry.era};
 	}
--- a/packages/gateway/src/controllers/coordination-keys.ts
+++ b/packages/gateway/src/controllers/coordination-keys.ts
@@ -10,3 +10,13 @@
 export const operatorOverridesKey = `${coordinationPrefix}operator/quarantine`;
 /** Prefix of the keys of the VMs, one for each, bound to its lease. */
 export const vmKeyPrefix = `${coordinationPrefix}vms/`;
+/**
+ * Prefix of the keys of versions of weights that were named lately, each bound to a lease that ends shortly before replaced weights may no longer be
+ * used. It sorts after the plan, so that a snapshot that holds a plan with such a version also holds its key, unless that has ended.
+ */
+export const recentVersionKeyPrefix = `${coordinationPrefix}versions/`;
+
+/** Returns the key of a version that was named lately. */
+export function recentVersionKey(model: string, version: number): string {
+	return `${recentVersionKeyPrefix}${version}/${model}`;
+}
--- a/packages/gateway/src/controllers/index.ts
+++ b/packages/gateway/src/controllers/index.ts
@@ -14,6 +14,7 @@
 export * from './quarantine-controller.js';
 export * from './quarantine-store.js';
 export * from './quota-controller.js';
+export * from './recent-version-keys.js';
 export * from './renewed-lease.js';
 export * from './rollout-controller.js';
 export * from './store-feed.js';
--- a/packages/gateway/src/controllers/plan-codec.ts
+++ b/packages/gateway/src/controllers/plan-codec.ts
@@ -1,11 +1,14 @@
 import * as buffer from 'node:buffer';
 import * as core from '@bluebellmast/core';
 
+/** Encoded version: model, version, time at which it was seen in Unix milliseconds, age in milliseconds, whether it has a key. */
+type NamedRow = readonly [string, number, number, number?, boolean?];
+
 type PlanJson = {
 	readonly fence: number;
 	readonly writer?: string;
 	readonly round?: number;
-	readonly named?: ReadonlyArray<readonly [string, number, number, number?]>;
+	readonly named?: readonly NamedRow[];
 	readonly steps: ReadonlyArray<readonly [string, number, string, number, core.rollout.RolloutPhase]>;
 };
 
@@ -15,7 +18,7 @@
 		fence: plan.fence,
 		writer: plan.writer,
 		round: plan.round,
-		named: plan.named.map(({model, version, seenAt, ageMs}) => ageMs === undefined ? [model, version, seenAt] : [model, version, seenAt, ageMs]),
+		named: plan.named.map(item => encodeNamed(item)),
 		steps: plan.steps.map(step => [step.endpoint, step.bornAt, step.model, step.version, step.phase]),
 	};
 	return buffer.Buffer.from(JSON.stringify(json));
@@ -29,8 +32,8 @@
 			fence: json.fence,
 			writer: json.writer,
 			round: json.round ?? 0,
-			named: (json.named ?? []).map(([model, version, seenAt, ageMs]) => ({
-				model, version, seenAt, ...(typeof ageMs === 'number' && {ageMs}),
+			named: (json.named ?? []).map(([model, version, seenAt, ageMs, hasRecentKey]) => ({
+				model, version, seenAt, ...(typeof ageMs === 'number' && {ageMs}), ...(hasRecentKey === true && {hasRecentKey}),
 			})),
 			steps: json.steps.map(([endpoint, bornAt, model, version, phase]) => ({
 				endpoint, bornAt, model, version, phase,
@@ -41,3 +44,11 @@
 		return core.rollout.emptyRolloutPlan;
 	}
 }
+
+function encodeNamed({model, version, seenAt, ageMs, hasRecentKey}: core.rollout.NamedVersion): NamedRow {
+	if (ageMs === undefined) {
+		return [model, version, seenAt];
+	}
+
+	return hasRecentKey ? [model, version, seenAt, ageMs, true] : [model, version, seenAt, ageMs];
+}
--- a/packages/gateway/src/controllers/rollout-controller.ts
+++ b/packages/gateway/src/controllers/rollout-controller.ts
@@ -9,6 +9,7 @@
 import * as coordinationKeys from './coordination-keys.js';
 import * as leaseController from './lease-controller.js';
 import * as planCodec from './plan-codec.js';
+import type * as recentVersionKeys from './recent-version-keys.js';
 
 /** Options of the controller, in milliseconds. */
 export type RolloutControllerOptions = {
@@ -40,6 +41,7 @@
 	readonly store: clients.kv.KeyValueClient;
 	readonly coordination: coordinationController.CoordinationController;
 	readonly lease: leaseController.LeaseController;
+	readonly recentVersions: Pick<recentVersionKeys.RecentVersionKeys, 'has' | 'tick'>;
 	readonly fleet: fleetState.FleetState;
 	readonly pauses: endpointPauses.EndpointPauses;
 	readonly config: core.routing.ConfigState;
@@ -105,7 +107,9 @@
 			return;
 		}
 
-		const {fleet} = this.dependencies;
+		const {fleet, recentVersions} = this.dependencies;
+		// The plan does not wait for the keys; it is written again when they exist.
+		void recentVersions.tick();
 		this.#dropEnded();
 		this.#trackSilence();
 		const planned = core.rollout.planRollout({
@@ -156,11 +160,16 @@
 
 	/** Lists the named versions with their ages, and with times of the wall clock, the only clock that the VMs share. */
 	#listNamedVersions(): core.rollout.NamedVersion[] {
-		const {fleet, clock} = this.dependencies;
+		const {fleet, clock, recentVersions} = this.dependencies;
 		const now = clock.suspendAwareNow();
+		const withKeys = new Set(fleet.plan.named.filter(({hasRecentKey}) => hasRecentKey).map(({model, version}) => `${version}/${model}`));
 		const clockOffsetMs = clock.wallNow() - now;
 		return fleet.targets.list().map(({model, version, seenAt}) => ({
-			model, version, seenAt: Math.round(seenAt + clockOffsetMs), ageMs: Math.max(0, Math.round(now - seenAt)),
+			model,
+			version,
+			seenAt: Math.round(seenAt + clockOffsetMs),
+			ageMs: Math.max(0, Math.round(now - seenAt)),
+			hasRecentKey: recentVersions.has(model, version) || withKeys.has(`${version}/${model}`),
 		}));
 	}
 
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -75,7 +75,8 @@
 		fleet, dataCentre: settings.dataCentre, clock, random,
 	});
 	const connections = new endpoints.ConnectionPools(() => clock.suspendAwareNow(), connectors);
-	const coordination = new controllers.CoordinationController(fleet, clock, log);
+	const recentVersionMs = settings.maxOutdatedWeightsMs - core.rollout.minStartMarginMs;
+	const coordination = new controllers.CoordinationController(fleet, clock, log, recentVersionMs);
 	const peerExchange = new peers.PeerExchange({
 		listen: settings.peers,
 		log,
@@ -208,8 +209,11 @@
 	const leaseController = new controllers.LeaseController({
 		vm: settings.vm, getOwnAddress: () => peerExchange.address, store, coordination, clock, log, random,
 	}, controllers.createVmLeaseOptions(settings.leaderOrderGapMs));
+	const recentVersions = new controllers.RecentVersionKeys({
+		store, targets: fleet.targets, coordination, clock, lifetimeMs: recentVersionMs,
+	});
 	const rolloutController = new controllers.RolloutController({
-		vm: settings.vm, store, coordination, lease: leaseController, fleet, pauses, config, admin, clock, log, limits: core.rollout.defaultRolloutLimits,
+		vm: settings.vm, store, coordination, lease: leaseController, recentVersions, fleet, pauses, config, admin, clock, log, limits: core.rollout.defaultRolloutLimits,
 	});
 	const quarantineStore = new controllers.QuarantineStore({
 		store, lease: leaseController, quarantine, clock, log,
--- a/packages/gateway/tests/controllers/coordination-controller.test.ts
+++ b/packages/gateway/tests/controllers/coordination-controller.test.ts
@@ -114,4 +114,35 @@
 
 		expect(retained).to.equal(0);
 	});
+
+	const key = controllers.recentVersionKey('m', 2);
+	const recentKey: kv.kv.KvEntry = {key, value: Buffer.from(''), revision: 3};
+
+	/** Returns the age of version 2 on a VM that starts at 10,000 with what the store holds, after some changes. */
+	function ageAfter(row: readonly unknown[], entries: readonly kv.kv.KvEntry[], changes: readonly kv.kv.KvChange[] = []): number {
+		const fleet = new gateway.placement.FleetState();
+		const clock: gateway.util.Clocks = {monotonicNow: () => 10_000, suspendAwareNow: () => 10_000, wallNow: () => 10_000};
+		const coordination = new controllers.CoordinationController(fleet, clock, {write: () => undefined}, 4800);
+		fleet.targets.observe('m', 2, {after: -Infinity, assumed: 7000, before: 10_000});
+		const value = Buffer.from(JSON.stringify({fence: 1, named: [row], steps: []}));
+		coordination.onSnapshot([{key: controllers.rolloutPlanKey, value, revision: 4}, ...entries]);
+		for (const change of changes) {
+			coordination.onChange(change);
+		}
+
+		return fleet.targets.outdatedForMs('m', 1, 10_000);
+	}
+
+	const inFuture = 1_000_000;
+	it('takes a version to be as old as the lease of its key lasted, once the key has ended', () => {
+		expect(ageAfter(['m', 2, inFuture, 40, true], [])).to.equal(4800);
+		expect(ageAfter(['m', 2, inFuture, 40, true], [recentKey])).to.equal(3000);
+		expect(ageAfter(['m', 2, inFuture, 40, true], [recentKey], [{key}])).to.equal(4800);
+		expect(ageAfter(['m', 2, inFuture, 40, true], [], [{key, entry: recentKey}])).to.equal(4800);
+	});
+
+	it('concludes nothing from a key that was never written', () => {
+		expect(ageAfter(['m', 2, inFuture, 40], [])).to.equal(3000);
+		expect(ageAfter(['m', 2, inFuture], [])).to.equal(3000);
+	});
 });
--- a/packages/gateway/tests/controllers/rollout-controller.test.ts
+++ b/packages/gateway/tests/controllers/rollout-controller.test.ts
@@ -28,6 +28,7 @@
 		let revision = 0;
 		routing.accept(config);
 		this.#rollout = new gateway.controllers.RolloutController({
+			recentVersions: {has: () => false, tick: async () => undefined},
 			vm: 'vm', fleet, clock, log, config: routing,
 			coordination: new gateway.controllers.CoordinationController(fleet, clock, log),
 			pauses: new gateway.placement.EndpointPauses({clock, log, random: () => 0}),
--- a/packages/gateway/tests/controllers/rollout-silent-engine.test.ts
+++ b/packages/gateway/tests/controllers/rollout-silent-engine.test.ts
@@ -38,6 +38,7 @@
 			// Reports of engines that load stay pending in this test.
 		});
 		controller = new gateway.controllers.RolloutController({
+			recentVersions: {has: () => false, tick: async () => undefined},
 			vm: 'vm-1',
 			store: {compareAndSwap: async () => purify.Right({swapped: true, revision: 1})},
 			coordination: {
--- a/packages/gateway/tests/support/simulated-fleet.ts
+++ b/packages/gateway/tests/support/simulated-fleet.ts
@@ -66,6 +66,7 @@
 		const admin = simulation.createAdmin(this);
 		const pauses = new gateway.placement.EndpointPauses({clock, log, random: draw});
 		const rollout = new controllers.RolloutController({
+			recentVersions: {has: () => false, tick: async () => undefined},
 			vm: name, store: client, coordination: this.coordination, lease: this.lease, fleet: this.fleet, pauses, config: this.config, admin, clock, log,
 			limits: core.rollout.defaultRolloutLimits,
 		});
--- a/packages/gateway/tests/support/simulated-gateway-week.ts
+++ b/packages/gateway/tests/support/simulated-gateway-week.ts
@@ -98,6 +98,7 @@
 			decoder: this.#decoder, config, fleet, log, unseenVersionAgeMs: 4000, onConfigAccepted: () => undefined,
 		});
 		this.#rollout = new controllers.RolloutController({
+			recentVersions: {has: () => false, tick: async () => undefined},
 			vm: 'vm-own', coordination: this.#coordination, fleet, pauses, config, clock, log, admin,
 			store: {compareAndSwap: async () => purify.Right({swapped: true, revision: this.#nextRevision()})} as unknown as kv.kv.KeyValueClient,
 			lease: {fencing: () => fence, handleFenced: () => undefined} as unknown as gateway.controllers.LeaseController,
