--- a/packages/core/src/rollout/naming-time.ts
+++ b/packages/core/src/rollout/naming-time.ts
@@ -8,13 +8,13 @@
 	LateRead = 'late_read',
 	/** An assumption, as the version was named before the first read. */
 	Assumed = 'assumed',
-	/** The roll-out plan, in which the leader states the time. */
+	/** The roll-out plan, in which the leader states the time, or the end of a version's key. */
 	Plan = 'plan',
 	/** Other VMs that know the age of the version. */
 	Peer = 'peer',
 }
 
-/** Age of a version, as one VM tells it to another. Ages need no common clock. */
+/** Age of a version, as VMs exchange it. Ages need no common clock. */
 export type VersionAge = {
 	readonly model: string;
 	readonly version: number;
@@ -26,9 +26,9 @@
 export type NamingEvidence = {
 	/** When the version was named, as a read of the store by this VM shows. */
 	readonly interval: changeTimes.ChangeInterval;
-	/** Earliest time that a roll-out plan states. */
+	/** Earliest time that the roll-out plan and ended keys in the store show. */
 	readonly planAt?: number;
-	/** Earliest time by the ages that other VMs told; a message that was delayed makes it too late, until the next one. */
+	/** Earliest time by the ages that other VMs sent; a delayed message makes it too late, until the next one. */
 	readonly peerAt?: number;
 };
 
--- a/packages/core/src/rollout/rollout-plan.ts
+++ b/packages/core/src/rollout/rollout-plan.ts
@@ -65,7 +65,7 @@
 	return a.steps.length === b.steps.length && a.steps.every(step => b.steps.some(other => isSameStep(step, other)));
 }
 
-/** Returns whether a plan has a time for each of the named versions, and tells which of them have keys. */
+/** Returns whether a plan has a time for each of the named versions, and states which of them have keys. */
 export function listsVersions(plan: RolloutPlan, named: readonly NamedVersion[]): boolean {
 	return named.every(({model, version, hasRecentKey = false}) => {
 		const known = plan.named.find(other => other.model === model && other.version === version);
--- a/packages/core/src/rollout/weight-targets.ts
+++ b/packages/core/src/rollout/weight-targets.ts
@@ -47,8 +47,8 @@
 	}
 
 	/**
-	 * Adds the time at which another VM saw a version, as the roll-out plan states it. Its clock may be wrong, so that the time counts only if it is
-	 * earlier than this VM assumes, and within the interval in which the version was named by this VM's own reads, if there is one.
+	 * Adds the time at which a version had been named, as the roll-out plan or the end of its key shows. Clocks may be wrong, so that the time counts only
+	 * if it is earlier than this VM assumes, and within the interval in which the version was named by this VM's own reads, if there is one.
 	 *
 	 * @returns Whether the version is newer than all known versions.
 	 */
@@ -59,7 +59,7 @@
 
 	/**
 	 * Adds the age of a version that another VM knows. It counts within the interval in which the version was named by this VM's own reads. A version
-	 * newer than all that this VM has read is ignored; the VM is told again.
+	 * newer than all that this VM has read is ignored; ages are sent repeatedly.
 	 */
 	addPeerAge({model, version, ageMs}: namingTime.VersionAge, now: number): void {
 		const targets = this.#targets.get(model) ?? [];
@@ -72,7 +72,7 @@
 	}
 
 	/**
-	 * Returns the ages of the versions for which this VM needs no wall clock, to be told to other VMs.
+	 * Returns the ages of the versions for which this VM needs no wall clock, to be sent to other VMs.
 	 *
 	 * @param maxAgeMs - Age from which a version is left out.
 	 */
--- a/packages/core/tests/rollout/weight-targets.test.ts
+++ b/packages/core/tests/rollout/weight-targets.test.ts
@@ -80,7 +80,7 @@
 	const prompt = {
 		after: 4000, assumed: 5300, before: 5300, isPrompt: true,
 	};
-	const told = [
+	const received = [
 		{
 			name: 'before the first read, later than assumed', interval: unseen, ages: [1500], namedAt: 4500,
 		},
@@ -109,8 +109,8 @@
 			name: 'when it read the store promptly, later by a delayed message', interval: prompt, ages: [100], namedAt: 5300,
 		},
 	];
-	for (const {name, interval, ages, namedAt} of told) {
-		it(`uses the age that another VM tells of a version that was named ${name}`, () => {
+	for (const {name, interval, ages, namedAt} of received) {
+		it(`uses the age that another VM sent of a version that was named ${name}`, () => {
 			const targets = new core.rollout.WeightTargets();
 			targets.observe('m', 2, interval);
 			for (const ageMs of ages) {
@@ -146,7 +146,7 @@
 		expect([1, 2, 3].map(version => targets.outdatedForMs('m', version, 6000))).to.deep.equal([4000, 2500, 0]);
 	});
 
-	it('tells other VMs only ages that need no wall clock, and passes on what they told', () => {
+	it('sends other VMs only ages that need no wall clock, and passes on theirs', () => {
 		const targets = new core.rollout.WeightTargets();
 		targets.observe('m', 2, unseen);
 		targets.addReported('m', 2, 1000, 6000);
--- a/packages/core/tests/rollout/wrong-clocks-load.test.ts
+++ b/packages/core/tests/rollout/wrong-clocks-load.test.ts
@@ -5,9 +5,9 @@
 const runs = 50;
 
 /** Two versions, named while clocks jump and VMs restart or are cut off from the store. */
-function runRandom(vmCount: number, seed: number, areAgesTold = true): simulation.FleetOutcome {
+function runRandom(vmCount: number, seed: number, areAgesSent = true): simulation.FleetOutcome {
 	return new simulation.FleetWithWrongClocks({
-		vmCount, seed, areAgesTold, durationMs: 14_000, namedAt: [3000, 3000 + (200 * (seed % 20))], maxJumpMs: 5000, troubleShare: 0.15,
+		vmCount, seed, areAgesSent, durationMs: 14_000, namedAt: [3000, 3000 + (200 * (seed % 20))], maxJumpMs: 5000, troubleShare: 0.15,
 	}).run();
 }
 
@@ -26,7 +26,7 @@
 		}).timeout(20_000);
 	}
 
-	it('make it younger if the VMs do not tell each other ages', () => {
+	it('make it younger if the VMs do not send each other ages', () => {
 		const outcomes = Array.from({length: runs}, (_, seed) => runRandom(6, seed + 1, false));
 		expect(outcomes.filter(({younger}) => younger > 0).length).to.be.above(0);
 	}).timeout(20_000);
--- a/packages/core/tests/support/fleet-with-wrong-clocks.ts
+++ b/packages/core/tests/support/fleet-with-wrong-clocks.ts
@@ -15,8 +15,8 @@
 export const maxOutdatedMs = 6000;
 /** Age of a version at which its key in the store ends, in milliseconds. */
 const recentVersionMs = maxOutdatedMs - core.rollout.minStartMarginMs;
-/** Times from the start of a VM, or from its return from a cut, until others have told it what it lacks, in milliseconds. */
-export const toldWithinMs = 600;
+/** Time from the start of a VM, or from its return from a cut, until digests of others have arrived, in milliseconds. */
+export const informedWithinMs = 600;
 
 /** What happens in a simulated roll-out. */
 export type FleetOptions = {
@@ -31,13 +31,13 @@
 	readonly troubleShare?: number;
 	/** When all VMs restart at once, and the error of the leader's wall clock until then. */
 	readonly restart?: {readonly at: number; readonly downMs: number; readonly leaderErrorMs: number};
-	/** Whether VMs tell each other ages. */
-	readonly areAgesTold?: boolean;
+	/** Whether VMs send each other ages; true by default. */
+	readonly areAgesSent?: boolean;
 };
 
 /** What was found. */
 export type FleetOutcome = {
-	/** Estimates that made a version more than the margin younger than it is, of VMs that others could have told. */
+	/** Estimates that made a version more than the margin younger than it is, on VMs that have received digests. */
 	younger: number;
 	/** Estimates that lie before the interval that the VM's own reads allow. */
 	olderThanInterval: number;
@@ -60,7 +60,7 @@
 	runsFrom = 0;
 	/** True time until which its calls to the store fail. */
 	cutUntil = -Infinity;
-	/** True time from which others can have told it what it lacks. */
+	/** True time from which digests of others have arrived. */
 	settledAt = 0;
 	/** Earliest time by its own clock at which a version can have been named. */
 	readonly earliest = new Map<number, number>();
@@ -88,7 +88,7 @@
 		this.targets = new core.rollout.WeightTargets();
 		this.#times = new core.store.ChangeTimes();
 		this.runsFrom = runsFrom;
-		this.settledAt = runsFrom + toldWithinMs;
+		this.settledAt = runsFrom + informedWithinMs;
 		this.#nextPollAt = runsFrom;
 		this.#readVersion = 0;
 		this.#skewMs = 0;
@@ -98,7 +98,7 @@
 
 	cut(until: number): void {
 		this.cutUntil = Math.max(this.cutUntil, until);
-		this.settledAt = Math.max(this.settledAt, until + toldWithinMs);
+		this.settledAt = Math.max(this.settledAt, until + informedWithinMs);
 	}
 
 	/** Reads the newest named version from the store: at once when it changes, otherwise once a second. */
@@ -248,7 +248,7 @@
 			}
 		}
 
-		if (this.options.areAgesTold === false || now % digestIntervalMs !== 0) {
+		if (this.options.areAgesSent === false || now % digestIntervalMs !== 0) {
 			return;
 		}
 
--- a/packages/gateway/src/controllers/coordination-controller.ts
+++ b/packages/gateway/src/controllers/coordination-controller.ts
@@ -69,9 +69,9 @@
 	#nextExpiryAt = Infinity;
 	/** Era that the last return of the store began. */
 	#era: number | undefined;
-	/** Revision of the plan in force, and its era. */
 	/** Keys of versions that were named lately, as the store holds them. */
 	readonly #recentVersionKeys = new Set<string>();
+	/** Revision of the plan in force, and its era. */
 	#applied: {readonly revision: number; readonly era?: number} = {revision: 0};
 
 	constructor(
--- a/packages/gateway/src/controllers/load-controller.ts
+++ b/packages/gateway/src/controllers/load-controller.ts
@@ -11,7 +11,7 @@
 /** Dependencies of the controller. */
 export type LoadControllerDependencies = {
 	readonly vm: string;
-	/** Random number by which the other VMs tell this process from an earlier one of the VM. */
+	/** Random number that distinguishes this process from earlier ones of the VM. */
 	readonly process: number;
 	/** Data centre of the VM; digests list no reached pools without it and `getTunnelAddress`. */
 	readonly dataCentre?: string;
@@ -24,8 +24,8 @@
 	readonly exchange: Pick<peers.PeerExchange, 'send'>;
 	readonly clock: clocks.Clocks;
 	readonly log: eventLog.EventLog;
-	/** Age from which a version of weights is no longer told to the other VMs, in milliseconds. */
-	readonly maxToldVersionAgeMs: number;
+	/** Age from which a version of weights is left out of digests, in milliseconds. */
+	readonly maxSharedVersionAgeMs: number;
 };
 
 /** Delay between an observation and the digest that carries it, in milliseconds, so that one digest carries several. */
@@ -50,12 +50,12 @@
 /** Number of limits in a digest; with about 30 bytes each they take 4 KB/s of the 19 KB/s that a node may use for control traffic. */
 const maxLimitsPerDigest = 4;
 
-/** Largest number of versions in a digest, which it carries only while they are young. */
-const maxToldVersions = 8;
+/** Largest number of versions in a digest, so that it fits into one packet. */
+const maxSharedVersions = 8;
 
 /** Sends the other VMs digests of the load that this VM puts on each endpoint and of its cache observations. */
 export class LoadController {
-	/** Versions before this one don't compare processes, so a new process starts with a larger number if the clock was not set back. */
+	/** Starts at the wall clock for earlier builds, which compare the numbers of different processes. */
 	#sequence = Date.now();
 	#wasIdle = false;
 	readonly #observations: core.fleet.CacheObservation[] = [];
@@ -192,8 +192,8 @@
 	}
 
 	#listVersionAges(): core.rollout.VersionAge[] {
-		const {fleet, clock, maxToldVersionAgeMs} = this.dependencies;
-		return fleet.targets.listKnownAges(maxToldVersionAgeMs, clock.suspendAwareNow()).slice(-maxToldVersions);
+		const {fleet, clock, maxSharedVersionAgeMs} = this.dependencies;
+		return fleet.targets.listKnownAges(maxSharedVersionAgeMs, clock.suspendAwareNow()).slice(-maxSharedVersions);
 	}
 
 	#describeReach(): core.fleet.ReachDigest | undefined {
--- a/packages/gateway/src/controllers/recent-version-keys.ts
+++ b/packages/gateway/src/controllers/recent-version-keys.ts
@@ -52,11 +52,13 @@
 		this.#attemptedAt = now;
 		this.#isWriting = true;
 		this.#forgetUnlisted();
-		for (const {model, version, ageMs} of missing) {
-			await this.#write(model, version, lifetimeMs - ageMs); // eslint-disable-line no-await-in-loop -- Seldom more than one.
+		try {
+			for (const {model, version, ageMs} of missing) {
+				await this.#write(model, version, lifetimeMs - ageMs); // eslint-disable-line no-await-in-loop -- Seldom more than one.
+			}
+		} finally {
+			this.#isWriting = false;
 		}
-
-		this.#isWriting = false;
 	}
 
 	/** Forgets the keys of versions that are no longer published. */
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -39,8 +39,8 @@
 const processNumbers = 2 ** 32;
 /** Age to assume of a version that was named before the start, as a share of the time for which replaced weights may be used. */
 const unseenVersionAgeShare = 0.5;
-/** Age up to which VMs tell each other the age of a version, as a multiple of that time: a VM that starts later relies on the roll-out plan. */
-const toldVersionAgeShare = 2;
+/** Age up to which VMs exchange the age of a version, as a multiple of that time; a VM that starts later relies on the roll-out plan. */
+const sharedVersionAgeFactor = 2;
 /** Shares of the process's memory for the bodies of requests, which take several times their size while they are joined and sent, and for parts of responses. */
 const bodyMemoryShare = 0.125;
 const responseMemoryShare = 0.0625;
@@ -119,7 +119,7 @@
 		exchange: peerExchange,
 		clock,
 		log,
-		maxToldVersionAgeMs: settings.maxOutdatedWeightsMs * toldVersionAgeShare,
+		maxSharedVersionAgeMs: settings.maxOutdatedWeightsMs * sharedVersionAgeFactor,
 	});
 	const leavingRecorder = new placement.LeavingRecorder({
 		fleet, clock, log,
--- a/packages/gateway/tests/controllers/endpoint-pauses.test.ts
+++ b/packages/gateway/tests/controllers/endpoint-pauses.test.ts
@@ -146,7 +146,7 @@
 				exchange: {send},
 				clock,
 				log,
-				maxToldVersionAgeMs: 0,
+				maxSharedVersionAgeMs: 0,
 			});
 		}
 
--- a/packages/gateway/tests/controllers/load-controller.test.ts
+++ b/packages/gateway/tests/controllers/load-controller.test.ts
@@ -35,7 +35,7 @@
 		},
 		clock: {monotonicNow: () => now, suspendAwareNow: () => now, wallNow: () => now},
 		log: {write: () => undefined},
-		maxToldVersionAgeMs: 12_000,
+		maxSharedVersionAgeMs: 12_000,
 	});
 	const tick = (afterMs: number): void => {
 		now += afterMs;
@@ -78,7 +78,7 @@
 	});
 
 	// Guards against a VM that starts during a roll-out and can only assume the age of the newest version, although others know it.
-	it('tells the ages of the versions that it knows while they are young, also when it is idle', () => {
+	it('sends the ages of the versions that it knows while they are young, also when it is idle', () => {
 		const {fleet, sent, tick} = createController(6);
 		fleet.targets.observe('m', 2, {after: -Infinity, assumed: 0, before: 1000});
 		tick(200);
@@ -99,7 +99,7 @@
 		]);
 	});
 
-	it('counts a version that it only read late from the age that another VM tells', () => {
+	it('counts a version that it read late from the age that another VM sent', () => {
 		const {controller, fleet} = createController(6);
 		fleet.targets.observe('m', 2, {after: -Infinity, assumed: -2000, before: 1000});
 		controller.applyDigest({
--- a/packages/gateway/tests/support/simulated-gateway-week.ts
+++ b/packages/gateway/tests/support/simulated-gateway-week.ts
@@ -67,7 +67,7 @@
 		this.#coordination = new controllers.CoordinationController(fleet, clock, log);
 		this.#load = new controllers.LoadController({
 			vm: 'vm-own', process: 1, fleet, pauses, quarantine: this.#quarantine, coordination: this.#coordination, clock, log, exchange: {send: () => undefined},
-			maxToldVersionAgeMs: 16_000,
+			maxSharedVersionAgeMs: 16_000,
 		});
 		this.#leaving = new gateway.placement.LeavingRecorder({
 			fleet, clock, log, onFirstNotice: () => undefined,
