--- a/packages/core/tests/rollout/wrong-clocks-load.test.ts
+++ b/packages/core/tests/rollout/wrong-clocks-load.test.ts
@@ -45,6 +45,20 @@
 		}).timeout(20_000);
 	}
 
+	// Guards against callers that are refused, or sent to fewer engines, because of a clock that is ahead.
+	it('leave as many engines to VMs that all restart at once as right clocks, if the clock of the leader is ahead', () => {
+		for (const [at, downMs] of [[3500, 500], [4000, 1000], [4000, 2500], [4000, 4500]] as const) {
+			const [right, ahead] = [0, 2400].map(leaderErrorMs => {
+				const {lateStarts, usableShares, withoutEngine} = new simulation.FleetWithWrongClocks({
+					vmCount: 6, seed: 1, durationMs: 12_000, namedAt: [3000], restart: {at, downMs, leaderErrorMs},
+				}).run();
+				return {lateStarts, usableShares, withoutEngine};
+			});
+			expect(ahead).to.deep.equal(right);
+			expect(right).to.deep.include({lateStarts: 0, withoutEngine: 0});
+		}
+	}).timeout(20_000);
+
 	// Guards against an assumed age that is too small: no VM and no plan tells for how long all VMs were down.
 	for (const leaderErrorMs of [-2400, 0, 2400, 3_600_000]) {
 		it(`leave no outdated engines to VMs that all restart long after a version was named, with an error of ${leaderErrorMs} ms`, () => {
--- a/packages/core/tests/support/fleet-with-wrong-clocks.ts
+++ b/packages/core/tests/support/fleet-with-wrong-clocks.ts
@@ -46,6 +46,8 @@
 	/** Samples of a VM that had no engine to send a request to, and all samples. */
 	withoutEngine: number;
 	samples: number;
+	/** Sum over the samples of the share of engines that the VM could send a request to. */
+	usableShares: number;
 	/** Longest time for which a VM had no engine to send a request to, in milliseconds. */
 	longestGapMs: number;
 };
@@ -138,7 +140,7 @@
 	#newest = 1;
 	#rotation = 0;
 	readonly #outcome: FleetOutcome = {
-		younger: 0, olderThanInterval: 0, lateStarts: 0, withoutEngine: 0, samples: 0, longestGapMs: 0,
+		younger: 0, olderThanInterval: 0, lateStarts: 0, withoutEngine: 0, samples: 0, usableShares: 0, longestGapMs: 0,
 	};
 
 	constructor(private readonly options: FleetOptions) {
@@ -279,6 +281,7 @@
 		const isLate = usable.some(({version}) => now > (this.options.namedAt[version - 1] ?? Infinity) + maxOutdatedMs);
 		this.#outcome.lateStarts += isLate && isSettled ? 1 : 0;
 		this.#outcome.samples += 1;
+		this.#outcome.usableShares += usable.length / this.#engines.length;
 		this.#outcome.withoutEngine += usable.length === 0 ? 1 : 0;
 		vm.gapSince = usable.length === 0 ? vm.gapSince ?? now : undefined;
 		this.#outcome.longestGapMs = Math.max(this.#outcome.longestGapMs, now - (vm.gapSince ?? now));
