--- a/packages/core/tests/rollout/wrong-clocks-load.test.ts
+++ b/packages/core/tests/rollout/wrong-clocks-load.test.ts
@@ -59,7 +59,7 @@
 		}
 	}).timeout(20_000);
 
-	// Guards against an assumed age that is too small: no VM and no plan tells for how long all VMs were down.
+	// Guards against an assumed age that is too small: neither a VM nor the plan shows for how long all VMs were down.
 	for (const leaderErrorMs of [-2400, 0, 2400, 3_600_000]) {
 		it(`leave no outdated engines to VMs that all restart long after a version was named, with an error of ${leaderErrorMs} ms`, () => {
 			for (const [seed, downMs] of [[1, 2500], [2, 3500], [3, 4500], [4, 6500]] as const) {
--- a/packages/gateway/tests/controllers/store-feed.test.ts
+++ b/packages/gateway/tests/controllers/store-feed.test.ts
@@ -319,7 +319,7 @@
 		},
 	];
 	// Guards against a version that seems to have been named when the snapshot was read, although the watch had not reported it for a second.
-	it('tells that a snapshot after the history was lost shows changes from since the last confirmed read', async () => {
+	it('reports that a snapshot after the history was lost shows changes from since the last confirmed read', async () => {
 		const {snapshotContexts} = await follow([failed(historyLost), unchanged], {callMs: [4, 900, 300]});
 		expect(snapshotContexts.map(({changed}) => changed)).to.deep.equal([
 			{after: -Infinity, assumed: 1004, before: 1004},
