--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -16,15 +16,19 @@
 
 const ranAt = new Map();
 
-async function respond({socket, requestId}, runner) {
+/** Tenants that the runners were told, by request. */
+const tenants = new Map();
+
+async function respond({socket, headers, requestId}, runner) {
 	ranAt.set(requestId, Date.now());
+	tenants.set(requestId, headers['bluebellmast-tenant'] ?? 'none');
 	await harness.sleep(21);
 	socket.write(`HTTP/1.1 200 OK\r\n${harness.createSeal(runner, requestId)}Content-Length: 2\r\n\r\nok`);
 }
 
-function createConfig(version, tenants) {
+function createConfig(version, listed) {
 	const config = harness.createConfig([harness.createRoute('book', 'unsafe', 'app', {attempts: 1, timeoutMs: requestMs, targetMs: 121})], version);
-	return {...config, tenants: tenants.map(name => ({name, keys: [keys[name]], isolated: false}))};
+	return {...config, tenants: listed.map(name => ({name, keys: [keys[name]], isolated: false}))};
 }
 
 async function runClient({deployment}, {holder, number}, endsAt, sent) {
@@ -62,10 +66,10 @@
 	await harness.sleep(1500);
 	/** When the store had acknowledged that a key was taken away. */
 	const revokedAt = {};
-	const write = (version, tenants, revoked) => {
-		deployment.store.write('op/config', createConfig(version, tenants));
+	const write = (version, listed, revoked) => {
+		deployment.store.write('op/config', createConfig(version, listed));
 		revokedAt[revoked] = Date.now();
-		record.write(`the store has version ${version}: the key of ${revoked} is taken away; tenants: ${JSON.stringify(tenants)}`);
+		record.write(`the store has version ${version}: the key of ${revoked} is taken away; tenants: ${JSON.stringify(listed)}`);
 	};
 
 	setTimeout(() => {
@@ -92,7 +96,7 @@
 		if (isForbidden && ranAt.has(requestId)) {
 			broken += 1;
 			const reason = holder === 'stranger' ? 'no configuration ever held its key' : `sent ${lateMs} ms after its key was taken away`;
-			record.write(`BROKEN ${requestId}: ran at a runner, answered ${status}; ${reason}`);
+			record.write(`BROKEN ${requestId}: ran at a runner, answered ${status}, tenant ${tenants.get(requestId)}; ${reason}`);
 		}
 	}
 
--- a/review/harness-3.mjs
+++ b/review/harness-3.mjs
@@ -18,6 +18,13 @@
 /** Longest time of a case, in milliseconds. */
 const maxCaseMs = 110_000;
 
+// The stand-ins' child processes end with the exit of this process, which a signal would skip.
+for (const signal of ['SIGINT', 'SIGTERM']) {
+	process.on(signal, () => {
+		process.exit(2);
+	});
+}
+
 export const sleep = async ms => new Promise(resolve => {
 	setTimeout(resolve, ms);
 });
@@ -90,7 +97,7 @@
 		const timer = setTimeout(() => {
 			this.stop();
 			console.error('the case took too long');
-			process.exit(2); // eslint-disable-line unicorn/no-process-exit -- The script of a case.
+			process.exit(2);
 		}, maxCaseMs);
 		timer.unref();
 		await this.store.start();
@@ -390,5 +397,5 @@
 		deployment.stop();
 	}
 
-	process.exit(exitCode); // eslint-disable-line unicorn/no-process-exit -- The script of a case.
+	process.exit(exitCode);
 }
