--- a/review/harness-3.mjs
+++ b/review/harness-3.mjs
@@ -97,7 +97,7 @@
 		const timer = setTimeout(() => {
 			this.stop();
 			console.error('the case took too long');
-			process.exit(2);
+			process.exit(2); // eslint-disable-line unicorn/no-process-exit -- The script of a case.
 		}, maxCaseMs);
 		timer.unref();
 		await this.store.start();
@@ -397,5 +397,5 @@
 		deployment.stop();
 	}
 
-	process.exit(exitCode);
+	process.exit(exitCode); // eslint-disable-line unicorn/no-process-exit -- The script of a case.
 }
