Log accounts, keys and whether keys are needed with each accepted configuration

The log said that version 3 was accepted, but not whether the VM asks for keys under it: a VM that kept keys of an older version, a route that was taken for a public one, and a list of accounts that was taken for none could not be told apart.

config_accepted has accounts, keys and needsKeys now.

No change of behaviour.

--- a/packages/core/src/log/log-event.ts
+++ b/packages/core/src/log/log-event.ts
@@ -164,7 +164,11 @@
 	[LogEvent.CacheStoreRegained]: {readonly address: string};
 	[LogEvent.CacheStoreReset]: {readonly address: string; readonly isRestarted: boolean};
 	[LogEvent.StoreEntryInvalid]: {readonly key: string; readonly findings: string};
-	[LogEvent.ConfigAccepted]: {readonly version: number; readonly routes: number};
+	[LogEvent.ConfigAccepted]: {
+		readonly version: number; readonly routes: number; readonly accounts: number; readonly keys: number;
+		/** Whether requests on routes that are not public need an API key. */
+		readonly needsKeys: boolean;
+	};
 	[LogEvent.WeightTargetSeen]: {
 		readonly model: string; readonly version: number;
 		/** Milliseconds before which the version can't have been named, as counted by this VM; absent if it was named before the first read. */
--- a/packages/core/src/routing/route-table.ts
+++ b/packages/core/src/routing/route-table.ts
@@ -49,9 +49,19 @@
 		return this.#accounts.get(key);
 	}
 
+	/** Number of API keys that accounts hold. */
+	get keyCount(): number {
+		return this.#accounts.size;
+	}
+
+	/** Whether requests on routes that are not public need an API key. */
+	get needsKeys(): boolean {
+		return this.config.accounts.length > 0;
+	}
+
 	/** Returns whether requests on a route need an API key. */
 	needsKey(route: gatewayConfig.Route): boolean {
-		return !route.isPublic && this.config.accounts.length > 0;
+		return !route.isPublic && this.needsKeys;
 	}
 }
 
--- a/packages/gateway/src/controllers/operator-controller.ts
+++ b/packages/gateway/src/controllers/operator-controller.ts
@@ -101,10 +101,16 @@
 	}
 
 	#applyConfig(config: core.routing.GatewayConfig): void {
-		if (this.dependencies.config.accept(config)) {
-			this.dependencies.log.write(eventLog.LogEvent.ConfigAccepted, {version: config.version, routes: config.routes.length});
-			this.dependencies.onConfigAccepted(config);
+		const {config: state, log, onConfigAccepted} = this.dependencies;
+		if (!state.accept(config)) {
+			return;
 		}
+
+		const {keyCount = 0, needsKeys = false} = state.table ?? {};
+		log.write(eventLog.LogEvent.ConfigAccepted, {
+			version: config.version, routes: config.routes.length, accounts: config.accounts.length, keys: keyCount, needsKeys,
+		});
+		onConfigAccepted(config);
 	}
 
 	#applyTarget(model: string, version: number, {changed}: storeFeed.ReadContext): void {
