Need keys wherever a configuration lists accounts, also if the list is empty

Cause: GatewayConfig.accounts stood for two things when it was empty, that no keys are needed and that none is valid.

Fix: accounts is absent if no key is needed and empty if none is valid, so that the compiler makes each reader handle both. Configurations without the field and public routes are served without a key as before.

The default configuration of the unit tests leaves accounts out, where it had an empty list with the same meaning.

--- a/packages/core/src/log/log-event.ts
+++ b/packages/core/src/log/log-event.ts
@@ -165,7 +165,10 @@
 	[LogEvent.CacheStoreReset]: {readonly address: string; readonly isRestarted: boolean};
 	[LogEvent.StoreEntryInvalid]: {readonly key: string; readonly findings: string};
 	[LogEvent.ConfigAccepted]: {
-		readonly version: number; readonly routes: number; readonly accounts: number; readonly keys: number;
+		readonly version: number; readonly routes: number;
+		/** Absent if the configuration has no list of accounts. */
+		readonly accounts?: number;
+		readonly keys: number;
 		/** Whether requests on routes that are not public need an API key. */
 		readonly needsKeys: boolean;
 	};
--- a/packages/core/src/routing/gateway-config.ts
+++ b/packages/core/src/routing/gateway-config.ts
@@ -108,6 +108,6 @@
 	readonly pools: readonly Pool[];
 	readonly cacheStores: readonly CacheStore[];
 	readonly limits: CallerLimits;
-	/** Empty if no request needs an API key. */
-	readonly accounts: readonly ApiAccount[];
+	/** Accounts whose API keys are valid. Absent if requests need no API key; an empty list means that no key is valid. */
+	readonly accounts?: readonly ApiAccount[];
 };
--- a/packages/core/src/routing/route-table.ts
+++ b/packages/core/src/routing/route-table.ts
@@ -26,7 +26,7 @@
 			this.#pools.set(pool.name, pool);
 		}
 
-		for (const account of config.accounts) {
+		for (const account of config.accounts ?? []) {
 			for (const key of account.keys) {
 				this.#accounts.set(key, account);
 			}
@@ -56,7 +56,7 @@
 
 	/** Whether requests on routes that are not public need an API key. */
 	get needsKeys(): boolean {
-		return this.config.accounts.length > 0;
+		return this.config.accounts !== undefined;
 	}
 
 	/** Returns whether requests on a route need an API key. */
--- a/packages/core/tests/routing/route-table.test.ts
+++ b/packages/core/tests/routing/route-table.test.ts
@@ -37,6 +37,22 @@
 		expect(table.needsKey(table.findRoute('b.example', '/')!)).to.equal(false);
 	});
 
+	// Guards against ROUTE: a configuration whose last account was removed is not one that asks for no keys.
+	it('requires keys wherever accounts are listed, also if the list is empty', () => {
+		const cases: ReadonlyArray<readonly [accounts: readonly core.routing.ApiAccount[] | undefined, needsKeys: boolean]> = [
+			[undefined, false],
+			[[], true],
+			[[{name: 'club', keys: [], isIsolated: false}], true],
+			[[{name: 'club', keys: ['k1'], isIsolated: false}], true],
+		];
+		for (const [accounts, needsKeys] of cases) {
+			const routes = [support.createRoute(), support.createRoute({host: 'b.example', isPublic: true})];
+			const other = new core.routing.RouteTable(support.createConfig({routes, accounts}));
+			expect(other.needsKey(other.findRoute('a.example', '/')!)).to.equal(needsKeys);
+			expect(other.needsKey(other.findRoute('b.example', '/')!)).to.equal(false);
+		}
+	});
+
 	// Guards against a table whose construction blocks the event loop for a time that grows with the square of the routes of a host.
 	it('is built from 200,000 routes of one host in a time that grows with their number', function () {
 		this.timeout(5000);
--- a/packages/core/tests/support/gateway-config.ts
+++ b/packages/core/tests/support/gateway-config.ts
@@ -30,7 +30,6 @@
 		limits: {
 			headerBytes: 16_384, bodyBytes: 1_000_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 		},
-		accounts: [],
 		...changes,
 	};
 }
--- a/packages/gateway/src/controllers/operator-controller.ts
+++ b/packages/gateway/src/controllers/operator-controller.ts
@@ -108,7 +108,7 @@
 
 		const {keyCount = 0, needsKeys = false} = state.table ?? {};
 		log.write(eventLog.LogEvent.ConfigAccepted, {
-			version: config.version, routes: config.routes.length, accounts: config.accounts.length, keys: keyCount, needsKeys,
+			version: config.version, routes: config.routes.length, accounts: config.accounts?.length, keys: keyCount, needsKeys,
 		});
 		onConfigAccepted(config);
 	}
--- a/packages/gateway/src/controllers/quota-controller.ts
+++ b/packages/gateway/src/controllers/quota-controller.ts
@@ -56,7 +56,7 @@
 	}
 
 	/** Applies the quotas of a newer configuration. */
-	applyConfig({accounts}: core.routing.GatewayConfig): void {
+	applyConfig({accounts = []}: core.routing.GatewayConfig): void {
 		this.#accounts = new Map(accounts.flatMap(({name, quota}) => quota === undefined ? [] : [[name, quota] as const]));
 		this.#agent.setAccounts([...this.#accounts.keys()]);
 	}
--- a/packages/gateway/tests/support/simulated-gateway-week.ts
+++ b/packages/gateway/tests/support/simulated-gateway-week.ts
@@ -147,7 +147,7 @@
 		}
 
 		this.#receiveDigests();
-		for (const account of this.#state.config.accounts) {
+		for (const account of this.#state.config.accounts ?? []) {
 			await this.#runRequests(account); // eslint-disable-line no-await-in-loop -- Requests follow one another.
 		}
 	}
