Reject unknown keys and routes as such while the store responds

A sixth of the requests with an unknown key got 503 and a time to return while the store was sound; their callers came back in vain.

Cause: 'unknown' is said only up to an age of 1.8 s (propagation bound less 0.2 s). The age counted from the start of the confirming poll, which waits 1 s, and the next one confirms a second later: it runs from 1 to 2 s, and longer after a poll with a late change.

Fix: a poll without changes that lasted its wait was answered at the end of it at the earliest, and the age for negative responses counts from there. The age for the use of keys still counts from the start: a wait cut short with a delayed response looks the same, and there an error would execute a revoked key. Polls end early enough to confirm in time.

--- a/packages/core/src/routing/config-age.ts
+++ b/packages/core/src/routing/config-age.ts
@@ -12,13 +12,20 @@
 const revocationMarginMs = 1500;
 /** Part of the propagation limit reserved for the time between the check and the caller's receipt of the response. */
 const propagationMarginMs = 200;
+/** Part of it reserved for a call to the store. */
+const callMarginMs = 200;
+
+/** Returns the time without a confirmation after which the next one must be asked for, in milliseconds, so that unknown routes and keys can always be rejected. */
+export function computeMaxUnconfirmedMs({propagationMs}: ConfigAgeLimits): number {
+	return Math.max(0, propagationMs - propagationMarginMs - callMarginMs);
+}
 
 /** Returns whether requests with an API key may be sent to endpoints with a configuration of this age. */
 export function allowsKeyedRequests(ageMs: number, limits: ConfigAgeLimits): boolean {
 	return !limits.strictRevocation || ageMs <= limits.revocationMs - revocationMarginMs;
 }
 
-/** Returns whether an unknown route or key may be rejected; an older configuration may merely lack a recent addition. */
+/** Returns whether an unknown route or key may be rejected by its age for negative responses; an older configuration may merely lack a recent addition. */
 export function allowsNegativeResponses(ageMs: number, limits: ConfigAgeLimits): boolean {
 	return ageMs <= limits.propagationMs - propagationMarginMs;
 }
--- a/packages/core/src/routing/config-state.ts
+++ b/packages/core/src/routing/config-state.ts
@@ -8,6 +8,7 @@
 export class ConfigState {
 	#table: routeTable.RouteTable | undefined;
 	#confirmedAt = -Infinity;
+	#respondedAfter = -Infinity;
 
 	/** Lookup table of the active configuration; `undefined` before the first one. */
 	get table(): routeTable.RouteTable | undefined {
@@ -32,13 +33,23 @@
 	 * Records that the key-value store confirmed that no newer configuration exists.
 	 *
 	 * @param startedAt - When the confirming call began, in milliseconds of a clock that also counts the time that the VM was suspended.
+	 * @param respondedAfter - When the store responded at the earliest; later than `startedAt` if it waited for changes.
 	 */
-	confirm(startedAt: number): void {
+	confirm(startedAt: number, respondedAfter = startedAt): void {
 		this.#confirmedAt = Math.max(this.#confirmedAt, startedAt);
+		this.#respondedAfter = Math.max(this.#respondedAfter, respondedAfter);
 	}
 
-	/** Returns the milliseconds since the last confirmation; `Infinity` before the first configuration or confirmation. */
+	/** Returns the milliseconds since the start of the last confirming call; `Infinity` before the first configuration or confirmation. */
 	ageMs(now: number): number {
 		return this.#table === undefined ? Infinity : now - this.#confirmedAt;
 	}
+
+	/**
+	 * Returns the age for the rejection of unknown routes and keys, in milliseconds; `Infinity` as above. It counts from the end of the store's wait,
+	 * which the use of keys does not rely on: a store that cut its wait short and whose response was delayed would look the same.
+	 */
+	negativeAgeMs(now: number): number {
+		return this.#table === undefined ? Infinity : now - this.#respondedAfter;
+	}
 }
--- a/packages/core/tests/routing/config-state.test.ts
+++ b/packages/core/tests/routing/config-state.test.ts
@@ -23,6 +23,19 @@
 		state.confirm(80);
 		expect(state.ageMs(150)).to.equal(50);
 	});
+
+	it('measures the age for negative responses from when the store responded at the earliest', () => {
+		const state = new core.routing.ConfigState();
+		state.confirm(100, 1100);
+		expect(state.negativeAgeMs(1150)).to.equal(Infinity);
+		state.accept(support.createConfig());
+		expect(state.negativeAgeMs(1150)).to.equal(50);
+		expect(state.ageMs(1150)).to.equal(1050);
+		state.confirm(1110);
+		expect(state.negativeAgeMs(1150)).to.equal(40);
+		state.confirm(1105, 1106);
+		expect(state.negativeAgeMs(1150)).to.equal(40);
+	});
 });
 
 describe('configuration age limits', () => {
--- a/packages/gateway/src/call/account-filter.ts
+++ b/packages/gateway/src/call/account-filter.ts
@@ -18,9 +18,10 @@
 			return undefined;
 		}
 
-		const ageMs = this.state.ageMs(this.clock.suspendAwareNow());
+		const now = this.clock.suspendAwareNow();
+		const ageMs = this.state.ageMs(now);
 		ctx.account = head.apiKey === undefined ? undefined : table.findAccount(head.apiKey);
-		if (ctx.account === undefined && core.routing.allowsNegativeResponses(ageMs, this.limits)) {
+		if (ctx.account === undefined && core.routing.allowsNegativeResponses(this.state.negativeAgeMs(now), this.limits)) {
 			return {code: refusals.RefusalCode.UnknownKey, inputs: {config: table.config.version}};
 		}
 
--- a/packages/gateway/src/call/route-filter.ts
+++ b/packages/gateway/src/call/route-filter.ts
@@ -24,7 +24,7 @@
 			return undefined;
 		}
 
-		const ageMs = this.state.ageMs(this.clock.suspendAwareNow());
+		const ageMs = this.state.negativeAgeMs(this.clock.suspendAwareNow());
 		return core.routing.allowsNegativeResponses(ageMs, this.limits)
 			? {code: refusals.RefusalCode.UnknownRoute, inputs: {host: ctx.head.host, config: table.config.version}}
 			: refusals.createConfigUnavailableRefusal(ageMs);
--- a/packages/gateway/src/controllers/operator-controller.ts
+++ b/packages/gateway/src/controllers/operator-controller.ts
@@ -66,8 +66,8 @@
 			|| fleet.registry.list().some(entry => fleet.registry.weightVersion(entry.id, model) !== undefined));
 	}
 
-	onConfirmed(startedAt: number): void {
-		this.dependencies.config.confirm(startedAt);
+	onConfirmed(startedAt: number, respondedAfter: number): void {
+		this.dependencies.config.confirm(startedAt, respondedAfter);
 	}
 
 	#applyEntry(entry: clients.kv.KvEntry, context: storeFeed.ReadContext): void {
--- a/packages/gateway/src/controllers/prefix-listeners.ts
+++ b/packages/gateway/src/controllers/prefix-listeners.ts
@@ -26,9 +26,9 @@
 		}
 	}
 
-	onConfirmed(startedAt: number): void {
+	onConfirmed(startedAt: number, respondedAfter: number): void {
 		for (const {listener} of this.listeners) {
-			listener.onConfirmed?.(startedAt);
+			listener.onConfirmed?.(startedAt, respondedAfter);
 		}
 	}
 
--- a/packages/gateway/src/controllers/store-feed.ts
+++ b/packages/gateway/src/controllers/store-feed.ts
@@ -26,8 +26,9 @@
 	 * Called when all changes from before a call of the store were delivered.
 	 *
 	 * @param startedAt - When the call began, in milliseconds of a clock that also counts the time that the VM was suspended.
+	 * @param respondedAfter - When the store responded at the earliest: the end of the wait of a poll without changes, else `startedAt`.
 	 */
-	onConfirmed?(startedAt: number): void;
+	onConfirmed?(startedAt: number, respondedAfter: number): void;
 	/** Called when the time in which entries may be missing becomes longer or ends, since the store is unavailable again or has returned. */
 	onLapse?(lapse: core.store.Lapse | undefined): void;
 	/** Called before the first snapshot after the store has returned from a copy, whose entries may be older than the known ones. */
@@ -38,6 +39,8 @@
 export type StoreFeedOptions = {
 	/** Longest wait of one poll; bounds the time between confirmations and the time to detect an unresponsive connection. */
 	readonly pollWaitMs: number;
+	/** Time without a confirmation after which a poll ends early to confirm; not limited by default. */
+	readonly maxUnconfirmedMs: number;
 	/** Longest wait of a poll after a failed call, so that the return of the store is noticed soon. */
 	readonly probeWaitMs: number;
 	/** Longest wait of a poll while entries may be missing; with the timeout of a call it is shorter than an outage in which entries expire. */
@@ -50,7 +53,7 @@
 
 /** One poll per second confirms the configuration well within the limits on the revocation of keys. */
 export const defaultStoreFeedOptions: StoreFeedOptions = {
-	pollWaitMs: 1000, probeWaitMs: 10, lapsePollWaitMs: 300, minRetryDelayMs: 100, maxRetryDelayMs: 400, lapse: core.store.defaultLapseOptions,
+	pollWaitMs: 1000, maxUnconfirmedMs: Infinity, probeWaitMs: 10, lapsePollWaitMs: 300, minRetryDelayMs: 100, maxRetryDelayMs: 400, lapse: core.store.defaultLapseOptions,
 };
 
 /** Time for which changes are applied at once, in milliseconds; input is read before the next one. */
@@ -85,6 +88,8 @@
 	#isStopped = false;
 	/** Whether the last poll ended before its longest wait, since there were changes. */
 	#hasFoundChanges = false;
+	/** When the store responded to the last confirming call at the earliest, in milliseconds of the clock that counts suspensions. */
+	#respondedAfter = -Infinity;
 	/** When calls began to fail, in milliseconds of the monotonic clock; absent while they succeed. */
 	#unavailableSince: number | undefined;
 	/** Era of `#revision`. */
@@ -139,7 +144,7 @@
 		if (failure === undefined) {
 			this.#recordSuccess();
 			this.#changeTimes.recordSuccess(this.#callTimes(startedAt));
-			this.dependencies.listener.onConfirmed?.(startedAt);
+			this.dependencies.listener.onConfirmed?.(startedAt, this.#respondedAfter);
 			return true;
 		}
 
@@ -191,6 +196,7 @@
 
 			this.#revision = read.revision;
 			this.#era = read.era;
+			this.#respondedAfter = startedAt;
 			this.#recordReturn(read);
 			this.dependencies.listener.onSnapshot(read.entries, this.#context(startedAt, suspendedMs));
 			return undefined;
@@ -200,12 +206,15 @@
 	async #poll(revision: number, startedAt: number): Promise<clients.kv.KvError | undefined> {
 		this.#pollAbort = new AbortController();
 		const {suspendedMs} = this.#callTimes(startedAt);
-		const polled = await this.dependencies.store.poll(this.dependencies.prefix, revision, this.#choosePollWait(startedAt), {
+		const waitMs = this.#choosePollWait(startedAt);
+		const polled = await this.dependencies.store.poll(this.dependencies.prefix, revision, waitMs, {
 			era: this.#era, signal: this.#pollAbort.signal,
 		});
+		const hasWaited = this.#callTimes(startedAt).endedAt - startedAt >= waitMs;
 		return core.util.matchEither<clients.kv.KvError, clients.kv.KvChanges, Promise<clients.kv.KvError | undefined>>(polled, async failure => failure, async read => {
 			if (this.#revision !== undefined) {
 				this.#revision = Math.max(revision, read.revision);
+				this.#respondedAfter = hasWaited && read.changes.length === 0 ? startedAt + waitMs : startedAt;
 				await this.#applyChanges(read.changes, this.#context(startedAt, suspendedMs));
 			}
 
@@ -256,12 +265,14 @@
 	}
 
 	#choosePollWait(now: number): number {
-		const {pollWaitMs, probeWaitMs, lapsePollWaitMs} = this.options;
+		const {pollWaitMs, probeWaitMs, lapsePollWaitMs, maxUnconfirmedMs} = this.options;
 		if (this.#unavailableSince !== undefined) {
 			return probeWaitMs;
 		}
 
-		return this.#lapses.lapseAt(now) === undefined ? pollWaitMs : lapsePollWaitMs;
+		const longestMs = this.#lapses.lapseAt(now) === undefined ? pollWaitMs : lapsePollWaitMs;
+		const untilLimitMs = Math.floor(this.#respondedAfter + maxUnconfirmedMs - now);
+		return Math.min(longestMs, Math.max(probeWaitMs, untilLimitMs));
 	}
 
 	/** Returns the times of a call that ends now. */
--- a/packages/gateway/src/wire-up.ts
+++ b/packages/gateway/src/wire-up.ts
@@ -241,6 +241,7 @@
 		log,
 	}, {
 		...controllers.defaultStoreFeedOptions,
+		maxUnconfirmedMs: core.routing.computeMaxUnconfirmedMs(settings.configAgeLimits),
 		lapse: {...core.store.defaultLapseOptions, ...(settings.endpointHeartbeatMs !== undefined && {heartbeatMs: settings.endpointHeartbeatMs})},
 	});
 	const refresh = metrics.registerStateGauges(registry, () => {
--- a/packages/gateway/tests/controllers/store-feed.test.ts
+++ b/packages/gateway/tests/controllers/store-feed.test.ts
@@ -68,6 +68,8 @@
 	readonly snapshotContexts: gateway.controllers.ReadContext[];
 	readonly store: ScriptedStore;
 	readonly events: string[];
+	/** Start of each confirming call, and when the store responded to it at the earliest. */
+	readonly confirmed: string[];
 };
 
 async function follow(results: PollResult[], {pollPauseMs = () => 0, callMs = [], suspendedMs = []}: FollowOptions = {}): Promise<Followed> {
@@ -75,6 +77,7 @@
 	const contexts: gateway.controllers.ReadContext[] = [];
 	const snapshotContexts: gateway.controllers.ReadContext[] = [];
 	const events: string[] = [];
+	const confirmed: string[] = [];
 	let now = 1000;
 	let totalSuspendedMs = 0;
 	const store = new ScriptedStore(results, number => {
@@ -96,8 +99,9 @@
 				received.push(`change ${change.key} ${change.entry === undefined ? 'removed' : 'put'} ${context.lapse !== undefined}`);
 				contexts.push(context);
 			},
-			onConfirmed(startedAt) {
+			onConfirmed(startedAt, respondedAfter) {
 				received.push(`confirmed ${startedAt}`);
+				confirmed.push(`${startedAt} after ${respondedAfter}`);
 			},
 		},
 		clock: {monotonicNow: () => now, suspendAwareNow: () => now + totalSuspendedMs, wallNow: () => now},
@@ -107,11 +111,11 @@
 			},
 		},
 	}, {
-		...gateway.controllers.defaultStoreFeedOptions, minRetryDelayMs: 1, maxRetryDelayMs: 1,
+		...gateway.controllers.defaultStoreFeedOptions, minRetryDelayMs: 1, maxRetryDelayMs: 1, maxUnconfirmedMs: 1600,
 	});
 	await feed.run();
 	return {
-		received, contexts, snapshotContexts, store, events,
+		received, contexts, snapshotContexts, store, events, confirmed,
 	};
 }
 
@@ -268,6 +272,33 @@
 		expect(received.filter(text => text.startsWith('confirmed'))).to.deep.equal(['confirmed 1000', 'confirmed 1002']);
 	});
 
+	const confirmations: ReadonlyArray<{readonly name: string; readonly results: PollResult[]; readonly callMs: readonly number[]; readonly expected: readonly string[]}> = [
+		{
+			name: 'the end of the wait of a poll without changes',
+			results: [purify.Right({changes: [], revision: 10}), purify.Right({changes: [], revision: 10})],
+			callMs: [4, 1005, 1300],
+			expected: ['1000 after 1000', '1004 after 2004', '2009 after 3009'],
+		},
+		{
+			name: 'the start of a poll with changes',
+			results: [purify.Right({changes: [{key: 'b'}], revision: 12}), purify.Right({changes: [], revision: 12})],
+			callMs: [4, 1005, 1000],
+			expected: ['1000 after 1000', '1004 after 1004', '2009 after 2604'],
+		},
+		{
+			name: 'the start of a poll without changes that ended before its wait',
+			results: [purify.Right({changes: [], revision: 10}), purify.Right({changes: [], revision: 10})],
+			callMs: [4, 300, 1000],
+			expected: ['1000 after 1000', '1004 after 1004', '1304 after 2304'],
+		},
+	];
+	for (const {name, results, callMs, expected} of confirmations) {
+		it(`confirms that the store responded after ${name}`, async () => {
+			const {confirmed} = await follow(results, {callMs});
+			expect(confirmed).to.deep.equal(expected);
+		});
+	}
+
 	// Where entries change all the time, each poll would end at once.
 	it('pauses after polls that found changes, and only after these', async () => {
 		const changed: PollResult = purify.Right({changes: [{key: 'a', entry: entry('a', 11)}], revision: 11});
