Take keys away that a configuration which can't be decoded does not list

Cause: OperatorController logged the findings, and the poll that had brought the configuration confirmed the old one, as did all later ones. To have asked the store stood for knowing the newest configuration, so nothing aged.

Requests without a key are served. Weighed: ageing in each case would stop all requests with keys for one odd field. config_unreadable tells what stays in force.

--- a/packages/core/src/log/explain-request.ts
+++ b/packages/core/src/log/explain-request.ts
@@ -33,6 +33,7 @@
 	[logEvent.LogEvent.CacheStoreLost, 'cache store'],
 	[logEvent.LogEvent.CacheStoreRegained, 'cache store'],
 	[logEvent.LogEvent.ConfigAccepted, 'config'],
+	[logEvent.LogEvent.ConfigUnreadable, 'config'],
 	[logEvent.LogEvent.WeightTargetSeen, 'weight target'],
 	[logEvent.LogEvent.WeightTargetDated, 'age of the weight target'],
 	[logEvent.LogEvent.RolloutPlanSeen, 'plan'],
--- a/packages/core/src/log/log-event.ts
+++ b/packages/core/src/log/log-event.ts
@@ -24,6 +24,8 @@
 	CacheStoreReset = 'cache_store_reset',
 	StoreEntryInvalid = 'store_entry_invalid',
 	ConfigAccepted = 'config_accepted',
+	/** The newest configuration can't be applied. */
+	ConfigUnreadable = 'config_unreadable',
 	WeightTargetSeen = 'weight_target_seen',
 	WeightTargetDated = 'weight_target_dated',
 	RolloutPlanSeen = 'rollout_plan_seen',
@@ -172,6 +174,14 @@
 		/** Whether requests on routes that are not public need an API key. */
 		readonly needsKeys: boolean;
 	};
+	[LogEvent.ConfigUnreadable]: {
+		/** Version that stays in force; absent if there is none. */
+		readonly version?: number;
+		/** Whether the accounts and keys that the newest configuration lists can be read. */
+		readonly hasReadableKeys: boolean;
+		/** Number of keys that stay valid, and of those that were taken away. */
+		readonly keys: number; readonly revokedKeys: number;
+	};
 	[LogEvent.WeightTargetSeen]: {
 		readonly model: string; readonly version: number;
 		/** Milliseconds before which the version can't have been named, as counted by this VM; absent if it was named before the first read. */
--- a/packages/core/src/routing/config-state.ts
+++ b/packages/core/src/routing/config-state.ts
@@ -1,5 +1,6 @@
 import * as routeTable from './route-table.js';
 import type * as gatewayConfig from './gateway-config.js';
+import * as unreadableConfig from './unreadable-config.js';
 
 /**
  * The active configuration of this VM and the time at which the key-value store last confirmed it. Within a process the version never
@@ -9,6 +10,8 @@
 	#table: routeTable.RouteTable | undefined;
 	#confirmedAt = -Infinity;
 	#respondedAfter = -Infinity;
+	/** The newest configuration, if it can't be applied. */
+	#unreadable: unreadableConfig.UnreadableConfig | undefined;
 
 	/** Lookup table of the active configuration; `undefined` before the first one. */
 	get table(): routeTable.RouteTable | undefined {
@@ -21,7 +24,12 @@
 	 * @returns Whether the configuration was activated.
 	 */
 	accept(config: gatewayConfig.GatewayConfig): boolean {
-		if (this.#table !== undefined && config.version <= this.#table.config.version) {
+		const activeVersion = this.#table?.config.version ?? -Infinity;
+		if (config.version >= activeVersion) {
+			this.#unreadable = undefined;
+		}
+
+		if (config.version <= activeVersion) {
 			return false;
 		}
 
@@ -29,6 +37,18 @@
 		return true;
 	}
 
+	/**
+	 * Records that the newest configuration can't be applied. The active one stays in force without the keys that the newest one does not list. What
+	 * can't be read of the newest one is not confirmed any more, until a configuration that can be applied follows.
+	 */
+	withholdConfirmation(config: unreadableConfig.UnreadableConfig): void {
+		this.#unreadable = config;
+		const active = this.#table?.config;
+		if (config.hasReadableKeys && config.accounts !== undefined && active?.accounts !== undefined) {
+			this.#table = new routeTable.RouteTable({...active, accounts: unreadableConfig.retainListedKeys(active.accounts, config.accounts)});
+		}
+	}
+
 	/**
 	 * Records that the key-value store confirmed that no newer configuration exists.
 	 *
@@ -36,8 +56,13 @@
 	 * @param respondedAfter - When the store responded at the earliest; later than `startedAt` if it waited for changes.
 	 */
 	confirm(startedAt: number, respondedAfter = startedAt): void {
-		this.#confirmedAt = Math.max(this.#confirmedAt, startedAt);
-		this.#respondedAfter = Math.max(this.#respondedAfter, respondedAfter);
+		if (this.#unreadable === undefined) {
+			this.#respondedAfter = Math.max(this.#respondedAfter, respondedAfter);
+		}
+
+		if (this.#unreadable?.hasReadableKeys !== false || this.#table?.needsKeys !== true) {
+			this.#confirmedAt = Math.max(this.#confirmedAt, startedAt);
+		}
 	}
 
 	/** Returns the milliseconds since the start of the last confirming call; `Infinity` before the first configuration or confirmation. */
--- a/packages/core/tests/routing/config-state.test.ts
+++ b/packages/core/tests/routing/config-state.test.ts
@@ -38,6 +38,70 @@
 	});
 });
 
+// Guards against CONFIG: revoked keys that stay valid for as long as the configuration that revokes them can't be applied.
+describe('ConfigState whose newest configuration can not be applied', () => {
+	const club: core.routing.ApiAccount = {name: 'club', keys: ['k1', 'k2'], isIsolated: true};
+	const school: core.routing.ApiAccount = {name: 'school', keys: ['k3'], isIsolated: false};
+	const keys = ['k1', 'k2', 'k3', 'k4'];
+	const cases: ReadonlyArray<{
+		readonly title: string;
+		readonly accounts?: readonly core.routing.ApiAccount[];
+		readonly newest: core.routing.UnreadableConfig;
+		/** Account of each key; `undefined` if the key is invalid. */
+		readonly holders: ReadonlyArray<string | undefined>;
+		readonly ageMs: number;
+	}> = [
+		{
+			title: 'keeps all keys while none can be read, and ages',
+			accounts: [club, school], newest: {hasReadableKeys: false}, holders: ['club', 'club', 'school', undefined], ageMs: 900,
+		},
+		{
+			title: 'keeps the keys that are listed for the same account, and adds none',
+			accounts: [club, school],
+			newest: {hasReadableKeys: true, accounts: [{name: 'club', keys: ['k2', 'k3', 'k4']}]},
+			holders: [undefined, 'club', undefined, undefined],
+			ageMs: 0,
+		},
+		{
+			title: 'keeps no key if none is listed',
+			accounts: [club, school], newest: {hasReadableKeys: true, accounts: []}, holders: [undefined, undefined, undefined, undefined], ageMs: 0,
+		},
+		{
+			title: 'keeps all keys if none would be needed',
+			accounts: [club, school], newest: {hasReadableKeys: true}, holders: ['club', 'club', 'school', undefined], ageMs: 0,
+		},
+		{
+			title: 'adds no accounts if no keys are needed, and does not age',
+			newest: {hasReadableKeys: true, accounts: [club]}, holders: [undefined, undefined, undefined, undefined], ageMs: 0,
+		},
+		{
+			title: 'does not age if no keys are needed and none can be read',
+			newest: {hasReadableKeys: false}, holders: [undefined, undefined, undefined, undefined], ageMs: 0,
+		},
+	];
+	for (const {
+		title, accounts, newest, holders, ageMs,
+	} of cases) {
+		it(title, () => {
+			const state = new core.routing.ConfigState();
+			state.accept(support.createConfig({version: 3, accounts}));
+			state.confirm(100);
+			state.withholdConfirmation(newest);
+			state.confirm(1000);
+			expect(keys.map(key => state.table?.findAccount(key)?.name)).to.deep.equal(holders);
+			expect(state.table?.needsKeys).to.equal(accounts !== undefined);
+			expect(state.table?.config.version).to.equal(3);
+			expect(state.ageMs(1000)).to.equal(ageMs);
+			expect(state.negativeAgeMs(1000)).to.equal(900);
+			expect(state.accept(support.createConfig({version: 5, accounts: [club, school]}))).to.equal(true);
+			state.confirm(1100);
+			expect(state.ageMs(1100)).to.equal(0);
+			expect(state.negativeAgeMs(1100)).to.equal(0);
+			expect(keys.map(key => state.table?.findAccount(key)?.name)).to.deep.equal(['club', 'club', 'school', undefined]);
+		});
+	}
+});
+
 describe('configuration age limits', () => {
 	it('allow keyed requests until shortly before the revocation limit, and negative responses until shortly before the propagation limit', () => {
 		const ages = [0, 1800, 1801, 3500, 3501, Infinity];
--- a/packages/gateway/src/controllers/operator-controller.ts
+++ b/packages/gateway/src/controllers/operator-controller.ts
@@ -72,7 +72,7 @@
 
 	#applyEntry(entry: clients.kv.KvEntry, context: storeFeed.ReadContext): void {
 		const item = this.dependencies.decoder.decode(entry);
-		if (item.type !== ports.StoreEntryType.Invalid) {
+		if (item.type !== ports.StoreEntryType.Invalid && item.type !== ports.StoreEntryType.UnreadableConfig) {
 			this.#invalid.forget(entry.key);
 		}
 
@@ -93,6 +93,12 @@
 				break;
 			}
 
+			case ports.StoreEntryType.UnreadableConfig: {
+				this.#invalid.recordInvalid(entry.key, item.findings);
+				this.#withholdConfirmation(item.config);
+				break;
+			}
+
 			case ports.StoreEntryType.Endpoint:
 			case ports.StoreEntryType.Other: {
 				break;
@@ -113,6 +119,18 @@
 		onConfigAccepted(config);
 	}
 
+	#withholdConfirmation(unreadable: core.routing.UnreadableConfig): void {
+		const {config: state, log} = this.dependencies;
+		const keysBefore = state.table?.keyCount ?? 0;
+		state.withholdConfirmation(unreadable);
+		const keys = state.table?.keyCount ?? 0;
+		const version = state.table?.config.version;
+		const {hasReadableKeys} = unreadable;
+		log.write(eventLog.LogEvent.ConfigUnreadable, {
+			version, hasReadableKeys, keys, revokedKeys: keysBefore - keys,
+		});
+	}
+
 	#applyTarget(model: string, version: number, {changed}: storeFeed.ReadContext): void {
 		const {fleet, log, unseenVersionAgeMs} = this.dependencies;
 		const isFirstRead = changed.after === -Infinity;
--- a/packages/gateway/src/ports/store-decoder.ts
+++ b/packages/gateway/src/ports/store-decoder.ts
@@ -9,8 +9,10 @@
 	Endpoint = 'endpoint',
 	/** An entry of another type. */
 	Other = 'other',
-	/** An entry with a known key and an invalid value. */
+	/** An entry with a known key and an invalid value, except a configuration. */
 	Invalid = 'invalid',
+	/** A configuration with an invalid value. */
+	UnreadableConfig = 'unreadable_config',
 }
 
 /** A decoded store entry. */
@@ -19,7 +21,8 @@
 	| {readonly type: StoreEntryType.WeightTarget; readonly model: string; readonly version: number}
 	| {readonly type: StoreEntryType.Endpoint; readonly entry: core.fleet.EndpointEntry}
 	| {readonly type: StoreEntryType.Other}
-	| {readonly type: StoreEntryType.Invalid; readonly findings: readonly string[]};
+	| {readonly type: StoreEntryType.Invalid; readonly findings: readonly string[]}
+	| {readonly type: StoreEntryType.UnreadableConfig; readonly findings: readonly string[]; readonly config: core.routing.UnreadableConfig};
 
 /** Key prefixes under which the operator and the endpoints write. */
 export type StorePrefixes = {
--- a/packages/gateway/tests/call/negative-responses.test.ts
+++ b/packages/gateway/tests/call/negative-responses.test.ts
@@ -28,7 +28,7 @@
 	/** Times of the changes; the revision of a change is its number, starting at 1. */
 	readonly changedAt: number[] = [];
 	readonly #generator: ReturnType<typeof xoroshiro.xoroshiro128plus>;
-	#notify: () => void = () => undefined;
+	#notify: (() => void) | undefined;
 
 	constructor(private readonly time: virtualTime.VirtualTime, seed: number, private readonly meanGapMs: number) {
 		this.#generator = xoroshiro.xoroshiro128plus(seed);
@@ -60,7 +60,7 @@
 
 		this.time.schedule(this.#draw(2 * this.meanGapMs), () => {
 			this.changedAt.push(this.time.now);
-			this.#notify();
+			this.#notify?.();
 			this.#scheduleChange();
 		});
 	}
