Polls that end early to confirm wait 100 ms at least

With a propagation limit of 0.5 s or less each poll would have waited 10 ms, so that each VM called the store up to a hundred times a second. Below 0.4 s, where unknown keys can't be rejected in time anyway, polls keep their length.

Tests: config-state.test.ts has the longest times without a confirmation by limit; the cases of negative-responses.test.ts pass as before.

--- a/packages/core/src/routing/config-age.ts
+++ b/packages/core/src/routing/config-age.ts
@@ -15,9 +15,13 @@
 /** Part of it reserved for a call to the store. */
 const callMarginMs = 200;
 
-/** Returns the time without a confirmation after which the next one must be asked for, in milliseconds, so that unknown routes and keys can always be rejected. */
+/**
+ * Returns the time without a confirmation after which the next one must be asked for, in milliseconds, so that unknown routes and keys can always be
+ * rejected; `Infinity` if the propagation limit is too short for that.
+ */
 export function computeMaxUnconfirmedMs({propagationMs}: ConfigAgeLimits): number {
-	return Math.max(0, propagationMs - propagationMarginMs - callMarginMs);
+	const maxUnconfirmedMs = propagationMs - propagationMarginMs - callMarginMs;
+	return maxUnconfirmedMs > 0 ? maxUnconfirmedMs : Infinity;
 }
 
 /** Returns whether requests with an API key may be sent to endpoints with a configuration of this age. */
--- a/packages/core/tests/routing/config-state.test.ts
+++ b/packages/core/tests/routing/config-state.test.ts
@@ -111,6 +111,11 @@
 			.to.deep.equal([true, true, false, false, false, false]);
 	});
 
+	it('leave time for a call after the longest time without a confirmation, where they allow that at all', () => {
+		const propagations = [2000, 3000, 401, 400, 0];
+		expect(propagations.map(propagationMs => core.routing.computeMaxUnconfirmedMs({...limits, propagationMs}))).to.deep.equal([1600, 2600, 1, Infinity, Infinity]);
+	});
+
 	it('allow keyed requests at any age when strict revocation is off', () => {
 		expect(core.routing.allowsKeyedRequests(Infinity, {...limits, strictRevocation: false})).to.equal(true);
 	});
--- a/packages/gateway/src/controllers/store-feed.ts
+++ b/packages/gateway/src/controllers/store-feed.ts
@@ -56,6 +56,9 @@
 	pollWaitMs: 1000, maxUnconfirmedMs: Infinity, probeWaitMs: 10, lapsePollWaitMs: 300, minRetryDelayMs: 100, maxRetryDelayMs: 400, lapse: core.store.defaultLapseOptions,
 };
 
+/** Wait of a poll that ends early to confirm, at least, in milliseconds; bounds the rate of calls. */
+const minPollWaitMs = 100;
+
 /** Time for which changes are applied at once, in milliseconds; input is read before the next one. */
 const maxBlockMs = 10;
 
@@ -272,7 +275,7 @@
 
 		const longestMs = this.#lapses.lapseAt(now) === undefined ? pollWaitMs : lapsePollWaitMs;
 		const untilLimitMs = Math.floor(this.#respondedAfter + maxUnconfirmedMs - now);
-		return Math.min(longestMs, Math.max(probeWaitMs, untilLimitMs));
+		return Math.min(longestMs, Math.max(minPollWaitMs, untilLimitMs));
 	}
 
 	/** Returns the times of a call that ends now. */
