Relay streams that may be resumed in chunks, whatever length their first endpoint states

Cause: ResponseRelay relayed the Content-Length of the first endpoint; what another one sends after Last-Event-Id has its own length.

Evidence: broken-off-streams.test.ts, four of eight new cases failed: a longer and a shorter rest, of a stated length and in chunks. A rest that is just as long and streams that nobody continues passed. Ruled out: the second head (not relayed), the ids of the events (right in all cases).

Fix: the length is left out of streams that may be resumed, so that they are relayed in chunks; a caller of HTTP/1.0 gets them until the connection ends, and a reset if they are incomplete. Other streams keep it, since only their endpoint's bytes follow.

--- a/packages/gateway/src/call/request-forwarder.ts
+++ b/packages/gateway/src/call/request-forwarder.ts
@@ -50,6 +50,7 @@
 		this.#pool = core.routing.choosePool(route, dependencies.random()) ?? '';
 		this.#relay = new responseRelay.ResponseRelay(res, {
 			isStream: route.kind === core.routing.RouteKind.Streaming,
+			isResumable: route.isResumable,
 			onProgress: () => {
 				this.#recordProgress();
 			},
--- a/packages/gateway/src/call/response-relay.ts
+++ b/packages/gateway/src/call/response-relay.ts
@@ -17,6 +17,8 @@
 /** Options of {@link ResponseRelay}. */
 export type ResponseRelayOptions = {
 	readonly isStream: boolean;
+	/** Whether another endpoint may continue a stream, which then has another length than its first endpoint stated. */
+	readonly isResumable: boolean;
 	/** Called when a chunk of the body arrives, of a stream a complete event. */
 	readonly onProgress: () => void;
 	/** Called when an endpoint sent events with non-consecutive ids; nothing is relayed afterwards. */
@@ -34,7 +36,8 @@
 /**
  * Relays the response of one attempt or, for a resumed stream, of several attempts to the caller. Events of streams are
  * relayed as soon as they are complete. Other responses are buffered until they are complete or exceed the buffer.
- * A response that ends with the endpoint's connection is relayed in chunks, as the end of this process would look like its end.
+ * A response that ends with the endpoint's connection is relayed in chunks, as the end of this process would look like its end;
+ * so is a stream that may be resumed, whatever length its first endpoint states.
  */
 export class ResponseRelay {
 	/** Id of the last event that was relayed. */
@@ -210,10 +213,11 @@
 		this.res.statusCode = status;
 		this.res.sendDate = false;
 		const dropped = connectionHeaders.listConnectionHeaders(rawHeaders);
+		const keepsLength = !(this.#isEventStream && this.options.isResumable);
 		for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
-			const name = rawHeaders[index]!;
-			if (!dropped.has(name.toLowerCase())) {
-				this.res.appendHeader(name, rawHeaders[index + 1]!);
+			const name = rawHeaders[index]!.toLowerCase();
+			if (!dropped.has(name) && (keepsLength || name !== 'content-length')) {
+				this.res.appendHeader(rawHeaders[index]!, rawHeaders[index + 1]!);
 			}
 		}
 	}
