--- a/packages/core/tests/quota/fair-shares-load.test.ts
+++ b/packages/core/tests/quota/fair-shares-load.test.ts
@@ -31,6 +31,22 @@
 const warmUpMs = 5000;
 const targetLatencyMs = 1000;
 
+/** Inserts a request into a sorted queue, behind those of the same rank. No request of the queue is late, so that its order does not depend on the time. */
+function insert(queue: Waiting[], request: Waiting, now: number): void {
+	let low = 0;
+	let high = queue.length;
+	while (low < high) {
+		const middle = Math.floor((low + high) / 2);
+		if (core.fleet.compareWaitingRequests(request, queue[middle]!, now) < 0) {
+			high = middle;
+		} else {
+			low = middle + 1;
+		}
+	}
+
+	queue.splice(low, 0, request);
+}
+
 /** Plays callers of all accounts at VMs that each serve their queue from an equal part of the pool. @returns Served requests of each account, relative to those that its quota admits. */
 function play({vms, accounts, capacity, areMarked}: Scenario): Map<string, number> {
 	const random = new core.util.SeededRandom(1);
@@ -44,6 +60,7 @@
 
 	const unitsPerStep = askedUnits * capacity * stepMs / 1000 / vms;
 	const queues = Array.from({length: vms}, (): Waiting[] => []);
+	const arrived = Array.from({length: vms}, (): Waiting[] => []);
 	const credits = Array.from({length: vms}, () => 0);
 	const admitted = new Map<string, number>();
 	const served = new Map<string, number>();
@@ -54,11 +71,11 @@
 	for (let now = 0; now < lengthMs; now += stepMs) {
 		for (const account of accounts) {
 			const mean = account.asked / account.units * stepMs / 1000;
+			const limits: core.quota.AccountQuota = {
+				unit: core.quota.QuotaUnit.Tokens, unitsPerSecond: account.quota, burst: account.quota, defaultTokens: 1,
+			};
 			const arrivals = Math.floor(mean) + (random.int(1_000_000) < (mean % 1) * 1_000_000 ? 1 : 0);
 			for (let index = 0; index < arrivals; index++) {
-				const limits: core.quota.AccountQuota = {
-					unit: core.quota.QuotaUnit.Tokens, unitsPerSecond: account.quota, burst: account.quota, defaultTokens: 1,
-				};
 				const decision = buckets.take({account: account.name, partition: 0, units: account.units}, limits, now);
 				if (decision.outcome !== core.quota.QuotaOutcome.Granted) {
 					continue;
@@ -69,7 +86,7 @@
 				}
 
 				const arrivedAt = now + (random.int(1000) * stepMs / 1000);
-				queues[random.int(vms)]!.push({
+				arrived[random.int(vms)]!.push({
 					account: account.name,
 					priority: 0,
 					targetLatencyMs,
@@ -82,7 +99,11 @@
 		}
 
 		for (const [index, queue] of queues.entries()) {
-			const sorted = queue.filter(({deadlineAt}) => deadlineAt > now).sort((a, b) => core.fleet.compareWaitingRequests(a, b, now));
+			const sorted = queue.filter(({deadlineAt}) => deadlineAt > now);
+			for (const request of arrived[index]!.splice(0)) {
+				insert(sorted, request, now);
+			}
+
 			let credit = Math.min((credits[index] ?? 0) + unitsPerStep, Math.max(unitsPerStep, maxCredit));
 			while (sorted[0] !== undefined && credit >= sorted[0].prefillTokens) {
 				const next = sorted.shift()!;
